Frame of the project and the shared types between its folders

Cause: nothing stood. The folders are to be written in parallel, so what they exchange is agreed first: identifiers, service declarations, Raft messages and effects, session leases, ledger, registry commands, router and control cores.

--- /dev/null
+++ b/src/control/messages.ts
@@ -0,0 +1,113 @@
+/** Messages between routers and control members, carried by frames of `src/wire/`. */
+import type { ClaimantId, ClaimResult, StoredAnswer } from '../ledger/types.js';
+import type {
+  Address,
+  ClusterId,
+  Incarnation,
+  MonotonicMillis,
+  Revision,
+  RouterId,
+  ServiceName,
+  ShardId,
+  UpstreamId,
+  WallMillis,
+  Zone,
+} from '../model/identifiers.js';
+import type { RoutingDelta, RoutingSnapshot } from '../registry/types.js';
+
+/** Refreshes the configuration lease and fetches what changed. */
+export interface SyncRequest {
+  readonly type: 'sync-request';
+  readonly router: RouterId;
+  readonly incarnation: Incarnation;
+  readonly zone: Zone;
+  /** Router's clock when it sent this; the lease counts from here. */
+  readonly stamp: MonotonicMillis;
+  /** Last revision held; 0: none, send a snapshot. */
+  readonly have: Revision;
+  readonly report: LoadReport | null;
+}
+export interface SyncResponse {
+  readonly type: 'sync-response';
+  readonly stamp: MonotonicMillis;
+  /** Set when a quorum confirmed, after the request arrived, that nothing later than `revision` was acknowledged. */
+  readonly confirmed: boolean;
+  readonly revision: Revision;
+  readonly snapshot: RoutingSnapshot | null;
+  readonly delta: RoutingDelta | null;
+  readonly leader: Address | null;
+}
+/** Says that there is something to fetch. Only a hint. */
+export interface ChangeNotice {
+  readonly type: 'change-notice';
+  readonly revision: Revision;
+}
+/** Requests and service times that a router saw since its last report. */
+export interface LoadReport {
+  readonly intervalMillis: number;
+  readonly shards: readonly {
+    readonly shard: ShardId;
+    readonly requests: number;
+    readonly workMillis: number;
+  }[];
+  readonly upstreams: readonly {
+    readonly upstream: UpstreamId;
+    readonly inFlight: number;
+    readonly serviceMillis: number;
+    readonly failures: number;
+  }[];
+}
+/** Sent to the leader; idempotent for one claimant. */
+export interface ClaimRequest {
+  readonly type: 'claim-request';
+  readonly claimant: ClaimantId;
+  readonly service: ServiceName;
+  readonly key: string;
+  readonly fingerprint: string;
+  readonly issuedAt: WallMillis;
+}
+export interface ClaimResponse {
+  readonly type: 'claim-response';
+  readonly claimant: ClaimantId;
+  /** `null`: not the leader, or no quorum; nothing is known of the claim. */
+  readonly result: ClaimResult | null;
+  readonly leader: Address | null;
+}
+export interface SettleRequest {
+  readonly type: 'settle-request';
+  readonly claimant: ClaimantId;
+  readonly service: ServiceName;
+  readonly key: string;
+  readonly outcome: 'ran' | 'not-run' | 'unknown';
+  readonly answer: StoredAnswer | null;
+}
+export interface SettleResponse {
+  readonly type: 'settle-response';
+  readonly claimant: ClaimantId;
+  readonly settled: boolean;
+  readonly leader: Address | null;
+}
+export type RouterToControl = SyncRequest | ClaimRequest | SettleRequest;
+export type ControlToRouter = SyncResponse | ChangeNotice | ClaimResponse | SettleResponse;
+
+/** Times of the configuration lease. */
+export interface ConfigLeaseTimings {
+  /** A router that heard nothing confirmed for this long serves nothing. */
+  readonly configLeaseMillis: number;
+  readonly syncMillis: number;
+  readonly clockRateError: number;
+}
+/** A cut router stops within 1.8 s, so that an accepted change holds everywhere within 2 s. */
+export const DEFAULT_CONFIG_LEASE_TIMINGS: ConfigLeaseTimings = {
+  configLeaseMillis: 1800,
+  syncMillis: 400,
+  clockRateError: 0.005,
+};
+
+/** First frame of a connection, both ways. */
+export interface Greeting {
+  readonly type: 'greeting';
+  readonly cluster: ClusterId;
+  readonly kind: 'control' | 'router';
+  readonly name: string;
+}
--- /dev/null
+++ b/src/control/types.ts
@@ -0,0 +1,152 @@
+/**
+ * Inputs and effects of the control node: Raft, registry, lease granter, placement and the router-facing side in one
+ * deterministic core. The daemon and the simulator drive the same core.
+ */
+import type {
+  Membership,
+  PersistRequest,
+  RaftMessage,
+  RaftStatus,
+  RaftTimings,
+  RestoredState,
+} from '../consensus/types.js';
+import type { LeaseTimings, SessionAnswer, SessionRequest } from '../lease/types.js';
+import type { LedgerRecord } from '../ledger/types.js';
+import type {
+  Address,
+  ClusterId,
+  ReplicaId,
+  Revision,
+  ServiceName,
+  UpstreamId,
+  WallMillis,
+} from '../model/identifiers.js';
+import type {
+  CommandResult,
+  OperatorCommand,
+  ServiceRecord,
+  ShardRecord,
+  UpstreamRecord,
+} from '../registry/types.js';
+import type { ConfigLeaseTimings, ControlToRouter, RouterToControl } from './messages.js';
+
+/** Names one connection of a router, or one operator request, as the shell numbers them. */
+export type ConnectionId = string;
+export type OperationId = string;
+
+export type OperatorRequest =
+  | {
+      readonly type: 'command';
+      readonly requestId: string;
+      readonly actor: string;
+      readonly command: OperatorCommand;
+      /** Answer only when the change is in force on every router. */
+      readonly wait: boolean;
+    }
+  /** A linearizable read. */
+  | { readonly type: 'get-services' }
+  | { readonly type: 'get-upstreams' }
+  | { readonly type: 'get-shards'; readonly service: ServiceName | null }
+  | { readonly type: 'get-ledger'; readonly service: ServiceName; readonly key: string }
+  | { readonly type: 'get-status' }
+  | { readonly type: 'add-learner'; readonly replica: ReplicaId; readonly address: Address }
+  | {
+      readonly type: 'replace-replica';
+      readonly oldReplica: ReplicaId;
+      readonly newReplica: ReplicaId;
+      readonly address: Address;
+    }
+  | { readonly type: 'transfer-leadership'; readonly to: ReplicaId | null }
+  | { readonly type: 'take-snapshot' };
+
+export interface UpstreamHealth {
+  readonly upstream: UpstreamId;
+  readonly state: 'leased' | 'greeting' | 'ending' | 'unreachable';
+  /** Milliseconds since the last answer; `null`: none yet. */
+  readonly silentMillis: number | null;
+  readonly shards: number;
+  readonly draining: number;
+}
+
+export type OperatorResponse =
+  | { readonly type: 'result'; readonly result: CommandResult; readonly inForce: boolean }
+  | { readonly type: 'services'; readonly revision: Revision; readonly services: readonly ServiceRecord[] }
+  | { readonly type: 'upstreams'; readonly revision: Revision; readonly upstreams: readonly UpstreamRecord[] }
+  | { readonly type: 'shards'; readonly revision: Revision; readonly shards: readonly ShardRecord[] }
+  | { readonly type: 'ledger'; readonly record: LedgerRecord | null }
+  | {
+      readonly type: 'status';
+      readonly raft: RaftStatus;
+      readonly revision: Revision;
+      readonly upstreams: readonly UpstreamHealth[];
+      readonly routers: readonly {
+        readonly router: string;
+        readonly revision: Revision;
+        readonly silentMillis: number;
+      }[];
+      readonly unownedShards: number;
+      readonly movingShards: number;
+    }
+  | { readonly type: 'membership'; readonly membership: Membership; readonly repaired: boolean }
+  | { readonly type: 'done' }
+  /** Nothing was changed. */
+  | { readonly type: 'not-leader'; readonly leader: Address | null }
+  | { readonly type: 'rejected'; readonly message: string }
+  /** The change may or may not be made later; a resend with the same request id tells. */
+  | { readonly type: 'unknown' };
+
+export type ControlInput =
+  | { readonly type: 'tick' }
+  | { readonly type: 'peer-message'; readonly message: RaftMessage }
+  | { readonly type: 'persisted'; readonly persistId: number }
+  | { readonly type: 'router-message'; readonly connection: ConnectionId; readonly message: RouterToControl }
+  | { readonly type: 'router-gone'; readonly connection: ConnectionId }
+  | {
+      readonly type: 'upstream-answer';
+      readonly upstream: UpstreamId;
+      readonly sequence: number;
+      readonly answer: SessionAnswer;
+    }
+  | { readonly type: 'upstream-failed'; readonly upstream: UpstreamId; readonly sequence: number }
+  | { readonly type: 'operator-request'; readonly operation: OperationId; readonly request: OperatorRequest };
+
+export type ControlEffect =
+  | { readonly type: 'send-peer'; readonly message: RaftMessage }
+  | { readonly type: 'persist'; readonly request: PersistRequest }
+  | { readonly type: 'send-router'; readonly connection: ConnectionId; readonly message: ControlToRouter }
+  /** Answered by `upstream-answer` or `upstream-failed` with the request's sequence. */
+  | {
+      readonly type: 'call-upstream';
+      readonly upstream: UpstreamId;
+      readonly address: Address;
+      readonly request: SessionRequest;
+    }
+  | { readonly type: 'answer-operator'; readonly operation: OperationId; readonly response: OperatorResponse }
+  | {
+      readonly type: 'log';
+      readonly level: 'info' | 'warn' | 'error';
+      readonly event: string;
+      readonly fields: Readonly<Record<string, unknown>>;
+    };
+
+export interface ControlConfig {
+  readonly cluster: ClusterId;
+  readonly self: ReplicaId;
+  readonly seed: number;
+  readonly raft: RaftTimings;
+  readonly lease: LeaseTimings;
+  readonly configLease: ConfigLeaseTimings;
+  /** Log entries after which a snapshot is taken. */
+  readonly snapshotEntries: number;
+  /** Replace a voter by itself once it was silent this long and a spare learner is caught up; 0: never. */
+  readonly replaceAfterMillis: number;
+}
+
+/** `now` is monotonic; `wall` is stamped on commands. */
+export interface ControlCore {
+  step(input: ControlInput, now: number, wall: WallMillis): ControlEffect[];
+  nextDeadline(): number;
+  status(): RaftStatus;
+}
+
+export type ControlRestoredState = RestoredState;
--- /dev/null
+++ b/src/model/key-map.ts
@@ -0,0 +1,50 @@
+/** Which shard a key belongs to. The same rule runs in routers and in the fence of each upstream. */
+import xxhash from 'xxhash-wasm';
+import type { KeyMap } from '../lease/types.js';
+import { formatShardId, type ShardId } from './identifiers.js';
+import type { KeyspaceDefinition } from './service.js';
+
+const hasher = await xxhash();
+
+/** The keyspace that takes `key`: an exact match first, then the longest prefix. */
+export function keyspaceOfKey(
+  keyspaces: readonly KeyspaceDefinition[],
+  key: string,
+): KeyspaceDefinition | undefined {
+  let best: KeyspaceDefinition | undefined;
+  for (const keyspace of keyspaces) {
+    if (keyspace.kind === 'exact' && keyspace.match === key) {
+      return keyspace;
+    }
+    const longer = best === undefined || keyspace.match.length > best.match.length;
+    if (keyspace.kind === 'prefix' && key.startsWith(keyspace.match) && longer) {
+      best = keyspace;
+    }
+  }
+  return best;
+}
+
+/** The shard of `key`, by xxhash64 modulo the keyspace's shards; `undefined` if no keyspace takes it. */
+export function shardOfKey(keyMap: KeyMap, key: string): ShardId | undefined {
+  const keyspace = keyspaceOfKey(keyMap.keyspaces, key);
+  if (keyspace === undefined) {
+    return undefined;
+  }
+  const number = Number(hasher.h64(key) % BigInt(keyspace.shards));
+  return formatShardId({
+    service: keyMap.service,
+    keyspace: keyspace.name,
+    generation: keyMap.generation,
+    number,
+  });
+}
+
+/** Every shard of a key map. */
+export function shardsOfKeyMap(keyMap: KeyMap): ShardId[] {
+  const { service, generation } = keyMap;
+  return keyMap.keyspaces.flatMap((keyspace) =>
+    Array.from({ length: keyspace.shards }, (_, number) =>
+      formatShardId({ service, keyspace: keyspace.name, generation, number }),
+    ),
+  );
+}
--- /dev/null
+++ b/src/model/service.ts
@@ -0,0 +1,79 @@
+/** Declarations that operators make: services, their keyspaces, upstreams and policies. */
+import type { Address, ServiceName, UpstreamId, Zone } from './identifiers.js';
+
+/** Classes of requests, most important first. */
+export const PRIORITY_CLASSES = ['critical', 'interactive', 'bulk'] as const;
+export type PriorityClass = (typeof PRIORITY_CLASSES)[number];
+
+/** A part of a service's keys, cut into shards. The longest matching rule of a service wins. */
+export interface KeyspaceDefinition {
+  readonly name: string;
+  /** `exact` matches one key, `prefix` all keys which start with `match` ('' matches every key). */
+  readonly kind: 'exact' | 'prefix';
+  readonly match: string;
+  /** Number of shards, 1 or more; 1 for `exact`. */
+  readonly shards: number;
+}
+
+/** Relative costs that placement minimises; each 0 or more. */
+export interface PlacementWeights {
+  readonly unavailability: number;
+  readonly imbalance: number;
+  readonly churn: number;
+}
+
+/** One rule of a policy program. `when`, and the numbers in actions, are CEL expressions. */
+export interface PolicyRule {
+  readonly name: string;
+  readonly when: string;
+  readonly action: 'weigh' | 'refuse' | 'hold';
+  /** `weigh`: a CEL expression giving a factor above 0 on the picked upstream's cost. */
+  readonly weight?: string;
+  /** `refuse`: seconds for Retry-After, as CEL; the measured drain time if left out. */
+  readonly retryAfterSeconds?: string;
+  /** `hold`: longest hold in milliseconds, as CEL. */
+  readonly holdMillis?: string;
+}
+
+/** What operators declare for a service. */
+export interface ServiceDefinition {
+  readonly name: ServiceName;
+  readonly keyed: boolean;
+  /** Whether a request may be run twice without harm. */
+  readonly repeatable: boolean;
+  readonly priority: PriorityClass;
+  /** Longest time a request may take, from its arrival. */
+  readonly deadlineMillis: number;
+  /** Requests an upstream works on at once. */
+  readonly slotsPerUpstream: number;
+  /** Retries as a share of first attempts, 0 to 1. */
+  readonly retryBudget: number;
+  /** Requests a router keeps waiting for this service. */
+  readonly queueLimit: number;
+  /** Longest wait in a router's queue. */
+  readonly holdLimitMillis: number;
+  /** Whether identical reads in flight may share one attempt. */
+  readonly coalesce: boolean;
+  /** Answers up to this many bytes are read whole before the first byte goes out. */
+  readonly wholeAnswerBytes: number;
+  /** How long outcomes of non-repeatable requests are kept. */
+  readonly retentionMillis: number;
+  readonly placement: PlacementWeights;
+  /** Planned moves of shards a minute. */
+  readonly movesPerMinute: number;
+  /** Empty for services that aren't keyed. */
+  readonly keyspaces: readonly KeyspaceDefinition[];
+  readonly policy: readonly PolicyRule[];
+}
+
+/** What operators declare for an upstream server. */
+export interface UpstreamDefinition {
+  readonly id: UpstreamId;
+  readonly service: ServiceName;
+  readonly address: Address;
+  readonly zone: Zone;
+  /** Names of the keyspaces whose shards it may hold; empty: all of its service's. */
+  readonly mayHold: readonly string[];
+  /** Set by `upstream drain`: no new work, its shards move away. */
+  readonly leaving: boolean;
+}
--- /dev/null
+++ b/src/registry/types.ts
@@ -0,0 +1,150 @@
+/** The replicated state machine: what operators declared, who owns each shard, the ledger and the dedup table. */
+import type { ClaimCommand, ClaimResult, LedgerRecord, SettleCommand } from '../ledger/types.js';
+import type {
+  Epoch,
+  Incarnation,
+  Revision,
+  ServiceName,
+  ShardId,
+  UpstreamId,
+  WallMillis,
+} from '../model/identifiers.js';
+import type { ServiceDefinition, UpstreamDefinition } from '../model/service.js';
+
+export interface ServiceRecord {
+  readonly definition: ServiceDefinition;
+  /** Revision of the last change to it. */
+  readonly revision: Revision;
+  /** Revision at which keyspaces last changed; part of the names of its shards. */
+  readonly generation: Revision;
+}
+export interface UpstreamRecord {
+  readonly definition: UpstreamDefinition;
+  readonly revision: Revision;
+  /** Incarnation which holds the session; `null` before the first and after its lease ended. */
+  readonly incarnation: Incarnation | null;
+}
+
+/** Where a shard stands. Absent records mean `unowned`, never granted. */
+export interface ShardRecord {
+  readonly shard: ShardId;
+  readonly owner: UpstreamId | null;
+  readonly incarnation: Incarnation | null;
+  readonly epoch: Epoch;
+  /** Planned move under way: the owner gives up, then `target` is granted. */
+  readonly movingTo: UpstreamId | null;
+  readonly revision: Revision;
+}
+
+/** Changes asked for by operators. `expected` is the revision of the thing as the operator saw it; 0: must not exist; `null`: any. */
+export type OperatorCommand =
+  | {
+      readonly type: 'service-apply';
+      readonly definition: ServiceDefinition;
+      readonly expected: Revision | null;
+    }
+  | { readonly type: 'service-delete'; readonly service: ServiceName; readonly expected: Revision | null }
+  | {
+      readonly type: 'upstream-apply';
+      readonly definition: UpstreamDefinition;
+      readonly expected: Revision | null;
+    }
+  | { readonly type: 'upstream-remove'; readonly upstream: UpstreamId; readonly expected: Revision | null }
+  | {
+      readonly type: 'shard-move';
+      readonly shard: ShardId;
+      readonly to: UpstreamId;
+      readonly expected: Revision | null;
+    };
+
+/** Changes that the leader itself makes. Each names what it relies on, so a stale one changes nothing. */
+export type LeaderCommand =
+  /** A new incarnation was seen: the session and all grants of the one before are void (its lease ended or it said so itself). */
+  | {
+      readonly type: 'session-open';
+      readonly upstream: UpstreamId;
+      readonly incarnation: Incarnation;
+      readonly previous: Incarnation | null;
+    }
+  /** The lease of this incarnation has ended; its shards are unowned. */
+  | { readonly type: 'session-end'; readonly upstream: UpstreamId; readonly incarnation: Incarnation }
+  /** Grants for many shards at once; each applies only if the shard is unowned and at `expectedEpoch`. */
+  | {
+      readonly type: 'grant-batch';
+      readonly grants: readonly {
+        readonly shard: ShardId;
+        readonly to: UpstreamId;
+        readonly incarnation: Incarnation;
+        readonly expectedEpoch: Epoch;
+      }[];
+    }
+  | {
+      readonly type: 'move-start';
+      readonly moves: readonly { readonly shard: ShardId; readonly to: UpstreamId; readonly epoch: Epoch }[];
+    }
+  /** The owner at `epoch` gave the shard up for good. */
+  | {
+      readonly type: 'shard-release';
+      readonly releases: readonly { readonly shard: ShardId; readonly epoch: Epoch }[];
+    }
+  | { readonly type: 'move-cancel'; readonly shard: ShardId; readonly epoch: Epoch };
+
+export type Command = OperatorCommand | LeaderCommand | ClaimCommand | SettleCommand;
+
+/** What a log entry of kind `command` holds, as JSON. */
+export interface CommandEnvelope {
+  /** Operators' id of the request, for the dedup table; `null` for the system's own. */
+  readonly requestId: string | null;
+  /** Who asked, for the audit log. */
+  readonly actor: string;
+  /** The leader's wall clock when it proposed. */
+  readonly at: WallMillis;
+  readonly command: Command;
+}
+
+export type CommandResult =
+  | { readonly type: 'accepted'; readonly revision: Revision }
+  /** Compare-and-set lost; `current` is the revision now (0: doesn't exist). */
+  | { readonly type: 'conflict'; readonly current: Revision }
+  | { readonly type: 'invalid'; readonly message: string }
+  | { readonly type: 'not-found' }
+  | { readonly type: 'claim'; readonly result: ClaimResult };
+
+/** A thing that changed, as routers and the leader's own tasks see it. */
+export type RegistryChange =
+  | { readonly type: 'service'; readonly name: ServiceName; readonly record: ServiceRecord | null }
+  | { readonly type: 'upstream'; readonly id: UpstreamId; readonly record: UpstreamRecord | null }
+  | { readonly type: 'shard'; readonly shard: ShardId; readonly record: ShardRecord | null };
+
+/** Everything a router needs; sent whole or as changes. */
+export interface RoutingSnapshot {
+  readonly revision: Revision;
+  readonly services: readonly ServiceRecord[];
+  readonly upstreams: readonly UpstreamRecord[];
+  readonly shards: readonly ShardRecord[];
+}
+export interface RoutingDelta {
+  readonly from: Revision;
+  readonly to: Revision;
+  readonly changes: readonly RegistryChange[];
+}
+
+/** The state machine. Deterministic: the same entries give the same state and results on every replica. */
+export interface Registry {
+  /** Revision of the last entry applied. */
+  readonly revision: Revision;
+  apply(
+    index: Revision,
+    envelope: CommandEnvelope,
+  ): { readonly result: CommandResult; readonly changes: readonly RegistryChange[] };
+  /** Entries that carry no command still advance the revision. */
+  advance(index: Revision): void;
+  encode(): Uint8Array;
+  services(): ReadonlyMap<ServiceName, ServiceRecord>;
+  upstreams(): ReadonlyMap<UpstreamId, UpstreamRecord>;
+  shards(): ReadonlyMap<ShardId, ShardRecord>;
+  ledgerRecord(service: ServiceName, key: string): LedgerRecord | undefined;
+  routingSnapshot(): RoutingSnapshot;
+  /** Changes after `from`, or `undefined` if that is too long ago. */
+  routingDelta(from: Revision): RoutingDelta | undefined;
+}
--- /dev/null
+++ b/src/routing/types.ts
@@ -0,0 +1,155 @@
+/**
+ * Inputs and effects of the router core. Bodies never pass through it: the shell keeps them by request id and attempt id.
+ */
+import type { ConfigLeaseTimings, ControlToRouter, RouterToControl } from '../control/messages.js';
+import type { FenceCredentials, FenceRefusal } from '../lease/types.js';
+import type { StoredAnswer } from '../ledger/types.js';
+import type {
+  Address,
+  Incarnation,
+  RouterId,
+  ServiceName,
+  UpstreamId,
+  WallMillis,
+  Zone,
+} from '../model/identifiers.js';
+import type { Outcome } from '../model/outcome.js';
+
+/** Number of a request within one run of a router. */
+export type RequestNumber = number;
+/** Number of an attempt within one run of a router. */
+export type AttemptNumber = number;
+
+export interface ArrivedRequest {
+  readonly request: RequestNumber;
+  readonly service: ServiceName;
+  readonly key: string | null;
+  readonly method: string;
+  /** Path and query, for coalescing. */
+  readonly target: string;
+  /** Asked for by the caller; capped by the service's own. `null`: the service's. */
+  readonly deadlineMillis: number | null;
+  readonly idempotency: {
+    readonly key: string;
+    readonly issuedAt: WallMillis;
+    readonly fingerprint: string;
+  } | null;
+}
+
+/** How an attempt on an upstream ended. */
+export type AttemptResult =
+  /** The whole answer is in the shell's hands (or its head, if it is longer than the service's bound). */
+  | {
+      readonly type: 'answered';
+      readonly status: number;
+      readonly load: number | null;
+      readonly stored: StoredAnswer | null;
+    }
+  /** The upstream's fence or shedding turned it away before it started. */
+  | { readonly type: 'refused'; readonly refusal: FenceRefusal; readonly retryAfterMillis: number | null }
+  /** No connection was made: nothing was sent. */
+  | { readonly type: 'connect-failed' }
+  /** Something was sent and no whole answer came. */
+  | { readonly type: 'broken' }
+  | { readonly type: 'cancelled' };
+
+export type RouterInput =
+  | { readonly type: 'tick' }
+  | { readonly type: 'control-message'; readonly from: Address; readonly message: ControlToRouter }
+  | { readonly type: 'control-lost'; readonly from: Address }
+  | { readonly type: 'request'; readonly request: ArrivedRequest }
+  | { readonly type: 'request-cancelled'; readonly request: RequestNumber }
+  | { readonly type: 'attempt-ended'; readonly attempt: AttemptNumber; readonly result: AttemptResult }
+  /** Evidence from an upstream's health and load endpoints: hints only. */
+  | {
+      readonly type: 'probe-result';
+      readonly upstream: UpstreamId;
+      readonly healthy: boolean;
+      readonly load: number | null;
+    }
+  /** The platform's list of machines, which lags: hints only. */
+  | {
+      readonly type: 'platform-list';
+      readonly leaving: readonly UpstreamId[];
+      readonly live: readonly UpstreamId[];
+    };
+
+export type RefusalReason =
+  | 'no-configuration'
+  | 'unknown-service'
+  | 'key-required'
+  | 'idempotency-key-required'
+  | 'idempotency-key-mismatch'
+  | 'idempotency-key-expired'
+  | 'still-running'
+  | 'outcome-unknown'
+  | 'ledger-unavailable'
+  | 'no-owner'
+  | 'no-upstream'
+  | 'queue-full'
+  | 'would-miss-deadline'
+  | 'deadline-passed'
+  | 'policy-refused'
+  | 'upstream-failed'
+  | 'retry-budget-spent';
+
+export type RouterEffect =
+  | { readonly type: 'send-control'; readonly to: Address; readonly message: RouterToControl }
+  | {
+      readonly type: 'dispatch';
+      readonly request: RequestNumber;
+      readonly attempt: AttemptNumber;
+      readonly upstream: UpstreamId;
+      readonly address: Address;
+      /** Keyed services only. */
+      readonly credentials: FenceCredentials | null;
+      /** Time left. */
+      readonly deadlineMillis: number;
+      /** The shell reads answers whole up to this size before reporting `answered`. */
+      readonly wholeAnswerBytes: number;
+    }
+  | { readonly type: 'cancel-attempt'; readonly attempt: AttemptNumber }
+  /** Give the caller the answer of this attempt. */
+  | { readonly type: 'deliver'; readonly request: RequestNumber; readonly attempt: AttemptNumber }
+  /** Give the caller an answer that the ledger kept. */
+  | { readonly type: 'deliver-stored'; readonly request: RequestNumber; readonly answer: StoredAnswer }
+  /** Give the caller an answer of the router's own, at once. */
+  | {
+      readonly type: 'refuse';
+      readonly request: RequestNumber;
+      readonly status: number;
+      readonly outcome: Outcome;
+      readonly reason: RefusalReason;
+      readonly retryAfterMillis: number | null;
+    }
+  | {
+      readonly type: 'log';
+      readonly level: 'info' | 'warn' | 'error';
+      readonly event: string;
+      readonly fields: Readonly<Record<string, unknown>>;
+    };
+
+export interface RouterConfig {
+  readonly router: RouterId;
+  readonly incarnation: Incarnation;
+  readonly zone: Zone;
+  readonly seed: number;
+  readonly control: readonly Address[];
+  readonly configLease: ConfigLeaseTimings;
+  /** Wait for an answer of the ledger before giving up with `not-run` is not proved: the claim is then released or left `unknown`. */
+  readonly claimTimeoutMillis: number;
+}
+
+export interface RouterStatus {
+  readonly revision: number;
+  readonly serving: boolean;
+  readonly queued: number;
+  readonly inFlight: number;
+}
+
+/** Deterministic core of a router. `wall` is for ages of idempotency keys only. */
+export interface RouterCore {
+  step(input: RouterInput, now: number, wall: WallMillis): RouterEffect[];
+  nextDeadline(): number;
+  status(): RouterStatus;
+}
