--- /dev/null
+++ b/src/consensus/election.ts
@@ -0,0 +1,118 @@
+/** Elections: pre-vote, vote, and the replies to both. */
+import { allVoters, hasQuorum } from './membership.js';
+import { becomeCandidate, becomeFollower, becomeLeader, becomePreCandidate } from './roles.js';
+import type { RaftState } from './state.js';
+import type { TimeoutNow, VoteRequest, VoteResponse } from './types.js';
+
+/** The election timeout ran out. Replicas that don't vote only forget their leader. */
+export function electionTimedOut(state: RaftState): void {
+  if (!state.isSelfVoter) {
+    becomeFollower(state, state.term, null);
+    state.resetElectionDeadline();
+    return;
+  }
+  startPreVote(state);
+}
+
+function startPreVote(state: RaftState): void {
+  becomePreCandidate(state);
+  if (hasQuorum(state.membership, (replica) => replica === state.self)) {
+    startElection(state, false);
+    return;
+  }
+  requestVotes(state, true, false);
+}
+
+/** Starts an election at once; `transfer` makes followers pass over the old leader's recency. */
+function startElection(state: RaftState, transfer: boolean): void {
+  becomeCandidate(state);
+  const { term } = state;
+  state.persistQueue.afterPersist(() => {
+    if (state.term === term && state.role === 'candidate') {
+      requestVotes(state, false, transfer);
+      countVote(state, state.self);
+    }
+  });
+}
+
+function requestVotes(state: RaftState, preVote: boolean, transfer: boolean): void {
+  const term = preVote ? state.term + 1 : state.term;
+  const { lastIndex: lastLogIndex, lastTerm: lastLogTerm } = state.log;
+  for (const to of allVoters(state.membership)) {
+    if (to !== state.self) {
+      state.send({ type: 'vote-request', to, term, preVote, lastLogIndex, lastLogTerm, transfer });
+    }
+  }
+}
+
+/** Whether to pass over a vote request, because the present leader is alive. */
+export function ignoresVoteRequest(state: RaftState, request: VoteRequest): boolean {
+  if (request.transfer) {
+    return false;
+  }
+  return state.role === 'leader' || state.hasRecentLeader;
+}
+
+/** Answers a request of the present term, or a pre-vote of any term. */
+export function handleVoteRequest(state: RaftState, request: VoteRequest): void {
+  if (request.preVote) {
+    answerPreVote(state, request);
+    return;
+  }
+  const free = state.votedFor === null || state.votedFor === request.from;
+  const granted = free && state.leader === null && isUpToDate(state, request);
+  if (granted && state.votedFor === null) {
+    state.setHardState(state.term, request.from);
+  }
+  if (granted) {
+    state.resetElectionDeadline();
+  }
+  const { term } = state;
+  state.sendAfterPersist({ type: 'vote-response', to: request.from, term, preVote: false, granted });
+}
+
+/** A granted pre-vote carries the term asked for, a refused one this replica's own. */
+function answerPreVote(state: RaftState, request: VoteRequest): void {
+  const granted = request.term > state.term && isUpToDate(state, request);
+  const term = granted ? request.term : state.term;
+  state.send({ type: 'vote-response', to: request.from, term, preVote: true, granted });
+}
+
+function isUpToDate(state: RaftState, request: VoteRequest): boolean {
+  const { lastIndex, lastTerm } = state.log;
+  if (request.lastLogTerm !== lastTerm) {
+    return request.lastLogTerm > lastTerm;
+  }
+  return request.lastLogIndex >= lastIndex;
+}
+
+export function handleVoteResponse(state: RaftState, response: VoteResponse): void {
+  const awaited = response.preVote ? state.role === 'pre-candidate' : state.role === 'candidate';
+  const askedTerm = response.preVote ? state.term + 1 : state.term;
+  if (awaited && response.granted && response.term === askedTerm) {
+    countVote(state, response.from);
+  }
+}
+
+function countVote(state: RaftState, replica: string): void {
+  const { campaign } = state;
+  if (campaign === undefined) {
+    return;
+  }
+  campaign.granted.add(replica);
+  if (!hasQuorum(state.membership, (voter) => campaign.granted.has(voter))) {
+    return;
+  }
+  if (state.role === 'pre-candidate') {
+    startElection(state, false);
+  } else {
+    becomeLeader(state);
+  }
+}
+
+/** The leader hands over: stand for election without a pre-vote. */
+export function handleTimeoutNow(state: RaftState, message: TimeoutNow): void {
+  if (state.role === 'follower' && state.isSelfVoter && state.leader === message.from) {
+    startElection(state, true);
+  }
+}
--- /dev/null
+++ b/src/consensus/log.ts
@@ -0,0 +1,89 @@
+/** The replicated log in memory: constant-time reads by index, terms known from the base index on. */
+import type { Term } from '../model/identifiers.js';
+import type { LogEntry } from './types.js';
+
+export class RaftLog {
+  #entries: LogEntry[];
+  #baseIndex: number;
+  #baseTerm: Term;
+
+  /** `baseIndex` and `baseTerm` are those of the last entry that a snapshot replaced; 0 and 0 without one. */
+  constructor(baseIndex: number, baseTerm: Term, entries: readonly LogEntry[]) {
+    this.#baseIndex = baseIndex;
+    this.#baseTerm = baseTerm;
+    this.#entries = [...entries];
+  }
+
+  get baseIndex(): number {
+    return this.#baseIndex;
+  }
+
+  get firstIndex(): number {
+    return this.#baseIndex + 1;
+  }
+
+  get lastIndex(): number {
+    return this.#baseIndex + this.#entries.length;
+  }
+
+  get lastTerm(): Term {
+    return this.#entries.at(-1)?.term ?? this.#baseTerm;
+  }
+
+  entryAt(index: number): LogEntry | undefined {
+    return this.#entries[index - this.#baseIndex - 1];
+  }
+
+  /** Term of the entry at `index`; `undefined` if the entry isn't held (the base index still has its term). */
+  termAt(index: number): Term | undefined {
+    if (index === this.#baseIndex) {
+      return this.#baseTerm;
+    }
+    return this.entryAt(index)?.term;
+  }
+
+  /** Entries from `from` to `to`, both included. */
+  slice(from: number, to: number): LogEntry[] {
+    return this.#entries.slice(from - this.firstIndex, to - this.#baseIndex);
+  }
+
+  /** Adds entries which must follow the last one without a gap. */
+  append(entries: readonly LogEntry[]): void {
+    for (const entry of entries) {
+      this.#entries.push(entry);
+    }
+  }
+
+  /** Drops the entries from `index` on. */
+  truncateFrom(index: number): void {
+    this.#entries.length = Math.max(0, index - this.firstIndex);
+  }
+
+  /** Drops the entries up to `index`, which becomes the base. */
+  compactTo(index: number): void {
+    const term = this.termAt(index);
+    if (term === undefined || index <= this.#baseIndex) {
+      return;
+    }
+    this.#entries = this.#entries.slice(index - this.#baseIndex);
+    this.#baseIndex = index;
+    this.#baseTerm = term;
+  }
+
+  /** Drops everything; the next entry is the one after `index`. */
+  reset(index: number, term: Term): void {
+    this.#entries = [];
+    this.#baseIndex = index;
+    this.#baseTerm = term;
+  }
+
+  /** First index after `floor` of the run of equal terms that ends at `index`. */
+  firstIndexOfTermRun(index: number, floor: number): number {
+    const term = this.termAt(index);
+    let first = index;
+    while (first - 1 > floor && this.termAt(first - 1) === term) {
+      first -= 1;
+    }
+    return first;
+  }
+}
--- /dev/null
+++ b/src/consensus/read-index.ts
@@ -0,0 +1,142 @@
+/**
+ * Linearizable reads without a log entry (ReadIndex): the commit index of a leader that a quorum confirmed in a
+ * round begun after the read was asked.
+ */
+import type { ReplicaId } from '../model/identifiers.js';
+import type { PendingRead, ReadBatch } from './leader-state.js';
+import { quorumValue } from './membership.js';
+import { broadcastHeartbeat, leaderStateOf } from './replication.js';
+import type { RaftState } from './state.js';
+import type { ReadIndexRequest, ReadIndexResponse } from './types.js';
+
+/** A read asked of this replica. */
+export function startRead(state: RaftState, readId: number): void {
+  if (state.leaderState !== undefined) {
+    state.leaderState.waitingReads.push({ from: null, readId });
+    return;
+  }
+  const { leader, term } = state;
+  if (leader === null) {
+    state.emit({ type: 'read-failed', readId, leader });
+    return;
+  }
+  const deadline = state.now + state.config.electionTimeoutMillis;
+  const forwardId = state.takeForwardId();
+  state.forwardedReads.push({ forwardId, readId, deadline });
+  state.send({ type: 'read-index-request', to: leader, term, readId: forwardId });
+}
+
+/** A read that a follower passed on. */
+export function handleReadIndexRequest(state: RaftState, request: ReadIndexRequest): void {
+  const { from, readId } = request;
+  if (state.leaderState !== undefined) {
+    state.leaderState.waitingReads.push({ from, readId });
+    return;
+  }
+  answerFollower(state, from, readId, null);
+}
+
+export function handleReadIndexResponse(state: RaftState, response: ReadIndexResponse): void {
+  const { readId: forwardId, index } = response;
+  const read = state.forwardedReads.find((candidate) => candidate.forwardId === forwardId);
+  if (read === undefined || response.from !== state.leader) {
+    return;
+  }
+  state.forwardedReads = state.forwardedReads.filter((candidate) => candidate !== read);
+  const { readId } = read;
+  if (index === null) {
+    state.emit({ type: 'read-failed', readId, leader: state.leader });
+    return;
+  }
+  state.confirmedReads.push({ readId, index });
+}
+
+/**
+ * Begins a round for waiting reads once the leader has committed in its own term: if no round is out, or with
+ * `overtake` (the one that is out may have been lost).
+ */
+export function beginReadRound(state: RaftState, overtake: boolean): void {
+  const leaderState = leaderStateOf(state);
+  const { waitingReads, readBatches } = leaderState;
+  const knowsCommit = state.log.termAt(state.commitIndex) === state.term;
+  const mayBegin = overtake || readBatches.length === 0;
+  if (waitingReads.length === 0 || !mayBegin || !knowsCommit) {
+    return;
+  }
+  leaderState.round += 1;
+  leaderState.waitingReads = [];
+  readBatches.push({ round: leaderState.round, index: state.commitIndex, reads: waitingReads });
+  broadcastHeartbeat(state, false);
+}
+
+/** Answers the reads whose round a quorum has answered. */
+export function finishReadRounds(state: RaftState): void {
+  const leaderState = leaderStateOf(state);
+  const confirmedRound = quorumValue(state.membership, (replica) =>
+    replica === state.self ? leaderState.round : (leaderState.progress.get(replica)?.answeredRound ?? 0),
+  );
+  while ((leaderState.readBatches[0]?.round ?? Number.POSITIVE_INFINITY) <= confirmedRound) {
+    confirmBatch(state, leaderState.readBatches.shift() as ReadBatch);
+  }
+}
+
+function confirmBatch(state: RaftState, batch: ReadBatch): void {
+  for (const { from, readId } of batch.reads) {
+    if (from === null) {
+      state.confirmedReads.push({ readId, index: batch.index });
+    } else {
+      answerFollower(state, from, readId, batch.index);
+    }
+  }
+}
+
+function answerFollower(state: RaftState, to: ReplicaId, readId: number, index: number | null): void {
+  const { term } = state;
+  state.send({ type: 'read-index-response', to, term, readId, index });
+}
+
+/** Reports the confirmed reads whose index is applied here. */
+export function reportReadyReads(state: RaftState): void {
+  const ready = state.confirmedReads.filter((read) => read.index <= state.appliedIndex);
+  if (ready.length === 0) {
+    return;
+  }
+  state.confirmedReads = state.confirmedReads.filter((read) => read.index > state.appliedIndex);
+  for (const { readId, index } of ready) {
+    state.emit({ type: 'read-ready', readId, index });
+  }
+}
+
+/** Fails forwarded reads that the leader left unanswered for an election timeout. */
+export function expireForwardedReads(state: RaftState): void {
+  const expired = state.forwardedReads.filter((read) => read.deadline <= state.now);
+  state.forwardedReads = state.forwardedReads.filter((read) => read.deadline > state.now);
+  for (const { readId } of expired) {
+    state.emit({ type: 'read-failed', readId, leader: state.leader });
+  }
+}
+
+/** Fails every read that isn't confirmed: the leader changed. */
+export function failReads(state: RaftState, leader: ReplicaId | null): void {
+  const forwarded = state.forwardedReads;
+  state.forwardedReads = [];
+  for (const { readId } of forwarded) {
+    state.emit({ type: 'read-failed', readId, leader });
+  }
+  if (state.leaderState !== undefined) {
+    const { readBatches, waitingReads } = state.leaderState;
+    state.leaderState.readBatches = [];
+    state.leaderState.waitingReads = [];
+    failLeaderReads(state, [...readBatches.flatMap((batch) => batch.reads), ...waitingReads], leader);
+  }
+}
+
+function failLeaderReads(state: RaftState, reads: readonly PendingRead[], leader: ReplicaId | null): void {
+  for (const { from, readId } of reads) {
+    if (from === null) {
+      state.emit({ type: 'read-failed', readId, leader });
+    } else {
+      answerFollower(state, from, readId, null);
+    }
+  }
+}
--- /dev/null
+++ b/src/consensus/roles.ts
@@ -0,0 +1,61 @@
+/** Transitions between roles. */
+import type { ReplicaId, Term } from '../model/identifiers.js';
+import { LeaderState } from './leader-state.js';
+import { failReads } from './read-index.js';
+import { appendOwnEntry } from './replication.js';
+import type { RaftState } from './state.js';
+
+const NO_DATA = new Uint8Array(0);
+
+/** Follows `leader` (`null`: not known yet) in `term`, which is the present one or a later one. */
+export function becomeFollower(state: RaftState, term: Term, leader: ReplicaId | null): void {
+  const newTerm = term > state.term;
+  if (newTerm) {
+    state.setHardState(term, null);
+  }
+  if (newTerm || state.role === 'leader' || state.leader !== leader) {
+    failReads(state, leader);
+  }
+  if (newTerm) {
+    state.incomingSnapshot = undefined;
+  }
+  if (newTerm || state.role !== 'follower') {
+    state.resetElectionDeadline();
+  }
+  state.role = 'follower';
+  state.leader = leader;
+  state.campaign = undefined;
+  state.leaderState = undefined;
+}
+
+/** Asks whether an election could be won, without a new term of its own. */
+export function becomePreCandidate(state: RaftState): void {
+  failReads(state, null);
+  state.role = 'pre-candidate';
+  state.leader = null;
+  state.campaign = { granted: new Set([state.self]) };
+  state.resetElectionDeadline();
+}
+
+/** Stands for election in a new term. Its own vote counts once it is on disk. */
+export function becomeCandidate(state: RaftState): void {
+  failReads(state, null);
+  state.setHardState(state.term + 1, state.self);
+  state.role = 'candidate';
+  state.leader = null;
+  state.incomingSnapshot = undefined;
+  state.campaign = { granted: new Set() };
+  state.resetElectionDeadline();
+}
+
+/** Leads the present term; its first entry is a noop, which commits what earlier terms left. */
+export function becomeLeader(state: RaftState): void {
+  state.role = 'leader';
+  state.leader = state.self;
+  state.campaign = undefined;
+  state.incomingSnapshot = undefined;
+  const leaderState = new LeaderState(state.now);
+  state.leaderState = leaderState;
+  leaderState.syncMembers(state.membership, state.self, state.log.lastIndex, state.now);
+  appendOwnEntry(state, 'noop', NO_DATA);
+}
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -181,10 +181,12 @@
 
 export interface RaftConfig extends RaftTimings {
   readonly self: ReplicaId;
-  /** Seed of election jitter. */
+  /** Seed of election jitter; best another one in each run of a process. */
   readonly seed: number;
   readonly maxEntriesPerAppend: number;
   readonly maxAppendsInFlight: number;
+  /** Most bytes of entries in one append, a single larger entry aside; 1 MiB if left out. */
+  readonly maxAppendBytes?: number;
   readonly snapshotChunkBytes: number;
 }
 
