--- /dev/null
+++ b/src/dev/virtual/event-queue.ts
@@ -0,0 +1,94 @@
+/** A virtual clock: actions run in the order of their times; equal times in the order they were set. */
+
+interface ScheduledAction {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** A binary heap of actions with the clock that they advance. Times in milliseconds. */
+export class EventQueue {
+  private readonly heap: ScheduledAction[] = [];
+  private nextOrder = 0;
+  private clock = 0;
+
+  /** Virtual time now. */
+  get now(): number {
+    return this.clock;
+  }
+
+  /** Runs `action` at `time`, or now if that is past. */
+  at(time: number, run: () => void): void {
+    const scheduled = { at: Math.max(time, this.clock), order: this.nextOrder, run };
+    this.nextOrder += 1;
+    this.heap.push(scheduled);
+    this.moveUp(this.heap.length - 1);
+  }
+
+  /** Runs `action` after `delay`. */
+  after(delay: number, run: () => void): void {
+    this.at(this.clock + delay, run);
+  }
+
+  /** Runs all actions due up to and including `end`, then sets the clock to it. */
+  runUntil(end: number): void {
+    for (let next = this.heap[0]; next !== undefined && next.at <= end; next = this.heap[0]) {
+      this.removeFirst();
+      this.clock = next.at;
+      next.run();
+    }
+    this.clock = Math.max(this.clock, end);
+  }
+
+  private removeFirst(): void {
+    const last = this.heap.pop();
+    if (last !== undefined && this.heap.length > 0) {
+      this.heap[0] = last;
+      this.moveDown(0);
+    }
+  }
+
+  private moveUp(start: number): void {
+    let index = start;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!this.isBefore(index, parent)) {
+        return;
+      }
+      this.swap(index, parent);
+      index = parent;
+    }
+  }
+
+  private moveDown(start: number): void {
+    let index = start;
+    for (;;) {
+      const left = index * 2 + 1;
+      const right = left + 1;
+      let first = index;
+      if (left < this.heap.length && this.isBefore(left, first)) {
+        first = left;
+      }
+      if (right < this.heap.length && this.isBefore(right, first)) {
+        first = right;
+      }
+      if (first === index) {
+        return;
+      }
+      this.swap(index, first);
+      index = first;
+    }
+  }
+
+  private isBefore(left: number, right: number): boolean {
+    const a = this.heap[left] as ScheduledAction;
+    const b = this.heap[right] as ScheduledAction;
+    return a.at < b.at || (a.at === b.at && a.order < b.order);
+  }
+
+  private swap(left: number, right: number): void {
+    const kept = this.heap[left] as ScheduledAction;
+    this.heap[left] = this.heap[right] as ScheduledAction;
+    this.heap[right] = kept;
+  }
+}
--- /dev/null
+++ b/src/dev/virtual/random-source.ts
@@ -0,0 +1,77 @@
+/** Seeded random numbers and the distributions that load models need, over `pure-rand`. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+
+export class RandomSource {
+  private readonly generator: RandomGenerator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  /** A number from 0 up to, not including, 1. */
+  fraction(): number {
+    return uniformFloat64(this.generator);
+  }
+
+  /** A whole number from 0 up to, not including, `count`. */
+  below(count: number): number {
+    return uniformInt(this.generator, 0, count - 1);
+  }
+
+  /** Exponentially distributed with this mean: gaps of a Poisson process, service times. */
+  exponential(mean: number): number {
+    return -mean * Math.log(1 - this.fraction());
+  }
+
+  /** One of the items. */
+  pick<Item>(items: readonly Item[]): Item {
+    return items[this.below(items.length)] as Item;
+  }
+}
+
+/** Draws ranks 0, 1, 2, ... with probability proportional to 1 / (rank + 1)^skew. */
+export class ZipfDistribution {
+  private readonly cumulative: Float64Array;
+
+  constructor(count: number, skew: number) {
+    this.cumulative = new Float64Array(count);
+    let sum = 0;
+    for (let rank = 0; rank < count; rank += 1) {
+      sum += 1 / (rank + 1) ** skew;
+      this.cumulative[rank] = sum;
+    }
+  }
+
+  /** Share of all draws that rank 0 takes. */
+  firstShare(): number {
+    return (this.cumulative[0] ?? 1) / this.total();
+  }
+
+  /** Probability of a rank. */
+  share(rank: number): number {
+    const before = rank === 0 ? 0 : (this.cumulative[rank - 1] as number);
+    return ((this.cumulative[rank] as number) - before) / this.total();
+  }
+
+  draw(random: RandomSource): number {
+    const wanted = random.fraction() * this.total();
+    let low = 0;
+    let high = this.cumulative.length - 1;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((this.cumulative[middle] as number) > wanted) {
+        high = middle;
+      } else {
+        low = middle + 1;
+      }
+    }
+    return low;
+  }
+
+  private total(): number {
+    return this.cumulative[this.cumulative.length - 1] ?? 1;
+  }
+}
--- /dev/null
+++ b/test/dev/event-queue.test.ts
@@ -0,0 +1,29 @@
+import { expect } from 'chai';
+import { EventQueue } from '../../src/dev/virtual/event-queue.js';
+import { RandomSource, ZipfDistribution } from '../../src/dev/virtual/random-source.js';
+
+describe('event queue', () => {
+  it('runs actions by time, then by order of setting, and leaves later ones', () => {
+    const queue = new EventQueue();
+    const random = new RandomSource(1);
+    const seen: number[] = [];
+    const times = Array.from({ length: 200 }, () => random.below(50));
+    for (const time of times) {
+      queue.at(time, () => seen.push(time));
+    }
+    queue.at(60, () => seen.push(60));
+    queue.runUntil(55);
+    expect(seen).to.deep.equal([...times].sort((left, right) => left - right));
+    expect(queue.now).to.equal(55);
+  });
+});
+
+describe('zipf distribution', () => {
+  it('draws the first rank by its share', () => {
+    const zipf = new ZipfDistribution(100, 1);
+    const random = new RandomSource(7);
+    const draws = Array.from({ length: 20_000 }, () => zipf.draw(random));
+    const first = draws.filter((rank) => rank === 0).length / draws.length;
+    expect(first).to.be.closeTo(zipf.firstShare(), 0.02);
+  });
+});
