--- /dev/null
+++ b/src/settings/yaml-source.ts
@@ -0,0 +1,153 @@
+/** Reads YAML and checks it against a schema; each problem is reported with the place of the value in the file. */
+import { readFileSync } from 'node:fs';
+import {
+  type Document,
+  isMap,
+  isNode,
+  isPair,
+  isScalar,
+  LineCounter,
+  type Node,
+  parseAllDocuments,
+} from 'yaml';
+import type { z } from 'zod';
+import { toError } from '../errors/ternmount-error.js';
+import { SettingsError, type SettingsProblem } from './settings-error.js';
+
+/** Steps from the root of a document to a value. */
+export type ValuePath = readonly PropertyKey[];
+
+/** One document of a YAML file, with what is needed to name places in it. */
+export class YamlSource {
+  readonly name: string;
+  readonly value: unknown;
+  readonly #document: Document.Parsed | undefined;
+  readonly #lines: LineCounter;
+
+  constructor(name: string, document: Document.Parsed | undefined, lines: LineCounter) {
+    this.name = name;
+    this.#document = document;
+    this.#lines = lines;
+    this.value = document?.toJS() ?? null;
+  }
+
+  /** The problem at a path, or at the nearest value above it. `key` places it on that key of the map at `path`. */
+  problemAt(path: ValuePath, message: string, key?: string): SettingsProblem {
+    const node = this.#keyNode(path, key) ?? this.#nearestNode(path);
+    const offset = node?.range?.[0] ?? 0;
+    const { line, col } = this.#lines.linePos(offset);
+    const full = key === undefined ? path : [...path, key];
+    return {
+      source: this.name,
+      path: formatPath(full),
+      message,
+      line: Math.max(line, 1),
+      column: Math.max(col, 1),
+    };
+  }
+
+  #keyNode(path: ValuePath, key: string | undefined): Node | undefined {
+    const map = key === undefined ? undefined : this.#nodeAt(path);
+    if (!isMap(map)) {
+      return undefined;
+    }
+    const pair = map.items.find((item) => isPair(item) && isScalar(item.key) && item.key.value === key);
+    return isNode(pair?.key) ? pair.key : undefined;
+  }
+
+  #nearestNode(path: ValuePath): Node | undefined {
+    for (let length = path.length; length >= 0; length -= 1) {
+      const node = this.#nodeAt(path.slice(0, length));
+      if (node !== undefined) {
+        return node;
+      }
+    }
+    return undefined;
+  }
+
+  #nodeAt(path: ValuePath): Node | undefined {
+    const node = path.length === 0 ? this.#document?.contents : this.#document?.getIn(path, true);
+    return isNode(node) ? node : undefined;
+  }
+}
+
+/** Writes `services[2].deadline`. */
+export function formatPath(path: ValuePath): string {
+  return path
+    .map((step, index) => {
+      if (typeof step === 'number') {
+        return `[${step}]`;
+      }
+      return index === 0 ? String(step) : `.${String(step)}`;
+    })
+    .join('');
+}
+
+/** Parses YAML text with one or more documents. Throws `SettingsError` on a syntax error. */
+export function parseYaml(name: string, text: string): YamlSource[] {
+  const lines = new LineCounter();
+  const documents = parseAllDocuments(text, { lineCounter: lines, prettyErrors: false });
+  const parsed = Array.isArray(documents) ? documents : [];
+  for (const document of parsed) {
+    const [error] = document.errors;
+    if (error !== undefined) {
+      const { line, col } = lines.linePos(error.pos[0]);
+      throw new SettingsError([{ source: name, path: '', message: error.message, line, column: col }], error);
+    }
+  }
+  return parsed.length === 0
+    ? [new YamlSource(name, undefined, lines)]
+    : parsed.map((document) => new YamlSource(name, document, lines));
+}
+
+/** Reads a YAML file. Throws `SettingsError` if it can't be read or isn't YAML. */
+export function readYaml(path: string): YamlSource[] {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (thrown) {
+    const error = toError(thrown) as NodeJS.ErrnoException;
+    const reason =
+      error.code === 'ENOENT' ? 'no such file' : `can't be read (${error.code ?? error.message})`;
+    throw new SettingsError([{ source: path, path: '', message: reason }], error);
+  }
+  return parseYaml(path, text);
+}
+
+/** Says what a schema found wrong, in one clause. */
+export function describeIssue(issue: z.core.$ZodIssue, input: unknown): string {
+  if (issue.code === 'invalid_type' && input === undefined) {
+    return `is missing (expected ${issue.expected})`;
+  }
+  return input === undefined && issue.code === 'invalid_union' ? 'is missing' : issue.message;
+}
+
+/** The value at a path, or `undefined`. */
+export function valueAt(root: unknown, path: ValuePath): unknown {
+  return path.reduce<unknown>(
+    (value, step) =>
+      typeof value === 'object' && value !== null ? (value as Record<PropertyKey, unknown>)[step] : undefined,
+    root,
+  );
+}
+
+/** Checks a value of `source` against a schema. Throws `SettingsError` with the place of each problem. */
+export function checkSource<Output>(
+  source: YamlSource,
+  schema: z.ZodType<Output>,
+  value: unknown = source.value,
+  base: ValuePath = [],
+): Output {
+  const result = schema.safeParse(value);
+  if (result.success) {
+    return result.data;
+  }
+  const problems = result.error.issues.flatMap((issue): SettingsProblem[] => {
+    const path = [...base, ...issue.path];
+    if (issue.code === 'unrecognized_keys') {
+      return issue.keys.map((key) => source.problemAt(path, 'unknown key', key));
+    }
+    return [source.problemAt(path, describeIssue(issue, valueAt(value, issue.path)))];
+  });
+  throw new SettingsError(problems);
+}
