Frames, codecs and TCP tasks between the system's own processes

Cause: control members and routers need a transport of the project's own. Change: restructure codecs with one message a file, frames with a bounded size, a mutual HMAC handshake, heartbeats that find half-open connections, a bounded send queue, and reconnects with backoff and jitter.

--- /dev/null
+++ b/src/wire/fields.ts
@@ -0,0 +1,190 @@
+/** Field types that messages are made of, on top of `restructure`. */
+import * as restructure from 'restructure';
+import { MalformedFrameError } from './wire-error.js';
+
+const UINT32_RANGE = 2 ** 32;
+const MAX_TEXT_BYTES = 65535;
+const textDecoder = new TextDecoder('utf-8', { fatal: true, ignoreBOM: true });
+
+/** Integers 0 to 2^53 - 1 in eight bytes, big endian. */
+class SafeIntegerField extends restructure.Base<number> {
+  override size(): number {
+    return 8;
+  }
+
+  override decode(stream: restructure.DecodeStream): number {
+    const high = stream.readUInt32BE();
+    const value = high * UINT32_RANGE + stream.readUInt32BE();
+    if (!Number.isSafeInteger(value)) {
+      throw new MalformedFrameError(`integer ${high} * 2^32 and more is above 2^53 - 1`);
+    }
+    return value;
+  }
+
+  override encode(stream: restructure.EncodeStream, value: number): void {
+    if (!Number.isSafeInteger(value) || value < 0) {
+      throw new MalformedFrameError(`${value} is no integer from 0 to 2^53 - 1`);
+    }
+    stream.writeUInt32BE(Math.floor(value / UINT32_RANGE));
+    stream.writeUInt32BE(value % UINT32_RANGE);
+  }
+}
+
+/** Bytes after their length of four bytes; a length beyond the frame is an error. */
+class BytesField extends restructure.Base<Uint8Array> {
+  override size(value: Uint8Array): number {
+    return 4 + value.length;
+  }
+
+  override decode(stream: restructure.DecodeStream): Uint8Array {
+    return readExactly(stream, stream.readUInt32BE());
+  }
+
+  override encode(stream: restructure.EncodeStream, value: Uint8Array): void {
+    stream.writeUInt32BE(value.length);
+    stream.writeBuffer(value);
+  }
+}
+
+/** UTF-8 text of up to 65535 bytes after its length of four bytes. */
+class TextField extends restructure.Base<string> {
+  override size(value: string): number {
+    return 4 + Buffer.byteLength(value);
+  }
+
+  override decode(stream: restructure.DecodeStream): string {
+    const bytes = readExactly(stream, stream.readUInt32BE());
+    return decodeText(bytes);
+  }
+
+  override encode(stream: restructure.EncodeStream, value: string): void {
+    const bytes = Buffer.from(value);
+    if (bytes.length > MAX_TEXT_BYTES) {
+      throw new MalformedFrameError(`text of ${bytes.length} bytes is above ${MAX_TEXT_BYTES} bytes`);
+    }
+    stream.writeUInt32BE(bytes.length);
+    stream.writeBuffer(bytes);
+  }
+}
+
+/** A truth value in one byte, 0 or 1. */
+class FlagField extends restructure.Base<boolean> {
+  override size(): number {
+    return 1;
+  }
+
+  override decode(stream: restructure.DecodeStream): boolean {
+    const value = restructure.uint8.decode(stream);
+    if (value > 1) {
+      throw new MalformedFrameError(`${value} is no truth value`);
+    }
+    return value === 1;
+  }
+
+  override encode(stream: restructure.EncodeStream, value: boolean): void {
+    restructure.uint8.encode(stream, value ? 1 : 0);
+  }
+}
+
+/** One of a fixed list of words, as its place in the list. */
+class ChoiceField<Word extends string> extends restructure.Base<Word> {
+  constructor(private readonly words: readonly Word[]) {
+    super();
+  }
+
+  override size(): number {
+    return 1;
+  }
+
+  override decode(stream: restructure.DecodeStream): Word {
+    const index = restructure.uint8.decode(stream);
+    const word = this.words[index];
+    if (word === undefined) {
+      throw new MalformedFrameError(`${index} is none of ${this.words.length} choices`);
+    }
+    return word;
+  }
+
+  override encode(stream: restructure.EncodeStream, value: Word): void {
+    restructure.uint8.encode(stream, this.words.indexOf(value));
+  }
+}
+
+/**
+ * A nested value as JSON text; its sender proved that it belongs to the cluster, so the shape is trusted.
+ * `restructure` asks for the size several times before it writes, so the text is kept until it was written.
+ */
+class JsonField<Value> extends restructure.Base<Value> {
+  private encodedValue: Value | undefined;
+  private encodedBytes: Uint8Array | undefined;
+
+  override size(value: Value): number {
+    if (this.encodedBytes === undefined || this.encodedValue !== value) {
+      this.encodedValue = value;
+      this.encodedBytes = Buffer.from(JSON.stringify(value));
+    }
+    return 4 + this.encodedBytes.length;
+  }
+
+  override decode(stream: restructure.DecodeStream): Value {
+    const text = decodeText(readExactly(stream, stream.readUInt32BE()));
+    try {
+      return JSON.parse(text) as Value;
+    } catch (thrown) {
+      throw new MalformedFrameError('nested value is no JSON', thrown as Error);
+    }
+  }
+
+  override encode(stream: restructure.EncodeStream, value: Value): void {
+    const known = this.encodedValue === value && this.encodedBytes !== undefined;
+    const bytes = known ? (this.encodedBytes as Uint8Array) : Buffer.from(JSON.stringify(value));
+    this.encodedValue = undefined;
+    this.encodedBytes = undefined;
+    bytesField.encode(stream, bytes);
+  }
+}
+
+/** Reads as many bytes as asked for; `restructure` itself would give fewer at the end of a frame. */
+function readExactly(stream: restructure.DecodeStream, length: number): Uint8Array {
+  const left = stream.length - stream.pos;
+  if (length > left) {
+    throw new MalformedFrameError(`field of ${length} bytes in a frame with ${left} bytes left`);
+  }
+  return stream.readBuffer(length);
+}
+
+function decodeText(bytes: Uint8Array): string {
+  try {
+    return textDecoder.decode(bytes);
+  } catch (thrown) {
+    throw new MalformedFrameError('text is no UTF-8', thrown as Error);
+  }
+}
+
+const bytesField = new BytesField();
+
+export const safeInteger: restructure.Base<number> = new SafeIntegerField();
+export const bytes: restructure.Base<Uint8Array> = bytesField;
+export const text: restructure.Base<string> = new TextField();
+export const flag: restructure.Base<boolean> = new FlagField();
+export const uint8: restructure.Base<number> = restructure.uint8;
+/** Any number, fractions included. */
+export const real: restructure.Base<number> = restructure.double;
+
+/** Exactly `length` bytes. */
+export function fixedBytes(length: number): restructure.Base<Uint8Array> {
+  return new restructure.Buffer(length);
+}
+
+export function choice<Word extends string>(words: readonly Word[]): restructure.Base<Word> {
+  return new ChoiceField(words);
+}
+
+export function json<Value>(): restructure.Base<Value> {
+  return new JsonField<Value>();
+}
+
+/** A list after its number of items. */
+export function list<Item>(item: restructure.Base<Item>): restructure.Base<Item[]> {
+  return new restructure.Array(item, restructure.uint32);
+}
--- /dev/null
+++ b/src/wire/frame-server.ts
@@ -0,0 +1,78 @@
+/** Task that owns a listening TCP socket and the connections that came in on it. */
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
+import type { Address } from '../model/identifiers.js';
+import { formatAddress, parseAddress } from './address.js';
+import {
+  FrameConnection,
+  type FrameConnectionOwner,
+  type WireIdentity,
+  type WireLimits,
+} from './frame-connection.js';
+
+export interface FrameServerOptions {
+  /** Port 0 takes any free one. */
+  readonly listen: Address;
+  readonly identity: WireIdentity;
+  readonly limits: WireLimits;
+  /** Connections above this are closed at once. */
+  readonly maxConnections?: number;
+  readonly owner: FrameConnectionOwner;
+}
+
+const DEFAULT_MAX_CONNECTIONS = 1024;
+const LISTEN_BACKLOG = 511;
+
+export class FrameServer {
+  private readonly server: Server;
+  private readonly connections = new Set<FrameConnection>();
+
+  private constructor(private readonly options: FrameServerOptions) {
+    this.server = createServer((socket) => this.accept(socket));
+  }
+
+  /** Listens; fails if the address is taken. */
+  static async listen(options: FrameServerOptions): Promise<FrameServer> {
+    const task = new FrameServer(options);
+    const { host, port } = parseAddress(options.listen);
+    await new Promise<void>((resolve, reject) => {
+      task.server.once('error', reject);
+      task.server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => {
+        task.server.off('error', reject);
+        resolve();
+      });
+    });
+    return task;
+  }
+
+  /** Where it listens, with the real port. */
+  get address(): Address {
+    const { address, port } = this.server.address() as AddressInfo;
+    return formatAddress({ host: address, port });
+  }
+
+  /** Stops listening and closes every connection. */
+  async stop(): Promise<void> {
+    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
+    for (const connection of this.connections) {
+      connection.destroy(null);
+    }
+    await closed;
+  }
+
+  private accept(socket: Socket): void {
+    const { identity, limits, owner, maxConnections = DEFAULT_MAX_CONNECTIONS } = this.options;
+    if (this.connections.size >= maxConnections) {
+      socket.destroy();
+      return;
+    }
+    const connection = new FrameConnection(socket, 'acceptor', identity, limits, {
+      ready: (self, peer) => owner.ready(self, peer),
+      received: (self, frame) => owner.received(self, frame),
+      closed: (self, reason) => {
+        this.connections.delete(self);
+        owner.closed(self, reason);
+      },
+    });
+    this.connections.add(connection);
+  }
+}
--- /dev/null
+++ b/src/wire/frame.ts
@@ -0,0 +1,135 @@
+/**
+ * Frames between the system's own processes over TCP:
+ * u32 length of what follows, u8 version, u8 kind, u32 correlation, payload. All numbers are big endian.
+ */
+import * as restructure from 'restructure';
+import { FrameTooLargeError, MalformedFrameError } from './wire-error.js';
+
+export const PROTOCOL_VERSION = 1;
+
+/** What a frame carries. Numbers are never reused. */
+export const FRAME_KINDS = {
+  hello: 1,
+  proof: 2,
+  ping: 3,
+  pong: 4,
+  voteRequest: 16,
+  voteResponse: 17,
+  appendRequest: 18,
+  appendResponse: 19,
+  snapshotRequest: 20,
+  snapshotResponse: 21,
+  timeoutNow: 22,
+  readIndexRequest: 23,
+  readIndexResponse: 24,
+  syncRequest: 32,
+  syncResponse: 33,
+  changeNotice: 34,
+  claimRequest: 35,
+  claimResponse: 36,
+  settleRequest: 37,
+  settleResponse: 38,
+} as const;
+
+export interface Frame {
+  /** One of `FRAME_KINDS`; a number unknown here comes from a newer version. */
+  readonly kind: number;
+  /** Ties a pong to its ping on one connection; 0 in other frames, whose messages name their request themselves. */
+  readonly correlation: number;
+  readonly payload: Uint8Array;
+}
+
+/** Largest frame by default: the routing snapshot of a large cluster fits, and so does a chunk of a Raft snapshot. */
+export const DEFAULT_MAX_FRAME_BYTES = 16 * 1024 * 1024;
+
+interface FrameHeader {
+  readonly length: number;
+  readonly version: number;
+  readonly kind: number;
+  readonly correlation: number;
+}
+
+const header = new restructure.Struct<FrameHeader>({
+  length: restructure.uint32,
+  version: restructure.uint8,
+  kind: restructure.uint8,
+  correlation: restructure.uint32,
+});
+
+const LENGTH_BYTES = 4;
+/** Bytes of a frame before its payload. */
+export const HEADER_BYTES = 10;
+const COUNTED_HEADER_BYTES = HEADER_BYTES - LENGTH_BYTES;
+
+/** Writes a frame. Throws `FrameTooLargeError` above `maxFrameBytes` (the length field's value). */
+export function encodeFrame(frame: Frame, maxFrameBytes: number): Uint8Array {
+  const length = COUNTED_HEADER_BYTES + frame.payload.length;
+  if (length > maxFrameBytes) {
+    throw new FrameTooLargeError(length, maxFrameBytes);
+  }
+  const encoded = Buffer.allocUnsafe(HEADER_BYTES + frame.payload.length);
+  const { kind, correlation } = frame;
+  header.encode(new restructure.EncodeStream(encoded), {
+    length,
+    version: PROTOCOL_VERSION,
+    kind,
+    correlation,
+  });
+  encoded.set(frame.payload, HEADER_BYTES);
+  return encoded;
+}
+
+/** Cuts a stream of bytes into frames, however the bytes are split. Holds at most one frame that isn't whole. */
+export class FrameDecoder {
+  private chunks: Uint8Array[] = [];
+  private held = 0;
+  private needed = HEADER_BYTES;
+
+  constructor(private readonly maxFrameBytes: number) {}
+
+  /** Takes bytes and gives the frames that became whole. Throws on what is no frame; the stream is of no use then. */
+  push(chunk: Uint8Array): Frame[] {
+    this.chunks.push(chunk);
+    this.held += chunk.length;
+    const frames: Frame[] = [];
+    while (this.held >= this.needed) {
+      const frame = this.take();
+      if (frame !== undefined) {
+        frames.push(frame);
+      }
+    }
+    return frames;
+  }
+
+  /** Reads a header, or the frame whose header was read before. */
+  private take(): Frame | undefined {
+    const joined = this.chunks.length === 1 ? (this.chunks[0] as Uint8Array) : Buffer.concat(this.chunks);
+    const head = header.decode(new restructure.DecodeStream(joined));
+    this.check(head);
+    const frameBytes = LENGTH_BYTES + head.length;
+    if (joined.length < frameBytes) {
+      this.chunks = [joined];
+      this.needed = frameBytes;
+      return undefined;
+    }
+    this.chunks = [joined.subarray(frameBytes)];
+    this.held = joined.length - frameBytes;
+    this.needed = HEADER_BYTES;
+    const payload = joined.subarray(HEADER_BYTES, frameBytes);
+    return { kind: head.kind, correlation: head.correlation, payload };
+  }
+
+  private check(head: FrameHeader): void {
+    if (head.version !== PROTOCOL_VERSION) {
+      throw new MalformedFrameError(
+        `frame of version ${head.version}, this process speaks ${PROTOCOL_VERSION}`,
+      );
+    }
+    if (head.length < COUNTED_HEADER_BYTES) {
+      throw new MalformedFrameError(`frame of ${head.length} bytes is shorter than its own header`);
+    }
+    if (head.length > this.maxFrameBytes) {
+      throw new FrameTooLargeError(head.length, this.maxFrameBytes);
+    }
+  }
+}
--- /dev/null
+++ b/src/wire/index.ts
@@ -0,0 +1,30 @@
+/** Frames, codecs and TCP tasks between the system's own processes. */
+export { formatAddress, parseAddress } from './address.js';
+export {
+  DEFAULT_MAX_FRAME_BYTES,
+  encodeFrame,
+  FRAME_KINDS,
+  type Frame,
+  FrameDecoder,
+  HEADER_BYTES,
+  PROTOCOL_VERSION,
+} from './frame.js';
+export { DEFAULT_BACKOFF, FrameClient, type FrameClientOptions } from './frame-client.js';
+export {
+  DEFAULT_WIRE_LIMITS,
+  FrameConnection,
+  type FrameConnectionOwner,
+  type SendResult,
+  type WireIdentity,
+  type WireLimits,
+} from './frame-connection.js';
+export { FrameServer, type FrameServerOptions } from './frame-server.js';
+export type { MessageCodec } from './message-codec.js';
+export { raftCodecs } from './raft/index.js';
+export { controlToRouterCodecs, routerToControlCodecs } from './router/index.js';
+export {
+  FrameTooLargeError,
+  HandshakeRefusedError,
+  MalformedFrameError,
+  PeerSilentError,
+} from './wire-error.js';
--- /dev/null
+++ b/src/wire/router/index.ts
@@ -0,0 +1,23 @@
+/** Codecs of the messages between routers and control members. */
+import type { ControlToRouter, RouterToControl } from '../../control/messages.js';
+import { MessageCodecSet } from '../message-codec.js';
+import { changeNoticeCodec } from './change-notice.js';
+import { claimRequestCodec } from './claim-request.js';
+import { claimResponseCodec } from './claim-response.js';
+import { settleRequestCodec } from './settle-request.js';
+import { settleResponseCodec } from './settle-response.js';
+import { syncRequestCodec } from './sync-request.js';
+import { syncResponseCodec } from './sync-response.js';
+
+export const routerToControlCodecs = new MessageCodecSet<RouterToControl>([
+  syncRequestCodec,
+  claimRequestCodec,
+  settleRequestCodec,
+]);
+
+export const controlToRouterCodecs = new MessageCodecSet<ControlToRouter>([
+  syncResponseCodec,
+  changeNoticeCodec,
+  claimResponseCodec,
+  settleResponseCodec,
+]);
