--- /dev/null
+++ b/src/lease/index.ts
@@ -0,0 +1,12 @@
+/** Session leases and grants: the granter's side (control leader) and the holder's side (a server that owns keys). */
+export { createGrantHolder } from './grant-holder.js';
+export type {
+  Admission,
+  GrantHolder,
+  GrantHolderConfig,
+  HolderEvent,
+  HolderStatus,
+  Ticket,
+} from './holder-types.js';
+export { leaseBound, longestLeaseMillis } from './lease-bound.js';
+export * from './types.js';
--- /dev/null
+++ b/src/lease/shard-table.ts
@@ -0,0 +1,221 @@
+/**
+ * What a holder remembers of each shard: its grant, the work under way, and the highest revision heard of, so that a late
+ * or repeated grant revives nothing.
+ */
+import { type Epoch, parseShardId, type Revision, type ShardId } from '../model/identifiers.js';
+import type { HolderEvent } from './holder-types.js';
+import type { KeyMap, ShardGrant, ShardLoad, ShardOrder } from './types.js';
+
+/**
+ * `known`: nothing held, nothing to report. `held`: new work is taken. `draining`: revoked, work is left.
+ * `released`: revoked and given up, reported until the leader drops it.
+ */
+type ShardState = 'known' | 'held' | 'draining' | 'released';
+
+interface ShardEntry {
+  state: ShardState;
+  epoch: Epoch;
+  /** Highest revision of any grant or revoke of this shard that was heard of. */
+  highestRevision: Revision;
+  inFlight: number;
+  requests: number;
+  warmth: 'cold' | 'warming' | 'warm';
+}
+
+export class ShardTable {
+  readonly #entries = new Map<ShardId, ShardEntry>();
+  readonly #events: HolderEvent[] = [];
+
+  /** Whether new work may start, and if not, why. */
+  refusalOf(shard: ShardId, epoch: Epoch): 'not-owner' | 'draining' | 'stale-epoch' | null {
+    const entry = this.#entries.get(shard);
+    if (entry === undefined || entry.state === 'known' || entry.state === 'released') {
+      return 'not-owner';
+    }
+    if (entry.epoch !== epoch) {
+      return 'stale-epoch';
+    }
+    return entry.state === 'draining' ? 'draining' : null;
+  }
+
+  /** Whether work that started under this grant may still take effect. */
+  mayTakeEffect(shard: ShardId, epoch: Epoch): boolean {
+    const entry = this.#entries.get(shard);
+    return entry?.epoch === epoch && (entry.state === 'held' || entry.state === 'draining');
+  }
+
+  startWork(shard: ShardId): void {
+    const entry = this.#entry(shard);
+    entry.inFlight += 1;
+    entry.requests += 1;
+  }
+
+  endWork(shard: ShardId): void {
+    const entry = this.#entries.get(shard);
+    if (entry === undefined) {
+      return;
+    }
+    entry.inFlight -= 1;
+    if (entry.state === 'draining' && entry.inFlight === 0) {
+      this.#release(shard, entry);
+    }
+  }
+
+  markWarmed(shard: ShardId): void {
+    const entry = this.#entries.get(shard);
+    if (entry?.warmth === 'warming') {
+      entry.warmth = 'warm';
+    }
+  }
+
+  /** Carries out an order; older ones than the shard's highest revision change nothing. */
+  follow(order: ShardOrder, keyMap: KeyMap | null): void {
+    switch (order.type) {
+      case 'grant':
+        this.#grant(order.shard, order.epoch, order.revision, keyMap);
+        break;
+      case 'revoke':
+        this.#revoke(order.shard, order.revision);
+        break;
+      case 'warm':
+        this.#warm(order.shard, order.revision, keyMap);
+        break;
+    }
+  }
+
+  /** Voids every grant, warming and report that a complete list of orders doesn't name. */
+  keepOnly(named: ReadonlySet<ShardId>): void {
+    for (const [shard, entry] of this.#entries) {
+      if (named.has(shard)) {
+        continue;
+      }
+      entry.warmth = 'cold';
+      if (entry.state === 'held' || entry.state === 'draining') {
+        this.#events.push({ type: 'released', shard });
+      }
+      entry.state = 'known';
+    }
+  }
+
+  /**
+   * Forgets shards of older key maps, which no grant can name again. What was revoked because of this very change of
+   * the map stays until the next one.
+   */
+  retire(previous: KeyMap, next: KeyMap): void {
+    for (const [shard, entry] of this.#entries) {
+      const inUse = entry.state === 'held' || entry.state === 'draining' || entry.inFlight > 0;
+      const isReported = entry.state === 'released' && isShardOf(shard, previous);
+      if (!inUse && !isReported && !isShardOf(shard, next)) {
+        this.#entries.delete(shard);
+      }
+    }
+  }
+
+  held(): ShardGrant[] {
+    return this.#select('held').map(([shard, entry]) => ({ shard, epoch: entry.epoch }));
+  }
+
+  draining(): { readonly shard: ShardId; readonly remaining: number }[] {
+    return this.#select('draining').map(([shard, entry]) => ({ shard, remaining: entry.inFlight }));
+  }
+
+  released(): { readonly shard: ShardId; readonly revision: Revision }[] {
+    return this.#select('released').map(([shard, entry]) => ({ shard, revision: entry.highestRevision }));
+  }
+
+  warmed(): ShardId[] {
+    return [...this.#entries].filter(([, entry]) => entry.warmth === 'warm').map(([shard]) => shard);
+  }
+
+  loads(): ShardLoad[] {
+    return this.#select('held').map(([shard, entry]) => ({ shard, requests: entry.requests }));
+  }
+
+  /** Number of shards remembered. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  takeEvents(): HolderEvent[] {
+    return this.#events.splice(0);
+  }
+
+  #grant(shard: ShardId, epoch: Epoch, revision: Revision, keyMap: KeyMap | null): void {
+    const known = this.#entries.get(shard);
+    if (!isShardOf(shard, keyMap) || revision <= (known?.highestRevision ?? 0)) {
+      return;
+    }
+    const entry = this.#entry(shard);
+    const warmed = entry.warmth === 'warm';
+    entry.state = 'held';
+    entry.epoch = epoch;
+    entry.highestRevision = revision;
+    entry.warmth = 'cold';
+    this.#events.push({ type: 'granted', shard, epoch, warmed });
+  }
+
+  #revoke(shard: ShardId, revision: Revision): void {
+    const entry = this.#entry(shard);
+    if (revision < entry.highestRevision) {
+      return;
+    }
+    entry.highestRevision = revision;
+    if (entry.state === 'released' || entry.state === 'draining') {
+      return;
+    }
+    if (entry.state === 'held' && entry.inFlight > 0) {
+      entry.state = 'draining';
+      this.#events.push({ type: 'revoked', shard, remaining: entry.inFlight });
+      return;
+    }
+    this.#release(shard, entry);
+  }
+
+  #warm(shard: ShardId, revision: Revision, keyMap: KeyMap | null): void {
+    const known = this.#entries.get(shard);
+    const isOld = revision < (known?.highestRevision ?? 0);
+    if (!isShardOf(shard, keyMap) || isOld || known?.state === 'held' || known?.state === 'draining') {
+      return;
+    }
+    const entry = this.#entry(shard);
+    if (entry.warmth === 'cold') {
+      entry.warmth = 'warming';
+      this.#events.push({ type: 'warm', shard });
+    }
+  }
+
+  #release(shard: ShardId, entry: ShardEntry): void {
+    if (entry.state === 'held' || entry.state === 'draining') {
+      this.#events.push({ type: 'released', shard });
+    }
+    entry.state = 'released';
+    entry.warmth = 'cold';
+  }
+
+  #entry(shard: ShardId): ShardEntry {
+    const known = this.#entries.get(shard);
+    if (known !== undefined) {
+      return known;
+    }
+    const entry: ShardEntry = {
+      state: 'known',
+      epoch: 0,
+      highestRevision: 0,
+      inFlight: 0,
+      requests: 0,
+      warmth: 'cold',
+    };
+    this.#entries.set(shard, entry);
+    return entry;
+  }
+
+  #select(state: ShardState): [ShardId, ShardEntry][] {
+    return [...this.#entries].filter(([, entry]) => entry.state === state);
+  }
+}
+
+/** Whether a shard is of this very map: its service and its generation. */
+function isShardOf(shard: ShardId, keyMap: KeyMap | null): boolean {
+  const parts = parseShardId(shard);
+  return parts !== undefined && parts.service === keyMap?.service && parts.generation === keyMap.generation;
+}
