--- /dev/null
+++ b/src/dev/standins/answer-body.ts
@@ -0,0 +1,47 @@
+/** Bodies of stand-in answers: they say whose answer they are, and their length and checksum show a missing piece. */
+import { crc32 } from 'node:zlib';
+
+/** What a stand-in upstream puts into each answer. */
+export interface AnswerBody {
+  readonly request: string;
+  readonly key: string | null;
+  readonly upstream: string;
+  readonly payloadLength: number;
+  readonly payloadCrc: number;
+  readonly payload: string;
+}
+
+const PAYLOAD_PATTERN = 'abcdefghijklmnopqrstuvwxyz0123456789';
+
+/** The answer to `request`, with `payloadLength` characters of payload. */
+export function makeAnswerBody(
+  request: string,
+  key: string | null,
+  upstream: string,
+  payloadLength: number,
+): string {
+  const seed = `${request}|${key ?? ''}|${PAYLOAD_PATTERN}`;
+  const payload = seed.repeat(Math.ceil(payloadLength / seed.length)).slice(0, payloadLength);
+  const body: AnswerBody = { request, key, upstream, payloadLength, payloadCrc: crc32(payload), payload };
+  return JSON.stringify(body);
+}
+
+/** What a body taken for complete turns out to be. */
+export type BodyVerdict = 'whole' | 'damaged' | 'foreign';
+
+/** Checks that `text` is the whole answer to `request`. */
+export function judgeAnswerBody(text: string, request: string, key: string | null): BodyVerdict {
+  let body: AnswerBody;
+  try {
+    body = JSON.parse(text) as AnswerBody;
+  } catch {
+    return 'damaged';
+  }
+  if (typeof body.payload !== 'string' || body.payload.length !== body.payloadLength) {
+    return 'damaged';
+  }
+  if (crc32(body.payload) !== body.payloadCrc) {
+    return 'damaged';
+  }
+  return body.request === request && body.key === key ? 'whole' : 'foreign';
+}
--- /dev/null
+++ b/src/dev/standins/caller/caller-settings.ts
@@ -0,0 +1,43 @@
+/** Settings of a stand-in caller. */
+import { z } from 'zod';
+
+/** A stretch of the load: `requestsPerSecond` from `fromSeconds` on, until the next one starts. */
+const ratePointSchema = z.strictObject({
+  fromSeconds: z.number().min(0),
+  requestsPerSecond: z.number().min(0),
+});
+
+/** One kind of request. */
+const streamSchema = z.strictObject({
+  service: z.string().min(1),
+  method: z.enum(['GET', 'POST']).default('GET'),
+  /** Keys are `<keyPrefix><number>`; 0: the service isn't keyed. */
+  keyCount: z.number().int().min(0).default(0),
+  keyPrefix: z.string().default(''),
+  /** Exponent of the Zipf distribution of keys; 0: all alike. */
+  zipfExponent: z.number().min(0).default(1),
+  repeatable: z.boolean().default(true),
+  deadlineMillis: z.number().positive(),
+  /** Attempts at one request; a request that may not be repeated carries the same idempotency key in each. */
+  attempts: z.number().int().min(1).default(1),
+  retryDelayMillis: z.number().min(0).default(200),
+  rates: z.array(ratePointSchema).min(1),
+});
+
+export const callerSettingsSchema = z.strictObject({
+  name: z.string().min(1),
+  /** Own IP number, from which connections go out. */
+  host: z.string().min(1),
+  seed: z.number().int(),
+  seconds: z.number().positive(),
+  connectionsPerRouter: z.number().int().min(1).default(64),
+  routers: z.array(z.strictObject({ name: z.string(), address: z.string() })).min(1),
+  streams: z.array(streamSchema).min(1),
+  journal: z.string().min(1),
+  /** File for the JSON summary, written at the end. */
+  summary: z.string().min(1),
+});
+
+export type CallerSettings = z.infer<typeof callerSettingsSchema>;
+export type CallerStream = z.infer<typeof streamSchema>;
+export type RatePoint = z.infer<typeof ratePointSchema>;
--- /dev/null
+++ b/src/dev/standins/caller/caller-standin.ts
@@ -0,0 +1,166 @@
+/** A stand-in for tablets, fans and shops: open-loop load, answers checked, every attempt recorded. */
+import { writeFileSync } from 'node:fs';
+import { setTimeout as delay } from 'node:timers/promises';
+import { JournalWriter } from '../../journal/journal-writer.js';
+import { machineMillis } from '../../journal/machine-clock.js';
+import { RandomSource } from '../random-source.js';
+import { ArrivalSchedule } from './arrival-schedule.js';
+import type { CallerSettings, CallerStream } from './caller-settings.js';
+import { CallerSummary, type ServiceSummary } from './caller-summary.js';
+import { type Attempt, type AttemptAnswer, RouterClient } from './router-client.js';
+import { makeUuidV7 } from './uuid-v7.js';
+import { ZipfKeys } from './zipf-keys.js';
+
+const TICK_MILLIS = 2;
+const MILLIS_PER_SECOND = 1000;
+
+interface StreamState {
+  readonly stream: CallerStream;
+  readonly schedule: ArrivalSchedule;
+  readonly keys: ZipfKeys | null;
+}
+
+/** What the summary file holds. */
+export interface CallerReport {
+  readonly caller: string;
+  readonly services: readonly ServiceSummary[];
+}
+
+export class CallerStandin {
+  readonly #settings: CallerSettings;
+  readonly #journal: JournalWriter;
+  readonly #routers: readonly RouterClient[];
+  readonly #streams: readonly StreamState[];
+  readonly #random: RandomSource;
+  readonly #summary = new CallerSummary();
+  readonly #pending = new Set<Promise<void>>();
+  #requestCount = 0;
+  #stopped = false;
+
+  constructor(settings: CallerSettings) {
+    this.#settings = settings;
+    this.#journal = new JournalWriter(settings.journal);
+    this.#random = new RandomSource(settings.seed);
+    this.#routers = settings.routers.map(
+      (router) => new RouterClient(router.name, router.address, settings.host, settings.connectionsPerRouter),
+    );
+    this.#streams = settings.streams.map((stream, index) => this.#startStream(stream, index));
+  }
+
+  /** Sends the whole load, waits for the last answers and writes the summary. */
+  async run(): Promise<CallerReport> {
+    const startedAt = machineMillis();
+    const endAt = startedAt + this.#settings.seconds * MILLIS_PER_SECOND;
+    while (!this.#stopped && machineMillis() < endAt) {
+      this.#sendDue(startedAt);
+      await delay(TICK_MILLIS);
+    }
+    await Promise.all(this.#pending);
+    await Promise.all(this.#routers.map((router) => router.close()));
+    this.#journal.close();
+    const report = { caller: this.#settings.name, services: this.#summary.services() };
+    writeFileSync(this.#settings.summary, `${JSON.stringify(report, null, 2)}\n`);
+    return report;
+  }
+
+  /** No new requests; `run` ends when those under way have. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  #startStream(stream: CallerStream, index: number): StreamState {
+    const random = new RandomSource(this.#settings.seed + index + 1);
+    const schedule = new ArrivalSchedule(stream.rates, random);
+    const { keyPrefix, keyCount, zipfExponent } = stream;
+    const keys = keyCount === 0 ? null : new ZipfKeys(keyPrefix, keyCount, zipfExponent, random);
+    return { stream, schedule, keys };
+  }
+
+  #sendDue(startedAt: number): void {
+    const elapsed = machineMillis() - startedAt;
+    for (const state of this.#streams) {
+      for (const due of state.schedule.takeDue(elapsed)) {
+        this.#track(this.#request(state, startedAt + due));
+      }
+    }
+  }
+
+  #track(work: Promise<void>): void {
+    this.#pending.add(work);
+    void work.finally(() => this.#pending.delete(work));
+  }
+
+  /** One request with all its attempts; each goes to another router than the one before. */
+  async #request(state: StreamState, scheduledAt: number): Promise<void> {
+    const { stream } = state;
+    this.#requestCount += 1;
+    const attempt: Attempt = {
+      service: stream.service,
+      method: stream.method,
+      request: `${this.#settings.name}-${this.#requestCount}`,
+      key: state.keys?.pick() ?? null,
+      idempotencyKey: stream.repeatable ? null : makeUuidV7(Date.now()),
+      deadlineMillis: stream.deadlineMillis,
+    };
+    const firstRouter = Math.floor(this.#random.uniform() * this.#routers.length);
+    let answer: AttemptAnswer | undefined;
+    for (let number = 1; number <= stream.attempts; number += 1) {
+      const router = this.#routers[(firstRouter + number - 1) % this.#routers.length] as RouterClient;
+      const sentAt = machineMillis();
+      answer = await router.send(attempt);
+      const last = number === stream.attempts || !isWorthResending(answer);
+      this.#record(stream, attempt, answer, { number, last, router: router.name, scheduledAt, sentAt });
+      if (last) {
+        break;
+      }
+      await delay(answer.retryAfterMillis ?? stream.retryDelayMillis);
+    }
+    this.#finish(attempt, answer as AttemptAnswer, scheduledAt);
+  }
+
+  #record(stream: CallerStream, attempt: Attempt, answer: AttemptAnswer, at: AttemptPlace): void {
+    this.#journal.write({
+      type: 'attempt',
+      at: machineMillis(),
+      wall: Date.now(),
+      caller: this.#settings.name,
+      service: attempt.service,
+      request: attempt.request,
+      attempt: at.number,
+      router: at.router,
+      key: attempt.key,
+      idempotencyKey: attempt.idempotencyKey,
+      repeatable: stream.repeatable,
+      scheduledAt: at.scheduledAt,
+      sentAt: at.sentAt,
+      verdict: answer.verdict,
+      status: answer.status,
+      outcome: answer.outcome,
+      reason: answer.reason,
+      routerRequest: answer.routerRequest,
+      last: at.last,
+    });
+  }
+
+  #finish(attempt: Attempt, answer: AttemptAnswer, scheduledAt: number): void {
+    this.#summary.add({
+      service: attempt.service,
+      verdict: answer.verdict,
+      outcome: answer.outcome,
+      latencyMillis: machineMillis() - scheduledAt,
+    });
+  }
+}
+
+interface AttemptPlace {
+  readonly number: number;
+  readonly last: boolean;
+  readonly router: string;
+  readonly scheduledAt: number;
+  readonly sentAt: number;
+}
+
+/** A refused or lost request may be sent again: with its idempotency key it can't run twice. */
+function isWorthResending(answer: AttemptAnswer): boolean {
+  return answer.verdict === 'refused' || answer.verdict === 'lost';
+}
--- /dev/null
+++ b/src/dev/standins/caller/router-client.ts
@@ -0,0 +1,121 @@
+/** Sends one attempt to one router and says how it ended. */
+import { Pool } from 'undici';
+import { HEADERS, type Outcome } from '../../../model/outcome.js';
+import type { AnswerVerdict } from '../../journal/records.js';
+import { judgeAnswerBody } from '../answer-body.js';
+
+/** One attempt as it goes out. */
+export interface Attempt {
+  readonly service: string;
+  readonly method: 'GET' | 'POST';
+  readonly request: string;
+  readonly key: string | null;
+  readonly idempotencyKey: string | null;
+  readonly deadlineMillis: number;
+}
+
+/** What came back. */
+export interface AttemptAnswer {
+  readonly verdict: AnswerVerdict;
+  readonly status: number | null;
+  readonly outcome: Outcome | null;
+  readonly reason: string | null;
+  readonly routerRequest: string | null;
+  readonly retryAfterMillis: number | null;
+}
+
+const NOTHING: Omit<AttemptAnswer, 'verdict'> = {
+  status: null,
+  outcome: null,
+  reason: null,
+  routerRequest: null,
+  retryAfterMillis: null,
+};
+/** The caller waits this much longer than its deadline for the router to keep it. */
+const PATIENCE_MILLIS = 2000;
+const MILLIS_PER_SECOND = 1000;
+const LOST: AttemptAnswer = { verdict: 'lost', ...NOTHING };
+
+type HeaderValues = Record<string, string | string[] | undefined>;
+
+function headerOf(headers: HeaderValues, name: string): string | null {
+  const value = headers[name];
+  return typeof value === 'string' ? value : null;
+}
+
+function retryAfterOf(headers: HeaderValues): number | null {
+  const text = headerOf(headers, 'retry-after');
+  const seconds = Number(text);
+  return text === null || Number.isNaN(seconds) ? null : seconds * MILLIS_PER_SECOND;
+}
+
+/** Path of a request; the same for each resend. */
+function pathOf(attempt: Attempt): string {
+  const key = attempt.key === null ? '' : `/${encodeURIComponent(attempt.key)}`;
+  return `/items${key}?request=${encodeURIComponent(attempt.request)}`;
+}
+
+function headersOf(attempt: Attempt): Record<string, string> {
+  const headers: Record<string, string> = {
+    [HEADERS.service]: attempt.service,
+    [HEADERS.deadlineMillis]: String(Math.round(attempt.deadlineMillis)),
+  };
+  if (attempt.key !== null) {
+    headers[HEADERS.key] = attempt.key;
+  }
+  if (attempt.idempotencyKey !== null) {
+    headers[HEADERS.idempotencyKey] = attempt.idempotencyKey;
+  }
+  if (attempt.method === 'POST') {
+    headers['content-type'] = 'application/json';
+  }
+  return headers;
+}
+
+/** A pool of connections to one router. */
+export class RouterClient {
+  readonly name: string;
+  readonly #pool: Pool;
+
+  constructor(name: string, address: string, localAddress: string, connections: number) {
+    this.name = name;
+    this.#pool = new Pool(`http://${address}`, {
+      connections,
+      pipelining: 1,
+      connect: { localAddress, timeout: PATIENCE_MILLIS },
+    });
+  }
+
+  async send(attempt: Attempt): Promise<AttemptAnswer> {
+    const patience = AbortSignal.timeout(attempt.deadlineMillis + PATIENCE_MILLIS);
+    try {
+      const response = await this.#pool.request({
+        path: pathOf(attempt),
+        method: attempt.method,
+        headers: headersOf(attempt),
+        body: attempt.method === 'POST' ? JSON.stringify({ request: attempt.request }) : null,
+        signal: patience,
+      });
+      const text = await response.body.text();
+      return this.#judge(attempt, response.statusCode, response.headers, text);
+    } catch {
+      return LOST;
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  #judge(attempt: Attempt, status: number, headers: HeaderValues, text: string): AttemptAnswer {
+    const succeeded = status >= 200 && status < 300;
+    return {
+      verdict: succeeded ? judgeAnswerBody(text, attempt.request, attempt.key) : 'refused',
+      status,
+      outcome: headerOf(headers, HEADERS.outcome) as Outcome | null,
+      reason: headerOf(headers, HEADERS.reason),
+      routerRequest: headerOf(headers, HEADERS.requestId),
+      retryAfterMillis: retryAfterOf(headers),
+    };
+  }
+}
--- /dev/null
+++ b/src/dev/standins/link/link-settings.ts
@@ -0,0 +1,34 @@
+/** Settings and commands of a stand-in link. */
+import { z } from 'zod';
+
+/** One address that the link listens on and the process behind it. */
+const routeSchema = z.strictObject({
+  listen: z.string().min(1),
+  target: z.string().min(1),
+  targetZone: z.string().min(1),
+});
+
+export const linkSettingsSchema = z.strictObject({
+  /** `host:port` of the HTTP endpoint that takes commands. */
+  control: z.string().min(1),
+  /** Own IP numbers of processes, by which the link tells where a connection comes from. */
+  zones: z.record(z.string(), z.array(z.string())),
+  routes: z.array(routeSchema),
+  /** One-way delay between different zones, in milliseconds. */
+  delayMillis: z.number().min(0).default(0),
+});
+
+/** How the link treats traffic from one zone to another. */
+export const linkRuleSchema = z.strictObject({
+  from: z.string().min(1),
+  to: z.string().min(1),
+  /**
+   * `open`: forward. `drop`: bytes from `from` to `to` vanish and connections hang (half-open); the other way they
+   * still pass. `refuse`: connections are reset and new ones refused.
+   */
+  state: z.enum(['open', 'drop', 'refuse']),
+});
+
+export type LinkSettings = z.infer<typeof linkSettingsSchema>;
+export type LinkRoute = z.infer<typeof routeSchema>;
+export type LinkRule = z.infer<typeof linkRuleSchema>;
--- /dev/null
+++ b/src/dev/standins/link/link-standin.ts
@@ -0,0 +1,77 @@
+/**
+ * A stand-in for the network between zones: forwards TCP connections, and delays, cuts, half-opens or cuts one way on
+ * command. A byte that was dropped is lost for good, so a connection which lost one is reset when its direction opens again.
+ */
+import type { AddressInfo, Server } from 'node:net';
+import { createServer } from 'node:net';
+import Router from '@koa/router';
+import Koa from 'koa';
+import { parseAddress } from '../address.js';
+import { listenHttp, type RunningServer } from '../http-endpoint.js';
+import { readJsonBody } from '../json-body.js';
+import { forwardConnection } from './link-connection.js';
+import { type LinkRoute, type LinkSettings, linkRuleSchema } from './link-settings.js';
+import { ZoneRules } from './zone-rules.js';
+
+export class LinkStandin {
+  readonly rules: ZoneRules;
+  readonly #settings: LinkSettings;
+  readonly #servers: Server[] = [];
+  #control: RunningServer | undefined;
+
+  constructor(settings: LinkSettings) {
+    this.#settings = settings;
+    this.rules = new ZoneRules(settings.zones);
+  }
+
+  async start(): Promise<void> {
+    await Promise.all(this.#settings.routes.map((route) => this.#listen(route)));
+    this.#control = await listenHttp(this.#controlApp().callback(), this.#settings.control);
+  }
+
+  /** Addresses that routes listen on, in the order of the settings. */
+  addresses(): string[] {
+    return this.#servers.map((server) => {
+      const { address, port } = server.address() as AddressInfo;
+      return `${address}:${port}`;
+    });
+  }
+
+  async stop(): Promise<void> {
+    for (const server of this.#servers) {
+      server.close();
+    }
+    await this.#control?.close();
+  }
+
+  async #listen(route: LinkRoute): Promise<void> {
+    const target = parseAddress(route.target);
+    const listen = parseAddress(route.listen);
+    const server = createServer({ allowHalfOpen: true }, (inbound) => {
+      const ends = {
+        sourceZone: this.rules.zoneOf(inbound.remoteAddress ?? ''),
+        targetZone: route.targetZone,
+        targetHost: target.host,
+        targetPort: target.port,
+        delayMillis: this.#settings.delayMillis,
+      };
+      forwardConnection(inbound, ends, this.rules);
+    });
+    this.#servers.push(server);
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(listen.port, listen.host, resolve);
+    });
+  }
+
+  #controlApp(): Koa {
+    const router = new Router();
+    router.post('/rules', async (context) => {
+      this.rules.apply(linkRuleSchema.parse(await readJsonBody(context.req)));
+      context.status = 204;
+    });
+    const app = new Koa();
+    app.use(router.routes());
+    return app;
+  }
+}
--- /dev/null
+++ b/src/dev/standins/link/zone-rules.ts
@@ -0,0 +1,37 @@
+/** What a link does with traffic from one zone to another at the moment. */
+import { EventEmitter } from 'node:events';
+import type { LinkRule } from './link-settings.js';
+
+export type LinkState = LinkRule['state'];
+
+const UNKNOWN_ZONE = '';
+
+export class ZoneRules extends EventEmitter<{ changed: [] }> {
+  readonly #zoneByHost = new Map<string, string>();
+  readonly #states = new Map<string, LinkState>();
+
+  /** `zones` lists the IP numbers of the processes of each zone. */
+  constructor(zones: Readonly<Record<string, readonly string[]>>) {
+    super();
+    this.setMaxListeners(0);
+    for (const [zone, hosts] of Object.entries(zones)) {
+      for (const host of hosts) {
+        this.#zoneByHost.set(host, zone);
+      }
+    }
+  }
+
+  /** Zone of the process at this IP number; '' if it isn't known, and then nothing is ever cut. */
+  zoneOf(host: string): string {
+    return this.#zoneByHost.get(host) ?? UNKNOWN_ZONE;
+  }
+
+  stateOf(from: string, to: string): LinkState {
+    return this.#states.get(`${from}|${to}`) ?? 'open';
+  }
+
+  apply(rule: LinkRule): void {
+    this.#states.set(`${rule.from}|${rule.to}`, rule.state);
+    this.emit('changed');
+  }
+}
--- /dev/null
+++ b/src/dev/standins/random-source.ts
@@ -0,0 +1,29 @@
+/** Seeded random numbers for stand-ins: the same seed gives the same load. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+
+export class RandomSource {
+  readonly #generator: RandomGenerator;
+
+  constructor(seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  /** In [0, 1). */
+  uniform(): number {
+    return uniformFloat64(this.#generator);
+  }
+
+  /** Exponentially distributed with this mean. */
+  exponential(mean: number): number {
+    return -mean * Math.log(1 - this.uniform());
+  }
+
+  /** Log-normal with this mean; `sigma` is the spread of its logarithm. */
+  logNormal(mean: number, sigma: number): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - this.uniform()));
+    const normal = radius * Math.cos(2 * Math.PI * this.uniform());
+    return mean * Math.exp(sigma * normal - (sigma * sigma) / 2);
+  }
+}
