Registry and ledger: the replicated state machine

The other parts need createRegistry and decodeRegistry to build against. One module a command and a query; shards are indexed by owner, move target and absence of an owner, so that no query scans the table. The ledger forgets a key only below a horizon that never goes back and below which every claim is refused. Ruled out: dropping ledger records by age alone, since a longer retention or a clock set back would let a forgotten key run again.

--- /dev/null
+++ b/src/ledger/index.ts
@@ -0,0 +1,9 @@
+/** Public entry point of `ternmount/ledger`: at-most-once claims for embedding in a replicated state machine. */
+export { Ledger, type LedgerOptions, type LedgerState } from './ledger.js';
+export {
+  ENTRIES_PER_SERVICE,
+  IDENTIFIER_LIMIT,
+  ISSUED_AHEAD_MILLIS,
+  STORED_BODY_LIMIT,
+} from './limits.js';
+export type * from './types.js';
--- a/src/ledger/types.ts
+++ b/src/ledger/types.ts
@@ -50,7 +50,15 @@
   /** Another attempt has the key. */
   | { readonly type: 'duplicate'; readonly record: LedgerRecord }
   | { readonly type: 'mismatch' }
+  /** `issuedAt` is out of the accepted window, too old or too far ahead; the key isn't known and doesn't run. */
   | { readonly type: 'expired' }
   /** This claimant's claim was released or settled before; it must not run. */
   | { readonly type: 'closed' }
   | { readonly type: 'unknown-service' };
+
+export type SettleResult =
+  | { readonly type: 'settled' }
+  /** The claim had ended otherwise; nothing changed. */
+  | { readonly type: 'conflict'; readonly record: LedgerRecord }
+  /** This claimant holds no claim on the key, and gets none from now on. */
+  | { readonly type: 'no-claim' };
--- /dev/null
+++ b/src/registry/commands/index.ts
@@ -0,0 +1,63 @@
+/** Carries out one command. Each has its own module; a command that is refused has changed nothing. */
+import type { Transaction } from '../registry-state.js';
+import type { Command, CommandResult } from '../types.js';
+import { InvalidDefinitionError } from '../validation/field-checks.js';
+import { grantShards } from './grant-batch.js';
+import { claimKey } from './ledger-claim.js';
+import { settleClaim } from './ledger-settle.js';
+import { cancelMove } from './move-cancel.js';
+import { startMoves } from './move-start.js';
+import { invalid } from './results.js';
+import { applyService } from './service-apply.js';
+import { deleteService } from './service-delete.js';
+import { endSession } from './session-end.js';
+import { openSession } from './session-open.js';
+import { moveShard } from './shard-move.js';
+import { releaseShards } from './shard-release.js';
+import { applyUpstream } from './upstream-apply.js';
+import { removeUpstream } from './upstream-remove.js';
+
+/** Applies a command. Wrong definitions give `invalid` with the place; nothing is thrown for what operators send. */
+export function applyCommand(transaction: Transaction, command: Command): CommandResult {
+  try {
+    return dispatch(transaction, command);
+  } catch (thrown) {
+    if (thrown instanceof InvalidDefinitionError) {
+      return invalid(thrown.message);
+    }
+    throw thrown;
+  }
+}
+
+function dispatch(transaction: Transaction, command: Command): CommandResult {
+  switch (command.type) {
+    case 'service-apply':
+      return applyService(transaction, command);
+    case 'service-delete':
+      return deleteService(transaction, command);
+    case 'upstream-apply':
+      return applyUpstream(transaction, command);
+    case 'upstream-remove':
+      return removeUpstream(transaction, command);
+    case 'shard-move':
+      return moveShard(transaction, command);
+    case 'session-open':
+      return openSession(transaction, command);
+    case 'session-end':
+      return endSession(transaction, command);
+    case 'grant-batch':
+      return grantShards(transaction, command);
+    case 'move-start':
+      return startMoves(transaction, command);
+    case 'shard-release':
+      return releaseShards(transaction, command);
+    case 'move-cancel':
+      return cancelMove(transaction, command);
+    case 'ledger-claim':
+      return claimKey(transaction, command);
+    case 'ledger-settle':
+      return settleClaim(transaction, command);
+    default:
+      return invalid('type: this release knows no such command');
+  }
+}
--- /dev/null
+++ b/src/registry/commands/ledger-claim.ts
@@ -0,0 +1,9 @@
+/** Claims a key of the ledger for one run of a request. */
+import type { ClaimCommand } from '../../ledger/types.js';
+import type { Transaction } from '../registry-state.js';
+import type { CommandResult } from '../types.js';
+
+export function claimKey(transaction: Transaction, command: ClaimCommand): CommandResult {
+  const { state, revision } = transaction;
+  return { type: 'claim', result: state.ledger.claim(command, revision, state.clock) };
+}
--- /dev/null
+++ b/src/registry/commands/session-end.ts
@@ -0,0 +1,22 @@
+/** The lease of an incarnation has ended: its shards have no owner, and planned moves to it are off. */
+import type { Transaction } from '../registry-state.js';
+import type { CommandResult, LeaderCommand } from '../types.js';
+import { accepted, conflict, NOT_FOUND } from './results.js';
+import { cancelMovesTo, releaseAllOf } from './shard-changes.js';
+
+type SessionEnd = Extract<LeaderCommand, { type: 'session-end' }>;
+
+export function endSession(transaction: Transaction, command: SessionEnd): CommandResult {
+  const { upstream, incarnation } = command;
+  const record = transaction.state.upstreams.get(upstream);
+  if (record === undefined) {
+    return NOT_FOUND;
+  }
+  if (record.incarnation === null || record.incarnation !== incarnation) {
+    return conflict(record.revision);
+  }
+  cancelMovesTo(transaction, upstream);
+  releaseAllOf(transaction, upstream);
+  transaction.putUpstream(upstream, { ...record, incarnation: null });
+  return accepted(transaction);
+}
--- /dev/null
+++ b/src/registry/commands/upstream-remove.ts
@@ -0,0 +1,27 @@
+/** Removes an upstream that owns nothing. One that does may still serve under its lease, so it must drain first. */
+import type { Transaction } from '../registry-state.js';
+import type { CommandResult, OperatorCommand } from '../types.js';
+import { accepted, checkExpected, invalid, NOT_FOUND } from './results.js';
+import { cancelMovesTo } from './shard-changes.js';
+
+type UpstreamRemove = Extract<OperatorCommand, { type: 'upstream-remove' }>;
+
+export function removeUpstream(transaction: Transaction, command: UpstreamRemove): CommandResult {
+  const { state } = transaction;
+  const { upstream } = command;
+  const record = state.upstreams.get(upstream);
+  const lost = checkExpected(command.expected, record);
+  if (lost !== undefined) {
+    return lost;
+  }
+  if (record === undefined) {
+    return NOT_FOUND;
+  }
+  const owned = state.shards.ownedBy(upstream).size;
+  if (owned > 0) {
+    return invalid(`upstream: ${upstream} owns ${owned} shards; drain it first`);
+  }
+  cancelMovesTo(transaction, upstream);
+  transaction.putUpstream(upstream, null);
+  return accepted(transaction);
+}
--- /dev/null
+++ b/src/registry/dedup-table.ts
@@ -0,0 +1,88 @@
+/**
+ * Results of operators' commands by request id, so that a resend gets the first outcome and changes nothing.
+ *
+ * Retention: an entry goes once it is older than `DEDUP_RETENTION_MILLIS` by the registry's clock, or once
+ * `DEDUP_ENTRIES` later ones came. A resend after that counts as a new command; its `expected` revision then
+ * decides. Both bounds follow from the log alone, so every replica drops the same entries.
+ */
+import { createHash } from 'node:crypto';
+import type { WallMillis } from '../model/identifiers.js';
+import type { Command, CommandResult } from './types.js';
+
+export const DEDUP_RETENTION_MILLIS = 24 * 60 * 60 * 1000;
+export const DEDUP_ENTRIES = 10_000;
+/** Longest accepted request id, in characters. */
+export const REQUEST_ID_LIMIT = 200;
+
+export interface DedupEntry {
+  readonly requestId: string;
+  /** SHA-256 of the command, base64. */
+  readonly fingerprint: string;
+  readonly at: WallMillis;
+  readonly result: CommandResult;
+}
+
+/** Copies a JSON value with the keys of each object in order, so that equal commands give equal text. */
+function sortKeys(value: unknown): unknown {
+  if (Array.isArray(value)) {
+    return value.map(sortKeys);
+  }
+  if (value === null || typeof value !== 'object') {
+    return value;
+  }
+  const entries = Object.entries(value).sort(([one], [other]) => (one < other ? -1 : 1));
+  return Object.fromEntries(entries.map(([key, item]) => [key, sortKeys(item)]));
+}
+
+/** Identifies the content of a command. */
+export function fingerprintOf(command: Command): string {
+  return createHash('sha256')
+    .update(JSON.stringify(sortKeys(command)))
+    .digest('base64');
+}
+
+export class DedupTable {
+  /** In the order of the log. */
+  private readonly entries = new Map<string, DedupEntry>();
+
+  constructor(
+    entries: readonly DedupEntry[] = [],
+    private readonly limit = DEDUP_ENTRIES,
+  ) {
+    for (const entry of entries) {
+      this.entries.set(entry.requestId, entry);
+    }
+  }
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  find(requestId: string): DedupEntry | undefined {
+    return this.entries.get(requestId);
+  }
+
+  add(entry: DedupEntry): void {
+    this.entries.set(entry.requestId, entry);
+    for (const [requestId] of this.entries) {
+      if (this.entries.size <= this.limit) {
+        return;
+      }
+      this.entries.delete(requestId);
+    }
+  }
+
+  /** Drops what is too old. `clock` never goes back, so the entries lie in order of age. */
+  expire(clock: WallMillis): void {
+    for (const [requestId, entry] of this.entries) {
+      if (entry.at > clock - DEDUP_RETENTION_MILLIS) {
+        return;
+      }
+      this.entries.delete(requestId);
+    }
+  }
+
+  list(): DedupEntry[] {
+    return [...this.entries.values()];
+  }
+}
--- /dev/null
+++ b/src/registry/errors.ts
@@ -0,0 +1,21 @@
+/** Errors of the registry. */
+import { TernmountError } from '../errors/ternmount-error.js';
+
+export class RegistryError extends TernmountError {}
+
+/** A snapshot that can't be read: damaged, or of a version that this release doesn't know. */
+export class RegistrySnapshotError extends RegistryError {
+  constructor(message: string, cause?: Error) {
+    super({ code: 'TERNMOUNT_REGISTRY_SNAPSHOT', retriable: false, cause }, message);
+  }
+}
+
+/** An entry out of order: the log and the state machine don't fit each other. */
+export class RegistryOrderError extends RegistryError {
+  constructor(index: number, revision: number) {
+    super(
+      { code: 'TERNMOUNT_REGISTRY_ORDER', retriable: false, info: { index, revision } },
+      `entry ${index} can't follow revision ${revision}`,
+    );
+  }
+}
--- /dev/null
+++ b/src/registry/index.ts
@@ -0,0 +1,20 @@
+/** The replicated state machine of the control cluster. */
+import { RegistryMachine } from './registry-machine.js';
+import { RegistryState } from './registry-state.js';
+import { decodeState } from './snapshot-codec.js';
+import type { Registry } from './types.js';
+
+/** An empty registry, before the first log entry. */
+export function createRegistry(): Registry {
+  return new RegistryMachine(new RegistryState());
+}
+
+/** A registry from the bytes of `Registry.encode`. Throws `RegistrySnapshotError` if they can't be read. */
+export function decodeRegistry(bytes: Uint8Array): Registry {
+  return new RegistryMachine(decodeState(bytes));
+}
+
+export { RECENT_CHANGES } from './change-ring.js';
+export { DEDUP_ENTRIES, DEDUP_RETENTION_MILLIS } from './dedup-table.js';
+export { RegistryError, RegistryOrderError, RegistrySnapshotError } from './errors.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/registry/registry-machine.ts
@@ -0,0 +1,135 @@
+/** The replicated state machine: applies log entries in order and answers queries. */
+import type { LedgerRecord } from '../ledger/types.js';
+import type { Revision, ServiceName, ShardId, UpstreamId } from '../model/identifiers.js';
+import { applyCommand } from './commands/index.js';
+import { invalid } from './commands/results.js';
+import { fingerprintOf, REQUEST_ID_LIMIT } from './dedup-table.js';
+import { RegistryOrderError } from './errors.js';
+import { routingDelta } from './queries/routing-delta.js';
+import { routingSnapshot } from './queries/routing-snapshot.js';
+import { type RegistryState, Transaction } from './registry-state.js';
+import { encodeState } from './snapshot-codec.js';
+import type {
+  CommandEnvelope,
+  CommandResult,
+  Registry,
+  RegistryChange,
+  RoutingDelta,
+  RoutingSnapshot,
+  ServiceRecord,
+  ShardRecord,
+  UpstreamRecord,
+} from './types.js';
+
+/** Expired entries of the ledger and the dedup table go at most this often, by the registry's clock. */
+const SWEEP_INTERVAL_MILLIS = 1000;
+
+const NO_CHANGES: readonly RegistryChange[] = [];
+
+interface Applied {
+  readonly result: CommandResult;
+  readonly changes: readonly RegistryChange[];
+}
+
+export class RegistryMachine implements Registry {
+  constructor(private readonly state: RegistryState) {}
+
+  get revision(): Revision {
+    return this.state.revision;
+  }
+
+  /** Applies the entry at `index`. Throws `RegistryOrderError` if it was passed before. */
+  apply(index: Revision, envelope: CommandEnvelope): Applied {
+    this.advance(index);
+    this.moveClock(envelope.at);
+    const { requestId } = envelope;
+    return requestId === null ? this.applyNew(index, envelope) : this.applyOnce(index, requestId, envelope);
+  }
+
+  advance(index: Revision): void {
+    if (index <= this.state.revision) {
+      throw new RegistryOrderError(index, this.state.revision);
+    }
+    this.state.revision = index;
+  }
+
+  encode(): Uint8Array {
+    return encodeState(this.state);
+  }
+
+  services(): ReadonlyMap<ServiceName, ServiceRecord> {
+    return this.state.services;
+  }
+
+  upstreams(): ReadonlyMap<UpstreamId, UpstreamRecord> {
+    return this.state.upstreams;
+  }
+
+  shards(): ReadonlyMap<ShardId, ShardRecord> {
+    return this.state.shards.records();
+  }
+
+  shardsOwnedBy(upstream: UpstreamId): ReadonlySet<ShardId> {
+    return this.state.shards.ownedBy(upstream);
+  }
+
+  shardsMovingTo(upstream: UpstreamId): ReadonlySet<ShardId> {
+    return this.state.shards.movingTo(upstream);
+  }
+
+  unownedShards(service: ServiceName): ReadonlySet<ShardId> {
+    return this.state.shards.unowned(service);
+  }
+
+  retiredOwned(service: ServiceName): ReadonlySet<ShardId> {
+    return this.state.shards.retiredOwned(service);
+  }
+
+  ledgerRecord(service: ServiceName, key: string): LedgerRecord | undefined {
+    return this.state.ledger.find(service, key);
+  }
+
+  routingSnapshot(): RoutingSnapshot {
+    return routingSnapshot(this.state);
+  }
+
+  routingDelta(from: Revision): RoutingDelta | undefined {
+    return routingDelta(this.state, from);
+  }
+
+  /** A command with a request id: a resend gets the first result. */
+  private applyOnce(index: Revision, requestId: string, envelope: CommandEnvelope): Applied {
+    if (requestId.length > REQUEST_ID_LIMIT) {
+      const result = invalid(`requestId: must be at most ${REQUEST_ID_LIMIT} characters`);
+      return { result, changes: NO_CHANGES };
+    }
+    const { dedup, clock } = this.state;
+    const fingerprint = fingerprintOf(envelope.command);
+    const first = dedup.find(requestId);
+    if (first === undefined) {
+      const applied = this.applyNew(index, envelope);
+      dedup.add({ requestId, fingerprint, at: clock, result: applied.result });
+      return applied;
+    }
+    const isSame = first.fingerprint === fingerprint;
+    const result = isSame ? first.result : invalid(`requestId: ${requestId} was used for another command`);
+    return { result, changes: NO_CHANGES };
+  }
+
+  private applyNew(index: Revision, envelope: CommandEnvelope): Applied {
+    const transaction = new Transaction(this.state, index);
+    const result = applyCommand(transaction, envelope.command);
+    this.state.recent.add(index, transaction.changes);
+    return { result, changes: transaction.changes };
+  }
+
+  private moveClock(at: number): void {
+    const { state } = this;
+    state.clock = Math.max(state.clock, Number.isFinite(at) ? at : 0);
+    if (state.clock - state.sweptAt >= SWEEP_INTERVAL_MILLIS) {
+      state.sweptAt = state.clock;
+      state.ledger.expire(state.clock);
+      state.dedup.expire(state.clock);
+    }
+  }
+}
--- /dev/null
+++ b/src/registry/registry-state.ts
@@ -0,0 +1,59 @@
+/** The parts of the replicated state, and the one way to change the parts that routers see. */
+import { Ledger } from '../ledger/index.js';
+import type { Revision, ServiceName, ShardId, UpstreamId, WallMillis } from '../model/identifiers.js';
+import { ChangeRing } from './change-ring.js';
+import { DedupTable } from './dedup-table.js';
+import { ShardTable } from './shard-table.js';
+import type { RegistryChange, ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
+
+export class RegistryState {
+  /** Revision of the last entry applied. */
+  revision: Revision = 0;
+  /** Largest wall clock of any applied entry: never goes back, also when a new leader's clock is behind. */
+  clock: WallMillis = 0;
+  /** Clock at which expired entries were last dropped. */
+  sweptAt: WallMillis = 0;
+  readonly services = new Map<ServiceName, ServiceRecord>();
+  readonly upstreams = new Map<UpstreamId, UpstreamRecord>();
+  readonly shards = new ShardTable();
+
+  constructor(
+    readonly ledger: Ledger = new Ledger(),
+    readonly dedup: DedupTable = new DedupTable(),
+    readonly recent: ChangeRing = new ChangeRing(0),
+  ) {}
+}
+
+/** The application of one log entry: changes go through here and are collected for routers. */
+export class Transaction {
+  readonly changes: RegistryChange[] = [];
+
+  constructor(
+    readonly state: RegistryState,
+    /** Index of the entry. */
+    readonly revision: Revision,
+  ) {}
+
+  putService(name: ServiceName, record: ServiceRecord | null): void {
+    if (record === null) {
+      this.state.services.delete(name);
+    } else {
+      this.state.services.set(name, record);
+    }
+    this.changes.push({ type: 'service', name, record });
+  }
+
+  putUpstream(id: UpstreamId, record: UpstreamRecord | null): void {
+    if (record === null) {
+      this.state.upstreams.delete(id);
+    } else {
+      this.state.upstreams.set(id, record);
+    }
+    this.changes.push({ type: 'upstream', id, record });
+  }
+
+  putShard(shard: ShardId, record: ShardRecord | null): void {
+    this.state.shards.put(shard, record);
+    this.changes.push({ type: 'shard', shard, record });
+  }
+}
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -20,6 +20,7 @@
 }
 export interface UpstreamRecord {
   readonly definition: UpstreamDefinition;
+  /** Revision of the last change to the definition; sessions don't change it. */
   readonly revision: Revision;
   /** Incarnation which holds the session; `null` before the first and after its lease ended. */
   readonly incarnation: Incarnation | null;
@@ -143,6 +144,14 @@
   services(): ReadonlyMap<ServiceName, ServiceRecord>;
   upstreams(): ReadonlyMap<UpstreamId, UpstreamRecord>;
   shards(): ReadonlyMap<ShardId, ShardRecord>;
+  /** Shards that this upstream owns, retired ones included. */
+  shardsOwnedBy(upstream: UpstreamId): ReadonlySet<ShardId>;
+  /** Shards with a planned move to this upstream. */
+  shardsMovingTo(upstream: UpstreamId): ReadonlySet<ShardId>;
+  /** Shards of the service's current generation without an owner; those never granted included. */
+  unownedShards(service: ServiceName): ReadonlySet<ShardId>;
+  /** Shards of older generations that still have an owner. While there is one, no shard of the service is granted. */
+  retiredOwned(service: ServiceName): ReadonlySet<ShardId>;
   ledgerRecord(service: ServiceName, key: string): LedgerRecord | undefined;
   routingSnapshot(): RoutingSnapshot;
   /** Changes after `from`, or `undefined` if that is too long ago. */
--- /dev/null
+++ b/src/registry/validation/validate-upstream.ts
@@ -0,0 +1,58 @@
+/** Checks of upstream definitions. The result holds the known fields only, in a fixed order. */
+import { isIP } from 'node:net';
+import type { Address } from '../../model/identifiers.js';
+import type { UpstreamDefinition } from '../../model/service.js';
+import type { ServiceRecord } from '../types.js';
+import { checkBoolean, checkDistinct, checkList, checkName, checkObject, fail } from './field-checks.js';
+import { SERVICE_LIMITS } from './validate-service.js';
+
+const LARGEST_PORT = 65_535;
+const ADDRESS_PATTERN = /^(.+):(\d{1,5})$/;
+const BRACKETED_PATTERN = /^\[(.+)\]$/;
+
+/** Finds a declared service. */
+export type ServiceLookup = (name: string) => ServiceRecord | undefined;
+
+/** Checks a definition; throws `InvalidDefinitionError` naming the first wrong place. */
+export function validateUpstream(input: unknown, findService: ServiceLookup): UpstreamDefinition {
+  const fields = checkObject('definition', input);
+  const id = checkName('id', fields.id);
+  const serviceName = checkName('service', fields.service);
+  const service = findService(serviceName) ?? fail('service', `there is no service ${serviceName}`);
+  return {
+    id,
+    service: serviceName,
+    address: checkAddress(fields.address),
+    zone: checkName('zone', fields.zone),
+    mayHold: checkMayHold(fields.mayHold, service),
+    leaving: checkBoolean('leaving', fields.leaving),
+  };
+}
+
+function checkAddress(value: unknown): Address {
+  const match = typeof value === 'string' ? ADDRESS_PATTERN.exec(value) : null;
+  if (!match) {
+    fail('address', 'must be an IP number, a colon and a port');
+  }
+  const [address, host, port] = match as unknown as [string, string, string];
+  const inBrackets = BRACKETED_PATTERN.exec(host)?.[1];
+  const isHost = inBrackets === undefined ? isIP(host) === 4 : isIP(inBrackets) === 6;
+  if (!isHost) {
+    fail('address', 'the host must be an IP number (IPv6 in brackets)');
+  }
+  if (Number(port) < 1 || Number(port) > LARGEST_PORT) {
+    fail('address', `the port must be from 1 to ${LARGEST_PORT}`);
+  }
+  return address;
+}
+
+function checkMayHold(value: unknown, service: ServiceRecord): string[] {
+  const known = new Set(service.definition.keyspaces.map((keyspace) => keyspace.name));
+  const names = checkList('mayHold', value, SERVICE_LIMITS.keyspaces).map((item, position) => {
+    const place = `mayHold[${position}]`;
+    const name = checkName(place, item);
+    return known.has(name) ? name : fail(place, `${service.definition.name} has no keyspace ${name}`);
+  });
+  checkDistinct('mayHold', names, 'name');
+  return names;
+}
