Settings of the control and router daemons, and files of declarations

Daemons and the command line need one place that reads a YAML file, then the environment, then flags, and says in one line what is wrong and where. Each override remembers its variable or flag, so a problem in one isn't blamed on the file.

--- /dev/null
+++ b/src/settings/common-schemas.ts
@@ -0,0 +1,77 @@
+/** Schemas that the settings of both daemons share. */
+import { z } from 'zod';
+import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../control/messages.js';
+import { addressSchema, splitAddress } from './addresses.js';
+import { nameSchema } from './definition-schemas.js';
+
+const MAXIMUM_CLOCK_RATE_ERROR = 0.1;
+const ANY_HOST = new Set(['0.0.0.0', '::']);
+
+/** A path of a file or folder. */
+export const pathSchema = z.string({ error: 'expected a path' }).min(1, 'must not be empty');
+
+/** Relative error between two clocks' rates. */
+export const clockRateErrorSchema = z
+  .number({ error: 'expected a share such as 0.005' })
+  .min(0, 'must be 0 or more')
+  .max(MAXIMUM_CLOCK_RATE_ERROR, `must be ${MAXIMUM_CLOCK_RATE_ERROR} or less`);
+
+/** An address that others are told: not `0.0.0.0`. */
+export const reachableAddressSchema = addressSchema.refine((address) => !isAnyHost(address), {
+  error: 'must be an address that others can connect to',
+});
+
+/** Zone of the process, and the zones there are (optional, so that a misspelt one is found). */
+export const zoneFields = {
+  zone: nameSchema,
+  zones: z.array(nameSchema).min(1, 'needs one or more').optional(),
+} as const;
+
+/** Reports a zone that isn't among the known ones. */
+export function checkZone(
+  fields: { readonly zone: string; readonly zones?: readonly string[] | undefined },
+  context: z.RefinementCtx,
+): void {
+  if (fields.zones !== undefined && !fields.zones.includes(fields.zone)) {
+    const message = `unknown zone ${JSON.stringify(fields.zone)} (zones: ${fields.zones.join(', ')})`;
+    context.addIssue({ code: 'custom', path: ['zone'], message });
+  }
+}
+
+/** Whether an address listens on all of the machine's addresses. */
+export function isAnyHost(address: string): boolean {
+  return ANY_HOST.has(splitAddress(address)?.host ?? '');
+}
+
+/** Whether only processes of the same machine can connect. */
+export function isLoopback(address: string): boolean {
+  const host = splitAddress(address)?.host ?? '';
+  return host === '::1' || host.startsWith('127.');
+}
+
+/** Times of the configuration lease as settings have them; left-out ones take the defaults. */
+export function completeConfigLease(fields: {
+  readonly configLease?: number | undefined;
+  readonly configSync?: number | undefined;
+  readonly clockRateError?: number | undefined;
+}): ConfigLeaseTimings {
+  const defaults = DEFAULT_CONFIG_LEASE_TIMINGS;
+  return {
+    configLeaseMillis: fields.configLease ?? defaults.configLeaseMillis,
+    syncMillis: fields.configSync ?? defaults.syncMillis,
+    clockRateError: fields.clockRateError ?? defaults.clockRateError,
+  };
+}
+
+/** Reports a repeat time that isn't at most half of the time it must keep alive. */
+export function checkHalf(
+  short: { readonly name: string; readonly millis: number },
+  long: { readonly name: string; readonly millis: number },
+  path: readonly string[],
+  context: z.RefinementCtx,
+): void {
+  if (short.millis * 2 > long.millis) {
+    const message = `${short.name} (${short.millis}ms) must be at most half of ${long.name} (${long.millis}ms)`;
+    context.addIssue({ code: 'custom', path: [...path, short.name], message });
+  }
+}
--- /dev/null
+++ b/src/settings/control-settings.ts
@@ -0,0 +1,186 @@
+/** Settings of the control daemon. */
+import { z } from 'zod';
+import type { RaftTimings } from '../consensus/types.js';
+import type { ConfigLeaseTimings } from '../control/messages.js';
+import { DEFAULT_LEASE_TIMINGS, type LeaseTimings } from '../lease/types.js';
+import type { Address, ClusterId, Zone } from '../model/identifiers.js';
+import { addressSchema } from './addresses.js';
+import {
+  checkHalf,
+  checkZone,
+  clockRateErrorSchema,
+  completeConfigLease,
+  isAnyHost,
+  isLoopback,
+  pathSchema,
+  reachableAddressSchema,
+  zoneFields,
+} from './common-schemas.js';
+import { nameSchema } from './definition-schemas.js';
+import { loadLayers, type SettingName, type SettingsLayers } from './layers.js';
+import { durationSchema, positiveDurationSchema } from './units.js';
+
+/** What a control daemon starts from. */
+export interface ControlSettings {
+  readonly cluster: ClusterId;
+  /** Name for people in logs; `null`: the replica id alone. */
+  readonly replicaName: string | null;
+  readonly zone: Zone;
+  readonly dataFolder: string;
+  /** Internal port, for other control members and routers. */
+  readonly listen: Address;
+  /** What others are told to connect to; the same as `listen` unless said. */
+  readonly advertise: Address;
+  /** Port of the operators' HTTP API. */
+  readonly admin: Address;
+  /** Internal addresses of the other members, for a replica that joins. */
+  readonly peers: readonly Address[];
+  /** File with the secret that the project's own processes share; `null`: none. */
+  readonly secretFile: string | null;
+  /** File with operators' tokens; `null`: no check (loopback addresses only). */
+  readonly tokensFile: string | null;
+  readonly raft: RaftTimings;
+  readonly lease: LeaseTimings;
+  readonly configLease: ConfigLeaseTimings;
+  /** Log entries after which a snapshot is taken. */
+  readonly snapshotEntries: number;
+  /** 0: voters are never replaced without an operator. */
+  readonly replaceAfterMillis: number;
+  /** Namespaces that log at debug and info level, as for `debug`. */
+  readonly log: string;
+}
+
+/** Defaults of the control daemon. */
+export const CONTROL_DEFAULTS = {
+  electionTimeoutMillis: 300,
+  heartbeatMillis: 60,
+  snapshotEntries: 10_000,
+  replaceAfterMillis: 0,
+  log: 'ternmount:*',
+} as const;
+
+const timingsSchema = z.strictObject({
+  electionTimeout: positiveDurationSchema.optional(),
+  heartbeat: positiveDurationSchema.optional(),
+  lease: positiveDurationSchema.optional(),
+  leaseRenew: positiveDurationSchema.optional(),
+  configLease: positiveDurationSchema.optional(),
+  configSync: positiveDurationSchema.optional(),
+  clockRateError: clockRateErrorSchema.optional(),
+});
+
+const controlObject = z.strictObject({
+  cluster: nameSchema,
+  replicaName: nameSchema.optional(),
+  ...zoneFields,
+  dataFolder: pathSchema,
+  listen: addressSchema,
+  advertise: reachableAddressSchema.optional(),
+  admin: addressSchema,
+  peers: z.array(reachableAddressSchema).optional(),
+  secretFile: pathSchema.optional(),
+  tokensFile: pathSchema.optional(),
+  timings: timingsSchema.optional(),
+  snapshotEntries: z.int({ error: 'expected a whole number' }).min(1, 'must be 1 or more').optional(),
+  replaceAfter: durationSchema.optional(),
+  log: z.string().optional(),
+});
+type ControlFields = z.output<typeof controlObject>;
+
+function completeTimings(fields: ControlFields): Pick<ControlSettings, 'raft' | 'lease' | 'configLease'> {
+  const timings = fields.timings ?? {};
+  const clockRateError = timings.clockRateError ?? DEFAULT_LEASE_TIMINGS.clockRateError;
+  return {
+    raft: {
+      electionTimeoutMillis: timings.electionTimeout ?? CONTROL_DEFAULTS.electionTimeoutMillis,
+      heartbeatMillis: timings.heartbeat ?? CONTROL_DEFAULTS.heartbeatMillis,
+    },
+    lease: {
+      leaseMillis: timings.lease ?? DEFAULT_LEASE_TIMINGS.leaseMillis,
+      renewMillis: timings.leaseRenew ?? DEFAULT_LEASE_TIMINGS.renewMillis,
+      clockRateError,
+    },
+    configLease: completeConfigLease({ ...timings, clockRateError }),
+  };
+}
+
+function checkControl(fields: ControlFields, context: z.RefinementCtx): void {
+  checkZone(fields, context);
+  const { raft, lease, configLease } = completeTimings(fields);
+  const path = ['timings'];
+  const at = (name: string, millis: number) => ({ name, millis });
+  checkHalf(
+    at('heartbeat', raft.heartbeatMillis),
+    at('electionTimeout', raft.electionTimeoutMillis),
+    path,
+    context,
+  );
+  checkHalf(at('leaseRenew', lease.renewMillis), at('lease', lease.leaseMillis), path, context);
+  checkHalf(
+    at('configSync', configLease.syncMillis),
+    at('configLease', configLease.configLeaseMillis),
+    path,
+    context,
+  );
+  if (isAnyHost(fields.listen) && fields.advertise === undefined) {
+    const message = 'is missing: listen takes all addresses, so others must be told which one to use';
+    context.addIssue({ code: 'custom', path: ['advertise'], message });
+  }
+  if (fields.listen === fields.admin) {
+    context.addIssue({ code: 'custom', path: ['admin'], message: 'must differ from listen' });
+  }
+  if (fields.tokensFile === undefined && !isLoopback(fields.admin)) {
+    const message = 'is missing: the operators’ API needs tokens unless admin is a loopback address';
+    context.addIssue({ code: 'custom', path: ['tokensFile'], message });
+  }
+}
+
+/** Settings of the control daemon, checked and completed. */
+export const controlSettingsSchema = controlObject.superRefine(checkControl).transform(
+  (fields): ControlSettings => ({
+    cluster: fields.cluster,
+    replicaName: fields.replicaName ?? null,
+    zone: fields.zone,
+    dataFolder: fields.dataFolder,
+    listen: fields.listen,
+    advertise: fields.advertise ?? fields.listen,
+    admin: fields.admin,
+    peers: fields.peers ?? [],
+    secretFile: fields.secretFile ?? null,
+    tokensFile: fields.tokensFile ?? null,
+    ...completeTimings(fields),
+    snapshotEntries: fields.snapshotEntries ?? CONTROL_DEFAULTS.snapshotEntries,
+    replaceAfterMillis: fields.replaceAfter ?? CONTROL_DEFAULTS.replaceAfterMillis,
+    log: fields.log ?? CONTROL_DEFAULTS.log,
+  }),
+);
+
+/** Each setting of the control daemon, as the environment and flags can give it. */
+export const CONTROL_SETTING_NAMES: readonly SettingName[] = [
+  { path: ['cluster'] },
+  { path: ['replicaName'] },
+  { path: ['zone'] },
+  { path: ['zones'], list: true },
+  { path: ['dataFolder'] },
+  { path: ['listen'] },
+  { path: ['advertise'] },
+  { path: ['admin'] },
+  { path: ['peers'], list: true },
+  { path: ['secretFile'] },
+  { path: ['tokensFile'] },
+  { path: ['timings', 'electionTimeout'] },
+  { path: ['timings', 'heartbeat'] },
+  { path: ['timings', 'lease'] },
+  { path: ['timings', 'leaseRenew'] },
+  { path: ['timings', 'configLease'] },
+  { path: ['timings', 'configSync'] },
+  { path: ['timings', 'clockRateError'] },
+  { path: ['snapshotEntries'] },
+  { path: ['replaceAfter'] },
+  { path: ['log'] },
+];
+
+/** Reads the settings of a control daemon. Throws `SettingsError`. */
+export function loadControlSettings(layers: SettingsLayers): ControlSettings {
+  return loadLayers(controlSettingsSchema, CONTROL_SETTING_NAMES, layers);
+}
--- /dev/null
+++ b/src/settings/definition-documents.ts
@@ -0,0 +1,87 @@
+/**
+ * Files with what operators declare: one or more YAML documents, each a map with `kind: service` or `kind: upstream`,
+ * or a list of such maps.
+ */
+import type { ServiceDefinition, UpstreamDefinition } from '../model/service.js';
+import { serviceSchema, upstreamSchema } from './definition-schemas.js';
+import { SettingsError, type SettingsProblem } from './settings-error.js';
+import { checkSource, parseYaml, readYaml, type ValuePath, type YamlSource } from './yaml-source.js';
+
+/** One declaration of a file. */
+export type DefinitionDocument =
+  | { readonly kind: 'service'; readonly definition: ServiceDefinition }
+  | { readonly kind: 'upstream'; readonly definition: UpstreamDefinition };
+
+function checkEntry(source: YamlSource, value: unknown, path: ValuePath): DefinitionDocument {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    throw new SettingsError([source.problemAt(path, 'expected a map with kind: service or kind: upstream')]);
+  }
+  const { kind, ...fields } = value as Record<string, unknown>;
+  switch (kind) {
+    case 'service':
+      return { kind, definition: checkSource(source, serviceSchema, fields, path) };
+    case 'upstream':
+      return { kind, definition: checkSource(source, upstreamSchema, fields, path) };
+    case undefined:
+      throw new SettingsError([source.problemAt([...path, 'kind'], 'is missing (service or upstream)')]);
+    default: {
+      const message = `${JSON.stringify(kind)} is unknown; expected service or upstream`;
+      throw new SettingsError([source.problemAt([...path, 'kind'], message)]);
+    }
+  }
+}
+
+/** The entries of one document with their paths; an empty document has none. */
+function entriesOf(source: YamlSource): { readonly value: unknown; readonly path: ValuePath }[] {
+  if (Array.isArray(source.value)) {
+    return source.value.map((value: unknown, index) => ({ value, path: [index] }));
+  }
+  return source.value === null ? [] : [{ value: source.value, path: [] }];
+}
+
+function identityOf(document: DefinitionDocument): string {
+  return document.kind === 'service'
+    ? `service ${document.definition.name}`
+    : `upstream ${document.definition.id}`;
+}
+
+function checkAll(name: string, sources: readonly YamlSource[]): DefinitionDocument[] {
+  const documents: DefinitionDocument[] = [];
+  const problems: SettingsProblem[] = [];
+  const seen = new Set<string>();
+  for (const source of sources) {
+    for (const { value, path } of entriesOf(source)) {
+      try {
+        const document = checkEntry(source, value, path);
+        const identity = identityOf(document);
+        if (seen.has(identity)) {
+          problems.push(source.problemAt(path, `${identity} stands twice`));
+        }
+        seen.add(identity);
+        documents.push(document);
+      } catch (thrown) {
+        if (!(thrown instanceof SettingsError)) {
+          throw thrown;
+        }
+        problems.push(...thrown.problems);
+      }
+    }
+  }
+  if (problems.length > 0) {
+    throw new SettingsError(problems);
+  }
+  if (documents.length === 0) {
+    throw new SettingsError([{ source: name, path: '', message: 'declares nothing' }]);
+  }
+  return documents;
+}
+
+/** Reads declarations from a file. Throws `SettingsError`; then nothing of the file is used. */
+export function loadDefinitions(path: string): DefinitionDocument[] {
+  return checkAll(path, readYaml(path));
+}
+
+/** Reads declarations from text that came from `name`. Throws `SettingsError`. */
+export function parseDefinitions(name: string, text: string): DefinitionDocument[] {
+  return checkAll(name, parseYaml(name, text));
+}
--- /dev/null
+++ b/src/settings/layers.ts
@@ -0,0 +1,152 @@
+/**
+ * Settings come from three layers: a YAML file, then the environment, then flags; later ones win value by value.
+ * Each value remembers where it came from, so that a problem names the right place.
+ */
+import { parseDocument } from 'yaml';
+import type { z } from 'zod';
+import { SettingsError } from './settings-error.js';
+import {
+  formatPath,
+  type PlaceProblem,
+  placeIssues,
+  readYaml,
+  type ValuePath,
+  type YamlSource,
+} from './yaml-source.js';
+
+/** How one setting is named in each layer. */
+export interface SettingName {
+  /** Path in the file, e.g. `['timings', 'lease']`. */
+  readonly path: readonly string[];
+  /** A list may be given with commas in the environment or a flag. */
+  readonly list?: boolean;
+}
+
+/** The layers of one run. */
+export interface SettingsLayers {
+  /** Path of the YAML file; left out: none. */
+  readonly file?: string;
+  readonly environment: Readonly<Record<string, string | undefined>>;
+  /** Flag name (`data-folder`) to its text. */
+  readonly flags: Readonly<Record<string, string | undefined>>;
+}
+
+const ENVIRONMENT_PREFIX = 'TERNMOUNT_';
+
+/** `dataFolder` becomes `data-folder`. */
+function toKebab(word: string): string {
+  return word.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+}
+
+/** Flag of a setting, e.g. `timings-lease`. */
+export function flagName(path: readonly string[]): string {
+  return path.map(toKebab).join('-');
+}
+
+/** Environment variable of a setting, e.g. `TERNMOUNT_TIMINGS_LEASE`. */
+export function environmentName(path: readonly string[]): string {
+  return ENVIRONMENT_PREFIX + flagName(path).replaceAll('-', '_').toUpperCase();
+}
+
+/** A value from the environment or a flag, over the file's. */
+interface Override {
+  readonly path: readonly string[];
+  readonly source: string;
+  readonly value: unknown;
+}
+
+/** Text becomes what YAML would make of it, so that `0.1` and `true` work in each layer. */
+function readText(text: string, name: SettingName): unknown {
+  if (name.list) {
+    const items = text.split(',').map((item) => item.trim());
+    return items.filter((item) => item !== '');
+  }
+  const value: unknown = parseDocument(text).toJS();
+  return typeof value === 'number' || typeof value === 'boolean' ? value : text;
+}
+
+function findOverrides(layers: SettingsLayers, names: readonly SettingName[]): Override[] {
+  const overrides: Override[] = [];
+  for (const name of names) {
+    const variable = environmentName(name.path);
+    const fromEnvironment = layers.environment[variable];
+    if (fromEnvironment !== undefined && fromEnvironment !== '') {
+      overrides.push({ path: name.path, source: variable, value: readText(fromEnvironment, name) });
+    }
+    const flag = flagName(name.path);
+    const fromFlag = layers.flags[flag];
+    if (fromFlag !== undefined) {
+      overrides.push({ path: name.path, source: `--${flag}`, value: readText(fromFlag, name) });
+    }
+  }
+  return overrides;
+}
+
+function isRecord(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+/** A copy of `root` with `value` at `path`. */
+function withValue(root: unknown, path: readonly string[], value: unknown): unknown {
+  const [step, ...rest] = path;
+  if (step === undefined) {
+    return value;
+  }
+  const copy = isRecord(root) ? { ...root } : {};
+  copy[step] = withValue(copy[step], rest, value);
+  return copy;
+}
+
+function startsWith(path: ValuePath, prefix: readonly string[]): boolean {
+  return prefix.every((step, index) => path[index] === step);
+}
+
+/** What the file gives; an empty map without one. */
+interface FileLayer {
+  readonly source: YamlSource | undefined;
+  readonly value: unknown;
+}
+
+function readFileLayer(file: string | undefined): FileLayer {
+  if (file === undefined) {
+    return { source: undefined, value: {} };
+  }
+  const [source, second] = readYaml(file);
+  if (source === undefined || second !== undefined) {
+    throw new SettingsError([{ source: file, path: '', message: 'must hold one YAML document' }]);
+  }
+  const value = source.value ?? {};
+  if (!isRecord(value)) {
+    throw new SettingsError([source.problemAt([], 'must be a map of settings')]);
+  }
+  return { source, value };
+}
+
+/** Reads the layers and checks what results. Throws `SettingsError`; nothing is touched before. */
+export function loadLayers<Output>(
+  schema: z.ZodType<Output>,
+  names: readonly SettingName[],
+  layers: SettingsLayers,
+): Output {
+  const file = readFileLayer(layers.file);
+  const overrides = findOverrides(layers, names);
+  const merged = overrides.reduce<unknown>(
+    (value, override) => withValue(value, override.path, override.value),
+    file.value,
+  );
+  const result = schema.safeParse(merged);
+  if (result.success) {
+    return result.data;
+  }
+  const place: PlaceProblem = (path, message, key) => {
+    const override = overrides.findLast((candidate) => startsWith(path, candidate.path));
+    if (override !== undefined) {
+      return { source: override.source, path: '', message };
+    }
+    if (file.source !== undefined) {
+      return file.source.problemAt(path, message, key);
+    }
+    return { source: 'settings', path: formatPath(key === undefined ? path : [...path, key]), message };
+  };
+  throw new SettingsError(placeIssues(result.error.issues, merged, place));
+}
--- /dev/null
+++ b/src/settings/router-settings.ts
@@ -0,0 +1,156 @@
+/** Settings of the router daemon. */
+import { z } from 'zod';
+import type { ConfigLeaseTimings } from '../control/messages.js';
+import type { Address, ClusterId, RouterId, Zone } from '../model/identifiers.js';
+import { addressSchema } from './addresses.js';
+import {
+  checkHalf,
+  checkZone,
+  clockRateErrorSchema,
+  completeConfigLease,
+  pathSchema,
+  reachableAddressSchema,
+  zoneFields,
+} from './common-schemas.js';
+import { nameSchema } from './definition-schemas.js';
+import { loadLayers, type SettingName, type SettingsLayers } from './layers.js';
+import { durationSchema, positiveDurationSchema, sizeSchema } from './units.js';
+
+/** What a router daemon starts from. */
+export interface RouterSettings {
+  readonly cluster: ClusterId;
+  readonly router: RouterId;
+  readonly zone: Zone;
+  /** Port for callers' HTTP. */
+  readonly listen: Address;
+  /** Port for health, metrics and status. */
+  readonly admin: Address;
+  /** Internal addresses of the control members. */
+  readonly control: readonly Address[];
+  readonly secretFile: string | null;
+  readonly configLease: ConfigLeaseTimings;
+  readonly claimTimeoutMillis: number;
+  /** Health and load endpoint of upstreams. */
+  readonly probePath: string;
+  /** Time between two probes of an upstream; 0: no probes. */
+  readonly probeIntervalMillis: number;
+  /** URL of the platform's list of machines; `null`: none. */
+  readonly platformUrl: string | null;
+  readonly platformIntervalMillis: number;
+  /** Connections to one upstream. */
+  readonly connectionsPerUpstream: number;
+  /** Longest body of a request. */
+  readonly requestBodyBytes: number;
+  /** Longest time for requests in flight at a planned stop. */
+  readonly stopTimeoutMillis: number;
+  readonly log: string;
+}
+
+/** Defaults of the router daemon. */
+export const ROUTER_DEFAULTS = {
+  claimTimeoutMillis: 1000,
+  probePath: '/health',
+  probeIntervalMillis: 1000,
+  platformIntervalMillis: 1000,
+  connectionsPerUpstream: 16,
+  requestBodyBytes: 1024 * 1024,
+  stopTimeoutMillis: 30_000,
+  log: 'ternmount:*',
+} as const;
+
+const countSchema = z.int({ error: 'expected a whole number' }).min(1, 'must be 1 or more');
+
+const routerObject = z.strictObject({
+  cluster: nameSchema,
+  router: nameSchema,
+  ...zoneFields,
+  listen: addressSchema,
+  admin: addressSchema,
+  control: z
+    .array(reachableAddressSchema, { error: 'expected a list of addresses' })
+    .min(1, 'needs one or more'),
+  secretFile: pathSchema.optional(),
+  timings: z
+    .strictObject({
+      configLease: positiveDurationSchema.optional(),
+      configSync: positiveDurationSchema.optional(),
+      clockRateError: clockRateErrorSchema.optional(),
+    })
+    .optional(),
+  claimTimeout: positiveDurationSchema.optional(),
+  probePath: z.string().startsWith('/', 'must start with /').optional(),
+  probeInterval: durationSchema.optional(),
+  platformUrl: z.url({ protocol: /^https?$/, error: 'expected an http or https URL' }).optional(),
+  platformInterval: positiveDurationSchema.optional(),
+  connectionsPerUpstream: countSchema.optional(),
+  requestBody: sizeSchema.optional(),
+  stopTimeout: positiveDurationSchema.optional(),
+  log: z.string().optional(),
+});
+type RouterFields = z.output<typeof routerObject>;
+
+function checkRouter(fields: RouterFields, context: z.RefinementCtx): void {
+  checkZone(fields, context);
+  const { syncMillis, configLeaseMillis } = completeConfigLease(fields.timings ?? {});
+  checkHalf(
+    { name: 'configSync', millis: syncMillis },
+    { name: 'configLease', millis: configLeaseMillis },
+    ['timings'],
+    context,
+  );
+  if (fields.listen === fields.admin) {
+    context.addIssue({ code: 'custom', path: ['admin'], message: 'must differ from listen' });
+  }
+}
+
+/** Settings of the router daemon, checked and completed. */
+export const routerSettingsSchema = routerObject.superRefine(checkRouter).transform(
+  (fields): RouterSettings => ({
+    cluster: fields.cluster,
+    router: fields.router,
+    zone: fields.zone,
+    listen: fields.listen,
+    admin: fields.admin,
+    control: fields.control,
+    secretFile: fields.secretFile ?? null,
+    configLease: completeConfigLease(fields.timings ?? {}),
+    claimTimeoutMillis: fields.claimTimeout ?? ROUTER_DEFAULTS.claimTimeoutMillis,
+    probePath: fields.probePath ?? ROUTER_DEFAULTS.probePath,
+    probeIntervalMillis: fields.probeInterval ?? ROUTER_DEFAULTS.probeIntervalMillis,
+    platformUrl: fields.platformUrl ?? null,
+    platformIntervalMillis: fields.platformInterval ?? ROUTER_DEFAULTS.platformIntervalMillis,
+    connectionsPerUpstream: fields.connectionsPerUpstream ?? ROUTER_DEFAULTS.connectionsPerUpstream,
+    requestBodyBytes: fields.requestBody ?? ROUTER_DEFAULTS.requestBodyBytes,
+    stopTimeoutMillis: fields.stopTimeout ?? ROUTER_DEFAULTS.stopTimeoutMillis,
+    log: fields.log ?? ROUTER_DEFAULTS.log,
+  }),
+);
+
+/** Each setting of the router daemon, as the environment and flags can give it. */
+export const ROUTER_SETTING_NAMES: readonly SettingName[] = [
+  { path: ['cluster'] },
+  { path: ['router'] },
+  { path: ['zone'] },
+  { path: ['zones'], list: true },
+  { path: ['listen'] },
+  { path: ['admin'] },
+  { path: ['control'], list: true },
+  { path: ['secretFile'] },
+  { path: ['timings', 'configLease'] },
+  { path: ['timings', 'configSync'] },
+  { path: ['timings', 'clockRateError'] },
+  { path: ['claimTimeout'] },
+  { path: ['probePath'] },
+  { path: ['probeInterval'] },
+  { path: ['platformUrl'] },
+  { path: ['platformInterval'] },
+  { path: ['connectionsPerUpstream'] },
+  { path: ['requestBody'] },
+  { path: ['stopTimeout'] },
+  { path: ['log'] },
+];
+
+/** Reads the settings of a router daemon. Throws `SettingsError`. */
+export function loadRouterSettings(layers: SettingsLayers): RouterSettings {
+  return loadLayers(routerSettingsSchema, ROUTER_SETTING_NAMES, layers);
+}
--- a/src/settings/yaml-source.ts
+++ b/src/settings/yaml-source.ts
@@ -131,6 +131,23 @@
   );
 }
 
+/** Places a problem: the path of a value, and the key of the map there if the key itself is wrong. */
+export type PlaceProblem = (path: ValuePath, message: string, key?: string) => SettingsProblem;
+
+/** Turns what a schema found wrong with `input` into problems with their places. */
+export function placeIssues(
+  issues: readonly z.core.$ZodIssue[],
+  input: unknown,
+  place: PlaceProblem,
+): SettingsProblem[] {
+  return issues.flatMap((issue): SettingsProblem[] => {
+    if (issue.code === 'unrecognized_keys') {
+      return issue.keys.map((key) => place(issue.path, 'unknown key', key));
+    }
+    return [place(issue.path, describeIssue(issue, valueAt(input, issue.path)))];
+  });
+}
+
 /** Checks a value of `source` against a schema. Throws `SettingsError` with the place of each problem. */
 export function checkSource<Output>(
   source: YamlSource,
@@ -142,12 +159,6 @@
   if (result.success) {
     return result.data;
   }
-  const problems = result.error.issues.flatMap((issue): SettingsProblem[] => {
-    const path = [...base, ...issue.path];
-    if (issue.code === 'unrecognized_keys') {
-      return issue.keys.map((key) => source.problemAt(path, 'unknown key', key));
-    }
-    return [source.problemAt(path, describeIssue(issue, valueAt(value, issue.path)))];
-  });
-  throw new SettingsError(problems);
+  const place: PlaceProblem = (path, message, key) => source.problemAt([...base, ...path], message, key);
+  throw new SettingsError(placeIssues(result.error.issues, value, place));
 }
