--- /dev/null
+++ b/src/dev/fleet/checker/planned-stop.ts
@@ -0,0 +1,44 @@
+/** A planned stop of an upstream or a router cuts off no request in flight. */
+import type { FleetHistory } from './fleet-history.js';
+import type { CheckOptions, PromiseResult, Violation } from './promise-check.js';
+
+/** Runs of the process that never came to an end. */
+function cutRuns(history: FleetHistory, process: string, stoppingAt: number): Violation[] {
+  return history.runs
+    .filter(({ start, end }) => start.process === process && start.at < stoppingAt && end === undefined)
+    .map(({ start }) => ({
+      promise: 'planned-stop' as const,
+      message: `${process} stopped in the middle of ${start.request}`,
+      at: start.at,
+    }));
+}
+
+/** Attempts which were with the router when it stopped and got no answer. */
+function cutAttempts(
+  history: FleetHistory,
+  process: string,
+  stoppingAt: number,
+  options: CheckOptions,
+): Violation[] {
+  return history.attempts
+    .filter((attempt) => attempt.router === process && attempt.verdict === 'lost')
+    .filter((attempt) => attempt.sentAt < stoppingAt - options.stopMarginMillis && attempt.at >= stoppingAt)
+    .map((attempt) => ({
+      promise: 'planned-stop' as const,
+      message: `${process} stopped and left ${attempt.request} without an answer`,
+      at: attempt.at,
+    }));
+}
+
+export function checkPlannedStop(history: FleetHistory, options: CheckOptions): PromiseResult {
+  const violations: Violation[] = [];
+  let checked = 0;
+  for (const event of history.events) {
+    if (event.event === 'stopping') {
+      checked += 1;
+      violations.push(...cutRuns(history, event.process, event.at));
+      violations.push(...cutAttempts(history, event.process, event.at, options));
+    }
+  }
+  return { promise: 'planned-stop', checked, violations };
+}
--- a/src/dev/journal/records.ts
+++ b/src/dev/journal/records.ts
@@ -18,6 +18,8 @@
 }
 
 interface UpstreamRecordBase extends RecordBase {
+  /** Name of the stand-in's process; it may hold several upstreams. */
+  readonly process: string;
   readonly upstream: UpstreamId;
   readonly incarnation: Incarnation;
   /** Number of the run within one run of the stand-in's process. */
--- /dev/null
+++ b/test/fleet/checker/checker.test.ts
@@ -0,0 +1,214 @@
+import { expect } from 'chai';
+import { checkFleet, type PromiseName } from '../../../src/dev/fleet/checker/index.js';
+import type { JournalRecord } from '../../../src/dev/journal/records.js';
+import { attempt, event, run } from './journal-fixtures.js';
+
+interface Case {
+  readonly title: string;
+  readonly records: readonly JournalRecord[];
+  /** Promises that are broken. */
+  readonly broken: readonly PromiseName[];
+}
+
+const shard = 'menuboard/sheets@4/1';
+const order = { service: 'pantryorder', idempotencyKey: 'key-1' };
+
+const CASES: readonly Case[] = [
+  { title: 'nothing', records: [], broken: [] },
+  {
+    title: 'owners one after the other',
+    records: [
+      ...run({ shard, epoch: 5, at: 0 }),
+      ...run({ shard, epoch: 9, at: 10, upstream: 'up-2', incarnation: 'two' }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'an old owner refused at the point of effect',
+    records: [
+      ...run({ shard, epoch: 5, at: 0, effectAt: null }),
+      ...run({ shard, epoch: 9, at: 10, upstream: 'up-2', incarnation: 'two' }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'an old owner that takes effect after a new one began',
+    records: [
+      ...run({ shard, epoch: 5, at: 0, effectAt: 20 }),
+      ...run({ shard, epoch: 9, at: 10, upstream: 'up-2', incarnation: 'two' }),
+    ],
+    broken: ['single-owner'],
+  },
+  {
+    title: 'one owner that finishes old work under a new epoch',
+    records: [...run({ shard, epoch: 5, at: 0, effectAt: 20 }), ...run({ shard, epoch: 9, at: 10 })],
+    broken: [],
+  },
+  {
+    title: 'one epoch with two owners',
+    records: [
+      ...run({ shard, epoch: 5, at: 0 }),
+      ...run({ shard, epoch: 5, at: 10, upstream: 'up-2', incarnation: 'two' }),
+    ],
+    broken: ['single-owner'],
+  },
+  {
+    title: 'one epoch kept by a restarted server',
+    records: [...run({ shard, epoch: 5, at: 0 }), ...run({ shard, epoch: 5, at: 10, incarnation: 'two' })],
+    broken: ['single-owner'],
+  },
+  {
+    title: 'two owners of one key by way of two key maps',
+    records: [
+      ...run({ shard: 'menuboard/sheets@4/1', key: 'sheet/7', epoch: 5, at: 0, effectAt: 20 }),
+      ...run({ shard: 'menuboard/hot@8/0', key: 'sheet/7', epoch: 9, at: 10, upstream: 'up-2' }),
+    ],
+    broken: ['single-owner'],
+  },
+  {
+    title: 'an order that ran once and was resent',
+    records: [
+      ...run({ ...order, request: 'a' }),
+      attempt({ ...order, request: 'a', verdict: 'lost' }),
+      attempt({ ...order, request: 'a', attempt: 2, router: 'router-2' }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'an order that ran twice',
+    records: [...run({ ...order, request: 'a' }), ...run({ ...order, request: 'a', upstream: 'up-2' })],
+    broken: ['at-most-once'],
+  },
+  {
+    title: 'an order begun twice of which one had no effect',
+    records: [
+      ...run({ ...order, request: 'a', effectAt: null }),
+      ...run({ ...order, request: 'a', upstream: 'up-2' }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'not-run, and it did not run',
+    records: [
+      ...run({ request: 'a', routerRequest: 'r-1', effectAt: null }),
+      attempt({ request: 'a', routerRequest: 'r-1', verdict: 'refused', outcome: 'not-run' }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'not-run, but that attempt ran',
+    records: [
+      ...run({ request: 'a', routerRequest: 'r-1' }),
+      attempt({ request: 'a', routerRequest: 'r-1', verdict: 'refused', outcome: 'not-run' }),
+    ],
+    broken: ['not-run-is-true'],
+  },
+  {
+    title: 'not-run, but it ran after the answer',
+    records: [
+      attempt({ request: 'a', at: 5, routerRequest: 'r-1', verdict: 'refused', outcome: 'not-run' }),
+      ...run({ request: 'a', routerRequest: 'r-1', at: 50 }),
+    ],
+    broken: ['not-run-is-true'],
+  },
+  {
+    title: 'not-run from a router that gives no request id, but it ran',
+    records: [
+      ...run({ request: 'a', routerRequest: null }),
+      attempt({ request: 'a', verdict: 'refused', outcome: 'not-run' }),
+    ],
+    broken: ['not-run-is-true'],
+  },
+  {
+    title: 'not-run for the first attempt, and the second one ran',
+    records: [
+      attempt({ request: 'a', routerRequest: 'r-1', verdict: 'refused', outcome: 'not-run', last: false }),
+      ...run({ request: 'a', routerRequest: 'r-2' }),
+      attempt({ request: 'a', attempt: 2, routerRequest: 'r-2' }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'a piece taken for the whole',
+    records: [attempt({ verdict: 'damaged' })],
+    broken: ['whole-answers'],
+  },
+  {
+    title: "someone else's answer",
+    records: [attempt({ verdict: 'foreign' })],
+    broken: ['whole-answers'],
+  },
+  { title: 'an answer that broke off and was seen to', records: [attempt({ verdict: 'lost' })], broken: [] },
+  {
+    title: 'an order answered that never ran',
+    records: [attempt({ ...order, request: 'a' })],
+    broken: ['ran-is-true'],
+  },
+  {
+    title: 'new work soon after a drain',
+    records: [event(0, { event: 'drain-accepted', upstream: 'up-1' }), ...run({ at: 1000 })],
+    broken: [],
+  },
+  {
+    title: 'new work long after a drain',
+    records: [event(0, { event: 'drain-accepted', upstream: 'up-1' }), ...run({ at: 9000 })],
+    broken: ['drained'],
+  },
+  {
+    title: 'new work after it came back',
+    records: [
+      event(0, { event: 'drain-accepted', upstream: 'up-1' }),
+      event(8000, { event: 'return-accepted', upstream: 'up-1' }),
+      ...run({ at: 9000 }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'a planned stop that lets work finish',
+    records: [...run({ at: 0 }), event(1, { event: 'stopping', process: 'up-1' })],
+    broken: [],
+  },
+  {
+    title: 'a planned stop in the middle of a run',
+    records: [...run({ at: 0, endAt: null }), event(1, { event: 'stopping', process: 'up-1' })],
+    broken: ['planned-stop'],
+  },
+  {
+    title: 'a kill in the middle of a run',
+    records: [...run({ at: 0, endAt: null }), event(1, { event: 'killed', process: 'up-1' })],
+    broken: [],
+  },
+  {
+    title: 'a planned stop of a router with a request in flight',
+    records: [
+      event(500, { event: 'stopping', process: 'router-1' }),
+      attempt({ sentAt: 0, at: 600, verdict: 'lost' }),
+    ],
+    broken: ['planned-stop'],
+  },
+];
+
+describe('fleet checker', () => {
+  for (const { title, records, broken } of CASES) {
+    it(`${title}: ${broken.length === 0 ? 'holds' : broken.join(', ')}`, () => {
+      const results = checkFleet(records);
+      const found = results.filter((result) => result.violations.length > 0).map((result) => result.promise);
+      expect(found).to.have.members([...broken]);
+    });
+  }
+
+  it('has a violating journal for each promise', () => {
+    const broken = new Set(CASES.flatMap((testCase) => testCase.broken));
+    const promises = checkFleet([]).map((result) => result.promise);
+    expect([...broken]).to.have.members(promises);
+  });
+
+  it('puts records of several journals in order of time', () => {
+    const records = [
+      ...run({ shard, epoch: 9, at: 10, upstream: 'up-2', incarnation: 'two' }),
+      ...run({ shard, epoch: 5, at: 0, effectAt: 20 }),
+    ];
+    const violations = checkFleet(records).flatMap((result) => result.violations);
+    expect(violations).to.have.length(1);
+  });
+});
