--- /dev/null
+++ b/src/dev/checker/change-rule.ts
@@ -0,0 +1,206 @@
+/**
+ * Operators' changes: what was accepted is in every later read unless a later change took its place, each change is
+ * applied at most once, a race has one winner, and what was turned down never shows up.
+ */
+import type { ChangeAnswered, ChangeAsked, HistoryEvent, ThingsRead } from './history.js';
+import { NO_VIOLATIONS, type Rule, type Violation } from './rule.js';
+
+interface Change {
+  readonly requestId: string;
+  readonly thing: string;
+  readonly marker: string;
+  readonly removed: boolean;
+  readonly expected: number | null;
+  answer: ChangeAnswered | null;
+  /** Revision at which a read showed its marker. */
+  seenAt: number | null;
+}
+
+/** A revision that is certain from some time on. */
+interface Floor {
+  readonly since: number;
+  readonly revision: number;
+}
+
+interface ThingFacts {
+  readonly changes: Change[];
+  readonly floors: Floor[];
+}
+
+export class ChangeRule implements Rule {
+  private readonly changes = new Map<string, Change>();
+  private readonly byMarker = new Map<string, Change>();
+  private readonly things = new Map<string, ThingFacts>();
+
+  take(event: HistoryEvent): readonly Violation[] {
+    switch (event.type) {
+      case 'change-asked':
+        return this.noteAsked(event);
+      case 'change-answered':
+        return this.judgeAnswer(event);
+      case 'things-read':
+        return this.judgeRead(event);
+      default:
+        return NO_VIOLATIONS;
+    }
+  }
+
+  finish(): readonly Violation[] {
+    return NO_VIOLATIONS;
+  }
+
+  private noteAsked(event: ChangeAsked): readonly Violation[] {
+    if (this.changes.has(event.requestId)) {
+      return NO_VIOLATIONS;
+    }
+    const { thing, marker, removed } = event.value;
+    const change: Change = {
+      requestId: event.requestId,
+      thing,
+      marker,
+      removed,
+      expected: event.expected,
+      answer: null,
+      seenAt: null,
+    };
+    this.changes.set(event.requestId, change);
+    this.byMarker.set(marker, change);
+    this.factsOf(thing).changes.push(change);
+    return NO_VIOLATIONS;
+  }
+
+  private judgeAnswer(event: ChangeAnswered): readonly Violation[] {
+    const change = this.changes.get(event.requestId);
+    if (change === undefined) {
+      return violation(event.at, `${event.requestId} was answered but never asked`);
+    }
+    const first = change.answer;
+    change.answer ??= event;
+    if (first !== null) {
+      return sameOutcome(first, event)
+        ? NO_VIOLATIONS
+        : violation(event.at, `${event.requestId} was answered ${describe(first)}, then ${describe(event)}`);
+    }
+    if (event.result !== 'accepted') {
+      return change.seenAt === null
+        ? NO_VIOLATIONS
+        : violation(event.at, `${event.requestId} was answered ${describe(event)} but is applied`);
+    }
+    return this.judgeAccepted(change, event);
+  }
+
+  private judgeAccepted(change: Change, event: ChangeAnswered): readonly Violation[] {
+    const facts = this.factsOf(change.thing);
+    const violations: Violation[] = [];
+    for (const other of facts.changes) {
+      if (other === change || other.answer?.result !== 'accepted') {
+        continue;
+      }
+      if (other.answer.revision === event.revision) {
+        violations.push(
+          ...violation(event.at, `${change.requestId} and ${other.requestId} have one revision`),
+        );
+      }
+      if (change.expected !== null && change.expected === other.expected) {
+        const message = `${change.requestId} and ${other.requestId} both won against revision ${change.expected}`;
+        violations.push(...violation(event.at, message));
+      }
+    }
+    if (change.seenAt !== null && change.seenAt !== event.revision) {
+      const message = `${change.requestId} was accepted at ${event.revision} but seen at ${change.seenAt}`;
+      violations.push(...violation(event.at, message));
+    }
+    facts.floors.push({ since: event.at, revision: event.revision });
+    return violations;
+  }
+
+  private judgeRead(event: ThingsRead): readonly Violation[] {
+    const violations: Violation[] = [];
+    const present = new Set<string>();
+    for (const { thing, marker, revision } of event.things) {
+      present.add(thing);
+      violations.push(...this.judgeValue(event, thing, marker, revision));
+    }
+    for (const [thing, facts] of this.things) {
+      if (thing.startsWith(`${event.kind}/`) && !present.has(thing)) {
+        violations.push(...judgeAbsence(event, thing, facts));
+      }
+    }
+    return violations;
+  }
+
+  private judgeValue(
+    event: ThingsRead,
+    thing: string,
+    marker: string,
+    revision: number,
+  ): readonly Violation[] {
+    const change = this.byMarker.get(marker);
+    if (change === undefined || change.thing !== thing) {
+      return violation(event.at, `${thing} has the value ${marker}, which nobody asked for`);
+    }
+    const violations: Violation[] = [];
+    const { answer } = change;
+    if (answer !== null && answer.result !== 'accepted') {
+      violations.push(
+        ...violation(event.at, `${change.requestId}, answered ${describe(answer)}, is applied`),
+      );
+    }
+    const expected = answer?.result === 'accepted' ? answer.revision : (change.seenAt ?? revision);
+    if (expected !== revision) {
+      const message = `${change.requestId} is applied at ${revision} and at ${expected}`;
+      violations.push(...violation(event.at, message));
+    }
+    change.seenAt = revision;
+    const facts = this.factsOf(thing);
+    const floor = floorAt(facts, event.askedAt);
+    if (revision < floor) {
+      const message = `${thing}: a read shows revision ${revision}, after ${floor} was acknowledged`;
+      violations.push(...violation(event.at, message));
+    }
+    facts.floors.push({ since: event.at, revision });
+    return violations;
+  }
+
+  private factsOf(thing: string): ThingFacts {
+    let facts = this.things.get(thing);
+    if (facts === undefined) {
+      facts = { changes: [], floors: [] };
+      this.things.set(thing, facts);
+    }
+    return facts;
+  }
+}
+
+/** A thing may be missing only if a removal may have come after the last value that is certain. */
+function judgeAbsence(event: ThingsRead, thing: string, facts: ThingFacts): readonly Violation[] {
+  const floor = floorAt(facts, event.askedAt);
+  const removable = facts.changes.some(
+    (change) => change.removed && (change.answer === null || change.answer.revision >= floor),
+  );
+  return floor === 0 || removable
+    ? NO_VIOLATIONS
+    : violation(event.at, `${thing} is missing, though ${floor} was acknowledged`);
+}
+
+function floorAt(facts: ThingFacts, askedAt: number): number {
+  let floor = 0;
+  for (const { since, revision } of facts.floors) {
+    if (since < askedAt) {
+      floor = Math.max(floor, revision);
+    }
+  }
+  return floor;
+}
+
+function sameOutcome(first: ChangeAnswered, second: ChangeAnswered): boolean {
+  return first.result === second.result && (first.result === 'invalid' || first.revision === second.revision);
+}
+
+function describe(answer: ChangeAnswered): string {
+  return `${answer.result} (${answer.revision})`;
+}
+
+function violation(at: number, message: string): readonly Violation[] {
+  return [{ promise: 'acknowledged-survives', at, message }];
+}
--- /dev/null
+++ b/src/dev/checker/checker.ts
@@ -0,0 +1,45 @@
+/** Judges a history by all rules, event by event. It shares no code with the system that it judges. */
+import { AnswerRule } from './answer-rule.js';
+import { ChangeRule } from './change-rule.js';
+import { ConfigurationRule } from './configuration-rule.js';
+import { ExecutionRule } from './execution-rule.js';
+import type { HistoryEvent } from './history.js';
+import { LogRule } from './log-rule.js';
+import { OwnershipRule } from './ownership-rule.js';
+import { RecoveryRule } from './recovery-rule.js';
+import type { Rule, Violation } from './rule.js';
+
+export class Checker {
+  private readonly rules: readonly Rule[] = [
+    new OwnershipRule(),
+    new LogRule(),
+    new ChangeRule(),
+    new ConfigurationRule(),
+    new ExecutionRule(),
+    new AnswerRule(),
+    new RecoveryRule(),
+  ];
+  private readonly found: Violation[] = [];
+
+  /** All violations so far, oldest first. */
+  get violations(): readonly Violation[] {
+    return this.found;
+  }
+
+  /** Takes the next event; gives the violations that it brought to light. */
+  take(event: HistoryEvent): readonly Violation[] {
+    const before = this.found.length;
+    for (const rule of this.rules) {
+      this.found.push(...rule.take(event));
+    }
+    return this.found.slice(before);
+  }
+
+  /** The history ends at this true time. */
+  finish(at: number): readonly Violation[] {
+    for (const rule of this.rules) {
+      this.found.push(...rule.finish(at));
+    }
+    return this.found;
+  }
+}
