--- /dev/null
+++ b/src/control/control-node.ts
@@ -0,0 +1,240 @@
+/**
+ * A control member as one deterministic core: Raft, the registry, session leases and placement on the leader, and the
+ * sides that routers and operators talk to.
+ */
+import { createRaft } from '../consensus/index.js';
+import type { RaftConfig, RaftCore, RaftStatus, RestoredState } from '../consensus/types.js';
+import type { SessionCall } from '../lease/granter-types.js';
+import type { MonotonicMillis, Revision, WallMillis } from '../model/identifiers.js';
+import { createRegistry, decodeRegistry } from '../registry/index.js';
+import type { Command, Registry, RegistryChange } from '../registry/types.js';
+import { controlStatus } from './control-status.js';
+import { LeaderDuties } from './leader-duties.js';
+import { MembershipDesk } from './membership-desk.js';
+import { OperatorDesk } from './operator-desk.js';
+import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
+import { RaftAdapter, type RaftListener, type SettleProposal } from './raft-adapter.js';
+import { RouterDesk } from './router-desk.js';
+import { LeastCountAssigner } from './shard-assigner.js';
+import type {
+  ControlConfig,
+  ControlCore,
+  ControlEffect,
+  ControlInput,
+  OperationId,
+  OperatorResponse,
+} from './types.js';
+
+const MAX_ENTRIES_PER_APPEND = 256;
+const MAX_APPENDS_IN_FLIGHT = 8;
+const SNAPSHOT_CHUNK_BYTES = 256 * 1024;
+/** A read that got no answer within this many election timeouts has failed. */
+const READ_TIMEOUTS = 2;
+
+/** Makes a control member from what it found on its disk. */
+export function createControlNode(
+  config: ControlConfig,
+  restored: RestoredState,
+  now: MonotonicMillis,
+): ControlCore {
+  const raft = createRaft(raftConfigOf(config), restored, now);
+  const registry = restored.snapshot === null ? createRegistry() : decodeRegistry(restored.snapshot.data);
+  return new ControlNode(config, raft, registry, restored.snapshot?.lastIndex ?? 0);
+}
+
+function raftConfigOf(config: ControlConfig): RaftConfig {
+  return {
+    ...config.raft,
+    self: config.self,
+    seed: config.seed,
+    maxEntriesPerAppend: MAX_ENTRIES_PER_APPEND,
+    maxAppendsInFlight: MAX_APPENDS_IN_FLIGHT,
+    snapshotChunkBytes: SNAPSHOT_CHUNK_BYTES,
+  };
+}
+
+class ControlNode implements ControlCore, RaftListener {
+  readonly #config: ControlConfig;
+  readonly #raft: RaftAdapter;
+  readonly #routers: RouterDesk;
+  readonly #operators: OperatorDesk;
+  readonly #membership: MembershipDesk;
+  #leader: LeaderDuties | null = null;
+  #effects: ControlEffect[] = [];
+  #wall: WallMillis = 0;
+  #now: MonotonicMillis = 0;
+  #snapshotIndex: Revision;
+  /** Whether routing data changed in this step. */
+  #hasNews = false;
+
+  constructor(config: ControlConfig, raft: RaftCore, registry: Registry, snapshotIndex: Revision) {
+    this.#config = config;
+    this.#snapshotIndex = snapshotIndex;
+    const readTimeoutMillis = READ_TIMEOUTS * config.raft.electionTimeoutMillis;
+    this.#raft = new RaftAdapter({ raft, registry, decodeRegistry, listener: this, readTimeoutMillis });
+    const shared = { config, raft: this.#raft, propose: this.#propose };
+    const answer = (operation: OperationId, response: OperatorResponse): void =>
+      this.#emit({ type: 'answer-operator', operation, response });
+    this.#membership = new MembershipDesk({ ...shared, answer });
+    this.#operators = new OperatorDesk({
+      ...shared,
+      answer,
+      membership: this.#membership,
+      status: (now) => controlStatus(this.#statusSource(), now),
+      takeSnapshot: () => this.#takeSnapshot(),
+    });
+    this.#routers = new RouterDesk({
+      ...shared,
+      send: (connection, message) => this.#emit({ type: 'send-router', connection, message }),
+      report: () => {},
+    });
+  }
+
+  step(input: ControlInput, now: MonotonicMillis, wall: WallMillis): ControlEffect[] {
+    this.#effects = [];
+    this.#now = now;
+    this.#wall = wall;
+    this.#handle(input, now);
+    this.#settle(now);
+    if (this.#hasNews) {
+      this.#hasNews = false;
+      this.#routers.notify(this.#raft.registry.revision);
+    }
+    return this.#effects;
+  }
+
+  nextDeadline(): MonotonicMillis {
+    return Math.min(
+      this.#raft.nextDeadline(),
+      this.#operators.nextDeadline(),
+      this.#membership.nextDeadline(),
+      this.#leader?.nextDeadline(this.#now) ?? Number.POSITIVE_INFINITY,
+    );
+  }
+
+  status(): RaftStatus {
+    return this.#raft.status();
+  }
+
+  sendPeer(message: Parameters<RaftListener['sendPeer']>[0]): void {
+    this.#emit({ type: 'send-peer', message });
+  }
+
+  persist(request: Parameters<RaftListener['persist']>[0]): void {
+    this.#emit({ type: 'persist', request });
+  }
+
+  applied(changes: readonly RegistryChange[]): void {
+    if (changes.length > 0) {
+      this.#hasNews = true;
+      this.#leader?.registryChanged();
+    }
+  }
+
+  restored(): void {
+    this.#snapshotIndex = this.#raft.registry.revision;
+    this.#hasNews = true;
+  }
+
+  roleChanged(now: MonotonicMillis): void {
+    const { role, term, leader } = this.#raft.status();
+    this.#log('info', 'role-changed', { role, term, leader });
+    this.#leader?.end();
+    this.#leader = role === 'leader' ? this.#beginLeadership(now) : null;
+    this.#membership.roleChanged(now);
+  }
+
+  #beginLeadership(now: MonotonicMillis): LeaderDuties {
+    const parts = {
+      config: this.#config,
+      raft: this.#raft,
+      propose: this.#propose,
+      assigner: new LeastCountAssigner(),
+      call: (call: SessionCall) => this.#emit({ type: 'call-upstream', ...call }),
+    };
+    return new LeaderDuties(parts, this.#raft.status().term, now);
+  }
+
+  #handle(input: ControlInput, now: MonotonicMillis): void {
+    switch (input.type) {
+      case 'tick':
+        break;
+      case 'peer-message':
+        this.#membership.heard(input.message.from, now);
+        this.#raft.feed({ type: 'message', message: input.message });
+        break;
+      case 'persisted':
+        this.#raft.feed({ type: 'persisted', persistId: input.persistId });
+        break;
+      case 'router-message':
+        this.#routers.handle(input.connection, input.message, now);
+        break;
+      case 'router-gone':
+        this.#routers.gone(input.connection);
+        break;
+      case 'upstream-answer':
+        this.#leader?.upstreamAnswered(input.upstream, input.sequence, input.answer, now);
+        break;
+      case 'upstream-failed':
+        this.#leader?.upstreamFailed(input.upstream, input.sequence, now);
+        break;
+      case 'operator-request':
+        this.#operators.handle(input.operation, input.request, now);
+        break;
+    }
+  }
+
+  /** Lets every part work until none has anything left for the Raft core. */
+  #settle(now: MonotonicMillis): void {
+    this.#raft.feed({ type: 'tick' });
+    while (this.#raft.run(now)) {
+      this.#operators.run(now);
+      this.#membership.run(now);
+      this.#leader?.run(now);
+      this.#snapshotWhenDue();
+    }
+  }
+
+  #snapshotWhenDue(): void {
+    if (this.#raft.registry.revision - this.#snapshotIndex >= this.#config.snapshotEntries) {
+      this.#takeSnapshot();
+    }
+  }
+
+  #takeSnapshot(): void {
+    const { registry } = this.#raft;
+    if (registry.revision > this.#snapshotIndex) {
+      this.#snapshotIndex = registry.revision;
+      this.#raft.feed({
+        type: 'snapshot-taken',
+        lastIndex: registry.revision,
+        data: registry.encode(),
+      });
+    }
+  }
+
+  readonly #propose = (
+    command: Command,
+    settle: SettleProposal,
+    origin: CommandOrigin = SYSTEM_ORIGIN,
+  ): void => {
+    this.#raft.propose({ ...origin, at: this.#wall, command }, settle);
+  };
+
+  #statusSource() {
+    return {
+      raft: this.#raft.status(),
+      registry: this.#raft.registry,
+      sessions: this.#leader?.sessions() ?? [],
+      routers: this.#routers.routers(),
+    };
+  }
+
+  #emit(effect: ControlEffect): void {
+    this.#effects.push(effect);
+  }
+
+  #log(level: 'info' | 'warn' | 'error', event: string, fields: Readonly<Record<string, unknown>>): void {
+    this.#emit({ type: 'log', level, event, fields });
+  }
+}
--- /dev/null
+++ b/src/control/membership-desk.ts
@@ -0,0 +1,272 @@
+/** Changes of the control cluster itself: learners, replacement of replicas, transfer of leadership. */
+import type { RaftStatus } from '../consensus/types.js';
+import type { Address, MonotonicMillis, ReplicaId, Revision } from '../model/identifiers.js';
+import type { ProposalOutcome, RaftAdapter } from './raft-adapter.js';
+import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
+
+/** How often a change that waits for a replica is looked at. */
+const POLL_MILLIS = 50;
+/** A transfer that took no effect within this many election timeouts has failed. */
+const TRANSFER_TIMEOUTS = 4;
+
+export interface MembershipDeskParts {
+  readonly config: ControlConfig;
+  readonly raft: RaftAdapter;
+  readonly answer: (operation: OperationId, response: OperatorResponse) => void;
+}
+
+export type MembershipRequest = Extract<
+  OperatorRequest,
+  { readonly type: 'add-learner' | 'replace-replica' | 'transfer-leadership' }
+>;
+
+/** `learner`: wait until the new one holds everything. `joint`: the swap is in the log. */
+interface Replacement {
+  /** `null`: started by the leader itself. */
+  readonly operation: OperationId | null;
+  readonly oldReplica: ReplicaId;
+  readonly newReplica: ReplicaId;
+  readonly address: Address;
+  stage: 'start' | 'busy' | 'learner' | 'joint';
+  /** Index that must be applied before the swap counts as made. */
+  finalIndex: Revision | null;
+}
+interface Transfer {
+  readonly operation: OperationId;
+  readonly deadline: MonotonicMillis;
+}
+
+export class MembershipDesk {
+  readonly #parts: MembershipDeskParts;
+  #replacement: Replacement | null = null;
+  #transfer: Transfer | null = null;
+  #nextPollAt: MonotonicMillis = Number.POSITIVE_INFINITY;
+  /** When each other member was last heard of. */
+  readonly #heardAt = new Map<ReplicaId, MonotonicMillis>();
+  #leadsSince: MonotonicMillis = Number.POSITIVE_INFINITY;
+
+  constructor(parts: MembershipDeskParts) {
+    this.#parts = parts;
+  }
+
+  handle(operation: OperationId, request: MembershipRequest, now: MonotonicMillis): void {
+    const { raft, answer } = this.#parts;
+    if (!raft.isLeader()) {
+      answer(operation, { type: 'not-leader', leader: raft.leaderAddress() });
+      return;
+    }
+    switch (request.type) {
+      case 'add-learner':
+        this.#addLearner(operation, request.replica, request.address);
+        break;
+      case 'replace-replica':
+        this.#beginReplacement({ ...request, operation }, now);
+        break;
+      case 'transfer-leadership':
+        this.#beginTransfer(operation, request.to, now);
+        break;
+    }
+  }
+
+  heard(replica: ReplicaId, now: MonotonicMillis): void {
+    this.#heardAt.set(replica, now);
+  }
+
+  roleChanged(now: MonotonicMillis): void {
+    const leads = this.#parts.raft.isLeader();
+    this.#leadsSince = leads ? Math.min(this.#leadsSince, now) : Number.POSITIVE_INFINITY;
+    if (!leads && this.#replacement !== null) {
+      this.#finish(this.#replacement.operation, { type: 'unknown' });
+    }
+    this.#finishTransfer(now);
+  }
+
+  run(now: MonotonicMillis): void {
+    this.#finishTransfer(now);
+    this.#replaceSilentVoter(now);
+    if (this.#replacement !== null && this.#parts.raft.isLeader()) {
+      this.#advance(this.#replacement);
+    }
+    const isBusy = this.#replacement !== null || this.#transfer !== null;
+    this.#nextPollAt = isBusy ? now + POLL_MILLIS : Number.POSITIVE_INFINITY;
+  }
+
+  nextDeadline(): MonotonicMillis {
+    return this.#nextPollAt;
+  }
+
+  #addLearner(operation: OperationId, replica: ReplicaId, address: Address): void {
+    const { raft, answer } = this.#parts;
+    raft.proposeMembership({ type: 'add-learner', replica, address }, (outcome) => {
+      const { membership } = raft.status();
+      const isMade = outcome.type === 'applied';
+      answer(
+        operation,
+        isMade ? { type: 'membership', membership, repaired: false } : this.#failure(outcome),
+      );
+    });
+  }
+
+  #beginReplacement(
+    change: Pick<Replacement, 'operation' | 'oldReplica' | 'newReplica' | 'address'>,
+    now: MonotonicMillis,
+  ): void {
+    const { operation, oldReplica, newReplica, address } = change;
+    if (this.#replacement !== null) {
+      this.#reply(operation, { type: 'rejected', message: 'another replacement is under way' });
+      return;
+    }
+    const { voters } = this.#parts.raft.status().membership;
+    const isDone = voters.includes(newReplica) && !voters.includes(oldReplica);
+    if (!isDone && !voters.includes(oldReplica)) {
+      this.#reply(operation, { type: 'rejected', message: `${oldReplica} is not a voter` });
+      return;
+    }
+    const stage = isDone ? 'joint' : 'start';
+    this.#replacement = { operation, oldReplica, newReplica, address, stage, finalIndex: null };
+    this.#nextPollAt = now;
+  }
+
+  #advance(replacement: Replacement): void {
+    const status = this.#parts.raft.status();
+    switch (replacement.stage) {
+      case 'start':
+        this.#ensureLearner(replacement, status);
+        break;
+      case 'learner':
+        this.#swapWhenCaughtUp(replacement, status);
+        break;
+      case 'joint':
+        this.#finishWhenSwapped(replacement, status);
+        break;
+      case 'busy':
+        break;
+    }
+  }
+
+  #ensureLearner(replacement: Replacement, { membership }: RaftStatus): void {
+    const { newReplica: replica, address } = replacement;
+    if (membership.learners.includes(replica)) {
+      replacement.stage = 'learner';
+      return;
+    }
+    this.#proposeStep(replacement, { type: 'add-learner', replica, address }, 'start', 'learner');
+  }
+
+  /** The new replica has synced everything committed before the old one's vote goes. */
+  #swapWhenCaughtUp(replacement: Replacement, status: RaftStatus): void {
+    const { oldReplica, newReplica } = replacement;
+    if ((status.matchIndexes[newReplica] ?? 0) < status.commitIndex) {
+      return;
+    }
+    const kept = status.membership.voters.filter((voter) => voter !== oldReplica);
+    const voters = [...new Set([...kept, newReplica])];
+    this.#proposeStep(replacement, { type: 'change-voters', voters }, 'learner', 'joint');
+  }
+
+  #finishWhenSwapped(replacement: Replacement, status: RaftStatus): void {
+    const { membership, lastIndex } = status;
+    const isVoter = membership.voters.includes(replacement.newReplica);
+    const isGone = !membership.voters.includes(replacement.oldReplica);
+    if (!isVoter || !isGone || membership.outgoingVoters.length > 0) {
+      return;
+    }
+    replacement.finalIndex ??= lastIndex;
+    const holds = (status.matchIndexes[replacement.newReplica] ?? 0) >= replacement.finalIndex;
+    const isOwnSwap = replacement.newReplica === status.self;
+    if (status.commitIndex >= replacement.finalIndex && (holds || isOwnSwap)) {
+      this.#finish(replacement.operation, { type: 'membership', membership, repaired: true });
+    }
+  }
+
+  /** Refusals that pass by themselves are tried again at the next poll. */
+  #proposeStep(
+    replacement: Replacement,
+    proposal: Parameters<RaftAdapter['proposeMembership']>[0],
+    before: Replacement['stage'],
+    after: Replacement['stage'],
+  ): void {
+    replacement.stage = 'busy';
+    this.#parts.raft.proposeMembership(proposal, (outcome) => {
+      if (outcome.type === 'applied') {
+        replacement.stage = after;
+      } else if (outcome.type === 'rejected') {
+        replacement.stage = before;
+      } else if (this.#replacement === replacement) {
+        this.#finish(replacement.operation, this.#failure(outcome));
+      }
+    });
+  }
+
+  #finish(operation: OperationId | null, response: OperatorResponse): void {
+    this.#replacement = null;
+    this.#reply(operation, response);
+  }
+
+  #reply(operation: OperationId | null, response: OperatorResponse): void {
+    if (operation !== null) {
+      this.#parts.answer(operation, response);
+    }
+  }
+
+  #failure(outcome: ProposalOutcome): OperatorResponse {
+    if (outcome.type === 'rejected') {
+      return { type: 'rejected', message: outcome.reason };
+    }
+    const leader = this.#parts.raft.leaderAddress();
+    return outcome.type === 'not-leader' ? { type: 'not-leader', leader } : { type: 'unknown' };
+  }
+
+  /** Swaps a voter that was silent for long against a spare learner that holds everything. */
+  #replaceSilentVoter(now: MonotonicMillis): void {
+    const { config, raft } = this.#parts;
+    if (config.replaceAfterMillis <= 0 || this.#replacement !== null || !raft.isLeader()) {
+      return;
+    }
+    const { membership, matchIndexes, commitIndex, self } = raft.status();
+    const isSilent = (replica: ReplicaId): boolean =>
+      now - Math.max(this.#heardAt.get(replica) ?? 0, this.#leadsSince) >= config.replaceAfterMillis;
+    const oldReplica = membership.voters.find((voter) => voter !== self && isSilent(voter));
+    const newReplica = membership.learners.find(
+      (learner) => !isSilent(learner) && (matchIndexes[learner] ?? 0) >= commitIndex,
+    );
+    if (oldReplica !== undefined && newReplica !== undefined) {
+      const address = membership.addresses[newReplica] ?? '';
+      this.#beginReplacement({ operation: null, oldReplica, newReplica, address }, now);
+    }
+  }
+
+  #beginTransfer(operation: OperationId, to: ReplicaId | null, now: MonotonicMillis): void {
+    const { raft, config, answer } = this.#parts;
+    const target = to ?? mostAdvancedVoter(raft.status());
+    if (target === undefined || this.#transfer !== null) {
+      answer(operation, { type: 'rejected', message: 'no other voter, or a transfer is under way' });
+      return;
+    }
+    const deadline = now + TRANSFER_TIMEOUTS * config.raft.electionTimeoutMillis;
+    this.#transfer = { operation, deadline };
+    raft.feed({ type: 'transfer', to: target });
+  }
+
+  #finishTransfer(now: MonotonicMillis): void {
+    const transfer = this.#transfer;
+    if (transfer === null) {
+      return;
+    }
+    const { raft, answer } = this.#parts;
+    if (!raft.isLeader()) {
+      this.#transfer = null;
+      answer(transfer.operation, { type: 'done' });
+    } else if (now >= transfer.deadline) {
+      this.#transfer = null;
+      answer(transfer.operation, { type: 'rejected', message: 'the transfer took no effect in time' });
+    }
+  }
+}
+
+function mostAdvancedVoter({ membership, matchIndexes, self }: RaftStatus): ReplicaId | undefined {
+  const matchOf = (replica: ReplicaId): number => matchIndexes[replica] ?? 0;
+  return membership.voters
+    .filter((voter) => voter !== self)
+    .sort((left, right) => matchOf(right) - matchOf(left))[0];
+}
--- /dev/null
+++ b/src/control/operator-desk.ts
@@ -0,0 +1,145 @@
+/** Operators' requests: commands go through the log, queries are linearizable reads. */
+import { longestLeaseMillis } from '../lease/lease-bound.js';
+import type { MonotonicMillis } from '../model/identifiers.js';
+import type { CommandResult } from '../registry/types.js';
+import type { MembershipDesk } from './membership-desk.js';
+import type { ProposeCommand } from './propose-command.js';
+import type { ProposalOutcome, RaftAdapter } from './raft-adapter.js';
+import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
+
+export interface OperatorDeskParts {
+  readonly config: ControlConfig;
+  readonly raft: RaftAdapter;
+  readonly propose: ProposeCommand;
+  readonly membership: MembershipDesk;
+  readonly answer: (operation: OperationId, response: OperatorResponse) => void;
+  readonly status: (now: MonotonicMillis) => OperatorResponse;
+  readonly takeSnapshot: () => void;
+}
+
+type CommandRequest = Extract<OperatorRequest, { readonly type: 'command' }>;
+type QueryRequest = Extract<
+  OperatorRequest,
+  { readonly type: 'get-services' | 'get-upstreams' | 'get-shards' | 'get-ledger' }
+>;
+
+/** An accepted change that may not be in force on every router yet. */
+interface WaitingChange {
+  readonly operation: OperationId;
+  readonly result: CommandResult;
+  readonly inForceAt: MonotonicMillis;
+}
+
+export class OperatorDesk {
+  readonly #parts: OperatorDeskParts;
+  #waiting: WaitingChange[] = [];
+
+  constructor(parts: OperatorDeskParts) {
+    this.#parts = parts;
+  }
+
+  handle(operation: OperationId, request: OperatorRequest, now: MonotonicMillis): void {
+    const { answer, membership } = this.#parts;
+    switch (request.type) {
+      case 'command':
+        this.#command(operation, request);
+        break;
+      case 'get-services':
+      case 'get-upstreams':
+      case 'get-shards':
+      case 'get-ledger':
+        this.#query(operation, request, now);
+        break;
+      case 'get-status':
+        answer(operation, this.#parts.status(now));
+        break;
+      case 'take-snapshot':
+        this.#parts.takeSnapshot();
+        answer(operation, { type: 'done' });
+        break;
+      case 'add-learner':
+      case 'replace-replica':
+      case 'transfer-leadership':
+        membership.handle(operation, request, now);
+        break;
+    }
+  }
+
+  /** Answers those who wait for a change that is now in force everywhere. */
+  run(now: MonotonicMillis): void {
+    const due = this.#waiting.filter((change) => now > change.inForceAt);
+    this.#waiting = this.#waiting.filter((change) => now <= change.inForceAt);
+    for (const { operation, result } of due) {
+      this.#parts.answer(operation, { type: 'result', result, inForce: true });
+    }
+  }
+
+  nextDeadline(): MonotonicMillis {
+    const deadlines = this.#waiting.map((change) => Math.floor(change.inForceAt) + 1);
+    return Math.min(Number.POSITIVE_INFINITY, ...deadlines);
+  }
+
+  #command(operation: OperationId, request: CommandRequest): void {
+    const { actor, requestId, command, wait } = request;
+    const settle = (outcome: ProposalOutcome, now: MonotonicMillis): void => {
+      if (wait && outcome.type === 'applied' && outcome.result.type === 'accepted') {
+        this.#awaitRouters(operation, outcome.result, now);
+      } else {
+        this.#parts.answer(operation, this.#responseTo(outcome));
+      }
+    };
+    this.#parts.propose(command, settle, { actor, requestId });
+  }
+
+  /**
+   * A change at revision R was applied here at `now`, so it was committed before. A router's configuration lease counts
+   * from the stamp of a sync that a read round confirmed after the sync was sent. If that round began after the commit,
+   * the answer covers R. Otherwise the stamp is older than the commit, and the lease has ended one lease after `now`,
+   * with an allowance for the clocks' rates. Either way no router serves an older revision after that. This holds
+   * for routers that this member never heard of, and whoever leads meanwhile.
+   */
+  #awaitRouters(operation: OperationId, result: CommandResult, now: MonotonicMillis): void {
+    const { configLeaseMillis, clockRateError } = this.#parts.config.configLease;
+    const longest = longestLeaseMillis({ leaseMillis: configLeaseMillis, clockRateError });
+    this.#waiting.push({ operation, result, inForceAt: now + longest });
+  }
+
+  #responseTo(outcome: ProposalOutcome): OperatorResponse {
+    switch (outcome.type) {
+      case 'applied':
+        return { type: 'result', result: outcome.result, inForce: false };
+      case 'not-leader':
+        return { type: 'not-leader', leader: this.#parts.raft.leaderAddress() };
+      case 'rejected':
+        return { type: 'rejected', message: outcome.reason };
+      case 'unknown':
+        return { type: 'unknown' };
+    }
+  }
+
+  #query(operation: OperationId, request: QueryRequest, now: MonotonicMillis): void {
+    const { raft, answer } = this.#parts;
+    raft.read(now, (confirmed) => {
+      const leader = raft.leaderAddress();
+      answer(operation, confirmed ? this.#result(request) : { type: 'not-leader', leader });
+    });
+  }
+
+  #result(request: QueryRequest): OperatorResponse {
+    const { registry } = this.#parts.raft;
+    const { revision } = registry;
+    switch (request.type) {
+      case 'get-services':
+        return { type: 'services', revision, services: [...registry.services().values()] };
+      case 'get-upstreams':
+        return { type: 'upstreams', revision, upstreams: [...registry.upstreams().values()] };
+      case 'get-shards': {
+        const shards = [...registry.shards().values()];
+        const prefix = request.service === null ? '' : `${request.service}/`;
+        return { type: 'shards', revision, shards: shards.filter(({ shard }) => shard.startsWith(prefix)) };
+      }
+      case 'get-ledger':
+        return { type: 'ledger', record: registry.ledgerRecord(request.service, request.key) ?? null };
+    }
+  }
+}
--- /dev/null
+++ b/src/control/propose-command.ts
@@ -0,0 +1,14 @@
+/** How the parts of a control member put commands into the log. */
+import type { Command } from '../registry/types.js';
+import type { SettleProposal } from './raft-adapter.js';
+
+/** Who asks, for the audit log and the dedup table; the system's own commands have no request id. */
+export interface CommandOrigin {
+  readonly actor: string;
+  readonly requestId: string | null;
+}
+
+export type ProposeCommand = (command: Command, settle: SettleProposal, origin?: CommandOrigin) => void;
+
+/** Origin of the system's own commands. */
+export const SYSTEM_ORIGIN: CommandOrigin = { actor: 'system', requestId: null };
--- /dev/null
+++ b/src/control/router-desk.ts
@@ -0,0 +1,157 @@
+/**
+ * The side of a control member that routers talk to: configuration leases and routing data from any member, claims
+ * and settlements in the ledger from the leader.
+ */
+import type { Incarnation, MonotonicMillis, Revision, RouterId } from '../model/identifiers.js';
+import type { CommandResult } from '../registry/types.js';
+import type {
+  ClaimRequest,
+  ControlToRouter,
+  LoadReport,
+  RouterToControl,
+  SettleRequest,
+  SyncRequest,
+  SyncResponse,
+} from './messages.js';
+import type { ProposeCommand } from './propose-command.js';
+import type { RaftAdapter } from './raft-adapter.js';
+import type { ConnectionId } from './types.js';
+
+/** What is known of a connected router. */
+export interface ConnectedRouter {
+  readonly router: RouterId;
+  readonly incarnation: Incarnation;
+  readonly revision: Revision;
+  readonly heardAt: MonotonicMillis;
+}
+
+export interface RouterDeskParts {
+  readonly raft: RaftAdapter;
+  readonly propose: ProposeCommand;
+  readonly send: (connection: ConnectionId, message: ControlToRouter) => void;
+  readonly report: (report: LoadReport) => void;
+}
+
+interface WaitingSync {
+  readonly connection: ConnectionId;
+  readonly request: SyncRequest;
+}
+
+export class RouterDesk {
+  readonly #parts: RouterDeskParts;
+  readonly #routers = new Map<ConnectionId, ConnectedRouter>();
+  /** Syncs that wait for the next read to begin. */
+  #waiting: WaitingSync[] = [];
+  #isReading = false;
+
+  constructor(parts: RouterDeskParts) {
+    this.#parts = parts;
+  }
+
+  handle(connection: ConnectionId, message: RouterToControl, now: MonotonicMillis): void {
+    switch (message.type) {
+      case 'sync-request':
+        this.#sync(connection, message, now);
+        break;
+      case 'claim-request':
+        this.#claim(connection, message);
+        break;
+      case 'settle-request':
+        this.#settle(connection, message);
+        break;
+    }
+  }
+
+  gone(connection: ConnectionId): void {
+    this.#routers.delete(connection);
+    this.#waiting = this.#waiting.filter((sync) => sync.connection !== connection);
+  }
+
+  /** Tells connected routers that there is something to fetch. */
+  notify(revision: Revision): void {
+    for (const connection of this.#routers.keys()) {
+      this.#parts.send(connection, { type: 'change-notice', revision });
+    }
+  }
+
+  routers(): readonly ConnectedRouter[] {
+    return [...this.#routers.values()];
+  }
+
+  #sync(connection: ConnectionId, request: SyncRequest, now: MonotonicMillis): void {
+    const { router, incarnation, have } = request;
+    this.#routers.set(connection, { router, incarnation, revision: have, heardAt: now });
+    if (request.report !== null) {
+      this.#parts.report(request.report);
+    }
+    this.#waiting.push({ connection, request });
+    this.#readForWaiting(now);
+  }
+
+  /** One read answers all syncs that waited when it began; later ones wait for the next. */
+  #readForWaiting(now: MonotonicMillis): void {
+    if (this.#isReading || this.#waiting.length === 0) {
+      return;
+    }
+    const batch = this.#waiting;
+    this.#waiting = [];
+    this.#isReading = true;
+    this.#parts.raft.read(now, (confirmed, settledAt) => {
+      this.#isReading = false;
+      for (const sync of batch) {
+        this.#answerSync(sync, confirmed);
+      }
+      this.#readForWaiting(settledAt);
+    });
+  }
+
+  #answerSync({ connection, request }: WaitingSync, confirmed: boolean): void {
+    if (this.#routers.has(connection)) {
+      this.#parts.send(connection, this.#syncResponse(request, confirmed));
+    }
+  }
+
+  /** A router that is ahead of this member gets nothing to apply, and no confirmation. */
+  #syncResponse(request: SyncRequest, confirmed: boolean): SyncResponse {
+    const { raft } = this.#parts;
+    const { registry } = raft;
+    const isNews = request.have < registry.revision;
+    const delta = isNews && request.have > 0 ? (registry.routingDelta(request.have) ?? null) : null;
+    return {
+      type: 'sync-response',
+      stamp: request.stamp,
+      confirmed: confirmed && request.have <= registry.revision,
+      revision: registry.revision,
+      snapshot: isNews && delta === null ? registry.routingSnapshot() : null,
+      delta,
+      leader: raft.leaderAddress(),
+    };
+  }
+
+  #claim(connection: ConnectionId, request: ClaimRequest): void {
+    const { type: _type, ...claim } = request;
+    this.#parts.propose({ type: 'ledger-claim', ...claim }, (outcome) => {
+      const result = outcome.type === 'applied' ? claimResultOf(outcome.result) : null;
+      const leader = this.#parts.raft.leaderAddress();
+      this.#parts.send(connection, { type: 'claim-response', claimant: request.claimant, result, leader });
+    });
+  }
+
+  #settle(connection: ConnectionId, request: SettleRequest): void {
+    const { type: _type, ...settlement } = request;
+    this.#parts.propose({ type: 'ledger-settle', ...settlement }, (outcome) => {
+      const settled = outcome.type === 'applied';
+      const leader = this.#parts.raft.leaderAddress();
+      this.#parts.send(connection, {
+        type: 'settle-response',
+        claimant: request.claimant,
+        settled,
+        leader,
+      });
+    });
+  }
+}
+
+function claimResultOf(result: CommandResult) {
+  return result.type === 'claim' ? result.result : null;
+}
--- a/src/lease/lease-bound.ts
+++ b/src/lease/lease-bound.ts
@@ -20,7 +20,7 @@
 import type { LeaseTimings } from './types.js';
 
 /** Longest time a lease can run on the granter's clock, from the receipt of the stamp it was given for. */
-export function longestLeaseMillis(timings: LeaseTimings): number {
+export function longestLeaseMillis(timings: Omit<LeaseTimings, 'renewMillis'>): number {
   return timings.leaseMillis * (1 + timings.clockRateError);
 }
 
--- /dev/null
+++ b/src/lease/lease-granter.ts
@@ -0,0 +1,329 @@
+/**
+ * The granter's side of session leases, for one leadership. It decides whom to call with what, when a lease may be
+ * renewed, and when one is over; the control node carries calls out, proposes changes and runs quorum rounds.
+ *
+ * A renewal extends a lease to `stamp + leaseMillis` of the holder's clock, where the stamp came with an earlier answer.
+ * It is sent only if a quorum round that began after that answer was received has confirmed the leadership. The lease
+ * is counted as over only strictly after `leaseBound(receivedAt)`; lease-bound.ts has the argument. Leases of earlier
+ * leaders are bounded from the election.
+ */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { MonotonicMillis, UpstreamId } from '../model/identifiers.js';
+import { GranterSession } from './granter-session.js';
+import type {
+  GranterConfig,
+  SessionCall,
+  SessionChange,
+  SessionTarget,
+  SessionView,
+} from './granter-types.js';
+import { leaseBound } from './lease-bound.js';
+import type { SessionAnswer, SessionRequest } from './types.js';
+
+/** After a failed call the next one waits for this share of the renewal time. */
+const RETRY_SHARE = 1 / 8;
+/** While a holder drains or warms shards it is asked after this share of the renewal time. */
+const POLL_SHARE = 1 / 8;
+/** Renewals that fall due within this share of the renewal time share one quorum round. */
+const BATCH_SHARE = 1 / 16;
+
+export class LeaseGranter {
+  readonly #config: GranterConfig;
+  readonly #sessions = new Map<UpstreamId, GranterSession>();
+  readonly #random: ReturnType<typeof xoroshiro128plus>;
+  /** Answers received so far; quorum rounds are placed among them. */
+  #answers = 0;
+  #lastStepAt: MonotonicMillis;
+  /** After a stall of this process no lease is given up before this. */
+  #patientUntil: MonotonicMillis = Number.NEGATIVE_INFINITY;
+
+  constructor(config: GranterConfig) {
+    this.#config = config;
+    this.#random = xoroshiro128plus(config.seed);
+    this.#lastStepAt = config.electedAt;
+  }
+
+  /** Takes what the registry wants. Sessions of upstreams that aren't named are dropped. */
+  update(targets: readonly SessionTarget[], now: MonotonicMillis): void {
+    const named = new Set(targets.map((target) => target.upstream));
+    for (const upstream of [...this.#sessions.keys()]) {
+      if (!named.has(upstream)) {
+        this.#sessions.delete(upstream);
+      }
+    }
+    for (const target of targets) {
+      this.#retarget(target, now);
+    }
+  }
+
+  /** Takes the answer to a call; `false` if it answers no call that is outstanding or can't be relied on. */
+  answered(upstream: UpstreamId, sequence: number, answer: SessionAnswer, now: MonotonicMillis): boolean {
+    const session = this.#sessions.get(upstream);
+    const request = session === undefined ? undefined : takeOutstanding(session, sequence);
+    if (session === undefined || request === undefined) {
+      return false;
+    }
+    const isRefused = answer.refused !== null && answer.refused !== 'other-incarnation';
+    if (answer.upstream !== upstream || answer.term !== this.#config.term || isRefused) {
+      this.#noteFailure(session, request, now);
+      return false;
+    }
+    this.#noteAnswer(session, request, answer, now);
+    return true;
+  }
+
+  /** A call had no answer. */
+  failed(upstream: UpstreamId, sequence: number, now: MonotonicMillis): void {
+    const session = this.#sessions.get(upstream);
+    const request = session === undefined ? undefined : takeOutstanding(session, sequence);
+    if (session !== undefined && request !== undefined) {
+      this.#noteFailure(session, request, now);
+    }
+  }
+
+  /** Where a quorum round that begins now stands among the answers; to be given to `confirmed`. */
+  markRound(): number {
+    return this.#answers;
+  }
+
+  /** A quorum round that began at `mark` confirmed the leadership. */
+  confirmed(mark: number): void {
+    for (const session of this.#sessions.values()) {
+      const { received, answer, incarnation } = session;
+      if (received !== null && received.order <= mark && answer?.incarnation === incarnation) {
+        session.confirmed = received;
+      }
+    }
+  }
+
+  /** Whether a renewal that is due, or nearly so, waits for a quorum round. */
+  wantsRound(now: MonotonicMillis): boolean {
+    return [...this.#sessions.values()].some((session) => this.#isBlocked(session, now));
+  }
+
+  /** Ends leases that are over, then gives the calls that are to be made now. */
+  takeCalls(now: MonotonicMillis): SessionCall[] {
+    this.#noteStall(now);
+    const calls: SessionCall[] = [];
+    for (const session of this.#sessions.values()) {
+      this.#endIfOver(session, now);
+      if (this.#isCallable(session, now)) {
+        calls.push(this.#call(session, now));
+      }
+    }
+    return calls;
+  }
+
+  /** Changes that the registry is to make; repeated until `update` shows them made. */
+  changes(now: MonotonicMillis): SessionChange[] {
+    return [...this.#sessions.values()]
+      .map((session) => changeOf(session, this.#isOver(session, now)))
+      .filter((change) => change !== undefined);
+  }
+
+  views(): SessionView[] {
+    return [...this.#sessions.values()].map(viewOf);
+  }
+
+  view(upstream: UpstreamId): SessionView | undefined {
+    const session = this.#sessions.get(upstream);
+    return session === undefined ? undefined : viewOf(session);
+  }
+
+  /** When `takeCalls` has something to do next if nothing else happens. */
+  nextDeadline(now: MonotonicMillis): MonotonicMillis {
+    const deadlines = [...this.#sessions.values()].map((session) => this.#deadlineOf(session, now));
+    return Math.min(Number.POSITIVE_INFINITY, ...deadlines);
+  }
+
+  #retarget(target: SessionTarget, now: MonotonicMillis): void {
+    const { electedAt, timings } = this.#config;
+    const session = this.#sessions.get(target.upstream);
+    if (session === undefined) {
+      const isKnown = target.incarnation !== null;
+      const leaseEnd = isKnown ? leaseBound(timings, electedAt) : Number.NEGATIVE_INFINITY;
+      this.#sessions.set(target.upstream, new GranterSession(target, leaseEnd, now));
+      return;
+    }
+    const previous = session.incarnation;
+    session.retarget(target);
+    if (target.incarnation === previous) {
+      return;
+    }
+    if (target.incarnation === null) {
+      session.enter('greeting', now);
+      session.received = null;
+      session.answer = null;
+      session.leaseEnd = Number.NEGATIVE_INFINITY;
+      return;
+    }
+    session.enter('leased', now);
+    session.leaseEnd = leaseBound(timings, now);
+  }
+
+  #noteAnswer(
+    session: GranterSession,
+    request: SessionRequest,
+    answer: SessionAnswer,
+    now: MonotonicMillis,
+  ): void {
+    this.#answers += 1;
+    session.failing = false;
+    session.notBefore = Number.NEGATIVE_INFINITY;
+    session.answer = answer;
+    session.received = { stamp: answer.stamp, receivedAt: now, order: this.#answers };
+    if (answer.incarnation !== session.incarnation) {
+      session.phase = session.incarnation === null ? 'greeting' : 'ending';
+      session.confirmed = null;
+      return;
+    }
+    if (session.phase === 'greeting') {
+      session.enter('leased', now);
+      return;
+    }
+    if (session.phase === 'leased' && request.incarnation === answer.incarnation) {
+      session.acknowledge(request, answer);
+    }
+  }
+
+  #noteFailure(session: GranterSession, request: SessionRequest, now: MonotonicMillis): void {
+    session.failing = true;
+    session.notBefore = now + this.#config.timings.renewMillis * RETRY_SHARE;
+    session.nextCallAt = Math.min(session.nextCallAt, session.notBefore);
+    session.forgetSent(request);
+  }
+
+  /** A leader that was itself stopped for a while asks its upstreams once more before it gives up their leases. */
+  #noteStall(now: MonotonicMillis): void {
+    const { renewMillis } = this.#config.timings;
+    if (now - this.#lastStepAt > renewMillis) {
+      this.#patientUntil = now + renewMillis;
+    }
+    this.#lastStepAt = now;
+  }
+
+  #isOver(session: GranterSession, now: MonotonicMillis): boolean {
+    return now > Math.max(session.leaseEnd, this.#patientUntil);
+  }
+
+  #endIfOver(session: GranterSession, now: MonotonicMillis): void {
+    const isOpen =
+      session.phase === 'leased' || (session.phase === 'greeting' && session.incarnation !== null);
+    if (isOpen && this.#isOver(session, now)) {
+      session.phase = 'ending';
+      session.confirmed = null;
+    }
+  }
+
+  /** Whether only a missing quorum round keeps a due renewal back. */
+  #isBlocked(session: GranterSession, now: MonotonicMillis): boolean {
+    const soon = now + this.#config.timings.renewMillis * BATCH_SHARE;
+    const isDue = session.outstanding === null && session.nextCallAt <= soon && session.notBefore <= soon;
+    return isDue && session.phase === 'leased' && session.awaitsConfirmation();
+  }
+
+  #isCallable(session: GranterSession, now: MonotonicMillis): boolean {
+    if (session.outstanding !== null || now < session.notBefore) {
+      return false;
+    }
+    const isDue = now >= session.nextCallAt;
+    if (session.phase !== 'leased') {
+      return isDue;
+    }
+    if (isDue) {
+      return !session.awaitsConfirmation();
+    }
+    return session.hasNews() || now >= this.#pollAt(session);
+  }
+
+  #call(session: GranterSession, now: MonotonicMillis): SessionCall {
+    const { cluster, leader, term, timings } = this.#config;
+    const stamp = session.phase === 'leased' && session.mayRenew() ? session.confirmed : null;
+    if (stamp !== null) {
+      session.leaseEnd = Math.max(session.leaseEnd, leaseBound(timings, stamp.receivedAt));
+    }
+    const takesTurn = stamp === null || stamp.order > session.renewedOrder;
+    if (now >= session.nextCallAt && takesTurn) {
+      session.nextCallAt = now + this.#renewalDelay();
+    }
+    session.renewedOrder = stamp?.order ?? session.renewedOrder;
+    const validUntil = stamp === null ? null : stamp.stamp + timings.leaseMillis;
+    const request = session.send({ cluster, leader, term }, validUntil);
+    return { upstream: session.target.upstream, address: session.target.address, request };
+  }
+
+  /** Seven to eight eighths of the renewal time, so that upstreams drift apart. */
+  #renewalDelay(): number {
+    const longest = Math.floor(this.#config.timings.renewMillis);
+    return uniformInt(this.#random, Math.floor((longest * 7) / 8), longest);
+  }
+
+  /** When to ask again how far a holder is with what it was told. */
+  #pollAt(session: GranterSession): MonotonicMillis {
+    const { followed, received, target } = session;
+    if (followed === null || received === null) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const warms = target.orders.some(
+      (order) => order.type === 'warm' && !followed.warmed.includes(order.shard),
+    );
+    const isBusy = warms || followed.draining.length > 0;
+    return isBusy
+      ? received.receivedAt + this.#config.timings.renewMillis * POLL_SHARE
+      : Number.POSITIVE_INFINITY;
+  }
+
+  #deadlineOf(session: GranterSession, now: MonotonicMillis): MonotonicMillis {
+    const isOpen = session.incarnation !== null;
+    const end = Math.max(session.leaseEnd, this.#patientUntil);
+    const afterEnd = isOpen && !this.#isOver(session, now) ? Math.floor(end) + 1 : Number.POSITIVE_INFINITY;
+    if (session.outstanding !== null) {
+      return afterEnd;
+    }
+    if (this.#isBlocked(session, now) && now >= session.nextCallAt) {
+      return afterEnd;
+    }
+    const news = session.phase === 'leased' && session.hasNews() ? now : Number.POSITIVE_INFINITY;
+    const poll = session.phase === 'leased' ? this.#pollAt(session) : Number.POSITIVE_INFINITY;
+    return Math.min(afterEnd, Math.max(session.notBefore, Math.min(session.nextCallAt, news, poll)));
+  }
+}
+
+/** Takes the call that `sequence` answers; `undefined` if it isn't outstanding. */
+function takeOutstanding(session: GranterSession, sequence: number): SessionRequest | undefined {
+  const request = session.outstanding;
+  if (request === null || request.sequence !== sequence) {
+    return undefined;
+  }
+  session.outstanding = null;
+  return request;
+}
+
+function changeOf(session: GranterSession, isOver: boolean): SessionChange | undefined {
+  const { incarnation, answer } = session;
+  const { upstream } = session.target;
+  if (incarnation === null) {
+    return answer === null
+      ? undefined
+      : { type: 'open', upstream, incarnation: answer.incarnation, previous: null };
+  }
+  if (session.phase !== 'ending' || !isOver) {
+    return undefined;
+  }
+  const successor = answer !== null && answer.incarnation !== incarnation ? answer.incarnation : null;
+  return successor === null
+    ? { type: 'end', upstream, incarnation }
+    : { type: 'open', upstream, incarnation: successor, previous: incarnation };
+}
+
+function viewOf(session: GranterSession): SessionView {
+  return {
+    upstream: session.target.upstream,
+    phase: session.phase,
+    incarnation: session.incarnation,
+    answer: session.followed,
+    answeredAt: session.received?.receivedAt ?? null,
+    failing: session.failing,
+  };
+}
--- /dev/null
+++ b/test/control/cluster-harness.ts
@@ -0,0 +1,426 @@
+/** Control members and holders on one virtual clock, with checks that no shard is served by two holders at once. */
+import { expect } from 'chai';
+import type { RestoredState } from '../../src/consensus/types.js';
+import { createControlNode } from '../../src/control/control-node.js';
+import type { ControlToRouter, RouterToControl } from '../../src/control/messages.js';
+import { DEFAULT_CONFIG_LEASE_TIMINGS } from '../../src/control/messages.js';
+import type {
+  ControlConfig,
+  ControlCore,
+  ControlEffect,
+  ControlInput,
+  OperatorRequest,
+  OperatorResponse,
+} from '../../src/control/types.js';
+import {
+  createGrantHolder,
+  DEFAULT_LEASE_TIMINGS,
+  type GrantHolder,
+  type Ticket,
+} from '../../src/lease/index.js';
+import type { KeyMap, SessionRequest } from '../../src/lease/types.js';
+import type { Epoch, ReplicaId, ShardId, UpstreamId } from '../../src/model/identifiers.js';
+import { shardOfKey } from '../../src/model/key-map.js';
+import type { ServiceDefinition, UpstreamDefinition } from '../../src/model/service.js';
+import type { OperatorCommand, ShardRecord } from '../../src/registry/types.js';
+
+const NETWORK_MILLIS = 1;
+const SYNC_MILLIS = 1;
+const CALL_TIMEOUT_MILLIS = 300;
+const CHECK_MILLIS = 5;
+const KEYS_TRIED = 2000;
+
+interface Member {
+  readonly id: ReplicaId;
+  readonly core: ControlCore;
+  alive: boolean;
+}
+
+/** A server that owns keys, on a clock with its own origin and rate. */
+class Server {
+  holder: GrantHolder;
+  state: 'up' | 'frozen' | 'dead' = 'up';
+  /** Calls that reached it while it was frozen. */
+  readonly backlog: (() => void)[] = [];
+  readonly epochs = new Map<ShardId, Epoch>();
+  /** Answers `markWarmed` at once when told to warm. */
+  warms = true;
+  incarnationNumber = 1;
+
+  constructor(
+    readonly id: UpstreamId,
+    readonly clockOffset: number,
+    readonly clockRate: number,
+  ) {
+    this.holder = this.#start();
+  }
+
+  clock(time: number): number {
+    return this.clockOffset + time * this.clockRate;
+  }
+
+  restart(): void {
+    this.incarnationNumber += 1;
+    this.epochs.clear();
+    this.backlog.splice(0);
+    this.state = 'up';
+    this.holder = this.#start();
+  }
+
+  get incarnation(): string {
+    return `${this.id}#${this.incarnationNumber}`;
+  }
+
+  noteEvents(): void {
+    for (const event of this.holder.takeEvents()) {
+      if (event.type === 'granted') {
+        this.epochs.set(event.shard, event.epoch);
+      } else if (event.type === 'warm' && this.warms) {
+        this.holder.markWarmed(event.shard);
+      }
+    }
+  }
+
+  admit(shard: ShardId, key: string, time: number): Ticket | null {
+    const { incarnation } = this;
+    const epoch = this.epochs.get(shard) ?? 0;
+    const admission = this.holder.admit({ shard, epoch, incarnation, key }, this.clock(time));
+    return admission.type === 'admitted' ? admission.ticket : null;
+  }
+
+  #start(): GrantHolder {
+    return createGrantHolder({ cluster: 'c1', upstream: this.id, incarnation: this.incarnation });
+  }
+}
+
+interface Event {
+  readonly at: number;
+  readonly number: number;
+  readonly run: () => void;
+}
+
+export interface ClusterOptions {
+  readonly members?: number;
+  readonly seed?: number;
+  readonly config?: Partial<ControlConfig>;
+}
+
+export class Cluster {
+  time = 0;
+  readonly members = new Map<ReplicaId, Member>();
+  readonly servers = new Map<UpstreamId, Server>();
+  readonly answers = new Map<string, OperatorResponse>();
+  readonly routerMessages: { readonly connection: string; readonly message: ControlToRouter }[] = [];
+  /** Session requests that left, for checks of their size. */
+  readonly calls: SessionRequest[] = [];
+  /** Peers that neither hear nor are heard. */
+  readonly cut = new Set<string>();
+  #events: Event[] = [];
+  #eventNumber = 0;
+  #nextCheckAt = 0;
+  #keyOfShard = new Map<ShardId, string>();
+  #operation = 0;
+
+  constructor(readonly options: ClusterOptions = {}) {
+    const voters = Array.from({ length: options.members ?? 3 }, (_, index) => `m${index + 1}`);
+    for (const id of voters) {
+      this.#startMember(id, voters);
+    }
+  }
+
+  addServer(id: UpstreamId): Server {
+    const index = this.servers.size;
+    const rate = index % 2 === 0 ? 1.002 : 0.998;
+    const server = new Server(id, 1000 * (index + 1), rate);
+    this.servers.set(id, server);
+    return server;
+  }
+
+  server(id: UpstreamId): Server {
+    return this.servers.get(id) as Server;
+  }
+
+  leader(): Member {
+    const leaders = [...this.members.values()].filter(
+      (member) => member.alive && !this.cut.has(member.id) && member.core.status().role === 'leader',
+    );
+    return leaders.sort((left, right) => right.core.status().term - left.core.status().term)[0] as Member;
+  }
+
+  kill(member: Member): void {
+    member.alive = false;
+  }
+
+  /** Runs the virtual clock on by `millis`. */
+  run(millis: number): void {
+    this.runUntil(() => false, millis);
+  }
+
+  /** Runs until `isDone`, at most `millis`; returns the time that took. */
+  runUntil(isDone: () => boolean, millis: number): number {
+    const start = this.time;
+    const end = start + millis;
+    while (!isDone() && this.time < end) {
+      this.#advance(end);
+    }
+    return this.time - start;
+  }
+
+  request(request: OperatorRequest, member: Member = this.leader()): string {
+    this.#operation += 1;
+    const operation = `op${this.#operation}`;
+    this.#step(member, { type: 'operator-request', operation, request });
+    return operation;
+  }
+
+  /** Makes a change and runs until it is answered. */
+  change(command: OperatorCommand, wait = false): OperatorResponse {
+    const requestId = `request-${this.#operation + 1}`;
+    const operation = this.request({ type: 'command', requestId, actor: 'test', command, wait });
+    return this.awaitAnswer(operation);
+  }
+
+  ask(request: OperatorRequest, member?: Member): OperatorResponse {
+    return this.awaitAnswer(this.request(request, member));
+  }
+
+  awaitAnswer(operation: string): OperatorResponse {
+    this.runUntil(() => this.answers.has(operation), 10_000);
+    const response = this.answers.get(operation);
+    expect(response, `answer to ${operation}`).not.to.equal(undefined);
+    return response as OperatorResponse;
+  }
+
+  routerMessage(connection: string, message: RouterToControl, member: Member = this.leader()): void {
+    this.#step(member, { type: 'router-message', connection, message });
+  }
+
+  shards(): readonly ShardRecord[] {
+    const response = this.ask({ type: 'get-shards', service: null });
+    return response.type === 'shards' ? response.shards : [];
+  }
+
+  /** The server which would serve this shard now, if any. */
+  serving(shard: ShardId): UpstreamId | null {
+    const key = this.#keyOfShard.get(shard) as string;
+    const serving = [...this.servers.values()].filter((server) => this.#serves(server, shard, key));
+    expect(serving.length, `servers of ${shard} at ${this.time}`).to.be.at.most(1);
+    return serving[0]?.state === 'up' ? serving[0].id : null;
+  }
+
+  /** Learns a key of each shard of a key map, so that the checks can ask the fences. */
+  watch(keyMap: KeyMap): ShardId[] {
+    const found = new Set<ShardId>();
+    for (let number = 0; number < KEYS_TRIED; number += 1) {
+      const shard = shardOfKey(keyMap, `key${number}`);
+      if (shard !== undefined) {
+        this.#keyOfShard.set(shard, `key${number}`);
+        found.add(shard);
+      }
+    }
+    return [...found].sort();
+  }
+
+  keyOf(shard: ShardId): string {
+    return this.#keyOfShard.get(shard) as string;
+  }
+
+  /** Asks the fence and lets the request go at once; a frozen server is judged by its clock. */
+  #serves(server: Server, shard: ShardId, key: string): boolean {
+    if (server.state === 'dead') {
+      return false;
+    }
+    const ticket = server.admit(shard, key, this.time);
+    if (ticket !== null) {
+      server.holder.finish(ticket, server.clock(this.time));
+    }
+    return ticket !== null;
+  }
+
+  #startMember(id: ReplicaId, voters: readonly ReplicaId[]): void {
+    const addresses = Object.fromEntries(voters.map((voter) => [voter, `127.0.0.1:${voter.slice(1)}`]));
+    const restored: RestoredState = {
+      hardState: { term: 0, votedFor: null },
+      snapshot: null,
+      initialMembership: { voters, outgoingVoters: [], learners: [], addresses },
+      entries: [],
+    };
+    const config: ControlConfig = {
+      cluster: 'c1',
+      self: id,
+      seed: Number(id.slice(1)) + (this.options.seed ?? 0) * 100,
+      raft: { electionTimeoutMillis: 300, heartbeatMillis: 60 },
+      lease: DEFAULT_LEASE_TIMINGS,
+      configLease: DEFAULT_CONFIG_LEASE_TIMINGS,
+      snapshotEntries: 10_000,
+      replaceAfterMillis: 0,
+      ...this.options.config,
+    };
+    this.members.set(id, { id, core: createControlNode(config, restored, 0), alive: true });
+  }
+
+  #advance(end: number): void {
+    const deadlines = [...this.members.values()]
+      .filter((member) => member.alive)
+      .map((member) => ({ member, at: Math.max(this.time, member.core.nextDeadline()) }));
+    const event = this.#events[0];
+    const nextTick = Math.min(end, ...deadlines.map(({ at }) => at));
+    this.time = Math.min(nextTick, event?.at ?? end);
+    if (event !== undefined && event.at <= nextTick) {
+      this.#events.shift();
+      event.run();
+    } else {
+      const due = deadlines.filter(({ at }) => at <= this.time);
+      expect(
+        due.length === 0 || this.#noteTick(),
+        `a member keeps asking for ticks at ${this.time}`,
+      ).to.equal(true);
+      for (const { member } of due) {
+        this.#step(member, { type: 'tick' });
+      }
+    }
+    this.#check();
+  }
+
+  #ticks = { at: 0, count: 0 };
+
+  /** A core which asks for a tick at the present time again and again would keep a shell spinning. */
+  #noteTick(): boolean {
+    this.#ticks =
+      this.#ticks.at === this.time
+        ? { at: this.time, count: this.#ticks.count + 1 }
+        : { at: this.time, count: 1 };
+    return this.#ticks.count < 20;
+  }
+
+  #check(): void {
+    if (this.time >= this.#nextCheckAt) {
+      this.#nextCheckAt = this.time + CHECK_MILLIS;
+      for (const shard of this.#keyOfShard.keys()) {
+        this.serving(shard);
+      }
+    }
+  }
+
+  #later(millis: number, run: () => void): void {
+    this.#eventNumber += 1;
+    const event = { at: this.time + millis, number: this.#eventNumber, run };
+    this.#events.push(event);
+    this.#events.sort((left, right) => left.at - right.at || left.number - right.number);
+  }
+
+  #step(member: Member, input: ControlInput): void {
+    if (!member.alive) {
+      return;
+    }
+    for (const effect of member.core.step(input, this.time, 1_000_000 + this.time)) {
+      this.#carryOut(member, effect);
+    }
+  }
+
+  #carryOut(member: Member, effect: ControlEffect): void {
+    switch (effect.type) {
+      case 'send-peer': {
+        const to = this.members.get(effect.message.to);
+        if (to !== undefined && !this.cut.has(member.id) && !this.cut.has(to.id)) {
+          this.#later(NETWORK_MILLIS, () =>
+            this.#step(to, { type: 'peer-message', message: effect.message }),
+          );
+        }
+        break;
+      }
+      case 'persist':
+        this.#later(SYNC_MILLIS, () =>
+          this.#step(member, { type: 'persisted', persistId: effect.request.persistId }),
+        );
+        break;
+      case 'call-upstream':
+        this.calls.push(effect.request);
+        this.#later(NETWORK_MILLIS, () => this.#callServer(member, effect.upstream, effect.request));
+        break;
+      case 'answer-operator':
+        this.answers.set(effect.operation, effect.response);
+        break;
+      case 'send-router':
+        this.routerMessages.push({ connection: effect.connection, message: effect.message });
+        break;
+      case 'log':
+        break;
+    }
+  }
+
+  #callServer(member: Member, upstream: UpstreamId, request: SessionRequest): void {
+    const { sequence } = request;
+    const server = this.servers.get(upstream);
+    if (server === undefined || server.state === 'dead') {
+      this.#step(member, { type: 'upstream-failed', upstream, sequence });
+      return;
+    }
+    const serve = (): void => {
+      const answer = server.holder.handleSession(request, server.clock(this.time));
+      server.noteEvents();
+      this.#later(NETWORK_MILLIS, () =>
+        this.#step(member, { type: 'upstream-answer', upstream, sequence, answer }),
+      );
+    };
+    if (server.state === 'frozen') {
+      server.backlog.push(serve);
+      this.#later(CALL_TIMEOUT_MILLIS, () =>
+        this.#step(member, { type: 'upstream-failed', upstream, sequence }),
+      );
+      return;
+    }
+    serve();
+  }
+}
+
+export const SERVICE: ServiceDefinition = {
+  name: 'menuboard',
+  keyed: true,
+  repeatable: true,
+  priority: 'critical',
+  deadlineMillis: 2000,
+  slotsPerUpstream: 2,
+  retryBudget: 0.2,
+  queueLimit: 100,
+  holdLimitMillis: 500,
+  coalesce: false,
+  wholeAnswerBytes: 65_536,
+  retentionMillis: 60_000,
+  placement: { unavailability: 1, imbalance: 1, churn: 1 },
+  movesPerMinute: 60,
+  keyspaces: [{ name: 'sheets', kind: 'prefix', match: '', shards: 6 }],
+  policy: [],
+};
+
+export function upstream(id: UpstreamId, change: Partial<UpstreamDefinition> = {}): UpstreamDefinition {
+  const port = 9000 + Number(id.replaceAll(/\D/g, ''));
+  return {
+    id,
+    service: 'menuboard',
+    address: `127.0.0.1:${port}`,
+    zone: 'a',
+    mayHold: [],
+    leaving: false,
+    ...change,
+  };
+}
+
+/** A cluster with a leader, the service and as many servers, all shards granted. */
+export function startCluster(
+  serverCount: number,
+  options: ClusterOptions = {},
+): { cluster: Cluster; shards: ShardId[] } {
+  const cluster = new Cluster(options);
+  cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+  cluster.change({ type: 'service-apply', definition: SERVICE, expected: null });
+  const services = cluster.ask({ type: 'get-services' });
+  const generation = services.type === 'services' ? (services.services[0]?.generation ?? 0) : 0;
+  const shards = cluster.watch({ service: SERVICE.name, generation, keyspaces: SERVICE.keyspaces });
+  for (let number = 1; number <= serverCount; number += 1) {
+    cluster.addServer(`u${number}`);
+    cluster.change({ type: 'upstream-apply', definition: upstream(`u${number}`), expected: null });
+  }
+  cluster.runUntil(() => shards.every((shard) => cluster.serving(shard) !== null), 5000);
+  return { cluster, shards };
+}
