--- /dev/null
+++ b/src/policy/expression.ts
@@ -0,0 +1,126 @@
+/** One CEL expression: parsed, type-checked and bounded in cost when it is proposed. */
+import type { ASTNode, Context, Environment, ParseResult } from '@marcbachmann/cel-js';
+import { toError } from '../errors/ternmount-error.js';
+import { EXPRESSION_LIMITS } from './policy-context.js';
+
+export type ExpressionType = 'bool' | 'number';
+
+/** Why an expression was refused, with the offset of the place in its text. */
+export interface ExpressionFault {
+  readonly offset: number;
+  readonly message: string;
+}
+
+export type ExpressionOutcome =
+  | { readonly type: 'compiled'; readonly evaluate: (context: Context) => unknown }
+  | { readonly type: 'refused'; readonly fault: ExpressionFault };
+
+/** Functions whose cost is bounded by the size of their arguments. Regular expressions aren't. */
+const ALLOWED_FUNCTIONS = new Set([
+  'bool',
+  'contains',
+  'double',
+  'endsWith',
+  'int',
+  'size',
+  'startsWith',
+  'string',
+]);
+/** Macros that loop; allowed over a list written out, and not inside each other. */
+const LOOPING_MACROS = new Set(['all', 'exists', 'exists_one']);
+const NUMBER_TYPES = new Set(['int', 'uint', 'double']);
+
+/** Compiles an expression which must give `expected`. */
+export function compileExpression(
+  environment: Environment,
+  text: string,
+  expected: ExpressionType,
+): ExpressionOutcome {
+  if (text.length > EXPRESSION_LIMITS.maxCharacters) {
+    const message = `longer than ${EXPRESSION_LIMITS.maxCharacters} characters`;
+    return refused(EXPRESSION_LIMITS.maxCharacters, message);
+  }
+  let parsed: ParseResult;
+  try {
+    parsed = environment.parse(text);
+  } catch (thrown) {
+    return refusedBy(thrown);
+  }
+  const costFault = findCostFault(parsed.ast, false);
+  if (costFault !== undefined) {
+    return { type: 'refused', fault: costFault };
+  }
+  const check = parsed.check();
+  if (!check.valid) {
+    return refusedBy(check.error);
+  }
+  if (!hasType(check.type, expected)) {
+    return refused(0, `must give a ${expected}, gives ${check.type ?? 'nothing'}`);
+  }
+  return { type: 'compiled', evaluate: parsed };
+}
+
+function hasType(type: string | undefined, expected: ExpressionType): boolean {
+  return expected === 'bool' ? type === 'bool' : type !== undefined && NUMBER_TYPES.has(type);
+}
+
+function refused(offset: number, message: string): ExpressionOutcome {
+  return { type: 'refused', fault: { offset, message } };
+}
+
+/** The library's errors carry a short text and a range. */
+function refusedBy(thrown: unknown): ExpressionOutcome {
+  const error = toError(thrown) as Error & { summary?: string; range?: { start: number } };
+  return refused(error.range?.start ?? 0, error.summary ?? error.message);
+}
+
+/** The first call that could cost more than its arguments' size. */
+function findCostFault(node: ASTNode, insideLoop: boolean): ExpressionFault | undefined {
+  if (node.op === 'call' && !ALLOWED_FUNCTIONS.has(node.args[0])) {
+    return { offset: node.start, message: `function ${node.args[0]} is not allowed` };
+  }
+  if (node.op === 'rcall') {
+    const [name, receiver] = node.args;
+    if (LOOPING_MACROS.has(name)) {
+      return findLoopFault(node, receiver, insideLoop);
+    }
+    if (!ALLOWED_FUNCTIONS.has(name)) {
+      return { offset: node.start, message: `function ${name} is not allowed` };
+    }
+  }
+  return firstFault(childrenOf(node), insideLoop);
+}
+
+function findLoopFault(node: ASTNode, receiver: ASTNode, insideLoop: boolean): ExpressionFault | undefined {
+  if (insideLoop) {
+    return { offset: node.start, message: 'a macro that loops can not stand inside another' };
+  }
+  if (receiver.op !== 'list') {
+    return { offset: receiver.start, message: 'a macro that loops needs a list written out' };
+  }
+  return firstFault(childrenOf(node), true);
+}
+
+function firstFault(nodes: readonly ASTNode[], insideLoop: boolean): ExpressionFault | undefined {
+  for (const node of nodes) {
+    const fault = findCostFault(node, insideLoop);
+    if (fault !== undefined) {
+      return fault;
+    }
+  }
+  return undefined;
+}
+
+function childrenOf(node: ASTNode): ASTNode[] {
+  const { args } = node;
+  return nodesIn(args);
+}
+
+/** Arguments are nodes, or lists of nodes to any depth, between names and literals. */
+function nodesIn(value: unknown): ASTNode[] {
+  if (Array.isArray(value)) {
+    return value.flatMap(nodesIn);
+  }
+  const isNode = typeof value === 'object' && value !== null && 'op' in value;
+  return isNode ? [value as ASTNode] : [];
+}
--- /dev/null
+++ b/src/policy/index.ts
@@ -0,0 +1,16 @@
+/** Policy programs: YAML rules with CEL expressions that weigh, refuse or hold requests. */
+export type { PolicyContext, PolicyUpstream } from './policy-context.js';
+export { EXPRESSION_LIMITS } from './policy-context.js';
+export {
+  formatDiagnostic,
+  type PolicyDiagnostic,
+  PolicyError,
+  type PolicyPosition,
+} from './policy-error.js';
+export {
+  compilePolicy,
+  type ExpressionField,
+  type PolicyDecision,
+  type PolicyProgram,
+  type PolicySource,
+} from './policy-program.js';
--- /dev/null
+++ b/src/policy/policy-program.ts
@@ -0,0 +1,229 @@
+/** A compiled policy program of a service: which requests are refused or held, and how upstreams are weighed. */
+import type { Context, Environment } from '@marcbachmann/cel-js';
+import type { PolicyRule } from '../model/service.js';
+import { compileExpression, type ExpressionType } from './expression.js';
+import {
+  celContextOf,
+  celUpstreamOf,
+  type PolicyContext,
+  type PolicyUpstream,
+  REQUEST_ENVIRONMENT,
+  WEIGH_ENVIRONMENT,
+} from './policy-context.js';
+import { type PolicyDiagnostic, PolicyError, type PolicyPosition } from './policy-error.js';
+
+/** Parts of a rule that are expressions. */
+export type ExpressionField = 'when' | 'weight' | 'retryAfterSeconds' | 'holdMillis';
+
+/** Tells where in a file the parts of rules stand. */
+export interface PolicySource {
+  /** `offset` counts characters from the start of the field's text. */
+  locate(ruleIndex: number, field: ExpressionField | null, offset: number): PolicyPosition;
+}
+
+export type PolicyDecision =
+  | { readonly type: 'pass' }
+  /** `retryAfterMillis`: `null` leaves it to the router's measured drain time. */
+  | { readonly type: 'refuse'; readonly rule: string; readonly retryAfterMillis: number | null }
+  | { readonly type: 'hold'; readonly rule: string; readonly holdMillis: number };
+
+export interface PolicyProgram {
+  readonly hasWeighRules: boolean;
+  /** The first `refuse` or `hold` rule that matches. */
+  decide(context: PolicyContext): PolicyDecision;
+  /** Makes the weighing of one request; the product of all `weigh` rules that match an upstream. */
+  weigher(context: PolicyContext): (upstream: PolicyUpstream) => number;
+  /** Runtime errors by rule name. A rule that failed counted as no match. */
+  errorCounts(): ReadonlyMap<string, number>;
+}
+
+/** Factors are kept within these, so that a rule can't hide an upstream from measurement. */
+const SMALLEST_WEIGHT = 0.01;
+const LARGEST_WEIGHT = 100;
+const MOST_RULES = 64;
+const PASS: PolicyDecision = { type: 'pass' };
+
+type Evaluate = (context: Context) => unknown;
+
+interface CompiledRule {
+  readonly name: string;
+  readonly action: PolicyRule['action'];
+  readonly when: Evaluate;
+  /** The number that the action takes; `null` if it was left out. */
+  readonly amount: Evaluate | null;
+}
+
+interface AmountField {
+  readonly field: 'weight' | 'retryAfterSeconds' | 'holdMillis';
+  readonly required: boolean;
+}
+
+const AMOUNT_FIELDS: Readonly<Record<PolicyRule['action'], AmountField>> = {
+  weigh: { field: 'weight', required: true },
+  refuse: { field: 'retryAfterSeconds', required: false },
+  hold: { field: 'holdMillis', required: true },
+};
+
+/**
+ * Compiles the rules of a service.
+ *
+ * @throws PolicyError with a diagnostic for each wrong expression; without `source`, places count within the expression.
+ */
+export function compilePolicy(rules: readonly PolicyRule[], source?: PolicySource): PolicyProgram {
+  const compiler = new PolicyCompiler(source);
+  const compiled = rules.map((rule, index) => compiler.compileRule(rule, index));
+  if (rules.length > MOST_RULES) {
+    compiler.complain(rules[MOST_RULES] as PolicyRule, MOST_RULES, null, 0, `more than ${MOST_RULES} rules`);
+  }
+  if (compiler.diagnostics.length > 0) {
+    throw new PolicyError(compiler.diagnostics);
+  }
+  return new CelPolicyProgram(compiled as CompiledRule[]);
+}
+
+class PolicyCompiler {
+  readonly diagnostics: PolicyDiagnostic[] = [];
+  private readonly names = new Set<string>();
+
+  constructor(private readonly source: PolicySource | undefined) {}
+
+  compileRule(rule: PolicyRule, index: number): CompiledRule | undefined {
+    if (this.names.has(rule.name)) {
+      this.complain(rule, index, null, 0, 'another rule has the same name');
+    }
+    this.names.add(rule.name);
+    const when = this.compileField(rule, index, 'when', rule.when, 'bool');
+    const amount = this.compileAmount(rule, index);
+    if (when === undefined || amount === undefined) {
+      return undefined;
+    }
+    return { name: rule.name, action: rule.action, when, amount };
+  }
+
+  complain(
+    rule: PolicyRule,
+    index: number,
+    field: ExpressionField | null,
+    offset: number,
+    message: string,
+  ): void {
+    const text = field === null ? '' : (rule[field] ?? '');
+    const place = this.source?.locate(index, field, offset) ?? positionInText(text, offset);
+    this.diagnostics.push({ rule: rule.name, field, ...place, message });
+  }
+
+  /** `undefined` after a fault, `null` if the rule leaves the amount out. */
+  private compileAmount(rule: PolicyRule, index: number): Evaluate | null | undefined {
+    const { field, required } = AMOUNT_FIELDS[rule.action];
+    const text = rule[field];
+    if (text !== undefined) {
+      return this.compileField(rule, index, field, text, 'number');
+    }
+    if (required) {
+      this.complain(rule, index, null, 0, `action ${rule.action} needs ${field}`);
+      return undefined;
+    }
+    return null;
+  }
+
+  private compileField(
+    rule: PolicyRule,
+    index: number,
+    field: ExpressionField,
+    text: string,
+    expected: ExpressionType,
+  ): Evaluate | undefined {
+    const environment: Environment = rule.action === 'weigh' ? WEIGH_ENVIRONMENT : REQUEST_ENVIRONMENT;
+    const outcome = compileExpression(environment, text, expected);
+    if (outcome.type === 'compiled') {
+      return outcome.evaluate;
+    }
+    this.complain(rule, index, field, outcome.fault.offset, outcome.fault.message);
+    return undefined;
+  }
+}
+
+class CelPolicyProgram implements PolicyProgram {
+  private readonly decidingRules: readonly CompiledRule[];
+  private readonly weighRules: readonly CompiledRule[];
+  private readonly errors = new Map<string, number>();
+
+  constructor(rules: readonly CompiledRule[]) {
+    this.decidingRules = rules.filter((rule) => rule.action !== 'weigh');
+    this.weighRules = rules.filter((rule) => rule.action === 'weigh');
+  }
+
+  get hasWeighRules(): boolean {
+    return this.weighRules.length > 0;
+  }
+
+  errorCounts(): ReadonlyMap<string, number> {
+    return this.errors;
+  }
+
+  decide(context: PolicyContext): PolicyDecision {
+    if (this.decidingRules.length === 0) {
+      return PASS;
+    }
+    const celContext = celContextOf(context);
+    for (const rule of this.decidingRules) {
+      const decision = this.guard(rule, PASS, () => decideRule(rule, celContext));
+      if (decision.type !== 'pass') {
+        return decision;
+      }
+    }
+    return PASS;
+  }
+
+  weigher(context: PolicyContext): (upstream: PolicyUpstream) => number {
+    const celContext = celContextOf(context);
+    return (upstream) => {
+      const full = { ...celContext, upstream: celUpstreamOf(upstream) };
+      const factors = this.weighRules.map((rule) => this.guard(rule, 1, () => weighRule(rule, full)));
+      return factors.reduce((product, factor) => product * factor, 1);
+    };
+  }
+
+  /** A rule that fails at run time counts as no match, and is counted. */
+  private guard<Result>(rule: CompiledRule, noMatch: Result, evaluate: () => Result): Result {
+    try {
+      return evaluate();
+    } catch {
+      this.errors.set(rule.name, (this.errors.get(rule.name) ?? 0) + 1);
+      return noMatch;
+    }
+  }
+}
+
+function decideRule(rule: CompiledRule, context: Context): PolicyDecision {
+  if (rule.when(context) !== true) {
+    return PASS;
+  }
+  const amount = rule.amount === null ? null : amountOf(rule.amount, context);
+  if (rule.action === 'hold') {
+    return { type: 'hold', rule: rule.name, holdMillis: amount ?? 0 };
+  }
+  return { type: 'refuse', rule: rule.name, retryAfterMillis: amount === null ? null : amount * 1000 };
+}
+
+function weighRule(rule: CompiledRule, context: Context): number {
+  if (rule.amount === null || rule.when(context) !== true) {
+    return 1;
+  }
+  return Math.min(LARGEST_WEIGHT, Math.max(SMALLEST_WEIGHT, amountOf(rule.amount, context)));
+}
+
+/** @throws RangeError unless it is a finite number of 0 or more. */
+function amountOf(evaluate: Evaluate, context: Context): number {
+  const amount = Number(evaluate(context));
+  if (!Number.isFinite(amount) || amount < 0) {
+    throw new RangeError(`not a finite number of 0 or more: ${amount}`);
+  }
+  return amount;
+}
+
+/** Line and column of an offset in a text, both from 1. */
+export function positionInText(text: string, offset: number): PolicyPosition {
+  const before = text.slice(0, offset).split('\n');
+  return { line: before.length, column: (before[before.length - 1] ?? '').length + 1 };
+}
--- /dev/null
+++ b/src/routing/configuration-lease.ts
@@ -0,0 +1,156 @@
+/**
+ * The configuration lease and the loop that renews it. A router may start work only while a control member has
+ * confirmed, by a quorum and counted from the moment the router asked, that its configuration is the latest one.
+ */
+import type { ConfigLeaseTimings, SyncResponse } from '../control/messages.js';
+import type { Address, MonotonicMillis, Revision } from '../model/identifiers.js';
+
+/** Shortest time between two requests that were asked for out of turn. */
+const FORCED_SYNC_GAP_MILLIS = 20;
+/** Pause before the next member is asked after one that has no quorum. */
+const UNCONFIRMED_PAUSE_MILLIS = 100;
+
+/** What the loop wants done now. */
+export interface SyncAttempt {
+  readonly to: Address;
+  readonly stamp: MonotonicMillis;
+  /** Set when what the router holds can't be continued by a delta. */
+  readonly wantsSnapshot: boolean;
+}
+
+export class ConfigurationLease {
+  private validUntil = Number.NEGATIVE_INFINITY;
+  private nextSyncAt = 0;
+  private lastSentAt = Number.NEGATIVE_INFINITY;
+  private awaitingAnswer = false;
+  private memberIndex: number;
+  private wantsSnapshot = false;
+  private noticed: Revision = 0;
+  private noticedAt = Number.NEGATIVE_INFINITY;
+  /** Stamps of requests which may still renew the lease. */
+  private readonly stamps = new Set<MonotonicMillis>();
+
+  /** `firstMember` spreads the routers over the control members. */
+  constructor(
+    private readonly members: readonly Address[],
+    private readonly timings: ConfigLeaseTimings,
+    firstMember: number,
+  ) {
+    this.memberIndex = members.length === 0 ? 0 : firstMember % members.length;
+  }
+
+  /** End of the lease; `-Infinity` before the first confirmed answer. */
+  get end(): MonotonicMillis {
+    return this.validUntil;
+  }
+
+  isValid(now: MonotonicMillis): boolean {
+    return now < this.validUntil;
+  }
+
+  /** When `takeSync` has something to do next. */
+  nextAt(): MonotonicMillis {
+    return this.nextSyncAt;
+  }
+
+  /** The request to send now, if one is due. A member that did not answer the one before is left for the next. */
+  takeSync(now: MonotonicMillis): SyncAttempt | undefined {
+    if (now < this.nextSyncAt || this.members.length === 0) {
+      return undefined;
+    }
+    if (this.awaitingAnswer && now - this.lastSentAt >= this.timings.syncMillis) {
+      this.rotate();
+    }
+    this.lastSentAt = now;
+    this.awaitingAnswer = true;
+    this.nextSyncAt = now + this.timings.syncMillis;
+    this.rememberStamp(now);
+    return { to: this.currentMember(), stamp: now, wantsSnapshot: this.wantsSnapshot };
+  }
+
+  /** Asks for a sync out of turn, e.g. after a refusal which shows that the configuration is behind. */
+  requestSync(now: MonotonicMillis): void {
+    this.nextSyncAt = Math.min(this.nextSyncAt, Math.max(now, this.lastSentAt + FORCED_SYNC_GAP_MILLIS));
+  }
+
+  /** A member says that there is a revision to fetch. */
+  notice(revision: Revision, held: Revision, now: MonotonicMillis): void {
+    if (revision > this.noticed) {
+      this.noticed = revision;
+      this.noticedAt = now;
+    }
+    if (this.noticed > held) {
+      this.requestSync(now);
+    }
+  }
+
+  /** A connection to a member broke; an answer owed by it won't come. */
+  memberLost(member: Address, now: MonotonicMillis): void {
+    if (member !== this.currentMember()) {
+      return;
+    }
+    this.rotate();
+    if (this.awaitingAnswer) {
+      this.awaitingAnswer = false;
+      this.requestSync(now);
+    }
+  }
+
+  /**
+   * Takes note of an answer after what it carried was applied; `held` is the revision since then and `gap` is set when
+   * it carried a delta that didn't join on.
+   */
+  answered(response: SyncResponse, held: Revision, gap: boolean, now: MonotonicMillis): void {
+    if (response.stamp === this.lastSentAt) {
+      this.awaitingAnswer = false;
+      this.leaveUnconfirmedMember(response, now);
+    }
+    if (response.confirmed && response.stamp >= this.noticedAt) {
+      this.noticed = response.revision;
+    }
+    this.wantsSnapshot = gap;
+    if (gap || held < Math.max(response.revision, this.noticed)) {
+      this.requestSync(now);
+    }
+    this.renew(response, held, now);
+  }
+
+  private leaveUnconfirmedMember(response: SyncResponse, now: MonotonicMillis): void {
+    if (!response.confirmed) {
+      this.rotate();
+      this.nextSyncAt = Math.min(this.nextSyncAt, now + UNCONFIRMED_PAUSE_MILLIS);
+    }
+  }
+
+  private renew(response: SyncResponse, held: Revision, now: MonotonicMillis): void {
+    if (!response.confirmed || held < response.revision || response.stamp > now) {
+      return;
+    }
+    if (!this.stamps.has(response.stamp)) {
+      return;
+    }
+    this.validUntil = Math.max(this.validUntil, response.stamp + this.span());
+  }
+
+  /** The control side counts on its own clock, so the router's may be slow by the allowed error. */
+  private span(): number {
+    return this.timings.configLeaseMillis * (1 - this.timings.clockRateError);
+  }
+
+  private rememberStamp(now: MonotonicMillis): void {
+    for (const stamp of this.stamps) {
+      if (now - stamp > this.timings.configLeaseMillis) {
+        this.stamps.delete(stamp);
+      }
+    }
+    this.stamps.add(now);
+  }
+
+  private currentMember(): Address {
+    return this.members[this.memberIndex] as Address;
+  }
+
+  private rotate(): void {
+    this.memberIndex = (this.memberIndex + 1) % Math.max(1, this.members.length);
+  }
+}
--- /dev/null
+++ b/src/routing/configuration-updates.ts
@@ -0,0 +1,121 @@
+/** Carries changes of the configuration into the router's own state. */
+import type { UpstreamId } from '../model/identifiers.js';
+import { parseShardId } from '../model/identifiers.js';
+import type { RegistryChange, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
+import type { Dispatcher } from './dispatcher.js';
+import type { PickerName } from './picker/picker.js';
+import type { RequestIntake } from './request-intake.js';
+import type { RouterContext } from './router-context.js';
+import { ServiceState } from './service-state.js';
+import { UpstreamState } from './upstream-state.js';
+
+const DEFAULT_PICKER: PickerName = 'least-work';
+
+export class ConfigurationUpdates {
+  /** Upstreams of the first snapshot were there before this router: they aren't cold. */
+  private firstSnapshot = true;
+
+  constructor(
+    private readonly context: RouterContext,
+    private readonly dispatcher: Dispatcher,
+    private readonly intake: RequestIntake,
+  ) {}
+
+  /** Applies changes that the view holds already, then sends what may go now. */
+  apply(changes: readonly RegistryChange[]): void {
+    const remapped = new Set<ServiceState>();
+    for (const change of changes) {
+      if (change.type === 'service') {
+        this.applyService(change.name, change.record, remapped);
+      } else if (change.type === 'upstream') {
+        this.applyUpstream(change.id, change.record);
+      } else {
+        this.applyShard(change.shard, change.record);
+      }
+    }
+    this.firstSnapshot = false;
+    for (const service of remapped) {
+      this.dispatcher.relocate(service);
+    }
+    for (const service of this.context.services.values()) {
+      this.dispatcher.drainService(service);
+    }
+  }
+
+  private applyService(name: string, record: ServiceRecord | null, remapped: Set<ServiceState>): void {
+    const { services } = this.context;
+    const service = services.get(name);
+    if (record === null) {
+      this.removeService(service);
+      return;
+    }
+    if (service === undefined) {
+      this.addService(record);
+      return;
+    }
+    if (service.update(record)) {
+      remapped.add(service);
+    }
+  }
+
+  private addService(record: ServiceRecord): void {
+    const service = new ServiceState(record, this.context.config.picker ?? DEFAULT_PICKER);
+    this.context.services.set(service.name, service);
+    for (const upstream of this.context.view.upstreamsOf(service.name)) {
+      this.attach(upstream, service);
+    }
+  }
+
+  private removeService(service: ServiceState | undefined): void {
+    if (service === undefined) {
+      return;
+    }
+    this.context.services.delete(service.name);
+    this.intake.refuseWaiting(service, 'unknown-service');
+    for (const upstream of service.upstreams) {
+      this.context.upstreams.delete(upstream.id);
+    }
+  }
+
+  private applyUpstream(id: UpstreamId, record: UpstreamRecord | null): void {
+    const state = this.context.upstreams.get(id);
+    if (state !== undefined && record?.definition.service === state.record.definition.service) {
+      state.update(record, this.context.now);
+      return;
+    }
+    if (state !== undefined) {
+      this.detach(state);
+    }
+    const service = record === null ? undefined : this.context.services.get(record.definition.service);
+    if (record !== null && service !== undefined) {
+      this.attach(record, service);
+    }
+  }
+
+  private attach(record: UpstreamRecord, service: ServiceState): void {
+    const { now, upstreams } = this.context;
+    if (upstreams.has(record.definition.id)) {
+      return;
+    }
+    const coldSince = this.firstSnapshot ? Number.NEGATIVE_INFINITY : now;
+    const state = new UpstreamState(record, service.definition.slotsPerUpstream, coldSince);
+    upstreams.set(state.id, state);
+    service.addUpstream(state);
+  }
+
+  /** Attempts in flight there go on; nothing new is sent. */
+  private detach(state: UpstreamState): void {
+    this.context.upstreams.delete(state.id);
+    this.context.services.get(state.record.definition.service)?.removeUpstream(state.id);
+  }
+
+  private applyShard(shard: string, record: ShardRecord | null): void {
+    const parts = parseShardId(shard);
+    const service = parts === undefined ? undefined : this.context.services.get(parts.service);
+    const lane = service?.lanes.find(shard);
+    if (service !== undefined && lane !== undefined) {
+      service.lanes.reassign(lane, record?.owner ?? null);
+      lane.resume();
+    }
+  }
+}
--- /dev/null
+++ b/src/routing/configuration-view.ts
@@ -0,0 +1,137 @@
+/**
+ * The router's copy of the configuration: services, upstreams and owners of shards at one revision.
+ * It never goes back to a lower revision, whatever order answers arrive in.
+ */
+import type { KeyMap } from '../lease/types.js';
+import type { Revision, ServiceName, ShardId, UpstreamId } from '../model/identifiers.js';
+import { shardOfKey } from '../model/key-map.js';
+import type {
+  RegistryChange,
+  RoutingDelta,
+  RoutingSnapshot,
+  ServiceRecord,
+  ShardRecord,
+  UpstreamRecord,
+} from '../registry/types.js';
+
+export type ApplyOutcome =
+  /** The view is at a new revision; `changes` says what differs from before. */
+  | { readonly type: 'applied'; readonly changes: readonly RegistryChange[] }
+  /** Nothing newer than what the view holds. */
+  | { readonly type: 'not-newer' }
+  /** The delta begins after the view's revision: only a snapshot helps. */
+  | { readonly type: 'gap' };
+
+const NOT_NEWER: ApplyOutcome = { type: 'not-newer' };
+
+export class ConfigurationView {
+  private held: Revision = 0;
+  private readonly services = new Map<ServiceName, ServiceRecord>();
+  private readonly keyMaps = new Map<ServiceName, KeyMap>();
+  private readonly upstreams = new Map<UpstreamId, UpstreamRecord>();
+  private readonly shards = new Map<ShardId, ShardRecord>();
+
+  /** Revision held; 0 before the first snapshot. */
+  get revision(): Revision {
+    return this.held;
+  }
+
+  service(name: ServiceName): ServiceRecord | undefined {
+    return this.services.get(name);
+  }
+
+  upstream(id: UpstreamId): UpstreamRecord | undefined {
+    return this.upstreams.get(id);
+  }
+
+  /** Upstreams of a service. */
+  upstreamsOf(service: ServiceName): UpstreamRecord[] {
+    return [...this.upstreams.values()].filter((record) => record.definition.service === service);
+  }
+
+  /** Who owns a shard; `undefined` if it was never granted. */
+  shard(shard: ShardId): ShardRecord | undefined {
+    return this.shards.get(shard);
+  }
+
+  /** The shard which takes a key of a service; `undefined` if none does. */
+  shardOfKey(service: ServiceName, key: string): ShardId | undefined {
+    const keyMap = this.keyMaps.get(service);
+    return keyMap === undefined ? undefined : shardOfKey(keyMap, key);
+  }
+
+  /** Takes over a snapshot if it is newer. */
+  applySnapshot(snapshot: RoutingSnapshot): ApplyOutcome {
+    if (snapshot.revision <= this.held) {
+      return NOT_NEWER;
+    }
+    const changes = this.changesTo(snapshot);
+    this.applyChanges(changes);
+    this.held = snapshot.revision;
+    return { type: 'applied', changes };
+  }
+
+  /** Takes over a delta that begins at or before the held revision and ends after it. */
+  applyDelta(delta: RoutingDelta): ApplyOutcome {
+    if (delta.to <= this.held) {
+      return NOT_NEWER;
+    }
+    if (delta.from > this.held || this.held === 0) {
+      return { type: 'gap' };
+    }
+    this.applyChanges(delta.changes);
+    this.held = delta.to;
+    return { type: 'applied', changes: delta.changes };
+  }
+
+  private changesTo(snapshot: RoutingSnapshot): RegistryChange[] {
+    const serviceNames = new Set(snapshot.services.map((record) => record.definition.name));
+    const upstreamIds = new Set(snapshot.upstreams.map((record) => record.definition.id));
+    const shardIds = new Set(snapshot.shards.map((record) => record.shard));
+    const goneServices = [...this.services.keys()].filter((name) => !serviceNames.has(name));
+    const goneUpstreams = [...this.upstreams.keys()].filter((id) => !upstreamIds.has(id));
+    const goneShards = [...this.shards.keys()].filter((shard) => !shardIds.has(shard));
+    return [
+      ...goneServices.map((name): RegistryChange => ({ type: 'service', name, record: null })),
+      ...goneUpstreams.map((id): RegistryChange => ({ type: 'upstream', id, record: null })),
+      ...goneShards.map((shard): RegistryChange => ({ type: 'shard', shard, record: null })),
+      ...snapshot.services.map(
+        (record): RegistryChange => ({ type: 'service', name: record.definition.name, record }),
+      ),
+      ...snapshot.upstreams.map(
+        (record): RegistryChange => ({ type: 'upstream', id: record.definition.id, record }),
+      ),
+      ...snapshot.shards.map((record): RegistryChange => ({ type: 'shard', shard: record.shard, record })),
+    ];
+  }
+
+  private applyChanges(changes: readonly RegistryChange[]): void {
+    for (const change of changes) {
+      if (change.type === 'service') {
+        this.applyService(change.name, change.record);
+      } else if (change.type === 'upstream') {
+        put(this.upstreams, change.id, change.record);
+      } else {
+        put(this.shards, change.shard, change.record);
+      }
+    }
+  }
+
+  private applyService(name: ServiceName, record: ServiceRecord | null): void {
+    put(this.services, name, record);
+    if (record === null || !record.definition.keyed) {
+      this.keyMaps.delete(name);
+      return;
+    }
+    const { generation, definition } = record;
+    this.keyMaps.set(name, { service: name, generation, keyspaces: definition.keyspaces });
+  }
+}
+
+function put<Key, Value>(map: Map<Key, Value>, key: Key, value: Value | null): void {
+  if (value === null) {
+    map.delete(key);
+  } else {
+    map.set(key, value);
+  }
+}
--- /dev/null
+++ b/src/routing/lane-table.ts
@@ -0,0 +1,156 @@
+/**
+ * Waiting work of one service. A keyed service has a lane for each shard with work waiting, filed under the shard's owner;
+ * one that isn't keyed has a single lane.
+ */
+import type { ShardId, UpstreamId } from '../model/identifiers.js';
+import { LinkedQueue } from './linked-queue.js';
+import type { Work } from './work.js';
+
+/** First and longest pause of a lane whose owner turned a request away. */
+const FIRST_PAUSE_MILLIS = 20;
+const LONGEST_PAUSE_MILLIS = 200;
+
+export class Lane {
+  readonly queue = new LinkedQueue<Work>();
+  owner: UpstreamId | null = null;
+  private pausedUntil = Number.NEGATIVE_INFINITY;
+  private nextPause = FIRST_PAUSE_MILLIS;
+
+  /** `shard`: `null` for the single lane of a service that isn't keyed. */
+  constructor(readonly shard: ShardId | null) {}
+
+  isPaused(now: number): boolean {
+    return now < this.pausedUntil;
+  }
+
+  /** The owner turned a request away or can't be reached: wait a little longer each time. */
+  pause(now: number): void {
+    this.pausedUntil = now + this.nextPause;
+    this.nextPause = Math.min(LONGEST_PAUSE_MILLIS, this.nextPause * 2);
+  }
+
+  /** The owner changed or served a request. */
+  resume(): void {
+    this.pausedUntil = Number.NEGATIVE_INFINITY;
+    this.nextPause = FIRST_PAUSE_MILLIS;
+  }
+}
+
+/** Lanes without an owner are filed under this. */
+const NO_OWNER = '';
+
+export class LaneTable {
+  private readonly lanes = new Map<ShardId | null, Lane>();
+  private readonly waiting = new Map<UpstreamId, Set<Lane>>();
+  private readonly queuedFor = new Map<UpstreamId, number>();
+  private count = 0;
+
+  /** Work that waits in all lanes. */
+  get length(): number {
+    return this.count;
+  }
+
+  /** The lane of a shard, if it has one. */
+  find(shard: ShardId | null): Lane | undefined {
+    return this.lanes.get(shard);
+  }
+
+  /** The lane of a shard, made if need be. `owner` counts for a new lane. */
+  obtain(shard: ShardId | null, owner: UpstreamId | null): Lane {
+    let lane = this.lanes.get(shard);
+    if (lane === undefined) {
+      lane = new Lane(shard);
+      lane.owner = owner;
+      this.lanes.set(shard, lane);
+    }
+    return lane;
+  }
+
+  /** Work waiting for one owner. */
+  lengthFor(owner: UpstreamId | null): number {
+    return this.queuedFor.get(owner ?? NO_OWNER) ?? 0;
+  }
+
+  enqueue(lane: Lane, work: Work, place: 'front' | 'back'): void {
+    work.lane = lane;
+    work.node = place === 'front' ? lane.queue.pushFront(work) : lane.queue.pushBack(work);
+    this.count += 1;
+    this.addQueued(lane.owner, 1);
+    if (lane.queue.length === 1) {
+      this.waitingSet(lane.owner).add(lane);
+    }
+  }
+
+  remove(work: Work): void {
+    const { lane, node } = work;
+    if (lane === null || node === null) {
+      return;
+    }
+    lane.queue.remove(node);
+    work.lane = null;
+    work.node = null;
+    this.count -= 1;
+    this.addQueued(lane.owner, -1);
+    if (lane.queue.length === 0) {
+      this.waitingSet(lane.owner).delete(lane);
+    }
+  }
+
+  /** Files a lane under its shard's new owner. */
+  reassign(lane: Lane, owner: UpstreamId | null): void {
+    if (lane.queue.length > 0) {
+      this.waitingSet(lane.owner).delete(lane);
+      this.addQueued(lane.owner, -lane.queue.length);
+      this.waitingSet(owner).add(lane);
+      this.addQueued(owner, lane.queue.length);
+    }
+    lane.owner = owner;
+  }
+
+  /** Drops empty lanes that aren't paused. */
+  prune(now: number): void {
+    for (const lane of this.lanes.values()) {
+      if (lane.queue.length === 0 && !lane.isPaused(now)) {
+        this.lanes.delete(lane.shard);
+      }
+    }
+  }
+
+  /** Lanes of one owner with work waiting, the one that was served longest ago first. */
+  waitingFor(owner: UpstreamId | null): Lane[] {
+    return [...this.waitingSet(owner)];
+  }
+
+  /** Moves a lane behind the others of its owner. */
+  rotate(lane: Lane): void {
+    const set = this.waitingSet(lane.owner);
+    if (set.delete(lane)) {
+      set.add(lane);
+    }
+  }
+
+  /** All lanes with work waiting. */
+  allWaiting(): Lane[] {
+    return [...this.lanes.values()].filter((lane) => lane.queue.length > 0);
+  }
+
+  /** All work that waits, lane by lane. */
+  allWork(): Work[] {
+    return this.allWaiting().flatMap((lane) => lane.queue.toArray());
+  }
+
+  private waitingSet(owner: UpstreamId | null): Set<Lane> {
+    const name = owner ?? NO_OWNER;
+    let set = this.waiting.get(name);
+    if (set === undefined) {
+      set = new Set();
+      this.waiting.set(name, set);
+    }
+    return set;
+  }
+
+  private addQueued(owner: UpstreamId | null, difference: number): void {
+    const name = owner ?? NO_OWNER;
+    this.queuedFor.set(name, (this.queuedFor.get(name) ?? 0) + difference);
+  }
+}
--- /dev/null
+++ b/src/routing/leaving-table.ts
@@ -0,0 +1,89 @@
+/**
+ * When an upstream counts as leaving. The operator's word is final. What this router saw itself comes next, while it is
+ * fresh; the platform's list and health checks lag or mislead, so they are hints which age.
+ */
+
+/** `usable`: pick freely. `suspect`: only if no usable one is left. `leaving`: no new work. */
+export type Standing = 'usable' | 'suspect' | 'leaving';
+
+/** A success of this router's own on an upstream speaks for it this long. */
+export const FRESH_SUCCESS_MILLIS = 2000;
+/** A refusal with `draining` speaks against it this long. */
+export const FRESH_DRAINING_MILLIS = 5000;
+/** A hint of the platform or of a probe holds this long unless it is repeated. */
+export const HINT_LIFETIME_MILLIS = 15_000;
+
+/** The columns of the table. */
+export interface StandingFacts {
+  readonly operatorLeaving: boolean;
+  /** The upstream's own fence said `draining` lately, and nothing succeeded since. */
+  readonly ownDraining: boolean;
+  /** A request of this router's own succeeded lately. */
+  readonly ownSuccess: boolean;
+  readonly platformLeaving: boolean;
+  readonly probeUnhealthy: boolean;
+}
+
+/**
+ * The table, first row that fits:
+ *
+ * | operator | own draining | platform or probe against it | own success | standing |
+ * | yes      | -            | -                            | -           | leaving  |
+ * | no       | yes          | -                            | -           | leaving  |
+ * | no       | no           | yes, the platform            | no          | leaving  |
+ * | no       | no           | yes, either                  | any other   | suspect  |
+ * | no       | no           | no                           | -           | usable   |
+ *
+ * A suspect is avoided while others are usable, so its successes age and a true hint takes hold within seconds.
+ */
+export function standingOf(facts: StandingFacts): Standing {
+  if (facts.operatorLeaving || facts.ownDraining) {
+    return 'leaving';
+  }
+  if (facts.platformLeaving && !facts.ownSuccess) {
+    return 'leaving';
+  }
+  return facts.platformLeaving || facts.probeUnhealthy ? 'suspect' : 'usable';
+}
+
+/** Evidence about one upstream, with its age. */
+export class StandingEvidence {
+  operatorLeaving = false;
+  private successAt = Number.NEGATIVE_INFINITY;
+  private drainingAt = Number.NEGATIVE_INFINITY;
+  private platformLeavingAt = Number.NEGATIVE_INFINITY;
+  private unhealthyAt = Number.NEGATIVE_INFINITY;
+
+  succeeded(now: number): void {
+    this.successAt = now;
+  }
+
+  refusedAsDraining(now: number): void {
+    this.drainingAt = now;
+  }
+
+  platformSays(leaving: boolean, now: number): void {
+    this.platformLeavingAt = leaving ? now : Number.NEGATIVE_INFINITY;
+  }
+
+  probeSays(healthy: boolean, now: number): void {
+    this.unhealthyAt = healthy ? Number.NEGATIVE_INFINITY : now;
+  }
+
+  /** A new incarnation: what was seen of the one before says nothing about it. */
+  forget(): void {
+    this.successAt = Number.NEGATIVE_INFINITY;
+    this.drainingAt = Number.NEGATIVE_INFINITY;
+    this.unhealthyAt = Number.NEGATIVE_INFINITY;
+  }
+
+  standing(now: number): Standing {
+    return standingOf({
+      operatorLeaving: this.operatorLeaving,
+      ownDraining: now - this.drainingAt < FRESH_DRAINING_MILLIS && this.drainingAt >= this.successAt,
+      ownSuccess: now - this.successAt < FRESH_SUCCESS_MILLIS,
+      platformLeaving: now - this.platformLeavingAt < HINT_LIFETIME_MILLIS,
+      probeUnhealthy: now - this.unhealthyAt < HINT_LIFETIME_MILLIS,
+    });
+  }
+}
--- /dev/null
+++ b/src/routing/outcome-table.ts
@@ -0,0 +1,61 @@
+/** What is said of requests that the router answers itself: the outcome and the HTTP status. */
+import type { Outcome } from '../model/outcome.js';
+import type { RefusalReason } from './types.js';
+
+/**
+ * What the ledger said of the caller's idempotency key.
+ * `not-needed`: the request may be repeated or carries no key. `silent`: nothing yet, so another arrival of the same
+ * key may have run on some router. `granted`: nothing ran under this key before. `other-request`: the key stands for
+ * another request, which this one is not.
+ */
+export type LedgerWord = 'not-needed' | 'silent' | 'granted' | 'other-request';
+
+/** Everything that the outcome depends on. */
+export interface OutcomeFacts {
+  readonly ledger: LedgerWord;
+  /** An attempt is in flight, or one ended without proof that it did not run. */
+  readonly mayHaveRun: boolean;
+}
+
+/**
+ * The table:
+ *
+ * | may have run | ledger                                | outcome |
+ * | yes          | -                                     | unknown |
+ * | no           | not-needed, granted or other-request  | not-run |
+ * | no           | silent                                | unknown |
+ *
+ * The last row: a caller that resends an order whose first answer was lost means the order, not this one arrival of it.
+ * Telling it `not-run` because this router could not reach the ledger would be false if the first arrival ran.
+ */
+export function outcomeOf(facts: OutcomeFacts): Outcome {
+  return facts.mayHaveRun || facts.ledger === 'silent' ? 'unknown' : 'not-run';
+}
+
+const STATUS_OF_REASON: Readonly<Record<RefusalReason, number>> = {
+  'no-configuration': 503,
+  'unknown-service': 404,
+  'key-required': 400,
+  'idempotency-key-required': 400,
+  'idempotency-key-mismatch': 422,
+  'idempotency-key-expired': 409,
+  'still-running': 409,
+  'outcome-unknown': 409,
+  'ledger-unavailable': 503,
+  'no-owner': 503,
+  'no-upstream': 503,
+  'queue-full': 503,
+  'would-miss-deadline': 503,
+  'deadline-passed': 504,
+  'policy-refused': 429,
+  'upstream-failed': 503,
+  'retry-budget-spent': 503,
+};
+
+const BAD_GATEWAY = 502;
+
+/** HTTP status of a refusal. What may have run on an upstream is never a plain 503, which clients resend freely. */
+export function statusOf(reason: RefusalReason, mayHaveRun: boolean): number {
+  const status = STATUS_OF_REASON[reason];
+  return mayHaveRun && status === 503 ? BAD_GATEWAY : status;
+}
--- /dev/null
+++ b/src/routing/picker/create-picker.ts
@@ -0,0 +1,15 @@
+/** Makes a picker by name. */
+import { LeastInFlightPicker } from './least-in-flight-picker.js';
+import { LeastWorkPicker } from './least-work-picker.js';
+import type { Picker, PickerName } from './picker.js';
+import { RoundRobinPicker } from './round-robin-picker.js';
+
+const PICKERS: Readonly<Record<PickerName, () => Picker>> = {
+  'least-work': () => new LeastWorkPicker(),
+  'least-in-flight': () => new LeastInFlightPicker(),
+  'round-robin': () => new RoundRobinPicker(),
+};
+
+export function createPicker(name: PickerName): Picker {
+  return PICKERS[name]();
+}
--- /dev/null
+++ b/src/routing/picker/picker.ts
@@ -0,0 +1,23 @@
+/** How an upstream is picked for a request that any of them can serve. */
+import type { Zone } from '../../model/identifiers.js';
+import type { Random } from '../random.js';
+import type { UpstreamState } from '../upstream-state.js';
+
+export interface PickContext {
+  /** Those that may take a request now; never empty. */
+  readonly candidates: readonly UpstreamState[];
+  /** Zone of this router. */
+  readonly zone: Zone;
+  readonly now: number;
+  readonly random: Random;
+  /** Factor of the service's policy on an upstream's cost; 1 for none. */
+  weigh(upstream: UpstreamState): number;
+}
+
+/** Picks one of the candidates. Pickers keep only what they need between picks of one service. */
+export interface Picker {
+  pick(context: PickContext): UpstreamState;
+}
+
+export const PICKER_NAMES = ['least-work', 'least-in-flight', 'round-robin'] as const;
+export type PickerName = (typeof PICKER_NAMES)[number];
--- /dev/null
+++ b/src/routing/picker/round-robin-picker.ts
@@ -0,0 +1,13 @@
+/** Each in turn; a baseline to measure against. */
+import type { UpstreamState } from '../upstream-state.js';
+import type { PickContext, Picker } from './picker.js';
+
+export class RoundRobinPicker implements Picker {
+  private turn = 0;
+
+  pick(context: PickContext): UpstreamState {
+    const index = this.turn % context.candidates.length;
+    this.turn += 1;
+    return context.candidates[index] as UpstreamState;
+  }
+}
--- /dev/null
+++ b/src/routing/policy-input.ts
@@ -0,0 +1,36 @@
+/** The variables of a policy program, taken from the router's state. */
+import type { PolicyContext, PolicyUpstream } from '../policy/index.js';
+import type { RouterContext } from './router-context.js';
+import type { UpstreamState } from './upstream-state.js';
+import type { Work } from './work.js';
+
+/** Variables of one request of a work. */
+export function policyContextOf(work: Work, context: RouterContext): PolicyContext {
+  const { service, request } = work;
+  const { definition } = service;
+  return {
+    request: {
+      class: definition.priority,
+      method: request.method,
+      key: request.key ?? '',
+      service: definition.name,
+      attempt: work.attempts + 1,
+    },
+    queue: { length: service.waitingLength, limit: definition.queueLimit },
+    load: service.inFlight / Math.max(1, service.totalSlots(context.now)),
+    zone: context.config.zone,
+    deadline: { remainingMillis: work.deadline - context.now },
+  };
+}
+
+/** Variables of one upstream. */
+export function policyUpstreamOf(upstream: UpstreamState, now: number): PolicyUpstream {
+  return {
+    id: upstream.id,
+    zone: upstream.zone,
+    inFlight: upstream.inFlight,
+    slots: upstream.slotLimit.slots,
+    load: upstream.load(now),
+    serviceMillis: upstream.serviceMillis,
+  };
+}
--- /dev/null
+++ b/src/routing/request-intake.ts
@@ -0,0 +1,226 @@
+/** A request's way from its arrival to the dispatcher: checks, joining, the ledger, policy. */
+import type { ClaimResult, StoredAnswer } from '../ledger/types.js';
+import type { PolicyDecision } from '../policy/index.js';
+import type { Answers } from './answers.js';
+import type { ClaimFlow, ClaimListener } from './claim-flow.js';
+import type { Dispatcher } from './dispatcher.js';
+import type { LedgerWord } from './outcome-table.js';
+import { policyContextOf } from './policy-input.js';
+import { retryAfterMillis } from './retry-after.js';
+import type { RouterContext } from './router-context.js';
+import type { ServiceState } from './service-state.js';
+import type { ArrivedRequest, RefusalReason } from './types.js';
+import { type Member, Work } from './work.js';
+
+/** How often the policy is asked again about a request that it holds. */
+const POLICY_RECHECK_MILLIS = 50;
+/** What is said when the ledger knows that it ran but kept no answer. */
+const ANSWER_NOT_KEPT: StoredAnswer = { status: 200, contentType: '', body: '', truncated: true };
+
+export class RequestIntake implements ClaimListener {
+  constructor(
+    private readonly context: RouterContext,
+    private readonly dispatcher: Dispatcher,
+    private readonly answers: Answers,
+    private readonly claims: ClaimFlow,
+  ) {
+    claims.listen(this);
+  }
+
+  arrive(request: ArrivedRequest): void {
+    const { context } = this;
+    const service = context.services.get(request.service);
+    if (!context.lease.isValid(context.now)) {
+      const wait = this.dispatcher.unmeasuredRetryAfter();
+      this.answers.refuseArrival(request, 'no-configuration', ledgerWordOf(request, undefined), wait);
+      return;
+    }
+    const fault = service === undefined ? 'unknown-service' : this.faultOf(request, service);
+    if (service === undefined || fault !== undefined) {
+      this.answers.refuseArrival(request, fault as RefusalReason, ledgerWordOf(request, service), null);
+      return;
+    }
+    const key = coalesceKeyOf(request, service);
+    const joined = key === null ? undefined : service.joinable.get(key);
+    if (joined !== undefined) {
+      this.join(joined, request);
+      return;
+    }
+    const work = new Work(service);
+    this.addMember(work, request);
+    this.makeJoinable(work, key);
+    this.begin(work);
+  }
+
+  claimGranted(work: Work): void {
+    work.service.claiming.delete(work);
+    this.applyPolicy(work);
+  }
+
+  claimDenied(work: Work, result: ClaimResult): void {
+    switch (result.type) {
+      case 'duplicate':
+        this.answerDuplicate(work, result.record.state, result.record.answer);
+        return;
+      case 'mismatch':
+        work.ledger = 'other-request';
+        this.answers.refuseWork(work, 'idempotency-key-mismatch', null);
+        return;
+      case 'expired':
+        this.answers.refuseWork(work, 'idempotency-key-expired', null);
+        return;
+      case 'unknown-service':
+        this.answers.refuseWork(work, 'unknown-service', null);
+        return;
+      default:
+        this.answers.refuseWork(work, 'ledger-unavailable', this.dispatcher.unmeasuredRetryAfter());
+    }
+  }
+
+  claimTimedOut(work: Work): void {
+    this.answers.refuseWork(work, 'ledger-unavailable', this.dispatcher.unmeasuredRetryAfter());
+  }
+
+  /** Asks the policy again about a request that it holds. */
+  recheckPolicy(work: Work): void {
+    work.holdTimer = null;
+    work.service.held.delete(work);
+    this.applyPolicy(work);
+  }
+
+  /** Answers all that wait, once the configuration can't be trusted any more. */
+  refuseWaiting(service: ServiceState, reason: RefusalReason): void {
+    const waiting = [...service.lanes.allWork(), ...service.held, ...service.claiming];
+    for (const work of waiting) {
+      this.answers.refuseWork(work, reason, this.dispatcher.unmeasuredRetryAfter());
+    }
+  }
+
+  private faultOf(request: ArrivedRequest, service: ServiceState): RefusalReason | undefined {
+    const { keyed, repeatable, name, queueLimit } = service.definition;
+    const hasShard = request.key !== null && this.context.view.shardOfKey(name, request.key) !== undefined;
+    if (keyed && !hasShard) {
+      return 'key-required';
+    }
+    if (!repeatable && request.idempotency === null) {
+      return 'idempotency-key-required';
+    }
+    if (request.deadlineMillis !== null && request.deadlineMillis <= 0) {
+      return 'deadline-passed';
+    }
+    const claimLimit = queueLimit + service.totalSlots(this.context.now);
+    return service.claiming.size > claimLimit ? 'queue-full' : undefined;
+  }
+
+  private addMember(work: Work, request: ArrivedRequest): void {
+    const { now } = this.context;
+    const ownMillis = work.service.definition.deadlineMillis;
+    const deadline = now + Math.min(ownMillis, request.deadlineMillis ?? ownMillis);
+    const member: Member = { request, work, deadline, deadlineTimer: null };
+    member.deadlineTimer = this.context.schedule(deadline, { type: 'deadline', member });
+    work.members.push(member);
+    this.context.members.set(request.request, member);
+  }
+
+  private makeJoinable(work: Work, key: string | null): void {
+    if (key !== null) {
+      work.coalesceKey = key;
+      work.service.joinable.set(key, work);
+    }
+  }
+
+  /** A policy may still refuse a read that could share an attempt; a hold was decided for the one it joins. */
+  private join(work: Work, request: ArrivedRequest): void {
+    this.addMember(work, request);
+    const member = work.members[work.members.length - 1] as Member;
+    const decision = this.decide(work);
+    if (decision.type === 'refuse') {
+      this.answers.refuse(member, 'policy-refused', this.policyRetryAfter(work, decision.retryAfterMillis));
+    }
+  }
+
+  private begin(work: Work): void {
+    const { idempotency } = work.request;
+    if (work.service.definition.repeatable || idempotency === null) {
+      this.applyPolicy(work);
+      return;
+    }
+    // The ledger comes first: a refusal after the grant can truly say that the order did not run.
+    work.phase = 'claiming';
+    work.service.claiming.add(work);
+    this.claims.ask(work, idempotency);
+  }
+
+  private applyPolicy(work: Work): void {
+    const decision = this.decide(work);
+    if (decision.type === 'refuse') {
+      const wait = this.policyRetryAfter(work, decision.retryAfterMillis);
+      this.answers.refuseWork(work, 'policy-refused', wait);
+      return;
+    }
+    if (decision.type === 'hold' && this.mayHold(work, decision.holdMillis)) {
+      this.hold(work);
+      return;
+    }
+    work.phase = 'new';
+    this.dispatcher.admit(work);
+  }
+
+  private decide(work: Work): PolicyDecision {
+    const { policy } = work.service;
+    return policy === null ? { type: 'pass' } : policy.decide(policyContextOf(work, this.context));
+  }
+
+  /** A hold counts from the first time that the policy asked for it, whatever it says later. */
+  private mayHold(work: Work, holdMillis: number): boolean {
+    const { now } = this.context;
+    const { holdLimitMillis, queueLimit } = work.service.definition;
+    work.holdUntil = Math.min(work.holdUntil, now + holdLimitMillis);
+    work.policyHoldUntil ??= Math.min(work.holdUntil, now + holdMillis);
+    return now < work.policyHoldUntil && work.service.waitingLength < queueLimit;
+  }
+
+  private hold(work: Work): void {
+    const { now } = this.context;
+    work.phase = 'held';
+    work.service.held.add(work);
+    const recheckAt = Math.min(work.policyHoldUntil ?? now, now + POLICY_RECHECK_MILLIS);
+    work.holdTimer = this.context.schedule(recheckAt, { type: 'policy-recheck', work });
+  }
+
+  private policyRetryAfter(work: Work, asked: number | null): number {
+    if (asked === null) {
+      return this.dispatcher.retryAfter(work.service);
+    }
+    return retryAfterMillis(asked, this.context.random);
+  }
+
+  private answerDuplicate(
+    work: Work,
+    state: 'running' | 'ran' | 'unknown',
+    answer: StoredAnswer | null,
+  ): void {
+    if (state === 'ran') {
+      this.answers.deliverStored(work, answer ?? ANSWER_NOT_KEPT);
+    } else if (state === 'running') {
+      this.answers.refuseWork(work, 'still-running', this.dispatcher.unmeasuredRetryAfter());
+    } else {
+      this.answers.refuseWork(work, 'outcome-unknown', null);
+    }
+  }
+}
+
+/** A key may have been used on another router before, unless its service is known not to need the ledger. */
+function ledgerWordOf(request: ArrivedRequest, service: ServiceState | undefined): LedgerWord {
+  const repeatable = service?.definition.repeatable ?? false;
+  return request.idempotency === null || repeatable ? 'not-needed' : 'silent';
+}
+
+/** Only reads that carry no key of their own are alike. */
+function coalesceKeyOf(request: ArrivedRequest, service: ServiceState): string | null {
+  const { coalesce, repeatable } = service.definition;
+  if (!coalesce || !repeatable || request.method !== 'GET' || request.idempotency !== null) {
+    return null;
+  }
+  return `${request.key ?? ''}\n${request.target}`;
+}
--- /dev/null
+++ b/src/routing/retry-after.ts
@@ -0,0 +1,15 @@
+/** How long a refused caller is told to wait. Always jittered, so that those refused together don't return together. */
+import type { Random } from './random.js';
+
+const SHORTEST_MILLIS = 100;
+const LONGEST_MILLIS = 30_000;
+const JITTER_SHARE = 0.25;
+
+/** Used where nothing is measured: an owner or a configuration is on its way. */
+export const UNMEASURED_RETRY_MILLIS = 1000;
+
+/** Bounds and jitters a wait in milliseconds. */
+export function retryAfterMillis(wait: number, random: Random): number {
+  const bounded = Math.min(LONGEST_MILLIS, Math.max(SHORTEST_MILLIS, wait));
+  return Math.round(random.jitter(bounded, JITTER_SHARE));
+}
--- /dev/null
+++ b/src/routing/router-context.ts
@@ -0,0 +1,66 @@
+/** What the parts of a router share: its state, the present instant and the effects of the step under way. */
+import type { UpstreamId, WallMillis } from '../model/identifiers.js';
+import { ConfigurationLease } from './configuration-lease.js';
+import { ConfigurationView } from './configuration-view.js';
+import { LeaderGuess } from './leader-guess.js';
+import { LoadReporter } from './load-reporter.js';
+import { Random } from './random.js';
+import type { RouterTimer, TimerSubject } from './router-timer.js';
+import type { ServiceState } from './service-state.js';
+import { TimerHeap } from './timer-heap.js';
+import type { AttemptNumber, RequestNumber, RouterConfig, RouterEffect } from './types.js';
+import type { UpstreamState } from './upstream-state.js';
+import type { Attempt, Member } from './work.js';
+
+export class RouterContext {
+  readonly view = new ConfigurationView();
+  readonly lease: ConfigurationLease;
+  readonly leader: LeaderGuess;
+  readonly random: Random;
+  readonly reporter: LoadReporter;
+  readonly timers = new TimerHeap<TimerSubject>();
+  readonly services = new Map<string, ServiceState>();
+  readonly upstreams = new Map<UpstreamId, UpstreamState>();
+  readonly attempts = new Map<AttemptNumber, Attempt>();
+  readonly members = new Map<RequestNumber, Member>();
+  now = 0;
+  wall: WallMillis = 0;
+  private effects: RouterEffect[] = [];
+
+  constructor(readonly config: RouterConfig) {
+    this.random = new Random(config.seed);
+    const { control, configLease } = config;
+    this.lease = new ConfigurationLease(control, configLease, this.random.below(control.length));
+    this.leader = new LeaderGuess(control, this.random.below(control.length));
+    this.reporter = new LoadReporter();
+  }
+
+  emit(effect: RouterEffect): void {
+    this.effects.push(effect);
+  }
+
+  takeEffects(): RouterEffect[] {
+    const taken = this.effects;
+    this.effects = [];
+    return taken;
+  }
+
+  /** Requests of all services that wait. */
+  waitingLength(): number {
+    let sum = 0;
+    for (const service of this.services.values()) {
+      sum += service.waitingLength;
+    }
+    return sum;
+  }
+
+  schedule(at: number, subject: TimerSubject): RouterTimer {
+    return this.timers.schedule(at, subject);
+  }
+
+  cancelTimer(timer: RouterTimer | null): void {
+    if (timer !== null) {
+      this.timers.cancel(timer);
+    }
+  }
+}
--- /dev/null
+++ b/src/routing/router-node.ts
@@ -0,0 +1,235 @@
+/** The router core: takes inputs, keeps the state of all requests, gives back effects. No clock, no socket, no wait. */
+import type { ControlToRouter, SyncResponse } from '../control/messages.js';
+import type { Address, UpstreamId, WallMillis } from '../model/identifiers.js';
+import { Answers } from './answers.js';
+import { AttemptResults } from './attempt-results.js';
+import { ClaimFlow } from './claim-flow.js';
+import { ConfigurationUpdates } from './configuration-updates.js';
+import type { ApplyOutcome } from './configuration-view.js';
+import { Dispatcher } from './dispatcher.js';
+import { RequestIntake } from './request-intake.js';
+import { RouterContext } from './router-context.js';
+import type { TimerSubject } from './router-timer.js';
+import type { RouterConfig, RouterCore, RouterEffect, RouterInput, RouterStatus } from './types.js';
+
+/** Makes the core of one run of a router. It serves nothing before its first confirmed configuration. */
+export function createRouterNode(config: RouterConfig): RouterCore {
+  return new RouterNode(config);
+}
+
+class RouterNode implements RouterCore {
+  private readonly context: RouterContext;
+  private readonly claims: ClaimFlow;
+  private readonly answers: Answers;
+  private readonly dispatcher: Dispatcher;
+  private readonly intake: RequestIntake;
+  private readonly results: AttemptResults;
+  private readonly updates: ConfigurationUpdates;
+  private serving = false;
+
+  constructor(config: RouterConfig) {
+    this.context = new RouterContext(config);
+    this.claims = new ClaimFlow(this.context);
+    this.answers = new Answers(this.context, this.claims);
+    this.dispatcher = new Dispatcher(this.context, this.answers);
+    this.intake = new RequestIntake(this.context, this.dispatcher, this.answers, this.claims);
+    this.results = new AttemptResults(this.context, this.dispatcher, this.answers);
+    this.updates = new ConfigurationUpdates(this.context, this.dispatcher, this.intake);
+  }
+
+  step(input: RouterInput, now: number, wall: WallMillis): RouterEffect[] {
+    this.context.now = Math.max(this.context.now, now);
+    this.context.wall = wall;
+    this.endLease();
+    this.take(input);
+    this.fireTimers();
+    this.sync();
+    return this.context.takeEffects();
+  }
+
+  nextDeadline(): number {
+    const { timers, lease } = this.context;
+    const leaseEnd = this.serving ? lease.end : Number.POSITIVE_INFINITY;
+    return Math.min(timers.nextAt(), lease.nextAt(), leaseEnd);
+  }
+
+  status(): RouterStatus {
+    const { context } = this;
+    return {
+      revision: context.view.revision,
+      serving: this.serving,
+      queued: context.waitingLength(),
+      inFlight: context.attempts.size,
+    };
+  }
+
+  private take(input: RouterInput): void {
+    switch (input.type) {
+      case 'tick':
+        return;
+      case 'request':
+        this.intake.arrive(input.request);
+        return;
+      case 'request-cancelled':
+        this.cancelRequest(input.request);
+        return;
+      case 'attempt-ended':
+        this.results.ended(input.attempt, input.result);
+        return;
+      case 'control-message':
+        this.takeControlMessage(input.from, input.message);
+        return;
+      case 'control-lost':
+        this.context.lease.memberLost(input.from, this.context.now);
+        this.claims.memberLost(input.from);
+        return;
+      case 'probe-result':
+        this.takeProbe(input.upstream, input.healthy, input.load);
+        return;
+      case 'platform-list':
+        this.takePlatformList(input.leaving, input.live);
+    }
+  }
+
+  private takeControlMessage(from: Address, message: ControlToRouter): void {
+    const { context } = this;
+    switch (message.type) {
+      case 'sync-response':
+        this.takeSyncResponse(message);
+        return;
+      case 'change-notice':
+        context.lease.notice(message.revision, context.view.revision, context.now);
+        return;
+      case 'claim-response':
+        this.claims.claimAnswered(message, from);
+        return;
+      case 'settle-response':
+        this.claims.settleAnswered(message, from);
+    }
+  }
+
+  private takeSyncResponse(response: SyncResponse): void {
+    const { context } = this;
+    const outcome = this.applyResponse(response);
+    const gap = outcome?.type === 'gap';
+    context.lease.answered(response, context.view.revision, gap, context.now);
+    context.leader.learn(response.leader);
+    this.beginLease();
+    if (outcome?.type === 'applied') {
+      this.updates.apply(outcome.changes);
+    }
+  }
+
+  private applyResponse(response: SyncResponse): ApplyOutcome | undefined {
+    const { view } = this.context;
+    if (response.snapshot !== null) {
+      return view.applySnapshot(response.snapshot);
+    }
+    return response.delta === null ? undefined : view.applyDelta(response.delta);
+  }
+
+  private beginLease(): void {
+    const { lease, now } = this.context;
+    if (!this.serving && lease.isValid(now)) {
+      this.serving = true;
+      this.log('info', 'configuration-lease-held');
+    }
+  }
+
+  /** Nothing may start any more: what waits is answered now, what runs may finish. */
+  private endLease(): void {
+    const { context } = this;
+    if (!this.serving || context.lease.isValid(context.now)) {
+      return;
+    }
+    this.serving = false;
+    this.log('warn', 'configuration-lease-over');
+    for (const service of context.services.values()) {
+      this.intake.refuseWaiting(service, 'no-configuration');
+    }
+  }
+
+  private fireTimers(): void {
+    const { timers, now } = this.context;
+    for (let timer = timers.takeDue(now); timer !== undefined; timer = timers.takeDue(now)) {
+      this.fire(timer.subject);
+    }
+  }
+
+  private fire(subject: TimerSubject): void {
+    switch (subject.type) {
+      case 'deadline':
+        this.answers.refuse(subject.member, 'deadline-passed', null);
+        return;
+      case 'hold-end':
+        this.endHold(subject);
+        return;
+      case 'policy-recheck':
+        this.intake.recheckPolicy(subject.work);
+        return;
+      case 'claim':
+        this.claims.timerFired(subject.claim);
+        return;
+      case 'service-wake':
+        this.dispatcher.wake(subject.service);
+    }
+  }
+
+  /** The bound counts only for work that waits just now. */
+  private endHold(subject: Extract<TimerSubject, { type: 'hold-end' }>): void {
+    const { work } = subject;
+    work.holdTimer = null;
+    if (work.phase === 'queued') {
+      this.dispatcher.giveUpWaiting(work);
+    }
+  }
+
+  private sync(): void {
+    const { context } = this;
+    const attempt = context.lease.takeSync(context.now);
+    if (attempt === undefined) {
+      return;
+    }
+    const { router, incarnation, zone } = context.config;
+    const have = attempt.wantsSnapshot ? 0 : context.view.revision;
+    const report = context.reporter.take(context.upstreams.values(), context.now);
+    const { stamp } = attempt;
+    context.emit({
+      type: 'send-control',
+      to: attempt.to,
+      message: { type: 'sync-request', router, incarnation, zone, stamp, have, report },
+    });
+  }
+
+  private cancelRequest(request: number): void {
+    const member = this.context.members.get(request);
+    if (member !== undefined) {
+      this.answers.abandon(member);
+    }
+  }
+
+  private takeProbe(id: UpstreamId, healthy: boolean, load: number | null): void {
+    const upstream = this.context.upstreams.get(id);
+    if (upstream === undefined) {
+      return;
+    }
+    upstream.evidence.probeSays(healthy, this.context.now);
+    if (load !== null) {
+      upstream.hintLoad(load, this.context.now);
+    }
+  }
+
+  private takePlatformList(leaving: readonly UpstreamId[], live: readonly UpstreamId[]): void {
+    const { upstreams, now } = this.context;
+    for (const id of live) {
+      upstreams.get(id)?.evidence.platformSays(false, now);
+    }
+    for (const id of leaving) {
+      upstreams.get(id)?.evidence.platformSays(true, now);
+    }
+  }
+
+  private log(level: 'info' | 'warn', event: string): void {
+    this.context.emit({ type: 'log', level, event, fields: { revision: this.context.view.revision } });
+  }
+}
--- /dev/null
+++ b/src/routing/router-timer.ts
@@ -0,0 +1,15 @@
+/** Everything that a router waits for by the clock. */
+import type { Claim } from './claim.js';
+import type { ServiceState } from './service-state.js';
+import type { Timer } from './timer-heap.js';
+import type { Member, Work } from './work.js';
+
+export type TimerSubject =
+  | { readonly type: 'deadline'; readonly member: Member }
+  | { readonly type: 'hold-end'; readonly work: Work }
+  | { readonly type: 'policy-recheck'; readonly work: Work }
+  | { readonly type: 'claim'; readonly claim: Claim }
+  /** Waiting work of a service is looked at again: pauses end and hints age without an event. */
+  | { readonly type: 'service-wake'; readonly service: ServiceState };
+
+export type RouterTimer = Timer<TimerSubject>;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -14,6 +14,7 @@
   Zone,
 } from '../model/identifiers.js';
 import type { Outcome } from '../model/outcome.js';
+import type { PickerName } from './picker/picker.js';
 
 /** Number of a request within one run of a router. */
 export type RequestNumber = number;
@@ -138,6 +139,8 @@
   readonly configLease: ConfigLeaseTimings;
   /** Wait for an answer of the ledger before giving up with `not-run` is not proved: the claim is then released or left `unknown`. */
   readonly claimTimeoutMillis: number;
+  /** How upstreams of services that aren't keyed are picked; `least-work` if left out. */
+  readonly picker?: PickerName;
 }
 
 export interface RouterStatus {
--- /dev/null
+++ b/src/routing/upstream-state.ts
@@ -0,0 +1,122 @@
+/** What a router knows of one upstream from its own requests, with hints from others kept apart. */
+import type { Incarnation, UpstreamId } from '../model/identifiers.js';
+import type { UpstreamRecord } from '../registry/types.js';
+import { DrainRate } from './drain-rate.js';
+import { StandingEvidence } from './leaving-table.js';
+import { OutlierEjection } from './outlier-ejection.js';
+import { SlotLimit } from './slot-limit.js';
+
+/** Assumed until the first answer. */
+const FIRST_SERVICE_MILLIS = 10;
+/** Weight of the latest answer in the smoothed service time. */
+const SERVICE_SMOOTHING = 0.2;
+/** Reported load loses two thirds of its weight in this time. */
+const LOAD_DECAY_MILLIS = 1000;
+const SLOW_START_MILLIS = 10_000;
+/** Share of its part that a cold upstream gets at first. */
+const SLOW_START_FLOOR = 0.1;
+
+export class UpstreamState {
+  readonly id: UpstreamId;
+  readonly evidence = new StandingEvidence();
+  readonly ejection = new OutlierEjection();
+  readonly slotLimit: SlotLimit;
+  readonly drainRate = new DrainRate();
+  inFlight = 0;
+  /** It asked for a pause with a refusal. */
+  pausedUntil = Number.NEGATIVE_INFINITY;
+  /** Counted since the last load report. */
+  reportedFailures = 0;
+  private serviceTime = FIRST_SERVICE_MILLIS;
+  /** Outstanding work of other routers, from the latest load it reported. */
+  private foreignLoad = 0;
+  private loadAt = Number.NEGATIVE_INFINITY;
+
+  /** `coldSince`: when it came up; `-Infinity` for one that was there when the router started. */
+  constructor(
+    public record: UpstreamRecord,
+    slots: number,
+    private coldSince: number,
+  ) {
+    this.id = record.definition.id;
+    this.slotLimit = new SlotLimit(slots);
+    this.evidence.operatorLeaving = record.definition.leaving;
+  }
+
+  get zone(): string {
+    return this.record.definition.zone;
+  }
+
+  get incarnation(): Incarnation | null {
+    return this.record.incarnation;
+  }
+
+  /** Smoothed time from dispatch to answer, in milliseconds. */
+  get serviceMillis(): number {
+    return this.serviceTime;
+  }
+
+  /** Takes over a changed record. A new incarnation starts cold and with a clean sheet. */
+  update(record: UpstreamRecord, now: number): void {
+    const restarted = record.incarnation !== null && record.incarnation !== this.record.incarnation;
+    if (restarted && this.record.incarnation !== null) {
+      this.evidence.forget();
+      this.coldSince = now;
+      this.loadAt = Number.NEGATIVE_INFINITY;
+    }
+    this.record = record;
+    this.evidence.operatorLeaving = record.definition.leaving;
+  }
+
+  hasSlot(now: number): boolean {
+    return this.inFlight < this.slotLimit.slots && now >= this.pausedUntil;
+  }
+
+  dispatched(): void {
+    this.inFlight += 1;
+  }
+
+  /** An answer came after `tookMillis`; `load` is the outstanding work that it reported. */
+  answered(tookMillis: number, load: number | null, now: number): void {
+    this.serviceTime += SERVICE_SMOOTHING * (tookMillis - this.serviceTime);
+    this.slotLimit.answered(load, this.inFlight, now);
+    if (load !== null) {
+      this.hintLoad(load, now);
+    }
+  }
+
+  /** Load from an answer or a probe. */
+  hintLoad(load: number, now: number): void {
+    this.foreignLoad = Math.max(0, load - this.inFlight);
+    this.loadAt = now;
+  }
+
+  succeeded(now: number): void {
+    this.evidence.succeeded(now);
+    this.ejection.succeeded(now);
+  }
+
+  failed(): void {
+    this.reportedFailures += 1;
+  }
+
+  /** Decayed outstanding work of others, in requests. */
+  load(now: number): number {
+    return this.foreignLoad * Math.exp((this.loadAt - now) / LOAD_DECAY_MILLIS);
+  }
+
+  /**
+   * Estimated milliseconds until one more request would be done, were it served alone in turn. A cold upstream looks
+   * dearer than it is, so it gets a growing part.
+   */
+  cost(now: number): number {
+    const outstanding = this.inFlight + 1 + this.load(now);
+    return (outstanding * this.serviceTime) / this.warmth(now);
+  }
+
+  private warmth(now: number): number {
+    const since = Math.max(this.coldSince, this.ejection.ejectedUntil);
+    const share = (now - since) / SLOW_START_MILLIS;
+    return Math.min(1, Math.max(SLOW_START_FLOOR, share));
+  }
+}
--- /dev/null
+++ b/src/routing/work.ts
@@ -0,0 +1,68 @@
+/** A piece of work on its way to an upstream, and the callers' requests that it answers. */
+import type { Epoch, ShardId } from '../model/identifiers.js';
+import type { Claim } from './claim.js';
+import type { Lane } from './lane-table.js';
+import type { QueueNode } from './linked-queue.js';
+import type { LedgerWord } from './outcome-table.js';
+import type { RouterTimer } from './router-timer.js';
+import type { ServiceState } from './service-state.js';
+import type { ArrivedRequest, AttemptNumber } from './types.js';
+import type { UpstreamState } from './upstream-state.js';
+
+/** One caller's request. It gets one final answer of its own. */
+export interface Member {
+  readonly request: ArrivedRequest;
+  readonly work: Work;
+  readonly deadline: number;
+  deadlineTimer: RouterTimer | null;
+}
+
+/** `claiming`: waits for the ledger. `held`: by policy. `queued`: in a lane. */
+export type WorkPhase = 'new' | 'claiming' | 'held' | 'queued' | 'in-flight' | 'done';
+
+/** One try of a work on an upstream. It is kept until the shell says how it ended, also when nobody waits for it. */
+export interface Attempt {
+  readonly number: AttemptNumber;
+  readonly work: Work;
+  readonly upstream: UpstreamState;
+  readonly startedAt: number;
+  /** Of the grant under which it was sent; `null` for services that aren't keyed. */
+  readonly epoch: Epoch | null;
+}
+
+/** Usually one request; several when identical reads share an attempt. */
+export class Work {
+  phase: WorkPhase = 'new';
+  readonly members: Member[] = [];
+  /** Set when the work can be joined by identical reads. */
+  coalesceKey: string | null = null;
+  /** Keyed services only. */
+  shard: ShardId | null = null;
+  lane: Lane | null = null;
+  node: QueueNode<Work> | null = null;
+  /** When the bounded wait ends; `Infinity` until it first waits. */
+  holdUntil = Number.POSITIVE_INFINITY;
+  holdTimer: RouterTimer | null = null;
+  policyHoldUntil: number | null = null;
+  attempts = 0;
+  attempt: Attempt | null = null;
+  /** An attempt ended without proof that it did not run. */
+  mayHaveRun = false;
+  /** A caller was told that the deadline passed. */
+  timedOut = false;
+  claim: Claim | null = null;
+  ledger: LedgerWord = 'not-needed';
+  /** Where the last attempt failed; others are tried first. */
+  avoid: UpstreamState | null = null;
+
+  constructor(readonly service: ServiceState) {}
+
+  get request(): ArrivedRequest {
+    return (this.members[0] as Member).request;
+  }
+
+  /** The latest deadline of its members. */
+  get deadline(): number {
+    return this.members.reduce((latest, member) => Math.max(latest, member.deadline), 0);
+  }
+}
--- /dev/null
+++ b/test/routing/router-node.test.ts
@@ -0,0 +1,197 @@
+import { expect } from 'chai';
+import type { RouterEffect } from '../../src/routing/types.js';
+import { ANSWERED, only, onlyShard, RouterHarness, sent, service, upstream } from './router-harness.js';
+
+function unkeyed(changes = {}): RouterHarness {
+  const upstreams = [upstream('u1', 'web'), upstream('u2', 'web')];
+  return new RouterHarness().start([service('web', changes)], upstreams);
+}
+
+function keyed(changes = {}): RouterHarness {
+  const upstreams = [upstream('u1', 'sheets'), upstream('u2', 'sheets')];
+  const shards = [onlyShard('sheets', 'u1', 1)];
+  return new RouterHarness().start([service('sheets', { keyed: true, ...changes })], upstreams, shards);
+}
+
+function orders(changes = {}): RouterHarness {
+  const upstreams = [upstream('u1', 'orders'), upstream('u2', 'orders')];
+  return new RouterHarness().start([service('orders', { repeatable: false, ...changes })], upstreams);
+}
+
+/** The attempt which was sent last. */
+function lastAttempt(harness: RouterHarness): number {
+  return only(harness.effects, 'dispatch').at(-1)?.attempt ?? 0;
+}
+
+function refusalOf(effects: readonly RouterEffect[]) {
+  const refusals = only(effects, 'refuse').map(({ status, outcome, reason }) => ({
+    status,
+    outcome,
+    reason,
+  }));
+  expect(refusals).to.have.length(1);
+  return refusals[0];
+}
+
+describe('router core: requests that may be repeated', () => {
+  it('dispatches and delivers', () => {
+    const harness = unkeyed();
+    const [dispatch] = only(harness.request('web'), 'dispatch');
+    expect(dispatch).to.include({ request: 1, credentials: null, deadlineMillis: 5000 });
+    expect(harness.ended(dispatch?.attempt ?? 0)).to.deep.equal([
+      { type: 'deliver', request: 1, attempt: dispatch?.attempt },
+    ]);
+    expect(harness.core.status()).to.include({ inFlight: 0, queued: 0, serving: true });
+  });
+
+  it('refuses before the first configuration', () => {
+    const harness = new RouterHarness();
+    const refusal = refusalOf(harness.request('web'));
+    expect(refusal).to.deep.equal({ status: 503, outcome: 'not-run', reason: 'no-configuration' });
+    expect(only(harness.effects, 'refuse')[0]?.retryAfterMillis).to.be.greaterThan(0);
+  });
+
+  it('queues beyond the slots and goes on in order', () => {
+    const harness = unkeyed();
+    for (let i = 0; i < 6; i++) {
+      harness.request('web');
+    }
+    expect(harness.core.status()).to.include({ inFlight: 4, queued: 2 });
+    const next = only(harness.ended(lastAttempt(harness)), 'dispatch');
+    expect(next.map((dispatch) => dispatch.request)).to.deep.equal([5]);
+  });
+
+  it('retries elsewhere after a failed connection, and gives up with not-run once the budget is spent', () => {
+    const harness = unkeyed({ retryBudget: 0 });
+    harness.request('web');
+    const refusal = refusalOf(harness.ended(lastAttempt(harness), { type: 'connect-failed' }));
+    expect(refusal).to.deep.equal({ status: 503, outcome: 'not-run', reason: 'retry-budget-spent' });
+  });
+
+  it('answers 504 with outcome unknown when the deadline passes in flight', () => {
+    const harness = unkeyed();
+    harness.request('web', { deadlineMillis: 300 });
+    const effects = harness.run(300);
+    expect(refusalOf(effects)).to.deep.equal({
+      status: 504,
+      outcome: 'unknown',
+      reason: 'deadline-passed',
+    });
+    expect(only(effects, 'cancel-attempt')).to.have.length(1);
+  });
+
+  it('shares one attempt between identical reads, also when the first caller leaves', () => {
+    const harness = unkeyed({ coalesce: true });
+    harness.request('web', { target: '/a' });
+    harness.request('web', { target: '/a' });
+    harness.request('web', { target: '/b' });
+    expect(only(harness.effects, 'dispatch')).to.have.length(2);
+    expect(harness.step({ type: 'request-cancelled', request: 1 })).to.deep.equal([]);
+    const attempt = only(harness.effects, 'dispatch')[0]?.attempt as number;
+    expect(only(harness.ended(attempt), 'deliver')).to.deep.equal([{ type: 'deliver', request: 2, attempt }]);
+  });
+
+  it('sends nothing to an upstream once the operator said that it leaves', () => {
+    const harness = unkeyed();
+    harness.change([{ type: 'upstream', id: 'u1', record: upstream('u1', 'web', { leaving: true }) }]);
+    for (let i = 0; i < 4; i++) {
+      harness.request('web');
+    }
+    expect(only(harness.effects, 'dispatch').map((dispatch) => dispatch.upstream)).to.deep.equal([
+      'u2',
+      'u2',
+    ]);
+  });
+});
+
+describe('router core: keyed requests', () => {
+  it('carries the credentials of the owner', () => {
+    const harness = keyed();
+    const [dispatch] = only(harness.request('sheets', { key: 'k' }), 'dispatch');
+    expect(dispatch?.upstream).to.equal('u1');
+    expect(dispatch?.credentials).to.deep.equal({
+      shard: 'sheets/all@1/0',
+      epoch: 1,
+      incarnation: 'u1-1',
+      key: 'k',
+    });
+  });
+
+  it('asks for a key', () => {
+    expect(refusalOf(keyed().request('sheets'))).to.deep.equal({
+      status: 400,
+      outcome: 'not-run',
+      reason: 'key-required',
+    });
+  });
+
+  for (const refusal of ['not-owner', 'stale-epoch', 'lease-over'] as const) {
+    it(`after ${refusal} asks control and holds until the owner changes`, () => {
+      const harness = keyed();
+      harness.request('sheets', { key: 'k' });
+      harness.now += 30;
+      const effects = harness.ended(lastAttempt(harness), {
+        type: 'refused',
+        refusal,
+        retryAfterMillis: null,
+      });
+      expect(sent(effects, 'sync-request')).to.have.length(1);
+      expect(only(effects, 'dispatch')).to.have.length(0);
+      const record = onlyShard('sheets', 'u2', 2);
+      const moved = harness.change([{ type: 'shard', shard: record.shard, record }]);
+      expect(only(moved, 'dispatch')[0]).to.include({ request: 1, upstream: 'u2' });
+      expect(only(moved, 'dispatch')[0]?.credentials?.epoch).to.equal(2);
+    });
+  }
+
+  it('gives up after the hold limit when nobody owns the shard', () => {
+    const harness = keyed();
+    const record = onlyShard('sheets', null, 1);
+    harness.change([{ type: 'shard', shard: record.shard, record }]);
+    expect(only(harness.request('sheets', { key: 'k' }), 'refuse')).to.have.length(0);
+    expect(refusalOf(harness.run(1000))).to.deep.equal({
+      status: 503,
+      outcome: 'not-run',
+      reason: 'no-owner',
+    });
+  });
+});
+
+describe('router core: orders', () => {
+  it('claims, dispatches, settles and then answers', () => {
+    const harness = orders();
+    const claims = sent(harness.order('orders'), 'claim-request');
+    expect(claims.map((claim) => claim.claimant)).to.deep.equal(['r1/i1/1']);
+    expect(only(harness.effects, 'dispatch')).to.have.length(0);
+    const granted = harness.claimResult('r1/i1/1', { type: 'granted' });
+    expect(only(granted, 'dispatch')).to.have.length(1);
+    const stored = { status: 201, contentType: 'text/plain', body: '', truncated: false };
+    const ended = harness.ended(lastAttempt(harness), { ...ANSWERED, status: 201, stored } as never);
+    expect(ended.map((effect) => effect.type)).to.deep.equal(['send-control', 'deliver']);
+    expect(sent(ended, 'settle-request')[0]).to.include({ outcome: 'ran', answer: stored });
+  });
+
+  it('never repeats an attempt that broke', () => {
+    const harness = orders();
+    harness.order('orders');
+    harness.claimResult('r1/i1/1', { type: 'granted' });
+    const effects = harness.ended(lastAttempt(harness), { type: 'broken' });
+    expect(refusalOf(effects)).to.deep.equal({
+      status: 502,
+      outcome: 'unknown',
+      reason: 'upstream-failed',
+    });
+    expect(sent(effects, 'settle-request')[0]?.outcome).to.equal('unknown');
+    expect(only(harness.run(3000), 'dispatch')).to.have.length(0);
+  });
+
+  it('dispatches nothing when the grant comes after the deadline', () => {
+    const harness = orders();
+    harness.order('orders');
+    harness.now += 60_000;
+    const effects = harness.claimResult('r1/i1/1', { type: 'granted' });
+    expect(only(effects, 'dispatch')).to.have.length(0);
+    expect(only(effects, 'refuse')).to.have.length(1);
+    expect(sent(effects, 'settle-request')[0]?.outcome).to.equal('not-run');
+  });
+});
