--- a/src/lease/types.ts
+++ b/src/lease/types.ts
@@ -80,6 +80,8 @@
   readonly released: readonly { readonly shard: ShardId; readonly revision: Revision }[];
   readonly warmed: readonly ShardId[];
   readonly inFlight: number;
+  /** The server is about to stop and asks that its shards be moved away. */
+  readonly leaving?: boolean;
   readonly loads: readonly ShardLoad[];
   /** Why the request was refused, if it was: stale term, another incarnation, another cluster. */
   readonly refused: 'stale-term' | 'stale-sequence' | 'other-incarnation' | 'other-cluster' | null;
--- /dev/null
+++ b/src/upstream/fence.ts
@@ -0,0 +1,213 @@
+/**
+ * The fence that a server which owns keys embeds. It answers the control leader's session requests, lets in only
+ * requests of shards that this run of the server holds, and hands each handler the check for the point of effect.
+ */
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { createGrantHolder, type FenceRefusal, type GrantHolder, type HolderEvent } from '../lease/index.js';
+import type { Incarnation, ShardId } from '../model/identifiers.js';
+import { HEADERS } from '../model/outcome.js';
+import type { DrainOptions, FenceOptions } from './fence-options.js';
+import { GuardedExchange, type GuardedWork } from './guarded-request.js';
+import { writeHealth } from './health-endpoint.js';
+import { writeMalformed, writeRefusal } from './refusal.js';
+import { MalformedHeadError, type RequestHead, readRequestHead } from './request-head.js';
+import { serveSession } from './session-endpoint.js';
+
+export const SESSION_PATH = '/ternmount/v1/session';
+export const HEALTH_PATH = '/ternmount/v1/health';
+
+const DEFAULT_RETRY_AFTER_SECONDS = 1;
+const DEFAULT_MOVE_MILLIS = 5000;
+const DRAIN_CHECK_MILLIS = 20;
+
+/** State of a fence, as its health endpoint shows it. */
+export interface FenceStatus {
+  readonly upstream: string;
+  readonly service: string;
+  readonly incarnation: Incarnation;
+  readonly state: 'serving' | 'leaving' | 'draining';
+  readonly leased: boolean;
+  readonly held: number;
+  readonly inFlight: number;
+  readonly load: number;
+}
+
+export class Fence {
+  readonly incarnation: Incarnation;
+  private readonly holder: GrantHolder;
+  private readonly clock: () => number;
+  private readonly retryAfterSeconds: number;
+  private state: FenceStatus['state'] = 'serving';
+  private inFlight = 0;
+
+  constructor(private readonly options: FenceOptions) {
+    this.incarnation = options.incarnation ?? randomUUID();
+    this.clock = options.clock ?? (() => performance.now());
+    this.retryAfterSeconds = options.retryAfterSeconds ?? DEFAULT_RETRY_AFTER_SECONDS;
+    const { cluster, upstream } = options;
+    this.holder = createGrantHolder({ cluster, upstream, incarnation: this.incarnation });
+  }
+
+  status(): FenceStatus {
+    const holder = this.holder.status(this.clock());
+    return {
+      upstream: this.options.upstream,
+      service: this.options.service,
+      incarnation: this.incarnation,
+      state: holder.draining && this.state === 'serving' ? 'draining' : this.state,
+      leased: holder.leased,
+      held: holder.held,
+      inFlight: this.inFlight,
+      load: this.load(),
+    };
+  }
+
+  /** Serves the fence's own endpoints. Gives `false`, and does nothing, if the request is for none of them. */
+  serveEndpoint(request: IncomingMessage, response: ServerResponse): boolean {
+    const path = request.url?.split('?', 1)[0];
+    if (path === SESSION_PATH) {
+      serveSession(request, response, (message) => {
+        const answer = this.holder.handleSession(message, this.clock());
+        this.dispatchEvents();
+        return this.state === 'serving' ? answer : { ...answer, leaving: true };
+      });
+      return true;
+    }
+    if (path === HEALTH_PATH) {
+      writeHealth(response, this.status());
+      return true;
+    }
+    return false;
+  }
+
+  /**
+   * Checks a request and lets it in, or answers it and gives `null`. The caller must call `closeHandler` when the
+   * handler has returned.
+   */
+  open(request: IncomingMessage, response: ServerResponse): GuardedExchange | null {
+    response.setHeader(HEADERS.load, this.load());
+    const head = this.readHead(request, response);
+    if (head === null) {
+      return null;
+    }
+    const admitted = this.admit(head);
+    if (typeof admitted === 'string') {
+      writeRefusal(response, admitted, this.retryAfterSeconds);
+      return null;
+    }
+    return new GuardedExchange(head, admitted, response);
+  }
+
+  /**
+   * Planned stop: asks the control leader to move the shards away and goes on serving them meanwhile; then lets in
+   * nothing more and resolves when all that runs is done. The server's sockets may be closed after that.
+   */
+  async drain(options: DrainOptions = {}): Promise<void> {
+    if (this.state === 'serving') {
+      this.state = 'leaving';
+    }
+    const until = this.clock() + (options.moveMillis ?? DEFAULT_MOVE_MILLIS);
+    while (this.holder.status(this.clock()).held > 0 && this.clock() < until) {
+      await sleep(DRAIN_CHECK_MILLIS);
+    }
+    this.state = 'draining';
+    while (this.inFlight > 0) {
+      await sleep(DRAIN_CHECK_MILLIS);
+    }
+  }
+
+  private readHead(request: IncomingMessage, response: ServerResponse): RequestHead | null {
+    const requestId = request.headers[HEADERS.requestId];
+    if (typeof requestId === 'string') {
+      response.setHeader(HEADERS.requestId, requestId);
+    }
+    try {
+      return readRequestHead(request.headers);
+    } catch (thrown) {
+      if (!(thrown instanceof MalformedHeadError)) {
+        throw thrown;
+      }
+      writeMalformed(response, thrown.message);
+      return null;
+    }
+  }
+
+  private admit(head: RequestHead): GuardedWork | FenceRefusal {
+    if (this.state === 'draining') {
+      return 'draining';
+    }
+    if (this.inFlight >= (this.options.maxInFlight ?? Number.POSITIVE_INFINITY)) {
+      return 'overloaded';
+    }
+    return this.options.keyed === false ? this.admitUnkeyed() : this.admitKeyed(head);
+  }
+
+  private admitUnkeyed(): GuardedWork | FenceRefusal {
+    if (this.holder.status(this.clock()).draining) {
+      return 'draining';
+    }
+    this.inFlight += 1;
+    return { confirmEffect: () => true, finish: () => this.endWork() };
+  }
+
+  private admitKeyed(head: RequestHead): GuardedWork | FenceRefusal {
+    if (head.credentials === null) {
+      return 'not-owner';
+    }
+    const admission = this.holder.admit(head.credentials, this.clock());
+    if (admission.type === 'refused') {
+      return admission.refusal;
+    }
+    this.inFlight += 1;
+    const { ticket } = admission;
+    return {
+      confirmEffect: () => this.holder.confirmEffect(ticket, this.clock()),
+      finish: () => {
+        this.holder.finish(ticket, this.clock());
+        this.endWork();
+      },
+    };
+  }
+
+  private endWork(): void {
+    this.inFlight -= 1;
+    this.dispatchEvents();
+  }
+
+  private dispatchEvents(): void {
+    for (const event of this.holder.takeEvents()) {
+      this.dispatchEvent(event);
+    }
+  }
+
+  private dispatchEvent(event: HolderEvent): void {
+    if (event.type === 'warm') {
+      void this.warm(event.shard);
+    } else if (event.type === 'granted') {
+      this.options.onGranted?.(event.shard);
+    } else if (event.type === 'released') {
+      this.options.onReleased?.(event.shard);
+    }
+  }
+
+  /** A shard that couldn't be loaded isn't reported as warm; the leader then moves it cold or elsewhere. */
+  private async warm(shard: ShardId): Promise<void> {
+    try {
+      await this.options.onWarm?.(shard);
+    } catch {
+      return;
+    }
+    this.holder.markWarmed(shard);
+  }
+
+  private load(): number {
+    return this.options.load?.() ?? this.inFlight;
+  }
+}
+
+/** Makes the fence of this run of a server. */
+export function createFence(options: FenceOptions): Fence {
+  return new Fence(options);
+}
--- /dev/null
+++ b/src/upstream/session-endpoint.ts
@@ -0,0 +1,56 @@
+/** `POST /ternmount/v1/session`: the control leader's messages. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { toError } from '../errors/ternmount-error.js';
+import type { SessionAnswer, SessionRequest } from '../lease/types.js';
+import { sessionRequestSchema } from '../wire/session/session-schema.js';
+import { writeJson } from './refusal.js';
+
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+const OK = 200;
+const BAD_REQUEST = 400;
+const METHOD_NOT_ALLOWED = 405;
+const PAYLOAD_TOO_LARGE = 413;
+
+/** Reads one message and writes the answer that `handle` gives. A malformed message changes nothing. */
+export function serveSession(
+  request: IncomingMessage,
+  response: ServerResponse,
+  handle: (message: SessionRequest) => SessionAnswer,
+): void {
+  if (request.method !== 'POST') {
+    response.setHeader('allow', 'POST');
+    writeJson(response, METHOD_NOT_ALLOWED, { message: 'use POST' });
+    return;
+  }
+  const chunks: Buffer[] = [];
+  let size = 0;
+  request.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size <= MAX_BODY_BYTES) {
+      chunks.push(chunk);
+    }
+  });
+  request.on('end', () => {
+    if (size > MAX_BODY_BYTES) {
+      const message = `body of ${size} bytes is above ${MAX_BODY_BYTES} bytes`;
+      writeJson(response, PAYLOAD_TOO_LARGE, { message });
+      return;
+    }
+    answer(response, Buffer.concat(chunks), handle);
+  });
+}
+
+function answer(
+  response: ServerResponse,
+  body: Buffer,
+  handle: (message: SessionRequest) => SessionAnswer,
+): void {
+  let message: SessionRequest;
+  try {
+    message = sessionRequestSchema.parse(JSON.parse(body.toString('utf8')));
+  } catch (thrown) {
+    writeJson(response, BAD_REQUEST, { message: toError(thrown).message });
+    return;
+  }
+  writeJson(response, OK, handle(message));
+}
