--- /dev/null
+++ b/src/control/daemon/control-daemon.ts
@@ -0,0 +1,251 @@
+/** The control daemon: the deterministic control core with its files, sockets, timers and operators. */
+import { randomInt } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { RaftStatus } from '../../consensus/types.js';
+import { createLogger, type Logger } from '../../logging/logger.js';
+import type { Address, ReplicaId } from '../../model/identifiers.js';
+import type { HttpListener } from '../../wire/http/http-listener.js';
+import type { WireIdentity } from '../../wire/index.js';
+import type {
+  ControlConfig,
+  ControlCore,
+  ControlEffect,
+  ControlRestoredState,
+  OperatorRequest,
+  OperatorResponse,
+} from '../types.js';
+import { startAdminServer } from './admin-server.js';
+import { CoreTask } from './core-task.js';
+import { InternalServer } from './internal-server.js';
+import { createControlMetrics } from './metrics.js';
+import { Operations } from './operations.js';
+import { PeerLinks } from './peer-links.js';
+import { PersistTask, type ReplicaFiles } from './persist-task.js';
+import {
+  type ControlDaemonSettings,
+  type ControlDaemonTimings,
+  controlTimings,
+  controlWireLimits,
+} from './settings.js';
+import { UpstreamSessions } from './upstream-sessions.js';
+
+const RECONCILE_MILLIS = 1000;
+const LEADER_CHECK_MILLIS = 10;
+const MAX_SEED = 2 ** 31 - 1;
+
+/** What a replica was found to be when its data folder was opened. */
+export interface OpenedReplica {
+  readonly replica: ReplicaId;
+  readonly restored: ControlRestoredState;
+  readonly files: ReplicaFiles;
+}
+
+/** Makes the core; replaced in tests. */
+export type CreateControlCore = (
+  config: ControlConfig,
+  restored: ControlRestoredState,
+  now: number,
+) => ControlCore;
+
+export class ControlDaemon {
+  /** Resolves if the daemon can't go on: its disk failed, or its core did. The process must then end. */
+  readonly failed: Promise<Error>;
+  readonly replica: ReplicaId;
+  private readonly core: ControlCore;
+  private readonly coreTask: CoreTask;
+  private readonly persistTask: PersistTask;
+  private readonly peers: PeerLinks;
+  private readonly internal: InternalServer;
+  private readonly sessions: UpstreamSessions;
+  private readonly operations: Operations;
+  private readonly timings: ControlDaemonTimings;
+  private readonly log: Logger = createLogger('control');
+  private admin: HttpListener | undefined;
+  private reconcileTimer: NodeJS.Timeout | undefined;
+  private fail: (error: Error) => void = () => {};
+  private stopping: Promise<void> | undefined;
+
+  constructor(
+    private readonly settings: ControlDaemonSettings,
+    opened: OpenedReplica,
+    createCore: CreateControlCore,
+  ) {
+    this.failed = new Promise((resolve) => {
+      this.fail = resolve;
+    });
+    this.replica = opened.replica;
+    this.timings = controlTimings(settings);
+    const limits = controlWireLimits(settings);
+    const identity = this.wireIdentity();
+    this.core = createCore(this.coreConfig(), opened.restored, performance.now());
+    this.coreTask = new CoreTask(
+      this.core,
+      (effect) => this.carryOut(effect),
+      (error) => this.giveUp(error),
+    );
+    this.persistTask = new PersistTask(opened.files, {
+      persisted: (persistId) => this.coreTask.post({ type: 'persisted', persistId }),
+      failed: (error) => this.giveUp(error),
+    });
+    this.peers = new PeerLinks({
+      identity,
+      limits,
+      log: this.log,
+      addresses: () => this.core.status().membership.addresses,
+    });
+    this.internal = this.createInternalServer(identity, limits);
+    this.sessions = this.createSessions();
+    this.operations = new Operations(this.timings.operationMillis, (operation, request) =>
+      this.coreTask.post({ type: 'operator-request', operation, request }),
+    );
+  }
+
+  /** Opens the ports and starts the core. */
+  async start(): Promise<void> {
+    await this.internal.start();
+    this.admin = await startAdminServer({
+      listen: this.settings.admin,
+      metrics: createControlMetrics(() => this.core.status()),
+      health: () => ({ healthy: true, ...this.core.status() }),
+      app: this.settings.createAdminApp?.(this) ?? null,
+    });
+    this.reconcileTimer = setInterval(() => this.peers.reconcile(), RECONCILE_MILLIS);
+    this.coreTask.start();
+    this.log.info('started', { replica: this.replica, listen: this.address, admin: this.adminAddress });
+  }
+
+  /** Internal address, with the real port. */
+  get address(): Address {
+    return this.internal.address;
+  }
+
+  /** Admin address, with the real port. */
+  get adminAddress(): Address {
+    return this.admin?.address ?? this.settings.admin;
+  }
+
+  status(): RaftStatus {
+    return this.core.status();
+  }
+
+  /** Carries out an operator's request. */
+  operate(request: OperatorRequest): Promise<OperatorResponse> {
+    return this.operations.run(request);
+  }
+
+  /** Planned stop: hands leadership on, answers what is under way, then closes everything. */
+  stop(): Promise<void> {
+    this.stopping ??= this.shutDown();
+    return this.stopping;
+  }
+
+  private async shutDown(): Promise<void> {
+    this.log.info('stopping', { replica: this.replica });
+    await this.handLeadershipOn();
+    await this.admin?.stop(this.timings.idleMillis);
+    this.operations.abandon();
+    clearInterval(this.reconcileTimer);
+    this.coreTask.stop();
+    this.peers.stop();
+    await Promise.all([this.internal.stop(), this.sessions.stop()]);
+    await this.persistTask.stop();
+    this.log.info('stopped', { replica: this.replica });
+  }
+
+  private async handLeadershipOn(): Promise<void> {
+    const { role, membership } = this.core.status();
+    if (role !== 'leader' || membership.voters.length < 2) {
+      return;
+    }
+    void this.operate({ type: 'transfer-leadership', to: null });
+    const until = performance.now() + this.timings.transferMillis;
+    while (this.core.status().role === 'leader' && performance.now() < until) {
+      await sleep(LEADER_CHECK_MILLIS);
+    }
+  }
+
+  private giveUp(error: Error): void {
+    this.log.error('failed', { replica: this.replica, error });
+    this.coreTask.stop();
+    this.fail(error);
+  }
+
+  private carryOut(effect: ControlEffect): void {
+    switch (effect.type) {
+      case 'send-peer':
+        this.peers.send(effect.message);
+        return;
+      case 'persist':
+        this.persistTask.enqueue(effect.request);
+        return;
+      case 'send-router':
+        this.internal.sendToRouter(effect.connection, effect.message);
+        return;
+      case 'call-upstream':
+        this.sessions.call(effect.upstream, effect.address, effect.request);
+        return;
+      case 'answer-operator':
+        this.operations.answer(effect.operation, effect.response);
+        return;
+      case 'log':
+        this.log.log(effect.level, effect.event, effect.fields);
+        return;
+    }
+  }
+
+  private createInternalServer(
+    identity: WireIdentity,
+    limits: ReturnType<typeof controlWireLimits>,
+  ): InternalServer {
+    return new InternalServer({
+      listen: this.settings.listen,
+      self: this.replica,
+      identity,
+      limits,
+      log: this.log,
+      owner: {
+        peerMessage: (message) => this.coreTask.post({ type: 'peer-message', message }),
+        peerConnected: (replica, connection) => this.peers.connected(replica, connection),
+        peerDisconnected: (replica, connection) => this.peers.disconnected(replica, connection),
+        routerMessage: (connection, message) =>
+          this.coreTask.post({ type: 'router-message', connection, message }),
+        routerGone: (connection) => this.coreTask.post({ type: 'router-gone', connection }),
+      },
+    });
+  }
+
+  private createSessions(): UpstreamSessions {
+    return new UpstreamSessions(
+      this.timings.sessionMillis,
+      {
+        answered: (upstream, sequence, answer) =>
+          this.coreTask.post({ type: 'upstream-answer', upstream, sequence, answer }),
+        failed: (upstream, sequence) => this.coreTask.post({ type: 'upstream-failed', upstream, sequence }),
+      },
+      this.log,
+    );
+  }
+
+  private wireIdentity(): WireIdentity {
+    const { cluster, secret } = this.settings;
+    return {
+      greeting: { type: 'greeting', cluster, kind: 'control', name: this.replica },
+      secret,
+      expects: ['control', 'router'],
+    };
+  }
+
+  private coreConfig(): ControlConfig {
+    const { raft, lease, configLease, snapshotEntries, replaceAfterMillis } = this.timings;
+    return {
+      cluster: this.settings.cluster,
+      self: this.replica,
+      seed: randomInt(1, MAX_SEED),
+      raft,
+      lease,
+      configLease,
+      snapshotEntries,
+      replaceAfterMillis,
+    };
+  }
+}
--- /dev/null
+++ b/src/control/daemon/internal-server.ts
@@ -0,0 +1,133 @@
+/** Task that owns the internal port: messages of other replicas and of routers come in here. */
+import type { RaftMessage } from '../../consensus/types.js';
+import { TernmountError } from '../../errors/ternmount-error.js';
+import type { Logger } from '../../logging/logger.js';
+import type { Address, ReplicaId } from '../../model/identifiers.js';
+import {
+  controlToRouterCodecs,
+  type Frame,
+  type FrameConnection,
+  FrameServer,
+  raftCodecs,
+  routerToControlCodecs,
+  type WireIdentity,
+  type WireLimits,
+} from '../../wire/index.js';
+import type { ControlToRouter, Greeting, RouterToControl } from '../messages.js';
+import type { ConnectionId } from '../types.js';
+
+export interface InternalServerOwner {
+  peerMessage(message: RaftMessage): void;
+  peerConnected(replica: ReplicaId, connection: FrameConnection): void;
+  peerDisconnected(replica: ReplicaId, connection: FrameConnection): void;
+  routerMessage(connection: ConnectionId, message: RouterToControl): void;
+  routerGone(connection: ConnectionId): void;
+}
+
+export interface InternalServerOptions {
+  readonly listen: Address;
+  readonly self: ReplicaId;
+  readonly identity: WireIdentity;
+  readonly limits: WireLimits;
+  readonly log: Logger;
+  readonly owner: InternalServerOwner;
+}
+
+/** A message that its sender may not send. */
+class ForeignMessageError extends TernmountError {
+  constructor(message: string) {
+    super({ code: 'TERNMOUNT_CONTROL_FOREIGN_MESSAGE', retriable: false }, message);
+  }
+}
+
+export class InternalServer {
+  private server: FrameServer | undefined;
+  private readonly routers = new Map<ConnectionId, FrameConnection>();
+  private readonly routerIds = new Map<FrameConnection, ConnectionId>();
+  private connectionCount = 0;
+
+  constructor(private readonly options: InternalServerOptions) {}
+
+  async start(): Promise<void> {
+    const { listen, identity, limits } = this.options;
+    this.server = await FrameServer.listen({
+      listen,
+      identity,
+      limits,
+      owner: {
+        ready: (connection, peer) => this.accept(connection, peer),
+        received: (connection, frame) => this.take(connection, frame),
+        closed: (connection, reason) => this.forget(connection, reason),
+      },
+    });
+  }
+
+  /** Where it listens, with the real port. */
+  get address(): Address {
+    return this.server?.address ?? this.options.listen;
+  }
+
+  /** Sends to a router; one that doesn't read is cut off and will ask again. */
+  sendToRouter(id: ConnectionId, message: ControlToRouter): void {
+    const connection = this.routers.get(id);
+    if (connection === undefined) {
+      return;
+    }
+    const { kind, payload } = controlToRouterCodecs.encode(message);
+    if (connection.send(kind, payload) === 'queue-full') {
+      this.options.log.warn('router-queue-full', { router: connection.peer?.name });
+      connection.destroy(null);
+    }
+  }
+
+  async stop(): Promise<void> {
+    await this.server?.stop();
+  }
+
+  private accept(connection: FrameConnection, peer: Greeting): void {
+    if (peer.kind === 'control') {
+      this.options.owner.peerConnected(peer.name, connection);
+      return;
+    }
+    this.connectionCount += 1;
+    const id = `router-${this.connectionCount}`;
+    this.routers.set(id, connection);
+    this.routerIds.set(connection, id);
+    this.options.log.info('router-connected', { router: peer.name, connection: id });
+  }
+
+  private take(connection: FrameConnection, frame: Frame): void {
+    const id = this.routerIds.get(connection);
+    if (id !== undefined) {
+      this.options.owner.routerMessage(id, routerToControlCodecs.decode(frame.kind, frame.payload));
+      return;
+    }
+    const message = raftCodecs.decode(frame.kind, frame.payload);
+    this.checkPeerMessage(connection, message);
+    if (message.to === this.options.self) {
+      this.options.owner.peerMessage(message);
+    }
+  }
+
+  /** A replica speaks only for itself. A message to a replica that lived at this address before is dropped. */
+  private checkPeerMessage(connection: FrameConnection, message: RaftMessage): void {
+    if (message.from !== connection.peer?.name) {
+      throw new ForeignMessageError(`replica ${connection.peer?.name} spoke for ${message.from}`);
+    }
+  }
+
+  private forget(connection: FrameConnection, reason: Error | null): void {
+    const { peer } = connection;
+    if (reason !== null) {
+      this.options.log.warn('connection-closed', { peer: peer?.name, kind: peer?.kind, reason });
+    }
+    const id = this.routerIds.get(connection);
+    if (id !== undefined) {
+      this.routerIds.delete(connection);
+      this.routers.delete(id);
+      this.options.owner.routerGone(id);
+    } else if (peer !== null) {
+      this.options.owner.peerDisconnected(peer.name, connection);
+    }
+  }
+}
--- /dev/null
+++ b/src/control/daemon/operations.ts
@@ -0,0 +1,49 @@
+/** Operators' requests under way: each gets exactly one response. */
+import type { OperationId, OperatorRequest, OperatorResponse } from '../types.js';
+
+interface PendingOperation {
+  readonly resolve: (response: OperatorResponse) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+export class Operations {
+  private readonly pending = new Map<OperationId, PendingOperation>();
+  private count = 0;
+
+  constructor(
+    private readonly timeoutMillis: number,
+    private readonly submit: (operation: OperationId, request: OperatorRequest) => void,
+  ) {}
+
+  /** Hands the request to the core. `unknown` after the timeout. */
+  run(request: OperatorRequest): Promise<OperatorResponse> {
+    this.count += 1;
+    const operation = `operation-${this.count}`;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => this.answer(operation, { type: 'unknown' }), this.timeoutMillis);
+      this.pending.set(operation, { resolve, timer });
+      this.submit(operation, request);
+    });
+  }
+
+  /** Late or second responses are dropped. */
+  answer(operation: OperationId, response: OperatorResponse): void {
+    const pending = this.pending.get(operation);
+    if (pending !== undefined) {
+      this.pending.delete(operation);
+      clearTimeout(pending.timer);
+      pending.resolve(response);
+    }
+  }
+
+  get size(): number {
+    return this.pending.size;
+  }
+
+  /** Ends all that wait: nothing more will be heard of them here. */
+  abandon(): void {
+    for (const operation of [...this.pending.keys()]) {
+      this.answer(operation, { type: 'unknown' });
+    }
+  }
+}
--- /dev/null
+++ b/src/control/daemon/peer-links.ts
@@ -0,0 +1,101 @@
+/** Task that owns the outgoing connections to the other replicas. Messages are sent once; Raft itself repeats them. */
+import type { RaftMessage } from '../../consensus/types.js';
+import type { Logger } from '../../logging/logger.js';
+import type { Address, ReplicaId } from '../../model/identifiers.js';
+import {
+  FrameClient,
+  type FrameConnection,
+  raftCodecs,
+  type WireIdentity,
+  type WireLimits,
+} from '../../wire/index.js';
+import { splitAppend } from './append-split.js';
+
+interface PeerLink {
+  readonly address: Address;
+  readonly client: FrameClient;
+}
+
+export interface PeerLinksOptions {
+  readonly identity: WireIdentity;
+  readonly limits: WireLimits;
+  readonly log: Logger;
+  /** Addresses of the members as the log has them now. */
+  readonly addresses: () => Readonly<Record<ReplicaId, Address>>;
+}
+
+export class PeerLinks {
+  private readonly links = new Map<ReplicaId, PeerLink>();
+  /** Connections that replicas made to this one: the way to a replica whose address isn't known yet. */
+  private readonly incoming = new Map<ReplicaId, FrameConnection>();
+
+  constructor(private readonly options: PeerLinksOptions) {}
+
+  /** Sends a message, or drops it if the replica can't be reached now. */
+  send(message: RaftMessage): void {
+    const target = this.targetOf(message.to);
+    if (target === undefined) {
+      return;
+    }
+    const { maxFrameBytes } = this.options.limits;
+    const parts = message.type === 'append-request' ? splitAppend(message, maxFrameBytes) : [message];
+    for (const part of parts) {
+      const { kind, payload } = raftCodecs.encode(part);
+      const result = target.send(kind, payload);
+      if (result === 'queue-full') {
+        this.options.log.warn('peer-queue-full', { peer: message.to, message: message.type });
+      }
+    }
+  }
+
+  connected(replica: ReplicaId, connection: FrameConnection): void {
+    this.incoming.set(replica, connection);
+  }
+
+  disconnected(replica: ReplicaId, connection: FrameConnection): void {
+    if (this.incoming.get(replica) === connection) {
+      this.incoming.delete(replica);
+    }
+  }
+
+  /** Drops links to replicas that left or moved. */
+  reconcile(): void {
+    const addresses = this.options.addresses();
+    for (const [replica, link] of this.links) {
+      if (addresses[replica] !== link.address) {
+        link.client.stop();
+        this.links.delete(replica);
+      }
+    }
+  }
+
+  stop(): void {
+    for (const { client } of this.links.values()) {
+      client.stop();
+    }
+    this.links.clear();
+  }
+
+  private targetOf(replica: ReplicaId): FrameClient | FrameConnection | undefined {
+    const link = this.links.get(replica) ?? this.dial(replica);
+    return link?.client.ready ? link.client : this.incoming.get(replica);
+  }
+
+  private dial(replica: ReplicaId): PeerLink | undefined {
+    const address = this.options.addresses()[replica];
+    if (address === undefined) {
+      return undefined;
+    }
+    const { identity, limits, log } = this.options;
+    const client = new FrameClient({
+      address,
+      identity,
+      limits,
+      onReady: (peer) => log.info('peer-connected', { peer: peer.name, address }),
+      onLost: (reason) => log.debug('peer-lost', { peer: replica, address, reason }),
+    });
+    const link = { address, client };
+    this.links.set(replica, link);
+    return link;
+  }
+}
--- /dev/null
+++ b/src/control/daemon/settings.ts
@@ -0,0 +1,63 @@
+/** Settings of a control daemon, as its starter gives them. */
+import type Koa from 'koa';
+import type { RaftTimings } from '../../consensus/types.js';
+import { DEFAULT_LEASE_TIMINGS, type LeaseTimings } from '../../lease/types.js';
+import type { Address, ClusterId, Zone } from '../../model/identifiers.js';
+import { DEFAULT_WIRE_LIMITS, type WireLimits } from '../../wire/index.js';
+import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../messages.js';
+import type { ControlDaemon } from './control-daemon.js';
+
+export interface ControlDaemonSettings {
+  readonly cluster: ClusterId;
+  readonly zone: Zone;
+  /** Folder made by `control init` or `control join`. */
+  readonly dataFolder: string;
+  /** Internal port, for replicas and routers. Must be the address that the membership names. */
+  readonly listen: Address;
+  /** HTTP port for operators, metrics and health. */
+  readonly admin: Address;
+  /** Shared by all processes of the cluster. */
+  readonly secret: string;
+  readonly timings?: Partial<ControlDaemonTimings>;
+  readonly wire?: Partial<WireLimits>;
+  /** Makes the operators' HTTP API; without it only metrics and health are served. */
+  readonly createAdminApp?: (daemon: ControlDaemon) => Koa;
+}
+
+/** Times in milliseconds. */
+export interface ControlDaemonTimings {
+  readonly raft: RaftTimings;
+  readonly lease: LeaseTimings;
+  readonly configLease: ConfigLeaseTimings;
+  /** An upstream that didn't answer a session request in this time failed. */
+  readonly sessionMillis: number;
+  /** An operator's request that wasn't answered in this time has an unknown outcome. */
+  readonly operationMillis: number;
+  /** Longest wait for another leader on a planned stop. */
+  readonly transferMillis: number;
+  /** How long requests on open admin connections are still answered on a planned stop. */
+  readonly idleMillis: number;
+  readonly snapshotEntries: number;
+  /** Replace a silent voter by a caught-up spare after this; 0: never. */
+  readonly replaceAfterMillis: number;
+}
+
+export const DEFAULT_CONTROL_TIMINGS: ControlDaemonTimings = {
+  raft: { electionTimeoutMillis: 300, heartbeatMillis: 60 },
+  lease: DEFAULT_LEASE_TIMINGS,
+  configLease: DEFAULT_CONFIG_LEASE_TIMINGS,
+  sessionMillis: 300,
+  operationMillis: 15_000,
+  transferMillis: 2000,
+  idleMillis: 200,
+  snapshotEntries: 10_000,
+  replaceAfterMillis: 0,
+};
+
+export function controlTimings(settings: ControlDaemonSettings): ControlDaemonTimings {
+  return { ...DEFAULT_CONTROL_TIMINGS, ...settings.timings };
+}
+
+export function controlWireLimits(settings: ControlDaemonSettings): WireLimits {
+  return { ...DEFAULT_WIRE_LIMITS, ...settings.wire };
+}
--- /dev/null
+++ b/src/control/daemon/upstream-sessions.ts
@@ -0,0 +1,114 @@
+/** Task that owns the HTTP connections to upstreams and carries session requests over them. */
+import { Agent } from 'undici';
+import { TernmountError, toError } from '../../errors/ternmount-error.js';
+import type { SessionAnswer, SessionRequest } from '../../lease/types.js';
+import type { Logger } from '../../logging/logger.js';
+import type { Address, UpstreamId } from '../../model/identifiers.js';
+import { sessionAnswerSchema } from '../../wire/session/session-schema.js';
+
+/** Requests to one upstream at once: a second one may overtake a first that hangs. */
+const MAX_CALLS_PER_UPSTREAM = 2;
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+const KEEP_ALIVE_MILLIS = 4000;
+const OK = 200;
+
+export interface UpstreamSessionsOwner {
+  answered(upstream: UpstreamId, sequence: number, answer: SessionAnswer): void;
+  failed(upstream: UpstreamId, sequence: number): void;
+}
+
+/** An answer that isn't one to the request. */
+class SessionFailedError extends TernmountError {
+  constructor(message: string, cause?: Error) {
+    super({ code: 'TERNMOUNT_CONTROL_SESSION_FAILED', retriable: true, cause }, message);
+  }
+}
+
+export class UpstreamSessions {
+  private readonly agent: Agent;
+  private readonly calls = new Map<UpstreamId, number>();
+
+  constructor(
+    private readonly timeoutMillis: number,
+    private readonly owner: UpstreamSessionsOwner,
+    private readonly log: Logger,
+  ) {
+    this.agent = new Agent({
+      connections: MAX_CALLS_PER_UPSTREAM,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MILLIS,
+      maxResponseSize: MAX_ANSWER_BYTES,
+      connect: { timeout: timeoutMillis },
+    });
+  }
+
+  /** Sends a request; the owner hears of its end exactly once, never during this call. */
+  call(upstream: UpstreamId, address: Address, request: SessionRequest): void {
+    const calls = this.calls.get(upstream) ?? 0;
+    if (calls >= MAX_CALLS_PER_UPSTREAM) {
+      queueMicrotask(() => this.owner.failed(upstream, request.sequence));
+      return;
+    }
+    this.calls.set(upstream, calls + 1);
+    void this.exchange(upstream, address, request);
+  }
+
+  async stop(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async exchange(upstream: UpstreamId, address: Address, request: SessionRequest): Promise<void> {
+    let answer: SessionAnswer | null = null;
+    try {
+      answer = await this.post(address, request);
+    } catch (thrown) {
+      const reason = toError(thrown);
+      this.log.debug('session-failed', { upstream, address, sequence: request.sequence, reason });
+    }
+    this.endCall(upstream);
+    if (answer === null) {
+      this.owner.failed(upstream, request.sequence);
+    } else {
+      this.owner.answered(upstream, request.sequence, answer);
+    }
+  }
+
+  private async post(address: Address, request: SessionRequest): Promise<SessionAnswer> {
+    const response = await this.agent.request({
+      origin: `http://${address}`,
+      path: '/ternmount/v1/session',
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(request),
+      signal: AbortSignal.timeout(this.timeoutMillis),
+    });
+    const text = await response.body.text();
+    if (response.statusCode !== OK) {
+      throw new SessionFailedError(`status ${response.statusCode}: ${text.slice(0, 200)}`);
+    }
+    return checkAnswer(text, request);
+  }
+
+  private endCall(upstream: UpstreamId): void {
+    const left = (this.calls.get(upstream) ?? 1) - 1;
+    if (left === 0) {
+      this.calls.delete(upstream);
+    } else {
+      this.calls.set(upstream, left);
+    }
+  }
+}
+
+/** Checks shape, and that the answer is to this request and from this upstream. */
+function checkAnswer(text: string, request: SessionRequest): SessionAnswer {
+  let answer: SessionAnswer;
+  try {
+    answer = sessionAnswerSchema.parse(JSON.parse(text));
+  } catch (thrown) {
+    throw new SessionFailedError('the answer has another shape', toError(thrown));
+  }
+  if (answer.upstream !== request.upstream || answer.sequence !== request.sequence) {
+    throw new SessionFailedError(`the answer is of ${answer.upstream} to ${answer.sequence}`);
+  }
+  return answer;
+}
--- /dev/null
+++ b/src/router/attempts/answer-stream.ts
@@ -0,0 +1,88 @@
+/**
+ * An answer that flows from an upstream to the callers it was delivered to. If it breaks, their connections are
+ * broken too, so that none of them takes a piece for the whole.
+ */
+import type { ServerResponse } from 'node:http';
+
+export interface AnswerStreamOptions {
+  readonly stallMillis: number;
+  /** Reads on from the upstream. */
+  readonly resume: () => void;
+  /** No caller is left. */
+  readonly abandoned: () => void;
+}
+
+export class AnswerStream {
+  private readonly readers = new Set<ServerResponse>();
+  private readonly blocked = new Set<ServerResponse>();
+  private started = false;
+  private over = false;
+
+  constructor(private readonly options: AnswerStreamOptions) {}
+
+  /** Adds a caller, before the stream starts. */
+  add(reader: ServerResponse): void {
+    if (this.over || this.started) {
+      reader.destroy();
+      return;
+    }
+    this.readers.add(reader);
+    reader.setTimeout(this.options.stallMillis, () => reader.destroy());
+    reader.on('drain', () => this.unblock(reader));
+    reader.on('close', () => this.remove(reader));
+  }
+
+  /** Writes what was read before, and reads on. */
+  start(chunks: readonly Buffer[]): void {
+    if (this.started || this.over || this.readers.size === 0) {
+      return;
+    }
+    this.started = true;
+    let flowing = true;
+    for (const chunk of chunks) {
+      flowing = this.write(chunk);
+    }
+    if (flowing) {
+      this.options.resume();
+    }
+  }
+
+  /** Gives `false` if a caller can't take more now. */
+  write(chunk: Buffer): boolean {
+    for (const reader of this.readers) {
+      if (!reader.write(chunk)) {
+        this.blocked.add(reader);
+      }
+    }
+    return this.blocked.size === 0;
+  }
+
+  end(): void {
+    this.over = true;
+    for (const reader of this.readers) {
+      reader.end();
+    }
+  }
+
+  breakOff(): void {
+    this.over = true;
+    for (const reader of this.readers) {
+      reader.destroy();
+    }
+  }
+
+  private unblock(reader: ServerResponse): void {
+    if (this.blocked.delete(reader) && this.blocked.size === 0 && !this.over) {
+      this.options.resume();
+    }
+  }
+
+  private remove(reader: ServerResponse): void {
+    this.readers.delete(reader);
+    if (this.readers.size === 0 && !this.over) {
+      this.over = true;
+      this.options.abandoned();
+    }
+    this.unblock(reader);
+  }
+}
--- /dev/null
+++ b/src/router/attempts/attempt-error.ts
@@ -0,0 +1,16 @@
+/** Why an attempt was given up; each closes its connection. */
+import { TernmountError } from '../../errors/ternmount-error.js';
+
+export type AttemptFailure =
+  | 'cancelled'
+  | 'other-request-id'
+  | 'no-length'
+  | 'sent-twice'
+  | 'no-reader'
+  | 'head-too-large';
+
+export class AttemptAbortedError extends TernmountError {
+  constructor(readonly failure: AttemptFailure) {
+    super({ code: 'TERNMOUNT_ROUTER_ATTEMPT_ABORTED', retriable: false }, `attempt given up: ${failure}`);
+  }
+}
--- /dev/null
+++ b/src/router/attempts/attempt.ts
@@ -0,0 +1,218 @@
+/**
+ * One attempt of a request on an upstream. Its answer is read whole up to a bound and only then reported; a longer one
+ * is reported with its head and then streamed. A connection on which an answer is still owed is closed, never used again.
+ */
+import type { Dispatcher, Pool } from 'undici';
+import { HEADERS } from '../../model/outcome.js';
+import type { AttemptNumber, AttemptResult, RouterEffect } from '../../routing/types.js';
+import type { CallerExchange } from '../caller/caller-exchange.js';
+import { findHeader, forwardedAnswerHeaders, reportedLoad } from '../caller/header-rules.js';
+import { type AnswerHead, announcedLength, refusalOf } from './answer-head.js';
+import { AnswerStream } from './answer-stream.js';
+import { AttemptAbortedError, type AttemptFailure } from './attempt-error.js';
+import { storedAnswerOf } from './stored-answer.js';
+
+export type DispatchEffect = Extract<RouterEffect, { readonly type: 'dispatch' }>;
+
+export interface AttemptOptions {
+  readonly effect: DispatchEffect;
+  readonly exchange: CallerExchange;
+  readonly requestId: string;
+  /** Bound of answers kept for resends; `null`: keep none. */
+  readonly storedAnswerBytes: number | null;
+  readonly streamStallMillis: number;
+  /** Called once, never during `start`. */
+  readonly ended: (attempt: AttemptNumber, result: AttemptResult) => void;
+}
+
+type Phase = 'waiting' | 'sent' | 'reported';
+
+export class Attempt implements Dispatcher.DispatchHandlers {
+  private phase: Phase = 'waiting';
+  private head: AnswerHead | null = null;
+  private chunks: Buffer[] = [];
+  private size = 0;
+  private complete = false;
+  private stream: AnswerStream | null = null;
+  private abortRequest: ((error: Error) => void) | null = null;
+  private abortedFor: AttemptFailure | null = null;
+  private resume: () => void = () => {};
+
+  constructor(private readonly options: AttemptOptions) {}
+
+  /** Whether the upstream's whole answer is here. */
+  get whole(): boolean {
+    return this.complete;
+  }
+
+  start(pool: Pool): void {
+    const { exchange, effect } = this.options;
+    pool.dispatch(
+      {
+        path: exchange.head.target,
+        method: exchange.head.method as Dispatcher.HttpMethod,
+        headers: [...exchange.forwardedHeaders(), ...internalHeaders(effect, this.options.requestId)],
+        body: exchange.body.length > 0 ? exchange.body : null,
+      },
+      this,
+    );
+  }
+
+  /** Gives the attempt up; the upstream sees its connection close. */
+  cancel(): void {
+    this.abort('cancelled');
+  }
+
+  /** Gives the answer, or the stream of it, to a caller. Only after `answered` was reported. */
+  deliver(exchange: CallerExchange): void {
+    const head = this.head as AnswerHead;
+    const headers = forwardedAnswerHeaders(head.headers);
+    if (this.complete) {
+      const body = Buffer.concat(this.chunks);
+      exchange.answerWhole(head.status, withLength(headers, head, body, exchange.head.method), body);
+      return;
+    }
+    this.stream?.add(exchange.startStream(head.status, headers));
+  }
+
+  /** Lets a streamed answer flow to those it was delivered to. */
+  flow(): void {
+    this.stream?.start(this.chunks);
+    this.chunks = [];
+  }
+
+  onConnect(abort: (error?: Error) => void): void {
+    if (this.phase !== 'waiting') {
+      abort(new AttemptAbortedError('sent-twice'));
+      return;
+    }
+    if (this.abortedFor !== null) {
+      abort(new AttemptAbortedError(this.abortedFor));
+      return;
+    }
+    this.phase = 'sent';
+    this.abortRequest = abort;
+  }
+
+  onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
+    if (status < 200) {
+      return true;
+    }
+    const headers = rawHeaders.map((part) => part.toString('latin1'));
+    this.resume = resume;
+    if (findHeader(headers, HEADERS.requestId) !== this.options.requestId) {
+      this.abort('other-request-id');
+      return false;
+    }
+    const length = announcedLength(this.options.exchange.head.method, status, headers);
+    if (length === undefined) {
+      this.abort('no-length');
+      return false;
+    }
+    this.head = { status, headers, contentLength: length === 'chunked' ? null : length };
+    return length === 'chunked' || length <= this.options.effect.wholeAnswerBytes || this.beginStream();
+  }
+
+  onData(chunk: Buffer): boolean {
+    if (this.stream !== null) {
+      return this.stream.write(chunk);
+    }
+    this.chunks.push(chunk);
+    this.size += chunk.length;
+    return this.size <= this.options.effect.wholeAnswerBytes || this.beginStream();
+  }
+
+  onComplete(): void {
+    if (this.stream !== null) {
+      this.stream.end();
+      return;
+    }
+    this.complete = true;
+    this.report(this.wholeResult());
+  }
+
+  onError(_error: Error): void {
+    if (this.stream !== null) {
+      this.stream.breakOff();
+      return;
+    }
+    if (this.abortedFor === 'cancelled') {
+      this.report({ type: this.phase === 'waiting' ? 'connect-failed' : 'cancelled' });
+      return;
+    }
+    this.report({ type: this.phase === 'waiting' ? 'connect-failed' : 'broken' });
+  }
+
+  /** Reports the head of an answer that is too long to read whole, and holds back its rest until it is delivered. */
+  private beginStream(): boolean {
+    this.stream = new AnswerStream({
+      stallMillis: this.options.streamStallMillis,
+      resume: () => this.resume(),
+      abandoned: () => this.abort('no-reader'),
+    });
+    this.report(this.answeredResult(null));
+    return false;
+  }
+
+  private wholeResult(): AttemptResult {
+    const head = this.head as AnswerHead;
+    const { storedAnswerBytes } = this.options;
+    const body = storedAnswerBytes === null ? null : Buffer.concat(this.chunks);
+    const refusal = refusalOf(head);
+    if (refusal !== null) {
+      return refusal;
+    }
+    return this.answeredResult(body);
+  }
+
+  private answeredResult(body: Buffer | null): AttemptResult {
+    const { status, headers } = this.head as AnswerHead;
+    const { storedAnswerBytes } = this.options;
+    const stored =
+      storedAnswerBytes === null ? null : storedAnswerOf(status, headers, body, storedAnswerBytes);
+    return { type: 'answered', status, load: reportedLoad(headers), stored };
+  }
+
+  private report(result: AttemptResult): void {
+    if (this.phase !== 'reported') {
+      this.phase = 'reported';
+      const { ended, effect } = this.options;
+      queueMicrotask(() => ended(effect.attempt, result));
+    }
+  }
+
+  private abort(failure: AttemptFailure): void {
+    if (this.complete || this.abortedFor !== null) {
+      return;
+    }
+    this.abortedFor = failure;
+    if (this.phase === 'waiting') {
+      // It waits for a connection and was never sent; `onConnect` will turn the connection away.
+      this.report({ type: 'connect-failed' });
+      return;
+    }
+    this.abortRequest?.(new AttemptAbortedError(failure));
+  }
+}
+
+/** Headers that the router adds for the upstream. */
+function internalHeaders(effect: DispatchEffect, requestId: string): string[] {
+  const deadline = Math.max(1, Math.floor(effect.deadlineMillis));
+  const headers = [HEADERS.requestId, requestId, HEADERS.deadlineMillis, String(deadline)];
+  const { credentials } = effect;
+  if (credentials !== null) {
+    headers.push(HEADERS.shard, credentials.shard);
+    headers.push(HEADERS.epoch, String(credentials.epoch));
+    headers.push(HEADERS.incarnation, credentials.incarnation);
+    headers.push(HEADERS.key, encodeURIComponent(credentials.key));
+  }
+  return headers;
+}
+
+/** The length of an answer that came in chunks is known once it is whole. */
+function withLength(headers: string[], head: AnswerHead, body: Buffer, method: string): string[] {
+  if (head.contentLength !== null || method === 'HEAD') {
+    return headers;
+  }
+  return [...headers, 'content-length', String(body.length)];
+}
--- /dev/null
+++ b/src/router/attempts/upstream-pools.ts
@@ -0,0 +1,50 @@
+/** Task that owns the connections to upstreams. A connection carries one request at a time. */
+import { Pool } from 'undici';
+import type { Address } from '../../model/identifiers.js';
+
+export interface UpstreamPoolOptions {
+  readonly connectionsPerUpstream: number;
+  readonly connectMillis: number;
+  readonly streamStallMillis: number;
+}
+
+const KEEP_ALIVE_MILLIS = 4000;
+
+export class UpstreamPools {
+  private readonly pools = new Map<Address, Pool>();
+
+  constructor(private readonly options: UpstreamPoolOptions) {}
+
+  /** The pool for an upstream. */
+  of(address: Address): Pool {
+    const known = this.pools.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const pool = new Pool(`http://${address}`, {
+      connections: this.options.connectionsPerUpstream,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MILLIS,
+      // The core cancels attempts at their deadline; answers that are streamed are past it.
+      headersTimeout: 0,
+      bodyTimeout: this.options.streamStallMillis,
+      connect: { timeout: this.options.connectMillis },
+    });
+    this.pools.set(address, pool);
+    return pool;
+  }
+
+  /** Lets go of pools to addresses that no upstream has any more, once their requests are done. */
+  keepOnly(addresses: ReadonlySet<Address>): void {
+    for (const [address, pool] of this.pools) {
+      if (!addresses.has(address)) {
+        this.pools.delete(address);
+        void pool.close();
+      }
+    }
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
+  }
+}
--- /dev/null
+++ b/src/router/caller/request-head.ts
@@ -0,0 +1,87 @@
+/**
+ * Reads where a request goes. The path is `/<service>/...`; for keyed services the key is the header `ternmount-key`
+ * (percent-encoded) or else the second segment of the path. The upstream gets path and query as they came.
+ */
+import type { IncomingMessage } from 'node:http';
+import type { ServiceName } from '../../model/identifiers.js';
+import { HEADERS } from '../../model/outcome.js';
+import { BadRequestError } from './bad-request-error.js';
+import { type IdempotencyHead, readIdempotency } from './idempotency.js';
+
+export interface CallerRequestHead {
+  readonly method: string;
+  readonly target: string;
+  readonly service: ServiceName;
+  readonly key: string | null;
+  /** Asked for with `ternmount-deadline-ms`. */
+  readonly deadlineMillis: number | null;
+  readonly idempotency: IdempotencyHead | null;
+}
+
+const MAX_DEADLINE_MILLIS = 86_400_000;
+const MAX_KEY_LENGTH = 1024;
+const VISIBLE_ASCII = /^[\x21-\x7e]+$/;
+
+/** Throws `BadRequestError`. */
+export function readCallerRequest(request: IncomingMessage): CallerRequestHead {
+  const target = request.url ?? '';
+  if (!target.startsWith('/')) {
+    throw new BadRequestError('the request target must be a path');
+  }
+  const [service, pathKey] = leadingSegments(target);
+  if (service === undefined || service === '') {
+    throw new BadRequestError('the path must be /<service>/...');
+  }
+  return {
+    method: request.method ?? 'GET',
+    target,
+    service: decode(service, 'service'),
+    key: readKey(request.headers[HEADERS.key], pathKey),
+    deadlineMillis: readDeadline(request.headers[HEADERS.deadlineMillis]),
+    idempotency: readIdempotency(request.headers),
+  };
+}
+
+/** The first two segments of the path, still encoded. */
+function leadingSegments(target: string): readonly (string | undefined)[] {
+  const queryStart = target.indexOf('?');
+  const path = queryStart === -1 ? target : target.slice(0, queryStart);
+  return path.slice(1).split('/', 2);
+}
+
+function readKey(header: string | string[] | undefined, pathKey: string | undefined): string | null {
+  const encoded = typeof header === 'string' ? header : pathKey;
+  if (encoded === undefined || encoded === '') {
+    return null;
+  }
+  const key = decode(encoded, 'key');
+  if (key.length > MAX_KEY_LENGTH) {
+    throw new BadRequestError(`the key is above ${MAX_KEY_LENGTH} characters`);
+  }
+  return key;
+}
+
+function readDeadline(value: string | string[] | undefined): number | null {
+  if (value === undefined) {
+    return null;
+  }
+  const millis = Number(value);
+  if (!Number.isInteger(millis) || millis < 1 || millis > MAX_DEADLINE_MILLIS) {
+    throw new BadRequestError(`${HEADERS.deadlineMillis} must be 1 to ${MAX_DEADLINE_MILLIS}`);
+  }
+  return millis;
+}
+
+function decode(encoded: string, what: string): string {
+  if (!VISIBLE_ASCII.test(encoded)) {
+    throw new BadRequestError(`the ${what} must be percent-encoded`);
+  }
+  if (!encoded.includes('%')) {
+    return encoded;
+  }
+  try {
+    return decodeURIComponent(encoded);
+  } catch {
+    throw new BadRequestError(`the ${what} is no percent-encoded UTF-8`);
+  }
+}
--- /dev/null
+++ b/src/router/hints/upstream-directory.ts
@@ -0,0 +1,47 @@
+/** Addresses of the upstreams, for probes and for closing pools. Routing itself relies on the core alone. */
+import type { SyncResponse } from '../../control/messages.js';
+import type { Address, Revision, UpstreamId } from '../../model/identifiers.js';
+import type { UpstreamRecord } from '../../registry/types.js';
+
+export class UpstreamDirectory {
+  private readonly addresses = new Map<UpstreamId, Address>();
+  private revision: Revision = 0;
+
+  /** Takes what a control member sent. Gives whether any address changed. */
+  update(response: SyncResponse): boolean {
+    const { snapshot, delta } = response;
+    if (snapshot !== null && snapshot.revision >= this.revision) {
+      this.revision = snapshot.revision;
+      this.replace(snapshot.upstreams);
+      return true;
+    }
+    if (delta === null || delta.from > this.revision || delta.to <= this.revision) {
+      return false;
+    }
+    this.revision = delta.to;
+    const changes = delta.changes.filter((change) => change.type === 'upstream');
+    for (const { id, record } of changes) {
+      this.set(id, record);
+    }
+    return changes.length > 0;
+  }
+
+  list(): ReadonlyMap<UpstreamId, Address> {
+    return this.addresses;
+  }
+
+  private replace(records: readonly UpstreamRecord[]): void {
+    this.addresses.clear();
+    for (const record of records) {
+      this.set(record.definition.id, record);
+    }
+  }
+
+  private set(id: UpstreamId, record: UpstreamRecord | null): void {
+    if (record === null) {
+      this.addresses.delete(id);
+    } else {
+      this.addresses.set(id, record.definition.address);
+    }
+  }
+}
--- /dev/null
+++ b/src/router/metrics.ts
@@ -0,0 +1,74 @@
+/** Metrics of a router daemon. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { ServiceName } from '../model/identifiers.js';
+import type { RouterStatus } from '../routing/types.js';
+
+const SECONDS_BUCKETS = [0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1, 2, 4, 8];
+/** Service label of requests for services that don't exist, whatever they call them. */
+const UNKNOWN_SERVICE = '(unknown)';
+
+export class RouterMetrics {
+  readonly registry = new Registry();
+  private readonly requests = new Counter({
+    name: 'ternmount_router_requests_total',
+    help: 'Requests of callers by how they were answered',
+    labelNames: ['service', 'answer', 'reason'],
+    registers: [this.registry],
+  });
+  private readonly attempts = new Counter({
+    name: 'ternmount_router_attempts_total',
+    help: 'Attempts on upstreams by how they ended',
+    labelNames: ['result'],
+    registers: [this.registry],
+  });
+  private readonly seconds = new Histogram({
+    name: 'ternmount_router_request_seconds',
+    help: 'Time from the arrival of a request to the start of its answer',
+    labelNames: ['service'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+  private readonly durations = new Map<ServiceName, Histogram.Internal<'service'>>();
+
+  constructor(status: () => RouterStatus) {
+    this.gauge('queued', 'Requests waiting', () => status().queued);
+    this.gauge('in_flight', 'Attempts under way', () => status().inFlight);
+    this.gauge('revision', 'Revision of the configuration', () => status().revision);
+    this.gauge('serving', '1 while the configuration lease holds', () => (status().serving ? 1 : 0));
+  }
+
+  /** Counts an answer of an upstream, fresh or kept by the ledger. */
+  answered(service: ServiceName, seconds: number, kind: 'upstream' | 'stored'): void {
+    this.requests.inc({ service, answer: kind, reason: '' });
+    this.durationOf(service).observe(seconds);
+  }
+
+  /** Counts an answer of the router's own. */
+  refused(service: ServiceName, answer: string, reason: string): void {
+    const unknown = reason === 'unknown-service' || reason === 'no-configuration';
+    this.requests.inc({ service: unknown ? UNKNOWN_SERVICE : service, answer, reason });
+  }
+
+  attemptEnded(result: string): void {
+    this.attempts.inc({ result });
+  }
+
+  private durationOf(service: ServiceName): Histogram.Internal<'service'> {
+    const known = this.durations.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const histogram = this.seconds.labels(service);
+    this.durations.set(service, histogram);
+    return histogram;
+  }
+
+  private gauge(name: string, help: string, read: () => number): void {
+    const metric: Gauge = new Gauge({
+      name: `ternmount_router_${name}`,
+      help,
+      registers: [this.registry],
+      collect: () => metric.set(read()),
+    });
+  }
+}
--- /dev/null
+++ b/src/router/router-daemon.ts
@@ -0,0 +1,206 @@
+/** The router daemon: the deterministic router core with its sockets and timers. */
+import { randomInt, randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { ControlToRouter } from '../control/messages.js';
+import { createLogger, type Logger } from '../logging/logger.js';
+import type { Address, Incarnation } from '../model/identifiers.js';
+import type { RouterConfig, RouterCore, RouterStatus } from '../routing/types.js';
+import { DEFAULT_HTTP_LIMITS, HttpListener } from '../wire/http/http-listener.js';
+import { createMonitorListener } from '../wire/http/monitor-listener.js';
+import { UpstreamPools } from './attempts/upstream-pools.js';
+import { BodyReader } from './caller/body-reader.js';
+import { type CallerFrontEnd, createCallerListener } from './caller/caller-listener.js';
+import { ControlLinks } from './control-links.js';
+import { HealthProbes } from './hints/health-probes.js';
+import { PlatformPoll } from './hints/platform-poll.js';
+import { UpstreamDirectory } from './hints/upstream-directory.js';
+import { RouterMetrics } from './metrics.js';
+import { RouterTask } from './router-task.js';
+import {
+  type CompleteRouterSettings,
+  completeRouterSettings,
+  type RouterDaemonSettings,
+} from './settings.js';
+
+const MAX_SEED = 2 ** 31 - 1;
+const SETTLE_CHECK_MILLIS = 10;
+/** Longest wait, once all callers are answered, for what the core still has under way, such as settling claims. */
+const SETTLE_MILLIS = 2000;
+
+/** Makes the core; replaced in tests. */
+export type CreateRouterCore = (config: RouterConfig) => RouterCore;
+
+export class RouterDaemon {
+  /** Resolves if the daemon can't go on. The process must then end. */
+  readonly failed: Promise<Error>;
+  readonly incarnation: Incarnation = randomUUID();
+  private readonly settings: CompleteRouterSettings;
+  private readonly core: RouterCore;
+  private readonly task: RouterTask;
+  private readonly pools: UpstreamPools;
+  private readonly links: ControlLinks;
+  private readonly probes: HealthProbes;
+  private readonly platform: PlatformPoll | null;
+  private readonly directory = new UpstreamDirectory();
+  private readonly metrics: RouterMetrics;
+  private readonly log: Logger = createLogger('router');
+  private callers: HttpListener | undefined;
+  private admin: HttpListener | undefined;
+  private fail: (error: Error) => void = () => {};
+  private stopping: Promise<void> | undefined;
+
+  constructor(
+    settings: RouterDaemonSettings,
+    createCore: CreateRouterCore,
+    private readonly frontEnd: CallerFrontEnd,
+  ) {
+    this.failed = new Promise((resolve) => {
+      this.fail = resolve;
+    });
+    this.settings = completeRouterSettings(settings);
+    const { limits, timings } = this.settings;
+    this.core = createCore(this.coreConfig());
+    this.metrics = new RouterMetrics(() => this.core.status());
+    this.pools = new UpstreamPools({ ...limits, ...timings });
+    this.links = this.createLinks();
+    this.probes = this.createProbes();
+    this.platform = this.createPlatformPoll();
+    this.task = new RouterTask({
+      settings: this.settings,
+      incarnation: this.incarnation,
+      core: this.core,
+      pools: this.pools,
+      bodies: new BodyReader(limits),
+      links: this.links,
+      metrics: this.metrics,
+      log: this.log,
+      failed: (error) => this.giveUp(error),
+    });
+  }
+
+  /** Opens the ports and starts the core. Requests are refused until there is a configuration. */
+  async start(): Promise<void> {
+    const { listen, admin, http, control } = this.settings;
+    const onRequest = createCallerListener(this.frontEnd, (request, response) =>
+      this.task.accept(request, response),
+    );
+    this.callers = await HttpListener.listen(listen, http, onRequest);
+    const monitor = createMonitorListener(
+      this.metrics.registry,
+      () => this.health(),
+      (_request, response) => {
+        response.writeHead(404, { 'content-length': 0 }).end();
+      },
+    );
+    this.admin = await HttpListener.listen(admin, DEFAULT_HTTP_LIMITS, monitor);
+    this.links.start(control);
+    this.platform?.start();
+    this.task.start();
+    this.log.info('started', { listen: this.address, admin: this.adminAddress });
+  }
+
+  /** Callers' address, with the real port. */
+  get address(): Address {
+    return this.callers?.address ?? this.settings.listen;
+  }
+
+  /** Admin address, with the real port. */
+  get adminAddress(): Address {
+    return this.admin?.address ?? this.settings.admin;
+  }
+
+  status(): RouterStatus {
+    return this.core.status();
+  }
+
+  /** Planned stop: takes no new connections, finishes every request, then closes everything. */
+  stop(): Promise<void> {
+    this.stopping ??= this.shutDown();
+    return this.stopping;
+  }
+
+  private async shutDown(): Promise<void> {
+    this.log.info('stopping', { openRequests: this.task.openRequests });
+    await this.callers?.stop(this.settings.timings.idleMillis);
+    const until = performance.now() + SETTLE_MILLIS;
+    while (this.core.status().inFlight > 0 && performance.now() < until) {
+      await sleep(SETTLE_CHECK_MILLIS);
+    }
+    this.task.stop();
+    this.probes.stop();
+    this.platform?.stop();
+    this.links.stop();
+    await this.pools.stop();
+    await this.admin?.stop(0);
+    this.log.info('stopped');
+  }
+
+  private health(): { readonly healthy: boolean } & RouterStatus {
+    const status = this.core.status();
+    return { healthy: status.serving && this.stopping === undefined, ...status };
+  }
+
+  private giveUp(error: Error): void {
+    this.log.error('failed', { error });
+    this.fail(error);
+  }
+
+  private received(from: Address, message: ControlToRouter): void {
+    if (message.type === 'sync-response' && this.directory.update(message)) {
+      const addresses = this.directory.list();
+      this.probes.probe(addresses);
+      this.pools.keepOnly(new Set(addresses.values()));
+    }
+    this.task.post({ type: 'control-message', from, message });
+  }
+
+  private createLinks(): ControlLinks {
+    const { cluster, router, secret, wire } = this.settings;
+    return new ControlLinks({
+      identity: {
+        greeting: { type: 'greeting', cluster, kind: 'router', name: router },
+        secret,
+        expects: ['control'],
+      },
+      limits: wire,
+      log: this.log,
+      received: (from, message) => this.received(from, message),
+      lost: (from) => this.task.post({ type: 'control-lost', from }),
+    });
+  }
+
+  private createProbes(): HealthProbes {
+    const { probeMillis, probeTimeoutMillis } = this.settings.timings;
+    return new HealthProbes({
+      intervalMillis: probeMillis,
+      timeoutMillis: probeTimeoutMillis,
+      result: (upstream, healthy, load) => this.task.post({ type: 'probe-result', upstream, healthy, load }),
+    });
+  }
+
+  private createPlatformPoll(): PlatformPoll | null {
+    const { platformUrl, timings } = this.settings;
+    if (platformUrl == null) {
+      return null;
+    }
+    return new PlatformPoll({
+      url: platformUrl,
+      intervalMillis: timings.platformMillis,
+      log: this.log,
+      result: ({ live, leaving }) => this.task.post({ type: 'platform-list', live, leaving }),
+    });
+  }
+
+  private coreConfig(): RouterConfig {
+    const { router, zone, control, timings } = this.settings;
+    return {
+      router,
+      incarnation: this.incarnation,
+      zone,
+      seed: randomInt(1, MAX_SEED),
+      control,
+      configLease: timings.configLease,
+      claimTimeoutMillis: timings.claimMillis,
+    };
+  }
+}
--- /dev/null
+++ b/src/router/settings.ts
@@ -0,0 +1,87 @@
+/** Settings of a router daemon, as its starter gives them. */
+import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../control/messages.js';
+import type { Address, ClusterId, RouterId, Zone } from '../model/identifiers.js';
+import { DEFAULT_HTTP_LIMITS, type HttpLimits } from '../wire/http/http-listener.js';
+import { DEFAULT_WIRE_LIMITS, type WireLimits } from '../wire/index.js';
+
+export interface RouterDaemonSettings {
+  readonly cluster: ClusterId;
+  readonly router: RouterId;
+  readonly zone: Zone;
+  /** HTTP port for callers. */
+  readonly listen: Address;
+  /** HTTP port for metrics and health. */
+  readonly admin: Address;
+  /** Internal addresses of the control members. */
+  readonly control: readonly Address[];
+  /** Shared by all processes of the cluster. */
+  readonly secret: string;
+  /** `GET` here gives the platform's list: `{"live":["id"],"leaving":["id"]}`. */
+  readonly platformUrl?: string | null;
+  readonly limits?: Partial<RouterLimits>;
+  readonly timings?: Partial<RouterTimings>;
+  readonly http?: Partial<HttpLimits>;
+  readonly wire?: Partial<WireLimits>;
+}
+
+export interface RouterLimits {
+  /** Larger request bodies are refused with 413. */
+  readonly maxBodyBytes: number;
+  /** Request bodies held at once, over all requests. */
+  readonly maxHeldBodyBytes: number;
+  /** Connections to one upstream. */
+  readonly connectionsPerUpstream: number;
+  /** Larger answers of non-repeatable requests aren't kept for resends. */
+  readonly storedAnswerBytes: number;
+}
+
+/** Times in milliseconds. */
+export interface RouterTimings {
+  readonly configLease: ConfigLeaseTimings;
+  readonly claimMillis: number;
+  /** Making a connection to an upstream. */
+  readonly connectMillis: number;
+  /** Silence in the middle of a streamed answer, of either end, after which it is broken off. */
+  readonly streamStallMillis: number;
+  readonly probeMillis: number;
+  readonly probeTimeoutMillis: number;
+  readonly platformMillis: number;
+  /** How long requests on open connections are still answered on a planned stop. */
+  readonly idleMillis: number;
+}
+
+export const DEFAULT_ROUTER_LIMITS: RouterLimits = {
+  maxBodyBytes: 1024 * 1024,
+  maxHeldBodyBytes: 256 * 1024 * 1024,
+  connectionsPerUpstream: 32,
+  storedAnswerBytes: 64 * 1024,
+};
+
+export const DEFAULT_ROUTER_TIMINGS: RouterTimings = {
+  configLease: DEFAULT_CONFIG_LEASE_TIMINGS,
+  claimMillis: 1000,
+  connectMillis: 500,
+  streamStallMillis: 30_000,
+  probeMillis: 2000,
+  probeTimeoutMillis: 1000,
+  platformMillis: 2000,
+  idleMillis: 500,
+};
+
+/** Settings with all defaults filled in. */
+export interface CompleteRouterSettings extends RouterDaemonSettings {
+  readonly limits: RouterLimits;
+  readonly timings: RouterTimings;
+  readonly http: HttpLimits;
+  readonly wire: WireLimits;
+}
+
+export function completeRouterSettings(settings: RouterDaemonSettings): CompleteRouterSettings {
+  return {
+    ...settings,
+    limits: { ...DEFAULT_ROUTER_LIMITS, ...settings.limits },
+    timings: { ...DEFAULT_ROUTER_TIMINGS, ...settings.timings },
+    http: { ...DEFAULT_HTTP_LIMITS, ...settings.http },
+    wire: { ...DEFAULT_WIRE_LIMITS, ...settings.wire },
+  };
+}
--- /dev/null
+++ b/src/wire/http/http-listener.ts
@@ -0,0 +1,93 @@
+/** Task that owns an HTTP server: listens, bounds slow callers, and stops without cutting off an answer. */
+import { createServer, type RequestListener, type Server } from 'node:http';
+import { type AddressInfo, Server as NetServer } from 'node:net';
+import type { Address } from '../../model/identifiers.js';
+import { formatAddress, parseAddress } from '../address.js';
+
+export interface HttpLimits {
+  readonly maxHeaderBytes: number;
+  /** Time in which the header of a request must arrive. */
+  readonly headersMillis: number;
+  /** Time in which a whole request must arrive. */
+  readonly requestMillis: number;
+  readonly keepAliveMillis: number;
+  readonly maxConnections: number;
+}
+
+export const DEFAULT_HTTP_LIMITS: HttpLimits = {
+  maxHeaderBytes: 16 * 1024,
+  headersMillis: 10_000,
+  requestMillis: 30_000,
+  keepAliveMillis: 65_000,
+  maxConnections: 20_000,
+};
+
+const LISTEN_BACKLOG = 4096;
+const CONNECTIONS_CHECK_MILLIS = 1000;
+const IDLE_CHECK_MILLIS = 20;
+
+export class HttpListener {
+  private stopping = false;
+
+  private constructor(private readonly server: Server) {}
+
+  /** Listens; fails if the address is taken. */
+  static async listen(
+    address: Address,
+    limits: HttpLimits,
+    onRequest: RequestListener,
+  ): Promise<HttpListener> {
+    const server = createServer({
+      maxHeaderSize: limits.maxHeaderBytes,
+      headersTimeout: limits.headersMillis,
+      requestTimeout: limits.requestMillis,
+      keepAliveTimeout: limits.keepAliveMillis,
+      connectionsCheckingInterval: CONNECTIONS_CHECK_MILLIS,
+      noDelay: true,
+    });
+    server.maxConnections = limits.maxConnections;
+    const listener = new HttpListener(server);
+    server.on('request', (request, response) => {
+      if (listener.stopping) {
+        response.setHeader('connection', 'close');
+      }
+      onRequest(request, response);
+    });
+    const { host, port } = parseAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => {
+        server.off('error', reject);
+        resolve();
+      });
+    });
+    return listener;
+  }
+
+  /** Where it listens, with the real port. */
+  get address(): Address {
+    const { address, port } = this.server.address() as AddressInfo;
+    return formatAddress({ host: address, port });
+  }
+
+  /**
+   * Stops taking connections; answers what still comes in on open ones for `idleMillis`, with `Connection: close`,
+   * so that a request which crosses with the stop isn't lost; then closes idle connections and waits for the rest.
+   */
+  async stop(idleMillis: number): Promise<void> {
+    this.stopping = true;
+    const closed = new Promise<void>((resolve) => {
+      // The HTTP server's own close would at once cut idle connections, on which a request may be under way.
+      NetServer.prototype.close.call(this.server, () => resolve());
+    });
+    let sweep: NodeJS.Timeout | undefined;
+    const grace = setTimeout(() => {
+      this.server.closeIdleConnections();
+      sweep = setInterval(() => this.server.closeIdleConnections(), IDLE_CHECK_MILLIS);
+    }, idleMillis);
+    await closed;
+    clearTimeout(grace);
+    clearInterval(sweep);
+    this.server.close(() => {});
+  }
+}
