Operators' HTTP API, operators' tokens, and an audit log

Operators need compare-and-set changes that can be resent, reads, and changes of the control members over plain HTTP. Routes are split into commands and queries over one function, operate, so that a fake one can stand in for the control core in contract tests. Revisions are ETags; a lost If-Match race is 412 and a lost race by a field of the body is 409, each with the revision now.

Each request that isn't a read writes one audit record, also when it is refused.

--- /dev/null
+++ b/src/control/admin/admin-app.ts
@@ -0,0 +1,95 @@
+/** The operators' HTTP API of a control member. */
+import { Router } from '@koa/router';
+import Koa from 'koa';
+import { createLogger, type Logger } from '../../logging/logger.js';
+import type { ServiceDefinition } from '../../model/service.js';
+import type { TokenAuthority } from '../../security/operator-tokens.js';
+import type { AdminServices, AdminState } from './admin-context.js';
+import { AdminError } from './admin-error.js';
+import { boundOperate, type Operate } from './bounded-operate.js';
+import { addMemberCommands } from './commands/member-commands.js';
+import { addServiceCommands } from './commands/service-commands.js';
+import { addShardCommands } from './commands/shard-commands.js';
+import { addUpstreamCommands } from './commands/upstream-commands.js';
+import { answerErrors, answerNotFound, auditWrites, authenticate, HEALTH_PATH } from './middlewares.js';
+import { addDefinitionQueries } from './queries/definition-queries.js';
+import { addStateQueries } from './queries/state-queries.js';
+
+/** Where `/metrics` comes from; `prom-client`'s `Registry` is one. */
+export interface MetricsSource {
+  readonly contentType: string;
+  metrics(): Promise<string>;
+}
+
+export interface AdminAppOptions {
+  /** Left out or `null`: no token is asked for. */
+  readonly tokens?: TokenAuthority | null;
+  /** What is wrong with a definition's policy program, one line each. */
+  readonly checkPolicy?: (definition: ServiceDefinition) => readonly string[];
+  readonly metrics?: MetricsSource;
+  readonly logger?: Logger;
+  /** Receives one record for each change; the default writes always. */
+  readonly auditLogger?: Logger;
+  readonly bodyLimitBytes?: number;
+  readonly operationTimeoutMillis?: number;
+  readonly maximumOperations?: number;
+}
+
+const DEFAULT_BODY_LIMIT_BYTES = 1024 * 1024;
+const DEFAULT_OPERATION_TIMEOUT_MILLIS = 15_000;
+const DEFAULT_MAXIMUM_OPERATIONS = 256;
+
+function addOwnRoutes(router: Router<AdminState>, metrics: MetricsSource | undefined): void {
+  router.get(HEALTH_PATH, (context) => {
+    context.body = { alive: true };
+  });
+  router.get('/metrics', async (context) => {
+    if (metrics === undefined) {
+      throw new AdminError('not-found', 'there are no metrics');
+    }
+    context.body = await metrics.metrics();
+    context.type = metrics.contentType;
+  });
+}
+
+function createRouter(services: AdminServices, metrics: MetricsSource | undefined): Router<AdminState> {
+  const router = new Router<AdminState>();
+  addServiceCommands(router, services);
+  addUpstreamCommands(router, services);
+  addShardCommands(router, services);
+  addMemberCommands(router, services);
+  addDefinitionQueries(router, services);
+  addStateQueries(router, services);
+  addOwnRoutes(router, metrics);
+  return router;
+}
+
+/** Makes the operators' API over `operate`, which gives a request to the control core. */
+export function createAdminApp(operate: Operate, options: AdminAppOptions = {}): Koa<AdminState> {
+  const logger = options.logger ?? createLogger('admin');
+  const auditLogger = options.auditLogger ?? createLogger('audit', { always: true });
+  const bounds = {
+    maximumOperations: options.maximumOperations ?? DEFAULT_MAXIMUM_OPERATIONS,
+    operationTimeoutMillis: options.operationTimeoutMillis ?? DEFAULT_OPERATION_TIMEOUT_MILLIS,
+  };
+  const services: AdminServices = {
+    operate: boundOperate(operate, bounds, logger),
+    checkPolicy: options.checkPolicy ?? (() => []),
+    bodyLimitBytes: options.bodyLimitBytes ?? DEFAULT_BODY_LIMIT_BYTES,
+  };
+  const router = createRouter(services, options.metrics);
+  const app = new Koa<AdminState>();
+  app.use(answerErrors(logger));
+  app.use(auditWrites(auditLogger));
+  app.use(authenticate(options.tokens ?? null));
+  app.use(answerNotFound);
+  app.use(router.routes());
+  app.use(
+    router.allowedMethods({
+      throw: true,
+      methodNotAllowed: () => new AdminError('method-not-allowed', 'this path does not take this method'),
+      notImplemented: () => new AdminError('method-not-allowed', 'this path does not take this method'),
+    }),
+  );
+  return app;
+}
--- /dev/null
+++ b/src/control/admin/commands/service-commands.ts
@@ -0,0 +1,46 @@
+/** `PUT` and `DELETE /v1/services/:name`. */
+import type { Router } from '@koa/router';
+import type { AdminContext, AdminServices, AdminState } from '../admin-context.js';
+import { AdminError } from '../admin-error.js';
+import { serviceBodySchema } from '../api-schemas.js';
+import { readExpected } from '../preconditions.js';
+import { propose } from '../propose.js';
+import { checkBody, readJson } from '../request-body.js';
+
+/** The body's own name may be left out; it must not differ from the path's. */
+export function withPathName(body: unknown, field: 'name' | 'id', name: string): unknown {
+  if (typeof body !== 'object' || body === null || Array.isArray(body)) {
+    return body;
+  }
+  const given = (body as Record<string, unknown>)[field];
+  if (given !== undefined && given !== name) {
+    const message = `${field}: ${JSON.stringify(given)} differs from ${JSON.stringify(name)} in the path`;
+    throw new AdminError('invalid-request', message, { path: field });
+  }
+  return { ...body, [field]: name };
+}
+
+async function applyService(context: AdminContext, services: AdminServices): Promise<void> {
+  const { name = '' } = context.params;
+  const body = withPathName(await readJson(context, services.bodyLimitBytes), 'name', name);
+  const definition = checkBody(serviceBodySchema, body);
+  const problems = services.checkPolicy(definition);
+  const [first] = problems;
+  if (first !== undefined) {
+    throw new AdminError('invalid-policy', first, { problems });
+  }
+  const command = { type: 'service-apply', definition, expected: readExpected(context) } as const;
+  await propose(context, services, { command, subject: name, precondition: 'header' });
+}
+
+async function deleteService(context: AdminContext, services: AdminServices): Promise<void> {
+  const { name = '' } = context.params;
+  const command = { type: 'service-delete', service: name, expected: readExpected(context) } as const;
+  await propose(context, services, { command, subject: name, precondition: 'header' });
+}
+
+/** Adds the routes that change services. */
+export function addServiceCommands(router: Router<AdminState>, services: AdminServices): void {
+  router.put('/v1/services/:name', (context) => applyService(context, services));
+  router.delete('/v1/services/:name', (context) => deleteService(context, services));
+}
--- /dev/null
+++ b/src/control/admin/propose.ts
@@ -0,0 +1,35 @@
+/** Proposes one change for an operator and answers with its outcome. */
+import type { OperatorCommand } from '../../registry/types.js';
+import { type AdminContext, type AdminServices, actorOf } from './admin-context.js';
+import { readRequestId, readWait } from './preconditions.js';
+import { acceptedRevision, answerAccepted, expectResponse, type PreconditionPlace } from './responses.js';
+
+/** A change that a route wants made. */
+export interface Proposal {
+  readonly command: OperatorCommand;
+  /** What it is about, for the audit log. */
+  readonly subject: string;
+  readonly precondition: PreconditionPlace;
+}
+
+/** Says in the request's state what an audit record will say, and gives the request id. */
+export function beginAudit(context: AdminContext, action: string, subject: string): string {
+  const requestId = readRequestId(context);
+  context.state.audit = { action, subject, requestId };
+  return requestId;
+}
+
+/** Proposes a change and answers it. Throws `AdminError`. */
+export async function propose(
+  context: AdminContext,
+  services: AdminServices,
+  proposal: Proposal,
+): Promise<void> {
+  const { command, subject, precondition } = proposal;
+  const requestId = beginAudit(context, command.type, subject);
+  const wait = readWait(context);
+  const request = { type: 'command', requestId, actor: actorOf(context), command, wait } as const;
+  const response = expectResponse(await services.operate(request), 'result', requestId);
+  const revision = acceptedRevision(response.result, precondition);
+  answerAccepted(context, { revision, inForce: response.inForce, requestId });
+}
--- /dev/null
+++ b/src/control/admin/queries/state-queries.ts
@@ -0,0 +1,37 @@
+/** `GET /v1/shards`, `/v1/ledger/:service/:key` and `/v1/status`. */
+import type { Router } from '@koa/router';
+import type { AdminContext, AdminServices, AdminState } from '../admin-context.js';
+import { AdminError } from '../admin-error.js';
+import { answerRead, expectResponse } from '../responses.js';
+
+async function listShards(context: AdminContext, services: AdminServices): Promise<void> {
+  const { service } = context.query;
+  if (Array.isArray(service)) {
+    throw new AdminError('invalid-request', 'service must stand once');
+  }
+  const request = { type: 'get-shards', service: service ?? null } as const;
+  const { revision, shards } = expectResponse(await services.operate(request), 'shards');
+  answerRead(context, revision, { revision, shards });
+}
+
+async function getLedgerRecord(context: AdminContext, services: AdminServices): Promise<void> {
+  const { service = '', key = '' } = context.params;
+  const response = expectResponse(await services.operate({ type: 'get-ledger', service, key }), 'ledger');
+  if (response.record === null) {
+    const message = `the ledger has no request ${JSON.stringify(key)} of service ${JSON.stringify(service)}`;
+    throw new AdminError('not-found', message);
+  }
+  answerRead(context, response.record.revision, response.record);
+}
+
+async function getStatus(context: AdminContext, services: AdminServices): Promise<void> {
+  const { type: _, ...status } = expectResponse(await services.operate({ type: 'get-status' }), 'status');
+  context.body = status;
+}
+
+/** Adds the routes that read the system's state. */
+export function addStateQueries(router: Router<AdminState>, services: AdminServices): void {
+  router.get('/v1/shards', (context) => listShards(context, services));
+  router.get('/v1/ledger/:service/:key', (context) => getLedgerRecord(context, services));
+  router.get('/v1/status', (context) => getStatus(context, services));
+}
--- /dev/null
+++ b/src/control/admin/responses.ts
@@ -0,0 +1,101 @@
+/** Turns responses of the control core into HTTP answers. */
+import type { Revision } from '../../model/identifiers.js';
+import type { CommandResult } from '../../registry/types.js';
+import type { OperatorResponse } from '../types.js';
+import type { AdminContext } from './admin-context.js';
+import { AdminError } from './admin-error.js';
+import { formatEtag } from './preconditions.js';
+
+const HTTP_OK = 200;
+const HTTP_ACCEPTED = 202;
+const HTTP_PRECONDITION_FAILED = 412;
+
+/** Responses that say why there is no answer. */
+type Failure = Extract<OperatorResponse, { type: 'not-leader' | 'rejected' | 'unknown' }>;
+
+function failureOf(response: OperatorResponse): Failure | undefined {
+  const { type } = response;
+  return type === 'not-leader' || type === 'rejected' || type === 'unknown' ? response : undefined;
+}
+
+function toError(failure: Failure, requestId: string | undefined): AdminError {
+  switch (failure.type) {
+    case 'not-leader': {
+      const where = failure.leader === null ? 'no leader is known' : `the leader is ${failure.leader}`;
+      const message = `this member isn't the leader; ${where}; nothing was changed`;
+      return new AdminError('not-leader', message, { leader: failure.leader });
+    }
+    case 'rejected':
+      return new AdminError('rejected', failure.message);
+    case 'unknown':
+      return requestId === undefined
+        ? new AdminError('unavailable', 'no quorum confirmed the read in time')
+        : new AdminError(
+            'outcome-unknown',
+            'the change may or may not be made; resend with the same request id',
+            {
+              requestId,
+            },
+          );
+  }
+}
+
+/** The response of the type asked for. Throws `AdminError` for any other. */
+export function expectResponse<Type extends OperatorResponse['type']>(
+  response: OperatorResponse,
+  type: Type,
+  requestId?: string,
+): Extract<OperatorResponse, { type: Type }> {
+  const failure = failureOf(response);
+  if (failure !== undefined) {
+    throw toError(failure, requestId);
+  }
+  if (response.type !== type) {
+    throw new AdminError('internal', `expected ${type} from the control core, got ${response.type}`);
+  }
+  return response as Extract<OperatorResponse, { type: Type }>;
+}
+
+/** How the precondition of a change was given: a lost race is 412 for a header, 409 for a field of the body. */
+export type PreconditionPlace = 'header' | 'body';
+
+/** The revision at which a change was accepted. Throws `AdminError` if it wasn't. */
+export function acceptedRevision(result: CommandResult, place: PreconditionPlace): Revision {
+  switch (result.type) {
+    case 'accepted':
+      return result.revision;
+    case 'conflict': {
+      const now = result.current === 0 ? 'it does not exist' : `its revision is ${result.current}`;
+      const status = place === 'header' ? HTTP_PRECONDITION_FAILED : undefined;
+      const details = { currentRevision: result.current };
+      throw new AdminError('conflict', `someone else changed it: now ${now}`, details, { status });
+    }
+    case 'invalid':
+      throw new AdminError('invalid-definition', result.message);
+    case 'not-found':
+      throw new AdminError('not-found', 'there is no such thing');
+    case 'claim':
+      throw new AdminError('internal', 'a claim is no answer to an operator');
+  }
+}
+
+/** What the answer to an accepted change says. */
+export interface AcceptedBody {
+  readonly revision: Revision;
+  /** Whether each router applies it or has stopped serving. */
+  readonly inForce: boolean;
+  readonly requestId: string;
+}
+
+/** Answers an accepted change: 200 once it is in force everywhere, 202 before. */
+export function answerAccepted(context: AdminContext, body: AcceptedBody): void {
+  context.status = body.inForce ? HTTP_OK : HTTP_ACCEPTED;
+  context.set('ETag', formatEtag(body.revision));
+  context.body = body;
+}
+
+/** Answers a read. */
+export function answerRead(context: AdminContext, revision: Revision, body: unknown): void {
+  context.set('ETag', formatEtag(revision));
+  context.body = body;
+}
--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -40,11 +40,18 @@
   return value;
 }
 
+/** How a logger differs from the usual. */
+export interface LoggerOptions {
+  /** Write each record, whichever namespaces are on. For audit records. */
+  readonly always?: boolean;
+}
+
 /** Makes the logger of a namespace: `ternmount:<namespace>`. Warnings and errors are always written. */
-export function createLogger(namespace: string): Logger {
+export function createLogger(namespace: string, options: LoggerOptions = {}): Logger {
   const channel = createDebug(`ternmount:${namespace}`);
   const log = (level: LogLevel, event: string, fields: LogFields = {}): void => {
-    if (!channel.enabled && (level === 'debug' || level === 'info')) {
+    const optional = options.always !== true && (level === 'debug' || level === 'info');
+    if (optional && !channel.enabled) {
       return;
     }
     const record = { time: new Date().toISOString(), level, ...identity, namespace, event, ...fields };
