Command line: dispatcher, control client, commands that change something

Subcommands of two words are joined before cac sees them, since cac matches one word; it still checks names, values and counts and writes help.

--- /dev/null
+++ b/src/cli/control-client.ts
@@ -0,0 +1,201 @@
+/** Client of the operators' API. Finds the leader among several addresses and resends safely. */
+import { randomUUID } from 'node:crypto';
+import got, { type Got, RequestError, type Response } from 'got';
+import type { AdminErrorBody } from '../control/admin/index.js';
+import { toError } from '../errors/ternmount-error.js';
+import type { Address, Revision } from '../model/identifiers.js';
+import { HEADERS } from '../model/outcome.js';
+import { ControlAnswerError, UnknownOutcomeError, UnreachableError } from './cli-error.js';
+import type { CliIo } from './cli-io.js';
+
+const CONNECT_TIMEOUT_MILLIS = 2000;
+const ROUND_PAUSE_MILLIS = 250;
+/** A member that hasn't answered by then is given up for this try; it bounds a read from a member that hangs. */
+const READ_TIMEOUT_MILLIS = 5000;
+const CHANGE_TIMEOUT_MILLIS = 20_000;
+/** Answers that say: ask another member, or again. */
+const RETRIED_CODES = new Set(['not-leader', 'unavailable', 'overloaded', 'outcome-unknown']);
+/** Errors of connections that were never made, so that nothing was sent. */
+const UNSENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL']);
+
+export interface ControlClientOptions {
+  readonly addresses: readonly Address[];
+  readonly token: string | null;
+  /** Longest time for one request, tries at all members included. */
+  readonly timeoutMillis: number;
+}
+
+/** A change to send. */
+export interface ChangeRequest {
+  readonly method: 'PUT' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly body?: unknown;
+  /** Made here if left out. */
+  readonly requestId?: string | undefined;
+  /** What `--request-id` of the whole command must be to resend it; the request id itself if left out. */
+  readonly commandId?: string;
+  /** Revision expected: 0 must not exist, `null` any. */
+  readonly expected?: Revision | null;
+}
+
+/** What one try gave. */
+type TryResult<Body> =
+  | { readonly type: 'answered'; readonly body: Body; readonly status: number }
+  /** Control answered with an error that another try won't change. */
+  | { readonly type: 'refused'; readonly error: ControlAnswerError }
+  /** `mayHaveRun`: the request may have reached a member that acts on it. */
+  | { readonly type: 'no-answer'; readonly reason: string; readonly mayHaveRun: boolean };
+
+/** Answer to a change or a read, with the member that gave it. */
+export interface ControlAnswer<Body> {
+  readonly body: Body;
+  readonly status: number;
+}
+
+function isErrorBody(body: unknown): body is AdminErrorBody {
+  return typeof (body as AdminErrorBody | null)?.error?.code === 'string';
+}
+
+function parseBody(response: Response<string>): unknown {
+  try {
+    return JSON.parse(response.body) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function preconditionHeaders(expected: Revision | null | undefined): Record<string, string> {
+  if (expected === null || expected === undefined) {
+    return {};
+  }
+  return expected === 0 ? { 'if-none-match': '*' } : { 'if-match': `"${expected}"` };
+}
+
+export class ControlClient {
+  readonly #options: ControlClientOptions;
+  readonly #io: CliIo;
+  readonly #http: Got;
+  /** Index of the member that answered last. */
+  #preferred = 0;
+
+  constructor(options: ControlClientOptions, io: CliIo) {
+    this.#options = options;
+    this.#io = io;
+    const headers = options.token === null ? {} : { authorization: `Bearer ${options.token}` };
+    this.#http = got.extend({
+      headers,
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+      followRedirect: false,
+      responseType: 'text',
+      signal: io.stopSignal,
+    });
+  }
+
+  get addresses(): readonly Address[] {
+    return this.#options.addresses;
+  }
+
+  /** Reads from any member that can answer. Throws `CliError`. */
+  async read<Body>(path: string): Promise<Body> {
+    const answer = await this.#tryAll<Body>((address) =>
+      this.#try(address, 'GET', path, READ_TIMEOUT_MILLIS, {}),
+    );
+    return answer.body;
+  }
+
+  /** Reads from one member, once. Throws `CliError`. */
+  async readFrom<Body>(address: Address, path: string): Promise<Body> {
+    const result = await this.#try<Body>(address, 'GET', path, READ_TIMEOUT_MILLIS, {});
+    if (result.type === 'answered') {
+      return result.body;
+    }
+    throw result.type === 'refused' ? result.error : new UnreachableError(result.reason);
+  }
+
+  /** Makes a change, resent with one request id until an answer tells its outcome. Throws `CliError`. */
+  async change<Body>(request: ChangeRequest): Promise<ControlAnswer<Body>> {
+    const requestId = request.requestId ?? randomUUID();
+    const headers = { [HEADERS.requestId]: requestId, ...preconditionHeaders(request.expected) };
+    const { method, path, body } = request;
+    return this.#tryAll<Body>(
+      (address) => this.#try(address, method, path, CHANGE_TIMEOUT_MILLIS, { headers, json: body }),
+      request.commandId ?? requestId,
+    );
+  }
+
+  async #tryAll<Body>(
+    tryAt: (address: Address) => Promise<TryResult<Body>>,
+    commandId?: string,
+  ): Promise<ControlAnswer<Body>> {
+    const { addresses, timeoutMillis } = this.#options;
+    const until = performance.now() + timeoutMillis;
+    let reason = 'no member was tried';
+    let mayHaveRun = false;
+    while (!this.#io.stopSignal.aborted) {
+      for (let turn = 0; turn < addresses.length; turn += 1) {
+        const index = (this.#preferred + turn) % addresses.length;
+        const result = await tryAt(addresses[index] as Address);
+        if (result.type === 'answered') {
+          this.#preferred = index;
+          return result;
+        }
+        if (result.type === 'refused') {
+          throw result.error;
+        }
+        reason = result.reason;
+        mayHaveRun ||= result.mayHaveRun;
+      }
+      if (performance.now() >= until) {
+        break;
+      }
+      await this.#io.sleep(ROUND_PAUSE_MILLIS);
+    }
+    if (commandId !== undefined && mayHaveRun) {
+      throw new UnknownOutcomeError(commandId, reason);
+    }
+    throw new UnreachableError(`no control member gave an answer (last: ${reason})`);
+  }
+
+  async #try<Body>(
+    address: Address,
+    method: 'GET' | ChangeRequest['method'],
+    path: string,
+    requestMillis: number,
+    extras: { readonly headers?: Record<string, string>; readonly json?: unknown },
+  ): Promise<TryResult<Body>> {
+    const timeout = {
+      connect: CONNECT_TIMEOUT_MILLIS,
+      request: Math.min(requestMillis, this.#options.timeoutMillis),
+    };
+    try {
+      const response = (await this.#http(`http://${address}${path}`, {
+        ...extras,
+        method,
+        timeout,
+      })) as Response<string>;
+      return this.#readAnswer(address, response);
+    } catch (thrown) {
+      const error = toError(thrown);
+      const code = error instanceof RequestError ? error.code : '';
+      const unsent = UNSENT_CODES.has(code) || error.message.includes("'connect'");
+      return { type: 'no-answer', reason: `${address}: ${error.message}`, mayHaveRun: !unsent };
+    }
+  }
+
+  #readAnswer<Body>(address: Address, response: Response<string>): TryResult<Body> {
+    const { statusCode: status } = response;
+    const body = parseBody(response);
+    if (status < 300 && body !== undefined) {
+      return { type: 'answered', body: body as Body, status };
+    }
+    if (!isErrorBody(body)) {
+      return { type: 'no-answer', reason: `${address}: HTTP status ${status}`, mayHaveRun: true };
+    }
+    if (RETRIED_CODES.has(body.error.code)) {
+      const mayHaveRun = body.error.code === 'outcome-unknown';
+      return { type: 'no-answer', reason: `${address}: ${body.error.message}`, mayHaveRun };
+    }
+    return { type: 'refused', error: new ControlAnswerError(status, body) };
+  }
+}
--- /dev/null
+++ b/src/cli/difference.ts
@@ -0,0 +1,43 @@
+/** Differences between two declarations, one line a value. */
+import type { DocumentMap, DocumentValue } from '../settings/definition-writer.js';
+
+function stepOf(item: DocumentValue, index: number): string {
+  const name = typeof item === 'object' && 'name' in item ? item.name : index;
+  return `[${String(name)}]`;
+}
+
+/** Each scalar by its path; items of lists go by their name if they have one. */
+function flatten(value: DocumentValue, path: string, into: Map<string, string>): Map<string, string> {
+  if (Array.isArray(value)) {
+    value.forEach((item: DocumentValue, index) => {
+      flatten(item, path + stepOf(item, index), into);
+    });
+  } else if (typeof value === 'object') {
+    for (const [key, child] of Object.entries(value)) {
+      flatten(child as DocumentValue, path === '' ? key : `${path}.${key}`, into);
+    }
+  } else {
+    into.set(path, JSON.stringify(value));
+  }
+  return into;
+}
+
+function lineOf(path: string, before: string | undefined, after: string | undefined): string | undefined {
+  if (before === after) {
+    return undefined;
+  }
+  if (before === undefined) {
+    return `+ ${path}: ${after}`;
+  }
+  return after === undefined ? `- ${path}: ${before}` : `~ ${path}: ${before} -> ${after}`;
+}
+
+/** Lines with `+` for what is added, `-` for what goes, `~` for what changes. `null`: didn't exist. */
+export function differenceLines(before: DocumentMap | null, after: DocumentMap): string[] {
+  const old = flatten(before ?? {}, '', new Map());
+  const fresh = flatten(after, '', new Map());
+  const paths = [...new Set([...old.keys(), ...fresh.keys()])];
+  return paths
+    .map((path) => lineOf(path, old.get(path), fresh.get(path)))
+    .filter((line) => line !== undefined);
+}
--- /dev/null
+++ b/src/cli/dispatcher.ts
@@ -0,0 +1,121 @@
+/**
+ * Finds the subcommand of a command line and checks it with cac. cac knows commands of one word only, so the words of
+ * `service apply` are joined into one before it sees them.
+ */
+import { type CAC, cac } from 'cac';
+import { toError } from '../errors/ternmount-error.js';
+import { UsageError } from './cli-error.js';
+import type { CommandSpec, OptionSpec } from './command-spec.js';
+import { ParsedOptions } from './parsed-options.js';
+
+export const PROGRAM_NAME = 'ternmount';
+
+/** What a command line asks for. */
+export type Dispatch =
+  | {
+      readonly type: 'run';
+      readonly command: CommandSpec;
+      readonly positionals: readonly string[];
+      readonly options: ParsedOptions;
+    }
+  /** Help was printed by cac. */
+  | { readonly type: 'help' }
+  | { readonly type: 'version' };
+
+/** How an option stands in help. */
+function optionUsage(option: OptionSpec): string {
+  return option.value === undefined ? `--${option.name}` : `--${option.name} <${option.value}>`;
+}
+
+function registerCommand(cli: CAC, spec: CommandSpec, matched: (values: readonly unknown[]) => void): void {
+  const usage = spec.arguments === undefined ? spec.name : `${spec.name} ${spec.arguments}`;
+  const command = cli.command(usage, spec.summary, { ignoreOptionDefaultValue: true });
+  for (const option of spec.options) {
+    command.option(optionUsage(option), option.summary);
+    if (option.onByDefault) {
+      command.option(`--no-${option.name}`, `Turn --${option.name} off`);
+    }
+  }
+  for (const example of spec.examples ?? []) {
+    command.example(`  $ ${PROGRAM_NAME} ${example}`);
+  }
+  command.action((...values: unknown[]) => matched(values.slice(0, -1)));
+}
+
+/** The words of the longest command that `words` start with. */
+function findCommand(commands: readonly CommandSpec[], words: readonly string[]): CommandSpec | undefined {
+  const starts = (spec: CommandSpec) => {
+    const parts = spec.name.split(' ');
+    return parts.every((part, index) => words[index] === part);
+  };
+  return commands.filter(starts).sort((left, right) => right.name.length - left.name.length)[0];
+}
+
+/** Says what may stand where a wrong word stood. */
+function describeUnknown(commands: readonly CommandSpec[], words: readonly string[]): string {
+  const [noun = '', verb] = words;
+  const ofNoun = commands.filter((spec) => spec.name.split(' ')[0] === noun);
+  if (ofNoun.length === 0) {
+    const nouns = [...new Set(commands.map((spec) => spec.name.split(' ')[0]))];
+    return `unknown command ${JSON.stringify(noun)}; known: ${nouns.join(', ')}`;
+  }
+  const verbs = ofNoun.map((spec) => spec.name.split(' ')[1]).join(', ');
+  return verb === undefined || verb.startsWith('-')
+    ? `${noun} needs one of: ${verbs}`
+    : `unknown command "${noun} ${verb}"; ${noun} has: ${verbs}`;
+}
+
+function wantsHelp(words: readonly string[]): boolean {
+  return words.includes('--help') || words.includes('-h');
+}
+
+/** Leaves a noun's commands only, for its help. */
+function commandsForHelp(commands: readonly CommandSpec[], words: readonly string[]): readonly CommandSpec[] {
+  const ofNoun = commands.filter((spec) => spec.name.split(' ')[0] === words[0]);
+  return ofNoun.length > 0 ? ofNoun : commands;
+}
+
+function createCli(commands: readonly CommandSpec[], matched: (values: readonly unknown[]) => void): CAC {
+  const cli = cac(PROGRAM_NAME);
+  cli.help();
+  for (const spec of commands) {
+    registerCommand(cli, spec, matched);
+  }
+  return cli;
+}
+
+function flatten(values: readonly unknown[]): string[] {
+  return values
+    .flat()
+    .filter((value) => value !== undefined)
+    .map(String);
+}
+
+/** Reads a command line without the program's own name. Throws `UsageError`. */
+export function dispatch(commands: readonly CommandSpec[], words: readonly string[]): Dispatch {
+  if (words[0] === '--version' || words[0] === '-v') {
+    return { type: 'version' };
+  }
+  const command = findCommand(commands, words);
+  if (command === undefined) {
+    if (words.length === 0 || wantsHelp(words)) {
+      createCli(commandsForHelp(commands, words), () => {}).globalCommand.outputHelp();
+      return { type: 'help' };
+    }
+    throw new UsageError(describeUnknown(commands, words));
+  }
+  const rest = words.slice(command.name.split(' ').length);
+  let positionals: string[] | undefined;
+  const cli = createCli([command], (values) => {
+    positionals = flatten(values);
+  });
+  try {
+    cli.parse(['node', PROGRAM_NAME, command.name, ...rest]);
+  } catch (thrown) {
+    throw new UsageError(`${toError(thrown).message}; see ${PROGRAM_NAME} ${command.name} --help`);
+  }
+  if (positionals === undefined) {
+    return { type: 'help' };
+  }
+  return { type: 'run', command, positionals, options: new ParsedOptions(command.options, rest) };
+}
--- /dev/null
+++ b/src/cli/output.ts
@@ -0,0 +1,64 @@
+/** Writes what queries found, as a table for people or as JSON or YAML for programs. */
+import { stringify } from 'yaml';
+import type { CliIo } from './cli-io.js';
+import type { OptionSpec } from './command-spec.js';
+import type { ParsedOptions } from './parsed-options.js';
+
+export const OUTPUT_FORMATS = ['table', 'json', 'yaml'] as const;
+export type OutputFormat = (typeof OUTPUT_FORMATS)[number];
+
+export const OUTPUT_OPTION: OptionSpec = {
+  name: 'output',
+  value: 'format',
+  summary: 'table (default), json or yaml',
+};
+
+const COLUMN_GAP = '  ';
+const JSON_INDENT = 2;
+
+/** A column of a table of `Row`. */
+export interface Column<Row> {
+  readonly title: string;
+  readonly value: (row: Row) => string | number | null;
+}
+
+/** Which format was asked for. Throws `UsageError`. */
+export function outputFormat(options: ParsedOptions): OutputFormat {
+  return options.choice('output', OUTPUT_FORMATS, 'table');
+}
+
+/** Lays rows out in columns. */
+export function formatTable<Row>(columns: readonly Column<Row>[], rows: readonly Row[]): string {
+  const cells = rows.map((row) => columns.map((column) => String(column.value(row) ?? '-')));
+  const table = [columns.map((column) => column.title), ...cells];
+  const widths = columns.map((_, index) => Math.max(...table.map((line) => line[index]?.length ?? 0)));
+  const lines = table.map((line) =>
+    line
+      .map((cell, index) => cell.padEnd(widths[index] ?? 0))
+      .join(COLUMN_GAP)
+      .trimEnd(),
+  );
+  return `${lines.join('\n')}\n`;
+}
+
+/** Writes a value as JSON or YAML. */
+export function formatValue(format: 'json' | 'yaml', value: unknown): string {
+  return format === 'json' ? `${JSON.stringify(value, null, JSON_INDENT)}\n` : stringify(value);
+}
+
+/** Writes a value in the format asked for; `table` makes the text for people. */
+export function writeOutput(io: CliIo, format: OutputFormat, value: unknown, table: () => string): void {
+  io.write(format === 'table' ? table() : formatValue(format, value));
+}
+
+/** Writes milliseconds for people: `850 ms`, `12 s`, `3 min`, `5 h`. */
+export function formatMillis(millis: number): string {
+  const steps = [
+    { limit: 1000, size: 1, unit: 'ms' },
+    { limit: 120_000, size: 1000, unit: 's' },
+    { limit: 7_200_000, size: 60_000, unit: 'min' },
+    { limit: 172_800_000, size: 3_600_000, unit: 'h' },
+  ];
+  const step = steps.find(({ limit }) => millis < limit) ?? { size: 86_400_000, unit: 'days' };
+  return `${Math.floor(millis / step.size)} ${step.unit}`;
+}
--- /dev/null
+++ b/src/cli/report-change.ts
@@ -0,0 +1,20 @@
+/** Says how a change went. */
+import type { ChangeBody } from './api-types.js';
+import type { Invocation } from './command-spec.js';
+import { EXIT_CODES, type ExitCode } from './exit-codes.js';
+
+/** Writes one line and gives the exit code: a change that should be in force but isn't known to be has code 4. */
+export function reportChange(invocation: Invocation, what: string, change: ChangeBody): ExitCode {
+  const { options, io } = invocation;
+  if (change.inForce) {
+    io.write(`${what}: in force everywhere, revision ${change.revision}\n`);
+    return EXIT_CODES.ok;
+  }
+  if (!options.on('wait')) {
+    io.write(`${what}: accepted, revision ${change.revision}\n`);
+    return EXIT_CODES.ok;
+  }
+  io.write(`${what}: accepted, revision ${change.revision}\n`);
+  io.writeError(`${what}: not yet known to be in force on every router; see ternmount status\n`);
+  return EXIT_CODES.unreachable;
+}
