--- /dev/null
+++ b/src/dev/fleet/load-plan.ts
@@ -0,0 +1,72 @@
+/** Turns a deployment's workload into the streams of one stand-in caller. */
+import { z } from 'zod';
+import type { KeyspaceDefinition, ServiceDefinition } from '../../model/service.js';
+import type { Deployment, WorkloadPhase, WorkloadShare } from '../../settings/deployment.js';
+import { type CallerStream, callerSettingsSchema } from '../standins/caller/caller-settings.js';
+
+/** Attempts at a request that must not be repeated; each carries the same idempotency key. */
+const ORDER_ATTEMPTS = 5;
+const DEFAULT_KEY_PREFIX = 'key/';
+
+const streamsSchema = z.array(callerSettingsSchema.shape.streams.element);
+
+function keyPrefixOf(keyspaces: readonly KeyspaceDefinition[]): string {
+  const named = keyspaces.find((keyspace) => keyspace.kind === 'prefix' && keyspace.match !== '');
+  return named?.match ?? DEFAULT_KEY_PREFIX;
+}
+
+/** How a phase's time is laid into the run. */
+interface PhasePlace {
+  readonly phase: WorkloadPhase;
+  readonly fromSeconds: number;
+  readonly toSeconds: number;
+}
+
+/** Phases in turn, squeezed or stretched to `seconds` in all. */
+function placePhases(phases: readonly WorkloadPhase[], seconds: number): PhasePlace[] {
+  const total = phases.reduce((sum, phase) => sum + phase.seconds, 0);
+  let from = 0;
+  return phases.map((phase) => {
+    const length = (phase.seconds / total) * seconds;
+    const place = { phase, fromSeconds: from, toSeconds: from + length };
+    from += length;
+    return place;
+  });
+}
+
+function planStream(
+  place: PhasePlace,
+  share: WorkloadShare,
+  service: ServiceDefinition,
+  callers: number,
+): z.input<typeof streamsSchema.element> {
+  const shares = place.phase.mix.reduce((sum, other) => sum + other.share, 0);
+  const rate = (place.phase.requestsPerSecond * share.share) / shares / callers;
+  return {
+    service: share.service,
+    method: share.method,
+    keyCount: share.keys,
+    keyPrefix: keyPrefixOf(service.keyspaces),
+    hotKeys: service.keyspaces.filter(({ kind }) => kind === 'exact').map(({ match }) => match),
+    zipfExponent: share.skew,
+    repeatable: service.repeatable,
+    coalesced: service.coalesce,
+    deadlineMillis: service.deadlineMillis,
+    attempts: service.repeatable ? 1 : ORDER_ATTEMPTS,
+    rates: [
+      { fromSeconds: place.fromSeconds, requestsPerSecond: rate },
+      { fromSeconds: place.toSeconds, requestsPerSecond: 0 },
+    ],
+  };
+}
+
+/** Streams of one of `callers` like callers, over `seconds` in all. */
+export function planStreams(deployment: Deployment, seconds: number, callers: number): CallerStream[] {
+  const services = new Map(deployment.services.map((service) => [service.name, service]));
+  const streams = placePhases(deployment.workload.phases, seconds).flatMap((place) =>
+    place.phase.mix.map((share) =>
+      planStream(place, share, services.get(share.service) as ServiceDefinition, callers),
+    ),
+  );
+  return streamsSchema.parse(streams);
+}
--- a/src/dev/standins/caller/caller-settings.ts
+++ b/src/dev/standins/caller/caller-settings.ts
@@ -14,9 +14,13 @@
   /** Keys are `<keyPrefix><number>`; 0: the service isn't keyed. */
   keyCount: z.number().int().min(0).default(0),
   keyPrefix: z.string().default(''),
+  /** Keys of the first ranks, in place of numbered ones. */
+  hotKeys: z.array(z.string()).default([]),
   /** Exponent of the Zipf distribution of keys; 0: all alike. */
   zipfExponent: z.number().min(0).default(1),
   repeatable: z.boolean().default(true),
+  /** Whether one answer may serve several callers; the request's id is then no part of its target. */
+  coalesced: z.boolean().default(false),
   deadlineMillis: z.number().positive(),
   /** Attempts at one request; a request that may not be repeated carries the same idempotency key in each. */
   attempts: z.number().int().min(1).default(1),
--- a/src/dev/standins/caller/caller-standin.ts
+++ b/src/dev/standins/caller/caller-standin.ts
@@ -71,8 +71,8 @@
   #startStream(stream: CallerStream, index: number): StreamState {
     const random = new RandomSource(this.#settings.seed + index + 1);
     const schedule = new ArrivalSchedule(stream.rates, random);
-    const { keyPrefix, keyCount, zipfExponent } = stream;
-    const keys = keyCount === 0 ? null : new ZipfKeys(keyPrefix, keyCount, zipfExponent, random);
+    const { keyPrefix, keyCount, zipfExponent, hotKeys } = stream;
+    const keys = keyCount === 0 ? null : new ZipfKeys(keyPrefix, keyCount, zipfExponent, random, hotKeys);
     return { stream, schedule, keys };
   }
 
@@ -100,6 +100,7 @@
       request: `${this.#settings.name}-${this.#requestCount}`,
       key: state.keys?.pick() ?? null,
       idempotencyKey: stream.repeatable ? null : makeUuidV7(Date.now()),
+      coalesced: stream.coalesced,
       deadlineMillis: stream.deadlineMillis,
     };
     const firstRouter = Math.floor(this.#random.uniform() * this.#routers.length);
--- a/src/dev/standins/caller/router-client.ts
+++ b/src/dev/standins/caller/router-client.ts
@@ -2,7 +2,7 @@
 import { Pool } from 'undici';
 import { HEADERS, type Outcome } from '../../../model/outcome.js';
 import type { AnswerVerdict } from '../../journal/records.js';
-import { judgeAnswerBody } from '../answer-body.js';
+import { CALLER_REQUEST_HEADER, judgeAnswerBody } from '../answer-body.js';
 
 /** One attempt as it goes out. */
 export interface Attempt {
@@ -11,6 +11,8 @@
   readonly request: string;
   readonly key: string | null;
   readonly idempotencyKey: string | null;
+  /** Whether it may be given the answer to a like request for the same key. */
+  readonly coalesced: boolean;
   readonly deadlineMillis: number;
 }
 
@@ -52,12 +54,14 @@
 /** Path of a request; the same for each resend. */
 function pathOf(attempt: Attempt): string {
   const key = attempt.key === null ? '' : `/${encodeURIComponent(attempt.key)}`;
-  return `/items${key}?request=${encodeURIComponent(attempt.request)}`;
+  const query = attempt.coalesced ? '' : `?request=${encodeURIComponent(attempt.request)}`;
+  return `/items${key}${query}`;
 }
 
 function headersOf(attempt: Attempt): Record<string, string> {
   const headers: Record<string, string> = {
     [HEADERS.service]: attempt.service,
+    [CALLER_REQUEST_HEADER]: attempt.request,
     [HEADERS.deadlineMillis]: String(Math.round(attempt.deadlineMillis)),
   };
   if (attempt.key !== null) {
@@ -110,7 +114,9 @@
   #judge(attempt: Attempt, status: number, headers: HeaderValues, text: string): AttemptAnswer {
     const succeeded = status >= 200 && status < 300;
     return {
-      verdict: succeeded ? judgeAnswerBody(text, attempt.request, attempt.key) : 'refused',
+      verdict: succeeded
+        ? judgeAnswerBody(text, attempt.coalesced ? null : attempt.request, attempt.key)
+        : 'refused',
       status,
       outcome: headerOf(headers, HEADERS.outcome) as Outcome | null,
       reason: headerOf(headers, HEADERS.reason),
--- a/src/dev/standins/http-endpoint.ts
+++ b/src/dev/standins/http-endpoint.ts
@@ -1,7 +1,7 @@
 /** Starts and stops HTTP servers of stand-ins. */
 import { createServer, type RequestListener } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { parseAddress } from './address.js';
+import { parseAddress } from '../../wire/address.js';
 
 export interface RunningServer {
   /** `host:port` that it really listens on. */
--- a/src/dev/standins/link/link-standin.ts
+++ b/src/dev/standins/link/link-standin.ts
@@ -6,7 +6,7 @@
 import { createServer } from 'node:net';
 import Router from '@koa/router';
 import Koa from 'koa';
-import { parseAddress } from '../address.js';
+import { parseAddress } from '../../../wire/address.js';
 import { listenHttp, type RunningServer } from '../http-endpoint.js';
 import { readJsonBody } from '../json-body.js';
 import { forwardConnection } from './link-connection.js';
