--- /dev/null
+++ b/src/dev/standins/upstream/run-recorder.ts
@@ -0,0 +1,73 @@
+/** Records the runs of one stand-in upstream in its journal. */
+import type { IncomingMessage } from 'node:http';
+import { HEADERS } from '../../../model/outcome.js';
+import type { GuardedRequest } from '../../../upstream/index.js';
+import type { JournalWriter } from '../../journal/journal-writer.js';
+import { machineMillis } from '../../journal/machine-clock.js';
+import type { RunEndRecord } from '../../journal/records.js';
+import { CALLER_REQUEST_HEADER } from '../answer-body.js';
+
+/** Facts that stand in every record of one upstream. */
+export interface UpstreamIdentity {
+  readonly process: string;
+  readonly upstream: string;
+  readonly incarnation: string;
+  readonly service: string;
+}
+
+export type RunEndKind = RunEndRecord['end'];
+
+function headerOf(request: IncomingMessage, name: string): string | null {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : null;
+}
+
+/** The caller's own id of a request: part of its target, or a header where the target must not differ. */
+export function callerRequestOf(request: IncomingMessage): string {
+  const query = new URL(request.url ?? '/', 'http://upstream').searchParams;
+  return query.get('request') ?? headerOf(request, CALLER_REQUEST_HEADER) ?? '';
+}
+
+/** Numbers runs and writes their records. */
+export class RunRecorder {
+  readonly #identity: UpstreamIdentity;
+  readonly #journal: JournalWriter;
+  #runCount = 0;
+
+  constructor(identity: UpstreamIdentity, journal: JournalWriter) {
+    this.#identity = identity;
+    this.#journal = journal;
+  }
+
+  /** The fence let the request in. Gives the number of the run. */
+  start(request: IncomingMessage, guarded: GuardedRequest, callerRequest: string): number {
+    this.#runCount += 1;
+    const epoch = headerOf(request, HEADERS.epoch);
+    this.#journal.write({
+      type: 'run-start',
+      ...this.#base(this.#runCount, machineMillis()),
+      service: this.#identity.service,
+      request: callerRequest,
+      routerRequest: guarded.requestId,
+      key: guarded.key,
+      idempotencyKey: headerOf(request, HEADERS.idempotencyKey),
+      shard: guarded.shard,
+      epoch: epoch === null ? null : Number(epoch),
+    });
+    return this.#runCount;
+  }
+
+  /** The run took effect at `at`, a time taken before the fence was asked. */
+  effect(run: number, at: number): void {
+    this.#journal.write({ type: 'run-effect', ...this.#base(run, at) });
+  }
+
+  end(run: number, end: RunEndKind, workMillis: number): void {
+    this.#journal.write({ type: 'run-end', ...this.#base(run, machineMillis()), end, workMillis });
+  }
+
+  #base(run: number, at: number) {
+    const { process, upstream, incarnation } = this.#identity;
+    return { at, wall: Date.now(), process, upstream, incarnation, run };
+  }
+}
--- a/src/dev/standins/upstream/upstream-settings.ts
+++ b/src/dev/standins/upstream/upstream-settings.ts
@@ -45,6 +45,7 @@
 
 export const upstreamProcessSettingsSchema = z.strictObject({
   name: z.string().min(1),
+  cluster: z.string().min(1),
   /** `host:port` of the endpoint that takes faults. */
   control: z.string().min(1),
   seed: z.number().int(),
