--- a/src/dev/standins/link/link-settings.ts
+++ b/src/dev/standins/link/link-settings.ts
@@ -23,10 +23,10 @@
   from: z.string().min(1),
   to: z.string().min(1),
   /**
-   * `open`: forward. `drop`: bytes from `from` to `to` vanish and connections hang (half-open); the other way they
-   * still pass. `refuse`: connections are reset and new ones refused.
+   * `open`: forward. `hold`: bytes from `from` to `to` wait until the direction opens again, as TCP's retransmissions
+   * do, so connections hang half-open; the other way they pass. `refuse`: connections are reset and new ones refused.
    */
-  state: z.enum(['open', 'drop', 'refuse']),
+  state: z.enum(['open', 'hold', 'refuse']),
 });
 
 export type LinkSettings = z.infer<typeof linkSettingsSchema>;
--- a/src/dev/standins/link/link-standin.ts
+++ b/src/dev/standins/link/link-standin.ts
@@ -1,7 +1,4 @@
-/**
- * A stand-in for the network between zones: forwards TCP connections, and delays, cuts, half-opens or cuts one way on
- * command. A byte that was dropped is lost for good, so a connection which lost one is reset when its direction opens again.
- */
+/** A stand-in for the network between zones: forwards TCP connections, and delays, holds or refuses them on command. */
 import type { AddressInfo, Server } from 'node:net';
 import { createServer } from 'node:net';
 import Router from '@koa/router';
