--- a/src/dev/fleet/admin-client.ts
+++ b/src/dev/fleet/admin-client.ts
@@ -1,6 +1,7 @@
 /** Talks to the operators' HTTP API of a control cluster, whichever member leads. */
-import got, { type Got, HTTPError } from 'got';
+
 import { setTimeout as delay } from 'node:timers/promises';
+import got, { type Got, HTTPError } from 'got';
 import type { OperatorResponse } from '../../control/types.js';
 import { TernmountError, toError } from '../../errors/ternmount-error.js';
 import type { Address } from '../../model/identifiers.js';
