--- /dev/null
+++ b/test/wire/codecs.test.ts
@@ -0,0 +1,122 @@
+/** Messages survive their way through codec and frame, however the bytes of the stream are cut. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { ControlToRouter, RouterToControl } from '../../src/control/messages.js';
+import {
+  controlToRouterCodecs,
+  encodeFrame,
+  type Frame,
+  FrameDecoder,
+  FrameTooLargeError,
+  MalformedFrameError,
+  routerToControlCodecs,
+} from '../../src/wire/index.js';
+
+const FROM_ROUTER: readonly RouterToControl[] = [
+  {
+    type: 'sync-request',
+    router: 'r1',
+    incarnation: 'i1',
+    zone: 'a',
+    stamp: 12.5,
+    have: 2 ** 40,
+    report: {
+      intervalMillis: 1000,
+      shards: [{ shard: 's/k@1/0', requests: 3, workMillis: 1.5 }],
+      upstreams: [{ upstream: 'u1', inFlight: 1, serviceMillis: 2, failures: 0 }],
+    },
+  },
+  { type: 'sync-request', router: 'r1', incarnation: 'i1', zone: 'a', stamp: 0, have: 0, report: null },
+  { type: 'claim-request', claimant: 'c', service: 's', key: 'ü', fingerprint: 'f', issuedAt: 1 },
+  { type: 'settle-request', claimant: 'c', service: 's', key: 'k', outcome: 'unknown', answer: null },
+];
+
+const FROM_CONTROL: readonly ControlToRouter[] = [
+  {
+    type: 'sync-response',
+    stamp: 12.5,
+    confirmed: true,
+    revision: 7,
+    snapshot: null,
+    delta: { from: 3, to: 7, changes: [{ type: 'upstream', id: 'u1', record: null }] },
+    leader: '127.0.0.1:1',
+  },
+  { type: 'change-notice', revision: 9 },
+  { type: 'claim-response', claimant: 'c', result: { type: 'granted' }, leader: null },
+  { type: 'settle-response', claimant: 'c', settled: true, leader: null },
+];
+
+const LIMIT = 4096;
+
+describe('codecs of messages between routers and control', () => {
+  for (const message of FROM_ROUTER) {
+    it(`carries ${message.type}`, () => {
+      const { kind, payload } = routerToControlCodecs.encode(message);
+      expect(routerToControlCodecs.decode(kind, payload)).to.deep.equal(message);
+    });
+  }
+  for (const message of FROM_CONTROL) {
+    it(`carries ${message.type}`, () => {
+      const { kind, payload } = controlToRouterCodecs.encode(message);
+      expect(controlToRouterCodecs.decode(kind, payload)).to.deep.equal(message);
+    });
+  }
+
+  it('takes nothing but a whole message', () => {
+    for (const message of FROM_ROUTER) {
+      const { kind, payload } = routerToControlCodecs.encode(message);
+      for (let length = 0; length < payload.length; length++) {
+        expect(() => routerToControlCodecs.decode(kind, payload.subarray(0, length))).to.throw(
+          MalformedFrameError,
+        );
+      }
+      const longer = Buffer.concat([payload, Buffer.from([0])]);
+      expect(() => routerToControlCodecs.decode(kind, longer)).to.throw(MalformedFrameError);
+    }
+  });
+});
+
+describe('frames', () => {
+  it('are found again however the stream is cut', () => {
+    const frame = fc.record({
+      kind: fc.integer({ min: 0, max: 255 }),
+      correlation: fc.integer({ min: 0, max: 2 ** 32 - 1 }),
+      payload: fc.uint8Array({ maxLength: 200 }),
+    });
+    const cuts = fc.array(fc.integer({ min: 1, max: 64 }), { minLength: 1, maxLength: 20 });
+    fc.assert(
+      fc.property(fc.array(frame, { maxLength: 8 }), cuts, (frames, sizes) => {
+        expect(plain(decodeInPieces(frames, sizes))).to.deep.equal(plain(frames));
+      }),
+    );
+  });
+
+  it('above the limit are neither sent nor taken', () => {
+    const frame: Frame = { kind: 1, correlation: 0, payload: new Uint8Array(LIMIT) };
+    expect(() => encodeFrame(frame, LIMIT)).to.throw(FrameTooLargeError);
+    const sent = encodeFrame(frame, LIMIT * 2);
+    expect(() => new FrameDecoder(LIMIT).push(sent.subarray(0, 10))).to.throw(FrameTooLargeError);
+  });
+
+  it('of another version end the stream', () => {
+    const sent = encodeFrame({ kind: 1, correlation: 0, payload: new Uint8Array(1) }, LIMIT);
+    sent[4] = 99;
+    expect(() => new FrameDecoder(LIMIT).push(sent)).to.throw(MalformedFrameError);
+  });
+});
+
+function decodeInPieces(frames: readonly Frame[], sizes: readonly number[]): Frame[] {
+  const stream = Buffer.concat(frames.map((frame) => encodeFrame(frame, LIMIT)));
+  const decoder = new FrameDecoder(LIMIT);
+  const decoded: Frame[] = [];
+  for (let at = 0, turn = 0; at < stream.length; turn++) {
+    const size = sizes[turn % sizes.length] as number;
+    decoded.push(...decoder.push(stream.subarray(at, at + size)));
+    at += size;
+  }
+  return decoded;
+}
+
+function plain(frames: readonly Frame[]) {
+  return frames.map(({ kind, correlation, payload }) => ({ kind, correlation, payload: [...payload] }));
+}
