--- /dev/null
+++ b/src/dev/bench/proxy/child-process.ts
@@ -0,0 +1,72 @@
+/** One process that the bench started. It ends with the bench: its channel closes then. */
+import { type ChildProcess, fork } from 'node:child_process';
+import { TernmountError } from '../../../errors/ternmount-error.js';
+import type { Address } from '../../../model/identifiers.js';
+import type { BenchAnswer, BenchRequest, ChildTask, ProcessUsage } from './child-messages.js';
+import type { LoadResult, LoadRun } from './load-run.js';
+
+const ENTRY = new URL('./child.js', import.meta.url);
+
+/** A process of the bench ended before its time. */
+export class BenchProcessError extends TernmountError {
+  constructor(kind: string) {
+    const options = { code: 'TERNMOUNT_BENCH_PROCESS_ENDED', retriable: false, info: { kind } };
+    super(options, `the ${kind} process of the bench ended by itself`);
+  }
+}
+
+export class BenchChild {
+  private constructor(
+    private readonly child: ChildProcess,
+    private readonly kind: string,
+    /** Where it listens. */
+    readonly addresses: readonly Address[],
+  ) {}
+
+  /** Starts a process and waits until it is up. `nodeOptions` go to its Node, for example to profile it. */
+  static async start(task: ChildTask, nodeOptions: readonly string[] = []): Promise<BenchChild> {
+    const child = fork(ENTRY, [JSON.stringify(task)], { execArgv: [...nodeOptions] });
+    const ready = await nextAnswer(child, task.kind, 'ready');
+    return new BenchChild(child, task.kind, ready.addresses);
+  }
+
+  async usage(): Promise<ProcessUsage> {
+    this.ask({ type: 'usage' });
+    return (await nextAnswer(this.child, this.kind, 'usage')).usage;
+  }
+
+  async load(run: LoadRun): Promise<LoadResult> {
+    this.ask({ type: 'load', run });
+    return (await nextAnswer(this.child, this.kind, 'load')).result;
+  }
+
+  /** Ends the process. */
+  async stop(): Promise<void> {
+    const exited = new Promise<void>((resolve) => this.child.once('exit', () => resolve()));
+    this.child.disconnect();
+    await exited;
+  }
+
+  private ask(request: BenchRequest): void {
+    this.child.send(request);
+  }
+}
+
+function nextAnswer<Type extends BenchAnswer['type']>(
+  child: ChildProcess,
+  kind: string,
+  type: Type,
+): Promise<Extract<BenchAnswer, { type: Type }>> {
+  return new Promise((resolve, reject) => {
+    const ended = (): void => reject(new BenchProcessError(kind));
+    const take = (answer: BenchAnswer): void => {
+      if (answer.type === type) {
+        child.off('exit', ended);
+        child.off('message', take);
+        resolve(answer as Extract<BenchAnswer, { type: Type }>);
+      }
+    };
+    child.on('message', take);
+    child.once('exit', ended);
+  });
+}
--- /dev/null
+++ b/src/dev/bench/proxy/control-standin.ts
@@ -0,0 +1,88 @@
+/**
+ * The control member of the proxy bench: gives routers one configuration, confirms it as often as they ask, and
+ * grants every claim at once. It agrees with nobody and keeps nothing.
+ */
+import type { ControlToRouter, RouterToControl, SyncRequest } from '../../../control/messages.js';
+import type { Address } from '../../../model/identifiers.js';
+import type { RoutingSnapshot } from '../../../registry/types.js';
+import {
+  controlToRouterCodecs,
+  DEFAULT_WIRE_LIMITS,
+  type FrameConnection,
+  FrameServer,
+  routerToControlCodecs,
+} from '../../../wire/index.js';
+import { BENCH_IDENTITY } from './bench-identity.js';
+
+export class ControlStandin {
+  private server: FrameServer | undefined;
+  private reportBytes = 0;
+
+  constructor(private readonly snapshot: RoutingSnapshot) {}
+
+  /** Listens on any free port and gives its address. */
+  async start(): Promise<Address> {
+    const { cluster, secret } = BENCH_IDENTITY;
+    this.server = await FrameServer.listen({
+      listen: '127.0.0.1:0',
+      identity: {
+        greeting: { type: 'greeting', cluster, kind: 'control', name: 'bench-control' },
+        secret,
+        expects: ['router'],
+      },
+      limits: DEFAULT_WIRE_LIMITS,
+      owner: {
+        ready: () => {},
+        received: (connection, frame) => {
+          const message = routerToControlCodecs.decode(frame.kind, frame.payload);
+          this.noteReport(message, frame.payload.length);
+          this.reply(connection, this.answerTo(message));
+        },
+        closed: () => {},
+      },
+    });
+    return this.server.address;
+  }
+
+  /** Size of the largest sync request that carried a load report. */
+  get largestReportBytes(): number {
+    return this.reportBytes;
+  }
+
+  async stop(): Promise<void> {
+    await this.server?.stop();
+  }
+
+  private noteReport(message: RouterToControl, bytes: number): void {
+    if (message.type === 'sync-request' && message.report !== null) {
+      this.reportBytes = Math.max(this.reportBytes, bytes);
+    }
+  }
+
+  private answerTo(message: RouterToControl): ControlToRouter {
+    switch (message.type) {
+      case 'sync-request':
+        return this.syncResponse(message);
+      case 'claim-request':
+        return {
+          type: 'claim-response',
+          claimant: message.claimant,
+          result: { type: 'granted' },
+          leader: null,
+        };
+      case 'settle-request':
+        return { type: 'settle-response', claimant: message.claimant, settled: true, leader: null };
+    }
+  }
+
+  private syncResponse({ stamp, have }: SyncRequest): ControlToRouter {
+    const { revision } = this.snapshot;
+    const snapshot = have < revision ? this.snapshot : null;
+    return { type: 'sync-response', stamp, confirmed: true, revision, snapshot, delta: null, leader: null };
+  }
+
+  private reply(connection: FrameConnection, message: ControlToRouter): void {
+    const { kind, payload } = controlToRouterCodecs.encode(message);
+    connection.send(kind, payload);
+  }
+}
