--- a/src/router/caller/header-rules.ts
+++ b/src/router/caller/header-rules.ts
@@ -16,6 +16,7 @@
 const SET_BY_CLIENT: ReadonlySet<string> = new Set(['content-length', 'expect']);
 /** Headers between router and upstream; nobody else's copies pass. */
 const INTERNAL_PREFIX = 'ternmount-';
+const NONE_NAMED: readonly string[] = [];
 
 /** Headers of a caller's request that go to the upstream. */
 export function forwardedRequestHeaders(rawHeaders: readonly string[]): string[] {
@@ -44,28 +45,33 @@
 }
 
 function filterHeaders(rawHeaders: readonly string[], passes: (name: string) => boolean): string[] {
-  const named = connectionHeaders(rawHeaders);
   const kept: string[] = [];
+  let named = NONE_NAMED;
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] as string;
     const lower = name.toLowerCase();
-    const internal = lower.startsWith(INTERNAL_PREFIX);
-    if (!internal && !HOP_BY_HOP.has(lower) && !named.has(lower) && passes(lower)) {
+    if (lower === 'connection') {
+      named = [...named, ...namesIn(rawHeaders[index + 1] as string)];
+    } else if (!lower.startsWith(INTERNAL_PREFIX) && !HOP_BY_HOP.has(lower) && passes(lower)) {
       kept.push(name, rawHeaders[index + 1] as string);
     }
   }
-  return kept;
+  return named.length === 0 ? kept : withoutNamed(kept, named);
 }
 
-/** Headers that `Connection` names are about this connection too. */
-function connectionHeaders(rawHeaders: readonly string[]): ReadonlySet<string> {
-  const named = new Set<string>();
-  for (let index = 0; index < rawHeaders.length; index += 2) {
-    if (rawHeaders[index]?.toLowerCase() === 'connection') {
-      for (const name of (rawHeaders[index + 1] ?? '').split(',')) {
-        named.add(name.trim().toLowerCase());
-      }
+/** Headers that a `Connection` header names are about this connection too. */
+function namesIn(connectionHeader: string): string[] {
+  const value = connectionHeader.toLowerCase();
+  return value === 'keep-alive' || value === 'close' ? [] : value.split(',').map((name) => name.trim());
+}
+
+function withoutNamed(headers: readonly string[], named: readonly string[]): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index] as string;
+    if (!named.includes(name.toLowerCase())) {
+      kept.push(name, headers[index + 1] as string);
     }
   }
-  return named;
+  return kept;
 }
--- a/src/router/caller/request-head.ts
+++ b/src/router/caller/request-head.ts
@@ -29,7 +29,7 @@
     throw new BadRequestError('the request target must be a path');
   }
   const [service, pathKey] = leadingSegments(target);
-  if (service === undefined || service === '') {
+  if (service === '') {
     throw new BadRequestError('the path must be /<service>/...');
   }
   return {
@@ -43,10 +43,20 @@
 }
 
 /** The first two segments of the path, still encoded. */
-function leadingSegments(target: string): readonly (string | undefined)[] {
+function leadingSegments(target: string): readonly [string, string | undefined] {
   const queryStart = target.indexOf('?');
-  const path = queryStart === -1 ? target : target.slice(0, queryStart);
-  return path.slice(1).split('/', 2);
+  const pathEnd = queryStart === -1 ? target.length : queryStart;
+  const firstEnd = segmentEnd(target, 1, pathEnd);
+  const first = target.slice(1, firstEnd);
+  if (firstEnd === pathEnd) {
+    return [first, undefined];
+  }
+  return [first, target.slice(firstEnd + 1, segmentEnd(target, firstEnd + 1, pathEnd))];
+}
+
+function segmentEnd(target: string, start: number, pathEnd: number): number {
+  const slash = target.indexOf('/', start);
+  return slash === -1 || slash > pathEnd ? pathEnd : slash;
 }
 
 function readKey(header: string | string[] | undefined, pathKey: string | undefined): string | null {
--- a/src/router/metrics.ts
+++ b/src/router/metrics.ts
@@ -1,12 +1,19 @@
 /** Metrics of a router daemon. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ServiceName } from '../model/identifiers.js';
-import type { RouterStatus } from '../routing/types.js';
+import type { AttemptResult, RouterStatus } from '../routing/types.js';
 
 const SECONDS_BUCKETS = [0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1, 2, 4, 8];
 /** Service label of requests for services that don't exist, whatever they call them. */
 const UNKNOWN_SERVICE = '(unknown)';
 
+/** Series of one service that are counted on every request, found by their labels once. */
+interface ServiceSeries {
+  readonly upstream: Counter.Internal;
+  readonly stored: Counter.Internal;
+  readonly seconds: Histogram.Internal<'service'>;
+}
+
 export class RouterMetrics {
   readonly registry = new Registry();
   private readonly requests = new Counter({
@@ -28,7 +35,14 @@
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
   });
-  private readonly durations = new Map<ServiceName, Histogram.Internal<'service'>>();
+  private readonly series = new Map<ServiceName, ServiceSeries>();
+  private readonly attemptSeries: Readonly<Record<AttemptResult['type'], Counter.Internal>> = {
+    answered: this.attempts.labels('answered'),
+    refused: this.attempts.labels('refused'),
+    'connect-failed': this.attempts.labels('connect-failed'),
+    broken: this.attempts.labels('broken'),
+    cancelled: this.attempts.labels('cancelled'),
+  };
 
   constructor(status: () => RouterStatus) {
     this.gauge('queued', 'Requests waiting', () => status().queued);
@@ -39,8 +53,9 @@
 
   /** Counts an answer of an upstream, fresh or kept by the ledger. */
   answered(service: ServiceName, seconds: number, kind: 'upstream' | 'stored'): void {
-    this.requests.inc({ service, answer: kind, reason: '' });
-    this.durationOf(service).observe(seconds);
+    const series = this.seriesOf(service);
+    series[kind].inc();
+    series.seconds.observe(seconds);
   }
 
   /** Counts an answer of the router's own. */
@@ -49,18 +64,23 @@
     this.requests.inc({ service: unknown ? UNKNOWN_SERVICE : service, answer, reason });
   }
 
-  attemptEnded(result: string): void {
-    this.attempts.inc({ result });
+  attemptEnded(result: AttemptResult['type']): void {
+    this.attemptSeries[result].inc();
   }
 
-  private durationOf(service: ServiceName): Histogram.Internal<'service'> {
-    const known = this.durations.get(service);
+  /** Only services that exist have answers, so there are no more entries than services declared ever. */
+  private seriesOf(service: ServiceName): ServiceSeries {
+    const known = this.series.get(service);
     if (known !== undefined) {
       return known;
     }
-    const histogram = this.seconds.labels(service);
-    this.durations.set(service, histogram);
-    return histogram;
+    const made: ServiceSeries = {
+      upstream: this.requests.labels(service, 'upstream', ''),
+      stored: this.requests.labels(service, 'stored', ''),
+      seconds: this.seconds.labels(service),
+    };
+    this.series.set(service, made);
+    return made;
   }
 
   private gauge(name: string, help: string, read: () => number): void {
--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -1,6 +1,5 @@
 /** Carries changes of the configuration into the router's own state. */
 import type { UpstreamId } from '../model/identifiers.js';
-import { parseShardId } from '../model/identifiers.js';
 import type { RegistryChange, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
 import type { Dispatcher } from './dispatcher.js';
 import type { PickerName } from './picker/picker.js';
@@ -110,8 +109,7 @@
   }
 
   private applyShard(shard: string, record: ShardRecord | null): void {
-    const parts = parseShardId(shard);
-    const service = parts === undefined ? undefined : this.context.services.get(parts.service);
+    const service = this.context.services.get(shard.slice(0, shard.indexOf('/')));
     const lane = service?.lanes.find(shard);
     if (service !== undefined && lane !== undefined) {
       service.lanes.reassign(lane, record?.owner ?? null);
--- a/src/routing/configuration-view.ts
+++ b/src/routing/configuration-view.ts
@@ -84,7 +84,28 @@
     return { type: 'applied', changes: delta.changes };
   }
 
+  /** What differs in the snapshot; shards that stand as before are left out. */
   private changesTo(snapshot: RoutingSnapshot): RegistryChange[] {
+    const changes = this.removalsBy(snapshot);
+    for (const record of snapshot.services) {
+      changes.push({ type: 'service', name: record.definition.name, record });
+    }
+    for (const record of snapshot.upstreams) {
+      changes.push({ type: 'upstream', id: record.definition.id, record });
+    }
+    for (const record of snapshot.shards) {
+      if (this.shards.get(record.shard)?.revision !== record.revision) {
+        changes.push({ type: 'shard', shard: record.shard, record });
+      }
+    }
+    return changes;
+  }
+
+  /** What the snapshot doesn't have any more. */
+  private removalsBy(snapshot: RoutingSnapshot): RegistryChange[] {
+    if (this.held === 0) {
+      return [];
+    }
     const serviceNames = new Set(snapshot.services.map((record) => record.definition.name));
     const upstreamIds = new Set(snapshot.upstreams.map((record) => record.definition.id));
     const shardIds = new Set(snapshot.shards.map((record) => record.shard));
@@ -95,13 +116,6 @@
       ...goneServices.map((name): RegistryChange => ({ type: 'service', name, record: null })),
       ...goneUpstreams.map((id): RegistryChange => ({ type: 'upstream', id, record: null })),
       ...goneShards.map((shard): RegistryChange => ({ type: 'shard', shard, record: null })),
-      ...snapshot.services.map(
-        (record): RegistryChange => ({ type: 'service', name: record.definition.name, record }),
-      ),
-      ...snapshot.upstreams.map(
-        (record): RegistryChange => ({ type: 'upstream', id: record.definition.id, record }),
-      ),
-      ...snapshot.shards.map((record): RegistryChange => ({ type: 'shard', shard: record.shard, record })),
     ];
   }
 
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -154,17 +154,23 @@
   /** Finds the shard of a work's key; answers it if there is none. */
   private locate(work: Work): boolean {
     const { definition } = work.service;
+    const { view } = this.context;
+    if (work.shardRevision === view.revision) {
+      return true;
+    }
     work.shard = null;
     if (!definition.keyed) {
+      work.shardRevision = view.revision;
       return true;
     }
     const { key } = work.request;
-    const shard = key === null ? undefined : this.context.view.shardOfKey(definition.name, key);
+    const shard = key === null ? undefined : view.shardOfKey(definition.name, key);
     if (shard === undefined) {
       this.answers.refuseWork(work, 'key-required', null);
       return false;
     }
     work.shard = shard;
+    work.shardRevision = view.revision;
     return true;
   }
 
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -1,5 +1,6 @@
 /** A request's way from its arrival to the dispatcher: checks, joining, the ledger, policy. */
 import type { ClaimResult, StoredAnswer } from '../ledger/types.js';
+import type { ShardId } from '../model/identifiers.js';
 import type { PolicyDecision } from '../policy/index.js';
 import type { Answers } from './answers.js';
 import type { ClaimFlow, ClaimListener } from './claim-flow.js';
@@ -35,7 +36,8 @@
       this.answers.refuseArrival(request, 'no-configuration', ledgerWordOf(request, undefined), wait);
       return;
     }
-    const fault = service === undefined ? 'unknown-service' : this.faultOf(request, service);
+    const shard = service === undefined ? null : this.shardOf(request, service);
+    const fault = service === undefined ? 'unknown-service' : this.faultOf(request, service, shard);
     if (service === undefined || fault !== undefined) {
       this.answers.refuseArrival(request, fault as RefusalReason, ledgerWordOf(request, service), null);
       return;
@@ -47,6 +49,8 @@
       return;
     }
     const work = new Work(service);
+    work.shard = shard;
+    work.shardRevision = context.view.revision;
     this.addMember(work, request);
     this.makeJoinable(work, key);
     this.begin(work);
@@ -96,10 +100,13 @@
     }
   }
 
-  private faultOf(request: ArrivedRequest, service: ServiceState): RefusalReason | undefined {
-    const { keyed, repeatable, name, queueLimit } = service.definition;
-    const hasShard = request.key !== null && this.context.view.shardOfKey(name, request.key) !== undefined;
-    if (keyed && !hasShard) {
+  private faultOf(
+    request: ArrivedRequest,
+    service: ServiceState,
+    shard: ShardId | null,
+  ): RefusalReason | undefined {
+    const { keyed, repeatable, queueLimit } = service.definition;
+    if (keyed && shard === null) {
       return 'key-required';
     }
     if (!repeatable && request.idempotency === null) {
@@ -108,8 +115,15 @@
     if (request.deadlineMillis !== null && request.deadlineMillis <= 0) {
       return 'deadline-passed';
     }
-    const claimLimit = queueLimit + service.totalSlots(this.context.now);
-    return service.claiming.size > claimLimit ? 'queue-full' : undefined;
+    const { size } = service.claiming;
+    const tooMany = size > queueLimit && size > queueLimit + service.totalSlots(this.context.now);
+    return tooMany ? 'queue-full' : undefined;
+  }
+
+  /** The shard of a request's key; `null` without one, and for services that aren't keyed. */
+  private shardOf(request: ArrivedRequest, service: ServiceState): ShardId | null {
+    const { key } = request;
+    return key === null ? null : (this.context.view.shardOfKey(service.name, key) ?? null);
   }
 
   private addMember(work: Work, request: ArrivedRequest): void {
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -1,5 +1,5 @@
 /** A piece of work on its way to an upstream, and the callers' requests that it answers. */
-import type { Epoch, ShardId } from '../model/identifiers.js';
+import type { Epoch, Revision, ShardId } from '../model/identifiers.js';
 import type { Claim } from './claim.js';
 import type { Lane } from './lane-table.js';
 import type { QueueNode } from './linked-queue.js';
@@ -38,6 +38,8 @@
   coalesceKey: string | null = null;
   /** Keyed services only. */
   shard: ShardId | null = null;
+  /** Revision of the configuration by which `shard` was found. */
+  shardRevision: Revision = -1;
   lane: Lane | null = null;
   node: QueueNode<Work> | null = null;
   /** When the bounded wait ends; `Infinity` until it first waits. */
@@ -63,6 +65,10 @@
 
   /** The latest deadline of its members. */
   get deadline(): number {
-    return this.members.reduce((latest, member) => Math.max(latest, member.deadline), 0);
+    let latest = 0;
+    for (const member of this.members) {
+      latest = Math.max(latest, member.deadline);
+    }
+    return latest;
   }
 }
--- a/src/wire/fields.ts
+++ b/src/wire/fields.ts
@@ -142,6 +142,26 @@
   }
 }
 
+/** A value after a flag that says whether it is there. */
+class OptionalField<Value> implements restructure.FieldType<Value | null> {
+  constructor(private readonly type: restructure.FieldType<Value>) {}
+
+  size(value: Value | null): number {
+    return 1 + (value === null ? 0 : this.type.size(value));
+  }
+
+  decode(stream: restructure.DecodeStream): Value | null {
+    return flag.decode(stream) ? this.type.decode(stream) : null;
+  }
+
+  encode(stream: restructure.EncodeStream, value: Value | null): void {
+    flag.encode(stream, value !== null);
+    if (value !== null) {
+      this.type.encode(stream, value);
+    }
+  }
+}
+
 /** Reads as many bytes as asked for; `restructure` itself would give fewer at the end of a frame. */
 function readExactly(stream: restructure.DecodeStream, length: number): Uint8Array {
   const left = stream.length - stream.pos;
@@ -166,6 +186,7 @@
 export const text: restructure.FieldType<string> = new TextField();
 export const flag: restructure.FieldType<boolean> = new FlagField();
 export const uint8: restructure.FieldType<number> = restructure.uint8;
+export const uint32: restructure.FieldType<number> = restructure.uint32;
 /** Any number, fractions included. */
 export const real: restructure.FieldType<number> = restructure.double;
 
@@ -182,6 +203,16 @@
   return new JsonField<Value>();
 }
 
+/** A group of fields, written in the order they stand in. */
+export function group<Value extends object>(fields: restructure.Fields<Value>): restructure.FieldType<Value> {
+  return new restructure.Struct<Value>(fields);
+}
+
+/** A value that may be `null`, after a flag that says whether it isn't. */
+export function optional<Value>(type: restructure.FieldType<Value>): restructure.FieldType<Value | null> {
+  return new OptionalField(type);
+}
+
 /** A list after its number of items. */
 export function list<Item>(item: restructure.FieldType<Item>): restructure.FieldType<Item[]> {
   return new restructure.Array(item, restructure.uint32);
--- a/test/wire/codecs.test.ts
+++ b/test/wire/codecs.test.ts
@@ -41,6 +41,23 @@
     delta: { from: 3, to: 7, changes: [{ type: 'upstream', id: 'u1', record: null }] },
     leader: '127.0.0.1:1',
   },
+  {
+    type: 'sync-response',
+    stamp: 1,
+    confirmed: false,
+    revision: 9,
+    snapshot: {
+      revision: 9,
+      services: [],
+      upstreams: [],
+      shards: [
+        { shard: 's/k@4/0', owner: 'u1', incarnation: 'i1', epoch: 5, movingTo: 'u2', revision: 2 ** 40 },
+        { shard: 's/k@4/89999', owner: null, incarnation: null, epoch: 0, movingTo: null, revision: 0 },
+      ],
+    },
+    delta: null,
+    leader: null,
+  },
   { type: 'change-notice', revision: 9 },
   { type: 'claim-response', claimant: 'c', result: { type: 'granted' }, leader: null },
   { type: 'settle-response', claimant: 'c', settled: true, leader: null },
@@ -64,14 +81,10 @@
 
   it('takes nothing but a whole message', () => {
     for (const message of FROM_ROUTER) {
-      const { kind, payload } = routerToControlCodecs.encode(message);
-      for (let length = 0; length < payload.length; length++) {
-        expect(() => routerToControlCodecs.decode(kind, payload.subarray(0, length))).to.throw(
-          MalformedFrameError,
-        );
-      }
-      const longer = Buffer.concat([payload, Buffer.from([0])]);
-      expect(() => routerToControlCodecs.decode(kind, longer)).to.throw(MalformedFrameError);
+      expectOnlyWhole(routerToControlCodecs.encode(message), routerToControlCodecs);
+    }
+    for (const message of FROM_CONTROL) {
+      expectOnlyWhole(controlToRouterCodecs.encode(message), controlToRouterCodecs);
     }
   });
 });
@@ -105,6 +118,17 @@
   });
 });
 
+function expectOnlyWhole(
+  { kind, payload }: Pick<Frame, 'kind' | 'payload'>,
+  codecs: { decode(kind: number, payload: Uint8Array): unknown },
+): void {
+  for (let length = 0; length < payload.length; length++) {
+    expect(() => codecs.decode(kind, payload.subarray(0, length))).to.throw(MalformedFrameError);
+  }
+  const longer = Buffer.concat([payload, Buffer.from([0])]);
+  expect(() => codecs.decode(kind, longer)).to.throw(MalformedFrameError);
+}
+
 function decodeInPieces(frames: readonly Frame[], sizes: readonly number[]): Frame[] {
   const stream = Buffer.concat(frames.map((frame) => encodeFrame(frame, LIMIT)));
   const decoder = new FrameDecoder(LIMIT);
