--- /dev/null
+++ b/src/dev/bench/world/availability-probe.ts
@@ -0,0 +1,109 @@
+/**
+ * Samples which keys can be served. A key counts as available when a server holds its shard under a valid lease, has its
+ * state loaded, and at least one serving router would send a request there.
+ */
+import type { ShardId, ShardParts, UpstreamId } from '../../../model/identifiers.js';
+import { parseShardId } from '../../../model/identifiers.js';
+import type { EventQueue } from '../../virtual/event-queue.js';
+import type { ModelRouter } from './model-router.js';
+import type { ModelUpstream } from './model-upstream.js';
+
+const SAMPLE_MILLIS = 5;
+const MILLIS_PER_SECOND = 1000;
+
+export interface AvailabilityParts {
+  readonly queue: EventQueue;
+  readonly routers: readonly ModelRouter[];
+  readonly upstreams: ReadonlyMap<UpstreamId, ModelUpstream>;
+  /** Keys of each shard that is watched. */
+  readonly keysOfShard: ReadonlyMap<ShardId, number>;
+}
+
+export class AvailabilityProbe {
+  /** Sum over keys of the seconds in which they were unavailable. */
+  unavailableKeySeconds = 0;
+  /** Changes of owner, counted by shards. */
+  ownerChanges = 0;
+  /** Longest time without an owner of any shard. */
+  longestGapMillis = 0;
+  private readonly owners = new Map<ShardId, UpstreamId>();
+  private readonly gapStarts = new Map<ShardId, number>();
+  private running = true;
+
+  constructor(private readonly parts: AvailabilityParts) {}
+
+  start(): void {
+    this.sample();
+  }
+
+  stop(): void {
+    this.running = false;
+  }
+
+  /** Who serves a shard now; `undefined` if nobody does. */
+  ownerOf(shard: ShardId): UpstreamId | undefined {
+    const owner = this.routedOwner(shard);
+    return owner !== undefined && this.parts.upstreams.get(owner)?.serves(shard) ? owner : undefined;
+  }
+
+  /** Keys that can be served now, as a share of all. */
+  availableShare(shards: Iterable<ShardId> = this.parts.keysOfShard.keys()): number {
+    let all = 0;
+    let available = 0;
+    for (const shard of shards) {
+      const keys = this.parts.keysOfShard.get(shard) ?? 0;
+      all += keys;
+      available += this.ownerOf(shard) === undefined ? 0 : keys;
+    }
+    return all === 0 ? 1 : available / all;
+  }
+
+  /** Shards that a server owns now. */
+  shardsOf(upstream: UpstreamId): ShardId[] {
+    return [...this.parts.keysOfShard.keys()].filter((shard) => this.ownerOf(shard) === upstream);
+  }
+
+  private sample(): void {
+    if (!this.running) {
+      return;
+    }
+    for (const [shard, keys] of this.parts.keysOfShard) {
+      this.note(shard, keys);
+    }
+    this.parts.queue.after(SAMPLE_MILLIS, () => this.sample());
+  }
+
+  private note(shard: ShardId, keys: number): void {
+    const { now } = this.parts.queue;
+    const owner = this.ownerOf(shard);
+    if (owner === undefined) {
+      this.unavailableKeySeconds += (keys * SAMPLE_MILLIS) / MILLIS_PER_SECOND;
+      const since = this.gapStarts.get(shard) ?? now;
+      this.gapStarts.set(shard, since);
+      this.longestGapMillis = Math.max(this.longestGapMillis, now - since + SAMPLE_MILLIS);
+      return;
+    }
+    this.gapStarts.delete(shard);
+    const previous = this.owners.get(shard);
+    if (previous !== undefined && previous !== owner) {
+      this.ownerChanges += 1;
+    }
+    this.owners.set(shard, owner);
+  }
+
+  private routedOwner(shard: ShardId): UpstreamId | undefined {
+    for (const router of this.parts.routers) {
+      const record = router.serving ? router.view.shard(shard) : undefined;
+      const owner = record?.owner ?? null;
+      if (owner !== null && this.parts.upstreams.get(owner)?.epochOf(shard) === record?.epoch) {
+        return owner;
+      }
+    }
+    return undefined;
+  }
+}
+
+/** Parts of the names of shards; malformed ones are left out. */
+export function partsOfShards(shards: Iterable<ShardId>): ShardParts[] {
+  return [...shards].flatMap((shard) => parseShardId(shard) ?? []);
+}
--- /dev/null
+++ b/src/dev/bench/world/load-generator.ts
@@ -0,0 +1,128 @@
+/** Callers in virtual time: open streams of requests, which come back after Retry-After if they are told to. */
+import type { ServiceDefinition } from '../../../model/service.js';
+import type { EventQueue } from '../../virtual/event-queue.js';
+import { type RandomSource, ZipfDistribution } from '../../virtual/random-source.js';
+import { WALL_START } from './model-control.js';
+import type { ModelNetwork } from './model-network.js';
+import type { FinalAnswer, ModelRouter } from './model-router.js';
+import type { RequestTally } from './request-tally.js';
+
+const MILLIS_PER_SECOND = 1000;
+const DEFAULT_KEY_PREFIX = 'key/';
+
+/** Requests of one kind at a steady rate. */
+export interface LoadStream {
+  readonly service: ServiceDefinition;
+  readonly from: number;
+  readonly to: number;
+  readonly requestsPerSecond: number;
+  /** Number of keys; 0 for services that aren't keyed. */
+  readonly keys: number;
+  readonly skew: number;
+  readonly method: 'GET' | 'POST';
+  /** How often a caller that was refused as `not-run` with Retry-After comes again. */
+  readonly returns: number;
+}
+
+export interface LoadParts {
+  readonly queue: EventQueue;
+  readonly random: RandomSource;
+  readonly network: ModelNetwork;
+  readonly routers: readonly ModelRouter[];
+  readonly tally: RequestTally;
+}
+
+interface Call {
+  readonly stream: LoadStream;
+  readonly key: string | null;
+  readonly id: string | null;
+  readonly sentAt: number;
+  returnsLeft: number;
+}
+
+/** Names of a service's keys by popularity: exact matches first. */
+export function keyName(service: ServiceDefinition, rank: number): string {
+  const exact = service.keyspaces.filter((keyspace) => keyspace.kind === 'exact');
+  const named = service.keyspaces.find((keyspace) => keyspace.kind === 'prefix' && keyspace.match !== '');
+  return exact[rank]?.match ?? `${named?.match ?? DEFAULT_KEY_PREFIX}${rank + 1}`;
+}
+
+export class LoadGenerator {
+  private callCount = 0;
+
+  constructor(private readonly parts: LoadParts) {}
+
+  start(stream: LoadStream): void {
+    const zipf = stream.keys > 0 ? new ZipfDistribution(stream.keys, stream.skew) : null;
+    this.parts.queue.at(stream.from, () => this.scheduleNext(stream, zipf));
+  }
+
+  private scheduleNext(stream: LoadStream, zipf: ZipfDistribution | null): void {
+    const { queue, random } = this.parts;
+    const at = queue.now + random.exponential(MILLIS_PER_SECOND / stream.requestsPerSecond);
+    if (at >= stream.to) {
+      return;
+    }
+    queue.at(at, () => {
+      this.call(stream, zipf);
+      this.scheduleNext(stream, zipf);
+    });
+  }
+
+  private call(stream: LoadStream, zipf: ZipfDistribution | null): void {
+    const { queue, random, tally } = this.parts;
+    this.callCount += 1;
+    const call: Call = {
+      stream,
+      key: zipf === null ? null : keyName(stream.service, zipf.draw(random)),
+      id: stream.service.repeatable ? null : `call-${this.callCount}`,
+      sentAt: queue.now,
+      returnsLeft: stream.returns,
+    };
+    if (tally.isCounted(call.sentAt)) {
+      tally.sent(stream.service.name);
+    }
+    this.send(call);
+  }
+
+  private send(call: Call): void {
+    const { network, random, routers } = this.parts;
+    const router = random.pick(routers);
+    const idempotency =
+      call.id === null ? null : { key: call.id, issuedAt: WALL_START + call.sentAt, fingerprint: call.id };
+    const request = {
+      service: call.stream.service.name,
+      key: call.key,
+      method: call.stream.method,
+      target: `/${call.key ?? ''}`,
+      deadlineMillis: null,
+      idempotency,
+    };
+    network.sendClient(() => {
+      router.arrive(request, (answer) => network.sendClient(() => this.answered(call, answer)));
+    });
+  }
+
+  private answered(call: Call, answer: FinalAnswer): void {
+    const { queue, tally } = this.parts;
+    const { service } = call.stream;
+    if (!tally.isCounted(call.sentAt)) {
+      return;
+    }
+    if (answer.type === 'refuse') {
+      tally.noteRefusal(service.name, answer);
+      if (call.returnsLeft > 0 && answer.outcome === 'not-run' && answer.retryAfterMillis !== null) {
+        call.returnsLeft -= 1;
+        queue.after(answer.retryAfterMillis, () => this.send(call));
+        return;
+      }
+    }
+    const good =
+      answer.type === 'delivered' &&
+      (call.stream.returns > 0 || queue.now - call.sentAt <= service.deadlineMillis);
+    tally.answered(
+      { service: service.name, key: call.key, sentAt: call.sentAt, answeredAt: queue.now, good },
+      answer,
+    );
+  }
+}
--- /dev/null
+++ b/src/dev/bench/world/request-tally.ts
@@ -0,0 +1,139 @@
+/** Counts of what callers asked for and got. Only requests that were sent within the window count. */
+import type { ServiceName } from '../../../model/identifiers.js';
+import { quantile } from '../statistics.js';
+import type { FinalAnswer } from './model-router.js';
+
+export interface ServiceCounts {
+  offered: number;
+  /** Answered by an upstream within the deadline. */
+  good: number;
+  late: number;
+  notRun: number;
+  unknown: number;
+  readonly reasons: Map<string, number>;
+  /** From the caller's first sending to the good answer. */
+  readonly latencies: number[];
+  /** Time in the router of requests that it answered itself. */
+  readonly refusalMillis: number[];
+  /** Retry-After of refusals. */
+  readonly retryAfters: number[];
+}
+
+/** One answer, for series over time. */
+export interface TallyEntry {
+  readonly service: ServiceName;
+  readonly key: string | null;
+  /** When the caller first sent it. */
+  readonly sentAt: number;
+  readonly answeredAt: number;
+  readonly good: boolean;
+}
+
+export class RequestTally {
+  readonly entries: TallyEntry[] = [];
+  private readonly services = new Map<ServiceName, ServiceCounts>();
+
+  /** Counts requests sent from `from` up to, not including, `to`. */
+  constructor(
+    readonly from: number,
+    readonly to: number,
+  ) {}
+
+  counts(service: ServiceName): ServiceCounts {
+    let counts = this.services.get(service);
+    if (counts === undefined) {
+      counts = {
+        offered: 0,
+        good: 0,
+        late: 0,
+        notRun: 0,
+        unknown: 0,
+        reasons: new Map(),
+        latencies: [],
+        refusalMillis: [],
+        retryAfters: [],
+      };
+      this.services.set(service, counts);
+    }
+    return counts;
+  }
+
+  isCounted(sentAt: number): boolean {
+    return sentAt >= this.from && sentAt < this.to;
+  }
+
+  sent(service: ServiceName): void {
+    this.counts(service).offered += 1;
+  }
+
+  /** The answer that a caller was left with. */
+  answered(entry: TallyEntry, answer: FinalAnswer): void {
+    const counts = this.counts(entry.service);
+    this.entries.push(entry);
+    if (answer.type === 'refuse') {
+      this.refused(counts, answer);
+      return;
+    }
+    if (entry.good) {
+      counts.good += 1;
+      counts.latencies.push(entry.answeredAt - entry.sentAt);
+    } else {
+      counts.late += 1;
+    }
+  }
+
+  /** A refusal after which the caller may come again. */
+  noteRefusal(service: ServiceName, answer: Extract<FinalAnswer, { type: 'refuse' }>): void {
+    const counts = this.counts(service);
+    counts.refusalMillis.push(answer.answeredAt - answer.arrivedAt);
+    if (answer.retryAfterMillis !== null) {
+      counts.retryAfters.push(answer.retryAfterMillis);
+    }
+  }
+
+  goodPerSecond(service: ServiceName): number {
+    return this.counts(service).good / ((this.to - this.from) / 1000);
+  }
+
+  /** Share of the requests offered that were good; 1 if none were. */
+  goodShare(service: ServiceName): number {
+    const { good, offered } = this.counts(service);
+    return offered === 0 ? 1 : good / offered;
+  }
+
+  latency(service: ServiceName, share: number): number {
+    return quantile(this.counts(service).latencies, share);
+  }
+
+  /** Sum over services of one count. */
+  total(field: 'offered' | 'good' | 'late' | 'notRun' | 'unknown'): number {
+    return [...this.services.values()].reduce((sum, counts) => sum + counts[field], 0);
+  }
+
+  /** Good share by buckets of the time of sending. */
+  goodShareOverTime(service: ServiceName, bucketMillis: number): { at: number; share: number }[] {
+    const buckets = new Map<number, { good: number; all: number }>();
+    for (const entry of this.entries) {
+      if (entry.service === service) {
+        const at = Math.floor(entry.sentAt / bucketMillis) * bucketMillis;
+        const bucket = buckets.get(at) ?? { good: 0, all: 0 };
+        bucket.all += 1;
+        bucket.good += entry.good ? 1 : 0;
+        buckets.set(at, bucket);
+      }
+    }
+    return [...buckets]
+      .sort(([left], [right]) => left - right)
+      .map(([at, { good, all }]) => ({ at, share: good / all }));
+  }
+
+  private refused(counts: ServiceCounts, answer: Extract<FinalAnswer, { type: 'refuse' }>): void {
+    if (answer.outcome === 'unknown') {
+      counts.unknown += 1;
+    } else {
+      counts.notRun += 1;
+    }
+    const name = `${answer.reason}/${answer.outcome}`;
+    counts.reasons.set(name, (counts.reasons.get(name) ?? 0) + 1);
+  }
+}
--- a/src/dev/virtual/random-source.ts
+++ b/src/dev/virtual/random-source.ts
@@ -26,6 +26,13 @@
     return -mean * Math.log(1 - this.fraction());
   }
 
+  /** Log-normal with this mean; `sigma` is the spread of its logarithm. */
+  logNormal(mean: number, sigma: number): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - this.fraction()));
+    const normal = radius * Math.cos(2 * Math.PI * this.fraction());
+    return mean * Math.exp(sigma * normal - (sigma * sigma) / 2);
+  }
+
   /** One of the items. */
   pick<Item>(items: readonly Item[]): Item {
     return items[this.below(items.length)] as Item;
