Placement: weighted planner, baselines, decayed loads

Planner of one service with incremental state: shards without owner to the least loaded server (heaviest first), shards of draining servers in batches, balancing once a second within a sliding budget and a tolerance from the weights. Baselines with the same interface: rendezvous hashing, consistent hashing with bounded loads, greedy least-loaded.

--- /dev/null
+++ b/src/placement/baselines/greedy.ts
@@ -0,0 +1,121 @@
+/**
+ * Baseline: greedy least-loaded without hysteresis or budget. Once a second shards move from the most to the least
+ * loaded server for as long as that lowers the higher of the two.
+ */
+import type { MonotonicMillis, ShardId, UpstreamId } from '../../model/identifiers.js';
+import { CandidateQueue } from '../candidate-queue.js';
+import {
+  capacityOf,
+  mayHold,
+  PlacementState,
+  type ServerEntry,
+  type ShardEntry,
+  utilisation,
+} from '../placement-state.js';
+import type { PlacementMove, PlacementPlanner, PlacementServer, PlacementShard } from '../types.js';
+
+const LOOK_MILLIS = 1000;
+
+export function createGreedyPlanner(): PlacementPlanner {
+  return new GreedyPlanner();
+}
+
+class GreedyPlanner implements PlacementPlanner {
+  readonly #state = new PlacementState();
+  #lookAt: MonotonicMillis = Number.NEGATIVE_INFINITY;
+
+  /** It knows neither weights nor budgets. */
+  configure(): void {}
+
+  setServer(server: PlacementServer): void {
+    this.#state.setServer(server);
+  }
+
+  removeServer(id: UpstreamId): void {
+    this.#state.removeServer(id);
+  }
+
+  setShard(shard: PlacementShard): void {
+    this.#state.setShard(shard);
+  }
+
+  setLoad(shard: ShardId, load: number): void {
+    this.#state.setLoad(shard, load);
+  }
+
+  removeShard(shard: ShardId): void {
+    this.#state.removeShard(shard);
+  }
+
+  plan(now: MonotonicMillis): PlacementMove[] {
+    const unplaced = [...this.#state.unplaced.values()].flatMap((entries) => [...entries]);
+    const moves = [
+      ...this.#toLeast(unplaced, 'unowned'),
+      ...this.#toLeast(this.#state.misplaced, 'evacuate'),
+    ];
+    if (now < this.#lookAt) {
+      return moves;
+    }
+    this.#lookAt = now + LOOK_MILLIS;
+    return [...moves, ...this.#level()];
+  }
+
+  nextDeadline(): MonotonicMillis {
+    return this.#lookAt;
+  }
+
+  #toLeast(entries: Iterable<ShardEntry>, reason: PlacementMove['reason']): PlacementMove[] {
+    const queues = new Map<string, CandidateQueue>();
+    const sorted = [...entries].sort(
+      (left, right) => right.load - left.load || (left.id < right.id ? -1 : 1),
+    );
+    return sorted.flatMap((entry) => {
+      const queue = queues.get(entry.keyspace) ?? this.#candidates(entry.keyspace);
+      queues.set(entry.keyspace, queue);
+      return this.#begin(entry, queue.least(), reason);
+    });
+  }
+
+  #candidates(keyspace: string): CandidateQueue {
+    const takers = this.#state.takers().filter((server) => mayHold(server, keyspace));
+    return new CandidateQueue(takers, this.#state.floor());
+  }
+
+  #begin(entry: ShardEntry, to: ServerEntry | undefined, reason: PlacementMove['reason']): PlacementMove[] {
+    if (to === undefined) {
+      return [];
+    }
+    this.#state.begin(entry, to);
+    return [{ shard: entry.id, from: entry.owner, to: to.server.id, reason }];
+  }
+
+  #level(): PlacementMove[] {
+    const floor = this.#state.floor();
+    const takers = this.#state.takers();
+    const moves: PlacementMove[] = [];
+    for (;;) {
+      const ordered = [...takers].sort(
+        (left, right) => utilisation(left, floor) - utilisation(right, floor) || left.rank - right.rank,
+      );
+      const [to, from] = [ordered[0], ordered.at(-1)];
+      const entry = to === undefined || from === undefined ? undefined : bestShard(from, to, floor);
+      if (entry === undefined) {
+        return moves;
+      }
+      moves.push(...this.#begin(entry, to, 'balance'));
+    }
+  }
+}
+
+/** The heaviest shard whose move leaves the receiving server below what the giving one had. */
+function bestShard(from: ServerEntry, to: ServerEntry, floor: number): ShardEntry | undefined {
+  const before = utilisation(from, floor);
+  const room = (before - utilisation(to, floor)) * capacityOf(to);
+  let best: ShardEntry | undefined;
+  for (const entry of from.shards) {
+    const fits = entry.target === null && entry.load + floor < room && mayHold(to, entry.keyspace);
+    const isHeavier = best === undefined || entry.load > best.load;
+    best = fits && isHeavier ? entry : best;
+  }
+  return best;
+}
--- /dev/null
+++ b/src/placement/baselines/recomputing-planner.ts
@@ -0,0 +1,96 @@
+/** A planner that works out the owner of every shard anew and moves whatever stands elsewhere. */
+import type { MonotonicMillis, ShardId, UpstreamId } from '../../model/identifiers.js';
+import type { PlacementMove, PlacementPlanner, PlacementServer, PlacementShard } from '../types.js';
+
+/** Gives the owner of each shard; shards that nobody may hold are left out. `servers` take shards, sorted by id. */
+export type OwnerRule = (
+  servers: readonly PlacementServer[],
+  shards: readonly PlacementShard[],
+) => ReadonlyMap<ShardId, UpstreamId>;
+
+/** Time between two looks that only changed loads give reason for. */
+const LOAD_MILLIS = 1000;
+
+export class RecomputingPlanner implements PlacementPlanner {
+  readonly #ownersOf: OwnerRule;
+  readonly #usesLoad: boolean;
+  readonly #servers = new Map<UpstreamId, PlacementServer>();
+  readonly #shards = new Map<ShardId, PlacementShard>();
+  #isChanged = true;
+  #lookAt: MonotonicMillis = Number.NEGATIVE_INFINITY;
+
+  constructor(ownersOf: OwnerRule, usesLoad: boolean) {
+    this.#ownersOf = ownersOf;
+    this.#usesLoad = usesLoad;
+  }
+
+  /** Baselines know neither weights nor budgets. */
+  configure(): void {}
+
+  setServer(server: PlacementServer): void {
+    this.#servers.set(server.id, server);
+    this.#isChanged = true;
+  }
+
+  removeServer(id: UpstreamId): void {
+    this.#servers.delete(id);
+    this.#isChanged = true;
+  }
+
+  setShard(shard: PlacementShard): void {
+    this.#shards.set(shard.shard, shard);
+    this.#isChanged = true;
+  }
+
+  setLoad(shard: ShardId, load: number): void {
+    const known = this.#shards.get(shard);
+    if (known !== undefined) {
+      this.#shards.set(shard, { ...known, load });
+    }
+  }
+
+  removeShard(shard: ShardId): void {
+    this.#shards.delete(shard);
+    this.#isChanged = true;
+  }
+
+  plan(now: MonotonicMillis): PlacementMove[] {
+    const isLoadDue = this.#usesLoad && now >= this.#lookAt;
+    if (!this.#isChanged && !isLoadDue) {
+      return [];
+    }
+    this.#isChanged = false;
+    this.#lookAt = now + LOAD_MILLIS;
+    const servers = [...this.#servers.values()].filter(({ state }) => state === 'ready' || state === 'cold');
+    const sorted = servers.sort((left, right) => (left.id < right.id ? -1 : 1));
+    const owners = this.#ownersOf(sorted, [...this.#shards.values()]);
+    return [...this.#shards.values()].flatMap((shard) => this.#moveOf(shard, owners.get(shard.shard)));
+  }
+
+  nextDeadline(): MonotonicMillis {
+    return this.#usesLoad ? this.#lookAt : Number.POSITIVE_INFINITY;
+  }
+
+  #moveOf(shard: PlacementShard, to: UpstreamId | undefined): PlacementMove[] {
+    const { owner } = shard;
+    const isUnderWay = owner !== null && shard.target !== null;
+    const isOwnerLost = owner !== null && this.#servers.get(owner)?.state === 'lost';
+    if (to === undefined || to === owner || isUnderWay || isOwnerLost || this.#isGranted(shard)) {
+      return [];
+    }
+    this.#shards.set(shard.shard, { ...shard, target: to });
+    const mustLeave = owner !== null && this.#servers.get(owner)?.state === 'draining';
+    const reason = owner === null ? 'unowned' : mustLeave ? 'evacuate' : 'balance';
+    return [{ shard: shard.shard, from: owner, to, reason }];
+  }
+
+  /** Whether a grant without handover is under way to a server that can take it. */
+  #isGranted({ owner, target }: PlacementShard): boolean {
+    const state = this.#servers.get(target ?? '')?.state;
+    return owner === null && (state === 'ready' || state === 'cold');
+  }
+}
+
+export function mayHoldShard(server: PlacementServer, { keyspace }: PlacementShard): boolean {
+  return server.mayHold.length === 0 || server.mayHold.includes(keyspace);
+}
--- /dev/null
+++ b/src/placement/index.ts
@@ -0,0 +1,14 @@
+/** Which server should own which shard: the weighted planner, and the baselines that it is measured against. */
+export { createBoundedLoadPlanner } from './baselines/bounded-load.js';
+export { createGreedyPlanner } from './baselines/greedy.js';
+export { createRendezvousPlanner } from './baselines/rendezvous.js';
+export { LOAD_HALF_LIFE_MILLIS, LoadTracker, type ReportedWork } from './load-tracker.js';
+export type {
+  PlacementMove,
+  PlacementPlanner,
+  PlacementServer,
+  PlacementSettings,
+  PlacementShard,
+  ServerState,
+} from './types.js';
+export { ARRIVING_LIMIT, BALANCE_MILLIS, createPlanner } from './weighted-planner.js';
--- /dev/null
+++ b/src/placement/weighted-planner.ts
@@ -0,0 +1,157 @@
+/**
+ * The planner that control uses. Shards without owner go to the least loaded servers, the heaviest shards first. Shards
+ * of a draining server move in batches. Load is evened out once a second, with a tolerance that follows from the
+ * service's weights and within its budget.
+ */
+import type { MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
+import { balance } from './balancer.js';
+import { CandidateQueue } from './candidate-queue.js';
+import { type Tolerance, toleranceOf } from './hysteresis.js';
+import { MoveBudget } from './move-budget.js';
+import {
+  mayHold,
+  PlacementState,
+  type ServerEntry,
+  type ShardEntry,
+  takesShards,
+} from './placement-state.js';
+import type {
+  PlacementMove,
+  PlacementPlanner,
+  PlacementServer,
+  PlacementSettings,
+  PlacementShard,
+} from './types.js';
+
+/** Time between two looks at the balance. */
+export const BALANCE_MILLIS = 1000;
+/** Shards that a server warms at once for planned moves off draining servers. */
+export const ARRIVING_LIMIT = 16;
+
+/** Makes the planner that weighs unavailability, imbalance and churn. */
+export function createPlanner(settings: PlacementSettings): PlacementPlanner {
+  return new WeightedPlanner(settings);
+}
+
+class WeightedPlanner implements PlacementPlanner {
+  readonly #state = new PlacementState();
+  readonly #budget = new MoveBudget();
+  #tolerance: Tolerance | undefined;
+  #balanceAt: MonotonicMillis = Number.NEGATIVE_INFINITY;
+
+  constructor(settings: PlacementSettings) {
+    this.configure(settings);
+  }
+
+  configure(settings: PlacementSettings): void {
+    this.#budget.movesPerMinute = settings.movesPerMinute;
+    this.#tolerance = toleranceOf(settings.weights);
+  }
+
+  setServer(server: PlacementServer): void {
+    this.#state.setServer(server);
+  }
+
+  removeServer(id: UpstreamId): void {
+    this.#state.removeServer(id);
+  }
+
+  setShard(shard: PlacementShard): void {
+    this.#state.setShard(shard);
+  }
+
+  setLoad(shard: ShardId, load: number): void {
+    this.#state.setLoad(shard, load);
+  }
+
+  removeShard(shard: ShardId): void {
+    this.#state.removeShard(shard);
+  }
+
+  plan(now: MonotonicMillis): PlacementMove[] {
+    return [...this.#placeUnowned(), ...this.#evacuate(now), ...this.#balance(now)];
+  }
+
+  nextDeadline(): MonotonicMillis {
+    const mayBalance = this.#tolerance !== undefined && this.#budget.movesPerMinute >= 1;
+    return mayBalance && this.#state.shards.size > 0 ? this.#balanceAt : Number.POSITIVE_INFINITY;
+  }
+
+  #placeUnowned(): PlacementMove[] {
+    const moves: PlacementMove[] = [];
+    for (const [keyspace, unplaced] of this.#state.unplaced) {
+      if (unplaced.size > 0) {
+        this.#placeAll(heaviestFirst(unplaced), keyspace, moves);
+      }
+    }
+    return moves;
+  }
+
+  #placeAll(entries: readonly ShardEntry[], keyspace: string, moves: PlacementMove[]): void {
+    const queue = this.#candidates(keyspace);
+    for (const entry of entries) {
+      const to = this.#warmServer(entry) ?? queue.least();
+      if (to !== undefined) {
+        moves.push({ shard: entry.id, from: null, to: to.server.id, reason: 'unowned' });
+        this.#state.begin(entry, to);
+      }
+    }
+  }
+
+  /** A server that has warmed for this shard and may still take it. */
+  #warmServer({ target, keyspace }: ShardEntry): ServerEntry | undefined {
+    const server = this.#state.servers.get(target ?? '');
+    return server !== undefined && takesShards(server) && mayHold(server, keyspace) ? server : undefined;
+  }
+
+  #evacuate(now: MonotonicMillis): PlacementMove[] {
+    const moves: PlacementMove[] = [];
+    const queues = new Map<string, CandidateQueue>();
+    for (const entry of heaviestFirst(this.#state.misplaced)) {
+      const queue = queues.get(entry.keyspace) ?? this.#candidates(entry.keyspace);
+      queues.set(entry.keyspace, queue);
+      const to = leastWithRoom(queue);
+      if (to !== undefined) {
+        moves.push({ shard: entry.id, from: entry.owner, to: to.server.id, reason: 'evacuate' });
+        this.#state.begin(entry, to);
+        this.#budget.take(now);
+      }
+    }
+    return moves;
+  }
+
+  #balance(now: MonotonicMillis): PlacementMove[] {
+    if (now < this.#balanceAt || this.#tolerance === undefined) {
+      return [];
+    }
+    this.#balanceAt = now + BALANCE_MILLIS;
+    const limit = this.#budget.available(now);
+    if (limit === 0) {
+      return [];
+    }
+    const moves = balance(this.#state, this.#tolerance, limit, now);
+    return moves.map(({ entry, to }) => {
+      this.#budget.take(now);
+      return { shard: entry.id, from: entry.owner, to: to.server.id, reason: 'balance' };
+    });
+  }
+
+  #candidates(keyspace: string): CandidateQueue {
+    const takers = this.#state.takers().filter((server) => mayHold(server, keyspace));
+    return new CandidateQueue(takers, this.#state.floor());
+  }
+}
+
+function heaviestFirst(entries: ReadonlySet<ShardEntry>): ShardEntry[] {
+  return [...entries].sort((left, right) => right.load - left.load || (left.id < right.id ? -1 : 1));
+}
+
+/** The least loaded server that doesn't warm too many shards already. */
+function leastWithRoom(queue: CandidateQueue): ServerEntry | undefined {
+  let least = queue.least();
+  while (least !== undefined && least.arriving >= ARRIVING_LIMIT) {
+    queue.removeLeast();
+    least = queue.least();
+  }
+  return least;
+}
