--- a/src/cli/control-client.ts
+++ b/src/cli/control-client.ts
@@ -5,9 +5,11 @@
 import { toError } from '../errors/ternmount-error.js';
 import type { Address, Revision } from '../model/identifiers.js';
 import { HEADERS } from '../model/outcome.js';
+import type { StatusBody } from './api-types.js';
 import { ControlAnswerError, UnknownOutcomeError, UnreachableError } from './cli-error.js';
 import type { CliIo } from './cli-io.js';
 
+const STATUS_PATH = '/v1/status';
 const CONNECT_TIMEOUT_MILLIS = 2000;
 const ROUND_PAUSE_MILLIS = 250;
 /** A member that hasn't answered by then is given up for this try; it bounds a read from a member that hangs. */
@@ -104,6 +106,17 @@
     return answer.body;
   }
 
+  /** Reads the leader's status; other members know no sessions. Throws `CliError`. */
+  async readLeaderStatus(): Promise<StatusBody> {
+    const answer = await this.#tryAll<StatusBody>(async (address) => {
+      const result = await this.#try<StatusBody>(address, 'GET', STATUS_PATH, READ_TIMEOUT_MILLIS, {});
+      const leads = result.type !== 'answered' || result.body.raft.role === 'leader';
+      const reason = `${address}: isn't the leader`;
+      return leads ? result : { type: 'no-answer', reason, mayHaveRun: false };
+    });
+    return answer.body;
+  }
+
   /** Reads from one member, once. Throws `CliError`. */
   async readFrom<Body>(address: Address, path: string): Promise<Body> {
     const result = await this.#try<Body>(address, 'GET', path, READ_TIMEOUT_MILLIS, {});
--- /dev/null
+++ b/src/cli/queries/request-lookup.ts
@@ -0,0 +1,95 @@
+/** `request lookup`: what the ledger holds of a request that must not run twice. */
+import type { LedgerBody, ServicesBody } from '../api-types.js';
+import { ControlAnswerError, NotFoundError } from '../cli-error.js';
+import { CLIENT_OPTIONS, createClient } from '../client-options.js';
+import type { CommandSpec, Invocation } from '../command-spec.js';
+import type { ControlClient } from '../control-client.js';
+import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
+import { OUTPUT_OPTION, outputFormat, writeOutput } from '../output.js';
+
+const ADVICE: Readonly<Record<LedgerBody['state'], string>> = {
+  running: 'an attempt has the key and has not settled it; it runs nowhere else',
+  ran: 'it ran once; a resend gets the answer that is kept',
+  unknown: 'it may have run: look in the upstream itself before anyone repeats it under another key',
+};
+
+async function readRecord(
+  client: ControlClient,
+  service: string,
+  key: string,
+): Promise<LedgerBody | undefined> {
+  try {
+    return await client.read<LedgerBody>(
+      `/v1/ledger/${encodeURIComponent(service)}/${encodeURIComponent(key)}`,
+    );
+  } catch (thrown) {
+    if (thrown instanceof ControlAnswerError && thrown.adminCode === 'not-found') {
+      return undefined;
+    }
+    throw thrown;
+  }
+}
+
+async function servicesToSearch(client: ControlClient, given: string | undefined): Promise<string[]> {
+  if (given !== undefined) {
+    return [given];
+  }
+  const { services } = await client.read<ServicesBody>('/v1/services');
+  return services.filter(({ definition }) => !definition.repeatable).map(({ definition }) => definition.name);
+}
+
+function recordText(record: LedgerBody): string {
+  const lines = [
+    ['idempotency key', record.key],
+    ['service', record.service],
+    ['state', record.state],
+    ['claimed at', new Date(record.claimedAt).toISOString()],
+    ['claimant', record.claimant],
+    ['answer', record.answer === null ? '-' : `status ${record.answer.status}`],
+    ['revision', String(record.revision)],
+    ['so', ADVICE[record.state]],
+  ];
+  const width = Math.max(...lines.map(([label = '']) => label.length));
+  return lines.map(([label = '', value = '']) => `${label.padEnd(width)}  ${value}\n`).join('');
+}
+
+async function lookup(invocation: Invocation): Promise<ExitCode> {
+  const { options, io, positionals } = invocation;
+  const [key = ''] = positionals;
+  const format = outputFormat(options);
+  const client = createClient(options, io);
+  const services = await servicesToSearch(client, options.text('service'));
+  const records: LedgerBody[] = [];
+  for (const service of services) {
+    const record = await readRecord(client, service, key);
+    if (record !== undefined) {
+      records.push(record);
+    }
+  }
+  if (records.length === 0) {
+    const searched = services.join(', ') || 'none: no service is declared with repeatable: false';
+    throw new NotFoundError(
+      `the ledger has no request ${JSON.stringify(key)} (services searched: ${searched}); ` +
+        'it never ran, was proved not to have run, or is older than the retention of its service',
+    );
+  }
+  writeOutput(io, format, records, () => records.map(recordText).join('\n'));
+  return EXIT_CODES.ok;
+}
+
+export const requestLookup: CommandSpec = {
+  name: 'request lookup',
+  arguments: '<idempotency-key>',
+  summary: 'Say whether a request that must not run twice ran',
+  options: [
+    {
+      name: 'service',
+      value: 'name',
+      summary: 'Service of the request; default: each that is not repeatable',
+    },
+    OUTPUT_OPTION,
+    ...CLIENT_OPTIONS,
+  ],
+  examples: ['request lookup 0191e2c4-7d2a-7b3f-9a51-0c8e4d1f6b22 --service checkout'],
+  run: lookup,
+};
--- /dev/null
+++ b/src/cli/queries/shard-explain.ts
@@ -0,0 +1,161 @@
+/** `shard explain`: where the requests of a key go, and why. */
+import { parseShardId, type ShardId } from '../../model/identifiers.js';
+import { keyspaceOfKey, shardOfKey } from '../../model/key-map.js';
+import type { ServiceRecord, ShardRecord, UpstreamRecord } from '../../registry/types.js';
+import type { ServicesBody, ShardsBody, StatusBody, UpstreamsBody } from '../api-types.js';
+import { NotFoundError, UsageError } from '../cli-error.js';
+import { CLIENT_OPTIONS, createClient } from '../client-options.js';
+import type { CommandSpec, Invocation } from '../command-spec.js';
+import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
+import { formatMillis, OUTPUT_OPTION, outputFormat, writeOutput } from '../output.js';
+
+type Health = StatusBody['upstreams'][number];
+
+/** What is known of one key. */
+export interface KeyExplanation {
+  readonly service: string;
+  readonly key: string;
+  readonly keyspace: string;
+  readonly shard: ShardId;
+  /** `null`: the shard never had an owner. */
+  readonly record: ShardRecord | null;
+  /** Whether the leader hears from the owner; `null`: there is no owner. */
+  readonly ownerState: Health['state'] | 'unknown' | null;
+  /** Upstreams that may hold the shard and aren't leaving. */
+  readonly candidates: readonly string[];
+  readonly conclusion: string;
+}
+
+/** The facts that an explanation follows from. */
+export interface ExplanationFacts {
+  readonly service: ServiceRecord;
+  readonly key: string;
+  readonly shards: readonly ShardRecord[];
+  readonly upstreams: readonly UpstreamRecord[];
+  readonly healths: readonly Health[];
+}
+
+function keyedService(services: readonly ServiceRecord[], name: string | undefined): ServiceRecord {
+  const keyed = services.filter(({ definition }) => definition.keyed);
+  if (name !== undefined) {
+    const found = services.find(({ definition }) => definition.name === name);
+    if (found === undefined) {
+      throw new NotFoundError(`there is no service ${JSON.stringify(name)}`);
+    }
+    if (!found.definition.keyed) {
+      throw new UsageError(`service ${name} isn't keyed: any of its upstreams may serve any request`);
+    }
+    return found;
+  }
+  const [only, second] = keyed;
+  if (only === undefined) {
+    throw new NotFoundError('there is no keyed service');
+  }
+  if (second !== undefined) {
+    const names = keyed.map(({ definition }) => definition.name).join(', ');
+    throw new UsageError(`say which service with --service: ${names}`);
+  }
+  return only;
+}
+
+function candidatesFor(shard: ShardId, upstreams: readonly UpstreamRecord[]): string[] {
+  const parts = parseShardId(shard);
+  return upstreams
+    .map(({ definition }) => definition)
+    .filter(({ service, leaving }) => service === parts?.service && !leaving)
+    .filter(({ mayHold }) => mayHold.length === 0 || mayHold.includes(parts?.keyspace ?? ''))
+    .map(({ id }) => id);
+}
+
+function conclude(
+  record: ShardRecord | null,
+  owner: Health | undefined,
+  candidates: readonly string[],
+): string {
+  if (record === null || record.owner === null) {
+    return candidates.length === 0
+      ? 'nobody owns it, and no upstream may: declare one, or name its keyspace in mayHold'
+      : 'nobody owns it; requests are answered not-run until one of the candidates is granted it';
+  }
+  if (record.movingTo !== null) {
+    return `${record.owner} serves what runs; then ${record.movingTo} takes over, requests wait meanwhile`;
+  }
+  if (owner?.state === 'leased') {
+    return `requests go to ${record.owner}`;
+  }
+  const silence = owner?.silentMillis ?? null;
+  const since = silence === null ? '' : `, silent for ${formatMillis(silence)}`;
+  return `${record.owner} has no lease${since}; the shard moves once its last lease is over`;
+}
+
+/** Explains one key. Throws `NotFoundError` if no keyspace takes it. */
+export function explainKey(facts: ExplanationFacts): KeyExplanation {
+  const { service, key, shards, upstreams, healths } = facts;
+  const { name, keyspaces } = service.definition;
+  const keyspace = keyspaceOfKey(keyspaces, key);
+  const shard = shardOfKey({ service: name, generation: service.generation, keyspaces }, key);
+  if (keyspace === undefined || shard === undefined) {
+    throw new NotFoundError(`no keyspace of ${name} takes the key ${JSON.stringify(key)}`);
+  }
+  const record = shards.find((candidate) => candidate.shard === shard) ?? null;
+  const owner = healths.find(({ upstream }) => upstream === record?.owner);
+  const candidates = candidatesFor(shard, upstreams);
+  return {
+    service: name,
+    key,
+    keyspace: keyspace.name,
+    shard,
+    record,
+    ownerState: record === null || record.owner === null ? null : (owner?.state ?? 'unknown'),
+    candidates,
+    conclusion: conclude(record, owner, candidates),
+  };
+}
+
+function explanationText(explanation: KeyExplanation): string {
+  const { record } = explanation;
+  const owner = record?.owner ?? 'none';
+  const state = explanation.ownerState === null ? '' : ` (${explanation.ownerState})`;
+  const lines = [
+    ['key', explanation.key],
+    ['service', explanation.service],
+    ['keyspace', explanation.keyspace],
+    ['shard', explanation.shard],
+    ['owner', `${owner}${state}`],
+    ['epoch', String(record?.epoch ?? 0)],
+    ['moving to', record?.movingTo ?? '-'],
+    ['candidates', explanation.candidates.join(', ') || 'none'],
+    ['so', explanation.conclusion],
+  ];
+  const width = Math.max(...lines.map(([label = '']) => label.length));
+  return lines.map(([label = '', value = '']) => `${label.padEnd(width)}  ${value}\n`).join('');
+}
+
+async function explain(invocation: Invocation): Promise<ExitCode> {
+  const { options, io, positionals } = invocation;
+  const [key = ''] = positionals;
+  const format = outputFormat(options);
+  const client = createClient(options, io);
+  const { services } = await client.read<ServicesBody>('/v1/services');
+  const service = keyedService(services, options.text('service'));
+  const path = `/v1/shards?service=${encodeURIComponent(service.definition.name)}`;
+  const { shards } = await client.read<ShardsBody>(path);
+  const { upstreams } = await client.read<UpstreamsBody>('/v1/upstreams');
+  const { upstreams: healths } = await client.readLeaderStatus();
+  const explanation = explainKey({ service, key, shards, upstreams, healths });
+  writeOutput(io, format, explanation, () => explanationText(explanation));
+  return EXIT_CODES.ok;
+}
+
+export const shardExplain: CommandSpec = {
+  name: 'shard explain',
+  arguments: '<key>',
+  summary: 'Say which upstream serves a key, and why',
+  options: [
+    { name: 'service', value: 'name', summary: 'Keyed service of the key; needed if there are several' },
+    OUTPUT_OPTION,
+    ...CLIENT_OPTIONS,
+  ],
+  examples: ['shard explain home-12/2026-03-01 --service menu'],
+  run: explain,
+};
