--- a/src/cli/commands/shard-move.ts
+++ b/src/cli/commands/shard-move.ts
@@ -1,8 +1,20 @@
 /** `shard move`. */
+import type { ShardsBody } from '../api-types.js';
 import { CHANGE_OPTIONS } from '../client-options.js';
 import type { CommandSpec } from '../command-spec.js';
+import type { ControlClient } from '../control-client.js';
+import { DRY_RUN_OPTION, type Preview } from '../preview.js';
 import { sendChange } from './simple-change.js';
 
+const NOBODY = 'nobody';
+
+async function previewMove(client: ControlClient, shard: string, to: string): Promise<Preview> {
+  const { shards } = await client.read<ShardsBody>('/v1/shards');
+  const record = shards.find((candidate) => candidate.shard === shard);
+  const before = { owner: record?.owner ?? NOBODY };
+  return { before, after: { owner: to }, revision: record?.revision ?? null };
+}
+
 export const shardMove: CommandSpec = {
   name: 'shard move',
   arguments: '<shard> <upstream>',
@@ -14,12 +26,16 @@
       value: 'number',
       summary: 'Move only if the record of the shard is at this revision',
     },
+    DRY_RUN_OPTION,
   ],
   examples: ['shard move menu/all@12/5 menu-7'],
   run: async (invocation) => {
     const [shard = '', to = ''] = invocation.positionals;
     const body = { shard, to, expected: invocation.options.count('revision') ?? null };
-    const request = { method: 'POST', path: '/v1/shards/move', body, expected: null } as const;
-    return sendChange(invocation, `shard/${shard}`, request);
+    return sendChange(invocation, {
+      what: `shard/${shard}`,
+      request: { method: 'POST', path: '/v1/shards/move', body, expected: null },
+      preview: (client) => previewMove(client, shard, to),
+    });
   },
 };
--- a/src/cli/difference.ts
+++ b/src/cli/difference.ts
@@ -32,10 +32,10 @@
   return after === undefined ? `- ${path}: ${before}` : `~ ${path}: ${before} -> ${after}`;
 }
 
-/** Lines with `+` for what is added, `-` for what goes, `~` for what changes. `null`: didn't exist. */
-export function differenceLines(before: DocumentMap | null, after: DocumentMap): string[] {
+/** Lines with `+` for what is added, `-` for what goes, `~` for what changes. `null`: doesn't exist. */
+export function differenceLines(before: DocumentMap | null, after: DocumentMap | null): string[] {
   const old = flatten(before ?? {}, '', new Map());
-  const fresh = flatten(after, '', new Map());
+  const fresh = flatten(after ?? {}, '', new Map());
   const paths = [...new Set([...old.keys(), ...fresh.keys()])];
   return paths
     .map((path) => lineOf(path, old.get(path), fresh.get(path)))
--- /dev/null
+++ b/src/cli/preview.ts
@@ -0,0 +1,28 @@
+/** What a change would do, for `--dry-run`. */
+import type { DocumentMap } from '../settings/definition-writer.js';
+import type { CliIo } from './cli-io.js';
+import type { OptionSpec } from './command-spec.js';
+import { differenceLines } from './difference.js';
+
+export const DRY_RUN_OPTION: OptionSpec = {
+  name: 'dry-run',
+  summary: 'Show the difference and change nothing',
+};
+
+/** A thing before and after a change; `null`: it doesn't exist. */
+export interface Preview {
+  readonly before: DocumentMap | null;
+  readonly after: DocumentMap | null;
+  /** Revision of the thing as it is; `null`: it has none. */
+  readonly revision: number | null;
+}
+
+/** Writes the difference, one line a value. */
+export function writePreview(io: CliIo, what: string, preview: Preview): void {
+  const { before, after, revision } = preview;
+  const place = revision === null ? '' : ` (revision ${revision})`;
+  const state = before === null ? ' (new)' : place;
+  const difference = differenceLines(before, after);
+  const lines = difference.length === 0 ? ['unchanged'] : difference;
+  io.write(`${what}${state}\n${lines.map((line) => `  ${line}\n`).join('')}`);
+}
--- a/src/settings/definition-documents.ts
+++ b/src/settings/definition-documents.ts
@@ -7,21 +7,45 @@
 import { SettingsError, type SettingsProblem } from './settings-error.js';
 import { checkSource, parseYaml, readYaml, type ValuePath, type YamlSource } from './yaml-source.js';
 
+/** Names places within one declaration. */
+export interface DeclarationPlaces {
+  /** The problem at a path within the declaration. */
+  readonly problemAt: (path: ValuePath, message: string) => SettingsProblem;
+  /** Line and column of a character of a text value. */
+  readonly placeInText: YamlSource['placeInText'];
+}
+
 /** One declaration of a file. */
 export type DefinitionDocument =
-  | { readonly kind: 'service'; readonly definition: ServiceDefinition }
-  | { readonly kind: 'upstream'; readonly definition: UpstreamDefinition };
+  | {
+      readonly kind: 'service';
+      readonly definition: ServiceDefinition;
+      readonly places: DeclarationPlaces;
+    }
+  | {
+      readonly kind: 'upstream';
+      readonly definition: UpstreamDefinition;
+      readonly places: DeclarationPlaces;
+    };
+
+function placesOf(source: YamlSource, base: ValuePath): DeclarationPlaces {
+  return {
+    problemAt: (path, message) => source.problemAt([...base, ...path], message),
+    placeInText: (path, offset) => source.placeInText([...base, ...path], offset),
+  };
+}
 
 function checkEntry(source: YamlSource, value: unknown, path: ValuePath): DefinitionDocument {
   if (typeof value !== 'object' || value === null || Array.isArray(value)) {
     throw new SettingsError([source.problemAt(path, 'expected a map with kind: service or kind: upstream')]);
   }
+  const places = placesOf(source, path);
   const { kind, ...fields } = value as Record<string, unknown>;
   switch (kind) {
     case 'service':
-      return { kind, definition: checkSource(source, serviceSchema, fields, path) };
+      return { kind, definition: checkSource(source, serviceSchema, fields, path), places };
     case 'upstream':
-      return { kind, definition: checkSource(source, upstreamSchema, fields, path) };
+      return { kind, definition: checkSource(source, upstreamSchema, fields, path), places };
     case undefined:
       throw new SettingsError([source.problemAt([...path, 'kind'], 'is missing (service or upstream)')]);
     default: {
--- a/src/settings/yaml-source.ts
+++ b/src/settings/yaml-source.ts
@@ -23,11 +23,13 @@
   readonly value: unknown;
   readonly #document: Document.Parsed | undefined;
   readonly #lines: LineCounter;
+  readonly #text: string;
 
-  constructor(name: string, document: Document.Parsed | undefined, lines: LineCounter) {
+  constructor(name: string, document: Document.Parsed | undefined, lines: LineCounter, text: string) {
     this.name = name;
     this.#document = document;
     this.#lines = lines;
+    this.#text = text;
     this.value = document?.toJS() ?? null;
   }
 
@@ -46,6 +48,37 @@
     };
   }
 
+  /**
+   * The place of a character of a text value, both numbers from 1. In folded and escaped texts, whose lines and
+   * columns differ from the file's, it is the start of the text.
+   */
+  placeInText(path: ValuePath, offset: number): { readonly line: number; readonly column: number } {
+    const node = this.#nearestNode(path);
+    const start = this.#lines.linePos(node?.range?.[0] ?? 0);
+    const place = { line: Math.max(start.line, 1), column: Math.max(start.col, 1) };
+    if (!isScalar(node) || typeof node.value !== 'string') {
+      return place;
+    }
+    const before = node.value.slice(0, offset).split('\n');
+    const column = (before.at(-1) ?? '').length;
+    if (node.type === 'BLOCK_LITERAL') {
+      const line = place.line + before.length;
+      return { line, column: this.#indentOf(place.line + 1) + column + 1 };
+    }
+    const opening = node.type === 'PLAIN' ? 0 : 1;
+    const first = (node.range?.[0] ?? 0) + opening;
+    const isVerbatim = this.#text.startsWith(node.value, first);
+    return isVerbatim && before.length === 1
+      ? { line: place.line, column: place.column + opening + column }
+      : place;
+  }
+
+  /** Spaces at the start of a line of the file. */
+  #indentOf(line: number): number {
+    const start = this.#lines.lineStarts[line - 1] ?? this.#text.length;
+    return /^ */.exec(this.#text.slice(start))?.[0].length ?? 0;
+  }
+
   #keyNode(path: ValuePath, key: string | undefined): Node | undefined {
     const map = key === undefined ? undefined : this.#nodeAt(path);
     if (!isMap(map)) {
@@ -96,8 +129,8 @@
     }
   }
   return parsed.length === 0
-    ? [new YamlSource(name, undefined, lines)]
-    : parsed.map((document) => new YamlSource(name, document, lines));
+    ? [new YamlSource(name, undefined, lines, text)]
+    : parsed.map((document) => new YamlSource(name, document, lines, text));
 }
 
 /** Reads a YAML file. Throws `SettingsError` if it can't be read or isn't YAML. */
