A resent change finds its first outcome, whatever changed in between

Cause: the dedup table's fingerprint covered the precondition, and drain sent the whole record as it read it. Change: the precondition is no part of the fingerprint; drains and policies are commands of their own; a replacement of a replica that is asked for again joins the one under way.

--- a/src/control/admin/admin-app.ts
+++ b/src/control/admin/admin-app.ts
@@ -2,7 +2,7 @@
 import { Router } from '@koa/router';
 import Koa from 'koa';
 import { createLogger, type Logger } from '../../logging/logger.js';
-import type { ServiceDefinition } from '../../model/service.js';
+import type { PolicyRule } from '../../model/service.js';
 import type { TokenAuthority } from '../../security/operator-tokens.js';
 import type { AdminServices, AdminState } from './admin-context.js';
 import { AdminError } from './admin-error.js';
@@ -12,6 +12,7 @@
 import { addShardCommands } from './commands/shard-commands.js';
 import { addUpstreamCommands } from './commands/upstream-commands.js';
 import { answerErrors, answerNotFound, auditWrites, authenticate, HEALTH_PATH } from './middlewares.js';
+import { findPolicyFaults } from './policy-check.js';
 import { addDefinitionQueries } from './queries/definition-queries.js';
 import { addStateQueries } from './queries/state-queries.js';
 
@@ -24,8 +25,8 @@
 export interface AdminAppOptions {
   /** Left out or `null`: no token is asked for. */
   readonly tokens?: TokenAuthority | null;
-  /** What is wrong with a definition's policy program, one line each. */
-  readonly checkPolicy?: (definition: ServiceDefinition) => readonly string[];
+  /** What is wrong with a policy program, one line each. Default: compiles it. */
+  readonly checkPolicy?: (policy: readonly PolicyRule[]) => readonly string[];
   readonly metrics?: MetricsSource;
   readonly logger?: Logger;
   /** Receives one record for each change; the default writes always. */
@@ -74,7 +75,7 @@
   };
   const services: AdminServices = {
     operate: boundOperate(operate, bounds, logger),
-    checkPolicy: options.checkPolicy ?? (() => []),
+    checkPolicy: options.checkPolicy ?? findPolicyFaults,
     bodyLimitBytes: options.bodyLimitBytes ?? DEFAULT_BODY_LIMIT_BYTES,
   };
   const router = createRouter(services, options.metrics);
--- a/src/control/admin/admin-context.ts
+++ b/src/control/admin/admin-context.ts
@@ -1,6 +1,6 @@
 /** What the middlewares of the operators' API hand to its routes. */
 import type { RouterContext } from '@koa/router';
-import type { ServiceDefinition } from '../../model/service.js';
+import type { PolicyRule } from '../../model/service.js';
 import type { Operator } from '../../security/operator-tokens.js';
 import type { OperatorRequest, OperatorResponse } from '../types.js';
 
@@ -26,8 +26,8 @@
 export interface AdminServices {
   /** Gives a request to the control core. Never throws: what failed is an `AdminError` or a response. */
   readonly operate: (request: OperatorRequest) => Promise<OperatorResponse>;
-  /** What is wrong with a definition's policy program, one line each; empty: nothing. */
-  readonly checkPolicy: (definition: ServiceDefinition) => readonly string[];
+  /** What is wrong with a policy program, one line each; empty: nothing. */
+  readonly checkPolicy: (policy: readonly PolicyRule[]) => readonly string[];
   readonly bodyLimitBytes: number;
 }
 
--- a/src/control/admin/api-schemas.ts
+++ b/src/control/admin/api-schemas.ts
@@ -4,6 +4,7 @@
 import { reachableAddressSchema } from '../../settings/common-schemas.js';
 import {
   checkServiceFields,
+  checkUnique,
   completeService,
   completeUpstream,
   nameSchema,
@@ -71,6 +72,17 @@
   .superRefine(checkServiceFields)
   .transform((fields): ServiceDefinition => completeService(fields));
 
+/** Body of `PUT /v1/services/:name/policy`. */
+export const policyBodySchema = z
+  .strictObject({ policy: z.array(policyRuleSchema, { error: 'expected a list of rules' }) })
+  .superRefine(({ policy }, context) =>
+    checkUnique(
+      policy.map((rule) => rule.name),
+      ['policy'],
+      context,
+    ),
+  );
+
 /** Body of `PUT /v1/upstreams/:id`. */
 export const upstreamBodySchema = z.strictObject(upstreamFields).transform(completeUpstream);
 
--- a/src/control/membership-desk.ts
+++ b/src/control/membership-desk.ts
@@ -22,8 +22,8 @@
 
 /** `learner`: wait until the new one holds everything. `joint`: the swap is in the log. */
 interface Replacement {
-  /** `null`: started by the leader itself. */
-  readonly operation: OperationId | null;
+  /** Who is answered at its end; `null`: started by the leader itself. */
+  operation: OperationId | null;
   readonly oldReplica: ReplicaId;
   readonly newReplica: ReplicaId;
   readonly address: Address;
@@ -113,7 +113,7 @@
   ): void {
     const { operation, oldReplica, newReplica, address } = change;
     if (this.#replacement !== null) {
-      this.#reply(operation, { type: 'rejected', message: 'another replacement is under way' });
+      this.#joinReplacement(this.#replacement, change);
       return;
     }
     const { voters } = this.#parts.raft.status().membership;
@@ -127,6 +127,20 @@
     this.#nextPollAt = now;
   }
 
+  /** A resend of the replacement under way gets its answer in place of the one before. */
+  #joinReplacement(
+    running: Replacement,
+    change: Pick<Replacement, 'operation' | 'oldReplica' | 'newReplica'>,
+  ): void {
+    const { operation, oldReplica, newReplica } = change;
+    if (running.oldReplica !== oldReplica || running.newReplica !== newReplica) {
+      this.#reply(operation, { type: 'rejected', message: 'another replacement is under way' });
+      return;
+    }
+    this.#reply(running.operation, { type: 'unknown' });
+    running.operation = operation;
+  }
+
   #advance(replacement: Replacement): void {
     const status = this.#parts.raft.status();
     switch (replacement.stage) {
--- a/src/registry/commands/index.ts
+++ b/src/registry/commands/index.ts
@@ -7,6 +7,7 @@
 import { settleClaim } from './ledger-settle.js';
 import { cancelMove } from './move-cancel.js';
 import { startMoves } from './move-start.js';
+import { applyPolicy } from './policy-apply.js';
 import { invalid } from './results.js';
 import { applyService } from './service-apply.js';
 import { deleteService } from './service-delete.js';
@@ -15,6 +16,7 @@
 import { moveShard } from './shard-move.js';
 import { releaseShards } from './shard-release.js';
 import { applyUpstream } from './upstream-apply.js';
+import { drainUpstream } from './upstream-drain.js';
 import { removeUpstream } from './upstream-remove.js';
 
 /** Applies a command. Wrong definitions give `invalid` with the place; nothing is thrown for what operators send. */
@@ -35,8 +37,12 @@
       return applyService(transaction, command);
     case 'service-delete':
       return deleteService(transaction, command);
+    case 'policy-apply':
+      return applyPolicy(transaction, command);
     case 'upstream-apply':
       return applyUpstream(transaction, command);
+    case 'upstream-drain':
+      return drainUpstream(transaction, command);
     case 'upstream-remove':
       return removeUpstream(transaction, command);
     case 'shard-move':
--- /dev/null
+++ b/src/registry/commands/upstream-drain.ts
@@ -0,0 +1,20 @@
+/** Says that an upstream is leaving, or takes it back. A resend is the same command whatever else changed meanwhile. */
+import type { Transaction } from '../registry-state.js';
+import type { CommandResult, OperatorCommand } from '../types.js';
+import { checkExpected, NOT_FOUND } from './results.js';
+import { applyUpstream } from './upstream-apply.js';
+
+type UpstreamDrain = Extract<OperatorCommand, { type: 'upstream-drain' }>;
+
+export function drainUpstream(transaction: Transaction, command: UpstreamDrain): CommandResult {
+  const record = transaction.state.upstreams.get(command.upstream);
+  const lost = checkExpected(command.expected, record);
+  if (lost !== undefined) {
+    return lost;
+  }
+  if (record === undefined) {
+    return NOT_FOUND;
+  }
+  const definition = { ...record.definition, leaving: command.leaving };
+  return applyUpstream(transaction, { type: 'upstream-apply', definition, expected: command.expected });
+}
--- a/src/registry/dedup-table.ts
+++ b/src/registry/dedup-table.ts
@@ -34,10 +34,14 @@
   return Object.fromEntries(entries.map(([key, item]) => [key, sortKeys(item)]));
 }
 
-/** Identifies the content of a command. */
+/**
+ * Identifies the content of a command. Its precondition isn't part of that: an operator whose answer was lost sends the
+ * change again from what there is by then, and that revision is another one once the change was made.
+ */
 export function fingerprintOf(command: Command): string {
+  const { expected: _, ...content } = command as Command & { readonly expected?: unknown };
   return createHash('sha256')
-    .update(JSON.stringify(sortKeys(command)))
+    .update(JSON.stringify(sortKeys(content)))
     .digest('base64');
 }
 
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -9,7 +9,7 @@
   UpstreamId,
   WallMillis,
 } from '../model/identifiers.js';
-import type { ServiceDefinition, UpstreamDefinition } from '../model/service.js';
+import type { PolicyRule, ServiceDefinition, UpstreamDefinition } from '../model/service.js';
 
 export interface ServiceRecord {
   readonly definition: ServiceDefinition;
@@ -45,11 +45,25 @@
       readonly expected: Revision | null;
     }
   | { readonly type: 'service-delete'; readonly service: ServiceName; readonly expected: Revision | null }
+  /** Changes the policy of a service and nothing else of it. */
+  | {
+      readonly type: 'policy-apply';
+      readonly service: ServiceName;
+      readonly policy: readonly PolicyRule[];
+      readonly expected: Revision | null;
+    }
   | {
       readonly type: 'upstream-apply';
       readonly definition: UpstreamDefinition;
       readonly expected: Revision | null;
     }
+  /** Changes whether an upstream is leaving and nothing else of it. */
+  | {
+      readonly type: 'upstream-drain';
+      readonly upstream: UpstreamId;
+      readonly leaving: boolean;
+      readonly expected: Revision | null;
+    }
   | { readonly type: 'upstream-remove'; readonly upstream: UpstreamId; readonly expected: Revision | null }
   | {
       readonly type: 'shard-move';
