--- a/src/cli/client-options.ts
+++ b/src/cli/client-options.ts
@@ -31,14 +31,17 @@
   { name: 'timeout', value: 'duration', summary: 'Give up after this; default 15s' },
 ];
 
+/** The option for resending. */
+export const REQUEST_ID_OPTION: OptionSpec = {
+  name: 'request-id',
+  value: 'id',
+  summary: 'Repeat an earlier change whose outcome is not known; it is not made twice',
+};
+
 /** Options of commands that change something. */
 export const CHANGE_OPTIONS: readonly OptionSpec[] = [
   ...CLIENT_OPTIONS,
-  {
-    name: 'request-id',
-    value: 'id',
-    summary: 'Repeat an earlier change whose outcome is not known; it is not made twice',
-  },
+  REQUEST_ID_OPTION,
   {
     name: 'wait',
     summary: 'Return once the change is in force on every router (default)',
--- /dev/null
+++ b/src/cli/completion/completion-scripts.ts
@@ -0,0 +1,126 @@
+/** Completion scripts for shells. They hold every word themselves, so that completing starts no process. */
+import type { CommandSpec } from '../command-spec.js';
+import { PROGRAM_NAME } from '../dispatcher.js';
+import { type CompletionEntry, completionEntries } from './completion-words.js';
+
+export const COMPLETION_SHELLS = ['bash', 'zsh', 'fish'] as const;
+export type CompletionShell = (typeof COMPLETION_SHELLS)[number];
+
+const FUNCTION_NAME = '_ternmount';
+
+/** One `case` branch of bash and zsh. */
+function caseBranch({ path, words, isCommand }: CompletionEntry): string {
+  const pattern = path === '' ? '""' : `"${path}"`;
+  const files = isCommand ? 1 : 0;
+  return `    ${pattern}) words="${words.join(' ')}"; files=${files} ;;`;
+}
+
+/** Finds the longest known path at the start of the command line, then the words that may follow. */
+function bashScript(entries: readonly CompletionEntry[]): string {
+  return `# bash completion of ${PROGRAM_NAME}
+${FUNCTION_NAME}_words() {
+  case "$1" in
+${entries.map(caseBranch).join('\n')}
+    *) return 1 ;;
+  esac
+}
+
+${FUNCTION_NAME}() {
+  local current="\${COMP_WORDS[COMP_CWORD]}" path="" longer words="" files=0 index
+  for ((index = 1; index < COMP_CWORD; index++)); do
+    longer="\${path:+$path }\${COMP_WORDS[index]}"
+    ${FUNCTION_NAME}_words "$longer" || break
+    path="$longer"
+  done
+  ${FUNCTION_NAME}_words "$path"
+  COMPREPLY=()
+  if [[ $files == 0 || $current == -* ]]; then
+    COMPREPLY=($(compgen -W "$words" -- "$current"))
+  else
+    COMPREPLY=($(compgen -f -- "$current"))
+  fi
+}
+
+complete -o filenames -F ${FUNCTION_NAME} ${PROGRAM_NAME}
+`;
+}
+
+function zshScript(entries: readonly CompletionEntry[]): string {
+  return `#compdef ${PROGRAM_NAME}
+${FUNCTION_NAME}_words() {
+  case "$1" in
+${entries.map(caseBranch).join('\n')}
+    *) return 1 ;;
+  esac
+}
+
+${FUNCTION_NAME}() {
+  local path_words="" longer words_line="" index
+  local -i files=0
+  local words_of_line=("\${words[@]}") current_index=$CURRENT
+  for ((index = 2; index < current_index; index++)); do
+    longer="\${path_words:+$path_words }\${words_of_line[index]}"
+    () { local words; ${FUNCTION_NAME}_words "$longer" } || break
+    path_words="$longer"
+  done
+  () { local words; ${FUNCTION_NAME}_words "$path_words"; words_line="$words" }
+  if [[ $files == 0 || "\${words_of_line[current_index]}" == -* ]]; then
+    compadd -- \${=words_line}
+  else
+    _files
+  fi
+}
+
+compdef ${FUNCTION_NAME} ${PROGRAM_NAME}
+`;
+}
+
+function quoteFish(text: string): string {
+  return `'${text.replaceAll('\\', '\\\\').replaceAll("'", "\\'")}'`;
+}
+
+/** In fish each word is a rule of its own with a condition on the words before. */
+function fishScript(commands: readonly CommandSpec[], entries: readonly CompletionEntry[]): string {
+  const rules = entries
+    .filter(({ isCommand }) => !isCommand)
+    .flatMap(({ path, words }) =>
+      words.map((word) => `complete -c ${PROGRAM_NAME} -f -n '${FUNCTION_NAME}_at "${path}"' -a ${word}`),
+    );
+  const options = commands.flatMap(({ name, options: specs }) =>
+    specs.map((spec) => {
+      const value = spec.value === undefined ? '' : ' -r';
+      const description = quoteFish(spec.summary);
+      const condition = `-n '${FUNCTION_NAME}_in "${name}"'`;
+      return `complete -c ${PROGRAM_NAME} ${condition} -l ${spec.name}${value} -d ${description}`;
+    }),
+  );
+  return `# fish completion of ${PROGRAM_NAME}
+function ${FUNCTION_NAME}_line
+  set -l words (commandline -opc)
+  string join ' ' $words[2..-1]
+end
+
+function ${FUNCTION_NAME}_at
+  test (${FUNCTION_NAME}_line) = "$argv[1]"
+end
+
+function ${FUNCTION_NAME}_in
+  string match -q -- "$argv[1]*" (${FUNCTION_NAME}_line)
+end
+
+${[...rules, ...options].join('\n')}
+`;
+}
+
+/** The script that completes `commands` in a shell. */
+export function completionScript(shell: CompletionShell, commands: readonly CommandSpec[]): string {
+  const entries = completionEntries(commands);
+  switch (shell) {
+    case 'bash':
+      return bashScript(entries);
+    case 'zsh':
+      return zshScript(entries);
+    case 'fish':
+      return fishScript(commands, entries);
+  }
+}
