Scale run: hollow routers and upstreams beside real control members

`ternmount-dev scale` starts three control members, hollow upstreams (the real fence behind a real HTTP server each), hollow routers (real connections, syncs, lease and reports; the configuration is shared within a process) and two real routers, and prints bytes, messages, processor share and memory by role, and what changes, losses and restarts cost.

The wire codecs didn't load at all: restructure's module doesn't export its class Base. A small class of our own takes its place; test/wire/message-codecs.test.ts failed before it.

--- /dev/null
+++ b/src/dev/scale/hollow-router.ts
@@ -0,0 +1,138 @@
+/**
+ * A router without requests and without a configuration of its own: its connections, syncs, lease and reports are
+ * those of the daemon; what it is sent goes into a copy that all hollow routers of the process share.
+ */
+import type { ControlToRouter, LoadReport, SyncResponse } from '../../control/messages.js';
+import { DEFAULT_CONFIG_LEASE_TIMINGS } from '../../control/messages.js';
+import { createLogger } from '../../logging/logger.js';
+import type { Revision } from '../../model/identifiers.js';
+import { ControlLinks } from '../../router/control-links.js';
+import { ConfigurationLease } from '../../routing/configuration-lease.js';
+import { DEFAULT_WIRE_LIMITS } from '../../wire/index.js';
+import type { SharedConfiguration } from './shared-configuration.js';
+import type { RunIdentity } from './worker-calls.js';
+
+const REPORT_MILLIS = 1000;
+const MIN_TICK_MILLIS = 1;
+
+export interface HollowRouterOptions {
+  readonly identity: RunIdentity;
+  readonly router: string;
+  readonly zone: string;
+  /** Spreads routers over the control members. */
+  readonly position: number;
+  readonly shared: SharedConfiguration;
+  readonly report: () => LoadReport;
+  /** The router holds a later revision than before. */
+  readonly advanced: (revision: Revision) => void;
+  readonly counted: (direction: 'in' | 'out') => void;
+}
+
+export class HollowRouter {
+  /** Revision held; 0 before the first snapshot. */
+  revision: Revision = 0;
+  private readonly lease: ConfigurationLease;
+  private readonly links: ControlLinks;
+  private timer: NodeJS.Timeout | undefined;
+  private reportedAt = performance.now();
+  private stopped = false;
+
+  constructor(private readonly options: HollowRouterOptions) {
+    const { identity, router, position } = options;
+    this.lease = new ConfigurationLease(identity.control, DEFAULT_CONFIG_LEASE_TIMINGS, position);
+    this.links = new ControlLinks({
+      identity: {
+        greeting: { type: 'greeting', cluster: identity.cluster, kind: 'router', name: router },
+        secret: identity.secret,
+        expects: ['control'],
+      },
+      limits: DEFAULT_WIRE_LIMITS,
+      log: createLogger('scale'),
+      received: (_from, message) => this.receive(message),
+      lost: (from) => {
+        this.lease.memberLost(from, performance.now());
+        this.pump();
+      },
+    });
+  }
+
+  start(): void {
+    this.links.start(this.options.identity.control);
+    this.pump();
+  }
+
+  /** Whether requests could be served now. */
+  get serving(): boolean {
+    return this.lease.isValid(performance.now());
+  }
+
+  stop(): void {
+    this.stopped = true;
+    clearTimeout(this.timer);
+    this.links.stop();
+  }
+
+  private receive(message: ControlToRouter): void {
+    this.options.counted('in');
+    const now = performance.now();
+    if (message.type === 'change-notice') {
+      this.lease.notice(message.revision, this.revision, now);
+    } else if (message.type === 'sync-response') {
+      const gap = this.take(message);
+      this.lease.answered(message, this.revision, gap, now);
+    }
+    this.pump();
+  }
+
+  /** Gives whether a delta didn't join on. */
+  private take({ snapshot, delta }: SyncResponse): boolean {
+    if (snapshot !== null && snapshot.revision > this.revision) {
+      this.options.shared.takeSnapshot(snapshot);
+      this.advance(snapshot.revision);
+    } else if (delta !== null && delta.to > this.revision) {
+      if (delta.from > this.revision || this.revision === 0) {
+        return true;
+      }
+      this.options.shared.takeDelta(delta);
+      this.advance(delta.to);
+    }
+    return false;
+  }
+
+  private advance(revision: Revision): void {
+    this.revision = revision;
+    this.options.advanced(revision);
+  }
+
+  private pump(): void {
+    if (this.stopped) {
+      return;
+    }
+    const now = performance.now();
+    const attempt = this.lease.takeSync(now);
+    if (attempt !== undefined) {
+      this.options.counted('out');
+      const { router, zone } = this.options;
+      this.links.send(attempt.to, {
+        type: 'sync-request',
+        router,
+        incarnation: router,
+        zone,
+        stamp: attempt.stamp,
+        have: attempt.wantsSnapshot ? 0 : this.revision,
+        report: this.takeReport(now),
+      });
+    }
+    clearTimeout(this.timer);
+    const wait = Math.max(MIN_TICK_MILLIS, Math.ceil(this.lease.nextAt() - performance.now()));
+    this.timer = setTimeout(() => this.pump(), wait);
+  }
+
+  private takeReport(now: number): LoadReport | null {
+    if (now - this.reportedAt < REPORT_MILLIS) {
+      return null;
+    }
+    this.reportedAt = now;
+    return this.options.report();
+  }
+}
--- /dev/null
+++ b/src/dev/scale/roles/hollow-upstream-role.ts
@@ -0,0 +1,85 @@
+/** Many hollow upstreams in one process: the real fence behind a real HTTP server each, and no requests. */
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { createFence, createNodeHandler } from '../../../upstream/index.js';
+import { machineMillis } from '../../journal/machine-clock.js';
+import { SocketMeter } from '../socket-meter.js';
+import { sampleUsage, type UsageSample } from '../usage.js';
+
+export interface HollowUpstreamStart {
+  readonly cluster: string;
+  readonly upstreams: readonly { readonly id: string; readonly service: string }[];
+}
+
+export interface GrantCount {
+  /** Grants taken by the upstreams of this process since the last call of `resetGrants`. */
+  readonly grants: number;
+  /** When the last of them came, on the machine's clock. */
+  readonly lastMillis: number;
+}
+
+/** Methods of a process of hollow upstreams. */
+export interface HollowUpstreamMethods {
+  /** Starts them and gives their addresses by name. */
+  start(start: HollowUpstreamStart): Promise<Readonly<Record<string, string>>>;
+  /** Takes a server away at once, as a crash does. Gives when, on the machine's clock. */
+  kill(id: string): number;
+  resetGrants(): void;
+  grants(): GrantCount;
+  sample(): UsageSample;
+}
+
+export function createHollowUpstreamRole(): HollowUpstreamMethods {
+  const meter = new SocketMeter();
+  const servers = new Map<string, Server>();
+  let grants = 0;
+  let lastMillis = 0;
+  let messages = 0;
+
+  const startOne = async (cluster: string, upstream: string, service: string): Promise<string> => {
+    const onGranted = (): void => {
+      grants += 1;
+      lastMillis = machineMillis();
+    };
+    const fence = createFence({ cluster, upstream, service, onGranted });
+    const handler = createNodeHandler(fence, (_request, response) => {
+      response.end();
+    });
+    const server = createServer((request, response) => {
+      messages += 1;
+      handler(request, response);
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    servers.set(upstream, server);
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  };
+
+  return {
+    async start({ cluster, upstreams }) {
+      meter.start();
+      const addresses: Record<string, string> = {};
+      for (const { id, service } of upstreams) {
+        addresses[id] = await startOne(cluster, id, service);
+      }
+      return addresses;
+    },
+    kill(id) {
+      const server = servers.get(id);
+      server?.close();
+      server?.closeAllConnections();
+      return machineMillis();
+    },
+    resetGrants() {
+      grants = 0;
+    },
+    grants: () => ({ grants, lastMillis }),
+    sample: () =>
+      sampleUsage(meter, {
+        messagesIn: messages,
+        messagesOut: messages,
+        steps: messages,
+        stepMillis: 0,
+        longestStepMillis: 0,
+      }),
+  };
+}
--- /dev/null
+++ b/src/dev/scale/scale-fleet.ts
@@ -0,0 +1,177 @@
+/** The processes of a scale run and the first steps that bring them up. */
+import { createServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { RaftStatus } from '../../consensus/types.js';
+import type { OperatorRequest, OperatorResponse } from '../../control/types.js';
+import type { Revision } from '../../model/identifiers.js';
+import type { OperatorCommand } from '../../registry/types.js';
+import type { ControlMethods } from './roles/control-role.js';
+import type { HollowRouterMethods } from './roles/hollow-router-role.js';
+import type { HollowUpstreamMethods } from './roles/hollow-upstream-role.js';
+import type { RealRouterMethods } from './roles/real-router-role.js';
+import {
+  CONTROL_MEMBERS,
+  type ScalePlan,
+  serviceOfUpstream,
+  upstreamDefinition,
+  ZONES,
+} from './scale-plan.js';
+import type { RunIdentity } from './worker-calls.js';
+import { WorkerFailedError, WorkerProcess } from './worker-process.js';
+
+const POLL_MILLIS = 50;
+const COMMANDS_AT_ONCE = 64;
+/** Pause between the starts of two routers of one process. */
+const ROUTER_PAUSE_MILLIS = 15;
+
+export interface ScaleFleetOptions {
+  readonly plan: ScalePlan;
+  readonly dataFolder: string;
+  /** Flags of Node for control members, e.g. `--cpu-prof`. */
+  readonly controlFlags: readonly string[];
+}
+
+export class ScaleFleet {
+  readonly control: WorkerProcess<ControlMethods>[] = [];
+  readonly upstreams: WorkerProcess<HollowUpstreamMethods>[] = [];
+  readonly routers: WorkerProcess<HollowRouterMethods>[] = [];
+  readonly realRouters: WorkerProcess<RealRouterMethods>[] = [];
+  private identity: RunIdentity = { cluster: 'scale', secret: 'secret of a scale run', control: [] };
+  private requests = 0;
+
+  constructor(private readonly options: ScaleFleetOptions) {}
+
+  /** Starts three control members of one cluster and waits for a leader. */
+  async startControl(): Promise<void> {
+    const names = Array.from({ length: CONTROL_MEMBERS }, (_, index) => `control-${index + 1}`);
+    const control = await Promise.all(names.map(() => freeAddress()));
+    this.identity = { ...this.identity, control };
+    const addresses = Object.fromEntries(names.map((name, index) => [name, control[index] as string]));
+    const membership = { voters: names, outgoingVoters: [], learners: [], addresses };
+    const { identity } = this;
+    for (const replica of names) {
+      const worker = new WorkerProcess<ControlMethods>('control', this.options.controlFlags);
+      this.control.push(worker);
+      const dataFolder = `${this.options.dataFolder}/${replica}`;
+      await worker.methods.start({ identity, replica, membership, dataFolder });
+    }
+    await this.leader();
+  }
+
+  /** The control member that leads; waits until there is one. */
+  async leader(): Promise<WorkerProcess<ControlMethods>> {
+    for (;;) {
+      const statuses = await Promise.all(this.control.map(({ methods }) => methods.status()));
+      const leading = statuses.findIndex((status: RaftStatus) => status.role === 'leader');
+      if (leading >= 0) {
+        return this.control[leading] as WorkerProcess<ControlMethods>;
+      }
+      await sleep(POLL_MILLIS);
+    }
+  }
+
+  /** Declares all services and upstreams. */
+  async declare(): Promise<void> {
+    const { plan } = this.options;
+    const addresses = await this.startUpstreams();
+    for (const definition of plan.services) {
+      await this.change({ type: 'service-apply', definition, expected: 0 });
+    }
+    const commands = plan.upstreamProcesses.flat().map((id): OperatorCommand => {
+      const definition = upstreamDefinition(plan, id, indexOf(id), addresses.get(id) as string);
+      return { type: 'upstream-apply', definition, expected: 0 };
+    });
+    for (let start = 0; start < commands.length; start += COMMANDS_AT_ONCE) {
+      const batch = commands.slice(start, start + COMMANDS_AT_ONCE);
+      await Promise.all(batch.map((command) => this.change(command)));
+    }
+  }
+
+  /** Starts the routers, hollow ones first. Gives what the starts of the real ones took. */
+  async startRouters() {
+    const { plan } = this.options;
+    const { identity } = this;
+    await Promise.all(
+      plan.routerProcesses.map(async (routers, index) => {
+        const worker = new WorkerProcess<HollowRouterMethods>('hollow-routers');
+        this.routers.push(worker);
+        const zone = ZONES[index % ZONES.length] as string;
+        await worker.methods.start({ identity, routers, zone, pauseMillis: ROUTER_PAUSE_MILLIS });
+      }),
+    );
+    return Promise.all(plan.realRouters.map((router) => this.startRealRouter(router)));
+  }
+
+  async startRealRouter(router: string) {
+    const worker = new WorkerProcess<RealRouterMethods>('real-router');
+    this.realRouters.push(worker);
+    return worker.methods.start({ identity: this.identity, router, zone: ZONES[0] as string });
+  }
+
+  /** Makes a change; fails unless it was accepted. Gives its revision. */
+  async change(command: OperatorCommand): Promise<Revision> {
+    this.requests += 1;
+    const requestId = `scale-${this.requests}`;
+    const response = await this.operate({ type: 'command', requestId, actor: 'scale', command, wait: false });
+    if (response.type !== 'result' || response.result.type !== 'accepted') {
+      throw new WorkerFailedError('control', `${command.type} gave ${JSON.stringify(response)}`);
+    }
+    return response.result.revision;
+  }
+
+  async operate(request: OperatorRequest): Promise<OperatorResponse> {
+    const leader = await this.leader();
+    return leader.methods.operate(request);
+  }
+
+  /** Waits until no shard is without owner. */
+  async allOwned(): Promise<void> {
+    for (;;) {
+      const status = await this.operate({ type: 'get-status' });
+      if (status.type === 'status' && status.unownedShards === 0) {
+        return;
+      }
+      await sleep(POLL_MILLIS);
+    }
+  }
+
+  /** The process of a hollow upstream. */
+  processOf(upstream: string): WorkerProcess<HollowUpstreamMethods> {
+    const index = this.options.plan.upstreamProcesses.findIndex((names) => names.includes(upstream));
+    return this.upstreams[index] as WorkerProcess<HollowUpstreamMethods>;
+  }
+
+  async stop(): Promise<void> {
+    const groups = [this.realRouters, this.routers, this.control, this.upstreams];
+    for (const group of groups) {
+      await Promise.all(group.map((worker) => worker.stop()));
+    }
+  }
+
+  private async startUpstreams(): Promise<Map<string, string>> {
+    const { plan } = this.options;
+    const addresses = await Promise.all(
+      plan.upstreamProcesses.map((names) => {
+        const worker = new WorkerProcess<HollowUpstreamMethods>('hollow-upstreams');
+        this.upstreams.push(worker);
+        const upstreams = names.map((id) => ({ id, service: serviceOfUpstream(plan, indexOf(id)) }));
+        return worker.methods.start({ cluster: this.identity.cluster, upstreams });
+      }),
+    );
+    return new Map(addresses.flatMap((some) => Object.entries(some)));
+  }
+}
+
+/** Position of an upstream in the plan, from its name. */
+function indexOf(id: string): number {
+  return Number(id.slice(id.lastIndexOf('-') + 1)) - 1;
+}
+
+/** An address that was free a moment ago: members must know each other's before they start. */
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  await new Promise((resolve) => server.close(resolve));
+  return `127.0.0.1:${port}`;
+}
--- /dev/null
+++ b/src/dev/scale/scale-run.ts
@@ -0,0 +1,212 @@
+/** A scale run: brings the processes up, measures a steady state, then what changes and losses cost. */
+import { mkdtemp, rm } from 'node:fs/promises';
+import { loadavg, tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { machineMillis } from '../journal/machine-clock.js';
+import { ScaleFleet } from './scale-fleet.js';
+import { planScale, type ScalePlan, type ScaleSize } from './scale-plan.js';
+import type { RoleRow, ScaleResult } from './scale-result.js';
+import { meanOf, ratesBetween, type UsageSample } from './usage.js';
+
+const DEFAULT_SECONDS = 8;
+const CHANGES = 10;
+const CHANGE_PAUSE_MILLIS = 100;
+const SETTLE_MILLIS = 1500;
+
+export interface ScaleOptions extends ScaleSize {
+  /** Length of the steady state that rates are measured over. */
+  readonly seconds?: number;
+  readonly controlFlags?: readonly string[];
+  /** Told of each phase as it begins. */
+  readonly progress?: (phase: string) => void;
+}
+
+/** Samples of all processes at one moment. */
+interface FleetSample {
+  readonly control: readonly UsageSample[];
+  readonly routers: readonly UsageSample[];
+  readonly realRouters: readonly UsageSample[];
+  readonly upstreams: readonly UsageSample[];
+}
+
+/** Runs at one size and gives what was measured. */
+export async function runScale(options: ScaleOptions): Promise<ScaleResult> {
+  const plan = planScale(options);
+  const dataFolder = await mkdtemp(join(tmpdir(), 'ternmount-scale-'));
+  const fleet = new ScaleFleet({ plan, dataFolder, controlFlags: options.controlFlags ?? [] });
+  try {
+    return await measure(plan, fleet, options);
+  } finally {
+    await fleet.stop();
+    await rm(dataFolder, { recursive: true, force: true });
+  }
+}
+
+async function measure(plan: ScalePlan, fleet: ScaleFleet, options: ScaleOptions): Promise<ScaleResult> {
+  const progress = options.progress ?? (() => {});
+  const loadBefore = loadavg()[0] as number;
+  progress('control');
+  await fleet.startControl();
+  progress('declarations and first grants');
+  const declaredAt = machineMillis();
+  await fleet.declare();
+  await fleet.allOwned();
+  const firstGrantsMillis = machineMillis() - declaredAt;
+  progress('routers');
+  await fleet.startRouters();
+  await sleep(SETTLE_MILLIS);
+  progress('steady state');
+  const before = await sampleFleet(fleet);
+  await sleep((options.seconds ?? DEFAULT_SECONDS) * 1000);
+  const after = await sampleFleet(fleet);
+  const rows = await rowsOf(plan, fleet, before, after);
+  progress('configuration changes');
+  const configurationChange = await measureChanges(plan, fleet);
+  progress('loss of a server');
+  const lostServer = await measureLoss(plan, fleet);
+  progress('restart of a router');
+  const routerRestart = await measureRouterRestart(fleet);
+  progress('restart of a zone');
+  const zoneRestart = await measureZoneRestart(plan, fleet);
+  return {
+    daemons: plan.daemons,
+    shards: plan.shards,
+    upstreams: plan.upstreamProcesses.flat().length,
+    hollowRouters: plan.routerProcesses.flat().length,
+    machineLoad: [loadBefore, loadavg()[0] as number],
+    firstGrantsMillis,
+    rows,
+    configurationChange,
+    lostServer,
+    routerRestart,
+    zoneRestart,
+    totalBytes: Object.values(after as unknown as Record<string, UsageSample[]>)
+      .flat()
+      .reduce((sum, { residentBytes }) => sum + residentBytes, 0),
+  };
+}
+
+async function sampleFleet(fleet: ScaleFleet): Promise<FleetSample> {
+  const [control, routers, realRouters, upstreams] = await Promise.all([
+    Promise.all(fleet.control.map(({ methods }) => methods.sample())),
+    Promise.all(fleet.routers.map(({ methods }) => methods.sample())),
+    Promise.all(fleet.realRouters.map(({ methods }) => methods.sample())),
+    Promise.all(fleet.upstreams.map(({ methods }) => methods.sample())),
+  ]);
+  return { control, routers, realRouters, upstreams };
+}
+
+async function rowsOf(
+  plan: ScalePlan,
+  fleet: ScaleFleet,
+  before: FleetSample,
+  after: FleetSample,
+): Promise<RoleRow[]> {
+  const rates = (role: keyof FleetSample, sizes: readonly number[]) =>
+    before[role].map((sample, index) =>
+      ratesBetween(sample, after[role][index] as UsageSample, sizes[index]),
+    );
+  const leader = fleet.control.indexOf(await fleet.leader());
+  const control = rates(
+    'control',
+    fleet.control.map(() => 1),
+  );
+  const followers = control.filter((_, index) => index !== leader);
+  const hollow = rates(
+    'routers',
+    plan.routerProcesses.map((names) => names.length),
+  );
+  const upstreams = rates(
+    'upstreams',
+    plan.upstreamProcesses.map((names) => names.length),
+  );
+  const real = rates(
+    'realRouters',
+    plan.realRouters.map(() => 1),
+  );
+  return [
+    { role: 'control leader', count: 1, rates: meanOf(control.slice(leader, leader + 1)) },
+    { role: 'control follower', count: followers.length, rates: meanOf(followers) },
+    { role: 'router (real)', count: real.length, rates: meanOf(real) },
+    { role: 'router (hollow)', count: plan.routerProcesses.flat().length, rates: meanOf(hollow) },
+    {
+      role: "upstream's fence (hollow)",
+      count: plan.upstreamProcesses.flat().length,
+      rates: meanOf(upstreams),
+    },
+  ];
+}
+
+/** Changes of services, one after the other; each is timed until the last hollow router holds it. */
+async function measureChanges(
+  plan: ScalePlan,
+  fleet: ScaleFleet,
+): Promise<ScaleResult['configurationChange']> {
+  const accepted: number[] = [];
+  const inForce: number[] = [];
+  for (let number = 0; number < CHANGES; number += 1) {
+    const service = plan.services[number % plan.services.length] as ScalePlan['services'][number];
+    const definition = { ...service, queueLimit: service.queueLimit + number + 1 };
+    const startedAt = machineMillis();
+    const revision = await fleet.change({ type: 'service-apply', definition, expected: null });
+    accepted.push(machineMillis() - startedAt);
+    inForce.push((await allReached(fleet, revision)) - startedAt);
+    await sleep(CHANGE_PAUSE_MILLIS);
+  }
+  return {
+    count: CHANGES,
+    acceptedP50: median(accepted),
+    inForceP50: median(inForce),
+    inForceMax: Math.max(...inForce),
+  };
+}
+
+async function allReached(fleet: ScaleFleet, revision: number): Promise<number> {
+  return Math.max(...(await Promise.all(fleet.routers.map(({ methods }) => methods.reached(revision)))));
+}
+
+/** Takes one server away without notice. */
+async function measureLoss(plan: ScalePlan, fleet: ScaleFleet): Promise<ScaleResult['lostServer']> {
+  const lost = plan.upstreamProcesses[0]?.[0] as string;
+  const owned = await fleet.operate({ type: 'get-shards', service: null });
+  const shards = owned.type === 'shards' ? owned.shards.filter(({ owner }) => owner === lost).length : 0;
+  await Promise.all(fleet.upstreams.map(({ methods }) => methods.resetGrants()));
+  const lostAt = await fleet.processOf(lost).methods.kill(lost);
+  const revisions = await Promise.all(fleet.routers.map(({ methods }) => methods.replaced(lost)));
+  const knownAt = await allReached(fleet, Math.max(...revisions));
+  const grants = await Promise.all(fleet.upstreams.map(({ methods }) => methods.grants()));
+  const grantedAt = Math.max(...grants.filter((some) => some.grants > 0).map(({ lastMillis }) => lastMillis));
+  return { shards, grantedMillis: grantedAt - lostAt, knownMillis: knownAt - lostAt };
+}
+
+async function measureRouterRestart(fleet: ScaleFleet): Promise<ScaleResult['routerRestart']> {
+  const old = fleet.realRouters.pop();
+  await old?.methods.stop();
+  await old?.stop();
+  const { millis, bytesIn, cpuMillis, longestStepMillis } = await fleet.startRealRouter('real-router-again');
+  return { millis, bytes: bytesIn, cpuMillis, longestStepMillis };
+}
+
+/** All hollow routers of one zone start anew at the same moment. */
+async function measureZoneRestart(plan: ScalePlan, fleet: ScaleFleet): Promise<ScaleResult['zoneRestart']> {
+  const zone = fleet.routers.filter((_, index) => index % 3 === 0);
+  const others = fleet.routers.filter((_, index) => index % 3 !== 0);
+  const routers = plan.routerProcesses.filter((_, index) => index % 3 === 0).flat().length;
+  await sampleFleet(fleet);
+  const results = await Promise.all(zone.map(({ methods }) => methods.restart()));
+  const withoutLease = await Promise.all(others.map(({ methods }) => methods.withoutLease()));
+  const { control } = await sampleFleet(fleet);
+  return {
+    routers,
+    millis: Math.max(...results.map(({ millis }) => millis)),
+    bytesPerRouter: results.reduce((sum, result) => sum + result.bytesPerRouter, 0) / results.length,
+    longestStepMillis: Math.max(...control.map((sample) => sample.longestStepMillis)),
+    othersWithoutLease: withoutLease.reduce((sum, count) => sum + count, 0),
+  };
+}
+
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((one, other) => one - other);
+  return sorted[Math.floor(sorted.length / 2)] as number;
+}
--- a/src/wire/fields.ts
+++ b/src/wire/fields.ts
@@ -1,5 +1,6 @@
 /** Field types that messages are made of, on top of `restructure`. */
 import * as restructure from 'restructure';
+import { BaseField } from './base-field.js';
 import { MalformedFrameError } from './wire-error.js';
 
 const UINT32_RANGE = 2 ** 32;
@@ -7,7 +8,7 @@
 const textDecoder = new TextDecoder('utf-8', { fatal: true, ignoreBOM: true });
 
 /** Integers 0 to 2^53 - 1 in eight bytes, big endian. */
-class SafeIntegerField extends restructure.Base<number> {
+class SafeIntegerField extends BaseField<number> {
   override size(): number {
     return 8;
   }
@@ -31,7 +32,7 @@
 }
 
 /** Bytes after their length of four bytes; a length beyond the frame is an error. */
-class BytesField extends restructure.Base<Uint8Array> {
+class BytesField extends BaseField<Uint8Array> {
   override size(value: Uint8Array): number {
     return 4 + value.length;
   }
@@ -47,7 +48,7 @@
 }
 
 /** UTF-8 text of up to 65535 bytes after its length of four bytes. */
-class TextField extends restructure.Base<string> {
+class TextField extends BaseField<string> {
   override size(value: string): number {
     return 4 + Buffer.byteLength(value);
   }
@@ -68,7 +69,7 @@
 }
 
 /** A truth value in one byte, 0 or 1. */
-class FlagField extends restructure.Base<boolean> {
+class FlagField extends BaseField<boolean> {
   override size(): number {
     return 1;
   }
@@ -87,7 +88,7 @@
 }
 
 /** One of a fixed list of words, as its place in the list. */
-class ChoiceField<Word extends string> extends restructure.Base<Word> {
+class ChoiceField<Word extends string> extends BaseField<Word> {
   constructor(private readonly words: readonly Word[]) {
     super();
   }
@@ -114,7 +115,7 @@
  * A nested value as JSON text; its sender proved that it belongs to the cluster, so the shape is trusted.
  * `restructure` asks for the size several times before it writes, so the text is kept until it was written.
  */
-class JsonField<Value> extends restructure.Base<Value> {
+class JsonField<Value> extends BaseField<Value> {
   private encodedValue: Value | undefined;
   private encodedBytes: Uint8Array | undefined;
 
