--- /dev/null
+++ b/src/dev/commands/fleet.ts
@@ -0,0 +1,127 @@
+/** `ternmount-dev fleet` and `ternmount-dev demo`: a whole fleet of real processes under load, with faults. */
+import { existsSync, mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import type { CAC } from 'cac';
+import { loadDeployment } from '../../settings/deployment.js';
+import { parseFaults } from '../fleet/fault-schedule.js';
+import { FLEET_DEFAULTS, type FleetOptions } from '../fleet/fleet-options.js';
+import { runFleet } from '../fleet/fleet-run.js';
+import { NAMED_FAULTS } from '../fleet/named-faults.js';
+import { isGood } from '../fleet/report/fleet-report.js';
+import { formatReport } from '../fleet/report/report-text.js';
+import type { DevCommand } from './dev-command.js';
+
+const DEPLOYMENTS_FOLDER = fileURLToPath(new URL('../../../../deployments/', import.meta.url));
+/** What `demo` does to the fleet. */
+const DEMO_FAULTS = 'kill:owner@5+4,kill:leader@11+3,drain:owner@13+5';
+const EXIT_FAILED = 1;
+const EXIT_INTERRUPTED = 130;
+
+/** Options as the command line has them. */
+interface FleetFlags {
+  readonly deployment: string;
+  readonly seconds: string;
+  readonly faults: string;
+  readonly rateScale: string;
+  readonly network: string;
+  readonly seed: string;
+  readonly keep?: string;
+  readonly listFaults?: boolean;
+}
+
+/** A deployment by its name, or a file. */
+function findDeployment(name: string): string {
+  const known = join(DEPLOYMENTS_FOLDER, `${name}.yaml`);
+  return existsSync(known) ? known : name;
+}
+
+function readOptions(flags: FleetFlags, folder: string): FleetOptions {
+  const seconds = Number(flags.seconds);
+  return {
+    ...FLEET_DEFAULTS,
+    deployment: loadDeployment(findDeployment(flags.deployment)),
+    seconds,
+    faults: parseFaults(flags.faults, seconds),
+    folder,
+    rateScale: Number(flags.rateScale),
+    seed: Number(flags.seed),
+    network: Number(flags.network),
+  };
+}
+
+/** A signal that SIGINT, SIGTERM and SIGHUP abort. */
+function stopSignal(): AbortSignal {
+  const aborter = new AbortController();
+  for (const name of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+    process.on(name, () => aborter.abort(new Error(`stopped by ${name}`)));
+  }
+  return aborter.signal;
+}
+
+function write(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function listFaults(): void {
+  for (const [name, { summary }] of Object.entries(NAMED_FAULTS)) {
+    write(`${name.padEnd(24)}${summary}`);
+  }
+}
+
+/** Runs a fleet and sets the exit status: 0 only if each promise held and enough happened to say so. */
+async function run(flags: FleetFlags): Promise<void> {
+  if (flags.listFaults) {
+    listFaults();
+    return;
+  }
+  const signal = stopSignal();
+  const folder = flags.keep ?? mkdtempSync(join(tmpdir(), 'ternmount-fleet-'));
+  let good = false;
+  try {
+    const report = await runFleet(readOptions(flags, folder), signal, write);
+    good = isGood(report);
+    write(`\n${formatReport(report)}`);
+  } catch (thrown) {
+    if (!signal.aborted) {
+      throw thrown;
+    }
+    write('stopped before the end; every process was stopped');
+  } finally {
+    if (good && flags.keep === undefined) {
+      rmSync(folder, { recursive: true });
+    } else {
+      write(`journals and logs: ${folder}`);
+    }
+  }
+  process.exitCode = signal.aborted ? EXIT_INTERRUPTED : good ? 0 : EXIT_FAILED;
+}
+
+function register(cli: CAC, name: string, summary: string, faults: string): void {
+  cli
+    .command(name, summary)
+    .option('--deployment <name>', 'colombo, recife or a file', { default: 'colombo' })
+    .option('--seconds <number>', 'Length of the load', { default: FLEET_DEFAULTS.seconds })
+    .option('--faults <list>', 'Faults by name or as TYPE:TARGET@T+D, with commas', { default: faults })
+    .option('--list-faults', 'List the faults that have names')
+    .option('--rate-scale <number>', "Part of the deployment's request rate", {
+      default: FLEET_DEFAULTS.rateScale,
+    })
+    .option('--network <number>', 'Second number of the 127.x addresses', { default: FLEET_DEFAULTS.network })
+    .option('--seed <number>', 'Seed of the load', { default: FLEET_DEFAULTS.seed })
+    .option('--keep <folder>', 'Keep journals, logs and data here')
+    .action(run);
+}
+
+export const command: DevCommand = {
+  register(cli: CAC): void {
+    register(cli, 'fleet', 'Run a whole fleet of real processes under load, with faults', '');
+    register(
+      cli,
+      'demo',
+      'Run the rush, kill an owner and the control leader, check the promises',
+      DEMO_FAULTS,
+    );
+  },
+};
--- a/src/dev/fleet/address-plan.ts
+++ b/src/dev/fleet/address-plan.ts
@@ -14,34 +14,49 @@
   internal: 8002,
 } as const;
 
+/** Zone of callers and operators, beside those of the deployment. */
+export const CLIENT_ZONE = 'clients';
+
 /** Added to the zone's number for the address at which the stand-in link stands before a process. */
 const LINK_ZONE_OFFSET = 100;
 const FIRST_HOST_NUMBER = 1;
 const LAST_HOST_NUMBER = 254;
 
+/** A port that others reach through the link. */
+export interface LinkedEndpoint {
+  /** Where the process itself listens. */
+  readonly listen: Address;
+  /** What others are told: there the link listens and forwards to `listen`. */
+  readonly advertised: Address;
+}
+
 /** Hands out addresses in the order in which it is asked. */
 export class AddressPlan {
   readonly #network: NetworkNumber;
   readonly #zones: readonly Zone[];
-  readonly #used = new Map<Zone, number>();
+  readonly #hosts = new Map<Zone, string[]>();
 
+  /** `zones` are the deployment's; the clients' zone is added. */
   constructor(network: NetworkNumber, zones: readonly Zone[]) {
     this.#network = network;
-    this.#zones = zones;
+    this.#zones = [...zones, CLIENT_ZONE];
   }
 
   /** The next free IP number of a zone. */
   takeHost(zone: Zone): string {
-    const number = (this.#used.get(zone) ?? FIRST_HOST_NUMBER - 1) + 1;
+    const hosts = this.#hosts.get(zone) ?? [];
+    const number = hosts.length + FIRST_HOST_NUMBER;
     if (number > LAST_HOST_NUMBER) {
       throw new RangeError(`zone ${zone} has no address left`);
     }
-    this.#used.set(zone, number);
-    return `127.${this.#network}.${this.#zoneNumber(zone)}.${number}`;
+    const host = `127.${this.#network}.${this.#zones.indexOf(zone) + 1}.${number}`;
+    this.#hosts.set(zone, [...hosts, host]);
+    return host;
   }
 
-  #zoneNumber(zone: Zone): number {
-    return this.#zones.indexOf(zone) + 1;
+  /** IP numbers handed out so far, by zone. */
+  hostsByZone(): Readonly<Record<Zone, readonly string[]>> {
+    return Object.fromEntries(this.#hosts);
   }
 }
 
@@ -54,3 +69,7 @@
 export function addressOf(host: string, port: number): Address {
   return `${host}:${port}`;
 }
+
+export function linkedEndpoint(host: string, port: number): LinkedEndpoint {
+  return { listen: addressOf(host, port), advertised: addressOf(linkHostOf(host), port) };
+}
--- a/src/dev/fleet/admin-client.ts
+++ b/src/dev/fleet/admin-client.ts
@@ -1,37 +1,27 @@
-/** Talks to the operators' HTTP API of a control cluster, whichever member leads. */
+/** Reads the state of a control cluster through its operators' HTTP API, whichever member leads. */
 
 import { setTimeout as delay } from 'node:timers/promises';
-import got, { type Got, HTTPError } from 'got';
+import got, { type Got } from 'got';
 import type { OperatorResponse } from '../../control/types.js';
 import { TernmountError, toError } from '../../errors/ternmount-error.js';
 import type { Address } from '../../model/identifiers.js';
-import { HEADERS } from '../../model/outcome.js';
-import type { ServiceDefinition, UpstreamDefinition } from '../../model/service.js';
-import type { ShardRecord } from '../../registry/types.js';
-import { makeUuidV7 } from '../standins/caller/uuid-v7.js';
+import type { ServiceRecord, ShardRecord, UpstreamRecord } from '../../registry/types.js';
+import type { RouterStatus } from '../../routing/types.js';
 
 const ATTEMPTS = 60;
-const ATTEMPT_TIMEOUT_MILLIS = 6000;
-const RETRY_DELAY_MILLIS = 250;
-/** Answers after which another member, or the same one later, may do better. */
-const RETRIABLE_STATUSES: ReadonlySet<number> = new Set([500, 502, 503, 504]);
+const ATTEMPT_TIMEOUT_MILLIS = 2000;
+const RETRY_DELAY_MILLIS = 100;
 
 export type ControlStatus = Omit<Extract<OperatorResponse, { type: 'status' }>, 'type'>;
 
-/** No member carried a request out. */
+/** No member answered. */
 export class AdminUnavailableError extends TernmountError {
   constructor(path: string, cause: Error) {
     const options = { code: 'TERNMOUNT_ADMIN_UNAVAILABLE', retriable: true, cause, info: { path } };
-    super(options, `no control member carried out ${path}`);
+    super(options, `no control member answered ${path}`);
   }
 }
 
-interface AdminCall {
-  readonly method: 'GET' | 'PUT' | 'POST';
-  readonly path: string;
-  readonly body?: unknown;
-}
-
 export class AdminClient {
   readonly #members: readonly Address[];
   readonly #http: Got;
@@ -47,54 +37,62 @@
     });
   }
 
-  /** Returns once the change is in force everywhere. */
-  async applyService(definition: ServiceDefinition): Promise<void> {
-    await this.#call({ method: 'PUT', path: `/v1/services/${definition.name}`, body: definition });
+  /** What one member says of itself. */
+  async statusOf(member: Address): Promise<ControlStatus> {
+    return (await this.#get(member, '/v1/status')) as ControlStatus;
   }
 
-  async applyUpstream(definition: UpstreamDefinition): Promise<void> {
-    await this.#call({ method: 'PUT', path: `/v1/upstreams/${definition.id}`, body: definition });
+  /** The status of the member that leads with the highest term; `undefined` if none does. */
+  async findLeader(): Promise<{ readonly admin: Address; readonly status: ControlStatus } | undefined> {
+    const answers = await Promise.allSettled(
+      this.#members.map(async (admin) => ({ admin, status: await this.statusOf(admin) })),
+    );
+    const leaders = answers.flatMap((answer) =>
+      answer.status === 'fulfilled' && answer.value.status.raft.role === 'leader' ? [answer.value] : [],
+    );
+    return leaders.sort((left, right) => right.status.raft.term - left.status.raft.term)[0];
   }
 
-  async drain(upstream: string, leaving: boolean): Promise<void> {
-    await this.#call({ method: 'POST', path: `/v1/upstreams/${upstream}/drain`, body: { leaving } });
+  /** A linearizable read. */
+  async shards(): Promise<readonly ShardRecord[]> {
+    return ((await this.#read('/v1/shards')) as { shards: ShardRecord[] }).shards;
   }
 
-  async status(): Promise<ControlStatus> {
-    return (await this.#call({ method: 'GET', path: '/v1/status' })) as ControlStatus;
+  /** A linearizable read. */
+  async services(): Promise<readonly ServiceRecord[]> {
+    return ((await this.#read('/v1/services')) as { services: ServiceRecord[] }).services;
   }
 
-  async shards(): Promise<readonly ShardRecord[]> {
-    const answer = (await this.#call({ method: 'GET', path: '/v1/shards' })) as { shards: ShardRecord[] };
-    return answer.shards;
+  /** A linearizable read. */
+  async upstreams(): Promise<readonly UpstreamRecord[]> {
+    return ((await this.#read('/v1/upstreams')) as { upstreams: UpstreamRecord[] }).upstreams;
+  }
+
+  /** What a router says of itself; `undefined` if it doesn't answer. */
+  async routerHealth(admin: Address): Promise<RouterStatus | undefined> {
+    try {
+      return await this.#http(`http://${admin}/healthz`, { throwHttpErrors: false }).json<RouterStatus>();
+    } catch {
+      return undefined;
+    }
   }
 
-  /** One request, at one member after the other; a change keeps its request id, so it is made once. */
-  async #call(call: AdminCall): Promise<unknown> {
-    const requestId = makeUuidV7(Date.now());
+  async #read(path: string): Promise<unknown> {
     let lastError = new Error('not tried');
     for (let attempt = 1; attempt <= ATTEMPTS; attempt += 1) {
       const member = this.#members[this.#next % this.#members.length] as Address;
       try {
-        return await this.#callMember(member, call, requestId);
+        return await this.#get(member, path);
       } catch (thrown) {
         lastError = toError(thrown);
-        if (thrown instanceof HTTPError && !RETRIABLE_STATUSES.has(thrown.response.statusCode)) {
-          throw new AdminUnavailableError(`${call.path}: ${String(thrown.response.body)}`, lastError);
-        }
         this.#next += 1;
-        await delay(this.#next % this.#members.length === 0 ? RETRY_DELAY_MILLIS : 0);
+        await delay(RETRY_DELAY_MILLIS);
       }
     }
-    throw new AdminUnavailableError(call.path, lastError);
+    throw new AdminUnavailableError(path, lastError);
   }
 
-  async #callMember(member: Address, call: AdminCall, requestId: string): Promise<unknown> {
-    const text = await this.#http(`http://${member}${call.path}`, {
-      method: call.method,
-      headers: { [HEADERS.requestId]: requestId },
-      ...(call.body === undefined ? {} : { json: call.body }),
-    }).text();
-    return JSON.parse(text);
+  async #get(member: Address, path: string): Promise<unknown> {
+    return this.#http(`http://${member}${path}`).json();
   }
 }
--- a/src/dev/fleet/checker/index.ts
+++ b/src/dev/fleet/checker/index.ts
@@ -1,6 +1,7 @@
 /** The fleet checker: reads what really ran and what callers were told, and says which promises were broken. */
 import type { JournalRecord } from '../../journal/records.js';
 import { checkAtMostOnce } from './at-most-once.js';
+import { checkConfiguration } from './configuration.js';
 import { checkDrained } from './drained.js';
 import { buildHistory } from './fleet-history.js';
 import { checkNotRun } from './not-run.js';
@@ -25,6 +26,7 @@
   checkWholeAnswers,
   checkDrained,
   checkPlannedStop,
+  checkConfiguration,
 ];
 
 /** Checks every promise over the records of one fleet. */
--- a/src/dev/fleet/checker/promise-check.ts
+++ b/src/dev/fleet/checker/promise-check.ts
@@ -9,7 +9,8 @@
   | 'ran-is-true'
   | 'single-owner'
   | 'drained'
-  | 'planned-stop';
+  | 'planned-stop'
+  | 'configuration-kept';
 
 /** One thing that happened and must not. */
 export interface Violation {
--- a/src/dev/fleet/fault-schedule.ts
+++ b/src/dev/fleet/fault-schedule.ts
@@ -1,88 +1,96 @@
-/** Faults of a fleet run as flags write them: `NAME@T`, `NAME@T+D` and `A|B@T+D`, times in seconds of load. */
+/**
+ * Faults of a fleet run as `--faults` writes them: `TYPE:TARGET@T` or `TYPE:TARGET@T+D`, with commas between; times in
+ * seconds of load. A name of `named-faults.ts` may stand in place of one.
+ */
 import { TernmountError } from '../../errors/ternmount-error.js';
+import { NAMED_FAULTS } from './named-faults.js';
 
-/** A process by its name, or by the part it plays when the fault is due. */
-export type FaultTarget = string;
-/** The upstream that owns the busiest shard. */
-export const OWNER_TARGET = 'owner';
-/** The control member that leads. */
-export const LEADER_TARGET = 'leader';
+/** What can be done to a fleet. `+D` is how long it lasts, or the time until the process is started again. */
+export const FAULT_TYPES = [
+  /** SIGKILL. */
+  'kill',
+  /** SIGTERM: a planned stop. */
+  'stop',
+  /** SIGSTOP, then SIGCONT. */
+  'freeze',
+  /** `upstream drain`, then `--undo`. */
+  'drain',
+  /** SIGKILL of a control member, its data folder deleted; then a new replica takes its place. */
+  'lose-disk',
+  /** Two zones `A|B` lose each other: bytes wait, connections hang. */
+  'cut',
+  /** A zone loses all others. */
+  'isolate',
+  /** Bytes from zone `A` to zone `B` wait, those of the other way pass: `A>B`. */
+  'half-open',
+  /** The platform's list names a live upstream as gone. */
+  'platform-gone',
+  /** Planned stop and start of `control`, `routers` or `upstreams`, one process after the other. */
+  'roll',
+] as const;
+export type FaultType = (typeof FAULT_TYPES)[number];
 
-export type ScheduledFault =
-  | {
-      readonly type: 'kill' | 'stop' | 'restart' | 'drain';
-      readonly at: number;
-      readonly target: FaultTarget;
-    }
-  | {
-      readonly type: 'freeze';
-      readonly at: number;
-      readonly seconds: number;
-      readonly target: FaultTarget;
-    }
-  | {
-      readonly type: 'cut';
-      readonly at: number;
-      readonly seconds: number;
-      readonly zones: readonly [string, string];
-    };
+/** One fault and when it is due. */
+export interface ScheduledFault {
+  readonly type: FaultType;
+  /** A process, an upstream, a zone or two, or one of `ROLE_TARGETS`. */
+  readonly target: string;
+  /** Seconds after the load started. */
+  readonly at: number;
+  readonly seconds: number;
+}
 
-/** A flag isn't a fault. */
+/** Targets that are looked up when the fault is due. */
+export const ROLE_TARGETS = ['leader', 'follower', 'owner', 'unkeyed', 'router'] as const;
+export type RoleTarget = (typeof ROLE_TARGETS)[number];
+
+/** A fault isn't written as it must be. */
 export class FaultSyntaxError extends TernmountError {
   constructor(text: string, expected: string) {
     const options = { code: 'TERNMOUNT_FAULT_SYNTAX', retriable: false, info: { text } };
-    super(options, `${JSON.stringify(text)} is not ${expected}`);
+    super(options, `fault ${JSON.stringify(text)}: expected ${expected}`);
   }
 }
 
-/** Flags with faults, each given any number of times. */
-export interface FaultFlags {
-  readonly kill: readonly string[];
-  readonly stop: readonly string[];
-  readonly restart: readonly string[];
-  readonly drain: readonly string[];
-  readonly freeze: readonly string[];
-  readonly cut: readonly string[];
-}
-
-const MOMENT_PATTERN = /^([^@|+]+)@(\d+(?:\.\d+)?)$/;
-const STRETCH_PATTERN = /^([^@|+]+)@(\d+(?:\.\d+)?)\+(\d+(?:\.\d+)?)$/;
-const CUT_PATTERN = /^([^@|+]+)\|([^@|+]+)@(\d+(?:\.\d+)?)\+(\d+(?:\.\d+)?)$/;
+const FAULT_PATTERN = /^([a-z-]+):([^@,+]+)@(\d+(?:\.\d+)?)(?:\+(\d+(?:\.\d+)?))?$/;
+const DEFAULT_SECONDS = 3;
+/** Share of the load before the first named fault and after the last. */
+const MARGIN_SHARE = 0.2;
 
-function parseMoment(type: 'kill' | 'stop' | 'restart' | 'drain', text: string): ScheduledFault {
-  const match = MOMENT_PATTERN.exec(text);
-  if (!match) {
-    throw new FaultSyntaxError(text, 'NAME@SECONDS');
+function parseFault(text: string): ScheduledFault {
+  const [, type, target, at, seconds] = FAULT_PATTERN.exec(text) ?? [];
+  if (target === undefined) {
+    throw new FaultSyntaxError(text, 'TYPE:TARGET@SECONDS, TYPE:TARGET@SECONDS+DURATION or a name');
   }
-  return { type, target: match[1] as string, at: Number(match[2]) };
-}
-
-function parseFreeze(text: string): ScheduledFault {
-  const match = STRETCH_PATTERN.exec(text);
-  if (!match) {
-    throw new FaultSyntaxError(text, 'NAME@SECONDS+DURATION');
+  if (!FAULT_TYPES.includes(type as FaultType)) {
+    throw new FaultSyntaxError(text, `one of ${FAULT_TYPES.join(', ')} before the colon`);
   }
-  return { type: 'freeze', target: match[1] as string, at: Number(match[2]), seconds: Number(match[3]) };
+  return {
+    type: type as FaultType,
+    target,
+    at: Number(at),
+    seconds: seconds === undefined ? DEFAULT_SECONDS : Number(seconds),
+  };
 }
 
-function parseCut(text: string): ScheduledFault {
-  const match = CUT_PATTERN.exec(text);
-  if (!match) {
-    throw new FaultSyntaxError(text, 'ZONE|ZONE@SECONDS+DURATION');
-  }
-  const zones = [match[1] as string, match[2] as string] as const;
-  return { type: 'cut', zones, at: Number(match[3]), seconds: Number(match[4]) };
+/** When the `index`th of `count` named faults is due, in a load of `seconds`. */
+function placeNamed(index: number, count: number, seconds: number): number {
+  const from = seconds * MARGIN_SHARE;
+  const stretch = seconds * (1 - 2 * MARGIN_SHARE);
+  return from + (stretch * index) / Math.max(1, count);
 }
 
-/** All faults in order of time. Throws `FaultSyntaxError`. */
-export function parseFaults(flags: FaultFlags): ScheduledFault[] {
-  const faults = [
-    ...flags.kill.map((text) => parseMoment('kill', text)),
-    ...flags.stop.map((text) => parseMoment('stop', text)),
-    ...flags.restart.map((text) => parseMoment('restart', text)),
-    ...flags.drain.map((text) => parseMoment('drain', text)),
-    ...flags.freeze.map(parseFreeze),
-    ...flags.cut.map(parseCut),
-  ];
+/** All faults of a list in order of time; named ones are spread over the load. Throws `FaultSyntaxError`. */
+export function parseFaults(list: string, seconds: number): ScheduledFault[] {
+  const items = list.split(',').filter((item) => item !== '');
+  const named = items.filter((item) => item in NAMED_FAULTS);
+  const faults = items.flatMap((item) => {
+    const definition = NAMED_FAULTS[item];
+    if (definition === undefined) {
+      return [parseFault(item)];
+    }
+    const at = placeNamed(named.indexOf(item), named.length, seconds);
+    return definition.faults.map((fault) => ({ ...fault, at: at + (fault.after ?? 0) }));
+  });
   return faults.sort((left, right) => left.at - right.at);
 }
--- a/src/dev/fleet/fleet-options.ts
+++ b/src/dev/fleet/fleet-options.ts
@@ -10,24 +10,29 @@
   /** Folder for data, logs, journals and the report; it must be empty or not exist. */
   readonly folder: string;
   readonly controlMembers: number;
-  readonly routers: number;
-  /** Stand-in upstreams in one process. */
-  readonly upstreamsPerProcess: number;
+  readonly routersPerZone: number;
+  /** Upstreams of each service that get a process of their own, so that they can be killed alone. */
+  readonly ownProcesses: { readonly keyed: number; readonly unkeyed: number };
+  /** Caller processes, which share the load. */
+  readonly callers: number;
   /** Part of the deployment's request rate, 1 for all of it. */
-  readonly rateFactor: number;
+  readonly rateScale: number;
   readonly seed: number;
   /** Second number of the fleet's addresses. */
   readonly network: number;
-  /** Whether connections between processes go through the stand-in link. */
-  readonly link: boolean;
+  /** How far the platform's list lags. */
+  readonly platformLagMillis: number;
 }
 
 /** Defaults of a fleet run; the rest must be given. */
 export const FLEET_DEFAULTS = {
   seconds: 20,
   controlMembers: 3,
-  routers: 3,
-  upstreamsPerProcess: 1,
-  rateFactor: 1,
+  routersPerZone: 1,
+  ownProcesses: { keyed: 3, unkeyed: 1 },
+  callers: 2,
+  rateScale: 1,
   seed: 1,
+  network: 77,
+  platformLagMillis: 30_000,
 } as const;
--- /dev/null
+++ b/src/dev/fleet/fleet-plan.ts
@@ -0,0 +1,196 @@
+/** The processes of a fleet, their zones and addresses; nothing is started or written here. */
+import { randomBytes } from 'node:crypto';
+import { join } from 'node:path';
+import type { Address, ClusterId, ServiceName, UpstreamId, Zone } from '../../model/identifiers.js';
+import type { Deployment, UpstreamTemplate } from '../../settings/deployment.js';
+import {
+  AddressPlan,
+  addressOf,
+  CLIENT_ZONE,
+  type LinkedEndpoint,
+  linkedEndpoint,
+  PORTS,
+} from './address-plan.js';
+import type { FleetOptions } from './fleet-options.js';
+
+/** What every process of a plan has. */
+interface ProcessPlan {
+  readonly name: string;
+  readonly zone: Zone;
+  readonly host: string;
+  /** Own folder: settings, log, data. */
+  readonly folder: string;
+}
+
+export interface ControlPlan extends ProcessPlan {
+  readonly internal: LinkedEndpoint;
+  readonly admin: Address;
+  readonly dataFolder: string;
+}
+
+export interface RouterPlan extends ProcessPlan {
+  readonly callers: LinkedEndpoint;
+  readonly admin: Address;
+}
+
+/** One upstream; several may share a process. */
+export interface UpstreamPlan {
+  readonly id: UpstreamId;
+  readonly service: ServiceName;
+  readonly zone: Zone;
+  readonly keyed: boolean;
+  readonly endpoint: LinkedEndpoint;
+  readonly template: UpstreamTemplate;
+}
+
+export interface UpstreamProcessPlan extends ProcessPlan {
+  /** Takes faults of answers. */
+  readonly admin: Address;
+  readonly upstreams: readonly UpstreamPlan[];
+}
+
+/** Forwards what comes to one zone. */
+export interface LinkPlan extends ProcessPlan {
+  readonly admin: Address;
+}
+
+export interface PlatformPlan extends ProcessPlan {
+  readonly listen: Address;
+}
+
+export interface FleetPlan {
+  readonly cluster: ClusterId;
+  readonly deployment: Deployment;
+  readonly folder: string;
+  readonly journalFolder: string;
+  readonly secretFile: string;
+  readonly secret: string;
+  readonly control: readonly ControlPlan[];
+  readonly routers: readonly RouterPlan[];
+  readonly upstreams: readonly UpstreamProcessPlan[];
+  readonly links: readonly LinkPlan[];
+  readonly platform: PlatformPlan;
+  readonly callers: readonly ProcessPlan[];
+  /** The runner's own address, for its requests. */
+  readonly operatorHost: string;
+  readonly hostsByZone: Readonly<Record<Zone, readonly string[]>>;
+}
+
+const SECRET_BYTES = 32;
+
+function range(count: number): number[] {
+  return Array.from({ length: count }, (_, index) => index);
+}
+
+/** Makes the plan of one run. */
+export class FleetPlanner {
+  readonly #options: FleetOptions;
+  readonly #addresses: AddressPlan;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    this.#addresses = new AddressPlan(options.network, options.deployment.zones);
+  }
+
+  plan(): FleetPlan {
+    const { deployment, folder, controlMembers, routersPerZone, callers } = this.#options;
+    const { zones } = deployment;
+    const parts = {
+      control: range(controlMembers).map((index) => this.#control(index)),
+      routers: range(routersPerZone * zones.length).map((index) => this.#router(index)),
+      upstreams: this.#upstreamProcesses(),
+      links: zones.map((zone) => this.#link(zone)),
+      platform: this.#platform(),
+      callers: range(callers).map((index) => this.#process(`caller-${index + 1}`, CLIENT_ZONE)),
+      operatorHost: this.#addresses.takeHost(CLIENT_ZONE),
+    };
+    return {
+      ...parts,
+      cluster: `fleet-${deployment.name}`,
+      deployment,
+      folder,
+      journalFolder: join(folder, 'journals'),
+      secretFile: join(folder, 'cluster-secret'),
+      secret: randomBytes(SECRET_BYTES).toString('base64url'),
+      hostsByZone: this.#addresses.hostsByZone(),
+    };
+  }
+
+  #zoneOf(index: number): Zone {
+    const { zones } = this.#options.deployment;
+    return zones[index % zones.length] as Zone;
+  }
+
+  #process(name: string, zone: Zone): ProcessPlan {
+    return {
+      name,
+      zone,
+      host: this.#addresses.takeHost(zone),
+      folder: join(this.#options.folder, 'processes', name),
+    };
+  }
+
+  #control(index: number): ControlPlan {
+    const process = this.#process(`control-${index + 1}`, this.#zoneOf(index));
+    return {
+      ...process,
+      internal: linkedEndpoint(process.host, PORTS.internal),
+      admin: addressOf(process.host, PORTS.admin),
+      dataFolder: join(process.folder, 'data'),
+    };
+  }
+
+  #router(index: number): RouterPlan {
+    const process = this.#process(`router-${index + 1}`, this.#zoneOf(index));
+    const callers = linkedEndpoint(process.host, PORTS.service);
+    return { ...process, callers, admin: addressOf(process.host, PORTS.admin) };
+  }
+
+  #link(zone: Zone): LinkPlan {
+    const process = this.#process(`link-${zone}`, zone);
+    return { ...process, admin: addressOf(process.host, PORTS.admin) };
+  }
+
+  #platform(): PlatformPlan {
+    const process = this.#process('platform', this.#zoneOf(0));
+    return { ...process, listen: addressOf(process.host, PORTS.admin) };
+  }
+
+  /** Own processes for the first upstreams of each service; the rest share one process a zone. */
+  #upstreamProcesses(): UpstreamProcessPlan[] {
+    const { deployment, ownProcesses } = this.#options;
+    const alone: UpstreamPlan[] = [];
+    const shared: UpstreamPlan[] = [];
+    for (const template of deployment.upstreams) {
+      const keyed = deployment.services.some(({ name, keyed }) => name === template.service && keyed);
+      const own = keyed ? ownProcesses.keyed : ownProcesses.unkeyed;
+      for (const index of range(template.count)) {
+        (index < own ? alone : shared).push(this.#upstream(template, keyed, index));
+      }
+    }
+    const groups = deployment.zones
+      .map((zone) => shared.filter((upstream) => upstream.zone === zone))
+      .filter((upstreams) => upstreams.length > 0);
+    return [
+      ...alone.map((upstream) => this.#upstreamProcess(upstream.id, [upstream])),
+      ...groups.map((upstreams) => this.#upstreamProcess(`upstreams-${upstreams[0]?.zone}`, upstreams)),
+    ];
+  }
+
+  #upstream(template: UpstreamTemplate, keyed: boolean, index: number): UpstreamPlan {
+    const zone = template.zones[index % template.zones.length] as Zone;
+    const id = `${template.service}-${index + 1}`;
+    const endpoint = linkedEndpoint(this.#addresses.takeHost(zone), PORTS.service);
+    return { id, service: template.service, zone, keyed, endpoint, template };
+  }
+
+  #upstreamProcess(name: string, upstreams: readonly UpstreamPlan[]): UpstreamProcessPlan {
+    const process = this.#process(name, upstreams[0]?.zone as Zone);
+    return { ...process, admin: addressOf(process.host, PORTS.admin), upstreams };
+  }
+}
+
+/** All upstreams of a plan. */
+export function upstreamsOf(plan: FleetPlan): UpstreamPlan[] {
+  return plan.upstreams.flatMap(({ upstreams }) => upstreams);
+}
--- /dev/null
+++ b/src/dev/fleet/fleet.ts
@@ -0,0 +1,156 @@
+/** A fleet of real processes on this machine: starts them, loads them, stops them. */
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { TernmountError } from '../../errors/ternmount-error.js';
+import type { ReplicaId } from '../../model/identifiers.js';
+import { AdminClient } from './admin-client.js';
+import { FleetJournal } from './fleet-journal.js';
+import type { FleetOptions } from './fleet-options.js';
+import { type ControlPlan, type FleetPlan, FleetPlanner } from './fleet-plan.js';
+import { Operator } from './operator.js';
+import type { ProcessKind, ProcessSpec } from './process-spec.js';
+import { callerSpecs, processSpecs } from './process-specs.js';
+import { declarationsFileOf, settingsFileOf, writeSettingsFiles } from './settings-files.js';
+import { Supervisor } from './supervisor.js';
+
+const SETTLE_TIMEOUT_MILLIS = 30_000;
+const SETTLE_POLL_MILLIS = 100;
+/** Longest planned stop. */
+export const STOP_GRACE_MILLIS = 15_000;
+/** Order in which a fleet is stopped: nobody loses what it still needs. */
+const STOP_ORDER: readonly ProcessKind[] = ['caller', 'router', 'upstream', 'control', 'platform', 'link'];
+
+/** The fleet didn't come to the state that it should have. */
+export class FleetNotReadyError extends TernmountError {
+  constructor(missing: string) {
+    super({ code: 'TERNMOUNT_FLEET_NOT_READY', retriable: false }, `the fleet isn't ready: ${missing}`);
+  }
+}
+
+export class Fleet {
+  readonly options: FleetOptions;
+  readonly plan: FleetPlan;
+  readonly supervisor = new Supervisor();
+  readonly admin: AdminClient;
+  readonly operator: Operator;
+  readonly journal: FleetJournal;
+  readonly signal: AbortSignal;
+  readonly #specs: ReadonlyMap<string, ProcessSpec>;
+
+  /** Writes the settings; starts nothing yet. `signal` ends waits. */
+  constructor(options: FleetOptions, signal: AbortSignal) {
+    this.options = options;
+    this.signal = signal;
+    this.plan = new FleetPlanner(options).plan();
+    this.#specs = processSpecs(this.plan);
+    const members = this.plan.control.map(({ admin }) => admin);
+    this.admin = new AdminClient(members, this.plan.operatorHost);
+    this.operator = new Operator(this.plan, signal);
+    writeSettingsFiles(this.plan, options);
+    this.journal = new FleetJournal(join(this.plan.journalFolder, 'fleet.jsonl'));
+  }
+
+  specOf(name: string): ProcessSpec {
+    const spec = this.#specs.get(name);
+    if (spec === undefined) {
+      throw new RangeError(`there is no process ${name}`);
+    }
+    return spec;
+  }
+
+  /** Brings everything up until each shard has an owner and each router serves. */
+  async start(): Promise<void> {
+    await this.#startKind('link');
+    await this.#startKind('platform');
+    await this.#startControl();
+    await Promise.all([this.#startKind('upstream'), this.#startKind('router')]);
+    await this.operator.must(['service', 'apply', declarationsFileOf(this.plan), '--no-wait']);
+    await this.#until('an owner for each shard', () => this.#everyShardOwned());
+    await this.#until('routers that serve', () => this.#everyRouterServes());
+  }
+
+  async startProcess(name: string): Promise<void> {
+    await this.supervisor.start(this.specOf(name));
+    this.journal.write({ event: 'process-started', process: name });
+  }
+
+  /** Planned stop of one process. */
+  async stopProcess(name: string): Promise<void> {
+    this.journal.write({ event: 'stopping', process: name });
+    const result = await this.supervisor.stop(name, STOP_GRACE_MILLIS);
+    this.journal.write({ event: 'stopped', process: name, result });
+  }
+
+  async startCallers(): Promise<void> {
+    this.journal.write({ event: 'load-started' });
+    await Promise.all(callerSpecs(this.plan).map((spec) => this.supervisor.start(spec)));
+  }
+
+  /** Resolves when the whole load was sent and answered. */
+  async waitForCallers(): Promise<void> {
+    await Promise.all(this.plan.callers.map(({ name }) => this.supervisor.waitForEnd(name)));
+    this.journal.write({ event: 'load-ended' });
+  }
+
+  /** Planned stop of everything, in an order in which none loses what it still needs. */
+  async stop(): Promise<void> {
+    for (const kind of STOP_ORDER) {
+      const names = this.supervisor.namesOf(kind);
+      await Promise.all(names.map((name) => this.stopProcess(name)));
+    }
+    this.journal.close();
+  }
+
+  async #startKind(kind: ProcessKind): Promise<void> {
+    this.signal.throwIfAborted();
+    const specs = [...this.#specs.values()].filter((spec) => spec.kind === kind);
+    await Promise.all(specs.map((spec) => this.startProcess(spec.name)));
+  }
+
+  /** The first member begins the cluster, the others join it one by one. */
+  async #startControl(): Promise<void> {
+    const [first, ...others] = this.plan.control as [ControlPlan, ...ControlPlan[]];
+    await this.operator.mustLocal(['control', 'init', '--settings', settingsFileOf(first)]);
+    await this.startProcess(first.name);
+    await this.#until('a control leader', async () => (await this.admin.findLeader()) !== undefined);
+    for (const control of others) {
+      const replica = await this.joinControl(control);
+      await this.operator.must(['control', 'add', replica, '--address', control.internal.advertised]);
+    }
+  }
+
+  /** Makes a new data folder for a control member and starts it; gives its replica id. It has no vote yet. */
+  async joinControl(control: ControlPlan): Promise<ReplicaId> {
+    const { output } = await this.operator.mustLocal([
+      'control',
+      'join',
+      '--settings',
+      settingsFileOf(control),
+    ]);
+    await this.startProcess(control.name);
+    return output.trim();
+  }
+
+  async #everyShardOwned(): Promise<boolean> {
+    const shards = await this.admin.shards();
+    return shards.length > 0 && shards.every(({ owner }) => owner !== null);
+  }
+
+  async #everyRouterServes(): Promise<boolean> {
+    const states = await Promise.all(
+      this.plan.routers.map((router) => this.admin.routerHealth(router.admin)),
+    );
+    return states.every((state) => state?.serving === true);
+  }
+
+  async #until(what: string, reached: () => Promise<boolean>): Promise<void> {
+    const deadline = Date.now() + SETTLE_TIMEOUT_MILLIS;
+    while (!(await reached())) {
+      this.signal.throwIfAborted();
+      if (Date.now() > deadline) {
+        throw new FleetNotReadyError(`no ${what}`);
+      }
+      await delay(SETTLE_POLL_MILLIS);
+    }
+  }
+}
--- a/src/dev/fleet/load-plan.ts
+++ b/src/dev/fleet/load-plan.ts
@@ -3,6 +3,8 @@
 import type { KeyspaceDefinition, ServiceDefinition } from '../../model/service.js';
 import type { Deployment, WorkloadPhase, WorkloadShare } from '../../settings/deployment.js';
 import { type CallerStream, callerSettingsSchema } from '../standins/caller/caller-settings.js';
+import { ZipfKeys } from '../standins/caller/zipf-keys.js';
+import { RandomSource } from '../standins/random-source.js';
 
 /** Attempts at a request that must not be repeated; each carries the same idempotency key. */
 const ORDER_ATTEMPTS = 5;
@@ -70,3 +72,14 @@
   );
   return streamsSchema.parse(streams);
 }
+
+/** Every key of a service that the load asks for, most popular first. */
+export function keysOfService(deployment: Deployment, service: ServiceDefinition): string[] {
+  const counts = deployment.workload.phases
+    .flatMap((phase) => phase.mix)
+    .filter((share) => share.service === service.name)
+    .map((share) => share.keys);
+  const hotKeys = service.keyspaces.filter(({ kind }) => kind === 'exact').map(({ match }) => match);
+  const prefix = keyPrefixOf(service.keyspaces);
+  return new ZipfKeys(prefix, Math.max(0, ...counts), 0, new RandomSource(1), hotKeys).all();
+}
--- /dev/null
+++ b/src/dev/fleet/named-faults.ts
@@ -0,0 +1,112 @@
+/** The table of faults that a fleet run knows by name. */
+import type { ScheduledFault } from './fault-schedule.js';
+
+/** A fault without its time. `after`: seconds after the named fault's own time; 0 if left out. */
+export type UnplacedFault = Omit<ScheduledFault, 'at'> & { readonly after?: number };
+
+/** What a name stands for. */
+export interface NamedFault {
+  readonly summary: string;
+  readonly faults: readonly UnplacedFault[];
+}
+
+export const NAMED_FAULTS: Readonly<Record<string, NamedFault>> = {
+  'kill-owner': {
+    summary: 'SIGKILL of the upstream that owns most shards',
+    faults: [{ type: 'kill', target: 'owner', seconds: 4 }],
+  },
+  'kill-unkeyed': {
+    summary: 'SIGKILL of an upstream whose service is not keyed',
+    faults: [{ type: 'kill', target: 'unkeyed', seconds: 4 }],
+  },
+  'kill-leader': {
+    summary: 'SIGKILL of the control leader',
+    faults: [{ type: 'kill', target: 'leader', seconds: 3 }],
+  },
+  'kill-follower': {
+    summary: 'SIGKILL of a control follower',
+    faults: [{ type: 'kill', target: 'follower', seconds: 3 }],
+  },
+  'kill-router': {
+    summary: 'SIGKILL of a router',
+    faults: [{ type: 'kill', target: 'router', seconds: 3 }],
+  },
+  'kill-owner-and-leader': {
+    summary: 'SIGKILL of an owner and of the control leader in the same moment',
+    faults: [
+      { type: 'kill', target: 'owner', seconds: 5 },
+      { type: 'kill', target: 'leader', seconds: 5 },
+    ],
+  },
+  'freeze-owner': {
+    summary: 'SIGSTOP of an owner for longer than its lease, then SIGCONT',
+    faults: [{ type: 'freeze', target: 'owner', seconds: 5 }],
+  },
+  'freeze-leader': {
+    summary: 'SIGSTOP of the control leader, then SIGCONT',
+    faults: [{ type: 'freeze', target: 'leader', seconds: 5 }],
+  },
+  'freeze-router': {
+    summary: 'SIGSTOP of a router for longer than its configuration lease, then SIGCONT',
+    faults: [{ type: 'freeze', target: 'router', seconds: 4 }],
+  },
+  'lose-disk': {
+    summary: 'SIGKILL of a control follower, data folder deleted, a new replica takes its place',
+    faults: [{ type: 'lose-disk', target: 'follower', seconds: 1 }],
+  },
+  'lose-disk-then-leader': {
+    summary: 'a lost disk is repaired, then the leader is killed at once',
+    faults: [
+      { type: 'lose-disk', target: 'follower', seconds: 1 },
+      { type: 'kill', target: 'leader', seconds: 3, after: 0.1 },
+    ],
+  },
+  'isolate-zone': {
+    summary: 'one zone loses the others, silently',
+    faults: [{ type: 'isolate', target: 'zone-b', seconds: 5 }],
+  },
+  'cut-zones': {
+    summary: 'two zones lose each other, silently; the third sees both',
+    faults: [{ type: 'cut', target: 'zone-a|zone-b', seconds: 5 }],
+  },
+  'half-open': {
+    summary: 'bytes from one zone to another stop, those of the other way pass',
+    faults: [{ type: 'half-open', target: 'zone-a>zone-b', seconds: 5 }],
+  },
+  'drain-owner': {
+    summary: 'an operator drains an owner under load and takes it back',
+    faults: [{ type: 'drain', target: 'owner', seconds: 8 }],
+  },
+  'drain-unkeyed': {
+    summary: 'an operator drains an upstream whose service is not keyed, and takes it back',
+    faults: [{ type: 'drain', target: 'unkeyed', seconds: 6 }],
+  },
+  'stop-owner': {
+    summary: 'planned stop of an owner',
+    faults: [{ type: 'stop', target: 'owner', seconds: 1 }],
+  },
+  'stop-leader': {
+    summary: 'planned stop of the control leader',
+    faults: [{ type: 'stop', target: 'leader', seconds: 1 }],
+  },
+  'roll-routers': {
+    summary: 'planned stop and start of each router in turn',
+    faults: [{ type: 'roll', target: 'routers', seconds: 1 }],
+  },
+  'roll-control': {
+    summary: 'planned stop and start of each control member in turn',
+    faults: [{ type: 'roll', target: 'control', seconds: 1 }],
+  },
+  'roll-upstreams': {
+    summary: 'planned stop and start of each upstream that has a process of its own',
+    faults: [{ type: 'roll', target: 'upstreams', seconds: 1 }],
+  },
+  'platform-lies': {
+    summary: 'the platform names a live owner as gone',
+    faults: [{ type: 'platform-gone', target: 'owner', seconds: 6 }],
+  },
+  'platform-lags': {
+    summary: 'an owner is killed and the platform goes on naming it as live for 30 s',
+    faults: [{ type: 'kill', target: 'owner', seconds: 6 }],
+  },
+};
--- /dev/null
+++ b/src/dev/fleet/report/fleet-report.ts
@@ -0,0 +1,152 @@
+/** What a fleet run showed, and whether that is enough to call it good. */
+import { quantile } from '../../bench/statistics.js';
+import { readJournals } from '../../journal/journal-reader.js';
+import { buildHistory, type FleetHistory } from '../checker/fleet-history.js';
+import { checkFleet, type PromiseResult } from '../checker/index.js';
+import type { FaultDone } from '../faults/fault-runner.js';
+import type { FleetOptions } from '../fleet-options.js';
+import type { OwnerLoss } from '../observe/owner-loss-probe.js';
+import { countOwnerChanges, type OwnershipSample } from '../observe/ownership-sampler.js';
+import { imbalanceOf, loadFigures, type ServiceFigures } from './load-figures.js';
+
+/** Share of a lost owner's keys that counts as served again. */
+const SERVED_SHARE = 0.99;
+
+/** One loss of an owner, in figures. */
+export interface OwnerLossFigures {
+  readonly upstream: string;
+  readonly keys: number;
+  readonly shards: number;
+  readonly unserved: number;
+  readonly p50Millis: number;
+  /** Time until 99% of its keys were served by others. */
+  readonly servedMillis: number;
+  readonly maxMillis: number;
+}
+
+export interface FleetReport {
+  readonly deployment: string;
+  readonly seconds: number;
+  readonly services: readonly ServiceFigures[];
+  readonly imbalance: Readonly<Record<string, number>>;
+  /** Changes of a shard's owner during the load. */
+  readonly ownerChanges: number;
+  readonly ownerLosses: readonly OwnerLossFigures[];
+  readonly faults: readonly { readonly type: string; readonly target: string; readonly at: number }[];
+  readonly promises: readonly PromiseResult[];
+  /** What went wrong with the run itself, or did not happen although it must. */
+  readonly problems: readonly string[];
+}
+
+/** What the runner saw, beside the journals. */
+export interface FleetObservations {
+  readonly options: FleetOptions;
+  readonly journalFolder: string;
+  readonly faults: readonly FaultDone[];
+  readonly ownerLosses: readonly OwnerLoss[];
+  readonly samples: readonly OwnershipSample[];
+  /** Processes that ended by themselves. */
+  readonly unexpectedEnds: readonly string[];
+}
+
+function lossFigures(loss: OwnerLoss): OwnerLossFigures {
+  const { upstream, keys, shards, unserved, millis } = loss;
+  const times = [...millis, ...Array<number>(unserved).fill(Number.POSITIVE_INFINITY)];
+  return {
+    upstream,
+    keys,
+    shards,
+    unserved,
+    p50Millis: quantile(times, 0.5),
+    servedMillis: quantile(times, SERVED_SHARE),
+    maxMillis: Math.max(0, ...times),
+  };
+}
+
+/** Promises that a run always tries; the others need a fault of their kind. */
+const ALWAYS_CHECKED: ReadonlySet<string> = new Set([
+  'single-owner',
+  'at-most-once',
+  'ran-is-true',
+  'whole-answers',
+  'configuration-kept',
+  'planned-stop',
+]);
+
+/** Things that must have happened for the run to prove anything. */
+function missing(
+  observed: FleetObservations,
+  services: readonly ServiceFigures[],
+  promises: readonly PromiseResult[],
+): string[] {
+  const problems: string[] = [];
+  const { deployment, faults } = observed.options;
+  for (const { name } of deployment.services) {
+    const figures = services.find(({ service }) => service === name);
+    if (figures === undefined || figures.answered === 0) {
+      problems.push(`no request to ${name} was answered`);
+    }
+  }
+  if (observed.faults.length < faults.length) {
+    problems.push(`${faults.length - observed.faults.length} faults were not carried out`);
+  }
+  const unproved = promises.filter(({ promise, checked }) => ALWAYS_CHECKED.has(promise) && checked === 0);
+  problems.push(...unproved.map(({ promise }) => `nothing was checked for ${promise}`));
+  if (faults.some(({ type }) => type === 'drain')) {
+    const drained = promises.find(({ promise }) => promise === 'drained');
+    problems.push(...(drained?.checked === 0 ? ['no drain was accepted'] : []));
+  }
+  return problems;
+}
+
+function lossProblems(losses: readonly OwnerLossFigures[], observed: FleetObservations): string[] {
+  const problems = losses
+    .filter(({ unserved }) => unserved > 0)
+    .map(({ upstream, unserved }) => `${unserved} keys of ${upstream} were served by nobody else`);
+  const killsOwner = observed.options.faults.some(
+    ({ type, target }) => type === 'kill' && target === 'owner',
+  );
+  return killsOwner && losses.length === 0 ? [...problems, 'no loss of an owner was measured'] : problems;
+}
+
+function upstreamCounts({ options }: FleetObservations): ReadonlyMap<string, number> {
+  return new Map(options.deployment.upstreams.map(({ service, count }) => [service, count]));
+}
+
+function startOfLoad(history: FleetHistory): number {
+  return history.events.find(({ event }) => event === 'load-started')?.at ?? 0;
+}
+
+/** Reads the journals and judges the run. */
+export function makeReport(observed: FleetObservations): FleetReport {
+  const records = readJournals(observed.journalFolder);
+  const history = buildHistory(records);
+  const promises = checkFleet(records);
+  const services = loadFigures(history);
+  const ownerLosses = observed.ownerLosses.map(lossFigures);
+  const loadStartedAt = startOfLoad(history);
+  return {
+    deployment: observed.options.deployment.name,
+    seconds: observed.options.seconds,
+    services,
+    imbalance: Object.fromEntries(imbalanceOf(history, upstreamCounts(observed))),
+    ownerChanges: countOwnerChanges(observed.samples),
+    ownerLosses,
+    faults: observed.faults.map(({ fault, target, at }) => ({
+      type: fault.type,
+      target,
+      at: (at - loadStartedAt) / 1000,
+    })),
+    promises,
+    problems: [
+      ...missing(observed, services, promises),
+      ...lossProblems(ownerLosses, observed),
+      ...observed.unexpectedEnds.map((name) => `${name} ended by itself`),
+    ],
+  };
+}
+
+/** Whether each promise held and enough happened to say so. */
+export function isGood(report: FleetReport): boolean {
+  return report.problems.length === 0 && report.promises.every(({ violations }) => violations.length === 0);
+}
--- a/src/dev/fleet/supervisor.ts
+++ b/src/dev/fleet/supervisor.ts
@@ -7,7 +7,7 @@
 import { TernmountError } from '../../errors/ternmount-error.js';
 import type { Address } from '../../model/identifiers.js';
 import { parseAddress } from '../../wire/address.js';
-import type { ProcessSpec } from './process-spec.js';
+import type { ProcessKind, ProcessSpec } from './process-spec.js';
 
 const READY_TIMEOUT_MILLIS = 20_000;
 const READY_POLL_MILLIS = 25;
@@ -57,6 +57,16 @@
     return this.#running.has(name);
   }
 
+  /** Number of processes that run. */
+  get count(): number {
+    return this.#running.size;
+  }
+
+  /** Processes of a kind that run. */
+  namesOf(kind: ProcessKind): string[] {
+    return [...this.#running.values()].filter(({ spec }) => spec.kind === kind).map(({ spec }) => spec.name);
+  }
+
   pidOf(name: string): number | undefined {
     return this.#running.get(name)?.child.pid;
   }
--- /dev/null
+++ b/src/dev/journal/journal-tail.ts
@@ -0,0 +1,43 @@
+/** Follows a journal that another process still writes. */
+import { closeSync, existsSync, openSync, readSync } from 'node:fs';
+import type { JournalRecord } from './records.js';
+
+const CHUNK_BYTES = 1024 * 1024;
+
+export class JournalTail {
+  readonly #file: string;
+  #offset = 0;
+  #rest = '';
+
+  constructor(file: string) {
+    this.#file = file;
+  }
+
+  /** Records written since the last call; a line that isn't complete yet comes with a later one. */
+  read(): JournalRecord[] {
+    if (!existsSync(this.#file)) {
+      return [];
+    }
+    const lines = (this.#rest + this.#readNew()).split('\n');
+    this.#rest = lines.pop() ?? '';
+    return lines.map((line) => JSON.parse(line) as JournalRecord);
+  }
+
+  #readNew(): string {
+    const descriptor = openSync(this.#file, 'r');
+    const chunk = Buffer.alloc(CHUNK_BYTES);
+    let text = '';
+    try {
+      for (;;) {
+        const bytes = readSync(descriptor, chunk, 0, CHUNK_BYTES, this.#offset);
+        if (bytes === 0) {
+          return text;
+        }
+        this.#offset += bytes;
+        text += chunk.toString('latin1', 0, bytes);
+      }
+    } finally {
+      closeSync(descriptor);
+    }
+  }
+}
--- a/src/dev/journal/records.ts
+++ b/src/dev/journal/records.ts
@@ -5,6 +5,7 @@
 import type {
   Epoch,
   Incarnation,
+  Revision,
   ServiceName,
   ShardId,
   UpstreamId,
@@ -93,13 +94,41 @@
 export type FleetEventRecord = RecordBase & { readonly type: 'fleet-event' } & (
     | { readonly event: 'load-started' | 'load-ended' }
     | { readonly event: 'process-started' | 'killed' | 'frozen' | 'thawed'; readonly process: string }
-    /** A planned stop: SIGTERM, and whether it ended by itself. */
-    | { readonly event: 'stopping' | 'stopped'; readonly process: string }
+    /** A planned stop: SIGTERM, and whether the process ended by itself. */
+    | { readonly event: 'stopping'; readonly process: string }
+    | { readonly event: 'stopped'; readonly process: string; readonly result: 'ended' | 'killed' }
     | { readonly event: 'cut' | 'healed'; readonly zones: readonly [string, string] }
     /** Control accepted that this upstream leaves. */
     | { readonly event: 'drain-accepted'; readonly upstream: UpstreamId }
     /** Control accepted that it is back. */
     | { readonly event: 'return-accepted'; readonly upstream: UpstreamId }
+    /** An operator sends a change that sets a growing number of a service. */
+    | { readonly event: 'change-sent'; readonly service: ServiceName; readonly value: number }
+    /** The operator was told that it is in force everywhere. */
+    | {
+        readonly event: 'change-in-force';
+        readonly service: ServiceName;
+        readonly value: number;
+        readonly revision: Revision;
+      }
+    /** A read that began at `since` found this number. */
+    | {
+        readonly event: 'change-read';
+        readonly service: ServiceName;
+        readonly value: number;
+        readonly since: number;
+      }
+    /** A router said, asked at `since`, up to where it applies the configuration. */
+    | {
+        readonly event: 'router-read';
+        readonly router: string;
+        readonly revision: Revision;
+        readonly serving: boolean;
+        readonly since: number;
+      }
+    /** A control member lost its data folder; later a new replica was reported as repaired. */
+    | { readonly event: 'disk-lost' | 'repaired'; readonly process: string }
+    | { readonly event: 'platform-lied' | 'platform-corrected'; readonly upstream: UpstreamId }
   );
 
 export type UpstreamJournalRecord = RunStartRecord | RunEffectRecord | RunEndRecord;
--- a/src/dev/standins/answer-body.ts
+++ b/src/dev/standins/answer-body.ts
@@ -49,3 +49,8 @@
   const sameRequest = request === null || body.request === request;
   return sameRequest && body.key === key ? 'whole' : 'foreign';
 }
+
+/** Who wrote a whole answer. */
+export function upstreamOfAnswerBody(text: string): string {
+  return (JSON.parse(text) as AnswerBody).upstream;
+}
--- a/src/dev/standins/caller/router-client.ts
+++ b/src/dev/standins/caller/router-client.ts
@@ -2,7 +2,7 @@
 import { Pool } from 'undici';
 import { HEADERS, type Outcome } from '../../../model/outcome.js';
 import type { AnswerVerdict } from '../../journal/records.js';
-import { CALLER_REQUEST_HEADER, judgeAnswerBody } from '../answer-body.js';
+import { CALLER_REQUEST_HEADER, judgeAnswerBody, upstreamOfAnswerBody } from '../answer-body.js';
 
 /** One attempt as it goes out. */
 export interface Attempt {
@@ -24,6 +24,8 @@
   readonly reason: string | null;
   readonly routerRequest: string | null;
   readonly retryAfterMillis: number | null;
+  /** Who wrote a whole answer. */
+  readonly upstream: string | null;
 }
 
 const NOTHING: Omit<AttemptAnswer, 'verdict'> = {
@@ -32,6 +34,7 @@
   reason: null,
   routerRequest: null,
   retryAfterMillis: null,
+  upstream: null,
 };
 /** The caller waits this much longer than its deadline for the router to keep it. */
 const PATIENCE_MILLIS = 2000;
@@ -113,15 +116,17 @@
 
   #judge(attempt: Attempt, status: number, headers: HeaderValues, text: string): AttemptAnswer {
     const succeeded = status >= 200 && status < 300;
+    const verdict = succeeded
+      ? judgeAnswerBody(text, attempt.coalesced ? null : attempt.request, attempt.key)
+      : 'refused';
     return {
-      verdict: succeeded
-        ? judgeAnswerBody(text, attempt.coalesced ? null : attempt.request, attempt.key)
-        : 'refused',
+      verdict,
       status,
       outcome: headerOf(headers, HEADERS.outcome) as Outcome | null,
       reason: headerOf(headers, HEADERS.reason),
       routerRequest: headerOf(headers, HEADERS.requestId),
       retryAfterMillis: retryAfterOf(headers),
+      upstream: verdict === 'whole' ? upstreamOfAnswerBody(text) : null,
     };
   }
 }
--- a/src/dev/standins/caller/zipf-keys.ts
+++ b/src/dev/standins/caller/zipf-keys.ts
@@ -28,6 +28,15 @@
   pick(): string {
     const total = this.#cumulative.at(-1) ?? 0;
     const index = this.#rankOf(this.#random.uniform() * total);
+    return this.#keyOf(index);
+  }
+
+  /** Every key, most popular first. */
+  all(): string[] {
+    return this.#cumulative.map((_, index) => this.#keyOf(index));
+  }
+
+  #keyOf(index: number): string {
     return this.#hotKeys[index] ?? `${this.#prefix}${index + 1}`;
   }
 
--- a/src/dev/standins/link/link-settings.ts
+++ b/src/dev/standins/link/link-settings.ts
@@ -16,6 +16,8 @@
   routes: z.array(routeSchema),
   /** One-way delay between different zones, in milliseconds. */
   delayMillis: z.number().min(0).default(0),
+  /** Where callers are; the delay of their connections. */
+  clients: z.strictObject({ zone: z.string().min(1), delayMillis: z.number().min(0) }).optional(),
 });
 
 /** How the link treats traffic from one zone to another. */
--- a/src/dev/standins/link/link-standin.ts
+++ b/src/dev/standins/link/link-standin.ts
@@ -45,12 +45,13 @@
     const target = parseAddress(route.target);
     const listen = parseAddress(route.listen);
     const server = createServer({ allowHalfOpen: true }, (inbound) => {
+      const sourceZone = this.rules.zoneOf(inbound.remoteAddress ?? '');
       const ends = {
-        sourceZone: this.rules.zoneOf(inbound.remoteAddress ?? ''),
+        sourceZone,
         targetZone: route.targetZone,
         targetHost: target.host,
         targetPort: target.port,
-        delayMillis: this.#settings.delayMillis,
+        delayMillis: this.#delayFrom(sourceZone),
       };
       forwardConnection(inbound, ends, this.rules);
     });
@@ -61,6 +62,11 @@
     });
   }
 
+  #delayFrom(sourceZone: string): number {
+    const { clients, delayMillis } = this.#settings;
+    return clients?.zone === sourceZone ? clients.delayMillis : delayMillis;
+  }
+
   #controlApp(): Koa {
     const router = new Router();
     router.post('/rules', async (context) => {
