--- a/test/fleet/checker/checker.test.ts
+++ b/test/fleet/checker/checker.test.ts
@@ -186,6 +186,43 @@
     ],
     broken: ['planned-stop'],
   },
+  {
+    title: 'a change in force that each later read finds',
+    records: [
+      event(0, { event: 'change-sent', service: 'menuboard', value: 2 }),
+      event(1, { event: 'change-read', service: 'menuboard', value: 1, since: 0 }),
+      event(5, { event: 'change-in-force', service: 'menuboard', value: 2, revision: 40 }),
+      event(7, { event: 'change-read', service: 'menuboard', value: 2, since: 6 }),
+      event(8, { event: 'router-read', router: 'router-1', revision: 41, serving: true, since: 6 }),
+      event(8, { event: 'router-read', router: 'router-2', revision: 39, serving: false, since: 6 }),
+      event(9, { event: 'router-read', router: 'router-3', revision: 39, serving: true, since: 4 }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'a change in force that a later read does not find',
+    records: [
+      event(5, { event: 'change-in-force', service: 'menuboard', value: 2, revision: 40 }),
+      event(7, { event: 'change-read', service: 'menuboard', value: 1, since: 6 }),
+    ],
+    broken: ['configuration-kept'],
+  },
+  {
+    title: 'a change that was read and then went back',
+    records: [
+      event(5, { event: 'change-read', service: 'menuboard', value: 3, since: 4 }),
+      event(7, { event: 'change-read', service: 'menuboard', value: 2, since: 6 }),
+    ],
+    broken: ['configuration-kept'],
+  },
+  {
+    title: 'a router that serves less than what is in force',
+    records: [
+      event(5, { event: 'change-in-force', service: 'menuboard', value: 2, revision: 40 }),
+      event(8, { event: 'router-read', router: 'router-1', revision: 39, serving: true, since: 6 }),
+    ],
+    broken: ['configuration-kept'],
+  },
 ];
 
 describe('fleet checker', () => {
