--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -89,6 +89,7 @@
     });
     this.peers = new PeerLinks({
       identity,
+      localAddress: settings.outgoing,
       limits,
       log: this.log,
       addresses: () => this.core.status().membership.addresses,
@@ -223,6 +224,7 @@
         failed: (upstream, sequence) => this.coreTask.post({ type: 'upstream-failed', upstream, sequence }),
       },
       this.log,
+      this.settings.outgoing,
     );
   }
 
--- a/src/control/daemon/peer-links.ts
+++ b/src/control/daemon/peer-links.ts
@@ -18,6 +18,7 @@
 
 export interface PeerLinksOptions {
   readonly identity: WireIdentity;
+  readonly localAddress?: string | undefined;
   readonly limits: WireLimits;
   readonly log: Logger;
   /** Addresses of the members as the log has them now. */
@@ -86,9 +87,10 @@
     if (address === undefined) {
       return undefined;
     }
-    const { identity, limits, log } = this.options;
+    const { identity, localAddress, limits, log } = this.options;
     const client = new FrameClient({
       address,
+      localAddress,
       identity,
       limits,
       onReady: (peer) => log.info('peer-connected', { peer: peer.name, address }),
--- a/src/control/daemon/settings.ts
+++ b/src/control/daemon/settings.ts
@@ -14,6 +14,8 @@
   readonly dataFolder: string;
   /** Internal port, for replicas and routers. Must be the address that the membership names. */
   readonly listen: Address;
+  /** Own IP number from which connections go out; the system's choice if left out. */
+  readonly outgoing?: string | undefined;
   /** HTTP port for operators, metrics and health. */
   readonly admin: Address;
   /** Shared by all processes of the cluster. */
--- a/src/control/daemon/upstream-sessions.ts
+++ b/src/control/daemon/upstream-sessions.ts
@@ -32,13 +32,14 @@
     private readonly timeoutMillis: number,
     private readonly owner: UpstreamSessionsOwner,
     private readonly log: Logger,
+    localAddress?: string,
   ) {
     this.agent = new Agent({
       connections: MAX_CALLS_PER_UPSTREAM,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MILLIS,
       maxResponseSize: MAX_ANSWER_BYTES,
-      connect: { timeout: timeoutMillis },
+      connect: { timeout: timeoutMillis, ...(localAddress && { localAddress }) },
     });
   }
 
--- a/src/router/attempts/upstream-pools.ts
+++ b/src/router/attempts/upstream-pools.ts
@@ -6,6 +6,7 @@
   readonly connectionsPerUpstream: number;
   readonly connectMillis: number;
   readonly streamStallMillis: number;
+  readonly localAddress?: string | undefined;
 }
 
 const KEEP_ALIVE_MILLIS = 4000;
@@ -21,6 +22,7 @@
     if (known !== undefined) {
       return known;
     }
+    const { connectMillis, localAddress } = this.options;
     const pool = new Pool(`http://${address}`, {
       connections: this.options.connectionsPerUpstream,
       pipelining: 1,
@@ -28,7 +30,7 @@
       // The core cancels attempts at their deadline; answers that are streamed are past it.
       headersTimeout: 0,
       bodyTimeout: this.options.streamStallMillis,
-      connect: { timeout: this.options.connectMillis },
+      connect: { timeout: connectMillis, ...(localAddress && { localAddress }) },
     });
     this.pools.set(address, pool);
     return pool;
--- a/src/router/control-links.ts
+++ b/src/router/control-links.ts
@@ -12,6 +12,7 @@
 
 export interface ControlLinksOptions {
   readonly identity: WireIdentity;
+  readonly localAddress?: string | undefined;
   readonly limits: WireLimits;
   readonly log: Logger;
   readonly received: (from: Address, message: ControlToRouter) => void;
@@ -59,9 +60,10 @@
   }
 
   private connect(address: Address): FrameClient {
-    const { identity, limits, log, received, lost } = this.options;
+    const { identity, localAddress, limits, log, received, lost } = this.options;
     const link = new FrameClient({
       address,
+      localAddress,
       identity,
       limits,
       onReady: (peer) => log.info('control-connected', { address, replica: peer.name }),
--- a/src/router/hints/health-probes.ts
+++ b/src/router/hints/health-probes.ts
@@ -7,6 +7,7 @@
 export interface HealthProbesOptions {
   readonly intervalMillis: number;
   readonly timeoutMillis: number;
+  readonly localAddress?: string | undefined;
   /** 0 to below 1; spreads probes of many routers. */
   readonly random?: () => number;
   readonly result: (upstream: UpstreamId, healthy: boolean, load: number | null) => void;
@@ -68,6 +69,7 @@
     try {
       const response = await got(`http://${address}/ternmount/v1/health`, {
         agent: { http: this.agent },
+        ...(this.options.localAddress && { localAddress: this.options.localAddress }),
         timeout: { request: this.options.timeoutMillis },
         retry: { limit: 0 },
         throwHttpErrors: false,
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -61,7 +61,7 @@
     const { limits, timings } = this.settings;
     this.core = createCore(this.coreConfig());
     this.metrics = new RouterMetrics(() => this.core.status());
-    this.pools = new UpstreamPools({ ...limits, ...timings });
+    this.pools = new UpstreamPools({ ...limits, ...timings, localAddress: settings.outgoing });
     this.links = this.createLinks();
     this.probes = this.createProbes();
     this.platform = this.createPlatformPoll();
@@ -162,6 +162,7 @@
         secret,
         expects: ['control'],
       },
+      localAddress: this.settings.outgoing,
       limits: wire,
       log: this.log,
       received: (from, message) => this.received(from, message),
@@ -174,6 +175,7 @@
     return new HealthProbes({
       intervalMillis: probeMillis,
       timeoutMillis: probeTimeoutMillis,
+      localAddress: this.settings.outgoing,
       result: (upstream, healthy, load) => this.task.post({ type: 'probe-result', upstream, healthy, load }),
     });
   }
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -10,6 +10,8 @@
   readonly zone: Zone;
   /** HTTP port for callers. */
   readonly listen: Address;
+  /** Own IP number from which connections go out; the system's choice if left out. */
+  readonly outgoing?: string | undefined;
   /** HTTP port for metrics and health. */
   readonly admin: Address;
   /** Internal addresses of the control members. */
--- a/src/settings/common-schemas.ts
+++ b/src/settings/common-schemas.ts
@@ -21,6 +21,9 @@
   error: 'must be an address that others can connect to',
 });
 
+/** An IP number without a port. */
+export const hostSchema = z.union([z.ipv4(), z.ipv6()], { error: 'expected an IP number without a port' });
+
 /** Zone of the process, and the zones there are (optional, so that a misspelt one is found). */
 export const zoneFields = {
   zone: nameSchema,
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -10,6 +10,7 @@
   checkZone,
   clockRateErrorSchema,
   completeConfigLease,
+  hostSchema,
   isAnyHost,
   isLoopback,
   pathSchema,
@@ -31,6 +32,8 @@
   readonly listen: Address;
   /** What others are told to connect to; the same as `listen` unless said. */
   readonly advertise: Address;
+  /** Own IP number from which connections go out; `null`: the system's choice. */
+  readonly outgoing: string | null;
   /** Port of the operators' HTTP API. */
   readonly admin: Address;
   /** Internal addresses of the other members, for a replica that joins. */
@@ -76,6 +79,7 @@
   dataFolder: pathSchema,
   listen: addressSchema,
   advertise: reachableAddressSchema.optional(),
+  outgoing: hostSchema.optional(),
   admin: addressSchema,
   peers: z.array(reachableAddressSchema).optional(),
   secretFile: pathSchema.optional(),
@@ -144,6 +148,7 @@
     dataFolder: fields.dataFolder,
     listen: fields.listen,
     advertise: fields.advertise ?? fields.listen,
+    outgoing: fields.outgoing ?? null,
     admin: fields.admin,
     peers: fields.peers ?? [],
     secretFile: fields.secretFile ?? null,
@@ -164,6 +169,7 @@
   { path: ['dataFolder'] },
   { path: ['listen'] },
   { path: ['advertise'] },
+  { path: ['outgoing'] },
   { path: ['admin'] },
   { path: ['peers'], list: true },
   { path: ['secretFile'] },
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -8,6 +8,7 @@
   checkZone,
   clockRateErrorSchema,
   completeConfigLease,
+  hostSchema,
   pathSchema,
   reachableAddressSchema,
   zoneFields,
@@ -23,6 +24,8 @@
   readonly zone: Zone;
   /** Port for callers' HTTP. */
   readonly listen: Address;
+  /** Own IP number from which connections go out; `null`: the system's choice. */
+  readonly outgoing: string | null;
   /** Port for health, metrics and status. */
   readonly admin: Address;
   /** Internal addresses of the control members. */
@@ -65,6 +68,7 @@
   router: nameSchema,
   ...zoneFields,
   listen: addressSchema,
+  outgoing: hostSchema.optional(),
   admin: addressSchema,
   control: z
     .array(reachableAddressSchema, { error: 'expected a list of addresses' })
@@ -110,6 +114,7 @@
     router: fields.router,
     zone: fields.zone,
     listen: fields.listen,
+    outgoing: fields.outgoing ?? null,
     admin: fields.admin,
     control: fields.control,
     secretFile: fields.secretFile ?? null,
@@ -133,6 +138,7 @@
   { path: ['zone'] },
   { path: ['zones'], list: true },
   { path: ['listen'] },
+  { path: ['outgoing'] },
   { path: ['admin'] },
   { path: ['control'], list: true },
   { path: ['secretFile'] },
--- a/src/wire/frame-client.ts
+++ b/src/wire/frame-client.ts
@@ -15,6 +15,8 @@
 
 export interface FrameClientOptions {
   readonly address: Address;
+  /** Own IP number from which the connection goes out; the system's choice if left out. */
+  readonly localAddress?: string | undefined;
   readonly identity: WireIdentity;
   readonly limits: WireLimits;
   readonly backoff?: BackoffTimings;
@@ -55,7 +57,8 @@
   }
 
   private dial(): void {
-    const socket = connect(parseAddress(this.options.address));
+    const { address, localAddress } = this.options;
+    const socket = connect({ ...parseAddress(address), ...(localAddress && { localAddress }) });
     this.dialing = socket;
     const dialTimer = setTimeout(() => socket.destroy(), this.options.limits.handshakeMillis);
     const failed = (reason: Error | null): void => {
