--- a/src/dev/sim/connection.ts
+++ b/src/dev/sim/connection.ts
@@ -29,6 +29,8 @@
   private readonly backward: Direction;
   private readonly runs: readonly [number, number];
   private broken = false;
+  /** Who closed it: what it sent before still arrives. */
+  private closer: SimProcess | null = null;
 
   constructor(
     private readonly network: Network,
@@ -38,6 +40,8 @@
     this.forward = direction(client.process, server.process);
     this.backward = direction(server.process, client.process);
     this.runs = [client.process.run, server.process.run];
+    client.process.connections.add(this);
+    server.process.connections.add(this);
   }
 
   get isBroken(): boolean {
@@ -59,7 +63,8 @@
     if (this.broken) {
       return;
     }
-    this.broken = true;
+    this.markBroken();
+    this.closer = closer;
     const other = closer === this.client.process ? this.server : this.client;
     this.tell(other, closer);
   }
@@ -100,14 +105,35 @@
   }
 
   private arrive(way: Direction, deliver: () => void): void {
+    if (this.broken && way.from !== this.closer) {
+      return;
+    }
     const expectedRun = way === this.forward ? this.runs[1] : this.runs[0];
-    if (!this.broken && way.to.run === expectedRun) {
+    if (way.to.run === expectedRun && way.to.state !== 'stopped') {
       way.to.post(deliver, true);
+      return;
     }
+    this.missPeer(way);
   }
 
-  private giveUp(): void {
+  /** The receiver's run is over: a new one resets the connection, a machine that is gone says nothing. */
+  private missPeer(way: Direction): void {
+    const silence = way.to.state === 'stopped' ? DEAD_PEER_MILLIS : 0;
+    this.network.time.after(silence, () => {
+      if (!this.broken) {
+        this.giveUp();
+      }
+    });
+  }
+
+  private markBroken(): void {
     this.broken = true;
+    this.client.process.connections.delete(this);
+    this.server.process.connections.delete(this);
+  }
+
+  private giveUp(): void {
+    this.markBroken();
     this.tell(this.client, this.server.process);
     this.tell(this.server, this.client.process);
   }
@@ -115,10 +141,13 @@
   private tell(end: ConnectionEnd, other: SimProcess): void {
     const { time } = this.network;
     const run = end === this.client ? this.runs[0] : this.runs[1];
-    const delay = this.network.isBlocked(other, end.process)
-      ? DEAD_PEER_MILLIS
-      : this.network.latency(other, end.process);
-    time.after(delay, () => {
+    const way = end === this.client ? this.backward : this.forward;
+    const arrival = Math.max(
+      time.now + this.network.latency(other, end.process),
+      way.lastArrival + ORDER_GAP_MILLIS,
+    );
+    const learnedAt = this.network.isBlocked(other, end.process) ? time.now + DEAD_PEER_MILLIS : arrival;
+    time.at(learnedAt, () => {
       if (end.process.run === run) {
         end.process.post(end.onBroken, true);
       }
--- /dev/null
+++ b/src/dev/sim/control/sim-control.ts
@@ -0,0 +1,286 @@
+/** A control member: the control core on a simulated machine with its disk, its peers, routers, upstreams and operators. */
+import { crc32 } from 'node:zlib';
+import type { Membership, RaftMessage, RaftStatus } from '../../../consensus/types.js';
+import { createControlNode } from '../../../control/control-node.js';
+import {
+  type ControlToRouter,
+  DEFAULT_CONFIG_LEASE_TIMINGS,
+  type RouterToControl,
+} from '../../../control/messages.js';
+import type {
+  ControlCore,
+  ControlEffect,
+  ControlInput,
+  OperatorRequest,
+  OperatorResponse,
+} from '../../../control/types.js';
+import { DEFAULT_LEASE_TIMINGS } from '../../../lease/types.js';
+import type { Address, ReplicaId } from '../../../model/identifiers.js';
+import type { Connection } from '../connection.js';
+import { SimProcess, TickTimer } from '../sim-process.js';
+import { SimulatedDisk } from '../simulated-disk.js';
+import type { World } from '../world.js';
+import { callUpstream } from './session-call.js';
+import {
+  spoilOperatorRequest,
+  spoilOperatorResponse,
+  spoilPersist,
+  spoilRouterMessage,
+  spoilSessionRequest,
+} from './spoil-control.js';
+
+export const CLUSTER = 'simulated';
+const ELECTION_TIMEOUT_MILLIS = 300;
+const HEARTBEAT_MILLIS = 60;
+const SNAPSHOT_ENTRIES = 120;
+/** Longest wait for another leader on a planned stop. */
+const TRANSFER_MILLIS = 2000;
+const STOP_CHECK_MILLIS = 10;
+const SHORTEST_SYNC_MILLIS = 0.2;
+const LONGEST_SYNC_MILLIS = 3;
+
+interface RouterLine {
+  readonly connection: Connection;
+  readonly deliver: (message: ControlToRouter) => void;
+}
+
+export type AnswerOperator = (response: OperatorResponse) => void;
+
+export class SimControl extends SimProcess {
+  readonly address: Address;
+  replica: ReplicaId;
+  /** What crashes do to writes that weren't synced. */
+  losesPower = false;
+  /** Changes that this run answered; for the sabotage of revisions. */
+  changesSeen = 0;
+  private disk: SimulatedDisk;
+  private core: ControlCore | null = null;
+  private timer: TickTimer | null = null;
+  private readonly lines = new Map<string, RouterLine>();
+  private readonly operations = new Map<string, AnswerOperator>();
+  private lastSyncAt = 0;
+  private judgedCommit = 0;
+  private diskNumber = 1;
+
+  constructor(
+    private readonly world: World,
+    readonly number: number,
+    zone: string,
+    private readonly initialMembership: Membership,
+  ) {
+    super(`control-${number}`, zone, world.time, world.makeClock(), world.makeRandom());
+    this.address = controlAddress(number);
+    this.replica = replicaName(number, 1);
+    this.disk = new SimulatedDisk(initialMembership);
+  }
+
+  status(): RaftStatus | null {
+    return this.core?.status() ?? null;
+  }
+
+  leads(): boolean {
+    return this.state === 'running' && this.core?.status().role === 'leader';
+  }
+
+  /** The data folder is gone: what starts here next is another replica, which has to be joined. */
+  loseDisk(): void {
+    if (this.world.sabotage === 'replica-id-reused') {
+      this.disk = new SimulatedDisk(this.initialMembership);
+      return;
+    }
+    this.diskNumber += 1;
+    this.replica = replicaName(this.number, this.diskNumber);
+    this.disk = new SimulatedDisk(null);
+  }
+
+  /** Planned stop: hands leadership on, then ends. */
+  stopByPlan(): void {
+    const until = this.time.now + TRANSFER_MILLIS;
+    const { run } = this;
+    this.operate({ type: 'transfer-leadership', to: null }, () => {});
+    const check = (): void => {
+      if (this.run !== run) {
+        return;
+      }
+      if (this.leads() && this.time.now < until) {
+        this.schedule(STOP_CHECK_MILLIS, check);
+        return;
+      }
+      this.world.recorder.count('planned stop of a leader');
+      this.crash();
+    };
+    check();
+  }
+
+  startAfterStop(): void {
+    this.start();
+  }
+
+  /** Hands the core an input. */
+  input(input: ControlInput): void {
+    if (this.core === null) {
+      return;
+    }
+    const effects = this.core.step(input, this.clock.monotonic(), this.clock.wall());
+    for (const effect of effects) {
+      this.carryOut(effect);
+    }
+    this.judgeCommits();
+    this.timer?.arm(this.core.nextDeadline());
+  }
+
+  peerMessage(message: RaftMessage): void {
+    if (message.to === this.replica) {
+      this.input({ type: 'peer-message', message });
+    }
+  }
+
+  /** A router connected. */
+  openLine(id: string, line: RouterLine): void {
+    this.lines.set(id, line);
+  }
+
+  routerMessage(id: string, message: RouterToControl): void {
+    this.input({ type: 'router-message', connection: id, message });
+  }
+
+  closeLine(id: string): void {
+    if (this.lines.delete(id)) {
+      this.input({ type: 'router-gone', connection: id });
+    }
+  }
+
+  /** Takes an operator's request; `answer` is called at most once. */
+  operate(request: OperatorRequest, answer: AnswerOperator): void {
+    const operation = `operation-${this.world.nextNumber()}`;
+    this.operations.set(operation, answer);
+    this.input({
+      type: 'operator-request',
+      operation,
+      request: spoilOperatorRequest(request, this.world.sabotage),
+    });
+  }
+
+  protected onStart(): void {
+    this.lastSyncAt = this.time.now;
+    this.changesSeen = 0;
+    this.judgedCommit = 0;
+    const config = {
+      cluster: CLUSTER,
+      self: this.replica,
+      seed: this.random.integer(1, 0x3fffffff),
+      raft: { electionTimeoutMillis: ELECTION_TIMEOUT_MILLIS, heartbeatMillis: HEARTBEAT_MILLIS },
+      lease: DEFAULT_LEASE_TIMINGS,
+      configLease: DEFAULT_CONFIG_LEASE_TIMINGS,
+      snapshotEntries: SNAPSHOT_ENTRIES,
+      replaceAfterMillis: 0,
+    };
+    this.core = createControlNode(config, this.disk.load(), this.clock.monotonic());
+    this.timer = new TickTimer(this, () => this.input({ type: 'tick' }));
+    this.input({ type: 'tick' });
+  }
+
+  protected onStop(): void {
+    this.core = null;
+    this.lines.clear();
+    this.operations.clear();
+    if (this.losesPower) {
+      this.disk.loseUnsynced(this.random);
+    } else {
+      this.disk.keepUnsynced();
+    }
+    this.losesPower = false;
+  }
+
+  private carryOut(effect: ControlEffect): void {
+    switch (effect.type) {
+      case 'send-peer':
+        this.sendPeer(effect.message);
+        return;
+      case 'persist':
+        this.persist(effect.request);
+        return;
+      case 'send-router': {
+        const line = this.lines.get(effect.connection);
+        const message = spoilRouterMessage(effect.message, this);
+        line?.connection.sendToClient(() => line.deliver(message));
+        return;
+      }
+      case 'call-upstream':
+        callUpstream(this.world, this, effect, spoilSessionRequest(effect.request, this.world.sabotage));
+        return;
+      case 'answer-operator': {
+        const answer = this.operations.get(effect.operation);
+        this.operations.delete(effect.operation);
+        answer?.(spoilOperatorResponse(effect.response, this));
+        return;
+      }
+      case 'log':
+        this.world.recorder.count(`control ${effect.event}`);
+    }
+  }
+
+  get sabotage(): World['sabotage'] {
+    return this.world.sabotage;
+  }
+
+  private sendPeer(message: RaftMessage): void {
+    const target = this.world.controls.find((control) => control.replica === message.to);
+    if (target !== undefined) {
+      this.world.network.sendDatagram(this, target, () => target.peerMessage(message));
+    }
+  }
+
+  /** One sync at a time, in order. */
+  private persist(request: Parameters<SimulatedDisk['write']>[0]): void {
+    const { disk, run } = this;
+    const { persistId } = request;
+    disk.write(spoilPersist(request, this.world.sabotage));
+    const took = this.random.between(SHORTEST_SYNC_MILLIS, LONGEST_SYNC_MILLIS);
+    this.lastSyncAt = Math.max(this.lastSyncAt, this.time.now) + took;
+    const isReportedEarly = this.world.sabotage === 'no-fsync';
+    if (isReportedEarly) {
+      this.schedule(0, () => this.input({ type: 'persisted', persistId }), true);
+    }
+    this.time.at(this.lastSyncAt + (isReportedEarly ? UNSYNCED_MILLIS : 0), () => {
+      if (this.run !== run || this.state === 'stopped') {
+        return;
+      }
+      disk.sync(persistId);
+      if (!isReportedEarly) {
+        this.post(() => this.input({ type: 'persisted', persistId }), true);
+      }
+    });
+  }
+
+  /** Tells the checker of what this replica now takes for committed. */
+  private judgeCommits(): void {
+    const commitIndex = this.core?.status().commitIndex ?? 0;
+    for (let index = this.judgedCommit + 1; index <= commitIndex; index += 1) {
+      const entry = this.disk.entryAt(index);
+      if (entry !== undefined) {
+        const digest = `${entry.term}:${crc32(entry.data)}`;
+        this.world.recorder.record({
+          type: 'entry-committed',
+          at: this.time.now,
+          replica: this.replica,
+          index,
+          digest,
+        });
+      }
+    }
+    this.judgedCommit = Math.max(this.judgedCommit, commitIndex);
+  }
+}
+
+/** How long the sabotaged disk leaves writes unsynced. */
+const UNSYNCED_MILLIS = 400;
+
+export function controlAddress(number: number): Address {
+  return `127.0.0.${number}:7000`;
+}
+
+/** A machine's replicas are numbered by the disks that it had. */
+export function replicaName(machine: number, disk: number): ReplicaId {
+  return `replica-${machine}-${disk}`;
+}
--- /dev/null
+++ b/src/dev/sim/control/spoil-control.ts
@@ -0,0 +1,118 @@
+/** Sabotages on the control side, applied where the simulated shell hands things to the core or takes them from it. */
+import { gunzipSync, gzipSync } from 'node:zlib';
+import type { PersistRequest } from '../../../consensus/types.js';
+import type { ControlToRouter, SyncResponse } from '../../../control/messages.js';
+import type { OperatorRequest, OperatorResponse } from '../../../control/types.js';
+import type { SessionRequest } from '../../../lease/types.js';
+import type { UpstreamRecord } from '../../../registry/types.js';
+import type { SabotageName } from '../sabotages.js';
+import type { SimControl } from './sim-control.js';
+
+type Active = SabotageName | null;
+
+/** Added to leases by `grant-before-lease-end`. */
+const LEASE_EXTRA_MILLIS = 3000;
+
+export function spoilSessionRequest(request: SessionRequest, sabotage: Active): SessionRequest {
+  if (sabotage !== 'grant-before-lease-end' || request.validUntil === null) {
+    return request;
+  }
+  return { ...request, validUntil: request.validUntil + LEASE_EXTRA_MILLIS };
+}
+
+export function spoilOperatorRequest(request: OperatorRequest, sabotage: Active): OperatorRequest {
+  if (request.type !== 'command') {
+    return request;
+  }
+  if (sabotage === 'compare-and-set-ignored') {
+    return { ...request, command: { ...request.command, expected: null } };
+  }
+  return request;
+}
+
+export function spoilPersist(request: PersistRequest, sabotage: Active): PersistRequest {
+  if (sabotage === 'vote-not-kept') {
+    const { hardState: _dropped, ...rest } = request;
+    return rest;
+  }
+  const { snapshot } = request;
+  const spoil = sabotage === null ? undefined : SPOILED_SNAPSHOTS[sabotage];
+  if (snapshot === undefined || spoil === undefined) {
+    return request;
+  }
+  return { ...request, snapshot: { ...snapshot, data: rewrite(snapshot.data, spoil) } };
+}
+
+/** The parts of a snapshot's document that are spoiled. */
+interface SnapshotParts {
+  readonly dedup: readonly unknown[];
+  readonly ledger: { readonly services: readonly { readonly ledger: object }[] };
+}
+
+/** What sabotages make of snapshots of the registry. */
+const SPOILED_SNAPSHOTS: Partial<Record<SabotageName, (document: SnapshotParts) => SnapshotParts>> = {
+  'dedup-lost-in-snapshot': (document) => ({ ...document, dedup: [] }),
+  'ledger-lost-in-snapshot': (document) => ({
+    ...document,
+    ledger: {
+      services: document.ledger.services.map((entry) => ({
+        ...entry,
+        ledger: { ...entry.ledger, records: [] },
+      })),
+    },
+  }),
+};
+
+function rewrite(data: Uint8Array, spoil: (document: SnapshotParts) => SnapshotParts): Uint8Array {
+  const document = JSON.parse(gunzipSync(data).toString()) as SnapshotParts;
+  return gzipSync(JSON.stringify(spoil(document)));
+}
+
+export function spoilRouterMessage(message: ControlToRouter, control: SimControl): ControlToRouter {
+  if (message.type !== 'sync-response') {
+    return message;
+  }
+  switch (control.sabotage) {
+    case 'sync-without-quorum':
+      return { ...message, confirmed: true };
+    case 'drain-ignored':
+      return withoutLeaving(message);
+    default:
+      return message;
+  }
+}
+
+function withoutLeaving(response: SyncResponse): SyncResponse {
+  const stay = (record: UpstreamRecord): UpstreamRecord => ({
+    ...record,
+    definition: { ...record.definition, leaving: false },
+  });
+  const { snapshot, delta } = response;
+  return {
+    ...response,
+    snapshot: snapshot && { ...snapshot, upstreams: snapshot.upstreams.map(stay) },
+    delta: delta && {
+      ...delta,
+      changes: delta.changes.map((change) =>
+        change.type === 'upstream' && change.record !== null
+          ? { ...change, record: stay(change.record) }
+          : change,
+      ),
+    },
+  };
+}
+
+/** Revisions of a run which numbers changes by how many of them it answered. */
+export function spoilOperatorResponse(response: OperatorResponse, control: SimControl): OperatorResponse {
+  if (control.sabotage === 'wait-cut-short' && response.type === 'result') {
+    return { ...response, inForce: response.result.type === 'accepted' };
+  }
+  if (control.sabotage !== 'revision-by-count' || response.type !== 'result') {
+    return response;
+  }
+  if (response.result.type !== 'accepted') {
+    return response;
+  }
+  control.changesSeen += 1;
+  return { ...response, result: { type: 'accepted', revision: control.changesSeen } };
+}
--- /dev/null
+++ b/src/dev/sim/faults/fault-plan.ts
@@ -0,0 +1,43 @@
+/** All kinds of faults, and the plan of one run: which ones come when, often two at a time. */
+import type { Random } from '../random.js';
+import { DISK_FAULTS } from './disk-faults.js';
+import type { FaultKind } from './fault.js';
+import { NETWORK_FAULTS } from './network-faults.js';
+import { PROCESS_FAULTS } from './process-faults.js';
+
+export const FAULT_KINDS: readonly FaultKind[] = [...NETWORK_FAULTS, ...PROCESS_FAULTS, ...DISK_FAULTS];
+
+const FEWEST_FAULTS = 2;
+const MOST_FAULTS = 6;
+/** Share of faults that come right after the one before, while it lasts. */
+const TOGETHER_SHARE = 0.5;
+const TOGETHER_MILLIS = 400;
+
+export interface PlannedFault {
+  readonly kind: FaultKind;
+  /** Since the faults begin. */
+  readonly at: number;
+  readonly lasts: number;
+}
+
+/** Draws the faults of a run that begin within `windowMillis`. */
+export function planFaults(
+  kinds: readonly FaultKind[],
+  windowMillis: number,
+  random: Random,
+): PlannedFault[] {
+  if (kinds.length === 0) {
+    return [];
+  }
+  const plan: PlannedFault[] = [];
+  const count = random.integer(FEWEST_FAULTS, MOST_FAULTS);
+  let last = 0;
+  for (let number = 0; number < count; number += 1) {
+    const kind = random.pick(kinds);
+    const isTogether = number > 0 && random.chance(TOGETHER_SHARE);
+    const at = isTogether ? last + random.between(0, TOGETHER_MILLIS) : random.between(0, windowMillis);
+    last = Math.min(at, windowMillis);
+    plan.push({ kind, at: last, lasts: random.between(...kind.lasts) });
+  }
+  return plan;
+}
--- a/src/dev/sim/network.ts
+++ b/src/dev/sim/network.ts
@@ -28,6 +28,8 @@
   readonly to: string;
 }
 
+/** Where callers and operators are. */
+export const CLIENT_ZONE = 'clients';
 /** Relative jitter of latencies. */
 const JITTER = 0.4;
 
@@ -71,14 +73,15 @@
 
   /** A sample of the latency one way, late messages included. */
   latency(from: SimProcess, to: SimProcess): number {
-    const { sameZoneMillis, betweenZonesMillis } = this.timings;
-    const base = from.zone === to.zone ? sameZoneMillis : betweenZonesMillis;
-    return this.withDelay(base);
+    return this.withDelay(this.baseLatency(from.zone, to.zone));
   }
 
-  /** A sample of the latency between a caller and a router. */
-  clientLatency(): number {
-    return this.withDelay(this.timings.clientMillis);
+  private baseLatency(from: string, to: string): number {
+    const { sameZoneMillis, betweenZonesMillis, clientMillis } = this.timings;
+    if (from === CLIENT_ZONE || to === CLIENT_ZONE) {
+      return clientMillis;
+    }
+    return from === to ? sameZoneMillis : betweenZonesMillis;
   }
 
   /** Sends a message that may be lost, doubled, late and overtaken. */
--- /dev/null
+++ b/src/dev/sim/recovery.ts
@@ -0,0 +1,62 @@
+/** Whether the system is whole again: keys have owners, services answer, operators can change things. */
+
+import type { Simulation } from './simulation.js';
+import type { SimUpstream } from './upstream/sim-upstream.js';
+
+/** Bound on the time from the loss of a server to new owners of its keys. */
+const NEW_OWNER_MILLIS = 3000;
+/** The bound is looked at only if no other fault was under way so shortly before. */
+const CALM_BEFORE_MILLIS = 2500;
+
+/** Looks, 3 s after a loss in calm conditions, whether what the lost server held has other owners. */
+export function expectNewOwners(simulation: Simulation, lost: SimUpstream): void {
+  const { time, activeFaults, lastFaultEnd } = simulation;
+  const isCalm =
+    activeFaults === 0 && time.now - lastFaultEnd >= CALM_BEFORE_MILLIS && simulation.leader() !== undefined;
+  const keys = lost.service.keys.filter((key) => lost.holdingOf(key) !== null);
+  if (!isCalm || simulation.isRepairing) {
+    return;
+  }
+  time.after(NEW_OWNER_MILLIS, () => {
+    if (simulation.activeFaults > 1 || simulation.lastFaultEnd > lastFaultEnd) {
+      return;
+    }
+    const orphan = keys.find((key) => ownersOf(simulation, lost, key) === 0);
+    simulation.recorder.count('new owners within 3 s looked at');
+    simulation.recorder.record({
+      type: 'recovery-observed',
+      at: time.now,
+      subject: `key ${orphan ?? ''} of ${lost.id} after its loss`,
+      recovered: orphan === undefined,
+    });
+  });
+}
+
+/** Looks at every key now, and at what callers and operators get in the time after. */
+export function observeRecovery(simulation: Simulation, watchMillis: number): void {
+  const { recorder, time, upstreams } = simulation;
+  const observe = (subject: string, recovered: boolean): void =>
+    recorder.record({ type: 'recovery-observed', at: time.now, subject, recovered });
+  for (const service of simulation.sizes.services) {
+    const first = upstreams.find((upstream) => upstream.service === service) as SimUpstream;
+    for (const key of service.keys) {
+      observe(`owner of ${service.definition.name}/${key}`, ownersOf(simulation, first, key) === 1);
+    }
+  }
+  const before = new Map(recorder.operations);
+  time.after(watchMillis - 1, () => {
+    const grew = (name: string): boolean => (recorder.operations.get(name) ?? 0) > (before.get(name) ?? 0);
+    for (const { definition } of simulation.sizes.services) {
+      observe(`service ${definition.name}`, grew(`answered ${definition.name}`));
+    }
+    observe('changes', grew('change accepted') || grew('change accepted in force'));
+    for (const router of simulation.routers) {
+      observe(router.name, router.status()?.serving ?? false);
+    }
+  });
+}
+
+function ownersOf(simulation: Simulation, peer: SimUpstream, key: string): number {
+  const peers = simulation.upstreams.filter((upstream) => upstream.service === peer.service);
+  return peers.filter((upstream) => upstream.state === 'running' && upstream.holdingOf(key) !== null).length;
+}
--- /dev/null
+++ b/src/dev/sim/router/sim-router.ts
@@ -0,0 +1,276 @@
+/** A router: the router core on a simulated machine with its callers, its control members and its upstreams. */
+import { DEFAULT_CONFIG_LEASE_TIMINGS, type RouterToControl } from '../../../control/messages.js';
+import type { StoredAnswer } from '../../../ledger/types.js';
+import type { Address, Incarnation } from '../../../model/identifiers.js';
+import { createRouterNode } from '../../../routing/index.js';
+import type {
+  ArrivedRequest,
+  AttemptNumber,
+  AttemptResult,
+  RequestNumber,
+  RouterCore,
+  RouterEffect,
+  RouterInput,
+  RouterStatus,
+} from '../../../routing/types.js';
+import type { SendId } from '../../checker/history.js';
+import { SimProcess, TickTimer } from '../sim-process.js';
+import type { World } from '../world.js';
+import { ControlLine } from './control-line.js';
+import { SimAttempt } from './sim-attempt.js';
+import { spoilRefusal, spoilResult, spoilToControl } from './spoil-router.js';
+import { UpstreamConnections } from './upstream-connections.js';
+
+const CLAIM_TIMEOUT_MILLIS = 1000;
+const STOP_CHECK_MILLIS = 10;
+/** Length of the configuration lease under sabotage. */
+const ENDLESS_LEASE_MILLIS = 1_000_000;
+
+/** What a caller may be answered. */
+export type RouterAnswer =
+  | { readonly type: 'answer'; readonly ranFor: SendId; readonly content: string; readonly whole: boolean }
+  | { readonly type: 'refusal'; readonly outcome: 'not-run' | 'unknown' | 'ran'; readonly reason: string };
+
+/** A caller's request that waits for its answer. */
+export interface Exchange {
+  readonly send: SendId;
+  readonly content: string;
+  readonly answer: (answer: RouterAnswer) => void;
+}
+
+type Dispatch = Extract<RouterEffect, { readonly type: 'dispatch' }>;
+
+export class SimRouter extends SimProcess {
+  /** Takes no new callers, ends when the ones that it has are answered. */
+  isStopping = false;
+  private core: RouterCore | null = null;
+  private timer: TickTimer | null = null;
+  private incarnation: Incarnation = '';
+  private lines = new Map<Address, ControlLine>();
+  private pools: UpstreamConnections;
+  private readonly exchanges = new Map<RequestNumber, Exchange>();
+  private readonly attempts = new Map<AttemptNumber, SimAttempt>();
+  private plannedRun = 0;
+  private nextRequest = 1;
+  private judgedRevision = 0;
+
+  constructor(
+    readonly world: World,
+    readonly number: number,
+    zone: string,
+  ) {
+    super(`router-${number}`, zone, world.time, world.makeClock(), world.makeRandom());
+    this.pools = new UpstreamConnections(world, this);
+  }
+
+  status(): RouterStatus | null {
+    return this.core?.status() ?? null;
+  }
+
+  /** Whether this run ended, or is to end, by a planned stop. */
+  endedByPlan(run: number): boolean {
+    return this.plannedRun === run;
+  }
+
+  /** Planned stop: takes nothing new, ends once everything is answered. */
+  stopByPlan(): void {
+    this.plannedRun = this.run;
+    this.isStopping = true;
+    if (this.world.sabotage === 'planned-stop-cuts') {
+      this.crash();
+      return;
+    }
+    this.stopWhenIdle();
+  }
+
+  /** A new run after a planned stop; one that is still stopping goes on as if nothing had been. */
+  startAfterStop(): void {
+    if (this.state === 'stopped') {
+      this.start();
+    }
+    this.isStopping = false;
+  }
+
+  private stopWhenIdle(): void {
+    if (!this.isStopping) {
+      return;
+    }
+    if (this.exchanges.size === 0 && this.attempts.size === 0 && (this.status()?.inFlight ?? 0) === 0) {
+      this.world.recorder.count('planned stop of a router');
+      this.crash();
+      return;
+    }
+    this.schedule(STOP_CHECK_MILLIS, () => this.stopWhenIdle());
+  }
+
+  get openRequests(): number {
+    return this.exchanges.size;
+  }
+
+  input(input: RouterInput): void {
+    if (this.core === null) {
+      return;
+    }
+    for (const effect of this.core.step(input, this.clock.monotonic(), this.clock.wall())) {
+      this.carryOut(effect);
+    }
+    this.judgeRevision();
+    this.timer?.arm(this.core.nextDeadline());
+  }
+
+  /** Takes a caller's request; gives its number, for `cancel`. */
+  accept(request: Omit<ArrivedRequest, 'request'>, exchange: Exchange): RequestNumber {
+    const number = this.nextRequest;
+    this.nextRequest += 1;
+    this.exchanges.set(number, exchange);
+    this.input({ type: 'request', request: { ...request, request: number } });
+    return number;
+  }
+
+  /** The caller went away. */
+  cancel(request: RequestNumber): void {
+    if (this.exchanges.delete(request)) {
+      this.input({ type: 'request-cancelled', request });
+    }
+  }
+
+  attemptEnded(number: AttemptNumber, result: AttemptResult): void {
+    this.world.recorder.count(`attempt ${result.type}`);
+    if (result.type !== 'answered') {
+      this.attempts.delete(number);
+    }
+    this.input({ type: 'attempt-ended', attempt: number, result: spoilResult(result, this.world.sabotage) });
+    this.attempts.delete(number);
+  }
+
+  protected onStart(): void {
+    const { world } = this;
+    this.incarnation = `${this.name}/${this.run}`;
+    this.isStopping = false;
+    this.judgedRevision = 0;
+    const configLease =
+      world.sabotage === 'config-lease-ignored'
+        ? { ...DEFAULT_CONFIG_LEASE_TIMINGS, configLeaseMillis: ENDLESS_LEASE_MILLIS }
+        : DEFAULT_CONFIG_LEASE_TIMINGS;
+    this.core = createRouterNode({
+      router: this.name,
+      incarnation: this.incarnation,
+      zone: this.zone,
+      seed: this.random.integer(1, 0x3fffffff),
+      control: world.controls.map((control) => control.address),
+      configLease,
+      claimTimeoutMillis: CLAIM_TIMEOUT_MILLIS,
+    });
+    this.pools = new UpstreamConnections(world, this);
+    this.timer = new TickTimer(this, () => this.input({ type: 'tick' }));
+    for (const control of world.controls) {
+      const line = new ControlLine(world, this, control);
+      this.lines.set(control.address, line);
+      line.open();
+    }
+    this.input({ type: 'tick' });
+  }
+
+  protected onStop(): void {
+    this.core = null;
+    this.lines.clear();
+    this.exchanges.clear();
+    this.attempts.clear();
+  }
+
+  private carryOut(effect: RouterEffect): void {
+    const { world } = this;
+    switch (effect.type) {
+      case 'send-control':
+        this.sendControl(effect.to, effect.message);
+        return;
+      case 'dispatch':
+        this.dispatch(effect);
+        return;
+      case 'cancel-attempt':
+        this.attempts.get(effect.attempt)?.cancel();
+        return;
+      case 'deliver':
+        this.deliver(effect.request, effect.attempt);
+        return;
+      case 'deliver-stored':
+        this.answer(effect.request, storedAnswer(effect.answer));
+        return;
+      case 'refuse': {
+        const { outcome, reason } = spoilRefusal(effect, world.sabotage);
+        this.answer(effect.request, { type: 'refusal', outcome, reason });
+        return;
+      }
+      case 'log':
+        world.recorder.count(`router ${effect.event}`);
+    }
+  }
+
+  private sendControl(to: Address, message: RouterToControl): void {
+    this.lines.get(to)?.send(spoilToControl(message, this.world.sabotage));
+  }
+
+  private dispatch(effect: Dispatch): void {
+    const exchange = this.exchanges.get(effect.request);
+    if (exchange === undefined) {
+      this.schedule(0, () => this.attemptEnded(effect.attempt, { type: 'connect-failed' }), true);
+      return;
+    }
+    this.world.recorder.record({
+      type: 'request-dispatched',
+      at: this.time.now,
+      send: exchange.send,
+      router: this.incarnation,
+      revision: this.core?.status().revision ?? 0,
+      upstream: effect.upstream,
+    });
+    const frame = {
+      requestId: `${this.incarnation}.${effect.attempt}`,
+      send: exchange.send,
+      content: exchange.content,
+      credentials: effect.credentials,
+    };
+    const attempt = new SimAttempt(this, effect.attempt, frame);
+    this.attempts.set(effect.attempt, attempt);
+    this.pools.start(attempt, effect.address);
+  }
+
+  private deliver(request: RequestNumber, number: AttemptNumber): void {
+    const answer = this.attempts.get(number)?.answer;
+    if (answer === undefined) {
+      throw new Error(`${this.name}: nothing to deliver of attempt ${number}`);
+    }
+    this.answer(request, { type: 'answer', ...answer });
+  }
+
+  private answer(request: RequestNumber, answer: RouterAnswer): void {
+    const exchange = this.exchanges.get(request);
+    this.exchanges.delete(request);
+    exchange?.answer(answer);
+  }
+
+  private judgeRevision(): void {
+    const revision = this.core?.status().revision ?? 0;
+    if (revision !== this.judgedRevision) {
+      this.judgedRevision = revision;
+      this.world.recorder.record({
+        type: 'router-revision',
+        at: this.time.now,
+        router: this.incarnation,
+        revision,
+      });
+    }
+  }
+}
+
+/** What the ledger kept names the sending that ran; a body that wasn't kept only says that it ran. */
+function storedAnswer(stored: StoredAnswer): RouterAnswer {
+  if (stored.truncated) {
+    return { type: 'refusal', outcome: 'ran', reason: 'answer-not-kept' };
+  }
+  const { ranFor, content } = JSON.parse(Buffer.from(stored.body, 'base64').toString()) as {
+    readonly ranFor: SendId;
+    readonly content: string;
+  };
+  return { type: 'answer', ranFor, content, whole: true };
+}
--- /dev/null
+++ b/src/dev/sim/router/spoil-router.ts
@@ -0,0 +1,22 @@
+/** Sabotages of routers, applied where the simulated shell hands things to the core or takes them from it. */
+import type { RouterToControl } from '../../../control/messages.js';
+import type { AttemptResult, RouterEffect } from '../../../routing/types.js';
+import type { SabotageName } from '../sabotages.js';
+
+type Active = SabotageName | null;
+type Refuse = Extract<RouterEffect, { readonly type: 'refuse' }>;
+
+export function spoilResult(result: AttemptResult, sabotage: Active): AttemptResult {
+  const isInDoubt = result.type === 'broken' || result.type === 'cancelled';
+  return sabotage === 'retry-after-send' && isInDoubt ? { type: 'connect-failed' } : result;
+}
+
+export function spoilRefusal(refusal: Refuse, sabotage: Active): Refuse {
+  const isInDoubt = refusal.outcome === 'unknown';
+  return sabotage === 'unknown-told-as-not-run' && isInDoubt ? { ...refusal, outcome: 'not-run' } : refusal;
+}
+
+export function spoilToControl(message: RouterToControl, sabotage: Active): RouterToControl {
+  const isInDoubt = message.type === 'settle-request' && message.outcome === 'unknown';
+  return sabotage === 'claim-released-in-doubt' && isInDoubt ? { ...message, outcome: 'not-run' } : message;
+}
--- a/src/dev/sim/sim-process.ts
+++ b/src/dev/sim/sim-process.ts
@@ -1,4 +1,5 @@
 /** What all simulated processes share: they run, pause with their work piling up, crash, and start again. */
+import type { Connection } from './connection.js';
 import type { Random } from './random.js';
 import type { CancelEvent, ProcessClock, VirtualClock } from './virtual-clock.js';
 
@@ -10,6 +11,8 @@
 const RESUME_SPREAD_SHARE = 0.25;
 
 export abstract class SimProcess {
+  /** Open connections of this run. */
+  readonly connections = new Set<Connection>();
   private processState: ProcessState = 'stopped';
   private runNumber = 0;
   private backlog: { readonly task: () => void; readonly ordered: boolean }[] = [];
@@ -42,13 +45,18 @@
     this.onStart();
   }
 
-  /** Ends the run at once; memory is lost. */
-  crash(): void {
+  /** Ends the run at once; memory is lost. `silent`: the whole machine is gone, so nobody's connection is closed. */
+  crash(silent = false): void {
     if (this.processState === 'stopped') {
       return;
     }
     this.processState = 'stopped';
     this.backlog = [];
+    const open = [...this.connections];
+    this.connections.clear();
+    for (const connection of silent ? [] : open) {
+      connection.close(this);
+    }
     this.onStop();
   }
 
--- /dev/null
+++ b/src/dev/sim/simulation.ts
@@ -0,0 +1,246 @@
+/** One run: the system is declared, serves callers and operators, suffers its faults, and has to recover. */
+import type { ReplicaId } from '../../model/identifiers.js';
+import type { Violation } from '../checker/rule.js';
+import { SimCaller } from './clients/sim-caller.js';
+import { SimOperator } from './clients/sim-operator.js';
+import { controlAddress, replicaName, SimControl } from './control/sim-control.js';
+import type { FaultKind } from './faults/fault.js';
+import { planFaults } from './faults/fault-plan.js';
+import { Network } from './network.js';
+import { Random } from './random.js';
+import { Recorder } from './recorder.js';
+import { expectNewOwners, observeRecovery } from './recovery.js';
+import { SimRouter } from './router/sim-router.js';
+import type { SabotageName } from './sabotages.js';
+import type { SimSizes } from './sim-sizes.js';
+import { SimUpstream } from './upstream/sim-upstream.js';
+import { ProcessClock, SINGLE_CLOCK_RATE_ERROR, VirtualClock } from './virtual-clock.js';
+import type { World } from './world.js';
+
+export interface SimulationOptions {
+  readonly seed: number;
+  readonly sizes: SimSizes;
+  readonly faults: readonly FaultKind[];
+  readonly sabotage: SabotageName | null;
+  readonly trace: ((line: string) => void) | null;
+}
+
+export interface SimulationResult {
+  readonly seed: number;
+  readonly hash: string;
+  readonly violations: readonly Violation[];
+  readonly operations: ReadonlyMap<string, number>;
+  readonly faults: ReadonlyMap<string, number>;
+}
+
+/** When faults begin, how long new ones come, and when the last one is over. */
+const FAULTS_FROM_MILLIS = 4000;
+const FAULT_WINDOW_MILLIS = 7000;
+const FAULTS_END_MILLIS = 14_000;
+/** Time that the system has to be whole again, and how long it is then watched. */
+const RECOVERY_MILLIS = 6000;
+const WATCH_MILLIS = 2000;
+const CALLERS = 5;
+const OPERATORS = 3;
+const ROUTERS = 3;
+const LARGE_CLUSTER_SHARE = 0.25;
+const LONGEST_OFFSET_MILLIS = 1_000_000;
+const LONGEST_SKEW_MILLIS = 300;
+const REPAIR_RETRY_MILLIS = 100;
+
+export class Simulation implements World {
+  readonly time = new VirtualClock();
+  readonly network: Network;
+  readonly recorder: Recorder;
+  readonly sizes: SimSizes;
+  readonly sabotage: SabotageName | null;
+  readonly controls: SimControl[] = [];
+  readonly routers: SimRouter[] = [];
+  readonly upstreams: SimUpstream[] = [];
+  readonly faultRandom: Random;
+  /** Faults that are under way, and when the last one ended. */
+  activeFaults = 0;
+  lastFaultEnd = 0;
+  isRepairing = false;
+  private readonly callers: SimCaller[] = [];
+  private readonly operators: SimOperator[] = [];
+  private readonly random: Random;
+  private numbers = 0;
+  private markers = 0;
+
+  constructor(private readonly options: SimulationOptions) {
+    this.sizes = options.sizes;
+    this.sabotage = options.sabotage;
+    this.random = new Random(options.seed);
+    this.faultRandom = this.makeRandom();
+    this.network = new Network(this.time, options.sizes.network, this.makeRandom());
+    this.recorder = new Recorder(this.time, options.trace);
+    this.populate();
+  }
+
+  run(): SimulationResult {
+    const end = FAULTS_END_MILLIS + RECOVERY_MILLIS + WATCH_MILLIS;
+    for (const process of this.processes()) {
+      process.start();
+    }
+    this.firstOperator().declare();
+    this.scheduleFaults();
+    this.time.at(FAULTS_END_MILLIS, () => this.endFaults());
+    this.time.at(FAULTS_END_MILLIS + RECOVERY_MILLIS, () => observeRecovery(this, WATCH_MILLIS));
+    this.time.runUntil(end, () => this.recorder.violations.length > 0);
+    const hash = this.recorder.finish();
+    const { violations, operations, faults } = this.recorder;
+    return { seed: this.options.seed, hash, violations, operations, faults };
+  }
+
+  makeClock(): ProcessClock {
+    const { random } = this;
+    const rate = 1 + random.between(-SINGLE_CLOCK_RATE_ERROR, SINGLE_CLOCK_RATE_ERROR);
+    const skew = random.between(-LONGEST_SKEW_MILLIS, LONGEST_SKEW_MILLIS);
+    return new ProcessClock(this.time, random.between(0, LONGEST_OFFSET_MILLIS), rate, skew);
+  }
+
+  makeRandom(): Random {
+    return this.random.fork();
+  }
+
+  nextNumber(): number {
+    this.numbers += 1;
+    return this.numbers;
+  }
+
+  nextMarker(): number {
+    this.markers += 1;
+    return this.markers;
+  }
+
+  /** The member that leads, if one runs that says so; the one of the highest term if several do. */
+  leader(): SimControl | undefined {
+    const leaders = this.controls.filter((control) => control.leads());
+    return leaders.sort((one, other) => (other.status()?.term ?? 0) - (one.status()?.term ?? 0))[0];
+  }
+
+  firstOperator(): SimOperator {
+    return this.operators[0] as SimOperator;
+  }
+
+  raceOperators(): void {
+    const subject = this.faultRandom.pick(this.sizes.services).definition.name;
+    for (const operator of this.operators) {
+      operator.raceFor(subject);
+    }
+  }
+
+  /** A server that owns keys is lost now. */
+  expectNewOwners(lost: SimUpstream): void {
+    expectNewOwners(this, lost);
+  }
+
+  /** Planned stop of a server: marked as leaving, emptied, then ended. */
+  stopUpstream(upstream: SimUpstream): void {
+    upstream.isStopping = true;
+    this.firstOperator().applyUpstream(upstream, true, null);
+    upstream.stopWhenEmpty();
+  }
+
+  returnUpstream(upstream: SimUpstream): void {
+    upstream.isStopping = false;
+    upstream.start();
+    this.firstOperator().applyUpstream(upstream, false, null);
+  }
+
+  /** Has the new replica on a machine put in the place of the one whose disk was lost. */
+  repair(oldReplica: ReplicaId, control: SimControl, repaired: () => void): void {
+    if (this.sabotage === 'replica-id-reused') {
+      return;
+    }
+    this.isRepairing = true;
+    const { replica: newReplica, address } = control;
+    const done = (): void => {
+      this.isRepairing = false;
+      this.recorder.count('replica replaced');
+      repaired();
+    };
+    if (this.sabotage === 'replacement-never-made') {
+      this.time.after(REPAIR_RETRY_MILLIS, done);
+      return;
+    }
+    this.firstOperator().ask({ type: 'replace-replica', oldReplica, newReplica, address }, (response) => {
+      if (response.type === 'membership' && response.repaired) {
+        done();
+      } else {
+        this.time.after(REPAIR_RETRY_MILLIS, () => this.repair(oldReplica, control, repaired));
+      }
+    });
+  }
+
+  private processes() {
+    return [...this.controls, ...this.upstreams, ...this.routers, ...this.callers, ...this.operators];
+  }
+
+  private populate(): void {
+    const members = this.random.chance(LARGE_CLUSTER_SHARE) ? 5 : 3;
+    const numbers = Array.from({ length: members }, (_, index) => index + 1);
+    const voters = numbers.map((number) => replicaName(number, 1));
+    const addresses = Object.fromEntries(
+      numbers.map((number) => [replicaName(number, 1), controlAddress(number)]),
+    );
+    const membership = { voters, outgoingVoters: [], learners: [], addresses };
+    for (const number of numbers) {
+      this.controls.push(new SimControl(this, number, this.zone(number), membership));
+    }
+    for (const service of this.sizes.services) {
+      for (let index = 0; index < service.template.count; index += 1) {
+        const number = this.upstreams.length + 1;
+        this.upstreams.push(new SimUpstream(this, number, this.zone(number), service));
+      }
+    }
+    for (let number = 1; number <= ROUTERS; number += 1) {
+      this.routers.push(new SimRouter(this, number, this.zone(number)));
+    }
+    for (let number = 1; number <= CALLERS; number += 1) {
+      this.callers.push(new SimCaller(this, number));
+    }
+    for (let number = 1; number <= OPERATORS; number += 1) {
+      this.operators.push(new SimOperator(this, number));
+    }
+  }
+
+  private zone(number: number): string {
+    return this.sizes.zones[number % this.sizes.zones.length] as string;
+  }
+
+  private scheduleFaults(): void {
+    const plan = planFaults(this.options.faults, FAULT_WINDOW_MILLIS, this.faultRandom);
+    for (const { kind, at, lasts } of plan) {
+      this.time.at(FAULTS_FROM_MILLIS + at, () => this.inject(kind, lasts));
+    }
+  }
+
+  private inject(kind: FaultKind, lasts: number): void {
+    const injected = kind.inject(this, this.faultRandom);
+    if (injected === null) {
+      return;
+    }
+    this.activeFaults += 1;
+    this.recorder.fault(kind.name, injected.detail);
+    this.time.at(Math.min(this.time.now + lasts, FAULTS_END_MILLIS), () => {
+      injected.heal();
+      this.activeFaults -= 1;
+      this.lastFaultEnd = this.time.now;
+      this.recorder.note({ healed: kind.name, at: this.time.now });
+    });
+  }
+
+  private endFaults(): void {
+    this.network.heal();
+    for (const process of this.processes()) {
+      process.resume();
+      process.start();
+    }
+    for (const upstream of this.upstreams) {
+      upstream.badAnswers = 0;
+    }
+    this.firstOperator().undrainAll();
+  }
+}
--- /dev/null
+++ b/src/dev/sim/upstream/sim-upstream.ts
@@ -0,0 +1,283 @@
+/** A server that embeds the fence: takes grants, lets requests in, works on them, and takes effect only while it may. */
+import { createGrantHolder, type GrantHolder, type Ticket } from '../../../lease/index.js';
+import type { FenceCredentials, FenceRefusal, SessionAnswer, SessionRequest } from '../../../lease/types.js';
+import type { Epoch, Incarnation, ShardId, UpstreamId } from '../../../model/identifiers.js';
+import { shardOfKey } from '../../../model/key-map.js';
+import type { KeyHolder } from '../../checker/history.js';
+import { SimProcess } from '../sim-process.js';
+import type { SizedService } from '../sim-sizes.js';
+import type { World } from '../world.js';
+import type { AttemptFrame, ReplyToAttempt } from './attempt-frame.js';
+import { observeHolders } from './observe-holders.js';
+import { sendAnswer } from './send-answer.js';
+
+/** Requests that wait for a slot; more are shed. */
+const QUEUE_LIMIT = 20;
+const WARM_MILLIS = 15;
+const STOP_CHECK_MILLIS = 10;
+/** Ports of addresses carry the markers of changes. */
+export const PORT_BASE = 10_000;
+
+/** A request that was let in. */
+interface Work {
+  readonly frame: AttemptFrame;
+  readonly reply: ReplyToAttempt;
+  readonly ticket: Ticket | null;
+  aborted: boolean;
+}
+
+export class SimUpstream extends SimProcess {
+  readonly id: UpstreamId;
+  /** The machine is gone: nobody answers that the port is closed. */
+  isSilent = false;
+  /** Share of answers that are broken: cut in the middle or sent twice. */
+  badAnswers = 0;
+  /** A planned stop was asked for. */
+  isStopping = false;
+  readonly maps = new Map<number, SessionRequest['keyMap'] & object>();
+  private holder: GrantHolder | null = null;
+  private incarnation: Incarnation = '';
+  private readonly epochs = new Map<ShardId, Epoch>();
+  private readonly waiting: Work[] = [];
+  private readonly running = new Set<Work>();
+
+  constructor(
+    private readonly world: World,
+    readonly number: number,
+    zone: string,
+    readonly service: SizedService,
+  ) {
+    super(`upstream-${number}`, zone, world.time, world.makeClock(), world.makeRandom());
+    this.id = `${service.definition.name}-${number}`;
+  }
+
+  /** Host of its address; the port carries the marker of a change. */
+  get host(): string {
+    return `127.1.0.${this.number}`;
+  }
+
+  address(marker: number): string {
+    return `${this.host}:${PORT_BASE + marker}`;
+  }
+
+  get inFlight(): number {
+    return this.waiting.length + this.running.size;
+  }
+
+  /** Takes a leader's message. */
+  takeSession(request: SessionRequest): SessionAnswer | null {
+    if (this.holder === null) {
+      return null;
+    }
+    const answer = this.holder.handleSession(this.spoil(request), this.clock.monotonic());
+    if (answer.refused === null && request.keyMap !== null) {
+      this.maps.set(request.keyMap.generation, request.keyMap);
+    }
+    this.takeHolderEvents();
+    observeHolders(this.world, this);
+    return answer;
+  }
+
+  /** Takes a request of a router. */
+  takeAttempt(frame: AttemptFrame, reply: ReplyToAttempt): void {
+    const admitted = this.admit(frame);
+    if (typeof admitted === 'string') {
+      reply.refuse(admitted);
+      return;
+    }
+    const work: Work = { frame, reply, ticket: admitted, aborted: false };
+    this.waiting.push(work);
+    this.startWaiting();
+  }
+
+  /** The router closed the connection of this attempt. */
+  abort(frame: AttemptFrame): void {
+    const isIts = (work: Work): boolean => work.frame === frame;
+    const work = this.waiting.find(isIts) ?? [...this.running].find(isIts);
+    if (work !== undefined) {
+      work.aborted = true;
+    }
+  }
+
+  /** Shards that it was granted and didn't give up. */
+  grantedShards(): ShardId[] {
+    return [...this.epochs.keys()];
+  }
+
+  /** Whether its fence would, at this instant, let in a request for the key or let one take effect. */
+  holdingOf(key: string): KeyHolder | null {
+    const epoch = this.state === 'stopped' ? null : (this.admittingEpoch(key) ?? this.effectiveEpoch(key));
+    return epoch === null ? null : { upstream: this.id, incarnation: this.incarnation, epoch };
+  }
+
+  /** Planned stop: ends once its shards are given up and nothing is left to do. */
+  stopWhenEmpty(): void {
+    if (!this.isStopping) {
+      return;
+    }
+    const isEmpty = this.epochs.size === 0 && this.inFlight === 0 && this.holder?.status(0).draining;
+    if (isEmpty) {
+      this.world.recorder.count('planned stop of an upstream');
+      this.crash();
+      return;
+    }
+    this.schedule(STOP_CHECK_MILLIS, () => this.stopWhenEmpty());
+  }
+
+  protected onStart(): void {
+    if (this.world.sabotage !== 'incarnation-reused' || this.incarnation === '') {
+      this.incarnation = `${this.id}/${this.run}`;
+    }
+    this.isSilent = false;
+    this.isStopping = false;
+    this.holder = createGrantHolder({ cluster: null, upstream: this.id, incarnation: this.incarnation });
+  }
+
+  protected onStop(): void {
+    this.holder = null;
+    this.epochs.clear();
+    this.waiting.splice(0);
+    this.running.clear();
+  }
+
+  private admit(frame: AttemptFrame): Ticket | null | FenceRefusal {
+    const { holder } = this;
+    if (holder === null || this.inFlight >= QUEUE_LIMIT) {
+      return 'overloaded';
+    }
+    const now = this.clock.monotonic();
+    if (frame.credentials === null) {
+      return holder.status(now).draining ? 'draining' : null;
+    }
+    const admission = holder.admit(frame.credentials, now);
+    if (admission.type === 'admitted') {
+      return admission.ticket;
+    }
+    return admission.refusal === 'lease-over' ? this.admitUnleased(frame.credentials) : admission.refusal;
+  }
+
+  private admitUnleased(credentials: FenceCredentials): Ticket | FenceRefusal {
+    if (
+      this.world.sabotage !== 'no-fence-at-start' ||
+      this.epochs.get(credentials.shard) !== credentials.epoch
+    ) {
+      return 'lease-over';
+    }
+    return { number: -1, shard: credentials.shard, epoch: credentials.epoch };
+  }
+
+  private startWaiting(): void {
+    const { slots, serviceMillis } = this.service.template;
+    while (this.running.size < slots) {
+      const work = this.waiting.shift();
+      if (work === undefined) {
+        return;
+      }
+      this.running.add(work);
+      this.schedule(this.random.exponential(serviceMillis), () => this.finish(work));
+    }
+  }
+
+  private finish(work: Work): void {
+    this.running.delete(work);
+    const { frame, reply, ticket } = work;
+    if (this.mayTakeEffect(work)) {
+      this.takeEffect(work);
+      sendAnswer(frame, reply, this.random, this.badAnswers, this.inFlight);
+    } else {
+      reply.refuse('lease-over');
+    }
+    if (ticket !== null) {
+      this.holder?.finish(ticket, this.clock.monotonic());
+      this.takeHolderEvents();
+    }
+    this.startWaiting();
+  }
+
+  private mayTakeEffect({ ticket, aborted }: Work): boolean {
+    if (aborted) {
+      return false;
+    }
+    const isUnchecked = ticket?.number === -1 || this.world.sabotage === 'no-fence-at-effect';
+    return ticket === null || isUnchecked || this.confirms(ticket);
+  }
+
+  private confirms(ticket: Ticket): boolean {
+    return this.holder?.confirmEffect(ticket, this.clock.monotonic()) ?? false;
+  }
+
+  private takeEffect({ frame, ticket }: Work): void {
+    const { name } = this.service.definition;
+    this.world.recorder.count(`ran ${name}`);
+    this.world.recorder.record({
+      type: 'request-ran',
+      at: this.time.now,
+      send: frame.send,
+      upstream: this.id,
+      incarnation: this.incarnation,
+      key: ticket === null ? null : `${name}/${frame.credentials?.key}`,
+      epoch: ticket?.epoch ?? null,
+    });
+  }
+
+  private takeHolderEvents(): void {
+    const { holder, world } = this;
+    for (const event of holder?.takeEvents() ?? []) {
+      switch (event.type) {
+        case 'granted':
+          this.epochs.set(event.shard, event.epoch);
+          world.recorder.count('shard granted');
+          break;
+        case 'released':
+          this.epochs.delete(event.shard);
+          world.recorder.count('shard given up');
+          break;
+        case 'warm':
+          this.schedule(WARM_MILLIS, () => holder?.markWarmed(event.shard));
+          break;
+        default:
+      }
+    }
+  }
+
+  private admittingEpoch(key: string): Epoch | null {
+    for (const keyMap of this.maps.values()) {
+      const shard = shardOfKey(keyMap, key);
+      const epoch = shard === undefined ? undefined : this.epochs.get(shard);
+      if (shard !== undefined && epoch !== undefined && this.wouldAdmit(shard, epoch, key)) {
+        return epoch;
+      }
+    }
+    return null;
+  }
+
+  private wouldAdmit(shard: ShardId, epoch: Epoch, key: string): boolean {
+    const now = this.clock.monotonic();
+    const admission = this.holder?.admit({ shard, epoch, incarnation: this.incarnation, key }, now);
+    if (admission?.type !== 'admitted') {
+      return false;
+    }
+    this.holder?.finish(admission.ticket, now);
+    return true;
+  }
+
+  private effectiveEpoch(key: string): Epoch | null {
+    for (const { frame, ticket, aborted } of [...this.waiting, ...this.running]) {
+      const isOfKey = ticket !== null && frame.credentials?.key === key && !aborted;
+      if (isOfKey && this.confirms(ticket)) {
+        return ticket.epoch;
+      }
+    }
+    return null;
+  }
+
+  private spoil(request: SessionRequest): SessionRequest {
+    if (this.world.sabotage !== 'lease-from-receipt' || request.validUntil === null) {
+      return request;
+    }
+    return { ...request, validUntil: this.clock.monotonic() + LEASE_MILLIS };
+  }
+}
+
+/** Length of the lease that `lease-from-receipt` counts. */
+const LEASE_MILLIS = 1500;
--- /dev/null
+++ b/src/dev/sim/world.ts
@@ -0,0 +1,31 @@
+/** What all parts of one simulation share. */
+import type { SimControl } from './control/sim-control.js';
+import type { Network } from './network.js';
+import type { Random } from './random.js';
+import type { Recorder } from './recorder.js';
+import type { SimRouter } from './router/sim-router.js';
+import type { SabotageName } from './sabotages.js';
+import type { SimSizes } from './sim-sizes.js';
+import type { SimUpstream } from './upstream/sim-upstream.js';
+import type { ProcessClock, VirtualClock } from './virtual-clock.js';
+
+export interface World {
+  readonly time: VirtualClock;
+  readonly network: Network;
+  readonly recorder: Recorder;
+  readonly sizes: SimSizes;
+  readonly sabotage: SabotageName | null;
+  readonly controls: SimControl[];
+  readonly routers: SimRouter[];
+  readonly upstreams: SimUpstream[];
+  /** Stream of random numbers of the faults. */
+  readonly faultRandom: Random;
+  /** A clock with an offset, a rate error and a skew of its own. */
+  makeClock(): ProcessClock;
+  /** A stream of random numbers of its own. */
+  makeRandom(): Random;
+  /** A number that nothing else in this run has. */
+  nextNumber(): number;
+  /** A small number that no other change of this run has. */
+  nextMarker(): number;
+}
