--- a/src/dev/sim/clients/sim-operator.ts
+++ b/src/dev/sim/clients/sim-operator.ts
@@ -34,8 +34,10 @@
 type Answered = (response: OperatorResponse) => void;
 
 export class SimOperator extends SimProcess {
-  /** Set while only quiet operation is wanted. */
-  isIdle = false;
+  /** While everything is declared for the first time, no answer gets lost and nobody waits. */
+  private isDeclaring = false;
+  /** Makes only changes that move no keys. */
+  isQuiet = false;
 
   constructor(
     private readonly world: World,
@@ -44,13 +46,27 @@
     super(`operator-${number}`, CLIENT_ZONE, world.time, world.makeClock(), world.makeRandom());
   }
 
-  /** Declares everything that the deployment has. */
+  /** Declares everything that the deployment has, services first. */
   declare(): void {
+    this.isDeclaring = true;
+    let left = this.world.sizes.services.length;
     for (const { definition } of this.world.sizes.services) {
-      this.applyService(definition, null);
+      this.applyService(definition, null, () => {
+        left -= 1;
+        if (left === 0) {
+          this.declareUpstreams();
+        }
+      });
     }
+  }
+
+  private declareUpstreams(): void {
+    let left = this.world.upstreams.length;
     for (const upstream of this.world.upstreams) {
-      this.schedule(DECLARE_PAUSE_MILLIS, () => this.applyUpstream(upstream, false, null));
+      this.applyUpstream(upstream, false, null, () => {
+        left -= 1;
+        this.isDeclaring = left > 0;
+      });
     }
   }
 
@@ -96,11 +112,9 @@
 
   private think(): void {
     this.schedule(this.random.exponential(THINK_MILLIS), () => this.think());
-    if (!this.isIdle) {
-      this.ask({ type: this.random.chance(0.5) ? 'get-services' : 'get-upstreams' }, (response) =>
-        this.changeWhatWasRead(response),
-      );
-    }
+    this.ask({ type: this.random.chance(0.5) ? 'get-services' : 'get-upstreams' }, (response) =>
+      this.changeWhatWasRead(response),
+    );
   }
 
   private changeWhatWasRead(response: OperatorResponse): void {
@@ -115,7 +129,7 @@
 
   /** Now and then the keys are cut into another number of shards. */
   private altered({ definition }: ServiceRecord): ServiceDefinition {
-    if (!definition.keyed || !this.random.chance(REMAP_SHARE)) {
+    if (this.isQuiet || !definition.keyed || !this.random.chance(REMAP_SHARE)) {
       return definition;
     }
     const keyspaces = definition.keyspaces.map((keyspace) =>
@@ -129,7 +143,7 @@
     const { id, service, leaving } = record.definition;
     const peers = records.filter(({ definition }) => definition.service === service && definition.leaving);
     const upstream = this.world.upstreams.find((candidate) => candidate.id === id);
-    if (upstream !== undefined && (leaving || peers.length < MOST_LEAVING)) {
+    if (upstream !== undefined && !this.isQuiet && (leaving || peers.length < MOST_LEAVING)) {
       this.applyUpstream(upstream, !leaving, record.revision);
     }
   }
@@ -145,7 +159,7 @@
     this.change(command, { thing, marker: `#${marker}`, leaving: null, removed: false }, done);
   }
 
-  applyUpstream(upstream: SimUpstream, leaving: boolean, expected: number | null): void {
+  applyUpstream(upstream: SimUpstream, leaving: boolean, expected: number | null, done?: () => void): void {
     const marker = this.world.nextMarker();
     const definition: UpstreamDefinition = {
       id: upstream.id,
@@ -159,12 +173,13 @@
     this.change(
       { type: 'upstream-apply', definition, expected },
       { thing, marker: `#${marker}`, leaving, removed: false },
+      done,
     );
   }
 
   private change(command: OperatorCommand, value: ThingValue, done: () => void = () => {}): void {
     const requestId = `change-${this.world.nextNumber()}`;
-    const wait = this.random.chance(WAIT_SHARE);
+    const wait = this.random.chance(WAIT_SHARE) && !this.isDeclaring;
     const request: OperatorRequest = { type: 'command', requestId, actor: this.name, command, wait };
     const { expected } = command;
     const { recorder, time } = this.world;
@@ -212,7 +227,7 @@
     world.network.sendDatagram(this, control, () =>
       control.operate(request, (response) => {
         this.noteAnswer(request, response);
-        if (!this.random.chance(LOST_ANSWER_SHARE)) {
+        if (this.isDeclaring || !this.random.chance(LOST_ANSWER_SHARE)) {
           world.network.sendDatagram(control, this, () => take(response));
         }
       }),
@@ -244,9 +259,6 @@
   }
 }
 
-/** Upstreams are declared once their services are. */
-const DECLARE_PAUSE_MILLIS = 1500;
-
 function outcomeOf(result: CommandResult) {
   switch (result.type) {
     case 'accepted':
--- a/src/dev/sim/simulation.ts
+++ b/src/dev/sim/simulation.ts
@@ -241,6 +241,9 @@
     for (const upstream of this.upstreams) {
       upstream.badAnswers = 0;
     }
+    for (const operator of this.operators) {
+      operator.isQuiet = true;
+    }
     this.firstOperator().undrainAll();
   }
 }
