--- a/src/control/admin/middlewares.ts
+++ b/src/control/admin/middlewares.ts
@@ -62,6 +62,8 @@
       await next();
       return;
     }
+    // A request that is given up has no address any more.
+    const from = context.ip;
     let outcome = 'failed';
     let revision: number | null = null;
     try {
@@ -75,7 +77,7 @@
       const { operator, audit } = context.state;
       logger.info('operator-change', {
         actor: operator?.name ?? null,
-        from: context.ip,
+        from,
         method: context.method,
         path: context.path,
         action: audit?.action ?? null,
--- a/src/control/admin/request-body.ts
+++ b/src/control/admin/request-body.ts
@@ -12,13 +12,20 @@
   }
   const chunks: Buffer[] = [];
   let bytes = 0;
-  for await (const chunk of context.req) {
-    const buffer = chunk as Buffer;
-    bytes += buffer.length;
-    if (bytes > limit) {
-      throw tooLarge();
+  try {
+    for await (const chunk of context.req) {
+      const buffer = chunk as Buffer;
+      bytes += buffer.length;
+      if (bytes > limit) {
+        throw tooLarge();
+      }
+      chunks.push(buffer);
+    }
+  } catch (thrown) {
+    if (thrown instanceof AdminError) {
+      throw thrown;
     }
-    chunks.push(buffer);
+    throw new AdminError('invalid-request', 'the body ended early', {}, { cause: toError(thrown) });
   }
   return Buffer.concat(chunks);
 }
