--- a/src/cli/cli-error.ts
+++ b/src/cli/cli-error.ts
@@ -87,8 +87,11 @@
   'TERNMOUNT_LISTEN_FAILED',
   'TERNMOUNT_POLICY_INVALID',
   'TERNMOUNT_FOLDER_LOCKED',
+  'TERNMOUNT_FOLDER_UNUSABLE',
 ]);
 
+const REPLICA_LOST_CODE = 'TERNMOUNT_STORAGE_DAMAGED';
+
 /** Exit code for whatever ended a command. */
 export function exitCodeOf(thrown: unknown): ExitCode {
   if (thrown instanceof CliError) {
@@ -97,5 +100,8 @@
   if (thrown instanceof TernmountError && USAGE_CODES.has(thrown.code)) {
     return EXIT_CODES.usage;
   }
+  if (thrown instanceof TernmountError && thrown.code === REPLICA_LOST_CODE) {
+    return EXIT_CODES.replicaLost;
+  }
   return EXIT_CODES.failed;
 }
--- a/src/cli/commands/control-members.ts
+++ b/src/cli/commands/control-members.ts
@@ -1,4 +1,4 @@
-/** `control add-learner`, `control replace`, `control transfer` and `control snapshot`. */
+/** `control add`, `control add-learner`, `control replace`, `control transfer` and `control snapshot`. */
 import type { MembershipBody, StatusBody } from '../api-types.js';
 import { CliError } from '../cli-error.js';
 import { CLIENT_OPTIONS, createClient } from '../client-options.js';
@@ -73,6 +73,26 @@
   run: replace,
 };
 
+async function add(invocation: Invocation): Promise<ExitCode> {
+  const { options, io, positionals } = invocation;
+  const [replica = ''] = positionals;
+  const body = { replica, address: options.required('address') };
+  const client = createClient(options, io);
+  const answer = await client.change<MembershipBody>({ method: 'POST', path: '/v1/control/add', body });
+  const { voters } = answer.body.membership;
+  io.write(`${replica} votes; the cluster has ${voters.length} voters\n`);
+  return EXIT_CODES.ok;
+}
+
+export const controlAdd: CommandSpec = {
+  name: 'control add',
+  arguments: '<replica>',
+  summary: 'Take a new replica in; it votes once it holds everything',
+  options: [ADDRESS_OPTION, ...CLIENT_OPTIONS],
+  examples: ['control add r-77c0 --address 10.0.0.4:7400'],
+  run: add,
+};
+
 export const controlAddLearner: CommandSpec = {
   name: 'control add-learner',
   arguments: '<replica>',
--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -12,6 +12,8 @@
   unreachable: 4,
   /** The token isn't known or may not do this, or control refused. Nothing was changed. */
   refused: 5,
+  /** Files of the data folder are damaged or missing: the replica is lost, a new one must take its place. */
+  replicaLost: 6,
 } as const;
 
 export type ExitCode = (typeof EXIT_CODES)[keyof typeof EXIT_CODES];
--- /dev/null
+++ b/src/cli/settings-options.ts
@@ -0,0 +1,26 @@
+/** Options of the commands that start a daemon or make its folder: one for each setting, and the settings file. */
+import { flagName, type SettingName, type SettingsLayers } from '../settings/layers.js';
+import type { CommandSpec, Invocation } from './command-spec.js';
+
+const SETTINGS_FILE_OPTION = {
+  name: 'settings',
+  value: 'file',
+  summary: 'YAML file with settings; the environment and flags stand above it',
+} as const;
+
+/** An option for each setting. */
+export function settingsOptions(names: readonly SettingName[]): CommandSpec['options'] {
+  const options = names.map(({ path, list }) => ({
+    name: flagName(path),
+    value: list ? 'list' : 'value',
+    summary: `Setting ${path.join('.')}${list ? ', with commas' : ''}`,
+  }));
+  return [SETTINGS_FILE_OPTION, ...options];
+}
+
+/** The layers that a command line stands for. */
+export function settingsLayers({ options, io }: Invocation): SettingsLayers {
+  const file = options.text(SETTINGS_FILE_OPTION.name);
+  const { [SETTINGS_FILE_OPTION.name]: _file, ...flags } = options.texts();
+  return { ...(file === undefined ? {} : { file }), environment: io.environment, flags };
+}
--- a/src/control/admin/api-schemas.ts
+++ b/src/control/admin/api-schemas.ts
@@ -92,7 +92,7 @@
   .min(1, 'must not be empty')
   .max(128);
 
-/** Body of `POST /v1/control/add-learner`. */
+/** Body of `POST /v1/control/add-learner` and `POST /v1/control/add`. */
 export const addLearnerBodySchema = z.strictObject({
   replica: replicaSchema,
   address: reachableAddressSchema,
--- a/src/control/admin/commands/member-commands.ts
+++ b/src/control/admin/commands/member-commands.ts
@@ -35,6 +35,11 @@
   await changeMembers(context, services, { type: 'add-learner', ...body }, body.replica);
 }
 
+async function addVoter(context: AdminContext, services: AdminServices): Promise<void> {
+  const body = checkBody(addLearnerBodySchema, await readJson(context, services.bodyLimitBytes));
+  await changeMembers(context, services, { type: 'add-voter', ...body }, body.replica);
+}
+
 async function replaceReplica(context: AdminContext, services: AdminServices): Promise<void> {
   const body = checkBody(replaceBodySchema, await readJson(context, services.bodyLimitBytes));
   const subject = `${body.oldReplica} by ${body.newReplica}`;
@@ -58,6 +63,7 @@
 /** Adds the routes that change the control cluster. */
 export function addMemberCommands(router: Router<AdminState>, services: AdminServices): void {
   router.post('/v1/control/add-learner', (context) => addLearner(context, services));
+  router.post('/v1/control/add', (context) => addVoter(context, services));
   router.post('/v1/control/replace', (context) => replaceReplica(context, services));
   router.post('/v1/control/transfer', (context) => transferLeadership(context, services));
   router.post('/v1/control/snapshot', (context) => takeSnapshot(context, services));
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -88,9 +88,11 @@
       failed: (error) => this.giveUp(error),
     });
     this.peers = new PeerLinks({
+      self: this.replica,
       identity,
       limits,
       log: this.log,
+      received: (message) => this.coreTask.post({ type: 'peer-message', message }),
       addresses: () => this.core.status().membership.addresses,
     });
     this.internal = this.createInternalServer(identity, limits);
--- a/src/control/daemon/internal-server.ts
+++ b/src/control/daemon/internal-server.ts
@@ -1,6 +1,5 @@
 /** Task that owns the internal port: messages of other replicas and of routers come in here. */
 import type { RaftMessage } from '../../consensus/types.js';
-import { TernmountError } from '../../errors/ternmount-error.js';
 import type { Logger } from '../../logging/logger.js';
 import type { Address, ReplicaId } from '../../model/identifiers.js';
 import {
@@ -8,13 +7,13 @@
   type Frame,
   type FrameConnection,
   FrameServer,
-  raftCodecs,
   routerToControlCodecs,
   type WireIdentity,
   type WireLimits,
 } from '../../wire/index.js';
 import type { ControlToRouter, Greeting, RouterToControl } from '../messages.js';
 import type { ConnectionId } from '../types.js';
+import { readPeerMessage } from './peer-message.js';
 
 export interface InternalServerOwner {
   peerMessage(message: RaftMessage): void;
@@ -33,13 +32,6 @@
   readonly owner: InternalServerOwner;
 }
 
-/** A message that its sender may not send. */
-class ForeignMessageError extends TernmountError {
-  constructor(message: string) {
-    super({ code: 'TERNMOUNT_CONTROL_FOREIGN_MESSAGE', retriable: false }, message);
-  }
-}
-
 export class InternalServer {
   private server: FrameServer | undefined;
   private readonly routers = new Map<ConnectionId, FrameConnection>();
@@ -102,20 +94,12 @@
       this.options.owner.routerMessage(id, routerToControlCodecs.decode(frame.kind, frame.payload));
       return;
     }
-    const message = raftCodecs.decode(frame.kind, frame.payload);
-    this.checkPeerMessage(connection, message);
-    if (message.to === this.options.self) {
+    const message = readPeerMessage(frame, connection.peer?.name, this.options.self);
+    if (message !== null) {
       this.options.owner.peerMessage(message);
     }
   }
 
-  /** A replica speaks only for itself. A message to a replica that lived at this address before is dropped. */
-  private checkPeerMessage(connection: FrameConnection, message: RaftMessage): void {
-    if (message.from !== connection.peer?.name) {
-      throw new ForeignMessageError(`replica ${connection.peer?.name} spoke for ${message.from}`);
-    }
-  }
-
   private forget(connection: FrameConnection, reason: Error | null): void {
     const { peer } = connection;
     if (reason !== null) {
--- a/src/control/daemon/peer-links.ts
+++ b/src/control/daemon/peer-links.ts
@@ -10,6 +10,7 @@
   type WireLimits,
 } from '../../wire/index.js';
 import { splitAppend } from './append-split.js';
+import { readPeerMessage } from './peer-message.js';
 
 interface PeerLink {
   readonly address: Address;
@@ -17,9 +18,12 @@
 }
 
 export interface PeerLinksOptions {
+  readonly self: ReplicaId;
   readonly identity: WireIdentity;
   readonly limits: WireLimits;
   readonly log: Logger;
+  /** A message came back on a connection that this replica made. */
+  readonly received: (message: RaftMessage) => void;
   /** Addresses of the members as the log has them now. */
   readonly addresses: () => Readonly<Record<ReplicaId, Address>>;
 }
@@ -86,12 +90,22 @@
     if (address === undefined) {
       return undefined;
     }
-    const { identity, limits, log } = this.options;
+    const { self, identity, limits, log, received } = this.options;
+    let peerName: ReplicaId | undefined;
     const client = new FrameClient({
       address,
       identity,
       limits,
-      onReady: (peer) => log.info('peer-connected', { peer: peer.name, address }),
+      onReady: (peer) => {
+        peerName = peer.name;
+        log.info('peer-connected', { peer: peer.name, address });
+      },
+      onFrame: (frame) => {
+        const message = readPeerMessage(frame, peerName, self);
+        if (message !== null) {
+          received(message);
+        }
+      },
       onLost: (reason) => log.debug('peer-lost', { peer: replica, address, reason }),
     });
     const link = { address, client };
--- /dev/null
+++ b/src/control/daemon/peer-message.ts
@@ -0,0 +1,28 @@
+/** Reads a Raft message from a frame of another replica, whichever of the two made the connection. */
+import type { RaftMessage } from '../../consensus/types.js';
+import { TernmountError } from '../../errors/ternmount-error.js';
+import type { ReplicaId } from '../../model/identifiers.js';
+import { type Frame, raftCodecs } from '../../wire/index.js';
+
+/** A message that its sender may not send. */
+class ForeignMessageError extends TernmountError {
+  constructor(message: string) {
+    super({ code: 'TERNMOUNT_CONTROL_FOREIGN_MESSAGE', retriable: false }, message);
+  }
+}
+
+/**
+ * `null`: meant for a replica that lived at this address before. Throws if `sender` speaks for another replica, and
+ * `MalformedFrameError` if it is no message.
+ */
+export function readPeerMessage(
+  frame: Frame,
+  sender: ReplicaId | undefined,
+  self: ReplicaId,
+): RaftMessage | null {
+  const message = raftCodecs.decode(frame.kind, frame.payload);
+  if (message.from !== sender) {
+    throw new ForeignMessageError(`replica ${sender} spoke for ${message.from}`);
+  }
+  return message.to === self ? message : null;
+}
--- a/src/control/membership-desk.ts
+++ b/src/control/membership-desk.ts
@@ -17,14 +17,15 @@
 
 export type MembershipRequest = Extract<
   OperatorRequest,
-  { readonly type: 'add-learner' | 'replace-replica' | 'transfer-leadership' }
+  { readonly type: 'add-learner' | 'add-voter' | 'replace-replica' | 'transfer-leadership' }
 >;
 
 /** `learner`: wait until the new one holds everything. `joint`: the swap is in the log. */
 interface Replacement {
   /** `null`: started by the leader itself. */
   readonly operation: OperationId | null;
-  readonly oldReplica: ReplicaId;
+  /** `null`: the new one votes beside all others. */
+  readonly oldReplica: ReplicaId | null;
   readonly newReplica: ReplicaId;
   readonly address: Address;
   stage: 'start' | 'busy' | 'learner' | 'joint';
@@ -59,6 +60,11 @@
       case 'add-learner':
         this.#addLearner(operation, request.replica, request.address);
         break;
+      case 'add-voter': {
+        const { replica: newReplica, address } = request;
+        this.#beginReplacement({ operation, oldReplica: null, newReplica, address }, now);
+        break;
+      }
       case 'replace-replica':
         this.#beginReplacement({ ...request, operation }, now);
         break;
@@ -117,8 +123,9 @@
       return;
     }
     const { voters } = this.#parts.raft.status().membership;
-    const isDone = voters.includes(newReplica) && !voters.includes(oldReplica);
-    if (!isDone && !voters.includes(oldReplica)) {
+    const oldVotes = oldReplica !== null && voters.includes(oldReplica);
+    const isDone = voters.includes(newReplica) && !oldVotes;
+    if (!isDone && oldReplica !== null && !oldVotes) {
       this.#reply(operation, { type: 'rejected', message: `${oldReplica} is not a voter` });
       return;
     }
@@ -167,8 +174,9 @@
   #finishWhenSwapped(replacement: Replacement, status: RaftStatus): void {
     const { membership, lastIndex } = status;
     const isVoter = membership.voters.includes(replacement.newReplica);
-    const isGone = !membership.voters.includes(replacement.oldReplica);
-    if (!isVoter || !isGone || membership.outgoingVoters.length > 0) {
+    const { oldReplica } = replacement;
+    const oldVotes = oldReplica !== null && membership.voters.includes(oldReplica);
+    if (!isVoter || oldVotes || membership.outgoingVoters.length > 0) {
       return;
     }
     replacement.finalIndex ??= lastIndex;
--- a/src/control/operator-desk.ts
+++ b/src/control/operator-desk.ts
@@ -58,6 +58,7 @@
         answer(operation, { type: 'done' });
         break;
       case 'add-learner':
+      case 'add-voter':
       case 'replace-replica':
       case 'transfer-leadership':
         membership.handle(operation, request, now);
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -50,6 +50,8 @@
   | { readonly type: 'get-ledger'; readonly service: ServiceName; readonly key: string }
   | { readonly type: 'get-status' }
   | { readonly type: 'add-learner'; readonly replica: ReplicaId; readonly address: Address }
+  /** Takes a new replica in as a learner and lets it vote once it holds everything. */
+  | { readonly type: 'add-voter'; readonly replica: ReplicaId; readonly address: Address }
   | {
       readonly type: 'replace-replica';
       readonly oldReplica: ReplicaId;
--- a/src/wire/fields.ts
+++ b/src/wire/fields.ts
@@ -7,12 +7,12 @@
 const textDecoder = new TextDecoder('utf-8', { fatal: true, ignoreBOM: true });
 
 /** Integers 0 to 2^53 - 1 in eight bytes, big endian. */
-class SafeIntegerField extends restructure.Base<number> {
-  override size(): number {
+class SafeIntegerField implements restructure.FieldType<number> {
+  size(): number {
     return 8;
   }
 
-  override decode(stream: restructure.DecodeStream): number {
+  decode(stream: restructure.DecodeStream): number {
     const high = stream.readUInt32BE();
     const value = high * UINT32_RANGE + stream.readUInt32BE();
     if (!Number.isSafeInteger(value)) {
@@ -21,7 +21,7 @@
     return value;
   }
 
-  override encode(stream: restructure.EncodeStream, value: number): void {
+  encode(stream: restructure.EncodeStream, value: number): void {
     if (!Number.isSafeInteger(value) || value < 0) {
       throw new MalformedFrameError(`${value} is no integer from 0 to 2^53 - 1`);
     }
@@ -31,33 +31,33 @@
 }
 
 /** Bytes after their length of four bytes; a length beyond the frame is an error. */
-class BytesField extends restructure.Base<Uint8Array> {
-  override size(value: Uint8Array): number {
+class BytesField implements restructure.FieldType<Uint8Array> {
+  size(value: Uint8Array): number {
     return 4 + value.length;
   }
 
-  override decode(stream: restructure.DecodeStream): Uint8Array {
+  decode(stream: restructure.DecodeStream): Uint8Array {
     return readExactly(stream, stream.readUInt32BE());
   }
 
-  override encode(stream: restructure.EncodeStream, value: Uint8Array): void {
+  encode(stream: restructure.EncodeStream, value: Uint8Array): void {
     stream.writeUInt32BE(value.length);
     stream.writeBuffer(value);
   }
 }
 
 /** UTF-8 text of up to 65535 bytes after its length of four bytes. */
-class TextField extends restructure.Base<string> {
-  override size(value: string): number {
+class TextField implements restructure.FieldType<string> {
+  size(value: string): number {
     return 4 + Buffer.byteLength(value);
   }
 
-  override decode(stream: restructure.DecodeStream): string {
+  decode(stream: restructure.DecodeStream): string {
     const bytes = readExactly(stream, stream.readUInt32BE());
     return decodeText(bytes);
   }
 
-  override encode(stream: restructure.EncodeStream, value: string): void {
+  encode(stream: restructure.EncodeStream, value: string): void {
     const bytes = Buffer.from(value);
     if (bytes.length > MAX_TEXT_BYTES) {
       throw new MalformedFrameError(`text of ${bytes.length} bytes is above ${MAX_TEXT_BYTES} bytes`);
@@ -68,12 +68,12 @@
 }
 
 /** A truth value in one byte, 0 or 1. */
-class FlagField extends restructure.Base<boolean> {
-  override size(): number {
+class FlagField implements restructure.FieldType<boolean> {
+  size(): number {
     return 1;
   }
 
-  override decode(stream: restructure.DecodeStream): boolean {
+  decode(stream: restructure.DecodeStream): boolean {
     const value = restructure.uint8.decode(stream);
     if (value > 1) {
       throw new MalformedFrameError(`${value} is no truth value`);
@@ -81,22 +81,20 @@
     return value === 1;
   }
 
-  override encode(stream: restructure.EncodeStream, value: boolean): void {
+  encode(stream: restructure.EncodeStream, value: boolean): void {
     restructure.uint8.encode(stream, value ? 1 : 0);
   }
 }
 
 /** One of a fixed list of words, as its place in the list. */
-class ChoiceField<Word extends string> extends restructure.Base<Word> {
-  constructor(private readonly words: readonly Word[]) {
-    super();
-  }
+class ChoiceField<Word extends string> implements restructure.FieldType<Word> {
+  constructor(private readonly words: readonly Word[]) {}
 
-  override size(): number {
+  size(): number {
     return 1;
   }
 
-  override decode(stream: restructure.DecodeStream): Word {
+  decode(stream: restructure.DecodeStream): Word {
     const index = restructure.uint8.decode(stream);
     const word = this.words[index];
     if (word === undefined) {
@@ -105,7 +103,7 @@
     return word;
   }
 
-  override encode(stream: restructure.EncodeStream, value: Word): void {
+  encode(stream: restructure.EncodeStream, value: Word): void {
     restructure.uint8.encode(stream, this.words.indexOf(value));
   }
 }
@@ -114,11 +112,11 @@
  * A nested value as JSON text; its sender proved that it belongs to the cluster, so the shape is trusted.
  * `restructure` asks for the size several times before it writes, so the text is kept until it was written.
  */
-class JsonField<Value> extends restructure.Base<Value> {
+class JsonField<Value> implements restructure.FieldType<Value> {
   private encodedValue: Value | undefined;
   private encodedBytes: Uint8Array | undefined;
 
-  override size(value: Value): number {
+  size(value: Value): number {
     if (this.encodedBytes === undefined || this.encodedValue !== value) {
       this.encodedValue = value;
       this.encodedBytes = Buffer.from(JSON.stringify(value));
@@ -126,7 +124,7 @@
     return 4 + this.encodedBytes.length;
   }
 
-  override decode(stream: restructure.DecodeStream): Value {
+  decode(stream: restructure.DecodeStream): Value {
     const text = decodeText(readExactly(stream, stream.readUInt32BE()));
     try {
       return JSON.parse(text) as Value;
@@ -135,7 +133,7 @@
     }
   }
 
-  override encode(stream: restructure.EncodeStream, value: Value): void {
+  encode(stream: restructure.EncodeStream, value: Value): void {
     const known = this.encodedValue === value && this.encodedBytes !== undefined;
     const bytes = known ? (this.encodedBytes as Uint8Array) : Buffer.from(JSON.stringify(value));
     this.encodedValue = undefined;
@@ -163,28 +161,28 @@
 
 const bytesField = new BytesField();
 
-export const safeInteger: restructure.Base<number> = new SafeIntegerField();
-export const bytes: restructure.Base<Uint8Array> = bytesField;
-export const text: restructure.Base<string> = new TextField();
-export const flag: restructure.Base<boolean> = new FlagField();
-export const uint8: restructure.Base<number> = restructure.uint8;
+export const safeInteger: restructure.FieldType<number> = new SafeIntegerField();
+export const bytes: restructure.FieldType<Uint8Array> = bytesField;
+export const text: restructure.FieldType<string> = new TextField();
+export const flag: restructure.FieldType<boolean> = new FlagField();
+export const uint8: restructure.FieldType<number> = restructure.uint8;
 /** Any number, fractions included. */
-export const real: restructure.Base<number> = restructure.double;
+export const real: restructure.FieldType<number> = restructure.double;
 
 /** Exactly `length` bytes. */
-export function fixedBytes(length: number): restructure.Base<Uint8Array> {
+export function fixedBytes(length: number): restructure.FieldType<Uint8Array> {
   return new restructure.Buffer(length);
 }
 
-export function choice<Word extends string>(words: readonly Word[]): restructure.Base<Word> {
+export function choice<Word extends string>(words: readonly Word[]): restructure.FieldType<Word> {
   return new ChoiceField(words);
 }
 
-export function json<Value>(): restructure.Base<Value> {
+export function json<Value>(): restructure.FieldType<Value> {
   return new JsonField<Value>();
 }
 
 /** A list after its number of items. */
-export function list<Item>(item: restructure.Base<Item>): restructure.Base<Item[]> {
+export function list<Item>(item: restructure.FieldType<Item>): restructure.FieldType<Item[]> {
   return new restructure.Array(item, restructure.uint32);
 }
--- a/src/wire/frame-server.ts
+++ b/src/wire/frame-server.ts
@@ -8,6 +8,7 @@
   type WireIdentity,
   type WireLimits,
 } from './frame-connection.js';
+import { ListenError } from './listen-error.js';
 
 export interface FrameServerOptions {
   /** Port 0 takes any free one. */
@@ -30,14 +31,15 @@
     this.server = createServer((socket) => this.accept(socket));
   }
 
-  /** Listens; fails if the address is taken. */
+  /** Listens. Throws `ListenError`. */
   static async listen(options: FrameServerOptions): Promise<FrameServer> {
     const task = new FrameServer(options);
     const { host, port } = parseAddress(options.listen);
     await new Promise<void>((resolve, reject) => {
-      task.server.once('error', reject);
+      const refuse = (error: Error): void => reject(new ListenError(options.listen, error));
+      task.server.once('error', refuse);
       task.server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => {
-        task.server.off('error', reject);
+        task.server.off('error', refuse);
         resolve();
       });
     });
--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo, Server as NetServer } from 'node:net';
 import type { Address } from '../../model/identifiers.js';
 import { formatAddress, parseAddress } from '../address.js';
+import { ListenError } from '../listen-error.js';
 
 export interface HttpLimits {
   readonly maxHeaderBytes: number;
@@ -31,7 +32,7 @@
 
   private constructor(private readonly server: Server) {}
 
-  /** Listens; fails if the address is taken. */
+  /** Listens. Throws `ListenError`. */
   static async listen(
     address: Address,
     limits: HttpLimits,
@@ -55,9 +56,10 @@
     });
     const { host, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
+      const refuse = (error: Error): void => reject(new ListenError(address, error));
+      server.once('error', refuse);
       server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => {
-        server.off('error', reject);
+        server.off('error', refuse);
         resolve();
       });
     });
--- /dev/null
+++ b/src/wire/listen-error.ts
@@ -0,0 +1,35 @@
+/** A port that can't be listened on, said in one line. */
+import { createServer } from 'node:net';
+import { TernmountError, toError } from '../errors/ternmount-error.js';
+import type { Address } from '../model/identifiers.js';
+import { parseAddress } from './address.js';
+
+const REASONS: Readonly<Record<string, string>> = {
+  EADDRINUSE: 'is in use by another process',
+  EADDRNOTAVAIL: "isn't an address of this machine",
+  EACCES: 'needs more rights',
+};
+
+/** The operating system refused to listen at an address. */
+export class ListenError extends TernmountError {
+  constructor(address: Address, cause: Error) {
+    const { code = '' } = cause as NodeJS.ErrnoException;
+    const reason = REASONS[code] ?? `can't be listened on (${code || cause.message})`;
+    super({ code: 'TERNMOUNT_LISTEN_FAILED', retriable: false, info: { code } }, `${address} ${reason}`);
+  }
+}
+
+/** Listens at an address and lets go at once, so that a taken port is found before anything is touched. */
+export async function checkFree(address: Address): Promise<void> {
+  const { host, port } = parseAddress(address);
+  const server = createServer();
+  try {
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen({ host, port, exclusive: true }, resolve);
+    });
+  } catch (thrown) {
+    throw new ListenError(address, toError(thrown));
+  }
+  await new Promise((resolve) => server.close(resolve));
+}
--- a/src/wire/message-codec.ts
+++ b/src/wire/message-codec.ts
@@ -31,7 +31,7 @@
 }
 
 /** Reads one value that fills the payload. */
-export function decodeWhole<Value>(type: restructure.Base<Value>, payload: Uint8Array): Value {
+export function decodeWhole<Value>(type: restructure.FieldType<Value>, payload: Uint8Array): Value {
   const stream = new restructure.DecodeStream(payload);
   let value: Value;
   try {
--- a/src/wire/restructure.d.ts
+++ b/src/wire/restructure.d.ts
@@ -14,15 +14,21 @@
     writeUInt32BE(value: number): void;
     writeBuffer(buffer: Uint8Array): void;
   }
-  /** A type of which values are read from and written to bytes. */
-  export abstract class Base<Value> {
+  /** A type of which values are read from and written to bytes; the package takes any object of this shape. */
+  export interface FieldType<Value> {
+    size(value?: Value | null, parent?: unknown): number;
+    decode(stream: DecodeStream, parent?: unknown): Value;
+    encode(stream: EncodeStream, value: Value, parent?: unknown): void;
+  }
+  /** The package's own types; their common base class isn't exported. */
+  abstract class BuiltInType<Value> implements FieldType<Value> {
     size(value?: Value | null, parent?: unknown): number;
     decode(stream: DecodeStream, parent?: unknown): Value;
     encode(stream: EncodeStream, value: Value, parent?: unknown): void;
     fromBuffer(buffer: Uint8Array): Value;
     toBuffer(value: Value): Uint8Array;
   }
-  class NumberType extends Base<number> {
+  class NumberType extends BuiltInType<number> {
     constructor(type: string, endian?: 'BE' | 'LE');
   }
   export const uint8: NumberType;
@@ -30,17 +36,17 @@
   export const uint32: NumberType;
   export const double: NumberType;
   /** `length` is a fixed length or the type of the length that stands before the bytes. */
-  class BufferType extends Base<Uint8Array> {
+  class BufferType extends BuiltInType<Uint8Array> {
     constructor(length: NumberType | number);
   }
-  class StringType extends Base<string> {
+  class StringType extends BuiltInType<string> {
     constructor(length: NumberType | number, encoding: 'ascii' | 'utf8');
   }
-  class ArrayType<Item> extends Base<Item[]> {
-    constructor(type: Base<Item>, length: NumberType | number);
+  class ArrayType<Item> extends BuiltInType<Item[]> {
+    constructor(type: FieldType<Item>, length: NumberType | number);
   }
-  export type Fields<Value> = { readonly [Key in keyof Value]: Base<Value[Key]> };
-  export class Struct<Value extends object> extends Base<Value> {
+  export type Fields<Value> = { readonly [Key in keyof Value]: FieldType<Value[Key]> };
+  export class Struct<Value extends object> extends BuiltInType<Value> {
     constructor(fields: Fields<Value>);
   }
   export { ArrayType as Array, BufferType as Buffer, NumberType as Number, StringType as String };
