--- a/src/cli/commands/control-run.ts
+++ b/src/cli/commands/control-run.ts
@@ -3,10 +3,7 @@
 import { createControlNode } from '../../control/control-node.js';
 import { ControlDaemon } from '../../control/daemon/control-daemon.js';
 import { type ControlDaemonSettings, DEFAULT_CONTROL_TIMINGS } from '../../control/daemon/settings.js';
-import { toError } from '../../errors/ternmount-error.js';
 import { enableLogs, identifyProcess } from '../../logging/logger.js';
-import type { ServiceDefinition } from '../../model/service.js';
-import { compilePolicy, formatDiagnostic, PolicyError } from '../../policy/index.js';
 import { readSecret } from '../../security/secret-file.js';
 import { TokenFile } from '../../security/token-file.js';
 import {
@@ -21,18 +18,6 @@
 import { runDaemon } from '../run-daemon.js';
 import { settingsLayers, settingsOptions } from '../settings-options.js';
 
-/** What is wrong with the policy program of a definition. */
-function policyProblems({ policy }: ServiceDefinition): readonly string[] {
-  try {
-    compilePolicy(policy);
-    return [];
-  } catch (thrown) {
-    return thrown instanceof PolicyError
-      ? thrown.diagnostics.map(formatDiagnostic)
-      : [toError(thrown).message];
-  }
-}
-
 function daemonSettings(settings: ControlSettings): ControlDaemonSettings {
   const { cluster, zone, dataFolder, listen, admin, raft, lease, configLease } = settings;
   const { snapshotEntries, replaceAfterMillis } = settings;
@@ -42,6 +27,7 @@
     zone,
     dataFolder,
     listen,
+    outgoing: settings.outgoing ?? undefined,
     admin,
     secret: readSecret(settings.secretFile),
     timings: {
@@ -52,8 +38,7 @@
       snapshotEntries,
       replaceAfterMillis,
     },
-    createAdminApp: (daemon) =>
-      createAdminApp((request) => daemon.operate(request), { tokens, checkPolicy: policyProblems }),
+    createAdminApp: (daemon) => createAdminApp((request) => daemon.operate(request), { tokens }),
   };
 }
 
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -90,6 +90,7 @@
     this.peers = new PeerLinks({
       self: this.replica,
       identity,
+      localAddress: settings.outgoing,
       limits,
       log: this.log,
       received: (message) => this.coreTask.post({ type: 'peer-message', message }),
@@ -225,6 +226,7 @@
         failed: (upstream, sequence) => this.coreTask.post({ type: 'upstream-failed', upstream, sequence }),
       },
       this.log,
+      this.settings.outgoing,
     );
   }
 
--- a/src/control/daemon/peer-links.ts
+++ b/src/control/daemon/peer-links.ts
@@ -20,6 +20,7 @@
 export interface PeerLinksOptions {
   readonly self: ReplicaId;
   readonly identity: WireIdentity;
+  readonly localAddress?: string | undefined;
   readonly limits: WireLimits;
   readonly log: Logger;
   /** A message came back on a connection that this replica made. */
@@ -90,10 +91,11 @@
     if (address === undefined) {
       return undefined;
     }
-    const { self, identity, limits, log, received } = this.options;
+    const { self, identity, localAddress, limits, log, received } = this.options;
     let peerName: ReplicaId | undefined;
     const client = new FrameClient({
       address,
+      localAddress,
       identity,
       limits,
       onReady: (peer) => {
