--- /dev/null
+++ b/test/storage/replica-store.test.ts
@@ -0,0 +1,324 @@
+/** The data folder under faults: a table of damage, and random runs with a loss of power at any operation. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { LogEntry, PersistRequest, RestoredState, Snapshot } from '../../src/consensus/types.js';
+import { MemoryDisk } from '../../src/dev/disk/memory-disk.js';
+import { createReplica, type OpenedStore, openReplica } from '../../src/storage/index.js';
+import { SimulatedDisk } from '../consensus/simulated-disk.js';
+
+const FOLDER = '/data';
+const FIRST_SEGMENT = `${FOLDER}/log-000000000001.wal`;
+const SEGMENT_BYTES = 600;
+const NO_LOCK = { release: () => {} };
+const MEMBERSHIP = { voters: ['a'], outgoingVoters: [], learners: [], addresses: { a: '127.0.0.1:1' } };
+
+function open(files: MemoryDisk, cluster = 'demo'): Promise<OpenedStore> {
+  return openReplica(FOLDER, cluster, { files, lock: () => NO_LOCK, segmentBytes: SEGMENT_BYTES });
+}
+
+async function newDisk(): Promise<MemoryDisk> {
+  const files = new MemoryDisk();
+  await createReplica(FOLDER, { cluster: 'demo', address: '127.0.0.1:1', role: 'joining' }, { files });
+  return files;
+}
+
+function entry(index: number, term = 1): LogEntry {
+  return { index, term, kind: 'command', data: Buffer.from(`entry ${index} of term ${term}`) };
+}
+
+function snapshot(lastIndex: number, lastTerm = 1): Snapshot {
+  const data = Buffer.from(`state after ${lastIndex}`);
+  return { lastIndex, lastTerm, membership: MEMBERSHIP, data };
+}
+
+/** States with their bytes as text, so that kinds of byte arrays don't matter. */
+function plain({ hardState, snapshot: found, entries }: RestoredState): unknown {
+  const text = (data: Uint8Array): string => Buffer.from(data).toString('utf8');
+  return {
+    hardState,
+    snapshot: found === null ? null : { ...found, data: text(found.data) },
+    entries: entries.map((item) => ({ ...item, data: text(item.data) })),
+  };
+}
+
+async function errorOf(run: Promise<unknown>): Promise<Error & { code?: string }> {
+  return run.then(
+    () => {
+      throw new Error('nothing was thrown');
+    },
+    (error: Error) => error,
+  );
+}
+
+/** A disk with `batches` batches of two entries each, closed. */
+async function diskWith(batches: number): Promise<MemoryDisk> {
+  const files = await newDisk();
+  const { store } = await open(files);
+  for (let batch = 0; batch < batches; batch += 1) {
+    const entries = [entry(2 * batch + 1), entry(2 * batch + 2)];
+    await store.persist([{ persistId: batch, hardState: { term: 1, votedFor: 'a' }, entries }]);
+  }
+  await store.close();
+  return files;
+}
+
+describe('data folder', () => {
+  it('gives back what was written, over several segments and openings', async () => {
+    const files = await diskWith(12);
+    expect((await files.list(FOLDER))?.filter((name) => name.endsWith('.wal')).length).to.be.above(2);
+    const { restored, store } = await open(files);
+    expect(restored.entries.map(({ index }) => index)).to.deep.equal(
+      Array.from({ length: 24 }, (_, position) => position + 1),
+    );
+    expect(restored.hardState).to.deep.equal({ term: 1, votedFor: 'a' });
+    await store.persist([{ persistId: 1, truncateFrom: 20, entries: [entry(20, 2)] }]);
+    const again = await open(files);
+    expect(again.restored.entries.at(-1)).to.deep.include({ index: 20, term: 2 });
+    expect(again.restored.entries.length).to.equal(20);
+  });
+
+  it('drops log files that a snapshot covers and keeps the hard state', async () => {
+    const files = await diskWith(12);
+    const { store } = await open(files);
+    await store.persist([{ persistId: 1, snapshot: snapshot(24) }]);
+    await store.persist([{ persistId: 2, entries: [entry(25)] }]);
+    const names = (await files.list(FOLDER)) ?? [];
+    expect(names.filter((name) => name.endsWith('.wal')).length).to.equal(1);
+    const { restored } = await open(files);
+    expect(restored.snapshot?.lastIndex).to.equal(24);
+    expect(restored.hardState).to.deep.equal({ term: 1, votedFor: 'a' });
+    expect(restored.entries.map(({ index }) => index)).to.deep.equal([25]);
+  });
+
+  it('goes on after a snapshot that is ahead of the log', async () => {
+    const files = await diskWith(1);
+    const { store } = await open(files);
+    await store.persist([{ persistId: 1, snapshot: snapshot(50) }]);
+    await store.persist([{ persistId: 2, entries: [entry(51)] }]);
+    const { restored } = await open(files);
+    expect(restored.entries.map(({ index }) => index)).to.deep.equal([51]);
+  });
+
+  it('makes an id that differs each time, and never over a folder that is in use', async () => {
+    const first = await newDisk();
+    const second = await newDisk();
+    const ids = [(await open(first)).identity.replica, (await open(second)).identity.replica];
+    expect(ids[0]).to.not.equal(ids[1]);
+    const again = { cluster: 'demo', address: '127.0.0.1:1', role: 'first' } as const;
+    const error = await errorOf(createReplica(FOLDER, again, { files: first }));
+    expect(error.code).to.equal('TERNMOUNT_FOLDER_UNUSABLE');
+  });
+
+  it('refuses a folder of another cluster, and one without a replica', async () => {
+    const foreign = await errorOf(open(await newDisk(), 'other'));
+    expect(foreign.code).to.equal('TERNMOUNT_FOLDER_UNUSABLE');
+    expect(foreign.message).to.contain('belongs to cluster demo');
+    const empty = await errorOf(open(new MemoryDisk()));
+    expect(empty.code).to.equal('TERNMOUNT_FOLDER_UNUSABLE');
+  });
+
+  describe('cuts a torn tail and keeps all that was synced', () => {
+    for (const share of [0, 0.1, 0.4, 0.6, 0.9]) {
+      it(`with ${share} of the last write on disk`, async () => {
+        const files = await diskWith(2);
+        const { store } = await open(files);
+        files.losePowerAfter(1);
+        const lost = { persistId: 9, entries: [entry(5), entry(6), entry(7)] };
+        await errorOf(store.persist([lost]));
+        files.restart(() => share);
+        const { restored, store: reopened } = await open(files);
+        expect(restored.entries.slice(0, 4).map(({ index }) => index)).to.deep.equal([1, 2, 3, 4]);
+        const next = restored.entries.length + 1;
+        await reopened.persist([{ persistId: 1, entries: [entry(next, 2)] }]);
+        const again = await open(files);
+        expect(again.restored.entries.at(-1)).to.deep.include({ index: next, term: 2 });
+      });
+    }
+
+    it('a hole in a write that was never synced', async () => {
+      const files = await diskWith(1);
+      const { store } = await open(files);
+      files.losePowerAfter(1);
+      await errorOf(store.persist([{ persistId: 9, entries: [entry(3), entry(4)] }]));
+      files.restart(() => 1);
+      files.edit(FIRST_SEGMENT, (bytes) => {
+        bytes.fill(0, bytes.indexOf('entry 3 '), bytes.indexOf('entry 3 ') + 4);
+        return bytes;
+      });
+      const { restored } = await open(files);
+      expect(restored.entries.map(({ index }) => index)).to.deep.equal([1, 2]);
+    });
+  });
+
+  describe('says that the replica is lost', () => {
+    const damages: Record<string, (files: MemoryDisk) => void> = {
+      'a flipped bit before the tail': (files) =>
+        files.edit(FIRST_SEGMENT, (bytes) => {
+          bytes[bytes.indexOf('entry 2 ')] = 0;
+          return bytes;
+        }),
+      'a zeroed stretch before the tail': (files) =>
+        files.edit(FIRST_SEGMENT, (bytes) => bytes.fill(0, 200, 300)),
+      'the end of a segment before the last cut off': (files) =>
+        files.edit(FIRST_SEGMENT, (bytes) => bytes.subarray(0, bytes.length - 40)),
+      'the first segment gone': (files) => files.lose(FIRST_SEGMENT),
+      'a segment in the middle gone': (files) => files.lose(`${FOLDER}/log-000000000002.wal`),
+      'the last segment gone': (files) => files.lose(`${FOLDER}/log-000000000005.wal`),
+      'the header of the log damaged': (files) => files.edit(FIRST_SEGMENT, (bytes) => bytes.fill(0, 0, 8)),
+      'a damaged identity': (files) =>
+        files.edit(`${FOLDER}/identity.json`, (bytes) => bytes.subarray(0, 20)),
+      'no identity': (files) => files.lose(`${FOLDER}/identity.json`),
+    };
+    for (const [name, damage] of Object.entries(damages)) {
+      it(name, async () => {
+        const files = await diskWith(12);
+        expect(await files.list(FOLDER)).to.include('log-000000000005.wal');
+        expect(await files.list(FOLDER)).to.not.include('log-000000000006.wal');
+        damage(files);
+        const error = await errorOf(open(files));
+        expect(error.code).to.equal('TERNMOUNT_STORAGE_DAMAGED');
+        expect(error.message).to.contain('this replica is lost').and.to.contain(FOLDER);
+      });
+    }
+
+    const snapshotPath = `${FOLDER}/snapshot-0000000000000024.snap`;
+    const snapshotDamages: Record<string, (files: MemoryDisk) => void> = {
+      'a damaged snapshot': (files) =>
+        files.edit(snapshotPath, (bytes) => {
+          bytes[bytes.indexOf('state after')] = 0;
+          return bytes;
+        }),
+      'a snapshot without its end': (files) =>
+        files.edit(snapshotPath, (bytes) => bytes.subarray(0, bytes.length - 48)),
+      'a lost snapshot': (files) => files.lose(snapshotPath),
+    };
+    for (const [name, damage] of Object.entries(snapshotDamages)) {
+      it(name, async () => {
+        const files = await diskWith(12);
+        const { store } = await open(files);
+        await store.persist([{ persistId: 1, snapshot: snapshot(24) }]);
+        damage(files);
+        expect((await errorOf(open(files))).code).to.equal('TERNMOUNT_STORAGE_DAMAGED');
+      });
+    }
+  });
+
+  it('keeps the old state when the power goes while a snapshot is written', async () => {
+    for (let operation = 0; operation < 14; operation += 1) {
+      const files = await diskWith(4);
+      const { store } = await open(files);
+      files.losePowerAfter(operation);
+      await store.persist([{ persistId: 1, snapshot: snapshot(8) }]).catch(() => {});
+      files.restart(() => (operation % 2 === 0 ? 0 : 0.7));
+      const { restored } = await open(files);
+      const last = restored.entries.at(-1)?.index ?? restored.snapshot?.lastIndex;
+      expect(last, `power lost after ${operation} operations`).to.equal(8);
+    }
+  });
+});
+
+/** A step of a random run. */
+type Step = 'append' | 'truncate' | 'vote' | 'snapshot' | 'install' | 'batch';
+
+/** Gives requests that a Raft core may ask for, following what is on disk. */
+class RequestMaker {
+  #persistId = 0;
+  #term = 1;
+  constructor(
+    private lastIndex: number,
+    private snapshotIndex: number,
+  ) {}
+
+  make(step: Step): PersistRequest[] {
+    this.#persistId += 1;
+    const persistId = this.#persistId;
+    switch (step) {
+      case 'append':
+        return [{ persistId, entries: this.#entries(3) }];
+      case 'batch':
+        return [{ persistId, entries: this.#entries(1) }, ...this.make('vote'), ...this.make('append')];
+      case 'truncate':
+        return [{ persistId, truncateFrom: this.#truncate(), entries: this.#entries(1) }];
+      case 'vote':
+        this.#term += 1;
+        return [{ persistId, hardState: { term: this.#term, votedFor: 'a' } }];
+      case 'snapshot':
+        this.snapshotIndex = this.lastIndex;
+        return [{ persistId, entries: this.#entries(1), snapshot: snapshot(this.snapshotIndex, this.#term) }];
+      case 'install':
+        this.lastIndex += 10;
+        this.snapshotIndex = this.lastIndex;
+        return [{ persistId, snapshot: snapshot(this.lastIndex, this.#term) }];
+    }
+  }
+
+  #entries(count: number): LogEntry[] {
+    return Array.from({ length: count }, () => {
+      this.lastIndex += 1;
+      return entry(this.lastIndex, this.#term);
+    });
+  }
+
+  #truncate(): number {
+    this.lastIndex = Math.max(this.snapshotIndex, this.lastIndex - 2);
+    return this.lastIndex + 1;
+  }
+}
+
+const stepArbitrary = fc.constantFrom<Step>('append', 'truncate', 'vote', 'snapshot', 'install', 'batch');
+
+/** Every state that a cut in the middle of these requests may leave. */
+function possibleStates(acknowledged: readonly PersistRequest[], last: readonly PersistRequest[]): unknown[] {
+  const model = new SimulatedDisk(null);
+  for (const request of acknowledged) {
+    model.write(request);
+  }
+  const states = [plain(model.load())];
+  for (const { persistId, hardState, truncateFrom, entries = [], snapshot: taken } of last) {
+    const parts: PersistRequest[] = [
+      ...(hardState === undefined ? [] : [{ persistId, hardState }]),
+      ...(truncateFrom === undefined ? [] : [{ persistId, truncateFrom }]),
+      ...entries.map((item) => ({ persistId, entries: [item] })),
+      ...(taken === undefined ? [] : [{ persistId, snapshot: taken }]),
+    ];
+    for (const part of parts) {
+      model.write(part);
+      states.push(plain(model.load()));
+    }
+  }
+  return states;
+}
+
+describe('data folder in random runs', () => {
+  it('holds what was acknowledged, and of the rest a part from its start, after a loss of power', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(stepArbitrary, { minLength: 1, maxLength: 25 }),
+        fc.nat(120),
+        fc.infiniteStream(fc.double({ min: 0, max: 1, noNaN: true })),
+        async (steps, operations, shares) => {
+          const files = await newDisk();
+          const { store } = await open(files);
+          const maker = new RequestMaker(0, 0);
+          const acknowledged: PersistRequest[] = [];
+          let last: PersistRequest[] = [];
+          files.losePowerAfter(operations);
+          try {
+            for (const step of steps) {
+              last = maker.make(step);
+              await store.persist(last);
+              acknowledged.push(...last);
+              last = [];
+            }
+          } catch (thrown) {
+            expect((thrown as Error).message).to.equal('the power is off');
+          }
+          files.restart(() => shares.next().value as number);
+          const { restored } = await open(files);
+          expect(possibleStates(acknowledged, last)).to.deep.include(plain(restored));
+        },
+      ),
+      { seed: 71, numRuns: 400 },
+    );
+  });
+});
