--- a/src/dev/standins/caller/router-client.ts
+++ b/src/dev/standins/caller/router-client.ts
@@ -58,18 +58,14 @@
 function pathOf(attempt: Attempt): string {
   const key = attempt.key === null ? '' : `/${encodeURIComponent(attempt.key)}`;
   const query = attempt.coalesced ? '' : `?request=${encodeURIComponent(attempt.request)}`;
-  return `/items${key}${query}`;
+  return `/${attempt.service}${key}${query}`;
 }
 
 function headersOf(attempt: Attempt): Record<string, string> {
   const headers: Record<string, string> = {
-    [HEADERS.service]: attempt.service,
     [CALLER_REQUEST_HEADER]: attempt.request,
     [HEADERS.deadlineMillis]: String(Math.round(attempt.deadlineMillis)),
   };
-  if (attempt.key !== null) {
-    headers[HEADERS.key] = attempt.key;
-  }
   if (attempt.idempotencyKey !== null) {
     headers[HEADERS.idempotencyKey] = attempt.idempotencyKey;
   }
