--- a/src/dev/sim/clients/sim-caller.ts
+++ b/src/dev/sim/clients/sim-caller.ts
@@ -137,6 +137,8 @@
       answerDueAt: now + definition.deadlineMillis + ANSWER_GRACE_MILLIS,
     });
     this.connection.sendToServer(() => this.arrive());
+    const dueIn = definition.deadlineMillis + ANSWER_GRACE_MILLIS;
+    this.caller.schedule(dueIn, () => this.excuse(now));
     const patience = this.caller.giveUpAfter();
     if (patience !== null) {
       this.caller.schedule(patience, () => this.giveUp());
@@ -191,6 +193,14 @@
     }
   }
 
+  /** No answer came in time: that's excused if the router was paused or its machine was lost meanwhile. */
+  private excuse(sentAt: number): void {
+    if (!this.over && !this.router.ranSince(sentAt)) {
+      this.end(true, 'the loss of its router');
+      this.connection.close(this.caller);
+    }
+  }
+
   /** The router's end is gone. */
   private cut(): void {
     if (!this.over) {
--- a/src/dev/sim/router/sim-router.ts
+++ b/src/dev/sim/router/sim-router.ts
@@ -23,6 +23,8 @@
 
 const CLAIM_TIMEOUT_MILLIS = 1000;
 const STOP_CHECK_MILLIS = 10;
+/** How long a router that stops still answers on connections that were open. */
+const STOP_IDLE_MILLIS = 1500;
 /** Length of the configuration lease under sabotage. */
 const ENDLESS_LEASE_MILLIS = 1_000_000;
 
@@ -80,7 +82,7 @@
       this.crash();
       return;
     }
-    this.stopWhenIdle();
+    this.schedule(STOP_IDLE_MILLIS, () => this.stopWhenIdle());
   }
 
   /** A new run after a planned stop; one that is still stopping goes on as if nothing had been. */
--- a/src/dev/sim/sim-process.ts
+++ b/src/dev/sim/sim-process.ts
@@ -15,6 +15,7 @@
   readonly connections = new Set<Connection>();
   private processState: ProcessState = 'stopped';
   private runNumber = 0;
+  private undisturbedSince = 0;
   private backlog: { readonly task: () => void; readonly ordered: boolean }[] = [];
 
   constructor(
@@ -34,6 +35,11 @@
     return this.runNumber;
   }
 
+  /** Whether it ran without a pause or an end since a true time. */
+  ranSince(time: number): boolean {
+    return this.processState === 'running' && this.undisturbedSince < time;
+  }
+
   /** Starts a new run. */
   start(): void {
     if (this.processState !== 'stopped') {
@@ -41,6 +47,7 @@
     }
     this.runNumber += 1;
     this.processState = 'running';
+    this.undisturbedSince = this.time.now;
     this.backlog = [];
     this.onStart();
   }
@@ -73,6 +80,7 @@
       return;
     }
     this.processState = 'running';
+    this.undisturbedSince = this.time.now;
     const { backlog } = this;
     this.backlog = [];
     for (const { task, ordered } of backlog) {
