--- /dev/null
+++ b/src/dev/bench/load-experiments.ts
@@ -0,0 +1,19 @@
+/** Finds the experiments: each file of `experiments/` that exports an `experiment`. */
+import { readdirSync } from 'node:fs';
+import type { Experiment } from './experiment.js';
+
+const FOLDER = new URL('./experiments/', import.meta.url);
+
+/** All experiments by name, in the order of their names. */
+export async function loadExperiments(): Promise<ReadonlyMap<string, Experiment>> {
+  const files = readdirSync(FOLDER).filter((name) => name.endsWith('.js'));
+  const found: Experiment[] = [];
+  for (const file of files) {
+    const module = (await import(new URL(file, FOLDER).href)) as { experiment?: Experiment };
+    if (module.experiment !== undefined) {
+      found.push(module.experiment);
+    }
+  }
+  found.sort((left, right) => (left.name < right.name ? -1 : 1));
+  return new Map(found.map((experiment) => [experiment.name, experiment]));
+}
--- /dev/null
+++ b/src/dev/bench/report/table.ts
@@ -0,0 +1,76 @@
+/** Results as text: one row for each measure, one column for each arm. */
+import type { ExperimentResult, Measure } from '../experiment.js';
+import { spreadOf } from '../statistics.js';
+
+const BASELINE_MARK = ' (baseline)';
+
+/** A number with three or so significant digits. */
+export function formatNumber(value: number): string {
+  if (!Number.isFinite(value)) {
+    return '-';
+  }
+  const size = Math.abs(value);
+  if (size >= 100 || Number.isInteger(value)) {
+    return value.toFixed(0);
+  }
+  return value.toFixed(size >= 10 ? 1 : size >= 1 ? 2 : 3);
+}
+
+/** Median and range of a measure, for example `12.3 [11.8-14.0]`. */
+export function formatSpread(values: readonly number[]): string {
+  if (values.length === 0) {
+    return '-';
+  }
+  const { median, lowest, highest } = spreadOf(values);
+  if (lowest === highest) {
+    return formatNumber(median);
+  }
+  return `${formatNumber(median)} [${formatNumber(lowest)}-${formatNumber(highest)}]`;
+}
+
+function measureTitle(measure: Measure): string {
+  return measure.unit === '' ? measure.name : `${measure.name}, ${measure.unit}`;
+}
+
+function alignRows(rows: readonly (readonly string[])[]): string[] {
+  const widths = (rows[0] ?? []).map((_, column) =>
+    Math.max(...rows.map((row) => (row[column] ?? '').length)),
+  );
+  return rows.map((row) =>
+    row
+      .map((cell, column) =>
+        column === 0 ? cell.padEnd(widths[column] ?? 0) : cell.padStart(widths[column] ?? 0),
+      )
+      .join('  ')
+      .trimEnd(),
+  );
+}
+
+/** The measures of all arms, in the order in which they first appear. */
+function measureRows({ arms }: ExperimentResult): string[][] {
+  const titles = [...new Set(arms.flatMap(({ measures }) => measures.map(measureTitle)))];
+  return titles.map((title) => [
+    title,
+    ...arms.map(({ measures }) => {
+      const measure = measures.find((candidate) => measureTitle(candidate) === title);
+      return measure === undefined ? '' : formatSpread(measure.values);
+    }),
+  ]);
+}
+
+/** The whole result as it is printed. */
+export function renderTable(title: string, result: ExperimentResult): string {
+  const head = ['', ...result.arms.map(({ arm, baseline }) => `${arm}${baseline ? BASELINE_MARK : ''}`)];
+  const lines = [title, '', ...alignRows([head, ...measureRows(result)])];
+  if (result.targets.length > 0) {
+    const rows = result.targets.map(({ target, wanted, reached, met }) => [
+      target,
+      wanted,
+      reached,
+      met ? 'met' : 'NOT MET',
+    ]);
+    lines.push('', ...alignRows([['target', 'wanted', 'reached', ''], ...rows]));
+  }
+  lines.push('', ...result.notes.map((note) => `- ${note}`));
+  return `${lines.join('\n')}\n`;
+}
--- a/src/dev/bench/world/bench-world.ts
+++ b/src/dev/bench/world/bench-world.ts
@@ -95,8 +95,9 @@
     for (const definition of this.options.services) {
       this.change({ type: 'service-apply', definition, expected: null }, false);
     }
+    // All at once: shards are granted as soon as every upstream that is known then has answered.
     for (const { definition } of this.options.upstreams) {
-      this.change({ type: 'upstream-apply', definition, expected: null }, false);
+      this.control.command({ type: 'upstream-apply', definition, expected: null }, false, () => {});
     }
     const watched = this.watch();
     this.runUntil(() => this.isUp(watched), START_LIMIT_MILLIS);
@@ -116,10 +117,10 @@
 
   load(tally: RequestTally, streams: readonly LoadStream[]): void {
     const { queue, network, routers } = this;
-    const random = new RandomSource(this.options.seed + 2);
-    const generator = new LoadGenerator({ queue, random, network, routers, tally });
-    for (const stream of streams) {
-      generator.start(stream);
+    const { seed } = this.options;
+    const generator = new LoadGenerator({ queue, seed, network, routers, tally });
+    for (const [index, stream] of streams.entries()) {
+      generator.start(stream, index);
     }
   }
 
--- a/src/dev/bench/world/load-generator.ts
+++ b/src/dev/bench/world/load-generator.ts
@@ -1,13 +1,14 @@
 /** Callers in virtual time: open streams of requests, which come back after Retry-After if they are told to. */
 import type { ServiceDefinition } from '../../../model/service.js';
 import type { EventQueue } from '../../virtual/event-queue.js';
-import { type RandomSource, ZipfDistribution } from '../../virtual/random-source.js';
+import { RandomSource, ZipfDistribution } from '../../virtual/random-source.js';
 import { WALL_START } from './model-control.js';
 import type { ModelNetwork } from './model-network.js';
 import type { FinalAnswer, ModelRouter } from './model-router.js';
 import type { RequestTally } from './request-tally.js';
 
 const MILLIS_PER_SECOND = 1000;
+const STREAMS_PER_SEED = 100;
 const DEFAULT_KEY_PREFIX = 'key/';
 
 /** Requests of one kind at a steady rate. */
@@ -26,13 +27,22 @@
 
 export interface LoadParts {
   readonly queue: EventQueue;
-  readonly random: RandomSource;
+  /** Each stream draws from a source of its own, so that one stream's rate changes nothing about another. */
+  readonly seed: number;
   readonly network: ModelNetwork;
   readonly routers: readonly ModelRouter[];
   readonly tally: RequestTally;
 }
 
+/** A stream under way. */
+interface OpenStream {
+  readonly stream: LoadStream;
+  readonly zipf: ZipfDistribution | null;
+  readonly random: RandomSource;
+}
+
 interface Call {
+  readonly random: RandomSource;
   readonly stream: LoadStream;
   readonly key: string | null;
   readonly id: string | null;
@@ -52,42 +62,42 @@
 
   constructor(private readonly parts: LoadParts) {}
 
-  start(stream: LoadStream): void {
+  start(stream: LoadStream, index: number): void {
     const zipf = stream.keys > 0 ? new ZipfDistribution(stream.keys, stream.skew) : null;
-    this.parts.queue.at(stream.from, () => this.scheduleNext(stream, zipf));
+    const random = new RandomSource(this.parts.seed * STREAMS_PER_SEED + index);
+    this.parts.queue.at(stream.from, () => this.scheduleNext({ stream, zipf, random }));
   }
 
-  private scheduleNext(stream: LoadStream, zipf: ZipfDistribution | null): void {
-    const { queue, random } = this.parts;
-    const at = queue.now + random.exponential(MILLIS_PER_SECOND / stream.requestsPerSecond);
-    if (at >= stream.to) {
+  private scheduleNext(open: OpenStream): void {
+    const { queue } = this.parts;
+    const at = queue.now + open.random.exponential(MILLIS_PER_SECOND / open.stream.requestsPerSecond);
+    if (at >= open.stream.to) {
       return;
     }
     queue.at(at, () => {
-      this.call(stream, zipf);
-      this.scheduleNext(stream, zipf);
+      this.call(open);
+      this.scheduleNext(open);
     });
   }
 
-  private call(stream: LoadStream, zipf: ZipfDistribution | null): void {
-    const { queue, random, tally } = this.parts;
+  private call({ stream, zipf, random }: OpenStream): void {
+    const { queue, tally } = this.parts;
     this.callCount += 1;
     const call: Call = {
+      random,
       stream,
       key: zipf === null ? null : keyName(stream.service, zipf.draw(random)),
       id: stream.service.repeatable ? null : `call-${this.callCount}`,
       sentAt: queue.now,
       returnsLeft: stream.returns,
     };
-    if (tally.isCounted(call.sentAt)) {
-      tally.sent(stream.service.name);
-    }
+    tally.sent(stream.service.name, call.sentAt);
     this.send(call);
   }
 
   private send(call: Call): void {
-    const { network, random, routers } = this.parts;
-    const router = random.pick(routers);
+    const { network, routers } = this.parts;
+    const router = call.random.pick(routers);
     const idempotency =
       call.id === null ? null : { key: call.id, issuedAt: WALL_START + call.sentAt, fingerprint: call.id };
     const request = {
@@ -106,11 +116,8 @@
   private answered(call: Call, answer: FinalAnswer): void {
     const { queue, tally } = this.parts;
     const { service } = call.stream;
-    if (!tally.isCounted(call.sentAt)) {
-      return;
-    }
     if (answer.type === 'refuse') {
-      tally.noteRefusal(service.name, answer);
+      tally.noteRefusal(service.name, answer, call.sentAt);
       if (call.returnsLeft > 0 && answer.outcome === 'not-run' && answer.retryAfterMillis !== null) {
         call.returnsLeft -= 1;
         queue.after(answer.retryAfterMillis, () => this.send(call));
--- a/src/dev/bench/world/request-tally.ts
+++ b/src/dev/bench/world/request-tally.ts
@@ -1,12 +1,19 @@
-/** Counts of what callers asked for and got. Only requests that were sent within the window count. */
+/**
+ * Counts of what callers asked for and got. Requests count if they were sent within a window; goodput is what was
+ * answered within it, whenever it was sent.
+ */
 import type { ServiceName } from '../../../model/identifiers.js';
 import { quantile } from '../statistics.js';
 import type { FinalAnswer } from './model-router.js';
 
+type Refusal = Extract<FinalAnswer, { type: 'refuse' }>;
+
 export interface ServiceCounts {
   offered: number;
   /** Answered by an upstream within the deadline. */
   good: number;
+  /** Good answers that came within the window. */
+  goodInWindow: number;
   late: number;
   notRun: number;
   unknown: number;
@@ -45,6 +52,7 @@
       counts = {
         offered: 0,
         good: 0,
+        goodInWindow: 0,
         late: 0,
         notRun: 0,
         unknown: 0,
@@ -58,17 +66,21 @@
     return counts;
   }
 
-  isCounted(sentAt: number): boolean {
-    return sentAt >= this.from && sentAt < this.to;
-  }
-
-  sent(service: ServiceName): void {
-    this.counts(service).offered += 1;
+  sent(service: ServiceName, sentAt: number): void {
+    if (this.isWithin(sentAt)) {
+      this.counts(service).offered += 1;
+    }
   }
 
   /** The answer that a caller was left with. */
   answered(entry: TallyEntry, answer: FinalAnswer): void {
     const counts = this.counts(entry.service);
+    if (entry.good && this.isWithin(entry.answeredAt)) {
+      counts.goodInWindow += 1;
+    }
+    if (!this.isWithin(entry.sentAt)) {
+      return;
+    }
     this.entries.push(entry);
     if (answer.type === 'refuse') {
       this.refused(counts, answer);
@@ -83,7 +95,10 @@
   }
 
   /** A refusal after which the caller may come again. */
-  noteRefusal(service: ServiceName, answer: Extract<FinalAnswer, { type: 'refuse' }>): void {
+  noteRefusal(service: ServiceName, answer: Refusal, sentAt: number): void {
+    if (!this.isWithin(sentAt)) {
+      return;
+    }
     const counts = this.counts(service);
     counts.refusalMillis.push(answer.answeredAt - answer.arrivedAt);
     if (answer.retryAfterMillis !== null) {
@@ -92,7 +107,7 @@
   }
 
   goodPerSecond(service: ServiceName): number {
-    return this.counts(service).good / ((this.to - this.from) / 1000);
+    return this.counts(service).goodInWindow / ((this.to - this.from) / 1000);
   }
 
   /** Share of the requests offered that were good; 1 if none were. */
@@ -127,7 +142,11 @@
       .map(([at, { good, all }]) => ({ at, share: good / all }));
   }
 
-  private refused(counts: ServiceCounts, answer: Extract<FinalAnswer, { type: 'refuse' }>): void {
+  private isWithin(time: number): boolean {
+    return time >= this.from && time < this.to;
+  }
+
+  private refused(counts: ServiceCounts, answer: Refusal): void {
     if (answer.outcome === 'unknown') {
       counts.unknown += 1;
     } else {
--- a/src/dev/bench/world/world-from-deployment.ts
+++ b/src/dev/bench/world/world-from-deployment.ts
@@ -31,6 +31,9 @@
   }));
 }
 
+/** What an arm does otherwise than the installation. */
+export type WorldChange = Partial<WorldOptions>;
+
 /** The installation of a deployment: two routers a zone, three control members. */
 export function worldOptions(deployment: Deployment, seed: number): WorldOptions {
   const { zones, network, services } = deployment;
