--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -15,7 +15,6 @@
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
 import { RaftAdapter, type RaftListener, type SettleProposal } from './raft-adapter.js';
 import { RouterDesk } from './router-desk.js';
-import { LeastCountAssigner } from './shard-assigner.js';
 import type {
   ControlConfig,
   ControlCore,
@@ -86,7 +85,7 @@
     this.#routers = new RouterDesk({
       ...shared,
       send: (connection, message) => this.#emit({ type: 'send-router', connection, message }),
-      report: () => {},
+      report: (report, now) => this.#leader?.loadReported(report, now),
     });
   }
 
@@ -127,7 +126,7 @@
   applied(changes: readonly RegistryChange[]): void {
     if (changes.length > 0) {
       this.#hasNews = true;
-      this.#leader?.registryChanged();
+      this.#leader?.registryChanged(changes);
     }
   }
 
@@ -149,7 +148,6 @@
       config: this.#config,
       raft: this.#raft,
       propose: this.#propose,
-      assigner: new LeastCountAssigner(),
       call: (call: SessionCall) => this.#emit({ type: 'call-upstream', ...call }),
     };
     return new LeaderDuties(parts, this.#raft.status().term, now);
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -1,10 +1,9 @@
 /** What operators see of a control member and, on the leader, of the upstreams' sessions. */
 import type { RaftStatus } from '../consensus/types.js';
 import type { SessionView } from '../lease/granter-types.js';
-import type { MonotonicMillis } from '../model/identifiers.js';
+import type { MonotonicMillis, UpstreamId } from '../model/identifiers.js';
 import type { Registry } from '../registry/types.js';
 import type { ConnectedRouter } from './router-desk.js';
-import { keyedServices } from './service-shards.js';
 import type { OperatorResponse, UpstreamHealth } from './types.js';
 
 export interface ControlStatusSource {
@@ -17,7 +16,9 @@
 
 export function controlStatus(source: ControlStatusSource, now: MonotonicMillis): OperatorResponse {
   const { raft, registry, sessions, routers } = source;
-  const current = keyedServices(registry).flatMap((shards) => shards.current);
+  const keyed = [...registry.services().values()].filter(({ definition }) => definition.keyed);
+  const unowned = keyed.map(({ definition }) => registry.unownedShards(definition.name).size);
+  const moving = [...registry.upstreams().keys()].map((upstream) => movingTo(registry, upstream));
   return {
     type: 'status',
     raft,
@@ -28,18 +29,29 @@
       revision,
       silentMillis: now - heardAt,
     })),
-    unownedShards: current.filter(({ owner }) => owner === null).length,
-    movingShards: current.filter(({ owner, movingTo }) => owner !== null && movingTo !== null).length,
+    unownedShards: sum(unowned),
+    movingShards: sum(moving),
   };
 }
 
 function healthOf(view: SessionView, registry: Registry, now: MonotonicMillis): UpstreamHealth {
-  const owned = [...registry.shards().values()].filter(({ owner }) => owner === view.upstream);
   return {
     upstream: view.upstream,
     state: view.failing ? 'unreachable' : view.phase,
     silentMillis: view.answeredAt === null ? null : now - view.answeredAt,
-    shards: owned.length,
+    shards: registry.shardsOwnedBy(view.upstream).size,
     draining: view.answer?.draining.length ?? 0,
   };
 }
+
+/** Number of owned shards with a planned move to an upstream. */
+function movingTo(registry: Registry, upstream: UpstreamId): number {
+  const owners = [...registry.shardsMovingTo(upstream)].map(
+    (shard) => registry.shards().get(shard)?.owner ?? null,
+  );
+  return owners.filter((owner) => owner !== null).length;
+}
+
+function sum(counts: readonly number[]): number {
+  return counts.reduce((total, count) => total + count, 0);
+}
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -7,11 +7,11 @@
 import { LeaseGranter } from '../lease/lease-granter.js';
 import type { SessionAnswer } from '../lease/types.js';
 import type { MonotonicMillis, Term, UpstreamId } from '../model/identifiers.js';
-import type { LeaderCommand } from '../registry/types.js';
+import type { LeaderCommand, RegistryChange } from '../registry/types.js';
 import { LeaderProposals } from './leader-proposals.js';
+import type { LoadReport } from './messages.js';
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
-import type { ShardAssigner } from './shard-assigner.js';
 import { ShardCoordinator } from './shard-coordinator.js';
 import type { ControlConfig } from './types.js';
 
@@ -22,7 +22,6 @@
   readonly config: ControlConfig;
   readonly raft: RaftAdapter;
   readonly propose: ProposeCommand;
-  readonly assigner: ShardAssigner;
   readonly call: (call: SessionCall) => void;
 }
 
@@ -32,13 +31,12 @@
   readonly #proposals: LeaderProposals;
   readonly #coordinator: ShardCoordinator;
   #isReady = false;
-  #isDirty = true;
   #isRoundOut = false;
   #roundNotBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
   #isOver = false;
 
   constructor(parts: LeaderDutiesParts, term: Term, electedAt: MonotonicMillis) {
-    const { config, propose, assigner } = parts;
+    const { config, propose } = parts;
     this.#parts = parts;
     this.#granter = new LeaseGranter({
       cluster: config.cluster,
@@ -52,7 +50,7 @@
     this.#coordinator = new ShardCoordinator({
       granter: this.#granter,
       proposals: this.#proposals,
-      assigner,
+      registry: () => parts.raft.registry,
     });
     this.#catchUp(electedAt);
   }
@@ -63,8 +61,16 @@
   }
 
   /** Routing data changed. */
-  registryChanged(): void {
-    this.#isDirty = true;
+  registryChanged(changes: readonly RegistryChange[]): void {
+    if (this.#isReady) {
+      this.#coordinator.registryChanged(changes);
+    }
+  }
+
+  loadReported(report: LoadReport, now: MonotonicMillis): void {
+    if (this.#isReady) {
+      this.#coordinator.loadReported(report, now);
+    }
   }
 
   upstreamAnswered(
@@ -74,23 +80,20 @@
     now: MonotonicMillis,
   ): void {
     this.#granter.answered(upstream, sequence, answer, now);
-    this.#isDirty = true;
+    this.#coordinator.sessionChanged(upstream);
   }
 
   upstreamFailed(upstream: UpstreamId, sequence: number, now: MonotonicMillis): void {
     this.#granter.failed(upstream, sequence, now);
-    this.#isDirty = true;
+    this.#coordinator.sessionChanged(upstream);
   }
 
   run(now: MonotonicMillis): void {
     if (!this.#isReady || this.#isOver) {
       return;
     }
-    const isRetryDue = this.#proposals.expire(now);
-    if (this.#isDirty || isRetryDue || now >= this.#coordinator.nextDeadline()) {
-      this.#isDirty = false;
-      this.#coordinator.plan(this.#parts.raft.registry, now);
-    }
+    this.#proposals.expire(now);
+    this.#coordinator.run(now);
     for (const call of this.#granter.takeCalls(now)) {
       this.#parts.call(call);
     }
@@ -106,8 +109,8 @@
     return Math.min(
       round,
       this.#proposals.nextDeadline(),
-      this.#coordinator.nextDeadline(),
-      this.#granter.nextDeadline(now),
+      this.#coordinator.nextDeadline(now),
+      this.#granter.nextDeadline(),
     );
   }
 
@@ -125,14 +128,14 @@
         return;
       }
       this.#isReady = true;
-      this.#isDirty = true;
+      this.#coordinator.begin(settledAt);
     });
   }
 
   #proposeChanges(now: MonotonicMillis): void {
     for (const change of this.#granter.changes(now)) {
       const name = `session ${change.upstream}`;
-      if (this.#proposals.isFree(name, now)) {
+      if (this.#proposals.isFree(name)) {
         this.#proposals.propose([name], toCommand(change));
       }
     }
@@ -148,7 +151,7 @@
     this.#parts.raft.read(now, (confirmed, settledAt) => {
       this.#isRoundOut = false;
       if (confirmed && !this.#isOver) {
-        this.#granter.confirmed(mark);
+        this.#granter.confirmed(mark, settledAt);
       } else {
         this.#roundNotBefore = settledAt + ROUND_RETRY_MILLIS;
       }
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -25,7 +25,6 @@
   readonly stamp: MonotonicMillis;
   /** Last revision held; 0: none, send a snapshot. */
   readonly have: Revision;
-  readonly report: LoadReport | null;
 }
 export interface SyncResponse {
   readonly type: 'sync-response';
@@ -42,8 +41,9 @@
   readonly type: 'change-notice';
   readonly revision: Revision;
 }
-/** Requests and service times that a router saw since its last report. */
+/** Requests and service times that a router saw since its last report. Sent to the leader; one that is lost isn't repeated. */
 export interface LoadReport {
+  readonly type: 'load-report';
   readonly intervalMillis: number;
   readonly shards: readonly {
     readonly shard: ShardId;
@@ -87,7 +87,7 @@
   readonly settled: boolean;
   readonly leader: Address | null;
 }
-export type RouterToControl = SyncRequest | ClaimRequest | SettleRequest;
+export type RouterToControl = SyncRequest | ClaimRequest | SettleRequest | LoadReport;
 export type ControlToRouter = SyncResponse | ChangeNotice | ClaimResponse | SettleResponse;
 
 /** Times of the configuration lease. */
--- a/src/control/move-tracker.ts
+++ b/src/control/move-tracker.ts
@@ -2,10 +2,9 @@
  * How far each planned move is, as far as the registry doesn't say. A new leader starts from nothing: a move is taken
  * to be warming until its target has warmed, time is up, or the source's own answer shows that it was told to stop.
  */
-
+import { DeadlineQueue } from '../lease/deadline-queue.js';
 import type { SessionView } from '../lease/granter-types.js';
-import type { LeaseGranter } from '../lease/lease-granter.js';
-import type { MonotonicMillis, ShardId } from '../model/identifiers.js';
+import type { Epoch, MonotonicMillis, ShardId } from '../model/identifiers.js';
 import type { ShardRecord } from '../registry/types.js';
 
 /** A target that hasn't warmed by then gets the shard cold. */
@@ -20,70 +19,66 @@
 
 export class MoveTracker {
   readonly #moves = new Map<ShardId, Move>();
+  readonly #timeouts = new DeadlineQueue<ShardId>();
+  /** Epochs of grants which the owner said that it takes no new work under; nothing makes it take any again. */
+  readonly #stopped = new Map<ShardId, Epoch>();
 
-  /** Whether the owner of this shard is to stop new work on it now. */
-  isRevoked(record: ShardRecord, granter: LeaseGranter, now: MonotonicMillis): boolean {
-    if (hasStopped(record, granter)) {
-      return true;
+  /** Takes a shard's record as it is now. */
+  update(record: ShardRecord, now: MonotonicMillis): void {
+    const { shard, owner, movingTo, epoch, revision } = record;
+    if (owner === null || this.#stopped.get(shard) !== epoch) {
+      this.#stopped.delete(shard);
     }
-    if (record.owner === null || record.movingTo === null) {
-      this.#moves.delete(record.shard);
-      return false;
+    if (owner === null || movingTo === null) {
+      this.#end(shard);
+      return;
+    }
+    const known = this.#moves.get(shard);
+    if (known?.revision !== revision) {
+      this.#moves.set(shard, { revision, seenAt: now, revoked: known?.revoked ?? false });
+      this.#timeouts.set(shard, now + WARM_TIMEOUT_MILLIS);
     }
-    const move = this.#moveOf(record, now);
-    move.revoked ||= isTargetReady(record, granter, now - move.seenAt >= WARM_TIMEOUT_MILLIS);
-    return move.revoked;
   }
 
-  /** When the next move stops waiting for its target to warm. */
-  nextDeadline(now: MonotonicMillis): MonotonicMillis {
-    const deadlines = [...this.#moves.values()]
-      .filter((move) => !move.revoked && move.seenAt + WARM_TIMEOUT_MILLIS > now)
-      .map((move) => move.seenAt + WARM_TIMEOUT_MILLIS);
-    return Math.min(Number.POSITIVE_INFINITY, ...deadlines);
+  /** The shard is gone. */
+  forget(shard: ShardId): void {
+    this.#stopped.delete(shard);
+    this.#end(shard);
   }
 
-  /** Forgets moves of shards that are gone. */
-  keepOnly(shards: ReadonlySet<ShardId>): void {
-    for (const shard of [...this.#moves.keys()]) {
-      if (!shards.has(shard)) {
-        this.#moves.delete(shard);
-      }
-    }
+  /** Whether the owner of this shard is to stop new work on it now. */
+  isRevoked({ shard, epoch }: ShardRecord): boolean {
+    return this.#stopped.get(shard) === epoch || (this.#moves.get(shard)?.revoked ?? false);
+  }
+
+  /** The owner's answer shows that it takes no new work on the shard. */
+  noteStopped({ shard, epoch }: ShardRecord): void {
+    this.#stopped.set(shard, epoch);
   }
 
-  #moveOf(record: ShardRecord, now: MonotonicMillis): Move {
-    const known = this.#moves.get(record.shard);
-    if (known?.revision === record.revision) {
-      return known;
+  /** Revokes the shard once its target is ready. A target that doesn't answer is no reason to stop the source. */
+  noteTarget({ shard }: ShardRecord, target: SessionView | undefined, now: MonotonicMillis): void {
+    const move = this.#moves.get(shard);
+    if (move === undefined || target?.phase !== 'leased' || target.failing) {
+      return;
     }
-    const move: Move = { revision: record.revision, seenAt: now, revoked: known?.revoked ?? false };
-    this.#moves.set(record.shard, move);
-    return move;
+    const timeIsUp = now - move.seenAt >= WARM_TIMEOUT_MILLIS;
+    move.revoked ||= timeIsUp || (target.answer?.warmed.includes(shard) ?? false);
   }
-}
 
-/** Whether the owner's last answer shows that it gave up the grant which the registry still holds. */
-export function hasReleased(record: ShardRecord, view: SessionView | undefined): boolean {
-  const isOwner = view !== undefined && view.incarnation === record.incarnation;
-  const released = view?.answer?.released.find((item) => item.shard === record.shard);
-  return isOwner && released !== undefined && released.revision > record.epoch;
-}
+  /** Shards whose targets had time enough to warm. */
+  takeTimedOut(now: MonotonicMillis): ShardId[] {
+    return this.#timeouts.takeDue(now);
+  }
 
-/** Whether the owner said that it takes no new work on the shard: nothing makes it take any again under this grant. */
-function hasStopped(record: ShardRecord, granter: LeaseGranter): boolean {
-  if (record.owner === null) {
-    return false;
+  /** When the next move stops waiting for its target to warm. */
+  nextDeadline(): MonotonicMillis {
+    return this.#timeouts.next();
   }
-  const view = granter.view(record.owner);
-  const isOwner = view !== undefined && view.incarnation === record.incarnation;
-  const drains = view?.answer?.draining.some((item) => item.shard === record.shard) ?? false;
-  return (isOwner && drains) || hasReleased(record, view);
-}
 
-/** A target that doesn't answer is no reason to stop the source. */
-function isTargetReady(record: ShardRecord, granter: LeaseGranter, timeIsUp: boolean): boolean {
-  const view = granter.view(record.movingTo ?? '');
-  const answers = view !== undefined && view.phase === 'leased' && !view.failing;
-  return answers && (timeIsUp || (view.answer?.warmed.includes(record.shard) ?? false));
+  #end(shard: ShardId): void {
+    if (this.#moves.delete(shard)) {
+      this.#timeouts.delete(shard);
+    }
+  }
 }
--- /dev/null
+++ b/src/control/placement-proposals.ts
@@ -0,0 +1,97 @@
+/** Turns what the planner decided into commands, many shards in each, and has those looked at anew that came to nothing. */
+import { DeadlineQueue } from '../lease/deadline-queue.js';
+import type { Incarnation, MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
+import type { PlacementMove } from '../placement/index.js';
+import type { LeaderCommand, Registry } from '../registry/types.js';
+import { type LeaderProposals, RETRY_MILLIS } from './leader-proposals.js';
+
+/** Shards in one command; an entry then stays far below the largest frame. */
+const SHARDS_PER_COMMAND = 1000;
+
+export interface PlacementProposalsParts {
+  readonly proposals: LeaderProposals;
+  readonly registry: () => Registry;
+  readonly incarnationOf: (upstream: UpstreamId) => Incarnation | null;
+}
+
+export class PlacementProposals {
+  readonly #parts: PlacementProposalsParts;
+  /** Shards to look at anew, because a command about them was settled or couldn't be made. */
+  readonly #looks = new DeadlineQueue<ShardId>();
+
+  constructor(parts: PlacementProposalsParts) {
+    this.#parts = parts;
+  }
+
+  propose(moves: readonly PlacementMove[], now: MonotonicMillis): void {
+    const grants = moves.filter(({ from }) => from === null);
+    const handovers = moves.filter(({ from }) => from !== null);
+    for (const batch of inBatches(grants)) {
+      this.#grant(batch, now);
+    }
+    for (const batch of inBatches(handovers)) {
+      const started = batch.map(({ shard, to }) => ({ shard, to, epoch: this.#epochOf(shard) }));
+      this.#send(batch, { type: 'move-start', moves: started });
+    }
+  }
+
+  /** Proposes that these shards have no owner any more, each under its epoch. */
+  release(shards: readonly ShardId[]): void {
+    const { proposals } = this.#parts;
+    const due = shards.filter((shard) => proposals.isFree(this.#releaseName(shard)));
+    for (const batch of inBatches(due)) {
+      const releases = batch.map((shard) => ({ shard, epoch: this.#epochOf(shard) }));
+      proposals.propose(
+        batch.map((shard) => this.#releaseName(shard)),
+        { type: 'shard-release', releases },
+      );
+    }
+  }
+
+  takeDue(now: MonotonicMillis): ShardId[] {
+    return this.#looks.takeDue(now);
+  }
+
+  nextDeadline(): MonotonicMillis {
+    return this.#looks.next();
+  }
+
+  #grant(batch: readonly PlacementMove[], now: MonotonicMillis): void {
+    const grants = batch.flatMap(({ shard, to }) => {
+      const incarnation = this.#parts.incarnationOf(to);
+      return incarnation === null ? [] : [{ shard, to, incarnation, expectedEpoch: this.#epochOf(shard) }];
+    });
+    if (grants.length < batch.length) {
+      this.#lookAgain(batch, now + RETRY_MILLIS);
+    }
+    if (grants.length > 0) {
+      this.#send(grants, { type: 'grant-batch', grants });
+    }
+  }
+
+  #send(shards: readonly { readonly shard: ShardId }[], command: LeaderCommand): void {
+    this.#parts.proposals.proposeOnce(command, (isMade, now) => {
+      this.#lookAgain(shards, isMade ? now : now + RETRY_MILLIS);
+    });
+  }
+
+  #lookAgain(shards: readonly { readonly shard: ShardId }[], at: MonotonicMillis): void {
+    for (const { shard } of shards) {
+      this.#looks.set(shard, at);
+    }
+  }
+
+  #epochOf(shard: ShardId): number {
+    return this.#parts.registry().shards().get(shard)?.epoch ?? 0;
+  }
+
+  #releaseName(shard: ShardId): string {
+    return `release ${shard} ${this.#epochOf(shard)}`;
+  }
+}
+
+function* inBatches<Item>(items: readonly Item[]): Iterable<readonly Item[]> {
+  for (let start = 0; start < items.length; start += SHARDS_PER_COMMAND) {
+    yield items.slice(start, start + SHARDS_PER_COMMAND);
+  }
+}
--- a/src/control/router-desk.ts
+++ b/src/control/router-desk.ts
@@ -29,7 +29,7 @@
   readonly raft: RaftAdapter;
   readonly propose: ProposeCommand;
   readonly send: (connection: ConnectionId, message: ControlToRouter) => void;
-  readonly report: (report: LoadReport) => void;
+  readonly report: (report: LoadReport, now: MonotonicMillis) => void;
 }
 
 interface WaitingSync {
@@ -59,6 +59,9 @@
       case 'settle-request':
         this.#settle(connection, message);
         break;
+      case 'load-report':
+        this.#parts.report(message, now);
+        break;
     }
   }
 
@@ -81,9 +84,6 @@
   #sync(connection: ConnectionId, request: SyncRequest, now: MonotonicMillis): void {
     const { router, incarnation, have } = request;
     this.#routers.set(connection, { router, incarnation, revision: have, heardAt: now });
-    if (request.report !== null) {
-      this.#parts.report(request.report);
-    }
     this.#waiting.push({ connection, request });
     this.#readForWaiting(now);
   }
--- /dev/null
+++ b/src/control/service-coordinator.ts
@@ -0,0 +1,265 @@
+/**
+ * The leader's work on the shards of one keyed service: grants those without owner, moves them off leaving or crowded
+ * upstreams, and orders each upstream what to hold, warm and give up. It works on what changed since the last run.
+ */
+import type { LeaseGranter } from '../lease/lease-granter.js';
+import { type MonotonicMillis, parseShardId, type ShardId, type UpstreamId } from '../model/identifiers.js';
+import { shardsOfKeyMap } from '../model/key-map.js';
+import { createPlanner, LoadTracker, type PlacementPlanner, type ReportedWork } from '../placement/index.js';
+import type { Registry, ServiceRecord, ShardRecord } from '../registry/types.js';
+import { FirstGrants } from './first-grants.js';
+import type { LeaderProposals } from './leader-proposals.js';
+import { MoveTracker } from './move-tracker.js';
+import { PlacementProposals } from './placement-proposals.js';
+import { currentOrders, keyMapOf, OrderBook, retiringOrders } from './shard-orders.js';
+import { UpstreamRoster } from './upstream-roster.js';
+
+/** A new leader hears of loads for this long before it balances by them. */
+const LISTEN_MILLIS = 10_000;
+/** Load below which shards count as idle, in milliseconds of work a second. */
+const LEAST_LOAD = 1;
+
+export interface CoordinatorParts {
+  readonly granter: LeaseGranter;
+  readonly proposals: LeaderProposals;
+  readonly registry: () => Registry;
+}
+
+export class ServiceCoordinator {
+  readonly #parts: CoordinatorParts;
+  readonly #planner: PlacementPlanner;
+  readonly #roster: UpstreamRoster;
+  readonly #orders: OrderBook;
+  readonly #proposals: PlacementProposals;
+  readonly #moves = new MoveTracker();
+  readonly #loads = new LoadTracker();
+  readonly #firstGrants = new FirstGrants();
+  /** Shards that their owners gave up while the registry still names them as owners. */
+  readonly #released = new Set<ShardId>();
+  #service: ServiceRecord;
+  #isPlanDue = true;
+
+  constructor(parts: CoordinatorParts, service: ServiceRecord, now: MonotonicMillis) {
+    this.#parts = parts;
+    this.#service = service;
+    this.#planner = createPlanner(settingsOf(service), now + LISTEN_MILLIS);
+    this.#roster = new UpstreamRoster({ ...parts, planner: this.#planner }, service);
+    this.#orders = new OrderBook(parts.granter);
+    this.#proposals = new PlacementProposals({
+      ...parts,
+      incarnationOf: (upstream) => this.#roster.incarnationOf(upstream),
+    });
+    for (const record of parts.registry().upstreams().values()) {
+      if (record.definition.service === service.definition.name) {
+        this.#roster.set(record, now);
+      }
+    }
+    this.#takeKeyMap(now);
+  }
+
+  /** The service is gone, or not keyed any more. */
+  end(): void {
+    this.#roster.removeAll();
+  }
+
+  serviceChanged(service: ServiceRecord, now: MonotonicMillis): void {
+    const before = this.#service;
+    this.#service = service;
+    this.#planner.configure(settingsOf(service));
+    this.#roster.setService(service, now);
+    if (before.generation !== service.generation) {
+      this.#dropKeyMap(before, now);
+      this.#takeKeyMap(now);
+    }
+    this.#isPlanDue = true;
+  }
+
+  upstreamChanged(upstream: UpstreamId, now: MonotonicMillis): void {
+    const record = this.#parts.registry().upstreams().get(upstream);
+    if (record === undefined) {
+      this.#roster.remove(upstream);
+    } else {
+      if (!this.#roster.has(upstream)) {
+        this.#firstGrants.upstreamAdded(now);
+      }
+      this.#roster.set(record, now);
+    }
+    this.#isPlanDue = true;
+  }
+
+  /** A shard's record changed, or is to be looked at anew. */
+  shardChanged(shard: ShardId, now: MonotonicMillis): void {
+    const record = this.#parts.registry().shards().get(shard);
+    if (parseShardId(shard)?.generation === this.#service.generation) {
+      this.#takeShard(record ?? neverGranted(shard), now);
+    } else {
+      this.#retireShard(shard, record, now);
+    }
+    this.#isPlanDue = true;
+  }
+
+  /** An upstream answered or failed to. */
+  sessionChanged(upstream: UpstreamId, now: MonotonicMillis): void {
+    if (!this.#roster.has(upstream)) {
+      return;
+    }
+    this.#isPlanDue = this.#roster.sessionChanged(upstream) || this.#isPlanDue;
+    this.#noteGivenUp(upstream, now);
+    for (const shard of this.#parts.registry().shardsMovingTo(upstream)) {
+      this.#noteTarget(shard, now);
+    }
+  }
+
+  loadReported(works: readonly ReportedWork[], now: MonotonicMillis): void {
+    this.#loads.report(works, now);
+  }
+
+  /** Proposes what is to change next. */
+  run(now: MonotonicMillis): void {
+    for (const shard of this.#moves.takeTimedOut(now)) {
+      this.#noteTarget(shard, now);
+    }
+    for (const shard of this.#proposals.takeDue(now)) {
+      this.shardChanged(shard, now);
+    }
+    this.#roster.run(now);
+    this.#proposals.release([...this.#released]);
+    if (this.#mayPlace()) {
+      this.#place(now);
+    }
+  }
+
+  nextDeadline(now: MonotonicMillis): MonotonicMillis {
+    return Math.min(
+      this.#moves.nextDeadline(),
+      this.#proposals.nextDeadline(),
+      this.#roster.nextDeadline(),
+      this.#firstGrants.nextDeadline(now),
+      this.#mayPlace() ? Math.max(this.#planner.nextDeadline(), now) : Number.POSITIVE_INFINITY,
+    );
+  }
+
+  /** Under a new key map nothing is granted before every shard of the old one is given up. */
+  #mayPlace(): boolean {
+    return this.#parts.registry().retiredOwned(this.#service.definition.name).size === 0;
+  }
+
+  #place(now: MonotonicMillis): void {
+    if (this.#firstGrants.size > 0) {
+      for (const shard of this.#firstGrants.takeSettled(this.#roster.readiness(), now)) {
+        this.shardChanged(shard, now);
+      }
+    }
+    if (now >= this.#planner.nextDeadline()) {
+      this.#takeLoads(now);
+    } else if (!this.#isPlanDue) {
+      return;
+    }
+    this.#isPlanDue = false;
+    this.#proposals.propose(this.#planner.plan(now), now);
+  }
+
+  #takeLoads(now: MonotonicMillis): void {
+    this.#planner.setLeastLoad(this.#loads.weightOf(LEAST_LOAD, now));
+    for (const { shard, load } of this.#loads.takeChanged()) {
+      this.#planner.setLoad(shard, load);
+    }
+  }
+
+  #takeKeyMap(now: MonotonicMillis): void {
+    this.#firstGrants.startOver();
+    for (const shard of shardsOfKeyMap(keyMapOf(this.#service))) {
+      this.shardChanged(shard, now);
+    }
+    for (const shard of this.#parts.registry().retiredOwned(this.#service.definition.name)) {
+      this.shardChanged(shard, now);
+    }
+  }
+
+  #dropKeyMap(before: ServiceRecord, now: MonotonicMillis): void {
+    for (const shard of shardsOfKeyMap(keyMapOf(before))) {
+      this.#loads.forget(shard);
+      this.shardChanged(shard, now);
+    }
+  }
+
+  #takeShard(record: ShardRecord, now: MonotonicMillis): void {
+    const { shard, owner, movingTo } = record;
+    this.#noteRecord(record, now);
+    this.#orders.set(shard, currentOrders(record, this.#service, this.#moves.isRevoked(record)), now);
+    if (owner === null && record.epoch === 0 && this.#firstGrants.hold(shard)) {
+      return;
+    }
+    this.#firstGrants.release(shard);
+    const keyspace = parseShardId(shard)?.keyspace ?? '';
+    const load = this.#loads.weight(shard);
+    this.#planner.setShard({ shard, keyspace, load, owner, target: movingTo });
+  }
+
+  #retireShard(shard: ShardId, record: ShardRecord | undefined, now: MonotonicMillis): void {
+    this.#planner.removeShard(shard);
+    this.#firstGrants.release(shard);
+    this.#moves.forget(shard);
+    if ((record?.owner ?? null) === null) {
+      this.#released.delete(shard);
+    }
+    this.#orders.set(shard, retiringOrders(record, this.#service), now);
+  }
+
+  #noteRecord(record: ShardRecord, now: MonotonicMillis): void {
+    this.#moves.update(record, now);
+    if (record.owner === null) {
+      this.#released.delete(record.shard);
+    }
+  }
+
+  /** Looks for shards that the upstream's last answer says it doesn't serve, though the registry says it owns them. */
+  #noteGivenUp(upstream: UpstreamId, now: MonotonicMillis): void {
+    const view = this.#parts.granter.view(upstream);
+    for (const { shard } of view?.answer?.draining ?? []) {
+      this.#noteStopped(shard, upstream, now);
+    }
+    for (const { shard, revision } of view?.answer?.released ?? []) {
+      const epoch = this.#parts.registry().shards().get(shard)?.epoch ?? 0;
+      if (revision > epoch && this.#noteStopped(shard, upstream, now)) {
+        this.#released.add(shard);
+      }
+    }
+  }
+
+  /** Returns whether the registry has this shard as owned by this very run of the upstream. */
+  #noteStopped(shard: ShardId, upstream: UpstreamId, now: MonotonicMillis): boolean {
+    const record = this.#parts.registry().shards().get(shard);
+    const incarnation = this.#parts.granter.view(upstream)?.incarnation;
+    if (record === undefined || record.owner !== upstream || record.incarnation !== incarnation) {
+      return false;
+    }
+    this.#moves.noteStopped(record);
+    this.#refreshOrders(record, now);
+    return true;
+  }
+
+  #noteTarget(shard: ShardId, now: MonotonicMillis): void {
+    const record = this.#parts.registry().shards().get(shard);
+    if (record !== undefined) {
+      this.#moves.noteTarget(record, this.#parts.granter.view(record.movingTo ?? ''), now);
+      this.#refreshOrders(record, now);
+    }
+  }
+
+  #refreshOrders(record: ShardRecord, now: MonotonicMillis): void {
+    if (parseShardId(record.shard)?.generation === this.#service.generation) {
+      const orders = currentOrders(record, this.#service, this.#moves.isRevoked(record));
+      this.#orders.set(record.shard, orders, now);
+    }
+  }
+}
+
+function settingsOf({ definition }: ServiceRecord) {
+  return { weights: definition.placement, movesPerMinute: definition.movesPerMinute };
+}
+
+/** A shard without a record was never granted. */
+function neverGranted(shard: ShardId): ShardRecord {
+  return { shard, owner: null, incarnation: null, epoch: 0, movingTo: null, revision: 0 };
+}
--- /dev/null
+++ b/src/lease/deadline-queue.ts
@@ -0,0 +1,100 @@
+/** Deadlines of many things, one each, as a binary heap. Setting one anew leaves a stale item that is passed over later. */
+import type { MonotonicMillis } from '../model/identifiers.js';
+
+interface Item<Key> {
+  readonly key: Key;
+  readonly at: MonotonicMillis;
+}
+
+export class DeadlineQueue<Key> {
+  readonly #deadlines = new Map<Key, MonotonicMillis>();
+  #heap: Item<Key>[] = [];
+
+  /** Sets or clears (`Infinity`) the deadline of `key`. */
+  set(key: Key, at: MonotonicMillis): void {
+    if (this.#deadlines.get(key) === at) {
+      return;
+    }
+    if (at === Number.POSITIVE_INFINITY) {
+      this.#deadlines.delete(key);
+      return;
+    }
+    this.#deadlines.set(key, at);
+    this.#push({ key, at });
+    this.#dropStaleItems();
+  }
+
+  delete(key: Key): void {
+    this.#deadlines.delete(key);
+  }
+
+  /** The earliest deadline; `Infinity` if there is none. */
+  next(): MonotonicMillis {
+    for (let top = this.#heap[0]; top !== undefined; top = this.#heap[0]) {
+      if (this.#deadlines.get(top.key) === top.at) {
+        return top.at;
+      }
+      this.#pop();
+    }
+    return Number.POSITIVE_INFINITY;
+  }
+
+  /** Takes out all keys whose deadlines are not after `now`, the earliest first. */
+  takeDue(now: MonotonicMillis): Key[] {
+    const due: Key[] = [];
+    while (this.next() <= now) {
+      const { key } = this.#heap[0] as Item<Key>;
+      this.#pop();
+      this.#deadlines.delete(key);
+      due.push(key);
+    }
+    return due;
+  }
+
+  /** Stale items never outnumber the others for long. */
+  #dropStaleItems(): void {
+    if (this.#heap.length < 64 || this.#heap.length < 4 * this.#deadlines.size) {
+      return;
+    }
+    this.#heap = [];
+    for (const [key, at] of this.#deadlines) {
+      this.#push({ key, at });
+    }
+  }
+
+  #push(item: Item<Key>): void {
+    const heap = this.#heap;
+    heap.push(item);
+    let index = heap.length - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if ((heap[parent] as Item<Key>).at <= item.at) {
+        break;
+      }
+      heap[index] = heap[parent] as Item<Key>;
+      index = parent;
+    }
+    heap[index] = item;
+  }
+
+  #pop(): void {
+    const heap = this.#heap;
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) {
+      return;
+    }
+    let index = 0;
+    for (;;) {
+      const left = index * 2 + 1;
+      const right = left + 1;
+      const least =
+        right < heap.length && (heap[right] as Item<Key>).at < (heap[left] as Item<Key>).at ? right : left;
+      if (least >= heap.length || (heap[least] as Item<Key>).at >= last.at) {
+        break;
+      }
+      heap[index] = heap[least] as Item<Key>;
+      index = least;
+    }
+    heap[index] = last;
+  }
+}
--- a/src/lease/granter-session.ts
+++ b/src/lease/granter-session.ts
@@ -1,7 +1,8 @@
 /** One upstream's session as the control leader sees it: what was sent, what was answered, until when it may be leased. */
-import type { Incarnation, MonotonicMillis, ShardId } from '../model/identifiers.js';
+import type { Incarnation, MonotonicMillis } from '../model/identifiers.js';
 import type { SessionPhase, SessionTarget } from './granter-types.js';
-import type { KeyMap, SessionAnswer, SessionRequest, ShardOrder } from './types.js';
+import { SessionOrders } from './session-orders.js';
+import type { KeyMap, SessionAnswer, SessionRequest } from './types.js';
 
 /** A stamp of the holder's clock and when it came. */
 export interface ReceivedStamp {
@@ -13,6 +14,7 @@
 
 export class GranterSession {
   target: SessionTarget;
+  readonly orders = new SessionOrders();
   phase: SessionPhase = 'greeting';
   /** Last moment, on the granter's clock, at which the registered incarnation may hold a lease. */
   leaseEnd: MonotonicMillis;
@@ -36,11 +38,6 @@
   #completeDue = true;
   #drainSent: boolean | null = null;
   #keyMapSent: string | null = null;
-  /** Orders sent, by shard; `acknowledged` are those that the holder's answer showed to be followed. */
-  readonly #sent = new Map<ShardId, string>();
-  readonly #acknowledged = new Map<ShardId, string>();
-  /** Revokes that an answer didn't show to be followed. */
-  readonly #unanswered = new Set<ShardId>();
 
   constructor(target: SessionTarget, leaseEnd: MonotonicMillis, now: MonotonicMillis) {
     this.target = target;
@@ -61,9 +58,7 @@
     this.#completeDue = true;
     this.#drainSent = null;
     this.#keyMapSent = null;
-    this.#sent.clear();
-    this.#acknowledged.clear();
-    this.#unanswered.clear();
+    this.orders.startOver();
   }
 
   /** Whether there is something to say that wasn't said yet. */
@@ -73,13 +68,13 @@
       this.#completeDue ||
       this.#drainSent !== target.drain ||
       this.#keyMapSent !== nameOf(target.keyMap) ||
-      target.orders.some((order) => this.#sent.get(order.shard) !== nameOfOrder(order))
+      this.orders.hasUnsent()
     );
   }
 
   /** A holder that was told to give a shard up and doesn't say that it follows is not renewed. */
   mayRenew(): boolean {
-    return this.#unanswered.size === 0;
+    return !this.orders.hasIgnoredRevoke();
   }
 
   /** Whether a newer stamp than the confirmed one waits for a quorum round. */
@@ -105,17 +100,7 @@
   /** Notes what the holder's answer to the outstanding call shows. */
   acknowledge(request: SessionRequest, answer: SessionAnswer): void {
     this.followed = answer;
-    for (const order of request.orders) {
-      const followed = isFollowed(order, answer);
-      if (followed) {
-        this.#acknowledged.set(order.shard, nameOfOrder(order));
-      }
-      if (order.type === 'revoke' && !followed) {
-        this.#unanswered.add(order.shard);
-      } else {
-        this.#unanswered.delete(order.shard);
-      }
-    }
+    this.orders.acknowledge(request.orders, answer);
   }
 
   /** The outstanding call had no effect that can be relied on: all it said is to be said again. */
@@ -123,39 +108,18 @@
     this.#completeDue ||= request.complete;
     this.#drainSent = null;
     this.#keyMapSent = request.keyMap === null ? this.#keyMapSent : null;
-    for (const order of request.orders) {
-      this.#sent.delete(order.shard);
-    }
-  }
-
-  /** Takes what the registry wants now; drops notes of orders that are no longer in force. */
-  retarget(target: SessionTarget): void {
-    this.target = target;
-    const shards = new Set(target.orders.map((order) => order.shard));
-    for (const notes of [this.#sent, this.#acknowledged, this.#unanswered]) {
-      for (const shard of [...notes.keys()]) {
-        if (!shards.has(shard)) {
-          notes.delete(shard);
-        }
-      }
-    }
+    this.orders.forget(request.orders);
   }
 
   /** The complete list at the start, later only orders that weren't acknowledged. */
   #takeOrders(): Pick<SessionRequest, 'keyMap' | 'orders' | 'complete' | 'drain'> {
-    const { keyMap, orders, drain } = this.target;
+    const { keyMap, drain } = this.target;
     const complete = this.#completeDue;
-    const due = orders.filter(
-      (order) => complete || this.#acknowledged.get(order.shard) !== nameOfOrder(order),
-    );
     const sendsKeyMap = complete || this.#keyMapSent !== nameOf(keyMap);
     this.#completeDue = false;
     this.#drainSent = drain;
     this.#keyMapSent = nameOf(keyMap);
-    for (const order of due) {
-      this.#sent.set(order.shard, nameOfOrder(order));
-    }
-    return { keyMap: sendsKeyMap ? keyMap : null, orders: due, complete, drain };
+    return { keyMap: sendsKeyMap ? keyMap : null, orders: this.orders.take(complete), complete, drain };
   }
 }
 
@@ -170,23 +134,3 @@
 function nameOf(keyMap: KeyMap): string {
   return `${keyMap.service}@${keyMap.generation}`;
 }
-
-function nameOfOrder(order: ShardOrder): string {
-  return `${order.type}:${order.revision}`;
-}
-
-/** Whether an answer shows that the holder follows an order. */
-function isFollowed(order: ShardOrder, answer: SessionAnswer): boolean {
-  const epoch = answer.held.find((grant) => grant.shard === order.shard)?.epoch;
-  switch (order.type) {
-    case 'grant':
-      return epoch === order.epoch;
-    case 'revoke':
-      return (
-        answer.draining.some((item) => item.shard === order.shard) ||
-        answer.released.some((item) => item.shard === order.shard && item.revision >= order.revision)
-      );
-    case 'warm':
-      return true;
-  }
-}
--- a/src/lease/granter-types.ts
+++ b/src/lease/granter-types.ts
@@ -8,7 +8,7 @@
   Term,
   UpstreamId,
 } from '../model/identifiers.js';
-import type { KeyMap, LeaseTimings, SessionAnswer, SessionRequest, ShardOrder } from './types.js';
+import type { KeyMap, LeaseTimings, SessionAnswer, SessionRequest } from './types.js';
 
 export interface GranterConfig {
   readonly cluster: ClusterId;
@@ -22,15 +22,13 @@
   readonly seed: number;
 }
 
-/** What the registry wants of one upstream's session. */
+/** What the registry wants of one upstream's session, beside orders about single shards. */
 export interface SessionTarget {
   readonly upstream: UpstreamId;
   readonly address: Address;
   /** Incarnation that the registry holds a session of. */
   readonly incarnation: Incarnation | null;
   readonly keyMap: KeyMap;
-  /** All orders that are in force, by shard. */
-  readonly orders: readonly ShardOrder[];
   readonly drain: boolean;
 }
 
--- a/src/lease/lease-granter.ts
+++ b/src/lease/lease-granter.ts
@@ -9,7 +9,8 @@
  */
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import type { MonotonicMillis, UpstreamId } from '../model/identifiers.js';
+import type { MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
+import { DeadlineQueue } from './deadline-queue.js';
 import { GranterSession } from './granter-session.js';
 import type {
   GranterConfig,
@@ -19,7 +20,7 @@
   SessionView,
 } from './granter-types.js';
 import { leaseBound } from './lease-bound.js';
-import type { SessionAnswer, SessionRequest } from './types.js';
+import type { SessionAnswer, SessionRequest, ShardOrder } from './types.js';
 
 /** After a failed call the next one waits for this share of the renewal time. */
 const RETRY_SHARE = 1 / 8;
@@ -31,6 +32,14 @@
 export class LeaseGranter {
   readonly #config: GranterConfig;
   readonly #sessions = new Map<UpstreamId, GranterSession>();
+  /** When each session may need a call, or its lease ends. */
+  readonly #wakes = new DeadlineQueue<GranterSession>();
+  /** When each session that awaits a quorum round wants one. */
+  readonly #rounds = new DeadlineQueue<GranterSession>();
+  /** Sessions whose newest stamp waits for a quorum round. */
+  readonly #awaiting = new Set<GranterSession>();
+  /** Sessions that the registry has to change something about, now or when their lease is over. */
+  readonly #changing = new Set<GranterSession>();
   readonly #random: ReturnType<typeof xoroshiro128plus>;
   /** Answers received so far; quorum rounds are placed among them. */
   #answers = 0;
@@ -44,16 +53,38 @@
     this.#lastStepAt = config.electedAt;
   }
 
-  /** Takes what the registry wants. Sessions of upstreams that aren't named are dropped. */
-  update(targets: readonly SessionTarget[], now: MonotonicMillis): void {
-    const named = new Set(targets.map((target) => target.upstream));
-    for (const upstream of [...this.#sessions.keys()]) {
-      if (!named.has(upstream)) {
-        this.#sessions.delete(upstream);
-      }
+  /** Takes what the registry wants of one session. */
+  setTarget(target: SessionTarget, now: MonotonicMillis): void {
+    this.#touch(this.#retarget(target, now), now);
+  }
+
+  /** The upstream is gone from the registry. */
+  dropSession(upstream: UpstreamId): void {
+    const session = this.#sessions.get(upstream);
+    if (session !== undefined) {
+      this.#sessions.delete(upstream);
+      this.#wakes.delete(session);
+      this.#rounds.delete(session);
+      this.#awaiting.delete(session);
+      this.#changing.delete(session);
     }
-    for (const target of targets) {
-      this.#retarget(target, now);
+  }
+
+  /** Puts an order to an upstream in force, in place of an earlier one about the same shard. */
+  setOrder(upstream: UpstreamId, order: ShardOrder, now: MonotonicMillis): void {
+    const session = this.#sessions.get(upstream);
+    if (session !== undefined) {
+      session.orders.set(order);
+      this.#touch(session, now);
+    }
+  }
+
+  /** No order about the shard is in force any more. */
+  dropOrder(upstream: UpstreamId, shard: ShardId, now: MonotonicMillis): void {
+    const session = this.#sessions.get(upstream);
+    if (session !== undefined) {
+      session.orders.delete(shard);
+      this.#touch(session, now);
     }
   }
 
@@ -67,9 +98,11 @@
     const isRefused = answer.refused !== null && answer.refused !== 'other-incarnation';
     if (answer.upstream !== upstream || answer.term !== this.#config.term || isRefused) {
       this.#noteFailure(session, request, now);
+      this.#touch(session, now);
       return false;
     }
     this.#noteAnswer(session, request, answer, now);
+    this.#touch(session, now);
     return true;
   }
 
@@ -79,6 +112,7 @@
     const request = session === undefined ? undefined : takeOutstanding(session, sequence);
     if (session !== undefined && request !== undefined) {
       this.#noteFailure(session, request, now);
+      this.#touch(session, now);
     }
   }
 
@@ -88,36 +122,38 @@
   }
 
   /** A quorum round that began at `mark` confirmed the leadership. */
-  confirmed(mark: number): void {
-    for (const session of this.#sessions.values()) {
+  confirmed(mark: number, now: MonotonicMillis): void {
+    for (const session of [...this.#awaiting]) {
       const { received, answer, incarnation } = session;
       if (received !== null && received.order <= mark && answer?.incarnation === incarnation) {
         session.confirmed = received;
+        this.#touch(session, now);
       }
     }
   }
 
   /** Whether a renewal that is due, or nearly so, waits for a quorum round. */
   wantsRound(now: MonotonicMillis): boolean {
-    return [...this.#sessions.values()].some((session) => this.#isBlocked(session, now));
+    return this.#rounds.next() <= now;
   }
 
   /** Ends leases that are over, then gives the calls that are to be made now. */
   takeCalls(now: MonotonicMillis): SessionCall[] {
     this.#noteStall(now);
     const calls: SessionCall[] = [];
-    for (const session of this.#sessions.values()) {
+    for (const session of this.#wakes.takeDue(now)) {
       this.#endIfOver(session, now);
       if (this.#isCallable(session, now)) {
         calls.push(this.#call(session, now));
       }
+      this.#touch(session, now);
     }
     return calls;
   }
 
-  /** Changes that the registry is to make; repeated until `update` shows them made. */
+  /** Changes that the registry is to make; repeated until `setTarget` shows them made. */
   changes(now: MonotonicMillis): SessionChange[] {
-    return [...this.#sessions.values()]
+    return [...this.#changing]
       .map((session) => changeOf(session, this.#isOver(session, now)))
       .filter((change) => change !== undefined);
   }
@@ -132,26 +168,41 @@
   }
 
   /** When `takeCalls` has something to do next if nothing else happens. */
-  nextDeadline(now: MonotonicMillis): MonotonicMillis {
-    const deadlines = [...this.#sessions.values()].map((session) => this.#deadlineOf(session, now));
-    return Math.min(Number.POSITIVE_INFINITY, ...deadlines);
+  nextDeadline(): MonotonicMillis {
+    return this.#wakes.next();
+  }
+
+  /** Notes anew when something is due for a session after it changed. */
+  #touch(session: GranterSession, now: MonotonicMillis): void {
+    const isAwaiting = session.phase === 'leased' && session.awaitsConfirmation();
+    const isFree = isAwaiting && session.outstanding === null;
+    const mayWantChange = session.incarnation === null ? session.answer !== null : session.phase === 'ending';
+    this.#wakes.set(session, this.#wakeOf(session, now));
+    this.#rounds.set(session, isFree ? this.#roundOf(session) : Number.POSITIVE_INFINITY);
+    setMembership(this.#awaiting, session, isAwaiting);
+    setMembership(this.#changing, session, mayWantChange);
   }
 
-  #retarget(target: SessionTarget, now: MonotonicMillis): void {
+  #retarget(target: SessionTarget, now: MonotonicMillis): GranterSession {
     const { electedAt, timings } = this.#config;
     const session = this.#sessions.get(target.upstream);
     if (session === undefined) {
       const isKnown = target.incarnation !== null;
       const leaseEnd = isKnown ? leaseBound(timings, electedAt) : Number.NEGATIVE_INFINITY;
-      this.#sessions.set(target.upstream, new GranterSession(target, leaseEnd, now));
-      return;
+      const added = new GranterSession(target, leaseEnd, now);
+      this.#sessions.set(target.upstream, added);
+      return added;
     }
     const previous = session.incarnation;
-    session.retarget(target);
-    if (target.incarnation === previous) {
-      return;
+    session.target = target;
+    if (target.incarnation !== previous) {
+      this.#changeIncarnation(session, now);
     }
-    if (target.incarnation === null) {
+    return session;
+  }
+
+  #changeIncarnation(session: GranterSession, now: MonotonicMillis): void {
+    if (session.incarnation === null) {
       session.enter('greeting', now);
       session.received = null;
       session.answer = null;
@@ -159,7 +210,7 @@
       return;
     }
     session.enter('leased', now);
-    session.leaseEnd = leaseBound(timings, now);
+    session.leaseEnd = leaseBound(this.#config.timings, now);
   }
 
   #noteAnswer(
@@ -216,13 +267,6 @@
     }
   }
 
-  /** Whether only a missing quorum round keeps a due renewal back. */
-  #isBlocked(session: GranterSession, now: MonotonicMillis): boolean {
-    const soon = now + this.#config.timings.renewMillis * BATCH_SHARE;
-    const isDue = session.outstanding === null && session.nextCallAt <= soon && session.notBefore <= soon;
-    return isDue && session.phase === 'leased' && session.awaitsConfirmation();
-  }
-
   #isCallable(session: GranterSession, now: MonotonicMillis): boolean {
     if (session.outstanding !== null || now < session.notBefore) {
       return false;
@@ -261,32 +305,56 @@
 
   /** When to ask again how far a holder is with what it was told. */
   #pollAt(session: GranterSession): MonotonicMillis {
-    const { followed, received, target } = session;
+    const { followed, received, orders } = session;
     if (followed === null || received === null) {
       return Number.POSITIVE_INFINITY;
     }
-    const warms = target.orders.some(
-      (order) => order.type === 'warm' && !followed.warmed.includes(order.shard),
-    );
-    const isBusy = warms || followed.draining.length > 0;
+    const isBusy = followed.draining.length > 0 || orders.isWarming(followed.warmed);
     return isBusy
       ? received.receivedAt + this.#config.timings.renewMillis * POLL_SHARE
       : Number.POSITIVE_INFINITY;
   }
 
-  #deadlineOf(session: GranterSession, now: MonotonicMillis): MonotonicMillis {
-    const isOpen = session.incarnation !== null;
-    const end = Math.max(session.leaseEnd, this.#patientUntil);
-    const afterEnd = isOpen && !this.#isOver(session, now) ? Math.floor(end) + 1 : Number.POSITIVE_INFINITY;
-    if (session.outstanding !== null) {
-      return afterEnd;
+  /** A session wants a quorum round a little before its renewal is due, so that renewals share rounds. */
+  #roundOf(session: GranterSession): MonotonicMillis {
+    return Math.max(session.nextCallAt, session.notBefore) - this.#config.timings.renewMillis * BATCH_SHARE;
+  }
+
+  #wakeOf(session: GranterSession, now: MonotonicMillis): MonotonicMillis {
+    const end = this.#endAt(session, now);
+    return session.outstanding === null ? Math.min(end, this.#callAt(session, now)) : end;
+  }
+
+  /** When the lease is to be ended, or, once it is given up, when it is over. */
+  #endAt(session: GranterSession, now: MonotonicMillis): MonotonicMillis {
+    if (session.incarnation === null) {
+      return Number.POSITIVE_INFINITY;
+    }
+    if (this.#isOver(session, now)) {
+      return session.phase === 'ending' ? Number.POSITIVE_INFINITY : now;
+    }
+    return Math.floor(Math.max(session.leaseEnd, this.#patientUntil)) + 1;
+  }
+
+  /** When the next call can be made; a renewal that is due and waits for a quorum round isn't timed. */
+  #callAt(session: GranterSession, now: MonotonicMillis): MonotonicMillis {
+    const { notBefore, nextCallAt } = session;
+    if (session.phase !== 'leased') {
+      return Math.max(notBefore, nextCallAt);
     }
-    if (this.#isBlocked(session, now) && now >= session.nextCallAt) {
-      return afterEnd;
+    if (session.awaitsConfirmation() && now >= nextCallAt) {
+      return Number.POSITIVE_INFINITY;
     }
-    const news = session.phase === 'leased' && session.hasNews() ? now : Number.POSITIVE_INFINITY;
-    const poll = session.phase === 'leased' ? this.#pollAt(session) : Number.POSITIVE_INFINITY;
-    return Math.min(afterEnd, Math.max(session.notBefore, Math.min(session.nextCallAt, news, poll)));
+    const news = session.hasNews() ? now : Number.POSITIVE_INFINITY;
+    return Math.max(notBefore, Math.min(nextCallAt, news, this.#pollAt(session)));
+  }
+}
+
+function setMembership(sessions: Set<GranterSession>, session: GranterSession, isMember: boolean): void {
+  if (isMember) {
+    sessions.add(session);
+  } else {
+    sessions.delete(session);
   }
 }
 
--- a/src/placement/baselines/greedy.ts
+++ b/src/placement/baselines/greedy.ts
@@ -43,6 +43,10 @@
     this.#state.setLoad(shard, load);
   }
 
+  setLeastLoad(load: number): void {
+    this.#state.leastLoad = load;
+  }
+
   removeShard(shard: ShardId): void {
     this.#state.removeShard(shard);
   }
--- a/src/placement/baselines/recomputing-planner.ts
+++ b/src/placement/baselines/recomputing-planner.ts
@@ -49,6 +49,9 @@
     }
   }
 
+  /** Idle shards are spread by their hashes. */
+  setLeastLoad(): void {}
+
   removeShard(shard: ShardId): void {
     this.#shards.delete(shard);
     this.#isChanged = true;
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -2,7 +2,7 @@
 export { createBoundedLoadPlanner } from './baselines/bounded-load.js';
 export { createGreedyPlanner } from './baselines/greedy.js';
 export { createRendezvousPlanner } from './baselines/rendezvous.js';
-export { LOAD_HALF_LIFE_MILLIS, LoadTracker, type ReportedWork } from './load-tracker.js';
+export { LOAD_HALF_LIFE_MILLIS, LoadTracker, type ReportedWork, type ShardWeight } from './load-tracker.js';
 export type {
   PlacementMove,
   PlacementPlanner,
--- a/src/placement/load-tracker.ts
+++ b/src/placement/load-tracker.ts
@@ -1,11 +1,16 @@
-/** Loads of shards from the reports of many routers, averaged over time with exponential decay. */
+/**
+ * Loads of shards from the reports of many routers, averaged with exponential decay. Weights are kept on a scale that
+ * grows with time, so that older work counts for less without being touched: only what is reported costs work.
+ */
 import type { MonotonicMillis, ShardId } from '../model/identifiers.js';
 
 /** What is remembered of a load loses half its weight in this time. */
 export const LOAD_HALF_LIFE_MILLIS = 10_000;
 const MILLIS_PER_SECOND = 1000;
-/** A load below this, in milliseconds of work a second, counts as none. */
-const NO_LOAD = 0.001;
+/** Half-lives after which the scale starts over at 1. */
+const RESCALE_HALF_LIVES = 40;
+/** A weight below this after the scale started over is of work long ago. */
+const NO_WEIGHT = 1e-6;
 
 /** Work reported for one shard. */
 export interface ReportedWork {
@@ -13,65 +18,84 @@
   readonly workMillis: number;
 }
 
-interface DecayedWork {
-  /** Sum of reported work, decayed up to `at`. */
-  work: number;
-  at: MonotonicMillis;
+/** A shard with its weight: a load in a unit that all weights taken at one time share. */
+export interface ShardWeight {
+  readonly shard: ShardId;
+  readonly load: number;
 }
 
-/** Loads in milliseconds of work a second. Work is proportional to what is reported and read. */
 export class LoadTracker {
-  readonly #works = new Map<ShardId, DecayedWork>();
-  /** When the first report came: younger averages are scaled up to the time they cover. */
-  #since: MonotonicMillis | undefined;
+  readonly #weights = new Map<ShardId, number>();
+  readonly #changed = new Set<ShardId>();
+  /** Where the scale is 1. */
+  #origin: MonotonicMillis | undefined;
+  /** When the first report came. */
+  #since: MonotonicMillis = Number.POSITIVE_INFINITY;
 
   /** Adds one router's report of work done since the one before. */
   report(works: Iterable<ReportedWork>, now: MonotonicMillis): void {
-    this.#since ??= now;
+    this.#since = Math.min(this.#since, now);
+    const scale = this.#scale(now);
     for (const { shard, workMillis } of works) {
-      const known = this.#works.get(shard);
-      if (known === undefined) {
-        this.#works.set(shard, { work: workMillis, at: now });
-      } else {
-        known.work = known.work * decay(now - known.at) + workMillis;
-        known.at = now;
-      }
+      this.#weights.set(shard, (this.#weights.get(shard) ?? 0) + workMillis * scale);
+      this.#changed.add(shard);
     }
   }
 
-  /** Load of a shard now; 0 if nothing was ever reported. */
+  /** Weight of a shard. */
+  weight(shard: ShardId): number {
+    return this.#weights.get(shard) ?? 0;
+  }
+
+  /** Weight of a steady load of so many milliseconds of work a second. */
+  weightOf(load: number, now: MonotonicMillis): number {
+    return (load / MILLIS_PER_SECOND) * this.#coveredMillis(now) * this.#scale(now);
+  }
+
+  /** Load of a shard in milliseconds of work a second. */
   load(shard: ShardId, now: MonotonicMillis): number {
-    const known = this.#works.get(shard);
-    if (known === undefined || this.#since === undefined) {
-      return 0;
-    }
-    const work = known.work * decay(now - known.at);
-    return (work / coveredMillis(now - this.#since)) * MILLIS_PER_SECOND;
+    return this.weight(shard) / this.weightOf(1, now);
   }
 
-  /** Every shard with a load; those whose load has faded are forgotten and given as 0 once. */
-  *loads(now: MonotonicMillis): Iterable<{ readonly shard: ShardId; readonly load: number }> {
-    for (const shard of this.#works.keys()) {
-      const load = this.load(shard, now);
-      const isFaded = load < NO_LOAD;
-      if (isFaded) {
-        this.#works.delete(shard);
-      }
-      yield { shard, load: isFaded ? 0 : load };
-    }
+  /** Weights that changed since the last call; all of them after the scale started over. */
+  takeChanged(): ShardWeight[] {
+    const changed = [...this.#changed].map((shard) => ({ shard, load: this.weight(shard) }));
+    this.#changed.clear();
+    return changed;
   }
 
   forget(shard: ShardId): void {
-    this.#works.delete(shard);
+    this.#weights.delete(shard);
+    this.#changed.delete(shard);
   }
-}
 
-function decay(millis: number): number {
-  return 0.5 ** (Math.max(0, millis) / LOAD_HALF_LIFE_MILLIS);
-}
+  #scale(now: MonotonicMillis): number {
+    this.#origin ??= now;
+    const halfLives = (now - this.#origin) / LOAD_HALF_LIFE_MILLIS;
+    if (halfLives < RESCALE_HALF_LIVES) {
+      return 2 ** halfLives;
+    }
+    this.#rescale(0.5 ** halfLives);
+    this.#origin = now;
+    return 1;
+  }
+
+  #rescale(factor: number): void {
+    for (const [shard, weight] of this.#weights) {
+      const rescaled = weight * factor;
+      this.#changed.add(shard);
+      if (rescaled < NO_WEIGHT) {
+        this.#weights.delete(shard);
+      } else {
+        this.#weights.set(shard, rescaled);
+      }
+    }
+  }
 
-/** Time that the decayed sum stands for: the integral of the decay, at least one second of it. */
-function coveredMillis(age: number): number {
-  const meanMillis = LOAD_HALF_LIFE_MILLIS / Math.LN2;
-  return meanMillis * (1 - decay(Math.max(age, MILLIS_PER_SECOND)));
+  /** Time that the decayed sum stands for: the integral of the decay, at least one second of it. */
+  #coveredMillis(now: MonotonicMillis): number {
+    const age = Math.max(MILLIS_PER_SECOND, now - this.#since);
+    const meanMillis = LOAD_HALF_LIFE_MILLIS / Math.LN2;
+    return meanMillis * (1 - 0.5 ** (age / LOAD_HALF_LIFE_MILLIS));
+  }
 }
--- a/src/placement/placement-state.ts
+++ b/src/placement/placement-state.ts
@@ -39,6 +39,8 @@
   readonly unplaced = new Map<string, Set<ShardEntry>>();
   /** Shards whose owner must give them up and which don't move yet. */
   readonly misplaced = new Set<ShardEntry>();
+  /** What every shard counts for at least. */
+  leastLoad = 0;
   #totalLoad = 0;
   #ranksAreOld = false;
 
@@ -110,7 +112,8 @@
 
   /** What a shard without any load counts for. */
   floor(): number {
-    const floor = (this.#totalLoad / Math.max(1, this.shards.size)) * FLOOR_SHARE;
+    const share = (this.#totalLoad / Math.max(1, this.shards.size)) * FLOOR_SHARE;
+    const floor = Math.max(share, this.leastLoad);
     return floor > 0 ? floor : 1;
   }
 
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -58,6 +58,8 @@
   /** Adds a shard or replaces what is known of it; a move that was planned for it is forgotten. */
   setShard(shard: PlacementShard): void;
   setLoad(shard: ShardId, load: number): void;
+  /** What every shard counts for at least, in the unit of the loads, so that next to no load moves nothing. */
+  setLeastLoad(load: number): void;
   removeShard(shard: ShardId): void;
   /** Moves to begin now. Each counts as under way until `setShard` says how it stands. */
   plan(now: MonotonicMillis): PlacementMove[];
--- a/src/placement/weighted-planner.ts
+++ b/src/placement/weighted-planner.ts
@@ -28,18 +28,22 @@
 /** Shards that a server warms at once for planned moves off draining servers. */
 export const ARRIVING_LIMIT = 16;
 
-/** Makes the planner that weighs unavailability, imbalance and churn. */
-export function createPlanner(settings: PlacementSettings): PlacementPlanner {
-  return new WeightedPlanner(settings);
+/** Makes the planner that weighs unavailability, imbalance and churn. Nothing is balanced before `balanceFrom`. */
+export function createPlanner(
+  settings: PlacementSettings,
+  balanceFrom: MonotonicMillis = Number.NEGATIVE_INFINITY,
+): PlacementPlanner {
+  return new WeightedPlanner(settings, balanceFrom);
 }
 
 class WeightedPlanner implements PlacementPlanner {
   readonly #state = new PlacementState();
   readonly #budget = new MoveBudget();
   #tolerance: Tolerance | undefined;
-  #balanceAt: MonotonicMillis = Number.NEGATIVE_INFINITY;
+  #balanceAt: MonotonicMillis;
 
-  constructor(settings: PlacementSettings) {
+  constructor(settings: PlacementSettings, balanceFrom: MonotonicMillis) {
+    this.#balanceAt = balanceFrom;
     this.configure(settings);
   }
 
@@ -64,6 +68,10 @@
     this.#state.setLoad(shard, load);
   }
 
+  setLeastLoad(load: number): void {
+    this.#state.leastLoad = load;
+  }
+
   removeShard(shard: ShardId): void {
     this.#state.removeShard(shard);
   }
--- a/src/routing/load-reporter.ts
+++ b/src/routing/load-reporter.ts
@@ -1,4 +1,4 @@
-/** Adds up requests and service times for the load reports that travel with sync requests. */
+/** Adds up requests and service times for the load reports to the control leader. */
 import type { LoadReport } from '../control/messages.js';
 import type { ShardId } from '../model/identifiers.js';
 import type { UpstreamState } from './upstream-state.js';
@@ -35,7 +35,7 @@
     const shards = [...this.shards].map(([shard, work]) => ({ shard, ...work }));
     this.shards = new Map();
     this.reportedAt = now;
-    return { intervalMillis, shards, upstreams: [...upstreams].map(reportUpstream) };
+    return { type: 'load-report', intervalMillis, shards, upstreams: [...upstreams].map(reportUpstream) };
   }
 }
 
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -192,13 +192,23 @@
     }
     const { router, incarnation, zone } = context.config;
     const have = attempt.wantsSnapshot ? 0 : context.view.revision;
-    const report = context.reporter.take(context.upstreams.values(), context.now);
     const { stamp } = attempt;
     context.emit({
       type: 'send-control',
       to: attempt.to,
-      message: { type: 'sync-request', router, incarnation, zone, stamp, have, report },
+      message: { type: 'sync-request', router, incarnation, zone, stamp, have },
     });
+    this.reportLoad();
+  }
+
+  /** Load reports keep the time of the syncs. */
+  private reportLoad(): void {
+    const { context } = this;
+    const leader = context.leader.target();
+    const report = context.reporter.take(context.upstreams.values(), context.now);
+    if (report !== null && leader !== null) {
+      context.emit({ type: 'send-control', to: leader, message: report });
+    }
   }
 
   private cancelRequest(request: number): void {
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -29,6 +29,7 @@
   claimResponse: 36,
   settleRequest: 37,
   settleResponse: 38,
+  loadReport: 39,
 } as const;
 
 export interface Frame {
--- a/src/wire/router/index.ts
+++ b/src/wire/router/index.ts
@@ -4,6 +4,7 @@
 import { changeNoticeCodec } from './change-notice.js';
 import { claimRequestCodec } from './claim-request.js';
 import { claimResponseCodec } from './claim-response.js';
+import { loadReportCodec } from './load-report.js';
 import { settleRequestCodec } from './settle-request.js';
 import { settleResponseCodec } from './settle-response.js';
 import { syncRequestCodec } from './sync-request.js';
@@ -13,6 +14,7 @@
   syncRequestCodec,
   claimRequestCodec,
   settleRequestCodec,
+  loadReportCodec,
 ]);
 
 export const controlToRouterCodecs = new MessageCodecSet<ControlToRouter>([
--- a/src/wire/router/sync-request.ts
+++ b/src/wire/router/sync-request.ts
@@ -1,6 +1,6 @@
 /** A router refreshes its configuration lease. */
-import type { LoadReport, SyncRequest } from '../../control/messages.js';
-import { json, real, safeInteger, text } from '../fields.js';
+import type { SyncRequest } from '../../control/messages.js';
+import { real, safeInteger, text } from '../fields.js';
 import { FRAME_KINDS } from '../frame.js';
 import { defineMessage } from '../message-codec.js';
 
@@ -10,5 +10,4 @@
   zone: text,
   stamp: real,
   have: safeInteger,
-  report: json<LoadReport | null>(),
 });
