Load reports: bounded samples to the leader

Cause: each router named every shard and every upstream once a second; 1,200 routers with 2,333 shards each would give the leader 2.8 million entries a second to parse, and it used none about upstreams. Change: at most about 64 shards a report, heavy ones exactly, the others by systematic sampling with a carried remainder, so that sums over routers and time stay true; no entries about upstreams. The hollow routers of the scale run and the control stand-in of the proxy bench follow the new message; codec tests carry it.

--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -9,7 +9,6 @@
   RouterId,
   ServiceName,
   ShardId,
-  UpstreamId,
   WallMillis,
   Zone,
 } from '../model/identifiers.js';
@@ -41,21 +40,17 @@
   readonly type: 'change-notice';
   readonly revision: Revision;
 }
-/** Requests and service times that a router saw since its last report. Sent to the leader; one that is lost isn't repeated. */
+/**
+ * Work that a router saw done since its last report. Sent to the leader; one that is lost isn't repeated. It names
+ * a bounded number of shards: light ones stand for others of their kind, so only sums over reports are meaningful.
+ */
 export interface LoadReport {
   readonly type: 'load-report';
   readonly intervalMillis: number;
   readonly shards: readonly {
     readonly shard: ShardId;
-    readonly requests: number;
     readonly workMillis: number;
   }[];
-  readonly upstreams: readonly {
-    readonly upstream: UpstreamId;
-    readonly inFlight: number;
-    readonly serviceMillis: number;
-    readonly failures: number;
-  }[];
 }
 /** Sent to the leader; idempotent for one claimant. */
 export interface ClaimRequest {
--- a/src/dev/bench/proxy/control-standin.ts
+++ b/src/dev/bench/proxy/control-standin.ts
@@ -2,7 +2,7 @@
  * The control member of the proxy bench: gives routers one configuration, confirms it as often as they ask, and
  * grants every claim at once. It agrees with nobody and keeps nothing.
  */
-import type { ControlToRouter, RouterToControl, SyncRequest } from '../../../control/messages.js';
+import type { ControlToRouter, LoadReport, RouterToControl, SyncRequest } from '../../../control/messages.js';
 import type { Address } from '../../../model/identifiers.js';
 import type { RoutingSnapshot } from '../../../registry/types.js';
 import {
@@ -35,8 +35,11 @@
         ready: () => {},
         received: (connection, frame) => {
           const message = routerToControlCodecs.decode(frame.kind, frame.payload);
-          this.noteReport(message, frame.payload.length);
-          this.reply(connection, this.answerTo(message));
+          if (message.type === 'load-report') {
+            this.reportBytes = Math.max(this.reportBytes, frame.payload.length);
+          } else {
+            this.reply(connection, this.answerTo(message));
+          }
         },
         closed: () => {},
       },
@@ -44,7 +47,7 @@
     return this.server.address;
   }
 
-  /** Size of the largest sync request that carried a load report. */
+  /** Size of the largest load report. */
   get largestReportBytes(): number {
     return this.reportBytes;
   }
@@ -53,13 +56,8 @@
     await this.server?.stop();
   }
 
-  private noteReport(message: RouterToControl, bytes: number): void {
-    if (message.type === 'sync-request' && message.report !== null) {
-      this.reportBytes = Math.max(this.reportBytes, bytes);
-    }
-  }
-
-  private answerTo(message: RouterToControl): ControlToRouter {
+  /** Load reports have no answer. */
+  private answerTo(message: Exclude<RouterToControl, LoadReport>): ControlToRouter {
     switch (message.type) {
       case 'sync-request':
         return this.syncResponse(message);
--- a/src/dev/scale/hollow-router.ts
+++ b/src/dev/scale/hollow-router.ts
@@ -8,6 +8,7 @@
 import type { Revision } from '../../model/identifiers.js';
 import { ControlLinks } from '../../router/control-links.js';
 import { ConfigurationLease } from '../../routing/configuration-lease.js';
+import { LeaderGuess } from '../../routing/leader-guess.js';
 import { DEFAULT_WIRE_LIMITS } from '../../wire/index.js';
 import type { SharedConfiguration } from './shared-configuration.js';
 import type { RunIdentity } from './worker-calls.js';
@@ -33,6 +34,7 @@
   revision: Revision = 0;
   private readonly lease: ConfigurationLease;
   private readonly links: ControlLinks;
+  private readonly leader: LeaderGuess;
   private timer: NodeJS.Timeout | undefined;
   private reportedAt = performance.now();
   private stopped = false;
@@ -40,6 +42,7 @@
   constructor(private readonly options: HollowRouterOptions) {
     const { identity, router, position } = options;
     this.lease = new ConfigurationLease(identity.control, DEFAULT_CONFIG_LEASE_TIMINGS, position);
+    this.leader = new LeaderGuess(identity.control, position);
     this.links = new ControlLinks({
       identity: {
         greeting: { type: 'greeting', cluster: identity.cluster, kind: 'router', name: router },
@@ -80,6 +83,7 @@
     } else if (message.type === 'sync-response') {
       const gap = this.take(message);
       this.lease.answered(message, this.revision, gap, now);
+      this.leader.learn(message.leader);
     }
     this.pump();
   }
@@ -120,19 +124,19 @@
         zone,
         stamp: attempt.stamp,
         have: attempt.wantsSnapshot ? 0 : this.revision,
-        report: this.takeReport(now),
       });
+      this.sendReport(now);
     }
     clearTimeout(this.timer);
     const wait = Math.max(MIN_TICK_MILLIS, Math.ceil(this.lease.nextAt() - performance.now()));
     this.timer = setTimeout(() => this.pump(), wait);
   }
 
-  private takeReport(now: number): LoadReport | null {
-    if (now - this.reportedAt < REPORT_MILLIS) {
-      return null;
+  private sendReport(now: number): void {
+    const leader = this.leader.target();
+    if (leader !== null && now - this.reportedAt >= REPORT_MILLIS) {
+      this.reportedAt = now;
+      this.links.send(leader, this.options.report());
     }
-    this.reportedAt = now;
-    return this.options.report();
   }
 }
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -189,7 +189,6 @@
   private countFailure(attempt: Attempt): void {
     const { now } = this.context;
     const { upstream, work } = attempt;
-    upstream.failed();
     const { service } = work;
     const ejected = upstream.ejection.failed(now, service.ejectedCount(now), service.upstreams.length);
     if (ejected) {
--- a/src/routing/load-reporter.ts
+++ b/src/routing/load-reporter.ts
@@ -1,51 +1,63 @@
-/** Adds up requests and service times for the load reports to the control leader. */
+/**
+ * Adds up work by shard for the load reports to the control leader. A report names a bounded number of shards: the
+ * heavy ones exactly, the others by systematic sampling, so that the reports of many routers add up to the true loads.
+ */
 import type { LoadReport } from '../control/messages.js';
 import type { ShardId } from '../model/identifiers.js';
-import type { UpstreamState } from './upstream-state.js';
 
 const REPORT_MILLIS = 1000;
+/** Shards in one report, about; 1,200 routers then send the leader some 77,000 entries a second. */
+const REPORTED_SHARDS = 64;
 
 interface ShardWork {
-  requests: number;
-  workMillis: number;
+  readonly shard: ShardId;
+  readonly workMillis: number;
 }
 
 export class LoadReporter {
-  private shards = new Map<ShardId, ShardWork>();
+  private works = new Map<ShardId, number>();
   private reportedAt: number | null = null;
+  /** Work of light shards that no sample stood for yet, as a share of one sample. */
+  private remainder = 0.5;
 
   /** A request of a shard was answered after `workMillis`. */
   answered(shard: ShardId, workMillis: number): void {
-    const work = this.shards.get(shard);
-    if (work === undefined) {
-      this.shards.set(shard, { requests: 1, workMillis });
-      return;
-    }
-    work.requests += 1;
-    work.workMillis += workMillis;
+    this.works.set(shard, (this.works.get(shard) ?? 0) + workMillis);
   }
 
   /** The report due now, if one is; counting starts again. */
-  take(upstreams: Iterable<UpstreamState>, now: number): LoadReport | null {
+  take(now: number): LoadReport | null {
     this.reportedAt ??= now;
     const intervalMillis = now - this.reportedAt;
     if (intervalMillis < REPORT_MILLIS) {
       return null;
     }
-    const shards = [...this.shards].map(([shard, work]) => ({ shard, ...work }));
-    this.shards = new Map();
+    const shards = this.sample();
+    this.works = new Map();
     this.reportedAt = now;
-    return { type: 'load-report', intervalMillis, shards, upstreams: [...upstreams].map(reportUpstream) };
+    return { type: 'load-report', intervalMillis, shards };
+  }
+
+  /** A shard with at least the work that one sample stands for is named with its own work. */
+  private sample(): ShardWork[] {
+    const works = [...this.works].map(([shard, workMillis]) => ({ shard, workMillis }));
+    const total = works.reduce((sum, { workMillis }) => sum + workMillis, 0);
+    const sampleWork = total / REPORTED_SHARDS;
+    if (works.length <= REPORTED_SHARDS || sampleWork === 0) {
+      return works;
+    }
+    return works.flatMap((work) => this.sampled(work, sampleWork));
   }
-}
 
-function reportUpstream(upstream: UpstreamState): LoadReport['upstreams'][number] {
-  const failures = upstream.reportedFailures;
-  upstream.reportedFailures = 0;
-  return {
-    upstream: upstream.id,
-    inFlight: upstream.inFlight,
-    serviceMillis: upstream.serviceMillis,
-    failures,
-  };
+  private sampled(work: ShardWork, sampleWork: number): ShardWork[] {
+    if (work.workMillis >= sampleWork) {
+      return [work];
+    }
+    this.remainder += work.workMillis / sampleWork;
+    if (this.remainder < 1) {
+      return [];
+    }
+    this.remainder -= 1;
+    return [{ shard: work.shard, workMillis: sampleWork }];
+  }
 }
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -205,7 +205,7 @@
   private reportLoad(): void {
     const { context } = this;
     const leader = context.leader.target();
-    const report = context.reporter.take(context.upstreams.values(), context.now);
+    const report = context.reporter.take(context.now);
     if (report !== null && leader !== null) {
       context.emit({ type: 'send-control', to: leader, message: report });
     }
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -25,8 +25,6 @@
   inFlight = 0;
   /** It asked for a pause with a refusal. */
   pausedUntil = Number.NEGATIVE_INFINITY;
-  /** Counted since the last load report. */
-  reportedFailures = 0;
   private serviceTime = FIRST_SERVICE_MILLIS;
   /** Outstanding work of other routers, from the latest load it reported. */
   private foreignLoad = 0;
@@ -96,10 +94,6 @@
     this.ejection.succeeded(now);
   }
 
-  failed(): void {
-    this.reportedFailures += 1;
-  }
-
   /** Decayed outstanding work of others, in requests. */
   load(now: number): number {
     return this.foreignLoad * Math.exp((this.loadAt - now) / LOAD_DECAY_MILLIS);
--- a/src/wire/router/load-report.ts
+++ b/src/wire/router/load-report.ts
@@ -7,5 +7,4 @@
 export const loadReportCodec = defineMessage<LoadReport>(FRAME_KINDS.loadReport, 'load-report', {
   intervalMillis: real,
   shards: json<LoadReport['shards']>(),
-  upstreams: json<LoadReport['upstreams']>(),
 });
--- a/test/control/placement.test.ts
+++ b/test/control/placement.test.ts
@@ -35,8 +35,8 @@
 }
 
 function reportOf(works: Record<ShardId, number>): LoadReport {
-  const shards = Object.entries(works).map(([shard, workMillis]) => ({ shard, requests: 1, workMillis }));
-  return { type: 'load-report', intervalMillis: 1000, shards, upstreams: [] };
+  const shards = Object.entries(works).map(([shard, workMillis]) => ({ shard, workMillis }));
+  return { type: 'load-report', intervalMillis: 1000, shards };
 }
 
 describe('placement by the control leader', () => {
--- a/test/wire/message-codecs.test.ts
+++ b/test/wire/message-codecs.test.ts
@@ -11,7 +11,11 @@
       zone: 'zone-a',
       stamp: 12.5,
       have: 7,
-      report: { intervalMillis: 1000, shards: [], upstreams: [] },
+    },
+    {
+      type: 'load-report',
+      intervalMillis: 1000,
+      shards: [{ shard: 's/k@1/0', workMillis: 1.5 }],
     },
     {
       type: 'settle-request',
