--- a/src/dev/scale/scale-fleet.ts
+++ b/src/dev/scale/scale-fleet.ts
@@ -37,6 +37,8 @@
   readonly routers: WorkerProcess<HollowRouterMethods>[] = [];
   readonly realRouters: WorkerProcess<RealRouterMethods>[] = [];
   private identity: RunIdentity = { cluster: 'scale', secret: 'secret of a scale run', control: [] };
+  /** Changes sent again because their outcome was unknown. */
+  resends = 0;
   private requests = 0;
 
   constructor(private readonly options: ScaleFleetOptions) {}
@@ -108,15 +110,27 @@
     return worker.methods.start({ identity: this.identity, router, zone: ZONES[0] as string });
   }
 
-  /** Makes a change; fails unless it was accepted. Gives its revision. */
+  /** Makes a change, resent under the same id until its outcome is known; fails unless it was accepted. */
   async change(command: OperatorCommand): Promise<Revision> {
     this.requests += 1;
     const requestId = `scale-${this.requests}`;
-    const response = await this.operate({ type: 'command', requestId, actor: 'scale', command, wait: false });
-    if (response.type !== 'result' || response.result.type !== 'accepted') {
-      throw new WorkerFailedError('control', `${command.type} gave ${JSON.stringify(response)}`);
+    for (;;) {
+      const response = await this.operate({
+        type: 'command',
+        requestId,
+        actor: 'scale',
+        command,
+        wait: false,
+      });
+      if (response.type === 'result' && response.result.type === 'accepted') {
+        return response.result.revision;
+      }
+      if (response.type !== 'unknown' && response.type !== 'not-leader') {
+        throw new WorkerFailedError('control', `${command.type} gave ${JSON.stringify(response)}`);
+      }
+      this.resends += 1;
+      await sleep(POLL_MILLIS);
     }
-    return response.result.revision;
   }
 
   async operate(request: OperatorRequest): Promise<OperatorResponse> {
--- a/src/dev/scale/scale-result.ts
+++ b/src/dev/scale/scale-result.ts
@@ -17,6 +17,8 @@
   readonly hollowRouters: number;
   /** Load average of the machine at the start and at the end; other processes may have had a part in it. */
   readonly machineLoad: readonly [number, number];
+  /** Changes sent again because their outcome was unknown: the leader was lost meanwhile. */
+  readonly resends: number;
   /** From the first declaration until each shard had an owner. */
   readonly firstGrantsMillis: number;
   readonly rows: readonly RoleRow[];
--- a/src/dev/scale/scale-run.ts
+++ b/src/dev/scale/scale-run.ts
@@ -75,6 +75,7 @@
     upstreams: plan.upstreamProcesses.flat().length,
     hollowRouters: plan.routerProcesses.flat().length,
     machineLoad: [loadBefore, loadavg()[0] as number],
+    resends: fleet.resends,
     firstGrantsMillis,
     rows,
     configurationChange,
--- a/src/dev/scale/scale-table.ts
+++ b/src/dev/scale/scale-table.ts
@@ -25,7 +25,7 @@
     '',
     ...formatRows(result.rows),
     '',
-    `first grants of all shards: ${round(result.firstGrantsMillis)} ms`,
+    `first grants of all shards: ${round(result.firstGrantsMillis)} ms; changes resent: ${result.resends}`,
     `change of configuration in force everywhere: p50 ${round(change.inForceP50)} ms, ` +
       `max ${round(change.inForceMax)} ms (${change.count} changes; accepted p50 ${round(change.acceptedP50)} ms)`,
     `loss of a server with ${lost.shards} shards: new owners after ${round(lost.grantedMillis)} ms, ` +
--- a/src/registry/change-ring.ts
+++ b/src/registry/change-ring.ts
@@ -2,8 +2,11 @@
 import type { Revision } from '../model/identifiers.js';
 import type { RegistryChange } from './types.js';
 
-/** Changes kept. A router further behind gets a snapshot. */
-export const RECENT_CHANGES = 8192;
+/**
+ * Changes kept. A router further behind gets a snapshot. The loss of a third of the servers changes a third of the
+ * shards twice: at 90,000 shards that must still fit.
+ */
+export const RECENT_CHANGES = 65_536;
 
 interface ChangeSet {
   readonly revision: Revision;
@@ -27,6 +30,8 @@
   /** Sets before this position were dropped. */
   private start = 0;
   private count = 0;
+  /** Answers given since the last change, by the position they begin at: many routers ask for the same ones. */
+  private readonly answers = new Map<number, readonly RegistryChange[]>();
 
   /** `floor` is the revision after which every change is known. */
   constructor(
@@ -40,19 +45,34 @@
     }
     this.sets.push({ revision, changes });
     this.count += changes.length;
+    this.answers.clear();
     while (this.count > this.limit) {
       this.dropOldest();
     }
     this.compact();
   }
 
-  /** The last state of each thing that changed after `from`; `undefined` if some of that was dropped. */
-  changesAfter(from: Revision): RegistryChange[] | undefined {
+  /**
+   * The last state of each thing that changed after `from`; `undefined` if some of that was dropped. Until the next
+   * change the same answer is the same array, so that who encodes it can do so once.
+   */
+  changesAfter(from: Revision): readonly RegistryChange[] | undefined {
     if (from < this.floor) {
       return undefined;
     }
+    const first = this.firstAfter(from);
+    const known = this.answers.get(first);
+    if (known !== undefined) {
+      return known;
+    }
+    const answer = this.latestFrom(first);
+    this.answers.set(first, answer);
+    return answer;
+  }
+
+  private latestFrom(first: number): RegistryChange[] {
     const latest = new Map<string, RegistryChange>();
-    for (let position = this.firstAfter(from); position < this.sets.length; position += 1) {
+    for (let position = first; position < this.sets.length; position += 1) {
       for (const change of this.sets[position]?.changes ?? []) {
         latest.set(subjectOf(change), change);
       }
--- a/src/registry/queries/routing-snapshot.ts
+++ b/src/registry/queries/routing-snapshot.ts
@@ -2,11 +2,15 @@
 import type { RegistryState } from '../registry-state.js';
 import type { RoutingSnapshot } from '../types.js';
 
+/**
+ * The snapshot at the state's revision. While nothing that routers see changes, its lists are the same arrays, so that
+ * many routers' snapshots are made and encoded once.
+ */
 export function routingSnapshot(state: RegistryState): RoutingSnapshot {
-  return {
-    revision: state.revision,
+  state.routing ??= {
     services: [...state.services.values()],
     upstreams: [...state.upstreams.values()],
     shards: [...state.shards.records().values()],
   };
+  return { revision: state.revision, ...state.routing };
 }
--- a/src/registry/registry-state.ts
+++ b/src/registry/registry-state.ts
@@ -4,7 +4,7 @@
 import { ChangeRing } from './change-ring.js';
 import { DedupTable } from './dedup-table.js';
 import { ShardTable } from './shard-table.js';
-import type { RegistryChange, ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
+import type { RegistryChange, RoutingSnapshot, ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
 
 export class RegistryState {
   /** Revision of the last entry applied. */
@@ -16,6 +16,8 @@
   readonly services = new Map<ServiceName, ServiceRecord>();
   readonly upstreams = new Map<UpstreamId, UpstreamRecord>();
   readonly shards = new ShardTable();
+  /** What routers see, as it was last asked for; `null` once something of it changed. */
+  routing: Omit<RoutingSnapshot, 'revision'> | null = null;
 
   constructor(
     readonly ledger: Ledger = new Ledger(),
@@ -40,7 +42,7 @@
     } else {
       this.state.services.set(name, record);
     }
-    this.changes.push({ type: 'service', name, record });
+    this.note({ type: 'service', name, record });
   }
 
   putUpstream(id: UpstreamId, record: UpstreamRecord | null): void {
@@ -49,11 +51,16 @@
     } else {
       this.state.upstreams.set(id, record);
     }
-    this.changes.push({ type: 'upstream', id, record });
+    this.note({ type: 'upstream', id, record });
   }
 
   putShard(shard: ShardId, record: ShardRecord | null): void {
     this.state.shards.put(shard, record);
-    this.changes.push({ type: 'shard', shard, record });
+    this.note({ type: 'shard', shard, record });
+  }
+
+  private note(change: RegistryChange): void {
+    this.state.routing = null;
+    this.changes.push(change);
   }
 }
--- /dev/null
+++ b/src/wire/router/routing-fields.ts
@@ -0,0 +1,183 @@
+/**
+ * Field types of routing snapshots and deltas: compressed JSON with shards as rows of numbers. What many routers are
+ * sent is encoded once: the bytes are kept for as long as the registry gives the same lists.
+ */
+import { gunzipSync, gzipSync } from 'node:zlib';
+import type * as restructure from 'restructure';
+import { toError } from '../../errors/ternmount-error.js';
+import { decodeShardRows, encodeShardRows, NameTable, type ShardGroup } from '../../model/shard-rows.js';
+import type {
+  RegistryChange,
+  RoutingDelta,
+  RoutingSnapshot,
+  ServiceRecord,
+  ShardRecord,
+  UpstreamRecord,
+} from '../../registry/types.js';
+import { BaseField } from '../base-field.js';
+import { bytes, safeInteger } from '../fields.js';
+import { MalformedFrameError } from '../wire-error.js';
+
+/** The fastest; higher levels cost more time than the bytes they save are worth. */
+const COMPRESSION_LEVEL = 1;
+const NO_BYTES = new Uint8Array(0);
+
+/** The parts of a configuration, or of what changed of it. Gone things are named by kind. */
+interface RoutingDocument {
+  readonly services: readonly ServiceRecord[];
+  readonly upstreams: readonly UpstreamRecord[];
+  readonly names: readonly string[];
+  readonly shards: readonly ShardGroup[];
+  readonly gone: {
+    readonly services: readonly string[];
+    readonly upstreams: readonly string[];
+    readonly shards: readonly string[];
+  };
+}
+
+const NOTHING_GONE: RoutingDocument['gone'] = { services: [], upstreams: [], shards: [] };
+
+/** A snapshot or nothing: its bytes after their length, which is 0 for nothing, and then its revision. */
+class SnapshotField extends BaseField<RoutingSnapshot | null> {
+  private readonly encoded = new WeakMap<
+    readonly ShardRecord[],
+    { of: RoutingSnapshot; bytes: Uint8Array }
+  >();
+
+  override size(value: RoutingSnapshot | null): number {
+    return bytes.size(this.bytesOf(value)) + (value === null ? 0 : safeInteger.size(0));
+  }
+
+  override decode(stream: restructure.DecodeStream): RoutingSnapshot | null {
+    const content = bytes.decode(stream);
+    if (content.length === 0) {
+      return null;
+    }
+    const { services, upstreams, names, shards } = decodeDocument(content);
+    const revision = safeInteger.decode(stream);
+    return { revision, services, upstreams, shards: [...decodeShardRows(shards, names)] };
+  }
+
+  override encode(stream: restructure.EncodeStream, value: RoutingSnapshot | null): void {
+    bytes.encode(stream, this.bytesOf(value));
+    if (value !== null) {
+      safeInteger.encode(stream, value.revision);
+    }
+  }
+
+  private bytesOf(snapshot: RoutingSnapshot | null): Uint8Array {
+    if (snapshot === null) {
+      return NO_BYTES;
+    }
+    const known = this.encoded.get(snapshot.shards);
+    if (known?.of.services === snapshot.services && known.of.upstreams === snapshot.upstreams) {
+      return known.bytes;
+    }
+    const { services, upstreams, shards } = snapshot;
+    const encoded = encodeDocument({ services, upstreams, shards, gone: NOTHING_GONE });
+    this.encoded.set(snapshot.shards, { of: snapshot, bytes: encoded });
+    return encoded;
+  }
+}
+
+/** A delta or nothing: its changes after their length, which is 0 for nothing, and then its two revisions. */
+class DeltaField extends BaseField<RoutingDelta | null> {
+  private readonly encoded = new WeakMap<readonly RegistryChange[], Uint8Array>();
+
+  override size(value: RoutingDelta | null): number {
+    return bytes.size(this.bytesOf(value)) + (value === null ? 0 : 2 * safeInteger.size(0));
+  }
+
+  override decode(stream: restructure.DecodeStream): RoutingDelta | null {
+    const content = bytes.decode(stream);
+    if (content.length === 0) {
+      return null;
+    }
+    const from = safeInteger.decode(stream);
+    const to = safeInteger.decode(stream);
+    return { from, to, changes: changesOf(decodeDocument(content)) };
+  }
+
+  override encode(stream: restructure.EncodeStream, value: RoutingDelta | null): void {
+    bytes.encode(stream, this.bytesOf(value));
+    if (value !== null) {
+      safeInteger.encode(stream, value.from);
+      safeInteger.encode(stream, value.to);
+    }
+  }
+
+  private bytesOf(delta: RoutingDelta | null): Uint8Array {
+    if (delta === null) {
+      return NO_BYTES;
+    }
+    const known = this.encoded.get(delta.changes);
+    if (known !== undefined) {
+      return known;
+    }
+    const encoded = encodeDocument(sortChanges(delta.changes));
+    this.encoded.set(delta.changes, encoded);
+    return encoded;
+  }
+}
+
+interface RoutingParts extends Omit<RoutingDocument, 'names' | 'shards'> {
+  readonly shards: readonly ShardRecord[];
+}
+
+function sortChanges(changes: readonly RegistryChange[]): RoutingParts {
+  const services: ServiceRecord[] = [];
+  const upstreams: UpstreamRecord[] = [];
+  const shards: ShardRecord[] = [];
+  const gone = { services: [] as string[], upstreams: [] as string[], shards: [] as string[] };
+  for (const change of changes) {
+    if (change.type === 'service') {
+      put(services, gone.services, change.record, change.name);
+    } else if (change.type === 'upstream') {
+      put(upstreams, gone.upstreams, change.record, change.id);
+    } else {
+      put(shards, gone.shards, change.record, change.shard);
+    }
+  }
+  return { services, upstreams, shards, gone };
+}
+
+function put<Item>(records: Item[], gone: string[], record: Item | null, name: string): void {
+  if (record === null) {
+    gone.push(name);
+  } else {
+    records.push(record);
+  }
+}
+
+/** What is gone first, then services before their upstreams before shards, as in a router's own comparison. */
+function changesOf({ services, upstreams, names, shards, gone }: RoutingDocument): RegistryChange[] {
+  const changes: RegistryChange[] = [
+    ...gone.services.map((name): RegistryChange => ({ type: 'service', name, record: null })),
+    ...gone.upstreams.map((id): RegistryChange => ({ type: 'upstream', id, record: null })),
+    ...gone.shards.map((shard): RegistryChange => ({ type: 'shard', shard, record: null })),
+    ...services.map((record): RegistryChange => ({ type: 'service', name: record.definition.name, record })),
+    ...upstreams.map((record): RegistryChange => ({ type: 'upstream', id: record.definition.id, record })),
+  ];
+  for (const record of decodeShardRows(shards, names)) {
+    changes.push({ type: 'shard', shard: record.shard, record });
+  }
+  return changes;
+}
+
+function encodeDocument({ services, upstreams, shards, gone }: RoutingParts): Uint8Array {
+  const table = new NameTable();
+  const groups = encodeShardRows(shards, table);
+  const document: RoutingDocument = { services, upstreams, names: table.names, shards: groups, gone };
+  return gzipSync(JSON.stringify(document), { level: COMPRESSION_LEVEL });
+}
+
+function decodeDocument(content: Uint8Array): RoutingDocument {
+  try {
+    return JSON.parse(gunzipSync(content).toString('utf8')) as RoutingDocument;
+  } catch (thrown) {
+    throw new MalformedFrameError('configuration is no compressed JSON', toError(thrown));
+  }
+}
+
+export const routingSnapshotField: restructure.Base<RoutingSnapshot | null> = new SnapshotField();
+export const routingDeltaField: restructure.Base<RoutingDelta | null> = new DeltaField();
--- a/test/wire/message-codecs.test.ts
+++ b/test/wire/message-codecs.test.ts
@@ -35,6 +35,53 @@
     },
   ];
 
+  const shard = (number: number, owner: string | null) => ({
+    shard: `sheets/all@5/${number}`,
+    owner,
+    incarnation: owner === null ? null : `${owner}#1`,
+    epoch: 6 + number,
+    movingTo: number === 2 ? 'u2' : null,
+    revision: 8,
+  });
+
+  it('carry a snapshot and a delta of shards whole', () => {
+    const shards = [shard(0, 'u1'), shard(1, null), shard(2, 'u1'), shard(10, 'u2')];
+    const message: ControlToRouter = {
+      type: 'sync-response',
+      stamp: 1,
+      confirmed: false,
+      revision: 9,
+      snapshot: { revision: 9, services: [], upstreams: [], shards },
+      delta: {
+        from: 7,
+        to: 9,
+        changes: [
+          { type: 'service', name: 'gone', record: null },
+          { type: 'shard', shard: 'gone/all@3/0', record: null },
+          ...shards.map((record) => ({ type: 'shard' as const, shard: record.shard, record })),
+        ],
+      },
+      leader: null,
+    };
+    const { kind, payload } = controlToRouterCodecs.encode(message);
+    expect(controlToRouterCodecs.decode(kind, payload)).to.deep.equal(message);
+  });
+
+  it('encode lists again once they are others', () => {
+    const base = { type: 'sync-response', stamp: 1, confirmed: true, delta: null, leader: null } as const;
+    const shards = [shard(0, 'u1')];
+    const snapshots = [
+      { revision: 9, services: [], upstreams: [], shards },
+      { revision: 10, services: [], upstreams: [], shards },
+      { revision: 11, services: [], upstreams: [], shards: [shard(0, 'u2')] },
+    ];
+    for (const snapshot of snapshots) {
+      const message: ControlToRouter = { ...base, revision: snapshot.revision, snapshot };
+      const { kind, payload } = controlToRouterCodecs.encode(message);
+      expect(controlToRouterCodecs.decode(kind, payload)).to.deep.equal(message);
+    }
+  });
+
   for (const message of requests) {
     it(`carry ${message.type} whole`, () => {
       const { kind, payload } = routerToControlCodecs.encode(message);
