Routers keep connections to the members in use; frames stand in for pings; room for 4,096 connections

The internal port took 1,024 connections: a cluster of 1,200 routers didn't fit. Each router held a connection to every member with two pings and two pongs each 250 ms, 160 bytes a second a connection; with nine members more than the synchronisation itself. It now keeps those it sends to and the next one in the settings, and a frame written within half of the ping time stands in for a ping.

--- a/src/router/control-links.ts
+++ b/src/router/control-links.ts
@@ -18,44 +18,81 @@
   readonly lost: (from: Address) => void;
 }
 
-/** Members that the settings don't name, but which a member named as leader. */
-const MAX_LEARNED_LINKS = 16;
+/** How long a connection is kept after the last message to its member, and how often that is looked at. */
+const KEEP_MILLIS = 5000;
+const RECONCILE_MILLIS = 1000;
 
+/**
+ * With many members most connections would only carry heartbeats, so a router keeps those to members that it sends to
+ * and, for each, to the next one in the settings, which the core turns to if the first fails.
+ */
 export class ControlLinks {
   private readonly links = new Map<Address, FrameClient>();
-  private readonly learned: Address[] = [];
+  /** When a message last went to each member. */
+  private readonly usedAt = new Map<Address, number>();
+  private members: readonly Address[] = [];
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: ControlLinksOptions) {}
 
-  /** Connects to the members that the settings name. */
+  /** Connects to the members that the settings name, and later lets go of those that aren't needed. */
   start(members: readonly Address[]): void {
+    this.members = members;
     for (const address of members) {
-      this.connect(address);
+      this.link(address);
     }
+    this.timer = setInterval(() => this.reconcile(), RECONCILE_MILLIS);
   }
 
+  /** Sends to a member, also to one that the settings don't name but that another member named as leader. */
   send(to: Address, message: RouterToControl): void {
-    const link = this.links.get(to) ?? this.learn(to);
+    this.usedAt.set(to, performance.now());
     const { kind, payload } = routerToControlCodecs.encode(message);
-    if (link.send(kind, payload) === 'queue-full') {
+    if (this.link(to).send(kind, payload) === 'queue-full') {
       this.options.log.warn('control-queue-full', { to, message: message.type });
     }
   }
 
+  /** Members that there is a connection to, or tries to make one. */
+  get linked(): readonly Address[] {
+    return [...this.links.keys()];
+  }
+
   stop(): void {
+    clearInterval(this.timer);
     for (const link of this.links.values()) {
       link.stop();
     }
   }
 
-  private learn(address: Address): FrameClient {
-    this.learned.push(address);
-    if (this.learned.length > MAX_LEARNED_LINKS) {
-      const oldest = this.learned.shift() as Address;
-      this.links.get(oldest)?.stop();
-      this.links.delete(oldest);
+  private reconcile(): void {
+    const since = performance.now() - KEEP_MILLIS;
+    for (const [address, usedAt] of this.usedAt) {
+      if (usedAt < since) {
+        this.usedAt.delete(address);
+      }
+    }
+    const wanted = new Set(
+      [...this.usedAt.keys()].flatMap((address) => [address, this.successorOf(address)]),
+    );
+    for (const [address, link] of this.links) {
+      if (!wanted.has(address)) {
+        link.stop();
+        this.links.delete(address);
+      }
+    }
+    for (const address of wanted) {
+      this.link(address);
     }
-    return this.connect(address);
+  }
+
+  private successorOf(address: Address): Address {
+    const position = this.members.indexOf(address);
+    return this.members[(position + 1) % this.members.length] ?? address;
+  }
+
+  private link(address: Address): FrameClient {
+    return this.links.get(address) ?? this.connect(address);
   }
 
   private connect(address: Address): FrameClient {
--- a/src/wire/frame-connection.ts
+++ b/src/wire/frame-connection.ts
@@ -56,6 +56,7 @@
   private readonly openedAt = performance.now();
   private heardAt = this.openedAt;
   private checkedAt = this.openedAt;
+  private wroteAt = this.openedAt;
   private pings = 0;
 
   constructor(
@@ -112,6 +113,7 @@
   }
 
   private write(frame: Frame): void {
+    this.wroteAt = performance.now();
     this.socket.write(encodeFrame(frame, this.limits.maxFrameBytes));
   }
 
@@ -169,9 +171,22 @@
       }
       return;
     }
+    this.pingIfQuiet(now);
+  }
+
+  /**
+   * The other end needs to hear something of this one, and this end of the other. What was written since the check
+   * before does for the first, and the other end's own checks for the second.
+   */
+  private pingIfQuiet(now: number): void {
+    if (now - this.wroteAt < this.limits.pingMillis * QUIET_SHARE) {
+      return;
+    }
     this.pings = (this.pings + 1) % 2 ** 32;
     this.write({ kind: FRAME_KINDS.ping, correlation: this.pings, payload: NO_BYTES });
   }
 }
 
+/** A frame written within this share of the time between pings stands in for a ping. */
+const QUIET_SHARE = 0.5;
 const NO_BYTES = new Uint8Array(0);
--- a/src/wire/frame-server.ts
+++ b/src/wire/frame-server.ts
@@ -19,7 +19,8 @@
   readonly owner: FrameConnectionOwner;
 }
 
-const DEFAULT_MAX_CONNECTIONS = 1024;
+/** Room for every router of a large cluster, each connected to this process, and for strangers that are turned away. */
+const DEFAULT_MAX_CONNECTIONS = 4096;
 const LISTEN_BACKLOG = 511;
 
 export class FrameServer {
