Fleet: two fleets on one machine no longer share addresses

Cause: a demo started while another fleet ran failed at 'control add': both took the addresses of network 77, and the supervisor took the other fleet's listening process for its own. Ruled out: the operators' client (the member that it reached was the other fleet's, which rightly said that it isn't the leader). Change: a fleet holds a listening socket of its network while it runs, and takes the next network if it is taken.

--- a/src/dev/commands/fleet.ts
+++ b/src/dev/commands/fleet.ts
@@ -9,6 +9,7 @@
 import { FLEET_DEFAULTS, type FleetOptions } from '../fleet/fleet-options.js';
 import { runFleet } from '../fleet/fleet-run.js';
 import { NAMED_FAULTS } from '../fleet/named-faults.js';
+import { reserveNetwork } from '../fleet/network-reservation.js';
 import { isGood } from '../fleet/report/fleet-report.js';
 import { formatReport } from '../fleet/report/report-text.js';
 import type { DevCommand } from './dev-command.js';
@@ -37,7 +38,7 @@
   return existsSync(known) ? known : name;
 }
 
-function readOptions(flags: FleetFlags, folder: string): FleetOptions {
+function readOptions(flags: FleetFlags, folder: string, network: number): FleetOptions {
   const seconds = Number(flags.seconds);
   return {
     ...FLEET_DEFAULTS,
@@ -47,7 +48,7 @@
     folder,
     rateScale: Number(flags.rateScale),
     seed: Number(flags.seed),
-    network: Number(flags.network),
+    network,
   };
 }
 
@@ -77,10 +78,11 @@
     return;
   }
   const signal = stopSignal();
+  const reservation = await reserveNetwork(Number(flags.network));
   const folder = flags.keep ?? mkdtempSync(join(tmpdir(), 'ternmount-fleet-'));
   let good = false;
   try {
-    const report = await runFleet(readOptions(flags, folder), signal, write);
+    const report = await runFleet(readOptions(flags, folder, reservation.network), signal, write);
     good = isGood(report);
     write(`\n${formatReport(report)}`);
   } catch (thrown) {
@@ -89,6 +91,7 @@
     }
     write('stopped before the end; every process was stopped');
   } finally {
+    await reservation.release();
     if (good && flags.keep === undefined) {
       rmSync(folder, { recursive: true });
     } else {
@@ -108,7 +111,9 @@
     .option('--rate-scale <number>', "Part of the deployment's request rate", {
       default: FLEET_DEFAULTS.rateScale,
     })
-    .option('--network <number>', 'Second number of the 127.x addresses', { default: FLEET_DEFAULTS.network })
+    .option('--network <number>', 'Second number of the 127.x addresses; the next free one is taken', {
+      default: FLEET_DEFAULTS.network,
+    })
     .option('--seed <number>', 'Seed of the load', { default: FLEET_DEFAULTS.seed })
     .option('--keep <folder>', 'Keep journals, logs and data here')
     .action(run);
