--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -88,9 +88,12 @@
       failed: (error) => this.giveUp(error),
     });
     this.peers = new PeerLinks({
+      self: this.replica,
       identity,
+      localAddress: settings.outgoing,
       limits,
       log: this.log,
+      received: (message) => this.coreTask.post({ type: 'peer-message', message }),
       addresses: () => this.core.status().membership.addresses,
     });
     this.internal = this.createInternalServer(identity, limits);
@@ -223,6 +226,7 @@
         failed: (upstream, sequence) => this.coreTask.post({ type: 'upstream-failed', upstream, sequence }),
       },
       this.log,
+      this.settings.outgoing,
     );
   }
 
