Router: requests under way leave nothing behind for the garbage collector

A Map that outgrows its table leaves the old one linked to the new one, with all entries that lived at that moment. Once one such table is in the old generation, every later table and the requests in it survive scavenges. The same goes for the chain of removed queue nodes, and for cancelled timers that stayed in the heap. Change: tables by number with open addressing; queue nodes are unlinked; cancelled timers leave their heap at once.

--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -6,6 +6,7 @@
 import { toError } from '../errors/ternmount-error.js';
 import type { Logger } from '../logging/logger.js';
 import type { Incarnation } from '../model/identifiers.js';
+import { NumberedTable } from '../routing/numbered-table.js';
 import type {
   AttemptNumber,
   AttemptResult,
@@ -47,10 +48,10 @@
 
 export class RouterTask {
   private readonly mailbox: RouterInput[] = [];
-  private readonly exchanges = new Map<RequestNumber, CallerExchange>();
-  private readonly attempts = new Map<AttemptNumber, Attempt>();
+  private readonly exchanges = new NumberedTable<CallerExchange>();
+  private readonly attempts = new NumberedTable<Attempt>();
   /** Attempts delivered during the step under way. */
-  private readonly delivered = new Set<AttemptNumber>();
+  private delivered: AttemptNumber[] = [];
   private requestCount = 0;
   private timer: NodeJS.Timeout | undefined;
   private tickDue = Number.POSITIVE_INFINITY;
@@ -173,11 +174,19 @@
     for (const effect of this.options.core.step(input, performance.now(), Date.now())) {
       this.carryOut(effect);
     }
-    for (const number of this.delivered) {
+    if (this.delivered.length > 0) {
+      this.startDelivered();
+    }
+  }
+
+  /** Lets the answers flow that were delivered during the step. */
+  private startDelivered(): void {
+    const numbers = this.delivered;
+    this.delivered = [];
+    for (const number of numbers) {
       this.attempts.get(number)?.flow();
       this.attempts.delete(number);
     }
-    this.delivered.clear();
   }
 
   /** Moves the timer only when the next tick comes earlier than the one set; a tick too early does no harm. */
@@ -291,7 +300,7 @@
         });
         return;
       }
-      this.delivered.add(number);
+      this.delivered.push(number);
       attempt.deliver(exchange);
       this.options.metrics.answered(exchange.head.service, secondsOf(exchange), 'upstream');
     });
--- a/src/routing/linked-queue.ts
+++ b/src/routing/linked-queue.ts
@@ -63,6 +63,8 @@
     } else {
       node.next.previous = node.previous;
     }
+    node.previous = null;
+    node.next = null;
     node.queue = null;
     this.count -= 1;
   }
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -4,11 +4,12 @@
 import { ConfigurationView } from './configuration-view.js';
 import { LeaderGuess } from './leader-guess.js';
 import { LoadReporter } from './load-reporter.js';
+import { NumberedTable } from './numbered-table.js';
 import { Random } from './random.js';
 import type { RouterTimer, TimerSubject } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
 import { TimerHeap } from './timer-heap.js';
-import type { AttemptNumber, RequestNumber, RouterConfig, RouterEffect } from './types.js';
+import type { RouterConfig, RouterEffect } from './types.js';
 import type { UpstreamState } from './upstream-state.js';
 import type { Attempt, Member } from './work.js';
 
@@ -21,8 +22,8 @@
   readonly timers = new TimerHeap<TimerSubject>();
   readonly services = new Map<string, ServiceState>();
   readonly upstreams = new Map<UpstreamId, UpstreamState>();
-  readonly attempts = new Map<AttemptNumber, Attempt>();
-  readonly members = new Map<RequestNumber, Member>();
+  readonly attempts = new NumberedTable<Attempt>();
+  readonly members = new NumberedTable<Member>();
   now = 0;
   wall: WallMillis = 0;
   private effects: RouterEffect[] = [];
--- a/src/routing/timer-heap.ts
+++ b/src/routing/timer-heap.ts
@@ -1,118 +1,110 @@
-/** Deadlines in time order: a binary heap whose cancelled entries are dropped lazily. */
+/**
+ * Deadlines in time order: a binary heap whose entries know their place, so that a cancelled one leaves at once. Kept
+ * until it were due, it would hold on to its request for seconds, and the garbage collector would carry that along.
+ */
+
+/** Place of a timer that isn't in the heap. */
+const NOWHERE = -1;
 
 export interface Timer<Subject> {
   readonly at: number;
   readonly subject: Subject;
   readonly sequence: number;
-  cancelled: boolean;
+  /** Place in the heap; only the heap writes it. */
+  position: number;
 }
 
-/** Cancelled entries that are kept before the heap is rebuilt without them. */
-const COMPACTION_MINIMUM = 256;
-
 export class TimerHeap<Subject> {
-  private heap: Timer<Subject>[] = [];
-  private cancelledCount = 0;
+  private readonly heap: Timer<Subject>[] = [];
   private nextSequence = 0;
 
+  /** Timers that wait. */
+  get size(): number {
+    return this.heap.length;
+  }
+
   /** Adds a timer. Timers due at the same time come out in the order they were added. */
   schedule(at: number, subject: Subject): Timer<Subject> {
-    const timer = { at, subject, sequence: this.nextSequence++, cancelled: false };
+    const position = this.heap.length;
+    const timer = { at, subject, sequence: this.nextSequence++, position };
     this.heap.push(timer);
-    this.siftUp(this.heap.length - 1);
+    this.siftUp(timer, position);
     return timer;
   }
 
   /** Cancelling a timer twice, or one that came out, changes nothing. */
   cancel(timer: Timer<Subject>): void {
-    if (timer.cancelled) {
-      return;
-    }
-    timer.cancelled = true;
-    this.cancelledCount += 1;
-    if (this.cancelledCount > COMPACTION_MINIMUM && this.cancelledCount * 2 > this.heap.length) {
-      this.compact();
+    if (timer.position !== NOWHERE) {
+      this.remove(timer);
     }
   }
 
   /** Time of the earliest timer; `Infinity` without one. */
   nextAt(): number {
-    this.dropCancelledTop();
     return this.heap[0]?.at ?? Number.POSITIVE_INFINITY;
   }
 
   /** Removes and returns the earliest timer that is due, if there is one. */
   takeDue(now: number): Timer<Subject> | undefined {
-    this.dropCancelledTop();
     const top = this.heap[0];
     if (top === undefined || top.at > now) {
       return undefined;
     }
-    this.removeTop();
-    // It left the heap: a later cancel must not be counted.
-    top.cancelled = true;
+    this.remove(top);
     return top;
   }
 
-  private dropCancelledTop(): void {
-    while (this.heap[0]?.cancelled) {
-      this.removeTop();
-      this.cancelledCount -= 1;
+  /** The last timer takes the place of the removed one and moves to where it belongs. */
+  private remove(timer: Timer<Subject>): void {
+    const { position } = timer;
+    const last = this.heap.pop() as Timer<Subject>;
+    timer.position = NOWHERE;
+    if (last !== timer) {
+      this.siftUp(last, position);
+      this.siftDown(last, last.position);
     }
   }
 
-  private compact(): void {
-    const live = this.heap.filter((timer) => !timer.cancelled);
-    // A sorted array is a heap.
-    this.heap = live.sort((a, b) => (before(a, b) ? -1 : 1));
-    this.cancelledCount = 0;
+  private place(timer: Timer<Subject>, position: number): void {
+    this.heap[position] = timer;
+    timer.position = position;
   }
 
-  private removeTop(): void {
-    const last = this.heap.pop();
-    if (last !== undefined && this.heap.length > 0) {
-      this.heap[0] = last;
-      this.siftDown(0);
-    }
-  }
-
-  private siftUp(start: number): void {
-    const timer = this.heap[start] as Timer<Subject>;
-    let index = start;
-    while (index > 0) {
-      const parentIndex = (index - 1) >> 1;
-      const parent = this.heap[parentIndex] as Timer<Subject>;
+  private siftUp(timer: Timer<Subject>, start: number): void {
+    let position = start;
+    while (position > 0) {
+      const parentPosition = (position - 1) >> 1;
+      const parent = this.heap[parentPosition] as Timer<Subject>;
       if (!before(timer, parent)) {
         break;
       }
-      this.heap[index] = parent;
-      index = parentIndex;
+      this.place(parent, position);
+      position = parentPosition;
     }
-    this.heap[index] = timer;
+    this.place(timer, position);
   }
 
-  private siftDown(start: number): void {
-    const timer = this.heap[start] as Timer<Subject>;
-    let index = start;
+  private siftDown(timer: Timer<Subject>, start: number): void {
+    let position = start;
     for (;;) {
-      const child = this.earlierChild(index);
-      if (child === undefined || !before(this.heap[child] as Timer<Subject>, timer)) {
+      const child = this.earlierChild(position);
+      if (child === undefined || !before(child, timer)) {
         break;
       }
-      this.heap[index] = this.heap[child] as Timer<Subject>;
-      index = child;
+      const childPosition = child.position;
+      this.place(child, position);
+      position = childPosition;
     }
-    this.heap[index] = timer;
+    this.place(timer, position);
   }
 
-  private earlierChild(index: number): number | undefined {
-    const left = 2 * index + 1;
-    const leftTimer = this.heap[left];
-    if (leftTimer === undefined) {
-      return undefined;
+  private earlierChild(position: number): Timer<Subject> | undefined {
+    const left = this.heap[2 * position + 1];
+    const right = this.heap[2 * position + 2];
+    if (left === undefined || right === undefined) {
+      return left;
     }
-    const rightTimer = this.heap[left + 1];
-    return rightTimer !== undefined && before(rightTimer, leftTimer) ? left + 1 : left;
+    return before(right, left) ? right : left;
   }
 }
 
