--- a/src/cli/commands/control-run.ts
+++ b/src/cli/commands/control-run.ts
@@ -48,9 +48,9 @@
   const daemon = daemonSettings(settings);
   await checkFree(settings.listen);
   await checkFree(settings.admin);
-  enableLogs(settings.log);
   const { identity, restored, store } = await openReplica(settings.dataFolder, settings.cluster);
   const { replica } = identity;
+  enableLogs(settings.log);
   identifyProcess({ process: settings.replicaName ?? replica, zone: settings.zone });
   const opened = { replica, restored, files: store };
   return runDaemon(new ControlDaemon(daemon, opened, createControlNode), invocation.io);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,50 +1,8 @@
 #!/usr/bin/env node
-/** `ternmount`: runs one subcommand and ends with its exit code; a failure is one line on standard error. */
-import { readFileSync } from 'node:fs';
-import { TernmountError, toError } from '../errors/ternmount-error.js';
-import { exitCodeOf } from './cli-error.js';
-import { type CliIo, processIo } from './cli-io.js';
-import { COMMANDS } from './command-list.js';
-import { dispatch, PROGRAM_NAME } from './dispatcher.js';
-import { EXIT_CODES, type ExitCode } from './exit-codes.js';
+/** `ternmount`: runs one subcommand and ends with its exit code. */
+import { processIo } from './cli-io.js';
+import { runCommandLine } from './run-command-line.js';
 
-const PACKAGE_FILE = new URL('../../../package.json', import.meta.url);
-
-function readVersion(): string {
-  return (JSON.parse(readFileSync(PACKAGE_FILE, 'utf8')) as { version: string }).version;
-}
-
-async function runCommand(words: readonly string[], io: CliIo): Promise<ExitCode> {
-  const dispatched = dispatch(COMMANDS, words);
-  switch (dispatched.type) {
-    case 'help':
-      return EXIT_CODES.ok;
-    case 'version':
-      io.write(`${readVersion()}\n`);
-      return EXIT_CODES.ok;
-    case 'run': {
-      const { command, positionals, options } = dispatched;
-      return command.run({ positionals, options, io });
-    }
-  }
-}
-
-/** An error of the project is for its reader; any other is a fault of the program, so its stack is shown. */
-function describe(thrown: unknown): string {
-  const error = toError(thrown);
-  return error instanceof TernmountError ? error.message : (error.stack ?? error.message);
-}
-
-async function main(): Promise<void> {
-  const io = processIo();
-  try {
-    process.exitCode = await runCommand(process.argv.slice(2), io);
-  } catch (thrown) {
-    io.writeError(`${PROGRAM_NAME}: ${describe(thrown)}\n`);
-    process.exitCode = exitCodeOf(thrown);
-  }
-  // Idle connections of libraries must not keep the process.
-  process.exit();
-}
-
-await main();
+process.exitCode = await runCommandLine(process.argv.slice(2), processIo());
+// Idle connections of libraries must not keep the process.
+process.exit();
--- /dev/null
+++ b/src/cli/run-command-line.ts
@@ -0,0 +1,45 @@
+/** Runs one command line. A failure is one line on standard error and an exit code, never a thrown error. */
+import { readFileSync } from 'node:fs';
+import { TernmountError, toError } from '../errors/ternmount-error.js';
+import { exitCodeOf } from './cli-error.js';
+import type { CliIo } from './cli-io.js';
+import { COMMANDS } from './command-list.js';
+import { dispatch, PROGRAM_NAME } from './dispatcher.js';
+import { EXIT_CODES, type ExitCode } from './exit-codes.js';
+
+const PACKAGE_FILE = new URL('../../../package.json', import.meta.url);
+
+/** Runs `words`, which follow the program's name. */
+export async function runCommandLine(words: readonly string[], io: CliIo): Promise<ExitCode> {
+  try {
+    return await runCommand(words, io);
+  } catch (thrown) {
+    io.writeError(`${PROGRAM_NAME}: ${describe(thrown)}\n`);
+    return exitCodeOf(thrown);
+  }
+}
+
+async function runCommand(words: readonly string[], io: CliIo): Promise<ExitCode> {
+  const dispatched = dispatch(COMMANDS, words);
+  switch (dispatched.type) {
+    case 'help':
+      return EXIT_CODES.ok;
+    case 'version':
+      io.write(`${readVersion()}\n`);
+      return EXIT_CODES.ok;
+    case 'run': {
+      const { command, positionals, options } = dispatched;
+      return command.run({ positionals, options, io });
+    }
+  }
+}
+
+function readVersion(): string {
+  return (JSON.parse(readFileSync(PACKAGE_FILE, 'utf8')) as { version: string }).version;
+}
+
+/** An error of the project is for its reader; any other is a fault of the program, so its stack is shown. */
+function describe(thrown: unknown): string {
+  const error = toError(thrown);
+  return error instanceof TernmountError ? error.message : (error.stack ?? error.message);
+}
--- /dev/null
+++ b/test/contract/command-line-run.ts
@@ -0,0 +1,34 @@
+/** Runs command lines in the test's own process. */
+import type { CliIo } from '../../src/cli/cli-io.js';
+import { interruptibleSleep } from '../../src/cli/cli-io.js';
+import { runCommandLine } from '../../src/cli/run-command-line.js';
+
+export interface CommandLineResult {
+  readonly exitCode: number;
+  readonly output: string;
+  readonly errors: string;
+}
+
+/** Runs `words` with this environment and no other; gives up after `timeoutMillis`. */
+export async function runLine(
+  words: readonly string[],
+  environment: Readonly<Record<string, string>> = {},
+  timeoutMillis = 20_000,
+): Promise<CommandLineResult> {
+  let output = '';
+  let errors = '';
+  const stopSignal = AbortSignal.timeout(timeoutMillis);
+  const io: CliIo = {
+    write: (text) => {
+      output += text;
+    },
+    writeError: (text) => {
+      errors += text;
+    },
+    environment,
+    stopSignal,
+    sleep: (millis) => interruptibleSleep(millis, stopSignal),
+  };
+  const exitCode = await runCommandLine(words, io);
+  return { exitCode, output, errors };
+}
