--- a/src/dev/sim/sim-process.ts
+++ b/src/dev/sim/sim-process.ts
@@ -1,4 +1,5 @@
 /** What all simulated processes share: they run, pause with their work piling up, crash, and start again. */
+import type { Connection } from './connection.js';
 import type { Random } from './random.js';
 import type { CancelEvent, ProcessClock, VirtualClock } from './virtual-clock.js';
 
@@ -10,8 +11,11 @@
 const RESUME_SPREAD_SHARE = 0.25;
 
 export abstract class SimProcess {
+  /** Open connections of this run. */
+  readonly connections = new Set<Connection>();
   private processState: ProcessState = 'stopped';
   private runNumber = 0;
+  private undisturbedSince = 0;
   private backlog: { readonly task: () => void; readonly ordered: boolean }[] = [];
 
   constructor(
@@ -31,6 +35,11 @@
     return this.runNumber;
   }
 
+  /** Whether it ran without a pause or an end since a true time. */
+  ranSince(time: number): boolean {
+    return this.processState === 'running' && this.undisturbedSince < time;
+  }
+
   /** Starts a new run. */
   start(): void {
     if (this.processState !== 'stopped') {
@@ -38,17 +47,23 @@
     }
     this.runNumber += 1;
     this.processState = 'running';
+    this.undisturbedSince = this.time.now;
     this.backlog = [];
     this.onStart();
   }
 
-  /** Ends the run at once; memory is lost. */
-  crash(): void {
+  /** Ends the run at once; memory is lost. `silent`: the whole machine is gone, so nobody's connection is closed. */
+  crash(silent = false): void {
     if (this.processState === 'stopped') {
       return;
     }
     this.processState = 'stopped';
     this.backlog = [];
+    const open = [...this.connections];
+    this.connections.clear();
+    for (const connection of silent ? [] : open) {
+      connection.close(this);
+    }
     this.onStop();
   }
 
@@ -65,6 +80,7 @@
       return;
     }
     this.processState = 'running';
+    this.undisturbedSince = this.time.now;
     const { backlog } = this;
     this.backlog = [];
     for (const { task, ordered } of backlog) {
