--- a/test/contract/command-line-run.ts
+++ b/test/contract/command-line-run.ts
@@ -17,8 +17,8 @@
 ): Promise<CommandLineResult> {
   let output = '';
   let errors = '';
-  const stopSignal = AbortSignal.timeout(timeoutMillis);
   const io: CliIo = {
+    ...processIoFor(timeoutMillis),
     write: (text) => {
       output += text;
     },
@@ -26,9 +26,19 @@
       errors += text;
     },
     environment,
-    stopSignal,
-    sleep: (millis) => interruptibleSleep(millis, stopSignal),
   };
   const exitCode = await runCommandLine(words, io);
   return { exitCode, output, errors };
 }
+
+/** An io without output or environment, stopped after `timeoutMillis`. */
+export function processIoFor(timeoutMillis: number): CliIo {
+  const stopSignal = AbortSignal.timeout(timeoutMillis);
+  return {
+    write: () => {},
+    writeError: () => {},
+    environment: {},
+    stopSignal,
+    sleep: (millis) => interruptibleSleep(millis, stopSignal),
+  };
+}
