Replicas that join say so; the leader takes spares in and replaces silent voters by itself

A replica that is no member tells the peers of its settings that it is there. With replaceAfter set, the leader takes it in as a spare learner, and puts a spare that holds everything in the place of a voter that was silent for that long. The status names waiting replicas and how long each member is silent. Tests on the virtual clock and as processes.

--- a/src/cli/commands/control-run.ts
+++ b/src/cli/commands/control-run.ts
@@ -27,6 +27,8 @@
     zone,
     dataFolder,
     listen,
+    advertise: settings.advertise,
+    peers: settings.peers,
     outgoing: settings.outgoing ?? undefined,
     admin,
     secret: readSecret(settings.secretFile),
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -79,7 +79,7 @@
       ...shared,
       answer,
       membership: this.#membership,
-      status: (now) => controlStatus(this.#statusSource(), now),
+      status: (now) => controlStatus(this.#statusSource(now), now),
       takeSnapshot: () => this.#takeSnapshot(),
     });
     this.#routers = new RouterDesk({
@@ -161,6 +161,9 @@
         this.#membership.heard(input.message.from, now);
         this.#raft.feed({ type: 'message', message: input.message });
         break;
+      case 'join-request':
+        this.#membership.joinRequested(input.replica, input.address, now);
+        break;
       case 'persisted':
         this.#raft.feed({ type: 'persisted', persistId: input.persistId });
         break;
@@ -219,12 +222,13 @@
     this.#raft.propose({ ...origin, at: this.#wall, command }, settle);
   };
 
-  #statusSource() {
+  #statusSource(now: MonotonicMillis) {
     return {
       raft: this.#raft.status(),
       registry: this.#raft.registry,
       sessions: this.#leader?.sessions() ?? [],
       routers: this.#routers.routers(),
+      ...this.#membership.view(now),
     };
   }
 
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -1,8 +1,9 @@
 /** What operators see of a control member and, on the leader, of the upstreams' sessions. */
 import type { RaftStatus } from '../consensus/types.js';
 import type { SessionView } from '../lease/granter-types.js';
-import type { MonotonicMillis, UpstreamId } from '../model/identifiers.js';
+import type { MonotonicMillis, ReplicaId, UpstreamId } from '../model/identifiers.js';
 import type { Registry } from '../registry/types.js';
+import type { WaitingReplica } from './automatic-repair.js';
 import type { ConnectedRouter } from './router-desk.js';
 import type { OperatorResponse, UpstreamHealth } from './types.js';
 
@@ -12,10 +13,12 @@
   /** Empty on members that don't lead. */
   readonly sessions: readonly SessionView[];
   readonly routers: readonly ConnectedRouter[];
+  readonly waitingReplicas: readonly WaitingReplica[];
+  readonly memberSilentMillis: Readonly<Record<ReplicaId, number>>;
 }
 
 export function controlStatus(source: ControlStatusSource, now: MonotonicMillis): OperatorResponse {
-  const { raft, registry, sessions, routers } = source;
+  const { raft, registry, sessions, routers, waitingReplicas, memberSilentMillis } = source;
   const keyed = [...registry.services().values()].filter(({ definition }) => definition.keyed);
   const unowned = keyed.map(({ definition }) => registry.unownedShards(definition.name).size);
   const moving = [...registry.upstreams().keys()].map((upstream) => movingTo(registry, upstream));
@@ -29,6 +32,8 @@
       revision,
       silentMillis: now - heardAt,
     })),
+    waitingReplicas,
+    memberSilentMillis,
     unownedShards: sum(unowned),
     movingShards: sum(moving),
   };
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -5,7 +5,7 @@
 import { createLogger, type Logger } from '../../logging/logger.js';
 import type { Address, ReplicaId } from '../../model/identifiers.js';
 import type { HttpListener } from '../../wire/http/http-listener.js';
-import type { WireIdentity } from '../../wire/index.js';
+import type { WireIdentity, WireLimits } from '../../wire/index.js';
 import type {
   ControlConfig,
   ControlCore,
@@ -17,6 +17,7 @@
 import { startAdminServer } from './admin-server.js';
 import { CoreTask } from './core-task.js';
 import { InternalServer } from './internal-server.js';
+import { JoinTask } from './join-task.js';
 import { createControlMetrics } from './metrics.js';
 import { Operations } from './operations.js';
 import { PeerLinks } from './peer-links.js';
@@ -55,6 +56,7 @@
   private readonly coreTask: CoreTask;
   private readonly persistTask: PersistTask;
   private readonly peers: PeerLinks;
+  private readonly joining: JoinTask;
   private readonly internal: InternalServer;
   private readonly sessions: UpstreamSessions;
   private readonly operations: Operations;
@@ -96,6 +98,7 @@
       received: (message) => this.coreTask.post({ type: 'peer-message', message }),
       addresses: () => this.core.status().membership.addresses,
     });
+    this.joining = this.createJoinTask(identity, limits);
     this.internal = this.createInternalServer(identity, limits);
     this.sessions = this.createSessions();
     this.operations = new Operations(this.timings.operationMillis, (operation, request) =>
@@ -114,6 +117,7 @@
     });
     this.reconcileTimer = setInterval(() => this.peers.reconcile(), RECONCILE_MILLIS);
     this.coreTask.start();
+    this.joining.start();
     this.log.info('started', { replica: this.replica, listen: this.address, admin: this.adminAddress });
   }
 
@@ -150,6 +154,7 @@
     clearInterval(this.reconcileTimer);
     this.coreTask.stop();
     this.peers.stop();
+    this.joining.stop();
     await Promise.all([this.internal.stop(), this.sessions.stop()]);
     await this.persistTask.stop();
     this.log.info('stopped', { replica: this.replica });
@@ -196,10 +201,21 @@
     }
   }
 
-  private createInternalServer(
-    identity: WireIdentity,
-    limits: ReturnType<typeof controlWireLimits>,
-  ): InternalServer {
+  private createJoinTask(identity: WireIdentity, limits: WireLimits): JoinTask {
+    const { listen, advertise, peers, outgoing } = this.settings;
+    return new JoinTask({
+      self: this.replica,
+      address: advertise ?? listen,
+      peers: peers ?? [],
+      localAddress: outgoing,
+      identity,
+      limits,
+      log: this.log,
+      isMember: () => this.core.status().membership.addresses[this.replica] !== undefined,
+    });
+  }
+
+  private createInternalServer(identity: WireIdentity, limits: WireLimits): InternalServer {
     return new InternalServer({
       listen: this.settings.listen,
       self: this.replica,
@@ -208,6 +224,8 @@
       log: this.log,
       owner: {
         peerMessage: (message) => this.coreTask.post({ type: 'peer-message', message }),
+        joinRequested: ({ replica, address }) =>
+          this.coreTask.post({ type: 'join-request', replica, address }),
         peerConnected: (replica, connection) => this.peers.connected(replica, connection),
         peerDisconnected: (replica, connection) => this.peers.disconnected(replica, connection),
         routerMessage: (connection, message) =>
--- a/src/control/daemon/internal-server.ts
+++ b/src/control/daemon/internal-server.ts
@@ -11,12 +11,13 @@
   type WireIdentity,
   type WireLimits,
 } from '../../wire/index.js';
-import type { ControlToRouter, Greeting, RouterToControl } from '../messages.js';
+import type { ControlToRouter, Greeting, JoinRequest, RouterToControl } from '../messages.js';
 import type { ConnectionId } from '../types.js';
-import { readPeerMessage } from './peer-message.js';
+import { readJoinRequest, readPeerMessage } from './peer-message.js';
 
 export interface InternalServerOwner {
   peerMessage(message: RaftMessage): void;
+  joinRequested(request: JoinRequest): void;
   peerConnected(replica: ReplicaId, connection: FrameConnection): void;
   peerDisconnected(replica: ReplicaId, connection: FrameConnection): void;
   routerMessage(connection: ConnectionId, message: RouterToControl): void;
@@ -94,6 +95,11 @@
       this.options.owner.routerMessage(id, routerToControlCodecs.decode(frame.kind, frame.payload));
       return;
     }
+    const joinRequest = readJoinRequest(frame, connection.peer?.name);
+    if (joinRequest !== null) {
+      this.options.owner.joinRequested(joinRequest);
+      return;
+    }
     const message = readPeerMessage(frame, connection.peer?.name, this.options.self);
     if (message !== null) {
       this.options.owner.peerMessage(message);
--- /dev/null
+++ b/src/control/daemon/join-task.ts
@@ -0,0 +1,76 @@
+/** Task of a replica that is no member yet: tells the members that it is there until it is taken in. */
+import type { Logger } from '../../logging/logger.js';
+import type { Address, ReplicaId } from '../../model/identifiers.js';
+import { FrameClient, joinRequestCodec, type WireIdentity, type WireLimits } from '../../wire/index.js';
+
+const ASK_MILLIS = 1000;
+
+export interface JoinTaskOptions {
+  readonly self: ReplicaId;
+  /** Where the others reach this replica. */
+  readonly address: Address;
+  readonly peers: readonly Address[];
+  readonly localAddress?: string | undefined;
+  readonly identity: WireIdentity;
+  readonly limits: WireLimits;
+  readonly log: Logger;
+  /** Whether the log says that this replica is a member. */
+  readonly isMember: () => boolean;
+}
+
+export class JoinTask {
+  private clients: FrameClient[] = [];
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: JoinTaskOptions) {}
+
+  start(): void {
+    if (this.options.peers.length > 0) {
+      this.timer = setInterval(() => this.ask(), ASK_MILLIS);
+      this.ask();
+    }
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.hangUp();
+  }
+
+  private ask(): void {
+    if (this.options.isMember()) {
+      this.hangUp();
+      return;
+    }
+    if (this.clients.length === 0) {
+      this.clients = this.options.peers.map((peer) => this.dial(peer));
+    }
+    for (const client of this.clients) {
+      this.sendTo(client);
+    }
+  }
+
+  private dial(peer: Address): FrameClient {
+    const { identity, limits, localAddress, log } = this.options;
+    const client: FrameClient = new FrameClient({
+      address: peer,
+      localAddress,
+      identity,
+      limits,
+      onReady: () => this.sendTo(client),
+      onLost: (reason) => log.debug('join-peer-lost', { peer, reason }),
+    });
+    return client;
+  }
+
+  private sendTo(client: FrameClient): void {
+    const { self: replica, address } = this.options;
+    client.send(joinRequestCodec.kind, joinRequestCodec.encode({ type: 'join-request', replica, address }));
+  }
+
+  private hangUp(): void {
+    for (const client of this.clients) {
+      client.stop();
+    }
+    this.clients = [];
+  }
+}
--- a/src/control/daemon/peer-message.ts
+++ b/src/control/daemon/peer-message.ts
@@ -2,7 +2,8 @@
 import type { RaftMessage } from '../../consensus/types.js';
 import { TernmountError } from '../../errors/ternmount-error.js';
 import type { ReplicaId } from '../../model/identifiers.js';
-import { type Frame, raftCodecs } from '../../wire/index.js';
+import { type Frame, joinRequestCodec, raftCodecs } from '../../wire/index.js';
+import type { JoinRequest } from '../messages.js';
 
 /** A message that its sender may not send. */
 class ForeignMessageError extends TernmountError {
@@ -26,3 +27,15 @@
   }
   return message.to === self ? message : null;
 }
+
+/** Reads a join request; `null`: the frame carries something else. Throws if `sender` speaks for another replica. */
+export function readJoinRequest(frame: Frame, sender: ReplicaId | undefined): JoinRequest | null {
+  if (frame.kind !== joinRequestCodec.kind) {
+    return null;
+  }
+  const request = joinRequestCodec.decode(frame.payload);
+  if (request.replica !== sender) {
+    throw new ForeignMessageError(`replica ${sender} spoke for ${request.replica}`);
+  }
+  return request;
+}
--- a/src/control/daemon/settings.ts
+++ b/src/control/daemon/settings.ts
@@ -12,8 +12,12 @@
   readonly zone: Zone;
   /** Folder made by `control init` or `control join`. */
   readonly dataFolder: string;
-  /** Internal port, for replicas and routers. Must be the address that the membership names. */
+  /** Internal port, for replicas and routers. */
   readonly listen: Address;
+  /** What others connect to, as the membership names it; `listen` if left out. */
+  readonly advertise?: Address;
+  /** Internal addresses of members, for a replica that joins; with none it waits until it is taken in unasked. */
+  readonly peers?: readonly Address[];
   /** Own IP number from which connections go out; the system's choice if left out. */
   readonly outgoing?: string | undefined;
   /** HTTP port for operators, metrics and health. */
--- a/src/control/membership-desk.ts
+++ b/src/control/membership-desk.ts
@@ -1,6 +1,7 @@
 /** Changes of the control cluster itself: learners, replacement of replicas, transfer of leadership. */
 import type { RaftStatus } from '../consensus/types.js';
 import type { Address, MonotonicMillis, ReplicaId, Revision } from '../model/identifiers.js';
+import { AutomaticRepair, type WaitingReplica } from './automatic-repair.js';
 import type { ProposalOutcome, RaftAdapter } from './raft-adapter.js';
 import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
 
@@ -15,6 +16,12 @@
   readonly answer: (operation: OperationId, response: OperatorResponse) => void;
 }
 
+/** What a leader knows of other replicas. */
+export interface MembershipView {
+  readonly waitingReplicas: readonly WaitingReplica[];
+  readonly memberSilentMillis: Readonly<Record<ReplicaId, number>>;
+}
+
 export type MembershipRequest = Extract<
   OperatorRequest,
   { readonly type: 'add-learner' | 'add-voter' | 'replace-replica' | 'transfer-leadership' }
@@ -42,12 +49,13 @@
   #replacement: Replacement | null = null;
   #transfer: Transfer | null = null;
   #nextPollAt: MonotonicMillis = Number.POSITIVE_INFINITY;
-  /** When each other member was last heard of. */
-  readonly #heardAt = new Map<ReplicaId, MonotonicMillis>();
-  #leadsSince: MonotonicMillis = Number.POSITIVE_INFINITY;
+  readonly #repair: AutomaticRepair;
+  /** Whether a spare that is taken in by itself has yet to be settled. */
+  #takesIn = false;
 
   constructor(parts: MembershipDeskParts) {
     this.#parts = parts;
+    this.#repair = new AutomaticRepair(parts.config.replaceAfterMillis);
   }
 
   handle(operation: OperationId, request: MembershipRequest, now: MonotonicMillis): void {
@@ -75,12 +83,32 @@
   }
 
   heard(replica: ReplicaId, now: MonotonicMillis): void {
-    this.#heardAt.set(replica, now);
+    this.#repair.heard(replica, now);
+  }
+
+  joinRequested(replica: ReplicaId, address: Address, now: MonotonicMillis): void {
+    this.#repair.asked(replica, address, now);
+  }
+
+  /** What a leader knows of other replicas; nothing on other members. */
+  view(now: MonotonicMillis): MembershipView {
+    const { raft } = this.#parts;
+    if (!raft.isLeader()) {
+      return { waitingReplicas: [], memberSilentMillis: {} };
+    }
+    const status = raft.status();
+    const others = Object.keys(status.membership.addresses).filter((member) => member !== status.self);
+    const silence = others.map((member) => [member, this.#repair.silentMillis(member, now)] as const);
+    return {
+      waitingReplicas: this.#repair.waiting(status, now),
+      memberSilentMillis: Object.fromEntries(silence),
+    };
   }
 
   roleChanged(now: MonotonicMillis): void {
     const leads = this.#parts.raft.isLeader();
-    this.#leadsSince = leads ? Math.min(this.#leadsSince, now) : Number.POSITIVE_INFINITY;
+    this.#repair.roleChanged(leads, now);
+    this.#takesIn = false;
     if (!leads && this.#replacement !== null) {
       this.#finish(this.#replacement.operation, { type: 'unknown' });
     }
@@ -89,7 +117,7 @@
 
   run(now: MonotonicMillis): void {
     this.#finishTransfer(now);
-    this.#replaceSilentVoter(now);
+    this.#repairByItself(now);
     if (this.#replacement !== null && this.#parts.raft.isLeader()) {
       this.#advance(this.#replacement);
     }
@@ -239,22 +267,20 @@
     return outcome.type === 'not-leader' ? { type: 'not-leader', leader } : { type: 'unknown' };
   }
 
-  /** Swaps a voter that was silent for long against a spare learner that holds everything. */
-  #replaceSilentVoter(now: MonotonicMillis): void {
-    const { config, raft } = this.#parts;
-    if (config.replaceAfterMillis <= 0 || this.#replacement !== null || !raft.isLeader()) {
+  #repairByItself(now: MonotonicMillis): void {
+    const { raft } = this.#parts;
+    if (this.#replacement !== null || this.#takesIn || !raft.isLeader()) {
       return;
     }
-    const { membership, matchIndexes, commitIndex, self } = raft.status();
-    const isSilent = (replica: ReplicaId): boolean =>
-      now - Math.max(this.#heardAt.get(replica) ?? 0, this.#leadsSince) >= config.replaceAfterMillis;
-    const oldReplica = membership.voters.find((voter) => voter !== self && isSilent(voter));
-    const newReplica = membership.learners.find(
-      (learner) => !isSilent(learner) && (matchIndexes[learner] ?? 0) >= commitIndex,
-    );
-    if (oldReplica !== undefined && newReplica !== undefined) {
-      const address = membership.addresses[newReplica] ?? '';
-      this.#beginReplacement({ operation: null, oldReplica, newReplica, address }, now);
+    const repair = this.#repair.next(raft.status(), now);
+    if (repair?.type === 'replace') {
+      this.#beginReplacement({ operation: null, ...repair }, now);
+    } else if (repair?.type === 'take-in') {
+      const { replica, address } = repair;
+      this.#takesIn = true;
+      raft.proposeMembership({ type: 'add-learner', replica, address }, () => {
+        this.#takesIn = false;
+      });
     }
   }
 
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -1,10 +1,11 @@
-/** Messages between routers and control members, carried by frames of `src/wire/`. */
+/** Messages between routers and control members, and from replicas that join, carried by frames of `src/wire/`. */
 import type { ClaimantId, ClaimResult, StoredAnswer } from '../ledger/types.js';
 import type {
   Address,
   ClusterId,
   Incarnation,
   MonotonicMillis,
+  ReplicaId,
   Revision,
   RouterId,
   ServiceName,
@@ -14,6 +15,13 @@
 } from '../model/identifiers.js';
 import type { RoutingDelta, RoutingSnapshot } from '../registry/types.js';
 
+/** From a replica that is no member yet to the members; repeated until it is one. */
+export interface JoinRequest {
+  readonly type: 'join-request';
+  readonly replica: ReplicaId;
+  readonly address: Address;
+}
+
 /** Refreshes the configuration lease and fetches what changed. */
 export interface SyncRequest {
   readonly type: 'sync-request';
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -86,6 +86,10 @@
         readonly revision: Revision;
         readonly silentMillis: number;
       }[];
+      /** Leader only: replicas that ask to be taken in. */
+      readonly waitingReplicas: readonly { readonly replica: ReplicaId; readonly address: Address }[];
+      /** Leader only: milliseconds since each other member was heard. */
+      readonly memberSilentMillis: Readonly<Record<ReplicaId, number>>;
       readonly unownedShards: number;
       readonly movingShards: number;
     }
@@ -100,6 +104,8 @@
 export type ControlInput =
   | { readonly type: 'tick' }
   | { readonly type: 'peer-message'; readonly message: RaftMessage }
+  /** A replica that is no member asks to be taken in. */
+  | { readonly type: 'join-request'; readonly replica: ReplicaId; readonly address: Address }
   | { readonly type: 'persisted'; readonly persistId: number }
   | { readonly type: 'router-message'; readonly connection: ConnectionId; readonly message: RouterToControl }
   | { readonly type: 'router-gone'; readonly connection: ConnectionId }
@@ -140,7 +146,10 @@
   readonly configLease: ConfigLeaseTimings;
   /** Log entries after which a snapshot is taken. */
   readonly snapshotEntries: number;
-  /** Replace a voter by itself once it was silent this long and a spare learner is caught up; 0: never. */
+  /**
+   * Replace a voter by itself once it was silent this long and a spare learner is caught up, and take waiting replicas in
+   * as spares; 0: never.
+   */
   readonly replaceAfterMillis: number;
 }
 
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -22,6 +22,7 @@
   timeoutNow: 22,
   readIndexRequest: 23,
   readIndexResponse: 24,
+  joinRequest: 25,
   syncRequest: 32,
   syncResponse: 33,
   changeNotice: 34,
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,5 +1,6 @@
 /** Frames, codecs and TCP tasks between the system's own processes. */
 export { formatAddress, parseAddress } from './address.js';
+export { joinRequestCodec } from './control/join-request.js';
 export {
   DEFAULT_MAX_FRAME_BYTES,
   encodeFrame,
--- a/test/contract/replica-replacement.test.ts
+++ b/test/contract/replica-replacement.test.ts
@@ -9,6 +9,7 @@
 const FIRST = 1;
 const SECOND = 2;
 const THIRD = 3;
+const FOURTH = 4;
 
 describe('replacement of a control replica, as processes', () => {
   const cluster = new ProcessCluster(NETWORK);
@@ -33,8 +34,8 @@
     expect(upstreams.map(({ definition }) => definition.id)).to.have.members(acknowledged);
   }
 
-  it('loses nothing that was acknowledged', async () => {
-    const settings = { snapshotEntries: SNAPSHOT_ENTRIES };
+  it('loses nothing that was acknowledged, whether asked for or made by itself', async () => {
+    const settings = { snapshotEntries: SNAPSHOT_ENTRIES, replaceAfter: '2s' };
     await cluster.startMember(FIRST, 'init', settings);
     const second = await cluster.startMember(SECOND, 'join', settings);
     const lost = await cluster.startMember(THIRD, 'join', settings);
@@ -64,6 +65,14 @@
     await expectAllThere();
     const behind = await cluster.status(FIRST);
     expect(behind?.raft.membership.voters).to.include(replaced).and.to.not.include(lost);
+
+    const peers = [FIRST, THIRD].map((number) => `${cluster.host(number)}:8002`);
+    const spare = await cluster.startMember(FOURTH, 'join', { ...settings, peers });
+    await cluster.until('replacement by itself', async () => {
+      const voters = (await cluster.status(THIRD))?.raft.membership.voters ?? [];
+      return voters.includes(spare) && !voters.includes(second) ? true : undefined;
+    });
+    await expectAllThere();
   });
 
   it('cuts the log files at each snapshot', async () => {
--- a/test/control/cluster-harness.ts
+++ b/test/control/cluster-harness.ts
@@ -19,7 +19,7 @@
   type Ticket,
 } from '../../src/lease/index.js';
 import type { KeyMap, SessionRequest } from '../../src/lease/types.js';
-import type { Epoch, ReplicaId, ShardId, UpstreamId } from '../../src/model/identifiers.js';
+import type { Address, Epoch, ReplicaId, ShardId, UpstreamId } from '../../src/model/identifiers.js';
 import { shardOfKey } from '../../src/model/key-map.js';
 import type { ServiceDefinition, UpstreamDefinition } from '../../src/model/service.js';
 import type { OperatorCommand, ShardRecord } from '../../src/registry/types.js';
@@ -107,6 +107,11 @@
   readonly service?: ServiceDefinition;
 }
 
+/** Internal address of a member. */
+export function addressOf(id: ReplicaId): Address {
+  return `127.0.0.1:${id.slice(1)}`;
+}
+
 export class Cluster {
   time = 0;
   readonly members = new Map<ReplicaId, Member>();
@@ -138,6 +143,22 @@
     return server;
   }
 
+  /** A replica with an empty disk; nobody knows of it yet. */
+  addMember(id: ReplicaId): Member {
+    this.#startMember(id, null);
+    return this.members.get(id) as Member;
+  }
+
+  /** The replica asks every member to be taken in. */
+  askToJoin(id: ReplicaId): void {
+    const address = addressOf(id);
+    for (const member of this.members.values()) {
+      if (member.id !== id && !this.cut.has(member.id)) {
+        this.#step(member, { type: 'join-request', replica: id, address });
+      }
+    }
+  }
+
   server(id: UpstreamId): Server {
     return this.servers.get(id) as Server;
   }
@@ -239,12 +260,12 @@
     return ticket !== null;
   }
 
-  #startMember(id: ReplicaId, voters: readonly ReplicaId[]): void {
-    const addresses = Object.fromEntries(voters.map((voter) => [voter, `127.0.0.1:${voter.slice(1)}`]));
+  #startMember(id: ReplicaId, voters: readonly ReplicaId[] | null): void {
+    const addresses = Object.fromEntries((voters ?? []).map((voter) => [voter, addressOf(voter)]));
     const restored: RestoredState = {
       hardState: { term: 0, votedFor: null },
       snapshot: null,
-      initialMembership: { voters, outgoingVoters: [], learners: [], addresses },
+      initialMembership: voters && { voters, outgoingVoters: [], learners: [], addresses },
       entries: [],
     };
     const config: ControlConfig = {
@@ -258,7 +279,7 @@
       replaceAfterMillis: 0,
       ...this.options.config,
     };
-    this.members.set(id, { id, core: createControlNode(config, restored, 0), alive: true });
+    this.members.set(id, { id, core: createControlNode(config, restored, this.time), alive: true });
   }
 
   #advance(end: number): void {
--- /dev/null
+++ b/test/control/replacement.test.ts
@@ -0,0 +1,204 @@
+/** Replacement of a lost replica, asked for by an operator or by the leader itself. */
+import { expect } from 'chai';
+import type { Membership } from '../../src/consensus/types.js';
+import type { OperatorResponse } from '../../src/control/types.js';
+import type { ReplicaId } from '../../src/model/identifiers.js';
+import { addressOf, Cluster, type ClusterOptions, SERVICE, upstream } from './cluster-harness.js';
+
+const REPLACE_AFTER_MILLIS = 2000;
+const ASK_MILLIS = 1000;
+
+function startCluster(options: ClusterOptions = {}): Cluster {
+  const cluster = new Cluster(options);
+  cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+  cluster.change({
+    type: 'service-apply',
+    definition: { ...SERVICE, keyed: false, keyspaces: [] },
+    expected: null,
+  });
+  return cluster;
+}
+
+function membership(cluster: Cluster): Membership {
+  return cluster.leader().core.status().membership;
+}
+
+/** A follower that can be lost. */
+function follower(cluster: Cluster): ReplicaId {
+  const found = [...cluster.members.values()].find(({ id, alive }) => alive && id !== cluster.leader().id);
+  return found?.id as ReplicaId;
+}
+
+function lose(cluster: Cluster, id: ReplicaId): void {
+  const member = cluster.members.get(id);
+  if (member !== undefined) {
+    cluster.kill(member);
+  }
+}
+
+function declare(cluster: Cluster, count: number): string[] {
+  return Array.from({ length: count }, (_, index) => {
+    const definition = upstream(`u${index + 1}`, { service: SERVICE.name });
+    const answer = cluster.change({ type: 'upstream-apply', definition, expected: null });
+    expect(answer).to.deep.include({ type: 'result' });
+    return definition.id;
+  });
+}
+
+function declared(cluster: Cluster): string[] {
+  const answer = cluster.ask({ type: 'get-upstreams' });
+  return answer.type === 'upstreams' ? answer.upstreams.map(({ definition }) => definition.id) : [];
+}
+
+function replace(cluster: Cluster, oldReplica: ReplicaId, newReplica: ReplicaId): OperatorResponse {
+  const address = addressOf(newReplica);
+  return cluster.ask({ type: 'replace-replica', oldReplica, newReplica, address });
+}
+
+/** Runs on while the replica asks to be taken in, as its daemon does. */
+function runAsking(cluster: Cluster, id: ReplicaId, millis: number): void {
+  for (let passed = 0; passed < millis; passed += ASK_MILLIS) {
+    cluster.askToJoin(id);
+    cluster.run(ASK_MILLIS);
+  }
+}
+
+describe('replacement of a replica', () => {
+  for (const snapshotEntries of [10_000, 5]) {
+    it(`loses nothing when a second one is lost right after (snapshots each ${snapshotEntries})`, () => {
+      const cluster = startCluster({ config: { snapshotEntries } });
+      const ids = declare(cluster, 30);
+      const lost = follower(cluster);
+      lose(cluster, lost);
+      cluster.addMember('m4');
+      const answer = replace(cluster, lost, 'm4');
+      expect(answer).to.deep.include({ type: 'membership', repaired: true });
+      expect(membership(cluster).voters).to.include('m4').and.to.not.include(lost);
+      cluster.kill(cluster.leader());
+      cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+      expect(declared(cluster)).to.have.members(ids);
+      expect(declare(cluster, 31)).to.have.length(31);
+    });
+  }
+
+  it('takes a new replica in beside the others', () => {
+    const cluster = startCluster({ members: 1 });
+    declare(cluster, 3);
+    for (const id of ['m2', 'm3']) {
+      cluster.addMember(id);
+      const answer = cluster.ask({ type: 'add-voter', replica: id, address: addressOf(id) });
+      expect(answer).to.deep.include({ type: 'membership', repaired: true });
+    }
+    expect(membership(cluster).voters).to.have.members(['m1', 'm2', 'm3']);
+    const again = cluster.ask({ type: 'add-voter', replica: 'm3', address: addressOf('m3') });
+    expect(again).to.deep.include({ type: 'membership', repaired: true });
+    cluster.kill(cluster.leader());
+    cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+    expect(declared(cluster)).to.have.length(3);
+  });
+
+  it('is made after all when it is asked for again, whenever its leader is lost', () => {
+    for (let millis = 0; millis <= 80; millis += 8) {
+      const cluster = startCluster({ members: 5, seed: millis });
+      const ids = declare(cluster, 5);
+      const lost = follower(cluster);
+      lose(cluster, lost);
+      cluster.addMember('m6');
+      const address = addressOf('m6');
+      cluster.request({ type: 'replace-replica', oldReplica: lost, newReplica: 'm6', address });
+      cluster.run(millis);
+      cluster.kill(cluster.leader());
+      cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+      expect(replace(cluster, lost, 'm6'), `leader lost after ${millis} ms`).to.include({ repaired: true });
+      expect(membership(cluster).outgoingVoters).to.deep.equal([]);
+      expect(declared(cluster)).to.have.members(ids);
+    }
+  });
+
+  it('is not disturbed by the one that was replaced when it comes back', () => {
+    const cluster = startCluster();
+    const away = follower(cluster);
+    cluster.cut.add(away);
+    cluster.addMember('m4');
+    expect(replace(cluster, away, 'm4')).to.include({ repaired: true });
+    const { term } = cluster.leader().core.status();
+    cluster.cut.delete(away);
+    cluster.run(10_000);
+    expect(cluster.leader().core.status().term).to.equal(term);
+    expect(cluster.leader().id).to.not.equal(away);
+  });
+
+  it('does not count as repaired while the new one is silent', () => {
+    const cluster = startCluster();
+    const lost = follower(cluster);
+    lose(cluster, lost);
+    const request = {
+      type: 'replace-replica',
+      oldReplica: lost,
+      newReplica: 'm4',
+      address: addressOf('m4'),
+    } as const;
+    const operation = cluster.request(request);
+    cluster.run(20_000);
+    expect(cluster.answers.get(operation)).to.equal(undefined);
+    expect(membership(cluster).voters).to.include(lost);
+    cluster.addMember('m4');
+    expect(cluster.awaitAnswer(operation)).to.include({ repaired: true });
+  });
+});
+
+describe('replacement by the leader itself', () => {
+  const config = { replaceAfterMillis: REPLACE_AFTER_MILLIS };
+
+  it('puts a spare in the place of a voter that was silent for long enough', () => {
+    const cluster = startCluster({ config });
+    const ids = declare(cluster, 10);
+    cluster.addMember('m4');
+    runAsking(cluster, 'm4', 3000);
+    expect(membership(cluster).learners).to.deep.equal(['m4']);
+    const lost = follower(cluster);
+    lose(cluster, lost);
+    cluster.run(REPLACE_AFTER_MILLIS - 500);
+    expect(membership(cluster).voters).to.include(lost);
+    cluster.run(1500);
+    expect(membership(cluster).voters).to.include('m4').and.to.not.include(lost);
+    cluster.kill(cluster.leader());
+    cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+    expect(declared(cluster)).to.have.members(ids);
+  });
+
+  it('takes in a replica that asks after the loss, and repairs with it', () => {
+    const cluster = startCluster({ config });
+    const lost = follower(cluster);
+    lose(cluster, lost);
+    cluster.run(5000);
+    cluster.addMember('m4');
+    runAsking(cluster, 'm4', 3000);
+    expect(membership(cluster).voters).to.include('m4').and.to.not.include(lost);
+  });
+
+  it('leaves voters alone that answer, and a silent one without a spare', () => {
+    const cluster = startCluster({ config });
+    const before = membership(cluster).voters;
+    cluster.run(20_000);
+    lose(cluster, follower(cluster));
+    cluster.run(20_000);
+    expect(membership(cluster).voters).to.deep.equal(before);
+  });
+
+  it('does nothing where it is off, but shows who waits and who is silent', () => {
+    const cluster = startCluster();
+    cluster.addMember('m4');
+    const lost = follower(cluster);
+    lose(cluster, lost);
+    runAsking(cluster, 'm4', 10_000);
+    expect(membership(cluster).learners).to.deep.equal([]);
+    const status = cluster.ask({ type: 'get-status' });
+    expect(status).to.deep.include({ waitingReplicas: [{ replica: 'm4', address: addressOf('m4') }] });
+    const silent = status.type === 'status' ? status.memberSilentMillis : {};
+    expect(silent[lost]).to.be.above(9000);
+    expect(Object.values(silent).filter((millis) => millis < 500)).to.have.length(1);
+    cluster.run(6000);
+    expect(cluster.ask({ type: 'get-status' })).to.deep.include({ waitingReplicas: [] });
+  });
+});
