Admission by the measured speed of each lane

A hot shard's queue therefore kept requests of quiet shards of the same owner out, and once a queue drained slower than it had been estimated, what waited in it stayed until its hold limit and was refused only then. Ruled out: loss of goodput (orders 100 % of those without the rush, before and after) and coalescing (off in these runs).

Change: each lane measures how fast it drains, only while something waits in it; the assumed rate stands in until then and counts for little afterwards. Work is let in while its estimated wait is below 0.75 of its limit. Every 25 ms the last ones of a lane that could only wait for their limit are answered. Retry-After is the wait of the lane itself.

--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -116,7 +116,7 @@
     if (shard === null) {
       return;
     }
-    const owner = this.dispatcher.ownerOf(shard);
+    const owner = context.ownerOf(shard);
     if (owner !== undefined && owner.epoch !== attempt.epoch) {
       return;
     }
@@ -129,7 +129,7 @@
       this.dispatcher.requeue(work);
       return;
     }
-    this.answers.refuseWork(work, 'retry-budget-spent', this.dispatcher.retryAfter(work.service));
+    this.answers.refuseWork(work, 'retry-budget-spent', this.dispatcher.retryAfter(work));
   }
 
   private takeEvidence(attempt: Attempt, result: AttemptResult): void {
@@ -139,8 +139,6 @@
     switch (result.type) {
       case 'answered':
         upstream.answered(took, result.load, now);
-        upstream.drainRate.completed(now);
-        work.service.drainRate.completed(now);
         this.countAnswer(attempt, result.status, took);
         return;
       case 'refused':
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -7,9 +7,10 @@
 import { policyContextOf, policyUpstreamOf } from './policy-input.js';
 import { retryAfterMillis, UNMEASURED_RETRY_MILLIS } from './retry-after.js';
 import type { RouterContext } from './router-context.js';
-import { capacityOf, type ServiceState } from './service-state.js';
+import type { ServiceState } from './service-state.js';
 import type { RefusalReason } from './types.js';
 import type { UpstreamState } from './upstream-state.js';
+import { WaitEstimate } from './wait-estimate.js';
 import type { Work } from './work.js';
 
 /** Requests that a router keeps waiting over all services; beyond it, less important ones make room. */
@@ -19,22 +20,24 @@
 /** How often waiting work is looked at without an event. */
 const WAKE_MILLIS = 25;
 
-type Placement = 'dispatched' | 'waits' | 'answered';
+/**
+ * Work is let in while its estimated wait is below this share of its limit, so that a lane which then drains a little
+ * slower than estimated serves it all the same.
+ */
+const ADMITTED_SHARE = 0.75;
 
-/** Where a shard's requests go. */
-interface Owner {
-  readonly upstream: UpstreamState;
-  readonly epoch: number;
-  readonly incarnation: string;
-}
+type Placement = 'dispatched' | 'waits' | 'answered';
 
 export class Dispatcher {
   private nextAttempt = 1;
+  private readonly estimate: WaitEstimate;
 
   constructor(
     private readonly context: RouterContext,
     private readonly answers: Answers,
-  ) {}
+  ) {
+    this.estimate = new WaitEstimate(context);
+  }
 
   /** Dispatches a work that may run now, lets it wait, or refuses it at once if waiting can't end well. */
   admit(work: Work): void {
@@ -48,7 +51,7 @@
     }
     const refusal = this.admissionRefusal(work);
     if (refusal !== undefined) {
-      this.answers.refuseWork(work, refusal, this.retryAfter(work.service));
+      this.answers.refuseWork(work, refusal, this.retryAfter(work));
       return;
     }
     this.enqueue(work, 'back');
@@ -73,7 +76,7 @@
   giveUpWaiting(work: Work): void {
     const reason = this.reasonForWaiting(work);
     const measured = reason === 'would-miss-deadline';
-    const wait = measured ? this.retryAfter(work.service) : this.unmeasuredRetryAfter();
+    const wait = measured ? this.retryAfter(work) : this.unmeasuredRetryAfter();
     this.answers.refuseWork(work, reason, wait);
   }
 
@@ -109,6 +112,9 @@
     service.wakeScheduled = false;
     service.lanes.prune(this.context.now);
     this.drainService(service);
+    for (const lane of service.lanes.allWaiting()) {
+      this.refuseHopeless(service, lane);
+    }
     this.scheduleWake(service);
   }
 
@@ -126,31 +132,33 @@
     }
   }
 
-  /** Who owns a shard now, if a request may go there. */
-  ownerOf(shard: ShardId): Owner | undefined {
-    const record = this.context.view.shard(shard);
-    if (record === undefined || record.owner === null || record.incarnation === null) {
-      return undefined;
-    }
-    const upstream = this.context.upstreams.get(record.owner);
-    if (upstream === undefined) {
-      return undefined;
-    }
-    return { upstream, epoch: record.epoch, incarnation: record.incarnation };
-  }
-
-  /** Jittered time in which the waiting work of a service drains. */
-  retryAfter(service: ServiceState): number {
-    const { now, random } = this.context;
-    const rate = service.drainRate.perMilli(now, service.capacityPerMilli(now));
-    const wait = rate > 0 ? (service.waitingLength + 1) / rate : UNMEASURED_RETRY_MILLIS;
-    return retryAfterMillis(wait, random);
+  /** Jittered time in which what waits before a work drains. */
+  retryAfter(work: Work): number {
+    const wait = this.estimate.untilDispatch(work);
+    return retryAfterMillis(wait > 0 ? wait : UNMEASURED_RETRY_MILLIS, this.context.random);
   }
 
   unmeasuredRetryAfter(): number {
     return retryAfterMillis(UNMEASURED_RETRY_MILLIS, this.context.random);
   }
 
+  /**
+   * Answers the last ones of a lane that has become slower than it was when they were let in: they would only wait for
+   * their limit. A lane without an owner waits for news, not for its turn.
+   */
+  private refuseHopeless(service: ServiceState, lane: Lane): void {
+    const { now } = this.context;
+    const isServed = lane.shard === null || this.context.ownerOf(lane.shard) !== undefined;
+    if (!isServed || lane.isPaused(now)) {
+      return;
+    }
+    let last = lane.queue.peekLast();
+    while (last !== undefined && now + this.estimate.ofLast(service, lane) > last.holdUntil) {
+      this.answers.refuseWork(last, 'would-miss-deadline', this.retryAfter(last));
+      last = lane.queue.peekLast();
+    }
+  }
+
   /** Finds the shard of a work's key; answers it if there is none. */
   private locate(work: Work): boolean {
     const { definition } = work.service;
@@ -230,7 +238,7 @@
   }
 
   private placeAtOwner(work: Work, shard: ShardId): Placement {
-    const owner = this.ownerOf(shard);
+    const owner = this.context.ownerOf(shard);
     const { now } = this.context;
     if (owner === undefined || owner.upstream.evidence.operatorLeaving || !owner.upstream.hasSlot(now)) {
       return 'waits';
@@ -263,6 +271,7 @@
       startedAt: context.now,
       epoch: credentials?.epoch ?? null,
     };
+    work.lane?.drainRate.took(context.now);
     service.lanes.remove(work);
     if (work.attempts === 0) {
       service.retryBudget.firstAttempt();
@@ -294,25 +303,8 @@
     if (service.waitingLength >= queueLimit || laneLength >= laneLimit || !this.makeRoom(work)) {
       return 'queue-full';
     }
-    const { now } = this.context;
-    const end = Math.min(work.deadline, now + holdLimitMillis);
-    return now + this.expectedWait(work) > end ? 'would-miss-deadline' : undefined;
-  }
-
-  /** Measured time until a work that joins the queue now would be dispatched; 0 while nothing is known. */
-  private expectedWait(work: Work): number {
-    const { service } = work;
-    const { now } = this.context;
-    if (work.shard === null) {
-      const rate = service.drainRate.perMilli(now, service.capacityPerMilli(now));
-      return rate > 0 ? service.lanes.length / rate : 0;
-    }
-    const owner = this.ownerOf(work.shard);
-    if (owner === undefined) {
-      return 0;
-    }
-    const rate = owner.upstream.drainRate.perMilli(now, capacityOf(owner.upstream));
-    return service.lanes.lengthFor(owner.upstream.id) / rate;
+    const longest = Math.min(work.deadline - this.context.now, holdLimitMillis);
+    return this.estimate.untilDispatch(work) > longest * ADMITTED_SHARE ? 'would-miss-deadline' : undefined;
   }
 
   /** Keeps the router's own bound: the oldest waiting work of a less important service gives way. */
@@ -334,7 +326,7 @@
     if (least === undefined || victim === undefined) {
       return false;
     }
-    this.answers.refuseWork(victim, 'queue-full', this.retryAfter(least));
+    this.answers.refuseWork(victim, 'queue-full', this.retryAfter(victim));
     return true;
   }
 
@@ -342,7 +334,7 @@
     const { service } = work;
     const owner = work.shard === null ? null : (this.context.view.shard(work.shard)?.owner ?? null);
     const lane = service.lanes.obtain(work.shard, owner);
-    service.lanes.enqueue(lane, work, place);
+    service.lanes.enqueue(lane, work, place, this.context.now);
     work.phase = 'queued';
     this.boundWait(work);
     this.scheduleWake(service);
@@ -367,7 +359,7 @@
   private reasonForWaiting(work: Work): RefusalReason {
     const { now } = this.context;
     if (work.shard !== null) {
-      const owner = this.ownerOf(work.shard);
+      const owner = this.context.ownerOf(work.shard);
       const owned = owner !== undefined && !owner.upstream.evidence.operatorLeaving;
       return owned ? 'would-miss-deadline' : 'no-owner';
     }
--- a/src/routing/drain-rate.ts
+++ b/src/routing/drain-rate.ts
@@ -1,22 +1,45 @@
-/** How fast a queue drains: a decaying count of completions, with the capacity of the upstreams as its floor. */
+/**
+ * How fast a queue drains, measured only while something waits in it: a quiet time says nothing about the speed of what
+ * serves it. Older measurements decay; until there are some, an assumed rate stands in.
+ */
 
 const DECAY_MILLIS = 1000;
+/** The assumed rate counts as much as a measurement over this time. */
+const ASSUMED_WEIGHT_MILLIS = 100;
 
 export class DrainRate {
-  private count = 0;
-  private countedAt = 0;
+  private taken = 0;
+  private busyMillis = 0;
+  /** When the last item was taken, or the first one came to an empty queue; `null`: nothing waits. */
+  private since: number | null = null;
 
-  completed(now: number): void {
-    this.count = this.decayed(now) + 1;
-    this.countedAt = now;
+  /** Something waits from now on. */
+  began(now: number): void {
+    this.since ??= now;
   }
 
-  /** Requests a millisecond. While little was asked for, few completions don't mean a slow service. */
-  perMilli(now: number, capacityPerMilli: number): number {
-    return Math.max(this.decayed(now) / DECAY_MILLIS, capacityPerMilli);
+  /** Nothing waits any more, or nothing may be taken. */
+  paused(): void {
+    this.since = null;
   }
 
-  private decayed(now: number): number {
-    return this.count * Math.exp((this.countedAt - now) / DECAY_MILLIS);
+  /** An item was taken for dispatch. */
+  took(now: number): void {
+    if (this.since === null) {
+      this.since = now;
+      return;
+    }
+    const elapsed = now - this.since;
+    const kept = Math.exp(-elapsed / DECAY_MILLIS);
+    this.taken = this.taken * kept + 1;
+    this.busyMillis = this.busyMillis * kept + elapsed;
+    this.since = now;
+  }
+
+  /** Items a millisecond; `assumed` is the rate to go by while little is measured. */
+  perMilli(now: number, assumed: number): number {
+    const open = this.since === null ? 0 : now - this.since;
+    const weighed = this.taken + assumed * ASSUMED_WEIGHT_MILLIS;
+    return weighed / (this.busyMillis + open + ASSUMED_WEIGHT_MILLIS);
   }
 }
--- a/src/routing/lane-table.ts
+++ b/src/routing/lane-table.ts
@@ -3,6 +3,7 @@
  * one that isn't keyed has a single lane.
  */
 import type { ShardId, UpstreamId } from '../model/identifiers.js';
+import { DrainRate } from './drain-rate.js';
 import { LinkedQueue } from './linked-queue.js';
 import type { Work } from './work.js';
 
@@ -12,6 +13,7 @@
 
 export class Lane {
   readonly queue = new LinkedQueue<Work>();
+  readonly drainRate = new DrainRate();
   owner: UpstreamId | null = null;
   private pausedUntil = Number.NEGATIVE_INFINITY;
   private nextPause = FIRST_PAUSE_MILLIS;
@@ -26,6 +28,7 @@
   /** The owner turned a request away or can't be reached: wait a little longer each time. */
   pause(now: number): void {
     this.pausedUntil = now + this.nextPause;
+    this.drainRate.paused();
     this.nextPause = Math.min(LONGEST_PAUSE_MILLIS, this.nextPause * 2);
   }
 
@@ -42,7 +45,6 @@
 export class LaneTable {
   private readonly lanes = new Map<ShardId | null, Lane>();
   private readonly waiting = new Map<UpstreamId, Set<Lane>>();
-  private readonly queuedFor = new Map<UpstreamId, number>();
   private count = 0;
 
   /** Work that waits in all lanes. */
@@ -66,16 +68,16 @@
     return lane;
   }
 
-  /** Work waiting for one owner. */
-  lengthFor(owner: UpstreamId | null): number {
-    return this.queuedFor.get(owner ?? NO_OWNER) ?? 0;
+  /** Number of lanes with work waiting for one owner. */
+  countFor(owner: UpstreamId | null): number {
+    return this.waiting.get(owner ?? NO_OWNER)?.size ?? 0;
   }
 
-  enqueue(lane: Lane, work: Work, place: 'front' | 'back'): void {
+  enqueue(lane: Lane, work: Work, place: 'front' | 'back', now: number): void {
+    lane.drainRate.began(now);
     work.lane = lane;
     work.node = place === 'front' ? lane.queue.pushFront(work) : lane.queue.pushBack(work);
     this.count += 1;
-    this.addQueued(lane.owner, 1);
     if (lane.queue.length === 1) {
       this.waitingSet(lane.owner).add(lane);
     }
@@ -90,8 +92,8 @@
     work.lane = null;
     work.node = null;
     this.count -= 1;
-    this.addQueued(lane.owner, -1);
     if (lane.queue.length === 0) {
+      lane.drainRate.paused();
       this.waitingSet(lane.owner).delete(lane);
     }
   }
@@ -100,9 +102,7 @@
   reassign(lane: Lane, owner: UpstreamId | null): void {
     if (lane.queue.length > 0) {
       this.waitingSet(lane.owner).delete(lane);
-      this.addQueued(lane.owner, -lane.queue.length);
       this.waitingSet(owner).add(lane);
-      this.addQueued(owner, lane.queue.length);
     }
     lane.owner = owner;
   }
@@ -148,9 +148,4 @@
     }
     return set;
   }
-
-  private addQueued(owner: UpstreamId | null, difference: number): void {
-    const name = owner ?? NO_OWNER;
-    this.queuedFor.set(name, (this.queuedFor.get(name) ?? 0) + difference);
-  }
 }
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -190,7 +190,7 @@
 
   private policyRetryAfter(work: Work, asked: number | null): number {
     if (asked === null) {
-      return this.dispatcher.retryAfter(work.service);
+      return this.dispatcher.retryAfter(work);
     }
     return retryAfterMillis(asked, this.context.random);
   }
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -1,5 +1,5 @@
 /** What the parts of a router share: its state, the present instant and the effects of the step under way. */
-import type { UpstreamId, WallMillis } from '../model/identifiers.js';
+import type { Epoch, Incarnation, ShardId, UpstreamId, WallMillis } from '../model/identifiers.js';
 import { ConfigurationLease } from './configuration-lease.js';
 import { ConfigurationView } from './configuration-view.js';
 import { LeaderGuess } from './leader-guess.js';
@@ -12,6 +12,13 @@
 import type { UpstreamState } from './upstream-state.js';
 import type { Attempt, Member } from './work.js';
 
+/** Where a shard's requests go. */
+export interface ShardOwner {
+  readonly upstream: UpstreamState;
+  readonly epoch: Epoch;
+  readonly incarnation: Incarnation;
+}
+
 export class RouterContext {
   readonly view = new ConfigurationView();
   readonly lease: ConfigurationLease;
@@ -54,6 +61,19 @@
     return sum;
   }
 
+  /** Who owns a shard now, if a request may go there. */
+  ownerOf(shard: ShardId): ShardOwner | undefined {
+    const record = this.view.shard(shard);
+    if (record === undefined || record.owner === null || record.incarnation === null) {
+      return undefined;
+    }
+    const upstream = this.upstreams.get(record.owner);
+    if (upstream === undefined) {
+      return undefined;
+    }
+    return { upstream, epoch: record.epoch, incarnation: record.incarnation };
+  }
+
   schedule(at: number, subject: TimerSubject): RouterTimer {
     return this.timers.schedule(at, subject);
   }
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -3,7 +3,6 @@
 import type { ServiceDefinition } from '../model/service.js';
 import { compilePolicy, PolicyError, type PolicyProgram } from '../policy/index.js';
 import type { ServiceRecord } from '../registry/types.js';
-import { DrainRate } from './drain-rate.js';
 import { LaneTable } from './lane-table.js';
 import { createPicker } from './picker/create-picker.js';
 import type { Picker, PickerName } from './picker/picker.js';
@@ -16,7 +15,6 @@
   readonly lanes = new LaneTable();
   readonly picker: Picker;
   readonly retryBudget: TokenRetryBudget;
-  readonly drainRate = new DrainRate();
   /** Reads that identical ones may join. */
   readonly joinable = new Map<string, Work>();
   /** Work that a policy holds. */
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -1,7 +1,6 @@
 /** What a router knows of one upstream from its own requests, with hints from others kept apart. */
 import type { Incarnation, UpstreamId } from '../model/identifiers.js';
 import type { UpstreamRecord } from '../registry/types.js';
-import { DrainRate } from './drain-rate.js';
 import { StandingEvidence } from './leaving-table.js';
 import { OutlierEjection } from './outlier-ejection.js';
 import { SlotLimit } from './slot-limit.js';
@@ -21,7 +20,6 @@
   readonly evidence = new StandingEvidence();
   readonly ejection = new OutlierEjection();
   readonly slotLimit: SlotLimit;
-  readonly drainRate = new DrainRate();
   inFlight = 0;
   /** It asked for a pause with a refusal. */
   pausedUntil = Number.NEGATIVE_INFINITY;
--- /dev/null
+++ b/src/routing/wait-estimate.ts
@@ -0,0 +1,37 @@
+/** How long waiting work has to wait, from the measured speed at which its lane drains. */
+import type { Lane } from './lane-table.js';
+import type { RouterContext } from './router-context.js';
+import { capacityOf, type ServiceState } from './service-state.js';
+import type { Work } from './work.js';
+
+export class WaitEstimate {
+  constructor(private readonly context: RouterContext) {}
+
+  /** Milliseconds until a work that joins its lane now would be dispatched; 0 while nothing is known. */
+  untilDispatch(work: Work): number {
+    const lane = work.service.lanes.find(work.shard);
+    return this.wait(work.service, lane, work.shard, (lane?.queue.length ?? 0) + 1);
+  }
+
+  /** The same for the last work that waits in a lane. */
+  ofLast(service: ServiceState, lane: Lane): number {
+    return this.wait(service, lane, lane.shard, lane.queue.length);
+  }
+
+  private wait(service: ServiceState, lane: Lane | undefined, shard: string | null, place: number): number {
+    const { now } = this.context;
+    const assumed = shard === null ? service.capacityPerMilli(now) : this.shareOfOwner(service, shard);
+    const rate = lane?.drainRate.perMilli(now, assumed) ?? assumed;
+    return rate > 0 ? place / rate : 0;
+  }
+
+  /** An owner serves its lanes in turn. */
+  private shareOfOwner(service: ServiceState, shard: string): number {
+    const owner = this.context.ownerOf(shard);
+    if (owner === undefined) {
+      return 0;
+    }
+    const lanes = Math.max(1, service.lanes.countFor(owner.upstream.id));
+    return capacityOf(owner.upstream) / lanes;
+  }
+}
