--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -51,6 +51,7 @@
       granter: this.#granter,
       proposals: this.#proposals,
       registry: () => parts.raft.registry,
+      warmTimeoutMillis: config.warmTimeoutMillis,
     });
     this.#catchUp(electedAt);
   }
--- a/src/control/move-tracker.ts
+++ b/src/control/move-tracker.ts
@@ -7,7 +7,7 @@
 import type { Epoch, MonotonicMillis, ShardId } from '../model/identifiers.js';
 import type { ShardRecord } from '../registry/types.js';
 
-/** A target that hasn't warmed by then gets the shard cold. */
+/** A target that hasn't warmed by then gets the shard cold, unless the configuration says otherwise. */
 export const WARM_TIMEOUT_MILLIS = 1000;
 
 interface Move {
@@ -22,6 +22,12 @@
   readonly #timeouts = new DeadlineQueue<ShardId>();
   /** Epochs of grants which the owner said that it takes no new work under; nothing makes it take any again. */
   readonly #stopped = new Map<ShardId, Epoch>();
+  readonly #warmTimeoutMillis: number;
+
+  /** `warmTimeoutMillis`: longest wait for a target to warm; 0: none. */
+  constructor(warmTimeoutMillis: number = WARM_TIMEOUT_MILLIS) {
+    this.#warmTimeoutMillis = warmTimeoutMillis;
+  }
 
   /** Takes a shard's record as it is now. */
   update(record: ShardRecord, now: MonotonicMillis): void {
@@ -36,7 +42,7 @@
     const known = this.#moves.get(shard);
     if (known?.revision !== revision) {
       this.#moves.set(shard, { revision, seenAt: now, revoked: known?.revoked ?? false });
-      this.#timeouts.set(shard, now + WARM_TIMEOUT_MILLIS);
+      this.#timeouts.set(shard, now + this.#warmTimeoutMillis);
     }
   }
 
@@ -62,7 +68,7 @@
     if (move === undefined || target?.phase !== 'leased' || target.failing) {
       return;
     }
-    const timeIsUp = now - move.seenAt >= WARM_TIMEOUT_MILLIS;
+    const timeIsUp = now - move.seenAt >= this.#warmTimeoutMillis;
     move.revoked ||= timeIsUp || (target.answer?.warmed.includes(shard) ?? false);
   }
 
--- a/src/control/service-coordinator.ts
+++ b/src/control/service-coordinator.ts
@@ -23,6 +23,8 @@
   readonly granter: LeaseGranter;
   readonly proposals: LeaderProposals;
   readonly registry: () => Registry;
+  /** Longest wait of a move for its target to warm; the default if left out. */
+  readonly warmTimeoutMillis?: number | undefined;
 }
 
 export class ServiceCoordinator {
@@ -31,7 +33,7 @@
   readonly #roster: UpstreamRoster;
   readonly #orders: OrderBook;
   readonly #proposals: PlacementProposals;
-  readonly #moves = new MoveTracker();
+  readonly #moves: MoveTracker;
   readonly #loads = new LoadTracker();
   readonly #firstGrants = new FirstGrants();
   /** Shards that their owners gave up while the registry still names them as owners. */
@@ -42,6 +44,7 @@
   constructor(parts: CoordinatorParts, service: ServiceRecord, now: MonotonicMillis) {
     this.#parts = parts;
     this.#service = service;
+    this.#moves = new MoveTracker(parts.warmTimeoutMillis);
     this.#planner = createPlanner(settingsOf(service), now + LISTEN_MILLIS);
     this.#roster = new UpstreamRoster({ ...parts, planner: this.#planner }, service);
     this.#orders = new OrderBook(parts.granter);
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -142,6 +142,8 @@
   readonly snapshotEntries: number;
   /** Replace a voter by itself once it was silent this long and a spare learner is caught up; 0: never. */
   readonly replaceAfterMillis: number;
+  /** Longest wait of a planned move for its target to load the shard; 0: no wait, the target gets it cold. */
+  readonly warmTimeoutMillis?: number;
 }
 
 /** `now` is monotonic; `wall` is stamped on commands. */
--- a/src/dev/bench/models/rush.ts
+++ b/src/dev/bench/models/rush.ts
@@ -74,7 +74,7 @@
 export function runRush(
   deployment: Deployment,
   seed: number,
-  load: RushLoad,
+  rush: RushLoad,
   change: WorldChange = {},
 ): Reading[] {
   // Without coalescing, so that the load is what it says; the hot-key experiment shows what coalescing takes off.
@@ -89,11 +89,11 @@
   const tally = new RequestTally(measuredFrom, to);
   const rateOf = (service: string): number => {
     const rate = reads.get(service);
-    return rate === undefined ? capacityPerSecond(deployment, service) * load.orders : rate * load.reads;
+    return rate === undefined ? capacityPerSecond(deployment, service) * rush.orders : rate * rush.reads;
   };
-  world.load(tally, streamsOf(deployment, rushOf(deployment), { from, to }, rateOf));
-  const longest = Math.max(...deployment.services.map(({ deadlineMillis }) => deadlineMillis));
-  world.run(to - from + longest);
+  const load = world.load(tally, streamsOf(deployment, rushOf(deployment), { from, to }, rateOf));
+  world.run(to - from);
+  world.runUntil(() => load.open === 0);
   return [
     ...deployment.services.flatMap((service) => serviceReadings(service, tally)),
     ...refusalReadings(deployment.services, tally),
--- a/src/dev/bench/world/bench-world.ts
+++ b/src/dev/bench/world/bench-world.ts
@@ -95,7 +95,6 @@
     for (const definition of this.options.services) {
       this.change({ type: 'service-apply', definition, expected: null }, false);
     }
-    // All at once: shards are granted as soon as every upstream that is known then has answered.
     for (const { definition } of this.options.upstreams) {
       this.control.command({ type: 'upstream-apply', definition, expected: null }, false, () => {});
     }
@@ -115,13 +114,15 @@
     return this.runUntil(() => answered, WAIT_LIMIT_MILLIS, 1);
   }
 
-  load(tally: RequestTally, streams: readonly LoadStream[]): void {
+  /** Sends the streams' requests from now on. */
+  load(tally: RequestTally, streams: readonly LoadStream[]): LoadGenerator {
     const { queue, network, routers } = this;
     const { seed } = this.options;
     const generator = new LoadGenerator({ queue, seed, network, routers, tally });
     for (const [index, stream] of streams.entries()) {
       generator.start(stream, index);
     }
+    return generator;
   }
 
   /** A probe of the keys 0 to `count` of one service, or of one key of each shard of all keyed services. */
@@ -132,9 +133,13 @@
     return new AvailabilityProbe({ queue, routers, upstreams, keysOfShard });
   }
 
-  /** Attempts of all routers on upstreams of a service. */
-  dispatches(service: ServiceName): number {
-    return this.routers.reduce((sum, router) => sum + (router.dispatchesOf.get(service) ?? 0), 0);
+  /** Attempts of all routers on upstreams of a service, and how many of them were first attempts. */
+  attempts(service: ServiceName): { readonly all: number; readonly first: number } {
+    const counts = this.routers.map((router) => router.attemptsOn(service));
+    return {
+      all: counts.reduce((sum, { all }) => sum + all, 0),
+      first: counts.reduce((sum, { first }) => sum + first, 0),
+    };
   }
 
   private isUp(watched: AvailabilityProbe): boolean {
--- a/src/dev/bench/world/load-generator.ts
+++ b/src/dev/bench/world/load-generator.ts
@@ -59,9 +59,15 @@
 
 export class LoadGenerator {
   private callCount = 0;
+  private openCalls = 0;
 
   constructor(private readonly parts: LoadParts) {}
 
+  /** Calls that wait for their final answer. */
+  get open(): number {
+    return this.openCalls;
+  }
+
   start(stream: LoadStream, index: number): void {
     const zipf = stream.keys > 0 ? new ZipfDistribution(stream.keys, stream.skew) : null;
     const random = new RandomSource(this.parts.seed * STREAMS_PER_SEED + index);
@@ -91,6 +97,7 @@
       sentAt: queue.now,
       returnsLeft: stream.returns,
     };
+    this.openCalls += 1;
     tally.sent(stream.service.name, call.sentAt);
     this.send(call);
   }
@@ -124,6 +131,7 @@
         return;
       }
     }
+    this.openCalls -= 1;
     const good =
       answer.type === 'delivered' &&
       (call.stream.returns > 0 || queue.now - call.sentAt <= service.deadlineMillis);
--- a/src/dev/bench/world/model-router.ts
+++ b/src/dev/bench/world/model-router.ts
@@ -1,7 +1,7 @@
 /** A router in virtual time: the real core, its connections to upstreams, its probes, and its links to control. */
 import type { ControlToRouter } from '../../../control/messages.js';
 import { DEFAULT_CONFIG_LEASE_TIMINGS } from '../../../control/messages.js';
-import type { Address, RouterId, UpstreamId, Zone } from '../../../model/identifiers.js';
+import type { Address, RouterId, ServiceName, UpstreamId, Zone } from '../../../model/identifiers.js';
 import { ConfigurationView, createRouterNode, type PickerName } from '../../../routing/index.js';
 import type {
   ArrivedRequest,
@@ -41,6 +41,7 @@
 
 interface OpenRequest {
   readonly arrivedAt: number;
+  attempted: boolean;
   readonly answer: (answer: FinalAnswer) => void;
 }
 
@@ -62,9 +63,7 @@
 export class ModelRouter implements RouterLink {
   /** Copy of the configuration that the core holds. */
   readonly view = new ConfigurationView();
-  /** Attempts sent, and requests that had at least one. */
-  dispatches = 0;
-  readonly dispatchesOf = new Map<string, number>();
+  private readonly attemptCounts = new Map<ServiceName, { all: number; first: number }>();
   private readonly core: RouterCore;
   private readonly timer: CoreTimer;
   private readonly attempts = new Map<AttemptNumber, OpenAttempt>();
@@ -107,11 +106,16 @@
     }
   }
 
+  /** Attempts on upstreams of a service, and how many of them were the first of their request. */
+  attemptsOn(service: ServiceName): { readonly all: number; readonly first: number } {
+    return this.attemptCounts.get(service) ?? { all: 0, first: 0 };
+  }
+
   /** A caller's request; `answer` is called once, when the final answer leaves the router. */
   arrive(request: Omit<ArrivedRequest, 'request'>, answer: (answer: FinalAnswer) => void): void {
     this.requestCount += 1;
     const number = this.requestCount;
-    this.requests.set(number, { arrivedAt: this.parts.queue.now, answer });
+    this.requests.set(number, { arrivedAt: this.parts.queue.now, attempted: false, answer });
     this.step({ type: 'request', request: { ...request, request: number } });
   }
 
@@ -171,9 +175,7 @@
     const upstream = this.parts.upstreams.get(effect.upstream) as ModelUpstream;
     const attempt: OpenAttempt = { upstream, sent: null, connected: false, ended: false };
     this.attempts.set(effect.attempt, attempt);
-    this.dispatches += 1;
-    const { service } = upstream.definition;
-    this.dispatchesOf.set(service, (this.dispatchesOf.get(service) ?? 0) + 1);
+    this.countAttempt(upstream.definition.service, effect.request);
     if (this.connections.takeIdle(upstream)) {
       attempt.connected = true;
       this.send(effect, attempt);
@@ -182,6 +184,17 @@
     this.connect(effect, attempt);
   }
 
+  private countAttempt(service: ServiceName, request: number): void {
+    const counts = this.attemptCounts.get(service) ?? { all: 0, first: 0 };
+    this.attemptCounts.set(service, counts);
+    counts.all += 1;
+    const open = this.requests.get(request);
+    if (open !== undefined && !open.attempted) {
+      open.attempted = true;
+      counts.first += 1;
+    }
+  }
+
   /** A new connection costs a round trip and the server's own time. */
   private connect(effect: DispatchEffect, attempt: OpenAttempt): void {
     const { network, queue } = this.parts;
