Reads outlive the loss of the server that was working on them

Change: - When the configuration shows that the grant of an attempt is over (the holder's lease ended, or it finished its work), an answer has 50 ms left to come; then a read goes to the new owner and an order is answered `unknown` at once. - A keyed read that may have run is kept beyond the hold limit, up to 0.9 of its deadline. - What may have run is noted for each caller: one that joined after the break is told `not-run`.

--- a/src/routing/answers.ts
+++ b/src/routing/answers.ts
@@ -81,7 +81,7 @@
 
   private emitRefusal(member: Member, reason: RefusalReason, retryAfterMillis: number | null): void {
     const { work } = member;
-    const mayHaveRun = work.mayHaveRun || work.attempt !== null;
+    const mayHaveRun = member.mayHaveRun || work.attempt !== null;
     const outcome = outcomeOf({ ledger: work.ledger, mayHaveRun });
     const status = statusOf(reason, mayHaveRun);
     const { request } = member.request;
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -16,6 +16,8 @@
 const PAUSE_JITTER = 0.5;
 /** A deadline that passed speaks against an upstream only when the attempt had this many service times. */
 const SLOW_ATTEMPT_FACTOR = 5;
+/** Longest time for an answer to come after the grant of its attempt was over. */
+const ANSWER_GRACE_MILLIS = 50;
 const FIRST_SERVER_ERROR = 500;
 
 export class AttemptResults {
@@ -35,6 +37,10 @@
     attempt.upstream.inFlight -= 1;
     attempt.work.service.inFlight -= 1;
     this.takeEvidence(attempt, result);
+    if (attempt.abandoned) {
+      this.dispatcher.drainUpstream(attempt.upstream);
+      return;
+    }
     attempt.work.attempt = null;
     if (attempt.work.phase === 'done') {
       this.answers.settle(attempt.work, lateSettlement(attempt.work, result));
@@ -44,6 +50,54 @@
     this.dispatcher.drainUpstream(attempt.upstream);
   }
 
+  /**
+   * Owners changed: attempts under grants that are over have little time left for their answers. A grant is over only
+   * when its holder finished its work or lost its lease, so what isn't on its way by now never comes.
+   */
+  noteGrantsOver(): void {
+    const { context } = this;
+    let found = false;
+    for (const attempt of context.attempts.values()) {
+      if (attempt.overSince === null && this.isGrantOver(attempt)) {
+        attempt.overSince = context.now;
+        found = true;
+      }
+    }
+    if (found) {
+      context.schedule(context.now + ANSWER_GRACE_MILLIS, { type: 'grants-over' });
+    }
+  }
+
+  /** Gives up attempts whose grants were over for a while. */
+  abandonLost(): void {
+    const { context } = this;
+    const due = context.now - ANSWER_GRACE_MILLIS;
+    for (const attempt of [...context.attempts.values()]) {
+      if (attempt.overSince !== null && attempt.overSince <= due && !attempt.abandoned) {
+        this.abandon(attempt);
+      }
+    }
+  }
+
+  private isGrantOver({ grant }: Attempt): boolean {
+    if (grant === null) {
+      return false;
+    }
+    const record = this.context.view.shard(grant.shard);
+    return record === undefined || record.owner === null || record.epoch !== grant.epoch;
+  }
+
+  private abandon(attempt: Attempt): void {
+    const { work } = attempt;
+    if (work.attempt !== attempt || work.phase === 'done') {
+      return;
+    }
+    attempt.abandoned = true;
+    work.attempt = null;
+    this.context.emit({ type: 'cancel-attempt', attempt: attempt.number });
+    this.broken(attempt);
+  }
+
   private continue(attempt: Attempt, result: AttemptResult): void {
     const { work } = attempt;
     switch (result.type) {
@@ -96,7 +150,7 @@
 
   private broken(attempt: Attempt): void {
     const { work, upstream } = attempt;
-    work.mayHaveRun = true;
+    work.noteMayHaveRun();
     work.avoid = upstream;
     const repeatable = work.claim === null && work.service.definition.repeatable;
     if (!repeatable) {
@@ -105,6 +159,7 @@
     }
     if (work.shard !== null) {
       this.holdShard(attempt);
+      this.dispatcher.extendWait(work);
     }
     this.retryWithinBudget(work);
   }
@@ -117,7 +172,7 @@
       return;
     }
     const owner = context.ownerOf(shard);
-    if (owner !== undefined && owner.epoch !== attempt.epoch) {
+    if (owner !== undefined && owner.epoch !== attempt.grant?.epoch) {
       return;
     }
     service.lanes.obtain(shard, owner?.upstream.id ?? null).pause(context.now);
--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -2,6 +2,7 @@
 import type { UpstreamId } from '../model/identifiers.js';
 import { parseShardId } from '../model/identifiers.js';
 import type { RegistryChange, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
+import type { AttemptResults } from './attempt-results.js';
 import type { Dispatcher } from './dispatcher.js';
 import type { PickerName } from './picker/picker.js';
 import type { RequestIntake } from './request-intake.js';
@@ -11,15 +12,28 @@
 
 const DEFAULT_PICKER: PickerName = 'least-work';
 
+export interface ConfigurationUpdatesParts {
+  readonly context: RouterContext;
+  readonly dispatcher: Dispatcher;
+  readonly intake: RequestIntake;
+  readonly results: AttemptResults;
+}
+
 export class ConfigurationUpdates {
   /** Upstreams of the first snapshot were there before this router: they aren't cold. */
   private firstSnapshot = true;
 
-  constructor(
-    private readonly context: RouterContext,
-    private readonly dispatcher: Dispatcher,
-    private readonly intake: RequestIntake,
-  ) {}
+  private readonly context: RouterContext;
+  private readonly dispatcher: Dispatcher;
+  private readonly intake: RequestIntake;
+  private readonly results: AttemptResults;
+
+  constructor(parts: ConfigurationUpdatesParts) {
+    this.context = parts.context;
+    this.dispatcher = parts.dispatcher;
+    this.intake = parts.intake;
+    this.results = parts.results;
+  }
 
   /** Applies changes that the view holds already, then sends what may go now. */
   apply(changes: readonly RegistryChange[]): void {
@@ -34,6 +48,9 @@
       }
     }
     this.firstSnapshot = false;
+    if (changes.some(({ type }) => type === 'shard')) {
+      this.results.noteGrantsOver();
+    }
     for (const service of remapped) {
       this.dispatcher.relocate(service);
     }
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -11,7 +11,7 @@
 import type { RefusalReason } from './types.js';
 import type { UpstreamState } from './upstream-state.js';
 import { WaitEstimate } from './wait-estimate.js';
-import type { Work } from './work.js';
+import type { Attempt, Work } from './work.js';
 
 /** Requests that a router keeps waiting over all services; beyond it, less important ones make room. */
 const WAITING_LIMIT = 10_000;
@@ -20,6 +20,8 @@
 /** How often waiting work is looked at without an event. */
 const WAKE_MILLIS = 25;
 
+/** Work that may have run is given up when this share of its deadline is left. */
+const RESERVED_SHARE = 0.1;
 /**
  * Work is let in while its estimated wait is below this share of its limit, so that a lane which then drains a little
  * slower than estimated serves it all the same.
@@ -72,6 +74,19 @@
     }
   }
 
+  /**
+   * A work that may have run is worth a longer wait than its service's limit: given up, it leaves its callers with
+   * `unknown`. It is answered some time before its deadline all the same.
+   */
+  extendWait(work: Work): void {
+    const { deadlineMillis, holdLimitMillis } = work.service.definition;
+    const end = work.firstDeadline - deadlineMillis * RESERVED_SHARE;
+    const limit = Math.min(work.holdUntil, this.context.now + holdLimitMillis);
+    work.holdUntil = Math.max(limit, end);
+    this.context.cancelTimer(work.holdTimer);
+    work.holdTimer = null;
+  }
+
   /** The bounded wait of a work is over. */
   giveUpWaiting(work: Work): void {
     const reason = this.reasonForWaiting(work);
@@ -264,12 +279,14 @@
   private dispatch(work: Work, upstream: UpstreamState, credentials: FenceCredentials | null): void {
     const { context } = this;
     const { service } = work;
-    const attempt = {
+    const attempt: Attempt = {
       number: this.nextAttempt++,
       work,
       upstream,
       startedAt: context.now,
-      epoch: credentials?.epoch ?? null,
+      grant: credentials,
+      overSince: null,
+      abandoned: false,
     };
     work.lane?.drainRate.took(context.now);
     service.lanes.remove(work);
@@ -344,7 +361,7 @@
   private boundWait(work: Work): void {
     if (work.holdTimer === null) {
       const end = this.context.now + work.service.definition.holdLimitMillis;
-      work.holdUntil = Math.min(work.holdUntil, end);
+      work.holdUntil = work.mayHaveRun ? work.holdUntil : Math.min(work.holdUntil, end);
       work.holdTimer = this.context.schedule(work.holdUntil, { type: 'hold-end', work });
     }
   }
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -116,7 +116,7 @@
     const { now } = this.context;
     const ownMillis = work.service.definition.deadlineMillis;
     const deadline = now + Math.min(ownMillis, request.deadlineMillis ?? ownMillis);
-    const member: Member = { request, work, deadline, deadlineTimer: null };
+    const member: Member = { request, work, deadline, mayHaveRun: false, deadlineTimer: null };
     member.deadlineTimer = this.context.schedule(deadline, { type: 'deadline', member });
     work.members.push(member);
     this.context.members.set(request.request, member);
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -34,7 +34,12 @@
     this.dispatcher = new Dispatcher(this.context, this.answers);
     this.intake = new RequestIntake(this.context, this.dispatcher, this.answers, this.claims);
     this.results = new AttemptResults(this.context, this.dispatcher, this.answers);
-    this.updates = new ConfigurationUpdates(this.context, this.dispatcher, this.intake);
+    this.updates = new ConfigurationUpdates({
+      context: this.context,
+      dispatcher: this.dispatcher,
+      intake: this.intake,
+      results: this.results,
+    });
   }
 
   step(input: RouterInput, now: number, wall: WallMillis): RouterEffect[] {
@@ -170,6 +175,9 @@
       case 'claim':
         this.claims.timerFired(subject.claim);
         return;
+      case 'grants-over':
+        this.results.abandonLost();
+        return;
       case 'service-wake':
         this.dispatcher.wake(subject.service);
     }
--- a/src/routing/router-timer.ts
+++ b/src/routing/router-timer.ts
@@ -9,6 +9,8 @@
   | { readonly type: 'hold-end'; readonly work: Work }
   | { readonly type: 'policy-recheck'; readonly work: Work }
   | { readonly type: 'claim'; readonly claim: Claim }
+  /** Attempts under grants that are over are given up. */
+  | { readonly type: 'grants-over' }
   /** Waiting work of a service is looked at again: pauses end and hints age without an event. */
   | { readonly type: 'service-wake'; readonly service: ServiceState };
 
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -14,6 +14,8 @@
   readonly request: ArrivedRequest;
   readonly work: Work;
   readonly deadline: number;
+  /** An attempt on its behalf ended without proof that it did not run. */
+  mayHaveRun: boolean;
   deadlineTimer: RouterTimer | null;
 }
 
@@ -26,8 +28,12 @@
   readonly work: Work;
   readonly upstream: UpstreamState;
   readonly startedAt: number;
-  /** Of the grant under which it was sent; `null` for services that aren't keyed. */
-  readonly epoch: Epoch | null;
+  /** Shard and epoch of the grant under which it was sent; `null` for services that aren't keyed. */
+  readonly grant: { readonly shard: ShardId; readonly epoch: Epoch } | null;
+  /** Since when that grant is over. */
+  overSince: number | null;
+  /** Its work goes on without it. */
+  abandoned: boolean;
 }
 
 /** Usually one request; several when identical reads share an attempt. */
@@ -65,4 +71,20 @@
   get deadline(): number {
     return this.members.reduce((latest, member) => Math.max(latest, member.deadline), 0);
   }
+
+  /** The earliest deadline of its members. */
+  get firstDeadline(): number {
+    return this.members.reduce(
+      (earliest, member) => Math.min(earliest, member.deadline),
+      Number.POSITIVE_INFINITY,
+    );
+  }
+
+  /** An attempt ended without proof that it did not run. */
+  noteMayHaveRun(): void {
+    this.mayHaveRun = true;
+    for (const member of this.members) {
+      member.mayHaveRun = true;
+    }
+  }
 }
--- /dev/null
+++ b/test/routing/lost-owner.test.ts
@@ -0,0 +1,94 @@
+import { expect } from 'chai';
+import { only, onlyShard, RouterHarness, service, upstream } from './router-harness.js';
+
+const HOLD_MILLIS = 1000;
+const DEADLINE_MILLIS = 2000;
+/** More than an answer takes that left the old owner before it gave the shard up. */
+const GRACE_MILLIS = 100;
+
+function start(changes: Parameters<typeof service>[1] = {}): RouterHarness {
+  const record = service('sheets', {
+    keyed: true,
+    holdLimitMillis: HOLD_MILLIS,
+    deadlineMillis: DEADLINE_MILLIS,
+    ...changes,
+  });
+  const upstreams = [upstream('u1', 'sheets'), upstream('u2', 'sheets')];
+  return new RouterHarness().start([record], upstreams, [onlyShard('sheets', 'u1', 1)]);
+}
+
+function setOwner(harness: RouterHarness, owner: string | null, epoch: number) {
+  const record = onlyShard('sheets', owner, epoch);
+  return harness.change([{ type: 'shard', shard: record.shard, record }]);
+}
+
+describe('an owner that is lost with requests in flight', () => {
+  it('sends a read to the new owner once no answer of the old one can be on its way', () => {
+    const harness = start();
+    const [first] = only(harness.request('sheets', { key: 'k' }), 'dispatch');
+    harness.run(500);
+    setOwner(harness, 'u2', 7);
+    const effects = harness.run(GRACE_MILLIS);
+    expect(only(effects, 'cancel-attempt')).to.deep.equal([
+      { type: 'cancel-attempt', attempt: first?.attempt },
+    ]);
+    const [second] = only(effects, 'dispatch');
+    expect(second).to.include({ request: 1, upstream: 'u2' });
+    harness.ended(first?.attempt as number, { type: 'cancelled' });
+    expect(only(harness.ended(second?.attempt as number), 'deliver')).to.have.length(1);
+    expect(harness.core.status().inFlight).to.equal(0);
+  });
+
+  it('takes an answer that left the old owner before the move', () => {
+    const harness = start();
+    const [first] = only(harness.request('sheets', { key: 'k' }), 'dispatch');
+    setOwner(harness, 'u2', 7);
+    harness.run(2);
+    expect(only(harness.ended(first?.attempt as number), 'deliver')).to.have.length(1);
+  });
+
+  it('answers an order as unknown at once, and never sends it again', () => {
+    const harness = start({ repeatable: false });
+    const idempotency = { key: 'order-1', issuedAt: harness.wall, fingerprint: 'f' };
+    const [claim] = only(
+      harness.request('sheets', { key: 'k', method: 'POST', idempotency }),
+      'send-control',
+    );
+    const claimant = claim?.message.type === 'claim-request' ? claim.message.claimant : '';
+    harness.claimResult(claimant, { type: 'granted' });
+    setOwner(harness, 'u2', 7);
+    const effects = harness.run(GRACE_MILLIS);
+    expect(only(effects, 'dispatch')).to.deep.equal([]);
+    expect(only(effects, 'refuse')[0]).to.include({ outcome: 'unknown', reason: 'upstream-failed' });
+  });
+
+  it('keeps a read that broke beyond the hold limit, but not until its deadline', () => {
+    const harness = start();
+    const [first] = only(harness.request('sheets', { key: 'k' }), 'dispatch');
+    harness.ended(first?.attempt as number, { type: 'broken' });
+    setOwner(harness, null, 1);
+    expect(only(harness.run(HOLD_MILLIS + 200), 'refuse')).to.deep.equal([]);
+    expect(only(setOwner(harness, 'u2', 7), 'dispatch')[0]).to.include({ upstream: 'u2' });
+    const [second] = only(harness.effects, 'dispatch').slice(-1);
+    harness.ended(second?.attempt as number, { type: 'broken' });
+    setOwner(harness, null, 7);
+    const [refusal] = only(harness.run(DEADLINE_MILLIS - HOLD_MILLIS - 300), 'refuse');
+    expect(refusal).to.include({ outcome: 'unknown', reason: 'no-owner' });
+  });
+
+  it('says not-run to a read that joined after the attempt had broken', () => {
+    const harness = start({ coalesce: true });
+    const [first] = only(harness.request('sheets', { key: 'k' }), 'dispatch');
+    harness.ended(first?.attempt as number, { type: 'broken' });
+    setOwner(harness, null, 1);
+    harness.request('sheets', { key: 'k' });
+    const outcomes = only(harness.run(DEADLINE_MILLIS), 'refuse').map(({ request, outcome }) => [
+      request,
+      outcome,
+    ]);
+    expect(outcomes).to.deep.equal([
+      [1, 'unknown'],
+      [2, 'not-run'],
+    ]);
+  });
+});
