--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -151,6 +151,8 @@
    * as spares; 0: never.
    */
   readonly replaceAfterMillis: number;
+  /** Longest wait of a planned move for its target to load the shard; 0: no wait, the target gets it cold. */
+  readonly warmTimeoutMillis?: number;
 }
 
 /** `now` is monotonic; `wall` is stamped on commands. */
