--- a/src/cli/commands/control-members.ts
+++ b/src/cli/commands/control-members.ts
@@ -1,4 +1,4 @@
-/** `control add-learner`, `control transfer` and `control snapshot`. */
+/** `control add`, `control add-learner`, `control transfer` and `control snapshot`. */
 import { CLIENT_OPTIONS, createClient, REQUEST_ID_OPTION } from '../client-options.js';
 import type { CommandSpec, Invocation, OptionSpec } from '../command-spec.js';
 import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
@@ -23,6 +23,19 @@
   return EXIT_CODES.ok;
 }
 
+export const controlAdd: CommandSpec = {
+  name: 'control add',
+  arguments: '<replica>',
+  summary: 'Take a new replica in; returns once it holds everything and votes',
+  options: [ADDRESS_OPTION, ...MEMBER_OPTIONS],
+  examples: ['control add r-77c0 --address 10.0.0.4:7400'],
+  run: (invocation) => {
+    const [replica = ''] = invocation.positionals;
+    const body = { replica, address: invocation.options.required('address') };
+    return post(invocation, '/v1/control/add', body, `${replica} votes`);
+  },
+};
+
 export const controlAddLearner: CommandSpec = {
   name: 'control add-learner',
   arguments: '<replica>',
