Control: a release counts for one grant only

Cause: with the grant proposed together with the release, the coordinator may never see the shard without owner; it kept the shard as released and released the next owner's grant, which that one had not given up. Change: releases are kept with the epoch of the grant that was given up and name that epoch in the command, so the registry refuses them for any later grant. Ruled out: stale answers of the source (their release is older than the epoch).

--- a/src/control/placement-proposals.ts
+++ b/src/control/placement-proposals.ts
@@ -1,6 +1,6 @@
 /** Turns what the planner decided into commands, many shards in each, and has those looked at anew that came to nothing. */
 import { DeadlineQueue } from '../lease/deadline-queue.js';
-import type { Incarnation, MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
+import type { Epoch, Incarnation, MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
 import type { PlacementMove } from '../placement/index.js';
 import type { LeaderCommand, Registry } from '../registry/types.js';
 import { type LeaderProposals, RETRY_MILLIS } from './leader-proposals.js';
@@ -16,6 +16,13 @@
   readonly isReady: (upstream: UpstreamId) => boolean;
 }
 
+/** A grant that its holder gave up for good. */
+export interface ShardRelease {
+  readonly shard: ShardId;
+  /** Epoch of the grant. */
+  readonly epoch: Epoch;
+}
+
 /** A shard and the upstream that is to be granted it. */
 interface ShardTarget {
   readonly shard: ShardId;
@@ -48,19 +55,13 @@
    * granted theirs. The grants don't wait for the releases to be committed: the log keeps the order, and the registry
    * refuses a grant whose shard isn't released.
    */
-  release(shards: readonly ShardId[], now: MonotonicMillis): void {
+  release(releases: readonly ShardRelease[], now: MonotonicMillis): void {
     const { proposals } = this.#parts;
-    const due = shards.filter((shard) => proposals.isFree(this.#releaseName(shard)));
+    const due = releases.filter((release) => proposals.isFree(nameOf(release)));
     for (const batch of inBatches(due)) {
-      const releases = batch.map((shard) => ({ shard, epoch: this.#epochOf(shard) }));
-      proposals.propose(
-        batch.map((shard) => this.#releaseName(shard)),
-        { type: 'shard-release', releases },
-      );
-      this.#grant(
-        batch.flatMap((shard) => this.#targetOf(shard)),
-        now,
-      );
+      proposals.propose(batch.map(nameOf), { type: 'shard-release', releases: batch });
+      const targets = batch.flatMap(({ shard }) => this.#targetOf(shard));
+      this.#grant(targets, now);
     }
   }
 
@@ -106,10 +107,10 @@
   #epochOf(shard: ShardId): number {
     return this.#parts.registry().shards().get(shard)?.epoch ?? 0;
   }
+}
 
-  #releaseName(shard: ShardId): string {
-    return `release ${shard} ${this.#epochOf(shard)}`;
-  }
+function nameOf({ shard, epoch }: ShardRelease): string {
+  return `release ${shard} ${epoch}`;
 }
 
 function* inBatches<Item>(items: readonly Item[]): Iterable<readonly Item[]> {
--- a/src/control/service-coordinator.ts
+++ b/src/control/service-coordinator.ts
@@ -3,14 +3,20 @@
  * upstreams, and orders each upstream what to hold, warm and give up. It works on what changed since the last run.
  */
 import type { LeaseGranter } from '../lease/lease-granter.js';
-import { type MonotonicMillis, parseShardId, type ShardId, type UpstreamId } from '../model/identifiers.js';
+import {
+  type Epoch,
+  type MonotonicMillis,
+  parseShardId,
+  type ShardId,
+  type UpstreamId,
+} from '../model/identifiers.js';
 import { shardsOfKeyMap } from '../model/key-map.js';
 import { createPlanner, LoadTracker, type PlacementPlanner, type ReportedWork } from '../placement/index.js';
 import type { Registry, ServiceRecord, ShardRecord } from '../registry/types.js';
 import { FirstGrants } from './first-grants.js';
 import type { LeaderProposals } from './leader-proposals.js';
 import { MoveTracker } from './move-tracker.js';
-import { PlacementProposals } from './placement-proposals.js';
+import { PlacementProposals, type ShardRelease } from './placement-proposals.js';
 import { currentOrders, keyMapOf, OrderBook, retiringOrders } from './shard-orders.js';
 import { UpstreamRoster } from './upstream-roster.js';
 
@@ -34,8 +40,8 @@
   readonly #moves = new MoveTracker();
   readonly #loads = new LoadTracker();
   readonly #firstGrants = new FirstGrants();
-  /** Shards that their owners gave up while the registry still names them as owners. */
-  readonly #released = new Set<ShardId>();
+  /** Grants that their holders gave up while the registry still has them, by their epochs. */
+  readonly #released = new Map<ShardId, Epoch>();
   #service: ServiceRecord;
   #isPlanDue = true;
 
@@ -124,7 +130,7 @@
       this.shardChanged(shard, now);
     }
     this.#roster.run(now);
-    this.#proposals.release([...this.#released], now);
+    this.#proposals.release(this.#releases(), now);
     if (this.#mayPlace()) {
       this.#place(now);
     }
@@ -186,7 +192,8 @@
 
   #takeShard(record: ShardRecord, now: MonotonicMillis): void {
     const { shard, owner, movingTo } = record;
-    this.#noteRecord(record, now);
+    this.#moves.update(record, now);
+    this.#dropOldRelease(shard, record);
     this.#orders.set(shard, currentOrders(record, this.#service, this.#moves.isRevoked(record)), now);
     if (owner === null && record.epoch === 0 && this.#firstGrants.hold(shard)) {
       return;
@@ -201,19 +208,21 @@
     this.#planner.removeShard(shard);
     this.#firstGrants.release(shard);
     this.#moves.forget(shard);
-    if ((record?.owner ?? null) === null) {
-      this.#released.delete(shard);
-    }
+    this.#dropOldRelease(shard, record);
     this.#orders.set(shard, retiringOrders(record, this.#service), now);
   }
 
-  #noteRecord(record: ShardRecord, now: MonotonicMillis): void {
-    this.#moves.update(record, now);
-    if (record.owner === null) {
-      this.#released.delete(record.shard);
+  /** A release counts for the very grant that the holder gave up, and never for a later one. */
+  #dropOldRelease(shard: ShardId, record: ShardRecord | undefined): void {
+    if (record === undefined || record.owner === null || record.epoch !== this.#released.get(shard)) {
+      this.#released.delete(shard);
     }
   }
 
+  #releases(): ShardRelease[] {
+    return [...this.#released].map(([shard, epoch]) => ({ shard, epoch }));
+  }
+
   /** Looks for shards that the upstream's last answer says it doesn't serve, though the registry says it owns them. */
   #noteGivenUp(upstream: UpstreamId, now: MonotonicMillis): void {
     const view = this.#parts.granter.view(upstream);
@@ -223,7 +232,7 @@
     for (const { shard, revision } of view?.answer?.released ?? []) {
       const epoch = this.#parts.registry().shards().get(shard)?.epoch ?? 0;
       if (revision > epoch && this.#noteStopped(shard, upstream, now)) {
-        this.#released.add(shard);
+        this.#released.set(shard, epoch);
       }
     }
   }
--- a/test/control/placement.test.ts
+++ b/test/control/placement.test.ts
@@ -1,6 +1,7 @@
 /** Placement as the control leader carries it out: batches, handovers, drains, losses, loads. */
 import { expect } from 'chai';
 import type { LoadReport } from '../../src/control/messages.js';
+import { RandomSource } from '../../src/dev/virtual/random-source.js';
 import type { ShardId } from '../../src/model/identifiers.js';
 import type { ServiceDefinition } from '../../src/model/service.js';
 import { type Cluster, SERVICE, startCluster, upstream } from './cluster-harness.js';
@@ -138,3 +139,68 @@
     expect(countsOf(cluster)).to.deep.equal({ u2: 20, u3: 20, u4: 20 });
   });
 });
+
+/** What may happen to the cluster while shards move about. */
+const DISTURBANCES: readonly ((cluster: Cluster, id: string, random: RandomSource) => void)[] = [
+  (cluster, id) => change(cluster, id, true),
+  (cluster, id) => change(cluster, id, false),
+  (cluster, id) => {
+    cluster.server(id).state = 'frozen';
+    cluster.run(700);
+    thaw(cluster, id);
+  },
+  (cluster, id) => {
+    cluster.server(id).state = 'frozen';
+    cluster.run(2500);
+    thaw(cluster, id);
+  },
+  (cluster, id) => cluster.server(id).restart(),
+  (cluster) => {
+    const leader = cluster.leader();
+    cluster.cut.add(leader.id);
+    cluster.run(1500);
+    cluster.cut.delete(leader.id);
+  },
+  (cluster, _id, random) => {
+    const shards = cluster.shards().map(({ shard }) => shard);
+    const loads = shards.map((shard) => [shard, random.below(1000)] as const);
+    cluster.routerMessage('r1', reportOf(Object.fromEntries(loads)));
+  },
+];
+
+function change(cluster: Cluster, id: string, leaving: boolean): void {
+  const definition = upstream(id, { leaving });
+  const requestId = `change ${id} at ${cluster.time}`;
+  const command = { type: 'upstream-apply' as const, definition, expected: null };
+  cluster.request({ type: 'command', requestId, actor: 'test', command, wait: false });
+}
+
+function thaw(cluster: Cluster, id: string): void {
+  const server = cluster.server(id);
+  server.state = 'up';
+  for (const serve of server.backlog.splice(0)) {
+    serve();
+  }
+}
+
+describe('ownership while shards move about', () => {
+  for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+    // The harness asks the fence of every server for every shard, every 5 ms.
+    it(`is never of two servers, and of one in the end (seed ${seed})`, () => {
+      const random = new RandomSource(seed);
+      const { cluster, shards } = startCluster(4, { service: { ...MANY, movesPerMinute: 6000 }, seed });
+      const servers = [...cluster.servers.keys()];
+      for (let round = 0; round < 12; round += 1) {
+        random.pick(DISTURBANCES)(cluster, random.pick(servers), random);
+        cluster.run(random.below(1500));
+        cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+      }
+      for (const id of servers) {
+        change(cluster, id, false);
+        cluster.run(50);
+      }
+      cluster.runUntil(() => shards.every((shard) => cluster.serving(shard) !== null), 10_000);
+      expect(shards.filter((shard) => cluster.serving(shard) === null)).to.deep.equal([]);
+    });
+  }
+});
