--- a/src/dev/bench/proxy/control-standin.ts
+++ b/src/dev/bench/proxy/control-standin.ts
@@ -36,7 +36,10 @@
         received: (connection, frame) => {
           const message = routerToControlCodecs.decode(frame.kind, frame.payload);
           this.noteReport(message, frame.payload.length);
-          this.reply(connection, this.answerTo(message));
+          const answer = this.answerTo(message);
+          if (answer !== null) {
+            this.reply(connection, answer);
+          }
         },
         closed: () => {},
       },
@@ -44,7 +47,7 @@
     return this.server.address;
   }
 
-  /** Size of the largest sync request that carried a load report. */
+  /** Size of the largest load report. */
   get largestReportBytes(): number {
     return this.reportBytes;
   }
@@ -54,12 +57,12 @@
   }
 
   private noteReport(message: RouterToControl, bytes: number): void {
-    if (message.type === 'sync-request' && message.report !== null) {
+    if (message.type === 'load-report') {
       this.reportBytes = Math.max(this.reportBytes, bytes);
     }
   }
 
-  private answerTo(message: RouterToControl): ControlToRouter {
+  private answerTo(message: RouterToControl): ControlToRouter | null {
     switch (message.type) {
       case 'sync-request':
         return this.syncResponse(message);
@@ -72,6 +75,8 @@
         };
       case 'settle-request':
         return { type: 'settle-response', claimant: message.claimant, settled: true, leader: null };
+      case 'load-report':
+        return null;
     }
   }
 
--- a/src/dev/scale/hollow-report.ts
+++ b/src/dev/scale/hollow-report.ts
@@ -13,6 +13,7 @@
   const count = Math.min(REQUESTS, shards.length);
   const start = (position * REQUESTS) % Math.max(1, shards.length);
   return {
+    type: 'load-report',
     intervalMillis: INTERVAL_MILLIS,
     shards: Array.from({ length: count }, (_, index) => ({
       shard: shards[(start + index) % shards.length] as string,
--- a/src/dev/scale/hollow-router.ts
+++ b/src/dev/scale/hollow-router.ts
@@ -5,7 +5,7 @@
 import type { ControlToRouter, LoadReport, SyncResponse } from '../../control/messages.js';
 import { DEFAULT_CONFIG_LEASE_TIMINGS } from '../../control/messages.js';
 import { createLogger } from '../../logging/logger.js';
-import type { Revision } from '../../model/identifiers.js';
+import type { Address, Revision } from '../../model/identifiers.js';
 import { ControlLinks } from '../../router/control-links.js';
 import { ConfigurationLease } from '../../routing/configuration-lease.js';
 import { DEFAULT_WIRE_LIMITS } from '../../wire/index.js';
@@ -35,6 +35,7 @@
   private readonly links: ControlLinks;
   private timer: NodeJS.Timeout | undefined;
   private reportedAt = performance.now();
+  private leader: Address | null = null;
   private stopped = false;
 
   constructor(private readonly options: HollowRouterOptions) {
@@ -78,6 +79,7 @@
     if (message.type === 'change-notice') {
       this.lease.notice(message.revision, this.revision, now);
     } else if (message.type === 'sync-response') {
+      this.leader = message.leader ?? this.leader;
       const gap = this.take(message);
       this.lease.answered(message, this.revision, gap, now);
     }
@@ -120,19 +122,19 @@
         zone,
         stamp: attempt.stamp,
         have: attempt.wantsSnapshot ? 0 : this.revision,
-        report: this.takeReport(now),
       });
     }
+    this.reportLoad(now);
     clearTimeout(this.timer);
     const wait = Math.max(MIN_TICK_MILLIS, Math.ceil(this.lease.nextAt() - performance.now()));
     this.timer = setTimeout(() => this.pump(), wait);
   }
 
-  private takeReport(now: number): LoadReport | null {
-    if (now - this.reportedAt < REPORT_MILLIS) {
-      return null;
+  private reportLoad(now: number): void {
+    if (this.leader !== null && now - this.reportedAt >= REPORT_MILLIS) {
+      this.reportedAt = now;
+      this.options.counted('out');
+      this.links.send(this.leader, this.options.report());
     }
-    this.reportedAt = now;
-    return this.options.report();
   }
 }
--- a/src/wire/router/routing-fields.ts
+++ b/src/wire/router/routing-fields.ts
@@ -14,7 +14,6 @@
   ShardRecord,
   UpstreamRecord,
 } from '../../registry/types.js';
-import { BaseField } from '../base-field.js';
 import { bytes, safeInteger } from '../fields.js';
 import { MalformedFrameError } from '../wire-error.js';
 
@@ -38,17 +37,17 @@
 const NOTHING_GONE: RoutingDocument['gone'] = { services: [], upstreams: [], shards: [] };
 
 /** A snapshot or nothing: its bytes after their length, which is 0 for nothing, and then its revision. */
-class SnapshotField extends BaseField<RoutingSnapshot | null> {
+class SnapshotField implements restructure.FieldType<RoutingSnapshot | null> {
   private readonly encoded = new WeakMap<
     readonly ShardRecord[],
     { of: RoutingSnapshot; bytes: Uint8Array }
   >();
 
-  override size(value: RoutingSnapshot | null): number {
+  size(value: RoutingSnapshot | null): number {
     return bytes.size(this.bytesOf(value)) + (value === null ? 0 : safeInteger.size(0));
   }
 
-  override decode(stream: restructure.DecodeStream): RoutingSnapshot | null {
+  decode(stream: restructure.DecodeStream): RoutingSnapshot | null {
     const content = bytes.decode(stream);
     if (content.length === 0) {
       return null;
@@ -58,7 +57,7 @@
     return { revision, services, upstreams, shards: [...decodeShardRows(shards, names)] };
   }
 
-  override encode(stream: restructure.EncodeStream, value: RoutingSnapshot | null): void {
+  encode(stream: restructure.EncodeStream, value: RoutingSnapshot | null): void {
     bytes.encode(stream, this.bytesOf(value));
     if (value !== null) {
       safeInteger.encode(stream, value.revision);
@@ -81,14 +80,14 @@
 }
 
 /** A delta or nothing: its changes after their length, which is 0 for nothing, and then its two revisions. */
-class DeltaField extends BaseField<RoutingDelta | null> {
+class DeltaField implements restructure.FieldType<RoutingDelta | null> {
   private readonly encoded = new WeakMap<readonly RegistryChange[], Uint8Array>();
 
-  override size(value: RoutingDelta | null): number {
+  size(value: RoutingDelta | null): number {
     return bytes.size(this.bytesOf(value)) + (value === null ? 0 : 2 * safeInteger.size(0));
   }
 
-  override decode(stream: restructure.DecodeStream): RoutingDelta | null {
+  decode(stream: restructure.DecodeStream): RoutingDelta | null {
     const content = bytes.decode(stream);
     if (content.length === 0) {
       return null;
@@ -98,7 +97,7 @@
     return { from, to, changes: changesOf(decodeDocument(content)) };
   }
 
-  override encode(stream: restructure.EncodeStream, value: RoutingDelta | null): void {
+  encode(stream: restructure.EncodeStream, value: RoutingDelta | null): void {
     bytes.encode(stream, this.bytesOf(value));
     if (value !== null) {
       safeInteger.encode(stream, value.from);
@@ -179,5 +178,5 @@
   }
 }
 
-export const routingSnapshotField: restructure.Base<RoutingSnapshot | null> = new SnapshotField();
-export const routingDeltaField: restructure.Base<RoutingDelta | null> = new DeltaField();
+export const routingSnapshotField: restructure.FieldType<RoutingSnapshot | null> = new SnapshotField();
+export const routingDeltaField: restructure.FieldType<RoutingDelta | null> = new DeltaField();
--- a/test/wire/codecs.test.ts
+++ b/test/wire/codecs.test.ts
@@ -20,13 +20,14 @@
     zone: 'a',
     stamp: 12.5,
     have: 2 ** 40,
-    report: {
-      intervalMillis: 1000,
-      shards: [{ shard: 's/k@1/0', requests: 3, workMillis: 1.5 }],
-      upstreams: [{ upstream: 'u1', inFlight: 1, serviceMillis: 2, failures: 0 }],
-    },
   },
-  { type: 'sync-request', router: 'r1', incarnation: 'i1', zone: 'a', stamp: 0, have: 0, report: null },
+  {
+    type: 'load-report',
+    intervalMillis: 1000,
+    shards: [{ shard: 's/k@1/0', requests: 3, workMillis: 1.5 }],
+    upstreams: [{ upstream: 'u1', inFlight: 1, serviceMillis: 2, failures: 0 }],
+  },
+  { type: 'sync-request', router: 'r1', incarnation: 'i1', zone: 'a', stamp: 0, have: 0 },
   { type: 'claim-request', claimant: 'c', service: 's', key: 'ü', fingerprint: 'f', issuedAt: 1 },
   { type: 'settle-request', claimant: 'c', service: 's', key: 'k', outcome: 'unknown', answer: null },
 ];
