--- /dev/null
+++ b/src/dev/disk/memory-disk.ts
@@ -0,0 +1,182 @@
+/**
+ * A disk in memory that loses power: what wasn't synced is gone or torn afterwards, names in folders included. For tests
+ * of storage and simulated processes.
+ */
+import { dirname } from 'node:path';
+import type { FileSystem, WritableFile } from '../../storage/index.js';
+import { StorageFailedError } from '../../storage/index.js';
+
+/** How much survives of what wasn't synced. Gives a share from 0 (nothing) to 1 (everything). */
+export type SurvivingShare = () => number;
+
+/** A file's bytes, apart from its name. */
+interface FileBody {
+  synced: Buffer;
+  written: Buffer;
+}
+
+/** Thrown by every operation while the power is off. */
+class PowerLostError extends Error {
+  constructor() {
+    super('the power is off');
+  }
+}
+
+export class MemoryDisk implements FileSystem {
+  /** Names as processes see them. */
+  #names = new Map<string, FileBody>();
+  /** Names as they are after a loss of power. */
+  #syncedNames = new Map<string, FileBody>();
+  #folders = new Set<string>();
+  #operationsLeft = Number.POSITIVE_INFINITY;
+  #generation = 0;
+  /** Operations that changed something so far. */
+  operations = 0;
+
+  /** Cuts the power at the operation after `operations` more; that one has half happened. */
+  losePowerAfter(operations: number): void {
+    this.#operationsLeft = operations;
+  }
+
+  /** Puts the power on again; what wasn't synced survives in part. Files that were open can't be used any more. */
+  restart(share: SurvivingShare): void {
+    this.#operationsLeft = Number.POSITIVE_INFINITY;
+    this.#generation += 1;
+    const survived = new Map(this.#syncedNames);
+    for (const path of new Set([...this.#names.keys(), ...this.#syncedNames.keys()])) {
+      const body = this.#names.get(path);
+      if (body !== this.#syncedNames.get(path) && share() >= 0.5) {
+        setOrDelete(survived, path, body);
+      }
+    }
+    for (const body of new Set(survived.values())) {
+      body.written = tear(body, share());
+      body.synced = body.written;
+    }
+    this.#names = survived;
+    this.#syncedNames = new Map(survived);
+  }
+
+  /** Changes a file behind the back of the storage. */
+  edit(path: string, change: (bytes: Buffer) => Buffer): void {
+    const body = this.#require(path);
+    body.written = change(Buffer.from(body.written));
+    body.synced = body.written;
+  }
+
+  /** Removes a file for good, behind the back of the storage. */
+  lose(path: string): void {
+    this.#names.delete(path);
+    this.#syncedNames.delete(path);
+  }
+
+  async list(folder: string): Promise<readonly string[] | null> {
+    this.#checkPower();
+    const paths = [...this.#names.keys()].filter((path) => dirname(path) === folder);
+    return this.#folders.has(folder) ? paths.map((path) => path.slice(folder.length + 1)).sort() : null;
+  }
+
+  async makeFolder(folder: string): Promise<void> {
+    this.#change(() => this.#folders.add(folder));
+  }
+
+  async read(path: string): Promise<Uint8Array> {
+    this.#checkPower();
+    return Buffer.from(this.#require(path).written);
+  }
+
+  async create(path: string): Promise<WritableFile> {
+    this.#change(() => this.#names.set(path, { synced: Buffer.alloc(0), written: Buffer.alloc(0) }));
+    return this.#open(path);
+  }
+
+  async openToAppend(path: string): Promise<WritableFile> {
+    this.#checkPower();
+    return this.#open(path);
+  }
+
+  async rename(from: string, to: string): Promise<void> {
+    this.#change(() => {
+      this.#names.set(to, this.#require(from));
+      this.#names.delete(from);
+    });
+  }
+
+  async remove(path: string): Promise<void> {
+    this.#change(() => this.#names.delete(path));
+  }
+
+  async syncFolder(folder: string): Promise<void> {
+    this.#change(() => {
+      for (const path of new Set([...this.#names.keys(), ...this.#syncedNames.keys()])) {
+        if (dirname(path) === folder) {
+          setOrDelete(this.#syncedNames, path, this.#names.get(path));
+        }
+      }
+    });
+  }
+
+  #open(path: string): WritableFile {
+    const body = this.#require(path);
+    const generation = this.#generation;
+    const change = async (run: () => void): Promise<void> => {
+      if (generation !== this.#generation) {
+        throw new PowerLostError();
+      }
+      this.#change(run);
+    };
+    return {
+      append: (bytes) =>
+        change(() => {
+          body.written = Buffer.concat([body.written, bytes]);
+        }),
+      truncate: (size) =>
+        change(() => {
+          body.written = Buffer.from(body.written.subarray(0, size));
+        }),
+      sync: () =>
+        change(() => {
+          body.synced = body.written;
+        }),
+      close: async () => {},
+    };
+  }
+
+  #require(path: string): FileBody {
+    const body = this.#names.get(path);
+    if (body === undefined) {
+      throw new StorageFailedError(path, 'find', new Error('no such file'));
+    }
+    return body;
+  }
+
+  #change(run: () => void): void {
+    this.#checkPower();
+    this.operations += 1;
+    this.#operationsLeft -= 1;
+    run();
+  }
+
+  #checkPower(): void {
+    if (this.#operationsLeft <= 0) {
+      throw new PowerLostError();
+    }
+  }
+}
+
+function setOrDelete(names: Map<string, FileBody>, path: string, body: FileBody | undefined): void {
+  if (body === undefined) {
+    names.delete(path);
+  } else {
+    names.set(path, body);
+  }
+}
+
+/** Keeps the synced bytes and a share of those written after; of a cut that wasn't synced, all or nothing. */
+function tear({ synced, written }: FileBody, share: number): Buffer {
+  if (written.length < synced.length) {
+    return share >= 0.5 ? written : synced;
+  }
+  const kept = synced.length + Math.floor((written.length - synced.length) * share);
+  return written.subarray(0, kept);
+}
--- a/src/dev/scale/hollow-router.ts
+++ b/src/dev/scale/hollow-router.ts
@@ -5,9 +5,10 @@
 import type { ControlToRouter, LoadReport, SyncResponse } from '../../control/messages.js';
 import { DEFAULT_CONFIG_LEASE_TIMINGS } from '../../control/messages.js';
 import { createLogger } from '../../logging/logger.js';
-import type { Address, Revision } from '../../model/identifiers.js';
+import type { Revision } from '../../model/identifiers.js';
 import { ControlLinks } from '../../router/control-links.js';
 import { ConfigurationLease } from '../../routing/configuration-lease.js';
+import { LeaderGuess } from '../../routing/leader-guess.js';
 import { DEFAULT_WIRE_LIMITS } from '../../wire/index.js';
 import type { SharedConfiguration } from './shared-configuration.js';
 import type { RunIdentity } from './worker-calls.js';
@@ -33,14 +34,15 @@
   revision: Revision = 0;
   private readonly lease: ConfigurationLease;
   private readonly links: ControlLinks;
+  private readonly leader: LeaderGuess;
   private timer: NodeJS.Timeout | undefined;
   private reportedAt = performance.now();
-  private leader: Address | null = null;
   private stopped = false;
 
   constructor(private readonly options: HollowRouterOptions) {
     const { identity, router, position } = options;
     this.lease = new ConfigurationLease(identity.control, DEFAULT_CONFIG_LEASE_TIMINGS, position);
+    this.leader = new LeaderGuess(identity.control, position);
     this.links = new ControlLinks({
       identity: {
         greeting: { type: 'greeting', cluster: identity.cluster, kind: 'router', name: router },
@@ -79,9 +81,9 @@
     if (message.type === 'change-notice') {
       this.lease.notice(message.revision, this.revision, now);
     } else if (message.type === 'sync-response') {
-      this.leader = message.leader ?? this.leader;
       const gap = this.take(message);
       this.lease.answered(message, this.revision, gap, now);
+      this.leader.learn(message.leader);
     }
     this.pump();
   }
@@ -123,18 +125,18 @@
         stamp: attempt.stamp,
         have: attempt.wantsSnapshot ? 0 : this.revision,
       });
+      this.sendReport(now);
     }
-    this.reportLoad(now);
     clearTimeout(this.timer);
     const wait = Math.max(MIN_TICK_MILLIS, Math.ceil(this.lease.nextAt() - performance.now()));
     this.timer = setTimeout(() => this.pump(), wait);
   }
 
-  private reportLoad(now: number): void {
-    if (this.leader !== null && now - this.reportedAt >= REPORT_MILLIS) {
+  private sendReport(now: number): void {
+    const leader = this.leader.target();
+    if (leader !== null && now - this.reportedAt >= REPORT_MILLIS) {
       this.reportedAt = now;
-      this.options.counted('out');
-      this.links.send(this.leader, this.options.report());
+      this.links.send(leader, this.options.report());
     }
   }
 }
