--- a/test/dev/standins/upstream-standin.test.ts
+++ b/test/dev/standins/upstream-standin.test.ts
@@ -15,7 +15,9 @@
 import { UpstreamStandin } from '../../../src/dev/standins/upstream/upstream-standin.js';
 import { HEADERS } from '../../../src/model/outcome.js';
 
-const ORIGIN = '127.0.0.1:47811';
+/** An address of this test process alone, so that runs side by side don't meet. */
+const HOST = `127.63.${Math.floor(process.pid / 250) % 250}.${(process.pid % 250) + 1}`;
+const ORIGIN = `${HOST}:8000`;
 const upstreamSchema = upstreamProcessSettingsSchema.shape.upstreams.element;
 const base = {
   id: 'up-1',
@@ -63,7 +65,7 @@
     const caller = new CallerStandin(
       callerSettingsSchema.parse({
         name: 'caller-1',
-        host: '127.0.0.1',
+        host: HOST,
         seed: 7,
         seconds: 0.2,
         routers: [{ name: 'direct', address: ORIGIN }],
