--- a/src/control/admin/admin-app.ts
+++ b/src/control/admin/admin-app.ts
@@ -80,6 +80,8 @@
   };
   const router = createRouter(services, options.metrics);
   const app = new Koa<AdminState>();
+  // Connections that broke or timed out in the middle of a request; koa would print them outside the log.
+  app.on('error', (error: Error) => logger.info('request-broken', { error }));
   app.use(answerErrors(logger));
   app.use(auditWrites(auditLogger));
   app.use(authenticate(options.tokens ?? null));
