--- a/src/dev/fleet/checker/planned-stop.ts
+++ b/src/dev/fleet/checker/planned-stop.ts
@@ -2,10 +2,20 @@
 import type { FleetHistory } from './fleet-history.js';
 import type { CheckOptions, PromiseResult, Violation } from './promise-check.js';
 
+/** When the process was last killed before `at`; what it worked on then was not cut by a planned stop. */
+function lastKillBefore(history: FleetHistory, process: string, at: number): number {
+  const kills = history.events.filter(
+    (event) => event.event === 'killed' && event.process === process && event.at < at,
+  );
+  return kills.at(-1)?.at ?? Number.NEGATIVE_INFINITY;
+}
+
 /** Runs of the process that never came to an end. */
 function cutRuns(history: FleetHistory, process: string, stoppingAt: number): Violation[] {
+  const killedAt = lastKillBefore(history, process, stoppingAt);
   return history.runs
-    .filter(({ start, end }) => start.process === process && start.at < stoppingAt && end === undefined)
+    .filter(({ start }) => start.process === process && start.at > killedAt && start.at < stoppingAt)
+    .filter(({ end }) => end === undefined)
     .map(({ start }) => ({
       promise: 'planned-stop' as const,
       message: `${process} stopped in the middle of ${start.request}`,
--- a/src/dev/fleet/settings-files.ts
+++ b/src/dev/fleet/settings-files.ts
@@ -20,6 +20,8 @@
 const SECRET_MODE = 0o600;
 /** Requests that wait in a stand-in upstream for a slot. */
 const UPSTREAM_QUEUE_LIMIT = 8;
+/** Of one caller process to one router: so many that requests never wait for a connection. */
+const CALLER_CONNECTIONS = 512;
 const PROBE_INTERVAL = '1s';
 /** State of one shard is loaded in this time. */
 const SHARD_WARM_MILLIS = 20;
@@ -135,6 +137,7 @@
     host: caller.host,
     seed: options.seed + index,
     seconds: options.seconds,
+    connectionsPerRouter: CALLER_CONNECTIONS,
     routers: plan.routers.map(({ name, callers }) => ({ name, address: callers.advertised })),
     streams: planStreams(plan.deployment, options.seconds, plan.callers.length / options.rateScale),
     journal: journalFileOf(plan, caller),
--- a/test/fleet/checker/checker.test.ts
+++ b/test/fleet/checker/checker.test.ts
@@ -186,6 +186,26 @@
     ],
     broken: ['planned-stop'],
   },
+  {
+    title: 'a planned stop of a process that was killed and started again before',
+    records: [
+      ...run({ at: 5, endAt: null }),
+      event(10, { event: 'killed', process: 'up-1' }),
+      ...run({ at: 20, incarnation: 'two' }),
+      event(30, { event: 'stopping', process: 'up-1' }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'a planned stop that cuts a request after an earlier kill',
+    records: [
+      ...run({ at: 5, endAt: null }),
+      event(10, { event: 'killed', process: 'up-1' }),
+      ...run({ at: 20, endAt: null, incarnation: 'two' }),
+      event(30, { event: 'stopping', process: 'up-1' }),
+    ],
+    broken: ['planned-stop'],
+  },
   {
     title: 'a change in force that each later read finds',
     records: [
