--- a/src/control/placement-proposals.ts
+++ b/src/control/placement-proposals.ts
@@ -1,6 +1,6 @@
 /** Turns what the planner decided into commands, many shards in each, and has those looked at anew that came to nothing. */
 import { DeadlineQueue } from '../lease/deadline-queue.js';
-import type { Incarnation, MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
+import type { Epoch, Incarnation, MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
 import type { PlacementMove } from '../placement/index.js';
 import type { LeaderCommand, Registry } from '../registry/types.js';
 import { type LeaderProposals, RETRY_MILLIS } from './leader-proposals.js';
@@ -12,6 +12,21 @@
   readonly proposals: LeaderProposals;
   readonly registry: () => Registry;
   readonly incarnationOf: (upstream: UpstreamId) => Incarnation | null;
+  /** Whether an upstream can take a grant now. */
+  readonly isReady: (upstream: UpstreamId) => boolean;
+}
+
+/** A grant that its holder gave up for good. */
+export interface ShardRelease {
+  readonly shard: ShardId;
+  /** Epoch of the grant. */
+  readonly epoch: Epoch;
+}
+
+/** A shard and the upstream that is to be granted it. */
+interface ShardTarget {
+  readonly shard: ShardId;
+  readonly to: UpstreamId;
 }
 
 export class PlacementProposals {
@@ -35,16 +50,18 @@
     }
   }
 
-  /** Proposes that these shards have no owner any more, each under its epoch. */
-  release(shards: readonly ShardId[]): void {
+  /**
+   * Proposes that these shards have no owner any more, each under its epoch, and that targets of planned moves are
+   * granted theirs. The grants don't wait for the releases to be committed: the log keeps the order, and the registry
+   * refuses a grant whose shard isn't released.
+   */
+  release(releases: readonly ShardRelease[], now: MonotonicMillis): void {
     const { proposals } = this.#parts;
-    const due = shards.filter((shard) => proposals.isFree(this.#releaseName(shard)));
+    const due = releases.filter((release) => proposals.isFree(nameOf(release)));
     for (const batch of inBatches(due)) {
-      const releases = batch.map((shard) => ({ shard, epoch: this.#epochOf(shard) }));
-      proposals.propose(
-        batch.map((shard) => this.#releaseName(shard)),
-        { type: 'shard-release', releases },
-      );
+      proposals.propose(batch.map(nameOf), { type: 'shard-release', releases: batch });
+      const targets = batch.flatMap(({ shard }) => this.#targetOf(shard));
+      this.#grant(targets, now);
     }
   }
 
@@ -56,7 +73,7 @@
     return this.#looks.next();
   }
 
-  #grant(batch: readonly PlacementMove[], now: MonotonicMillis): void {
+  #grant(batch: readonly ShardTarget[], now: MonotonicMillis): void {
     const grants = batch.flatMap(({ shard, to }) => {
       const incarnation = this.#parts.incarnationOf(to);
       return incarnation === null ? [] : [{ shard, to, incarnation, expectedEpoch: this.#epochOf(shard) }];
@@ -81,13 +98,19 @@
     }
   }
 
+  /** The target of a planned move, if there is one that can take a grant. */
+  #targetOf(shard: ShardId): ShardTarget[] {
+    const to = this.#parts.registry().shards().get(shard)?.movingTo ?? null;
+    return to !== null && this.#parts.isReady(to) ? [{ shard, to }] : [];
+  }
+
   #epochOf(shard: ShardId): number {
     return this.#parts.registry().shards().get(shard)?.epoch ?? 0;
   }
+}
 
-  #releaseName(shard: ShardId): string {
-    return `release ${shard} ${this.#epochOf(shard)}`;
-  }
+function nameOf({ shard, epoch }: ShardRelease): string {
+  return `release ${shard} ${epoch}`;
 }
 
 function* inBatches<Item>(items: readonly Item[]): Iterable<readonly Item[]> {
