--- a/src/dev/bench/models/loaded-world.ts
+++ b/src/dev/bench/models/loaded-world.ts
@@ -65,9 +65,9 @@
   return { world, tally, probe, load, keys };
 }
 
-/** Lets the load end and every call be answered. */
+/** Lets the load end, unless it was stopped, and every call be answered. */
 export function finish({ world, load, tally }: LoadedWorld): void {
-  world.run(Math.max(0, tally.to - world.now));
+  world.runUntil(() => load.isStopped || world.now >= tally.to);
   world.runUntil(() => load.open === 0);
 }
 
--- a/src/dev/bench/world/load-generator.ts
+++ b/src/dev/bench/world/load-generator.ts
@@ -60,6 +60,7 @@
 export class LoadGenerator {
   private callCount = 0;
   private openCalls = 0;
+  private stopped = false;
 
   constructor(private readonly parts: LoadParts) {}
 
@@ -68,21 +69,32 @@
     return this.openCalls;
   }
 
+  get isStopped(): boolean {
+    return this.stopped;
+  }
+
   start(stream: LoadStream, index: number): void {
     const zipf = stream.keys > 0 ? new ZipfDistribution(stream.keys, stream.skew) : null;
     const random = new RandomSource(this.parts.seed * STREAMS_PER_SEED + index);
     this.parts.queue.at(stream.from, () => this.scheduleNext({ stream, zipf, random }));
   }
 
+  /** No new calls; those that are open go on. */
+  stop(): void {
+    this.stopped = true;
+  }
+
   private scheduleNext(open: OpenStream): void {
     const { queue } = this.parts;
     const at = queue.now + open.random.exponential(MILLIS_PER_SECOND / open.stream.requestsPerSecond);
-    if (at >= open.stream.to) {
+    if (this.stopped || at >= open.stream.to) {
       return;
     }
     queue.at(at, () => {
-      this.call(open);
-      this.scheduleNext(open);
+      if (!this.stopped) {
+        this.call(open);
+        this.scheduleNext(open);
+      }
     });
   }
 
