--- a/src/control/service-coordinator.ts
+++ b/src/control/service-coordinator.ts
@@ -29,6 +29,8 @@
   readonly granter: LeaseGranter;
   readonly proposals: LeaderProposals;
   readonly registry: () => Registry;
+  /** Longest wait of a move for its target to warm; the default if left out. */
+  readonly warmTimeoutMillis?: number | undefined;
 }
 
 export class ServiceCoordinator {
@@ -37,7 +39,7 @@
   readonly #roster: UpstreamRoster;
   readonly #orders: OrderBook;
   readonly #proposals: PlacementProposals;
-  readonly #moves = new MoveTracker();
+  readonly #moves: MoveTracker;
   readonly #loads = new LoadTracker();
   readonly #firstGrants = new FirstGrants();
   /** Grants that their holders gave up while the registry still has them, by their epochs. */
@@ -48,6 +50,7 @@
   constructor(parts: CoordinatorParts, service: ServiceRecord, now: MonotonicMillis) {
     this.#parts = parts;
     this.#service = service;
+    this.#moves = new MoveTracker(parts.warmTimeoutMillis);
     this.#planner = createPlanner(settingsOf(service), now + LISTEN_MILLIS);
     this.#roster = new UpstreamRoster({ ...parts, planner: this.#planner }, service);
     this.#orders = new OrderBook(parts.granter);
