--- a/src/dev/scale/roles/control-role.ts
+++ b/src/dev/scale/roles/control-role.ts
@@ -8,8 +8,9 @@
   OperatorRequest,
   OperatorResponse,
 } from '../../../control/types.js';
+import type { Address, ReplicaId } from '../../../model/identifiers.js';
+import { createReplica, openReplica } from '../../../storage/index.js';
 import { CountingCore } from '../counting-core.js';
-import { MemoryFiles } from '../memory-files.js';
 import { SocketMeter } from '../socket-meter.js';
 import { sampleUsage, type UsageSample } from '../usage.js';
 import type { RunIdentity } from '../worker-calls.js';
@@ -17,15 +18,21 @@
 const INPUTS = new Set(['peer-message', 'router-message', 'upstream-answer', 'upstream-failed']);
 const EFFECTS = new Set(['send-peer', 'send-router', 'call-upstream']);
 
-export interface ControlStart {
+export interface ControlFolder {
   readonly identity: RunIdentity;
-  readonly replica: string;
-  readonly membership: Membership;
   readonly dataFolder: string;
+  readonly address: Address;
+}
+
+export interface ControlStart extends ControlFolder {
+  /** All members of the run; each starts from it, as its log is empty. */
+  readonly membership: Membership;
 }
 
 /** Methods of a control member's process. */
 export interface ControlMethods {
+  /** Makes the data folder; gives the id of its replica. */
+  prepare(folder: ControlFolder): Promise<ReplicaId>;
   start(start: ControlStart): Promise<void>;
   status(): RaftStatus;
   operate(request: OperatorRequest): Promise<OperatorResponse>;
@@ -38,23 +45,27 @@
   let daemon: ControlDaemon;
   let core: CountingCore<ControlInput, ControlEffect, RaftStatus>;
   return {
-    async start({ identity, replica, membership, dataFolder }) {
+    async prepare({ identity, dataFolder, address }) {
+      const { replica } = await createReplica(dataFolder, {
+        cluster: identity.cluster,
+        address,
+        role: 'joining',
+      });
+      return replica;
+    },
+    async start({ identity, membership, dataFolder, address }) {
       meter.start();
       const settings = {
         cluster: identity.cluster,
         zone: 'zone-a',
         dataFolder,
-        listen: membership.addresses[replica] as string,
+        listen: address,
         admin: '127.0.0.1:0',
         secret: identity.secret,
       };
-      const restored = {
-        hardState: { term: 0, votedFor: null },
-        snapshot: null,
-        initialMembership: membership,
-        entries: [],
-      };
-      const opened = { replica, restored, files: new MemoryFiles() };
+      const { identity: folder, restored, store } = await openReplica(dataFolder, identity.cluster);
+      const { replica } = folder;
+      const opened = { replica, restored: { ...restored, initialMembership: membership }, files: store };
       daemon = new ControlDaemon(settings, opened, (config, state, now) => {
         core = new CountingCore(createControlNode(config, state, now), INPUTS, EFFECTS);
         return core;
--- a/src/dev/scale/scale-fleet.ts
+++ b/src/dev/scale/scale-fleet.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { RaftStatus } from '../../consensus/types.js';
 import type { OperatorRequest, OperatorResponse } from '../../control/types.js';
-import type { Revision } from '../../model/identifiers.js';
+import type { ReplicaId, Revision } from '../../model/identifiers.js';
 import type { OperatorCommand } from '../../registry/types.js';
 import type { ControlMethods } from './roles/control-role.js';
 import type { HollowRouterMethods } from './roles/hollow-router-role.js';
@@ -45,18 +45,27 @@
 
   /** Starts three control members of one cluster and waits for a leader. */
   async startControl(): Promise<void> {
-    const names = Array.from({ length: CONTROL_MEMBERS }, (_, index) => `control-${index + 1}`);
-    const control = await Promise.all(names.map(() => freeAddress()));
+    const control = await Promise.all(Array.from({ length: CONTROL_MEMBERS }, () => freeAddress()));
     this.identity = { ...this.identity, control };
-    const addresses = Object.fromEntries(names.map((name, index) => [name, control[index] as string]));
-    const membership = { voters: names, outgoingVoters: [], learners: [], addresses };
     const { identity } = this;
-    for (const replica of names) {
+    const folders = control.map((address, index) => ({
+      identity,
+      address,
+      dataFolder: `${this.options.dataFolder}/control-${index + 1}`,
+    }));
+    const replicas: ReplicaId[] = [];
+    for (const folder of folders) {
       const worker = new WorkerProcess<ControlMethods>('control', this.options.controlFlags);
       this.control.push(worker);
-      const dataFolder = `${this.options.dataFolder}/${replica}`;
-      await worker.methods.start({ identity, replica, membership, dataFolder });
+      replicas.push(await worker.methods.prepare(folder));
     }
+    const addresses = Object.fromEntries(
+      replicas.map((replica, index) => [replica, control[index] as string]),
+    );
+    const membership = { voters: replicas, outgoingVoters: [], learners: [], addresses };
+    await Promise.all(
+      folders.map((folder, index) => this.control[index]?.methods.start({ ...folder, membership })),
+    );
     await this.leader();
   }
 
