Session answers speak only of the shards that the request's orders name

Nothing read the counts of requests: placement goes by routers' reports. Held shards are read only for grants of that very request, so the answer names only those; revokes and orders to warm, of which few are in force at a time, go with each request until they are dropped, so that a release is shown until the registry has it.

Weighed: a digest of what is held with a full list on mismatch. It could only find what no message can bring about: what a holder holds changes by orders alone, and an unanswered one is repeated.

--- a/src/lease/grant-holder.ts
+++ b/src/lease/grant-holder.ts
@@ -46,18 +46,18 @@
     if (refused === null && request.incarnation !== null) {
       this.#follow(request, now);
     }
+    const named = request.orders.map((order) => order.shard);
     return {
       upstream: this.#config.upstream,
       incarnation: this.#config.incarnation,
       stamp: now,
       term: this.#term,
       sequence: request.sequence,
-      held: this.#shards.held(),
+      held: this.#shards.held(named),
       draining: this.#shards.draining(),
-      released: this.#shards.released(),
-      warmed: this.#shards.warmed(),
+      released: this.#shards.released(named),
+      warmed: this.#shards.warmed(named),
       inFlight: this.#tickets.size,
-      loads: this.#shards.loads(),
       refused,
     };
   }
@@ -101,7 +101,7 @@
     return {
       leased: this.#isLeased(now),
       draining: this.#drain,
-      held: this.#shards.held().length,
+      held: this.#shards.heldCount,
       inFlight: this.#tickets.size,
     };
   }
--- a/src/lease/session-orders.ts
+++ b/src/lease/session-orders.ts
@@ -10,6 +10,8 @@
   readonly #unacknowledged = new Set<ShardId>();
   /** Revokes that were sent and that an answer didn't show to be followed. */
   readonly #ignoredRevokes = new Set<ShardId>();
+  /** Revokes and orders to warm: each request repeats them, as answers speak only of shards that are named. */
+  readonly #standing = new Set<ShardId>();
   /** Shards that the holder is to warm. */
   readonly #warming = new Set<ShardId>();
 
@@ -23,11 +25,8 @@
     this.#orders.set(shard, order);
     this.#unsent.add(shard);
     this.#unacknowledged.add(shard);
-    if (order.type === 'warm') {
-      this.#warming.add(shard);
-    } else {
-      this.#warming.delete(shard);
-    }
+    setMembership(this.#warming, shard, order.type === 'warm');
+    setMembership(this.#standing, shard, order.type !== 'grant');
   }
 
   delete(shard: ShardId): void {
@@ -36,6 +35,7 @@
     this.#unacknowledged.delete(shard);
     this.#ignoredRevokes.delete(shard);
     this.#warming.delete(shard);
+    this.#standing.delete(shard);
   }
 
   /** Nothing is known any more of what the holder was told. */
@@ -65,9 +65,11 @@
     return [...this.#warming].some((shard) => !done.has(shard));
   }
 
-  /** Orders to send now: all of them for a complete list, else those that weren't acknowledged. */
+  /** Orders to send now: all of them for a complete list, else those not acknowledged and those that are repeated. */
   take(complete: boolean): ShardOrder[] {
-    const due = complete ? [...this.#orders.values()] : this.#of(this.#unacknowledged);
+    const due = complete
+      ? [...this.#orders.values()]
+      : this.#of(new Set([...this.#unacknowledged, ...this.#standing]));
     this.#unsent.clear();
     return due;
   }
@@ -106,6 +108,14 @@
   }
 }
 
+function setMembership(shards: Set<ShardId>, shard: ShardId, isMember: boolean): void {
+  if (isMember) {
+    shards.add(shard);
+  } else {
+    shards.delete(shard);
+  }
+}
+
 /** What an answer says of single shards. */
 class AnswerFacts {
   readonly #heldEpochs: ReadonlyMap<ShardId, number>;
--- a/src/lease/shard-table.ts
+++ b/src/lease/shard-table.ts
@@ -4,11 +4,11 @@
  */
 import { type Epoch, parseShardId, type Revision, type ShardId } from '../model/identifiers.js';
 import type { HolderEvent } from './holder-types.js';
-import type { KeyMap, ShardGrant, ShardLoad, ShardOrder } from './types.js';
+import type { KeyMap, ShardGrant, ShardOrder } from './types.js';
 
 /**
  * `known`: nothing held, nothing to report. `held`: new work is taken. `draining`: revoked, work is left.
- * `released`: revoked and given up, reported until the leader drops it.
+ * `released`: revoked and given up, reported for as long as the leader's orders name it.
  */
 type ShardState = 'known' | 'held' | 'draining' | 'released';
 
@@ -18,7 +18,6 @@
   /** Highest revision of any grant or revoke of this shard that was heard of. */
   highestRevision: Revision;
   inFlight: number;
-  requests: number;
   warmth: 'cold' | 'warming' | 'warm';
 }
 
@@ -47,7 +46,6 @@
   startWork(shard: ShardId): void {
     const entry = this.#entry(shard);
     entry.inFlight += 1;
-    entry.requests += 1;
   }
 
   endWork(shard: ShardId): void {
@@ -111,24 +109,36 @@
     }
   }
 
-  held(): ShardGrant[] {
-    return this.#select('held').map(([shard, entry]) => ({ shard, epoch: entry.epoch }));
+  /** Number of shards held. */
+  get heldCount(): number {
+    return [...this.#entries.values()].filter(({ state }) => state === 'held').length;
   }
 
-  draining(): { readonly shard: ShardId; readonly remaining: number }[] {
-    return this.#select('draining').map(([shard, entry]) => ({ shard, remaining: entry.inFlight }));
+  /** Which of `shards` are held. */
+  held(shards: readonly ShardId[]): ShardGrant[] {
+    return this.#select(shards, ({ state }) => state === 'held').map(([shard, { epoch }]) => ({
+      shard,
+      epoch,
+    }));
   }
 
-  released(): { readonly shard: ShardId; readonly revision: Revision }[] {
-    return this.#select('released').map(([shard, entry]) => ({ shard, revision: entry.highestRevision }));
+  draining(): { readonly shard: ShardId; readonly remaining: number }[] {
+    return [...this.#entries]
+      .filter(([, { state }]) => state === 'draining')
+      .map(([shard, { inFlight }]) => ({ shard, remaining: inFlight }));
   }
 
-  warmed(): ShardId[] {
-    return [...this.#entries].filter(([, entry]) => entry.warmth === 'warm').map(([shard]) => shard);
+  /** Which of `shards` were revoked and given up. */
+  released(shards: readonly ShardId[]): { readonly shard: ShardId; readonly revision: Revision }[] {
+    return this.#select(shards, ({ state }) => state === 'released').map(([shard, { highestRevision }]) => ({
+      shard,
+      revision: highestRevision,
+    }));
   }
 
-  loads(): ShardLoad[] {
-    return this.#select('held').map(([shard, entry]) => ({ shard, requests: entry.requests }));
+  /** Which of `shards` are warm. */
+  warmed(shards: readonly ShardId[]): ShardId[] {
+    return this.#select(shards, ({ warmth }) => warmth === 'warm').map(([shard]) => shard);
   }
 
   /** Number of shards remembered. */
@@ -202,15 +212,17 @@
       epoch: 0,
       highestRevision: 0,
       inFlight: 0,
-      requests: 0,
       warmth: 'cold',
     };
     this.#entries.set(shard, entry);
     return entry;
   }
 
-  #select(state: ShardState): [ShardId, ShardEntry][] {
-    return [...this.#entries].filter(([, entry]) => entry.state === state);
+  #select(shards: readonly ShardId[], wanted: (entry: ShardEntry) => boolean): [ShardId, ShardEntry][] {
+    return shards.flatMap((shard): [ShardId, ShardEntry][] => {
+      const entry = this.#entries.get(shard);
+      return entry !== undefined && wanted(entry) ? [[shard, entry]] : [];
+    });
   }
 }
 
--- a/src/lease/types.ts
+++ b/src/lease/types.ts
@@ -58,13 +58,12 @@
   readonly drain: boolean;
 }
 
-export interface ShardLoad {
-  readonly shard: ShardId;
-  /** Requests started since the incarnation began. */
-  readonly requests: number;
-}
-
-/** What the upstream answers. */
+/**
+ * What the upstream answers. Of `held`, `released` and `warmed` it names only shards that the request's orders name: a
+ * server of many shards would else repeat all of them with each renewal. Nothing is lost by that: what a server holds
+ * changes only by orders, an order is repeated until an answer to it shows that it was followed, and revokes and orders
+ * to warm go with each request for as long as they are in force.
+ */
 export interface SessionAnswer {
   readonly upstream: UpstreamId;
   readonly incarnation: Incarnation;
@@ -72,17 +71,17 @@
   readonly stamp: MonotonicMillis;
   readonly term: Term;
   readonly sequence: number;
-  /** Shards held, with the epochs. */
+  /** Which of the shards named are held, with the epochs. */
   readonly held: readonly ShardGrant[];
-  /** Revoked shards with work left. */
+  /** All revoked shards with work left. */
   readonly draining: readonly { readonly shard: ShardId; readonly remaining: number }[];
-  /** Revoked shards given up for good, with the revision of the revoke. */
+  /** Which of the shards named were revoked and given up for good, with the revision of the revoke. */
   readonly released: readonly { readonly shard: ShardId; readonly revision: Revision }[];
+  /** Which of the shards named are warm. */
   readonly warmed: readonly ShardId[];
   readonly inFlight: number;
   /** The server is about to stop and asks that its shards be moved away. */
   readonly leaving?: boolean;
-  readonly loads: readonly ShardLoad[];
   /** Why the request was refused, if it was: stale term, another incarnation, another cluster. */
   readonly refused: 'stale-term' | 'stale-sequence' | 'other-incarnation' | 'other-cluster' | null;
 }
--- a/src/wire/session/session-schema.ts
+++ b/src/wire/session/session-schema.ts
@@ -53,6 +53,5 @@
   warmed: z.array(shardId),
   inFlight: z.int().min(0),
   leaving: z.boolean().optional(),
-  loads: z.array(z.object({ shard: shardId, requests: z.number().min(0) })),
   refused: z.enum(['stale-term', 'stale-sequence', 'other-incarnation', 'other-cluster']).nullable(),
 });
--- a/test/lease/session-orders.test.ts
+++ b/test/lease/session-orders.test.ts
@@ -18,7 +18,6 @@
     released: [],
     warmed: [],
     inFlight: 0,
-    loads: [],
     refused: null,
     ...change,
   };
@@ -74,6 +73,22 @@
     expect(orders.take(false)).to.deep.equal([REVOKE]);
   });
 
+  it('repeats revokes and orders to warm for as long as they are in force', () => {
+    const orders = new SessionOrders();
+    for (const order of [GRANT, WARM]) {
+      orders.set(order);
+    }
+    orders.acknowledge(orders.take(false), answer({ held: [{ shard: 'k', epoch: 5 }], warmed: ['w'] }));
+    expect(orders.take(false)).to.deep.equal([WARM]);
+    orders.set(REVOKE);
+    orders.delete('w');
+    orders.acknowledge(orders.take(false), answer({ released: [{ shard: 'k', revision: 9 }] }));
+    expect(orders.take(false)).to.deep.equal([REVOKE]);
+    expect(orders.hasUnsent()).to.equal(false);
+    orders.delete('k');
+    expect(orders.take(false)).to.deep.equal([]);
+  });
+
   it('warms until the holder says so', () => {
     const orders = new SessionOrders();
     orders.set(WARM);
