--- a/src/dev/bench/world/load-generator.ts
+++ b/src/dev/bench/world/load-generator.ts
@@ -59,24 +59,42 @@
 
 export class LoadGenerator {
   private callCount = 0;
+  private openCalls = 0;
+  private stopped = false;
 
   constructor(private readonly parts: LoadParts) {}
 
+  /** Calls that wait for their final answer. */
+  get open(): number {
+    return this.openCalls;
+  }
+
+  get isStopped(): boolean {
+    return this.stopped;
+  }
+
   start(stream: LoadStream, index: number): void {
     const zipf = stream.keys > 0 ? new ZipfDistribution(stream.keys, stream.skew) : null;
     const random = new RandomSource(this.parts.seed * STREAMS_PER_SEED + index);
     this.parts.queue.at(stream.from, () => this.scheduleNext({ stream, zipf, random }));
   }
 
+  /** No new calls; those that are open go on. */
+  stop(): void {
+    this.stopped = true;
+  }
+
   private scheduleNext(open: OpenStream): void {
     const { queue } = this.parts;
     const at = queue.now + open.random.exponential(MILLIS_PER_SECOND / open.stream.requestsPerSecond);
-    if (at >= open.stream.to) {
+    if (this.stopped || at >= open.stream.to) {
       return;
     }
     queue.at(at, () => {
-      this.call(open);
-      this.scheduleNext(open);
+      if (!this.stopped) {
+        this.call(open);
+        this.scheduleNext(open);
+      }
     });
   }
 
@@ -91,6 +109,7 @@
       sentAt: queue.now,
       returnsLeft: stream.returns,
     };
+    this.openCalls += 1;
     tally.sent(stream.service.name, call.sentAt);
     this.send(call);
   }
@@ -118,12 +137,15 @@
     const { service } = call.stream;
     if (answer.type === 'refuse') {
       tally.noteRefusal(service.name, answer, call.sentAt);
-      if (call.returnsLeft > 0 && answer.outcome === 'not-run' && answer.retryAfterMillis !== null) {
+      // An order may come again whatever was said of it: its idempotency key keeps it from running twice.
+      const mayReturn = answer.outcome === 'not-run' || call.id !== null;
+      if (call.returnsLeft > 0 && mayReturn && answer.retryAfterMillis !== null) {
         call.returnsLeft -= 1;
         queue.after(answer.retryAfterMillis, () => this.send(call));
         return;
       }
     }
+    this.openCalls -= 1;
     const good =
       answer.type === 'delivered' &&
       (call.stream.returns > 0 || queue.now - call.sentAt <= service.deadlineMillis);
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -130,7 +130,7 @@
     const { now } = this.context;
     const ownMillis = work.service.definition.deadlineMillis;
     const deadline = now + Math.min(ownMillis, request.deadlineMillis ?? ownMillis);
-    const member: Member = { request, work, deadline, deadlineTimer: null };
+    const member: Member = { request, work, deadline, mayHaveRun: false, deadlineTimer: null };
     member.deadlineTimer = this.context.schedule(deadline, { type: 'deadline', member });
     work.members.push(member);
     this.context.members.set(request.request, member);
@@ -204,7 +204,7 @@
 
   private policyRetryAfter(work: Work, asked: number | null): number {
     if (asked === null) {
-      return this.dispatcher.retryAfter(work.service);
+      return this.dispatcher.retryAfter(work);
     }
     return retryAfterMillis(asked, this.context.random);
   }
