--- a/src/dev/bench/arms.ts
+++ b/src/dev/bench/arms.ts
@@ -21,7 +21,8 @@
   return { name, unit, value };
 }
 
-function gather(runs: readonly Reading[][]): Measure[] {
+/** Readings of several runs, put together by their names. */
+export function gather(runs: readonly Reading[][]): Measure[] {
   const measures = new Map<string, { name: string; unit: string; values: number[] }>();
   for (const { name, unit, value } of runs.flat()) {
     const measure = measures.get(name) ?? { name, unit, values: [] };
--- a/src/dev/bench/experiments/proxy.ts
+++ b/src/dev/bench/experiments/proxy.ts
@@ -1,7 +1,7 @@
 /** One router on one core, in real processes: throughput, added latency, memory, and what HTTP libraries cost. */
 import { loadavg } from 'node:os';
 import { type Reading, reading, target, targetForAll, valuesOf } from '../arms.js';
-import type { ArmResult, Experiment, ExperimentContext, ExperimentResult, Measure } from '../experiment.js';
+import type { ArmResult, Experiment, ExperimentContext, ExperimentResult } from '../experiment.js';
 import {
   armName,
   DEFAULT_PROXY_OPTIONS,
@@ -57,20 +57,13 @@
 }
 
 /** Rounds of one arm, put together. */
-function gather(arm: ProxyArm, rounds: readonly ProxyMeasurement[][]): ArmResult {
+function resultOf(arm: ProxyArm, rounds: readonly ProxyMeasurement[][]): ArmResult {
   const name = armName(arm);
   const readings = rounds.map((round) => {
     const own = round.find((measurement) => measurement.arm === name) as ProxyMeasurement;
     return readingsOf(own, round[0] as ProxyMeasurement);
   });
-  const measures = (readings[0] ?? []).map(
-    ({ name: measure, unit }, index): Measure => ({
-      name: measure,
-      unit,
-      values: readings.map((round) => (round[index] as Reading).value),
-    }),
-  );
-  return { arm: name, baseline: arm.kind !== 'router', measures };
+  return { arm: name, baseline: arm.kind !== 'router', measures: gather(readings) };
 }
 
 async function run(context: ExperimentContext): Promise<ExperimentResult> {
@@ -81,7 +74,7 @@
     rounds.push(await measureRound({ ...DEFAULT_PROXY_OPTIONS, arms: ARMS }));
     context.progress(`round ${seed} done`);
   }
-  const arms = ARMS.map((arm) => gather(arm, rounds));
+  const arms = ARMS.map((arm) => resultOf(arm, rounds));
   const routers = [KOA_ROUTER, NODE_ROUTER, LARGE_ROUTER].map(armName);
   const { connections, requestsPerSecond, answerBytes, upstreams } = DEFAULT_PROXY_OPTIONS;
   return {
--- a/src/dev/bench/proxy/child-messages.ts
+++ b/src/dev/bench/proxy/child-messages.ts
@@ -22,7 +22,13 @@
 /** Kinds of processes and what each needs to start. */
 export type ChildTask =
   | { readonly kind: 'load' }
-  | { readonly kind: 'upstream'; readonly count: number; readonly answerBytes: number }
+  | {
+      readonly kind: 'upstream';
+      readonly count: number;
+      readonly answerBytes: number;
+      /** Services whose fence stands before the upstreams, one upstream each; `null`: no fence. */
+      readonly fencedServices: readonly string[] | null;
+    }
   | {
       readonly kind: 'bare-proxy';
       readonly frontEnd: 'koa' | 'node';
--- a/src/dev/bench/proxy/child.ts
+++ b/src/dev/bench/proxy/child.ts
@@ -1,8 +1,9 @@
 /** Entry of the processes that the proxy bench starts. Its only argument is a `ChildTask` as JSON. */
-import type { RequestListener } from 'node:http';
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import type { Address } from '../../../model/identifiers.js';
 import { RouterDaemon } from '../../../router/router-daemon.js';
 import { createRouterNode } from '../../../routing/index.js';
+import { createFence, createNodeHandler } from '../../../upstream/index.js';
 import { listenHttp } from '../../standins/http-endpoint.js';
 import { BareProxy } from './bare-proxy.js';
 import { BENCH_IDENTITY } from './bench-identity.js';
@@ -38,11 +39,25 @@
 }
 
 async function startUpstream(task: Extract<ChildTask, { kind: 'upstream' }>): Promise<Address[]> {
-  const listener = createPlainUpstream(task.answerBytes);
-  const servers = Array.from({ length: task.count }, () => listenHttp(listener, ANY_PORT));
+  const plain = createPlainUpstream(task.answerBytes);
+  const listeners =
+    task.fencedServices === null
+      ? Array.from({ length: task.count }, () => plain)
+      : task.fencedServices.map((service) => fenced(plain, service));
+  const servers = listeners.map((listener) => listenHttp(listener, ANY_PORT));
   return (await Promise.all(servers)).map((server) => server.address);
 }
 
+/** Puts the fence of a service that isn't keyed before a listener. */
+function fenced(listener: RequestListener, service: string): RequestListener {
+  const { cluster } = BENCH_IDENTITY;
+  const fence = createFence({ cluster, upstream: service, service, keyed: false });
+  return createNodeHandler(fence, (request, response) => {
+    request.resume();
+    listener(request, response as ServerResponse & { req: IncomingMessage });
+  });
+}
+
 async function startBareProxy(task: Extract<ChildTask, { kind: 'bare-proxy' }>): Promise<Address[]> {
   const proxy = new BareProxy(createUpstreamClient(task.client), task.upstreams);
   const listener: RequestListener = task.frontEnd === 'koa' ? proxy.koaListener() : proxy.nodeListener();
--- a/src/dev/bench/proxy/load-generator.ts
+++ b/src/dev/bench/proxy/load-generator.ts
@@ -102,10 +102,10 @@
   }
 
   private nextRequest(): Dispatcher.DispatchOptions {
-    const { keys, method, headers, claimed } = this.run;
+    const { service, keys, method, headers, claimed } = this.run;
     const key = (this.sent * KEY_STEP) % keys;
     const own = claimed ? { ...headers, 'idempotency-key': makeUuidV7(Date.now()) } : headers;
-    return { path: `/bench/${key}`, method, headers: own };
+    return { path: `/${service}/${key}`, method, headers: own };
   }
 
   private count(whole: boolean, millis: number): void {
--- a/src/dev/bench/proxy/load-run.ts
+++ b/src/dev/bench/proxy/load-run.ts
@@ -8,6 +8,8 @@
   readonly durationMillis: number;
   /** Requests a second at fixed times (open loop); `null`: each connection sends its next request on its answer. */
   readonly requestsPerSecond: number | null;
+  /** First segment of the path. */
+  readonly service: string;
   /** Requests ask for keys `0` to this, in a mixed order. */
   readonly keys: number;
   readonly headers: Readonly<Record<string, string>>;
--- a/src/dev/bench/proxy/proxy-bench.ts
+++ b/src/dev/bench/proxy/proxy-bench.ts
@@ -3,6 +3,7 @@
  * libraries, and on the router. Every process is real; a round starts each arm anew and measures one after the other.
  */
 import type { Address } from '../../../model/identifiers.js';
+import { BENCH_SERVICE } from './bench-identity.js';
 import { benchSnapshot } from './bench-snapshot.js';
 import type { ChildTask, ProcessUsage, UpstreamClientName } from './child-messages.js';
 import { BenchChild } from './child-process.js';
@@ -71,7 +72,7 @@
 /** Measures every arm once. */
 export async function measureRound(options: ProxyBenchOptions): Promise<ProxyMeasurement[]> {
   const { upstreams: count, answerBytes } = options;
-  const upstream = await BenchChild.start({ kind: 'upstream', count, answerBytes });
+  const upstream = await BenchChild.start({ kind: 'upstream', count, answerBytes, fencedServices: null });
   const measurements: ProxyMeasurement[] = [];
   try {
     for (const arm of options.arms) {
@@ -154,6 +155,7 @@
   return {
     target,
     connections,
+    service: BENCH_SERVICE,
     keys,
     answerBytes,
     durationMillis: measureMillis,
