--- a/src/dev/commands/fleet.ts
+++ b/src/dev/commands/fleet.ts
@@ -27,6 +27,7 @@
   readonly faults: string;
   readonly rateScale: string;
   readonly network: string;
+  readonly profile?: string;
   readonly seed: string;
   readonly keep?: string;
   readonly listFaults?: boolean;
@@ -49,6 +50,7 @@
     rateScale: Number(flags.rateScale),
     seed: Number(flags.seed),
     network,
+    profileFolder: flags.profile ?? null,
   };
 }
 
@@ -114,6 +116,7 @@
     .option('--network <number>', 'Second number of the 127.x addresses; the next free one is taken', {
       default: FLEET_DEFAULTS.network,
     })
+    .option('--profile <folder>', 'Each process leaves a processor profile here')
     .option('--seed <number>', 'Seed of the load', { default: FLEET_DEFAULTS.seed })
     .option('--keep <folder>', 'Keep journals, logs and data here')
     .action(run);
--- a/src/dev/commands/standin-command.ts
+++ b/src/dev/commands/standin-command.ts
@@ -47,7 +47,7 @@
 async function runCaller(settings: unknown): Promise<void> {
   const caller = new CallerStandin(callerSettingsSchema.parse(settings));
   onStopSignal(() => caller.stop());
-  await caller.run();
+  await caller.serve();
   process.exit(0);
 }
 
--- a/src/dev/fleet/fleet-options.ts
+++ b/src/dev/fleet/fleet-options.ts
@@ -20,6 +20,8 @@
   readonly seed: number;
   /** Second number of the fleet's addresses. */
   readonly network: number;
+  /** Folder for processor profiles of every process; `null`: none are made. */
+  readonly profileFolder: string | null;
   /** How far the platform's list lags. */
   readonly platformLagMillis: number;
 }
@@ -34,5 +36,6 @@
   rateScale: 1,
   seed: 1,
   network: 77,
+  profileFolder: null,
   platformLagMillis: 30_000,
 } as const;
--- a/src/dev/fleet/fleet-plan.ts
+++ b/src/dev/fleet/fleet-plan.ts
@@ -54,6 +54,11 @@
   readonly admin: Address;
 }
 
+export interface CallerPlan extends ProcessPlan {
+  /** The load begins with `POST /start` here. */
+  readonly admin: Address;
+}
+
 export interface PlatformPlan extends ProcessPlan {
   readonly listen: Address;
 }
@@ -70,7 +75,7 @@
   readonly upstreams: readonly UpstreamProcessPlan[];
   readonly links: readonly LinkPlan[];
   readonly platform: PlatformPlan;
-  readonly callers: readonly ProcessPlan[];
+  readonly callers: readonly CallerPlan[];
   /** The runner's own address, for its requests. */
   readonly operatorHost: string;
   readonly hostsByZone: Readonly<Record<Zone, readonly string[]>>;
@@ -101,7 +106,7 @@
       upstreams: this.#upstreamProcesses(),
       links: zones.map((zone) => this.#link(zone)),
       platform: this.#platform(),
-      callers: range(callers).map((index) => this.#process(`caller-${index + 1}`, CLIENT_ZONE)),
+      callers: range(callers).map((index) => this.#caller(index)),
       operatorHost: this.#addresses.takeHost(CLIENT_ZONE),
     };
     return {
@@ -151,6 +156,11 @@
     return { ...process, admin: addressOf(process.host, PORTS.admin) };
   }
 
+  #caller(index: number): CallerPlan {
+    const process = this.#process(`caller-${index + 1}`, CLIENT_ZONE);
+    return { ...process, admin: addressOf(process.host, PORTS.admin) };
+  }
+
   #platform(): PlatformPlan {
     const process = this.#process('platform', this.#zoneOf(0));
     return { ...process, listen: addressOf(process.host, PORTS.admin) };
--- a/src/dev/fleet/fleet.ts
+++ b/src/dev/fleet/fleet.ts
@@ -1,6 +1,7 @@
 /** A fleet of real processes on this machine: starts them, loads them, stops them. */
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
+import got from 'got';
 import { TernmountError } from '../../errors/ternmount-error.js';
 import type { ReplicaId } from '../../model/identifiers.js';
 import { AdminClient } from './admin-client.js';
@@ -30,7 +31,7 @@
 export class Fleet {
   readonly options: FleetOptions;
   readonly plan: FleetPlan;
-  readonly supervisor = new Supervisor();
+  readonly supervisor: Supervisor;
   readonly admin: AdminClient;
   readonly operator: Operator;
   readonly journal: FleetJournal;
@@ -42,6 +43,7 @@
     this.options = options;
     this.signal = signal;
     this.plan = new FleetPlanner(options).plan();
+    this.supervisor = new Supervisor(options.profileFolder);
     this.#specs = processSpecs(this.plan);
     const members = this.plan.control.map(({ admin }) => admin);
     this.admin = new AdminClient(members, this.plan.operatorHost);
@@ -82,8 +84,9 @@
   }
 
   async startCallers(): Promise<void> {
-    this.journal.write({ event: 'load-started' });
     await Promise.all(callerSpecs(this.plan).map((spec) => this.supervisor.start(spec)));
+    this.journal.write({ event: 'load-started' });
+    await Promise.all(this.plan.callers.map(({ admin }) => got.post(`http://${admin}/start`)));
   }
 
   /** Resolves when the whole load was sent and answered. */
--- a/src/dev/fleet/process-specs.ts
+++ b/src/dev/fleet/process-specs.ts
@@ -46,5 +46,5 @@
 }
 
 export function callerSpecs(plan: FleetPlan): ProcessSpec[] {
-  return plan.callers.map((caller) => specOf(caller, 'caller', standin('caller'), null));
+  return plan.callers.map((caller) => specOf(caller, 'caller', standin('caller'), caller.admin));
 }
--- a/src/dev/fleet/settings-files.ts
+++ b/src/dev/fleet/settings-files.ts
@@ -135,6 +135,7 @@
   return {
     name: caller.name,
     host: caller.host,
+    control: caller.admin,
     seed: options.seed + index,
     seconds: options.seconds,
     connectionsPerRouter: CALLER_CONNECTIONS,
--- a/src/dev/fleet/supervisor.ts
+++ b/src/dev/fleet/supervisor.ts
@@ -47,6 +47,12 @@
 export class Supervisor {
   readonly #running = new Map<string, RunningProcess>();
   readonly #unexpected: string[] = [];
+  readonly #profileFolder: string | null;
+
+  /** `profileFolder`: where each process leaves a processor profile when it ends; `null`: none. */
+  constructor(profileFolder: string | null = null) {
+    this.#profileFolder = profileFolder;
+  }
 
   /** Processes that ended by themselves although nobody asked them to. */
   get unexpectedEnds(): readonly string[] {
@@ -185,7 +191,8 @@
   #spawn(spec: ProcessSpec): RunningProcess {
     mkdirSync(spec.folder, { recursive: true });
     const log = openSync(this.logOf(spec), 'a');
-    const child = spawn(process.execPath, [...spec.command], { stdio: ['ignore', log, log] });
+    const command = [...this.#profileArguments(spec), ...spec.command];
+    const child = spawn(process.execPath, command, { stdio: ['ignore', log, log] });
     closeSync(log);
     const exited = new Promise<number | null>((resolve) => {
       child.once('error', () => resolve(null));
@@ -197,6 +204,13 @@
     return running;
   }
 
+  #profileArguments({ name }: ProcessSpec): string[] {
+    const folder = this.#profileFolder;
+    return folder === null
+      ? []
+      : ['--cpu-prof', `--cpu-prof-dir=${folder}`, `--cpu-prof-name=${name}.cpuprofile`];
+  }
+
   #forget(process: RunningProcess): void {
     const { name } = process.spec;
     if (this.#running.get(name) === process) {
--- a/src/dev/standins/caller/caller-settings.ts
+++ b/src/dev/standins/caller/caller-settings.ts
@@ -33,6 +33,8 @@
   /** Own IP number, from which connections go out. */
   host: z.string().min(1),
   seed: z.number().int(),
+  /** `host:port` of an endpoint; the load then begins with `POST /start`. Left out: at once. */
+  control: z.string().min(1).optional(),
   seconds: z.number().positive(),
   connectionsPerRouter: z.number().int().min(1).default(64),
   routers: z.array(z.strictObject({ name: z.string(), address: z.string() })).min(1),
--- a/src/dev/standins/caller/caller-standin.ts
+++ b/src/dev/standins/caller/caller-standin.ts
@@ -1,8 +1,11 @@
 /** A stand-in for tablets, fans and shops: open-loop load, answers checked, every attempt recorded. */
+
 import { writeFileSync } from 'node:fs';
+import type { RequestListener } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import { JournalWriter } from '../../journal/journal-writer.js';
 import { machineMillis } from '../../journal/machine-clock.js';
+import { listenHttp, type RunningServer } from '../http-endpoint.js';
 import { RandomSource } from '../random-source.js';
 import { ArrivalSchedule } from './arrival-schedule.js';
 import type { CallerSettings, CallerStream } from './caller-settings.js';
@@ -12,6 +15,8 @@
 import { ZipfKeys } from './zipf-keys.js';
 
 const TICK_MILLIS = 2;
+const NO_CONTENT = 204;
+const NOT_FOUND = 404;
 const MILLIS_PER_SECOND = 1000;
 
 interface StreamState {
@@ -47,6 +52,15 @@
     this.#streams = settings.streams.map((stream, index) => this.#startStream(stream, index));
   }
 
+  /** As `run`, but begins when its control endpoint is told to, if the settings name one. */
+  async serve(): Promise<CallerReport> {
+    const { control } = this.#settings;
+    if (control !== undefined) {
+      await waitForStart(control);
+    }
+    return this.run();
+  }
+
   /** Sends the whole load, waits for the last answers and writes the summary. */
   async run(): Promise<CallerReport> {
     const startedAt = machineMillis();
@@ -153,6 +167,22 @@
   }
 }
 
+/** Resolves at the first `POST /start`. */
+async function waitForStart(address: string): Promise<void> {
+  let server: RunningServer | undefined;
+  await new Promise<void>((resolve, reject) => {
+    const listener: RequestListener = (request, response) => {
+      const isStart = request.method === 'POST' && request.url === '/start';
+      response.writeHead(isStart ? NO_CONTENT : NOT_FOUND, { connection: 'close' });
+      response.end(isStart ? resolve : undefined);
+    };
+    listenHttp(listener, address).then((running) => {
+      server = running;
+    }, reject);
+  });
+  void server?.close();
+}
+
 interface AttemptPlace {
   readonly number: number;
   readonly last: boolean;
