Stand-in link refuses connections while the process behind it does

Cause: the link accepted a connection, then reset it when nothing listened behind; routers then could not say not-run of requests to a dead upstream, which without the link they can.

--- a/src/dev/standins/link/link-connection.ts
+++ b/src/dev/standins/link/link-connection.ts
@@ -65,8 +65,16 @@
   from.on('close', () => whileOpen(() => to.destroy()));
 }
 
-/** Forwards between `inbound` and a new connection to the target until either ends or the rules refuse it. */
-export function forwardConnection(inbound: Socket, ends: ConnectionEnds, rules: ZoneRules): void {
+/**
+ * Forwards between `inbound` and a new connection to the target until either ends or the rules refuse it; calls
+ * `refused` if nothing listens at the target.
+ */
+export function forwardConnection(
+  inbound: Socket,
+  ends: ConnectionEnds,
+  rules: ZoneRules,
+  refused: () => void,
+): void {
   const { sourceZone, targetZone } = ends;
   const isRefused = (): boolean =>
     rules.stateOf(sourceZone, targetZone) === 'refuse' || rules.stateOf(targetZone, sourceZone) === 'refuse';
@@ -76,6 +84,11 @@
     return;
   }
   const outbound = connect({ host: ends.targetHost, port: ends.targetPort, allowHalfOpen: true });
+  outbound.once('error', (error: NodeJS.ErrnoException) => {
+    if (error.code === 'ECONNREFUSED') {
+      refused();
+    }
+  });
   const delayMillis = sourceZone === targetZone ? 0 : ends.delayMillis;
   const there = new Direction(delayMillis, () => rules.stateOf(sourceZone, targetZone) === 'hold');
   const back = new Direction(delayMillis, () => rules.stateOf(targetZone, sourceZone) === 'hold');
--- a/src/dev/standins/link/link-standin.ts
+++ b/src/dev/standins/link/link-standin.ts
@@ -1,19 +1,18 @@
 /** A stand-in for the network between zones: forwards TCP connections, and delays, holds or refuses them on command. */
-import type { AddressInfo, Server } from 'node:net';
-import { createServer } from 'node:net';
 import Router from '@koa/router';
 import Koa from 'koa';
 import { parseAddress } from '../../../wire/address.js';
 import { listenHttp, type RunningServer } from '../http-endpoint.js';
 import { readJsonBody } from '../json-body.js';
 import { forwardConnection } from './link-connection.js';
+import { LinkRouteListener } from './link-route.js';
 import { type LinkRoute, type LinkSettings, linkRuleSchema } from './link-settings.js';
 import { ZoneRules } from './zone-rules.js';
 
 export class LinkStandin {
   readonly rules: ZoneRules;
   readonly #settings: LinkSettings;
-  readonly #servers: Server[] = [];
+  readonly #routes: LinkRouteListener[] = [];
   #control: RunningServer | undefined;
 
   constructor(settings: LinkSettings) {
@@ -28,23 +27,19 @@
 
   /** Addresses that routes listen on, in the order of the settings. */
   addresses(): string[] {
-    return this.#servers.map((server) => {
-      const { address, port } = server.address() as AddressInfo;
-      return `${address}:${port}`;
-    });
+    return this.#routes.map(({ address }) => address);
   }
 
   async stop(): Promise<void> {
-    for (const server of this.#servers) {
-      server.close();
+    for (const route of this.#routes) {
+      route.close();
     }
     await this.#control?.close();
   }
 
   async #listen(route: LinkRoute): Promise<void> {
     const target = parseAddress(route.target);
-    const listen = parseAddress(route.listen);
-    const server = createServer({ allowHalfOpen: true }, (inbound) => {
+    const listener = new LinkRouteListener(route.listen, route.target, (inbound, refused) => {
       const sourceZone = this.rules.zoneOf(inbound.remoteAddress ?? '');
       const ends = {
         sourceZone,
@@ -53,13 +48,10 @@
         targetPort: target.port,
         delayMillis: this.#delayFrom(sourceZone),
       };
-      forwardConnection(inbound, ends, this.rules);
-    });
-    this.#servers.push(server);
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(listen.port, listen.host, resolve);
+      forwardConnection(inbound, ends, this.rules, refused);
     });
+    this.#routes.push(listener);
+    await listener.open();
   }
 
   #delayFrom(sourceZone: string): number {
--- a/test/dev/standins/link-standin.test.ts
+++ b/test/dev/standins/link-standin.test.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'chai';
 import type { LinkRule } from '../../../src/dev/standins/link/link-settings.js';
 import { LinkStandin } from '../../../src/dev/standins/link/link-standin.js';
@@ -53,6 +54,15 @@
     return socket;
   }
 
+  /** How a dial ends: `connect`, or the code of its error. */
+  async function dialResult(): Promise<string> {
+    const socket = dial();
+    return new Promise((resolve) => {
+      socket.once('connect', () => resolve('connect'));
+      socket.once('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? ''));
+    });
+  }
+
   /** `once` of `node:events` would throw on the reset before the close. */
   function closeOf(socket: Socket): Promise<void> {
     return new Promise((resolve) => socket.once('close', () => resolve()));
@@ -104,4 +114,19 @@
     const [bytes] = (await late) as [Buffer];
     expect(bytes.toString()).to.equal('b');
   });
+
+  it('refuses connections while the process behind it does', async () => {
+    const { port } = echo.address() as AddressInfo;
+    const closed = once(echo, 'close');
+    echo.close();
+    await closed;
+    while ((await dialResult()) !== 'ECONNREFUSED') {
+      await delay(5);
+    }
+    echo.listen(port, '127.0.0.1');
+    while ((await dialResult()) !== 'connect') {
+      await delay(5);
+    }
+    expect(await exchange(dial(), 'back')).to.equal('back');
+  });
 });
