--- a/src/control/first-grants.ts
+++ b/src/control/first-grants.ts
@@ -48,29 +48,37 @@
     this.#addedAt = now;
   }
 
-  /** All shards held back, once the wait is over. */
-  takeSettled(readiness: Readiness, now: MonotonicMillis): ShardId[] {
-    if (this.#shards.size === 0 || !readiness.anyReady) {
-      return [];
+  /** Shards held back, once the wait is over; at most `limit` at a time. */
+  takeSettled(readiness: Readiness, limit: number, now: MonotonicMillis): ShardId[] {
+    if (!this.#isSettled && this.#shards.size > 0 && readiness.anyReady) {
+      this.#readySince ??= now;
+      const isTimeUp = now >= this.#readySince + SETTLE_MILLIS;
+      const isComplete = readiness.allHeardOf && now >= this.#addedAt + SETTLE_MILLIS;
+      this.#isSettled = isTimeUp || isComplete;
     }
-    this.#readySince ??= now;
-    const isTimeUp = now >= this.#readySince + SETTLE_MILLIS;
-    const isComplete = readiness.allHeardOf && now >= this.#addedAt + SETTLE_MILLIS;
-    this.#isSettled = isTimeUp || isComplete;
-    return this.#isSettled ? this.#takeAll() : [];
+    return this.#isSettled ? this.#take(limit) : [];
   }
 
   nextDeadline(now: MonotonicMillis): MonotonicMillis {
     if (this.#shards.size === 0 || this.#readySince === undefined) {
       return Number.POSITIVE_INFINITY;
     }
+    if (this.#isSettled) {
+      return now;
+    }
     const ends = [this.#readySince + SETTLE_MILLIS, this.#addedAt + SETTLE_MILLIS].filter((end) => end > now);
     return Math.min(Number.POSITIVE_INFINITY, ...ends);
   }
 
-  #takeAll(): ShardId[] {
-    const shards = [...this.#shards];
-    this.#shards.clear();
-    return shards;
+  #take(limit: number): ShardId[] {
+    const taken: ShardId[] = [];
+    for (const shard of this.#shards) {
+      if (taken.length === limit) {
+        break;
+      }
+      taken.push(shard);
+      this.#shards.delete(shard);
+    }
+    return taken;
   }
 }
--- a/src/control/service-coordinator.ts
+++ b/src/control/service-coordinator.ts
@@ -10,14 +10,14 @@
   type ShardId,
   type UpstreamId,
 } from '../model/identifiers.js';
-import { shardsOfKeyMap } from '../model/key-map.js';
 import { createPlanner, LoadTracker, type PlacementPlanner, type ReportedWork } from '../placement/index.js';
-import type { Registry, ServiceRecord, ShardRecord } from '../registry/types.js';
+import type { Registry, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
 import { FirstGrants } from './first-grants.js';
 import type { LeaderProposals } from './leader-proposals.js';
 import { MoveTracker } from './move-tracker.js';
 import { PlacementProposals, type ShardRelease } from './placement-proposals.js';
-import { currentOrders, keyMapOf, OrderBook, retiringOrders } from './shard-orders.js';
+import { RegistryLoad, SHARDS_PER_RUN } from './registry-load.js';
+import { currentOrders, OrderBook, retiringOrders } from './shard-orders.js';
 import { UpstreamRoster } from './upstream-roster.js';
 
 /** A new leader hears of loads for this long before it balances by them. */
@@ -35,16 +35,18 @@
 
 export class ServiceCoordinator {
   readonly #parts: CoordinatorParts;
-  readonly #planner: PlacementPlanner;
+  #planner: PlacementPlanner;
   readonly #roster: UpstreamRoster;
   readonly #orders: OrderBook;
   readonly #proposals: PlacementProposals;
-  readonly #moves: MoveTracker;
-  readonly #loads = new LoadTracker();
+  #moves: MoveTracker;
+  #loads = new LoadTracker();
   readonly #firstGrants = new FirstGrants();
   /** Grants that their holders gave up while the registry still has them, by their epochs. */
   readonly #released = new Map<ShardId, Epoch>();
   #service: ServiceRecord;
+  /** Placement waits until all of it is taken over. */
+  #load: RegistryLoad;
   #isPlanDue = true;
 
   constructor(parts: CoordinatorParts, service: ServiceRecord, now: MonotonicMillis) {
@@ -59,12 +61,10 @@
       incarnationOf: (upstream) => this.#roster.incarnationOf(upstream),
       isReady: (upstream) => this.#roster.isReady(upstream),
     });
-    for (const record of parts.registry().upstreams().values()) {
-      if (record.definition.service === service.definition.name) {
-        this.#roster.set(record, now);
-      }
-    }
-    this.#takeKeyMap(now);
+    const upstreams = [...parts.registry().upstreams().values()]
+      .filter(({ definition }) => definition.service === service.definition.name)
+      .map(({ definition }) => definition.id);
+    this.#load = new RegistryLoad(upstreams, this.#shardsToTake());
   }
 
   /** The service is gone, or not keyed any more. */
@@ -73,13 +73,12 @@
   }
 
   serviceChanged(service: ServiceRecord, now: MonotonicMillis): void {
-    const before = this.#service;
+    const isOtherKeyMap = this.#service.generation !== service.generation;
     this.#service = service;
     this.#planner.configure(settingsOf(service));
     this.#roster.setService(service, now);
-    if (before.generation !== service.generation) {
-      this.#dropKeyMap(before, now);
-      this.#takeKeyMap(now);
+    if (isOtherKeyMap) {
+      this.#changeKeyMap(now);
     }
     this.#isPlanDue = true;
   }
@@ -89,10 +88,7 @@
     if (record === undefined) {
       this.#roster.remove(upstream);
     } else {
-      if (!this.#roster.has(upstream)) {
-        this.#firstGrants.upstreamAdded(now);
-      }
-      this.#roster.set(record, now);
+      this.#takeUpstream(record, now);
     }
     this.#isPlanDue = true;
   }
@@ -100,8 +96,9 @@
   /** A shard's record changed, or is to be looked at anew. */
   shardChanged(shard: ShardId, now: MonotonicMillis): void {
     const record = this.#parts.registry().shards().get(shard);
-    if (parseShardId(shard)?.generation === this.#service.generation) {
-      this.#takeShard(record ?? neverGranted(shard), now);
+    const parts = parseShardId(shard);
+    if (parts?.generation === this.#service.generation) {
+      this.#takeShard(record ?? neverGranted(shard), parts.keyspace, now);
     } else {
       this.#retireShard(shard, record, now);
     }
@@ -126,6 +123,7 @@
 
   /** Proposes what is to change next. */
   run(now: MonotonicMillis): void {
+    this.#takeOver(now);
     for (const shard of this.#moves.takeTimedOut(now)) {
       this.#noteTarget(shard, now);
     }
@@ -140,6 +138,9 @@
   }
 
   nextDeadline(now: MonotonicMillis): MonotonicMillis {
+    if (!this.#load.isDone) {
+      return now;
+    }
     return Math.min(
       this.#moves.nextDeadline(),
       this.#proposals.nextDeadline(),
@@ -151,12 +152,13 @@
 
   /** Under a new key map nothing is granted before every shard of the old one is given up. */
   #mayPlace(): boolean {
-    return this.#parts.registry().retiredOwned(this.#service.definition.name).size === 0;
+    return this.#load.isDone && this.#parts.registry().retiredOwned(this.#service.definition.name).size === 0;
   }
 
   #place(now: MonotonicMillis): void {
     if (this.#firstGrants.size > 0) {
-      for (const shard of this.#firstGrants.takeSettled(this.#roster.readiness(), now)) {
+      const readiness = this.#roster.readiness();
+      for (const shard of this.#firstGrants.takeSettled(readiness, SHARDS_PER_RUN, now)) {
         this.shardChanged(shard, now);
       }
     }
@@ -176,24 +178,57 @@
     }
   }
 
-  #takeKeyMap(now: MonotonicMillis): void {
+  /** Shards that no upstream brings along: those without owner, and those of older key maps that are to be revoked. */
+  #shardsToTake(): ShardId[] {
+    const registry = this.#parts.registry();
+    const { name } = this.#service.definition;
+    return [...registry.retiredOwned(name), ...registry.unownedShards(name)];
+  }
+
+  #changeKeyMap(now: MonotonicMillis): void {
+    this.#planner = createPlanner(settingsOf(this.#service), now + LISTEN_MILLIS);
+    this.#roster.setPlanner(this.#planner);
+    this.#moves = new MoveTracker(this.#parts.warmTimeoutMillis);
+    this.#loads = new LoadTracker();
     this.#firstGrants.startOver();
-    for (const shard of shardsOfKeyMap(keyMapOf(this.#service))) {
-      this.shardChanged(shard, now);
-    }
-    for (const shard of this.#parts.registry().retiredOwned(this.#service.definition.name)) {
-      this.shardChanged(shard, now);
+    this.#load = new RegistryLoad(this.#load.upstreamsLeft(), this.#shardsToTake());
+  }
+
+  #takeOver(now: MonotonicMillis): void {
+    for (let taken = 0; taken < SHARDS_PER_RUN && !this.#load.isDone; taken += 1) {
+      const item = this.#load.next();
+      if (item?.type === 'shard') {
+        this.shardChanged(item.shard, now);
+      } else if (item !== undefined && !this.#roster.has(item.upstream)) {
+        const record = this.#parts.registry().upstreams().get(item.upstream);
+        taken += record === undefined ? 0 : this.#takeUpstream(record, now);
+      }
     }
   }
 
-  #dropKeyMap(before: ServiceRecord, now: MonotonicMillis): void {
-    for (const shard of shardsOfKeyMap(keyMapOf(before))) {
-      this.#loads.forget(shard);
+  /**
+   * Opens an upstream's session together with every order about it: the first orders it is sent are a complete list.
+   * Returns the number of its shards.
+   */
+  #takeUpstream(record: UpstreamRecord, now: MonotonicMillis): number {
+    const { id } = record.definition;
+    const isNew = !this.#roster.has(id);
+    this.#roster.set(record, now);
+    if (!isNew) {
+      return 0;
+    }
+    if (this.#load.isDone) {
+      this.#firstGrants.upstreamAdded(now);
+    }
+    const registry = this.#parts.registry();
+    const shards = [...registry.shardsOwnedBy(id), ...registry.shardsMovingTo(id)];
+    for (const shard of shards) {
       this.shardChanged(shard, now);
     }
+    return shards.length;
   }
 
-  #takeShard(record: ShardRecord, now: MonotonicMillis): void {
+  #takeShard(record: ShardRecord, keyspace: string, now: MonotonicMillis): void {
     const { shard, owner, movingTo } = record;
     this.#moves.update(record, now);
     this.#dropOldRelease(shard, record);
@@ -202,7 +237,6 @@
       return;
     }
     this.#firstGrants.release(shard);
-    const keyspace = parseShardId(shard)?.keyspace ?? '';
     const load = this.#loads.weight(shard);
     this.#planner.setShard({ shard, keyspace, load, owner, target: movingTo });
   }
--- a/src/control/shard-coordinator.ts
+++ b/src/control/shard-coordinator.ts
@@ -6,13 +6,15 @@
 import type { ReportedWork } from '../placement/index.js';
 import type { RegistryChange, ServiceRecord } from '../registry/types.js';
 import type { LoadReport } from './messages.js';
+import { SHARDS_PER_RUN } from './registry-load.js';
 import { type CoordinatorParts, ServiceCoordinator } from './service-coordinator.js';
 
 export class ShardCoordinator {
   readonly #parts: CoordinatorParts;
   readonly #services = new Map<ServiceName, ServiceCoordinator>();
   readonly #serviceOf = new Map<UpstreamId, ServiceName>();
-  #changes: RegistryChange[] = [];
+  /** Changes that weren't taken yet; a run takes a bounded number. */
+  readonly #changes: RegistryChange[] = [];
   readonly #sessions = new Set<UpstreamId>();
 
   constructor(parts: CoordinatorParts) {
@@ -56,9 +58,7 @@
 
   /** Brings sessions into line with the registry and proposes what is to change next. */
   run(now: MonotonicMillis): void {
-    const changes = this.#changes;
-    this.#changes = [];
-    for (const change of changes) {
+    for (const change of this.#changes.splice(0, SHARDS_PER_RUN)) {
       this.#take(change, now);
     }
     for (const upstream of this.#sessions) {
@@ -71,6 +71,9 @@
   }
 
   nextDeadline(now: MonotonicMillis): MonotonicMillis {
+    if (this.#changes.length > 0) {
+      return now;
+    }
     let deadline = Number.POSITIVE_INFINITY;
     for (const service of this.#services.values()) {
       deadline = Math.min(deadline, service.nextDeadline(now));
--- a/src/control/upstream-roster.ts
+++ b/src/control/upstream-roster.ts
@@ -29,6 +29,7 @@
 
 export class UpstreamRoster {
   readonly #parts: UpstreamRosterParts;
+  #planner: PlacementPlanner;
   readonly #members = new Map<UpstreamId, Member>();
   /** Leaving upstreams that still take work, with the time from which they leave. */
   readonly #leavingSince = new Map<UpstreamId, MonotonicMillis>();
@@ -36,6 +37,7 @@
 
   constructor(parts: UpstreamRosterParts, service: ServiceRecord) {
     this.#parts = parts;
+    this.#planner = parts.planner;
     this.#service = service;
   }
 
@@ -74,7 +76,7 @@
     this.#members.delete(upstream);
     this.#leavingSince.delete(upstream);
     this.#parts.granter.dropSession(upstream);
-    this.#parts.planner.removeServer(upstream);
+    this.#planner.removeServer(upstream);
   }
 
   removeAll(): void {
@@ -92,6 +94,14 @@
     }
   }
 
+  /** Takes another planner, which is told of every upstream. */
+  setPlanner(planner: PlacementPlanner): void {
+    this.#planner = planner;
+    for (const member of this.#members.values()) {
+      this.#tellPlanner(member);
+    }
+  }
+
   /** An upstream answered or failed to; returns whether it stands otherwise now. */
   sessionChanged(upstream: UpstreamId): boolean {
     const member = this.#members.get(upstream);
@@ -144,7 +154,7 @@
     const { id, mayHold, zone } = member.record.definition;
     const capacity = this.#service.definition.slotsPerUpstream;
     member.state = this.#stateOf(member);
-    this.#parts.planner.setServer({ id, capacity, mayHold, zone, state: member.state });
+    this.#planner.setServer({ id, capacity, mayHold, zone, state: member.state });
   }
 
   #stateOf({ record }: Member): ServerState {
