--- a/src/cli/commands/control-members.ts
+++ b/src/cli/commands/control-members.ts
@@ -1,4 +1,5 @@
-/** `control add-learner`, `control transfer` and `control snapshot`. */
+/** `control add`, `control add-learner`, `control transfer` and `control snapshot`. */
+import type { MembershipBody } from '../api-types.js';
 import { CLIENT_OPTIONS, createClient, REQUEST_ID_OPTION } from '../client-options.js';
 import type { CommandSpec, Invocation, OptionSpec } from '../command-spec.js';
 import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
@@ -23,6 +24,27 @@
   return EXIT_CODES.ok;
 }
 
+async function add(invocation: Invocation): Promise<ExitCode> {
+  const { options, io, positionals } = invocation;
+  const [replica = ''] = positionals;
+  const body = { replica, address: options.required('address') };
+  const requestId = options.text('request-id');
+  const request = { method: 'POST', path: '/v1/control/add', body, requestId } as const;
+  const answer = await createClient(options, io).change<MembershipBody>(request);
+  const { voters } = answer.body.membership;
+  io.write(`${replica} votes; the cluster has ${voters.length} voters\n`);
+  return EXIT_CODES.ok;
+}
+
+export const controlAdd: CommandSpec = {
+  name: 'control add',
+  arguments: '<replica>',
+  summary: 'Take a new replica in; it votes once it holds everything',
+  options: [ADDRESS_OPTION, ...MEMBER_OPTIONS],
+  examples: ['control add r-77c0 --address 10.0.0.4:7400'],
+  run: add,
+};
+
 export const controlAddLearner: CommandSpec = {
   name: 'control add-learner',
   arguments: '<replica>',
--- a/test/dev/standins/upstream-standin.test.ts
+++ b/test/dev/standins/upstream-standin.test.ts
@@ -15,7 +15,8 @@
 import { UpstreamStandin } from '../../../src/dev/standins/upstream/upstream-standin.js';
 import { HEADERS } from '../../../src/model/outcome.js';
 
-const ORIGIN = '127.0.0.1:47811';
+/** An address of this process's own, so that test runs beside each other don't meet. */
+const ORIGIN = `127.${64 + ((process.pid >> 16) & 63)}.${(process.pid >> 8) & 255}.${process.pid & 255}:47811`;
 const upstreamSchema = upstreamProcessSettingsSchema.shape.upstreams.element;
 const base = {
   id: 'up-1',
