--- a/src/control/admin/admin-app.ts
+++ b/src/control/admin/admin-app.ts
@@ -80,6 +80,8 @@
   };
   const router = createRouter(services, options.metrics);
   const app = new Koa<AdminState>();
+  // Without a listener koa writes connections' errors to the console.
+  app.on('error', (error: Error) => logger.debug('connection-failed', { error }));
   app.use(answerErrors(logger));
   app.use(auditWrites(auditLogger));
   app.use(authenticate(options.tokens ?? null));
--- a/src/wire/frame-connection.ts
+++ b/src/wire/frame-connection.ts
@@ -65,7 +65,7 @@
     private readonly limits: WireLimits,
     private readonly owner: FrameConnectionOwner,
   ) {
-    this.decoder = new FrameDecoder(limits.maxFrameBytes);
+    this.decoder = new FrameDecoder(Math.min(HANDSHAKE_FRAME_BYTES, limits.maxFrameBytes));
     this.handshake = new Handshake({ ...identity, role, nonce: randomBytes(NONCE_BYTES) });
     this.timer = setInterval(() => this.check(), limits.pingMillis);
     socket.setNoDelay(true);
@@ -118,7 +118,7 @@
   private takeBytes(chunk: Buffer): void {
     this.heardAt = performance.now();
     try {
-      for (const frame of this.decoder.push(chunk)) {
+      for (const frame of this.decoder.read(chunk)) {
         this.takeFrame(frame);
       }
     } catch (thrown) {
@@ -146,6 +146,7 @@
     }
     if (step.peer !== null) {
       this.peerGreeting = step.peer;
+      this.decoder.maxFrameBytes = this.limits.maxFrameBytes;
       this.owner.ready(this, step.peer);
     }
   }
@@ -175,3 +176,5 @@
 }
 
 const NO_BYTES = new Uint8Array(0);
+/** Largest frame of an end that has not proved itself yet; names and nonce fit. */
+const HANDSHAKE_FRAME_BYTES = 4096;
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -85,20 +85,24 @@
   private held = 0;
   private needed = HEADER_BYTES;
 
-  constructor(private readonly maxFrameBytes: number) {}
+  /** `maxFrameBytes` may be raised between two frames. */
+  constructor(public maxFrameBytes: number) {}
 
   /** Takes bytes and gives the frames that became whole. Throws on what is no frame; the stream is of no use then. */
   push(chunk: Uint8Array): Frame[] {
+    return [...this.read(chunk)];
+  }
+
+  /** As `push`, one frame at a time: what is done about one, such as another bound, holds for the next. */
+  *read(chunk: Uint8Array): Generator<Frame, void> {
     this.chunks.push(chunk);
     this.held += chunk.length;
-    const frames: Frame[] = [];
     while (this.held >= this.needed) {
       const frame = this.take();
       if (frame !== undefined) {
-        frames.push(frame);
+        yield frame;
       }
     }
-    return frames;
   }
 
   /** Reads a header, or the frame whose header was read before. */
