--- a/src/cli/cli-error.ts
+++ b/src/cli/cli-error.ts
@@ -1,6 +1,7 @@
 /** Errors of the command line, each with its exit code. */
 import type { AdminErrorBody, AdminErrorCode } from '../control/admin/index.js';
-import { TernmountError } from '../errors/ternmount-error.js';
+import { TernmountError, toError } from '../errors/ternmount-error.js';
+import { formatProblem, SettingsError } from '../settings/settings-error.js';
 import { EXIT_CODES, type ExitCode } from './exit-codes.js';
 
 /** An error that ends the command with `exitCode`. */
@@ -105,3 +106,12 @@
   }
   return EXIT_CODES.failed;
 }
+
+/** An error of the project is for its reader; any other is a fault of the program, so its stack is shown. */
+export function describeFailure(thrown: unknown): string {
+  if (thrown instanceof SettingsError) {
+    return thrown.problems.map(formatProblem).join('\n');
+  }
+  const error = toError(thrown);
+  return error instanceof TernmountError ? error.message : (error.stack ?? error.message);
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,8 +1,7 @@
 #!/usr/bin/env node
 /** `ternmount`: runs one subcommand and ends with its exit code; a failure is one line on standard error. */
 import { readFileSync } from 'node:fs';
-import { TernmountError, toError } from '../errors/ternmount-error.js';
-import { exitCodeOf } from './cli-error.js';
+import { describeFailure, exitCodeOf } from './cli-error.js';
 import { type CliIo, processIo } from './cli-io.js';
 import { COMMANDS } from './command-list.js';
 import { dispatch, PROGRAM_NAME } from './dispatcher.js';
@@ -29,18 +28,12 @@
   }
 }
 
-/** An error of the project is for its reader; any other is a fault of the program, so its stack is shown. */
-function describe(thrown: unknown): string {
-  const error = toError(thrown);
-  return error instanceof TernmountError ? error.message : (error.stack ?? error.message);
-}
-
 async function main(): Promise<void> {
   const io = processIo();
   try {
     process.exitCode = await runCommand(process.argv.slice(2), io);
   } catch (thrown) {
-    io.writeError(`${PROGRAM_NAME}: ${describe(thrown)}\n`);
+    io.writeError(`${PROGRAM_NAME}: ${describeFailure(thrown)}\n`);
     process.exitCode = exitCodeOf(thrown);
   }
   // Idle connections of libraries must not keep the process.
--- /dev/null
+++ b/test/cli/cli-harness.ts
@@ -0,0 +1,63 @@
+/** Runs command lines of `ternmount` in this process and keeps what they write. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describeFailure, exitCodeOf } from '../../src/cli/cli-error.js';
+import { type CliIo, interruptibleSleep } from '../../src/cli/cli-io.js';
+import { COMMANDS } from '../../src/cli/command-list.js';
+import { dispatch } from '../../src/cli/dispatcher.js';
+
+/** How a command line went. */
+export interface CliResult {
+  readonly exitCode: number;
+  readonly output: string;
+  readonly errors: string;
+}
+
+/** A folder for files of one test. */
+export class ScratchFolder {
+  readonly path = mkdtempSync(join(tmpdir(), 'ternmount-cli-'));
+
+  /** Writes a file and gives its path. */
+  write(name: string, text: string): string {
+    const path = join(this.path, name);
+    writeFileSync(path, text);
+    return path;
+  }
+
+  remove(): void {
+    rmSync(this.path, { recursive: true, force: true });
+  }
+}
+
+/** Runs one command line; `environment` stands for that of the process. */
+export async function runCli(
+  words: readonly string[],
+  environment: CliIo['environment'] = {},
+  signal: AbortSignal = new AbortController().signal,
+): Promise<CliResult> {
+  let output = '';
+  let errors = '';
+  const io: CliIo = {
+    write: (text) => {
+      output += text;
+    },
+    writeError: (text) => {
+      errors += text;
+    },
+    environment,
+    stopSignal: signal,
+    sleep: (millis) => interruptibleSleep(Math.min(millis, 20), signal),
+  };
+  try {
+    const dispatched = dispatch(COMMANDS, words);
+    if (dispatched.type !== 'run') {
+      return { exitCode: 0, output, errors };
+    }
+    const { command, positionals, options } = dispatched;
+    return { exitCode: await command.run({ positionals, options, io }), output, errors };
+  } catch (thrown) {
+    errors += describeFailure(thrown);
+    return { exitCode: exitCodeOf(thrown), output, errors };
+  }
+}
--- a/test/contract/admin-harness.ts
+++ b/test/contract/admin-harness.ts
@@ -59,12 +59,43 @@
         return { type: 'shards', revision, shards: [...registry.shards().values()] };
       case 'get-ledger':
         return { type: 'ledger', record: registry.ledgerRecord(request.service, request.key) ?? null };
+      case 'get-status':
+        return statusOf(revision);
       default:
         return { type: 'rejected', message: 'not part of this harness' };
     }
   };
 }
 
+/** The status of a leader that is alone. */
+function statusOf(revision: number): OperatorResponse {
+  const membership = {
+    voters: ['r-1'],
+    outgoingVoters: [],
+    learners: [],
+    addresses: { 'r-1': '127.0.0.1:1' },
+  };
+  return {
+    type: 'status',
+    raft: {
+      self: 'r-1',
+      role: 'leader',
+      term: 1,
+      leader: 'r-1',
+      commitIndex: revision,
+      lastIndex: revision,
+      firstIndex: 1,
+      membership,
+      matchIndexes: {},
+    },
+    revision,
+    upstreams: [],
+    routers: [],
+    unownedShards: 0,
+    movingShards: 0,
+  };
+}
+
 const SILENT: Logger = { debug() {}, info() {}, warn() {}, error() {}, log() {} };
 
 export class AdminHarness {
