--- a/src/cli/command-list.ts
+++ b/src/cli/command-list.ts
@@ -1,4 +1,4 @@
-/** All subcommands of `ternmount`, in the order of its help. */
+/** All subcommands of `ternmount`. */
 import type { CommandSpec } from './command-spec.js';
 import { controlInit, controlJoin } from './commands/control-folder.js';
 import {
@@ -41,15 +41,15 @@
   controlSnapshot,
   routerRun,
   serviceApply,
-  serviceGet,
   serviceList,
+  serviceGet,
   serviceDelete,
+  policyApply,
+  policyGet,
   upstreamAdd,
   upstreamList,
   upstreamDrain,
   upstreamRemove,
-  policyApply,
-  policyGet,
   shardList,
   shardExplain,
   shardMove,
--- a/src/cli/commands/control-run.ts
+++ b/src/cli/commands/control-run.ts
@@ -27,6 +27,7 @@
     zone,
     dataFolder,
     listen,
+    outgoing: settings.outgoing ?? undefined,
     admin,
     secret: readSecret(settings.secretFile),
     timings: {
--- a/src/cli/commands/router-run.ts
+++ b/src/cli/commands/router-run.ts
@@ -23,6 +23,7 @@
     router,
     zone,
     listen,
+    outgoing: settings.outgoing ?? undefined,
     admin,
     control,
     secret: readSecret(settings.secretFile),
--- a/src/storage/log-records.ts
+++ b/src/storage/log-records.ts
@@ -8,8 +8,7 @@
   hardState: 2,
   truncate: 3,
   entry: 4,
-  snapshotMark: 5,
-  segmentEnd: 6,
+  segmentEnd: 5,
 } as const;
 
 const ENTRY_KINDS: readonly LogEntry['kind'][] = ['command', 'membership', 'noop'];
@@ -22,14 +21,12 @@
   readonly cluster: ClusterId;
   readonly replica: ReplicaId;
   readonly sequence: number;
+  /** Bytes of the segment before that were synced; more may follow them, but not less. */
+  readonly previousBytes: number;
   /** Hard state when the segment was begun, so that older segments can be dropped. */
   readonly hardState: HardState;
-}
-
-/** Says that a snapshot up to this index is on disk. */
-export interface SnapshotMark {
-  readonly lastIndex: number;
-  readonly lastTerm: number;
+  /** Last index of the newest snapshot that was on disk then; 0: there was none. */
+  readonly snapshotIndex: number;
 }
 
 /** A record before it is written. */
@@ -55,10 +52,7 @@
   return jsonRecord(RECORD_TYPES.hardState, hardState);
 }
 
-export function snapshotMarkRecord(mark: SnapshotMark): LogRecord {
-  return jsonRecord(RECORD_TYPES.snapshotMark, mark);
-}
-
+/** Last record of a segment that another one follows. */
 export function segmentEndRecord(): LogRecord {
   return { type: RECORD_TYPES.segmentEnd, payload: new Uint8Array(0) };
 }
@@ -83,6 +77,10 @@
   return { type: RECORD_TYPES.entry, payload };
 }
 
+export function readEntryIndex(payload: Buffer): number {
+  return Number(payload.readBigUInt64BE());
+}
+
 /** The entry with a copy of its data, so that the file's bytes can be freed. `undefined`: an unknown kind. */
 export function readEntry(payload: Buffer): LogEntry | undefined {
   const kind = ENTRY_KINDS[payload.readUInt8(KIND_OFFSET)];
@@ -90,7 +88,7 @@
     return undefined;
   }
   return {
-    index: Number(payload.readBigUInt64BE()),
+    index: readEntryIndex(payload),
     term: Number(payload.readBigUInt64BE(INDEX_BYTES)),
     kind,
     data: new Uint8Array(payload.subarray(ENTRY_HEADER_BYTES)),
--- a/src/storage/log-replay.ts
+++ b/src/storage/log-replay.ts
@@ -1,26 +1,19 @@
 /** Builds the log again from the records of its segments. */
 import type { HardState, LogEntry } from '../consensus/types.js';
-import {
-  RECORD_TYPES,
-  readEntry,
-  readJson,
-  readTruncate,
-  type SegmentHeader,
-  type SnapshotMark,
-} from './log-records.js';
+import { RECORD_TYPES, readEntry, readJson, readTruncate, type SegmentHeader } from './log-records.js';
 import type { StoredRecord } from './record.js';
 
 export class LogReplay {
   hardState: HardState = { term: 0, votedFor: null };
-  /** Newest snapshot that the log speaks of. */
-  snapshotMark: SnapshotMark = { lastIndex: 0, lastTerm: 0 };
+  /** Last index of the newest snapshot that the log speaks of; 0: none. */
+  snapshotIndex = 0;
   readonly entries: LogEntry[] = [];
 
   /** Takes the next record. Gives what is wrong with it, if anything is. */
   take(record: StoredRecord): string | undefined {
     switch (record.type) {
       case RECORD_TYPES.segmentHeader:
-        this.hardState = readJson<SegmentHeader>(record.payload).hardState;
+        this.#begin(readJson<SegmentHeader>(record.payload));
         return undefined;
       case RECORD_TYPES.hardState:
         this.hardState = readJson<HardState>(record.payload);
@@ -30,9 +23,6 @@
         return undefined;
       case RECORD_TYPES.entry:
         return this.#append(readEntry(record.payload));
-      case RECORD_TYPES.snapshotMark:
-        this.#markSnapshot(readJson<SnapshotMark>(record.payload));
-        return undefined;
       case RECORD_TYPES.segmentEnd:
         return undefined;
       default:
@@ -66,9 +56,10 @@
   }
 
   /** Drops what the snapshot covers, so that a log which goes on after an installed snapshot has no gap. */
-  #markSnapshot(mark: SnapshotMark): void {
-    this.snapshotMark = mark;
-    const kept = this.entries.filter((entry) => entry.index > mark.lastIndex);
+  #begin({ hardState, snapshotIndex }: SegmentHeader): void {
+    this.hardState = hardState;
+    this.snapshotIndex = snapshotIndex;
+    const kept = this.entries.filter((entry) => entry.index > snapshotIndex);
     this.entries.splice(0, this.entries.length, ...kept);
   }
 }
--- a/src/storage/replica-store.ts
+++ b/src/storage/replica-store.ts
@@ -116,7 +116,7 @@
   const restored = restore(folder, identity, snapshot, replay);
   const store = new ReplicaStore(log, snapshots, lock);
   if (snapshot !== null) {
-    await store.finishSnapshot(snapshot, replay.snapshotMark.lastIndex);
+    await store.finishSnapshot(snapshot.lastIndex, replay.snapshotIndex);
   }
   return { identity, restored, store };
 }
@@ -135,8 +135,8 @@
   replay: LogReplay,
 ): RestoredState {
   const snapshotIndex = snapshot?.lastIndex ?? 0;
-  if (snapshotIndex < replay.snapshotMark.lastIndex) {
-    throw new StorageDamagedError(folder, `the snapshot up to ${replay.snapshotMark.lastIndex} is missing`);
+  if (snapshotIndex < replay.snapshotIndex) {
+    throw new StorageDamagedError(folder, `the snapshot up to ${replay.snapshotIndex} is missing`);
   }
   const entries = replay.entriesAfter(snapshotIndex);
   if (entries === undefined) {
@@ -163,16 +163,16 @@
         await this.log.write(changes);
         changes = [];
         await this.snapshots.save(snapshot);
-        await this.finishSnapshot(snapshot, 0);
+        await this.finishSnapshot(snapshot.lastIndex, 0);
       }
     }
     await this.log.write(changes);
   }
 
   /** Notes a snapshot in the log unless it stands there, and drops what it makes needless. */
-  async finishSnapshot({ lastIndex, lastTerm }: Snapshot, markedIndex: number): Promise<void> {
+  async finishSnapshot(lastIndex: number, markedIndex: number): Promise<void> {
     if (markedIndex < lastIndex) {
-      await this.log.markSnapshot({ lastIndex, lastTerm });
+      await this.log.markSnapshot(lastIndex);
     }
     await this.snapshots.dropBefore(lastIndex);
   }
--- a/src/storage/segment.ts
+++ b/src/storage/segment.ts
@@ -51,12 +51,12 @@
   static async reopen(
     files: FileSystem,
     folder: string,
-    found: { readonly sequence: number; readonly goodBytes: number; readonly lastIndex: number },
+    found: { readonly sequence: number; readonly goodBytes: number; readonly highestIndex: number },
   ): Promise<OpenSegment> {
     const file = await files.openToAppend(join(folder, segmentName(found.sequence)));
     await file.truncate(found.goodBytes);
     await file.sync();
-    return new OpenSegment(found.sequence, file, found.goodBytes, found.lastIndex);
+    return new OpenSegment(found.sequence, file, found.goodBytes, found.highestIndex);
   }
 
   get bytes(): number {
--- a/src/storage/write-ahead-log.ts
+++ b/src/storage/write-ahead-log.ts
@@ -7,23 +7,26 @@
   hardStateRecord,
   type LogRecord,
   RECORD_TYPES,
-  readEntry,
+  readEntryIndex,
   readJson,
   type SegmentHeader,
-  type SnapshotMark,
   segmentEndRecord,
-  snapshotMarkRecord,
   truncateRecord,
 } from './log-records.js';
 import { LogReplay } from './log-replay.js';
-import { type ScannedFile, scanRecords } from './record.js';
+import { type StoredRecord, scanRecords } from './record.js';
 import type { ReplicaIdentity } from './replica-identity.js';
 import { OpenSegment, segmentName, segmentSequences } from './segment.js';
 import { StorageDamagedError } from './storage-error.js';
 
 export const DEFAULT_SEGMENT_BYTES = 8 * 1024 * 1024;
 const FIRST_SEQUENCE = 1;
-const NO_HARD_STATE: HardState = { term: 0, votedFor: null };
+const EMPTY_LOG = {
+  sequence: FIRST_SEQUENCE,
+  previousBytes: 0,
+  hardState: { term: 0, votedFor: null },
+  snapshotIndex: 0,
+} as const;
 
 /** What is written together. */
 export interface LogChange {
@@ -56,6 +59,7 @@
   #closed: ClosedSegment[];
   #current: OpenSegment;
   #hardState: HardState;
+  #snapshotIndex: number;
 
   private constructor(
     private readonly options: WriteAheadLogOptions,
@@ -63,16 +67,19 @@
       readonly closed: ClosedSegment[];
       readonly current: OpenSegment;
       readonly hardState: HardState;
+      readonly snapshotIndex: number;
     },
   ) {
     this.#closed = found.closed;
     this.#current = found.current;
     this.#hardState = found.hardState;
+    this.#snapshotIndex = found.snapshotIndex;
   }
 
   /** Makes the first segment of a new replica. */
   static async create(options: WriteAheadLogOptions): Promise<void> {
-    const header = segmentHeader(options, FIRST_SEQUENCE, NO_HARD_STATE);
+    const { cluster, replica } = options.identity;
+    const header: SegmentHeader = { cluster, replica, ...EMPTY_LOG };
     const segment = await OpenSegment.create(options.files, options.folder, header);
     await segment.close();
   }
@@ -82,18 +89,18 @@
     const sequences = segmentSequences(names);
     checkSequences(options.folder, sequences);
     const replay = new LogReplay();
-    const segments: (ClosedSegment & { readonly goodBytes: number })[] = [];
+    const segments: ReadSegment[] = [];
     for (const sequence of sequences) {
-      const scanned = await readSegment(options, sequence, sequence === sequences.at(-1));
-      const highestIndex = replaySegment(options, sequence, scanned, replay);
-      segments.push({ sequence, highestIndex, goodBytes: scanned.goodBytes });
+      const segment = await readSegment(options, sequence);
+      replaySegment(segment, replay);
+      checkPrevious(segments.at(-1), segment);
+      segments.push(segment);
     }
-    const last = segments.pop() as (typeof segments)[number];
-    const current = await OpenSegment.reopen(options.files, options.folder, {
-      ...last,
-      lastIndex: last.highestIndex,
-    });
-    const found = { closed: segments, current, hardState: replay.hardState };
+    const last = segments.pop() as ReadSegment;
+    checkLast(options.folder, last);
+    const current = await OpenSegment.reopen(options.files, options.folder, last);
+    const { hardState, snapshotIndex } = replay;
+    const found = { closed: segments, current, hardState, snapshotIndex };
     return { log: new WriteAheadLog(options, found), replay };
   }
 
@@ -113,12 +120,11 @@
   }
 
   /** Notes that a snapshot is on disk, and drops the segments that it makes needless. */
-  async markSnapshot(mark: SnapshotMark): Promise<void> {
-    await this.#current.append([snapshotMarkRecord(mark)], 0);
-    await this.#current.sync();
+  async markSnapshot(lastIndex: number): Promise<void> {
+    this.#snapshotIndex = lastIndex;
     await this.#rotate();
     const { files, folder } = this.options;
-    while (this.#closed[0] !== undefined && this.#closed[0].highestIndex <= mark.lastIndex) {
+    while (this.#closed[0] !== undefined && this.#closed[0].highestIndex <= lastIndex) {
       await files.remove(join(folder, segmentName(this.#closed[0].sequence)));
       this.#closed.shift();
     }
@@ -131,9 +137,16 @@
 
   /** The old segment says that another one follows, so that a lost last segment is noticed. */
   async #rotate(): Promise<void> {
-    const { files, folder } = this.options;
+    const { files, folder, identity } = this.options;
     const old = this.#current;
-    const header = segmentHeader(this.options, old.sequence + 1, this.#hardState);
+    const header: SegmentHeader = {
+      cluster: identity.cluster,
+      replica: identity.replica,
+      sequence: old.sequence + 1,
+      previousBytes: old.bytes,
+      hardState: this.#hardState,
+      snapshotIndex: this.#snapshotIndex,
+    };
     this.#current = await OpenSegment.create(files, folder, header);
     await old.append([segmentEndRecord()], 0);
     await old.sync();
@@ -142,14 +155,6 @@
   }
 }
 
-function segmentHeader(
-  { identity }: WriteAheadLogOptions,
-  sequence: number,
-  hardState: HardState,
-): SegmentHeader {
-  return { cluster: identity.cluster, replica: identity.replica, sequence, hardState };
-}
-
 function recordsOf({ hardState, truncateFrom, entries = [] }: LogChange): LogRecord[] {
   return [
     ...(hardState === undefined ? [] : [hardStateRecord(hardState)]),
@@ -170,32 +175,24 @@
   });
 }
 
-async function readSegment(
-  { files, folder }: WriteAheadLogOptions,
-  sequence: number,
-  isLast: boolean,
-): Promise<ScannedFile> {
-  const path = join(folder, segmentName(sequence));
-  const file = Buffer.from(await files.read(path));
-  const scanned = scanRecords(file);
-  const hasTail = scanned.goodBytes < file.length;
-  if (scanned.damaged || (hasTail && !isLast)) {
-    throw new StorageDamagedError(path, `damaged at byte ${scanned.goodBytes}`);
-  }
-  if (isLast && scanned.records.at(-1)?.type === RECORD_TYPES.segmentEnd) {
-    throw new StorageDamagedError(folder, `${segmentName(sequence + 1)} is missing`);
-  }
-  return scanned;
+/** A segment as it was found. */
+interface ReadSegment extends ClosedSegment {
+  readonly path: string;
+  readonly header: SegmentHeader;
+  readonly records: readonly StoredRecord[];
+  readonly goodBytes: number;
 }
 
-/** Gives the highest index of an entry in the segment. */
-function replaySegment(
-  { folder, identity }: WriteAheadLogOptions,
+/** Throws `StorageDamagedError` if synced records are bad, or if it belongs to another replica. */
+async function readSegment(
+  { files, folder, identity }: WriteAheadLogOptions,
   sequence: number,
-  { records }: ScannedFile,
-  replay: LogReplay,
-): number {
+): Promise<ReadSegment> {
   const path = join(folder, segmentName(sequence));
+  const { records, goodBytes, damaged } = scanRecords(Buffer.from(await files.read(path)));
+  if (damaged) {
+    throw new StorageDamagedError(path, `damaged at byte ${goodBytes}`);
+  }
   const [first] = records;
   if (first?.type !== RECORD_TYPES.segmentHeader) {
     throw new StorageDamagedError(path, 'has no header');
@@ -204,15 +201,29 @@
   if (header.cluster !== identity.cluster || header.replica !== identity.replica) {
     throw new StorageDamagedError(path, `is of replica ${header.replica} of cluster ${header.cluster}`);
   }
-  let highestIndex = 0;
-  for (const record of records) {
+  const entries = records.filter((record) => record.type === RECORD_TYPES.entry);
+  const highestIndex = entries.reduce((high, { payload }) => Math.max(high, readEntryIndex(payload)), 0);
+  return { path, sequence, header, records, goodBytes, highestIndex };
+}
+
+function replaySegment(segment: ReadSegment, replay: LogReplay): void {
+  for (const record of segment.records) {
     const problem = replay.take(record);
     if (problem !== undefined) {
-      throw new StorageDamagedError(path, problem);
-    }
-    if (record.type === RECORD_TYPES.entry) {
-      highestIndex = Math.max(highestIndex, readEntry(record.payload)?.index ?? 0);
+      throw new StorageDamagedError(segment.path, problem);
     }
   }
-  return highestIndex;
+}
+
+/** All that was synced of a segment before the next was begun must be there. */
+function checkPrevious(previous: ReadSegment | undefined, { header }: ReadSegment): void {
+  if (previous !== undefined && previous.goodBytes < header.previousBytes) {
+    throw new StorageDamagedError(previous.path, `damaged at byte ${previous.goodBytes}`);
+  }
+}
+
+function checkLast(folder: string, { sequence, records }: ReadSegment): void {
+  if (records.at(-1)?.type === RECORD_TYPES.segmentEnd) {
+    throw new StorageDamagedError(folder, `${segmentName(sequence + 1)} is missing`);
+  }
 }
