--- a/src/cli/commands/service-apply.ts
+++ b/src/cli/commands/service-apply.ts
@@ -11,40 +11,63 @@
 import { DRY_RUN_OPTION, writePreview } from '../preview.js';
 import { reportChange } from '../report-change.js';
 
-async function send(
+/** A change that was accepted. */
+interface AcceptedChange {
+  readonly identity: string;
+  readonly body: ChangeBody;
+}
+
+/** Waits for the last change only: what is in force at its revision was in force at those before. */
+function queryOf(invocation: Invocation, isLast: boolean): string {
+  return isLast ? waitQuery(invocation.options) : '?wait=false';
+}
+
+async function sendAll(
   invocation: Invocation,
   client: ControlClient,
-  change: PlannedChange,
-  ids: { readonly commandId: string; readonly requestId: string },
+  changes: readonly PlannedChange[],
+  commandId: string,
 ): Promise<ExitCode> {
-  const { body } = await client.change<ChangeBody>({
-    ...ids,
-    method: 'PUT',
-    path: change.path + waitQuery(invocation.options),
-    body: change.definition,
-    expected: invocation.options.count('revision') ?? change.revision,
-  });
-  return reportChange(invocation, change.identity, body);
+  const { options } = invocation;
+  const accepted: AcceptedChange[] = [];
+  try {
+    for (const change of changes) {
+      const isLast = change === changes.at(-1);
+      const { body } = await client.change<ChangeBody>({
+        commandId,
+        requestId: `${commandId}/${change.identity}`,
+        method: 'PUT',
+        path: change.path + queryOf(invocation, isLast),
+        body: change.definition,
+        expected: options.count('revision') ?? change.revision,
+      });
+      accepted.push({ identity: change.identity, body });
+    }
+  } catch (thrown) {
+    for (const { identity, body } of accepted) {
+      invocation.io.write(`${identity}: accepted, revision ${body.revision}\n`);
+    }
+    throw thrown;
+  }
+  const inForce = accepted.at(-1)?.body.inForce ?? true;
+  const codes = accepted.map(({ identity, body }) =>
+    reportChange(invocation, identity, { ...body, inForce }),
+  );
+  return codes.at(-1) ?? EXIT_CODES.ok;
 }
 
-async function sendAll(
+/** Changes that are left out, since nothing would change. A resend leaves out none: its first outcome is asked for. */
+async function apply(
   invocation: Invocation,
   client: ControlClient,
   changes: readonly PlannedChange[],
 ): Promise<ExitCode> {
   const resent = invocation.options.text('request-id');
-  const commandId = resent ?? randomUUID();
-  let exitCode: ExitCode = EXIT_CODES.ok;
-  for (const change of changes) {
-    if (change.difference.length === 0 && resent === undefined) {
-      invocation.io.write(`${change.identity}: unchanged\n`);
-      continue;
-    }
-    const requestId = changes.length === 1 ? commandId : `${commandId}/${change.identity}`;
-    const result = await send(invocation, client, change, { commandId, requestId });
-    exitCode = result === EXIT_CODES.ok ? exitCode : result;
+  const isNeeded = ({ difference }: PlannedChange) => difference.length > 0 || resent !== undefined;
+  for (const { identity } of changes.filter((change) => !isNeeded(change))) {
+    invocation.io.write(`${identity}: unchanged\n`);
   }
-  return exitCode;
+  return sendAll(invocation, client, changes.filter(isNeeded), resent ?? randomUUID());
 }
 
 async function run(invocation: Invocation): Promise<ExitCode> {
@@ -63,7 +86,7 @@
     }
     return EXIT_CODES.ok;
   }
-  return sendAll(invocation, client, changes);
+  return apply(invocation, client, changes);
 }
 
 export const serviceApply: CommandSpec = {
