--- a/src/cli/commands/router-run.ts
+++ b/src/cli/commands/router-run.ts
@@ -28,6 +28,7 @@
     control,
     secret: readSecret(settings.secretFile),
     platformUrl,
+    probePath: settings.probePath,
     limits: {
       ...DEFAULT_ROUTER_LIMITS,
       maxBodyBytes: settings.requestBodyBytes,
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -108,7 +108,10 @@
     await this.internal.start();
     this.admin = await startAdminServer({
       listen: this.settings.admin,
-      metrics: createControlMetrics(() => this.core.status()),
+      metrics: createControlMetrics({
+        raft: () => this.core.status(),
+        cluster: () => this.operate({ type: 'get-status' }),
+      }),
       health: () => ({ healthy: true, ...this.core.status() }),
       app: this.settings.createAdminApp?.(this) ?? null,
     });
--- a/src/control/daemon/metrics.ts
+++ b/src/control/daemon/metrics.ts
@@ -1,23 +1,80 @@
 /** Metrics of a control daemon. */
 import { Gauge, Registry } from 'prom-client';
 import type { RaftStatus } from '../../consensus/types.js';
+import type { OperatorResponse } from '../types.js';
 
-/** Makes the gauges, which read the replica's status when they are scraped. */
-export function createControlMetrics(status: () => RaftStatus): Registry {
-  const registry = new Registry();
-  const gauge = (name: string, help: string, read: (status: RaftStatus) => number): void => {
+/** The cluster's state as the leader sees it. */
+type ClusterStatus = Extract<OperatorResponse, { readonly type: 'status' }>;
+
+/** One answer of the core serves all gauges of a scrape. */
+const SHARED_MILLIS = 500;
+
+/** Where the gauges read from when they are scraped. */
+export interface ControlMetricsSource {
+  readonly raft: () => RaftStatus;
+  readonly cluster: () => Promise<OperatorResponse>;
+}
+
+type AddGauge<Status> = (name: string, help: string, read: (status: Status) => number) => void;
+
+function adder<Status>(registry: Registry, status: () => Status | Promise<Status>): AddGauge<Status> {
+  return (name, help, read) => {
     const metric: Gauge = new Gauge({
       name: `ternmount_control_${name}`,
       help,
       registers: [registry],
-      collect: () => metric.set(read(status())),
+      collect: async () => metric.set(read(await status())),
     });
   };
-  gauge('is_leader', '1 on the leader, 0 elsewhere', ({ role }) => (role === 'leader' ? 1 : 0));
-  gauge('term', 'Raft term', ({ term }) => term);
-  gauge('commit_index', 'Index of the last committed log entry', ({ commitIndex }) => commitIndex);
-  gauge('last_index', 'Index of the last log entry', ({ lastIndex }) => lastIndex);
-  gauge('first_index', 'Index of the first log entry kept', ({ firstIndex }) => firstIndex);
-  gauge('voters', 'Replicas that vote', ({ membership }) => membership.voters.length);
+}
+
+/** Asks at most once in a while, so that a scrape asks once. */
+function shared<Value>(ask: () => Promise<Value>): () => Promise<Value> {
+  let answer: Promise<Value> | undefined;
+  let askedAt = Number.NEGATIVE_INFINITY;
+  return () => {
+    const now = performance.now();
+    if (answer === undefined || now - askedAt >= SHARED_MILLIS) {
+      askedAt = now;
+      answer = ask();
+    }
+    return answer;
+  };
+}
+
+function addReplicaGauges(add: AddGauge<RaftStatus>): void {
+  add('is_leader', '1 on the leader, 0 elsewhere', ({ role }) => (role === 'leader' ? 1 : 0));
+  add('term', 'Raft term', ({ term }) => term);
+  add('commit_index', 'Index of the last committed log entry', ({ commitIndex }) => commitIndex);
+  add('last_index', 'Index of the last log entry', ({ lastIndex }) => lastIndex);
+  add('first_index', 'Index of the first log entry kept', ({ firstIndex }) => firstIndex);
+  add('voters', 'Replicas that vote', ({ membership }) => membership.voters.length);
+}
+
+/** 0 on members that don't lead: only the leader knows of sessions. */
+function addClusterGauges(add: AddGauge<ClusterStatus | null>): void {
+  const ofLeader = (read: (status: ClusterStatus) => number) => (status: ClusterStatus | null) =>
+    status?.raft.role === 'leader' ? read(status) : 0;
+  const addOfLeader = (name: string, help: string, read: (status: ClusterStatus) => number): void =>
+    add(name, `${help}; leader only`, ofLeader(read));
+  addOfLeader('unowned_shards', 'Shards without an owner', ({ unownedShards }) => unownedShards);
+  addOfLeader('moving_shards', 'Shards in a planned move', ({ movingShards }) => movingShards);
+  addOfLeader(
+    'upstreams_without_lease',
+    'Upstreams of keyed services whose session is not renewed',
+    ({ upstreams }) => upstreams.filter(({ state }) => state !== 'leased').length,
+  );
+  addOfLeader('routers', 'Routers connected to this member', ({ routers }) => routers.length);
+}
+
+/** Makes the gauges, which read the replica's status when they are scraped. */
+export function createControlMetrics(source: ControlMetricsSource): Registry {
+  const registry = new Registry();
+  addReplicaGauges(adder(registry, source.raft));
+  const cluster = shared(async () => {
+    const response = await source.cluster();
+    return response.type === 'status' ? response : null;
+  });
+  addClusterGauges(adder<ClusterStatus | null>(registry, cluster));
   return registry;
 }
--- a/src/router/hints/health-probes.ts
+++ b/src/router/hints/health-probes.ts
@@ -5,8 +5,11 @@
 import { HEADERS } from '../../model/outcome.js';
 
 export interface HealthProbesOptions {
+  /** 0: no probes. */
   readonly intervalMillis: number;
   readonly timeoutMillis: number;
+  /** Path of the health endpoint of upstreams. */
+  readonly path: string;
   readonly localAddress?: string | undefined;
   /** 0 to below 1; spreads probes of many routers. */
   readonly random?: () => number;
@@ -33,6 +36,9 @@
 
   /** Probes these upstreams from now on, and no others. */
   probe(addresses: ReadonlyMap<UpstreamId, Address>): void {
+    if (this.options.intervalMillis <= 0) {
+      return;
+    }
     for (const [upstream, target] of this.targets) {
       if (addresses.get(upstream) !== target.address) {
         clearTimeout(target.timer);
@@ -67,7 +73,7 @@
 
   private async ask(address: Address): Promise<{ readonly healthy: boolean; readonly load: number | null }> {
     try {
-      const response = await got(`http://${address}/ternmount/v1/health`, {
+      const response = await got(`http://${address}${this.options.path}`, {
         agent: { http: this.agent },
         ...(this.options.localAddress && { localAddress: this.options.localAddress }),
         timeout: { request: this.options.timeoutMillis },
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -175,6 +175,7 @@
     return new HealthProbes({
       intervalMillis: probeMillis,
       timeoutMillis: probeTimeoutMillis,
+      path: this.settings.probePath,
       localAddress: this.settings.outgoing,
       result: (upstream, healthy, load) => this.task.post({ type: 'probe-result', upstream, healthy, load }),
     });
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -20,6 +20,8 @@
   readonly secret: string;
   /** `GET` here gives the platform's list: `{"live":["id"],"leaving":["id"]}`. */
   readonly platformUrl?: string | null;
+  /** Path of upstreams' health endpoint; that of `ternmount/upstream` if left out. */
+  readonly probePath?: string;
   readonly limits?: Partial<RouterLimits>;
   readonly timings?: Partial<RouterTimings>;
   readonly http?: Partial<HttpLimits>;
@@ -45,6 +47,7 @@
   readonly connectMillis: number;
   /** Silence in the middle of a streamed answer, of either end, after which it is broken off. */
   readonly streamStallMillis: number;
+  /** Time between two probes of an upstream; 0: no probes. */
   readonly probeMillis: number;
   readonly probeTimeoutMillis: number;
   readonly platformMillis: number;
@@ -70,8 +73,11 @@
   idleMillis: 500,
 };
 
+const DEFAULT_PROBE_PATH = '/ternmount/v1/health';
+
 /** Settings with all defaults filled in. */
 export interface CompleteRouterSettings extends RouterDaemonSettings {
+  readonly probePath: string;
   readonly limits: RouterLimits;
   readonly timings: RouterTimings;
   readonly http: HttpLimits;
@@ -81,6 +87,7 @@
 export function completeRouterSettings(settings: RouterDaemonSettings): CompleteRouterSettings {
   return {
     ...settings,
+    probePath: settings.probePath ?? DEFAULT_PROBE_PATH,
     limits: { ...DEFAULT_ROUTER_LIMITS, ...settings.limits },
     timings: { ...DEFAULT_ROUTER_TIMINGS, ...settings.timings },
     http: { ...DEFAULT_HTTP_LIMITS, ...settings.http },
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -44,20 +44,17 @@
   readonly connectionsPerUpstream: number;
   /** Longest body of a request. */
   readonly requestBodyBytes: number;
-  /** Longest time for requests in flight at a planned stop. */
-  readonly stopTimeoutMillis: number;
   readonly log: string;
 }
 
 /** Defaults of the router daemon. */
 export const ROUTER_DEFAULTS = {
   claimTimeoutMillis: 1000,
-  probePath: '/health',
+  probePath: '/ternmount/v1/health',
   probeIntervalMillis: 1000,
   platformIntervalMillis: 1000,
   connectionsPerUpstream: 16,
   requestBodyBytes: 1024 * 1024,
-  stopTimeoutMillis: 30_000,
   log: 'ternmount:*',
 } as const;
 
@@ -88,7 +85,6 @@
   platformInterval: positiveDurationSchema.optional(),
   connectionsPerUpstream: countSchema.optional(),
   requestBody: sizeSchema.optional(),
-  stopTimeout: positiveDurationSchema.optional(),
   log: z.string().optional(),
 });
 type RouterFields = z.output<typeof routerObject>;
@@ -126,7 +122,6 @@
     platformIntervalMillis: fields.platformInterval ?? ROUTER_DEFAULTS.platformIntervalMillis,
     connectionsPerUpstream: fields.connectionsPerUpstream ?? ROUTER_DEFAULTS.connectionsPerUpstream,
     requestBodyBytes: fields.requestBody ?? ROUTER_DEFAULTS.requestBodyBytes,
-    stopTimeoutMillis: fields.stopTimeout ?? ROUTER_DEFAULTS.stopTimeoutMillis,
     log: fields.log ?? ROUTER_DEFAULTS.log,
   }),
 );
@@ -152,7 +147,6 @@
   { path: ['platformInterval'] },
   { path: ['connectionsPerUpstream'] },
   { path: ['requestBody'] },
-  { path: ['stopTimeout'] },
   { path: ['log'] },
 ];
 
