Internal ports for others need a secret

Cause: without secretFile the proof is made with an empty secret, so whoever knew the cluster's name was let in. Three cases of the new table failed first.

--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -38,7 +38,7 @@
   readonly admin: Address;
   /** Internal addresses of the other members, for a replica that joins. */
   readonly peers: readonly Address[];
-  /** File with the secret that the project's own processes share; `null`: none. */
+  /** File with the secret that the project's own processes share; `null`: none (loopback addresses only). */
   readonly secretFile: string | null;
   /** File with operators' tokens; `null`: no check (loopback addresses only). */
   readonly tokensFile: string | null;
@@ -133,6 +133,10 @@
   if (fields.listen === fields.admin) {
     context.addIssue({ code: 'custom', path: ['admin'], message: 'must differ from listen' });
   }
+  if (fields.secretFile === undefined && !isLoopback(fields.listen)) {
+    const message = 'is missing: the internal port needs a secret unless listen is a loopback address';
+    context.addIssue({ code: 'custom', path: ['secretFile'], message });
+  }
   if (fields.tokensFile === undefined && !isLoopback(fields.admin)) {
     const message = 'is missing: the operators’ API needs tokens unless admin is a loopback address';
     context.addIssue({ code: 'custom', path: ['tokensFile'], message });
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -9,6 +9,7 @@
   clockRateErrorSchema,
   completeConfigLease,
   hostSchema,
+  isLoopback,
   pathSchema,
   reachableAddressSchema,
   zoneFields,
@@ -30,6 +31,7 @@
   readonly admin: Address;
   /** Internal addresses of the control members. */
   readonly control: readonly Address[];
+  /** `null`: none (control on loopback addresses only). */
   readonly secretFile: string | null;
   readonly configLease: ConfigLeaseTimings;
   readonly claimTimeoutMillis: number;
@@ -98,6 +100,10 @@
     ['timings'],
     context,
   );
+  if (fields.secretFile === undefined && !fields.control.every(isLoopback)) {
+    const message = 'is missing: control needs a secret unless all its addresses are loopback ones';
+    context.addIssue({ code: 'custom', path: ['secretFile'], message });
+  }
   if (fields.listen === fields.admin) {
     context.addIssue({ code: 'custom', path: ['admin'], message: 'must differ from listen' });
   }
--- /dev/null
+++ b/test/settings/settings-security.test.ts
@@ -0,0 +1,63 @@
+/** Settings that would leave a port open to strangers are refused, with the place of the fault. */
+import { expect } from 'chai';
+import { loadControlSettings } from '../../src/settings/control-settings.js';
+import { loadRouterSettings } from '../../src/settings/router-settings.js';
+import { SettingsError } from '../../src/settings/settings-error.js';
+
+type Flags = Readonly<Record<string, string>>;
+
+const CONTROL: Flags = {
+  cluster: 'north',
+  zone: 'zone-a',
+  'data-folder': './data',
+  listen: '127.0.0.1:7400',
+  admin: '127.0.0.1:7401',
+};
+const ROUTER: Flags = {
+  cluster: 'north',
+  router: 'router-1',
+  zone: 'zone-a',
+  listen: '127.0.0.1:8000',
+  admin: '127.0.0.1:8001',
+  control: '127.0.0.1:7400',
+};
+const SECRET = { 'secret-file': 'cluster.secret' };
+const TOKENS = { 'tokens-file': 'tokens.yaml' };
+
+const control = (flags: Flags) => loadControlSettings({ environment: {}, flags: { ...CONTROL, ...flags } });
+const router = (flags: Flags) => loadRouterSettings({ environment: {}, flags: { ...ROUTER, ...flags } });
+
+const CASES: readonly (readonly [string, () => unknown, string | null])[] = [
+  ['control on loopback with nothing', () => control({}), null],
+  [
+    'control with secret and tokens',
+    () => control({ listen: '10.0.0.1:1', admin: '10.0.0.1:2', ...SECRET, ...TOKENS }),
+    null,
+  ],
+  ['an admin port for others without tokens', () => control({ admin: '10.0.0.1:7401' }), 'tokensFile'],
+  ['an internal port for others without a secret', () => control({ listen: '10.0.0.1:7400' }), 'secretFile'],
+  [
+    'an internal port on all addresses without a secret',
+    () => control({ listen: '0.0.0.0:7400', advertise: '10.0.0.1:7400' }),
+    'secretFile',
+  ],
+  ['a router on loopback with nothing', () => router({}), null],
+  ['a router with a secret', () => router({ control: '10.0.0.1:7400', ...SECRET }), null],
+  [
+    'a router of control elsewhere without a secret',
+    () => router({ control: '127.0.0.1:7400,10.0.0.1:7400' }),
+    'secretFile',
+  ],
+];
+
+describe('settings of ports', () => {
+  for (const [name, load, problem] of CASES) {
+    it(`${name}: ${problem === null ? 'accepted' : `refused for ${problem}`}`, () => {
+      if (problem === null) {
+        load();
+        return;
+      }
+      expect(load).to.throw(SettingsError).with.property('message').that.contains(problem);
+    });
+  }
+});
