--- a/src/cli/cli-error.ts
+++ b/src/cli/cli-error.ts
@@ -107,11 +107,11 @@
   return EXIT_CODES.failed;
 }
 
-/** An error of the project is for its reader; any other is a fault of the program, so its stack is shown. */
-export function describeFailure(thrown: unknown): string {
+/** What to tell of an error: each fault of a file, or one text. A fault of the program itself shows its stack. */
+export function describeFailure(thrown: unknown): string[] {
   if (thrown instanceof SettingsError) {
-    return thrown.problems.map(formatProblem).join('\n');
+    return thrown.problems.map(formatProblem);
   }
   const error = toError(thrown);
-  return error instanceof TernmountError ? error.message : (error.stack ?? error.message);
+  return [error instanceof TernmountError ? error.message : (error.stack ?? error.message)];
 }
--- a/test/cli/cli-harness.ts
+++ b/test/cli/cli-harness.ts
@@ -2,10 +2,8 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { describeFailure, exitCodeOf } from '../../src/cli/cli-error.js';
 import { type CliIo, interruptibleSleep } from '../../src/cli/cli-io.js';
-import { COMMANDS } from '../../src/cli/command-list.js';
-import { dispatch } from '../../src/cli/dispatcher.js';
+import { runCommandLine } from '../../src/cli/run-command-line.js';
 
 /** How a command line went. */
 export interface CliResult {
@@ -49,15 +47,6 @@
     stopSignal: signal,
     sleep: (millis) => interruptibleSleep(Math.min(millis, 20), signal),
   };
-  try {
-    const dispatched = dispatch(COMMANDS, words);
-    if (dispatched.type !== 'run') {
-      return { exitCode: 0, output, errors };
-    }
-    const { command, positionals, options } = dispatched;
-    return { exitCode: await command.run({ positionals, options, io }), output, errors };
-  } catch (thrown) {
-    errors += describeFailure(thrown);
-    return { exitCode: exitCodeOf(thrown), output, errors };
-  }
+  const exitCode = await runCommandLine(words, io);
+  return { exitCode, output, errors };
 }
