--- a/src/cli/cli-error.ts
+++ b/src/cli/cli-error.ts
@@ -1,6 +1,6 @@
 /** Errors of the command line, each with its exit code. */
 import type { AdminErrorBody, AdminErrorCode } from '../control/admin/index.js';
-import { TernmountError, toError } from '../errors/ternmount-error.js';
+import { TernmountError } from '../errors/ternmount-error.js';
 import { formatProblem, SettingsError } from '../settings/settings-error.js';
 import { EXIT_CODES, type ExitCode } from './exit-codes.js';
 
@@ -107,11 +107,14 @@
   return EXIT_CODES.failed;
 }
 
-/** What to tell of an error: each fault of a file, or one text. A fault of the program itself shows its stack. */
-export function describeFailure(thrown: unknown): string[] {
-  if (thrown instanceof SettingsError) {
-    return thrown.problems.map(formatProblem);
+/** Runs `check`; wrong settings become an error that names each fault on a line of its own. */
+export function namingEachFault<Value>(check: () => Value): Value {
+  try {
+    return check();
+  } catch (thrown) {
+    if (thrown instanceof SettingsError) {
+      throw new UsageError(thrown.problems.map(formatProblem).join('\n'));
+    }
+    throw thrown;
   }
-  const error = toError(thrown);
-  return [error instanceof TernmountError ? error.message : (error.stack ?? error.message)];
 }
--- a/src/cli/commands/service-apply.ts
+++ b/src/cli/commands/service-apply.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { loadDefinitions } from '../../settings/definition-documents.js';
 import type { ChangeBody } from '../api-types.js';
-import { UsageError } from '../cli-error.js';
+import { namingEachFault, UsageError } from '../cli-error.js';
 import { CHANGE_OPTIONS, createClient, REVISION_OPTION, waitQuery } from '../client-options.js';
 import type { CommandSpec, Invocation } from '../command-spec.js';
 import type { ControlClient } from '../control-client.js';
@@ -72,13 +72,13 @@
 
 async function run(invocation: Invocation): Promise<ExitCode> {
   const { options, io, positionals } = invocation;
-  const documents = positionals.flatMap((file) => loadDefinitions(file));
+  const documents = namingEachFault(() => positionals.flatMap((file) => loadDefinitions(file)));
   if (options.text('revision') !== undefined && documents.length > 1) {
     throw new UsageError('--revision is for a file with one declaration');
   }
   const client = createClient(options, io);
   const current = await readCurrent(client);
-  checkDeclarations(documents, current);
+  namingEachFault(() => checkDeclarations(documents, current));
   const changes = planChanges(documents, current);
   if (options.on('dry-run')) {
     for (const { identity, before, after, revision } of changes) {
--- a/src/cli/run-command-line.ts
+++ b/src/cli/run-command-line.ts
@@ -1,6 +1,7 @@
-/** Runs one command line. A failure is one line on standard error (one for each fault of a file) and an exit code, never a thrown error. */
+/** Runs one command line. A failure is one line on standard error and an exit code, never a thrown error. */
 import { readFileSync } from 'node:fs';
-import { describeFailure, exitCodeOf } from './cli-error.js';
+import { TernmountError, toError } from '../errors/ternmount-error.js';
+import { exitCodeOf } from './cli-error.js';
 import type { CliIo } from './cli-io.js';
 import { COMMANDS } from './command-list.js';
 import { dispatch, PROGRAM_NAME } from './dispatcher.js';
@@ -13,11 +14,7 @@
   try {
     return await runCommand(words, io);
   } catch (thrown) {
-    io.writeError(
-      describeFailure(thrown)
-        .map((line) => `${PROGRAM_NAME}: ${line}\n`)
-        .join(''),
-    );
+    io.writeError(`${PROGRAM_NAME}: ${describe(thrown)}\n`);
     return exitCodeOf(thrown);
   }
 }
@@ -40,3 +37,9 @@
 function readVersion(): string {
   return (JSON.parse(readFileSync(PACKAGE_FILE, 'utf8')) as { version: string }).version;
 }
+
+/** An error of the project is for its reader; any other is a fault of the program, so its stack is shown. */
+function describe(thrown: unknown): string {
+  const error = toError(thrown);
+  return error instanceof TernmountError ? error.message : (error.stack ?? error.message);
+}
--- a/src/settings/common-schemas.ts
+++ b/src/settings/common-schemas.ts
@@ -46,6 +46,11 @@
   return ANY_HOST.has(splitAddress(address)?.host ?? '');
 }
 
+/** Whether processes of other machines can connect. Not said of what isn't an address. */
+export function isForOthers(address: string): boolean {
+  return splitAddress(address) !== undefined && !isLoopback(address);
+}
+
 /** Whether only processes of the same machine can connect. */
 export function isLoopback(address: string): boolean {
   const host = splitAddress(address)?.host ?? '';
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -12,6 +12,7 @@
   completeConfigLease,
   hostSchema,
   isAnyHost,
+  isForOthers,
   isLoopback,
   pathSchema,
   reachableAddressSchema,
@@ -133,7 +134,7 @@
   if (fields.listen === fields.admin) {
     context.addIssue({ code: 'custom', path: ['admin'], message: 'must differ from listen' });
   }
-  if (fields.secretFile === undefined && !isLoopback(fields.listen)) {
+  if (fields.secretFile === undefined && isForOthers(fields.listen)) {
     const message = 'is missing: the internal port needs a secret unless listen is a loopback address';
     context.addIssue({ code: 'custom', path: ['secretFile'], message });
   }
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -9,7 +9,7 @@
   clockRateErrorSchema,
   completeConfigLease,
   hostSchema,
-  isLoopback,
+  isForOthers,
   pathSchema,
   reachableAddressSchema,
   zoneFields,
@@ -100,7 +100,7 @@
     ['timings'],
     context,
   );
-  if (fields.secretFile === undefined && !fields.control.every(isLoopback)) {
+  if (fields.secretFile === undefined && fields.control.some(isForOthers)) {
     const message = 'is missing: control needs a secret unless all its addresses are loopback ones';
     context.addIssue({ code: 'custom', path: ['secretFile'], message });
   }
--- a/test/contract/admin-harness.ts
+++ b/test/contract/admin-harness.ts
@@ -91,6 +91,8 @@
     revision,
     upstreams: [],
     routers: [],
+    waitingReplicas: [],
+    memberSilentMillis: {},
     unownedShards: 0,
     movingShards: 0,
   };
--- a/test/contract/daemon-start.test.ts
+++ b/test/contract/daemon-start.test.ts
@@ -3,6 +3,7 @@
 import { createServer, type Server } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { expect } from 'chai';
 import { stringify } from 'yaml';
 import { createReplica, lockFolder } from '../../src/storage/index.js';
@@ -37,6 +38,9 @@
   readonly says: readonly string[];
 }
 
+/** Long enough for a secret. */
+const SOME_FILE = fileURLToPath(new URL('../../../package.json', import.meta.url));
+
 const WRONG_CONTROL: Record<string, WrongStart> = {
   'an unknown key': { settings: { ...CONTROL, colour: 'red' }, says: ['FILE:5:1: colour: unknown key'] },
   'a unit left out': {
@@ -92,7 +96,7 @@
     says: ["/nowhere/secret: can't be read (ENOENT)"],
   },
   "an address that isn't the machine's": {
-    settings: { ...CONTROL, listen: '203.0.113.1:8002' },
+    settings: { ...CONTROL, listen: '203.0.113.1:8002', secretFile: SOME_FILE },
     runOnly: true,
     says: ["203.0.113.1:8002 isn't an address of this machine"],
   },
