--- a/src/control/daemon/metrics.ts
+++ b/src/control/daemon/metrics.ts
@@ -1,5 +1,5 @@
 /** Metrics of a control daemon. */
-import { Gauge, Registry } from 'prom-client';
+import { collectDefaultMetrics, Gauge, Registry } from 'prom-client';
 import type { RaftStatus } from '../../consensus/types.js';
 import type { OperatorResponse } from '../types.js';
 
@@ -70,6 +70,7 @@
 /** Makes the gauges, which read the replica's status when they are scraped. */
 export function createControlMetrics(source: ControlMetricsSource): Registry {
   const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
   addReplicaGauges(adder(registry, source.raft));
   const cluster = shared(async () => {
     const response = await source.cluster();
