--- a/src/dev/main.ts
+++ b/src/dev/main.ts
@@ -1,38 +1,13 @@
 #!/usr/bin/env node
-/**
- * `ternmount-dev`: stand-ins, the fleet runner and other tools of development. Every file of `commands/` that
- * exports a `command` is one of its commands.
- */
-import { readdirSync } from 'node:fs';
-import { cac } from 'cac';
+/** `ternmount-dev`: stand-ins, the fleet runner and other tools of development. */
 import { toError } from '../errors/ternmount-error.js';
-import type { DevCommand } from './commands/dev-command.js';
+import { createDevCli } from './dev-cli.js';
 
-const COMMANDS_FOLDER = new URL('./commands/', import.meta.url);
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
 
-/** Loads every command, in the order of file names. */
-async function loadCommands(): Promise<DevCommand[]> {
-  const files = readdirSync(COMMANDS_FOLDER)
-    .filter((name) => name.endsWith('.js'))
-    .sort();
-  const commands: DevCommand[] = [];
-  for (const file of files) {
-    const module = (await import(new URL(file, COMMANDS_FOLDER).href)) as { command?: DevCommand };
-    if (module.command) {
-      commands.push(module.command);
-    }
-  }
-  return commands;
-}
-
 async function main(): Promise<void> {
-  const cli = cac('ternmount-dev');
-  for (const command of await loadCommands()) {
-    command.register(cli);
-  }
-  cli.help();
+  const cli = await createDevCli();
   cli.parse(process.argv, { run: false });
   if (cli.matchedCommand) {
     await cli.runMatchedCommand();
--- /dev/null
+++ b/test/docs/completeness.test.ts
@@ -0,0 +1,135 @@
+/** Reference pages name everything that there is, and their YAML is taken as it stands. */
+import { readdirSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { expect } from 'chai';
+import { parse } from 'yaml';
+import { COMMANDS } from '../../src/cli/command-list.js';
+import { EXIT_CODES } from '../../src/cli/exit-codes.js';
+import { createControlMetrics } from '../../src/control/daemon/metrics.js';
+import { RouterMetrics } from '../../src/router/metrics.js';
+import type { RefusalReason } from '../../src/routing/types.js';
+import { CONTROL_SETTING_NAMES, controlSettingsSchema } from '../../src/settings/control-settings.js';
+import { parseDefinitions } from '../../src/settings/definition-documents.js';
+import { serviceFields, upstreamFields } from '../../src/settings/definition-schemas.js';
+import { ROUTER_SETTING_NAMES, routerSettingsSchema } from '../../src/settings/router-settings.js';
+import { runCli } from '../cli/cli-harness.js';
+import { type Block, blocksOf, readPage, readPages } from './pages.js';
+
+const EXAMPLES = fileURLToPath(new URL('../../../examples/first-service/', import.meta.url));
+/** Every reason, so that the compiler asks for a new one here too. */
+const REASONS: Readonly<Record<RefusalReason, true>> = {
+  'no-configuration': true,
+  'unknown-service': true,
+  'key-required': true,
+  'idempotency-key-required': true,
+  'idempotency-key-mismatch': true,
+  'idempotency-key-expired': true,
+  'still-running': true,
+  'outcome-unknown': true,
+  'ledger-unavailable': true,
+  'no-owner': true,
+  'no-upstream': true,
+  'queue-full': true,
+  'would-miss-deadline': true,
+  'deadline-passed': true,
+  'policy-refused': true,
+  'upstream-failed': true,
+  'retry-budget-spent': true,
+};
+
+function expectAll(page: string, words: readonly string[]): void {
+  const text = readPage(page);
+  const missing = words.filter((word) => !text.includes(`\`${word}\``));
+  expect(missing, `missing on ${page}`).to.deep.equal([]);
+}
+
+/** Checks a block of YAML by the keys that it has. */
+function checkYaml({ page, line, text }: Block): void {
+  const value = parse(text.split(/^---$/m)[0] ?? '') as Record<string, unknown>;
+  if (typeof value !== 'object' || value === null) {
+    return;
+  }
+  if ('kind' in value) {
+    parseDefinitions(`${page}:${line}`, text);
+  } else if ('dataFolder' in value) {
+    controlSettingsSchema.parse(value);
+  } else if ('router' in value) {
+    routerSettingsSchema.parse(value);
+  }
+}
+
+describe('reference pages', () => {
+  it('settings: every setting of both daemons', () => {
+    const names = [...CONTROL_SETTING_NAMES, ...ROUTER_SETTING_NAMES];
+    expectAll(
+      'docs/operators/settings.md',
+      names.map(({ path }) => path.join('.')),
+    );
+  });
+
+  it('service files: every field of services and upstreams', () => {
+    expectAll('docs/operators/service-files.md', [
+      ...Object.keys(serviceFields),
+      ...Object.keys(upstreamFields),
+    ]);
+  });
+
+  it('exit codes: every code', () => {
+    const text = readPage('docs/operators/exit-codes.md');
+    for (const code of Object.values(EXIT_CODES)) {
+      expect(text).to.contain(`| ${code} |`);
+    }
+  });
+
+  it('alerts: every metric of the project, and every reason', () => {
+    const control = createControlMetrics({
+      raft: () => {
+        throw new Error('not scraped');
+      },
+      cluster: async () => ({ type: 'unknown' }),
+    });
+    const router = new RouterMetrics(() => ({ revision: 0, serving: false, queued: 0, inFlight: 0 }));
+    const names = [...control.getMetricsAsArray(), ...router.registry.getMetricsAsArray()].map(
+      ({ name }) => name,
+    );
+    expectAll('docs/operators/alerts.md', [
+      ...names.filter((name) => name.startsWith('ternmount_')),
+      ...Object.keys(REASONS),
+    ]);
+  });
+
+  it('operators: every page is in the index', () => {
+    const folder = fileURLToPath(new URL('../../../docs/operators/', import.meta.url));
+    const index = readPage('docs/operators/README.md');
+    for (const name of readdirSync(folder)) {
+      expect(name === 'README.md' || index.includes(`(${name})`), name).to.equal(true);
+    }
+  });
+
+  it('design: every page is in the index', () => {
+    const folder = fileURLToPath(new URL('../../../docs/design/', import.meta.url));
+    const index = readPage('docs/design/README.md');
+    for (const name of readdirSync(folder).filter((file) => file.endsWith('.md'))) {
+      expect(name === 'README.md' || index.includes(`(${name})`), name).to.equal(true);
+    }
+  });
+
+  for (const block of readPages().flatMap(blocksOf)) {
+    if (block.language === 'yaml') {
+      it(`the YAML at ${block.page}:${block.line} is taken`, () => checkYaml(block));
+    }
+  }
+
+  it('the files of the first service are valid', async () => {
+    const files = readdirSync(EXAMPLES).filter((name) => name.endsWith('.yaml'));
+    const result = await runCli(['config', 'validate', ...files.map((name) => EXAMPLES + name)]);
+    expect(result.exitCode, result.errors).to.equal(0);
+    expect(files.length).to.be.greaterThan(4);
+  });
+
+  it('every command has a summary that begins with a capital letter', () => {
+    for (const { name, summary } of COMMANDS) {
+      expect(summary, name).to.match(/^[A-Z]/);
+    }
+  });
+});
