Quorum rounds at least 10 ms apart; a session call's timer ends with the call

Rounds ran back to back as long as any renewal or sync waited: on one machine several hundred a second. Renewals ask for their round 25 ms ahead and syncs renew leases of 1.8 s, so 10 ms between rounds cost nothing. AbortSignal.timeout kept a timer and made an exception for each call of the last 300 ms, also of those long answered.

Scale run: the lost server is one with a usual number of shards.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -106,6 +106,7 @@
     return Math.min(
       this.#raft.nextDeadline(),
       this.#operators.nextDeadline(),
+      this.#routers.nextDeadline(),
       this.#membership.nextDeadline(),
       this.#leader?.nextDeadline(this.#now) ?? Number.POSITIVE_INFINITY,
     );
@@ -190,6 +191,7 @@
     this.#raft.feed({ type: 'tick' });
     while (this.#raft.run(now)) {
       this.#operators.run(now);
+      this.#routers.run(now);
       this.#membership.run(now);
       this.#leader?.run(now);
       this.#snapshotWhenDue();
--- a/src/control/daemon/upstream-sessions.ts
+++ b/src/control/daemon/upstream-sessions.ts
@@ -60,12 +60,15 @@
 
   private async exchange(upstream: UpstreamId, address: Address, request: SessionRequest): Promise<void> {
     let answer: SessionAnswer | null = null;
+    const abortion = new AbortController();
+    const timer = setTimeout(() => abortion.abort(), this.timeoutMillis);
     try {
-      answer = await this.post(address, request);
+      answer = await this.post(address, request, abortion.signal);
     } catch (thrown) {
       const reason = toError(thrown);
       this.log.debug('session-failed', { upstream, address, sequence: request.sequence, reason });
     }
+    clearTimeout(timer);
     this.endCall(upstream);
     if (answer === null) {
       this.owner.failed(upstream, request.sequence);
@@ -74,14 +77,14 @@
     }
   }
 
-  private async post(address: Address, request: SessionRequest): Promise<SessionAnswer> {
+  private async post(address: Address, request: SessionRequest, signal: AbortSignal): Promise<SessionAnswer> {
     const response = await this.agent.request({
       origin: `http://${address}`,
       path: '/ternmount/v1/session',
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(request),
-      signal: AbortSignal.timeout(this.timeoutMillis),
+      signal,
     });
     const text = await response.body.text();
     if (response.statusCode !== OK) {
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -15,6 +15,11 @@
 import { ShardCoordinator } from './shard-coordinator.js';
 import type { ControlConfig } from './types.js';
 
+/**
+ * Shortest time between the beginnings of two quorum rounds. Renewals ask for their round a sixteenth of the renewal time
+ * ahead, so nothing waits for this, and with many upstreams one round stands for all that fell due meanwhile.
+ */
+const ROUND_GAP_MILLIS = 10;
 /** How long to wait before a quorum round that failed is tried again. */
 const ROUND_RETRY_MILLIS = 20;
 
@@ -148,6 +153,7 @@
       return;
     }
     this.#isRoundOut = true;
+    this.#roundNotBefore = now + ROUND_GAP_MILLIS;
     const mark = this.#granter.markRound();
     this.#parts.raft.read(now, (confirmed, settledAt) => {
       this.#isRoundOut = false;
--- a/src/control/router-desk.ts
+++ b/src/control/router-desk.ts
@@ -32,6 +32,9 @@
   readonly report: (report: LoadReport, now: MonotonicMillis) => void;
 }
 
+/** Shortest time between the beginnings of two reads; all syncs that come meanwhile share the next. */
+const READ_GAP_MILLIS = 10;
+
 interface WaitingSync {
   readonly connection: ConnectionId;
   readonly request: SyncRequest;
@@ -43,6 +46,7 @@
   /** Syncs that wait for the next read to begin. */
   #waiting: WaitingSync[] = [];
   #isReading = false;
+  #readNotBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
 
   constructor(parts: RouterDeskParts) {
     this.#parts = parts;
@@ -70,6 +74,16 @@
     this.#waiting = this.#waiting.filter((sync) => sync.connection !== connection);
   }
 
+  /** Begins the read that waits for its time. */
+  run(now: MonotonicMillis): void {
+    this.#readForWaiting(now);
+  }
+
+  nextDeadline(): MonotonicMillis {
+    const waits = !this.#isReading && this.#waiting.length > 0;
+    return waits ? this.#readNotBefore : Number.POSITIVE_INFINITY;
+  }
+
   /** Tells connected routers that there is something to fetch. */
   notify(revision: Revision): void {
     for (const connection of this.#routers.keys()) {
@@ -90,9 +104,10 @@
 
   /** One read answers all syncs that waited when it began; later ones wait for the next. */
   #readForWaiting(now: MonotonicMillis): void {
-    if (this.#isReading || this.#waiting.length === 0) {
+    if (this.#isReading || this.#waiting.length === 0 || now < this.#readNotBefore) {
       return;
     }
+    this.#readNotBefore = now + READ_GAP_MILLIS;
     const batch = this.#waiting;
     this.#waiting = [];
     this.#isReading = true;
--- a/src/dev/scale/scale-run.ts
+++ b/src/dev/scale/scale-run.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { machineMillis } from '../journal/machine-clock.js';
 import { ScaleFleet } from './scale-fleet.js';
-import { planScale, type ScalePlan, type ScaleSize } from './scale-plan.js';
+import { planScale, type ScalePlan, type ScaleSize, SHARDS_PER_UPSTREAM } from './scale-plan.js';
 import type { RoleRow, ScaleResult } from './scale-result.js';
 import { meanOf, ratesBetween, type UsageSample } from './usage.js';
 
@@ -64,7 +64,7 @@
   progress('configuration changes');
   const configurationChange = await measureChanges(plan, fleet);
   progress('loss of a server');
-  const lostServer = await measureLoss(plan, fleet);
+  const lostServer = await measureLoss(fleet);
   progress('restart of a router');
   const routerRestart = await measureRouterRestart(fleet);
   progress('restart of a zone');
@@ -168,10 +168,8 @@
 }
 
 /** Takes one server away without notice. */
-async function measureLoss(plan: ScalePlan, fleet: ScaleFleet): Promise<ScaleResult['lostServer']> {
-  const lost = plan.upstreamProcesses[0]?.[0] as string;
-  const owned = await fleet.operate({ type: 'get-shards', service: null });
-  const shards = owned.type === 'shards' ? owned.shards.filter(({ owner }) => owner === lost).length : 0;
+async function measureLoss(fleet: ScaleFleet): Promise<ScaleResult['lostServer']> {
+  const { lost, shards } = await typicalOwner(fleet);
   await Promise.all(fleet.upstreams.map(({ methods }) => methods.resetGrants()));
   const lostAt = await fleet.processOf(lost).methods.kill(lost);
   const revisions = await Promise.all(fleet.routers.map(({ methods }) => methods.replaced(lost)));
@@ -181,6 +179,20 @@
   return { shards, grantedMillis: grantedAt - lostAt, knownMillis: knownAt - lostAt };
 }
 
+/** The server whose number of shards is nearest to that of an even spread, and that number. */
+async function typicalOwner(fleet: ScaleFleet): Promise<{ readonly lost: string; readonly shards: number }> {
+  const response = await fleet.operate({ type: 'get-shards', service: null });
+  const counts = new Map<string, number>();
+  for (const { owner } of response.type === 'shards' ? response.shards : []) {
+    counts.set(owner ?? '', (counts.get(owner ?? '') ?? 0) + 1);
+  }
+  const distance = (count: number): number => Math.abs(count - SHARDS_PER_UPSTREAM);
+  const [lost, shards] = [...counts].reduce((best, next) =>
+    distance(next[1]) < distance(best[1]) ? next : best,
+  );
+  return { lost, shards };
+}
+
 async function measureRouterRestart(fleet: ScaleFleet): Promise<ScaleResult['routerRestart']> {
   const old = fleet.realRouters.pop();
   await old?.methods.stop();
