--- a/src/dev/commands/sim-command.ts
+++ b/src/dev/commands/sim-command.ts
@@ -3,6 +3,7 @@
 import type { CAC } from 'cac';
 import { TernmountError } from '../../errors/ternmount-error.js';
 import { loadDeployment } from '../../settings/deployment.js';
+import { catchSabotage } from '../sim/catch-sabotage.js';
 import type { FaultKind } from '../sim/faults/fault.js';
 import { FAULT_KINDS } from '../sim/faults/fault-plan.js';
 import { SABOTAGE_NAMES, SABOTAGES, type SabotageName } from '../sim/sabotages.js';
@@ -12,6 +13,7 @@
 import type { DevCommand } from './dev-command.js';
 
 const EXIT_VIOLATION = 1;
+const ALL_SABOTAGES = 'all';
 const NO_FAULTS = 'none';
 const DEFAULT_SEEDS = '1..20';
 const DEFAULT_DEPLOYMENT = 'colombo';
@@ -87,6 +89,19 @@
   }
 }
 
+/** Looks for the first seed that shows each sabotage; fails if one isn't caught. */
+function catchAll(flags: SimFlags): void {
+  const [first, last] = readSeeds(String(flags.seeds));
+  const sizes = shrinkDeployment(loadDeployment(deploymentPath(flags.deployment)));
+  for (const name of SABOTAGE_NAMES) {
+    const caught = catchSabotage(name, sizes, first, last);
+    const verdict =
+      caught === null ? 'NOT CAUGHT' : `seed ${caught.seed}\t${caught.promises.join(',')}\t${caught.message}`;
+    process.stdout.write(`${name}\t${verdict}\n`);
+    process.exitCode = caught === null ? EXIT_VIOLATION : process.exitCode;
+  }
+}
+
 function runSeeds(flags: SimFlags): void {
   const [first, last] = readSeeds(String(flags.seeds));
   const sizes = shrinkDeployment(loadDeployment(deploymentPath(flags.deployment)));
@@ -112,7 +127,7 @@
         default: DEFAULT_DEPLOYMENT,
       })
       .option('--faults <list>', 'Kinds of faults, with commas (default: all; none: none)')
-      .option('--sabotage <name>', 'Break a mechanism on purpose')
+      .option('--sabotage <name>', 'Break a mechanism on purpose; all: each in turn, until it is caught')
       .option('--list-sabotages', 'Name all sabotages and the promise that each breaks')
       .option('--list-faults', 'Name all kinds of faults')
       .option('--trace <file>', 'Write each event as a JSON line')
@@ -121,6 +136,8 @@
           listSabotages();
         } else if (flags.listFaults) {
           process.stdout.write(`${FAULT_KINDS.map(({ name }) => name).join('\n')}\n`);
+        } else if (flags.sabotage === ALL_SABOTAGES) {
+          catchAll(flags);
         } else {
           runSeeds(flags);
         }
--- a/src/dev/sim/faults/disk-faults.ts
+++ b/src/dev/sim/faults/disk-faults.ts
@@ -7,6 +7,9 @@
 /** How long a machine is down before its replacement starts. */
 const RETURN_MILLIS = 200;
 
+/** How long a member is cut off before the others are lost. */
+const BEHIND_MILLIS = 700;
+
 /** Takes a member's machine down, empties its disk, and has the new replica put in its place. */
 function loseFolder(simulation: Simulation, control: SimControl, repaired: () => void): void {
   const old = control.replica;
@@ -56,6 +59,30 @@
       return { detail: control.name, heal: () => {} };
     },
   },
+  {
+    name: 'stale-majority',
+    lasts: [1500, 3500],
+    inject(simulation, random) {
+      const leader = simulation.leader();
+      const victim = pickWhole(simulation, random);
+      const behind = simulation.controls.find((control) => control !== leader && control !== victim);
+      if (leader === undefined || victim === undefined || behind === undefined || victim === leader) {
+        return null;
+      }
+      const cuts = [simulation.network.cut(behind.name, '*'), simulation.network.cut('*', behind.name)];
+      simulation.time.after(BEHIND_MILLIS, () => {
+        loseFolder(simulation, victim, () => {});
+        leader.crash(true);
+        for (const heal of cuts) {
+          heal();
+        }
+      });
+      return {
+        detail: `${behind.name} behind, ${victim.name} empty, ${leader.name} down`,
+        heal: () => leader.start(),
+      };
+    },
+  },
   {
     name: 'second-loss',
     lasts: [500, 1000],
--- a/src/dev/sim/sabotages.ts
+++ b/src/dev/sim/sabotages.ts
@@ -43,7 +43,7 @@
   'replica-id-reused': {
     promise: 'acknowledged-survives',
     description: 'a control member that lost its disk votes again under its old replica id',
-    faults: ['folder-gone', 'control-crash'],
+    faults: ['stale-majority'],
   },
   'vote-not-kept': {
     promise: 'acknowledged-survives',
