--- a/src/cli/cli-error.ts
+++ b/src/cli/cli-error.ts
@@ -1,6 +1,7 @@
 /** Errors of the command line, each with its exit code. */
 import type { AdminErrorBody, AdminErrorCode } from '../control/admin/index.js';
 import { TernmountError } from '../errors/ternmount-error.js';
+import { formatProblem, SettingsError } from '../settings/settings-error.js';
 import { EXIT_CODES, type ExitCode } from './exit-codes.js';
 
 /** An error that ends the command with `exitCode`. */
@@ -105,3 +106,15 @@
   }
   return EXIT_CODES.failed;
 }
+
+/** Runs `check`; wrong settings become an error that names each fault on a line of its own. */
+export function namingEachFault<Value>(check: () => Value): Value {
+  try {
+    return check();
+  } catch (thrown) {
+    if (thrown instanceof SettingsError) {
+      throw new UsageError(thrown.problems.map(formatProblem).join('\n'));
+    }
+    throw thrown;
+  }
+}
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -9,6 +9,7 @@
   clockRateErrorSchema,
   completeConfigLease,
   hostSchema,
+  isForOthers,
   pathSchema,
   reachableAddressSchema,
   zoneFields,
@@ -30,6 +31,7 @@
   readonly admin: Address;
   /** Internal addresses of the control members. */
   readonly control: readonly Address[];
+  /** `null`: none (control on loopback addresses only). */
   readonly secretFile: string | null;
   readonly configLease: ConfigLeaseTimings;
   readonly claimTimeoutMillis: number;
@@ -44,20 +46,17 @@
   readonly connectionsPerUpstream: number;
   /** Longest body of a request. */
   readonly requestBodyBytes: number;
-  /** Longest time for requests in flight at a planned stop. */
-  readonly stopTimeoutMillis: number;
   readonly log: string;
 }
 
 /** Defaults of the router daemon. */
 export const ROUTER_DEFAULTS = {
   claimTimeoutMillis: 1000,
-  probePath: '/health',
+  probePath: '/ternmount/v1/health',
   probeIntervalMillis: 1000,
   platformIntervalMillis: 1000,
   connectionsPerUpstream: 16,
   requestBodyBytes: 1024 * 1024,
-  stopTimeoutMillis: 30_000,
   log: 'ternmount:*',
 } as const;
 
@@ -88,7 +87,6 @@
   platformInterval: positiveDurationSchema.optional(),
   connectionsPerUpstream: countSchema.optional(),
   requestBody: sizeSchema.optional(),
-  stopTimeout: positiveDurationSchema.optional(),
   log: z.string().optional(),
 });
 type RouterFields = z.output<typeof routerObject>;
@@ -102,6 +100,10 @@
     ['timings'],
     context,
   );
+  if (fields.secretFile === undefined && fields.control.some(isForOthers)) {
+    const message = 'is missing: control needs a secret unless all its addresses are loopback ones';
+    context.addIssue({ code: 'custom', path: ['secretFile'], message });
+  }
   if (fields.listen === fields.admin) {
     context.addIssue({ code: 'custom', path: ['admin'], message: 'must differ from listen' });
   }
@@ -126,7 +128,6 @@
     platformIntervalMillis: fields.platformInterval ?? ROUTER_DEFAULTS.platformIntervalMillis,
     connectionsPerUpstream: fields.connectionsPerUpstream ?? ROUTER_DEFAULTS.connectionsPerUpstream,
     requestBodyBytes: fields.requestBody ?? ROUTER_DEFAULTS.requestBodyBytes,
-    stopTimeoutMillis: fields.stopTimeout ?? ROUTER_DEFAULTS.stopTimeoutMillis,
     log: fields.log ?? ROUTER_DEFAULTS.log,
   }),
 );
@@ -152,7 +153,6 @@
   { path: ['platformInterval'] },
   { path: ['connectionsPerUpstream'] },
   { path: ['requestBody'] },
-  { path: ['stopTimeout'] },
   { path: ['log'] },
 ];
 
