--- a/src/dev/bench/proxy/control-standin.ts
+++ b/src/dev/bench/proxy/control-standin.ts
@@ -18,7 +18,9 @@
   private server: FrameServer | undefined;
   private reportBytes = 0;
 
-  constructor(private readonly snapshot: RoutingSnapshot) {}
+  private readonly routers = new Set<FrameConnection>();
+
+  constructor(private snapshot: RoutingSnapshot) {}
 
   /** Listens on any free port and gives its address. */
   async start(): Promise<Address> {
@@ -32,7 +34,7 @@
       },
       limits: DEFAULT_WIRE_LIMITS,
       owner: {
-        ready: () => {},
+        ready: (connection) => this.routers.add(connection),
         received: (connection, frame) => {
           const message = routerToControlCodecs.decode(frame.kind, frame.payload);
           if (message.type === 'load-report') {
@@ -41,12 +43,20 @@
             this.reply(connection, this.answerTo(message));
           }
         },
-        closed: () => {},
+        closed: (connection) => this.routers.delete(connection),
       },
     });
     return this.server.address;
   }
 
+  /** Gives out a later configuration, and says so to the routers that are connected. */
+  publish(snapshot: RoutingSnapshot): void {
+    this.snapshot = snapshot;
+    for (const router of this.routers) {
+      this.reply(router, { type: 'change-notice', revision: snapshot.revision });
+    }
+  }
+
   /** Size of the largest load report. */
   get largestReportBytes(): number {
     return this.reportBytes;
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -3,6 +3,7 @@
 import type { StoredAnswer } from '../../ledger/types.js';
 import { HEADERS, type Outcome } from '../../model/outcome.js';
 import type { RefusalReason, RequestNumber } from '../../routing/types.js';
+import type { FaultAnswer, RequestFault } from '../../wire/http/request-faults.js';
 import type { TurnedAwayError } from './bad-request-error.js';
 import { forwardedRequestHeaders } from './header-rules.js';
 import type { CallerRequestHead } from './request-head.js';
@@ -16,6 +17,11 @@
   readonly message?: string;
 }
 
+const FAULT_MESSAGES: Readonly<Record<RequestFault, string>> = {
+  malformed: 'the request is malformed',
+  'header-too-large': 'the header is too large',
+  'too-slow': 'the request did not come whole in time',
+};
 /** Reason given with a stored answer whose body was too large to keep. */
 const BODY_NOT_KEPT = 'answer-not-kept';
 
@@ -85,6 +91,19 @@
   }
 }
 
+/** The router's words for what is no request: none of it reached an upstream. */
+export function describeRequestFault(fault: RequestFault): FaultAnswer {
+  return {
+    headers: { 'cache-control': 'no-store', [HEADERS.outcome]: 'not-run', [HEADERS.reason]: 'bad-request' },
+    body: {
+      outcome: 'not-run',
+      reason: 'bad-request',
+      message: FAULT_MESSAGES[fault],
+      retryAfterSeconds: null,
+    },
+  };
+}
+
 /** Whole seconds, at least one. */
 export function retryAfterSeconds(millis: number): number {
   return Math.max(1, Math.ceil(millis / 1000));
--- a/src/router/caller/request-head.ts
+++ b/src/router/caller/request-head.ts
@@ -24,6 +24,9 @@
 
 /** Throws `BadRequestError`. */
 export function readCallerRequest(request: IncomingMessage): CallerRequestHead {
+  if (request.headers.host === undefined && request.httpVersion !== '1.0') {
+    throw new BadRequestError('the Host header is missing');
+  }
   const target = request.url ?? '';
   if (!target.startsWith('/')) {
     throw new BadRequestError('the request target must be a path');
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -9,6 +9,7 @@
 import { createMonitorListener } from '../wire/http/monitor-listener.js';
 import { UpstreamPools } from './attempts/upstream-pools.js';
 import { BodyReader } from './caller/body-reader.js';
+import { describeRequestFault } from './caller/caller-exchange.js';
 import { type CallerFrontEnd, createCallerListener } from './caller/caller-listener.js';
 import { ControlLinks } from './control-links.js';
 import { HealthProbes } from './hints/health-probes.js';
@@ -84,7 +85,10 @@
     const onRequest = createCallerListener(this.frontEnd, (request, response) =>
       this.task.accept(request, response),
     );
-    this.callers = await HttpListener.listen(listen, http, onRequest);
+    this.callers = await HttpListener.listen(listen, http, onRequest, {
+      requireHost: false,
+      describeFault: describeRequestFault,
+    });
     const monitor = createMonitorListener(
       this.metrics.registry,
       () => this.health(),
--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -4,6 +4,7 @@
 import type { Address } from '../../model/identifiers.js';
 import { formatAddress, parseAddress } from '../address.js';
 import { ListenError } from '../listen-error.js';
+import { type DescribeFault, RequestFaults } from './request-faults.js';
 
 export interface HttpLimits {
   readonly maxHeaderBytes: number;
@@ -23,6 +24,15 @@
   maxConnections: 20_000,
 };
 
+export interface HttpListenerOptions {
+  /** Whether requests without a Host header are turned away before the listener hears of them; yes if left out. */
+  readonly requireHost?: boolean;
+  /** Words the answers to what is no request. */
+  readonly describeFault?: DescribeFault;
+}
+
+const describePlainly: DescribeFault = (fault) => ({ headers: {}, body: { error: fault } });
+
 const LISTEN_BACKLOG = 4096;
 const CONNECTIONS_CHECK_MILLIS = 1000;
 const IDLE_CHECK_MILLIS = 20;
@@ -37,6 +47,7 @@
     address: Address,
     limits: HttpLimits,
     onRequest: RequestListener,
+    options: HttpListenerOptions = {},
   ): Promise<HttpListener> {
     const server = createServer({
       maxHeaderSize: limits.maxHeaderBytes,
@@ -45,7 +56,9 @@
       keepAliveTimeout: limits.keepAliveMillis,
       connectionsCheckingInterval: CONNECTIONS_CHECK_MILLIS,
       noDelay: true,
+      requireHostHeader: options.requireHost ?? true,
     });
+    new RequestFaults(server, options.describeFault ?? describePlainly);
     server.maxConnections = limits.maxConnections;
     const listener = new HttpListener(server);
     server.on('request', (request, response) => {
--- /dev/null
+++ b/test/router/long-answers.test.ts
@@ -0,0 +1,154 @@
+/** Answers above the service's bound flow through: whole, or visibly broken. */
+import { once } from 'node:events';
+import { request as httpRequest, type IncomingMessage } from 'node:http';
+import { expect } from 'chai';
+import { RouterFixture, until } from './router-fixture.js';
+import { headFor, type Script, type ScriptedRequest, ScriptedUpstream } from './scripted-upstream.js';
+
+const BOUND = 1024;
+const PIECE = 'x'.repeat(BOUND);
+const PIECES = 40;
+const STALL_MILLIS = 300;
+/** More than socket buffers on the way hold. */
+const ENDLESS_PIECES = 20_000;
+
+function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+function sendPieces(request: ScriptedRequest, count: number): void {
+  for (let piece = 0; piece < count; piece++) {
+    request.socket.write(PIECE);
+  }
+}
+
+interface StreamCase {
+  readonly answer: string;
+  readonly script: Script;
+  /** Bytes that the caller gets as a whole answer; `null`: its connection breaks. */
+  readonly bytes: number | null;
+}
+
+const withLength = (request: ScriptedRequest) => headFor(request, `content-length: ${PIECES * BOUND}`);
+const inChunks = (request: ScriptedRequest) => headFor(request, 'transfer-encoding: chunked');
+
+const CASES: readonly StreamCase[] = [
+  {
+    answer: 'of a known length',
+    script: (request) => {
+      request.socket.write(withLength(request));
+      sendPieces(request, PIECES);
+    },
+    bytes: PIECES * BOUND,
+  },
+  {
+    answer: 'in chunks',
+    script: (request) => {
+      request.socket.write(`${inChunks(request)}${chunk(PIECE).repeat(PIECES)}0\r\n\r\n`);
+    },
+    bytes: PIECES * BOUND,
+  },
+  {
+    answer: 'of a known length, broken off',
+    script: (request) => {
+      request.socket.write(withLength(request));
+      sendPieces(request, PIECES / 2);
+      request.socket.end();
+    },
+    bytes: null,
+  },
+  {
+    answer: 'of a known length, reset',
+    script: (request) => {
+      request.socket.write(withLength(request));
+      sendPieces(request, PIECES / 2);
+      setTimeout(() => request.socket.resetAndDestroy(), 20);
+    },
+    bytes: null,
+  },
+  {
+    answer: 'in chunks, broken off between two',
+    script: (request) => request.socket.end(`${inChunks(request)}${chunk(PIECE).repeat(PIECES)}`),
+    bytes: null,
+  },
+  {
+    answer: 'in chunks, one of them no chunk',
+    script: (request) =>
+      request.socket.write(`${inChunks(request)}${chunk(PIECE).repeat(PIECES)}no chunk\r\n`),
+    bytes: null,
+  },
+  {
+    answer: 'that stalls half-way',
+    script: (request) => {
+      request.socket.write(withLength(request));
+      sendPieces(request, PIECES / 2);
+    },
+    bytes: null,
+  },
+];
+
+describe('long answers', () => {
+  let upstream: ScriptedUpstream;
+  let router: RouterFixture;
+
+  beforeEach(async () => {
+    upstream = await new ScriptedUpstream().start();
+    router = await RouterFixture.start([upstream], {
+      reads: { wholeAnswerBytes: BOUND, deadlineMillis: 1000 },
+      orders: { wholeAnswerBytes: BOUND },
+      settings: { timings: { streamStallMillis: STALL_MILLIS } },
+    });
+  });
+
+  afterEach(async () => {
+    await router.stop();
+    await upstream.stop();
+  });
+
+  for (const { answer, script, bytes } of CASES) {
+    it(answer, async () => {
+      upstream.script = script;
+      const { whole, body } = await router.get('/reads/1');
+      expect(whole ? body.length : null).to.equal(bytes);
+    });
+  }
+
+  it('are read no faster than their caller takes them, and given up when it takes nothing', async () => {
+    let written = 0;
+    upstream.script = (request) => {
+      request.socket.write(headFor(request, `content-length: ${ENDLESS_PIECES * BOUND}`));
+      const write = (): void => {
+        while (written < ENDLESS_PIECES && request.socket.write(PIECE)) {
+          written += 1;
+        }
+      };
+      request.socket.on('drain', write);
+      write();
+    };
+    const response = await openRead(router.address);
+    await until(() => upstream.requests[0]?.socket.destroyed === true);
+    expect(written).to.be.below(ENDLESS_PIECES);
+    expect(router.daemon.status().inFlight).to.equal(0);
+    response.destroy();
+  });
+
+  it('end with their caller', async () => {
+    upstream.script = (request) => {
+      request.socket.write(withLength(request));
+      sendPieces(request, PIECES / 2);
+    };
+    const response = await openRead(router.address);
+    response.destroy();
+    await until(() => upstream.requests[0]?.socket.destroyed === true);
+  });
+});
+
+/** Sends a read and gives its answer before any of its body was read. */
+async function openRead(address: string): Promise<IncomingMessage> {
+  const sent = httpRequest(`http://${address}/reads/1`, { agent: false });
+  sent.on('error', () => {});
+  sent.end();
+  const [response] = (await once(sent, 'response')) as [IncomingMessage];
+  response.on('error', () => {});
+  return response;
+}
--- /dev/null
+++ b/test/router/planned-stop.test.ts
@@ -0,0 +1,115 @@
+/** A planned stop of a router finishes what it has; an upstream told to leave gets nothing new. */
+import { Agent } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import { HEADERS } from '../../src/model/outcome.js';
+import type { UpstreamRecord } from '../../src/registry/types.js';
+import { call, RouterFixture, until } from './router-fixture.js';
+import { answerWhole, headFor, type ScriptedRequest, ScriptedUpstream } from './scripted-upstream.js';
+
+const LONG = 'x'.repeat(4096);
+const HALF = LONG.length / 2;
+
+function leaving(id: string): (record: UpstreamRecord) => UpstreamRecord {
+  return (record) =>
+    record.definition.id === id ? { ...record, definition: { ...record.definition, leaving: true } } : record;
+}
+
+describe('a planned stop of a router', () => {
+  let upstream: ScriptedUpstream;
+
+  beforeEach(async () => {
+    upstream = await new ScriptedUpstream(() => {}).start();
+  });
+
+  afterEach(() => upstream.stop());
+
+  it('answers what is in flight, what waits, and long answers under way', async () => {
+    const router = await RouterFixture.start([upstream], {
+      reads: { slotsPerUpstream: 2, wholeAnswerBytes: 1024 },
+    });
+    const paths = ['/reads/1', '/reads/long', '/reads/3', '/reads/4'];
+    const answers = paths.map((path) => router.get(path));
+    const order = router.order('/orders/5');
+    await until(() => upstream.requests.length === 3);
+    const long = upstream.requests.find(({ target }) => target === '/reads/long') as ScriptedRequest;
+    long.socket.write(`${headFor(long, `content-length: ${LONG.length}`)}${LONG.slice(0, HALF)}`);
+    const stopped = router.stop();
+    upstream.script = answerWhole;
+    for (const request of upstream.requests.filter((other) => other !== long)) {
+      answerWhole(request);
+    }
+    long.socket.write(LONG.slice(HALF));
+    const results = await Promise.all(answers);
+    expect(results.map(({ status, whole }) => ({ status, whole }))).to.deep.equal(
+      paths.map(() => ({ status: 200, whole: true })),
+    );
+    expect(results.map(({ body }) => body)).to.deep.equal(['/reads/1', LONG, '/reads/3', '/reads/4']);
+    expect(await order).to.include({ status: 200, body: '/orders/5', whole: true });
+    await stopped;
+  });
+
+  it('answers a request that crosses with it, and takes no new connection afterwards', async () => {
+    upstream.script = answerWhole;
+    const router = await RouterFixture.start([upstream], { settings: { timings: { idleMillis: 300 } } });
+    const address = router.address;
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const get = (path: string) => call(address, { method: 'GET', path, headers: {}, agent });
+    const first = await get('/reads/1');
+    const stopped = router.stop();
+    const second = await get('/reads/2');
+    expect([first.status, second.status]).to.deep.equal([200, 200]);
+    expect(second.headers.connection).to.equal('close');
+    await stopped;
+    expect((await get('/reads/3')).status).to.equal(null);
+  });
+});
+
+describe('an upstream that is leaving', () => {
+  it('by the word of an operator gets nothing new, and finishes what it has', async () => {
+    const [first, second] = await Promise.all([
+      new ScriptedUpstream().start(),
+      new ScriptedUpstream().start(),
+    ]);
+    const router = await RouterFixture.start([first, second]);
+    first.script = () => {};
+    second.script = () => {};
+    const held = [
+      router.get('/reads/1'),
+      router.get('/reads/2'),
+      router.get('/reads/3'),
+      router.get('/reads/4'),
+    ];
+    await until(() => first.requests.length + second.requests.length === held.length);
+    router.changeUpstreams(leaving('reads-1'));
+    await until(() => router.daemon.status().revision === 11);
+    const before = first.requests.length;
+    second.script = answerWhole;
+    for (const request of [...first.requests, ...second.requests]) {
+      answerWhole(request);
+    }
+    expect((await Promise.all(held)).map(({ status }) => status)).to.deep.equal([200, 200, 200, 200]);
+    for (let index = 0; index < 20; index++) {
+      expect((await router.get(`/reads/more-${index}`)).status).to.equal(200);
+    }
+    expect(first.requests).to.have.length(before);
+    await router.stop();
+    await Promise.all([first.stop(), second.stop()]);
+  });
+
+  it('gets nothing from a router that can not hear of it: its configuration lease is over', async () => {
+    const upstream = await new ScriptedUpstream().start();
+    const configLease = { configLeaseMillis: 300, syncMillis: 50, clockRateError: 0.005 };
+    const router = await RouterFixture.start([upstream], { settings: { timings: { configLease } } });
+    await router.control.stop();
+    await until(() => !router.daemon.status().serving);
+    const answer = await router.get('/reads/1');
+    expect(answer.status).to.equal(503);
+    expect(answer.headers[HEADERS.outcome]).to.equal('not-run');
+    expect(answer.headers['retry-after']).not.to.equal(undefined);
+    await sleep(20);
+    expect(upstream.requests).to.have.length(0);
+    await router.daemon.stop();
+    await upstream.stop();
+  });
+});
--- /dev/null
+++ b/test/router/router-fixture.ts
@@ -0,0 +1,150 @@
+/** A router daemon with its real sockets, a control stand-in and the callers of a test. */
+import { Agent, request as httpRequest, type IncomingHttpHeaders } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { BENCH_IDENTITY } from '../../src/dev/bench/proxy/bench-identity.js';
+import { ControlStandin } from '../../src/dev/bench/proxy/control-standin.js';
+import type { ServiceDefinition } from '../../src/model/service.js';
+import type { RoutingSnapshot, UpstreamRecord } from '../../src/registry/types.js';
+import type { CallerFrontEnd } from '../../src/router/caller/caller-listener.js';
+import { RouterDaemon } from '../../src/router/router-daemon.js';
+import type { RouterDaemonSettings } from '../../src/router/settings.js';
+import { createRouterNode } from '../../src/routing/index.js';
+import { service, upstream } from '../routing/router-harness.js';
+import type { ScriptedUpstream } from './scripted-upstream.js';
+
+const ANY_PORT = '127.0.0.1:0';
+const POLL_MILLIS = 5;
+const WAIT_MILLIS = 10_000;
+
+export interface FixtureOptions {
+  /** Changes to the service `reads`, which may be repeated. */
+  readonly reads?: Partial<ServiceDefinition>;
+  /** Changes to the service `orders`, which must not. */
+  readonly orders?: Partial<ServiceDefinition>;
+  readonly settings?: Partial<RouterDaemonSettings>;
+  readonly frontEnd?: CallerFrontEnd;
+}
+
+/** Every upstream serves both services, neither of which is keyed. */
+export class RouterFixture {
+  readonly daemon: RouterDaemon;
+  readonly control: ControlStandin;
+  private snapshot: RoutingSnapshot;
+
+  private constructor(snapshot: RoutingSnapshot, control: ControlStandin, daemon: RouterDaemon) {
+    this.snapshot = snapshot;
+    this.control = control;
+    this.daemon = daemon;
+  }
+
+  static async start(
+    upstreams: readonly ScriptedUpstream[],
+    options: FixtureOptions = {},
+  ): Promise<RouterFixture> {
+    const snapshot: RoutingSnapshot = {
+      revision: 10,
+      services: [
+        service('reads', options.reads),
+        service('orders', { repeatable: false, ...options.orders }),
+      ],
+      upstreams: upstreams.flatMap(({ address }, index) =>
+        ['reads', 'orders'].map((name) => upstream(`${name}-${index + 1}`, name, { address })),
+      ),
+      shards: [],
+    };
+    const control = new ControlStandin(snapshot);
+    const address = await control.start();
+    const settings: RouterDaemonSettings = {
+      ...BENCH_IDENTITY,
+      router: 'r1',
+      zone: 'a',
+      listen: ANY_PORT,
+      admin: ANY_PORT,
+      control: [address],
+      ...options.settings,
+      timings: { probeMillis: 0, idleMillis: 0, ...options.settings?.timings },
+    };
+    const daemon = new RouterDaemon(settings, createRouterNode, options.frontEnd ?? 'node');
+    await daemon.start();
+    const fixture = new RouterFixture(snapshot, control, daemon);
+    await until(() => daemon.status().serving);
+    return fixture;
+  }
+
+  get address(): string {
+    return this.daemon.address;
+  }
+
+  /** Changes the records of upstreams, as control would after an operator's change. */
+  changeUpstreams(change: (record: UpstreamRecord) => UpstreamRecord): void {
+    const revision = this.snapshot.revision + 1;
+    const upstreams = this.snapshot.upstreams.map((record) => ({ ...change(record), revision }));
+    this.snapshot = { ...this.snapshot, revision, upstreams };
+    this.control.publish(this.snapshot);
+  }
+
+  get(path: string, headers: Record<string, string> = {}): Promise<CallerAnswer> {
+    return call(this.address, { method: 'GET', path, headers });
+  }
+
+  /** A POST with a key of its own. */
+  order(path: string, headers: Record<string, string> = {}, body = ''): Promise<CallerAnswer> {
+    const identity = { 'idempotency-key': crypto.randomUUID(), 'idempotency-issued-at': `${Date.now()}` };
+    return call(this.address, { method: 'POST', path, headers: { ...identity, ...headers }, body });
+  }
+
+  async stop(): Promise<void> {
+    await this.daemon.stop();
+    await this.control.stop();
+  }
+}
+
+export interface CallerRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Record<string, string>;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+  /** Keeps connections for more requests; one of its own if left out. */
+  readonly agent?: Agent;
+}
+
+/** What a caller got; `whole` is `false` if its connection broke before the end of the answer. */
+export interface CallerAnswer {
+  readonly status: number | null;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  readonly whole: boolean;
+}
+
+/** Sends one request and reads its answer to the end. */
+export function call(address: string, request: CallerRequest): Promise<CallerAnswer> {
+  const { method, path, headers, body, signal, agent = new Agent() } = request;
+  return new Promise((resolve) => {
+    const broken: CallerAnswer = { status: null, headers: {}, body: '', whole: false };
+    const options = { method, headers, signal, agent };
+    const sent = httpRequest(`http://${address}${path}`, options, (response) => {
+      const chunks: Buffer[] = [];
+      const end = (whole: boolean): void => {
+        const text = Buffer.concat(chunks).toString('latin1');
+        resolve({ status: response.statusCode ?? null, headers: response.headers, body: text, whole });
+      };
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('end', () => end(response.complete));
+      response.on('error', () => end(false));
+    });
+    sent.on('error', () => resolve(broken));
+    sent.end(body);
+  });
+}
+
+/** Polls until it holds; fails a test that waits for something that doesn't come. */
+export async function until(holds: () => boolean): Promise<void> {
+  const end = Date.now() + WAIT_MILLIS;
+  while (!holds()) {
+    if (Date.now() > end) {
+      throw new Error('what was waited for did not come');
+    }
+    await sleep(POLL_MILLIS);
+  }
+}
--- /dev/null
+++ b/test/router/scripted-upstream.ts
@@ -0,0 +1,110 @@
+/** An upstream whose every byte a test writes itself. */
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
+import { HEADERS } from '../../src/model/outcome.js';
+
+/** One request as it came, with its body if it announced a length. */
+export interface ScriptedRequest {
+  readonly method: string;
+  readonly target: string;
+  /** Names in lower case. */
+  readonly headers: ReadonlyMap<string, string>;
+  readonly body: string;
+  /** Number of the connection that it came on, from 1. */
+  readonly connection: number;
+  readonly socket: Socket;
+}
+
+export type Script = (request: ScriptedRequest) => void;
+
+const HEAD_END = '\r\n\r\n';
+
+export class ScriptedUpstream {
+  /** All requests, in their order. */
+  readonly requests: ScriptedRequest[] = [];
+  script: Script;
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+  private connections = 0;
+
+  constructor(script: Script = answerWhole) {
+    this.script = script;
+    this.server = createServer((socket) => this.accept(socket));
+  }
+
+  async start(): Promise<this> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return this;
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  async stop(): Promise<void> {
+    for (const socket of this.sockets) {
+      socket.destroy();
+    }
+    await new Promise<void>((resolve) => this.server.close(() => resolve()));
+  }
+
+  private accept(socket: Socket): void {
+    this.connections += 1;
+    const connection = this.connections;
+    let received = '';
+    this.sockets.add(socket);
+    socket.on('close', () => this.sockets.delete(socket));
+    socket.on('error', () => {});
+    socket.setEncoding('latin1');
+    socket.on('data', (chunk: string) => {
+      received += chunk;
+      for (let taken = takeRequest(received); taken !== null; taken = takeRequest(received)) {
+        received = taken.rest;
+        this.take({ ...taken.request, connection, socket });
+      }
+    });
+  }
+
+  private take(request: ScriptedRequest): void {
+    this.requests.push(request);
+    this.script(request);
+  }
+}
+
+type Taken = { readonly request: Omit<ScriptedRequest, 'connection' | 'socket'>; readonly rest: string };
+
+function takeRequest(received: string): Taken | null {
+  const headEnd = received.indexOf(HEAD_END);
+  if (headEnd === -1) {
+    return null;
+  }
+  const [line = '', ...lines] = received.slice(0, headEnd).split('\r\n');
+  const [method = '', target = ''] = line.split(' ');
+  const headers = new Map(
+    lines.map((header) => {
+      const colon = header.indexOf(':');
+      return [header.slice(0, colon).toLowerCase(), header.slice(colon + 1).trim()] as const;
+    }),
+  );
+  const bodyStart = headEnd + HEAD_END.length;
+  const bodyEnd = bodyStart + Number(headers.get('content-length') ?? 0);
+  if (received.length < bodyEnd) {
+    return null;
+  }
+  const body = received.slice(bodyStart, bodyEnd);
+  return { request: { method, target, headers, body }, rest: received.slice(bodyEnd) };
+}
+
+/** Head of an answer that carries the router's request id. */
+export function headFor(request: ScriptedRequest, ...lines: readonly string[]): string {
+  const id = `${HEADERS.requestId}: ${request.headers.get(HEADERS.requestId)}`;
+  return ['HTTP/1.1 200 OK', id, ...lines, '', ''].join('\r\n');
+}
+
+/** The answer whose body is the target of its request. */
+export function wholeAnswer(request: ScriptedRequest, body = request.target): string {
+  return `${headFor(request, `content-length: ${body.length}`)}${body}`;
+}
+
+export function answerWhole(request: ScriptedRequest): void {
+  request.socket.write(wholeAnswer(request));
+}
--- /dev/null
+++ b/test/router/upstream-faults.test.ts
@@ -0,0 +1,215 @@
+/**
+ * Faults of upstreams, one at a time: what the caller is told, and that nobody else gets a piece of it. Orders run on
+ * one attempt, so that each fault shows; after it, a read must get its own whole answer.
+ */
+import { expect } from 'chai';
+import { HEADERS } from '../../src/model/outcome.js';
+import { call, RouterFixture, until } from './router-fixture.js';
+import {
+  answerWhole,
+  headFor,
+  type Script,
+  type ScriptedRequest,
+  ScriptedUpstream,
+  wholeAnswer,
+} from './scripted-upstream.js';
+
+const DEADLINE_MILLIS = 400;
+const PARALLEL = 8;
+
+interface FaultCase {
+  readonly fault: string;
+  readonly script: Script;
+  readonly status: number;
+  /** `null`: the answer is the upstream's own. */
+  readonly outcome: 'unknown' | 'not-run' | null;
+  readonly reason: string | null;
+  /** The connection was of no use any more. */
+  readonly closed: boolean;
+}
+
+/** Something was sent and no whole answer came: nobody knows whether it ran. */
+function unknown(fault: string, script: Script): FaultCase {
+  return { fault, script, status: 502, outcome: 'unknown', reason: 'upstream-failed', closed: true };
+}
+
+function late(fault: string, script: Script): FaultCase {
+  return { fault, script, status: 504, outcome: 'unknown', reason: 'deadline-passed', closed: true };
+}
+
+/** The caller gets the upstream's answer. */
+function answered(fault: string, script: Script, closed: boolean): FaultCase {
+  return { fault, script, status: 200, outcome: null, reason: null, closed };
+}
+
+const BODY = '/orders/1';
+
+const CASES: readonly FaultCase[] = [
+  answered('none', answerWhole, false),
+  unknown('closes without an answer', ({ socket }) => socket.end()),
+  unknown('resets the connection', ({ socket }) => socket.resetAndDestroy()),
+  unknown('breaks off in the head', ({ socket }) => socket.end('HTTP/1.1 200 OK\r\nconte')),
+  unknown('breaks off in the body', (request) => {
+    request.socket.end(`${headFor(request, 'content-length: 100')}only a part`);
+  }),
+  unknown('breaks off in a chunk', (request) => {
+    request.socket.end(`${headFor(request, 'transfer-encoding: chunked')}20\r\nonly a part`);
+  }),
+  unknown('breaks off before the last chunk', (request) => {
+    request.socket.end(`${headFor(request, 'transfer-encoding: chunked')}4\r\npart\r\n`);
+  }),
+  late('promises more than it sends', (request) => {
+    request.socket.write(`${headFor(request, `content-length: ${BODY.length + 1}`)}${BODY}`);
+  }),
+  late('never answers', () => {}),
+  unknown('ends its answer by closing', (request) => request.socket.end(`${headFor(request)}${BODY}`)),
+  unknown('answers with another request id', ({ socket }) => {
+    socket.write(`HTTP/1.1 200 OK\r\n${HEADERS.requestId}: other.1\r\ncontent-length: 5\r\n\r\nother`);
+  }),
+  unknown('answers without a request id', ({ socket }) => {
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother');
+  }),
+  unknown('answers with what is no HTTP', ({ socket }) => socket.write('SSH-2.0-OpenSSH_9.0\r\n\r\n')),
+  unknown('gives two lengths', (request) => {
+    request.socket.write(`${headFor(request, 'content-length: 4', 'content-length: 9')}${BODY}`);
+  }),
+  unknown('gives a length and chunks', (request) => {
+    const head = headFor(request, 'content-length: 4', 'transfer-encoding: chunked');
+    request.socket.write(`${head}9\r\n${BODY}\r\n0\r\n\r\n`);
+  }),
+  unknown('gives a length that is no number', (request) => {
+    request.socket.write(`${headFor(request, 'content-length: nine')}${BODY}`);
+  }),
+  unknown('switches protocols', (request) => {
+    const id = request.headers.get(HEADERS.requestId);
+    const lines = ['HTTP/1.1 101 Switching Protocols', 'upgrade: x', 'connection: upgrade'];
+    request.socket.write([...lines, `${HEADERS.requestId}: ${id}`, '', ''].join('\r\n'));
+  }),
+  unknown('sends a head without end', (request) => {
+    request.socket.write(headFor(request, `x-long: ${'x'.repeat(64 * 1024)}`, 'content-length: 0'));
+  }),
+  answered(
+    'sends more than it promised',
+    (request) => request.socket.write(`${wholeAnswer(request)}and more`),
+    true,
+  ),
+  answered(
+    'answers twice',
+    (request) => request.socket.write(`${wholeAnswer(request)}${wholeAnswer(request, 'second')}`),
+    true,
+  ),
+  answered(
+    'sends a preliminary answer first',
+    (request) => request.socket.write(`HTTP/1.1 103 Early Hints\r\n\r\n${wholeAnswer(request)}`),
+    false,
+  ),
+  answered(
+    'says that it closes',
+    (request) =>
+      request.socket.end(`${headFor(request, `content-length: ${BODY.length}`, 'connection: close')}${BODY}`),
+    true,
+  ),
+  answered(
+    'splits its answer into bytes',
+    (request) => {
+      for (const byte of wholeAnswer(request)) {
+        request.socket.write(byte);
+      }
+    },
+    false,
+  ),
+];
+
+describe('faults of upstreams', () => {
+  let upstream: ScriptedUpstream;
+  let router: RouterFixture;
+
+  beforeEach(async () => {
+    upstream = await new ScriptedUpstream().start();
+    router = await RouterFixture.start([upstream], {
+      orders: { deadlineMillis: DEADLINE_MILLIS },
+      settings: { limits: { connectionsPerUpstream: 1 } },
+    });
+  });
+
+  afterEach(async () => {
+    await router.stop();
+    await upstream.stop();
+  });
+
+  for (const { fault, script, status, outcome, reason, closed } of CASES) {
+    it(fault, async () => {
+      upstream.script = script;
+      const answer = await router.order('/orders/1');
+      expect({ status: answer.status, whole: answer.whole }).to.deep.equal({ status, whole: true });
+      if (outcome === null) {
+        expect(answer.body).to.equal(BODY);
+      } else {
+        expect(answer.headers[HEADERS.outcome]).to.equal(outcome);
+        expect(answer.headers[HEADERS.reason]).to.equal(reason);
+      }
+      expect(upstream.requests).to.have.length(1);
+      upstream.script = answerWhole;
+      const next = await router.get('/reads/2');
+      expect(next).to.include({ status: 200, body: '/reads/2', whole: true });
+      expect(upstream.requests[1]?.connection).to.equal(closed ? 2 : 1);
+    });
+  }
+
+  it('an answer that nobody asked for is given to nobody', async () => {
+    await router.get('/reads/1');
+    const idle = upstream.requests[0];
+    idle?.socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother');
+    await until(() => upstream.requests[0]?.socket.destroyed === true);
+    expect(await router.get('/reads/2')).to.include({ status: 200, body: '/reads/2' });
+  });
+
+  it('a connection whose request was given up is closed, and its late answer reaches nobody', async () => {
+    upstream.script = () => {};
+    const aborter = new AbortController();
+    const { signal } = aborter;
+    const given = call(router.address, { method: 'GET', path: '/reads/1', headers: {}, signal });
+    await until(() => upstream.requests.length === 1);
+    aborter.abort();
+    expect((await given).whole).to.equal(false);
+    await until(() => router.daemon.status().inFlight === 0);
+    const [late] = upstream.requests as [ScriptedRequest];
+    late.socket.write(wholeAnswer(late));
+    upstream.script = answerWhole;
+    expect(await router.get('/reads/2')).to.include({ status: 200, body: '/reads/2' });
+    expect(upstream.requests[1]?.connection).to.equal(2);
+  });
+
+  it('a request given up while it waits for a connection is never sent', async () => {
+    upstream.script = () => {};
+    const first = router.get('/reads/1');
+    await until(() => upstream.requests.length === 1);
+    const aborter = new AbortController();
+    const { signal } = aborter;
+    const second = call(router.address, { method: 'GET', path: '/reads/2', headers: {}, signal });
+    await until(() => router.daemon.status().inFlight === 2);
+    aborter.abort();
+    await second;
+    answerWhole(upstream.requests[0] as ScriptedRequest);
+    expect(await first).to.include({ status: 200, body: '/reads/1' });
+    upstream.script = answerWhole;
+    expect(await router.get('/reads/3')).to.include({ status: 200, body: '/reads/3' });
+    expect(upstream.requests.map(({ target }) => target)).to.deep.equal(['/reads/1', '/reads/3']);
+  });
+});
+
+describe('answers of upstreams in any order', () => {
+  it('go to those whose they are', async () => {
+    const upstream = await new ScriptedUpstream(() => {}).start();
+    const router = await RouterFixture.start([upstream], { reads: { slotsPerUpstream: PARALLEL } });
+    const paths = Array.from({ length: PARALLEL }, (_, index) => `/reads/${index}`);
+    const answers = paths.map((path) => router.get(path));
+    await until(() => upstream.requests.length === PARALLEL);
+    for (const request of upstream.requests.toReversed()) {
+      answerWhole(request);
+    }
+    expect((await Promise.all(answers)).map(({ body }) => body)).to.deep.equal(paths);
+    await router.stop();
+    await upstream.stop();
+  });
+});
