Status page: what is wrong, since when, and what to do

The admin status now names unowned shards by service with their time, routers that are gone, how long there has been this leader, and an upstream's last answer of any kind: the answer of a lost incarnation was forgotten, so that a loss 2 s ago read as long as the leadership.

--- a/src/cli/command-list.ts
+++ b/src/cli/command-list.ts
@@ -27,9 +27,11 @@
 import { serviceGet, serviceList } from './queries/service-queries.js';
 import { shardExplain } from './queries/shard-explain.js';
 import { shardList } from './queries/shard-list.js';
+import { status } from './queries/status.js';
 import { upstreamList } from './queries/upstream-list.js';
 
 export const COMMANDS: readonly CommandSpec[] = [
+  status,
   controlInit,
   controlJoin,
   controlRun,
--- /dev/null
+++ b/src/cli/status/control-findings.ts
@@ -0,0 +1,139 @@
+/** What is wrong with the control cluster itself. */
+import type { Address, ReplicaId } from '../../model/identifiers.js';
+import type { StatusBody } from '../api-types.js';
+import type { Finding } from './finding.js';
+import { heardVoters, type StatusView } from './status-view.js';
+
+/** A member that the leader hasn't heard of for this long is silent; it hears each one many times a second. */
+export const SILENT_MEMBER_MILLIS = 2000;
+/** Entries by which a follower may lag. */
+const LAG_ENTRIES = 1000;
+
+function quorumOf(voters: readonly ReplicaId[]): number {
+  return Math.floor(voters.length / 2) + 1;
+}
+
+function hostOf(address: Address): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
+
+/** Hosts of replicas that another finding names. */
+function silentHosts({ leader, best }: StatusView): Set<string> {
+  const addresses: Readonly<Record<ReplicaId, Address>> = best?.raft.membership.addresses ?? {};
+  const silent = Object.entries(addresses).filter(
+    ([replica]) => leader === null || (leader.memberSilentMillis[replica] ?? 0) >= SILENT_MEMBER_MILLIS,
+  );
+  return new Set(silent.map(([, address]) => hostOf(address)));
+}
+
+function unreachable(view: StatusView): Finding[] {
+  const named = silentHosts(view);
+  return view.members
+    .filter(({ status, address }) => status === null && !named.has(hostOf(address)))
+    .map(({ address, problem }) => ({
+      severity: 'note',
+      subject: `control/${address}`,
+      problem: `its admin address doesn't answer (${problem})`,
+      sinceMillis: null,
+      advice: 'check the address, and the network between here and there',
+    }));
+}
+
+function withoutLeader(view: StatusView, best: StatusBody | null): Finding[] {
+  if (best === null) {
+    const advice = 'check the addresses after --control, then start the members: ternmount control run';
+    const problem = 'no member answers';
+    return [{ severity: 'critical', subject: 'control', problem, sinceMillis: null, advice }];
+  }
+  const { voters, addresses } = best.raft.membership;
+  const heard = heardVoters(view, SILENT_MEMBER_MILLIS);
+  const silent = voters.filter((voter) => !heard.includes(voter));
+  const missing = quorumOf(voters) - heard.length;
+  const names = silent.map((voter) => `${voter} at ${addresses[voter] ?? '?'}`).join(', ');
+  const advice =
+    missing > 0
+      ? `start ${missing} or more of: ${names}. If their disks are lost see docs/operators/losing-two.md`
+      : 'enough members answer, so an election should end in seconds; if not, check the network between them';
+  return [
+    {
+      severity: 'critical',
+      subject: 'control',
+      problem: `no leader: ${heard.length} of ${voters.length} voters answer, ${quorumOf(voters)} are needed. Nothing can be changed, and routers refuse requests once their configuration lease is over`,
+      sinceMillis: best.leaderSinceMillis,
+      advice,
+    },
+  ];
+}
+
+function silentMembers(view: StatusView, leader: StatusBody): Finding[] {
+  const { voters, addresses } = leader.raft.membership;
+  const spare = heardVoters(view, SILENT_MEMBER_MILLIS).length - quorumOf(voters);
+  const silent = Object.entries(leader.memberSilentMillis).filter(
+    ([, millis]) => millis >= SILENT_MEMBER_MILLIS,
+  );
+  return silent.map(([replica, millis]) => {
+    const votes = voters.includes(replica);
+    const consequence =
+      spare === 0 ? 'one more loss stops control' : `${spare} more may be lost before control stops`;
+    const join = `ternmount control join in an empty folder, then ternmount control replace ${replica} NEW --address IP:PORT`;
+    return {
+      severity: votes && spare === 0 ? 'critical' : 'warning',
+      subject: `control/${replica}`,
+      problem: votes
+        ? `the voter at ${addresses[replica]} is silent; ${consequence}`
+        : `the learner at ${addresses[replica]} is silent`,
+      sinceMillis: millis,
+      advice: `start it again. If its disk is lost: ${join}`,
+    };
+  });
+}
+
+function laggingMembers(leader: StatusBody): Finding[] {
+  const { commitIndex, matchIndexes, membership } = leader.raft;
+  const lagging = Object.entries(matchIndexes).filter(
+    ([replica, match]) =>
+      commitIndex - match > LAG_ENTRIES && (leader.memberSilentMillis[replica] ?? 0) < SILENT_MEMBER_MILLIS,
+  );
+  return lagging.map(([replica, match]) => ({
+    severity: membership.voters.includes(replica) ? 'warning' : 'note',
+    subject: `control/${replica}`,
+    problem: `${commitIndex - match} entries behind`,
+    sinceMillis: null,
+    advice: 'it catches up by itself; if the number grows, look at its disk and its network',
+  }));
+}
+
+function changingMembers(leader: StatusBody): Finding[] {
+  const { outgoingVoters, voters } = leader.raft.membership;
+  const joint: Finding = {
+    severity: 'warning',
+    subject: 'control',
+    problem: `a change of voters is under way: ${outgoingVoters.join(', ')} to ${voters.join(', ')}`,
+    sinceMillis: null,
+    advice: 'take no member down until it is done; it needs a majority of both lists',
+  };
+  const waiting = leader.waitingReplicas.map(
+    ({ replica, address }): Finding => ({
+      severity: 'note',
+      subject: `control/${replica}`,
+      problem: `the new replica at ${address} waits to be taken in`,
+      sinceMillis: null,
+      advice: `ternmount control replace OLD ${replica} --address ${address}, or control add ${replica} --address ${address}`,
+    }),
+  );
+  return [...(outgoingVoters.length > 0 ? [joint] : []), ...waiting];
+}
+
+/** Findings about the control cluster. */
+export function controlFindings(view: StatusView): Finding[] {
+  const { leader, best } = view;
+  if (leader === null) {
+    return [...withoutLeader(view, best), ...unreachable(view)];
+  }
+  return [
+    ...silentMembers(view, leader),
+    ...laggingMembers(leader),
+    ...changingMembers(leader),
+    ...unreachable(view),
+  ];
+}
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -5,7 +5,7 @@
 import { createRaft } from '../consensus/index.js';
 import type { RaftConfig, RaftCore, RaftStatus, RestoredState } from '../consensus/types.js';
 import type { SessionCall } from '../lease/granter-types.js';
-import type { MonotonicMillis, Revision, WallMillis } from '../model/identifiers.js';
+import type { MonotonicMillis, ReplicaId, Revision, WallMillis } from '../model/identifiers.js';
 import { createRegistry, decodeRegistry } from '../registry/index.js';
 import type { Command, Registry, RegistryChange } from '../registry/types.js';
 import { controlStatus } from './control-status.js';
@@ -23,6 +23,7 @@
   OperationId,
   OperatorResponse,
 } from './types.js';
+import { UnownedClock } from './unowned-clock.js';
 
 const MAX_ENTRIES_PER_APPEND = 256;
 const MAX_APPENDS_IN_FLIGHT = 8;
@@ -38,7 +39,8 @@
 ): ControlCore {
   const raft = createRaft(raftConfigOf(config), restored, now);
   const registry = restored.snapshot === null ? createRegistry() : decodeRegistry(restored.snapshot.data);
-  return new ControlNode(config, raft, registry, restored.snapshot?.lastIndex ?? 0);
+  const snapshotIndex = restored.snapshot?.lastIndex ?? 0;
+  return new ControlNode(config, raft, registry, { snapshotIndex, now });
 }
 
 function raftConfigOf(config: ControlConfig): RaftConfig {
@@ -52,6 +54,12 @@
   };
 }
 
+/** Where a member starts from. */
+interface StartOfNode {
+  readonly snapshotIndex: Revision;
+  readonly now: MonotonicMillis;
+}
+
 class ControlNode implements ControlCore, RaftListener {
   readonly #config: ControlConfig;
   readonly #raft: RaftAdapter;
@@ -62,12 +70,18 @@
   #effects: ControlEffect[] = [];
   #wall: WallMillis = 0;
   #now: MonotonicMillis = 0;
+  readonly #unowned = new UnownedClock();
+  /** When this member last learned who leads, or that nobody does. */
+  #leaderSince: MonotonicMillis;
+  #leaderId: ReplicaId | null = null;
   #snapshotIndex: Revision;
   /** Whether routing data changed in this step. */
   #hasNews = false;
 
-  constructor(config: ControlConfig, raft: RaftCore, registry: Registry, snapshotIndex: Revision) {
+  constructor(config: ControlConfig, raft: RaftCore, registry: Registry, start: StartOfNode) {
+    const { snapshotIndex, now } = start;
     this.#config = config;
+    this.#leaderSince = now;
     this.#snapshotIndex = snapshotIndex;
     const readTimeoutMillis = READ_TIMEOUTS * config.raft.electionTimeoutMillis;
     this.#raft = new RaftAdapter({ raft, registry, decodeRegistry, listener: this, readTimeoutMillis });
@@ -97,6 +111,7 @@
     this.#settle(now);
     if (this.#hasNews) {
       this.#hasNews = false;
+      this.#unowned.look(this.#raft.registry, now);
       this.#routers.notify(this.#raft.registry.revision);
     }
     return this.#effects;
@@ -138,6 +153,10 @@
   roleChanged(now: MonotonicMillis): void {
     const { role, term, leader } = this.#raft.status();
     this.#log('info', 'role-changed', { role, term, leader });
+    if (leader !== this.#leaderId) {
+      this.#leaderId = leader;
+      this.#leaderSince = now;
+    }
     this.#leader?.end();
     this.#leader = role === 'leader' ? this.#beginLeadership(now) : null;
     this.#membership.roleChanged(now);
@@ -228,6 +247,9 @@
       registry: this.#raft.registry,
       sessions: this.#leader?.sessions() ?? [],
       routers: this.#routers.routers(),
+      departed: this.#routers.departed(now),
+      unowned: this.#unowned.list(this.#raft.registry, now),
+      leaderSince: this.#leaderSince,
       ...this.#membership.view(now),
     };
   }
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -1,49 +1,65 @@
 /** What operators see of a control member and, on the leader, of the upstreams' sessions. */
 import type { RaftStatus } from '../consensus/types.js';
-import type { SessionView } from '../lease/granter-types.js';
 import type { MonotonicMillis, ReplicaId, UpstreamId } from '../model/identifiers.js';
 import type { Registry } from '../registry/types.js';
 import type { WaitingReplica } from './automatic-repair.js';
+import type { DepartedRouter } from './departed-routers.js';
+import type { HeardSession } from './leader-duties.js';
 import type { ConnectedRouter } from './router-desk.js';
 import type { OperatorResponse, UpstreamHealth } from './types.js';
+import type { UnownedShards } from './unowned-clock.js';
 
 export interface ControlStatusSource {
   readonly raft: RaftStatus;
   readonly registry: Registry;
   /** Empty on members that don't lead. */
-  readonly sessions: readonly SessionView[];
+  readonly sessions: readonly HeardSession[];
   readonly routers: readonly ConnectedRouter[];
+  readonly departed: readonly DepartedRouter[];
+  readonly unowned: readonly UnownedShards[];
+  readonly leaderSince: MonotonicMillis;
   readonly waitingReplicas: readonly WaitingReplica[];
   readonly memberSilentMillis: Readonly<Record<ReplicaId, number>>;
 }
 
 export function controlStatus(source: ControlStatusSource, now: MonotonicMillis): OperatorResponse {
-  const { raft, registry, sessions, routers, waitingReplicas, memberSilentMillis } = source;
-  const keyed = [...registry.services().values()].filter(({ definition }) => definition.keyed);
-  const unowned = keyed.map(({ definition }) => registry.unownedShards(definition.name).size);
+  const { raft, registry, sessions, unowned, waitingReplicas, memberSilentMillis } = source;
   const moving = [...registry.upstreams().keys()].map((upstream) => movingTo(registry, upstream));
   return {
     type: 'status',
     raft,
     revision: registry.revision,
     upstreams: sessions.map((view) => healthOf(view, registry, now)),
-    routers: routers.map(({ router, revision, heardAt }) => ({
-      router,
-      revision,
-      silentMillis: now - heardAt,
-    })),
+    routers: routersOf(source, now),
+    leaderSinceMillis: now - source.leaderSince,
+    unowned,
     waitingReplicas,
     memberSilentMillis,
-    unownedShards: sum(unowned),
+    unownedShards: sum(unowned.map(({ shards }) => shards)),
     movingShards: sum(moving),
   };
 }
 
-function healthOf(view: SessionView, registry: Registry, now: MonotonicMillis): UpstreamHealth {
+type RouterStatus = Extract<OperatorResponse, { type: 'status' }>['routers'][number];
+
+function routersOf({ routers, departed }: ControlStatusSource, now: MonotonicMillis): RouterStatus[] {
+  const statusOf = (router: DepartedRouter, connected: boolean): RouterStatus => ({
+    router: router.router,
+    revision: router.revision,
+    silentMillis: now - router.heardAt,
+    connected,
+  });
+  return [
+    ...routers.map((router) => statusOf(router, true)),
+    ...departed.map((router) => statusOf(router, false)),
+  ];
+}
+
+function healthOf(view: HeardSession, registry: Registry, now: MonotonicMillis): UpstreamHealth {
   return {
     upstream: view.upstream,
     state: view.failing ? 'unreachable' : view.phase,
-    silentMillis: view.answeredAt === null ? null : now - view.answeredAt,
+    silentMillis: view.heardAt === null ? null : now - view.heardAt,
     shards: registry.shardsOwnedBy(view.upstream).size,
     draining: view.answer?.draining.length ?? 0,
   };
--- /dev/null
+++ b/src/control/departed-routers.ts
@@ -0,0 +1,33 @@
+/** Routers whose last connection ended, so that operators see since when one is gone. */
+import type { MonotonicMillis, Revision, RouterId } from '../model/identifiers.js';
+
+/** How long a router that is gone is shown. */
+export const DEPARTED_ROUTER_MILLIS = 10 * 60_000;
+
+/** A router as it was last heard. */
+export interface DepartedRouter {
+  readonly router: RouterId;
+  readonly revision: Revision;
+  readonly heardAt: MonotonicMillis;
+}
+
+export class DepartedRouters {
+  readonly #routers = new Map<RouterId, DepartedRouter>();
+
+  left(router: DepartedRouter): void {
+    this.#routers.set(router.router, router);
+  }
+
+  isBack(router: RouterId): void {
+    this.#routers.delete(router);
+  }
+
+  list(now: MonotonicMillis): readonly DepartedRouter[] {
+    for (const { router, heardAt } of this.#routers.values()) {
+      if (now - heardAt > DEPARTED_ROUTER_MILLIS) {
+        this.#routers.delete(router);
+      }
+    }
+    return [...this.#routers.values()];
+  }
+}
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -25,7 +25,13 @@
   readonly call: (call: SessionCall) => void;
 }
 
+/** A session with the time of the upstream's last answer of any kind in this leadership. */
+export interface HeardSession extends SessionView {
+  readonly heardAt: MonotonicMillis | null;
+}
+
 export class LeaderDuties {
+  readonly #heardAt = new Map<UpstreamId, MonotonicMillis>();
   readonly #parts: LeaderDutiesParts;
   readonly #granter: LeaseGranter;
   readonly #proposals: LeaderProposals;
@@ -80,6 +86,7 @@
     answer: SessionAnswer,
     now: MonotonicMillis,
   ): void {
+    this.#heardAt.set(upstream, now);
     this.#granter.answered(upstream, sequence, answer, now);
     this.#coordinator.sessionChanged(upstream);
   }
@@ -115,8 +122,10 @@
     );
   }
 
-  sessions(): SessionView[] {
-    return this.#granter.views();
+  sessions(): HeardSession[] {
+    return this.#granter
+      .views()
+      .map((view) => ({ ...view, heardAt: this.#heardAt.get(view.upstream) ?? null }));
   }
 
   #catchUp(now: MonotonicMillis): void {
--- a/src/control/router-desk.ts
+++ b/src/control/router-desk.ts
@@ -4,6 +4,7 @@
  */
 import type { Incarnation, MonotonicMillis, Revision, RouterId } from '../model/identifiers.js';
 import type { CommandResult } from '../registry/types.js';
+import { type DepartedRouter, DepartedRouters } from './departed-routers.js';
 import type {
   ClaimRequest,
   ControlToRouter,
@@ -40,6 +41,7 @@
 export class RouterDesk {
   readonly #parts: RouterDeskParts;
   readonly #routers = new Map<ConnectionId, ConnectedRouter>();
+  readonly #departed = new DepartedRouters();
   /** Syncs that wait for the next read to begin. */
   #waiting: WaitingSync[] = [];
   #isReading = false;
@@ -66,7 +68,11 @@
   }
 
   gone(connection: ConnectionId): void {
+    const router = this.#routers.get(connection);
     this.#routers.delete(connection);
+    if (router !== undefined && !this.routers().some((other) => other.router === router.router)) {
+      this.#departed.left(router);
+    }
     this.#waiting = this.#waiting.filter((sync) => sync.connection !== connection);
   }
 
@@ -81,9 +87,15 @@
     return [...this.#routers.values()];
   }
 
+  /** Those that are gone since a while ago. */
+  departed(now: MonotonicMillis): readonly DepartedRouter[] {
+    return this.#departed.list(now);
+  }
+
   #sync(connection: ConnectionId, request: SyncRequest, now: MonotonicMillis): void {
     const { router, incarnation, have } = request;
     this.#routers.set(connection, { router, incarnation, revision: have, heardAt: now });
+    this.#departed.isBack(router);
     this.#waiting.push({ connection, request });
     this.#readForWaiting(now);
   }
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -29,6 +29,7 @@
   UpstreamRecord,
 } from '../registry/types.js';
 import type { ConfigLeaseTimings, ControlToRouter, RouterToControl } from './messages.js';
+import type { UnownedShards } from './unowned-clock.js';
 
 /** Names one connection of a router, or one operator request, as the shell numbers them. */
 export type ConnectionId = string;
@@ -85,7 +86,12 @@
         readonly router: string;
         readonly revision: Revision;
         readonly silentMillis: number;
+        /** `false`: its last connection to this member ended. */
+        readonly connected: boolean;
       }[];
+      /** Milliseconds since this member last learned who leads, or that nobody does. */
+      readonly leaderSinceMillis: number;
+      readonly unowned: readonly UnownedShards[];
       /** Leader only: replicas that ask to be taken in. */
       readonly waitingReplicas: readonly { readonly replica: ReplicaId; readonly address: Address }[];
       /** Leader only: milliseconds since each other member was heard. */
--- /dev/null
+++ b/src/control/unowned-clock.ts
@@ -0,0 +1,40 @@
+/** Since when a service has shards without an owner, as this member saw it. */
+import type { MonotonicMillis, ServiceName } from '../model/identifiers.js';
+import type { Registry } from '../registry/types.js';
+
+/** Shards of a service that nobody owns. */
+export interface UnownedShards {
+  readonly service: ServiceName;
+  readonly shards: number;
+  /** How long there has been at least one. */
+  readonly sinceMillis: number;
+}
+
+export class UnownedClock {
+  readonly #since = new Map<ServiceName, MonotonicMillis>();
+
+  /** To be called after each change of the registry. */
+  look(registry: Registry, now: MonotonicMillis): void {
+    for (const service of this.#since.keys()) {
+      if (!registry.services().has(service)) {
+        this.#since.delete(service);
+      }
+    }
+    for (const { definition } of registry.services().values()) {
+      const { name, keyed } = definition;
+      if (!keyed || registry.unownedShards(name).size === 0) {
+        this.#since.delete(name);
+      } else if (!this.#since.has(name)) {
+        this.#since.set(name, now);
+      }
+    }
+  }
+
+  list(registry: Registry, now: MonotonicMillis): readonly UnownedShards[] {
+    return [...this.#since].map(([service, since]) => ({
+      service,
+      shards: registry.unownedShards(service).size,
+      sinceMillis: now - since,
+    }));
+  }
+}
