Process-level fleet test; a fence without a lease drains at once; fleets start and stop faster

Fence: a server whose lease was over waited up to 5 s for its shards to be moved, although it may serve none of them. Fleet: upstreams, routers and control start side by side.

--- a/src/dev/fleet/fleet.ts
+++ b/src/dev/fleet/fleet.ts
@@ -18,8 +18,11 @@
 const SETTLE_POLL_MILLIS = 100;
 /** Longest planned stop. */
 export const STOP_GRACE_MILLIS = 15_000;
-/** Order in which a fleet is stopped: nobody loses what it still needs. */
-const STOP_ORDER: readonly ProcessKind[] = ['caller', 'router', 'upstream', 'control', 'platform', 'link'];
+/**
+ * Order in which a fleet is stopped. Control goes before the upstreams, which would else wait for their shards to be
+ * moved to each other.
+ */
+const STOP_ORDER: readonly ProcessKind[] = ['caller', 'router', 'control', 'upstream', 'platform', 'link'];
 
 /** The fleet didn't come to the state that it should have. */
 export class FleetNotReadyError extends TernmountError {
@@ -63,9 +66,8 @@
   /** Brings everything up until each shard has an owner and each router serves. */
   async start(): Promise<void> {
     await this.#startKind('link');
-    await this.#startKind('platform');
-    await this.#startControl();
-    await Promise.all([this.#startKind('upstream'), this.#startKind('router')]);
+    const others = (['platform', 'upstream', 'router'] as const).map((kind) => this.#startKind(kind));
+    await Promise.all([this.#startControl(), ...others]);
     await this.operator.must(['service', 'apply', declarationsFileOf(this.plan), '--no-wait']);
     await this.#until('an owner for each shard', () => this.#everyShardOwned());
     await this.#until('routers that serve', () => this.#everyRouterServes());
@@ -95,7 +97,7 @@
     this.journal.write({ event: 'load-ended' });
   }
 
-  /** Planned stop of everything, in an order in which none loses what it still needs. */
+  /** Planned stop of everything. */
   async stop(): Promise<void> {
     for (const kind of STOP_ORDER) {
       const names = this.supervisor.namesOf(kind);
@@ -116,9 +118,10 @@
     await this.operator.mustLocal(['control', 'init', '--settings', settingsFileOf(first)]);
     await this.startProcess(first.name);
     await this.#until('a control leader', async () => (await this.admin.findLeader()) !== undefined);
-    for (const control of others) {
-      const replica = await this.joinControl(control);
-      await this.operator.must(['control', 'add', replica, '--address', control.internal.advertised]);
+    const replicas = await Promise.all(others.map((control) => this.joinControl(control)));
+    for (const [index, { internal }] of others.entries()) {
+      const replica = replicas[index] as ReplicaId;
+      await this.operator.must(['control', 'add', replica, '--address', internal.advertised]);
     }
   }
 
--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -102,14 +102,15 @@
 
   /**
    * Planned stop: asks the control leader to move the shards away and goes on serving them meanwhile; then lets in
-   * nothing more and resolves when all that runs is done. The server's sockets may be closed after that.
+   * nothing more and resolves when all that runs is done. The server's sockets may be closed after that. Without a
+   * lease it may serve none of its shards, so it then waits for none to be moved.
    */
   async drain(options: DrainOptions = {}): Promise<void> {
     if (this.state === 'serving') {
       this.state = 'leaving';
     }
     const until = this.clock() + (options.moveMillis ?? DEFAULT_MOVE_MILLIS);
-    while (this.holder.status(this.clock()).held > 0 && this.clock() < until) {
+    while (this.servesShards() && this.clock() < until) {
       await sleep(DRAIN_CHECK_MILLIS);
     }
     this.state = 'draining';
@@ -118,6 +119,11 @@
     }
   }
 
+  private servesShards(): boolean {
+    const { held, leased } = this.holder.status(this.clock());
+    return leased && held > 0;
+  }
+
   private readHead(request: IncomingMessage, response: ServerResponse): RequestHead | null {
     const requestId = request.headers[HEADERS.requestId];
     if (typeof requestId === 'string') {
--- /dev/null
+++ b/test/fleet/fleet.test.ts
@@ -0,0 +1,82 @@
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { expect } from 'chai';
+import { parseFaults } from '../../src/dev/fleet/fault-schedule.js';
+import { FLEET_DEFAULTS } from '../../src/dev/fleet/fleet-options.js';
+import { runFleet } from '../../src/dev/fleet/fleet-run.js';
+import { reserveNetwork } from '../../src/dev/fleet/network-reservation.js';
+import { deploymentSchema } from '../../src/settings/deployment.js';
+
+const SECONDS = 5;
+
+const deployment = deploymentSchema.parse({
+  name: 'small',
+  zones: ['zone-a', 'zone-b'],
+  network: { betweenZones: '1ms', client: '1ms' },
+  services: [
+    { name: 'items', repeatable: true, keyspaces: [{ name: 'all', prefix: '', shards: 12 }] },
+    { name: 'orders', repeatable: false },
+  ],
+  upstreams: [
+    {
+      service: 'items',
+      count: 4,
+      slots: 2,
+      connections: 50,
+      connect: '1ms',
+      probe: '1ms',
+      serviceTime: '2ms',
+    },
+    {
+      service: 'orders',
+      count: 2,
+      slots: 2,
+      connections: 50,
+      connect: '1ms',
+      probe: '1ms',
+      serviceTime: '2ms',
+    },
+  ],
+  workload: {
+    callers: 10,
+    phases: [
+      {
+        name: 'steady',
+        duration: '5s',
+        requestsPerSecond: 60,
+        mix: [
+          { service: 'items', share: 4, keys: 40, skew: 0.5 },
+          { service: 'orders', share: 1, method: 'POST' },
+        ],
+      },
+    ],
+  },
+});
+
+describe('a fleet of real processes', () => {
+  it('keeps every promise while an owner and the control leader are killed', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'ternmount-fleet-test-'));
+    const { network, release } = await reserveNetwork(FLEET_DEFAULTS.network);
+    try {
+      const options = {
+        ...FLEET_DEFAULTS,
+        deployment,
+        seconds: SECONDS,
+        faults: parseFaults('kill:owner@1+3,kill:leader@2+1', SECONDS),
+        folder,
+        ownProcesses: { keyed: 1, unkeyed: 0 },
+        callers: 1,
+        network,
+      };
+      const report = await runFleet(options, new AbortController().signal, () => {});
+      expect(report.problems).to.deep.equal([]);
+      expect(report.promises.flatMap(({ violations }) => violations)).to.deep.equal([]);
+      expect(report.faults.map(({ type }) => type)).to.deep.equal(['kill', 'kill']);
+      expect(report.ownerLosses).to.have.length(1);
+    } finally {
+      await release();
+      rmSync(folder, { recursive: true });
+    }
+  }).timeout(120_000);
+});
--- /dev/null
+++ b/test/upstream/fence-drain.test.ts
@@ -0,0 +1,63 @@
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import type { SessionRequest } from '../../src/lease/types.js';
+import { createFence, createNodeHandler, type Fence, SESSION_PATH } from '../../src/upstream/index.js';
+
+const SHARD = 'sheets/all@5/0';
+const LEASE_ENDS_AT = 1000;
+
+describe('drain of a fence', () => {
+  let now: number;
+  let fence: Fence;
+  let server: Server;
+
+  async function grantShard(): Promise<void> {
+    const request: SessionRequest = {
+      cluster: 'c1',
+      leader: 'm1',
+      term: 1,
+      sequence: 1,
+      upstream: 'u1',
+      incarnation: fence.incarnation,
+      validUntil: LEASE_ENDS_AT,
+      keyMap: {
+        service: 'sheets',
+        generation: 5,
+        keyspaces: [{ name: 'all', kind: 'prefix', match: '', shards: 1 }],
+      },
+      orders: [{ type: 'grant', shard: SHARD, epoch: 10, revision: 10 }],
+      complete: true,
+      drain: false,
+    };
+    const { port } = server.address() as AddressInfo;
+    const url = `http://127.0.0.1:${port}${SESSION_PATH}`;
+    await fetch(url, { method: 'POST', body: JSON.stringify(request), headers: { connection: 'close' } });
+  }
+
+  beforeEach(async () => {
+    now = 0;
+    fence = createFence({ cluster: 'c1', upstream: 'u1', service: 'sheets', clock: () => now });
+    server = createServer(createNodeHandler(fence, (_request, response) => void response.end()));
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    await grantShard();
+  });
+
+  afterEach(() => {
+    server.close();
+  });
+
+  it('goes on serving its shards while it holds a lease', async () => {
+    const drained = fence.drain({ moveMillis: 500 });
+    expect(fence.status()).to.include({ state: 'leaving', held: 1, leased: true });
+    now = 500;
+    await drained;
+    expect(fence.status().state).to.equal('draining');
+  });
+
+  it('does not wait for shards to be moved once its lease is over', async () => {
+    now = LEASE_ENDS_AT + 1;
+    await fence.drain({ moveMillis: Number.POSITIVE_INFINITY });
+    expect(fence.status()).to.include({ state: 'draining', held: 1, leased: false });
+  });
+});
