Raft: a replica that was paused reads what arrived before it calls the others silent

Cause: after a pause (a stopped or starved process) timers are served before sockets, so the first tick found the quorum or the leader silent although their messages were waiting; the leader stepped down or a follower began an election. Ruled out: heartbeats waiting for a sync (they are answered at once). Change: a tick that is late by a heartbeat or more puts the timeout off by one heartbeat, once for each silence.

--- a/src/consensus/core.ts
+++ b/src/consensus/core.ts
@@ -2,6 +2,7 @@
 import { electionTimedOut } from './election.js';
 import { handleMessage } from './messages.js';
 import { takeOwnSnapshot } from './own-snapshot.js';
+import { PauseGrace } from './pause-grace.js';
 import {
   isVotedOut,
   leaveJointWhenCommitted,
@@ -17,7 +18,13 @@
   reportReadyReads,
   startRead,
 } from './read-index.js';
-import { advanceCommit, broadcastHeartbeat, quorumHeardAt, replicateToAll } from './replication.js';
+import {
+  advanceCommit,
+  broadcastHeartbeat,
+  leaderStateOf,
+  quorumHeardAt,
+  replicateToAll,
+} from './replication.js';
 import { becomeFollower } from './roles.js';
 import { RaftState } from './state.js';
 import { raftStatus } from './status.js';
@@ -36,10 +43,12 @@
 
 class Raft implements RaftCore {
   readonly #state: RaftState;
+  readonly #grace: PauseGrace;
   #reported: RoleReport;
 
   constructor(config: RaftConfig, restored: RestoredState, now: number) {
     this.#state = new RaftState(config, restored, now);
+    this.#grace = new PauseGrace(config.heartbeatMillis);
     this.#reported = this.#roleReport();
   }
 
@@ -56,9 +65,10 @@
     const state = this.#state;
     const { leaderState, electionDeadline, forwardedReads } = state;
     if (leaderState === undefined) {
-      return Math.min(electionDeadline, ...forwardedReads.map((read) => read.deadline));
+      const election = this.#grace.deadlineOf(electionDeadline);
+      return Math.min(election, ...forwardedReads.map((read) => read.deadline));
     }
-    const quorumDeadline = quorumHeardAt(state) + state.config.electionTimeoutMillis;
+    const quorumDeadline = this.#grace.deadlineOf(this.#quorumDeadline());
     const transferDeadline = leaderState.transfer?.deadline ?? Number.POSITIVE_INFINITY;
     return Math.min(leaderState.heartbeatDeadline, quorumDeadline, transferDeadline);
   }
@@ -110,7 +120,8 @@
       return;
     }
     expireForwardedReads(state);
-    if (state.now >= state.electionDeadline) {
+    const { electionDeadline, now } = state;
+    if (this.#grace.hasPassed(electionDeadline, electionDeadline, now)) {
       electionTimedOut(state);
     }
   }
@@ -118,17 +129,21 @@
   /** A leader that heard no quorum for an election timeout steps down by itself. */
   #leaderTick(): void {
     const state = this.#state;
-    if (state.now - quorumHeardAt(state) >= state.config.electionTimeoutMillis) {
+    const { heartbeatDeadline } = leaderStateOf(state);
+    if (this.#grace.hasPassed(this.#quorumDeadline(), heartbeatDeadline, state.now)) {
       becomeFollower(state, state.term, null);
       return;
     }
-    const heartbeatDue = state.now >= (state.leaderState?.heartbeatDeadline ?? 0);
-    if (heartbeatDue) {
+    if (state.now >= heartbeatDeadline) {
       beginReadRound(state, true);
       broadcastHeartbeat(state, true);
     }
   }
 
+  #quorumDeadline(): number {
+    return quorumHeardAt(this.#state) + this.#state.config.electionTimeoutMillis;
+  }
+
   #persisted(persistId: number): void {
     const state = this.#state;
     const persisted = state.persistQueue.persisted(persistId);
