Holder: a complete list that only warms a shard voids the old grant of it

Cause: a server whose lease ended while it was cut off keeps the grants it had, unusable. When its session goes on, the leader's first list is complete and voids what it doesn't name. A shard that had gone to another owner and was about to move back was named by a warm order, so the old grant stayed and became usable with the new lease: two owners. Change: only grants and revokes of a complete list keep a shard, and the list voids before its orders are followed.

--- a/src/lease/grant-holder.ts
+++ b/src/lease/grant-holder.ts
@@ -129,12 +129,12 @@
     if (request.keyMap !== null) {
       this.#adoptKeyMap(request.keyMap);
     }
+    if (request.complete) {
+      this.#shards.keepOnly(request.orders);
+    }
     for (const order of request.orders) {
       this.#shards.follow(order, this.#keyMap);
     }
-    if (request.complete) {
-      this.#shards.keepOnly(new Set(request.orders.map((order) => order.shard)));
-    }
     if (request.validUntil !== null) {
       this.#renew(request.validUntil, now);
     }
--- a/src/lease/shard-table.ts
+++ b/src/lease/shard-table.ts
@@ -83,17 +83,24 @@
     }
   }
 
-  /** Voids every grant, warming and report that a complete list of orders doesn't name. */
-  keepOnly(named: ReadonlySet<ShardId>): void {
+  /**
+   * Voids every grant, warming and report that a complete list of orders doesn't name; to be called before the orders are
+   * followed. A shard that the list only says to warm isn't held: another one got it meanwhile.
+   */
+  keepOnly(orders: readonly ShardOrder[]): void {
+    const named = new Set(orders.map((order) => order.shard));
+    const held = new Set(orders.filter((order) => order.type !== 'warm').map((order) => order.shard));
     for (const [shard, entry] of this.#entries) {
-      if (named.has(shard)) {
+      if (held.has(shard)) {
         continue;
       }
-      entry.warmth = 'cold';
       if (entry.state === 'held' || entry.state === 'draining') {
         this.#events.push({ type: 'released', shard });
       }
       entry.state = 'known';
+      if (!named.has(shard)) {
+        entry.warmth = 'cold';
+      }
     }
   }
 
