--- a/src/cli/cli-error.ts
+++ b/src/cli/cli-error.ts
@@ -1,6 +1,7 @@
 /** Errors of the command line, each with its exit code. */
 import type { AdminErrorBody, AdminErrorCode } from '../control/admin/index.js';
 import { TernmountError } from '../errors/ternmount-error.js';
+import { formatProblem, SettingsError } from '../settings/settings-error.js';
 import { EXIT_CODES, type ExitCode } from './exit-codes.js';
 
 /** An error that ends the command with `exitCode`. */
@@ -87,8 +88,11 @@
   'TERNMOUNT_LISTEN_FAILED',
   'TERNMOUNT_POLICY_INVALID',
   'TERNMOUNT_FOLDER_LOCKED',
+  'TERNMOUNT_FOLDER_UNUSABLE',
 ]);
 
+const REPLICA_LOST_CODE = 'TERNMOUNT_STORAGE_DAMAGED';
+
 /** Exit code for whatever ended a command. */
 export function exitCodeOf(thrown: unknown): ExitCode {
   if (thrown instanceof CliError) {
@@ -97,5 +101,20 @@
   if (thrown instanceof TernmountError && USAGE_CODES.has(thrown.code)) {
     return EXIT_CODES.usage;
   }
+  if (thrown instanceof TernmountError && thrown.code === REPLICA_LOST_CODE) {
+    return EXIT_CODES.replicaLost;
+  }
   return EXIT_CODES.failed;
 }
+
+/** Runs `check`; wrong settings become an error that names each fault on a line of its own. */
+export function namingEachFault<Value>(check: () => Value): Value {
+  try {
+    return check();
+  } catch (thrown) {
+    if (thrown instanceof SettingsError) {
+      throw new UsageError(thrown.problems.map(formatProblem).join('\n'));
+    }
+    throw thrown;
+  }
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,8 @@
+#!/usr/bin/env node
+/** `ternmount`: runs one subcommand and ends with its exit code. */
+import { processIo } from './cli-io.js';
+import { runCommandLine } from './run-command-line.js';
+
+process.exitCode = await runCommandLine(process.argv.slice(2), processIo());
+// Idle connections of libraries must not keep the process.
+process.exit();
--- a/src/control/admin/api-schemas.ts
+++ b/src/control/admin/api-schemas.ts
@@ -4,6 +4,7 @@
 import { reachableAddressSchema } from '../../settings/common-schemas.js';
 import {
   checkServiceFields,
+  checkUnique,
   completeService,
   completeUpstream,
   nameSchema,
@@ -71,6 +72,17 @@
   .superRefine(checkServiceFields)
   .transform((fields): ServiceDefinition => completeService(fields));
 
+/** Body of `PUT /v1/services/:name/policy`. */
+export const policyBodySchema = z
+  .strictObject({ policy: z.array(policyRuleSchema, { error: 'expected a list of rules' }) })
+  .superRefine(({ policy }, context) =>
+    checkUnique(
+      policy.map((rule) => rule.name),
+      ['policy'],
+      context,
+    ),
+  );
+
 /** Body of `PUT /v1/upstreams/:id`. */
 export const upstreamBodySchema = z.strictObject(upstreamFields).transform(completeUpstream);
 
@@ -92,7 +104,7 @@
   .min(1, 'must not be empty')
   .max(128);
 
-/** Body of `POST /v1/control/add-learner`. */
+/** Body of `POST /v1/control/add-learner` and `POST /v1/control/add`. */
 export const addLearnerBodySchema = z.strictObject({
   replica: replicaSchema,
   address: reachableAddressSchema,
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -15,7 +15,6 @@
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
 import { RaftAdapter, type RaftListener, type SettleProposal } from './raft-adapter.js';
 import { RouterDesk } from './router-desk.js';
-import { LeastCountAssigner } from './shard-assigner.js';
 import type {
   ControlConfig,
   ControlCore,
@@ -80,13 +79,13 @@
       ...shared,
       answer,
       membership: this.#membership,
-      status: (now) => controlStatus(this.#statusSource(), now),
+      status: (now) => controlStatus(this.#statusSource(now), now),
       takeSnapshot: () => this.#takeSnapshot(),
     });
     this.#routers = new RouterDesk({
       ...shared,
       send: (connection, message) => this.#emit({ type: 'send-router', connection, message }),
-      report: () => {},
+      report: (report, now) => this.#leader?.loadReported(report, now),
     });
   }
 
@@ -107,6 +106,7 @@
     return Math.min(
       this.#raft.nextDeadline(),
       this.#operators.nextDeadline(),
+      this.#routers.nextDeadline(),
       this.#membership.nextDeadline(),
       this.#leader?.nextDeadline(this.#now) ?? Number.POSITIVE_INFINITY,
     );
@@ -127,7 +127,30 @@
   applied(changes: readonly RegistryChange[]): void {
     if (changes.length > 0) {
       this.#hasNews = true;
-      this.#leader?.registryChanged();
+      this.#leader?.registryChanged(changes);
+      this.#logOwnership(changes);
+    }
+  }
+
+  /** One record a batch, on the leader only. */
+  #logOwnership(changes: readonly RegistryChange[]): void {
+    if (this.#leader === null) {
+      return;
+    }
+    for (const change of changes) {
+      if (change.type === 'upstream') {
+        const { incarnation = null, definition } = change.record ?? {};
+        this.#log('info', 'upstream-changed', {
+          upstream: change.id,
+          incarnation,
+          leaving: definition?.leaving ?? null,
+        });
+      }
+    }
+    const shards = changes.filter((change) => change.type === 'shard');
+    if (shards.length > 0) {
+      const owned = shards.filter(({ record }) => record?.owner != null).length;
+      this.#log('info', 'shards-changed', { owned, unowned: shards.length - owned });
     }
   }
 
@@ -149,7 +172,6 @@
       config: this.#config,
       raft: this.#raft,
       propose: this.#propose,
-      assigner: new LeastCountAssigner(),
       call: (call: SessionCall) => this.#emit({ type: 'call-upstream', ...call }),
     };
     return new LeaderDuties(parts, this.#raft.status().term, now);
@@ -163,6 +185,9 @@
         this.#membership.heard(input.message.from, now);
         this.#raft.feed({ type: 'message', message: input.message });
         break;
+      case 'join-request':
+        this.#membership.joinRequested(input.replica, input.address, now);
+        break;
       case 'persisted':
         this.#raft.feed({ type: 'persisted', persistId: input.persistId });
         break;
@@ -189,6 +214,7 @@
     this.#raft.feed({ type: 'tick' });
     while (this.#raft.run(now)) {
       this.#operators.run(now);
+      this.#routers.run(now);
       this.#membership.run(now);
       this.#leader?.run(now);
       this.#snapshotWhenDue();
@@ -221,12 +247,13 @@
     this.#raft.propose({ ...origin, at: this.#wall, command }, settle);
   };
 
-  #statusSource() {
+  #statusSource(now: MonotonicMillis) {
     return {
       raft: this.#raft.status(),
       registry: this.#raft.registry,
       sessions: this.#leader?.sessions() ?? [],
       routers: this.#routers.routers(),
+      ...this.#membership.view(now),
     };
   }
 
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -1,20 +1,27 @@
-/** Messages between routers and control members, carried by frames of `src/wire/`. */
+/** Messages between routers and control members, and from replicas that join, carried by frames of `src/wire/`. */
 import type { ClaimantId, ClaimResult, StoredAnswer } from '../ledger/types.js';
 import type {
   Address,
   ClusterId,
   Incarnation,
   MonotonicMillis,
+  ReplicaId,
   Revision,
   RouterId,
   ServiceName,
   ShardId,
-  UpstreamId,
   WallMillis,
   Zone,
 } from '../model/identifiers.js';
 import type { RoutingDelta, RoutingSnapshot } from '../registry/types.js';
 
+/** From a replica that is no member yet to the members; repeated until it is one. */
+export interface JoinRequest {
+  readonly type: 'join-request';
+  readonly replica: ReplicaId;
+  readonly address: Address;
+}
+
 /** Refreshes the configuration lease and fetches what changed. */
 export interface SyncRequest {
   readonly type: 'sync-request';
@@ -25,7 +32,6 @@
   readonly stamp: MonotonicMillis;
   /** Last revision held; 0: none, send a snapshot. */
   readonly have: Revision;
-  readonly report: LoadReport | null;
 }
 export interface SyncResponse {
   readonly type: 'sync-response';
@@ -42,20 +48,17 @@
   readonly type: 'change-notice';
   readonly revision: Revision;
 }
-/** Requests and service times that a router saw since its last report. */
+/**
+ * Work that a router saw done since its last report. Sent to the leader; one that is lost isn't repeated. It names
+ * a bounded number of shards: light ones stand for others of their kind, so only sums over reports are meaningful.
+ */
 export interface LoadReport {
+  readonly type: 'load-report';
   readonly intervalMillis: number;
   readonly shards: readonly {
     readonly shard: ShardId;
-    readonly requests: number;
     readonly workMillis: number;
   }[];
-  readonly upstreams: readonly {
-    readonly upstream: UpstreamId;
-    readonly inFlight: number;
-    readonly serviceMillis: number;
-    readonly failures: number;
-  }[];
 }
 /** Sent to the leader; idempotent for one claimant. */
 export interface ClaimRequest {
@@ -87,7 +90,7 @@
   readonly settled: boolean;
   readonly leader: Address | null;
 }
-export type RouterToControl = SyncRequest | ClaimRequest | SettleRequest;
+export type RouterToControl = SyncRequest | ClaimRequest | SettleRequest | LoadReport;
 export type ControlToRouter = SyncResponse | ChangeNotice | ClaimResponse | SettleResponse;
 
 /** Times of the configuration lease. */
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -50,6 +50,8 @@
   | { readonly type: 'get-ledger'; readonly service: ServiceName; readonly key: string }
   | { readonly type: 'get-status' }
   | { readonly type: 'add-learner'; readonly replica: ReplicaId; readonly address: Address }
+  /** Takes a new replica in as a learner and lets it vote once it holds everything. */
+  | { readonly type: 'add-voter'; readonly replica: ReplicaId; readonly address: Address }
   | {
       readonly type: 'replace-replica';
       readonly oldReplica: ReplicaId;
@@ -84,6 +86,10 @@
         readonly revision: Revision;
         readonly silentMillis: number;
       }[];
+      /** Leader only: replicas that ask to be taken in. */
+      readonly waitingReplicas: readonly { readonly replica: ReplicaId; readonly address: Address }[];
+      /** Leader only: milliseconds since each other member was heard. */
+      readonly memberSilentMillis: Readonly<Record<ReplicaId, number>>;
       readonly unownedShards: number;
       readonly movingShards: number;
     }
@@ -98,6 +104,8 @@
 export type ControlInput =
   | { readonly type: 'tick' }
   | { readonly type: 'peer-message'; readonly message: RaftMessage }
+  /** A replica that is no member asks to be taken in. */
+  | { readonly type: 'join-request'; readonly replica: ReplicaId; readonly address: Address }
   | { readonly type: 'persisted'; readonly persistId: number }
   | { readonly type: 'router-message'; readonly connection: ConnectionId; readonly message: RouterToControl }
   | { readonly type: 'router-gone'; readonly connection: ConnectionId }
@@ -138,8 +146,13 @@
   readonly configLease: ConfigLeaseTimings;
   /** Log entries after which a snapshot is taken. */
   readonly snapshotEntries: number;
-  /** Replace a voter by itself once it was silent this long and a spare learner is caught up; 0: never. */
+  /**
+   * Replace a voter by itself once it was silent this long and a spare learner is caught up, and take waiting replicas in
+   * as spares; 0: never.
+   */
   readonly replaceAfterMillis: number;
+  /** Longest wait of a planned move for its target to load the shard; 0: no wait, the target gets it cold. */
+  readonly warmTimeoutMillis?: number;
 }
 
 /** `now` is monotonic; `wall` is stamped on commands. */
--- a/src/dev/fleet/load-plan.ts
+++ b/src/dev/fleet/load-plan.ts
@@ -3,9 +3,13 @@
 import type { KeyspaceDefinition, ServiceDefinition } from '../../model/service.js';
 import type { Deployment, WorkloadPhase, WorkloadShare } from '../../settings/deployment.js';
 import { type CallerStream, callerSettingsSchema } from '../standins/caller/caller-settings.js';
+import { ZipfKeys } from '../standins/caller/zipf-keys.js';
+import { RandomSource } from '../standins/random-source.js';
 
 /** Attempts at a request that must not be repeated; each carries the same idempotency key. */
 const ORDER_ATTEMPTS = 5;
+/** Attempts at a read, each at another router, if the connection fails. */
+const READ_ATTEMPTS = 3;
 const DEFAULT_KEY_PREFIX = 'key/';
 
 const streamsSchema = z.array(callerSettingsSchema.shape.streams.element);
@@ -52,7 +56,7 @@
     repeatable: service.repeatable,
     coalesced: service.coalesce,
     deadlineMillis: service.deadlineMillis,
-    attempts: service.repeatable ? 1 : ORDER_ATTEMPTS,
+    attempts: service.repeatable ? READ_ATTEMPTS : ORDER_ATTEMPTS,
     rates: [
       { fromSeconds: place.fromSeconds, requestsPerSecond: rate },
       { fromSeconds: place.toSeconds, requestsPerSecond: 0 },
@@ -70,3 +74,14 @@
   );
   return streamsSchema.parse(streams);
 }
+
+/** Every key of a service that the load asks for, most popular first. */
+export function keysOfService(deployment: Deployment, service: ServiceDefinition): string[] {
+  const counts = deployment.workload.phases
+    .flatMap((phase) => phase.mix)
+    .filter((share) => share.service === service.name)
+    .map((share) => share.keys);
+  const hotKeys = service.keyspaces.filter(({ kind }) => kind === 'exact').map(({ match }) => match);
+  const prefix = keyPrefixOf(service.keyspaces);
+  return new ZipfKeys(prefix, Math.max(0, ...counts), 0, new RandomSource(1), hotKeys).all();
+}
--- a/src/dev/fleet/supervisor.ts
+++ b/src/dev/fleet/supervisor.ts
@@ -7,7 +7,7 @@
 import { TernmountError } from '../../errors/ternmount-error.js';
 import type { Address } from '../../model/identifiers.js';
 import { parseAddress } from '../../wire/address.js';
-import type { ProcessSpec } from './process-spec.js';
+import type { ProcessKind, ProcessSpec } from './process-spec.js';
 
 const READY_TIMEOUT_MILLIS = 20_000;
 const READY_POLL_MILLIS = 25;
@@ -47,6 +47,12 @@
 export class Supervisor {
   readonly #running = new Map<string, RunningProcess>();
   readonly #unexpected: string[] = [];
+  readonly #profileFolder: string | null;
+
+  /** `profileFolder`: where each process leaves a processor profile when it ends; `null`: none. */
+  constructor(profileFolder: string | null = null) {
+    this.#profileFolder = profileFolder;
+  }
 
   /** Processes that ended by themselves although nobody asked them to. */
   get unexpectedEnds(): readonly string[] {
@@ -57,6 +63,16 @@
     return this.#running.has(name);
   }
 
+  /** Number of processes that run. */
+  get count(): number {
+    return this.#running.size;
+  }
+
+  /** Processes of a kind that run. */
+  namesOf(kind: ProcessKind): string[] {
+    return [...this.#running.values()].filter(({ spec }) => spec.kind === kind).map(({ spec }) => spec.name);
+  }
+
   pidOf(name: string): number | undefined {
     return this.#running.get(name)?.child.pid;
   }
@@ -175,7 +191,8 @@
   #spawn(spec: ProcessSpec): RunningProcess {
     mkdirSync(spec.folder, { recursive: true });
     const log = openSync(this.logOf(spec), 'a');
-    const child = spawn(process.execPath, [...spec.command], { stdio: ['ignore', log, log] });
+    const command = [...this.#profileArguments(spec), ...spec.command];
+    const child = spawn(process.execPath, command, { stdio: ['ignore', log, log] });
     closeSync(log);
     const exited = new Promise<number | null>((resolve) => {
       child.once('error', () => resolve(null));
@@ -187,6 +204,13 @@
     return running;
   }
 
+  #profileArguments({ name }: ProcessSpec): string[] {
+    const folder = this.#profileFolder;
+    return folder === null
+      ? []
+      : ['--cpu-prof', `--cpu-prof-dir=${folder}`, `--cpu-prof-name=${name}.cpuprofile`];
+  }
+
   #forget(process: RunningProcess): void {
     const { name } = process.spec;
     if (this.#running.get(name) === process) {
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -1,17 +1,25 @@
 /** What the parts of a router share: its state, the present instant and the effects of the step under way. */
-import type { UpstreamId, WallMillis } from '../model/identifiers.js';
+import type { Epoch, Incarnation, ShardId, UpstreamId, WallMillis } from '../model/identifiers.js';
 import { ConfigurationLease } from './configuration-lease.js';
 import { ConfigurationView } from './configuration-view.js';
 import { LeaderGuess } from './leader-guess.js';
 import { LoadReporter } from './load-reporter.js';
+import { NumberedTable } from './numbered-table.js';
 import { Random } from './random.js';
 import type { RouterTimer, TimerSubject } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
 import { TimerHeap } from './timer-heap.js';
-import type { AttemptNumber, RequestNumber, RouterConfig, RouterEffect } from './types.js';
+import type { RouterConfig, RouterEffect } from './types.js';
 import type { UpstreamState } from './upstream-state.js';
 import type { Attempt, Member } from './work.js';
 
+/** Where a shard's requests go. */
+export interface ShardOwner {
+  readonly upstream: UpstreamState;
+  readonly epoch: Epoch;
+  readonly incarnation: Incarnation;
+}
+
 export class RouterContext {
   readonly view = new ConfigurationView();
   readonly lease: ConfigurationLease;
@@ -21,8 +29,8 @@
   readonly timers = new TimerHeap<TimerSubject>();
   readonly services = new Map<string, ServiceState>();
   readonly upstreams = new Map<UpstreamId, UpstreamState>();
-  readonly attempts = new Map<AttemptNumber, Attempt>();
-  readonly members = new Map<RequestNumber, Member>();
+  readonly attempts = new NumberedTable<Attempt>();
+  readonly members = new NumberedTable<Member>();
   now = 0;
   wall: WallMillis = 0;
   private effects: RouterEffect[] = [];
@@ -54,6 +62,19 @@
     return sum;
   }
 
+  /** Who owns a shard now, if a request may go there. */
+  ownerOf(shard: ShardId): ShardOwner | undefined {
+    const record = this.view.shard(shard);
+    if (record === undefined || record.owner === null || record.incarnation === null) {
+      return undefined;
+    }
+    const upstream = this.upstreams.get(record.owner);
+    if (upstream === undefined) {
+      return undefined;
+    }
+    return { upstream, epoch: record.epoch, incarnation: record.incarnation };
+  }
+
   schedule(at: number, subject: TimerSubject): RouterTimer {
     return this.timers.schedule(at, subject);
   }
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -34,7 +34,12 @@
     this.dispatcher = new Dispatcher(this.context, this.answers);
     this.intake = new RequestIntake(this.context, this.dispatcher, this.answers, this.claims);
     this.results = new AttemptResults(this.context, this.dispatcher, this.answers);
-    this.updates = new ConfigurationUpdates(this.context, this.dispatcher, this.intake);
+    this.updates = new ConfigurationUpdates({
+      context: this.context,
+      dispatcher: this.dispatcher,
+      intake: this.intake,
+      results: this.results,
+    });
   }
 
   step(input: RouterInput, now: number, wall: WallMillis): RouterEffect[] {
@@ -170,6 +175,9 @@
       case 'claim':
         this.claims.timerFired(subject.claim);
         return;
+      case 'grants-over':
+        this.results.abandonLost();
+        return;
       case 'service-wake':
         this.dispatcher.wake(subject.service);
     }
@@ -192,13 +200,23 @@
     }
     const { router, incarnation, zone } = context.config;
     const have = attempt.wantsSnapshot ? 0 : context.view.revision;
-    const report = context.reporter.take(context.upstreams.values(), context.now);
     const { stamp } = attempt;
     context.emit({
       type: 'send-control',
       to: attempt.to,
-      message: { type: 'sync-request', router, incarnation, zone, stamp, have, report },
+      message: { type: 'sync-request', router, incarnation, zone, stamp, have },
     });
+    this.reportLoad();
+  }
+
+  /** Load reports keep the time of the syncs. */
+  private reportLoad(): void {
+    const { context } = this;
+    const leader = context.leader.target();
+    const report = context.reporter.take(context.now);
+    if (report !== null && leader !== null) {
+      context.emit({ type: 'send-control', to: leader, message: report });
+    }
   }
 
   private cancelRequest(request: number): void {
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -1,5 +1,5 @@
 /** A piece of work on its way to an upstream, and the callers' requests that it answers. */
-import type { Epoch, ShardId } from '../model/identifiers.js';
+import type { Epoch, Revision, ShardId } from '../model/identifiers.js';
 import type { Claim } from './claim.js';
 import type { Lane } from './lane-table.js';
 import type { QueueNode } from './linked-queue.js';
@@ -14,6 +14,8 @@
   readonly request: ArrivedRequest;
   readonly work: Work;
   readonly deadline: number;
+  /** An attempt on its behalf ended without proof that it did not run. */
+  mayHaveRun: boolean;
   deadlineTimer: RouterTimer | null;
 }
 
@@ -26,8 +28,12 @@
   readonly work: Work;
   readonly upstream: UpstreamState;
   readonly startedAt: number;
-  /** Of the grant under which it was sent; `null` for services that aren't keyed. */
-  readonly epoch: Epoch | null;
+  /** Shard and epoch of the grant under which it was sent; `null` for services that aren't keyed. */
+  readonly grant: { readonly shard: ShardId; readonly epoch: Epoch } | null;
+  /** Since when that grant is over. */
+  overSince: number | null;
+  /** Its work goes on without it. */
+  abandoned: boolean;
 }
 
 /** Usually one request; several when identical reads share an attempt. */
@@ -38,6 +44,8 @@
   coalesceKey: string | null = null;
   /** Keyed services only. */
   shard: ShardId | null = null;
+  /** Revision of the configuration by which `shard` was found. */
+  shardRevision: Revision = -1;
   lane: Lane | null = null;
   node: QueueNode<Work> | null = null;
   /** When the bounded wait ends; `Infinity` until it first waits. */
@@ -63,6 +71,26 @@
 
   /** The latest deadline of its members. */
   get deadline(): number {
-    return this.members.reduce((latest, member) => Math.max(latest, member.deadline), 0);
+    let latest = 0;
+    for (const member of this.members) {
+      latest = Math.max(latest, member.deadline);
+    }
+    return latest;
+  }
+
+  /** The earliest deadline of its members. */
+  get firstDeadline(): number {
+    return this.members.reduce(
+      (earliest, member) => Math.min(earliest, member.deadline),
+      Number.POSITIVE_INFINITY,
+    );
+  }
+
+  /** An attempt ended without proof that it did not run. */
+  noteMayHaveRun(): void {
+    this.mayHaveRun = true;
+    for (const member of this.members) {
+      member.mayHaveRun = true;
+    }
   }
 }
--- a/src/settings/common-schemas.ts
+++ b/src/settings/common-schemas.ts
@@ -21,6 +21,9 @@
   error: 'must be an address that others can connect to',
 });
 
+/** An IP number without a port. */
+export const hostSchema = z.union([z.ipv4(), z.ipv6()], { error: 'expected an IP number without a port' });
+
 /** Zone of the process, and the zones there are (optional, so that a misspelt one is found). */
 export const zoneFields = {
   zone: nameSchema,
@@ -43,6 +46,11 @@
   return ANY_HOST.has(splitAddress(address)?.host ?? '');
 }
 
+/** Whether processes of other machines can connect. Not said of what isn't an address. */
+export function isForOthers(address: string): boolean {
+  return splitAddress(address) !== undefined && !isLoopback(address);
+}
+
 /** Whether only processes of the same machine can connect. */
 export function isLoopback(address: string): boolean {
   const host = splitAddress(address)?.host ?? '';
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -10,7 +10,9 @@
   checkZone,
   clockRateErrorSchema,
   completeConfigLease,
+  hostSchema,
   isAnyHost,
+  isForOthers,
   isLoopback,
   pathSchema,
   reachableAddressSchema,
@@ -31,11 +33,13 @@
   readonly listen: Address;
   /** What others are told to connect to; the same as `listen` unless said. */
   readonly advertise: Address;
+  /** Own IP number from which connections go out; `null`: the system's choice. */
+  readonly outgoing: string | null;
   /** Port of the operators' HTTP API. */
   readonly admin: Address;
   /** Internal addresses of the other members, for a replica that joins. */
   readonly peers: readonly Address[];
-  /** File with the secret that the project's own processes share; `null`: none. */
+  /** File with the secret that the project's own processes share; `null`: none (loopback addresses only). */
   readonly secretFile: string | null;
   /** File with operators' tokens; `null`: no check (loopback addresses only). */
   readonly tokensFile: string | null;
@@ -76,6 +80,7 @@
   dataFolder: pathSchema,
   listen: addressSchema,
   advertise: reachableAddressSchema.optional(),
+  outgoing: hostSchema.optional(),
   admin: addressSchema,
   peers: z.array(reachableAddressSchema).optional(),
   secretFile: pathSchema.optional(),
@@ -129,6 +134,10 @@
   if (fields.listen === fields.admin) {
     context.addIssue({ code: 'custom', path: ['admin'], message: 'must differ from listen' });
   }
+  if (fields.secretFile === undefined && isForOthers(fields.listen)) {
+    const message = 'is missing: the internal port needs a secret unless listen is a loopback address';
+    context.addIssue({ code: 'custom', path: ['secretFile'], message });
+  }
   if (fields.tokensFile === undefined && !isLoopback(fields.admin)) {
     const message = 'is missing: the operators’ API needs tokens unless admin is a loopback address';
     context.addIssue({ code: 'custom', path: ['tokensFile'], message });
@@ -144,6 +153,7 @@
     dataFolder: fields.dataFolder,
     listen: fields.listen,
     advertise: fields.advertise ?? fields.listen,
+    outgoing: fields.outgoing ?? null,
     admin: fields.admin,
     peers: fields.peers ?? [],
     secretFile: fields.secretFile ?? null,
@@ -164,6 +174,7 @@
   { path: ['dataFolder'] },
   { path: ['listen'] },
   { path: ['advertise'] },
+  { path: ['outgoing'] },
   { path: ['admin'] },
   { path: ['peers'], list: true },
   { path: ['secretFile'] },
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -8,6 +8,8 @@
   checkZone,
   clockRateErrorSchema,
   completeConfigLease,
+  hostSchema,
+  isForOthers,
   pathSchema,
   reachableAddressSchema,
   zoneFields,
@@ -23,10 +25,13 @@
   readonly zone: Zone;
   /** Port for callers' HTTP. */
   readonly listen: Address;
+  /** Own IP number from which connections go out; `null`: the system's choice. */
+  readonly outgoing: string | null;
   /** Port for health, metrics and status. */
   readonly admin: Address;
   /** Internal addresses of the control members. */
   readonly control: readonly Address[];
+  /** `null`: none (control on loopback addresses only). */
   readonly secretFile: string | null;
   readonly configLease: ConfigLeaseTimings;
   readonly claimTimeoutMillis: number;
@@ -41,20 +46,17 @@
   readonly connectionsPerUpstream: number;
   /** Longest body of a request. */
   readonly requestBodyBytes: number;
-  /** Longest time for requests in flight at a planned stop. */
-  readonly stopTimeoutMillis: number;
   readonly log: string;
 }
 
 /** Defaults of the router daemon. */
 export const ROUTER_DEFAULTS = {
   claimTimeoutMillis: 1000,
-  probePath: '/health',
+  probePath: '/ternmount/v1/health',
   probeIntervalMillis: 1000,
   platformIntervalMillis: 1000,
   connectionsPerUpstream: 16,
   requestBodyBytes: 1024 * 1024,
-  stopTimeoutMillis: 30_000,
   log: 'ternmount:*',
 } as const;
 
@@ -65,6 +67,7 @@
   router: nameSchema,
   ...zoneFields,
   listen: addressSchema,
+  outgoing: hostSchema.optional(),
   admin: addressSchema,
   control: z
     .array(reachableAddressSchema, { error: 'expected a list of addresses' })
@@ -84,7 +87,6 @@
   platformInterval: positiveDurationSchema.optional(),
   connectionsPerUpstream: countSchema.optional(),
   requestBody: sizeSchema.optional(),
-  stopTimeout: positiveDurationSchema.optional(),
   log: z.string().optional(),
 });
 type RouterFields = z.output<typeof routerObject>;
@@ -98,6 +100,10 @@
     ['timings'],
     context,
   );
+  if (fields.secretFile === undefined && fields.control.some(isForOthers)) {
+    const message = 'is missing: control needs a secret unless all its addresses are loopback ones';
+    context.addIssue({ code: 'custom', path: ['secretFile'], message });
+  }
   if (fields.listen === fields.admin) {
     context.addIssue({ code: 'custom', path: ['admin'], message: 'must differ from listen' });
   }
@@ -110,6 +116,7 @@
     router: fields.router,
     zone: fields.zone,
     listen: fields.listen,
+    outgoing: fields.outgoing ?? null,
     admin: fields.admin,
     control: fields.control,
     secretFile: fields.secretFile ?? null,
@@ -121,7 +128,6 @@
     platformIntervalMillis: fields.platformInterval ?? ROUTER_DEFAULTS.platformIntervalMillis,
     connectionsPerUpstream: fields.connectionsPerUpstream ?? ROUTER_DEFAULTS.connectionsPerUpstream,
     requestBodyBytes: fields.requestBody ?? ROUTER_DEFAULTS.requestBodyBytes,
-    stopTimeoutMillis: fields.stopTimeout ?? ROUTER_DEFAULTS.stopTimeoutMillis,
     log: fields.log ?? ROUTER_DEFAULTS.log,
   }),
 );
@@ -133,6 +139,7 @@
   { path: ['zone'] },
   { path: ['zones'], list: true },
   { path: ['listen'] },
+  { path: ['outgoing'] },
   { path: ['admin'] },
   { path: ['control'], list: true },
   { path: ['secretFile'] },
@@ -146,7 +153,6 @@
   { path: ['platformInterval'] },
   { path: ['connectionsPerUpstream'] },
   { path: ['requestBody'] },
-  { path: ['stopTimeout'] },
   { path: ['log'] },
 ];
 
--- a/src/wire/frame-connection.ts
+++ b/src/wire/frame-connection.ts
@@ -56,6 +56,7 @@
   private readonly openedAt = performance.now();
   private heardAt = this.openedAt;
   private checkedAt = this.openedAt;
+  private wroteAt = this.openedAt;
   private pings = 0;
 
   constructor(
@@ -65,7 +66,7 @@
     private readonly limits: WireLimits,
     private readonly owner: FrameConnectionOwner,
   ) {
-    this.decoder = new FrameDecoder(limits.maxFrameBytes);
+    this.decoder = new FrameDecoder(Math.min(HANDSHAKE_FRAME_BYTES, limits.maxFrameBytes));
     this.handshake = new Handshake({ ...identity, role, nonce: randomBytes(NONCE_BYTES) });
     this.timer = setInterval(() => this.check(), limits.pingMillis);
     socket.setNoDelay(true);
@@ -112,13 +113,14 @@
   }
 
   private write(frame: Frame): void {
+    this.wroteAt = performance.now();
     this.socket.write(encodeFrame(frame, this.limits.maxFrameBytes));
   }
 
   private takeBytes(chunk: Buffer): void {
     this.heardAt = performance.now();
     try {
-      for (const frame of this.decoder.push(chunk)) {
+      for (const frame of this.decoder.read(chunk)) {
         this.takeFrame(frame);
       }
     } catch (thrown) {
@@ -146,6 +148,7 @@
     }
     if (step.peer !== null) {
       this.peerGreeting = step.peer;
+      this.decoder.maxFrameBytes = this.limits.maxFrameBytes;
       this.owner.ready(this, step.peer);
     }
   }
@@ -169,9 +172,24 @@
       }
       return;
     }
+    this.pingIfQuiet(now);
+  }
+
+  /**
+   * The other end needs to hear something of this one, and this end of the other. What was written since the check
+   * before does for the first, and the other end's own checks for the second.
+   */
+  private pingIfQuiet(now: number): void {
+    if (now - this.wroteAt < this.limits.pingMillis * QUIET_SHARE) {
+      return;
+    }
     this.pings = (this.pings + 1) % 2 ** 32;
     this.write({ kind: FRAME_KINDS.ping, correlation: this.pings, payload: NO_BYTES });
   }
 }
 
+/** A frame written within this share of the time between pings stands in for a ping. */
+const QUIET_SHARE = 0.5;
 const NO_BYTES = new Uint8Array(0);
+/** Largest frame of an end that has not proved itself yet; names and nonce fit. */
+const HANDSHAKE_FRAME_BYTES = 4096;
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,5 +1,6 @@
 /** Frames, codecs and TCP tasks between the system's own processes. */
 export { formatAddress, parseAddress } from './address.js';
+export { joinRequestCodec } from './control/join-request.js';
 export {
   DEFAULT_MAX_FRAME_BYTES,
   encodeFrame,
@@ -19,6 +20,7 @@
   type WireLimits,
 } from './frame-connection.js';
 export { FrameServer, type FrameServerOptions } from './frame-server.js';
+export { checkFree, ListenError } from './listen-error.js';
 export type { MessageCodec } from './message-codec.js';
 export { raftCodecs } from './raft/index.js';
 export { controlToRouterCodecs, routerToControlCodecs } from './router/index.js';
