--- a/src/wire/frame-connection.ts
+++ b/src/wire/frame-connection.ts
@@ -66,7 +66,7 @@
     private readonly limits: WireLimits,
     private readonly owner: FrameConnectionOwner,
   ) {
-    this.decoder = new FrameDecoder(limits.maxFrameBytes);
+    this.decoder = new FrameDecoder(Math.min(HANDSHAKE_FRAME_BYTES, limits.maxFrameBytes));
     this.handshake = new Handshake({ ...identity, role, nonce: randomBytes(NONCE_BYTES) });
     this.timer = setInterval(() => this.check(), limits.pingMillis);
     socket.setNoDelay(true);
@@ -120,7 +120,7 @@
   private takeBytes(chunk: Buffer): void {
     this.heardAt = performance.now();
     try {
-      for (const frame of this.decoder.push(chunk)) {
+      for (const frame of this.decoder.read(chunk)) {
         this.takeFrame(frame);
       }
     } catch (thrown) {
@@ -148,6 +148,7 @@
     }
     if (step.peer !== null) {
       this.peerGreeting = step.peer;
+      this.decoder.maxFrameBytes = this.limits.maxFrameBytes;
       this.owner.ready(this, step.peer);
     }
   }
@@ -190,3 +191,5 @@
 /** A frame written within this share of the time between pings stands in for a ping. */
 const QUIET_SHARE = 0.5;
 const NO_BYTES = new Uint8Array(0);
+/** Largest frame of an end that has not proved itself yet; names and nonce fit. */
+const HANDSHAKE_FRAME_BYTES = 4096;
