Walked from install to a first service, a policy under load, a drained server and a request that must not repeat

What the walk found: upstreams of services that aren't keyed showed the state 'unknown', and the example server stayed for its idle connections after SIGTERM.

--- a/examples/first-service/server.mjs
+++ b/examples/first-service/server.mjs
@@ -30,5 +30,6 @@
 process.once('SIGTERM', async () => {
   await fence.drain();
   server.close();
-  server.closeIdleConnections();
+  // Connections of routers and control are kept open between requests.
+  setInterval(() => server.closeIdleConnections(), 50).unref();
 });
--- a/src/cli/queries/upstream-list.ts
+++ b/src/cli/queries/upstream-list.ts
@@ -35,9 +35,13 @@
   { title: 'REVISION', value: ({ record }) => record.revision },
 ];
 
-function stateOf({ record, health }: UpstreamRow): string {
-  const session = health?.state ?? 'unknown';
-  return record.definition.leaving ? `leaving (${session})` : session;
+/** Upstreams of services that aren't keyed have no session. */
+function stateOf({ record, health }: UpstreamRow): string | null {
+  const session = health?.state ?? null;
+  if (!record.definition.leaving) {
+    return session;
+  }
+  return session === null ? 'leaving' : `leaving (${session})`;
 }
 
 function heardOf(health: Health | undefined): string | null {
