Planned stop: stay until the leader was told of every release

A shard that drained between two polls (50 ms) was given up, but no answer had said so; the leader then waited for the lease to end.

Change: the holder counts releases that no answer has carried; the fence's planned stop waits for them within its bound.

--- a/src/dev/bench/experiments/rolling-restart.ts
+++ b/src/dev/bench/experiments/rolling-restart.ts
@@ -22,7 +22,7 @@
 
 /** Load goes on longer than any arm takes. */
 const LOAD_MILLIS = 40_000;
-const LOAD_FACTOR = 0.25;
+const LOAD_FACTOR = 1;
 const RETURNS = 5;
 const DRAIN_LIMIT_MILLIS = 10_000;
 const DOWN_MILLIS = 500;
--- a/src/dev/bench/world/model-upstream.ts
+++ b/src/dev/bench/world/model-upstream.ts
@@ -158,8 +158,10 @@
     this.drained = true;
   }
 
+  /** Whether the leader may still take it for the owner of a shard. */
   holdsAny(): boolean {
-    return this.holder.status(this.queue.now).held > 0;
+    const { held, unreported } = this.holder.status(this.queue.now);
+    return held + unreported > 0;
   }
 
   freeze(): void {
--- a/src/lease/grant-holder.ts
+++ b/src/lease/grant-holder.ts
@@ -46,7 +46,7 @@
     if (refused === null && request.incarnation !== null) {
       this.#follow(request, now);
     }
-    return {
+    const answer: SessionAnswer = {
       upstream: this.#config.upstream,
       incarnation: this.#config.incarnation,
       stamp: now,
@@ -60,6 +60,8 @@
       loads: this.#shards.loads(),
       refused,
     };
+    this.#shards.noteReported();
+    return answer;
   }
 
   admit(credentials: FenceCredentials, now: MonotonicMillis): Admission {
@@ -102,6 +104,7 @@
       leased: this.#isLeased(now),
       draining: this.#drain,
       held: this.#shards.held().length,
+      unreported: this.#shards.unreported(),
       inFlight: this.#tickets.size,
     };
   }
--- a/src/lease/holder-types.ts
+++ b/src/lease/holder-types.ts
@@ -45,6 +45,8 @@
   readonly leased: boolean;
   readonly draining: boolean;
   readonly held: number;
+  /** Shards revoked whose release no answer to the leader has carried yet. */
+  readonly unreported: number;
   readonly inFlight: number;
 }
 
--- a/src/lease/shard-table.ts
+++ b/src/lease/shard-table.ts
@@ -20,6 +20,8 @@
   inFlight: number;
   requests: number;
   warmth: 'cold' | 'warming' | 'warm';
+  /** Whether an answer to the leader carried the release. */
+  reported: boolean;
 }
 
 export class ShardTable {
@@ -123,6 +125,19 @@
     return this.#select('released').map(([shard, entry]) => ({ shard, revision: entry.highestRevision }));
   }
 
+  /** Shards with a release that is still to come or that no answer carried. */
+  unreported(): number {
+    const released = this.#select('released').filter(([, entry]) => !entry.reported);
+    return this.#select('draining').length + released.length;
+  }
+
+  /** An answer carries all releases so far. */
+  noteReported(): void {
+    for (const [, entry] of this.#select('released')) {
+      entry.reported = true;
+    }
+  }
+
   warmed(): ShardId[] {
     return [...this.#entries].filter(([, entry]) => entry.warmth === 'warm').map(([shard]) => shard);
   }
@@ -189,6 +204,7 @@
       this.#events.push({ type: 'released', shard });
     }
     entry.state = 'released';
+    entry.reported = false;
     entry.warmth = 'cold';
   }
 
@@ -204,6 +220,7 @@
       inFlight: 0,
       requests: 0,
       warmth: 'cold',
+      reported: false,
     };
     this.#entries.set(shard, entry);
     return entry;
--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -101,15 +101,16 @@
   }
 
   /**
-   * Planned stop: asks the control leader to move the shards away and goes on serving them meanwhile; then lets in
-   * nothing more and resolves when all that runs is done. The server's sockets may be closed after that.
+   * Planned stop: asks the control leader to move the shards away and goes on serving them meanwhile, until the leader
+   * was told that each is given up; then lets in nothing more and resolves when all that runs is done. The server's
+   * sockets may be closed after that.
    */
   async drain(options: DrainOptions = {}): Promise<void> {
     if (this.state === 'serving') {
       this.state = 'leaving';
     }
     const until = this.clock() + (options.moveMillis ?? DEFAULT_MOVE_MILLIS);
-    while (this.holder.status(this.clock()).held > 0 && this.clock() < until) {
+    while (this.isHolding() && this.clock() < until) {
       await sleep(DRAIN_CHECK_MILLIS);
     }
     this.state = 'draining';
@@ -118,6 +119,12 @@
     }
   }
 
+  /** Whether the leader still takes this server for the owner of a shard. */
+  private isHolding(): boolean {
+    const { held, unreported } = this.holder.status(this.clock());
+    return held + unreported > 0;
+  }
+
   private readHead(request: IncomingMessage, response: ServerResponse): RequestHead | null {
     const requestId = request.headers[HEADERS.requestId];
     if (typeof requestId === 'string') {
