Router core: timers that fire at their time end what they stand for

A claim that nobody answered is timed at `startedAt + timeout`, but on firing `now - startedAt` was compared with the timeout; the difference can round below it (1000.29 + 1000 - 1000.29 = 999.99...), so the claim was sent again and its timer set to the present, without end. A daemon would have hung the same way. Ruled out: the model of the network and the control cores.

Change: the sum is compared wherever a timer is set to that sum (claims, settlements, a member that owes an answer, the wait for a target to warm).

--- a/src/control/move-tracker.ts
+++ b/src/control/move-tracker.ts
@@ -68,7 +68,7 @@
     if (move === undefined || target?.phase !== 'leased' || target.failing) {
       return;
     }
-    const timeIsUp = now - move.seenAt >= this.#warmTimeoutMillis;
+    const timeIsUp = now >= move.seenAt + this.#warmTimeoutMillis;
     move.revoked ||= timeIsUp || (target.answer?.warmed.includes(shard) ?? false);
   }
 
--- a/src/dev/bench/world/bench-world.ts
+++ b/src/dev/bench/world/bench-world.ts
@@ -127,7 +127,12 @@
 
   /** A probe of the keys 0 to `count` of one service, or of one key of each shard of all keyed services. */
   watch(service?: ServiceName, count = 0): AvailabilityProbe {
-    const { queue, routers, upstreams } = this;
+    return this.watchFrom(this.routers, service, count);
+  }
+
+  /** The same as some of the routers see it. */
+  watchFrom(routers: readonly ModelRouter[], service?: ServiceName, count = 0): AvailabilityProbe {
+    const { queue, upstreams } = this;
     const keysOfShard =
       service === undefined ? this.allShards() : this.keysByShard(this.service(service), count);
     return new AvailabilityProbe({ queue, routers, upstreams, keysOfShard });
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -71,9 +71,9 @@
   /** Gives up attempts whose grants were over for a while. */
   abandonLost(): void {
     const { context } = this;
-    const due = context.now - ANSWER_GRACE_MILLIS;
     for (const attempt of [...context.attempts.values()]) {
-      if (attempt.overSince !== null && attempt.overSince <= due && !attempt.abandoned) {
+      const { overSince } = attempt;
+      if (overSince !== null && context.now >= overSince + ANSWER_GRACE_MILLIS && !attempt.abandoned) {
         this.abandon(attempt);
       }
     }
@@ -159,8 +159,8 @@
     }
     if (work.shard !== null) {
       this.holdShard(attempt);
-      this.dispatcher.extendWait(work);
     }
+    this.dispatcher.extendWait(work);
     this.retryWithinBudget(work);
   }
 
--- a/src/routing/claim-flow.ts
+++ b/src/routing/claim-flow.ts
@@ -141,6 +141,7 @@
     }
   }
 
+  /** Times are compared as they are scheduled: a difference of two may round to less than its parts say. */
   timerFired(claim: Claim): void {
     claim.timer = null;
     const { now, config } = this.context;
@@ -152,11 +153,11 @@
       this.settle(claim, { outcome: 'unknown', answer: null });
       return;
     }
-    if (claim.state === 'asked' && now - claim.startedAt >= config.claimTimeoutMillis) {
+    if (claim.state === 'asked' && now >= claim.startedAt + config.claimTimeoutMillis) {
       this.listener?.claimTimedOut(claim.work);
       return;
     }
-    if (claim.state === 'settling' && now - claim.settlingSince >= SETTLE_LIMIT_MILLIS) {
+    if (claim.state === 'settling' && now >= claim.settlingSince + SETTLE_LIMIT_MILLIS) {
       this.giveUpSettling(claim);
       return;
     }
--- a/src/routing/configuration-lease.ts
+++ b/src/routing/configuration-lease.ts
@@ -59,7 +59,7 @@
     if (now < this.nextSyncAt || this.members.length === 0) {
       return undefined;
     }
-    if (this.owedSince !== null && now - this.owedSince >= this.timings.syncMillis) {
+    if (this.owedSince !== null && now >= this.owedSince + this.timings.syncMillis) {
       this.rotate();
       this.owedSince = null;
     }
