--- a/src/dev/bench/experiments/zone-cut.ts
+++ b/src/dev/bench/experiments/zone-cut.ts
@@ -51,23 +51,25 @@
   const watched = keyedService(deployment).name;
   const options = { watched, loadMillis: LOAD_MILLIS, returns: arm.returns };
   const loaded = startLoadedWorld(deployment, seed, options);
-  const { world, probe, tally } = loaded;
+  const { world, tally } = loaded;
   world.run(CUT_AFTER_MILLIS);
   const zone = zoneToCut(loaded, arm.ofLeader);
   const cutAt = world.now;
   world.network.cut(zone);
-  // The cut zone's own routers and servers go on until their leases end; only the rest counts as recovered.
+  // Routers and servers of the cut zone go on until their leases end; what the others reach is what counts.
+  loaded.probe.stop();
   const outside = world.routers.filter((router) => router.zone !== zone);
   const rest = world.watchFrom(outside, watched, loaded.keys);
+  rest.start();
   const took = world.runUntil(() => rest.availableShare() >= RECOVERED_SHARE, WAIT_LIMIT_MILLIS, 1);
   world.run(Math.max(0, cutAt + CUT_MILLIS - world.now));
   world.network.heal(zone);
   finish(loaded);
-  probe.stop();
+  rest.stop();
   const readings = [
     reading(RECOVERED, 'ms', took),
-    reading('unavailable', 'key-s', probe.unavailableKeySeconds),
-    reading('changes of owner', 'shards', probe.ownerChanges),
+    reading('unavailable', 'key-s', rest.unavailableKeySeconds),
+    reading('changes of owner', 'shards', rest.ownerChanges),
     ...rushOf(deployment).mix.flatMap(({ service }) => serviceReadings(tally, service)),
     ...outcomeReadings(
       tally,
--- a/src/dev/bench/world/availability-probe.ts
+++ b/src/dev/bench/world/availability-probe.ts
@@ -2,9 +2,9 @@
  * Samples which keys can be served. A key counts as available when a server holds its shard under a valid lease, has its
  * state loaded, and at least one serving router would send a request there.
  */
-import type { ShardId, ShardParts, UpstreamId } from '../../../model/identifiers.js';
-import { parseShardId } from '../../../model/identifiers.js';
+import type { ShardId, UpstreamId } from '../../../model/identifiers.js';
 import type { EventQueue } from '../../virtual/event-queue.js';
+import type { ModelNetwork } from './model-network.js';
 import type { ModelRouter } from './model-router.js';
 import type { ModelUpstream } from './model-upstream.js';
 
@@ -15,6 +15,7 @@
   readonly queue: EventQueue;
   readonly routers: readonly ModelRouter[];
   readonly upstreams: ReadonlyMap<UpstreamId, ModelUpstream>;
+  readonly network: ModelNetwork;
   /** Keys of each shard that is watched. */
   readonly keysOfShard: ReadonlyMap<ShardId, number>;
 }
@@ -94,16 +95,12 @@
   private routedOwner(shard: ShardId): UpstreamId | undefined {
     for (const router of this.parts.routers) {
       const record = router.serving ? router.view.shard(shard) : undefined;
-      const owner = record?.owner ?? null;
-      if (owner !== null && this.parts.upstreams.get(owner)?.epochOf(shard) === record?.epoch) {
-        return owner;
+      const owner = this.parts.upstreams.get(record?.owner ?? '');
+      const isReached = owner !== undefined && !this.parts.network.isCut(router.zone, owner.definition.zone);
+      if (isReached && owner.epochOf(shard) === record?.epoch) {
+        return owner.definition.id;
       }
     }
     return undefined;
   }
 }
-
-/** Parts of the names of shards; malformed ones are left out. */
-export function partsOfShards(shards: Iterable<ShardId>): ShardParts[] {
-  return [...shards].flatMap((shard) => parseShardId(shard) ?? []);
-}
--- a/src/dev/bench/world/bench-world.ts
+++ b/src/dev/bench/world/bench-world.ts
@@ -132,10 +132,10 @@
 
   /** The same as some of the routers see it. */
   watchFrom(routers: readonly ModelRouter[], service?: ServiceName, count = 0): AvailabilityProbe {
-    const { queue, upstreams } = this;
+    const { queue, upstreams, network } = this;
     const keysOfShard =
       service === undefined ? this.allShards() : this.keysByShard(this.service(service), count);
-    return new AvailabilityProbe({ queue, routers, upstreams, keysOfShard });
+    return new AvailabilityProbe({ queue, routers, upstreams, network, keysOfShard });
   }
 
   /** Attempts of all routers on upstreams of a service, and how many of them were first attempts. */
