--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -101,16 +101,16 @@
   }
 
   /**
-   * Planned stop: asks the control leader to move the shards away and goes on serving them meanwhile; then lets in
-   * nothing more and resolves when all that runs is done. The server's sockets may be closed after that. Without a
-   * lease it may serve none of its shards, so it then waits for none to be moved.
+   * Planned stop: asks the control leader to move the shards away and goes on serving them meanwhile, until the leader
+   * was told that each is given up; then lets in nothing more and resolves when all that runs is done. The server's
+   * sockets may be closed after that. Without a lease it may serve none of its shards, so it then waits for none.
    */
   async drain(options: DrainOptions = {}): Promise<void> {
     if (this.state === 'serving') {
       this.state = 'leaving';
     }
     const until = this.clock() + (options.moveMillis ?? DEFAULT_MOVE_MILLIS);
-    while (this.servesShards() && this.clock() < until) {
+    while (this.isHolding() && this.clock() < until) {
       await sleep(DRAIN_CHECK_MILLIS);
     }
     this.state = 'draining';
@@ -119,9 +119,10 @@
     }
   }
 
-  private servesShards(): boolean {
-    const { held, leased } = this.holder.status(this.clock());
-    return leased && held > 0;
+  /** Whether this server may serve shards, and the leader still takes it for the owner of one. */
+  private isHolding(): boolean {
+    const { held, unreported, leased } = this.holder.status(this.clock());
+    return leased && held + unreported > 0;
   }
 
   private readHead(request: IncomingMessage, response: ServerResponse): RequestHead | null {
