--- a/src/lease/types.ts
+++ b/src/lease/types.ts
@@ -94,7 +94,7 @@
   readonly clockRateError: number;
 }
 
-/** Defaults: docs/design/lease.md says how they divide the 3 s between loss and new owner. */
+/** Defaults: docs/design/leases.md says how they divide the 3 s between loss and new owner. */
 export const DEFAULT_LEASE_TIMINGS: LeaseTimings = {
   leaseMillis: 1500,
   renewMillis: 400,
--- a/test/cli/help.test.ts
+++ b/test/cli/help.test.ts
@@ -67,7 +67,7 @@
   }
 
   const wrong: readonly (readonly [string, string])[] = [
-    ['nothing', 'known: control'],
+    ['nothing', 'known: status, control'],
     ['service', 'service needs one of'],
     ['service aply x.yaml', 'service has: apply'],
     ['service apply', 'missing'],
