--- a/src/lease/grant-holder.ts
+++ b/src/lease/grant-holder.ts
@@ -47,7 +47,7 @@
       this.#follow(request, now);
     }
     const named = request.orders.map((order) => order.shard);
-    return {
+    const answer: SessionAnswer = {
       upstream: this.#config.upstream,
       incarnation: this.#config.incarnation,
       stamp: now,
@@ -60,6 +60,8 @@
       inFlight: this.#tickets.size,
       refused,
     };
+    this.#shards.noteReported(answer.released);
+    return answer;
   }
 
   admit(credentials: FenceCredentials, now: MonotonicMillis): Admission {
@@ -102,6 +104,7 @@
       leased: this.#isLeased(now),
       draining: this.#drain,
       held: this.#shards.heldCount,
+      unreported: this.#shards.unreportedCount,
       inFlight: this.#tickets.size,
     };
   }
@@ -129,12 +132,12 @@
     if (request.keyMap !== null) {
       this.#adoptKeyMap(request.keyMap);
     }
+    if (request.complete) {
+      this.#shards.keepOnly(request.orders);
+    }
     for (const order of request.orders) {
       this.#shards.follow(order, this.#keyMap);
     }
-    if (request.complete) {
-      this.#shards.keepOnly(new Set(request.orders.map((order) => order.shard)));
-    }
     if (request.validUntil !== null) {
       this.#renew(request.validUntil, now);
     }
