Policies: check and try offline, traces recorded by routers, and a bound on the cost of a whole program

Change: each expression has a cost, counted in comparisons of numbers: calls on texts 100 for each piece, macros their list times their body; a program may cost 4,000. 'policy check' names file, line and column; 'policy try' replays a trace which GET /v1/policy-trace of a router's admin port records. Expressions are compiled before a change is proposed and not when it is applied, so that replicas with different versions of the library can't come apart; the registry now bounds rules at 64 as the compiler does.

--- a/src/cli/command-list.ts
+++ b/src/cli/command-list.ts
@@ -22,7 +22,9 @@
 import { configShow } from './queries/config-show.js';
 import { configValidate } from './queries/config-validate.js';
 import { controlStatus } from './queries/control-status.js';
+import { policyCheck } from './queries/policy-check.js';
 import { policyGet } from './queries/policy-get.js';
+import { policyTry } from './queries/policy-try.js';
 import { requestLookup } from './queries/request-lookup.js';
 import { serviceGet, serviceList } from './queries/service-queries.js';
 import { shardExplain } from './queries/shard-explain.js';
@@ -47,7 +49,9 @@
   serviceGet,
   serviceDelete,
   policyApply,
+  policyCheck,
   policyGet,
+  policyTry,
   upstreamAdd,
   upstreamList,
   upstreamDrain,
--- a/src/policy/expression.ts
+++ b/src/policy/expression.ts
@@ -12,7 +12,8 @@
 }
 
 export type ExpressionOutcome =
-  | { readonly type: 'compiled'; readonly evaluate: (context: Context) => unknown }
+  /** `cost`: parts evaluated at most, in comparisons of numbers; see `PROGRAM_LIMITS`. */
+  | { readonly type: 'compiled'; readonly evaluate: (context: Context) => unknown; readonly cost: number }
   | { readonly type: 'refused'; readonly fault: ExpressionFault };
 
 /** Functions whose cost is bounded by the size of their arguments. Regular expressions aren't. */
@@ -28,6 +29,10 @@
 ]);
 /** Macros that loop; allowed over a list written out, and not inside each other. */
 const LOOPING_MACROS = new Set(['all', 'exists', 'exists_one']);
+/** A call on a text of the length of a key takes as long as about so many comparisons of numbers. */
+const TEXT_CALL_COST = 100;
+const CONVERSION_COST = 5;
+const CONVERSIONS = new Set(['bool', 'double', 'int']);
 const NUMBER_TYPES = new Set(['int', 'uint', 'double']);
 
 /** Compiles an expression which must give `expected`. */
@@ -57,7 +62,7 @@
   if (!hasType(check.type, expected)) {
     return refused(0, `must give a ${expected}, gives ${check.type ?? 'nothing'}`);
   }
-  return { type: 'compiled', evaluate: parsed };
+  return { type: 'compiled', evaluate: parsed, cost: costOf(parsed.ast) };
 }
 
 function hasType(type: string | undefined, expected: ExpressionType): boolean {
@@ -111,6 +116,28 @@
   return undefined;
 }
 
+/** Parts evaluated at most; a call counts as many, and so does each piece of a text that is put together for it. */
+function costOf(node: ASTNode): number {
+  const childrenCost = childrenOf(node).reduce((sum, child) => sum + costOf(child), 0);
+  if (node.op === 'rcall' && LOOPING_MACROS.has(node.args[0])) {
+    const list: ASTNode = node.args[1];
+    const elements = list.op === 'list' ? list.args.length : 1;
+    return 1 + childrenCost * Math.max(1, elements);
+  }
+  if (node.op === 'call' || node.op === 'rcall') {
+    return (
+      childrenCost +
+      (CONVERSIONS.has(node.args[0]) ? CONVERSION_COST : TEXT_CALL_COST * (1 + countSums(node)))
+    );
+  }
+  return 1 + childrenCost;
+}
+
+function countSums(node: ASTNode): number {
+  const below = childrenOf(node).reduce((sum, child) => sum + countSums(child), 0);
+  return below + (node.op === '+' ? 1 : 0);
+}
+
 function childrenOf(node: ASTNode): ASTNode[] {
   const { args } = node;
   return nodesIn(args);
--- a/src/policy/index.ts
+++ b/src/policy/index.ts
@@ -1,6 +1,6 @@
 /** Policy programs: YAML rules with CEL expressions that weigh, refuse or hold requests. */
 export type { PolicyContext, PolicyUpstream } from './policy-context.js';
-export { EXPRESSION_LIMITS } from './policy-context.js';
+export { EXPRESSION_LIMITS, PROGRAM_LIMITS } from './policy-context.js';
 export {
   formatDiagnostic,
   type PolicyDiagnostic,
@@ -14,3 +14,5 @@
   type PolicyProgram,
   type PolicySource,
 } from './policy-program.js';
+export { PolicyTraceError, type PolicyTraceRecord, parsePolicyTrace } from './policy-trace.js';
+export { type PolicyTrial, type RuleCount, type TriedRecord, tryPolicy } from './policy-trial.js';
--- a/src/policy/policy-context.ts
+++ b/src/policy/policy-context.ts
@@ -45,6 +45,13 @@
   maxCallArguments: 4,
 } as const;
 
+/** Limits on a whole program. */
+export const PROGRAM_LIMITS = {
+  maxRules: 64,
+  /** What one look at a request evaluates at most, over all its expressions, in comparisons of numbers. */
+  maxCost: 4000,
+} as const;
+
 function createEnvironment(): Environment {
   const { maxCharacters: _, ...limits } = EXPRESSION_LIMITS;
   const text = 'string';
--- a/src/policy/policy-program.ts
+++ b/src/policy/policy-program.ts
@@ -7,6 +7,7 @@
   celUpstreamOf,
   type PolicyContext,
   type PolicyUpstream,
+  PROGRAM_LIMITS,
   REQUEST_ENVIRONMENT,
   WEIGH_ENVIRONMENT,
 } from './policy-context.js';
@@ -40,7 +41,6 @@
 /** Factors are kept within these, so that a rule can't hide an upstream from measurement. */
 const SMALLEST_WEIGHT = 0.01;
 const LARGEST_WEIGHT = 100;
-const MOST_RULES = 64;
 const PASS: PolicyDecision = { type: 'pass' };
 
 type Evaluate = (context: Context) => unknown;
@@ -72,8 +72,9 @@
 export function compilePolicy(rules: readonly PolicyRule[], source?: PolicySource): PolicyProgram {
   const compiler = new PolicyCompiler(source);
   const compiled = rules.map((rule, index) => compiler.compileRule(rule, index));
-  if (rules.length > MOST_RULES) {
-    compiler.complain(rules[MOST_RULES] as PolicyRule, MOST_RULES, null, 0, `more than ${MOST_RULES} rules`);
+  const { maxRules } = PROGRAM_LIMITS;
+  if (rules.length > maxRules) {
+    compiler.complain(rules[maxRules] as PolicyRule, maxRules, null, 0, `more than ${maxRules} rules`);
   }
   if (compiler.diagnostics.length > 0) {
     throw new PolicyError(compiler.diagnostics);
@@ -83,6 +84,7 @@
 
 class PolicyCompiler {
   readonly diagnostics: PolicyDiagnostic[] = [];
+  private cost = 0;
   private readonly names = new Set<string>();
 
   constructor(private readonly source: PolicySource | undefined) {}
@@ -136,11 +138,22 @@
     const environment: Environment = rule.action === 'weigh' ? WEIGH_ENVIRONMENT : REQUEST_ENVIRONMENT;
     const outcome = compileExpression(environment, text, expected);
     if (outcome.type === 'compiled') {
+      this.addCost(rule, index, field, outcome.cost);
       return outcome.evaluate;
     }
     this.complain(rule, index, field, outcome.fault.offset, outcome.fault.message);
     return undefined;
   }
+
+  /** Complains where the program gets too costly. */
+  private addCost(rule: PolicyRule, index: number, field: ExpressionField, cost: number): void {
+    const { maxCost } = PROGRAM_LIMITS;
+    const before = this.cost;
+    this.cost += cost;
+    if (before <= maxCost && this.cost > maxCost) {
+      this.complain(rule, index, field, 0, `the program costs more than ${maxCost} evaluated parts`);
+    }
+  }
 }
 
 class CelPolicyProgram implements PolicyProgram {
--- a/src/registry/validation/validate-service.ts
+++ b/src/registry/validation/validate-service.ts
@@ -34,7 +34,7 @@
   keyspaces: 1_000,
   matchLength: 512,
   shards: 200_000,
-  policyRules: 100,
+  policyRules: 64,
   expressionLength: 4_096,
 } as const;
 
@@ -151,7 +151,10 @@
   return rules;
 }
 
-/** Checks the shape; the expressions were compiled before the command was proposed. */
+/**
+ * Checks the shape. Expressions are compiled before a change is proposed, and not here: replicas whose versions of the
+ * expression library differ must still come to the same result.
+ */
 function validateRule(input: unknown, position: number): PolicyRule {
   const place = `policy[${position}]`;
   const fields = checkObject(place, input);
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -1,5 +1,6 @@
 /** The router daemon: the deterministic router core with its sockets and timers. */
 import { randomInt, randomUUID } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { ControlToRouter } from '../control/messages.js';
 import { createLogger, type Logger } from '../logging/logger.js';
@@ -16,6 +17,7 @@
 import { PlatformPoll } from './hints/platform-poll.js';
 import { UpstreamDirectory } from './hints/upstream-directory.js';
 import { RouterMetrics } from './metrics.js';
+import { POLICY_TRACE_PATH, PolicyTraces } from './policy-traces.js';
 import { RouterTask } from './router-task.js';
 import {
   type CompleteRouterSettings,
@@ -42,6 +44,7 @@
   private readonly links: ControlLinks;
   private readonly probes: HealthProbes;
   private readonly platform: PlatformPoll | null;
+  private readonly traces = new PolicyTraces((on) => this.task.post({ type: 'policy-trace', on }));
   private readonly directory = new UpstreamDirectory();
   private readonly metrics: RouterMetrics;
   private readonly log: Logger = createLogger('router');
@@ -75,6 +78,7 @@
       links: this.links,
       metrics: this.metrics,
       log: this.log,
+      traced: (record) => this.traces.take(record),
       failed: (error) => this.giveUp(error),
     });
   }
@@ -92,9 +96,7 @@
     const monitor = createMonitorListener(
       this.metrics.registry,
       () => this.health(),
-      (_request, response) => {
-        response.writeHead(404, { 'content-length': 0 }).end();
-      },
+      (request, response) => this.serveAdmin(request, response),
     );
     this.admin = await HttpListener.listen(admin, DEFAULT_HTTP_LIMITS, monitor);
     this.links.start(control);
@@ -131,6 +133,7 @@
       await sleep(SETTLE_CHECK_MILLIS);
     }
     this.task.stop();
+    this.traces.stop();
     this.probes.stop();
     this.platform?.stop();
     this.links.stop();
@@ -139,6 +142,15 @@
     this.log.info('stopped');
   }
 
+  private serveAdmin(request: IncomingMessage, response: ServerResponse): void {
+    const path = request.url?.split('?', 1)[0];
+    if (request.method === 'GET' && path === POLICY_TRACE_PATH) {
+      this.traces.serve(request, response);
+    } else {
+      response.writeHead(404, { 'content-length': 0 }).end();
+    }
+  }
+
   private health(): { readonly healthy: boolean } & RouterStatus {
     const status = this.core.status();
     return { healthy: status.serving && this.stopping === undefined, ...status };
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -6,6 +6,7 @@
 import { toError } from '../errors/ternmount-error.js';
 import type { Logger } from '../logging/logger.js';
 import type { Incarnation } from '../model/identifiers.js';
+import type { PolicyTraceRecord } from '../policy/index.js';
 import { NumberedTable } from '../routing/numbered-table.js';
 import type {
   AttemptNumber,
@@ -35,6 +36,8 @@
   readonly links: ControlLinks;
   readonly metrics: RouterMetrics;
   readonly log: Logger;
+  /** A policy looked at a request, and someone wants to know. */
+  readonly traced: (record: PolicyTraceRecord) => void;
   /** The core threw, so its state can't be trusted any more. */
   readonly failed: (error: Error) => void;
 }
@@ -232,6 +235,9 @@
           this.options.metrics.refused(exchange.head.service, effect.outcome, effect.reason);
         });
         return;
+      case 'policy-trace':
+        this.options.traced(effect.record);
+        return;
       case 'log':
         this.options.log.log(effect.level, effect.event, effect.fields);
         return;
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -1,18 +1,19 @@
 /** A request's way from its arrival to the dispatcher: checks, joining, the ledger, policy. */
 import type { ClaimResult, StoredAnswer } from '../ledger/types.js';
 import type { ShardId } from '../model/identifiers.js';
-import type { PolicyDecision } from '../policy/index.js';
+import type { PolicyContext, PolicyDecision } from '../policy/index.js';
 import type { Answers } from './answers.js';
 import type { ClaimFlow, ClaimListener } from './claim-flow.js';
 import type { Dispatcher } from './dispatcher.js';
 import type { LedgerWord } from './outcome-table.js';
-import { policyContextOf } from './policy-input.js';
+import { policyContextOf, policyUpstreamOf } from './policy-input.js';
 import { retryAfterMillis } from './retry-after.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
 import type { ArrivedRequest, RefusalReason } from './types.js';
 import { type Member, Work } from './work.js';
 
+const PASS: PolicyDecision = { type: 'pass' };
 /** How often the policy is asked again about a request that it holds. */
 const POLICY_RECHECK_MILLIS = 50;
 /** An attempt is overdue after this many of the upstream's usual times, and not before the least time. */
@@ -194,7 +195,23 @@
 
   private decide(work: Work): PolicyDecision {
     const { policy } = work.service;
-    return policy === null ? { type: 'pass' } : policy.decide(policyContextOf(work, this.context));
+    const { tracing } = this.context;
+    if (policy === null && !tracing) {
+      return PASS;
+    }
+    const seen = policyContextOf(work, this.context);
+    const decision = policy === null ? PASS : policy.decide(seen);
+    if (tracing) {
+      this.trace(work.service, seen, decision);
+    }
+    return decision;
+  }
+
+  private trace(service: ServiceState, context: PolicyContext, decision: PolicyDecision): void {
+    const { now, wall } = this.context;
+    const upstreams = service.candidates(now, null).map((upstream) => policyUpstreamOf(upstream, now));
+    const record = { at: wall, context, upstreams, decision: decision.type };
+    this.context.emit({ type: 'policy-trace', record });
   }
 
   /** A hold counts from the first time that the policy asked for it, whatever it says later. */
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -31,6 +31,8 @@
   readonly upstreams = new Map<UpstreamId, UpstreamState>();
   readonly attempts = new NumberedTable<Attempt>();
   readonly members = new NumberedTable<Member>();
+  /** Whether what policies see is told. */
+  tracing = false;
   now = 0;
   wall: WallMillis = 0;
   private effects: RouterEffect[] = [];
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -91,6 +91,9 @@
       case 'probe-result':
         this.takeProbe(input.upstream, input.healthy, input.load);
         return;
+      case 'policy-trace':
+        this.context.tracing = input.on;
+        return;
       case 'platform-list':
         this.takePlatformList(input.leaving, input.live);
     }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -14,6 +14,7 @@
   Zone,
 } from '../model/identifiers.js';
 import type { Outcome } from '../model/outcome.js';
+import type { PolicyTraceRecord } from '../policy/index.js';
 import type { PickerName } from './picker/picker.js';
 
 /** Number of a request within one run of a router. */
@@ -68,6 +69,8 @@
       readonly healthy: boolean;
       readonly load: number | null;
     }
+  /** Whether `policy-trace` effects are wanted from now on. */
+  | { readonly type: 'policy-trace'; readonly on: boolean }
   /** The platform's list of machines, which lags: hints only. */
   | {
       readonly type: 'platform-list';
@@ -123,6 +126,8 @@
       readonly reason: RefusalReason;
       readonly retryAfterMillis: number | null;
     }
+  /** What a policy saw of a request; only while they are wanted. */
+  | { readonly type: 'policy-trace'; readonly record: PolicyTraceRecord }
   | {
       readonly type: 'log';
       readonly level: 'info' | 'warn' | 'error';
