--- a/src/dev/bench/experiments/retry-storm.ts
+++ b/src/dev/bench/experiments/retry-storm.ts
@@ -19,6 +19,8 @@
 
 interface Failure {
   readonly label: string;
+  /** Every upstream fails, in place of every third. */
+  readonly everywhere?: boolean;
   readonly loadShare: number;
   readonly fail: (upstream: ModelUpstream) => void;
 }
@@ -32,6 +34,14 @@
       upstream.failureShare = 1;
     },
   },
+  {
+    label: 'half of all answers broken everywhere',
+    everywhere: true,
+    loadShare: LOAD_SHARE,
+    fail: (upstream) => {
+      upstream.failureShare = 0.5;
+    },
+  },
   {
     label: 'shedding',
     loadShare: 1.2,
@@ -63,7 +73,7 @@
   world.run(FAIL_AFTER_MILLIS);
   const before = world.attempts(started.service.name);
   for (const [index, upstream] of upstreams.entries()) {
-    if (index % FAILING_EVERY === 0) {
+    if (failure.everywhere === true || index % FAILING_EVERY === 0) {
       failure.fail(upstream);
     }
   }
@@ -99,7 +109,7 @@
       ),
     ),
     notes: [
-      'Virtual time; the largest service of reads as one that is not keyed; every third upstream fails under load.',
+      'Virtual time; the largest service of reads as one that is not keyed; every third upstream fails under load, in one case all of them do in part.',
       `Load is ${LOAD_SHARE * PERCENT} % of capacity; for shedding 120 %, with upstreams that let only 4 requests wait and a third of which turn 4x slower.`,
       '`no budget` allows one retry for each first attempt, which is as far as the definition of a service goes.',
     ],
