--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -15,6 +15,11 @@
 import { ShardCoordinator } from './shard-coordinator.js';
 import type { ControlConfig } from './types.js';
 
+/**
+ * Shortest time between the beginnings of two quorum rounds. Renewals ask for their round a sixteenth of the renewal time
+ * ahead, so nothing waits for this, and with many upstreams one round stands for all that fell due meanwhile.
+ */
+const ROUND_GAP_MILLIS = 10;
 /** How long to wait before a quorum round that failed is tried again. */
 const ROUND_RETRY_MILLIS = 20;
 
@@ -25,7 +30,13 @@
   readonly call: (call: SessionCall) => void;
 }
 
+/** A session with the time of the upstream's last answer of any kind in this leadership. */
+export interface HeardSession extends SessionView {
+  readonly heardAt: MonotonicMillis | null;
+}
+
 export class LeaderDuties {
+  readonly #heardAt = new Map<UpstreamId, MonotonicMillis>();
   readonly #parts: LeaderDutiesParts;
   readonly #granter: LeaseGranter;
   readonly #proposals: LeaderProposals;
@@ -80,6 +91,7 @@
     answer: SessionAnswer,
     now: MonotonicMillis,
   ): void {
+    this.#heardAt.set(upstream, now);
     this.#granter.answered(upstream, sequence, answer, now);
     this.#coordinator.sessionChanged(upstream);
   }
@@ -115,8 +127,10 @@
     );
   }
 
-  sessions(): SessionView[] {
-    return this.#granter.views();
+  sessions(): HeardSession[] {
+    return this.#granter
+      .views()
+      .map((view) => ({ ...view, heardAt: this.#heardAt.get(view.upstream) ?? null }));
   }
 
   #catchUp(now: MonotonicMillis): void {
@@ -148,6 +162,7 @@
       return;
     }
     this.#isRoundOut = true;
+    this.#roundNotBefore = now + ROUND_GAP_MILLIS;
     const mark = this.#granter.markRound();
     this.#parts.raft.read(now, (confirmed, settledAt) => {
       this.#isRoundOut = false;
--- a/src/control/router-desk.ts
+++ b/src/control/router-desk.ts
@@ -4,6 +4,7 @@
  */
 import type { Incarnation, MonotonicMillis, Revision, RouterId } from '../model/identifiers.js';
 import type { CommandResult } from '../registry/types.js';
+import { type DepartedRouter, DepartedRouters } from './departed-routers.js';
 import type {
   ClaimRequest,
   ControlToRouter,
@@ -32,6 +33,9 @@
   readonly report: (report: LoadReport, now: MonotonicMillis) => void;
 }
 
+/** Shortest time between the beginnings of two reads; all syncs that come meanwhile share the next. */
+const READ_GAP_MILLIS = 10;
+
 interface WaitingSync {
   readonly connection: ConnectionId;
   readonly request: SyncRequest;
@@ -40,9 +44,11 @@
 export class RouterDesk {
   readonly #parts: RouterDeskParts;
   readonly #routers = new Map<ConnectionId, ConnectedRouter>();
+  readonly #departed = new DepartedRouters();
   /** Syncs that wait for the next read to begin. */
   #waiting: WaitingSync[] = [];
   #isReading = false;
+  #readNotBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
 
   constructor(parts: RouterDeskParts) {
     this.#parts = parts;
@@ -66,10 +72,24 @@
   }
 
   gone(connection: ConnectionId): void {
+    const router = this.#routers.get(connection);
     this.#routers.delete(connection);
+    if (router !== undefined && !this.routers().some((other) => other.router === router.router)) {
+      this.#departed.left(router);
+    }
     this.#waiting = this.#waiting.filter((sync) => sync.connection !== connection);
   }
 
+  /** Begins the read that waits for its time. */
+  run(now: MonotonicMillis): void {
+    this.#readForWaiting(now);
+  }
+
+  nextDeadline(): MonotonicMillis {
+    const waits = !this.#isReading && this.#waiting.length > 0;
+    return waits ? this.#readNotBefore : Number.POSITIVE_INFINITY;
+  }
+
   /** Tells connected routers that there is something to fetch. */
   notify(revision: Revision): void {
     for (const connection of this.#routers.keys()) {
@@ -81,18 +101,25 @@
     return [...this.#routers.values()];
   }
 
+  /** Those that are gone since a while ago. */
+  departed(now: MonotonicMillis): readonly DepartedRouter[] {
+    return this.#departed.list(now);
+  }
+
   #sync(connection: ConnectionId, request: SyncRequest, now: MonotonicMillis): void {
     const { router, incarnation, have } = request;
     this.#routers.set(connection, { router, incarnation, revision: have, heardAt: now });
+    this.#departed.isBack(router);
     this.#waiting.push({ connection, request });
     this.#readForWaiting(now);
   }
 
   /** One read answers all syncs that waited when it began; later ones wait for the next. */
   #readForWaiting(now: MonotonicMillis): void {
-    if (this.#isReading || this.#waiting.length === 0) {
+    if (this.#isReading || this.#waiting.length === 0 || now < this.#readNotBefore) {
       return;
     }
+    this.#readNotBefore = now + READ_GAP_MILLIS;
     const batch = this.#waiting;
     this.#waiting = [];
     this.#isReading = true;
--- a/src/lease/grant-holder.ts
+++ b/src/lease/grant-holder.ts
@@ -46,21 +46,21 @@
     if (refused === null && request.incarnation !== null) {
       this.#follow(request, now);
     }
+    const named = request.orders.map((order) => order.shard);
     const answer: SessionAnswer = {
       upstream: this.#config.upstream,
       incarnation: this.#config.incarnation,
       stamp: now,
       term: this.#term,
       sequence: request.sequence,
-      held: this.#shards.held(),
+      held: this.#shards.held(named),
       draining: this.#shards.draining(),
-      released: this.#shards.released(),
-      warmed: this.#shards.warmed(),
+      released: this.#shards.released(named),
+      warmed: this.#shards.warmed(named),
       inFlight: this.#tickets.size,
-      loads: this.#shards.loads(),
       refused,
     };
-    this.#shards.noteReported();
+    this.#shards.noteReported(answer.released);
     return answer;
   }
 
@@ -103,8 +103,8 @@
     return {
       leased: this.#isLeased(now),
       draining: this.#drain,
-      held: this.#shards.held().length,
-      unreported: this.#shards.unreported(),
+      held: this.#shards.heldCount,
+      unreported: this.#shards.unreportedCount,
       inFlight: this.#tickets.size,
     };
   }
@@ -132,12 +132,12 @@
     if (request.keyMap !== null) {
       this.#adoptKeyMap(request.keyMap);
     }
+    if (request.complete) {
+      this.#shards.keepOnly(request.orders);
+    }
     for (const order of request.orders) {
       this.#shards.follow(order, this.#keyMap);
     }
-    if (request.complete) {
-      this.#shards.keepOnly(new Set(request.orders.map((order) => order.shard)));
-    }
     if (request.validUntil !== null) {
       this.#renew(request.validUntil, now);
     }
--- a/src/lease/shard-table.ts
+++ b/src/lease/shard-table.ts
@@ -4,11 +4,11 @@
  */
 import { type Epoch, parseShardId, type Revision, type ShardId } from '../model/identifiers.js';
 import type { HolderEvent } from './holder-types.js';
-import type { KeyMap, ShardGrant, ShardLoad, ShardOrder } from './types.js';
+import type { KeyMap, ShardGrant, ShardOrder } from './types.js';
 
 /**
  * `known`: nothing held, nothing to report. `held`: new work is taken. `draining`: revoked, work is left.
- * `released`: revoked and given up, reported until the leader drops it.
+ * `released`: revoked and given up, reported for as long as the leader's orders name it.
  */
 type ShardState = 'known' | 'held' | 'draining' | 'released';
 
@@ -18,7 +18,6 @@
   /** Highest revision of any grant or revoke of this shard that was heard of. */
   highestRevision: Revision;
   inFlight: number;
-  requests: number;
   warmth: 'cold' | 'warming' | 'warm';
   /** Whether an answer to the leader carried the release. */
   reported: boolean;
@@ -49,7 +48,6 @@
   startWork(shard: ShardId): void {
     const entry = this.#entry(shard);
     entry.inFlight += 1;
-    entry.requests += 1;
   }
 
   endWork(shard: ShardId): void {
@@ -85,17 +83,24 @@
     }
   }
 
-  /** Voids every grant, warming and report that a complete list of orders doesn't name. */
-  keepOnly(named: ReadonlySet<ShardId>): void {
+  /**
+   * Voids every grant, warming and report that a complete list of orders doesn't name; to be called before the orders are
+   * followed. A shard that the list only says to warm isn't held: another one got it meanwhile.
+   */
+  keepOnly(orders: readonly ShardOrder[]): void {
+    const named = new Set(orders.map((order) => order.shard));
+    const held = new Set(orders.filter((order) => order.type !== 'warm').map((order) => order.shard));
     for (const [shard, entry] of this.#entries) {
-      if (named.has(shard)) {
+      if (held.has(shard)) {
         continue;
       }
-      entry.warmth = 'cold';
       if (entry.state === 'held' || entry.state === 'draining') {
         this.#events.push({ type: 'released', shard });
       }
       entry.state = 'known';
+      if (!named.has(shard)) {
+        entry.warmth = 'cold';
+      }
     }
   }
 
@@ -113,37 +118,50 @@
     }
   }
 
-  held(): ShardGrant[] {
-    return this.#select('held').map(([shard, entry]) => ({ shard, epoch: entry.epoch }));
+  /** Number of shards held. */
+  get heldCount(): number {
+    return [...this.#entries.values()].filter(({ state }) => state === 'held').length;
   }
 
-  draining(): { readonly shard: ShardId; readonly remaining: number }[] {
-    return this.#select('draining').map(([shard, entry]) => ({ shard, remaining: entry.inFlight }));
+  /** Number of shards with a release that is still to come or that no answer carried. */
+  get unreportedCount(): number {
+    return [...this.#entries.values()].filter(
+      ({ state, reported }) => state === 'draining' || (state === 'released' && !reported),
+    ).length;
   }
 
-  released(): { readonly shard: ShardId; readonly revision: Revision }[] {
-    return this.#select('released').map(([shard, entry]) => ({ shard, revision: entry.highestRevision }));
+  /** An answer carries these releases. */
+  noteReported(released: readonly { readonly shard: ShardId }[]): void {
+    for (const { shard } of released) {
+      this.#entry(shard).reported = true;
+    }
   }
 
-  /** Shards with a release that is still to come or that no answer carried. */
-  unreported(): number {
-    const released = this.#select('released').filter(([, entry]) => !entry.reported);
-    return this.#select('draining').length + released.length;
+  /** Which of `shards` are held. */
+  held(shards: readonly ShardId[]): ShardGrant[] {
+    return this.#select(shards, ({ state }) => state === 'held').map(([shard, { epoch }]) => ({
+      shard,
+      epoch,
+    }));
   }
 
-  /** An answer carries all releases so far. */
-  noteReported(): void {
-    for (const [, entry] of this.#select('released')) {
-      entry.reported = true;
-    }
+  draining(): { readonly shard: ShardId; readonly remaining: number }[] {
+    return [...this.#entries]
+      .filter(([, { state }]) => state === 'draining')
+      .map(([shard, { inFlight }]) => ({ shard, remaining: inFlight }));
   }
 
-  warmed(): ShardId[] {
-    return [...this.#entries].filter(([, entry]) => entry.warmth === 'warm').map(([shard]) => shard);
+  /** Which of `shards` were revoked and given up. */
+  released(shards: readonly ShardId[]): { readonly shard: ShardId; readonly revision: Revision }[] {
+    return this.#select(shards, ({ state }) => state === 'released').map(([shard, { highestRevision }]) => ({
+      shard,
+      revision: highestRevision,
+    }));
   }
 
-  loads(): ShardLoad[] {
-    return this.#select('held').map(([shard, entry]) => ({ shard, requests: entry.requests }));
+  /** Which of `shards` are warm. */
+  warmed(shards: readonly ShardId[]): ShardId[] {
+    return this.#select(shards, ({ warmth }) => warmth === 'warm').map(([shard]) => shard);
   }
 
   /** Number of shards remembered. */
@@ -218,7 +236,6 @@
       epoch: 0,
       highestRevision: 0,
       inFlight: 0,
-      requests: 0,
       warmth: 'cold',
       reported: false,
     };
@@ -226,8 +243,11 @@
     return entry;
   }
 
-  #select(state: ShardState): [ShardId, ShardEntry][] {
-    return [...this.#entries].filter(([, entry]) => entry.state === state);
+  #select(shards: readonly ShardId[], wanted: (entry: ShardEntry) => boolean): [ShardId, ShardEntry][] {
+    return shards.flatMap((shard): [ShardId, ShardEntry][] => {
+      const entry = this.#entries.get(shard);
+      return entry !== undefined && wanted(entry) ? [[shard, entry]] : [];
+    });
   }
 }
 
--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -103,14 +103,15 @@
   /**
    * Planned stop: asks the control leader to move the shards away and goes on serving them meanwhile, until the leader
    * was told that each is given up; then lets in nothing more and resolves when all that runs is done. The server's
-   * sockets may be closed after that.
+   * sockets may be closed after that. Without a lease it may serve none of its shards, so it then waits for none to be
+   * moved.
    */
   async drain(options: DrainOptions = {}): Promise<void> {
     if (this.state === 'serving') {
       this.state = 'leaving';
     }
     const until = this.clock() + (options.moveMillis ?? DEFAULT_MOVE_MILLIS);
-    while (this.isHolding() && this.clock() < until) {
+    while (this.countsAsOwner() && this.clock() < until) {
       await sleep(DRAIN_CHECK_MILLIS);
     }
     this.state = 'draining';
@@ -120,9 +121,9 @@
   }
 
   /** Whether the leader still takes this server for the owner of a shard. */
-  private isHolding(): boolean {
-    const { held, unreported } = this.holder.status(this.clock());
-    return held + unreported > 0;
+  private countsAsOwner(): boolean {
+    const { held, unreported, leased } = this.holder.status(this.clock());
+    return leased && held + unreported > 0;
   }
 
   private readHead(request: IncomingMessage, response: ServerResponse): RequestHead | null {
