--- a/test/contract/admin-harness.ts
+++ b/test/contract/admin-harness.ts
@@ -91,6 +91,8 @@
     revision,
     upstreams: [],
     routers: [],
+    leaderSinceMillis: 0,
+    unowned: [],
     waitingReplicas: [],
     memberSilentMillis: {},
     unownedShards: 0,
