Connections to upstreams really go out from the daemon's own IP number

Cause: undici takes localAddress as an option of the pool and overwrites the one of its connector, so the link could not tell which zone a router's or control's request came from, and cut nothing between them and upstreams. Test: 3 of 4 kinds of connections failed before, none after.

--- a/src/control/daemon/upstream-sessions.ts
+++ b/src/control/daemon/upstream-sessions.ts
@@ -39,7 +39,8 @@
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MILLIS,
       maxResponseSize: MAX_ANSWER_BYTES,
-      connect: { timeout: timeoutMillis, ...(localAddress && { localAddress }) },
+      connect: { timeout: timeoutMillis },
+      ...(localAddress && { localAddress }),
     });
   }
 
--- a/src/dev/standins/caller/router-client.ts
+++ b/src/dev/standins/caller/router-client.ts
@@ -85,7 +85,8 @@
     this.#pool = new Pool(`http://${address}`, {
       connections,
       pipelining: 1,
-      connect: { localAddress, timeout: PATIENCE_MILLIS },
+      connect: { timeout: PATIENCE_MILLIS },
+      localAddress,
     });
   }
 
--- a/src/router/attempts/upstream-pools.ts
+++ b/src/router/attempts/upstream-pools.ts
@@ -30,7 +30,8 @@
       // The core cancels attempts at their deadline; answers that are streamed are past it.
       headersTimeout: 0,
       bodyTimeout: this.options.streamStallMillis,
-      connect: { timeout: connectMillis, ...(localAddress && { localAddress }) },
+      connect: { timeout: connectMillis },
+      ...(localAddress && { localAddress }),
     });
     this.pools.set(address, pool);
     return pool;
--- /dev/null
+++ b/test/fleet/outgoing.test.ts
@@ -0,0 +1,93 @@
+import { once } from 'node:events';
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
+import { expect } from 'chai';
+import { UpstreamSessions } from '../../src/control/daemon/upstream-sessions.js';
+import { RouterClient } from '../../src/dev/standins/caller/router-client.js';
+import { createLogger } from '../../src/logging/logger.js';
+import { UpstreamPools } from '../../src/router/attempts/upstream-pools.js';
+import { DEFAULT_WIRE_LIMITS, FrameClient } from '../../src/wire/index.js';
+
+const OWN_HOST = '127.0.0.9';
+
+/** What makes one connection to `address` from `OWN_HOST`; gives how to stop it. */
+type Dialler = (address: string) => () => unknown;
+
+const DIALLERS: Readonly<Record<string, Dialler>> = {
+  'a router to an upstream': (address) => {
+    const options = { connectionsPerUpstream: 1, connectMillis: 1000, streamStallMillis: 1000 };
+    const pools = new UpstreamPools({ ...options, localAddress: OWN_HOST });
+    pools
+      .of(address)
+      .request({ path: '/', method: 'GET' })
+      .catch(() => {});
+    return () => pools.stop();
+  },
+  'control to an upstream': (address) => {
+    const owner = { answered: () => {}, failed: () => {} };
+    const sessions = new UpstreamSessions(1000, owner, createLogger('test'), OWN_HOST);
+    sessions.call('u1', address, {
+      cluster: 'c1',
+      leader: 'm1',
+      term: 1,
+      sequence: 1,
+      upstream: 'u1',
+      incarnation: null,
+      validUntil: null,
+      keyMap: null,
+      orders: [],
+      complete: false,
+      drain: false,
+    });
+    return () => sessions.stop();
+  },
+  'a daemon to control': (address) => {
+    const greeting = { type: 'greeting', cluster: 'c1', kind: 'router', name: 'r1' } as const;
+    const identity = { greeting, secret: 'secret', expects: ['control'] as const };
+    const client = new FrameClient({
+      address,
+      localAddress: OWN_HOST,
+      identity,
+      limits: DEFAULT_WIRE_LIMITS,
+    });
+    return () => client.stop();
+  },
+  'a stand-in caller to a router': (address) => {
+    const client = new RouterClient('router-1', address, OWN_HOST, 1);
+    void client.send({
+      service: 'items',
+      method: 'GET',
+      request: 'r1',
+      key: null,
+      idempotencyKey: null,
+      coalesced: false,
+      deadlineMillis: 1000,
+    });
+    return () => client.close();
+  },
+};
+
+describe('outgoing connections', () => {
+  let server: Server;
+
+  beforeEach(async () => {
+    server = createServer();
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+  });
+
+  afterEach(() => {
+    server.close();
+  });
+
+  for (const [title, dial] of Object.entries(DIALLERS)) {
+    it(`of ${title} come from its own IP number`, async () => {
+      const { port } = server.address() as AddressInfo;
+      const stop = dial(`127.0.0.1:${port}`);
+      const [socket] = (await once(server, 'connection')) as [Socket];
+      const { remoteAddress } = socket;
+      socket.destroy();
+      await stop();
+      expect(remoteAddress).to.equal(OWN_HOST);
+    });
+  }
+});
