--- a/src/dev/fleet/fault-schedule.ts
+++ b/src/dev/fleet/fault-schedule.ts
@@ -17,6 +17,8 @@
   'drain',
   /** SIGKILL of a control member, its data folder deleted; then a new replica takes its place. */
   'lose-disk',
+  /** As `lose-disk`; the leader is killed in the moment in which the repair is reported. */
+  'second-loss',
   /** Two zones `A|B` lose each other: bytes wait, connections hang. */
   'cut',
   /** A zone loses all others. */
@@ -90,7 +92,7 @@
       return [parseFault(item)];
     }
     const at = placeNamed(named.indexOf(item), named.length, seconds);
-    return definition.faults.map((fault) => ({ ...fault, at: at + (fault.after ?? 0) }));
+    return definition.faults.map((fault) => ({ ...fault, at }));
   });
   return faults.sort((left, right) => left.at - right.at);
 }
--- a/src/dev/fleet/faults/fault-runner.ts
+++ b/src/dev/fleet/faults/fault-runner.ts
@@ -5,7 +5,7 @@
 import type { Zone } from '../../../model/identifiers.js';
 import { machineMillis } from '../../journal/machine-clock.js';
 import type { LinkRule } from '../../standins/link/link-settings.js';
-import type { ScheduledFault } from '../fault-schedule.js';
+import type { FaultType, ScheduledFault } from '../fault-schedule.js';
 import type { Fleet } from '../fleet.js';
 import type { ControlPlan } from '../fleet-plan.js';
 import { type OwnedKeys, type OwnerLoss, OwnerLossProbe } from '../observe/owner-loss-probe.js';
@@ -15,6 +15,26 @@
 /** Pause between two processes of a rolling restart. */
 const ROLL_PAUSE_MILLIS = 500;
 
+/** Time before a fault at which its target is looked up. */
+const LOOK_UP_MILLIS = 250;
+/** Faults of one process or upstream. */
+const PROCESS_FAULTS: ReadonlySet<FaultType> = new Set([
+  'kill',
+  'stop',
+  'freeze',
+  'drain',
+  'lose-disk',
+  'second-loss',
+  'platform-gone',
+]);
+
+/** Who a fault meets. */
+interface Target {
+  readonly name: string;
+  /** What it owned right before, if it is to lose it. */
+  readonly owned: OwnedKeys | undefined;
+}
+
 /** A fault that was carried out. */
 export interface FaultDone {
   readonly fault: ScheduledFault;
@@ -40,8 +60,11 @@
   /** Carries out all faults; `startedAt` is when the load began, on the machine's clock. */
   async run(faults: readonly ScheduledFault[], startedAt: number): Promise<void> {
     const work = faults.map(async (fault) => {
-      await this.#wait(startedAt + fault.at * MILLIS_PER_SECOND - machineMillis());
-      await this.#carryOut(fault);
+      const dueAt = startedAt + fault.at * MILLIS_PER_SECOND;
+      await this.#wait(dueAt - LOOK_UP_MILLIS - machineMillis());
+      const target = await this.#lookUp(fault);
+      await this.#wait(dueAt - machineMillis());
+      await this.#carryOut(fault, target);
     });
     await Promise.all(work);
     await this.waitForNewOwners();
@@ -59,36 +82,48 @@
     this.done.push({ fault, target, at: machineMillis() });
   }
 
-  async #carryOut(fault: ScheduledFault): Promise<void> {
+  /** Finds out who is meant, ahead of time, so that faults of one moment don't wait for each other's effects. */
+  async #lookUp({ type, target }: ScheduledFault): Promise<Target> {
+    if (!PROCESS_FAULTS.has(type)) {
+      return { name: target, owned: undefined };
+    }
+    const name = await this.targets.process(target);
+    const losesOwner = type === 'kill' || type === 'freeze';
+    return { name, owned: losesOwner ? await this.#ownedBy(name) : undefined };
+  }
+
+  async #carryOut(fault: ScheduledFault, target: Target): Promise<void> {
     const length = fault.seconds * MILLIS_PER_SECOND;
     switch (fault.type) {
       case 'kill':
-        return this.#kill(fault, length);
+        return this.#kill(fault, target, length);
       case 'stop':
-        return this.#stop(fault, length);
+        return this.#stop(fault, target, length);
       case 'freeze':
-        return this.#freeze(fault, length);
+        return this.#freeze(fault, target, length);
       case 'drain':
-        return this.#drain(fault, length);
+        return this.#drain(fault, target, length);
       case 'lose-disk':
-        return this.#loseDisk(fault, length);
+        return this.#loseDisk(fault, target, length);
+      case 'second-loss':
+        await this.#loseDisk(fault, target, length);
+        return this.#killLeader(fault, length);
       case 'cut':
       case 'isolate':
       case 'half-open':
         return this.#hold(fault, length);
       case 'platform-gone':
-        return this.#lieOfPlatform(fault, length);
+        return this.#lieOfPlatform(fault, target, length);
       case 'roll':
         return this.#roll(fault, length);
     }
   }
 
   /** Kills a process, watches the keys that it owned, and starts it again. */
-  async #kill(fault: ScheduledFault, length: number): Promise<void> {
-    const name = await this.targets.process(fault.target);
-    await this.killAndWatch(fault, name);
+  async #kill(fault: ScheduledFault, target: Target, length: number): Promise<void> {
+    await this.#killNow(fault, target);
     await this.#wait(length);
-    await this.#fleet.startProcess(name);
+    await this.#fleet.startProcess(target.name);
   }
 
   /** Resolves when each key of the owners lost so far is served by others. */
@@ -98,8 +133,17 @@
 
   /** SIGKILL; the loss of an owner is measured in the background until each key has a new one. */
   async killAndWatch(fault: ScheduledFault, name: string): Promise<void> {
+    await this.#killNow(fault, { name, owned: await this.#ownedBy(name) });
+  }
+
+  /** What has just been repaired must be enough for the next loss. */
+  async #killLeader(fault: ScheduledFault, length: number): Promise<void> {
+    const { name } = await this.targets.leader();
+    await this.#kill(fault, { name, owned: undefined }, length);
+  }
+
+  async #killNow(fault: ScheduledFault, { name, owned }: Target): Promise<void> {
     const { journal, supervisor } = this.#fleet;
-    const owned = await this.#ownedBy(name);
     journal.write({ event: 'killed', process: name });
     this.#note(fault, name);
     const killed = supervisor.kill(name);
@@ -118,18 +162,15 @@
     }
   }
 
-  async #stop(fault: ScheduledFault, length: number): Promise<void> {
-    const name = await this.targets.process(fault.target);
+  async #stop(fault: ScheduledFault, { name }: Target, length: number): Promise<void> {
     this.#note(fault, name);
     await this.#fleet.stopProcess(name);
     await this.#wait(length);
     await this.#fleet.startProcess(name);
   }
 
-  async #freeze(fault: ScheduledFault, length: number): Promise<void> {
+  async #freeze(fault: ScheduledFault, { name, owned }: Target, length: number): Promise<void> {
     const { journal, supervisor } = this.#fleet;
-    const name = await this.targets.process(fault.target);
-    const owned = await this.#ownedBy(name);
     journal.write({ event: 'frozen', process: name });
     this.#note(fault, name);
     supervisor.freeze(name);
@@ -142,9 +183,8 @@
     }
   }
 
-  async #drain(fault: ScheduledFault, length: number): Promise<void> {
+  async #drain(fault: ScheduledFault, { name: upstream }: Target, length: number): Promise<void> {
     const { journal, operator } = this.#fleet;
-    const upstream = await this.targets.process(fault.target);
     this.#note(fault, upstream);
     await operator.must(['upstream', 'drain', upstream, '--no-wait']);
     journal.write({ event: 'drain-accepted', upstream });
@@ -154,9 +194,8 @@
   }
 
   /** A killed member comes back with an empty disk, as a new replica, and takes the old one's place. */
-  async #loseDisk(fault: ScheduledFault, length: number): Promise<void> {
+  async #loseDisk(fault: ScheduledFault, { name }: Target, length: number): Promise<void> {
     const { admin, journal, operator, supervisor } = this.#fleet;
-    const name = await this.targets.process(fault.target);
     const control = this.#fleet.plan.control.find((member) => member.name === name) as ControlPlan;
     const oldReplica = (await admin.statusOf(control.admin)).raft.self;
     journal.write({ event: 'disk-lost', process: name });
@@ -212,9 +251,8 @@
     await Promise.all(calls);
   }
 
-  async #lieOfPlatform(fault: ScheduledFault, length: number): Promise<void> {
+  async #lieOfPlatform(fault: ScheduledFault, { name: upstream }: Target, length: number): Promise<void> {
     const { journal, plan } = this.#fleet;
-    const upstream = await this.targets.process(fault.target);
     const url = `http://${plan.platform.listen}/machines/${upstream}`;
     this.#note(fault, upstream);
     journal.write({ event: 'platform-lied', upstream });
--- a/src/dev/fleet/named-faults.ts
+++ b/src/dev/fleet/named-faults.ts
@@ -1,8 +1,8 @@
 /** The table of faults that a fleet run knows by name. */
 import type { ScheduledFault } from './fault-schedule.js';
 
-/** A fault without its time. `after`: seconds after the named fault's own time; 0 if left out. */
-export type UnplacedFault = Omit<ScheduledFault, 'at'> & { readonly after?: number };
+/** A fault without its time. */
+export type UnplacedFault = Omit<ScheduledFault, 'at'>;
 
 /** What a name stands for. */
 export interface NamedFault {
@@ -54,12 +54,9 @@
     summary: 'SIGKILL of a control follower, data folder deleted, a new replica takes its place',
     faults: [{ type: 'lose-disk', target: 'follower', seconds: 1 }],
   },
-  'lose-disk-then-leader': {
-    summary: 'a lost disk is repaired, then the leader is killed at once',
-    faults: [
-      { type: 'lose-disk', target: 'follower', seconds: 1 },
-      { type: 'kill', target: 'leader', seconds: 3, after: 0.1 },
-    ],
+  'second-loss': {
+    summary: 'a lost disk is repaired, and in that moment the leader is killed',
+    faults: [{ type: 'second-loss', target: 'follower', seconds: 1 }],
   },
   'isolate-zone': {
     summary: 'one zone loses the others, silently',
