Fence: a request whose connection is gone already is not let in

Requests that the link had held arrived together with the end of their connections; the stand-in waits a moment before it hands a request to the fence, so the answer's close event came before the fence listened for it, the work never ended, and the shard drained for ever. Any middleware that waits before the fence has the same effect. Ruled out: lost release (the holder never released), inflated service times, a missing owner. Test failed first (ran, 1 left in flight), passes now (did not run, 0 in flight).

--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -84,9 +84,12 @@
 
   /**
    * Checks a request and lets it in, or answers it and gives `null`. The caller must call `closeHandler` when the
-   * handler has returned.
+   * handler has returned. A request whose connection is gone already is not let in: its end could not be seen.
    */
   open(request: IncomingMessage, response: ServerResponse): GuardedExchange | null {
+    if (response.destroyed) {
+      return null;
+    }
     response.setHeader(HEADERS.load, this.load());
     const head = this.readHead(request, response);
     if (head === null) {
