--- a/src/dev/bench/experiments/ledger.ts
+++ b/src/dev/bench/experiments/ledger.ts
@@ -1,7 +1,7 @@
 /** What a claim in the replicated ledger adds to a request that must not be repeated, and how many it can carry. */
 import { loadavg } from 'node:os';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { type Reading, reading, targetForAll, valuesOf } from '../arms.js';
+import { gather, type Reading, reading, targetForAll, valuesOf } from '../arms.js';
 import type { ArmResult, Experiment, ExperimentContext, ExperimentResult } from '../experiment.js';
 import { LedgerCluster, MEMBER_NUMBERS } from '../ledger/ledger-cluster.js';
 import { BenchChild } from '../proxy/child-process.js';
--- a/src/dev/bench/experiments/proxy.ts
+++ b/src/dev/bench/experiments/proxy.ts
@@ -1,6 +1,6 @@
 /** One router on one core, in real processes: throughput, added latency, memory, and what HTTP libraries cost. */
 import { loadavg } from 'node:os';
-import { type Reading, reading, target, targetForAll, valuesOf } from '../arms.js';
+import { gather, type Reading, reading, target, targetForAll, valuesOf } from '../arms.js';
 import type { ArmResult, Experiment, ExperimentContext, ExperimentResult } from '../experiment.js';
 import {
   armName,
