--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -107,6 +107,7 @@
     this.#effects = [];
     this.#now = now;
     this.#wall = wall;
+    this.#raft.beginStep();
     this.#handle(input, now);
     this.#settle(now);
     if (this.#hasNews) {
--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -70,6 +70,12 @@
   readonly readTimeoutMillis: number;
 }
 
+/**
+ * Bytes of entries that one step applies; what is left waits for the next step. Entries of many grants come in bursts,
+ * and a leader that applied a whole burst at once would miss its heartbeats.
+ */
+const BYTES_APPLIED_PER_STEP = 64 * 1024;
+
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
 const ACCEPTED_MEMBERSHIP: CommandResult = { type: 'accepted', revision: 0 };
@@ -81,6 +87,10 @@
   readonly #accepted = new Map<Revision, AcceptedProposal>();
   readonly #reads = new Map<number, PendingRead>();
   #waitingReads: WaitingRead[] = [];
+  /** Committed entries that the registry hasn't taken yet. */
+  #committed: LogEntry[] = [];
+  #bytesLeft = 0;
+  #lastRunAt: MonotonicMillis = 0;
   #registry: Registry;
   #nextNumber = 1;
   #term: Term;
@@ -134,10 +144,16 @@
     this.feed({ type: 'read', readId });
   }
 
+  /** A step of the control node begins: entries may be applied up to the bound. */
+  beginStep(): void {
+    this.#bytesLeft = BYTES_APPLIED_PER_STEP;
+  }
+
   /** Hands queued inputs to the Raft core until nothing is left to do. Returns whether there was any. */
   run(now: MonotonicMillis): boolean {
+    this.#lastRunAt = now;
     this.#expireReads(now);
-    let busy = false;
+    let busy = this.#applyCommitted(now);
     for (let input = this.#inputs.shift(); input !== undefined; input = this.#inputs.shift()) {
       busy = true;
       for (const effect of this.#parts.raft.step(input, now)) {
@@ -148,6 +164,9 @@
   }
 
   nextDeadline(): MonotonicMillis {
+    if (this.#committed.length > 0) {
+      return this.#lastRunAt;
+    }
     const expiries = [...this.#reads.values()].map((read) => read.expiresAt);
     return Math.min(this.#parts.raft.nextDeadline(), ...expiries);
   }
@@ -168,9 +187,11 @@
         listener.persist(effect.request);
         break;
       case 'apply':
-        this.#apply(effect.entries, now);
+        this.#committed.push(...effect.entries);
+        this.#applyCommitted(now);
         break;
       case 'restore':
+        this.#committed = [];
         this.#registry = this.#parts.decodeRegistry(effect.snapshot.data);
         this.#loseAccepted(effect.snapshot.lastIndex, now);
         listener.restored(now);
@@ -198,18 +219,28 @@
     }
   }
 
-  #apply(entries: readonly LogEntry[], now: MonotonicMillis): void {
-    for (const entry of entries) {
-      const result = this.#applyEntry(entry, now);
-      const accepted = this.#accepted.get(entry.index);
-      this.#accepted.delete(entry.index);
-      const isOurs = accepted?.term === entry.term;
-      accepted?.settle(
-        isOurs ? { type: 'applied', result, revision: entry.index } : { type: 'unknown' },
-        now,
-      );
+  /** Applies what the bound of this step lets through; returns whether there was anything. */
+  #applyCommitted(now: MonotonicMillis): boolean {
+    let count = 0;
+    while (count < this.#committed.length && this.#bytesLeft > 0) {
+      const entry = this.#committed[count] as LogEntry;
+      this.#bytesLeft -= entry.data.length;
+      count += 1;
+      this.#settleApplied(entry, now);
+    }
+    if (count > 0) {
+      this.#committed = this.#committed.slice(count);
+      this.#releaseReads(now);
     }
-    this.#releaseReads(now);
+    return count > 0;
+  }
+
+  #settleApplied(entry: LogEntry, now: MonotonicMillis): void {
+    const result = this.#applyEntry(entry, now);
+    const accepted = this.#accepted.get(entry.index);
+    this.#accepted.delete(entry.index);
+    const isOurs = accepted?.term === entry.term;
+    accepted?.settle(isOurs ? { type: 'applied', result, revision: entry.index } : { type: 'unknown' }, now);
   }
 
   #applyEntry(entry: LogEntry, now: MonotonicMillis): CommandResult {
