--- a/src/lease/shard-table.ts
+++ b/src/lease/shard-table.ts
@@ -123,20 +123,6 @@
     return [...this.#entries.values()].filter(({ state }) => state === 'held').length;
   }
 
-  /** Number of shards with a release that is still to come or that no answer carried. */
-  get unreportedCount(): number {
-    return [...this.#entries.values()].filter(
-      ({ state, reported }) => state === 'draining' || (state === 'released' && !reported),
-    ).length;
-  }
-
-  /** An answer carries these releases. */
-  noteReported(released: readonly { readonly shard: ShardId }[]): void {
-    for (const { shard } of released) {
-      this.#entry(shard).reported = true;
-    }
-  }
-
   /** Which of `shards` are held. */
   held(shards: readonly ShardId[]): ShardGrant[] {
     return this.#select(shards, ({ state }) => state === 'held').map(([shard, { epoch }]) => ({
@@ -164,6 +150,21 @@
     return this.#select(shards, ({ warmth }) => warmth === 'warm').map(([shard]) => shard);
   }
 
+  /** Shards with a release that is still to come or that no answer carried. */
+  get unreportedCount(): number {
+    const entries = [...this.#entries.values()];
+    return entries.filter(
+      ({ state, reported }) => state === 'draining' || (state === 'released' && !reported),
+    ).length;
+  }
+
+  /** An answer carries these releases. */
+  noteReported(released: readonly { readonly shard: ShardId }[]): void {
+    for (const { shard } of released) {
+      this.#entry(shard).reported = true;
+    }
+  }
+
   /** Number of shards remembered. */
   get size(): number {
     return this.#entries.size;
--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -84,9 +84,12 @@
 
   /**
    * Checks a request and lets it in, or answers it and gives `null`. The caller must call `closeHandler` when the
-   * handler has returned.
+   * handler has returned. A request whose connection is gone already is not let in: its end could not be seen.
    */
   open(request: IncomingMessage, response: ServerResponse): GuardedExchange | null {
+    if (response.destroyed) {
+      return null;
+    }
     response.setHeader(HEADERS.load, this.load());
     const head = this.readHead(request, response);
     if (head === null) {
@@ -103,15 +106,14 @@
   /**
    * Planned stop: asks the control leader to move the shards away and goes on serving them meanwhile, until the leader
    * was told that each is given up; then lets in nothing more and resolves when all that runs is done. The server's
-   * sockets may be closed after that. Without a lease it may serve none of its shards, so it then waits for none to be
-   * moved.
+   * sockets may be closed after that. Without a lease it may serve none of its shards, so it then waits for none.
    */
   async drain(options: DrainOptions = {}): Promise<void> {
     if (this.state === 'serving') {
       this.state = 'leaving';
     }
     const until = this.clock() + (options.moveMillis ?? DEFAULT_MOVE_MILLIS);
-    while (this.countsAsOwner() && this.clock() < until) {
+    while (this.isHolding() && this.clock() < until) {
       await sleep(DRAIN_CHECK_MILLIS);
     }
     this.state = 'draining';
@@ -120,8 +122,8 @@
     }
   }
 
-  /** Whether the leader still takes this server for the owner of a shard. */
-  private countsAsOwner(): boolean {
+  /** Whether this server may serve shards, and the leader still takes it for the owner of one. */
+  private isHolding(): boolean {
     const { held, unreported, leased } = this.holder.status(this.clock());
     return leased && held + unreported > 0;
   }
