--- a/src/routing/leaving-table.ts
+++ b/src/routing/leaving-table.ts
@@ -10,6 +10,8 @@
 export const FRESH_SUCCESS_MILLIS = 2000;
 /** A refusal with `draining` speaks against it this long. */
 export const FRESH_DRAINING_MILLIS = 5000;
+/** A connection that failed speaks against it this long, unless a request succeeds meanwhile. */
+export const FRESH_UNREACHABLE_MILLIS = 1000;
 /** A hint of the platform or of a probe holds this long unless it is repeated. */
 export const HINT_LIFETIME_MILLIS = 15_000;
 
@@ -20,6 +22,8 @@
   readonly ownDraining: boolean;
   /** A request of this router's own succeeded lately. */
   readonly ownSuccess: boolean;
+  /** A connection of this router's own failed lately, and nothing succeeded since. */
+  readonly ownUnreachable: boolean;
   readonly platformLeaving: boolean;
   readonly probeUnhealthy: boolean;
 }
@@ -27,12 +31,13 @@
 /**
  * The table, first row that fits:
  *
- * | operator | own draining | platform or probe against it | own success | standing |
- * | yes      | -            | -                            | -           | leaving  |
- * | no       | yes          | -                            | -           | leaving  |
- * | no       | no           | yes, the platform            | no          | leaving  |
- * | no       | no           | yes, either                  | any other   | suspect  |
- * | no       | no           | no                           | -           | usable   |
+ * | operator | own draining | platform or probe against it | own success | own unreachable | standing |
+ * | yes      | -            | -                            | -           | -               | leaving  |
+ * | no       | yes          | -                            | -           | -               | leaving  |
+ * | no       | no           | yes, the platform            | no          | -               | leaving  |
+ * | no       | no           | yes, either                  | any other   | -               | suspect  |
+ * | no       | no           | no                           | -           | yes             | suspect  |
+ * | no       | no           | no                           | -           | no              | usable   |
  *
  * A suspect is avoided while others are usable, so its successes age and a true hint takes hold within seconds.
  */
@@ -43,7 +48,8 @@
   if (facts.platformLeaving && !facts.ownSuccess) {
     return 'leaving';
   }
-  return facts.platformLeaving || facts.probeUnhealthy ? 'suspect' : 'usable';
+  const isDoubted = facts.platformLeaving || facts.probeUnhealthy || facts.ownUnreachable;
+  return isDoubted ? 'suspect' : 'usable';
 }
 
 /** Evidence about one upstream, with its age. */
@@ -51,6 +57,7 @@
   operatorLeaving = false;
   private successAt = Number.NEGATIVE_INFINITY;
   private drainingAt = Number.NEGATIVE_INFINITY;
+  private unreachableAt = Number.NEGATIVE_INFINITY;
   private platformLeavingAt = Number.NEGATIVE_INFINITY;
   private unhealthyAt = Number.NEGATIVE_INFINITY;
 
@@ -62,6 +69,10 @@
     this.drainingAt = now;
   }
 
+  connectionFailed(now: number): void {
+    this.unreachableAt = now;
+  }
+
   platformSays(leaving: boolean, now: number): void {
     this.platformLeavingAt = leaving ? now : Number.NEGATIVE_INFINITY;
   }
@@ -74,6 +85,7 @@
   forget(): void {
     this.successAt = Number.NEGATIVE_INFINITY;
     this.drainingAt = Number.NEGATIVE_INFINITY;
+    this.unreachableAt = Number.NEGATIVE_INFINITY;
     this.unhealthyAt = Number.NEGATIVE_INFINITY;
   }
 
@@ -82,6 +94,8 @@
       operatorLeaving: this.operatorLeaving,
       ownDraining: now - this.drainingAt < FRESH_DRAINING_MILLIS && this.drainingAt >= this.successAt,
       ownSuccess: now - this.successAt < FRESH_SUCCESS_MILLIS,
+      ownUnreachable:
+        now - this.unreachableAt < FRESH_UNREACHABLE_MILLIS && this.unreachableAt >= this.successAt,
       platformLeaving: now - this.platformLeavingAt < HINT_LIFETIME_MILLIS,
       probeUnhealthy: now - this.unhealthyAt < HINT_LIFETIME_MILLIS,
     });
