--- a/src/dev/bench/experiments/proxy.ts
+++ b/src/dev/bench/experiments/proxy.ts
@@ -13,6 +13,7 @@
 const MANY_SHARDS = 90_000;
 const FEW_SHARDS = 1000;
 const MICROS_PER_SECOND = 1_000_000;
+const PERCENT = 100;
 const BYTES_PER_MEGABYTE = 1_000_000;
 const THROUGHPUT_WANTED = 5000;
 const ADDED_P99_WANTED = 2;
@@ -51,6 +52,7 @@
     reading(PACED_P99, 'ms', paced.p99),
     reading('added p50', 'ms', paced.p50 - direct.paced.p50),
     reading(ADDED_P99, 'ms', paced.p99 - direct.paced.p99),
+    reading('waited for a processor', '%', measurement.pacedStarved * PERCENT),
     reading(MEMORY, 'MB', peakResidentBytes / BYTES_PER_MEGABYTE),
     reading(FAILURES, '', throughput.failures + paced.failures),
   ];
@@ -90,6 +92,7 @@
       `Real processes on one machine; ${connections} connections, answers of ${answerBytes} bytes, ${upstreams} upstreams.`,
       `Latency at ${requestsPerSecond} requests a second sent at fixed times, counted from when each was due.`,
       'Added latency is the difference from the direct arm of the same round. Seeds only count rounds.',
+      'Waited for a processor: share of the open loop in which the process under test was ready to run and did not.',
       `Load average of the machine before each round: ${loads.join(', ')}.`,
     ],
   };
--- a/src/dev/bench/proxy/child-messages.ts
+++ b/src/dev/bench/proxy/child-messages.ts
@@ -8,6 +8,8 @@
 /** Processor time in milliseconds since the process began, and memory in bytes. */
 export interface ProcessUsage {
   readonly cpuMillis: number;
+  /** Time that the main thread was ready to run and had no processor; `null` where the system doesn't tell. */
+  readonly starvedMillis: number | null;
   readonly residentBytes: number;
   readonly peakResidentBytes: number;
 }
--- a/src/dev/bench/proxy/child.ts
+++ b/src/dev/bench/proxy/child.ts
@@ -1,4 +1,5 @@
 /** Entry of the processes that the proxy bench starts. Its only argument is a `ChildTask` as JSON. */
+import { readFileSync } from 'node:fs';
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import type { Address } from '../../../model/identifiers.js';
 import { RouterDaemon } from '../../../router/router-daemon.js';
@@ -13,6 +14,7 @@
 import { createUpstreamClient } from './upstream-clients.js';
 
 const MICROS_PER_MILLI = 1000;
+const NANOS_PER_MILLI = 1_000_000;
 const BYTES_PER_KILOBYTE = 1024;
 const ANY_PORT: Address = '127.0.0.1:0';
 const ROUTER_SETTINGS = { router: 'bench-router', zone: 'bench', listen: ANY_PORT, admin: ANY_PORT } as const;
@@ -25,11 +27,22 @@
   const { userCPUTime, systemCPUTime, maxRSS } = process.resourceUsage();
   return {
     cpuMillis: (userCPUTime + systemCPUTime) / MICROS_PER_MILLI,
+    starvedMillis: starvedMillis(),
     residentBytes: process.memoryUsage.rss(),
     peakResidentBytes: maxRSS * BYTES_PER_KILOBYTE,
   };
 }
 
+/** From Linux's statistics of the scheduler for the main thread: time on a processor, time waiting for one, turns. */
+function starvedMillis(): number | null {
+  try {
+    const [, waited] = readFileSync('/proc/self/schedstat', 'utf8').split(' ');
+    return Number(waited) / NANOS_PER_MILLI;
+  } catch {
+    return null;
+  }
+}
+
 async function take(request: BenchRequest): Promise<void> {
   if (request.type === 'usage') {
     send({ type: 'usage', usage: usage() });
--- a/src/dev/bench/proxy/proxy-bench.ts
+++ b/src/dev/bench/proxy/proxy-bench.ts
@@ -43,6 +43,8 @@
   /** Cores that the process under test was busy on during the closed loop, and during the open loop. */
   readonly throughputCores: number;
   readonly pacedCores: number;
+  /** Share of the open loop during which the process waited for a processor; 0 where the system doesn't tell. */
+  readonly pacedStarved: number;
   readonly peakResidentBytes: number;
 }
 
@@ -143,6 +145,7 @@
       paced,
       throughputCores: coresBetween(before, between, options.measureMillis),
       pacedCores: coresBetween(between, after, options.measureMillis),
+      pacedStarved: starvedBetween(between, after, options.measureMillis),
       peakResidentBytes: after.peakResidentBytes,
     };
   } finally {
@@ -166,6 +169,10 @@
   };
 }
 
+function starvedBetween(before: ProcessUsage, after: ProcessUsage, millis: number): number {
+  return ((after.starvedMillis ?? 0) - (before.starvedMillis ?? 0)) / millis;
+}
+
 function coresBetween(before: ProcessUsage, after: ProcessUsage, millis: number): number {
   return (after.cpuMillis - before.cpuMillis) / millis;
 }
