--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -15,6 +15,7 @@
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
 import { RaftAdapter, type RaftListener, type SettleProposal } from './raft-adapter.js';
 import { RouterDesk } from './router-desk.js';
+import { SnapshotDesk } from './snapshot-desk.js';
 import type {
   ControlConfig,
   ControlCore,
@@ -74,7 +75,7 @@
   /** When this member last learned who leads, or that nobody does. */
   #leaderSince: MonotonicMillis;
   #leaderId: ReplicaId | null = null;
-  #snapshotIndex: Revision;
+  readonly #snapshots: SnapshotDesk;
   /** Whether routing data changed in this step. */
   #hasNews = false;
 
@@ -82,9 +83,10 @@
     const { snapshotIndex, now } = start;
     this.#config = config;
     this.#leaderSince = now;
-    this.#snapshotIndex = snapshotIndex;
     const readTimeoutMillis = READ_TIMEOUTS * config.raft.electionTimeoutMillis;
     this.#raft = new RaftAdapter({ raft, registry, decodeRegistry, listener: this, readTimeoutMillis });
+    const { snapshotEntries } = config;
+    this.#snapshots = new SnapshotDesk({ raft: this.#raft, snapshotEntries, snapshotIndex });
     const shared = { config, raft: this.#raft, propose: this.#propose };
     const answer = (operation: OperationId, response: OperatorResponse): void =>
       this.#emit({ type: 'answer-operator', operation, response });
@@ -94,7 +96,7 @@
       answer,
       membership: this.#membership,
       status: (now) => controlStatus(this.#statusSource(now), now),
-      takeSnapshot: () => this.#takeSnapshot(),
+      takeSnapshot: (now, taken) => this.#snapshots.request(now, taken),
     });
     this.#routers = new RouterDesk({
       ...shared,
@@ -123,6 +125,7 @@
       this.#operators.nextDeadline(),
       this.#routers.nextDeadline(),
       this.#membership.nextDeadline(),
+      this.#snapshots.nextDeadline(),
       this.#leader?.nextDeadline(this.#now) ?? Number.POSITIVE_INFINITY,
     );
   }
@@ -170,7 +173,7 @@
   }
 
   restored(): void {
-    this.#snapshotIndex = this.#raft.registry.revision;
+    this.#snapshots.restored();
     this.#hasNews = true;
   }
 
@@ -231,30 +234,11 @@
   /** Lets every part work until none has anything left for the Raft core. */
   #settle(now: MonotonicMillis): void {
     this.#raft.feed({ type: 'tick' });
-    while (this.#raft.run(now)) {
+    while (this.#raft.run(now) || this.#snapshots.run(now)) {
       this.#operators.run(now);
       this.#routers.run(now);
       this.#membership.run(now);
       this.#leader?.run(now);
-      this.#snapshotWhenDue();
-    }
-  }
-
-  #snapshotWhenDue(): void {
-    if (this.#raft.registry.revision - this.#snapshotIndex >= this.#config.snapshotEntries) {
-      this.#takeSnapshot();
-    }
-  }
-
-  #takeSnapshot(): void {
-    const { registry } = this.#raft;
-    if (registry.revision > this.#snapshotIndex) {
-      this.#snapshotIndex = registry.revision;
-      this.#raft.feed({
-        type: 'snapshot-taken',
-        lastIndex: registry.revision,
-        data: registry.encode(),
-      });
     }
   }
 
--- a/src/control/operator-desk.ts
+++ b/src/control/operator-desk.ts
@@ -14,7 +14,7 @@
   readonly membership: MembershipDesk;
   readonly answer: (operation: OperationId, response: OperatorResponse) => void;
   readonly status: (now: MonotonicMillis) => OperatorResponse;
-  readonly takeSnapshot: () => void;
+  readonly takeSnapshot: (now: MonotonicMillis, taken: () => void) => void;
 }
 
 type CommandRequest = Extract<OperatorRequest, { readonly type: 'command' }>;
@@ -54,8 +54,7 @@
         answer(operation, this.#parts.status(now));
         break;
       case 'take-snapshot':
-        this.#parts.takeSnapshot();
-        answer(operation, { type: 'done' });
+        this.#parts.takeSnapshot(now, () => answer(operation, { type: 'done' }));
         break;
       case 'add-learner':
       case 'add-voter':
--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -6,4 +6,5 @@
   ISSUED_AHEAD_MILLIS,
   STORED_BODY_LIMIT,
 } from './limits.js';
+export type { KeptRecord, ServiceLedgerState, Tombstone } from './service-ledger.js';
 export type * from './types.js';
--- a/src/ledger/service-ledger.ts
+++ b/src/ledger/service-ledger.ts
@@ -27,7 +27,10 @@
   readonly issuedAt: WallMillis;
 }
 
-/** Plain form for snapshots; lists are sorted so that equal states give equal bytes. */
+/**
+ * Plain form for snapshots. Lists keep the order in which keys came, which a restored ledger keeps too, so that equal
+ * states give equal bytes.
+ */
 export interface ServiceLedgerState {
   readonly horizon: WallMillis;
   readonly retentionMillis: number;
@@ -41,13 +44,6 @@
   return `${key}${SEPARATOR}${claimant}`;
 }
 
-function compareText(one: string, other: string): number {
-  if (one === other) {
-    return 0;
-  }
-  return one < other ? -1 : 1;
-}
-
 export class ServiceLedger {
   private horizon = 0;
   private retentionMillis: number;
@@ -118,16 +114,13 @@
     this.records.delete(key);
   }
 
+  /** Copies lists, no records; cheap enough to be done between two entries of the log. */
   toState(): ServiceLedgerState {
-    const records = [...this.records.values()];
-    const tombstones = [...this.tombstones.entries()];
     return {
       horizon: this.horizon,
       retentionMillis: this.retentionMillis,
-      records: records.sort((one, other) => compareText(one.record.key, other.record.key)),
-      tombstones: tombstones
-        .sort(([one], [other]) => compareText(one, other))
-        .map(([, tombstone]) => tombstone),
+      records: [...this.records.values()],
+      tombstones: [...this.tombstones.values()],
     };
   }
 
--- a/src/registry/registry-machine.ts
+++ b/src/registry/registry-machine.ts
@@ -9,11 +9,13 @@
 import { routingSnapshot } from './queries/routing-snapshot.js';
 import { type RegistryState, Transaction } from './registry-state.js';
 import { encodeState } from './snapshot-codec.js';
+import { SnapshotEncoder } from './snapshot-encoder.js';
 import type {
   CommandEnvelope,
   CommandResult,
   Registry,
   RegistryChange,
+  RegistrySnapshotEncoder,
   RoutingDelta,
   RoutingSnapshot,
   ServiceRecord,
@@ -53,10 +55,19 @@
     this.state.revision = index;
   }
 
+  get recordCount(): number {
+    const { services, upstreams, shards, ledger, dedup } = this.state;
+    return services.size + upstreams.size + shards.records().size + ledger.size + dedup.size;
+  }
+
   encode(): Uint8Array {
     return encodeState(this.state);
   }
 
+  beginEncode(): RegistrySnapshotEncoder {
+    return new SnapshotEncoder(this.state);
+  }
+
   services(): ReadonlyMap<ServiceName, ServiceRecord> {
     return this.state.services;
   }
--- a/src/registry/snapshot-codec.ts
+++ b/src/registry/snapshot-codec.ts
@@ -1,87 +1,129 @@
-/**
- * Snapshots of the registry: versioned JSON, compressed. Equal states give equal bytes.
- *
- * Shards stand as rows of numbers (`shard-rows.ts`). The changes kept for routers aren't included; a restored replica
- * sends snapshots to routers that are behind.
- */
-import { gunzipSync, gzipSync } from 'node:zlib';
+/** Reads snapshots of the registry: compressed JSON parts, each after its length. */
+import { gunzipSync } from 'node:zlib';
 import { toError } from '../errors/ternmount-error.js';
-import { Ledger, type LedgerState } from '../ledger/index.js';
-import type { Revision, WallMillis } from '../model/identifiers.js';
-import { decodeShardRows, encodeShardRows, NameTable, type ShardGroup } from '../model/shard-rows.js';
+import { type KeptRecord, Ledger, type LedgerState, type Tombstone } from '../ledger/index.js';
+import { decodeShardRows } from '../model/shard-rows.js';
 import { ChangeRing } from './change-ring.js';
 import { type DedupEntry, DedupTable } from './dedup-table.js';
 import { RegistrySnapshotError } from './errors.js';
 import { RegistryState } from './registry-state.js';
-import type { ServiceRecord, UpstreamRecord } from './types.js';
+import { LENGTH_BYTES, SnapshotEncoder } from './snapshot-encoder.js';
+import { SNAPSHOT_VERSION, type SnapshotPart } from './snapshot-parts.js';
+import type { ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
 
-const SNAPSHOT_VERSION = 1;
-/** The fastest; higher levels cost more time than the bytes they save are worth. */
-const COMPRESSION_LEVEL = 1;
-interface SnapshotDocument {
-  readonly version: number;
-  readonly revision: Revision;
-  readonly clock: WallMillis;
-  readonly sweptAt: WallMillis;
-  readonly services: readonly ServiceRecord[];
-  readonly upstreams: readonly UpstreamRecord[];
-  readonly names: readonly string[];
-  readonly shards: readonly ShardGroup[];
-  readonly ledger: LedgerState;
-  readonly dedup: readonly DedupEntry[];
-}
+type Head = Extract<SnapshotPart, { part: 'head' }>;
+type ServiceLedgerDraft = LedgerState['services'][number] & {
+  readonly ledger: { readonly records: KeptRecord[]; readonly tombstones: Tombstone[] };
+};
 
-/** Writes a state. */
+/** Writes a state at once. */
 export function encodeState(state: RegistryState): Uint8Array {
-  const table = new NameTable();
-  const shards = encodeShardRows(state.shards.records().values(), table);
-  const document: SnapshotDocument = {
-    version: SNAPSHOT_VERSION,
-    revision: state.revision,
-    clock: state.clock,
-    sweptAt: state.sweptAt,
-    services: sortedValues(state.services),
-    upstreams: sortedValues(state.upstreams),
-    names: table.names,
-    shards,
-    ledger: state.ledger.toState(),
-    dedup: state.dedup.list(),
-  };
-  return gzipSync(JSON.stringify(document), { level: COMPRESSION_LEVEL });
+  const encoder = new SnapshotEncoder(state);
+  let bytes = encoder.step();
+  while (bytes === null) {
+    bytes = encoder.step();
+  }
+  return bytes;
 }
 
 /** Reads a state; throws `RegistrySnapshotError`. */
 export function decodeState(bytes: Uint8Array): RegistryState {
-  const document = parseDocument(bytes);
-  if (document.version !== SNAPSHOT_VERSION) {
-    throw new RegistrySnapshotError(`version ${document.version} of the registry's snapshot isn't known`);
-  }
-  const ledger = Ledger.fromState(document.ledger);
-  const state = new RegistryState(ledger, new DedupTable(document.dedup), new ChangeRing(document.revision));
-  state.revision = document.revision;
-  state.clock = document.clock;
-  state.sweptAt = document.sweptAt;
-  for (const record of document.services) {
-    state.services.set(record.definition.name, record);
-    state.shards.setKeyMap(record);
-  }
-  for (const record of document.upstreams) {
-    state.upstreams.set(record.definition.id, record);
-  }
-  for (const record of decodeShardRows(document.shards, document.names)) {
-    state.shards.put(record.shard, record);
+  const draft = new StateDraft();
+  try {
+    for (const part of readParts(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength))) {
+      draft.take(part);
+    }
+  } catch (thrown) {
+    throw thrown instanceof RegistrySnapshotError
+      ? thrown
+      : new RegistrySnapshotError("the registry's snapshot can't be read", toError(thrown));
   }
-  return state;
+  return draft.finish();
 }
 
-function parseDocument(bytes: Uint8Array): SnapshotDocument {
-  try {
-    return JSON.parse(gunzipSync(bytes).toString('utf8')) as SnapshotDocument;
-  } catch (thrown) {
-    throw new RegistrySnapshotError("the registry's snapshot can't be read", toError(thrown));
+function* readParts(bytes: Buffer): Generator<SnapshotPart> {
+  for (let offset = 0; offset < bytes.length; ) {
+    const start = offset + LENGTH_BYTES;
+    const end = start + bytes.readUInt32BE(offset);
+    yield JSON.parse(gunzipSync(bytes.subarray(start, end)).toString('utf8')) as SnapshotPart;
+    offset = end;
   }
 }
 
-function sortedValues<Value>(map: ReadonlyMap<string, Value>): Value[] {
-  return [...map.keys()].sort().map((key) => map.get(key) as Value);
+/** A state as its parts come in. */
+class StateDraft {
+  #head: Head | undefined;
+  #isWhole = false;
+  readonly #services: ServiceRecord[] = [];
+  readonly #upstreams: UpstreamRecord[] = [];
+  readonly #shards: ShardRecord[] = [];
+  readonly #names: string[] = [];
+  readonly #ledgers: ServiceLedgerDraft[] = [];
+  readonly #dedup: DedupEntry[] = [];
+
+  take(part: SnapshotPart): void {
+    switch (part.part) {
+      case 'head':
+        this.#begin(part);
+        break;
+      case 'services':
+        this.#services.push(...part.services);
+        break;
+      case 'upstreams':
+        this.#upstreams.push(...part.upstreams);
+        break;
+      case 'shards':
+        this.#names.push(...part.names);
+        this.#shards.push(...decodeShardRows(part.shards, this.#names));
+        break;
+      case 'ledger': {
+        const { name, active, horizon, retentionMillis } = part;
+        const ledger = { horizon, retentionMillis, records: [], tombstones: [] };
+        this.#ledgers.push({ name, active, ledger });
+        break;
+      }
+      case 'records':
+        this.#ledgers.at(-1)?.ledger.records.push(...part.records);
+        break;
+      case 'tombstones':
+        this.#ledgers.at(-1)?.ledger.tombstones.push(...part.tombstones);
+        break;
+      case 'dedup':
+        this.#dedup.push(...part.dedup);
+        break;
+      case 'end':
+        this.#isWhole = true;
+        break;
+    }
+  }
+
+  finish(): RegistryState {
+    const head = this.#head;
+    if (head === undefined || !this.#isWhole) {
+      throw new RegistrySnapshotError("the registry's snapshot isn't whole");
+    }
+    const ledger = Ledger.fromState({ services: this.#ledgers });
+    const state = new RegistryState(ledger, new DedupTable(this.#dedup), new ChangeRing(head.revision));
+    state.revision = head.revision;
+    state.clock = head.clock;
+    state.sweptAt = head.sweptAt;
+    for (const record of this.#services) {
+      state.services.set(record.definition.name, record);
+      state.shards.setKeyMap(record);
+    }
+    for (const record of this.#upstreams) {
+      state.upstreams.set(record.definition.id, record);
+    }
+    for (const record of this.#shards) {
+      state.shards.put(record.shard, record);
+    }
+    return state;
+  }
+
+  #begin(head: Head): void {
+    if (head.version !== SNAPSHOT_VERSION) {
+      throw new RegistrySnapshotError(`version ${head.version} of the registry's snapshot isn't known`);
+    }
+    this.#head = head;
+  }
 }
--- /dev/null
+++ b/src/registry/snapshot-encoder.ts
@@ -0,0 +1,49 @@
+/**
+ * Writes a snapshot in slices, so that a large state doesn't keep a member from its heartbeats. The state may change
+ * meanwhile: what is written is the image taken at the start.
+ */
+import { gzipSync } from 'node:zlib';
+import type { Revision } from '../model/identifiers.js';
+import type { RegistryState } from './registry-state.js';
+import { imageOf, partsOf, type SnapshotPart } from './snapshot-parts.js';
+
+/** The fastest; higher levels cost more time than the bytes they save are worth. */
+const COMPRESSION_LEVEL = 1;
+/** Bytes of JSON after which a slice ends: a few milliseconds of work. */
+const SLICE_BYTES = 128 * 1024;
+/** Length before each compressed part. */
+export const LENGTH_BYTES = 4;
+
+export class SnapshotEncoder {
+  /** Revision of the state that is written. */
+  readonly revision: Revision;
+  readonly #parts: Iterator<SnapshotPart>;
+  readonly #written: Buffer[] = [];
+
+  constructor(state: RegistryState) {
+    const image = imageOf(state);
+    this.revision = image.revision;
+    this.#parts = partsOf(image);
+  }
+
+  /** Writes the next slice. Gives the whole snapshot once it is done, `null` before. */
+  step(): Uint8Array | null {
+    for (let bytes = 0; bytes < SLICE_BYTES; ) {
+      const next = this.#parts.next();
+      if (next.done) {
+        return Buffer.concat(this.#written);
+      }
+      bytes += this.#write(next.value);
+    }
+    return null;
+  }
+
+  #write(part: SnapshotPart): number {
+    const text = JSON.stringify(part);
+    const compressed = gzipSync(text, { level: COMPRESSION_LEVEL });
+    const length = Buffer.alloc(LENGTH_BYTES);
+    length.writeUInt32BE(compressed.length);
+    this.#written.push(length, compressed);
+    return text.length;
+  }
+}
--- /dev/null
+++ b/src/registry/snapshot-parts.ts
@@ -0,0 +1,134 @@
+/**
+ * The parts that a snapshot of the registry consists of, each small enough to be written without holding up anything
+ * else. Their order and content follow from the log alone, so that equal states give equal parts.
+ */
+import type { KeptRecord, LedgerState, Tombstone } from '../ledger/index.js';
+import type { Revision, ServiceName, WallMillis } from '../model/identifiers.js';
+import { encodeShardRows, NameTable, type ShardGroup } from '../model/shard-rows.js';
+import type { DedupEntry } from './dedup-table.js';
+import type { RegistryState } from './registry-state.js';
+import type { ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
+
+export const SNAPSHOT_VERSION = 2;
+
+/** Rough bytes of a part; a single larger record stands alone. */
+const PART_BYTES = 64 * 1024;
+/** Rough bytes of records as JSON, those of a stored answer's body aside. */
+const SERVICE_BYTES = 2000;
+const UPSTREAM_BYTES = 300;
+const SHARD_BYTES = 30;
+const LEDGER_BYTES = 400;
+const DEDUP_BYTES = 250;
+
+export type SnapshotPart =
+  | {
+      readonly part: 'head';
+      readonly version: number;
+      readonly revision: Revision;
+      readonly clock: WallMillis;
+      readonly sweptAt: WallMillis;
+    }
+  | { readonly part: 'services'; readonly services: readonly ServiceRecord[] }
+  | { readonly part: 'upstreams'; readonly upstreams: readonly UpstreamRecord[] }
+  /** `names` are those that no part before had; positions count through all parts. */
+  | { readonly part: 'shards'; readonly names: readonly string[]; readonly shards: readonly ShardGroup[] }
+  /** Begins the ledger of a service, whose records follow. */
+  | {
+      readonly part: 'ledger';
+      readonly name: ServiceName;
+      readonly active: boolean;
+      readonly horizon: WallMillis;
+      readonly retentionMillis: number;
+    }
+  | { readonly part: 'records'; readonly records: readonly KeptRecord[] }
+  | { readonly part: 'tombstones'; readonly tombstones: readonly Tombstone[] }
+  | { readonly part: 'dedup'; readonly dedup: readonly DedupEntry[] }
+  | { readonly part: 'end' };
+
+/** A state as it was at one revision. Holds the records themselves, which are never changed but replaced. */
+export interface StateImage {
+  readonly revision: Revision;
+  readonly clock: WallMillis;
+  readonly sweptAt: WallMillis;
+  readonly services: readonly ServiceRecord[];
+  readonly upstreams: readonly UpstreamRecord[];
+  readonly shards: readonly ShardRecord[];
+  readonly ledger: LedgerState;
+  readonly dedup: readonly DedupEntry[];
+}
+
+/** Takes an image of a state: copies lists, no records. */
+export function imageOf(state: RegistryState): StateImage {
+  const { revision, clock, sweptAt, services, upstreams, shards, ledger, dedup } = state;
+  return {
+    revision,
+    clock,
+    sweptAt,
+    services: [...services.values()],
+    upstreams: [...upstreams.values()],
+    shards: [...shards.records().values()],
+    ledger: ledger.toState(),
+    dedup: dedup.list(),
+  };
+}
+
+/** The parts of an image, made as they are asked for. */
+export function* partsOf(image: StateImage): Generator<SnapshotPart> {
+  const { revision, clock, sweptAt } = image;
+  yield { part: 'head', version: SNAPSHOT_VERSION, revision, clock, sweptAt };
+  for (const services of cut(image.services, () => SERVICE_BYTES)) {
+    yield { part: 'services', services };
+  }
+  for (const upstreams of cut(image.upstreams, () => UPSTREAM_BYTES)) {
+    yield { part: 'upstreams', upstreams };
+  }
+  yield* shardParts(image.shards);
+  yield* ledgerParts(image.ledger);
+  for (const dedup of cut(image.dedup, () => DEDUP_BYTES)) {
+    yield { part: 'dedup', dedup };
+  }
+  yield { part: 'end' };
+}
+
+function* shardParts(records: readonly ShardRecord[]): Generator<SnapshotPart> {
+  const table = new NameTable();
+  for (const chunk of cut(records, () => SHARD_BYTES)) {
+    const known = table.names.length;
+    const shards = encodeShardRows(chunk, table);
+    yield { part: 'shards', names: table.names.slice(known), shards };
+  }
+}
+
+function* ledgerParts({ services }: LedgerState): Generator<SnapshotPart> {
+  for (const { name, active, ledger } of services) {
+    const { horizon, retentionMillis } = ledger;
+    yield { part: 'ledger', name, active, horizon, retentionMillis };
+    for (const records of cut(ledger.records, bytesOfRecord)) {
+      yield { part: 'records', records };
+    }
+    for (const tombstones of cut(ledger.tombstones, () => LEDGER_BYTES)) {
+      yield { part: 'tombstones', tombstones };
+    }
+  }
+}
+
+function bytesOfRecord({ record }: KeptRecord): number {
+  return LEDGER_BYTES + (record.answer?.body.length ?? 0);
+}
+
+/** Cuts a list into pieces of about `PART_BYTES`. */
+function* cut<Item>(items: readonly Item[], bytesOf: (item: Item) => number): Generator<readonly Item[]> {
+  let start = 0;
+  let bytes = 0;
+  for (let index = 0; index < items.length; index += 1) {
+    bytes += bytesOf(items[index] as Item);
+    if (bytes >= PART_BYTES) {
+      yield items.slice(start, index + 1);
+      start = index + 1;
+      bytes = 0;
+    }
+  }
+  if (start < items.length) {
+    yield items.slice(start);
+  }
+}
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -144,6 +144,14 @@
   readonly changes: readonly RegistryChange[];
 }
 
+/** Writes one snapshot. */
+export interface RegistrySnapshotEncoder {
+  /** Revision of the state that is written. */
+  readonly revision: Revision;
+  /** Writes the next slice. Gives the whole snapshot once it is done, `null` before. */
+  step(): Uint8Array | null;
+}
+
 /** The state machine. Deterministic: the same entries give the same state and results on every replica. */
 export interface Registry {
   /** Revision of the last entry applied. */
@@ -154,7 +162,12 @@
   ): { readonly result: CommandResult; readonly changes: readonly RegistryChange[] };
   /** Entries that carry no command still advance the revision. */
   advance(index: Revision): void;
+  /** Records held of every kind. */
+  readonly recordCount: number;
+  /** A snapshot of the whole state, written at once. */
   encode(): Uint8Array;
+  /** A snapshot of the state as it is now, written in slices; the state may change meanwhile. */
+  beginEncode(): RegistrySnapshotEncoder;
   services(): ReadonlyMap<ServiceName, ServiceRecord>;
   upstreams(): ReadonlyMap<UpstreamId, UpstreamRecord>;
   shards(): ReadonlyMap<ShardId, ShardRecord>;
