--- /dev/null
+++ b/test/routing/unreachable-upstream.test.ts
@@ -0,0 +1,41 @@
+import { expect } from 'chai';
+import { only, RouterHarness, service, upstream } from './router-harness.js';
+
+function start(): RouterHarness {
+  const record = service('board', { slotsPerUpstream: 50, queueLimit: 100, deadlineMillis: 10_000 });
+  return new RouterHarness().start([record], [upstream('u1', 'board'), upstream('u2', 'board')]);
+}
+
+function failConnection(harness: RouterHarness): string {
+  const [dispatch] = only(harness.request('board'), 'dispatch');
+  harness.ended(dispatch?.attempt as number, { type: 'connect-failed' });
+  return dispatch?.upstream as string;
+}
+
+function upstreamsPicked(harness: RouterHarness, count: number): Set<string> {
+  const picked = new Set<string>();
+  for (let request = 0; request < count; request += 1) {
+    for (const { upstream: id } of only(harness.request('board'), 'dispatch')) {
+      picked.add(id);
+    }
+  }
+  return picked;
+}
+
+describe('an upstream that took no connection', () => {
+  it('gets no request for a while, if another one takes them', () => {
+    const harness = start();
+    const failed = failConnection(harness);
+    const others = ['u1', 'u2'].filter((id) => id !== failed);
+    expect([...upstreamsPicked(harness, 20)]).to.deep.equal(others);
+    harness.run(1500);
+    expect([...upstreamsPicked(harness, 40)]).to.include(failed);
+  });
+
+  it('is tried all the same if there is no other', () => {
+    const record = service('board', { slotsPerUpstream: 50 });
+    const harness = new RouterHarness().start([record], [upstream('u1', 'board')]);
+    failConnection(harness);
+    expect([...upstreamsPicked(harness, 3)]).to.deep.equal(['u1']);
+  });
+});
