--- a/src/lease/shard-table.ts
+++ b/src/lease/shard-table.ts
@@ -19,6 +19,8 @@
   highestRevision: Revision;
   inFlight: number;
   warmth: 'cold' | 'warming' | 'warm';
+  /** Whether an answer to the leader carried the release. */
+  reported: boolean;
 }
 
 export class ShardTable {
@@ -148,6 +150,21 @@
     return this.#select(shards, ({ warmth }) => warmth === 'warm').map(([shard]) => shard);
   }
 
+  /** Shards with a release that is still to come or that no answer carried. */
+  get unreportedCount(): number {
+    const entries = [...this.#entries.values()];
+    return entries.filter(
+      ({ state, reported }) => state === 'draining' || (state === 'released' && !reported),
+    ).length;
+  }
+
+  /** An answer carries these releases. */
+  noteReported(released: readonly { readonly shard: ShardId }[]): void {
+    for (const { shard } of released) {
+      this.#entry(shard).reported = true;
+    }
+  }
+
   /** Number of shards remembered. */
   get size(): number {
     return this.#entries.size;
@@ -206,6 +223,7 @@
       this.#events.push({ type: 'released', shard });
     }
     entry.state = 'released';
+    entry.reported = false;
     entry.warmth = 'cold';
   }
 
@@ -220,6 +238,7 @@
       highestRevision: 0,
       inFlight: 0,
       warmth: 'cold',
+      reported: false,
     };
     this.#entries.set(shard, entry);
     return entry;
