--- a/src/dev/bench/models/placement/placement-runs.ts
+++ b/src/dev/bench/models/placement/placement-runs.ts
@@ -20,6 +20,7 @@
 const ROUTERS_PER_ZONE = 2;
 /** Time in which arms may put right a placement that was made before any load was known; not part of the figures. */
 const WARM_UP_MILLIS = 30_000;
+const PERCENT = 100;
 /** Servers that join during the rush. */
 const JOINING = 2;
 
@@ -126,6 +127,7 @@
   const newServers = Array.from({ length: JOINING }, (_, number) => serverNumbered(service, count + number));
   const { rush, after } = service;
   runRush({ world, loads, random, newServers, rush, after });
+  loads.setTraffic(rush);
   const readings = [
     reading('rush: most loaded / lower bound, mean', '', probe.meanToBound()),
     reading('rush: most loaded / lower bound, p95', '', probe.toBoundQuantile(0.95)),
@@ -136,7 +138,24 @@
     reading('rush: unavailable by planned moves', 'key-s', world.plannedKeySeconds),
     reading('rush: unavailable by losses', 'key-s', world.lostKeySeconds),
   ];
-  return { readings, samples: probe.samples };
+  const coalescing = arm.coalesced ? coalescingReadings(loads) : [];
+  return { readings: [...readings, ...coalescing], samples: probe.samples };
+}
+
+/** What coalescing of identical reads takes off in the rush. */
+function coalescingReadings(loads: KeyLoads): Reading[] {
+  const [all, coalesced] = [loads.keyWork(false), loads.keyWork(true)];
+  const takenOff = (of: (work: readonly number[]) => number): number =>
+    PERCENT * (1 - of(coalesced) / of(all));
+  const sum = (work: readonly number[]): number => work.reduce((total, one) => total + one, 0);
+  return [
+    reading('rush: work taken off by coalescing', '%', takenOff(sum)),
+    reading(
+      'rush: the same, of the hottest key',
+      '%',
+      takenOff((work) => Math.max(...work)),
+    ),
+  ];
 }
 
 export function restartReadings(service: PlacedService, arm: PlacementArm, seed: number): Reading[] {
