--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -200,6 +200,9 @@
         this.countRefusal(upstream, result.refusal, result.retryAfterMillis);
         return;
       case 'connect-failed':
+        upstream.evidence.connectionFailed(now);
+        this.countFailure(attempt);
+        return;
       case 'broken':
         this.countFailure(attempt);
         return;
