--- a/src/cli/commands/control-run.ts
+++ b/src/cli/commands/control-run.ts
@@ -1,67 +1,15 @@
-/** `control run`: the control daemon. */
-import { createAdminApp } from '../../control/admin/index.js';
-import { createControlNode } from '../../control/control-node.js';
-import { ControlDaemon } from '../../control/daemon/control-daemon.js';
-import { type ControlDaemonSettings, DEFAULT_CONTROL_TIMINGS } from '../../control/daemon/settings.js';
-import { enableLogs, identifyProcess } from '../../logging/logger.js';
-import { readSecret } from '../../security/secret-file.js';
-import { TokenFile } from '../../security/token-file.js';
-import {
-  CONTROL_SETTING_NAMES,
-  type ControlSettings,
-  loadControlSettings,
-} from '../../settings/control-settings.js';
-import { openReplica } from '../../storage/index.js';
-import { checkFree } from '../../wire/index.js';
-import type { CommandSpec, Invocation } from '../command-spec.js';
-import type { ExitCode } from '../exit-codes.js';
-import { runDaemon } from '../run-daemon.js';
-import { settingsLayers, settingsOptions } from '../settings-options.js';
-
-function daemonSettings(settings: ControlSettings): ControlDaemonSettings {
-  const { cluster, zone, dataFolder, listen, admin, raft, lease, configLease } = settings;
-  const { snapshotEntries, replaceAfterMillis } = settings;
-  const tokens = settings.tokensFile === null ? null : new TokenFile(settings.tokensFile);
-  return {
-    cluster,
-    zone,
-    dataFolder,
-    listen,
-    advertise: settings.advertise,
-    peers: settings.peers,
-    outgoing: settings.outgoing ?? undefined,
-    admin,
-    secret: readSecret(settings.secretFile),
-    timings: {
-      ...DEFAULT_CONTROL_TIMINGS,
-      raft,
-      lease,
-      configLease,
-      snapshotEntries,
-      replaceAfterMillis,
-    },
-    createAdminApp: (daemon) => createAdminApp((request) => daemon.operate(request), { tokens }),
-  };
-}
-
-/** Checks everything before the data folder is touched. */
-async function run(invocation: Invocation): Promise<ExitCode> {
-  const settings = loadControlSettings(settingsLayers(invocation));
-  const daemon = daemonSettings(settings);
-  await checkFree(settings.listen);
-  await checkFree(settings.admin);
-  const { identity, restored, store } = await openReplica(settings.dataFolder, settings.cluster);
-  const { replica } = identity;
-  enableLogs(settings.log);
-  identifyProcess({ process: settings.replicaName ?? replica, zone: settings.zone });
-  const opened = { replica, restored, files: store };
-  return runDaemon(new ControlDaemon(daemon, opened, createControlNode), invocation.io);
-}
+/** `control run`. The daemon is loaded when it is asked for: it is most of the program, and other commands are short. */
+import { CONTROL_SETTING_NAMES } from '../../settings/control-settings.js';
+import type { CommandSpec } from '../command-spec.js';
+import { settingsOptions } from '../settings-options.js';
 
 export const controlRun: CommandSpec = {
   name: 'control run',
   summary: 'Run a control member; SIGTERM hands leadership on and stops it',
   options: settingsOptions(CONTROL_SETTING_NAMES),
   examples: ['control run --settings control-1.yaml', 'control run --settings c.yaml --zone zone-b'],
-  run,
+  run: async (invocation) => {
+    const { runControl } = await import('../daemons/run-control.js');
+    return runControl(invocation);
+  },
 };
--- a/src/cli/commands/router-run.ts
+++ b/src/cli/commands/router-run.ts
@@ -1,63 +1,15 @@
-/** `router run`: the router daemon. */
-import { enableLogs, identifyProcess } from '../../logging/logger.js';
-import { RouterDaemon } from '../../router/router-daemon.js';
-import type { RouterDaemonSettings } from '../../router/settings.js';
-import { DEFAULT_ROUTER_LIMITS, DEFAULT_ROUTER_TIMINGS } from '../../router/settings.js';
-import { createRouterNode } from '../../routing/index.js';
-import { readSecret } from '../../security/secret-file.js';
-import {
-  loadRouterSettings,
-  ROUTER_SETTING_NAMES,
-  type RouterSettings,
-} from '../../settings/router-settings.js';
-import { checkFree } from '../../wire/index.js';
-import type { CommandSpec, Invocation } from '../command-spec.js';
-import type { ExitCode } from '../exit-codes.js';
-import { runDaemon } from '../run-daemon.js';
-import { settingsLayers, settingsOptions } from '../settings-options.js';
-
-function daemonSettings(settings: RouterSettings): RouterDaemonSettings {
-  const { cluster, router, zone, listen, admin, control, platformUrl, configLease } = settings;
-  return {
-    cluster,
-    router,
-    zone,
-    listen,
-    outgoing: settings.outgoing ?? undefined,
-    admin,
-    control,
-    secret: readSecret(settings.secretFile),
-    platformUrl,
-    probePath: settings.probePath,
-    limits: {
-      ...DEFAULT_ROUTER_LIMITS,
-      maxBodyBytes: settings.requestBodyBytes,
-      connectionsPerUpstream: settings.connectionsPerUpstream,
-    },
-    timings: {
-      ...DEFAULT_ROUTER_TIMINGS,
-      configLease,
-      claimMillis: settings.claimTimeoutMillis,
-      probeMillis: settings.probeIntervalMillis,
-      platformMillis: settings.platformIntervalMillis,
-    },
-  };
-}
-
-async function run(invocation: Invocation): Promise<ExitCode> {
-  const settings = loadRouterSettings(settingsLayers(invocation));
-  const daemon = daemonSettings(settings);
-  await checkFree(settings.listen);
-  await checkFree(settings.admin);
-  enableLogs(settings.log);
-  identifyProcess({ process: settings.router, zone: settings.zone });
-  return runDaemon(new RouterDaemon(daemon, createRouterNode, 'node'), invocation.io);
-}
+/** `router run`. The daemon is loaded when it is asked for: it is most of the program, and other commands are short. */
+import { ROUTER_SETTING_NAMES } from '../../settings/router-settings.js';
+import type { CommandSpec } from '../command-spec.js';
+import { settingsOptions } from '../settings-options.js';
 
 export const routerRun: CommandSpec = {
   name: 'router run',
   summary: 'Run a router; SIGTERM finishes the requests in flight and stops it',
   options: settingsOptions(ROUTER_SETTING_NAMES),
   examples: ['router run --settings router-1.yaml'],
-  run,
+  run: async (invocation) => {
+    const { runRouter } = await import('../daemons/run-router.js');
+    return runRouter(invocation);
+  },
 };
--- /dev/null
+++ b/src/cli/daemons/run-router.ts
@@ -0,0 +1,52 @@
+/** The router daemon as `router run` starts it. */
+import { enableLogs, identifyProcess } from '../../logging/logger.js';
+import { RouterDaemon } from '../../router/router-daemon.js';
+import type { RouterDaemonSettings } from '../../router/settings.js';
+import { DEFAULT_ROUTER_LIMITS, DEFAULT_ROUTER_TIMINGS } from '../../router/settings.js';
+import { createRouterNode } from '../../routing/index.js';
+import { readSecret } from '../../security/secret-file.js';
+import { loadRouterSettings, type RouterSettings } from '../../settings/router-settings.js';
+import { checkFree } from '../../wire/index.js';
+import type { Invocation } from '../command-spec.js';
+import type { ExitCode } from '../exit-codes.js';
+import { runDaemon } from '../run-daemon.js';
+import { settingsLayers } from '../settings-options.js';
+
+function daemonSettings(settings: RouterSettings): RouterDaemonSettings {
+  const { cluster, router, zone, listen, admin, control, platformUrl, configLease } = settings;
+  return {
+    cluster,
+    router,
+    zone,
+    listen,
+    outgoing: settings.outgoing ?? undefined,
+    admin,
+    control,
+    secret: readSecret(settings.secretFile),
+    platformUrl,
+    probePath: settings.probePath,
+    limits: {
+      ...DEFAULT_ROUTER_LIMITS,
+      maxBodyBytes: settings.requestBodyBytes,
+      connectionsPerUpstream: settings.connectionsPerUpstream,
+    },
+    timings: {
+      ...DEFAULT_ROUTER_TIMINGS,
+      configLease,
+      claimMillis: settings.claimTimeoutMillis,
+      probeMillis: settings.probeIntervalMillis,
+      platformMillis: settings.platformIntervalMillis,
+    },
+  };
+}
+
+/** Checks everything before a port is opened; returns when the daemon has stopped. */
+export async function runRouter(invocation: Invocation): Promise<ExitCode> {
+  const settings = loadRouterSettings(settingsLayers(invocation));
+  const daemon = daemonSettings(settings);
+  await checkFree(settings.listen);
+  await checkFree(settings.admin);
+  enableLogs(settings.log);
+  identifyProcess({ process: settings.router, zone: settings.zone });
+  return runDaemon(new RouterDaemon(daemon, createRouterNode, 'node'), invocation.io);
+}
