--- a/src/lease/shard-table.ts
+++ b/src/lease/shard-table.ts
@@ -19,6 +19,8 @@
   highestRevision: Revision;
   inFlight: number;
   warmth: 'cold' | 'warming' | 'warm';
+  /** Whether an answer to the leader carried the release. */
+  reported: boolean;
 }
 
 export class ShardTable {
@@ -81,17 +83,24 @@
     }
   }
 
-  /** Voids every grant, warming and report that a complete list of orders doesn't name. */
-  keepOnly(named: ReadonlySet<ShardId>): void {
+  /**
+   * Voids every grant, warming and report that a complete list of orders doesn't name; to be called before the orders are
+   * followed. A shard that the list only says to warm isn't held: another one got it meanwhile.
+   */
+  keepOnly(orders: readonly ShardOrder[]): void {
+    const named = new Set(orders.map((order) => order.shard));
+    const held = new Set(orders.filter((order) => order.type !== 'warm').map((order) => order.shard));
     for (const [shard, entry] of this.#entries) {
-      if (named.has(shard)) {
+      if (held.has(shard)) {
         continue;
       }
-      entry.warmth = 'cold';
       if (entry.state === 'held' || entry.state === 'draining') {
         this.#events.push({ type: 'released', shard });
       }
       entry.state = 'known';
+      if (!named.has(shard)) {
+        entry.warmth = 'cold';
+      }
     }
   }
 
@@ -141,6 +150,21 @@
     return this.#select(shards, ({ warmth }) => warmth === 'warm').map(([shard]) => shard);
   }
 
+  /** Shards with a release that is still to come or that no answer carried. */
+  get unreportedCount(): number {
+    const entries = [...this.#entries.values()];
+    return entries.filter(
+      ({ state, reported }) => state === 'draining' || (state === 'released' && !reported),
+    ).length;
+  }
+
+  /** An answer carries these releases. */
+  noteReported(released: readonly { readonly shard: ShardId }[]): void {
+    for (const { shard } of released) {
+      this.#entry(shard).reported = true;
+    }
+  }
+
   /** Number of shards remembered. */
   get size(): number {
     return this.#entries.size;
@@ -199,6 +223,7 @@
       this.#events.push({ type: 'released', shard });
     }
     entry.state = 'released';
+    entry.reported = false;
     entry.warmth = 'cold';
   }
 
@@ -213,6 +238,7 @@
       highestRevision: 0,
       inFlight: 0,
       warmth: 'cold',
+      reported: false,
     };
     this.#entries.set(shard, entry);
     return entry;
--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -84,9 +84,12 @@
 
   /**
    * Checks a request and lets it in, or answers it and gives `null`. The caller must call `closeHandler` when the
-   * handler has returned.
+   * handler has returned. A request whose connection is gone already is not let in: its end could not be seen.
    */
   open(request: IncomingMessage, response: ServerResponse): GuardedExchange | null {
+    if (response.destroyed) {
+      return null;
+    }
     response.setHeader(HEADERS.load, this.load());
     const head = this.readHead(request, response);
     if (head === null) {
@@ -101,15 +104,16 @@
   }
 
   /**
-   * Planned stop: asks the control leader to move the shards away and goes on serving them meanwhile; then lets in
-   * nothing more and resolves when all that runs is done. The server's sockets may be closed after that.
+   * Planned stop: asks the control leader to move the shards away and goes on serving them meanwhile, until the leader
+   * was told that each is given up; then lets in nothing more and resolves when all that runs is done. The server's
+   * sockets may be closed after that. Without a lease it may serve none of its shards, so it then waits for none.
    */
   async drain(options: DrainOptions = {}): Promise<void> {
     if (this.state === 'serving') {
       this.state = 'leaving';
     }
     const until = this.clock() + (options.moveMillis ?? DEFAULT_MOVE_MILLIS);
-    while (this.holder.status(this.clock()).held > 0 && this.clock() < until) {
+    while (this.isHolding() && this.clock() < until) {
       await sleep(DRAIN_CHECK_MILLIS);
     }
     this.state = 'draining';
@@ -118,6 +122,12 @@
     }
   }
 
+  /** Whether this server may serve shards, and the leader still takes it for the owner of one. */
+  private isHolding(): boolean {
+    const { held, unreported, leased } = this.holder.status(this.clock());
+    return leased && held + unreported > 0;
+  }
+
   private readHead(request: IncomingMessage, response: ServerResponse): RequestHead | null {
     const requestId = request.headers[HEADERS.requestId];
     if (typeof requestId === 'string') {
