--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -48,5 +48,5 @@
   await checkFree(settings.admin);
   enableLogs(settings.log);
   identifyProcess({ process: settings.router, zone: settings.zone });
-  return runDaemon(new RouterDaemon(daemon, createRouterNode, 'node'), invocation.io);
+  return runDaemon(new RouterDaemon(daemon, createRouterNode, 'koa'), invocation.io);
 }
--- a/test/router/router-fixture.ts
+++ b/test/router/router-fixture.ts
@@ -1,6 +1,7 @@
 /** A router daemon with its real sockets, a control stand-in and the callers of a test. */
 import { Agent, request as httpRequest, type IncomingHttpHeaders } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { DEFAULT_CONFIG_LEASE_TIMINGS } from '../../src/control/messages.js';
 import { BENCH_IDENTITY } from '../../src/dev/bench/proxy/bench-identity.js';
 import { ControlStandin } from '../../src/dev/bench/proxy/control-standin.js';
 import type { ServiceDefinition } from '../../src/model/service.js';
@@ -13,6 +14,8 @@
 import type { ScriptedUpstream } from './scripted-upstream.js';
 
 const ANY_PORT = '127.0.0.1:0';
+/** Asks for its configuration as soon as it can have it. */
+const QUICK_SYNC = { ...DEFAULT_CONFIG_LEASE_TIMINGS, syncMillis: 20 };
 const POLL_MILLIS = 5;
 const WAIT_MILLIS = 10_000;
 
@@ -62,9 +65,9 @@
       admin: ANY_PORT,
       control: [address],
       ...options.settings,
-      timings: { probeMillis: 0, idleMillis: 0, ...options.settings?.timings },
+      timings: { probeMillis: 0, idleMillis: 0, configLease: QUICK_SYNC, ...options.settings?.timings },
     };
-    const daemon = new RouterDaemon(settings, createRouterNode, options.frontEnd ?? 'node');
+    const daemon = new RouterDaemon(settings, createRouterNode, options.frontEnd ?? 'koa');
     await daemon.start();
     const fixture = new RouterFixture(snapshot, control, daemon);
     await until(() => daemon.status().serving);
