Coalescing: reads share an attempt only when the answer can't tell them apart

Cause: reads were alike by key and target alone. With coalescing on, a caller could be given the answer to someone else's cookie, credentials, range or condition (a 304 without having asked), and the cookie that was set for another. Change: the shell adds what else an answer may depend on (all headers but those of connection, tracing and browser); an answer that sets a cookie, is private or not to be stored, or varies by what is left out goes to the one whose request was sent, and those who joined are sent on their own.

--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -7,6 +7,7 @@
 import type { AttemptNumber, AttemptResult, RouterEffect } from '../../routing/types.js';
 import type { CallerExchange } from '../caller/caller-exchange.js';
 import { findHeader, forwardedAnswerHeaders, reportedLoad } from '../caller/header-rules.js';
+import { isPersonal } from '../caller/request-variant.js';
 import { type AnswerHead, announcedLength, refusalOf } from './answer-head.js';
 import { AnswerStream } from './answer-stream.js';
 import { AttemptAbortedError, type AttemptFailure } from './attempt-error.js';
@@ -170,7 +171,7 @@
     const { storedAnswerBytes } = this.options;
     const stored =
       storedAnswerBytes === null ? null : storedAnswerOf(status, headers, body, storedAnswerBytes);
-    return { type: 'answered', status, load: reportedLoad(headers), stored };
+    return { type: 'answered', status, load: reportedLoad(headers), stored, personal: isPersonal(headers) };
   }
 
   private report(result: AttemptResult): void {
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -115,6 +115,11 @@
     return this.admin?.address ?? this.settings.admin;
   }
 
+  /** Requests of callers under way. */
+  get openRequests(): number {
+    return this.task.openRequests;
+  }
+
   status(): RouterStatus {
     return this.core.status();
   }
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -23,6 +23,7 @@
 import { CallerExchange, writeOwnAnswer } from './caller/caller-exchange.js';
 import { fingerprintOf } from './caller/idempotency.js';
 import { type CallerRequestHead, readCallerRequest } from './caller/request-head.js';
+import { variantOf } from './caller/request-variant.js';
 import type { ControlLinks } from './control-links.js';
 import type { RouterMetrics } from './metrics.js';
 import type { CompleteRouterSettings } from './settings.js';
@@ -130,6 +131,7 @@
         method,
         target,
         deadlineMillis,
+        variant: method === 'GET' ? variantOf(request.rawHeaders, body.length) : null,
         idempotency:
           idempotency === null ? null : { ...idempotency, fingerprint: fingerprintOf(method, target, body) },
       },
--- a/src/routing/answers.ts
+++ b/src/routing/answers.ts
@@ -4,7 +4,7 @@
 import type { ClaimFlow } from './claim-flow.js';
 import { type LedgerWord, outcomeOf, statusOf } from './outcome-table.js';
 import type { RouterContext } from './router-context.js';
-import type { ArrivedRequest, RefusalReason } from './types.js';
+import type { ArrivedRequest, AttemptResult, RefusalReason } from './types.js';
 import type { Attempt, Member, Work } from './work.js';
 
 export class Answers {
@@ -46,9 +46,18 @@
     }
   }
 
-  /** Hands the answer of an attempt to every request that waits for it. */
-  deliver(work: Work, attempt: Attempt, stored: StoredAnswer | null): void {
-    this.settle(work, { outcome: 'ran', answer: stored });
+  /**
+   * Hands the answer of an attempt to every request that waits for it; a personal one only to the request that was
+   * sent. Gives those who got nothing; they wait for nothing any more.
+   */
+  deliver(work: Work, attempt: Attempt, result: AttemptResult & { readonly type: 'answered' }): Member[] {
+    this.settle(work, { outcome: 'ran', answer: result.stored });
+    const isTheirs = ({ request }: Member): boolean =>
+      result.personal !== true || request.request === attempt.sentFor;
+    const others = work.members.filter((member) => !isTheirs(member));
+    for (const member of others) {
+      this.leave(member);
+    }
     for (const member of [...work.members]) {
       this.context.emit({
         type: 'deliver',
@@ -57,6 +66,7 @@
       });
       this.leave(member);
     }
+    return others;
   }
 
   /** Hands over what the ledger kept of an earlier arrival. */
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -3,6 +3,7 @@
 import type { Answers } from './answers.js';
 import type { Settlement } from './claim.js';
 import type { Dispatcher } from './dispatcher.js';
+import type { RequestIntake } from './request-intake.js';
 import type { RouterContext } from './router-context.js';
 import type { AttemptNumber, AttemptResult } from './types.js';
 import type { UpstreamState } from './upstream-state.js';
@@ -25,6 +26,7 @@
     private readonly context: RouterContext,
     private readonly dispatcher: Dispatcher,
     private readonly answers: Answers,
+    private readonly intake: RequestIntake,
   ) {}
 
   /** An attempt ended; one that is not known (any more) is ignored. */
@@ -103,7 +105,7 @@
     switch (result.type) {
       case 'answered':
         work.service.lanes.find(work.shard)?.resume();
-        this.answers.deliver(work, attempt, result.stored);
+        this.deliver(attempt, result);
         return;
       case 'refused':
         this.refused(attempt, result.refusal);
@@ -117,6 +119,12 @@
     }
   }
 
+  private deliver(attempt: Attempt, result: AttemptResult & { readonly type: 'answered' }): void {
+    for (const member of this.answers.deliver(attempt.work, attempt, result)) {
+      this.intake.arriveAlone(member);
+    }
+  }
+
   /** The upstream turned it away before it started. */
   private refused(attempt: Attempt, refusal: FenceRefusal): void {
     const { work, upstream } = attempt;
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -289,6 +289,7 @@
       number: this.nextAttempt++,
       work,
       upstream,
+      sentFor: work.request.request,
       startedAt: context.now,
       grant: credentials,
       overSince: null,
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -60,6 +60,16 @@
     this.begin(work);
   }
 
+  /** Takes a read again that joined another one and could not have its answer. It shares no attempt this time. */
+  arriveAlone(member: Member): void {
+    const { request, deadline, mayHaveRun } = member;
+    if (mayHaveRun) {
+      this.answers.refuseArrival(request, 'upstream-failed', 'silent', null);
+      return;
+    }
+    this.arrive({ ...request, variant: null, deadlineMillis: deadline - this.context.now });
+  }
+
   claimGranted(work: Work): void {
     work.service.claiming.delete(work);
     this.applyPolicy(work);
@@ -262,8 +272,10 @@
 /** Only reads that carry no key of their own are alike. */
 function coalesceKeyOf(request: ArrivedRequest, service: ServiceState): string | null {
   const { coalesce, repeatable } = service.definition;
-  if (!coalesce || !repeatable || request.method !== 'GET' || request.idempotency !== null) {
+  const { key, target, variant = '' } = request;
+  const isAlike = request.method === 'GET' && request.idempotency === null && variant !== null;
+  if (!coalesce || !repeatable || !isAlike) {
     return null;
   }
-  return `${request.key ?? ''}\n${request.target}`;
+  return `${key ?? ''}\n${target}\n${variant}`;
 }
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -33,7 +33,7 @@
     this.answers = new Answers(this.context, this.claims);
     this.dispatcher = new Dispatcher(this.context, this.answers);
     this.intake = new RequestIntake(this.context, this.dispatcher, this.answers, this.claims);
-    this.results = new AttemptResults(this.context, this.dispatcher, this.answers);
+    this.results = new AttemptResults(this.context, this.dispatcher, this.answers, this.intake);
     this.updates = new ConfigurationUpdates({
       context: this.context,
       dispatcher: this.dispatcher,
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -29,6 +29,11 @@
   readonly method: string;
   /** Path and query, for coalescing. */
   readonly target: string;
+  /**
+   * What else of the request the answer may depend on, such as its cookies: only reads with the same one share an
+   * attempt. `null`: it shares none; left out: nothing else.
+   */
+  readonly variant?: string | null;
   /** Asked for by the caller; capped by the service's own. `null`: the service's. */
   readonly deadlineMillis: number | null;
   readonly idempotency: {
@@ -46,6 +51,8 @@
       readonly status: number;
       readonly load: number | null;
       readonly stored: StoredAnswer | null;
+      /** Meant for the request that was sent alone: nobody who joined it may have it. */
+      readonly personal?: boolean;
     }
   /** The upstream's fence or shedding turned it away before it started. */
   | { readonly type: 'refused'; readonly refusal: FenceRefusal; readonly retryAfterMillis: number | null }
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -6,7 +6,7 @@
 import type { LedgerWord } from './outcome-table.js';
 import type { RouterTimer } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
-import type { ArrivedRequest, AttemptNumber } from './types.js';
+import type { ArrivedRequest, AttemptNumber, RequestNumber } from './types.js';
 import type { UpstreamState } from './upstream-state.js';
 
 /** One caller's request. It gets one final answer of its own. */
@@ -27,6 +27,8 @@
   readonly number: AttemptNumber;
   readonly work: Work;
   readonly upstream: UpstreamState;
+  /** Whose request was sent; those who joined only wait for its answer. */
+  readonly sentFor: RequestNumber;
   readonly startedAt: number;
   /** Shard and epoch of the grant under which it was sent; `null` for services that aren't keyed. */
   readonly grant: { readonly shard: ShardId; readonly epoch: Epoch } | null;
--- a/test/router/router-fixture.ts
+++ b/test/router/router-fixture.ts
@@ -86,8 +86,13 @@
     this.control.publish(this.snapshot);
   }
 
-  get(path: string, headers: Record<string, string> = {}): Promise<CallerAnswer> {
-    return call(this.address, { method: 'GET', path, headers });
+  get(
+    path: string,
+    headers: Record<string, string> = {},
+    body = '',
+    signal?: AbortSignal,
+  ): Promise<CallerAnswer> {
+    return call(this.address, { method: 'GET', path, headers, body, ...(signal && { signal }) });
   }
 
   /** A POST with a key of its own. */
