Router takes callers once it has a configuration; a planned stop that had to be killed breaks a promise

Cause: in a rolling restart each router opened its port at once and refused 149 requests of 3446 (no-configuration) until its first answer from control; callers could have gone to another router. Now the port opens with the configuration, or after 3 s.

--- a/src/dev/fleet/checker/planned-stop.ts
+++ b/src/dev/fleet/checker/planned-stop.ts
@@ -1,4 +1,4 @@
-/** A planned stop of an upstream or a router cuts off no request in flight. */
+/** A planned stop of an upstream or a router cuts off no request in flight, and comes to an end. */
 import type { FleetHistory } from './fleet-history.js';
 import type { CheckOptions, PromiseResult, Violation } from './promise-check.js';
 
@@ -49,6 +49,10 @@
       violations.push(...cutRuns(history, event.process, event.at));
       violations.push(...cutAttempts(history, event.process, event.at, options));
     }
+    if (event.event === 'stopped' && event.result === 'killed') {
+      const message = `${event.process} did not stop by itself and was killed`;
+      violations.push({ promise: 'planned-stop', message, at: event.at });
+    }
   }
   return { promise: 'planned-stop', checked, violations };
 }
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -24,6 +24,7 @@
 
 const MAX_SEED = 2 ** 31 - 1;
 const SETTLE_CHECK_MILLIS = 10;
+const CONFIGURATION_CHECK_MILLIS = 10;
 /** Longest wait, once all callers are answered, for what the core still has under way, such as settling claims. */
 const SETTLE_MILLIS = 2000;
 
@@ -78,13 +79,12 @@
     });
   }
 
-  /** Opens the ports and starts the core. Requests are refused until there is a configuration. */
+  /**
+   * Starts the core and opens the ports. Callers can connect once there is a configuration, or after a while; until
+   * then they find another router. Without a configuration their requests are refused.
+   */
   async start(): Promise<void> {
-    const { listen, admin, http, control } = this.settings;
-    const onRequest = createCallerListener(this.frontEnd, (request, response) =>
-      this.task.accept(request, response),
-    );
-    this.callers = await HttpListener.listen(listen, http, onRequest);
+    const { admin, control } = this.settings;
     const monitor = createMonitorListener(
       this.metrics.registry,
       () => this.health(),
@@ -96,9 +96,26 @@
     this.links.start(control);
     this.platform?.start();
     this.task.start();
+    await this.waitForConfiguration();
+    await this.openToCallers();
     this.log.info('started', { listen: this.address, admin: this.adminAddress });
   }
 
+  private async waitForConfiguration(): Promise<void> {
+    const until = performance.now() + this.settings.timings.firstConfigurationMillis;
+    while (!this.core.status().serving && performance.now() < until && this.stopping === undefined) {
+      await sleep(CONFIGURATION_CHECK_MILLIS);
+    }
+  }
+
+  private async openToCallers(): Promise<void> {
+    const { listen, http } = this.settings;
+    const onRequest = createCallerListener(this.frontEnd, (request, response) =>
+      this.task.accept(request, response),
+    );
+    this.callers = await HttpListener.listen(listen, http, onRequest);
+  }
+
   /** Callers' address, with the real port. */
   get address(): Address {
     return this.callers?.address ?? this.settings.listen;
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -53,6 +53,8 @@
   readonly platformMillis: number;
   /** How long requests on open connections are still answered on a planned stop. */
   readonly idleMillis: number;
+  /** Longest wait for a configuration before callers are let in, to be refused until there is one. */
+  readonly firstConfigurationMillis: number;
 }
 
 export const DEFAULT_ROUTER_LIMITS: RouterLimits = {
@@ -71,6 +73,7 @@
   probeTimeoutMillis: 1000,
   platformMillis: 2000,
   idleMillis: 500,
+  firstConfigurationMillis: 3000,
 };
 
 const DEFAULT_PROBE_PATH = '/ternmount/v1/health';
--- a/test/fleet/checker/checker.test.ts
+++ b/test/fleet/checker/checker.test.ts
@@ -186,6 +186,14 @@
     ],
     broken: ['planned-stop'],
   },
+  {
+    title: 'a planned stop that never came to an end',
+    records: [
+      event(10, { event: 'stopping', process: 'up-1' }),
+      event(9000, { event: 'stopped', process: 'up-1', result: 'killed' }),
+    ],
+    broken: ['planned-stop'],
+  },
   {
     title: 'a planned stop of a process that was killed and started again before',
     records: [
