--- a/src/dev/fleet/fleet-run.ts
+++ b/src/dev/fleet/fleet-run.ts
@@ -2,6 +2,7 @@
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { machineMillis } from '../journal/machine-clock.js';
+import type { FaultLog } from './faults/fault-log.js';
 import { FaultRunner } from './faults/fault-runner.js';
 import { Fleet } from './fleet.js';
 import type { FleetOptions } from './fleet-options.js';
@@ -16,12 +17,12 @@
 /** What is done to the fleet while the load runs, beside the scheduled faults. */
 export type ExtraWork = (fleet: Fleet, faults: FaultRunner) => Promise<void>;
 
-/** Faults of a runner as they come up, for the progress line. */
-function newFaults(runner: FaultRunner): () => string {
+/** Faults of a run as they come up, for the progress line. */
+function newFaults(log: FaultLog): () => string {
   let shown = 0;
   return () => {
-    const fresh = runner.done.slice(shown);
-    shown = runner.done.length;
+    const fresh = log.done.slice(shown);
+    shown = log.done.length;
     return fresh.map(({ fault, target }) => `  [${fault.type} ${target}]`).join('');
   };
 }
@@ -31,7 +32,7 @@
   const faults = new FaultRunner(fleet);
   const sampler = new OwnershipSampler(fleet.admin);
   const changes = new ChangeMaker(fleet);
-  const progress = new Progress(fleet, write, newFaults(faults));
+  const progress = new Progress(fleet, write, newFaults(faults.log));
   sampler.start();
   await fleet.startCallers();
   const startedAt = machineMillis();
@@ -48,9 +49,10 @@
     progress.stop();
     await changes.stop();
     await sampler.stop();
-    await faults.close();
+    await faults.log.close();
   }
-  return { faults: faults.done, ownerLosses: faults.ownerLosses, samples: sampler.samples };
+  const { done, ownerLosses } = faults.log;
+  return { faults: done, ownerLosses, samples: sampler.samples };
 }
 
 /** Stops what runs whenever this process ends, so that none is left behind. */
--- a/src/dev/fleet/fleet.ts
+++ b/src/dev/fleet/fleet.ts
@@ -73,6 +73,11 @@
     await this.#until('routers that serve', () => this.#everyRouterServes());
   }
 
+  /** Waits; throws if the run is stopped meanwhile. */
+  async wait(millis: number): Promise<void> {
+    await delay(Math.max(0, millis), undefined, { signal: this.signal });
+  }
+
   async startProcess(name: string): Promise<void> {
     await this.supervisor.start(this.specOf(name));
     this.journal.write({ event: 'process-started', process: name });
--- a/src/dev/fleet/report/fleet-report.ts
+++ b/src/dev/fleet/report/fleet-report.ts
@@ -3,7 +3,7 @@
 import { readJournals } from '../../journal/journal-reader.js';
 import { buildHistory, type FleetHistory } from '../checker/fleet-history.js';
 import { checkFleet, type PromiseResult } from '../checker/index.js';
-import type { FaultDone } from '../faults/fault-runner.js';
+import type { FaultDone } from '../faults/fault-log.js';
 import type { FleetOptions } from '../fleet-options.js';
 import type { FleetPlan } from '../fleet-plan.js';
 import type { OwnerLoss } from '../observe/owner-loss-probe.js';
