Fence: answers of a drained server close their connections

Cause: in roll-upstreams menuboard-3 had given up all its shards, had nothing in flight, and still ran 15 s later when it was killed. http.Server.close waits for open connections; the one of control's session calls and those of the routers' probes were each busy at that instant and used again all the time, so they never became idle. Ruled out: requests that never ended (101 of 101 had), shards not given up. Test failed first (keep-alive), passes now.

--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -67,6 +67,7 @@
   /** Serves the fence's own endpoints. Gives `false`, and does nothing, if the request is for none of them. */
   serveEndpoint(request: IncomingMessage, response: ServerResponse): boolean {
     const path = request.url?.split('?', 1)[0];
+    this.closeIfDrained(response);
     if (path === SESSION_PATH) {
       serveSession(request, response, (message) => {
         const answer = this.holder.handleSession(message, this.clock());
@@ -122,6 +123,16 @@
     }
   }
 
+  /**
+   * A drained server is about to close; control and routers, which call it all the time, must not keep their
+   * connections open then.
+   */
+  private closeIfDrained(response: ServerResponse): void {
+    if (this.state === 'draining') {
+      response.setHeader('connection', 'close');
+    }
+  }
+
   /** Whether this server may serve shards, and the leader still takes it for the owner of one. */
   private isHolding(): boolean {
     const { held, unreported, leased } = this.holder.status(this.clock());
--- a/test/upstream/fence-drain.test.ts
+++ b/test/upstream/fence-drain.test.ts
@@ -2,7 +2,13 @@
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import type { SessionRequest } from '../../src/lease/types.js';
-import { createFence, createNodeHandler, type Fence, SESSION_PATH } from '../../src/upstream/index.js';
+import {
+  createFence,
+  createNodeHandler,
+  type Fence,
+  HEALTH_PATH,
+  SESSION_PATH,
+} from '../../src/upstream/index.js';
 
 const SHARD = 'sheets/all@5/0';
 const LEASE_ENDS_AT = 1000;
@@ -55,6 +61,25 @@
     expect(fence.status().state).to.equal('draining');
   });
 
+  it('asks callers to close their connections once it is drained, so that the server can be closed', async () => {
+    now = LEASE_ENDS_AT + 1;
+    const { port } = server.address() as AddressInfo;
+    const paths = [SESSION_PATH, HEALTH_PATH, '/anything'];
+    const connectionOf = async (path: string) => {
+      const method = path === SESSION_PATH ? 'POST' : 'GET';
+      const response = await fetch(`http://127.0.0.1:${port}${path}`, { method });
+      await response.text();
+      return response.headers.get('connection');
+    };
+    for (const path of paths) {
+      expect(await connectionOf(path), `${path} before`).to.equal('keep-alive');
+    }
+    await fence.drain();
+    for (const path of paths) {
+      expect(await connectionOf(path), `${path} after`).to.equal('close');
+    }
+  });
+
   it('does not wait for shards to be moved once its lease is over', async () => {
     now = LEASE_ENDS_AT + 1;
     await fence.drain({ moveMillis: Number.POSITIVE_INFINITY });
