--- a/src/dev/fleet/checker/promise-check.ts
+++ b/src/dev/fleet/checker/promise-check.ts
@@ -37,6 +37,6 @@
   readonly stopMarginMillis: number;
 }
 
-export const DEFAULT_CHECK_OPTIONS: CheckOptions = { drainMillis: 3000, stopMarginMillis: 100 };
+export const DEFAULT_CHECK_OPTIONS: CheckOptions = { drainMillis: 2000, stopMarginMillis: 100 };
 
 export type PromiseCheck = (history: FleetHistory, options: CheckOptions) => PromiseResult;
--- a/src/dev/fleet/report/fleet-report.ts
+++ b/src/dev/fleet/report/fleet-report.ts
@@ -14,6 +14,10 @@
 /** Share of a lost owner's keys that counts as served again. */
 const SERVED_SHARE = 0.99;
 
+/** Load after the last fault that must show the fleet at work again; with less, nothing is said of it. */
+const RECOVERY_SECONDS = 6;
+const MILLIS_PER_SECOND = 1000;
+
 /** One loss of an owner, in figures. */
 export interface OwnerLossFigures {
   readonly upstream: string;
@@ -80,6 +84,7 @@
 /** Things that must have happened for the run to prove anything. */
 function missing(
   observed: FleetObservations,
+  history: FleetHistory,
   services: readonly ServiceFigures[],
   promises: readonly PromiseResult[],
 ): string[] {
@@ -96,6 +101,7 @@
   }
   const unproved = promises.filter(({ promise, checked }) => ALWAYS_CHECKED.has(promise) && checked === 0);
   problems.push(...unproved.map(({ promise }) => `nothing was checked for ${promise}`));
+  problems.push(...missingAfterFaults(observed, history));
   if (faults.some(({ type }) => type === 'drain')) {
     const drained = promises.find(({ promise }) => promise === 'drained');
     problems.push(...(drained?.checked === 0 ? ['no drain was accepted'] : []));
@@ -103,6 +109,28 @@
   return problems;
 }
 
+/** Once the last fault is over, each service must answer again and operators must be able to change something. */
+function missingAfterFaults({ options }: FleetObservations, history: FleetHistory): string[] {
+  const { deployment, faults, seconds } = options;
+  const overAt = Math.max(0, ...faults.map(({ at, seconds: length }) => at + length));
+  if (overAt + RECOVERY_SECONDS > seconds) {
+    return [];
+  }
+  const since = startOfLoad(history) + overAt * MILLIS_PER_SECOND;
+  const answered = new Set(
+    history.attempts
+      .filter(({ verdict, sentAt }) => verdict === 'whole' && sentAt > since)
+      .map((attempt) => attempt.service),
+  );
+  const isChanged = history.events.some(({ event, at }) => event === 'change-in-force' && at > since);
+  return [
+    ...deployment.services
+      .filter(({ name }) => !answered.has(name))
+      .map(({ name }) => `no request to ${name} was answered after the last fault`),
+    ...(isChanged ? [] : ['no change was accepted after the last fault']),
+  ];
+}
+
 function lossProblems(losses: readonly OwnerLossFigures[], observed: FleetObservations): string[] {
   const problems = losses
     .filter(({ unserved }) => unserved > 0)
@@ -140,11 +168,11 @@
     faults: observed.faults.map(({ fault, target, at }) => ({
       type: fault.type,
       target,
-      at: (at - loadStartedAt) / 1000,
+      at: (at - loadStartedAt) / MILLIS_PER_SECOND,
     })),
     promises,
     problems: [
-      ...missing(observed, services, promises),
+      ...missing(observed, history, services, promises),
       ...lossProblems(ownerLosses, observed),
       ...observed.unexpectedEnds.map((name) => `${name} ended by itself`),
     ],
