--- a/src/dev/commands/fleet.ts
+++ b/src/dev/commands/fleet.ts
@@ -6,12 +6,13 @@
 import type { CAC } from 'cac';
 import { loadDeployment } from '../../settings/deployment.js';
 import { parseFaults } from '../fleet/fault-schedule.js';
+import { runEach } from '../fleet/fault-table.js';
 import { killOwners, killsSeconds } from '../fleet/faults/kill-owners.js';
 import { FLEET_DEFAULTS, type FleetOptions } from '../fleet/fleet-options.js';
 import { runFleet } from '../fleet/fleet-run.js';
 import { NAMED_FAULTS } from '../fleet/named-faults.js';
 import { reserveNetwork } from '../fleet/network-reservation.js';
-import { isGood } from '../fleet/report/fleet-report.js';
+import { type FleetReport, isGood } from '../fleet/report/fleet-report.js';
 import { formatReport } from '../fleet/report/report-text.js';
 import type { DevCommand } from './dev-command.js';
 
@@ -33,6 +34,7 @@
   readonly seed: string;
   readonly keep?: string;
   readonly listFaults?: boolean;
+  readonly each?: boolean;
 }
 
 /** A deployment by its name, or a file. */
@@ -75,28 +77,20 @@
   }
 }
 
-/** Runs a fleet and sets the exit status: 0 only if each promise held and enough happened to say so. */
-async function run(flags: FleetFlags): Promise<void> {
-  if (flags.listFaults) {
-    listFaults();
-    return;
-  }
-  const signal = stopSignal();
+/** One fleet from start to end; `verbose` shows its progress and its report. */
+async function runOnce(flags: FleetFlags, signal: AbortSignal, verbose: boolean): Promise<FleetReport> {
   const reservation = await reserveNetwork(Number(flags.network));
   const folder = flags.keep ?? mkdtempSync(join(tmpdir(), 'ternmount-fleet-'));
+  const show = verbose ? write : () => {};
   let good = false;
   try {
     const options = readOptions(flags, folder, reservation.network);
     const kills = Number(flags.kills);
-    const extra = kills > 0 ? killOwners(kills, write) : undefined;
-    const report = await runFleet(options, signal, write, extra);
+    const extra = kills > 0 ? killOwners(kills, show) : undefined;
+    const report = await runFleet(options, signal, show, extra);
     good = isGood(report);
-    write(`\n${formatReport(report)}`);
-  } catch (thrown) {
-    if (!signal.aborted) {
-      throw thrown;
-    }
-    write('stopped before the end; every process was stopped');
+    show(`\n${formatReport(report)}`);
+    return report;
   } finally {
     await reservation.release();
     if (good && flags.keep === undefined) {
@@ -105,7 +99,36 @@
       write(`journals and logs: ${folder}`);
     }
   }
-  process.exitCode = signal.aborted ? EXIT_INTERRUPTED : good ? 0 : EXIT_FAILED;
+}
+
+/** Each fault of the list, or of the table, in a fleet of its own. */
+function runFaults(flags: FleetFlags, signal: AbortSignal): Promise<boolean> {
+  const given = flags.faults.split(',').filter((fault) => fault !== '');
+  const faults = given.length > 0 ? given : Object.keys(NAMED_FAULTS);
+  const runOne = (fault: string): Promise<FleetReport> => {
+    const keep = flags.keep === undefined ? {} : { keep: join(flags.keep, fault) };
+    return runOnce({ ...flags, ...keep, faults: fault }, signal, false);
+  };
+  return runEach(faults, runOne, signal, write);
+}
+
+/** Sets the exit status: 0 only if each promise held and enough happened to say so. */
+async function run(flags: FleetFlags): Promise<void> {
+  if (flags.listFaults) {
+    listFaults();
+    return;
+  }
+  const signal = stopSignal();
+  try {
+    const good = flags.each ? await runFaults(flags, signal) : isGood(await runOnce(flags, signal, true));
+    process.exitCode = good ? 0 : EXIT_FAILED;
+  } catch (thrown) {
+    if (!signal.aborted) {
+      throw thrown;
+    }
+    write('stopped before the end; every process was stopped');
+    process.exitCode = EXIT_INTERRUPTED;
+  }
 }
 
 function register(cli: CAC, name: string, summary: string, faults: string): void {
@@ -114,6 +137,7 @@
     .option('--deployment <name>', 'colombo, recife or a file', { default: 'colombo' })
     .option('--seconds <number>', 'Length of the load', { default: FLEET_DEFAULTS.seconds })
     .option('--faults <list>', 'Faults by name or as TYPE:TARGET@T+D, with commas', { default: faults })
+    .option('--each', 'Each fault of the list (default: each that has a name) in a fleet of its own')
     .option('--list-faults', 'List the faults that have names')
     .option('--rate-scale <number>', "Part of the deployment's request rate", {
       default: FLEET_DEFAULTS.rateScale,
--- /dev/null
+++ b/src/dev/fleet/fault-table.ts
@@ -0,0 +1,77 @@
+/** Runs faults one after the other, each in a fleet of its own, and tables the verdicts. */
+import { type FleetReport, isGood } from './report/fleet-report.js';
+import { formatTable } from './report/text-table.js';
+
+/** One fault and what its run showed. */
+interface FaultVerdict {
+  readonly fault: string;
+  /** `undefined`: the run itself failed. */
+  readonly report: FleetReport | undefined;
+  readonly failure: string;
+}
+
+/** Runs one fleet with these faults. */
+export type RunOne = (faults: string) => Promise<FleetReport>;
+
+function total(report: FleetReport, figure: 'requests' | 'answered' | 'refused' | 'unknown'): string {
+  return String(report.services.reduce((sum, service) => sum + service[figure], 0));
+}
+
+function whatFailed(report: FleetReport): string[] {
+  const broken = report.promises.filter(({ violations }) => violations.length > 0);
+  return [...broken.map(({ promise }) => promise), ...report.problems];
+}
+
+function rowOf({ fault, report, failure }: FaultVerdict): string[] {
+  if (report === undefined) {
+    return [fault, '', '', '', '', '', '', `FAILED: ${failure}`];
+  }
+  const keySeconds = report.services.reduce((sum, service) => sum + service.unavailableKeySeconds, 0);
+  const served = report.ownerLosses.map(({ servedMillis }) => servedMillis.toFixed(0)).join(', ');
+  return [
+    fault,
+    total(report, 'requests'),
+    total(report, 'answered'),
+    total(report, 'refused'),
+    total(report, 'unknown'),
+    keySeconds.toFixed(1),
+    served,
+    isGood(report) ? 'held' : `FAILED: ${whatFailed(report).join('; ')}`,
+  ];
+}
+
+function formatVerdicts(verdicts: readonly FaultVerdict[]): string {
+  const head = [
+    'fault',
+    'requests',
+    'answered',
+    'refused',
+    'unknown',
+    'unavailable key-s',
+    '99% of lost keys served ms',
+    'verdict',
+  ];
+  return formatTable(head, verdicts.map(rowOf));
+}
+
+/** Runs each fault; `false` if any run wasn't good. A run that fails doesn't keep the others from running. */
+export async function runEach(
+  faults: readonly string[],
+  runOne: RunOne,
+  signal: AbortSignal,
+  write: (line: string) => void,
+): Promise<boolean> {
+  const verdicts: FaultVerdict[] = [];
+  for (const fault of faults) {
+    const verdict = await runOne(fault).then(
+      (report) => ({ fault, report, failure: '' }),
+      (thrown: unknown) => ({ fault, report: undefined, failure: String(thrown) }),
+    );
+    signal.throwIfAborted();
+    const isHeld = verdict.report !== undefined && isGood(verdict.report);
+    write(`${fault}: ${isHeld ? 'held' : 'FAILED'}`);
+    verdicts.push(verdict);
+  }
+  write(`\n${formatVerdicts(verdicts)}`);
+  return verdicts.every(({ report }) => report !== undefined && isGood(report));
+}
