--- a/src/dev/fleet/observe/owner-loss-probe.ts
+++ b/src/dev/fleet/observe/owner-loss-probe.ts
@@ -11,6 +11,8 @@
 const RETRY_MILLIS = 25;
 const DEADLINE_MILLIS = 2000;
 const CONNECTIONS = 64;
+/** Keys that are asked for. More at once would be a burst of their own, and measure the queues of routers. */
+const MAX_PROBED_KEYS = 150;
 
 /** Keys of one owner as control had them before the loss. */
 export interface OwnedKeys {
@@ -24,6 +26,8 @@
 export interface OwnerLoss {
   readonly upstream: UpstreamId;
   readonly keys: number;
+  /** How many of them were asked for. */
+  readonly probedKeys: number;
   readonly shards: number;
   /** When the owner was lost, on the machine's clock and on the wall. */
   readonly lostAt: number;
@@ -66,15 +70,17 @@
     return { upstream, service, keys, shards: owned.size };
   }
 
-  /** Asks for each key until another upstream answers it. Call at the moment of the loss. */
+  /** Asks for each key, or an even sample of many, until another upstream answers it. Call at the moment of the loss. */
   async watch(owned: OwnedKeys): Promise<OwnerLoss> {
     const lostAt = machineMillis();
     const wall = Date.now();
-    const times = await Promise.all(owned.keys.map((key) => this.#watchKey(owned, key, lostAt)));
+    const probed = evenSample(owned.keys, MAX_PROBED_KEYS);
+    const times = await Promise.all(probed.map((key) => this.#watchKey(owned, key, lostAt)));
     const millis = times.filter((time) => time !== null);
     return {
       upstream: owned.upstream,
       keys: owned.keys.length,
+      probedKeys: probed.length,
       shards: owned.shards,
       lostAt,
       wall,
@@ -108,3 +114,9 @@
     return null;
   }
 }
+
+/** At most `count` of the items, evenly spread over them. */
+export function evenSample<Item>(items: readonly Item[], count: number): Item[] {
+  const step = Math.max(1, items.length / count);
+  return items.filter((_, index) => Math.floor(index / step) !== Math.floor((index - 1) / step));
+}
--- a/src/dev/fleet/report/fleet-report.ts
+++ b/src/dev/fleet/report/fleet-report.ts
@@ -22,6 +22,7 @@
 export interface OwnerLossFigures {
   readonly upstream: string;
   readonly keys: number;
+  readonly probedKeys: number;
   readonly shards: number;
   readonly unserved: number;
   readonly p50Millis: number;
@@ -57,11 +58,12 @@
 }
 
 function lossFigures(loss: OwnerLoss, phases: LossPhases): OwnerLossFigures {
-  const { upstream, keys, shards, unserved, millis } = loss;
+  const { upstream, keys, probedKeys, shards, unserved, millis } = loss;
   const times = [...millis, ...Array<number>(unserved).fill(Number.POSITIVE_INFINITY)];
   return {
     upstream,
     keys,
+    probedKeys,
     shards,
     unserved,
     p50Millis: quantile(times, 0.5),
--- /dev/null
+++ b/test/fleet/even-sample.test.ts
@@ -0,0 +1,21 @@
+import { expect } from 'chai';
+import { evenSample } from '../../src/dev/fleet/observe/owner-loss-probe.js';
+
+describe('evenSample', () => {
+  const items = Array.from({ length: 100 }, (_, index) => index);
+  const cases = [
+    { count: 200, sample: items },
+    { count: 100, sample: items },
+    { count: 4, sample: [0, 25, 50, 75] },
+    { count: 3, sample: [0, 34, 67] },
+  ];
+  for (const { count, sample } of cases) {
+    it(`takes at most ${count} of 100`, () => {
+      expect(evenSample(items, count)).to.deep.equal(sample);
+    });
+  }
+
+  it('takes nothing from nothing', () => {
+    expect(evenSample([], 5)).to.deep.equal([]);
+  });
+});
--- a/test/fleet/report/loss-phases.test.ts
+++ b/test/fleet/report/loss-phases.test.ts
@@ -5,6 +5,7 @@
 const loss = {
   upstream: 'up-1',
   keys: 2,
+  probedKeys: 2,
   shards: 3,
   lostAt: 0,
   wall: LOST_AT,
