--- a/src/dev/scale/hollow-router.ts
+++ b/src/dev/scale/hollow-router.ts
@@ -11,6 +11,7 @@
 import { LeaderGuess } from '../../routing/leader-guess.js';
 import { DEFAULT_WIRE_LIMITS } from '../../wire/index.js';
 import type { SharedConfiguration } from './shared-configuration.js';
+import type { SharedDecoder } from './shared-decoder.js';
 import type { RunIdentity } from './worker-calls.js';
 
 const REPORT_MILLIS = 1000;
@@ -23,6 +24,7 @@
   /** Spreads routers over the control members. */
   readonly position: number;
   readonly shared: SharedConfiguration;
+  readonly decoder: SharedDecoder;
   readonly report: () => LoadReport;
   /** The router holds a later revision than before. */
   readonly advanced: (revision: Revision) => void;
@@ -52,6 +54,7 @@
       limits: DEFAULT_WIRE_LIMITS,
       log: createLogger('scale'),
       received: (_from, message) => this.receive(message),
+      decode: (frame) => options.decoder.decode(frame),
       lost: (from) => {
         this.lease.memberLost(from, performance.now());
         this.pump();
--- a/src/dev/scale/roles/hollow-router-role.ts
+++ b/src/dev/scale/roles/hollow-router-role.ts
@@ -6,6 +6,7 @@
 import { HollowRouter } from '../hollow-router.js';
 import { RevisionWatch } from '../revision-watch.js';
 import { SharedConfiguration } from '../shared-configuration.js';
+import { SharedDecoder } from '../shared-decoder.js';
 import { SocketMeter } from '../socket-meter.js';
 import { sampleUsage, type UsageSample } from '../usage.js';
 import type { RunIdentity } from '../worker-calls.js';
@@ -44,6 +45,7 @@
 export function createHollowRouterRole(): HollowRouterMethods {
   const meter = new SocketMeter();
   const shared = new SharedConfiguration();
+  const decoder = new SharedDecoder();
   let routers: HollowRouter[] = [];
   let messagesIn = 0;
   let messagesOut = 0;
@@ -59,6 +61,7 @@
       zone: started.zone,
       position,
       shared,
+      decoder,
       report: () => hollowReport(shared, position),
       advanced: () => watch.advanced(),
       counted: (direction) => {
--- a/src/router/control-links.ts
+++ b/src/router/control-links.ts
@@ -4,6 +4,7 @@
 import type { Address } from '../model/identifiers.js';
 import {
   controlToRouterCodecs,
+  type Frame,
   FrameClient,
   routerToControlCodecs,
   type WireIdentity,
@@ -17,6 +18,8 @@
   readonly log: Logger;
   readonly received: (from: Address, message: ControlToRouter) => void;
   readonly lost: (from: Address) => void;
+  /** Reads a frame; replaced where many routers of one process are sent the same. */
+  readonly decode?: (frame: Frame) => ControlToRouter;
 }
 
 /** How long a connection is kept after the last message to its member, and how often that is looked at. */
@@ -97,14 +100,14 @@
   }
 
   private connect(address: Address): FrameClient {
-    const { identity, localAddress, limits, log, received, lost } = this.options;
+    const { identity, localAddress, limits, log, received, lost, decode = decodeFrame } = this.options;
     const link = new FrameClient({
       address,
       localAddress,
       identity,
       limits,
       onReady: (peer) => log.info('control-connected', { address, replica: peer.name }),
-      onFrame: (frame) => received(address, controlToRouterCodecs.decode(frame.kind, frame.payload)),
+      onFrame: (frame) => received(address, decode(frame)),
       onLost: (reason) => {
         log.debug('control-lost', { address, reason });
         lost(address);
@@ -114,3 +117,7 @@
     return link;
   }
 }
+
+function decodeFrame({ kind, payload }: Frame): ControlToRouter {
+  return controlToRouterCodecs.decode(kind, payload);
+}
--- a/src/router/hints/health-probes.ts
+++ b/src/router/hints/health-probes.ts
@@ -21,6 +21,12 @@
   timer: NodeJS.Timeout;
 }
 
+/**
+ * Upstreams that are probed at the full rate. With more of them the interval grows with the square of their number, so
+ * that a router probes ever fewer a second: the more upstreams there are, the more routers ask each of them, and the less
+ * a probe tells beside the requests that a router sends by itself.
+ */
+const FULL_RATE_UPSTREAMS = 40;
 /** Intervals vary by this share either way. */
 const JITTER = 0.25;
 const OK = 200;
@@ -45,9 +51,10 @@
         this.targets.delete(upstream);
       }
     }
+    const intervalMillis = this.intervalMillis(addresses.size);
     for (const [upstream, address] of addresses) {
       if (!this.targets.has(upstream)) {
-        const firstWait = this.random() * this.options.intervalMillis;
+        const firstWait = this.random() * intervalMillis;
         const timer = setTimeout(() => this.run(upstream), firstWait);
         this.targets.set(upstream, { address, timer });
       }
@@ -91,6 +98,10 @@
 
   private wait(): number {
     const spread = 1 + JITTER * (2 * this.random() - 1);
-    return this.options.intervalMillis * spread;
+    return this.intervalMillis(this.targets.size) * spread;
+  }
+
+  private intervalMillis(upstreams: number): number {
+    return this.options.intervalMillis * Math.max(1, (upstreams / FULL_RATE_UPSTREAMS) ** 2);
   }
 }
--- a/src/wire/restructure.d.ts
+++ b/src/wire/restructure.d.ts
@@ -34,6 +34,7 @@
   export const uint8: NumberType;
   export const uint16: NumberType;
   export const uint32: NumberType;
+  export const float: NumberType;
   export const double: NumberType;
   /** `length` is a fixed length or the type of the length that stands before the bytes. */
   class BufferType extends BuiltInType<Uint8Array> {
