Reads on a server that froze go elsewhere before their deadline

Cause, found with `bench retry-storm` (a third of the upstreams of a service that is not keyed freezes): attempts on a frozen server hung until their deadline of 3 s and ended as `unknown`; only then did they count against the server.

Change: every 100 ms a router looks at its attempts in flight. A read without claim that took ten of its server's usual times, 200 ms at least, is given up if another server has a free slot and the retry budget allows it; it counts as a failure of the server. Orders and keyed requests stay where they are. With this the parts for lost attempts are a module of their own.

--- a/src/dev/bench/experiments/retry-storm.ts
+++ b/src/dev/bench/experiments/retry-storm.ts
@@ -27,6 +27,7 @@
 
 const FAILURES: readonly Failure[] = [
   { label: 'killed', loadShare: LOAD_SHARE, fail: (upstream) => upstream.kill() },
+  { label: 'frozen', loadShare: LOAD_SHARE, fail: (upstream) => upstream.freeze() },
   {
     label: 'every answer broken',
     loadShare: LOAD_SHARE,
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -16,8 +16,6 @@
 const PAUSE_JITTER = 0.5;
 /** A deadline that passed speaks against an upstream only when the attempt had this many service times. */
 const SLOW_ATTEMPT_FACTOR = 5;
-/** Longest time for an answer to come after the grant of its attempt was over. */
-const ANSWER_GRACE_MILLIS = 50;
 const FIRST_SERVER_ERROR = 500;
 
 export class AttemptResults {
@@ -50,52 +48,28 @@
     this.dispatcher.drainUpstream(attempt.upstream);
   }
 
-  /**
-   * Owners changed: attempts under grants that are over have little time left for their answers. A grant is over only
-   * when its holder finished its work or lost its lease, so what isn't on its way by now never comes.
-   */
-  noteGrantsOver(): void {
-    const { context } = this;
-    let found = false;
-    for (const attempt of context.attempts.values()) {
-      if (attempt.overSince === null && this.isGrantOver(attempt)) {
-        attempt.overSince = context.now;
-        found = true;
-      }
-    }
-    if (found) {
-      context.schedule(context.now + ANSWER_GRACE_MILLIS, { type: 'grants-over' });
-    }
-  }
-
-  /** Gives up attempts whose grants were over for a while. */
-  abandonLost(): void {
-    const { context } = this;
-    for (const attempt of [...context.attempts.values()]) {
-      const { overSince } = attempt;
-      if (overSince !== null && context.now >= overSince + ANSWER_GRACE_MILLIS && !attempt.abandoned) {
-        this.abandon(attempt);
-      }
-    }
+  /** Gives up an attempt that no answer can come from any more. */
+  abandon(attempt: Attempt): void {
+    this.detach(attempt);
+    this.broken(attempt);
   }
 
-  private isGrantOver({ grant }: Attempt): boolean {
-    if (grant === null) {
-      return false;
-    }
-    const record = this.context.view.shard(grant.shard);
-    return record === undefined || record.owner === null || record.epoch !== grant.epoch;
+  /** Gives up an attempt on a slow upstream, which counts against it, and makes the next one. */
+  moveOn(attempt: Attempt): void {
+    const { work, upstream } = attempt;
+    this.countFailure(attempt);
+    this.detach(attempt);
+    work.noteMayHaveRun();
+    work.avoid = upstream;
+    this.dispatcher.extendWait(work);
+    this.dispatcher.requeue(work);
   }
 
-  private abandon(attempt: Attempt): void {
-    const { work } = attempt;
-    if (work.attempt !== attempt || work.phase === 'done') {
-      return;
-    }
+  /** Its end, when it is reported, changes nothing for its work. */
+  private detach(attempt: Attempt): void {
     attempt.abandoned = true;
-    work.attempt = null;
+    attempt.work.attempt = null;
     this.context.emit({ type: 'cancel-attempt', attempt: attempt.number });
-    this.broken(attempt);
   }
 
   private continue(attempt: Attempt, result: AttemptResult): void {
--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -1,8 +1,8 @@
 /** Carries changes of the configuration into the router's own state. */
 import type { UpstreamId } from '../model/identifiers.js';
 import type { RegistryChange, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
-import type { AttemptResults } from './attempt-results.js';
 import type { Dispatcher } from './dispatcher.js';
+import type { LostAttempts } from './lost-attempts.js';
 import type { PickerName } from './picker/picker.js';
 import type { RequestIntake } from './request-intake.js';
 import type { RouterContext } from './router-context.js';
@@ -15,7 +15,7 @@
   readonly context: RouterContext;
   readonly dispatcher: Dispatcher;
   readonly intake: RequestIntake;
-  readonly results: AttemptResults;
+  readonly lost: LostAttempts;
 }
 
 export class ConfigurationUpdates {
@@ -25,13 +25,13 @@
   private readonly context: RouterContext;
   private readonly dispatcher: Dispatcher;
   private readonly intake: RequestIntake;
-  private readonly results: AttemptResults;
+  private readonly lost: LostAttempts;
 
   constructor(parts: ConfigurationUpdatesParts) {
     this.context = parts.context;
     this.dispatcher = parts.dispatcher;
     this.intake = parts.intake;
-    this.results = parts.results;
+    this.lost = parts.lost;
   }
 
   /** Applies changes that the view holds already, then sends what may go now. */
@@ -48,7 +48,7 @@
     }
     this.firstSnapshot = false;
     if (changes.some(({ type }) => type === 'shard')) {
-      this.results.noteGrantsOver();
+      this.lost.noteGrantsOver();
     }
     for (const service of remapped) {
       this.dispatcher.relocate(service);
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -11,13 +11,10 @@
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
 import type { ArrivedRequest, RefusalReason } from './types.js';
-import { type Member, Work } from './work.js';
+import { isOverdue, type Member, Work } from './work.js';
 
 /** How often the policy is asked again about a request that it holds. */
 const POLICY_RECHECK_MILLIS = 50;
-/** An attempt is overdue after this many of the upstream's usual times, and not before the least time. */
-const OVERDUE_FACTOR = 10;
-const LEAST_OVERDUE_MILLIS = 200;
 /** What is said when the ledger knows that it ran but kept no answer. */
 const ANSWER_NOT_KEPT: StoredAnswer = { status: 200, contentType: '', body: '', truncated: true };
 
@@ -47,7 +44,7 @@
     }
     const key = coalesceKeyOf(request, service);
     const joined = key === null ? undefined : service.joinable.get(key);
-    if (joined !== undefined && !this.isOverdue(joined)) {
+    if (joined !== undefined && this.mayJoin(joined)) {
       this.join(joined, request);
       return;
     }
@@ -147,12 +144,8 @@
   }
 
   /** Whoever joined an attempt that hangs would be left with `unknown`; on its own it can be told `not-run`. */
-  private isOverdue({ attempt }: Work): boolean {
-    if (attempt === null) {
-      return false;
-    }
-    const usual = Math.max(LEAST_OVERDUE_MILLIS, attempt.upstream.serviceMillis * OVERDUE_FACTOR);
-    return this.context.now >= attempt.startedAt + usual;
+  private mayJoin({ attempt }: Work): boolean {
+    return attempt === null || !isOverdue(attempt, this.context.now);
   }
 
   /** A policy may still refuse a read that could share an attempt; a hold was decided for the one it joins. */
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -7,6 +7,7 @@
 import { ConfigurationUpdates } from './configuration-updates.js';
 import type { ApplyOutcome } from './configuration-view.js';
 import { Dispatcher } from './dispatcher.js';
+import { LostAttempts } from './lost-attempts.js';
 import { RequestIntake } from './request-intake.js';
 import { RouterContext } from './router-context.js';
 import type { TimerSubject } from './router-timer.js';
@@ -24,6 +25,7 @@
   private readonly dispatcher: Dispatcher;
   private readonly intake: RequestIntake;
   private readonly results: AttemptResults;
+  private readonly lost: LostAttempts;
   private readonly updates: ConfigurationUpdates;
   private serving = false;
 
@@ -34,11 +36,12 @@
     this.dispatcher = new Dispatcher(this.context, this.answers);
     this.intake = new RequestIntake(this.context, this.dispatcher, this.answers, this.claims);
     this.results = new AttemptResults(this.context, this.dispatcher, this.answers);
+    this.lost = new LostAttempts(this.context, this.results);
     this.updates = new ConfigurationUpdates({
       context: this.context,
       dispatcher: this.dispatcher,
       intake: this.intake,
-      results: this.results,
+      lost: this.lost,
     });
   }
 
@@ -48,6 +51,7 @@
     this.endLease();
     this.take(input);
     this.fireTimers();
+    this.lost.scheduleSweep();
     this.sync();
     return this.context.takeEffects();
   }
@@ -176,7 +180,10 @@
         this.claims.timerFired(subject.claim);
         return;
       case 'grants-over':
-        this.results.abandonLost();
+        this.lost.abandonUnderOverGrants();
+        return;
+      case 'overdue-sweep':
+        this.lost.sweep();
         return;
       case 'service-wake':
         this.dispatcher.wake(subject.service);
--- a/src/routing/router-timer.ts
+++ b/src/routing/router-timer.ts
@@ -11,6 +11,8 @@
   | { readonly type: 'claim'; readonly claim: Claim }
   /** Attempts under grants that are over are given up. */
   | { readonly type: 'grants-over' }
+  /** Reads in flight are looked at for overdue ones. */
+  | { readonly type: 'overdue-sweep' }
   /** Waiting work of a service is looked at again: pauses end and hints age without an event. */
   | { readonly type: 'service-wake'; readonly service: ServiceState };
 
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -36,6 +36,16 @@
   abandoned: boolean;
 }
 
+/** An attempt is overdue after this many of its upstream's usual times, and not before the least time. */
+const OVERDUE_FACTOR = 10;
+const LEAST_OVERDUE_MILLIS = 200;
+
+/** Whether an attempt takes so long that its upstream has probably stopped. */
+export function isOverdue({ startedAt, upstream }: Attempt, now: number): boolean {
+  const usual = Math.max(LEAST_OVERDUE_MILLIS, upstream.serviceMillis * OVERDUE_FACTOR);
+  return now >= startedAt + usual;
+}
+
 /** Usually one request; several when identical reads share an attempt. */
 export class Work {
   phase: WorkPhase = 'new';
