Slot limit: grows again once the upstream has room

It grows only while it is used, and the request just answered, counted out by then, was left out of that; so it never counted as used.

Change: that request counts.

--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -75,7 +75,8 @@
   /** An answer came after `tookMillis`; `load` is the outstanding work that it reported. */
   answered(tookMillis: number, load: number | null, now: number): void {
     this.serviceTime += SERVICE_SMOOTHING * (tookMillis - this.serviceTime);
-    this.slotLimit.answered(load, this.inFlight, now);
+    // It is counted out by now, but was one of those that used the limit.
+    this.slotLimit.answered(load, this.inFlight + 1, now);
     if (load !== null) {
       this.hintLoad(load, now);
     }
