--- a/src/routing/drain-rate.ts
+++ b/src/routing/drain-rate.ts
@@ -3,7 +3,7 @@
  * serves it. Older measurements decay; until there are some, an assumed rate stands in.
  */
 
-const DECAY_MILLIS = 1000;
+const DECAY_MILLIS = 2000;
 /** The assumed rate counts as much as a measurement over this time. */
 const ASSUMED_WEIGHT_MILLIS = 100;
 
