Slots and reported load: small steps, averaged reports

Change: a limit gains a tenth of a slot a round and counts 1.5 times its slots in reported work as overload (before, 2); reports of load are averaged over 250 ms.

--- a/src/routing/slot-limit.ts
+++ b/src/routing/slot-limit.ts
@@ -6,8 +6,10 @@
 
 /** Share of the limit that is left after a sign of overload. */
 const DECREASE_FACTOR = 0.5;
+/** Slots gained when every slot was used once. */
+const GROWTH = 0.1;
 /** Reported outstanding work, as a multiple of the slots, that counts as a sign of overload. */
-const OVERLOAD_RATIO = 2;
+const OVERLOAD_RATIO = 1.5;
 /** Shortest time between two decreases: answers to what was sent before the first say nothing new. */
 const DECREASE_GAP_MILLIS = 50;
 
@@ -40,7 +42,7 @@
     }
     // Growing a limit that isn't used would say nothing about the upstream.
     if (inFlight >= this.slots) {
-      this.limit = Math.min(this.maximum, this.limit + 1 / this.limit);
+      this.limit = Math.min(this.maximum, this.limit + GROWTH / this.limit);
     }
   }
 
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -9,6 +9,8 @@
 const FIRST_SERVICE_MILLIS = 10;
 /** Weight of the latest answer in the smoothed service time. */
 const SERVICE_SMOOTHING = 0.2;
+/** Reports within this time are averaged: each is old when it comes, and following the latest would swing. */
+const LOAD_AVERAGE_MILLIS = 250;
 /** Reported load loses two thirds of its weight in this time. */
 const LOAD_DECAY_MILLIS = 1000;
 const SLOW_START_MILLIS = 10_000;
@@ -84,7 +86,10 @@
 
   /** Load from an answer or a probe. */
   hintLoad(load: number, now: number): void {
-    this.foreignLoad = Math.max(0, load - this.inFlight);
+    const foreign = Math.max(0, load - this.inFlight);
+    const weight = 1 - Math.exp((this.loadAt - now) / LOAD_AVERAGE_MILLIS);
+    const before = this.load(now);
+    this.foreignLoad = before + weight * (foreign - before);
     this.loadAt = now;
   }
 
--- /dev/null
+++ b/test/routing/upstream-load.test.ts
@@ -0,0 +1,31 @@
+import { expect } from 'chai';
+import { UpstreamState } from '../../src/routing/index.js';
+import { upstream } from './router-harness.js';
+
+function makeState(): UpstreamState {
+  return new UpstreamState(upstream('u1', 'board'), 2, Number.NEGATIVE_INFINITY);
+}
+
+describe('load that an upstream reports', () => {
+  it('counts at once when it is the first word for a long time', () => {
+    const state = makeState();
+    state.hintLoad(8, 1000);
+    expect(state.load(1000)).to.equal(8);
+    state.hintLoad(2, 60_000);
+    expect(state.load(60_000)).to.be.closeTo(2, 0.01);
+  });
+
+  it('is averaged over reports in quick succession', () => {
+    const state = makeState();
+    for (let now = 0; now < 1000; now += 10) {
+      state.hintLoad(now % 20 === 0 ? 0 : 8, now);
+    }
+    expect(state.load(1000)).to.be.within(3, 5);
+  });
+
+  it('is forgotten with time', () => {
+    const state = makeState();
+    state.hintLoad(8, 1000);
+    expect(state.load(6000)).to.be.below(0.1);
+  });
+});
