Waiting work survives a change of owner

And the longer wait of reads that may have run ended after their deadline if they had not waited before.

Change: a lane's measurements start anew with a new owner; work is given up as hopeless only by a rate measured from three requests or more; the longer wait ends at 0.9 of the deadline in every case.

--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -20,6 +20,8 @@
 /** How often waiting work is looked at without an event. */
 const WAKE_MILLIS = 25;
 
+/** Work that may have run is tried once more, however little time is left. */
+const LEAST_WAIT_MILLIS = 1;
 /** Work that may have run is given up when this share of its deadline is left. */
 const RESERVED_SHARE = 0.1;
 /**
@@ -79,10 +81,8 @@
    * `unknown`. It is answered some time before its deadline all the same.
    */
   extendWait(work: Work): void {
-    const { deadlineMillis, holdLimitMillis } = work.service.definition;
-    const end = work.firstDeadline - deadlineMillis * RESERVED_SHARE;
-    const limit = Math.min(work.holdUntil, this.context.now + holdLimitMillis);
-    work.holdUntil = Math.max(limit, end);
+    const end = work.firstDeadline - work.service.definition.deadlineMillis * RESERVED_SHARE;
+    work.holdUntil = Math.max(end, this.context.now + LEAST_WAIT_MILLIS);
     this.context.cancelTimer(work.holdTimer);
     work.holdTimer = null;
   }
@@ -164,7 +164,7 @@
   private refuseHopeless(service: ServiceState, lane: Lane): void {
     const { now } = this.context;
     const isServed = lane.shard === null || this.context.ownerOf(lane.shard) !== undefined;
-    if (!isServed || lane.isPaused(now)) {
+    if (!isServed || lane.isPaused(now) || !lane.drainRate.isMeasured) {
       return;
     }
     let last = lane.queue.peekLast();
--- a/src/routing/drain-rate.ts
+++ b/src/routing/drain-rate.ts
@@ -6,6 +6,8 @@
 const DECAY_MILLIS = 2000;
 /** The assumed rate counts as much as a measurement over this time. */
 const ASSUMED_WEIGHT_MILLIS = 100;
+/** Items that must have been taken lately for a rate to count as measured. */
+const LEAST_TAKEN = 3;
 
 export class DrainRate {
   private taken = 0;
@@ -23,6 +25,13 @@
     this.since = null;
   }
 
+  /** Something else serves the queue from now on. */
+  forget(): void {
+    this.taken = 0;
+    this.busyMillis = 0;
+    this.since = null;
+  }
+
   /** An item was taken for dispatch. */
   took(now: number): void {
     if (this.since === null) {
@@ -36,6 +45,11 @@
     this.since = now;
   }
 
+  /** Whether enough was measured to go by it alone. */
+  get isMeasured(): boolean {
+    return this.taken >= LEAST_TAKEN;
+  }
+
   /** Items a millisecond; `assumed` is the rate to go by while little is measured. */
   perMilli(now: number, assumed: number): number {
     const open = this.since === null ? 0 : now - this.since;
--- a/src/routing/lane-table.ts
+++ b/src/routing/lane-table.ts
@@ -100,6 +100,9 @@
 
   /** Files a lane under its shard's new owner. */
   reassign(lane: Lane, owner: UpstreamId | null): void {
+    if (lane.owner !== owner) {
+      lane.drainRate.forget();
+    }
     if (lane.queue.length > 0) {
       this.waitingSet(lane.owner).delete(lane);
       this.waitingSet(owner).add(lane);
--- a/test/routing/lost-owner.test.ts
+++ b/test/routing/lost-owner.test.ts
@@ -76,6 +76,23 @@
     expect(refusal).to.include({ outcome: 'unknown', reason: 'no-owner' });
   });
 
+  it('lets what waited for the old owner wait for its turn at the new one', () => {
+    const harness = start({ slotsPerUpstream: 1, holdLimitMillis: 1900, queueLimit: 40 });
+    for (let count = 0; count < 10; count += 1) {
+      harness.request('sheets', { key: 'k' });
+    }
+    harness.run(1000);
+    setOwner(harness, 'u2', 7);
+    const refused = [...only(harness.run(GRACE_MILLIS), 'refuse')];
+    for (let round = 0; round < 15; round += 1) {
+      const [attempt] = only(harness.effects, 'dispatch').slice(-1);
+      harness.ended(attempt?.attempt as number);
+      refused.push(...only(harness.run(10), 'refuse'));
+    }
+    expect(refused).to.deep.equal([]);
+    expect(only(harness.effects, 'deliver')).to.have.length(10);
+  });
+
   it('says not-run to a read that joined after the attempt had broken', () => {
     const harness = start({ coalesce: true });
     const [first] = only(harness.request('sheets', { key: 'k' }), 'dispatch');
