--- a/src/control/service-coordinator.ts
+++ b/src/control/service-coordinator.ts
@@ -3,21 +3,14 @@
  * upstreams, and orders each upstream what to hold, warm and give up. It works on what changed since the last run.
  */
 import type { LeaseGranter } from '../lease/lease-granter.js';
-import {
-  type Epoch,
-  type MonotonicMillis,
-  parseShardId,
-  type ShardId,
-  type UpstreamId,
-} from '../model/identifiers.js';
+import { type MonotonicMillis, parseShardId, type ShardId, type UpstreamId } from '../model/identifiers.js';
 import { createPlanner, LoadTracker, type PlacementPlanner, type ReportedWork } from '../placement/index.js';
 import type { Registry, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
 import { FirstGrants } from './first-grants.js';
 import type { LeaderProposals } from './leader-proposals.js';
-import { MoveTracker } from './move-tracker.js';
-import { PlacementProposals, type ShardRelease } from './placement-proposals.js';
+import { PlacementProposals } from './placement-proposals.js';
 import { RegistryLoad, SHARDS_PER_RUN } from './registry-load.js';
-import { currentOrders, OrderBook, retiringOrders } from './shard-orders.js';
+import { ShardHandovers } from './shard-handovers.js';
 import { UpstreamRoster } from './upstream-roster.js';
 
 /** A new leader hears of loads for this long before it balances by them. */
@@ -37,13 +30,10 @@
   readonly #parts: CoordinatorParts;
   #planner: PlacementPlanner;
   readonly #roster: UpstreamRoster;
-  readonly #orders: OrderBook;
+  readonly #handovers: ShardHandovers;
   readonly #proposals: PlacementProposals;
-  #moves: MoveTracker;
   #loads = new LoadTracker();
   readonly #firstGrants = new FirstGrants();
-  /** Grants that their holders gave up while the registry still has them, by their epochs. */
-  readonly #released = new Map<ShardId, Epoch>();
   #service: ServiceRecord;
   /** Placement waits until all of it is taken over. */
   #load: RegistryLoad;
@@ -52,10 +42,9 @@
   constructor(parts: CoordinatorParts, service: ServiceRecord, now: MonotonicMillis) {
     this.#parts = parts;
     this.#service = service;
-    this.#moves = new MoveTracker(parts.warmTimeoutMillis);
     this.#planner = createPlanner(settingsOf(service), now + LISTEN_MILLIS);
     this.#roster = new UpstreamRoster({ ...parts, planner: this.#planner }, service);
-    this.#orders = new OrderBook(parts.granter);
+    this.#handovers = new ShardHandovers(parts, service);
     this.#proposals = new PlacementProposals({
       ...parts,
       incarnationOf: (upstream) => this.#roster.incarnationOf(upstream),
@@ -77,6 +66,7 @@
     this.#service = service;
     this.#planner.configure(settingsOf(service));
     this.#roster.setService(service, now);
+    this.#handovers.setService(service);
     if (isOtherKeyMap) {
       this.#changeKeyMap(now);
     }
@@ -111,10 +101,7 @@
       return;
     }
     this.#isPlanDue = this.#roster.sessionChanged(upstream) || this.#isPlanDue;
-    this.#noteGivenUp(upstream, now);
-    for (const shard of this.#parts.registry().shardsMovingTo(upstream)) {
-      this.#noteTarget(shard, now);
-    }
+    this.#handovers.sessionChanged(upstream, now);
   }
 
   loadReported(works: readonly ReportedWork[], now: MonotonicMillis): void {
@@ -124,14 +111,12 @@
   /** Proposes what is to change next. */
   run(now: MonotonicMillis): void {
     this.#takeOver(now);
-    for (const shard of this.#moves.takeTimedOut(now)) {
-      this.#noteTarget(shard, now);
-    }
+    this.#handovers.run(now);
     for (const shard of this.#proposals.takeDue(now)) {
       this.shardChanged(shard, now);
     }
     this.#roster.run(now);
-    this.#proposals.release(this.#releases(), now);
+    this.#proposals.release(this.#handovers.releases(), now);
     if (this.#mayPlace()) {
       this.#place(now);
     }
@@ -142,7 +127,7 @@
       return now;
     }
     return Math.min(
-      this.#moves.nextDeadline(),
+      this.#handovers.nextDeadline(),
       this.#proposals.nextDeadline(),
       this.#roster.nextDeadline(),
       this.#firstGrants.nextDeadline(now),
@@ -188,7 +173,6 @@
   #changeKeyMap(now: MonotonicMillis): void {
     this.#planner = createPlanner(settingsOf(this.#service), now + LISTEN_MILLIS);
     this.#roster.setPlanner(this.#planner);
-    this.#moves = new MoveTracker(this.#parts.warmTimeoutMillis);
     this.#loads = new LoadTracker();
     this.#firstGrants.startOver();
     this.#load = new RegistryLoad(this.#load.upstreamsLeft(), this.#shardsToTake());
@@ -230,9 +214,7 @@
 
   #takeShard(record: ShardRecord, keyspace: string, now: MonotonicMillis): void {
     const { shard, owner, movingTo } = record;
-    this.#moves.update(record, now);
-    this.#dropOldRelease(shard, record);
-    this.#orders.set(shard, currentOrders(record, this.#service, this.#moves.isRevoked(record)), now);
+    this.#handovers.update(record, now);
     if (owner === null && record.epoch === 0 && this.#firstGrants.hold(shard)) {
       return;
     }
@@ -244,61 +226,7 @@
   #retireShard(shard: ShardId, record: ShardRecord | undefined, now: MonotonicMillis): void {
     this.#planner.removeShard(shard);
     this.#firstGrants.release(shard);
-    this.#moves.forget(shard);
-    this.#dropOldRelease(shard, record);
-    this.#orders.set(shard, retiringOrders(record, this.#service), now);
-  }
-
-  /** A release counts for the very grant that the holder gave up, and never for a later one. */
-  #dropOldRelease(shard: ShardId, record: ShardRecord | undefined): void {
-    if (record === undefined || record.owner === null || record.epoch !== this.#released.get(shard)) {
-      this.#released.delete(shard);
-    }
-  }
-
-  #releases(): ShardRelease[] {
-    return [...this.#released].map(([shard, epoch]) => ({ shard, epoch }));
-  }
-
-  /** Looks for shards that the upstream's last answer says it doesn't serve, though the registry says it owns them. */
-  #noteGivenUp(upstream: UpstreamId, now: MonotonicMillis): void {
-    const view = this.#parts.granter.view(upstream);
-    for (const { shard } of view?.answer?.draining ?? []) {
-      this.#noteStopped(shard, upstream, now);
-    }
-    for (const { shard, revision } of view?.answer?.released ?? []) {
-      const epoch = this.#parts.registry().shards().get(shard)?.epoch ?? 0;
-      if (revision > epoch && this.#noteStopped(shard, upstream, now)) {
-        this.#released.set(shard, epoch);
-      }
-    }
-  }
-
-  /** Returns whether the registry has this shard as owned by this very run of the upstream. */
-  #noteStopped(shard: ShardId, upstream: UpstreamId, now: MonotonicMillis): boolean {
-    const record = this.#parts.registry().shards().get(shard);
-    const incarnation = this.#parts.granter.view(upstream)?.incarnation;
-    if (record === undefined || record.owner !== upstream || record.incarnation !== incarnation) {
-      return false;
-    }
-    this.#moves.noteStopped(record);
-    this.#refreshOrders(record, now);
-    return true;
-  }
-
-  #noteTarget(shard: ShardId, now: MonotonicMillis): void {
-    const record = this.#parts.registry().shards().get(shard);
-    if (record !== undefined) {
-      this.#moves.noteTarget(record, this.#parts.granter.view(record.movingTo ?? ''), now);
-      this.#refreshOrders(record, now);
-    }
-  }
-
-  #refreshOrders(record: ShardRecord, now: MonotonicMillis): void {
-    if (parseShardId(record.shard)?.generation === this.#service.generation) {
-      const orders = currentOrders(record, this.#service, this.#moves.isRevoked(record));
-      this.#orders.set(record.shard, orders, now);
-    }
+    this.#handovers.retire(shard, record, now);
   }
 }
 
--- a/src/lease/lease-granter.ts
+++ b/src/lease/lease-granter.ts
@@ -10,7 +10,6 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
-import { DeadlineQueue } from './deadline-queue.js';
 import { GranterSession } from './granter-session.js';
 import type {
   GranterConfig,
@@ -20,42 +19,30 @@
   SessionView,
 } from './granter-types.js';
 import { leaseBound } from './lease-bound.js';
+import { changeOf, viewOf } from './session-facts.js';
+import { SessionSchedule } from './session-schedule.js';
 import type { SessionAnswer, SessionRequest, ShardOrder } from './types.js';
 
 /** After a failed call the next one waits for this share of the renewal time. */
 const RETRY_SHARE = 1 / 8;
-/** While a holder drains or warms shards it is asked after this share of the renewal time. */
-const POLL_SHARE = 1 / 8;
-/** Renewals that fall due within this share of the renewal time share one quorum round. */
-const BATCH_SHARE = 1 / 16;
 
 export class LeaseGranter {
   readonly #config: GranterConfig;
   readonly #sessions = new Map<UpstreamId, GranterSession>();
-  /** When each session may need a call, or its lease ends. */
-  readonly #wakes = new DeadlineQueue<GranterSession>();
-  /** When each session that awaits a quorum round wants one. */
-  readonly #rounds = new DeadlineQueue<GranterSession>();
-  /** Sessions whose newest stamp waits for a quorum round. */
-  readonly #awaiting = new Set<GranterSession>();
-  /** Sessions that the registry has to change something about, now or when their lease is over. */
-  readonly #changing = new Set<GranterSession>();
+  readonly #schedule: SessionSchedule;
   readonly #random: ReturnType<typeof xoroshiro128plus>;
   /** Answers received so far; quorum rounds are placed among them. */
   #answers = 0;
-  #lastStepAt: MonotonicMillis;
-  /** After a stall of this process no lease is given up before this. */
-  #patientUntil: MonotonicMillis = Number.NEGATIVE_INFINITY;
 
   constructor(config: GranterConfig) {
     this.#config = config;
     this.#random = xoroshiro128plus(config.seed);
-    this.#lastStepAt = config.electedAt;
+    this.#schedule = new SessionSchedule(config.timings.renewMillis, config.electedAt);
   }
 
   /** Takes what the registry wants of one session. */
   setTarget(target: SessionTarget, now: MonotonicMillis): void {
-    this.#touch(this.#retarget(target, now), now);
+    this.#schedule.put(this.#retarget(target, now), now);
   }
 
   /** The upstream is gone from the registry. */
@@ -63,10 +50,7 @@
     const session = this.#sessions.get(upstream);
     if (session !== undefined) {
       this.#sessions.delete(upstream);
-      this.#wakes.delete(session);
-      this.#rounds.delete(session);
-      this.#awaiting.delete(session);
-      this.#changing.delete(session);
+      this.#schedule.delete(session);
     }
   }
 
@@ -75,7 +59,7 @@
     const session = this.#sessions.get(upstream);
     if (session !== undefined) {
       session.orders.set(order);
-      this.#touch(session, now);
+      this.#schedule.put(session, now);
     }
   }
 
@@ -84,7 +68,7 @@
     const session = this.#sessions.get(upstream);
     if (session !== undefined) {
       session.orders.delete(shard);
-      this.#touch(session, now);
+      this.#schedule.put(session, now);
     }
   }
 
@@ -98,11 +82,11 @@
     const isRefused = answer.refused !== null && answer.refused !== 'other-incarnation';
     if (answer.upstream !== upstream || answer.term !== this.#config.term || isRefused) {
       this.#noteFailure(session, request, now);
-      this.#touch(session, now);
+      this.#schedule.put(session, now);
       return false;
     }
     this.#noteAnswer(session, request, answer, now);
-    this.#touch(session, now);
+    this.#schedule.put(session, now);
     return true;
   }
 
@@ -112,7 +96,7 @@
     const request = session === undefined ? undefined : takeOutstanding(session, sequence);
     if (session !== undefined && request !== undefined) {
       this.#noteFailure(session, request, now);
-      this.#touch(session, now);
+      this.#schedule.put(session, now);
     }
   }
 
@@ -123,38 +107,39 @@
 
   /** A quorum round that began at `mark` confirmed the leadership. */
   confirmed(mark: number, now: MonotonicMillis): void {
-    for (const session of [...this.#awaiting]) {
+    for (const session of this.#schedule.awaiting()) {
       const { received, answer, incarnation } = session;
       if (received !== null && received.order <= mark && answer?.incarnation === incarnation) {
         session.confirmed = received;
-        this.#touch(session, now);
+        this.#schedule.put(session, now);
       }
     }
   }
 
   /** Whether a renewal that is due, or nearly so, waits for a quorum round. */
   wantsRound(now: MonotonicMillis): boolean {
-    return this.#rounds.next() <= now;
+    return this.#schedule.wantsRound(now);
   }
 
   /** Ends leases that are over, then gives the calls that are to be made now. */
   takeCalls(now: MonotonicMillis): SessionCall[] {
-    this.#noteStall(now);
+    this.#schedule.noteStep(now);
     const calls: SessionCall[] = [];
-    for (const session of this.#wakes.takeDue(now)) {
+    for (const session of this.#schedule.takeDue(now)) {
       this.#endIfOver(session, now);
-      if (this.#isCallable(session, now)) {
+      if (this.#schedule.isCallable(session, now)) {
         calls.push(this.#call(session, now));
       }
-      this.#touch(session, now);
+      this.#schedule.put(session, now);
     }
     return calls;
   }
 
   /** Changes that the registry is to make; repeated until `setTarget` shows them made. */
   changes(now: MonotonicMillis): SessionChange[] {
-    return [...this.#changing]
-      .map((session) => changeOf(session, this.#isOver(session, now)))
+    return this.#schedule
+      .changing()
+      .map((session) => changeOf(session, this.#schedule.isOver(session, now)))
       .filter((change) => change !== undefined);
   }
 
@@ -169,18 +154,7 @@
 
   /** When `takeCalls` has something to do next if nothing else happens. */
   nextDeadline(): MonotonicMillis {
-    return this.#wakes.next();
-  }
-
-  /** Notes anew when something is due for a session after it changed. */
-  #touch(session: GranterSession, now: MonotonicMillis): void {
-    const isAwaiting = session.phase === 'leased' && session.awaitsConfirmation();
-    const isFree = isAwaiting && session.outstanding === null;
-    const mayWantChange = session.incarnation === null ? session.answer !== null : session.phase === 'ending';
-    this.#wakes.set(session, this.#wakeOf(session, now));
-    this.#rounds.set(session, isFree ? this.#roundOf(session) : Number.POSITIVE_INFINITY);
-    setMembership(this.#awaiting, session, isAwaiting);
-    setMembership(this.#changing, session, mayWantChange);
+    return this.#schedule.nextDeadline();
   }
 
   #retarget(target: SessionTarget, now: MonotonicMillis): GranterSession {
@@ -245,42 +219,15 @@
     session.forgetSent(request);
   }
 
-  /** A leader that was itself stopped for a while asks its upstreams once more before it gives up their leases. */
-  #noteStall(now: MonotonicMillis): void {
-    const { renewMillis } = this.#config.timings;
-    if (now - this.#lastStepAt > renewMillis) {
-      this.#patientUntil = now + renewMillis;
-    }
-    this.#lastStepAt = now;
-  }
-
-  #isOver(session: GranterSession, now: MonotonicMillis): boolean {
-    return now > Math.max(session.leaseEnd, this.#patientUntil);
-  }
-
   #endIfOver(session: GranterSession, now: MonotonicMillis): void {
     const isOpen =
       session.phase === 'leased' || (session.phase === 'greeting' && session.incarnation !== null);
-    if (isOpen && this.#isOver(session, now)) {
+    if (isOpen && this.#schedule.isOver(session, now)) {
       session.phase = 'ending';
       session.confirmed = null;
     }
   }
 
-  #isCallable(session: GranterSession, now: MonotonicMillis): boolean {
-    if (session.outstanding !== null || now < session.notBefore) {
-      return false;
-    }
-    const isDue = now >= session.nextCallAt;
-    if (session.phase !== 'leased') {
-      return isDue;
-    }
-    if (isDue) {
-      return !session.awaitsConfirmation();
-    }
-    return session.hasNews() || now >= this.#pollAt(session);
-  }
-
   #call(session: GranterSession, now: MonotonicMillis): SessionCall {
     const { cluster, leader, term, timings } = this.#config;
     const stamp = session.phase === 'leased' && session.mayRenew() ? session.confirmed : null;
@@ -302,60 +249,6 @@
     const longest = Math.floor(this.#config.timings.renewMillis);
     return uniformInt(this.#random, Math.floor((longest * 7) / 8), longest);
   }
-
-  /** When to ask again how far a holder is with what it was told. */
-  #pollAt(session: GranterSession): MonotonicMillis {
-    const { followed, received, orders } = session;
-    if (followed === null || received === null) {
-      return Number.POSITIVE_INFINITY;
-    }
-    const isBusy = followed.draining.length > 0 || orders.isWarming(followed.warmed);
-    return isBusy
-      ? received.receivedAt + this.#config.timings.renewMillis * POLL_SHARE
-      : Number.POSITIVE_INFINITY;
-  }
-
-  /** A session wants a quorum round a little before its renewal is due, so that renewals share rounds. */
-  #roundOf(session: GranterSession): MonotonicMillis {
-    return Math.max(session.nextCallAt, session.notBefore) - this.#config.timings.renewMillis * BATCH_SHARE;
-  }
-
-  #wakeOf(session: GranterSession, now: MonotonicMillis): MonotonicMillis {
-    const end = this.#endAt(session, now);
-    return session.outstanding === null ? Math.min(end, this.#callAt(session, now)) : end;
-  }
-
-  /** When the lease is to be ended, or, once it is given up, when it is over. */
-  #endAt(session: GranterSession, now: MonotonicMillis): MonotonicMillis {
-    if (session.incarnation === null) {
-      return Number.POSITIVE_INFINITY;
-    }
-    if (this.#isOver(session, now)) {
-      return session.phase === 'ending' ? Number.POSITIVE_INFINITY : now;
-    }
-    return Math.floor(Math.max(session.leaseEnd, this.#patientUntil)) + 1;
-  }
-
-  /** When the next call can be made; a renewal that is due and waits for a quorum round isn't timed. */
-  #callAt(session: GranterSession, now: MonotonicMillis): MonotonicMillis {
-    const { notBefore, nextCallAt } = session;
-    if (session.phase !== 'leased') {
-      return Math.max(notBefore, nextCallAt);
-    }
-    if (session.awaitsConfirmation() && now >= nextCallAt) {
-      return Number.POSITIVE_INFINITY;
-    }
-    const news = session.hasNews() ? now : Number.POSITIVE_INFINITY;
-    return Math.max(notBefore, Math.min(nextCallAt, news, this.#pollAt(session)));
-  }
-}
-
-function setMembership(sessions: Set<GranterSession>, session: GranterSession, isMember: boolean): void {
-  if (isMember) {
-    sessions.add(session);
-  } else {
-    sessions.delete(session);
-  }
 }
 
 /** Takes the call that `sequence` answers; `undefined` if it isn't outstanding. */
@@ -367,31 +260,3 @@
   session.outstanding = null;
   return request;
 }
-
-function changeOf(session: GranterSession, isOver: boolean): SessionChange | undefined {
-  const { incarnation, answer } = session;
-  const { upstream } = session.target;
-  if (incarnation === null) {
-    return answer === null
-      ? undefined
-      : { type: 'open', upstream, incarnation: answer.incarnation, previous: null };
-  }
-  if (session.phase !== 'ending' || !isOver) {
-    return undefined;
-  }
-  const successor = answer !== null && answer.incarnation !== incarnation ? answer.incarnation : null;
-  return successor === null
-    ? { type: 'end', upstream, incarnation }
-    : { type: 'open', upstream, incarnation: successor, previous: incarnation };
-}
-
-function viewOf(session: GranterSession): SessionView {
-  return {
-    upstream: session.target.upstream,
-    phase: session.phase,
-    incarnation: session.incarnation,
-    answer: session.followed,
-    answeredAt: session.received?.receivedAt ?? null,
-    failing: session.failing,
-  };
-}
