Placement: up to 32 shards on their way to one server

Cause: with two or three servers a drain took several batches of 16, and the drained server stops all work after 1.5 s.

--- a/src/placement/weighted-planner.ts
+++ b/src/placement/weighted-planner.ts
@@ -26,7 +26,7 @@
 /** Time between two looks at the balance. */
 export const BALANCE_MILLIS = 1000;
 /** Shards that a server warms at once for planned moves off draining servers. */
-export const ARRIVING_LIMIT = 16;
+export const ARRIVING_LIMIT = 32;
 
 /** Makes the planner that weighs unavailability, imbalance and churn. Nothing is balanced before `balanceFrom`. */
 export function createPlanner(
