--- a/src/router/caller/caller-listener.ts
+++ b/src/router/caller/caller-listener.ts
@@ -4,7 +4,7 @@
 
 export type CallerHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
-/** Which server library carries callers' requests; docs/design/request-path-server.md has the measurement. */
+/** Which server library carries callers' requests; docs/design/upstream-client.md has the measurement. */
 export type CallerFrontEnd = 'koa' | 'node';
 
 export function createCallerListener(frontEnd: CallerFrontEnd, handler: CallerHandler): RequestListener {
