Router: a long answer without a length is not given to callers of HTTP/1.0

Cause: such a caller learns of the end by the end of the connection, so a broken answer looks whole. Change: its connection is broken before anything of the answer is sent; answers of a known length, and those read whole, go as before. A stream that nobody reads is given up at once; its upstream's connection would have stayed paused. Test: test/router/long-answers failed first.

--- a/src/router/attempts/answer-stream.ts
+++ b/src/router/attempts/answer-stream.ts
@@ -34,7 +34,12 @@
 
   /** Writes what was read before, and reads on. */
   start(chunks: readonly Buffer[]): void {
-    if (this.started || this.over || this.readers.size === 0) {
+    if (this.started || this.over) {
+      return;
+    }
+    if (this.readers.size === 0) {
+      this.over = true;
+      this.options.abandoned();
       return;
     }
     this.started = true;
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -73,6 +73,10 @@
       exchange.answerWhole(head.status, withLength(headers, head, body, exchange.head.method), body);
       return;
     }
+    if (head.contentLength === null && !exchange.takesChunks) {
+      exchange.breakOff();
+      return;
+    }
     this.stream?.add(exchange.startStream(head.status, headers));
   }
 
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -48,6 +48,11 @@
     return this.answering;
   }
 
+  /** Whether the caller can tell the end of an answer without a length from a connection that broke. */
+  get takesChunks(): boolean {
+    return this.request.httpVersion !== '1.0';
+  }
+
   /** Gives a whole answer of an upstream. */
   answerWhole(status: number, headers: string[], body: Buffer): void {
     this.answering = true;
--- a/test/router/long-answers.test.ts
+++ b/test/router/long-answers.test.ts
@@ -1,7 +1,9 @@
 /** Answers above the service's bound flow through: whole, or visibly broken. */
 import { once } from 'node:events';
 import { request as httpRequest, type IncomingMessage } from 'node:http';
+import { connect } from 'node:net';
 import { expect } from 'chai';
+import { parseAddress } from '../../src/wire/index.js';
 import { RouterFixture, until } from './router-fixture.js';
 import { headFor, type Script, type ScriptedRequest, ScriptedUpstream } from './scripted-upstream.js';
 
@@ -132,6 +134,25 @@
     response.destroy();
   });
 
+  for (const [answer, script, received] of [
+    ['in chunks, which only the end of the connection could end', CASES[1]?.script, 0],
+    ['of a known length', CASES[0]?.script, PIECES * BOUND],
+  ] as const) {
+    it(`${answer}, to a caller of HTTP/1.0: ${received === 0 ? 'nothing of it' : 'whole'}`, async () => {
+      upstream.script = script as Script;
+      const socket = connect(parseAddress(router.address));
+      let text = '';
+      socket.setEncoding('latin1').on('data', (piece: string) => {
+        text += piece;
+      });
+      socket.on('error', () => {});
+      socket.write('GET /reads/1 HTTP/1.0\r\nHost: r\r\n\r\n');
+      await once(socket, 'close');
+      const headEnd = text.indexOf('\r\n\r\n');
+      expect(headEnd === -1 ? text.length : text.length - headEnd - 4).to.equal(received);
+    });
+  }
+
   it('end with their caller', async () => {
     upstream.script = (request) => {
       request.socket.write(withLength(request));
