--- /dev/null
+++ b/src/router/attempts/attempt-desk.ts
@@ -0,0 +1,84 @@
+/** The attempts on upstreams under way by their numbers. */
+import type { Incarnation } from '../../model/identifiers.js';
+import { NumberedTable } from '../../routing/numbered-table.js';
+import type { AttemptNumber, AttemptResult } from '../../routing/types.js';
+import type { CallerExchange } from '../caller/caller-exchange.js';
+import { Attempt, type DispatchEffect } from './attempt.js';
+import type { UpstreamPools } from './upstream-pools.js';
+
+export interface AttemptDeskParts {
+  readonly incarnation: Incarnation;
+  readonly pools: UpstreamPools;
+  /** Larger answers of requests with a claim aren't kept for resends. */
+  readonly storedAnswerBytes: number;
+  readonly streamStallMillis: number;
+  /** Reports how an attempt ended; its answer must be delivered before this returns, or it is dropped. */
+  readonly ended: (attempt: AttemptNumber, result: AttemptResult) => void;
+}
+
+export class AttemptDesk {
+  private readonly attempts = new NumberedTable<Attempt>();
+  /** Attempts whose answers were delivered since `flow` was called last. */
+  private delivered: AttemptNumber[] = [];
+
+  constructor(private readonly parts: AttemptDeskParts) {}
+
+  /** Sends the request of an exchange to an upstream. */
+  start(effect: DispatchEffect, exchange: CallerExchange): void {
+    const { incarnation, pools, storedAnswerBytes, streamStallMillis } = this.parts;
+    const attempt = new Attempt({
+      effect,
+      exchange,
+      requestId: `${incarnation}.${effect.attempt}`,
+      storedAnswerBytes: exchange.head.idempotency === null ? null : storedAnswerBytes,
+      streamStallMillis,
+      ended: (number, result) => this.ended(number, result),
+    });
+    this.attempts.set(effect.attempt, attempt);
+    attempt.start(pools.of(effect.address));
+  }
+
+  cancel(number: AttemptNumber): void {
+    this.attempts.get(number)?.cancel();
+  }
+
+  cancelAll(): void {
+    for (const attempt of this.attempts.values()) {
+      attempt.cancel();
+    }
+  }
+
+  /** Gives the answer of an attempt to a caller; `false` if there is none. */
+  deliver(number: AttemptNumber, exchange: CallerExchange): boolean {
+    const attempt = this.attempts.get(number);
+    if (attempt === undefined) {
+      return false;
+    }
+    this.delivered.push(number);
+    attempt.deliver(exchange);
+    return true;
+  }
+
+  /** Lets the answers flow to all that they were delivered to. */
+  flow(): void {
+    if (this.delivered.length === 0) {
+      return;
+    }
+    const numbers = this.delivered;
+    this.delivered = [];
+    for (const number of numbers) {
+      this.attempts.get(number)?.flow();
+      this.attempts.delete(number);
+    }
+  }
+
+  /** An answer that nobody was given is of no use any more: its upstream's connection is freed at once. */
+  private ended(number: AttemptNumber, result: AttemptResult): void {
+    if (result.type !== 'answered') {
+      this.attempts.delete(number);
+    }
+    this.parts.ended(number, result);
+    this.attempts.get(number)?.cancel();
+    this.attempts.delete(number);
+  }
+}
