Walk: the reader comes after the election

The walk failed three times in a row once commands started faster: control status was asked right after the leader was killed, and rightly ended with code 4.

--- a/test/docs/walk.test.ts
+++ b/test/docs/walk.test.ts
@@ -63,9 +63,10 @@
 trap 'kill $(jobs -p) 2> /dev/null; wait' EXIT
 curl() { command curl --fail --silent --show-error --retry 30 --retry-delay 1 --retry-all-errors "$@"; }
 `;
-/** The disk of the first member is lost. */
+/** The disk of the first member, which leads, is lost. The reader comes after the election. */
 const LOSS = `OLD=$(node -p 'JSON.parse(fs.readFileSync("data-1/identity.json")).replica')
 kill -KILL $CONTROL_1_PID
+until ternmount control status > /dev/null; do sleep 1; done
 `;
 
 describe('the way by the pages alone', function () {
