Session messages prove the cluster's secret to upstreams that know it

Cause: whoever reached an upstream's port could send a session message of a high term and void its lease, or grant itself a shard. Weighed: TLS (certificates on every server), a proof of each message (taken: one HMAC, no round trip; a replay is refused by its sequence). A message for another upstream no longer raises term and sequence: a test failed first, since one replayed from another upstream would have shut the right leader out.

--- a/examples/first-service/server.mjs
+++ b/examples/first-service/server.mjs
@@ -1,13 +1,17 @@
 /**
  * A server that owns keys: it keeps the sheet of each key in memory, and hands its keys on when it stops.
- * Arguments: id, service, and the address to listen on, e.g. `menu-1 menu 127.61.1.3:8080`.
+ * Reads the cluster's secret from `cluster.secret` where it is started. Arguments: id, service, and the address to listen
+ * on, e.g. `menu-1 menu 127.61.1.3:8080`.
  */
+import { readFileSync } from 'node:fs';
 import { createServer } from 'node:http';
 import { createFence, createNodeHandler } from 'ternmount/upstream';
 
 const [upstream = '', service = '', address = ''] = process.argv.slice(2);
 const [host, port] = address.split(':');
-const fence = createFence({ cluster: 'north', upstream, service });
+// With the cluster's secret, only control members are obeyed.
+const secret = readFileSync('cluster.secret', 'utf8').trim();
+const fence = createFence({ cluster: 'north', upstream, service, secret });
 const sheets = new Map();
 
 const listener = createNodeHandler(fence, async (request, response, guarded) => {
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -239,16 +239,17 @@
   }
 
   private createSessions(): UpstreamSessions {
-    return new UpstreamSessions(
-      this.timings.sessionMillis,
-      {
+    return new UpstreamSessions({
+      timeoutMillis: this.timings.sessionMillis,
+      owner: {
         answered: (upstream, sequence, answer) =>
           this.coreTask.post({ type: 'upstream-answer', upstream, sequence, answer }),
         failed: (upstream, sequence) => this.coreTask.post({ type: 'upstream-failed', upstream, sequence }),
       },
-      this.log,
-      this.settings.outgoing,
-    );
+      log: this.log,
+      localAddress: this.settings.outgoing,
+      secret: this.settings.secret,
+    });
   }
 
   private wireIdentity(): WireIdentity {
--- a/src/control/daemon/upstream-sessions.ts
+++ b/src/control/daemon/upstream-sessions.ts
@@ -4,6 +4,8 @@
 import type { SessionAnswer, SessionRequest } from '../../lease/types.js';
 import type { Logger } from '../../logging/logger.js';
 import type { Address, UpstreamId } from '../../model/identifiers.js';
+import { HEADERS } from '../../model/outcome.js';
+import { computeSessionProof } from '../../wire/session/session-proof.js';
 import { sessionAnswerSchema } from '../../wire/session/session-schema.js';
 
 /** Requests to one upstream at once: a second one may overtake a first that hangs. */
@@ -24,16 +26,23 @@
   }
 }
 
+export interface UpstreamSessionsOptions {
+  /** An upstream that didn't answer in this time failed. */
+  readonly timeoutMillis: number;
+  readonly owner: UpstreamSessionsOwner;
+  readonly log: Logger;
+  /** Own IP number from which connections go out. */
+  readonly localAddress?: string | undefined;
+  /** The cluster's secret, proved with each message; empty: no proof is sent. */
+  readonly secret: string;
+}
+
 export class UpstreamSessions {
   private readonly agent: Agent;
   private readonly calls = new Map<UpstreamId, number>();
 
-  constructor(
-    private readonly timeoutMillis: number,
-    private readonly owner: UpstreamSessionsOwner,
-    private readonly log: Logger,
-    localAddress?: string,
-  ) {
+  constructor(private readonly options: UpstreamSessionsOptions) {
+    const { timeoutMillis, localAddress } = options;
     this.agent = new Agent({
       connections: MAX_CALLS_PER_UPSTREAM,
       pipelining: 1,
@@ -48,7 +57,7 @@
   call(upstream: UpstreamId, address: Address, request: SessionRequest): void {
     const calls = this.calls.get(upstream) ?? 0;
     if (calls >= MAX_CALLS_PER_UPSTREAM) {
-      queueMicrotask(() => this.owner.failed(upstream, request.sequence));
+      queueMicrotask(() => this.options.owner.failed(upstream, request.sequence));
       return;
     }
     this.calls.set(upstream, calls + 1);
@@ -62,29 +71,32 @@
   private async exchange(upstream: UpstreamId, address: Address, request: SessionRequest): Promise<void> {
     let answer: SessionAnswer | null = null;
     const abortion = new AbortController();
-    const timer = setTimeout(() => abortion.abort(), this.timeoutMillis);
+    const timer = setTimeout(() => abortion.abort(), this.options.timeoutMillis);
     try {
       answer = await this.post(address, request, abortion.signal);
     } catch (thrown) {
       const reason = toError(thrown);
-      this.log.debug('session-failed', { upstream, address, sequence: request.sequence, reason });
+      this.options.log.debug('session-failed', { upstream, address, sequence: request.sequence, reason });
     }
     clearTimeout(timer);
     this.endCall(upstream);
     if (answer === null) {
-      this.owner.failed(upstream, request.sequence);
+      this.options.owner.failed(upstream, request.sequence);
     } else {
-      this.owner.answered(upstream, request.sequence, answer);
+      this.options.owner.answered(upstream, request.sequence, answer);
     }
   }
 
   private async post(address: Address, request: SessionRequest, signal: AbortSignal): Promise<SessionAnswer> {
+    const { secret } = this.options;
+    const body = JSON.stringify(request);
+    const proof = secret === '' ? {} : { [HEADERS.sessionProof]: computeSessionProof(secret, body) };
     const response = await this.agent.request({
       origin: `http://${address}`,
       path: '/ternmount/v1/session',
       method: 'POST',
-      headers: { 'content-type': 'application/json' },
-      body: JSON.stringify(request),
+      headers: { 'content-type': 'application/json', ...proof },
+      body,
       signal,
     });
     const text = await response.body.text();
--- a/src/lease/grant-holder.ts
+++ b/src/lease/grant-holder.ts
@@ -114,6 +114,9 @@
     if (this.#cluster !== null && request.cluster !== this.#cluster) {
       return 'other-cluster';
     }
+    if (request.upstream !== this.#config.upstream) {
+      return 'other-incarnation';
+    }
     if (request.term < this.#term) {
       return 'stale-term';
     }
@@ -124,7 +127,7 @@
     this.#term = request.term;
     this.#sequence = request.sequence;
     const isOurs = request.incarnation === null || request.incarnation === this.#config.incarnation;
-    return isOurs && request.upstream === this.#config.upstream ? null : 'other-incarnation';
+    return isOurs ? null : 'other-incarnation';
   }
 
   #follow(request: SessionRequest, now: MonotonicMillis): void {
--- a/src/model/outcome.ts
+++ b/src/model/outcome.ts
@@ -18,6 +18,7 @@
   incarnation: 'ternmount-incarnation',
   deadlineMillis: 'ternmount-deadline-ms',
   load: 'ternmount-load',
+  sessionProof: 'ternmount-session-proof',
   idempotencyKey: 'idempotency-key',
   idempotencyIssuedAt: 'idempotency-issued-at',
 } as const;
--- a/src/upstream/fence-options.ts
+++ b/src/upstream/fence-options.ts
@@ -7,6 +7,8 @@
   readonly service: ServiceName;
   /** Whether requests name a shard that this server must own. Default: true. */
   readonly keyed?: boolean;
+  /** The cluster's secret. With it, only messages of control members that prove it are followed. Default: any are. */
+  readonly secret?: string;
   /** Names this run of the process; a random one by default. Must never repeat. */
   readonly incarnation?: Incarnation;
   /** Requests worked on at once; more are refused as overloaded. Default: no bound. */
--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createGrantHolder, type FenceRefusal, type GrantHolder, type HolderEvent } from '../lease/index.js';
+import type { SessionAnswer, SessionRequest } from '../lease/types.js';
 import type { Incarnation, ShardId } from '../model/identifiers.js';
 import { HEADERS } from '../model/outcome.js';
 import type { DrainOptions, FenceOptions } from './fence-options.js';
@@ -68,10 +69,9 @@
   serveEndpoint(request: IncomingMessage, response: ServerResponse): boolean {
     const path = request.url?.split('?', 1)[0];
     if (path === SESSION_PATH) {
-      serveSession(request, response, (message) => {
-        const answer = this.holder.handleSession(message, this.clock());
-        this.dispatchEvents();
-        return this.state === 'serving' ? answer : { ...answer, leaving: true };
+      serveSession(request, response, {
+        secret: this.options.secret ?? null,
+        handle: (message) => this.handleSession(message),
       });
       return true;
     }
@@ -128,6 +128,12 @@
     return leased && held + unreported > 0;
   }
 
+  private handleSession(message: SessionRequest): SessionAnswer {
+    const answer = this.holder.handleSession(message, this.clock());
+    this.dispatchEvents();
+    return this.state === 'serving' ? answer : { ...answer, leaving: true };
+  }
+
   private readHead(request: IncomingMessage, response: ServerResponse): RequestHead | null {
     const requestId = request.headers[HEADERS.requestId];
     if (typeof requestId === 'string') {
--- a/src/upstream/session-endpoint.ts
+++ b/src/upstream/session-endpoint.ts
@@ -2,20 +2,30 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { toError } from '../errors/ternmount-error.js';
 import type { SessionAnswer, SessionRequest } from '../lease/types.js';
+import { HEADERS } from '../model/outcome.js';
+import { isSessionProof } from '../wire/session/session-proof.js';
 import { sessionRequestSchema } from '../wire/session/session-schema.js';
 import { writeJson } from './refusal.js';
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 const OK = 200;
 const BAD_REQUEST = 400;
+const UNAUTHORIZED = 401;
 const METHOD_NOT_ALLOWED = 405;
 const PAYLOAD_TOO_LARGE = 413;
 
-/** Reads one message and writes the answer that `handle` gives. A malformed message changes nothing. */
+/** What the endpoint works with. */
+export interface SessionEndpoint {
+  /** The cluster's secret, which messages must prove; `null`: none is asked for. */
+  readonly secret: string | null;
+  readonly handle: (message: SessionRequest) => SessionAnswer;
+}
+
+/** Reads one message and writes the answer that `handle` gives. A malformed or unproved message changes nothing. */
 export function serveSession(
   request: IncomingMessage,
   response: ServerResponse,
-  handle: (message: SessionRequest) => SessionAnswer,
+  endpoint: SessionEndpoint,
 ): void {
   if (request.method !== 'POST') {
     response.setHeader('allow', 'POST');
@@ -36,10 +46,20 @@
       writeJson(response, PAYLOAD_TOO_LARGE, { message });
       return;
     }
-    answer(response, Buffer.concat(chunks), handle);
+    const body = Buffer.concat(chunks);
+    if (isProved(request, body, endpoint.secret)) {
+      answer(response, body, endpoint.handle);
+    } else {
+      writeJson(response, UNAUTHORIZED, { message: `${HEADERS.sessionProof} is missing or wrong` });
+    }
   });
 }
 
+function isProved(request: IncomingMessage, body: Buffer, secret: string | null): boolean {
+  const proof = request.headers[HEADERS.sessionProof];
+  return secret === null || (typeof proof === 'string' && isSessionProof(secret, body, proof));
+}
+
 function answer(
   response: ServerResponse,
   body: Buffer,
--- a/test/contract/protocol-page.test.ts
+++ b/test/contract/protocol-page.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai';
 import xxhash from 'xxhash-wasm';
 import { HEADERS } from '../../src/model/outcome.js';
+import { computeSessionProof } from '../../src/wire/session/session-proof.js';
 import { countRequests, normaliseAnswer, readExchanges, replay } from './protocol-page.js';
 import { UpstreamHarness } from './upstream-harness.js';
 
@@ -40,9 +41,20 @@
     }
   });
 
+  it('has the right proof of a session message', () => {
+    expect(PAGE).to.contain(`\n${computeSessionProof('the cluster secret', '{}')}\n`);
+  });
+
   it('names every header that passes between routers and upstreams', () => {
     const names = [HEADERS.outcome, HEADERS.reason, HEADERS.key, HEADERS.requestId, HEADERS.shard];
-    for (const name of [...names, HEADERS.epoch, HEADERS.incarnation, HEADERS.deadlineMillis, HEADERS.load]) {
+    for (const name of [
+      ...names,
+      HEADERS.epoch,
+      HEADERS.incarnation,
+      HEADERS.deadlineMillis,
+      HEADERS.load,
+      HEADERS.sessionProof,
+    ]) {
       expect(PAGE).to.contain(name);
     }
   });
--- a/test/contract/upstream-session.test.ts
+++ b/test/contract/upstream-session.test.ts
@@ -66,6 +66,15 @@
     });
   }
 
+  it('a message for another upstream raises neither term nor sequence', async () => {
+    await harness.session(GRANT);
+    await harness.session({ ...GRANT, upstream: 'menu-2', term: 7, sequence: 90 });
+    const answer = await harness.session({ ...GRANT, sequence: 3, validUntil: 3000 });
+    expect(answer.refused).to.equal(null);
+    harness.now = 2900;
+    expect((await get()).status).to.equal(200);
+  });
+
   it('a body above 8 MiB: 413, and nothing is granted', async () => {
     const filler = 'x'.repeat(8 * 1024 * 1024);
     expect((await harness.post({ ...GRANT, filler })).status).to.equal(413);
--- a/test/fleet/outgoing.test.ts
+++ b/test/fleet/outgoing.test.ts
@@ -24,7 +24,13 @@
   },
   'control to an upstream': (address) => {
     const owner = { answered: () => {}, failed: () => {} };
-    const sessions = new UpstreamSessions(1000, owner, createLogger('test'), OWN_HOST);
+    const sessions = new UpstreamSessions({
+      timeoutMillis: 1000,
+      owner,
+      log: createLogger('test'),
+      localAddress: OWN_HOST,
+      secret: '',
+    });
     sessions.call('u1', address, {
       cluster: 'c1',
       leader: 'm1',
