First grants wait for servers that are declared and about to start

Cause: a server that was declared and didn't answer yet counted as heard of, so when two started together the first to answer got every shard, and the rest came back at the service's moves a minute.

--- a/src/control/first-grants.ts
+++ b/src/control/first-grants.ts
@@ -10,7 +10,7 @@
 /** How the upstreams of the service stand. */
 export interface Readiness {
   readonly anyReady: boolean;
-  /** Each is ready, leaving or known not to answer. */
+  /** Each is ready, leaving, or answered once and doesn't any more. One that never did may be about to start. */
   readonly allHeardOf: boolean;
 }
 
--- a/src/control/upstream-roster.ts
+++ b/src/control/upstream-roster.ts
@@ -168,7 +168,8 @@
 
   #isHeardOf({ record, state }: Member): boolean {
     const view = this.#parts.granter.view(record.definition.id);
-    return state !== 'lost' || record.definition.leaving || view?.failing === true;
+    const isGone = view?.failing === true && view.answeredAt !== null;
+    return state !== 'lost' || record.definition.leaving || isGone;
   }
 }
 
--- a/test/control/placement.test.ts
+++ b/test/control/placement.test.ts
@@ -4,7 +4,7 @@
 import { RandomSource } from '../../src/dev/virtual/random-source.js';
 import type { ShardId } from '../../src/model/identifiers.js';
 import type { ServiceDefinition } from '../../src/model/service.js';
-import { type Cluster, SERVICE, startCluster, upstream } from './cluster-harness.js';
+import { Cluster, SERVICE, startCluster, upstream } from './cluster-harness.js';
 
 const MANY: ServiceDefinition = {
   ...SERVICE,
@@ -49,6 +49,22 @@
     expect(epochs.size).to.equal(1);
   });
 
+  it('gives shards to all servers that start together, also if none ran when they were declared', () => {
+    const cluster = new Cluster();
+    cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+    cluster.change({ type: 'service-apply', definition: MANY, expected: null });
+    for (const id of ['u1', 'u2']) {
+      cluster.addServer(id).state = 'dead';
+      cluster.change({ type: 'upstream-apply', definition: upstream(id), expected: null });
+    }
+    cluster.run(3000);
+    cluster.server('u1').state = 'up';
+    cluster.run(150);
+    cluster.server('u2').state = 'up';
+    cluster.runUntil(() => cluster.shards().length === 60, 5000);
+    expect(countsOf(cluster)).to.deep.equal({ u1: 30, u2: 30 });
+  });
+
   it("spreads a lost server's shards over all others", () => {
     const { cluster, shards } = startCluster(4, { service: MANY });
     cluster.server('u1').state = 'dead';
