--- a/src/dev/sim/faults/disk-faults.ts
+++ b/src/dev/sim/faults/disk-faults.ts
@@ -69,6 +69,7 @@
       if (leader === undefined || victim === undefined || behind === undefined || victim === leader) {
         return null;
       }
+      simulation.isRepairing = true;
       const cuts = [simulation.network.cut(behind.name, '*'), simulation.network.cut('*', behind.name)];
       simulation.time.after(BEHIND_MILLIS, () => {
         loseFolder(simulation, victim, () => {});
--- a/src/dev/sim/random.ts
+++ b/src/dev/sim/random.ts
@@ -3,6 +3,8 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 
+/** The first numbers of a generator hardly depend on its seed. */
+const SKIPPED_NUMBERS = 20;
 /** Resolution of fractions. */
 const FRACTION_STEPS = 0x3fffffff;
 
@@ -11,6 +13,9 @@
 
   constructor(seed: number) {
     this.generator = xoroshiro128plus(seed);
+    for (let skipped = 0; skipped < SKIPPED_NUMBERS; skipped += 1) {
+      this.generator.next();
+    }
   }
 
   /** A whole number from `low` to `high`, both included. */
--- a/src/dev/sim/recovery.ts
+++ b/src/dev/sim/recovery.ts
@@ -12,7 +12,7 @@
 const LOOKS = 10;
 const LOOK_MILLIS = 50;
 
-/** Looks, 3 s after a loss in calm conditions, whether what the lost server held has other owners. */
+/** Looks whether what a lost server held gets other owners within 3 s, if the loss comes in calm conditions. */
 export function expectNewOwners(simulation: Simulation, lost: SimUpstream): void {
   const { time, activeFaults, lastFaultEnd } = simulation;
   const isCalm =
@@ -21,11 +21,22 @@
   if (!isCalm || simulation.isRepairing) {
     return;
   }
+  const orphans = new Set(keys);
+  const look = (): void => {
+    for (const key of orphans) {
+      if (ownersOf(simulation, lost, key) > 0) {
+        orphans.delete(key);
+      }
+    }
+  };
+  for (let after = LOOK_MILLIS; after <= NEW_OWNER_MILLIS; after += LOOK_MILLIS) {
+    time.after(after, look);
+  }
   time.after(NEW_OWNER_MILLIS, () => {
     if (simulation.activeFaults > 1 || simulation.lastFaultEnd > lastFaultEnd) {
       return;
     }
-    const orphan = keys.find((key) => ownersOf(simulation, lost, key) === 0);
+    const [orphan] = orphans;
     simulation.recorder.count('new owners within 3 s looked at');
     simulation.recorder.record({
       type: 'recovery-observed',
