--- a/src/dev/bench/world/model-control.ts
+++ b/src/dev/bench/world/model-control.ts
@@ -125,7 +125,9 @@
 
   private ask(request: OperatorRequest, done: (response: OperatorResponse) => void): void {
     const leader = this.leader();
-    const again = (): void => this.queue.after(OPERATOR_RETRY_MILLIS, () => this.ask(request, done));
+    const again = (): void => {
+      this.queue.after(OPERATOR_RETRY_MILLIS, () => this.ask(request, done));
+    };
     if (leader === undefined) {
       again();
       return;
--- a/src/dev/sim/network.ts
+++ b/src/dev/sim/network.ts
@@ -1,7 +1,8 @@
 /** The simulated network: latency by zone, cuts of zones and single processes in either direction, loss and delay. */
+
+import type { EventQueue } from '../virtual/event-queue.js';
 import type { Random } from './random.js';
 import type { SimProcess } from './sim-process.js';
-import type { VirtualClock } from './virtual-clock.js';
 
 /** Latencies one way, in milliseconds. */
 export interface NetworkTimings {
@@ -38,7 +39,7 @@
   private readonly cuts = new Set<Cut>();
 
   constructor(
-    readonly time: VirtualClock,
+    readonly time: EventQueue,
     private readonly timings: NetworkTimings,
     private readonly random: Random,
   ) {}
--- /dev/null
+++ b/src/dev/sim/process-clock.ts
@@ -0,0 +1,35 @@
+/** The clocks of one simulated process, which run beside the true time of the simulation. */
+import type { EventQueue } from '../virtual/event-queue.js';
+
+/** Largest error of the rate of one process's clock; two of them differ by at most twice this. */
+export const SINGLE_CLOCK_RATE_ERROR = 0.0024;
+
+/** A process's own clocks: a monotonic one with an offset and a rate error, and a wall clock with a skew. */
+export class ProcessClock {
+  constructor(
+    private readonly clock: EventQueue,
+    private readonly offset: number,
+    private readonly rate: number,
+    private readonly wallSkew: number,
+  ) {}
+
+  /** Monotonic milliseconds now. */
+  monotonic(): number {
+    return this.offset + this.clock.now * this.rate;
+  }
+
+  /** Wall-clock milliseconds now. */
+  wall(): number {
+    return Math.floor(WALL_CLOCK_START + this.wallSkew + this.clock.now);
+  }
+
+  /** The true time at which the monotonic clock shows `monotonic`, rounded up. */
+  trueTime(monotonic: number): number {
+    return (monotonic - this.offset) / this.rate + ROUNDING_MILLIS;
+  }
+}
+
+/** Wall-clock time at which simulations begin. */
+const WALL_CLOCK_START = 1_700_000_000_000;
+/** Added so that a timer never fires before its deadline by the process's clock. */
+const ROUNDING_MILLIS = 0.001;
--- a/src/dev/sim/random.ts
+++ b/src/dev/sim/random.ts
@@ -1,18 +1,13 @@
 /** Seeded random numbers: one stream a part of the simulation, so that a change in one part leaves the others as they were. */
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { RandomSource } from '../virtual/random-source.js';
 
 /** The first numbers of a generator hardly depend on its seed. */
 const SKIPPED_NUMBERS = 20;
-/** Resolution of fractions. */
-const FRACTION_STEPS = 0x3fffffff;
-
-export class Random {
-  private readonly generator: RandomGenerator;
+const LARGEST_SEED = 0x3fffffff;
 
+export class Random extends RandomSource {
   constructor(seed: number) {
-    this.generator = xoroshiro128plus(seed);
+    super(seed);
     for (let skipped = 0; skipped < SKIPPED_NUMBERS; skipped += 1) {
       this.generator.next();
     }
@@ -20,27 +15,17 @@
 
   /** A whole number from `low` to `high`, both included. */
   integer(low: number, high: number): number {
-    return uniformInt(this.generator, low, high);
+    return low + this.below(high - low + 1);
   }
 
   /** A number from `low` (included) to `high`. */
   between(low: number, high: number): number {
-    return low + (this.integer(0, FRACTION_STEPS) / (FRACTION_STEPS + 1)) * (high - low);
+    return low + this.fraction() * (high - low);
   }
 
   /** Whether an event of this probability happens. */
   chance(probability: number): boolean {
-    return this.between(0, 1) < probability;
-  }
-
-  /** A number of the exponential distribution with this mean. */
-  exponential(mean: number): number {
-    return -Math.log(1 - this.between(0, 1)) * mean;
-  }
-
-  /** One of the items; there must be at least one. */
-  pick<Item>(items: readonly Item[]): Item {
-    return items[this.integer(0, items.length - 1)] as Item;
+    return this.fraction() < probability;
   }
 
   /** The items in a random order. */
@@ -55,6 +40,6 @@
 
   /** A new stream of its own. */
   fork(): Random {
-    return new Random(this.integer(-0x40000000, 0x3fffffff));
+    return new Random(this.integer(0, LARGEST_SEED));
   }
 }
--- a/src/dev/sim/recorder.ts
+++ b/src/dev/sim/recorder.ts
@@ -3,7 +3,7 @@
 import { Checker } from '../checker/checker.js';
 import type { HistoryEvent } from '../checker/history.js';
 import type { Violation } from '../checker/rule.js';
-import type { VirtualClock } from './virtual-clock.js';
+import type { EventQueue } from '../virtual/event-queue.js';
 
 /** Characters of a trace hash that are shown. */
 const HASH_LENGTH = 16;
@@ -16,7 +16,7 @@
 
   /** `trace` takes each line of the trace; `null`: none is kept. */
   constructor(
-    private readonly time: VirtualClock,
+    private readonly time: EventQueue,
     private readonly trace: ((line: string) => void) | null,
   ) {}
 
--- a/src/dev/sim/sim-process.ts
+++ b/src/dev/sim/sim-process.ts
@@ -1,7 +1,9 @@
 /** What all simulated processes share: they run, pause with their work piling up, crash, and start again. */
+
+import type { CancelAction, EventQueue } from '../virtual/event-queue.js';
 import type { Connection } from './connection.js';
+import type { ProcessClock } from './process-clock.js';
 import type { Random } from './random.js';
-import type { CancelEvent, ProcessClock, VirtualClock } from './virtual-clock.js';
 
 export type ProcessState = 'running' | 'paused' | 'stopped';
 
@@ -21,7 +23,7 @@
   constructor(
     readonly name: string,
     readonly zone: string,
-    readonly time: VirtualClock,
+    readonly time: EventQueue,
     readonly clock: ProcessClock,
     protected readonly random: Random,
   ) {}
@@ -99,7 +101,7 @@
   }
 
   /** Gives this run of the process work after a true delay. */
-  schedule(delay: number, task: () => void, ordered = false): CancelEvent {
+  schedule(delay: number, task: () => void, ordered = false): CancelAction {
     const run = this.runNumber;
     return this.time.after(delay, () => {
       if (this.runNumber === run) {
@@ -114,7 +116,7 @@
 
 /** Keeps one `tick` scheduled at a core's next deadline. */
 export class TickTimer {
-  private cancel: CancelEvent | undefined;
+  private cancel: CancelAction | undefined;
   private due = Number.NaN;
 
   constructor(
--- a/src/dev/sim/simulation.ts
+++ b/src/dev/sim/simulation.ts
@@ -1,12 +1,14 @@
 /** One run: the system is declared, serves callers and operators, suffers its faults, and has to recover. */
 import type { ReplicaId } from '../../model/identifiers.js';
 import type { Violation } from '../checker/rule.js';
+import { EventQueue } from '../virtual/event-queue.js';
 import { SimCaller } from './clients/sim-caller.js';
 import { SimOperator } from './clients/sim-operator.js';
 import { controlAddress, replicaName, SimControl } from './control/sim-control.js';
 import type { FaultKind } from './faults/fault.js';
 import { planFaults } from './faults/fault-plan.js';
 import { Network } from './network.js';
+import { ProcessClock, SINGLE_CLOCK_RATE_ERROR } from './process-clock.js';
 import { Random } from './random.js';
 import { Recorder } from './recorder.js';
 import { expectNewOwners, observeRecovery } from './recovery.js';
@@ -14,7 +16,6 @@
 import type { SabotageName } from './sabotages.js';
 import type { SimSizes } from './sim-sizes.js';
 import { SimUpstream } from './upstream/sim-upstream.js';
-import { ProcessClock, SINGLE_CLOCK_RATE_ERROR, VirtualClock } from './virtual-clock.js';
 import type { World } from './world.js';
 
 export interface SimulationOptions {
@@ -49,7 +50,7 @@
 const REPAIR_RETRY_MILLIS = 100;
 
 export class Simulation implements World {
-  readonly time = new VirtualClock();
+  readonly time = new EventQueue();
   readonly network: Network;
   readonly recorder: Recorder;
   readonly sizes: SimSizes;
--- a/src/dev/sim/world.ts
+++ b/src/dev/sim/world.ts
@@ -1,16 +1,18 @@
 /** What all parts of one simulation share. */
+
+import type { EventQueue } from '../virtual/event-queue.js';
 import type { SimControl } from './control/sim-control.js';
 import type { Network } from './network.js';
+import type { ProcessClock } from './process-clock.js';
 import type { Random } from './random.js';
 import type { Recorder } from './recorder.js';
 import type { SimRouter } from './router/sim-router.js';
 import type { SabotageName } from './sabotages.js';
 import type { SimSizes } from './sim-sizes.js';
 import type { SimUpstream } from './upstream/sim-upstream.js';
-import type { ProcessClock, VirtualClock } from './virtual-clock.js';
 
 export interface World {
-  readonly time: VirtualClock;
+  readonly time: EventQueue;
   readonly network: Network;
   readonly recorder: Recorder;
   readonly sizes: SimSizes;
--- a/src/dev/virtual/event-queue.ts
+++ b/src/dev/virtual/event-queue.ts
@@ -4,8 +4,12 @@
   readonly at: number;
   readonly order: number;
   readonly run: () => void;
+  cancelled: boolean;
 }
 
+/** Takes back an action that hasn't run. */
+export type CancelAction = () => void;
+
 /** A binary heap of actions with the clock that they advance. Times in milliseconds. */
 export class EventQueue {
   private readonly heap: ScheduledAction[] = [];
@@ -18,24 +22,33 @@
   }
 
   /** Runs `action` at `time`, or now if that is past. */
-  at(time: number, run: () => void): void {
-    const scheduled = { at: Math.max(time, this.clock), order: this.nextOrder, run };
+  at(time: number, run: () => void): CancelAction {
+    const scheduled = { at: Math.max(time, this.clock), order: this.nextOrder, run, cancelled: false };
     this.nextOrder += 1;
     this.heap.push(scheduled);
     this.moveUp(this.heap.length - 1);
+    return () => {
+      scheduled.cancelled = true;
+    };
   }
 
   /** Runs `action` after `delay`. */
-  after(delay: number, run: () => void): void {
-    this.at(this.clock + delay, run);
+  after(delay: number, run: () => void): CancelAction {
+    return this.at(this.clock + delay, run);
   }
 
-  /** Runs all actions due up to and including `end`, then sets the clock to it. */
-  runUntil(end: number): void {
+  /** Runs all actions due up to and including `end`, then sets the clock to it; or stops where `isOver` says so. */
+  runUntil(end: number, isOver: () => boolean = () => false): void {
     for (let next = this.heap[0]; next !== undefined && next.at <= end; next = this.heap[0]) {
       this.removeFirst();
+      if (next.cancelled) {
+        continue;
+      }
       this.clock = next.at;
       next.run();
+      if (isOver()) {
+        return;
+      }
     }
     this.clock = Math.max(this.clock, end);
   }
--- a/src/dev/virtual/random-source.ts
+++ b/src/dev/virtual/random-source.ts
@@ -5,7 +5,7 @@
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 
 export class RandomSource {
-  private readonly generator: RandomGenerator;
+  protected readonly generator: RandomGenerator;
 
   constructor(seed: number) {
     this.generator = xoroshiro128plus(seed);
--- a/test/dev/event-queue.test.ts
+++ b/test/dev/event-queue.test.ts
@@ -16,6 +16,19 @@
     expect(seen).to.deep.equal([...times].sort((left, right) => left - right));
     expect(queue.now).to.equal(55);
   });
+
+  it('leaves out what was cancelled, and stops where it is told to', () => {
+    const queue = new EventQueue();
+    const seen: number[] = [];
+    const cancel = queue.at(1, () => seen.push(1));
+    for (const time of [2, 3, 4]) {
+      queue.at(time, () => seen.push(time));
+    }
+    cancel();
+    queue.runUntil(10, () => seen.length === 2);
+    expect(seen).to.deep.equal([2, 3]);
+    expect(queue.now).to.equal(3);
+  });
 });
 
 describe('zipf distribution', () => {
