--- a/src/wire/restructure.d.ts
+++ b/src/wire/restructure.d.ts
@@ -5,13 +5,17 @@
     readonly buffer: Uint8Array;
     readonly length: number;
     pos: number;
+    readUInt16BE(): number;
     readUInt32BE(): number;
+    readFloatBE(): number;
     readBuffer(length: number): Uint8Array;
   }
   export class EncodeStream {
     constructor(buffer: Uint8Array);
     pos: number;
+    writeUInt16BE(value: number): void;
     writeUInt32BE(value: number): void;
+    writeFloatBE(value: number): void;
     writeBuffer(buffer: Uint8Array): void;
   }
   /** A type of which values are read from and written to bytes; the package takes any object of this shape. */
