--- a/src/cli/dispatcher.ts
+++ b/src/cli/dispatcher.ts
@@ -91,6 +91,11 @@
     .map(String);
 }
 
+/** cac names options in camel case; people type them with hyphens. */
+function withTypedNames(message: string): string {
+  return message.replace(/--\w+/g, (name) => name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`));
+}
+
 /** Reads a command line without the program's own name. Throws `UsageError`. */
 export function dispatch(commands: readonly CommandSpec[], words: readonly string[]): Dispatch {
   if (words[0] === '--version' || words[0] === '-v') {
@@ -112,7 +117,8 @@
   try {
     cli.parse(['node', PROGRAM_NAME, command.name, ...rest]);
   } catch (thrown) {
-    throw new UsageError(`${toError(thrown).message}; see ${PROGRAM_NAME} ${command.name} --help`);
+    const message = withTypedNames(toError(thrown).message);
+    throw new UsageError(`${message}; see ${PROGRAM_NAME} ${command.name} --help`);
   }
   if (positionals === undefined) {
     return { type: 'help' };
--- a/test/cli/help.test.ts
+++ b/test/cli/help.test.ts
@@ -72,6 +72,7 @@
     ['service aply x.yaml', 'service has: apply'],
     ['service apply', 'missing'],
     ['service list --colour', 'colour'],
+    ['upstream drain m-1 --until-emptied', '--until-emptied'],
     ['service get a b', 'nused'],
     ['upstream add m-1', '--service is missing'],
     ['completion tcsh', 'bash, zsh, fish'],
