--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -22,6 +22,8 @@
   readonly address: Address;
 }
 
+export { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../model/configuration-lease.js';
+
 /** Refreshes the configuration lease and fetches what changed. */
 export interface SyncRequest {
   readonly type: 'sync-request';
@@ -93,20 +95,6 @@
 export type RouterToControl = SyncRequest | ClaimRequest | SettleRequest | LoadReport;
 export type ControlToRouter = SyncResponse | ChangeNotice | ClaimResponse | SettleResponse;
 
-/** Times of the configuration lease. */
-export interface ConfigLeaseTimings {
-  /** A router that heard nothing confirmed for this long serves nothing. */
-  readonly configLeaseMillis: number;
-  readonly syncMillis: number;
-  readonly clockRateError: number;
-}
-/** A cut router stops within 1.8 s, so that an accepted change holds everywhere within 2 s. */
-export const DEFAULT_CONFIG_LEASE_TIMINGS: ConfigLeaseTimings = {
-  configLeaseMillis: 1800,
-  syncMillis: 400,
-  clockRateError: 0.005,
-};
-
 /** First frame of a connection, both ways. */
 export interface Greeting {
   readonly type: 'greeting';
--- a/src/settings/common-schemas.ts
+++ b/src/settings/common-schemas.ts
@@ -1,6 +1,6 @@
 /** Schemas that the settings of both daemons share. */
 import { z } from 'zod';
-import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../control/messages.js';
+import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../model/configuration-lease.js';
 import { addressSchema, splitAddress } from './addresses.js';
 import { nameSchema } from './definition-schemas.js';
 
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -1,8 +1,8 @@
 /** Settings of the control daemon. */
 import { z } from 'zod';
 import type { RaftTimings } from '../consensus/types.js';
-import type { ConfigLeaseTimings } from '../control/messages.js';
 import { DEFAULT_LEASE_TIMINGS, type LeaseTimings } from '../lease/types.js';
+import type { ConfigLeaseTimings } from '../model/configuration-lease.js';
 import type { Address, ClusterId, Zone } from '../model/identifiers.js';
 import { addressSchema } from './addresses.js';
 import {
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of the router daemon. */
 import { z } from 'zod';
-import type { ConfigLeaseTimings } from '../control/messages.js';
+import type { ConfigLeaseTimings } from '../model/configuration-lease.js';
 import type { Address, ClusterId, RouterId, Zone } from '../model/identifiers.js';
 import { addressSchema } from './addresses.js';
 import {
