--- a/src/cli/commands/shard-move.ts
+++ b/src/cli/commands/shard-move.ts
@@ -1,16 +1,15 @@
 /** `shard move`. */
-import type { ShardsBody } from '../api-types.js';
 import { CHANGE_OPTIONS } from '../client-options.js';
 import type { CommandSpec } from '../command-spec.js';
 import type { ControlClient } from '../control-client.js';
+import { readShard } from '../current.js';
 import { DRY_RUN_OPTION, type Preview } from '../preview.js';
 import { sendChange } from './simple-change.js';
 
 const NOBODY = 'nobody';
 
 async function previewMove(client: ControlClient, shard: string, to: string): Promise<Preview> {
-  const { shards } = await client.read<ShardsBody>('/v1/shards');
-  const record = shards.find((candidate) => candidate.shard === shard);
+  const record = await readShard(client, shard);
   const before = { owner: record?.owner ?? NOBODY };
   return { before, after: { owner: to }, revision: record?.revision ?? null };
 }
--- a/src/cli/commands/upstream-drain.ts
+++ b/src/cli/commands/upstream-drain.ts
@@ -1,12 +1,11 @@
 /** `upstream drain`. */
 import type { UpstreamRecord } from '../../registry/types.js';
 import { upstreamDocument } from '../../settings/definition-writer.js';
-import type { ShardsBody } from '../api-types.js';
 import { CliError, NotFoundError } from '../cli-error.js';
 import { CHANGE_OPTIONS, createClient } from '../client-options.js';
 import type { CommandSpec, Invocation } from '../command-spec.js';
 import type { ControlClient } from '../control-client.js';
-import { readUpstream, upstreamPath } from '../current.js';
+import { readOwned, readUpstream, upstreamPath } from '../current.js';
 import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
 import { DRY_RUN_OPTION, type Preview } from '../preview.js';
 import { sendChange } from './simple-change.js';
@@ -14,22 +13,15 @@
 const DRAIN_POLL_MILLIS = 500;
 const DEFAULT_DRAIN_MILLIS = 300_000;
 
-/** Shards that an upstream owns, as a quorum has it. Upstreams of services that aren't keyed own none. */
-async function countOwned(client: ControlClient, service: string, id: string): Promise<number> {
-  const path = `/v1/shards?service=${encodeURIComponent(service)}`;
-  const { shards } = await client.read<ShardsBody>(path);
-  return shards.filter(({ owner }) => owner === id).length;
-}
-
 /** Waits until an upstream owns no shard. */
 async function waitUntilEmpty(invocation: Invocation, id: string): Promise<ExitCode> {
   const { options, io } = invocation;
   const client = createClient(options, io);
-  const { service } = (await existingUpstream(client, id)).definition;
+  await existingUpstream(client, id);
   const until = performance.now() + (options.duration('drain-timeout') ?? DEFAULT_DRAIN_MILLIS);
   let last: number | undefined;
   while (!io.stopSignal.aborted) {
-    const owned = await countOwned(client, service, id);
+    const owned = (await readOwned(client, id)).length;
     if (owned === 0) {
       io.write(`upstream/${id}: owns nothing\n`);
       return EXIT_CODES.ok;
--- a/src/cli/current.ts
+++ b/src/cli/current.ts
@@ -1,7 +1,8 @@
 /** Reads one declaration as it is now. */
 
 import type { AdminErrorCode } from '../control/admin/index.js';
-import type { ServiceRecord, UpstreamRecord } from '../registry/types.js';
+import type { ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
+import type { ShardsBody } from './api-types.js';
 import { ControlAnswerError } from './cli-error.js';
 import type { ControlClient } from './control-client.js';
 
@@ -37,3 +38,15 @@
 export function readUpstream(client: ControlClient, id: string): Promise<UpstreamRecord | null> {
   return readOrNull(client, upstreamPath(id));
 }
+
+/** Shards that an upstream owns, as a quorum has it; the whole list isn't read. */
+export async function readOwned(client: ControlClient, upstream: string): Promise<readonly ShardRecord[]> {
+  const body = await client.read<ShardsBody>(`/v1/shards?owner=${encodeURIComponent(upstream)}`);
+  return body.shards;
+}
+
+/** One shard; `null` if it never had an owner. */
+export async function readShard(client: ControlClient, shard: string): Promise<ShardRecord | null> {
+  const body = await client.read<ShardsBody>(`/v1/shards?shard=${encodeURIComponent(shard)}`);
+  return body.shards[0] ?? null;
+}
--- a/src/cli/queries/shard-explain.ts
+++ b/src/cli/queries/shard-explain.ts
@@ -2,10 +2,11 @@
 import { parseShardId, type ShardId } from '../../model/identifiers.js';
 import { keyspaceOfKey, shardOfKey } from '../../model/key-map.js';
 import type { ServiceRecord, ShardRecord, UpstreamRecord } from '../../registry/types.js';
-import type { ServicesBody, ShardsBody, StatusBody, UpstreamsBody } from '../api-types.js';
+import type { ServicesBody, StatusBody, UpstreamsBody } from '../api-types.js';
 import { NotFoundError, UsageError } from '../cli-error.js';
 import { CLIENT_OPTIONS, createClient } from '../client-options.js';
 import type { CommandSpec, Invocation } from '../command-spec.js';
+import { readShard } from '../current.js';
 import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
 import { formatMillis, OUTPUT_OPTION, outputFormat, writeOutput } from '../output.js';
 
@@ -30,7 +31,8 @@
 export interface ExplanationFacts {
   readonly service: ServiceRecord;
   readonly key: string;
-  readonly shards: readonly ShardRecord[];
+  /** `null`: the shard never had an owner. */
+  readonly record: ShardRecord | null;
   readonly upstreams: readonly UpstreamRecord[];
   readonly healths: readonly Health[];
 }
@@ -88,22 +90,30 @@
   return `${record.owner} has no lease${since}; the shard moves once its last lease is over`;
 }
 
-/** Explains one key. Throws `NotFoundError` if no keyspace takes it. */
-export function explainKey(facts: ExplanationFacts): KeyExplanation {
-  const { service, key, shards, upstreams, healths } = facts;
-  const { name, keyspaces } = service.definition;
+/** Keyspace and shard of a key. Throws `NotFoundError` if no keyspace takes it. */
+function placeOf(
+  { definition, generation }: ServiceRecord,
+  key: string,
+): { keyspace: string; shard: ShardId } {
+  const { name, keyspaces } = definition;
   const keyspace = keyspaceOfKey(keyspaces, key);
-  const shard = shardOfKey({ service: name, generation: service.generation, keyspaces }, key);
+  const shard = shardOfKey({ service: name, generation, keyspaces }, key);
   if (keyspace === undefined || shard === undefined) {
     throw new NotFoundError(`no keyspace of ${name} takes the key ${JSON.stringify(key)}`);
   }
-  const record = shards.find((candidate) => candidate.shard === shard) ?? null;
+  return { keyspace: keyspace.name, shard };
+}
+
+/** Explains one key. Throws `NotFoundError` if no keyspace takes it. */
+export function explainKey(facts: ExplanationFacts): KeyExplanation {
+  const { service, key, record, upstreams, healths } = facts;
+  const { keyspace, shard } = placeOf(service, key);
   const owner = healths.find(({ upstream }) => upstream === record?.owner);
   const candidates = candidatesFor(shard, upstreams);
   return {
-    service: name,
+    service: service.definition.name,
     key,
-    keyspace: keyspace.name,
+    keyspace,
     shard,
     record,
     ownerState: record === null || record.owner === null ? null : (owner?.state ?? 'unknown'),
@@ -138,11 +148,10 @@
   const client = createClient(options, io);
   const { services } = await client.read<ServicesBody>('/v1/services');
   const service = keyedService(services, options.text('service'));
-  const path = `/v1/shards?service=${encodeURIComponent(service.definition.name)}`;
-  const { shards } = await client.read<ShardsBody>(path);
+  const record = await readShard(client, placeOf(service, key).shard);
   const { upstreams } = await client.read<UpstreamsBody>('/v1/upstreams');
   const { upstreams: healths } = await client.readLeaderStatus();
-  const explanation = explainKey({ service, key, shards, upstreams, healths });
+  const explanation = explainKey({ service, key, record, upstreams, healths });
   writeOutput(io, format, explanation, () => explanationText(explanation));
   return EXIT_CODES.ok;
 }
--- a/src/cli/queries/shard-list.ts
+++ b/src/cli/queries/shard-list.ts
@@ -20,13 +20,14 @@
   const format = outputFormat(options);
   const [service] = positionals;
   const owner = options.text('owner');
-  const query = service === undefined ? '' : `?service=${encodeURIComponent(service)}`;
+  const query = new URLSearchParams({
+    ...(service === undefined ? {} : { service }),
+    ...(owner === undefined ? {} : { owner }),
+  });
   const client = createClient(options, io);
   return runWatched(invocation, format, async () => {
-    const body = await client.read<ShardsBody>(`/v1/shards${query}`);
-    const shards = body.shards
-      .filter((record) => owner === undefined || record.owner === owner)
-      .filter((record) => !options.on('unowned') || record.owner === null);
+    const body = await client.read<ShardsBody>(`/v1/shards?${query}`);
+    const shards = body.shards.filter((record) => !options.on('unowned') || record.owner === null);
     writeOutput(io, format, { ...body, shards }, () => formatTable(COLUMNS, shards));
     return EXIT_CODES.ok;
   });
--- a/src/control/admin/queries/state-queries.ts
+++ b/src/control/admin/queries/state-queries.ts
@@ -4,12 +4,24 @@
 import { AdminError } from '../admin-error.js';
 import { answerRead, expectResponse } from '../responses.js';
 
-async function listShards(context: AdminContext, services: AdminServices): Promise<void> {
-  const { service } = context.query;
-  if (Array.isArray(service)) {
-    throw new AdminError('invalid-request', 'service must stand once');
+/** A parameter of the query that may be left out. */
+function readOnce(context: AdminContext, name: string): string | undefined {
+  const value = context.query[name];
+  if (Array.isArray(value)) {
+    throw new AdminError('invalid-request', `${name} must stand once`);
   }
-  const request = { type: 'get-shards', service: service ?? null } as const;
+  return value;
+}
+
+async function listShards(context: AdminContext, services: AdminServices): Promise<void> {
+  const owner = readOnce(context, 'owner');
+  const shard = readOnce(context, 'shard');
+  const request = {
+    type: 'get-shards',
+    service: readOnce(context, 'service') ?? null,
+    ...(owner === undefined ? {} : { owner }),
+    ...(shard === undefined ? {} : { shard }),
+  } as const;
   const { revision, shards } = expectResponse(await services.operate(request), 'shards');
   answerRead(context, revision, { revision, shards });
 }
--- a/src/control/operator-desk.ts
+++ b/src/control/operator-desk.ts
@@ -5,6 +5,7 @@
 import type { MembershipDesk } from './membership-desk.js';
 import type { ProposeCommand } from './propose-command.js';
 import type { ProposalOutcome, RaftAdapter } from './raft-adapter.js';
+import { findShards } from './shard-query.js';
 import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
 
 export interface OperatorDeskParts {
@@ -133,11 +134,8 @@
         return { type: 'services', revision, services: [...registry.services().values()] };
       case 'get-upstreams':
         return { type: 'upstreams', revision, upstreams: [...registry.upstreams().values()] };
-      case 'get-shards': {
-        const shards = [...registry.shards().values()];
-        const prefix = request.service === null ? '' : `${request.service}/`;
-        return { type: 'shards', revision, shards: shards.filter(({ shard }) => shard.startsWith(prefix)) };
-      }
+      case 'get-shards':
+        return { type: 'shards', revision, shards: findShards(registry, request) };
       case 'get-ledger':
         return { type: 'ledger', record: registry.ledgerRecord(request.service, request.key) ?? null };
     }
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -18,6 +18,7 @@
   ReplicaId,
   Revision,
   ServiceName,
+  ShardId,
   UpstreamId,
   WallMillis,
 } from '../model/identifiers.js';
@@ -47,7 +48,13 @@
   /** A linearizable read. */
   | { readonly type: 'get-services' }
   | { readonly type: 'get-upstreams' }
-  | { readonly type: 'get-shards'; readonly service: ServiceName | null }
+  /** Shards of one service (`null`: of all), of one owner, or one shard. */
+  | {
+      readonly type: 'get-shards';
+      readonly service: ServiceName | null;
+      readonly owner?: UpstreamId;
+      readonly shard?: ShardId;
+    }
   | { readonly type: 'get-ledger'; readonly service: ServiceName; readonly key: string }
   | { readonly type: 'get-status' }
   | { readonly type: 'add-learner'; readonly replica: ReplicaId; readonly address: Address }
--- a/test/contract/admin-harness.ts
+++ b/test/contract/admin-harness.ts
@@ -1,6 +1,7 @@
 /** The operators' API over a registry in memory, on a port of its own, with one token for each role. */
 import { request as httpRequest } from 'node:http';
 import { createAdminApp } from '../../src/control/admin/index.js';
+import { findShards } from '../../src/control/shard-query.js';
 import type { OperatorRequest, OperatorResponse } from '../../src/control/types.js';
 import type { LogFields, Logger } from '../../src/logging/logger.js';
 import { createRegistry, type Registry } from '../../src/registry/index.js';
@@ -56,7 +57,7 @@
       case 'get-upstreams':
         return { type: 'upstreams', revision, upstreams: [...registry.upstreams().values()] };
       case 'get-shards':
-        return { type: 'shards', revision, shards: [...registry.shards().values()] };
+        return { type: 'shards', revision, shards: findShards(registry, request) };
       case 'get-ledger':
         return { type: 'ledger', record: registry.ledgerRecord(request.service, request.key) ?? null };
       case 'get-status':
--- a/test/contract/admin-input.test.ts
+++ b/test/contract/admin-input.test.ts
@@ -20,6 +20,7 @@
 const rule = (fields: object) => ({ policy: [{ name: 'a', when: 'true', action: 'refuse', ...fields }] });
 
 const CASES: readonly BadCase[] = [
+  { name: 'two owners', method: 'GET', path: '/v1/shards?owner=a&owner=b', status: 400, says: 'owner' },
   { name: 'no JSON', method: 'PUT', path: SERVICE, body: '{"a":', status: 400, says: "isn't JSON" },
   { name: 'a list', method: 'PUT', path: SERVICE, body: [], status: 400, says: 'expected' },
   { name: 'null', method: 'PUT', path: SERVICE, body: 'null', status: 400, says: 'expected' },
