Router: answers that the ledger would not keep stay out of its log; answers cut off at any byte

Cause: the router sent bodies of up to 64 KiB with a settlement, of which the ledger keeps 16 KiB in base64 at most: up to 85 kB went through log, disks and network to be dropped. The router's limit now follows from the ledger's.

--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -1,5 +1,6 @@
 /** Settings of a router daemon, as its starter gives them. */
 import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../control/messages.js';
+import { STORED_BODY_LIMIT } from '../ledger/limits.js';
 import type { Address, ClusterId, RouterId, Zone } from '../model/identifiers.js';
 import { DEFAULT_HTTP_LIMITS, type HttpLimits } from '../wire/http/http-listener.js';
 import { DEFAULT_WIRE_LIMITS, type WireLimits } from '../wire/index.js';
@@ -57,11 +58,14 @@
   readonly firstConfigurationMillis: number;
 }
 
+/** What the ledger keeps, in bytes before base64 makes four characters of three of them. */
+const LARGEST_STORED_ANSWER = Math.floor(STORED_BODY_LIMIT / 4) * 3;
+
 export const DEFAULT_ROUTER_LIMITS: RouterLimits = {
   maxBodyBytes: 1024 * 1024,
   maxHeldBodyBytes: 256 * 1024 * 1024,
   connectionsPerUpstream: 32,
-  storedAnswerBytes: 64 * 1024,
+  storedAnswerBytes: LARGEST_STORED_ANSWER,
 };
 
 export const DEFAULT_ROUTER_TIMINGS: RouterTimings = {
--- a/test/router/upstream-faults.test.ts
+++ b/test/router/upstream-faults.test.ts
@@ -44,6 +44,11 @@
 
 const BODY = '/orders/1';
 
+function chunkedAnswer(request: ScriptedRequest): string {
+  const chunk = `${BODY.length.toString(16)}\r\n${BODY}\r\n`;
+  return `${headFor(request, 'transfer-encoding: chunked')}${chunk}0\r\n\r\n`;
+}
+
 const CASES: readonly FaultCase[] = [
   answered('none', answerWhole, false),
   unknown('closes without an answer', ({ socket }) => socket.end()),
@@ -156,6 +161,26 @@
     });
   }
 
+  for (const [kind, write] of [
+    ['of a known length', wholeAnswer],
+    ['in chunks', chunkedAnswer],
+  ] as const) {
+    it(`an answer ${kind}, cut off at any byte, is never taken for the whole`, async () => {
+      let cut = 0;
+      let length = 1;
+      upstream.script = (request) => {
+        const text = write(request);
+        length = text.length;
+        request.socket.end(text.slice(0, cut));
+      };
+      for (; cut < length; cut += 1) {
+        const { status, body } = await router.order('/orders/1');
+        expect({ cut, status, body: body === BODY }).to.deep.equal({ cut, status: 502, body: false });
+      }
+      expect(await router.order('/orders/1')).to.include({ status: 200, body: BODY });
+    });
+  }
+
   it('an answer that nobody asked for is given to nobody', async () => {
     await router.get('/reads/1');
     const idle = upstream.requests[0];
