Router: a planned stop keeps all headers of one name

Cause: an answer during a stop carried 'connection: close' as a header set beforehand; Node then lets only the last of several headers of one name through, so that all cookies but one were lost. Test: test/router/planned-stop failed first.

--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -63,7 +63,8 @@
     const listener = new HttpListener(server);
     server.on('request', (request, response) => {
       if (listener.stopping) {
-        response.setHeader('connection', 'close');
+        // As a header it would make Node keep only the last of several headers of one name.
+        response.shouldKeepAlive = false;
       }
       onRequest(request, response);
     });
--- a/test/router/planned-stop.test.ts
+++ b/test/router/planned-stop.test.ts
@@ -50,7 +50,8 @@
   });
 
   it('answers a request that crosses with it, and takes no new connection afterwards', async () => {
-    upstream.script = answerWhole;
+    const cookies = ['set-cookie: a=1', 'set-cookie: b=2'];
+    upstream.script = (request) => request.socket.write(headFor(request, 'content-length: 0', ...cookies));
     const router = await RouterFixture.start([upstream], { settings: { timings: { idleMillis: 300 } } });
     const address = router.address;
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
@@ -60,6 +61,7 @@
     const second = await get('/reads/2');
     expect([first.status, second.status]).to.deep.equal([200, 200]);
     expect(second.headers.connection).to.equal('close');
+    expect(second.headers['set-cookie']).to.deep.equal(['a=1', 'b=2']);
     await stopped;
     expect((await get('/reads/3')).status).to.equal(null);
   });
