--- a/test/docs/completeness.test.ts
+++ b/test/docs/completeness.test.ts
@@ -1,10 +1,11 @@
 /** Reference pages name everything that there is, and their YAML is taken as it stands. */
-import { readdirSync } from 'node:fs';
+import { readdirSync, readFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 import { expect } from 'chai';
 import { parse } from 'yaml';
 import { COMMANDS } from '../../src/cli/command-list.js';
 import { EXIT_CODES } from '../../src/cli/exit-codes.js';
+import type { AdminErrorCode } from '../../src/control/admin/index.js';
 import { createControlMetrics } from '../../src/control/daemon/metrics.js';
 import { RouterMetrics } from '../../src/router/metrics.js';
 import type { RefusalReason } from '../../src/routing/types.js';
@@ -15,6 +16,7 @@
 import { runCli } from '../cli/cli-harness.js';
 import { type Block, blocksOf, readPage, readPages } from './pages.js';
 
+const ADMIN_SOURCES = fileURLToPath(new URL('../../../src/control/admin/', import.meta.url));
 const EXAMPLES = fileURLToPath(new URL('../../../examples/first-service/', import.meta.url));
 /** Every reason, so that the compiler asks for a new one here too. */
 const REASONS: Readonly<Record<RefusalReason, true>> = {
@@ -37,6 +39,36 @@
   'retry-budget-spent': true,
 };
 
+/** Every code, so that the compiler asks for a new one here too. */
+const ADMIN_CODES: Readonly<Record<AdminErrorCode, true>> = {
+  'invalid-request': true,
+  'invalid-definition': true,
+  'invalid-policy': true,
+  unauthenticated: true,
+  forbidden: true,
+  'not-found': true,
+  'method-not-allowed': true,
+  conflict: true,
+  rejected: true,
+  'not-leader': true,
+  'outcome-unknown': true,
+  'body-too-large': true,
+  'unsupported-media-type': true,
+  overloaded: true,
+  unavailable: true,
+  internal: true,
+};
+
+/** Routes as the sources name them, e.g. `PUT /v1/services/:name`. */
+function routesOf(folder: string): string[] {
+  const files = readdirSync(folder, { recursive: true, encoding: 'utf8' }).filter((name) =>
+    name.endsWith('.ts'),
+  );
+  const text = files.map((name) => readFileSync(folder + name, 'utf8')).join('\n');
+  const routes = [...text.matchAll(/router\.(get|put|post|delete)\('([^']+)'/g)];
+  return routes.map(([, method = '', path = '']) => `${method.toUpperCase()} ${path}`);
+}
+
 function expectAll(page: string, words: readonly string[]): void {
   const text = readPage(page);
   const missing = words.filter((word) => !text.includes(`\`${word}\``));
@@ -98,6 +130,16 @@
     ]);
   });
 
+  it('HTTP API: every path and every code of an error', () => {
+    const text = readPage('docs/operators/http-api.md');
+    const routes = routesOf(ADMIN_SOURCES);
+    expect(routes.length).to.be.greaterThan(10);
+    for (const route of routes) {
+      expect(text, route).to.contain(route);
+    }
+    expectAll('docs/operators/http-api.md', Object.keys(ADMIN_CODES));
+  });
+
   it('operators: every page is in the index', () => {
     const folder = fileURLToPath(new URL('../../../docs/operators/', import.meta.url));
     const index = readPage('docs/operators/README.md');
