--- a/src/dev/sim/control/spoil-control.ts
+++ b/src/dev/sim/control/spoil-control.ts
@@ -1,9 +1,10 @@
 /** Sabotages on the control side, applied where the simulated shell hands things to the core or takes them from it. */
-import { gunzipSync, gzipSync } from 'node:zlib';
 import type { PersistRequest } from '../../../consensus/types.js';
 import type { ControlToRouter, SyncResponse } from '../../../control/messages.js';
 import type { OperatorRequest, OperatorResponse } from '../../../control/types.js';
 import type { SessionRequest } from '../../../lease/types.js';
+import { decodeParts, encodePart } from '../../../registry/part-codec.js';
+import type { SnapshotPart } from '../../../registry/snapshot-parts.js';
 import type { UpstreamRecord } from '../../../registry/types.js';
 import type { SabotageName } from '../sabotages.js';
 import type { SimControl } from './sim-control.js';
@@ -40,32 +41,18 @@
   if (snapshot === undefined || spoil === undefined) {
     return request;
   }
-  return { ...request, snapshot: { ...snapshot, data: rewrite(snapshot.data, spoil) } };
+  return { ...request, snapshot: { ...snapshot, data: leaveOut(snapshot.data, spoil) } };
 }
 
-/** The parts of a snapshot's document that are spoiled. */
-interface SnapshotParts {
-  readonly dedup: readonly unknown[];
-  readonly ledger: { readonly services: readonly { readonly ledger: object }[] };
-}
-
-/** What sabotages make of snapshots of the registry. */
-const SPOILED_SNAPSHOTS: Partial<Record<SabotageName, (document: SnapshotParts) => SnapshotParts>> = {
-  'dedup-lost-in-snapshot': (document) => ({ ...document, dedup: [] }),
-  'ledger-lost-in-snapshot': (document) => ({
-    ...document,
-    ledger: {
-      services: document.ledger.services.map((entry) => ({
-        ...entry,
-        ledger: { ...entry.ledger, records: [] },
-      })),
-    },
-  }),
+/** The kind of part that a sabotage leaves out of snapshots of the registry. */
+const SPOILED_SNAPSHOTS: Partial<Record<SabotageName, SnapshotPart['part']>> = {
+  'dedup-lost-in-snapshot': 'dedup',
+  'ledger-lost-in-snapshot': 'records',
 };
 
-function rewrite(data: Uint8Array, spoil: (document: SnapshotParts) => SnapshotParts): Uint8Array {
-  const document = JSON.parse(gunzipSync(data).toString()) as SnapshotParts;
-  return gzipSync(JSON.stringify(spoil(document)));
+function leaveOut(data: Uint8Array, kind: SnapshotPart['part']): Uint8Array {
+  const kept = [...decodeParts(data)].filter(({ part }) => part !== kind);
+  return Buffer.concat(kept.map((part) => encodePart(part).bytes));
 }
 
 export function spoilRouterMessage(message: ControlToRouter, control: SimControl): ControlToRouter {
--- a/src/registry/snapshot-codec.ts
+++ b/src/registry/snapshot-codec.ts
@@ -1,13 +1,13 @@
 /** Reads snapshots of the registry: compressed JSON parts, each after its length. */
-import { gunzipSync } from 'node:zlib';
 import { toError } from '../errors/ternmount-error.js';
 import { type KeptRecord, Ledger, type LedgerState, type Tombstone } from '../ledger/index.js';
 import { decodeShardRows } from '../model/shard-rows.js';
 import { ChangeRing } from './change-ring.js';
 import { type DedupEntry, DedupTable } from './dedup-table.js';
 import { RegistrySnapshotError } from './errors.js';
+import { decodeParts } from './part-codec.js';
 import { RegistryState } from './registry-state.js';
-import { LENGTH_BYTES, SnapshotEncoder } from './snapshot-encoder.js';
+import { SnapshotEncoder } from './snapshot-encoder.js';
 import { SNAPSHOT_VERSION, type SnapshotPart } from './snapshot-parts.js';
 import type { ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
 
@@ -30,7 +30,7 @@
 export function decodeState(bytes: Uint8Array): RegistryState {
   const draft = new StateDraft();
   try {
-    for (const part of readParts(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength))) {
+    for (const part of decodeParts(bytes)) {
       draft.take(part);
     }
   } catch (thrown) {
@@ -41,15 +41,6 @@
   return draft.finish();
 }
 
-function* readParts(bytes: Buffer): Generator<SnapshotPart> {
-  for (let offset = 0; offset < bytes.length; ) {
-    const start = offset + LENGTH_BYTES;
-    const end = start + bytes.readUInt32BE(offset);
-    yield JSON.parse(gunzipSync(bytes.subarray(start, end)).toString('utf8')) as SnapshotPart;
-    offset = end;
-  }
-}
-
 /** A state as its parts come in. */
 class StateDraft {
   #head: Head | undefined;
--- a/src/registry/snapshot-encoder.ts
+++ b/src/registry/snapshot-encoder.ts
@@ -2,17 +2,13 @@
  * Writes a snapshot in slices, so that a large state doesn't keep a member from its heartbeats. The state may change
  * meanwhile: what is written is the image taken at the start.
  */
-import { gzipSync } from 'node:zlib';
 import type { Revision } from '../model/identifiers.js';
+import { encodePart } from './part-codec.js';
 import type { RegistryState } from './registry-state.js';
 import { imageOf, partsOf, type SnapshotPart } from './snapshot-parts.js';
 
-/** The fastest; higher levels cost more time than the bytes they save are worth. */
-const COMPRESSION_LEVEL = 1;
 /** Bytes of JSON after which a slice ends: a few milliseconds of work. */
 const SLICE_BYTES = 128 * 1024;
-/** Length before each compressed part. */
-export const LENGTH_BYTES = 4;
 
 export class SnapshotEncoder {
   /** Revision of the state that is written. */
@@ -39,11 +35,8 @@
   }
 
   #write(part: SnapshotPart): number {
-    const text = JSON.stringify(part);
-    const compressed = gzipSync(text, { level: COMPRESSION_LEVEL });
-    const length = Buffer.alloc(LENGTH_BYTES);
-    length.writeUInt32BE(compressed.length);
-    this.#written.push(length, compressed);
-    return text.length;
+    const { bytes, textLength } = encodePart(part);
+    this.#written.push(bytes);
+    return textLength;
   }
 }
