--- a/src/dev/sim/control/spoil-control.ts
+++ b/src/dev/sim/control/spoil-control.ts
@@ -3,7 +3,8 @@
 import type { ControlToRouter, SyncResponse } from '../../../control/messages.js';
 import type { OperatorRequest, OperatorResponse } from '../../../control/types.js';
 import type { SessionRequest } from '../../../lease/types.js';
-import { decodeParts, encodePart } from '../../../registry/part-codec.js';
+import { readParts } from '../../../registry/snapshot-codec.js';
+import { encodePart } from '../../../registry/snapshot-encoder.js';
 import type { SnapshotPart } from '../../../registry/snapshot-parts.js';
 import type { UpstreamRecord } from '../../../registry/types.js';
 import type { SabotageName } from '../sabotages.js';
@@ -37,22 +38,22 @@
     return rest;
   }
   const { snapshot } = request;
-  const spoil = sabotage === null ? undefined : SPOILED_SNAPSHOTS[sabotage];
-  if (snapshot === undefined || spoil === undefined) {
+  const lost = sabotage === null ? undefined : SPOILED_SNAPSHOTS[sabotage];
+  if (snapshot === undefined || lost === undefined) {
     return request;
   }
-  return { ...request, snapshot: { ...snapshot, data: leaveOut(snapshot.data, spoil) } };
+  return { ...request, snapshot: { ...snapshot, data: without(snapshot.data, lost) } };
 }
 
-/** The kind of part that a sabotage leaves out of snapshots of the registry. */
+/** Parts of the registry's snapshots that sabotages leave out. */
 const SPOILED_SNAPSHOTS: Partial<Record<SabotageName, SnapshotPart['part']>> = {
   'dedup-lost-in-snapshot': 'dedup',
   'ledger-lost-in-snapshot': 'records',
 };
 
-function leaveOut(data: Uint8Array, kind: SnapshotPart['part']): Uint8Array {
-  const kept = [...decodeParts(data)].filter(({ part }) => part !== kind);
-  return Buffer.concat(kept.map((part) => encodePart(part).bytes));
+function without(data: Uint8Array, lost: SnapshotPart['part']): Uint8Array {
+  const kept = [...readParts(data)].filter(({ part }) => part !== lost);
+  return Buffer.concat(kept.map(encodePart));
 }
 
 export function spoilRouterMessage(message: ControlToRouter, control: SimControl): ControlToRouter {
