Session calls leave 32 a turn of the event loop

A new leader has one call for each upstream at once, most over a new connection. Sent together (scale run, 1,200 daemons, machine load 41) all 1,200 ran into their 300 ms, again and again, and the leader missed its own heartbeats: 16 leaders in 20 s before the run settled. A call's time now runs from when it is sent; calls to servers that don't answer keep none of the others back.

Scale run: owners are counted by a hollow router, as a list of 90,000 shards held the leader up; the loss of a server ends with the last grant taken.

--- a/src/control/daemon/upstream-sessions.ts
+++ b/src/control/daemon/upstream-sessions.ts
@@ -8,6 +8,11 @@
 
 /** Requests to one upstream at once: a second one may overtake a first that hangs. */
 const MAX_CALLS_PER_UPSTREAM = 2;
+/**
+ * Requests that are sent in one turn of the event loop. A new leader has one for each upstream at once, most over a new
+ * connection; sent together they would keep its own heartbeats waiting and then time out together.
+ */
+const CALLS_PER_TURN = 32;
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 const KEEP_ALIVE_MILLIS = 4000;
 const OK = 200;
@@ -24,9 +29,18 @@
   }
 }
 
+/** A request that waits for its turn. */
+interface WaitingCall {
+  readonly upstream: UpstreamId;
+  readonly address: Address;
+  readonly request: SessionRequest;
+}
+
 export class UpstreamSessions {
   private readonly agent: Agent;
   private readonly calls = new Map<UpstreamId, number>();
+  private waiting: WaitingCall[] = [];
+  private turn: NodeJS.Immediate | undefined;
 
   constructor(
     private readonly timeoutMillis: number,
@@ -52,13 +66,26 @@
       return;
     }
     this.calls.set(upstream, calls + 1);
-    void this.exchange(upstream, address, request);
+    this.waiting.push({ upstream, address, request });
+    this.turn ??= setImmediate(() => this.sendSome());
   }
 
   async stop(): Promise<void> {
+    clearImmediate(this.turn);
+    this.waiting = [];
     await this.agent.destroy();
   }
 
+  /** A request's time runs from here on, so that none fails for having waited behind others. */
+  private sendSome(): void {
+    const some = this.waiting.slice(0, CALLS_PER_TURN);
+    this.waiting = this.waiting.slice(CALLS_PER_TURN);
+    for (const { upstream, address, request } of some) {
+      void this.exchange(upstream, address, request);
+    }
+    this.turn = this.waiting.length > 0 ? setImmediate(() => this.sendSome()) : undefined;
+  }
+
   private async exchange(upstream: UpstreamId, address: Address, request: SessionRequest): Promise<void> {
     let answer: SessionAnswer | null = null;
     const abortion = new AbortController();
--- a/src/dev/scale/roles/hollow-router-role.ts
+++ b/src/dev/scale/roles/hollow-router-role.ts
@@ -35,6 +35,8 @@
   reached(revision: Revision): Promise<number>;
   /** Resolves when all shards are owned, none of them by this upstream; gives the revision. */
   replaced(upstream: string): Promise<Revision>;
+  /** Number of shards by owner. */
+  owned(): Readonly<Record<string, number>>;
   /** Stops and starts all routers at once, with nothing held. */
   restart(): Promise<RestartResult>;
   /** Routers that hold no lease now. */
@@ -97,6 +99,13 @@
       }
       return shared.revision;
     },
+    owned: () => {
+      const counts: Record<string, number> = {};
+      for (const owner of shared.owners.values()) {
+        counts[owner ?? ''] = (counts[owner ?? ''] ?? 0) + 1;
+      }
+      return counts;
+    },
     async restart() {
       const names = started.routers;
       for (const router of routers) {
--- a/src/dev/scale/scale-fleet.ts
+++ b/src/dev/scale/scale-fleet.ts
@@ -20,6 +20,8 @@
 import { WorkerFailedError, WorkerProcess } from './worker-process.js';
 
 const POLL_MILLIS = 50;
+/** The leader is asked seldom how far it is: its answer names every upstream. */
+const STATUS_MILLIS = 500;
 const COMMANDS_AT_ONCE = 64;
 /** Pause between the starts of two routers of one process. */
 const ROUTER_PAUSE_MILLIS = 15;
@@ -154,7 +156,7 @@
       if (status.type === 'status' && status.unownedShards === 0) {
         return;
       }
-      await sleep(POLL_MILLIS);
+      await sleep(STATUS_MILLIS);
     }
   }
 
--- a/src/dev/scale/scale-run.ts
+++ b/src/dev/scale/scale-run.ts
@@ -13,6 +13,7 @@
 const CHANGES = 10;
 const CHANGE_PAUSE_MILLIS = 100;
 const SETTLE_MILLIS = 1500;
+const GRANT_POLL_MILLIS = 20;
 
 export interface ScaleOptions extends ScaleSize {
   /** Length of the steady state that rates are measured over. */
@@ -174,23 +175,27 @@
   const lostAt = await fleet.processOf(lost).methods.kill(lost);
   const revisions = await Promise.all(fleet.routers.map(({ methods }) => methods.replaced(lost)));
   const knownAt = await allReached(fleet, Math.max(...revisions));
-  const grants = await Promise.all(fleet.upstreams.map(({ methods }) => methods.grants()));
-  const grantedAt = Math.max(...grants.filter((some) => some.grants > 0).map(({ lastMillis }) => lastMillis));
+  const grantedAt = await allGranted(fleet, shards);
   return { shards, grantedMillis: grantedAt - lostAt, knownMillis: knownAt - lostAt };
 }
 
+/** Waits until so many grants were taken; gives when the last of them was. */
+async function allGranted(fleet: ScaleFleet, shards: number): Promise<number> {
+  for (;;) {
+    const grants = await Promise.all(fleet.upstreams.map(({ methods }) => methods.grants()));
+    if (grants.reduce((sum, some) => sum + some.grants, 0) >= shards) {
+      return Math.max(...grants.filter((some) => some.grants > 0).map(({ lastMillis }) => lastMillis));
+    }
+    await sleep(GRANT_POLL_MILLIS);
+  }
+}
+
 /** The server whose number of shards is nearest to that of an even spread, and that number. */
 async function typicalOwner(fleet: ScaleFleet): Promise<{ readonly lost: string; readonly shards: number }> {
-  const response = await fleet.operate({ type: 'get-shards', service: null });
-  const counts = new Map<string, number>();
-  const owners = response.type === 'shards' ? response.shards.map(({ owner }) => owner) : [];
-  for (const owner of owners.filter((name) => name !== null)) {
-    counts.set(owner, (counts.get(owner) ?? 0) + 1);
-  }
+  const owned = Object.entries((await fleet.routers[0]?.methods.owned()) ?? {});
+  const counts = owned.filter(([owner]) => owner !== '');
   const distance = (count: number): number => Math.abs(count - SHARDS_PER_UPSTREAM);
-  const [lost, shards] = [...counts].reduce((best, next) =>
-    distance(next[1]) < distance(best[1]) ? next : best,
-  );
+  const [lost, shards] = counts.reduce((best, next) => (distance(next[1]) < distance(best[1]) ? next : best));
   return { lost, shards };
 }
 
