--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -6,7 +6,7 @@
 import type { LedgerWord } from './outcome-table.js';
 import type { RouterTimer } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
-import type { ArrivedRequest, AttemptNumber } from './types.js';
+import type { ArrivedRequest, AttemptNumber, RequestNumber } from './types.js';
 import type { UpstreamState } from './upstream-state.js';
 
 /** One caller's request. It gets one final answer of its own. */
@@ -27,6 +27,8 @@
   readonly number: AttemptNumber;
   readonly work: Work;
   readonly upstream: UpstreamState;
+  /** Whose request was sent; those who joined only wait for its answer. */
+  readonly sentFor: RequestNumber;
   readonly startedAt: number;
   /** Shard and epoch of the grant under which it was sent; `null` for services that aren't keyed. */
   readonly grant: { readonly shard: ShardId; readonly epoch: Epoch } | null;
@@ -36,6 +38,16 @@
   abandoned: boolean;
 }
 
+/** An attempt is overdue after this many of its upstream's usual times, and not before the least time. */
+const OVERDUE_FACTOR = 10;
+const LEAST_OVERDUE_MILLIS = 200;
+
+/** Whether an attempt takes so long that its upstream has probably stopped. */
+export function isOverdue({ startedAt, upstream }: Attempt, now: number): boolean {
+  const usual = Math.max(LEAST_OVERDUE_MILLIS, upstream.serviceMillis * OVERDUE_FACTOR);
+  return now >= startedAt + usual;
+}
+
 /** Usually one request; several when identical reads share an attempt. */
 export class Work {
   phase: WorkPhase = 'new';
