Router: healthy means that callers' port is open

Cause: /healthz said healthy from the configuration lease on, some milliseconds before the port opened, so whoever sent requests by it found the connection refused.

--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -175,7 +175,8 @@
 
   private health(): { readonly healthy: boolean } & RouterStatus {
     const status = this.core.status();
-    return { healthy: status.serving && this.stopping === undefined, ...status };
+    const isOpen = this.callers !== undefined && this.stopping === undefined;
+    return { healthy: status.serving && isOpen, ...status };
   }
 
   private giveUp(error: Error): void {
