--- a/src/dev/fleet/settings-files.ts
+++ b/src/dev/fleet/settings-files.ts
@@ -100,6 +100,7 @@
   return {
     name: process.name,
     cluster: plan.cluster,
+    secretFile: plan.secretFile,
     control: process.admin,
     seed,
     journal: journalFileOf(plan, process),
--- a/src/dev/journal/journal-tail.ts
+++ b/src/dev/journal/journal-tail.ts
@@ -6,6 +6,8 @@
 
 export class JournalTail {
   readonly #file: string;
+  /** Keeps a character that is cut between two reads. */
+  readonly #decoder = new TextDecoder();
   #offset = 0;
   #rest = '';
 
@@ -34,7 +36,7 @@
           return text;
         }
         this.#offset += bytes;
-        text += chunk.toString('latin1', 0, bytes);
+        text += this.#decoder.decode(chunk.subarray(0, bytes), { stream: true });
       }
     } finally {
       closeSync(descriptor);
--- a/src/dev/standins/upstream/upstream-process.ts
+++ b/src/dev/standins/upstream/upstream-process.ts
@@ -1,6 +1,7 @@
 /** A process of stand-in upstreams, with an HTTP endpoint that takes faults: `PUT /upstreams/<id>/faults`. */
 import Router from '@koa/router';
 import Koa from 'koa';
+import { readSecret } from '../../../security/secret-file.js';
 import { JournalWriter } from '../../journal/journal-writer.js';
 import { listenHttp, type RunningServer } from '../http-endpoint.js';
 import { readJsonBody } from '../json-body.js';
@@ -21,11 +22,12 @@
   constructor(settings: UpstreamProcessSettings) {
     this.#settings = settings;
     this.#journal = new JournalWriter(settings.journal);
+    const secret = readSecret(settings.secretFile ?? null);
     this.#standins = new Map(
       settings.upstreams.map((upstream, index) => {
         const random = new RandomSource(settings.seed + index);
-        const { cluster, name } = settings;
-        return [upstream.id, new UpstreamStandin(upstream, cluster, name, this.#journal, random)];
+        const process = { name: settings.name, cluster: settings.cluster, secret };
+        return [upstream.id, new UpstreamStandin(upstream, process, this.#journal, random)];
       }),
     );
   }
--- a/src/dev/standins/upstream/upstream-settings.ts
+++ b/src/dev/standins/upstream/upstream-settings.ts
@@ -46,6 +46,8 @@
 export const upstreamProcessSettingsSchema = z.strictObject({
   name: z.string().min(1),
   cluster: z.string().min(1),
+  /** File with the cluster's secret; left out: control need not prove it. */
+  secretFile: z.string().min(1).optional(),
   /** `host:port` of the endpoint that takes faults. */
   control: z.string().min(1),
   seed: z.number().int(),
--- a/src/dev/standins/upstream/upstream-standin.ts
+++ b/src/dev/standins/upstream/upstream-standin.ts
@@ -34,6 +34,14 @@
 /** Path that platforms probe; the same as the fence's own. */
 const PLAIN_HEALTH_PATH = '/health';
 
+/** The process that a stand-in runs in. */
+export interface StandinProcess {
+  readonly name: string;
+  readonly cluster: ClusterId;
+  /** Empty: control need not prove it. */
+  readonly secret: string;
+}
+
 export class UpstreamStandin {
   readonly faults: FaultSwitchboard;
   readonly fence: Fence;
@@ -48,8 +56,7 @@
 
   constructor(
     settings: UpstreamSettings,
-    cluster: ClusterId,
-    process: string,
+    process: StandinProcess,
     journal: JournalWriter,
     random: RandomSource,
   ) {
@@ -59,7 +66,8 @@
     this.#model = new WorkModel(settings, random, machineMillis());
     this.#reporter = new LoadReporter(settings.loadReport.lagMillis, settings.loadReport.factor);
     this.fence = createFence({
-      cluster,
+      cluster: process.cluster,
+      ...(process.secret !== '' && { secret: process.secret }),
       upstream: settings.id,
       service: settings.service,
       keyed: settings.keyed,
@@ -69,7 +77,7 @@
     });
     const { id: upstream, service } = settings;
     const { incarnation } = this.fence;
-    this.#recorder = new RunRecorder({ process, upstream, incarnation, service }, journal);
+    this.#recorder = new RunRecorder({ process: process.name, upstream, incarnation, service }, journal);
     this.#server = this.#createServer();
   }
 
--- a/test/dev/standins/upstream-standin.test.ts
+++ b/test/dev/standins/upstream-standin.test.ts
@@ -46,7 +46,12 @@
   async function start(changes: object = {}, fault?: Fault): Promise<UpstreamStandin> {
     const settings = upstreamSchema.parse({ ...base, ...changes });
     const journal = new JournalWriter(join(folder, 'upstream.jsonl'));
-    standin = new UpstreamStandin(settings, 'test', 'up-1', journal, new RandomSource(1));
+    standin = new UpstreamStandin(
+      settings,
+      { name: 'up-1', cluster: 'test', secret: '' },
+      journal,
+      new RandomSource(1),
+    );
     if (fault) {
       standin.faults.set(fault);
     }
