--- a/src/dev/sim/control/spoil-control.ts
+++ b/src/dev/sim/control/spoil-control.ts
@@ -3,10 +3,9 @@
 import type { ControlToRouter, SyncResponse } from '../../../control/messages.js';
 import type { OperatorRequest, OperatorResponse } from '../../../control/types.js';
 import type { SessionRequest } from '../../../lease/types.js';
-import { Ledger } from '../../../ledger/index.js';
-import { DedupTable } from '../../../registry/dedup-table.js';
-import { RegistryState } from '../../../registry/registry-state.js';
-import { decodeState, encodeState } from '../../../registry/snapshot-codec.js';
+import { readParts } from '../../../registry/snapshot-codec.js';
+import { encodePart } from '../../../registry/snapshot-encoder.js';
+import type { SnapshotPart } from '../../../registry/snapshot-parts.js';
 import type { UpstreamRecord } from '../../../registry/types.js';
 import type { SabotageName } from '../sabotages.js';
 import type { SimControl } from './sim-control.js';
@@ -39,29 +38,22 @@
     return rest;
   }
   const { snapshot } = request;
-  const spoil = sabotage === null ? undefined : SPOILED_SNAPSHOTS[sabotage];
-  if (snapshot === undefined || spoil === undefined) {
+  const lost = sabotage === null ? undefined : SPOILED_SNAPSHOTS[sabotage];
+  if (snapshot === undefined || lost === undefined) {
     return request;
   }
-  return { ...request, snapshot: { ...snapshot, data: rewrite(snapshot.data, spoil) } };
+  return { ...request, snapshot: { ...snapshot, data: without(snapshot.data, lost) } };
 }
 
-/** What sabotages leave out of snapshots of the registry. */
-const SPOILED_SNAPSHOTS: Partial<Record<SabotageName, (state: RegistryState) => Partial<RegistryState>>> = {
-  'dedup-lost-in-snapshot': () => ({ dedup: new DedupTable() }),
-  'ledger-lost-in-snapshot': ({ ledger }) => ({ ledger: withoutRecords(ledger) }),
+/** Parts of the registry's snapshots that sabotages leave out. */
+const SPOILED_SNAPSHOTS: Partial<Record<SabotageName, SnapshotPart['part']>> = {
+  'dedup-lost-in-snapshot': 'dedup',
+  'ledger-lost-in-snapshot': 'records',
 };
 
-function withoutRecords(ledger: Ledger): Ledger {
-  const { services } = ledger.toState();
-  return Ledger.fromState({
-    services: services.map((entry) => ({ ...entry, ledger: { ...entry.ledger, records: [] } })),
-  });
-}
-
-function rewrite(data: Uint8Array, spoil: (state: RegistryState) => Partial<RegistryState>): Uint8Array {
-  const state = decodeState(data);
-  return encodeState(Object.assign(new RegistryState(), state, spoil(state)));
+function without(data: Uint8Array, lost: SnapshotPart['part']): Uint8Array {
+  const kept = [...readParts(data)].filter(({ part }) => part !== lost);
+  return Buffer.concat(kept.map(encodePart));
 }
 
 export function spoilRouterMessage(message: ControlToRouter, control: SimControl): ControlToRouter {
--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createGrantHolder, type FenceRefusal, type GrantHolder, type HolderEvent } from '../lease/index.js';
+import type { SessionAnswer, SessionRequest } from '../lease/types.js';
 import type { Incarnation, ShardId } from '../model/identifiers.js';
 import { HEADERS } from '../model/outcome.js';
 import type { DrainOptions, FenceOptions } from './fence-options.js';
@@ -67,11 +68,11 @@
   /** Serves the fence's own endpoints. Gives `false`, and does nothing, if the request is for none of them. */
   serveEndpoint(request: IncomingMessage, response: ServerResponse): boolean {
     const path = request.url?.split('?', 1)[0];
+    this.closeIfDrained(response);
     if (path === SESSION_PATH) {
-      serveSession(request, response, (message) => {
-        const answer = this.holder.handleSession(message, this.clock());
-        this.dispatchEvents();
-        return this.state === 'serving' ? answer : { ...answer, leaving: true };
+      serveSession(request, response, {
+        secret: this.options.secret ?? null,
+        handle: (message) => this.handleSession(message),
       });
       return true;
     }
@@ -122,12 +123,28 @@
     }
   }
 
+  /**
+   * A drained server is about to close; control and routers, which call it all the time, must not keep their
+   * connections open then.
+   */
+  private closeIfDrained(response: ServerResponse): void {
+    if (this.state === 'draining') {
+      response.setHeader('connection', 'close');
+    }
+  }
+
   /** Whether this server may serve shards, and the leader still takes it for the owner of one. */
   private isHolding(): boolean {
     const { held, unreported, leased } = this.holder.status(this.clock());
     return leased && held + unreported > 0;
   }
 
+  private handleSession(message: SessionRequest): SessionAnswer {
+    const answer = this.holder.handleSession(message, this.clock());
+    this.dispatchEvents();
+    return this.state === 'serving' ? answer : { ...answer, leaving: true };
+  }
+
   private readHead(request: IncomingMessage, response: ServerResponse): RequestHead | null {
     const requestId = request.headers[HEADERS.requestId];
     if (typeof requestId === 'string') {
