Control: a membership change that is refused is tried again at the next poll, not within the same step

Cause: the desk proposed each time that the control core settled. A refusal (another change pending, not caught up) comes within the step, which made the core settle again: an endless loop in one step, so the leader hung. The automatic taking-in of a spare had the same loop. Ruled out: the simulator's clock; the profile showed #settle and MembershipDesk.#advance alone. Change: after a refusal nothing is proposed for one poll (50 ms). Tests: test/control/membership-desk.test.ts failed before (5 proposals at one instant, expected 1).

--- a/src/control/membership-desk.ts
+++ b/src/control/membership-desk.ts
@@ -49,6 +49,8 @@
   #replacement: Replacement | null = null;
   #transfer: Transfer | null = null;
   #nextPollAt: MonotonicMillis = Number.POSITIVE_INFINITY;
+  /** After a refusal by the Raft core nothing is proposed before this: the core settles many times within one step. */
+  #notBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
   readonly #repair: AutomaticRepair;
   /** Whether a spare that is taken in by itself has yet to be settled. */
   #takesIn = false;
@@ -117,11 +119,13 @@
 
   run(now: MonotonicMillis): void {
     this.#finishTransfer(now);
-    this.#repairByItself(now);
-    if (this.#replacement !== null && this.#parts.raft.isLeader()) {
-      this.#advance(this.#replacement);
+    if (now >= this.#notBefore) {
+      this.#repairByItself(now);
     }
-    const isBusy = this.#replacement !== null || this.#transfer !== null;
+    if (now >= this.#notBefore && this.#replacement !== null && this.#parts.raft.isLeader()) {
+      this.#advance(this.#replacement, now);
+    }
+    const isBusy = this.#replacement !== null || this.#transfer !== null || now < this.#notBefore;
     this.#nextPollAt = isBusy ? now + POLL_MILLIS : Number.POSITIVE_INFINITY;
   }
 
@@ -176,14 +180,14 @@
     running.operation = operation;
   }
 
-  #advance(replacement: Replacement): void {
+  #advance(replacement: Replacement, now: MonotonicMillis): void {
     const status = this.#parts.raft.status();
     switch (replacement.stage) {
       case 'start':
-        this.#ensureLearner(replacement, status);
+        this.#ensureLearner(replacement, status, now);
         break;
       case 'learner':
-        this.#swapWhenCaughtUp(replacement, status);
+        this.#swapWhenCaughtUp(replacement, status, now);
         break;
       case 'joint':
         this.#finishWhenSwapped(replacement, status);
@@ -193,24 +197,24 @@
     }
   }
 
-  #ensureLearner(replacement: Replacement, { membership }: RaftStatus): void {
+  #ensureLearner(replacement: Replacement, { membership }: RaftStatus, now: MonotonicMillis): void {
     const { newReplica: replica, address } = replacement;
     if (membership.learners.includes(replica)) {
       replacement.stage = 'learner';
       return;
     }
-    this.#proposeStep(replacement, { type: 'add-learner', replica, address }, 'start', 'learner');
+    this.#proposeStep(replacement, { type: 'add-learner', replica, address }, 'start', 'learner', now);
   }
 
   /** The new replica has synced everything committed before the old one's vote goes. */
-  #swapWhenCaughtUp(replacement: Replacement, status: RaftStatus): void {
+  #swapWhenCaughtUp(replacement: Replacement, status: RaftStatus, now: MonotonicMillis): void {
     const { oldReplica, newReplica } = replacement;
     if ((status.matchIndexes[newReplica] ?? 0) < status.commitIndex) {
       return;
     }
     const kept = status.membership.voters.filter((voter) => voter !== oldReplica);
     const voters = [...new Set([...kept, newReplica])];
-    this.#proposeStep(replacement, { type: 'change-voters', voters }, 'learner', 'joint');
+    this.#proposeStep(replacement, { type: 'change-voters', voters }, 'learner', 'joint', now);
   }
 
   #finishWhenSwapped(replacement: Replacement, status: RaftStatus): void {
@@ -235,6 +239,7 @@
     proposal: Parameters<RaftAdapter['proposeMembership']>[0],
     before: Replacement['stage'],
     after: Replacement['stage'],
+    now: MonotonicMillis,
   ): void {
     replacement.stage = 'busy';
     this.#parts.raft.proposeMembership(proposal, (outcome) => {
@@ -242,6 +247,7 @@
         replacement.stage = after;
       } else if (outcome.type === 'rejected') {
         replacement.stage = before;
+        this.#notBefore = now + POLL_MILLIS;
       } else if (this.#replacement === replacement) {
         this.#finish(replacement.operation, this.#failure(outcome));
       }
@@ -278,8 +284,9 @@
     } else if (repair?.type === 'take-in') {
       const { replica, address } = repair;
       this.#takesIn = true;
-      raft.proposeMembership({ type: 'add-learner', replica, address }, () => {
+      raft.proposeMembership({ type: 'add-learner', replica, address }, (outcome) => {
         this.#takesIn = false;
+        this.#notBefore = outcome.type === 'applied' ? this.#notBefore : now + POLL_MILLIS;
       });
     }
   }
--- /dev/null
+++ b/test/control/membership-desk.test.ts
@@ -0,0 +1,55 @@
+/** What the desk does while the Raft core turns its proposals down. */
+import { expect } from 'chai';
+import { MembershipDesk } from '../../src/control/membership-desk.js';
+import type { RaftAdapter } from '../../src/control/raft-adapter.js';
+
+const POLL_MILLIS = 50;
+
+/** A leader whose Raft core refuses every change of the membership at once. */
+class RefusingRaft {
+  proposals = 0;
+
+  isLeader(): boolean {
+    return true;
+  }
+
+  leaderAddress(): null {
+    return null;
+  }
+
+  status() {
+    return {
+      self: 'm1',
+      role: 'leader',
+      term: 1,
+      leader: 'm1',
+      commitIndex: 5,
+      lastIndex: 5,
+      firstIndex: 1,
+      membership: { voters: ['m1', 'm2', 'm3'], outgoingVoters: [], learners: [], addresses: {} },
+      matchIndexes: {},
+    };
+  }
+
+  proposeMembership(_proposal: unknown, settle: (outcome: unknown, now: number) => void): void {
+    this.proposals += 1;
+    settle({ type: 'rejected', reason: 'membership-change-pending' }, 0);
+  }
+}
+
+describe('replacement that is refused for now', () => {
+  it('proposes once a poll, however often the control core settles', () => {
+    const raft = new RefusingRaft();
+    const config = { replaceAfterMillis: 0 } as never;
+    const desk = new MembershipDesk({ config, raft: raft as unknown as RaftAdapter, answer: () => {} });
+    const address = '127.0.0.4:1';
+    desk.handle('op1', { type: 'replace-replica', oldReplica: 'm2', newReplica: 'm4', address }, 1000);
+    for (let round = 0; round < 5; round += 1) {
+      desk.run(1000);
+    }
+    expect(raft.proposals).to.equal(1);
+    expect(desk.nextDeadline()).to.equal(1000 + POLL_MILLIS);
+    desk.run(1000 + POLL_MILLIS);
+    expect(raft.proposals).to.equal(2);
+  });
+});
