Slow start of upstreams that come back

Change: it begins with the first success after a failed connection. `bench picker` has surroundings for it.

--- a/src/dev/bench/experiments/picker.ts
+++ b/src/dev/bench/experiments/picker.ts
@@ -8,13 +8,18 @@
 const WARM_UP_MILLIS = 1000;
 const MEASURED_MILLIS = 3000;
 const LOAD_SHARE = 0.7;
+/** Lower while upstreams are cold, so that the rest can carry the load. */
+const COLD_LOAD_SHARE = 0.5;
 const SLOW_EVERY = 3;
 const SLOWNESS = 3;
 const STALE_MILLIS = 1000;
+const DOWN_MILLIS = 500;
 const PERCENT = 100;
 
 interface Surroundings {
   readonly label: string;
+  /** A third is killed in the warm-up and comes back cold when the measuring begins. */
+  readonly restarts?: boolean;
   readonly slowness: number;
   readonly loadLagMillis: number;
 }
@@ -23,13 +28,14 @@
   { label: 'equal', slowness: 1, loadLagMillis: 0 },
   { label: 'a third 3x slower', slowness: SLOWNESS, loadLagMillis: 0 },
   { label: 'the same, load 1 s old', slowness: SLOWNESS, loadLagMillis: STALE_MILLIS },
+  { label: 'a third back from a restart, cold', slowness: 1, loadLagMillis: 0, restarts: true },
 ];
 
 const PICKERS: readonly PickerName[] = ['least-work', 'least-in-flight', 'two-choices', 'round-robin'];
 
 function run(context: ExperimentContext, seed: number, picker: PickerName, around: Surroundings): Reading[] {
   const started = startUnkeyedWorld(context.deployment, seed, {
-    loadShare: LOAD_SHARE,
+    loadShare: around.restarts === true ? COLD_LOAD_SHARE : LOAD_SHARE,
     warmUpMillis: WARM_UP_MILLIS,
     measuredMillis: MEASURED_MILLIS,
     change: { picker },
@@ -38,8 +44,19 @@
       upstream.slowness = index % SLOW_EVERY === 0 ? around.slowness : 1;
     },
   });
+  const { world, tally, service, upstreams } = started;
+  if (around.restarts === true) {
+    const restarted = upstreams.filter((_, index) => index % SLOW_EVERY === 0);
+    world.run(WARM_UP_MILLIS - DOWN_MILLIS);
+    for (const upstream of restarted) {
+      upstream.kill();
+    }
+    world.run(DOWN_MILLIS);
+    for (const upstream of restarted) {
+      upstream.restart();
+    }
+  }
   finishUnkeyed(started);
-  const { tally, service, upstreams } = started;
   const busy = upstreams.map(({ begun, slowness }) => begun * slowness);
   const mean = busy.reduce((sum, work) => sum + work, 0) / busy.length;
   return [
@@ -78,7 +95,8 @@
     notes: [
       `Virtual time; the largest service of reads as one that is not keyed, six routers, ${LOAD_SHARE * PERCENT} % of what the upstreams can do together.`,
       'No rule was set for these ratios; at most 1 means that least-work is no worse.',
-      'Load reports come with answers and probes; in the last surroundings they tell the load of one second ago.',
+      `In the last surroundings the load is ${COLD_LOAD_SHARE * PERCENT} %; requests of a cold upstream take up to 3 times as long for 2 s (assumed).`,
+      'Load reports come with answers and probes; in one of the surroundings they tell the load of one second ago.',
     ],
   };
 }
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -174,7 +174,7 @@
         this.countRefusal(upstream, result.refusal, result.retryAfterMillis);
         return;
       case 'connect-failed':
-        upstream.evidence.connectionFailed(now);
+        upstream.connectionFailed(now);
         this.countFailure(attempt);
         return;
       case 'broken':
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -25,6 +25,8 @@
   inFlight = 0;
   /** It asked for a pause with a refusal. */
   pausedUntil = Number.NEGATIVE_INFINITY;
+  /** A connection failed since the last success. */
+  private wasUnreachable = false;
   private serviceTime = FIRST_SERVICE_MILLIS;
   /** Outstanding work of other routers, from the latest load it reported. */
   private foreignLoad = 0;
@@ -93,7 +95,17 @@
     this.loadAt = now;
   }
 
+  /** No connection was made: it may have stopped, and be cold when it is back. */
+  connectionFailed(now: number): void {
+    this.evidence.connectionFailed(now);
+    this.wasUnreachable = true;
+  }
+
   succeeded(now: number): void {
+    if (this.wasUnreachable) {
+      this.wasUnreachable = false;
+      this.coldSince = now;
+    }
     this.evidence.succeeded(now);
     this.ejection.succeeded(now);
   }
