--- a/src/dev/bench/experiments/picker.ts
+++ b/src/dev/bench/experiments/picker.ts
@@ -2,7 +2,7 @@
 import type { PickerName } from '../../../routing/index.js';
 import { type Arm, type Reading, ratiosOf, reading, runArms, target } from '../arms.js';
 import type { Experiment, ExperimentContext, ExperimentResult } from '../experiment.js';
-import { finishUnkeyed, startUnkeyedWorld } from '../models/unkeyed-world.js';
+import { finishUnkeyed, startUnkeyedWorld, type UnkeyedWorld } from '../models/unkeyed-world.js';
 import { quantile } from '../statistics.js';
 
 const WARM_UP_MILLIS = 1000;
@@ -33,6 +33,11 @@
 
 const PICKERS: readonly PickerName[] = ['least-work', 'least-in-flight', 'two-choices', 'round-robin'];
 
+function localShare({ world, service }: UnkeyedWorld): number {
+  const { all, local } = world.attempts(service.name);
+  return local / all;
+}
+
 function run(context: ExperimentContext, seed: number, picker: PickerName, around: Surroundings): Reading[] {
   const started = startUnkeyedWorld(context.deployment, seed, {
     loadShare: around.restarts === true ? COLD_LOAD_SHARE : LOAD_SHARE,
@@ -63,6 +68,7 @@
     reading(`p50, ${around.label}`, 'ms', tally.latency(service.name, 0.5)),
     reading(`p99, ${around.label}`, 'ms', tally.latency(service.name, 0.99)),
     reading(`good share, ${around.label}`, '%', tally.goodShare(service.name) * PERCENT),
+    reading(`within the zone, ${around.label}`, '%', localShare(started) * PERCENT),
     reading(`busiest to mean, ${around.label}`, '', quantile(busy, 1) / mean),
   ];
 }
--- a/src/dev/bench/world/bench-world.ts
+++ b/src/dev/bench/world/bench-world.ts
@@ -12,7 +12,7 @@
 import { keyName, LoadGenerator, type LoadStream } from './load-generator.js';
 import { ModelControl } from './model-control.js';
 import { ModelNetwork, type NetworkTimes } from './model-network.js';
-import { ModelRouter } from './model-router.js';
+import { type AttemptCounts, ModelRouter } from './model-router.js';
 import { ModelUpstream } from './model-upstream.js';
 import type { RequestTally } from './request-tally.js';
 import type { UpstreamSpec } from './world-from-deployment.js';
@@ -138,12 +138,13 @@
     return new AvailabilityProbe({ queue, routers, upstreams, network, keysOfShard });
   }
 
-  /** Attempts of all routers on upstreams of a service, and how many of them were first attempts. */
-  attempts(service: ServiceName): { readonly all: number; readonly first: number } {
+  /** Attempts of all routers on upstreams of a service. */
+  attempts(service: ServiceName): AttemptCounts {
     const counts = this.routers.map((router) => router.attemptsOn(service));
     return {
       all: counts.reduce((sum, { all }) => sum + all, 0),
       first: counts.reduce((sum, { first }) => sum + first, 0),
+      local: counts.reduce((sum, { local }) => sum + local, 0),
     };
   }
 
--- a/src/dev/bench/world/model-router.ts
+++ b/src/dev/bench/world/model-router.ts
@@ -39,6 +39,15 @@
   ended: boolean;
 }
 
+/** Attempts of a router on upstreams of one service. */
+export interface AttemptCounts {
+  all: number;
+  /** The first of their requests. */
+  first: number;
+  /** On upstreams of the router's own zone. */
+  local: number;
+}
+
 interface OpenRequest {
   readonly arrivedAt: number;
   attempted: boolean;
@@ -63,7 +72,7 @@
 export class ModelRouter implements RouterLink {
   /** Copy of the configuration that the core holds. */
   readonly view = new ConfigurationView();
-  private readonly attemptCounts = new Map<ServiceName, { all: number; first: number }>();
+  private readonly attemptCounts = new Map<ServiceName, AttemptCounts>();
   private readonly core: RouterCore;
   private readonly timer: CoreTimer;
   private readonly attempts = new Map<AttemptNumber, OpenAttempt>();
@@ -106,9 +115,8 @@
     }
   }
 
-  /** Attempts on upstreams of a service, and how many of them were the first of their request. */
-  attemptsOn(service: ServiceName): { readonly all: number; readonly first: number } {
-    return this.attemptCounts.get(service) ?? { all: 0, first: 0 };
+  attemptsOn(service: ServiceName): Readonly<AttemptCounts> {
+    return this.attemptCounts.get(service) ?? { all: 0, first: 0, local: 0 };
   }
 
   /** A caller's request; `answer` is called once, when the final answer leaves the router. */
@@ -179,7 +187,7 @@
     const upstream = this.parts.upstreams.get(effect.upstream) as ModelUpstream;
     const attempt: OpenAttempt = { upstream, sent: null, connected: false, ended: false };
     this.attempts.set(effect.attempt, attempt);
-    this.countAttempt(upstream.definition.service, effect.request);
+    this.countAttempt(upstream, effect.request);
     if (this.connections.takeIdle(upstream)) {
       attempt.connected = true;
       this.send(effect, attempt);
@@ -188,10 +196,11 @@
     this.connect(effect, attempt);
   }
 
-  private countAttempt(service: ServiceName, request: number): void {
-    const counts = this.attemptCounts.get(service) ?? { all: 0, first: 0 };
-    this.attemptCounts.set(service, counts);
+  private countAttempt({ definition }: ModelUpstream, request: number): void {
+    const counts = { ...this.attemptsOn(definition.service) };
+    this.attemptCounts.set(definition.service, counts);
     counts.all += 1;
+    counts.local += definition.zone === this.zone ? 1 : 0;
     const open = this.requests.get(request);
     if (open !== undefined && !open.attempted) {
       open.attempted = true;
