Router: two Host headers are 400, unknown expectations are passed over

Cause, found by a table of unusual requests: undici refuses a request with two Hosts before it is sent, which counted as a connection that could not be made: the caller got 503, and the upstream a failure towards its ejection. A caller could have every upstream ejected that way. 'Expect: x' was answered 417 without an outcome.

--- a/src/router/caller/header-rules.ts
+++ b/src/router/caller/header-rules.ts
@@ -38,6 +38,17 @@
   return undefined;
 }
 
+/** How many headers are called `name` (lower case). */
+export function countHeader(rawHeaders: readonly string[], name: string): number {
+  let count = 0;
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]?.toLowerCase() === name) {
+      count += 1;
+    }
+  }
+  return count;
+}
+
 /** Load that an upstream reported with an answer; `null` if it reported none. */
 export function reportedLoad(rawHeaders: readonly string[]): number | null {
   const load = Number(findHeader(rawHeaders, HEADERS.load) ?? Number.NaN);
--- a/src/router/caller/request-head.ts
+++ b/src/router/caller/request-head.ts
@@ -6,6 +6,7 @@
 import type { ServiceName } from '../../model/identifiers.js';
 import { HEADERS } from '../../model/outcome.js';
 import { BadRequestError } from './bad-request-error.js';
+import { countHeader } from './header-rules.js';
 import { type IdempotencyHead, readIdempotency } from './idempotency.js';
 
 export interface CallerRequestHead {
@@ -24,9 +25,7 @@
 
 /** Throws `BadRequestError`. */
 export function readCallerRequest(request: IncomingMessage): CallerRequestHead {
-  if (request.headers.host === undefined && request.httpVersion !== '1.0') {
-    throw new BadRequestError('the Host header is missing');
-  }
+  checkHost(request);
   const target = request.url ?? '';
   if (!target.startsWith('/')) {
     throw new BadRequestError('the request target must be a path');
@@ -45,6 +44,16 @@
   };
 }
 
+/** RFC 9112, 3.2. Two of them can't be sent on; the upstream would seem to be at fault. */
+function checkHost({ httpVersion, headers, rawHeaders }: IncomingMessage): void {
+  if (headers.host === undefined && httpVersion !== '1.0') {
+    throw new BadRequestError('the Host header is missing');
+  }
+  if (countHeader(rawHeaders, 'host') > 1) {
+    throw new BadRequestError('there is more than one Host header');
+  }
+}
+
 /** The first two segments of the path, still encoded. */
 function leadingSegments(target: string): readonly [string, string | undefined] {
   const queryStart = target.indexOf('?');
--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -68,6 +68,8 @@
       }
       onRequest(request, response);
     });
+    // An expectation that nobody knows is no reason to turn a request away (RFC 9110, 10.1.1).
+    server.on('checkExpectation', (request, response) => server.emit('request', request, response));
     const { host, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
       const refuse = (error: Error): void => reject(new ListenError(address, error));
--- a/test/contract/router-callers.test.ts
+++ b/test/contract/router-callers.test.ts
@@ -5,7 +5,7 @@
 import { HEADERS } from '../../src/model/outcome.js';
 import { parseAddress } from '../../src/wire/index.js';
 import { RouterFixture, until } from '../router/router-fixture.js';
-import { answerWhole, type ScriptedRequest, ScriptedUpstream } from '../router/scripted-upstream.js';
+import { answerWhole, headFor, type ScriptedRequest, ScriptedUpstream } from '../router/scripted-upstream.js';
 
 const MAX_BODY = 1000;
 const MAX_HEADER = 2048;
@@ -42,6 +42,7 @@
 const MALFORMED: readonly MalformedCase[] = [
   { request: 'no HTTP at all', bytes: 'hello\r\n\r\n', status: 400 },
   { request: 'without a Host', bytes: 'GET /reads/1 HTTP/1.1\r\n\r\n', status: 400 },
+  { request: 'with two Hosts', bytes: `GET /reads/1 HTTP/1.1\r\nHost: q\r\n${CLOSE}\r\n\r\n`, status: 400 },
   { request: 'for no service', bytes: `GET / HTTP/1.1\r\n${CLOSE}\r\n\r\n`, status: 400 },
   {
     request: 'with a target that is no path',
@@ -116,6 +117,72 @@
   },
 ];
 
+interface UnusualCase {
+  readonly request: string;
+  readonly bytes: string;
+  /** As the upstream gets it. */
+  readonly method: string;
+  readonly body: string;
+}
+
+const UNUSUAL: readonly UnusualCase[] = [
+  {
+    request: 'with an empty header',
+    bytes: `GET /reads/1 HTTP/1.1\r\n${CLOSE}\r\nX-Empty:\r\n\r\n`,
+    method: 'GET',
+    body: '',
+  },
+  {
+    request: 'with a header in Latin-1',
+    bytes: `GET /reads/1 HTTP/1.1\r\n${CLOSE}\r\nX-Name: caf\u00e9\r\n\r\n`,
+    method: 'GET',
+    body: '',
+  },
+  { request: 'of HTTP/1.0', bytes: 'GET /reads/1 HTTP/1.0\r\n\r\n', method: 'GET', body: '' },
+  {
+    request: 'in chunks',
+    bytes: `POST /reads/1 HTTP/1.1\r\n${CLOSE}\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n`,
+    method: 'POST',
+    body: 'abc',
+  },
+  {
+    request: 'that waits to be told to go on',
+    bytes: `PUT /reads/1 HTTP/1.1\r\n${CLOSE}\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab`,
+    method: 'PUT',
+    body: 'ab',
+  },
+  {
+    request: 'that expects something unheard of',
+    bytes: `GET /reads/1 HTTP/1.1\r\n${CLOSE}\r\nExpect: better\r\n\r\n`,
+    method: 'GET',
+    body: '',
+  },
+  {
+    request: 'with a body that its method has no use for',
+    bytes: `GET /reads/1 HTTP/1.1\r\n${CLOSE}\r\nContent-Length: 2\r\n\r\nab`,
+    method: 'GET',
+    body: 'ab',
+  },
+  {
+    request: 'to switch protocols',
+    bytes: 'GET /reads/1 HTTP/1.1\r\nHost: r\r\nConnection: close, Upgrade\r\nUpgrade: websocket\r\n\r\n',
+    method: 'GET',
+    body: '',
+  },
+  {
+    request: 'of another method',
+    bytes: `PROPFIND /reads/1 HTTP/1.1\r\n${CLOSE}\r\n\r\n`,
+    method: 'PROPFIND',
+    body: '',
+  },
+  {
+    request: 'for the head alone',
+    bytes: `HEAD /reads/1 HTTP/1.1\r\n${CLOSE}\r\n\r\n`,
+    method: 'HEAD',
+    body: '',
+  },
+];
+
 describe('requests of callers', () => {
   let upstream: ScriptedUpstream;
   let router: RouterFixture;
@@ -146,6 +213,18 @@
     });
   }
 
+  for (const { request, bytes, method, body } of UNUSUAL) {
+    it(`${request}: answered, and the upstream gets it whole`, async () => {
+      upstream.script = (sent) =>
+        sent.method === 'HEAD' ? sent.socket.write(headFor(sent, 'content-length: 8')) : answerWhole(sent);
+      const answer = await exchange(router, bytes);
+      expect(statusIn(answer.replace('HTTP/1.1 100 Continue\r\n\r\n', ''))).to.equal(200);
+      expect(upstream.requests).to.have.length(1);
+      expect(upstream.requests[0]).to.include({ method, body, target: '/reads/1' });
+      expect(upstream.requests[0]?.headers.has('upgrade')).to.equal(false);
+    });
+  }
+
   it('an answer of its own says what became of the request', async () => {
     const answer = await router.get('/other/1');
     expect(answer.headers[HEADERS.outcome]).to.equal('not-run');
