Ejection: a caller's own short deadline is no evidence against an upstream

On an upstream that answers within 0.1 ms, three requests with 'ternmount-deadline-ms: 3' in a row ejected it, and so half of a service's upstreams. Change: it must also have had 200 ms, or half of the service's own deadline. Test: test/routing/short-deadlines failed first.

--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -17,6 +17,8 @@
 const PAUSE_JITTER = 0.5;
 /** A deadline that passed speaks against an upstream only when the attempt had this many service times. */
 const SLOW_ATTEMPT_FACTOR = 5;
+/** And this long, or half of the service's own deadline if that is less: callers may ask for next to no time. */
+const LEAST_SLOW_MILLIS = 200;
 const FIRST_SERVER_ERROR = 500;
 
 export class AttemptResults {
@@ -189,7 +191,7 @@
         this.countFailure(attempt);
         return;
       case 'cancelled':
-        if (work.timedOut && took > upstream.serviceMillis * SLOW_ATTEMPT_FACTOR) {
+        if (work.timedOut && took >= slowAttemptMillis(attempt)) {
           this.countFailure(attempt);
         }
     }
@@ -240,6 +242,11 @@
   }
 }
 
+function slowAttemptMillis({ upstream, work }: Attempt): number {
+  const least = Math.min(LEAST_SLOW_MILLIS, work.service.definition.deadlineMillis / 2);
+  return Math.max(least, upstream.serviceMillis * SLOW_ATTEMPT_FACTOR);
+}
+
 /** The caller was answered or left before the attempt ended; what became of it still counts for the ledger. */
 function lateSettlement(work: Work, result: AttemptResult): Settlement {
   if (result.type === 'answered') {
--- /dev/null
+++ b/test/routing/short-deadlines.test.ts
@@ -0,0 +1,34 @@
+import { expect } from 'chai';
+import { only, RouterHarness, service, upstream } from './router-harness.js';
+
+const ATTEMPTS = 6;
+
+/** Lets requests pass their deadline on a fast upstream, and gives how often it was ejected for that. */
+function ejectionsBy(deadlineMillis: number | null, serviceDeadlineMillis: number): number {
+  const record = service('board', { deadlineMillis: serviceDeadlineMillis, retryBudget: 0 });
+  const harness = new RouterHarness().start([record], [upstream('u1', 'board'), upstream('u2', 'board')]);
+  for (let quick = 0; quick < 60; quick++) {
+    const [dispatch] = only(harness.request('board'), 'dispatch');
+    harness.now += 0.1;
+    harness.ended(dispatch?.attempt as number);
+  }
+  for (let slow = 0; slow < ATTEMPTS; slow++) {
+    harness.request('board', { deadlineMillis });
+    for (const { attempt } of only(harness.run(serviceDeadlineMillis + 1), 'cancel-attempt')) {
+      harness.ended(attempt, { type: 'cancelled' });
+    }
+  }
+  return only(harness.effects, 'log').filter(({ event }) => event === 'upstream-ejected').length;
+}
+
+describe('deadlines that pass', () => {
+  it("speak against an upstream when the time was the service's own", () => {
+    expect(ejectionsBy(null, 1000)).to.be.greaterThan(0);
+    expect(ejectionsBy(null, 100)).to.be.greaterThan(0);
+  });
+
+  it('say nothing of an upstream when a caller asked for next to no time', () => {
+    expect(ejectionsBy(3, 1000)).to.equal(0);
+    expect(ejectionsBy(3, 100)).to.equal(0);
+  });
+});
