--- a/test/routing/short-deadlines.test.ts
+++ b/test/routing/short-deadlines.test.ts
@@ -14,7 +14,10 @@
   }
   for (let slow = 0; slow < ATTEMPTS; slow++) {
     harness.request('board', { deadlineMillis });
-    for (const { attempt } of only(harness.run(serviceDeadlineMillis + 1), 'cancel-attempt')) {
+    for (const { attempt } of only(
+      harness.run((deadlineMillis ?? serviceDeadlineMillis) + 1),
+      'cancel-attempt',
+    )) {
       harness.ended(attempt, { type: 'cancelled' });
     }
   }
