--- a/test/docs/walk.test.ts
+++ b/test/docs/walk.test.ts
@@ -7,6 +7,7 @@
 import {
   chmodSync,
   cpSync,
+  existsSync,
   mkdirSync,
   mkdtempSync,
   readdirSync,
@@ -23,14 +24,22 @@
 
 const ROOT = resolve(fileURLToPath(new URL('../../../', import.meta.url)));
 const PROGRAM = join(ROOT, 'build/src/cli/main.js');
-/** Where the pages' addresses lie, and an address range of this process alone. */
-const PAGE_NETWORK = '127.61.';
-const OWN_NETWORK = `127.${100 + (process.pid % 150)}.`;
+/** Addresses of the pages; the same ones in a range of this process alone, so that two runs beside each other don't meet. */
+const PAGE_ADDRESS = /127\.61\.(\d)\.(\d)/g;
+const OWN_RANGE = { second: 100 + (process.pid % 128), third: 4 * (Math.floor(process.pid / 128) % 60) };
+const LOGS = ['control-1.log', 'control-2.log', 'control-3.log', 'router.log'];
+const LOG_TAIL = 1500;
 const WALK_MILLIS = 150_000;
 
 /** Blocks that are for another machine or another day. */
 const LEFT_OUT = [/npm install/, /drain menu-7/, /remove menu-7/];
 
+/** Moves the pages' addresses into the own range. */
+function inOwnRange(text: string): string {
+  const { second, third } = OWN_RANGE;
+  return text.replace(PAGE_ADDRESS, (_, zone, host) => `127.${second}.${third + Number(zone)}.${host}`);
+}
+
 /** Shell text of a page's blocks, in order. */
 function blocks(name: string): string[] {
   const page = readPages().find((candidate) => candidate.name === name);
@@ -43,8 +52,7 @@
 
 /** Fills in what the reader would. */
 function fillIn(text: string): string {
-  return text
-    .replaceAll(PAGE_NETWORK, OWN_NETWORK)
+  return inOwnRange(text)
     .replace(/^(ternmount control join --settings control-(\d)\.yaml).*$/gm, '$1 > id-$2')
     .replace(
       /^(ternmount control run --settings control-(\d)\.yaml) &$/gm,
@@ -59,6 +67,14 @@
     .replace(/^(ternmount request lookup .*)$/gm, '$1 || test $? = 1');
 }
 
+/** The end of each process's log. */
+function readLogs(folder: string): string {
+  const found = LOGS.filter((name) => existsSync(join(folder, name)));
+  return found
+    .map((name) => `${name}: ${readFileSync(join(folder, name), 'utf8').slice(-LOG_TAIL)}`)
+    .join('\n');
+}
+
 const HEAD = `set -eu
 trap 'kill $(jobs -p) 2> /dev/null; wait' EXIT
 curl() { command curl --fail --silent --show-error --retry 30 --retry-delay 1 --retry-all-errors "$@"; }
@@ -78,7 +94,7 @@
     cpSync(join(ROOT, 'examples/first-service'), folder, { recursive: true });
     for (const name of readdirSync(folder)) {
       const path = join(folder, name);
-      writeFileSync(path, readFileSync(path, 'utf8').replaceAll(PAGE_NETWORK, OWN_NETWORK));
+      writeFileSync(path, inOwnRange(readFileSync(path, 'utf8')));
     }
     mkdirSync(join(folder, 'bin'));
     writeFileSync(join(folder, 'bin/ternmount'), `#!/bin/sh\nexec ${process.execPath} ${PROGRAM} "$@"\n`);
@@ -104,7 +120,7 @@
       timeout: WALK_MILLIS,
       env: { PATH: `${join(folder, 'bin')}:${PATH}`, HOME: folder },
     });
-    const told = `${stdout}\n${stderr}\n${script}`;
+    const told = `${stdout}\n${stderr}\n${script}\n${readLogs(folder)}`;
     expect(status, told).to.equal(0);
     for (const part of [
       'service/menu: in force everywhere',
