control add is asked for until the replica votes, as control replace is

Cause: a replica that caught up in more than 15 s, the time of one answer, made the command end with code 4 although the change went on; the walk failed so once on a busy machine. Tested with a member that answers 'not yet' five times.

--- a/src/cli/commands/control-members.ts
+++ b/src/cli/commands/control-members.ts
@@ -1,7 +1,9 @@
 /** `control add`, `control add-learner`, `control transfer` and `control snapshot`. */
+import { CliError } from '../cli-error.js';
 import { CLIENT_OPTIONS, createClient, REQUEST_ID_OPTION } from '../client-options.js';
 import type { CommandSpec, Invocation, OptionSpec } from '../command-spec.js';
 import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
+import { askUntilMade, REPAIR_TIMEOUT_OPTION } from '../member-change.js';
 
 const MEMBER_OPTIONS: readonly OptionSpec[] = [REQUEST_ID_OPTION, ...CLIENT_OPTIONS];
 
@@ -23,17 +25,27 @@
   return EXIT_CODES.ok;
 }
 
+async function add(invocation: Invocation): Promise<ExitCode> {
+  const { options, io, positionals } = invocation;
+  const [replica = ''] = positionals;
+  const body = { replica, address: options.required('address') };
+  const client = createClient(options, io);
+  const made = await askUntilMade(invocation, client, { path: '/v1/control/add', body });
+  if (made === undefined) {
+    const message = `${replica} does not vote yet; repeat the command`;
+    throw new CliError(EXIT_CODES.failed, 'NOT_ADDED', message);
+  }
+  io.write(`${replica} votes\n`);
+  return EXIT_CODES.ok;
+}
+
 export const controlAdd: CommandSpec = {
   name: 'control add',
   arguments: '<replica>',
   summary: 'Take a new replica in; returns once it holds everything and votes',
-  options: [ADDRESS_OPTION, ...MEMBER_OPTIONS],
+  options: [ADDRESS_OPTION, REPAIR_TIMEOUT_OPTION, ...MEMBER_OPTIONS],
   examples: ['control add r-77c0 --address 10.0.0.4:7400'],
-  run: (invocation) => {
-    const [replica = ''] = invocation.positionals;
-    const body = { replica, address: invocation.options.required('address') };
-    return post(invocation, '/v1/control/add', body, `${replica} votes`);
-  },
+  run: add,
 };
 
 export const controlAddLearner: CommandSpec = {
--- a/src/cli/commands/control-replace.ts
+++ b/src/cli/commands/control-replace.ts
@@ -1,16 +1,15 @@
 /** `control replace`. */
-import { randomUUID } from 'node:crypto';
-import type { MembershipBody, StatusBody } from '../api-types.js';
-import { CliError, UnknownOutcomeError, UnreachableError } from '../cli-error.js';
+import type { StatusBody } from '../api-types.js';
+import { CliError } from '../cli-error.js';
 import { CLIENT_OPTIONS, createClient, REQUEST_ID_OPTION } from '../client-options.js';
 import type { CommandSpec, Invocation } from '../command-spec.js';
 import type { ControlClient } from '../control-client.js';
 import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
+import { askOnce, askUntilMade, REPAIR_TIMEOUT_OPTION } from '../member-change.js';
 import { DRY_RUN_OPTION, writePreview } from '../preview.js';
 import { ADDRESS_OPTION } from './control-members.js';
 
-const REPAIR_POLL_MILLIS = 500;
-const DEFAULT_REPAIR_MILLIS = 600_000;
+const REPLACE_PATH = '/v1/control/replace';
 
 /** A replacement as asked for. */
 interface Replacement {
@@ -24,47 +23,22 @@
   return voters.includes(newReplica) && !voters.includes(oldReplica) && outgoingVoters.length === 0;
 }
 
-/** Asks once. `undefined`: no answer told how it went, which a replica that catches up slowly gives too. */
-async function ask(
-  client: ControlClient,
-  body: Replacement,
-  requestId: string,
-): Promise<MembershipBody | undefined> {
-  try {
-    const request = { method: 'POST', path: '/v1/control/replace', body, requestId } as const;
-    return (await client.change<MembershipBody>(request)).body;
-  } catch (thrown) {
-    if (thrown instanceof UnknownOutcomeError || thrown instanceof UnreachableError) {
-      return undefined;
-    }
-    throw thrown;
-  }
-}
-
-/** Asks until the new replica votes and the old one doesn't: a leader that is lost meanwhile forgets the replacement. */
+/** Returns once the new replica votes and the old one doesn't. */
 async function repair(
   invocation: Invocation,
   client: ControlClient,
   replacement: Replacement,
 ): Promise<ExitCode> {
-  const { options, io } = invocation;
+  const { io } = invocation;
   const { oldReplica, newReplica } = replacement;
-  const requestId = options.text('request-id') ?? randomUUID();
-  const until = performance.now() + (options.duration('repair-timeout') ?? DEFAULT_REPAIR_MILLIS);
   io.write(`${newReplica} catches up; this returns once it votes in place of ${oldReplica}\n`);
-  while (!io.stopSignal.aborted) {
-    const answer = await ask(client, replacement, requestId);
-    if (answer?.repaired) {
-      io.write(`repaired: ${newReplica} votes in place of ${oldReplica}\n`);
-      return EXIT_CODES.ok;
-    }
-    if (performance.now() >= until) {
-      break;
-    }
-    await io.sleep(REPAIR_POLL_MILLIS);
+  const made = await askUntilMade(invocation, client, { path: REPLACE_PATH, body: replacement });
+  if (made === undefined) {
+    const message = `not repaired yet: ${newReplica} does not vote; don't take another member down`;
+    throw new CliError(EXIT_CODES.failed, 'NOT_REPAIRED', message);
   }
-  const message = `not repaired yet: ${newReplica} does not vote; don't take another member down`;
-  throw new CliError(EXIT_CODES.failed, 'NOT_REPAIRED', message);
+  io.write(`repaired: ${newReplica} votes in place of ${oldReplica}\n`);
+  return EXIT_CODES.ok;
 }
 
 async function preview(
@@ -96,7 +70,8 @@
   if (options.on('wait')) {
     return repair(invocation, client, replacement);
   }
-  const answer = await ask(client, replacement, options.text('request-id') ?? randomUUID());
+  const change = { path: REPLACE_PATH, body: replacement };
+  const answer = await askOnce(client, change, options.text('request-id'));
   io.write(
     answer?.repaired
       ? `repaired: ${newReplica} votes in place of ${oldReplica}\n`
@@ -112,7 +87,7 @@
   options: [
     ADDRESS_OPTION,
     { name: 'wait', summary: 'Return once the cluster is repaired (default)', onByDefault: true },
-    { name: 'repair-timeout', value: 'duration', summary: 'Longest wait; default 10m' },
+    REPAIR_TIMEOUT_OPTION,
     REQUEST_ID_OPTION,
     DRY_RUN_OPTION,
     ...CLIENT_OPTIONS,
--- /dev/null
+++ b/src/cli/member-change.ts
@@ -0,0 +1,61 @@
+/** Changes of the control cluster's members, which may take longer than one answer is waited for. */
+import { randomUUID } from 'node:crypto';
+import type { MembershipBody } from './api-types.js';
+import { UnknownOutcomeError, UnreachableError } from './cli-error.js';
+import type { Invocation, OptionSpec } from './command-spec.js';
+import type { ControlClient } from './control-client.js';
+
+const POLL_MILLIS = 500;
+const DEFAULT_REPAIR_MILLIS = 600_000;
+
+export const REPAIR_TIMEOUT_OPTION: OptionSpec = {
+  name: 'repair-timeout',
+  value: 'duration',
+  summary: 'Longest wait; default 10m',
+};
+
+/** One change as it is sent. */
+export interface MemberChange {
+  readonly path: string;
+  readonly body: unknown;
+}
+
+/** Asks once. `undefined`: no answer told how it went, which a replica that catches up slowly gives too. */
+export async function askOnce(
+  client: ControlClient,
+  change: MemberChange,
+  requestId: string = randomUUID(),
+): Promise<MembershipBody | undefined> {
+  try {
+    return (await client.change<MembershipBody>({ method: 'POST', ...change, requestId })).body;
+  } catch (thrown) {
+    if (thrown instanceof UnknownOutcomeError || thrown instanceof UnreachableError) {
+      return undefined;
+    }
+    throw thrown;
+  }
+}
+
+/**
+ * Asks until the change is made: a leader that is lost meanwhile forgets it, and asking again joins one under way.
+ * `undefined`: not by the end of `--repair-timeout`.
+ */
+export async function askUntilMade(
+  { options, io }: Invocation,
+  client: ControlClient,
+  change: MemberChange,
+): Promise<MembershipBody | undefined> {
+  const requestId = options.text('request-id') ?? randomUUID();
+  const until = performance.now() + (options.duration('repair-timeout') ?? DEFAULT_REPAIR_MILLIS);
+  while (!io.stopSignal.aborted) {
+    const answer = await askOnce(client, change, requestId);
+    if (answer?.repaired) {
+      return answer;
+    }
+    if (performance.now() >= until) {
+      break;
+    }
+    await io.sleep(POLL_MILLIS);
+  }
+  return undefined;
+}
--- a/test/cli/several-members.test.ts
+++ b/test/cli/several-members.test.ts
@@ -118,6 +118,27 @@
     expect(harness.registry.services().get('menu')?.revision).to.equal(1);
   });
 
+  for (const [line, done] of [
+    ['control add r-2 --address 10.0.0.2:7400', 'r-2 votes'],
+    ['control replace r-1 r-2 --address 10.0.0.2:7400', 'repaired: r-2 votes in place of r-1'],
+  ] as const) {
+    it(`"${line}" is asked again, with one id, until it is made`, async () => {
+      const ids: unknown[] = [];
+      const slow = await stub((request, response) => {
+        ids.push(request.headers['ternmount-request-id']);
+        const error = { code: 'outcome-unknown', message: 'not yet' };
+        const membership = { voters: ['r-2'], outgoingVoters: [], learners: [], addresses: {} };
+        const made = ids.length > 5;
+        answer(response, made ? 200 : 504, made ? { membership, repaired: true } : { error });
+      });
+      const words = [...line.split(' '), '--control', slow, '--timeout', '1ms'];
+      const { exitCode, output, errors } = await runCli(words);
+      expect(exitCode, errors).to.equal(0);
+      expect(output).to.contain(done);
+      expect(new Set(ids).size).to.equal(1);
+    });
+  }
+
   it('nobody reachable: exit code 4, and nothing is said to be unknown', async () => {
     const { exitCode, errors } = await apply([CLOSED], '--timeout', '50ms');
     expect(exitCode).to.equal(4);
