--- a/src/cli/status/control-findings.ts
+++ b/src/cli/status/control-findings.ts
@@ -124,6 +124,29 @@
   return [...(outgoingVoters.length > 0 ? [joint] : []), ...waiting];
 }
 
+/** Processes that answer and aren't members, apart from those that ask to be taken in. */
+function strangers(view: StatusView, leader: StatusBody): Finding[] {
+  const known = new Set([
+    ...Object.keys(leader.raft.membership.addresses),
+    ...leader.waitingReplicas.map(({ replica }) => replica),
+  ]);
+  return view.members.flatMap(({ address, status }): Finding[] => {
+    const replica = status?.raft.self;
+    if (replica === undefined || known.has(replica)) {
+      return [];
+    }
+    return [
+      {
+        severity: 'warning',
+        subject: `control/${replica}`,
+        problem: `the replica that answers at ${address} is no member: it is new, or it was replaced`,
+        sinceMillis: null,
+        advice: `if it is new: ternmount control add ${replica} --address IP:PORT. If it was replaced: stop it and move its folder away`,
+      },
+    ];
+  });
+}
+
 /** Findings about the control cluster. */
 export function controlFindings(view: StatusView): Finding[] {
   const { leader, best } = view;
@@ -134,6 +157,7 @@
     ...silentMembers(view, leader),
     ...laggingMembers(leader),
     ...changingMembers(leader),
+    ...strangers(view, leader),
     ...unreachable(view),
   ];
 }
--- a/test/cli/status.test.ts
+++ b/test/cli/status.test.ts
@@ -134,6 +134,10 @@
       ['note', 'control/r-9', null, 'waits to be taken in', 'control add r-9 --address 10.0.0.9:7400'],
     ],
   },
+  'a replica that was replaced and still runs': {
+    statuses: [body('r-1'), body('r-2'), body('r-7')],
+    expected: [['warning', 'control/r-7', null, 'at 10.0.0.3:7401 is no member', 'move its folder away']],
+  },
   'a lost upstream whose shards have no owner, and none that could take them': {
     statuses: [
       body('r-1', {
