Ledger: stored answers are bounded by their length too

Now 64 MiB of bodies are kept a service; beyond that those settled longest ago are dropped and marked truncated, and that their requests ran stays known.

--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -4,6 +4,7 @@
   ENTRIES_PER_SERVICE,
   IDENTIFIER_LIMIT,
   ISSUED_AHEAD_MILLIS,
+  STORED_BODIES_PER_SERVICE,
   STORED_BODY_LIMIT,
 } from './limits.js';
 export type { KeptRecord, ServiceLedgerState, Tombstone } from './service-ledger.js';
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -6,8 +6,19 @@
  * sends both again unchanged.
  */
 import type { Revision, ServiceName, WallMillis } from '../model/identifiers.js';
-import { ENTRIES_PER_SERVICE, IDENTIFIER_LIMIT, ISSUED_AHEAD_MILLIS, STORED_BODY_LIMIT } from './limits.js';
-import { type KeptRecord, ServiceLedger, type ServiceLedgerState } from './service-ledger.js';
+import {
+  ENTRIES_PER_SERVICE,
+  IDENTIFIER_LIMIT,
+  ISSUED_AHEAD_MILLIS,
+  STORED_BODIES_PER_SERVICE,
+  STORED_BODY_LIMIT,
+} from './limits.js';
+import {
+  type KeptRecord,
+  ServiceLedger,
+  type ServiceLedgerLimits,
+  type ServiceLedgerState,
+} from './service-ledger.js';
 import type {
   ClaimCommand,
   ClaimResult,
@@ -35,6 +46,8 @@
 export interface LedgerOptions {
   /** Records and tombstones kept for one service. */
   readonly entriesPerService?: number;
+  /** Characters of answers' bodies kept for one service. */
+  readonly storedBodiesPerService?: number;
 }
 
 function isIdentifier(value: unknown): value is string {
@@ -51,17 +64,20 @@
 
 export class Ledger {
   private readonly services = new Map<ServiceName, ServiceEntry>();
-  private readonly entriesPerService: number;
+  private readonly limits: ServiceLedgerLimits;
 
   constructor(options: LedgerOptions = {}) {
-    this.entriesPerService = options.entriesPerService ?? ENTRIES_PER_SERVICE;
+    this.limits = {
+      entries: options.entriesPerService ?? ENTRIES_PER_SERVICE,
+      bodyCharacters: options.storedBodiesPerService ?? STORED_BODIES_PER_SERVICE,
+    };
   }
 
   /** Opens the ledger of a service or changes its retention. */
   setService(service: ServiceName, retentionMillis: number, clock: WallMillis): void {
     const entry = this.services.get(service);
     if (entry === undefined) {
-      const ledger = new ServiceLedger(retentionMillis, this.entriesPerService);
+      const ledger = new ServiceLedger(retentionMillis, this.limits);
       this.services.set(service, { ledger, active: true });
       return;
     }
@@ -149,7 +165,7 @@
   static fromState(state: LedgerState, options: LedgerOptions = {}): Ledger {
     const restored = new Ledger(options);
     for (const { name, active, ledger } of state.services) {
-      const entry = { ledger: ServiceLedger.fromState(ledger, restored.entriesPerService), active };
+      const entry = { ledger: ServiceLedger.fromState(ledger, restored.limits), active };
       restored.services.set(name, entry);
     }
     return restored;
--- a/src/ledger/limits.ts
+++ b/src/ledger/limits.ts
@@ -11,3 +11,9 @@
 
 /** Longest accepted key and claimant, in characters. */
 export const IDENTIFIER_LIMIT = 512;
+
+/**
+ * Characters of all answers' bodies kept for one service. Beyond that the bodies of the answers settled longest ago are
+ * dropped and marked `truncated`; that their requests ran is still known. Bounds a member's memory and its snapshots.
+ */
+export const STORED_BODIES_PER_SERVICE = 64 * 1024 * 1024;
--- a/src/ledger/service-ledger.ts
+++ b/src/ledger/service-ledger.ts
@@ -7,6 +7,7 @@
  */
 import type { WallMillis } from '../model/identifiers.js';
 import { ExpiryQueue } from './expiry-queue.js';
+import { StoredBodies } from './stored-bodies.js';
 import type { ClaimantId, LedgerRecord } from './types.js';
 
 interface Expiring {
@@ -44,19 +45,29 @@
   return `${key}${SEPARATOR}${claimant}`;
 }
 
+/** Bounds of one service. */
+export interface ServiceLedgerLimits {
+  /** Records and tombstones. */
+  readonly entries: number;
+  /** Characters of all answers' bodies. */
+  readonly bodyCharacters: number;
+}
+
 export class ServiceLedger {
   private horizon = 0;
   private retentionMillis: number;
   private readonly records = new Map<string, KeptRecord>();
   private readonly recordQueue = new ExpiryQueue();
+  private readonly bodies: StoredBodies;
   private readonly tombstones = new Map<string, Tombstone>();
   private readonly tombstoneQueue = new ExpiryQueue();
 
   constructor(
     retentionMillis: number,
-    private readonly entryLimit: number,
+    private readonly limits: ServiceLedgerLimits,
   ) {
     this.retentionMillis = retentionMillis;
+    this.bodies = new StoredBodies(limits.bodyCharacters);
   }
 
   /** Records and tombstones held. */
@@ -89,6 +100,8 @@
     const { key } = kept.record;
     const before = this.records.get(key);
     this.records.set(key, kept);
+    this.bodies.put(key, kept.record.answer);
+    this.dropOldBodies();
     // A record that stays has an entry in the queue already; the pop puts it back at its later time.
     if (before === undefined) {
       this.recordQueue.push({ time: kept.issuedAt, key });
@@ -112,6 +125,7 @@
   /** Frees a key: its claim is proved not to have run. */
   release(key: string): void {
     this.records.delete(key);
+    this.bodies.forget(key);
   }
 
   /** Copies lists, no records; cheap enough to be done between two entries of the log. */
@@ -124,9 +138,14 @@
     };
   }
 
-  static fromState(state: ServiceLedgerState, entryLimit: number): ServiceLedger {
-    const ledger = new ServiceLedger(state.retentionMillis, entryLimit);
+  static fromState(state: ServiceLedgerState, limits: ServiceLedgerLimits): ServiceLedger {
+    const ledger = new ServiceLedger(state.retentionMillis, limits);
     ledger.horizon = state.horizon;
+    const settledFirst = (one: KeptRecord, other: KeptRecord): number =>
+      one.record.revision - other.record.revision;
+    for (const { record } of [...state.records].sort(settledFirst)) {
+      ledger.bodies.put(record.key, record.answer);
+    }
     for (const kept of state.records) {
       ledger.put(kept);
     }
@@ -136,12 +155,24 @@
     return ledger;
   }
 
+  /** That the request ran is kept; only what it answered goes. */
+  private dropOldBodies(): void {
+    for (let key = this.bodies.overdue(); key !== undefined; key = this.bodies.overdue()) {
+      this.bodies.forget(key);
+      const kept = this.records.get(key);
+      if (kept?.record.answer != null) {
+        const answer = { ...kept.record.answer, body: '', truncated: true };
+        this.records.set(key, { ...kept, record: { ...kept.record, answer } });
+      }
+    }
+  }
+
   /**
    * Under pressure the horizon rises to the oldest entry: old keys are refused early, none runs again. Only live
    * entries count, since the queues' stale ones aren't part of a snapshot and replicas must agree.
    */
   private enforceLimit(): void {
-    while (this.size > this.entryLimit) {
+    while (this.size > this.limits.entries) {
       const oldestRecord = this.oldestLive(this.recordQueue, this.records);
       const oldestTombstone = this.oldestLive(this.tombstoneQueue, this.tombstones);
       this.horizon = Math.max(this.horizon, Math.min(oldestRecord, oldestTombstone));
@@ -165,11 +196,15 @@
   }
 
   private dropBelowHorizon(): void {
-    this.dropExpired(this.recordQueue, this.records);
-    this.dropExpired(this.tombstoneQueue, this.tombstones);
+    this.dropExpired(this.recordQueue, this.records, (key) => this.bodies.forget(key));
+    this.dropExpired(this.tombstoneQueue, this.tombstones, () => {});
   }
 
-  private dropExpired(queue: ExpiryQueue, entries: Map<string, Expiring>): void {
+  private dropExpired(
+    queue: ExpiryQueue,
+    entries: Map<string, Expiring>,
+    forget: (key: string) => void,
+  ): void {
     for (let next = queue.peek(); next !== undefined && next.time <= this.horizon; next = queue.peek()) {
       queue.pop();
       const entry = entries.get(next.key);
@@ -178,6 +213,7 @@
       }
       if (this.isExpired(entry.issuedAt)) {
         entries.delete(next.key);
+        forget(next.key);
       } else {
         queue.push({ time: entry.issuedAt, key: next.key });
       }
