--- a/src/dev/scale/roles/hollow-upstream-role.ts
+++ b/src/dev/scale/roles/hollow-upstream-role.ts
@@ -8,6 +8,7 @@
 
 export interface HollowUpstreamStart {
   readonly cluster: string;
+  readonly secret: string;
   readonly upstreams: readonly { readonly id: string; readonly service: string }[];
 }
 
@@ -36,12 +37,12 @@
   let lastMillis = 0;
   let messages = 0;
 
-  const startOne = async (cluster: string, upstream: string, service: string): Promise<string> => {
+  const startOne = async (start: HollowUpstreamStart, upstream: string, service: string): Promise<string> => {
     const onGranted = (): void => {
       grants += 1;
       lastMillis = machineMillis();
     };
-    const fence = createFence({ cluster, upstream, service, onGranted });
+    const fence = createFence({ cluster: start.cluster, secret: start.secret, upstream, service, onGranted });
     const handler = createNodeHandler(fence, (_request, response) => {
       response.end();
     });
@@ -55,11 +56,11 @@
   };
 
   return {
-    async start({ cluster, upstreams }) {
+    async start(start) {
       meter.start();
       const addresses: Record<string, string> = {};
-      for (const { id, service } of upstreams) {
-        addresses[id] = await startOne(cluster, id, service);
+      for (const { id, service } of start.upstreams) {
+        addresses[id] = await startOne(start, id, service);
       }
       return addresses;
     },
--- a/src/dev/scale/scale-fleet.ts
+++ b/src/dev/scale/scale-fleet.ts
@@ -175,12 +175,13 @@
 
   private async startUpstreams(): Promise<Map<string, string>> {
     const { plan } = this.options;
+    const { cluster, secret } = this.identity;
     const addresses = await Promise.all(
       plan.upstreamProcesses.map((names) => {
         const worker = new WorkerProcess<HollowUpstreamMethods>('hollow-upstreams');
         this.upstreams.push(worker);
         const upstreams = names.map((id) => ({ id, service: serviceOfUpstream(plan, indexOf(id)) }));
-        return worker.methods.start({ cluster: this.identity.cluster, upstreams });
+        return worker.methods.start({ cluster, secret, upstreams });
       }),
     );
     return new Map(addresses.flatMap((some) => Object.entries(some)));
--- a/test/dev/scale/hollow-daemons.test.ts
+++ b/test/dev/scale/hollow-daemons.test.ts
@@ -6,8 +6,12 @@
 import { SharedConfiguration } from '../../../src/dev/scale/shared-configuration.js';
 import { SharedDecoder } from '../../../src/dev/scale/shared-decoder.js';
 import type { SessionAnswer } from '../../../src/lease/types.js';
+import { HEADERS } from '../../../src/model/outcome.js';
 import type { RoutingSnapshot } from '../../../src/registry/types.js';
 import { controlToRouterCodecs, type Frame } from '../../../src/wire/index.js';
+import { computeSessionProof } from '../../../src/wire/session/session-proof.js';
+
+const SECRET = 'secret of a test';
 
 function snapshotOf(count: number, owner: string): RoutingSnapshot {
   const shards = Array.from({ length: count }, (_, number) => ({
@@ -86,28 +90,30 @@
   it('answer sessions as the real fence does, count grants, and are gone once killed', async () => {
     const role = createHollowUpstreamRole();
     const upstreams = [{ id: 'u1', service: 's' }];
-    const { u1: address } = await role.start({ cluster: 'c1', upstreams });
+    const { u1: address } = await role.start({ cluster: 'c1', secret: SECRET, upstreams });
     const ask = async (incarnation: string | null, sequence: number): Promise<SessionAnswer> => {
       const orders = [{ type: 'grant', shard: 's/all@1/0', epoch: 5, revision: 5 }];
+      const body = JSON.stringify({
+        cluster: 'c1',
+        leader: 'm1',
+        term: 1,
+        sequence,
+        upstream: 'u1',
+        incarnation,
+        validUntil: null,
+        keyMap: {
+          service: 's',
+          generation: 1,
+          keyspaces: [{ name: 'all', kind: 'prefix', match: '', shards: 1 }],
+        },
+        orders,
+        complete: true,
+        drain: false,
+      });
       const response = await fetch(`http://${address}/ternmount/v1/session`, {
         method: 'POST',
-        body: JSON.stringify({
-          cluster: 'c1',
-          leader: 'm1',
-          term: 1,
-          sequence,
-          upstream: 'u1',
-          incarnation,
-          validUntil: null,
-          keyMap: {
-            service: 's',
-            generation: 1,
-            keyspaces: [{ name: 'all', kind: 'prefix', match: '', shards: 1 }],
-          },
-          orders,
-          complete: true,
-          drain: false,
-        }),
+        headers: { [HEADERS.sessionProof]: computeSessionProof(SECRET, body) },
+        body,
       });
       return (await response.json()) as SessionAnswer;
     };
