--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -63,10 +63,13 @@
     const listener = new HttpListener(server);
     server.on('request', (request, response) => {
       if (listener.stopping) {
-        response.setHeader('connection', 'close');
+        // As a header it would make Node keep only the last of several headers of one name.
+        response.shouldKeepAlive = false;
       }
       onRequest(request, response);
     });
+    // An expectation that nobody knows is no reason to turn a request away (RFC 9110, 10.1.1).
+    server.on('checkExpectation', (request, response) => server.emit('request', request, response));
     const { host, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
       const refuse = (error: Error): void => reject(new ListenError(address, error));
