--- a/src/dev/sim/clients/sim-operator.ts
+++ b/src/dev/sim/clients/sim-operator.ts
@@ -137,6 +137,9 @@
   private removeUpstream({ definition, revision }: UpstreamRecord): void {
     const command: OperatorCommand = { type: 'upstream-remove', upstream: definition.id, expected: revision };
     const marker = `-#${this.world.nextNumber()}`;
+    for (const upstream of this.world.upstreams.filter(({ id }) => id === definition.id)) {
+      upstream.isAskedToLeave = true;
+    }
     const value = { thing: `upstream/${definition.id}`, marker, leaving: true, removed: true };
     this.change(command, value, () => this.world.recorder.count('removal of an upstream asked for'));
   }
@@ -194,6 +197,7 @@
       leaving,
     };
     const thing = `upstream/${upstream.id}`;
+    upstream.isAskedToLeave = leaving;
     this.change(
       { type: 'upstream-apply', definition, expected },
       { thing, marker: `#${marker}`, leaving, removed: false },
--- a/src/dev/sim/sabotages.ts
+++ b/src/dev/sim/sabotages.ts
@@ -43,7 +43,7 @@
   'vote-not-kept': {
     promise: 'acknowledged-survives',
     description: 'term and vote are not written to disk',
-    faults: ['power-loss', 'leader-crash'],
+    faults: ['power-loss'],
   },
   'compare-and-set-ignored': {
     promise: 'acknowledged-survives',
--- a/src/dev/sim/upstream/sim-upstream.ts
+++ b/src/dev/sim/upstream/sim-upstream.ts
@@ -35,6 +35,8 @@
   isSilent = false;
   /** Share of answers that are broken: cut in the middle or sent twice. */
   badAnswers = 0;
+  /** The last change that an operator asked for marks it as leaving or removes it. */
+  isAskedToLeave = false;
   /** A planned stop was asked for. */
   isStopping = false;
   readonly maps = new Map<number, SessionRequest['keyMap'] & object>();
