--- /dev/null
+++ b/src/dev/sim/control/persist-task.ts
@@ -0,0 +1,74 @@
+/** Writes of one run of a control member: one sync at a time, in order, each reported once it is done. */
+import type { PersistRequest } from '../../../consensus/types.js';
+import type { Random } from '../random.js';
+import type { SimProcess } from '../sim-process.js';
+import type { SimulatedDisk } from '../simulated-disk.js';
+import type { World } from '../world.js';
+import { spoilPersist } from './spoil-control.js';
+
+const SHORTEST_SYNC_MILLIS = 0.2;
+const LONGEST_SYNC_MILLIS = 3;
+/** How long the sabotaged disk leaves writes unsynced. */
+const UNSYNCED_MILLIS = 400;
+
+export interface PersistTaskParts {
+  readonly world: World;
+  readonly process: SimProcess;
+  readonly random: Random;
+  readonly disk: SimulatedDisk;
+  /** Everything up to this request is on disk, or so the core is told. */
+  readonly persisted: (persistId: number) => void;
+}
+
+export class PersistTask {
+  private readonly run: number;
+  private lastSyncAt: number;
+  private lastPersistId = 0;
+  private reportedId = 0;
+
+  constructor(private readonly parts: PersistTaskParts) {
+    this.run = parts.process.run;
+    this.lastSyncAt = parts.world.time.now;
+  }
+
+  /** Number of the last request. */
+  get lastRequest(): number {
+    return this.lastPersistId;
+  }
+
+  /** Whether the core waits for the report of a request. */
+  get isBusy(): boolean {
+    return this.lastPersistId > this.reportedId;
+  }
+
+  write(request: PersistRequest): void {
+    const { world, random, disk } = this.parts;
+    const { persistId } = request;
+    this.lastPersistId = persistId;
+    disk.write(spoilPersist(request, world.sabotage));
+    const took = random.between(SHORTEST_SYNC_MILLIS, LONGEST_SYNC_MILLIS);
+    this.lastSyncAt = Math.max(this.lastSyncAt, world.time.now) + took;
+    const isReportedEarly = world.sabotage === 'no-fsync';
+    if (isReportedEarly) {
+      this.parts.process.schedule(0, () => this.report(persistId), true);
+    }
+    const syncedAt = this.lastSyncAt + (isReportedEarly ? UNSYNCED_MILLIS : 0);
+    world.time.at(syncedAt, () => this.sync(persistId, !isReportedEarly));
+  }
+
+  private sync(persistId: number, isReported: boolean): void {
+    const { process, disk } = this.parts;
+    if (process.run !== this.run || process.state === 'stopped') {
+      return;
+    }
+    disk.sync(persistId);
+    if (isReported) {
+      process.post(() => this.report(persistId), true);
+    }
+  }
+
+  private report(persistId: number): void {
+    this.reportedId = persistId;
+    this.parts.persisted(persistId);
+  }
+}
