Routing: admission and the evidence of attempts are modules of their own

What may wait, for how long and what it is told is now `admission.ts`; what the ends of attempts say about upstreams is `attempt-evidence.ts`.

--- /dev/null
+++ b/src/routing/admission.ts
@@ -0,0 +1,145 @@
+/** Whether work may wait, for how long, and what it is told if it may not. */
+import { PRIORITY_CLASSES } from '../model/service.js';
+import type { Answers } from './answers.js';
+import type { Lane } from './lane-table.js';
+import { retryAfterMillis, UNMEASURED_RETRY_MILLIS } from './retry-after.js';
+import type { RouterContext } from './router-context.js';
+import type { ServiceState } from './service-state.js';
+import type { RefusalReason } from './types.js';
+import { WaitEstimate } from './wait-estimate.js';
+import type { Work } from './work.js';
+
+/** Requests that a router keeps waiting over all services; beyond it, less important ones make room. */
+const WAITING_LIMIT = 10_000;
+/** Share of a service's queue that one shard may fill. */
+const LANE_SHARE = 0.5;
+/** Work that may have run is tried once more, however little time is left. */
+const LEAST_WAIT_MILLIS = 1;
+/** Work that may have run is given up when this share of its deadline is left. */
+const RESERVED_SHARE = 0.1;
+/**
+ * Work is let in while its estimated wait is below this share of its limit, so that a lane which then drains a little
+ * slower than estimated serves it all the same.
+ */
+const ADMITTED_SHARE = 0.75;
+
+export class Admission {
+  private readonly estimate: WaitEstimate;
+
+  constructor(
+    private readonly context: RouterContext,
+    private readonly answers: Answers,
+  ) {
+    this.estimate = new WaitEstimate(context);
+  }
+
+  /** Why a work may not wait, if it may not. */
+  refusalOf(work: Work): RefusalReason | undefined {
+    const { service } = work;
+    const { queueLimit, holdLimitMillis } = service.definition;
+    const laneLength = service.lanes.find(work.shard)?.queue.length ?? 0;
+    const laneLimit = work.shard === null ? queueLimit : Math.ceil(queueLimit * LANE_SHARE);
+    if (service.waitingLength >= queueLimit || laneLength >= laneLimit || !this.makeRoom(work)) {
+      return 'queue-full';
+    }
+    const longest = Math.min(work.deadline - this.context.now, holdLimitMillis);
+    return this.estimate.untilDispatch(work) > longest * ADMITTED_SHARE ? 'would-miss-deadline' : undefined;
+  }
+
+  /** The limit counts from the first wait; retries don't extend it. */
+  boundWait(work: Work): void {
+    if (work.holdTimer === null) {
+      const end = this.context.now + work.service.definition.holdLimitMillis;
+      work.holdUntil = work.mayHaveRun ? work.holdUntil : Math.min(work.holdUntil, end);
+      work.holdTimer = this.context.schedule(work.holdUntil, { type: 'hold-end', work });
+    }
+  }
+
+  /**
+   * A work that may have run is worth a longer wait than its service's limit: given up, it leaves its callers with
+   * `unknown`. It is answered some time before its deadline all the same.
+   */
+  extendWait(work: Work): void {
+    const end = work.firstDeadline - work.service.definition.deadlineMillis * RESERVED_SHARE;
+    work.holdUntil = Math.max(end, this.context.now + LEAST_WAIT_MILLIS);
+    this.context.cancelTimer(work.holdTimer);
+    work.holdTimer = null;
+  }
+
+  /** The bounded wait of a work is over. */
+  giveUpWaiting(work: Work): void {
+    const reason = this.reasonForWaiting(work);
+    const measured = reason === 'would-miss-deadline';
+    const wait = measured ? this.retryAfter(work) : this.unmeasuredRetryAfter();
+    this.answers.refuseWork(work, reason, wait);
+  }
+
+  /**
+   * Answers the last ones of lanes that have become slower than they were when these were let in: they would only wait
+   * for their limit. A lane without an owner waits for news, not for its turn.
+   */
+  refuseHopeless(service: ServiceState): void {
+    for (const lane of service.lanes.allWaiting()) {
+      this.refuseHopelessOf(service, lane);
+    }
+  }
+
+  /** Jittered time in which what waits before a work drains. */
+  retryAfter(work: Work): number {
+    const wait = this.estimate.untilDispatch(work);
+    return retryAfterMillis(wait > 0 ? wait : UNMEASURED_RETRY_MILLIS, this.context.random);
+  }
+
+  unmeasuredRetryAfter(): number {
+    return retryAfterMillis(UNMEASURED_RETRY_MILLIS, this.context.random);
+  }
+
+  private refuseHopelessOf(service: ServiceState, lane: Lane): void {
+    const { now } = this.context;
+    const isServed = lane.shard === null || this.context.ownerOf(lane.shard) !== undefined;
+    if (!isServed || lane.isPaused(now) || !lane.drainRate.isMeasured) {
+      return;
+    }
+    let last = lane.queue.peekLast();
+    while (last !== undefined && now + this.estimate.ofLast(service, lane) > last.holdUntil) {
+      this.answers.refuseWork(last, 'would-miss-deadline', this.retryAfter(last));
+      last = lane.queue.peekLast();
+    }
+  }
+
+  /** Keeps the router's own bound: the oldest waiting work of a less important service gives way. */
+  private makeRoom(work: Work): boolean {
+    if (this.context.waitingLength() < WAITING_LIMIT) {
+      return true;
+    }
+    const rank = PRIORITY_CLASSES.indexOf(work.service.definition.priority);
+    let least: ServiceState | undefined;
+    let leastRank = rank;
+    for (const service of this.context.services.values()) {
+      const serviceRank = PRIORITY_CLASSES.indexOf(service.definition.priority);
+      if (service.lanes.length > 0 && serviceRank > leastRank) {
+        least = service;
+        leastRank = serviceRank;
+      }
+    }
+    const victim = least?.lanes.allWaiting()[0]?.queue.peek();
+    if (least === undefined || victim === undefined) {
+      return false;
+    }
+    this.answers.refuseWork(victim, 'queue-full', this.retryAfter(victim));
+    return true;
+  }
+
+  private reasonForWaiting(work: Work): RefusalReason {
+    const { now } = this.context;
+    if (work.shard !== null) {
+      const owner = this.context.ownerOf(work.shard);
+      const owned = owner !== undefined && !owner.upstream.evidence.operatorLeaving;
+      return owned ? 'would-miss-deadline' : 'no-owner';
+    }
+    const takesWork = work.service.upstreams.some(
+      (upstream) => upstream.evidence.standing(now) !== 'leaving' && !upstream.ejection.isEjected(now),
+    );
+    return takesWork ? 'would-miss-deadline' : 'no-upstream';
+  }
+}
--- /dev/null
+++ b/src/routing/attempt-evidence.ts
@@ -0,0 +1,97 @@
+/** What the ends of this router's own attempts say about their upstreams: speed, load, slots, failures. */
+import type { FenceRefusal } from '../lease/types.js';
+import type { RouterContext } from './router-context.js';
+import type { AttemptResult } from './types.js';
+import type { UpstreamState } from './upstream-state.js';
+import type { Attempt } from './work.js';
+
+/** Pause of an upstream that refused for overload and named no time itself. */
+const OVERLOAD_PAUSE_MILLIS = 20;
+const LONGEST_OVERLOAD_PAUSE_MILLIS = 1000;
+const PAUSE_JITTER = 0.5;
+/** A deadline that passed speaks against an upstream only when the attempt had this many service times. */
+const SLOW_ATTEMPT_FACTOR = 5;
+/** And this long, or half of the service's own deadline if that is less: callers may ask for next to no time. */
+const LEAST_SLOW_MILLIS = 200;
+const FIRST_SERVER_ERROR = 500;
+
+export class AttemptEvidence {
+  constructor(private readonly context: RouterContext) {}
+
+  /** Notes what the end of an attempt says about its upstream. */
+  take(attempt: Attempt, result: AttemptResult): void {
+    const { now } = this.context;
+    const { upstream, work } = attempt;
+    const took = now - attempt.startedAt;
+    switch (result.type) {
+      case 'answered':
+        upstream.answered(took, result.load, now);
+        this.countAnswer(attempt, result.status, took);
+        return;
+      case 'refused':
+        this.countRefusal(upstream, result.refusal, result.retryAfterMillis);
+        return;
+      case 'connect-failed':
+        upstream.connectionFailed(now);
+        this.countFailure(attempt);
+        return;
+      case 'broken':
+        this.countFailure(attempt);
+        return;
+      case 'cancelled':
+        if (work.timedOut && took >= slowAttemptMillis(attempt)) {
+          this.countFailure(attempt);
+        }
+    }
+  }
+
+  private countAnswer(attempt: Attempt, status: number, took: number): void {
+    const { upstream, work } = attempt;
+    if (work.shard !== null) {
+      this.context.reporter.answered(work.shard, took);
+    }
+    if (status >= FIRST_SERVER_ERROR) {
+      this.countFailure(attempt);
+    } else {
+      upstream.succeeded(this.context.now);
+    }
+  }
+
+  private countRefusal(
+    upstream: UpstreamState,
+    refusal: FenceRefusal,
+    retryAfterMillis: number | null,
+  ): void {
+    const { now, random } = this.context;
+    if (refusal === 'draining') {
+      upstream.evidence.refusedAsDraining(now);
+    }
+    if (refusal === 'overloaded') {
+      upstream.slotLimit.overloaded(now);
+      const asked = retryAfterMillis ?? random.jitter(OVERLOAD_PAUSE_MILLIS, PAUSE_JITTER);
+      const pause = Math.min(LONGEST_OVERLOAD_PAUSE_MILLIS, asked);
+      upstream.pausedUntil = Math.max(upstream.pausedUntil, now + pause);
+    }
+  }
+
+  /** Counts a failure; enough of them in a row eject the upstream. */
+  countFailure(attempt: Attempt): void {
+    const { now } = this.context;
+    const { upstream, work } = attempt;
+    const { service } = work;
+    const ejected = upstream.ejection.failed(now, service.ejectedCount(now), service.upstreams.length);
+    if (ejected) {
+      this.context.emit({
+        type: 'log',
+        level: 'warn',
+        event: 'upstream-ejected',
+        fields: { upstream: upstream.id, service: service.name, until: upstream.ejection.ejectedUntil },
+      });
+    }
+  }
+}
+
+function slowAttemptMillis({ upstream, work }: Attempt): number {
+  const least = Math.min(LEAST_SLOW_MILLIS, work.service.definition.deadlineMillis / 2);
+  return Math.max(least, upstream.serviceMillis * SLOW_ATTEMPT_FACTOR);
+}
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -1,33 +1,42 @@
 /** What follows from the end of an attempt: an answer, another try, or giving up. Nothing that may have run is tried again unless its service allows it. */
 import type { FenceRefusal } from '../lease/types.js';
+import type { Admission } from './admission.js';
 import type { Answers } from './answers.js';
+import { AttemptEvidence } from './attempt-evidence.js';
 import type { Settlement } from './claim.js';
 import type { Dispatcher } from './dispatcher.js';
 import type { RequestIntake } from './request-intake.js';
 import type { RouterContext } from './router-context.js';
 import type { AttemptNumber, AttemptResult } from './types.js';
-import type { UpstreamState } from './upstream-state.js';
 import type { Attempt, Work } from './work.js';
 
-/** Pause of an upstream that refused for overload and named no time itself. */
-const OVERLOAD_PAUSE_MILLIS = 20;
-const LONGEST_OVERLOAD_PAUSE_MILLIS = 1000;
 /** Pause of a shard's owner that can't be reached. */
 const UNREACHABLE_PAUSE_MILLIS = 50;
-const PAUSE_JITTER = 0.5;
-/** A deadline that passed speaks against an upstream only when the attempt had this many service times. */
-const SLOW_ATTEMPT_FACTOR = 5;
-/** And this long, or half of the service's own deadline if that is less: callers may ask for next to no time. */
-const LEAST_SLOW_MILLIS = 200;
-const FIRST_SERVER_ERROR = 500;
+
+export interface AttemptResultsParts {
+  readonly context: RouterContext;
+  readonly admission: Admission;
+  readonly dispatcher: Dispatcher;
+  readonly answers: Answers;
+  readonly intake: RequestIntake;
+}
 
 export class AttemptResults {
-  constructor(
-    private readonly context: RouterContext,
-    private readonly dispatcher: Dispatcher,
-    private readonly answers: Answers,
-    private readonly intake: RequestIntake,
-  ) {}
+  private readonly context: RouterContext;
+  private readonly admission: Admission;
+  private readonly dispatcher: Dispatcher;
+  private readonly answers: Answers;
+  private readonly intake: RequestIntake;
+  private readonly evidence: AttemptEvidence;
+
+  constructor(parts: AttemptResultsParts) {
+    this.context = parts.context;
+    this.admission = parts.admission;
+    this.dispatcher = parts.dispatcher;
+    this.answers = parts.answers;
+    this.intake = parts.intake;
+    this.evidence = new AttemptEvidence(parts.context);
+  }
 
   /** An attempt ended; one that is not known (any more) is ignored. */
   ended(number: AttemptNumber, result: AttemptResult): void {
@@ -38,7 +47,7 @@
     this.context.attempts.delete(number);
     attempt.upstream.inFlight -= 1;
     attempt.work.service.inFlight -= 1;
-    this.takeEvidence(attempt, result);
+    this.evidence.take(attempt, result);
     if (attempt.abandoned) {
       this.dispatcher.drainUpstream(attempt.upstream);
       return;
@@ -61,11 +70,11 @@
   /** Gives up an attempt on a slow upstream, which counts against it, and makes the next one. */
   moveOn(attempt: Attempt): void {
     const { work, upstream } = attempt;
-    this.countFailure(attempt);
+    this.evidence.countFailure(attempt);
     this.detach(attempt);
     work.noteMayHaveRun();
     work.avoid = upstream;
-    this.dispatcher.extendWait(work);
+    this.admission.extendWait(work);
     this.dispatcher.requeue(work);
   }
 
@@ -144,7 +153,7 @@
     if (work.shard !== null) {
       this.holdShard(attempt);
     }
-    this.dispatcher.extendWait(work);
+    this.admission.extendWait(work);
     this.retryWithinBudget(work);
   }
 
@@ -168,83 +177,8 @@
       this.dispatcher.requeue(work);
       return;
     }
-    this.answers.refuseWork(work, 'retry-budget-spent', this.dispatcher.retryAfter(work));
-  }
-
-  private takeEvidence(attempt: Attempt, result: AttemptResult): void {
-    const { now } = this.context;
-    const { upstream, work } = attempt;
-    const took = now - attempt.startedAt;
-    switch (result.type) {
-      case 'answered':
-        upstream.answered(took, result.load, now);
-        this.countAnswer(attempt, result.status, took);
-        return;
-      case 'refused':
-        this.countRefusal(upstream, result.refusal, result.retryAfterMillis);
-        return;
-      case 'connect-failed':
-        upstream.connectionFailed(now);
-        this.countFailure(attempt);
-        return;
-      case 'broken':
-        this.countFailure(attempt);
-        return;
-      case 'cancelled':
-        if (work.timedOut && took >= slowAttemptMillis(attempt)) {
-          this.countFailure(attempt);
-        }
-    }
+    this.answers.refuseWork(work, 'retry-budget-spent', this.admission.retryAfter(work));
   }
-
-  private countAnswer(attempt: Attempt, status: number, took: number): void {
-    const { upstream, work } = attempt;
-    if (work.shard !== null) {
-      this.context.reporter.answered(work.shard, took);
-    }
-    if (status >= FIRST_SERVER_ERROR) {
-      this.countFailure(attempt);
-    } else {
-      upstream.succeeded(this.context.now);
-    }
-  }
-
-  private countRefusal(
-    upstream: UpstreamState,
-    refusal: FenceRefusal,
-    retryAfterMillis: number | null,
-  ): void {
-    const { now, random } = this.context;
-    if (refusal === 'draining') {
-      upstream.evidence.refusedAsDraining(now);
-    }
-    if (refusal === 'overloaded') {
-      upstream.slotLimit.overloaded(now);
-      const asked = retryAfterMillis ?? random.jitter(OVERLOAD_PAUSE_MILLIS, PAUSE_JITTER);
-      const pause = Math.min(LONGEST_OVERLOAD_PAUSE_MILLIS, asked);
-      upstream.pausedUntil = Math.max(upstream.pausedUntil, now + pause);
-    }
-  }
-
-  private countFailure(attempt: Attempt): void {
-    const { now } = this.context;
-    const { upstream, work } = attempt;
-    const { service } = work;
-    const ejected = upstream.ejection.failed(now, service.ejectedCount(now), service.upstreams.length);
-    if (ejected) {
-      this.context.emit({
-        type: 'log',
-        level: 'warn',
-        event: 'upstream-ejected',
-        fields: { upstream: upstream.id, service: service.name, until: upstream.ejection.ejectedUntil },
-      });
-    }
-  }
-}
-
-function slowAttemptMillis({ upstream, work }: Attempt): number {
-  const least = Math.min(LEAST_SLOW_MILLIS, work.service.definition.deadlineMillis / 2);
-  return Math.max(least, upstream.serviceMillis * SLOW_ATTEMPT_FACTOR);
 }
 
 /** The caller was answered or left before the attempt ended; what became of it still counts for the ledger. */
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -2,6 +2,7 @@
 import type { ClaimResult, StoredAnswer } from '../ledger/types.js';
 import type { ShardId } from '../model/identifiers.js';
 import type { PolicyContext, PolicyDecision } from '../policy/index.js';
+import type { Admission } from './admission.js';
 import type { Answers } from './answers.js';
 import type { ClaimFlow, ClaimListener } from './claim-flow.js';
 import type { Dispatcher } from './dispatcher.js';
@@ -19,21 +20,35 @@
 /** What is said when the ledger knows that it ran but kept no answer. */
 const ANSWER_NOT_KEPT: StoredAnswer = { status: 200, contentType: '', body: '', truncated: true };
 
+export interface RequestIntakeParts {
+  readonly context: RouterContext;
+  readonly admission: Admission;
+  readonly dispatcher: Dispatcher;
+  readonly answers: Answers;
+  readonly claims: ClaimFlow;
+}
+
 export class RequestIntake implements ClaimListener {
-  constructor(
-    private readonly context: RouterContext,
-    private readonly dispatcher: Dispatcher,
-    private readonly answers: Answers,
-    private readonly claims: ClaimFlow,
-  ) {
-    claims.listen(this);
+  private readonly context: RouterContext;
+  private readonly admission: Admission;
+  private readonly dispatcher: Dispatcher;
+  private readonly answers: Answers;
+  private readonly claims: ClaimFlow;
+
+  constructor(parts: RequestIntakeParts) {
+    this.context = parts.context;
+    this.admission = parts.admission;
+    this.dispatcher = parts.dispatcher;
+    this.answers = parts.answers;
+    this.claims = parts.claims;
+    parts.claims.listen(this);
   }
 
   arrive(request: ArrivedRequest): void {
     const { context } = this;
     const service = context.services.get(request.service);
     if (!context.lease.isValid(context.now)) {
-      const wait = this.dispatcher.unmeasuredRetryAfter();
+      const wait = this.admission.unmeasuredRetryAfter();
       this.answers.refuseArrival(request, 'no-configuration', ledgerWordOf(request, undefined), wait);
       return;
     }
@@ -88,12 +103,12 @@
         this.answers.refuseWork(work, 'unknown-service', null);
         return;
       default:
-        this.answers.refuseWork(work, 'ledger-unavailable', this.dispatcher.unmeasuredRetryAfter());
+        this.answers.refuseWork(work, 'ledger-unavailable', this.admission.unmeasuredRetryAfter());
     }
   }
 
   claimTimedOut(work: Work): void {
-    this.answers.refuseWork(work, 'ledger-unavailable', this.dispatcher.unmeasuredRetryAfter());
+    this.answers.refuseWork(work, 'ledger-unavailable', this.admission.unmeasuredRetryAfter());
   }
 
   /** Asks the policy again about a request that it holds. */
@@ -107,7 +122,7 @@
   refuseWaiting(service: ServiceState, reason: RefusalReason): void {
     const waiting = [...service.lanes.allWork(), ...service.held, ...service.claiming];
     for (const work of waiting) {
-      this.answers.refuseWork(work, reason, this.dispatcher.unmeasuredRetryAfter());
+      this.answers.refuseWork(work, reason, this.admission.unmeasuredRetryAfter());
     }
   }
 
@@ -236,7 +251,7 @@
 
   private policyRetryAfter(work: Work, asked: number | null): number {
     if (asked === null) {
-      return this.dispatcher.retryAfter(work);
+      return this.admission.retryAfter(work);
     }
     return retryAfterMillis(asked, this.context.random);
   }
@@ -249,7 +264,7 @@
     if (state === 'ran') {
       this.answers.deliverStored(work, answer ?? ANSWER_NOT_KEPT);
     } else if (state === 'running') {
-      this.answers.refuseWork(work, 'still-running', this.dispatcher.unmeasuredRetryAfter());
+      this.answers.refuseWork(work, 'still-running', this.admission.unmeasuredRetryAfter());
     } else {
       this.answers.refuseWork(work, 'outcome-unknown', null);
     }
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -1,6 +1,7 @@
 /** The router core: takes inputs, keeps the state of all requests, gives back effects. No clock, no socket, no wait. */
 import type { ControlToRouter, SyncResponse } from '../control/messages.js';
 import type { Address, UpstreamId, WallMillis } from '../model/identifiers.js';
+import { Admission } from './admission.js';
 import { Answers } from './answers.js';
 import { AttemptResults } from './attempt-results.js';
 import { ClaimFlow } from './claim-flow.js';
@@ -22,6 +23,7 @@
   private readonly context: RouterContext;
   private readonly claims: ClaimFlow;
   private readonly answers: Answers;
+  private readonly admission: Admission;
   private readonly dispatcher: Dispatcher;
   private readonly intake: RequestIntake;
   private readonly results: AttemptResults;
@@ -33,9 +35,11 @@
     this.context = new RouterContext(config);
     this.claims = new ClaimFlow(this.context);
     this.answers = new Answers(this.context, this.claims);
-    this.dispatcher = new Dispatcher(this.context, this.answers);
-    this.intake = new RequestIntake(this.context, this.dispatcher, this.answers, this.claims);
-    this.results = new AttemptResults(this.context, this.dispatcher, this.answers, this.intake);
+    this.admission = new Admission(this.context, this.answers);
+    this.dispatcher = new Dispatcher(this.context, this.answers, this.admission);
+    const { context, admission, dispatcher, answers, claims } = this;
+    this.intake = new RequestIntake({ context, admission, dispatcher, answers, claims });
+    this.results = new AttemptResults({ context, admission, dispatcher, answers, intake: this.intake });
     this.lost = new LostAttempts(this.context, this.results);
     this.updates = new ConfigurationUpdates({
       context: this.context,
@@ -198,7 +202,7 @@
     const { work } = subject;
     work.holdTimer = null;
     if (work.phase === 'queued') {
-      this.dispatcher.giveUpWaiting(work);
+      this.admission.giveUpWaiting(work);
     }
   }
 
