--- a/src/dev/sim/faults/fault-plan.ts
+++ b/src/dev/sim/faults/fault-plan.ts
@@ -3,9 +3,21 @@
 import { DISK_FAULTS } from './disk-faults.js';
 import type { FaultKind } from './fault.js';
 import { NETWORK_FAULTS } from './network-faults.js';
-import { LOSS_IN_CALM, PROCESS_FAULTS } from './process-faults.js';
+import { PLANNED_STOPS } from './planned-stops.js';
+import { AWAY_THROUGH_CHANGES, OPERATOR_RACE, PROCESS_FAULTS } from './process-faults.js';
+import { LOSS_IN_CALM, MISLEADING_FAULTS, UPSTREAM_FAULTS } from './upstream-faults.js';
 
-export const FAULT_KINDS: readonly FaultKind[] = [...NETWORK_FAULTS, ...PROCESS_FAULTS, ...DISK_FAULTS];
+/** The order is part of what a seed means: new kinds go to the end. */
+export const FAULT_KINDS: readonly FaultKind[] = [
+  ...NETWORK_FAULTS,
+  ...PROCESS_FAULTS,
+  ...UPSTREAM_FAULTS,
+  AWAY_THROUGH_CHANGES,
+  ...PLANNED_STOPS,
+  ...MISLEADING_FAULTS,
+  OPERATOR_RACE,
+  ...DISK_FAULTS,
+];
 
 const FEWEST_FAULTS = 2;
 const MOST_FAULTS = 6;
