--- a/src/dev/sim/router/sim-router.ts
+++ b/src/dev/sim/router/sim-router.ts
@@ -1,6 +1,5 @@
 /** A router: the router core on a simulated machine with its callers, its control members and its upstreams. */
 import { DEFAULT_CONFIG_LEASE_TIMINGS, type RouterToControl } from '../../../control/messages.js';
-import type { StoredAnswer } from '../../../ledger/types.js';
 import type { Address, Incarnation } from '../../../model/identifiers.js';
 import { createRouterNode } from '../../../routing/index.js';
 import type {
@@ -13,10 +12,10 @@
   RouterInput,
   RouterStatus,
 } from '../../../routing/types.js';
-import type { SendId } from '../../checker/history.js';
 import { SimProcess, TickTimer } from '../sim-process.js';
 import type { World } from '../world.js';
 import { ControlLine } from './control-line.js';
+import { type Exchange, type RouterAnswer, storedAnswer } from './router-answer.js';
 import { SimAttempt } from './sim-attempt.js';
 import { spoilRefusal, spoilResult, spoilToControl } from './spoil-router.js';
 import { UpstreamConnections } from './upstream-connections.js';
@@ -28,18 +27,6 @@
 /** Length of the configuration lease under sabotage. */
 const ENDLESS_LEASE_MILLIS = 1_000_000;
 
-/** What a caller may be answered. */
-export type RouterAnswer =
-  | { readonly type: 'answer'; readonly ranFor: SendId; readonly content: string; readonly whole: boolean }
-  | { readonly type: 'refusal'; readonly outcome: 'not-run' | 'unknown' | 'ran'; readonly reason: string };
-
-/** A caller's request that waits for its answer. */
-export interface Exchange {
-  readonly send: SendId;
-  readonly content: string;
-  readonly answer: (answer: RouterAnswer) => void;
-}
-
 type Dispatch = Extract<RouterEffect, { readonly type: 'dispatch' }>;
 
 export class SimRouter extends SimProcess {
@@ -264,15 +251,3 @@
     }
   }
 }
-
-/** What the ledger kept names the sending that ran; a body that wasn't kept only says that it ran. */
-function storedAnswer(stored: StoredAnswer): RouterAnswer {
-  if (stored.truncated) {
-    return { type: 'refusal', outcome: 'ran', reason: 'answer-not-kept' };
-  }
-  const { ranFor, content } = JSON.parse(Buffer.from(stored.body, 'base64').toString()) as {
-    readonly ranFor: SendId;
-    readonly content: string;
-  };
-  return { type: 'answer', ranFor, content, whole: true };
-}
