--- a/src/dev/scale/scale-fleet.ts
+++ b/src/dev/scale/scale-fleet.ts
@@ -20,6 +20,8 @@
 import { WorkerFailedError, WorkerProcess } from './worker-process.js';
 
 const POLL_MILLIS = 50;
+/** The leader is asked seldom how far it is: its answer names every upstream. */
+const STATUS_MILLIS = 500;
 const COMMANDS_AT_ONCE = 64;
 /** Pause between the starts of two routers of one process. */
 const ROUTER_PAUSE_MILLIS = 15;
@@ -154,7 +156,7 @@
       if (status.type === 'status' && status.unownedShards === 0) {
         return;
       }
-      await sleep(POLL_MILLIS);
+      await sleep(STATUS_MILLIS);
     }
   }
 
@@ -173,12 +175,13 @@
 
   private async startUpstreams(): Promise<Map<string, string>> {
     const { plan } = this.options;
+    const { cluster, secret } = this.identity;
     const addresses = await Promise.all(
       plan.upstreamProcesses.map((names) => {
         const worker = new WorkerProcess<HollowUpstreamMethods>('hollow-upstreams');
         this.upstreams.push(worker);
         const upstreams = names.map((id) => ({ id, service: serviceOfUpstream(plan, indexOf(id)) }));
-        return worker.methods.start({ cluster: this.identity.cluster, upstreams });
+        return worker.methods.start({ cluster, secret, upstreams });
       }),
     );
     return new Map(addresses.flatMap((some) => Object.entries(some)));
