--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -115,7 +115,7 @@
     if (this.#hasNews) {
       this.#hasNews = false;
       this.#unowned.look(this.#raft.registry, now);
-      this.#routers.notify(this.#raft.registry.revision);
+      this.#routers.notify();
     }
     return this.#effects;
   }
