Router tests: the log of a lease that ends on purpose is taken by its test

Cause: 'gets nothing from a router that can not hear of it' lets a configuration lease end, and its router wrote the warning to the terminal. RouterDaemon takes a logger, by default the same as before; the test gives it a recorder and checks that this warning is the only one. What a daemon logs is unchanged.

--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -48,7 +48,6 @@
   private readonly traces = new PolicyTraces((on) => this.task.post({ type: 'policy-trace', on }));
   private readonly directory = new UpstreamDirectory();
   private readonly metrics: RouterMetrics;
-  private readonly log: Logger = createLogger('router');
   private callers: HttpListener | undefined;
   private admin: HttpListener | undefined;
   private fail: (error: Error) => void = () => {};
@@ -58,6 +57,7 @@
     settings: RouterDaemonSettings,
     createCore: CreateRouterCore,
     private readonly frontEnd: CallerFrontEnd,
+    private readonly log: Logger = createLogger('router'),
   ) {
     this.failed = new Promise((resolve) => {
       this.fail = resolve;
--- a/test/router/planned-stop.test.ts
+++ b/test/router/planned-stop.test.ts
@@ -4,6 +4,7 @@
 import { expect } from 'chai';
 import { HEADERS } from '../../src/model/outcome.js';
 import type { UpstreamRecord } from '../../src/registry/types.js';
+import { LogRecorder } from './log-recorder.js';
 import { call, RouterFixture, until } from './router-fixture.js';
 import { answerWhole, headFor, type ScriptedRequest, ScriptedUpstream } from './scripted-upstream.js';
 
@@ -102,7 +103,8 @@
   it('gets nothing from a router that can not hear of it: its configuration lease is over', async () => {
     const upstream = await new ScriptedUpstream().start();
     const configLease = { configLeaseMillis: 300, syncMillis: 50, clockRateError: 0.005 };
-    const router = await RouterFixture.start([upstream], { settings: { timings: { configLease } } });
+    const log = new LogRecorder();
+    const router = await RouterFixture.start([upstream], { settings: { timings: { configLease } }, log });
     await router.control.stop();
     await until(() => !router.daemon.status().serving);
     const answer = await router.get('/reads/1');
@@ -111,6 +113,7 @@
     expect(answer.headers['retry-after']).not.to.equal(undefined);
     await sleep(20);
     expect(upstream.requests).to.have.length(0);
+    expect(log.warnings).to.deep.equal(['configuration-lease-over']);
     await router.daemon.stop();
     await upstream.stop();
   });
--- a/test/router/router-fixture.ts
+++ b/test/router/router-fixture.ts
@@ -4,6 +4,7 @@
 import { DEFAULT_CONFIG_LEASE_TIMINGS } from '../../src/control/messages.js';
 import { BENCH_IDENTITY } from '../../src/dev/bench/proxy/bench-identity.js';
 import { ControlStandin } from '../../src/dev/bench/proxy/control-standin.js';
+import type { Logger } from '../../src/logging/logger.js';
 import type { ServiceDefinition } from '../../src/model/service.js';
 import type { RoutingSnapshot, UpstreamRecord } from '../../src/registry/types.js';
 import type { CallerFrontEnd } from '../../src/router/caller/caller-listener.js';
@@ -26,6 +27,8 @@
   readonly orders?: Partial<ServiceDefinition>;
   readonly settings?: Partial<RouterDaemonSettings>;
   readonly frontEnd?: CallerFrontEnd;
+  /** Where the daemon's log goes; as that of a process if left out. */
+  readonly log?: Logger;
 }
 
 /** Every upstream serves both services, neither of which is keyed. */
@@ -67,7 +70,7 @@
       ...options.settings,
       timings: { probeMillis: 0, idleMillis: 0, configLease: QUICK_SYNC, ...options.settings?.timings },
     };
-    const daemon = new RouterDaemon(settings, createRouterNode, options.frontEnd ?? 'koa');
+    const daemon = new RouterDaemon(settings, createRouterNode, options.frontEnd ?? 'koa', options.log);
     await daemon.start();
     const fixture = new RouterFixture(snapshot, control, daemon);
     await until(() => daemon.status().serving);
