Policy traces leave out the keys of requests

Cause: the router's admin port asks for no credential, and /v1/policy-trace showed each request's key there, which may name a person. Weighed: a token for this path (routers know no operators' tokens, which control alone checks). The key is left out of what is written; in policy try a rule that reads request.key is counted as an error of that rule and as no match, as any rule that fails at run time, so that its figures don't mislead silently.

--- a/src/policy/policy-context.ts
+++ b/src/policy/policy-context.ts
@@ -7,8 +7,8 @@
   readonly request: {
     readonly class: PriorityClass;
     readonly method: string;
-    /** Empty for a request without one. */
-    readonly key: string;
+    /** Empty for a request without one; missing where it isn't known, as in traces. A rule that reads it then fails. */
+    readonly key?: string | undefined;
     readonly service: string;
     /** 1 for the first attempt. */
     readonly attempt: number;
--- a/src/policy/policy-trace.ts
+++ b/src/policy/policy-trace.ts
@@ -22,7 +22,8 @@
     request: z.object({
       class: z.enum(PRIORITY_CLASSES),
       method: z.string(),
-      key: z.string(),
+      /** Left out of traces, which a router serves without a credential. */
+      key: z.string().optional(),
       service: z.string(),
       attempt: countSchema,
     }),
--- a/src/router/policy-traces.ts
+++ b/src/router/policy-traces.ts
@@ -1,4 +1,7 @@
-/** Records what policies see, for whoever asks on the admin port: `GET /v1/policy-trace`, one JSON object a line. */
+/**
+ * Records what policies see, for whoever asks on the admin port: `GET /v1/policy-trace`, one JSON object a line. The port
+ * asks for no credential, so that requests' keys, which may name people, are left out.
+ */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { PolicyTraceRecord } from '../policy/index.js';
 
@@ -77,13 +80,18 @@
       return;
     }
     trace.left -= 1;
-    response.write(`${JSON.stringify(record)}\n`);
+    response.write(`${JSON.stringify(withoutKey(record))}\n`);
     if (trace.left === 0) {
       response.end();
     }
   }
 }
 
+function withoutKey(record: PolicyTraceRecord): PolicyTraceRecord {
+  const { key: _, ...request } = record.context.request;
+  return { ...record, context: { ...record.context, request } };
+}
+
 /** A whole number of 1 to `most`; `null` if it is none. */
 function readBound(text: string | null, otherwise: number, most: number): number | null {
   const value = text === null ? otherwise : Number(text);
--- a/test/cli/policy.test.ts
+++ b/test/cli/policy.test.ts
@@ -16,6 +16,12 @@
     weight: 10
 `;
 
+const BY_KEY = `policy:
+  - name: one-home
+    when: request.key.startsWith('k')
+    action: refuse
+`;
+
 const WRONG = `policy:
   - name: one
     when: |
@@ -118,6 +124,15 @@
     ]);
   });
 
+  it('counts a rule that reads a key which the trace leaves out as an error of that rule', async () => {
+    const file = folder.write('by-key.yaml', BY_KEY);
+    const trace = folder.write('keyless.jsonl', record({}).replace('"key":"k",', ''));
+    const { exitCode, output } = await runCli(['policy', 'try', file, '--trace', trace]);
+    expect(exitCode).to.equal(0);
+    expect(output).to.contain('records: 1, passed: 1 (100 %)');
+    expect(output).to.contain('errors of rule one-home, taken as no match: 1');
+  });
+
   it('asks for the service if the trace has several', async () => {
     const trace = [record({}), record({ service: 'other' })];
     const { exitCode, errors } = await trial(trace);
--- a/test/router/policy-traces.test.ts
+++ b/test/router/policy-traces.test.ts
@@ -38,6 +38,22 @@
     expect(tryPolicy(program, records)).to.include({ passed: 0, changed: 3 });
   });
 
+  it('leave out the keys of requests, since the port asks for no credential', async () => {
+    let done = false;
+    const recorded = trace('records=5&seconds=20').finally(() => {
+      done = true;
+    });
+    await until(() => {
+      void router.get('/reads/home-17');
+      return done;
+    });
+    const { body } = await recorded;
+    expect(body).not.to.contain('home-17');
+    expect(parsePolicyTrace('trace', body).map(({ context }) => context.request.key)).to.deep.equal(
+      new Array(5).fill(undefined),
+    );
+  });
+
   for (const query of ['records=0', 'records=x', 'seconds=601']) {
     it(`refuses ${query}`, async () => {
       expect((await trace(query)).status).to.equal(400);
