--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -1,16 +1,15 @@
 /** The data folder of a replica: write-ahead log, snapshots, identity and lock. */
 export { DISK, type FileSystem, type WritableFile } from './file-system.js';
 export { type FolderLock, lockFolder } from './folder-lock.js';
-export type { ReplicaIdentity } from './replica-identity.js';
 export {
   createReplica,
   type NewReplica,
   type OpenedStore,
   openReplica,
-  ReplicaStore,
   type ReplicaStoreOptions,
-  replicaOf,
-} from './replica-store.js';
+} from './replica-folder.js';
+export type { ReplicaIdentity } from './replica-identity.js';
+export { ReplicaStore } from './replica-store.js';
 export {
   FolderLockedError,
   FolderUnusableError,
