Control: a replacement that waits for a replica gives way to another one

Cause: a mistyped replica never catches up, and its replacement stood in the way of the right one until the leader changed (the test failed first with 'another replacement is under way'). Now an operator's other request takes its place as long as the new replica isn't let in, and the learner that was taken in for nothing is taken out.

--- a/src/control/membership-desk.ts
+++ b/src/control/membership-desk.ts
@@ -150,7 +150,7 @@
     now: MonotonicMillis,
   ): void {
     const { operation, oldReplica, newReplica, address } = change;
-    if (this.#replacement !== null) {
+    if (this.#replacement !== null && !this.#giveWay(this.#replacement, change)) {
       this.#joinReplacement(this.#replacement, change);
       return;
     }
@@ -166,6 +166,29 @@
     this.#nextPollAt = now;
   }
 
+  /**
+   * A replacement whose new replica hasn't been let in gives way to another one that is asked for: the first may
+   * name a replica that will never come. Its learner, if there is one, is taken out again.
+   */
+  #giveWay(
+    running: Replacement,
+    { operation, oldReplica, newReplica }: Pick<Replacement, 'operation' | 'oldReplica' | 'newReplica'>,
+  ): boolean {
+    const isSame = running.oldReplica === oldReplica && running.newReplica === newReplica;
+    const isLetIn = running.stage === 'joint' || running.stage === 'busy';
+    if (operation === null || isSame || isLetIn) {
+      return false;
+    }
+    const { raft } = this.#parts;
+    const { learners } = raft.status().membership;
+    if (running.newReplica !== newReplica && learners.includes(running.newReplica)) {
+      raft.proposeMembership({ type: 'remove-learner', replica: running.newReplica }, () => {});
+    }
+    const message = `given up: ${newReplica} was asked for in place of ${running.newReplica}`;
+    this.#finish(running.operation, { type: 'rejected', message });
+    return true;
+  }
+
   /** A resend of the replacement under way gets its answer in place of the one before. */
   #joinReplacement(
     running: Replacement,
--- a/test/control/replacement.test.ts
+++ b/test/control/replacement.test.ts
@@ -128,6 +128,26 @@
     expect(cluster.leader().id).to.not.equal(away);
   });
 
+  it('gives way to another one while its new replica is not let in', () => {
+    const cluster = startCluster();
+    const lost = follower(cluster);
+    lose(cluster, lost);
+    const mistaken = {
+      type: 'replace-replica',
+      oldReplica: lost,
+      newReplica: 'm9',
+      address: addressOf('m9'),
+    } as const;
+    const first = cluster.request(mistaken);
+    cluster.run(2000);
+    expect(membership(cluster).learners).to.deep.equal(['m9']);
+    cluster.addMember('m4');
+    expect(replace(cluster, lost, 'm4')).to.include({ repaired: true });
+    expect(cluster.answers.get(first)).to.include({ type: 'rejected' });
+    expect(membership(cluster)).to.deep.include({ learners: [], outgoingVoters: [] });
+    expect(membership(cluster).voters).to.include('m4').and.to.not.include(lost);
+  });
+
   it('does not count as repaired while the new one is silent', () => {
     const cluster = startCluster();
     const lost = follower(cluster);
