--- a/src/router/policy-traces.ts
+++ b/src/router/policy-traces.ts
@@ -1,11 +1,13 @@
 /** Records what policies see, for whoever asks on the admin port: `GET /v1/policy-trace`, one JSON object a line. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { PolicyTraceRecord } from '../policy/index.js';
 
 export const POLICY_TRACE_PATH = '/v1/policy-trace';
 
 const OK = 200;
 const BAD_REQUEST = 400;
+const FORBIDDEN = 403;
 const SERVICE_UNAVAILABLE = 503;
 const DEFAULT_RECORDS = 1000;
 const MOST_RECORDS = 1_000_000;
@@ -30,6 +32,10 @@
 
   /** Serves `?service=NAME&records=N&seconds=S`; ends after so many records or so long. */
   serve(request: IncomingMessage, response: ServerResponse): void {
+    if (!isSameMachine(request.socket)) {
+      refuse(response, FORBIDDEN, 'traces hold keys: ask from the machine of the router');
+      return;
+    }
     const query = new URL(request.url ?? '/', 'http://router').searchParams;
     const records = readBound(query.get('records'), DEFAULT_RECORDS, MOST_RECORDS);
     const seconds = readBound(query.get('seconds'), DEFAULT_SECONDS, MOST_SECONDS);
@@ -84,6 +90,18 @@
   }
 }
 
+/** Whether the other end of a connection is on this machine; there are no tokens on a router's admin port. */
+export function isSameMachine(ends: Pick<Socket, 'remoteAddress' | 'localAddress'>): boolean {
+  const remote = plainAddress(ends.remoteAddress);
+  const isLoopback = remote === '::1' || remote.startsWith('127.');
+  return isLoopback || (remote !== '' && remote === plainAddress(ends.localAddress));
+}
+
+/** IPv4 addresses stand in IPv6 ones on sockets that take both. */
+function plainAddress(address: string | undefined): string {
+  return (address ?? '').replace(/^::ffff:/i, '');
+}
+
 /** A whole number of 1 to `most`; `null` if it is none. */
 function readBound(text: string | null, otherwise: number, most: number): number | null {
   const value = text === null ? otherwise : Number(text);
--- a/test/router/policy-traces.test.ts
+++ b/test/router/policy-traces.test.ts
@@ -1,6 +1,7 @@
 /** A router records what its policies see, so that another policy can be tried on it. */
 import { expect } from 'chai';
 import { compilePolicy, parsePolicyTrace, tryPolicy } from '../../src/policy/index.js';
+import { isSameMachine } from '../../src/router/policy-traces.js';
 import { call, RouterFixture, until } from './router-fixture.js';
 import { ScriptedUpstream } from './scripted-upstream.js';
 
@@ -38,6 +39,22 @@
     expect(tryPolicy(program, records)).to.include({ passed: 0, changed: 3 });
   });
 
+  for (const [remoteAddress, localAddress, same] of [
+    ['127.0.0.1', '127.0.0.1', true],
+    ['127.9.9.9', '127.0.0.1', true],
+    ['::1', '::1', true],
+    ['::ffff:127.0.0.1', '::ffff:127.0.0.1', true],
+    ['10.0.0.7', '10.0.0.7', true],
+    ['10.0.0.8', '10.0.0.7', false],
+    ['::ffff:10.0.0.8', '::ffff:10.0.0.7', false],
+    ['1270.0.0.1', '10.0.0.7', false],
+    [undefined, undefined, false],
+  ] as const) {
+    it(`go to ${remoteAddress} at ${localAddress}: ${same}`, () => {
+      expect(isSameMachine({ remoteAddress, localAddress })).to.equal(same);
+    });
+  }
+
   for (const query of ['records=0', 'records=x', 'seconds=601']) {
     it(`refuses ${query}`, async () => {
       expect((await trace(query)).status).to.equal(400);
