--- a/src/policy/policy-trace.ts
+++ b/src/policy/policy-trace.ts
@@ -22,8 +22,7 @@
     request: z.object({
       class: z.enum(PRIORITY_CLASSES),
       method: z.string(),
-      /** Left out of traces, which a router serves without a credential. */
-      key: z.string().optional(),
+      key: z.string(),
       service: z.string(),
       attempt: countSchema,
     }),
