--- a/src/placement/baselines/greedy.ts
+++ b/src/placement/baselines/greedy.ts
@@ -3,17 +3,11 @@
  * loaded server for as long as that lowers the higher of the two; then from the next one, since a shard that is hotter
  * than the mean of all servers leaves the most loaded server where it is.
  */
-import type { MonotonicMillis, ShardId, UpstreamId } from '../../model/identifiers.js';
-import { CandidateQueue } from '../candidate-queue.js';
-import {
-  capacityOf,
-  mayHold,
-  PlacementState,
-  type ServerEntry,
-  type ShardEntry,
-  utilisation,
-} from '../placement-state.js';
-import type { PlacementMove, PlacementPlanner, PlacementServer, PlacementShard } from '../types.js';
+import type { MonotonicMillis } from '../../model/identifiers.js';
+import type { CandidateQueue } from '../candidate-queue.js';
+import { capacityOf, mayHold, type ServerEntry, type ShardEntry, utilisation } from '../placement-state.js';
+import { heaviestFirst, StatefulPlanner } from '../stateful-planner.js';
+import type { PlacementMove, PlacementPlanner } from '../types.js';
 
 const LOOK_MILLIS = 1000;
 
@@ -22,48 +16,21 @@
   return new GreedyPlanner(topOnly);
 }
 
-class GreedyPlanner implements PlacementPlanner {
-  readonly #state = new PlacementState();
+class GreedyPlanner extends StatefulPlanner {
   readonly #topOnly: boolean;
   #lookAt: MonotonicMillis = Number.NEGATIVE_INFINITY;
 
   constructor(topOnly: boolean) {
+    super();
     this.#topOnly = topOnly;
   }
 
   /** It knows neither weights nor budgets. */
   configure(): void {}
 
-  setServer(server: PlacementServer): void {
-    this.#state.setServer(server);
-  }
-
-  removeServer(id: UpstreamId): void {
-    this.#state.removeServer(id);
-  }
-
-  setShard(shard: PlacementShard): void {
-    this.#state.setShard(shard);
-  }
-
-  setLoad(shard: ShardId, load: number): void {
-    this.#state.setLoad(shard, load);
-  }
-
-  setLeastLoad(load: number): void {
-    this.#state.leastLoad = load;
-  }
-
-  removeShard(shard: ShardId): void {
-    this.#state.removeShard(shard);
-  }
-
   plan(now: MonotonicMillis): PlacementMove[] {
-    const unplaced = [...this.#state.unplaced.values()].flatMap((entries) => [...entries]);
-    const moves = [
-      ...this.#toLeast(unplaced, 'unowned'),
-      ...this.#toLeast(this.#state.misplaced, 'evacuate'),
-    ];
+    const unplaced = [...this.state.unplaced.values()].flatMap((entries) => [...entries]);
+    const moves = [...this.#toLeast(unplaced, 'unowned'), ...this.#toLeast(this.state.misplaced, 'evacuate')];
     if (now < this.#lookAt) {
       return moves;
     }
@@ -77,32 +44,17 @@
 
   #toLeast(entries: Iterable<ShardEntry>, reason: PlacementMove['reason']): PlacementMove[] {
     const queues = new Map<string, CandidateQueue>();
-    const sorted = [...entries].sort(
-      (left, right) => right.load - left.load || (left.id < right.id ? -1 : 1),
-    );
-    return sorted.flatMap((entry) => {
-      const queue = queues.get(entry.keyspace) ?? this.#candidates(entry.keyspace);
+    return heaviestFirst(entries).flatMap((entry) => {
+      const queue = queues.get(entry.keyspace) ?? this.candidates(entry.keyspace);
       queues.set(entry.keyspace, queue);
-      return this.#begin(entry, queue.least(), reason);
+      const to = queue.least();
+      return to === undefined ? [] : [this.begin(entry, to, reason)];
     });
   }
 
-  #candidates(keyspace: string): CandidateQueue {
-    const takers = this.#state.takers().filter((server) => mayHold(server, keyspace));
-    return new CandidateQueue(takers, this.#state.floor());
-  }
-
-  #begin(entry: ShardEntry, to: ServerEntry | undefined, reason: PlacementMove['reason']): PlacementMove[] {
-    if (to === undefined) {
-      return [];
-    }
-    this.#state.begin(entry, to);
-    return [{ shard: entry.id, from: entry.owner, to: to.server.id, reason }];
-  }
-
   #level(): PlacementMove[] {
-    const floor = this.#state.floor();
-    const takers = this.#state.takers();
+    const floor = this.state.floor();
+    const takers = this.state.takers();
     const moves: PlacementMove[] = [];
     for (;;) {
       const ordered = [...takers].sort(
@@ -111,10 +63,10 @@
       const to = ordered.at(-1);
       const sources = this.#topOnly ? ordered.slice(0, 1) : ordered;
       const entry = to === undefined ? undefined : firstMovable(sources, to, floor);
-      if (entry === undefined) {
+      if (to === undefined || entry === undefined) {
         return moves;
       }
-      moves.push(...this.#begin(entry, to, 'balance'));
+      moves.push(this.begin(entry, to, 'balance'));
     }
   }
 }
--- a/src/placement/weighted-planner.ts
+++ b/src/placement/weighted-planner.ts
@@ -3,25 +3,14 @@
  * of a draining server move in batches. Load is evened out once a second, with a tolerance that follows from the
  * service's weights and within its budget.
  */
-import type { MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
+import type { MonotonicMillis } from '../model/identifiers.js';
 import { balance } from './balancer.js';
-import { CandidateQueue } from './candidate-queue.js';
+import type { CandidateQueue } from './candidate-queue.js';
 import { type Tolerance, toleranceOf } from './hysteresis.js';
 import { MoveBudget } from './move-budget.js';
-import {
-  mayHold,
-  PlacementState,
-  type ServerEntry,
-  type ShardEntry,
-  takesShards,
-} from './placement-state.js';
-import type {
-  PlacementMove,
-  PlacementPlanner,
-  PlacementServer,
-  PlacementSettings,
-  PlacementShard,
-} from './types.js';
+import { mayHold, type ServerEntry, type ShardEntry, takesShards } from './placement-state.js';
+import { heaviestFirst, StatefulPlanner } from './stateful-planner.js';
+import type { PlacementMove, PlacementPlanner, PlacementSettings } from './types.js';
 
 /** Time between two looks at the balance. */
 export const BALANCE_MILLIS = 1000;
@@ -36,13 +25,13 @@
   return new WeightedPlanner(settings, balanceFrom);
 }
 
-class WeightedPlanner implements PlacementPlanner {
-  readonly #state = new PlacementState();
+class WeightedPlanner extends StatefulPlanner {
   readonly #budget = new MoveBudget();
   #tolerance: Tolerance | undefined;
   #balanceAt: MonotonicMillis;
 
   constructor(settings: PlacementSettings, balanceFrom: MonotonicMillis) {
+    super();
     this.#balanceAt = balanceFrom;
     this.configure(settings);
   }
@@ -52,42 +41,18 @@
     this.#tolerance = toleranceOf(settings.weights);
   }
 
-  setServer(server: PlacementServer): void {
-    this.#state.setServer(server);
-  }
-
-  removeServer(id: UpstreamId): void {
-    this.#state.removeServer(id);
-  }
-
-  setShard(shard: PlacementShard): void {
-    this.#state.setShard(shard);
-  }
-
-  setLoad(shard: ShardId, load: number): void {
-    this.#state.setLoad(shard, load);
-  }
-
-  setLeastLoad(load: number): void {
-    this.#state.leastLoad = load;
-  }
-
-  removeShard(shard: ShardId): void {
-    this.#state.removeShard(shard);
-  }
-
   plan(now: MonotonicMillis): PlacementMove[] {
     return [...this.#placeUnowned(), ...this.#evacuate(now), ...this.#balance(now)];
   }
 
   nextDeadline(): MonotonicMillis {
     const mayBalance = this.#tolerance !== undefined && this.#budget.movesPerMinute >= 1;
-    return mayBalance && this.#state.shards.size > 0 ? this.#balanceAt : Number.POSITIVE_INFINITY;
+    return mayBalance && this.state.shards.size > 0 ? this.#balanceAt : Number.POSITIVE_INFINITY;
   }
 
   #placeUnowned(): PlacementMove[] {
     const moves: PlacementMove[] = [];
-    for (const [keyspace, unplaced] of this.#state.unplaced) {
+    for (const [keyspace, unplaced] of this.state.unplaced) {
       if (unplaced.size > 0) {
         this.#placeAll(heaviestFirst(unplaced), keyspace, moves);
       }
@@ -96,32 +61,30 @@
   }
 
   #placeAll(entries: readonly ShardEntry[], keyspace: string, moves: PlacementMove[]): void {
-    const queue = this.#candidates(keyspace);
+    const queue = this.candidates(keyspace);
     for (const entry of entries) {
       const to = this.#warmServer(entry) ?? queue.least();
       if (to !== undefined) {
-        moves.push({ shard: entry.id, from: null, to: to.server.id, reason: 'unowned' });
-        this.#state.begin(entry, to);
+        moves.push(this.begin(entry, to, 'unowned'));
       }
     }
   }
 
   /** A server that has warmed for this shard and may still take it. */
   #warmServer({ target, keyspace }: ShardEntry): ServerEntry | undefined {
-    const server = this.#state.servers.get(target ?? '');
+    const server = this.state.servers.get(target ?? '');
     return server !== undefined && takesShards(server) && mayHold(server, keyspace) ? server : undefined;
   }
 
   #evacuate(now: MonotonicMillis): PlacementMove[] {
     const moves: PlacementMove[] = [];
     const queues = new Map<string, CandidateQueue>();
-    for (const entry of heaviestFirst(this.#state.misplaced)) {
-      const queue = queues.get(entry.keyspace) ?? this.#candidates(entry.keyspace);
+    for (const entry of heaviestFirst(this.state.misplaced)) {
+      const queue = queues.get(entry.keyspace) ?? this.candidates(entry.keyspace);
       queues.set(entry.keyspace, queue);
       const to = leastWithRoom(queue);
       if (to !== undefined) {
-        moves.push({ shard: entry.id, from: entry.owner, to: to.server.id, reason: 'evacuate' });
-        this.#state.begin(entry, to);
+        moves.push(this.begin(entry, to, 'evacuate'));
         this.#budget.take(now);
       }
     }
@@ -137,21 +100,12 @@
     if (limit === 0) {
       return [];
     }
-    const moves = balance(this.#state, this.#tolerance, limit, now);
+    const moves = balance(this.state, this.#tolerance, limit, now);
     return moves.map(({ entry, to }) => {
       this.#budget.take(now);
       return { shard: entry.id, from: entry.owner, to: to.server.id, reason: 'balance' };
     });
   }
-
-  #candidates(keyspace: string): CandidateQueue {
-    const takers = this.#state.takers().filter((server) => mayHold(server, keyspace));
-    return new CandidateQueue(takers, this.#state.floor());
-  }
-}
-
-function heaviestFirst(entries: ReadonlySet<ShardEntry>): ShardEntry[] {
-  return [...entries].sort((left, right) => right.load - left.load || (left.id < right.id ? -1 : 1));
 }
 
 /** The least loaded server that doesn't warm too many shards already. */
