Control: reads and proposals of the Raft adapter have modules of their own

raft-adapter.ts held three jobs in 312 lines: passing effects on, linearizable reads that wait for the registry, and the fate of proposals. The latter two are LinearizableReads and PendingProposals now.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -12,8 +12,9 @@
 import { LeaderDuties } from './leader-duties.js';
 import { MembershipDesk } from './membership-desk.js';
 import { OperatorDesk } from './operator-desk.js';
+import type { SettleProposal } from './pending-proposals.js';
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
-import { RaftAdapter, type RaftListener, type SettleProposal } from './raft-adapter.js';
+import { RaftAdapter, type RaftListener } from './raft-adapter.js';
 import { RouterDesk } from './router-desk.js';
 import { SnapshotDesk } from './snapshot-desk.js';
 import type {
--- a/src/control/membership-desk.ts
+++ b/src/control/membership-desk.ts
@@ -2,7 +2,8 @@
 import type { RaftStatus } from '../consensus/types.js';
 import type { Address, MonotonicMillis, ReplicaId, Revision } from '../model/identifiers.js';
 import { AutomaticRepair, type WaitingReplica } from './automatic-repair.js';
-import type { ProposalOutcome, RaftAdapter } from './raft-adapter.js';
+import type { ProposalOutcome } from './pending-proposals.js';
+import type { RaftAdapter } from './raft-adapter.js';
 import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
 
 /** How often a change that waits for a replica is looked at. */
--- a/src/control/operator-desk.ts
+++ b/src/control/operator-desk.ts
@@ -3,8 +3,9 @@
 import type { MonotonicMillis } from '../model/identifiers.js';
 import type { CommandResult } from '../registry/types.js';
 import type { MembershipDesk } from './membership-desk.js';
+import type { ProposalOutcome } from './pending-proposals.js';
 import type { ProposeCommand } from './propose-command.js';
-import type { ProposalOutcome, RaftAdapter } from './raft-adapter.js';
+import type { RaftAdapter } from './raft-adapter.js';
 import { findShards } from './shard-query.js';
 import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
 
--- a/src/control/propose-command.ts
+++ b/src/control/propose-command.ts
@@ -1,6 +1,6 @@
 /** How the parts of a control member put commands into the log. */
 import type { Command } from '../registry/types.js';
-import type { SettleProposal } from './raft-adapter.js';
+import type { SettleProposal } from './pending-proposals.js';
 
 /** Who asks, for the audit log and the dedup table; the system's own commands have no request id. */
 export interface CommandOrigin {
--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -11,21 +11,10 @@
   RaftMessage,
   RaftStatus,
 } from '../consensus/types.js';
-import type { Address, MonotonicMillis, Revision, Term } from '../model/identifiers.js';
+import type { Address, MonotonicMillis, Term } from '../model/identifiers.js';
 import type { CommandEnvelope, CommandResult, Registry, RegistryChange } from '../registry/types.js';
-
-/** What became of a proposal. */
-export type ProposalOutcome =
-  | { readonly type: 'applied'; readonly result: CommandResult; readonly revision: Revision }
-  /** Nothing was changed and nothing will be. */
-  | { readonly type: 'not-leader' }
-  | { readonly type: 'rejected'; readonly reason: string }
-  /** The change may or may not be made later. */
-  | { readonly type: 'unknown' };
-
-export type SettleProposal = (outcome: ProposalOutcome, now: MonotonicMillis) => void;
-/** `true`: linearizable as of the request. `false`: no leader confirmed it. */
-export type SettleRead = (confirmed: boolean, now: MonotonicMillis) => void;
+import { LinearizableReads, type SettleRead } from './linearizable-reads.js';
+import { PendingProposals, type SettleProposal } from './pending-proposals.js';
 
 /** What the adapter hands to the control node. */
 export interface RaftListener {
@@ -48,19 +37,6 @@
     : never
   : never;
 
-interface AcceptedProposal {
-  readonly term: Term;
-  readonly settle: SettleProposal;
-}
-interface PendingRead {
-  readonly expiresAt: MonotonicMillis;
-  readonly settle: SettleRead;
-}
-interface WaitingRead {
-  readonly index: Revision;
-  readonly settle: SettleRead;
-}
-
 export interface RaftAdapterParts {
   readonly raft: RaftCore;
   readonly registry: Registry;
@@ -83,10 +59,8 @@
 export class RaftAdapter {
   readonly #parts: RaftAdapterParts;
   readonly #inputs: RaftInput[] = [];
-  readonly #proposed = new Map<number, SettleProposal>();
-  readonly #accepted = new Map<Revision, AcceptedProposal>();
-  readonly #reads = new Map<number, PendingRead>();
-  #waitingReads: WaitingRead[] = [];
+  readonly #proposals = new PendingProposals();
+  readonly #reads: LinearizableReads;
   /** Committed entries that the registry hasn't taken yet. */
   #committed: LogEntry[] = [];
   #bytesLeft = 0;
@@ -98,6 +72,7 @@
   constructor(parts: RaftAdapterParts) {
     this.#parts = parts;
     this.#registry = parts.registry;
+    this.#reads = new LinearizableReads(parts.readTimeoutMillis);
     this.#term = parts.raft.status().term;
   }
 
@@ -126,21 +101,21 @@
 
   propose(envelope: CommandEnvelope, settle: SettleProposal): void {
     const proposalId = this.#number();
-    this.#proposed.set(proposalId, settle);
+    this.#proposals.begin(proposalId, settle);
     this.feed({ type: 'propose', proposalId, data: encoder.encode(JSON.stringify(envelope)) });
   }
 
   /** Settled when the change's entry is applied; a joint change is then still under way. */
   proposeMembership(proposal: MembershipProposal, settle: SettleProposal): void {
     const proposalId = this.#number();
-    this.#proposed.set(proposalId, settle);
+    this.#proposals.begin(proposalId, settle);
     this.feed({ ...proposal, proposalId });
   }
 
   /** A linearizable read: settled when this member's registry holds all that was committed when it was asked for. */
   read(now: MonotonicMillis, settle: SettleRead): void {
     const readId = this.#number();
-    this.#reads.set(readId, { expiresAt: now + this.#parts.readTimeoutMillis, settle });
+    this.#reads.begin(readId, now, settle);
     this.feed({ type: 'read', readId });
   }
 
@@ -152,12 +127,12 @@
   /** Hands queued inputs to the Raft core until nothing is left to do. Returns whether there was any. */
   run(now: MonotonicMillis): boolean {
     this.#lastRunAt = now;
-    this.#expireReads(now);
+    this.#reads.expire(now);
     let busy = this.#applyCommitted(now);
     for (let input = this.#inputs.shift(); input !== undefined; input = this.#inputs.shift()) {
       busy = true;
       for (const effect of this.#parts.raft.step(input, now)) {
-        this.#handle(effect, now);
+        this.#carryOut(effect, now);
       }
     }
     return busy;
@@ -167,8 +142,7 @@
     if (this.#committed.length > 0) {
       return this.#lastRunAt;
     }
-    const expiries = [...this.#reads.values()].map((read) => read.expiresAt);
-    return Math.min(this.#parts.raft.nextDeadline(), ...expiries);
+    return Math.min(this.#parts.raft.nextDeadline(), this.#reads.nextDeadline());
   }
 
   #number(): number {
@@ -177,7 +151,7 @@
     return number;
   }
 
-  #handle(effect: RaftEffect, now: MonotonicMillis): void {
+  #carryOut(effect: RaftEffect, now: MonotonicMillis): void {
     const { listener } = this.#parts;
     switch (effect.type) {
       case 'send':
@@ -193,25 +167,25 @@
       case 'restore':
         this.#committed = [];
         this.#registry = this.#parts.decodeRegistry(effect.snapshot.data);
-        this.#loseAccepted(effect.snapshot.lastIndex, now);
+        this.#proposals.lose(effect.snapshot.lastIndex, now);
         listener.restored(now);
-        this.#releaseReads(now);
+        this.#reads.release(this.#registry.revision, now);
         break;
       case 'proposal-accepted':
-        this.#noteAccepted(effect.proposalId, effect.index, effect.term);
+        this.#proposals.accept(effect.proposalId, effect.index, effect.term);
         break;
       case 'proposal-rejected':
-        this.#noteRejected(effect.proposalId, effect.reason, now);
+        this.#proposals.reject(effect.proposalId, effect.reason, now);
         break;
       case 'read-ready':
-        this.#noteReadReady(effect.readId, effect.index, now);
+        this.#reads.confirm(effect.readId, effect.index, this.#registry.revision, now);
         break;
       case 'read-failed':
-        this.#failRead(effect.readId, now);
+        this.#reads.fail(effect.readId, now);
         break;
       case 'role-changed':
         if (effect.role !== 'leader' || effect.term !== this.#term) {
-          this.#loseAccepted(Number.POSITIVE_INFINITY, now);
+          this.#proposals.lose(Number.POSITIVE_INFINITY, now);
         }
         this.#term = effect.term;
         listener.roleChanged(now);
@@ -230,17 +204,14 @@
     }
     if (count > 0) {
       this.#committed = this.#committed.slice(count);
-      this.#releaseReads(now);
+      this.#reads.release(this.#registry.revision, now);
     }
     return count > 0;
   }
 
   #settleApplied(entry: LogEntry, now: MonotonicMillis): void {
     const result = this.#applyEntry(entry, now);
-    const accepted = this.#accepted.get(entry.index);
-    this.#accepted.delete(entry.index);
-    const isOurs = accepted?.term === entry.term;
-    accepted?.settle(isOurs ? { type: 'applied', result, revision: entry.index } : { type: 'unknown' }, now);
+    this.#proposals.applied(entry.index, entry.term, result, now);
   }
 
   #applyEntry(entry: LogEntry, now: MonotonicMillis): CommandResult {
@@ -253,60 +224,4 @@
     this.#parts.listener.applied(changes, now);
     return result;
   }
-
-  #noteAccepted(proposalId: number, index: Revision, term: Term): void {
-    const settle = this.#proposed.get(proposalId);
-    this.#proposed.delete(proposalId);
-    if (settle !== undefined) {
-      this.#accepted.set(index, { term, settle });
-    }
-  }
-
-  #noteRejected(proposalId: number, reason: string, now: MonotonicMillis): void {
-    const settle = this.#proposed.get(proposalId);
-    this.#proposed.delete(proposalId);
-    settle?.(reason === 'not-leader' ? { type: 'not-leader' } : { type: 'rejected', reason }, now);
-  }
-
-  /** Nothing more is heard of proposals up to `index`: their entries are in a snapshot, or another leader decides. */
-  #loseAccepted(index: Revision, now: MonotonicMillis): void {
-    for (const [accepted, proposal] of [...this.#accepted]) {
-      if (accepted <= index) {
-        this.#accepted.delete(accepted);
-        proposal.settle({ type: 'unknown' }, now);
-      }
-    }
-  }
-
-  #noteReadReady(readId: number, index: Revision, now: MonotonicMillis): void {
-    const read = this.#reads.get(readId);
-    this.#reads.delete(readId);
-    if (read !== undefined) {
-      this.#waitingReads.push({ index, settle: read.settle });
-      this.#releaseReads(now);
-    }
-  }
-
-  #releaseReads(now: MonotonicMillis): void {
-    const { revision } = this.#registry;
-    const ready = this.#waitingReads.filter((read) => read.index <= revision);
-    this.#waitingReads = this.#waitingReads.filter((read) => read.index > revision);
-    for (const read of ready) {
-      read.settle(true, now);
-    }
-  }
-
-  #failRead(readId: number, now: MonotonicMillis): void {
-    const read = this.#reads.get(readId);
-    this.#reads.delete(readId);
-    read?.settle(false, now);
-  }
-
-  #expireReads(now: MonotonicMillis): void {
-    for (const [readId, read] of [...this.#reads]) {
-      if (now >= read.expiresAt) {
-        this.#failRead(readId, now);
-      }
-    }
-  }
 }
--- a/src/dev/bench/models/placement/coordinator-rig.ts
+++ b/src/dev/bench/models/placement/coordinator-rig.ts
@@ -3,7 +3,7 @@
  * grant holders for the servers, and commands that are applied as soon as they are proposed.
  */
 import { LeaderProposals } from '../../../../control/leader-proposals.js';
-import type { SettleProposal } from '../../../../control/raft-adapter.js';
+import type { SettleProposal } from '../../../../control/pending-proposals.js';
 import { ShardCoordinator } from '../../../../control/shard-coordinator.js';
 import {
   createGrantHolder,
