Scale run at the full size: session calls by time a turn, hollow routers don't list all shards for each report

The runs before it didn't settle: each hollow router listed 90,000 shards for each report, so that processes of 150 stood still for seconds and control closed their connections as silent. 32 calls a turn of the event loop were also too few for a busy loop: a turn now sends for 10 ms.

--- a/src/control/daemon/upstream-sessions.ts
+++ b/src/control/daemon/upstream-sessions.ts
@@ -11,10 +11,10 @@
 /** Requests to one upstream at once: a second one may overtake a first that hangs. */
 const MAX_CALLS_PER_UPSTREAM = 2;
 /**
- * Requests that are sent in one turn of the event loop. A new leader has one for each upstream at once, most over a new
- * connection; sent together they would keep its own heartbeats waiting and then time out together.
+ * Time in one turn of the event loop for sending requests, in milliseconds. A new leader has one for each upstream at
+ * once, most over a new connection; sent together they would keep its own heartbeats waiting and then time out together.
  */
-const CALLS_PER_TURN = 32;
+const SEND_MILLIS_PER_TURN = 10;
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 const KEEP_ALIVE_MILLIS = 4000;
 const OK = 200;
@@ -87,11 +87,14 @@
 
   /** A request's time runs from here on, so that none fails for having waited behind others. */
   private sendSome(): void {
-    const some = this.waiting.slice(0, CALLS_PER_TURN);
-    this.waiting = this.waiting.slice(CALLS_PER_TURN);
-    for (const { upstream, address, request } of some) {
+    const until = performance.now() + SEND_MILLIS_PER_TURN;
+    let sent = 0;
+    while (sent < this.waiting.length && performance.now() < until) {
+      const { upstream, address, request } = this.waiting[sent] as WaitingCall;
+      sent += 1;
       void this.exchange(upstream, address, request);
     }
+    this.waiting = this.waiting.slice(sent);
     this.turn = this.waiting.length > 0 ? setImmediate(() => this.sendSome()) : undefined;
   }
 
--- a/src/dev/commands/scale-command.ts
+++ b/src/dev/commands/scale-command.ts
@@ -10,6 +10,7 @@
   readonly daemons: number;
   readonly shards: number;
   readonly seconds: number;
+  readonly election?: number;
   readonly out?: string;
   /** Folder for processor profiles of the control members. */
   readonly profile?: string;
@@ -20,6 +21,7 @@
     daemons: options.daemons,
     shards: options.shards,
     seconds: options.seconds,
+    electionMillis: options.election,
     controlFlags: options.profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${options.profile}`],
     progress: (phase) => process.stderr.write(`scale: ${phase}\n`),
   });
@@ -43,6 +45,7 @@
       .option('--daemons <count>', 'Control members and routers together', { default: 300 })
       .option('--shards <count>', 'Shards; one upstream server for each 75', { default: 22_500 })
       .option('--seconds <count>', 'Length of the steady state', { default: 8 })
+      .option('--election <ms>', "Election timeout of the control members, if not the daemon's own")
       .option('--out <folder>', 'Write the result here as JSON and text')
       .option('--profile <folder>', 'Write processor profiles of the control members here')
       .action(scale);
--- a/src/dev/scale/hollow-report.ts
+++ b/src/dev/scale/hollow-report.ts
@@ -11,7 +11,7 @@
 
 /** A report of one second's requests spread evenly over the shards, beginning at a place of the router's own. */
 export function hollowReport(shared: SharedConfiguration, position: number): LoadReport {
-  const shards = [...shared.owners.keys()];
+  const { shards } = shared;
   const count = Math.min(REPORTED_SHARDS, shards.length);
   const start = (position * REPORTED_SHARDS) % Math.max(1, shards.length);
   const workMillis = (SERVICE_MILLIS * REQUESTS) / Math.max(1, count);
--- a/src/dev/scale/roles/control-role.ts
+++ b/src/dev/scale/roles/control-role.ts
@@ -1,5 +1,5 @@
 /** A real control member: the daemon with its own sockets; its core is counted. */
-import type { Membership, RaftStatus } from '../../../consensus/types.js';
+import type { Membership, RaftStatus, RaftTimings } from '../../../consensus/types.js';
 import { createControlNode } from '../../../control/control-node.js';
 import { ControlDaemon } from '../../../control/daemon/control-daemon.js';
 import type {
@@ -25,6 +25,7 @@
 }
 
 export interface ControlStart extends ControlFolder {
+  readonly raft: RaftTimings;
   /** All members of the run; each starts from it, as its log is empty. */
   readonly membership: Membership;
 }
@@ -53,7 +54,7 @@
       });
       return replica;
     },
-    async start({ identity, membership, dataFolder, address }) {
+    async start({ identity, membership, raft, dataFolder, address }) {
       meter.start();
       const settings = {
         cluster: identity.cluster,
@@ -62,6 +63,7 @@
         listen: address,
         admin: '127.0.0.1:0',
         secret: identity.secret,
+        timings: { raft },
       };
       const { identity: folder, restored, store } = await openReplica(dataFolder, identity.cluster);
       const { replica } = folder;
--- a/src/dev/scale/scale-fleet.ts
+++ b/src/dev/scale/scale-fleet.ts
@@ -1,7 +1,7 @@
 /** The processes of a scale run and the first steps that bring them up. */
 import { createServer } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { RaftStatus } from '../../consensus/types.js';
+import type { RaftStatus, RaftTimings } from '../../consensus/types.js';
 import type { OperatorRequest, OperatorResponse } from '../../control/types.js';
 import type { ReplicaId, Revision } from '../../model/identifiers.js';
 import type { OperatorCommand } from '../../registry/types.js';
@@ -24,11 +24,12 @@
 const STATUS_MILLIS = 500;
 const COMMANDS_AT_ONCE = 64;
 /** Pause between the starts of two routers of one process. */
-const ROUTER_PAUSE_MILLIS = 15;
+const ROUTER_PAUSE_MILLIS = 30;
 
 export interface ScaleFleetOptions {
   readonly plan: ScalePlan;
   readonly dataFolder: string;
+  readonly raft: RaftTimings;
   /** Flags of Node for control members, e.g. `--cpu-prof`. */
   readonly controlFlags: readonly string[];
 }
@@ -50,6 +51,7 @@
     const control = await Promise.all(Array.from({ length: CONTROL_MEMBERS }, () => freeAddress()));
     this.identity = { ...this.identity, control };
     const { identity } = this;
+    const { raft } = this.options;
     const folders = control.map((address, index) => ({
       identity,
       address,
@@ -66,7 +68,7 @@
     );
     const membership = { voters: replicas, outgoingVoters: [], learners: [], addresses };
     await Promise.all(
-      folders.map((folder, index) => this.control[index]?.methods.start({ ...folder, membership })),
+      folders.map((folder, index) => this.control[index]?.methods.start({ ...folder, membership, raft })),
     );
     await this.leader();
   }
--- a/src/dev/scale/scale-run.ts
+++ b/src/dev/scale/scale-run.ts
@@ -3,6 +3,8 @@
 import { loadavg, tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { RaftTimings } from '../../consensus/types.js';
+import { DEFAULT_CONTROL_TIMINGS } from '../../control/daemon/settings.js';
 import { machineMillis } from '../journal/machine-clock.js';
 import { ScaleFleet } from './scale-fleet.js';
 import { planScale, type ScalePlan, type ScaleSize, SHARDS_PER_UPSTREAM } from './scale-plan.js';
@@ -11,6 +13,7 @@
 
 const DEFAULT_SECONDS = 8;
 const CHANGES = 10;
+const HEARTBEATS_PER_ELECTION = 5;
 const CHANGE_PAUSE_MILLIS = 100;
 const SETTLE_MILLIS = 1500;
 const GRANT_POLL_MILLIS = 20;
@@ -18,6 +21,8 @@
 export interface ScaleOptions extends ScaleSize {
   /** Length of the steady state that rates are measured over. */
   readonly seconds?: number;
+  /** Election timeout of the control members; heartbeats take a fifth of it. Default: the daemon's own. */
+  readonly electionMillis?: number | undefined;
   readonly controlFlags?: readonly string[];
   /** Told of each phase as it begins. */
   readonly progress?: (phase: string) => void;
@@ -35,7 +40,12 @@
 export async function runScale(options: ScaleOptions): Promise<ScaleResult> {
   const plan = planScale(options);
   const dataFolder = await mkdtemp(join(tmpdir(), 'ternmount-scale-'));
-  const fleet = new ScaleFleet({ plan, dataFolder, controlFlags: options.controlFlags ?? [] });
+  const fleet = new ScaleFleet({
+    plan,
+    dataFolder,
+    raft: raftTimings(options.electionMillis),
+    controlFlags: options.controlFlags ?? [],
+  });
   try {
     return await measure(plan, fleet, options);
   } finally {
@@ -44,6 +54,12 @@
   }
 }
 
+function raftTimings(electionMillis: number | undefined): RaftTimings {
+  return electionMillis === undefined
+    ? DEFAULT_CONTROL_TIMINGS.raft
+    : { electionTimeoutMillis: electionMillis, heartbeatMillis: electionMillis / HEARTBEATS_PER_ELECTION };
+}
+
 async function measure(plan: ScalePlan, fleet: ScaleFleet, options: ScaleOptions): Promise<ScaleResult> {
   const progress = options.progress ?? (() => {});
   const loadBefore = loadavg()[0] as number;
--- a/src/dev/scale/shared-configuration.ts
+++ b/src/dev/scale/shared-configuration.ts
@@ -7,6 +7,13 @@
   /** Owner of each shard. */
   readonly owners = new Map<ShardId, UpstreamId | null>();
   readonly upstreams = new Set<UpstreamId>();
+  private names: readonly ShardId[] | null = null;
+
+  /** Names of all shards; the same array until a shard is added. */
+  get shards(): readonly ShardId[] {
+    this.names ??= [...this.owners.keys()];
+    return this.names;
+  }
 
   takeSnapshot(snapshot: RoutingSnapshot): void {
     if (snapshot.revision <= this.revision) {
@@ -14,6 +21,7 @@
     }
     this.revision = snapshot.revision;
     this.owners.clear();
+    this.names = null;
     this.upstreams.clear();
     for (const { definition } of snapshot.upstreams) {
       this.upstreams.add(definition.id);
@@ -35,6 +43,7 @@
 
   private apply(change: RegistryChange): void {
     if (change.type === 'shard') {
+      this.names = this.owners.has(change.shard) ? this.names : null;
       this.owners.set(change.shard, change.record?.owner ?? null);
     } else if (change.type === 'upstream') {
       this.upstreams.add(change.id);
