One module for text in columns

Four places laid rows out in columns in the same words, and two laid facts out below each other. src/text/columns.ts and formatFacts hold that once; the layout of each table is as before.

--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -1,5 +1,6 @@
 /** Writes what queries found, as a table for people or as JSON or YAML for programs. */
 import { stringify } from 'yaml';
+import { alignColumns, COLUMN_GAP } from '../text/columns.js';
 import type { CliIo } from './cli-io.js';
 import type { OptionSpec } from './command-spec.js';
 import type { ParsedOptions } from './parsed-options.js';
@@ -13,7 +14,6 @@
   summary: 'table (default), json or yaml',
 };
 
-const COLUMN_GAP = '  ';
 const JSON_INDENT = 2;
 
 /** A column of a table of `Row`. */
@@ -31,16 +31,16 @@
 export function formatTable<Row>(columns: readonly Column<Row>[], rows: readonly Row[]): string {
   const cells = rows.map((row) => columns.map((column) => String(column.value(row) ?? '-')));
   const table = [columns.map((column) => column.title), ...cells];
-  const widths = columns.map((_, index) => Math.max(...table.map((line) => line[index]?.length ?? 0)));
-  const lines = table.map((line) =>
-    line
-      .map((cell, index) => cell.padEnd(widths[index] ?? 0))
-      .join(COLUMN_GAP)
-      .trimEnd(),
-  );
+  const lines = alignColumns(table, () => 'left');
   return `${lines.join('\n')}\n`;
 }
 
+/** Lays facts out, one a line: what it is, and its value. */
+export function formatFacts(facts: readonly (readonly [label: string, value: string])[]): string {
+  const width = Math.max(...facts.map(([label]) => label.length));
+  return facts.map(([label, value]) => `${label.padEnd(width)}${COLUMN_GAP}${value}\n`).join('');
+}
+
 /** Writes a value as JSON or YAML. */
 export function formatValue(format: 'json' | 'yaml', value: unknown): string {
   return format === 'json' ? `${JSON.stringify(value, null, JSON_INDENT)}\n` : stringify(value);
--- a/src/cli/queries/request-lookup.ts
+++ b/src/cli/queries/request-lookup.ts
@@ -5,7 +5,7 @@
 import type { CommandSpec, Invocation } from '../command-spec.js';
 import type { ControlClient } from '../control-client.js';
 import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
-import { OUTPUT_OPTION, outputFormat, writeOutput } from '../output.js';
+import { formatFacts, OUTPUT_OPTION, outputFormat, writeOutput } from '../output.js';
 
 const ADVICE: Readonly<Record<LedgerBody['state'], string>> = {
   running: 'an attempt has the key and has not settled it; it runs nowhere else',
@@ -39,7 +39,7 @@
 }
 
 function recordText(record: LedgerBody): string {
-  const lines = [
+  return formatFacts([
     ['idempotency key', record.key],
     ['service', record.service],
     ['state', record.state],
@@ -48,9 +48,7 @@
     ['answer', record.answer === null ? '-' : `status ${record.answer.status}`],
     ['revision', String(record.revision)],
     ['so', ADVICE[record.state]],
-  ];
-  const width = Math.max(...lines.map(([label = '']) => label.length));
-  return lines.map(([label = '', value = '']) => `${label.padEnd(width)}  ${value}\n`).join('');
+  ]);
 }
 
 async function lookup(invocation: Invocation): Promise<ExitCode> {
--- a/src/cli/queries/shard-explain.ts
+++ b/src/cli/queries/shard-explain.ts
@@ -8,7 +8,7 @@
 import type { CommandSpec, Invocation } from '../command-spec.js';
 import { readShard } from '../current.js';
 import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
-import { formatMillis, OUTPUT_OPTION, outputFormat, writeOutput } from '../output.js';
+import { formatFacts, formatMillis, OUTPUT_OPTION, outputFormat, writeOutput } from '../output.js';
 
 type Health = StatusBody['upstreams'][number];
 
@@ -126,7 +126,7 @@
   const { record } = explanation;
   const owner = record?.owner ?? 'none';
   const state = explanation.ownerState === null ? '' : ` (${explanation.ownerState})`;
-  const lines = [
+  return formatFacts([
     ['key', explanation.key],
     ['service', explanation.service],
     ['keyspace', explanation.keyspace],
@@ -136,9 +136,7 @@
     ['moving to', record?.movingTo ?? '-'],
     ['candidates', explanation.candidates.join(', ') || 'none'],
     ['so', explanation.conclusion],
-  ];
-  const width = Math.max(...lines.map(([label = '']) => label.length));
-  return lines.map(([label = '', value = '']) => `${label.padEnd(width)}  ${value}\n`).join('');
+  ]);
 }
 
 async function explain(invocation: Invocation): Promise<ExitCode> {
--- a/src/dev/bench/report/table.ts
+++ b/src/dev/bench/report/table.ts
@@ -1,4 +1,5 @@
 /** Results as text: one row for each measure, one column for each arm. */
+import { alignColumns, namesThenNumbers } from '../../../text/columns.js';
 import type { ExperimentResult, Measure } from '../experiment.js';
 import { spreadOf } from '../statistics.js';
 
@@ -32,20 +33,6 @@
   return measure.unit === '' ? measure.name : `${measure.name}, ${measure.unit}`;
 }
 
-function alignRows(rows: readonly (readonly string[])[]): string[] {
-  const widths = (rows[0] ?? []).map((_, column) =>
-    Math.max(...rows.map((row) => (row[column] ?? '').length)),
-  );
-  return rows.map((row) =>
-    row
-      .map((cell, column) =>
-        column === 0 ? cell.padEnd(widths[column] ?? 0) : cell.padStart(widths[column] ?? 0),
-      )
-      .join('  ')
-      .trimEnd(),
-  );
-}
-
 /** The measures of all arms, in the order in which they first appear. */
 function measureRows({ arms }: ExperimentResult): string[][] {
   const titles = [...new Set(arms.flatMap(({ measures }) => measures.map(measureTitle)))];
@@ -61,7 +48,7 @@
 /** The whole result as it is printed. */
 export function renderTable(title: string, result: ExperimentResult): string {
   const head = ['', ...result.arms.map(({ arm, baseline }) => `${arm}${baseline ? BASELINE_MARK : ''}`)];
-  const lines = [title, '', ...alignRows([head, ...measureRows(result)])];
+  const lines = [title, '', ...alignColumns([head, ...measureRows(result)], namesThenNumbers)];
   if (result.targets.length > 0) {
     const rows = result.targets.map(({ target, wanted, reached, met }) => [
       target,
@@ -69,7 +56,7 @@
       reached,
       met ? 'met' : 'NOT MET',
     ]);
-    lines.push('', ...alignRows([['target', 'wanted', 'reached', ''], ...rows]));
+    lines.push('', ...alignColumns([['target', 'wanted', 'reached', ''], ...rows], namesThenNumbers));
   }
   lines.push('', ...result.notes.map((note) => `- ${note}`));
   return `${lines.join('\n')}\n`;
--- a/src/dev/fleet/report/text-table.ts
+++ b/src/dev/fleet/report/text-table.ts
@@ -1,19 +1,15 @@
 /** Tables for a terminal. */
+import { alignColumns, COLUMN_GAP, columnWidths } from '../../../text/columns.js';
+
+const NUMBERS = /^[\d.,\s–-]*$/;
 
 /** Rows under a head; numbers stand to the right. */
 export function formatTable(head: readonly string[], rows: readonly (readonly string[])[]): string {
-  const widths = head.map((title, column) =>
-    Math.max(title.length, ...rows.map((row) => (row[column] ?? '').length)),
-  );
-  const isNumeric = head.map((_, column) => rows.every((row) => /^[\d.,\s–-]*$/.test(row[column] ?? '')));
-  const line = (cells: readonly string[]): string =>
-    cells
-      .map((cell, column) => {
-        const width = widths[column] ?? 0;
-        return isNumeric[column] ? cell.padStart(width) : cell.padEnd(width);
-      })
-      .join('  ')
-      .trimEnd();
-  const rule = widths.map((width) => '-'.repeat(width)).join('  ');
-  return [line(head), rule, ...rows.map(line)].join('\n');
+  const table = [head, ...rows];
+  const isNumeric = head.map((_, column) => rows.every((row) => NUMBERS.test(row[column] ?? '')));
+  const [title = '', ...lines] = alignColumns(table, (column) => (isNumeric[column] ? 'right' : 'left'));
+  const rule = columnWidths(table)
+    .map((width) => '-'.repeat(width))
+    .join(COLUMN_GAP);
+  return [title, rule, ...lines].join('\n');
 }
--- a/src/dev/scale/scale-table.ts
+++ b/src/dev/scale/scale-table.ts
@@ -1,4 +1,5 @@
 /** Prints what a scale run measured. */
+import { alignColumns, namesThenNumbers } from '../../text/columns.js';
 import type { RoleRow, ScaleResult } from './scale-result.js';
 
 const MEGABYTE = 1024 * 1024;
@@ -23,7 +24,7 @@
     `machine load ${before.toFixed(1)} at the start, ${after.toFixed(1)} at the end; ` +
       `${megabytes(result.totalBytes)} MB resident in all`,
     '',
-    ...formatRows(result.rows),
+    ...alignColumns([HEADINGS, ...result.rows.map(cellsOf)], namesThenNumbers),
     '',
     `first grants of all shards: ${round(result.firstGrantsMillis)} ms; changes resent: ${result.resends}`,
     `change of configuration in force everywhere: p50 ${round(change.inForceP50)} ms, ` +
@@ -39,18 +40,6 @@
   ].join('\n');
 }
 
-function formatRows(rows: readonly RoleRow[]): string[] {
-  const cells = [HEADINGS, ...rows.map(cellsOf)];
-  const widths = HEADINGS.map((_, column) => Math.max(...cells.map((row) => (row[column] as string).length)));
-  return cells.map((row) =>
-    row
-      .map((cell, column) =>
-        column === 0 ? cell.padEnd(widths[column] as number) : cell.padStart(widths[column] as number),
-      )
-      .join('  '),
-  );
-}
-
 function cellsOf({ role, count, rates }: RoleRow): string[] {
   return [
     role,
