--- a/src/dev/fleet/load-plan.ts
+++ b/src/dev/fleet/load-plan.ts
@@ -4,7 +4,7 @@
 import type { Deployment, WorkloadPhase, WorkloadShare } from '../../settings/deployment.js';
 import { type CallerStream, callerSettingsSchema } from '../standins/caller/caller-settings.js';
 import { ZipfKeys } from '../standins/caller/zipf-keys.js';
-import { RandomSource } from '../standins/random-source.js';
+import { StandinRandomSource } from '../standins/random-source.js';
 
 /** Attempts at a request that must not be repeated; each carries the same idempotency key. */
 const ORDER_ATTEMPTS = 5;
@@ -83,5 +83,5 @@
     .map((share) => share.keys);
   const hotKeys = service.keyspaces.filter(({ kind }) => kind === 'exact').map(({ match }) => match);
   const prefix = keyPrefixOf(service.keyspaces);
-  return new ZipfKeys(prefix, Math.max(0, ...counts), 0, new RandomSource(1), hotKeys).all();
+  return new ZipfKeys(prefix, Math.max(0, ...counts), 0, new StandinRandomSource(1), hotKeys).all();
 }
--- a/src/dev/standins/caller/arrival-schedule.ts
+++ b/src/dev/standins/caller/arrival-schedule.ts
@@ -1,5 +1,5 @@
 /** Open-loop arrivals: a Poisson process whose rate follows a table, fixed before the load starts. */
-import type { RandomSource } from '../random-source.js';
+import type { RandomSource } from '../../virtual/random-source.js';
 import type { RatePoint } from './caller-settings.js';
 
 const MILLIS_PER_SECOND = 1000;
--- a/src/dev/standins/caller/caller-standin.ts
+++ b/src/dev/standins/caller/caller-standin.ts
@@ -6,7 +6,7 @@
 import { JournalWriter } from '../../journal/journal-writer.js';
 import { machineMillis } from '../../journal/machine-clock.js';
 import { listenHttp, type RunningServer } from '../http-endpoint.js';
-import { RandomSource } from '../random-source.js';
+import { StandinRandomSource } from '../random-source.js';
 import { ArrivalSchedule } from './arrival-schedule.js';
 import type { CallerSettings, CallerStream } from './caller-settings.js';
 import { CallerSummary, type ServiceSummary } from './caller-summary.js';
@@ -36,7 +36,7 @@
   readonly #journal: JournalWriter;
   readonly #routers: readonly RouterClient[];
   readonly #streams: readonly StreamState[];
-  readonly #random: RandomSource;
+  readonly #random: StandinRandomSource;
   readonly #summary = new CallerSummary();
   readonly #pending = new Set<Promise<void>>();
   #requestCount = 0;
@@ -45,7 +45,7 @@
   constructor(settings: CallerSettings) {
     this.#settings = settings;
     this.#journal = new JournalWriter(settings.journal);
-    this.#random = new RandomSource(settings.seed);
+    this.#random = new StandinRandomSource(settings.seed);
     this.#routers = settings.routers.map(
       (router) => new RouterClient(router.name, router.address, settings.host, settings.connectionsPerRouter),
     );
@@ -83,7 +83,7 @@
   }
 
   #startStream(stream: CallerStream, index: number): StreamState {
-    const random = new RandomSource(this.#settings.seed + index + 1);
+    const random = new StandinRandomSource(this.#settings.seed + index + 1);
     const schedule = new ArrivalSchedule(stream.rates, random);
     const { keyPrefix, keyCount, zipfExponent, hotKeys } = stream;
     const keys = keyCount === 0 ? null : new ZipfKeys(keyPrefix, keyCount, zipfExponent, random, hotKeys);
@@ -117,7 +117,7 @@
       coalesced: stream.coalesced,
       deadlineMillis: stream.deadlineMillis,
     };
-    const firstRouter = Math.floor(this.#random.uniform() * this.#routers.length);
+    const firstRouter = Math.floor(this.#random.fraction() * this.#routers.length);
     let answer: AttemptAnswer | undefined;
     for (let number = 1; number <= stream.attempts; number += 1) {
       const router = this.#routers[(firstRouter + number - 1) % this.#routers.length] as RouterClient;
--- a/src/dev/standins/caller/zipf-keys.ts
+++ b/src/dev/standins/caller/zipf-keys.ts
@@ -1,8 +1,9 @@
 /** Picks keys by a Zipf distribution: the key of rank n is asked for in proportion to 1 / n^exponent. */
-import type { RandomSource } from '../random-source.js';
+import { type RandomSource, ZipfDistribution } from '../../virtual/random-source.js';
 
 export class ZipfKeys {
-  readonly #cumulative: readonly number[];
+  readonly #ranks: ZipfDistribution;
+  readonly #count: number;
   readonly #prefix: string;
   readonly #hotKeys: readonly string[];
   readonly #random: RandomSource;
@@ -15,43 +16,24 @@
     random: RandomSource,
     hotKeys: readonly string[] = [],
   ) {
-    let total = 0;
-    this.#cumulative = Array.from({ length: count }, (_, index) => {
-      total += 1 / (index + 1) ** exponent;
-      return total;
-    });
+    this.#ranks = new ZipfDistribution(count, exponent);
+    this.#count = count;
     this.#prefix = prefix;
     this.#hotKeys = hotKeys;
     this.#random = random;
   }
 
+  /** A key as one request names it. */
   pick(): string {
-    const total = this.#cumulative.at(-1) ?? 0;
-    const index = this.#rankOf(this.#random.uniform() * total);
-    return this.#keyOf(index);
+    return this.#keyOf(this.#ranks.draw(this.#random));
   }
 
   /** Every key, most popular first. */
   all(): string[] {
-    return this.#cumulative.map((_, index) => this.#keyOf(index));
+    return Array.from({ length: this.#count }, (_, rank) => this.#keyOf(rank));
   }
 
-  #keyOf(index: number): string {
-    return this.#hotKeys[index] ?? `${this.#prefix}${index + 1}`;
-  }
-
-  /** First index whose cumulative weight is above `weight`. */
-  #rankOf(weight: number): number {
-    let low = 0;
-    let high = this.#cumulative.length - 1;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      if ((this.#cumulative[middle] as number) > weight) {
-        high = middle;
-      } else {
-        low = middle + 1;
-      }
-    }
-    return low;
+  #keyOf(rank: number): string {
+    return this.#hotKeys[rank] ?? `${this.#prefix}${rank + 1}`;
   }
 }
--- a/src/dev/standins/upstream/fault-switchboard.ts
+++ b/src/dev/standins/upstream/fault-switchboard.ts
@@ -1,6 +1,6 @@
 /** Faults that a stand-in upstream commits on command. Its health endpoint stays well meanwhile. */
 import { z } from 'zod';
-import type { RandomSource } from '../random-source.js';
+import type { RandomSource } from '../../virtual/random-source.js';
 
 export const FAULT_KINDS = [
   /** The connection ends in the middle of the answer. */
@@ -39,7 +39,7 @@
   draw(): FaultKind | null {
     for (const kind of FAULT_KINDS) {
       const share = this.#shares.get(kind) ?? 0;
-      if (share > 0 && this.#random.uniform() < share) {
+      if (share > 0 && this.#random.fraction() < share) {
         return kind;
       }
     }
--- a/src/dev/standins/upstream/upstream-process.ts
+++ b/src/dev/standins/upstream/upstream-process.ts
@@ -5,7 +5,7 @@
 import { JournalWriter } from '../../journal/journal-writer.js';
 import { listenHttp, type RunningServer } from '../http-endpoint.js';
 import { readJsonBody } from '../json-body.js';
-import { RandomSource } from '../random-source.js';
+import { StandinRandomSource } from '../random-source.js';
 import { faultSchema } from './fault-switchboard.js';
 import type { UpstreamProcessSettings } from './upstream-settings.js';
 import { UpstreamStandin } from './upstream-standin.js';
@@ -25,7 +25,7 @@
     const secret = readSecret(settings.secretFile ?? null);
     this.#standins = new Map(
       settings.upstreams.map((upstream, index) => {
-        const random = new RandomSource(settings.seed + index);
+        const random = new StandinRandomSource(settings.seed + index);
         const process = { name: settings.name, cluster: settings.cluster, secret };
         return [upstream.id, new UpstreamStandin(upstream, process, this.#journal, random)];
       }),
--- a/src/dev/standins/upstream/upstream-standin.ts
+++ b/src/dev/standins/upstream/upstream-standin.ts
@@ -22,8 +22,8 @@
 import { parseAddress } from '../../../wire/address.js';
 import type { JournalWriter } from '../../journal/journal-writer.js';
 import { machineMillis } from '../../journal/machine-clock.js';
+import type { RandomSource } from '../../virtual/random-source.js';
 import { makeAnswerBody } from '../answer-body.js';
-import type { RandomSource } from '../random-source.js';
 import { writeAnswer, writeFenced } from './answer-writer.js';
 import { FaultSwitchboard } from './fault-switchboard.js';
 import { callerRequestOf, RunRecorder } from './run-recorder.js';
--- a/src/dev/standins/upstream/work-model.ts
+++ b/src/dev/standins/upstream/work-model.ts
@@ -1,5 +1,5 @@
 /** How long requests take on a stand-in upstream, and what load it reports. */
-import type { RandomSource } from '../random-source.js';
+import type { RandomSource } from '../../virtual/random-source.js';
 import type { UpstreamSettings } from './upstream-settings.js';
 
 export class WorkModel {
--- a/test/dev/standins/models.test.ts
+++ b/test/dev/standins/models.test.ts
@@ -5,7 +5,7 @@
 import { makeUuidV7 } from '../../../src/dev/standins/caller/uuid-v7.js';
 import { ZipfKeys } from '../../../src/dev/standins/caller/zipf-keys.js';
 import { PlatformStandin } from '../../../src/dev/standins/platform/platform-standin.js';
-import { RandomSource } from '../../../src/dev/standins/random-source.js';
+import { StandinRandomSource } from '../../../src/dev/standins/random-source.js';
 import { FaultSwitchboard } from '../../../src/dev/standins/upstream/fault-switchboard.js';
 import { LoadReporter } from '../../../src/dev/standins/upstream/work-model.js';
 
@@ -51,7 +51,7 @@
       { fromSeconds: 1, requestsPerSecond: 1000 },
       { fromSeconds: 2, requestsPerSecond: 0 },
     ];
-    const schedule = new ArrivalSchedule(rates, new RandomSource(1));
+    const schedule = new ArrivalSchedule(rates, new StandinRandomSource(1));
     const arrivals = [...schedule.takeDue(1500), ...schedule.takeDue(3000)];
     expect(arrivals.length).to.be.within(800, 1200);
     expect(arrivals.every((at) => at >= 1000 && at < 2000)).to.equal(true);
@@ -63,14 +63,14 @@
     const rates = [{ fromSeconds: 0, requestsPerSecond: 6 }];
     const seeds = Array.from({ length: 50 }, (_, index) => index);
     const arrivals = seeds.flatMap((seed) =>
-      new ArrivalSchedule(rates, new RandomSource(seed)).takeDue(1000),
+      new ArrivalSchedule(rates, new StandinRandomSource(seed)).takeDue(1000),
     );
     expect(arrivals.length).to.be.within(240, 360);
   });
 
   it('is the same for the same seed', () => {
     const rates = [{ fromSeconds: 0, requestsPerSecond: 50 }];
-    const draw = (seed: number) => new ArrivalSchedule(rates, new RandomSource(seed)).takeDue(1000);
+    const draw = (seed: number) => new ArrivalSchedule(rates, new StandinRandomSource(seed)).takeDue(1000);
     expect(draw(4)).to.deep.equal(draw(4));
     expect(draw(4)).not.to.deep.equal(draw(5));
   });
@@ -78,7 +78,7 @@
 
 describe('ZipfKeys', () => {
   it('asks for the first rank most and gives hot keys the first ranks', () => {
-    const keys = new ZipfKeys('map/', 5, 1.2, new RandomSource(3), ['final']);
+    const keys = new ZipfKeys('map/', 5, 1.2, new StandinRandomSource(3), ['final']);
     const counts = new Map<string, number>();
     for (let draw = 0; draw < 2000; draw += 1) {
       const key = keys.pick();
@@ -117,7 +117,7 @@
 
 describe('FaultSwitchboard', () => {
   it('commits a fault until it is taken away', () => {
-    const faults = new FaultSwitchboard(new RandomSource(1));
+    const faults = new FaultSwitchboard(new StandinRandomSource(1));
     expect(faults.draw()).to.equal(null);
     faults.set({ kind: 'stall', share: 1 });
     expect(faults.draw()).to.equal('stall');
--- a/test/dev/standins/upstream-standin.test.ts
+++ b/test/dev/standins/upstream-standin.test.ts
@@ -9,7 +9,7 @@
 import type { JournalRecord } from '../../../src/dev/journal/records.js';
 import { callerSettingsSchema } from '../../../src/dev/standins/caller/caller-settings.js';
 import { CallerStandin } from '../../../src/dev/standins/caller/caller-standin.js';
-import { RandomSource } from '../../../src/dev/standins/random-source.js';
+import { StandinRandomSource } from '../../../src/dev/standins/random-source.js';
 import type { Fault } from '../../../src/dev/standins/upstream/fault-switchboard.js';
 import { upstreamProcessSettingsSchema } from '../../../src/dev/standins/upstream/upstream-settings.js';
 import { UpstreamStandin } from '../../../src/dev/standins/upstream/upstream-standin.js';
@@ -50,7 +50,7 @@
       settings,
       { name: 'up-1', cluster: 'test', secret: '' },
       journal,
-      new RandomSource(1),
+      new StandinRandomSource(1),
     );
     if (fault) {
       standin.faults.set(fault);
