--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -29,6 +29,7 @@
 /** Sends entries up to the member's window, and the commit index if the member wasn't told of it. */
 function replicate(state: RaftState, replica: ReplicaId, progress: Progress): void {
   const { maxAppendsInFlight } = state.config;
+  leaveCompactedWindow(state, progress);
   while (progress.nextIndex <= state.log.lastIndex && progress.canSend(maxAppendsInFlight)) {
     if (!sendEntries(state, replica, progress)) {
       return;
@@ -40,6 +41,17 @@
   }
 }
 
+/**
+ * The log was cut behind what a member was sent and didn't answer: no append can show it the gap any more, so it starts
+ * over from what it is known to hold, which the log may lack.
+ */
+function leaveCompactedWindow(state: RaftState, progress: Progress): void {
+  const isCompacted = state.log.termAt(progress.nextIndex - 1) === undefined;
+  if (progress.state === 'replicate' && isCompacted) {
+    progress.becomeProbe(progress.matchIndex + 1);
+  }
+}
+
 /** Sends one append with entries; false if the member needs a snapshot or is silent. */
 function sendEntries(state: RaftState, replica: ReplicaId, progress: Progress): boolean {
   if (isSilent(state, progress)) {
--- a/src/dev/sim/router/sim-router.ts
+++ b/src/dev/sim/router/sim-router.ts
@@ -56,17 +56,16 @@
     return this.core?.status() ?? null;
   }
 
-  /** Whether this run ended, or is to end, by a planned stop. */
+  /** Whether this run ended by a planned stop, not by a crash on the way. */
   endedByPlan(run: number): boolean {
     return this.plannedRun === run;
   }
 
   /** Planned stop: takes nothing new, ends once everything is answered. */
   stopByPlan(): void {
-    this.plannedRun = this.run;
     this.isStopping = true;
     if (this.world.sabotage === 'planned-stop-cuts') {
-      this.crash();
+      this.endByPlan();
       return;
     }
     this.schedule(STOP_IDLE_MILLIS, () => this.stopWhenIdle());
@@ -80,13 +79,18 @@
     this.isStopping = false;
   }
 
+  private endByPlan(): void {
+    this.plannedRun = this.run;
+    this.crash();
+  }
+
   private stopWhenIdle(): void {
     if (!this.isStopping) {
       return;
     }
     if (this.exchanges.size === 0 && this.attempts.size === 0 && (this.status()?.inFlight ?? 0) === 0) {
       this.world.recorder.count('planned stop of a router');
-      this.crash();
+      this.endByPlan();
       return;
     }
     this.schedule(STOP_CHECK_MILLIS, () => this.stopWhenIdle());
