--- a/src/dev/sim/faults/disk-faults.ts
+++ b/src/dev/sim/faults/disk-faults.ts
@@ -93,7 +93,12 @@
         return null;
       }
       const second = random.pick(simulation.controls.filter((control) => control !== first));
-      loseFolder(simulation, first, () => loseFolder(simulation, second, () => {}));
+      loseFolder(simulation, first, () => {
+        if (!simulation.areFaultsOver) {
+          simulation.recorder.count('second loss after a repair');
+          loseFolder(simulation, second, () => {});
+        }
+      });
       return { detail: `${first.name}, then ${second.name}`, heal: () => {} };
     },
   },
--- a/src/dev/sim/simulation.ts
+++ b/src/dev/sim/simulation.ts
@@ -63,6 +63,8 @@
   activeFaults = 0;
   lastFaultEnd = 0;
   isRepairing = false;
+  /** Nothing more may be injected. */
+  areFaultsOver = false;
   private readonly callers: SimCaller[] = [];
   private readonly operators: SimOperator[] = [];
   private readonly random: Random;
@@ -234,6 +236,7 @@
   }
 
   private endFaults(): void {
+    this.areFaultsOver = true;
     this.network.heal();
     for (const process of this.processes()) {
       process.resume();
