Measure churn, time without owner and imbalance on the control leader

Ruled out: a mirror of all shards (the leader would hold 90,000 more entries and read them all when it begins); reading reasons off the log (a move's reason isn't in it, and needn't be replicated). Change: each service's coordinator counts owner changes by reason, the time without owner and the gaps of handovers from the changes of the registry; it holds vacant and moving shards only. The planner tells how the load is spread, with the hottest shard kept up with each change. The leader's status has it as services; other members have an empty list.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -256,6 +256,7 @@
       raft: this.#raft.status(),
       registry: this.#raft.registry,
       sessions: this.#leader?.sessions() ?? [],
+      services: this.#leader?.measures(now) ?? [],
       routers: this.#routers.routers(),
       departed: this.#routers.departed(now),
       unowned: this.#unowned.list(this.#raft.registry, now),
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -6,6 +6,7 @@
 import type { DepartedRouter } from './departed-routers.js';
 import type { HeardSession } from './leader-duties.js';
 import type { ConnectedRouter } from './router-desk.js';
+import type { ServiceMeasures } from './service-measures.js';
 import type { OperatorResponse, UpstreamHealth } from './types.js';
 import type { UnownedShards } from './unowned-clock.js';
 
@@ -14,6 +15,8 @@
   readonly registry: Registry;
   /** Empty on members that don't lead. */
   readonly sessions: readonly HeardSession[];
+  /** Empty on members that don't lead. */
+  readonly services: readonly ServiceMeasures[];
   readonly routers: readonly ConnectedRouter[];
   readonly departed: readonly DepartedRouter[];
   readonly unowned: readonly UnownedShards[];
@@ -30,6 +33,7 @@
     raft,
     revision: registry.revision,
     upstreams: sessions.map((view) => healthOf(view, registry, now)),
+    services: source.services,
     routers: routersOf(source, now),
     leaderSinceMillis: now - source.leaderSince,
     unowned,
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -12,6 +12,7 @@
 import type { LoadReport } from './messages.js';
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
+import type { ServiceMeasures } from './service-measures.js';
 import { ShardCoordinator } from './shard-coordinator.js';
 import type { ControlConfig } from './types.js';
 
@@ -133,6 +134,11 @@
       .map((view) => ({ ...view, heardAt: this.#heardAt.get(view.upstream) ?? null }));
   }
 
+  /** What is measured of each keyed service in this leadership. */
+  measures(now: MonotonicMillis): ServiceMeasures[] {
+    return this.#coordinator.measures(now);
+  }
+
   #catchUp(now: MonotonicMillis): void {
     this.#parts.raft.read(now, (confirmed, settledAt) => {
       if (this.#isOver) {
--- a/src/control/placement-proposals.ts
+++ b/src/control/placement-proposals.ts
@@ -14,6 +14,8 @@
   readonly incarnationOf: (upstream: UpstreamId) => Incarnation | null;
   /** Whether an upstream can take a grant now. */
   readonly isReady: (upstream: UpstreamId) => boolean;
+  /** The registry has a move that was proposed. */
+  readonly moveStarted: (move: PlacementMove) => void;
 }
 
 /** A grant that its holder gave up for good. */
@@ -46,7 +48,7 @@
     }
     for (const batch of inBatches(handovers)) {
       const started = batch.map(({ shard, to }) => ({ shard, to, epoch: this.#epochOf(shard) }));
-      this.#send(batch, { type: 'move-start', moves: started });
+      this.#send(batch, { type: 'move-start', moves: started }, () => this.#noteStarted(batch));
     }
   }
 
@@ -86,12 +88,27 @@
     }
   }
 
-  #send(shards: readonly { readonly shard: ShardId }[], command: LeaderCommand): void {
+  #send(
+    shards: readonly { readonly shard: ShardId }[],
+    command: LeaderCommand,
+    made: () => void = () => {},
+  ): void {
     this.#parts.proposals.proposeOnce(command, (isMade, now) => {
+      if (isMade) {
+        made();
+      }
       this.#lookAgain(shards, isMade ? now : now + RETRY_MILLIS);
     });
   }
 
+  #noteStarted(moves: readonly PlacementMove[]): void {
+    for (const move of moves) {
+      if (this.#parts.registry().shards().get(move.shard)?.movingTo === move.to) {
+        this.#parts.moveStarted(move);
+      }
+    }
+  }
+
   #lookAgain(shards: readonly { readonly shard: ShardId }[], at: MonotonicMillis): void {
     for (const { shard } of shards) {
       this.#looks.set(shard, at);
--- a/src/control/service-coordinator.ts
+++ b/src/control/service-coordinator.ts
@@ -3,13 +3,29 @@
  * upstreams, and orders each upstream what to hold, warm and give up. It works on what changed since the last run.
  */
 import type { LeaseGranter } from '../lease/lease-granter.js';
-import { type MonotonicMillis, parseShardId, type ShardId, type UpstreamId } from '../model/identifiers.js';
-import { createPlanner, LoadTracker, type PlacementPlanner, type ReportedWork } from '../placement/index.js';
+import {
+  type Epoch,
+  type MonotonicMillis,
+  parseShardId,
+  type ShardId,
+  type UpstreamId,
+} from '../model/identifiers.js';
+import {
+  BALANCE_MILLIS,
+  createPlanner,
+  LoadTracker,
+  type MeasuredPlanner,
+  type PlacementMove,
+  type ReportedWork,
+} from '../placement/index.js';
 import type { Registry, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
 import { FirstGrants } from './first-grants.js';
+import { ImbalanceWatch } from './imbalance-watch.js';
 import type { LeaderProposals } from './leader-proposals.js';
+import { type MoveReason, OwnershipMeasures } from './ownership-measures.js';
 import { PlacementProposals } from './placement-proposals.js';
 import { RegistryLoad, SHARDS_PER_RUN } from './registry-load.js';
+import type { ServiceMeasures } from './service-measures.js';
 import { ShardHandovers } from './shard-handovers.js';
 import { UpstreamRoster } from './upstream-roster.js';
 
@@ -28,12 +44,14 @@
 
 export class ServiceCoordinator {
   readonly #parts: CoordinatorParts;
-  #planner: PlacementPlanner;
+  #planner: MeasuredPlanner;
   readonly #roster: UpstreamRoster;
   readonly #handovers: ShardHandovers;
   readonly #proposals: PlacementProposals;
   #loads = new LoadTracker();
   readonly #firstGrants = new FirstGrants();
+  readonly #ownership = new OwnershipMeasures();
+  #imbalance = new ImbalanceWatch();
   #service: ServiceRecord;
   /** Placement waits until all of it is taken over. */
   #load: RegistryLoad;
@@ -44,16 +62,21 @@
     this.#service = service;
     this.#planner = createPlanner(settingsOf(service), now + LISTEN_MILLIS);
     this.#roster = new UpstreamRoster({ ...parts, planner: this.#planner }, service);
-    this.#handovers = new ShardHandovers(parts, service);
+    this.#handovers = new ShardHandovers(
+      { ...parts, givenUp: (shard, epoch, at) => this.#noteGivenUp(shard, epoch, at) },
+      service,
+    );
     this.#proposals = new PlacementProposals({
       ...parts,
       incarnationOf: (upstream) => this.#roster.incarnationOf(upstream),
       isReady: (upstream) => this.#roster.isReady(upstream),
+      moveStarted: (move) => this.#ownership.moveStarted(move.shard, move.to, reasonOf(move)),
     });
     const upstreams = [...parts.registry().upstreams().values()]
       .filter(({ definition }) => definition.service === service.definition.name)
       .map(({ definition }) => definition.id);
     this.#load = new RegistryLoad(upstreams, this.#shardsToTake());
+    this.#beginMeasures(now);
   }
 
   /** The service is gone, or not keyed any more. */
@@ -95,6 +118,23 @@
     this.#isPlanDue = true;
   }
 
+  /** A shard's record changed; told of every change, in the order of the log. */
+  recordChanged(shard: ShardId, record: ShardRecord | null, now: MonotonicMillis): void {
+    if (parseShardId(shard)?.generation === this.#service.generation) {
+      this.#ownership.recordChanged(record ?? neverGranted(shard), now);
+    }
+    this.shardChanged(shard, now);
+  }
+
+  measures(now: MonotonicMillis): ServiceMeasures {
+    const { name, keyspaces } = this.#service.definition;
+    const unownedShards = this.#parts.registry().unownedShards(name).size;
+    const shards = keyspaces.reduce((sum, keyspace) => sum + keyspace.shards, 0);
+    const counts = this.#ownership.counts(now);
+    const imbalance = this.#imbalance.measure(now);
+    return { service: name, ownedShards: shards - unownedShards, unownedShards, ...counts, ...imbalance };
+  }
+
   /** An upstream answered or failed to. */
   sessionChanged(upstream: UpstreamId, now: MonotonicMillis): void {
     if (!this.#roster.has(upstream)) {
@@ -106,6 +146,10 @@
 
   loadReported(works: readonly ReportedWork[], now: MonotonicMillis): void {
     this.#loads.report(works, now);
+    const isPlannedBy = Number.isFinite(this.#planner.nextDeadline());
+    if (!isPlannedBy && now - this.#imbalance.lookedAt >= BALANCE_MILLIS) {
+      this.#takeLoads(now);
+    }
   }
 
   /** Proposes what is to change next. */
@@ -161,6 +205,14 @@
     for (const { shard, load } of this.#loads.takeChanged()) {
       this.#planner.setLoad(shard, load);
     }
+    const isWatched = this.#service.definition.placement.imbalance > 0;
+    this.#imbalance.look(this.#planner.spread(), isWatched, now);
+  }
+
+  #beginMeasures(now: MonotonicMillis): void {
+    const registry = this.#parts.registry();
+    const unowned = registry.unownedShards(this.#service.definition.name);
+    this.#ownership.begin(unowned, (shard) => registry.shards().get(shard), now);
   }
 
   /** Shards that no upstream brings along: those without owner, and those of older key maps that are to be revoked. */
@@ -174,8 +226,10 @@
     this.#planner = createPlanner(settingsOf(this.#service), now + LISTEN_MILLIS);
     this.#roster.setPlanner(this.#planner);
     this.#loads = new LoadTracker();
+    this.#imbalance = new ImbalanceWatch();
     this.#firstGrants.startOver();
     this.#load = new RegistryLoad(this.#load.upstreamsLeft(), this.#shardsToTake());
+    this.#beginMeasures(now);
   }
 
   #takeOver(now: MonotonicMillis): void {
@@ -223,6 +277,13 @@
     this.#planner.setShard({ shard, keyspace, load, owner, target: movingTo });
   }
 
+  /** Shards of older key maps get no further grant, so nothing is measured of them. */
+  #noteGivenUp(shard: ShardId, epoch: Epoch, now: MonotonicMillis): void {
+    if (parseShardId(shard)?.generation === this.#service.generation) {
+      this.#ownership.givenUp(shard, epoch, now);
+    }
+  }
+
   #retireShard(shard: ShardId, record: ShardRecord | undefined, now: MonotonicMillis): void {
     this.#planner.removeShard(shard);
     this.#firstGrants.release(shard);
@@ -234,6 +295,11 @@
   return { weights: definition.placement, movesPerMinute: definition.movesPerMinute };
 }
 
+/** Moves off an upstream that leaves, or that may not hold the shard any more, are drains. */
+function reasonOf({ reason }: PlacementMove): MoveReason {
+  return reason === 'balance' ? 'balance' : 'drain';
+}
+
 /** A shard without a record was never granted. */
 function neverGranted(shard: ShardId): ShardRecord {
   return { shard, owner: null, incarnation: null, epoch: 0, movingTo: null, revision: 0 };
--- a/src/control/shard-coordinator.ts
+++ b/src/control/shard-coordinator.ts
@@ -8,6 +8,7 @@
 import type { LoadReport } from './messages.js';
 import { SHARDS_PER_RUN } from './registry-load.js';
 import { type CoordinatorParts, ServiceCoordinator } from './service-coordinator.js';
+import type { ServiceMeasures } from './service-measures.js';
 
 export class ShardCoordinator {
   readonly #parts: CoordinatorParts;
@@ -70,6 +71,11 @@
     }
   }
 
+  /** What is measured of each keyed service. */
+  measures(now: MonotonicMillis): ServiceMeasures[] {
+    return [...this.#services.values()].map((service) => service.measures(now));
+  }
+
   nextDeadline(now: MonotonicMillis): MonotonicMillis {
     if (this.#changes.length > 0) {
       return now;
@@ -90,7 +96,7 @@
         this.#upstreamChanged(change.id, change.record?.definition.service, now);
         break;
       case 'shard':
-        this.#services.get(serviceOfShard(change.shard))?.shardChanged(change.shard, now);
+        this.#services.get(serviceOfShard(change.shard))?.recordChanged(change.shard, change.record, now);
         break;
     }
   }
--- a/src/control/shard-handovers.ts
+++ b/src/control/shard-handovers.ts
@@ -20,6 +20,8 @@
   readonly registry: () => Registry;
   /** Longest wait of a move for its target to warm; the default if left out. */
   readonly warmTimeoutMillis?: number | undefined;
+  /** A holder gave a grant up for good; may be told more than once. */
+  readonly givenUp: (shard: ShardId, epoch: Epoch, now: MonotonicMillis) => void;
 }
 
 export class ShardHandovers {
@@ -99,6 +101,7 @@
       const epoch = this.#parts.registry().shards().get(shard)?.epoch ?? 0;
       if (revision > epoch && this.#noteStopped(shard, upstream, now)) {
         this.#released.set(shard, epoch);
+        this.#parts.givenUp(shard, epoch, now);
       }
     }
   }
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -30,6 +30,7 @@
   UpstreamRecord,
 } from '../registry/types.js';
 import type { ConfigLeaseTimings, ControlToRouter, RouterToControl } from './messages.js';
+import type { ServiceMeasures } from './service-measures.js';
 import type { UnownedShards } from './unowned-clock.js';
 
 /** Names one connection of a router, or one operator request, as the shell numbers them. */
@@ -89,6 +90,8 @@
       readonly raft: RaftStatus;
       readonly revision: Revision;
       readonly upstreams: readonly UpstreamHealth[];
+      /** Leader only: what is measured of each keyed service. */
+      readonly services: readonly ServiceMeasures[];
       readonly routers: readonly {
         readonly router: string;
         readonly revision: Revision;
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -4,6 +4,8 @@
 export { createRendezvousPlanner } from './baselines/rendezvous.js';
 export { LOAD_HALF_LIFE_MILLIS, LoadTracker, type ReportedWork, type ShardWeight } from './load-tracker.js';
 export type {
+  LoadSpread,
+  MeasuredPlanner,
   PlacementMove,
   PlacementPlanner,
   PlacementServer,
--- a/src/placement/placement-state.ts
+++ b/src/placement/placement-state.ts
@@ -1,6 +1,6 @@
 /** Servers and shards of one service with sums of load that are kept up with each change. */
 import type { MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
-import type { PlacementServer, PlacementShard } from './types.js';
+import type { LoadSpread, PlacementServer, PlacementShard } from './types.js';
 
 /** Each shard counts for at least this share of the mean shard, so that idle shards are spread too. */
 const FLOOR_SHARE = 0.02;
@@ -42,6 +42,8 @@
   /** What every shard counts for at least. */
   leastLoad = 0;
   #totalLoad = 0;
+  /** Shard of the largest load; `undefined`: to be looked for. */
+  #hottest: ShardEntry | undefined;
   #ranksAreOld = false;
 
   setServer(server: PlacementServer): void {
@@ -101,6 +103,9 @@
     this.#unplacedOf(entry.keyspace).delete(entry);
     this.misplaced.delete(entry);
     this.shards.delete(shard);
+    if (this.#hottest === entry) {
+      this.#hottest = undefined;
+    }
   }
 
   /** Notes that a shard is on its way to a server. */
@@ -123,6 +128,29 @@
     return [...this.servers.values()].filter(takesShards);
   }
 
+  /** How the load is spread over the servers that may take shards; `null`: none of them, or next to no load. */
+  spread(): LoadSpread | null {
+    const loads = [...this.servers.values()].filter(takesShards).map(({ load }) => load);
+    const sum = loads.reduce((total, load) => total + load, 0);
+    if (sum <= this.leastLoad) {
+      return null;
+    }
+    return { most: Math.max(...loads), mean: sum / loads.length, hottest: this.#hottestShard()?.load ?? 0 };
+  }
+
+  /** Loads mostly grow, so it is rarely looked for. */
+  #hottestShard(): ShardEntry | undefined {
+    if (this.#hottest !== undefined) {
+      return this.#hottest;
+    }
+    let hottest: ShardEntry | undefined;
+    for (const entry of this.shards.values()) {
+      hottest = hottest === undefined || entry.load > hottest.load ? entry : hottest;
+    }
+    this.#hottest = hottest;
+    return hottest;
+  }
+
   #addShard(id: ShardId, keyspace: string): ShardEntry {
     const entry: ShardEntry = {
       id,
@@ -140,6 +168,11 @@
   #changeLoad(entry: ShardEntry, load: number): void {
     const change = load - entry.load;
     entry.load = load;
+    if (this.#hottest === entry && change < 0) {
+      this.#hottest = undefined;
+    } else if (this.#hottest !== undefined && load > this.#hottest.load) {
+      this.#hottest = entry;
+    }
     this.#totalLoad += change;
     if (entry.holder !== undefined) {
       entry.holder.load += change;
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -30,6 +30,16 @@
   readonly target: UpstreamId | null;
 }
 
+/** How the load is spread over the servers that may take shards, in the unit of the loads. Planned moves count as made. */
+export interface LoadSpread {
+  /** Load of the most loaded server. */
+  readonly most: number;
+  /** Mean load of a server, above 0. */
+  readonly mean: number;
+  /** Load of the hottest shard. */
+  readonly hottest: number;
+}
+
 /** What the service's operators ask of placement. */
 export interface PlacementSettings {
   readonly weights: PlacementWeights;
@@ -66,3 +76,9 @@
   /** When `plan` may have something to do though nothing changed. */
   nextDeadline(): MonotonicMillis;
 }
+
+/** A planner that also tells how the load is spread. */
+export interface MeasuredPlanner extends PlacementPlanner {
+  /** `null`: no server, or less load than one shard counts for at least. */
+  spread(): LoadSpread | null;
+}
--- a/src/placement/weighted-planner.ts
+++ b/src/placement/weighted-planner.ts
@@ -16,8 +16,9 @@
   takesShards,
 } from './placement-state.js';
 import type {
+  LoadSpread,
+  MeasuredPlanner,
   PlacementMove,
-  PlacementPlanner,
   PlacementServer,
   PlacementSettings,
   PlacementShard,
@@ -32,11 +33,11 @@
 export function createPlanner(
   settings: PlacementSettings,
   balanceFrom: MonotonicMillis = Number.NEGATIVE_INFINITY,
-): PlacementPlanner {
+): MeasuredPlanner {
   return new WeightedPlanner(settings, balanceFrom);
 }
 
-class WeightedPlanner implements PlacementPlanner {
+class WeightedPlanner implements MeasuredPlanner {
   readonly #state = new PlacementState();
   readonly #budget = new MoveBudget();
   #tolerance: Tolerance | undefined;
@@ -85,6 +86,10 @@
     return mayBalance && this.#state.shards.size > 0 ? this.#balanceAt : Number.POSITIVE_INFINITY;
   }
 
+  spread(): LoadSpread | null {
+    return this.#state.spread();
+  }
+
   #placeUnowned(): PlacementMove[] {
     const moves: PlacementMove[] = [];
     for (const [keyspace, unplaced] of this.#state.unplaced) {
--- a/test/cli/status.test.ts
+++ b/test/cli/status.test.ts
@@ -36,6 +36,7 @@
     },
     revision: 5000,
     upstreams: [],
+    services: [],
     routers: [{ router: 'router-1', revision: 5000, silentMillis: 200, connected: true }],
     leaderSinceMillis: MINUTE,
     unowned: [],
--- a/test/contract/admin-harness.ts
+++ b/test/contract/admin-harness.ts
@@ -91,6 +91,7 @@
     },
     revision,
     upstreams: [],
+    services: [],
     routers: [],
     leaderSinceMillis: 0,
     unowned: [],
--- /dev/null
+++ b/test/control/ownership-measures.test.ts
@@ -0,0 +1,203 @@
+/** Counts of owner changes and of time without owner, from records and from a whole cluster. */
+import { expect } from 'chai';
+import { OwnershipMeasures } from '../../src/control/ownership-measures.js';
+import type { ServiceMeasures } from '../../src/control/service-measures.js';
+import type { ShardRecord } from '../../src/registry/types.js';
+import { type Cluster, SERVICE, startCluster, upstream } from './cluster-harness.js';
+
+const MINUTE = 60_000;
+
+function record(change: Partial<ShardRecord> = {}): ShardRecord {
+  return { shard: 's', owner: 'u1', incarnation: 'u1#1', epoch: 1, movingTo: null, revision: 1, ...change };
+}
+
+const VACANT = record({ owner: null, incarnation: null });
+const GRANTED = record({ owner: 'u2', incarnation: 'u2#1', epoch: 9 });
+
+/** Measures of shards that have owners. */
+function begun(): OwnershipMeasures {
+  const measures = new OwnershipMeasures();
+  measures.begin([], () => undefined, 0);
+  return measures;
+}
+
+describe('measures of ownership', () => {
+  it('count a lost shard from the end of its session to the next grant', () => {
+    const measures = begun();
+    measures.recordChanged(VACANT, 1000);
+    expect(measures.counts(1400).unownedShardMillis).to.equal(400);
+    measures.recordChanged(GRANTED, 1500);
+    const counts = measures.counts(9000);
+    expect(counts.unownedShardMillis).to.equal(500);
+    expect(counts.ownerChanges).to.include({ lost: 1, balance: 0, 'first-grant': 0 });
+    expect(counts.handovers).to.equal(0);
+  });
+
+  it("count a handover from the holder's answer, under the reason of its move", () => {
+    const measures = begun();
+    measures.moveStarted('s', 'u2', 'balance');
+    measures.recordChanged(record({ movingTo: 'u2' }), 1000);
+    measures.givenUp('s', 1, 2000);
+    measures.givenUp('s', 1, 2002);
+    measures.recordChanged({ ...VACANT, movingTo: 'u2' }, 2005);
+    measures.recordChanged(GRANTED, 2007);
+    const counts = measures.counts(3000);
+    expect(counts.ownerChanges).to.include({ balance: 1, lost: 0 });
+    expect(counts).to.include({ handovers: 1, handoverGapMillis: 7, unownedShardMillis: 7 });
+  });
+
+  it('take a move that the leader did not plan for an operator’s, also in the place of one that it did', () => {
+    const measures = begun();
+    measures.moveStarted('s', 'u2', 'balance');
+    measures.recordChanged(record({ movingTo: 'u2' }), 1000);
+    measures.recordChanged(record({ movingTo: 'u3' }), 1100);
+    measures.givenUp('s', 1, 2000);
+    measures.recordChanged({ ...VACANT, movingTo: 'u3' }, 2000);
+    measures.recordChanged(GRANTED, 2000);
+    expect(measures.counts(2000).ownerChanges).to.include({ operator: 1, balance: 0 });
+  });
+
+  it('call a move lost whose source was lost, and forget a move that was called off', () => {
+    const measures = begun();
+    measures.recordChanged(record({ movingTo: 'u2' }), 1000);
+    measures.recordChanged({ ...VACANT, movingTo: 'u2' }, 1100);
+    measures.recordChanged(GRANTED, 1200);
+    measures.recordChanged({ ...GRANTED, movingTo: 'u1' }, 1300);
+    measures.recordChanged(GRANTED, 1400);
+    measures.givenUp('s', 9, 1500);
+    measures.recordChanged({ ...GRANTED, owner: null }, 1500);
+    measures.recordChanged(record({ epoch: 12 }), 1600);
+    expect(measures.counts(2000).ownerChanges).to.include({ lost: 1, operator: 0, other: 1 });
+  });
+
+  it('tell first grants from shards that an earlier leader left without owner', () => {
+    const records = new Map([
+      ['old', record({ shard: 'old', owner: null })],
+      ['moving', record({ shard: 'moving', owner: null, movingTo: 'u2' })],
+    ]);
+    const measures = new OwnershipMeasures();
+    measures.begin(['new', 'old', 'moving'], (shard) => records.get(shard), 100);
+    for (const shard of ['new', 'old', 'moving']) {
+      measures.recordChanged({ ...GRANTED, shard }, 200);
+    }
+    const counts = measures.counts(200);
+    expect(counts.ownerChanges).to.include({ 'first-grant': 1, lost: 1, other: 1 });
+    expect(counts).to.include({ unownedShardMillis: 300, ownerChangesLastMinute: 2 });
+  });
+
+  it('keep what was counted when the key map changes', () => {
+    const measures = begun();
+    measures.recordChanged(VACANT, 1000);
+    measures.begin(['t'], () => undefined, 1500);
+    expect(measures.counts(2000).unownedShardMillis).to.equal(500 + 500);
+  });
+
+  it('forget changes after a minute, and only in the count of the last one', () => {
+    const measures = begun();
+    measures.recordChanged(VACANT, 1000);
+    measures.recordChanged(GRANTED, 1000);
+    expect(measures.counts(MINUTE).ownerChangesLastMinute).to.equal(1);
+    expect(measures.counts(MINUTE + 1000).ownerChangesLastMinute).to.equal(0);
+    expect(measures.counts(10 * MINUTE).ownerChanges.lost).to.equal(1);
+  });
+});
+
+function measuresOf(cluster: Cluster): ServiceMeasures {
+  const status = cluster.ask({ type: 'get-status' });
+  const services = status.type === 'status' ? status.services : [];
+  expect(services.map(({ service }) => service)).to.deep.equal([SERVICE.name]);
+  return services[0] as ServiceMeasures;
+}
+
+describe('measures of a service, on the leader', () => {
+  it('follow first grants, a drain, an operator’s move and a lost upstream', () => {
+    const { cluster, shards } = startCluster(3);
+    const isServed = () => shards.every((shard) => cluster.serving(shard) !== null);
+    expect(measuresOf(cluster)).to.include({ ownedShards: 6, unownedShards: 0, handovers: 0 });
+    expect(measuresOf(cluster).ownerChanges).to.include({ 'first-grant': 6, lost: 0, drain: 0 });
+    const before = measuresOf(cluster).unownedShardMillis;
+
+    const [first] = cluster.shards();
+    const to = first?.owner === 'u1' ? 'u2' : 'u1';
+    cluster.change({ type: 'shard-move', shard: first?.shard ?? '', to, expected: null });
+    cluster.runUntil(() => cluster.serving(first?.shard ?? '') === to, 3000);
+    const moved = measuresOf(cluster);
+    expect(moved.ownerChanges).to.include({ operator: 1, drain: 0, lost: 0 });
+    expect(moved.handovers).to.equal(1);
+    expect(moved.handoverGapMillis).to.be.within(1, 20);
+    expect(moved.unownedShardMillis - before).to.equal(moved.handoverGapMillis);
+
+    const drained = cluster.shards().filter(({ owner }) => owner === 'u3').length;
+    const definition = upstream('u3', { leaving: true });
+    cluster.change({ type: 'upstream-apply', definition, expected: null });
+    cluster.run(3000);
+    expect(measuresOf(cluster).ownerChanges).to.include({ drain: drained, operator: 1, lost: 0 });
+
+    const lost = cluster.shards().filter(({ owner }) => owner === 'u2').length;
+    cluster.server('u2').state = 'dead';
+    cluster.run(10);
+    cluster.runUntil(isServed, 5000);
+    const after = measuresOf(cluster);
+    expect(after.ownerChanges).to.include({ 'first-grant': 6, drain: drained, operator: 1, lost });
+    expect(after).to.include({ handovers: drained + 1, ownerChangesLastMinute: drained + 1 + lost });
+    expect(after.unownedShardMillis).to.be.greaterThan(moved.unownedShardMillis);
+  });
+
+  it('count moves for balance, each with its gap', () => {
+    const { cluster } = startCluster(3, { service: { ...SERVICE, movesPerMinute: 6 } });
+    cluster.addServer('u4');
+    cluster.change({ type: 'upstream-apply', definition: upstream('u4'), expected: null });
+    cluster.run(30_000);
+    const owned = cluster.shards().filter(({ owner }) => owner === 'u4').length;
+    expect(owned).to.be.greaterThan(0);
+    const measures = measuresOf(cluster);
+    expect(measures.ownerChanges).to.include({ balance: owned, drain: 0, operator: 0, lost: 0, other: 0 });
+    expect(measures.handovers).to.equal(owned);
+  });
+
+  it('count a move that a lost leader began as other', () => {
+    const { cluster, shards } = startCluster(3);
+    cluster.server('u2').warms = false;
+    cluster.server('u3').warms = false;
+    const drained = cluster.shards().filter(({ owner }) => owner === 'u1').length;
+    const definition = upstream('u1', { leaving: true });
+    cluster.change({ type: 'upstream-apply', definition, expected: null });
+    cluster.run(100);
+    cluster.kill(cluster.leader());
+    cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+    cluster.runUntil(() => shards.every((shard) => !['u1', null].includes(cluster.serving(shard))), 6000);
+    expect(measuresOf(cluster).ownerChanges).to.include({ other: drained, drain: 0, operator: 0, lost: 0 });
+  });
+
+  it('are of the present leadership, and of the leader only', () => {
+    const { cluster } = startCluster(2);
+    const old = cluster.leader();
+    cluster.cut.add(old.id);
+    cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+    cluster.run(3000);
+    const measures = measuresOf(cluster);
+    expect(Object.values(measures.ownerChanges).every((count) => count === 0)).to.equal(true);
+    expect(measures).to.include({ ownedShards: 6, unownedShards: 0, unownedShardMillis: 0 });
+    const follower = [...cluster.members.values()].find(({ core }) => core.status().role !== 'leader');
+    const status = cluster.ask({ type: 'get-status' }, follower);
+    expect(status).to.deep.include({ services: [] });
+  });
+
+  it('tell the imbalance of the loads that routers report', () => {
+    const { cluster, shards } = startCluster(2, { service: { ...SERVICE, movesPerMinute: 0 } });
+    expect(measuresOf(cluster)).to.include({ imbalance: null, imbalanceOverBound: null });
+    const owners = new Map(cluster.shards().map(({ shard, owner }) => [shard, owner]));
+    const works = shards.map((shard) => ({ shard, workMillis: owners.get(shard) === 'u1' ? 300 : 100 }));
+    const report = () =>
+      cluster.routerMessage('r1', { type: 'load-report', intervalMillis: 1000, shards: works });
+    for (let second = 0; second < 3; second += 1) {
+      report();
+      cluster.run(1000);
+    }
+    const measures = measuresOf(cluster);
+    expect(measures.imbalance).to.be.closeTo(1.5, 1e-9);
+    expect(measures.imbalanceOverBound).to.be.closeTo(1.5, 1e-9);
+    cluster.run(30_000);
+    expect(measuresOf(cluster)).to.include({ imbalance: null, imbalancedSinceMillis: null });
+  });
+});
--- a/test/placement/placement-state.test.ts
+++ b/test/placement/placement-state.test.ts
@@ -51,7 +51,28 @@
   { maxLength: 60 },
 );
 
+/** The spread, computed from nothing but the shards and the servers. */
+function plainSpread(state: PlacementState) {
+  const takers = [...state.servers.values()].filter(({ server }) => server.state === 'ready');
+  const loads = takers.map(({ shards }) => [...shards].reduce((sum, { load }) => sum + load, 0));
+  const sum = loads.reduce((total, load) => total + load, 0);
+  const hottest = Math.max(0, ...[...state.shards.values()].map(({ load }) => load));
+  return sum === 0 ? null : { most: Math.max(...loads), mean: sum / loads.length, hottest };
+}
+
 describe('placement state', () => {
+  it('tells the spread of the load as it is after each change', () => {
+    fc.assert(
+      fc.property(changes, (history) => {
+        const state = new PlacementState();
+        for (const change of history) {
+          change(state);
+          expect(state.spread()).to.deep.equal(plainSpread(state));
+        }
+      }),
+    );
+  });
+
   it('keeps sums and indexes that agree with the shards', () => {
     fc.assert(
       fc.property(changes, (history) => {
