Give the measures of keyed services as metrics

Cause: operators had no series of churn, unavailable time or imbalance. Change: /metrics of the leader has them by service; owner changes by reason too. ternmount_control_unowned_shards is now by service, so members that don't lead have no series of it, where they had 0. alerts.md says so.

--- a/src/control/daemon/metrics.ts
+++ b/src/control/daemon/metrics.ts
@@ -2,6 +2,7 @@
 import { collectDefaultMetrics, Gauge, Registry } from 'prom-client';
 import type { RaftStatus } from '../../consensus/types.js';
 import type { OperatorResponse } from '../types.js';
+import { addServiceMetrics } from './service-metrics.js';
 
 /** The cluster's state as the leader sees it. */
 type ClusterStatus = Extract<OperatorResponse, { readonly type: 'status' }>;
@@ -29,12 +30,12 @@
 }
 
 /** Asks at most once in a while, so that a scrape asks once. */
-function shared<Value>(ask: () => Promise<Value>): () => Promise<Value> {
+function shared<Value>(ask: () => Promise<Value>, sharedMillis: number): () => Promise<Value> {
   let answer: Promise<Value> | undefined;
   let askedAt = Number.NEGATIVE_INFINITY;
   return () => {
     const now = performance.now();
-    if (answer === undefined || now - askedAt >= SHARED_MILLIS) {
+    if (answer === undefined || now - askedAt >= sharedMillis) {
       askedAt = now;
       answer = ask();
     }
@@ -57,7 +58,6 @@
     status?.raft.role === 'leader' ? read(status) : 0;
   const addOfLeader = (name: string, help: string, read: (status: ClusterStatus) => number): void =>
     add(name, `${help}; leader only`, ofLeader(read));
-  addOfLeader('unowned_shards', 'Shards without an owner', ({ unownedShards }) => unownedShards);
   addOfLeader('moving_shards', 'Shards in a planned move', ({ movingShards }) => movingShards);
   addOfLeader(
     'upstreams_without_lease',
@@ -67,15 +67,22 @@
   addOfLeader('routers', 'Routers connected to this member', ({ routers }) => routers.length);
 }
 
-/** Makes the gauges, which read the replica's status when they are scraped. */
-export function createControlMetrics(source: ControlMetricsSource): Registry {
+/**
+ * Makes the metrics, which read the replica's status when they are scraped. `sharedMillis`: for how long an answer of
+ * the core serves.
+ */
+export function createControlMetrics(
+  source: ControlMetricsSource,
+  sharedMillis: number = SHARED_MILLIS,
+): Registry {
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
   addReplicaGauges(adder(registry, source.raft));
   const cluster = shared(async () => {
     const response = await source.cluster();
     return response.type === 'status' ? response : null;
-  });
+  }, sharedMillis);
   addClusterGauges(adder<ClusterStatus | null>(registry, cluster));
+  addServiceMetrics(registry, async () => (await cluster())?.services ?? []);
   return registry;
 }
