--- a/src/cli/queries/status.ts
+++ b/src/cli/queries/status.ts
@@ -1,4 +1,5 @@
 /** `status`: what is wrong, since when, and what to do. */
+import type { ServiceMeasures } from '../../control/service-measures.js';
 import { toError } from '../../errors/ternmount-error.js';
 import type { Address } from '../../model/identifiers.js';
 import type { UpstreamRecord } from '../../registry/types.js';
@@ -12,6 +13,7 @@
 import { controlFindings } from '../status/control-findings.js';
 import { type Finding, sortFindings } from '../status/finding.js';
 import { serviceFindings } from '../status/service-findings.js';
+import { serviceLines, servicesOf } from '../status/service-lines.js';
 import { type MemberReport, type StatusView, statusView } from '../status/status-view.js';
 import { runWatched, WATCH_OPTIONS } from '../watch.js';
 
@@ -21,6 +23,8 @@
 /** The whole page, as programs get it. */
 interface StatusPage {
   readonly summary: string;
+  /** What the leader measures of each keyed service; empty without a leader. */
+  readonly services: readonly ServiceMeasures[];
   readonly findings: readonly Finding[];
 }
 
@@ -74,9 +78,9 @@
   return `${severity.toUpperCase()} ${subject}: ${problem}${since}\n  do: ${advice}\n`;
 }
 
-function pageText({ summary, findings }: StatusPage): string {
+function pageText({ summary, findings }: StatusPage, lines: readonly string[]): string {
   const verdict = findings.length === 0 ? 'nothing is wrong\n' : findings.map(findingText).join('');
-  return `${summary}\n${verdict}`;
+  return `${[summary, ...lines].join('\n')}\n${verdict}`;
 }
 
 function exitCodeFor({ leader }: StatusView, findings: readonly Finding[]): ExitCode {
@@ -94,8 +98,8 @@
     const members = await Promise.all(client.addresses.map((address) => askMember(client, address)));
     const view = statusView(members, await askUpstreams(client, members));
     const findings = sortFindings([...controlFindings(view), ...serviceFindings(view)]);
-    const page = { summary: summaryOf(view), findings };
-    writeOutput(io, format, page, () => pageText(page));
+    const page = { summary: summaryOf(view), services: servicesOf(view.leader), findings };
+    writeOutput(io, format, page, () => pageText(page, serviceLines(view)));
     return exitCodeFor(view, findings);
   });
 }
--- a/src/cli/status/service-findings.ts
+++ b/src/cli/status/service-findings.ts
@@ -9,6 +9,8 @@
 const SILENT_ROUTER_MILLIS = 3000;
 /** Shards of a lost upstream have a new owner within this time. */
 const UNOWNED_MILLIS = 3000;
+/** Placement evens a load out within this time, unless something keeps it from that. */
+const IMBALANCED_MILLIS = 60_000;
 
 function unownedShards(view: StatusView, best: StatusBody): Finding[] {
   return best.unowned.map(({ service, shards, sinceMillis }) => {
@@ -30,6 +32,23 @@
   });
 }
 
+function imbalance(leader: StatusBody): Finding[] {
+  return leader.services.flatMap(({ service, imbalance, imbalancedSinceMillis }): Finding[] => {
+    if (imbalance === null || imbalancedSinceMillis === null || imbalancedSinceMillis < IMBALANCED_MILLIS) {
+      return [];
+    }
+    return [
+      {
+        severity: 'warning',
+        subject: `service/${service}`,
+        problem: `one upstream carries ${imbalance.toFixed(2)} times the mean load, more than its shards make necessary`,
+        sinceMillis: imbalancedSinceMillis,
+        advice: `compare ternmount upstream list --service ${service} with mayHold of its upstreams; if moves are too few, raise movesPerMinute or the weight of imbalance (placement) of the service`,
+      },
+    ];
+  });
+}
+
 function upstreamFindings(view: StatusView, leader: StatusBody): Finding[] {
   return leader.upstreams.flatMap(({ upstream, state, silentMillis, shards, draining }): Finding[] => {
     const subject = `upstream/${upstream}`;
@@ -77,6 +96,7 @@
   const { leader, best } = view;
   return [
     ...(best === null ? [] : unownedShards(view, best)),
+    ...(leader === null ? [] : imbalance(leader)),
     ...(leader === null ? [] : upstreamFindings(view, leader)),
     ...routerFindings(view),
   ];
--- a/test/cli/status.test.ts
+++ b/test/cli/status.test.ts
@@ -4,7 +4,9 @@
 import { controlFindings } from '../../src/cli/status/control-findings.js';
 import { type Finding, sortFindings } from '../../src/cli/status/finding.js';
 import { serviceFindings } from '../../src/cli/status/service-findings.js';
+import { serviceLines } from '../../src/cli/status/service-lines.js';
 import { type MemberReport, statusView } from '../../src/cli/status/status-view.js';
+import type { ServiceMeasures } from '../../src/control/service-measures.js';
 import type { UpstreamRecord } from '../../src/registry/types.js';
 
 const VOTERS = ['r-1', 'r-2', 'r-3'];
@@ -80,6 +82,21 @@
 const followers = [body('r-2'), body('r-3')];
 const leased = { upstream: 'menu-1', state: 'leased', silentMillis: 100, shards: 8, draining: 0 } as const;
 
+const evenMenu: ServiceMeasures = {
+  service: 'menu',
+  ownedShards: 8,
+  unownedShards: 0,
+  ownerChanges: { 'first-grant': 8, balance: 0, drain: 0, operator: 0, lost: 3, other: 0 },
+  ownerChangesLastMinute: 3,
+  unownedShardMillis: 900,
+  handovers: 0,
+  handoverGapMillis: 0,
+  imbalance: 1.1,
+  imbalanceOverBound: 1.1,
+  imbalancedSinceMillis: null,
+};
+const unevenMenu = { ...evenMenu, imbalance: 2.514, imbalanceOverBound: 2, imbalancedSinceMillis: MINUTE };
+
 const CASES: Record<string, Case> = {
   'nothing is wrong': { statuses: [body('r-1'), ...followers], expected: [] },
   'a silent voter of three': {
@@ -161,6 +178,21 @@
     upstreams: [upstream('menu-1')],
     expected: [['note', 'service/menu', 900, '2 shards', 'within 3 s']],
   },
+  'a service whose load stays uneven': {
+    statuses: [body('r-1', { services: [unevenMenu] }), ...followers],
+    expected: [
+      ['warning', 'service/menu', MINUTE, 'carries 2.51 times the mean load', 'raise movesPerMinute'],
+    ],
+  },
+  'nothing of a load that is even, or has been uneven for less than a minute': {
+    statuses: [
+      body('r-1', {
+        services: [evenMenu, { ...unevenMenu, service: 'seats', imbalancedSinceMillis: MINUTE - 1 }],
+      }),
+      ...followers,
+    ],
+    expected: [],
+  },
   'an upstream that never answered': {
     statuses: [
       body('r-1', { upstreams: [{ ...leased, state: 'greeting', silentMillis: null, shards: 0 }] }),
@@ -199,6 +231,22 @@
 };
 
 describe('status page', () => {
+  it('has a line of each keyed service, in the order of names', () => {
+    const idle = {
+      ...evenMenu,
+      service: 'beds',
+      unownedShards: 2,
+      imbalance: null,
+      imbalanceOverBound: null,
+    };
+    const view = statusView(reports([body('r-1', { services: [evenMenu, idle] }), ...followers]), []);
+    expect(serviceLines(view)).to.deep.equal([
+      'service/beds: 8 shards owned, 2 unowned; imbalance - of the mean, - of the lower bound; 3 changes of owner in the last minute',
+      'service/menu: 8 shards owned, 0 unowned; imbalance 1.10 of the mean, 1.10 of the lower bound; 3 changes of owner in the last minute',
+    ]);
+    expect(serviceLines(statusView(reports([null, ...followers]), []))).to.deep.equal([]);
+  });
+
   for (const [name, { statuses, upstreams, expected }] of Object.entries(CASES)) {
     it(`says: ${name}`, () => {
       const found = findings(statuses, upstreams);
