Take over shards without owner in slices for the measures too

Change: each is taken over with its slice, before anything is placed; the time is counted from the beginning all the same.

--- a/src/control/ownership-measures.ts
+++ b/src/control/ownership-measures.ts
@@ -58,23 +58,25 @@
     number
   >;
   readonly #lastMinute = new MinuteCount();
+  #begunAt: MonotonicMillis = 0;
   #closedMillis = 0;
   #handovers = 0;
   #handoverGapMillis = 0;
 
-  /** Takes the shards of a key map that have no owner; what was known of the key map before is dropped. */
-  begin(
-    unowned: Iterable<ShardId>,
-    recordOf: (shard: ShardId) => ShardRecord | undefined,
-    now: MonotonicMillis,
-  ): void {
+  /** Begins with a key map; what was known of the one before is dropped, and what was counted is kept. */
+  begin(now: MonotonicMillis): void {
+    this.#begunAt = now;
     this.#closedMillis += this.#openMillis(now);
     this.#vacancies.clear();
     this.#sinceSum = 0;
     this.#moves.clear();
     this.#givenUp.clear();
-    for (const shard of unowned) {
-      this.#open(shard, { since: now, reason: reasonOfVacant(recordOf(shard)), isHandover: false });
+  }
+
+  /** Takes a shard that had no owner when it began; each is to be taken before it is granted. */
+  takeVacant(record: ShardRecord): void {
+    if (!this.#vacancies.has(record.shard)) {
+      this.#open(record.shard, { since: this.#begunAt, reason: reasonOfVacant(record), isHandover: false });
     }
   }
 
@@ -161,9 +163,9 @@
 }
 
 /** A shard that had no owner when this leadership began; the target of an earlier leader's move is kept. */
-function reasonOfVacant(record: ShardRecord | undefined): OwnerChangeReason {
-  if (record === undefined || record.epoch === 0) {
+function reasonOfVacant({ epoch, movingTo }: ShardRecord): OwnerChangeReason {
+  if (epoch === 0) {
     return 'first-grant';
   }
-  return record.movingTo === null ? 'lost' : 'other';
+  return movingTo === null ? 'lost' : 'other';
 }
--- a/src/control/service-coordinator.ts
+++ b/src/control/service-coordinator.ts
@@ -76,7 +76,7 @@
       .filter(({ definition }) => definition.service === service.definition.name)
       .map(({ definition }) => definition.id);
     this.#load = new RegistryLoad(upstreams, this.#shardsToTake());
-    this.#beginMeasures(now);
+    this.#ownership.begin(now);
   }
 
   /** The service is gone, or not keyed any more. */
@@ -209,12 +209,6 @@
     this.#imbalance.look(this.#planner.spread(), isWatched, now);
   }
 
-  #beginMeasures(now: MonotonicMillis): void {
-    const registry = this.#parts.registry();
-    const unowned = registry.unownedShards(this.#service.definition.name);
-    this.#ownership.begin(unowned, (shard) => registry.shards().get(shard), now);
-  }
-
   /** Shards that no upstream brings along: those without owner, and those of older key maps that are to be revoked. */
   #shardsToTake(): ShardId[] {
     const registry = this.#parts.registry();
@@ -229,13 +223,14 @@
     this.#imbalance = new ImbalanceWatch();
     this.#firstGrants.startOver();
     this.#load = new RegistryLoad(this.#load.upstreamsLeft(), this.#shardsToTake());
-    this.#beginMeasures(now);
+    this.#ownership.begin(now);
   }
 
   #takeOver(now: MonotonicMillis): void {
     for (let taken = 0; taken < SHARDS_PER_RUN && !this.#load.isDone; taken += 1) {
       const item = this.#load.next();
       if (item?.type === 'shard') {
+        this.#takeVacant(item.shard);
         this.shardChanged(item.shard, now);
       } else if (item !== undefined && !this.#roster.has(item.upstream)) {
         const record = this.#parts.registry().upstreams().get(item.upstream);
@@ -266,6 +261,14 @@
     return shards.length;
   }
 
+  /** Nothing is placed before all are taken over, so each is measured from the beginning to its next grant. */
+  #takeVacant(shard: ShardId): void {
+    const record = this.#parts.registry().shards().get(shard) ?? neverGranted(shard);
+    if (record.owner === null && parseShardId(shard)?.generation === this.#service.generation) {
+      this.#ownership.takeVacant(record);
+    }
+  }
+
   #takeShard(record: ShardRecord, keyspace: string, now: MonotonicMillis): void {
     const { shard, owner, movingTo } = record;
     this.#handovers.update(record, now);
--- a/src/dev/bench/models/placement/coordinator-rig.ts
+++ b/src/dev/bench/models/placement/coordinator-rig.ts
@@ -4,6 +4,7 @@
  */
 import { LeaderProposals } from '../../../../control/leader-proposals.js';
 import type { SettleProposal } from '../../../../control/pending-proposals.js';
+import type { ServiceMeasures } from '../../../../control/service-measures.js';
 import { ShardCoordinator } from '../../../../control/shard-coordinator.js';
 import {
   createGrantHolder,
@@ -122,6 +123,11 @@
     });
   }
 
+  /** What the leader measures of each service. */
+  measures(): ServiceMeasures[] {
+    return this.#leader().coordinator.measures(this.now);
+  }
+
   unowned(service: string): number {
     return this.registry.unownedShards(service).size;
   }
--- a/test/control/ownership-measures.test.ts
+++ b/test/control/ownership-measures.test.ts
@@ -1,7 +1,10 @@
 /** Counts of owner changes and of time without owner, from records and from a whole cluster. */
 import { expect } from 'chai';
 import { OwnershipMeasures } from '../../src/control/ownership-measures.js';
+import { SHARDS_PER_RUN } from '../../src/control/registry-load.js';
 import type { ServiceMeasures } from '../../src/control/service-measures.js';
+import { CoordinatorRig } from '../../src/dev/bench/models/placement/coordinator-rig.js';
+import type { ServiceDefinition } from '../../src/model/service.js';
 import type { ShardRecord } from '../../src/registry/types.js';
 import { type Cluster, SERVICE, startCluster, upstream } from './cluster-harness.js';
 
@@ -17,7 +20,7 @@
 /** Measures of shards that have owners. */
 function begun(): OwnershipMeasures {
   const measures = new OwnershipMeasures();
-  measures.begin([], () => undefined, 0);
+  measures.begin(0);
   return measures;
 }
 
@@ -71,12 +74,11 @@
   });
 
   it('tell first grants from shards that an earlier leader left without owner', () => {
-    const records = new Map([
-      ['old', record({ shard: 'old', owner: null })],
-      ['moving', record({ shard: 'moving', owner: null, movingTo: 'u2' })],
-    ]);
     const measures = new OwnershipMeasures();
-    measures.begin(['new', 'old', 'moving'], (shard) => records.get(shard), 100);
+    measures.begin(100);
+    measures.takeVacant(record({ shard: 'new', owner: null, epoch: 0 }));
+    measures.takeVacant(record({ shard: 'old', owner: null }));
+    measures.takeVacant(record({ shard: 'moving', owner: null, movingTo: 'u2' }));
     for (const shard of ['new', 'old', 'moving']) {
       measures.recordChanged({ ...GRANTED, shard }, 200);
     }
@@ -88,10 +90,19 @@
   it('keep what was counted when the key map changes', () => {
     const measures = begun();
     measures.recordChanged(VACANT, 1000);
-    measures.begin(['t'], () => undefined, 1500);
+    measures.begin(1500);
+    measures.takeVacant(record({ shard: 't', owner: null, epoch: 0 }));
     expect(measures.counts(2000).unownedShardMillis).to.equal(500 + 500);
   });
 
+  it('take a shard that was lost before it was taken over as lost then', () => {
+    const measures = begun();
+    measures.recordChanged(VACANT, 1000);
+    measures.takeVacant(VACANT);
+    measures.recordChanged(GRANTED, 1500);
+    expect(measures.counts(1500)).to.deep.include({ unownedShardMillis: 500, ownerChangesLastMinute: 1 });
+  });
+
   it('forget changes after a minute, and only in the count of the last one', () => {
     const measures = begun();
     measures.recordChanged(VACANT, 1000);
@@ -201,3 +212,35 @@
     expect(measuresOf(cluster)).to.include({ imbalance: null, imbalancedSinceMillis: null });
   });
 });
+
+describe('measures of more shards than one run takes', () => {
+  const SHARDS = 2 * SHARDS_PER_RUN + 500;
+  const keyspaces = [{ name: 'all', kind: 'prefix' as const, match: '', shards: SHARDS }];
+
+  function startedRig(): CoordinatorRig {
+    const rig = new CoordinatorRig();
+    rig.declareService({ ...SERVICE, keyspaces });
+    for (const id of ['u1', 'u2', 'u3', 'u4', 'u5']) {
+      rig.addServer(upstream(id));
+    }
+    rig.changeLeader();
+    rig.runUntil(() => rig.unowned(SERVICE.name) === 0);
+    return rig;
+  }
+
+  it('count each first grant and each loss once, also under a new key map', () => {
+    const rig = startedRig();
+    rig.runUntil(() => rig.measures()[0]?.ownerChanges['first-grant'] === SHARDS);
+    const lost = rig.registry.shardsOwnedBy('u1').size + rig.registry.shardsOwnedBy('u2').size;
+    rig.loseAndPlace(['u1', 'u2']);
+    rig.runUntil(() => rig.unowned(SERVICE.name) === 0);
+    rig.runUntil(() => rig.measures()[0]?.ownerChanges.lost === lost);
+    const more = [{ ...keyspaces[0], shards: SHARDS + 10 }] as ServiceDefinition['keyspaces'];
+    rig.declareService({ ...SERVICE, keyspaces: more });
+    rig.runUntil(() => rig.unowned(SERVICE.name) === 0);
+    rig.runUntil(() => rig.measures()[0]?.ownerChanges['first-grant'] === 2 * SHARDS + 10);
+    const [measures] = rig.measures();
+    expect(measures).to.include({ ownedShards: SHARDS + 10, unownedShards: 0, handovers: 0 });
+    expect(measures?.ownerChanges).to.include({ lost, balance: 0, drain: 0, operator: 0, other: 0 });
+  });
+});
