--- a/src/placement/weighted-planner.ts
+++ b/src/placement/weighted-planner.ts
@@ -10,7 +10,7 @@
 import { MoveBudget } from './move-budget.js';
 import { mayHold, type ServerEntry, type ShardEntry, takesShards } from './placement-state.js';
 import { heaviestFirst, StatefulPlanner } from './stateful-planner.js';
-import type { PlacementMove, PlacementPlanner, PlacementSettings } from './types.js';
+import type { LoadSpread, MeasuredPlanner, PlacementMove, PlacementSettings } from './types.js';
 
 /** Time between two looks at the balance. */
 export const BALANCE_MILLIS = 1000;
@@ -21,11 +21,11 @@
 export function createPlanner(
   settings: PlacementSettings,
   balanceFrom: MonotonicMillis = Number.NEGATIVE_INFINITY,
-): PlacementPlanner {
+): MeasuredPlanner {
   return new WeightedPlanner(settings, balanceFrom);
 }
 
-class WeightedPlanner extends StatefulPlanner {
+class WeightedPlanner extends StatefulPlanner implements MeasuredPlanner {
   readonly #budget = new MoveBudget();
   #tolerance: Tolerance | undefined;
   #balanceAt: MonotonicMillis;
@@ -50,6 +50,10 @@
     return mayBalance && this.state.shards.size > 0 ? this.#balanceAt : Number.POSITIVE_INFINITY;
   }
 
+  spread(): LoadSpread | null {
+    return this.state.spread();
+  }
+
   #placeUnowned(): PlacementMove[] {
     const moves: PlacementMove[] = [];
     for (const [keyspace, unplaced] of this.state.unplaced) {
