--- a/test/control/ownership-measures.test.ts
+++ b/test/control/ownership-measures.test.ts
@@ -96,9 +96,11 @@
   });
 
   it('take a shard that was lost before it was taken over as lost then', () => {
-    const measures = begun();
+    const measures = new OwnershipMeasures();
+    measures.begin(100);
     measures.recordChanged(VACANT, 1000);
     measures.takeVacant(VACANT);
+    expect(measures.counts(1400).unownedShardMillis).to.equal(400);
     measures.recordChanged(GRANTED, 1500);
     expect(measures.counts(1500)).to.deep.include({ unownedShardMillis: 500, ownerChangesLastMinute: 1 });
   });
--- a/test/placement/placement-state.test.ts
+++ b/test/placement/placement-state.test.ts
@@ -61,6 +61,21 @@
 }
 
 describe('placement state', () => {
+  it('finds another hottest shard when the load of the hottest falls, or it goes', () => {
+    const state = new PlacementState();
+    state.setServer(server('s0', { state: 'ready' }));
+    for (const [id, load] of Object.entries({ k0: 50, k1: 40, k2: 30 })) {
+      state.setShard(shard(id, { load, owner: 's0' }));
+    }
+    expect(state.spread()?.hottest).to.equal(50);
+    state.setLoad('k0', 10);
+    expect(state.spread()?.hottest).to.equal(40);
+    state.removeShard('k1');
+    expect(state.spread()?.hottest).to.equal(30);
+    state.setLoad('k0', 35);
+    expect(state.spread()).to.deep.equal({ most: 65, mean: 65, hottest: 35 });
+  });
+
   it('tells the spread of the load as it is after each change', () => {
     fc.assert(
       fc.property(changes, (history) => {
