--- a/src/cli/api-types.ts
+++ b/src/cli/api-types.ts
@@ -5,21 +5,34 @@
 import type { Revision } from '../model/identifiers.js';
 import type { ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
 
+/** Answer to a list of services. */
 export interface ServicesBody {
   readonly revision: Revision;
   readonly services: readonly ServiceRecord[];
 }
+
+/** Answer to a list of upstreams. */
 export interface UpstreamsBody {
   readonly revision: Revision;
   readonly upstreams: readonly UpstreamRecord[];
 }
+
+/** Answer to a list of shards. */
 export interface ShardsBody {
   readonly revision: Revision;
   readonly shards: readonly ShardRecord[];
 }
+
+/** Answer to a look into the ledger. */
 export type LedgerBody = LedgerRecord;
+
+/** Answer to a read of the status. */
 export type StatusBody = Omit<Extract<OperatorResponse, { type: 'status' }>, 'type'>;
+
+/** Answer to a change of the control cluster. */
 export type MembershipBody = Omit<Extract<OperatorResponse, { type: 'membership' }>, 'type'>;
+
+/** Answer to a change that was accepted. */
 export interface ChangeBody {
   readonly revision: Revision;
   readonly inForce: boolean;
--- a/src/cli/cli-io.ts
+++ b/src/cli/cli-io.ts
@@ -1,6 +1,7 @@
 /** What commands use of the process that runs them; tests give their own. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
+/** What a command line run reads from and writes to; replaced in tests. */
 export interface CliIo {
   /** Writes to standard output. */
   write(text: string): void;
--- a/src/cli/client-options.ts
+++ b/src/cli/client-options.ts
@@ -17,6 +17,7 @@
 
 const DEFAULT_TIMEOUT_MILLIS = 15_000;
 
+/** Options of every command that talks to a control member. */
 export const CLIENT_OPTIONS: readonly OptionSpec[] = [
   {
     name: 'control',
--- a/src/cli/command-list.ts
+++ b/src/cli/command-list.ts
@@ -32,6 +32,7 @@
 import { status } from './queries/status.js';
 import { upstreamList } from './queries/upstream-list.js';
 
+/** Every command, in the order in which help lists them. */
 export const COMMANDS: readonly CommandSpec[] = [
   status,
   controlInit,
--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -1,5 +1,6 @@
 /** Exit codes of `ternmount`; docs/operators/exit-codes.md explains them. */
 
+/** Exit statuses by their names. */
 export const EXIT_CODES = {
   ok: 0,
   /** Something failed which none of the others names, or the thing asked for isn't there. */
@@ -16,4 +17,5 @@
   replicaLost: 6,
 } as const;
 
+/** One of the exit statuses. */
 export type ExitCode = (typeof EXIT_CODES)[keyof typeof EXIT_CODES];
--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -5,9 +5,13 @@
 import type { OptionSpec } from './command-spec.js';
 import type { ParsedOptions } from './parsed-options.js';
 
+/** What `--output` takes. */
 export const OUTPUT_FORMATS = ['table', 'json', 'yaml'] as const;
+
+/** One of the formats. */
 export type OutputFormat = (typeof OUTPUT_FORMATS)[number];
 
+/** The option `--output`. */
 export const OUTPUT_OPTION: OptionSpec = {
   name: 'output',
   value: 'format',
--- a/src/cli/status/finding.ts
+++ b/src/cli/status/finding.ts
@@ -2,8 +2,11 @@
 
 /** `critical`: requests or changes fail, or one more loss makes them. `warning`: to be mended. `note`: good to know. */
 export const SEVERITIES = ['critical', 'warning', 'note'] as const;
+
+/** How soon somebody must look at it. */
 export type Severity = (typeof SEVERITIES)[number];
 
+/** One thing that `status` points out. */
 export interface Finding {
   readonly severity: Severity;
   /** E.g. `control/r-1f3a` or `upstream/menu-7`. */
--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -86,6 +86,7 @@
   return request.lastLogIndex >= lastIndex;
 }
 
+/** Counts a vote if it answers the campaign under way. */
 export function handleVoteResponse(state: RaftState, response: VoteResponse): void {
   const awaited = response.preVote ? state.role === 'pre-candidate' : state.role === 'candidate';
   const askedTerm = response.preVote ? state.term + 1 : state.term;
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -9,14 +9,17 @@
   return EMPTY_MEMBERSHIP;
 }
 
+/** As the data of a log entry of kind `membership`. */
 export function encodeMembership(membership: Membership): Uint8Array {
   return new TextEncoder().encode(JSON.stringify(membership));
 }
 
+/** The reverse of `encodeMembership`; its input comes from this replica's own log. */
 export function decodeMembership(data: Uint8Array): Membership {
   return JSON.parse(new TextDecoder().decode(data)) as Membership;
 }
 
+/** Whether a change of voters is under way, so that both majorities must agree. */
 export function isJoint(membership: Membership): boolean {
   return membership.outgoingVoters.length > 0;
 }
@@ -73,6 +76,7 @@
   };
 }
 
+/** Takes a learner out; a voter stays. */
 export function withoutLearner(membership: Membership, replica: ReplicaId): Membership {
   const learners = membership.learners.filter((learner) => learner !== replica);
   return withAddressesOfMembers({ ...membership, learners });
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -10,6 +10,7 @@
 
 type LeaderMessage = AppendRequest | SnapshotRequest;
 
+/** Takes one message. Those of an earlier term are answered with the present one or dropped. */
 export function handleMessage(state: RaftState, message: RaftMessage): void {
   if (message.to !== state.self || message.from === state.self) {
     return;
--- a/src/consensus/proposals.ts
+++ b/src/consensus/proposals.ts
@@ -36,6 +36,7 @@
   return uncommitted >= MAX_UNCOMMITTED_ENTRIES ? 'overloaded' : undefined;
 }
 
+/** Proposes to take in a replica without a vote. */
 export function proposeLearner(
   state: RaftState,
   proposalId: number,
@@ -45,6 +46,7 @@
   proposeMembership(state, proposalId, () => withLearner(state.membership, replica, address));
 }
 
+/** Proposes to take a learner out. */
 export function proposeRemoval(state: RaftState, proposalId: number, replica: ReplicaId): void {
   proposeMembership(state, proposalId, () => withoutLearner(state.membership, replica));
 }
--- a/src/consensus/read-index.ts
+++ b/src/consensus/read-index.ts
@@ -36,6 +36,7 @@
   answerFollower(state, from, readId, null);
 }
 
+/** Ends a read that this follower passed to its leader; others' answers are dropped. */
 export function handleReadIndexResponse(state: RaftState, response: ReadIndexResponse): void {
   const { readId: forwardId, index } = response;
   const read = state.forwardedReads.find((candidate) => candidate.forwardId === forwardId);
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -224,6 +224,7 @@
   );
 }
 
+/** What a leader keeps. Only to be called on a leader. */
 export function leaderStateOf(state: RaftState): LeaderState {
   return state.leaderState as LeaderState;
 }
--- a/src/consensus/status.ts
+++ b/src/consensus/status.ts
@@ -2,6 +2,7 @@
 import type { RaftState } from './state.js';
 import type { RaftStatus } from './types.js';
 
+/** Copies what operators may see. */
 export function raftStatus(state: RaftState): RaftStatus {
   const { self, term, leader, commitIndex, log, membership, leaderState } = state;
   const matches = [...(leaderState?.progress ?? [])].map(
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -10,6 +10,7 @@
   readonly addresses: Readonly<Record<ReplicaId, Address>>;
 }
 
+/** One entry of the replicated log, whose indexes have no gaps. */
 export interface LogEntry {
   readonly index: number;
   readonly term: Term;
@@ -24,6 +25,7 @@
   readonly votedFor: ReplicaId | null;
 }
 
+/** The state machine after `lastIndex`, in place of the log up to there. */
 export interface Snapshot {
   readonly lastIndex: number;
   readonly lastTerm: Term;
@@ -37,6 +39,8 @@
   readonly to: ReplicaId;
   readonly term: Term;
 }
+
+/** A candidate asks for a vote; with `preVote`, whether it would get one, which changes no term. */
 export interface VoteRequest extends MessageBase {
   readonly type: 'vote-request';
   readonly preVote: boolean;
@@ -45,11 +49,15 @@
   /** Set after a leadership transfer, so that followers don't hold back for the old leader. */
   readonly transfer: boolean;
 }
+
+/** Answers a `VoteRequest` of the same kind. */
 export interface VoteResponse extends MessageBase {
   readonly type: 'vote-response';
   readonly preVote: boolean;
   readonly granted: boolean;
 }
+
+/** Entries after `previousIndex`, or none as a heartbeat. */
 export interface AppendRequest extends MessageBase {
   readonly type: 'append-request';
   readonly previousIndex: number;
@@ -59,6 +67,8 @@
   /** Number of the leader's confirmation round; echoed, so that reads and leases are quorum-confirmed. */
   readonly round: number;
 }
+
+/** Answers an `AppendRequest`. */
 export interface AppendResponse extends MessageBase {
   readonly type: 'append-response';
   readonly success: boolean;
@@ -66,6 +76,8 @@
   readonly matchIndex: number;
   readonly round: number;
 }
+
+/** One chunk of a snapshot, for a member that needs entries which are gone from the log. Sizes in bytes. */
 export interface SnapshotRequest extends MessageBase {
   readonly type: 'snapshot-request';
   readonly lastIndex: number;
@@ -76,6 +88,8 @@
   readonly chunk: Uint8Array;
   readonly round: number;
 }
+
+/** Answers a `SnapshotRequest`. */
 export interface SnapshotResponse extends MessageBase {
   readonly type: 'snapshot-response';
   readonly lastIndex: number;
@@ -84,19 +98,27 @@
   readonly installed: boolean;
   readonly round: number;
 }
+
+/** Asks a voter to start an election at once, as the last step of a leadership transfer. */
 export interface TimeoutNow extends MessageBase {
   readonly type: 'timeout-now';
 }
+
+/** A follower asks the leader for the index that a linearizable read must see. */
 export interface ReadIndexRequest extends MessageBase {
   readonly type: 'read-index-request';
   readonly readId: number;
 }
+
+/** Answers a `ReadIndexRequest`. */
 export interface ReadIndexResponse extends MessageBase {
   readonly type: 'read-index-response';
   readonly readId: number;
   /** `null`: the answerer isn't a confirmed leader. */
   readonly index: number | null;
 }
+
+/** What replicas send each other. Messages may be lost, repeated and reordered. */
 export type RaftMessage =
   | VoteRequest
   | VoteResponse
@@ -108,6 +130,7 @@
   | ReadIndexRequest
   | ReadIndexResponse;
 
+/** What a Raft core is told. */
 export type RaftInput =
   | { readonly type: 'tick' }
   | { readonly type: 'message'; readonly message: RaftMessage }
@@ -141,8 +164,10 @@
   readonly snapshot?: Snapshot;
 }
 
+/** `pre-candidate`: asks whether an election could be won. `learner`: gets the log and has no vote. */
 export type RaftRole = 'follower' | 'pre-candidate' | 'candidate' | 'leader' | 'learner';
 
+/** What the host of a Raft core has to carry out, in this order. */
 export type RaftEffect =
   | { readonly type: 'send'; readonly message: RaftMessage }
   | { readonly type: 'persist'; readonly request: PersistRequest }
@@ -179,6 +204,7 @@
   readonly heartbeatMillis: number;
 }
 
+/** Settings of one replica. */
 export interface RaftConfig extends RaftTimings {
   readonly self: ReplicaId;
   /** Seed of election jitter; best another one in each run of a process. */
--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -14,6 +14,7 @@
   readonly address: Address;
 }
 
+/** A step that the leader takes by itself. */
 export type Repair =
   | ({ readonly type: 'take-in' } & WaitingReplica)
   | {
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -10,6 +10,7 @@
 import type { OperatorResponse, UpstreamHealth } from './types.js';
 import type { UnownedShards } from './unowned-clock.js';
 
+/** What the status is put together from. */
 export interface ControlStatusSource {
   readonly raft: RaftStatus;
   readonly registry: Registry;
@@ -25,6 +26,7 @@
   readonly memberSilentMillis: Readonly<Record<ReplicaId, number>>;
 }
 
+/** The response to `get-status`. */
 export function controlStatus(source: ControlStatusSource, now: MonotonicMillis): OperatorResponse {
   const { raft, registry, sessions, unowned, waitingReplicas, memberSilentMillis } = source;
   const moving = [...registry.upstreams().keys()].map((upstream) => movingTo(registry, upstream));
--- a/src/control/membership-desk.ts
+++ b/src/control/membership-desk.ts
@@ -19,6 +19,7 @@
   readonly memberSilentMillis: Readonly<Record<ReplicaId, number>>;
 }
 
+/** Requests that change the control cluster itself. */
 export type MembershipRequest = Extract<
   OperatorRequest,
   { readonly type: 'add-learner' | 'add-voter' | 'replace-replica' | 'transfer-leadership' }
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -73,6 +73,8 @@
   readonly fingerprint: string;
   readonly issuedAt: WallMillis;
 }
+
+/** Answers a `ClaimRequest`. */
 export interface ClaimResponse {
   readonly type: 'claim-response';
   readonly claimant: ClaimantId;
@@ -80,6 +82,8 @@
   readonly result: ClaimResult | null;
   readonly leader: Address | null;
 }
+
+/** Tells the leader how a claimed request ended. */
 export interface SettleRequest {
   readonly type: 'settle-request';
   readonly claimant: ClaimantId;
@@ -88,13 +92,19 @@
   readonly outcome: 'ran' | 'not-run' | 'unknown';
   readonly answer: StoredAnswer | null;
 }
+
+/** Answers a `SettleRequest`; `settled` `false`: ask again, or ask `leader`. */
 export interface SettleResponse {
   readonly type: 'settle-response';
   readonly claimant: ClaimantId;
   readonly settled: boolean;
   readonly leader: Address | null;
 }
+
+/** What routers send to control members. */
 export type RouterToControl = SyncRequest | ClaimRequest | SettleRequest | LoadReport;
+
+/** What control members send to routers. */
 export type ControlToRouter = SyncResponse | ChangeNotice | ClaimResponse | SettleResponse;
 
 /** First frame of a connection, both ways. */
--- a/src/control/propose-command.ts
+++ b/src/control/propose-command.ts
@@ -8,6 +8,7 @@
   readonly requestId: string | null;
 }
 
+/** Puts a command into the log; `settle` is told what became of it. */
 export type ProposeCommand = (command: Command, settle: SettleProposal, origin?: CommandOrigin) => void;
 
 /** Origin of the system's own commands. */
--- a/src/control/shard-orders.ts
+++ b/src/control/shard-orders.ts
@@ -10,6 +10,7 @@
   readonly order: ShardOrder;
 }
 
+/** How the keys of a service map to shards, in the form that upstreams are sent. */
 export function keyMapOf({ definition, generation }: ServiceRecord): KeyMap {
   return { service: definition.name, generation, keyspaces: definition.keyspaces };
 }
--- a/src/control/shard-query.ts
+++ b/src/control/shard-query.ts
@@ -2,6 +2,7 @@
 import type { Registry, ShardRecord } from '../registry/types.js';
 import type { OperatorRequest } from './types.js';
 
+/** Which shards an operator asks for. */
 export type ShardQuery = Extract<OperatorRequest, { readonly type: 'get-shards' }>;
 
 function candidatesOf(registry: Registry, { shard, owner }: ShardQuery): readonly ShardRecord[] {
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -35,8 +35,11 @@
 
 /** Names one connection of a router, or one operator request, as the shell numbers them. */
 export type ConnectionId = string;
+
+/** Names one operator request, as the shell numbers them. */
 export type OperationId = string;
 
+/** What operators ask of a control member. */
 export type OperatorRequest =
   | {
       readonly type: 'command';
@@ -70,6 +73,7 @@
   | { readonly type: 'transfer-leadership'; readonly to: ReplicaId | null }
   | { readonly type: 'take-snapshot' };
 
+/** What the leader knows of one upstream's session. */
 export interface UpstreamHealth {
   readonly upstream: UpstreamId;
   readonly state: 'leased' | 'greeting' | 'ending' | 'unreachable';
@@ -79,6 +83,7 @@
   readonly draining: number;
 }
 
+/** How an `OperatorRequest` ended. Each request gets exactly one. */
 export type OperatorResponse =
   | { readonly type: 'result'; readonly result: CommandResult; readonly inForce: boolean }
   | { readonly type: 'services'; readonly revision: Revision; readonly services: readonly ServiceRecord[] }
@@ -117,6 +122,7 @@
   /** The change may or may not be made later; a resend with the same request id tells. */
   | { readonly type: 'unknown' };
 
+/** What a control core is told. */
 export type ControlInput =
   | { readonly type: 'tick' }
   | { readonly type: 'peer-message'; readonly message: RaftMessage }
@@ -134,6 +140,7 @@
   | { readonly type: 'upstream-failed'; readonly upstream: UpstreamId; readonly sequence: number }
   | { readonly type: 'operator-request'; readonly operation: OperationId; readonly request: OperatorRequest };
 
+/** What the host of a control core has to carry out, in this order. */
 export type ControlEffect =
   | { readonly type: 'send-peer'; readonly message: RaftMessage }
   | { readonly type: 'persist'; readonly request: PersistRequest }
@@ -153,6 +160,7 @@
       readonly fields: Readonly<Record<string, unknown>>;
     };
 
+/** Settings of one control member. */
 export interface ControlConfig {
   readonly cluster: ClusterId;
   readonly self: ReplicaId;
@@ -178,4 +186,5 @@
   status(): RaftStatus;
 }
 
+/** What a control member found on its disk. */
 export type ControlRestoredState = RestoredState;
--- a/src/lease/granter-types.ts
+++ b/src/lease/granter-types.ts
@@ -10,6 +10,7 @@
 } from '../model/identifiers.js';
 import type { KeyMap, LeaseTimings, SessionAnswer, SessionRequest } from './types.js';
 
+/** Settings of a granter. */
 export interface GranterConfig {
   readonly cluster: ClusterId;
   readonly leader: ReplicaId;
@@ -32,6 +33,7 @@
   readonly drain: boolean;
 }
 
+/** A session request that is to be sent to an upstream. */
 export interface SessionCall {
   readonly upstream: UpstreamId;
   readonly address: Address;
--- a/src/lease/holder-types.ts
+++ b/src/lease/holder-types.ts
@@ -9,6 +9,7 @@
 } from '../model/identifiers.js';
 import type { FenceCredentials, FenceRefusal, SessionAnswer, SessionRequest } from './types.js';
 
+/** Settings of a holder. */
 export interface GrantHolderConfig {
   /** Requests of other clusters are refused. `null`: the first cluster that is heard of is kept. */
   readonly cluster: ClusterId | null;
@@ -24,6 +25,7 @@
   readonly epoch: Epoch;
 }
 
+/** The fence's word on a request. */
 export type Admission =
   | { readonly type: 'admitted'; readonly ticket: Ticket }
   /** The request has not run. */
--- a/src/lease/session-facts.ts
+++ b/src/lease/session-facts.ts
@@ -20,6 +20,7 @@
     : { type: 'open', upstream, incarnation: successor, previous: incarnation };
 }
 
+/** What the leader sees of a session. */
 export function viewOf(session: GranterSession): SessionView {
   return {
     upstream: session.target.upstream,
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -43,6 +43,7 @@
   active: boolean;
 }
 
+/** Bounds of memory; the defaults stand in `limits.ts`. */
 export interface LedgerOptions {
   /** Records and tombstones kept for one service. */
   readonly entriesPerService?: number;
--- a/src/ledger/types.ts
+++ b/src/ledger/types.ts
@@ -13,6 +13,7 @@
   readonly truncated: boolean;
 }
 
+/** What the ledger knows of one idempotency key. */
 export interface LedgerRecord {
   readonly service: ServiceName;
   readonly key: string;
@@ -25,6 +26,7 @@
   readonly revision: Revision;
 }
 
+/** Claims a key for one run of a request. */
 export interface ClaimCommand {
   readonly type: 'ledger-claim';
   readonly service: ServiceName;
@@ -34,6 +36,8 @@
   /** When the caller made the key; beyond the service's retention the claim is refused. */
   readonly issuedAt: WallMillis;
 }
+
+/** Says how a claimed request ended. */
 export interface SettleCommand {
   readonly type: 'ledger-settle';
   readonly service: ServiceName;
@@ -44,6 +48,7 @@
   readonly answer: StoredAnswer | null;
 }
 
+/** Whether the claimant may run the request. */
 export type ClaimResult =
   /** Only this claimant may run it. */
   | { readonly type: 'granted' }
@@ -56,6 +61,7 @@
   | { readonly type: 'closed' }
   | { readonly type: 'unknown-service' };
 
+/** What became of a `SettleCommand`. */
 export type SettleResult =
   | { readonly type: 'settled' }
   /** The claim had ended otherwise; nothing changed. */
--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -1,7 +1,10 @@
 /** Structured logs: one JSON object a line on standard error, with `debug` deciding which namespaces are on. */
 import createDebug from 'debug';
 
+/** How grave a record is, mildest first. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** A record's own facts; values must suit JSON, errors may stand among them. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
 /** Facts that stand in each record of a process. */
--- a/src/model/configuration-lease.ts
+++ b/src/model/configuration-lease.ts
@@ -1,5 +1,6 @@
 /** Times of the configuration lease: how long a router may serve without a quorum-confirmed refresh. */
 
+/** Times in milliseconds; `clockRateError`: largest share by which two clocks differ in rate. */
 export interface ConfigLeaseTimings {
   /** A router that heard nothing confirmed for this long serves nothing. */
   readonly configLeaseMillis: number;
--- a/src/placement/baselines/bounded-load.ts
+++ b/src/placement/baselines/bounded-load.ts
@@ -16,6 +16,7 @@
   readonly server: PlacementServer;
 }
 
+/** Makes the baseline; it looks at loads once a second. */
 export function createBoundedLoadPlanner(): PlacementPlanner {
   return new RecomputingPlanner(ownersOnRing, true);
 }
--- a/src/placement/baselines/recomputing-planner.ts
+++ b/src/placement/baselines/recomputing-planner.ts
@@ -94,6 +94,7 @@
   }
 }
 
+/** Whether the server's declaration lets it own the shard. */
 export function mayHoldShard(server: PlacementServer, { keyspace }: PlacementShard): boolean {
   return server.mayHold.length === 0 || server.mayHold.includes(keyspace);
 }
--- a/src/placement/baselines/rendezvous.ts
+++ b/src/placement/baselines/rendezvous.ts
@@ -8,6 +8,7 @@
   readonly hash: number;
 }
 
+/** Makes the baseline; it knows nothing of loads. */
 export function createRendezvousPlanner(): PlacementPlanner {
   return new RecomputingPlanner(ownersByHash, false);
 }
--- a/src/placement/fair-level.ts
+++ b/src/placement/fair-level.ts
@@ -11,6 +11,7 @@
   readonly hottest: number;
 }
 
+/** Looks through the shards of a server for the hottest. */
 export function heatOf(entry: ServerEntry, floor: number): ServerHeat {
   let hottest = 0;
   for (const shard of entry.shards) {
--- a/src/placement/placement-state.ts
+++ b/src/placement/placement-state.ts
@@ -243,14 +243,17 @@
   return (entry.load + floor * entry.shards.size) / capacityOf(entry);
 }
 
+/** Share of the load that the server should carry now. */
 export function capacityOf({ server }: ServerEntry): number {
   return server.state === 'cold' ? server.capacity * COLD_SHARE : server.capacity;
 }
 
+/** Whether the declaration of the server lets it own shards of the keyspace. */
 export function mayHold({ server }: ServerEntry, keyspace: string): boolean {
   return server.mayHold.length === 0 || server.mayHold.includes(keyspace);
 }
 
+/** Whether the server may be given more shards now. */
 export function takesShards({ server }: ServerEntry): boolean {
   return server.state === 'ready' || server.state === 'cold';
 }
--- a/src/policy/expression.ts
+++ b/src/policy/expression.ts
@@ -3,6 +3,7 @@
 import { toError } from '../errors/ternmount-error.js';
 import { EXPRESSION_LIMITS } from './policy-context.js';
 
+/** What an expression must give. */
 export type ExpressionType = 'bool' | 'number';
 
 /** Why an expression was refused, with the offset of the place in its text. */
@@ -11,6 +12,7 @@
   readonly message: string;
 }
 
+/** A compiled expression, or why it was refused. */
 export type ExpressionOutcome =
   /** `cost`: parts evaluated at most, in comparisons of numbers; see `PROGRAM_LIMITS`. */
   | { readonly type: 'compiled'; readonly evaluate: (context: Context) => unknown; readonly cost: number }
--- a/src/policy/policy-program.ts
+++ b/src/policy/policy-program.ts
@@ -22,12 +22,14 @@
   locate(ruleIndex: number, field: ExpressionField | null, offset: number): PolicyPosition;
 }
 
+/** What a program says of one request. */
 export type PolicyDecision =
   | { readonly type: 'pass' }
   /** `retryAfterMillis`: `null` leaves it to the router's measured drain time. */
   | { readonly type: 'refuse'; readonly rule: string; readonly retryAfterMillis: number | null }
   | { readonly type: 'hold'; readonly rule: string; readonly holdMillis: number };
 
+/** A compiled program. A rule that fails at run time counts as no match. */
 export interface PolicyProgram {
   readonly hasWeighRules: boolean;
   /** The first `refuse` or `hold` rule that matches. */
--- a/src/policy/policy-trace.ts
+++ b/src/policy/policy-trace.ts
@@ -36,6 +36,8 @@
   /** What the policy in force decided. */
   decision: z.enum(['pass', 'refuse', 'hold']),
 });
+
+/** One look of a policy at one request. */
 export type PolicyTraceRecord = z.infer<typeof policyTraceRecordSchema>;
 
 /** A line of a trace is none of its records. */
--- a/src/policy/policy-trial.ts
+++ b/src/policy/policy-trial.ts
@@ -20,6 +20,7 @@
   readonly records: number;
 }
 
+/** What a program would have done with a trace. */
 export interface PolicyTrial {
   readonly tried: readonly TriedRecord[];
   readonly passed: number;
@@ -32,6 +33,7 @@
   readonly errors: ReadonlyMap<string, number>;
 }
 
+/** Decides on each record by itself. */
 export function tryPolicy(program: PolicyProgram, records: readonly PolicyTraceRecord[]): PolicyTrial {
   const tried = records.map((record) => tryRecord(program, record));
   return {
--- a/src/registry/commands/results.ts
+++ b/src/registry/commands/results.ts
@@ -3,16 +3,20 @@
 import type { Transaction } from '../registry-state.js';
 import type { CommandResult } from '../types.js';
 
+/** The command was carried out, at the revision of its entry. */
 export function accepted(transaction: Transaction): CommandResult {
   return { type: 'accepted', revision: transaction.revision };
 }
 
+/** Compare-and-set lost against `current`. */
 export function conflict(current: Revision): CommandResult {
   return { type: 'conflict', current };
 }
 
+/** What the command names does not exist. */
 export const NOT_FOUND: CommandResult = { type: 'not-found' };
 
+/** The command can never be carried out as it is. */
 export function invalid(message: string): CommandResult {
   return { type: 'invalid', message };
 }
--- a/src/registry/dedup-table.ts
+++ b/src/registry/dedup-table.ts
@@ -9,11 +9,15 @@
 import type { WallMillis } from '../model/identifiers.js';
 import type { Command, CommandResult } from './types.js';
 
+/** How long a result is kept, by the registry's clock. */
 export const DEDUP_RETENTION_MILLIS = 24 * 60 * 60 * 1000;
+
+/** Results kept at most. */
 export const DEDUP_ENTRIES = 10_000;
 /** Longest accepted request id, in characters. */
 export const REQUEST_ID_LIMIT = 200;
 
+/** The result of one operator's command. */
 export interface DedupEntry {
   readonly requestId: string;
   /** SHA-256 of the command, base64. */
--- a/src/registry/snapshot-parts.ts
+++ b/src/registry/snapshot-parts.ts
@@ -9,6 +9,7 @@
 import type { RegistryState } from './registry-state.js';
 import type { ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
 
+/** Version of the format, in the head of each snapshot. */
 export const SNAPSHOT_VERSION = 2;
 
 /** Rough bytes of a part; a single larger record stands alone. */
@@ -20,6 +21,7 @@
 const LEDGER_BYTES = 400;
 const DEDUP_BYTES = 250;
 
+/** One part, as JSON. */
 export type SnapshotPart =
   | {
       readonly part: 'head';
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -11,6 +11,7 @@
 } from '../model/identifiers.js';
 import type { PolicyRule, ServiceDefinition, UpstreamDefinition } from '../model/service.js';
 
+/** A declared service. */
 export interface ServiceRecord {
   readonly definition: ServiceDefinition;
   /** Revision of the last change to it. */
@@ -18,6 +19,8 @@
   /** Revision at which keyspaces last changed; part of the names of its shards. */
   readonly generation: Revision;
 }
+
+/** A declared upstream and its session. */
 export interface UpstreamRecord {
   readonly definition: UpstreamDefinition;
   /** Revision of the last change to the definition; sessions don't change it. */
@@ -104,6 +107,7 @@
     }
   | { readonly type: 'move-cancel'; readonly shard: ShardId; readonly epoch: Epoch };
 
+/** Every command that a log entry may hold. */
 export type Command = OperatorCommand | LeaderCommand | ClaimCommand | SettleCommand;
 
 /** What a log entry of kind `command` holds, as JSON. */
@@ -117,6 +121,7 @@
   readonly command: Command;
 }
 
+/** What the registry made of a command, the same on every replica. */
 export type CommandResult =
   | { readonly type: 'accepted'; readonly revision: Revision }
   /** Compare-and-set lost; `current` is the revision now (0: doesn't exist). */
@@ -138,6 +143,8 @@
   readonly upstreams: readonly UpstreamRecord[];
   readonly shards: readonly ShardRecord[];
 }
+
+/** Changes that turn the routing data of revision `from` into those of `to`. */
 export interface RoutingDelta {
   readonly from: Revision;
   readonly to: Revision;
--- a/src/registry/validation/field-checks.ts
+++ b/src/registry/validation/field-checks.ts
@@ -10,6 +10,7 @@
 
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
 
+/** Refuses a definition. */
 export function fail(place: string, problem: string): never {
   throw new InvalidDefinitionError(place, problem);
 }
@@ -25,6 +26,7 @@
   return value;
 }
 
+/** Text of `longest` characters at most. */
 export function checkText(place: string, value: unknown, longest: number): string {
   if (typeof value !== 'string' || value.length > longest) {
     fail(place, `must be text of at most ${longest} characters`);
@@ -32,15 +34,18 @@
   return value;
 }
 
+/** The same, and not empty. */
 export function checkNonEmptyText(place: string, value: unknown, longest: number): string {
   const text = checkText(place, value, longest);
   return text === '' ? fail(place, 'must not be empty') : text;
 }
 
+/** `true` or `false`. */
 export function checkBoolean(place: string, value: unknown): boolean {
   return typeof value === 'boolean' ? value : fail(place, 'must be true or false');
 }
 
+/** A number from `least` to `most`. */
 export function checkNumber(place: string, value: unknown, least: number, most: number): number {
   if (typeof value !== 'number' || !(value >= least && value <= most)) {
     fail(place, `must be a number from ${least} to ${most}`);
@@ -48,6 +53,7 @@
   return value;
 }
 
+/** A whole number from `least` to `most`. */
 export function checkInteger(place: string, value: unknown, least: number, most: number): number {
   if (!Number.isInteger(value)) {
     fail(place, `must be a whole number from ${least} to ${most}`);
@@ -55,6 +61,7 @@
   return checkNumber(place, value, least, most);
 }
 
+/** One of the choices. */
 export function checkChoice<Choice extends string>(
   place: string,
   value: unknown,
@@ -64,6 +71,7 @@
   return choice ?? fail(place, `must be one of ${choices.join(', ')}`);
 }
 
+/** A list of `longest` items at most; the items are still to be checked. */
 export function checkList(place: string, value: unknown, longest: number): readonly unknown[] {
   if (!Array.isArray(value) || value.length > longest) {
     fail(place, `must be a list of at most ${longest}`);
