Routing: what a policy decides about a request has a module of its own

PolicyGate asks the policy, holds, asks again and records traces; the intake hands work to it and no longer knows the dispatcher. Behaviour unchanged: test/routing, test/policy and test/router pass as before.

--- a/src/policy/policy-program.ts
+++ b/src/policy/policy-program.ts
@@ -43,6 +43,7 @@
 /** Factors are kept within these, so that a rule can't hide an upstream from measurement. */
 const SMALLEST_WEIGHT = 0.01;
 const LARGEST_WEIGHT = 100;
+const MILLIS_PER_SECOND = 1000;
 const PASS: PolicyDecision = { type: 'pass' };
 
 type Evaluate = (context: Context) => unknown;
@@ -218,7 +219,11 @@
   if (rule.action === 'hold') {
     return { type: 'hold', rule: rule.name, holdMillis: amount ?? 0 };
   }
-  return { type: 'refuse', rule: rule.name, retryAfterMillis: amount === null ? null : amount * 1000 };
+  return {
+    type: 'refuse',
+    rule: rule.name,
+    retryAfterMillis: amount === null ? null : amount * MILLIS_PER_SECOND,
+  };
 }
 
 function weighRule(rule: CompiledRule, context: Context): number {
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -1,44 +1,38 @@
 /** A request's way from its arrival to the dispatcher: checks, joining, the ledger, policy. */
 import type { ClaimResult, StoredAnswer } from '../ledger/types.js';
 import type { ShardId } from '../model/identifiers.js';
-import type { PolicyContext, PolicyDecision } from '../policy/index.js';
 import type { Admission } from './admission.js';
 import type { Answers } from './answers.js';
 import type { ClaimFlow, ClaimListener } from './claim-flow.js';
-import type { Dispatcher } from './dispatcher.js';
 import type { LedgerWord } from './outcome-table.js';
-import { policyContextOf, policyUpstreamOf } from './policy-input.js';
-import { retryAfterMillis } from './retry-after.js';
+import type { PolicyGate } from './policy-gate.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
 import type { ArrivedRequest, RefusalReason } from './types.js';
 import { isOverdue, type Member, Work } from './work.js';
 
-const PASS: PolicyDecision = { type: 'pass' };
-/** How often the policy is asked again about a request that it holds. */
-const POLICY_RECHECK_MILLIS = 50;
 /** What is said when the ledger knows that it ran but kept no answer. */
 const ANSWER_NOT_KEPT: StoredAnswer = { status: 200, contentType: '', body: '', truncated: true };
 
 export interface RequestIntakeParts {
   readonly context: RouterContext;
   readonly admission: Admission;
-  readonly dispatcher: Dispatcher;
   readonly answers: Answers;
   readonly claims: ClaimFlow;
+  readonly policyGate: PolicyGate;
 }
 
 export class RequestIntake implements ClaimListener {
   private readonly context: RouterContext;
   private readonly admission: Admission;
-  private readonly dispatcher: Dispatcher;
+  private readonly policyGate: PolicyGate;
   private readonly answers: Answers;
   private readonly claims: ClaimFlow;
 
   constructor(parts: RequestIntakeParts) {
     this.context = parts.context;
     this.admission = parts.admission;
-    this.dispatcher = parts.dispatcher;
+    this.policyGate = parts.policyGate;
     this.answers = parts.answers;
     this.claims = parts.claims;
     parts.claims.listen(this);
@@ -84,7 +78,7 @@
 
   claimGranted(work: Work): void {
     work.service.claiming.delete(work);
-    this.applyPolicy(work);
+    this.policyGate.pass(work);
   }
 
   claimDenied(work: Work, result: ClaimResult): void {
@@ -111,13 +105,6 @@
     this.answers.refuseWork(work, 'ledger-unavailable', this.admission.unmeasuredRetryAfter());
   }
 
-  /** Asks the policy again about a request that it holds. */
-  recheckPolicy(work: Work): void {
-    work.holdTimer = null;
-    work.service.held.delete(work);
-    this.applyPolicy(work);
-  }
-
   /** Answers all that wait, once the configuration can't be trusted any more. */
   refuseWaiting(service: ServiceState, reason: RefusalReason): void {
     const waiting = [...service.lanes.allWork(), ...service.held, ...service.claiming];
@@ -174,20 +161,16 @@
     return attempt === null || !isOverdue(attempt, this.context.now);
   }
 
-  /** A policy may still refuse a read that could share an attempt; a hold was decided for the one it joins. */
   private join(work: Work, request: ArrivedRequest): void {
     this.addMember(work, request);
     const member = work.members[work.members.length - 1] as Member;
-    const decision = this.decide(work);
-    if (decision.type === 'refuse') {
-      this.answers.refuse(member, 'policy-refused', this.policyRetryAfter(work, decision.retryAfterMillis));
-    }
+    this.policyGate.passJoined(member);
   }
 
   private begin(work: Work): void {
     const { idempotency } = work.request;
     if (work.service.definition.repeatable || idempotency === null) {
-      this.applyPolicy(work);
+      this.policyGate.pass(work);
       return;
     }
     // The ledger comes first: a refusal after the grant can truly say that the order did not run.
@@ -196,66 +179,6 @@
     this.claims.ask(work, idempotency);
   }
 
-  private applyPolicy(work: Work): void {
-    const decision = this.decide(work);
-    if (decision.type === 'refuse') {
-      const wait = this.policyRetryAfter(work, decision.retryAfterMillis);
-      this.answers.refuseWork(work, 'policy-refused', wait);
-      return;
-    }
-    if (decision.type === 'hold' && this.mayHold(work, decision.holdMillis)) {
-      this.hold(work);
-      return;
-    }
-    work.phase = 'new';
-    this.dispatcher.admit(work);
-  }
-
-  private decide(work: Work): PolicyDecision {
-    const { policy } = work.service;
-    const { tracing } = this.context;
-    if (policy === null && !tracing) {
-      return PASS;
-    }
-    const seen = policyContextOf(work, this.context);
-    const decision = policy === null ? PASS : policy.decide(seen);
-    if (tracing) {
-      this.trace(work.service, seen, decision);
-    }
-    return decision;
-  }
-
-  private trace(service: ServiceState, context: PolicyContext, decision: PolicyDecision): void {
-    const { now, wall } = this.context;
-    const upstreams = service.candidates(now, null).map((upstream) => policyUpstreamOf(upstream, now));
-    const record = { at: wall, context, upstreams, decision: decision.type };
-    this.context.emit({ type: 'policy-trace', record });
-  }
-
-  /** A hold counts from the first time that the policy asked for it, whatever it says later. */
-  private mayHold(work: Work, holdMillis: number): boolean {
-    const { now } = this.context;
-    const { holdLimitMillis, queueLimit } = work.service.definition;
-    work.holdUntil = Math.min(work.holdUntil, now + holdLimitMillis);
-    work.policyHoldUntil ??= Math.min(work.holdUntil, now + holdMillis);
-    return now < work.policyHoldUntil && work.service.waitingLength < queueLimit;
-  }
-
-  private hold(work: Work): void {
-    const { now } = this.context;
-    work.phase = 'held';
-    work.service.held.add(work);
-    const recheckAt = Math.min(work.policyHoldUntil ?? now, now + POLICY_RECHECK_MILLIS);
-    work.holdTimer = this.context.schedule(recheckAt, { type: 'policy-recheck', work });
-  }
-
-  private policyRetryAfter(work: Work, asked: number | null): number {
-    if (asked === null) {
-      return this.admission.retryAfter(work);
-    }
-    return retryAfterMillis(asked, this.context.random);
-  }
-
   private answerDuplicate(
     work: Work,
     state: 'running' | 'ran' | 'unknown',
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -9,6 +9,7 @@
 import type { ApplyOutcome } from './configuration-view.js';
 import { Dispatcher } from './dispatcher.js';
 import { LostAttempts } from './lost-attempts.js';
+import { PolicyGate } from './policy-gate.js';
 import { RequestIntake } from './request-intake.js';
 import { RouterContext } from './router-context.js';
 import type { TimerSubject } from './router-timer.js';
@@ -25,6 +26,7 @@
   private readonly answers: Answers;
   private readonly admission: Admission;
   private readonly dispatcher: Dispatcher;
+  private readonly policyGate: PolicyGate;
   private readonly intake: RequestIntake;
   private readonly results: AttemptResults;
   private readonly lost: LostAttempts;
@@ -38,7 +40,8 @@
     this.admission = new Admission(this.context, this.answers);
     this.dispatcher = new Dispatcher(this.context, this.answers, this.admission);
     const { context, admission, dispatcher, answers, claims } = this;
-    this.intake = new RequestIntake({ context, admission, dispatcher, answers, claims });
+    this.policyGate = new PolicyGate({ context, admission, dispatcher, answers });
+    this.intake = new RequestIntake({ context, admission, answers, claims, policyGate: this.policyGate });
     this.results = new AttemptResults({ context, admission, dispatcher, answers, intake: this.intake });
     this.lost = new LostAttempts(this.context, this.results);
     this.updates = new ConfigurationUpdates({
@@ -181,7 +184,7 @@
         this.endHold(subject);
         return;
       case 'policy-recheck':
-        this.intake.recheckPolicy(subject.work);
+        this.policyGate.recheck(subject.work);
         return;
       case 'claim':
         this.claims.timerFired(subject.claim);
