Dispatcher and control node: starting attempts and logging ownership apart

AttemptStarter counts and sends an attempt, the dispatcher decides which. ownershipLog turns changes into log records.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -12,6 +12,7 @@
 import { LeaderDuties } from './leader-duties.js';
 import { MembershipDesk } from './membership-desk.js';
 import { OperatorDesk } from './operator-desk.js';
+import { ownershipLog } from './ownership-log.js';
 import type { SettleProposal } from './pending-proposals.js';
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
 import { RaftAdapter, type RaftListener } from './raft-adapter.js';
@@ -152,25 +153,10 @@
     }
   }
 
-  /** One record a batch, on the leader only. */
+  /** On the leader only, so that each change is logged once. */
   #logOwnership(changes: readonly RegistryChange[]): void {
-    if (this.#leader === null) {
-      return;
-    }
-    for (const change of changes) {
-      if (change.type === 'upstream') {
-        const { incarnation = null, definition } = change.record ?? {};
-        this.#log('info', 'upstream-changed', {
-          upstream: change.id,
-          incarnation,
-          leaving: definition?.leaving ?? null,
-        });
-      }
-    }
-    const shards = changes.filter((change) => change.type === 'shard');
-    if (shards.length > 0) {
-      const owned = shards.filter(({ record }) => record?.owner != null).length;
-      this.#log('info', 'shards-changed', { owned, unowned: shards.length - owned });
+    if (this.#leader !== null) {
+      this.#effects.push(...ownershipLog(changes));
     }
   }
 
--- /dev/null
+++ b/src/routing/attempt-starter.ts
@@ -0,0 +1,49 @@
+/** Starts attempts: counts them wherever they count, and has them sent. */
+import type { FenceCredentials } from '../lease/types.js';
+import type { RouterContext } from './router-context.js';
+import type { UpstreamState } from './upstream-state.js';
+import type { Attempt, Work } from './work.js';
+
+/** Numbers the attempts of one router core. */
+export class AttemptStarter {
+  private nextAttempt = 1;
+
+  constructor(private readonly context: RouterContext) {}
+
+  /** `credentials`: what the owner's fence checks; `null` for services that aren't keyed. */
+  start(work: Work, upstream: UpstreamState, credentials: FenceCredentials | null): void {
+    const { context } = this;
+    const { service } = work;
+    const attempt: Attempt = {
+      number: this.nextAttempt++,
+      work,
+      upstream,
+      sentFor: work.request.request,
+      startedAt: context.now,
+      grant: credentials,
+      overSince: null,
+      abandoned: false,
+    };
+    work.lane?.drainRate.took(context.now);
+    service.lanes.remove(work);
+    if (work.attempts === 0) {
+      service.retryBudget.firstAttempt();
+    }
+    work.attempts += 1;
+    work.attempt = attempt;
+    work.phase = 'in-flight';
+    service.inFlight += 1;
+    upstream.dispatched();
+    context.attempts.set(attempt.number, attempt);
+    context.emit({
+      type: 'dispatch',
+      request: work.request.request,
+      attempt: attempt.number,
+      upstream: upstream.id,
+      address: upstream.record.definition.address,
+      credentials,
+      deadlineMillis: work.deadline - context.now,
+      wholeAnswerBytes: service.definition.wholeAnswerBytes,
+    });
+  }
+}
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -1,14 +1,14 @@
 /** Sends work to upstreams, or lets it wait within bounds. */
-import type { FenceCredentials } from '../lease/types.js';
 import type { ShardId } from '../model/identifiers.js';
 import type { Admission } from './admission.js';
 import type { Answers } from './answers.js';
+import { AttemptStarter } from './attempt-starter.js';
 import type { Lane } from './lane-table.js';
 import { policyContextOf, policyUpstreamOf } from './policy-input.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
 import type { UpstreamState } from './upstream-state.js';
-import type { Attempt, Work } from './work.js';
+import type { Work } from './work.js';
 
 /** How often waiting work is looked at without an event. */
 const WAKE_MILLIS = 25;
@@ -16,13 +16,15 @@
 type Placement = 'dispatched' | 'waits' | 'answered';
 
 export class Dispatcher {
-  private nextAttempt = 1;
+  private readonly attempts: AttemptStarter;
 
   constructor(
     private readonly context: RouterContext,
     private readonly answers: Answers,
     private readonly admission: Admission,
-  ) {}
+  ) {
+    this.attempts = new AttemptStarter(context);
+  }
 
   /** Dispatches a work that may run now, lets it wait, or refuses it at once if waiting can't end well. */
   admit(work: Work): void {
@@ -187,7 +189,7 @@
     }
     const weigh = this.weigherOf(work);
     const upstream = service.picker.pick({ candidates, zone: config.zone, now, random, weigh });
-    this.dispatch(work, upstream, null);
+    this.attempts.start(work, upstream, null);
     return 'dispatched';
   }
 
@@ -197,7 +199,7 @@
     if (owner === undefined || owner.upstream.evidence.operatorLeaving || !owner.upstream.hasSlot(now)) {
       return 'waits';
     }
-    this.dispatch(work, owner.upstream, {
+    this.attempts.start(work, owner.upstream, {
       shard,
       epoch: owner.epoch,
       incarnation: owner.incarnation,
@@ -215,42 +217,6 @@
     return (upstream) => weigh(policyUpstreamOf(upstream, this.context.now));
   }
 
-  private dispatch(work: Work, upstream: UpstreamState, credentials: FenceCredentials | null): void {
-    const { context } = this;
-    const { service } = work;
-    const attempt: Attempt = {
-      number: this.nextAttempt++,
-      work,
-      upstream,
-      sentFor: work.request.request,
-      startedAt: context.now,
-      grant: credentials,
-      overSince: null,
-      abandoned: false,
-    };
-    work.lane?.drainRate.took(context.now);
-    service.lanes.remove(work);
-    if (work.attempts === 0) {
-      service.retryBudget.firstAttempt();
-    }
-    work.attempts += 1;
-    work.attempt = attempt;
-    work.phase = 'in-flight';
-    service.inFlight += 1;
-    upstream.dispatched();
-    context.attempts.set(attempt.number, attempt);
-    context.emit({
-      type: 'dispatch',
-      request: work.request.request,
-      attempt: attempt.number,
-      upstream: upstream.id,
-      address: upstream.record.definition.address,
-      credentials,
-      deadlineMillis: work.deadline - context.now,
-      wholeAnswerBytes: service.definition.wholeAnswerBytes,
-    });
-  }
-
   private enqueue(work: Work, place: 'front' | 'back'): void {
     const { service } = work;
     const owner = work.shard === null ? null : (this.context.view.shard(work.shard)?.owner ?? null);
