--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -12,8 +12,9 @@
 import { LeaderDuties } from './leader-duties.js';
 import { MembershipDesk } from './membership-desk.js';
 import { OperatorDesk } from './operator-desk.js';
+import type { SettleProposal } from './pending-proposals.js';
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
-import { RaftAdapter, type RaftListener, type SettleProposal } from './raft-adapter.js';
+import { RaftAdapter, type RaftListener } from './raft-adapter.js';
 import { RouterDesk } from './router-desk.js';
 import { SnapshotDesk } from './snapshot-desk.js';
 import type {
@@ -115,7 +116,7 @@
     if (this.#hasNews) {
       this.#hasNews = false;
       this.#unowned.look(this.#raft.registry, now);
-      this.#routers.notify(this.#raft.registry.revision);
+      this.#routers.notify();
     }
     return this.#effects;
   }
@@ -256,6 +257,7 @@
       raft: this.#raft.status(),
       registry: this.#raft.registry,
       sessions: this.#leader?.sessions() ?? [],
+      services: this.#leader?.measures(now) ?? [],
       routers: this.#routers.routers(),
       departed: this.#routers.departed(now),
       unowned: this.#unowned.list(this.#raft.registry, now),
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -48,7 +48,6 @@
   private readonly traces = new PolicyTraces((on) => this.task.post({ type: 'policy-trace', on }));
   private readonly directory = new UpstreamDirectory();
   private readonly metrics: RouterMetrics;
-  private readonly log: Logger = createLogger('router');
   private callers: HttpListener | undefined;
   private admin: HttpListener | undefined;
   private fail: (error: Error) => void = () => {};
@@ -58,6 +57,7 @@
     settings: RouterDaemonSettings,
     createCore: CreateRouterCore,
     private readonly frontEnd: CallerFrontEnd,
+    private readonly log: Logger = createLogger('router'),
   ) {
     this.failed = new Promise((resolve) => {
       this.fail = resolve;
@@ -175,7 +175,8 @@
 
   private health(): { readonly healthy: boolean } & RouterStatus {
     const status = this.core.status();
-    return { healthy: status.serving && this.stopping === undefined, ...status };
+    const isOpen = this.callers !== undefined && this.stopping === undefined;
+    return { healthy: status.serving && isOpen, ...status };
   }
 
   private giveUp(error: Error): void {
