Control: what measures a service has a module of its own

Change: ServiceMeter holds the counts and the look at imbalance; the coordinator only tells it. No change of behaviour.

--- a/src/control/service-coordinator.ts
+++ b/src/control/service-coordinator.ts
@@ -3,29 +3,15 @@
  * upstreams, and orders each upstream what to hold, warm and give up. It works on what changed since the last run.
  */
 import type { LeaseGranter } from '../lease/lease-granter.js';
-import {
-  type Epoch,
-  type MonotonicMillis,
-  parseShardId,
-  type ShardId,
-  type UpstreamId,
-} from '../model/identifiers.js';
-import {
-  BALANCE_MILLIS,
-  createPlanner,
-  LoadTracker,
-  type MeasuredPlanner,
-  type PlacementMove,
-  type ReportedWork,
-} from '../placement/index.js';
+import { type MonotonicMillis, parseShardId, type ShardId, type UpstreamId } from '../model/identifiers.js';
+import { createPlanner, LoadTracker, type MeasuredPlanner, type ReportedWork } from '../placement/index.js';
 import type { Registry, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
 import { FirstGrants } from './first-grants.js';
-import { ImbalanceWatch } from './imbalance-watch.js';
 import type { LeaderProposals } from './leader-proposals.js';
-import { type MoveReason, OwnershipMeasures } from './ownership-measures.js';
 import { PlacementProposals } from './placement-proposals.js';
 import { RegistryLoad, SHARDS_PER_RUN } from './registry-load.js';
 import type { ServiceMeasures } from './service-measures.js';
+import { neverGranted, ServiceMeter } from './service-meter.js';
 import { ShardHandovers } from './shard-handovers.js';
 import { UpstreamRoster } from './upstream-roster.js';
 
@@ -50,8 +36,7 @@
   readonly #proposals: PlacementProposals;
   #loads = new LoadTracker();
   readonly #firstGrants = new FirstGrants();
-  readonly #ownership = new OwnershipMeasures();
-  #imbalance = new ImbalanceWatch();
+  readonly #meter: ServiceMeter;
   #service: ServiceRecord;
   /** Placement waits until all of it is taken over. */
   #load: RegistryLoad;
@@ -60,23 +45,23 @@
   constructor(parts: CoordinatorParts, service: ServiceRecord, now: MonotonicMillis) {
     this.#parts = parts;
     this.#service = service;
+    this.#meter = new ServiceMeter(parts.registry, service, now);
     this.#planner = createPlanner(settingsOf(service), now + LISTEN_MILLIS);
     this.#roster = new UpstreamRoster({ ...parts, planner: this.#planner }, service);
     this.#handovers = new ShardHandovers(
-      { ...parts, givenUp: (shard, epoch, at) => this.#noteGivenUp(shard, epoch, at) },
+      { ...parts, givenUp: (shard, epoch, at) => this.#meter.givenUp(shard, epoch, at) },
       service,
     );
     this.#proposals = new PlacementProposals({
       ...parts,
       incarnationOf: (upstream) => this.#roster.incarnationOf(upstream),
       isReady: (upstream) => this.#roster.isReady(upstream),
-      moveStarted: (move) => this.#ownership.moveStarted(move.shard, move.to, reasonOf(move)),
+      moveStarted: (move) => this.#meter.moveStarted(move),
     });
     const upstreams = [...parts.registry().upstreams().values()]
       .filter(({ definition }) => definition.service === service.definition.name)
       .map(({ definition }) => definition.id);
     this.#load = new RegistryLoad(upstreams, this.#shardsToTake());
-    this.#ownership.begin(now);
   }
 
   /** The service is gone, or not keyed any more. */
@@ -90,6 +75,7 @@
     this.#planner.configure(settingsOf(service));
     this.#roster.setService(service, now);
     this.#handovers.setService(service);
+    this.#meter.setService(service, now);
     if (isOtherKeyMap) {
       this.#changeKeyMap(now);
     }
@@ -120,19 +106,12 @@
 
   /** A shard's record changed; told of every change, in the order of the log. */
   recordChanged(shard: ShardId, record: ShardRecord | null, now: MonotonicMillis): void {
-    if (parseShardId(shard)?.generation === this.#service.generation) {
-      this.#ownership.recordChanged(record ?? neverGranted(shard), now);
-    }
+    this.#meter.recordChanged(shard, record, now);
     this.shardChanged(shard, now);
   }
 
   measures(now: MonotonicMillis): ServiceMeasures {
-    const { name, keyspaces } = this.#service.definition;
-    const unownedShards = this.#parts.registry().unownedShards(name).size;
-    const shards = keyspaces.reduce((sum, keyspace) => sum + keyspace.shards, 0);
-    const counts = this.#ownership.counts(now);
-    const imbalance = this.#imbalance.measure(now);
-    return { service: name, ownedShards: shards - unownedShards, unownedShards, ...counts, ...imbalance };
+    return this.#meter.measures(now);
   }
 
   /** An upstream answered or failed to. */
@@ -146,8 +125,7 @@
 
   loadReported(works: readonly ReportedWork[], now: MonotonicMillis): void {
     this.#loads.report(works, now);
-    const isPlannedBy = Number.isFinite(this.#planner.nextDeadline());
-    if (!isPlannedBy && now - this.#imbalance.lookedAt >= BALANCE_MILLIS) {
+    if (this.#meter.wantsLoads(this.#planner, now)) {
       this.#takeLoads(now);
     }
   }
@@ -205,8 +183,7 @@
     for (const { shard, load } of this.#loads.takeChanged()) {
       this.#planner.setLoad(shard, load);
     }
-    const isWatched = this.#service.definition.placement.imbalance > 0;
-    this.#imbalance.look(this.#planner.spread(), isWatched, now);
+    this.#meter.loadsTaken(this.#planner, now);
   }
 
   /** Shards that no upstream brings along: those without owner, and those of older key maps that are to be revoked. */
@@ -220,17 +197,15 @@
     this.#planner = createPlanner(settingsOf(this.#service), now + LISTEN_MILLIS);
     this.#roster.setPlanner(this.#planner);
     this.#loads = new LoadTracker();
-    this.#imbalance = new ImbalanceWatch();
     this.#firstGrants.startOver();
     this.#load = new RegistryLoad(this.#load.upstreamsLeft(), this.#shardsToTake());
-    this.#ownership.begin(now);
   }
 
   #takeOver(now: MonotonicMillis): void {
     for (let taken = 0; taken < SHARDS_PER_RUN && !this.#load.isDone; taken += 1) {
       const item = this.#load.next();
       if (item?.type === 'shard') {
-        this.#takeVacant(item.shard);
+        this.#meter.takeOver(item.shard);
         this.shardChanged(item.shard, now);
       } else if (item !== undefined && !this.#roster.has(item.upstream)) {
         const record = this.#parts.registry().upstreams().get(item.upstream);
@@ -261,14 +236,6 @@
     return shards.length;
   }
 
-  /** Nothing is placed before all are taken over, so each is measured from the beginning to its next grant. */
-  #takeVacant(shard: ShardId): void {
-    const record = this.#parts.registry().shards().get(shard) ?? neverGranted(shard);
-    if (record.owner === null && parseShardId(shard)?.generation === this.#service.generation) {
-      this.#ownership.takeVacant(record);
-    }
-  }
-
   #takeShard(record: ShardRecord, keyspace: string, now: MonotonicMillis): void {
     const { shard, owner, movingTo } = record;
     this.#handovers.update(record, now);
@@ -280,13 +247,6 @@
     this.#planner.setShard({ shard, keyspace, load, owner, target: movingTo });
   }
 
-  /** Shards of older key maps get no further grant, so nothing is measured of them. */
-  #noteGivenUp(shard: ShardId, epoch: Epoch, now: MonotonicMillis): void {
-    if (parseShardId(shard)?.generation === this.#service.generation) {
-      this.#ownership.givenUp(shard, epoch, now);
-    }
-  }
-
   #retireShard(shard: ShardId, record: ShardRecord | undefined, now: MonotonicMillis): void {
     this.#planner.removeShard(shard);
     this.#firstGrants.release(shard);
@@ -297,13 +257,3 @@
 function settingsOf({ definition }: ServiceRecord) {
   return { weights: definition.placement, movesPerMinute: definition.movesPerMinute };
 }
-
-/** Moves off an upstream that leaves, or that may not hold the shard any more, are drains. */
-function reasonOf({ reason }: PlacementMove): MoveReason {
-  return reason === 'balance' ? 'balance' : 'drain';
-}
-
-/** A shard without a record was never granted. */
-function neverGranted(shard: ShardId): ShardRecord {
-  return { shard, owner: null, incarnation: null, epoch: 0, movingTo: null, revision: 0 };
-}
