One schema for policy documents; settings make the identity and core settings of a control daemon

The operators' API and policy files described the same map twice. control-daemon.ts keeps what starts and stops. Tests of settings, control, contract and policy commands pass.

--- a/src/control/admin/api-schemas.ts
+++ b/src/control/admin/api-schemas.ts
@@ -4,10 +4,10 @@
 import { reachableAddressSchema } from '../../settings/common-schemas.js';
 import {
   checkServiceFields,
-  checkUnique,
   completeService,
   completeUpstream,
   nameSchema,
+  policyDocumentSchema,
   policyRuleSchema,
   serviceFields,
   upstreamFields,
@@ -73,15 +73,7 @@
   .transform((fields): ServiceDefinition => completeService(fields));
 
 /** Body of `PUT /v1/services/:name/policy`. */
-export const policyBodySchema = z
-  .strictObject({ policy: z.array(policyRuleSchema, { error: 'expected a list of rules' }) })
-  .superRefine(({ policy }, context) =>
-    checkUnique(
-      policy.map((rule) => rule.name),
-      ['policy'],
-      context,
-    ),
-  );
+export const policyBodySchema = policyDocumentSchema;
 
 /** Body of `PUT /v1/upstreams/:id`. */
 export const upstreamBodySchema = z.strictObject(upstreamFields).transform(completeUpstream);
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -25,7 +25,9 @@
 import {
   type ControlDaemonSettings,
   type ControlDaemonTimings,
+  controlCoreConfig,
   controlTimings,
+  controlWireIdentity,
   controlWireLimits,
 } from './settings.js';
 import { UpstreamSessions } from './upstream-sessions.js';
@@ -78,8 +80,12 @@
     this.replica = opened.replica;
     this.timings = controlTimings(settings);
     const limits = controlWireLimits(settings);
-    const identity = this.wireIdentity();
-    this.core = createCore(this.coreConfig(), opened.restored, performance.now());
+    const identity = controlWireIdentity(settings, this.replica);
+    this.core = createCore(
+      controlCoreConfig(settings, this.replica, randomInt(1, MAX_SEED)),
+      opened.restored,
+      performance.now(),
+    );
     this.coreTask = new CoreTask(
       this.core,
       (effect) => this.carryOut(effect),
@@ -251,27 +257,4 @@
       secret: this.settings.secret,
     });
   }
-
-  private wireIdentity(): WireIdentity {
-    const { cluster, secret } = this.settings;
-    return {
-      greeting: { type: 'greeting', cluster, kind: 'control', name: this.replica },
-      secret,
-      expects: ['control', 'router'],
-    };
-  }
-
-  private coreConfig(): ControlConfig {
-    const { raft, lease, configLease, snapshotEntries, replaceAfterMillis } = this.timings;
-    return {
-      cluster: this.settings.cluster,
-      self: this.replica,
-      seed: randomInt(1, MAX_SEED),
-      raft,
-      lease,
-      configLease,
-      snapshotEntries,
-      replaceAfterMillis,
-    };
-  }
 }
--- a/src/control/daemon/settings.ts
+++ b/src/control/daemon/settings.ts
@@ -2,11 +2,13 @@
 import type Koa from 'koa';
 import type { RaftTimings } from '../../consensus/types.js';
 import { DEFAULT_LEASE_TIMINGS, type LeaseTimings } from '../../lease/types.js';
-import type { Address, ClusterId, Zone } from '../../model/identifiers.js';
-import { DEFAULT_WIRE_LIMITS, type WireLimits } from '../../wire/index.js';
+import type { Address, ClusterId, ReplicaId, Zone } from '../../model/identifiers.js';
+import { DEFAULT_WIRE_LIMITS, type WireIdentity, type WireLimits } from '../../wire/index.js';
 import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../messages.js';
+import type { ControlConfig } from '../types.js';
 import type { ControlDaemon } from './control-daemon.js';
 
+/** What a control daemon is started with. */
 export interface ControlDaemonSettings {
   readonly cluster: ClusterId;
   readonly zone: Zone;
@@ -48,6 +50,7 @@
   readonly replaceAfterMillis: number;
 }
 
+/** What a control daemon uses unless its settings say otherwise. */
 export const DEFAULT_CONTROL_TIMINGS: ControlDaemonTimings = {
   raft: { electionTimeoutMillis: 300, heartbeatMillis: 60 },
   lease: DEFAULT_LEASE_TIMINGS,
@@ -60,10 +63,33 @@
   replaceAfterMillis: 0,
 };
 
+/** The timings given, and the defaults for the others. */
 export function controlTimings(settings: ControlDaemonSettings): ControlDaemonTimings {
   return { ...DEFAULT_CONTROL_TIMINGS, ...settings.timings };
 }
 
+/** The limits given, and the defaults for the others. */
 export function controlWireLimits(settings: ControlDaemonSettings): WireLimits {
   return { ...DEFAULT_WIRE_LIMITS, ...settings.wire };
 }
+
+/** How a control member shows itself on the internal port, and whom it expects there. */
+export function controlWireIdentity(settings: ControlDaemonSettings, replica: ReplicaId): WireIdentity {
+  const { cluster, secret } = settings;
+  return {
+    greeting: { type: 'greeting', cluster, kind: 'control', name: replica },
+    secret,
+    expects: ['control', 'router'],
+  };
+}
+
+/** Settings of the core; `seed` spreads elections and should be another one in each run. */
+export function controlCoreConfig(
+  settings: ControlDaemonSettings,
+  self: ReplicaId,
+  seed: number,
+): ControlConfig {
+  const { raft, lease, configLease, snapshotEntries, replaceAfterMillis } = controlTimings(settings);
+  const { cluster } = settings;
+  return { cluster, self, seed, raft, lease, configLease, snapshotEntries, replaceAfterMillis };
+}
--- a/src/settings/definition-schemas.ts
+++ b/src/settings/definition-schemas.ts
@@ -87,6 +87,17 @@
   })
   .transform((rule): PolicyRule => rule);
 
+/** The rules of one service as files and the operators' API give them: a map with the list `policy`. */
+export const policyDocumentSchema = z
+  .strictObject({ policy: z.array(policyRuleSchema, { error: 'expected a list of rules' }) })
+  .superRefine(({ policy }, context) =>
+    checkUnique(
+      policy.map((rule) => rule.name),
+      ['policy'],
+      context,
+    ),
+  );
+
 const placementSchema = z.strictObject({
   unavailability: weightSchema.default(1),
   imbalance: weightSchema.default(1),
--- a/src/settings/policy-file.ts
+++ b/src/settings/policy-file.ts
@@ -1,28 +1,17 @@
 /** Files with the policy of one service: a YAML map with the list `policy`. */
-import { z } from 'zod';
 import type { PolicyRule } from '../model/service.js';
-import { checkUnique, policyRuleSchema } from './definition-schemas.js';
+import { policyDocumentSchema } from './definition-schemas.js';
 import { findPolicyProblems } from './policy-places.js';
 import { SettingsError } from './settings-error.js';
 import { checkSource, readYaml } from './yaml-source.js';
 
-const policyFileSchema = z
-  .strictObject({ policy: z.array(policyRuleSchema, { error: 'expected a list of rules' }) })
-  .superRefine(({ policy }, context) =>
-    checkUnique(
-      policy.map((rule) => rule.name),
-      ['policy'],
-      context,
-    ),
-  );
-
 /** Reads and compiles the rules of a file. Throws `SettingsError` with the place of each fault. */
 export function loadPolicy(path: string): readonly PolicyRule[] {
   const [source, second] = readYaml(path);
   if (source === undefined || second !== undefined) {
     throw new SettingsError([{ source: path, path: '', message: 'must hold one YAML document' }]);
   }
-  const { policy } = checkSource(source, policyFileSchema);
+  const { policy } = checkSource(source, policyDocumentSchema);
   const places = {
     problemAt: source.problemAt.bind(source),
     placeInText: source.placeInText.bind(source),
