Names: requests, changes and attempts in place of desks

'Desk' named six unlike things: OperatorRequests, RouterRequests, MembershipChanges, SnapshotTaker, CallerExchanges and UpstreamAttempts say what each holds. Their handle() is begin() or take(). Tests follow the names, with the same checks.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -10,14 +10,14 @@
 import type { Command, Registry, RegistryChange } from '../registry/types.js';
 import { controlStatus } from './control-status.js';
 import { LeaderDuties } from './leader-duties.js';
-import { MembershipDesk } from './membership-desk.js';
-import { OperatorDesk } from './operator-desk.js';
+import { MembershipChanges } from './membership-changes.js';
+import { OperatorRequests } from './operator-requests.js';
 import { ownershipLog } from './ownership-log.js';
 import type { SettleProposal } from './pending-proposals.js';
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
 import { RaftAdapter, type RaftListener } from './raft-adapter.js';
-import { RouterDesk } from './router-desk.js';
-import { SnapshotDesk } from './snapshot-desk.js';
+import { RouterRequests } from './router-requests.js';
+import { SnapshotTaker } from './snapshot-taker.js';
 import type {
   ControlConfig,
   ControlCore,
@@ -66,9 +66,9 @@
 class ControlNode implements ControlCore, RaftListener {
   readonly #config: ControlConfig;
   readonly #raft: RaftAdapter;
-  readonly #routers: RouterDesk;
-  readonly #operators: OperatorDesk;
-  readonly #membership: MembershipDesk;
+  readonly #routers: RouterRequests;
+  readonly #operators: OperatorRequests;
+  readonly #membership: MembershipChanges;
   #leader: LeaderDuties | null = null;
   #effects: ControlEffect[] = [];
   #wall: WallMillis = 0;
@@ -77,7 +77,7 @@
   /** When this member last learned who leads, or that nobody does. */
   #leaderSince: MonotonicMillis;
   #leaderId: ReplicaId | null = null;
-  readonly #snapshots: SnapshotDesk;
+  readonly #snapshots: SnapshotTaker;
   /** Whether routing data changed in this step. */
   #hasNews = false;
 
@@ -88,19 +88,19 @@
     const readTimeoutMillis = READ_TIMEOUTS * config.raft.electionTimeoutMillis;
     this.#raft = new RaftAdapter({ raft, registry, decodeRegistry, listener: this, readTimeoutMillis });
     const { snapshotEntries } = config;
-    this.#snapshots = new SnapshotDesk({ raft: this.#raft, snapshotEntries, snapshotIndex });
+    this.#snapshots = new SnapshotTaker({ raft: this.#raft, snapshotEntries, snapshotIndex });
     const shared = { config, raft: this.#raft, propose: this.#propose };
     const answer = (operation: OperationId, response: OperatorResponse): void =>
       this.#emit({ type: 'answer-operator', operation, response });
-    this.#membership = new MembershipDesk({ ...shared, answer });
-    this.#operators = new OperatorDesk({
+    this.#membership = new MembershipChanges({ ...shared, answer });
+    this.#operators = new OperatorRequests({
       ...shared,
       answer,
       membership: this.#membership,
       status: (now) => controlStatus(this.#statusSource(now), now),
       takeSnapshot: (now, taken) => this.#snapshots.request(now, taken),
     });
-    this.#routers = new RouterDesk({
+    this.#routers = new RouterRequests({
       ...shared,
       send: (connection, message) => this.#emit({ type: 'send-router', connection, message }),
       report: (report, now) => this.#leader?.loadReported(report, now),
@@ -112,7 +112,7 @@
     this.#now = now;
     this.#wall = wall;
     this.#raft.beginStep();
-    this.#handle(input, now);
+    this.#take(input, now);
     this.#settle(now);
     if (this.#hasNews) {
       this.#hasNews = false;
@@ -187,7 +187,7 @@
     return new LeaderDuties(parts, this.#raft.status().term, now);
   }
 
-  #handle(input: ControlInput, now: MonotonicMillis): void {
+  #take(input: ControlInput, now: MonotonicMillis): void {
     switch (input.type) {
       case 'tick':
         break;
@@ -202,7 +202,7 @@
         this.#raft.feed({ type: 'persisted', persistId: input.persistId });
         break;
       case 'router-message':
-        this.#routers.handle(input.connection, input.message, now);
+        this.#routers.take(input.connection, input.message, now);
         break;
       case 'router-gone':
         this.#routers.gone(input.connection);
@@ -214,7 +214,7 @@
         this.#leader?.upstreamFailed(input.upstream, input.sequence, now);
         break;
       case 'operator-request':
-        this.#operators.handle(input.operation, input.request, now);
+        this.#operators.begin(input.operation, input.request, now);
         break;
     }
   }
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -5,7 +5,7 @@
 import type { WaitingReplica } from './automatic-repair.js';
 import type { DepartedRouter } from './departed-routers.js';
 import type { HeardSession } from './leader-duties.js';
-import type { ConnectedRouter } from './router-desk.js';
+import type { ConnectedRouter } from './router-requests.js';
 import type { ServiceMeasures } from './service-measures.js';
 import type { OperatorResponse, UpstreamHealth } from './types.js';
 import type { UnownedShards } from './unowned-clock.js';
--- a/src/control/membership-desk.ts
+++ b/src/control/membership-changes.ts
@@ -7,7 +7,7 @@
 import { proposalFailure, ReplicaReplacement, type RequestedReplacement } from './replica-replacement.js';
 import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
 
-export interface MembershipDeskParts {
+export interface MembershipChangesParts {
   readonly config: ControlConfig;
   readonly raft: RaftAdapter;
   readonly answer: (operation: OperationId, response: OperatorResponse) => void;
@@ -25,8 +25,8 @@
   { readonly type: 'add-learner' | 'add-voter' | 'replace-replica' | 'transfer-leadership' }
 >;
 
-export class MembershipDesk {
-  readonly #parts: MembershipDeskParts;
+export class MembershipChanges {
+  readonly #parts: MembershipChangesParts;
   readonly #retry = new MembershipRetry();
   readonly #replacement: ReplicaReplacement;
   readonly #transfer: LeadershipTransfer;
@@ -35,7 +35,7 @@
   /** Whether a spare that is taken in by itself has yet to be settled. */
   #takesIn = false;
 
-  constructor(parts: MembershipDeskParts) {
+  constructor(parts: MembershipChangesParts) {
     this.#parts = parts;
     const { raft, config, answer } = parts;
     this.#replacement = new ReplicaReplacement({ raft, answer, retry: this.#retry });
@@ -44,7 +44,7 @@
   }
 
   /** Begins what an operator asks for; `answer` is called at its end. Only a leader does any of it. */
-  handle(operation: OperationId, request: MembershipRequest, now: MonotonicMillis): void {
+  begin(operation: OperationId, request: MembershipRequest, now: MonotonicMillis): void {
     const { raft, answer } = this.#parts;
     if (!raft.isLeader()) {
       answer(operation, { type: 'not-leader', leader: raft.leaderAddress() });
--- a/src/control/operator-desk.ts
+++ b/src/control/operator-requests.ts
@@ -2,18 +2,18 @@
 import { longestLeaseMillis } from '../lease/lease-bound.js';
 import type { MonotonicMillis } from '../model/identifiers.js';
 import type { CommandResult } from '../registry/types.js';
-import type { MembershipDesk } from './membership-desk.js';
+import type { MembershipChanges } from './membership-changes.js';
 import type { ProposalOutcome } from './pending-proposals.js';
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
 import { findShards } from './shard-query.js';
 import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
 
-export interface OperatorDeskParts {
+export interface OperatorRequestsParts {
   readonly config: ControlConfig;
   readonly raft: RaftAdapter;
   readonly propose: ProposeCommand;
-  readonly membership: MembershipDesk;
+  readonly membership: MembershipChanges;
   readonly answer: (operation: OperationId, response: OperatorResponse) => void;
   readonly status: (now: MonotonicMillis) => OperatorResponse;
   readonly takeSnapshot: (now: MonotonicMillis, taken: () => void) => void;
@@ -32,15 +32,15 @@
   readonly inForceAt: MonotonicMillis;
 }
 
-export class OperatorDesk {
-  readonly #parts: OperatorDeskParts;
+export class OperatorRequests {
+  readonly #parts: OperatorRequestsParts;
   #waiting: WaitingChange[] = [];
 
-  constructor(parts: OperatorDeskParts) {
+  constructor(parts: OperatorRequestsParts) {
     this.#parts = parts;
   }
 
-  handle(operation: OperationId, request: OperatorRequest, now: MonotonicMillis): void {
+  begin(operation: OperationId, request: OperatorRequest, now: MonotonicMillis): void {
     const { answer, membership } = this.#parts;
     switch (request.type) {
       case 'command':
@@ -62,7 +62,7 @@
       case 'add-voter':
       case 'replace-replica':
       case 'transfer-leadership':
-        membership.handle(operation, request, now);
+        membership.begin(operation, request, now);
         break;
     }
   }
--- a/src/control/router-desk.ts
+++ b/src/control/router-requests.ts
@@ -27,7 +27,7 @@
   readonly heardAt: MonotonicMillis;
 }
 
-export interface RouterDeskParts {
+export interface RouterRequestsParts {
   readonly raft: RaftAdapter;
   readonly propose: ProposeCommand;
   readonly send: (connection: ConnectionId, message: ControlToRouter) => void;
@@ -42,8 +42,8 @@
   readonly request: SyncRequest;
 }
 
-export class RouterDesk {
-  readonly #parts: RouterDeskParts;
+export class RouterRequests {
+  readonly #parts: RouterRequestsParts;
   readonly #routers = new Map<ConnectionId, ConnectedRouter>();
   readonly #departed = new DepartedRouters();
   readonly #news = new RouterNews();
@@ -52,11 +52,11 @@
   #isReading = false;
   #readNotBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
 
-  constructor(parts: RouterDeskParts) {
+  constructor(parts: RouterRequestsParts) {
     this.#parts = parts;
   }
 
-  handle(connection: ConnectionId, message: RouterToControl, now: MonotonicMillis): void {
+  take(connection: ConnectionId, message: RouterToControl, now: MonotonicMillis): void {
     switch (message.type) {
       case 'sync-request':
         this.#sync(connection, message, now);
--- a/src/control/snapshot-desk.ts
+++ b/src/control/snapshot-taker.ts
@@ -8,7 +8,7 @@
 /** A snapshot is due once the log holds this share of as many entries as the state has records, or more. */
 const RECORDS_SHARE = 0.25;
 
-export interface SnapshotDeskParts {
+export interface SnapshotTakerParts {
   readonly raft: RaftAdapter;
   /** Least entries between two snapshots. */
   readonly snapshotEntries: number;
@@ -16,15 +16,15 @@
   readonly snapshotIndex: Revision;
 }
 
-export class SnapshotDesk {
-  readonly #parts: SnapshotDeskParts;
+export class SnapshotTaker {
+  readonly #parts: SnapshotTakerParts;
   /** Index of the last snapshot, or of the one that is being taken. */
   #snapshotIndex: Revision;
   #encoder: RegistrySnapshotEncoder | null = null;
   #nextSliceAt: MonotonicMillis = Number.POSITIVE_INFINITY;
   #waiting: (() => void)[] = [];
 
-  constructor(parts: SnapshotDeskParts) {
+  constructor(parts: SnapshotTakerParts) {
     this.#parts = parts;
     this.#snapshotIndex = parts.snapshotIndex;
   }
--- a/src/router/attempts/attempt-desk.ts
+++ b/src/router/attempts/upstream-attempts.ts
@@ -6,7 +6,7 @@
 import { Attempt, type DispatchEffect } from './attempt.js';
 import type { UpstreamPools } from './upstream-pools.js';
 
-export interface AttemptDeskParts {
+export interface UpstreamAttemptsParts {
   readonly incarnation: Incarnation;
   readonly pools: UpstreamPools;
   /** Larger answers of requests with a claim aren't kept for resends. */
@@ -16,12 +16,12 @@
   readonly ended: (attempt: AttemptNumber, result: AttemptResult) => void;
 }
 
-export class AttemptDesk {
+export class UpstreamAttempts {
   private readonly attempts = new NumberedTable<Attempt>();
   /** Attempts whose answers were delivered since `flow` was called last. */
   private delivered: AttemptNumber[] = [];
 
-  constructor(private readonly parts: AttemptDeskParts) {}
+  constructor(private readonly parts: UpstreamAttemptsParts) {}
 
   /** Sends the request of an exchange to an upstream. */
   start(effect: DispatchEffect, exchange: CallerExchange): void {
--- a/src/router/caller/caller-desk.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -12,7 +12,7 @@
 import { type CallerRequestHead, readCallerRequest } from './request-head.js';
 import { variantOf } from './request-variant.js';
 
-export interface CallerDeskParts {
+export interface CallerExchangesParts {
   readonly bodies: BodyReader;
   readonly metrics: RouterMetrics;
   readonly log: Logger;
@@ -24,11 +24,11 @@
 /** Retry-After when the router holds too many bodies. */
 const BODIES_HELD_RETRY_MILLIS = 1000;
 
-export class CallerDesk {
+export class CallerExchanges {
   private readonly exchanges = new NumberedTable<CallerExchange>();
   private count = 0;
 
-  constructor(private readonly parts: CallerDeskParts) {}
+  constructor(private readonly parts: CallerExchangesParts) {}
 
   /** Requests under way. */
   get size(): number {
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -12,11 +12,11 @@
   RouterInput,
 } from '../routing/types.js';
 import type { DispatchEffect } from './attempts/attempt.js';
-import { AttemptDesk } from './attempts/attempt-desk.js';
+import { UpstreamAttempts } from './attempts/upstream-attempts.js';
 import type { UpstreamPools } from './attempts/upstream-pools.js';
 import type { BodyReader } from './caller/body-reader.js';
-import { CallerDesk } from './caller/caller-desk.js';
 import type { CallerExchange, OwnAnswer } from './caller/caller-exchange.js';
+import { CallerExchanges } from './caller/caller-exchanges.js';
 import type { ControlLinks } from './control-links.js';
 import type { RouterMetrics } from './metrics.js';
 import type { CompleteRouterSettings } from './settings.js';
@@ -48,8 +48,8 @@
 
 export class RouterTask {
   private readonly mailbox: RouterInput[] = [];
-  private readonly callers: CallerDesk;
-  private readonly attempts: AttemptDesk;
+  private readonly callers: CallerExchanges;
+  private readonly attempts: UpstreamAttempts;
   private timer: NodeJS.Timeout | undefined;
   private tickDue = Number.POSITIVE_INFINITY;
   private stepping = false;
@@ -57,14 +57,14 @@
 
   constructor(private readonly options: RouterTaskOptions) {
     const { bodies, metrics, log, incarnation, pools, settings } = options;
-    this.callers = new CallerDesk({
+    this.callers = new CallerExchanges({
       bodies,
       metrics,
       log,
       arrived: (request) => this.post({ type: 'request', request }),
       cancelled: (request) => this.post({ type: 'request-cancelled', request }),
     });
-    this.attempts = new AttemptDesk({
+    this.attempts = new UpstreamAttempts({
       incarnation,
       pools,
       storedAnswerBytes: settings.limits.storedAnswerBytes,
--- a/test/control/membership-desk.test.ts
+++ b/test/control/membership-changes.test.ts
@@ -1,6 +1,6 @@
-/** What the desk does while the Raft core turns its proposals down. */
+/** What the leader does while the Raft core turns its proposals down. */
 import { expect } from 'chai';
-import { MembershipDesk } from '../../src/control/membership-desk.js';
+import { MembershipChanges } from '../../src/control/membership-changes.js';
 import type { RaftAdapter } from '../../src/control/raft-adapter.js';
 
 const POLL_MILLIS = 50;
@@ -41,15 +41,15 @@
   it('proposes once a poll, however often the control core settles', () => {
     const raft = new RefusingRaft();
     const config = { replaceAfterMillis: 0 } as never;
-    const desk = new MembershipDesk({ config, raft: raft as unknown as RaftAdapter, answer: () => {} });
+    const changes = new MembershipChanges({ config, raft: raft as unknown as RaftAdapter, answer: () => {} });
     const address = '127.0.0.4:1';
-    desk.handle('op1', { type: 'replace-replica', oldReplica: 'm2', newReplica: 'm4', address }, 1000);
+    changes.begin('op1', { type: 'replace-replica', oldReplica: 'm2', newReplica: 'm4', address }, 1000);
     for (let round = 0; round < 5; round += 1) {
-      desk.run(1000);
+      changes.run(1000);
     }
     expect(raft.proposals).to.equal(1);
-    expect(desk.nextDeadline()).to.equal(1000 + POLL_MILLIS);
-    desk.run(1000 + POLL_MILLIS);
+    expect(changes.nextDeadline()).to.equal(1000 + POLL_MILLIS);
+    changes.run(1000 + POLL_MILLIS);
     expect(raft.proposals).to.equal(2);
   });
 });
--- a/test/control/snapshot-desk.test.ts
+++ b/test/control/snapshot-taker.test.ts
@@ -1,7 +1,7 @@
 /** When snapshots are taken, and how they leave room for other work. */
 import { expect } from 'chai';
 import type { RaftAdapter } from '../../src/control/raft-adapter.js';
-import { SnapshotDesk } from '../../src/control/snapshot-desk.js';
+import { SnapshotTaker } from '../../src/control/snapshot-taker.js';
 
 const SLICES = 4;
 const DATA = new Uint8Array([1]);
@@ -11,7 +11,7 @@
   revision = 0;
   recordCount = 0;
   readonly fed: { readonly lastIndex: number }[] = [];
-  readonly desk: SnapshotDesk;
+  readonly taker: SnapshotTaker;
 
   constructor(snapshotEntries: number, snapshotIndex = 0) {
     this.revision = snapshotIndex;
@@ -26,15 +26,15 @@
       },
       feed: (input: { readonly lastIndex: number }) => world.fed.push(input),
     } as unknown as RaftAdapter;
-    this.desk = new SnapshotDesk({ raft, snapshotEntries, snapshotIndex });
+    this.taker = new SnapshotTaker({ raft, snapshotEntries, snapshotIndex });
   }
 
   /** Runs from deadline to deadline; gives the times at which a slice was due. */
   runOut(now: number): number[] {
     const times: number[] = [];
-    for (let at = now; at < Number.POSITIVE_INFINITY; at = this.desk.nextDeadline()) {
+    for (let at = now; at < Number.POSITIVE_INFINITY; at = this.taker.nextDeadline()) {
       times.push(at);
-      this.desk.run(at);
+      this.taker.run(at);
     }
     return times;
   }
@@ -51,7 +51,7 @@
   }
 }
 
-describe('snapshot desk', () => {
+describe('snapshot taker', () => {
   it('takes one each so many entries, in slices with pauses between', () => {
     const world = new World(100, 50);
     world.revision = 149;
@@ -68,10 +68,10 @@
     const world = new World(1);
     world.revision = 1;
     for (let now = 0; now < 15; now += 1) {
-      world.desk.run(now);
+      world.taker.run(now);
     }
     expect(world.fed).to.have.length(0);
-    world.desk.run(15);
+    world.taker.run(15);
     expect(world.fed).to.have.length(1);
   });
 
@@ -90,16 +90,16 @@
     const world = new World(100);
     world.revision = 5;
     const taken: string[] = [];
-    world.desk.request(0, () => taken.push('first'));
-    world.desk.run(0);
+    world.taker.request(0, () => taken.push('first'));
+    world.taker.run(0);
     world.revision = 6;
-    world.desk.request(1, () => taken.push('second'));
+    world.taker.request(1, () => taken.push('second'));
     expect(taken).to.deep.equal([]);
     world.runOut(5);
     expect(taken).to.deep.equal(['first', 'second']);
     expect(world.fed.map(({ lastIndex }) => lastIndex)).to.deep.equal([5]);
     world.revision = 5;
-    world.desk.request(100, () => taken.push('third'));
+    world.taker.request(100, () => taken.push('third'));
     expect(taken).to.deep.equal(['first', 'second', 'third']);
   });
 
@@ -107,10 +107,10 @@
     const world = new World(100);
     world.revision = 120;
     const taken: string[] = [];
-    world.desk.request(0, () => taken.push('asked'));
-    world.desk.run(0);
+    world.taker.request(0, () => taken.push('asked'));
+    world.taker.run(0);
     world.revision = 500;
-    world.desk.restored();
+    world.taker.restored();
     expect(world.runOut(5)).to.deep.equal([5]);
     expect(world.fed).to.deep.equal([]);
     expect(taken).to.deep.equal(['asked']);
