Routing: the platform's word alone never empties a service

Cause: an upstream that the platform names as leaving counted as leaving once this router had no own success on it for 2 s. In a quiet service, or after a start, a list that wrongly names all of its upstreams left nobody, and requests were refused although every upstream served. Ruled out: probes (they only make suspects), absence from the list (it says nothing of an upstream). Change: such an upstream is the last resort, picked and counted as capacity only if neither a usable one nor a suspect is there. One that really leaves says so itself, and then gets nothing. Before: the two tests for a silent service failed, no request was dispatched. After: they pass.

--- a/src/routing/leaving-table.ts
+++ b/src/routing/leaving-table.ts
@@ -3,8 +3,11 @@
  * fresh; the platform's list and health checks lag or mislead, so they are hints which age.
  */
 
-/** `usable`: pick freely. `suspect`: only if no usable one is left. `leaving`: no new work. */
-export type Standing = 'usable' | 'suspect' | 'leaving';
+/**
+ * `usable`: pick freely. `suspect`: only if no usable one is left. `last-resort`: only if no suspect is left either.
+ * `leaving`: no new work.
+ */
+export type Standing = 'usable' | 'suspect' | 'last-resort' | 'leaving';
 
 /** A success of this router's own on an upstream speaks for it this long. */
 export const FRESH_SUCCESS_MILLIS = 2000;
@@ -34,19 +37,21 @@
  * | operator | own draining | platform or probe against it | own success | own unreachable | standing |
  * | yes      | -            | -                            | -           | -               | leaving  |
  * | no       | yes          | -                            | -           | -               | leaving  |
- * | no       | no           | yes, the platform            | no          | -               | leaving  |
+ * | no       | no           | yes, the platform            | no          | -               | last-resort |
  * | no       | no           | yes, either                  | any other   | -               | suspect  |
  * | no       | no           | no                           | -           | yes             | suspect  |
  * | no       | no           | no                           | -           | no              | usable   |
  *
  * A suspect is avoided while others are usable, so its successes age and a true hint takes hold within seconds.
+ * A hint alone never empties a service: if the platform says so of all upstreams, they go on serving, and one that
+ * really leaves says so itself.
  */
 export function standingOf(facts: StandingFacts): Standing {
   if (facts.operatorLeaving || facts.ownDraining) {
     return 'leaving';
   }
   if (facts.platformLeaving && !facts.ownSuccess) {
-    return 'leaving';
+    return 'last-resort';
   }
   const isDoubted = facts.platformLeaving || facts.probeUnhealthy || facts.ownUnreachable;
   return isDoubted ? 'suspect' : 'usable';
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -4,12 +4,16 @@
 import { compilePolicy, PolicyError, type PolicyProgram } from '../policy/index.js';
 import type { ServiceRecord } from '../registry/types.js';
 import { LaneTable } from './lane-table.js';
+import type { Standing } from './leaving-table.js';
 import { createPicker } from './picker/create-picker.js';
 import type { Picker, PickerName } from './picker/picker.js';
 import { TokenRetryBudget } from './retry-budget.js';
 import type { UpstreamState } from './upstream-state.js';
 import type { Work } from './work.js';
 
+/** Standings from best to worst. */
+const RANK_OF: Readonly<Record<Standing, number>> = { usable: 0, suspect: 1, 'last-resort': 2, leaving: 3 };
+
 export class ServiceState {
   readonly name: ServiceName;
   readonly lanes = new LaneTable();
@@ -78,22 +82,24 @@
     this.sortedUpstreams = this.sortedUpstreams.filter((upstream) => upstream.id !== id);
   }
 
-  /** Upstreams that may take one more request now; suspects only if nothing better is there. */
+  /** Upstreams of the best standing there is that may take one more request now. */
   candidates(now: number, avoid: UpstreamState | null): UpstreamState[] {
-    const usable: UpstreamState[] = [];
-    const suspects: UpstreamState[] = [];
-    let usableExists = false;
+    let best = RANK_OF.leaving;
+    let candidates: UpstreamState[] = [];
     for (const upstream of this.sortedUpstreams) {
-      const standing = upstream.evidence.standing(now);
-      if (standing === 'leaving' || upstream.ejection.isEjected(now)) {
+      const rank = RANK_OF[upstream.evidence.standing(now)];
+      if (rank === RANK_OF.leaving || rank > best || upstream.ejection.isEjected(now)) {
         continue;
       }
-      usableExists = usableExists || standing === 'usable';
+      if (rank < best) {
+        best = rank;
+        candidates = [];
+      }
       if (upstream.hasSlot(now)) {
-        (standing === 'usable' ? usable : suspects).push(upstream);
+        candidates.push(upstream);
       }
     }
-    return without(usableExists ? usable : suspects, avoid);
+    return without(candidates, avoid);
   }
 
   ejectedCount(now: number): number {
@@ -102,14 +108,23 @@
 
   /** Slots of upstreams that take work now. */
   totalSlots(now: number): number {
-    const working = this.sortedUpstreams.filter((upstream) => upstream.evidence.standing(now) !== 'leaving');
-    return working.reduce((sum, upstream) => sum + upstream.slotLimit.slots, 0);
+    return this.working(now).reduce((sum, upstream) => sum + upstream.slotLimit.slots, 0);
   }
 
   /** Requests a millisecond that its upstreams could take, by slots and smoothed service times. */
   capacityPerMilli(now: number): number {
-    const working = this.sortedUpstreams.filter((upstream) => upstream.evidence.standing(now) !== 'leaving');
-    return working.reduce((sum, upstream) => sum + capacityOf(upstream), 0);
+    return this.working(now).reduce((sum, upstream) => sum + capacityOf(upstream), 0);
+  }
+
+  /** Upstreams that take work now; the last resort only if there is nobody else. */
+  private working(now: number): UpstreamState[] {
+    const ranked = this.sortedUpstreams.map((upstream) => ({
+      upstream,
+      rank: RANK_OF[upstream.evidence.standing(now)],
+    }));
+    const better = ranked.filter(({ rank }) => rank < RANK_OF['last-resort']);
+    const taken = better.length > 0 ? better : ranked.filter(({ rank }) => rank < RANK_OF.leaving);
+    return taken.map(({ upstream }) => upstream);
   }
 
   /** A control member refuses wrong programs, so a failure here means that versions differ: run without a policy. */
