Fleet: faults of bad answers and false hints, with their effect measured

Stand-in upstreams answer late or with the answer and id of the request before, lie about their health and falsify their load; the stand-in platform can list a state at once. New named faults switch these on at one upstream, and the report says the share of good answers and the upstream's share of the runs before the fault, in its first 3 s and afterwards.

--- a/src/dev/fleet/fault-schedule.ts
+++ b/src/dev/fleet/fault-schedule.ts
@@ -3,6 +3,7 @@
  * seconds of load. A name of `named-faults.ts` may stand in place of one.
  */
 import { TernmountError } from '../../errors/ternmount-error.js';
+import { FAULT_KINDS } from '../standins/upstream/fault-switchboard.js';
 import { NAMED_FAULTS } from './named-faults.js';
 
 /** What can be done to a fleet. `+D` is how long it lasts, or the time until the process is started again. */
@@ -27,8 +28,14 @@
   'half-open',
   /** The platform's list names a live upstream as gone. */
   'platform-gone',
+  /** The platform's list names a live upstream as leaving. */
+  'platform-leaving',
+  /** It names every upstream of the target's service as leaving. */
+  'platform-leaving-all',
   /** Planned stop and start of `control`, `routers` or `upstreams`, one process after the other. */
   'roll',
+  /** An upstream answers badly or gives false hints. */
+  ...FAULT_KINDS,
 ] as const;
 export type FaultType = (typeof FAULT_TYPES)[number];
 
--- a/src/dev/fleet/fault-table.ts
+++ b/src/dev/fleet/fault-table.ts
@@ -1,4 +1,5 @@
 /** Runs faults one after the other, each in a fleet of its own, and tables the verdicts. */
+import { formatStretch } from './report/fault-effects.js';
 import { type FleetReport, isGood } from './report/fleet-report.js';
 import { formatTable } from './report/text-table.js';
 
@@ -22,9 +23,16 @@
   return [...broken.map(({ promise }) => promise), ...report.problems];
 }
 
+/** Of the first fault of a single upstream, if there was one. */
+function effectCells({ faultEffects }: FleetReport): string[] {
+  const [effect] = faultEffects;
+  const stretches = effect === undefined ? [] : [effect.before, effect.atFirst, effect.afterReaction];
+  return effect === undefined ? ['', '', ''] : stretches.map(formatStretch);
+}
+
 function rowOf({ fault, report, failure }: FaultVerdict): string[] {
   if (report === undefined) {
-    return [fault, '', '', '', '', '', '', `FAILED: ${failure}`];
+    return [fault, '', '', '', '', '', '', '', '', '', `FAILED: ${failure}`];
   }
   const keySeconds = report.services.reduce((sum, service) => sum + service.unavailableKeySeconds, 0);
   const served = report.ownerLosses.map(({ servedMillis }) => servedMillis.toFixed(0)).join(', ');
@@ -36,6 +44,7 @@
     total(report, 'unknown'),
     keySeconds.toFixed(1),
     served,
+    ...effectCells(report),
     isGood(report) ? 'held' : `FAILED: ${whatFailed(report).join('; ')}`,
   ];
 }
@@ -49,6 +58,9 @@
     'unknown',
     'unavailable key-s',
     '99% of lost keys served ms',
+    'answered, its runs before',
+    'first 3 s',
+    'rest of the fault',
     'verdict',
   ];
   return formatTable(head, verdicts.map(rowOf));
--- a/src/dev/fleet/faults/announced-faults.ts
+++ b/src/dev/fleet/faults/announced-faults.ts
@@ -1,7 +1,9 @@
 /** What others announce of an upstream: an operator that drains it, a platform that calls it gone. */
 import got from 'got';
+import type { MachineState } from '../../standins/platform/platform-standin.js';
 import type { ScheduledFault } from '../fault-schedule.js';
 import type { Fleet } from '../fleet.js';
+import { upstreamsOf } from '../fleet-plan.js';
 import type { FaultLog, Target } from './fault-log.js';
 
 export class AnnouncedFaults {
@@ -24,15 +26,36 @@
     await operator.must(['upstream', 'drain', upstream, '--undo', '--no-wait']);
   }
 
-  /** The platform's list names an upstream as gone for `length` milliseconds although it lives. */
-  async lieOfPlatform(fault: ScheduledFault, { name: upstream }: Target, length: number): Promise<void> {
-    const { journal, plan } = this.#fleet;
-    const url = `http://${plan.platform.listen}/machines/${upstream}`;
+  /** The platform's list says `state` of a live upstream, or of all of its service, for `length` milliseconds. */
+  async lieOfPlatform(
+    fault: ScheduledFault,
+    { name: upstream }: Target,
+    state: 'gone' | 'leaving',
+    length: number,
+  ): Promise<void> {
+    const { journal } = this.#fleet;
+    const names = fault.type === 'platform-leaving-all' ? this.#serviceOf(upstream) : [upstream];
     this.#log.note(fault, upstream);
     journal.write({ event: 'platform-lied', upstream });
-    await got.put(url, { json: { state: 'gone' } });
+    await this.#list(names, state);
     await this.#fleet.wait(length);
-    await got.put(url, { json: { state: 'live' } });
+    await this.#list(names, 'live');
     journal.write({ event: 'platform-corrected', upstream });
   }
+
+  /** The list says so at once, without its lag. */
+  async #list(upstreams: readonly string[], state: MachineState): Promise<void> {
+    const { listen } = this.#fleet.plan.platform;
+    const puts = upstreams.map((upstream) =>
+      got.put(`http://${listen}/machines/${upstream}`, { json: { state, listed: true } }),
+    );
+    await Promise.all(puts);
+  }
+
+  /** All upstreams of the service of this one. */
+  #serviceOf(id: string): string[] {
+    const upstreams = upstreamsOf(this.#fleet.plan);
+    const service = upstreams.find((upstream) => upstream.id === id)?.service;
+    return upstreams.filter((upstream) => upstream.service === service).map((upstream) => upstream.id);
+  }
 }
--- a/src/dev/fleet/faults/fault-runner.ts
+++ b/src/dev/fleet/faults/fault-runner.ts
@@ -1,5 +1,6 @@
 /** Carries out the faults of a run when they are due, and takes them back. */
 import { machineMillis } from '../../journal/machine-clock.js';
+import { FAULT_KINDS } from '../../standins/upstream/fault-switchboard.js';
 import type { FaultType, ScheduledFault } from '../fault-schedule.js';
 import type { Fleet } from '../fleet.js';
 import { AnnouncedFaults } from './announced-faults.js';
@@ -7,6 +8,7 @@
 import { NetworkFaults } from './network-faults.js';
 import { ProcessFaults } from './process-faults.js';
 import { TargetFinder } from './target-finder.js';
+import { UpstreamFaults } from './upstream-faults.js';
 
 const MILLIS_PER_SECOND = 1000;
 /** Time before a fault at which its target is looked up. */
@@ -20,6 +22,9 @@
   'lose-disk',
   'second-loss',
   'platform-gone',
+  'platform-leaving',
+  'platform-leaving-all',
+  ...FAULT_KINDS,
 ]);
 /** Faults through which an owner loses its keys without a planned handover. */
 const LOSES_OWNER: ReadonlySet<FaultType> = new Set(['kill', 'freeze']);
@@ -31,6 +36,7 @@
   readonly #processes: ProcessFaults;
   readonly #network: NetworkFaults;
   readonly #announced: AnnouncedFaults;
+  readonly #upstreams: UpstreamFaults;
 
   constructor(fleet: Fleet) {
     this.#fleet = fleet;
@@ -39,6 +45,7 @@
     this.#processes = new ProcessFaults(fleet, this.log, this.#targets);
     this.#network = new NetworkFaults(fleet, this.log);
     this.#announced = new AnnouncedFaults(fleet, this.log);
+    this.#upstreams = new UpstreamFaults(fleet, this.log);
   }
 
   /** Carries out all faults; `startedAt` is when the load began, on the machine's clock. */
@@ -91,11 +98,16 @@
       case 'drain':
         return this.#announced.drain(fault, target, length);
       case 'platform-gone':
-        return this.#announced.lieOfPlatform(fault, target, length);
+        return this.#announced.lieOfPlatform(fault, target, 'gone', length);
+      case 'platform-leaving':
+      case 'platform-leaving-all':
+        return this.#announced.lieOfPlatform(fault, target, 'leaving', length);
       case 'cut':
       case 'isolate':
       case 'half-open':
         return this.#network.hold(fault, length);
+      default:
+        return this.#upstreams.hold(fault, fault.type, target, length);
     }
   }
 }
--- a/src/dev/fleet/named-faults.ts
+++ b/src/dev/fleet/named-faults.ts
@@ -106,4 +106,60 @@
     summary: 'an owner is killed and the platform goes on naming it as live for 30 s',
     faults: [{ type: 'kill', target: 'owner', seconds: 6 }],
   },
+  'answers-fail': {
+    summary: 'an upstream answers 500 to each request while its health says fine',
+    faults: [{ type: 'fail', target: 'unkeyed', seconds: 6 }],
+  },
+  'answers-truncated': {
+    summary: 'each answer of an upstream breaks off in the middle',
+    faults: [{ type: 'truncate', target: 'unkeyed', seconds: 6 }],
+  },
+  'answers-wrong-length': {
+    summary: 'an upstream announces longer answers than it sends',
+    faults: [{ type: 'wrong-length', target: 'unkeyed', seconds: 6 }],
+  },
+  'answers-twice': {
+    summary: 'an upstream sends each answer twice',
+    faults: [{ type: 'answer-twice', target: 'unkeyed', seconds: 6 }],
+  },
+  'answers-late': {
+    summary: 'an upstream answers long after the deadline',
+    faults: [{ type: 'late', target: 'unkeyed', seconds: 6 }],
+  },
+  'answers-foreign': {
+    summary: 'an upstream answers each request with the answer and id of the one before',
+    faults: [{ type: 'foreign', target: 'unkeyed', seconds: 6 }],
+  },
+  'owner-fails': {
+    summary: 'an owner answers 500 to each request while its health says fine',
+    faults: [{ type: 'fail', target: 'owner', seconds: 6 }],
+  },
+  'owner-foreign': {
+    summary: 'an owner answers each request with the answer and id of the one before',
+    faults: [{ type: 'foreign', target: 'owner', seconds: 6 }],
+  },
+  'health-ill': {
+    summary: 'the health of an upstream says ill while requests succeed',
+    faults: [{ type: 'health-ill', target: 'unkeyed', seconds: 6 }],
+  },
+  'load-frozen': {
+    summary: 'the load that an upstream reports stays what it was',
+    faults: [{ type: 'load-frozen', target: 'unkeyed', seconds: 6 }],
+  },
+  'load-wild': {
+    summary: 'the load that an upstream reports jumps between none and far too much',
+    faults: [{ type: 'load-wild', target: 'unkeyed', seconds: 6 }],
+  },
+  'platform-leaving': {
+    summary: 'the platform names a live upstream as leaving whose service is not keyed',
+    faults: [{ type: 'platform-leaving', target: 'unkeyed', seconds: 6 }],
+  },
+  'platform-leaving-all': {
+    summary: 'the platform names all live upstreams of a service that is not keyed as leaving',
+    faults: [{ type: 'platform-leaving-all', target: 'unkeyed', seconds: 6 }],
+  },
+  'platform-lies-unkeyed': {
+    summary: 'the platform names a live upstream as gone whose service is not keyed',
+    faults: [{ type: 'platform-gone', target: 'unkeyed', seconds: 6 }],
+  },
 };
--- a/src/dev/fleet/report/fleet-report.ts
+++ b/src/dev/fleet/report/fleet-report.ts
@@ -1,6 +1,7 @@
 /** What a fleet run showed, and whether that is enough to call it good. */
 import { quantile } from '../../bench/statistics.js';
 import { readJournals } from '../../journal/journal-reader.js';
+import { FAULT_KINDS } from '../../standins/upstream/fault-switchboard.js';
 import { buildHistory, type FleetHistory } from '../checker/fleet-history.js';
 import { checkFleet, type PromiseResult } from '../checker/index.js';
 import type { FaultDone } from '../faults/fault-log.js';
@@ -8,6 +9,7 @@
 import type { FleetPlan } from '../fleet-plan.js';
 import type { OwnerLoss } from '../observe/owner-loss-probe.js';
 import { countOwnerChanges, type OwnershipSample } from '../observe/ownership-sampler.js';
+import { type FaultEffect, faultEffects, faultEnd } from './fault-effects.js';
 import { imbalanceOf, loadFigures, type ServiceFigures } from './load-figures.js';
 import { type LossPhases, phasesOf, readOwnershipLogs } from './loss-phases.js';
 
@@ -41,6 +43,8 @@
   readonly ownerChanges: number;
   readonly ownerLosses: readonly OwnerLossFigures[];
   readonly faults: readonly { readonly type: string; readonly target: string; readonly at: number }[];
+  /** Of faults of single upstreams. */
+  readonly faultEffects: readonly FaultEffect[];
   readonly promises: readonly PromiseResult[];
   /** What went wrong with the run itself, or did not happen although it must. */
   readonly problems: readonly string[];
@@ -151,6 +155,24 @@
   return history.events.find(({ event }) => event === 'load-started')?.at ?? 0;
 }
 
+/** Bad answers and false hints of single upstreams, and what others announced of them. */
+function upstreamFaults({ faults }: FleetObservations) {
+  const kinds: ReadonlySet<string> = new Set([
+    ...FAULT_KINDS,
+    'platform-gone',
+    'platform-leaving',
+    'platform-leaving-all',
+  ]);
+  return faults
+    .filter(({ fault }) => kinds.has(fault.type))
+    .map(({ fault, target, at }) => ({
+      type: fault.type,
+      upstream: target,
+      from: at,
+      to: faultEnd(at, fault.seconds),
+    }));
+}
+
 /** Reads the journals and judges the run. */
 export function makeReport(observed: FleetObservations): FleetReport {
   const records = readJournals(observed.plan.journalFolder);
@@ -172,6 +194,7 @@
       target,
       at: (at - loadStartedAt) / MILLIS_PER_SECOND,
     })),
+    faultEffects: faultEffects(history, upstreamFaults(observed), loadStartedAt),
     promises,
     problems: [
       ...missing(observed, history, services, promises),
--- a/src/dev/fleet/report/report-text.ts
+++ b/src/dev/fleet/report/report-text.ts
@@ -1,4 +1,5 @@
 /** Writes a report for people. */
+import { formatStretch } from './fault-effects.js';
 import { type FleetReport, isGood } from './fleet-report.js';
 import { formatTable } from './text-table.js';
 
@@ -60,6 +61,18 @@
   return formatTable(head, rows);
 }
 
+function effectsTable(report: FleetReport): string {
+  const head = ['fault', 'upstream', 'answered, its runs before', 'first 3 s', 'rest of the fault'];
+  const rows = report.faultEffects.map(({ type, upstream, before, atFirst, afterReaction }) => [
+    type,
+    upstream,
+    formatStretch(before),
+    formatStretch(atFirst),
+    formatStretch(afterReaction),
+  ]);
+  return formatTable(head, rows);
+}
+
 function promisesTable(report: FleetReport): string {
   const rows = report.promises.map(({ promise, checked, violations }) => {
     const verdict = checked === 0 ? 'not provoked' : 'held';
@@ -85,6 +98,7 @@
     `${report.deployment}: ${report.seconds} s of load; faults: ${faults.join(', ') || 'none'}`,
     servicesTable(report),
     ...(report.ownerLosses.length > 0 ? [lossesTable(report)] : []),
+    ...(report.faultEffects.length > 0 ? [effectsTable(report)] : []),
     `churn: ${report.ownerChanges} changes of a shard's owner`,
     promisesTable(report),
     [
--- a/src/dev/standins/platform/platform-standin.ts
+++ b/src/dev/standins/platform/platform-standin.ts
@@ -1,6 +1,7 @@
 /**
  * A stand-in for the platform's list of machines: `GET /machines` gives what was true `lagMillis` ago.
- * `PUT /machines/<id>` with `{"state": "live" | "leaving" | "gone"}` says what is true now.
+ * `PUT /machines/<id>` with `{"state": "live" | "leaving" | "gone"}` says what is true now; with `"listed": true` the list
+ * says so at once, true or not.
  */
 import Router from '@koa/router';
 import Koa from 'koa';
@@ -18,7 +19,11 @@
 });
 export type PlatformSettings = z.infer<typeof platformSettingsSchema>;
 
-const machineStateSchema = z.strictObject({ state: z.enum(['live', 'leaving', 'gone']) });
+const machineStateSchema = z.strictObject({
+  state: z.enum(['live', 'leaving', 'gone']),
+  /** The list takes it up without its lag. */
+  listed: z.boolean().default(false),
+});
 export type MachineState = z.infer<typeof machineStateSchema>['state'];
 
 /** What callers of `GET /machines` get. */
@@ -74,8 +79,9 @@
       context.body = this.list(machineMillis());
     });
     router.put('/machines/:machine', async (context) => {
-      const { state } = machineStateSchema.parse(await readJsonBody(context.req));
-      this.change(context.params.machine as string, state, machineMillis());
+      const { state, listed } = machineStateSchema.parse(await readJsonBody(context.req));
+      const lag = listed ? this.#settings.lagMillis : 0;
+      this.change(context.params.machine as string, state, machineMillis() - lag);
       context.status = 204;
     });
     const app = new Koa();
--- a/src/dev/standins/upstream/fault-switchboard.ts
+++ b/src/dev/standins/upstream/fault-switchboard.ts
@@ -1,8 +1,8 @@
-/** Faults that a stand-in upstream commits on command. Its health endpoint stays well meanwhile. */
+/** Faults that a stand-in upstream commits on command. Its health endpoint stays well unless it is the fault. */
 import { z } from 'zod';
 import type { RandomSource } from '../random-source.js';
 
-export const FAULT_KINDS = [
+export const ANSWER_FAULT_KINDS = [
   /** The connection ends in the middle of the answer. */
   'truncate',
   /** The answer's Content-Length is larger than what is sent. */
@@ -11,9 +11,26 @@
   'answer-twice',
   /** The request is worked on and never answered. */
   'stall',
+  /** The request is worked on and answered long after any deadline. */
+  'late',
+  /** What is sent is the answer to the request before, with that one's id. */
+  'foreign',
   /** The answer is 500. */
   'fail',
 ] as const;
+export type AnswerFaultKind = (typeof ANSWER_FAULT_KINDS)[number];
+
+export const HINT_FAULT_KINDS = [
+  /** The health endpoint says ill; requests are served well. */
+  'health-ill',
+  /** The reported load stays what it was. */
+  'load-frozen',
+  /** The reported load jumps between none and far too much. */
+  'load-wild',
+] as const;
+export type HintFaultKind = (typeof HINT_FAULT_KINDS)[number];
+
+export const FAULT_KINDS = [...ANSWER_FAULT_KINDS, ...HINT_FAULT_KINDS] as const;
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
 export const faultSchema = z.strictObject({
@@ -35,9 +52,14 @@
     this.#shares.set(fault.kind, fault.share);
   }
 
+  /** Whether a hint is falsified now. */
+  lies(kind: HintFaultKind): boolean {
+    return (this.#shares.get(kind) ?? 0) > 0;
+  }
+
   /** The fault that the next request meets. */
-  draw(): FaultKind | null {
-    for (const kind of FAULT_KINDS) {
+  draw(): AnswerFaultKind | null {
+    for (const kind of ANSWER_FAULT_KINDS) {
       const share = this.#shares.get(kind) ?? 0;
       if (share > 0 && this.#random.uniform() < share) {
         return kind;
--- a/src/dev/standins/upstream/upstream-standin.ts
+++ b/src/dev/standins/upstream/upstream-standin.ts
@@ -24,7 +24,7 @@
 import { machineMillis } from '../../journal/machine-clock.js';
 import { makeAnswerBody } from '../answer-body.js';
 import type { RandomSource } from '../random-source.js';
-import { writeAnswer, writeFenced } from './answer-writer.js';
+import { type IdentifiedAnswer, writeAnswer, writeFenced } from './answer-writer.js';
 import { FaultSwitchboard } from './fault-switchboard.js';
 import { callerRequestOf, RunRecorder } from './run-recorder.js';
 import { SlotQueue } from './slot-queue.js';
@@ -33,6 +33,9 @@
 
 /** Path that platforms probe; the same as the fence's own. */
 const PLAIN_HEALTH_PATH = '/health';
+const SERVICE_UNAVAILABLE = 503;
+/** A load that no upstream can have. */
+const WILD_LOAD = 10_000;
 
 /** The process that a stand-in runs in. */
 export interface StandinProcess {
@@ -51,6 +54,8 @@
   readonly #reporter: LoadReporter;
   readonly #recorder: RunRecorder;
   readonly #server: Server;
+  #previousAnswer: IdentifiedAnswer = { requestId: null, body: '' };
+  #reportedLoad = 0;
   /** When a connection that is still being set up can carry its first request. */
   readonly #openAt = new WeakMap<Socket, number>();
 
@@ -115,6 +120,10 @@
     if (request.url === PLAIN_HEALTH_PATH || request.url === HEALTH_PATH) {
       request.url = HEALTH_PATH;
       await this.#payForProbe();
+      if (this.faults.lies('health-ill')) {
+        response.writeHead(SERVICE_UNAVAILABLE, { 'content-length': 0 }).end();
+        return;
+      }
     }
     guarded(request, response);
   }
@@ -182,7 +191,9 @@
     this.#recorder.effect(run, at);
     const fault = this.faults.draw();
     const { id, payloadBytes } = this.#settings;
-    writeAnswer(response, makeAnswerBody(callerRequest, guard.key, id, payloadBytes), fault);
+    const body = makeAnswerBody(callerRequest, guard.key, id, payloadBytes);
+    writeAnswer(response, body, fault, this.#previousAnswer);
+    this.#previousAnswer = { requestId: guard.requestId, body };
     const whole = fault === null || fault === 'answer-twice' || fault === 'fail';
     this.#recorder.end(run, whole ? 'answered' : 'broken-by-fault', at - startedAt);
   }
@@ -190,6 +201,14 @@
   #reportLoad(): number {
     const now = machineMillis();
     this.#reporter.observe(this.#slots.busy + this.#slots.waiting, now);
-    return this.#reporter.report(now);
+    if (this.faults.lies('load-wild')) {
+      return this.#reportedLoad === 0 ? this.#say(WILD_LOAD) : this.#say(0);
+    }
+    return this.faults.lies('load-frozen') ? this.#reportedLoad : this.#say(this.#reporter.report(now));
+  }
+
+  #say(load: number): number {
+    this.#reportedLoad = load;
+    return load;
   }
 }
--- a/test/dev/standins/models.test.ts
+++ b/test/dev/standins/models.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
+import got from 'got';
 import { judgeAnswerBody, makeAnswerBody } from '../../../src/dev/standins/answer-body.js';
 import { ArrivalSchedule } from '../../../src/dev/standins/caller/arrival-schedule.js';
 import { makeUuidV7 } from '../../../src/dev/standins/caller/uuid-v7.js';
@@ -134,4 +135,13 @@
     expect(platform.list(1000)).to.deep.equal({ live: ['a', 'b'], leaving: [] });
     expect(platform.list(1100)).to.deep.equal({ live: [], leaving: ['a'] });
   });
+
+  it('shows what it is told to list at once', async () => {
+    const platform = new PlatformStandin({ listen: '127.0.0.1:0', lagMillis: 30_000, machines: ['a', 'b'] });
+    const address = await platform.start();
+    await got.put(`http://${address}/machines/a`, { json: { state: 'gone', listed: true } });
+    const list = await got(`http://${address}/machines`).json();
+    await platform.stop();
+    expect(list).to.deep.equal({ live: ['b'], leaving: [] });
+  });
 });
--- a/test/dev/standins/upstream-standin.test.ts
+++ b/test/dev/standins/upstream-standin.test.ts
@@ -7,6 +7,7 @@
 import { readJournals } from '../../../src/dev/journal/journal-reader.js';
 import { JournalWriter } from '../../../src/dev/journal/journal-writer.js';
 import type { JournalRecord } from '../../../src/dev/journal/records.js';
+import { judgeAnswerBody } from '../../../src/dev/standins/answer-body.js';
 import { callerSettingsSchema } from '../../../src/dev/standins/caller/caller-settings.js';
 import { CallerStandin } from '../../../src/dev/standins/caller/caller-standin.js';
 import { RandomSource } from '../../../src/dev/standins/random-source.js';
@@ -131,6 +132,40 @@
     expect(records('run-start').map((record) => record.request)).to.deep.equal(['a']);
   });
 
+  it('foreign: a request is answered with the answer and the id of the one before', async () => {
+    await start({}, { kind: 'foreign', share: 1 });
+    const send = (id: string) =>
+      request(`http://${ORIGIN}/?request=${id}`, { headers: { [HEADERS.requestId]: `router.${id}` } });
+    await (await send('a')).body.text();
+    const second = await send('b');
+    expect(second.headers[HEADERS.requestId]).to.equal('router.a');
+    expect(judgeAnswerBody(await second.body.text(), 'b', null)).to.equal('foreign');
+  });
+
+  const HEALTH = [
+    { fault: 'fail', status: 200 },
+    { fault: 'health-ill', status: 503 },
+  ] as const;
+  for (const { fault, status } of HEALTH) {
+    it(`${fault}: health says ${status}, requests the contrary`, async () => {
+      await start({}, { kind: fault, share: 1 });
+      expect((await request(`http://${ORIGIN}/health`)).statusCode).to.equal(status);
+      const answer = await request(`http://${ORIGIN}/?request=a`);
+      expect(answer.statusCode).to.equal(status === 200 ? 500 : 200);
+    });
+  }
+
+  it('load-wild: the reported load jumps', async () => {
+    await start({}, { kind: 'load-wild', share: 1 });
+    const loads: (string | string[] | undefined)[] = [];
+    for (const id of ['a', 'b', 'c']) {
+      const { headers, body } = await request(`http://${ORIGIN}/?request=${id}`);
+      await body.dump();
+      loads.push(headers[HEADERS.load]);
+    }
+    expect(new Set(loads)).to.deep.equal(new Set(['0', '10000']));
+  });
+
   it('a request given up on has no effect', async () => {
     await start({ serviceTime: { kind: 'constant', meanMillis: 60_000 } });
     const aborter = new AbortController();
--- /dev/null
+++ b/test/fleet/report/fault-effects.test.ts
@@ -0,0 +1,31 @@
+import { expect } from 'chai';
+import { buildHistory } from '../../../src/dev/fleet/checker/fleet-history.js';
+import { faultEffects, REACTION_MILLIS } from '../../../src/dev/fleet/report/fault-effects.js';
+import { attempt, run } from '../checker/journal-fixtures.js';
+
+const FROM = 2000;
+const LATE = FROM + REACTION_MILLIS + 100;
+const fault = { type: 'fail', upstream: 'up-1', from: FROM, to: FROM + 6000 };
+
+describe('faultEffects', () => {
+  it('counts answers and runs before the fault, at its beginning, and later on', () => {
+    const history = buildHistory([
+      ...run({ at: 10 }),
+      ...run({ at: FROM + 10 }),
+      ...run({ at: LATE, upstream: 'up-2' }),
+      ...run({ at: LATE, service: 'other' }),
+      attempt({ request: 'a', scheduledAt: 5 }),
+      attempt({ request: 'b', scheduledAt: FROM, verdict: 'refused', status: 500 }),
+      attempt({ request: 'c', scheduledAt: FROM, verdict: 'refused', last: false }),
+      attempt({ request: 'd', scheduledAt: LATE }),
+    ]);
+    const [effect] = faultEffects(history, [fault], 0);
+    expect(effect?.before).to.deep.equal({ requests: 1, answered: 1, goodShare: 1, runShare: 1 });
+    expect(effect?.atFirst).to.deep.equal({ requests: 1, answered: 0, goodShare: 0, runShare: 1 });
+    expect(effect?.afterReaction).to.deep.equal({ requests: 1, answered: 1, goodShare: 1, runShare: 0 });
+  });
+
+  it('says nothing of an upstream that ran nothing', () => {
+    expect(faultEffects(buildHistory([]), [fault], 0)).to.deep.equal([]);
+  });
+});
