Routing: an upstream that fails right after its ejection is ejected by one failure

Cause: after each ejection an upstream got three more requests from each router before it was out again, although nothing had succeeded on it since; with orders each of them is an answer lost. Change: until a success, one failure is enough; the ejections double as before. Before: the test's first failure after an ejection did not eject. After: it does.

--- a/src/routing/outlier-ejection.ts
+++ b/src/routing/outlier-ejection.ts
@@ -14,6 +14,8 @@
 export class OutlierEjection {
   private consecutiveFailures = 0;
   private ejections = 0;
+  /** Nothing succeeded since the latest ejection: the next failure ejects again. */
+  private isOnTrial = false;
   private until = Number.NEGATIVE_INFINITY;
 
   isEjected(now: number): boolean {
@@ -27,6 +29,7 @@
 
   succeeded(now: number): void {
     this.consecutiveFailures = 0;
+    this.isOnTrial = false;
     if (now - this.until > FORGET_AFTER_MILLIS) {
       this.ejections = 0;
     }
@@ -41,11 +44,13 @@
   failed(now: number, ejectedNow: number, total: number): boolean {
     this.consecutiveFailures += 1;
     const mayEject = (ejectedNow + 1) / total <= LARGEST_EJECTED_SHARE;
-    if (this.isEjected(now) || this.consecutiveFailures < CONSECUTIVE_FAILURES || !mayEject) {
+    const needed = this.isOnTrial ? 1 : CONSECUTIVE_FAILURES;
+    if (this.isEjected(now) || this.consecutiveFailures < needed || !mayEject) {
       return false;
     }
     this.ejections += 1;
     this.consecutiveFailures = 0;
+    this.isOnTrial = true;
     this.until = now + Math.min(LONGEST_EJECTION_MILLIS, BASE_EJECTION_MILLIS * 2 ** (this.ejections - 1));
     return true;
   }
