Fleet: a bad upstream that isn't routed around fails the run

Change: three seconds after a fault of one upstream began, nine of ten requests to its service must be answered, and an upstream that serves well must go on getting work whatever a load report or the platform's list says of it.

--- a/src/dev/fleet/report/fault-effects.ts
+++ b/src/dev/fleet/report/fault-effects.ts
@@ -89,6 +89,28 @@
   });
 }
 
+/** A fault must leave this share of its service's requests answered once routers had time to react. */
+const LEAST_GOOD_SHARE = 0.9;
+/** Faults under which the upstream is as good as before and must go on getting work. */
+const HARMLESS: ReadonlySet<string> = new Set(['platform-gone', 'load-frozen', 'load-wild']);
+
+/** What is wrong with these effects. */
+export function effectProblems(effects: readonly FaultEffect[]): string[] {
+  return effects.flatMap(({ type, upstream, service, afterReaction }) => {
+    const { answered, requests, goodShare, runShare } = afterReaction;
+    const problems: string[] = [];
+    if (goodShare !== null && goodShare < LEAST_GOOD_SHARE) {
+      problems.push(
+        `${type} of ${upstream}: ${answered} of ${requests} requests to ${service} answered after the reaction`,
+      );
+    }
+    if (HARMLESS.has(type) && runShare === 0) {
+      problems.push(`${type} of ${upstream}: it got no more work although it served well`);
+    }
+    return problems;
+  });
+}
+
 /** One stretch for people: answered of requests, and the upstream's share of the runs. */
 export function formatStretch({ requests, answered, runShare }: StretchEffect): string {
   const runs = runShare === null ? '–' : `${(runShare * 100).toFixed(1)}%`;
--- a/src/dev/fleet/report/fleet-report.ts
+++ b/src/dev/fleet/report/fleet-report.ts
@@ -9,7 +9,7 @@
 import type { FleetPlan } from '../fleet-plan.js';
 import type { OwnerLoss } from '../observe/owner-loss-probe.js';
 import { countOwnerChanges, type OwnershipSample } from '../observe/ownership-sampler.js';
-import { type FaultEffect, faultEffects, faultEnd } from './fault-effects.js';
+import { effectProblems, type FaultEffect, faultEffects, faultEnd } from './fault-effects.js';
 import { imbalanceOf, loadFigures, type ServiceFigures } from './load-figures.js';
 import { type LossPhases, phasesOf, readOwnershipLogs } from './loss-phases.js';
 
@@ -182,6 +182,7 @@
   const logs = readOwnershipLogs(observed.plan);
   const ownerLosses = observed.ownerLosses.map((loss) => lossFigures(loss, phasesOf(loss, logs)));
   const loadStartedAt = startOfLoad(history);
+  const effects = faultEffects(history, upstreamFaults(observed), loadStartedAt);
   return {
     deployment: observed.options.deployment.name,
     seconds: observed.options.seconds,
@@ -194,11 +195,12 @@
       target,
       at: (at - loadStartedAt) / MILLIS_PER_SECOND,
     })),
-    faultEffects: faultEffects(history, upstreamFaults(observed), loadStartedAt),
+    faultEffects: effects,
     promises,
     problems: [
       ...missing(observed, history, services, promises),
       ...lossProblems(ownerLosses, observed),
+      ...effectProblems(effects),
       ...observed.unexpectedEnds.map((name) => `${name} ended by itself`),
     ],
   };
--- a/test/fleet/report/fault-effects.test.ts
+++ b/test/fleet/report/fault-effects.test.ts
@@ -1,6 +1,11 @@
 import { expect } from 'chai';
 import { buildHistory } from '../../../src/dev/fleet/checker/fleet-history.js';
-import { faultEffects, REACTION_MILLIS } from '../../../src/dev/fleet/report/fault-effects.js';
+import {
+  effectProblems,
+  type FaultEffect,
+  faultEffects,
+  REACTION_MILLIS,
+} from '../../../src/dev/fleet/report/fault-effects.js';
 import { attempt, run } from '../checker/journal-fixtures.js';
 
 const FROM = 2000;
@@ -29,3 +34,32 @@
     expect(faultEffects(buildHistory([]), [fault], 0)).to.deep.equal([]);
   });
 });
+
+describe('effectProblems', () => {
+  const stretch = { requests: 100, answered: 100, goodShare: 1, runShare: 0.2 };
+  const effect: FaultEffect = {
+    type: 'fail',
+    upstream: 'up-1',
+    service: 'menuboard',
+    before: stretch,
+    atFirst: { ...stretch, answered: 10, goodShare: 0.1 },
+    afterReaction: stretch,
+  };
+
+  function problemsOf(type: string, afterReaction: object): string[] {
+    return effectProblems([{ ...effect, type, afterReaction: { ...stretch, ...afterReaction } }]);
+  }
+
+  it('lets routers react first', () => {
+    expect(effectProblems([effect])).to.deep.equal([]);
+  });
+
+  it("finds a bad upstream that isn't routed around", () => {
+    expect(problemsOf('fail', { answered: 89, goodShare: 0.89 })).to.have.length(1);
+  });
+
+  it('finds a good upstream that a hint alone keeps from work', () => {
+    expect(problemsOf('platform-gone', { runShare: 0 })).to.have.length(1);
+    expect(problemsOf('fail', { runShare: 0 })).to.deep.equal([]);
+  });
+});
