--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -12,8 +12,10 @@
 import { LeaderDuties } from './leader-duties.js';
 import { MembershipDesk } from './membership-desk.js';
 import { OperatorDesk } from './operator-desk.js';
+import { ownershipLog } from './ownership-log.js';
+import type { SettleProposal } from './pending-proposals.js';
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
-import { RaftAdapter, type RaftListener, type SettleProposal } from './raft-adapter.js';
+import { RaftAdapter, type RaftListener } from './raft-adapter.js';
 import { RouterDesk } from './router-desk.js';
 import { SnapshotDesk } from './snapshot-desk.js';
 import type {
@@ -151,25 +153,10 @@
     }
   }
 
-  /** One record a batch, on the leader only. */
+  /** On the leader only, so that each change is logged once. */
   #logOwnership(changes: readonly RegistryChange[]): void {
-    if (this.#leader === null) {
-      return;
-    }
-    for (const change of changes) {
-      if (change.type === 'upstream') {
-        const { incarnation = null, definition } = change.record ?? {};
-        this.#log('info', 'upstream-changed', {
-          upstream: change.id,
-          incarnation,
-          leaving: definition?.leaving ?? null,
-        });
-      }
-    }
-    const shards = changes.filter((change) => change.type === 'shard');
-    if (shards.length > 0) {
-      const owned = shards.filter(({ record }) => record?.owner != null).length;
-      this.#log('info', 'shards-changed', { owned, unowned: shards.length - owned });
+    if (this.#leader !== null) {
+      this.#effects.push(...ownershipLog(changes));
     }
   }
 
@@ -256,6 +243,7 @@
       raft: this.#raft.status(),
       registry: this.#raft.registry,
       sessions: this.#leader?.sessions() ?? [],
+      services: this.#leader?.measures(now) ?? [],
       routers: this.#routers.routers(),
       departed: this.#routers.departed(now),
       unowned: this.#unowned.list(this.#raft.registry, now),
--- a/src/dev/standins/upstream/fault-switchboard.ts
+++ b/src/dev/standins/upstream/fault-switchboard.ts
@@ -1,6 +1,6 @@
 /** Faults that a stand-in upstream commits on command. Its health endpoint stays well unless it is the fault. */
 import { z } from 'zod';
-import type { RandomSource } from '../random-source.js';
+import type { RandomSource } from '../../virtual/random-source.js';
 
 export const ANSWER_FAULT_KINDS = [
   /** The connection ends in the middle of the answer. */
@@ -61,7 +61,7 @@
   draw(): AnswerFaultKind | null {
     for (const kind of ANSWER_FAULT_KINDS) {
       const share = this.#shares.get(kind) ?? 0;
-      if (share > 0 && this.#random.uniform() < share) {
+      if (share > 0 && this.#random.fraction() < share) {
         return kind;
       }
     }
--- a/test/placement/placement-state.test.ts
+++ b/test/placement/placement-state.test.ts
@@ -51,7 +51,43 @@
   { maxLength: 60 },
 );
 
+/** The spread, computed from nothing but the shards and the servers. */
+function plainSpread(state: PlacementState) {
+  const takers = [...state.servers.values()].filter(({ server }) => server.state === 'ready');
+  const loads = takers.map(({ shards }) => [...shards].reduce((sum, { load }) => sum + load, 0));
+  const sum = loads.reduce((total, load) => total + load, 0);
+  const hottest = Math.max(0, ...[...state.shards.values()].map(({ load }) => load));
+  return sum === 0 ? null : { most: Math.max(...loads), mean: sum / loads.length, hottest };
+}
+
 describe('placement state', () => {
+  it('finds another hottest shard when the load of the hottest falls, or it goes', () => {
+    const state = new PlacementState();
+    state.setServer(server('s0', { state: 'ready' }));
+    for (const [id, load] of Object.entries({ k0: 50, k1: 40, k2: 30 })) {
+      state.setShard(shard(id, { load, owner: 's0' }));
+    }
+    expect(state.spread()?.hottest).to.equal(50);
+    state.setLoad('k0', 10);
+    expect(state.spread()?.hottest).to.equal(40);
+    state.removeShard('k1');
+    expect(state.spread()?.hottest).to.equal(30);
+    state.setLoad('k0', 35);
+    expect(state.spread()).to.deep.equal({ most: 65, mean: 65, hottest: 35 });
+  });
+
+  it('tells the spread of the load as it is after each change', () => {
+    fc.assert(
+      fc.property(changes, (history) => {
+        const state = new PlacementState();
+        for (const change of history) {
+          change(state);
+          expect(state.spread()).to.deep.equal(plainSpread(state));
+        }
+      }),
+    );
+  });
+
   it('keeps sums and indexes that agree with the shards', () => {
     fc.assert(
       fc.property(changes, (history) => {
