Control: totals of time without owner never fall

Cause: times are fractions of milliseconds; the sum kept of when shards lost their owners was off by the rounding, and a total fell by 1e-10 when a shard was granted. Prometheus takes any fall for a restart of the counter. Change: whole milliseconds, whose sums are exact.

--- a/src/control/ownership-measures.ts
+++ b/src/control/ownership-measures.ts
@@ -1,6 +1,7 @@
 /**
  * Churn and time without owner of the shards of one service, counted from the changes of the registry since this
  * leadership began. It holds only shards that have no owner or move, so each change costs the same however many there are.
+ * Times are whole milliseconds: sums of them are exact, so that no total ever falls.
  */
 import type { Epoch, MonotonicMillis, ShardId, UpstreamId } from '../model/identifiers.js';
 import type { ShardRecord } from '../registry/types.js';
@@ -65,7 +66,7 @@
 
   /** Begins with a key map; what was known of the one before is dropped, and what was counted is kept. */
   begin(now: MonotonicMillis): void {
-    this.#begunAt = now;
+    this.#begunAt = Math.floor(now);
     this.#closedMillis += this.#openMillis(now);
     this.#vacancies.clear();
     this.#sinceSum = 0;
@@ -88,16 +89,16 @@
   /** The holder of a grant answered that it gave it up for good. */
   givenUp(shard: ShardId, epoch: Epoch, now: MonotonicMillis): void {
     if (this.#givenUp.get(shard)?.epoch !== epoch) {
-      this.#givenUp.set(shard, { epoch, at: now });
+      this.#givenUp.set(shard, { epoch, at: Math.floor(now) });
     }
   }
 
   /** Takes the next record of a shard of the current key map, in the order of the log. */
   recordChanged(record: ShardRecord, now: MonotonicMillis): void {
     if (record.owner !== null) {
-      this.#owned(record, now);
+      this.#owned(record, Math.floor(now));
     } else if (!this.#vacancies.has(record.shard)) {
-      this.#ended(record, now);
+      this.#ended(record, Math.floor(now));
     }
   }
 
@@ -158,7 +159,7 @@
   }
 
   #openMillis(now: MonotonicMillis): number {
-    return this.#vacancies.size * now - this.#sinceSum;
+    return this.#vacancies.size * Math.floor(now) - this.#sinceSum;
   }
 }
 
--- a/test/control/ownership-measures.test.ts
+++ b/test/control/ownership-measures.test.ts
@@ -105,6 +105,19 @@
     expect(measures.counts(1500)).to.deep.include({ unownedShardMillis: 500, ownerChangesLastMinute: 1 });
   });
 
+  it('never fall, whatever fractions the clock has: a counter that falls looks like one that starts over', () => {
+    const measures = begun();
+    let before = 0;
+    for (let step = 1; step <= 2000; step += 1) {
+      const shard = `s${step % 7}`;
+      const now = 1e6 + Math.floor(step / 10) * 0.1;
+      measures.recordChanged({ ...(step % 3 === 0 ? GRANTED : VACANT), shard }, now);
+      const { unownedShardMillis } = measures.counts(now);
+      expect(unownedShardMillis).to.be.at.least(before);
+      before = unownedShardMillis;
+    }
+  });
+
   it('forget changes after a minute, and only in the count of the last one', () => {
     const measures = begun();
     measures.recordChanged(VACANT, 1000);
