--- a/src/dev/bench/world/model-upstream.ts
+++ b/src/dev/bench/world/model-upstream.ts
@@ -29,7 +29,7 @@
 interface Running {
   readonly request: ServerRequest;
   readonly ticket: Ticket | null;
-  /** Virtual time at which it is done, for work that was under way when the server froze. */
+  /** Answered, given up or lost with the process: timers that are still set find nothing to do. */
   done: boolean;
 }
 
@@ -89,6 +89,7 @@
     return this.served.get(shard);
   }
 
+  /** A control leader's session request. */
   handleSession(request: SessionRequest): SessionAnswer {
     const answer = this.holder.handleSession(request, this.queue.now);
     this.takeHolderEvents();
@@ -164,6 +165,7 @@
     return held + unreported > 0;
   }
 
+  /** Does nothing until `thaw`; what comes meanwhile waits. */
   freeze(): void {
     this.state = 'frozen';
   }
--- a/src/lease/deadline-queue.ts
+++ b/src/lease/deadline-queue.ts
@@ -1,6 +1,11 @@
 /** Deadlines of many things, one each, as a binary heap. Setting one anew leaves a stale item that is passed over later. */
 import type { MonotonicMillis } from '../model/identifiers.js';
 
+/** A smaller heap isn't worth rebuilding. */
+const LEAST_REBUILT_ITEMS = 64;
+/** Items a key, stale ones included, from which on the heap is rebuilt. */
+const MOST_ITEMS_PER_KEY = 4;
+
 interface Item<Key> {
   readonly key: Key;
   readonly at: MonotonicMillis;
@@ -53,7 +58,10 @@
 
   /** Stale items never outnumber the others for long. */
   #dropStaleItems(): void {
-    if (this.#heap.length < 64 || this.#heap.length < 4 * this.#deadlines.size) {
+    if (
+      this.#heap.length < LEAST_REBUILT_ITEMS ||
+      this.#heap.length < MOST_ITEMS_PER_KEY * this.#deadlines.size
+    ) {
       return;
     }
     this.#heap = [];
