Routing: a load report counts for no more than four requests a slot

Cause: a reported load was believed whatever it said. Ruled out: ejection and the slot limit, which concern this router's own requests. Change: what others may have outstanding is bounded by four times the upstream's slots. Before: the test's load was 10,000. After: 8 for two slots.

--- a/src/routing/slot-limit.ts
+++ b/src/routing/slot-limit.ts
@@ -21,6 +21,11 @@
     this.limit = maximum;
   }
 
+  /** Slots of the upstream, which all routers share. */
+  get most(): number {
+    return this.maximum;
+  }
+
   /** Requests that may be in flight at once; 1 at least. */
   get slots(): number {
     return Math.max(1, Math.floor(this.limit));
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -13,6 +13,8 @@
 const LOAD_AVERAGE_MILLIS = 250;
 /** Reported load loses two thirds of its weight in this time. */
 const LOAD_DECAY_MILLIS = 1000;
+/** Outstanding work of others that is believed at most, for each slot: one that says more is no fuller, or says it wrongly. */
+const MOST_LOAD_PER_SLOT = 4;
 const SLOW_START_MILLIS = 10_000;
 /** Share of its part that a cold upstream gets at first. */
 const SLOW_START_FLOOR = 0.1;
@@ -88,7 +90,8 @@
 
   /** Load from an answer or a probe. */
   hintLoad(load: number, now: number): void {
-    const foreign = Math.max(0, load - this.inFlight);
+    const most = this.slotLimit.most * MOST_LOAD_PER_SLOT;
+    const foreign = Math.min(most, Math.max(0, load - this.inFlight));
     const weight = 1 - Math.exp((this.loadAt - now) / LOAD_AVERAGE_MILLIS);
     const before = this.load(now);
     this.foreignLoad = before + weight * (foreign - before);
--- a/test/routing/upstream-load.test.ts
+++ b/test/routing/upstream-load.test.ts
@@ -23,6 +23,14 @@
     expect(state.load(1000)).to.be.within(3, 5);
   });
 
+  it('counts for no more than an upstream can have, however much it says', () => {
+    const state = makeState();
+    state.hintLoad(10_000, 1000);
+    expect(state.load(1000)).to.equal(8);
+    state.hintLoad(0, 2000);
+    expect(state.load(2000)).to.be.below(1);
+  });
+
   it('is forgotten with time', () => {
     const state = makeState();
     state.hintLoad(8, 1000);
