Routing: what the platform doubts is used before a request waits

Cause: with all upstreams of a service named as leaving, those with a fresh success counted as suspects and were the only ones picked; the others stayed the last resort for good, also when no suspect had a slot. Change: the last resort is used when no suspect has a slot, and counts as capacity while none is usable. Before: the test's second and third request waited for the one upstream with a fresh success. After: all three serve.

--- a/src/routing/leaving-table.ts
+++ b/src/routing/leaving-table.ts
@@ -4,7 +4,7 @@
  */
 
 /**
- * `usable`: pick freely. `suspect`: only if no usable one is left. `last-resort`: only if no suspect is left either.
+ * `usable`: pick freely. `suspect`: only if no usable one is left. `last-resort`: only if no suspect has a slot either.
  * `leaving`: no new work.
  */
 export type Standing = 'usable' | 'suspect' | 'last-resort' | 'leaving';
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -82,23 +82,23 @@
     this.sortedUpstreams = this.sortedUpstreams.filter((upstream) => upstream.id !== id);
   }
 
-  /** Upstreams of the best standing there is that may take one more request now. */
+  /** Upstreams that may take one more request now; the doubted ones, best first, only if none is usable. */
   candidates(now: number, avoid: UpstreamState | null): UpstreamState[] {
-    let best = RANK_OF.leaving;
-    let candidates: UpstreamState[] = [];
+    const byRank: UpstreamState[][] = [[], [], []];
+    let usableExists = false;
     for (const upstream of this.sortedUpstreams) {
       const rank = RANK_OF[upstream.evidence.standing(now)];
-      if (rank === RANK_OF.leaving || rank > best || upstream.ejection.isEjected(now)) {
+      if (rank === RANK_OF.leaving || upstream.ejection.isEjected(now)) {
         continue;
       }
-      if (rank < best) {
-        best = rank;
-        candidates = [];
-      }
+      usableExists = usableExists || rank === RANK_OF.usable;
       if (upstream.hasSlot(now)) {
-        candidates.push(upstream);
+        byRank[rank]?.push(upstream);
       }
     }
+    const [usable = [], suspects = [], lastResort = []] = byRank;
+    const doubted = suspects.length > 0 ? suspects : lastResort;
+    const candidates = usableExists ? usable : doubted;
     return without(candidates, avoid);
   }
 
@@ -116,14 +116,15 @@
     return this.working(now).reduce((sum, upstream) => sum + capacityOf(upstream), 0);
   }
 
-  /** Upstreams that take work now; the last resort only if there is nobody else. */
+  /** Upstreams that take work now; the last resort only if none is usable. */
   private working(now: number): UpstreamState[] {
     const ranked = this.sortedUpstreams.map((upstream) => ({
       upstream,
       rank: RANK_OF[upstream.evidence.standing(now)],
     }));
-    const better = ranked.filter(({ rank }) => rank < RANK_OF['last-resort']);
-    const taken = better.length > 0 ? better : ranked.filter(({ rank }) => rank < RANK_OF.leaving);
+    const usableExists = ranked.some(({ rank }) => rank === RANK_OF.usable);
+    const most = usableExists ? RANK_OF.suspect : RANK_OF['last-resort'];
+    const taken = ranked.filter(({ rank }) => rank <= most);
     return taken.map(({ upstream }) => upstream);
   }
 
--- a/test/routing/lying-hints.test.ts
+++ b/test/routing/lying-hints.test.ts
@@ -42,6 +42,18 @@
     });
   }
 
+  it('the platform says leaving of each, and one served lately: all slots are used', () => {
+    const upstreams = IDS.map((id) => upstream(id, SERVICE));
+    const harness = new RouterHarness().start([service(SERVICE, { slotsPerUpstream: 1 })], upstreams);
+    harness.run(SILENCE_MILLIS);
+    serve(harness, 1);
+    harness.step(platformSays(IDS));
+    const picked = IDS.flatMap(() =>
+      only(harness.request(SERVICE), 'dispatch').map(({ upstream: id }) => id),
+    );
+    expect(picked.sort()).to.deep.equal(IDS);
+  });
+
   it('the platform says leaving of one upstream: the others take its work', () => {
     const harness = start();
     serve(harness, 20);
