--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -117,7 +117,7 @@
     if (this.#hasNews) {
       this.#hasNews = false;
       this.#unowned.look(this.#raft.registry, now);
-      this.#routers.notify();
+      this.#routers.notify(this.#raft.registry.revision);
     }
     return this.#effects;
   }
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -35,10 +35,8 @@
   /** Last revision held; 0: none, send a snapshot. */
   readonly have: Revision;
 }
-/** Answers a sync request, or brings a small change unasked. */
 export interface SyncResponse {
   readonly type: 'sync-response';
-  /** That of the request; -1 in one that answers none, which is never confirmed. */
   readonly stamp: MonotonicMillis;
   /** Set when a quorum confirmed, after the request arrived, that nothing later than `revision` was acknowledged. */
   readonly confirmed: boolean;
--- a/src/control/router-requests.ts
+++ b/src/control/router-requests.ts
@@ -16,7 +16,6 @@
 } from './messages.js';
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
-import { RouterNews } from './router-news.js';
 import type { ConnectionId } from './types.js';
 
 /** What is known of a connected router. */
@@ -46,7 +45,6 @@
   readonly #parts: RouterRequestsParts;
   readonly #routers = new Map<ConnectionId, ConnectedRouter>();
   readonly #departed = new DepartedRouters();
-  readonly #news = new RouterNews();
   /** Syncs that wait for the next read to begin. */
   #waiting: WaitingSync[] = [];
   #isReading = false;
@@ -76,7 +74,6 @@
   gone(connection: ConnectionId): void {
     const router = this.#routers.get(connection);
     this.#routers.delete(connection);
-    this.#news.gone(connection);
     if (router !== undefined && !this.routers().some((other) => other.router === router.router)) {
       this.#departed.left(router);
     }
@@ -93,11 +90,10 @@
     return waits ? this.#readNotBefore : Number.POSITIVE_INFINITY;
   }
 
-  /** Tells connected routers of changes that were just applied. */
-  notify(): void {
-    const { raft, send } = this.#parts;
-    for (const { connection, message } of this.#news.take(raft.registry, raft.leaderAddress())) {
-      send(connection, message);
+  /** Tells connected routers that there is something to fetch. */
+  notify(revision: Revision): void {
+    for (const connection of this.#routers.keys()) {
+      this.#parts.send(connection, { type: 'change-notice', revision });
     }
   }
 
@@ -113,7 +109,6 @@
   #sync(connection: ConnectionId, request: SyncRequest, now: MonotonicMillis): void {
     const { router, incarnation, have } = request;
     this.#routers.set(connection, { router, incarnation, revision: have, heardAt: now });
-    this.#news.holds(connection, have);
     this.#departed.isBack(router);
     this.#waiting.push({ connection, request });
     this.#readForWaiting(now);
@@ -139,9 +134,7 @@
 
   #answerSync({ connection, request }: WaitingSync, confirmed: boolean): void {
     if (this.#routers.has(connection)) {
-      const response = this.#syncResponse(request, confirmed);
-      this.#parts.send(connection, response);
-      this.#news.sent(connection, Math.max(request.have, response.revision));
+      this.#parts.send(connection, this.#syncResponse(request, confirmed));
     }
   }
 
