--- a/test/sim/simulation.test.ts
+++ b/test/sim/simulation.test.ts
@@ -34,6 +34,15 @@
     }
   }
 
+  /** A key stayed without service after its owner and the leader were lost: docs/PROOF.md, "Runs". */
+  for (const seed of [842, 1847]) {
+    it(`serves keys again within 3 s of the loss of owner and leader (colombo, seed ${seed})`, () => {
+      const { violations, faults } = simulate('colombo', seed);
+      expect(violations).to.deep.equal([]);
+      expect(faults).to.include.keys('owner-and-leader-lost');
+    });
+  }
+
   it('replays a seed to the same trace', () => {
     const first = simulate('colombo', 3);
     expect(simulate('colombo', 3).hash).to.equal(first.hash);
