--- a/examples/routing.mjs
+++ b/examples/routing.mjs
@@ -42,6 +42,9 @@
   services: [{ definition: service, revision: 6, generation: 6 }],
   upstreams: [{ definition: upstream, revision: 7, incarnation: null }],
   shards: [],
+  routes: [],
+  declaration: null,
+  ranges: [],
 };
 
 const router = createRouterNode(config, 0);
@@ -54,6 +57,7 @@
   snapshot,
   delta: null,
   leader: control,
+  members: [control],
 };
 router.step({ type: 'control-message', from: control, message }, 5, 5);
 console.log('serving', router.status().serving);
--- a/src/cli/daemons/run-control.ts
+++ b/src/cli/daemons/run-control.ts
@@ -7,7 +7,7 @@
 import { readSecret } from '../../security/secret-file.js';
 import { TokenFile } from '../../security/token-file.js';
 import { type ControlSettings, loadControlSettings } from '../../settings/control-settings.js';
-import { openReplica } from '../../storage/index.js';
+import { type OpenedStore, openOrCreateReplica, openReplica } from '../../storage/index.js';
 import { checkFree } from '../../wire/index.js';
 import type { Invocation } from '../command-spec.js';
 import type { ExitCode } from '../exit-codes.js';
@@ -24,10 +24,13 @@
     dataFolder,
     listen,
     advertise: settings.advertise,
-    peers: settings.peers,
+    peers: [...settings.peers, ...(settings.selfStart?.seeds ?? [])].filter(
+      (peer) => peer !== settings.advertise,
+    ),
     outgoing: settings.outgoing ?? undefined,
     admin,
     secret: readSecret(settings.secretFile),
+    holders: settings.holders,
     timings: {
       ...DEFAULT_CONTROL_TIMINGS,
       raft,
@@ -35,18 +38,26 @@
       configLease,
       snapshotEntries,
       replaceAfterMillis,
+      ranges: settings.ranges,
+      mostVoters: settings.toleratedLosses * 2 + 1,
     },
     createAdminApp: (daemon) => createAdminApp((request) => daemon.operate(request), { tokens }),
   };
 }
 
+function openFolder({ dataFolder, cluster, advertise, selfStart }: ControlSettings): Promise<OpenedStore> {
+  return selfStart === null
+    ? openReplica(dataFolder, cluster)
+    : openOrCreateReplica(dataFolder, { cluster, address: advertise, ...selfStart });
+}
+
 /** Checks everything before the data folder is touched; returns when the daemon has stopped. */
 export async function runControl(invocation: Invocation): Promise<ExitCode> {
   const settings = loadControlSettings(settingsLayers(invocation));
   const daemon = daemonSettings(settings);
   await checkFree(settings.listen);
   await checkFree(settings.admin);
-  const { identity, restored, store } = await openReplica(settings.dataFolder, settings.cluster);
+  const { identity, restored, store } = await openFolder(settings);
   const { replica } = identity;
   enableLogs(settings.log);
   identifyProcess({ process: settings.replicaName ?? replica, zone: settings.zone });
--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -1,5 +1,6 @@
 /** The router daemon as `router run` starts it. */
 import { enableLogs, identifyProcess } from '../../logging/logger.js';
+import type { HeaderNames } from '../../router/header-names.js';
 import { RouterDaemon } from '../../router/router-daemon.js';
 import type { RouterDaemonSettings } from '../../router/settings.js';
 import { DEFAULT_ROUTER_LIMITS, DEFAULT_ROUTER_TIMINGS } from '../../router/settings.js';
@@ -25,6 +26,10 @@
     secret: readSecret(settings.secretFile),
     platformUrl,
     probePath: settings.probePath,
+    byRoutes: settings.byRoutes,
+    headers: definedOnly(settings.headers),
+    retryAfterUnit: settings.retryAfterUnit,
+    whenOutOfTouch: settings.whenOutOfTouch,
     limits: {
       ...DEFAULT_ROUTER_LIMITS,
       maxBodyBytes: settings.requestBodyBytes,
@@ -36,10 +41,17 @@
       claimMillis: settings.claimTimeoutMillis,
       probeMillis: settings.probeIntervalMillis,
       platformMillis: settings.platformIntervalMillis,
+      lameDuckMillis: settings.lameDuckMillis,
     },
   };
 }
 
+/** Settings that were left out keep their defaults. */
+function definedOnly(headers: RouterSettings['headers']): Partial<HeaderNames> {
+  const defined = Object.entries(headers).filter(([, name]) => name !== undefined);
+  return Object.fromEntries(defined);
+}
+
 /** Checks everything before a port is opened; returns when the daemon has stopped. */
 export async function runRouter(invocation: Invocation): Promise<ExitCode> {
   const settings = loadRouterSettings(settingsLayers(invocation));
--- a/src/control/admin/admin-app.ts
+++ b/src/control/admin/admin-app.ts
@@ -7,6 +7,8 @@
 import type { AdminServices, AdminState } from './admin-context.js';
 import { AdminError } from './admin-error.js';
 import { boundOperate, type Operate } from './bounded-operate.js';
+import { addAnnouncementRoutes } from './commands/announcement-routes.js';
+import { addDeclarationRoutes } from './commands/declaration-routes.js';
 import { addMemberCommands } from './commands/member-commands.js';
 import { addServiceCommands } from './commands/service-commands.js';
 import { addShardCommands } from './commands/shard-commands.js';
@@ -61,6 +63,8 @@
   addMemberCommands(router, services);
   addDefinitionQueries(router, services);
   addStateQueries(router, services);
+  addDeclarationRoutes(router, services);
+  addAnnouncementRoutes(router, services);
   addOwnRoutes(router, metrics);
   return router;
 }
--- /dev/null
+++ b/src/control/admin/commands/announcement-routes.ts
@@ -0,0 +1,55 @@
+/** `POST /v1/upstreams/:id/heartbeat` and `/withdraw`: upstreams that announce themselves. */
+import type { Router } from '@koa/router';
+import { z } from 'zod';
+import { addressSchema } from '../../../settings/addresses.js';
+import type { AdminContext, AdminServices, AdminState } from '../admin-context.js';
+import { redirectToLeader } from '../leader-redirect.js';
+import { checkBody, readJson } from '../request-body.js';
+import { acceptedRevision, expectResponse } from '../responses.js';
+
+const LONGEST_WARMUP_MILLIS = 3_600_000;
+
+const heartbeatSchema = z.looseObject({
+  service: z.string({ error: 'expected a name' }).min(1, 'must not be empty'),
+  address: addressSchema,
+  zone: z.string({ error: 'expected a name' }),
+  slots: z.int({ error: 'expected a whole number' }).min(1, 'must be 1 or more'),
+  state: z.enum(['ready', 'draining'], { error: 'expected ready or draining' }),
+  warmupMillis: z.number().min(0).max(LONGEST_WARMUP_MILLIS).default(0),
+});
+
+async function takeHeartbeat(context: AdminContext, services: AdminServices): Promise<void> {
+  const { id = '' } = context.params;
+  const body = checkBody(heartbeatSchema, await readJson(context, services.bodyLimitBytes));
+  const { service, address, zone, slots, warmupMillis, state } = body;
+  const announced = { slots, warmupMillis };
+  const leaving = state === 'draining';
+  const definition = { id, service, address, zone, mayHold: [], leaving, announced };
+  await answer(context, services, { type: 'announce', definition });
+}
+
+async function takeWithdrawal(context: AdminContext, services: AdminServices): Promise<void> {
+  const { id = '' } = context.params;
+  await answer(context, services, { type: 'withdraw', upstream: id });
+}
+
+async function answer(
+  context: AdminContext,
+  services: AdminServices,
+  request: Parameters<AdminServices['operate']>[0],
+): Promise<void> {
+  const response = await services.operate(request);
+  if (redirectToLeader(context, response)) {
+    return;
+  }
+  if (response.type !== 'done') {
+    acceptedRevision(expectResponse(response, 'result').result, 'header');
+  }
+  context.body = {};
+}
+
+/** Adds the routes of upstreams that announce themselves. */
+export function addAnnouncementRoutes(router: Router<AdminState>, services: AdminServices): void {
+  router.post('/v1/upstreams/:id/heartbeat', (context) => takeHeartbeat(context, services));
+  router.post('/v1/upstreams/:id/withdraw', (context) => takeWithdrawal(context, services));
+}
--- /dev/null
+++ b/src/control/admin/commands/declaration-routes.ts
@@ -0,0 +1,111 @@
+/**
+ * `PUT`, `PATCH` and `GET /v1/declaration`: the declared document, whole or in part. `If-Match` holds the version that a
+ * change builds on, 0 for the first; a change that was taken may be sent again, to any member.
+ */
+import type { Router } from '@koa/router';
+import { z } from 'zod';
+import type { DeclarationChange } from '../../../registry/types.js';
+import { type AdminContext, type AdminServices, type AdminState, actorOf } from '../admin-context.js';
+import { AdminError } from '../admin-error.js';
+import { redirectToLeader } from '../leader-redirect.js';
+import { checkBody, readJson } from '../request-body.js';
+import { acceptedRevision, expectResponse } from '../responses.js';
+
+const DOCUMENT_LIMIT_BYTES = 32 * 1024 * 1024;
+const MATCH_PATTERN = /^"?(\d{1,15})"?$/;
+
+const itemsSchema = z.array(z.unknown(), { error: 'expected a list' }).default([]);
+const namesSchema = z.array(z.string({ error: 'expected a name' }), { error: 'expected a list' }).default([]);
+const versionSchema = z.int({ error: 'expected a whole number' });
+
+const wholeSchema = z.looseObject({
+  version: versionSchema,
+  routes: itemsSchema,
+  services: itemsSchema,
+  limits: z.unknown().optional(),
+});
+
+const partialSchema = z.looseObject({
+  version: versionSchema,
+  set: z
+    .looseObject({ routes: itemsSchema, services: itemsSchema, limits: z.unknown().optional() })
+    .default({ routes: [], services: [] }),
+  remove: z.looseObject({ routes: namesSchema, services: namesSchema }).default({ routes: [], services: [] }),
+});
+
+function readMatch(context: AdminContext): number {
+  const match = MATCH_PATTERN.exec(context.get('If-Match'));
+  if (match === null) {
+    throw new AdminError(
+      'invalid-request',
+      'If-Match must be the version that the change builds on, 0 for the first',
+    );
+  }
+  return Number(match[1]);
+}
+
+async function applyWhole(context: AdminContext, services: AdminServices): Promise<void> {
+  const expected = readMatch(context);
+  const body = checkBody(wholeSchema, await readJson(context, DOCUMENT_LIMIT_BYTES));
+  await apply(context, services, {
+    type: 'declaration-apply',
+    version: body.version,
+    expected,
+    extent: 'whole',
+    routes: body.routes,
+    services: body.services,
+    limits: body.limits ?? null,
+    removedRoutes: [],
+    removedServices: [],
+  });
+}
+
+async function applyPartial(context: AdminContext, services: AdminServices): Promise<void> {
+  const expected = readMatch(context);
+  const { version, set, remove } = checkBody(partialSchema, await readJson(context, DOCUMENT_LIMIT_BYTES));
+  await apply(context, services, {
+    type: 'declaration-apply',
+    version,
+    expected,
+    extent: 'partial',
+    routes: set.routes,
+    services: set.services,
+    limits: set.limits ?? null,
+    removedRoutes: remove.routes,
+    removedServices: remove.services,
+  });
+}
+
+async function apply(
+  context: AdminContext,
+  services: AdminServices,
+  change: DeclarationChange,
+): Promise<void> {
+  const response = await services.operate({ type: 'declare', actor: actorOf(context), change });
+  if (redirectToLeader(context, response)) {
+    return;
+  }
+  const { result } = expectResponse(response, 'result');
+  const revision = acceptedRevision(result, 'header');
+  context.body = { version: change.version, revision };
+}
+
+async function readDocument(context: AdminContext, services: AdminServices): Promise<void> {
+  const response = await services.operate({ type: 'get-declaration' });
+  if (redirectToLeader(context, response)) {
+    return;
+  }
+  const { document } = expectResponse(response, 'declaration');
+  if (document === null) {
+    throw new AdminError('not-found', 'nothing was declared as one document');
+  }
+  const { limits, ...rest } = document;
+  context.body = limits === null ? rest : document;
+}
+
+/** Adds the routes of the declared document. */
+export function addDeclarationRoutes(router: Router<AdminState>, services: AdminServices): void {
+  router.put('/v1/declaration', (context) => applyWhole(context, services));
+  router.patch('/v1/declaration', (context) => applyPartial(context, services));
+  router.get('/v1/declaration', (context) => readDocument(context, services));
+}
--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -17,6 +17,8 @@
 /** A step that the leader takes by itself. */
 export type Repair =
   | ({ readonly type: 'take-in' } & WaitingReplica)
+  /** A spare gets a vote beside the others. */
+  | { readonly type: 'add'; readonly newReplica: ReplicaId; readonly address: Address }
   | {
       readonly type: 'replace';
       readonly oldReplica: ReplicaId;
@@ -33,8 +35,14 @@
   readonly #heardAt = new Map<ReplicaId, MonotonicMillis>();
   #leadsSince: MonotonicMillis = Number.POSITIVE_INFINITY;
 
-  /** `replaceAfterMillis`: how long a voter may be silent; 0: nothing is done. */
-  constructor(private readonly replaceAfterMillis: number) {}
+  /**
+   * `replaceAfterMillis`: how long a voter may be silent; 0: nothing is done. `mostVoters`: spares get a vote beside the
+   * others up to this number.
+   */
+  constructor(
+    private readonly replaceAfterMillis: number,
+    private readonly mostVoters = 0,
+  ) {}
 
   heard(replica: ReplicaId, now: MonotonicMillis): void {
     this.#heardAt.set(replica, now);
@@ -76,14 +84,20 @@
     const { membership, matchIndexes, commitIndex, self } = status;
     const isSilent = (replica: ReplicaId): boolean =>
       this.silentMillis(replica, now) >= this.replaceAfterMillis;
-    const oldReplica = membership.voters.find((voter) => voter !== self && isSilent(voter));
     const newReplica = membership.learners.find(
       (learner) => !isSilent(learner) && (matchIndexes[learner] ?? 0) >= commitIndex,
     );
-    if (oldReplica === undefined || newReplica === undefined) {
+    if (newReplica === undefined) {
       return null;
     }
     const address = membership.addresses[newReplica] ?? '';
+    // An address serves one replica: where a new one is, the one before has lost its disk.
+    const isGone = (voter: ReplicaId): boolean => isSilent(voter) || membership.addresses[voter] === address;
+    const oldReplica = membership.voters.find((voter) => voter !== self && isGone(voter));
+    if (oldReplica === undefined) {
+      const mayGrow = membership.voters.length < this.mostVoters;
+      return mayGrow ? { type: 'add', newReplica, address } : null;
+    }
     return { type: 'replace', oldReplica, newReplica, address };
   }
 }
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -16,6 +16,7 @@
 import type { SettleProposal } from './pending-proposals.js';
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
 import { RaftAdapter, type RaftListener } from './raft-adapter.js';
+import type { HolderCall } from './ranges/holder-call.js';
 import { RouterRequests } from './router-requests.js';
 import { SnapshotTaker } from './snapshot-taker.js';
 import type {
@@ -98,6 +99,7 @@
       answer,
       membership: this.#membership,
       status: (now) => controlStatus(this.#statusSource(now), now),
+      heard: (upstream, now) => this.#leader?.upstreamHeard(upstream, now),
       takeSnapshot: (now, taken) => this.#snapshots.request(now, taken),
     });
     this.#routers = new RouterRequests({
@@ -145,10 +147,10 @@
     this.#emit({ type: 'persist', request });
   }
 
-  applied(changes: readonly RegistryChange[]): void {
+  applied(changes: readonly RegistryChange[], now: MonotonicMillis): void {
     if (changes.length > 0) {
       this.#hasNews = true;
-      this.#leader?.registryChanged(changes);
+      this.#leader?.registryChanged(changes, now);
       this.#logOwnership(changes);
     }
   }
@@ -183,6 +185,7 @@
       raft: this.#raft,
       propose: this.#propose,
       call: (call: SessionCall) => this.#emit({ type: 'call-upstream', ...call }),
+      callHolder: (call: HolderCall) => this.#emit({ type: 'call-holder', call }),
     };
     return new LeaderDuties(parts, this.#raft.status().term, now);
   }
@@ -213,6 +216,9 @@
       case 'upstream-failed':
         this.#leader?.upstreamFailed(input.upstream, input.sequence, now);
         break;
+      case 'holder-answer':
+        this.#leader?.holderAnswered(input.call, input.outcome, now);
+        break;
       case 'operator-request':
         this.#operators.begin(input.operation, input.request, now);
         break;
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -16,6 +16,7 @@
 } from '../types.js';
 import { startAdminServer } from './admin-server.js';
 import { CoreTask } from './core-task.js';
+import { DEFAULT_HOLDER_PROTOCOL, HolderCalls } from './holder-calls.js';
 import { InternalServer } from './internal-server.js';
 import { JoinTask } from './join-task.js';
 import { createControlMetrics } from './metrics.js';
@@ -61,6 +62,7 @@
   private readonly joining: JoinTask;
   private readonly internal: InternalServer;
   private readonly sessions: UpstreamSessions;
+  private readonly holders: HolderCalls;
   private readonly operations: Operations;
   private readonly timings: ControlDaemonTimings;
   private readonly log: Logger = createLogger('control');
@@ -107,6 +109,7 @@
     this.joining = this.createJoinTask(identity, limits);
     this.internal = this.createInternalServer(identity, limits);
     this.sessions = this.createSessions();
+    this.holders = this.createHolderCalls();
     this.operations = new Operations(this.timings.operationMillis, (operation, request) =>
       this.coreTask.post({ type: 'operator-request', operation, request }),
     );
@@ -158,12 +161,13 @@
   private async shutDown(): Promise<void> {
     this.log.info('stopping', { replica: this.replica });
     await this.handLeadershipOn();
-    await this.admin?.stop(this.timings.idleMillis);
+    await this.admin?.stop({ idleMillis: this.timings.idleMillis });
     this.operations.abandon();
     clearInterval(this.reconcileTimer);
     this.coreTask.stop();
     this.peers.stop();
     this.joining.stop();
+    this.holders.stop();
     await Promise.all([this.internal.stop(), this.sessions.stop()]);
     await this.persistTask.stop();
     this.log.info('stopped', { replica: this.replica });
@@ -201,6 +205,9 @@
       case 'call-upstream':
         this.sessions.call(effect.upstream, effect.address, effect.request);
         return;
+      case 'call-holder':
+        this.holders.call(effect.call);
+        return;
       case 'answer-operator':
         this.operations.answer(effect.operation, effect.response);
         return;
@@ -244,6 +251,18 @@
     });
   }
 
+  private createHolderCalls(): HolderCalls {
+    const { sessionMillis, releaseMillis } = this.timings;
+    return new HolderCalls({
+      protocol: { ...DEFAULT_HOLDER_PROTOCOL, ...this.settings.holders },
+      grantMillis: sessionMillis,
+      releaseMillis,
+      localAddress: this.settings.outgoing,
+      log: this.log,
+      ended: (call, outcome) => this.coreTask.post({ type: 'holder-answer', call, outcome }),
+    });
+  }
+
   private createSessions(): UpstreamSessions {
     return new UpstreamSessions({
       timeoutMillis: this.timings.sessionMillis,
--- /dev/null
+++ b/src/control/daemon/holder-calls.ts
@@ -0,0 +1,138 @@
+/** Task that carries calls to upstreams which take plain grants. A call without an answer has its connection reset. */
+import { Agent, type IncomingMessage, request } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Logger } from '../../logging/logger.js';
+import { parseAddress } from '../../wire/address.js';
+import type { HolderCall, HolderCallId, HolderOutcome } from '../ranges/holder-call.js';
+
+/** Paths of the calls, and the header of what an owner hands over. */
+export interface HolderProtocol {
+  readonly grantPath: string;
+  readonly releasePath: string;
+  /** Lower case. */
+  readonly handoverHeader: string;
+}
+
+export const DEFAULT_HOLDER_PROTOCOL: HolderProtocol = {
+  grantPath: '/ternmount/grant',
+  releasePath: '/ternmount/release',
+  handoverHeader: 'ternmount-handover',
+};
+
+export interface HolderCallsOptions {
+  readonly protocol: HolderProtocol;
+  /** A grant that wasn't answered in this time failed. */
+  readonly grantMillis: number;
+  /** The same for a release, which is answered once what runs has ended. */
+  readonly releaseMillis: number;
+  readonly localAddress?: string | undefined;
+  readonly log: Logger;
+  readonly ended: (call: HolderCallId, outcome: HolderOutcome) => void;
+}
+
+const CONNECTIONS_PER_UPSTREAM = 4;
+const KEEP_ALIVE_MILLIS = 4000;
+const OK = 200;
+const CONFLICT = 409;
+
+export class HolderCalls {
+  private readonly agent = new Agent({
+    keepAlive: true,
+    maxSockets: CONNECTIONS_PER_UPSTREAM,
+    timeout: KEEP_ALIVE_MILLIS,
+  });
+
+  constructor(private readonly options: HolderCallsOptions) {}
+
+  /** Makes a call; `ended` is told once how it ended. */
+  call(call: HolderCall): void {
+    const { protocol, grantMillis, releaseMillis, localAddress } = this.options;
+    const isGrant = call.kind === 'grant';
+    const { host, port } = parseAddress(call.address);
+    const body = JSON.stringify(bodyOf(call));
+    let socket: Socket | undefined;
+    let isConnected = false;
+    let isOver = false;
+    const end = (outcome: HolderOutcome): void => {
+      if (!isOver) {
+        isOver = true;
+        clearTimeout(timer);
+        this.report(call, outcome);
+      }
+    };
+    const outgoing = request({
+      agent: this.agent,
+      host,
+      port,
+      method: 'POST',
+      path: isGrant ? protocol.grantPath : protocol.releasePath,
+      headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) },
+      ...(localAddress && { localAddress }),
+    });
+    const timer = setTimeout(
+      () => {
+        end({ type: isConnected ? 'silent' : 'not-sent' });
+        reset(socket);
+        outgoing.destroy();
+      },
+      isGrant ? grantMillis : releaseMillis,
+    );
+    outgoing.on('socket', (assigned) => {
+      socket = assigned;
+      isConnected = !assigned.connecting;
+      assigned.once('connect', () => {
+        isConnected = true;
+      });
+    });
+    outgoing.on('response', (response) => {
+      response.resume();
+      response.on('end', () => end(this.outcomeOf(response)));
+      response.on('error', () => end({ type: 'silent' }));
+      response.on('close', () => end({ type: 'silent' }));
+    });
+    outgoing.on('error', (error: NodeJS.ErrnoException) => end(failureOf(error, isConnected)));
+    outgoing.end(body);
+  }
+
+  stop(): void {
+    this.agent.destroy();
+  }
+
+  private outcomeOf({ statusCode = 0, headers }: IncomingMessage): HolderOutcome {
+    if (statusCode === OK) {
+      const handover = headers[this.options.protocol.handoverHeader];
+      return { type: 'accepted', handover: typeof handover === 'string' ? handover : null };
+    }
+    return statusCode === CONFLICT ? { type: 'superseded' } : { type: 'rejected', status: statusCode };
+  }
+
+  private report(call: HolderCall, outcome: HolderOutcome): void {
+    const { kind, upstream, from, to, fence } = call;
+    const level = outcome.type === 'accepted' ? 'debug' : 'info';
+    this.options.log.log(level, 'holder-call-ended', { kind, upstream, from, to, fence, outcome });
+    this.options.ended(call.id, outcome);
+  }
+}
+
+function bodyOf(call: HolderCall): object {
+  const { from, to, fence } = call;
+  if (call.kind === 'release') {
+    return { from, to, fence };
+  }
+  const { holdMillis, handover } = call;
+  return { from, to, fence, holdMillis, ...(handover !== null && { handover }) };
+}
+
+function failureOf(error: NodeJS.ErrnoException, isConnected: boolean): HolderOutcome {
+  if (isConnected) {
+    return { type: 'silent' };
+  }
+  return { type: error.code === 'ECONNREFUSED' ? 'ended' : 'not-sent' };
+}
+
+/** What wasn't delivered yet must not arrive later. */
+function reset(socket: Socket | undefined): void {
+  if (socket !== undefined && !socket.destroyed && !socket.connecting) {
+    socket.resetAndDestroy();
+  }
+}
--- a/src/control/daemon/settings.ts
+++ b/src/control/daemon/settings.ts
@@ -5,8 +5,10 @@
 import type { Address, ClusterId, ReplicaId, Zone } from '../../model/identifiers.js';
 import { DEFAULT_WIRE_LIMITS, type WireIdentity, type WireLimits } from '../../wire/index.js';
 import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../messages.js';
+import { DEFAULT_RANGE_TIMINGS, type RangeTimings } from '../ranges/range-coordinator.js';
 import type { ControlConfig } from '../types.js';
 import type { ControlDaemon } from './control-daemon.js';
+import type { HolderProtocol } from './holder-calls.js';
 
 /** What a control daemon is started with. */
 export interface ControlDaemonSettings {
@@ -26,6 +28,8 @@
   readonly admin: Address;
   /** Shared by all processes of the cluster. */
   readonly secret: string;
+  /** How upstreams that announce themselves are called. */
+  readonly holders?: Partial<HolderProtocol>;
   readonly timings?: Partial<ControlDaemonTimings>;
   readonly wire?: Partial<WireLimits>;
   /** Makes the operators' HTTP API; without it only metrics and health are served. */
@@ -39,6 +43,9 @@
   readonly configLease: ConfigLeaseTimings;
   /** An upstream that didn't answer a session request in this time failed. */
   readonly sessionMillis: number;
+  /** The same for taking keys back, which waits for what runs on them. */
+  readonly releaseMillis: number;
+  readonly ranges: RangeTimings;
   /** An operator's request that wasn't answered in this time has an unknown outcome. */
   readonly operationMillis: number;
   /** Longest wait for another leader on a planned stop. */
@@ -48,6 +55,8 @@
   readonly snapshotEntries: number;
   /** Replace a silent voter by a caught-up spare after this; 0: never. */
   readonly replaceAfterMillis: number;
+  /** Spares get a vote of their own up to this many voters; 0: only in the place of another. */
+  readonly mostVoters: number;
 }
 
 /** What a control daemon uses unless its settings say otherwise. */
@@ -56,11 +65,14 @@
   lease: DEFAULT_LEASE_TIMINGS,
   configLease: DEFAULT_CONFIG_LEASE_TIMINGS,
   sessionMillis: 300,
+  releaseMillis: 3000,
+  ranges: DEFAULT_RANGE_TIMINGS,
   operationMillis: 15_000,
   transferMillis: 2000,
   idleMillis: 200,
   snapshotEntries: 10_000,
   replaceAfterMillis: 0,
+  mostVoters: 0,
 };
 
 /** The timings given, and the defaults for the others. */
@@ -89,7 +101,19 @@
   self: ReplicaId,
   seed: number,
 ): ControlConfig {
-  const { raft, lease, configLease, snapshotEntries, replaceAfterMillis } = controlTimings(settings);
+  const { raft, lease, configLease, snapshotEntries, replaceAfterMillis, ranges, mostVoters } =
+    controlTimings(settings);
   const { cluster } = settings;
-  return { cluster, self, seed, raft, lease, configLease, snapshotEntries, replaceAfterMillis };
+  return {
+    cluster,
+    self,
+    seed,
+    raft,
+    lease,
+    configLease,
+    snapshotEntries,
+    replaceAfterMillis,
+    ranges,
+    mostVoters,
+  };
 }
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -12,6 +12,8 @@
 import type { LoadReport } from './messages.js';
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
+import type { HolderCall, HolderCallId, HolderOutcome } from './ranges/holder-call.js';
+import { DEFAULT_RANGE_TIMINGS, RangeCoordinator } from './ranges/range-coordinator.js';
 import type { ServiceMeasures } from './service-measures.js';
 import { ShardCoordinator } from './shard-coordinator.js';
 import type { ControlConfig } from './types.js';
@@ -29,6 +31,7 @@
   readonly raft: RaftAdapter;
   readonly propose: ProposeCommand;
   readonly call: (call: SessionCall) => void;
+  readonly callHolder: (call: HolderCall) => void;
 }
 
 /** A session with the time of the upstream's last answer of any kind in this leadership. */
@@ -42,6 +45,7 @@
   readonly #granter: LeaseGranter;
   readonly #proposals: LeaderProposals;
   readonly #coordinator: ShardCoordinator;
+  readonly #ranges: RangeCoordinator;
   #isReady = false;
   #isRoundOut = false;
   #roundNotBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
@@ -65,6 +69,16 @@
       registry: () => parts.raft.registry,
       warmTimeoutMillis: config.warmTimeoutMillis,
     });
+    this.#ranges = new RangeCoordinator(
+      {
+        registry: () => parts.raft.registry,
+        propose,
+        confirm: (now, settle) => parts.raft.read(now, (confirmed) => settle(confirmed && !this.#isOver)),
+        call: parts.callHolder,
+        timings: config.ranges ?? DEFAULT_RANGE_TIMINGS,
+      },
+      electedAt,
+    );
     this.#catchUp(electedAt);
   }
 
@@ -74,8 +88,9 @@
   }
 
   /** Routing data changed. */
-  registryChanged(changes: readonly RegistryChange[]): void {
+  registryChanged(changes: readonly RegistryChange[], now: MonotonicMillis): void {
     if (this.#isReady) {
+      this.#ranges.registryChanged(now);
       this.#coordinator.registryChanged(changes);
     }
   }
@@ -83,9 +98,20 @@
   loadReported(report: LoadReport, now: MonotonicMillis): void {
     if (this.#isReady) {
       this.#coordinator.loadReported(report, now);
+      this.#ranges.loadReported(report, now);
     }
   }
 
+  /** A heartbeat of an upstream came. */
+  upstreamHeard(upstream: UpstreamId, now: MonotonicMillis): void {
+    this.#ranges.heard(upstream, now);
+  }
+
+  /** A call to an upstream that takes plain grants ended. */
+  holderAnswered(call: HolderCallId, outcome: HolderOutcome, now: MonotonicMillis): void {
+    this.#ranges.callEnded(call, outcome, now);
+  }
+
   upstreamAnswered(
     upstream: UpstreamId,
     sequence: number,
@@ -108,6 +134,7 @@
     }
     this.#proposals.expire(now);
     this.#coordinator.run(now);
+    this.#ranges.run(now);
     for (const call of this.#granter.takeCalls(now)) {
       this.#parts.call(call);
     }
@@ -124,6 +151,7 @@
       round,
       this.#proposals.nextDeadline(),
       this.#coordinator.nextDeadline(now),
+      this.#ranges.nextDeadline(),
       this.#granter.nextDeadline(),
     );
   }
--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -40,7 +40,7 @@
     const { raft, config, answer } = parts;
     this.#replacement = new ReplicaReplacement({ raft, answer, retry: this.#retry });
     this.#transfer = new LeadershipTransfer({ raft, answer, config });
-    this.#repair = new AutomaticRepair(config.replaceAfterMillis);
+    this.#repair = new AutomaticRepair(config.replaceAfterMillis, config.mostVoters);
   }
 
   /** Begins what an operator asks for; `answer` is called at its end. Only a leader does any of it. */
@@ -143,6 +143,8 @@
     const repair = this.#repair.next(raft.status(), now);
     if (repair?.type === 'replace') {
       this.#replacement.begin({ ...repair, operation: null });
+    } else if (repair?.type === 'add') {
+      this.#replacement.begin({ ...repair, oldReplica: null, operation: null });
     } else if (repair?.type === 'take-in') {
       const { replica, address } = repair;
       this.#takesIn = true;
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -44,6 +44,8 @@
   readonly snapshot: RoutingSnapshot | null;
   readonly delta: RoutingDelta | null;
   readonly leader: Address | null;
+  /** Internal addresses of all voters, for a router whose settings name others. */
+  readonly members: readonly Address[];
 }
 /** Says that there is something to fetch. Only a hint. */
 export interface ChangeNotice {
--- a/src/control/operator-requests.ts
+++ b/src/control/operator-requests.ts
@@ -1,7 +1,8 @@
 /** Operators' requests: commands go through the log, queries are linearizable reads. */
 import { longestLeaseMillis } from '../lease/lease-bound.js';
-import type { MonotonicMillis } from '../model/identifiers.js';
-import type { CommandResult } from '../registry/types.js';
+import type { MonotonicMillis, UpstreamId } from '../model/identifiers.js';
+import type { UpstreamDefinition } from '../model/service.js';
+import type { AnnouncementCommand, CommandResult, DeclarationChange } from '../registry/types.js';
 import type { MembershipChanges } from './membership-changes.js';
 import type { ProposalOutcome } from './pending-proposals.js';
 import type { ProposeCommand } from './propose-command.js';
@@ -16,13 +17,15 @@
   readonly membership: MembershipChanges;
   readonly answer: (operation: OperationId, response: OperatorResponse) => void;
   readonly status: (now: MonotonicMillis) => OperatorResponse;
+  /** A heartbeat of an upstream came. */
+  readonly heard: (upstream: UpstreamId, now: MonotonicMillis) => void;
   readonly takeSnapshot: (now: MonotonicMillis, taken: () => void) => void;
 }
 
 type CommandRequest = Extract<OperatorRequest, { readonly type: 'command' }>;
 type QueryRequest = Extract<
   OperatorRequest,
-  { readonly type: 'get-services' | 'get-upstreams' | 'get-shards' | 'get-ledger' }
+  { readonly type: 'get-services' | 'get-upstreams' | 'get-shards' | 'get-ledger' | 'get-declaration' }
 >;
 
 /** An accepted change that may not be in force on every router yet. */
@@ -50,8 +53,18 @@
       case 'get-upstreams':
       case 'get-shards':
       case 'get-ledger':
+      case 'get-declaration':
         this.#query(operation, request, now);
         break;
+      case 'declare':
+        this.#change(operation, request.change, request.actor);
+        break;
+      case 'announce':
+        this.#announce(operation, request.definition, now);
+        break;
+      case 'withdraw':
+        this.#change(operation, { type: 'upstream-withdraw', upstream: request.upstream }, request.upstream);
+        break;
       case 'get-status':
         answer(operation, this.#parts.status(now));
         break;
@@ -93,6 +106,32 @@
     this.#parts.propose(command, settle, { actor, requestId });
   }
 
+  /** A change that is safe to send again: it needs no entry in the table of request ids. */
+  #change(operation: OperationId, command: DeclarationChange | AnnouncementCommand, actor: string): void {
+    const settle = (outcome: ProposalOutcome): void =>
+      this.#parts.answer(operation, this.#responseTo(outcome));
+    this.#parts.propose(command, settle, { actor, requestId: null });
+  }
+
+  /** Most heartbeats say what is known; only news goes through the log. */
+  #announce(operation: OperationId, definition: UpstreamDefinition, now: MonotonicMillis): void {
+    const { raft, answer, heard } = this.#parts;
+    heard(definition.id, now);
+    if (!this.#isNews(definition)) {
+      const leader = raft.leaderAddress();
+      const isElsewhere = !raft.isLeader() && leader !== null;
+      answer(operation, isElsewhere ? { type: 'not-leader', leader } : { type: 'done' });
+      return;
+    }
+    this.#change(operation, { type: 'upstream-announce', definition }, definition.id);
+  }
+
+  #isNews({ id, leaving }: UpstreamDefinition): boolean {
+    const { registry } = this.#parts.raft;
+    const known = registry.upstreams().get(id);
+    return !registry.isDeparted(id) && (known === undefined || (leaving && !known.definition.leaving));
+  }
+
   /**
    * A change at revision R was applied here at `now`, so it was committed before. A router's configuration lease counts
    * from the stamp of a sync that a read round confirmed after the sync was sent. If that round began after the commit,
@@ -137,6 +176,8 @@
         return { type: 'upstreams', revision, upstreams: [...registry.upstreams().values()] };
       case 'get-shards':
         return { type: 'shards', revision, shards: findShards(registry, request) };
+      case 'get-declaration':
+        return { type: 'declaration', document: registry.declaredDocument() };
       case 'get-ledger':
         return { type: 'ledger', record: registry.ledgerRecord(request.service, request.key) ?? null };
     }
--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -94,6 +94,12 @@
     return leader === null ? null : (membership.addresses[leader] ?? null);
   }
 
+  /** Addresses of the internal ports of all voters, in a fixed order. */
+  voterAddresses(): Address[] {
+    const { voters, addresses } = this.status().membership;
+    return voters.flatMap((voter) => addresses[voter] ?? []).sort();
+  }
+
   /** Queues an input for the Raft core; `run` hands it over. */
   feed(input: RaftInput): void {
     this.#inputs.push(input);
--- /dev/null
+++ b/src/control/ranges/holder-call.ts
@@ -0,0 +1,42 @@
+/** Calls that give ranges of keys to upstreams which take plain grants, and take them back. */
+import type { Address, Epoch, UpstreamId } from '../../model/identifiers.js';
+import type { KeySpan } from '../../model/key-range.js';
+
+/** Numbers the calls of one leadership. */
+export type HolderCallId = number;
+
+interface HolderCallBase extends KeySpan {
+  readonly id: HolderCallId;
+  readonly upstream: UpstreamId;
+  readonly address: Address;
+  readonly fence: Epoch;
+}
+
+/** Gives keys for a time, or renews them. */
+export interface GrantCall extends HolderCallBase {
+  readonly kind: 'grant';
+  readonly holdMillis: number;
+  /** What the owner before handed over; `null`: nothing. */
+  readonly handover: string | null;
+}
+
+/** Takes keys back; answered once nothing runs on them any more. */
+export interface ReleaseCall extends HolderCallBase {
+  readonly kind: 'release';
+}
+
+export type HolderCall = GrantCall | ReleaseCall;
+
+/** How a call ended. */
+export type HolderOutcome =
+  | { readonly type: 'accepted'; readonly handover: string | null }
+  /** The upstream has seen a higher fence: nothing under this one holds any more. */
+  | { readonly type: 'superseded' }
+  /** It answered something else. */
+  | { readonly type: 'rejected'; readonly status: number }
+  /** Nothing listens at the address: the run that was there has ended. */
+  | { readonly type: 'ended' }
+  /** No connection was made. */
+  | { readonly type: 'not-sent' }
+  /** No answer in time; its connection was reset. */
+  | { readonly type: 'silent' };
--- /dev/null
+++ b/src/control/ranges/holder-table.ts
@@ -0,0 +1,106 @@
+/** What the leader knows of upstreams that take plain grants, from its calls to them and from their heartbeats. */
+import { HolderHistory, type TimedGrantTimings } from '../../lease/timed-grants.js';
+import type { MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
+import type { HolderCall, HolderOutcome } from './holder-call.js';
+
+/** An owner is held to be lost only after this long without an answer. */
+const LOST_AFTER_MILLIS = 1500;
+
+interface Holder {
+  readonly history: HolderHistory;
+  /** Nothing listened at its address. */
+  hasEnded: boolean;
+  heardAt: MonotonicMillis;
+}
+
+export class HolderTable {
+  readonly #holders = new Map<UpstreamId, Holder>();
+
+  /** `since`: when this leadership began. */
+  constructor(
+    private readonly timings: TimedGrantTimings,
+    private readonly since: MonotonicMillis,
+  ) {}
+
+  sent(call: HolderCall, now: MonotonicMillis): void {
+    this.#of(call.upstream).history.sent(call.id, call.kind === 'grant', now);
+  }
+
+  ended(call: HolderCall, outcome: HolderOutcome, now: MonotonicMillis): void {
+    const holder = this.#of(call.upstream);
+    switch (outcome.type) {
+      case 'accepted':
+      case 'superseded':
+      case 'rejected':
+        holder.history.answered(call.id, now);
+        holder.heardAt = now;
+        holder.hasEnded = false;
+        break;
+      case 'silent':
+        holder.history.unanswered(call.id);
+        break;
+      case 'not-sent':
+        holder.history.notSent(call.id);
+        break;
+      case 'ended':
+        holder.history.notSent(call.id);
+        holder.hasEnded = true;
+        break;
+    }
+  }
+
+  /** A heartbeat came. */
+  heard(upstream: UpstreamId, now: MonotonicMillis): void {
+    const holder = this.#of(upstream);
+    holder.heardAt = now;
+    holder.hasEnded = false;
+  }
+
+  /** Whether the run is proved to be over. */
+  hasEnded(upstream: UpstreamId): boolean {
+    return this.#holders.get(upstream)?.hasEnded ?? false;
+  }
+
+  /** Whether an owner lost what it was granted: its run is over, or it is silent and its grants have run out. */
+  isLost(upstream: UpstreamId, now: MonotonicMillis): boolean {
+    const silentSince = this.silentSince(upstream);
+    const isSilent = silentSince !== null && now - silentSince >= LOST_AFTER_MILLIS;
+    return this.hasEnded(upstream) || (isSilent && now >= this.heldUntil(upstream));
+  }
+
+  /** Whether it may still hold keys that it was granted. */
+  mayHold(upstream: UpstreamId, now: MonotonicMillis): boolean {
+    return !this.hasEnded(upstream) && now < this.heldUntil(upstream);
+  }
+
+  /** The latest time at which it may hold anything. */
+  heldUntil(upstream: UpstreamId): MonotonicMillis {
+    return this.#of(upstream).history.heldUntil();
+  }
+
+  /** Since when it leaves calls unanswered; `null`: it doesn't. */
+  silentSince(upstream: UpstreamId): MonotonicMillis | null {
+    return this.#holders.get(upstream)?.history.silentSince ?? null;
+  }
+
+  /** When it was heard last, or this leadership began. */
+  heardAt(upstream: UpstreamId): MonotonicMillis {
+    return this.#of(upstream).heardAt;
+  }
+
+  /** It is gone for good. */
+  drop(upstream: UpstreamId): void {
+    this.#holders.delete(upstream);
+  }
+
+  #of(upstream: UpstreamId): Holder {
+    const known = this.#holders.get(upstream);
+    if (known !== undefined) {
+      return known;
+    }
+    const history = new HolderHistory(this.timings, this.since);
+    const made = { history, hasEnded: false, heardAt: this.since };
+    this.#holders.set(upstream, made);
+    return made;
+  }
+}
--- /dev/null
+++ b/src/control/ranges/range-coordinator.ts
@@ -0,0 +1,219 @@
+/**
+ * The leader's work on upstreams that announce themselves: who owns which range of keys, grants and releases, and which
+ * upstreams are forgotten. A call goes out only while a quorum has confirmed this leadership a moment ago.
+ */
+import { DEFAULT_TIMED_GRANT_TIMINGS, type TimedGrantTimings } from '../../lease/timed-grants.js';
+import {
+  type MonotonicMillis,
+  parseShardId,
+  type ServiceName,
+  type UpstreamId,
+} from '../../model/identifiers.js';
+import { RANGE_KEYSPACE } from '../../model/key-range.js';
+import type { Registry, ServiceRecord } from '../../registry/types.js';
+import type { LoadReport } from '../messages.js';
+import type { ProposeCommand } from '../propose-command.js';
+import type { HolderCall, HolderCallId, HolderOutcome } from './holder-call.js';
+import { HolderTable } from './holder-table.js';
+import { RangeService, type WantedCall } from './range-service.js';
+
+/** A confirmation of this leadership is good for calls for this long. */
+const CONFIRMED_MILLIS = 150;
+/** How often everything is looked at although nothing came. */
+const LOOK_MILLIS = 100;
+/** An upstream that leaves or is silent, and owns nothing, is forgotten after this many heartbeats without a word. */
+const FORGOTTEN_LEAVING_HEARTBEATS = 8;
+const FORGOTTEN_HEARTBEATS = 60;
+
+/** Settings of grants to upstreams that take plain ones. */
+export interface RangeTimings extends TimedGrantTimings {
+  /** Usual time between two heartbeats of an upstream. */
+  readonly heartbeatMillis: number;
+}
+
+export const DEFAULT_RANGE_TIMINGS: RangeTimings = { ...DEFAULT_TIMED_GRANT_TIMINGS, heartbeatMillis: 1000 };
+
+export interface RangeCoordinatorParts {
+  readonly registry: () => Registry;
+  readonly propose: ProposeCommand;
+  /** Asks a quorum to confirm this leadership. */
+  readonly confirm: (now: MonotonicMillis, settle: (confirmed: boolean) => void) => void;
+  readonly call: (call: HolderCall) => void;
+  readonly timings: RangeTimings;
+}
+
+interface CallUnderWay {
+  readonly call: HolderCall;
+  readonly service: ServiceName;
+}
+
+export class RangeCoordinator {
+  readonly #parts: RangeCoordinatorParts;
+  readonly #holders: HolderTable;
+  readonly #services = new Map<ServiceName, RangeService>();
+  /** Services with a proposal under way. */
+  readonly #proposing = new Set<ServiceName>();
+  readonly #calls = new Map<HolderCallId, CallUnderWay>();
+  #nextCall = 1;
+  #isConfirming = false;
+  #confirmedAt = Number.NEGATIVE_INFINITY;
+  #isForgetting = false;
+  #lookAt: MonotonicMillis;
+
+  constructor(parts: RangeCoordinatorParts, now: MonotonicMillis) {
+    this.#parts = parts;
+    this.#holders = new HolderTable(parts.timings, now);
+    this.#lookAt = now;
+  }
+
+  /** Something of the registry changed. */
+  registryChanged(now: MonotonicMillis): void {
+    this.#lookAt = now;
+  }
+
+  /** A heartbeat of an upstream came. */
+  heard(upstream: UpstreamId, now: MonotonicMillis): void {
+    this.#holders.heard(upstream, now);
+  }
+
+  loadReported({ shards }: LoadReport, now: MonotonicMillis): void {
+    for (const { shard, workMillis } of shards) {
+      const parts = parseShardId(shard);
+      if (parts?.keyspace === RANGE_KEYSPACE) {
+        this.#services.get(parts.service)?.loadReported(parts.number, workMillis, now);
+      }
+    }
+  }
+
+  callEnded(id: HolderCallId, outcome: HolderOutcome, now: MonotonicMillis): void {
+    const underWay = this.#calls.get(id);
+    this.#calls.delete(id);
+    if (underWay !== undefined) {
+      this.#holders.ended(underWay.call, outcome, now);
+      this.#services.get(underWay.service)?.callEnded(underWay.call, outcome, now);
+      this.#lookAt = now;
+    }
+  }
+
+  run(now: MonotonicMillis): void {
+    if (now < this.#lookAt) {
+      return;
+    }
+    this.#lookAt = now + LOOK_MILLIS;
+    this.#lookAtServices(now);
+    for (const [name, service] of this.#services) {
+      this.#decide(name, service, now);
+    }
+    if (this.#services.size > 0) {
+      this.#sendCalls(now);
+    }
+    this.#forget(now);
+    for (const service of this.#services.values()) {
+      this.#lookAt = Math.min(this.#lookAt, Math.max(now + 1, service.nextDeadline()));
+    }
+  }
+
+  nextDeadline(): MonotonicMillis {
+    return this.#lookAt;
+  }
+
+  #lookAtServices(now: MonotonicMillis): void {
+    const { registry, timings } = this.#parts;
+    const services = registry().services();
+    for (const name of this.#services.keys()) {
+      if (!hasRanges(services.get(name))) {
+        this.#services.delete(name);
+      }
+    }
+    for (const [name, record] of services) {
+      if (hasRanges(record) && !this.#services.has(name)) {
+        const { heartbeatMillis } = timings;
+        const parts = { service: name, registry, holders: this.#holders, timings, heartbeatMillis };
+        this.#services.set(name, new RangeService(parts, now));
+      }
+    }
+  }
+
+  #decide(name: ServiceName, service: RangeService, now: MonotonicMillis): void {
+    if (this.#proposing.has(name)) {
+      return;
+    }
+    const updates = service.decide(now);
+    if (updates.length === 0) {
+      return;
+    }
+    this.#proposing.add(name);
+    this.#parts.propose({ type: 'range-update', service: name, updates }, (outcome, settledAt) => {
+      this.#proposing.delete(name);
+      this.#lookAt = settledAt;
+      service.proposalSettled(outcome.type === 'applied');
+    });
+  }
+
+  #sendCalls(now: MonotonicMillis): void {
+    if (now - this.#confirmedAt > CONFIRMED_MILLIS) {
+      this.#confirm(now);
+      return;
+    }
+    for (const [name, service] of this.#services) {
+      for (const wanted of service.takeCalls(now)) {
+        this.#send(name, wanted, now);
+      }
+    }
+  }
+
+  #send(service: ServiceName, wanted: WantedCall, now: MonotonicMillis): void {
+    const call: HolderCall = { ...wanted, id: this.#nextCall };
+    this.#nextCall += 1;
+    this.#calls.set(call.id, { call, service });
+    this.#holders.sent(call, now);
+    this.#parts.call(call);
+  }
+
+  /** Counts from when the confirmation was asked for. */
+  #confirm(now: MonotonicMillis): void {
+    if (this.#isConfirming) {
+      return;
+    }
+    this.#isConfirming = true;
+    this.#parts.confirm(now, (confirmed) => {
+      this.#isConfirming = false;
+      if (confirmed) {
+        this.#confirmedAt = now;
+        this.#lookAt = now;
+      }
+    });
+  }
+
+  /** Drops upstreams that are silent for long and own nothing. */
+  #forget(now: MonotonicMillis): void {
+    if (this.#isForgetting) {
+      return;
+    }
+    const { registry, propose, timings } = this.#parts;
+    const upstreams: UpstreamId[] = [];
+    for (const { definition } of registry().upstreams().values()) {
+      const { id, leaving, announced } = definition;
+      const heartbeats = leaving ? FORGOTTEN_LEAVING_HEARTBEATS : FORGOTTEN_HEARTBEATS;
+      const isSilent = now - this.#holders.heardAt(id) > heartbeats * timings.heartbeatMillis;
+      if (announced !== undefined && isSilent && !this.#isHolder(id)) {
+        upstreams.push(id);
+      }
+    }
+    if (upstreams.length > 0) {
+      this.#isForgetting = true;
+      propose({ type: 'upstream-forget', upstreams }, () => {
+        this.#isForgetting = false;
+      });
+    }
+  }
+
+  #isHolder(upstream: UpstreamId): boolean {
+    return [...this.#services.values()].some((service) => service.isHolder(upstream));
+  }
+}
+
+/** Whether the keys of a service are numbers owned in ranges. */
+export function hasRanges(record: ServiceRecord | undefined): boolean {
+  return record?.definition.keyspaces.some(({ kind }) => kind === 'range') ?? false;
+}
--- /dev/null
+++ b/src/control/ranges/range-releases.ts
@@ -0,0 +1,97 @@
+/**
+ * Ranges that nobody owns, on their way to the next owner: what is planned for each piece, and whether the owner before
+ * has given it up.
+ */
+import type { Epoch, MonotonicMillis } from '../../model/identifiers.js';
+import type { KeyRange } from '../../model/key-range.js';
+import type { PlannedSpan } from '../../placement/ranges/range-planner.js';
+
+/** Routers hear that there is no owner before the owner does, so that it need not turn requests away. */
+const NOTICE_MILLIS = 25;
+
+/** One piece of a range without owner. */
+export interface ReleasedPiece extends PlannedSpan {
+  readonly fence: Epoch;
+  readonly since: MonotonicMillis;
+  /** When the owner before is asked for it (again). */
+  nextAt: MonotonicMillis;
+  /** A call is under way. */
+  isAsked: boolean;
+  isReleased: boolean;
+  handover: string | null;
+}
+
+export class RangeReleases {
+  readonly #pieces = new Map<Epoch, ReleasedPiece[]>();
+  /** What was planned for spans whose owner is being taken off, until that is in force. */
+  #planned: PlannedSpan[] = [];
+
+  /** The owner of these spans is being taken off; `target` gets them next. */
+  plan(spans: readonly PlannedSpan[]): void {
+    this.#planned.push(...spans);
+  }
+
+  /** The taking off was lost. */
+  forgetPlans(): void {
+    this.#planned = [];
+  }
+
+  /** The pieces of a range; `spread` makes them where nothing was planned. */
+  piecesOf(range: KeyRange, now: MonotonicMillis, spread: () => readonly PlannedSpan[]): ReleasedPiece[] {
+    const known = this.#inside(this.#pieces.get(range.fence) ?? [], range);
+    if (known.length > 0) {
+      return known;
+    }
+    const planned = this.#inside(this.#planned, range);
+    this.#planned = this.#planned.filter((span) => !planned.includes(span));
+    const covers =
+      planned.reduce((sum, { from, to }) => sum + to - from + 1, 0) === range.to - range.from + 1;
+    const spans = covers ? planned : spread();
+    const pieces = spans.map((span) => pieceOf(span, range, now));
+    this.#pieces.set(range.fence, [...(this.#pieces.get(range.fence) ?? []), ...pieces]);
+    return pieces;
+  }
+
+  /** The piece that a release was sent for. */
+  find(fence: Epoch, from: number, to: number): ReleasedPiece | undefined {
+    return this.#pieces.get(fence)?.find((piece) => piece.from === from && piece.to === to);
+  }
+
+  /** When the owner before is to be asked next; `Infinity`: it isn't, or was. */
+  nextAt(range: KeyRange): MonotonicMillis {
+    const open = this.#inside(this.#pieces.get(range.fence) ?? [], range).filter(
+      ({ isAsked, isReleased }) => !isAsked && !isReleased,
+    );
+    return Math.min(Number.POSITIVE_INFINITY, ...open.map(({ nextAt }) => nextAt));
+  }
+
+  /** Drops what no range without owner stands for any more. */
+  keepOnly(fences: ReadonlySet<Epoch>): void {
+    for (const fence of this.#pieces.keys()) {
+      if (!fences.has(fence)) {
+        this.#pieces.delete(fence);
+      }
+    }
+  }
+
+  #inside<Span extends PlannedSpan>(spans: readonly Span[], range: KeyRange): Span[] {
+    return spans.filter(({ from, to }) => from >= range.from && to <= range.to);
+  }
+}
+
+function pieceOf(span: PlannedSpan, range: KeyRange, now: MonotonicMillis): ReleasedPiece {
+  const { from, to, target } = span;
+  const isReleased = range.former === null;
+  const nextAt = now + NOTICE_MILLIS;
+  return {
+    from,
+    to,
+    target,
+    fence: range.fence,
+    since: now,
+    nextAt,
+    isAsked: false,
+    isReleased,
+    handover: null,
+  };
+}
--- a/src/control/router-requests.ts
+++ b/src/control/router-requests.ts
@@ -152,6 +152,7 @@
       snapshot: isNews && delta === null ? registry.routingSnapshot() : null,
       delta,
       leader: raft.leaderAddress(),
+      members: raft.voterAddresses(),
     };
   }
 
--- a/src/control/shard-coordinator.ts
+++ b/src/control/shard-coordinator.ts
@@ -6,6 +6,7 @@
 import type { ReportedWork } from '../placement/index.js';
 import type { RegistryChange, ServiceRecord } from '../registry/types.js';
 import type { LoadReport } from './messages.js';
+import { hasRanges } from './ranges/range-coordinator.js';
 import { SHARDS_PER_RUN } from './registry-load.js';
 import { type CoordinatorParts, ServiceCoordinator } from './service-coordinator.js';
 import type { ServiceMeasures } from './service-measures.js';
@@ -103,7 +104,7 @@
 
   #serviceChanged(name: ServiceName, record: ServiceRecord | null, now: MonotonicMillis): void {
     const known = this.#services.get(name);
-    if (record === null || !record.definition.keyed) {
+    if (record === null || !record.definition.keyed || hasRanges(record)) {
       known?.end();
       this.#services.delete(name);
     } else if (known === undefined) {
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -22,14 +22,19 @@
   UpstreamId,
   WallMillis,
 } from '../model/identifiers.js';
+import type { UpstreamDefinition } from '../model/service.js';
 import type {
   CommandResult,
+  DeclarationChange,
+  DeclaredDocument,
   OperatorCommand,
   ServiceRecord,
   ShardRecord,
   UpstreamRecord,
 } from '../registry/types.js';
 import type { ConfigLeaseTimings, ControlToRouter, RouterToControl } from './messages.js';
+import type { HolderCall, HolderCallId, HolderOutcome } from './ranges/holder-call.js';
+import type { RangeTimings } from './ranges/range-coordinator.js';
 import type { ServiceMeasures } from './service-measures.js';
 import type { UnownedShards } from './unowned-clock.js';
 
@@ -60,6 +65,13 @@
       readonly shard?: ShardId;
     }
   | { readonly type: 'get-ledger'; readonly service: ServiceName; readonly key: string }
+  /** A change of the declared document; it carries its own precondition and may be sent again. */
+  | { readonly type: 'declare'; readonly actor: string; readonly change: DeclarationChange }
+  /** A linearizable read of the declared document. */
+  | { readonly type: 'get-declaration' }
+  /** A heartbeat of an upstream. */
+  | { readonly type: 'announce'; readonly definition: UpstreamDefinition }
+  | { readonly type: 'withdraw'; readonly upstream: UpstreamId }
   | { readonly type: 'get-status' }
   | { readonly type: 'add-learner'; readonly replica: ReplicaId; readonly address: Address }
   /** Takes a new replica in as a learner and lets it vote once it holds everything. */
@@ -89,6 +101,8 @@
   | { readonly type: 'services'; readonly revision: Revision; readonly services: readonly ServiceRecord[] }
   | { readonly type: 'upstreams'; readonly revision: Revision; readonly upstreams: readonly UpstreamRecord[] }
   | { readonly type: 'shards'; readonly revision: Revision; readonly shards: readonly ShardRecord[] }
+  /** `null`: nothing was declared as one document. */
+  | { readonly type: 'declaration'; readonly document: DeclaredDocument | null }
   | { readonly type: 'ledger'; readonly record: LedgerRecord | null }
   | {
       readonly type: 'status';
@@ -138,6 +152,7 @@
       readonly answer: SessionAnswer;
     }
   | { readonly type: 'upstream-failed'; readonly upstream: UpstreamId; readonly sequence: number }
+  | { readonly type: 'holder-answer'; readonly call: HolderCallId; readonly outcome: HolderOutcome }
   | { readonly type: 'operator-request'; readonly operation: OperationId; readonly request: OperatorRequest };
 
 /** What the host of a control core has to carry out, in this order. */
@@ -152,6 +167,8 @@
       readonly address: Address;
       readonly request: SessionRequest;
     }
+  /** Answered by `holder-answer` with the call's id. */
+  | { readonly type: 'call-holder'; readonly call: HolderCall }
   | { readonly type: 'answer-operator'; readonly operation: OperationId; readonly response: OperatorResponse }
   | {
       readonly type: 'log';
@@ -175,8 +192,12 @@
    * as spares; 0: never.
    */
   readonly replaceAfterMillis: number;
+  /** Spares get a vote of their own up to this many voters; left out: only in the place of another. */
+  readonly mostVoters?: number;
   /** Longest wait of a planned move for its target to load the shard; 0: no wait, the target gets it cold. */
   readonly warmTimeoutMillis?: number;
+  /** Grants to upstreams that announce themselves; the defaults if left out. */
+  readonly ranges?: RangeTimings;
 }
 
 /** `now` is monotonic; `wall` is stamped on commands. */
--- a/src/dev/bench/proxy/bench-snapshot.ts
+++ b/src/dev/bench/proxy/bench-snapshot.ts
@@ -22,6 +22,9 @@
     services: [{ definition: serviceOf(options), revision: GENERATION, generation: GENERATION }],
     upstreams: upstreams.map((address, index) => upstreamAt(address, index)),
     shards: Array.from({ length: shards }, (_, number) => shardOn(number, number % upstreams.length)),
+    routes: [],
+    declaration: null,
+    ranges: [],
   };
 }
 
--- a/src/dev/bench/proxy/control-standin.ts
+++ b/src/dev/bench/proxy/control-standin.ts
@@ -86,7 +86,16 @@
   private syncResponse({ stamp, have }: SyncRequest): ControlToRouter {
     const { revision } = this.snapshot;
     const snapshot = have < revision ? this.snapshot : null;
-    return { type: 'sync-response', stamp, confirmed: true, revision, snapshot, delta: null, leader: null };
+    return {
+      type: 'sync-response',
+      stamp,
+      confirmed: true,
+      revision,
+      snapshot,
+      delta: null,
+      leader: null,
+      members: [],
+    };
   }
 
   private reply(connection: FrameConnection, message: ControlToRouter): void {
--- a/src/model/service.ts
+++ b/src/model/service.ts
@@ -8,10 +8,13 @@
 /** A part of a service's keys, cut into shards. The longest matching rule of a service wins. */
 export interface KeyspaceDefinition {
   readonly name: string;
-  /** `exact` matches one key, `prefix` all keys which start with `match` ('' matches every key). */
-  readonly kind: 'exact' | 'prefix';
+  /**
+   * `exact` matches one key, `prefix` all keys which start with `match` ('' matches every key). `range`: the keys are
+   * numbers, owned in ranges that are cut as load asks for it; it stands alone and has no shards.
+   */
+  readonly kind: 'exact' | 'prefix' | 'range';
   readonly match: string;
-  /** Number of shards, 1 or more; 1 for `exact`. */
+  /** Number of shards, 1 or more; 1 for `exact`, 0 for `range`. */
   readonly shards: number;
 }
 
@@ -64,6 +67,10 @@
   /** Empty for services that aren't keyed. */
   readonly keyspaces: readonly KeyspaceDefinition[];
   readonly policy: readonly PolicyRule[];
+  /** Connections that one upstream takes from all routers together; left out: no bound is known. */
+  readonly connectionsPerUpstream?: number;
+  /** Path of its upstreams' health endpoint; left out: the routers' settings say. */
+  readonly healthPath?: string;
 }
 
 /** What operators declare for an upstream server. */
@@ -74,6 +81,16 @@
   readonly zone: Zone;
   /** Names of the keyspaces whose shards it may hold; empty: all of its service's. */
   readonly mayHold: readonly string[];
-  /** Set by `upstream drain`: no new work, its shards move away. */
+  /** Set by `upstream drain`, or said by the upstream itself: no new work, its shards move away. */
   readonly leaving: boolean;
+  /** Facts of an upstream that announced itself; left out for one that an operator declared. */
+  readonly announced?: AnnouncedFacts;
+}
+
+/** What an upstream says of itself by heartbeat. Its id names one run: a restarted one has another id. */
+export interface AnnouncedFacts {
+  /** Requests that it works on at once. */
+  readonly slots: number;
+  /** How much longer it was slow from its start when it announced itself, in milliseconds. */
+  readonly warmupMillis: number;
 }
--- /dev/null
+++ b/src/placement/ranges/range-planner.ts
@@ -0,0 +1,259 @@
+/**
+ * Which upstream should own which range of numeric keys. Moving keys is dear, so ranges stay where they are unless their
+ * owner goes or is much busier than the others; then the fewest keys that carry enough load move.
+ */
+import type { UpstreamId } from '../../model/identifiers.js';
+import { type KeyRange, type KeySpan, LARGEST_KEY, spanLength } from '../../model/key-range.js';
+import type { KeyLoads } from './key-loads.js';
+
+/** An upstream that may own ranges. */
+export interface RangeServer {
+  readonly upstream: UpstreamId;
+  /** Requests that it works on at once. */
+  readonly slots: number;
+}
+
+/** A span and who should own it. */
+export interface PlannedSpan extends KeySpan {
+  readonly target: UpstreamId;
+}
+
+const MILLIS_PER_SECOND = 1000;
+/** An owner is too busy when it is this much busier than the average, as a factor and as a share of its capacity. */
+const BUSY_FACTOR = 1.3;
+const BUSY_MARGIN = 0.1;
+/** Below this share of its capacity an owner is never too busy. */
+const LEAST_BUSY = 0.3;
+/** A move that shifts less than this share of one server's capacity isn't worth it. */
+const LEAST_SHIFT = 0.03;
+/** How far the load of a moved span may be from what is wanted. */
+const SHIFT_LEAST_FACTOR = 0.75;
+const SHIFT_MOST_FACTOR = 1.35;
+/** Most keys that one move takes, as a share of all keys. */
+const MOST_KEYS_SHARE = 0.02;
+/** Moves planned at once. */
+const MOVES_AT_ONCE = 4;
+/** Pieces that the keys of an owner which goes are cut into, so that no one server gets them all. */
+const SPREAD_PIECES = 4;
+/** Load that counts for keys nobody asked for lately, as a share of a server's capacity for all keys. */
+const IDLE_LOAD_SHARE = 0.05;
+
+/** Cuts a span among servers by their slots; for keys that nobody owned before. */
+export function divideSpan(span: KeySpan, servers: readonly RangeServer[]): PlannedSpan[] {
+  const total = servers.reduce((sum, { slots }) => sum + slots, 0);
+  const planned: PlannedSpan[] = [];
+  let before = 0;
+  let from = span.from;
+  for (const { upstream, slots } of servers) {
+    before += slots;
+    const to = span.from + Math.round((spanLength(span) * before) / total) - 1;
+    if (to >= from) {
+      planned.push({ from, to, target: upstream });
+      from = to + 1;
+    }
+  }
+  return planned;
+}
+
+/** Load by owner, in milliseconds of work a second. */
+export class ServerLoads {
+  readonly #loads = new Map<UpstreamId, number>();
+
+  constructor(
+    private readonly servers: readonly RangeServer[],
+    ranges: readonly KeyRange[],
+    private readonly loads: KeyLoads,
+  ) {
+    for (const range of ranges) {
+      if (range.owner !== null) {
+        this.add(range.owner, range);
+      }
+    }
+  }
+
+  add(upstream: UpstreamId, span: KeySpan): void {
+    this.shift(upstream, this.loads.ofSpan(span) + idleLoad(span));
+  }
+
+  shift(upstream: UpstreamId, load: number): void {
+    this.#loads.set(upstream, (this.#loads.get(upstream) ?? 0) + load);
+  }
+
+  of(upstream: UpstreamId): number {
+    return this.#loads.get(upstream) ?? 0;
+  }
+
+  /** Share of its capacity that a server uses. */
+  useOf(server: RangeServer): number {
+    return this.of(server.upstream) / capacityOf(server);
+  }
+
+  /** The least used server but `except`; `undefined` if there is no other. */
+  leastUsed(except: UpstreamId | null): RangeServer | undefined {
+    return this.#best(except, (one, other) => one < other);
+  }
+
+  mostUsed(): RangeServer | undefined {
+    return this.#best(null, (one, other) => one > other);
+  }
+
+  /** Share of all servers' capacity that is used. */
+  meanUse(): number {
+    const capacity = this.servers.reduce((sum, server) => sum + capacityOf(server), 0);
+    const load = this.servers.reduce((sum, { upstream }) => sum + this.of(upstream), 0);
+    return load / Math.max(1, capacity);
+  }
+
+  #best(
+    except: UpstreamId | null,
+    isBetter: (one: number, other: number) => boolean,
+  ): RangeServer | undefined {
+    let best: RangeServer | undefined;
+    for (const server of this.servers) {
+      const isCandidate = server.upstream !== except;
+      if (isCandidate && (best === undefined || isBetter(this.useOf(server), this.useOf(best)))) {
+        best = server;
+      }
+    }
+    return best;
+  }
+}
+
+/** Cuts the keys of an owner that goes into pieces of about equal load, each for the least used server then. */
+export function spreadSpan(span: KeySpan, loads: KeyLoads, servers: ServerLoads): PlannedSpan[] {
+  const total = loads.ofSpan(span) + idleLoad(span);
+  const planned: PlannedSpan[] = [];
+  let from = span.from;
+  let load = 0;
+  for (let key = span.from; key <= span.to; key += 1) {
+    load += loads.of(key) + IDLE_KEY_LOAD;
+    const isFull = load >= total / SPREAD_PIECES && planned.length < SPREAD_PIECES - 1;
+    if (isFull || key === span.to) {
+      const target = servers.leastUsed(null);
+      if (target === undefined) {
+        return [];
+      }
+      planned.push({ from, to: key, target: target.upstream });
+      servers.shift(target.upstream, load);
+      from = key + 1;
+      load = 0;
+    }
+  }
+  return planned;
+}
+
+/** Moves that take load off servers which are much busier than the others. */
+export function planMoves(
+  ranges: readonly KeyRange[],
+  loads: KeyLoads,
+  servers: readonly RangeServer[],
+): PlannedSpan[] {
+  const use = new ServerLoads(servers, ranges, loads);
+  const moves: PlannedSpan[] = [];
+  for (let count = 0; count < MOVES_AT_ONCE; count += 1) {
+    const move = nextMove(ranges, loads, use, moves);
+    if (move === undefined) {
+      break;
+    }
+    moves.push(move);
+  }
+  return moves;
+}
+
+function nextMove(
+  ranges: readonly KeyRange[],
+  loads: KeyLoads,
+  use: ServerLoads,
+  planned: readonly PlannedSpan[],
+): PlannedSpan | undefined {
+  const busy = use.mostUsed();
+  const idle = use.leastUsed(busy?.upstream ?? null);
+  if (busy === undefined || idle === undefined) {
+    return undefined;
+  }
+  const mean = use.meanUse();
+  const most = Math.max(LEAST_BUSY, mean * BUSY_FACTOR, mean + BUSY_MARGIN);
+  if (use.useOf(busy) <= most) {
+    return undefined;
+  }
+  const surplus = (use.useOf(busy) - mean) * capacityOf(busy);
+  const room = (mean - use.useOf(idle)) * capacityOf(idle);
+  const wanted = Math.min(surplus, room);
+  if (wanted < LEAST_SHIFT * capacityOf(idle)) {
+    return undefined;
+  }
+  const owned = ranges.filter(({ owner }) => owner === busy.upstream);
+  const span = shortestSpan(owned, loads, wanted, planned);
+  if (span === undefined) {
+    return undefined;
+  }
+  const load = loads.ofSpan(span);
+  use.shift(busy.upstream, -load);
+  use.shift(idle.upstream, load);
+  return { from: span.from, to: span.to, target: idle.upstream };
+}
+
+/** The fewest neighbouring keys of one owner that carry about the load wanted. */
+function shortestSpan(
+  ranges: readonly KeyRange[],
+  loads: KeyLoads,
+  wanted: number,
+  planned: readonly PlannedSpan[],
+): KeySpan | undefined {
+  let best: KeySpan | undefined;
+  for (const range of ranges) {
+    for (const free of withoutSpans(range, planned)) {
+      const span = shortestSpanIn(free, loads, wanted);
+      if (span !== undefined && (best === undefined || spanLength(span) < spanLength(best))) {
+        best = span;
+      }
+    }
+  }
+  return best;
+}
+
+/** What is left of a span without those that are planned already. */
+function withoutSpans(span: KeySpan, planned: readonly KeySpan[]): KeySpan[] {
+  let parts: KeySpan[] = [{ from: span.from, to: span.to }];
+  for (const { from, to } of planned) {
+    parts = parts.flatMap((part) => {
+      if (to < part.from || from > part.to) {
+        return [part];
+      }
+      const before = { from: part.from, to: from - 1 };
+      const after = { from: to + 1, to: part.to };
+      return [before, after].filter((rest) => rest.to >= rest.from);
+    });
+  }
+  return parts;
+}
+
+function shortestSpanIn(range: KeySpan, loads: KeyLoads, wanted: number): KeySpan | undefined {
+  const mostKeys = Math.ceil((LARGEST_KEY + 1) * MOST_KEYS_SHARE);
+  let best: KeySpan | undefined;
+  let from = range.from;
+  let load = 0;
+  for (let to = range.from; to <= range.to; to += 1) {
+    load += loads.of(to);
+    while (from < to && (load - loads.of(from) >= wanted * SHIFT_LEAST_FACTOR || to - from >= mostKeys)) {
+      load -= loads.of(from);
+      from += 1;
+    }
+    const isFit = load >= wanted * SHIFT_LEAST_FACTOR && load <= wanted * SHIFT_MOST_FACTOR;
+    if (isFit && (best === undefined || to - from + 1 < spanLength(best))) {
+      best = { from, to };
+    }
+  }
+  return best;
+}
+
+/** Load that keys count for which nobody asked for lately, so that they are spread too. */
+const IDLE_KEY_LOAD = (IDLE_LOAD_SHARE * MILLIS_PER_SECOND) / (LARGEST_KEY + 1);
+
+function idleLoad(span: KeySpan): number {
+  return spanLength(span) * IDLE_KEY_LOAD;
+}
+
+function capacityOf({ slots }: RangeServer): number {
+  return slots * MILLIS_PER_SECOND;
+}
--- a/src/registry/change-ring.ts
+++ b/src/registry/change-ring.ts
@@ -22,6 +22,12 @@
       return `upstream ${change.id}`;
     case 'shard':
       return `shard ${change.shard}`;
+    case 'route':
+      return `route ${change.name}`;
+    case 'declaration':
+      return 'declaration';
+    case 'range':
+      return `range ${change.service} ${change.from}`;
   }
 }
 
--- /dev/null
+++ b/src/registry/commands/declaration-apply.ts
@@ -0,0 +1,211 @@
+/** Changes the declared document, whole or in part. A change is taken as one or changes nothing. */
+import { createHash } from 'node:crypto';
+import {
+  type CallerLimits,
+  DEFAULT_CALLER_LIMITS,
+  type DeclaredService,
+  type RouteDefinition,
+} from '../../model/declaration.js';
+import { RANGE_KEYSPACE } from '../../model/key-range.js';
+import type { ServiceDefinition } from '../../model/service.js';
+import { sortKeys } from '../dedup-table.js';
+import type { Transaction } from '../registry-state.js';
+import type { CommandResult, DeclarationChange } from '../types.js';
+import { fail } from '../validation/field-checks.js';
+import {
+  validateDeclaredService,
+  validateLimits,
+  validateRoute,
+} from '../validation/validate-declaration.js';
+import { accepted, conflict } from './results.js';
+
+/** An item as it was sent and what it means. */
+interface Item<Definition> {
+  readonly source: unknown;
+  readonly definition: Definition;
+}
+
+/** The document as a change would make it. */
+interface Draft {
+  readonly routes: ReadonlyMap<string, Item<RouteDefinition>>;
+  readonly services: ReadonlyMap<string, Item<DeclaredService>>;
+  readonly limits: CallerLimits;
+  readonly limitsSource: unknown;
+}
+
+export function applyDeclaration(transaction: Transaction, change: DeclarationChange): CommandResult {
+  const { declared } = transaction.state;
+  const fingerprint = fingerprintOf(change);
+  if (declared.wasTaken(change.version, fingerprint)) {
+    return accepted(transaction);
+  }
+  const current = declared.record.version;
+  if (change.expected !== current) {
+    return conflict(current);
+  }
+  if (!Number.isSafeInteger(change.version) || change.version <= current) {
+    fail('version', `must be a whole number above ${current}`);
+  }
+  const draft = draftOf(transaction, change);
+  checkReferences(draft);
+  store(transaction, draft, change.version);
+  declared.remember(change.version, fingerprint);
+  return accepted(transaction);
+}
+
+/** Identifies all that a change says, its precondition included: a resent one is the same to the letter. */
+function fingerprintOf(change: DeclarationChange): string {
+  return createHash('sha256')
+    .update(JSON.stringify(sortKeys(change)))
+    .digest('base64');
+}
+
+function draftOf(transaction: Transaction, change: DeclarationChange): Draft {
+  const { declared } = transaction.state;
+  const isWhole = change.extent === 'whole';
+  const routes = new Map<string, Item<RouteDefinition>>();
+  const services = new Map<string, Item<DeclaredService>>();
+  if (!isWhole) {
+    for (const [name, { definition }] of declared.routes) {
+      routes.set(name, { source: declared.routeSources.get(name), definition });
+    }
+    for (const [name, source] of declared.serviceSources) {
+      services.set(name, { source, definition: validateDeclaredService('services', source) });
+    }
+  }
+  removeNamed('remove.routes', routes, change.removedRoutes);
+  removeNamed('remove.services', services, change.removedServices);
+  addItems('routes', routes, change.routes, validateRoute);
+  addItems('services', services, change.services, validateDeclaredService);
+  return { routes, services, ...limitsOf(transaction, change) };
+}
+
+function limitsOf(
+  transaction: Transaction,
+  change: DeclarationChange,
+): Pick<Draft, 'limits' | 'limitsSource'> {
+  const { declared } = transaction.state;
+  if (change.limits !== null) {
+    return { limits: validateLimits(change.limits), limitsSource: change.limits };
+  }
+  const isWhole = change.extent === 'whole';
+  return isWhole
+    ? { limits: DEFAULT_CALLER_LIMITS, limitsSource: null }
+    : { limits: declared.record.limits, limitsSource: declared.limitsSource };
+}
+
+/** A name that isn't there is gone already. */
+function removeNamed<Value>(place: string, items: Map<string, Value>, names: readonly string[]): void {
+  names.forEach((name, position) => {
+    if (typeof name !== 'string') {
+      fail(`${place}[${position}]`, 'must be a name');
+    }
+    items.delete(name);
+  });
+}
+
+function addItems<Definition extends { readonly name: string }>(
+  place: string,
+  items: Map<string, Item<Definition>>,
+  sources: readonly unknown[],
+  validate: (place: string, source: unknown) => Definition,
+): void {
+  const added = new Set<string>();
+  sources.forEach((source, position) => {
+    const definition = validate(`${place}[${position}]`, source);
+    if (added.has(definition.name)) {
+      fail(`${place}[${position}].name`, `${definition.name} stands twice`);
+    }
+    added.add(definition.name);
+    items.set(definition.name, { source, definition });
+  });
+}
+
+function checkReferences({ routes, services }: Draft): void {
+  const places = new Map<string, string>();
+  for (const { definition } of routes.values()) {
+    const { name, host, prefix, split } = definition;
+    const other = places.get(`${host} ${prefix}`);
+    if (other !== undefined) {
+      fail(`routes ${name}`, `has the same host and prefix as ${other}`);
+    }
+    places.set(`${host} ${prefix}`, name);
+    for (const { service } of split) {
+      if (!services.has(service)) {
+        fail(`routes ${name}`, `there is no service ${service}`);
+      }
+    }
+  }
+}
+
+function store(transaction: Transaction, draft: Draft, version: number): void {
+  const { declared } = transaction.state;
+  storeRoutes(transaction, draft);
+  storeServices(transaction, draft);
+  declared.limitsSource = draft.limitsSource;
+  transaction.putDeclaration({ version, limits: draft.limits, revision: transaction.revision });
+}
+
+function storeRoutes(transaction: Transaction, { routes }: Draft): void {
+  const { declared } = transaction.state;
+  for (const name of [...declared.routes.keys()]) {
+    if (!routes.has(name)) {
+      declared.routeSources.delete(name);
+      transaction.putRoute(name, null);
+    }
+  }
+  for (const [name, { source, definition }] of routes) {
+    declared.routeSources.set(name, source);
+    if (!isSame(declared.routes.get(name)?.definition, definition)) {
+      transaction.putRoute(name, { definition, revision: transaction.revision });
+    }
+  }
+}
+
+function storeServices(transaction: Transaction, { services }: Draft): void {
+  const { state, revision } = transaction;
+  const { declared } = state;
+  for (const name of [...declared.serviceSources.keys()]) {
+    if (!services.has(name)) {
+      declared.serviceSources.delete(name);
+      transaction.putService(name, null);
+      transaction.noteAll(state.ranges.drop(name));
+    }
+  }
+  for (const [name, { source, definition }] of services) {
+    declared.serviceSources.set(name, source);
+    const serviceDefinition = serviceOf(definition);
+    if (!isSame(state.services.get(name)?.definition, serviceDefinition)) {
+      transaction.putService(name, { definition: serviceDefinition, revision, generation: 0 });
+    }
+    transaction.noteAll(definition.keyed ? state.ranges.begin(name, revision) : state.ranges.drop(name));
+  }
+}
+
+function isSame(one: unknown, other: unknown): boolean {
+  return JSON.stringify(one) === JSON.stringify(other);
+}
+
+/** Longest time of a request whose route says nothing shorter. */
+const LONGEST_DEADLINE_MILLIS = 3_600_000;
+/** What holds for declared services beside what the document says; routes say how single requests are served. */
+const SERVICE_TERMS = {
+  repeatable: true,
+  priority: 'interactive',
+  deadlineMillis: LONGEST_DEADLINE_MILLIS,
+  slotsPerUpstream: 2,
+  retryBudget: 0.12,
+  queueLimit: 512,
+  holdLimitMillis: 1500,
+  coalesce: false,
+  wholeAnswerBytes: 256 * 1024,
+  retentionMillis: 0,
+  placement: { unavailability: 1, imbalance: 1, churn: 1 },
+  movesPerMinute: 60,
+  policy: [],
+} as const;
+
+function serviceOf({ name, keyed, connections, healthPath }: DeclaredService): ServiceDefinition {
+  const keyspaces = keyed ? [{ name: RANGE_KEYSPACE, kind: 'range', match: '', shards: 0 } as const] : [];
+  return { name, keyed, ...SERVICE_TERMS, keyspaces, connectionsPerUpstream: connections, healthPath };
+}
--- a/src/registry/commands/index.ts
+++ b/src/registry/commands/index.ts
@@ -2,12 +2,14 @@
 import type { Transaction } from '../registry-state.js';
 import type { Command, CommandResult } from '../types.js';
 import { InvalidDefinitionError } from '../validation/field-checks.js';
+import { applyDeclaration } from './declaration-apply.js';
 import { grantShards } from './grant-batch.js';
 import { claimKey } from './ledger-claim.js';
 import { settleClaim } from './ledger-settle.js';
 import { cancelMove } from './move-cancel.js';
 import { startMoves } from './move-start.js';
 import { applyPolicy } from './policy-apply.js';
+import { updateRanges } from './range-update.js';
 import { invalid } from './results.js';
 import { applyService } from './service-apply.js';
 import { deleteService } from './service-delete.js';
@@ -15,6 +17,7 @@
 import { openSession } from './session-open.js';
 import { moveShard } from './shard-move.js';
 import { releaseShards } from './shard-release.js';
+import { announceUpstream, forgetUpstreams, withdrawUpstream } from './upstream-announce.js';
 import { applyUpstream } from './upstream-apply.js';
 import { drainUpstream } from './upstream-drain.js';
 import { removeUpstream } from './upstream-remove.js';
@@ -59,6 +62,16 @@
       return releaseShards(transaction, command);
     case 'move-cancel':
       return cancelMove(transaction, command);
+    case 'declaration-apply':
+      return applyDeclaration(transaction, command);
+    case 'upstream-announce':
+      return announceUpstream(transaction, command);
+    case 'upstream-withdraw':
+      return withdrawUpstream(transaction, command);
+    case 'upstream-forget':
+      return forgetUpstreams(transaction, command);
+    case 'range-update':
+      return updateRanges(transaction, command);
     case 'ledger-claim':
       return claimKey(transaction, command);
     case 'ledger-settle':
--- /dev/null
+++ b/src/registry/commands/range-update.ts
@@ -0,0 +1,13 @@
+/** Gives ranges of numeric keys to other owners, or takes their owners off them. */
+import type { Transaction } from '../registry-state.js';
+import type { CommandResult, LeaderCommand } from '../types.js';
+import { acceptedIfAny } from './results.js';
+
+type RangeUpdateCommand = Extract<LeaderCommand, { type: 'range-update' }>;
+
+export function updateRanges(transaction: Transaction, command: RangeUpdateCommand): CommandResult {
+  const { state, revision } = transaction;
+  const changes = state.ranges.update(command.service, command.updates, revision);
+  transaction.noteAll(changes);
+  return acceptedIfAny(transaction, changes.length);
+}
--- a/src/registry/dedup-table.ts
+++ b/src/registry/dedup-table.ts
@@ -27,7 +27,7 @@
 }
 
 /** Copies a JSON value with the keys of each object in order, so that equal commands give equal text. */
-function sortKeys(value: unknown): unknown {
+export function sortKeys(value: unknown): unknown {
   if (Array.isArray(value)) {
     return value.map(sortKeys);
   }
--- a/src/registry/queries/routing-snapshot.ts
+++ b/src/registry/queries/routing-snapshot.ts
@@ -11,6 +11,9 @@
     services: [...state.services.values()],
     upstreams: [...state.upstreams.values()],
     shards: [...state.shards.records().values()],
+    routes: [...state.declared.routes.values()],
+    declaration: state.declared.record.version === 0 ? null : state.declared.record,
+    ranges: state.ranges.all(),
   };
   return { revision: state.revision, ...state.routing };
 }
--- /dev/null
+++ b/src/registry/range-table.ts
@@ -0,0 +1,116 @@
+/** Owners of ranges of numeric keys, service by service. The ranges of a service always cover all its keys. */
+import type { Revision, ServiceName } from '../model/identifiers.js';
+import { findRange, type KeyRange, LARGEST_KEY } from '../model/key-range.js';
+import type { RangeUpdate, RegistryChange } from './types.js';
+
+const NO_RANGES: readonly KeyRange[] = [];
+
+export class RangeTable {
+  /** Sorted by `from`; lists are replaced, never changed. */
+  readonly #services = new Map<ServiceName, readonly KeyRange[]>();
+
+  of(service: ServiceName): readonly KeyRange[] {
+    return this.#services.get(service) ?? NO_RANGES;
+  }
+
+  all(): KeyRange[] {
+    return [...this.#services.values()].flat();
+  }
+
+  /** Takes ranges that a snapshot held, sorted. */
+  restore(ranges: readonly KeyRange[]): void {
+    for (const range of ranges) {
+      this.#services.set(range.service, [...this.of(range.service), range]);
+    }
+  }
+
+  /** Begins a service with one range that nobody owns. */
+  begin(service: ServiceName, revision: Revision): RegistryChange[] {
+    if (this.#services.has(service)) {
+      return [];
+    }
+    const whole = { service, from: 0, to: LARGEST_KEY, owner: null, fence: 0, former: null, revision };
+    return this.#replace(service, [whole]);
+  }
+
+  drop(service: ServiceName): RegistryChange[] {
+    const changes = this.#replace(service, NO_RANGES);
+    this.#services.delete(service);
+    return changes;
+  }
+
+  /** Carries out those updates that fit what there is. */
+  update(service: ServiceName, updates: readonly RangeUpdate[], revision: Revision): RegistryChange[] {
+    let ranges = this.of(service);
+    for (const update of updates) {
+      ranges = withUpdate(ranges, update, revision);
+    }
+    return this.#replace(service, merge(ranges));
+  }
+
+  #replace(service: ServiceName, ranges: readonly KeyRange[]): RegistryChange[] {
+    const before = this.of(service);
+    this.#services.set(service, ranges);
+    return differences(service, before, ranges);
+  }
+}
+
+function withUpdate(
+  ranges: readonly KeyRange[],
+  update: RangeUpdate,
+  revision: Revision,
+): readonly KeyRange[] {
+  const position = findRange(ranges, update.from);
+  const range = ranges[position];
+  const { from, to, owner, former, expectedFence } = update;
+  if (range === undefined || to < from || to > range.to || range.fence !== expectedFence) {
+    return ranges;
+  }
+  const pieces: KeyRange[] = [];
+  if (range.from < from) {
+    pieces.push({ ...range, to: from - 1, revision });
+  }
+  pieces.push({ service: range.service, from, to, owner, fence: revision, former, revision });
+  if (to < range.to) {
+    pieces.push({ ...range, from: to + 1, revision });
+  }
+  return [...ranges.slice(0, position), ...pieces, ...ranges.slice(position + 1)];
+}
+
+/** Joins neighbours that stand alike. */
+function merge(ranges: readonly KeyRange[]): KeyRange[] {
+  const merged: KeyRange[] = [];
+  for (const range of ranges) {
+    const last = merged.at(-1);
+    const isAlike = last?.owner === range.owner && last.fence === range.fence && last.former === range.former;
+    if (last !== undefined && isAlike) {
+      merged[merged.length - 1] = {
+        ...last,
+        to: range.to,
+        revision: Math.max(last.revision, range.revision),
+      };
+    } else {
+      merged.push(range);
+    }
+  }
+  return merged;
+}
+
+function differences(
+  service: ServiceName,
+  before: readonly KeyRange[],
+  after: readonly KeyRange[],
+): RegistryChange[] {
+  const known = new Map(before.map((range) => [range.from, range]));
+  const changes: RegistryChange[] = [];
+  for (const range of after) {
+    if (known.get(range.from) !== range) {
+      changes.push({ type: 'range', service, from: range.from, record: range });
+    }
+    known.delete(range.from);
+  }
+  for (const from of known.keys()) {
+    changes.push({ type: 'range', service, from, record: null });
+  }
+  return changes;
+}
--- a/src/registry/registry-machine.ts
+++ b/src/registry/registry-machine.ts
@@ -1,6 +1,7 @@
 /** The replicated state machine: applies log entries in order and answers queries. */
 import type { LedgerRecord } from '../ledger/types.js';
 import type { Revision, ServiceName, ShardId, UpstreamId } from '../model/identifiers.js';
+import type { KeyRange } from '../model/key-range.js';
 import { applyCommand } from './commands/index.js';
 import { invalid } from './commands/results.js';
 import { fingerprintOf, REQUEST_ID_LIMIT } from './dedup-table.js';
@@ -13,6 +14,7 @@
 import type {
   CommandEnvelope,
   CommandResult,
+  DeclaredDocument,
   Registry,
   RegistryChange,
   RegistrySnapshotEncoder,
@@ -100,6 +102,18 @@
     return this.state.ledger.find(service, key);
   }
 
+  ranges(service: ServiceName): readonly KeyRange[] {
+    return this.state.ranges.of(service);
+  }
+
+  isDeparted(upstream: UpstreamId): boolean {
+    return this.state.departed.has(upstream);
+  }
+
+  declaredDocument(): DeclaredDocument | null {
+    return this.state.declared.document();
+  }
+
   routingSnapshot(): RoutingSnapshot {
     return routingSnapshot(this.state);
   }
--- a/src/registry/registry-state.ts
+++ b/src/registry/registry-state.ts
@@ -1,8 +1,12 @@
 /** The parts of the replicated state, and the one way to change the parts that routers see. */
 import { Ledger } from '../ledger/index.js';
+import type { DeclarationRecord, RouteRecord } from '../model/declaration.js';
 import type { Revision, ServiceName, ShardId, UpstreamId, WallMillis } from '../model/identifiers.js';
 import { ChangeRing } from './change-ring.js';
+import { DeclaredState } from './declaration/declared-state.js';
 import { DedupTable } from './dedup-table.js';
+import { DepartedUpstreams } from './departed-upstreams.js';
+import { RangeTable } from './range-table.js';
 import { ShardTable } from './shard-table.js';
 import type { RegistryChange, RoutingSnapshot, ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
 
@@ -16,6 +20,9 @@
   readonly services = new Map<ServiceName, ServiceRecord>();
   readonly upstreams = new Map<UpstreamId, UpstreamRecord>();
   readonly shards = new ShardTable();
+  readonly ranges = new RangeTable();
+  readonly departed = new DepartedUpstreams();
+  declared = new DeclaredState();
   /** What routers see, as it was last asked for; `null` once something of it changed. */
   routing: Omit<RoutingSnapshot, 'revision'> | null = null;
 
@@ -59,6 +66,27 @@
     this.note({ type: 'shard', shard, record });
   }
 
+  putRoute(name: string, record: RouteRecord | null): void {
+    if (record === null) {
+      this.state.declared.routes.delete(name);
+    } else {
+      this.state.declared.routes.set(name, record);
+    }
+    this.note({ type: 'route', name, record });
+  }
+
+  putDeclaration(record: DeclarationRecord): void {
+    this.state.declared.record = record;
+    this.note({ type: 'declaration', record });
+  }
+
+  /** Collects changes that a part of the state made itself. */
+  noteAll(changes: readonly RegistryChange[]): void {
+    for (const change of changes) {
+      this.note(change);
+    }
+  }
+
   private note(change: RegistryChange): void {
     this.state.routing = null;
     this.changes.push(change);
--- a/src/registry/snapshot-codec.ts
+++ b/src/registry/snapshot-codec.ts
@@ -2,8 +2,11 @@
 import { gunzipSync } from 'node:zlib';
 import { toError } from '../errors/ternmount-error.js';
 import { type KeptRecord, Ledger, type LedgerState, type Tombstone } from '../ledger/index.js';
+import type { Revision, UpstreamId } from '../model/identifiers.js';
+import type { KeyRange } from '../model/key-range.js';
 import { decodeShardRows } from '../model/shard-rows.js';
 import { ChangeRing } from './change-ring.js';
+import { DeclaredState } from './declaration/declared-state.js';
 import { type DedupEntry, DedupTable } from './dedup-table.js';
 import { RegistrySnapshotError } from './errors.js';
 import { RegistryState } from './registry-state.js';
@@ -62,6 +65,9 @@
   readonly #names: string[] = [];
   readonly #ledgers: ServiceLedgerDraft[] = [];
   readonly #dedup: DedupEntry[] = [];
+  #declared = new DeclaredState();
+  readonly #departed: (readonly [UpstreamId, Revision])[] = [];
+  readonly #ranges: KeyRange[] = [];
 
   take(part: SnapshotPart): void {
     switch (part.part) {
@@ -78,6 +84,15 @@
         this.#names.push(...part.names);
         this.#shards.push(...decodeShardRows(part.shards, this.#names));
         break;
+      case 'declared':
+        this.#declared = DeclaredState.fromImage(part.declared);
+        break;
+      case 'departed':
+        this.#departed.push(...part.departed);
+        break;
+      case 'ranges':
+        this.#ranges.push(...part.ranges);
+        break;
       case 'ledger': {
         const { name, active, horizon, retentionMillis } = part;
         const ledger = { horizon, retentionMillis, records: [], tombstones: [] };
@@ -119,6 +134,11 @@
     for (const record of this.#shards) {
       state.shards.put(record.shard, record);
     }
+    state.declared = this.#declared;
+    state.ranges.restore(this.#ranges);
+    for (const [upstream, revision] of this.#departed) {
+      state.departed.add(upstream, revision);
+    }
     return state;
   }
 
--- a/src/registry/snapshot-parts.ts
+++ b/src/registry/snapshot-parts.ts
@@ -3,8 +3,10 @@
  * else. Their order and content follow from the log alone, so that equal states give equal parts.
  */
 import type { KeptRecord, LedgerState, Tombstone } from '../ledger/index.js';
-import type { Revision, ServiceName, WallMillis } from '../model/identifiers.js';
+import type { Revision, ServiceName, UpstreamId, WallMillis } from '../model/identifiers.js';
+import type { KeyRange } from '../model/key-range.js';
 import { encodeShardRows, NameTable, type ShardGroup } from '../model/shard-rows.js';
+import type { DeclaredImage } from './declaration/declared-state.js';
 import type { DedupEntry } from './dedup-table.js';
 import type { RegistryState } from './registry-state.js';
 import type { ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
@@ -20,6 +22,8 @@
 const SHARD_BYTES = 30;
 const LEDGER_BYTES = 400;
 const DEDUP_BYTES = 250;
+const DEPARTED_BYTES = 30;
+const RANGE_BYTES = 150;
 
 /** One part, as JSON. */
 export type SnapshotPart =
@@ -44,6 +48,9 @@
     }
   | { readonly part: 'records'; readonly records: readonly KeptRecord[] }
   | { readonly part: 'tombstones'; readonly tombstones: readonly Tombstone[] }
+  | { readonly part: 'declared'; readonly declared: DeclaredImage }
+  | { readonly part: 'departed'; readonly departed: readonly (readonly [UpstreamId, Revision])[] }
+  | { readonly part: 'ranges'; readonly ranges: readonly KeyRange[] }
   | { readonly part: 'dedup'; readonly dedup: readonly DedupEntry[] }
   | { readonly part: 'end' };
 
@@ -55,6 +62,10 @@
   readonly services: readonly ServiceRecord[];
   readonly upstreams: readonly UpstreamRecord[];
   readonly shards: readonly ShardRecord[];
+  /** `null`: nothing was declared as one document. */
+  readonly declared: DeclaredImage | null;
+  readonly departed: readonly (readonly [UpstreamId, Revision])[];
+  readonly ranges: readonly KeyRange[];
   readonly ledger: LedgerState;
   readonly dedup: readonly DedupEntry[];
 }
@@ -62,6 +73,7 @@
 /** Takes an image of a state: copies lists, no records. */
 export function imageOf(state: RegistryState): StateImage {
   const { revision, clock, sweptAt, services, upstreams, shards, ledger, dedup } = state;
+  const { declared, departed, ranges } = state;
   return {
     revision,
     clock,
@@ -69,6 +81,9 @@
     services: [...services.values()],
     upstreams: [...upstreams.values()],
     shards: [...shards.records().values()],
+    declared: declared.toImage(),
+    departed: departed.list(),
+    ranges: ranges.all(),
     ledger: ledger.toState(),
     dedup: dedup.list(),
   };
@@ -85,6 +100,7 @@
     yield { part: 'upstreams', upstreams };
   }
   yield* shardParts(image.shards);
+  yield* declaredParts(image);
   yield* ledgerParts(image.ledger);
   for (const dedup of cut(image.dedup, () => DEDUP_BYTES)) {
     yield { part: 'dedup', dedup };
@@ -101,6 +117,18 @@
   }
 }
 
+function* declaredParts({ declared, departed, ranges }: StateImage): Generator<SnapshotPart> {
+  if (declared !== null) {
+    yield { part: 'declared', declared };
+  }
+  for (const chunk of cut(departed, () => DEPARTED_BYTES)) {
+    yield { part: 'departed', departed: chunk };
+  }
+  for (const chunk of cut(ranges, () => RANGE_BYTES)) {
+    yield { part: 'ranges', ranges: chunk };
+  }
+}
+
 function* ledgerParts({ services }: LedgerState): Generator<SnapshotPart> {
   for (const { name, active, ledger } of services) {
     const { horizon, retentionMillis } = ledger;
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -1,5 +1,6 @@
 /** The replicated state machine: what operators declared, who owns each shard, the ledger and the dedup table. */
 import type { ClaimCommand, ClaimResult, LedgerRecord, SettleCommand } from '../ledger/types.js';
+import type { DeclarationRecord, RouteRecord } from '../model/declaration.js';
 import type {
   Epoch,
   Incarnation,
@@ -9,6 +10,7 @@
   UpstreamId,
   WallMillis,
 } from '../model/identifiers.js';
+import type { KeyRange } from '../model/key-range.js';
 import type { PolicyRule, ServiceDefinition, UpstreamDefinition } from '../model/service.js';
 
 /** A declared service. */
@@ -75,6 +77,39 @@
       readonly expected: Revision | null;
     };
 
+/** A change of the declared document as its sender wrote it; items are checked when the change is applied. */
+export interface DeclarationChange {
+  readonly type: 'declaration-apply';
+  /** Version that the change makes. */
+  readonly version: number;
+  /** Version that it builds on; 0: there is none yet. */
+  readonly expected: number;
+  /** `whole`: what isn't listed goes. `partial`: items are added or replaced by name. */
+  readonly extent: 'whole' | 'partial';
+  readonly routes: readonly unknown[];
+  readonly services: readonly unknown[];
+  /** `null`: as before. */
+  readonly limits: unknown;
+  readonly removedRoutes: readonly string[];
+  readonly removedServices: readonly string[];
+}
+
+/** What upstreams say of themselves. */
+export type AnnouncementCommand =
+  /** An upstream is there, or says that it leaves. */
+  | { readonly type: 'upstream-announce'; readonly definition: UpstreamDefinition }
+  /** It will end; its id won't come back. */
+  | { readonly type: 'upstream-withdraw'; readonly upstream: UpstreamId };
+
+/** New owners of ranges of one service's keys. Each update applies only if its span lies in a range with that fence. */
+export interface RangeUpdate {
+  readonly from: number;
+  readonly to: number;
+  readonly expectedFence: Epoch;
+  readonly owner: UpstreamId | null;
+  readonly former: UpstreamId | null;
+}
+
 /** Changes that the leader itself makes. Each names what it relies on, so a stale one changes nothing. */
 export type LeaderCommand =
   /** A new incarnation was seen: the session and all grants of the one before are void (its lease ended or it said so itself). */
@@ -105,10 +140,23 @@
       readonly type: 'shard-release';
       readonly releases: readonly { readonly shard: ShardId; readonly epoch: Epoch }[];
     }
-  | { readonly type: 'move-cancel'; readonly shard: ShardId; readonly epoch: Epoch };
+  | { readonly type: 'move-cancel'; readonly shard: ShardId; readonly epoch: Epoch }
+  | {
+      readonly type: 'range-update';
+      readonly service: ServiceName;
+      readonly updates: readonly RangeUpdate[];
+    }
+  /** Upstreams that announced themselves are gone for good. */
+  | { readonly type: 'upstream-forget'; readonly upstreams: readonly UpstreamId[] };
 
 /** Every command that a log entry may hold. */
-export type Command = OperatorCommand | LeaderCommand | ClaimCommand | SettleCommand;
+export type Command =
+  | OperatorCommand
+  | DeclarationChange
+  | AnnouncementCommand
+  | LeaderCommand
+  | ClaimCommand
+  | SettleCommand;
 
 /** What a log entry of kind `command` holds, as JSON. */
 export interface CommandEnvelope {
@@ -134,7 +182,24 @@
 export type RegistryChange =
   | { readonly type: 'service'; readonly name: ServiceName; readonly record: ServiceRecord | null }
   | { readonly type: 'upstream'; readonly id: UpstreamId; readonly record: UpstreamRecord | null }
-  | { readonly type: 'shard'; readonly shard: ShardId; readonly record: ShardRecord | null };
+  | { readonly type: 'shard'; readonly shard: ShardId; readonly record: ShardRecord | null }
+  | { readonly type: 'route'; readonly name: string; readonly record: RouteRecord | null }
+  | { readonly type: 'declaration'; readonly record: DeclarationRecord | null }
+  /** The range that begins at `from`; `null`: none begins there any more. */
+  | {
+      readonly type: 'range';
+      readonly service: ServiceName;
+      readonly from: number;
+      readonly record: KeyRange | null;
+    };
+
+/** The declared document as its senders wrote it. */
+export interface DeclaredDocument {
+  readonly version: number;
+  readonly routes: readonly unknown[];
+  readonly services: readonly unknown[];
+  readonly limits: unknown;
+}
 
 /** Everything a router needs; sent whole or as changes. */
 export interface RoutingSnapshot {
@@ -142,6 +207,10 @@
   readonly services: readonly ServiceRecord[];
   readonly upstreams: readonly UpstreamRecord[];
   readonly shards: readonly ShardRecord[];
+  readonly routes: readonly RouteRecord[];
+  /** `null`: nothing was declared as one document. */
+  readonly declaration: DeclarationRecord | null;
+  readonly ranges: readonly KeyRange[];
 }
 
 /** Changes that turn the routing data of revision `from` into those of `to`. */
@@ -187,6 +256,12 @@
   /** Shards of older generations that still have an owner. While there is one, no shard of the service is granted. */
   retiredOwned(service: ServiceName): ReadonlySet<ShardId>;
   ledgerRecord(service: ServiceName, key: string): LedgerRecord | undefined;
+  /** Ranges of a service whose keys are numbers, sorted; empty for any other. */
+  ranges(service: ServiceName): readonly KeyRange[];
+  /** Whether this upstream announced itself once and is gone for good. */
+  isDeparted(upstream: UpstreamId): boolean;
+  /** `null`: nothing was declared as one document. */
+  declaredDocument(): DeclaredDocument | null;
   routingSnapshot(): RoutingSnapshot;
   /** Changes after `from`, or `undefined` if that is too long ago. */
   routingDelta(from: Revision): RoutingDelta | undefined;
--- /dev/null
+++ b/src/registry/validation/validate-declaration.ts
@@ -0,0 +1,115 @@
+/** Checks of the items of a declared document. Fields that aren't known here are kept as they came and mean nothing. */
+import {
+  type CallerLimits,
+  DEFAULT_CALLER_LIMITS,
+  type DeclaredService,
+  type RouteDefinition,
+  type SplitPart,
+} from '../../model/declaration.js';
+import {
+  checkBoolean,
+  checkList,
+  checkName,
+  checkNonEmptyText,
+  checkNumber,
+  checkObject,
+  fail,
+} from './field-checks.js';
+
+const LONGEST_NAME = 200;
+const LONGEST_PREFIX = 2000;
+const LONGEST_TIMEOUT_MILLIS = 3_600_000;
+const MOST_ATTEMPTS = 100;
+const DEFAULT_ATTEMPTS = 2;
+const DEFAULT_PRIORITY = 1;
+const DEFAULT_CONNECTIONS = 100;
+const DEFAULT_HEALTH_PATH = '/health';
+const LARGEST_LIMIT = 2 ** 40;
+/** Whether a request may be run twice without harm, by the word that says so. */
+const REPEATABLE_OF_TYPE: Readonly<Record<string, boolean>> = { safe: true, unsafe: false };
+
+/** Checks a route; throws `InvalidDefinitionError` that names the place. */
+export function validateRoute(place: string, input: unknown): RouteDefinition {
+  const fields = checkObject(place, input);
+  const name = checkNonEmptyText(`${place}.name`, fields.name, LONGEST_NAME);
+  return {
+    name,
+    host: checkNonEmptyText(`${place}.host`, fields.host, LONGEST_NAME).toLowerCase(),
+    prefix: checkPrefix(`${place}.prefix`, fields.prefix),
+    repeatable: checkType(`${place}.type`, fields.type),
+    timeoutMillis: checkNumber(`${place}.timeoutMillis`, fields.timeoutMillis, 1, LONGEST_TIMEOUT_MILLIS),
+    targetMillis: optionalNumber(
+      `${place}.targetMillis`,
+      fields.targetMillis,
+      Number(fields.timeoutMillis),
+      LONGEST_TIMEOUT_MILLIS,
+    ),
+    maxAttempts: optionalNumber(`${place}.attempts`, fields.attempts, DEFAULT_ATTEMPTS, MOST_ATTEMPTS),
+    priority: optionalNumber(`${place}.priority`, fields.priority, DEFAULT_PRIORITY, LARGEST_LIMIT, 0),
+    split: checkSplit(place, fields),
+  };
+}
+
+/** Checks a service; throws `InvalidDefinitionError` that names the place. */
+export function validateDeclaredService(place: string, input: unknown): DeclaredService {
+  const fields = checkObject(place, input);
+  const { healthPath = DEFAULT_HEALTH_PATH, keyed = false } = fields;
+  return {
+    name: checkName(`${place}.name`, fields.name),
+    healthPath: checkNonEmptyText(`${place}.healthPath`, healthPath, LONGEST_PREFIX),
+    connections: optionalNumber(
+      `${place}.connections`,
+      fields.connections,
+      DEFAULT_CONNECTIONS,
+      LARGEST_LIMIT,
+    ),
+    keyed: checkBoolean(`${place}.keyed`, keyed),
+  };
+}
+
+/** Checks limits; those left out take the defaults. Throws `InvalidDefinitionError` that names the place. */
+export function validateLimits(input: unknown): CallerLimits {
+  const fields = checkObject('limits', input);
+  const limit = (name: keyof CallerLimits): number =>
+    optionalNumber(`limits.${name}`, fields[name], DEFAULT_CALLER_LIMITS[name], LARGEST_LIMIT);
+  return {
+    headerBytes: limit('headerBytes'),
+    bodyBytes: limit('bodyBytes'),
+    headerMillis: limit('headerMillis'),
+    idleMillis: limit('idleMillis'),
+  };
+}
+
+function checkPrefix(place: string, value: unknown): string {
+  const prefix = checkNonEmptyText(place, value, LONGEST_PREFIX);
+  const isWhole = prefix.startsWith('/') && prefix.endsWith('/');
+  return isWhole ? prefix : fail(place, 'must begin and end with a slash');
+}
+
+function checkType(place: string, value: unknown): boolean {
+  const repeatable = typeof value === 'string' ? REPEATABLE_OF_TYPE[value] : undefined;
+  return repeatable ?? fail(place, 'must be safe or unsafe');
+}
+
+function optionalNumber(place: string, value: unknown, fallback: number, most: number, least = 1): number {
+  return value === undefined || value === null ? fallback : checkNumber(place, value, least, most);
+}
+
+function checkSplit(place: string, fields: Readonly<Record<string, unknown>>): SplitPart[] {
+  if (fields.split === undefined || fields.split === null) {
+    return [{ service: checkName(`${place}.service`, fields.service), weight: 1 }];
+  }
+  const parts = checkList(`${place}.split`, fields.split, MOST_ATTEMPTS).map((item, position) =>
+    checkPart(`${place}.split[${position}]`, item),
+  );
+  const isEmpty = parts.every(({ weight }) => weight === 0);
+  return isEmpty ? fail(`${place}.split`, 'needs a weight above 0') : parts;
+}
+
+function checkPart(place: string, input: unknown): SplitPart {
+  const fields = checkObject(place, input);
+  return {
+    service: checkName(`${place}.service`, fields.service),
+    weight: checkNumber(`${place}.weight`, fields.weight, 0, LARGEST_LIMIT),
+  };
+}
--- a/src/router/attempts/answer-head.ts
+++ b/src/router/attempts/answer-head.ts
@@ -55,7 +55,8 @@
   return { type: 'refused', refusal, retryAfterMillis: retryAfterMillis(head.headers) };
 }
 
-function retryAfterMillis(headers: readonly string[]): number | null {
+/** Pause that an answer asks for; `null` if it asks for none. */
+export function retryAfterMillis(headers: readonly string[]): number | null {
   const seconds = Number(findHeader(headers, 'retry-after') ?? Number.NaN);
   return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : null;
 }
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -3,22 +3,24 @@
  * is reported with its head and then streamed. A connection on which an answer is still owed is closed, never used again.
  */
 import type { Dispatcher, Pool } from 'undici';
-import { HEADERS } from '../../model/outcome.js';
 import type { AttemptNumber, AttemptResult, RouterEffect } from '../../routing/types.js';
 import type { CallerExchange } from '../caller/caller-exchange.js';
-import { findHeader, forwardedAnswerHeaders, reportedLoad } from '../caller/header-rules.js';
+import { forwardedAnswerHeaders } from '../caller/header-rules.js';
 import { isPersonal } from '../caller/request-variant.js';
-import { type AnswerHead, announcedLength, refusalOf } from './answer-head.js';
+import { type AnswerHead, announcedLength } from './answer-head.js';
 import { AnswerStream } from './answer-stream.js';
 import { AttemptAbortedError, type AttemptFailure } from './attempt-error.js';
 import { storedAnswerOf } from './stored-answer.js';
+import type { UpstreamProtocol } from './upstream-protocol.js';
 
 export type DispatchEffect = Extract<RouterEffect, { readonly type: 'dispatch' }>;
 
 export interface AttemptOptions {
   readonly effect: DispatchEffect;
   readonly exchange: CallerExchange;
-  readonly requestId: string;
+  /** Unique among the attempts of all routers. */
+  readonly attemptId: string;
+  readonly protocol: UpstreamProtocol;
   /** Bound of answers kept for resends; `null`: keep none. */
   readonly storedAnswerBytes: number | null;
   readonly streamStallMillis: number;
@@ -47,12 +49,12 @@
   }
 
   start(pool: Pool): void {
-    const { exchange, effect } = this.options;
+    const { exchange, protocol } = this.options;
     pool.dispatch(
       {
         path: exchange.head.target,
         method: exchange.head.method as Dispatcher.HttpMethod,
-        headers: [...exchange.forwardedHeaders(), ...internalHeaders(effect, this.options.requestId)],
+        headers: protocol.requestHeaders(this.options),
         body: exchange.body.length > 0 ? exchange.body : null,
       },
       this,
@@ -105,17 +107,21 @@
     }
     const headers = rawHeaders.map((part) => part.toString('latin1'));
     this.resume = resume;
-    if (findHeader(headers, HEADERS.requestId) !== this.options.requestId) {
+    const { protocol } = this.options;
+    if (!protocol.isAnswerTo(this.options, headers)) {
       this.abort('other-request-id');
       return false;
     }
     const length = announcedLength(this.options.exchange.head.method, status, headers);
-    if (length === undefined) {
+    if (length === undefined && !protocol.takesUnframed) {
       this.abort('no-length');
       return false;
     }
-    this.head = { status, headers, contentLength: length === 'chunked' ? null : length };
-    return length === 'chunked' || length <= this.options.effect.wholeAnswerBytes || this.beginStream();
+    const contentLength = typeof length === 'number' ? length : null;
+    this.head = { status, headers, contentLength };
+    return (
+      contentLength === null || contentLength <= this.options.effect.wholeAnswerBytes || this.beginStream()
+    );
   }
 
   onData(chunk: Buffer): boolean {
@@ -163,7 +169,7 @@
     const head = this.head as AnswerHead;
     const { storedAnswerBytes } = this.options;
     const body = storedAnswerBytes === null ? null : Buffer.concat(this.chunks);
-    const refusal = refusalOf(head);
+    const refusal = this.options.protocol.refusalOf(head);
     if (refusal !== null) {
       return refusal;
     }
@@ -175,7 +181,8 @@
     const { storedAnswerBytes } = this.options;
     const stored =
       storedAnswerBytes === null ? null : storedAnswerOf(status, headers, body, storedAnswerBytes);
-    return { type: 'answered', status, load: reportedLoad(headers), stored, personal: isPersonal(headers) };
+    const load = this.options.protocol.loadOf(headers);
+    return { type: 'answered', status, load, stored, personal: isPersonal(headers) };
   }
 
   private report(result: AttemptResult): void {
@@ -200,20 +207,6 @@
   }
 }
 
-/** Headers that the router adds for the upstream. */
-function internalHeaders(effect: DispatchEffect, requestId: string): string[] {
-  const deadline = Math.max(1, Math.floor(effect.deadlineMillis));
-  const headers = [HEADERS.requestId, requestId, HEADERS.deadlineMillis, String(deadline)];
-  const { credentials } = effect;
-  if (credentials !== null) {
-    headers.push(HEADERS.shard, credentials.shard);
-    headers.push(HEADERS.epoch, String(credentials.epoch));
-    headers.push(HEADERS.incarnation, credentials.incarnation);
-    headers.push(HEADERS.key, encodeURIComponent(credentials.key));
-  }
-  return headers;
-}
-
 /** The length of an answer that came in chunks is known once it is whole. */
 function withLength(headers: string[], head: AnswerHead, body: Buffer, method: string): string[] {
   if (head.contentLength !== null || method === 'HEAD') {
--- a/src/router/attempts/upstream-attempts.ts
+++ b/src/router/attempts/upstream-attempts.ts
@@ -3,12 +3,17 @@
 import { NumberedTable } from '../../routing/numbered-table.js';
 import type { AttemptNumber, AttemptResult } from '../../routing/types.js';
 import type { CallerExchange } from '../caller/caller-exchange.js';
+import type { HeaderNames } from '../header-names.js';
+import { createAnnouncedProtocol } from './announced-protocol.js';
 import { Attempt, type DispatchEffect } from './attempt.js';
+import { FENCED_PROTOCOL } from './fenced-protocol.js';
 import type { UpstreamPools } from './upstream-pools.js';
+import type { UpstreamProtocol } from './upstream-protocol.js';
 
 export interface UpstreamAttemptsParts {
   readonly incarnation: Incarnation;
   readonly pools: UpstreamPools;
+  readonly headers: HeaderNames;
   /** Larger answers of requests with a claim aren't kept for resends. */
   readonly storedAnswerBytes: number;
   readonly streamStallMillis: number;
@@ -21,7 +26,11 @@
   /** Attempts whose answers were delivered since `flow` was called last. */
   private delivered: AttemptNumber[] = [];
 
-  constructor(private readonly parts: UpstreamAttemptsParts) {}
+  private readonly announced: UpstreamProtocol;
+
+  constructor(private readonly parts: UpstreamAttemptsParts) {
+    this.announced = createAnnouncedProtocol(parts.headers);
+  }
 
   /** Sends the request of an exchange to an upstream. */
   start(effect: DispatchEffect, exchange: CallerExchange): void {
@@ -29,7 +38,8 @@
     const attempt = new Attempt({
       effect,
       exchange,
-      requestId: `${incarnation}.${effect.attempt}`,
+      attemptId: `${incarnation}.${effect.attempt}`,
+      protocol: effect.instance === null ? FENCED_PROTOCOL : this.announced,
       storedAnswerBytes: exchange.head.idempotency === null ? null : storedAnswerBytes,
       streamStallMillis,
       ended: (number, result) => this.ended(number, result),
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -25,6 +25,16 @@
 /** Reason given with a stored answer whose body was too large to keep. */
 const BODY_NOT_KEPT = 'answer-not-kept';
 
+/** Whether `Retry-After` is rounded up to whole seconds, as RFC 9110 has it, or says milliseconds as a fraction. */
+export type RetryAfterUnit = 'whole-seconds' | 'fractions';
+
+/** The two ends of a request, and how its refusals are worded. */
+export interface CallerStreams {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly retryAfterUnit: RetryAfterUnit;
+}
+
 export class CallerExchange {
   /** When it arrived, on the monotonic clock. */
   readonly arrivedAt = performance.now();
@@ -34,10 +44,17 @@
     readonly number: RequestNumber,
     readonly head: CallerRequestHead,
     readonly body: Buffer,
-    private readonly request: IncomingMessage,
-    private readonly response: ServerResponse,
+    private readonly streams: CallerStreams,
   ) {}
 
+  private get request(): IncomingMessage {
+    return this.streams.request;
+  }
+
+  private get response(): ServerResponse {
+    return this.streams.response;
+  }
+
   /** Headers for the upstream, without the router's own. */
   forwardedHeaders(): string[] {
     return forwardedRequestHeaders(this.request.rawHeaders);
@@ -92,7 +109,7 @@
   /** Gives an answer of the router's own. */
   answerOwn(answer: OwnAnswer): void {
     this.answering = true;
-    writeOwnAnswer(this.response, answer);
+    writeOwnAnswer(this.response, answer, this.streams.retryAfterUnit);
   }
 }
 
@@ -109,14 +126,18 @@
   };
 }
 
-/** Whole seconds, at least one. */
-export function retryAfterSeconds(millis: number): number {
-  return Math.max(1, Math.ceil(millis / 1000));
+/** Whole seconds, at least one; or seconds with three digits after the point. */
+export function retryAfterSeconds(millis: number, unit: RetryAfterUnit = 'whole-seconds'): number {
+  return unit === 'fractions' ? Math.ceil(millis) / 1000 : Math.max(1, Math.ceil(millis / 1000));
 }
 
-export function writeOwnAnswer(response: ServerResponse, answer: OwnAnswer): void {
+export function writeOwnAnswer(
+  response: ServerResponse,
+  answer: OwnAnswer,
+  unit: RetryAfterUnit = 'whole-seconds',
+): void {
   const { status, outcome, reason, retryAfterMillis, message } = answer;
-  const seconds = retryAfterMillis === null ? null : retryAfterSeconds(retryAfterMillis);
+  const seconds = retryAfterMillis === null ? null : retryAfterSeconds(retryAfterMillis, unit);
   const body = Buffer.from(JSON.stringify({ outcome, reason, message, retryAfterSeconds: seconds }));
   response.setHeader('content-type', 'application/json');
   response.setHeader('content-length', body.length);
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -7,13 +7,15 @@
 import type { RouterMetrics } from '../metrics.js';
 import { isTurnedAway, type TurnedAwayError } from './bad-request-error.js';
 import type { BodyReader } from './body-reader.js';
-import { CallerExchange, writeOwnAnswer } from './caller-exchange.js';
+import { CallerExchange, type RetryAfterUnit, writeOwnAnswer } from './caller-exchange.js';
 import { fingerprintOf } from './idempotency.js';
-import { type CallerRequestHead, readCallerRequest } from './request-head.js';
+import { type AddressingOptions, type CallerRequestHead, readCallerRequest } from './request-head.js';
 import { variantOf } from './request-variant.js';
 
 export interface CallerExchangesParts {
   readonly bodies: BodyReader;
+  readonly addressing: AddressingOptions;
+  readonly retryAfterUnit: RetryAfterUnit;
   readonly metrics: RouterMetrics;
   readonly log: Logger;
   readonly arrived: (request: ArrivedRequest) => void;
@@ -39,7 +41,7 @@
   accept(request: IncomingMessage, response: ServerResponse): void {
     let head: CallerRequestHead;
     try {
-      head = readCallerRequest(request);
+      head = readCallerRequest(request, this.parts.addressing);
     } catch (thrown) {
       this.turnAway(response, thrown);
       return;
@@ -80,7 +82,9 @@
     response: ServerResponse,
   ): void {
     this.count += 1;
-    const exchange = new CallerExchange(this.count, head, body, request, response);
+    const { retryAfterUnit } = this.parts;
+    const streams = { request, response, retryAfterUnit };
+    const exchange = new CallerExchange(this.count, head, body, streams);
     this.exchanges.set(exchange.number, exchange);
     response.once('close', () => this.closed(exchange));
     this.parts.arrived(arrivedRequest(exchange, request.rawHeaders));
@@ -104,17 +108,19 @@
     const retryAfterMillis = reason === 'queue-full' ? BODIES_HELD_RETRY_MILLIS : null;
     // The rest of the body isn't read, so the connection can't carry another request.
     response.setHeader('connection', 'close');
-    writeOwnAnswer(response, { status, outcome: 'not-run', reason, retryAfterMillis, message });
+    const answer = { status, outcome: 'not-run', reason, retryAfterMillis, message } as const;
+    writeOwnAnswer(response, answer, this.parts.retryAfterUnit);
     this.parts.metrics.refused('', 'not-run', reason);
   }
 }
 
 function arrivedRequest(exchange: CallerExchange, rawHeaders: readonly string[]): ArrivedRequest {
   const { number, head, body } = exchange;
-  const { service, key, method, target, deadlineMillis, idempotency } = head;
+  const { service, place, key, method, target, deadlineMillis, idempotency } = head;
   return {
     request: number,
     service,
+    ...(place !== null && { place }),
     key,
     method,
     target,
--- a/src/router/caller/header-rules.ts
+++ b/src/router/caller/header-rules.ts
@@ -38,6 +38,11 @@
   return undefined;
 }
 
+/** The headers without those called one of `names` (lower case). */
+export function withoutHeaders(rawHeaders: readonly string[], names: readonly string[]): string[] {
+  return withoutNamed(rawHeaders, names);
+}
+
 /** How many headers are called `name` (lower case). */
 export function countHeader(rawHeaders: readonly string[], name: string): number {
   let count = 0;
--- a/src/router/caller/request-head.ts
+++ b/src/router/caller/request-head.ts
@@ -1,10 +1,10 @@
 /**
- * Reads where a request goes. The path is `/<service>/...`; for keyed services the key is the header `ternmount-key`
+ * Reads where a request goes: by declared routes its host and path say so. Else the path is `/<service>/...`; for keyed services the key is the header `ternmount-key`
  * (percent-encoded) or else the second segment of the path. The upstream gets path and query as they came.
  */
 import type { IncomingMessage } from 'node:http';
 import type { ServiceName } from '../../model/identifiers.js';
-import { HEADERS } from '../../model/outcome.js';
+import type { HeaderNames } from '../header-names.js';
 import { BadRequestError } from './bad-request-error.js';
 import { countHeader } from './header-rules.js';
 import { type IdempotencyHead, readIdempotency } from './idempotency.js';
@@ -12,9 +12,13 @@
 export interface CallerRequestHead {
   readonly method: string;
   readonly target: string;
+  /** Host and path without query, for declared routes; `null`: it is addressed to `service`. */
+  readonly place: { readonly host: string; readonly path: string } | null;
+  /** The caller's own id of the request. */
+  readonly requestId: string | null;
   readonly service: ServiceName;
   readonly key: string | null;
-  /** Asked for with `ternmount-deadline-ms`. */
+  /** How long the caller will wait. */
   readonly deadlineMillis: number | null;
   readonly idempotency: IdempotencyHead | null;
 }
@@ -23,13 +27,47 @@
 const MAX_KEY_LENGTH = 1024;
 const VISIBLE_ASCII = /^[\x21-\x7e]+$/;
 
+/** How requests are addressed. */
+export interface AddressingOptions {
+  /** Whether declared routes say where a request goes. */
+  readonly byRoutes: boolean;
+  readonly headers: HeaderNames;
+}
+
 /** Throws `BadRequestError`. */
-export function readCallerRequest(request: IncomingMessage): CallerRequestHead {
+export function readCallerRequest(request: IncomingMessage, options: AddressingOptions): CallerRequestHead {
   checkHost(request);
   const target = request.url ?? '';
   if (!target.startsWith('/')) {
     throw new BadRequestError('the request target must be a path');
   }
+  return options.byRoutes
+    ? readRouted(request, target, options.headers)
+    : readAddressed(request, target, options.headers);
+}
+
+function readRouted(request: IncomingMessage, target: string, names: HeaderNames): CallerRequestHead {
+  const { headers, method = 'GET' } = request;
+  const queryStart = target.indexOf('?');
+  const path = queryStart === -1 ? target : target.slice(0, queryStart);
+  const key = headers[names.key];
+  return {
+    method,
+    target,
+    place: { host: headers.host ?? '', path },
+    requestId: textOf(headers[names.requestId]),
+    service: '',
+    key: typeof key === 'string' ? key : null,
+    deadlineMillis: readDeadline(names.deadline, headers[names.deadline]),
+    idempotency: null,
+  };
+}
+
+function textOf(header: string | string[] | undefined): string | null {
+  return typeof header === 'string' && header !== '' ? header : null;
+}
+
+function readAddressed(request: IncomingMessage, target: string, names: HeaderNames): CallerRequestHead {
   const [service, pathKey] = leadingSegments(target);
   if (service === '') {
     throw new BadRequestError('the path must be /<service>/...');
@@ -37,9 +75,11 @@
   return {
     method: request.method ?? 'GET',
     target,
+    place: null,
+    requestId: null,
     service: decode(service, 'service'),
-    key: readKey(request.headers[HEADERS.key], pathKey),
-    deadlineMillis: readDeadline(request.headers[HEADERS.deadlineMillis]),
+    key: readKey(request.headers[names.key], pathKey),
+    deadlineMillis: readDeadline(names.deadline, request.headers[names.deadline]),
     idempotency: readIdempotency(request.headers),
   };
 }
@@ -83,13 +123,13 @@
   return key;
 }
 
-function readDeadline(value: string | string[] | undefined): number | null {
+function readDeadline(name: string, value: string | string[] | undefined): number | null {
   if (value === undefined) {
     return null;
   }
   const millis = Number(value);
   if (!Number.isInteger(millis) || millis < 1 || millis > MAX_DEADLINE_MILLIS) {
-    throw new BadRequestError(`${HEADERS.deadlineMillis} must be 1 to ${MAX_DEADLINE_MILLIS}`);
+    throw new BadRequestError(`${name} must be 1 to ${MAX_DEADLINE_MILLIS}`);
   }
   return millis;
 }
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -149,7 +149,8 @@
 
   private async shutDown(): Promise<void> {
     this.log.info('stopping', { openRequests: this.task.openRequests });
-    await this.callers?.stop(this.settings.timings.idleMillis);
+    const { lameDuckMillis, idleMillis } = this.settings.timings;
+    await this.callers?.stop({ lameDuckMillis, idleMillis });
     const until = performance.now() + SETTLE_MILLIS;
     while (this.core.status().inFlight > 0 && performance.now() < until) {
       await sleep(SETTLE_CHECK_MILLIS);
@@ -160,7 +161,7 @@
     this.platform?.stop();
     this.links.stop();
     await this.pools.stop();
-    await this.admin?.stop(0);
+    await this.admin?.stop({ idleMillis: 0 });
     this.log.info('stopped');
   }
 
@@ -234,7 +235,7 @@
   }
 
   private coreConfig(): RouterConfig {
-    const { router, zone, control, timings } = this.settings;
+    const { router, zone, control, timings, whenOutOfTouch } = this.settings;
     return {
       router,
       incarnation: this.incarnation,
@@ -243,6 +244,7 @@
       control,
       configLease: timings.configLease,
       claimTimeoutMillis: timings.claimMillis,
+      ...(whenOutOfTouch !== undefined && { whenOutOfTouch }),
     };
   }
 }
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -59,6 +59,8 @@
     const { bodies, metrics, log, incarnation, pools, settings } = options;
     this.callers = new CallerExchanges({
       bodies,
+      addressing: { byRoutes: settings.byRoutes, headers: settings.headers },
+      retryAfterUnit: settings.retryAfterUnit,
       metrics,
       log,
       arrived: (request) => this.post({ type: 'request', request }),
@@ -67,6 +69,7 @@
     this.attempts = new UpstreamAttempts({
       incarnation,
       pools,
+      headers: settings.headers,
       storedAnswerBytes: settings.limits.storedAnswerBytes,
       streamStallMillis: settings.timings.streamStallMillis,
       ended: (attempt, result) => {
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -2,8 +2,11 @@
 import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../control/messages.js';
 import { STORED_BODY_LIMIT } from '../ledger/limits.js';
 import type { Address, ClusterId, RouterId, Zone } from '../model/identifiers.js';
+import type { WhenOutOfTouch } from '../routing/types.js';
 import { DEFAULT_HTTP_LIMITS, type HttpLimits } from '../wire/http/http-listener.js';
 import { DEFAULT_WIRE_LIMITS, type WireLimits } from '../wire/index.js';
+import type { RetryAfterUnit } from './caller/caller-exchange.js';
+import { DEFAULT_HEADER_NAMES, type HeaderNames } from './header-names.js';
 
 export interface RouterDaemonSettings {
   readonly cluster: ClusterId;
@@ -23,6 +26,14 @@
   readonly platformUrl?: string | null;
   /** Path of upstreams' health endpoint; that of `ternmount/upstream` if left out. */
   readonly probePath?: string;
+  /** Whether declared routes say where requests go, by host and path; `false` if left out. */
+  readonly byRoutes?: boolean;
+  /** Names of shared headers; those left out keep the project's own. */
+  readonly headers?: Partial<HeaderNames>;
+  /** Whole seconds if left out. */
+  readonly retryAfterUnit?: RetryAfterUnit;
+  /** What the router does without contact to control; it refuses if left out. */
+  readonly whenOutOfTouch?: WhenOutOfTouch;
   readonly limits?: Partial<RouterLimits>;
   readonly timings?: Partial<RouterTimings>;
   readonly http?: Partial<HttpLimits>;
@@ -56,6 +67,8 @@
   readonly idleMillis: number;
   /** Longest wait for a configuration before callers are let in, to be refused until there is one. */
   readonly firstConfigurationMillis: number;
+  /** How long a stopping router still takes connections while it calls itself not ready. */
+  readonly lameDuckMillis: number;
 }
 
 /** What the ledger keeps, in bytes before base64 makes four characters of three of them. */
@@ -78,6 +91,7 @@
   platformMillis: 2000,
   idleMillis: 500,
   firstConfigurationMillis: 3000,
+  lameDuckMillis: 0,
 };
 
 const DEFAULT_PROBE_PATH = '/ternmount/v1/health';
@@ -85,6 +99,9 @@
 /** Settings with all defaults filled in. */
 export interface CompleteRouterSettings extends RouterDaemonSettings {
   readonly probePath: string;
+  readonly byRoutes: boolean;
+  readonly headers: HeaderNames;
+  readonly retryAfterUnit: RetryAfterUnit;
   readonly limits: RouterLimits;
   readonly timings: RouterTimings;
   readonly http: HttpLimits;
@@ -95,6 +112,9 @@
   return {
     ...settings,
     probePath: settings.probePath ?? DEFAULT_PROBE_PATH,
+    byRoutes: settings.byRoutes ?? false,
+    headers: { ...DEFAULT_HEADER_NAMES, ...settings.headers },
+    retryAfterUnit: settings.retryAfterUnit ?? 'whole-seconds',
     limits: { ...DEFAULT_ROUTER_LIMITS, ...settings.limits },
     timings: { ...DEFAULT_ROUTER_TIMINGS, ...settings.timings },
     http: { ...DEFAULT_HTTP_LIMITS, ...settings.http },
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -36,20 +36,20 @@
   /** Why a work may not wait, if it may not. */
   refusalOf(work: Work): RefusalReason | undefined {
     const { service } = work;
-    const { queueLimit, holdLimitMillis } = service.definition;
+    const { queueLimit } = service.definition;
     const laneLength = service.lanes.find(work.shard)?.queue.length ?? 0;
     const laneLimit = work.shard === null ? queueLimit : Math.ceil(queueLimit * LANE_SHARE);
     if (service.waitingLength >= queueLimit || laneLength >= laneLimit || !this.makeRoom(work)) {
       return 'queue-full';
     }
-    const longest = Math.min(work.deadline - this.context.now, holdLimitMillis);
+    const longest = Math.min(work.deadline - this.context.now, work.terms.holdMillis);
     return this.estimate.untilDispatch(work) > longest * ADMITTED_SHARE ? 'would-miss-deadline' : undefined;
   }
 
   /** The limit counts from the first wait; retries don't extend it. */
   boundWait(work: Work): void {
     if (work.holdTimer === null) {
-      const end = this.context.now + work.service.definition.holdLimitMillis;
+      const end = this.context.now + work.terms.holdMillis;
       work.holdUntil = work.mayHaveRun ? work.holdUntil : Math.min(work.holdUntil, end);
       work.holdTimer = this.context.schedule(work.holdUntil, { type: 'hold-end', work });
     }
@@ -60,7 +60,7 @@
    * `unknown`. It is answered some time before its deadline all the same.
    */
   extendWait(work: Work): void {
-    const end = work.firstDeadline - work.service.definition.deadlineMillis * RESERVED_SHARE;
+    const end = work.firstDeadline - work.terms.deadlineMillis * RESERVED_SHARE;
     work.holdUntil = Math.max(end, this.context.now + LEAST_WAIT_MILLIS);
     this.context.cancelTimer(work.holdTimer);
     work.holdTimer = null;
--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -47,8 +47,8 @@
 
   private countAnswer(attempt: Attempt, status: number, took: number): void {
     const { upstream, work } = attempt;
-    if (work.shard !== null) {
-      this.context.reporter.answered(work.shard, took);
+    if (work.loadName !== null) {
+      this.context.reporter.answered(work.loadName, took);
     }
     if (status >= FIRST_SERVER_ERROR) {
       this.countFailure(attempt);
@@ -92,6 +92,6 @@
 }
 
 function slowAttemptMillis({ upstream, work }: Attempt): number {
-  const least = Math.min(LEAST_SLOW_MILLIS, work.service.definition.deadlineMillis / 2);
+  const least = Math.min(LEAST_SLOW_MILLIS, work.terms.deadlineMillis / 2);
   return Math.max(least, upstream.serviceMillis * SLOW_ATTEMPT_FACTOR);
 }
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -73,6 +73,7 @@
     this.evidence.countFailure(attempt);
     this.detach(attempt);
     work.noteMayHaveRun();
+    work.sentAttempts += 1;
     work.avoid = upstream;
     this.admission.extendWait(work);
     this.dispatcher.requeue(work);
@@ -114,10 +115,17 @@
   private refused(attempt: Attempt, refusal: FenceRefusal): void {
     const { work, upstream } = attempt;
     work.avoid = upstream;
+    work.sentAttempts += 1;
     if (refusal === 'overloaded') {
       this.retryWithinBudget(work);
       return;
     }
+    if (work.terms.route !== null) {
+      this.holdShard(attempt);
+      this.context.lease.requestSync(this.context.now);
+      this.retryWithinBudget(work);
+      return;
+    }
     if (work.shard !== null) {
       this.holdShard(attempt);
     } else if (refusal !== 'draining') {
@@ -144,9 +152,9 @@
   private broken(attempt: Attempt): void {
     const { work, upstream } = attempt;
     work.noteMayHaveRun();
+    work.sentAttempts += 1;
     work.avoid = upstream;
-    const repeatable = work.claim === null && work.service.definition.repeatable;
-    if (!repeatable) {
+    if (!work.isRepeatable) {
       this.answers.refuseWork(work, 'upstream-failed', null);
       return;
     }
@@ -173,6 +181,10 @@
   }
 
   private retryWithinBudget(work: Work): void {
+    if (work.sentAttempts >= work.terms.maxAttempts) {
+      this.answers.refuseWork(work, 'attempts-spent', this.admission.retryAfter(work));
+      return;
+    }
     if (work.service.retryBudget.tryRetry()) {
       this.dispatcher.requeue(work);
       return;
--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -2,7 +2,7 @@
 import type { FenceCredentials } from '../lease/types.js';
 import type { RouterContext } from './router-context.js';
 import type { UpstreamState } from './upstream-state.js';
-import type { Attempt, Work } from './work.js';
+import type { Attempt, SentGrant, Work } from './work.js';
 
 /** Numbers the attempts of one router core. */
 export class AttemptStarter {
@@ -10,8 +10,16 @@
 
   constructor(private readonly context: RouterContext) {}
 
-  /** `credentials`: what the owner's fence checks; `null` for services that aren't keyed. */
-  start(work: Work, upstream: UpstreamState, credentials: FenceCredentials | null): void {
+  /**
+   * `grant`: what the owner holds; `null` for services that aren't keyed. `credentials`: what its fence checks; `null`
+   * without one.
+   */
+  start(
+    work: Work,
+    upstream: UpstreamState,
+    grant: SentGrant | null,
+    credentials: FenceCredentials | null,
+  ): void {
     const { context } = this;
     const { service } = work;
     const attempt: Attempt = {
@@ -20,7 +28,7 @@
       upstream,
       sentFor: work.request.request,
       startedAt: context.now,
-      grant: credentials,
+      grant,
       overSince: null,
       abandoned: false,
     };
@@ -42,6 +50,7 @@
       upstream: upstream.id,
       address: upstream.record.definition.address,
       credentials,
+      instance: upstream.record.definition.announced === undefined ? null : upstream.id,
       deadlineMillis: work.deadline - context.now,
       wholeAnswerBytes: service.definition.wholeAnswerBytes,
     });
--- a/src/routing/configuration-lease.ts
+++ b/src/routing/configuration-lease.ts
@@ -4,6 +4,7 @@
  */
 import type { ConfigLeaseTimings, SyncResponse } from '../control/messages.js';
 import type { Address, MonotonicMillis, Revision } from '../model/identifiers.js';
+import type { WhenOutOfTouch } from './types.js';
 
 /** Shortest time between two requests that were asked for out of turn. */
 const FORCED_SYNC_GAP_MILLIS = 20;
@@ -24,6 +25,7 @@
   private lastSentAt = Number.NEGATIVE_INFINITY;
   /** Since when the present member owes an answer; `null`: it owes none. */
   private owedSince: MonotonicMillis | null = null;
+  private members: readonly Address[];
   private memberIndex: number;
   private wantsSnapshot = false;
   private noticed: Revision = 0;
@@ -33,20 +35,23 @@
 
   /** `firstMember` spreads the routers over the control members. */
   constructor(
-    private readonly members: readonly Address[],
+    private readonly settingsMembers: readonly Address[],
     private readonly timings: ConfigLeaseTimings,
     firstMember: number,
+    private readonly whenOutOfTouch: WhenOutOfTouch = 'refuse',
   ) {
-    this.memberIndex = members.length === 0 ? 0 : firstMember % members.length;
+    this.members = settingsMembers;
+    this.memberIndex = settingsMembers.length === 0 ? 0 : firstMember % settingsMembers.length;
   }
 
-  /** End of the lease; `-Infinity` before the first confirmed answer. */
+  /** End of the lease; `-Infinity` before the first confirmed answer, `Infinity` after it if the router serves on. */
   get end(): MonotonicMillis {
-    return this.validUntil;
+    const servesOn = this.whenOutOfTouch === 'serve' && this.validUntil !== Number.NEGATIVE_INFINITY;
+    return servesOn ? Number.POSITIVE_INFINITY : this.validUntil;
   }
 
   isValid(now: MonotonicMillis): boolean {
-    return now < this.validUntil;
+    return now < this.end;
   }
 
   /** When `takeSync` has something to do next. */
@@ -86,6 +91,19 @@
     }
   }
 
+  /** A member named the voters: they are asked from now on, and those of the settings after them. */
+  learnMembers(voters: readonly Address[]): void {
+    if (voters.length === 0) {
+      return;
+    }
+    const members = [...new Set([...voters, ...this.settingsMembers])];
+    if (members.join() !== this.members.join()) {
+      const present = this.currentMember();
+      this.members = members;
+      this.memberIndex = Math.max(0, members.indexOf(present));
+    }
+  }
+
   /** A connection to a member broke; an answer owed by it won't come. */
   memberLost(member: Address, now: MonotonicMillis): void {
     if (member !== this.currentMember()) {
--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -42,8 +42,10 @@
         this.applyService(change.name, change.record, remapped);
       } else if (change.type === 'upstream') {
         this.applyUpstream(change.id, change.record);
-      } else {
+      } else if (change.type === 'shard') {
         this.applyShard(change.shard, change.record);
+      } else if (change.type === 'range') {
+        this.noteRangesChanged(change.service, remapped);
       }
     }
     this.firstSnapshot = false;
@@ -114,7 +116,12 @@
       return;
     }
     const coldSince = this.firstSnapshot ? Number.NEGATIVE_INFINITY : now;
-    const state = new UpstreamState(record, service.definition.slotsPerUpstream, coldSince);
+    const { announced } = record.definition;
+    const state = new UpstreamState(
+      record,
+      announced?.slots ?? service.definition.slotsPerUpstream,
+      coldSince,
+    );
     upstreams.set(state.id, state);
     service.addUpstream(state);
   }
@@ -125,6 +132,14 @@
     this.context.services.get(state.record.definition.service)?.removeUpstream(state.id);
   }
 
+  /** Ranges are cut and joined, so keys that wait may be of another one now. */
+  private noteRangesChanged(name: string, remapped: Set<ServiceState>): void {
+    const service = this.context.services.get(name);
+    if (service !== undefined) {
+      remapped.add(service);
+    }
+  }
+
   private applyShard(shard: string, record: ShardRecord | null): void {
     const service = this.context.services.get(shard.slice(0, shard.indexOf('/')));
     const lane = service?.lanes.find(shard);
--- a/src/routing/configuration-view.ts
+++ b/src/routing/configuration-view.ts
@@ -3,6 +3,7 @@
  * It never goes back to a lower revision, whatever order answers arrive in.
  */
 import type { KeyMap } from '../lease/types.js';
+import type { DeclarationRecord } from '../model/declaration.js';
 import type { Revision, ServiceName, ShardId, UpstreamId } from '../model/identifiers.js';
 import { shardOfKey } from '../model/key-map.js';
 import type {
@@ -13,6 +14,8 @@
   ShardRecord,
   UpstreamRecord,
 } from '../registry/types.js';
+import { RangeView, rangeShardId } from './range-view.js';
+import { RouteTable } from './route-table.js';
 
 export type ApplyOutcome =
   /** The view is at a new revision; `changes` says what differs from before. */
@@ -30,6 +33,9 @@
   private readonly keyMaps = new Map<ServiceName, KeyMap>();
   private readonly upstreams = new Map<UpstreamId, UpstreamRecord>();
   private readonly shards = new Map<ShardId, ShardRecord>();
+  private readonly ranges = new RangeView();
+  readonly routes = new RouteTable();
+  private declared: DeclarationRecord | null = null;
 
   /** Revision held; 0 before the first snapshot. */
   get revision(): Revision {
@@ -49,17 +55,30 @@
     return [...this.upstreams.values()].filter((record) => record.definition.service === service);
   }
 
+  /** What holds for the declared document as a whole; `null`: nothing was declared. */
+  get declaration(): DeclarationRecord | null {
+    return this.declared;
+  }
+
   /** Who owns a shard; `undefined` if it was never granted. */
   shard(shard: ShardId): ShardRecord | undefined {
-    return this.shards.get(shard);
+    return this.shards.get(shard) ?? this.ranges.shard(shard);
   }
 
   /** The shard which takes a key of a service; `undefined` if none does. */
   shardOfKey(service: ServiceName, key: string): ShardId | undefined {
+    if (this.ranges.has(service)) {
+      return this.ranges.shardOfKey(service, key);
+    }
     const keyMap = this.keyMaps.get(service);
     return keyMap === undefined ? undefined : shardOfKey(keyMap, key);
   }
 
+  /** Under which name the load of a key is reported: that of its shard, or its own where ranges can be cut. */
+  loadName(service: ServiceName, key: string, shard: ShardId): ShardId {
+    return this.ranges.has(service) ? rangeShardId(service, Number(key)) : shard;
+  }
+
   /** Takes over a snapshot if it is newer. */
   applySnapshot(snapshot: RoutingSnapshot): ApplyOutcome {
     if (snapshot.revision <= this.held) {
@@ -98,6 +117,13 @@
         changes.push({ type: 'shard', shard: record.shard, record });
       }
     }
+    for (const record of snapshot.routes) {
+      changes.push({ type: 'route', name: record.definition.name, record });
+    }
+    for (const record of snapshot.ranges) {
+      changes.push({ type: 'range', service: record.service, from: record.from, record });
+    }
+    changes.push({ type: 'declaration', record: snapshot.declaration });
     return changes;
   }
 
@@ -109,6 +135,12 @@
     const serviceNames = new Set(snapshot.services.map((record) => record.definition.name));
     const upstreamIds = new Set(snapshot.upstreams.map((record) => record.definition.id));
     const shardIds = new Set(snapshot.shards.map((record) => record.shard));
+    const routeNames = new Set(snapshot.routes.map(({ definition }) => definition.name));
+    const rangeStarts = new Set(snapshot.ranges.map(({ service, from }) => rangeShardId(service, from)));
+    const goneRoutes = this.routes.names().filter((name) => !routeNames.has(name));
+    const goneRanges = this.ranges
+      .list()
+      .filter((range) => !rangeStarts.has(rangeShardId(range.service, range.from)));
     const goneServices = [...this.services.keys()].filter((name) => !serviceNames.has(name));
     const goneUpstreams = [...this.upstreams.keys()].filter((id) => !upstreamIds.has(id));
     const goneShards = [...this.shards.keys()].filter((shard) => !shardIds.has(shard));
@@ -116,18 +148,39 @@
       ...goneServices.map((name): RegistryChange => ({ type: 'service', name, record: null })),
       ...goneUpstreams.map((id): RegistryChange => ({ type: 'upstream', id, record: null })),
       ...goneShards.map((shard): RegistryChange => ({ type: 'shard', shard, record: null })),
+      ...goneRoutes.map((name): RegistryChange => ({ type: 'route', name, record: null })),
+      ...goneRanges.map(
+        ({ service, from }): RegistryChange => ({ type: 'range', service, from, record: null }),
+      ),
     ];
   }
 
   private applyChanges(changes: readonly RegistryChange[]): void {
     for (const change of changes) {
-      if (change.type === 'service') {
+      this.applyChange(change);
+    }
+    this.ranges.settle();
+  }
+
+  private applyChange(change: RegistryChange): void {
+    switch (change.type) {
+      case 'service':
         this.applyService(change.name, change.record);
-      } else if (change.type === 'upstream') {
+        return;
+      case 'upstream':
         put(this.upstreams, change.id, change.record);
-      } else {
+        return;
+      case 'shard':
         put(this.shards, change.shard, change.record);
-      }
+        return;
+      case 'route':
+        this.routes.put(change.name, change.record?.definition ?? null);
+        return;
+      case 'declaration':
+        this.declared = change.record;
+        return;
+      case 'range':
+        this.ranges.put(change.service, change.from, change.record);
     }
   }
 
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -128,6 +128,7 @@
       return false;
     }
     work.shard = shard;
+    work.loadName = view.loadName(definition.name, key as string, shard);
     work.shardRevision = view.revision;
     return true;
   }
@@ -172,7 +173,7 @@
       this.answers.refuseWork(work, 'deadline-passed', null);
       return 'answered';
     }
-    if (!work.service.definition.repeatable && work.claim?.state !== 'granted') {
+    if (work.needsClaim && work.claim?.state !== 'granted') {
       // The service was declared non-repeatable while the request waited: the caller has to come again with a claim.
       this.answers.refuseWork(work, 'idempotency-key-required', null);
       return 'answered';
@@ -189,7 +190,7 @@
     }
     const weigh = this.weigherOf(work);
     const upstream = service.picker.pick({ candidates, zone: config.zone, now, random, weigh });
-    this.attempts.start(work, upstream, null);
+    this.attempts.start(work, upstream, null, null);
     return 'dispatched';
   }
 
@@ -199,12 +200,11 @@
     if (owner === undefined || owner.upstream.evidence.operatorLeaving || !owner.upstream.hasSlot(now)) {
       return 'waits';
     }
-    this.attempts.start(work, owner.upstream, {
-      shard,
-      epoch: owner.epoch,
-      incarnation: owner.incarnation,
-      key: work.request.key as string,
-    });
+    const { epoch, incarnation, upstream } = owner;
+    const hasFence = upstream.record.definition.announced === undefined;
+    const key = work.request.key as string;
+    const credentials = hasFence ? { shard, epoch, incarnation, key } : null;
+    this.attempts.start(work, upstream, { shard, epoch, endsAttempts: hasFence }, credentials);
     return 'dispatched';
   }
 
--- a/src/routing/lost-attempts.ts
+++ b/src/routing/lost-attempts.ts
@@ -74,7 +74,7 @@
   }
 
   private isGrantOver({ grant }: Attempt): boolean {
-    if (grant === null) {
+    if (grant === null || !grant.endsAttempts) {
       return false;
     }
     const record = this.context.view.shard(grant.shard);
@@ -85,8 +85,8 @@
   private mayMoveOn(attempt: Attempt): boolean {
     const { now } = this.context;
     const { work, upstream } = attempt;
-    const isRead = work.claim === null && work.service.definition.repeatable;
-    if (!isRead || work.shard !== null || !isOverdue(attempt, now)) {
+    const mayRepeat = work.isRepeatable && work.sentAttempts + 1 < work.terms.maxAttempts;
+    if (!mayRepeat || work.shard !== null || !isOverdue(attempt, now)) {
       return false;
     }
     return work.service.candidates(now, upstream).some((candidate) => candidate !== upstream);
--- a/src/routing/outcome-table.ts
+++ b/src/routing/outcome-table.ts
@@ -35,6 +35,7 @@
 const STATUS_OF_REASON: Readonly<Record<RefusalReason, number>> = {
   'no-configuration': 503,
   'unknown-service': 404,
+  'unknown-route': 404,
   'key-required': 400,
   'idempotency-key-required': 400,
   'idempotency-key-mismatch': 422,
@@ -50,6 +51,7 @@
   'policy-refused': 429,
   'upstream-failed': 503,
   'retry-budget-spent': 503,
+  'attempts-spent': 503,
 };
 
 const BAD_GATEWAY = 502;
--- a/src/routing/random.ts
+++ b/src/routing/random.ts
@@ -16,6 +16,11 @@
     return bound <= 1 ? 0 : uniformInt(this.generator, 0, bound - 1);
   }
 
+  /** A number from 0 up to, but not including, 1. */
+  share(): number {
+    return uniformFloat64(this.generator);
+  }
+
   /** `value` spread evenly over `value * (1 ± share)`, so that callers told the same wait don't return together. */
   jitter(value: number, share: number): number {
     return value * (1 - share + 2 * share * uniformFloat64(this.generator));
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -1,11 +1,14 @@
 /** A request's way from its arrival to the dispatcher: checks, joining, the ledger, policy. */
 import type { ClaimResult, StoredAnswer } from '../ledger/types.js';
-import type { ShardId } from '../model/identifiers.js';
+import type { RouteDefinition } from '../model/declaration.js';
+import type { ServiceName, ShardId } from '../model/identifiers.js';
 import type { Admission } from './admission.js';
 import type { Answers } from './answers.js';
 import type { ClaimFlow, ClaimListener } from './claim-flow.js';
 import type { LedgerWord } from './outcome-table.js';
 import type { PolicyGate } from './policy-gate.js';
+import { type RequestTerms, termsOfRoute, termsOfService } from './request-terms.js';
+import { drawService } from './route-table.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
 import type { ArrivedRequest, RefusalReason } from './types.js';
@@ -40,26 +43,33 @@
 
   arrive(request: ArrivedRequest): void {
     const { context } = this;
-    const service = context.services.get(request.service);
+    const route = this.routeOf(request);
+    const service = context.services.get(this.serviceOf(request, route));
     if (!context.lease.isValid(context.now)) {
       const wait = this.admission.unmeasuredRetryAfter();
       this.answers.refuseArrival(request, 'no-configuration', ledgerWordOf(request, undefined), wait);
       return;
     }
     const shard = service === undefined ? null : this.shardOf(request, service);
-    const fault = service === undefined ? 'unknown-service' : this.faultOf(request, service, shard);
-    if (service === undefined || fault !== undefined) {
-      this.answers.refuseArrival(request, fault as RefusalReason, ledgerWordOf(request, service), null);
+    const terms = service === undefined ? undefined : termsOf(service, route);
+    if (service === undefined || terms === undefined) {
+      this.answers.refuseArrival(request, unknownPlace(request), ledgerWordOf(request, service), null);
       return;
     }
-    const key = coalesceKeyOf(request, service);
+    const fault = this.faultOf(request, service, shard, terms);
+    if (fault !== undefined) {
+      this.answers.refuseArrival(request, fault, ledgerWordOf(request, service), null);
+      return;
+    }
+    const key = coalesceKeyOf(request, service, terms);
     const joined = key === null ? undefined : service.joinable.get(key);
     if (joined !== undefined && this.mayJoin(joined)) {
       this.join(joined, request);
       return;
     }
-    const work = new Work(service);
+    const work = new Work(service, terms);
     work.shard = shard;
+    work.loadName = shard === null ? null : context.view.loadName(service.name, request.key as string, shard);
     work.shardRevision = context.view.revision;
     this.addMember(work, request);
     this.makeJoinable(work, key);
@@ -117,12 +127,13 @@
     request: ArrivedRequest,
     service: ServiceState,
     shard: ShardId | null,
+    terms: RequestTerms,
   ): RefusalReason | undefined {
-    const { keyed, repeatable, queueLimit } = service.definition;
+    const { keyed, queueLimit } = service.definition;
     if (keyed && shard === null) {
       return 'key-required';
     }
-    if (!repeatable && request.idempotency === null) {
+    if (terms.needsClaim && request.idempotency === null) {
       return 'idempotency-key-required';
     }
     if (request.deadlineMillis !== null && request.deadlineMillis <= 0) {
@@ -133,6 +144,18 @@
     return tooMany ? 'queue-full' : undefined;
   }
 
+  /** The declared route of a request that goes by host and path. */
+  private routeOf({ place }: ArrivedRequest): RouteDefinition | undefined {
+    return place === undefined ? undefined : this.context.view.routes.find(place.host, place.path);
+  }
+
+  private serviceOf(request: ArrivedRequest, route: RouteDefinition | undefined): ServiceName {
+    if (request.place === undefined) {
+      return request.service;
+    }
+    return route === undefined ? '' : drawService(route.split, this.context.random);
+  }
+
   /** The shard of a request's key; `null` without one, and for services that aren't keyed. */
   private shardOf(request: ArrivedRequest, service: ServiceState): ShardId | null {
     const { key } = request;
@@ -141,7 +164,7 @@
 
   private addMember(work: Work, request: ArrivedRequest): void {
     const { now } = this.context;
-    const ownMillis = work.service.definition.deadlineMillis;
+    const ownMillis = work.terms.deadlineMillis;
     const deadline = now + Math.min(ownMillis, request.deadlineMillis ?? ownMillis);
     const member: Member = { request, work, deadline, mayHaveRun: false, deadlineTimer: null };
     member.deadlineTimer = this.context.schedule(deadline, { type: 'deadline', member });
@@ -169,7 +192,7 @@
 
   private begin(work: Work): void {
     const { idempotency } = work.request;
-    if (work.service.definition.repeatable || idempotency === null) {
+    if (!work.needsClaim || idempotency === null) {
       this.policyGate.pass(work);
       return;
     }
@@ -194,6 +217,15 @@
   }
 }
 
+function termsOf(service: ServiceState, route: RouteDefinition | undefined): RequestTerms {
+  const { definition } = service;
+  return route === undefined ? termsOfService(definition) : termsOfRoute(route, definition);
+}
+
+function unknownPlace({ place }: ArrivedRequest): RefusalReason {
+  return place === undefined ? 'unknown-service' : 'unknown-route';
+}
+
 /** A key may have been used on another router before, unless its service is known not to need the ledger. */
 function ledgerWordOf(request: ArrivedRequest, service: ServiceState | undefined): LedgerWord {
   const repeatable = service?.definition.repeatable ?? false;
@@ -201,8 +233,9 @@
 }
 
 /** Only reads that carry no key of their own are alike. */
-function coalesceKeyOf(request: ArrivedRequest, service: ServiceState): string | null {
-  const { coalesce, repeatable } = service.definition;
+function coalesceKeyOf(request: ArrivedRequest, service: ServiceState, terms: RequestTerms): string | null {
+  const { coalesce } = service.definition;
+  const { repeatable } = terms;
   const { key, target, variant = '' } = request;
   const isAlike = request.method === 'GET' && request.idempotency === null && variant !== null;
   if (!coalesce || !repeatable || !isAlike) {
--- /dev/null
+++ b/src/routing/request-terms.ts
@@ -0,0 +1,46 @@
+/** On what terms one request is served: those of its route, or of its service if it was addressed to that. */
+import type { RouteDefinition } from '../model/declaration.js';
+import { PRIORITY_CLASSES, type ServiceDefinition } from '../model/service.js';
+
+/** Times in milliseconds. */
+export interface RequestTerms {
+  /** `null`: addressed to a service. */
+  readonly route: string | null;
+  /** Whether it may be run twice without harm. */
+  readonly repeatable: boolean;
+  /** Whether a claim on the ledger must stand before it is sent. */
+  readonly needsClaim: boolean;
+  readonly deadlineMillis: number;
+  /** Longest wait in the router before it is sent. */
+  readonly holdMillis: number;
+  /** Upstreams that it may be sent to at most. */
+  readonly maxAttempts: number;
+  /** Rank, 0 the most important. */
+  readonly priority: number;
+}
+
+/** Terms of a request addressed to a service. */
+export function termsOfService(definition: ServiceDefinition): RequestTerms {
+  return {
+    route: null,
+    repeatable: definition.repeatable,
+    needsClaim: !definition.repeatable,
+    deadlineMillis: definition.deadlineMillis,
+    holdMillis: definition.holdLimitMillis,
+    maxAttempts: Number.POSITIVE_INFINITY,
+    priority: PRIORITY_CLASSES.indexOf(definition.priority),
+  };
+}
+
+/** Terms of a request that a route took. What must not be repeated is sent once, and only what is proved not run again. */
+export function termsOfRoute(route: RouteDefinition, service: ServiceDefinition): RequestTerms {
+  return {
+    route: route.name,
+    repeatable: route.repeatable,
+    needsClaim: false,
+    deadlineMillis: route.timeoutMillis,
+    holdMillis: Math.min(service.holdLimitMillis, Math.max(route.targetMillis, route.timeoutMillis / 2)),
+    maxAttempts: route.maxAttempts,
+    priority: route.priority,
+  };
+}
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -39,8 +39,9 @@
 
   constructor(readonly config: RouterConfig) {
     this.random = new Random(config.seed);
-    const { control, configLease } = config;
-    this.lease = new ConfigurationLease(control, configLease, this.random.below(control.length));
+    const { control, configLease, whenOutOfTouch } = config;
+    const firstMember = this.random.below(control.length);
+    this.lease = new ConfigurationLease(control, configLease, firstMember, whenOutOfTouch);
     this.leader = new LeaderGuess(control, this.random.below(control.length));
     this.reporter = new LoadReporter();
   }
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -133,6 +133,7 @@
     const gap = outcome?.type === 'gap';
     context.lease.answered(response, context.view.revision, gap, context.now);
     context.leader.learn(response.leader);
+    context.lease.learnMembers(response.members);
     this.beginLease();
     if (outcome?.type === 'applied') {
       this.updates.apply(outcome.changes);
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -68,7 +68,8 @@
       this.retryBudget.resize(record.definition.retryBudget);
       this.compile();
       for (const upstream of this.sortedUpstreams) {
-        upstream.slotLimit.resize(record.definition.slotsPerUpstream);
+        const { announced } = upstream.record.definition;
+        upstream.slotLimit.resize(announced?.slots ?? record.definition.slotsPerUpstream);
       }
     }
     return remapped;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -24,7 +24,10 @@
 
 export interface ArrivedRequest {
   readonly request: RequestNumber;
+  /** Empty if `place` says where it goes. */
   readonly service: ServiceName;
+  /** Host and path, for which a declared route is looked up; left out: it goes to `service`. */
+  readonly place?: { readonly host: string; readonly path: string };
   readonly key: string | null;
   readonly method: string;
   /** Path and query, for coalescing. */
@@ -88,6 +91,7 @@
 export type RefusalReason =
   | 'no-configuration'
   | 'unknown-service'
+  | 'unknown-route'
   | 'key-required'
   | 'idempotency-key-required'
   | 'idempotency-key-mismatch'
@@ -102,7 +106,8 @@
   | 'deadline-passed'
   | 'policy-refused'
   | 'upstream-failed'
-  | 'retry-budget-spent';
+  | 'retry-budget-spent'
+  | 'attempts-spent';
 
 export type RouterEffect =
   | { readonly type: 'send-control'; readonly to: Address; readonly message: RouterToControl }
@@ -112,8 +117,10 @@
       readonly attempt: AttemptNumber;
       readonly upstream: UpstreamId;
       readonly address: Address;
-      /** Keyed services only. */
+      /** Shards of upstreams with a fence only. */
       readonly credentials: FenceCredentials | null;
+      /** The run of an upstream that announced itself, which alone may take the request. */
+      readonly instance: UpstreamId | null;
       /** Time left. */
       readonly deadlineMillis: number;
       /** The shell reads answers whole up to this size before reporting `answered`. */
@@ -142,6 +149,9 @@
       readonly fields: Readonly<Record<string, unknown>>;
     };
 
+/** What a router does whose configuration lease is over. */
+export type WhenOutOfTouch = 'refuse' | 'serve';
+
 export interface RouterConfig {
   readonly router: RouterId;
   readonly incarnation: Incarnation;
@@ -151,6 +161,8 @@
   readonly configLease: ConfigLeaseTimings;
   /** Wait for an answer of the ledger before giving up with `not-run` is not proved: the claim is then released or left `unknown`. */
   readonly claimTimeoutMillis: number;
+  /** What a router does that hears nothing confirmed for long: it refuses (if left out), or serves what it last knew. */
+  readonly whenOutOfTouch?: WhenOutOfTouch;
   /** How upstreams of services that aren't keyed are picked; `least-work` if left out. */
   readonly picker?: PickerName;
 }
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -4,6 +4,7 @@
 import type { Lane } from './lane-table.js';
 import type { QueueNode } from './linked-queue.js';
 import type { LedgerWord } from './outcome-table.js';
+import type { RequestTerms } from './request-terms.js';
 import type { RouterTimer } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
 import type { ArrivedRequest, AttemptNumber, RequestNumber } from './types.js';
@@ -22,6 +23,14 @@
 /** `claiming`: waits for the ledger. `held`: by policy. `queued`: in a lane. */
 export type WorkPhase = 'new' | 'claiming' | 'held' | 'queued' | 'in-flight' | 'done';
 
+/** The grant under which an attempt was sent. */
+export interface SentGrant {
+  readonly shard: ShardId;
+  readonly epoch: Epoch;
+  /** Whether no answer comes any more once the grant is over. Not so where the owner is taken off first. */
+  readonly endsAttempts: boolean;
+}
+
 /** One try of a work on an upstream. It is kept until the shell says how it ended, also when nobody waits for it. */
 export interface Attempt {
   readonly number: AttemptNumber;
@@ -31,7 +40,7 @@
   readonly sentFor: RequestNumber;
   readonly startedAt: number;
   /** Shard and epoch of the grant under which it was sent; `null` for services that aren't keyed. */
-  readonly grant: { readonly shard: ShardId; readonly epoch: Epoch } | null;
+  readonly grant: SentGrant | null;
   /** Since when that grant is over. */
   overSince: number | null;
   /** Its work goes on without it. */
@@ -58,6 +67,8 @@
   shard: ShardId | null = null;
   /** Revision of the configuration by which `shard` was found. */
   shardRevision: Revision = -1;
+  /** Under which name its load is reported; `null`: it isn't. */
+  loadName: ShardId | null = null;
   lane: Lane | null = null;
   node: QueueNode<Work> | null = null;
   /** When the bounded wait ends; `Infinity` until it first waits. */
@@ -65,6 +76,8 @@
   holdTimer: RouterTimer | null = null;
   policyHoldUntil: number | null = null;
   attempts = 0;
+  /** Attempts that reached an upstream, whatever it made of them. */
+  sentAttempts = 0;
   attempt: Attempt | null = null;
   /** An attempt ended without proof that it did not run. */
   mayHaveRun = false;
@@ -75,12 +88,26 @@
   /** Where the last attempt failed; others are tried first. */
   avoid: UpstreamState | null = null;
 
-  constructor(readonly service: ServiceState) {}
+  constructor(
+    readonly service: ServiceState,
+    readonly terms: RequestTerms,
+  ) {}
 
   get request(): ArrivedRequest {
     return (this.members[0] as Member).request;
   }
 
+  /** Its service may have been declared non-repeatable while it waited. */
+  get needsClaim(): boolean {
+    return this.terms.route === null ? !this.service.definition.repeatable : this.terms.needsClaim;
+  }
+
+  /** Whether it may be run again after an attempt that may have run. */
+  get isRepeatable(): boolean {
+    const repeatable = this.terms.route === null ? this.service.definition.repeatable : this.terms.repeatable;
+    return this.claim === null && repeatable;
+  }
+
   /** The latest deadline of its members. */
   get deadline(): number {
     let latest = 0;
--- a/src/settings/common-schemas.ts
+++ b/src/settings/common-schemas.ts
@@ -24,6 +24,24 @@
 /** An IP number without a port. */
 export const hostSchema = z.union([z.ipv4(), z.ipv6()], { error: 'expected an IP number without a port' });
 
+/** Path of a URL. */
+export const urlPathSchema = z.string({ error: 'expected a path' }).startsWith('/', 'must start with /');
+
+/** Name of an HTTP header; letters become lower case. */
+export const headerNameSchema = z
+  .string({ error: 'expected the name of a header' })
+  .regex(/^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/, 'must be the name of a header')
+  .transform((name) => name.toLowerCase());
+
+/** Whether the network between the machines is trusted, so that no secret and no tokens are asked for. */
+export const trustedNetworkSchema = z.boolean({ error: 'expected true or false' }).optional();
+
+/** `address` with another port. */
+export function withPort(address: string, port: number): string {
+  const { host } = splitAddress(address) ?? { host: address };
+  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
 /** Zone of the process, and the zones there are (optional, so that a misspelt one is found). */
 export const zoneFields = {
   zone: nameSchema,
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -4,18 +4,22 @@
 import { DEFAULT_LEASE_TIMINGS, type LeaseTimings } from '../lease/types.js';
 import type { ConfigLeaseTimings } from '../model/configuration-lease.js';
 import type { Address, ClusterId, Zone } from '../model/identifiers.js';
-import { addressSchema } from './addresses.js';
+import { addressSchema, splitAddress } from './addresses.js';
 import {
   checkHalf,
   checkZone,
   clockRateErrorSchema,
   completeConfigLease,
+  headerNameSchema,
   hostSchema,
   isAnyHost,
   isForOthers,
   isLoopback,
   pathSchema,
   reachableAddressSchema,
+  trustedNetworkSchema,
+  urlPathSchema,
+  withPort,
   zoneFields,
 } from './common-schemas.js';
 import { nameSchema } from './definition-schemas.js';
@@ -50,16 +54,50 @@
   readonly snapshotEntries: number;
   /** 0: voters are never replaced without an operator. */
   readonly replaceAfterMillis: number;
+  /** How a member whose data folder is empty comes to be; `null`: `control init` or `control join` makes the folder. */
+  readonly selfStart: { readonly bootstrap: boolean; readonly seeds: readonly Address[] } | null;
+  /** Machines whose loss at one time must be survived; spares get votes until it is. 0: only in the place of others. */
+  readonly toleratedLosses: number;
+  readonly ranges: RangeSettings;
+  readonly holders: HolderSettings;
   /** Namespaces that log at debug and info level, as for `debug`. */
   readonly log: string;
 }
 
+/** Times of grants to upstreams that announce themselves, in milliseconds. */
+export interface RangeSettings {
+  readonly holdMillis: number;
+  readonly renewMillis: number;
+  readonly lateMillis: number;
+  readonly clockRateError: number;
+  readonly heartbeatMillis: number;
+}
+
+/** How such upstreams are called. */
+export interface HolderSettings {
+  readonly grantPath: string;
+  readonly releasePath: string;
+  /** Lower case. */
+  readonly handoverHeader: string;
+}
+
 /** Defaults of the control daemon. */
 export const CONTROL_DEFAULTS = {
   electionTimeoutMillis: 300,
   heartbeatMillis: 60,
   snapshotEntries: 10_000,
   replaceAfterMillis: 0,
+  toleratedLosses: 0,
+  grants: {
+    hold: 6000,
+    renew: 1000,
+    late: 12_000,
+    clockRateError: 0.02,
+    heartbeat: 1000,
+    grantPath: '/ternmount/grant',
+    releasePath: '/ternmount/release',
+    handoverHeader: 'ternmount-handover',
+  },
   log: 'ternmount:*',
 } as const;
 
@@ -73,6 +111,17 @@
   clockRateError: clockRateErrorSchema.optional(),
 });
 
+const grantsSchema = z.strictObject({
+  hold: positiveDurationSchema.optional(),
+  renew: positiveDurationSchema.optional(),
+  late: durationSchema.optional(),
+  clockRateError: clockRateErrorSchema.optional(),
+  heartbeat: positiveDurationSchema.optional(),
+  grantPath: urlPathSchema.optional(),
+  releasePath: urlPathSchema.optional(),
+  handoverHeader: headerNameSchema.optional(),
+});
+
 const controlObject = z.strictObject({
   cluster: nameSchema,
   replicaName: nameSchema.optional(),
@@ -88,6 +137,11 @@
   timings: timingsSchema.optional(),
   snapshotEntries: z.int({ error: 'expected a whole number' }).min(1, 'must be 1 or more').optional(),
   replaceAfter: durationSchema.optional(),
+  bootstrap: z.boolean({ error: 'expected true or false' }).optional(),
+  seeds: z.array(reachableAddressSchema).min(1, 'needs one or more').optional(),
+  toleratedLosses: z.int({ error: 'expected a whole number' }).min(0, 'must be 0 or more').optional(),
+  trustedNetwork: trustedNetworkSchema,
+  grants: grantsSchema.optional(),
   log: z.string().optional(),
 });
 type ControlFields = z.output<typeof controlObject>;
@@ -131,19 +185,58 @@
     const message = 'is missing: listen takes all addresses, so others must be told which one to use';
     context.addIssue({ code: 'custom', path: ['advertise'], message });
   }
+  if (fields.bootstrap !== undefined && fields.seeds === undefined) {
+    context.addIssue({ code: 'custom', path: ['seeds'], message: 'is missing: bootstrap needs it' });
+  }
+  checkHalf(
+    at('renew', fields.grants?.renew ?? CONTROL_DEFAULTS.grants.renew),
+    at('hold', fields.grants?.hold ?? CONTROL_DEFAULTS.grants.hold),
+    ['grants'],
+    context,
+  );
   if (fields.listen === fields.admin) {
     context.addIssue({ code: 'custom', path: ['admin'], message: 'must differ from listen' });
   }
-  if (fields.secretFile === undefined && isForOthers(fields.listen)) {
+  const trusted = fields.trustedNetwork === true;
+  if (fields.secretFile === undefined && !trusted && isForOthers(fields.listen)) {
     const message = 'is missing: the internal port needs a secret unless listen is a loopback address';
     context.addIssue({ code: 'custom', path: ['secretFile'], message });
   }
-  if (fields.tokensFile === undefined && !isLoopback(fields.admin)) {
+  if (fields.tokensFile === undefined && !trusted && !isLoopback(fields.admin)) {
     const message = 'is missing: the operators’ API needs tokens unless admin is a loopback address';
     context.addIssue({ code: 'custom', path: ['tokensFile'], message });
   }
 }
 
+function completeGrants(fields: ControlFields): Pick<ControlSettings, 'ranges' | 'holders'> {
+  const defaults = CONTROL_DEFAULTS.grants;
+  const grants = fields.grants ?? {};
+  return {
+    ranges: {
+      holdMillis: grants.hold ?? defaults.hold,
+      renewMillis: grants.renew ?? defaults.renew,
+      lateMillis: grants.late ?? defaults.late,
+      clockRateError: grants.clockRateError ?? defaults.clockRateError,
+      heartbeatMillis: grants.heartbeat ?? defaults.heartbeat,
+    },
+    holders: {
+      grantPath: grants.grantPath ?? defaults.grantPath,
+      releasePath: grants.releasePath ?? defaults.releasePath,
+      handoverHeader: grants.handoverHeader ?? defaults.handoverHeader,
+    },
+  };
+}
+
+/** Members share one internal port, so a seed's host is all that counts. */
+function selfStartOf(fields: ControlFields): ControlSettings['selfStart'] {
+  const { seeds, bootstrap = false } = fields;
+  if (seeds === undefined) {
+    return null;
+  }
+  const port = splitAddress(fields.advertise ?? fields.listen)?.port ?? 0;
+  return { bootstrap, seeds: seeds.map((seed) => withPort(seed, port)) };
+}
+
 /** Settings of the control daemon, checked and completed. */
 export const controlSettingsSchema = controlObject.superRefine(checkControl).transform(
   (fields): ControlSettings => ({
@@ -161,6 +254,9 @@
     ...completeTimings(fields),
     snapshotEntries: fields.snapshotEntries ?? CONTROL_DEFAULTS.snapshotEntries,
     replaceAfterMillis: fields.replaceAfter ?? CONTROL_DEFAULTS.replaceAfterMillis,
+    ...completeGrants(fields),
+    selfStart: selfStartOf(fields),
+    toleratedLosses: fields.toleratedLosses ?? CONTROL_DEFAULTS.toleratedLosses,
     log: fields.log ?? CONTROL_DEFAULTS.log,
   }),
 );
@@ -186,6 +282,18 @@
   { path: ['timings', 'configLease'] },
   { path: ['timings', 'configSync'] },
   { path: ['timings', 'clockRateError'] },
+  { path: ['bootstrap'] },
+  { path: ['seeds'], list: true },
+  { path: ['toleratedLosses'] },
+  { path: ['trustedNetwork'] },
+  { path: ['grants', 'hold'] },
+  { path: ['grants', 'renew'] },
+  { path: ['grants', 'late'] },
+  { path: ['grants', 'clockRateError'] },
+  { path: ['grants', 'heartbeat'] },
+  { path: ['grants', 'grantPath'] },
+  { path: ['grants', 'releasePath'] },
+  { path: ['grants', 'handoverHeader'] },
   { path: ['snapshotEntries'] },
   { path: ['replaceAfter'] },
   { path: ['log'] },
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -8,10 +8,13 @@
   checkZone,
   clockRateErrorSchema,
   completeConfigLease,
+  headerNameSchema,
   hostSchema,
   isForOthers,
   pathSchema,
   reachableAddressSchema,
+  trustedNetworkSchema,
+  withPort,
   zoneFields,
 } from './common-schemas.js';
 import { nameSchema } from './definition-schemas.js';
@@ -46,9 +49,20 @@
   readonly connectionsPerUpstream: number;
   /** Longest body of a request. */
   readonly requestBodyBytes: number;
+  /** Whether declared routes say where requests go, by host and path. */
+  readonly byRoutes: boolean;
+  /** Names of shared headers that differ from the project's own, lower case. */
+  readonly headers: RouterHeaders;
+  readonly retryAfterUnit: 'whole-seconds' | 'fractions';
+  readonly whenOutOfTouch: 'refuse' | 'serve';
+  /** How long a router that stops still takes connections while it calls itself not ready. */
+  readonly lameDuckMillis: number;
   readonly log: string;
 }
 
+/** Names of headers that routers share with callers and upstreams. */
+export type RouterHeaders = z.output<typeof headersSchema>;
+
 /** Defaults of the router daemon. */
 export const ROUTER_DEFAULTS = {
   claimTimeoutMillis: 1000,
@@ -57,11 +71,29 @@
   platformIntervalMillis: 1000,
   connectionsPerUpstream: 16,
   requestBodyBytes: 1024 * 1024,
+  byRoutes: false,
+  retryAfterUnit: 'whole-seconds',
+  whenOutOfTouch: 'refuse',
+  lameDuckMillis: 0,
   log: 'ternmount:*',
 } as const;
 
 const countSchema = z.int({ error: 'expected a whole number' }).min(1, 'must be 1 or more');
 
+const headersSchema = z.strictObject({
+  requestId: headerNameSchema.optional(),
+  deadline: headerNameSchema.optional(),
+  instance: headerNameSchema.optional(),
+  key: headerNameSchema.optional(),
+  load: headerNameSchema.optional(),
+  notRun: headerNameSchema.optional(),
+});
+
+const portSchema = z
+  .int({ error: 'expected a port' })
+  .min(1, 'must be 1 to 65535')
+  .max(65_535, 'must be 1 to 65535');
+
 const routerObject = z.strictObject({
   cluster: nameSchema,
   router: nameSchema,
@@ -72,7 +104,16 @@
   control: z
     .array(reachableAddressSchema, { error: 'expected a list of addresses' })
     .min(1, 'needs one or more'),
+  controlPort: portSchema.optional(),
   secretFile: pathSchema.optional(),
+  trustedNetwork: trustedNetworkSchema,
+  byRoutes: z.boolean({ error: 'expected true or false' }).optional(),
+  headers: headersSchema.optional(),
+  retryAfterUnit: z
+    .enum(['whole-seconds', 'fractions'], { error: 'expected whole-seconds or fractions' })
+    .optional(),
+  whenOutOfTouch: z.enum(['refuse', 'serve'], { error: 'expected refuse or serve' }).optional(),
+  lameDuck: durationSchema.optional(),
   timings: z
     .strictObject({
       configLease: positiveDurationSchema.optional(),
@@ -100,7 +141,8 @@
     ['timings'],
     context,
   );
-  if (fields.secretFile === undefined && fields.control.some(isForOthers)) {
+  const trusted = fields.trustedNetwork === true;
+  if (fields.secretFile === undefined && !trusted && fields.control.some(isForOthers)) {
     const message = 'is missing: control needs a secret unless all its addresses are loopback ones';
     context.addIssue({ code: 'custom', path: ['secretFile'], message });
   }
@@ -109,6 +151,11 @@
   }
 }
 
+/** Where the members' internal listeners are, if `control` names their other ports. */
+function controlAddresses({ control, controlPort }: RouterFields): readonly Address[] {
+  return controlPort === undefined ? control : control.map((address) => withPort(address, controlPort));
+}
+
 /** Settings of the router daemon, checked and completed. */
 export const routerSettingsSchema = routerObject.superRefine(checkRouter).transform(
   (fields): RouterSettings => ({
@@ -118,7 +165,7 @@
     listen: fields.listen,
     outgoing: fields.outgoing ?? null,
     admin: fields.admin,
-    control: fields.control,
+    control: controlAddresses(fields),
     secretFile: fields.secretFile ?? null,
     configLease: completeConfigLease(fields.timings ?? {}),
     claimTimeoutMillis: fields.claimTimeout ?? ROUTER_DEFAULTS.claimTimeoutMillis,
@@ -128,6 +175,11 @@
     platformIntervalMillis: fields.platformInterval ?? ROUTER_DEFAULTS.platformIntervalMillis,
     connectionsPerUpstream: fields.connectionsPerUpstream ?? ROUTER_DEFAULTS.connectionsPerUpstream,
     requestBodyBytes: fields.requestBody ?? ROUTER_DEFAULTS.requestBodyBytes,
+    byRoutes: fields.byRoutes ?? ROUTER_DEFAULTS.byRoutes,
+    headers: fields.headers ?? {},
+    retryAfterUnit: fields.retryAfterUnit ?? ROUTER_DEFAULTS.retryAfterUnit,
+    whenOutOfTouch: fields.whenOutOfTouch ?? ROUTER_DEFAULTS.whenOutOfTouch,
+    lameDuckMillis: fields.lameDuck ?? ROUTER_DEFAULTS.lameDuckMillis,
     log: fields.log ?? ROUTER_DEFAULTS.log,
   }),
 );
@@ -142,7 +194,19 @@
   { path: ['outgoing'] },
   { path: ['admin'] },
   { path: ['control'], list: true },
+  { path: ['controlPort'] },
   { path: ['secretFile'] },
+  { path: ['trustedNetwork'] },
+  { path: ['byRoutes'] },
+  { path: ['headers', 'requestId'] },
+  { path: ['headers', 'deadline'] },
+  { path: ['headers', 'instance'] },
+  { path: ['headers', 'key'] },
+  { path: ['headers', 'load'] },
+  { path: ['headers', 'notRun'] },
+  { path: ['retryAfterUnit'] },
+  { path: ['whenOutOfTouch'] },
+  { path: ['lameDuck'] },
   { path: ['timings', 'configLease'] },
   { path: ['timings', 'configSync'] },
   { path: ['timings', 'clockRateError'] },
--- a/src/storage/folder-lock.ts
+++ b/src/storage/folder-lock.ts
@@ -9,6 +9,8 @@
 export const LOCK_FILE = 'lock';
 const FILE_MODE = 0o600;
 const TRIES = 5;
+/** What a file system without links answers. */
+const NO_LINKS: ReadonlySet<string> = new Set(['ENOSYS', 'ENOTSUP', 'EOPNOTSUPP', 'EPERM']);
 /** Place of the start time among the fields of `/proc/PID/stat` that follow the command's name. */
 const START_TIME_FIELD = 19;
 
@@ -47,6 +49,23 @@
   try {
     linkSync(from, to);
     return true;
+  } catch (thrown) {
+    const code = (thrown as NodeJS.ErrnoException).code ?? '';
+    if (code === 'EEXIST') {
+      return false;
+    }
+    if (NO_LINKS.has(code)) {
+      return tryCopy(from, to);
+    }
+    throw thrown;
+  }
+}
+
+/** For file systems without links: the file is made only if there is none, and counts once it is whole. */
+function tryCopy(from: string, to: string): boolean {
+  try {
+    writeFileSync(to, readFileSync(from), { mode: FILE_MODE, flag: 'wx' });
+    return true;
   } catch (thrown) {
     if ((thrown as NodeJS.ErrnoException).code === 'EEXIST') {
       return false;
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -9,6 +9,7 @@
   type ReplicaStoreOptions,
 } from './replica-folder.js';
 export type { ReplicaIdentity } from './replica-identity.js';
+export { openOrCreateReplica, type SelfStart } from './replica-opening.js';
 export { ReplicaStore } from './replica-store.js';
 export {
   FolderLockedError,
--- a/src/storage/replica-folder.ts
+++ b/src/storage/replica-folder.ts
@@ -44,8 +44,19 @@
 export async function createReplica(
   folder: string,
   replica: NewReplica,
-  { files = DISK }: ReplicaStoreOptions = {},
+  options: ReplicaStoreOptions = {},
 ): Promise<ReplicaIdentity> {
+  const identity = newIdentity(replica);
+  await createReplicaAs(folder, identity, options);
+  return identity;
+}
+
+/** The same for a replica whose identity was decided elsewhere. */
+export async function createReplicaAs(
+  folder: string,
+  identity: ReplicaIdentity,
+  { files = DISK }: ReplicaStoreOptions = {},
+): Promise<void> {
   const names = (await files.list(folder)) ?? [];
   if (names.includes(IDENTITY_FILE)) {
     throw new FolderUnusableError(folder, 'holds a replica already; nothing was changed');
@@ -54,10 +65,8 @@
     throw new FolderUnusableError(folder, `isn't empty (${names[0]}); nothing was changed`);
   }
   await files.makeFolder(folder);
-  const identity = newIdentity(replica);
   await WriteAheadLog.create({ files, folder, identity, segmentBytes: DEFAULT_SEGMENT_BYTES });
   await writeIdentity(files, folder, identity);
-  return identity;
 }
 
 function newIdentity({ cluster, address, role }: NewReplica): ReplicaIdentity {
--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -1,6 +1,7 @@
 /** Task that owns an HTTP server: listens, bounds slow callers, and stops without cutting off an answer. */
 import { createServer, type RequestListener, type Server } from 'node:http';
 import { type AddressInfo, Server as NetServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Address } from '../../model/identifiers.js';
 import { formatAddress, parseAddress } from '../address.js';
 import { ListenError } from '../listen-error.js';
@@ -37,6 +38,14 @@
 const CONNECTIONS_CHECK_MILLIS = 1000;
 const IDLE_CHECK_MILLIS = 20;
 
+/** Times of a planned stop, in milliseconds. */
+export interface HttpStopTimes {
+  /** How long requests on open connections are still answered once no connection is taken any more. */
+  readonly idleMillis: number;
+  /** How long connections are still taken; 0 if left out. */
+  readonly lameDuckMillis?: number;
+}
+
 export class HttpListener {
   private stopping = false;
 
@@ -88,12 +97,21 @@
     return formatAddress({ host: address, port });
   }
 
+  /** Takes over other bounds; those of a header's size can't be changed while it listens. */
+  resize(limits: Pick<HttpLimits, 'headersMillis' | 'keepAliveMillis'>): void {
+    this.server.headersTimeout = limits.headersMillis;
+    this.server.keepAliveTimeout = limits.keepAliveMillis;
+  }
+
   /**
-   * Stops taking connections; answers what still comes in on open ones for `idleMillis`, with `Connection: close`,
+   * Stops taking connections, after `lameDuckMillis` in which each answer says `Connection: close`; answers what still comes in on open ones for `idleMillis`, with `Connection: close`,
    * so that a request which crosses with the stop isn't lost; then closes idle connections and waits for the rest.
    */
-  async stop(idleMillis: number): Promise<void> {
+  async stop({ idleMillis, lameDuckMillis = 0 }: HttpStopTimes): Promise<void> {
     this.stopping = true;
+    if (lameDuckMillis > 0) {
+      await sleep(lameDuckMillis);
+    }
     const closed = new Promise<void>((resolve) => {
       // The HTTP server's own close would at once cut idle connections, on which a request may be under way.
       NetServer.prototype.close.call(this.server, () => resolve());
--- a/src/wire/router/routing-fields.ts
+++ b/src/wire/router/routing-fields.ts
@@ -5,6 +5,8 @@
 import { gunzipSync, gzipSync } from 'node:zlib';
 import type * as restructure from 'restructure';
 import { toError } from '../../errors/ternmount-error.js';
+import type { DeclarationRecord, RouteRecord } from '../../model/declaration.js';
+import type { KeyRange } from '../../model/key-range.js';
 import { decodeShardRows, encodeShardRows, NameTable, type ShardGroup } from '../../model/shard-rows.js';
 import type {
   RegistryChange,
@@ -27,14 +29,27 @@
   readonly upstreams: readonly UpstreamRecord[];
   readonly names: readonly string[];
   readonly shards: readonly ShardGroup[];
+  readonly routes: readonly RouteRecord[];
+  /** `undefined` in a delta: as before. */
+  readonly declaration?: DeclarationRecord | null | undefined;
+  readonly ranges: readonly KeyRange[];
   readonly gone: {
     readonly services: readonly string[];
     readonly upstreams: readonly string[];
     readonly shards: readonly string[];
+    readonly routes: readonly string[];
+    /** Service and first key. */
+    readonly ranges: readonly (readonly [string, number])[];
   };
 }
 
-const NOTHING_GONE: RoutingDocument['gone'] = { services: [], upstreams: [], shards: [] };
+const NOTHING_GONE: RoutingDocument['gone'] = {
+  services: [],
+  upstreams: [],
+  shards: [],
+  routes: [],
+  ranges: [],
+};
 
 /** A snapshot or nothing: its bytes after their length, which is 0 for nothing, and then its revision. */
 class SnapshotField implements restructure.FieldType<RoutingSnapshot | null> {
@@ -52,9 +67,18 @@
     if (content.length === 0) {
       return null;
     }
-    const { services, upstreams, names, shards } = decodeDocument(content);
+    const { services, upstreams, names, shards, routes, declaration, ranges } = decodeDocument(content);
     const revision = safeInteger.decode(stream);
-    return { revision, services, upstreams, shards: [...decodeShardRows(shards, names)] };
+    const records = [...decodeShardRows(shards, names)];
+    return {
+      revision,
+      services,
+      upstreams,
+      shards: records,
+      routes,
+      declaration: declaration ?? null,
+      ranges,
+    };
   }
 
   encode(stream: restructure.EncodeStream, value: RoutingSnapshot | null): void {
@@ -69,16 +93,21 @@
       return NO_BYTES;
     }
     const known = this.encoded.get(snapshot.shards);
-    if (known?.of.services === snapshot.services && known.of.upstreams === snapshot.upstreams) {
+    if (known !== undefined && isSameContent(known.of, snapshot)) {
       return known.bytes;
     }
-    const { services, upstreams, shards } = snapshot;
-    const encoded = encodeDocument({ services, upstreams, shards, gone: NOTHING_GONE });
+    const { revision: _revision, ...parts } = snapshot;
+    const encoded = encodeDocument({ ...parts, gone: NOTHING_GONE });
     this.encoded.set(snapshot.shards, { of: snapshot, bytes: encoded });
     return encoded;
   }
 }
 
+/** Lists of a registry are the same arrays for as long as nothing of them changed. */
+function isSameContent(one: RoutingSnapshot, other: RoutingSnapshot): boolean {
+  return one.services === other.services && one.upstreams === other.upstreams && one.ranges === other.ranges;
+}
+
 /** A delta or nothing: its changes after their length, which is 0 for nothing, and then its two revisions. */
 class DeltaField implements restructure.FieldType<RoutingDelta | null> {
   private readonly encoded = new WeakMap<readonly RegistryChange[], Uint8Array>();
@@ -127,20 +156,42 @@
   const services: ServiceRecord[] = [];
   const upstreams: UpstreamRecord[] = [];
   const shards: ShardRecord[] = [];
-  const gone = { services: [] as string[], upstreams: [] as string[], shards: [] as string[] };
+  const routes: RouteRecord[] = [];
+  const ranges: KeyRange[] = [];
+  let declaration: DeclarationRecord | null | undefined;
+  const gone = {
+    services: [] as string[],
+    upstreams: [] as string[],
+    shards: [] as string[],
+    routes: [] as string[],
+    ranges: [] as (readonly [string, number])[],
+  };
   for (const change of changes) {
-    if (change.type === 'service') {
-      put(services, gone.services, change.record, change.name);
-    } else if (change.type === 'upstream') {
-      put(upstreams, gone.upstreams, change.record, change.id);
-    } else {
-      put(shards, gone.shards, change.record, change.shard);
+    switch (change.type) {
+      case 'service':
+        put(services, gone.services, change.record, change.name);
+        break;
+      case 'upstream':
+        put(upstreams, gone.upstreams, change.record, change.id);
+        break;
+      case 'shard':
+        put(shards, gone.shards, change.record, change.shard);
+        break;
+      case 'route':
+        put(routes, gone.routes, change.record, change.name);
+        break;
+      case 'declaration':
+        declaration = change.record;
+        break;
+      case 'range':
+        put(ranges, gone.ranges, change.record, [change.service, change.from] as const);
+        break;
     }
   }
-  return { services, upstreams, shards, gone };
+  return { services, upstreams, shards, routes, declaration, ranges, gone };
 }
 
-function put<Item>(records: Item[], gone: string[], record: Item | null, name: string): void {
+function put<Item, Name>(records: Item[], gone: Name[], record: Item | null, name: Name): void {
   if (record === null) {
     gone.push(name);
   } else {
@@ -149,24 +200,36 @@
 }
 
 /** What is gone first, then services before their upstreams before shards, as in a router's own comparison. */
-function changesOf({ services, upstreams, names, shards, gone }: RoutingDocument): RegistryChange[] {
+function changesOf(document: RoutingDocument): RegistryChange[] {
+  const { services, upstreams, names, shards, routes, declaration, ranges, gone } = document;
   const changes: RegistryChange[] = [
     ...gone.services.map((name): RegistryChange => ({ type: 'service', name, record: null })),
     ...gone.upstreams.map((id): RegistryChange => ({ type: 'upstream', id, record: null })),
     ...gone.shards.map((shard): RegistryChange => ({ type: 'shard', shard, record: null })),
+    ...gone.routes.map((name): RegistryChange => ({ type: 'route', name, record: null })),
+    ...gone.ranges.map(([service, from]): RegistryChange => ({ type: 'range', service, from, record: null })),
     ...services.map((record): RegistryChange => ({ type: 'service', name: record.definition.name, record })),
     ...upstreams.map((record): RegistryChange => ({ type: 'upstream', id: record.definition.id, record })),
   ];
   for (const record of decodeShardRows(shards, names)) {
     changes.push({ type: 'shard', shard: record.shard, record });
   }
+  for (const record of routes) {
+    changes.push({ type: 'route', name: record.definition.name, record });
+  }
+  for (const record of ranges) {
+    changes.push({ type: 'range', service: record.service, from: record.from, record });
+  }
+  if (declaration !== undefined) {
+    changes.push({ type: 'declaration', record: declaration });
+  }
   return changes;
 }
 
-function encodeDocument({ services, upstreams, shards, gone }: RoutingParts): Uint8Array {
+function encodeDocument({ shards, ...parts }: RoutingParts): Uint8Array {
   const table = new NameTable();
   const groups = encodeShardRows(shards, table);
-  const document: RoutingDocument = { services, upstreams, names: table.names, shards: groups, gone };
+  const document: RoutingDocument = { ...parts, names: table.names, shards: groups };
   return gzipSync(JSON.stringify(document), { level: COMPRESSION_LEVEL });
 }
 
--- a/src/wire/router/sync-response.ts
+++ b/src/wire/router/sync-response.ts
@@ -13,4 +13,5 @@
   snapshot: routingSnapshotField,
   delta: routingDeltaField,
   leader: json<Address | null>(),
+  members: json<readonly Address[]>(),
 });
--- a/test/contract/admin-harness.ts
+++ b/test/contract/admin-harness.ts
@@ -130,7 +130,7 @@
   }
 
   async stop(): Promise<void> {
-    await this.#listener?.stop(0);
+    await this.#listener?.stop({ idleMillis: 0 });
   }
 
   /** What is in force, as text, to see that nothing changed. */
--- a/test/contract/router-stop.test.ts
+++ b/test/contract/router-stop.test.ts
@@ -24,6 +24,9 @@
       services: [service('reads', { wholeAnswerBytes: 1024 }), service('orders', { repeatable: false })],
       upstreams: names.map((name, index) => upstream(`${name}-${index}`, name, { address })),
       shards: [],
+      routes: [],
+      declaration: null,
+      ranges: [],
     });
     const cluster = new ProcessCluster(NETWORK);
     const router = `${cluster.host(1)}:8000`;
--- /dev/null
+++ b/test/control/range-owners.test.ts
@@ -0,0 +1,152 @@
+/** Ranges of keys have one holder at most, whatever happens to upstreams and leaders, and find a new one in time. */
+import { expect } from 'chai';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { RangeWorld, SERVICE, TIMINGS } from './range-world.js';
+
+const FIRST_GRANTS_MILLIS = 2500;
+const LONGEST_HOLD_MILLIS = TIMINGS.holdMillis * (1 + TIMINGS.clockRateError);
+
+function started(random?: () => number): RangeWorld {
+  const world = new RangeWorld(random);
+  for (const id of ['u1', 'u2', 'u3', 'u4']) {
+    world.addHolder(id);
+  }
+  world.elect();
+  world.run(FIRST_GRANTS_MILLIS);
+  expect(world.servedShare()).to.equal(1);
+  return world;
+}
+
+describe('owners of ranges', () => {
+  it('are given all keys once upstreams stopped coming, evenly', () => {
+    const world = started();
+    const owners = world.registry.ranges(SERVICE).map(({ owner, from, to }) => [owner, to - from + 1]);
+    expect(owners).to.deep.equal(['u1', 'u2', 'u3', 'u4'].map((id) => [id, 16_384]));
+  });
+
+  it('keep their keys as long as they are renewed', () => {
+    const world = started();
+    const before = world.registry.ranges(SERVICE);
+    world.run(10_000);
+    expect(world.registry.ranges(SERVICE)).to.equal(before);
+    expect(world.servedShare()).to.equal(1);
+  });
+
+  it('that leave hand over at once, and their heirs start warm', () => {
+    const world = started();
+    const leaving = world.holders.get('u1');
+    (leaving as { leaving: boolean }).leaving = true;
+    world.announce(leaving as NonNullable<typeof leaving>);
+    world.run(300);
+    expect(world.servedShare()).to.equal(1);
+    expect(world.registry.ranges(SERVICE).some(({ owner }) => owner === 'u1')).to.equal(false);
+    const handovers = world.calls.filter((call) => call.kind === 'grant' && call.handover?.startsWith('u1:'));
+    expect(handovers.length).to.be.at.least(3);
+  });
+
+  it('whose run has ended are replaced at the next renewal', () => {
+    const world = started();
+    (world.holders.get('u2') as { state: string }).state = 'ended';
+    world.run(TIMINGS.renewMillis + 300);
+    expect(world.servedShare()).to.equal(1);
+  });
+
+  it('that fall silent are replaced once they can hold nothing', () => {
+    const world = started();
+    (world.holders.get('u2') as { state: string }).state = 'dark';
+    world.run(1500);
+    expect(world.servedShare()).to.equal(0.75);
+    world.run(LONGEST_HOLD_MILLIS + 1000);
+    expect(world.servedShare()).to.equal(1);
+  });
+
+  it('that are cut off keep serving until their grants run out, and have no second holder beside them', () => {
+    const world = started();
+    (world.holders.get('u3') as { state: string }).state = 'cut';
+    world.run(LONGEST_HOLD_MILLIS + 2000);
+    (world.holders.get('u3') as { state: string }).state = 'up';
+    world.run(2000);
+    expect(world.servedShare()).to.equal(1);
+  });
+
+  it('stay the same under a new leader', () => {
+    const world = started();
+    const before = world.registry.ranges(SERVICE);
+    world.elect();
+    world.run(5000);
+    expect(world.registry.ranges(SERVICE)).to.equal(before);
+  });
+
+  it('are found by a new leader in the middle of a move', () => {
+    for (let delay = 0; delay < 60; delay += 3) {
+      const world = started();
+      const leaving = world.holders.get('u1') as NonNullable<ReturnType<typeof world.holders.get>>;
+      leaving.leaving = true;
+      world.announce(leaving);
+      world.run(delay);
+      world.elect();
+      world.run(1500);
+      expect(world.servedShare(), `leader lost after ${delay} ms`).to.equal(1);
+    }
+  });
+
+  it('take hot keys off the one that is overwhelmed', () => {
+    const world = started();
+    const shards = Array.from({ length: 200 }, (_, index) => ({
+      shard: `${SERVICE}/numbers@0/${100 + index}`,
+      workMillis: 15,
+    }));
+    const report = { type: 'load-report', intervalMillis: 1000, shards } as const;
+    for (let second = 0; second < 12; second += 1) {
+      world.report(report);
+      world.run(1000);
+    }
+    const owners = new Set(shards.map((_, index) => world.servedBy(100 + index)));
+    expect(owners.size).to.be.at.least(3);
+    expect(world.servedShare()).to.equal(1);
+  });
+
+  for (let seed = 1; seed <= 12; seed += 1) {
+    it(`are one at a time under random faults, seed ${seed}`, () => {
+      const generator = xoroshiro128plus(seed);
+      const random = (): number => uniformFloat64(generator);
+      const world = started(random);
+      let runs = 4;
+      for (let round = 0; round < 25; round += 1) {
+        const ids = [...world.holders.keys()];
+        const holder = world.holders.get(ids[Math.floor(random() * ids.length)] as string);
+        const draw = random();
+        if (holder === undefined || holder.state === 'ended' || holder.state === 'dark') {
+          continue;
+        }
+        if (draw < 0.2) {
+          world.elect();
+        } else if (draw < 0.35 && holder.lateShare === 0) {
+          holder.state = 'cut';
+          world.after(500 + random() * 4000, () => {
+            holder.state = holder.state === 'cut' ? 'up' : holder.state;
+          });
+        } else if (draw < 0.5 && holder.state === 'up') {
+          holder.lateShare = 0.4;
+          world.after(2000, () => {
+            holder.lateShare = 0;
+          });
+        } else if (draw < 0.65) {
+          holder.state = random() < 0.5 ? 'dark' : 'ended';
+          runs += 1;
+          const id = `u${runs}`;
+          world.after(500 + random() * 3000, () => void world.addHolder(id, holder.address));
+        } else if (draw < 0.75) {
+          holder.leaving = true;
+          world.announce(holder);
+          runs += 1;
+          world.addHolder(`u${runs}`);
+        }
+        world.run(random() * 1500);
+      }
+      world.run(LONGEST_HOLD_MILLIS + TIMINGS.lateMillis + 6000);
+      expect(world.servedShare()).to.equal(1);
+    });
+  }
+});
