--- /dev/null
+++ b/test/control/range-world.ts
@@ -0,0 +1,215 @@
+/**
+ * Upstreams that take plain grants, a leader's range coordinator and a registry on one virtual clock. Whoever holds a
+ * key is looked at after each event: no key may have two holders that are up.
+ */
+import { expect } from 'chai';
+import type { LoadReport } from '../../src/control/messages.js';
+import type { HolderCall, HolderOutcome } from '../../src/control/ranges/holder-call.js';
+import { RangeCoordinator, type RangeTimings } from '../../src/control/ranges/range-coordinator.js';
+import type { UpstreamId } from '../../src/model/identifiers.js';
+import { LARGEST_KEY } from '../../src/model/key-range.js';
+import type { Command, Registry } from '../../src/registry/index.js';
+import { createRegistry } from '../../src/registry/index.js';
+
+export const SERVICE = 'menu';
+const NETWORK_MILLIS = 1;
+const COMMIT_MILLIS = 4;
+const GRANT_TIMEOUT_MILLIS = 300;
+const HEARTBEAT_MILLIS = 500;
+const SAMPLED_KEYS = Array.from({ length: 128 }, (_, index) => index * 512);
+
+export const TIMINGS: RangeTimings = {
+  holdMillis: 2000,
+  renewMillis: 500,
+  lateMillis: 4000,
+  clockRateError: 0.02,
+  heartbeatMillis: HEARTBEAT_MILLIS,
+};
+
+/** One run of an upstream. Its clock is as slow as the timings allow. */
+class Holder {
+  readonly fences = new Float64Array(LARGEST_KEY + 1);
+  readonly heldUntil = new Float64Array(LARGEST_KEY + 1).fill(Number.NEGATIVE_INFINITY);
+  state: 'up' | 'cut' | 'dark' | 'ended' = 'up';
+  /** Share of calls that are carried out late, without an answer. */
+  lateShare = 0;
+  leaving = false;
+
+  constructor(
+    readonly id: UpstreamId,
+    readonly address: string,
+  ) {}
+
+  take(call: HolderCall, now: number): HolderOutcome {
+    for (let key = call.from; key <= call.to; key += 1) {
+      if ((this.fences[key] ?? 0) > call.fence) {
+        return { type: 'superseded' };
+      }
+    }
+    const end =
+      call.kind === 'grant' ? now + call.holdMillis * (1 + TIMINGS.clockRateError) : Number.NEGATIVE_INFINITY;
+    this.fences.fill(call.fence, call.from, call.to + 1);
+    this.heldUntil.fill(end, call.from, call.to + 1);
+    return { type: 'accepted', handover: call.kind === 'release' ? `${this.id}:${call.from}` : null };
+  }
+
+  holds(key: number, now: number): boolean {
+    const isUp = this.state === 'up' || this.state === 'cut';
+    return isUp && now < (this.heldUntil[key] ?? 0);
+  }
+}
+
+interface Event {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+export class RangeWorld {
+  now = 0;
+  readonly registry: Registry = createRegistry();
+  readonly holders = new Map<UpstreamId, Holder>();
+  readonly calls: HolderCall[] = [];
+  #events: Event[] = [];
+  #order = 0;
+  #leader: RangeCoordinator | null = null;
+  #leadership = 0;
+
+  constructor(private readonly random: () => number = () => 1) {
+    this.apply({
+      type: 'declaration-apply',
+      version: 1,
+      expected: 0,
+      extent: 'whole',
+      routes: [],
+      services: [{ name: SERVICE, keyed: true }],
+      limits: null,
+      removedRoutes: [],
+      removedServices: [],
+    });
+  }
+
+  apply(command: Command): void {
+    this.registry.apply(this.registry.revision + 1, { requestId: null, actor: 'test', at: 0, command });
+    this.#leader?.registryChanged(this.now);
+  }
+
+  addHolder(id: UpstreamId, address = `10.0.0.${this.holders.size + 1}:80`): Holder {
+    const holder = new Holder(id, address);
+    this.holders.set(id, holder);
+    this.announce(holder);
+    this.#beat(holder);
+    return holder;
+  }
+
+  announce(holder: Holder): void {
+    const { id, address, leaving } = holder;
+    const announced = { slots: 2, warmupMillis: 0 };
+    const definition = { id, service: SERVICE, address, zone: 'a', mayHold: [], leaving, announced };
+    this.apply({ type: 'upstream-announce', definition });
+  }
+
+  /** A new leader; calls and proposals of the one before may still be under way. */
+  elect(): void {
+    this.#leadership += 1;
+    const leadership = this.#leadership;
+    const isLeading = (): boolean => this.#leadership === leadership;
+    this.#leader = new RangeCoordinator(
+      {
+        registry: () => this.registry,
+        propose: (command, settle) =>
+          this.after(COMMIT_MILLIS, () => {
+            if (!isLeading()) {
+              settle({ type: 'unknown' }, this.now);
+              return;
+            }
+            this.apply(command);
+            settle({ type: 'applied', result: { type: 'accepted', revision: 1 }, revision: 1 }, this.now);
+          }),
+        confirm: (_now, settle) => this.after(2 * NETWORK_MILLIS, () => settle(isLeading())),
+        call: (call) => this.#carry(call, leadership),
+        timings: TIMINGS,
+      },
+      this.now,
+    );
+  }
+
+  report(report: LoadReport): void {
+    this.#leader?.loadReported(report, this.now);
+  }
+
+  after(millis: number, run: () => void): void {
+    this.#order += 1;
+    this.#events.push({ at: this.now + millis, order: this.#order, run });
+  }
+
+  /** Lets time pass; looks at all holders after each event. */
+  run(millis: number): void {
+    const end = this.now + millis;
+    while (this.now < end) {
+      this.#events.sort((one, other) => one.at - other.at || one.order - other.order);
+      const next = this.#events[0];
+      const wakeAt = Math.max(this.now + 0.1, this.#leader?.nextDeadline() ?? end);
+      if (next !== undefined && next.at <= Math.min(wakeAt, end)) {
+        this.#events.shift();
+        this.now = Math.max(this.now, next.at);
+        next.run();
+      } else {
+        this.now = Math.min(wakeAt, end);
+      }
+      this.#leader?.run(this.now);
+      this.#check();
+    }
+  }
+
+  /** Upstream that holds a key and is its owner in the registry; `null`: nobody serves it. */
+  servedBy(key: number): UpstreamId | null {
+    const range = this.registry.ranges(SERVICE).find(({ from, to }) => from <= key && key <= to);
+    const holder = this.holders.get(range?.owner ?? '');
+    return holder?.state === 'up' && holder.holds(key, this.now) ? holder.id : null;
+  }
+
+  /** Share of sampled keys that are served. */
+  servedShare(): number {
+    return SAMPLED_KEYS.filter((key) => this.servedBy(key) !== null).length / SAMPLED_KEYS.length;
+  }
+
+  #beat(holder: Holder): void {
+    if (holder.state === 'up') {
+      this.#leader?.heard(holder.id, this.now);
+    }
+    if (holder.state === 'up' || holder.state === 'cut') {
+      this.after(HEARTBEAT_MILLIS, () => this.#beat(holder));
+    }
+  }
+
+  #carry(call: HolderCall, leadership: number): void {
+    this.calls.push(call);
+    const tell = (millis: number, outcome: HolderOutcome): void =>
+      this.after(millis, () => {
+        if (this.#leadership === leadership) {
+          this.#leader?.callEnded(call.id, outcome, this.now);
+        }
+      });
+    const holder = this.holders.get(call.upstream);
+    if (holder === undefined || holder.state === 'ended') {
+      tell(2 * NETWORK_MILLIS, { type: 'ended' });
+    } else if (holder.state !== 'up') {
+      tell(GRANT_TIMEOUT_MILLIS, { type: 'silent' });
+    } else if (this.random() < holder.lateShare) {
+      this.after(2000 + this.random() * 2000, () => holder.take(call, this.now));
+      tell(GRANT_TIMEOUT_MILLIS, { type: 'silent' });
+    } else {
+      this.after(NETWORK_MILLIS, () => tell(NETWORK_MILLIS, holder.take(call, this.now)));
+    }
+  }
+
+  #check(): void {
+    for (const key of SAMPLED_KEYS) {
+      const holding = [...this.holders.values()].filter((holder) => holder.holds(key, this.now));
+      if (holding.length > 1) {
+        expect.fail(`key ${key} at ${this.now}: held by ${holding.map(({ id }) => id).join(' and ')}`);
+      }
+    }
+  }
+}
--- a/test/dev/scale/hollow-daemons.test.ts
+++ b/test/dev/scale/hollow-daemons.test.ts
@@ -22,7 +22,7 @@
     movingTo: null,
     revision: 9,
   }));
-  return { revision: 9, services: [], upstreams: [], shards };
+  return { revision: 9, services: [], upstreams: [], shards, routes: [], declaration: null, ranges: [] };
 }
 
 function frameOf(snapshot: RoutingSnapshot, stamp: number, confirmed: boolean): Frame {
@@ -34,6 +34,7 @@
     snapshot,
     delta: null,
     leader: null,
+    members: [],
   };
   return { correlation: 0, ...controlToRouterCodecs.encode(message) };
 }
--- a/test/docs/completeness.test.ts
+++ b/test/docs/completeness.test.ts
@@ -22,6 +22,7 @@
 const REASONS: Readonly<Record<RefusalReason, true>> = {
   'no-configuration': true,
   'unknown-service': true,
+  'unknown-route': true,
   'key-required': true,
   'idempotency-key-required': true,
   'idempotency-key-mismatch': true,
@@ -37,6 +38,7 @@
   'policy-refused': true,
   'upstream-failed': true,
   'retry-budget-spent': true,
+  'attempts-spent': true,
 };
 
 /** Every code, so that the compiler asks for a new one here too. */
--- /dev/null
+++ b/test/lease/timed-grants.test.ts
@@ -0,0 +1,81 @@
+/** How long a server may hold what it was granted, row by row. */
+import { expect } from 'chai';
+import {
+  DEPOSED_GRANTER_MILLIS,
+  HolderHistory,
+  type TimedGrantTimings,
+} from '../../src/lease/timed-grants.js';
+
+const TIMINGS: TimedGrantTimings = {
+  holdMillis: 1000,
+  renewMillis: 200,
+  lateMillis: 5000,
+  clockRateError: 0.02,
+};
+const LONGEST = 1020;
+const SINCE = 100;
+
+/** What a granter before may have sent, and what of it may be taken late. */
+const BEFORE = SINCE + DEPOSED_GRANTER_MILLIS + TIMINGS.lateMillis + LONGEST;
+
+function history(): HolderHistory {
+  return new HolderHistory(TIMINGS, SINCE);
+}
+
+describe('history of timed grants', () => {
+  it('counts what a granter before may have sent', () => {
+    expect(history().heldUntil()).to.equal(BEFORE);
+  });
+
+  it('counts an answered grant from its answer', () => {
+    const held = history();
+    held.sent(1, true, 10_000);
+    held.answered(1, 10_040);
+    expect(held.heldUntil()).to.equal(10_040 + LONGEST);
+    expect(held.silentSince).to.equal(null);
+  });
+
+  it('counts a grant that is under way', () => {
+    const held = history();
+    held.sent(1, true, 10_000);
+    expect(held.heldUntil()).to.equal(10_000 + LONGEST);
+  });
+
+  it('forgets a grant that was never sent', () => {
+    const held = history();
+    const before = held.heldUntil();
+    held.sent(1, true, 10_000);
+    held.notSent(1);
+    expect(held.heldUntil()).to.equal(before);
+    expect(held.silentSince).to.equal(10_000);
+  });
+
+  it('counts an unanswered grant as late only once the server was heard after it', () => {
+    const held = history();
+    const before = held.heldUntil();
+    held.sent(1, true, 10_000);
+    held.unanswered(1);
+    expect(held.heldUntil()).to.equal(before);
+    held.sent(2, false, 10_500);
+    held.answered(2, 10_510);
+    expect(held.heldUntil()).to.equal(10_000 + TIMINGS.lateMillis + LONGEST);
+  });
+
+  it('does not take an answer to something sent before for a sign of life after', () => {
+    const held = history();
+    const before = held.heldUntil();
+    held.sent(1, false, 9000);
+    held.sent(2, true, 10_000);
+    held.unanswered(2);
+    held.answered(1, 10_200);
+    expect(held.heldUntil()).to.equal(before);
+  });
+
+  it('counts nothing for a release', () => {
+    const held = history();
+    const before = held.heldUntil();
+    held.sent(1, false, 10_000);
+    held.answered(1, 10_010);
+    expect(held.heldUntil()).to.equal(before);
+  });
+});
--- /dev/null
+++ b/test/placement/range-planner.test.ts
@@ -0,0 +1,109 @@
+/** Plans for ranges: even at first, few keys moved later, nobody overloaded by what another one leaves. */
+import { expect } from 'chai';
+import { type KeyRange, LARGEST_KEY, spanLength } from '../../src/model/key-range.js';
+import { KeyLoads } from '../../src/placement/ranges/key-loads.js';
+import {
+  divideSpan,
+  planMoves,
+  type RangeServer,
+  ServerLoads,
+  spreadSpan,
+} from '../../src/placement/ranges/range-planner.js';
+
+const WHOLE = { from: 0, to: LARGEST_KEY };
+
+function servers(count: number, slots = 2): RangeServer[] {
+  return Array.from({ length: count }, (_, index) => ({ upstream: `u${index}`, slots }));
+}
+
+function owned(list: readonly RangeServer[]): KeyRange[] {
+  return divideSpan(WHOLE, list).map(({ from, to, target }) => ({
+    service: 'menu',
+    from,
+    to,
+    owner: target,
+    fence: 1,
+    former: null,
+    revision: 1,
+  }));
+}
+
+/** Loads with `millis` of work a second for each key of a span. */
+function loadsWith(...parts: readonly (readonly [number, number, number])[]): KeyLoads {
+  const loads = new KeyLoads();
+  for (let second = 0; second < 60; second += 1) {
+    for (const [from, to, millis] of parts) {
+      for (let key = from; key <= to; key += 1) {
+        loads.add(key, millis, second * 1000);
+      }
+    }
+  }
+  return loads;
+}
+
+describe('range planner', () => {
+  it('divides all keys by slots', () => {
+    const list = [
+      { upstream: 'u0', slots: 1 },
+      { upstream: 'u1', slots: 3 },
+    ];
+    const spans = divideSpan(WHOLE, list);
+    expect(spans.map(spanLength)).to.deep.equal([16_384, 49_152]);
+    expect(spans[0]?.from).to.equal(0);
+    expect(spans[1]?.to).to.equal(LARGEST_KEY);
+  });
+
+  it('measures steady work a second', () => {
+    const loads = loadsWith([100, 100, 50]);
+    expect(loads.of(100)).to.be.within(40, 62);
+    expect(loads.of(101)).to.equal(0);
+  });
+
+  it('moves nothing while loads are near each other', () => {
+    const list = servers(4);
+    const ranges = owned(list);
+    const loads = loadsWith(...ranges.map(({ from }) => [from, from + 9, 80] as const));
+    expect(planMoves(ranges, loads, list)).to.deep.equal([]);
+  });
+
+  it('moves nothing while nobody is busy', () => {
+    const list = servers(4);
+    const ranges = owned(list);
+    expect(planMoves(ranges, loadsWith([0, 9, 10]), list)).to.deep.equal([]);
+  });
+
+  it('cuts a run of hot keys among the idle ones, with few keys', () => {
+    const list = servers(4);
+    const ranges = owned(list);
+    const loads = loadsWith([1000, 1199, 15]);
+    const moves = planMoves(ranges, loads, list);
+    expect(moves.length).to.be.at.least(2);
+    const keys = moves.reduce((sum, move) => sum + spanLength(move), 0);
+    expect(keys).to.be.at.most(200);
+    expect(moves.every(({ target }) => target !== 'u0')).to.equal(true);
+    const use = new ServerLoads(list, ranges, loads);
+    for (const move of moves) {
+      use.shift('u0', -loads.ofSpan(move));
+      use.shift(move.target, loads.ofSpan(move));
+    }
+    expect(Math.max(...list.map((server) => use.useOf(server)))).to.be.below(0.9);
+  });
+
+  it('leaves a single hot key where it is', () => {
+    const list = servers(2);
+    const ranges = owned(list);
+    expect(planMoves(ranges, loadsWith([500, 500, 1900]), list)).to.deep.equal([]);
+  });
+
+  it('spreads the keys of an owner that goes over several others', () => {
+    const list = servers(5);
+    const [first] = owned(list) as [KeyRange];
+    const rest = list.slice(1);
+    const loads = loadsWith([first.from, first.from + 99, 10]);
+    const use = new ServerLoads(rest, owned(list).slice(1), loads);
+    const spans = spreadSpan(first, loads, use);
+    expect(new Set(spans.map(({ target }) => target)).size).to.equal(4);
+    expect(spans[0]?.from).to.equal(first.from);
+    expect(spans.at(-1)?.to).to.equal(first.to);
+  });
+});
--- a/test/router/router-fixture.ts
+++ b/test/router/router-fixture.ts
@@ -57,6 +57,9 @@
         ['reads', 'orders'].map((name) => upstream(`${name}-${index + 1}`, name, { address })),
       ),
       shards: [],
+      routes: [],
+      declaration: null,
+      ranges: [],
     };
     const control = new ControlStandin(snapshot);
     const address = await control.start();
--- a/test/routing/router-harness.ts
+++ b/test/routing/router-harness.ts
@@ -126,7 +126,8 @@
     shards: readonly ShardRecord[] = [],
   ): this {
     const stamp = this.askedStamp(this.step({ type: 'tick' }));
-    const snapshot: RoutingSnapshot = { revision: this.revision, services, upstreams, shards };
+    const undeclared = { routes: [], declaration: null, ranges: [] };
+    const snapshot: RoutingSnapshot = { revision: this.revision, services, upstreams, shards, ...undeclared };
     this.respond(stamp, { snapshot });
     return this;
   }
@@ -150,6 +151,7 @@
       snapshot: null,
       delta: null,
       leader: MEMBERS[0] as string,
+      members: [],
       ...parts,
     });
   }
--- /dev/null
+++ b/test/routing/routes.test.ts
@@ -0,0 +1,178 @@
+/** Declared routes: which one takes a request, on what terms, and what becomes of what may not be repeated. */
+import { expect } from 'chai';
+import type { RouteDefinition } from '../../src/model/declaration.js';
+import type { KeyRange } from '../../src/model/key-range.js';
+import type { RegistryChange, UpstreamRecord } from '../../src/registry/types.js';
+import { Random } from '../../src/routing/random.js';
+import { drawService, RouteTable } from '../../src/routing/route-table.js';
+import type { RouterEffect } from '../../src/routing/types.js';
+import { ANSWERED, only, RouterHarness, service, upstream } from './router-harness.js';
+
+function route(name: string, changes: Partial<RouteDefinition> = {}): RouteDefinition {
+  return {
+    name,
+    host: 'menu.example',
+    prefix: '/sheets/',
+    repeatable: true,
+    timeoutMillis: 1000,
+    targetMillis: 200,
+    maxAttempts: 2,
+    priority: 1,
+    split: [{ service: 'menu', weight: 1 }],
+    ...changes,
+  };
+}
+
+describe('route table', () => {
+  const table = new RouteTable();
+  table.put('short', route('short', { prefix: '/a/' }));
+  table.put('long', route('long', { prefix: '/a/b/' }));
+  table.put('root', route('root', { host: 'other.example', prefix: '/' }));
+  const cases: readonly (readonly [string, string, string | undefined])[] = [
+    ['menu.example', '/a/x', 'short'],
+    ['menu.example', '/a/b/x', 'long'],
+    ['menu.example', '/a/b/', 'long'],
+    ['menu.example', '/a/b', 'short'],
+    ['menu.example', '/a', undefined],
+    ['menu.example', '/ab/', undefined],
+    ['MENU.example:8080', '/a/x', 'short'],
+    ['other.example', '/anything', 'root'],
+    ['nobody.example', '/a/x', undefined],
+  ];
+  for (const [host, path, expected] of cases) {
+    it(`${host}${path} goes to ${expected}`, () => {
+      expect(table.find(host, path)?.name).to.equal(expected);
+    });
+  }
+
+  it('forgets a route that goes, and keeps one that took its place', () => {
+    const changing = new RouteTable();
+    changing.put('one', route('one'));
+    changing.put('two', route('two'));
+    changing.put('one', null);
+    expect(changing.find('menu.example', '/sheets/')?.name).to.equal('two');
+    changing.put('two', null);
+    expect(changing.find('menu.example', '/sheets/')).to.equal(undefined);
+  });
+
+  it('draws services by weight', () => {
+    const random = new Random(7);
+    const split = [
+      { service: 'a', weight: 90 },
+      { service: 'b', weight: 10 },
+      { service: 'c', weight: 0 },
+    ];
+    const drawn = Array.from({ length: 5000 }, () => drawService(split, random));
+    expect(drawn.filter((name) => name === 'b').length / drawn.length).to.be.closeTo(0.1, 0.02);
+    expect(drawn).to.not.include('c');
+  });
+});
+
+function announced(id: string): UpstreamRecord {
+  const record = upstream(id, 'menu', { announced: { slots: 2, warmupMillis: 0 } });
+  return { ...record, incarnation: id };
+}
+
+function harnessWith(routes: readonly RouteDefinition[], ids: readonly string[]): RouterHarness {
+  const harness = new RouterHarness().start([service('menu')], ids.map(announced));
+  const changes = routes.map(
+    (definition): RegistryChange => ({
+      type: 'route',
+      name: definition.name,
+      record: { definition, revision: 1 },
+    }),
+  );
+  harness.change(changes);
+  return harness;
+}
+
+function send(harness: RouterHarness, path: string, key: string | null = null): RouterEffect[] {
+  const place = { host: 'menu.example', path };
+  return harness.request('', { place, key, target: path, deadlineMillis: 5000 });
+}
+
+describe('requests by route', () => {
+  it('without a route are refused as unknown', () => {
+    const harness = harnessWith([route('sheets')], ['u1']);
+    expect(only(send(harness, '/none/'), 'refuse')[0]).to.include({ status: 404, reason: 'unknown-route' });
+  });
+
+  it('name the run that may take them, and wait no longer than the route says', () => {
+    const harness = harnessWith([route('sheets')], ['u1']);
+    expect(only(send(harness, '/sheets/1'), 'dispatch')[0]).to.include({
+      instance: 'u1',
+      deadlineMillis: 1000,
+    });
+  });
+
+  it('are not sent again after they may have run, if they must not be repeated', () => {
+    const harness = harnessWith([route('orders', { repeatable: false })], ['u1', 'u2']);
+    const attempt = only(send(harness, '/sheets/1'), 'dispatch')[0]?.attempt ?? 0;
+    const effects = harness.ended(attempt, { type: 'broken' });
+    expect(only(effects, 'dispatch')[0]).to.equal(undefined);
+    expect(only(effects, 'refuse')[0]).to.include({ status: 502, outcome: 'unknown' });
+  });
+
+  it('are sent again after a proof that they did not run, as often as the route allows', () => {
+    const harness = harnessWith([route('orders', { repeatable: false, maxAttempts: 2 })], ['u1', 'u2']);
+    const refused = { type: 'refused', refusal: 'overloaded', retryAfterMillis: null } as const;
+    const first = only(send(harness, '/sheets/1'), 'dispatch')[0];
+    const again = only(harness.ended(first?.attempt ?? 0, refused), 'dispatch')[0];
+    expect(again?.instance).to.not.equal(first?.instance);
+    const effects = harness.ended(again?.attempt ?? 0, refused);
+    expect(only(effects, 'refuse')[0]).to.include({
+      status: 503,
+      outcome: 'not-run',
+      reason: 'attempts-spent',
+    });
+  });
+});
+
+function range(from: number, to: number, owner: string | null, fence: number): RegistryChange {
+  const record: KeyRange = { service: 'menu', from, to, owner, fence, former: null, revision: fence };
+  return { type: 'range', service: 'menu', from, record };
+}
+
+describe('requests with numeric keys', () => {
+  function keyed(): RouterHarness {
+    const keyspaces = [{ name: 'numbers', kind: 'range', match: '', shards: 0 }] as const;
+    const record = service('menu', { keyed: true, keyspaces });
+    const harness = new RouterHarness().start([record], ['u1', 'u2'].map(announced));
+    const definition = route('sheets');
+    harness.change([
+      { type: 'route', name: 'sheets', record: { definition, revision: 1 } },
+      range(0, 99, 'u1', 5),
+      range(100, 65_535, 'u2', 5),
+    ]);
+    return harness;
+  }
+
+  it('go to the owner of the range', () => {
+    const harness = keyed();
+    expect(only(send(harness, '/sheets/1', '99'), 'dispatch')[0]?.instance).to.equal('u1');
+    expect(only(send(harness, '/sheets/1', '100'), 'dispatch')[0]?.instance).to.equal('u2');
+  });
+
+  it('are refused if the key is no number in range', () => {
+    for (const key of ['65536', 'x', '-1', '']) {
+      expect(only(send(keyed(), '/sheets/1', key), 'refuse')[0], key).to.include({ reason: 'key-required' });
+    }
+  });
+
+  it('wait while a range has no owner, and go to the next one', () => {
+    const harness = keyed();
+    harness.change([range(0, 99, null, 6)]);
+    expect(only(send(harness, '/sheets/1', '50'), 'dispatch')[0]).to.equal(undefined);
+    const effects = harness.change([range(0, 49, 'u1', 7), range(50, 99, 'u2', 7)]);
+    expect(only(effects, 'dispatch')[0]?.instance).to.equal('u2');
+  });
+
+  it('keep their attempt when the range loses its owner: it is asked to finish', () => {
+    const harness = keyed();
+    const attempt = only(send(harness, '/sheets/1', '50'), 'dispatch')[0]?.attempt ?? 0;
+    harness.change([range(0, 99, null, 6)]);
+    const effects = harness.advance(500);
+    expect(only(effects, 'cancel-attempt')[0]).to.equal(undefined);
+    expect(only(harness.ended(attempt, ANSWERED), 'deliver')[0]?.attempt).to.equal(attempt);
+  });
+});
--- a/test/wire/routing-fields.test.ts
+++ b/test/wire/routing-fields.test.ts
@@ -2,6 +2,8 @@
 import type { ControlToRouter } from '../../src/control/messages.js';
 import { controlToRouterCodecs } from '../../src/wire/index.js';
 
+const UNDECLARED = { routes: [], declaration: null, ranges: [] };
+
 describe('codecs of routing data', () => {
   const shard = (number: number, owner: string | null) => ({
     shard: `sheets/all@5/${number}`,
@@ -19,7 +21,7 @@
       stamp: 1,
       confirmed: false,
       revision: 9,
-      snapshot: { revision: 9, services: [], upstreams: [], shards },
+      snapshot: { revision: 9, services: [], upstreams: [], shards, ...UNDECLARED },
       delta: {
         from: 7,
         to: 9,
@@ -30,18 +32,26 @@
         ],
       },
       leader: null,
+      members: ['127.0.0.1:1'],
     };
     const { kind, payload } = controlToRouterCodecs.encode(message);
     expect(controlToRouterCodecs.decode(kind, payload)).to.deep.equal(message);
   });
 
   it('encode lists again once they are others', () => {
-    const base = { type: 'sync-response', stamp: 1, confirmed: true, delta: null, leader: null } as const;
+    const base = {
+      type: 'sync-response',
+      stamp: 1,
+      confirmed: true,
+      delta: null,
+      leader: null,
+      members: [],
+    } as const;
     const shards = [shard(0, 'u1')];
     const snapshots = [
-      { revision: 9, services: [], upstreams: [], shards },
-      { revision: 10, services: [], upstreams: [], shards },
-      { revision: 11, services: [], upstreams: [], shards: [shard(0, 'u2')] },
+      { revision: 9, services: [], upstreams: [], shards, ...UNDECLARED },
+      { revision: 10, services: [], upstreams: [], shards, ...UNDECLARED },
+      { revision: 11, services: [], upstreams: [], shards: [shard(0, 'u2')], ...UNDECLARED },
     ];
     for (const snapshot of snapshots) {
       const message: ControlToRouter = { ...base, revision: snapshot.revision, snapshot };
