From a request's id to its cause: bounded logs, events, explain; hot keys and admission

Change: an announced upstream has room by what it reports; load is reported sooner while work waits; the leader looks at the balance after reports, joins neighbours every 5 s; a request waits 0.6 of its target at most; what passes its deadline unsent is a 503.

--- a/src/cli/command-list.ts
+++ b/src/cli/command-list.ts
@@ -25,6 +25,7 @@
 import { policyCheck } from './queries/policy-check.js';
 import { policyGet } from './queries/policy-get.js';
 import { policyTry } from './queries/policy-try.js';
+import { requestExplain } from './queries/request-explain.js';
 import { requestLookup } from './queries/request-lookup.js';
 import { serviceGet, serviceList } from './queries/service-queries.js';
 import { shardExplain } from './queries/shard-explain.js';
@@ -61,6 +62,7 @@
   shardExplain,
   shardMove,
   requestLookup,
+  requestExplain,
   configValidate,
   configShow,
   tokenCreate,
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,8 +1,10 @@
 #!/usr/bin/env node
 /** `ternmount`: runs one subcommand and ends with its exit code. */
+import { finishLogs } from '../logging/logger.js';
 import { processIo } from './cli-io.js';
 import { runCommandLine } from './run-command-line.js';
 
 process.exitCode = await runCommandLine(process.argv.slice(2), processIo());
+await finishLogs();
 // Idle connections of libraries must not keep the process.
 process.exit();
--- /dev/null
+++ b/src/cli/queries/request-explain.ts
@@ -0,0 +1,144 @@
+/**
+ * `request explain`: from a request's id to its cause, by the logs. Prints what routers logged of the request and, for
+ * each upstream and range that it touched, the last thing that control logged of it before.
+ */
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+import { TernmountError, toError } from '../../errors/ternmount-error.js';
+import type { CommandSpec, Invocation } from '../command-spec.js';
+import { EXIT_CODES, type ExitCode } from '../exit-codes.js';
+
+/** A log record as far as it is read here. */
+interface LogLine {
+  readonly time: string;
+  readonly process: string;
+  readonly event: string;
+  readonly text: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+class LogFileError extends TernmountError {
+  constructor(file: string, cause: Error) {
+    super({ code: 'TERNMOUNT_LOG_FILE_UNREADABLE', retriable: false, cause }, `${file}: can't be read`);
+  }
+}
+
+/** Reads records; what is no JSON, such as a line cut off, is passed over. */
+async function* readLog(file: string): AsyncIterable<LogLine> {
+  const lines = createInterface({ input: createReadStream(file), crlfDelay: Number.POSITIVE_INFINITY });
+  try {
+    for await (const line of lines) {
+      const record = parseLine(line);
+      if (record !== null) {
+        yield record;
+      }
+    }
+  } catch (thrown) {
+    throw new LogFileError(file, toError(thrown));
+  }
+}
+
+function parseLine(line: string): LogLine | null {
+  const start = line.indexOf('{');
+  if (start === -1) {
+    return null;
+  }
+  try {
+    const text = line.slice(start);
+    const fields = JSON.parse(text) as Record<string, unknown>;
+    const { time = '', process = '', event = '' } = fields;
+    return { time: String(time), process: String(process), event: String(event), text, fields };
+  } catch {
+    return null;
+  }
+}
+
+/** Names of upstreams that a request touched, or that own its key. */
+function upstreamsOf({ fields }: LogLine): string[] {
+  const attempts = (fields.attempts ?? []) as readonly { readonly upstream: string }[];
+  const owner = typeof fields.owner === 'string' ? [fields.owner] : [];
+  return [...new Set([...attempts.map(({ upstream }) => upstream), ...owner])];
+}
+
+function concerns(line: LogLine, upstream: string): boolean {
+  const { fields } = line;
+  return [fields.upstream, fields.owner, fields.former].includes(upstream);
+}
+
+/** A range whose keys include that of the request. */
+function isRangeOf(line: LogLine, request: LogLine): boolean {
+  const key = Number(request.fields.key ?? Number.NaN);
+  const { service, from, to } = line.fields;
+  const isSame = service === request.fields.service || request.fields.service === undefined;
+  return line.event === 'range-changed' && isSame && Number(from) <= key && key <= Number(to);
+}
+
+/** The last record before a request that fits. */
+function lastBefore(
+  lines: readonly LogLine[],
+  time: string,
+  fits: (line: LogLine) => boolean,
+): LogLine | undefined {
+  return lines.filter((line) => line.time <= time && fits(line)).at(-1);
+}
+
+async function explain({ positionals, options, io }: Invocation): Promise<ExitCode> {
+  const [id = '', ...files] = positionals;
+  const lines: LogLine[] = [];
+  for (const file of files) {
+    for await (const line of readLog(file)) {
+      lines.push(line);
+    }
+  }
+  lines.sort((one, other) => (one.time < other.time ? -1 : 1));
+  const requests = lines.filter(({ fields, event }) => fields.id === id && event.startsWith('request-'));
+  for (const request of requests) {
+    io.write(`${request.text}\n`);
+    const causes = options.on('all') ? historyOf(request, lines) : causesOf(request, lines);
+    for (const line of causes) {
+      io.write(`  ${line.text}\n`);
+    }
+  }
+  if (requests.length === 0) {
+    io.writeError(`no record of request ${JSON.stringify(id)}: ordinary answers are sampled\n`);
+    return EXIT_CODES.failed;
+  }
+  return EXIT_CODES.ok;
+}
+
+/** All that was logged of the upstreams of a request before it. */
+function historyOf(request: LogLine, lines: readonly LogLine[]): LogLine[] {
+  const upstreams = upstreamsOf(request);
+  const isOfThem = (line: LogLine): boolean => upstreams.some((upstream) => concerns(line, upstream));
+  return lines.filter((line) => line.time <= request.time && (isOfThem(line) || isRangeOf(line, request)));
+}
+
+/** What control decided last about the key and the upstreams of a request, and what its router knew of control. */
+function causesOf(request: LogLine, lines: readonly LogLine[]): LogLine[] {
+  const { time, process } = request;
+  const found = [
+    lastBefore(lines, time, (line) => isRangeOf(line, request)),
+    ...upstreamsOf(request).flatMap((upstream) => [
+      lastBefore(lines, time, (line) => line.event === 'upstream-changed' && concerns(line, upstream)),
+      lastBefore(lines, time, (line) => line.event === 'holder-call-ended' && concerns(line, upstream)),
+      lastBefore(lines, time, (line) => line.event === 'upstream-ejected' && concerns(line, upstream)),
+    ]),
+    lastBefore(lines, time, (line) => line.event === 'declaration-changed'),
+    lastBefore(lines, time, (line) => line.event === 'configuration-applied' && line.process === process),
+  ];
+  return found.filter((line) => line !== undefined);
+}
+
+export const requestExplain: CommandSpec = {
+  name: 'request explain',
+  summary: 'Find the cause of what became of a request in log files, by its id',
+  arguments: '<id> <...files>',
+  options: [
+    {
+      name: 'all',
+      summary: 'Print everything that control logged of its upstreams before, not the last only',
+    },
+  ],
+  examples: ['request explain 9c41d07be2a35f68 router-1.log control-1.log'],
+  run: explain,
+};
--- a/src/control/admin/admin-context.ts
+++ b/src/control/admin/admin-context.ts
@@ -17,6 +17,8 @@
 export interface AdminState {
   operator?: Operator;
   audit?: AuditFacts;
+  /** A program's routine, such as a heartbeat that says nothing new: not told of while it goes well. */
+  isRoutine?: boolean;
 }
 
 /** Context of a route. */
--- a/src/control/admin/commands/announcement-routes.ts
+++ b/src/control/admin/commands/announcement-routes.ts
@@ -2,11 +2,13 @@
 import type { Router } from '@koa/router';
 import { z } from 'zod';
 import { addressSchema } from '../../../settings/addresses.js';
+import { formatAddress } from '../../../wire/address.js';
 import type { AdminContext, AdminServices, AdminState } from '../admin-context.js';
 import { redirectToLeader } from '../leader-redirect.js';
 import { checkBody, readJson } from '../request-body.js';
 import { acceptedRevision, expectResponse } from '../responses.js';
 
+const OK = 200;
 const LONGEST_WARMUP_MILLIS = 3_600_000;
 
 const heartbeatSchema = z.looseObject({
@@ -26,6 +28,9 @@
   const leaving = state === 'draining';
   const definition = { id, service, address, zone, mayHold: [], leaving, announced };
   await answer(context, services, { type: 'announce', definition });
+  if (context.status === OK) {
+    context.body = { heartbeatAddress: ownAddress(context) };
+  }
 }
 
 async function takeWithdrawal(context: AdminContext, services: AdminServices): Promise<void> {
@@ -39,15 +44,35 @@
   request: Parameters<AdminServices['operate']>[0],
 ): Promise<void> {
   const response = await services.operate(request);
+  context.state.audit = { action: request.type, subject: subjectOf(request), requestId: '' };
   if (redirectToLeader(context, response)) {
+    context.state.isRoutine = true;
     return;
   }
+  context.state.isRoutine = response.type === 'done';
   if (response.type !== 'done') {
     acceptedRevision(expectResponse(response, 'result').result, 'header');
   }
   context.body = {};
 }
 
+/** Where this member serves; the leader names itself, so that later heartbeats need no redirect. */
+function ownAddress({ req }: AdminContext): string {
+  const { localAddress = '', localPort = 0 } = req.socket;
+  return formatAddress({ host: localAddress, port: localPort });
+}
+
+function subjectOf(request: Parameters<AdminServices['operate']>[0]): string {
+  switch (request.type) {
+    case 'announce':
+      return request.definition.id;
+    case 'withdraw':
+      return request.upstream;
+    default:
+      return '';
+  }
+}
+
 /** Adds the routes of upstreams that announce themselves. */
 export function addAnnouncementRoutes(router: Router<AdminState>, services: AdminServices): void {
   router.post('/v1/upstreams/:id/heartbeat', (context) => takeHeartbeat(context, services));
--- a/src/control/admin/commands/declaration-routes.ts
+++ b/src/control/admin/commands/declaration-routes.ts
@@ -81,6 +81,8 @@
   services: AdminServices,
   change: DeclarationChange,
 ): Promise<void> {
+  const subject = `version ${change.version} on ${change.expected}`;
+  context.state.audit = { action: 'declare', subject, requestId: '' };
   const response = await services.operate({ type: 'declare', actor: actorOf(context), change });
   if (redirectToLeader(context, response)) {
     return;
--- a/src/control/admin/middlewares.ts
+++ b/src/control/admin/middlewares.ts
@@ -74,18 +74,20 @@
       outcome = toAdminError(thrown).adminCode;
       throw thrown;
     } finally {
-      const { operator, audit } = context.state;
-      logger.info('operator-change', {
-        actor: operator?.name ?? null,
-        from,
-        method: context.method,
-        path: context.path,
-        action: audit?.action ?? null,
-        subject: audit?.subject ?? null,
-        requestId: audit?.requestId ?? null,
-        outcome,
-        revision,
-      });
+      const { operator, audit, isRoutine = false } = context.state;
+      if (!isRoutine || outcome !== 'accepted') {
+        logger.info('operator-change', {
+          actor: operator?.name ?? null,
+          from,
+          method: context.method,
+          path: context.path,
+          action: audit?.action ?? null,
+          subject: audit?.subject ?? null,
+          requestId: audit?.requestId ?? null,
+          outcome,
+          revision,
+        });
+      }
     }
   };
 }
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -185,6 +185,7 @@
       raft: this.#raft,
       propose: this.#propose,
       call: (call: SessionCall) => this.#emit({ type: 'call-upstream', ...call }),
+      log: (event: string, fields: Readonly<Record<string, unknown>>) => this.#log('info', event, fields),
       callHolder: (call: HolderCall) => this.#emit({ type: 'call-holder', call }),
     };
     return new LeaderDuties(parts, this.#raft.status().term, now);
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -13,7 +13,7 @@
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
 import type { HolderCall, HolderCallId, HolderOutcome } from './ranges/holder-call.js';
-import { DEFAULT_RANGE_TIMINGS, RangeCoordinator } from './ranges/range-coordinator.js';
+import { DEFAULT_RANGE_TIMINGS, type LogRanges, RangeCoordinator } from './ranges/range-coordinator.js';
 import type { ServiceMeasures } from './service-measures.js';
 import { ShardCoordinator } from './shard-coordinator.js';
 import type { ControlConfig } from './types.js';
@@ -32,6 +32,7 @@
   readonly propose: ProposeCommand;
   readonly call: (call: SessionCall) => void;
   readonly callHolder: (call: HolderCall) => void;
+  readonly log: LogRanges;
 }
 
 /** A session with the time of the upstream's last answer of any kind in this leadership. */
@@ -75,6 +76,7 @@
         propose,
         confirm: (now, settle) => parts.raft.read(now, (confirmed) => settle(confirmed && !this.#isOver)),
         call: parts.callHolder,
+        log: parts.log,
         timings: config.ranges ?? DEFAULT_RANGE_TIMINGS,
       },
       electedAt,
--- a/src/control/ownership-log.ts
+++ b/src/control/ownership-log.ts
@@ -1,16 +1,25 @@
 /** Log records of changes of ownership: one for each upstream, one for all shards of a batch. */
+import type { DeclarationRecord } from '../model/declaration.js';
 import type { RegistryChange } from '../registry/types.js';
 import type { ControlEffect } from './types.js';
 
 type LogEffect = Extract<ControlEffect, { readonly type: 'log' }>;
 type UpstreamChange = Extract<RegistryChange, { readonly type: 'upstream' }>;
+type RangeChange = Extract<RegistryChange, { readonly type: 'range' }>;
 type ShardChange = Extract<RegistryChange, { readonly type: 'shard' }>;
 
 /** What a batch of changes is logged as. */
 export function ownershipLog(changes: readonly RegistryChange[]): LogEffect[] {
   const upstreams = changes.filter((change) => change.type === 'upstream');
   const shards = changes.filter((change) => change.type === 'shard');
-  return [...upstreams.map(upstreamRecord), ...(shards.length > 0 ? [shardsRecord(shards)] : [])];
+  const ranges = changes.filter((change) => change.type === 'range');
+  const declarations = changes.filter((change) => change.type === 'declaration');
+  return [
+    ...upstreams.map(upstreamRecord),
+    ...(shards.length > 0 ? [shardsRecord(shards)] : []),
+    ...ranges.flatMap(rangeRecord),
+    ...declarations.map(({ record }) => declarationRecord(record, changes)),
+  ];
 }
 
 function upstreamRecord({ id, record }: UpstreamChange): LogEffect {
@@ -19,6 +28,21 @@
   return { type: 'log', level: 'info', event: 'upstream-changed', fields };
 }
 
+function rangeRecord({ record }: RangeChange): LogEffect[] {
+  if (record === null) {
+    return [];
+  }
+  const { service, from, to, owner, fence, former } = record;
+  const fields = { service, from, to, owner, fence, former };
+  return [{ type: 'log', level: 'info', event: 'range-changed', fields }];
+}
+
+function declarationRecord(record: DeclarationRecord | null, changes: readonly RegistryChange[]): LogEffect {
+  const routes = changes.filter(({ type }) => type === 'route').length;
+  const fields = { version: record?.version ?? 0, revision: record?.revision ?? 0, changedRoutes: routes };
+  return { type: 'log', level: 'info', event: 'declaration-changed', fields };
+}
+
 function shardsRecord(shards: readonly ShardChange[]): LogEffect {
   const owned = shards.filter(({ record }) => record?.owner != null).length;
   const fields = { owned, unowned: shards.length - owned };
--- a/src/control/ranges/range-coordinator.ts
+++ b/src/control/ranges/range-coordinator.ts
@@ -33,12 +33,16 @@
 
 export const DEFAULT_RANGE_TIMINGS: RangeTimings = { ...DEFAULT_TIMED_GRANT_TIMINGS, heartbeatMillis: 1000 };
 
+/** Writes a record of what was decided. */
+export type LogRanges = (event: string, fields: Readonly<Record<string, unknown>>) => void;
+
 export interface RangeCoordinatorParts {
   readonly registry: () => Registry;
   readonly propose: ProposeCommand;
   /** Asks a quorum to confirm this leadership. */
   readonly confirm: (now: MonotonicMillis, settle: (confirmed: boolean) => void) => void;
   readonly call: (call: HolderCall) => void;
+  readonly log: LogRanges;
   readonly timings: RangeTimings;
 }
 
@@ -143,6 +147,7 @@
       return;
     }
     this.#proposing.add(name);
+    this.#parts.log('ranges-decided', { service: name, use: service.describeUse(), updates });
     this.#parts.propose({ type: 'range-update', service: name, updates }, (outcome, settledAt) => {
       this.#proposing.delete(name);
       this.#lookAt = settledAt;
--- a/src/control/ranges/range-service.ts
+++ b/src/control/ranges/range-service.ts
@@ -25,6 +25,12 @@
 const LONGEST_GATHER_MILLIS = 4000;
 /** Time between two looks at the balance of loads. */
 const BALANCE_MILLIS = 500;
+/** After a report, others are waited for this long. */
+const REPORTS_GATHER_MILLIS = 120;
+/** Shortest time between two looks at the balance: each move is news for every router. */
+const LEAST_BALANCE_MILLIS = 350;
+/** Time between two joins of neighbouring ranges. */
+const JOIN_MILLIS = 5000;
 /** An upstream that wasn't heard for this many heartbeats gets no further keys. */
 const SILENT_HEARTBEATS = 3;
 /** A release that failed is tried again after this. */
@@ -62,6 +68,8 @@
   #serversSince: MonotonicMillis;
   readonly #since: MonotonicMillis;
   #balanceAt: MonotonicMillis;
+  #balancedAt = Number.NEGATIVE_INFINITY;
+  #joinAt: MonotonicMillis;
 
   constructor(parts: RangeServiceParts, now: MonotonicMillis) {
     this.#parts = parts;
@@ -69,10 +77,13 @@
     this.#since = now;
     this.#serversSince = now;
     this.#balanceAt = now + BALANCE_MILLIS;
+    this.#joinAt = now + JOIN_MILLIS;
   }
 
   loadReported(key: number, workMillis: number, now: MonotonicMillis): void {
     this.#loads.add(key, workMillis, now);
+    const soonest = Math.max(now + REPORTS_GATHER_MILLIS, this.#balancedAt + LEAST_BALANCE_MILLIS);
+    this.#balanceAt = Math.min(this.#balanceAt, soonest);
   }
 
   /** Whether an upstream owns keys, or may have to give some up. */
@@ -102,8 +113,20 @@
       return updates;
     }
     this.#balanceAt = now + BALANCE_MILLIS;
+    this.#balancedAt = now;
     const moves = this.#balance(ranges);
-    return moves.length > 0 ? moves : joinNeighbours(ranges);
+    if (moves.length > 0 || now < this.#joinAt) {
+      return moves;
+    }
+    this.#joinAt = now + JOIN_MILLIS;
+    return joinNeighbours(ranges);
+  }
+
+  /** Share of its capacity that each upstream uses, in percent, for the log. */
+  describeUse(): Readonly<Record<UpstreamId, number>> {
+    const { use } = this.#loadView();
+    const percent = (server: RangeServer): number => Math.round(use.useOf(server) * 100);
+    return Object.fromEntries(this.#servers.map((server) => [server.upstream, percent(server)]));
   }
 
   /** What was decided came about, or didn't. */
--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -1,5 +1,10 @@
-/** Structured logs: one JSON object a line on standard error, with `debug` deciding which namespaces are on. */
+/**
+ * Structured logs: one JSON object a line on standard output, with `debug` deciding which namespaces are on. Writing never
+ * waits for a reader, and each event has a bound a second; what is dropped is counted and said.
+ */
 import createDebug from 'debug';
+import { LogWriter } from './log-writer.js';
+import { RecordBudget } from './record-budget.js';
 
 /** How grave a record is, mildest first. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
@@ -20,9 +25,20 @@
   warn(event: string, fields?: LogFields): void;
   error(event: string, fields?: LogFields): void;
   log(level: LogLevel, event: string, fields?: LogFields): void;
+  /** A record of something ordinary, of which a few a second are enough; `fields` is asked for only if it is written. */
+  sample(event: string, fields: () => LogFields): void;
 }
 
+/** Records of one event a second, and of one that is sampled. */
+const RECORDS_A_SECOND = 50;
+const SAMPLES_A_SECOND = 2;
+const STANDARD_OUTPUT = 1;
+/** Time that the last lines have before the process ends. */
+const FINISH_MILLIS = 20;
+
 let identity: ProcessIdentity = { process: 'ternmount', zone: '' };
+const writer = new LogWriter(STANDARD_OUTPUT);
+const budget = new RecordBudget(RECORDS_A_SECOND);
 
 /** Sets the facts that each later record of this process carries. */
 export function identifyProcess(facts: ProcessIdentity): void {
@@ -34,6 +50,16 @@
   createDebug.enable(pattern);
 }
 
+/** Lines that a reader who is too slow has cost. */
+export function droppedLogLines(): number {
+  return writer.dropped;
+}
+
+/** Gives what waits a moment to get out; for the end of the process. */
+export function finishLogs(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, FINISH_MILLIS));
+}
+
 /** Errors in fields become their message, code and stack. */
 function serialise(_key: string, value: unknown): unknown {
   if (value instanceof Error) {
@@ -43,6 +69,19 @@
   return value;
 }
 
+function write(level: LogLevel, namespace: string, event: string, fields: LogFields): void {
+  const record = { time: new Date().toISOString(), level, ...identity, namespace, event, ...fields };
+  writer.line(JSON.stringify(record, serialise));
+}
+
+/** Says what the second before had too much of. */
+function reportDropped(): void {
+  const dropped = budget.turn(performance.now());
+  if (dropped !== null) {
+    write('warn', 'logging', 'records-dropped', { dropped });
+  }
+}
+
 /** How a logger differs from the usual. */
 export interface LoggerOptions {
   /** Write each record, whichever namespaces are on. For audit records. */
@@ -52,13 +91,15 @@
 /** Makes the logger of a namespace: `ternmount:<namespace>`. Warnings and errors are always written. */
 export function createLogger(namespace: string, options: LoggerOptions = {}): Logger {
   const channel = createDebug(`ternmount:${namespace}`);
-  const log = (level: LogLevel, event: string, fields: LogFields = {}): void => {
+  const isOn = (level: LogLevel): boolean => {
     const optional = options.always !== true && (level === 'debug' || level === 'info');
-    if (optional && !channel.enabled) {
-      return;
+    return !optional || channel.enabled;
+  };
+  const log = (level: LogLevel, event: string, fields: LogFields = {}): void => {
+    reportDropped();
+    if (isOn(level) && (options.always === true || budget.take(event))) {
+      write(level, namespace, event, fields);
     }
-    const record = { time: new Date().toISOString(), level, ...identity, namespace, event, ...fields };
-    process.stderr.write(`${JSON.stringify(record, serialise)}\n`);
   };
   return {
     log,
@@ -66,5 +107,11 @@
     info: (event, fields) => log('info', event, fields),
     warn: (event, fields) => log('warn', event, fields),
     error: (event, fields) => log('error', event, fields),
+    sample: (event, fields) => {
+      reportDropped();
+      if (isOn('info') && budget.take(event, SAMPLES_A_SECOND)) {
+        write('info', namespace, event, fields());
+      }
+    },
   };
 }
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -19,6 +19,9 @@
   readonly metrics: RouterMetrics;
   readonly log: Logger;
   readonly arrived: (request: ArrivedRequest) => void;
+  /** A request is under way, and is over. */
+  readonly opened: (exchange: CallerExchange) => void;
+  readonly closed: (request: RequestNumber) => void;
   /** The caller went away before it was answered. */
   readonly cancelled: (request: RequestNumber) => void;
 }
@@ -86,6 +89,7 @@
     const streams = { request, response, retryAfterUnit };
     const exchange = new CallerExchange(this.count, head, body, streams);
     this.exchanges.set(exchange.number, exchange);
+    this.parts.opened(exchange);
     response.once('close', () => this.closed(exchange));
     this.parts.arrived(arrivedRequest(exchange, request.rawHeaders));
   }
@@ -96,6 +100,7 @@
     if (!exchange.answered) {
       this.parts.cancelled(exchange.number);
     }
+    this.parts.closed(exchange.number);
   }
 
   private turnAway(response: ServerResponse, thrown: unknown): void {
--- a/src/router/metrics.ts
+++ b/src/router/metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of a router daemon. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { droppedLogLines } from '../logging/logger.js';
 import type { ServiceName } from '../model/identifiers.js';
 import type { AttemptResult, RouterStatus } from '../routing/types.js';
 
@@ -48,6 +49,7 @@
     this.gauge('queued', 'Requests waiting', () => status().queued);
     this.gauge('in_flight', 'Attempts under way', () => status().inFlight);
     this.gauge('revision', 'Revision of the configuration', () => status().revision);
+    this.gauge('log_lines_dropped', 'Log lines that a slow reader has cost', droppedLogLines);
     this.gauge('serving', '1 while the configuration lease holds', () => (status().serving ? 1 : 0));
   }
 
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../logging/logger.js';
 import type { Incarnation } from '../model/identifiers.js';
 import type { PolicyTraceRecord } from '../policy/index.js';
+import { NumberedTable } from '../routing/numbered-table.js';
 import type {
   AttemptNumber,
   RequestNumber,
@@ -19,6 +20,7 @@
 import { CallerExchanges } from './caller/caller-exchanges.js';
 import type { ControlLinks } from './control-links.js';
 import type { RouterMetrics } from './metrics.js';
+import { RequestTrail } from './request-trail.js';
 import type { CompleteRouterSettings } from './settings.js';
 
 export interface RouterTaskOptions {
@@ -50,6 +52,9 @@
   private readonly mailbox: RouterInput[] = [];
   private readonly callers: CallerExchanges;
   private readonly attempts: UpstreamAttempts;
+  private readonly trails = new NumberedTable<RequestTrail>();
+  /** Whose request an attempt was made for, until it ends. */
+  private readonly attemptOwners = new NumberedTable<RequestNumber>();
   private timer: NodeJS.Timeout | undefined;
   private tickDue = Number.POSITIVE_INFINITY;
   private stepping = false;
@@ -64,7 +69,12 @@
       metrics,
       log,
       arrived: (request) => this.post({ type: 'request', request }),
-      cancelled: (request) => this.post({ type: 'request-cancelled', request }),
+      opened: (exchange) => void this.trails.set(exchange.number, new RequestTrail(exchange, log)),
+      closed: (request) => this.forget(request),
+      cancelled: (request) => {
+        this.trails.get(request)?.cancelled();
+        this.post({ type: 'request-cancelled', request });
+      },
     });
     this.attempts = new UpstreamAttempts({
       incarnation,
@@ -74,6 +84,7 @@
       streamStallMillis: settings.timings.streamStallMillis,
       ended: (attempt, result) => {
         metrics.attemptEnded(result.type);
+        this.trailOf(attempt)?.ended(attempt, result);
         this.post({ type: 'attempt-ended', attempt, result });
       },
     });
@@ -173,6 +184,7 @@
       case 'refuse':
         this.callers.answer(effect.request, (exchange) => {
           exchange.answerOwn(effect);
+          this.trails.get(exchange.number)?.refused(effect);
           metrics.refused(exchange.head.service, effect.outcome, effect.reason);
         });
         return;
@@ -185,18 +197,36 @@
     }
   }
 
+  private noteSent(exchange: CallerExchange, effect: DispatchEffect): void {
+    this.trails.get(exchange.number)?.sent(effect);
+    this.attemptOwners.set(effect.attempt, exchange.number);
+  }
+
+  /** The trail that an attempt belongs to, once: it has ended. */
+  private trailOf(attempt: AttemptNumber): RequestTrail | undefined {
+    const request = this.attemptOwners.get(attempt);
+    this.attemptOwners.delete(attempt);
+    return request === undefined ? undefined : this.trails.get(request);
+  }
+
+  private forget(request: RequestNumber): void {
+    this.trails.delete(request);
+  }
+
   private dispatch(effect: DispatchEffect): void {
     const exchange = this.callers.find(effect.request);
     if (exchange === undefined) {
       this.post({ type: 'attempt-ended', attempt: effect.attempt, result: { type: 'connect-failed' } });
       return;
     }
+    this.noteSent(exchange, effect);
     this.attempts.start(effect, exchange);
   }
 
   private deliver(exchange: CallerExchange, attempt: AttemptNumber): void {
     if (this.attempts.deliver(attempt, exchange)) {
       this.options.metrics.answered(exchange.head.service, secondsOf(exchange), 'upstream');
+      this.trails.get(exchange.number)?.delivered(attempt);
       return;
     }
     this.answerMissing(exchange, attempt);
--- a/src/routing/answers.ts
+++ b/src/routing/answers.ts
@@ -2,6 +2,7 @@
 import type { StoredAnswer } from '../ledger/types.js';
 import type { Settlement } from './claim.js';
 import type { ClaimFlow } from './claim-flow.js';
+import { factsOf } from './decision-facts.js';
 import { type LedgerWord, outcomeOf, statusOf } from './outcome-table.js';
 import type { RouterContext } from './router-context.js';
 import type { ArrivedRequest, AttemptResult, RefusalReason } from './types.js';
@@ -29,6 +30,7 @@
       outcome,
       reason,
       retryAfterMillis,
+      facts: null,
     });
   }
 
@@ -95,7 +97,8 @@
     const outcome = outcomeOf({ ledger: work.ledger, mayHaveRun });
     const status = statusOf(reason, mayHaveRun);
     const { request } = member.request;
-    this.context.emit({ type: 'refuse', request, status, outcome, reason, retryAfterMillis });
+    const facts = factsOf(work, this.context);
+    this.context.emit({ type: 'refuse', request, status, outcome, reason, retryAfterMillis, facts });
   }
 
   private leave(member: Member): void {
--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -52,6 +52,8 @@
       credentials,
       instance: upstream.record.definition.announced === undefined ? null : upstream.id,
       deadlineMillis: work.deadline - context.now,
+      revision: context.view.revision,
+      fence: grant?.epoch ?? null,
       wholeAnswerBytes: service.definition.wholeAnswerBytes,
     });
   }
--- a/src/routing/configuration-lease.ts
+++ b/src/routing/configuration-lease.ts
@@ -52,6 +52,11 @@
     return servesOn ? Number.POSITIVE_INFINITY : this.validUntil;
   }
 
+  /** When a request was sent whose answer confirmed the configuration; `null`: never. */
+  get confirmedAt(): MonotonicMillis | null {
+    return this.validUntil === Number.NEGATIVE_INFINITY ? null : this.validUntil - this.span();
+  }
+
   isValid(now: MonotonicMillis): boolean {
     return now < this.end;
   }
--- a/src/routing/configuration-view.ts
+++ b/src/routing/configuration-view.ts
@@ -74,6 +74,11 @@
     return keyMap === undefined ? undefined : shardOfKey(keyMap, key);
   }
 
+  /** Whether keys of a service are numbers owned in ranges. */
+  hasRanges(service: ServiceName): boolean {
+    return this.ranges.has(service);
+  }
+
   /** Under which name the load of a key is reported: that of its shard, or its own where ranges can be cut. */
   loadName(service: ServiceName, key: string, shard: ShardId): ShardId {
     return this.ranges.has(service) ? rangeShardId(service, Number(key)) : shard;
--- /dev/null
+++ b/src/routing/decision-facts.ts
@@ -0,0 +1,24 @@
+/** What a decision about a work relied on, for the log. */
+import type { RouterContext } from './router-context.js';
+import type { DecisionFacts } from './types.js';
+import { WaitEstimate } from './wait-estimate.js';
+import type { Work } from './work.js';
+
+export function factsOf(work: Work, context: RouterContext): DecisionFacts {
+  const { view, lease, now } = context;
+  const { service, shard } = work;
+  const owner = shard === null ? undefined : context.ownerOf(shard);
+  const { confirmedAt } = lease;
+  return {
+    route: work.terms.route,
+    service: service.name,
+    version: view.declaration?.version ?? 0,
+    revision: view.revision,
+    confirmedAgoMillis: confirmedAt === null ? null : Math.round(now - confirmedAt),
+    owner: owner?.upstream.id ?? null,
+    fence: owner?.epoch ?? null,
+    waiting: service.waitingLength,
+    waitMillis: Math.round(new WaitEstimate(context).untilDispatch(work)),
+    usable: service.upstreams.filter(({ evidence }) => evidence.standing(now) === 'usable').length,
+  };
+}
--- a/src/routing/load-reporter.ts
+++ b/src/routing/load-reporter.ts
@@ -6,6 +6,8 @@
 import type { ShardId } from '../model/identifiers.js';
 
 const REPORT_MILLIS = 1000;
+/** The same while work waits: its owner may be overwhelmed. */
+const URGENT_REPORT_MILLIS = 300;
 /** Shards in one report, about; 1,200 routers then send the leader some 77,000 entries a second. */
 const REPORTED_SHARDS = 64;
 
@@ -25,11 +27,11 @@
     this.works.set(shard, (this.works.get(shard) ?? 0) + workMillis);
   }
 
-  /** The report due now, if one is; counting starts again. */
-  take(now: number): LoadReport | null {
+  /** The report due now, if one is; counting starts again. `isUrgent`: work of shards or ranges waits. */
+  take(now: number, isUrgent = false): LoadReport | null {
     this.reportedAt ??= now;
     const intervalMillis = now - this.reportedAt;
-    if (intervalMillis < REPORT_MILLIS) {
+    if (intervalMillis < (isUrgent ? URGENT_REPORT_MILLIS : REPORT_MILLIS)) {
       return null;
     }
     const shards = this.sample();
--- a/src/routing/outcome-table.ts
+++ b/src/routing/outcome-table.ts
@@ -55,9 +55,13 @@
 };
 
 const BAD_GATEWAY = 502;
+const SERVICE_UNAVAILABLE = 503;
 
 /** HTTP status of a refusal. What may have run on an upstream is never a plain 503, which clients resend freely. */
 export function statusOf(reason: RefusalReason, mayHaveRun: boolean): number {
   const status = STATUS_OF_REASON[reason];
+  if (reason === 'deadline-passed' && !mayHaveRun) {
+    return SERVICE_UNAVAILABLE;
+  }
   return mayHaveRun && status === 503 ? BAD_GATEWAY : status;
 }
--- a/src/routing/request-terms.ts
+++ b/src/routing/request-terms.ts
@@ -2,6 +2,9 @@
 import type { RouteDefinition } from '../model/declaration.js';
 import { PRIORITY_CLASSES, type ServiceDefinition } from '../model/service.js';
 
+/** Share of its target time that a request may wait: the rest is for its work. */
+const WAITING_SHARE = 0.6;
+
 /** Times in milliseconds. */
 export interface RequestTerms {
   /** `null`: addressed to a service. */
@@ -39,7 +42,7 @@
     repeatable: route.repeatable,
     needsClaim: false,
     deadlineMillis: route.timeoutMillis,
-    holdMillis: Math.min(service.holdLimitMillis, Math.max(route.targetMillis, route.timeoutMillis / 2)),
+    holdMillis: Math.min(service.holdLimitMillis, route.targetMillis * WAITING_SHARE),
     maxAttempts: route.maxAttempts,
     priority: route.priority,
   };
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -14,6 +14,7 @@
 import { RouterContext } from './router-context.js';
 import type { TimerSubject } from './router-timer.js';
 import type { RouterConfig, RouterCore, RouterEffect, RouterInput, RouterStatus } from './types.js';
+import type { Member } from './work.js';
 
 /** Makes the core of one run of a router. It serves nothing before its first confirmed configuration. */
 export function createRouterNode(config: RouterConfig): RouterCore {
@@ -140,9 +141,16 @@
     this.beginLease();
     if (outcome?.type === 'applied') {
       this.updates.apply(outcome.changes);
+      this.logApplied(outcome.changes.length);
     }
   }
 
+  private logApplied(changes: number): void {
+    const { revision, declaration } = this.context.view;
+    const fields = { revision, version: declaration?.version ?? 0, changes };
+    this.context.emit({ type: 'log', level: 'info', event: 'configuration-applied', fields });
+  }
+
   private applyResponse(response: SyncResponse): ApplyOutcome | undefined {
     const { view } = this.context;
     if (response.snapshot !== null) {
@@ -182,7 +190,7 @@
   private fire(subject: TimerSubject): void {
     switch (subject.type) {
       case 'deadline':
-        this.answers.refuse(subject.member, 'deadline-passed', null);
+        this.passDeadline(subject.member);
         return;
       case 'hold-end':
         this.endHold(subject);
@@ -204,6 +212,13 @@
     }
   }
 
+  /** What has not run may be sent again: its route's time may be over before its caller's. */
+  private passDeadline(member: Member): void {
+    const mayHaveRun = member.mayHaveRun || member.work.attempt !== null;
+    const wait = mayHaveRun ? null : this.admission.unmeasuredRetryAfter();
+    this.answers.refuse(member, 'deadline-passed', wait);
+  }
+
   /** The bound counts only for work that waits just now. */
   private endHold(subject: Extract<TimerSubject, { type: 'hold-end' }>): void {
     const { work } = subject;
@@ -234,12 +249,18 @@
   private reportLoad(): void {
     const { context } = this;
     const leader = context.leader.target();
-    const report = context.reporter.take(context.now);
+    const report = context.reporter.take(context.now, this.isOverwhelmed());
     if (report !== null && leader !== null) {
       context.emit({ type: 'send-control', to: leader, message: report });
     }
   }
 
+  /** Whether work waits for owners of numeric keys, which can be cut anew. */
+  private isOverwhelmed(): boolean {
+    const { services, view } = this.context;
+    return [...services.values()].some(({ name, lanes }) => lanes.length > 0 && view.hasRanges(name));
+  }
+
   private cancelRequest(request: number): void {
     const member = this.context.members.get(request);
     if (member !== undefined) {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -6,7 +6,9 @@
 import type { StoredAnswer } from '../ledger/types.js';
 import type {
   Address,
+  Epoch,
   Incarnation,
+  Revision,
   RouterId,
   ServiceName,
   UpstreamId,
@@ -111,6 +113,26 @@
   | 'retry-budget-spent'
   | 'attempts-spent';
 
+/** What a decision about a request relied on, for the log. Times in milliseconds. */
+export interface DecisionFacts {
+  /** `null`: addressed to a service. */
+  readonly route: string | null;
+  readonly service: ServiceName;
+  /** Version of the declared document in force here; 0: none. */
+  readonly version: number;
+  /** Revision of the configuration, and how long ago it was confirmed to be the latest; `null`: never. */
+  readonly revision: Revision;
+  readonly confirmedAgoMillis: number | null;
+  /** Owner of the key and its fence; `null`: there is none, or the service has no keys. */
+  readonly owner: UpstreamId | null;
+  readonly fence: Epoch | null;
+  /** Requests of the service that wait, and how long one more would. */
+  readonly waiting: number;
+  readonly waitMillis: number;
+  /** Upstreams of the service that take work. */
+  readonly usable: number;
+}
+
 export type RouterEffect =
   | { readonly type: 'send-control'; readonly to: Address; readonly message: RouterToControl }
   | {
@@ -125,6 +147,9 @@
       readonly instance: UpstreamId | null;
       /** Time left. */
       readonly deadlineMillis: number;
+      /** Revision of the configuration that chose the upstream, and the owner's fence. */
+      readonly revision: Revision;
+      readonly fence: Epoch | null;
       /** The shell reads answers whole up to this size before reporting `answered`. */
       readonly wholeAnswerBytes: number;
     }
@@ -141,6 +166,8 @@
       readonly outcome: Outcome;
       readonly reason: RefusalReason;
       readonly retryAfterMillis: number | null;
+      /** `null`: it was turned away before anything was looked at. */
+      readonly facts: DecisionFacts | null;
     }
   /** What a policy saw of a request; only while they are wanted. */
   | { readonly type: 'policy-trace'; readonly record: PolicyTraceRecord }
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -15,6 +15,8 @@
 const LOAD_DECAY_MILLIS = 1000;
 /** Outstanding work of others that is believed at most, for each slot: one that says more is no fuller, or says it wrongly. */
 const MOST_LOAD_PER_SLOT = 4;
+/** Outstanding requests, for each slot, at which one more waits in the router rather than at the upstream. */
+const MOST_OUTSTANDING_PER_SLOT = 2.5;
 const SLOW_START_MILLIS = 10_000;
 /** Share of its part that a cold upstream gets at first. */
 const SLOW_START_FLOOR = 0.1;
@@ -70,8 +72,25 @@
     this.evidence.operatorLeaving = record.definition.leaving;
   }
 
+  /** Whether it may be sent one more request now. */
   hasSlot(now: number): boolean {
-    return this.inFlight < this.slotLimit.slots && now >= this.pausedUntil;
+    if (now < this.pausedUntil) {
+      return false;
+    }
+    return this.record.definition.announced === undefined
+      ? this.inFlight < this.slotLimit.slots
+      : this.hasRoom(now);
+  }
+
+  /**
+   * An upstream that announced itself says how much is outstanding there, from all routers, and has a short queue of its
+   * own. Requests wait there while that queue is shorter than its slots and a half, so that no slot idles.
+   */
+  private hasRoom(now: number): boolean {
+    const { most } = this.slotLimit;
+    const isOwnShare = this.inFlight <= most;
+    const outstanding = this.inFlight + this.load(now);
+    return this.inFlight === 0 || (isOwnShare && outstanding < most * MOST_OUTSTANDING_PER_SLOT);
   }
 
   dispatched(): void {
--- a/test/contract/admin-harness.ts
+++ b/test/contract/admin-harness.ts
@@ -102,7 +102,7 @@
   };
 }
 
-const SILENT: Logger = { debug() {}, info() {}, warn() {}, error() {}, log() {} };
+const SILENT: Logger = { debug() {}, info() {}, warn() {}, error() {}, log() {}, sample() {} };
 
 export class AdminHarness {
   readonly registry = createRegistry();
--- a/test/control/range-world.ts
+++ b/test/control/range-world.ts
@@ -128,6 +128,7 @@
           }),
         confirm: (_now, settle) => this.after(2 * NETWORK_MILLIS, () => settle(isLeading())),
         call: (call) => this.#carry(call, leadership),
+        log: () => {},
         timings: TIMINGS,
       },
       this.now,
--- a/test/docs/walk.test.ts
+++ b/test/docs/walk.test.ts
@@ -56,9 +56,9 @@
     .replace(/^(ternmount control join --settings control-(\d)\.yaml).*$/gm, '$1 > id-$2')
     .replace(
       /^(ternmount control run --settings control-(\d)\.yaml) &$/gm,
-      '$1 2>> control-$2.log &\nCONTROL_$2_PID=$!',
+      '$1 >> control-$2.log 2>&1 &\nCONTROL_$2_PID=$!',
     )
-    .replace(/^(ternmount router run .*) &$/gm, '$1 2>> router.log &')
+    .replace(/^(ternmount router run .*) &$/gm, '$1 >> router.log 2>&1 &')
     .replace(/^(node server\.mjs menu-(\d) .*) &$/gm, '$1 &\nMENU_$2_PID=$!')
     .replaceAll('r-the-second', '"$(cat id-2)"')
     .replaceAll('r-the-third', '"$(cat id-3)"')
--- a/test/router/log-recorder.ts
+++ b/test/router/log-recorder.ts
@@ -5,6 +5,8 @@
   /** Events logged as warnings or errors, in order. */
   readonly warnings: string[] = [];
 
+  sample(): void {}
+
   debug(event: string): void {
     this.log('debug', event);
   }
