Ranges: an owner of a key too hot to move sheds the rest

A move is now looked for in ever smaller shares, on the next busiest too; a single key moves if its next owner is less busy with it. Test: range-planner, two new cases.

--- a/src/placement/ranges/range-planner.ts
+++ b/src/placement/ranges/range-planner.ts
@@ -29,6 +29,10 @@
 /** How far the load of a moved span may be from what is wanted. */
 const SHIFT_LEAST_FACTOR = 0.75;
 const SHIFT_MOST_FACTOR = 1.35;
+/** Shares of the surplus that a move is looked for, one after the other. */
+const WANTED_SHARES = [1, 0.5, 0.25, 0.1] as const;
+/** A single key moves if it carries at most this share of the difference between the two owners. */
+const MOST_OF_DIFFERENCE = 0.7;
 /** Most keys that one move takes, as a share of all keys. */
 const MOST_KEYS_SHARE = 0.05;
 /** Moves planned at once. */
@@ -95,11 +99,20 @@
 
   /** The least used server but `except`; `undefined` if there is no other. */
   leastUsed(except: UpstreamId | null): RangeServer | undefined {
-    return this.#best(except, (one, other) => one < other);
+    let best: RangeServer | undefined;
+    for (const server of this.servers) {
+      const isCandidate = server.upstream !== except;
+      if (isCandidate && (best === undefined || this.useOf(server) < this.useOf(best))) {
+        best = server;
+      }
+    }
+    return best;
   }
 
-  mostUsed(): RangeServer | undefined {
-    return this.#best(null, (one, other) => one > other);
+  /** Servers that are used more than `most`, the most used first. */
+  busiest(most: number): RangeServer[] {
+    const busy = this.servers.filter((server) => this.useOf(server) > most);
+    return busy.sort((one, other) => this.useOf(other) - this.useOf(one));
   }
 
   /** Share of all servers' capacity that is used. */
@@ -108,20 +121,6 @@
     const load = this.servers.reduce((sum, { upstream }) => sum + this.of(upstream), 0);
     return load / Math.max(1, capacity);
   }
-
-  #best(
-    except: UpstreamId | null,
-    isBetter: (one: number, other: number) => boolean,
-  ): RangeServer | undefined {
-    let best: RangeServer | undefined;
-    for (const server of this.servers) {
-      const isCandidate = server.upstream !== except;
-      if (isCandidate && (best === undefined || isBetter(this.useOf(server), this.useOf(best)))) {
-        best = server;
-      }
-    }
-    return best;
-  }
 }
 
 /**
@@ -179,44 +178,70 @@
   use: ServerLoads,
   planned: readonly PlannedSpan[],
 ): PlannedSpan | undefined {
-  const busy = use.mostUsed();
-  const idle = use.leastUsed(busy?.upstream ?? null);
-  if (busy === undefined || idle === undefined) {
-    return undefined;
-  }
   const mean = use.meanUse();
   const most = Math.max(LEAST_BUSY, mean * BUSY_FACTOR, mean + BUSY_MARGIN);
-  if (use.useOf(busy) <= most) {
-    return undefined;
+  for (const busy of use.busiest(most)) {
+    const idle = use.leastUsed(busy.upstream);
+    const span = idle === undefined ? undefined : spanToMove({ ranges, loads, use, planned }, busy, idle);
+    if (idle !== undefined && span !== undefined) {
+      const load = loads.ofSpan(span);
+      use.shift(busy.upstream, -load);
+      use.shift(idle.upstream, load);
+      return { from: span.from, to: span.to, target: idle.upstream };
+    }
   }
+  return undefined;
+}
+
+interface MoveSearch {
+  readonly ranges: readonly KeyRange[];
+  readonly loads: KeyLoads;
+  readonly use: ServerLoads;
+  readonly planned: readonly PlannedSpan[];
+}
+
+/**
+ * The span whose move helps most: about the surplus if there is such a one, else less and less. A single key may carry more
+ * than is wanted; it moves if the one that takes it is still less busy then.
+ */
+function spanToMove(search: MoveSearch, busy: RangeServer, idle: RangeServer): KeySpan | undefined {
+  const { ranges, loads, use, planned } = search;
+  const mean = use.meanUse();
   const surplus = (use.useOf(busy) - mean) * capacityOf(busy);
   const room = (mean - use.useOf(idle)) * capacityOf(idle);
-  const wanted = Math.min(surplus, room);
-  if (wanted < LEAST_SHIFT * capacityOf(idle)) {
-    return undefined;
-  }
+  const most = (use.of(busy.upstream) - use.of(idle.upstream)) * MOST_OF_DIFFERENCE;
   const owned = ranges.filter(({ owner }) => owner === busy.upstream);
-  const span = shortestSpan(owned, loads, wanted, planned);
-  if (span === undefined) {
-    return undefined;
+  for (const share of WANTED_SHARES) {
+    const wanted = Math.min(surplus, room) * share;
+    if (wanted < LEAST_SHIFT * capacityOf(idle)) {
+      return undefined;
+    }
+    const span = shortestSpan(owned, loads, { wanted, most }, planned);
+    if (span !== undefined) {
+      return span;
+    }
   }
-  const load = loads.ofSpan(span);
-  use.shift(busy.upstream, -load);
-  use.shift(idle.upstream, load);
-  return { from: span.from, to: span.to, target: idle.upstream };
+  return undefined;
+}
+
+/** How much load a move should shift, in milliseconds of work a second. */
+interface Shift {
+  readonly wanted: number;
+  /** The most that a single key may carry. */
+  readonly most: number;
 }
 
 /** The fewest neighbouring keys of one owner that carry about the load wanted. */
 function shortestSpan(
   ranges: readonly KeyRange[],
   loads: KeyLoads,
-  wanted: number,
+  shift: Shift,
   planned: readonly PlannedSpan[],
 ): KeySpan | undefined {
   let best: KeySpan | undefined;
   for (const range of ranges) {
     for (const free of withoutSpans(range, planned)) {
-      const span = shortestSpanIn(free, loads, wanted);
+      const span = shortestSpanIn(free, loads, shift);
       if (span !== undefined && (best === undefined || spanLength(span) < spanLength(best))) {
         best = span;
       }
@@ -241,7 +266,7 @@
   return parts;
 }
 
-function shortestSpanIn(range: KeySpan, loads: KeyLoads, wanted: number): KeySpan | undefined {
+function shortestSpanIn(range: KeySpan, loads: KeyLoads, { wanted, most }: Shift): KeySpan | undefined {
   const mostKeys = Math.ceil((LARGEST_KEY + 1) * MOST_KEYS_SHARE);
   let best: KeySpan | undefined;
   let from = range.from;
@@ -252,7 +277,8 @@
       load -= loads.of(from);
       from += 1;
     }
-    const isFit = load >= wanted * SHIFT_LEAST_FACTOR && load <= wanted * SHIFT_MOST_FACTOR;
+    const isMost = load <= wanted * SHIFT_MOST_FACTOR || (from === to && load <= most);
+    const isFit = load >= wanted * SHIFT_LEAST_FACTOR && isMost;
     if (isFit && (best === undefined || to - from + 1 < spanLength(best))) {
       best = { from, to };
     }
--- a/test/placement/range-planner.test.ts
+++ b/test/placement/range-planner.test.ts
@@ -95,6 +95,23 @@
     expect(planMoves(ranges, loadsWith([500, 500, 1900]), list)).to.deep.equal([]);
   });
 
+  it('takes everything else off the owner of a key that is too hot to move', () => {
+    const list = servers(4);
+    const ranges = owned(list);
+    const loads = loadsWith([500, 500, 1900], [800, 899, 6], [40_000, 40_009, 100]);
+    const moves = planMoves(ranges, loads, list);
+    const moved = moves.filter(({ from }) => from >= 800 && from < 900);
+    expect(moved.length).to.be.at.least(1);
+    expect(moves.some(({ from, to }) => from <= 500 && 500 <= to)).to.equal(false);
+  });
+
+  it('moves a single hot key if its next owner is less busy with it', () => {
+    const list = servers(4);
+    const ranges = owned(list);
+    const loads = loadsWith([500, 500, 900], [700, 700, 900]);
+    expect(planMoves(ranges, loads, list)).to.have.length(1);
+  });
+
   it('spreads the keys of an owner that goes over several others', () => {
     const list = servers(5);
     const [first] = owned(list) as [KeyRange];
