--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,9 +2,10 @@
 /** `ternmount`: runs one subcommand and ends with its exit code. */
 import { finishLogs } from '../logging/logger.js';
 import { processIo } from './cli-io.js';
+import { COMMANDS } from './command-list.js';
 import { runCommandLine } from './run-command-line.js';
 
-process.exitCode = await runCommandLine(process.argv.slice(2), processIo());
+process.exitCode = await runCommandLine(process.argv.slice(2), processIo(), COMMANDS);
 await finishLogs();
 // Idle connections of libraries must not keep the process.
 process.exit();
--- a/src/cli/run-command-line.ts
+++ b/src/cli/run-command-line.ts
@@ -3,24 +3,32 @@
 import { TernmountError, toError } from '../errors/ternmount-error.js';
 import { exitCodeOf } from './cli-error.js';
 import type { CliIo } from './cli-io.js';
-import { COMMANDS } from './command-list.js';
+import type { CommandSpec } from './command-spec.js';
 import { dispatch, PROGRAM_NAME } from './dispatcher.js';
 import { EXIT_CODES, type ExitCode } from './exit-codes.js';
 
 const PACKAGE_FILE = new URL('../../../package.json', import.meta.url);
 
 /** Runs `words`, which follow the program's name. */
-export async function runCommandLine(words: readonly string[], io: CliIo): Promise<ExitCode> {
+export async function runCommandLine(
+  words: readonly string[],
+  io: CliIo,
+  commands: readonly CommandSpec[],
+): Promise<ExitCode> {
   try {
-    return await runCommand(words, io);
+    return await runCommand(words, io, commands);
   } catch (thrown) {
     io.writeError(`${PROGRAM_NAME}: ${describe(thrown)}\n`);
     return exitCodeOf(thrown);
   }
 }
 
-async function runCommand(words: readonly string[], io: CliIo): Promise<ExitCode> {
-  const dispatched = dispatch(COMMANDS, words);
+async function runCommand(
+  words: readonly string[],
+  io: CliIo,
+  commands: readonly CommandSpec[],
+): Promise<ExitCode> {
+  const dispatched = dispatch(commands, words);
   switch (dispatched.type) {
     case 'help':
       return EXIT_CODES.ok;
--- a/src/router/hints/health-probes.ts
+++ b/src/router/hints/health-probes.ts
@@ -1,6 +1,5 @@
 /** Task that asks each upstream for its health now and then. A probe costs the upstream time, so there are few. */
 import { Agent } from 'node:http';
-import got from 'got';
 import type { Address, UpstreamId } from '../../model/identifiers.js';
 import { HEADERS } from '../../model/outcome.js';
 import { ProbeSchedule } from './probe-schedule.js';
@@ -72,6 +71,8 @@
 
   private async ask(address: Address): Promise<{ readonly healthy: boolean; readonly load: number | null }> {
     try {
+      // Loaded when it is needed: without probes a router starts faster.
+      const { got } = await import('got');
       const response = await got(`http://${address}${this.options.path}`, {
         agent: { http: this.agent },
         ...(this.options.localAddress && { localAddress: this.options.localAddress }),
--- a/src/router/hints/platform-poll.ts
+++ b/src/router/hints/platform-poll.ts
@@ -1,5 +1,4 @@
 /** Task that fetches the platform's list of machines. The list lags; the core takes it as a hint. */
-import got from 'got';
 import { z } from 'zod';
 import { toError } from '../../errors/ternmount-error.js';
 import type { Logger } from '../../logging/logger.js';
@@ -35,6 +34,8 @@
 
   private async run(): Promise<void> {
     try {
+      // Loaded when it is needed: without a list a router starts faster.
+      const { got } = await import('got');
       const body = await got(this.options.url, {
         timeout: { request: this.options.intervalMillis },
         retry: { limit: 0 },
--- a/src/routing/picker/least-work-picker.ts
+++ b/src/routing/picker/least-work-picker.ts
@@ -4,6 +4,8 @@
 
 /** Work in another zone is chosen when it is cheaper than the own zone's by this factor, and by the hop. */
 const SPILL_FACTOR = 1.25;
+/** The same for upstreams that say how many slots they have: below that, more outstanding work delays nothing. */
+const ANNOUNCED_SPILL_FACTOR = 2;
 const ZONE_HOP_MILLIS = 1;
 
 export class LeastWorkPicker implements Picker {
@@ -15,7 +17,8 @@
     const remote = context.candidates.filter((upstream) => upstream.zone !== context.zone);
     const near = cheaperOfTwo(local, context);
     const far = cheaperOfTwo(remote, context);
-    const spills = near.cost > far.cost * SPILL_FACTOR + ZONE_HOP_MILLIS;
+    const factor = near.upstream.isAnnounced ? ANNOUNCED_SPILL_FACTOR : SPILL_FACTOR;
+    const spills = near.cost > far.cost * factor + ZONE_HOP_MILLIS;
     return spills ? far.upstream : near.upstream;
   }
 }
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -17,6 +17,8 @@
 const MOST_LOAD_PER_SLOT = 4;
 /** Outstanding requests, for each slot, at which one more waits in the router rather than at the upstream. */
 const MOST_OUTSTANDING_PER_SLOT = 2.5;
+/** How much of a turn a free slot's neighbour counts. */
+const TIE_SHARE = 0.05;
 const SLOW_START_MILLIS = 10_000;
 /** Share of its part that a cold upstream gets at first. */
 const SLOW_START_FLOOR = 0.1;
@@ -77,9 +79,7 @@
     if (now < this.pausedUntil) {
       return false;
     }
-    return this.record.definition.announced === undefined
-      ? this.inFlight < this.slotLimit.slots
-      : this.hasRoom(now);
+    return this.isAnnounced ? this.hasRoom(now) : this.inFlight < this.slotLimit.slots;
   }
 
   /**
@@ -143,7 +143,19 @@
    */
   cost(now: number): number {
     const outstanding = this.inFlight + 1 + this.load(now);
-    return (outstanding * this.serviceTime) / this.warmth(now);
+    const turns = this.isAnnounced ? this.turnsOf(outstanding) : outstanding;
+    return (turns * this.serviceTime) / this.warmth(now);
+  }
+
+  /** It said itself how many requests it works on at once. */
+  get isAnnounced(): boolean {
+    return this.record.definition.announced !== undefined;
+  }
+
+  /** Times of service until so many requests are done: those in slots run side by side. Ties go to the less loaded. */
+  private turnsOf(outstanding: number): number {
+    const { most } = this.slotLimit;
+    return Math.max(1, outstanding / most) + (TIE_SHARE * outstanding) / most;
   }
 
   private warmth(now: number): number {
--- a/test/cli/cli-harness.ts
+++ b/test/cli/cli-harness.ts
@@ -1,8 +1,10 @@
 /** Runs command lines of `ternmount` in this process and keeps what they write. */
+
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { type CliIo, interruptibleSleep } from '../../src/cli/cli-io.js';
+import { COMMANDS } from '../../src/cli/command-list.js';
 import { runCommandLine } from '../../src/cli/run-command-line.js';
 
 /** How a command line went. */
@@ -47,6 +49,6 @@
     stopSignal: signal,
     sleep: (millis) => interruptibleSleep(Math.min(millis, 20), signal),
   };
-  const exitCode = await runCommandLine(words, io);
+  const exitCode = await runCommandLine(words, io, COMMANDS);
   return { exitCode, output, errors };
 }
--- a/test/contract/command-line-run.ts
+++ b/test/contract/command-line-run.ts
@@ -1,6 +1,8 @@
 /** Runs command lines in the test's own process. */
+
 import type { CliIo } from '../../src/cli/cli-io.js';
 import { interruptibleSleep } from '../../src/cli/cli-io.js';
+import { COMMANDS } from '../../src/cli/command-list.js';
 import { runCommandLine } from '../../src/cli/run-command-line.js';
 
 export interface CommandLineResult {
@@ -27,7 +29,7 @@
     },
     environment,
   };
-  const exitCode = await runCommandLine(words, io);
+  const exitCode = await runCommandLine(words, io, COMMANDS);
   return { exitCode, output, errors };
 }
 
