--- a/src/control/daemon/holder-calls.ts
+++ b/src/control/daemon/holder-calls.ts
@@ -108,8 +108,12 @@
 
   private report(call: HolderCall, outcome: HolderOutcome): void {
     const { kind, upstream, from, to, fence } = call;
-    const level = outcome.type === 'accepted' ? 'debug' : 'info';
-    this.options.log.log(level, 'holder-call-ended', { kind, upstream, from, to, fence, outcome });
+    const fields = { kind, upstream, from, to, fence, outcome };
+    if (outcome.type === 'accepted' && kind === 'grant') {
+      this.options.log.sample('holder-call-ended', () => fields);
+    } else {
+      this.options.log.info('holder-call-ended', fields);
+    }
     this.options.ended(call.id, outcome);
   }
 }
--- a/src/control/ranges/range-coordinator.ts
+++ b/src/control/ranges/range-coordinator.ts
@@ -147,7 +147,8 @@
       return;
     }
     this.#proposing.add(name);
-    this.#parts.log('ranges-decided', { service: name, use: service.describeUse(), updates });
+    const fields = { service: name, use: service.describeUse(), updates: updates.length };
+    this.#parts.log('ranges-decided', fields);
     this.#parts.propose({ type: 'range-update', service: name, updates }, (outcome, settledAt) => {
       this.#proposing.delete(name);
       this.#lookAt = settledAt;
--- a/src/placement/ranges/key-loads.ts
+++ b/src/placement/ranges/key-loads.ts
@@ -1,5 +1,8 @@
-/** Load of single numeric keys, from reports of routers; older reports count for less. */
-import { type KeySpan, LARGEST_KEY } from '../../model/key-range.js';
+/**
+ * Load of single numeric keys, from reports of routers; older reports count for less. Of all keys only those with load are
+ * kept, in order, with running sums, so that planning costs by how many keys are busy.
+ */
+import type { KeySpan } from '../../model/key-range.js';
 
 /** Loads lose half of their weight in this time. */
 const HALF_LIFE_MILLIS = 3000;
@@ -9,10 +12,25 @@
 const STEADY_SUM_SECONDS = HALF_LIFE_MILLIS / Math.LN2 / 1000;
 /** The first reports stand for this long at least. */
 const LEAST_SPAN_MILLIS = 1000;
+/** A key with less work than this, in milliseconds, is forgotten. */
+const LEAST_WORK_MILLIS = 0.05;
+
+/** Busy keys in order, and the work of all before each. */
+interface SortedLoads {
+  readonly keys: readonly number[];
+  /** `sums[i]`: work of `keys[0]` to `keys[i - 1]`; one longer than `keys`. */
+  readonly sums: readonly number[];
+}
+
+/** A part of the busy keys by their places: from `first` up to, not including, `end`. */
+export interface BusyPart {
+  readonly first: number;
+  readonly end: number;
+}
 
 export class KeyLoads {
-  readonly #works = new Float64Array(LARGEST_KEY + 1);
-  #total = 0;
+  readonly #works = new Map<number, number>();
+  #sorted: SortedLoads | null = null;
   #decayedAt: number | null = null;
   /** When the first report came, and the latest. */
   #firstAt: number | null = null;
@@ -23,27 +41,47 @@
     this.#decay(now);
     this.#firstAt ??= now - LEAST_SPAN_MILLIS;
     this.#latestAt = now;
-    this.#works[key] = (this.#works[key] ?? 0) + workMillis;
-    this.#total += workMillis;
+    this.#works.set(key, (this.#works.get(key) ?? 0) + workMillis);
+    this.#sorted = null;
   }
 
   /** Work a second of a key, in milliseconds. */
   of(key: number): number {
-    return (this.#works[key] ?? 0) / this.#sumSeconds();
+    return (this.#works.get(key) ?? 0) / this.#sumSeconds();
   }
 
   /** Work a second of a span. */
-  ofSpan({ from, to }: KeySpan): number {
-    let sum = 0;
-    for (let key = from; key <= to; key += 1) {
-      sum += this.#works[key] ?? 0;
-    }
-    return sum / this.#sumSeconds();
+  ofSpan(span: KeySpan): number {
+    return this.ofPart(this.busyIn(span));
+  }
+
+  /** The busy keys of a span. */
+  busyIn({ from, to }: KeySpan): BusyPart {
+    const { keys } = this.#view();
+    return { first: placeOf(keys, from), end: placeOf(keys, to + 1) };
+  }
+
+  /** Work a second of some busy keys. */
+  ofPart({ first, end }: BusyPart): number {
+    const { sums } = this.#view();
+    return ((sums[end] ?? 0) - (sums[first] ?? 0)) / this.#sumSeconds();
+  }
+
+  /** The busy key at a place. */
+  keyAt(place: number): number {
+    return this.#view().keys[place] ?? 0;
   }
 
-  /** Work a second of all keys. */
-  get total(): number {
-    return this.#total / this.#sumSeconds();
+  #view(): SortedLoads {
+    if (this.#sorted === null) {
+      const keys = [...this.#works.keys()].sort((one, other) => one - other);
+      const sums = [0];
+      for (const key of keys) {
+        sums.push((sums.at(-1) ?? 0) + (this.#works.get(key) ?? 0));
+      }
+      this.#sorted = { keys, sums };
+    }
+    return this.#sorted;
   }
 
   /** How many times a second's work the sums are by now. */
@@ -59,10 +97,29 @@
       return;
     }
     this.#decayedAt = now;
+    this.#sorted = null;
     const kept = 0.5 ** (elapsed / HALF_LIFE_MILLIS);
-    for (let key = 0; key <= LARGEST_KEY; key += 1) {
-      this.#works[key] = (this.#works[key] ?? 0) * kept;
+    for (const [key, work] of this.#works) {
+      if (work * kept < LEAST_WORK_MILLIS) {
+        this.#works.delete(key);
+      } else {
+        this.#works.set(key, work * kept);
+      }
+    }
+  }
+}
+
+/** Place of the first key that isn't below `key`. */
+function placeOf(keys: readonly number[], key: number): number {
+  let low = 0;
+  let high = keys.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((keys[middle] ?? 0) < key) {
+      low = middle + 1;
+    } else {
+      high = middle;
     }
-    this.#total *= kept;
   }
+  return low;
 }
--- a/src/placement/ranges/range-planner.ts
+++ b/src/placement/ranges/range-planner.ts
@@ -22,6 +22,8 @@
 /** An owner is too busy when it is this much busier than the average, as a factor and as a share of its capacity. */
 const BUSY_FACTOR = 1.2;
 const BUSY_MARGIN = 0.08;
+/** Owners are brought to this level, as a factor on the average: an overwhelmed one's own queue makes that look higher. */
+const LEVEL_FACTOR = 1.1;
 /** Below this share of its capacity an owner is never too busy. */
 const LEAST_BUSY = 0.3;
 /** A move that shifts less than this share of one server's capacity isn't worth it. */
@@ -36,7 +38,7 @@
 /** Most keys that one move takes, as a share of all keys. */
 const MOST_KEYS_SHARE = 0.05;
 /** Moves planned at once. */
-const MOVES_AT_ONCE = 8;
+const MOVES_AT_ONCE = 12;
 /** Pieces that the keys of an owner which goes are cut into, so that no one server gets them all. */
 const SPREAD_PIECES = 4;
 /** Load that counts for keys nobody asked for lately, as a share of a server's capacity for all keys. */
@@ -136,24 +138,36 @@
 ): PlannedSpan[] {
   const planned: PlannedSpan[] = [];
   let from = span.from;
-  let load = 0;
-  for (let key = span.from; key <= span.to; key += 1) {
-    load += loads.of(key) + IDLE_KEY_LOAD;
-    const isFull = load >= ownerLoad / SPREAD_PIECES && planned.length < SPREAD_PIECES - 1;
-    if (isFull || key === span.to) {
-      const target = servers.leastUsed(null);
-      if (target === undefined) {
-        return [];
-      }
-      planned.push({ from, to: key, target: target.upstream });
-      servers.shift(target.upstream, load);
-      from = key + 1;
-      load = 0;
+  for (let piece = 1; from <= span.to; piece += 1) {
+    const isLast = piece === SPREAD_PIECES;
+    const to = isLast ? span.to : endOfPiece({ from, to: span.to }, loads, ownerLoad / SPREAD_PIECES);
+    const target = servers.leastUsed(null);
+    if (target === undefined) {
+      return [];
     }
+    planned.push({ from, to, target: target.upstream });
+    servers.add(target.upstream, { from, to });
+    from = to + 1;
   }
   return planned;
 }
 
+/** Last key of a piece that begins a span and carries about `wanted`, idle keys included. */
+function endOfPiece(span: KeySpan, loads: KeyLoads, wanted: number): number {
+  let low = span.from;
+  let high = span.to;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    const piece = { from: span.from, to: middle };
+    if (loads.ofSpan(piece) + idleLoad(piece) < wanted) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  return low;
+}
+
 /** Moves that take load off servers which are much busier than the others. */
 export function planMoves(
   ranges: readonly KeyRange[],
@@ -206,9 +220,9 @@
  */
 function spanToMove(search: MoveSearch, busy: RangeServer, idle: RangeServer): KeySpan | undefined {
   const { ranges, loads, use, planned } = search;
-  const mean = use.meanUse();
-  const surplus = (use.useOf(busy) - mean) * capacityOf(busy);
-  const room = (mean - use.useOf(idle)) * capacityOf(idle);
+  const level = Math.max(use.meanUse(), LEAST_BUSY) * LEVEL_FACTOR;
+  const surplus = (use.useOf(busy) - level) * capacityOf(busy);
+  const room = (level - use.useOf(idle)) * capacityOf(idle);
   const most = (use.of(busy.upstream) - use.of(idle.upstream)) * MOST_OF_DIFFERENCE;
   const owned = ranges.filter(({ owner }) => owner === busy.upstream);
   for (const share of WANTED_SHARES) {
@@ -268,19 +282,21 @@
 
 function shortestSpanIn(range: KeySpan, loads: KeyLoads, { wanted, most }: Shift): KeySpan | undefined {
   const mostKeys = Math.ceil((LARGEST_KEY + 1) * MOST_KEYS_SHARE);
+  const busy = loads.busyIn(range);
+  const least = wanted * SHIFT_LEAST_FACTOR;
   let best: KeySpan | undefined;
-  let from = range.from;
-  let load = 0;
-  for (let to = range.from; to <= range.to; to += 1) {
-    load += loads.of(to);
-    while (from < to && (load - loads.of(from) >= wanted * SHIFT_LEAST_FACTOR || to - from >= mostKeys)) {
-      load -= loads.of(from);
-      from += 1;
+  let first = busy.first;
+  for (let last = busy.first; last < busy.end; last += 1) {
+    const end = last + 1;
+    const isTooLong = (): boolean => loads.keyAt(last) - loads.keyAt(first) >= mostKeys;
+    while (first < last && (loads.ofPart({ first: first + 1, end }) >= least || isTooLong())) {
+      first += 1;
     }
-    const isMost = load <= wanted * SHIFT_MOST_FACTOR || (from === to && load <= most);
-    const isFit = load >= wanted * SHIFT_LEAST_FACTOR && isMost;
-    if (isFit && (best === undefined || to - from + 1 < spanLength(best))) {
-      best = { from, to };
+    const load = loads.ofPart({ first, end });
+    const isMost = load <= wanted * SHIFT_MOST_FACTOR || (first === last && load <= most);
+    const span = { from: loads.keyAt(first), to: loads.keyAt(last) };
+    if (load >= least && isMost && (best === undefined || spanLength(span) < spanLength(best))) {
+      best = span;
     }
   }
   return best;
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -61,6 +61,9 @@
     this.fireTimers();
     this.lost.scheduleSweep();
     this.sync();
+    if (this.isOverwhelmed()) {
+      this.reportLoad(true);
+    }
     return this.context.takeEffects();
   }
 
@@ -242,14 +245,14 @@
       to: attempt.to,
       message: { type: 'sync-request', router, incarnation, zone, stamp, have },
     });
-    this.reportLoad();
+    this.reportLoad(false);
   }
 
-  /** Load reports keep the time of the syncs. */
-  private reportLoad(): void {
+  /** Load reports keep the time of the syncs, but for urgent ones. */
+  private reportLoad(isUrgent: boolean): void {
     const { context } = this;
     const leader = context.leader.target();
-    const report = context.reporter.take(context.now, this.isOverwhelmed());
+    const report = context.reporter.take(context.now, isUrgent);
     if (report !== null && leader !== null) {
       context.emit({ type: 'send-control', to: leader, message: report });
     }
--- a/test/routing/routes.test.ts
+++ b/test/routing/routes.test.ts
@@ -6,7 +6,7 @@
 import { Random } from '../../src/routing/random.js';
 import { drawService, RouteTable } from '../../src/routing/route-table.js';
 import type { RouterEffect } from '../../src/routing/types.js';
-import { ANSWERED, only, RouterHarness, service, upstream } from './router-harness.js';
+import { ANSWERED, only, RouterHarness, sent, service, upstream } from './router-harness.js';
 
 function route(name: string, changes: Partial<RouteDefinition> = {}): RouteDefinition {
   return {
@@ -176,3 +176,25 @@
     expect(only(harness.ended(attempt, ANSWERED), 'deliver')[0]?.attempt).to.equal(attempt);
   });
 });
+
+describe('load of numeric keys', () => {
+  it('is reported at once while requests wait for an owner, and by key', () => {
+    const keyspaces = [{ name: 'numbers', kind: 'range', match: '', shards: 0 }] as const;
+    const harness = new RouterHarness().start(
+      [service('menu', { keyed: true, keyspaces })],
+      [announced('u1')],
+    );
+    const definition = route('sheets');
+    harness.change([
+      { type: 'route', name: 'sheets', record: { definition, revision: 1 } },
+      range(0, 65_535, 'u1', 5),
+    ]);
+    harness.run(1700);
+    const [early] = only(send(harness, '/sheets/1', '7'), 'dispatch');
+    harness.now += 60;
+    harness.ended(early?.attempt ?? 0, ANSWERED);
+    const effects = [0, 1, 2, 3, 4].flatMap((number) => send(harness, '/sheets/1', String(number)));
+    const [report] = sent(effects, 'load-report');
+    expect(report?.shards).to.deep.equal([{ shard: 'menu/numbers@0/7', workMillis: 60 }]);
+  });
+});
