--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -48,6 +48,9 @@
 const MICROS_PER_MILLI = 1000;
 const MAX_FIRST_FORWARD_ID = 0x3fffffff;
 
+/** Least time, as a share of the election timeout, that a replica waits for a leader after its start. */
+const FIRST_ELECTION_SHARE = 0.35;
+
 export class RaftState {
   readonly config: RaftConfig;
   readonly log: RaftLog;
@@ -96,7 +99,7 @@
     this.log = new RaftLog(this.commitIndex, snapshot?.lastTerm ?? 0, entries);
     this.stableIndex = this.log.lastIndex;
     this.memberships = MembershipHistory.restore(restored);
-    this.resetElectionDeadline();
+    this.electionDeadline = this.now + this.#firstElectionMillis();
   }
 
   get self(): ReplicaId {
@@ -175,6 +178,16 @@
   }
 
   /** The next election starts after one to two election timeouts without a leader. */
+  /**
+   * A replica that was just started asks for votes sooner: where all were down, nobody leads. Where someone does, the
+   * others refuse the pre-vote and nothing is disturbed.
+   */
+  #firstElectionMillis(): number {
+    const { electionTimeoutMillis } = this.config;
+    const least = Math.ceil(electionTimeoutMillis * FIRST_ELECTION_SHARE);
+    return uniformInt(this.#random, least, Math.max(least, Math.ceil(electionTimeoutMillis)));
+  }
+
   resetElectionDeadline(): void {
     const { electionTimeoutMillis } = this.config;
     const jitter = uniformInt(this.#random, 0, Math.max(0, Math.ceil(electionTimeoutMillis) - 1));
--- a/src/model/service.ts
+++ b/src/model/service.ts
@@ -51,6 +51,11 @@
   readonly slotsPerUpstream: number;
   /** Retries as a share of first attempts, 0 to 1. */
   readonly retryBudget: number;
+  /**
+   * Retries that one router may save up; 10 if left out. All routers together may spend theirs in the same moment, so where
+   * there are many it is small.
+   */
+  readonly savedRetries?: number;
   /** Requests a router keeps waiting for this service. */
   readonly queueLimit: number;
   /** Longest wait in a router's queue. */
--- a/src/routing/retry-budget.ts
+++ b/src/routing/retry-budget.ts
@@ -1,6 +1,6 @@
 /** Bounds retries to a share of first attempts, so that a failing service isn't hit by a multiple of its load. */
 
-/** Retries that may be saved up, so that a quiet service may still retry. */
+/** Retries that may be saved up, so that a quiet service may still retry, unless its definition says otherwise. */
 const SAVED_RETRIES = 10;
 
 export interface RetryBudget {
@@ -11,11 +11,14 @@
 }
 
 export class TokenRetryBudget implements RetryBudget {
-  private tokens = SAVED_RETRIES;
+  private tokens: number;
 
-  /** `ratio`: retries as a share of first attempts. */
-  constructor(private ratio: number) {
-    this.tokens = ratio > 0 ? SAVED_RETRIES : 0;
+  /** `ratio`: retries as a share of first attempts. `saved`: how many may be saved up. */
+  constructor(
+    private ratio: number,
+    private readonly saved: number = SAVED_RETRIES,
+  ) {
+    this.tokens = ratio > 0 ? saved : 0;
   }
 
   /** Takes over a new ratio from the configuration. */
@@ -25,7 +28,7 @@
   }
 
   firstAttempt(): void {
-    this.tokens = Math.min(SAVED_RETRIES, this.tokens + this.ratio);
+    this.tokens = Math.min(this.saved, this.tokens + this.ratio);
   }
 
   tryRetry(): boolean {
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -35,7 +35,8 @@
     this.name = record.definition.name;
     this.current = record;
     this.picker = createPicker(pickerName);
-    this.retryBudget = new TokenRetryBudget(record.definition.retryBudget);
+    const { retryBudget, savedRetries } = record.definition;
+    this.retryBudget = new TokenRetryBudget(retryBudget, savedRetries);
     this.compile();
   }
 
--- /dev/null
+++ b/test/routing/retry-budget.test.ts
@@ -0,0 +1,32 @@
+/** Retries stay within their share, and routers together within what each may save up. */
+import { expect } from 'chai';
+import { TokenRetryBudget } from '../../src/routing/retry-budget.js';
+
+function spend(budget: TokenRetryBudget): number {
+  let spent = 0;
+  while (budget.tryRetry()) {
+    spent += 1;
+  }
+  return spent;
+}
+
+describe('retry budget', () => {
+  it('saves up ten by itself, and as many as it is told to', () => {
+    expect(spend(new TokenRetryBudget(0.2))).to.equal(10);
+    expect(spend(new TokenRetryBudget(0.2, 2))).to.equal(2);
+    expect(spend(new TokenRetryBudget(0, 2))).to.equal(0);
+  });
+
+  it('gives a share of first attempts, and never saves more than that', () => {
+    const budget = new TokenRetryBudget(0.25, 2);
+    spend(budget);
+    for (let request = 0; request < 4; request += 1) {
+      budget.firstAttempt();
+    }
+    expect(spend(budget)).to.equal(1);
+    for (let request = 0; request < 1000; request += 1) {
+      budget.firstAttempt();
+    }
+    expect(spend(budget)).to.equal(2);
+  });
+});
