Calls to owners name the run they are for: no keys to the next run at an address under the old fence

Renewals to the one before had connections still being set up; they completed against the new run, which took the keys under the old fence (36) 50 ms after it had announced itself. Ruled out: a wrong decision (the range's next fence was 79), a late grant (never answered, connection not up). Change: grants and releases carry the id of their run (grants.instanceHeader); 421 counts as proof that the run ended. Also: the settings of grants have a file of their own; HolderProtocol and RangeTimings stand once instead of twice.

--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -1,6 +1,6 @@
 /** The router daemon as `router run` starts it. */
 import { enableLogs, identifyProcess } from '../../logging/logger.js';
-import type { HeaderNames } from '../../router/header-names.js';
+import type { HeaderNames } from '../../model/header-names.js';
 import { RouterDaemon } from '../../router/router-daemon.js';
 import type { RouterDaemonSettings } from '../../router/settings.js';
 import { DEFAULT_ROUTER_LIMITS, DEFAULT_ROUTER_TIMINGS } from '../../router/settings.js';
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { RaftStatus } from '../../consensus/types.js';
 import { createLogger, type Logger } from '../../logging/logger.js';
+import { DEFAULT_HOLDER_PROTOCOL } from '../../model/holder-protocol.js';
 import type { Address, ReplicaId } from '../../model/identifiers.js';
 import type { HttpListener } from '../../wire/http/http-listener.js';
 import type { WireIdentity, WireLimits } from '../../wire/index.js';
@@ -16,7 +17,7 @@
 } from '../types.js';
 import { startAdminServer } from './admin-server.js';
 import { CoreTask } from './core-task.js';
-import { DEFAULT_HOLDER_PROTOCOL, HolderCalls } from './holder-calls.js';
+import { HolderCalls } from './holder-calls.js';
 import { InternalServer } from './internal-server.js';
 import { JoinTask } from './join-task.js';
 import { createControlMetrics } from './metrics.js';
@@ -259,7 +260,7 @@
   private createHolderCalls(): HolderCalls {
     const { sessionMillis, releaseMillis } = this.timings;
     return new HolderCalls({
-      protocol: { ...DEFAULT_HOLDER_PROTOCOL, ...this.settings.holders },
+      protocol: this.settings.holders ?? DEFAULT_HOLDER_PROTOCOL,
       grantMillis: sessionMillis,
       releaseMillis,
       localAddress: this.settings.outgoing,
--- a/src/control/daemon/holder-calls.ts
+++ b/src/control/daemon/holder-calls.ts
@@ -2,23 +2,10 @@
 import { Agent, type IncomingMessage, request } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Logger } from '../../logging/logger.js';
+import type { HolderProtocol } from '../../model/holder-protocol.js';
 import { parseAddress } from '../../wire/address.js';
 import type { HolderCall, HolderCallId, HolderOutcome } from '../ranges/holder-call.js';
 
-/** Paths of the calls, and the header of what an owner hands over. */
-export interface HolderProtocol {
-  readonly grantPath: string;
-  readonly releasePath: string;
-  /** Lower case. */
-  readonly handoverHeader: string;
-}
-
-export const DEFAULT_HOLDER_PROTOCOL: HolderProtocol = {
-  grantPath: '/ternmount/grant',
-  releasePath: '/ternmount/release',
-  handoverHeader: 'ternmount-handover',
-};
-
 export interface HolderCallsOptions {
   readonly protocol: HolderProtocol;
   /** A grant that wasn't answered in this time failed. */
@@ -34,6 +21,8 @@
 const KEEP_ALIVE_MILLIS = 4000;
 const OK = 200;
 const CONFLICT = 409;
+/** The call names a run, and another one is at the address. */
+const MISDIRECTED_REQUEST = 421;
 
 export class HolderCalls {
   private readonly agent = new Agent({
@@ -66,7 +55,11 @@
       port,
       method: 'POST',
       path: isGrant ? protocol.grantPath : protocol.releasePath,
-      headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) },
+      headers: {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(body),
+        [protocol.instanceHeader]: call.upstream,
+      },
       ...(localAddress && { localAddress }),
     });
     const timer = setTimeout(
@@ -103,6 +96,9 @@
       const handover = headers[this.options.protocol.handoverHeader];
       return { type: 'accepted', handover: typeof handover === 'string' ? handover : null };
     }
+    if (statusCode === MISDIRECTED_REQUEST) {
+      return { type: 'ended' };
+    }
     return statusCode === CONFLICT ? { type: 'superseded' } : { type: 'rejected', status: statusCode };
   }
 
--- a/src/control/daemon/settings.ts
+++ b/src/control/daemon/settings.ts
@@ -1,14 +1,14 @@
 /** Settings of a control daemon, as its starter gives them. */
 import type Koa from 'koa';
 import type { RaftTimings } from '../../consensus/types.js';
+import { DEFAULT_RANGE_TIMINGS, type RangeTimings } from '../../lease/range-timings.js';
 import { DEFAULT_LEASE_TIMINGS, type LeaseTimings } from '../../lease/types.js';
+import type { HolderProtocol } from '../../model/holder-protocol.js';
 import type { Address, ClusterId, ReplicaId, Zone } from '../../model/identifiers.js';
 import { DEFAULT_WIRE_LIMITS, type WireIdentity, type WireLimits } from '../../wire/index.js';
 import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../messages.js';
-import { DEFAULT_RANGE_TIMINGS, type RangeTimings } from '../ranges/range-coordinator.js';
 import type { ControlConfig } from '../types.js';
 import type { ControlDaemon } from './control-daemon.js';
-import type { HolderProtocol } from './holder-calls.js';
 
 /** What a control daemon is started with. */
 export interface ControlDaemonSettings {
@@ -29,7 +29,7 @@
   /** Shared by all processes of the cluster. */
   readonly secret: string;
   /** How upstreams that announce themselves are called. */
-  readonly holders?: Partial<HolderProtocol>;
+  readonly holders?: HolderProtocol;
   readonly timings?: Partial<ControlDaemonTimings>;
   readonly wire?: Partial<WireLimits>;
   /** Makes the operators' HTTP API; without it only metrics and health are served. */
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -5,6 +5,7 @@
 
 import type { SessionCall, SessionChange, SessionView } from '../lease/granter-types.js';
 import { LeaseGranter } from '../lease/lease-granter.js';
+import { DEFAULT_RANGE_TIMINGS } from '../lease/range-timings.js';
 import type { SessionAnswer } from '../lease/types.js';
 import type { MonotonicMillis, Term, UpstreamId } from '../model/identifiers.js';
 import type { LeaderCommand, RegistryChange } from '../registry/types.js';
@@ -13,7 +14,7 @@
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
 import type { HolderCall, HolderCallId, HolderOutcome } from './ranges/holder-call.js';
-import { DEFAULT_RANGE_TIMINGS, type LogRanges, RangeCoordinator } from './ranges/range-coordinator.js';
+import { type LogRanges, RangeCoordinator } from './ranges/range-coordinator.js';
 import type { ServiceMeasures } from './service-measures.js';
 import { ShardCoordinator } from './shard-coordinator.js';
 import type { ControlConfig } from './types.js';
--- a/src/control/ranges/holder-call.ts
+++ b/src/control/ranges/holder-call.ts
@@ -34,7 +34,7 @@
   | { readonly type: 'superseded' }
   /** It answered something else. */
   | { readonly type: 'rejected'; readonly status: number }
-  /** Nothing listens at the address: the run that was there has ended. */
+  /** Nothing or another run is at the address: the run that was there has ended. */
   | { readonly type: 'ended' }
   /** No connection was made. */
   | { readonly type: 'not-sent' }
--- a/src/control/ranges/range-coordinator.ts
+++ b/src/control/ranges/range-coordinator.ts
@@ -2,7 +2,7 @@
  * The leader's work on upstreams that announce themselves: who owns which range of keys, grants and releases, and which
  * upstreams are forgotten. A call goes out only while a quorum has confirmed this leadership a moment ago.
  */
-import { DEFAULT_TIMED_GRANT_TIMINGS, type TimedGrantTimings } from '../../lease/timed-grants.js';
+import type { RangeTimings } from '../../lease/range-timings.js';
 import {
   type MonotonicMillis,
   parseShardId,
@@ -25,14 +25,6 @@
 const FORGOTTEN_LEAVING_HEARTBEATS = 8;
 const FORGOTTEN_HEARTBEATS = 60;
 
-/** Settings of grants to upstreams that take plain ones. */
-export interface RangeTimings extends TimedGrantTimings {
-  /** Usual time between two heartbeats of an upstream. */
-  readonly heartbeatMillis: number;
-}
-
-export const DEFAULT_RANGE_TIMINGS: RangeTimings = { ...DEFAULT_TIMED_GRANT_TIMINGS, heartbeatMillis: 1000 };
-
 /** Writes a record of what was decided. */
 export type LogRanges = (event: string, fields: Readonly<Record<string, unknown>>) => void;
 
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -10,6 +10,7 @@
   RaftTimings,
   RestoredState,
 } from '../consensus/types.js';
+import type { RangeTimings } from '../lease/range-timings.js';
 import type { LeaseTimings, SessionAnswer, SessionRequest } from '../lease/types.js';
 import type { LedgerRecord } from '../ledger/types.js';
 import type {
@@ -34,7 +35,6 @@
 } from '../registry/types.js';
 import type { ConfigLeaseTimings, ControlToRouter, RouterToControl } from './messages.js';
 import type { HolderCall, HolderCallId, HolderOutcome } from './ranges/holder-call.js';
-import type { RangeTimings } from './ranges/range-coordinator.js';
 import type { ServiceMeasures } from './service-measures.js';
 import type { UnownedShards } from './unowned-clock.js';
 
--- a/src/router/attempts/announced-protocol.ts
+++ b/src/router/attempts/announced-protocol.ts
@@ -3,8 +3,8 @@
  * with the time that is left and the run that it is meant for. Only an answer that says so was not run.
  */
 import type { FenceRefusal } from '../../lease/types.js';
+import type { HeaderNames } from '../../model/header-names.js';
 import { findHeader, withoutHeaders } from '../caller/header-rules.js';
-import type { HeaderNames } from '../header-names.js';
 import { retryAfterMillis } from './answer-head.js';
 import type { OutgoingRequest, UpstreamProtocol } from './upstream-protocol.js';
 
--- a/src/router/attempts/upstream-attempts.ts
+++ b/src/router/attempts/upstream-attempts.ts
@@ -1,9 +1,10 @@
 /** The attempts on upstreams under way by their numbers. */
+
+import type { HeaderNames } from '../../model/header-names.js';
 import type { Incarnation } from '../../model/identifiers.js';
 import { NumberedTable } from '../../routing/numbered-table.js';
 import type { AttemptNumber, AttemptResult } from '../../routing/types.js';
 import type { CallerExchange } from '../caller/caller-exchange.js';
-import type { HeaderNames } from '../header-names.js';
 import { createAnnouncedProtocol } from './announced-protocol.js';
 import { Attempt, type DispatchEffect } from './attempt.js';
 import { FENCED_PROTOCOL } from './fenced-protocol.js';
--- a/src/router/caller/request-head.ts
+++ b/src/router/caller/request-head.ts
@@ -3,8 +3,8 @@
  * (percent-encoded) or else the second segment of the path. The upstream gets path and query as they came.
  */
 import type { IncomingMessage } from 'node:http';
+import type { HeaderNames } from '../../model/header-names.js';
 import type { ServiceName } from '../../model/identifiers.js';
-import type { HeaderNames } from '../header-names.js';
 import { BadRequestError } from './bad-request-error.js';
 import { countHeader } from './header-rules.js';
 import { type IdempotencyHead, readIdempotency } from './idempotency.js';
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -1,12 +1,12 @@
 /** Settings of a router daemon, as its starter gives them. */
 import { type ConfigLeaseTimings, DEFAULT_CONFIG_LEASE_TIMINGS } from '../control/messages.js';
 import { STORED_BODY_LIMIT } from '../ledger/limits.js';
+import { DEFAULT_HEADER_NAMES, type HeaderNames } from '../model/header-names.js';
 import type { Address, ClusterId, RouterId, Zone } from '../model/identifiers.js';
 import type { WhenOutOfTouch } from '../routing/types.js';
 import { DEFAULT_HTTP_LIMITS, type HttpLimits } from '../wire/http/http-listener.js';
 import { DEFAULT_WIRE_LIMITS, type WireLimits } from '../wire/index.js';
 import type { RetryAfterUnit } from './caller/caller-exchange.js';
-import { DEFAULT_HEADER_NAMES, type HeaderNames } from './header-names.js';
 
 export interface RouterDaemonSettings {
   readonly cluster: ClusterId;
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -1,8 +1,10 @@
 /** Settings of the control daemon. */
 import { z } from 'zod';
 import type { RaftTimings } from '../consensus/types.js';
+import type { RangeTimings } from '../lease/range-timings.js';
 import { DEFAULT_LEASE_TIMINGS, type LeaseTimings } from '../lease/types.js';
 import type { ConfigLeaseTimings } from '../model/configuration-lease.js';
+import type { HolderProtocol } from '../model/holder-protocol.js';
 import type { Address, ClusterId, Zone } from '../model/identifiers.js';
 import { addressSchema, splitAddress } from './addresses.js';
 import {
@@ -10,7 +12,6 @@
   checkZone,
   clockRateErrorSchema,
   completeConfigLease,
-  headerNameSchema,
   hostSchema,
   isAnyHost,
   isForOthers,
@@ -18,11 +19,17 @@
   pathSchema,
   reachableAddressSchema,
   trustedNetworkSchema,
-  urlPathSchema,
   withPort,
   zoneFields,
 } from './common-schemas.js';
 import { nameSchema } from './definition-schemas.js';
+import {
+  checkGrants,
+  completeHolderProtocol,
+  completeRangeTimings,
+  GRANT_SETTING_NAMES,
+  grantsSchema,
+} from './grant-settings.js';
 import { loadLayers, type SettingName, type SettingsLayers } from './layers.js';
 import { durationSchema, positiveDurationSchema } from './units.js';
 
@@ -60,29 +67,14 @@
   readonly lockFolder: boolean;
   /** Machines whose loss at one time must be survived; spares get votes until it is. 0: only in the place of others. */
   readonly toleratedLosses: number;
-  readonly ranges: RangeSettings;
-  readonly holders: HolderSettings;
+  /** Grants to upstreams that announce themselves. */
+  readonly ranges: RangeTimings;
+  /** How such upstreams are called. */
+  readonly holders: HolderProtocol;
   /** Namespaces that log at debug and info level, as for `debug`. */
   readonly log: string;
 }
 
-/** Times of grants to upstreams that announce themselves, in milliseconds. */
-export interface RangeSettings {
-  readonly holdMillis: number;
-  readonly renewMillis: number;
-  readonly lateMillis: number;
-  readonly clockRateError: number;
-  readonly heartbeatMillis: number;
-}
-
-/** How such upstreams are called. */
-export interface HolderSettings {
-  readonly grantPath: string;
-  readonly releasePath: string;
-  /** Lower case. */
-  readonly handoverHeader: string;
-}
-
 /** Defaults of the control daemon. */
 export const CONTROL_DEFAULTS = {
   electionTimeoutMillis: 300,
@@ -91,16 +83,6 @@
   replaceAfterMillis: 0,
   lockFolder: true,
   toleratedLosses: 0,
-  grants: {
-    hold: 6000,
-    renew: 1000,
-    late: 12_000,
-    clockRateError: 0.02,
-    heartbeat: 1000,
-    grantPath: '/ternmount/grant',
-    releasePath: '/ternmount/release',
-    handoverHeader: 'ternmount-handover',
-  },
   log: 'ternmount:*',
 } as const;
 
@@ -114,17 +96,6 @@
   clockRateError: clockRateErrorSchema.optional(),
 });
 
-const grantsSchema = z.strictObject({
-  hold: positiveDurationSchema.optional(),
-  renew: positiveDurationSchema.optional(),
-  late: durationSchema.optional(),
-  clockRateError: clockRateErrorSchema.optional(),
-  heartbeat: positiveDurationSchema.optional(),
-  grantPath: urlPathSchema.optional(),
-  releasePath: urlPathSchema.optional(),
-  handoverHeader: headerNameSchema.optional(),
-});
-
 const controlObject = z.strictObject({
   cluster: nameSchema,
   replicaName: nameSchema.optional(),
@@ -192,12 +163,7 @@
   if (fields.bootstrap !== undefined && fields.seeds === undefined) {
     context.addIssue({ code: 'custom', path: ['seeds'], message: 'is missing: bootstrap needs it' });
   }
-  checkHalf(
-    at('renew', fields.grants?.renew ?? CONTROL_DEFAULTS.grants.renew),
-    at('hold', fields.grants?.hold ?? CONTROL_DEFAULTS.grants.hold),
-    ['grants'],
-    context,
-  );
+  checkGrants(fields.grants, context);
   if (fields.listen === fields.admin) {
     context.addIssue({ code: 'custom', path: ['admin'], message: 'must differ from listen' });
   }
@@ -212,25 +178,6 @@
   }
 }
 
-function completeGrants(fields: ControlFields): Pick<ControlSettings, 'ranges' | 'holders'> {
-  const defaults = CONTROL_DEFAULTS.grants;
-  const grants = fields.grants ?? {};
-  return {
-    ranges: {
-      holdMillis: grants.hold ?? defaults.hold,
-      renewMillis: grants.renew ?? defaults.renew,
-      lateMillis: grants.late ?? defaults.late,
-      clockRateError: grants.clockRateError ?? defaults.clockRateError,
-      heartbeatMillis: grants.heartbeat ?? defaults.heartbeat,
-    },
-    holders: {
-      grantPath: grants.grantPath ?? defaults.grantPath,
-      releasePath: grants.releasePath ?? defaults.releasePath,
-      handoverHeader: grants.handoverHeader ?? defaults.handoverHeader,
-    },
-  };
-}
-
 /** Members share one internal port, so a seed's host is all that counts. */
 function selfStartOf(fields: ControlFields): ControlSettings['selfStart'] {
   const { seeds, bootstrap = false } = fields;
@@ -258,7 +205,8 @@
     ...completeTimings(fields),
     snapshotEntries: fields.snapshotEntries ?? CONTROL_DEFAULTS.snapshotEntries,
     replaceAfterMillis: fields.replaceAfter ?? CONTROL_DEFAULTS.replaceAfterMillis,
-    ...completeGrants(fields),
+    ranges: completeRangeTimings(fields.grants),
+    holders: completeHolderProtocol(fields.grants),
     selfStart: selfStartOf(fields),
     lockFolder: fields.lockFolder ?? CONTROL_DEFAULTS.lockFolder,
     toleratedLosses: fields.toleratedLosses ?? CONTROL_DEFAULTS.toleratedLosses,
@@ -292,14 +240,7 @@
   { path: ['toleratedLosses'] },
   { path: ['trustedNetwork'] },
   { path: ['lockFolder'] },
-  { path: ['grants', 'hold'] },
-  { path: ['grants', 'renew'] },
-  { path: ['grants', 'late'] },
-  { path: ['grants', 'clockRateError'] },
-  { path: ['grants', 'heartbeat'] },
-  { path: ['grants', 'grantPath'] },
-  { path: ['grants', 'releasePath'] },
-  { path: ['grants', 'handoverHeader'] },
+  ...GRANT_SETTING_NAMES,
   { path: ['snapshotEntries'] },
   { path: ['replaceAfter'] },
   { path: ['log'] },
--- /dev/null
+++ b/src/settings/grant-settings.ts
@@ -0,0 +1,54 @@
+/** The settings `grants` of a control member: plain grants to upstreams that announce themselves, and how these are called. */
+import { z } from 'zod';
+import { DEFAULT_RANGE_TIMINGS, type RangeTimings } from '../lease/range-timings.js';
+import { DEFAULT_HOLDER_PROTOCOL, type HolderProtocol } from '../model/holder-protocol.js';
+import { checkHalf, clockRateErrorSchema, headerNameSchema, urlPathSchema } from './common-schemas.js';
+import type { SettingName } from './layers.js';
+import { durationSchema, positiveDurationSchema } from './units.js';
+
+export const grantsSchema = z.strictObject({
+  hold: positiveDurationSchema.optional(),
+  renew: positiveDurationSchema.optional(),
+  late: durationSchema.optional(),
+  clockRateError: clockRateErrorSchema.optional(),
+  heartbeat: positiveDurationSchema.optional(),
+  grantPath: urlPathSchema.optional(),
+  releasePath: urlPathSchema.optional(),
+  handoverHeader: headerNameSchema.optional(),
+  instanceHeader: headerNameSchema.optional(),
+});
+type GrantFields = z.output<typeof grantsSchema>;
+
+/** Each of these settings, as the environment and flags can give it. */
+export const GRANT_SETTING_NAMES: readonly SettingName[] = Object.keys(grantsSchema.shape).map((name) => ({
+  path: ['grants', name],
+}));
+
+export function completeRangeTimings(fields: GrantFields = {}): RangeTimings {
+  const defaults = DEFAULT_RANGE_TIMINGS;
+  return {
+    holdMillis: fields.hold ?? defaults.holdMillis,
+    renewMillis: fields.renew ?? defaults.renewMillis,
+    lateMillis: fields.late ?? defaults.lateMillis,
+    clockRateError: fields.clockRateError ?? defaults.clockRateError,
+    heartbeatMillis: fields.heartbeat ?? defaults.heartbeatMillis,
+  };
+}
+
+export function completeHolderProtocol(fields: GrantFields = {}): HolderProtocol {
+  const { grantPath, releasePath, handoverHeader, instanceHeader } = fields;
+  const defaults = DEFAULT_HOLDER_PROTOCOL;
+  return {
+    grantPath: grantPath ?? defaults.grantPath,
+    releasePath: releasePath ?? defaults.releasePath,
+    handoverHeader: handoverHeader ?? defaults.handoverHeader,
+    instanceHeader: instanceHeader ?? defaults.instanceHeader,
+  };
+}
+
+/** Grants are renewed twice before they run out. */
+export function checkGrants(fields: GrantFields = {}, context: z.RefinementCtx): void {
+  const { renewMillis, holdMillis } = completeRangeTimings(fields);
+  const renew = { name: 'renew', millis: renewMillis };
+  checkHalf(renew, { name: 'hold', millis: holdMillis }, ['grants'], context);
+}
--- a/test/control/range-world.ts
+++ b/test/control/range-world.ts
@@ -5,7 +5,8 @@
 import { expect } from 'chai';
 import type { LoadReport } from '../../src/control/messages.js';
 import type { HolderCall, HolderOutcome } from '../../src/control/ranges/holder-call.js';
-import { RangeCoordinator, type RangeTimings } from '../../src/control/ranges/range-coordinator.js';
+import { RangeCoordinator } from '../../src/control/ranges/range-coordinator.js';
+import type { RangeTimings } from '../../src/lease/range-timings.js';
 import type { UpstreamId } from '../../src/model/identifiers.js';
 import { LARGEST_KEY } from '../../src/model/key-range.js';
 import type { Command, Registry } from '../../src/registry/index.js';
