Large files are split: range service, range planner, settings of control, cluster harness, storage tests

Change: balance-schedule, range-servers and range-updates beside the range service, owner-loads and span-search beside the planner, fixtures of their own for the tests. No behaviour changed. owner-loads.ts was server-loads.ts at first: its name is also a header of the users' platform, which the layer test caught. The test of the whole route now shows the body of an unexpected answer.

--- a/src/control/ranges/range-service.ts
+++ b/src/control/ranges/range-service.ts
@@ -3,42 +3,25 @@
  * Each decision is a change of the registry that names the fence it relies on; calls follow what is committed.
  */
 import type { TimedGrantTimings } from '../../lease/timed-grants.js';
-import type { MonotonicMillis, ServiceName, UpstreamId } from '../../model/identifiers.js';
+import type { MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
 import type { KeyRange } from '../../model/key-range.js';
 import { KeyLoads } from '../../placement/ranges/key-loads.js';
-import {
-  divideSpan,
-  type PlannedSpan,
-  planMoves,
-  type RangeServer,
-  ServerLoads,
-  spreadSpan,
-} from '../../placement/ranges/range-planner.js';
-import type { RangeUpdate, Registry, UpstreamRecord } from '../../registry/types.js';
+import { OwnerLoads, type RangeServer } from '../../placement/ranges/owner-loads.js';
+import { divideSpan, type PlannedSpan, planMoves, spreadSpan } from '../../placement/ranges/range-planner.js';
+import type { RangeUpdate, UpstreamRecord } from '../../registry/types.js';
+import { BalanceSchedule } from './balance-schedule.js';
 import type { GrantCall, HolderCall, HolderOutcome, ReleaseCall } from './holder-call.js';
-import type { HolderTable } from './holder-table.js';
 import { RangeGrants } from './range-grants.js';
 import { RangeReleases, type ReleasedPiece } from './range-releases.js';
+import { RangeServers, type RangeServersParts } from './range-servers.js';
+import { giveSpans, joinNeighbours, takeSpans, updateOf } from './range-updates.js';
 
-/** Keys are given out for the first time once no further upstream came for this long, or after the longest wait. */
-const GATHER_MILLIS = 1500;
-const LONGEST_GATHER_MILLIS = 4000;
-/** Time between two looks at the balance of loads. */
-const BALANCE_MILLIS = 500;
-/** After a report, others are waited for this long. */
-const REPORTS_GATHER_MILLIS = 120;
-/** Shortest time between two looks at the balance: each move is news for every router. */
-const LEAST_BALANCE_MILLIS = 350;
-/** Time between two joins of neighbouring ranges. */
-const JOIN_MILLIS = 5000;
-/** An upstream that wasn't heard for this many heartbeats gets no further keys. */
-const SILENT_HEARTBEATS = 3;
 /** A release that failed is tried again after this. */
 const RELEASE_RETRY_MILLIS = 150;
 
 /** What loads add up to. */
 interface LoadView {
-  readonly use: ServerLoads;
+  readonly use: OwnerLoads;
   /** Load of each owner, or of the one before where there is none. */
   readonly owners: ReadonlyMap<UpstreamId, number>;
 }
@@ -46,13 +29,8 @@
 /** A call without its number. */
 export type WantedCall = Omit<GrantCall, 'id'> | Omit<ReleaseCall, 'id'>;
 
-export interface RangeServiceParts {
-  readonly service: ServiceName;
-  readonly registry: () => Registry;
-  readonly holders: HolderTable;
+export interface RangeServiceParts extends RangeServersParts {
   readonly timings: TimedGrantTimings;
-  /** Usual time between two heartbeats of an upstream. */
-  readonly heartbeatMillis: number;
 }
 
 export class RangeService {
@@ -62,28 +40,21 @@
   readonly #releases = new RangeReleases();
   /** Changes that are proposed. What they take off an owner is not granted any more. */
   #proposed: readonly RangeUpdate[] = [];
-  #servers: readonly RangeServer[] = [];
+  readonly #servers: RangeServers;
+  readonly #schedule: BalanceSchedule;
   /** Loads as one decision sees them, once it asked; adding them up isn't free. */
   #view: LoadView | null = null;
-  #serversSince: MonotonicMillis;
-  readonly #since: MonotonicMillis;
-  #balanceAt: MonotonicMillis;
-  #balancedAt = Number.NEGATIVE_INFINITY;
-  #joinAt: MonotonicMillis;
 
   constructor(parts: RangeServiceParts, now: MonotonicMillis) {
     this.#parts = parts;
     this.#grants = new RangeGrants(parts.timings);
-    this.#since = now;
-    this.#serversSince = now;
-    this.#balanceAt = now + BALANCE_MILLIS;
-    this.#joinAt = now + JOIN_MILLIS;
+    this.#servers = new RangeServers(parts, now);
+    this.#schedule = new BalanceSchedule(now);
   }
 
   loadReported(key: number, workMillis: number, now: MonotonicMillis): void {
     this.#loads.add(key, workMillis, now);
-    const soonest = Math.max(now + REPORTS_GATHER_MILLIS, this.#balancedAt + LEAST_BALANCE_MILLIS);
-    this.#balanceAt = Math.min(this.#balanceAt, soonest);
+    this.#schedule.reported(now);
   }
 
   /** Whether an upstream owns keys, or may have to give some up. */
@@ -98,27 +69,24 @@
   }
 
   #decide(now: MonotonicMillis): readonly RangeUpdate[] {
-    this.#lookAtServers(now);
+    this.#servers.look(now);
     const ranges = this.#ranges();
     this.#grants.keepOnly(ranges);
     this.#releases.keepOnly(new Set(ranges.filter(({ owner }) => owner === null).map(({ fence }) => fence)));
-    if (this.#servers.length === 0) {
+    if (this.#servers.list.length === 0) {
       return [];
     }
     this.#view = null;
     const updates = ranges.flatMap((range) =>
       range.owner === null ? this.#assign(range, now) : this.#takeOff(range, range.owner, now),
     );
-    if (updates.length > 0 || now < this.#balanceAt) {
+    if (updates.length > 0 || !this.#schedule.takeBalance(now)) {
       return updates;
     }
-    this.#balanceAt = now + BALANCE_MILLIS;
-    this.#balancedAt = now;
     const moves = this.#balance(ranges);
-    if (moves.length > 0 || now < this.#joinAt) {
+    if (moves.length > 0 || !this.#schedule.takeJoin(now)) {
       return moves;
     }
-    this.#joinAt = now + JOIN_MILLIS;
     return joinNeighbours(ranges);
   }
 
@@ -126,7 +94,7 @@
   describeUse(): Readonly<Record<UpstreamId, number>> {
     const { use } = this.#loadView();
     const percent = (server: RangeServer): number => Math.round(use.useOf(server) * 100);
-    return Object.fromEntries(this.#servers.map((server) => [server.upstream, percent(server)]));
+    return Object.fromEntries(this.#servers.list.map((server) => [server.upstream, percent(server)]));
   }
 
   /** What was decided came about, or didn't. */
@@ -153,7 +121,7 @@
   }
 
   nextDeadline(): MonotonicMillis {
-    let deadline = this.#balanceAt;
+    let deadline = this.#schedule.nextAt;
     for (const range of this.#ranges()) {
       deadline = Math.min(deadline, this.#nextOf(range));
     }
@@ -176,36 +144,11 @@
     return this.#parts.registry().upstreams().get(upstream);
   }
 
-  /** Upstreams that may be given keys. */
-  #lookAtServers(now: MonotonicMillis): void {
-    const servers: RangeServer[] = [];
-    for (const { definition } of this.#parts.registry().upstreams().values()) {
-      const { id, service, leaving, announced } = definition;
-      if (service === this.#parts.service && !leaving && announced !== undefined && this.#isWell(id, now)) {
-        servers.push({ upstream: id, slots: announced.slots });
-      }
-    }
-    if (servers.length !== this.#servers.length) {
-      this.#serversSince = now;
-    }
-    this.#servers = servers;
-  }
-
-  #isWell(upstream: UpstreamId, now: MonotonicMillis): boolean {
-    const { holders, heartbeatMillis } = this.#parts;
-    const isHeard = now - holders.heardAt(upstream) < heartbeatMillis * SILENT_HEARTBEATS;
-    return isHeard && !holders.hasEnded(upstream);
-  }
-
-  #isServer(upstream: UpstreamId): boolean {
-    return this.#servers.some((server) => server.upstream === upstream);
-  }
-
   /** Ends the ownership of an upstream that leaves, is gone, or may hold nothing any more. */
   #takeOff(range: KeyRange, owner: UpstreamId, now: MonotonicMillis): RangeUpdate[] {
     const record = this.#record(owner);
     if (record === undefined || this.#parts.holders.isLost(owner, now)) {
-      return this.#give(range, this.#spread(range, owner));
+      return giveSpans(range, this.#spread(range, owner));
     }
     if (record.definition.leaving) {
       this.#releases.plan(this.#spread(range, owner));
@@ -218,7 +161,7 @@
   #loadView(): LoadView {
     if (this.#view === null) {
       const ranges = this.#ranges();
-      const use = new ServerLoads(this.#servers, ranges, this.#loads);
+      const use = new OwnerLoads(this.#servers.list, ranges, this.#loads);
       this.#view = { use, owners: loadsByOwner(ranges, use) };
     }
     return this.#view;
@@ -234,7 +177,7 @@
   /** Gives pieces that their owner before has given up to the next one. */
   #assign(range: KeyRange, now: MonotonicMillis): RangeUpdate[] {
     if (range.fence === 0 && range.former === null) {
-      return this.#isGathered(now) ? this.#give(range, divideSpan(range, this.#servers)) : [];
+      return this.#servers.isGathered(now) ? giveSpans(range, divideSpan(range, this.#servers.list)) : [];
     }
     const pieces = this.#releases.piecesOf(range, now, () => this.#spread(range, range.former));
     return pieces
@@ -243,7 +186,7 @@
   }
 
   #next(piece: ReleasedPiece, range: KeyRange): RangeUpdate {
-    const target = this.#isServer(piece.target)
+    const target = this.#servers.has(piece.target)
       ? piece.target
       : (this.#loadView().use.leastUsed(null)?.upstream ?? piece.target);
     this.#grants.handOver(piece.from, piece.to, piece.handover);
@@ -256,25 +199,14 @@
     return piece.isReleased || isOver;
   }
 
-  #give(range: KeyRange, spans: readonly PlannedSpan[]): RangeUpdate[] {
-    return spans.map((span) => updateOf(range, span, span.target, null));
-  }
-
-  #isGathered(now: MonotonicMillis): boolean {
-    return now - this.#serversSince >= GATHER_MILLIS || now - this.#since >= LONGEST_GATHER_MILLIS;
-  }
-
   /** Takes keys off servers that are much busier than the others. */
   #balance(ranges: readonly KeyRange[]): RangeUpdate[] {
     if (ranges.some(({ owner }) => owner === null)) {
       return [];
     }
-    const moves = planMoves(ranges, this.#loads, this.#servers);
+    const moves = planMoves(ranges, this.#loads, this.#servers.list);
     this.#releases.plan(moves);
-    return moves.flatMap((move) => {
-      const range = ranges.find(({ from, to }) => from <= move.from && move.to <= to);
-      return range === undefined ? [] : [updateOf(range, move, null, range.owner)];
-    });
+    return takeSpans(ranges, moves);
   }
 
   #grantCalls(range: KeyRange, owner: UpstreamId, now: MonotonicMillis): WantedCall[] {
@@ -340,7 +272,7 @@
   }
 }
 
-function loadsByOwner(ranges: readonly KeyRange[], use: ServerLoads): ReadonlyMap<UpstreamId, number> {
+function loadsByOwner(ranges: readonly KeyRange[], use: OwnerLoads): ReadonlyMap<UpstreamId, number> {
   const loads = new Map<UpstreamId, number>();
   for (const range of ranges) {
     const owner = range.owner ?? range.former;
@@ -350,25 +282,3 @@
   }
   return loads;
 }
-
-/**
- * Puts neighbours of one owner under one fence, so that one grant stands for them. The owner holds them meanwhile, and
- * nobody else does.
- */
-function joinNeighbours(ranges: readonly KeyRange[]): RangeUpdate[] {
-  return ranges.flatMap((range, position) => {
-    const isAlike = (other: KeyRange | undefined): boolean =>
-      range.owner !== null && other?.owner === range.owner;
-    const joins = isAlike(ranges[position - 1]) || isAlike(ranges[position + 1]);
-    return joins ? [updateOf(range, range, range.owner, null)] : [];
-  });
-}
-
-function updateOf(
-  range: KeyRange,
-  { from, to }: { readonly from: number; readonly to: number },
-  owner: UpstreamId | null,
-  former: UpstreamId | null,
-): RangeUpdate {
-  return { from, to, expectedFence: range.fence, owner, former };
-}
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -23,14 +23,8 @@
   zoneFields,
 } from './common-schemas.js';
 import { nameSchema } from './definition-schemas.js';
-import {
-  checkGrants,
-  completeHolderProtocol,
-  completeRangeTimings,
-  GRANT_SETTING_NAMES,
-  grantsSchema,
-} from './grant-settings.js';
-import { loadLayers, type SettingName, type SettingsLayers } from './layers.js';
+import { checkGrants, completeHolderProtocol, completeRangeTimings, grantsSchema } from './grant-settings.js';
+import { loadLayers, type SettingName, type SettingsLayers, settingNamesOf } from './layers.js';
 import { durationSchema, positiveDurationSchema } from './units.js';
 
 /** What a control daemon starts from. */
@@ -215,36 +209,7 @@
 );
 
 /** Each setting of the control daemon, as the environment and flags can give it. */
-export const CONTROL_SETTING_NAMES: readonly SettingName[] = [
-  { path: ['cluster'] },
-  { path: ['replicaName'] },
-  { path: ['zone'] },
-  { path: ['zones'], list: true },
-  { path: ['dataFolder'] },
-  { path: ['listen'] },
-  { path: ['advertise'] },
-  { path: ['outgoing'] },
-  { path: ['admin'] },
-  { path: ['peers'], list: true },
-  { path: ['secretFile'] },
-  { path: ['tokensFile'] },
-  { path: ['timings', 'electionTimeout'] },
-  { path: ['timings', 'heartbeat'] },
-  { path: ['timings', 'lease'] },
-  { path: ['timings', 'leaseRenew'] },
-  { path: ['timings', 'configLease'] },
-  { path: ['timings', 'configSync'] },
-  { path: ['timings', 'clockRateError'] },
-  { path: ['bootstrap'] },
-  { path: ['seeds'], list: true },
-  { path: ['toleratedLosses'] },
-  { path: ['trustedNetwork'] },
-  { path: ['lockFolder'] },
-  ...GRANT_SETTING_NAMES,
-  { path: ['snapshotEntries'] },
-  { path: ['replaceAfter'] },
-  { path: ['log'] },
-];
+export const CONTROL_SETTING_NAMES: readonly SettingName[] = settingNamesOf(controlObject);
 
 /** Reads the settings of a control daemon. Throws `SettingsError`. */
 export function loadControlSettings(layers: SettingsLayers): ControlSettings {
--- a/src/settings/grant-settings.ts
+++ b/src/settings/grant-settings.ts
@@ -3,7 +3,6 @@
 import { DEFAULT_RANGE_TIMINGS, type RangeTimings } from '../lease/range-timings.js';
 import { DEFAULT_HOLDER_PROTOCOL, type HolderProtocol } from '../model/holder-protocol.js';
 import { checkHalf, clockRateErrorSchema, headerNameSchema, urlPathSchema } from './common-schemas.js';
-import type { SettingName } from './layers.js';
 import { durationSchema, positiveDurationSchema } from './units.js';
 
 export const grantsSchema = z.strictObject({
@@ -19,11 +18,6 @@
 });
 type GrantFields = z.output<typeof grantsSchema>;
 
-/** Each of these settings, as the environment and flags can give it. */
-export const GRANT_SETTING_NAMES: readonly SettingName[] = Object.keys(grantsSchema.shape).map((name) => ({
-  path: ['grants', name],
-}));
-
 export function completeRangeTimings(fields: GrantFields = {}): RangeTimings {
   const defaults = DEFAULT_RANGE_TIMINGS;
   return {
--- a/src/settings/layers.ts
+++ b/src/settings/layers.ts
@@ -3,7 +3,7 @@
  * Each value remembers where it came from, so that a problem names the right place.
  */
 import { parseDocument } from 'yaml';
-import type { z } from 'zod';
+import { z } from 'zod';
 import { SettingsError } from './settings-error.js';
 import {
   formatPath,
@@ -31,6 +31,18 @@
   readonly flags: Readonly<Record<string, string | undefined>>;
 }
 
+/** Names of all settings that a schema takes, groups of settings gone into. */
+export function settingNamesOf(schema: z.ZodObject, group: readonly string[] = []): SettingName[] {
+  return Object.entries(schema.shape).flatMap(([key, field]) => {
+    const path = [...group, key];
+    const inner = field instanceof z.ZodOptional ? field.unwrap() : field;
+    if (inner instanceof z.ZodObject) {
+      return settingNamesOf(inner, path);
+    }
+    return [inner instanceof z.ZodArray ? { path, list: true } : { path }];
+  });
+}
+
 const ENVIRONMENT_PREFIX = 'TERNMOUNT_';
 
 /** `dataFolder` becomes `data-folder`. */
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -18,7 +18,7 @@
   zoneFields,
 } from './common-schemas.js';
 import { nameSchema } from './definition-schemas.js';
-import { loadLayers, type SettingName, type SettingsLayers } from './layers.js';
+import { loadLayers, type SettingName, type SettingsLayers, settingNamesOf } from './layers.js';
 import { durationSchema, positiveDurationSchema, sizeSchema } from './units.js';
 
 /** What a router daemon starts from. */
@@ -185,40 +185,7 @@
 );
 
 /** Each setting of the router daemon, as the environment and flags can give it. */
-export const ROUTER_SETTING_NAMES: readonly SettingName[] = [
-  { path: ['cluster'] },
-  { path: ['router'] },
-  { path: ['zone'] },
-  { path: ['zones'], list: true },
-  { path: ['listen'] },
-  { path: ['outgoing'] },
-  { path: ['admin'] },
-  { path: ['control'], list: true },
-  { path: ['controlPort'] },
-  { path: ['secretFile'] },
-  { path: ['trustedNetwork'] },
-  { path: ['byRoutes'] },
-  { path: ['headers', 'requestId'] },
-  { path: ['headers', 'deadline'] },
-  { path: ['headers', 'instance'] },
-  { path: ['headers', 'key'] },
-  { path: ['headers', 'load'] },
-  { path: ['headers', 'notRun'] },
-  { path: ['retryAfterUnit'] },
-  { path: ['whenOutOfTouch'] },
-  { path: ['lameDuck'] },
-  { path: ['timings', 'configLease'] },
-  { path: ['timings', 'configSync'] },
-  { path: ['timings', 'clockRateError'] },
-  { path: ['claimTimeout'] },
-  { path: ['probePath'] },
-  { path: ['probeInterval'] },
-  { path: ['platformUrl'] },
-  { path: ['platformInterval'] },
-  { path: ['connectionsPerUpstream'] },
-  { path: ['requestBody'] },
-  { path: ['log'] },
-];
+export const ROUTER_SETTING_NAMES: readonly SettingName[] = settingNamesOf(routerObject);
 
 /** Reads the settings of a router daemon. Throws `SettingsError`. */
 export function loadRouterSettings(layers: SettingsLayers): RouterSettings {
--- a/test/consensus/test-cluster.ts
+++ b/test/consensus/test-cluster.ts
@@ -11,6 +11,7 @@
   type RaftMessage,
   type RaftStatus,
 } from '../../src/consensus/index.js';
+import { EventQueue } from '../../src/dev/virtual/event-queue.js';
 import {
   applyToMachine,
   HistoryChecker,
@@ -42,12 +43,6 @@
   readonly backlog: RaftInput[];
 }
 
-interface ScheduledEvent {
-  readonly at: number;
-  readonly sequence: number;
-  readonly action: () => void;
-}
-
 export const ELECTION_TIMEOUT_MILLIS = 150;
 
 export function membershipOf(voters: readonly ReplicaName[]): Membership {
@@ -56,7 +51,6 @@
 }
 
 export class TestCluster {
-  now = 0;
   readonly checker = new HistoryChecker();
   readonly proposals = new Map<number, Extract<RaftEffect, { proposalId: number }>>();
   readonly reads = new Map<number, Extract<RaftEffect, { readId: number }>>();
@@ -66,8 +60,7 @@
   readonly #members = new Map<ReplicaName, Member>();
   readonly #random;
   readonly #cuts = new Set<string>();
-  #events: ScheduledEvent[] = [];
-  #sequence = 0;
+  readonly #events = new EventQueue();
   #nextId = 1;
   readonly #config: Partial<RaftConfig>;
 
@@ -80,6 +73,11 @@
   }
 
   /** Starts a replica on an empty disk; without a membership it waits to be joined. */
+  /** Virtual time. */
+  get now(): number {
+    return this.#events.now;
+  }
+
   addReplica(name: ReplicaName, membership: Membership | null = null): void {
     const disk = new SimulatedDisk(membership);
     const member: Member = {
@@ -221,12 +219,7 @@
   }
 
   runFor(millis: number): void {
-    const end = this.now + millis;
-    for (let next = this.#takeNext(end); next !== undefined; next = this.#takeNext(end)) {
-      this.now = next.at;
-      next.action();
-    }
-    this.now = end;
+    this.#events.runUntil(this.now + millis);
   }
 
   /** Runs until `condition` holds; false if it doesn't within `limitMillis`. */
@@ -297,11 +290,11 @@
         action();
       }
     };
-    this.#schedule(
+    this.#events.at(
       writeAt,
       whenSameRun(() => member.disk.write(request)),
     );
-    this.#schedule(
+    this.#events.at(
       reportAt,
       whenSameRun(() => this.input(name, { type: 'persisted', persistId: request.persistId })),
     );
@@ -313,7 +306,7 @@
       const lost = this.#chance(this.network.dropPerMille);
       const at = this.now + this.random(1, this.network.maxDelayMillis);
       if (!lost) {
-        this.#schedule(at, () => this.#arrive(message));
+        this.#events.at(at, () => this.#arrive(message));
       }
     }
   }
@@ -336,7 +329,7 @@
       return;
     }
     const at = Math.max(this.now, core.nextDeadline());
-    this.#schedule(at, () => {
+    this.#events.at(at, () => {
       const due = member.run === run && !member.paused && core.nextDeadline() <= this.now;
       if (due) {
         this.input(name, { type: 'tick' });
@@ -344,24 +337,6 @@
     });
   }
 
-  #schedule(at: number, action: () => void): void {
-    const event = { at, sequence: this.#sequence, action };
-    this.#sequence += 1;
-    let low = 0;
-    let high = this.#events.length;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      const isLater = (this.#events[middle] as ScheduledEvent).at > at;
-      [low, high] = isLater ? [low, middle] : [middle + 1, high];
-    }
-    this.#events.splice(low, 0, event);
-  }
-
-  #takeNext(end: number): ScheduledEvent | undefined {
-    const next = this.#events[0];
-    return next !== undefined && next.at <= end ? this.#events.shift() : undefined;
-  }
-
   #member(name: ReplicaName): Member {
     const member = this.#members.get(name);
     if (member === undefined) {
--- a/test/control/cluster-harness.ts
+++ b/test/control/cluster-harness.ts
@@ -12,17 +12,14 @@
   OperatorRequest,
   OperatorResponse,
 } from '../../src/control/types.js';
-import {
-  createGrantHolder,
-  DEFAULT_LEASE_TIMINGS,
-  type GrantHolder,
-  type Ticket,
-} from '../../src/lease/index.js';
+import { EventQueue } from '../../src/dev/virtual/event-queue.js';
+import { DEFAULT_LEASE_TIMINGS } from '../../src/lease/index.js';
 import type { KeyMap, SessionRequest } from '../../src/lease/types.js';
-import type { Address, Epoch, ReplicaId, ShardId, UpstreamId } from '../../src/model/identifiers.js';
+import type { Address, ReplicaId, ShardId, UpstreamId } from '../../src/model/identifiers.js';
 import { shardOfKey } from '../../src/model/key-map.js';
 import type { ServiceDefinition, UpstreamDefinition } from '../../src/model/service.js';
 import type { OperatorCommand, ShardRecord } from '../../src/registry/types.js';
+import { Server } from './cluster-server.js';
 
 const NETWORK_MILLIS = 1;
 const SYNC_MILLIS = 1;
@@ -36,69 +33,6 @@
   alive: boolean;
 }
 
-/** A server that owns keys, on a clock with its own origin and rate. */
-class Server {
-  holder: GrantHolder;
-  state: 'up' | 'frozen' | 'dead' = 'up';
-  /** Calls that reached it while it was frozen. */
-  readonly backlog: (() => void)[] = [];
-  readonly epochs = new Map<ShardId, Epoch>();
-  /** Answers `markWarmed` at once when told to warm. */
-  warms = true;
-  incarnationNumber = 1;
-
-  constructor(
-    readonly id: UpstreamId,
-    readonly clockOffset: number,
-    readonly clockRate: number,
-  ) {
-    this.holder = this.#start();
-  }
-
-  clock(time: number): number {
-    return this.clockOffset + time * this.clockRate;
-  }
-
-  restart(): void {
-    this.incarnationNumber += 1;
-    this.epochs.clear();
-    this.backlog.splice(0);
-    this.state = 'up';
-    this.holder = this.#start();
-  }
-
-  get incarnation(): string {
-    return `${this.id}#${this.incarnationNumber}`;
-  }
-
-  noteEvents(): void {
-    for (const event of this.holder.takeEvents()) {
-      if (event.type === 'granted') {
-        this.epochs.set(event.shard, event.epoch);
-      } else if (event.type === 'warm' && this.warms) {
-        this.holder.markWarmed(event.shard);
-      }
-    }
-  }
-
-  admit(shard: ShardId, key: string, time: number): Ticket | null {
-    const { incarnation } = this;
-    const epoch = this.epochs.get(shard) ?? 0;
-    const admission = this.holder.admit({ shard, epoch, incarnation, key }, this.clock(time));
-    return admission.type === 'admitted' ? admission.ticket : null;
-  }
-
-  #start(): GrantHolder {
-    return createGrantHolder({ cluster: 'c1', upstream: this.id, incarnation: this.incarnation });
-  }
-}
-
-interface Event {
-  readonly at: number;
-  readonly number: number;
-  readonly run: () => void;
-}
-
 export interface ClusterOptions {
   readonly members?: number;
   readonly seed?: number;
@@ -113,7 +47,6 @@
 }
 
 export class Cluster {
-  time = 0;
   readonly members = new Map<ReplicaId, Member>();
   readonly servers = new Map<UpstreamId, Server>();
   readonly answers = new Map<string, OperatorResponse>();
@@ -122,12 +55,16 @@
   readonly calls: SessionRequest[] = [];
   /** Peers that neither hear nor are heard. */
   readonly cut = new Set<string>();
-  #events: Event[] = [];
-  #eventNumber = 0;
+  readonly #events = new EventQueue();
   #nextCheckAt = 0;
   #keyOfShard = new Map<ShardId, string>();
   #operation = 0;
 
+  /** Virtual time. */
+  get time(): number {
+    return this.#events.now;
+  }
+
   constructor(readonly options: ClusterOptions = {}) {
     const voters = Array.from({ length: options.members ?? 3 }, (_, index) => `m${index + 1}`);
     for (const id of voters) {
@@ -286,13 +223,13 @@
     const deadlines = [...this.members.values()]
       .filter((member) => member.alive)
       .map((member) => ({ member, at: Math.max(this.time, member.core.nextDeadline()) }));
-    const event = this.#events[0];
     const nextTick = Math.min(end, ...deadlines.map(({ at }) => at));
-    this.time = Math.min(nextTick, event?.at ?? end);
-    if (event !== undefined && event.at <= nextTick) {
-      this.#events.shift();
-      event.run();
-    } else {
+    let hasRun = false;
+    this.#events.runUntil(nextTick, () => {
+      hasRun = true;
+      return true;
+    });
+    if (!hasRun) {
       const due = deadlines.filter(({ at }) => at <= this.time);
       expect(
         due.length === 0 || this.#noteTick(),
@@ -326,10 +263,7 @@
   }
 
   #later(millis: number, run: () => void): void {
-    this.#eventNumber += 1;
-    const event = { at: this.time + millis, number: this.#eventNumber, run };
-    this.#events.push(event);
-    this.#events.sort((left, right) => left.at - right.at || left.number - right.number);
+    this.#events.after(millis, run);
   }
 
   #step(member: Member, input: ControlInput): void {
--- /dev/null
+++ b/test/control/cluster-server.ts
@@ -0,0 +1,60 @@
+/** A server that owns keys, for tests with control members on a virtual clock. */
+import { createGrantHolder, type GrantHolder, type Ticket } from '../../src/lease/index.js';
+import type { Epoch, ShardId, UpstreamId } from '../../src/model/identifiers.js';
+
+/** It has a clock with its own origin and rate. */
+export class Server {
+  holder: GrantHolder;
+  state: 'up' | 'frozen' | 'dead' = 'up';
+  /** Calls that reached it while it was frozen. */
+  readonly backlog: (() => void)[] = [];
+  readonly epochs = new Map<ShardId, Epoch>();
+  /** Answers `markWarmed` at once when told to warm. */
+  warms = true;
+  incarnationNumber = 1;
+
+  constructor(
+    readonly id: UpstreamId,
+    readonly clockOffset: number,
+    readonly clockRate: number,
+  ) {
+    this.holder = this.#start();
+  }
+
+  clock(time: number): number {
+    return this.clockOffset + time * this.clockRate;
+  }
+
+  restart(): void {
+    this.incarnationNumber += 1;
+    this.epochs.clear();
+    this.backlog.splice(0);
+    this.state = 'up';
+    this.holder = this.#start();
+  }
+
+  get incarnation(): string {
+    return `${this.id}#${this.incarnationNumber}`;
+  }
+
+  noteEvents(): void {
+    for (const event of this.holder.takeEvents()) {
+      if (event.type === 'granted') {
+        this.epochs.set(event.shard, event.epoch);
+      } else if (event.type === 'warm' && this.warms) {
+        this.holder.markWarmed(event.shard);
+      }
+    }
+  }
+
+  admit(shard: ShardId, key: string, time: number): Ticket | null {
+    const { incarnation } = this;
+    const epoch = this.epochs.get(shard) ?? 0;
+    const admission = this.holder.admit({ shard, epoch, incarnation, key }, this.clock(time));
+    return admission.type === 'admitted' ? admission.ticket : null;
+  }
+
+  #start(): GrantHolder {
+    return createGrantHolder({ cluster: 'c1', upstream: this.id, incarnation: this.incarnation });
+  }
+}
--- a/test/control/range-world.ts
+++ b/test/control/range-world.ts
@@ -6,6 +6,7 @@
 import type { LoadReport } from '../../src/control/messages.js';
 import type { HolderCall, HolderOutcome } from '../../src/control/ranges/holder-call.js';
 import { RangeCoordinator } from '../../src/control/ranges/range-coordinator.js';
+import { EventQueue } from '../../src/dev/virtual/event-queue.js';
 import type { RangeTimings } from '../../src/lease/range-timings.js';
 import type { UpstreamId } from '../../src/model/identifiers.js';
 import { LARGEST_KEY } from '../../src/model/key-range.js';
@@ -60,22 +61,19 @@
   }
 }
 
-interface Event {
-  readonly at: number;
-  readonly order: number;
-  readonly run: () => void;
-}
-
 export class RangeWorld {
-  now = 0;
   readonly registry: Registry = createRegistry();
   readonly holders = new Map<UpstreamId, Holder>();
   readonly calls: HolderCall[] = [];
-  #events: Event[] = [];
-  #order = 0;
+  readonly #events = new EventQueue();
   #leader: RangeCoordinator | null = null;
   #leadership = 0;
 
+  /** Virtual time. */
+  get now(): number {
+    return this.#events.now;
+  }
+
   constructor(private readonly random: () => number = () => 1) {
     this.apply({
       type: 'declaration-apply',
@@ -141,24 +139,15 @@
   }
 
   after(millis: number, run: () => void): void {
-    this.#order += 1;
-    this.#events.push({ at: this.now + millis, order: this.#order, run });
+    this.#events.after(millis, run);
   }
 
   /** Lets time pass; looks at all holders after each event. */
   run(millis: number): void {
     const end = this.now + millis;
     while (this.now < end) {
-      this.#events.sort((one, other) => one.at - other.at || one.order - other.order);
-      const next = this.#events[0];
       const wakeAt = Math.max(this.now + 0.1, this.#leader?.nextDeadline() ?? end);
-      if (next !== undefined && next.at <= Math.min(wakeAt, end)) {
-        this.#events.shift();
-        this.now = Math.max(this.now, next.at);
-        next.run();
-      } else {
-        this.now = Math.min(wakeAt, end);
-      }
+      this.#events.runUntil(Math.min(wakeAt, end), () => true);
       this.#leader?.run(this.now);
       this.#check();
     }
--- a/test/placement/range-planner.test.ts
+++ b/test/placement/range-planner.test.ts
@@ -2,13 +2,8 @@
 import { expect } from 'chai';
 import { type KeyRange, LARGEST_KEY, spanLength } from '../../src/model/key-range.js';
 import { KeyLoads } from '../../src/placement/ranges/key-loads.js';
-import {
-  divideSpan,
-  planMoves,
-  type RangeServer,
-  ServerLoads,
-  spreadSpan,
-} from '../../src/placement/ranges/range-planner.js';
+import { OwnerLoads, type RangeServer } from '../../src/placement/ranges/owner-loads.js';
+import { divideSpan, planMoves, spreadSpan } from '../../src/placement/ranges/range-planner.js';
 
 const WHOLE = { from: 0, to: LARGEST_KEY };
 
@@ -81,7 +76,7 @@
     const keys = moves.reduce((sum, move) => sum + spanLength(move), 0);
     expect(keys).to.be.at.most(200);
     expect(moves.every(({ target }) => target !== 'u0')).to.equal(true);
-    const use = new ServerLoads(list, ranges, loads);
+    const use = new OwnerLoads(list, ranges, loads);
     for (const move of moves) {
       use.shift('u0', -loads.ofSpan(move));
       use.shift(move.target, loads.ofSpan(move));
@@ -117,7 +112,7 @@
     const [first] = owned(list) as [KeyRange];
     const rest = list.slice(1);
     const loads = loadsWith([first.from, first.from + 99, 10]);
-    const use = new ServerLoads(rest, owned(list).slice(1), loads);
+    const use = new OwnerLoads(rest, owned(list).slice(1), loads);
     const spans = spreadSpan(first, loads, use, use.ofSpan(first));
     expect(new Set(spans.map(({ target }) => target)).size).to.equal(4);
     expect(spans[0]?.from).to.equal(first.from);
--- a/test/platform/whole-route.test.ts
+++ b/test/platform/whole-route.test.ts
@@ -29,7 +29,7 @@
 
   it('serves a request from the owner of its key, unchanged but for what the router sets', async () => {
     const answer = await callRouter(router, '/sheets/a?b=1', { id: 'q1', key: 1000, deadline: 700 });
-    expect(answer).to.include({ status: 200 });
+    expect(answer, answer.body).to.include({ status: 200 });
     const owner = menus.find((menu) => menu.holds(1000)) as AnnouncedUpstream;
     expect(answer.headers).to.include({ seal: `${menus.indexOf(owner) === 0 ? 'menu-1' : 'menu-2'}` });
     const run = owner.runs.at(-1);
