Start-up: a bundle a daemon as one script, with the code that V8 compiled of it beside it

Cause: a start costs processor time on small machines, and restarts wait for it (kills, rolling restarts, losses of everything): three quarters of it were parsing and running what libraries bring along. Without the compiled code, or when V8 refuses it, everything starts as before.

--- /dev/null
+++ b/test/cli/bundle.test.ts
@@ -0,0 +1,85 @@
+/** The daemons' bundles: they start with and without the compiled code beside them, and V8 takes that code. */
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { Script } from 'node:vm';
+import { expect } from 'chai';
+
+const ROOT = resolve(fileURLToPath(new URL('../../..', import.meta.url)));
+/** As the deploy file has them; compiled code is good for the same flags only. */
+const FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
+
+interface Ended {
+  readonly status: number | null;
+  readonly stderr: string;
+}
+
+describe('bundles of the daemons', function suite() {
+  this.timeout(60_000);
+  const folder = mkdtempSync(join(ROOT, 'build', 'bundle-'));
+
+  before(() => {
+    const built = spawnSync(process.execPath, ['scripts/bundle/bundle.mjs', folder], { cwd: ROOT });
+    expect(built.status, String(built.stderr)).to.equal(0);
+  });
+
+  after(() => rmSync(folder, { recursive: true, force: true }));
+
+  function start(...words: string[]): Ended {
+    const program = [...FLAGS, join(folder, 'ternmount.cjs'), ...words];
+    const { status, stderr } = spawnSync(process.execPath, program, { encoding: 'utf8' });
+    return { status, stderr };
+  }
+
+  function expectUnusableSettings(daemon: string): void {
+    const file = join(folder, 'settings.yaml');
+    writeFileSync(file, 'cluster: 7\n');
+    const { status, stderr } = start(daemon, 'run', '--settings', file);
+    expect(stderr).to.match(/^ternmount: .*settings\.yaml:\d+:\d+: [^\n]+\n$/);
+    expect(status).to.equal(2);
+  }
+
+  for (const daemon of ['router', 'control']) {
+    it(`start ${daemon}, and say which setting is wrong`, () => {
+      expectUnusableSettings(daemon);
+    });
+
+    it(`have compiled code of ${daemon} that is taken with the flags of the deploy file`, () => {
+      const check = `
+        const { readFileSync } = require('node:fs');
+        const { Script } = require('node:vm');
+        const [source, cachedData] = [readFileSync(${JSON.stringify(join(folder, `${daemon}.js`))}, 'latin1'),
+          readFileSync(${JSON.stringify(join(folder, `${daemon}.compiled`))})];
+        process.exit(new Script(source, { cachedData }).cachedDataRejected ? 1 : 0);`;
+      const { status, stderr } = spawnSync(process.execPath, [...FLAGS, '-e', check], { encoding: 'utf8' });
+      expect(status, stderr).to.equal(0);
+    });
+  }
+
+  it('start without compiled code, or with code that V8 refuses', () => {
+    rmSync(join(folder, 'control.compiled'));
+    expectUnusableSettings('control');
+    writeFileSync(join(folder, 'router.compiled'), 'not compiled code');
+    const source = readFileSync(join(folder, 'router.js'), 'latin1');
+    const cachedData = readFileSync(join(folder, 'router.compiled'));
+    expect(new Script(source, { cachedData }).cachedDataRejected).to.equal(true);
+    expectUnusableSettings('router');
+  });
+
+  it('are named by the deploy file with the flags that they were compiled with', () => {
+    const deploy = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
+    const runs = [...deploy.matchAll(/run = "node ([^"]+)"/g)].map(([, words = '']) => words.split(' '));
+    expect(runs).to.have.length(2);
+    for (const words of runs) {
+      expect(words.slice(0, FLAGS.length)).to.deep.equal(FLAGS);
+      expect(words[FLAGS.length]).to.equal('target/ternmount.cjs');
+    }
+  });
+
+  it('run nothing else', () => {
+    const { status, stderr } = start('service', 'list');
+    expect(status).to.equal(2);
+    expect(stderr).to.contain('router run');
+  });
+});
