Declared limits on callers hold in the routers' listeners

Cause: own reading; the limits of the declared document were kept and given back, but a router went by its settings: a body above 1 MiB got 413 although the document allowed it. Change: the core tells its shell of declared limits; header size, header time, body size and idle time follow them.

--- a/src/router/caller/body-reader.ts
+++ b/src/router/caller/body-reader.ts
@@ -12,7 +12,12 @@
 export class BodyReader {
   private heldBytes = 0;
 
-  constructor(private readonly limits: BodyLimits) {}
+  constructor(private limits: BodyLimits) {}
+
+  /** Takes over another bound on one body. */
+  resize(maxBodyBytes: number): void {
+    this.limits = { ...this.limits, maxBodyBytes };
+  }
 
   /** Bytes of bodies held now. */
   get held(): number {
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -4,9 +4,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { ControlToRouter } from '../control/messages.js';
 import { createLogger, type Logger } from '../logging/logger.js';
+import type { CallerLimits } from '../model/declaration.js';
 import type { Address, Incarnation } from '../model/identifiers.js';
 import type { RouterConfig, RouterCore, RouterStatus } from '../routing/types.js';
-import { DEFAULT_HTTP_LIMITS, HttpListener } from '../wire/http/http-listener.js';
+import { DEFAULT_HTTP_LIMITS, type HttpLimits, HttpListener } from '../wire/http/http-listener.js';
 import { createMonitorListener } from '../wire/http/monitor-listener.js';
 import { UpstreamPools } from './attempts/upstream-pools.js';
 import { BodyReader } from './caller/body-reader.js';
@@ -48,6 +49,9 @@
   private readonly traces = new PolicyTraces((on) => this.task.post({ type: 'policy-trace', on }));
   private readonly directory = new UpstreamDirectory();
   private readonly metrics: RouterMetrics;
+  private readonly bodies: BodyReader;
+  /** Bounds towards callers: the declared ones, else those of the settings. */
+  private http: HttpLimits;
   private callers: HttpListener | undefined;
   private admin: HttpListener | undefined;
   private fail: (error: Error) => void = () => {};
@@ -64,6 +68,8 @@
     });
     this.settings = completeRouterSettings(settings);
     const { limits, timings } = this.settings;
+    this.http = this.settings.http;
+    this.bodies = new BodyReader(limits);
     this.core = createCore(this.coreConfig());
     this.metrics = new RouterMetrics(() => this.core.status());
     this.pools = new UpstreamPools({ ...limits, ...timings, localAddress: settings.outgoing });
@@ -75,10 +81,11 @@
       incarnation: this.incarnation,
       core: this.core,
       pools: this.pools,
-      bodies: new BodyReader(limits),
+      bodies: this.bodies,
       links: this.links,
       metrics: this.metrics,
       log: this.log,
+      limitsChanged: (declared) => this.limitCallers(declared),
       traced: (record) => this.traces.take(record),
       failed: (error) => this.giveUp(error),
     });
@@ -112,16 +119,32 @@
   }
 
   private async openToCallers(): Promise<void> {
-    const { listen, http } = this.settings;
+    const { listen } = this.settings;
     const onRequest = createCallerListener(this.frontEnd, (request, response) =>
       this.task.accept(request, response),
     );
-    this.callers = await HttpListener.listen(listen, http, onRequest, {
+    this.callers = await HttpListener.listen(listen, this.http, onRequest, {
       requireHost: false,
       describeFault: describeRequestFault,
     });
   }
 
+  /**
+   * Goes by the declared limits. How large a header may be is fixed once callers can connect, and a request as a whole has
+   * at least the time that its header has.
+   */
+  private limitCallers({ headerBytes, bodyBytes, headerMillis, idleMillis }: CallerLimits): void {
+    this.bodies.resize(bodyBytes);
+    this.http = {
+      ...this.http,
+      maxHeaderBytes: headerBytes,
+      headersMillis: headerMillis,
+      requestMillis: Math.max(headerMillis, this.settings.http.requestMillis),
+      keepAliveMillis: idleMillis,
+    };
+    this.callers?.resize(this.http);
+  }
+
   /** Callers' address, with the real port. */
   get address(): Address {
     return this.callers?.address ?? this.settings.listen;
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { toError } from '../errors/ternmount-error.js';
 import type { Logger } from '../logging/logger.js';
+import type { CallerLimits } from '../model/declaration.js';
 import type { Incarnation } from '../model/identifiers.js';
 import type { PolicyTraceRecord } from '../policy/index.js';
 import { NumberedTable } from '../routing/numbered-table.js';
@@ -32,6 +33,8 @@
   readonly links: ControlLinks;
   readonly metrics: RouterMetrics;
   readonly log: Logger;
+  /** Other bounds hold for callers from now on. */
+  readonly limitsChanged: (limits: CallerLimits) => void;
   /** A policy looked at a request, and someone wants to know. */
   readonly traced: (record: PolicyTraceRecord) => void;
   /** The core threw, so its state can't be trusted any more. */
@@ -188,6 +191,9 @@
           metrics.refused(exchange.head.service, effect.outcome, effect.reason);
         });
         return;
+      case 'limit-callers':
+        this.options.limitsChanged(effect.limits);
+        return;
       case 'policy-trace':
         this.options.traced(effect.record);
         return;
--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -46,6 +46,8 @@
         this.applyShard(change.shard, change.record);
       } else if (change.type === 'range') {
         this.noteRangesChanged(change.service, remapped);
+      } else if (change.type === 'declaration' && change.record !== null) {
+        this.context.emit({ type: 'limit-callers', limits: change.record.limits });
       }
     }
     this.firstSnapshot = false;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -4,6 +4,7 @@
 import type { ConfigLeaseTimings, ControlToRouter, RouterToControl } from '../control/messages.js';
 import type { FenceCredentials, FenceRefusal } from '../lease/types.js';
 import type { StoredAnswer } from '../ledger/types.js';
+import type { CallerLimits } from '../model/declaration.js';
 import type {
   Address,
   Epoch,
@@ -169,6 +170,8 @@
       /** `null`: it was turned away before anything was looked at. */
       readonly facts: DecisionFacts | null;
     }
+  /** What callers may send from now on. */
+  | { readonly type: 'limit-callers'; readonly limits: CallerLimits }
   /** What a policy saw of a request; only while they are wanted. */
   | { readonly type: 'policy-trace'; readonly record: PolicyTraceRecord }
   | {
--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -98,8 +98,9 @@
   }
 
   /** Takes over other bounds; those of a header's size can't be changed while it listens. */
-  resize(limits: Pick<HttpLimits, 'headersMillis' | 'keepAliveMillis'>): void {
+  resize(limits: Omit<HttpLimits, 'maxHeaderBytes' | 'maxConnections'>): void {
     this.server.headersTimeout = limits.headersMillis;
+    this.server.requestTimeout = limits.requestMillis;
     this.server.keepAliveTimeout = limits.keepAliveMillis;
   }
 
