--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -43,6 +43,7 @@
       probeMillis: settings.probeIntervalMillis,
       platformMillis: settings.platformIntervalMillis,
       lameDuckMillis: settings.lameDuckMillis,
+      firstConfigurationMillis: settings.firstConfigurationMillis,
     },
   };
 }
--- a/src/control/daemon/holder-calls.ts
+++ b/src/control/daemon/holder-calls.ts
@@ -73,9 +73,11 @@
     outgoing.on('socket', (assigned) => {
       socket = assigned;
       isConnected = !assigned.connecting;
-      assigned.once('connect', () => {
-        isConnected = true;
-      });
+      if (assigned.connecting) {
+        assigned.once('connect', () => {
+          isConnected = true;
+        });
+      }
     });
     outgoing.on('response', (response) => {
       response.resume();
--- a/src/control/ranges/balance-schedule.ts
+++ b/src/control/ranges/balance-schedule.ts
@@ -8,7 +8,7 @@
 /** Shortest time between two looks at the balance: each move is news for every router. */
 const LEAST_BALANCE_MILLIS = 350;
 /** Time between two joins of neighbouring ranges. */
-const JOIN_MILLIS = 5000;
+const JOIN_MILLIS = 2500;
 
 export class BalanceSchedule {
   #nextAt: MonotonicMillis;
--- a/src/control/ranges/range-grants.ts
+++ b/src/control/ranges/range-grants.ts
@@ -6,6 +6,9 @@
 /** A grant without an answer is tried again after this. */
 const RETRY_MILLIS = 150;
 
+/** Grants of an earlier leader that are renewed at once, the latest ones. */
+const LATEST_GRANTS = 12;
+
 /** One grant that is kept up. */
 export interface KeptGrant {
   nextAt: MonotonicMillis;
@@ -34,6 +37,19 @@
     return made;
   }
 
+  /**
+   * Takes over the grants of an earlier leader. They hold for a while yet, so their renewals are spread; the latest owners
+   * come first, since that leader may not have told them any more.
+   */
+  inherit(ranges: readonly KeyRange[], now: MonotonicMillis): void {
+    const owned = ranges.filter(({ owner }) => owner !== null).sort((one, other) => other.fence - one.fence);
+    const gap = this.timings.renewMillis / Math.max(1, owned.length);
+    owned.forEach((range, place) => {
+      const isLatest = place < LATEST_GRANTS;
+      this.of(range, now).nextAt = isLatest ? now : now + place * gap;
+    });
+  }
+
   find(fence: Epoch, from: number, to: number): KeptGrant | undefined {
     return this.#grants.get(nameOf(fence, from, to));
   }
--- a/src/control/ranges/range-service.ts
+++ b/src/control/ranges/range-service.ts
@@ -13,6 +13,7 @@
   EVEN_GOAL,
   type PlannedSpan,
   planMoves,
+  planReturns,
   RELIEF_GOAL,
   spreadSpan,
 } from '../../placement/ranges/range-planner.js';
@@ -67,6 +68,7 @@
   constructor(parts: RangeServiceParts, now: MonotonicMillis) {
     this.#parts = parts;
     this.#grants = new RangeGrants(parts.timings);
+    this.#grants.inherit(parts.registry().ranges(parts.service), now);
     this.#servers = new RangeServers(parts, now, (upstream) => this.#speeds.of(upstream));
     this.#schedule = new BalanceSchedule(now);
   }
@@ -112,10 +114,18 @@
       return updates;
     }
     const moves = this.#balance(ranges);
-    if (moves.length > 0 || !this.#schedule.takeJoin(now)) {
-      return moves;
-    }
-    return joinNeighbours(ranges);
+    return this.#schedule.takeJoin(now) ? [...moves, ...this.#tidy(ranges, moves)] : moves;
+  }
+
+  /** Keeps the ranges few: each costs renewals. */
+  #tidy(ranges: readonly KeyRange[], moves: readonly RangeUpdate[]): RangeUpdate[] {
+    const untouched = ranges.filter(
+      ({ from, to }) => !moves.some((move) => move.from <= to && move.to >= from),
+    );
+    const returns = planReturns(untouched, this.#loads, this.#servers.list);
+    this.#releases.plan(returns);
+    const joins = joinNeighbours(untouched);
+    return [...joins, ...takeSpans(untouched, returns)];
   }
 
   /** Share of its capacity that each upstream uses, in percent, for the log. */
--- a/src/placement/ranges/range-planner.ts
+++ b/src/placement/ranges/range-planner.ts
@@ -39,7 +39,12 @@
 /** A single key fills its owner from this share of its capacity on. */
 const FILLING_SHARE = 0.6;
 /** How much larger another server must be for such a key to move. */
-const LEAST_GAIN = 1.2;
+const LEAST_GAIN = 1.25;
+/** A range that takes less of a server's capacity may go to a neighbour's owner, if that range is so much longer. */
+const MUCH_LONGER = 3;
+const IDLE_SHARE = 0.02;
+/** Returns planned at once. */
+const RETURNS_AT_ONCE = 8;
 /** Moves planned at once. */
 const MOVES_AT_ONCE = 12;
 /** Pieces that the keys of an owner which goes are cut into, so that no one server gets them all. */
@@ -182,6 +187,42 @@
     : { from: span.from, to: span.to, target: idle.upstream };
 }
 
+/**
+ * Short ranges with little load, which are better off with the owner of a neighbour: they were cut out while they were hot.
+ * The idlest come first.
+ */
+export function planReturns(
+  ranges: readonly KeyRange[],
+  loads: KeyLoads,
+  servers: readonly RangeServer[],
+): PlannedSpan[] {
+  const known = new Map(servers.map((server) => [server.upstream, server]));
+  const returns = ranges.flatMap((range, position) => {
+    const heir = known.get(longerNeighbour(ranges, position)?.owner ?? '');
+    const isOther = range.owner !== null && heir !== undefined && heir.upstream !== range.owner;
+    const isIdle = isOther && loads.ofSpan(range) < capacityOf(heir) * IDLE_SHARE;
+    return isIdle ? [{ from: range.from, to: range.to, target: heir.upstream }] : [];
+  });
+  const byLoad = returns.sort((one, other) => loads.ofSpan(one) - loads.ofSpan(other));
+  return byLoad.slice(0, RETURNS_AT_ONCE);
+}
+
+/** The longer range beside one, if it is much longer. */
+function longerNeighbour(ranges: readonly KeyRange[], position: number): KeyRange | undefined {
+  const range = ranges[position] as KeyRange;
+  const before = ranges[position - 1];
+  const after = ranges[position + 1];
+  const beside = [
+    before?.to === range.from - 1 ? before : undefined,
+    after?.from === range.to + 1 ? after : undefined,
+  ];
+  const longer = beside.reduce((best, other) =>
+    best === undefined || (other !== undefined && spanLength(other) > spanLength(best)) ? other : best,
+  );
+  const isMuchLonger = longer !== undefined && spanLength(longer) > spanLength(range) * MUCH_LONGER;
+  return isMuchLonger ? longer : undefined;
+}
+
 interface MoveSearch {
   readonly ranges: readonly KeyRange[];
   readonly loads: KeyLoads;
--- a/src/router/control-links.ts
+++ b/src/router/control-links.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '../logging/logger.js';
 import type { Address } from '../model/identifiers.js';
 import {
+  type BackoffTimings,
   controlToRouterCodecs,
   type Frame,
   FrameClient,
@@ -22,6 +23,9 @@
   readonly decode?: (frame: Frame) => ControlToRouter;
 }
 
+/** Nothing is served without control, so a member that starts again is found soon. */
+const CONTROL_BACKOFF: BackoffTimings = { firstMillis: 50, maxMillis: 200 };
+
 /** How long a connection is kept after the last message to its member, and how often that is looked at. */
 const KEEP_MILLIS = 5000;
 const RECONCILE_MILLIS = 1000;
@@ -106,6 +110,7 @@
       localAddress,
       identity,
       limits,
+      backoff: CONTROL_BACKOFF,
       onReady: (peer) => log.info('control-connected', { address, replica: peer.name }),
       onFrame: (frame) => received(address, decode(frame)),
       onLost: (reason) => {
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -29,6 +29,8 @@
 const MAX_SEED = 2 ** 31 - 1;
 const SETTLE_CHECK_MILLIS = 10;
 const CONFIGURATION_CHECK_MILLIS = 10;
+/** Room for headers where callers can connect before limits are declared. */
+const EARLY_HEADER_BYTES = 64 * 1024;
 /** Longest wait, once all callers are answered, for what the core still has under way, such as settling claims. */
 const SETTLE_MILLIS = 2000;
 
@@ -92,8 +94,8 @@
   }
 
   /**
-   * Starts the core and opens the ports. Callers can connect once there is a configuration, or after a while; until
-   * then they find another router. Without a configuration their requests are refused.
+   * Starts the core and opens the ports. Callers can connect once there is a configuration, or after the time of the settings;
+   * until then they find another router. With no such time their requests wait for the configuration a short while.
    */
   async start(): Promise<void> {
     const { admin, control } = this.settings;
@@ -123,7 +125,8 @@
     const onRequest = createCallerListener(this.frontEnd, (request, response) =>
       this.task.accept(request, response),
     );
-    this.callers = await HttpListener.listen(listen, this.http, onRequest, {
+    const limits = this.core.status().serving ? this.http : openedEarly(this.http);
+    this.callers = await HttpListener.listen(listen, limits, onRequest, {
       requireHost: false,
       describeFault: describeRequestFault,
     });
@@ -273,6 +276,12 @@
       configLease: timings.configLease,
       claimTimeoutMillis: timings.claimMillis,
       ...(whenOutOfTouch !== undefined && { whenOutOfTouch }),
+      holdsEarlyRequests: timings.firstConfigurationMillis === 0,
     };
   }
 }
+
+/** How large a header may be can't be changed later, so what no document has bounded yet gets room. */
+function openedEarly(limits: HttpLimits): HttpLimits {
+  return { ...limits, maxHeaderBytes: Math.max(limits.maxHeaderBytes, EARLY_HEADER_BYTES) };
+}
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -189,7 +189,14 @@
       return 'waits';
     }
     const weigh = this.weigherOf(work);
-    const upstream = service.picker.pick({ candidates, zone: config.zone, now, random, weigh });
+    const upstream = service.picker.pick({
+      candidates,
+      zone: config.zone,
+      now,
+      random,
+      inTimeMillis: work.terms.inTimeMillis,
+      weigh,
+    });
     this.attempts.start(work, upstream, null, null);
     return 'dispatched';
   }
--- a/src/routing/picker/least-work-picker.ts
+++ b/src/routing/picker/least-work-picker.ts
@@ -2,10 +2,11 @@
 import type { UpstreamState } from '../upstream-state.js';
 import type { PickContext, Picker } from './picker.js';
 
-/** Work in another zone is chosen when it is cheaper than the own zone's by this factor, and by the hop. */
+/**
+ * Work in another zone is chosen when it is cheaper than the own zone's by this factor, and by the hop; not while the own zone
+ * is in time, since bytes between zones are dear.
+ */
 const SPILL_FACTOR = 1.25;
-/** The same for upstreams that say how many slots they have: below that, more outstanding work delays nothing. */
-const ANNOUNCED_SPILL_FACTOR = 2;
 const ZONE_HOP_MILLIS = 1;
 
 export class LeastWorkPicker implements Picker {
@@ -17,8 +18,8 @@
     const remote = context.candidates.filter((upstream) => upstream.zone !== context.zone);
     const near = cheaperOfTwo(local, context);
     const far = cheaperOfTwo(remote, context);
-    const factor = near.upstream.isAnnounced ? ANNOUNCED_SPILL_FACTOR : SPILL_FACTOR;
-    const spills = near.cost > far.cost * factor + ZONE_HOP_MILLIS;
+    const isInTime = near.cost <= (context.inTimeMillis ?? 0);
+    const spills = !isInTime && near.cost > far.cost * SPILL_FACTOR + ZONE_HOP_MILLIS;
     return spills ? far.upstream : near.upstream;
   }
 }
--- a/src/routing/picker/picker.ts
+++ b/src/routing/picker/picker.ts
@@ -10,6 +10,8 @@
   readonly zone: Zone;
   readonly now: number;
   readonly random: Random;
+  /** Whoever is expected to be done within this many milliseconds is as good as anyone; `null`: the sooner the better. */
+  readonly inTimeMillis: number | null;
   /** Factor of the service's policy on an upstream's cost; 1 for none. */
   weigh(upstream: UpstreamState): number;
 }
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -5,13 +5,14 @@
 import type { Admission } from './admission.js';
 import type { Answers } from './answers.js';
 import type { ClaimFlow, ClaimListener } from './claim-flow.js';
+import { EarlyRequests } from './early-requests.js';
 import type { LedgerWord } from './outcome-table.js';
 import type { PolicyGate } from './policy-gate.js';
 import { type RequestTerms, termsOfRoute, termsOfService } from './request-terms.js';
 import { drawService } from './route-table.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
-import type { ArrivedRequest, RefusalReason } from './types.js';
+import type { ArrivedRequest, RefusalReason, RequestNumber } from './types.js';
 import { isOverdue, type Member, Work } from './work.js';
 
 /** What is said when the ledger knows that it ran but kept no answer. */
@@ -34,6 +35,7 @@
   private readonly policyGate: PolicyGate;
   private readonly answers: Answers;
   private readonly claims: ClaimFlow;
+  private readonly early: EarlyRequests;
 
   constructor(parts: RequestIntakeParts) {
     this.context = parts.context;
@@ -41,6 +43,7 @@
     this.policyGate = parts.policyGate;
     this.answers = parts.answers;
     this.claims = parts.claims;
+    this.early = new EarlyRequests(parts.context);
     parts.claims.listen(this);
   }
 
@@ -49,8 +52,9 @@
     const route = this.routeOf(request);
     const service = context.services.get(this.serviceOf(request, route));
     if (!context.lease.isValid(context.now)) {
-      const wait = this.admission.unmeasuredRetryAfter();
-      this.answers.refuseArrival(request, 'no-configuration', ledgerWordOf(request, undefined), wait);
+      if (context.lease.confirmedAt !== null || !this.early.hold(request)) {
+        this.refuseUnconfigured(request);
+      }
       return;
     }
     const shard = service === undefined ? null : this.shardOf(request, service);
@@ -79,6 +83,31 @@
     this.begin(work);
   }
 
+  /** The first configuration is here. */
+  arriveEarly(): void {
+    for (const request of this.early.takeAll()) {
+      this.arrive(request);
+    }
+  }
+
+  /** The first configuration didn't come in time. */
+  endEarly(number: RequestNumber): void {
+    const request = this.early.take(number);
+    if (request !== undefined) {
+      this.refuseUnconfigured(request);
+    }
+  }
+
+  /** The caller of a request that waits for the first configuration went away. */
+  cancelEarly(number: RequestNumber): void {
+    this.early.take(number);
+  }
+
+  private refuseUnconfigured(request: ArrivedRequest): void {
+    const wait = this.admission.unmeasuredRetryAfter();
+    this.answers.refuseArrival(request, 'no-configuration', ledgerWordOf(request, undefined), wait);
+  }
+
   /** Takes a read again that joined another one and could not have its answer. It shares no attempt this time. */
   arriveAlone(member: Member): void {
     const { request, deadline, mayHaveRun } = member;
--- a/src/routing/request-terms.ts
+++ b/src/routing/request-terms.ts
@@ -2,6 +2,8 @@
 import type { RouteDefinition } from '../model/declaration.js';
 import { PRIORITY_CLASSES, type ServiceDefinition } from '../model/service.js';
 
+/** Share of its target time that its work is expected to take at most: single requests take longer than expected. */
+const IN_TIME_SHARE = 0.6;
 /** Share of its target time that a request may wait: the rest is for its work. */
 const WAITING_SHARE = 0.6;
 
@@ -16,6 +18,8 @@
   readonly deadlineMillis: number;
   /** Longest wait in the router before it is sent. */
   readonly holdMillis: number;
+  /** Time at an upstream that still is in time; `null`: the sooner the better. */
+  readonly inTimeMillis: number | null;
   /** Upstreams that it may be sent to at most. */
   readonly maxAttempts: number;
   /** Rank, 0 the most important. */
@@ -30,6 +34,7 @@
     needsClaim: !definition.repeatable,
     deadlineMillis: definition.deadlineMillis,
     holdMillis: definition.holdLimitMillis,
+    inTimeMillis: null,
     maxAttempts: Number.POSITIVE_INFINITY,
     priority: PRIORITY_CLASSES.indexOf(definition.priority),
   };
@@ -43,6 +48,7 @@
     needsClaim: false,
     deadlineMillis: route.timeoutMillis,
     holdMillis: Math.min(service.holdLimitMillis, route.targetMillis * WAITING_SHARE),
+    inTimeMillis: route.targetMillis * IN_TIME_SHARE,
     maxAttempts: route.maxAttempts,
     priority: route.priority,
   };
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -146,6 +146,9 @@
       this.updates.apply(outcome.changes);
       this.logApplied(outcome.changes.length);
     }
+    if (this.serving) {
+      this.intake.arriveEarly();
+    }
   }
 
   private logApplied(changes: number): void {
@@ -204,6 +207,9 @@
       case 'claim':
         this.claims.timerFired(subject.claim);
         return;
+      case 'early-end':
+        this.intake.endEarly(subject.request);
+        return;
       case 'grants-over':
         this.lost.abandonUnderOverGrants();
         return;
@@ -266,7 +272,9 @@
 
   private cancelRequest(request: number): void {
     const member = this.context.members.get(request);
-    if (member !== undefined) {
+    if (member === undefined) {
+      this.intake.cancelEarly(request);
+    } else {
       this.answers.abandon(member);
     }
   }
--- a/src/routing/router-timer.ts
+++ b/src/routing/router-timer.ts
@@ -2,6 +2,7 @@
 import type { Claim } from './claim.js';
 import type { ServiceState } from './service-state.js';
 import type { Timer } from './timer-heap.js';
+import type { RequestNumber } from './types.js';
 import type { Member, Work } from './work.js';
 
 export type TimerSubject =
@@ -9,6 +10,8 @@
   | { readonly type: 'hold-end'; readonly work: Work }
   | { readonly type: 'policy-recheck'; readonly work: Work }
   | { readonly type: 'claim'; readonly claim: Claim }
+  /** The first configuration didn't come in time for a request. */
+  | { readonly type: 'early-end'; readonly request: RequestNumber }
   /** Attempts under grants that are over are given up. */
   | { readonly type: 'grants-over' }
   /** Reads in flight are looked at for overdue ones. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -195,6 +195,8 @@
   readonly claimTimeoutMillis: number;
   /** What a router does that hears nothing confirmed for long: it refuses (if left out), or serves what it last knew. */
   readonly whenOutOfTouch?: WhenOutOfTouch;
+  /** Whether requests that come before the first configuration wait for it a short while; they are refused if left out. */
+  readonly holdsEarlyRequests?: boolean;
   /** How upstreams of services that aren't keyed are picked; `least-work` if left out. */
   readonly picker?: PickerName;
 }
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -161,8 +161,10 @@
    */
   cost(now: number): number {
     const outstanding = this.inFlight + 1 + this.load(now);
+    // Where turns are counted, the time of one must not hold the wait for others.
+    const oneTurn = this.isAnnounced ? (this.unhinderedTime ?? this.serviceTime) : this.serviceTime;
     const turns = this.isAnnounced ? this.turnsOf(outstanding) : outstanding;
-    return (turns * this.serviceTime) / this.warmth(now);
+    return (turns * oneTurn) / this.warmth(now);
   }
 
   /** It said itself how many requests it works on at once. */
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -57,6 +57,8 @@
   readonly whenOutOfTouch: 'refuse' | 'serve';
   /** How long a router that stops still takes connections while it calls itself not ready. */
   readonly lameDuckMillis: number;
+  /** Longest wait for a configuration before callers can connect; 0: none, and their requests wait for it a short while. */
+  readonly firstConfigurationMillis: number;
   readonly log: string;
 }
 
@@ -75,6 +77,7 @@
   retryAfterUnit: 'whole-seconds',
   whenOutOfTouch: 'refuse',
   lameDuckMillis: 0,
+  firstConfigurationMillis: 3000,
   log: 'ternmount:*',
 } as const;
 
@@ -114,6 +117,7 @@
     .optional(),
   whenOutOfTouch: z.enum(['refuse', 'serve'], { error: 'expected refuse or serve' }).optional(),
   lameDuck: durationSchema.optional(),
+  firstConfiguration: durationSchema.optional(),
   timings: z
     .strictObject({
       configLease: positiveDurationSchema.optional(),
@@ -180,6 +184,7 @@
     retryAfterUnit: fields.retryAfterUnit ?? ROUTER_DEFAULTS.retryAfterUnit,
     whenOutOfTouch: fields.whenOutOfTouch ?? ROUTER_DEFAULTS.whenOutOfTouch,
     lameDuckMillis: fields.lameDuck ?? ROUTER_DEFAULTS.lameDuckMillis,
+    firstConfigurationMillis: fields.firstConfiguration ?? ROUTER_DEFAULTS.firstConfigurationMillis,
     log: fields.log ?? ROUTER_DEFAULTS.log,
   }),
 );
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -10,7 +10,12 @@
   HEADER_BYTES,
   PROTOCOL_VERSION,
 } from './frame.js';
-export { DEFAULT_BACKOFF, FrameClient, type FrameClientOptions } from './frame-client.js';
+export {
+  type BackoffTimings,
+  DEFAULT_BACKOFF,
+  FrameClient,
+  type FrameClientOptions,
+} from './frame-client.js';
 export {
   DEFAULT_WIRE_LIMITS,
   FrameConnection,
--- a/test/control/range-owners.test.ts
+++ b/test/control/range-owners.test.ts
@@ -91,6 +91,52 @@
     }
   });
 
+  it('are renewed by a new leader one after the other, the latest owners first', () => {
+    const world = started();
+    const shards = Array.from({ length: 300 }, (_, index) => ({
+      shard: `${SERVICE}/numbers@0/${100 + index * 3}`,
+      workMillis: 30,
+      requests: 1,
+    }));
+    for (let second = 0; second < 8; second += 1) {
+      world.report({ type: 'load-report', intervalMillis: 1000, shards });
+      world.run(1000);
+    }
+    const ranges = world.registry.ranges(SERVICE);
+    expect(ranges.length).to.be.at.least(8);
+    world.calls.length = 0;
+    world.elect();
+    world.run(20);
+    const latest = Math.max(...ranges.map(({ fence }) => fence));
+    expect(world.calls.some(({ fence }) => fence === latest)).to.equal(true);
+    expect(world.calls.length).to.be.at.most(12);
+    world.run(TIMINGS.renewMillis + 100);
+    expect(new Set(world.calls.map(({ from }) => from)).size).to.be.at.least(ranges.length);
+    expect(world.servedShare()).to.equal(1);
+  });
+
+  it("are joined, and go back to their neighbours' owners, when the keys cool down", () => {
+    const world = started();
+    const hot = [{ shard: `${SERVICE}/numbers@0/777`, workMillis: 1500, requests: 75 }];
+    const warm = Array.from({ length: 40 }, (_, index) => ({
+      shard: `${SERVICE}/numbers@0/${600 + index * 10}`,
+      workMillis: 20,
+      requests: 1,
+    }));
+    for (let second = 0; second < 8; second += 1) {
+      world.report({ type: 'load-report', intervalMillis: 1000, shards: [...hot, ...warm] });
+      world.run(1000);
+    }
+    expect(world.registry.ranges(SERVICE).length).to.be.above(4);
+    const cool = [{ shard: `${SERVICE}/numbers@0/40000`, workMillis: 20, requests: 1 }];
+    for (let second = 0; second < 60; second += 1) {
+      world.report({ type: 'load-report', intervalMillis: 1000, shards: cool });
+      world.run(1000);
+    }
+    expect(world.registry.ranges(SERVICE).length).to.be.at.most(6);
+    expect(world.servedShare()).to.equal(1);
+  });
+
   it('are not cut ever finer by owners that go one after the other', () => {
     const world = started();
     for (let number = 5; number < 15; number += 1) {
--- a/test/placement/range-planner.test.ts
+++ b/test/placement/range-planner.test.ts
@@ -7,6 +7,7 @@
   divideSpan,
   EVEN_GOAL,
   planMoves,
+  planReturns,
   RELIEF_GOAL,
   spreadSpan,
 } from '../../src/placement/ranges/range-planner.js';
@@ -124,6 +125,19 @@
     expect(targets([])[0]).to.equal('u0');
   });
 
+  it('returns what was cut out of a longer range once it is idle', () => {
+    const list = servers(3);
+    const [first, second, third] = owned(list) as [KeyRange, KeyRange, KeyRange];
+    const cutOut = { ...first, from: 500, to: 509, owner: 'u1', fence: 2 };
+    const ranges = [{ ...first, to: 499 }, cutOut, { ...first, from: 510 }, second, third];
+    const span = { from: 500, to: 509, target: 'u0' };
+    expect(planReturns(ranges, loadsWith([500, 500, 20]), list)).to.deep.equal([span]);
+    expect(planReturns(ranges, loadsWith([500, 500, 400]), list)).to.deep.equal([]);
+    expect(planReturns(ranges, loadsWith([500, 500, 20]), list.slice(1))).to.deep.equal([]);
+    const apart = [cutOut, { ...first, from: 511 }];
+    expect(planReturns(apart, loadsWith([500, 500, 20]), list)).to.deep.equal([]);
+  });
+
   it('leaves a single hot key where it is', () => {
     const list = servers(2);
     const ranges = owned(list);
--- a/test/routing/announced-picking.test.ts
+++ b/test/routing/announced-picking.test.ts
@@ -41,8 +41,9 @@
     expect(announced('u3', 'a', 2).hasSlot(0)).to.equal(true);
   });
 
-  function zoneOfPick(near: UpstreamState, far: UpstreamState): string {
-    const context = { candidates: [near, far], zone: 'a', now: 0, random: new Random(1), weigh: () => 1 };
+  function zoneOfPick(near: UpstreamState, far: UpstreamState, inTimeMillis: number | null = null): string {
+    const random = new Random(1);
+    const context = { candidates: [near, far], zone: 'a', now: 0, random, inTimeMillis, weigh: () => 1 };
     return new LeastWorkPicker().pick(context).zone;
   }
 
@@ -54,4 +55,15 @@
     occupy(near, 5);
     expect(zoneOfPick(near, far)).to.equal('b');
   });
+
+  it('of the own zone are kept to, however slow, while they are expected to be in time', () => {
+    const near = announced('u1', 'a');
+    const far = announced('u2', 'b');
+    near.answeredUnhindered(200);
+    far.answeredUnhindered(60);
+    expect(zoneOfPick(near, far)).to.equal('b');
+    expect(zoneOfPick(near, far, 240)).to.equal('a');
+    occupy(near, 4);
+    expect(zoneOfPick(near, far, 240)).to.equal('b');
+  });
 });
