A router's first question to control is asked again once it can be reached

Change: a link that is up tells the core, which asks whoever can be reached first; a member without quorum is left after 50 ms. Tests: configuration-lease (two, both failed before), routing and router 186 passed.

--- a/src/router/control-links.ts
+++ b/src/router/control-links.ts
@@ -19,6 +19,8 @@
   readonly log: Logger;
   readonly received: (from: Address, message: ControlToRouter) => void;
   readonly lost: (from: Address) => void;
+  /** Messages to a member reach it from now on. */
+  readonly connected?: (to: Address) => void;
   /** Reads a frame; replaced where many routers of one process are sent the same. */
   readonly decode?: (frame: Frame) => ControlToRouter;
 }
@@ -104,14 +106,26 @@
   }
 
   private connect(address: Address): FrameClient {
-    const { identity, localAddress, limits, log, received, lost, decode = decodeFrame } = this.options;
+    const {
+      identity,
+      localAddress,
+      limits,
+      log,
+      received,
+      lost,
+      connected,
+      decode = decodeFrame,
+    } = this.options;
     const link = new FrameClient({
       address,
       localAddress,
       identity,
       limits,
       backoff: CONTROL_BACKOFF,
-      onReady: (peer) => log.info('control-connected', { address, replica: peer.name }),
+      onReady: (peer) => {
+        log.info('control-connected', { address, replica: peer.name });
+        connected?.(address);
+      },
       onFrame: (frame) => received(address, decode(frame)),
       onLost: (reason) => {
         log.debug('control-lost', { address, reason });
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -238,6 +238,7 @@
       log: this.log,
       received: (from, message) => this.received(from, message),
       lost: (from) => this.task.post({ type: 'control-lost', from }),
+      connected: (to) => this.task.post({ type: 'control-connected', to }),
     });
   }
 
--- a/src/routing/configuration-lease.ts
+++ b/src/routing/configuration-lease.ts
@@ -9,7 +9,7 @@
 /** Shortest time between two requests that were asked for out of turn. */
 const FORCED_SYNC_GAP_MILLIS = 20;
 /** Pause before the next member is asked after one that has no quorum. */
-const UNCONFIRMED_PAUSE_MILLIS = 100;
+const UNCONFIRMED_PAUSE_MILLIS = 50;
 
 /** What the loop wants done now. */
 export interface SyncAttempt {
@@ -133,6 +133,21 @@
     }
   }
 
+  /**
+   * There is a connection to a member now. What was sent to it before is lost; and whoever can be reached first is asked as
+   * long as nothing was ever confirmed.
+   */
+  memberConnected(member: Address, now: MonotonicMillis): void {
+    const position = this.members.indexOf(member);
+    const isWanted = member === this.currentMember() || this.confirmedAt === null;
+    if (this.owedSince === null || position < 0 || !isWanted) {
+      return;
+    }
+    this.memberIndex = position;
+    this.owedSince = null;
+    this.requestSync(now);
+  }
+
   /**
    * Takes note of an answer after what it carried was applied; `held` is the revision since then and `gap` is set when
    * it carried a delta that didn't join on.
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -103,6 +103,9 @@
         this.context.lease.memberLost(input.from, this.context.now);
         this.claims.memberLost(input.from);
         return;
+      case 'control-connected':
+        this.context.lease.memberConnected(input.to, this.context.now);
+        return;
       case 'control-members':
         this.context.lease.useSettings(input.members);
         return;
