--- a/src/routing/request-terms.ts
+++ b/src/routing/request-terms.ts
@@ -5,7 +5,7 @@
 /** Share of its target time that its work is expected to take at most: single requests take longer than expected. */
 const IN_TIME_SHARE = 0.6;
 /** Share of its target time that a request may wait: the rest is for its work. */
-const WAITING_SHARE = 0.6;
+const WAITING_SHARE = 0.35;
 
 /** Times in milliseconds. */
 export interface RequestTerms {
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -16,7 +16,9 @@
 /** Outstanding work of others that is believed at most, for each slot: one that says more is no fuller, or says it wrongly. */
 const MOST_LOAD_PER_SLOT = 4;
 /** Outstanding requests, for each slot, at which one more waits in the router rather than at the upstream. */
-const MOST_OUTSTANDING_PER_SLOT = 2.5;
+const MOST_OUTSTANDING_PER_SLOT = 1.75;
+/** The same for a router that has none there: it would learn nothing otherwise, yet all routers together must not flood it. */
+const FIRST_OUTSTANDING_PER_SLOT = 2;
 /** How much of a turn a free slot's neighbour counts. */
 const TIE_SHARE = 0.05;
 const SLOW_START_MILLIS = 10_000;
@@ -102,7 +104,8 @@
     const { most } = this.slotLimit;
     const isOwnShare = this.inFlight <= most;
     const outstanding = this.inFlight + this.load(now);
-    return this.inFlight === 0 || (isOwnShare && outstanding < most * MOST_OUTSTANDING_PER_SLOT);
+    const perSlot = this.inFlight === 0 ? FIRST_OUTSTANDING_PER_SLOT : MOST_OUTSTANDING_PER_SLOT;
+    return isOwnShare && outstanding < most * perSlot;
   }
 
   dispatched(): void {
