--- a/test/routing/routes.test.ts
+++ b/test/routing/routes.test.ts
@@ -178,7 +178,8 @@
 });
 
 describe('load of numeric keys', () => {
-  it('counts requests that were refused, and not the time that others waited at their owner', () => {
+  /** A router of a service whose keys one upstream owns. */
+  function ownedByOne(): RouterHarness {
     const keyspaces = [{ name: 'numbers', kind: 'range', match: '', shards: 0 }] as const;
     const harness = new RouterHarness().start(
       [service('menu', { keyed: true, keyspaces })],
@@ -189,6 +190,11 @@
       { type: 'route', name: 'sheets', record: { definition, revision: 1 } },
       range(0, 65_535, 'u1', 5),
     ]);
+    return harness;
+  }
+
+  it('counts requests that were refused, and not the time that others waited at their owner', () => {
+    const harness = ownedByOne();
     const [first] = only(send(harness, '/sheets/1', '7'), 'dispatch');
     harness.now += 60;
     harness.ended(first?.attempt ?? 0, ANSWERED);
@@ -206,16 +212,7 @@
   });
 
   it('is reported at once while requests wait for an owner, and by key', () => {
-    const keyspaces = [{ name: 'numbers', kind: 'range', match: '', shards: 0 }] as const;
-    const harness = new RouterHarness().start(
-      [service('menu', { keyed: true, keyspaces })],
-      [announced('u1')],
-    );
-    const definition = route('sheets');
-    harness.change([
-      { type: 'route', name: 'sheets', record: { definition, revision: 1 } },
-      range(0, 65_535, 'u1', 5),
-    ]);
+    const harness = ownedByOne();
     harness.run(1700);
     const [early] = only(send(harness, '/sheets/1', '7'), 'dispatch');
     harness.now += 60;
