Less chatter with control: routers ask the member of their own zone; reads that may wait go with heartbeats; short integers

Change: greetings name the zone; a router asks the member of its own zone as long as it answers. Syncs that only renew a lease gather for 100 ms and are read for with the leader's next heartbeats, as are the confirmations of a leader that grants. Integers and lengths of texts on the wire take as few bytes as they need (protocol version 2); small documents of configuration go uncompressed. The test of frames used the number of the version; it now names the constant, and an earlier version is refused too.

--- a/src/consensus/core.ts
+++ b/src/consensus/core.ts
@@ -15,6 +15,7 @@
   beginReadRound,
   expireForwardedReads,
   finishReadRounds,
+  openReadRound,
   reportReadyReads,
   startRead,
 } from './read-index.js';
@@ -102,7 +103,7 @@
         proposeRemoval(state, input.proposalId, input.replica);
         return;
       case 'read':
-        startRead(state, input.readId);
+        startRead(state, input.readId, input.mayWait ?? false);
         return;
       case 'transfer':
         startTransfer(state, input.to);
@@ -135,7 +136,7 @@
       return;
     }
     if (state.now >= heartbeatDeadline) {
-      beginReadRound(state, true);
+      openReadRound(state);
       broadcastHeartbeat(state, true);
     }
   }
@@ -175,7 +176,7 @@
         replicateToAll(state);
       }
       advanceTransfer(state);
-      beginReadRound(state, false);
+      beginReadRound(state);
       finishReadRounds(state);
       this.#stepDownIfVotedOut();
     }
--- a/src/consensus/leader-state.ts
+++ b/src/consensus/leader-state.ts
@@ -8,6 +8,8 @@
 export interface PendingRead {
   readonly from: ReplicaId | null;
   readonly readId: number;
+  /** It needs no round of its own: the next heartbeats confirm it. */
+  readonly mayWait: boolean;
 }
 
 /** Reads which a confirmation round will answer with `index`. */
--- a/src/consensus/read-index.ts
+++ b/src/consensus/read-index.ts
@@ -9,10 +9,10 @@
 import type { RaftState } from './state.js';
 import type { ReadIndexRequest, ReadIndexResponse } from './types.js';
 
-/** A read asked of this replica. */
-export function startRead(state: RaftState, readId: number): void {
+/** A read asked of this replica. `mayWait`: it needs no round of its own, the next heartbeats confirm it. */
+export function startRead(state: RaftState, readId: number, mayWait: boolean): void {
   if (state.leaderState !== undefined) {
-    state.leaderState.waitingReads.push({ from: null, readId });
+    state.leaderState.waitingReads.push({ from: null, readId, mayWait });
     return;
   }
   const { leader, term } = state;
@@ -23,14 +23,14 @@
   const deadline = state.now + state.config.electionTimeoutMillis;
   const forwardId = state.takeForwardId();
   state.forwardedReads.push({ forwardId, readId, deadline });
-  state.send({ type: 'read-index-request', to: leader, term, readId: forwardId });
+  state.send({ type: 'read-index-request', to: leader, term, readId: forwardId, mayWait });
 }
 
 /** A read that a follower passed on. */
 export function handleReadIndexRequest(state: RaftState, request: ReadIndexRequest): void {
-  const { from, readId } = request;
+  const { from, readId, mayWait } = request;
   if (state.leaderState !== undefined) {
-    state.leaderState.waitingReads.push({ from, readId });
+    state.leaderState.waitingReads.push({ from, readId, mayWait });
     return;
   }
   answerFollower(state, from, readId, null);
@@ -52,22 +52,30 @@
   state.confirmedReads.push({ readId, index });
 }
 
+/** Begins a round for the reads that wait if one of them needs it now and no round is out. */
+export function beginReadRound(state: RaftState): void {
+  const { waitingReads, readBatches } = leaderStateOf(state);
+  const isWanted = waitingReads.some((read) => !read.mayWait);
+  if (isWanted && readBatches.length === 0 && openReadRound(state)) {
+    broadcastHeartbeat(state, false);
+  }
+}
+
 /**
- * Begins a round for waiting reads once the leader has committed in its own term: if no round is out, or with
- * `overtake` (the one that is out may have been lost).
+ * Makes the heartbeats that go out next a round for all reads that wait, once the leader has committed in its own term;
+ * returns whether it did. A round that is out may have been lost.
  */
-export function beginReadRound(state: RaftState, overtake: boolean): void {
+export function openReadRound(state: RaftState): boolean {
   const leaderState = leaderStateOf(state);
   const { waitingReads, readBatches } = leaderState;
   const knowsCommit = state.log.termAt(state.commitIndex) === state.term;
-  const mayBegin = overtake || readBatches.length === 0;
-  if (waitingReads.length === 0 || !mayBegin || !knowsCommit) {
-    return;
+  if (waitingReads.length === 0 || !knowsCommit) {
+    return false;
   }
   leaderState.round += 1;
   leaderState.waitingReads = [];
   readBatches.push({ round: leaderState.round, index: state.commitIndex, reads: waitingReads });
-  broadcastHeartbeat(state, false);
+  return true;
 }
 
 /** Answers the reads whose round a quorum has answered. */
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -108,6 +108,8 @@
 export interface ReadIndexRequest extends MessageBase {
   readonly type: 'read-index-request';
   readonly readId: number;
+  /** The leader's next heartbeats are soon enough. */
+  readonly mayWait: boolean;
 }
 
 /** Answers a `ReadIndexRequest`. */
@@ -146,8 +148,8 @@
   /** Joint change to these voters; each new voter must be a caught-up learner. */
   | { readonly type: 'change-voters'; readonly proposalId: number; readonly voters: readonly ReplicaId[] }
   | { readonly type: 'remove-learner'; readonly proposalId: number; readonly replica: ReplicaId }
-  /** Any member: a linearizable read; a follower asks the leader. */
-  | { readonly type: 'read'; readonly readId: number }
+  /** Any member: a linearizable read; a follower asks the leader. `mayWait`: the next heartbeats are soon enough. */
+  | { readonly type: 'read'; readonly readId: number; readonly mayWait?: boolean }
   | { readonly type: 'transfer'; readonly to: ReplicaId }
   /** The state machine's bytes after `lastIndex`; the core persists them and drops the log before. */
   | { readonly type: 'snapshot-taken'; readonly lastIndex: number; readonly data: Uint8Array };
--- a/src/control/daemon/settings.ts
+++ b/src/control/daemon/settings.ts
@@ -87,9 +87,9 @@
 
 /** How a control member shows itself on the internal port, and whom it expects there. */
 export function controlWireIdentity(settings: ControlDaemonSettings, replica: ReplicaId): WireIdentity {
-  const { cluster, secret } = settings;
+  const { cluster, secret, zone } = settings;
   return {
-    greeting: { type: 'greeting', cluster, kind: 'control', name: replica },
+    greeting: { type: 'greeting', cluster, kind: 'control', name: replica, zone },
     secret,
     expects: ['control', 'router'],
   };
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -75,7 +75,8 @@
       {
         registry: () => parts.raft.registry,
         propose,
-        confirm: (now, settle) => parts.raft.read(now, (confirmed) => settle(confirmed && !this.#isOver)),
+        confirm: (now, mayWait, settle) =>
+          parts.raft.read(now, (confirmed) => settle(confirmed && !this.#isOver), mayWait),
         call: parts.callHolder,
         log: parts.log,
         timings: config.ranges ?? DEFAULT_RANGE_TIMINGS,
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -115,4 +115,6 @@
   readonly cluster: ClusterId;
   readonly kind: 'control' | 'router';
   readonly name: string;
+  /** Where the sender is. */
+  readonly zone: Zone;
 }
--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -118,11 +118,14 @@
     this.feed({ ...proposal, proposalId });
   }
 
-  /** A linearizable read: settled when this member's registry holds all that was committed when it was asked for. */
-  read(now: MonotonicMillis, settle: SettleRead): void {
+  /**
+   * A linearizable read: settled when this member's registry holds all that was committed when it was asked for.
+   * `mayWait`: it costs no messages of its own, and takes up to a heartbeat longer.
+   */
+  read(now: MonotonicMillis, settle: SettleRead, mayWait = false): void {
     const readId = this.#number();
     this.#reads.begin(readId, now, settle);
-    this.feed({ type: 'read', readId });
+    this.feed({ type: 'read', readId, mayWait });
   }
 
   /** A step of the control node begins: entries may be applied up to the bound. */
--- a/src/control/ranges/range-coordinator.ts
+++ b/src/control/ranges/range-coordinator.ts
@@ -17,8 +17,10 @@
 import { HolderTable } from './holder-table.js';
 import { RangeService, type WantedCall } from './range-service.js';
 
-/** A confirmation of this leadership is good for calls for this long. */
-const CONFIRMED_MILLIS = 150;
+/** A confirmation of this leadership is good for calls for this long; no other is elected so soon after a heartbeat. */
+const CONFIRMED_MILLIS = 300;
+/** From this age on the next heartbeats are to confirm it again. */
+const CONFIRM_AGAIN_MILLIS = 100;
 /** How often everything is looked at although nothing came. */
 const LOOK_MILLIS = 100;
 /** An upstream that leaves or is silent, and owns nothing, is forgotten after this many heartbeats without a word. */
@@ -31,8 +33,8 @@
 export interface RangeCoordinatorParts {
   readonly registry: () => Registry;
   readonly propose: ProposeCommand;
-  /** Asks a quorum to confirm this leadership. */
-  readonly confirm: (now: MonotonicMillis, settle: (confirmed: boolean) => void) => void;
+  /** Asks a quorum to confirm this leadership; `mayWait`: with the next heartbeats. */
+  readonly confirm: (now: MonotonicMillis, mayWait: boolean, settle: (confirmed: boolean) => void) => void;
   readonly call: (call: HolderCall) => void;
   readonly log: LogRanges;
   readonly timings: RangeTimings;
@@ -51,7 +53,8 @@
   readonly #proposing = new Set<ServiceName>();
   readonly #calls = new Map<HolderCallId, CallUnderWay>();
   #nextCall = 1;
-  #isConfirming = false;
+  /** Confirmations that are asked for: `true` those that wait for heartbeats. */
+  readonly #confirming = new Set<boolean>();
   #confirmedAt = Number.NEGATIVE_INFINITY;
   #isForgetting = false;
   #lookAt: MonotonicMillis;
@@ -149,10 +152,14 @@
   }
 
   #sendCalls(now: MonotonicMillis): void {
-    if (now - this.#confirmedAt > CONFIRMED_MILLIS) {
-      this.#confirm(now);
+    const age = now - this.#confirmedAt;
+    if (age > CONFIRMED_MILLIS) {
+      this.#confirm(now, false);
       return;
     }
+    if (age > CONFIRM_AGAIN_MILLIS) {
+      this.#confirm(now, true);
+    }
     for (const [name, service] of this.#services) {
       for (const wanted of service.takeCalls(now)) {
         this.#send(name, wanted, now);
@@ -169,16 +176,16 @@
   }
 
   /** Counts from when the confirmation was asked for. */
-  #confirm(now: MonotonicMillis): void {
-    if (this.#isConfirming) {
+  #confirm(now: MonotonicMillis, mayWait: boolean): void {
+    if (this.#confirming.has(mayWait)) {
       return;
     }
-    this.#isConfirming = true;
-    this.#parts.confirm(now, (confirmed) => {
-      this.#isConfirming = false;
+    this.#confirming.add(mayWait);
+    this.#parts.confirm(now, mayWait, (confirmed) => {
+      this.#confirming.delete(mayWait);
       if (confirmed) {
-        this.#confirmedAt = now;
-        this.#lookAt = now;
+        this.#confirmedAt = Math.max(this.#confirmedAt, now);
+        this.#lookAt = mayWait ? this.#lookAt : now;
       }
     });
   }
--- a/src/control/router-requests.ts
+++ b/src/control/router-requests.ts
@@ -16,6 +16,7 @@
 } from './messages.js';
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
+import { SyncReads, type WaitingSync } from './sync-reads.js';
 import type { ConnectionId } from './types.js';
 
 /** What is known of a connected router. */
@@ -33,25 +34,18 @@
   readonly report: (report: LoadReport, now: MonotonicMillis) => void;
 }
 
-/** Shortest time between the beginnings of two reads; all syncs that come meanwhile share the next. */
-const READ_GAP_MILLIS = 20;
-
-interface WaitingSync {
-  readonly connection: ConnectionId;
-  readonly request: SyncRequest;
-}
-
 export class RouterRequests {
   readonly #parts: RouterRequestsParts;
   readonly #routers = new Map<ConnectionId, ConnectedRouter>();
   readonly #departed = new DepartedRouters();
-  /** Syncs that wait for the next read to begin. */
-  #waiting: WaitingSync[] = [];
-  #isReading = false;
-  #readNotBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
+  readonly #syncs: SyncReads;
 
   constructor(parts: RouterRequestsParts) {
     this.#parts = parts;
+    this.#syncs = new SyncReads({
+      read: (now, mayWait, settle) => parts.raft.read(now, settle, mayWait),
+      answer: (sync, confirmed) => this.#answerSync(sync, confirmed),
+    });
   }
 
   take(connection: ConnectionId, message: RouterToControl, now: MonotonicMillis): void {
@@ -77,17 +71,16 @@
     if (router !== undefined && !this.routers().some((other) => other.router === router.router)) {
       this.#departed.left(router);
     }
-    this.#waiting = this.#waiting.filter((sync) => sync.connection !== connection);
+    this.#syncs.gone(connection);
   }
 
   /** Begins the read that waits for its time. */
   run(now: MonotonicMillis): void {
-    this.#readForWaiting(now);
+    this.#syncs.run(now);
   }
 
   nextDeadline(): MonotonicMillis {
-    const waits = !this.#isReading && this.#waiting.length > 0;
-    return waits ? this.#readNotBefore : Number.POSITIVE_INFINITY;
+    return this.#syncs.nextDeadline();
   }
 
   /** Tells connected routers that there is something to fetch. */
@@ -110,26 +103,8 @@
     const { router, incarnation, have } = request;
     this.#routers.set(connection, { router, incarnation, revision: have, heardAt: now });
     this.#departed.isBack(router);
-    this.#waiting.push({ connection, request });
-    this.#readForWaiting(now);
-  }
-
-  /** One read answers all syncs that waited when it began; later ones wait for the next. */
-  #readForWaiting(now: MonotonicMillis): void {
-    if (this.#isReading || this.#waiting.length === 0 || now < this.#readNotBefore) {
-      return;
-    }
-    this.#readNotBefore = now + READ_GAP_MILLIS;
-    const batch = this.#waiting;
-    this.#waiting = [];
-    this.#isReading = true;
-    this.#parts.raft.read(now, (confirmed, settledAt) => {
-      this.#isReading = false;
-      for (const sync of batch) {
-        this.#answerSync(sync, confirmed);
-      }
-      this.#readForWaiting(settledAt);
-    });
+    const isRenewal = have > 0 && have >= this.#parts.raft.registry.revision;
+    this.#syncs.add({ connection, request }, isRenewal, now);
   }
 
   #answerSync({ connection, request }: WaitingSync, confirmed: boolean): void {
--- /dev/null
+++ b/src/control/sync-reads.ts
@@ -0,0 +1,106 @@
+/**
+ * Reads for the syncs of routers. One read answers all syncs that waited when it began. Syncs of routers that are behind are read
+ * for at once; those that only renew a lease gather for a moment and wait for the leader's next heartbeats, so that
+ * they cost no messages of their own.
+ */
+import type { MonotonicMillis } from '../model/identifiers.js';
+import type { SyncRequest } from './messages.js';
+import type { ConnectionId } from './types.js';
+
+/** Shortest time between the beginnings of two reads; all syncs that come meanwhile share the next. */
+const READ_GAP_MILLIS = 20;
+/** How long renewals gather. */
+const RENEWALS_GATHER_MILLIS = 100;
+
+/** A sync that isn't answered yet. */
+export interface WaitingSync {
+  readonly connection: ConnectionId;
+  readonly request: SyncRequest;
+}
+
+export interface SyncReadsParts {
+  readonly read: (
+    now: MonotonicMillis,
+    mayWait: boolean,
+    settle: (confirmed: boolean, now: MonotonicMillis) => void,
+  ) => void;
+  readonly answer: (sync: WaitingSync, confirmed: boolean) => void;
+}
+
+export class SyncReads {
+  readonly #parts: SyncReadsParts;
+  #waiting: WaitingSync[] = [];
+  #isReading = false;
+  #readNotBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
+  #renewals: WaitingSync[] = [];
+  #renewalsAt: MonotonicMillis = Number.POSITIVE_INFINITY;
+
+  constructor(parts: SyncReadsParts) {
+    this.#parts = parts;
+  }
+
+  /** Takes a sync; `isRenewal`: there is nothing new for its router. */
+  add(sync: WaitingSync, isRenewal: boolean, now: MonotonicMillis): void {
+    if (isRenewal) {
+      this.#renewals.push(sync);
+      this.#renewalsAt = Math.min(this.#renewalsAt, now + RENEWALS_GATHER_MILLIS);
+      return;
+    }
+    this.#waiting.push(sync);
+    this.run(now);
+  }
+
+  /** Begins what is due. */
+  run(now: MonotonicMillis): void {
+    if (!this.#isReading && this.#waiting.length > 0 && now >= this.#readNotBefore) {
+      this.#readNow(now);
+    }
+    if (now >= this.#renewalsAt) {
+      this.#read(this.#takeRenewals(), true, now);
+    }
+  }
+
+  /** A connection ended: its syncs need no answer. */
+  gone(connection: ConnectionId): void {
+    const isOther = (sync: WaitingSync): boolean => sync.connection !== connection;
+    this.#waiting = this.#waiting.filter(isOther);
+    this.#renewals = this.#renewals.filter(isOther);
+  }
+
+  nextDeadline(): MonotonicMillis {
+    const waits = !this.#isReading && this.#waiting.length > 0;
+    return Math.min(this.#renewalsAt, waits ? this.#readNotBefore : Number.POSITIVE_INFINITY);
+  }
+
+  #readNow(now: MonotonicMillis): void {
+    this.#readNotBefore = now + READ_GAP_MILLIS;
+    const batch = [...this.#waiting, ...this.#takeRenewals()];
+    this.#waiting = [];
+    this.#isReading = true;
+    this.#read(batch, false, now, (settledAt) => {
+      this.#isReading = false;
+      this.run(settledAt);
+    });
+  }
+
+  #takeRenewals(): WaitingSync[] {
+    const renewals = this.#renewals;
+    this.#renewals = [];
+    this.#renewalsAt = Number.POSITIVE_INFINITY;
+    return renewals;
+  }
+
+  #read(
+    batch: readonly WaitingSync[],
+    mayWait: boolean,
+    now: MonotonicMillis,
+    settled: (now: MonotonicMillis) => void = () => {},
+  ): void {
+    this.#parts.read(now, mayWait, (confirmed, settledAt) => {
+      for (const sync of batch) {
+        this.#parts.answer(sync, confirmed);
+      }
+      settled(settledAt);
+    });
+  }
+}
--- a/src/dev/bench/proxy/control-standin.ts
+++ b/src/dev/bench/proxy/control-standin.ts
@@ -28,7 +28,7 @@
     this.server = await FrameServer.listen({
       listen: '127.0.0.1:0',
       identity: {
-        greeting: { type: 'greeting', cluster, kind: 'control', name: 'bench-control' },
+        greeting: { type: 'greeting', cluster, kind: 'control', name: 'bench-control', zone: '' },
         secret,
         expects: ['router'],
       },
--- a/src/dev/scale/hollow-router.ts
+++ b/src/dev/scale/hollow-router.ts
@@ -47,7 +47,7 @@
     this.leader = new LeaderGuess(identity.control, position);
     this.links = new ControlLinks({
       identity: {
-        greeting: { type: 'greeting', cluster: identity.cluster, kind: 'router', name: router },
+        greeting: { type: 'greeting', cluster: identity.cluster, kind: 'router', name: router, zone: '' },
         secret: identity.secret,
         expects: ['control'],
       },
--- a/src/router/control-links.ts
+++ b/src/router/control-links.ts
@@ -1,7 +1,7 @@
 /** Task that owns the connections to control members. A message that can't go out now is dropped; the core asks again. */
 import type { ControlToRouter, RouterToControl } from '../control/messages.js';
 import type { Logger } from '../logging/logger.js';
-import type { Address } from '../model/identifiers.js';
+import type { Address, Zone } from '../model/identifiers.js';
 import {
   type BackoffTimings,
   controlToRouterCodecs,
@@ -19,8 +19,8 @@
   readonly log: Logger;
   readonly received: (from: Address, message: ControlToRouter) => void;
   readonly lost: (from: Address) => void;
-  /** Messages to a member reach it from now on. */
-  readonly connected?: (to: Address) => void;
+  /** Messages to a member, which is in `zone`, reach it from now on. */
+  readonly connected?: (to: Address, zone: Zone) => void;
   /** Reads a frame; replaced where many routers of one process are sent the same. */
   readonly decode?: (frame: Frame) => ControlToRouter;
 }
@@ -34,26 +34,41 @@
 
 /**
  * With many members most connections would only carry heartbeats, so a router keeps those to members that it sends to
- * and, for each, to the next one in the settings, which the core turns to if the first fails.
+ * and, for each, to the next one in the settings, which the core turns to if the first fails. Those that were never met are
+ * dialled all the same: one of them may be the one in the own zone.
  */
 export class ControlLinks {
   private readonly links = new Map<Address, FrameClient>();
   /** When a message last went to each member. */
   private readonly usedAt = new Map<Address, number>();
-  private members: readonly Address[] = [];
+  /** Members that there was a connection to. */
+  private readonly met = new Set<Address>();
+  private settingsMembers: readonly Address[] = [];
+  /** As a member named them last. */
+  private namedMembers: readonly Address[] = [];
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: ControlLinksOptions) {}
 
   /** Connects to the members that the settings name, and later lets go of those that aren't needed. */
   start(members: readonly Address[]): void {
-    this.members = members;
+    this.settingsMembers = members;
     for (const address of members) {
       this.link(address);
     }
     this.timer = setInterval(() => this.reconcile(), RECONCILE_MILLIS);
   }
 
+  /** A member named the others, which the settings may not. */
+  learn(members: readonly Address[]): void {
+    this.namedMembers = members;
+  }
+
+  /** The settings name other members now. */
+  useSettings(members: readonly Address[]): void {
+    this.settingsMembers = members;
+  }
+
   /** Sends to a member, also to one that the settings don't name but that another member named as leader. */
   send(to: Address, message: RouterToControl): void {
     this.usedAt.set(to, performance.now());
@@ -82,9 +97,10 @@
         this.usedAt.delete(address);
       }
     }
-    const wanted = new Set(
-      [...this.usedAt.keys()].flatMap((address) => [address, this.successorOf(address)]),
-    );
+    const wanted = new Set([
+      ...[...this.usedAt.keys()].flatMap((address) => [address, this.successorOf(address)]),
+      ...[...this.settingsMembers, ...this.namedMembers].filter((address) => !this.met.has(address)),
+    ]);
     for (const [address, link] of this.links) {
       if (!wanted.has(address)) {
         link.stop();
@@ -97,8 +113,9 @@
   }
 
   private successorOf(address: Address): Address {
-    const position = this.members.indexOf(address);
-    return this.members[(position + 1) % this.members.length] ?? address;
+    const members = this.settingsMembers;
+    const position = members.indexOf(address);
+    return members[(position + 1) % members.length] ?? address;
   }
 
   private link(address: Address): FrameClient {
@@ -124,7 +141,8 @@
       backoff: CONTROL_BACKOFF,
       onReady: (peer) => {
         log.info('control-connected', { address, replica: peer.name });
-        connected?.(address);
+        this.met.add(address);
+        connected?.(address, peer.zone);
       },
       onFrame: (frame) => received(address, decode(frame)),
       onLost: (reason) => {
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -165,6 +165,7 @@
 
   /** Takes over other control members, as reloaded settings name them. */
   useControl(members: readonly Address[]): void {
+    this.links.useSettings(members);
     this.task.post({ type: 'control-members', members });
   }
 
@@ -217,6 +218,9 @@
   }
 
   private received(from: Address, message: ControlToRouter): void {
+    if (message.type === 'sync-response') {
+      this.links.learn(message.members);
+    }
     if (message.type === 'sync-response' && this.directory.update(message)) {
       const addresses = this.directory.list();
       this.probes.probe(addresses);
@@ -226,10 +230,10 @@
   }
 
   private createLinks(): ControlLinks {
-    const { cluster, router, secret, wire } = this.settings;
+    const { cluster, router, secret, wire, zone } = this.settings;
     return new ControlLinks({
       identity: {
-        greeting: { type: 'greeting', cluster, kind: 'router', name: router },
+        greeting: { type: 'greeting', cluster, kind: 'router', name: router, zone },
         secret,
         expects: ['control'],
       },
@@ -238,7 +242,7 @@
       log: this.log,
       received: (from, message) => this.received(from, message),
       lost: (from) => this.task.post({ type: 'control-lost', from }),
-      connected: (to) => this.task.post({ type: 'control-connected', to }),
+      connected: (to, zone) => this.task.post({ type: 'control-connected', to, zone }),
     });
   }
 
--- a/src/routing/configuration-lease.ts
+++ b/src/routing/configuration-lease.ts
@@ -3,7 +3,8 @@
  * confirmed, by a quorum and counted from the moment the router asked, that its configuration is the latest one.
  */
 import type { ConfigLeaseTimings, SyncResponse } from '../control/messages.js';
-import type { Address, MonotonicMillis, Revision } from '../model/identifiers.js';
+import type { Address, MonotonicMillis, Revision, Zone } from '../model/identifiers.js';
+import { ControlMembers } from './control-members.js';
 import type { WhenOutOfTouch } from './types.js';
 
 /** Shortest time between two requests that were asked for out of turn. */
@@ -25,10 +26,7 @@
   private lastSentAt = Number.NEGATIVE_INFINITY;
   /** Since when the present member owes an answer; `null`: it owes none. */
   private owedSince: MonotonicMillis | null = null;
-  private members: readonly Address[];
-  /** As a member named them last; empty before. */
-  private voters: readonly Address[] = [];
-  private memberIndex: number;
+  private readonly members: ControlMembers;
   private wantsSnapshot = false;
   private noticed: Revision = 0;
   private noticedAt = Number.NEGATIVE_INFINITY;
@@ -37,13 +35,13 @@
 
   /** `firstMember` spreads the routers over the control members. */
   constructor(
-    private settingsMembers: readonly Address[],
+    settingsMembers: readonly Address[],
     private readonly timings: ConfigLeaseTimings,
     firstMember: number,
     private readonly whenOutOfTouch: WhenOutOfTouch = 'refuse',
+    ownZone: Zone = '',
   ) {
-    this.members = settingsMembers;
-    this.memberIndex = settingsMembers.length === 0 ? 0 : firstMember % settingsMembers.length;
+    this.members = new ControlMembers(settingsMembers, firstMember, ownZone);
   }
 
   /** End of the lease; `-Infinity` before the first confirmed answer, `Infinity` after it if the router serves on. */
@@ -68,18 +66,25 @@
 
   /** The request to send now, if one is due. A member that did not answer the one before is left for the next. */
   takeSync(now: MonotonicMillis): SyncAttempt | undefined {
-    if (now < this.nextSyncAt || this.members.length === 0) {
+    if (now < this.nextSyncAt) {
       return undefined;
     }
     if (this.owedSince !== null && now >= this.owedSince + this.timings.syncMillis) {
-      this.rotate();
+      this.members.rotate(now);
       this.owedSince = null;
     }
+    if (this.owedSince === null) {
+      this.members.chooseNear(now);
+    }
+    const to = this.members.current;
+    if (to === undefined) {
+      return undefined;
+    }
     this.lastSentAt = now;
     this.owedSince ??= now;
     this.nextSyncAt = now + this.timings.syncMillis;
     this.rememberStamp(now);
-    return { to: this.currentMember(), stamp: now, wantsSnapshot: this.wantsSnapshot };
+    return { to, stamp: now, wantsSnapshot: this.wantsSnapshot };
   }
 
   /** Asks for a sync out of turn, e.g. after a refusal which shows that the configuration is behind. */
@@ -100,33 +105,21 @@
 
   /** A member named the voters: they are asked from now on, and those of the settings after them. */
   learnMembers(voters: readonly Address[]): void {
-    if (voters.length > 0) {
-      this.voters = voters;
-      this.useMembers();
-    }
+    this.members.learnVoters(voters);
   }
 
   /** The settings name other members now. */
   useSettings(members: readonly Address[]): void {
-    this.settingsMembers = members;
-    this.useMembers();
-  }
-
-  private useMembers(): void {
-    const members = [...new Set([...this.voters, ...this.settingsMembers])];
-    if (members.join() !== this.members.join()) {
-      const present = this.currentMember();
-      this.members = members;
-      this.memberIndex = Math.max(0, members.indexOf(present));
-    }
+    this.members.useSettings(members);
   }
 
   /** A connection to a member broke; an answer owed by it won't come. */
   memberLost(member: Address, now: MonotonicMillis): void {
-    if (member !== this.currentMember()) {
+    this.members.lost(member);
+    if (member !== this.members.current) {
       return;
     }
-    this.rotate();
+    this.members.rotate(now);
     if (this.owedSince !== null) {
       this.owedSince = null;
       this.requestSync(now);
@@ -135,15 +128,15 @@
 
   /**
    * There is a connection to a member now. What was sent to it before is lost; and whoever can be reached first is asked as
-   * long as nothing was ever confirmed.
+   * long as nothing was ever confirmed. `zone`: where the member is.
    */
-  memberConnected(member: Address, now: MonotonicMillis): void {
-    const position = this.members.indexOf(member);
-    const isWanted = member === this.currentMember() || this.confirmedAt === null;
-    if (this.owedSince === null || position < 0 || !isWanted) {
+  memberConnected(member: Address, zone: Zone, now: MonotonicMillis): void {
+    this.members.connected(member, zone);
+    const isWanted = member === this.members.current || this.confirmedAt === null;
+    if (this.owedSince === null || !this.members.has(member) || !isWanted) {
       return;
     }
-    this.memberIndex = position;
+    this.members.choose(member);
     this.owedSince = null;
     this.requestSync(now);
   }
@@ -171,7 +164,7 @@
 
   private leaveUnconfirmedMember(response: SyncResponse, now: MonotonicMillis): void {
     if (!response.confirmed) {
-      this.rotate();
+      this.members.rotate(now);
       this.nextSyncAt = Math.min(this.nextSyncAt, now + UNCONFIRMED_PAUSE_MILLIS);
     }
   }
@@ -199,12 +192,4 @@
     }
     this.stamps.add(now);
   }
-
-  private currentMember(): Address {
-    return this.members[this.memberIndex] as Address;
-  }
-
-  private rotate(): void {
-    this.memberIndex = (this.memberIndex + 1) % Math.max(1, this.members.length);
-  }
 }
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -41,7 +41,7 @@
     this.random = new Random(config.seed);
     const { control, configLease, whenOutOfTouch } = config;
     const firstMember = this.random.below(control.length);
-    this.lease = new ConfigurationLease(control, configLease, firstMember, whenOutOfTouch);
+    this.lease = new ConfigurationLease(control, configLease, firstMember, whenOutOfTouch, config.zone);
     this.leader = new LeaderGuess(control, this.random.below(control.length));
     this.reporter = new LoadReporter();
   }
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -104,7 +104,7 @@
         this.claims.memberLost(input.from);
         return;
       case 'control-connected':
-        this.context.lease.memberConnected(input.to, this.context.now);
+        this.context.lease.memberConnected(input.to, input.zone, this.context.now);
         return;
       case 'control-members':
         this.context.lease.useSettings(input.members);
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -72,8 +72,8 @@
   | { readonly type: 'tick' }
   | { readonly type: 'control-message'; readonly from: Address; readonly message: ControlToRouter }
   | { readonly type: 'control-lost'; readonly from: Address }
-  /** Messages to this member reach it from now on. */
-  | { readonly type: 'control-connected'; readonly to: Address }
+  /** Messages to this member, which is in `zone`, reach it from now on. */
+  | { readonly type: 'control-connected'; readonly to: Address; readonly zone: Zone }
   /** The settings name other control members now. */
   | { readonly type: 'control-members'; readonly members: readonly Address[] }
   | { readonly type: 'request'; readonly request: ArrivedRequest }
--- a/src/wire/fields.ts
+++ b/src/wire/fields.ts
@@ -2,32 +2,53 @@
 import * as restructure from 'restructure';
 import { MalformedFrameError } from './wire-error.js';
 
-const UINT32_RANGE = 2 ** 32;
+const VARINT_RANGE = 128;
+const MOST_VARINT_BYTES = 8;
 const MAX_TEXT_BYTES = 65535;
 const textDecoder = new TextDecoder('utf-8', { fatal: true, ignoreBOM: true });
 
-/** Integers 0 to 2^53 - 1 in eight bytes, big endian. */
+/**
+ * Integers 0 to 2^53 - 1, seven bits a byte, the lowest first; the top bit says that another byte follows (LEB128). Most are small,
+ * and they are most of what heartbeats carry.
+ */
 class SafeIntegerField implements restructure.FieldType<number> {
-  size(): number {
-    return 8;
+  size(value: number): number {
+    let bytes = 1;
+    for (let rest = Math.floor(value / VARINT_RANGE); rest > 0; rest = Math.floor(rest / VARINT_RANGE)) {
+      bytes += 1;
+    }
+    return bytes;
   }
 
   decode(stream: restructure.DecodeStream): number {
-    const high = stream.readUInt32BE();
-    const value = high * UINT32_RANGE + stream.readUInt32BE();
-    if (!Number.isSafeInteger(value)) {
-      throw new MalformedFrameError(`integer ${high} * 2^32 and more is above 2^53 - 1`);
+    let value = 0;
+    let scale = 1;
+    for (let count = 0; count < MOST_VARINT_BYTES; count += 1) {
+      const byte = stream.readUInt8();
+      value += (byte % VARINT_RANGE) * scale;
+      if (byte < VARINT_RANGE) {
+        return checkedInteger(value);
+      }
+      scale *= VARINT_RANGE;
     }
-    return value;
+    throw new MalformedFrameError(`integer of more than ${MOST_VARINT_BYTES} bytes`);
   }
 
   encode(stream: restructure.EncodeStream, value: number): void {
-    if (!Number.isSafeInteger(value) || value < 0) {
-      throw new MalformedFrameError(`${value} is no integer from 0 to 2^53 - 1`);
+    let rest = checkedInteger(value);
+    while (rest >= VARINT_RANGE) {
+      stream.writeUInt8((rest % VARINT_RANGE) + VARINT_RANGE);
+      rest = Math.floor(rest / VARINT_RANGE);
     }
-    stream.writeUInt32BE(Math.floor(value / UINT32_RANGE));
-    stream.writeUInt32BE(value % UINT32_RANGE);
+    stream.writeUInt8(rest);
+  }
+}
+
+function checkedInteger(value: number): number {
+  if (!Number.isSafeInteger(value) || value < 0) {
+    throw new MalformedFrameError(`${value} is no integer from 0 to 2^53 - 1`);
   }
+  return value;
 }
 
 /** Bytes after their length of four bytes; a length beyond the frame is an error. */
@@ -46,14 +67,15 @@
   }
 }
 
-/** UTF-8 text of up to 65535 bytes after its length of four bytes. */
+/** UTF-8 text of up to 65535 bytes after its length. */
 class TextField implements restructure.FieldType<string> {
   size(value: string): number {
-    return 4 + Buffer.byteLength(value);
+    const length = Buffer.byteLength(value);
+    return safeIntegerField.size(length) + length;
   }
 
   decode(stream: restructure.DecodeStream): string {
-    const bytes = readExactly(stream, stream.readUInt32BE());
+    const bytes = readExactly(stream, safeIntegerField.decode(stream));
     return decodeText(bytes);
   }
 
@@ -62,7 +84,7 @@
     if (bytes.length > MAX_TEXT_BYTES) {
       throw new MalformedFrameError(`text of ${bytes.length} bytes is above ${MAX_TEXT_BYTES} bytes`);
     }
-    stream.writeUInt32BE(bytes.length);
+    safeIntegerField.encode(stream, bytes.length);
     stream.writeBuffer(bytes);
   }
 }
@@ -160,8 +182,9 @@
 }
 
 const bytesField = new BytesField();
+const safeIntegerField = new SafeIntegerField();
 
-export const safeInteger: restructure.FieldType<number> = new SafeIntegerField();
+export const safeInteger: restructure.FieldType<number> = safeIntegerField;
 export const bytes: restructure.FieldType<Uint8Array> = bytesField;
 export const text: restructure.FieldType<string> = new TextField();
 export const flag: restructure.FieldType<boolean> = new FlagField();
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -5,7 +5,7 @@
 import * as restructure from 'restructure';
 import { FrameTooLargeError, MalformedFrameError } from './wire-error.js';
 
-export const PROTOCOL_VERSION = 1;
+export const PROTOCOL_VERSION = 2;
 
 /** What a frame carries. Numbers are never reused. */
 export const FRAME_KINDS = {
--- a/src/wire/handshake/handshake.ts
+++ b/src/wire/handshake/handshake.ts
@@ -33,8 +33,8 @@
   private peer: Greeting | undefined;
 
   constructor(private readonly options: HandshakeOptions) {
-    const { cluster, kind, name } = options.greeting;
-    this.ownHello = helloCodec.encode({ type: 'hello', cluster, kind, name, nonce: options.nonce });
+    const { cluster, kind, name, zone } = options.greeting;
+    this.ownHello = helloCodec.encode({ type: 'hello', cluster, kind, name, zone, nonce: options.nonce });
   }
 
   /** Frames to send as soon as the connection stands. */
@@ -54,7 +54,7 @@
   }
 
   private takeHello(payload: Uint8Array): HandshakeStep {
-    const { cluster, kind, name } = helloCodec.decode(payload);
+    const { cluster, kind, name, zone } = helloCodec.decode(payload);
     if (cluster !== this.options.greeting.cluster) {
       throw new HandshakeRefusedError(`it belongs to cluster ${JSON.stringify(cluster)}`);
     }
@@ -62,7 +62,7 @@
       throw new HandshakeRefusedError(`a ${kind} isn't let in here`);
     }
     this.peerHello = payload;
-    this.peer = { type: 'greeting', cluster, kind, name };
+    this.peer = { type: 'greeting', cluster, kind, name, zone };
     const acceptor = this.options.role === 'acceptor';
     const reply = acceptor ? frameOf(FRAME_KINDS.hello, this.ownHello) : this.ownProof();
     return { send: [reply], peer: null };
--- a/src/wire/handshake/hello.ts
+++ b/src/wire/handshake/hello.ts
@@ -16,5 +16,6 @@
   cluster: text,
   kind: choice(['control', 'router'] as const),
   name: text,
+  zone: text,
   nonce: fixedBytes(NONCE_BYTES),
 });
--- a/src/wire/raft/read-index-request.ts
+++ b/src/wire/raft/read-index-request.ts
@@ -1,6 +1,6 @@
 /** A follower asks the leader for the index of a linearizable read. */
 import type { ReadIndexRequest } from '../../consensus/types.js';
-import { safeInteger, text } from '../fields.js';
+import { flag, safeInteger, text } from '../fields.js';
 import { FRAME_KINDS } from '../frame.js';
 import { defineMessage } from '../message-codec.js';
 
@@ -12,5 +12,6 @@
     to: text,
     term: safeInteger,
     readId: safeInteger,
+    mayWait: flag,
   },
 );
--- a/src/wire/restructure.d.ts
+++ b/src/wire/restructure.d.ts
@@ -5,6 +5,7 @@
     readonly buffer: Uint8Array;
     readonly length: number;
     pos: number;
+    readUInt8(): number;
     readUInt16BE(): number;
     readUInt32BE(): number;
     readFloatBE(): number;
@@ -13,6 +14,7 @@
   export class EncodeStream {
     constructor(buffer: Uint8Array);
     pos: number;
+    writeUInt8(value: number): void;
     writeUInt16BE(value: number): void;
     writeUInt32BE(value: number): void;
     writeFloatBE(value: number): void;
--- a/src/wire/router/routing-fields.ts
+++ b/src/wire/router/routing-fields.ts
@@ -1,5 +1,5 @@
 /**
- * Field types of routing snapshots and deltas: compressed JSON with shards as rows of numbers. What many routers are
+ * Field types of routing snapshots and deltas: JSON, compressed if it is large, with shards as rows of numbers. What many routers are
  * sent is encoded once: the bytes are kept for as long as the registry gives the same lists.
  */
 import { gunzipSync, gzipSync } from 'node:zlib';
@@ -21,6 +21,10 @@
 
 /** The fastest; higher levels cost more time than the bytes they save are worth. */
 const COMPRESSION_LEVEL = 1;
+/** Smaller documents go as plain JSON: a stream of zlib costs each end more than their bytes. */
+const COMPRESSED_FROM_BYTES = 2048;
+/** No JSON text begins with it. */
+const GZIP_FIRST_BYTE = 0x1f;
 const NO_BYTES = new Uint8Array(0);
 
 /** The parts of a configuration, or of what changed of it. Gone things are named by kind. */
@@ -59,7 +63,8 @@
   >();
 
   size(value: RoutingSnapshot | null): number {
-    return bytes.size(this.bytesOf(value)) + (value === null ? 0 : safeInteger.size(0));
+    const revisionBytes = value === null ? 0 : safeInteger.size(value.revision);
+    return bytes.size(this.bytesOf(value)) + revisionBytes;
   }
 
   decode(stream: restructure.DecodeStream): RoutingSnapshot | null {
@@ -113,7 +118,8 @@
   private readonly encoded = new WeakMap<readonly RegistryChange[], Uint8Array>();
 
   size(value: RoutingDelta | null): number {
-    return bytes.size(this.bytesOf(value)) + (value === null ? 0 : 2 * safeInteger.size(0));
+    const revisionBytes = value === null ? 0 : safeInteger.size(value.from) + safeInteger.size(value.to);
+    return bytes.size(this.bytesOf(value)) + revisionBytes;
   }
 
   decode(stream: restructure.DecodeStream): RoutingDelta | null {
@@ -230,14 +236,16 @@
   const table = new NameTable();
   const groups = encodeShardRows(shards, table);
   const document: RoutingDocument = { ...parts, names: table.names, shards: groups };
-  return gzipSync(JSON.stringify(document), { level: COMPRESSION_LEVEL });
+  const text = Buffer.from(JSON.stringify(document));
+  return text.length < COMPRESSED_FROM_BYTES ? text : gzipSync(text, { level: COMPRESSION_LEVEL });
 }
 
 function decodeDocument(content: Uint8Array): RoutingDocument {
   try {
-    return JSON.parse(gunzipSync(content).toString('utf8')) as RoutingDocument;
+    const text = content[0] === GZIP_FIRST_BYTE ? gunzipSync(content) : Buffer.from(content);
+    return JSON.parse(text.toString('utf8')) as RoutingDocument;
   } catch (thrown) {
-    throw new MalformedFrameError('configuration is no compressed JSON', toError(thrown));
+    throw new MalformedFrameError('configuration is no JSON, compressed or plain', toError(thrown));
   }
 }
 
--- a/test/consensus/cluster.test.ts
+++ b/test/consensus/cluster.test.ts
@@ -24,4 +24,39 @@
       expect(accepted.length).to.equal(50);
     });
   }
+
+  it('reads that may wait are confirmed by heartbeats that go out anyway, others by a round of their own', () => {
+    const { cluster, leader } = settled(7, ['a', 'b', 'c']);
+    const requestsWhile = (mayWait: boolean): number => {
+      const before = appendRequests(cluster);
+      for (let count = 0; count < 30; count += 1) {
+        const readId = cluster.read(leader, mayWait);
+        cluster.runFor(20);
+        cluster.runUntil(() => cluster.reads.has(readId));
+        expect(cluster.reads.get(readId)?.type).to.equal('read-ready');
+      }
+      return appendRequests(cluster) - before;
+    };
+    const waiting = requestsWhile(true);
+    const atOnce = requestsWhile(false);
+    // Heartbeats of 30 ms to two followers; a round of its own adds one request to each.
+    expect(waiting).to.be.below(2 * 30 * 2);
+    expect(atOnce).to.be.above(2 * 30);
+    expect(atOnce / 600).to.be.above((waiting / 900) * 2);
+  });
+
+  it('a read that may wait is no older than when it was asked for, at a follower too', () => {
+    const { cluster, leader } = settled(8, ['a', 'b', 'c']);
+    const follower = ['a', 'b', 'c'].find((name) => name !== leader) as string;
+    cluster.propose(leader, 'before');
+    cluster.runFor(100);
+    const { commitIndex } = cluster.status(leader);
+    const readId = cluster.read(follower, true);
+    expect(cluster.runUntil(() => cluster.reads.has(readId))).to.equal(true);
+    expect(cluster.reads.get(readId)).to.deep.include({ type: 'read-ready', index: commitIndex });
+  });
 });
+
+function appendRequests(cluster: TestCluster): number {
+  return cluster.sent.filter(({ type }) => type === 'append-request').length;
+}
--- a/test/consensus/test-cluster.ts
+++ b/test/consensus/test-cluster.ts
@@ -182,10 +182,10 @@
     return proposalId;
   }
 
-  read(name: ReplicaName): number {
+  read(name: ReplicaName, mayWait = false): number {
     const readId = this.takeId();
     this.checker.readAsked(String(readId));
-    this.input(name, { type: 'read', readId });
+    this.input(name, { type: 'read', readId, mayWait });
     return readId;
   }
 
--- a/test/contract/frame-peers.test.ts
+++ b/test/contract/frame-peers.test.ts
@@ -17,10 +17,10 @@
 
 const LIMITS = { ...DEFAULT_WIRE_LIMITS, handshakeMillis: 150, pingMillis: 50 };
 const SECRET = 'the cluster secret';
-const ROUTER: Greeting = { type: 'greeting', cluster: 'north', kind: 'router', name: 'router-1' };
+const ROUTER: Greeting = { type: 'greeting', cluster: 'north', kind: 'router', name: 'router-1', zone: 'a' };
 
 const SERVER: WireIdentity = {
-  greeting: { type: 'greeting', cluster: 'north', kind: 'control', name: 'r-1' },
+  greeting: { type: 'greeting', cluster: 'north', kind: 'control', name: 'r-1', zone: 'a' },
   secret: SECRET,
   expects: ['control', 'router'],
 };
@@ -88,8 +88,8 @@
   }
 
   function hello(greeting: Greeting, fill = 7): Uint8Array {
-    const { cluster, kind, name } = greeting;
-    return helloCodec.encode({ type: 'hello', cluster, kind, name, nonce: nonce(fill) });
+    const { cluster, kind, name, zone } = greeting;
+    return helloCodec.encode({ type: 'hello', cluster, kind, name, zone, nonce: nonce(fill) });
   }
 
   /** Says hello and proves `secret`. */
--- a/test/contract/frames.test.ts
+++ b/test/contract/frames.test.ts
@@ -9,6 +9,7 @@
   FrameTooLargeError,
   HEADER_BYTES,
   MalformedFrameError,
+  PROTOCOL_VERSION,
   raftCodecs,
   routerToControlCodecs,
 } from '../../src/wire/index.js';
@@ -17,7 +18,7 @@
 const PARAMETERS = { seed: 6, numRuns: 200 };
 
 /** Header bytes of a frame: length, version, kind, correlation. */
-function head(length: number, version = 1, kind = 32): Buffer {
+function head(length: number, version: number = PROTOCOL_VERSION, kind = 32): Buffer {
   const bytes = Buffer.alloc(HEADER_BYTES);
   bytes.writeUInt32BE(length, 0);
   bytes.writeUInt8(version, 4);
@@ -58,7 +59,8 @@
   });
 
   const refused: readonly (readonly [string, Buffer, new (...args: never[]) => Error])[] = [
-    ['another version', head(6, 2), MalformedFrameError],
+    ['a later version', head(6, PROTOCOL_VERSION + 1), MalformedFrameError],
+    ['an earlier version', head(6, PROTOCOL_VERSION - 1), MalformedFrameError],
     ['version 0', head(6, 0), MalformedFrameError],
     ['a length of 0', head(0), MalformedFrameError],
     ['a length within its own header', head(5), MalformedFrameError],
--- a/test/control/range-world.ts
+++ b/test/control/range-world.ts
@@ -125,7 +125,7 @@
             this.apply(command);
             settle({ type: 'applied', result: { type: 'accepted', revision: 1 }, revision: 1 }, this.now);
           }),
-        confirm: (_now, settle) => this.after(2 * NETWORK_MILLIS, () => settle(isLeading())),
+        confirm: (_now, _mayWait, settle) => this.after(2 * NETWORK_MILLIS, () => settle(isLeading())),
         call: (call) => this.#carry(call, leadership),
         log: () => {},
         timings: TIMINGS,
--- a/test/fleet/outgoing.test.ts
+++ b/test/fleet/outgoing.test.ts
@@ -47,7 +47,7 @@
     return () => sessions.stop();
   },
   'a daemon to control': (address) => {
-    const greeting = { type: 'greeting', cluster: 'c1', kind: 'router', name: 'r1' } as const;
+    const greeting = { type: 'greeting', cluster: 'c1', kind: 'router', name: 'r1', zone: 'a' } as const;
     const identity = { greeting, secret: 'secret', expects: ['control'] as const };
     const client = new FrameClient({
       address,
--- a/test/routing/configuration-lease.test.ts
+++ b/test/routing/configuration-lease.test.ts
@@ -22,9 +22,9 @@
   it('asks again at once when the first member can be reached: what was sent before is lost', () => {
     const lease = new ConfigurationLease(MEMBERS, TIMINGS, 0);
     expect(lease.takeSync(0)?.to).to.equal(MEMBERS[0]);
-    lease.memberConnected(MEMBERS[2] as string, 60);
+    lease.memberConnected(MEMBERS[2] as string, 'far', 60);
     expect(lease.takeSync(60)?.to).to.equal(MEMBERS[2]);
-    lease.memberConnected(MEMBERS[1] as string, 65);
+    lease.memberConnected(MEMBERS[1] as string, 'far', 65);
     expect(lease.takeSync(65)).to.equal(undefined);
     expect(lease.takeSync(80)?.to).to.equal(MEMBERS[1]);
   });
@@ -43,12 +43,12 @@
     });
     lease.takeSync(0);
     lease.answered(answer(0), 3, false, 5);
-    lease.memberConnected(MEMBERS[1] as string, 10);
+    lease.memberConnected(MEMBERS[1] as string, 'far', 10);
     expect(lease.takeSync(100)).to.equal(undefined);
     expect(lease.takeSync(400)?.to).to.equal(MEMBERS[0]);
-    lease.memberConnected(MEMBERS[1] as string, 410);
+    lease.memberConnected(MEMBERS[1] as string, 'far', 410);
     expect(lease.takeSync(430)).to.equal(undefined);
-    lease.memberConnected(MEMBERS[0] as string, 440);
+    lease.memberConnected(MEMBERS[0] as string, 'far', 440);
     expect(lease.takeSync(440)?.to).to.equal(MEMBERS[0]);
   });
 });
