News for routers go out ahead of a quorum's word; a router keeps to the member of its zone, one answer owed is counted once

A router that had sent two requests in a row counted the second as unanswered for ever, since its answer's stamp lies before the first answer's arrival: the next request out of turn 900 ms later left a sound member. Members without a quorum during the first election were left for 5 s. And each change of an owner made every member ask the leader for a round. Ruled out: lost answers (none was missing in the logs). Change: the last request's answer ends what is owed; a member without a quorum is asked again after 0.5 s; a member tells news only to routers that have a lease by it; a router that is behind gets the committed changes at once (sync-news) and the quorum's word with the next heartbeats, in one response. Test: 'is owed nothing once the last of several requests was answered' failed before.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -104,6 +104,7 @@
     });
     this.#routers = new RouterRequests({
       ...shared,
+      configLease: config.configLease,
       send: (connection, message) => this.#emit({ type: 'send-router', connection, message }),
       report: (report, now) => this.#leader?.loadReported(report, now),
     });
@@ -119,7 +120,7 @@
     if (this.#hasNews) {
       this.#hasNews = false;
       this.#unowned.look(this.#raft.registry, now);
-      this.#routers.notify(this.#raft.registry.revision);
+      this.#routers.notify(this.#raft.registry.revision, now);
     }
     return this.#effects;
   }
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -47,6 +47,14 @@
   /** Internal addresses of all voters, for a router whose settings name others. */
   readonly members: readonly Address[];
 }
+/**
+ * What changed since the revision that a router asked with, at once. It is committed, but nobody says that it is the latest: the
+ * response to the request follows.
+ */
+export interface SyncNews {
+  readonly type: 'sync-news';
+  readonly delta: RoutingDelta;
+}
 /** Says that there is something to fetch. Only a hint. */
 export interface ChangeNotice {
   readonly type: 'change-notice';
@@ -107,7 +115,7 @@
 export type RouterToControl = SyncRequest | ClaimRequest | SettleRequest | LoadReport;
 
 /** What control members send to routers. */
-export type ControlToRouter = SyncResponse | ChangeNotice | ClaimResponse | SettleResponse;
+export type ControlToRouter = SyncResponse | SyncNews | ChangeNotice | ClaimResponse | SettleResponse;
 
 /** First frame of a connection, both ways. */
 export interface Greeting {
--- a/src/control/router-requests.ts
+++ b/src/control/router-requests.ts
@@ -3,10 +3,11 @@
  * and settlements in the ledger from the leader.
  */
 import type { Incarnation, MonotonicMillis, Revision, RouterId } from '../model/identifiers.js';
-import type { CommandResult } from '../registry/types.js';
+import type { CommandResult, RoutingDelta } from '../registry/types.js';
 import { type DepartedRouter, DepartedRouters } from './departed-routers.js';
 import type {
   ClaimRequest,
+  ConfigLeaseTimings,
   ControlToRouter,
   LoadReport,
   RouterToControl,
@@ -29,6 +30,7 @@
 
 export interface RouterRequestsParts {
   readonly raft: RaftAdapter;
+  readonly configLease: ConfigLeaseTimings;
   readonly propose: ProposeCommand;
   readonly send: (connection: ConnectionId, message: ControlToRouter) => void;
   readonly report: (report: LoadReport, now: MonotonicMillis) => void;
@@ -83,10 +85,13 @@
     return this.#syncs.nextDeadline();
   }
 
-  /** Tells connected routers that there is something to fetch. */
-  notify(revision: Revision): void {
-    for (const connection of this.#routers.keys()) {
-      this.#parts.send(connection, { type: 'change-notice', revision });
+  /** Tells the routers that have a lease by this member that there is something to fetch; others ask another one. */
+  notify(revision: Revision, now: MonotonicMillis): void {
+    const { configLeaseMillis } = this.#parts.configLease;
+    for (const [connection, { heardAt }] of this.#routers) {
+      if (now - heardAt < configLeaseMillis) {
+        this.#parts.send(connection, { type: 'change-notice', revision });
+      }
     }
   }
 
@@ -103,8 +108,19 @@
     const { router, incarnation, have } = request;
     this.#routers.set(connection, { router, incarnation, revision: have, heardAt: now });
     this.#departed.isBack(router);
-    const isRenewal = have > 0 && have >= this.#parts.raft.registry.revision;
-    this.#syncs.add({ connection, request }, isRenewal, now);
+    const news = this.#newsSince(have);
+    if (news !== null) {
+      this.#parts.send(connection, { type: 'sync-news', delta: news });
+    }
+    const held = news?.to ?? have;
+    const isRenewal = have > 0 && held >= this.#parts.raft.registry.revision;
+    this.#syncs.add({ connection, request: { ...request, have: held } }, isRenewal, now);
+  }
+
+  /** What a router that holds `have` lacks; `null`: nothing, or more than can be told as changes. */
+  #newsSince(have: Revision): RoutingDelta | null {
+    const { registry } = this.#parts.raft;
+    return have > 0 && have < registry.revision ? (registry.routingDelta(have) ?? null) : null;
   }
 
   #answerSync({ connection, request }: WaitingSync, confirmed: boolean): void {
@@ -118,7 +134,7 @@
     const { raft } = this.#parts;
     const { registry } = raft;
     const isNews = request.have < registry.revision;
-    const delta = isNews && request.have > 0 ? (registry.routingDelta(request.have) ?? null) : null;
+    const delta = this.#newsSince(request.have);
     return {
       type: 'sync-response',
       stamp: request.stamp,
--- a/src/control/sync-reads.ts
+++ b/src/control/sync-reads.ts
@@ -1,7 +1,7 @@
 /**
- * Reads for the syncs of routers. One read answers all syncs that waited when it began. Syncs of routers that are behind are read
- * for at once; those that only renew a lease gather for a moment and wait for the leader's next heartbeats, so that
- * they cost no messages of their own.
+ * Reads for the syncs of routers. One read answers all syncs that waited when it began. Those of routers that can't serve yet are
+ * read for at once; those that only renew a lease gather for a moment and wait for the leader's next heartbeats, so
+ * that they cost no messages of their own.
  */
 import type { MonotonicMillis } from '../model/identifiers.js';
 import type { SyncRequest } from './messages.js';
@@ -32,17 +32,18 @@
   #waiting: WaitingSync[] = [];
   #isReading = false;
   #readNotBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
-  #renewals: WaitingSync[] = [];
+  /** The latest of each connection. */
+  readonly #renewals = new Map<ConnectionId, WaitingSync>();
   #renewalsAt: MonotonicMillis = Number.POSITIVE_INFINITY;
 
   constructor(parts: SyncReadsParts) {
     this.#parts = parts;
   }
 
-  /** Takes a sync; `isRenewal`: there is nothing new for its router. */
+  /** Takes a sync; `isRenewal`: its router holds all that this member knows. */
   add(sync: WaitingSync, isRenewal: boolean, now: MonotonicMillis): void {
     if (isRenewal) {
-      this.#renewals.push(sync);
+      this.#renewals.set(sync.connection, sync);
       this.#renewalsAt = Math.min(this.#renewalsAt, now + RENEWALS_GATHER_MILLIS);
       return;
     }
@@ -62,9 +63,8 @@
 
   /** A connection ended: its syncs need no answer. */
   gone(connection: ConnectionId): void {
-    const isOther = (sync: WaitingSync): boolean => sync.connection !== connection;
-    this.#waiting = this.#waiting.filter(isOther);
-    this.#renewals = this.#renewals.filter(isOther);
+    this.#waiting = this.#waiting.filter((sync) => sync.connection !== connection);
+    this.#renewals.delete(connection);
   }
 
   nextDeadline(): MonotonicMillis {
@@ -84,8 +84,8 @@
   }
 
   #takeRenewals(): WaitingSync[] {
-    const renewals = this.#renewals;
-    this.#renewals = [];
+    const renewals = [...this.#renewals.values()];
+    this.#renewals.clear();
     this.#renewalsAt = Number.POSITIVE_INFINITY;
     return renewals;
   }
--- a/src/dev/bench/world/model-router.ts
+++ b/src/dev/bench/world/model-router.ts
@@ -134,6 +134,8 @@
       } else if (message.delta !== null) {
         this.view.applyDelta(message.delta);
       }
+    } else if (message.type === 'sync-news') {
+      this.view.applyDelta(message.delta);
     }
     this.step({ type: 'control-message', from, message });
   }
--- a/src/dev/scale/hollow-router.ts
+++ b/src/dev/scale/hollow-router.ts
@@ -83,6 +83,9 @@
     const now = performance.now();
     if (message.type === 'change-notice') {
       this.lease.notice(message.revision, this.revision, now);
+    } else if (message.type === 'sync-news') {
+      const gap = this.take({ snapshot: null, delta: message.delta });
+      this.lease.newsApplied(this.revision, gap, now);
     } else if (message.type === 'sync-response') {
       const gap = this.take(message);
       this.lease.answered(message, this.revision, gap, now);
@@ -92,7 +95,7 @@
   }
 
   /** Gives whether a delta didn't join on. */
-  private take({ snapshot, delta }: SyncResponse): boolean {
+  private take({ snapshot, delta }: Pick<SyncResponse, 'snapshot' | 'delta'>): boolean {
     if (snapshot !== null && snapshot.revision > this.revision) {
       this.options.shared.takeSnapshot(snapshot);
       this.advance(snapshot.revision);
--- a/src/dev/sim/control/spoil-control.ts
+++ b/src/dev/sim/control/spoil-control.ts
@@ -6,7 +6,7 @@
 import { readParts } from '../../../registry/snapshot-codec.js';
 import { encodePart } from '../../../registry/snapshot-encoder.js';
 import type { SnapshotPart } from '../../../registry/snapshot-parts.js';
-import type { UpstreamRecord } from '../../../registry/types.js';
+import type { RoutingDelta, UpstreamRecord } from '../../../registry/types.js';
 import type { SabotageName } from '../sabotages.js';
 import type { SimControl } from './sim-control.js';
 
@@ -57,6 +57,9 @@
 }
 
 export function spoilRouterMessage(message: ControlToRouter, control: SimControl): ControlToRouter {
+  if (message.type === 'sync-news' && control.sabotage === 'drain-ignored') {
+    return { ...message, delta: withoutLeavingIn(message.delta) };
+  }
   if (message.type !== 'sync-response') {
     return message;
   }
@@ -71,25 +74,27 @@
 }
 
 function withoutLeaving(response: SyncResponse): SyncResponse {
-  const stay = (record: UpstreamRecord): UpstreamRecord => ({
-    ...record,
-    definition: { ...record.definition, leaving: false },
-  });
   const { snapshot, delta } = response;
   return {
     ...response,
     snapshot: snapshot && { ...snapshot, upstreams: snapshot.upstreams.map(stay) },
-    delta: delta && {
-      ...delta,
-      changes: delta.changes.map((change) =>
-        change.type === 'upstream' && change.record !== null
-          ? { ...change, record: stay(change.record) }
-          : change,
-      ),
-    },
+    delta: delta && withoutLeavingIn(delta),
   };
 }
 
+function withoutLeavingIn(delta: RoutingDelta): RoutingDelta {
+  const changes = delta.changes.map((change) =>
+    change.type === 'upstream' && change.record !== null
+      ? { ...change, record: stay(change.record) }
+      : change,
+  );
+  return { ...delta, changes };
+}
+
+function stay(record: UpstreamRecord): UpstreamRecord {
+  return { ...record, definition: { ...record.definition, leaving: false } };
+}
+
 /** Revisions of a run which numbers changes by how many of them it answered. */
 export function spoilOperatorResponse(response: OperatorResponse, control: SimControl): OperatorResponse {
   if (control.sabotage === 'wait-cut-short' && response.type === 'result') {
--- a/src/router/hints/upstream-directory.ts
+++ b/src/router/hints/upstream-directory.ts
@@ -8,7 +8,7 @@
   private revision: Revision = 0;
 
   /** Takes what a control member sent. Gives whether any address changed. */
-  update(response: SyncResponse): boolean {
+  update(response: Pick<SyncResponse, 'snapshot' | 'delta'>): boolean {
     const { snapshot, delta } = response;
     if (snapshot !== null && snapshot.revision >= this.revision) {
       this.revision = snapshot.revision;
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -221,7 +221,7 @@
     if (message.type === 'sync-response') {
       this.links.learn(message.members);
     }
-    if (message.type === 'sync-response' && this.directory.update(message)) {
+    if (this.isAddressNews(message)) {
       const addresses = this.directory.list();
       this.probes.probe(addresses);
       this.pools.keepOnly(new Set(addresses.values()));
@@ -229,6 +229,17 @@
     this.task.post({ type: 'control-message', from, message });
   }
 
+  private isAddressNews(message: ControlToRouter): boolean {
+    switch (message.type) {
+      case 'sync-response':
+        return this.directory.update(message);
+      case 'sync-news':
+        return this.directory.update({ snapshot: null, delta: message.delta });
+      default:
+        return false;
+    }
+  }
+
   private createLinks(): ControlLinks {
     const { cluster, router, secret, wire, zone } = this.settings;
     return new ControlLinks({
--- a/src/routing/configuration-lease.ts
+++ b/src/routing/configuration-lease.ts
@@ -70,7 +70,7 @@
       return undefined;
     }
     if (this.owedSince !== null && now >= this.owedSince + this.timings.syncMillis) {
-      this.members.rotate(now);
+      this.members.leaveSilent(now);
       this.owedSince = null;
     }
     if (this.owedSince === null) {
@@ -119,7 +119,7 @@
     if (member !== this.members.current) {
       return;
     }
-    this.members.rotate(now);
+    this.members.leaveSilent(now);
     if (this.owedSince !== null) {
       this.owedSince = null;
       this.requestSync(now);
@@ -146,11 +146,11 @@
    * it carried a delta that didn't join on.
    */
   answered(response: SyncResponse, held: Revision, gap: boolean, now: MonotonicMillis): void {
-    if (this.owedSince !== null && response.stamp >= this.owedSince) {
-      this.owedSince = response.stamp === this.lastSentAt ? null : now;
-    }
     if (response.stamp === this.lastSentAt) {
+      this.owedSince = null;
       this.leaveUnconfirmedMember(response, now);
+    } else if (this.owedSince !== null && response.stamp >= this.owedSince) {
+      this.owedSince = now;
     }
     if (response.confirmed && response.stamp >= this.noticedAt) {
       this.noticed = response.revision;
@@ -162,9 +162,17 @@
     this.renew(response, held, now);
   }
 
+  /** Takes note of changes that came ahead of an answer, after they were applied; the arguments are as in `answered`. */
+  newsApplied(held: Revision, gap: boolean, now: MonotonicMillis): void {
+    this.wantsSnapshot = gap;
+    if (gap || held < this.noticed) {
+      this.requestSync(now);
+    }
+  }
+
   private leaveUnconfirmedMember(response: SyncResponse, now: MonotonicMillis): void {
     if (!response.confirmed) {
-      this.members.rotate(now);
+      this.members.leaveUnconfirmed(now);
       this.nextSyncAt = Math.min(this.nextSyncAt, now + UNCONFIRMED_PAUSE_MILLIS);
     }
   }
--- a/src/routing/control-members.ts
+++ b/src/routing/control-members.ts
@@ -4,8 +4,10 @@
  */
 import type { Address, MonotonicMillis, Zone } from '../model/identifiers.js';
 
-/** After this a member of the own zone that failed is asked again. */
-const NEAR_AGAIN_MILLIS = 5000;
+/** After this a member of the own zone is asked again that didn't answer. */
+const SILENT_AGAIN_MILLIS = 5000;
+/** The same for one that answered and had no quorum: during an election none has. */
+const UNCONFIRMED_AGAIN_MILLIS = 500;
 
 export class ControlMembers {
   #settings: readonly Address[];
@@ -81,11 +83,20 @@
     }
   }
 
-  /** The present one failed: turns to the next. */
-  rotate(now: MonotonicMillis): void {
+  /** The present one didn't answer: turns to the next. */
+  leaveSilent(now: MonotonicMillis): void {
+    this.#leave(now + SILENT_AGAIN_MILLIS);
+  }
+
+  /** The present one has no quorum: turns to the next. */
+  leaveUnconfirmed(now: MonotonicMillis): void {
+    this.#leave(now + UNCONFIRMED_AGAIN_MILLIS);
+  }
+
+  #leave(nearAgainAt: MonotonicMillis): void {
     const { current } = this;
     if (current !== undefined && this.#near.has(current)) {
-      this.#nearAgainAt = now + NEAR_AGAIN_MILLIS;
+      this.#nearAgainAt = nearAgainAt;
     }
     this.#index = (this.#index + 1) % Math.max(1, this.#all.length);
   }
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -1,6 +1,7 @@
 /** The router core: takes inputs, keeps the state of all requests, gives back effects. No clock, no socket, no wait. */
 import type { ControlToRouter, SyncResponse } from '../control/messages.js';
 import type { Address, UpstreamId, WallMillis } from '../model/identifiers.js';
+import type { RoutingDelta } from '../registry/types.js';
 import { Admission } from './admission.js';
 import { Answers } from './answers.js';
 import { AttemptResults } from './attempt-results.js';
@@ -126,6 +127,9 @@
       case 'sync-response':
         this.takeSyncResponse(message);
         return;
+      case 'sync-news':
+        this.takeNews(message.delta);
+        return;
       case 'change-notice':
         context.lease.notice(message.revision, context.view.revision, context.now);
         return;
@@ -145,13 +149,24 @@
     context.leader.learn(response.leader);
     context.lease.learnMembers(response.members);
     this.beginLease();
+    this.update(outcome);
+    if (this.serving) {
+      this.intake.arriveEarly();
+    }
+  }
+
+  private takeNews(delta: RoutingDelta): void {
+    const { context } = this;
+    const outcome = context.view.applyDelta(delta);
+    context.lease.newsApplied(context.view.revision, outcome.type === 'gap', context.now);
+    this.update(outcome);
+  }
+
+  private update(outcome: ApplyOutcome | undefined): void {
     if (outcome?.type === 'applied') {
       this.updates.apply(outcome.changes);
       this.logApplied(outcome.changes.length);
     }
-    if (this.serving) {
-      this.intake.arriveEarly();
-    }
   }
 
   private logApplied(changes: number): void {
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -31,6 +31,7 @@
   settleRequest: 37,
   settleResponse: 38,
   loadReport: 39,
+  syncNews: 40,
 } as const;
 
 export interface Frame {
--- a/src/wire/router/index.ts
+++ b/src/wire/router/index.ts
@@ -7,6 +7,7 @@
 import { loadReportCodec } from './load-report.js';
 import { settleRequestCodec } from './settle-request.js';
 import { settleResponseCodec } from './settle-response.js';
+import { syncNewsCodec } from './sync-news.js';
 import { syncRequestCodec } from './sync-request.js';
 import { syncResponseCodec } from './sync-response.js';
 
@@ -19,6 +20,7 @@
 
 export const controlToRouterCodecs = new MessageCodecSet<ControlToRouter>([
   syncResponseCodec,
+  syncNewsCodec,
   changeNoticeCodec,
   claimResponseCodec,
   settleResponseCodec,
--- a/src/wire/router/routing-fields.ts
+++ b/src/wire/router/routing-fields.ts
@@ -251,3 +251,15 @@
 
 export const routingSnapshotField: restructure.FieldType<RoutingSnapshot | null> = new SnapshotField();
 export const routingDeltaField: restructure.FieldType<RoutingDelta | null> = new DeltaField();
+/** A delta that is always there. */
+export const routingDeltaOnlyField: restructure.FieldType<RoutingDelta> = {
+  size: (value) => routingDeltaField.size(value),
+  encode: (stream, value) => routingDeltaField.encode(stream, value),
+  decode: (stream) => {
+    const delta = routingDeltaField.decode(stream);
+    if (delta === null) {
+      throw new MalformedFrameError('news without changes');
+    }
+    return delta;
+  },
+};
--- /dev/null
+++ b/test/control/sync-news.test.ts
@@ -0,0 +1,69 @@
+/** What control members tell routers that are behind, and when they renew their leases. */
+import { expect } from 'chai';
+import type { ControlToRouter, SyncRequest } from '../../src/control/messages.js';
+import { type Cluster, startCluster, upstream } from './cluster-harness.js';
+
+/** Longer than renewals gather and a heartbeat takes. */
+const RENEWED_MILLIS = 600;
+
+function ask(cluster: Cluster, have: number, member = cluster.leader()): ControlToRouter['type'][] {
+  const request: SyncRequest = {
+    type: 'sync-request',
+    router: 'r1',
+    incarnation: 'i1',
+    zone: 'a',
+    stamp: cluster.time,
+    have,
+  };
+  const before = cluster.routerMessages.length;
+  cluster.routerMessage('c1', request, member);
+  return cluster.routerMessages.slice(before).map(({ message }) => message.type);
+}
+
+/** The latest message of a type. */
+function latest<Type extends ControlToRouter['type']>(cluster: Cluster, type: Type) {
+  const found = cluster.routerMessages.findLast(({ message }) => message.type === type)?.message;
+  return found as Extract<ControlToRouter, { type: Type }> | undefined;
+}
+
+describe('syncs of routers', () => {
+  it('give the whole configuration, confirmed, to a router that has none', () => {
+    const { cluster } = startCluster(3);
+    ask(cluster, 0);
+    cluster.run(100);
+    const response = latest(cluster, 'sync-response');
+    expect(response?.confirmed).to.equal(true);
+    expect(response?.snapshot?.revision).to.equal(response?.revision);
+  });
+
+  it('give news at once to a router that is behind, and the confirmation later', () => {
+    const { cluster } = startCluster(3);
+    ask(cluster, 0);
+    cluster.run(100);
+    const have = latest(cluster, 'sync-response')?.revision ?? 0;
+    cluster.ask({
+      type: 'command',
+      requestId: 'q1',
+      actor: 'test',
+      wait: false,
+      command: { type: 'upstream-apply', definition: upstream('u9'), expected: null },
+    });
+    expect(ask(cluster, have)).to.deep.equal(['sync-news']);
+    expect(latest(cluster, 'sync-news')?.delta.from).to.equal(have);
+    const stamp = cluster.time;
+    cluster.run(RENEWED_MILLIS);
+    expect(latest(cluster, 'sync-response')).to.include({ stamp, confirmed: true, snapshot: null });
+  });
+
+  it('confirm nothing without a quorum', () => {
+    const { cluster } = startCluster(3);
+    ask(cluster, 0);
+    cluster.run(100);
+    const have = latest(cluster, 'sync-response')?.revision ?? 0;
+    const leader = cluster.leader();
+    cluster.cut.add(leader.id);
+    ask(cluster, have, leader);
+    cluster.run(RENEWED_MILLIS);
+    expect(latest(cluster, 'sync-response')?.confirmed).to.equal(false);
+  });
+});
--- a/test/control/sync-reads.test.ts
+++ b/test/control/sync-reads.test.ts
@@ -71,6 +71,15 @@
     expect(answered).to.deep.equal(['r2 true']);
   });
 
+  it('of one router that only renew are answered once, the latest', () => {
+    const { syncs, begun, answered } = new Reads();
+    syncs.add(syncOf('r1'), true, 0);
+    syncs.add(syncOf('r1'), true, 30);
+    syncs.run(100);
+    begun[0]?.settle(true, 110);
+    expect(answered).to.deep.equal(['r1 true']);
+  });
+
   it('forget a connection that ended', () => {
     const { syncs, begun, answered } = new Reads();
     syncs.add(syncOf('r1'), true, 0);
--- a/test/routing/configuration-lease.test.ts
+++ b/test/routing/configuration-lease.test.ts
@@ -4,6 +4,19 @@
 const MEMBERS = ['127.0.0.1:1', '127.0.0.2:1', '127.0.0.3:1'];
 const TIMINGS = { configLeaseMillis: 1800, syncMillis: 400, clockRateError: 0.005 };
 
+function answer(stamp: number) {
+  return {
+    type: 'sync-response' as const,
+    stamp,
+    confirmed: true,
+    revision: 3,
+    snapshot: null,
+    delta: null,
+    leader: null,
+    members: [],
+  };
+}
+
 describe('configuration lease', () => {
   it('leaves a member that does not answer, also while syncs are asked for out of turn', () => {
     const lease = new ConfigurationLease(MEMBERS, TIMINGS, 0);
@@ -31,16 +44,6 @@
 
   it('keeps to its member once something was confirmed, and asks again if that one owes an answer', () => {
     const lease = new ConfigurationLease(MEMBERS, TIMINGS, 0);
-    const answer = (stamp: number) => ({
-      type: 'sync-response' as const,
-      stamp,
-      confirmed: true,
-      revision: 3,
-      snapshot: null,
-      delta: null,
-      leader: null,
-      members: [],
-    });
     lease.takeSync(0);
     lease.answered(answer(0), 3, false, 5);
     lease.memberConnected(MEMBERS[1] as string, 'far', 10);
@@ -51,4 +54,16 @@
     lease.memberConnected(MEMBERS[0] as string, 'far', 440);
     expect(lease.takeSync(440)?.to).to.equal(MEMBERS[0]);
   });
+
+  it('is owed nothing once the last of several requests was answered', () => {
+    const lease = new ConfigurationLease(MEMBERS, TIMINGS, 0);
+    lease.takeSync(0);
+    lease.requestSync(5);
+    lease.takeSync(20);
+    lease.answered(answer(0), 3, false, 25);
+    lease.answered(answer(20), 3, false, 30);
+    expect(lease.takeSync(420)?.to).to.equal(MEMBERS[0]);
+    lease.requestSync(430);
+    expect(lease.takeSync(440)?.to).to.equal(MEMBERS[0]);
+  });
 });
--- a/test/routing/control-members.test.ts
+++ b/test/routing/control-members.test.ts
@@ -28,7 +28,7 @@
     const choice = members();
     choice.connected(NEAR, 'b');
     choice.chooseNear(0);
-    choice.rotate(100);
+    choice.leaveSilent(100);
     choice.chooseNear(101);
     expect(choice.current).to.equal(OTHER);
     choice.chooseNear(5099);
@@ -37,12 +37,23 @@
     expect(choice.current).to.equal(NEAR);
   });
 
+  it('come back soon to one that had no quorum', () => {
+    const choice = members();
+    choice.connected(NEAR, 'b');
+    choice.chooseNear(0);
+    choice.leaveUnconfirmed(100);
+    choice.chooseNear(599);
+    expect(choice.current).to.equal(OTHER);
+    choice.chooseNear(600);
+    expect(choice.current).to.equal(NEAR);
+  });
+
   it('come back at once to one that was lost and is connected again', () => {
     const choice = members();
     choice.connected(NEAR, 'b');
     choice.chooseNear(0);
     choice.lost(NEAR);
-    choice.rotate(100);
+    choice.leaveSilent(100);
     choice.chooseNear(200);
     expect(choice.current).to.equal(OTHER);
     choice.connected(NEAR, 'b');
@@ -55,7 +66,7 @@
     const asked = [0, 1, 2].map((now) => {
       choice.chooseNear(now);
       const { current } = choice;
-      choice.rotate(now);
+      choice.leaveSilent(now);
       return current;
     });
     expect(asked).to.deep.equal([OTHER, FAR, NEAR]);
@@ -73,7 +84,7 @@
   it('may be none', () => {
     const choice = new ControlMembers([], 0, 'b');
     choice.chooseNear(0);
-    choice.rotate(0);
+    choice.leaveSilent(0);
     expect(choice.current).to.equal(undefined);
   });
 });
--- a/test/routing/router-node.test.ts
+++ b/test/routing/router-node.test.ts
@@ -1,6 +1,15 @@
 import { expect } from 'chai';
 import type { RouterEffect } from '../../src/routing/types.js';
-import { ANSWERED, only, onlyShard, RouterHarness, sent, service, upstream } from './router-harness.js';
+import {
+  ANSWERED,
+  CONFIG,
+  only,
+  onlyShard,
+  RouterHarness,
+  sent,
+  service,
+  upstream,
+} from './router-harness.js';
 
 function unkeyed(changes = {}): RouterHarness {
   const upstreams = [upstream('u1', 'web'), upstream('u2', 'web')];
@@ -92,6 +101,24 @@
     expect(only(harness.ended(attempt), 'deliver')).to.deep.equal([{ type: 'deliver', request: 2, attempt }]);
   });
 
+  it('goes by news at once, and renews nothing by them', () => {
+    const harness = unkeyed();
+    const changes = [{ type: 'service', name: 'web', record: null }] as const;
+    harness.fromControl({ type: 'sync-news', delta: { from: 1, to: 2, changes } });
+    expect(refusalOf(harness.request('web'))).to.include({ reason: 'unknown-service' });
+    harness.now += CONFIG.configLease.configLeaseMillis;
+    expect(only(harness.step({ type: 'tick' }), 'log').map(({ event }) => event)).to.include(
+      'configuration-lease-over',
+    );
+  });
+
+  it('asks for everything when news begin after what it holds', () => {
+    const harness = unkeyed();
+    harness.now += 100;
+    const effects = harness.fromControl({ type: 'sync-news', delta: { from: 5, to: 6, changes: [] } });
+    expect(only(effects, 'send-control')[0]?.message).to.include({ type: 'sync-request', have: 0 });
+  });
+
   it('sends nothing to an upstream once the operator said that it leaves', () => {
     const harness = unkeyed();
     harness.change([{ type: 'upstream', id: 'u1', record: upstream('u1', 'web', { leaving: true }) }]);
--- a/test/wire/codecs.test.ts
+++ b/test/wire/codecs.test.ts
@@ -59,6 +59,10 @@
     leader: null,
     members: [],
   },
+  {
+    type: 'sync-news',
+    delta: { from: 3, to: 7, changes: [{ type: 'upstream', id: 'u1', record: null }] },
+  },
   { type: 'change-notice', revision: 9 },
   { type: 'claim-response', claimant: 'c', result: { type: 'granted' }, leader: null },
   { type: 'settle-response', claimant: 'c', settled: true, leader: null },
