After a start of everything: members dial each other and stand for election at once; ended runs; explain's ranges

Change: members dial one another at the start; a replica that has heard no leader since its start asks for pre-votes after 0.1 to 0.4 election timeouts and again after 0.2 to 0.7 (pre-votes disturb no leader); a first sync is read for again for 250 ms before it is answered without a quorum; the first redial comes after 20 ms. An unused getter is gone.

--- a/src/cli/queries/request-explain.ts
+++ b/src/cli/queries/request-explain.ts
@@ -69,7 +69,7 @@
 function isRangeOf(line: LogLine, request: LogLine): boolean {
   const key = Number(request.fields.key ?? Number.NaN);
   const { service, from, to } = line.fields;
-  const isSame = service === request.fields.service || request.fields.service === undefined;
+  const isSame = service === request.fields.service;
   return line.event === 'range-changed' && isSame && Number(from) <= key && key <= Number(to);
 }
 
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -48,8 +48,15 @@
 const MICROS_PER_MILLI = 1000;
 const MAX_FIRST_FORWARD_ID = 0x3fffffff;
 
-/** Least time, as a share of the election timeout, that a replica waits for a leader after its start. */
-const FIRST_ELECTION_SHARE = 0.35;
+/** Between which shares of the election timeout an election is put off. */
+type ElectionShares = readonly [least: number, most: number];
+
+const USUAL_SHARES: ElectionShares = [1, 2];
+/** Right after the start of a replica, and again until it has heard a leader. */
+const FIRST_SHARES: ElectionShares = [0.1, 0.4];
+const STARTING_SHARES: ElectionShares = [0.2, 0.7];
+/** A start counts as over after so many election timeouts. */
+const STARTING_TIMEOUTS = 4;
 
 export class RaftState {
   readonly config: RaftConfig;
@@ -58,6 +65,7 @@
   readonly persistQueue = new PersistQueue();
   readonly #random;
   #nextForwardId: number;
+  readonly #startedAt: number;
 
   now: number;
   effects: RaftEffect[] = [];
@@ -99,7 +107,8 @@
     this.log = new RaftLog(this.commitIndex, snapshot?.lastTerm ?? 0, entries);
     this.stableIndex = this.log.lastIndex;
     this.memberships = MembershipHistory.restore(restored);
-    this.electionDeadline = this.now + this.#firstElectionMillis();
+    this.#startedAt = now;
+    this.electionDeadline = now + this.#between(FIRST_SHARES, config.electionTimeoutMillis);
   }
 
   get self(): ReplicaId {
@@ -177,21 +186,26 @@
     return id;
   }
 
-  /** The next election starts after one to two election timeouts without a leader. */
+  /** The next election starts after one to two election timeouts without a leader; sooner after a start. */
+  resetElectionDeadline(): void {
+    const { electionTimeoutMillis } = this.config;
+    this.electionDeadline = this.isStarting
+      ? this.now + this.#between(STARTING_SHARES, electionTimeoutMillis)
+      : this.now + this.#between(USUAL_SHARES, electionTimeoutMillis);
+  }
+
   /**
-   * A replica that was just started asks for votes sooner: where all were down, nobody leads. Where someone does, the
-   * others refuse the pre-vote and nothing is disturbed.
+   * A replica that was just started and has heard no leader yet: where all were down, nobody leads. Where someone does, the
+   * others refuse its pre-votes and nothing is disturbed.
    */
-  #firstElectionMillis(): number {
-    const { electionTimeoutMillis } = this.config;
-    const least = Math.ceil(electionTimeoutMillis * FIRST_ELECTION_SHARE);
-    return uniformInt(this.#random, least, Math.max(least, Math.ceil(electionTimeoutMillis)));
+  get isStarting(): boolean {
+    const hasHeardNone = this.leaderHeardAt === Number.NEGATIVE_INFINITY;
+    return hasHeardNone && this.now - this.#startedAt < STARTING_TIMEOUTS * this.config.electionTimeoutMillis;
   }
 
-  resetElectionDeadline(): void {
-    const { electionTimeoutMillis } = this.config;
-    const jitter = uniformInt(this.#random, 0, Math.max(0, Math.ceil(electionTimeoutMillis) - 1));
-    this.electionDeadline = this.now + electionTimeoutMillis + jitter;
+  #between([least, most]: ElectionShares, electionTimeoutMillis: number): number {
+    const from = Math.ceil(electionTimeoutMillis * least);
+    return uniformInt(this.#random, from, Math.max(from, Math.ceil(electionTimeoutMillis * most) - 1));
   }
 
   /** Whether a leader was heard so recently that no other can be needed. */
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -128,6 +128,7 @@
       health: () => ({ healthy: true, ...this.core.status() }),
       app: this.settings.createAdminApp?.(this) ?? null,
     });
+    this.peers.reconcile();
     this.reconcileTimer = setInterval(() => this.peers.reconcile(), RECONCILE_MILLIS);
     this.coreTask.start();
     this.joining.start();
--- a/src/control/daemon/peer-links.ts
+++ b/src/control/daemon/peer-links.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '../../logging/logger.js';
 import type { Address, ReplicaId } from '../../model/identifiers.js';
 import {
+  type BackoffTimings,
   FrameClient,
   type FrameConnection,
   raftCodecs,
@@ -12,6 +13,9 @@
 import { splitAppend } from './append-split.js';
 import { readPeerMessage } from './peer-message.js';
 
+/** Members that start together look for each other soon. */
+const PEER_BACKOFF: BackoffTimings = { firstMillis: 20, maxMillis: 500 };
+
 interface PeerLink {
   readonly address: Address;
   readonly client: FrameClient;
@@ -63,7 +67,7 @@
     }
   }
 
-  /** Drops links to replicas that left or moved. */
+  /** Drops links to replicas that left or moved, and dials the others: an election can't wait for a connection. */
   reconcile(): void {
     const addresses = this.options.addresses();
     for (const [replica, link] of this.links) {
@@ -72,6 +76,11 @@
         this.links.delete(replica);
       }
     }
+    for (const replica of Object.keys(addresses)) {
+      if (replica !== this.options.self && !this.links.has(replica)) {
+        this.dial(replica);
+      }
+    }
   }
 
   stop(): void {
@@ -98,6 +107,7 @@
       localAddress,
       identity,
       limits,
+      backoff: PEER_BACKOFF,
       onReady: (peer) => {
         peerName = peer.name;
         log.info('peer-connected', { peer: peer.name, address });
--- a/src/control/sync-reads.ts
+++ b/src/control/sync-reads.ts
@@ -9,6 +9,8 @@
 
 /** Shortest time between the beginnings of two reads; all syncs that come meanwhile share the next. */
 const READ_GAP_MILLIS = 20;
+/** A router that holds nothing yet is told that there is no quorum only after this: a leader may be elected just now. */
+const NO_QUORUM_MILLIS = 250;
 /** How long renewals gather. */
 const RENEWALS_GATHER_MILLIS = 100;
 
@@ -16,6 +18,7 @@
 export interface WaitingSync {
   readonly connection: ConnectionId;
   readonly request: SyncRequest;
+  readonly since: MonotonicMillis;
 }
 
 export interface SyncReadsParts {
@@ -41,13 +44,13 @@
   }
 
   /** Takes a sync; `isRenewal`: its router holds all that this member knows. */
-  add(sync: WaitingSync, isRenewal: boolean, now: MonotonicMillis): void {
+  add(sync: Omit<WaitingSync, 'since'>, isRenewal: boolean, now: MonotonicMillis): void {
     if (isRenewal) {
-      this.#renewals.set(sync.connection, sync);
+      this.#renewals.set(sync.connection, { ...sync, since: now });
       this.#renewalsAt = Math.min(this.#renewalsAt, now + RENEWALS_GATHER_MILLIS);
       return;
     }
-    this.#waiting.push(sync);
+    this.#waiting.push({ ...sync, since: now });
     this.run(now);
   }
 
@@ -57,7 +60,8 @@
       this.#readNow(now);
     }
     if (now >= this.#renewalsAt) {
-      this.#read(this.#takeRenewals(), true, now);
+      const renewals = this.#takeRenewals();
+      this.#parts.read(now, true, (confirmed) => this.#answer(renewals, confirmed));
     }
   }
 
@@ -77,8 +81,14 @@
     const batch = [...this.#waiting, ...this.#takeRenewals()];
     this.#waiting = [];
     this.#isReading = true;
-    this.#read(batch, false, now, (settledAt) => {
+    this.#parts.read(now, false, (confirmed, settledAt) => {
       this.#isReading = false;
+      const again = confirmed ? [] : batch.filter((sync) => mayBeConfirmedYet(sync, settledAt));
+      this.#waiting.push(...again);
+      this.#answer(
+        batch.filter((sync) => !again.includes(sync)),
+        confirmed,
+      );
       this.run(settledAt);
     });
   }
@@ -90,17 +100,13 @@
     return renewals;
   }
 
-  #read(
-    batch: readonly WaitingSync[],
-    mayWait: boolean,
-    now: MonotonicMillis,
-    settled: (now: MonotonicMillis) => void = () => {},
-  ): void {
-    this.#parts.read(now, mayWait, (confirmed, settledAt) => {
-      for (const sync of batch) {
-        this.#parts.answer(sync, confirmed);
-      }
-      settled(settledAt);
-    });
+  #answer(batch: readonly WaitingSync[], confirmed: boolean): void {
+    for (const sync of batch) {
+      this.#parts.answer(sync, confirmed);
+    }
   }
 }
+
+function mayBeConfirmedYet({ request, since }: WaitingSync, now: MonotonicMillis): boolean {
+  return request.have === 0 && now - since < NO_QUORUM_MILLIS;
+}
--- a/src/router/control-links.ts
+++ b/src/router/control-links.ts
@@ -26,7 +26,7 @@
 }
 
 /** Nothing is served without control, so a member that starts again is found soon. */
-const CONTROL_BACKOFF: BackoffTimings = { firstMillis: 50, maxMillis: 200 };
+const CONTROL_BACKOFF: BackoffTimings = { firstMillis: 20, maxMillis: 200 };
 
 /** How long a connection is kept after the last message to its member, and how often that is looked at. */
 const KEEP_MILLIS = 5000;
--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -66,6 +66,9 @@
     retryAfterMillis: number | null,
   ): void {
     const { now, random } = this.context;
+    if (refusal === 'other-incarnation' && upstream.isAnnounced) {
+      upstream.evidence.runEnded();
+    }
     if (refusal === 'draining') {
       upstream.evidence.refusedAsDraining(now);
     }
--- a/src/routing/early-requests.ts
+++ b/src/routing/early-requests.ts
@@ -26,10 +26,6 @@
     this.#context = context;
   }
 
-  get size(): number {
-    return this.#waiting.size;
-  }
-
   /** Lets a request wait; `false` if there is no room or time. */
   hold(request: ArrivedRequest): boolean {
     const { now, config } = this.#context;
--- a/src/routing/leaving-table.ts
+++ b/src/routing/leaving-table.ts
@@ -21,6 +21,8 @@
 /** The columns of the table. */
 export interface StandingFacts {
   readonly operatorLeaving: boolean;
+  /** Its address answered that another run is there: this one is over. */
+  readonly hasEnded: boolean;
   /** The upstream's own fence said `draining` lately, and nothing succeeded since. */
   readonly ownDraining: boolean;
   /** A request of this router's own succeeded lately. */
@@ -34,7 +36,7 @@
 /**
  * The table, first row that fits:
  *
- * | operator | own draining | platform or probe against it | own success | own unreachable | standing |
+ * | operator, or ended | own draining | platform or probe against it | own success | own unreachable | standing |
  * | yes      | -            | -                            | -           | -               | leaving  |
  * | no       | yes          | -                            | -           | -               | leaving  |
  * | no       | no           | yes, the platform            | no          | -               | last-resort |
@@ -47,7 +49,7 @@
  * really leaves says so itself.
  */
 export function standingOf(facts: StandingFacts): Standing {
-  if (facts.operatorLeaving || facts.ownDraining) {
+  if (facts.operatorLeaving || facts.hasEnded || facts.ownDraining) {
     return 'leaving';
   }
   if (facts.platformLeaving && !facts.ownSuccess) {
@@ -60,6 +62,7 @@
 /** Evidence about one upstream, with its age. */
 export class StandingEvidence {
   operatorLeaving = false;
+  private hasEnded = false;
   private successAt = Number.NEGATIVE_INFINITY;
   private drainingAt = Number.NEGATIVE_INFINITY;
   private unreachableAt = Number.NEGATIVE_INFINITY;
@@ -74,6 +77,11 @@
     this.drainingAt = now;
   }
 
+  /** Proof, for upstreams whose every run has an id of its own. */
+  runEnded(): void {
+    this.hasEnded = true;
+  }
+
   connectionFailed(now: number): void {
     this.unreachableAt = now;
   }
@@ -88,6 +96,7 @@
 
   /** A new incarnation: what was seen of the one before says nothing about it. */
   forget(): void {
+    this.hasEnded = false;
     this.successAt = Number.NEGATIVE_INFINITY;
     this.drainingAt = Number.NEGATIVE_INFINITY;
     this.unreachableAt = Number.NEGATIVE_INFINITY;
@@ -97,6 +106,7 @@
   standing(now: number): Standing {
     return standingOf({
       operatorLeaving: this.operatorLeaving,
+      hasEnded: this.hasEnded,
       ownDraining: now - this.drainingAt < FRESH_DRAINING_MILLIS && this.drainingAt >= this.successAt,
       ownSuccess: now - this.successAt < FRESH_SUCCESS_MILLIS,
       ownUnreachable:
--- a/test/consensus/cluster.test.ts
+++ b/test/consensus/cluster.test.ts
@@ -57,6 +57,44 @@
   });
 });
 
+const STARTS = 100;
+
+/** Times from a start of everything to a leader, the shortest first. */
+function timesToLeader(lost: readonly string[]): number[] {
+  const times: number[] = [];
+  for (let seed = 1; seed <= STARTS; seed += 1) {
+    const cluster = new TestCluster(seed, ['a', 'b', 'c']);
+    for (const name of lost) {
+      cluster.crash(name);
+    }
+    cluster.runUntil(() => cluster.leader !== undefined);
+    times.push(cluster.now);
+  }
+  return times.sort((one, other) => one - other);
+}
+
+describe('the first election', () => {
+  for (const lost of [[], ['c']]) {
+    it(`comes soon after a start of everything, ${lost.length} of 3 lost`, () => {
+      const times = timesToLeader(lost);
+      expect(times[STARTS / 2]).to.be.below(0.5 * ELECTION_TIMEOUT_MILLIS);
+      expect(times[STARTS - 1]).to.be.below(2 * ELECTION_TIMEOUT_MILLIS);
+    });
+  }
+
+  it('is not disturbed by a replica that starts later: the leader and its term stay', () => {
+    const { cluster, leader } = settled(9, ['a', 'b', 'c']);
+    const follower = ['a', 'b', 'c'].find((name) => name !== leader) as string;
+    const { term } = cluster.status(leader);
+    cluster.crash(follower);
+    cluster.runFor(50);
+    cluster.start(follower);
+    cluster.runFor(10 * ELECTION_TIMEOUT_MILLIS);
+    expect(cluster.leader).to.equal(leader);
+    expect(cluster.status(leader).term).to.equal(term);
+  });
+});
+
 function appendRequests(cluster: TestCluster): number {
   return cluster.sent.filter(({ type }) => type === 'append-request').length;
 }
--- a/test/control/sync-reads.test.ts
+++ b/test/control/sync-reads.test.ts
@@ -13,14 +13,14 @@
   });
 }
 
-function syncOf(connection: string): WaitingSync {
+function syncOf(connection: string, have = 1): Omit<WaitingSync, 'since'> {
   const request = {
     type: 'sync-request',
     router: connection,
     incarnation: 'i',
     zone: 'a',
     stamp: 0,
-    have: 1,
+    have,
   } as const;
   return { connection, request };
 }
@@ -52,6 +52,24 @@
     expect(syncs.nextDeadline()).to.equal(Number.POSITIVE_INFINITY);
   });
 
+  it('of a router that holds nothing are read for again for a moment without a quorum', () => {
+    const { syncs, begun, answered } = new Reads();
+    syncs.add(syncOf('r1', 0), false, 0);
+    begun[0]?.settle(false, 1);
+    expect(answered).to.deep.equal([]);
+    expect(syncs.nextDeadline()).to.equal(20);
+    syncs.run(20);
+    begun[1]?.settle(true, 22);
+    expect(answered).to.deep.equal(['r1 true']);
+  });
+
+  it('of a router that holds nothing are answered without a quorum too, after that moment', () => {
+    const { syncs, begun, answered } = new Reads();
+    syncs.add(syncOf('r1', 0), false, 0);
+    begun[0]?.settle(false, 250);
+    expect(answered).to.deep.equal(['r1 false']);
+  });
+
   it('take renewals along', () => {
     const { syncs, begun, answered } = new Reads();
     syncs.add(syncOf('r1'), true, 0);
