First tries to connect between daemons are short: a machine without power refuses nothing

Change: a try is given up after 200 ms at first, after twice as long each time it fails, up to the handshake's bound.

--- a/src/wire/frame-client.ts
+++ b/src/wire/frame-client.ts
@@ -11,8 +11,21 @@
   readonly maxMillis: number;
 }
 
+const MOST_DOUBLINGS = 20;
+
 export const DEFAULT_BACKOFF: BackoffTimings = { firstMillis: 50, maxMillis: 500 };
 
+/**
+ * A machine that has no power yet doesn't even refuse, and what was sent to it is sent again only after a second or more; so the
+ * first tries to connect are short.
+ */
+const FIRST_DIAL_MILLIS = 200;
+
+/** How long a connection may take to come up after so many failures in a row, in milliseconds. */
+export function dialMillis(failures: number, limits: Pick<WireLimits, 'handshakeMillis'>): number {
+  return Math.min(limits.handshakeMillis, FIRST_DIAL_MILLIS * 2 ** Math.min(failures, MOST_DOUBLINGS));
+}
+
 export interface FrameClientOptions {
   readonly address: Address;
   /** Own IP number from which the connection goes out; the system's choice if left out. */
@@ -60,7 +73,7 @@
     const { address, localAddress } = this.options;
     const socket = connect({ ...parseAddress(address), ...(localAddress && { localAddress }) });
     this.dialing = socket;
-    const dialTimer = setTimeout(() => socket.destroy(), this.options.limits.handshakeMillis);
+    const dialTimer = setTimeout(() => socket.destroy(), dialMillis(this.failures, this.options.limits));
     const failed = (reason: Error | null): void => {
       clearTimeout(dialTimer);
       this.lost(reason);
@@ -107,7 +120,7 @@
   private backoffMillis(): number {
     const { firstMillis, maxMillis } = this.options.backoff ?? DEFAULT_BACKOFF;
     const random = this.options.random ?? Math.random;
-    const full = Math.min(maxMillis, firstMillis * 2 ** Math.min(this.failures, 20));
+    const full = Math.min(maxMillis, firstMillis * 2 ** Math.min(this.failures, MOST_DOUBLINGS));
     return full / 2 + (random() * full) / 2;
   }
 }
