--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -237,7 +237,14 @@
   private scheduleWake(service: ServiceState): void {
     if (!service.wakeScheduled && service.lanes.length > 0) {
       service.wakeScheduled = true;
-      this.context.schedule(this.context.now + WAKE_MILLIS, { type: 'service-wake', service });
+      this.context.schedule(this.nextLook(service), { type: 'service-wake', service });
     }
   }
+
+  /** A while from now, or when the first pause of an upstream is over: what waits may not be able to wait longer. */
+  private nextLook(service: ServiceState): number {
+    const { now } = this.context;
+    const pauses = service.upstreams.map(({ pausedUntil }) => pausedUntil).filter((until) => until > now);
+    return Math.min(now + WAKE_MILLIS, ...pauses);
+  }
 }
--- a/test/routing/router-node.test.ts
+++ b/test/routing/router-node.test.ts
@@ -119,6 +119,20 @@
     expect(only(effects, 'send-control')[0]?.message).to.include({ type: 'sync-request', have: 0 });
   });
 
+  it('looks again as soon as the pause is over that an upstream asked for', () => {
+    const harness = new RouterHarness().start([service('web')], [upstream('u1', 'web')]);
+    harness.request('web');
+    const refused = { type: 'refused', refusal: 'overloaded', retryAfterMillis: 30 } as const;
+    harness.ended(lastAttempt(harness), refused);
+    const before = harness.now;
+    const sent = lastAttempt(harness);
+    while (lastAttempt(harness) === sent && harness.now < before + 200) {
+      harness.now = Math.max(harness.now + 1, harness.core.nextDeadline());
+      harness.step({ type: 'tick' });
+    }
+    expect(harness.now - before).to.be.within(30, 31);
+  });
+
   it('sends nothing to an upstream once the operator said that it leaves', () => {
     const harness = unkeyed();
     harness.change([{ type: 'upstream', id: 'u1', record: upstream('u1', 'web', { leaving: true }) }]);
