The control member of the own zone is preferred only once something was confirmed

Their own zone's member had lost its disk; they were connected to the others from 34.33 on, but each request out of turn turned back to the near one, which keeps a first sync waiting for 250 ms. Change: until something was confirmed, whoever is connected next is asked. Test: 'asks whoever is connected next' failed before.

--- a/src/routing/configuration-lease.ts
+++ b/src/routing/configuration-lease.ts
@@ -73,7 +73,8 @@
       this.members.leaveSilent(now);
       this.owedSince = null;
     }
-    if (this.owedSince === null) {
+    // Until something was confirmed, whoever can be reached is asked.
+    if (this.owedSince === null && this.confirmedAt !== null) {
       this.members.chooseNear(now);
     }
     const to = this.members.current;
--- a/test/routing/configuration-lease.test.ts
+++ b/test/routing/configuration-lease.test.ts
@@ -66,4 +66,15 @@
     lease.requestSync(430);
     expect(lease.takeSync(440)?.to).to.equal(MEMBERS[0]);
   });
+
+  it('asks whoever is connected next until something was confirmed, then the member of its zone', () => {
+    const lease = new ConfigurationLease(MEMBERS, TIMINGS, 0, 'serve', 'near');
+    lease.takeSync(0);
+    lease.memberConnected(MEMBERS[0] as string, 'near', 10);
+    expect(lease.takeSync(20)?.to).to.equal(MEMBERS[0]);
+    lease.memberConnected(MEMBERS[1] as string, 'far', 40);
+    expect(lease.takeSync(40)?.to).to.equal(MEMBERS[1]);
+    lease.answered(answer(40), 3, false, 45);
+    expect(lease.takeSync(440)?.to).to.equal(MEMBERS[0]);
+  });
 });
