--- a/src/control/admin/commands/announcement-routes.ts
+++ b/src/control/admin/commands/announcement-routes.ts
@@ -3,10 +3,12 @@
 import { z } from 'zod';
 import { addressSchema } from '../../../settings/addresses.js';
 import { formatAddress } from '../../../wire/address.js';
+import type { OperatorResponse } from '../../types.js';
 import type { AdminContext, AdminServices, AdminState } from '../admin-context.js';
 import { redirectToLeader } from '../leader-redirect.js';
 import { checkBody, readJson } from '../request-body.js';
 import { acceptedRevision, expectResponse } from '../responses.js';
+import { heldKeysFields, heldKeysOf } from './held-keys-schema.js';
 
 const OK = 200;
 const LONGEST_WARMUP_MILLIS = 3_600_000;
@@ -18,6 +20,7 @@
   slots: z.int({ error: 'expected a whole number' }).min(1, 'must be 1 or more'),
   state: z.enum(['ready', 'draining'], { error: 'expected ready or draining' }),
   warmupMillis: z.number().min(0).max(LONGEST_WARMUP_MILLIS).default(0),
+  ...heldKeysFields,
 });
 
 async function takeHeartbeat(context: AdminContext, services: AdminServices): Promise<void> {
@@ -27,12 +30,28 @@
   const announced = { slots, warmupMillis };
   const leaving = state === 'draining';
   const definition = { id, service, address, zone, mayHold: [], leaving, announced };
-  await answer(context, services, { type: 'announce', definition });
+  const response = await answer(context, services, {
+    type: 'announce',
+    definition,
+    report: heldKeysOf(body),
+  });
   if (context.status === OK) {
-    context.body = { heartbeatAddress: ownAddress(context) };
+    context.body = { heartbeatAddress: ownAddress(context), ...grantsOf(response) };
   }
 }
 
+/** What the upstream is to hold: rows of first key, last key, fence, and what was handed over or ''. */
+function grantsOf(response: OperatorResponse): object {
+  if (response.type !== 'heartbeat-taken' || response.keys === null) {
+    return {};
+  }
+  const { spans, holdMillis } = response.keys;
+  return {
+    holds: spans.map(({ from, to, fence, handover }) => [from, to, fence, handover ?? '']),
+    holdMillis,
+  };
+}
+
 async function takeWithdrawal(context: AdminContext, services: AdminServices): Promise<void> {
   const { id = '' } = context.params;
   await answer(context, services, { type: 'withdraw', upstream: id });
@@ -42,18 +61,19 @@
   context: AdminContext,
   services: AdminServices,
   request: Parameters<AdminServices['operate']>[0],
-): Promise<void> {
+): Promise<OperatorResponse> {
   const response = await services.operate(request);
   context.state.audit = { action: request.type, subject: subjectOf(request), requestId: '' };
   if (redirectToLeader(context, response)) {
     context.state.isRoutine = true;
-    return;
+    return response;
   }
-  context.state.isRoutine = response.type === 'done';
-  if (response.type !== 'done') {
+  context.state.isRoutine = response.type === 'heartbeat-taken';
+  if (response.type !== 'heartbeat-taken') {
     acceptedRevision(expectResponse(response, 'result').result, 'header');
   }
   context.body = {};
+  return response;
 }
 
 /** Where this member serves; the leader names itself, so that later heartbeats need no redirect. */
--- /dev/null
+++ b/src/control/admin/commands/held-keys-schema.ts
@@ -0,0 +1,79 @@
+/** What a heartbeat says of the keys that its upstream holds, as rows; checked whole before anything is taken in. */
+import { z } from 'zod';
+import type { HeldKeys } from '../../../model/held-keys.js';
+import { LARGEST_KEY } from '../../../model/key-range.js';
+
+/** Rows of one list: far more than an upstream is ever told to hold. */
+const MOST_ROWS = 1024;
+const LONGEST_HANDOVER = 256;
+
+const keySchema = z
+  .int({ error: 'expected a whole number' })
+  .min(0, 'must be 0 or more')
+  .max(LARGEST_KEY, `must be ${LARGEST_KEY} or less`);
+const fenceSchema = z.int({ error: 'expected a whole number' }).min(0, 'must be 0 or more');
+const handoverSchema = z.string({ error: 'expected text' }).max(LONGEST_HANDOVER);
+
+const heldRowSchema = z.tuple([keySchema, keySchema, fenceSchema]);
+const releasedRowSchema = z.tuple([keySchema, keySchema, handoverSchema.nullish()]);
+
+/** Fields of a heartbeat beside those that name the upstream. */
+export const heldKeysFields = {
+  sequence: z.int({ error: 'expected a whole number' }).min(0, 'must be 0 or more').optional(),
+  holds: z
+    .array(heldRowSchema)
+    .max(MOST_ROWS, `must be ${MOST_ROWS} rows or less`)
+    .superRefine(checkHeld)
+    .optional(),
+  released: z
+    .array(releasedRowSchema)
+    .max(MOST_ROWS, `must be ${MOST_ROWS} rows or less`)
+    .superRefine(checkOrder)
+    .optional(),
+};
+
+type Row = readonly [number, number, ...unknown[]];
+type HeldRow = z.output<typeof heldRowSchema>;
+
+interface HeldFields {
+  readonly sequence?: number | undefined;
+  readonly holds?: readonly HeldRow[] | undefined;
+  readonly released?: readonly z.output<typeof releasedRowSchema>[] | undefined;
+}
+
+/** What a heartbeat says of keys; `null` if it has no sequence, by which a late one would be known. */
+export function heldKeysOf({ sequence, holds = [], released = [] }: HeldFields): HeldKeys | null {
+  if (sequence === undefined) {
+    return null;
+  }
+  return {
+    sequence,
+    held: holds.map(([from, to, fence]) => ({ from, to, fence })),
+    released: released.map(([from, to, handover]) => ({ from, to, handover: handover || null })),
+  };
+}
+
+function checkOrder(rows: readonly Row[], context: z.RefinementCtx): void {
+  rows.forEach(([from, to], position) => {
+    if (to < from) {
+      context.addIssue({ code: 'custom', path: [position], message: `ends at ${to}, before it begins` });
+    }
+  });
+}
+
+/**
+ * Under one fence no two rows may share keys. Under two they may: an upstream that was told to hold keys under a new fence
+ * still works on them under the one before.
+ */
+function checkHeld(rows: readonly HeldRow[], context: z.RefinementCtx): void {
+  checkOrder(rows, context);
+  const placed = rows.map((row, position) => ({ row, position }));
+  placed.sort((one, other) => one.row[2] - other.row[2] || one.row[0] - other.row[0]);
+  placed.forEach(({ row, position }, place) => {
+    const before = placed[place - 1]?.row;
+    if (before !== undefined && before[2] === row[2] && row[0] <= before[1]) {
+      const message = `shares keys with the row of fence ${row[2]} that ends at ${before[1]}`;
+      context.addIssue({ code: 'custom', path: [position], message });
+    }
+  });
+}
--- a/src/control/admin/middlewares.ts
+++ b/src/control/admin/middlewares.ts
@@ -66,12 +66,15 @@
     const from = context.ip;
     let outcome = 'failed';
     let revision: number | null = null;
+    let problem: string | null = null;
     try {
       await next();
       outcome = 'accepted';
       revision = (context.body as { revision?: number } | undefined)?.revision ?? null;
     } catch (thrown) {
-      outcome = toAdminError(thrown).adminCode;
+      const error = toAdminError(thrown);
+      outcome = error.adminCode;
+      problem = error.message;
       throw thrown;
     } finally {
       const { operator, audit, isRoutine = false } = context.state;
@@ -86,6 +89,7 @@
           requestId: audit?.requestId ?? null,
           outcome,
           revision,
+          problem,
         });
       }
     }
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -99,7 +99,8 @@
       answer,
       membership: this.#membership,
       status: (now) => controlStatus(this.#statusSource(now), now),
-      heard: (upstream, now) => this.#leader?.upstreamHeard(upstream, now),
+      heard: (upstream, report, answer, now) =>
+        this.#leader === null ? answer(null, now) : this.#leader.upstreamHeard(upstream, report, answer, now),
       takeSnapshot: (now, taken) => this.#snapshots.request(now, taken),
     });
     this.#routers = new RouterRequests({
@@ -175,7 +176,7 @@
       this.#leaderId = leader;
       this.#leaderSince = now;
     }
-    this.#leader?.end();
+    this.#leader?.end(now);
     this.#leader = role === 'leader' ? this.#beginLeadership(now) : null;
     this.#membership.roleChanged(now);
   }
--- a/src/control/daemon/holder-calls.ts
+++ b/src/control/daemon/holder-calls.ts
@@ -1,10 +1,17 @@
 /** Task that carries calls to upstreams which take plain grants. A call without an answer has its connection reset. */
 import { Agent, type IncomingMessage, request } from 'node:http';
-import type { Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import type { Logger } from '../../logging/logger.js';
 import type { HolderProtocol } from '../../model/holder-protocol.js';
 import { parseAddress } from '../../wire/address.js';
-import type { HolderCall, HolderCallId, HolderOutcome } from '../ranges/holder-call.js';
+import type {
+  CheckCall,
+  GrantCall,
+  HolderCall,
+  HolderCallId,
+  HolderOutcome,
+  ReleaseCall,
+} from '../ranges/holder-call.js';
 
 export interface HolderCallsOptions {
   readonly protocol: HolderProtocol;
@@ -35,6 +42,32 @@
 
   /** Makes a call; `ended` is told once how it ended. */
   call(call: HolderCall): void {
+    if (call.kind === 'check') {
+      this.check(call);
+    } else {
+      this.send(call);
+    }
+  }
+
+  /** Connects and closes again. Only a refused connection proves anything. */
+  private check(call: CheckCall): void {
+    const { grantMillis, localAddress } = this.options;
+    const { host, port } = parseAddress(call.address);
+    const socket = connect({ host, port, ...(localAddress && { localAddress }) });
+    let isOver = false;
+    const end = (outcome: HolderOutcome): void => {
+      if (!isOver) {
+        isOver = true;
+        socket.destroy();
+        this.report(call, outcome);
+      }
+    };
+    socket.setTimeout(grantMillis, () => end({ type: 'not-sent' }));
+    socket.on('connect', () => end({ type: 'accepted', handover: null }));
+    socket.on('error', (error: NodeJS.ErrnoException) => end(failureOf(error, false)));
+  }
+
+  private send(call: GrantCall | ReleaseCall): void {
     const { protocol, grantMillis, releaseMillis, localAddress } = this.options;
     const isGrant = call.kind === 'grant';
     const { host, port } = parseAddress(call.address);
@@ -107,7 +140,7 @@
   private report(call: HolderCall, outcome: HolderOutcome): void {
     const { kind, upstream, from, to, fence } = call;
     const fields = { kind, upstream, from, to, fence, outcome };
-    if (outcome.type === 'accepted' && kind === 'grant') {
+    if (outcome.type === 'accepted' && kind !== 'release') {
       this.options.log.sample('holder-call-ended', () => fields);
     } else {
       this.options.log.info('holder-call-ended', fields);
@@ -116,7 +149,7 @@
   }
 }
 
-function bodyOf(call: HolderCall): object {
+function bodyOf(call: GrantCall | ReleaseCall): object {
   const { from, to, fence } = call;
   if (call.kind === 'release') {
     return { from, to, fence };
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -7,6 +7,7 @@
 import { LeaseGranter } from '../lease/lease-granter.js';
 import { DEFAULT_RANGE_TIMINGS } from '../lease/range-timings.js';
 import type { SessionAnswer } from '../lease/types.js';
+import type { HeldKeys } from '../model/held-keys.js';
 import type { MonotonicMillis, Term, UpstreamId } from '../model/identifiers.js';
 import type { LeaderCommand, RegistryChange } from '../registry/types.js';
 import { LeaderProposals } from './leader-proposals.js';
@@ -14,6 +15,7 @@
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
 import type { HolderCall, HolderCallId, HolderOutcome } from './ranges/holder-call.js';
+import type { AnswerHeartbeat } from './ranges/open-heartbeats.js';
 import { type LogRanges, RangeCoordinator } from './ranges/range-coordinator.js';
 import type { ServiceMeasures } from './service-measures.js';
 import { ShardCoordinator } from './shard-coordinator.js';
@@ -87,8 +89,9 @@
   }
 
   /** The leadership is over: answers that still come to this object change nothing. */
-  end(): void {
+  end(now: MonotonicMillis): void {
     this.#isOver = true;
+    this.#ranges.end(now);
   }
 
   /** Routing data changed. */
@@ -106,9 +109,18 @@
     }
   }
 
-  /** A heartbeat of an upstream came. */
-  upstreamHeard(upstream: UpstreamId, now: MonotonicMillis): void {
-    this.#ranges.heard(upstream, now);
+  /** A heartbeat of an upstream came; `answer` is told once what it renews. */
+  upstreamHeard(
+    upstream: UpstreamId,
+    report: HeldKeys | null,
+    answer: AnswerHeartbeat,
+    now: MonotonicMillis,
+  ): void {
+    if (this.#isReady) {
+      this.#ranges.heard(upstream, report, answer, now);
+    } else {
+      answer(null, now);
+    }
   }
 
   /** A call to an upstream that takes plain grants ended. */
--- a/src/control/operator-requests.ts
+++ b/src/control/operator-requests.ts
@@ -1,5 +1,6 @@
 /** Operators' requests: commands go through the log, queries are linearizable reads. */
 import { longestLeaseMillis } from '../lease/lease-bound.js';
+import type { HeldKeys } from '../model/held-keys.js';
 import type { MonotonicMillis, UpstreamId } from '../model/identifiers.js';
 import type { UpstreamDefinition } from '../model/service.js';
 import type { AnnouncementCommand, CommandResult, DeclarationChange } from '../registry/types.js';
@@ -7,6 +8,7 @@
 import type { ProposalOutcome } from './pending-proposals.js';
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
+import type { AnswerHeartbeat } from './ranges/open-heartbeats.js';
 import { findShards } from './shard-query.js';
 import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
 
@@ -17,11 +19,18 @@
   readonly membership: MembershipChanges;
   readonly answer: (operation: OperationId, response: OperatorResponse) => void;
   readonly status: (now: MonotonicMillis) => OperatorResponse;
-  /** A heartbeat of an upstream came. */
-  readonly heard: (upstream: UpstreamId, now: MonotonicMillis) => void;
+  /** A heartbeat of an upstream came to the leader; `answer` is told once what it renews. */
+  readonly heard: (
+    upstream: UpstreamId,
+    report: HeldKeys | null,
+    answer: AnswerHeartbeat,
+    now: MonotonicMillis,
+  ) => void;
   readonly takeSnapshot: (now: MonotonicMillis, taken: () => void) => void;
 }
 
+type AnnounceRequest = Extract<OperatorRequest, { readonly type: 'announce' }>;
+type WithdrawCommand = Extract<AnnouncementCommand, { readonly type: 'upstream-withdraw' }>;
 type CommandRequest = Extract<OperatorRequest, { readonly type: 'command' }>;
 type QueryRequest = Extract<
   OperatorRequest,
@@ -60,7 +69,7 @@
         this.#change(operation, request.change, request.actor);
         break;
       case 'announce':
-        this.#announce(operation, request.definition, now);
+        this.#announce(operation, request, now);
         break;
       case 'withdraw':
         this.#change(operation, { type: 'upstream-withdraw', upstream: request.upstream }, request.upstream);
@@ -107,23 +116,44 @@
   }
 
   /** A change that is safe to send again: it needs no entry in the table of request ids. */
-  #change(operation: OperationId, command: DeclarationChange | AnnouncementCommand, actor: string): void {
+  #change(operation: OperationId, command: DeclarationChange | WithdrawCommand, actor: string): void {
     const settle = (outcome: ProposalOutcome): void =>
       this.#parts.answer(operation, this.#responseTo(outcome));
     this.#parts.propose(command, settle, { actor, requestId: null });
   }
 
   /** Most heartbeats say what is known; only news goes through the log. */
-  #announce(operation: OperationId, definition: UpstreamDefinition, now: MonotonicMillis): void {
-    const { raft, answer, heard } = this.#parts;
-    heard(definition.id, now);
+  #announce(operation: OperationId, { definition, report }: AnnounceRequest, now: MonotonicMillis): void {
+    const { raft, answer } = this.#parts;
     if (!this.#isNews(definition)) {
       const leader = raft.leaderAddress();
-      const isElsewhere = !raft.isLeader() && leader !== null;
-      answer(operation, isElsewhere ? { type: 'not-leader', leader } : { type: 'done' });
+      if (!raft.isLeader() && leader !== null) {
+        answer(operation, { type: 'not-leader', leader });
+        return;
+      }
+      this.#takeHeartbeat(operation, definition.id, report, now);
       return;
     }
-    this.#change(operation, { type: 'upstream-announce', definition }, definition.id);
+    const settle = (outcome: ProposalOutcome, settledAt: MonotonicMillis): void => {
+      const isTaken = outcome.type === 'applied' && outcome.result.type === 'accepted';
+      if (isTaken) {
+        this.#takeHeartbeat(operation, definition.id, report, settledAt);
+      } else {
+        answer(operation, this.#responseTo(outcome));
+      }
+    };
+    const command = { type: 'upstream-announce', definition } as const;
+    this.#parts.propose(command, settle, { actor: definition.id, requestId: null });
+  }
+
+  #takeHeartbeat(
+    operation: OperationId,
+    upstream: UpstreamId,
+    report: HeldKeys | null,
+    now: MonotonicMillis,
+  ): void {
+    const { heard, answer } = this.#parts;
+    heard(upstream, report, (keys) => answer(operation, { type: 'heartbeat-taken', keys }), now);
   }
 
   #isNews({ id, leaving }: UpstreamDefinition): boolean {
--- /dev/null
+++ b/src/control/ranges/heartbeat-carrier.ts
@@ -0,0 +1,228 @@
+/**
+ * Grants of ranges that ride on the answers to their owners' heartbeats. Keys are taken off an owner, or given to one, only
+ * while a heartbeat of it waits for its answer: so the registry says nothing of a new owner that this one learns much later.
+ */
+import type { RangeTimings } from '../../lease/range-timings.js';
+import type { GrantedKeys, GrantedSpan, HeldKeys } from '../../model/held-keys.js';
+import type { MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
+import type { KeyRange } from '../../model/key-range.js';
+import type { PlannedSpan } from '../../placement/ranges/range-planner.js';
+import type { HeartbeatHolders } from './heartbeat-holders.js';
+import type { HolderCall, HolderOutcome } from './holder-call.js';
+import { type AnswerHeartbeat, OpenHeartbeats } from './open-heartbeats.js';
+import type { RangeCarrier, RangeCarrierParts, WantedCall } from './range-carrier.js';
+import type { ReleasedPiece } from './range-releases.js';
+import { ToldGrants } from './told-grants.js';
+
+/** What an owner takes to let go of keys and say so, as the wait of their next owner's heartbeat allows for it. */
+const RELEASE_MILLIS = 250;
+/** An owner whose heartbeat is later than this, as a factor on the usual time between two, is checked. */
+const OVERDUE_FACTOR = 1.25;
+/** Time between two checks of one address. */
+const CHECK_GAP_MILLIS = 250;
+/** Bytes of an answer that grants may take; its reader takes 4 KiB. */
+const MOST_GRANT_BYTES = 3800;
+/** Bytes that one grant takes at most beside its handover. */
+const GRANT_BYTES = 36;
+
+/** A planned move with the owner that gives it up. */
+export interface WantedMove extends PlannedSpan {
+  readonly owner: UpstreamId;
+}
+
+export interface HeartbeatCarrierParts extends RangeCarrierParts {
+  readonly holders: HeartbeatHolders;
+  readonly timings: RangeTimings;
+  /** Moves that wait for a good moment. */
+  readonly wanted: () => readonly WantedMove[];
+}
+
+export class HeartbeatCarrier implements RangeCarrier {
+  readonly #parts: HeartbeatCarrierParts;
+  readonly #open: OpenHeartbeats;
+  readonly #told = new ToldGrants();
+  readonly #checkAt = new Map<UpstreamId, MonotonicMillis>();
+  /** For each piece without owner, the last heartbeat whose answer may have named it. */
+  readonly #namedUntil = new WeakMap<ReleasedPiece, number>();
+
+  constructor(parts: HeartbeatCarrierParts) {
+    this.#parts = parts;
+    this.#open = new OpenHeartbeats(parts.timings.heartbeatMillis);
+  }
+
+  /** A heartbeat came. One that came late is answered at once and renews nothing. */
+  take(upstream: UpstreamId, report: HeldKeys, answer: AnswerHeartbeat, now: MonotonicMillis): void {
+    if (!this.#parts.holders.heard(upstream, report, now)) {
+      answer(null, now);
+      return;
+    }
+    this.#told.shown(this.#ownedBy(upstream), report);
+    this.#open.open(upstream, answer, now);
+  }
+
+  /** Answers the heartbeats that wait for nothing; `isDeciding`: a change of owners is under way, which all wait for. */
+  answerDue(isDeciding: boolean, now: MonotonicMillis): GrantedAnswer[] {
+    const due = this.#open.upstreams().filter((upstream) => !this.#mustWait(upstream, isDeciding, now));
+    return due.map((upstream) => {
+      const keys = this.#keysOf(upstream);
+      if (keys !== null) {
+        this.#parts.holders.granted(upstream, now);
+      }
+      this.#open.close(upstream, keys, now);
+      const sequence = this.#parts.holders.latest(upstream)?.sequence ?? null;
+      return { upstream, sequence, keys };
+    });
+  }
+
+  /** This leadership is over: what is open renews nothing. */
+  end(now: MonotonicMillis): void {
+    for (const upstream of this.#open.upstreams()) {
+      this.#open.close(upstream, null, now);
+    }
+  }
+
+  canTell(upstream: UpstreamId): boolean {
+    return this.#open.has(upstream);
+  }
+
+  /** The target's heartbeat should wait already, unless it comes too late for that. */
+  canMove(owner: UpstreamId, target: UpstreamId, now: MonotonicMillis): boolean {
+    const isTargetSoon = this.#open.isExpected(target, this.#open.patienceOf(owner, now), now);
+    return this.#open.has(owner) && (this.#open.has(target) || !isTargetSoon);
+  }
+
+  isLost(owner: UpstreamId, now: MonotonicMillis): boolean {
+    return this.#parts.holders.isLost(owner, now);
+  }
+
+  isRefused(range: KeyRange): boolean {
+    return this.#told.isRefused(range);
+  }
+
+  isFree(piece: ReleasedPiece, { former }: KeyRange, now: MonotonicMillis): boolean {
+    if (former === null) {
+      return true;
+    }
+    const { holders } = this.#parts;
+    const afterSequence = this.#namedUntil.get(piece) ?? holders.grantedSequence(former);
+    this.#namedUntil.set(piece, afterSequence);
+    piece.isReleased ||= holders.isFree(former, piece, { since: piece.since, afterSequence }, now);
+    return piece.isReleased;
+  }
+
+  passOn(piece: ReleasedPiece, { former }: KeyRange): void {
+    const handover = former === null ? null : this.#parts.holders.handoverOf(former, piece);
+    this.#told.handOver(piece, handover);
+  }
+
+  keepOnly(ranges: readonly KeyRange[]): void {
+    this.#told.keepOnly(ranges);
+    const isKnown = (upstream: UpstreamId): boolean => this.#parts.record(upstream) !== undefined;
+    this.#open.keepOnly(isKnown);
+    this.#parts.holders.keepOnly(isKnown);
+  }
+
+  /** Connects to owners whose heartbeats are overdue: if nothing listens there, their run is over. */
+  takeCalls(now: MonotonicMillis): WantedCall[] {
+    return [...this.#heldBy()].flatMap(([upstream, { from, to, fence }]) => {
+      const record = this.#parts.record(upstream);
+      if (record === undefined || now < this.#nextCheckOf(upstream)) {
+        return [];
+      }
+      this.#checkAt.set(upstream, now + CHECK_GAP_MILLIS);
+      const { address } = record.definition;
+      return [{ kind: 'check', upstream, address, from, to, fence }];
+    });
+  }
+
+  callEnded({ kind, upstream }: HolderCall, outcome: HolderOutcome, now: MonotonicMillis): void {
+    const isStillOverdue = now >= this.#overdueAt(upstream);
+    if (kind === 'check' && outcome.type === 'ended' && isStillOverdue) {
+      this.#parts.holders.ended(upstream);
+    }
+  }
+
+  nextDeadline(): MonotonicMillis {
+    const checks = [...this.#heldBy().keys()].map((upstream) => this.#nextCheckOf(upstream));
+    return Math.min(this.#open.nextDeadline(), ...checks);
+  }
+
+  #overdueAt(upstream: UpstreamId): MonotonicMillis {
+    const { holders, timings } = this.#parts;
+    return holders.heardAt(upstream) + timings.heartbeatMillis * OVERDUE_FACTOR;
+  }
+
+  #nextCheckOf(upstream: UpstreamId): MonotonicMillis {
+    if (this.#parts.holders.hasEnded(upstream)) {
+      return Number.POSITIVE_INFINITY;
+    }
+    return Math.max(this.#overdueAt(upstream), this.#checkAt.get(upstream) ?? Number.NEGATIVE_INFINITY);
+  }
+
+  /** Upstreams that may hold keys, each with one of its ranges. */
+  #heldBy(): Map<UpstreamId, KeyRange> {
+    const holding = new Map<UpstreamId, KeyRange>();
+    for (const range of this.#parts.ranges()) {
+      const upstream = range.owner ?? range.former;
+      if (upstream !== null) {
+        holding.set(upstream, range);
+      }
+    }
+    return holding;
+  }
+
+  #ownedBy(upstream: UpstreamId): KeyRange[] {
+    return this.#parts.ranges().filter(({ owner }) => owner === upstream);
+  }
+
+  /**
+   * A heartbeat waits while keys are on their way to its upstream, or soon will be, and while the upstream that is to get
+   * keys of this one is expected. One that lets go of keys says so in its next heartbeat, so it is answered at once.
+   */
+  #mustWait(upstream: UpstreamId, isDeciding: boolean, now: MonotonicMillis): boolean {
+    const patience = this.#open.patienceOf(upstream, now);
+    if (patience === 0 || isDeciding) {
+      return patience > 0;
+    }
+    const pieces = this.#parts.releases.open();
+    if (pieces.some(({ former, isReleased }) => former === upstream && !isReleased)) {
+      return false;
+    }
+    const isReceiving = pieces.some(({ target }) => target === upstream);
+    return isReceiving || this.#parts.wanted().some((move) => this.#waitsFor(move, upstream, patience, now));
+  }
+
+  #waitsFor(move: WantedMove, upstream: UpstreamId, patience: number, now: MonotonicMillis): boolean {
+    if (move.target === upstream) {
+      const isOwnerOpen = this.#open.has(move.owner);
+      return isOwnerOpen || this.#open.isExpected(move.owner, patience - RELEASE_MILLIS, now);
+    }
+    const isTargetLate = !this.#open.has(move.target) && this.#open.isExpected(move.target, patience, now);
+    return move.owner === upstream && isTargetLate;
+  }
+
+  /** All that an upstream is to hold; `null`: it isn't known any more. */
+  #keysOf(upstream: UpstreamId): GrantedKeys | null {
+    if (this.#parts.record(upstream) === undefined) {
+      return null;
+    }
+    const owned = this.#ownedBy(upstream).filter((range) => !this.#parts.isBeingTaken(range));
+    let bytes = 0;
+    const spans: GrantedSpan[] = [];
+    for (const range of owned) {
+      const handover = this.#told.tell(range);
+      bytes += GRANT_BYTES + (handover?.length ?? 0);
+      if (bytes <= MOST_GRANT_BYTES) {
+        spans.push({ from: range.from, to: range.to, fence: range.fence, handover });
+      }
+    }
+    return { spans, holdMillis: this.#parts.timings.holdMillis };
+  }
+}
+
+/** What one heartbeat was answered; `null`: nothing was renewed. */
+export interface GrantedAnswer {
+  readonly upstream: UpstreamId;
+  readonly sequence: number | null;
+  readonly keys: GrantedKeys | null;
+}
--- /dev/null
+++ b/src/control/ranges/heartbeat-holders.ts
@@ -0,0 +1,159 @@
+/**
+ * What a leader knows of upstreams that hold ranges by the answers to their heartbeats.
+ *
+ * What an answer gives counts from when its heartbeat was sent, so it ends at the latest one longest hold after the answer was
+ * decided, however late it arrives. An upstream makes one call at a time and waits for its answer or gives it up first. So
+ * what a heartbeat says was true after all answers to earlier ones were taken or dropped.
+ */
+import {
+  DEPOSED_GRANTER_MILLIS,
+  longestHoldMillis,
+  type TimedGrantTimings,
+} from '../../lease/timed-grants.js';
+import type { HeldKeys, ReleasedSpan } from '../../model/held-keys.js';
+import type { MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
+import type { KeySpan } from '../../model/key-range.js';
+
+/** Releases remembered for each upstream; one that is forgotten costs its next owner some warmth. */
+const RELEASES_REMEMBERED = 64;
+
+interface Holder {
+  /** The latest heartbeat in order; `null`: none in this leadership. */
+  latest: HeldKeys | null;
+  /** Heartbeats heard in order in this leadership. */
+  heard: number;
+  heardAt: MonotonicMillis;
+  /** Sequence of the latest heartbeat whose answer gave keys. */
+  grantedSequence: number;
+  /** When the latest answer that gave keys was decided, by any leader. */
+  grantedAt: MonotonicMillis;
+  hasEnded: boolean;
+  /** Oldest first. */
+  releases: ReleasedSpan[];
+}
+
+export class HeartbeatHolders {
+  readonly #holders = new Map<UpstreamId, Holder>();
+
+  /**
+   * `since`: when this leadership began, or this way of granting. `foreignUntil`: until then upstreams may take or hold keys
+   * by calls, of which heartbeats prove nothing.
+   */
+  constructor(
+    private readonly timings: TimedGrantTimings,
+    private readonly since: MonotonicMillis,
+    private readonly foreignUntil: MonotonicMillis = Number.NEGATIVE_INFINITY,
+  ) {}
+
+  /** Takes in a heartbeat. `false`: it came late, a later one was heard before, so it says nothing of now. */
+  heard(upstream: UpstreamId, report: HeldKeys, now: MonotonicMillis): boolean {
+    const holder = this.#of(upstream);
+    if (holder.latest !== null && report.sequence <= holder.latest.sequence) {
+      return false;
+    }
+    holder.latest = report;
+    holder.heard += 1;
+    holder.heardAt = now;
+    holder.hasEnded = false;
+    holder.releases = [...holder.releases, ...report.released].slice(-RELEASES_REMEMBERED);
+    return true;
+  }
+
+  /** An answer that gives keys is decided now, for the latest heartbeat. */
+  granted(upstream: UpstreamId, now: MonotonicMillis): void {
+    const holder = this.#of(upstream);
+    holder.grantedAt = Math.max(holder.grantedAt, now);
+    holder.grantedSequence = holder.latest?.sequence ?? holder.grantedSequence;
+  }
+
+  /** Nothing listens at its address any more: the run is over. */
+  ended(upstream: UpstreamId): void {
+    this.#of(upstream).hasEnded = true;
+  }
+
+  hasEnded(upstream: UpstreamId): boolean {
+    return this.#holders.get(upstream)?.hasEnded ?? false;
+  }
+
+  /** When it was heard last, or this leadership began. */
+  heardAt(upstream: UpstreamId): MonotonicMillis {
+    return this.#holders.get(upstream)?.heardAt ?? this.since;
+  }
+
+  /** Whether an owner can hold nothing any more. */
+  isLost(upstream: UpstreamId, now: MonotonicMillis): boolean {
+    return this.hasEnded(upstream) || now >= this.#boundOf(this.#of(upstream).grantedAt);
+  }
+
+  /** Sequence of the latest heartbeat whose answer gave keys; what was given then shows in later ones. */
+  grantedSequence(upstream: UpstreamId): number {
+    return this.#of(upstream).grantedSequence;
+  }
+
+  /** The latest heartbeat in order; `null`: none in this leadership. */
+  latest(upstream: UpstreamId): HeldKeys | null {
+    return this.#holders.get(upstream)?.latest ?? null;
+  }
+
+  /**
+   * Whether keys that are given to nobody since `since` are free of the owner before: it said so after the answer to the
+   * heartbeat `afterSequence`, the last one that may have named them, or no answer holds that long. The first heartbeat
+   * that a leader hears of an upstream proves nothing: it may be late, and the leader before may have answered a later one.
+   */
+  isFree(
+    former: UpstreamId,
+    span: KeySpan,
+    { since, afterSequence }: { readonly since: MonotonicMillis; readonly afterSequence: number },
+    now: MonotonicMillis,
+  ): boolean {
+    const { latest, heard, hasEnded } = this.#of(former);
+    if (hasEnded || now >= this.#boundOf(Math.max(since, this.since + DEPOSED_GRANTER_MILLIS))) {
+      return true;
+    }
+    const isEvidence = latest !== null && heard > 1 && latest.sequence > afterSequence;
+    return isEvidence && now >= this.foreignUntil && !latest.held.some((held) => overlaps(held, span));
+  }
+
+  /** What an upstream handed over with keys that it let go of; `null`: nothing that is known. */
+  handoverOf(former: UpstreamId, span: KeySpan): string | null {
+    const releases = this.#holders.get(former)?.releases ?? [];
+    const release = releases.findLast(({ from, to }) => from <= span.from && span.to <= to);
+    return (release ?? releases.findLast((released) => overlaps(released, span)))?.handover ?? null;
+  }
+
+  /** Forgets upstreams that are gone for good. */
+  keepOnly(isKnown: (upstream: UpstreamId) => boolean): void {
+    for (const upstream of this.#holders.keys()) {
+      if (!isKnown(upstream)) {
+        this.#holders.delete(upstream);
+      }
+    }
+  }
+
+  /** The latest time at which what an answer gave at `grantedAt` can be held. */
+  #boundOf(grantedAt: MonotonicMillis): MonotonicMillis {
+    return Math.max(this.foreignUntil, grantedAt + longestHoldMillis(this.timings));
+  }
+
+  #of(upstream: UpstreamId): Holder {
+    const known = this.#holders.get(upstream);
+    if (known !== undefined) {
+      return known;
+    }
+    const made: Holder = {
+      latest: null,
+      heard: 0,
+      heardAt: this.since,
+      grantedSequence: Number.NEGATIVE_INFINITY,
+      grantedAt: this.since + DEPOSED_GRANTER_MILLIS,
+      hasEnded: false,
+      releases: [],
+    };
+    this.#holders.set(upstream, made);
+    return made;
+  }
+}
+
+function overlaps(one: KeySpan, other: KeySpan): boolean {
+  return one.from <= other.to && other.from <= one.to;
+}
--- a/src/control/ranges/holder-call.ts
+++ b/src/control/ranges/holder-call.ts
@@ -25,7 +25,12 @@
   readonly kind: 'release';
 }
 
-export type HolderCall = GrantCall | ReleaseCall;
+/** Only connects: whether anything listens at the address of an upstream whose heartbeats stopped. */
+export interface CheckCall extends HolderCallBase {
+  readonly kind: 'check';
+}
+
+export type HolderCall = GrantCall | ReleaseCall | CheckCall;
 
 /** How a call ended. */
 export type HolderOutcome =
--- a/src/control/ranges/holder-table.ts
+++ b/src/control/ranges/holder-table.ts
@@ -89,6 +89,11 @@
     return this.#of(upstream).heardAt;
   }
 
+  /** It may hold keys until then by other ways than calls. */
+  holdUntil(upstream: UpstreamId, end: MonotonicMillis): void {
+    this.#of(upstream).history.holdUntil(end);
+  }
+
   /** It is gone for good. */
   drop(upstream: UpstreamId): void {
     this.#holders.delete(upstream);
--- /dev/null
+++ b/src/control/ranges/range-carrier.ts
@@ -0,0 +1,40 @@
+/** How the ranges of one service reach their owners and come back from them. */
+import type { MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
+import type { KeyRange, KeySpan } from '../../model/key-range.js';
+import type { UpstreamRecord } from '../../registry/types.js';
+import type { CheckCall, GrantCall, HolderCall, HolderOutcome, ReleaseCall } from './holder-call.js';
+import type { RangeReleases, ReleasedPiece } from './range-releases.js';
+
+/** A call without its number. */
+export type WantedCall = Omit<GrantCall, 'id'> | Omit<ReleaseCall, 'id'> | Omit<CheckCall, 'id'>;
+
+/** What carriers see of the service. */
+export interface RangeCarrierParts {
+  readonly ranges: () => readonly KeyRange[];
+  readonly record: (upstream: UpstreamId) => UpstreamRecord | undefined;
+  /** Pieces on their way to the next owner. */
+  readonly releases: RangeReleases;
+  /** Whether a change that takes keys of a span off their owner is proposed. */
+  readonly isBeingTaken: (span: KeySpan) => boolean;
+}
+
+export interface RangeCarrier {
+  /** Whether an upstream can be told at once that keys are its own. */
+  canTell(upstream: UpstreamId, now: MonotonicMillis): boolean;
+  /** Whether it is a good moment to take keys off an owner and give them to a target. */
+  canMove(owner: UpstreamId, target: UpstreamId, now: MonotonicMillis): boolean;
+  /** Whether an owner's run is over, or it can hold nothing any more. */
+  isLost(owner: UpstreamId, now: MonotonicMillis): boolean;
+  /** Whether an owner doesn't take a range under its fence. */
+  isRefused(range: KeyRange): boolean;
+  /** Whether the owner before can hold a piece no more. */
+  isFree(piece: ReleasedPiece, range: KeyRange, now: MonotonicMillis): boolean;
+  /** A free piece gets its next owner: what the one before handed over goes with it. */
+  passOn(piece: ReleasedPiece, range: KeyRange): void;
+  /** Drops what is known of ranges that don't stand any more. */
+  keepOnly(ranges: readonly KeyRange[]): void;
+  /** Calls that are due now. */
+  takeCalls(now: MonotonicMillis): WantedCall[];
+  callEnded(call: HolderCall, outcome: HolderOutcome, now: MonotonicMillis): void;
+  nextDeadline(): MonotonicMillis;
+}
--- a/src/control/ranges/range-coordinator.ts
+++ b/src/control/ranges/range-coordinator.ts
@@ -3,6 +3,7 @@
  * upstreams are forgotten. A call goes out only while a quorum has confirmed this leadership a moment ago.
  */
 import type { RangeTimings } from '../../lease/range-timings.js';
+import type { HeldKeys } from '../../model/held-keys.js';
 import {
   type MonotonicMillis,
   parseShardId,
@@ -15,7 +16,10 @@
 import type { ProposeCommand } from '../propose-command.js';
 import type { HolderCall, HolderCallId, HolderOutcome } from './holder-call.js';
 import { HolderTable } from './holder-table.js';
-import { RangeService, type WantedCall } from './range-service.js';
+import type { AnswerHeartbeat } from './open-heartbeats.js';
+import type { WantedCall } from './range-carrier.js';
+import type { RangeService } from './range-service.js';
+import { makeRangeService, type ServiceInCharge, termsOf } from './service-in-charge.js';
 
 /** A confirmation of this leadership is good for calls for this long; no other is elected so soon after a heartbeat. */
 const CONFIRMED_MILLIS = 300;
@@ -48,7 +52,7 @@
 export class RangeCoordinator {
   readonly #parts: RangeCoordinatorParts;
   readonly #holders: HolderTable;
-  readonly #services = new Map<ServiceName, RangeService>();
+  readonly #services = new Map<ServiceName, ServiceInCharge>();
   /** Services with a proposal under way. */
   readonly #proposing = new Set<ServiceName>();
   readonly #calls = new Map<HolderCallId, CallUnderWay>();
@@ -56,6 +60,8 @@
   /** Confirmations that are asked for: `true` those that wait for heartbeats. */
   readonly #confirming = new Set<boolean>();
   #confirmedAt = Number.NEGATIVE_INFINITY;
+  /** What each upstream was told last by heartbeat, so that only news is logged. */
+  readonly #told = new Map<UpstreamId, string>();
   #isForgetting = false;
   #lookAt: MonotonicMillis;
 
@@ -70,16 +76,35 @@
     this.#lookAt = now;
   }
 
-  /** A heartbeat of an upstream came. */
-  heard(upstream: UpstreamId, now: MonotonicMillis): void {
+  /**
+   * A heartbeat of an upstream came. `answer` is called once, at the latest when it has waited for as long as it may; what it
+   * is given counts only for services whose grants ride on heartbeats.
+   */
+  heard(upstream: UpstreamId, report: HeldKeys | null, answer: AnswerHeartbeat, now: MonotonicMillis): void {
     this.#holders.heard(upstream, now);
+    this.#lookAtServices(now);
+    const service = this.#parts.registry().upstreams().get(upstream)?.definition.service ?? '';
+    const heartbeats = this.#services.get(service)?.heartbeats ?? null;
+    if (heartbeats === null || report === null) {
+      answer(null, now);
+      return;
+    }
+    heartbeats.take(upstream, report, answer, now);
+    this.#lookAt = now;
+  }
+
+  /** The leadership is over: heartbeats that wait are answered without keys. */
+  end(now: MonotonicMillis): void {
+    for (const { heartbeats } of this.#services.values()) {
+      heartbeats?.end(now);
+    }
   }
 
   loadReported({ shards }: LoadReport, now: MonotonicMillis): void {
     for (const { shard, ...work } of shards) {
       const parts = parseShardId(shard);
       if (parts?.keyspace === RANGE_KEYSPACE) {
-        this.#services.get(parts.service)?.loadReported(parts.number, work, now);
+        this.#services.get(parts.service)?.ranges.loadReported(parts.number, work, now);
       }
     }
   }
@@ -89,7 +114,7 @@
     this.#calls.delete(id);
     if (underWay !== undefined) {
       this.#holders.ended(underWay.call, outcome, now);
-      this.#services.get(underWay.service)?.callEnded(underWay.call, outcome, now);
+      this.#services.get(underWay.service)?.ranges.callEnded(underWay.call, outcome, now);
       this.#lookAt = now;
     }
   }
@@ -100,15 +125,15 @@
     }
     this.#lookAt = now + LOOK_MILLIS;
     this.#lookAtServices(now);
-    for (const [name, service] of this.#services) {
-      this.#decide(name, service, now);
+    for (const [name, { ranges }] of this.#services) {
+      this.#decide(name, ranges, now);
     }
     if (this.#services.size > 0) {
       this.#sendCalls(now);
     }
     this.#forget(now);
-    for (const service of this.#services.values()) {
-      this.#lookAt = Math.min(this.#lookAt, Math.max(now + 1, service.nextDeadline()));
+    for (const { ranges } of this.#services.values()) {
+      this.#lookAt = Math.min(this.#lookAt, Math.max(now + 1, ranges.nextDeadline()));
     }
   }
 
@@ -116,23 +141,30 @@
     return this.#lookAt;
   }
 
+  /** A service whose carrier was changed is begun anew. */
   #lookAtServices(now: MonotonicMillis): void {
-    const { registry, timings } = this.#parts;
+    const { registry } = this.#parts;
     const services = registry().services();
-    for (const name of this.#services.keys()) {
-      if (!hasRanges(services.get(name))) {
+    for (const [name, { terms, heartbeats }] of [...this.#services]) {
+      const record = services.get(name);
+      if (!hasRanges(record) || termsOf(record).carrier !== terms.carrier) {
+        heartbeats?.end(now);
         this.#services.delete(name);
       }
     }
     for (const [name, record] of services) {
       if (hasRanges(record) && !this.#services.has(name)) {
-        const { heartbeatMillis } = timings;
-        const parts = { service: name, registry, holders: this.#holders, timings, heartbeatMillis };
-        this.#services.set(name, new RangeService(parts, now));
+        this.#services.set(name, this.#begin(name, record, now));
       }
     }
   }
 
+  #begin(service: ServiceName, record: ServiceRecord, now: MonotonicMillis): ServiceInCharge {
+    const { registry, timings } = this.#parts;
+    const parts = { service, terms: termsOf(record), registry, timings, holders: this.#holders };
+    return makeRangeService(parts, now);
+  }
+
   #decide(name: ServiceName, service: RangeService, now: MonotonicMillis): void {
     if (this.#proposing.has(name)) {
       return;
@@ -161,9 +193,24 @@
       this.#confirm(now, true);
     }
     for (const [name, service] of this.#services) {
-      for (const wanted of service.takeCalls(now)) {
+      for (const wanted of service.ranges.takeCalls(now)) {
         this.#send(name, wanted, now);
       }
+      this.#answerHeartbeats(name, service, now);
+    }
+  }
+
+  /** An answer is the whole set, so it is decided only while this leadership is confirmed. */
+  #answerHeartbeats(name: ServiceName, { heartbeats }: ServiceInCharge, now: MonotonicMillis): void {
+    for (const { upstream, sequence, keys } of heartbeats?.answerDue(this.#proposing.has(name), now) ?? []) {
+      const spans = keys?.spans ?? [];
+      const told = JSON.stringify(spans.map(({ from, to, fence }) => [from, to, fence]));
+      if (this.#told.get(upstream) !== told) {
+        this.#told.set(upstream, told);
+        const { revision } = this.#parts.registry();
+        const confirmedAgoMillis = Math.round(now - this.#confirmedAt);
+        this.#parts.log('heartbeat-granted', { upstream, sequence, spans, revision, confirmedAgoMillis });
+      }
     }
   }
 
@@ -209,16 +256,19 @@
       this.#isForgetting = true;
       propose({ type: 'upstream-forget', upstreams }, () => {
         this.#isForgetting = false;
+        for (const upstream of upstreams) {
+          this.#told.delete(upstream);
+        }
       });
     }
   }
 
   #isHolder(upstream: UpstreamId): boolean {
-    return [...this.#services.values()].some((service) => service.isHolder(upstream));
+    return [...this.#services.values()].some(({ ranges }) => ranges.isHolder(upstream));
   }
 }
 
 /** Whether the keys of a service are numbers owned in ranges. */
-export function hasRanges(record: ServiceRecord | undefined): boolean {
+export function hasRanges(record: ServiceRecord | undefined): record is ServiceRecord {
   return record?.definition.keyspaces.some(({ kind }) => kind === 'range') ?? false;
 }
--- a/src/control/ranges/range-releases.ts
+++ b/src/control/ranges/range-releases.ts
@@ -2,7 +2,7 @@
  * Ranges that nobody owns, on their way to the next owner: what is planned for each piece, and whether the owner before
  * has given it up.
  */
-import type { Epoch, MonotonicMillis } from '../../model/identifiers.js';
+import type { Epoch, MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
 import type { KeyRange } from '../../model/key-range.js';
 import type { PlannedSpan } from '../../placement/ranges/range-planner.js';
 
@@ -12,12 +12,16 @@
 /** One piece of a range without owner. */
 export interface ReleasedPiece extends PlannedSpan {
   readonly fence: Epoch;
+  /** Owner before; `null`: none that may hold it. */
+  readonly former: UpstreamId | null;
   readonly since: MonotonicMillis;
   /** When the owner before is asked for it (again). */
   nextAt: MonotonicMillis;
   /** A call is under way. */
   isAsked: boolean;
   isReleased: boolean;
+  /** Since when it is known to be free; `null`: it isn't yet. */
+  freeAt: MonotonicMillis | null;
   handover: string | null;
 }
 
@@ -58,7 +62,7 @@
   }
 
   /** All pieces that have no owner yet, with who gets them next. */
-  open(): PlannedSpan[] {
+  open(): ReleasedPiece[] {
     return [...this.#pieces.values()].flat();
   }
 
@@ -93,10 +97,12 @@
     to,
     target,
     fence: range.fence,
+    former: range.former,
     since: now,
     nextAt,
     isAsked: false,
     isReleased,
+    freeAt: null,
     handover: null,
   };
 }
--- a/src/control/ranges/range-servers.ts
+++ b/src/control/ranges/range-servers.ts
@@ -1,8 +1,8 @@
 /** The upstreams of one service that may be given keys now, and whether enough of them came to divide all keys. */
 import type { MonotonicMillis, ServiceName, UpstreamId } from '../../model/identifiers.js';
+import type { KeyRange } from '../../model/key-range.js';
 import type { RangeServer } from '../../placement/ranges/owner-loads.js';
 import type { Registry } from '../../registry/types.js';
-import type { HolderTable } from './holder-table.js';
 
 /** Keys are given out for the first time once no further upstream came for this long, or after the longest wait. */
 const GATHER_MILLIS = 1500;
@@ -10,10 +10,21 @@
 /** An upstream that wasn't heard for this many heartbeats gets no further keys. */
 const SILENT_HEARTBEATS = 3;
 
+/** Ranges that one upstream owns at most: an answer to its heartbeat names them all, and each costs a renewal by call. */
+const MOST_RANGES = 48;
+
+/** What is known of the upstreams' runs. */
+export interface HolderEvidence {
+  /** When it was heard last, or this leadership began. */
+  heardAt(upstream: UpstreamId): MonotonicMillis;
+  /** Whether its run is proved to be over. */
+  hasEnded(upstream: UpstreamId): boolean;
+}
+
 export interface RangeServersParts {
   readonly service: ServiceName;
   readonly registry: () => Registry;
-  readonly holders: HolderTable;
+  readonly evidence: HolderEvidence;
   /** Usual time between two heartbeats of an upstream. */
   readonly heartbeatMillis: number;
 }
@@ -42,10 +53,12 @@
   /** Takes in what the registry and the heartbeats say now. */
   look(now: MonotonicMillis): void {
     const servers: RangeServer[] = [];
+    const counts = countRanges(this.parts.registry().ranges(this.parts.service));
     for (const { definition } of this.parts.registry().upstreams().values()) {
       const { id, service, leaving, announced } = definition;
       if (service === this.parts.service && !leaving && announced !== undefined && this.#isWell(id, now)) {
-        servers.push({ upstream: id, slots: announced.slots, speed: this.speedOf(id) });
+        const isFull = (counts.get(id) ?? 0) >= MOST_RANGES;
+        servers.push({ upstream: id, slots: announced.slots, speed: this.speedOf(id), isFull });
       }
     }
     if (servers.length !== this.#servers.length) {
@@ -64,8 +77,18 @@
   }
 
   #isWell(upstream: UpstreamId, now: MonotonicMillis): boolean {
-    const { holders, heartbeatMillis } = this.parts;
-    const isHeard = now - holders.heardAt(upstream) < heartbeatMillis * SILENT_HEARTBEATS;
-    return isHeard && !holders.hasEnded(upstream);
+    const { evidence, heartbeatMillis } = this.parts;
+    const isHeard = now - evidence.heardAt(upstream) < heartbeatMillis * SILENT_HEARTBEATS;
+    return isHeard && !evidence.hasEnded(upstream);
+  }
+}
+
+function countRanges(ranges: readonly KeyRange[]): Map<UpstreamId, number> {
+  const counts = new Map<UpstreamId, number>();
+  for (const { owner } of ranges) {
+    if (owner !== null) {
+      counts.set(owner, (counts.get(owner) ?? 0) + 1);
+    }
   }
+  return counts;
 }
--- a/src/control/ranges/range-service.ts
+++ b/src/control/ranges/range-service.ts
@@ -2,9 +2,8 @@
  * The leader's work on the ranges of one service: decides owners, has the owners before give up, and keeps grants up.
  * Each decision is a change of the registry that names the fence it relies on; calls follow what is committed.
  */
-import type { TimedGrantTimings } from '../../lease/timed-grants.js';
 import type { MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
-import { findRange, type KeyRange } from '../../model/key-range.js';
+import { findRange, type KeyRange, type KeySpan } from '../../model/key-range.js';
 import { KeyLoads } from '../../placement/ranges/key-loads.js';
 import { OwnerLoads, type RangeServer } from '../../placement/ranges/owner-loads.js';
 import { OwnerSpeeds } from '../../placement/ranges/owner-speeds.js';
@@ -19,16 +18,20 @@
 } from '../../placement/ranges/range-planner.js';
 import type { RangeUpdate, UpstreamRecord } from '../../registry/types.js';
 import { BalanceSchedule } from './balance-schedule.js';
-import type { GrantCall, HolderCall, HolderOutcome, ReleaseCall } from './holder-call.js';
-import { RangeGrants } from './range-grants.js';
+import type { WantedMove } from './heartbeat-carrier.js';
+import type { HolderCall, HolderOutcome } from './holder-call.js';
+import type { RangeCarrier, RangeCarrierParts, WantedCall } from './range-carrier.js';
 import { RangeReleases, type ReleasedPiece } from './range-releases.js';
 import { RangeServers, type RangeServersParts } from './range-servers.js';
 import { giveSpans, joinNeighbours, takeSpans, updateOf } from './range-updates.js';
 
 /** Half-life of the loads that tell of owners which were just overwhelmed. */
 const RECENT_HALF_LIFE_MILLIS = 700;
-/** A release that failed is tried again after this. */
-const RELEASE_RETRY_MILLIS = 150;
+/** Free keys wait this long for their target before another one gets them. */
+const TARGET_WAIT_MILLIS = 150;
+/** One that is busier than the mean by more than this factor and this share of its capacity doesn't get them so soon. */
+const STAND_IN_FACTOR = 1.2;
+const STAND_IN_MARGIN = 0.08;
 
 /** What loads add up to. */
 interface LoadView {
@@ -43,11 +46,15 @@
   readonly workMillis: number;
 }
 
-/** A call without its number. */
-export type WantedCall = Omit<GrantCall, 'id'> | Omit<ReleaseCall, 'id'>;
+/** Makes the carrier of a service over what it sees of it. */
+export type MakeCarrier = (
+  parts: RangeCarrierParts,
+  wanted: () => readonly WantedMove[],
+  now: MonotonicMillis,
+) => RangeCarrier;
 
 export interface RangeServiceParts extends RangeServersParts {
-  readonly timings: TimedGrantTimings;
+  readonly makeCarrier: MakeCarrier;
 }
 
 export class RangeService {
@@ -56,19 +63,28 @@
   /** The same over a short time: a run of keys that became hot must move before the steady loads show it. */
   readonly #recentLoads = new KeyLoads(RECENT_HALF_LIFE_MILLIS);
   readonly #speeds = new OwnerSpeeds();
-  readonly #grants: RangeGrants;
+  readonly #carrier: RangeCarrier;
   readonly #releases = new RangeReleases();
   /** Changes that are proposed. What they take off an owner is not granted any more. */
   #proposed: readonly RangeUpdate[] = [];
   readonly #servers: RangeServers;
   readonly #schedule: BalanceSchedule;
+  /** Moves that were planned and wait for a good moment. */
+  #wanted: readonly WantedMove[] = [];
+  /** Owners whose neighbouring ranges are to be joined at a good moment. */
+  #joining = new Set<UpstreamId>();
   /** Loads as one decision sees them, once it asked; adding them up isn't free. */
   #view: LoadView | null = null;
 
   constructor(parts: RangeServiceParts, now: MonotonicMillis) {
     this.#parts = parts;
-    this.#grants = new RangeGrants(parts.timings);
-    this.#grants.inherit(parts.registry().ranges(parts.service), now);
+    const carrierParts = {
+      ranges: () => this.#ranges(),
+      record: (upstream: UpstreamId) => this.#record(upstream),
+      releases: this.#releases,
+      isBeingTaken: (span: KeySpan) => this.#isBeingTaken(span),
+    };
+    this.#carrier = parts.makeCarrier(carrierParts, () => this.#wanted, now);
     this.#servers = new RangeServers(parts, now, (upstream) => this.#speeds.of(upstream));
     this.#schedule = new BalanceSchedule(now);
   }
@@ -100,7 +116,7 @@
   #decide(now: MonotonicMillis): readonly RangeUpdate[] {
     this.#servers.look(now);
     const ranges = this.#ranges();
-    this.#grants.keepOnly(ranges);
+    this.#carrier.keepOnly(ranges);
     this.#speeds.keepOnly(new Set(ranges.flatMap(({ owner }) => owner ?? [])));
     this.#releases.keepOnly(new Set(ranges.filter(({ owner }) => owner === null).map(({ fence }) => fence)));
     if (this.#servers.list.length === 0) {
@@ -110,22 +126,56 @@
     const updates = ranges.flatMap((range) =>
       range.owner === null ? this.#assign(range, now) : this.#takeOff(range, range.owner, now),
     );
-    if (updates.length > 0 || !this.#schedule.takeBalance(now)) {
+    if (updates.length > 0) {
       return updates;
     }
-    const moves = this.#balance(ranges);
-    return this.#schedule.takeJoin(now) ? [...moves, ...this.#tidy(ranges, moves)] : moves;
+    if (this.#schedule.takeBalance(now)) {
+      this.#want(ranges, now);
+    }
+    const begun = this.#beginMoves(now);
+    return [...takeSpans(ranges, begun), ...this.#joinRanges(ranges, begun, now)];
   }
 
-  /** Keeps the ranges few: each costs renewals. */
-  #tidy(ranges: readonly KeyRange[], moves: readonly RangeUpdate[]): RangeUpdate[] {
+  /** Plans what is to move, and keeps the ranges few: each costs renewals. */
+  #want(ranges: readonly KeyRange[], now: MonotonicMillis): void {
+    const moves = this.#planMoves(ranges);
+    this.#wanted = withOwners(ranges, moves);
+    if (!this.#schedule.takeJoin(now)) {
+      return;
+    }
     const untouched = ranges.filter(
       ({ from, to }) => !moves.some((move) => move.from <= to && move.to >= from),
     );
     const returns = planReturns(untouched, this.#loads, this.#servers.list);
-    this.#releases.plan(returns);
-    const joins = joinNeighbours(untouched);
-    return [...joins, ...takeSpans(untouched, returns)];
+    this.#wanted = [...this.#wanted, ...withOwners(untouched, returns)];
+    this.#joining = new Set(joinNeighbours(untouched).flatMap(({ owner }) => owner ?? []));
+  }
+
+  /** Those wanted moves for which it is a good moment. */
+  #beginMoves(now: MonotonicMillis): WantedMove[] {
+    const standing = this.#wanted.filter(({ from, owner }) => this.#ownerOf(from) === owner);
+    const begun = standing.filter(({ owner, target }) => this.#carrier.canMove(owner, target, now));
+    this.#wanted = standing.filter((move) => !begun.includes(move));
+    this.#releases.plan(begun);
+    return begun;
+  }
+
+  /** Joins neighbouring ranges of owners that can be told now; not while any of their keys are to move. */
+  #joinRanges(
+    ranges: readonly KeyRange[],
+    begun: readonly WantedMove[],
+    now: MonotonicMillis,
+  ): RangeUpdate[] {
+    const due = new Set([...this.#joining].filter((owner) => this.#carrier.canTell(owner, now)));
+    if (due.size === 0) {
+      return [];
+    }
+    this.#joining = new Set([...this.#joining].filter((owner) => !due.has(owner)));
+    const moves = [...this.#wanted, ...begun];
+    const resting = ranges.filter(
+      ({ from, to }) => !moves.some((move) => move.from <= to && move.to >= from),
+    );
+    return joinNeighbours(resting).filter(({ owner }) => owner !== null && due.has(owner));
   }
 
   /** Share of its capacity that each upstream uses, in percent, for the log. */
@@ -145,33 +195,15 @@
 
   /** Calls that are due now. */
   takeCalls(now: MonotonicMillis): WantedCall[] {
-    return this.#ranges().flatMap((range) =>
-      range.owner === null ? this.#releaseCalls(range, now) : this.#grantCalls(range, range.owner, now),
-    );
+    return this.#carrier.takeCalls(now);
   }
 
   callEnded(call: HolderCall, outcome: HolderOutcome, now: MonotonicMillis): void {
-    if (call.kind === 'grant') {
-      this.#grantEnded(call, outcome, now);
-    } else {
-      this.#releaseEnded(call, outcome, now);
-    }
+    this.#carrier.callEnded(call, outcome, now);
   }
 
   nextDeadline(): MonotonicMillis {
-    let deadline = this.#schedule.nextAt;
-    for (const range of this.#ranges()) {
-      deadline = Math.min(deadline, this.#nextOf(range));
-    }
-    return deadline;
-  }
-
-  #nextOf(range: KeyRange): MonotonicMillis {
-    if (range.owner !== null) {
-      const grant = this.#grants.find(range.fence, range.from, range.to);
-      return grant === undefined || grant.isAsked ? Number.POSITIVE_INFINITY : grant.nextAt;
-    }
-    return this.#releases.nextAt(range);
+    return Math.min(this.#schedule.nextAt, this.#carrier.nextDeadline());
   }
 
   #ranges(): readonly KeyRange[] {
@@ -190,15 +222,25 @@
   /** Ends the ownership of an upstream that leaves, is gone, or may hold nothing any more. */
   #takeOff(range: KeyRange, owner: UpstreamId, now: MonotonicMillis): RangeUpdate[] {
     const record = this.#record(owner);
-    if (record === undefined || this.#parts.holders.isLost(owner, now)) {
-      return giveSpans(range, this.#spread(range, owner));
+    if (record === undefined || this.#carrier.isLost(owner, now)) {
+      return this.#replace(range, owner, now);
     }
     if (record.definition.leaving) {
       this.#releases.plan(this.#spread(range, owner));
       return [updateOf(range, range, null, owner)];
     }
-    const isSuperseded = this.#grants.find(range.fence, range.from, range.to)?.isSuperseded ?? false;
-    return isSuperseded ? [updateOf(range, range, owner, null)] : [];
+    const isRefused = this.#carrier.isRefused(range) && this.#carrier.canTell(owner, now);
+    return isRefused ? [updateOf(range, range, owner, null)] : [];
+  }
+
+  /** The keys of an owner that is gone go to others at once if these can be told, else as soon as they can. */
+  #replace(range: KeyRange, owner: UpstreamId, now: MonotonicMillis): RangeUpdate[] {
+    const spans = this.#spread(range, owner);
+    if (spans.every(({ target }) => this.#carrier.canTell(target, now))) {
+      return giveSpans(range, spans);
+    }
+    this.#releases.plan(spans);
+    return [updateOf(range, range, null, null)];
   }
 
   #loadView(): LoadView {
@@ -219,100 +261,76 @@
 
   /** Gives pieces that their owner before has given up to the next one. */
   #assign(range: KeyRange, now: MonotonicMillis): RangeUpdate[] {
-    if (range.fence === 0 && range.former === null) {
-      return this.#servers.isGathered(now) ? giveSpans(range, divideSpan(range, this.#servers.list)) : [];
+    const isFirst = range.fence === 0 && range.former === null;
+    if (isFirst && !this.#servers.isGathered(now)) {
+      return [];
     }
-    const pieces = this.#releases.piecesOf(range, now, () => this.#spread(range, range.former));
+    const spread = (): readonly PlannedSpan[] =>
+      isFirst ? divideSpan(range, this.#servers.list) : this.#spread(range, range.former);
+    const pieces = this.#releases.piecesOf(range, now, spread);
     return pieces
-      .filter((piece) => this.#isReleased(piece, range, now))
-      .map((piece) => this.#next(piece, range));
+      .filter((piece) => this.#isFree(piece, range, now))
+      .flatMap((piece) => this.#next(piece, range, now));
   }
 
-  #next(piece: ReleasedPiece, range: KeyRange): RangeUpdate {
-    const target = this.#servers.has(piece.target)
+  #next(piece: ReleasedPiece, range: KeyRange, now: MonotonicMillis): RangeUpdate[] {
+    const { use } = this.#loadView();
+    const planned = this.#servers.has(piece.target)
       ? piece.target
-      : (this.#loadView().use.leastUsed(null)?.upstream ?? piece.target);
-    this.#grants.handOver(piece.from, piece.to, piece.handover);
-    return updateOf(range, piece, target, null);
+      : (use.leastUsed(null)?.upstream ?? piece.target);
+    const target = this.#carrier.canTell(planned, now) ? planned : this.#standInFor(piece, now);
+    if (target === undefined) {
+      return [];
+    }
+    if (target !== piece.target) {
+      use.add(target, piece);
+    }
+    this.#carrier.passOn(piece, range);
+    return [updateOf(range, piece, target, null)];
   }
 
-  #isReleased(piece: ReleasedPiece, { former }: KeyRange, now: MonotonicMillis): boolean {
-    const isOver =
-      former === null || this.#record(former) === undefined || !this.#parts.holders.mayHold(former, now);
-    return piece.isReleased || isOver;
+  /**
+   * Free keys whose target can't be told of them yet go to the least used one that can, unless it is busier than others. The
+   * first division waits for its targets: nobody was served before it.
+   */
+  #standInFor({ freeAt, fence }: ReleasedPiece, now: MonotonicMillis): UpstreamId | undefined {
+    const waited = freeAt === null ? 0 : now - freeAt;
+    const { heartbeatMillis } = this.#parts;
+    if (waited < (fence === 0 ? 2 * heartbeatMillis : TARGET_WAIT_MILLIS)) {
+      return undefined;
+    }
+    const { use } = this.#loadView();
+    const standIn = use.leastUsedOf((server) => this.#carrier.canTell(server.upstream, now));
+    const most = use.meanUse() * STAND_IN_FACTOR + STAND_IN_MARGIN;
+    const isBusy = standIn !== undefined && use.useOf(standIn) > most && waited < heartbeatMillis;
+    return isBusy ? undefined : standIn?.upstream;
+  }
+
+  #isFree(piece: ReleasedPiece, range: KeyRange, now: MonotonicMillis): boolean {
+    const isOver = range.former !== null && this.#record(range.former) === undefined;
+    const isFree = isOver || this.#carrier.isFree(piece, range, now);
+    piece.freeAt ??= isFree ? now : null;
+    return isFree;
   }
 
   /** Takes keys off servers that are much busier than the others; first off those that were just overwhelmed. */
-  #balance(ranges: readonly KeyRange[]): RangeUpdate[] {
+  #planMoves(ranges: readonly KeyRange[]): PlannedSpan[] {
     const servers = this.#servers.list;
     const underWay = this.#releases.open();
     const relief = planMoves(ranges, this.#recentLoads, servers, RELIEF_GOAL, underWay);
-    const moves = relief.length > 0 ? relief : planMoves(ranges, this.#loads, servers, EVEN_GOAL, underWay);
-    this.#releases.plan(moves);
-    return takeSpans(ranges, moves);
-  }
-
-  #grantCalls(range: KeyRange, owner: UpstreamId, now: MonotonicMillis): WantedCall[] {
-    const grant = this.#grants.of(range, now);
-    const record = this.#record(owner);
-    const isDue = !grant.isAsked && now >= grant.nextAt && !this.#isBeingTaken(range);
-    if (record === undefined || record.definition.leaving || !isDue) {
-      return [];
-    }
-    grant.isAsked = true;
-    const { from, to, fence } = range;
-    const { holdMillis } = this.#parts.timings;
-    const { address } = record.definition;
-    const { handover } = grant;
-    return [{ kind: 'grant', upstream: owner, address, from, to, fence, holdMillis, handover }];
+    return relief.length > 0 ? relief : planMoves(ranges, this.#loads, servers, EVEN_GOAL, underWay);
   }
 
-  #isBeingTaken({ from, to }: KeyRange): boolean {
+  #isBeingTaken({ from, to }: KeySpan): boolean {
     return this.#proposed.some((update) => update.from <= to && update.to >= from);
   }
+}
 
-  #releaseCalls(range: KeyRange, now: MonotonicMillis): WantedCall[] {
-    const { former, fence } = range;
-    const record = former === null ? undefined : this.#record(former);
-    if (former === null || record === undefined) {
-      return [];
-    }
-    const { address } = record.definition;
-    const due = this.#releases
-      .piecesOf(range, now, () => [])
-      .filter((piece) => !piece.isAsked && !piece.isReleased && now >= piece.nextAt);
-    return due.map((piece) => {
-      piece.isAsked = true;
-      const { from, to } = piece;
-      return { kind: 'release', upstream: former, address, from, to, fence };
-    });
-  }
-
-  #grantEnded(call: GrantCall, outcome: HolderOutcome, now: MonotonicMillis): void {
-    const grant = this.#grants.find(call.fence, call.from, call.to);
-    if (grant === undefined) {
-      return;
-    }
-    if (outcome.type === 'accepted') {
-      this.#grants.granted(grant, now);
-      return;
-    }
-    grant.isSuperseded = outcome.type === 'superseded';
-    this.#grants.failed(grant, now);
-  }
-
-  #releaseEnded(call: ReleaseCall, outcome: HolderOutcome, now: MonotonicMillis): void {
-    const piece = this.#releases.find(call.fence, call.from, call.to);
-    if (piece === undefined) {
-      return;
-    }
-    piece.isAsked = false;
-    piece.nextAt = now + RELEASE_RETRY_MILLIS;
-    if (outcome.type === 'accepted') {
-      piece.isReleased = true;
-      piece.handover = outcome.handover;
-    }
-  }
+function withOwners(ranges: readonly KeyRange[], spans: readonly PlannedSpan[]): WantedMove[] {
+  return spans.flatMap((span) => {
+    const owner = ranges[findRange(ranges, span.from)]?.owner ?? null;
+    return owner === null ? [] : [{ ...span, owner }];
+  });
 }
 
 function loadsByOwner(ranges: readonly KeyRange[], use: OwnerLoads): ReadonlyMap<UpstreamId, number> {
--- a/src/control/ranges/range-updates.ts
+++ b/src/control/ranges/range-updates.ts
@@ -19,11 +19,15 @@
   return spans.map((span) => updateOf(range, span, span.target, null));
 }
 
-/** Takes spans off their owners, on their way to others. */
+/**
+ * Takes spans off their owners, on their way to others. A span that has no owner any more stays as it is: the one before may
+ * still hold it, and must not be forgotten.
+ */
 export function takeSpans(ranges: readonly KeyRange[], spans: readonly PlannedSpan[]): RangeUpdate[] {
   return spans.flatMap((span) => {
     const range = ranges.find(({ from, to }) => from <= span.from && span.to <= to);
-    return range === undefined ? [] : [updateOf(range, span, null, range.owner)];
+    const isOwned = range !== undefined && range.owner !== null;
+    return isOwned ? [updateOf(range, span, null, range.owner)] : [];
   });
 }
 
--- /dev/null
+++ b/src/control/ranges/service-in-charge.ts
@@ -0,0 +1,93 @@
+/** One service with ranges as a leader has it in charge, by the carrier that its declaration names. */
+import type { RangeTimings } from '../../lease/range-timings.js';
+import { DEPOSED_GRANTER_MILLIS, longestHoldMillis } from '../../lease/timed-grants.js';
+import { DEFAULT_GRANT_CARRIER, GRANT_CARRIERS, type GrantCarrier } from '../../model/grant-carrier.js';
+import type { MonotonicMillis, ServiceName } from '../../model/identifiers.js';
+import type { RangeGrantTerms } from '../../model/service.js';
+import type { Registry, ServiceRecord } from '../../registry/types.js';
+import { CallCarrier } from './call-carrier.js';
+import { HeartbeatCarrier } from './heartbeat-carrier.js';
+import { HeartbeatHolders } from './heartbeat-holders.js';
+import type { HolderTable } from './holder-table.js';
+import { RangeService } from './range-service.js';
+
+export interface ServiceInCharge {
+  readonly terms: RangeGrantTerms;
+  readonly ranges: RangeService;
+  /** `null`: its grants don't ride on heartbeats. */
+  readonly heartbeats: HeartbeatCarrier | null;
+}
+
+export interface ServiceInChargeParts {
+  readonly service: ServiceName;
+  readonly terms: RangeGrantTerms;
+  readonly registry: () => Registry;
+  readonly timings: RangeTimings;
+  /** What calls and heartbeats told of all upstreams. */
+  readonly holders: HolderTable;
+}
+
+/** How the ranges of a service are granted. */
+export function termsOf({ definition }: ServiceRecord): RangeGrantTerms {
+  return definition.rangeGrants ?? { carrier: DEFAULT_GRANT_CARRIER, hasChanged: false };
+}
+
+const MAKERS: Readonly<
+  Record<GrantCarrier, (parts: ServiceInChargeParts, now: MonotonicMillis) => ServiceInCharge>
+> = {
+  [GRANT_CARRIERS.request]: grantedByCalls,
+  [GRANT_CARRIERS.heartbeat]: grantedByHeartbeats,
+};
+
+/** Begins a service; `now`: when this leadership began, or the carrier was changed. */
+export function makeRangeService(parts: ServiceInChargeParts, now: MonotonicMillis): ServiceInCharge {
+  return MAKERS[parts.terms.carrier](parts, now);
+}
+
+/** Where the carrier was changed, what the answer to a heartbeat gave may be held beside what calls tell of. */
+function grantedByCalls(parts: ServiceInChargeParts, now: MonotonicMillis): ServiceInCharge {
+  const { service, terms, registry, timings, holders } = parts;
+  if (terms.hasChanged) {
+    const end = now + DEPOSED_GRANTER_MILLIS + longestHoldMillis(timings);
+    for (const { definition } of registry().upstreams().values()) {
+      if (definition.service === service) {
+        holders.holdUntil(definition.id, end);
+      }
+    }
+  }
+  const ranges = new RangeService(
+    {
+      service,
+      registry,
+      evidence: holders,
+      heartbeatMillis: timings.heartbeatMillis,
+      makeCarrier: (carrierParts, _wanted, begunAt) =>
+        new CallCarrier(carrierParts, holders, timings, begunAt),
+    },
+    now,
+  );
+  return { terms, ranges, heartbeats: null };
+}
+
+/** Where the carrier was changed, a call that got no answer may be taken late, and then holds. */
+function grantedByHeartbeats(parts: ServiceInChargeParts, now: MonotonicMillis): ServiceInCharge {
+  const { service, terms, registry, timings } = parts;
+  const latestCall = now + DEPOSED_GRANTER_MILLIS + timings.lateMillis;
+  const foreignUntil = terms.hasChanged ? latestCall + longestHoldMillis(timings) : Number.NEGATIVE_INFINITY;
+  const holders = new HeartbeatHolders(timings, now, foreignUntil);
+  const made: { carrier: HeartbeatCarrier | null } = { carrier: null };
+  const ranges = new RangeService(
+    {
+      service,
+      registry,
+      evidence: holders,
+      heartbeatMillis: timings.heartbeatMillis,
+      makeCarrier: (carrierParts, wanted) => {
+        made.carrier = new HeartbeatCarrier({ ...carrierParts, holders, timings, wanted });
+        return made.carrier;
+      },
+    },
+    now,
+  );
+  return { terms, ranges, heartbeats: made.carrier };
+}
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -13,6 +13,7 @@
 import type { RangeTimings } from '../lease/range-timings.js';
 import type { LeaseTimings, SessionAnswer, SessionRequest } from '../lease/types.js';
 import type { LedgerRecord } from '../ledger/types.js';
+import type { GrantedKeys, HeldKeys } from '../model/held-keys.js';
 import type {
   Address,
   ClusterId,
@@ -69,8 +70,8 @@
   | { readonly type: 'declare'; readonly actor: string; readonly change: DeclarationChange }
   /** A linearizable read of the declared document. */
   | { readonly type: 'get-declaration' }
-  /** A heartbeat of an upstream. */
-  | { readonly type: 'announce'; readonly definition: UpstreamDefinition }
+  /** A heartbeat of an upstream; `report`: which keys it holds, if it says so. */
+  | { readonly type: 'announce'; readonly definition: UpstreamDefinition; readonly report: HeldKeys | null }
   | { readonly type: 'withdraw'; readonly upstream: UpstreamId }
   | { readonly type: 'get-status' }
   | { readonly type: 'add-learner'; readonly replica: ReplicaId; readonly address: Address }
@@ -130,6 +131,8 @@
     }
   | { readonly type: 'membership'; readonly membership: Membership; readonly repaired: boolean }
   | { readonly type: 'done' }
+  /** A heartbeat was taken; `keys`: all that the upstream is to hold, `null`: nothing is renewed. */
+  | { readonly type: 'heartbeat-taken'; readonly keys: GrantedKeys | null }
   /** Nothing was changed. */
   | { readonly type: 'not-leader'; readonly leader: Address | null }
   | { readonly type: 'rejected'; readonly message: string }
--- a/src/lease/timed-grants.ts
+++ b/src/lease/timed-grants.ts
@@ -27,6 +27,11 @@
   clockRateError: 0.02,
 };
 
+/** How long a grant holds at most by the granter's clock. */
+export function longestHoldMillis({ holdMillis, clockRateError }: TimedGrantTimings): number {
+  return holdMillis * (1 + clockRateError);
+}
+
 /** A granter that was deposed may still send for this long after the next one was elected. */
 export const DEPOSED_GRANTER_MILLIS = 500;
 
@@ -82,7 +87,7 @@
     this.#silentSince = null;
     this.#heardAt = Math.max(this.#heardAt ?? sent.sentAt, sent.sentAt);
     if (sent.isGrant) {
-      this.#holdUntil(now + this.#longestHold());
+      this.holdUntil(now + this.#longestHold());
     }
     this.#countLate();
   }
@@ -113,18 +118,19 @@
     const heardAt = this.#heardAt ?? Number.NEGATIVE_INFINITY;
     for (const sentAt of this.#silent) {
       if (sentAt < heardAt) {
-        this.#holdUntil(sentAt + this.timings.lateMillis + this.#longestHold());
+        this.holdUntil(sentAt + this.timings.lateMillis + this.#longestHold());
       }
     }
     this.#silent = this.#silent.filter((sentAt) => sentAt >= heardAt);
   }
 
-  #holdUntil(end: MonotonicMillis): void {
+  /** The server may hold something until then. */
+  holdUntil(end: MonotonicMillis): void {
     this.#heldUntil = Math.max(this.#heldUntil, end);
   }
 
   #longestHold(): number {
-    return this.timings.holdMillis * (1 + this.timings.clockRateError);
+    return longestHoldMillis(this.timings);
   }
 }
 
--- a/src/model/declaration.ts
+++ b/src/model/declaration.ts
@@ -2,6 +2,7 @@
  * What operators declare as one document under one version: routes, the services that they lead to, and limits on what
  * callers may send. Upstreams of these services announce themselves.
  */
+import type { GrantCarrier } from './grant-carrier.js';
 import type { Revision, ServiceName } from './identifiers.js';
 
 /** A part of a route's requests. */
@@ -39,6 +40,8 @@
   readonly connections: number;
   /** Whether its upstreams own keys, numbers from 0 to `LARGEST_KEY`. */
   readonly keyed: boolean;
+  /** How ranges of its keys are granted; `null` if it isn't keyed. */
+  readonly grantedBy: GrantCarrier | null;
 }
 
 /** Bounds on what a caller may send and on how long it may take; bytes and milliseconds. */
--- a/src/model/service.ts
+++ b/src/model/service.ts
@@ -1,4 +1,5 @@
 /** Declarations that operators make: services, their keyspaces, upstreams and policies. */
+import type { GrantCarrier } from './grant-carrier.js';
 import type { Address, ServiceName, UpstreamId, Zone } from './identifiers.js';
 
 /** Classes of requests, most important first. */
@@ -38,6 +39,13 @@
   readonly holdMillis?: string;
 }
 
+/** How ranges of a service's keys are granted. */
+export interface RangeGrantTerms {
+  readonly carrier: GrantCarrier;
+  /** Whether it was another one before: keys may still be held by that. */
+  readonly hasChanged: boolean;
+}
+
 /** What operators declare for a service. */
 export interface ServiceDefinition {
   readonly name: ServiceName;
@@ -76,6 +84,8 @@
   readonly connectionsPerUpstream?: number;
   /** Path of its upstreams' health endpoint; left out: the routers' settings say. */
   readonly healthPath?: string;
+  /** How ranges of its keys are granted; left out: by calls, and never otherwise. */
+  readonly rangeGrants?: RangeGrantTerms;
 }
 
 /** What operators declare for an upstream server. */
--- a/src/placement/ranges/owner-loads.ts
+++ b/src/placement/ranges/owner-loads.ts
@@ -10,6 +10,8 @@
   readonly slots: number;
   /** How fast it is, as a factor on the mean of its service. */
   readonly speed: number;
+  /** Owns so many ranges that it gets no further ones. */
+  readonly isFull?: boolean;
 }
 
 const MILLIS_PER_SECOND = 1000;
@@ -69,9 +71,14 @@
 
   /** The least used server but `except`; `undefined` if there is no other. */
   leastUsed(except: UpstreamId | null): RangeServer | undefined {
+    return this.leastUsedOf(({ upstream }) => upstream !== except);
+  }
+
+  /** The least used server that `fits` and has room for ranges; `undefined` if none does. */
+  leastUsedOf(fits: (server: RangeServer) => boolean): RangeServer | undefined {
     let best: RangeServer | undefined;
     for (const server of this.servers) {
-      const isCandidate = server.upstream !== except;
+      const isCandidate = server.isFull !== true && fits(server);
       if (isCandidate && (best === undefined || this.useOf(server) < this.useOf(best))) {
         best = server;
       }
@@ -83,7 +90,8 @@
   largest(fits: (server: RangeServer) => boolean): RangeServer | undefined {
     let best: RangeServer | undefined;
     for (const server of this.servers) {
-      if (fits(server) && (best === undefined || capacityOf(server) > capacityOf(best))) {
+      const isCandidate = server.isFull !== true && fits(server);
+      if (isCandidate && (best === undefined || capacityOf(server) > capacityOf(best))) {
         best = server;
       }
     }
--- a/src/registry/commands/declaration-apply.ts
+++ b/src/registry/commands/declaration-apply.ts
@@ -6,8 +6,9 @@
   type DeclaredService,
   type RouteDefinition,
 } from '../../model/declaration.js';
+import { DEFAULT_GRANT_CARRIER } from '../../model/grant-carrier.js';
 import { RANGE_KEYSPACE } from '../../model/key-range.js';
-import type { ServiceDefinition } from '../../model/service.js';
+import type { RangeGrantTerms, ServiceDefinition } from '../../model/service.js';
 import { sortKeys } from '../dedup-table.js';
 import type { Transaction } from '../registry-state.js';
 import type { CommandResult, DeclarationChange } from '../types.js';
@@ -174,7 +175,7 @@
   }
   for (const [name, { source, definition }] of services) {
     declared.serviceSources.set(name, source);
-    const serviceDefinition = serviceOf(definition);
+    const serviceDefinition = serviceOf(definition, state.services.get(name)?.definition);
     if (!isSame(state.services.get(name)?.definition, serviceDefinition)) {
       transaction.putService(name, { definition: serviceDefinition, revision, generation: 0 });
     }
@@ -206,7 +207,33 @@
   policy: [],
 } as const;
 
-function serviceOf({ name, keyed, connections, healthPath }: DeclaredService): ServiceDefinition {
+function serviceOf(declared: DeclaredService, before: ServiceDefinition | undefined): ServiceDefinition {
+  const { name, keyed, connections, healthPath } = declared;
   const keyspaces = keyed ? [{ name: RANGE_KEYSPACE, kind: 'range', match: '', shards: 0 } as const] : [];
-  return { name, keyed, ...SERVICE_TERMS, keyspaces, connectionsPerUpstream: connections, healthPath };
+  const rangeGrants = rangeGrantsOf(declared, before);
+  const definition = {
+    name,
+    keyed,
+    ...SERVICE_TERMS,
+    keyspaces,
+    connectionsPerUpstream: connections,
+    healthPath,
+  };
+  return rangeGrants === undefined ? definition : { ...definition, rangeGrants };
+}
+
+/** Once the carrier was changed that stays noted: a later leader can't tell how long ago it was. */
+function rangeGrantsOf(
+  { grantedBy }: DeclaredService,
+  before: ServiceDefinition | undefined,
+): RangeGrantTerms | undefined {
+  if (grantedBy === null) {
+    return undefined;
+  }
+  const wasKeyed = before?.keyed === true;
+  const carrierBefore = before?.rangeGrants?.carrier ?? DEFAULT_GRANT_CARRIER;
+  const isChange = wasKeyed && carrierBefore !== grantedBy;
+  const hasChanged = isChange || (before?.rangeGrants?.hasChanged ?? false);
+  const isPlain = grantedBy === DEFAULT_GRANT_CARRIER && !hasChanged;
+  return isPlain ? undefined : { carrier: grantedBy, hasChanged };
 }
--- a/src/registry/validation/validate-declaration.ts
+++ b/src/registry/validation/validate-declaration.ts
@@ -6,8 +6,10 @@
   type RouteDefinition,
   type SplitPart,
 } from '../../model/declaration.js';
+import { DEFAULT_GRANT_CARRIER, GRANT_CARRIERS, type GrantCarrier } from '../../model/grant-carrier.js';
 import {
   checkBoolean,
+  checkChoice,
   checkList,
   checkName,
   checkNonEmptyText,
@@ -53,7 +55,9 @@
 /** Checks a service; throws `InvalidDefinitionError` that names the place. */
 export function validateDeclaredService(place: string, input: unknown): DeclaredService {
   const fields = checkObject(place, input);
-  const { healthPath = DEFAULT_HEALTH_PATH, keyed = false } = fields;
+  const { healthPath = DEFAULT_HEALTH_PATH } = fields;
+  const keyed = checkBoolean(`${place}.keyed`, fields.keyed ?? false);
+  const grantedBy = checkCarrier(`${place}.grantedBy`, fields.grantedBy ?? DEFAULT_GRANT_CARRIER);
   return {
     name: checkName(`${place}.name`, fields.name),
     healthPath: checkNonEmptyText(`${place}.healthPath`, healthPath, LONGEST_PREFIX),
@@ -63,7 +67,8 @@
       DEFAULT_CONNECTIONS,
       LARGEST_LIMIT,
     ),
-    keyed: checkBoolean(`${place}.keyed`, keyed),
+    keyed,
+    grantedBy: keyed ? grantedBy : null,
   };
 }
 
@@ -80,6 +85,11 @@
   };
 }
 
+/** An unknown way of granting is refused also where the service isn't keyed: it would mean something else later. */
+function checkCarrier(place: string, value: unknown): GrantCarrier {
+  return checkChoice(place, value, Object.values(GRANT_CARRIERS));
+}
+
 function checkPrefix(place: string, value: unknown): string {
   const prefix = checkNonEmptyText(place, value, LONGEST_PREFIX);
   const isWhole = prefix.startsWith('/') && prefix.endsWith('/');
--- /dev/null
+++ b/test/control/heartbeat-owners.test.ts
@@ -0,0 +1,205 @@
+/** Ranges that are granted by the answers to heartbeats have one holder at most, and find a new one in time. */
+import { expect } from 'chai';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { HeartbeatWorld, SABOTAGES, type Sabotage, SERVICE, TIMINGS } from './heartbeat-world.js';
+
+const FIRST_GRANTS_MILLIS = 4000;
+const LONGEST_HOLD_MILLIS = TIMINGS.holdMillis * (1 + TIMINGS.clockRateError);
+const ROUGH = { lateCopies: 0.1, lateAnswers: 0.1, lostAnswers: 0.1 };
+/** Seeds of one run; more by the environment variable `TERNMOUNT_SEEDS`. */
+const SEEDS = Number(process.env.TERNMOUNT_SEEDS ?? 80);
+
+function randomOf(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+function started(seed = 1, sabotage: Sabotage = SABOTAGES.none): HeartbeatWorld {
+  const world = new HeartbeatWorld(randomOf(seed), sabotage);
+  for (const id of ['u1', 'u2', 'u3', 'u4']) {
+    world.add(id);
+  }
+  world.elect();
+  world.run(FIRST_GRANTS_MILLIS);
+  return world;
+}
+
+function median(values: readonly number[]): number {
+  return [...values].sort((one, other) => one - other)[Math.floor(values.length / 2)] as number;
+}
+
+function upstreamOf(world: HeartbeatWorld, id: string) {
+  const upstream = world.upstreams.get(id);
+  expect(upstream, id).not.to.equal(undefined);
+  return upstream as NonNullable<typeof upstream>;
+}
+
+/** Random faults, then calm: everything has to be served again. */
+function playRandomly(seed: number, sabotage: Sabotage = SABOTAGES.none): HeartbeatWorld {
+  const world = started(seed, sabotage);
+  const random = randomOf(seed + 1_000_000);
+  let runs = 4;
+  for (let round = 0; round < 14; round += 1) {
+    const ids = [...world.upstreams.keys()];
+    const upstream = upstreamOf(world, ids[Math.floor(random() * ids.length)] as string);
+    const isAlive = upstream.condition === 'up' || upstream.condition === 'cut';
+    const draw = random();
+    if (draw < 0.25) {
+      world.elect();
+    } else if (draw < 0.4) {
+      world.weather = ROUGH;
+      world.after(3000, () => {
+        world.weather = { lateCopies: 0, lateAnswers: 0, lostAnswers: 0 };
+      });
+    } else if (draw < 0.55 && upstream.condition === 'up') {
+      upstream.condition = 'cut';
+      world.after(500 + random() * 6000, () => {
+        upstream.condition = upstream.condition === 'cut' ? 'up' : upstream.condition;
+      });
+    } else if (draw < 0.75 && isAlive) {
+      upstream.condition = random() < 0.5 ? 'dark' : 'ended';
+      runs += 1;
+      const id = `u${runs}`;
+      world.after(500 + random() * 3000, () => void world.add(id, upstream.address));
+    } else if (draw < 0.9 && isAlive) {
+      upstream.leaving = true;
+      runs += 1;
+      world.add(`u${runs}`);
+    } else {
+      const hot = Math.floor(random() * 60_000);
+      const shards = Array.from({ length: 60 }, (_, index) => ({
+        shard: `${SERVICE}/numbers@0/${hot + index * 7}`,
+        workMillis: 60,
+        requests: 2,
+      }));
+      world.report({ type: 'load-report', intervalMillis: 1000, shards });
+    }
+    world.run(random() * 2000);
+  }
+  world.weather = { lateCopies: 0, lateAnswers: 0, lostAnswers: 0 };
+  world.run(8000 + LONGEST_HOLD_MILLIS + 4000);
+  return world;
+}
+
+describe('owners of ranges by heartbeat', () => {
+  it('are given all keys once upstreams stopped coming, evenly', () => {
+    const world = started();
+    expect(world.servedShare()).to.equal(1);
+    const lengths = world.registry.ranges(SERVICE).map(({ from, to }) => to - from + 1);
+    expect(lengths).to.deep.equal([16_384, 16_384, 16_384, 16_384]);
+  });
+
+  it('keep their keys as long as heartbeats are answered', () => {
+    const world = started();
+    const before = world.registry.ranges(SERVICE);
+    world.run(20_000);
+    expect(world.registry.ranges(SERVICE)).to.equal(before);
+    expect(world.servedShare()).to.equal(1);
+  });
+
+  it('keep them when the leader is lost, without a gap', () => {
+    for (let seed = 1; seed <= 20; seed += 1) {
+      const world = started(seed);
+      const before = world.registry.ranges(SERVICE);
+      world.elect();
+      for (let step = 0; step < 200; step += 1) {
+        world.run(50);
+        expect(world.servedShare(), `seed ${seed}, ${step * 50} ms`).to.equal(1);
+      }
+      expect(world.registry.ranges(SERVICE)).to.equal(before);
+    }
+  });
+
+  it('that leave hand over within a second in the median', () => {
+    const gaps: number[] = [];
+    for (let seed = 1; seed <= 60; seed += 1) {
+      const world = started(seed);
+      upstreamOf(world, 'u1').leaving = true;
+      while (world.registry.ranges(SERVICE).some(({ owner }) => owner === 'u1')) {
+        world.run(5);
+      }
+      const gap = world.timeUntilServed(5000);
+      expect(gap, `seed ${seed}`).not.to.equal(null);
+      gaps.push(gap as number);
+      const handovers = [...world.upstreams.values()].flatMap((upstream) => upstream.handovers);
+      expect(handovers.some((handover) => handover.startsWith('u1:'))).to.equal(true);
+    }
+    expect(median(gaps)).to.be.at.most(1000);
+  });
+
+  it('whose run has ended are replaced within a heartbeat and a second in the median', () => {
+    const gaps: number[] = [];
+    for (let seed = 1; seed <= 60; seed += 1) {
+      const world = started(seed);
+      world.run(seed * 13);
+      upstreamOf(world, 'u2').condition = 'ended';
+      const gap = world.timeUntilServed(6000);
+      expect(gap, `seed ${seed}`).not.to.equal(null);
+      gaps.push(gap as number);
+    }
+    expect(median(gaps)).to.be.at.most(TIMINGS.heartbeatMillis + 1000);
+  });
+
+  it('that fall silent are replaced once they can hold nothing', () => {
+    const world = started();
+    upstreamOf(world, 'u2').condition = 'dark';
+    world.run(LONGEST_HOLD_MILLIS - TIMINGS.heartbeatMillis - 100);
+    expect(world.servedShare()).to.equal(0.75);
+    world.run(3500);
+    expect(world.servedShare()).to.equal(1);
+  });
+
+  it('take keys under a new fence if they saw a higher one', () => {
+    const world = started();
+    const [range] = world.registry.ranges(SERVICE);
+    const owner = upstreamOf(world, range?.owner ?? '');
+    const spans = [{ from: 100, to: 200, fence: (range?.fence ?? 0) + 1, handover: null }];
+    owner.take(owner.report(world.now), { spans, holdMillis: 1 }, world.now, world.now);
+    world.apply({ type: 'upstream-withdraw', upstream: 'nobody' });
+    expect(world.timeUntilServed(8000)).not.to.equal(null);
+    expect(world.registry.ranges(SERVICE)[0]?.fence).to.be.above(range?.fence ?? 0);
+  });
+
+  it('stay alone when the way of granting is changed', () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const world = started(seed);
+      world.declare('request', 2);
+      world.run(300);
+      world.declare('heartbeat', 3);
+      world.run(300);
+      expect(world.registry.services().get(SERVICE)?.definition.rangeGrants?.hasChanged).to.equal(true);
+      upstreamOf(world, 'u1').leaving = true;
+      world.run(40_000);
+      expect(world.servedShare()).to.equal(1);
+    }
+  });
+
+  it(`are one at a time under random faults, seeds 1 to ${SEEDS}`, function () {
+    this.timeout(120_000);
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      const world = playRandomly(seed);
+      expect(world.timeUntilServed(4000), `seed ${seed}`).not.to.equal(null);
+    }
+  });
+
+  for (const sabotage of [
+    SABOTAGES.unconfirmedLeader,
+    SABOTAGES.lateTakenAsNew,
+    SABOTAGES.holdCountedShort,
+  ]) {
+    it(`would have two under the sabotage ${sabotage}`, function () {
+      this.timeout(60_000);
+      const isCaught = (seed: number): boolean => {
+        try {
+          playRandomly(seed, sabotage);
+          return false;
+        } catch (thrown) {
+          return /held by/.test(String(thrown));
+        }
+      };
+      const seeds = Array.from({ length: 60 }, (_, index) => index + 1);
+      expect(seeds.some(isCaught)).to.equal(true);
+    });
+  }
+});
--- /dev/null
+++ b/test/control/heartbeat-upstream.ts
@@ -0,0 +1,121 @@
+/**
+ * One run of an upstream that holds ranges by the answers to its heartbeats. It makes one call at a time and gives up on its
+ * answer after a second. What it is given counts from when it sent the heartbeat, by a clock as slow as the timings allow.
+ */
+import type { RangeTimings } from '../../src/lease/range-timings.js';
+import type { GrantedKeys, HeldKeys, HeldSpan, ReleasedSpan } from '../../src/model/held-keys.js';
+import type { UpstreamId } from '../../src/model/identifiers.js';
+import type { KeySpan } from '../../src/model/key-range.js';
+
+/** Longest time that work goes on after its keys were taken off. */
+const LONGEST_WORK_MILLIS = 400;
+
+interface HeldRow extends HeldSpan {
+  readonly until: number;
+}
+
+export type UpstreamCondition = 'up' | 'cut' | 'dark' | 'ended';
+
+export class HeartbeatUpstream {
+  condition: UpstreamCondition = 'up';
+  leaving = false;
+  sequence = 0;
+  /** Handovers that came with keys. */
+  readonly handovers: string[] = [];
+  #rows: HeldRow[] = [];
+  /** Keys that it was told to let go of, while work on them lasts. */
+  #working: HeldRow[] = [];
+  #released: ReleasedSpan[] = [];
+  /** Highest fences seen. */
+  readonly #fences: HeldSpan[] = [];
+
+  constructor(
+    readonly id: UpstreamId,
+    readonly address: string,
+    private readonly timings: RangeTimings,
+    private readonly random: () => number,
+  ) {}
+
+  /** What the next heartbeat says. */
+  report(now: number): HeldKeys {
+    this.#settle(now);
+    this.sequence += 1;
+    const held = [...this.#rows, ...this.#working].map(({ from, to, fence }) => ({ from, to, fence }));
+    return { sequence: this.sequence, held, released: [...this.#released] };
+  }
+
+  /** Takes the answer to a heartbeat in time. */
+  take(report: HeldKeys, keys: GrantedKeys | null, sentAt: number, now: number): void {
+    this.#settle(now);
+    this.#released = this.#released.filter((release) => !report.released.includes(release));
+    if (keys === null) {
+      return;
+    }
+    const until = sentAt + keys.holdMillis * (1 + this.timings.clockRateError);
+    const taken = keys.spans.filter((span) => !this.#hasSeenHigher(span));
+    for (const row of this.#rows) {
+      for (const rest of subtract(row, taken)) {
+        this.#letGo({ ...row, ...rest }, now);
+      }
+    }
+    this.#rows = taken.map(({ from, to, fence }) => ({ from, to, fence, until }));
+    this.#fences.push(...this.#rows.filter((row) => !this.#fences.some((seen) => isSame(seen, row))));
+    this.handovers.push(...keys.spans.flatMap(({ handover }) => handover ?? []));
+  }
+
+  /** It has something to let go of, so that its next heartbeat comes soon. */
+  isLettingGo(now: number): boolean {
+    this.#settle(now);
+    return this.#working.length > 0 || this.#released.length > 0;
+  }
+
+  /** What it would serve, or still works on. */
+  rowsAt(now: number): readonly HeldSpan[] {
+    const isUp = this.condition === 'up' || this.condition === 'cut';
+    return isUp ? [...this.#rows, ...this.#working].filter(({ until }) => now < until) : [];
+  }
+
+  /** Whether it holds a key, or still works on it. */
+  holds(key: number, now: number): boolean {
+    return this.rowsAt(now).some(({ from, to }) => from <= key && key <= to);
+  }
+
+  #letGo(row: HeldRow, now: number): void {
+    const workMillis = this.random() < 0.5 ? 0 : this.random() * LONGEST_WORK_MILLIS;
+    this.#working.push({ ...row, until: now + workMillis });
+  }
+
+  /** A hold that ran out is not told as released. */
+  #settle(now: number): void {
+    this.#rows = this.#rows.filter(({ until }) => until > now);
+    const done = this.#working.filter(({ until }) => until <= now);
+    this.#working = this.#working.filter(({ until }) => until > now);
+    this.#released.push(...done.map(({ from, to }) => ({ from, to, handover: `${this.id}:${from}-${to}` })));
+  }
+
+  #hasSeenHigher(span: HeldSpan): boolean {
+    return this.#fences.some((seen) => seen.fence > span.fence && overlaps(seen, span));
+  }
+}
+
+function isSame(one: HeldSpan, other: HeldSpan): boolean {
+  return one.from === other.from && one.to === other.to && one.fence === other.fence;
+}
+
+function overlaps(one: KeySpan, other: KeySpan): boolean {
+  return one.from <= other.to && other.from <= one.to;
+}
+
+/** What is left of a span without others. */
+function subtract(span: KeySpan, others: readonly KeySpan[]): KeySpan[] {
+  return others.reduce<KeySpan[]>(
+    (left, other) =>
+      left.flatMap((part) =>
+        [
+          { from: part.from, to: Math.min(part.to, other.from - 1) },
+          { from: Math.max(part.from, other.to + 1), to: part.to },
+        ].filter(({ from, to }) => from <= to),
+      ),
+    [{ from: span.from, to: span.to }],
+  );
+}
--- /dev/null
+++ b/test/control/heartbeat-world.ts
@@ -0,0 +1,313 @@
+/**
+ * Upstreams that hold ranges by the answers to their heartbeats, leaders' range coordinators and a registry on one virtual
+ * clock. Answers come late, are lost, heartbeats come late and twice, and a leader that was deposed goes on for a while from
+ * the registry that it had. Who holds a key is looked at after each event: no key may have two holders that are up.
+ */
+import { expect } from 'chai';
+import type { LoadReport } from '../../src/control/messages.js';
+import type { HolderCall, HolderOutcome } from '../../src/control/ranges/holder-call.js';
+import { RangeCoordinator } from '../../src/control/ranges/range-coordinator.js';
+import { EventQueue } from '../../src/dev/virtual/event-queue.js';
+import type { RangeTimings } from '../../src/lease/range-timings.js';
+import type { GrantedKeys, HeldKeys } from '../../src/model/held-keys.js';
+import type { UpstreamId } from '../../src/model/identifiers.js';
+import type { Command, Registry } from '../../src/registry/index.js';
+import { createRegistry, decodeRegistry } from '../../src/registry/index.js';
+import { HeartbeatUpstream } from './heartbeat-upstream.js';
+
+export const SERVICE = 'menu';
+const NETWORK_MILLIS = 1;
+const COMMIT_MILLIS = 4;
+const CHECK_TIMEOUT_MILLIS = 300;
+const ANSWER_TIMEOUT_MILLIS = 1000;
+const LETTING_GO_MILLIS = 100;
+/** A leader that was deposed is asked for this long. */
+const DEPOSED_MILLIS = 1000;
+const SAMPLED_KEYS = Array.from({ length: 128 }, (_, index) => index * 512);
+
+export const TIMINGS: RangeTimings = {
+  holdMillis: 4000,
+  renewMillis: 500,
+  lateMillis: 4000,
+  clockRateError: 0.02,
+  heartbeatMillis: 870,
+};
+
+/** How badly the network treats heartbeats; shares of them. */
+export interface Weather {
+  readonly lateCopies: number;
+  readonly lateAnswers: number;
+  readonly lostAnswers: number;
+}
+
+const CALM: Weather = { lateCopies: 0, lateAnswers: 0, lostAnswers: 0 };
+
+/** Faults put into the system on purpose; the check of holders has to find them. */
+export const SABOTAGES = {
+  none: 'none',
+  /** A deposed leader goes on as if a quorum confirmed it. */
+  unconfirmedLeader: 'unconfirmedLeader',
+  /** A heartbeat that comes late is taken for a new one. */
+  lateTakenAsNew: 'lateTakenAsNew',
+  /** The leader counts a hold as shorter than upstreams do. */
+  holdCountedShort: 'holdCountedShort',
+} as const;
+export type Sabotage = (typeof SABOTAGES)[keyof typeof SABOTAGES];
+
+interface Leadership {
+  readonly coordinator: RangeCoordinator;
+  readonly registry: () => Registry;
+  isDeposed: boolean;
+  until: number;
+}
+
+export class HeartbeatWorld {
+  readonly upstreams = new Map<UpstreamId, HeartbeatUpstream>();
+  registry: Registry = createRegistry();
+  weather: Weather = CALM;
+  readonly #events = new EventQueue();
+  #leaderships: Leadership[] = [];
+  /** Added to sequences that sabotage makes look new. */
+  #forged = 0;
+
+  constructor(
+    private readonly random: () => number = () => 0.5,
+    private readonly sabotage: Sabotage = SABOTAGES.none,
+  ) {
+    this.declare('heartbeat');
+  }
+
+  get now(): number {
+    return this.#events.now;
+  }
+
+  declare(grantedBy: 'heartbeat' | 'request', version = 1): void {
+    this.apply({
+      type: 'declaration-apply',
+      version,
+      expected: version - 1,
+      extent: 'whole',
+      routes: [],
+      services: [{ name: SERVICE, keyed: true, grantedBy }],
+      limits: null,
+      removedRoutes: [],
+      removedServices: [],
+    });
+  }
+
+  apply(command: Command): void {
+    this.registry.apply(this.registry.revision + 1, { requestId: null, actor: 'test', at: 0, command });
+    for (const { coordinator, isDeposed } of this.#leaderships) {
+      if (!isDeposed) {
+        coordinator.registryChanged(this.now);
+      }
+    }
+  }
+
+  add(id: UpstreamId, address = `10.0.0.${this.upstreams.size + 1}:80`): HeartbeatUpstream {
+    const upstream = new HeartbeatUpstream(id, address, TIMINGS, this.random);
+    this.upstreams.set(id, upstream);
+    this.after(this.random() * TIMINGS.heartbeatMillis, () => this.#beat(upstream));
+    return upstream;
+  }
+
+  /** A new leader; the one before goes on for a while with the registry that it had, and hears of no change. */
+  elect(): void {
+    for (const leadership of this.#leaderships) {
+      this.#depose(leadership);
+    }
+    const leadership = this.#lead();
+    this.#leaderships.push(leadership);
+  }
+
+  report(report: LoadReport): void {
+    this.#leaderships.at(-1)?.coordinator.loadReported(report, this.now);
+  }
+
+  after(millis: number, run: () => void): void {
+    this.#events.after(millis, run);
+  }
+
+  /** Lets time pass; looks at all holders after each event. */
+  run(millis: number): void {
+    const end = this.now + millis;
+    while (this.now < end) {
+      this.#leaderships = this.#leaderships.filter(({ until }) => until > this.now);
+      const deadlines = this.#leaderships.map(({ coordinator }) => coordinator.nextDeadline());
+      const wakeAt = Math.max(this.now + 0.1, Math.min(end, ...deadlines));
+      this.#events.runUntil(wakeAt, () => true);
+      for (const { coordinator } of this.#leaderships) {
+        coordinator.run(this.now);
+      }
+      this.#check();
+    }
+  }
+
+  /** Upstream that holds a key and is its owner in the registry; `null`: nobody serves it. */
+  servedBy(key: number): UpstreamId | null {
+    const range = this.registry.ranges(SERVICE).find(({ from, to }) => from <= key && key <= to);
+    const upstream = this.upstreams.get(range?.owner ?? '');
+    return upstream?.condition === 'up' && upstream.holds(key, this.now) ? upstream.id : null;
+  }
+
+  servedShare(): number {
+    return SAMPLED_KEYS.filter((key) => this.servedBy(key) !== null).length / SAMPLED_KEYS.length;
+  }
+
+  /** Runs until all sampled keys are served; gives how long that took, `null` if longer than `most`. */
+  timeUntilServed(most: number): number | null {
+    const since = this.now;
+    while (this.now - since < most) {
+      this.run(5);
+      if (this.servedShare() === 1) {
+        return this.now - since;
+      }
+    }
+    return null;
+  }
+
+  #lead(): Leadership {
+    let ownRegistry: Registry | null = null;
+    const registry = (): Registry => ownRegistry ?? this.registry;
+    const leadership: Leadership = {
+      isDeposed: false,
+      until: Number.POSITIVE_INFINITY,
+      registry,
+      coordinator: new RangeCoordinator(
+        {
+          registry,
+          propose: (command, settle) =>
+            this.after(COMMIT_MILLIS, () => {
+              if (leadership.isDeposed) {
+                settle({ type: 'unknown' }, this.now);
+                return;
+              }
+              this.apply(command);
+              settle({ type: 'applied', result: { type: 'accepted', revision: 1 }, revision: 1 }, this.now);
+            }),
+          confirm: (_now, _mayWait, settle) => {
+            const isSabotaged = this.sabotage === SABOTAGES.unconfirmedLeader;
+            this.after(2 * NETWORK_MILLIS, () => settle(!leadership.isDeposed || isSabotaged));
+          },
+          call: (call) => this.#carry(call, leadership),
+          log: () => {},
+          timings:
+            this.sabotage === SABOTAGES.holdCountedShort ? { ...TIMINGS, clockRateError: -0.5 } : TIMINGS,
+        },
+        this.now,
+      ),
+    };
+    this.#freeze = (): void => {
+      ownRegistry = decodeRegistry(this.registry.encode());
+    };
+    return leadership;
+  }
+
+  /** Leaves the latest leader with the registry that it has now. */
+  #freeze: () => void = () => {};
+
+  #depose(leadership: Leadership): void {
+    if (!leadership.isDeposed) {
+      this.#freeze();
+      leadership.isDeposed = true;
+      leadership.until = this.now + DEPOSED_MILLIS * (this.sabotage === SABOTAGES.unconfirmedLeader ? 5 : 1);
+    }
+  }
+
+  /** The member that a heartbeat reaches: for a while a deposed leader answers beside the new one. */
+  #member(): Leadership | undefined {
+    const alive = this.#leaderships.filter(({ until }) => until > this.now);
+    return alive[Math.floor(this.random() * alive.length)] ?? alive.at(-1);
+  }
+
+  #beat(upstream: HeartbeatUpstream): void {
+    if (upstream.condition === 'dark' || upstream.condition === 'ended') {
+      return;
+    }
+    const report = upstream.report(this.now);
+    const sentAt = this.now;
+    let isOver = false;
+    const end = (): void => {
+      if (!isOver) {
+        isOver = true;
+        const isBusy = upstream.isLettingGo(this.now);
+        const wait = isBusy ? LETTING_GO_MILLIS : TIMINGS.heartbeatMillis * (0.97 + this.random() * 0.06);
+        this.after(wait, () => this.#beat(upstream));
+      }
+    };
+    this.after(ANSWER_TIMEOUT_MILLIS, end);
+    if (upstream.condition === 'cut') {
+      return;
+    }
+    this.#deliver(upstream, report, (keys) => {
+      if (this.random() < this.weather.lostAnswers) {
+        return;
+      }
+      const isLate = this.random() < this.weather.lateAnswers;
+      this.after(NETWORK_MILLIS + (isLate ? this.random() * 1200 : 0), () => {
+        if (!isOver && upstream.condition === 'up') {
+          upstream.take(report, keys, sentAt, this.now);
+          end();
+        }
+      });
+    });
+    if (this.random() < this.weather.lateCopies) {
+      this.after(500 + this.random() * 3500, () => this.#deliver(upstream, this.#lateCopy(report), () => {}));
+    }
+  }
+
+  #lateCopy(report: HeldKeys): HeldKeys {
+    if (this.sabotage !== SABOTAGES.lateTakenAsNew) {
+      return report;
+    }
+    this.#forged += 0.0001;
+    return { ...report, sequence: (this.upstreams.size && report.sequence + 50) + this.#forged };
+  }
+
+  #deliver(upstream: HeartbeatUpstream, report: HeldKeys, answer: (keys: GrantedKeys | null) => void): void {
+    const { id, address, leaving } = upstream;
+    this.after(NETWORK_MILLIS, () => {
+      const known = this.registry.upstreams().get(id);
+      const member = this.#member();
+      const take = (): void => member?.coordinator.heard(id, report, answer, this.now);
+      const isNews = known === undefined || (leaving && !known.definition.leaving);
+      if (!isNews || this.registry.isDeparted(id)) {
+        take();
+        return;
+      }
+      const announced = { slots: 2, warmupMillis: 0 };
+      const definition = { id, service: SERVICE, address, zone: 'a', mayHold: [], leaving, announced };
+      this.after(COMMIT_MILLIS, () => {
+        this.apply({ type: 'upstream-announce', definition });
+        take();
+      });
+    });
+  }
+
+  #carry(call: HolderCall, leadership: Leadership): void {
+    const condition = this.upstreams.get(call.upstream)?.condition ?? 'ended';
+    const outcomes: Readonly<Record<typeof condition, HolderOutcome>> = {
+      up: { type: 'accepted', handover: null },
+      cut: { type: 'not-sent' },
+      dark: { type: 'not-sent' },
+      ended: { type: 'ended' },
+    };
+    const outcome = outcomes[condition];
+    const millis = outcome.type === 'not-sent' ? CHECK_TIMEOUT_MILLIS : 2 * NETWORK_MILLIS;
+    this.after(millis, () => leadership.coordinator.callEnded(call.id, outcome, this.now));
+  }
+
+  #check(): void {
+    const rows = [...this.upstreams.values()].flatMap((upstream) =>
+      upstream.rowsAt(this.now).map(({ from, to }) => ({ from, to, id: upstream.id })),
+    );
+    rows.sort((one, other) => one.from - other.from);
+    let last = rows[0];
+    for (const row of rows.slice(1)) {
+      if (last !== undefined && row.from <= last.to && row.id !== last.id) {
+        expect.fail(`key ${row.from} at ${this.now}: held by ${last.id} and ${row.id}`);
+      }
+      last = last === undefined || row.to > last.to ? row : last;
+    }
+  }
+}
--- a/test/control/range-world.ts
+++ b/test/control/range-world.ts
@@ -167,7 +167,7 @@
 
   #beat(holder: Holder): void {
     if (holder.state === 'up') {
-      this.#leader?.heard(holder.id, this.now);
+      this.#leader?.heard(holder.id, null, () => {}, this.now);
     }
     if (holder.state === 'up' || holder.state === 'cut') {
       this.after(HEARTBEAT_MILLIS, () => this.#beat(holder));
