A full disk no longer ends a member: writes wait for room as on a disk that stalls

Change: files whose writes wait (RoomWaits) around the disk; a part that was written is cut off before the next try; a planned stop ends the wait. Tests first failed with the wait taken out (nothing waited, the task failed).

--- a/src/cli/daemons/run-control.ts
+++ b/src/cli/daemons/run-control.ts
@@ -3,12 +3,19 @@
 import { createControlNode } from '../../control/control-node.js';
 import { ControlDaemon } from '../../control/daemon/control-daemon.js';
 import { type ControlDaemonSettings, DEFAULT_CONTROL_TIMINGS } from '../../control/daemon/settings.js';
-import { enableLogs, identifyProcess } from '../../logging/logger.js';
+import { createLogger, enableLogs, identifyProcess } from '../../logging/logger.js';
 import type { Address } from '../../model/identifiers.js';
 import { readSecret } from '../../security/secret-file.js';
 import { TokenFile } from '../../security/token-file.js';
 import { type ControlSettings, loadControlSettings } from '../../settings/control-settings.js';
-import { type OpenedStore, openOrCreateReplica, openReplica } from '../../storage/index.js';
+import {
+  DISK,
+  type FileSystem,
+  type OpenedStore,
+  openOrCreateReplica,
+  openReplica,
+  RoomWaits,
+} from '../../storage/index.js';
 import { checkFree } from '../../wire/index.js';
 import type { Invocation } from '../command-spec.js';
 import type { ExitCode } from '../exit-codes.js';
@@ -53,9 +60,9 @@
   return [...peers, ...(selfStart?.seeds ?? [])].filter((peer) => peer !== advertise);
 }
 
-function openFolder(settings: ControlSettings): Promise<OpenedStore> {
+function openFolder(settings: ControlSettings, files: FileSystem): Promise<OpenedStore> {
   const { dataFolder, cluster, advertise, selfStart } = settings;
-  const options = settings.lockFolder ? {} : { lock: () => NO_LOCK };
+  const options = settings.lockFolder ? { files } : { files, lock: () => NO_LOCK };
   return selfStart === null
     ? openReplica(dataFolder, cluster, options)
     : openOrCreateReplica(dataFolder, { cluster, address: advertise, ...selfStart }, options);
@@ -67,11 +74,16 @@
   const daemon = daemonSettings(settings);
   await checkFree(settings.listen);
   await checkFree(settings.admin);
-  const { identity, restored, store } = await openFolder(settings);
+  const log = createLogger('storage');
+  const waits = new RoomWaits({
+    full: (error) => log.warn('disk-full', { error }),
+    hasRoom: (waitedMillis) => log.info('disk-has-room', { waitedMillis }),
+  });
+  const { identity, restored, store } = await openFolder(settings, waits.around(DISK));
   const { replica } = identity;
   enableLogs(settings.log);
   identifyProcess({ process: settings.replicaName ?? replica, zone: settings.zone });
-  const opened = { replica, restored, files: store };
+  const opened = { replica, restored, files: store, stopWaiting: () => waits.stop() };
   const member = new ControlDaemon(daemon, opened, createControlNode);
   const layers = settingsLayers(invocation);
   const reload = (): void => member.usePeers(peersOf(loadControlSettings(layers)));
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -43,6 +43,8 @@
   readonly replica: ReplicaId;
   readonly restored: ControlRestoredState;
   readonly files: ReplicaFiles;
+  /** Writes that wait for room on the disk fail from now on, so that a stop isn't held up. */
+  readonly stopWaiting?: () => void;
 }
 
 /** Makes the core; replaced in tests. */
@@ -74,7 +76,7 @@
 
   constructor(
     private readonly settings: ControlDaemonSettings,
-    opened: OpenedReplica,
+    private readonly opened: OpenedReplica,
     createCore: CreateControlCore,
   ) {
     this.failed = new Promise((resolve) => {
@@ -176,6 +178,7 @@
     this.joining.stop();
     this.holders.stop();
     await Promise.all([this.internal.stop(), this.sessions.stop()]);
+    this.opened.stopWaiting?.();
     await this.persistTask.stop();
     this.log.info('stopped', { replica: this.replica });
   }
--- a/src/dev/disk/memory-disk.ts
+++ b/src/dev/disk/memory-disk.ts
@@ -30,6 +30,8 @@
   #folders = new Set<string>();
   #operationsLeft = Number.POSITIVE_INFINITY;
   #generation = 0;
+  /** There is no room: half of what is appended is written, and the write fails. */
+  isFull = false;
   /** Operations that changed something so far. */
   operations = 0;
 
@@ -128,7 +130,12 @@
     return {
       append: (bytes) =>
         change(() => {
-          body.written = Buffer.concat([body.written, bytes]);
+          const taken = this.isFull ? bytes.subarray(0, bytes.length >> 1) : bytes;
+          body.written = Buffer.concat([body.written, taken]);
+          if (this.isFull) {
+            const cause = Object.assign(new Error('no space left on device'), { code: 'ENOSPC' });
+            throw new StorageFailedError(path, 'write', cause);
+          }
         }),
       truncate: (size) =>
         change(() => {
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -55,6 +55,8 @@
   'control-lost': { source: 'router', fields: ['address', 'reason'] },
   'control-queue-full': { source: 'router', fields: ['to', 'message'] },
   'platform-list-failed': { source: 'router', fields: ['url', 'reason'] },
+  'disk-full': { source: 'control', fields: ['error'] },
+  'disk-has-room': { source: 'control', fields: ['waitedMillis'] },
   'role-changed': { source: 'control', fields: ['role', 'term', 'leader'] },
   'peer-connected': { source: 'control', fields: ['peer', 'address'] },
   'peer-lost': { source: 'control', fields: ['peer', 'address', 'reason'] },
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -11,6 +11,7 @@
 export type { ReplicaIdentity } from './replica-identity.js';
 export { openOrCreateReplica, type SelfStart } from './replica-opening.js';
 export { ReplicaStore } from './replica-store.js';
+export { RoomWaits, type RoomWaitsOptions } from './room-waits.js';
 export {
   FolderLockedError,
   FolderUnusableError,
--- a/src/storage/storage-error.ts
+++ b/src/storage/storage-error.ts
@@ -1,6 +1,10 @@
 /** Errors of the storage layer. */
+import VError from 'verror';
 import { TernmountError } from '../errors/ternmount-error.js';
 
+/** What operating systems say of a disk, or of a share of it, that has no room left. */
+const FULL_CODES = new Set(['ENOSPC', 'EDQUOT']);
+
 /** Something on the disk can't be trusted, so that this replica is lost: a new one must take its place. */
 export class StorageDamagedError extends TernmountError {
   constructor(path: string, problem: string, cause?: Error) {
@@ -38,3 +42,10 @@
     );
   }
 }
+
+/** Whether a write failed for want of room, so that it may be tried again later. */
+export function isDiskFull(thrown: unknown): boolean {
+  const cause = thrown instanceof StorageFailedError ? VError.cause(thrown) : null;
+  const code = (cause as NodeJS.ErrnoException | null)?.code ?? '';
+  return FULL_CODES.has(code);
+}
--- /dev/null
+++ b/test/storage/room-waits.test.ts
@@ -0,0 +1,74 @@
+/** A full disk: the log waits for room, stays whole, and holds everything once there is some. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import type { PersistRequest } from '../../src/consensus/types.js';
+import { PersistTask } from '../../src/control/daemon/persist-task.js';
+import { MemoryDisk } from '../../src/dev/disk/memory-disk.js';
+import { createReplica, openReplica, RoomWaits } from '../../src/storage/index.js';
+
+const FOLDER = '/data';
+const RETRY_MILLIS = 2;
+
+function request(index: number): PersistRequest {
+  const entry = { index, term: 1, kind: 'command', data: Buffer.from(`entry ${index}`) } as const;
+  return { persistId: index, entries: [entry] };
+}
+
+async function newDisk(): Promise<MemoryDisk> {
+  const disk = new MemoryDisk();
+  await createReplica(FOLDER, { cluster: 'demo', address: '127.0.0.1:1', role: 'first' }, { files: disk });
+  return disk;
+}
+
+describe('a disk without room', () => {
+  it('lets writes wait; nothing is said to be on disk before it is, and nothing is lost', async () => {
+    const disk = await newDisk();
+    const told: string[] = [];
+    const waits = new RoomWaits({
+      retryMillis: RETRY_MILLIS,
+      full: () => told.push('full'),
+      hasRoom: () => told.push('room'),
+    });
+    const lock = () => ({ release: () => {} });
+    const opened = await openReplica(FOLDER, 'demo', { files: waits.around(disk), lock });
+    const persisted: number[] = [];
+    const failures: Error[] = [];
+    const task = new PersistTask(opened.store, {
+      persisted: (id) => persisted.push(id),
+      failed: (error) => failures.push(error),
+    });
+    task.enqueue(request(1));
+    await sleep(5 * RETRY_MILLIS);
+    disk.isFull = true;
+    task.enqueue(request(2));
+    task.enqueue(request(3));
+    await sleep(10 * RETRY_MILLIS);
+    expect(persisted).to.deep.equal([1]);
+    disk.isFull = false;
+    await sleep(10 * RETRY_MILLIS);
+    expect(persisted.at(-1)).to.equal(3);
+    expect(failures).to.deep.equal([]);
+    expect(told).to.deep.equal(['full', 'room']);
+    await task.stop();
+    const { restored } = await openReplica(FOLDER, 'demo', { files: disk, lock });
+    expect(restored.entries.map(({ index }) => index)).to.deep.equal([1, 2, 3]);
+  });
+
+  it('doesn’t hold up a stop', async () => {
+    const disk = await newDisk();
+    const waits = new RoomWaits({ retryMillis: RETRY_MILLIS });
+    const lock = () => ({ release: () => {} });
+    const opened = await openReplica(FOLDER, 'demo', { files: waits.around(disk), lock });
+    const failures: Error[] = [];
+    const task = new PersistTask(opened.store, {
+      persisted: () => {},
+      failed: (error) => failures.push(error),
+    });
+    disk.isFull = true;
+    task.enqueue(request(1));
+    await sleep(3 * RETRY_MILLIS);
+    waits.stop();
+    await task.stop();
+    expect(failures.map(({ name }) => name)).to.deep.equal(['StorageFailedError']);
+  });
+});
