--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -9,9 +9,9 @@
 import type { LedgerWord } from './outcome-table.js';
 import type { PolicyGate } from './policy-gate.js';
 import { type RequestTerms, termsOfRoute, termsOfService } from './request-terms.js';
-import { drawService } from './route-table.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
+import { SplitRotation } from './split-rotation.js';
 import type { ArrivedRequest, RefusalReason, RequestNumber } from './types.js';
 import { isOverdue, type Member, Work } from './work.js';
 
@@ -36,6 +36,7 @@
   private readonly answers: Answers;
   private readonly claims: ClaimFlow;
   private readonly early: EarlyRequests;
+  private readonly splits: SplitRotation;
 
   constructor(parts: RequestIntakeParts) {
     this.context = parts.context;
@@ -44,6 +45,7 @@
     this.answers = parts.answers;
     this.claims = parts.claims;
     this.early = new EarlyRequests(parts.context);
+    this.splits = new SplitRotation(parts.context.random);
     parts.claims.listen(this);
   }
 
@@ -185,7 +187,7 @@
     if (request.place === undefined) {
       return request.service;
     }
-    return route === undefined ? '' : drawService(route.split, this.context.random);
+    return route === undefined ? '' : this.splits.next(route);
   }
 
   /** The shard of a request's key; `null` without one, and for services that aren't keyed. */
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -1,7 +1,5 @@
 /** Routes by host and path. Prefixes end with a slash, so only as many are looked up as the path has slashes. */
-import type { RouteDefinition, SplitPart } from '../model/declaration.js';
-import type { ServiceName } from '../model/identifiers.js';
-import type { Random } from './random.js';
+import type { RouteDefinition } from '../model/declaration.js';
 
 const DEFAULT_PORT_PATTERN = /:\d*$/;
 
@@ -66,20 +64,3 @@
     return made;
   }
 }
-
-/** Draws a part of a split by weight. */
-export function drawService(split: readonly SplitPart[], random: Random): ServiceName {
-  const [first] = split as readonly [SplitPart];
-  if (split.length === 1) {
-    return first.service;
-  }
-  const total = split.reduce((sum, { weight }) => sum + weight, 0);
-  let left = random.share() * total;
-  for (const { service, weight } of split) {
-    left -= weight;
-    if (left < 0) {
-      return service;
-    }
-  }
-  return first.service;
-}
--- a/test/platform/announced-upstream.ts
+++ b/test/platform/announced-upstream.ts
@@ -1,6 +1,7 @@
 /**
  * A server that knows nothing of ternmount's library, as the users' platform has them: announces itself by heartbeat,
- * takes plain grants of key ranges, and says of an answer if its request did not run.
+ * takes plain grants of key ranges by calls or by the answers to its heartbeats, and says of an answer if its request did not
+ * run.
  */
 import { createServer, type IncomingMessage, request, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -26,6 +27,8 @@
   readonly host: string;
   readonly service: string;
   readonly keyed?: boolean;
+  /** Its ranges come with the answers to its heartbeats, and it takes no calls. */
+  readonly byHeartbeat?: boolean;
   readonly zone?: string;
   /** Addresses of control members' HTTP API, asked in turn. */
   readonly control: readonly string[];
@@ -44,6 +47,9 @@
     readonly handover?: string;
   }[] = [];
   state: 'ready' | 'draining' = 'ready';
+  /** Ranges that the latest answer gave, as rows of first key, last key and fence. */
+  rows: readonly (readonly [number, number, number])[] = [];
+  #released: (readonly [number, number, string])[] = [];
   readonly #fences = new Float64Array(KEYS);
   readonly #heldUntil = new Float64Array(KEYS);
   readonly #server: Server;
@@ -72,10 +78,12 @@
   }
 
   /** Says something of itself once; gives the status of the answer. */
-  announce(): Promise<number> {
+  async announce(): Promise<number> {
     this.#sequence += 1;
-    const { id, service, zone = 'zone-1' } = this.options;
-    return this.#call(`/v1/upstreams/${id}/heartbeat`, {
+    const { id, service, zone = 'zone-1', byHeartbeat = false } = this.options;
+    const sentAt = performance.now();
+    const released = this.#released;
+    const answer = await this.#call(`/v1/upstreams/${id}/heartbeat`, {
       service,
       address: this.address,
       zone,
@@ -84,11 +92,17 @@
       state: this.state,
       warmupMillis: 0,
       sequence: this.#sequence,
+      ...(byHeartbeat && { holds: this.rows, released }),
     });
+    if (byHeartbeat && answer.status === 200) {
+      this.#released = this.#released.filter((row) => !released.includes(row));
+      this.#takeAnswer(answer.body as HeartbeatAnswer, sentAt);
+    }
+    return answer.status;
   }
 
-  withdraw(): Promise<number> {
-    return this.#call(`/v1/upstreams/${this.options.id}/withdraw`, {});
+  async withdraw(): Promise<number> {
+    return (await this.#call(`/v1/upstreams/${this.options.id}/withdraw`, {})).status;
   }
 
   holds(key: number): boolean {
@@ -108,20 +122,42 @@
     }
   }
 
-  async #call(path: string, body: object): Promise<number> {
+  async #call(path: string, body: object): Promise<ControlAnswer> {
     for (const member of this.options.control) {
-      const status = await follow(`http://${member}${path}`, body).catch(() => 0);
-      if (status >= 200 && status < 300) {
-        return status;
+      const answer = await follow(`http://${member}${path}`, body).catch(() => NO_ANSWER);
+      if (answer.status >= 200 && answer.status < 300) {
+        return answer;
       }
     }
-    return 0;
+    return NO_ANSWER;
+  }
+
+  /** What it is to hold from now on; an answer without that renews nothing. What is left out is let go of at once. */
+  #takeAnswer({ holds, holdMillis = 0 }: HeartbeatAnswer, sentAt: number): void {
+    if (holds === undefined) {
+      return;
+    }
+    const isLeftOut = ([from, to]: readonly [number, number, number]): boolean =>
+      !holds.some(([first, last]) => first <= from && to <= last);
+    const gone = this.rows.filter(isLeftOut);
+    for (const [from, to] of gone) {
+      this.#heldUntil.fill(0, from, to + 1);
+      this.#released.push([from, to, `${this.options.id}:${from}-${to}`]);
+    }
+    for (const [from, to, fence, handover] of holds) {
+      this.#fences.fill(fence, from, to + 1);
+      this.#heldUntil.fill(sentAt + holdMillis, from, to + 1);
+      this.grants.push({ from, to, fence, ...(handover !== '' && { handover }) });
+    }
+    this.rows = holds.map(([from, to, fence]) => [from, to, fence] as const);
   }
 
   async #take(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await bodyOf(incoming);
     const { url = '' } = incoming;
-    if (url === '/ternmount/grant') {
+    if (this.options.byHeartbeat === true && url.startsWith('/ternmount/')) {
+      response.writeHead(404).end();
+    } else if (url === '/ternmount/grant') {
       this.#grant(JSON.parse(body), response);
     } else if (url === '/ternmount/release') {
       await this.#release(JSON.parse(body), response);
@@ -196,7 +232,20 @@
   }
 }
 
-async function follow(url: string, body: object, redirects = 0): Promise<number> {
+interface ControlAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** What the answer to a heartbeat may say of keys: rows of first key, last key, fence and handover or ''. */
+interface HeartbeatAnswer {
+  readonly holds?: readonly (readonly [number, number, number, string])[];
+  readonly holdMillis?: number;
+}
+
+const NO_ANSWER: ControlAnswer = { status: 0, body: null };
+
+async function follow(url: string, body: object, redirects = 0): Promise<ControlAnswer> {
   const response = await fetch(url, {
     method: 'POST',
     redirect: 'manual',
@@ -204,12 +253,12 @@
     body: JSON.stringify(body),
     signal: AbortSignal.timeout(1000),
   });
-  await response.arrayBuffer();
+  const text = await response.text();
   const location = response.headers.get('location');
   if (response.status === 307 && location !== null && redirects < MOST_REDIRECTS) {
     return follow(location, body, redirects + 1);
   }
-  return response.status;
+  return { status: response.status, body: text === '' ? null : JSON.parse(text) };
 }
 
 async function bodyOf(incoming: IncomingMessage): Promise<string> {
--- a/test/routing/routes.test.ts
+++ b/test/routing/routes.test.ts
@@ -4,7 +4,8 @@
 import type { KeyRange } from '../../src/model/key-range.js';
 import type { RegistryChange, UpstreamRecord } from '../../src/registry/types.js';
 import { Random } from '../../src/routing/random.js';
-import { drawService, RouteTable } from '../../src/routing/route-table.js';
+import { RouteTable } from '../../src/routing/route-table.js';
+import { SplitRotation } from '../../src/routing/split-rotation.js';
 import type { RouterEffect } from '../../src/routing/types.js';
 import { ANSWERED, only, RouterHarness, sent, service, upstream } from './router-harness.js';
 
@@ -55,16 +56,34 @@
     expect(changing.find('menu.example', '/sheets/')).to.equal(undefined);
   });
 
-  it('draws services by weight', () => {
-    const random = new Random(7);
+  it('divides requests by weight, closely over any 100 in a row, whatever it begins with', () => {
+    const split = [
+      { service: 'a', weight: 70 },
+      { service: 'b', weight: 30 },
+      { service: 'c', weight: 0 },
+    ];
+    for (let seed = 1; seed <= 50; seed += 1) {
+      const rotation = new SplitRotation(new Random(seed));
+      const taken = Array.from({ length: 1000 }, () => rotation.next(route('parts', { split })));
+      expect(taken).to.not.include('c');
+      for (let from = 0; from + 100 <= taken.length; from += 10) {
+        const share = taken.slice(from, from + 100).filter((name) => name === 'b').length / 100;
+        expect(share, `seed ${seed}, from ${from}`).to.be.closeTo(0.3, 0.03);
+      }
+    }
+  });
+
+  it('divides few requests of many routers by weight all together', () => {
     const split = [
       { service: 'a', weight: 90 },
       { service: 'b', weight: 10 },
-      { service: 'c', weight: 0 },
     ];
-    const drawn = Array.from({ length: 5000 }, () => drawService(split, random));
-    expect(drawn.filter((name) => name === 'b').length / drawn.length).to.be.closeTo(0.1, 0.02);
-    expect(drawn).to.not.include('c');
+    const random = new Random(7);
+    const taken = Array.from({ length: 1000 }, () => {
+      const rotation = new SplitRotation(random);
+      return [rotation.next(route('parts', { split })), rotation.next(route('parts', { split }))];
+    }).flat();
+    expect(taken.filter((name) => name === 'b').length / taken.length).to.be.closeTo(0.1, 0.03);
   });
 });
 
