--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -43,9 +43,15 @@
     memberSilentMillis,
     unownedShards: sum(unowned.map(({ shards }) => shards)),
     movingShards: sum(moving),
+    ranges: rangesOf(registry),
   };
 }
 
+function rangesOf(registry: Registry): { total: number; withoutOwner: number } {
+  const ranges = [...registry.services().keys()].flatMap((service) => registry.ranges(service));
+  return { total: ranges.length, withoutOwner: ranges.filter(({ owner }) => owner === null).length };
+}
+
 type RouterStatus = Extract<OperatorResponse, { type: 'status' }>['routers'][number];
 
 function routersOf({ routers, departed }: ControlStatusSource, now: MonotonicMillis): RouterStatus[] {
--- a/src/control/daemon/metrics.ts
+++ b/src/control/daemon/metrics.ts
@@ -64,6 +64,12 @@
     'Upstreams of keyed services whose session is not renewed',
     ({ upstreams }) => upstreams.filter(({ state }) => state !== 'leased').length,
   );
+  addOfLeader('ranges', 'Ranges of numeric keys', ({ ranges }) => ranges?.total ?? 0);
+  addOfLeader(
+    'ranges_without_owner',
+    'Ranges of numeric keys that have no owner at this moment',
+    ({ ranges }) => ranges?.withoutOwner ?? 0,
+  );
   addOfLeader('routers', 'Routers connected to this member', ({ routers }) => routers.length);
 }
 
--- a/src/control/ranges/heartbeat-carrier.ts
+++ b/src/control/ranges/heartbeat-carrier.ts
@@ -17,7 +17,7 @@
 /** What an owner takes to let go of keys and say so, as the wait of their next owner's heartbeat allows for it. */
 const RELEASE_MILLIS = 250;
 /** An owner whose heartbeat is later than this, as a factor on the usual time between two, is checked. */
-const OVERDUE_FACTOR = 1.25;
+const OVERDUE_FACTOR = 1.1;
 /** Time between two checks of one address. */
 const CHECK_GAP_MILLIS = 250;
 /** Bytes of an answer that grants may take; its reader takes 4 KiB. */
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -128,6 +128,8 @@
       readonly memberSilentMillis: Readonly<Record<ReplicaId, number>>;
       readonly unownedShards: number;
       readonly movingShards: number;
+      /** Ranges of numeric keys, and those that have no owner at this moment. */
+      readonly ranges?: { readonly total: number; readonly withoutOwner: number };
     }
   | { readonly type: 'membership'; readonly membership: Membership; readonly repaired: boolean }
   | { readonly type: 'done' }
