Upstreams that join get keys: the first ones come off the busiest owner, also while nobody is too busy

Cause: keys moved only off owners much busier than the mean, so an upstream that joined a calm service owned nothing and served nobody (read in the code; two tests failed first, one for each carrier). Change: one that owns nothing gets the beginning of the heaviest range of the busiest owner, a third of that owner's load; nobody gives up its only range as too idle. Ruled out: dividing anew (each move is priced).

--- a/src/control/ranges/range-service.ts
+++ b/src/control/ranges/range-service.ts
@@ -4,6 +4,7 @@
  */
 import type { MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
 import { findRange, type KeyRange, type KeySpan } from '../../model/key-range.js';
+import { planFirstRanges } from '../../placement/ranges/first-ranges.js';
 import { KeyLoads } from '../../placement/ranges/key-loads.js';
 import { OwnerLoads, type RangeServer } from '../../placement/ranges/owner-loads.js';
 import { OwnerSpeeds } from '../../placement/ranges/owner-speeds.js';
@@ -313,10 +314,17 @@
     return isFree;
   }
 
-  /** Takes keys off servers that are much busier than the others; first off those that were just overwhelmed. */
+  /**
+   * Takes keys off servers that are much busier than the others; first for those that own none, then off those that were
+   * just overwhelmed.
+   */
   #planMoves(ranges: readonly KeyRange[]): PlannedSpan[] {
     const servers = this.#servers.list;
     const underWay = this.#releases.open();
+    const first = planFirstRanges(ranges, this.#loads, servers, underWay);
+    if (first.length > 0) {
+      return first;
+    }
     const relief = planMoves(ranges, this.#recentLoads, servers, RELIEF_GOAL, underWay);
     return relief.length > 0 ? relief : planMoves(ranges, this.#loads, servers, EVEN_GOAL, underWay);
   }
--- a/src/placement/ranges/range-planner.ts
+++ b/src/placement/ranges/range-planner.ts
@@ -94,7 +94,7 @@
 }
 
 /** Last key of a piece that begins a span and carries about `wanted`, idle keys included. */
-function endOfPiece(span: KeySpan, loads: KeyLoads, wanted: number): number {
+export function endOfPiece(span: KeySpan, loads: KeyLoads, wanted: number): number {
   let low = span.from;
   let high = span.to;
   while (low < high) {
@@ -189,7 +189,7 @@
 
 /**
  * Short ranges with little load, which are better off with the owner of a neighbour: they were cut out while they were hot.
- * The idlest come first.
+ * The idlest come first. Nobody gives up its only range.
  */
 export function planReturns(
   ranges: readonly KeyRange[],
@@ -197,10 +197,12 @@
   servers: readonly RangeServer[],
 ): PlannedSpan[] {
   const known = new Map(servers.map((server) => [server.upstream, server]));
+  const owners = ranges.map(({ owner }) => owner);
+  const isOnly = (owner: UpstreamId): boolean => owners.indexOf(owner) === owners.lastIndexOf(owner);
   const returns = ranges.flatMap((range, position) => {
     const heir = known.get(longerNeighbour(ranges, position)?.owner ?? '');
     const isOther = range.owner !== null && heir !== undefined && heir.upstream !== range.owner;
-    const isIdle = isOther && loads.ofSpan(range) < capacityOf(heir) * IDLE_SHARE;
+    const isIdle = isOther && !isOnly(range.owner) && loads.ofSpan(range) < capacityOf(heir) * IDLE_SHARE;
     return isIdle ? [{ from: range.from, to: range.to, target: heir.upstream }] : [];
   });
   const byLoad = returns.sort((one, other) => loads.ofSpan(one) - loads.ofSpan(other));
--- a/test/control/heartbeat-owners.test.ts
+++ b/test/control/heartbeat-owners.test.ts
@@ -150,6 +150,14 @@
     expect(world.servedShare()).to.equal(1);
   });
 
+  it('that join later get keys within three seconds, also while nobody is busy', () => {
+    const world = started();
+    world.add('u5');
+    world.run(3000);
+    expect(world.registry.ranges(SERVICE).some(({ owner }) => owner === 'u5')).to.equal(true);
+    expect(world.timeUntilServed(1000)).not.to.equal(null);
+  });
+
   it('take keys under a new fence if they saw a higher one', () => {
     const world = started();
     const [range] = world.registry.ranges(SERVICE);
--- a/test/control/range-owners.test.ts
+++ b/test/control/range-owners.test.ts
@@ -151,6 +151,33 @@
     expect(world.registry.ranges(SERVICE).length).to.be.at.most(24);
   });
 
+  it('that join later get keys within two seconds, also while nobody is busy, and keep them', () => {
+    const world = started();
+    world.addHolder('u5');
+    world.run(2000);
+    const ofJoined = () => world.registry.ranges(SERVICE).filter(({ owner }) => owner === 'u5');
+    expect(ofJoined().length).to.be.at.least(1);
+    const before = ofJoined();
+    world.run(20_000);
+    expect(ofJoined()).to.deep.equal(before);
+    expect(world.servedShare()).to.equal(1);
+  });
+
+  it('are not granted a range again under a fence that was refused for a higher one', () => {
+    const world = started();
+    const [range] = world.registry.ranges(SERVICE);
+    const owner = world.holders.get(range?.owner ?? '');
+    const fence = range?.fence ?? 0;
+    owner?.fences.fill(fence + 2, 0, 10);
+    world.calls.length = 0;
+    world.run(4 * TIMINGS.renewMillis);
+    const refused = world.calls.filter(
+      (call) => call.kind === 'grant' && call.from === 0 && call.fence === fence,
+    );
+    expect(refused.length).to.equal(1);
+    expect(world.servedShare()).to.equal(1);
+  });
+
   it('take hot keys off the one that is overwhelmed', () => {
     const world = started();
     const shards = Array.from({ length: 200 }, (_, index) => ({
