Requests that wait for a key's next owner go to it at once when its range begins where the one before did

Cause: when ranges change, waiting work is filed anew under the lane of its range, named after its first key. A lane of that name was there already and kept the owner before (or none), so the new owner's look at its lanes never found it; the work was refused with would-miss-deadline half a second later, although its owner was known. Change: a lane that is filed under another owner is assigned to that and its pause ends. Two tests; the first failed before.

--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -228,6 +228,11 @@
     const { service } = work;
     const owner = work.shard === null ? null : (this.context.view.shard(work.shard)?.owner ?? null);
     const lane = service.lanes.obtain(work.shard, owner);
+    if (lane.owner !== owner) {
+      // A range that begins at the same key has another owner now, and what is known of the lane was about the one before.
+      service.lanes.reassign(lane, owner);
+      lane.resume();
+    }
     service.lanes.enqueue(lane, work, place, this.context.now);
     work.phase = 'queued';
     this.admission.boundWait(work);
--- a/test/routing/routes.test.ts
+++ b/test/routing/routes.test.ts
@@ -186,6 +186,27 @@
     expect(only(effects, 'dispatch')[0]?.instance).to.equal('u2');
   });
 
+  it('wait while a range has no owner, and go to the next one of a range that begins at the same key', () => {
+    const harness = keyed();
+    harness.change([range(0, 99, null, 6)]);
+    expect(only(send(harness, '/sheets/1', '10'), 'dispatch')[0]).to.equal(undefined);
+    const effects = harness.change([range(0, 49, 'u2', 7), range(50, 99, 'u1', 7)]);
+    expect(only(effects, 'dispatch')[0]?.instance).to.equal('u2');
+  });
+
+  it('that wait for a busy owner go to the next one as soon as there is one', () => {
+    const harness = keyed();
+    const isSent = (key: number): boolean =>
+      only(send(harness, '/sheets/1', String(key)), 'dispatch').length > 0;
+    let key = 1;
+    while (key < 30 && isSent(key)) {
+      key += 1;
+    }
+    expect(key).to.be.below(30);
+    const effects = harness.change([range(0, 99, 'u2', 7)]);
+    expect(only(effects, 'dispatch')[0]?.instance).to.equal('u2');
+  });
+
   it('keep their attempt when the range loses its owner: it is asked to finish', () => {
     const harness = keyed();
     const attempt = only(send(harness, '/sheets/1', '50'), 'dispatch')[0]?.attempt ?? 0;
