--- /dev/null
+++ b/test/control/heartbeat-holders.test.ts
@@ -0,0 +1,115 @@
+/** What heartbeats prove of the keys that their upstreams hold, hazard by hazard. */
+import { expect } from 'chai';
+import { HeartbeatHolders } from '../../src/control/ranges/heartbeat-holders.js';
+import { DEFAULT_RANGE_TIMINGS } from '../../src/lease/range-timings.js';
+import { DEPOSED_GRANTER_MILLIS, longestHoldMillis } from '../../src/lease/timed-grants.js';
+import type { HeldKeys, HeldSpan } from '../../src/model/held-keys.js';
+
+const ELECTED_AT = 1000;
+const LONGEST = longestHoldMillis(DEFAULT_RANGE_TIMINGS);
+const SPAN = { from: 100, to: 199 };
+const HELD: HeldSpan = { ...SPAN, fence: 7 };
+
+function heartbeat(sequence: number, held: readonly HeldSpan[] = [], handover?: string): HeldKeys {
+  const released = handover === undefined ? [] : [{ ...SPAN, handover }];
+  return { sequence, held, released };
+}
+
+/** An upstream that held the span in two heartbeats, the second of which was answered with it. */
+function holding(): HeartbeatHolders {
+  const holders = new HeartbeatHolders(DEFAULT_RANGE_TIMINGS, ELECTED_AT);
+  holders.heard('u1', heartbeat(4, [HELD]), 2000);
+  holders.granted('u1', 2000);
+  holders.heard('u1', heartbeat(5, [HELD]), 2870);
+  holders.granted('u1', 2870);
+  return holders;
+}
+
+describe('proof that keys are free of the owner before', () => {
+  const given = { since: 3000, afterSequence: 5 };
+
+  it('is a later heartbeat without them', () => {
+    const holders = holding();
+    expect(holders.isFree('u1', SPAN, given, 3001)).to.equal(false);
+    holders.heard('u1', heartbeat(6, [HELD]), 3740);
+    expect(holders.isFree('u1', SPAN, given, 3741)).to.equal(false);
+    holders.heard('u1', heartbeat(7, [], 'warm'), 3840);
+    expect(holders.isFree('u1', SPAN, given, 3841)).to.equal(true);
+    expect(holders.handoverOf('u1', { from: 120, to: 130 })).to.equal('warm');
+  });
+
+  it('is none while a part of them is still held or worked on', () => {
+    const holders = holding();
+    holders.heard('u1', heartbeat(6, [{ from: 199, to: 250, fence: 7 }]), 3740);
+    expect(holders.isFree('u1', SPAN, given, 3741)).to.equal(false);
+  });
+
+  it('is no heartbeat that comes late, nor one that comes twice', () => {
+    const holders = holding();
+    for (const sequence of [5, 3, 4]) {
+      expect(holders.heard('u1', heartbeat(sequence), 3500)).to.equal(false);
+    }
+    expect(holders.isFree('u1', SPAN, given, 3501)).to.equal(false);
+  });
+
+  it('is no heartbeat that was answered with them: the answer may still be on its way', () => {
+    const holders = holding();
+    holders.heard('u1', heartbeat(6), 3740);
+    expect(holders.isFree('u1', SPAN, { since: 3750, afterSequence: 6 }, 3751)).to.equal(false);
+  });
+
+  it('is not the first heartbeat that a leader hears of an upstream', () => {
+    const holders = new HeartbeatHolders(DEFAULT_RANGE_TIMINGS, ELECTED_AT);
+    const inherited = { since: ELECTED_AT, afterSequence: Number.NEGATIVE_INFINITY };
+    holders.heard('u1', heartbeat(8), 1100);
+    expect(holders.isFree('u1', SPAN, inherited, 1101)).to.equal(false);
+    holders.heard('u1', heartbeat(9), 1970);
+    expect(holders.isFree('u1', SPAN, inherited, 1971)).to.equal(true);
+  });
+
+  it('is the longest hold since they have no owner', () => {
+    const holders = holding();
+    expect(holders.isFree('u1', SPAN, given, 3000 + LONGEST - 1)).to.equal(false);
+    expect(holders.isFree('u1', SPAN, given, 3000 + LONGEST)).to.equal(true);
+  });
+
+  it('is for a new leader the longest hold since the one before can have answered last', () => {
+    const holders = new HeartbeatHolders(DEFAULT_RANGE_TIMINGS, ELECTED_AT);
+    const inherited = { since: ELECTED_AT, afterSequence: Number.NEGATIVE_INFINITY };
+    const end = ELECTED_AT + DEPOSED_GRANTER_MILLIS + LONGEST;
+    expect(holders.isFree('u1', SPAN, inherited, end - 1)).to.equal(false);
+    expect(holders.isFree('u1', SPAN, inherited, end)).to.equal(true);
+  });
+
+  it('is the end of the run', () => {
+    const holders = holding();
+    holders.ended('u1');
+    expect(holders.isFree('u1', SPAN, given, 3001)).to.equal(true);
+    expect(holders.isLost('u1', 3001)).to.equal(true);
+  });
+
+  it('is no heartbeat while calls of another way of granting may still be taken', () => {
+    const foreignUntil = 50_000;
+    const holders = new HeartbeatHolders(DEFAULT_RANGE_TIMINGS, ELECTED_AT, foreignUntil);
+    holders.heard('u1', heartbeat(1), 2000);
+    holders.heard('u1', heartbeat(2), 2870);
+    const inherited = { since: 2500, afterSequence: 1 };
+    expect(holders.isFree('u1', SPAN, inherited, foreignUntil - 1)).to.equal(false);
+    expect(holders.isFree('u1', SPAN, inherited, foreignUntil)).to.equal(true);
+  });
+});
+
+describe('an owner by heartbeat', () => {
+  it('is lost once it can hold nothing of its last answer, whether or not it told that a hold ran out', () => {
+    const holders = holding();
+    expect(holders.isLost('u1', 2870 + LONGEST - 1)).to.equal(false);
+    expect(holders.isLost('u1', 2870 + LONGEST)).to.equal(true);
+  });
+
+  it('that a new leader never heard is lost no sooner than what the one before may have answered', () => {
+    const holders = new HeartbeatHolders(DEFAULT_RANGE_TIMINGS, ELECTED_AT);
+    const end = ELECTED_AT + DEPOSED_GRANTER_MILLIS + LONGEST;
+    expect(holders.isLost('u9', end - 1)).to.equal(false);
+    expect(holders.isLost('u9', end)).to.equal(true);
+  });
+});
