Control members send what changed at once and together; routers need not ask for each change

One round costs a router 1.5 to 2.3 ms of processor time (800 ranges, 3 changed; 16 and 51 ms a second at 0 and 15 rounds a second). Change: a member that knows what a router was told sends the difference, and not more often than each 50 ms; the first change goes out at once. Routers that hold nothing, or too little, are told to ask as before.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -122,7 +122,7 @@
     if (this.#hasNews) {
       this.#hasNews = false;
       this.#unowned.look(this.#raft.registry, now);
-      this.#routers.notify(this.#raft.registry.revision, now);
+      this.#routers.notify(now);
     }
     return this.#effects;
   }
--- a/src/control/router-requests.ts
+++ b/src/control/router-requests.ts
@@ -20,6 +20,12 @@
 import { SyncReads, type WaitingSync } from './sync-reads.js';
 import type { ConnectionId } from './types.js';
 
+/**
+ * Shortest time between two rounds of news; changes that come meanwhile share the next one. Each round wakes every router, and
+ * costs it about 1.5 ms of processor time (800 ranges, three of them changed); owners of ranges change up to 20 times a second.
+ */
+const NEWS_GAP_MILLIS = 50;
+
 /** What is known of a connected router. */
 export interface ConnectedRouter {
   readonly router: RouterId;
@@ -39,6 +45,10 @@
 export class RouterRequests {
   readonly #parts: RouterRequestsParts;
   readonly #routers = new Map<ConnectionId, ConnectedRouter>();
+  /** Up to which revision a router was sent all there is. */
+  readonly #told = new Map<ConnectionId, Revision>();
+  #hasNews = false;
+  #newsNotBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
   readonly #departed = new DepartedRouters();
   readonly #syncs: SyncReads;
 
@@ -70,31 +80,61 @@
   gone(connection: ConnectionId): void {
     const router = this.#routers.get(connection);
     this.#routers.delete(connection);
+    this.#told.delete(connection);
     if (router !== undefined && !this.routers().some((other) => other.router === router.router)) {
       this.#departed.left(router);
     }
     this.#syncs.gone(connection);
   }
 
-  /** Begins the read that waits for its time. */
+  /** Begins the read that waits for its time, and sends the news that do. */
   run(now: MonotonicMillis): void {
     this.#syncs.run(now);
+    this.#sendNews(now);
   }
 
   nextDeadline(): MonotonicMillis {
-    return this.#syncs.nextDeadline();
+    const newsAt = this.#hasNews ? this.#newsNotBefore : Number.POSITIVE_INFINITY;
+    return Math.min(this.#syncs.nextDeadline(), newsAt);
   }
 
-  /** Tells the routers that have a lease by this member that there is something to fetch; others ask another one. */
-  notify(revision: Revision, now: MonotonicMillis): void {
+  /** Something that routers hold has changed. */
+  notify(now: MonotonicMillis): void {
+    this.#hasNews = true;
+    this.#sendNews(now);
+  }
+
+  /** Sends what changed to the routers that have a lease by this member; others ask another one. */
+  #sendNews(now: MonotonicMillis): void {
+    if (!this.#hasNews || now < this.#newsNotBefore) {
+      return;
+    }
+    this.#hasNews = false;
+    this.#newsNotBefore = now + NEWS_GAP_MILLIS;
     const { configLeaseMillis } = this.#parts.configLease;
     for (const [connection, { heardAt }] of this.#routers) {
       if (now - heardAt < configLeaseMillis) {
-        this.#parts.send(connection, { type: 'change-notice', revision });
+        this.#tell(connection);
       }
     }
   }
 
+  /** A router that holds nothing yet, or too little for changes to help, is told to ask. */
+  #tell(connection: ConnectionId): void {
+    const { revision } = this.#parts.raft.registry;
+    const told = this.#told.get(connection) ?? 0;
+    if (told >= revision) {
+      return;
+    }
+    const delta = this.#newsSince(told);
+    if (delta === null) {
+      this.#parts.send(connection, { type: 'change-notice', revision });
+      return;
+    }
+    this.#told.set(connection, delta.to);
+    this.#parts.send(connection, { type: 'sync-news', delta });
+  }
+
   routers(): readonly ConnectedRouter[] {
     return [...this.#routers.values()];
   }
@@ -113,6 +153,7 @@
       this.#parts.send(connection, { type: 'sync-news', delta: news });
     }
     const held = news?.to ?? have;
+    this.#told.set(connection, held);
     const isRenewal = have > 0 && held >= this.#parts.raft.registry.revision;
     this.#syncs.add({ connection, request: { ...request, have: held } }, isRenewal, now);
   }
@@ -125,16 +166,19 @@
 
   #answerSync({ connection, request }: WaitingSync, confirmed: boolean): void {
     if (this.#routers.has(connection)) {
-      this.#parts.send(connection, this.#syncResponse(request, confirmed));
+      this.#parts.send(connection, this.#syncResponse(connection, request, confirmed));
     }
   }
 
   /** A router that is ahead of this member gets nothing to apply, and no confirmation. */
-  #syncResponse(request: SyncRequest, confirmed: boolean): SyncResponse {
+  #syncResponse(connection: ConnectionId, request: SyncRequest, confirmed: boolean): SyncResponse {
     const { raft } = this.#parts;
     const { registry } = raft;
     const isNews = request.have < registry.revision;
     const delta = this.#newsSince(request.have);
+    if (isNews) {
+      this.#told.set(connection, registry.revision);
+    }
     return {
       type: 'sync-response',
       stamp: request.stamp,
--- a/test/control/sync-news.test.ts
+++ b/test/control/sync-news.test.ts
@@ -55,6 +55,52 @@
     expect(latest(cluster, 'sync-response')).to.include({ stamp, confirmed: true, snapshot: null });
   });
 
+  /** Changes one upstream; nobody asks for it. */
+  function change(cluster: Cluster, id: string): void {
+    cluster.ask({
+      type: 'command',
+      requestId: id,
+      actor: 'test',
+      wait: false,
+      command: { type: 'upstream-apply', definition: upstream(id), expected: null },
+    });
+  }
+
+  it('are not needed for changes: routers that hold all before are sent them', () => {
+    const { cluster } = startCluster(3);
+    ask(cluster, 0);
+    cluster.run(100);
+    const have = latest(cluster, 'sync-response')?.revision ?? 0;
+    change(cluster, 'u9');
+    cluster.run(40);
+    const { delta } = latest(cluster, 'sync-news') ?? {};
+    expect(delta?.from).to.equal(have);
+    expect(delta?.changes.map(({ type }) => type)).to.include('upstream');
+    change(cluster, 'u10');
+    cluster.run(100);
+    expect(latest(cluster, 'sync-news')?.delta.from).to.equal(delta?.to);
+    expect(latest(cluster, 'change-notice')).to.equal(undefined);
+  });
+
+  it('are not needed for many changes at once: they come together', () => {
+    const { cluster } = startCluster(3);
+    ask(cluster, 0);
+    cluster.run(200);
+    const before = cluster.routerMessages.length;
+    for (let number = 20; number < 60; number += 1) {
+      change(cluster, `u${number}`);
+      cluster.run(5);
+    }
+    cluster.run(100);
+    const news = cluster.routerMessages.slice(before);
+    expect(news.every(({ message }) => message.type === 'sync-news')).to.equal(true);
+    expect(news.length).to.be.within(2, 8);
+    const changes = news.flatMap(({ message }) =>
+      message.type === 'sync-news' ? message.delta.changes : [],
+    );
+    expect(changes.filter(({ type }) => type === 'upstream')).to.have.length(40);
+  });
+
   it('confirm nothing without a quorum', () => {
     const { cluster } = startCluster(3);
     ask(cluster, 0);
