Requests for a full owner are refused at once; the parser is never optimised, and rarely used code is kept

What a refusal said of the load there wasn't read. Change: a refusal's load counts in full; the estimated wait for an owner counts until it may have room; such refusals have loads reported early. `--liftoff-only --no-memory-reducer`.

--- a/scripts/bundle/bundle.mjs
+++ b/scripts/bundle/bundle.mjs
@@ -16,7 +16,8 @@
   '--v8-pool-size=0',
   '--max-old-space-size=160',
   '--max-semi-space-size=4',
-  '--wasm-tiering-budget=1000000000',
+  '--liftoff-only',
+  '--no-memory-reducer',
 ];
 
 /** Node's own modules are asked for through a function that launch.cjs hands in, so that no `import` is left. */
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -186,7 +186,7 @@
     const body = storedAnswerBytes === null ? null : Buffer.concat(this.chunks);
     const refusal = this.options.protocol.refusalOf(head);
     if (refusal !== null) {
-      return refusal;
+      return { ...refusal, load: this.options.protocol.loadOf(head.headers) };
     }
     return this.answeredResult(body);
   }
--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -29,12 +29,12 @@
         this.countAnswer(attempt, result.status, took);
         return;
       case 'refused':
-        this.countRefusal(upstream, result.refusal, result.retryAfterMillis);
+        this.countRefusal(upstream, result.refusal, result.retryAfterMillis, result.load ?? null);
         return;
       case 'connect-failed':
         if (result.turnedAway === true) {
           // It is there, and has more connections or work than it can take.
-          this.countRefusal(upstream, 'overloaded', null);
+          this.countRefusal(upstream, 'overloaded', null, Number.POSITIVE_INFINITY);
           return;
         }
         upstream.connectionFailed(now);
@@ -69,6 +69,7 @@
     upstream: UpstreamState,
     refusal: FenceRefusal,
     retryAfterMillis: number | null,
+    load: number | null,
   ): void {
     const { now, random } = this.context;
     if (refusal === 'other-incarnation' && upstream.isAnnounced) {
@@ -79,6 +80,9 @@
     }
     if (refusal === 'overloaded') {
       upstream.slotLimit.overloaded(now);
+      if (upstream.isAnnounced && load !== null) {
+        upstream.refusedAsFull(load, now);
+      }
       const asked = retryAfterMillis ?? random.jitter(OVERLOAD_PAUSE_MILLIS, PAUSE_JITTER);
       const pause = Math.min(LONGEST_OVERLOAD_PAUSE_MILLIS, asked);
       upstream.pausedUntil = Math.max(upstream.pausedUntil, now + pause);
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -38,6 +38,7 @@
     }
     const refusal = this.admission.refusalOf(work);
     if (refusal !== undefined) {
+      this.context.hasRefusedAtOwner ||= work.shard !== null;
       this.answers.refuseWork(work, refusal, this.admission.retryAfter(work));
       return;
     }
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -33,6 +33,8 @@
   readonly members = new NumberedTable<Member>();
   /** Whether what policies see is told. */
   tracing = false;
+  /** A request was refused for want of room at the owner of its key; loads are reported early then. */
+  hasRefusedAtOwner = false;
   now = 0;
   wall: WallMillis = 0;
   private effects: RouterEffect[] = [];
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -63,6 +63,7 @@
     this.lost.scheduleSweep();
     this.sync();
     if (this.isOverwhelmed()) {
+      this.context.hasRefusedAtOwner = false;
       this.reportLoad(true);
     }
     return this.context.takeEffects();
@@ -282,10 +283,13 @@
     }
   }
 
-  /** Whether work waits for owners of numeric keys, which can be cut anew. */
+  /** Whether work waits for owners of numeric keys, which can be cut anew, or was refused for want of room there. */
   private isOverwhelmed(): boolean {
-    const { services, view } = this.context;
-    return [...services.values()].some(({ name, lanes }) => lanes.length > 0 && view.hasRanges(name));
+    const { services, view, hasRefusedAtOwner } = this.context;
+    return (
+      hasRefusedAtOwner ||
+      [...services.values()].some(({ name, lanes }) => lanes.length > 0 && view.hasRanges(name))
+    );
   }
 
   private cancelRequest(request: number): void {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -61,7 +61,13 @@
       readonly personal?: boolean;
     }
   /** The upstream's fence or shedding turned it away before it started. */
-  | { readonly type: 'refused'; readonly refusal: FenceRefusal; readonly retryAfterMillis: number | null }
+  | {
+      readonly type: 'refused';
+      readonly refusal: FenceRefusal;
+      readonly retryAfterMillis: number | null;
+      /** Outstanding work that the refusal reported; left out or `null`: none. */
+      readonly load?: number | null;
+    }
   /** No connection was made: nothing was sent. */
   /** `turnedAway`: the upstream took a connection and ended it at once. */
   | { readonly type: 'connect-failed'; readonly turnedAway?: boolean }
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -140,6 +140,24 @@
     this.loadAt = now;
   }
 
+  /** It turned work away for want of room; `load`: outstanding work there, `Infinity` if that isn't known. */
+  refusedAsFull(load: number, now: number): void {
+    const most = this.slotLimit.most * MOST_LOAD_PER_SLOT;
+    this.foreignLoad = Math.min(most, Math.max(0, load - this.inFlight));
+    this.loadAt = now;
+  }
+
+  /** Milliseconds until it may have room for one more request, as far as others' load tells; 0 if it may now. */
+  roomInMillis(now: number): number {
+    const pause = Math.max(0, this.pausedUntil - now);
+    const room = this.slotLimit.most * MOST_OUTSTANDING_PER_SLOT - this.inFlight;
+    const load = this.load(now);
+    if (!this.isAnnounced || this.inFlight > this.slotLimit.most || load < room) {
+      return pause;
+    }
+    return Math.max(pause, LOAD_DECAY_MILLIS * Math.log(load / room));
+  }
+
   /** No connection was made: it may have stopped, and be cold when it is back. */
   connectionFailed(now: number): void {
     this.evidence.connectionFailed(now);
--- a/src/routing/wait-estimate.ts
+++ b/src/routing/wait-estimate.ts
@@ -10,7 +10,8 @@
   /** Milliseconds until a work that joins its lane now would be dispatched; 0 while nothing is known. */
   untilDispatch(work: Work): number {
     const lane = work.service.lanes.find(work.shard);
-    return this.wait(work.service, lane, work.shard, (lane?.queue.length ?? 0) + 1);
+    const inTurn = this.wait(work.service, lane, work.shard, (lane?.queue.length ?? 0) + 1);
+    return Math.max(inTurn, this.untilRoom(work.shard));
   }
 
   /** The same for the last work that waits in a lane. */
@@ -18,6 +19,12 @@
     return this.wait(service, lane, lane.shard, lane.queue.length);
   }
 
+  /** An owner that said that it is full takes nothing before some of its work is done, whoever waits. */
+  private untilRoom(shard: string | null): number {
+    const owner = shard === null ? undefined : this.context.ownerOf(shard);
+    return owner?.upstream.roomInMillis(this.context.now) ?? 0;
+  }
+
   private wait(service: ServiceState, lane: Lane | undefined, shard: string | null, place: number): number {
     const { now } = this.context;
     const assumed = shard === null ? service.capacityPerMilli(now) : this.shareOfOwner(service, shard);
--- a/test/cli/bundle.test.ts
+++ b/test/cli/bundle.test.ts
@@ -12,7 +12,8 @@
   '--v8-pool-size=0',
   '--max-old-space-size=160',
   '--max-semi-space-size=4',
-  '--wasm-tiering-budget=1000000000',
+  '--liftoff-only',
+  '--no-memory-reducer',
 ];
 
 interface Ended {
--- a/test/routing/routes.test.ts
+++ b/test/routing/routes.test.ts
@@ -207,6 +207,21 @@
     expect(only(effects, 'dispatch')[0]?.instance).to.equal('u2');
   });
 
+  it('are refused at once while their owner is full, and told when it may have room', () => {
+    const harness = keyed();
+    const attempt = only(send(harness, '/sheets/1', '50'), 'dispatch')[0]?.attempt ?? 0;
+    const full = { type: 'refused', refusal: 'overloaded', retryAfterMillis: null, load: 14 } as const;
+    harness.ended(attempt, full);
+    const effects = send(harness, '/sheets/1', '51');
+    expect(only(effects, 'dispatch')).to.have.length(0);
+    const [refused] = only(effects, 'refuse');
+    expect(refused).to.include({ reason: 'would-miss-deadline', outcome: 'not-run' });
+    expect(refused?.retryAfterMillis).to.be.within(500, 1200);
+    harness.run(1200);
+    expect(only(send(harness, '/sheets/1', '52'), 'dispatch')).to.have.length(1);
+    expect(only(send(harness, '/sheets/1', '100'), 'dispatch')).to.have.length(1);
+  });
+
   it('keep their attempt when the range loses its owner: it is asked to finish', () => {
     const harness = keyed();
     const attempt = only(send(harness, '/sheets/1', '50'), 'dispatch')[0]?.attempt ?? 0;
