A late heartbeat of a run that nobody heard undoes nothing of the run that lives at its address

Cause: an unknown id at the address of a known run counted as proof that the known one had ended: it was forgotten for good and its keys went to others while it held them. Change: the leader doesn't acknowledge a new run at an address whose run it heard within 1.5 heartbeats; the next run of a server says so again, and is taken once the one before is silent. Event `address-contested`. Cost: a server that is back within 1.5 heartbeats is taken up to one heartbeat later.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -103,6 +103,7 @@
       heard: (upstream, report, answer, now) =>
         this.#leader === null ? answer(null, now) : this.#leader.upstreamHeard(upstream, report, answer, now),
       takeSnapshot: (now, taken) => this.#snapshots.request(now, taken),
+      log: (event, fields) => this.#log('info', event, fields),
     });
     this.#routers = new RouterRequests({
       ...shared,
--- a/src/control/operator-requests.ts
+++ b/src/control/operator-requests.ts
@@ -1,9 +1,11 @@
 /** Operators' requests: commands go through the log, queries are linearizable reads. */
 import { longestLeaseMillis } from '../lease/lease-bound.js';
+import { DEFAULT_RANGE_TIMINGS } from '../lease/range-timings.js';
 import type { HeldKeys } from '../model/held-keys.js';
 import type { MonotonicMillis, UpstreamId } from '../model/identifiers.js';
 import type { UpstreamDefinition } from '../model/service.js';
 import type { AnnouncementCommand, CommandResult, DeclarationChange } from '../registry/types.js';
+import { AddressClaims } from './address-claims.js';
 import type { MembershipChanges } from './membership-changes.js';
 import type { ProposalOutcome } from './pending-proposals.js';
 import type { ProposeCommand } from './propose-command.js';
@@ -27,6 +29,7 @@
     now: MonotonicMillis,
   ) => void;
   readonly takeSnapshot: (now: MonotonicMillis, taken: () => void) => void;
+  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
 type AnnounceRequest = Extract<OperatorRequest, { readonly type: 'announce' }>;
@@ -46,10 +49,13 @@
 
 export class OperatorRequests {
   readonly #parts: OperatorRequestsParts;
+  readonly #addresses: AddressClaims;
   #waiting: WaitingChange[] = [];
 
   constructor(parts: OperatorRequestsParts) {
     this.#parts = parts;
+    const { heartbeatMillis } = parts.config.ranges ?? DEFAULT_RANGE_TIMINGS;
+    this.#addresses = new AddressClaims({ registry: () => parts.raft.registry, heartbeatMillis });
   }
 
   begin(operation: OperationId, request: OperatorRequest, now: MonotonicMillis): void {
@@ -134,6 +140,13 @@
       this.#takeHeartbeat(operation, definition.id, report, now);
       return;
     }
+    const living = raft.isLeader() ? this.#addresses.livingAt(definition, now) : undefined;
+    if (living !== undefined) {
+      // It isn't acknowledged: a run that really is the next one says so again.
+      this.#parts.log('address-contested', { upstream: definition.id, address: definition.address, living });
+      answer(operation, { type: 'unknown' });
+      return;
+    }
     const settle = (outcome: ProposalOutcome, settledAt: MonotonicMillis): void => {
       const isTaken = outcome.type === 'applied' && outcome.result.type === 'accepted';
       if (isTaken) {
@@ -153,6 +166,7 @@
     now: MonotonicMillis,
   ): void {
     const { heard, answer } = this.#parts;
+    this.#addresses.heard(upstream, now);
     heard(upstream, report, (keys) => answer(operation, { type: 'heartbeat-taken', keys }), now);
   }
 
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -85,6 +85,7 @@
   'connection-closed': { source: 'control', fields: ['peer', 'kind', 'reason'] },
   'upstream-changed': { source: 'control', fields: ['upstream', 'incarnation', 'leaving'] },
   'shards-changed': { source: 'control', fields: ['owned', 'unowned'] },
+  'address-contested': { source: 'control', fields: ['upstream', 'address', 'living'] },
   'ranges-decided': { source: 'control', fields: ['service', 'use', 'updates'] },
   'heartbeat-granted': {
     source: 'control',
