A router that holds nothing is answered once a read, and not told to ask again

Read: each change told routers that hold nothing to ask; each such question was answered with the whole configuration. Also: a new run's first failed connection counts as a first one.

--- a/src/control/router-requests.ts
+++ b/src/control/router-requests.ts
@@ -119,11 +119,14 @@
     }
   }
 
-  /** A router that holds nothing yet, or too little for changes to help, is told to ask. */
+  /**
+   * A router that holds too little for changes to help is told to ask. One that holds nothing has asked: it is answered with all
+   * there is by then, and a second question would have it sent all again.
+   */
   #tell(connection: ConnectionId): void {
     const { revision } = this.#parts.raft.registry;
     const told = this.#told.get(connection) ?? 0;
-    if (told >= revision) {
+    if (told === 0 || told >= revision) {
       return;
     }
     const delta = this.#newsSince(told);
--- a/src/routing/leaving-table.ts
+++ b/src/routing/leaving-table.ts
@@ -111,6 +111,7 @@
     this.successAt = Number.NEGATIVE_INFINITY;
     this.drainingAt = Number.NEGATIVE_INFINITY;
     this.unreachableAt = Number.NEGATIVE_INFINITY;
+    this.unreachableMillis = 0;
     this.unhealthyAt = Number.NEGATIVE_INFINITY;
   }
 
--- a/test/routing/unreachable-upstream.test.ts
+++ b/test/routing/unreachable-upstream.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { StandingEvidence } from '../../src/routing/leaving-table.js';
 import { ANSWERED, only, RouterHarness, service, upstream } from './router-harness.js';
 
 function start(): RouterHarness {
@@ -53,6 +54,18 @@
     expect([...upstreamsPicked(harness, 40)]).to.include(first);
   });
 
+  it('is judged anew once another run is there', () => {
+    const evidence = new StandingEvidence();
+    for (const now of [0, 1000, 3000]) {
+      evidence.connectionFailed(now);
+    }
+    expect(evidence.standing(6000)).to.equal('suspect');
+    evidence.forget();
+    evidence.connectionFailed(10_000);
+    expect(evidence.standing(10_900)).to.equal('suspect');
+    expect(evidence.standing(11_100)).to.equal('usable');
+  });
+
   it('is not avoided as one that is gone where it only had too many connections', () => {
     const record = service('board', { slotsPerUpstream: 50 });
     const harness = new RouterHarness().start([record], [upstream('u1', 'board'), upstream('u2', 'board')]);
