--- a/src/control/router-requests.ts
+++ b/src/control/router-requests.ts
@@ -119,14 +119,11 @@
     }
   }
 
-  /**
-   * A router that holds too little for changes to help is told to ask. One that holds nothing has asked: it is answered with all
-   * there is by then, and a second question would have it sent all again.
-   */
+  /** A router that holds nothing yet, or too little for changes to help, is told to ask. */
   #tell(connection: ConnectionId): void {
     const { revision } = this.#parts.raft.registry;
     const told = this.#told.get(connection) ?? 0;
-    if (told === 0 || told >= revision) {
+    if (told >= revision) {
       return;
     }
     const delta = this.#newsSince(told);
--- a/src/control/sync-reads.ts
+++ b/src/control/sync-reads.ts
@@ -50,8 +50,6 @@
       this.#renewalsAt = Math.min(this.#renewalsAt, now + RENEWALS_GATHER_MILLIS);
       return;
     }
-    // A later question of the same router stands for its earlier ones: each would be answered with all there is.
-    this.#waiting = this.#waiting.filter(({ connection }) => connection !== sync.connection);
     this.#waiting.push({ ...sync, since: now });
     this.run(now);
   }
--- a/test/control/sync-news.test.ts
+++ b/test/control/sync-news.test.ts
@@ -101,20 +101,6 @@
     expect(changes.filter(({ type }) => type === 'upstream')).to.have.length(40);
   });
 
-  it('of a router that holds nothing are answered once a read, however often it asks meanwhile', () => {
-    const { cluster } = startCluster(3);
-    const leader = cluster.leader();
-    cluster.cut.add(leader.id);
-    for (let number = 20; number < 30; number += 1) {
-      ask(cluster, 0, leader);
-      cluster.run(10);
-    }
-    cluster.run(RENEWED_MILLIS);
-    // The first question begins a read at once; all others wait for the next one.
-    expect(cluster.routerMessages).to.have.length(2);
-    expect(latest(cluster, 'sync-response')?.stamp).to.be.above(80);
-  });
-
   it('confirm nothing without a quorum', () => {
     const { cluster } = startCluster(3);
     ask(cluster, 0);
