The line of a failed request says how the connection of each attempt broke

Change: the HTTP client's error is classified once, where it is caught; the core and the request's line carry it. No decision uses it yet.

--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -10,6 +10,7 @@
 import { type AnswerHead, announcedLength } from './answer-head.js';
 import { AnswerStream } from './answer-stream.js';
 import { AttemptAbortedError, type AttemptFailure } from './attempt-error.js';
+import { classifyBreak } from './classify-break.js';
 import type { ConnectionResets } from './connection-resets.js';
 import { ConnectionTurnedAwayError } from './settled-connector.js';
 import { storedAnswerOf } from './stored-answer.js';
@@ -163,7 +164,7 @@
       return;
     }
     if (this.phase !== 'waiting') {
-      this.report({ type: 'broken' });
+      this.report({ type: 'broken', how: classifyBreak(error) });
       return;
     }
     this.report({ type: 'connect-failed', turnedAway: error instanceof ConnectionTurnedAwayError });
--- a/src/router/request-trail.ts
+++ b/src/router/request-trail.ts
@@ -1,6 +1,7 @@
 /** What happened to one request, told in one line when it is answered. */
 import type { Logger } from '../logging/logger.js';
 import type { Epoch, Revision, UpstreamId } from '../model/identifiers.js';
+import type { ConnectionBreak } from '../routing/connection-break.js';
 import type { AttemptNumber, AttemptResult, RouterEffect } from '../routing/types.js';
 import type { CallerExchange } from './caller/caller-exchange.js';
 
@@ -16,6 +17,8 @@
   readonly sentAt: number;
   endedAt: number | null;
   result: string | null;
+  /** How the connection of a broken attempt came to its end. */
+  how?: ConnectionBreak;
 }
 
 /** An answer of an upstream after this many milliseconds is told of in any case. */
@@ -47,6 +50,9 @@
     if (step !== undefined) {
       step.endedAt = this.elapsed();
       step.result = describe(result);
+      if (result.type === 'broken' && result.how !== undefined) {
+        step.how = result.how;
+      }
     }
   }
 
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -18,6 +18,7 @@
 } from '../model/identifiers.js';
 import type { Outcome } from '../model/outcome.js';
 import type { PolicyTraceRecord } from '../policy/index.js';
+import type { ConnectionBreak } from './connection-break.js';
 import type { PickerName } from './picker/picker.js';
 
 /** Number of a request within one run of a router. */
@@ -71,8 +72,8 @@
   /** No connection was made: nothing was sent. */
   /** `turnedAway`: the upstream took a connection and ended it at once. */
   | { readonly type: 'connect-failed'; readonly turnedAway?: boolean }
-  /** Something was sent and no whole answer came. */
-  | { readonly type: 'broken' }
+  /** Something was sent and no whole answer came. `how`: left out if the shell can't tell. */
+  | { readonly type: 'broken'; readonly how?: ConnectionBreak }
   | { readonly type: 'cancelled' };
 
 export type RouterInput =
