--- a/src/dev/checker/checker.ts
+++ b/src/dev/checker/checker.ts
@@ -2,6 +2,7 @@
 import { AnswerRule } from './answer-rule.js';
 import { ChangeRule } from './change-rule.js';
 import { ConfigurationRule } from './configuration-rule.js';
+import { CrashRule } from './crash-rule.js';
 import { ExecutionRule } from './execution-rule.js';
 import type { HistoryEvent } from './history.js';
 import { LogRule } from './log-rule.js';
@@ -18,6 +19,7 @@
     new ExecutionRule(),
     new AnswerRule(),
     new RecoveryRule(),
+    new CrashRule(),
   ];
   private readonly found: Violation[] = [];
 
--- a/src/dev/checker/history.ts
+++ b/src/dev/checker/history.ts
@@ -99,6 +99,25 @@
   readonly upstream: string;
 }
 
+/** A request of a router came to a running upstream, whatever that made of it. */
+export interface RequestReached {
+  readonly type: 'request-reached';
+  readonly at: number;
+  readonly send: SendId;
+  readonly upstream: string;
+  /** Neither the router nor control was disturbed lately. */
+  readonly isInTouch: boolean;
+}
+
+/** An upstream's run ended because of the request that it worked on. */
+export interface UpstreamCrashed {
+  readonly type: 'upstream-crashed';
+  readonly at: number;
+  readonly send: SendId;
+  readonly upstream: string;
+  readonly incarnation: string;
+}
+
 /** The revision that a run of a router works by. */
 export interface RouterRevision {
   readonly type: 'router-revision';
@@ -177,6 +196,8 @@
   | RequestCut
   | PlannedStopCut
   | RequestDispatched
+  | RequestReached
+  | UpstreamCrashed
   | RouterRevision
   | ChangeAsked
   | ChangeAnswered
--- a/src/dev/checker/rule.ts
+++ b/src/dev/checker/rule.ts
@@ -11,6 +11,7 @@
   'leaving-gets-no-work',
   'planned-stop-cuts-nothing',
   'accepted-in-force',
+  'crashes-bounded',
   'recovers',
 ] as const;
 export type PromiseName = (typeof PROMISES)[number];
--- a/src/dev/sim/catch-sabotage.ts
+++ b/src/dev/sim/catch-sabotage.ts
@@ -19,10 +19,17 @@
   first: number,
   last: number,
 ): CaughtSabotage | null {
-  const { promise, faults: wanted }: Sabotage = SABOTAGES[name];
+  const { promise, faults: wanted, crashingRequests = 0 }: Sabotage = SABOTAGES[name];
   const faults = FAULT_KINDS.filter((kind) => wanted.includes(kind.name));
   for (let seed = first; seed <= last; seed += 1) {
-    const { violations } = new Simulation({ seed, sizes, faults, sabotage: name, trace: null }).run();
+    const { violations } = new Simulation({
+      seed,
+      sizes,
+      faults,
+      crashingRequests,
+      sabotage: name,
+      trace: null,
+    }).run();
     const violation = violations.find((candidate) => candidate.promise === promise);
     if (violation !== undefined) {
       return { seed, promise, message: violation.message };
--- a/src/dev/sim/clients/sim-caller.ts
+++ b/src/dev/sim/clients/sim-caller.ts
@@ -19,7 +19,7 @@
   private next = 1;
 
   constructor(
-    private readonly world: World,
+    protected readonly world: World,
     number: number,
   ) {
     super(`caller-${number}`, CLIENT_ZONE, world.time, world.makeClock(), world.makeRandom());
@@ -31,7 +31,7 @@
 
   protected onStop(): void {}
 
-  private think(): void {
+  protected think(): void {
     this.send(this.wish());
     this.schedule(this.random.exponential(THINK_MILLIS), () => this.think());
   }
@@ -50,7 +50,7 @@
     return { service, key, content, idempotency, sends: 0 };
   }
 
-  private send(wish: Wish): void {
+  protected send(wish: Wish): void {
     const router = this.pickRouter();
     if (router === undefined) {
       return;
--- a/src/dev/sim/sabotages.ts
+++ b/src/dev/sim/sabotages.ts
@@ -7,6 +7,8 @@
   readonly description: string;
   /** Faults that bring it to light. */
   readonly faults: readonly string[];
+  /** Requests that crash whoever runs them; none if left out. */
+  readonly crashingRequests?: number;
 }
 
 const TABLE = {
@@ -115,6 +117,12 @@
     description: 'revisions are a count of the changes that a run of a control member answered',
     faults: ['leader-crash'],
   },
+  'crashes-forgotten': {
+    promise: 'crashes-bounded',
+    description: 'what routers report of runs that ended under a request never reaches control',
+    faults: [],
+    crashingRequests: 2,
+  },
   'replacement-never-made': {
     promise: 'recovers',
     description: 'a control member that lost its disk is not replaced before the next one is lost',
--- a/src/dev/sim/simulation.ts
+++ b/src/dev/sim/simulation.ts
@@ -2,6 +2,7 @@
 import type { ReplicaId } from '../../model/identifiers.js';
 import type { Violation } from '../checker/rule.js';
 import { EventQueue } from '../virtual/event-queue.js';
+import { CrashingCaller } from './clients/crashing-caller.js';
 import { SimCaller } from './clients/sim-caller.js';
 import { SimOperator } from './clients/sim-operator.js';
 import { controlAddress, replicaName, SimControl } from './control/sim-control.js';
@@ -22,6 +23,8 @@
   readonly seed: number;
   readonly sizes: SimSizes;
   readonly faults: readonly FaultKind[];
+  /** Callers whose one request crashes each upstream that runs it; none if left out. */
+  readonly crashingRequests?: number;
   readonly sabotage: SabotageName | null;
   readonly trace: ((line: string) => void) | null;
 }
@@ -41,6 +44,8 @@
 /** Time that the system has to be whole again, and how long it is then watched. */
 const RECOVERY_MILLIS = 5000;
 const WATCH_MILLIS = 2000;
+/** Processes count as in touch again this long after a disturbance. */
+const IN_TOUCH_AFTER_MILLIS = 3000;
 const CALLERS = 5;
 const OPERATORS = 3;
 const ROUTERS = 3;
@@ -59,6 +64,7 @@
   readonly routers: SimRouter[] = [];
   readonly upstreams: SimUpstream[] = [];
   readonly faultRandom: Random;
+  readonly crashing = new Set<string>();
   /** Faults that are under way, and when the last one ended. */
   activeFaults = 0;
   lastFaultEnd = 0;
@@ -66,6 +72,7 @@
   /** Nothing more may be injected. */
   areFaultsOver = false;
   private readonly callers: SimCaller[] = [];
+  private readonly crashingCallers: CrashingCaller[] = [];
   private readonly operators: SimOperator[] = [];
   private readonly random: Random;
   private numbers = 0;
@@ -88,6 +95,7 @@
     }
     this.firstOperator().declare();
     this.scheduleFaults();
+    this.scheduleCrashingRequests();
     this.time.at(FAULTS_END_MILLIS, () => this.endFaults());
     this.time.at(FAULTS_END_MILLIS + RECOVERY_MILLIS, () => observeRecovery(this, WATCH_MILLIS));
     this.time.runUntil(end, () => this.recorder.violations.length > 0);
@@ -96,6 +104,11 @@
     return { seed: this.options.seed, hash, violations, operations, faults };
   }
 
+  isCalm(): boolean {
+    const isQuiet = this.activeFaults === 0 && !this.isRepairing;
+    return isQuiet && this.time.now - this.lastFaultEnd >= IN_TOUCH_AFTER_MILLIS;
+  }
+
   makeClock(): ProcessClock {
     const { random } = this;
     const rate = 1 + random.between(-SINGLE_CLOCK_RATE_ERROR, SINGLE_CLOCK_RATE_ERROR);
@@ -213,6 +226,15 @@
     return this.sizes.zones[number % this.sizes.zones.length] as string;
   }
 
+  /** They begin with the faults and go on to the end. Made last, so that a run without them draws what it always drew. */
+  private scheduleCrashingRequests(): void {
+    for (let number = 1; number <= (this.options.crashingRequests ?? 0); number += 1) {
+      const caller = new CrashingCaller(this, CALLERS + number);
+      this.crashingCallers.push(caller);
+      this.time.at(FAULTS_FROM_MILLIS + caller.startsAfter(FAULT_WINDOW_MILLIS), () => caller.start());
+    }
+  }
+
   private scheduleFaults(): void {
     const plan = planFaults(this.options.faults, FAULT_WINDOW_MILLIS, this.faultRandom);
     for (const { kind, at, lasts } of plan) {
--- a/src/dev/sim/upstream/sim-upstream.ts
+++ b/src/dev/sim/upstream/sim-upstream.ts
@@ -18,6 +18,8 @@
 const SLOW_FACTOR = 30;
 const WARM_MILLIS = 15;
 const STOP_CHECK_MILLIS = 10;
+/** How long after a crash under a request the next run starts. */
+const RESTART_AFTER_CRASH_MILLIS = [2000, 4000] as const;
 /** Ports of addresses carry the markers of changes. */
 export const PORT_BASE = 10_000;
 
@@ -83,6 +85,13 @@
 
   /** Takes a request of a router. */
   takeAttempt(frame: AttemptFrame, reply: ReplyToAttempt): void {
+    this.world.recorder.record({
+      type: 'request-reached',
+      at: this.time.now,
+      send: frame.send,
+      upstream: this.id,
+      isInTouch: this.world.isCalm(),
+    });
     const admitted = this.admit(frame);
     if (typeof admitted === 'string') {
       reply.refuse(admitted);
@@ -180,6 +189,10 @@
         return;
       }
       this.running.add(work);
+      if (this.world.crashing.has(work.frame.content)) {
+        this.schedule(this.random.exponential(serviceMillis), () => this.crashUnder(work));
+        continue;
+      }
       const mean = this.random.chance(SLOW_SHARE) ? serviceMillis * SLOW_FACTOR : serviceMillis;
       this.schedule(this.random.exponential(mean), () => this.finish(work));
     }
@@ -201,6 +214,21 @@
     this.startWaiting();
   }
 
+  /** The request brings this run down; the next one starts some seconds later. */
+  private crashUnder({ frame }: Work): void {
+    const { world, id, incarnation } = this;
+    world.recorder.count('upstream crashed under a request');
+    world.recorder.record({
+      type: 'upstream-crashed',
+      at: this.time.now,
+      send: frame.send,
+      upstream: id,
+      incarnation,
+    });
+    this.crash();
+    this.time.after(this.random.between(...RESTART_AFTER_CRASH_MILLIS), () => this.start());
+  }
+
   private mayTakeEffect({ ticket, aborted }: Work): boolean {
     if (aborted) {
       return false;
--- a/src/dev/sim/world.ts
+++ b/src/dev/sim/world.ts
@@ -22,6 +22,10 @@
   readonly upstreams: SimUpstream[];
   /** Stream of random numbers of the faults. */
   readonly faultRandom: Random;
+  /** Contents of requests that end the run of each upstream that begins to work on them. */
+  readonly crashing: Set<string>;
+  /** Whether nothing but such requests has disturbed any process or link lately. */
+  isCalm(): boolean;
   /** A clock with an offset, a rate error and a skew of its own. */
   makeClock(): ProcessClock;
   /** A stream of random numbers of its own. */
