--- a/src/dev/sim/faults/hit-process.ts
+++ b/src/dev/sim/faults/hit-process.ts
@@ -31,3 +31,12 @@
   process.pause();
   return { detail: process.name, heal: () => process.resume() };
 }
+
+/** Its whole machine stands still, and its monotonic clock with it. */
+export function suspend(process: SimProcess | undefined): InjectedFault | null {
+  if (process === undefined) {
+    return null;
+  }
+  process.suspend();
+  return { detail: process.name, heal: () => process.resume() };
+}
--- a/src/dev/sim/process-clock.ts
+++ b/src/dev/sim/process-clock.ts
@@ -4,8 +4,14 @@
 /** Largest error of the rate of one process's clock; two of them differ by at most twice this. */
 export const SINGLE_CLOCK_RATE_ERROR = 0.0024;
 
-/** A process's own clocks: a monotonic one with an offset and a rate error, and a wall clock with a skew. */
+/**
+ * A process's own clocks: a monotonic one with an offset and a rate error, which stands still while its machine is suspended; the
+ * time since boot, which doesn't; and a wall clock with a skew.
+ */
 export class ProcessClock {
+  private suspendedSince: number | null = null;
+  private suspendedFor = 0;
+
   constructor(
     private readonly clock: EventQueue,
     private readonly offset: number,
@@ -15,9 +21,28 @@
 
   /** Monotonic milliseconds now. */
   monotonic(): number {
+    const until = this.suspendedSince ?? this.clock.now;
+    return this.offset + (until - this.suspendedFor) * this.rate;
+  }
+
+  /** Milliseconds since the machine was started, suspensions included. */
+  sinceBoot(): number {
     return this.offset + this.clock.now * this.rate;
   }
 
+  /** The machine is suspended. */
+  suspend(): void {
+    this.suspendedSince ??= this.clock.now;
+  }
+
+  /** The machine goes on. */
+  resume(): void {
+    if (this.suspendedSince !== null) {
+      this.suspendedFor += this.clock.now - this.suspendedSince;
+      this.suspendedSince = null;
+    }
+  }
+
   /** Wall-clock milliseconds now. */
   wall(): number {
     return Math.floor(WALL_CLOCK_START + this.wallSkew + this.clock.now);
@@ -25,7 +50,7 @@
 
   /** The true time at which the monotonic clock shows `monotonic`, rounded up. */
   trueTime(monotonic: number): number {
-    return (monotonic - this.offset) / this.rate + ROUNDING_MILLIS;
+    return (monotonic - this.offset) / this.rate + this.suspendedFor + ROUNDING_MILLIS;
   }
 }
 
--- a/src/dev/sim/sim-process.ts
+++ b/src/dev/sim/sim-process.ts
@@ -76,8 +76,17 @@
     }
   }
 
+  /** Its machine is suspended: as a pause, and its monotonic clock stands still. */
+  suspend(): void {
+    this.pause();
+    if (this.processState === 'paused') {
+      this.clock.suspend();
+    }
+  }
+
   /** Goes on; what piled up runs now, some of it late and out of order. */
   resume(): void {
+    this.clock.resume();
     if (this.processState !== 'paused') {
       return;
     }
