Leases count the time for which their holder's machine was suspended

Cause: a holder's lease counted on a clock that stands still while its machine is suspended, so it seemed to run on after control had waited it out and given the keys to somebody else; a router sent by a configuration that was over. Ruled out: the granters (a granter that stood still waits longer). Change: the fence's clock adds what the time since boot shows beyond the monotonic clock; a router takes a suspension off its configuration lease, and nothing asked before renews it.

--- a/src/dev/sim/catch-sabotage.ts
+++ b/src/dev/sim/catch-sabotage.ts
@@ -1,6 +1,7 @@
 /** Runs a sabotaged system seed after seed until the checker notices. */
 import type { PromiseName } from '../checker/rule.js';
 import { FAULT_KINDS } from './faults/fault-plan.js';
+import { SUSPENSIONS } from './faults/suspensions.js';
 import { SABOTAGES, type Sabotage, type SabotageName } from './sabotages.js';
 import type { SimSizes } from './sim-sizes.js';
 import { Simulation } from './simulation.js';
@@ -20,7 +21,7 @@
   last: number,
 ): CaughtSabotage | null {
   const { promise, faults: wanted, crashingRequests = 0 }: Sabotage = SABOTAGES[name];
-  const faults = FAULT_KINDS.filter((kind) => wanted.includes(kind.name));
+  const faults = [...FAULT_KINDS, ...SUSPENSIONS].filter((kind) => wanted.includes(kind.name));
   for (let seed = first; seed <= last; seed += 1) {
     const { violations } = new Simulation({
       seed,
--- a/src/dev/sim/process-clock.ts
+++ b/src/dev/sim/process-clock.ts
@@ -1,4 +1,5 @@
 /** The clocks of one simulated process, which run beside the true time of the simulation. */
+import type { ClockSources } from '../../clock/suspension-watch.js';
 import type { EventQueue } from '../virtual/event-queue.js';
 
 /** Largest error of the rate of one process's clock; two of them differ by at most twice this. */
@@ -43,6 +44,11 @@
     }
   }
 
+  /** Both clocks, as a process reads them. */
+  sources(): ClockSources {
+    return { steady: () => this.monotonic(), sinceBoot: () => this.sinceBoot() };
+  }
+
   /** Wall-clock milliseconds now. */
   wall(): number {
     return Math.floor(WALL_CLOCK_START + this.wallSkew + this.clock.now);
--- a/src/dev/sim/router/sim-router.ts
+++ b/src/dev/sim/router/sim-router.ts
@@ -1,4 +1,6 @@
 /** A router: the router core on a simulated machine with its callers, its control members and its upstreams. */
+
+import { SuspensionWatch } from '../../../clock/suspension-watch.js';
 import { DEFAULT_CONFIG_LEASE_TIMINGS, type RouterToControl } from '../../../control/messages.js';
 import type { Address, Incarnation } from '../../../model/identifiers.js';
 import { createRouterNode } from '../../../routing/index.js';
@@ -34,6 +36,7 @@
   isStopping = false;
   private core: RouterCore | null = null;
   private timer: TickTimer | null = null;
+  private suspensions: SuspensionWatch;
   private incarnation: Incarnation = '';
   private lines = new Map<Address, ControlLine>();
   private pools: UpstreamConnections;
@@ -50,6 +53,7 @@
   ) {
     super(`router-${number}`, zone, world.time, world.makeClock(), world.makeRandom());
     this.pools = new UpstreamConnections(world, this);
+    this.suspensions = new SuspensionWatch(this.clock.sources());
   }
 
   status(): RouterStatus | null {
@@ -104,13 +108,21 @@
     if (this.core === null) {
       return;
     }
-    for (const effect of this.core.step(input, this.clock.monotonic(), this.clock.wall())) {
-      this.carryOut(effect);
+    const millis = this.suspensions.look();
+    if (millis > 0) {
+      this.takeStep({ type: 'suspended', millis });
     }
+    this.takeStep(input);
     this.judgeRevision();
     this.timer?.arm(this.core.nextDeadline());
   }
 
+  private takeStep(input: RouterInput): void {
+    for (const effect of this.core?.step(input, this.clock.monotonic(), this.clock.wall()) ?? []) {
+      this.carryOut(effect);
+    }
+  }
+
   /** Takes a caller's request; gives its number, for `cancel`. */
   accept(request: Omit<ArrivedRequest, 'request'>, exchange: Exchange): RequestNumber {
     const number = this.nextRequest;
@@ -155,6 +167,7 @@
       claimTimeoutMillis: CLAIM_TIMEOUT_MILLIS,
     });
     this.pools = new UpstreamConnections(world, this);
+    this.suspensions = new SuspensionWatch(this.clock.sources());
     this.timer = new TickTimer(this, () => this.input({ type: 'tick' }));
     for (const control of world.controls) {
       const line = new ControlLine(world, this, control);
--- a/src/dev/sim/sabotages.ts
+++ b/src/dev/sim/sabotages.ts
@@ -123,6 +123,12 @@
     faults: [],
     crashingRequests: 2,
   },
+  'suspension-unseen': {
+    promise: 'one-owner',
+    description:
+      'the clock of an upstream’s lease does not count the time for which its machine was suspended',
+    faults: ['owner-suspended'],
+  },
   'replacement-never-made': {
     promise: 'recovers',
     description: 'a control member that lost its disk is not replaced before the next one is lost',
--- a/src/dev/sim/upstream/fence-view.ts
+++ b/src/dev/sim/upstream/fence-view.ts
@@ -3,7 +3,6 @@
 import type { KeyMap } from '../../../lease/types.js';
 import type { Epoch, Incarnation, ShardId } from '../../../model/identifiers.js';
 import { shardOfKey } from '../../../model/key-map.js';
-import type { ProcessClock } from '../process-clock.js';
 import type { SabotageName } from '../sabotages.js';
 import type { AttemptFrame } from './attempt-frame.js';
 
@@ -17,7 +16,8 @@
 export interface FenceViewParts {
   readonly holder: GrantHolder;
   readonly incarnation: Incarnation;
-  readonly clock: ProcessClock;
+  /** The clock that its leases count on. */
+  readonly now: () => number;
   /** Every key map that the server was told. */
   readonly maps: ReadonlyMap<number, KeyMap>;
   /** Shards that it was granted and didn't give up. */
@@ -35,8 +35,8 @@
 
   /** Whether a request that was let in may take effect. */
   confirms(ticket: Ticket): boolean {
-    const { holder, clock } = this.parts;
-    return holder.confirmEffect(ticket, clock.monotonic());
+    const { holder, now } = this.parts;
+    return holder.confirmEffect(ticket, now());
   }
 
   private admittingEpoch(key: string): Epoch | null {
@@ -52,8 +52,8 @@
   }
 
   private wouldAdmit(shard: ShardId, epoch: Epoch, key: string): boolean {
-    const { holder, incarnation, clock, sabotage } = this.parts;
-    const now = clock.monotonic();
+    const { holder, incarnation, sabotage } = this.parts;
+    const now = this.parts.now();
     const admission = holder.admit({ shard, epoch, incarnation, key }, now);
     if (admission.type === 'admitted') {
       holder.finish(admission.ticket, now);
--- a/src/dev/sim/upstream/sim-upstream.ts
+++ b/src/dev/sim/upstream/sim-upstream.ts
@@ -1,4 +1,5 @@
 /** A server that embeds the fence: takes grants, lets requests in, works on them, and takes effect only while it may. */
+import { createLeaseClock } from '../../../clock/lease-clock.js';
 import { createGrantHolder, type GrantHolder, type Ticket } from '../../../lease/index.js';
 import type { FenceCredentials, FenceRefusal, SessionAnswer, SessionRequest } from '../../../lease/types.js';
 import type { Epoch, Incarnation, ShardId, UpstreamId } from '../../../model/identifiers.js';
@@ -44,6 +45,8 @@
   private holder: GrantHolder | null = null;
   private view: FenceView | null = null;
   private incarnation: Incarnation = '';
+  /** The clock that its leases count on. */
+  private now: () => number = () => 0;
   private readonly epochs = new Map<ShardId, Epoch>();
   private readonly waiting: Work[] = [];
   private readonly running = new Set<Work>();
@@ -76,7 +79,7 @@
     if (this.holder === null) {
       return null;
     }
-    const answer = this.holder.handleSession(this.spoil(request), this.clock.monotonic());
+    const answer = this.holder.handleSession(this.spoil(request), this.now());
     if (answer.refused === null && request.keyMap !== null) {
       this.maps.set(request.keyMap.generation, request.keyMap);
     }
@@ -142,11 +145,16 @@
     this.incarnation = `${this.id}/${this.run}`;
     this.isSilent = false;
     this.isStopping = false;
-    const { id, incarnation, clock, maps, epochs } = this;
+    const { id, incarnation, maps, epochs } = this;
     const { sabotage } = this.world;
     const holder = createGrantHolder({ cluster: null, upstream: id, incarnation });
     this.holder = holder;
-    this.view = new FenceView({ holder, incarnation, clock, maps, epochs, sabotage });
+    this.now =
+      sabotage === 'suspension-unseen'
+        ? () => this.clock.monotonic()
+        : createLeaseClock(this.clock.sources());
+    const now = (): number => this.now();
+    this.view = new FenceView({ holder, incarnation, now, maps, epochs, sabotage });
   }
 
   protected onStop(): void {
@@ -162,7 +170,7 @@
     if (holder === null || this.inFlight >= QUEUE_LIMIT) {
       return 'overloaded';
     }
-    const now = this.clock.monotonic();
+    const now = this.now();
     if (frame.credentials === null) {
       return holder.status(now).draining ? 'draining' : null;
     }
@@ -210,7 +218,7 @@
       reply.refuse('lease-over');
     }
     if (ticket !== null) {
-      this.holder?.finish(ticket, this.clock.monotonic());
+      this.holder?.finish(ticket, this.now());
       this.takeHolderEvents();
     }
     this.startWaiting();
@@ -278,7 +286,7 @@
     if (this.world.sabotage !== 'lease-from-receipt' || request.validUntil === null) {
       return request;
     }
-    return { ...request, validUntil: this.clock.monotonic() + LEASE_MILLIS };
+    return { ...request, validUntil: this.now() + LEASE_MILLIS };
   }
 }
 
--- a/src/lease/lease-bound.ts
+++ b/src/lease/lease-bound.ts
@@ -7,8 +7,8 @@
  * 1. The holder stamps an answer at real time `s` and the granter receives it at `r >= s`.
  * 2. The lease which that stamp gives ends when the holder's clock has run `leaseMillis` since `s`. While it does so, the
  *    granter's clock runs at most `leaseMillis * (1 + clockRateError)`, whatever the delay of the renewal and however
- *    long either process pauses: a pause stops the process, not its monotonic clock. (Assumed: no machine is suspended as
- *    a whole with its monotonic clock stopped. A clock that stops is a rate error beyond the setting.)
+ *    long either process pauses: a pause stops the process, not its clock, which counts suspensions of the machine as
+ *    well (`src/clock`). A granter's clock may stand still in a suspension: it then waits longer.
  * 3. So the lease has ended once the granter's clock shows more than `received + leaseMillis * (1 + clockRateError)`.
  *
  * For a change of leaders: a renewal leaves only after a quorum round that began after its stamp was received. Some
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -93,6 +93,7 @@
     fields: ['upstream', 'sequence', 'spans', 'revision', 'confirmedAgoMillis'],
   },
   'range-changed': { source: 'control', fields: ['service', 'from', 'to', 'owner', 'fence', 'former'] },
+  suspended: { source: 'router', fields: ['millis'] },
   'run-ended': { source: 'router', fields: ['run', 'address', 'proof', 'unanswered'] },
   'request-suspected': {
     source: 'both',
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -3,7 +3,7 @@
 import { toError } from '../errors/ternmount-error.js';
 import type { Logger } from '../logging/logger.js';
 import type { CallerLimits } from '../model/declaration.js';
-import type { Incarnation } from '../model/identifiers.js';
+import type { Incarnation, MonotonicMillis, WallMillis } from '../model/identifiers.js';
 import type { PolicyTraceRecord } from '../policy/index.js';
 import { NumberedTable } from '../routing/numbered-table.js';
 import type {
@@ -24,6 +24,7 @@
 import type { RouterMetrics } from './metrics.js';
 import { RequestTrail } from './request-trail.js';
 import type { CompleteRouterSettings } from './settings.js';
+import { SuspensionLooks } from './suspension-looks.js';
 
 export interface RouterTaskOptions {
   readonly settings: CompleteRouterSettings;
@@ -59,6 +60,7 @@
   private readonly trails = new NumberedTable<RequestTrail>();
   /** Whose request an attempt was made for, until it ends. */
   private readonly attemptOwners = new NumberedTable<RequestNumber>();
+  private readonly suspensions = new SuspensionLooks();
   private timer: NodeJS.Timeout | undefined;
   private tickDue = Number.POSITIVE_INFINITY;
   private stepping = false;
@@ -141,12 +143,22 @@
   }
 
   private step(input: RouterInput): void {
-    for (const effect of this.options.core.step(input, performance.now(), Date.now())) {
-      this.carryOut(effect);
+    const now = performance.now();
+    const wall = Date.now();
+    const millis = this.suspensions.find(now, wall);
+    if (millis > 0) {
+      this.run({ type: 'suspended', millis }, now, wall);
     }
+    this.run(input, now, wall);
     this.attempts.flow();
   }
 
+  private run(input: RouterInput, now: MonotonicMillis, wall: WallMillis): void {
+    for (const effect of this.options.core.step(input, now, wall)) {
+      this.carryOut(effect);
+    }
+  }
+
   /** Moves the timer only when the next tick comes earlier than the one set; a tick too early does no harm. */
   private schedule(): void {
     const due = this.options.core.nextDeadline();
--- a/src/routing/configuration-lease.ts
+++ b/src/routing/configuration-lease.ts
@@ -59,6 +59,16 @@
     return now < this.end;
   }
 
+  /**
+   * The machine was suspended, and the clock that the lease counts on stood still: control has waited the lease out meanwhile. What was
+   * asked before renews nothing, since its stamp is older than it looks.
+   */
+  suspended(millis: number, now: MonotonicMillis): void {
+    this.validUntil -= millis;
+    this.stamps.clear();
+    this.requestSync(now);
+  }
+
   /** When `takeSync` has something to do next. */
   nextAt(): MonotonicMillis {
     return this.nextSyncAt;
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -101,6 +101,16 @@
       case 'attempt-ended':
         this.results.ended(input.attempt, input.result);
         return;
+      case 'suspended':
+        this.context.lease.suspended(input.millis, this.context.now);
+        this.context.emit({
+          type: 'log',
+          level: 'warn',
+          event: 'suspended',
+          fields: { millis: input.millis },
+        });
+        this.endLease();
+        return;
       case 'run-checked':
         this.context.crashes.checked(input.run, input.check);
         return;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -93,6 +93,8 @@
   | { readonly type: 'request'; readonly request: ArrivedRequest }
   | { readonly type: 'request-cancelled'; readonly request: RequestNumber }
   | { readonly type: 'attempt-ended'; readonly attempt: AttemptNumber; readonly result: AttemptResult }
+  /** The machine was suspended so long, which the monotonic clock doesn't show. */
+  | { readonly type: 'suspended'; readonly millis: number }
   /** Answers `check-run`. */
   | { readonly type: 'run-checked'; readonly run: RunName; readonly check: RunCheck }
   /** Evidence from an upstream's health and load endpoints: hints only. */
--- a/src/upstream/fence-options.ts
+++ b/src/upstream/fence-options.ts
@@ -17,7 +17,10 @@
   readonly retryAfterSeconds?: number;
   /** Work outstanding, reported with each answer, in requests. Default: requests in flight. */
   readonly load?: () => number;
-  /** The process's monotonic clock in milliseconds. Default: `performance.now`. */
+  /**
+   * A monotonic clock in milliseconds that counts suspensions of the machine. Default: `performance.now` and what `os.uptime` shows
+   * beyond it.
+   */
   readonly clock?: () => number;
   /** Loads a shard's state before it is granted. The shard counts as warm once this resolves. */
   readonly onWarm?: (shard: ShardId) => void | Promise<void>;
--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { createLeaseClock } from '../clock/lease-clock.js';
 import { createGrantHolder, type FenceRefusal, type GrantHolder, type HolderEvent } from '../lease/index.js';
 import type { SessionAnswer, SessionRequest } from '../lease/types.js';
 import type { Incarnation, ShardId } from '../model/identifiers.js';
@@ -45,7 +46,7 @@
 
   constructor(private readonly options: FenceOptions) {
     this.incarnation = options.incarnation ?? randomUUID();
-    this.clock = options.clock ?? (() => performance.now());
+    this.clock = options.clock ?? createLeaseClock();
     this.retryAfterSeconds = options.retryAfterSeconds ?? DEFAULT_RETRY_AFTER_SECONDS;
     const { cluster, upstream } = options;
     this.holder = createGrantHolder({ cluster, upstream, incarnation: this.incarnation });
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -7,7 +7,7 @@
 const SOURCES = resolve(fileURLToPath(new URL('../../src', import.meta.url)));
 /** Lowest first; folders of one line don't import each other. */
 const LAYERS: readonly (readonly string[])[] = [
-  ['errors', 'text'],
+  ['errors', 'text', 'clock'],
   ['model'],
   ['logging'],
   ['policy', 'ledger', 'lease', 'consensus', 'placement'],
--- /dev/null
+++ b/test/router/suspension-looks.test.ts
@@ -0,0 +1,60 @@
+/** How often a router looks whether its machine was suspended, and when it stops believing it. */
+import { expect } from 'chai';
+import { SuspensionLooks } from '../../src/router/suspension-looks.js';
+
+const WALL = 1_700_000_000_000;
+
+function machine() {
+  const clocks = { steady: 0, boot: 1000, asked: 0 };
+  const looks = new SuspensionLooks({
+    steady: () => clocks.steady,
+    sinceBoot: () => {
+      clocks.asked += 1;
+      return clocks.boot;
+    },
+  });
+  const run = (millis: number): number => {
+    clocks.steady += millis;
+    clocks.boot += millis;
+    return looks.find(clocks.steady, WALL + clocks.boot);
+  };
+  return { clocks, run };
+}
+
+describe('looks for suspensions', () => {
+  it('ask at most once in 5 ms', () => {
+    const { clocks, run } = machine();
+    run(10);
+    const { asked } = clocks;
+    for (let count = 0; count < 20; count += 1) {
+      run(0.2);
+    }
+    expect(clocks.asked).to.equal(asked);
+  });
+
+  it('find one at the first step after it, by the time of day', () => {
+    const { clocks, run } = machine();
+    run(10);
+    clocks.boot += 4000;
+    expect(run(0.1)).to.be.within(4000, 4020);
+    expect(run(10)).to.equal(0);
+  });
+
+  it('are given up where suspensions never end', () => {
+    const { clocks, run } = machine();
+    const told = Array.from({ length: 20 }, () => {
+      clocks.boot += 100;
+      return run(10);
+    });
+    expect(told.filter((millis) => millis > 0)).to.have.length(5);
+  });
+
+  it('go on where they are rare', () => {
+    const { clocks, run } = machine();
+    for (let count = 0; count < 20; count += 1) {
+      run(3000);
+      clocks.boot += 100;
+      expect(run(10)).to.be.above(0);
+    }
+  });
+});
--- a/test/routing/configuration-lease.test.ts
+++ b/test/routing/configuration-lease.test.ts
@@ -55,6 +55,30 @@
     expect(lease.takeSync(440)?.to).to.equal(MEMBERS[0]);
   });
 
+  it('is over as much earlier as its machine was suspended, and asks at once', () => {
+    const lease = new ConfigurationLease(MEMBERS, TIMINGS, 0);
+    lease.takeSync(0);
+    lease.answered(answer(0), 3, false, 5);
+    const { end } = lease;
+    lease.suspended(1000, 100);
+    expect(lease.end).to.equal(end - 1000);
+    expect(lease.isValid(100)).to.equal(true);
+    lease.suspended(1000, 110);
+    expect(lease.isValid(110)).to.equal(false);
+    expect(lease.takeSync(110)).not.to.equal(undefined);
+  });
+
+  it('is renewed by nothing that was asked before a suspension', () => {
+    const lease = new ConfigurationLease(MEMBERS, TIMINGS, 0);
+    lease.takeSync(0);
+    lease.suspended(5000, 10);
+    lease.answered(answer(0), 3, false, 20);
+    expect(lease.isValid(20)).to.equal(false);
+    lease.takeSync(30);
+    lease.answered(answer(30), 3, false, 40);
+    expect(lease.isValid(40)).to.equal(true);
+  });
+
   it('is owed nothing once the last of several requests was answered', () => {
     const lease = new ConfigurationLease(MEMBERS, TIMINGS, 0);
     lease.takeSync(0);
