A new accusation is told at once, and trials are made when control says; runs, trials and accusations in modules of their own

Found on reading: while a report was due again in 250 ms a new accusation waited for it, and routers made trials by the default time whatever the setting quarantine.trial said. Tests: 'is reported at once, also while another report is due again', 'is made when control says', 'is told of once when its quarantine begins'. 168 tests of routing, registry, simulator and real processes pass.

--- a/src/model/crash-suspect.ts
+++ b/src/model/crash-suspect.ts
@@ -38,6 +38,8 @@
   readonly quarantinedAt: WallMillis | null;
   /** Run of the one router that may send it once more before the quarantine is over; `null`: nobody may. */
   readonly trialBy: Incarnation | null;
+  /** Time from then to that trial. */
+  readonly trialMillis: number;
   /** By the registry's clock: the quarantine is lifted then, or the suspicion forgotten. */
   readonly until: WallMillis;
   readonly revision: Revision;
--- a/src/registry/commands/crash-commands.ts
+++ b/src/registry/commands/crash-commands.ts
@@ -37,6 +37,7 @@
     runs: [...(before?.runs ?? []), run].slice(-MOST_RUNS),
     crashes,
     needed: terms.crashes,
+    trialMillis: terms.trialMillis,
     ...quarantineOf(before, crash, crashes, transaction, terms),
     until: state.clock + terms.keepMillis,
     revision,
--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -55,7 +55,7 @@
   /** Another run answers at its address. */
   private noteOtherRun({ run }: Attempt, refusal: FenceRefusal): void {
     if (refusal === 'other-incarnation' && run !== null) {
-      this.context.crashes.runEnded(run, refusal);
+      this.context.crashes.runs.ended(run, refusal);
     }
   }
 
--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -1,8 +1,8 @@
 /** Starts attempts: counts them wherever they count, and has them sent. */
 import type { FenceCredentials } from '../lease/types.js';
-import { runNameOf } from './crash-watch.js';
 import type { RouterContext } from './router-context.js';
 import type { UpstreamState } from './upstream-state.js';
+import { runNameOf } from './watched-runs.js';
 import type { Attempt, SentGrant, Work } from './work.js';
 
 /** Numbers the attempts of one router core. */
--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -2,7 +2,6 @@
 import type { UpstreamId } from '../model/identifiers.js';
 import type { RegistryChange, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
 import { affinityOf } from './affinity.js';
-import { runNameOf } from './crash-watch.js';
 import type { Dispatcher } from './dispatcher.js';
 import type { LostAttempts } from './lost-attempts.js';
 import type { PickerName } from './picker/picker.js';
@@ -10,6 +9,7 @@
 import type { RouterContext } from './router-context.js';
 import { ServiceState } from './service-state.js';
 import { UpstreamState } from './upstream-state.js';
+import { runNameOf } from './watched-runs.js';
 
 const DEFAULT_PICKER: PickerName = 'least-work';
 
@@ -122,7 +122,7 @@
     const before = runNameOf(state);
     const isNext = incarnation !== null && incarnation !== state.incarnation;
     if (isNext && before !== null && !state.isAnnounced) {
-      this.context.crashes.runEnded(before, 'next-incarnation');
+      this.context.crashes.runs.ended(before, 'next-incarnation');
     }
   }
 
@@ -141,7 +141,7 @@
     );
     upstreams.set(state.id, state);
     if (announced !== undefined) {
-      this.context.crashes.addressTaken(record.definition.address, state.id);
+      this.context.crashes.runs.addressTaken(record.definition.address, state.id);
     }
     service.addUpstream(state);
   }
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -112,7 +112,7 @@
         this.endLease();
         return;
       case 'run-checked':
-        this.context.crashes.checked(input.run, input.check);
+        this.context.crashes.runs.checked(input.run, input.check);
         return;
       case 'control-message':
         this.takeControlMessage(input.from, input.message);
@@ -252,7 +252,7 @@
         this.lost.sweep();
         return;
       case 'run-check':
-        this.context.crashes.checkAgain(subject.run);
+        this.context.crashes.runs.check(subject.run);
         return;
       case 'crash-report':
         this.context.crashes.tell();
--- a/test/routing/crash-watch.test.ts
+++ b/test/routing/crash-watch.test.ts
@@ -21,6 +21,7 @@
     needed: 3,
     quarantinedAt: 1_700_000_000_000,
     trialBy: null,
+    trialMillis: TRIAL_MILLIS,
     until: 1_700_000_600_000,
     revision: 2,
     ...changes,
@@ -67,6 +68,14 @@
 const NOT_RUN = { reason: 'quarantined', status: 503, outcome: 'not-run' };
 
 describe('a request under which upstreams end', () => {
+  it('is told of once when its quarantine begins', () => {
+    const harness = started();
+    known(harness, suspect());
+    known(harness, suspect({ crashes: 4, revision: 5 }));
+    const events = only(harness.effects, 'log').filter(({ event }) => event === 'request-quarantined');
+    expect(events).to.have.length(1);
+  });
+
   it('is refused at once after three of them, and the others go on', () => {
     const harness = started();
     expect([crash(harness), crash(harness), crash(harness)]).not.to.include(undefined);
@@ -199,6 +208,18 @@
     expect(sent(harness.effects, 'crash-report')).to.have.length(before);
   });
 
+  it('is reported at once, also while another report is due again', () => {
+    const harness = started();
+    crash(harness, 'gone', OTHER);
+    harness.advance(1);
+    crash(harness);
+    harness.advance(1);
+    const told = sent(harness.effects, 'crash-report')
+      .at(-1)
+      ?.crashes.map(({ fingerprint }) => fingerprint);
+    expect(told).to.deep.equal([OTHER, GUILTY]);
+  });
+
   it('is refused where it waits once control says so', () => {
     const harness = started(['u1']);
     for (let count = 0; count < 6; count += 1) {
@@ -254,6 +275,15 @@
     expect(attempt(harness, ANSWERED)).to.equal(undefined);
   });
 
+  it('is made when control says', () => {
+    const harness = started();
+    known(harness, suspect({ trialBy, trialMillis: 1000 }));
+    harness.run(900);
+    expect(attempt(harness, ANSWERED)).to.equal(undefined);
+    harness.run(110);
+    expect(attempt(harness, ANSWERED)).not.to.equal(undefined);
+  });
+
   it('is made by no other router', () => {
     const harness = started();
     known(harness, suspect({ trialBy: 'another run' }));
