--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -113,18 +113,6 @@
     }
   }
 
-  #turnsFrom(now: number): WarmupTurns {
-    this.#turns ??= new WarmupTurns(this.id, now);
-    return this.#turns;
-  }
-
-  #turnedCold(now: number, millis: number): void {
-    if (now >= this.#coldUntil && !this.#mayHaveRestarted) {
-      this.#turns = new WarmupTurns(this.id, now);
-    }
-    this.#coldUntil = Math.max(this.#coldUntil, now + millis);
-  }
-
   /** What control heard from it last. */
   hearWarmth(now: number): void {
     const millis = this.record.definition.announced?.warmupMillis ?? 0;
@@ -140,10 +128,6 @@
     return this.#isEvacuated;
   }
 
-  #judgeLeaving(): void {
-    this.evidence.operatorLeaving = this.record.definition.leaving || this.#isEvacuated;
-  }
-
   get zone(): string {
     return this.record.definition.zone;
   }
@@ -326,4 +310,20 @@
     const share = (now - since) / SLOW_START_MILLIS;
     return Math.min(1, Math.max(SLOW_START_FLOOR, share));
   }
+
+  #turnsFrom(now: number): WarmupTurns {
+    this.#turns ??= new WarmupTurns(this.id, now);
+    return this.#turns;
+  }
+
+  #turnedCold(now: number, millis: number): void {
+    if (now >= this.#coldUntil && !this.#mayHaveRestarted) {
+      this.#turns = new WarmupTurns(this.id, now);
+    }
+    this.#coldUntil = Math.max(this.#coldUntil, now + millis);
+  }
+
+  #judgeLeaving(): void {
+    this.evidence.operatorLeaving = this.record.definition.leaving || this.#isEvacuated;
+  }
 }
