--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -29,7 +29,7 @@
   readonly random: Random;
   readonly reporter: LoadReporter;
   readonly crashes: CrashWatch;
-  /** This router's place among those of its zone. */
+  /** This router's places among those that share what cold upstreams bear, as control told it last. */
   turn: RouterTurn = UNTOLD_TURN;
   readonly timers = new TimerHeap<TimerSubject>();
   readonly services = new Map<string, ServiceState>();
