Routing: folders by job, and an upstream's state split by what it knows

Cause: src/routing held 45 files side by side, and upstream-state.ts kept load, times, warmth and standing in one class, so that what comes next (order of waiting work, room, speeds) had no place. Change: queue/, room/ and upstream/; reported-load, service-times, warmth and upstream-room are modules of their own. No change of logic.

--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -2,7 +2,7 @@
 import type { FenceRefusal } from '../lease/types.js';
 import type { RouterContext } from './router-context.js';
 import type { AttemptResult } from './types.js';
-import type { UpstreamState } from './upstream-state.js';
+import type { UpstreamState } from './upstream/upstream-state.js';
 import { runNameOf } from './watched-runs.js';
 import type { Attempt } from './work.js';
 
@@ -48,7 +48,7 @@
         }
         upstream.connectionFailed(now);
         if (result.refused === true) {
-          upstream.notListening(now);
+          upstream.warmth.notListening(now);
         }
         this.countFailure(attempt);
         return;
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -1,15 +1,15 @@
 /** What follows from the end of an attempt: an answer, another try, or giving up. Nothing that may have run is tried again unless its service allows it. */
 import type { FenceRefusal } from '../lease/types.js';
-import type { Admission } from './admission.js';
 import type { Answers } from './answers.js';
 import { AttemptEvidence } from './attempt-evidence.js';
 import type { Settlement } from './claim.js';
 import type { Dispatcher } from './dispatcher.js';
 import type { NoticeIntake } from './notices/notice-intake.js';
+import type { Admission } from './queue/admission.js';
 import type { RequestIntake } from './request-intake.js';
 import type { RouterContext } from './router-context.js';
 import type { AttemptNumber, AttemptResult } from './types.js';
-import type { UpstreamState } from './upstream-state.js';
+import type { UpstreamState } from './upstream/upstream-state.js';
 import type { Attempt, Work } from './work.js';
 
 /** Pause of a shard's owner that can't be reached. */
--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -1,7 +1,7 @@
 /** Starts attempts: counts them wherever they count, and has them sent. */
 import type { FenceCredentials } from '../lease/types.js';
 import type { RouterContext } from './router-context.js';
-import type { UpstreamState } from './upstream-state.js';
+import type { UpstreamState } from './upstream/upstream-state.js';
 import { runNameOf } from './watched-runs.js';
 import type { Attempt, SentGrant, Work } from './work.js';
 
--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -1,14 +1,14 @@
 /** Carries changes of the configuration into the router's own state. */
 import type { UpstreamId, Zone } from '../model/identifiers.js';
 import type { RegistryChange, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
-import { affinityOf } from './affinity.js';
 import type { Dispatcher } from './dispatcher.js';
 import type { LostAttempts } from './lost-attempts.js';
 import type { PickerName } from './picker/picker.js';
 import type { RequestIntake } from './request-intake.js';
 import type { RouterContext } from './router-context.js';
 import { ServiceState } from './service-state.js';
-import { UpstreamState } from './upstream-state.js';
+import { affinityOf } from './upstream/affinity.js';
+import { UpstreamState } from './upstream/upstream-state.js';
 import { runNameOf, speakerOf } from './watched-runs.js';
 
 const DEFAULT_PICKER: PickerName = 'least-work';
@@ -160,7 +160,7 @@
       coldSince,
       affinityOf(this.context.config.router, record.definition.id),
     );
-    state.useWarmup(service.definition.warmup ?? null);
+    state.warmth.useTerms(service.definition.warmup ?? null);
     state.hearWarmth(now);
     state.evacuated(this.context.view.isEvacuated(state.zone), now);
     state.useNotices(this.context.notices.resume(speakerOf(state.id, runNameOf(state))));
--- a/src/routing/crash-watch.ts
+++ b/src/routing/crash-watch.ts
@@ -13,7 +13,7 @@
 import type { MonotonicMillis, Revision } from '../model/identifiers.js';
 import { isBrokenByUpstream } from './connection-break.js';
 import { QuarantineTrials } from './quarantine-trials.js';
-import { retryAfterMillis } from './retry-after.js';
+import { retryAfterMillis } from './queue/retry-after.js';
 import type { RouterContext } from './router-context.js';
 import type { ArrivedRequest, AttemptResult } from './types.js';
 import { type Accusation, WatchedRuns } from './watched-runs.js';
--- a/src/routing/decision-facts.ts
+++ b/src/routing/decision-facts.ts
@@ -1,7 +1,8 @@
 /** What a decision about a work relied on, for the log. */
+
+import { WaitEstimate } from './queue/wait-estimate.js';
 import type { RouterContext } from './router-context.js';
 import type { DecisionFacts } from './types.js';
-import { WaitEstimate } from './wait-estimate.js';
 import type { Work } from './work.js';
 
 export function factsOf(work: Work, context: RouterContext): DecisionFacts {
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -1,14 +1,14 @@
 /** Sends work to upstreams, or lets it wait within bounds. */
 import type { ShardId } from '../model/identifiers.js';
 import { DEFAULT_WARMUP_BOUNDS } from '../model/warmup-bounds.js';
-import type { Admission } from './admission.js';
 import type { Answers } from './answers.js';
 import { AttemptStarter } from './attempt-starter.js';
-import type { Lane } from './lane-table.js';
 import { policyContextOf, policyUpstreamOf } from './policy-input.js';
+import type { Admission } from './queue/admission.js';
+import type { Lane } from './queue/lane-table.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
-import type { UpstreamState } from './upstream-state.js';
+import type { UpstreamState } from './upstream/upstream-state.js';
 import type { Work } from './work.js';
 
 /** How often waiting work is looked at without an event. */
@@ -220,7 +220,7 @@
         ? undefined
         : service.coldInTurn(config.zone, turn, warmupBounds, now);
     if (cold !== undefined && cold !== work.avoid) {
-      cold.useTurn(turn.inZone, warmupBounds, now);
+      cold.warmth.useTurn(turn.inZone, warmupBounds, now);
       this.attempts.start(work, cold, null, null);
       return 'dispatched';
     }
@@ -248,12 +248,12 @@
       return 'waits';
     }
     const { epoch, incarnation, upstream } = owner;
-    if (upstream.isCold(now)) {
+    if (upstream.warmth.isCold(now)) {
       const { warmupBounds = DEFAULT_WARMUP_BOUNDS } = config;
-      if (!upstream.isOwnerTurn(turn, warmupBounds, now)) {
+      if (!upstream.warmth.isOwnerTurn(turn, warmupBounds, now)) {
         return 'waits';
       }
-      upstream.useTurn(turn.inAll, warmupBounds, now);
+      upstream.warmth.useTurn(turn.inAll, warmupBounds, now);
     }
     const hasFence = upstream.record.definition.announced === undefined;
     const key = work.request.key as string;
--- a/src/routing/notices/notice-intake.ts
+++ b/src/routing/notices/notice-intake.ts
@@ -1,7 +1,7 @@
 /** What follows from a word of an upstream: what waits for it is sent, goes on waiting, or is answered, and what wasn't sent yet is taken back. */
 import type { UpstreamNotice } from '../../model/upstream-notice.js';
-import type { Admission } from '../admission.js';
 import type { Dispatcher } from '../dispatcher.js';
+import type { Admission } from '../queue/admission.js';
 import type { RouterContext } from '../router-context.js';
 import type { AttemptNumber, AttemptResult } from '../types.js';
 import { runNameOf, speakerOf } from '../watched-runs.js';
--- a/src/routing/notices/notice-wait.ts
+++ b/src/routing/notices/notice-wait.ts
@@ -2,7 +2,7 @@
 import type { MonotonicMillis } from '../../model/identifiers.js';
 import type { RouterContext } from '../router-context.js';
 import type { RefusalReason } from '../types.js';
-import type { UpstreamState } from '../upstream-state.js';
+import type { UpstreamState } from '../upstream/upstream-state.js';
 import type { Work } from '../work.js';
 
 const MILLIS_PER_SECOND = 1000;
--- a/src/routing/notices/run-notices.ts
+++ b/src/routing/notices/run-notices.ts
@@ -2,8 +2,8 @@
 import type { RunName } from '../../model/crash-suspect.js';
 import type { MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
 import type { RoundPlace } from '../../model/router-turn.js';
-import { affinityOf } from '../affinity.js';
 import type { AttemptNumber } from '../types.js';
+import { affinityOf } from '../upstream/affinity.js';
 import { RequestLimit } from './request-limit.js';
 import { Rest } from './rest.js';
 
--- a/src/routing/notices/upstream-reports.ts
+++ b/src/routing/notices/upstream-reports.ts
@@ -6,9 +6,9 @@
 import type { MonotonicMillis } from '../../model/identifiers.js';
 import { PERMIT_MILLIS } from '../../model/limit-shares.js';
 import type { HeardUpstream, IssuedPermits } from '../../model/upstream-notice.js';
-import type { LinkedQueue } from '../linked-queue.js';
+import type { LinkedQueue } from '../queue/linked-queue.js';
 import type { RouterContext } from '../router-context.js';
-import type { UpstreamState } from '../upstream-state.js';
+import type { UpstreamState } from '../upstream/upstream-state.js';
 import type { Work } from '../work.js';
 import type { RunNotices } from './run-notices.js';
 
--- a/src/routing/picker/least-in-flight-picker.ts
+++ b/src/routing/picker/least-in-flight-picker.ts
@@ -1,5 +1,5 @@
 /** Fewest requests of this router's own in flight; a baseline to measure against. */
-import type { UpstreamState } from '../upstream-state.js';
+import type { UpstreamState } from '../upstream/upstream-state.js';
 import type { PickContext, Picker } from './picker.js';
 
 export class LeastInFlightPicker implements Picker {
--- a/src/routing/picker/least-work-picker.ts
+++ b/src/routing/picker/least-work-picker.ts
@@ -1,5 +1,5 @@
 /** Two random choices by estimated outstanding work, the own zone first. */
-import type { UpstreamState } from '../upstream-state.js';
+import type { UpstreamState } from '../upstream/upstream-state.js';
 import type { PickContext, Picker } from './picker.js';
 
 /**
--- a/src/routing/picker/picker.ts
+++ b/src/routing/picker/picker.ts
@@ -1,7 +1,7 @@
 /** How an upstream is picked for a request that any of them can serve. */
 import type { Zone } from '../../model/identifiers.js';
 import type { Random } from '../random.js';
-import type { UpstreamState } from '../upstream-state.js';
+import type { UpstreamState } from '../upstream/upstream-state.js';
 
 export interface PickContext {
   /** Those that may take a request now; never empty. */
--- a/src/routing/picker/round-robin-picker.ts
+++ b/src/routing/picker/round-robin-picker.ts
@@ -1,5 +1,5 @@
 /** Each in turn; a baseline to measure against. */
-import type { UpstreamState } from '../upstream-state.js';
+import type { UpstreamState } from '../upstream/upstream-state.js';
 import type { PickContext, Picker } from './picker.js';
 
 export class RoundRobinPicker implements Picker {
--- a/src/routing/policy-gate.ts
+++ b/src/routing/policy-gate.ts
@@ -1,10 +1,10 @@
 /** What the policy of a service decides about its requests, before the dispatcher gets them. */
 import type { PolicyContext, PolicyDecision } from '../policy/index.js';
-import type { Admission } from './admission.js';
 import type { Answers } from './answers.js';
 import type { Dispatcher } from './dispatcher.js';
 import { policyContextOf, policyUpstreamOf } from './policy-input.js';
-import { retryAfterMillis } from './retry-after.js';
+import type { Admission } from './queue/admission.js';
+import { retryAfterMillis } from './queue/retry-after.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
 import type { Member, Work } from './work.js';
--- a/src/routing/policy-input.ts
+++ b/src/routing/policy-input.ts
@@ -1,7 +1,7 @@
 /** The variables of a policy program, taken from the router's state. */
 import type { PolicyContext, PolicyUpstream } from '../policy/index.js';
 import type { RouterContext } from './router-context.js';
-import type { UpstreamState } from './upstream-state.js';
+import type { UpstreamState } from './upstream/upstream-state.js';
 import type { Work } from './work.js';
 
 /** Variables of one request of a work. */
--- a/src/routing/admission.ts
+++ b/src/routing/queue/admission.ts
@@ -1,15 +1,15 @@
 /** Whether work may wait, for how long, and what it is told if it may not. */
-import { PRIORITY_CLASSES } from '../model/service.js';
-import type { Answers } from './answers.js';
+import { PRIORITY_CLASSES } from '../../model/service.js';
+import type { Answers } from '../answers.js';
+import { noticeWaitOf } from '../notices/notice-wait.js';
+import type { RouterContext } from '../router-context.js';
+import type { ServiceState } from '../service-state.js';
+import type { RefusalReason } from '../types.js';
+import type { UpstreamState } from '../upstream/upstream-state.js';
+import type { Work } from '../work.js';
 import type { Lane } from './lane-table.js';
-import { noticeWaitOf } from './notices/notice-wait.js';
 import { retryAfterAtLeast, retryAfterMillis, UNMEASURED_RETRY_MILLIS } from './retry-after.js';
-import type { RouterContext } from './router-context.js';
-import type { ServiceState } from './service-state.js';
-import type { RefusalReason } from './types.js';
-import type { UpstreamState } from './upstream-state.js';
 import { WaitEstimate } from './wait-estimate.js';
-import type { Work } from './work.js';
 
 /** Requests that a router keeps waiting over all services; beyond it, less important ones make room. */
 const WAITING_LIMIT = 10_000;
--- a/src/routing/lane-table.ts
+++ b/src/routing/queue/lane-table.ts
@@ -2,10 +2,10 @@
  * Waiting work of one service. A keyed service has a lane for each shard with work waiting, filed under the shard's owner;
  * one that isn't keyed has a single lane.
  */
-import type { ShardId, UpstreamId } from '../model/identifiers.js';
+import type { ShardId, UpstreamId } from '../../model/identifiers.js';
+import type { Work } from '../work.js';
 import { DrainRate } from './drain-rate.js';
 import { LinkedQueue } from './linked-queue.js';
-import type { Work } from './work.js';
 
 /** First and longest pause of a lane whose owner turned a request away. */
 const FIRST_PAUSE_MILLIS = 20;
--- a/src/routing/retry-after.ts
+++ b/src/routing/queue/retry-after.ts
@@ -1,5 +1,5 @@
 /** How long a refused caller is told to wait. Always jittered, so that those refused together don't return together. */
-import type { Random } from './random.js';
+import type { Random } from '../random.js';
 
 const SHORTEST_MILLIS = 100;
 const LONGEST_MILLIS = 30_000;
--- a/src/routing/wait-estimate.ts
+++ b/src/routing/queue/wait-estimate.ts
@@ -1,8 +1,9 @@
 /** How long waiting work has to wait, from the measured speed at which its lane drains. */
+
+import type { RouterContext } from '../router-context.js';
+import type { ServiceState } from '../service-state.js';
+import type { Work } from '../work.js';
 import type { Lane } from './lane-table.js';
-import type { RouterContext } from './router-context.js';
-import type { ServiceState } from './service-state.js';
-import type { Work } from './work.js';
 
 export class WaitEstimate {
   constructor(private readonly context: RouterContext) {}
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -2,12 +2,12 @@
 import type { ClaimResult, StoredAnswer } from '../ledger/types.js';
 import type { RouteDefinition } from '../model/declaration.js';
 import type { ServiceName, ShardId } from '../model/identifiers.js';
-import type { Admission } from './admission.js';
 import type { Answers } from './answers.js';
 import type { ClaimFlow, ClaimListener } from './claim-flow.js';
 import { EarlyRequests } from './early-requests.js';
 import type { LedgerWord } from './outcome-table.js';
 import type { PolicyGate } from './policy-gate.js';
+import type { Admission } from './queue/admission.js';
 import { type RequestTerms, termsOfRoute, termsOfService } from './request-terms.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
--- a/src/routing/warmup-turns.ts
+++ b/src/routing/room/warmup-turns.ts
@@ -7,11 +7,11 @@
  * Load answered: a zone of 23 to 27 upstreams that comes back cold, at once, under the requests of the whole zone; an upstream that joins
  * while every router looks for one with no load.
  */
-import type { MonotonicMillis, UpstreamId } from '../model/identifiers.js';
-import type { RoundPlace } from '../model/router-turn.js';
-import type { WarmupTerms } from '../model/service.js';
-import type { WarmupBounds } from '../model/warmup-bounds.js';
-import { affinityOf } from './affinity.js';
+import type { MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
+import type { RoundPlace } from '../../model/router-turn.js';
+import type { WarmupTerms } from '../../model/service.js';
+import type { WarmupBounds } from '../../model/warmup-bounds.js';
+import { affinityOf } from '../upstream/affinity.js';
 
 /** An unused turn is good for this long. In any second that many turns beyond those that begin in it may be spent. */
 const TURN_MILLIS = 1000;
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -13,7 +13,7 @@
 import type { ServiceState } from './service-state.js';
 import { TimerHeap } from './timer-heap.js';
 import type { AttemptNumber, RouterConfig, RouterEffect } from './types.js';
-import type { UpstreamState } from './upstream-state.js';
+import type { UpstreamState } from './upstream/upstream-state.js';
 import type { Attempt, Member } from './work.js';
 
 /** Where a shard's requests go. */
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -2,7 +2,6 @@
 import type { ControlToRouter, SyncResponse, UpstreamPermits } from '../control/messages.js';
 import type { Address, UpstreamId, WallMillis } from '../model/identifiers.js';
 import type { RoutingDelta } from '../registry/types.js';
-import { Admission } from './admission.js';
 import { Answers } from './answers.js';
 import { AttemptResults } from './attempt-results.js';
 import { ClaimFlow } from './claim-flow.js';
@@ -14,6 +13,7 @@
 import type { RunNotices } from './notices/run-notices.js';
 import { UpstreamReports } from './notices/upstream-reports.js';
 import { PolicyGate } from './policy-gate.js';
+import { Admission } from './queue/admission.js';
 import { RequestIntake } from './request-intake.js';
 import { RouterContext } from './router-context.js';
 import type { TimerSubject } from './router-timer.js';
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -5,12 +5,12 @@
 import type { WarmupBounds } from '../model/warmup-bounds.js';
 import { compilePolicy, PolicyError, type PolicyProgram } from '../policy/index.js';
 import type { ServiceRecord } from '../registry/types.js';
-import { LaneTable } from './lane-table.js';
-import type { Standing } from './leaving-table.js';
 import { createPicker } from './picker/create-picker.js';
 import type { Picker, PickerName } from './picker/picker.js';
-import { TokenRetryBudget } from './retry-budget.js';
-import type { UpstreamState } from './upstream-state.js';
+import { LaneTable } from './queue/lane-table.js';
+import { TokenRetryBudget } from './room/retry-budget.js';
+import type { Standing } from './upstream/leaving-table.js';
+import type { UpstreamState } from './upstream/upstream-state.js';
 import type { Work } from './work.js';
 
 /** Standings from best to worst. */
@@ -76,7 +76,7 @@
       for (const upstream of this.sortedUpstreams) {
         const { announced } = upstream.record.definition;
         upstream.slotLimit.resize(announced?.slots ?? record.definition.slotsPerUpstream);
-        upstream.useWarmup(record.definition.warmup ?? null);
+        upstream.warmth.useTerms(record.definition.warmup ?? null);
       }
     }
     return remapped;
@@ -98,12 +98,12 @@
     return this.sortedUpstreams.find(
       (upstream) =>
         upstream.zone === zone &&
-        upstream.takesTurns(now) &&
+        upstream.warmth.takesTurns(now) &&
         upstream.hasFreeSlot(now) &&
         upstream.admits(now) &&
         upstream.evidence.standing(now) !== 'leaving' &&
         !upstream.ejection.isEjected(now) &&
-        upstream.isTurn(turn, bounds, now),
+        upstream.warmth.isTurn(turn, bounds, now),
     );
   }
 
@@ -116,7 +116,7 @@
     let usableExists = false;
     for (const upstream of this.sortedUpstreams) {
       const rank = RANK_OF[upstream.evidence.standing(now)];
-      if (rank === RANK_OF.leaving || upstream.ejection.isEjected(now) || upstream.takesTurns(now)) {
+      if (rank === RANK_OF.leaving || upstream.ejection.isEjected(now) || upstream.warmth.takesTurns(now)) {
         continue;
       }
       usableExists = usableExists || rank === RANK_OF.usable;
--- a/src/routing/affinity.ts
+++ b/src/routing/upstream/affinity.ts
@@ -2,7 +2,7 @@
  * Which upstreams a router prefers among equals. Each router has an order of its own, which others' coming and going doesn't change,
  * so it keeps to few upstreams, knows them and reuses its connections; over many routers the orders spread evenly.
  */
-import type { RouterId, UpstreamId } from '../model/identifiers.js';
+import type { RouterId, UpstreamId } from '../../model/identifiers.js';
 
 /** FNV-1a, 32 bits. */
 const OFFSET_BASIS = 0x811c9dc5;
--- a/src/routing/watched-runs.ts
+++ b/src/routing/watched-runs.ts
@@ -9,7 +9,7 @@
 import { runOfAnnounced } from '../model/service.js';
 import type { RouterContext } from './router-context.js';
 import type { RunCheck } from './types.js';
-import type { UpstreamState } from './upstream-state.js';
+import type { UpstreamState } from './upstream/upstream-state.js';
 import type { Attempt } from './work.js';
 
 /** An attempt that ended longer before its run is no sign that the request ended it. */
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -2,14 +2,14 @@
 import type { RunName } from '../model/crash-suspect.js';
 import type { Epoch, Revision, ShardId } from '../model/identifiers.js';
 import type { Claim } from './claim.js';
-import type { Lane } from './lane-table.js';
-import type { QueueNode } from './linked-queue.js';
 import type { LedgerWord } from './outcome-table.js';
+import type { Lane } from './queue/lane-table.js';
+import type { QueueNode } from './queue/linked-queue.js';
 import type { RequestTerms } from './request-terms.js';
 import type { RouterTimer } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
 import type { ArrivedRequest, AttemptNumber } from './types.js';
-import type { UpstreamState } from './upstream-state.js';
+import type { UpstreamState } from './upstream/upstream-state.js';
 
 /** One caller's request. It gets one final answer of its own. */
 export interface Member {
--- a/test/routing/announced-picking.test.ts
+++ b/test/routing/announced-picking.test.ts
@@ -1,9 +1,9 @@
 /** Upstreams that say how many slots they have: what is spent on which, and when requests leave their zone. */
 import { expect } from 'chai';
-import { affinityOf } from '../../src/routing/affinity.js';
 import { UpstreamState } from '../../src/routing/index.js';
 import { LeastWorkPicker } from '../../src/routing/picker/least-work-picker.js';
 import { Random } from '../../src/routing/random.js';
+import { affinityOf } from '../../src/routing/upstream/affinity.js';
 import { upstream } from './router-harness.js';
 
 function announced(id: string, zone: string, slots = 3): UpstreamState {
--- a/test/routing/outlier-ejection.test.ts
+++ b/test/routing/outlier-ejection.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { OutlierEjection } from '../../src/routing/outlier-ejection.js';
+import { OutlierEjection } from '../../src/routing/upstream/outlier-ejection.js';
 
 const UPSTREAMS = 4;
 const NONE_EJECTED = 0;
--- a/test/routing/retry-budget.test.ts
+++ b/test/routing/retry-budget.test.ts
@@ -1,6 +1,6 @@
 /** Retries stay within their share, and routers together within what each may save up. */
 import { expect } from 'chai';
-import { TokenRetryBudget } from '../../src/routing/retry-budget.js';
+import { TokenRetryBudget } from '../../src/routing/room/retry-budget.js';
 
 function spend(budget: TokenRetryBudget): number {
   let spent = 0;
--- a/test/routing/unreachable-upstream.test.ts
+++ b/test/routing/unreachable-upstream.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { StandingEvidence } from '../../src/routing/leaving-table.js';
+import { StandingEvidence } from '../../src/routing/upstream/leaving-table.js';
 import { ANSWERED, only, RouterHarness, service, upstream } from './router-harness.js';
 
 function start(): RouterHarness {
--- a/test/routing/warmup-turns.test.ts
+++ b/test/routing/warmup-turns.test.ts
@@ -5,7 +5,7 @@
 import { expect } from 'chai';
 import type { RoundPlace } from '../../src/model/router-turn.js';
 import { Random } from '../../src/routing/random.js';
-import { turnsPerSecond, WarmupTurns } from '../../src/routing/warmup-turns.js';
+import { turnsPerSecond, WarmupTurns } from '../../src/routing/room/warmup-turns.js';
 
 const TERMS = { perSecond: 4.2, millis: 3000 };
 const BOUNDS = { overrunFactor: 1.5, marginRequests: 8 };
