Soak: reads behind one another, callers that leave, upstreams of unequal speed

Cause: the fleet of real processes sent one request at a time on a connection, waited for each answer, and had upstreams alike, so that none of the new loads was judged there.

--- a/src/dev/commands/fleet.ts
+++ b/src/dev/commands/fleet.ts
@@ -31,6 +31,9 @@
   readonly network: string;
   readonly profile?: string;
   readonly kills: string;
+  readonly pipelining: string;
+  readonly leaving: string;
+  readonly speeds: string;
   readonly seed: string;
   readonly keep?: string;
   readonly listFaults?: boolean;
@@ -54,6 +57,9 @@
     rateScale: Number(flags.rateScale),
     seed: Number(flags.seed),
     network,
+    pipelining: Number(flags.pipelining),
+    leaveShare: Number(flags.leaving),
+    speeds: String(flags.speeds).split(',').map(Number),
     profileFolder: flags.profile ?? null,
   };
 }
@@ -148,6 +154,15 @@
     .option('--kills <number>', 'Kill an owner this many times, one after the other, under the load', {
       default: 0,
     })
+    .option('--pipelining <number>', 'Reads that half of the callers send behind one another', {
+      default: FLEET_DEFAULTS.pipelining,
+    })
+    .option('--leaving <share>', 'Share of the reads whose caller goes away before the answer', {
+      default: FLEET_DEFAULTS.leaveShare,
+    })
+    .option('--speeds <list>', "Speeds of a service's upstreams, in turn, with commas", {
+      default: FLEET_DEFAULTS.speeds.join(','),
+    })
     .option('--profile <folder>', 'Each process leaves a processor profile here')
     .option('--seed <number>', 'Seed of the load', { default: FLEET_DEFAULTS.seed })
     .option('--keep <folder>', 'Keep journals, logs and data here')
--- a/src/dev/fleet/checker/index.ts
+++ b/src/dev/fleet/checker/index.ts
@@ -6,6 +6,7 @@
 import { buildHistory } from './fleet-history.js';
 import { checkNeedsHeeded } from './needs-heeded.js';
 import { checkNotRun } from './not-run.js';
+import { checkNothingLeftOver } from './nothing-left-over.js';
 import { checkPlannedStop } from './planned-stop.js';
 import {
   type CheckOptions,
@@ -29,6 +30,7 @@
   checkPlannedStop,
   checkConfiguration,
   checkNeedsHeeded,
+  checkNothingLeftOver,
 ];
 
 /** Checks every promise over the records of one fleet. */
--- /dev/null
+++ b/src/dev/fleet/checker/nothing-left-over.ts
@@ -0,0 +1,19 @@
+/** Once the load has ended, no router has anything under way for callers, also not for those that went away. */
+import type { FleetHistory } from './fleet-history.js';
+import type { PromiseResult, Violation } from './promise-check.js';
+
+export function checkNothingLeftOver(history: FleetHistory): PromiseResult {
+  const violations: Violation[] = [];
+  let checked = 0;
+  for (const event of history.events) {
+    if (event.event !== 'router-left-over') {
+      continue;
+    }
+    checked += Number(event.requests !== null);
+    if (event.requests !== null && event.requests > 0) {
+      const message = `${event.router} still had ${event.requests} requests under way after the load`;
+      violations.push({ promise: 'nothing-left-over', message, at: event.at });
+    }
+  }
+  return { promise: 'nothing-left-over', checked, violations };
+}
--- a/src/dev/fleet/checker/promise-check.ts
+++ b/src/dev/fleet/checker/promise-check.ts
@@ -11,7 +11,8 @@
   | 'drained'
   | 'planned-stop'
   | 'configuration-kept'
-  | 'needs-heeded';
+  | 'needs-heeded'
+  | 'nothing-left-over';
 
 /** One thing that happened and must not. */
 export interface Violation {
--- a/src/dev/fleet/checker/whole-answers.ts
+++ b/src/dev/fleet/checker/whole-answers.ts
@@ -1,9 +1,12 @@
 /** Every answer that a caller took for complete was whole and its own. */
+import type { AnswerVerdict } from '../../journal/records.js';
 import type { FleetHistory } from './fleet-history.js';
 import type { PromiseResult } from './promise-check.js';
 
+const WITHOUT_ANSWER: ReadonlySet<AnswerVerdict> = new Set(['lost', 'refused', 'left']);
+
 export function checkWholeAnswers(history: FleetHistory): PromiseResult {
-  const answered = history.attempts.filter(({ verdict }) => verdict !== 'lost' && verdict !== 'refused');
+  const answered = history.attempts.filter(({ verdict }) => !WITHOUT_ANSWER.has(verdict));
   const violations = answered
     .filter(({ verdict }) => verdict !== 'whole')
     .map((attempt) => ({
--- a/src/dev/fleet/fleet-options.ts
+++ b/src/dev/fleet/fleet-options.ts
@@ -22,6 +22,12 @@
   readonly network: number;
   /** Folder for processor profiles of every process; `null`: none are made. */
   readonly profileFolder: string | null;
+  /** Reads that half of the callers send behind one another on a connection; 1: none. */
+  readonly pipelining: number;
+  /** Share of the reads whose caller goes away before the answer. */
+  readonly leaveShare: number;
+  /** Speeds of a service's upstreams, in turn, as factors on the deployment's. */
+  readonly speeds: readonly number[];
   /** How far the platform's list lags. */
   readonly platformLagMillis: number;
 }
@@ -37,5 +43,8 @@
   seed: 1,
   network: 77,
   profileFolder: null,
+  pipelining: 1,
+  leaveShare: 0,
+  speeds: [1],
   platformLagMillis: 30_000,
 } as const;
--- a/src/dev/fleet/fleet-plan.ts
+++ b/src/dev/fleet/fleet-plan.ts
@@ -41,6 +41,8 @@
   readonly keyed: boolean;
   readonly endpoint: LinkedEndpoint;
   readonly template: UpstreamTemplate;
+  /** Its place among its service's, from 0. */
+  readonly place: number;
 }
 
 export interface UpstreamProcessPlan extends ProcessPlan {
@@ -191,7 +193,7 @@
     const zone = template.zones[index % template.zones.length] as Zone;
     const id = `${template.service}-${index + 1}`;
     const endpoint = linkedEndpoint(this.#addresses.takeHost(zone), PORTS.service);
-    return { id, service: template.service, zone, keyed, endpoint, template };
+    return { id, service: template.service, zone, keyed, endpoint, template, place: index };
   }
 
   #upstreamProcess(name: string, upstreams: readonly UpstreamPlan[]): UpstreamProcessPlan {
--- a/src/dev/fleet/fleet.ts
+++ b/src/dev/fleet/fleet.ts
@@ -7,7 +7,7 @@
 import { AdminClient } from './admin-client.js';
 import { FleetJournal } from './fleet-journal.js';
 import type { FleetOptions } from './fleet-options.js';
-import { type ControlPlan, type FleetPlan, FleetPlanner } from './fleet-plan.js';
+import { type ControlPlan, type FleetPlan, FleetPlanner, type RouterPlan } from './fleet-plan.js';
 import { Operator } from './operator.js';
 import type { ProcessKind, ProcessSpec } from './process-spec.js';
 import { callerSpecs, processSpecs } from './process-specs.js';
@@ -16,6 +16,8 @@
 
 const SETTLE_TIMEOUT_MILLIS = 30_000;
 const SETTLE_POLL_MILLIS = 100;
+/** After the last caller has its answer or is gone, routers have this long to end what is under way. */
+const LEFT_OVER_MILLIS = 500;
 /** Longest planned stop. */
 export const STOP_GRACE_MILLIS = 15_000;
 /**
@@ -100,6 +102,8 @@
   async waitForCallers(): Promise<void> {
     await Promise.all(this.plan.callers.map(({ name }) => this.supervisor.waitForEnd(name)));
     this.journal.write({ event: 'load-ended' });
+    await this.wait(LEFT_OVER_MILLIS);
+    await Promise.all(this.plan.routers.map((router) => this.#noteLeftOver(router)));
   }
 
   /** Planned stop of everything. */
@@ -111,6 +115,13 @@
     this.journal.close();
   }
 
+  /** A router that was started again after the load has nothing to tell of it, and says so by its own count. */
+  async #noteLeftOver({ name, admin }: RouterPlan): Promise<void> {
+    const state = await this.admin.routerHealth(admin);
+    const requests = state === undefined ? null : state.queued + state.inFlight;
+    this.journal.write({ event: 'router-left-over', router: name, requests });
+  }
+
   async #startKind(kind: ProcessKind): Promise<void> {
     this.signal.throwIfAborted();
     const specs = [...this.#specs.values()].filter((spec) => spec.kind === kind);
--- a/src/dev/fleet/load-plan.ts
+++ b/src/dev/fleet/load-plan.ts
@@ -42,7 +42,7 @@
   place: PhasePlace,
   share: WorkloadShare,
   service: ServiceDefinition,
-  callers: number,
+  { callers, leaveShare }: CallerShare,
 ): z.input<typeof streamsSchema.element> {
   const shares = place.phase.mix.reduce((sum, other) => sum + other.share, 0);
   const rate = (place.phase.requestsPerSecond * share.share) / shares / callers;
@@ -56,6 +56,7 @@
     repeatable: service.repeatable,
     coalesced: service.coalesce,
     deadlineMillis: service.deadlineMillis,
+    leaveShare: service.repeatable ? leaveShare : 0,
     attempts: service.repeatable ? READ_ATTEMPTS : ORDER_ATTEMPTS,
     rates: [
       { fromSeconds: place.fromSeconds, requestsPerSecond: rate },
@@ -64,12 +65,20 @@
   };
 }
 
-/** Streams of one of `callers` like callers, over `seconds` in all. */
-export function planStreams(deployment: Deployment, seconds: number, callers: number): CallerStream[] {
+/** What one caller process takes of the load. */
+export interface CallerShare {
+  /** Like callers that share it. */
+  readonly callers: number;
+  /** Share of the reads whose caller goes away before the answer. */
+  readonly leaveShare: number;
+}
+
+/** Streams of one caller process, over `seconds` in all. */
+export function planStreams(deployment: Deployment, seconds: number, caller: CallerShare): CallerStream[] {
   const services = new Map(deployment.services.map((service) => [service.name, service]));
   const streams = placePhases(deployment.workload.phases, seconds).flatMap((place) =>
     place.phase.mix.map((share) =>
-      planStream(place, share, services.get(share.service) as ServiceDefinition, callers),
+      planStream(place, share, services.get(share.service) as ServiceDefinition, caller),
     ),
   );
   return streamsSchema.parse(streams);
--- a/src/dev/fleet/observe/owner-loss-probe.ts
+++ b/src/dev/fleet/observe/owner-loss-probe.ts
@@ -10,7 +10,7 @@
 const GIVE_UP_MILLIS = 15_000;
 const RETRY_MILLIS = 25;
 const DEADLINE_MILLIS = 2000;
-const CONNECTIONS = 64;
+const LIMITS = { connections: 64, pipelining: 1 };
 /** Keys that are asked for. More at once would be a burst of their own, and measure the queues of routers. */
 const MAX_PROBED_KEYS = 150;
 
@@ -46,7 +46,7 @@
     this.#fleet = fleet;
     const { plan } = fleet;
     this.#routers = plan.routers.map(
-      ({ name, callers }) => new RouterClient(name, callers.advertised, plan.operatorHost, CONNECTIONS),
+      ({ name, callers }) => new RouterClient(name, callers.advertised, plan.operatorHost, LIMITS),
     );
   }
 
@@ -105,6 +105,7 @@
         idempotencyKey: null,
         coalesced: false,
         deadlineMillis: DEADLINE_MILLIS,
+        leaveMillis: null,
       });
       if (answer.verdict === 'whole' && answer.upstream !== owned.upstream) {
         return machineMillis() - lostAt;
--- a/src/dev/fleet/settings-files.ts
+++ b/src/dev/fleet/settings-files.ts
@@ -22,6 +22,8 @@
 const UPSTREAM_QUEUE_LIMIT = 8;
 /** Of one caller process to one router: so many that requests never wait for a connection. */
 const CALLER_CONNECTIONS = 512;
+/** The same for a caller that sends requests behind one another: so few that it does. */
+const PIPELINING_CONNECTIONS = 2;
 const PROBE_INTERVAL = '1s';
 /** State of one shard is loaded in this time. */
 const SHARD_WARM_MILLIS = 20;
@@ -78,8 +80,9 @@
   };
 }
 
-function standinSettings(upstream: UpstreamPlan): object {
-  const { template } = upstream;
+function standinSettings(upstream: UpstreamPlan, speeds: readonly number[]): object {
+  const { template, place } = upstream;
+  const speed = speeds[place % speeds.length] ?? 1;
   return {
     id: upstream.id,
     service: upstream.service,
@@ -91,12 +94,16 @@
     connections: template.connections,
     connectMillis: template.connectMillis,
     probeMillis: template.probeMillis,
-    serviceTime: { kind: 'log-normal', meanMillis: template.serviceMillis },
+    serviceTime: { kind: 'log-normal', meanMillis: template.serviceMillis / speed },
     coldStart: COLD_START,
   };
 }
 
-function upstreamSettings(plan: FleetPlan, process: UpstreamProcessPlan, seed: number): object {
+function upstreamSettings(
+  plan: FleetPlan,
+  process: UpstreamProcessPlan,
+  { seed, speeds }: Pick<FleetOptions, 'seed' | 'speeds'>,
+): object {
   return {
     name: process.name,
     cluster: plan.cluster,
@@ -104,7 +111,7 @@
     control: process.admin,
     seed,
     journal: journalFileOf(plan, process),
-    upstreams: process.upstreams.map(standinSettings),
+    upstreams: process.upstreams.map((upstream) => standinSettings(upstream, speeds)),
   };
 }
 
@@ -133,15 +140,18 @@
 
 function callerSettings(plan: FleetPlan, options: FleetOptions, index: number): object {
   const caller = plan.callers[index] as FleetPlan['callers'][number];
+  const isPipelining = options.pipelining > 1 && index % 2 === 0;
+  const share = { callers: plan.callers.length / options.rateScale, leaveShare: options.leaveShare };
   return {
     name: caller.name,
     host: caller.host,
     control: caller.admin,
     seed: options.seed + index,
     seconds: options.seconds,
-    connectionsPerRouter: CALLER_CONNECTIONS,
+    connectionsPerRouter: isPipelining ? PIPELINING_CONNECTIONS : CALLER_CONNECTIONS,
+    pipelining: isPipelining ? options.pipelining : 1,
     routers: plan.routers.map(({ name, callers }) => ({ name, address: callers.advertised })),
-    streams: planStreams(plan.deployment, options.seconds, plan.callers.length / options.rateScale),
+    streams: planStreams(plan.deployment, options.seconds, share),
     journal: journalFileOf(plan, caller),
     summary: join(caller.folder, 'summary.json'),
   };
@@ -170,7 +180,10 @@
     writeYaml(settingsFileOf(router), routerSettings(plan, router));
   }
   plan.upstreams.forEach((process, index) => {
-    writeYaml(settingsFileOf(process), upstreamSettings(plan, process, options.seed + index));
+    writeYaml(
+      settingsFileOf(process),
+      upstreamSettings(plan, process, { ...options, seed: options.seed + index }),
+    );
   });
   for (const link of plan.links) {
     writeYaml(settingsFileOf(link), linkSettings(plan, link));
--- a/src/dev/journal/records.ts
+++ b/src/dev/journal/records.ts
@@ -84,6 +84,8 @@
   | 'refused'
   /** The connection ended before a whole answer, or the caller gave up. */
   | 'lost'
+  /** The caller went away before there was an answer. */
+  | 'left'
   /** An answer was taken for complete although a piece is missing or altered. */
   | 'damaged'
   /** A complete answer to another request. */
@@ -101,6 +103,8 @@
   readonly key: string | null;
   readonly idempotencyKey: string | null;
   readonly repeatable: boolean;
+  /** Whether it may have been sent behind another on its connection. */
+  readonly pipelined: boolean;
   /** When the schedule wanted the request sent. */
   readonly scheduledAt: number;
   readonly sentAt: number;
@@ -118,6 +122,8 @@
 /** Something that the fleet runner did. */
 export type FleetEventRecord = RecordBase & { readonly type: 'fleet-event' } & (
     | { readonly event: 'load-started' | 'load-ended' }
+    /** What a router still had under way some time after the load had ended; `null`: it didn't say. */
+    | { readonly event: 'router-left-over'; readonly router: string; readonly requests: number | null }
     | { readonly event: 'process-started' | 'killed' | 'frozen' | 'thawed'; readonly process: string }
     /** A planned stop: SIGTERM, and whether the process ended by itself. */
     | { readonly event: 'stopping'; readonly process: string }
--- a/src/dev/standins/caller/caller-settings.ts
+++ b/src/dev/standins/caller/caller-settings.ts
@@ -24,6 +24,9 @@
   deadlineMillis: z.number().positive(),
   /** Attempts at one request; a request that may not be repeated carries the same idempotency key in each. */
   attempts: z.number().int().min(1).default(1),
+  /** Share of the requests whose caller goes away after `leaveMillis` without an answer. */
+  leaveShare: z.number().min(0).max(1).default(0),
+  leaveMillis: z.number().positive().default(20),
   retryDelayMillis: z.number().min(0).default(200),
   rates: z.array(ratePointSchema).min(1),
 });
@@ -37,6 +40,8 @@
   control: z.string().min(1).optional(),
   seconds: z.number().positive(),
   connectionsPerRouter: z.number().int().min(1).default(64),
+  /** Reads that may be sent behind one another on a connection; 1: each waits for the answer before it. */
+  pipelining: z.number().int().min(1).default(1),
   routers: z.array(z.strictObject({ name: z.string(), address: z.string() })).min(1),
   streams: z.array(streamSchema).min(1),
   journal: z.string().min(1),
--- a/src/dev/standins/caller/caller-standin.ts
+++ b/src/dev/standins/caller/caller-standin.ts
@@ -46,8 +46,10 @@
     this.#settings = settings;
     this.#journal = new JournalWriter(settings.journal);
     this.#random = new StandinRandomSource(settings.seed);
+    const { connectionsPerRouter, pipelining } = settings;
+    const limits = { connections: connectionsPerRouter, pipelining };
     this.#routers = settings.routers.map(
-      (router) => new RouterClient(router.name, router.address, settings.host, settings.connectionsPerRouter),
+      (router) => new RouterClient(router.name, router.address, settings.host, limits),
     );
     this.#streams = settings.streams.map((stream, index) => this.#startStream(stream, index));
   }
@@ -116,6 +118,7 @@
       idempotencyKey: stream.repeatable ? null : makeUuidV7(Date.now()),
       coalesced: stream.coalesced,
       deadlineMillis: stream.deadlineMillis,
+      leaveMillis: this.#random.fraction() < stream.leaveShare ? stream.leaveMillis : null,
     };
     const firstRouter = Math.floor(this.#random.fraction() * this.#routers.length);
     let answer: AttemptAnswer | undefined;
@@ -147,6 +150,7 @@
       key: attempt.key,
       idempotencyKey: attempt.idempotencyKey,
       repeatable: stream.repeatable,
+      pipelined: this.#settings.pipelining > 1,
       scheduledAt: at.scheduledAt,
       sentAt: at.sentAt,
       verdict: answer.verdict,
--- a/src/dev/standins/caller/router-client.ts
+++ b/src/dev/standins/caller/router-client.ts
@@ -14,6 +14,8 @@
   /** Whether it may be given the answer to a like request for the same key. */
   readonly coalesced: boolean;
   readonly deadlineMillis: number;
+  /** The caller goes away then if there is no answer; `null`: it waits. */
+  readonly leaveMillis: number | null;
 }
 
 /** What came back. */
@@ -40,6 +42,7 @@
 const PATIENCE_MILLIS = 2000;
 const MILLIS_PER_SECOND = 1000;
 const LOST: AttemptAnswer = { verdict: 'lost', ...NOTHING };
+const LEFT: AttemptAnswer = { verdict: 'left', ...NOTHING };
 
 type HeaderValues = Record<string, string | string[] | undefined>;
 
@@ -75,23 +78,29 @@
   return headers;
 }
 
+/** Connections to one router, and requests sent behind one another on each. */
+export interface ConnectionLimits {
+  readonly connections: number;
+  readonly pipelining: number;
+}
+
 /** A pool of connections to one router. */
 export class RouterClient {
   readonly name: string;
   readonly #pool: Pool;
 
-  constructor(name: string, address: string, localAddress: string, connections: number) {
+  constructor(name: string, address: string, localAddress: string, limits: ConnectionLimits) {
     this.name = name;
     this.#pool = new Pool(`http://${address}`, {
-      connections,
-      pipelining: 1,
+      ...limits,
       connect: { timeout: PATIENCE_MILLIS },
       localAddress,
     });
   }
 
   async send(attempt: Attempt): Promise<AttemptAnswer> {
-    const patience = AbortSignal.timeout(attempt.deadlineMillis + PATIENCE_MILLIS);
+    const isLeaving = attempt.leaveMillis !== null;
+    const patience = AbortSignal.timeout(attempt.leaveMillis ?? attempt.deadlineMillis + PATIENCE_MILLIS);
     try {
       const response = await this.#pool.request({
         path: pathOf(attempt),
@@ -103,7 +112,7 @@
       const text = await response.body.text();
       return this.#judge(attempt, response.statusCode, response.headers, text);
     } catch {
-      return LOST;
+      return isLeaving && patience.aborted ? LEFT : LOST;
     }
   }
 
--- a/test/fleet/checker/checker.test.ts
+++ b/test/fleet/checker/checker.test.ts
@@ -229,6 +229,36 @@
     ],
     broken: ['planned-stop'],
   },
+  {
+    title: 'a planned stop of a router with a request at an upstream that was sent behind another',
+    records: [
+      ...run({ at: 100, request: 'request' }),
+      event(500, { event: 'stopping', process: 'router-1' }),
+      attempt({ sentAt: 0, at: 600, verdict: 'lost', pipelined: true }),
+    ],
+    broken: ['planned-stop'],
+  },
+  {
+    title: 'a planned stop of a router that never sent on what came behind another request',
+    records: [
+      event(500, { event: 'stopping', process: 'router-1' }),
+      attempt({ sentAt: 0, at: 600, verdict: 'lost', pipelined: true }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'a caller that went away',
+    records: [
+      attempt({ verdict: 'left' }),
+      event(9, { event: 'router-left-over', router: 'a', requests: 0 }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'requests that are under way after the load',
+    records: [event(9, { event: 'router-left-over', router: 'router-1', requests: 3 })],
+    broken: ['nothing-left-over'],
+  },
   {
     title: 'a planned stop that never came to an end',
     records: [
--- a/test/fleet/checker/journal-fixtures.ts
+++ b/test/fleet/checker/journal-fixtures.ts
@@ -71,6 +71,7 @@
     key: null,
     idempotencyKey: null,
     repeatable: true,
+    pipelined: false,
     scheduledAt: 0,
     sentAt: 0,
     verdict: 'whole',
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -105,4 +105,32 @@
       rmSync(folder, { recursive: true });
     }
   }).timeout(120_000);
+
+  it('keeps every promise with reads behind one another, callers that leave and upstreams of unequal speed', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'ternmount-fleet-test-'));
+    const { network, release } = await reserveNetwork(FLEET_DEFAULTS.network);
+    try {
+      const options = {
+        ...FLEET_DEFAULTS,
+        deployment,
+        seconds: SECONDS,
+        faults: parseFaults('stop:router@2+1', SECONDS),
+        folder,
+        ownProcesses: { keyed: 1, unkeyed: 0 },
+        callers: 2,
+        pipelining: 8,
+        leaveShare: 0.2,
+        speeds: [0.2, 1, 1.6],
+        rateScale: 4,
+        network,
+      };
+      const report = await runFleet(options, new AbortController().signal, () => {});
+      const leftOver = report.promises.find(({ promise }) => promise === 'nothing-left-over');
+      expect(report.promises.flatMap(({ violations }) => violations)).to.deep.equal([]);
+      expect(leftOver?.checked).to.be.at.least(1);
+    } finally {
+      await release();
+      rmSync(folder, { recursive: true });
+    }
+  }).timeout(120_000);
 });
