Link: requests for large answers start as fast as the router's link carries them

Cause: nothing knew the link's width. Where large answers are asked for faster than it carries them, every answer stands behind them, short urgent ones for seconds (trial, one router in virtual time, 17 short and 7 large answers a second on 4.2 Mbit/s: below half of the short ones in time). Change: sizes of answers by route, the link's width as settings say and answers show it, a pace for starts by it; those that can't be in time are refused at once. Switched on by linkMegabits; without it, or without large answers, nothing changes (test).

--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -32,6 +32,7 @@
     retryAfterUnit: settings.retryAfterUnit,
     whenOutOfTouch: settings.whenOutOfTouch,
     warmup: settings.warmup,
+    linkMegabits: settings.linkMegabits,
     limits: {
       ...DEFAULT_ROUTER_LIMITS,
       maxBodyBytes: settings.requestBodyBytes,
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -31,6 +31,8 @@
   readonly resets: ConnectionResets;
   /** Called with the head of each answer of the run that the attempt is for: what another one at its address says is of that one. */
   readonly headed: (attempt: AttemptNumber, head: AnswerHead) => void;
+  /** A whole body came in, from its head to its last byte in `millis`; `null`: nobody counts them. */
+  readonly carried: ((bytes: number, millis: number) => void) | null;
 
   /** Called once, never during `start`. */
   readonly ended: (attempt: AttemptNumber, result: AttemptResult) => void;
@@ -43,6 +45,7 @@
   private head: AnswerHead | null = null;
   private chunks: Buffer[] = [];
   private size = 0;
+  private headAt = 0;
   private complete = false;
   private stream: AnswerStream | null = null;
   private abortRequest: ((error: Error) => void) | null = null;
@@ -131,6 +134,7 @@
     }
     const headers = rawHeaders.map((part) => part.toString('latin1'));
     this.resume = resume;
+    this.headAt = this.options.carried === null ? 0 : performance.now();
     const { protocol } = this.options;
     if (!protocol.isAnswerTo(this.options, headers)) {
       this.abort('other-request-id');
@@ -152,11 +156,11 @@
   }
 
   onData(chunk: Buffer): boolean {
+    this.size += chunk.length;
     if (this.stream !== null) {
       return this.stream.write(chunk);
     }
     this.chunks.push(chunk);
-    this.size += chunk.length;
     return this.size <= this.options.effect.wholeAnswerBytes || this.beginStream();
   }
 
@@ -165,6 +169,7 @@
       this.onError(new AttemptAbortedError('reset'));
       return;
     }
+    this.options.carried?.(this.size, performance.now() - this.headAt);
     if (this.stream !== null) {
       this.stream.end();
       return;
@@ -214,12 +219,13 @@
   }
 
   private answeredResult(body: Buffer | null): AttemptResult {
-    const { status, headers } = this.head as AnswerHead;
+    const { status, headers, contentLength } = this.head as AnswerHead;
     const { storedAnswerBytes } = this.options;
     const stored =
       storedAnswerBytes === null ? null : storedAnswerOf(status, headers, body, storedAnswerBytes);
     const load = this.options.protocol.loadOf(headers);
-    return { type: 'answered', status, load, stored, personal: isPersonal(headers) };
+    const bytes = contentLength ?? (this.stream === null ? this.size : null);
+    return { type: 'answered', status, load, stored, personal: isPersonal(headers), bytes };
   }
 
   private report(result: AttemptResult): void {
--- a/src/router/attempts/upstream-attempts.ts
+++ b/src/router/attempts/upstream-attempts.ts
@@ -26,6 +26,8 @@
   readonly streamStallMillis: number;
   /** Reports how an attempt ended; its answer must be delivered before this returns, or it is dropped. */
   readonly ended: (attempt: AttemptNumber, result: AttemptResult) => void;
+  /** A large body came in, from its head to its last byte in `millis`; `null`: nobody counts them. */
+  readonly carried: ((bytes: number, millis: number) => void) | null;
   /** The head of an answer says something of its upstream, or doesn't any more. */
   readonly noticed: (attempt: AttemptNumber, notice: UpstreamNotice) => void;
 }
@@ -49,7 +51,7 @@
 
   /** Sends the request of an exchange to an upstream. */
   start(effect: DispatchEffect, exchange: CallerExchange): void {
-    const { incarnation, pools, storedAnswerBytes, streamStallMillis } = this.parts;
+    const { incarnation, pools, storedAnswerBytes, streamStallMillis, carried } = this.parts;
     const attempt = new Attempt({
       effect,
       exchange,
@@ -58,6 +60,7 @@
       storedAnswerBytes: exchange.head.idempotency === null ? null : storedAnswerBytes,
       streamStallMillis,
       resets: pools.resets,
+      carried,
       ended: (number, result) => this.ended(number, result),
       headed: (number, head) => this.headed(effect.upstream, number, head),
     });
--- a/src/router/metrics.ts
+++ b/src/router/metrics.ts
@@ -5,6 +5,7 @@
 import type { AttemptResult, RouterStatus } from '../routing/types.js';
 
 const SECONDS_BUCKETS = [0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1, 2, 4, 8];
+const MILLIS_PER_SECOND = 1000;
 /** Service label of requests for services that don't exist, whatever they call them. */
 const UNKNOWN_SERVICE = '(unknown)';
 
@@ -51,6 +52,16 @@
     this.gauge('limited_upstreams', 'Upstreams that name a limit', () => status().limited);
     this.gauge('resting_upstreams', 'Upstreams that asked this router for rest', () => status().resting);
     this.gauge('leaving_upstreams', 'Upstreams that said that they leave', () => status().leaving);
+    this.gauge(
+      'link_waiting',
+      'Requests for large answers that wait for the link',
+      () => status().link?.waiting ?? 0,
+    );
+    this.gauge(
+      'link_bytes_per_second',
+      'What the link carries, as far as is known; 0: the settings say nothing',
+      () => (status().link?.bytesPerMilli ?? 0) * MILLIS_PER_SECOND,
+    );
     this.gauge('revision', 'Revision of the configuration', () => status().revision);
     this.gauge('log_lines_dropped', 'Log lines that a slow reader has cost', droppedLogLines);
     this.gauge('serving', '1 while the configuration lease holds', () => (status().serving ? 1 : 0));
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -27,6 +27,8 @@
 } from './settings.js';
 
 const MAX_SEED = 2 ** 31 - 1;
+/** A megabit a second, in bytes a millisecond. */
+const BYTES_PER_MILLI_OF_MEGABIT = 125;
 const SETTLE_CHECK_MILLIS = 10;
 const CONFIGURATION_CHECK_MILLIS = 10;
 /** Room for headers where callers can connect before limits are declared. */
@@ -282,7 +284,7 @@
   }
 
   private coreConfig(): RouterConfig {
-    const { router, zone, control, timings, whenOutOfTouch, warmup } = this.settings;
+    const { router, zone, control, timings, whenOutOfTouch, warmup, linkMegabits } = this.settings;
     return {
       router,
       incarnation: this.incarnation,
@@ -293,6 +295,7 @@
       claimTimeoutMillis: timings.claimMillis,
       ...(whenOutOfTouch !== undefined && { whenOutOfTouch }),
       ...(warmup !== undefined && { warmupBounds: warmup }),
+      ...(linkMegabits !== undefined && { linkBytesPerMilli: linkMegabits * BYTES_PER_MILLI_OF_MEGABIT }),
       holdsEarlyRequests: timings.firstConfigurationMillis === 0,
     };
   }
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -45,6 +45,8 @@
 
 /** Shortest wait for a tick, so that a deadline that doesn't move can't keep the process busy. */
 const MIN_TICK_MILLIS = 1;
+/** Smaller answers say nothing of the link: it carries them sooner than their upstream writes them. */
+const LEAST_CARRIED_BYTES = 16_384;
 /** Given in place of an answer that isn't there although it was reported. */
 const ANSWER_MISSING: OwnAnswer = {
   status: 502,
@@ -93,6 +95,7 @@
         this.trailOf(attempt)?.ended(attempt, result);
         this.post({ type: 'attempt-ended', attempt, result });
       },
+      carried: settings.linkMegabits === undefined ? null : (bytes, millis) => this.carried(bytes, millis),
       noticed: (attempt, notice) => this.post({ type: 'upstream-notice', attempt, notice }),
     });
   }
@@ -223,6 +226,12 @@
     }
   }
 
+  private carried(bytes: number, millis: number): void {
+    if (bytes >= LEAST_CARRIED_BYTES) {
+      this.post({ type: 'answer-carried', bytes, millis });
+    }
+  }
+
   private checkRun({ run, address }: Extract<RouterEffect, { readonly type: 'check-run' }>): void {
     const { outgoing, timings } = this.options.settings;
     const options = { localAddress: outgoing, timeoutMillis: timings.connectMillis };
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -35,6 +35,8 @@
   readonly retryAfterUnit?: RetryAfterUnit;
   /** What the router does without contact to control; it refuses if left out. */
   readonly whenOutOfTouch?: WhenOutOfTouch;
+  /** Width of the machine's link, each way, in megabits a second; large answers aren't held back for it if left out. */
+  readonly linkMegabits?: number | undefined;
   /** How far routers may go together beyond what cold upstreams bear; the defaults if left out. */
   readonly warmup?: WarmupBounds;
   readonly limits?: Partial<RouterLimits>;
--- a/src/routing/answers.ts
+++ b/src/routing/answers.ts
@@ -125,6 +125,7 @@
   /** Nobody waits for the work any more. */
   private end(work: Work): void {
     work.phase = 'done';
+    this.context.link?.ended(work);
     this.context.cancelTimer(work.holdTimer);
     work.holdTimer = null;
     detach(work);
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -59,6 +59,9 @@
       return;
     }
     attempt.work.attempt = null;
+    if (result.type === 'answered') {
+      this.context.link?.answered(attempt.work, result.bytes ?? null);
+    }
     if (attempt.work.phase === 'done') {
       this.answers.settle(attempt.work, lateSettlement(attempt.work, result));
     } else {
--- /dev/null
+++ b/src/routing/link-gate.ts
@@ -0,0 +1,174 @@
+/** Holds back requests for large answers while the router's link has no room for them, and refuses those that would be late. */
+import type { Answers } from './answers.js';
+import type { Dispatcher } from './dispatcher.js';
+import { retryAfterAtLeast } from './queue/retry-after.js';
+import { AnswerSizes } from './room/answer-sizes.js';
+import { LinkRoom } from './room/link-room.js';
+import type { RouterContext } from './router-context.js';
+import type { LinkStatus } from './types.js';
+import type { Work } from './work.js';
+
+export interface LinkGateParts {
+  readonly context: RouterContext;
+  readonly answers: Answers;
+  readonly dispatcher: Dispatcher;
+}
+
+/** Work that waits for the link, and the bytes that its answer is expected to have. */
+interface Waiting {
+  readonly work: Work;
+  readonly bytes: number;
+}
+
+export class LinkGate {
+  readonly #parts: LinkGateParts;
+  readonly #sizes = new AnswerSizes();
+  readonly #room: LinkRoom;
+  /** The most important rank first, and in the order of arrival. */
+  #waiting: Waiting[] = [];
+  #isWaking = false;
+
+  constructor(parts: LinkGateParts, linkBytesPerMilli: number) {
+    this.#parts = parts;
+    this.#room = new LinkRoom(linkBytesPerMilli);
+  }
+
+  /** Lets a work go on to the dispatcher, holds it, or refuses it. */
+  pass(work: Work): void {
+    const { context, answers } = this.#parts;
+    const { now } = context;
+    const bytes = this.#sizes.expected(routeOf(work));
+    if (!this.#room.isLarge(bytes)) {
+      this.#parts.dispatcher.admit(work);
+      return;
+    }
+    this.#dropGone();
+    const ahead = this.#waiting.filter((other) => other.work.terms.priority <= work.terms.priority);
+    const wait = this.#room.waitMillis(sumOf(ahead), now);
+    if (wait <= 0) {
+      this.#start({ work, bytes });
+      return;
+    }
+    if (wait > this.#millisInTime(work) - this.#ownMillis(work, bytes)) {
+      answers.refuseWork(work, 'link-full', retryAfterAtLeast(wait, context.random));
+      return;
+    }
+    this.#hold({ work, bytes }, ahead.length);
+  }
+
+  /** Lets those go on whose turn has come, and refuses those whose callers would be gone by then. */
+  wake(): void {
+    const { context, answers } = this.#parts;
+    this.#isWaking = false;
+    this.#dropGone();
+    let ahead = 0;
+    for (const waiting of this.#waiting) {
+      const { work, bytes } = waiting;
+      const wait = this.#room.waitMillis(ahead, context.now);
+      if (wait <= 0) {
+        work.service.held.delete(work);
+        this.#start(waiting);
+      } else if (wait > work.deadline - context.now - this.#ownMillis(work, bytes)) {
+        answers.refuseWork(work, 'link-full', retryAfterAtLeast(wait, context.random));
+      } else {
+        ahead += bytes;
+      }
+    }
+    this.#dropGone();
+    this.#scheduleWake();
+  }
+
+  /** The head of a work's answer came; `bytes` is `null` if it didn't say how large it is. */
+  answered(work: Work, bytes: number | null): void {
+    const { now } = this.#parts.context;
+    if (bytes === null) {
+      work.linkBytes = 0;
+      return;
+    }
+    this.#sizes.add(routeOf(work), bytes);
+    if (work.linkBytes > 0) {
+      this.#room.sized(work.linkBytes, bytes, now);
+      work.linkBytes = 0;
+    } else if (this.#room.isLarge(bytes)) {
+      this.#room.started(bytes, now);
+    } else {
+      this.#room.short(bytes, now);
+    }
+  }
+
+  /** Nobody waits for a work any more: what it was counted for and didn't get is given back. */
+  ended(work: Work): void {
+    if (work.linkBytes > 0) {
+      this.#room.sized(work.linkBytes, 0, this.#parts.context.now);
+      work.linkBytes = 0;
+    }
+  }
+
+  /** A large answer came in, from its first byte to its last in `tookMillis`. */
+  carried(bytes: number, tookMillis: number): void {
+    if (this.#room.isLarge(bytes)) {
+      this.#room.carried(bytes, tookMillis, this.#parts.context.now);
+    }
+  }
+
+  status(): LinkStatus {
+    this.#dropGone();
+    return {
+      waiting: this.#waiting.length,
+      bytesPerMilli: this.#room.widthBytesPerMilli(this.#parts.context.now),
+    };
+  }
+
+  #start({ work, bytes }: Waiting): void {
+    const { context, dispatcher } = this.#parts;
+    work.linkBytes = bytes;
+    work.phase = 'new';
+    this.#room.started(bytes, context.now);
+    dispatcher.admit(work);
+  }
+
+  #hold(waiting: Waiting, place: number): void {
+    const { work } = waiting;
+    work.phase = 'held';
+    work.service.held.add(work);
+    this.#waiting.splice(place, 0, waiting);
+    this.#scheduleWake();
+  }
+
+  /** Milliseconds in which an answer would be in time. Large ones that are let wait longer make all behind them late. */
+  #millisInTime({ terms, deadline, arrivedAt }: Work): number {
+    const inTimeUntil = terms.targetMillis === null ? deadline : arrivedAt + terms.targetMillis;
+    return Math.min(deadline, inTimeUntil) - this.#parts.context.now;
+  }
+
+  /** Milliseconds from the start of a work to its whole answer, if nothing is before it. */
+  #ownMillis({ service }: Work, bytes: number): number {
+    return (service.measuredMillis() ?? 0) + this.#room.carryMillis(bytes, this.#parts.context.now);
+  }
+
+  #scheduleWake(): void {
+    const { context } = this.#parts;
+    if (this.#isWaking || this.#waiting.length === 0) {
+      return;
+    }
+    this.#isWaking = true;
+    const wait = Math.max(LEAST_WAKE_MILLIS, this.#room.waitMillis(0, context.now));
+    context.schedule(context.now + wait, { type: 'link-wake' });
+  }
+
+  /** Those that were started, answered or whose caller went away don't wait any more. */
+  #dropGone(): void {
+    this.#waiting = this.#waiting.filter(({ work }) => work.phase === 'held');
+  }
+}
+
+/** Room that opens sooner than this is waited for so long: the clock of timers is no finer. */
+const LEAST_WAKE_MILLIS = 1;
+
+function routeOf({ terms, service }: Work): string {
+  return terms.route ?? service.name;
+}
+
+function sumOf(waiting: readonly Waiting[]): number {
+  return waiting.reduce((sum, { bytes }) => sum + bytes, 0);
+}
--- a/src/routing/policy-gate.ts
+++ b/src/routing/policy-gate.ts
@@ -1,7 +1,6 @@
 /** What the policy of a service decides about its requests, before the dispatcher gets them. */
 import type { PolicyContext, PolicyDecision } from '../policy/index.js';
 import type { Answers } from './answers.js';
-import type { Dispatcher } from './dispatcher.js';
 import { policyContextOf, policyUpstreamOf } from './policy-input.js';
 import type { Admission } from './queue/admission.js';
 import { retryAfterMillis } from './queue/retry-after.js';
@@ -16,7 +15,8 @@
 export interface PolicyGateParts {
   readonly context: RouterContext;
   readonly admission: Admission;
-  readonly dispatcher: Dispatcher;
+  /** Where a work goes that the policy lets pass. */
+  readonly admit: (work: Work) => void;
   readonly answers: Answers;
 }
 
@@ -24,13 +24,13 @@
 export class PolicyGate {
   private readonly context: RouterContext;
   private readonly admission: Admission;
-  private readonly dispatcher: Dispatcher;
+  private readonly admit: (work: Work) => void;
   private readonly answers: Answers;
 
   constructor(parts: PolicyGateParts) {
     this.context = parts.context;
     this.admission = parts.admission;
-    this.dispatcher = parts.dispatcher;
+    this.admit = parts.admit;
     this.answers = parts.answers;
   }
 
@@ -47,7 +47,7 @@
       return;
     }
     work.phase = 'new';
-    this.dispatcher.admit(work);
+    this.admit(work);
   }
 
   /** A policy may still refuse a read that could share an attempt; a hold was decided for the one it joins. */
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -77,6 +77,7 @@
       return;
     }
     const work = new Work(service, terms);
+    work.arrivedAt = context.now;
     work.shard = shard;
     work.shardRevision = context.view.revision;
     this.addMember(work, request);
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -5,6 +5,7 @@
 import { ConfigurationView } from './configuration-view.js';
 import { CrashWatch } from './crash-watch.js';
 import { LeaderGuess } from './leader-guess.js';
+import type { LinkGate } from './link-gate.js';
 import { LoadReporter } from './load-reporter.js';
 import { NoticeTable } from './notices/notice-table.js';
 import { NumberedTable } from './numbered-table.js';
@@ -32,6 +33,8 @@
   readonly crashes: CrashWatch;
   /** What upstreams said of themselves. */
   readonly notices: NoticeTable;
+  /** `null`: the settings don't say how wide the link is. */
+  link: LinkGate | null = null;
   /** This router's places among those that share what cold upstreams bear, as control told it last. */
   turn: RouterTurn = UNTOLD_TURN;
   readonly timers = new TimerHeap<TimerSubject>();
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -8,6 +8,7 @@
 import { ConfigurationUpdates } from './configuration-updates.js';
 import type { ApplyOutcome } from './configuration-view.js';
 import { Dispatcher } from './dispatcher.js';
+import { LinkGate } from './link-gate.js';
 import { LostAttempts } from './lost-attempts.js';
 import { NoticeIntake } from './notices/notice-intake.js';
 import type { RunNotices } from './notices/run-notices.js';
@@ -18,7 +19,7 @@
 import { RouterContext } from './router-context.js';
 import type { TimerSubject } from './router-timer.js';
 import type { RouterConfig, RouterCore, RouterEffect, RouterInput, RouterStatus } from './types.js';
-import type { Member } from './work.js';
+import type { Member, Work } from './work.js';
 
 /** Makes the core of one run of a router. It serves nothing before its first confirmed configuration. */
 export function createRouterNode(config: RouterConfig): RouterCore {
@@ -47,11 +48,24 @@
     this.admission = new Admission(this.context, this.answers);
     this.dispatcher = new Dispatcher(this.context, this.answers, this.admission);
     const { context, admission, dispatcher, answers, claims } = this;
-    this.policyGate = new PolicyGate({ context, admission, dispatcher, answers });
+    const { linkBytesPerMilli } = config;
+    if (linkBytesPerMilli !== undefined) {
+      context.link = new LinkGate({ context, dispatcher, answers }, linkBytesPerMilli);
+    }
+    const { link } = context;
+    const admit = (work: Work): void => (link === null ? dispatcher.admit(work) : link.pass(work));
+    this.policyGate = new PolicyGate({ context, admission, admit, answers });
     this.intake = new RequestIntake({ context, admission, answers, claims, policyGate: this.policyGate });
     this.notices = new NoticeIntake({ context, admission, dispatcher });
     const { intake, notices } = this;
-    this.results = new AttemptResults({ context, admission, dispatcher, answers, intake, notices });
+    this.results = new AttemptResults({
+      context,
+      admission,
+      dispatcher,
+      answers,
+      intake,
+      notices,
+    });
     this.reports = new UpstreamReports(this.context);
     this.lost = new LostAttempts(this.context, this.results);
     this.updates = new ConfigurationUpdates({
@@ -97,6 +111,7 @@
       limited: countNotices(context, ({ limit }) => limit.isInForce),
       resting: countNotices(context, ({ rest }) => rest.isInForce(context.now)),
       leaving: countNotices(context, ({ isLeaving }) => isLeaving),
+      ...(context.link !== null && { link: context.link.status() }),
     };
   }
 
@@ -113,6 +128,9 @@
       case 'attempt-ended':
         this.results.ended(input.attempt, input.result);
         return;
+      case 'answer-carried':
+        this.context.link?.carried(input.bytes, input.millis);
+        return;
       case 'upstream-notice':
         this.notices.headed(input.attempt, input.notice);
         return;
@@ -288,6 +306,9 @@
       case 'crash-report':
         this.context.crashes.tell();
         return;
+      case 'link-wake':
+        this.context.link?.wake();
+        return;
       case 'upstream-report':
         this.reports.woken();
         return;
--- a/src/routing/router-timer.ts
+++ b/src/routing/router-timer.ts
@@ -21,6 +21,8 @@
   | { readonly type: 'run-check'; readonly run: RunName }
   /** Control is told of requests under which upstreams ended. */
   | { readonly type: 'crash-report' }
+  /** Requests for large answers that wait for the link are looked at. */
+  | { readonly type: 'link-wake' }
   /** Control is told what upstreams say of themselves. */
   | { readonly type: 'upstream-report' }
   /** Waiting work of a service is looked at again: pauses end and hints age without an event. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -68,6 +68,8 @@
       readonly stored: StoredAnswer | null;
       /** Meant for the request that was sent alone: nobody who joined it may have it. */
       readonly personal?: boolean;
+      /** Size of the answer's body; left out or `null`: not known when its head came. */
+      readonly bytes?: number | null;
     }
   /** The upstream's fence or shedding turned it away before it started. */
   | {
@@ -106,6 +108,8 @@
   | { readonly type: 'attempt-ended'; readonly attempt: AttemptNumber; readonly result: AttemptResult }
   /** The head of an answer came; told before the end of its attempt. */
   | { readonly type: 'upstream-notice'; readonly attempt: AttemptNumber; readonly notice: UpstreamNotice }
+  /** A large answer came in, from its first byte to its last in `millis`. */
+  | { readonly type: 'answer-carried'; readonly bytes: number; readonly millis: number }
   /** The machine was suspended so long, which the monotonic clock doesn't show. */
   | { readonly type: 'suspended'; readonly millis: number }
   /** Answers `check-run`. */
@@ -142,6 +146,7 @@
   | 'upstream-limited'
   | 'upstream-resting'
   | 'queue-full'
+  | 'link-full'
   | 'would-miss-deadline'
   | 'deadline-passed'
   | 'policy-refused'
@@ -172,6 +177,8 @@
   readonly limit?: HeardLimit & { readonly permits: number };
   /** Of an owner that asked this router for rest: what is left of it, in milliseconds. */
   readonly restMillis?: number;
+  /** Of a request for a large answer where the link is counted. */
+  readonly link?: LinkStatus;
   /** Of a request under which upstreams ended. */
   readonly fingerprint?: RequestFingerprint;
 }
@@ -247,6 +254,16 @@
   readonly warmupBounds?: WarmupBounds;
   /** How upstreams of services that aren't keyed are picked; `least-work` if left out. */
   readonly picker?: PickerName;
+  /** Width of the router's link, each way; large answers aren't held back for it if left out. */
+  readonly linkBytesPerMilli?: number;
+}
+
+/** How the router's link stands. */
+export interface LinkStatus {
+  /** Requests for large answers that wait for room on it. */
+  readonly waiting: number;
+  /** Bytes a millisecond that it carries, as far as is known. */
+  readonly bytesPerMilli: number;
 }
 
 export interface RouterStatus {
@@ -260,6 +277,8 @@
   readonly resting: number;
   /** Upstreams that said in their answers that they leave. */
   readonly leaving: number;
+  /** Left out where the settings don't say how wide the link is. */
+  readonly link?: LinkStatus;
 }
 
 /** Deterministic core of a router. `wall` is for ages of idempotency keys only. */
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -90,6 +90,10 @@
   loadName: ShardId | null = null;
   lane: Lane | null = null;
   node: QueueNode<Work> | null = null;
+  /** When its first request came. */
+  arrivedAt = 0;
+  /** Bytes on the router's link that its answer was counted for before it came; 0: it isn't counted. */
+  linkBytes = 0;
   /** When the bounded wait ends; `Infinity` until it first waits. */
   holdUntil = Number.POSITIVE_INFINITY;
   holdTimer: RouterTimer | null = null;
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -58,6 +58,8 @@
   readonly whenOutOfTouch: 'refuse' | 'serve';
   /** How far all routers together may go beyond what cold upstreams bear, in any second. */
   readonly warmup: WarmupBounds;
+  /** Width of the machine's link, each way, in megabits a second; `undefined`: not known. */
+  readonly linkMegabits: number | undefined;
   /** How long a router that stops still takes connections while it calls itself not ready. */
   readonly lameDuckMillis: number;
   /** Longest wait for a configuration before callers can connect; 0: none, and their requests wait for it a short while. */
@@ -127,6 +129,7 @@
       marginRequests: z.number({ error: 'expected a number' }).min(0, 'must be 0 or more').optional(),
     })
     .optional(),
+  linkMegabits: z.number({ error: 'expected megabits a second' }).positive('must be above 0').optional(),
   lameDuck: durationSchema.optional(),
   firstConfiguration: durationSchema.optional(),
   timings: z
@@ -195,6 +198,7 @@
     retryAfterUnit: fields.retryAfterUnit ?? ROUTER_DEFAULTS.retryAfterUnit,
     whenOutOfTouch: fields.whenOutOfTouch ?? ROUTER_DEFAULTS.whenOutOfTouch,
     warmup: { ...DEFAULT_WARMUP_BOUNDS, ...fields.warmup },
+    linkMegabits: fields.linkMegabits,
     lameDuckMillis: fields.lameDuck ?? ROUTER_DEFAULTS.lameDuckMillis,
     firstConfigurationMillis: fields.firstConfiguration ?? ROUTER_DEFAULTS.firstConfigurationMillis,
     log: fields.log ?? ROUTER_DEFAULTS.log,
--- /dev/null
+++ b/test/routing/link-room.test.ts
@@ -0,0 +1,156 @@
+/**
+ * Large answers asked for faster than a router's link carries them: short urgent ones must not stand behind them, the link must not idle,
+ * and who can't be served in time hears so at once.
+ */
+import { expect } from 'chai';
+import { AnswerSizes } from '../../src/routing/room/answer-sizes.js';
+import { LinkRoom } from '../../src/routing/room/link-room.js';
+import { LinkWidth } from '../../src/routing/room/link-width.js';
+import { type LinkLoad, LinkWorld } from './link-load.js';
+
+const WIDTH_MEGABITS = 4.2;
+const WIDTH_BYTES_PER_MILLI = WIDTH_MEGABITS * 125;
+const LARGE_BYTES = 90_000;
+const LARGE_MILLIS = LARGE_BYTES / WIDTH_BYTES_PER_MILLI;
+const SECONDS = 20;
+const SEEDS = [1, 2, 3];
+/** How far callers of short answers may be worse off than without large ones. */
+const TOLERANCE = 0.03;
+
+const LOAD: LinkLoad = {
+  seed: 1,
+  millis: SECONDS * 1000,
+  toldMegabits: WIDTH_MEGABITS,
+  megabitsAt: () => WIDTH_MEGABITS,
+  shortPerSecond: 17,
+  largePerSecond: 7,
+};
+
+describe('a link that large answers would fill', () => {
+  for (const seed of SEEDS) {
+    const world = new LinkWorld({ ...LOAD, seed }).run();
+
+    it(`leaves short urgent answers in time (seed ${seed})`, () => {
+      expect(world.inTime(false)).to.be.at.least(1 - TOLERANCE);
+    });
+
+    it(`carries large answers all the while (seed ${seed})`, () => {
+      const could = (SECONDS * 1000) / LARGE_MILLIS;
+      expect(world.largeServed()).to.be.at.least(0.8 * could);
+    });
+
+    it(`refuses what can't be in time at once, with a time to come back (seed ${seed})`, () => {
+      const refused = world.refused();
+      expect(refused.length).to.be.above(0);
+      for (const { sentAt, endedAt, retryAfterMillis } of refused) {
+        expect(endedAt - sentAt).to.be.below(1);
+        expect(retryAfterMillis).to.be.above(0);
+      }
+    });
+
+    it(`serves large answers in time that it lets wait (seed ${seed})`, () => {
+      const served = world.outcomes.filter(({ isLarge, doneAt }) => isLarge && doneAt !== null);
+      const late = served.filter(({ doneAt, sentAt }) => (doneAt ?? 0) - sentAt > 2500);
+      expect(late.length).to.be.at.most(served.length * TOLERANCE);
+    });
+  }
+
+  it('is what makes short answers late where nobody counts it', () => {
+    const world = new LinkWorld({ ...LOAD, toldMegabits: null }).run();
+    expect(world.inTime(false)).to.be.below(0.5);
+  });
+
+  it('that narrows leaves short answers in time once large ones have shown it', () => {
+    const megabitsAt = (millis: number): number => (millis > 5000 && millis < 12_000 ? 1.5 : WIDTH_MEGABITS);
+    for (const seed of SEEDS) {
+      const world = new LinkWorld({ ...LOAD, seed, megabitsAt, largePerSecond: 4 }).run();
+      // Large answers that were started for the wider link are carried first.
+      expect(world.inTime(false, 9000, 12_000), `seed ${seed}`).to.be.at.least(0.9);
+      expect(world.inTime(false, 16_000, 20_000), `seed ${seed}`).to.be.at.least(1 - TOLERANCE);
+    }
+  });
+
+  it('carries all large answers where they fit', () => {
+    const world = new LinkWorld({ ...LOAD, largePerSecond: 2 }).run();
+    expect(world.refused()).to.have.length(0);
+    expect(world.inTime(true)).to.be.at.least(1 - TOLERANCE);
+  });
+});
+
+describe('a link that nobody fills', () => {
+  it('changes nothing for answers that are short for it', () => {
+    const short: LinkLoad = { ...LOAD, largeBytes: 2000, millis: 5000 };
+    const told = new LinkWorld(short).run();
+    const untold = new LinkWorld({ ...short, toldMegabits: null }).run();
+    expect(told.outcomes).to.deep.equal(untold.outcomes);
+  });
+});
+
+describe('width of a link', () => {
+  it('is what the settings say while no large answer came', () => {
+    expect(new LinkWidth(500).bytesPerMilli(0)).to.equal(500);
+  });
+
+  it('is that of the fastest arrival of the last seconds, and never wider than the settings say', () => {
+    const width = new LinkWidth(500);
+    width.carried(90_000, 600, 0);
+    expect(width.bytesPerMilli(0)).to.equal(150);
+    width.carried(90_000, 300, 300);
+    expect(width.bytesPerMilli(300)).to.equal(300);
+    width.carried(90_000, 600, 700);
+    expect(width.bytesPerMilli(700)).to.equal(300);
+    expect(width.bytesPerMilli(1500)).to.equal(150);
+    expect(width.bytesPerMilli(2000)).to.equal(500);
+    width.carried(90_000, 10, 2000);
+    expect(width.bytesPerMilli(2000)).to.equal(500);
+  });
+
+  it('is never taken for less than a tenth, so that large answers are tried again', () => {
+    const width = new LinkWidth(500);
+    width.carried(90_000, 60_000, 0);
+    expect(width.bytesPerMilli(0)).to.equal(50);
+  });
+});
+
+describe('room on a link', () => {
+  it('opens at the pace at which the link carries large answers', () => {
+    const room = new LinkRoom(500);
+    expect(room.waitMillis(0, 0)).to.equal(0);
+    room.started(90_000, 0);
+    expect(room.waitMillis(0, 0)).to.be.closeTo(50, 1);
+    expect(room.waitMillis(90_000, 0)).to.be.closeTo(250, 1);
+    expect(room.waitMillis(0, 100)).to.equal(0);
+  });
+
+  it('is given back by an answer that was smaller, or never came', () => {
+    const room = new LinkRoom(500);
+    room.started(90_000, 0);
+    room.started(90_000, 0);
+    room.sized(90_000, 0, 0);
+    expect(room.waitMillis(0, 0)).to.be.closeTo(50, 1);
+  });
+
+  it('is less by what short answers take, and a tenth at least', () => {
+    const room = new LinkRoom(500);
+    room.short(200_000, 0);
+    room.started(90_000, 0);
+    expect(room.waitMillis(0, 0)).to.be.closeTo(90_000 / 250 - 150, 1);
+    room.short(10_000_000, 0);
+    expect(room.waitMillis(90_000, 0)).to.be.closeTo(360 + 90_000 / 50 - 150, 1);
+  });
+});
+
+describe('sizes of answers', () => {
+  it('follow those of a route slowly, and are kept of the routes that answered last', () => {
+    const sizes = new AnswerSizes();
+    expect(sizes.expected('files')).to.equal(0);
+    sizes.add('files', 1000);
+    sizes.add('files', 2000);
+    expect(sizes.expected('files')).to.equal(1100);
+    for (let route = 0; route < 1000; route += 1) {
+      sizes.add(`other-${route}`, 1);
+    }
+    expect(sizes.expected('files')).to.equal(0);
+    expect(sizes.expected('other-0')).to.equal(1);
+  });
+});
