--- a/src/routing/decision-facts.ts
+++ b/src/routing/decision-facts.ts
@@ -26,7 +26,7 @@
     usable: service.upstreams.filter(({ evidence }) => evidence.standing(now) === 'usable').length,
     ...(restMillis > 0 && { restMillis }),
     ...(limit?.isInForce && { limit: { ...limit.heard(now), permits: limit.permitsLeft(now) } }),
-    ...(work.linkBytes > 0 && context.link !== null && { link: context.link.status() }),
+    ...(context.link !== null && { link: context.link.status() }),
     ...(suspect !== null && context.crashes.isQuarantined(suspect) && { fingerprint: suspect }),
   };
 }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -177,7 +177,7 @@
   readonly limit?: HeardLimit & { readonly permits: number };
   /** Of an owner that asked this router for rest: what is left of it, in milliseconds. */
   readonly restMillis?: number;
-  /** Of a request for a large answer where the link is counted. */
+  /** Where the settings say how wide the link is. */
   readonly link?: LinkStatus;
   /** Of a request under which upstreams ended. */
   readonly fingerprint?: RequestFingerprint;
