--- a/src/routing/room/link-width.ts
+++ b/src/routing/room/link-width.ts
@@ -1,9 +1,11 @@
 /** How wide a router's link is at present: at most what the settings say, less if large answers arrive more slowly. */
 
 /** The fastest arrival of this time counts: a slow upstream, or answers side by side, don't make a narrow link. */
-const WINDOW_MILLIS = 1000;
-/** Share of the settings' width that is the least believed: some answers must go on being tried. */
-const LEAST_SHARE = 0.1;
+const WINDOW_MILLIS = 2000;
+/** Fewer arrivals say too little: each may be slow by its upstream. */
+const LEAST_SAMPLES = 2;
+/** Share of the settings' width that is the least believed: slow upstreams must not stop large answers. */
+const LEAST_SHARE = 0.25;
 
 interface Sample {
   readonly at: number;
@@ -11,8 +13,7 @@
 }
 
 export class LinkWidth {
-  /** Each slower than the one before it: a slower one counts once the faster ones before it are too old. */
-  #fastest: Sample[] = [];
+  #samples: Sample[] = [];
 
   /** `mostBytesPerMilli`: as the settings say. */
   constructor(readonly mostBytesPerMilli: number) {}
@@ -20,14 +21,16 @@
   /** A large answer came in, from its first byte to its last in `tookMillis`. */
   carried(bytes: number, tookMillis: number, now: number): void {
     const bytesPerMilli = tookMillis > 0 ? bytes / tookMillis : this.mostBytesPerMilli;
-    this.#fastest = this.#fastest.filter((sample) => sample.bytesPerMilli > bytesPerMilli);
-    this.#fastest.push({ at: now, bytesPerMilli });
+    this.#samples.push({ at: now, bytesPerMilli });
   }
 
   /** Bytes a millisecond that the link carries now, as far as is known. */
   bytesPerMilli(now: number): number {
-    this.#fastest = this.#fastest.filter(({ at }) => now - at < WINDOW_MILLIS);
-    const measured = this.#fastest[0]?.bytesPerMilli ?? this.mostBytesPerMilli;
+    this.#samples = this.#samples.filter(({ at }) => now - at < WINDOW_MILLIS);
+    if (this.#samples.length < LEAST_SAMPLES) {
+      return this.mostBytesPerMilli;
+    }
+    const measured = Math.max(...this.#samples.map(({ bytesPerMilli }) => bytesPerMilli));
     return Math.min(this.mostBytesPerMilli, Math.max(measured, this.mostBytesPerMilli * LEAST_SHARE));
   }
 }
