--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -46,8 +46,6 @@
   private chunks: Buffer[] = [];
   private size = 0;
   private headAt = 0;
-  /** A caller couldn't take a piece at once, so how fast the answer came says nothing of the link. */
-  private wasBlocked = false;
   private complete = false;
   private stream: AnswerStream | null = null;
   private abortRequest: ((error: Error) => void) | null = null;
@@ -160,9 +158,7 @@
   onData(chunk: Buffer): boolean {
     this.size += chunk.length;
     if (this.stream !== null) {
-      const isTaken = this.stream.write(chunk);
-      this.wasBlocked ||= !isTaken;
-      return isTaken;
+      return this.stream.write(chunk);
     }
     this.chunks.push(chunk);
     return this.size <= this.options.effect.wholeAnswerBytes || this.beginStream();
@@ -173,9 +169,7 @@
       this.onError(new AttemptAbortedError('reset'));
       return;
     }
-    if (!this.wasBlocked) {
-      this.options.carried?.(this.size, performance.now() - this.headAt);
-    }
+    this.options.carried?.(this.size, performance.now() - this.headAt);
     if (this.stream !== null) {
       this.stream.end();
       return;
--- a/src/routing/room/link-width.ts
+++ b/src/routing/room/link-width.ts
@@ -1,7 +1,7 @@
 /** How wide a router's link is at present: at most what the settings say, less if large answers arrive more slowly. */
 
 /** The fastest arrival of this time counts: a slow upstream, or answers side by side, don't make a narrow link. */
-const WINDOW_MILLIS = 2000;
+const WINDOW_MILLIS = 1000;
 /** Fewer arrivals say too little: each may be slow by its upstream. */
 const LEAST_SAMPLES = 2;
 /** Share of the settings' width that is the least believed: slow upstreams must not stop large answers. */
--- a/test/routing/link-room.test.ts
+++ b/test/routing/link-room.test.ts
@@ -97,16 +97,16 @@
     expect(width.bytesPerMilli(0)).to.equal(500);
     width.carried(90_000, 600, 100);
     expect(width.bytesPerMilli(100)).to.equal(150);
-    width.carried(90_000, 300, 600);
-    expect(width.bytesPerMilli(600)).to.equal(300);
-    width.carried(90_000, 600, 1400);
-    width.carried(90_000, 600, 1500);
-    expect(width.bytesPerMilli(2500)).to.equal(300);
-    expect(width.bytesPerMilli(2700)).to.equal(150);
-    expect(width.bytesPerMilli(3500)).to.equal(500);
-    width.carried(90_000, 10, 4000);
-    width.carried(90_000, 10, 4000);
-    expect(width.bytesPerMilli(4000)).to.equal(500);
+    width.carried(90_000, 300, 300);
+    expect(width.bytesPerMilli(300)).to.equal(300);
+    width.carried(90_000, 600, 900);
+    width.carried(90_000, 600, 950);
+    expect(width.bytesPerMilli(1200)).to.equal(300);
+    expect(width.bytesPerMilli(1400)).to.equal(150);
+    expect(width.bytesPerMilli(2000)).to.equal(500);
+    width.carried(90_000, 10, 2000);
+    width.carried(90_000, 10, 2000);
+    expect(width.bytesPerMilli(2000)).to.equal(500);
   });
 
   it('is never taken for less than a quarter, so that slow upstreams stop nothing', () => {
