--- a/src/routing/outcome-table.ts
+++ b/src/routing/outcome-table.ts
@@ -48,6 +48,7 @@
   'upstream-limited': 503,
   'upstream-resting': 503,
   'queue-full': 503,
+  'gave-way': 503,
   'would-miss-deadline': 503,
   'deadline-passed': 504,
   'policy-refused': 429,
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -142,6 +142,8 @@
   | 'upstream-limited'
   | 'upstream-resting'
   | 'queue-full'
+  /** It waited, wasn't sent, and more important work needs its place. */
+  | 'gave-way'
   | 'would-miss-deadline'
   | 'deadline-passed'
   | 'policy-refused'
--- /dev/null
+++ b/test/routing/loaded-upstream.ts
@@ -0,0 +1,92 @@
+/** An upstream of few slots with a short queue, in virtual time: first come, first served, and each answer reports its load. */
+import type { EventQueue } from '../../src/dev/virtual/event-queue.js';
+import type { RandomSource } from '../../src/dev/virtual/random-source.js';
+import type { AttemptResult } from '../../src/routing/types.js';
+
+/** How long a turn of slowness lasts, and how much longer work takes in it. */
+const SLOW_TURN_MILLIS = 400;
+const SLOW_FACTOR = 3;
+
+export interface LoadedUpstreamTraits {
+  readonly slots: number;
+  readonly queueLimit: number;
+  /** Mean of exponential times. */
+  readonly workMillis: number;
+  /** Which of how many it is, and the share of them that are slow at a time; `null`: never slow. */
+  readonly slowTurn: { readonly number: number; readonly of: number; readonly share: number } | null;
+  /** `null`: it reports no load. */
+  readonly reportAgeMillis: number | null;
+}
+
+export interface WorkToDo {
+  readonly done: (result: AttemptResult) => void;
+}
+
+export class LoadedUpstream {
+  readonly #waiting: WorkToDo[] = [];
+  #busy = 0;
+  /** Loads since a moment, oldest first. */
+  readonly #loads: { readonly at: number; readonly load: number }[] = [];
+
+  constructor(
+    private readonly queue: EventQueue,
+    private readonly random: RandomSource,
+    private readonly traits: LoadedUpstreamTraits,
+  ) {}
+
+  get freeSlots(): number {
+    return this.traits.slots - this.#busy;
+  }
+
+  take(work: WorkToDo): void {
+    if (this.#busy + this.#waiting.length >= this.traits.slots + this.traits.queueLimit) {
+      work.done({ type: 'refused', refusal: 'overloaded', retryAfterMillis: null });
+      return;
+    }
+    if (this.#busy < this.traits.slots) {
+      this.#start(work);
+    } else {
+      this.#waiting.push(work);
+    }
+    this.#note();
+  }
+
+  #start(work: WorkToDo): void {
+    this.#busy += 1;
+    this.queue.after(this.random.exponential(this.traits.workMillis) * this.#slowness(), () => {
+      this.#busy -= 1;
+      const next = this.#waiting.shift();
+      if (next !== undefined) {
+        this.#start(next);
+      }
+      this.#note();
+      work.done({ type: 'answered', status: 200, load: this.#reported(), stored: null });
+    });
+  }
+
+  #slowness(): number {
+    const { slowTurn } = this.traits;
+    if (slowTurn === null) {
+      return 1;
+    }
+    const first = Math.floor(this.queue.now / SLOW_TURN_MILLIS) % slowTurn.of;
+    const place = (slowTurn.number - first + slowTurn.of) % slowTurn.of;
+    return place < slowTurn.of * slowTurn.share ? SLOW_FACTOR : 1;
+  }
+
+  #note(): void {
+    this.#loads.push({ at: this.queue.now, load: this.#busy + this.#waiting.length });
+  }
+
+  #reported(): number | null {
+    const { reportAgeMillis } = this.traits;
+    if (reportAgeMillis === null) {
+      return null;
+    }
+    const at = this.queue.now - reportAgeMillis;
+    while (this.#loads.length > 1 && (this.#loads[1]?.at ?? 0) <= at) {
+      this.#loads.shift();
+    }
+    return this.#loads[0]?.load ?? 0;
+  }
+}
--- /dev/null
+++ b/test/routing/rank-load.ts
@@ -0,0 +1,316 @@
+/**
+ * Callers of several ranks who compete for the slots of one service, in virtual time: real router cores, modelled upstreams that report
+ * their load, and callers who come back when told to. What is counted is what callers get.
+ */
+import { EventQueue } from '../../src/dev/virtual/event-queue.js';
+import { RandomSource } from '../../src/dev/virtual/random-source.js';
+import type { RouteDefinition } from '../../src/model/declaration.js';
+import type { RouterEffect } from '../../src/routing/types.js';
+import { LoadedUpstream, type WorkToDo } from './loaded-upstream.js';
+import { CONFIG, RouterHarness, sent, service, upstream } from './router-harness.js';
+
+const NETWORK_MILLIS = 1;
+const SERVICE = 'menu';
+const HOST = 'menu.example';
+const QUEUE_LIMIT = 12;
+const IDLE_LOOK_MILLIS = 10;
+/** Callers who come while everything starts aren't counted. */
+const WARMUP_MILLIS = 10_000;
+const COUNTED_MILLIS = 30_000;
+
+export interface CallerKind {
+  readonly name: string;
+  readonly rank: number;
+  readonly targetMillis: number;
+  readonly deadlineMillis: number;
+  /** Demand as a part of what all slots can do. */
+  readonly demand: number;
+  /** How often a caller comes back that is told to. */
+  readonly returns: number;
+}
+
+export interface RankLoad {
+  readonly seed: number;
+  readonly kinds: readonly CallerKind[];
+  readonly routers: number;
+  readonly upstreams: number;
+  readonly slots: number;
+  readonly workMillis: number;
+  /** Speed of each upstream in turn; 1 if left out. */
+  readonly speeds?: readonly number[];
+  /** Share of the upstreams that are three times slower at a time, by turns. */
+  readonly slowShare?: number;
+  /** Zones of routers and upstreams in turn. */
+  readonly zones?: readonly string[];
+  /** Age of the loads that answers report; `null`: they report none. */
+  readonly reportAgeMillis?: number | null;
+  /** When a router starts again without memory. */
+  readonly restarts?: readonly { readonly at: number; readonly router: number }[];
+  /** When the kinds' routes get one rank. */
+  readonly ranksEndAt?: number;
+}
+
+export interface KindResult {
+  sent: number;
+  inTime: number;
+  late: number;
+  never: number;
+  refusals: number;
+  /** Refusals that name a work which was sent before. */
+  refusedAfterSent: number;
+  sentAttempts: number;
+}
+
+export interface RankLoadResult {
+  readonly kinds: Readonly<Record<string, KindResult>>;
+  /** Share of all slots that were free while something waited in a router. */
+  readonly idleShare: number;
+}
+
+interface Call {
+  readonly kind: CallerKind;
+  readonly sentAt: number;
+  readonly counted: boolean;
+  returnsLeft: number;
+  wasDispatched: boolean;
+}
+
+class LoadRouter {
+  readonly calls = new Map<number, Call>();
+  #tickAt = Number.POSITIVE_INFINITY;
+
+  constructor(
+    readonly harness: RouterHarness,
+    private readonly queue: EventQueue,
+    private readonly carryOut: (router: LoadRouter, effect: RouterEffect) => void,
+  ) {}
+
+  take(step: (harness: RouterHarness) => readonly RouterEffect[]): void {
+    this.harness.now = this.queue.now;
+    for (const effect of step(this.harness)) {
+      this.carryOut(this, effect);
+    }
+    this.#schedule();
+  }
+
+  #schedule(): void {
+    const at = Math.max(this.queue.now, this.harness.core.nextDeadline());
+    if (at < this.#tickAt) {
+      this.#tickAt = at;
+      this.queue.at(at, () => {
+        if (this.#tickAt === at) {
+          this.#tickAt = Number.POSITIVE_INFINITY;
+          this.take((harness) => harness.step({ type: 'tick' }));
+        }
+      });
+    }
+  }
+}
+
+export class RankLoadWorld {
+  readonly #queue = new EventQueue();
+  readonly #random: RandomSource;
+  readonly #upstreams: LoadedUpstream[];
+  readonly #routers: LoadRouter[];
+  readonly #results: Record<string, KindResult> = {};
+  #idleSlots = 0;
+  #looks = 0;
+
+  constructor(private readonly load: RankLoad) {
+    this.#random = new RandomSource(load.seed);
+    for (const { name } of load.kinds) {
+      this.#results[name] = {
+        sent: 0,
+        inTime: 0,
+        late: 0,
+        never: 0,
+        refusals: 0,
+        refusedAfterSent: 0,
+        sentAttempts: 0,
+      };
+    }
+    const { speeds = [1], slowShare = 0, reportAgeMillis = 0 } = load;
+    this.#upstreams = Array.from(
+      { length: load.upstreams },
+      (_, index) =>
+        new LoadedUpstream(this.#queue, new RandomSource(load.seed * 100 + index), {
+          slots: load.slots,
+          queueLimit: QUEUE_LIMIT,
+          workMillis: load.workMillis / (speeds[index % speeds.length] as number),
+          slowTurn: slowShare === 0 ? null : { number: index, of: load.upstreams, share: slowShare },
+          reportAgeMillis,
+        }),
+    );
+    this.#routers = Array.from({ length: load.routers }, (_, index) => this.#startRouter(index));
+  }
+
+  run(): RankLoadResult {
+    const { kinds, restarts = [], ranksEndAt } = this.load;
+    for (const kind of kinds.filter(({ demand }) => demand > 0)) {
+      this.#callNext(kind);
+    }
+    for (const { at, router } of restarts) {
+      this.#queue.at(at, () => {
+        this.#routers[router] = this.#startRouter(router);
+      });
+    }
+    if (ranksEndAt !== undefined) {
+      this.#queue.at(ranksEndAt, () => this.#endRanks());
+    }
+    for (let at = WARMUP_MILLIS; at < WARMUP_MILLIS + COUNTED_MILLIS; at += IDLE_LOOK_MILLIS) {
+      this.#queue.at(at, () => this.#lookForIdle());
+    }
+    this.#queue.runUntil(WARMUP_MILLIS + COUNTED_MILLIS + 30_000);
+    const slots = this.load.upstreams * this.load.slots;
+    return { kinds: this.#results, idleShare: this.#idleSlots / (this.#looks * slots) };
+  }
+
+  #startRouter(index: number): LoadRouter {
+    const { zones = ['a'], upstreams, slots, seed } = this.load;
+    const zone = zones[index % zones.length] as string;
+    const harness = new RouterHarness({ ...CONFIG, router: `r${index}`, zone, seed: seed * 1000 + index });
+    const router = new LoadRouter(harness, this.#queue, (from, effect) => this.#carryOut(from, effect));
+    const announced = { slots, warmupMillis: 0 };
+    const records = Array.from({ length: upstreams }, (_, number) =>
+      upstream(`u${number}`, SERVICE, { announced, zone: zones[number % zones.length] as string }),
+    );
+    const terms = { queueLimit: 1000, holdLimitMillis: 10_000, slotsPerUpstream: slots };
+    harness.now = this.#queue.now;
+    harness.start([service(SERVICE, terms)], records);
+    router.take(() => harness.change(this.load.kinds.map((kind) => routeChange(kind, kind.rank))));
+    return router;
+  }
+
+  #endRanks(): void {
+    for (const router of this.#routers) {
+      router.take((harness) => harness.change(this.load.kinds.map((kind) => routeChange(kind, 1))));
+    }
+  }
+
+  #callNext(kind: CallerKind): void {
+    const { upstreams, slots, workMillis } = this.load;
+    const perMilli = (kind.demand * upstreams * slots) / workMillis;
+    this.#queue.after(this.#random.exponential(1 / perMilli), () => {
+      const { now } = this.#queue;
+      if (now >= WARMUP_MILLIS + COUNTED_MILLIS + 2000) {
+        return;
+      }
+      const counted = now >= WARMUP_MILLIS && now < WARMUP_MILLIS + COUNTED_MILLIS;
+      this.#resultOf(kind).sent += counted ? 1 : 0;
+      this.#send({ kind, sentAt: now, counted, returnsLeft: kind.returns, wasDispatched: false });
+      this.#callNext(kind);
+    });
+  }
+
+  #send(call: Call): void {
+    const router = this.#random.pick(this.#routers);
+    const { name, deadlineMillis } = call.kind;
+    const place = { host: HOST, path: `/${name}/` };
+    call.wasDispatched = false;
+    router.calls.set(router.harness.nextRequest, call);
+    router.take((harness) => harness.request('', { place, deadlineMillis }));
+  }
+
+  #carryOut(router: LoadRouter, effect: RouterEffect): void {
+    switch (effect.type) {
+      case 'dispatch':
+        this.#dispatch(router, effect);
+        return;
+      case 'deliver':
+        this.#end(router, effect.request, 'delivered');
+        return;
+      case 'refuse':
+        this.#refused(router, effect);
+        return;
+      case 'send-control':
+        for (const { stamp } of sent([effect], 'sync-request')) {
+          this.#queue.after(NETWORK_MILLIS, () => router.take((harness) => harness.respond(stamp)));
+        }
+        return;
+      default:
+    }
+  }
+
+  #dispatch(router: LoadRouter, effect: Extract<RouterEffect, { type: 'dispatch' }>): void {
+    const call = router.calls.get(effect.request);
+    if (call !== undefined) {
+      call.wasDispatched = true;
+      this.#resultOf(call.kind).sentAttempts += call.counted ? 1 : 0;
+    }
+    const target = this.#upstreams[Number(effect.upstream.slice(1))] as LoadedUpstream;
+    const work: WorkToDo = {
+      done: (result) => {
+        this.#queue.after(NETWORK_MILLIS, () => {
+          if (this.#routers.includes(router)) {
+            router.take((harness) => harness.ended(effect.attempt, result));
+          }
+        });
+      },
+    };
+    this.#queue.after(NETWORK_MILLIS, () => target.take(work));
+  }
+
+  #refused(router: LoadRouter, effect: Extract<RouterEffect, { type: 'refuse' }>): void {
+    const call = router.calls.get(effect.request);
+    if (call === undefined) {
+      return;
+    }
+    const result = this.#resultOf(call.kind);
+    result.refusals += call.counted ? 1 : 0;
+    result.refusedAfterSent += call.counted && call.wasDispatched && effect.reason === 'gave-way' ? 1 : 0;
+    const { retryAfterMillis, outcome, request } = effect;
+    if (call.returnsLeft > 0 && outcome === 'not-run' && retryAfterMillis !== null) {
+      call.returnsLeft -= 1;
+      router.calls.delete(request);
+      this.#queue.after(retryAfterMillis, () => this.#send(call));
+      return;
+    }
+    this.#end(router, request, 'refused');
+  }
+
+  #end(router: LoadRouter, request: number, how: 'delivered' | 'refused'): void {
+    const call = router.calls.get(request);
+    router.calls.delete(request);
+    if (call === undefined || !call.counted) {
+      return;
+    }
+    const result = this.#resultOf(call.kind);
+    if (how === 'refused') {
+      result.never += 1;
+    } else if (this.#queue.now - call.sentAt <= call.kind.targetMillis) {
+      result.inTime += 1;
+    } else {
+      result.late += 1;
+    }
+  }
+
+  #resultOf({ name }: CallerKind): KindResult {
+    return this.#results[name] as KindResult;
+  }
+
+  #lookForIdle(): void {
+    const waiting = this.#routers.reduce((sum, { harness }) => sum + harness.core.status().queued, 0);
+    const free = this.#upstreams.reduce((sum, { freeSlots }) => sum + freeSlots, 0);
+    this.#looks += 1;
+    this.#idleSlots += Math.min(waiting, free);
+  }
+}
+
+export function inTimeShare({ inTime, sent: all }: KindResult): number {
+  return inTime / Math.max(1, all);
+}
+
+function routeChange(kind: CallerKind, priority: number) {
+  const definition: RouteDefinition = {
+    name: kind.name,
+    host: HOST,
+    prefix: `/${kind.name}/`,
+    repeatable: true,
+    timeoutMillis: kind.deadlineMillis,
+    targetMillis: kind.targetMillis,
+    maxAttempts: 2,
+    priority,
+    split: [{ service: SERVICE, weight: 1 }],
+  };
+  return { type: 'route' as const, name: kind.name, record: { definition, revision: 1 } };
+}
