Routing: waiting work goes by rank and slack, and the less important gives way

Cause: a lane was first come, first served over all ranks, what may wait was a share of the request's own target, and a limited owner sorted all that waits at each look. Change: a lane keeps work on like terms in order of arrival and compares the heads: rank, then least slack, then what can't be answered in time any more. The wait is estimated from what goes before on its rank and above and from how fast that rank drains. Where ranks or targets compete, a work may wait as long as its answer comes in time; where they don't, all stays as it was (a test of first come, first served). At a full queue the last of the least important rank is refused with gave-way, never one that was sent.

--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -6,6 +6,7 @@
 import { policyContextOf, policyUpstreamOf } from './policy-input.js';
 import type { Admission } from './queue/admission.js';
 import type { Lane } from './queue/lane-table.js';
+import { compareSlack, type TurnOrder } from './queue/ranked-queue.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
@@ -33,7 +34,7 @@
       return;
     }
     const lane = work.service.lanes.find(work.shard);
-    const isFirst = lane === undefined || (lane.queue.length === 0 && !lane.isPaused(this.context.now));
+    const isFirst = lane === undefined || isNextIn(lane, work, this.context.now);
     if (isFirst && this.place(work) !== 'waits') {
       return;
     }
@@ -139,23 +140,39 @@
   }
 
   private drainLane(service: ServiceState, lane: Lane | undefined): void {
-    let head = lane?.queue.peek();
-    while (head !== undefined && this.place(head) !== 'waits') {
-      head = lane?.queue.peek();
+    const order = service.turnOrder(this.context.now);
+    while (lane !== undefined && this.placeFirst(lane, order)) {
+      // Goes on until nobody in the lane may go.
     }
     this.scheduleWake(service);
   }
 
-  /** One request of each shard in turn, so that a hot one doesn't starve the others. */
+  /** Dispatches the first work of a lane that may go; `false` if none may. */
+  private placeFirst(lane: Lane, order: TurnOrder): boolean {
+    let waitingRank = Number.POSITIVE_INFINITY;
+    for (const head of lane.queue.heads(order)) {
+      // Where one waits, nobody on its rank or a less important one may go.
+      if (head.terms.priority < waitingRank) {
+        if (this.place(head) !== 'waits') {
+          return true;
+        }
+        waitingRank = head.terms.priority;
+      }
+    }
+    return false;
+  }
+
+  /** One request of each shard in turn, so that a hot one doesn't starve the others; the most important ranks first. */
   private drainOwner(service: ServiceState, upstream: UpstreamState): void {
     if (upstream.isLimited) {
       this.drainLimited(service, upstream);
       return;
     }
+    const order = service.turnOrder(this.context.now);
     let progress = true;
     while (progress && upstream.hasSlot(this.context.now)) {
       progress = false;
-      for (const lane of service.lanes.waitingFor(upstream.id)) {
+      for (const lane of service.lanes.inTurn(upstream.id, order)) {
         progress = this.drainOne(service, lane) || progress;
       }
     }
@@ -164,23 +181,22 @@
 
   /** Where few may go, the most important do, and of those the ones with the least time left. */
   private drainLimited(service: ServiceState, upstream: UpstreamState): void {
-    const { now } = this.context;
-    if (upstream.hasSlot(now)) {
-      const open = service.lanes.waitingFor(upstream.id).filter((lane) => !lane.isPaused(now));
-      const waiting = open.flatMap(({ queue }) => queue.toArray()).sort(compareUrgency);
-      for (const work of waiting) {
-        if (!upstream.hasSlot(now)) {
-          break;
-        }
-        this.place(work);
-      }
+    const order = { ...service.turnOrder(this.context.now), byDeadline: true };
+    let progress = true;
+    while (progress && upstream.hasSlot(this.context.now)) {
+      const lanes = service.lanes.inTurn(upstream.id, order);
+      const heads = lanes.flatMap(({ queue }) => queue.peek(order) ?? []);
+      const first = heads.reduce<Work | undefined>(
+        (best, work) => (best === undefined || compareSlack(work, best, true) < 0 ? work : best),
+        undefined,
+      );
+      progress = first !== undefined && this.place(first) !== 'waits';
     }
     this.scheduleWake(service);
   }
 
   private drainOne(service: ServiceState, lane: Lane): boolean {
-    const head = lane.queue.peek();
-    if (head === undefined || lane.isPaused(this.context.now) || this.place(head) === 'waits') {
+    if (lane.isPaused(this.context.now) || !this.placeFirst(lane, service.turnOrder(this.context.now))) {
       return false;
     }
     service.lanes.rotate(lane);
@@ -301,6 +317,7 @@
   }
 }
 
-function compareUrgency(one: Work, other: Work): number {
-  return one.terms.priority - other.terms.priority || one.deadline - other.deadline;
+/** Whether nothing that waits in a lane goes before a work that comes now. */
+function isNextIn(lane: Lane, { terms }: Work, now: number): boolean {
+  return lane.queue.countAhead(terms.priority) === 0 && !lane.isPaused(now);
 }
--- a/src/routing/notices/upstream-reports.ts
+++ b/src/routing/notices/upstream-reports.ts
@@ -6,10 +6,9 @@
 import type { MonotonicMillis } from '../../model/identifiers.js';
 import { PERMIT_MILLIS } from '../../model/limit-shares.js';
 import type { HeardUpstream, IssuedPermits } from '../../model/upstream-notice.js';
-import type { LinkedQueue } from '../queue/linked-queue.js';
+import type { RankedQueue } from '../queue/ranked-queue.js';
 import type { RouterContext } from '../router-context.js';
 import type { UpstreamState } from '../upstream/upstream-state.js';
-import type { Work } from '../work.js';
 import type { RunNotices } from './run-notices.js';
 
 /** Shortest time between two messages, so that requests which come together share one. */
@@ -179,9 +178,9 @@
   }
 
   /** The first and the last stand for those between them. */
-  #withQueue({ count, rank, patienceMillis }: Waiting, queue: LinkedQueue<Work>): Waiting {
+  #withQueue({ count, rank, patienceMillis }: Waiting, queue: RankedQueue): Waiting {
     const { now } = this.#context;
-    const ends = [queue.peek(), queue.peekLast()].filter((work) => work !== undefined);
+    const ends = queue.ends;
     const patiences = ends.map((work) => Math.min(work.holdUntil, work.deadline) - now);
     return {
       count: count + queue.length,
--- a/src/routing/queue/admission.ts
+++ b/src/routing/queue/admission.ts
@@ -1,5 +1,4 @@
 /** Whether work may wait, for how long, and what it is told if it may not. */
-import { PRIORITY_CLASSES } from '../../model/service.js';
 import type { Answers } from '../answers.js';
 import { noticeWaitOf } from '../notices/notice-wait.js';
 import type { RouterContext } from '../router-context.js';
@@ -10,8 +9,9 @@
 import type { Lane } from './lane-table.js';
 import { retryAfterAtLeast, retryAfterMillis, UNMEASURED_RETRY_MILLIS } from './retry-after.js';
 import { WaitEstimate } from './wait-estimate.js';
+import { latestStartOf } from './waiting-class.js';
 
-/** Requests that a router keeps waiting over all services; beyond it, less important ones make room. */
+/** Requests that a router keeps waiting over all services; beyond it, less important ones give way. */
 const WAITING_LIMIT = 10_000;
 /** Share of a service's queue that one shard may fill. */
 const LANE_SHARE = 0.5;
@@ -41,24 +41,22 @@
     if (service.isOutOfUse) {
       return 'no-upstream';
     }
-    const { queueLimit } = service.definition;
-    const laneLength = service.lanes.find(work.shard)?.queue.length ?? 0;
-    const laneLimit = work.shard === null ? queueLimit : Math.ceil(queueLimit * LANE_SHARE);
-    if (service.waitingLength >= queueLimit || laneLength >= laneLimit || !this.makeRoom(work)) {
+    if (!this.makePlace(work) || !this.makeRoom(work)) {
       return 'queue-full';
     }
-    const longest = Math.min(work.deadline - this.context.now, work.terms.holdMillis);
+    const longest = Math.min(work.deadline - this.context.now, this.longestWait(work));
     const held = noticeWaitOf(work, this.context);
     if (held !== null) {
       return held.millis > longest ? held.reason : undefined;
     }
-    return this.estimate.untilDispatch(work) > longest * ADMITTED_SHARE ? 'would-miss-deadline' : undefined;
+    const margin = this.isMixed(service) ? 1 : ADMITTED_SHARE;
+    return this.estimate.untilDispatch(work) > longest * margin ? 'would-miss-deadline' : undefined;
   }
 
   /** The limit counts from the first wait; retries don't extend it. */
   boundWait(work: Work): void {
     if (work.holdTimer === null) {
-      const end = this.context.now + work.terms.holdMillis;
+      const end = this.context.now + this.longestWait(work);
       work.holdUntil = work.mayHaveRun ? work.holdUntil : Math.min(work.holdUntil, end);
       work.holdTimer = this.context.schedule(work.holdUntil, { type: 'hold-end', work });
     }
@@ -77,6 +75,11 @@
 
   /** The bounded wait of a work is over. */
   giveUpWaiting(work: Work): void {
+    if (this.mayWaitLate(work)) {
+      work.holdUntil = work.deadline - work.service.expectedMillis();
+      work.holdTimer = this.context.schedule(work.holdUntil, { type: 'hold-end', work });
+      return;
+    }
     const reason = noticeWaitOf(work, this.context)?.reason ?? this.reasonForWaiting(work);
     const measured =
       reason === 'would-miss-deadline' || reason === 'upstream-limited' || reason === 'upstream-resting';
@@ -111,7 +114,7 @@
   refuseHeldBack(work: Work): boolean {
     const { now } = this.context;
     const held = noticeWaitOf(work, this.context);
-    const hold = Number.isFinite(work.holdUntil) ? work.holdUntil : now + work.terms.holdMillis;
+    const hold = Number.isFinite(work.holdUntil) ? work.holdUntil : now + this.longestWait(work);
     const until = Math.min(hold, work.deadline);
     if (held === null || now + held.millis <= until) {
       return false;
@@ -137,41 +140,86 @@
   private refuseHopelessOf(service: ServiceState, lane: Lane): void {
     const { now } = this.context;
     const isServed = lane.shard === null || this.context.ownerOf(lane.shard) !== undefined;
-    const head = lane.queue.peek();
+    const head = lane.queue.peek(service.turnOrder(now));
     const isHeldBack = head !== undefined && noticeWaitOf(head, this.context) !== null;
-    if (!isServed || isHeldBack || lane.isPaused(now) || !lane.drainRate.isMeasured) {
+    if (!isServed || isHeldBack || lane.isPaused(now)) {
       return;
     }
-    let last = lane.queue.peekLast();
-    while (last !== undefined && now + this.estimate.ofLast(service, lane) > last.holdUntil) {
-      this.answers.refuseWork(last, 'would-miss-deadline', this.retryAfter(last));
-      last = lane.queue.peekLast();
+    for (const rank of lane.queue.ranks.filter((candidate) => lane.drainRateOf(candidate).isMeasured)) {
+      let last = lane.queue.lastOf(rank);
+      while (last !== undefined && now + this.estimate.ofLast(service, lane, rank) > last.holdUntil) {
+        this.answers.refuseWork(last, 'would-miss-deadline', this.retryAfter(last));
+        last = lane.queue.lastOf(rank);
+      }
     }
   }
 
-  /** Keeps the router's own bound: the oldest waiting work of a less important service gives way. */
-  private makeRoom(work: Work): boolean {
-    if (this.context.waitingLength() < WAITING_LIMIT) {
-      return true;
+  private isMixed({ presence }: ServiceState): boolean {
+    return presence.isMixed(this.context.now);
+  }
+
+  /**
+   * How long a work may wait: where ranks compete, as long as its answer still comes in time; elsewhere as its terms say, since there all
+   * wait alike.
+   */
+  private longestWait(work: Work): number {
+    const { service, terms } = work;
+    if (terms.targetMillis === null || !this.isMixed(service)) {
+      return terms.holdMillis;
     }
-    const rank = PRIORITY_CLASSES.indexOf(work.service.definition.priority);
-    let least: ServiceState | undefined;
-    let leastRank = rank;
-    for (const service of this.context.services.values()) {
-      const serviceRank = PRIORITY_CLASSES.indexOf(service.definition.priority);
-      if (service.lanes.length > 0 && serviceRank > leastRank) {
-        least = service;
-        leastRank = serviceRank;
-      }
+    const { now } = this.context;
+    const inTime = latestStartOf(work, service.expectedMillis()) - now;
+    return Math.max(LEAST_WAIT_MILLIS, Math.min(inTime, service.definition.holdLimitMillis));
+  }
+
+  /** Whether a work that can't be answered in time any more gets what others leave: nothing waits that can be. */
+  private mayWaitLate(work: Work): boolean {
+    const { service, lane, holdUntil, deadline } = work;
+    if (lane === null || work.terms.targetMillis === null || !this.isMixed(service)) {
+      return false;
+    }
+    const isExtended = holdUntil >= deadline - service.expectedMillis();
+    lane.queue.heads(service.turnOrder(this.context.now));
+    return !isExtended && !service.isOutOfUse && lane.queue.countAhead(Number.POSITIVE_INFINITY) === 0;
+  }
+
+  /** Keeps the bounds of the service and of the lane: the least important work that waits gives way to what is more important. */
+  private makePlace(work: Work): boolean {
+    const { service, shard } = work;
+    const { queueLimit } = service.definition;
+    const lane = service.lanes.find(shard);
+    const laneLimit = shard === null ? queueLimit : Math.ceil(queueLimit * LANE_SHARE);
+    if (
+      (lane?.queue.length ?? 0) >= laneLimit &&
+      !this.giveWay(lane?.queue.leastBelow(work.terms.priority))
+    ) {
+      return false;
     }
-    const victim = least?.lanes.allWaiting()[0]?.queue.peek();
-    if (least === undefined || victim === undefined) {
+    return service.waitingLength < queueLimit || this.giveWay(service.lanes.leastBelow(work.terms.priority));
+  }
+
+  /** Refuses waiting work for the sake of more important work. What was sent doesn't wait, so it is never taken back. */
+  private giveWay(victim: Work | undefined): boolean {
+    if (victim === undefined) {
       return false;
     }
-    this.answers.refuseWork(victim, 'queue-full', this.retryAfter(victim));
+    this.answers.refuseWork(victim, 'gave-way', this.retryAfter(victim));
     return true;
   }
 
+  /** Keeps the router's own bound: the least important work that waits gives way. */
+  private makeRoom(work: Work): boolean {
+    if (this.context.waitingLength() < WAITING_LIMIT) {
+      return true;
+    }
+    let victim: Work | undefined;
+    for (const { lanes } of this.context.services.values()) {
+      const candidate = lanes.leastBelow(victim?.terms.priority ?? work.terms.priority);
+      victim = candidate ?? victim;
+    }
+    return this.giveWay(victim);
+  }
+
   private reasonForWaiting(work: Work): RefusalReason {
     const { now } = this.context;
     if (work.service.isOutOfUse) {
--- a/src/routing/queue/lane-table.ts
+++ b/src/routing/queue/lane-table.ts
@@ -5,15 +5,15 @@
 import type { ShardId, UpstreamId } from '../../model/identifiers.js';
 import type { Work } from '../work.js';
 import { DrainRate } from './drain-rate.js';
-import { LinkedQueue } from './linked-queue.js';
+import { RankedQueue, type TurnOrder } from './ranked-queue.js';
 
 /** First and longest pause of a lane whose owner turned a request away. */
 const FIRST_PAUSE_MILLIS = 20;
 const LONGEST_PAUSE_MILLIS = 200;
 
 export class Lane {
-  readonly queue = new LinkedQueue<Work>();
-  readonly drainRate = new DrainRate();
+  readonly queue = new RankedQueue();
+  readonly #drainRates = new Map<number, DrainRate>();
   owner: UpstreamId | null = null;
   private pausedUntil = Number.NEGATIVE_INFINITY;
   private nextPause = FIRST_PAUSE_MILLIS;
@@ -28,10 +28,27 @@
   /** The owner turned a request away or can't be reached: wait a little longer each time. */
   pause(now: number): void {
     this.pausedUntil = now + this.nextPause;
-    this.drainRate.paused();
+    for (const rate of this.#drainRates.values()) {
+      rate.paused();
+    }
     this.nextPause = Math.min(LONGEST_PAUSE_MILLIS, this.nextPause * 2);
   }
 
+  /** How fast work of one rank drains: what the more important leave it is what it gets. */
+  drainRateOf(rank: number): DrainRate {
+    let rate = this.#drainRates.get(rank);
+    if (rate === undefined) {
+      rate = new DrainRate();
+      this.#drainRates.set(rank, rate);
+    }
+    return rate;
+  }
+
+  /** Something else serves it from now on. */
+  forgetRates(): void {
+    this.#drainRates.clear();
+  }
+
   /** The owner changed or served a request. */
   resume(): void {
     this.pausedUntil = Number.NEGATIVE_INFINITY;
@@ -74,9 +91,9 @@
   }
 
   enqueue(lane: Lane, work: Work, place: 'front' | 'back', now: number): void {
-    lane.drainRate.began(now);
+    lane.drainRateOf(work.terms.priority).began(now);
     work.lane = lane;
-    work.node = place === 'front' ? lane.queue.pushFront(work) : lane.queue.pushBack(work);
+    work.node = lane.queue.push(work, place);
     this.count += 1;
     if (lane.queue.length === 1) {
       this.waitingSet(lane.owner).add(lane);
@@ -92,8 +109,10 @@
     work.lane = null;
     work.node = null;
     this.count -= 1;
+    if (lane.queue.countOf(work.terms.priority) === 0) {
+      lane.drainRateOf(work.terms.priority).paused();
+    }
     if (lane.queue.length === 0) {
-      lane.drainRate.paused();
       this.waitingSet(lane.owner).delete(lane);
     }
   }
@@ -101,7 +120,7 @@
   /** Files a lane under its shard's new owner. */
   reassign(lane: Lane, owner: UpstreamId | null): void {
     if (lane.owner !== owner) {
-      lane.drainRate.forget();
+      lane.forgetRates();
     }
     if (lane.queue.length > 0) {
       this.waitingSet(lane.owner).delete(lane);
@@ -115,6 +134,8 @@
     for (const lane of this.lanes.values()) {
       if (lane.queue.length === 0 && !lane.isPaused(now)) {
         this.lanes.delete(lane.shard);
+      } else {
+        lane.queue.prune();
       }
     }
   }
@@ -124,6 +145,14 @@
     return [...this.waitingSet(owner)];
   }
 
+  /** Those of them whose first work is on the most important rank, that aren't paused. */
+  inTurn(owner: UpstreamId | null, order: TurnOrder): Lane[] {
+    const open = this.waitingFor(owner).filter((lane) => !lane.isPaused(order.now));
+    const firsts = open.map(({ queue }) => queue.peek(order)?.terms.priority ?? Number.POSITIVE_INFINITY);
+    const best = Math.min(...firsts);
+    return open.filter((_, index) => firsts[index] === best);
+  }
+
   /** Moves a lane behind the others of its owner. */
   rotate(lane: Lane): void {
     const set = this.waitingSet(lane.owner);
@@ -137,6 +166,15 @@
     return [...this.lanes.values()].filter((lane) => lane.queue.length > 0);
   }
 
+  /** What gives way first of all lanes, on ranks below `rank`; looked for only where a bound is reached. */
+  leastBelow(rank: number): Work | undefined {
+    let least: Work | undefined;
+    for (const { queue } of this.lanes.values()) {
+      least = queue.leastBelow(least?.terms.priority ?? rank) ?? least;
+    }
+    return least;
+  }
+
   /** All work that waits, lane by lane. */
   allWork(): Work[] {
     return this.allWaiting().flatMap((lane) => lane.queue.toArray());
--- a/src/routing/queue/wait-estimate.ts
+++ b/src/routing/queue/wait-estimate.ts
@@ -5,19 +5,29 @@
 import type { Work } from '../work.js';
 import type { Lane } from './lane-table.js';
 
+/** A place in the order of a lane. */
+interface Place {
+  readonly shard: string | null;
+  readonly rank: number;
+  /** How many of its rank and of more important ones go before it, itself counted. */
+  readonly place: number;
+}
+
 export class WaitEstimate {
   constructor(private readonly context: RouterContext) {}
 
   /** Milliseconds until a work that joins its lane now would be dispatched; 0 while nothing is known. */
   untilDispatch(work: Work): number {
     const lane = work.service.lanes.find(work.shard);
-    const inTurn = this.wait(work.service, lane, work.shard, (lane?.queue.length ?? 0) + 1);
-    return Math.max(inTurn, this.untilRoom(work.shard));
+    const { service, shard, terms } = work;
+    const ahead = lane?.queue.countAhead(terms.priority) ?? 0;
+    const inTurn = this.wait(service, lane, { shard, rank: terms.priority, place: ahead + 1 });
+    return Math.max(inTurn, this.untilRoom(shard));
   }
 
-  /** The same for the last work that waits in a lane. */
-  ofLast(service: ServiceState, lane: Lane): number {
-    return this.wait(service, lane, lane.shard, lane.queue.length);
+  /** The same for the last work of a rank that waits in a lane. */
+  ofLast(service: ServiceState, lane: Lane, rank: number): number {
+    return this.wait(service, lane, { shard: lane.shard, rank, place: lane.queue.countAhead(rank) });
   }
 
   /** An owner that said that it is full takes nothing before some of its work is done, whoever waits. */
@@ -26,10 +36,10 @@
     return owner?.upstream.roomInMillis(this.context.now) ?? 0;
   }
 
-  private wait(service: ServiceState, lane: Lane | undefined, shard: string | null, place: number): number {
+  private wait(service: ServiceState, lane: Lane | undefined, { shard, rank, place }: Place): number {
     const { now } = this.context;
     const assumed = shard === null ? service.capacityPerMilli(now) : this.shareOfOwner(service, shard);
-    const rate = lane?.drainRate.perMilli(now, assumed) ?? assumed;
+    const rate = lane?.drainRateOf(rank).perMilli(now, assumed) ?? assumed;
     return rate > 0 ? place / rate : 0;
   }
 
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -77,6 +77,8 @@
       return;
     }
     const work = new Work(service, terms);
+    work.arrivedAt = context.now;
+    service.presence.note(terms, context.now);
     work.shard = shard;
     work.shardRevision = context.view.revision;
     this.addMember(work, request);
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -8,6 +8,8 @@
 import { createPicker } from './picker/create-picker.js';
 import type { Picker, PickerName } from './picker/picker.js';
 import { LaneTable } from './queue/lane-table.js';
+import { RankPresence } from './queue/rank-presence.js';
+import type { TurnOrder } from './queue/ranked-queue.js';
 import { TokenRetryBudget } from './room/retry-budget.js';
 import type { Standing } from './upstream/leaving-table.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
@@ -22,6 +24,8 @@
 export class ServiceState {
   readonly name: ServiceName;
   readonly lanes = new LaneTable();
+  /** Terms on which requests came lately. */
+  readonly presence = new RankPresence();
   readonly picker: Picker;
   readonly retryBudget: TokenRetryBudget;
   /** Reads that identical ones may join. */
@@ -158,6 +162,16 @@
     return upstream.slotLimit.slots / Math.max(LEAST_SERVICE_MILLIS, usual);
   }
 
+  /** Time that a request is expected to take once it is worked on, in milliseconds; 0 while nothing is known. */
+  expectedMillis(): number {
+    return this.unhinderedMillis() ?? this.measuredMillis() ?? 0;
+  }
+
+  /** By what waiting work takes its turn. */
+  turnOrder(now: number): TurnOrder {
+    return { now, expectedMillis: this.presence.isMixed(now) ? this.expectedMillis() : null };
+  }
+
   ejectedCount(now: number): number {
     return this.sortedUpstreams.filter((upstream) => upstream.ejection.isEjected(now)).length;
   }
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -88,6 +88,8 @@
   shardRevision: Revision = -1;
   /** Shard whose work its answer is reported as; `null`: none, or its load was reported when it came. */
   loadName: ShardId | null = null;
+  /** When its first request came. */
+  arrivedAt = 0;
   lane: Lane | null = null;
   node: QueueNode<Work> | null = null;
   /** When the bounded wait ends; `Infinity` until it first waits. */
--- a/test/docs/completeness.test.ts
+++ b/test/docs/completeness.test.ts
@@ -35,6 +35,7 @@
   'upstream-limited': true,
   'upstream-resting': true,
   'queue-full': true,
+  'gave-way': true,
   'would-miss-deadline': true,
   'deadline-passed': true,
   'policy-refused': true,
--- /dev/null
+++ b/test/routing/ranked-order.test.ts
@@ -0,0 +1,182 @@
+/** In which order waiting work gets slots, and what gives way to what. */
+import { expect } from 'chai';
+import type { RouteDefinition } from '../../src/model/declaration.js';
+import type { ArrivedRequest, RouterEffect } from '../../src/routing/types.js';
+import { only, onlyShard, RouterHarness, service, upstream } from './router-harness.js';
+
+const HOST = 'menu.example';
+const WORK_MILLIS = 100;
+
+interface Kind {
+  readonly name: string;
+  readonly priority: number;
+  readonly targetMillis: number;
+}
+
+function start(
+  kinds: readonly Kind[],
+  options: { readonly keyed?: boolean; readonly queueLimit?: number } = {},
+) {
+  const { keyed = false, queueLimit = 50 } = options;
+  const record = service('menu', { keyed, queueLimit, holdLimitMillis: 10_000, slotsPerUpstream: 1 });
+  const shards = keyed ? [onlyShard('menu', 'u1', 3)] : [];
+  const harness = new RouterHarness().start([record], [upstream('u1', 'menu')], shards);
+  harness.change(kinds.map((kind) => ({ type: 'route', name: kind.name, record: routeOf(kind) })));
+  return harness;
+}
+
+function routeOf({ name, priority, targetMillis }: Kind) {
+  const definition: RouteDefinition = {
+    name,
+    host: HOST,
+    prefix: `/${name}/`,
+    repeatable: true,
+    timeoutMillis: 20_000,
+    targetMillis,
+    maxAttempts: 2,
+    priority,
+    split: [{ service: 'menu', weight: 1 }],
+  };
+  return { definition, revision: 1 };
+}
+
+function send(harness: RouterHarness, name: string, changes: Partial<ArrivedRequest> = {}): RouterEffect[] {
+  return harness.request('', { place: { host: HOST, path: `/${name}/` }, ...changes });
+}
+
+/** Occupies the one slot and measures one request. */
+function occupy(harness: RouterHarness, name: string, key: string | null = null): number {
+  for (let round = 0; round < 2; round += 1) {
+    const [first] = only(send(harness, name, { key }), 'dispatch');
+    if (round === 1) {
+      return first?.attempt as number;
+    }
+    harness.run(WORK_MILLIS);
+    harness.ended(first?.attempt as number);
+  }
+  return 0;
+}
+
+/** Frees the slot again and again; gives the requests in the order in which they were sent. */
+function drain(harness: RouterHarness, firstAttempt: number, count: number): number[] {
+  const order: number[] = [];
+  let attempt = firstAttempt;
+  for (let round = 0; round < count; round += 1) {
+    harness.run(WORK_MILLIS);
+    const [next] = only(harness.ended(attempt), 'dispatch');
+    if (next === undefined) {
+      return order;
+    }
+    order.push(next.request);
+    attempt = next.attempt;
+  }
+  return order;
+}
+
+const URGENT: Kind = { name: 'urgent', priority: 0, targetMillis: 2000 };
+const OTHER: Kind = { name: 'other', priority: 2, targetMillis: 9000 };
+
+describe('the order of waiting work', () => {
+  it('is that of arrival on one rank and one target', () => {
+    const harness = start([OTHER]);
+    const attempt = occupy(harness, 'other');
+    const first = harness.nextRequest;
+    for (let count = 0; count < 5; count += 1) {
+      send(harness, 'other', { deadlineMillis: 20_000 - 2500 * count });
+      harness.run(1);
+    }
+    expect(drain(harness, attempt, 5)).to.deep.equal([0, 1, 2, 3, 4].map((step) => first + step));
+  });
+
+  it('goes by rank first', () => {
+    const harness = start([URGENT, OTHER]);
+    const attempt = occupy(harness, 'other');
+    const first = harness.nextRequest;
+    send(harness, 'other');
+    send(harness, 'urgent');
+    send(harness, 'other');
+    send(harness, 'urgent');
+    expect(drain(harness, attempt, 4)).to.deep.equal([first + 1, first + 3, first, first + 2]);
+  });
+
+  it('goes by the least slack within a rank', () => {
+    const slow: Kind = { name: 'slow', priority: 0, targetMillis: 6000 };
+    const harness = start([URGENT, slow]);
+    const attempt = occupy(harness, 'slow');
+    const first = harness.nextRequest;
+    send(harness, 'slow');
+    send(harness, 'urgent');
+    expect(drain(harness, attempt, 2)).to.deep.equal([first + 1, first]);
+  });
+
+  it('gives a slot to one who can be answered in time before one who can not any more', () => {
+    const short: Kind = { name: 'short', priority: 0, targetMillis: 150 };
+    const harness = start([short, OTHER]);
+    const attempt = occupy(harness, 'other');
+    const first = harness.nextRequest;
+    send(harness, 'short');
+    harness.run(WORK_MILLIS);
+    send(harness, 'other');
+    const order = drain(harness, attempt, 2);
+    expect(order[0]).to.equal(first + 1);
+  });
+
+  it('goes by rank at the owner of keys, with the keys of a rank by turns', () => {
+    const harness = start([URGENT, OTHER], { keyed: true });
+    const attempt = occupy(harness, 'other', 'k');
+    const first = harness.nextRequest;
+    send(harness, 'other', { key: 'k' });
+    send(harness, 'urgent', { key: 'k' });
+    expect(drain(harness, attempt, 2)).to.deep.equal([first + 1, first]);
+  });
+});
+
+describe('less important work that waits', () => {
+  function full() {
+    const harness = start([URGENT, OTHER], { queueLimit: 3 });
+    const attempt = occupy(harness, 'other');
+    const first = harness.nextRequest;
+    for (let count = 0; count < 3; count += 1) {
+      send(harness, 'other');
+    }
+    return { harness, attempt, first };
+  }
+
+  it('gives way at once, the last one first, with a true refusal', () => {
+    const { harness, first } = full();
+    const [refusal] = only(send(harness, 'urgent'), 'refuse');
+    expect(refusal).to.include({ request: first + 2, reason: 'gave-way', outcome: 'not-run', status: 503 });
+    expect(refusal?.retryAfterMillis).to.be.above(0);
+  });
+
+  it('is never taken back once it was sent', () => {
+    const { harness } = full();
+    for (let count = 0; count < 10; count += 1) {
+      send(harness, 'urgent');
+    }
+    expect(only(harness.effects, 'cancel-attempt')).to.deep.equal([]);
+    const dispatched = new Set(only(harness.effects, 'dispatch').map(({ request }) => request));
+    expect(only(harness.effects, 'refuse').filter(({ request }) => dispatched.has(request))).to.deep.equal(
+      [],
+    );
+  });
+
+  it('does not give way to its like', () => {
+    const { harness, first } = full();
+    const refused = only(send(harness, 'other'), 'refuse');
+    expect(refused.map(({ request, reason }) => [request, reason])).to.deep.equal([
+      [first + 3, 'queue-full'],
+    ]);
+  });
+
+  it('is not refused because of what may wait: an urgent one waits behind urgent ones alone', () => {
+    const harness = start([{ ...URGENT, targetMillis: 500 }, OTHER], { queueLimit: 100 });
+    const attempt = occupy(harness, 'other');
+    for (let count = 0; count < 40; count += 1) {
+      send(harness, 'other');
+    }
+    const urgent = harness.nextRequest;
+    expect(only(send(harness, 'urgent'), 'refuse').map(({ request }) => request)).to.not.include(urgent);
+    expect(drain(harness, attempt, 1)).to.deep.equal([urgent]);
+  });
+});
