--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -4,7 +4,7 @@
 import type { AttemptResult } from './types.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
 import { runNameOf } from './watched-runs.js';
-import type { Attempt } from './work.js';
+import type { Attempt, Work } from './work.js';
 
 /** Pause of an upstream that refused for overload; one that names a time itself gets that rest besides. */
 const OVERLOAD_PAUSE_MILLIS = 20;
@@ -32,6 +32,9 @@
       case 'answered':
         upstream.answered(took, result.load, now);
         this.countAnswer(attempt, result.status, took);
+        if (result.load === null) {
+          this.noteUnreported(work);
+        }
         return;
       case 'refused':
         this.countRefusal(upstream, result.refusal, result.load ?? null);
@@ -74,6 +77,12 @@
     }
   }
 
+  private noteUnreported({ service, terms, askedAt }: Work): void {
+    const { now } = this.context;
+    const isInTime = terms.targetMillis === null || now <= askedAt + terms.targetMillis;
+    service.rankRoom.answeredUnreported(terms.priority, isInTime, now);
+  }
+
   private countAnswer(attempt: Attempt, status: number, took: number): void {
     const { upstream, work } = attempt;
     if (work.loadName !== null) {
--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -38,6 +38,7 @@
     service.lanes.remove(work);
     if (work.attempts === 0) {
       service.retryBudget.firstAttempt();
+      service.rankRoom.shares.started(work.terms.priority, context.now);
     }
     work.attempts += 1;
     work.attempt = attempt;
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -14,6 +14,8 @@
 
 /** How often waiting work is looked at without an event. */
 const WAKE_MILLIS = 25;
+/** Who may go if anybody may. */
+const MOST_IMPORTANT = 0;
 
 type Placement = 'dispatched' | 'waits' | 'answered';
 
@@ -170,7 +172,7 @@
     }
     const order = service.turnOrder(this.context.now);
     let progress = true;
-    while (progress && upstream.hasSlot(this.context.now)) {
+    while (progress && upstream.hasSlot(this.context.now, MOST_IMPORTANT)) {
       progress = false;
       for (const lane of service.lanes.inTurn(upstream.id, order)) {
         progress = this.drainOne(service, lane) || progress;
@@ -183,7 +185,7 @@
   private drainLimited(service: ServiceState, upstream: UpstreamState): void {
     const order = { ...service.turnOrder(this.context.now), byDeadline: true };
     let progress = true;
-    while (progress && upstream.hasSlot(this.context.now)) {
+    while (progress && upstream.hasSlot(this.context.now, MOST_IMPORTANT)) {
       const lanes = service.lanes.inTurn(upstream.id, order);
       const heads = lanes.flatMap(({ queue }) => queue.peek(order) ?? []);
       const first = heads.reduce<Work | undefined>(
@@ -240,7 +242,7 @@
       this.attempts.start(work, cold, null, null);
       return 'dispatched';
     }
-    const candidates = service.candidates(now, work.avoid);
+    const candidates = service.candidates(now, work.avoid, work.terms.priority, waitedShareOf(work, now));
     if (candidates.length === 0) {
       return 'waits';
     }
@@ -260,7 +262,11 @@
   private placeAtOwner(work: Work, shard: ShardId): Placement {
     const owner = this.context.ownerOf(shard);
     const { now, turn, config } = this.context;
-    if (owner === undefined || owner.upstream.evidence.isToldLeaving || !owner.upstream.hasSlot(now)) {
+    if (
+      owner === undefined ||
+      owner.upstream.evidence.isToldLeaving ||
+      !owner.upstream.hasSlot(now, work.terms.priority, waitedShareOf(work, now))
+    ) {
       return 'waits';
     }
     const { epoch, incarnation, upstream } = owner;
@@ -317,6 +323,12 @@
   }
 }
 
+/** How much of the time that a work may wait is over. */
+function waitedShareOf({ arrivedAt, holdUntil }: Work, now: number): number {
+  const longest = holdUntil - arrivedAt;
+  return longest > 0 ? Math.min(1, (now - arrivedAt) / longest) : 1;
+}
+
 /** Whether nothing that waits in a lane goes before a work that comes now. */
 function isNextIn(lane: Lane, { terms }: Work, now: number): boolean {
   return lane.queue.countAhead(terms.priority) === 0 && !lane.isPaused(now);
--- a/src/routing/lost-attempts.ts
+++ b/src/routing/lost-attempts.ts
@@ -86,9 +86,12 @@
     const { now } = this.context;
     const { work, upstream } = attempt;
     const mayRepeat = work.isRepeatable && work.sentAttempts + 1 < work.terms.maxAttempts;
-    if (!mayRepeat || work.shard !== null || !isOverdue(attempt, now)) {
+    const isBehind = work.service.lanes.hasAbove(work.terms.priority);
+    if (!mayRepeat || isBehind || work.shard !== null || !isOverdue(attempt, now)) {
       return false;
     }
-    return work.service.candidates(now, upstream).some((candidate) => candidate !== upstream);
+    return work.service
+      .candidates(now, upstream, work.terms.priority)
+      .some((candidate) => candidate !== upstream);
   }
 }
--- a/src/routing/policy-gate.ts
+++ b/src/routing/policy-gate.ts
@@ -83,7 +83,7 @@
 
   private trace(service: ServiceState, context: PolicyContext, decision: PolicyDecision): void {
     const { now, wall } = this.context;
-    const upstreams = service.candidates(now, null).map((upstream) => policyUpstreamOf(upstream, now));
+    const upstreams = service.candidates(now, null, 0).map((upstream) => policyUpstreamOf(upstream, now));
     const record = { at: wall, context, upstreams, decision: decision.type };
     this.context.emit({ type: 'policy-trace', record });
   }
--- a/src/routing/queue/lane-table.ts
+++ b/src/routing/queue/lane-table.ts
@@ -166,6 +166,11 @@
     return [...this.lanes.values()].filter((lane) => lane.queue.length > 0);
   }
 
+  /** Whether more important work waits than that of a rank. */
+  hasAbove(rank: number): boolean {
+    return this.count > 0 && this.allWaiting().some(({ queue }) => (queue.ranks[0] ?? rank) < rank);
+  }
+
   /** What gives way first of all lanes, on ranks below `rank`; looked for only where a bound is reached. */
   leastBelow(rank: number): Work | undefined {
     let least: Work | undefined;
--- a/src/routing/queue/rank-presence.ts
+++ b/src/routing/queue/rank-presence.ts
@@ -1,8 +1,8 @@
 /** On which ranks and targets requests came to one service lately. */
 import type { RequestTerms } from '../request-terms.js';
 
-/** Terms on which nothing came for so long are absent: longer than the pauses of a kind that is asked for now and then. */
-const PRESENT_MILLIS = 10_000;
+/** Terms on which nothing came for so long are absent: a router that meets one request of a kind in ten seconds still knows of it. */
+const PRESENT_MILLIS = 60_000;
 
 interface Present {
   readonly rank: number;
@@ -34,11 +34,13 @@
     return now < this.#isMixedUntil;
   }
 
-  /** Whether more important requests came than those of a rank. */
-  hasAbove(rank: number, now: number): boolean {
-    return (
-      this.isMixed(now) && this.#present.some((present) => present.rank < rank && isRecent(present, now))
-    );
+  /** How many ranks above one have had requests. */
+  countAbove(rank: number, now: number): number {
+    if (!this.isMixed(now)) {
+      return 0;
+    }
+    const above = this.#present.filter((present) => present.rank < rank && isRecent(present, now));
+    return new Set(above.map((present) => present.rank)).size;
   }
 
   #forgetAbsent(now: number): void {
--- a/src/routing/queue/waiting-class.ts
+++ b/src/routing/queue/waiting-class.ts
@@ -23,11 +23,11 @@
 
 /** When work must begin for an answer in time; for work without a target, as soon as it came. */
 export function latestStartOf(
-  work: { readonly terms: RequestTerms; readonly arrivedAt: number },
+  work: { readonly terms: RequestTerms; readonly askedAt: number },
   expectedMillis: number,
 ) {
   const { targetMillis } = work.terms;
-  return targetMillis === null ? work.arrivedAt : work.arrivedAt + targetMillis - expectedMillis;
+  return targetMillis === null ? work.askedAt : work.askedAt + targetMillis - expectedMillis;
 }
 
 export class WaitingClass {
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -18,6 +18,9 @@
 /** What is said when the ledger knows that it ran but kept no answer. */
 const ANSWER_NOT_KEPT: StoredAnswer = { status: 200, contentType: '', body: '', truncated: true };
 
+/** Nobody is told to come back sooner: who gives this much less time than its route has not been here before. */
+const LEAST_RETURN_MILLIS = 100;
+
 /** A request counts for this while no answer was measured. */
 const UNMEASURED_WORK_MILLIS = 10;
 
@@ -78,10 +81,10 @@
     }
     const work = new Work(service, terms);
     work.arrivedAt = context.now;
-    service.presence.note(terms, context.now);
     work.shard = shard;
     work.shardRevision = context.view.revision;
     this.addMember(work, request);
+    this.noteRank(work);
     if (context.crashes.isRefused(request)) {
       this.answers.refuseQuarantined(work);
       return;
@@ -240,6 +243,17 @@
     this.context.reporter.add(keyName, workMillis);
   }
 
+  /** A caller that comes back gives less time than its route; what is gone of it is gone of its target as well. */
+  private noteRank(work: Work): void {
+    const { service, terms, arrivedAt, request } = work;
+    const givenMillis = request.deadlineMillis ?? terms.deadlineMillis;
+    work.askedAt = arrivedAt - Math.max(0, terms.deadlineMillis - givenMillis);
+    service.presence.note(terms, arrivedAt);
+    if (work.askedAt >= arrivedAt - LEAST_RETURN_MILLIS) {
+      service.rankRoom.shares.came(terms.priority, arrivedAt);
+    }
+  }
+
   private makeJoinable(work: Work, key: string | null): void {
     if (key !== null) {
       work.coalesceKey = key;
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -10,6 +10,7 @@
 import { LaneTable } from './queue/lane-table.js';
 import { RankPresence } from './queue/rank-presence.js';
 import type { TurnOrder } from './queue/ranked-queue.js';
+import { RankRoom } from './room/rank-room.js';
 import { TokenRetryBudget } from './room/retry-budget.js';
 import type { Standing } from './upstream/leaving-table.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
@@ -26,6 +27,7 @@
   readonly lanes = new LaneTable();
   /** Terms on which requests came lately. */
   readonly presence = new RankPresence();
+  readonly rankRoom = new RankRoom(this.presence);
   readonly picker: Picker;
   readonly retryBudget: TokenRetryBudget;
   /** Reads that identical ones may join. */
@@ -87,6 +89,7 @@
   }
 
   addUpstream(upstream: UpstreamState): void {
+    upstream.rankRoom = this.rankRoom;
     this.sortedUpstreams = [...this.sortedUpstreams, upstream].sort((a, b) => (a.id < b.id ? -1 : 1));
   }
 
@@ -112,26 +115,39 @@
   }
 
   /**
-   * Upstreams that may take one more request now; the doubted ones, best first, only if none is usable. Those where routers take turns
-   * aren't among them.
+   * Upstreams that may take one more request of a rank now; the doubted ones, best first, only if none is usable. Those where routers
+   * take turns aren't among them. `waitedShare`: how much of the request's wait is over, from 0 to 1.
    */
-  candidates(now: number, avoid: UpstreamState | null): UpstreamState[] {
-    const byRank: UpstreamState[][] = [[], [], []];
+  candidates(now: number, avoid: UpstreamState | null, rank: number, waitedShare = 0): UpstreamState[] {
+    const byStanding: UpstreamState[][] = [[], [], []];
     let usableExists = false;
     for (const upstream of this.sortedUpstreams) {
-      const rank = RANK_OF[upstream.evidence.standing(now)];
-      if (rank === RANK_OF.leaving || upstream.ejection.isEjected(now) || upstream.warmth.takesTurns(now)) {
+      const standing = RANK_OF[upstream.evidence.standing(now)];
+      if (
+        standing === RANK_OF.leaving ||
+        upstream.ejection.isEjected(now) ||
+        upstream.warmth.takesTurns(now)
+      ) {
         continue;
       }
-      usableExists = usableExists || rank === RANK_OF.usable;
-      if (upstream.hasSlot(now)) {
-        byRank[rank]?.push(upstream);
+      usableExists = usableExists || standing === RANK_OF.usable;
+      if (upstream.hasSlot(now, rank, waitedShare)) {
+        byStanding[standing]?.push(upstream);
       }
     }
-    const [usable = [], suspects = [], lastResort = []] = byRank;
+    const [usable = [], suspects = [], lastResort = []] = byStanding;
     const doubted = suspects.length > 0 ? suspects : lastResort;
     const candidates = usableExists ? usable : doubted;
-    return without(candidates, avoid);
+    return without(this.#clearFirst(candidates, now), avoid);
+  }
+
+  /** Where ranks compete, upstreams that probably have a slot free go before the others. */
+  #clearFirst(candidates: UpstreamState[], now: number): UpstreamState[] {
+    if (!this.presence.isMixed(now)) {
+      return candidates;
+    }
+    const clear = candidates.filter((upstream) => upstream.isClear(now));
+    return clear.length > 0 ? clear : candidates;
   }
 
   /**
--- a/src/routing/upstream/reported-load.ts
+++ b/src/routing/upstream/reported-load.ts
@@ -16,6 +16,11 @@
     return this.#foreign * Math.exp((this.#at - now) / DECAY_MILLIS);
   }
 
+  /** Weight of what was reported last, from 1 when it came to 0. */
+  freshness(now: number): number {
+    return Math.exp((this.#at - now) / DECAY_MILLIS);
+  }
+
   /** An answer or a probe reported `load` outstanding requests, this router's own `inFlight` among them. */
   report(load: number, inFlight: number, slots: number, now: number): void {
     const weight = 1 - Math.exp((this.#at - now) / AVERAGE_MILLIS);
--- a/src/routing/upstream/upstream-state.ts
+++ b/src/routing/upstream/upstream-state.ts
@@ -2,6 +2,7 @@
 import type { Incarnation, UpstreamId } from '../../model/identifiers.js';
 import type { UpstreamRecord } from '../../registry/types.js';
 import type { RunNotices } from '../notices/run-notices.js';
+import type { KnownUse, RankRoom } from '../room/rank-room.js';
 import { SlotLimit } from '../room/slot-limit.js';
 import { hasRoom, mostForeignLoad, type UpstreamUse } from '../room/upstream-room.js';
 import { StandingEvidence } from './leaving-table.js';
@@ -22,6 +23,8 @@
   ejection = new OutlierEjection();
   readonly slotLimit: SlotLimit;
   inFlight = 0;
+  /** What its service keeps free for more important work; `null`: nothing. */
+  rankRoom: RankRoom | null = null;
   /** What its present run said of itself; `null`: nothing. */
   notices: RunNotices | null = null;
   /** It asked for a pause with a refusal. */
@@ -136,14 +139,22 @@
     return this.notices?.limit.isInForce ?? false;
   }
 
-  /** Whether it may be sent one more request now. */
-  hasSlot(now: number): boolean {
+  /** Whether it may be sent one more request of a rank now. `waitedShare`: how much of its wait is over, from 0 to 1. */
+  hasSlot(now: number, rank: number, waitedShare = 0): boolean {
     if (now < this.pausedUntil || !this.admits(now)) {
       return false;
     }
+    if (this.rankRoom?.admits(rank, waitedShare, this.#knownUse(now), now) === false) {
+      return false;
+    }
     return this.isAnnounced ? hasRoom(this.#use(now)) : this.inFlight < this.slotLimit.slots;
   }
 
+  /** Whether a slot is probably free there. */
+  isClear(now: number): boolean {
+    return this.rankRoom?.isClear(this.#knownUse(now)) ?? true;
+  }
+
   dispatched(): void {
     this.inFlight += 1;
   }
@@ -165,11 +176,13 @@
 
   /** Load from an answer or a probe. */
   hintLoad(load: number, now: number): void {
+    this.rankRoom?.reported(load, this.slotLimit.most);
     this.#load.report(load, this.inFlight, this.slotLimit.most, now);
   }
 
   /** It turned work away for want of room; `load`: outstanding work there, `Infinity` if that isn't known. */
   refusedAsFull(load: number, now: number): void {
+    this.rankRoom?.reported(load, this.slotLimit.most);
     this.#load.refusedAsFull(load, this.inFlight, this.slotLimit.most, now);
   }
 
@@ -236,6 +249,10 @@
     return { slots: this.slotLimit.most, inFlight: this.inFlight, foreignLoad: this.load(now) };
   }
 
+  #knownUse(now: number): KnownUse {
+    return { ...this.#use(now), freshness: this.#load.freshness(now) };
+  }
+
   #judgeLeaving(): void {
     this.evidence.operatorLeaving = this.record.definition.leaving || this.#isEvacuated;
   }
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -90,6 +90,8 @@
   loadName: ShardId | null = null;
   /** When its first request came. */
   arrivedAt = 0;
+  /** When its caller first asked, as the time shows that it still gives: one that comes back has less of it. */
+  askedAt = 0;
   lane: Lane | null = null;
   node: QueueNode<Work> | null = null;
   /** When the bounded wait ends; `Infinity` until it first waits. */
--- a/test/routing/announced-picking.test.ts
+++ b/test/routing/announced-picking.test.ts
@@ -88,16 +88,16 @@
   it('take one more than they have slots before they are asked, and more only if their load is low', () => {
     const state = announced('u1', 'a', 2);
     occupy(state, 2);
-    expect(state.hasSlot(0)).to.equal(true);
+    expect(state.hasSlot(0, 0)).to.equal(true);
     occupy(state, 1);
-    expect(state.hasSlot(0)).to.equal(false);
+    expect(state.hasSlot(0, 0)).to.equal(false);
     const loaded = announced('u2', 'a', 2);
     occupy(loaded, 1);
     for (let time = 1; time < 400; time += 20) {
       loaded.hintLoad(9, time);
     }
-    expect(loaded.hasSlot(400)).to.equal(false);
-    expect(announced('u3', 'a', 2).hasSlot(0)).to.equal(true);
+    expect(loaded.hasSlot(400, 0)).to.equal(false);
+    expect(announced('u3', 'a', 2).hasSlot(0, 0)).to.equal(true);
   });
 
   function zoneOfPick(near: UpstreamState, far: UpstreamState, inTimeMillis: number | null = null): string {
--- a/test/routing/rank-load.ts
+++ b/test/routing/rank-load.ts
@@ -204,7 +204,8 @@
 
   #send(call: Call): void {
     const router = this.#random.pick(this.#routers);
-    const { name, deadlineMillis } = call.kind;
+    const { name } = call.kind;
+    const deadlineMillis = Math.max(1, call.kind.deadlineMillis - (this.#queue.now - call.sentAt));
     const place = { host: HOST, path: `/${name}/` };
     call.wasDispatched = false;
     router.calls.set(router.harness.nextRequest, call);
