--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -1,4 +1,5 @@
 /** Carries changes of the configuration into the router's own state. */
+import type { RouteDefinition } from '../model/declaration.js';
 import type { UpstreamId, Zone } from '../model/identifiers.js';
 import type { RegistryChange, ServiceRecord, ShardRecord, UpstreamRecord } from '../registry/types.js';
 import type { Dispatcher } from './dispatcher.js';
@@ -52,6 +53,8 @@
         this.applyEvacuation(change.zone, change.record !== null);
       } else if (change.type === 'suspect') {
         this.context.crashes.suspectChanged(change.fingerprint, change.record);
+      } else if (change.type === 'route') {
+        this.noteRoute(change.name, change.record?.definition ?? null);
       } else if (change.type === 'declaration' && change.record !== null) {
         this.context.emit({ type: 'limit-callers', limits: change.record.limits });
       }
@@ -84,6 +87,14 @@
     }
   }
 
+  /** Ranks that a route no longer has don't compete any more. */
+  private noteRoute(name: string, definition: RouteDefinition | null): void {
+    const terms = definition === null ? null : { route: name, ...definition };
+    for (const { presence } of this.context.services.values()) {
+      presence.routeChanged(name, terms);
+    }
+  }
+
   private addService(record: ServiceRecord): void {
     const service = new ServiceState(record, this.context.config.picker ?? DEFAULT_PICKER);
     this.context.services.set(service.name, service);
--- a/src/routing/queue/rank-presence.ts
+++ b/src/routing/queue/rank-presence.ts
@@ -4,28 +4,36 @@
 /** Terms on which nothing came for so long are absent: a router that meets one request of a kind in ten seconds still knows of it. */
 const PRESENT_MILLIS = 60_000;
 
-interface Present {
-  readonly rank: number;
-  readonly targetMillis: number | null;
+type PresentTerms = Pick<RequestTerms, 'route' | 'priority' | 'targetMillis'>;
+
+interface Present extends PresentTerms {
   at: number;
 }
 
 export class RankPresence {
-  readonly #present: Present[] = [];
+  /** One for each route, and one for requests addressed to the service. */
+  readonly #present = new Map<string | null, Present>();
   #isMixedUntil = Number.NEGATIVE_INFINITY;
 
   /** A request came. */
-  note({ priority, targetMillis }: RequestTerms, now: number): void {
-    const known = this.#present.find(
-      (present) => present.rank === priority && present.targetMillis === targetMillis,
-    );
-    if (known === undefined) {
-      this.#present.push({ rank: priority, targetMillis, at: now });
-    } else {
+  note({ route, priority, targetMillis }: PresentTerms, now: number): void {
+    const known = this.#present.get(route);
+    if (known !== undefined && isAlike(known, { route, priority, targetMillis })) {
       known.at = now;
+    } else {
+      this.#present.set(route, { route, priority, targetMillis, at: now });
+    }
+    if (this.#present.size > 1) {
+      this.#look(now);
     }
-    if (this.#present.length > 1) {
-      this.#forgetAbsent(now);
+  }
+
+  /** A route has other terms now, or is gone (`null`). */
+  routeChanged(route: string, terms: PresentTerms | null): void {
+    const known = this.#present.get(route);
+    if (known !== undefined && (terms === null || !isAlike(known, terms))) {
+      this.#present.delete(route);
+      this.#look(known.at);
     }
   }
 
@@ -39,21 +47,32 @@
     if (!this.isMixed(now)) {
       return 0;
     }
-    const above = this.#present.filter((present) => present.rank < rank && isRecent(present, now));
-    return new Set(above.map((present) => present.rank)).size;
+    const above = [...this.#present.values()].filter(
+      ({ priority, at }) => priority < rank && now < at + PRESENT_MILLIS,
+    );
+    return above.length < 2 ? above.length : new Set(above.map(({ priority }) => priority)).size;
   }
 
-  #forgetAbsent(now: number): void {
-    for (let index = this.#present.length - 1; index >= 0; index -= 1) {
-      if (!isRecent(this.#present[index] as Present, now)) {
-        this.#present.splice(index, 1);
+  /** Finds until when terms that differ from the latest are present. */
+  #look(now: number): void {
+    let latest: Present | null = null;
+    for (const [route, present] of this.#present) {
+      if (now >= present.at + PRESENT_MILLIS) {
+        this.#present.delete(route);
+      } else if (latest === null || present.at >= latest.at) {
+        latest = present;
+      }
+    }
+    let until = Number.NEGATIVE_INFINITY;
+    for (const present of this.#present.values()) {
+      if (latest !== null && !isAlike(present, latest)) {
+        until = Math.max(until, present.at + PRESENT_MILLIS);
       }
     }
-    const latest = this.#present.map(({ at }) => at).sort((one, other) => other - one);
-    this.#isMixedUntil = (latest[1] ?? Number.NEGATIVE_INFINITY) + PRESENT_MILLIS;
+    this.#isMixedUntil = until;
   }
 }
 
-function isRecent({ at }: Present, now: number): boolean {
-  return now < at + PRESENT_MILLIS;
+function isAlike(one: PresentTerms, other: PresentTerms): boolean {
+  return one.priority === other.priority && one.targetMillis === other.targetMillis;
 }
--- a/src/routing/room/rank-room.ts
+++ b/src/routing/room/rank-room.ts
@@ -41,13 +41,17 @@
 
   constructor(private readonly presence: RankPresence) {}
 
+  /** Ranks above one that compete with it; where there is none, nothing is left free for others. */
+  ranksAbove(rank: number, now: number): number {
+    return this.presence.countAbove(rank, now);
+  }
+
   /**
-   * Whether room is left for one more request of a rank. `waitedShare`: how much of its wait is over, from 0 to 1. Where nothing more
-   * important came lately there always is, as far as ranks go.
+   * Whether room is left for one more request of a rank that so many others go before. `waitedShare`: how much of its wait is over, from
+   * 0 to 1.
    */
-  admits(rank: number, waitedShare: number, use: KnownUse, now: number): boolean {
-    const above = this.presence.countAbove(rank, now);
-    if (above === 0 || this.shares.isStarved(rank)) {
+  admits(rank: number, above: number, waitedShare: number, use: KnownUse): boolean {
+    if (this.shares.isStarved(rank)) {
       return true;
     }
     const line = (FIRST_LINE + (LAST_LINE - FIRST_LINE) * waitedShare) * LINE_FACTOR ** (above - 1);
@@ -66,7 +70,7 @@
 
   /** A request was answered by an upstream that reports no load. */
   answeredUnreported(rank: number, isInTime: boolean, now: number): void {
-    if (this.presence.isMixed(now) && this.presence.countAbove(rank, now) === 0) {
+    if (this.presence.isMixed(now) && this.ranksAbove(rank, now) === 0) {
       const { perSlot, weight } = isInTime ? IN_TIME_MEANS : LATE_MEANS;
       this.#usualPerSlot += weight * (perSlot - this.#usualPerSlot);
     }
--- a/src/routing/room/served-shares.ts
+++ b/src/routing/room/served-shares.ts
@@ -2,8 +2,11 @@
 
 /** Older requests count for less: long enough for a router that meets one request of a rank in a few seconds. */
 const MEMORY_MILLIS = 30_000;
-/** A rank is owed this part of the share that all ranks together have: a quarter, with a margin for what is started and not served. */
-const OWED_PART = 0.3;
+/**
+ * Below this part of the share that all ranks together have, a rank goes before what is left free for others. It is owed a quarter; what its
+ * lines let through comes on top.
+ */
+const OWED_PART = 0.2;
 
 interface Counts {
   came: number;
--- a/src/routing/upstream/upstream-state.ts
+++ b/src/routing/upstream/upstream-state.ts
@@ -144,7 +144,8 @@
     if (now < this.pausedUntil || !this.admits(now)) {
       return false;
     }
-    if (this.rankRoom?.admits(rank, waitedShare, this.#knownUse(now), now) === false) {
+    const above = this.rankRoom?.ranksAbove(rank, now) ?? 0;
+    if (above > 0 && this.rankRoom?.admits(rank, above, waitedShare, this.#knownUse(now)) === false) {
       return false;
     }
     return this.isAnnounced ? hasRoom(this.#use(now)) : this.inFlight < this.slotLimit.slots;
