Routing: the surplus of a hot key goes behind the owner's other keys

Change: a key with two thirds of a router's requests for a crowded owner goes behind the others of its rank, sent only where slots are probably free, refused at once beyond that, and not tried again. It stays so while it finds no room there.

--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -7,6 +7,7 @@
 import type { NoticeIntake } from './notices/notice-intake.js';
 import type { Admission } from './queue/admission.js';
 import type { RequestIntake } from './request-intake.js';
+import { isOfHotKey } from './room/hot-keys.js';
 import type { RouterContext } from './router-context.js';
 import type { AttemptNumber, AttemptResult } from './types.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
@@ -199,7 +200,7 @@
       this.answers.refuseWork(work, 'attempts-spent', this.admission.retryAfter(work));
       return;
     }
-    if (work.service.retryBudget.tryRetry()) {
+    if (!isOfHotKey(work.rank) && work.service.retryBudget.tryRetry()) {
       this.dispatcher.requeue(work);
       return;
     }
--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -34,7 +34,7 @@
       abandoned: false,
     };
     context.latestAttempt = attempt.number;
-    work.lane?.drainRateOf(work.terms.priority).took(context.now);
+    work.lane?.drainRateOf(work.rank).took(context.now);
     service.lanes.remove(work);
     if (work.attempts === 0) {
       service.retryBudget.firstAttempt();
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -154,11 +154,11 @@
     let waitingRank = Number.POSITIVE_INFINITY;
     for (const head of lane.queue.heads(order)) {
       // Where one waits, nobody on its rank or a less important one may go.
-      if (head.terms.priority < waitingRank) {
+      if (head.rank < waitingRank) {
         if (this.place(head) !== 'waits') {
           return true;
         }
-        waitingRank = head.terms.priority;
+        waitingRank = head.rank;
       }
     }
     return false;
@@ -242,7 +242,7 @@
       this.attempts.start(work, cold, null, null);
       return 'dispatched';
     }
-    const candidates = service.candidates(now, work.avoid, work.terms.priority, waitedShareOf(work, now));
+    const candidates = service.candidates(now, work.avoid, work.rank, waitedShareOf(work, now));
     if (candidates.length === 0) {
       return 'waits';
     }
@@ -265,7 +265,7 @@
     if (
       owner === undefined ||
       owner.upstream.evidence.isToldLeaving ||
-      !owner.upstream.hasSlot(now, work.terms.priority, waitedShareOf(work, now))
+      !owner.upstream.hasSlot(now, work.rank, waitedShareOf(work, now))
     ) {
       return 'waits';
     }
@@ -330,6 +330,6 @@
 }
 
 /** Whether nothing that waits in a lane goes before a work that comes now. */
-function isNextIn(lane: Lane, { terms }: Work, now: number): boolean {
-  return lane.queue.countAhead(terms.priority) === 0 && !lane.isPaused(now);
+function isNextIn(lane: Lane, { rank }: Work, now: number): boolean {
+  return lane.queue.countAhead(rank) === 0 && !lane.isPaused(now);
 }
--- a/src/routing/lost-attempts.ts
+++ b/src/routing/lost-attempts.ts
@@ -86,12 +86,10 @@
     const { now } = this.context;
     const { work, upstream } = attempt;
     const mayRepeat = work.isRepeatable && work.sentAttempts + 1 < work.terms.maxAttempts;
-    const isBehind = work.service.lanes.hasAbove(work.terms.priority);
+    const isBehind = work.service.lanes.hasAbove(work.rank);
     if (!mayRepeat || isBehind || work.shard !== null || !isOverdue(attempt, now)) {
       return false;
     }
-    return work.service
-      .candidates(now, upstream, work.terms.priority)
-      .some((candidate) => candidate !== upstream);
+    return work.service.candidates(now, upstream, work.rank).some((candidate) => candidate !== upstream);
   }
 }
--- a/src/routing/queue/admission.ts
+++ b/src/routing/queue/admission.ts
@@ -189,13 +189,10 @@
     const { queueLimit } = service.definition;
     const lane = service.lanes.find(shard);
     const laneLimit = shard === null ? queueLimit : Math.ceil(queueLimit * LANE_SHARE);
-    if (
-      (lane?.queue.length ?? 0) >= laneLimit &&
-      !this.giveWay(lane?.queue.leastBelow(work.terms.priority))
-    ) {
+    if ((lane?.queue.length ?? 0) >= laneLimit && !this.giveWay(lane?.queue.leastBelow(work.rank))) {
       return false;
     }
-    return service.waitingLength < queueLimit || this.giveWay(service.lanes.leastBelow(work.terms.priority));
+    return service.waitingLength < queueLimit || this.giveWay(service.lanes.leastBelow(work.rank));
   }
 
   /** Refuses waiting work for the sake of more important work. What was sent doesn't wait, so it is never taken back. */
@@ -214,7 +211,7 @@
     }
     let victim: Work | undefined;
     for (const { lanes } of this.context.services.values()) {
-      const candidate = lanes.leastBelow(victim?.terms.priority ?? work.terms.priority);
+      const candidate = lanes.leastBelow(victim?.rank ?? work.rank);
       victim = candidate ?? victim;
     }
     return this.giveWay(victim);
--- a/src/routing/queue/lane-table.ts
+++ b/src/routing/queue/lane-table.ts
@@ -91,7 +91,7 @@
   }
 
   enqueue(lane: Lane, work: Work, place: 'front' | 'back', now: number): void {
-    lane.drainRateOf(work.terms.priority).began(now);
+    lane.drainRateOf(work.rank).began(now);
     work.lane = lane;
     work.node = lane.queue.push(work, place);
     this.count += 1;
@@ -109,8 +109,8 @@
     work.lane = null;
     work.node = null;
     this.count -= 1;
-    if (lane.queue.countOf(work.terms.priority) === 0) {
-      lane.drainRateOf(work.terms.priority).paused();
+    if (lane.queue.countOf(work.rank) === 0) {
+      lane.drainRateOf(work.rank).paused();
     }
     if (lane.queue.length === 0) {
       this.waitingSet(lane.owner).delete(lane);
@@ -148,7 +148,7 @@
   /** Those of them whose first work is on the most important rank, that aren't paused. */
   inTurn(owner: UpstreamId | null, order: TurnOrder): Lane[] {
     const open = this.waitingFor(owner).filter((lane) => !lane.isPaused(order.now));
-    const firsts = open.map(({ queue }) => queue.peek(order)?.terms.priority ?? Number.POSITIVE_INFINITY);
+    const firsts = open.map(({ queue }) => queue.peek(order)?.rank ?? Number.POSITIVE_INFINITY);
     const best = Math.min(...firsts);
     return open.filter((_, index) => firsts[index] === best);
   }
@@ -175,7 +175,7 @@
   leastBelow(rank: number): Work | undefined {
     let least: Work | undefined;
     for (const { queue } of this.lanes.values()) {
-      least = queue.leastBelow(least?.terms.priority ?? rank) ?? least;
+      least = queue.leastBelow(least?.rank ?? rank) ?? least;
     }
     return least;
   }
--- a/src/routing/queue/ranked-queue.ts
+++ b/src/routing/queue/ranked-queue.ts
@@ -141,7 +141,7 @@
 
 function compareTurns(one: Turn, other: Turn, { byDeadline = false }: TurnOrder): number {
   const byStanding = Number(one.isLate) - Number(other.isLate);
-  const byRank = one.work.terms.priority - other.work.terms.priority;
+  const byRank = one.work.rank - other.work.rank;
   return byStanding || byRank || compareSlack(one.work, other.work, byDeadline);
 }
 
--- a/src/routing/queue/wait-estimate.ts
+++ b/src/routing/queue/wait-estimate.ts
@@ -19,9 +19,9 @@
   /** Milliseconds until a work that joins its lane now would be dispatched; 0 while nothing is known. */
   untilDispatch(work: Work): number {
     const lane = work.service.lanes.find(work.shard);
-    const { service, shard, terms } = work;
-    const ahead = lane?.queue.countAhead(terms.priority) ?? 0;
-    const inTurn = this.wait(service, lane, { shard, rank: terms.priority, place: ahead + 1 });
+    const { service, shard, rank } = work;
+    const ahead = lane?.queue.countAhead(rank) ?? 0;
+    const inTurn = this.wait(service, lane, { shard, rank, place: ahead + 1 });
     return Math.max(inTurn, this.untilRoom(shard));
   }
 
--- a/src/routing/queue/waiting-class.ts
+++ b/src/routing/queue/waiting-class.ts
@@ -15,10 +15,10 @@
   readonly deadlineStep: number;
 }
 
-export function classTermsOf({ terms, deadline, arrivedAt }: Work): ClassTerms {
+export function classTermsOf({ terms, rank, deadline, arrivedAt }: Work): ClassTerms {
   const allowedMillis = Math.max(1, deadline - arrivedAt);
   const deadlineStep = Math.floor(Math.log(allowedMillis) / Math.log(DEADLINE_FACTOR));
-  return { rank: terms.priority, targetMillis: terms.targetMillis, deadlineStep };
+  return { rank, targetMillis: terms.targetMillis, deadlineStep };
 }
 
 /** When work must begin for an answer in time; for work without a target, as soon as it came. */
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -249,11 +249,22 @@
     const givenMillis = request.deadlineMillis ?? terms.deadlineMillis;
     work.askedAt = arrivedAt - Math.max(0, terms.deadlineMillis - givenMillis);
     service.presence.note(terms, arrivedAt);
+    this.noteHotKey(work);
     if (work.askedAt >= arrivedAt - LEAST_RETURN_MILLIS) {
       service.rankRoom.shares.came(terms.priority, arrivedAt);
     }
   }
 
+  private noteHotKey(work: Work): void {
+    const { service, shard, request, rank, arrivedAt } = work;
+    const owner = shard === null ? undefined : this.context.ownerOf(shard);
+    if (owner === undefined || request.key === null) {
+      return;
+    }
+    const { upstream } = owner;
+    work.rank = service.hotKeys.rankOf({ key: request.key, rank, owner: upstream }, arrivedAt);
+  }
+
   private makeJoinable(work: Work, key: string | null): void {
     if (key !== null) {
       work.coalesceKey = key;
--- a/src/routing/room/rank-room.ts
+++ b/src/routing/room/rank-room.ts
@@ -6,6 +6,7 @@
  * Load answered: urgent requests of one router that stand behind less urgent ones of 75 others in an upstream's own queue.
  */
 import type { RankPresence } from '../queue/rank-presence.js';
+import { isOfHotKey } from './hot-keys.js';
 import { ServedShares } from './served-shares.js';
 import type { UpstreamUse } from './upstream-room.js';
 
@@ -15,6 +16,8 @@
 const LAST_LINE = 1.25;
 /** Each further rank has lines lower by this factor. */
 const LINE_FACTOR = 0.8;
+/** Part of that rise for the surplus of a hot key: however long it has waited, there is more of it. */
+const HOT_RAISE = 1 / 3;
 /** Outstanding work, for each slot, below which an upstream is clear: the most important go there first. */
 const CLEAR_LINE = 0.75;
 /** Weight of a report in the usual load once there are many. */
@@ -43,7 +46,8 @@
 
   /** Ranks above one that compete with it; where there is none, nothing is left free for others. */
   ranksAbove(rank: number, now: number): number {
-    return this.presence.countAbove(rank, now);
+    const above = this.presence.countAbove(rank, now);
+    return isOfHotKey(rank) ? Math.max(1, above) : above;
   }
 
   /**
@@ -54,7 +58,8 @@
     if (this.shares.isStarved(rank)) {
       return true;
     }
-    const line = (FIRST_LINE + (LAST_LINE - FIRST_LINE) * waitedShare) * LINE_FACTOR ** (above - 1);
+    const raisedBy = isOfHotKey(rank) ? HOT_RAISE * waitedShare : waitedShare;
+    const line = (FIRST_LINE + (LAST_LINE - FIRST_LINE) * raisedBy) * LINE_FACTOR ** (above - 1);
     return this.#outstanding(use) < use.slots * line;
   }
 
@@ -63,6 +68,11 @@
     return this.#outstanding(use) < use.slots * CLEAR_LINE;
   }
 
+  /** Whether more is probably outstanding at an upstream than any work but the most important may add to. */
+  isCrowded(use: KnownUse): boolean {
+    return this.#outstanding(use) >= use.slots * LAST_LINE;
+  }
+
   /** An upstream reported its load. */
   reported(load: number, slots: number): void {
     this.#learn(Math.min(MOST_PER_SLOT, load / slots), SMOOTHING);
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -10,6 +10,7 @@
 import { LaneTable } from './queue/lane-table.js';
 import { RankPresence } from './queue/rank-presence.js';
 import type { TurnOrder } from './queue/ranked-queue.js';
+import { HotKeys } from './room/hot-keys.js';
 import { RankRoom } from './room/rank-room.js';
 import { TokenRetryBudget } from './room/retry-budget.js';
 import type { Standing } from './upstream/leaving-table.js';
@@ -28,6 +29,7 @@
   /** Terms on which requests came lately. */
   readonly presence = new RankPresence();
   readonly rankRoom = new RankRoom(this.presence);
+  readonly hotKeys = new HotKeys();
   readonly picker: Picker;
   readonly retryBudget: TokenRetryBudget;
   /** Reads that identical ones may join. */
--- a/src/routing/upstream/upstream-state.ts
+++ b/src/routing/upstream/upstream-state.ts
@@ -156,6 +156,11 @@
     return this.rankRoom?.isClear(this.#knownUse(now)) ?? true;
   }
 
+  /** Whether requests probably wait there. */
+  isCrowded(now: number): boolean {
+    return this.rankRoom?.isCrowded(this.#knownUse(now)) ?? false;
+  }
+
   dispatched(): void {
     this.inFlight += 1;
   }
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -88,6 +88,8 @@
   shardRevision: Revision = -1;
   /** Shard whose work its answer is reported as; `null`: none, or its load was reported when it came. */
   loadName: ShardId | null = null;
+  /** That of its terms, or behind it and before the next one if its key is hot. */
+  rank: number;
   /** When its first request came. */
   arrivedAt = 0;
   /** When its caller first asked, as the time shows that it still gives: one that comes back has less of it. */
@@ -114,7 +116,9 @@
   constructor(
     readonly service: ServiceState,
     readonly terms: RequestTerms,
-  ) {}
+  ) {
+    this.rank = terms.priority;
+  }
 
   get request(): ArrivedRequest {
     return (this.members[0] as Member).request;
--- a/test/routing/rank-load.ts
+++ b/test/routing/rank-load.ts
@@ -7,7 +7,7 @@
 import type { RouteDefinition } from '../../src/model/declaration.js';
 import type { RouterEffect } from '../../src/routing/types.js';
 import { LoadedUpstream, type WorkToDo } from './loaded-upstream.js';
-import { CONFIG, RouterHarness, sent, service, upstream } from './router-harness.js';
+import { CONFIG, onlyShard, RouterHarness, sent, service, upstream } from './router-harness.js';
 
 const NETWORK_MILLIS = 1;
 const SERVICE = 'menu';
@@ -27,6 +27,8 @@
   readonly demand: number;
   /** How often a caller comes back that is told to. */
   readonly returns: number;
+  /** Its requests name one of so many keys of the one upstream; 0 or left out: none. */
+  readonly keys?: number;
 }
 
 export interface RankLoad {
@@ -46,6 +48,8 @@
   readonly reportAgeMillis?: number | null;
   /** When a router starts again without memory. */
   readonly restarts?: readonly { readonly at: number; readonly router: number }[];
+  /** How long callers are counted; 30 s if left out. */
+  readonly countedMillis?: number;
   /** When the kinds' routes get one rank. */
   readonly ranksEndAt?: number;
 }
@@ -157,10 +161,10 @@
     if (ranksEndAt !== undefined) {
       this.#queue.at(ranksEndAt, () => this.#endRanks());
     }
-    for (let at = WARMUP_MILLIS; at < WARMUP_MILLIS + COUNTED_MILLIS; at += IDLE_LOOK_MILLIS) {
+    for (let at = WARMUP_MILLIS; at < this.#countedUntil; at += IDLE_LOOK_MILLIS) {
       this.#queue.at(at, () => this.#lookForIdle());
     }
-    this.#queue.runUntil(WARMUP_MILLIS + COUNTED_MILLIS + 30_000);
+    this.#queue.runUntil(this.#countedUntil + 30_000);
     const slots = this.load.upstreams * this.load.slots;
     return { kinds: this.#results, idleShare: this.#idleSlots / (this.#looks * slots) };
   }
@@ -174,9 +178,10 @@
     const records = Array.from({ length: upstreams }, (_, number) =>
       upstream(`u${number}`, SERVICE, { announced, zone: zones[number % zones.length] as string }),
     );
-    const terms = { queueLimit: 1000, holdLimitMillis: 10_000, slotsPerUpstream: slots };
+    const keyed = this.load.kinds.some(({ keys = 0 }) => keys > 0);
+    const terms = { keyed, queueLimit: 1000, holdLimitMillis: 10_000, slotsPerUpstream: slots };
     harness.now = this.#queue.now;
-    harness.start([service(SERVICE, terms)], records);
+    harness.start([service(SERVICE, terms)], records, keyed ? [onlyShard(SERVICE, 'u0', 3)] : []);
     router.take(() => harness.change(this.load.kinds.map((kind) => routeChange(kind, kind.rank))));
     return router;
   }
@@ -192,10 +197,10 @@
     const perMilli = (kind.demand * upstreams * slots) / workMillis;
     this.#queue.after(this.#random.exponential(1 / perMilli), () => {
       const { now } = this.#queue;
-      if (now >= WARMUP_MILLIS + COUNTED_MILLIS + 2000) {
+      if (now >= this.#countedUntil + 2000) {
         return;
       }
-      const counted = now >= WARMUP_MILLIS && now < WARMUP_MILLIS + COUNTED_MILLIS;
+      const counted = now >= WARMUP_MILLIS && now < this.#countedUntil;
       this.#resultOf(kind).sent += counted ? 1 : 0;
       this.#send({ kind, sentAt: now, counted, returnsLeft: kind.returns, wasDispatched: false });
       this.#callNext(kind);
@@ -207,9 +212,11 @@
     const { name } = call.kind;
     const deadlineMillis = Math.max(1, call.kind.deadlineMillis - (this.#queue.now - call.sentAt));
     const place = { host: HOST, path: `/${name}/` };
+    const { keys = 0 } = call.kind;
+    const key = keys === 0 ? null : `${name}-${Math.floor(this.#random.fraction() * keys)}`;
     call.wasDispatched = false;
     router.calls.set(router.harness.nextRequest, call);
-    router.take((harness) => harness.request('', { place, deadlineMillis }));
+    router.take((harness) => harness.request('', { place, key, deadlineMillis }));
   }
 
   #carryOut(router: LoadRouter, effect: RouterEffect): void {
@@ -285,6 +292,10 @@
     }
   }
 
+  get #countedUntil(): number {
+    return WARMUP_MILLIS + (this.load.countedMillis ?? COUNTED_MILLIS);
+  }
+
   #resultOf({ name }: CallerKind): KindResult {
     return this.#results[name] as KindResult;
   }
