--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -44,6 +44,7 @@
       'waiting',
       'waitMillis',
       'usable',
+      'order',
       'fingerprint',
     ],
   },
--- a/src/router/metrics.ts
+++ b/src/router/metrics.ts
@@ -48,6 +48,7 @@
   constructor(status: () => RouterStatus) {
     this.gauge('queued', 'Requests waiting', () => status().queued);
     this.gauge('in_flight', 'Attempts under way', () => status().inFlight);
+    this.routeMetrics(status);
     this.gauge('limited_upstreams', 'Upstreams that name a limit', () => status().limited);
     this.gauge('resting_upstreams', 'Upstreams that asked this router for rest', () => status().resting);
     this.gauge('leaving_upstreams', 'Upstreams that said that they leave', () => status().leaving);
@@ -88,6 +89,35 @@
     return made;
   }
 
+  /** Of each route and rank: what waits, and what became of the rest. */
+  private routeMetrics(status: () => RouterStatus): void {
+    const waiting: Gauge = new Gauge({
+      name: 'ternmount_router_route_waiting',
+      help: 'Requests waiting by route and rank',
+      labelNames: ['route', 'rank'],
+      registers: [this.registry],
+      collect: () => {
+        for (const { route, rank, waiting: count } of status().routes) {
+          waiting.set({ route, rank }, count);
+        }
+      },
+    });
+    const requests: Counter = new Counter({
+      name: 'ternmount_router_route_requests_total',
+      help: 'Requests by route and rank: attempts sent, requests refused, and those of them that gave way',
+      labelNames: ['route', 'rank', 'what'],
+      registers: [this.registry],
+      collect: () => {
+        requests.reset();
+        for (const { route, rank, sent, refused, gaveWay } of status().routes) {
+          requests.inc({ route, rank, what: 'sent' }, sent);
+          requests.inc({ route, rank, what: 'refused' }, refused);
+          requests.inc({ route, rank, what: 'gave-way' }, gaveWay);
+        }
+      },
+    });
+  }
+
   private gauge(name: string, help: string, read: () => number): void {
     const metric: Gauge = new Gauge({
       name: `ternmount_router_${name}`,
--- a/src/routing/answers.ts
+++ b/src/routing/answers.ts
@@ -108,6 +108,8 @@
     const status = statusOf(reason, mayHaveRun);
     const { request } = member.request;
     const facts = factsOf(work, this.context);
+    work.tally.refused += 1;
+    work.tally.gaveWay += reason === 'gave-way' ? 1 : 0;
     this.context.emit({ type: 'refuse', request, status, outcome, reason, retryAfterMillis, facts });
   }
 
--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -41,6 +41,7 @@
       service.rankRoom.shares.started(work.terms.priority, context.now);
     }
     work.attempts += 1;
+    work.tally.sent += 1;
     work.attempt = attempt;
     work.phase = 'in-flight';
     service.inFlight += 1;
--- a/src/routing/decision-facts.ts
+++ b/src/routing/decision-facts.ts
@@ -1,8 +1,9 @@
 /** What a decision about a work relied on, for the log. */
 
 import { WaitEstimate } from './queue/wait-estimate.js';
+import { isOfHotKey } from './room/hot-keys.js';
 import type { RouterContext } from './router-context.js';
-import type { DecisionFacts } from './types.js';
+import type { DecisionFacts, OrderFacts } from './types.js';
 import type { Work } from './work.js';
 
 export function factsOf(work: Work, context: RouterContext): DecisionFacts {
@@ -12,6 +13,7 @@
   const { confirmedAt } = lease;
   const limit = owner?.upstream.notices?.limit;
   const restMillis = Math.round(owner?.upstream.notices?.rest.waitMillis(now) ?? 0);
+  const isByRank = service.presence.isMixed(now) || isOfHotKey(work.rank);
   const suspect = context.crashes.suspectOf(work.request);
   return {
     route: work.terms.route,
@@ -24,8 +26,16 @@
     waiting: service.waitingLength,
     waitMillis: Math.round(new WaitEstimate(context).untilDispatch(work)),
     usable: service.upstreams.filter(({ evidence }) => evidence.standing(now) === 'usable').length,
+    ...(isByRank && { order: orderFactsOf(work, now) }),
     ...(restMillis > 0 && { restMillis }),
     ...(limit?.isInForce && { limit: { ...limit.heard(now), permits: limit.permitsLeft(now) } }),
     ...(suspect !== null && context.crashes.isQuarantined(suspect) && { fingerprint: suspect }),
   };
 }
+
+function orderFactsOf({ service, shard, rank, lane }: Work, now: number): OrderFacts {
+  const waiting = service.lanes.find(shard)?.queue.countAhead(rank) ?? 0;
+  // It doesn't go before itself.
+  const ahead = lane === null ? waiting : Math.max(0, waiting - 1);
+  return { rank, ahead, ...service.rankRoom.known(now) };
+}
--- a/src/routing/queue/lane-table.ts
+++ b/src/routing/queue/lane-table.ts
@@ -94,6 +94,7 @@
     lane.drainRateOf(work.rank).began(now);
     work.lane = lane;
     work.node = lane.queue.push(work, place);
+    work.tally.waiting += 1;
     this.count += 1;
     if (lane.queue.length === 1) {
       this.waitingSet(lane.owner).add(lane);
@@ -108,6 +109,7 @@
     lane.queue.remove(node);
     work.lane = null;
     work.node = null;
+    work.tally.waiting -= 1;
     this.count -= 1;
     if (lane.queue.countOf(work.rank) === 0) {
       lane.drainRateOf(work.rank).paused();
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -79,7 +79,7 @@
       this.join(joined, request);
       return;
     }
-    const work = new Work(service, terms);
+    const work = new Work(service, terms, context.tallies.of(terms, service.name));
     work.arrivedAt = context.now;
     work.shard = shard;
     work.shardRevision = context.view.revision;
--- a/src/routing/room/rank-room.ts
+++ b/src/routing/room/rank-room.ts
@@ -41,6 +41,7 @@
   /** Outstanding work for each slot, over all upstreams of the service, as reported lately. */
   #usualPerSlot = 0;
   #reports = 0;
+  #learntAt: number | null = null;
 
   constructor(private readonly presence: RankPresence) {}
 
@@ -73,8 +74,15 @@
     return this.#outstanding(use) >= use.slots * LAST_LINE;
   }
 
+  /** What is known of the usual load, and how long ago it was learnt. */
+  known(now: number): { readonly usualLoad: number; readonly loadAgoMillis: number | null } {
+    const loadAgoMillis = this.#learntAt === null ? null : Math.round(now - this.#learntAt);
+    return { usualLoad: Math.round(this.#usualPerSlot * 100) / 100, loadAgoMillis };
+  }
+
   /** An upstream reported its load. */
-  reported(load: number, slots: number): void {
+  reported(load: number, slots: number, now: number): void {
+    this.#learntAt = now;
     this.#learn(Math.min(MOST_PER_SLOT, load / slots), SMOOTHING);
   }
 
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -8,6 +8,7 @@
 import { LoadReporter } from './load-reporter.js';
 import { NoticeTable } from './notices/notice-table.js';
 import { NumberedTable } from './numbered-table.js';
+import { RouteTallies } from './queue/route-tallies.js';
 import { Random } from './random.js';
 import type { RouterTimer, TimerSubject } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
@@ -34,6 +35,8 @@
   readonly notices: NoticeTable;
   /** This router's places among those that share what cold upstreams bear, as control told it last. */
   turn: RouterTurn = UNTOLD_TURN;
+  /** What became of the requests of each route. */
+  readonly tallies = new RouteTallies();
   readonly timers = new TimerHeap<TimerSubject>();
   readonly services = new Map<string, ServiceState>();
   readonly upstreams = new Map<UpstreamId, UpstreamState>();
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -23,6 +23,7 @@
 import type { PolicyTraceRecord } from '../policy/index.js';
 import type { ConnectionBreak } from './connection-break.js';
 import type { PickerName } from './picker/picker.js';
+import type { RouteTally } from './queue/route-tallies.js';
 
 /** Number of a request within one run of a router. */
 export type RequestNumber = number;
@@ -153,6 +154,17 @@
   | 'attempts-spent';
 
 /** What a decision about a request relied on, for the log. Times in milliseconds. */
+/** What a decision by rank relied on. */
+export interface OrderFacts {
+  /** That of its route; a half more if its key asks for more than its owner can do. */
+  readonly rank: number;
+  /** Waiting requests that go before it. */
+  readonly ahead: number;
+  /** Outstanding requests for each slot that are usual at the service's upstreams, and how long ago that was learnt last. */
+  readonly usualLoad: number;
+  readonly loadAgoMillis: number | null;
+}
+
 export interface DecisionFacts {
   /** `null`: addressed to a service. */
   readonly route: string | null;
@@ -170,6 +182,8 @@
   readonly waitMillis: number;
   /** Upstreams of the service that take work. */
   readonly usable: number;
+  /** Where ranks compete, or the key is hot: what the order and the room went by. */
+  readonly order?: OrderFacts;
   /** Of an owner that named a limit: what it names, how long ago that was heard, and the permits at hand. */
   readonly limit?: HeardLimit & { readonly permits: number };
   /** Of an owner that asked this router for rest: what is left of it, in milliseconds. */
@@ -262,6 +276,8 @@
   readonly resting: number;
   /** Upstreams that said in their answers that they leave. */
   readonly leaving: number;
+  /** What became of the requests of each route so far. */
+  readonly routes: readonly RouteTally[];
 }
 
 /** Deterministic core of a router. `wall` is for ages of idempotency keys only. */
--- a/src/routing/upstream/upstream-state.ts
+++ b/src/routing/upstream/upstream-state.ts
@@ -182,13 +182,13 @@
 
   /** Load from an answer or a probe. */
   hintLoad(load: number, now: number): void {
-    this.rankRoom?.reported(load, this.slotLimit.most);
+    this.rankRoom?.reported(load, this.slotLimit.most, now);
     this.#load.report(load, this.inFlight, this.slotLimit.most, now);
   }
 
   /** It turned work away for want of room; `load`: outstanding work there, `Infinity` if that isn't known. */
   refusedAsFull(load: number, now: number): void {
-    this.rankRoom?.reported(load, this.slotLimit.most);
+    this.rankRoom?.reported(load, this.slotLimit.most, now);
     this.#load.refusedAsFull(load, this.inFlight, this.slotLimit.most, now);
   }
 
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -5,6 +5,7 @@
 import type { LedgerWord } from './outcome-table.js';
 import type { Lane } from './queue/lane-table.js';
 import type { QueueNode } from './queue/linked-queue.js';
+import type { RouteTally } from './queue/route-tallies.js';
 import type { RequestTerms } from './request-terms.js';
 import type { RouterTimer } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
@@ -116,6 +117,7 @@
   constructor(
     readonly service: ServiceState,
     readonly terms: RequestTerms,
+    readonly tally: RouteTally,
   ) {
     this.rank = terms.priority;
   }
--- a/test/router/start.test.ts
+++ b/test/router/start.test.ts
@@ -36,7 +36,16 @@
   const core: RouterCore = {
     step: () => [],
     nextDeadline: () => Number.POSITIVE_INFINITY,
-    status: () => ({ revision: 0, serving, queued: 0, inFlight: 0, limited: 0, resting: 0, leaving: 0 }),
+    status: () => ({
+      revision: 0,
+      serving,
+      queued: 0,
+      inFlight: 0,
+      limited: 0,
+      resting: 0,
+      leaving: 0,
+      routes: [],
+    }),
   };
 
   async function makeDaemon(listen: string, firstConfigurationMillis: number): Promise<RouterDaemon> {
--- a/test/routing/ranked-order.test.ts
+++ b/test/routing/ranked-order.test.ts
@@ -179,6 +179,23 @@
     expect(takenBack(harness)).to.not.deep.equal([]);
   });
 
+  it('is counted by route and rank, and the refusal says by what it was decided', () => {
+    const { harness } = full();
+    const [refusal] = only(send(harness, 'urgent'), 'refuse');
+    expect(refusal?.facts?.order).to.include({ rank: 2, ahead: 2 });
+    const tallies = harness.core
+      .status()
+      .routes.map(({ route, rank, waiting, sent, refused, gaveWay }) => [
+        route,
+        rank,
+        { waiting, sent, refused, gaveWay },
+      ]);
+    expect(tallies).to.deep.equal([
+      ['other', 2, { waiting: 2, sent: 2, refused: 1, gaveWay: 1 }],
+      ['urgent', 0, { waiting: 1, sent: 0, refused: 0, gaveWay: 0 }],
+    ]);
+  });
+
   it('does not give way to its like', () => {
     const { harness, first } = full();
     const refused = only(send(harness, 'other'), 'refuse');
@@ -198,3 +215,29 @@
     expect(drain(harness, attempt, 1)).to.deep.equal([urgent]);
   });
 });
+
+describe('room at an upstream that announced its slots', () => {
+  const announced = { slots: 2, warmupMillis: 0 };
+  function roomAfter(kinds: readonly Kind[], load: number): boolean {
+    const record = service('menu', { queueLimit: 50, holdLimitMillis: 10_000 });
+    const harness = new RouterHarness().start([record], [upstream('u1', 'menu', { announced })]);
+    harness.change(kinds.map((kind) => ({ type: 'route', name: kind.name, record: routeOf(kind) })));
+    for (const { name } of kinds) {
+      const [sent] = only(send(harness, name), 'dispatch');
+      harness.run(WORK_MILLIS);
+      const result = { type: 'answered', status: 200, load, stored: null } as const;
+      harness.ended(sent?.attempt as number, result);
+    }
+    return only(send(harness, 'other'), 'dispatch').length === 1;
+  }
+
+  it('is as without ranks for the only rank that there is', () => {
+    expect(roomAfter([OTHER], 2)).to.equal(true);
+    expect(roomAfter([OTHER], 5)).to.equal(false);
+  });
+
+  it('is left to the more important where there are some', () => {
+    expect(roomAfter([OTHER, URGENT], 2)).to.equal(false);
+    expect(roomAfter([OTHER, URGENT], 0)).to.equal(true);
+  });
+});
