--- a/src/routing/lost-attempts.ts
+++ b/src/routing/lost-attempts.ts
@@ -86,8 +86,12 @@
     const { now } = this.context;
     const { work, upstream } = attempt;
     const mayRepeat = work.isRepeatable && work.sentAttempts + 1 < work.terms.maxAttempts;
-    const isBehind = work.service.lanes.hasAbove(work.rank);
-    if (!mayRepeat || isBehind || work.shard !== null || !isOverdue(attempt, now)) {
+    if (
+      !mayRepeat ||
+      work.shard !== null ||
+      !isOverdue(attempt, now) ||
+      work.service.lanes.hasAbove(work.rank)
+    ) {
       return false;
     }
     return work.service.candidates(now, upstream, work.rank).some((candidate) => candidate !== upstream);
--- a/src/routing/queue/admission.ts
+++ b/src/routing/queue/admission.ts
@@ -76,7 +76,7 @@
   /** The bounded wait of a work is over. */
   giveUpWaiting(work: Work): void {
     if (this.mayWaitLate(work)) {
-      work.holdUntil = work.deadline - work.service.expectedMillis();
+      work.holdUntil = work.deadline - work.service.expectedMillis(this.context.now);
       work.holdTimer = this.context.schedule(work.holdUntil, { type: 'hold-end', work });
       return;
     }
@@ -168,7 +168,7 @@
       return terms.holdMillis;
     }
     const { now } = this.context;
-    const inTime = latestStartOf(work, service.expectedMillis()) - now;
+    const inTime = latestStartOf(work, service.expectedMillis(this.context.now)) - now;
     return Math.max(LEAST_WAIT_MILLIS, Math.min(inTime, service.definition.holdLimitMillis));
   }
 
@@ -178,7 +178,7 @@
     if (lane === null || work.terms.targetMillis === null || !this.isMixed(service)) {
       return false;
     }
-    const isExtended = holdUntil >= deadline - service.expectedMillis();
+    const isExtended = holdUntil >= deadline - service.expectedMillis(this.context.now);
     lane.queue.heads(service.turnOrder(this.context.now));
     return !isExtended && !service.isOutOfUse && lane.queue.countAhead(Number.POSITIVE_INFINITY) === 0;
   }
--- a/src/routing/room/hot-keys.ts
+++ b/src/routing/room/hot-keys.ts
@@ -7,6 +7,8 @@
 
 /** Older requests count for less: long enough for a router that meets a hot key about once a second. */
 const MEMORY_MILLIS = 10_000;
+/** Counts of an owner that nothing came for are dropped after this. */
+const FORGOTTEN_MILLIS = 60_000;
 /** A key with more than this share of the requests for its owner may be too much for it. */
 const HOT_SHARE = 2 / 3;
 /** Fewer requests say nothing of shares. */
@@ -54,6 +56,20 @@
     return isHot ? rank + HOT_STEP : rank;
   }
 
+  /** Drops keys that are no longer hot, and owners that nothing came for. */
+  #forget(now: number): void {
+    for (const [key, until] of this.#hotUntil) {
+      if (now >= until) {
+        this.#hotUntil.delete(key);
+      }
+    }
+    for (const [owner, { at }] of this.#owners) {
+      if (now >= at + FORGOTTEN_MILLIS) {
+        this.#owners.delete(owner);
+      }
+    }
+  }
+
   /** Counts a request; gives its key's share of those for the owner, 0 while they are few. */
   #count(owner: UpstreamId, key: string, now: number): number {
     const counts = this.#owners.get(owner) ?? { total: 0, at: now, ofKey: new Map<string, number>() };
@@ -61,6 +77,7 @@
     if (now - counts.at >= MEMORY_MILLIS) {
       halve(counts);
       counts.at = now;
+      this.#forget(now);
     }
     const ofKey = (counts.ofKey.get(key) ?? 0) + 1;
     counts.ofKey.set(key, ofKey);
--- a/src/routing/room/rank-room.ts
+++ b/src/routing/room/rank-room.ts
@@ -21,7 +21,7 @@
 /** Outstanding work, for each slot, below which an upstream is clear: the most important go there first. */
 const CLEAR_LINE = 0.75;
 /** Weight of a report in the usual load once there are many. */
-const SMOOTHING = 0.2;
+const SMOOTHING = 0.1;
 /** Load, for each slot, that is believed at most. */
 const MOST_PER_SLOT = 4;
 /**
--- a/src/routing/room/served-shares.ts
+++ b/src/routing/room/served-shares.ts
@@ -1,12 +1,9 @@
 /** Which share of the requests of each rank a router started lately, so that no rank is starved. */
 
-/** Older requests count for less: long enough for a router that meets one request of a rank in a few seconds. */
-const MEMORY_MILLIS = 30_000;
-/**
- * Below this part of the share that all ranks together have, a rank goes before what is left free for others. It is owed a quarter; what its
- * lines let through comes on top.
- */
-const OWED_PART = 0.2;
+/** Older requests count for less: what a rank is owed is owed over minutes, so that a short rush is left to the more important. */
+const MEMORY_MILLIS = 300_000;
+/** A rank is owed this part of the share that all ranks together have: a quarter, with a margin for what is sent and not served. */
+const OWED_PART = 0.27;
 
 interface Counts {
   came: number;
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -20,6 +20,8 @@
 /** Standings from best to worst. */
 const RANK_OF: Readonly<Record<Standing, number>> = { usable: 0, suspect: 1, 'last-resort': 2, leaving: 3 };
 
+/** Expected times are good for so long: they are means over all upstreams, and move slowly. */
+const EXPECTED_MILLIS = 250;
 /** No upstream is taken to be faster. */
 const LEAST_SERVICE_MILLIS = 0.1;
 
@@ -38,6 +40,8 @@
   readonly held = new Set<Work>();
   /** Work that waits for the ledger. */
   readonly claiming = new Set<Work>();
+  #expected = 0;
+  #expectedAt = Number.NEGATIVE_INFINITY;
   inFlight = 0;
   wakeScheduled = false;
   policy: PolicyProgram | null = null;
@@ -181,13 +185,17 @@
   }
 
   /** Time that a request is expected to take once it is worked on, in milliseconds; 0 while nothing is known. */
-  expectedMillis(): number {
-    return this.unhinderedMillis() ?? this.measuredMillis() ?? 0;
+  expectedMillis(now: number): number {
+    if (now >= this.#expectedAt + EXPECTED_MILLIS) {
+      this.#expectedAt = now;
+      this.#expected = this.unhinderedMillis() ?? this.measuredMillis() ?? 0;
+    }
+    return this.#expected;
   }
 
   /** By what waiting work takes its turn. */
   turnOrder(now: number): TurnOrder {
-    return { now, expectedMillis: this.presence.isMixed(now) ? this.expectedMillis() : null };
+    return { now, expectedMillis: this.presence.isMixed(now) ? this.expectedMillis(now) : null };
   }
 
   ejectedCount(now: number): number {
