--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -34,12 +34,14 @@
       abandoned: false,
     };
     context.latestAttempt = attempt.number;
-    work.lane?.drainRate.took(context.now);
+    work.lane?.drainRateOf(work.rank).took(context.now);
     service.lanes.remove(work);
     if (work.attempts === 0) {
       service.retryBudget.firstAttempt();
+      service.rankRoom.shares.started(work.terms.priority, context.now);
     }
     work.attempts += 1;
+    work.tally.sent += 1;
     work.attempt = attempt;
     work.phase = 'in-flight';
     service.inFlight += 1;
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -6,6 +6,7 @@
 import { policyContextOf, policyUpstreamOf } from './policy-input.js';
 import type { Admission } from './queue/admission.js';
 import type { Lane } from './queue/lane-table.js';
+import { compareSlack, type TurnOrder } from './queue/ranked-queue.js';
 import type { RouterContext } from './router-context.js';
 import type { ServiceState } from './service-state.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
@@ -13,6 +14,8 @@
 
 /** How often waiting work is looked at without an event. */
 const WAKE_MILLIS = 25;
+/** Who may go if anybody may. */
+const MOST_IMPORTANT = 0;
 
 type Placement = 'dispatched' | 'waits' | 'answered';
 
@@ -33,7 +36,7 @@
       return;
     }
     const lane = work.service.lanes.find(work.shard);
-    const isFirst = lane === undefined || (lane.queue.length === 0 && !lane.isPaused(this.context.now));
+    const isFirst = lane === undefined || isNextIn(lane, work, this.context.now);
     if (isFirst && this.place(work) !== 'waits') {
       return;
     }
@@ -139,23 +142,39 @@
   }
 
   private drainLane(service: ServiceState, lane: Lane | undefined): void {
-    let head = lane?.queue.peek();
-    while (head !== undefined && this.place(head) !== 'waits') {
-      head = lane?.queue.peek();
+    const order = service.turnOrder(this.context.now);
+    while (lane !== undefined && this.placeFirst(lane, order)) {
+      // Goes on until nobody in the lane may go.
     }
     this.scheduleWake(service);
   }
 
-  /** One request of each shard in turn, so that a hot one doesn't starve the others. */
+  /** Dispatches the first work of a lane that may go; `false` if none may. */
+  private placeFirst(lane: Lane, order: TurnOrder): boolean {
+    let waitingRank = Number.POSITIVE_INFINITY;
+    for (const head of lane.queue.heads(order)) {
+      // Where one waits, nobody on its rank or a less important one may go.
+      if (head.rank < waitingRank) {
+        if (this.place(head) !== 'waits') {
+          return true;
+        }
+        waitingRank = head.rank;
+      }
+    }
+    return false;
+  }
+
+  /** One request of each shard in turn, so that a hot one doesn't starve the others; the most important ranks first. */
   private drainOwner(service: ServiceState, upstream: UpstreamState): void {
     if (upstream.isLimited) {
       this.drainLimited(service, upstream);
       return;
     }
+    const order = service.turnOrder(this.context.now);
     let progress = true;
-    while (progress && upstream.hasSlot(this.context.now)) {
+    while (progress && upstream.hasSlot(this.context.now, MOST_IMPORTANT)) {
       progress = false;
-      for (const lane of service.lanes.waitingFor(upstream.id)) {
+      for (const lane of service.lanes.inTurn(upstream.id, order)) {
         progress = this.drainOne(service, lane) || progress;
       }
     }
@@ -164,23 +183,22 @@
 
   /** Where few may go, the most important do, and of those the ones with the least time left. */
   private drainLimited(service: ServiceState, upstream: UpstreamState): void {
-    const { now } = this.context;
-    if (upstream.hasSlot(now)) {
-      const open = service.lanes.waitingFor(upstream.id).filter((lane) => !lane.isPaused(now));
-      const waiting = open.flatMap(({ queue }) => queue.toArray()).sort(compareUrgency);
-      for (const work of waiting) {
-        if (!upstream.hasSlot(now)) {
-          break;
-        }
-        this.place(work);
-      }
+    const order = { ...service.turnOrder(this.context.now), byDeadline: true };
+    let progress = true;
+    while (progress && upstream.hasSlot(this.context.now, MOST_IMPORTANT)) {
+      const lanes = service.lanes.inTurn(upstream.id, order);
+      const heads = lanes.flatMap(({ queue }) => queue.peek(order) ?? []);
+      const first = heads.reduce<Work | undefined>(
+        (best, work) => (best === undefined || compareSlack(work, best, true) < 0 ? work : best),
+        undefined,
+      );
+      progress = first !== undefined && this.place(first) !== 'waits';
     }
     this.scheduleWake(service);
   }
 
   private drainOne(service: ServiceState, lane: Lane): boolean {
-    const head = lane.queue.peek();
-    if (head === undefined || lane.isPaused(this.context.now) || this.place(head) === 'waits') {
+    if (lane.isPaused(this.context.now) || !this.placeFirst(lane, service.turnOrder(this.context.now))) {
       return false;
     }
     service.lanes.rotate(lane);
@@ -224,7 +242,7 @@
       this.attempts.start(work, cold, null, null);
       return 'dispatched';
     }
-    const candidates = service.candidates(now, work.avoid);
+    const candidates = service.candidates(now, work.avoid, work.rank, waitedShareOf(work, now));
     if (candidates.length === 0) {
       return 'waits';
     }
@@ -244,7 +262,11 @@
   private placeAtOwner(work: Work, shard: ShardId): Placement {
     const owner = this.context.ownerOf(shard);
     const { now, turn, config } = this.context;
-    if (owner === undefined || owner.upstream.evidence.isToldLeaving || !owner.upstream.hasSlot(now)) {
+    if (
+      owner === undefined ||
+      owner.upstream.evidence.isToldLeaving ||
+      !owner.upstream.hasSlot(now, work.rank, waitedShareOf(work, now))
+    ) {
       return 'waits';
     }
     const { epoch, incarnation, upstream } = owner;
@@ -301,6 +323,13 @@
   }
 }
 
-function compareUrgency(one: Work, other: Work): number {
-  return one.terms.priority - other.terms.priority || one.deadline - other.deadline;
+/** How much of the time that a work may wait is over. */
+function waitedShareOf({ arrivedAt, holdUntil }: Work, now: number): number {
+  const longest = holdUntil - arrivedAt;
+  return longest > 0 ? Math.min(1, (now - arrivedAt) / longest) : 1;
+}
+
+/** Whether nothing that waits in a lane goes before a work that comes now. */
+function isNextIn(lane: Lane, { rank }: Work, now: number): boolean {
+  return lane.queue.countAhead(rank) === 0 && !lane.isPaused(now);
 }
--- a/src/routing/lost-attempts.ts
+++ b/src/routing/lost-attempts.ts
@@ -86,9 +86,14 @@
     const { now } = this.context;
     const { work, upstream } = attempt;
     const mayRepeat = work.isRepeatable && work.sentAttempts + 1 < work.terms.maxAttempts;
-    if (!mayRepeat || work.shard !== null || !isOverdue(attempt, now)) {
+    if (
+      !mayRepeat ||
+      work.shard !== null ||
+      !isOverdue(attempt, now) ||
+      work.service.lanes.hasAbove(work.rank)
+    ) {
       return false;
     }
-    return work.service.candidates(now, upstream).some((candidate) => candidate !== upstream);
+    return work.service.candidates(now, upstream, work.rank).some((candidate) => candidate !== upstream);
   }
 }
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -9,6 +9,7 @@
 import { LoadReporter } from './load-reporter.js';
 import { NoticeTable } from './notices/notice-table.js';
 import { NumberedTable } from './numbered-table.js';
+import { RouteTallies } from './queue/route-tallies.js';
 import { Random } from './random.js';
 import type { RouterTimer, TimerSubject } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
@@ -37,6 +38,8 @@
   link: LinkGate | null = null;
   /** This router's places among those that share what cold upstreams bear, as control told it last. */
   turn: RouterTurn = UNTOLD_TURN;
+  /** What became of the requests of each route. */
+  readonly tallies = new RouteTallies();
   readonly timers = new TimerHeap<TimerSubject>();
   readonly services = new Map<string, ServiceState>();
   readonly upstreams = new Map<UpstreamId, UpstreamState>();
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -112,6 +112,7 @@
       resting: countNotices(context, ({ rest }) => rest.isInForce(context.now)),
       leaving: countNotices(context, ({ isLeaving }) => isLeaving),
       ...(context.link !== null && { link: context.link.status() }),
+      routes: context.tallies.all(),
     };
   }
 
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -8,6 +8,10 @@
 import { createPicker } from './picker/create-picker.js';
 import type { Picker, PickerName } from './picker/picker.js';
 import { LaneTable } from './queue/lane-table.js';
+import { RankPresence } from './queue/rank-presence.js';
+import type { TurnOrder } from './queue/ranked-queue.js';
+import { HotKeys } from './room/hot-keys.js';
+import { RankRoom } from './room/rank-room.js';
 import { TokenRetryBudget } from './room/retry-budget.js';
 import type { Standing } from './upstream/leaving-table.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
@@ -16,12 +20,18 @@
 /** Standings from best to worst. */
 const RANK_OF: Readonly<Record<Standing, number>> = { usable: 0, suspect: 1, 'last-resort': 2, leaving: 3 };
 
+/** Expected times are good for so long: they are means over all upstreams, and move slowly. */
+const EXPECTED_MILLIS = 250;
 /** No upstream is taken to be faster. */
 const LEAST_SERVICE_MILLIS = 0.1;
 
 export class ServiceState {
   readonly name: ServiceName;
   readonly lanes = new LaneTable();
+  /** Terms on which requests came lately. */
+  readonly presence = new RankPresence();
+  readonly rankRoom = new RankRoom(this.presence);
+  readonly hotKeys = new HotKeys();
   readonly picker: Picker;
   readonly retryBudget: TokenRetryBudget;
   /** Reads that identical ones may join. */
@@ -30,6 +40,8 @@
   readonly held = new Set<Work>();
   /** Work that waits for the ledger. */
   readonly claiming = new Set<Work>();
+  #expected = 0;
+  #expectedAt = Number.NEGATIVE_INFINITY;
   inFlight = 0;
   wakeScheduled = false;
   policy: PolicyProgram | null = null;
@@ -83,6 +95,7 @@
   }
 
   addUpstream(upstream: UpstreamState): void {
+    upstream.rankRoom = this.rankRoom;
     this.sortedUpstreams = [...this.sortedUpstreams, upstream].sort((a, b) => (a.id < b.id ? -1 : 1));
   }
 
@@ -108,26 +121,39 @@
   }
 
   /**
-   * Upstreams that may take one more request now; the doubted ones, best first, only if none is usable. Those where routers take turns
-   * aren't among them.
+   * Upstreams that may take one more request of a rank now; the doubted ones, best first, only if none is usable. Those where routers
+   * take turns aren't among them. `waitedShare`: how much of the request's wait is over, from 0 to 1.
    */
-  candidates(now: number, avoid: UpstreamState | null): UpstreamState[] {
-    const byRank: UpstreamState[][] = [[], [], []];
+  candidates(now: number, avoid: UpstreamState | null, rank: number, waitedShare = 0): UpstreamState[] {
+    const byStanding: UpstreamState[][] = [[], [], []];
     let usableExists = false;
     for (const upstream of this.sortedUpstreams) {
-      const rank = RANK_OF[upstream.evidence.standing(now)];
-      if (rank === RANK_OF.leaving || upstream.ejection.isEjected(now) || upstream.warmth.takesTurns(now)) {
+      const standing = RANK_OF[upstream.evidence.standing(now)];
+      if (
+        standing === RANK_OF.leaving ||
+        upstream.ejection.isEjected(now) ||
+        upstream.warmth.takesTurns(now)
+      ) {
         continue;
       }
-      usableExists = usableExists || rank === RANK_OF.usable;
-      if (upstream.hasSlot(now)) {
-        byRank[rank]?.push(upstream);
+      usableExists = usableExists || standing === RANK_OF.usable;
+      if (upstream.hasSlot(now, rank, waitedShare)) {
+        byStanding[standing]?.push(upstream);
       }
     }
-    const [usable = [], suspects = [], lastResort = []] = byRank;
+    const [usable = [], suspects = [], lastResort = []] = byStanding;
     const doubted = suspects.length > 0 ? suspects : lastResort;
     const candidates = usableExists ? usable : doubted;
-    return without(candidates, avoid);
+    return without(this.#clearFirst(candidates, now), avoid);
+  }
+
+  /** Where ranks compete, upstreams that probably have a slot free go before the others. */
+  #clearFirst(candidates: UpstreamState[], now: number): UpstreamState[] {
+    if (!this.presence.isMixed(now)) {
+      return candidates;
+    }
+    const clear = candidates.filter((upstream) => upstream.isClear(now));
+    return clear.length > 0 ? clear : candidates;
   }
 
   /**
@@ -158,6 +184,20 @@
     return upstream.slotLimit.slots / Math.max(LEAST_SERVICE_MILLIS, usual);
   }
 
+  /** Time that a request is expected to take once it is worked on, in milliseconds; 0 while nothing is known. */
+  expectedMillis(now: number): number {
+    if (now >= this.#expectedAt + EXPECTED_MILLIS) {
+      this.#expectedAt = now;
+      this.#expected = this.unhinderedMillis() ?? this.measuredMillis() ?? 0;
+    }
+    return this.#expected;
+  }
+
+  /** By what waiting work takes its turn. */
+  turnOrder(now: number): TurnOrder {
+    return { now, expectedMillis: this.presence.isMixed(now) ? this.expectedMillis(now) : null };
+  }
+
   ejectedCount(now: number): number {
     return this.sortedUpstreams.filter((upstream) => upstream.ejection.isEjected(now)).length;
   }
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -5,6 +5,7 @@
 import type { LedgerWord } from './outcome-table.js';
 import type { Lane } from './queue/lane-table.js';
 import type { QueueNode } from './queue/linked-queue.js';
+import type { RouteTally } from './queue/route-tallies.js';
 import type { RequestTerms } from './request-terms.js';
 import type { RouterTimer } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
@@ -88,10 +89,14 @@
   shardRevision: Revision = -1;
   /** Shard whose work its answer is reported as; `null`: none, or its load was reported when it came. */
   loadName: ShardId | null = null;
-  lane: Lane | null = null;
-  node: QueueNode<Work> | null = null;
+  /** That of its terms, or behind it and before the next one if its key is hot. */
+  rank: number;
   /** When its first request came. */
   arrivedAt = 0;
+  /** When its caller first asked, as the time shows that it still gives: one that comes back has less of it. */
+  askedAt = 0;
+  lane: Lane | null = null;
+  node: QueueNode<Work> | null = null;
   /** Bytes on the router's link that its answer was counted for before it came; 0: it isn't counted. */
   linkBytes = 0;
   /** When the bounded wait ends; `Infinity` until it first waits. */
@@ -114,7 +119,10 @@
   constructor(
     readonly service: ServiceState,
     readonly terms: RequestTerms,
-  ) {}
+    readonly tally: RouteTally,
+  ) {
+    this.rank = terms.priority;
+  }
 
   get request(): ArrivedRequest {
     return (this.members[0] as Member).request;
--- a/test/docs/completeness.test.ts
+++ b/test/docs/completeness.test.ts
@@ -36,6 +36,7 @@
   'upstream-resting': true,
   'queue-full': true,
   'link-full': true,
+  'gave-way': true,
   'would-miss-deadline': true,
   'deadline-passed': true,
   'policy-refused': true,
@@ -136,6 +137,7 @@
       limited: 0,
       resting: 0,
       leaving: 0,
+      routes: [],
     }));
     const names = [...control.getMetricsAsArray(), ...router.registry.getMetricsAsArray()].map(
       ({ name }) => name,
