--- /dev/null
+++ b/test/router/caller/raw-caller.ts
@@ -0,0 +1,92 @@
+/** A caller that writes its bytes itself, so that requests can be sent behind one another, in pieces, or broken off. */
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
+import { parseAddress } from '../../../src/wire/index.js';
+
+/** An answer with a length, as a caller of a pipeline reads it. */
+export interface RawAnswer {
+  readonly status: number;
+  readonly head: string;
+  readonly body: string;
+}
+
+const HEAD_END = '\r\n\r\n';
+
+export function getHead(path: string): string {
+  return `GET ${path} HTTP/1.1\r\nHost: r\r\n\r\n`;
+}
+
+export function postHead(path: string, body: string): string {
+  const identity = `Idempotency-Key: ${crypto.randomUUID()}\r\nIdempotency-Issued-At: ${Date.now()}`;
+  return `POST ${path} HTTP/1.1\r\nHost: r\r\n${identity}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+export class RawCaller {
+  readonly answers: RawAnswer[] = [];
+  closed = false;
+  #received = '';
+
+  private constructor(readonly socket: Socket) {
+    socket.setEncoding('latin1');
+    socket.on('error', () => {});
+    socket.on('close', () => {
+      this.closed = true;
+    });
+    socket.on('data', (piece: string) => this.#take(piece));
+  }
+
+  static async connect(address: string): Promise<RawCaller> {
+    const socket = connect(parseAddress(address));
+    await once(socket, 'connect');
+    return new RawCaller(socket);
+  }
+
+  send(text: string): this {
+    this.socket.write(text);
+    return this;
+  }
+
+  /** Reads nothing more until `resume` is called. */
+  pause(): this {
+    this.socket.pause();
+    return this;
+  }
+
+  resume(): this {
+    this.socket.resume();
+    return this;
+  }
+
+  /** Closes the connection in both directions. */
+  leave(): void {
+    this.socket.destroy();
+  }
+
+  get bodies(): string[] {
+    return this.answers.map(({ body }) => body);
+  }
+
+  get statuses(): number[] {
+    return this.answers.map(({ status }) => status);
+  }
+
+  /** What came that is no whole answer. */
+  get rest(): string {
+    return this.#received;
+  }
+
+  #take(piece: string): void {
+    this.#received += piece;
+    for (let end = this.#received.indexOf(HEAD_END); end !== -1; end = this.#received.indexOf(HEAD_END)) {
+      const head = this.#received.slice(0, end);
+      const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? Number.POSITIVE_INFINITY);
+      const bodyStart = end + HEAD_END.length;
+      if (this.#received.length < bodyStart + length) {
+        return;
+      }
+      const body = this.#received.slice(bodyStart, bodyStart + length);
+      this.answers.push({ status: Number(head.slice(9, 12)), head, body });
+      this.#received = this.#received.slice(bodyStart + length);
+    }
+  }
+}
