Connections of callers: one object owns the requests of a socket

Cause: node:http reports the end of a connection to the response in front alone, so of four requests behind one another whose caller left three stayed under way for ever; nothing bounded what one connection has under way; large answers were written whole to sockets that didn't take them; an answer queued behind others was begun at once and broke the connection if its upstream broke it.

Change: CallerConnection owns the requests of a socket, PipelineOrder decides which is handed on and what is lost behind an answer that closes, HeldBytes bounds what is held for slow readers, AnswerWriter begins a large answer when it is at the front. Bytes that are no request are answered behind the requests in front of them.

--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -36,6 +36,9 @@
       ...DEFAULT_ROUTER_LIMITS,
       maxBodyBytes: settings.requestBodyBytes,
       connectionsPerUpstream: settings.connectionsPerUpstream,
+      requestsPerConnection: settings.requestsPerConnection,
+      heldBytesPerConnection: settings.heldBytesPerConnection,
+      heldAnswerBytes: settings.heldAnswerBytes,
     },
     timings: {
       ...DEFAULT_ROUTER_TIMINGS,
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -48,6 +48,7 @@
     ],
   },
   'answer-failed': { source: 'router', fields: ['request', 'reason'] },
+  'answer-broken-off': { source: 'router', fields: ['request', 'id', 'reason', 'lostBehind'] },
   'answer-missing': { source: 'router', fields: ['request', 'attempt'] },
   'upstream-ejected': { source: 'router', fields: ['upstream', 'service', 'until'] },
   'settlement-not-acknowledged': { source: 'router', fields: ['claimant', 'service', 'key'] },
--- a/src/router/attempts/answer-stream.ts
+++ b/src/router/attempts/answer-stream.ts
@@ -2,10 +2,9 @@
  * An answer that flows from an upstream to the callers it was delivered to. If it breaks, their connections are
  * broken too, so that none of them takes a piece for the whole.
  */
-import type { ServerResponse } from 'node:http';
+import type { AnswerWriter } from '../caller/answer-writer.js';
 
 export interface AnswerStreamOptions {
-  readonly stallMillis: number;
   /** Reads on from the upstream. */
   readonly resume: () => void;
   /** No caller is left. */
@@ -13,23 +12,23 @@
 }
 
 export class AnswerStream {
-  private readonly readers = new Set<ServerResponse>();
-  private readonly blocked = new Set<ServerResponse>();
+  private readonly readers = new Set<AnswerWriter>();
+  /** Callers for whom nothing more can be held. */
+  private readonly blocked = new Set<AnswerWriter>();
   private started = false;
   private over = false;
 
   constructor(private readonly options: AnswerStreamOptions) {}
 
   /** Adds a caller, before the stream starts. */
-  add(reader: ServerResponse): void {
+  add(reader: AnswerWriter): void {
     if (this.over || this.started) {
-      reader.destroy();
+      reader.breakOff();
       return;
     }
     this.readers.add(reader);
-    reader.setTimeout(this.options.stallMillis, () => reader.destroy());
-    reader.on('drain', () => this.unblock(reader));
-    reader.on('close', () => this.remove(reader));
+    reader.onRoom = () => this.unblock(reader);
+    reader.onGone = () => this.remove(reader);
   }
 
   /** Writes what was read before, and reads on. */
@@ -52,7 +51,7 @@
     }
   }
 
-  /** Gives `false` if a caller can't take more now. */
+  /** Gives `false` if nothing more can be held for a caller now. */
   write(chunk: Buffer): boolean {
     for (const reader of this.readers) {
       if (!reader.write(chunk)) {
@@ -72,17 +71,17 @@
   breakOff(): void {
     this.over = true;
     for (const reader of this.readers) {
-      reader.destroy();
+      reader.breakOff();
     }
   }
 
-  private unblock(reader: ServerResponse): void {
+  private unblock(reader: AnswerWriter): void {
     if (this.blocked.delete(reader) && this.blocked.size === 0 && !this.over) {
       this.options.resume();
     }
   }
 
-  private remove(reader: ServerResponse): void {
+  private remove(reader: AnswerWriter): void {
     this.readers.delete(reader);
     if (this.readers.size === 0 && !this.over) {
       this.over = true;
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -7,6 +7,7 @@
 import type { AttemptNumber, AttemptResult, RouterEffect } from '../../routing/types.js';
 import type { CallerExchange } from '../caller/caller-exchange.js';
 import { forwardedAnswerHeaders } from '../caller/header-rules.js';
+import type { HeldBytes } from '../caller/held-bytes.js';
 import { isPersonal } from '../caller/request-variant.js';
 import { type AnswerHead, announcedLength } from './answer-head.js';
 import { AnswerStream } from './answer-stream.js';
@@ -27,7 +28,7 @@
   readonly protocol: UpstreamProtocol;
   /** Bound of answers kept for resends; `null`: keep none. */
   readonly storedAnswerBytes: number | null;
-  readonly streamStallMillis: number;
+  readonly held: HeldBytes;
   readonly resets: ConnectionResets;
   /** Called with the head of each answer of the run that the attempt is for: what another one at its address says is of that one. */
   readonly headed: (attempt: AttemptNumber, head: AnswerHead) => void;
@@ -38,6 +39,9 @@
 
 type Phase = 'waiting' | 'sent' | 'reported';
 
+/** Answers up to this size are read whole even where much is held. */
+const SMALL_ANSWER_BYTES = 16 * 1024;
+
 export class Attempt implements Dispatcher.DispatchHandlers {
   private phase: Phase = 'waiting';
   private head: AnswerHead | null = null;
@@ -100,7 +104,7 @@
       return;
     }
     if (head.contentLength === null && !exchange.takesChunks) {
-      exchange.breakOff();
+      exchange.breakOff('needs-length');
       return;
     }
     this.stream?.add(exchange.startStream(head.status, headers));
@@ -109,7 +113,15 @@
   /** Lets a streamed answer flow to those it was delivered to. */
   flow(): void {
     this.stream?.start(this.chunks);
+    this.release();
+  }
+
+  /** Lets go of what was read: it was given to callers, or nobody wants it. */
+  release(): void {
+    const bytes = this.size;
+    this.size = 0;
     this.chunks = [];
+    this.options.held.change(-bytes);
   }
 
   onConnect(abort: (error?: Error) => void): void {
@@ -146,9 +158,7 @@
     if (protocol.refusalOf(this.head)?.refusal !== 'other-incarnation') {
       this.options.headed(this.options.effect.attempt, this.head);
     }
-    return (
-      contentLength === null || contentLength <= this.options.effect.wholeAnswerBytes || this.beginStream()
-    );
+    return contentLength === null || this.mayReadWhole(contentLength) || this.beginStream();
   }
 
   onData(chunk: Buffer): boolean {
@@ -157,7 +167,8 @@
     }
     this.chunks.push(chunk);
     this.size += chunk.length;
-    return this.size <= this.options.effect.wholeAnswerBytes || this.beginStream();
+    this.options.held.change(chunk.length);
+    return this.mayReadWhole(this.size) || this.beginStream();
   }
 
   onComplete(): void {
@@ -194,7 +205,6 @@
   /** Reports the head of an answer that is too long to read whole, and holds back its rest until it is delivered. */
   private beginStream(): boolean {
     this.stream = new AnswerStream({
-      stallMillis: this.options.streamStallMillis,
       resume: () => this.resume(),
       abandoned: () => this.abort('no-reader'),
     });
@@ -202,6 +212,15 @@
     return false;
   }
 
+  /** What the ledger keeps is read whole in any case. */
+  private mayReadWhole(bytes: number): boolean {
+    const { effect, held, storedAnswerBytes } = this.options;
+    if (bytes > effect.wholeAnswerBytes) {
+      return false;
+    }
+    return bytes <= SMALL_ANSWER_BYTES || storedAnswerBytes !== null || held.hasFree(bytes);
+  }
+
   private wholeResult(): AttemptResult {
     const head = this.head as AnswerHead;
     const { storedAnswerBytes } = this.options;
--- a/src/router/attempts/upstream-attempts.ts
+++ b/src/router/attempts/upstream-attempts.ts
@@ -6,6 +6,7 @@
 import { NumberedTable } from '../../routing/numbered-table.js';
 import type { AttemptNumber, AttemptResult } from '../../routing/types.js';
 import type { CallerExchange } from '../caller/caller-exchange.js';
+import type { HeldBytes } from '../caller/held-bytes.js';
 import { createAnnouncedProtocol } from './announced-protocol.js';
 import type { AnswerHead } from './answer-head.js';
 import { Attempt, type DispatchEffect } from './attempt.js';
@@ -23,7 +24,7 @@
   readonly headers: HeaderNames;
   /** Larger answers of requests with a claim aren't kept for resends. */
   readonly storedAnswerBytes: number;
-  readonly streamStallMillis: number;
+  readonly held: HeldBytes;
   /** Reports how an attempt ended; its answer must be delivered before this returns, or it is dropped. */
   readonly ended: (attempt: AttemptNumber, result: AttemptResult) => void;
   /** The head of an answer says something of its upstream, or doesn't any more. */
@@ -49,14 +50,14 @@
 
   /** Sends the request of an exchange to an upstream. */
   start(effect: DispatchEffect, exchange: CallerExchange): void {
-    const { incarnation, pools, storedAnswerBytes, streamStallMillis } = this.parts;
+    const { incarnation, pools, storedAnswerBytes, held } = this.parts;
     const attempt = new Attempt({
       effect,
       exchange,
       attemptId: `${incarnation}.${effect.attempt}`,
       protocol: effect.instance === null ? FENCED_PROTOCOL : this.announced,
       storedAnswerBytes: exchange.head.idempotency === null ? null : storedAnswerBytes,
-      streamStallMillis,
+      held,
       resets: pools.resets,
       ended: (number, result) => this.ended(number, result),
       headed: (number, head) => this.headed(effect.upstream, number, head),
@@ -124,12 +125,14 @@
 
   /** An answer that nobody was given is of no use any more: its upstream's connection is freed at once. */
   private ended(number: AttemptNumber, result: AttemptResult): void {
+    const attempt = this.attempts.get(number);
     if (result.type !== 'answered') {
       this.attempts.delete(number);
     }
     this.parts.ended(number, result);
     this.attempts.get(number)?.cancel();
     this.attempts.delete(number);
+    attempt?.release();
   }
 }
 
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -1,5 +1,6 @@
 /** The callers' requests under way by their numbers: takes them in, and gives each the one answer that it gets. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { toError } from '../../errors/ternmount-error.js';
 import type { Logger } from '../../logging/logger.js';
 import type { RequestFingerprint } from '../../model/crash-suspect.js';
@@ -8,14 +9,39 @@
 import type { RouterMetrics } from '../metrics.js';
 import { isTurnedAway, type TurnedAwayError } from './bad-request-error.js';
 import type { BodyReader } from './body-reader.js';
-import { CallerExchange, type RetryAfterUnit, writeOwnAnswer } from './caller-exchange.js';
+import { CallerConnection, type CallerConnectionParts } from './caller-connection.js';
+import {
+  type BreakReason,
+  CallerExchange,
+  type CallerStreams,
+  type RetryAfterUnit,
+  writeOwnAnswer,
+} from './caller-exchange.js';
+import type { HeldBytes } from './held-bytes.js';
 import { fingerprintOf } from './idempotency.js';
+import { PausedConnections } from './paused-connections.js';
+import type { PipelineLimits } from './pipeline-order.js';
 import { fingerprintRequest } from './request-fingerprint.js';
 import { type AddressingOptions, type CallerRequestHead, readCallerRequest } from './request-head.js';
 import { variantOf } from './request-variant.js';
 
+/** What callers' connections hold. */
+export interface ConnectionsUsage {
+  readonly connections: number;
+  /** Those that aren't read. */
+  readonly paused: number;
+  /** Requests of the connection that has the most. */
+  readonly deepest: number;
+  readonly heldAnswerBytes: number;
+  /** Answers that aren't read further until there is room. */
+  readonly waitingAnswers: number;
+}
+
 export interface CallerExchangesParts {
   readonly bodies: BodyReader;
+  readonly held: HeldBytes;
+  readonly pipeline: PipelineLimits;
+  readonly streamStallMillis: number;
   readonly addressing: AddressingOptions;
   readonly retryAfterUnit: RetryAfterUnit;
   readonly metrics: RouterMetrics;
@@ -33,30 +59,48 @@
 
 export class CallerExchanges {
   private readonly exchanges = new NumberedTable<CallerExchange>();
+  private readonly connections = new Map<Socket, CallerConnection>();
+  private readonly paused = new PausedConnections();
+  private readonly connectionParts: CallerConnectionParts;
   private count = 0;
 
-  constructor(private readonly parts: CallerExchangesParts) {}
+  constructor(private readonly parts: CallerExchangesParts) {
+    const { pipeline, held, streamStallMillis } = parts;
+    this.connectionParts = {
+      limits: pipeline,
+      held,
+      paused: this.paused,
+      stallMillis: streamStallMillis,
+      handOn: (exchange) => this.handOn(exchange),
+      ended: (exchange, wasHandedOn) => this.ended(exchange, wasHandedOn),
+      broken: (exchange, reason, lostBehind) => this.broken(exchange, reason, lostBehind),
+    };
+  }
 
-  /** Requests under way. */
+  /** Requests under way, with those that wait behind others of their connection. */
   get size(): number {
     return this.exchanges.size;
   }
 
   /** Takes a caller's request; it gets exactly one answer unless its caller goes away. */
   accept(request: IncomingMessage, response: ServerResponse): void {
+    const connection = this.connectionOf(request.socket);
+    if (!connection.takesRequests()) {
+      return;
+    }
     let head: CallerRequestHead;
     try {
       head = readCallerRequest(request, this.parts.addressing);
     } catch (thrown) {
-      this.turnAway(response, thrown);
+      this.turnAway(connection, response, thrown);
       return;
     }
     this.parts.bodies.read(request, (error, body) => {
       if (error !== null) {
-        this.turnAway(response, error);
+        this.turnAway(connection, response, error);
         return;
       }
-      this.open(head, body, request, response);
+      this.open(head, body, connection, { request, response, retryAfterUnit: this.parts.retryAfterUnit });
     });
   }
 
@@ -76,36 +120,75 @@
     } catch (thrown) {
       // Headers of an upstream that can't be written: a broken connection is never taken for an answer.
       this.parts.log.error('answer-failed', { request: number, reason: toError(thrown) });
-      exchange.breakOff();
+      exchange.breakOff('unwritable');
     }
   }
 
+  /** What callers' connections hold now. */
+  usage(): ConnectionsUsage {
+    let paused = 0;
+    let deepest = 0;
+    for (const connection of this.connections.values()) {
+      paused += connection.isPaused ? 1 : 0;
+      deepest = Math.max(deepest, connection.size);
+    }
+    const { used: heldAnswerBytes, waiting: waitingAnswers } = this.parts.held;
+    return { connections: this.connections.size, paused, deepest, heldAnswerBytes, waitingAnswers };
+  }
+
+  private connectionOf(socket: Socket): CallerConnection {
+    const known = this.connections.get(socket);
+    if (known !== undefined) {
+      return known;
+    }
+    const connection = new CallerConnection(socket, this.connectionParts);
+    this.connections.set(socket, connection);
+    socket.once('close', () => this.connections.delete(socket));
+    return connection;
+  }
+
   private open(
     head: CallerRequestHead,
     body: Buffer,
-    request: IncomingMessage,
-    response: ServerResponse,
+    connection: CallerConnection,
+    streams: CallerStreams,
   ): void {
+    if (!connection.takesRequests()) {
+      this.parts.bodies.release(body);
+      return;
+    }
     this.count += 1;
-    const { retryAfterUnit } = this.parts;
-    const streams = { request, response, retryAfterUnit };
-    const exchange = new CallerExchange(this.count, head, body, streams);
+    const exchange = new CallerExchange(this.count, head, body, streams, connection);
     this.exchanges.set(exchange.number, exchange);
+    streams.response.once('close', () => connection.finished(exchange));
+    connection.add(exchange);
+  }
+
+  private handOn(exchange: CallerExchange): void {
     this.parts.opened(exchange);
-    response.once('close', () => this.closed(exchange));
-    this.parts.arrived(arrivedRequest(exchange, request.rawHeaders));
+    this.parts.arrived(arrivedRequest(exchange));
   }
 
-  private closed(exchange: CallerExchange): void {
+  private ended(exchange: CallerExchange, wasHandedOn: boolean): void {
     this.exchanges.delete(exchange.number);
     this.parts.bodies.release(exchange.body);
+    if (!wasHandedOn) {
+      return;
+    }
     if (!exchange.answered) {
       this.parts.cancelled(exchange.number);
     }
     this.parts.closed(exchange.number);
   }
 
-  private turnAway(response: ServerResponse, thrown: unknown): void {
+  private broken(exchange: CallerExchange, reason: BreakReason, lostBehind: number): void {
+    this.parts.metrics.brokenOff(reason);
+    const { head, number } = exchange;
+    this.parts.log.info('answer-broken-off', { request: number, id: head.requestId, reason, lostBehind });
+  }
+
+  private turnAway(connection: CallerConnection, response: ServerResponse, thrown: unknown): void {
+    connection.close();
     if (!isTurnedAway(thrown)) {
       this.parts.log.error('request-failed', { reason: toError(thrown) });
       response.destroy();
@@ -121,8 +204,8 @@
   }
 }
 
-function arrivedRequest(exchange: CallerExchange, rawHeaders: readonly string[]): ArrivedRequest {
-  const { number, head, body } = exchange;
+function arrivedRequest(exchange: CallerExchange): ArrivedRequest {
+  const { number, head, body, rawHeaders } = exchange;
   const { service, place, key, method, target, deadlineMillis, idempotency } = head;
   let fingerprint: RequestFingerprint | undefined;
   return {
--- /dev/null
+++ b/src/router/caller/held-bytes.ts
@@ -0,0 +1,66 @@
+/**
+ * Account of the bytes of answers that a router holds for its callers. A holder may read on while it holds less than is
+ * free in all (dynamic thresholds): the largest holder waits first, and whoever comes next finds room.
+ */
+
+export interface HeldBytesLimits {
+  /** Bytes of answers held at once, over all connections; each answer under way may go beyond it by one piece. */
+  readonly heldAnswerBytes: number;
+  /** Bytes held for one connection: request bodies, answers, and requests that wait. */
+  readonly heldBytesPerConnection: number;
+}
+
+export class HeldBytes {
+  readonly #limits: HeldBytesLimits;
+  readonly #waiting = new Set<() => void>();
+  #used = 0;
+
+  constructor(limits: HeldBytesLimits) {
+    this.#limits = limits;
+  }
+
+  get used(): number {
+    return this.#used;
+  }
+
+  /** Answers that aren't read further until there is room. */
+  get waiting(): number {
+    return this.#waiting.size;
+  }
+
+  /** Whether one who holds so many bytes may take on more. */
+  hasRoom(heldBytes: number): boolean {
+    const { heldAnswerBytes, heldBytesPerConnection } = this.#limits;
+    return heldBytes < heldBytesPerConnection && heldBytes < heldAnswerBytes - this.#used;
+  }
+
+  /** Whether so many bytes are free. */
+  hasFree(bytes: number): boolean {
+    return bytes < this.#limits.heldAnswerBytes - this.#used;
+  }
+
+  /** So many more bytes are held, or fewer. */
+  change(bytes: number): void {
+    this.#used += bytes;
+    if (bytes < 0 && this.#waiting.size > 0) {
+      this.#wake();
+    }
+  }
+
+  /** Calls back once when bytes are released; that there is room then isn't sure. */
+  whenReleased(wake: () => void): void {
+    this.#waiting.add(wake);
+  }
+
+  forget(wake: () => void): void {
+    this.#waiting.delete(wake);
+  }
+
+  #wake(): void {
+    const waiting = [...this.#waiting];
+    this.#waiting.clear();
+    for (const wake of waiting) {
+      wake();
+    }
+  }
+}
--- a/src/router/metrics.ts
+++ b/src/router/metrics.ts
@@ -3,11 +3,21 @@
 import { droppedLogLines } from '../logging/logger.js';
 import type { ServiceName } from '../model/identifiers.js';
 import type { AttemptResult, RouterStatus } from '../routing/types.js';
+import type { BreakReason } from './caller/caller-exchange.js';
+import type { ConnectionsUsage } from './caller/caller-exchanges.js';
 
 const SECONDS_BUCKETS = [0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1, 2, 4, 8];
 /** Service label of requests for services that don't exist, whatever they call them. */
 const UNKNOWN_SERVICE = '(unknown)';
 
+const NO_CONNECTIONS: ConnectionsUsage = {
+  connections: 0,
+  paused: 0,
+  deepest: 0,
+  heldAnswerBytes: 0,
+  waitingAnswers: 0,
+};
+
 /** Series of one service that are counted on every request, found by their labels once. */
 interface ServiceSeries {
   readonly upstream: Counter.Internal;
@@ -29,6 +39,12 @@
     labelNames: ['result'],
     registers: [this.registry],
   });
+  private readonly broken = new Counter({
+    name: 'ternmount_router_answers_broken_off_total',
+    help: 'Answers that broke the connection of their caller',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
   private readonly seconds = new Histogram({
     name: 'ternmount_router_request_seconds',
     help: 'Time from the arrival of a request to the start of its answer',
@@ -45,7 +61,7 @@
     cancelled: this.attempts.labels('cancelled'),
   };
 
-  constructor(status: () => RouterStatus) {
+  constructor(status: () => RouterStatus, connections = (): ConnectionsUsage => NO_CONNECTIONS) {
     this.gauge('queued', 'Requests waiting', () => status().queued);
     this.gauge('in_flight', 'Attempts under way', () => status().inFlight);
     this.gauge('limited_upstreams', 'Upstreams that name a limit', () => status().limited);
@@ -53,6 +69,15 @@
     this.gauge('leaving_upstreams', 'Upstreams that said that they leave', () => status().leaving);
     this.gauge('revision', 'Revision of the configuration', () => status().revision);
     this.gauge('log_lines_dropped', 'Log lines that a slow reader has cost', droppedLogLines);
+    this.gauge('connections', 'Connections of callers', () => connections().connections);
+    this.gauge('paused_connections', 'Connections that are not read', () => connections().paused);
+    this.gauge(
+      'connection_requests',
+      'Requests of the connection with the most',
+      () => connections().deepest,
+    );
+    this.gauge('held_answer_bytes', 'Bytes of answers held', () => connections().heldAnswerBytes);
+    this.gauge('waiting_answers', 'Answers not read further now', () => connections().waitingAnswers);
     this.gauge('serving', '1 while the configuration lease holds', () => (status().serving ? 1 : 0));
   }
 
@@ -73,6 +98,11 @@
     this.attemptSeries[result].inc();
   }
 
+  /** Counts an answer that broke the connection of its caller. */
+  brokenOff(reason: BreakReason): void {
+    this.broken.inc({ reason });
+  }
+
   /** Only services that exist have answers, so there are no more entries than services declared ever. */
   private seriesOf(service: ServiceName): ServiceSeries {
     const known = this.series.get(service);
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -73,7 +73,10 @@
     this.http = this.settings.http;
     this.bodies = new BodyReader(limits);
     this.core = createCore(this.coreConfig());
-    this.metrics = new RouterMetrics(() => this.core.status());
+    this.metrics = new RouterMetrics(
+      () => this.core.status(),
+      () => this.task.connectionsUsage(),
+    );
     this.pools = new UpstreamPools({ ...limits, ...timings, localAddress: settings.outgoing });
     this.links = this.createLinks();
     this.probes = this.createProbes();
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -19,7 +19,8 @@
 import type { UpstreamPools } from './attempts/upstream-pools.js';
 import type { BodyReader } from './caller/body-reader.js';
 import type { CallerExchange, OwnAnswer } from './caller/caller-exchange.js';
-import { CallerExchanges } from './caller/caller-exchanges.js';
+import { CallerExchanges, type ConnectionsUsage } from './caller/caller-exchanges.js';
+import { HeldBytes } from './caller/held-bytes.js';
 import type { ControlLinks } from './control-links.js';
 import type { RouterMetrics } from './metrics.js';
 import { RequestTrail } from './request-trail.js';
@@ -68,8 +69,13 @@
 
   constructor(private readonly options: RouterTaskOptions) {
     const { bodies, metrics, log, incarnation, pools, settings } = options;
+    const { streamStallMillis } = settings.timings;
+    const held = new HeldBytes(settings.limits);
     this.callers = new CallerExchanges({
       bodies,
+      held,
+      pipeline: settings.limits,
+      streamStallMillis,
       addressing: { byRoutes: settings.byRoutes, headers: settings.headers },
       retryAfterUnit: settings.retryAfterUnit,
       metrics,
@@ -87,7 +93,7 @@
       pools,
       headers: settings.headers,
       storedAnswerBytes: settings.limits.storedAnswerBytes,
-      streamStallMillis: settings.timings.streamStallMillis,
+      held,
       ended: (attempt, result) => {
         metrics.attemptEnded(result.type);
         this.trailOf(attempt)?.ended(attempt, result);
@@ -97,6 +103,11 @@
     });
   }
 
+  /** What callers' connections hold now. */
+  connectionsUsage(): ConnectionsUsage {
+    return this.callers.usage();
+  }
+
   /** Requests of callers under way. */
   get openRequests(): number {
     return this.callers.size;
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -52,6 +52,12 @@
   readonly connectionsPerUpstream: number;
   /** Larger answers of non-repeatable requests aren't kept for resends. */
   readonly storedAnswerBytes: number;
+  /** Requests of one connection that are under way at once; beyond it the connection isn't read. */
+  readonly requestsPerConnection: number;
+  /** Bytes held for one connection: request bodies, answers, requests that wait. */
+  readonly heldBytesPerConnection: number;
+  /** Bytes of answers held at once, over all connections. */
+  readonly heldAnswerBytes: number;
 }
 
 /** Times in milliseconds. */
@@ -82,6 +88,9 @@
   maxHeldBodyBytes: 256 * 1024 * 1024,
   connectionsPerUpstream: 32,
   storedAnswerBytes: LARGEST_STORED_ANSWER,
+  requestsPerConnection: 64,
+  heldBytesPerConnection: 1024 * 1024,
+  heldAnswerBytes: 32 * 1024 * 1024,
 };
 
 export const DEFAULT_ROUTER_TIMINGS: RouterTimings = {
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -50,6 +50,12 @@
   readonly connectionsPerUpstream: number;
   /** Longest body of a request. */
   readonly requestBodyBytes: number;
+  /** Requests of one caller's connection that are under way at once. */
+  readonly requestsPerConnection: number;
+  /** Bytes held for one caller's connection. */
+  readonly heldBytesPerConnection: number;
+  /** Bytes of answers held at once for all callers. */
+  readonly heldAnswerBytes: number;
   /** Whether declared routes say where requests go, by host and path. */
   readonly byRoutes: boolean;
   /** Names of shared headers that differ from the project's own, lower case. */
@@ -76,6 +82,9 @@
   platformIntervalMillis: 1000,
   connectionsPerUpstream: 16,
   requestBodyBytes: 1024 * 1024,
+  requestsPerConnection: 64,
+  heldBytesPerConnection: 1024 * 1024,
+  heldAnswerBytes: 32 * 1024 * 1024,
   byRoutes: false,
   retryAfterUnit: 'whole-seconds',
   whenOutOfTouch: 'refuse',
@@ -143,6 +152,9 @@
   platformInterval: positiveDurationSchema.optional(),
   connectionsPerUpstream: countSchema.optional(),
   requestBody: sizeSchema.optional(),
+  requestsPerConnection: countSchema.optional(),
+  heldBytesPerConnection: sizeSchema.optional(),
+  heldAnswers: sizeSchema.optional(),
   log: z.string().optional(),
 });
 type RouterFields = z.output<typeof routerObject>;
@@ -190,6 +202,9 @@
     platformIntervalMillis: fields.platformInterval ?? ROUTER_DEFAULTS.platformIntervalMillis,
     connectionsPerUpstream: fields.connectionsPerUpstream ?? ROUTER_DEFAULTS.connectionsPerUpstream,
     requestBodyBytes: fields.requestBody ?? ROUTER_DEFAULTS.requestBodyBytes,
+    requestsPerConnection: fields.requestsPerConnection ?? ROUTER_DEFAULTS.requestsPerConnection,
+    heldBytesPerConnection: fields.heldBytesPerConnection ?? ROUTER_DEFAULTS.heldBytesPerConnection,
+    heldAnswerBytes: fields.heldAnswers ?? ROUTER_DEFAULTS.heldAnswerBytes,
     byRoutes: fields.byRoutes ?? ROUTER_DEFAULTS.byRoutes,
     headers: fields.headers ?? {},
     retryAfterUnit: fields.retryAfterUnit ?? ROUTER_DEFAULTS.retryAfterUnit,
--- a/src/wire/http/request-faults.ts
+++ b/src/wire/http/request-faults.ts
@@ -1,6 +1,7 @@
 /**
- * Answers connections on which no whole request came. Left to itself, the HTTP server would write such an answer also
- * where a request still runs, and its caller would take it for the answer to that request. Such a connection is broken.
+ * Answers connections on which something came that is no whole request. Left to itself, the HTTP server would write such an
+ * answer also where requests before it still run, and their caller would take it for the answer to one of them. It waits until
+ * those are answered.
  */
 import { type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from 'node:http';
 import type { Socket } from 'node:net';
@@ -27,6 +28,8 @@
   /** Those whose answer isn't whole yet. */
   open: number;
   last: IncomingMessage;
+  /** What came behind them, until they are answered. */
+  fault: RequestFault | null;
 }
 
 export class RequestFaults {
@@ -42,7 +45,7 @@
 
   private count(request: IncomingMessage, response: ServerResponse): void {
     const known = this.exchanges.get(request.socket);
-    const exchanges = known ?? { open: 0, last: request };
+    const exchanges = known ?? { open: 0, last: request, fault: null };
     exchanges.open += 1;
     exchanges.last = request;
     if (known === undefined) {
@@ -50,23 +53,35 @@
     }
     response.once('close', () => {
       exchanges.open -= 1;
+      if (exchanges.fault !== null && !mayRun(exchanges)) {
+        this.answer(exchanges.fault, request.socket);
+      }
     });
   }
 
   private take(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (socket.writable && !this.mayRun(socket)) {
-      socket.write(this.answerTo(faultOf(error.code)));
+    const fault = faultOf(error.code);
+    if (!socket.writable) {
+      socket.destroySoon();
+      return;
     }
-    socket.destroySoon();
+    if (fault === 'too-slow' && socket.isPaused()) {
+      // It isn't read, so nobody knows how slow its caller is.
+      return;
+    }
+    const exchanges = this.exchanges.get(socket);
+    if (exchanges !== undefined && mayRun(exchanges)) {
+      exchanges.fault ??= fault;
+      return;
+    }
+    this.answer(fault, socket);
   }
 
-  /** Whether a request that came whole has no whole answer yet; none runs before it came whole. */
-  private mayRun(socket: Socket): boolean {
-    const exchanges = this.exchanges.get(socket);
-    if (exchanges === undefined) {
-      return false;
+  private answer(fault: RequestFault, socket: Socket): void {
+    if (socket.writable) {
+      socket.write(this.answerTo(fault));
     }
-    return exchanges.open > (exchanges.last.complete ? 0 : 1);
+    socket.destroySoon();
   }
 
   private answerTo(fault: RequestFault): string {
@@ -86,6 +101,11 @@
   }
 }
 
+/** Whether a request that came whole has no whole answer yet; none runs before it came whole. */
+function mayRun({ open, last }: Exchanges): boolean {
+  return open > (last.complete ? 0 : 1);
+}
+
 function faultOf(code: string | undefined): RequestFault {
   switch (code) {
     case 'HPE_HEADER_OVERFLOW':
