Tests of pipelines and slow readers with real sockets

They found two faults of the first cut: a request behind one whose body comes was handed on before it, so the two waited for each other; and a caller that left in the middle of a head wasn't seen to have left.

--- a/src/router/caller/body-reader.ts
+++ b/src/router/caller/body-reader.ts
@@ -1,6 +1,6 @@
 /** Reads the bodies of requests whole, bounded one by one and together. */
 import type { IncomingMessage } from 'node:http';
-import { BodiesHeldError, BodyTooLargeError } from './bad-request-error.js';
+import { BodiesHeldError, BodyTooLargeError, type TurnedAwayError } from './bad-request-error.js';
 
 export const NO_BODY = Buffer.alloc(0);
 
@@ -28,7 +28,7 @@
    * Calls back once with the body, or with the error that turns the request away; never if the caller goes away.
    * What was read must be given back with `release`.
    */
-  read(request: IncomingMessage, done: (error: Error | null, body: Buffer) => void): void {
+  read(request: IncomingMessage, done: (error: TurnedAwayError | null, body: Buffer) => void): void {
     if (!hasBody(request)) {
       done(null, NO_BODY);
       return;
@@ -45,11 +45,14 @@
     this.heldBytes -= body.length;
   }
 
-  private collect(request: IncomingMessage, done: (error: Error | null, body: Buffer) => void): void {
+  private collect(
+    request: IncomingMessage,
+    done: (error: TurnedAwayError | null, body: Buffer) => void,
+  ): void {
     const chunks: Buffer[] = [];
     let size = 0;
     let ended = false;
-    const end = (error: Error | null, body: Buffer): void => {
+    const end = (error: TurnedAwayError | null, body: Buffer): void => {
       if (!ended) {
         ended = true;
         if (error !== null) {
--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -55,7 +55,7 @@
     return false;
   }
 
-  /** Takes the next request, which is handed on when it is its turn. */
+  /** Takes the next request, whose body may still have to come. */
   add(exchange: CallerExchange): void {
     const before = this.#order.last;
     if (before !== undefined && !before.answered && before.closesConnection) {
@@ -66,6 +66,11 @@
     if (this.#order.front?.answered === true) {
       this.#watchSilence();
     }
+  }
+
+  /** A request has come whole; it is handed on when it is its turn. */
+  complete(exchange: CallerExchange): void {
+    this.#order.complete(exchange);
     this.#handOn();
   }
 
@@ -158,8 +163,9 @@
     const front = this.#order.front;
     if (front !== undefined) {
       this.closeAfter(front);
+      const wasHandedOn = this.#order.lastHandedOn === front;
       this.#order.remove(front);
-      this.#end(front, true);
+      this.#end(front, wasHandedOn);
     }
   }
 
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -6,6 +6,7 @@
 import type { FaultAnswer, RequestFault } from '../../wire/http/request-faults.js';
 import { AnswerWriter } from './answer-writer.js';
 import type { TurnedAwayError } from './bad-request-error.js';
+import { NO_BODY } from './body-reader.js';
 import type { CallerConnection } from './caller-connection.js';
 import { forwardedRequestHeaders } from './header-rules.js';
 import type { CallerRequestHead } from './request-head.js';
@@ -58,11 +59,11 @@
   private answerBytes = 0;
   private writer: AnswerWriter | null = null;
   private over = false;
+  private received: Buffer | null = null;
 
   constructor(
     readonly number: RequestNumber,
     readonly head: CallerRequestHead,
-    readonly body: Buffer,
     private readonly streams: CallerStreams,
     readonly connection: CallerConnection,
   ) {}
@@ -83,10 +84,28 @@
     return SAFE_METHODS.has(this.head.method);
   }
 
+  /** Its body has come whole. */
+  receive(body: Buffer): void {
+    this.received = body;
+  }
+
+  get isWhole(): boolean {
+    return this.received !== null;
+  }
+
+  get body(): Buffer {
+    return this.received ?? NO_BODY;
+  }
+
   get bodyBytes(): number {
     return this.body.length;
   }
 
+  /** Whether its answer was given whole or can't be given any more. */
+  get isOver(): boolean {
+    return this.over;
+  }
+
   /** Headers for the upstream, without the router's own. */
   forwardedHeaders(): string[] {
     return forwardedRequestHeaders(this.request.rawHeaders);
@@ -178,6 +197,13 @@
     this.response.destroy();
   }
 
+  /** Gives an answer that turns it away; its connection takes nothing more. */
+  turnAway(answer: OwnAnswer): void {
+    this.closesConnection = true;
+    this.connection.close();
+    this.answerOwn(answer);
+  }
+
   /** Gives an answer of the router's own. */
   answerOwn(answer: OwnAnswer): void {
     this.begin(0);
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -14,6 +14,7 @@
   type BreakReason,
   CallerExchange,
   type CallerStreams,
+  type OwnAnswer,
   type RetryAfterUnit,
   writeOwnAnswer,
 } from './caller-exchange.js';
@@ -92,16 +93,12 @@
     try {
       head = readCallerRequest(request, this.parts.addressing);
     } catch (thrown) {
-      this.turnAway(connection, response, thrown);
+      this.turnAwayUnread(connection, response, thrown);
       return;
     }
-    this.parts.bodies.read(request, (error, body) => {
-      if (error !== null) {
-        this.turnAway(connection, response, error);
-        return;
-      }
-      this.open(head, body, connection, { request, response, retryAfterUnit: this.parts.retryAfterUnit });
-    });
+    const { retryAfterUnit } = this.parts;
+    const exchange = this.open(head, connection, { request, response, retryAfterUnit });
+    this.parts.bodies.read(request, (error, body) => this.receive(exchange, error, body));
   }
 
   /** The exchange of a request whose caller is still there. */
@@ -149,19 +146,28 @@
 
   private open(
     head: CallerRequestHead,
-    body: Buffer,
     connection: CallerConnection,
     streams: CallerStreams,
-  ): void {
-    if (!connection.takesRequests()) {
+  ): CallerExchange {
+    this.count += 1;
+    const exchange = new CallerExchange(this.count, head, streams, connection);
+    streams.response.once('close', () => connection.finished(exchange));
+    connection.add(exchange);
+    return exchange;
+  }
+
+  private receive(exchange: CallerExchange, error: TurnedAwayError | null, body: Buffer): void {
+    if (error !== null) {
+      this.turnAway(error, (answer) => exchange.turnAway(answer));
+      return;
+    }
+    if (exchange.isOver) {
       this.parts.bodies.release(body);
       return;
     }
-    this.count += 1;
-    const exchange = new CallerExchange(this.count, head, body, streams, connection);
+    exchange.receive(body);
     this.exchanges.set(exchange.number, exchange);
-    streams.response.once('close', () => connection.finished(exchange));
-    connection.add(exchange);
+    exchange.connection.complete(exchange);
   }
 
   private handOn(exchange: CallerExchange): void {
@@ -187,19 +193,25 @@
     this.parts.log.info('answer-broken-off', { request: number, id: head.requestId, reason, lostBehind });
   }
 
-  private turnAway(connection: CallerConnection, response: ServerResponse, thrown: unknown): void {
+  /** Turns away a request whose head makes no sense. */
+  private turnAwayUnread(connection: CallerConnection, response: ServerResponse, thrown: unknown): void {
     connection.close();
     if (!isTurnedAway(thrown)) {
       this.parts.log.error('request-failed', { reason: toError(thrown) });
       response.destroy();
       return;
     }
-    const { status, reason, message } = thrown as TurnedAwayError;
+    this.turnAway(thrown as TurnedAwayError, (answer) => {
+      // The rest of the body isn't read, so the connection can't carry another request.
+      response.shouldKeepAlive = false;
+      writeOwnAnswer(response, answer, this.parts.retryAfterUnit);
+    });
+  }
+
+  private turnAway(error: TurnedAwayError, give: (answer: OwnAnswer) => void): void {
+    const { status, reason, message } = error;
     const retryAfterMillis = reason === 'queue-full' ? BODIES_HELD_RETRY_MILLIS : null;
-    // The rest of the body isn't read, so the connection can't carry another request.
-    response.setHeader('connection', 'close');
-    const answer = { status, outcome: 'not-run', reason, retryAfterMillis, message } as const;
-    writeOwnAnswer(response, answer, this.parts.retryAfterUnit);
+    give({ status, outcome: 'not-run', reason, retryAfterMillis, message });
     this.parts.metrics.refused('', 'not-run', reason);
   }
 }
--- a/src/router/caller/pipeline-order.ts
+++ b/src/router/caller/pipeline-order.ts
@@ -6,7 +6,9 @@
 export interface PipelinedRequest {
   /** Whether its method is safe (RFC 9110, 9.2.1), so that it may run beside others of its connection. */
   readonly isSafe: boolean;
-  /** Bytes held for it as long as it stands in its connection. */
+  /** Whether its body has come whole. */
+  readonly isWhole: boolean;
+  /** Bytes held for it as long as it stands in its connection, once it is whole. */
   readonly bodyBytes: number;
 }
 
@@ -58,12 +60,12 @@
     return this.#requests[this.#handedOn - 1];
   }
 
-  all(): readonly Request[] {
-    return this.#requests;
-  }
-
   add(request: Request): void {
     this.#requests.push(request);
+  }
+
+  /** The body of a request that was added has come. */
+  complete(request: Request): void {
     this.#heldBytes += request.bodyBytes;
   }
 
@@ -85,7 +87,7 @@
   /** Marks the next request as handed on, if it may be. */
   handOnNext(): Request | undefined {
     const next = this.#requests[this.#handedOn];
-    if (next === undefined || !this.#mayHandOn(next)) {
+    if (next === undefined || !next.isWhole || !this.#mayHandOn(next)) {
       return undefined;
     }
     this.#handedOn += 1;
@@ -132,8 +134,8 @@
   #drop(place: number, count: number): Request[] {
     const dropped = this.#requests.splice(place, count);
     this.#handedOn -= Math.max(0, Math.min(this.#handedOn - place, dropped.length));
-    for (const { bodyBytes } of dropped) {
-      this.#heldBytes -= bodyBytes;
+    for (const { isWhole, bodyBytes } of dropped) {
+      this.#heldBytes -= isWhole ? bodyBytes : 0;
     }
     return dropped;
   }
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -12,6 +12,7 @@
 import { UpstreamPools } from './attempts/upstream-pools.js';
 import { BodyReader } from './caller/body-reader.js';
 import { describeRequestFault } from './caller/caller-exchange.js';
+import type { ConnectionsUsage } from './caller/caller-exchanges.js';
 import { type CallerFrontEnd, createCallerListener } from './caller/caller-listener.js';
 import { ControlLinks } from './control-links.js';
 import { HealthProbes } from './hints/health-probes.js';
@@ -166,6 +167,11 @@
     return this.task.openRequests;
   }
 
+  /** What callers' connections hold now. */
+  connectionsUsage(): ConnectionsUsage {
+    return this.task.connectionsUsage();
+  }
+
   /** Takes over other control members, as reloaded settings name them. */
   useControl(members: readonly Address[]): void {
     this.links.useSettings(members);
--- a/src/wire/http/request-faults.ts
+++ b/src/wire/http/request-faults.ts
@@ -17,6 +17,9 @@
 
 export type DescribeFault = (fault: RequestFault) => FaultAnswer;
 
+/** The caller closed its connection in the middle of a request. */
+const ENDED_MIDWAY = 'HPE_INVALID_EOF_STATE';
+
 const STATUSES: Readonly<Record<RequestFault, number>> = {
   malformed: 400,
   'header-too-large': 431,
@@ -61,7 +64,9 @@
 
   private take(error: NodeJS.ErrnoException, socket: Socket): void {
     const fault = faultOf(error.code);
-    if (!socket.writable) {
+    const exchanges = this.exchanges.get(socket);
+    const runs = exchanges !== undefined && mayRun(exchanges);
+    if (!socket.writable || (runs && error.code === ENDED_MIDWAY)) {
       socket.destroySoon();
       return;
     }
@@ -69,8 +74,7 @@
       // It isn't read, so nobody knows how slow its caller is.
       return;
     }
-    const exchanges = this.exchanges.get(socket);
-    if (exchanges !== undefined && mayRun(exchanges)) {
+    if (runs) {
       exchanges.fault ??= fault;
       return;
     }
--- a/test/router/caller/pipelines.test.ts
+++ b/test/router/caller/pipelines.test.ts
@@ -1,8 +1,14 @@
 /** Requests behind one another on a connection of a caller: answered in order, and over together when the caller leaves. */
 import { expect } from 'chai';
 import { RouterFixture, until } from '../router-fixture.js';
-import { answerWhole, ScriptedUpstream } from '../scripted-upstream.js';
-import { getHead, RawCaller } from './raw-caller.js';
+import { answerWhole, headFor, type ScriptedRequest, ScriptedUpstream } from '../scripted-upstream.js';
+import { getHead, postHead, RawCaller } from './raw-caller.js';
+
+const BOUND = 8;
+const LARGE = 'x'.repeat(4096);
+/** Answers above this are streamed. */
+const WHOLE_BYTES = 1024;
+const IDLE_MILLIS = 200;
 
 function reads(count: number, prefix = ''): string[] {
   return Array.from({ length: count }, (_, index) => `/reads/${prefix}${index}`);
@@ -12,43 +18,322 @@
   return paths.map(getHead).join('');
 }
 
+function ignore(): void {}
+
 describe('requests behind one another on a connection', () => {
   let upstream: ScriptedUpstream;
   let router: RouterFixture;
+  let caller: RawCaller;
+
+  function requestFor(target: string): ScriptedRequest {
+    return upstream.requests.find((request) => request.target === target) as ScriptedRequest;
+  }
+
+  function targets(): string[] {
+    return upstream.requests.map(({ target }) => target);
+  }
+
+  /** Waits until a request on another connection was answered, so that all sent before it was read. */
+  async function passOnce(): Promise<void> {
+    await router.get('/nothing/1');
+  }
+
+  async function idle(): Promise<void> {
+    await until(() => router.daemon.openRequests === 0);
+    await until(() => router.daemon.status().inFlight === 0 && router.daemon.status().queued === 0);
+  }
 
   beforeEach(async () => {
-    upstream = await new ScriptedUpstream().start();
+    upstream = await new ScriptedUpstream(ignore).start();
     router = await RouterFixture.start([upstream], {
-      reads: { slotsPerUpstream: 32, queueLimit: 5000 },
+      reads: {
+        slotsPerUpstream: 32,
+        queueLimit: 5000,
+        wholeAnswerBytes: WHOLE_BYTES,
+        deadlineMillis: 20_000,
+      },
+      orders: { slotsPerUpstream: 32, deadlineMillis: 20_000 },
+      settings: { limits: { requestsPerConnection: BOUND }, timings: { idleMillis: IDLE_MILLIS } },
       frontEnd: 'node',
+      announced: true,
     });
+    caller = await RawCaller.connect(router.address);
   });
 
   afterEach(async () => {
+    caller.leave();
+    await idle();
     await router.stop();
     await upstream.stop();
   });
 
-  it('are all cancelled when their caller leaves', async () => {
-    upstream.script = () => {};
-    const caller = await RawCaller.connect(router.address);
-    caller.send(pipeline(reads(4)));
-    await until(() => upstream.requests.length === 4);
-    caller.leave();
-    await until(() => router.daemon.openRequests === 0);
-    await until(() => upstream.requests.every(({ socket }) => socket.destroyed));
-    expect(router.daemon.status().inFlight).to.equal(0);
-  });
-
   for (const count of [2, 20, 2000]) {
-    it(`${count} of them are answered in their order`, async () => {
-      upstream.script = answerWhole;
+    it(`${count} of them are answered in their order, and no more than the bound run at once`, async () => {
       const paths = reads(count);
-      const caller = await RawCaller.connect(router.address);
+      let most = 0;
+      upstream.script = (request) => {
+        most = Math.max(most, router.daemon.status().inFlight);
+        answerWhole(request);
+      };
       caller.send(pipeline(paths));
       await until(() => caller.answers.length === count);
       expect(caller.bodies).to.deep.equal(paths);
-      await until(() => router.daemon.openRequests === 0);
+      expect(most).to.be.at.most(BOUND);
     });
   }
+
+  it('are answered in their order although the last is ready first', async () => {
+    caller.send(pipeline(reads(3)));
+    await until(() => upstream.requests.length === 3);
+    answerWhole(requestFor('/reads/2'));
+    answerWhole(requestFor('/reads/1'));
+    await passOnce();
+    expect(caller.answers).to.have.length(0);
+    answerWhole(requestFor('/reads/0'));
+    await until(() => caller.answers.length === 3);
+    expect(caller.bodies).to.deep.equal(reads(3));
+  });
+
+  it('are taken however their bytes are cut', async () => {
+    upstream.script = answerWhole;
+    const text = `${pipeline(reads(3))}${postHead('/orders/1', 'body')}${pipeline(['/reads/last'])}`;
+    for (let cut = 1; cut < text.length; cut += 7) {
+      const halves = await RawCaller.connect(router.address);
+      halves.send(text.slice(0, cut));
+      await new Promise(setImmediate);
+      halves.send(text.slice(cut));
+      await until(() => halves.answers.length === 5);
+      expect(halves.bodies).to.deep.equal([...reads(3), '/orders/1', '/reads/last']);
+      halves.leave();
+      await idle();
+    }
+  });
+
+  it('a request that changes something runs alone: after those in front of it, before those behind', async () => {
+    caller.send(`${pipeline(reads(2))}${postHead('/orders/1', 'body')}${pipeline(['/reads/last'])}`);
+    await until(() => upstream.requests.length === 2);
+    answerWhole(requestFor('/reads/1'));
+    await passOnce();
+    expect(targets()).to.have.members(reads(2));
+    answerWhole(requestFor('/reads/0'));
+    await until(() => upstream.requests.length === 3);
+    await passOnce();
+    expect(targets()).to.have.members([...reads(2), '/orders/1']);
+    answerWhole(requestFor('/orders/1'));
+    await until(() => upstream.requests.length === 4);
+    answerWhole(requestFor('/reads/last'));
+    await until(() => caller.answers.length === 4);
+    expect(caller.bodies).to.deep.equal([...reads(2), '/orders/1', '/reads/last']);
+  });
+
+  it('a refusal at once stands behind the slower answer in front of it', async () => {
+    caller.send(pipeline(['/reads/0', '/nothing/1']));
+    await until(() => upstream.requests.length === 1);
+    await passOnce();
+    expect(caller.rest).to.equal('');
+    answerWhole(requestFor('/reads/0'));
+    await until(() => caller.answers.length === 2);
+    expect(caller.statuses).to.deep.equal([200, 404]);
+  });
+
+  describe('whose caller leaves', () => {
+    it('at upstreams: all are cancelled', async () => {
+      caller.send(pipeline(reads(4)));
+      await until(() => upstream.requests.length === 4);
+      caller.leave();
+      await idle();
+      await until(() => upstream.requests.every(({ socket }) => socket.destroyed));
+    });
+
+    it('before the last head is whole: those before it are cancelled', async () => {
+      caller.send(`${pipeline(reads(2))}${getHead('/reads/half').slice(0, 20)}`);
+      await until(() => upstream.requests.length === 2);
+      caller.leave();
+      await idle();
+      expect(targets()).to.have.members(reads(2));
+    });
+
+    it('while a body comes: its bytes are let go of', async () => {
+      caller.send(`${pipeline(['/reads/0'])}${postHead('/orders/1', 'body').slice(0, -2)}`);
+      await until(() => upstream.requests.length === 1);
+      caller.leave();
+      await idle();
+      expect(targets()).to.deep.equal(['/reads/0']);
+    });
+
+    it('while one waits for those in front of it: it is never sent', async () => {
+      caller.send(`${pipeline(['/reads/0'])}${postHead('/orders/1', 'body')}${pipeline(['/reads/1'])}`);
+      await until(() => router.daemon.openRequests === 3 && upstream.requests.length === 1);
+      caller.leave();
+      await idle();
+      expect(targets()).to.deep.equal(['/reads/0']);
+    });
+
+    it('with more than the bound behind one another: that is found out, and nothing more is sent', async () => {
+      caller.send(pipeline(reads(200)));
+      await until(() => upstream.requests.length === BOUND);
+      caller.leave();
+      await idle();
+      expect(upstream.requests).to.have.length(BOUND);
+    });
+
+    it('while an earlier answer streams: its upstream and those of the others are told', async () => {
+      caller.send(pipeline(reads(3)));
+      await until(() => upstream.requests.length === 3);
+      const first = requestFor('/reads/0');
+      first.socket.write(`${headFor(first, `content-length: ${LARGE.length}`)}${LARGE.slice(0, 2000)}`);
+      await until(() => caller.rest.endsWith('x'));
+      caller.leave();
+      await idle();
+      await until(() => upstream.requests.every(({ socket }) => socket.destroyed));
+    });
+
+    it('while a large answer waits behind another: its upstream is told', async () => {
+      caller.send(pipeline(reads(2)));
+      await until(() => upstream.requests.length === 2);
+      const second = requestFor('/reads/1');
+      second.socket.write(`${headFor(second, `content-length: ${LARGE.length}`)}${LARGE.slice(0, 2000)}`);
+      await passOnce();
+      caller.leave();
+      await idle();
+      await until(() => upstream.requests.every(({ socket }) => socket.destroyed));
+    });
+  });
+
+  describe('behind an answer that closes', () => {
+    it('without a length: those at upstreams are cancelled, the others never sent', async () => {
+      caller.send(`${pipeline(reads(3))}${postHead('/orders/1', 'body')}`);
+      await until(() => upstream.requests.length === 3);
+      answerWhole(requestFor('/reads/0'));
+      const second = requestFor('/reads/1');
+      second.socket.end(`${headFor(second)}to the end`);
+      await until(() => caller.closed);
+      expect(caller.bodies).to.deep.equal(['/reads/0']);
+      expect(caller.rest).to.match(/connection: close[\s\S]*\r\n\r\nto the end$/i);
+      await idle();
+      await until(() => requestFor('/reads/2').socket.destroyed);
+      expect(targets()).to.have.members(reads(3));
+    });
+
+    it('to a request that can not be read: those in front are answered, those behind never sent', async () => {
+      caller.send(`${pipeline(reads(2))}GET /reads/bad HTTP/1.1\r\n\r\n${pipeline(['/reads/behind'])}`);
+      await until(() => upstream.requests.length === 2);
+      upstream.requests.forEach(answerWhole);
+      await until(() => caller.closed);
+      expect(caller.statuses).to.deep.equal([200, 200, 400]);
+      expect(caller.rest).to.equal('');
+      expect(targets()).to.have.members(reads(2));
+    });
+
+    it('to a body above the bound: those in front are answered first', async () => {
+      caller.send(
+        `${pipeline(['/reads/0'])}POST /orders/1 HTTP/1.1\r\nHost: r\r\nContent-Length: 99999999\r\n\r\n`,
+      );
+      await until(() => upstream.requests.length === 1);
+      answerWhole(requestFor('/reads/0'));
+      await until(() => caller.answers.length === 2);
+      expect(caller.statuses).to.deep.equal([200, 413]);
+      expect(caller.answers[1]?.head).to.match(/connection: close/i);
+    });
+  });
+
+  describe('one of whose upstreams breaks its answer', () => {
+    function breakMidway(request: ScriptedRequest): void {
+      request.socket.write(`${headFor(request, `content-length: ${LARGE.length}`)}${LARGE.slice(0, 2000)}`);
+      setTimeout(() => request.socket.end(), 20);
+    }
+
+    it('before its turn: it becomes 502, and the others are answered', async () => {
+      caller.send(pipeline(reads(3)));
+      await until(() => upstream.requests.length === 3);
+      breakMidway(requestFor('/reads/1'));
+      await until(() => requestFor('/reads/1').socket.destroyed);
+      answerWhole(requestFor('/reads/2'));
+      await until(() => router.daemon.status().inFlight === 1);
+      answerWhole(requestFor('/reads/0'));
+      await until(() => caller.answers.length === 3);
+      expect(caller.statuses).to.deep.equal([200, 502, 200]);
+    });
+
+    it('in its turn: the connection breaks, and those behind it are cancelled', async () => {
+      caller.send(pipeline(reads(3)));
+      await until(() => upstream.requests.length === 3);
+      answerWhole(requestFor('/reads/0'));
+      breakMidway(requestFor('/reads/1'));
+      await until(() => caller.closed);
+      expect(caller.bodies).to.deep.equal(['/reads/0']);
+      await idle();
+      await until(() => requestFor('/reads/2').socket.destroyed);
+    });
+  });
+
+  describe('when the router stops as planned', () => {
+    it('are answered, and the connection closes behind them', async () => {
+      caller.send(pipeline(reads(3)));
+      await until(() => upstream.requests.length === 3);
+      const stopped = router.daemon.stop();
+      upstream.requests.forEach(answerWhole);
+      await until(() => caller.answers.length === 3);
+      await stopped;
+      expect(caller.bodies).to.deep.equal(reads(3));
+      await until(() => caller.closed);
+    });
+
+    it('and more come: each that was sent on is answered, and the last answer says that it closes', async () => {
+      caller.send(pipeline(reads(2)));
+      await until(() => upstream.requests.length === 2);
+      const stopped = router.daemon.stop();
+      caller.send(pipeline(['/reads/2', '/reads/3']));
+      await until(() => upstream.requests.length === 4);
+      answerWhole(requestFor('/reads/0'));
+      await until(() => caller.answers.length === 1);
+      caller.send(pipeline(['/reads/late']));
+      answerWhole(requestFor('/reads/3'));
+      answerWhole(requestFor('/reads/2'));
+      answerWhole(requestFor('/reads/1'));
+      await until(() => caller.closed);
+      await stopped;
+      expect(caller.bodies).to.deep.equal(reads(4));
+      expect(caller.answers.map(({ head }) => /connection: close/i.test(head))).to.deep.equal([
+        false,
+        false,
+        false,
+        true,
+      ]);
+      expect(targets()).to.have.members(reads(4));
+    });
+
+    it('and an order waits behind a read: the order is answered or never sent', async () => {
+      caller.send(pipeline(['/reads/0']));
+      await until(() => upstream.requests.length === 1);
+      const stopped = router.daemon.stop();
+      caller.send(postHead('/orders/1', 'body'));
+      await until(() => router.daemon.openRequests === 2);
+      upstream.script = answerWhole;
+      answerWhole(requestFor('/reads/0'));
+      await until(() => caller.closed);
+      await stopped;
+      expect(caller.answers).to.have.length(upstream.requests.length);
+    });
+  });
+
+  it('ten thousand of them whose callers leave one by one leave nothing behind', async function () {
+    this.timeout(60_000);
+    const connections = 500;
+    const each = 20;
+    const batch = 50;
+    for (let begun = 0; begun < connections; begun += batch) {
+      const callers = await Promise.all(
+        Array.from({ length: batch }, () => RawCaller.connect(router.address)),
+      );
+      for (const leaving of callers) {
+        leaving.send(pipeline(reads(each)));
+      }
+      await until(() => router.daemon.openRequests === batch * each);
+      for (const leaving of callers) {
+        leaving.leave();
+      }
+      await idle();
+    }
+  });
 });
--- a/test/router/caller/raw-caller.ts
+++ b/test/router/caller/raw-caller.ts
@@ -25,6 +25,8 @@
   readonly answers: RawAnswer[] = [];
   closed = false;
   #received = '';
+  /** Length of the answer that is coming, once its head is here. */
+  #needed = 0;
 
   private constructor(readonly socket: Socket) {
     socket.setEncoding('latin1');
@@ -77,16 +79,22 @@
 
   #take(piece: string): void {
     this.#received += piece;
-    for (let end = this.#received.indexOf(HEAD_END); end !== -1; end = this.#received.indexOf(HEAD_END)) {
+    while (this.#received.length >= this.#needed) {
+      const end = this.#received.indexOf(HEAD_END);
+      if (end === -1) {
+        return;
+      }
       const head = this.#received.slice(0, end);
       const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? Number.POSITIVE_INFINITY);
       const bodyStart = end + HEAD_END.length;
-      if (this.#received.length < bodyStart + length) {
+      this.#needed = bodyStart + length;
+      if (this.#received.length < this.#needed) {
         return;
       }
-      const body = this.#received.slice(bodyStart, bodyStart + length);
+      const body = this.#received.slice(bodyStart, this.#needed);
       this.answers.push({ status: Number(head.slice(9, 12)), head, body });
-      this.#received = this.#received.slice(bodyStart + length);
+      this.#received = this.#received.slice(this.#needed);
+      this.#needed = 0;
     }
   }
 }
--- /dev/null
+++ b/test/router/caller/slow-readers.test.ts
@@ -0,0 +1,196 @@
+/** Large answers to callers that read slowly or not at all: held within bounds, delivered whole, broken off when nothing passes. */
+import { expect } from 'chai';
+import type { LogFields } from '../../../src/logging/logger.js';
+import { LogRecorder } from '../log-recorder.js';
+import { type FixtureOptions, RouterFixture, until } from '../router-fixture.js';
+import { headFor, type ScriptedRequest, ScriptedUpstream } from '../scripted-upstream.js';
+import { getHead, RawCaller } from './raw-caller.js';
+
+const MEGABYTE = 1024 * 1024;
+/** More than the sockets on the way hold. */
+const LARGE_BYTES = 24 * MEGABYTE;
+const HELD_BYTES = 2 * MEGABYTE;
+const HELD_PER_CONNECTION = MEGABYTE;
+/** One piece of an answer, as a socket gives it at most. */
+const PIECE_BYTES = 64 * 1024;
+const STALL_MILLIS = 300;
+
+class EventRecorder extends LogRecorder {
+  readonly events: { readonly event: string; readonly fields: LogFields | undefined }[] = [];
+
+  override info(event: string, fields?: LogFields): void {
+    this.events.push({ event, fields });
+  }
+}
+
+/** Bytes that upstreams could write of their answers, by target. */
+type Written = Map<string, number>;
+
+function writeLarge(written: Written, bytes: number): (request: ScriptedRequest) => void {
+  return (request) => {
+    const { socket, target } = request;
+    const piece = Buffer.alloc(PIECE_BYTES, 'x');
+    let left = bytes;
+    const write = (): void => {
+      for (let takes = true; takes && left > 0; ) {
+        const next = piece.subarray(0, Math.min(left, PIECE_BYTES));
+        left -= next.length;
+        takes = socket.write(next);
+        written.set(target, bytes - left);
+      }
+    };
+    socket.setMaxListeners(0).on('drain', write);
+    socket.write(headFor(request, `content-length: ${bytes}`));
+    write();
+  };
+}
+
+describe('large answers to slow readers', () => {
+  const written: Written = new Map();
+  let upstream: ScriptedUpstream;
+  let router: RouterFixture;
+
+  async function start(options: FixtureOptions = {}): Promise<void> {
+    router = await RouterFixture.start([upstream], {
+      reads: { slotsPerUpstream: 300, wholeAnswerBytes: 256 * 1024, deadlineMillis: 30_000 },
+      frontEnd: 'node',
+      ...options,
+      settings: {
+        limits: {
+          heldAnswerBytes: HELD_BYTES,
+          heldBytesPerConnection: HELD_PER_CONNECTION,
+          connectionsPerUpstream: 300,
+        },
+        ...options.settings,
+      },
+    });
+  }
+
+  function heldBytes(): number {
+    return router.daemon.connectionsUsage().heldAnswerBytes;
+  }
+
+  /** Callers that sent one request each and read nothing. */
+  async function readers(paths: readonly string[]): Promise<RawCaller[]> {
+    return Promise.all(
+      paths.map(async (path) => (await RawCaller.connect(router.address)).pause().send(getHead(path))),
+    );
+  }
+
+  beforeEach(async () => {
+    written.clear();
+    upstream = await new ScriptedUpstream(writeLarge(written, LARGE_BYTES)).start();
+  });
+
+  afterEach(async () => {
+    await router.stop();
+    await upstream.stop();
+  });
+
+  it('are held up to the bound of a connection, and the rest is left with the upstream', async () => {
+    await start();
+    const [caller] = (await readers(['/reads/0'])) as [RawCaller];
+    await until(() => heldBytes() >= HELD_PER_CONNECTION);
+    await router.get('/nothing/1');
+    expect(heldBytes()).to.be.at.most(HELD_PER_CONNECTION + PIECE_BYTES);
+    expect(written.get('/reads/0')).to.be.below(LARGE_BYTES);
+    caller.resume();
+    await until(() => caller.answers.length === 1);
+    expect(caller.bodies[0]?.length).to.equal(LARGE_BYTES);
+    expect(heldBytes()).to.equal(0);
+    caller.leave();
+  });
+
+  it('are held up to the bound in all, and all come whole once they are read', async () => {
+    await start();
+    const callers = await readers(Array.from({ length: 6 }, (_, index) => `/reads/${index}`));
+    await until(() => router.daemon.connectionsUsage().waitingAnswers === callers.length);
+    expect(heldBytes()).to.be.at.most(HELD_BYTES + callers.length * PIECE_BYTES);
+    for (const caller of callers) {
+      caller.resume();
+    }
+    await until(() => callers.every(({ answers }) => answers.length === 1));
+    expect(callers.map(({ bodies }) => bodies[0]?.length)).to.deep.equal(callers.map(() => LARGE_BYTES));
+    expect(heldBytes()).to.equal(0);
+    for (const caller of callers) {
+      caller.leave();
+    }
+  });
+
+  it('leave room for answers to those who read', async () => {
+    await start();
+    const callers = await readers(['/reads/0', '/reads/1', '/reads/2']);
+    await until(() => router.daemon.connectionsUsage().waitingAnswers === callers.length);
+    upstream.script = writeLarge(written, 90_000);
+    const { status, body } = await router.get('/reads/small');
+    expect([status, body.length]).to.deep.equal([200, 90_000]);
+    for (const caller of callers) {
+      caller.leave();
+    }
+    await until(() => heldBytes() === 0);
+  });
+
+  it('are given up at their upstream when their caller leaves', async () => {
+    await start();
+    const [caller] = (await readers(['/reads/0'])) as [RawCaller];
+    await until(() => heldBytes() >= HELD_PER_CONNECTION);
+    caller.leave();
+    await until(() => upstream.requests[0]?.socket.destroyed === true);
+    await until(() => router.daemon.openRequests === 0);
+    expect(heldBytes()).to.equal(0);
+  });
+
+  it('are broken off when their caller takes nothing, with those behind them', async () => {
+    const log = new EventRecorder();
+    const large = writeLarge(written, LARGE_BYTES);
+    upstream.script = (request) => request.target === '/reads/0' && large(request);
+    await start({ log, settings: { timings: { streamStallMillis: STALL_MILLIS } } });
+    const caller = await RawCaller.connect(router.address);
+    caller.pause().send(`${getHead('/reads/0')}${getHead('/reads/1')}`);
+    await until(() => upstream.requests.length === 2);
+    await until(() => upstream.requests.every(({ socket }) => socket.destroyed));
+    await until(() => router.daemon.openRequests === 0);
+    expect(heldBytes()).to.equal(0);
+    expect(log.events.filter(({ event }) => event === 'answer-broken-off')).to.deep.equal([
+      {
+        event: 'answer-broken-off',
+        fields: { request: 1, id: null, reason: 'caller-stalled', lostBehind: 1 },
+      },
+    ]);
+    caller.leave();
+  });
+
+  it('that came whole are not cut off by a planned stop', async () => {
+    const bytes = 12 * MEGABYTE;
+    upstream.script = writeLarge(written, bytes);
+    await start({
+      reads: { wholeAnswerBytes: 16 * MEGABYTE, deadlineMillis: 30_000 },
+      settings: { limits: { heldAnswerBytes: 32 * MEGABYTE }, timings: { idleMillis: 0 } },
+    });
+    const [caller] = (await readers(['/reads/0'])) as [RawCaller];
+    await until(() => heldBytes() >= bytes);
+    const stopped = router.daemon.stop();
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    caller.resume();
+    await until(() => caller.answers.length === 1);
+    await stopped;
+    expect(caller.bodies[0]?.length).to.equal(bytes);
+  });
+
+  it('of 200 callers are held, and their upstreams are free before they are read', async () => {
+    const bytes = 90_000;
+    upstream.script = writeLarge(written, bytes);
+    await start({ settings: { limits: { heldAnswerBytes: 32 * MEGABYTE, connectionsPerUpstream: 300 } } });
+    const paths = Array.from({ length: 200 }, (_, index) => `/reads/${index}`);
+    const callers = await readers(paths);
+    await until(() => upstream.requests.length === paths.length && router.daemon.status().inFlight === 0);
+    for (const caller of callers) {
+      caller.resume();
+    }
+    await until(() => callers.every(({ answers }) => answers.length === 1));
+    await until(() => heldBytes() === 0);
+    for (const caller of callers) {
+      caller.leave();
+    }
+  });
+});
--- a/test/router/router-fixture.ts
+++ b/test/router/router-fixture.ts
@@ -17,6 +17,7 @@
 const ANY_PORT = '127.0.0.1:0';
 /** Asks for its configuration as soon as it can have it. */
 const QUICK_SYNC = { ...DEFAULT_CONFIG_LEASE_TIMINGS, syncMillis: 20 };
+const ANNOUNCED = { slots: 64, warmupMillis: 0 };
 const POLL_MILLIS = 5;
 const WAIT_MILLIS = 10_000;
 
@@ -27,6 +28,8 @@
   readonly orders?: Partial<ServiceDefinition>;
   readonly settings?: Partial<RouterDaemonSettings>;
   readonly frontEnd?: CallerFrontEnd;
+  /** Whether upstreams announce themselves, so that their answers may lack a length. */
+  readonly announced?: boolean;
   /** Where the daemon's log goes; as that of a process if left out. */
   readonly log?: Logger;
 }
@@ -54,7 +57,12 @@
         service('orders', { repeatable: false, ...options.orders }),
       ],
       upstreams: upstreams.flatMap(({ address }, index) =>
-        ['reads', 'orders'].map((name) => upstream(`${name}-${index + 1}`, name, { address })),
+        ['reads', 'orders'].map((name) => {
+          const id = `${name}-${index + 1}`;
+          return options.announced === true
+            ? { ...upstream(id, name, { address, announced: ANNOUNCED }), incarnation: id }
+            : upstream(id, name, { address });
+        }),
       ),
       shards: [],
       routes: [],
