Connections: an answer that waited for room is read on in a turn of its own

Cause: room comes while another answer is read or breaks. The parser that was resumed there threw, so its answer was never read on, and an answer that ended in the same turn as another connection's reset was taken for cut off. The test failed first.

--- a/src/router/attempts/answer-stream.ts
+++ b/src/router/attempts/answer-stream.ts
@@ -51,7 +51,7 @@
       }
     }
     if (this.blocked.size === 0) {
-      this.options.resume();
+      this.resume();
     }
   }
 
@@ -80,11 +80,20 @@
   }
 
   private unblock(reader: AnswerWriter): void {
-    if (this.blocked.delete(reader) && this.blocked.size === 0 && !this.over) {
-      this.options.resume();
+    if (this.blocked.delete(reader) && this.blocked.size === 0) {
+      this.resume();
     }
   }
 
+  /** Room comes while another answer is read or breaks. Read there and then, this one would be taken for a part of that. */
+  private resume(): void {
+    setImmediate(() => {
+      if (!this.over && this.blocked.size === 0) {
+        this.options.resume();
+      }
+    });
+  }
+
   private remove(reader: AnswerWriter): void {
     this.readers.delete(reader);
     if (this.readers.size === 0 && !this.over) {
