--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -12,6 +12,7 @@
 import { UpstreamPools } from './attempts/upstream-pools.js';
 import { BodyReader } from './caller/body-reader.js';
 import { describeRequestFault } from './caller/caller-exchange.js';
+import type { ConnectionsUsage } from './caller/caller-exchanges.js';
 import { type CallerFrontEnd, createCallerListener } from './caller/caller-listener.js';
 import { ControlLinks } from './control-links.js';
 import { HealthProbes } from './hints/health-probes.js';
@@ -75,7 +76,10 @@
     this.http = this.settings.http;
     this.bodies = new BodyReader(limits);
     this.core = createCore(this.coreConfig());
-    this.metrics = new RouterMetrics(() => this.core.status());
+    this.metrics = new RouterMetrics(
+      () => this.core.status(),
+      () => this.task.connectionsUsage(),
+    );
     this.pools = new UpstreamPools({ ...limits, ...timings, localAddress: settings.outgoing });
     this.links = this.createLinks();
     this.probes = this.createProbes();
@@ -165,6 +169,11 @@
     return this.task.openRequests;
   }
 
+  /** What callers' connections hold now. */
+  connectionsUsage(): ConnectionsUsage {
+    return this.task.connectionsUsage();
+  }
+
   /** Takes over other control members, as reloaded settings name them. */
   useControl(members: readonly Address[]): void {
     this.links.useSettings(members);
