--- a/scripts/router-life.mjs
+++ b/scripts/router-life.mjs
@@ -21,6 +21,8 @@
 const RANGES = 800;
 const KEYS = 65_536;
 const ZONES = 5;
+const CALLER_PORT = 8002;
+const ADMIN_PORT = 8001;
 const NANOS_PER_MILLI = 1e6;
 const KILOBYTES_PER_MEGABYTE = 1024;
 const ANSWER = Buffer.alloc(1500, 'x');
@@ -109,12 +111,17 @@
   };
 }
 
-function startRouter(folder, control, port) {
+/** A loopback address of this run's own, so that runs side by side don't meet. */
+function ownHost() {
+  return `127.202.${Math.floor(process.pid / 250) % 250}.${1 + (process.pid % 250)}`;
+}
+
+function startRouter(folder, control, host) {
   const secret = join(folder, 'secret');
   const file = join(folder, 'router.yaml');
   const headers =
     'headers:\n  requestId: Request-Id\n  instance: Target-Instance\n  key: Shard-Key\n  load: Server-Load\n';
-  const settings = `cluster: bench\nrouter: router-1\nzone: zone-1\nlisten: 127.0.0.1:${port}\nadmin: 127.0.0.1:${port + 1}\ncontrol: ["${control}"]\nsecretFile: ${secret}\n${headers}byRoutes: true\nwhenOutOfTouch: serve\nfirstConfiguration: 0s\nprobeInterval: 0s\n`;
+  const settings = `cluster: bench\nrouter: router-1\nzone: zone-1\nlisten: ${host}:${CALLER_PORT}\nadmin: ${host}:${ADMIN_PORT}\ncontrol: ["${control}"]\nsecretFile: ${secret}\n${headers}byRoutes: true\nwhenOutOfTouch: serve\nfirstConfiguration: 0s\nprobeInterval: 0s\n`;
   writeFileSync(secret, 'only-for-the-bench');
   writeFileSync(file, settings);
   const deploy = readFileSync('deploy/system.toml', 'utf8');
@@ -136,9 +143,9 @@
   return Math.round(Number(kilobytes) / KILOBYTES_PER_MEGABYTE);
 }
 
-async function untilReady(port) {
+async function untilReady(host) {
   for (const end = performance.now() + READY_MILLIS; performance.now() < end; await sleep(20)) {
-    const response = await fetch(`http://127.0.0.1:${port + 1}/healthz`).catch(() => null);
+    const response = await fetch(`http://${host}:${ADMIN_PORT}/healthz`).catch(() => null);
     if (response?.status === 200) {
       return;
     }
@@ -149,10 +156,10 @@
 const outcomes = { whole: 0, other: 0 };
 const agent = new Agent({ keepAlive: true, maxSockets: 40 });
 
-function send(port, number) {
+function send(address, number) {
   const host = HOSTS[number % HOSTS.length];
   const headers = { host, 'request-id': `request-${number}`, 'shard-key': String((number * 7919) % KEYS) };
-  const sent = request({ host: '127.0.0.1', port, path: '/item', headers, agent }, (response) => {
+  const sent = request({ host: address, port: CALLER_PORT, path: '/item', headers, agent }, (response) => {
     response.resume();
     response.on('end', () => {
       outcomes[response.statusCode === 200 ? 'whole' : 'other'] += 1;
@@ -185,12 +192,12 @@
 }
 
 /** Sends at fixed times; gives the processor time of each second. */
-async function load(port, pid) {
+async function load(host, pid) {
   const begin = performance.now();
   const perSecond = [];
   let before = cpuMillis(pid);
   for (let sent = 0; sent < rate * seconds; sent += 1) {
-    send(port, sent);
+    send(host, sent);
     await sleep(Math.max(0, begin + ((sent + 1) * 1000) / rate - performance.now()));
     if ((sent + 1) % rate === 0) {
       const now = cpuMillis(pid);
@@ -211,15 +218,15 @@
 const snapshot = snapshotOf(upstreams);
 const control = new ControlStandin(snapshot);
 const folder = mkdtempSync(join(tmpdir(), 'router-life-'));
-const port = 20_000 + (process.pid % 20_000);
-const router = startRouter(folder, await control.start(), port);
+const host = ownHost();
+const router = startRouter(folder, await control.start(), host);
 try {
-  await untilReady(port);
+  await untilReady(host);
   const ready = cpuMillis(router.pid);
   await sleep(IDLE_MILLIS);
   const idle = cpuMillis(router.pid) - ready;
   beginNews(control, snapshot);
-  const perSecond = await load(port, router.pid);
+  const perSecond = await load(host, router.pid);
   console.log(
     `ready after ${ready.toFixed(0)} ms of processor time; idle ${(idle / 3).toFixed(1)} ms a second`,
   );
