Bundle and flags: one V8 worker thread, and no library code for pushing metrics, old streams or the runtime's own counts

Cause: --v8-pool-size=0 doesn't mean none but one for each processor: 18 threads in a router on 12 processors. Libraries loaded https, tls, cluster and file streams at each start for parts that the daemons never use. Change: --v8-pool-size=1; prom-client without push gateway, cluster, and (router) the runtime's metrics; koa's destroy without its care for streams of early node versions. The flags in the bundle's test follow the deploy file, as before.

--- a/scripts/bundle/bundle.mjs
+++ b/scripts/bundle/bundle.mjs
@@ -13,7 +13,7 @@
 const FOLDER = process.argv[2] ?? 'target';
 /** Flags that the daemons run with; compiled code is good for the same flags only. */
 const FLAGS = [
-  '--v8-pool-size=0',
+  '--v8-pool-size=1',
   '--max-old-space-size=160',
   '--max-semi-space-size=4',
   '--liftoff-only',
--- a/scripts/bundle/lean-libraries.mjs
+++ b/scripts/bundle/lean-libraries.mjs
@@ -1,5 +1,10 @@
 /** What the daemons' bundles have in place of the large parts of libraries that they never use. */
 
+const PLAIN_METRICS = `export { default as Counter } from 'prom-client/lib/counter.js';
+  export { default as Gauge } from 'prom-client/lib/gauge.js';
+  export { default as Histogram } from 'prom-client/lib/histogram.js';
+  export { default as Registry } from 'prom-client/lib/registry.js';`;
+
 /** Modules by the path that asks for them, each with what takes its place. */
 const REPLACEMENTS = [
   {
@@ -16,6 +21,23 @@
     importer: /\/zod\//,
     contents: "export { default as en } from 'zod/v4/locales/en.js';",
   },
+  // Metrics are read from the daemons, never pushed, and each is a process of its own. Only control counts what the runtime does.
+  {
+    filter: /^prom-client$/,
+    importer: /\/src\/router\//,
+    contents: PLAIN_METRICS,
+  },
+  {
+    filter: /^prom-client$/,
+    contents: `${PLAIN_METRICS}
+      export { default as collectDefaultMetrics } from 'prom-client/lib/defaultMetrics.js';`,
+  },
+  // Every stream of node can be destroyed; the library looks for those of earlier versions, with file streams and zlib.
+  {
+    filter: /^destroy$/,
+    importer: /\/koa\//,
+    contents: 'module.exports = (stream) => { stream?.destroy?.(); return stream; };',
+  },
   // koa looks up the types of answers that it makes itself: JSON and text.
   {
     filter: /^mime-db$/,
--- a/test/cli/bundle.test.ts
+++ b/test/cli/bundle.test.ts
@@ -9,7 +9,7 @@
 const ROOT = resolve(fileURLToPath(new URL('../../..', import.meta.url)));
 /** As the deploy file has them; compiled code is good for the same flags only. */
 const FLAGS = [
-  '--v8-pool-size=0',
+  '--v8-pool-size=1',
   '--max-old-space-size=160',
   '--max-semi-space-size=4',
   '--liftoff-only',
