Router: metrics in batches, answers of one piece uncopied, header names compared by length first, samples not told as dropped

Cause: each request went through three look-ups by label in prom-client, a copy of its answer, and some 70 lower-cased header names; each second a warning said which ordinary answers weren't sampled. Change: counts wait in plain numbers and times in a short list until metrics are read (or 256 times wait); the rest as the title says. What metrics show is the same at each read; tests say so.

--- a/scripts/log-events-page.mjs
+++ b/scripts/log-events-page.mjs
@@ -15,7 +15,7 @@
 
 Writing never waits: a line that its reader is too slow for is dropped and counted
 (\`ternmount_router_log_lines_dropped\`). Of each event at most 50 records a second are written, of ordinary answers 2;
-\`records-dropped\` says of which there were more.
+\`records-dropped\` says of which there were more; ordinary answers beyond their 2 aren't counted there, but in the metrics.
 
 | event | process | fields |
 |---|---|---|
--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -109,7 +109,7 @@
     error: (event, fields) => log('error', event, fields),
     sample: (event, fields) => {
       reportDropped();
-      if (isOn('info') && budget.take(event, SAMPLES_A_SECOND)) {
+      if (isOn('info') && budget.takeSample(event, SAMPLES_A_SECOND)) {
         write('info', namespace, event, fields());
       }
     },
--- a/src/logging/record-budget.ts
+++ b/src/logging/record-budget.ts
@@ -15,10 +15,10 @@
   constructor(private readonly most: number) {}
 
   /** Whether one more record may be written now; if not, it is counted as dropped. */
-  take(event: string, most: number = this.most): boolean {
+  take(event: string): boolean {
     const count = this.#counts.get(event) ?? { written: 0, dropped: 0 };
     this.#counts.set(event, count);
-    if (count.written >= most) {
+    if (count.written >= this.most) {
       count.dropped += 1;
       return false;
     }
@@ -26,6 +26,11 @@
     return true;
   }
 
+  /** Whether one more of a few records that stand for many may be written now; those left out aren't missed. */
+  takeSample(event: string, most: number): boolean {
+    return (this.#counts.get(event)?.written ?? 0) < most && this.take(event);
+  }
+
   /** Begins a new second if it is time; gives what was dropped in the one before, by event. */
   turn(now: number): Readonly<Record<string, number>> | null {
     if (now - this.#since < SECOND_MILLIS) {
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -91,7 +91,7 @@
     const head = this.head as AnswerHead;
     const headers = forwardedAnswerHeaders(head.headers);
     if (this.complete) {
-      const body = Buffer.concat(this.chunks);
+      const body = joined(this.chunks);
       if (head.isUnframed) {
         exchange.answerUnframed(head.status, headers, body);
         return;
@@ -205,7 +205,7 @@
   private wholeResult(): AttemptResult {
     const head = this.head as AnswerHead;
     const { storedAnswerBytes } = this.options;
-    const body = storedAnswerBytes === null ? null : Buffer.concat(this.chunks);
+    const body = storedAnswerBytes === null ? null : joined(this.chunks);
     const refusal = this.options.protocol.refusalOf(head);
     if (refusal !== null) {
       return { ...refusal, load: this.options.protocol.loadOf(head.headers) };
@@ -244,6 +244,12 @@
   }
 }
 
+/** Most answers come in one piece, which needs no copy. */
+function joined(chunks: readonly Buffer[]): Buffer {
+  const [first] = chunks;
+  return first !== undefined && chunks.length === 1 ? first : Buffer.concat(chunks);
+}
+
 /** The length of an answer that came in chunks is known once it is whole. */
 function withLength(headers: string[], head: AnswerHead, body: Buffer, method: string): string[] {
   if (head.contentLength !== null || method === 'HEAD') {
--- a/src/router/attempts/read-notice.ts
+++ b/src/router/attempts/read-notice.ts
@@ -7,7 +7,7 @@
   type UnreadableHeader,
   type UpstreamNotice,
 } from '../../model/upstream-notice.js';
-import { findHeader } from '../caller/header-rules.js';
+import { findHeader, isCalled } from '../caller/header-rules.js';
 
 /** A decimal number, with or without fraction. */
 const DECIMAL = /^\d+(?:\.\d+)?$/;
@@ -36,12 +36,12 @@
   const rests: string[] = [];
   const leavings: string[] = [];
   for (let index = 0; index < headers.length; index += 2) {
-    const name = (headers[index] as string).toLowerCase();
-    if (name === names.limit) {
+    const name = headers[index] as string;
+    if (isCalled(name, names.limit)) {
       limits.push((headers[index + 1] as string).trim());
-    } else if (name === names.leaving) {
+    } else if (isCalled(name, names.leaving)) {
       leavings.push((headers[index + 1] as string).trim());
-    } else if (name === 'retry-after' && TURNED_AWAY.has(status)) {
+    } else if (TURNED_AWAY.has(status) && isCalled(name, 'retry-after')) {
       rests.push((headers[index + 1] as string).trim());
     }
   }
--- a/src/router/caller/header-rules.ts
+++ b/src/router/caller/header-rules.ts
@@ -28,10 +28,15 @@
   return filterHeaders(rawHeaders, () => true);
 }
 
+/** Whether a header as it came is called `name` (lower case). Most differ in length already. */
+export function isCalled(header: string, name: string): boolean {
+  return header.length === name.length && header.toLowerCase() === name;
+}
+
 /** Value of the first header called `name` (lower case). */
 export function findHeader(rawHeaders: readonly string[], name: string): string | undefined {
   for (let index = 0; index < rawHeaders.length; index += 2) {
-    if (rawHeaders[index]?.toLowerCase() === name) {
+    if (isCalled(rawHeaders[index] as string, name)) {
       return rawHeaders[index + 1];
     }
   }
@@ -47,7 +52,7 @@
 export function countHeader(rawHeaders: readonly string[], name: string): number {
   let count = 0;
   for (let index = 0; index < rawHeaders.length; index += 2) {
-    if (rawHeaders[index]?.toLowerCase() === name) {
+    if (isCalled(rawHeaders[index] as string, name)) {
       count += 1;
     }
   }
--- a/src/router/metrics.ts
+++ b/src/router/metrics.ts
@@ -8,11 +8,55 @@
 /** Service label of requests for services that don't exist, whatever they call them. */
 const UNKNOWN_SERVICE = '(unknown)';
 
+/** Observations of a series that wait at most. */
+const MOST_WAITING = 256;
+
+/** A counter's series that hears of many at once: `prom-client` goes by labels each time, which is dear on every request. */
+class CountedSeries {
+  #waiting = 0;
+
+  constructor(private readonly counter: Counter.Internal) {}
+
+  inc(): void {
+    this.#waiting += 1;
+  }
+
+  /** Counts what waits. */
+  flush(): void {
+    if (this.#waiting > 0) {
+      this.counter.inc(this.#waiting);
+      this.#waiting = 0;
+    }
+  }
+}
+
+/** The same of a histogram. */
+class ObservedSeries {
+  #waiting: number[] = [];
+
+  constructor(private readonly histogram: Histogram.Internal<'service'>) {}
+
+  observe(value: number): void {
+    this.#waiting.push(value);
+    if (this.#waiting.length === MOST_WAITING) {
+      this.flush();
+    }
+  }
+
+  /** Observes what waits. */
+  flush(): void {
+    for (const value of this.#waiting) {
+      this.histogram.observe(value);
+    }
+    this.#waiting = [];
+  }
+}
+
 /** Series of one service that are counted on every request, found by their labels once. */
 interface ServiceSeries {
-  readonly upstream: Counter.Internal;
-  readonly stored: Counter.Internal;
-  readonly seconds: Histogram.Internal<'service'>;
+  readonly upstream: CountedSeries;
+  readonly stored: CountedSeries;
+  readonly seconds: ObservedSeries;
 }
 
 export class RouterMetrics {
@@ -22,12 +66,14 @@
     help: 'Requests of callers by how they were answered',
     labelNames: ['service', 'answer', 'reason'],
     registers: [this.registry],
+    collect: () => this.flush(),
   });
   private readonly attempts = new Counter({
     name: 'ternmount_router_attempts_total',
     help: 'Attempts on upstreams by how they ended',
     labelNames: ['result'],
     registers: [this.registry],
+    collect: () => this.flush(),
   });
   private readonly seconds = new Histogram({
     name: 'ternmount_router_request_seconds',
@@ -35,14 +81,15 @@
     labelNames: ['service'],
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
+    collect: () => this.flush(),
   });
   private readonly series = new Map<ServiceName, ServiceSeries>();
-  private readonly attemptSeries: Readonly<Record<AttemptResult['type'], Counter.Internal>> = {
-    answered: this.attempts.labels('answered'),
-    refused: this.attempts.labels('refused'),
-    'connect-failed': this.attempts.labels('connect-failed'),
-    broken: this.attempts.labels('broken'),
-    cancelled: this.attempts.labels('cancelled'),
+  private readonly attemptSeries: Readonly<Record<AttemptResult['type'], CountedSeries>> = {
+    answered: new CountedSeries(this.attempts.labels('answered')),
+    refused: new CountedSeries(this.attempts.labels('refused')),
+    'connect-failed': new CountedSeries(this.attempts.labels('connect-failed')),
+    broken: new CountedSeries(this.attempts.labels('broken')),
+    cancelled: new CountedSeries(this.attempts.labels('cancelled')),
   };
 
   constructor(status: () => RouterStatus) {
@@ -73,6 +120,18 @@
     this.attemptSeries[result].inc();
   }
 
+  /** Brings what is read up to date. */
+  private flush(): void {
+    for (const series of Object.values(this.attemptSeries)) {
+      series.flush();
+    }
+    for (const { upstream, stored, seconds } of this.series.values()) {
+      upstream.flush();
+      stored.flush();
+      seconds.flush();
+    }
+  }
+
   /** Only services that exist have answers, so there are no more entries than services declared ever. */
   private seriesOf(service: ServiceName): ServiceSeries {
     const known = this.series.get(service);
@@ -80,9 +139,9 @@
       return known;
     }
     const made: ServiceSeries = {
-      upstream: this.requests.labels(service, 'upstream', ''),
-      stored: this.requests.labels(service, 'stored', ''),
-      seconds: this.seconds.labels(service),
+      upstream: new CountedSeries(this.requests.labels(service, 'upstream', '')),
+      stored: new CountedSeries(this.requests.labels(service, 'stored', '')),
+      seconds: new ObservedSeries(this.seconds.labels(service)),
     };
     this.series.set(service, made);
     return made;
--- a/test/logging/log-writer.test.ts
+++ b/test/logging/log-writer.test.ts
@@ -71,4 +71,14 @@
     expect(budget.take('a')).to.equal(true);
     expect(budget.turn(2000)).to.equal(null);
   });
+
+  it('counts no sample as dropped, and takes samples within the bound on all', () => {
+    const budget = new RecordBudget(3);
+    budget.turn(0);
+    const samples = [1, 2, 3, 4].map(() => budget.takeSample('a', 2));
+    expect(samples).to.deep.equal([true, true, false, false]);
+    expect([budget.take('a'), budget.take('a')]).to.deep.equal([true, false]);
+    expect(budget.turn(1000)).to.deep.equal({ a: 1 });
+    expect(budget.takeSample('a', 2)).to.equal(true);
+  });
 });
--- /dev/null
+++ b/test/router/metrics.test.ts
@@ -0,0 +1,56 @@
+/** Counts of a router that are handed on in batches: what is read is up to date, and nothing is counted twice. */
+import { expect } from 'chai';
+import { RouterMetrics } from '../../src/router/metrics.js';
+import type { RouterStatus } from '../../src/routing/types.js';
+
+const STATUS: RouterStatus = {
+  revision: 1,
+  serving: true,
+  queued: 0,
+  inFlight: 0,
+  limited: 0,
+  resting: 0,
+  leaving: 0,
+};
+const ANSWERED = 'ternmount_router_requests_total{service="orders",answer="upstream",reason=""}';
+const BELOW_A_SECOND = 'ternmount_router_request_seconds_bucket{le="1",service="orders"}';
+const ALL_TIMES = 'ternmount_router_request_seconds_count{service="orders"}';
+/** Above any batch. */
+const MANY = 1000;
+
+async function read(metrics: RouterMetrics, series: string): Promise<number> {
+  const lines = (await metrics.registry.metrics()).split('\n');
+  return Number(lines.find((line) => line.startsWith(`${series} `))?.slice(series.length + 1) ?? Number.NaN);
+}
+
+describe('metrics of a router', () => {
+  it('show every answer and its time at once, however few or many there were', async () => {
+    const metrics = new RouterMetrics(() => STATUS);
+    for (let answer = 1; answer <= MANY; answer += 1) {
+      metrics.answered('orders', answer <= 10 ? 3 : 0.5, 'upstream');
+      if (answer === 1 || answer === MANY) {
+        expect(await read(metrics, ANSWERED)).to.equal(answer);
+        expect(await read(metrics, ALL_TIMES)).to.equal(answer);
+      }
+    }
+    expect(await read(metrics, BELOW_A_SECOND)).to.equal(MANY - 10);
+  });
+
+  it('show the same when they are read again', async () => {
+    const metrics = new RouterMetrics(() => STATUS);
+    metrics.answered('orders', 0.5, 'upstream');
+    metrics.attemptEnded('answered');
+    for (const _reader of [1, 2]) {
+      expect(await read(metrics, ANSWERED)).to.equal(1);
+      expect(await read(metrics, BELOW_A_SECOND)).to.equal(1);
+      expect(await read(metrics, 'ternmount_router_attempts_total{result="answered"}')).to.equal(1);
+    }
+  });
+
+  it('show no series of what never happened', async () => {
+    const metrics = new RouterMetrics(() => STATUS);
+    metrics.answered('orders', 0.5, 'upstream');
+    const stored = 'ternmount_router_requests_total{service="orders",answer="stored",reason=""}';
+    expect(await read(metrics, stored)).to.be.NaN;
+  });
+});
