Service state: means over upstreams in one pass

Cause: each request with a key asks for the mean time of a request, which made a list of all upstreams' times first. Change: one pass without lists; the same mean.

--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -142,14 +142,12 @@
 
   /** Mean time of a request that finds a free slot, in milliseconds; `null` while none was seen. */
   unhinderedMillis(): number | null {
-    const seen = this.sortedUpstreams.flatMap(({ unhinderedMillis }) => unhinderedMillis ?? []);
-    return seen.length === 0 ? null : seen.reduce((sum, millis) => sum + millis, 0) / seen.length;
+    return meanOf(this.sortedUpstreams, ({ unhinderedMillis }) => unhinderedMillis);
   }
 
   /** Mean time of an attempt over the upstreams that gave an answer, in milliseconds; `null`: none did. */
   measuredMillis(): number | null {
-    const seen = this.sortedUpstreams.flatMap(({ measuredMillis }) => measuredMillis ?? []);
-    return seen.length === 0 ? null : seen.reduce((sum, millis) => sum + millis, 0) / seen.length;
+    return meanOf(this.sortedUpstreams, ({ measuredMillis }) => measuredMillis);
   }
 
   /** Requests a millisecond that one upstream could take from this router; one of which nothing is known counts as the others do. */
@@ -199,6 +197,23 @@
   }
 }
 
+/** Mean over the upstreams that have a value; `null`: none has. In one pass, since every request with a key asks. */
+function meanOf(
+  upstreams: readonly UpstreamState[],
+  millisOf: (upstream: UpstreamState) => number | null,
+): number | null {
+  let sum = 0;
+  let count = 0;
+  for (const upstream of upstreams) {
+    const millis = millisOf(upstream);
+    if (millis !== null) {
+      sum += millis;
+      count += 1;
+    }
+  }
+  return count === 0 ? null : sum / count;
+}
+
 /** Leaves out `avoid` unless it is all there is. */
 function without(upstreams: UpstreamState[], avoid: UpstreamState | null): UpstreamState[] {
   if (avoid === null || upstreams.length < 2) {
