Connections to upstreams: probes for the other end are set once, when they stand

Cause: undici asks for TCP keep-alive while the connection is made, and node sets it then and again once it is made: ten calls of setsockopt a connection. With few requests and many upstreams a quarter to a half of the requests open one. Change: the connector asks for it once, after the connection is made; same time, same probes.

--- a/src/router/attempts/settled-connector.ts
+++ b/src/router/attempts/settled-connector.ts
@@ -14,6 +14,9 @@
  */
 const SETTLE_MILLIS = 3;
 
+/** Rest of a connection after which the system asks whether its other end is still there. */
+const PROBE_AFTER_MILLIS = 60_000;
+
 /** The upstream took a connection and ended it before anything was sent. */
 export class ConnectionTurnedAwayError extends TernmountError {
   constructor() {
@@ -25,7 +28,8 @@
 }
 
 export function createSettledConnector(options: buildConnector.BuildOptions): Connector {
-  const connect = buildConnector(options);
+  // Set before it is connected, probes are set a second time then, each time by four calls of the system.
+  const connect = buildConnector({ ...options, keepAlive: false });
   return (target, callback) =>
     connect(target, (...result) => {
       const [error, socket] = result;
@@ -33,6 +37,7 @@
         callback(error, null);
         return;
       }
+      socket.setKeepAlive(true, PROBE_AFTER_MILLIS);
       settle(socket, (stands) => {
         if (stands) {
           callback(null, socket);
