--- a/src/router/metrics.ts
+++ b/src/router/metrics.ts
@@ -18,12 +18,55 @@
   heldAnswerBytes: 0,
   waitingAnswers: 0,
 };
+/** Observations of a series that wait at most. */
+const MOST_WAITING = 256;
+
+/** A counter's series that hears of many at once: `prom-client` goes by labels each time, which is dear on every request. */
+class CountedSeries {
+  #waiting = 0;
+
+  constructor(private readonly counter: Counter.Internal) {}
+
+  inc(): void {
+    this.#waiting += 1;
+  }
+
+  /** Counts what waits. */
+  flush(): void {
+    if (this.#waiting > 0) {
+      this.counter.inc(this.#waiting);
+      this.#waiting = 0;
+    }
+  }
+}
+
+/** The same of a histogram. */
+class ObservedSeries {
+  #waiting: number[] = [];
+
+  constructor(private readonly histogram: Histogram.Internal<'service'>) {}
+
+  observe(value: number): void {
+    this.#waiting.push(value);
+    if (this.#waiting.length === MOST_WAITING) {
+      this.flush();
+    }
+  }
+
+  /** Observes what waits. */
+  flush(): void {
+    for (const value of this.#waiting) {
+      this.histogram.observe(value);
+    }
+    this.#waiting = [];
+  }
+}
 
 /** Series of one service that are counted on every request, found by their labels once. */
 interface ServiceSeries {
-  readonly upstream: Counter.Internal;
-  readonly stored: Counter.Internal;
-  readonly seconds: Histogram.Internal<'service'>;
+  readonly upstream: CountedSeries;
+  readonly stored: CountedSeries;
+  readonly seconds: ObservedSeries;
 }
 
 export class RouterMetrics {
@@ -33,12 +76,14 @@
     help: 'Requests of callers by how they were answered',
     labelNames: ['service', 'answer', 'reason'],
     registers: [this.registry],
+    collect: () => this.flush(),
   });
   private readonly attempts = new Counter({
     name: 'ternmount_router_attempts_total',
     help: 'Attempts on upstreams by how they ended',
     labelNames: ['result'],
     registers: [this.registry],
+    collect: () => this.flush(),
   });
   private readonly broken = new Counter({
     name: 'ternmount_router_answers_broken_off_total',
@@ -52,14 +97,15 @@
     labelNames: ['service'],
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
+    collect: () => this.flush(),
   });
   private readonly series = new Map<ServiceName, ServiceSeries>();
-  private readonly attemptSeries: Readonly<Record<AttemptResult['type'], Counter.Internal>> = {
-    answered: this.attempts.labels('answered'),
-    refused: this.attempts.labels('refused'),
-    'connect-failed': this.attempts.labels('connect-failed'),
-    broken: this.attempts.labels('broken'),
-    cancelled: this.attempts.labels('cancelled'),
+  private readonly attemptSeries: Readonly<Record<AttemptResult['type'], CountedSeries>> = {
+    answered: new CountedSeries(this.attempts.labels('answered')),
+    refused: new CountedSeries(this.attempts.labels('refused')),
+    'connect-failed': new CountedSeries(this.attempts.labels('connect-failed')),
+    broken: new CountedSeries(this.attempts.labels('broken')),
+    cancelled: new CountedSeries(this.attempts.labels('cancelled')),
   };
 
   constructor(status: () => RouterStatus, connections = (): ConnectionsUsage => NO_CONNECTIONS) {
@@ -115,6 +161,17 @@
     this.broken.inc({ reason });
   }
 
+  /** Brings what is read up to date. */
+  private flush(): void 
+    for (const series of Object.values(this.attemptSeries)) {
+      series.flush();
+    }
+    for (const { upstream, stored, seconds } of this.series.values()) {
+      upstream.flush();
+      stored.flush();
+      seconds.flush();
+    }
+
   /** Only services that exist have answers, so there are no more entries than services declared ever. */
   private seriesOf(service: ServiceName): ServiceSeries {
     const known = this.series.get(service);
@@ -122,9 +179,9 @@
       return known;
     }
     const made: ServiceSeries = {
-      upstream: this.requests.labels(service, 'upstream', ''),
-      stored: this.requests.labels(service, 'stored', ''),
-      seconds: this.seconds.labels(service),
+      upstream: new CountedSeries(this.requests.labels(service, 'upstream', '')),
+      stored: new CountedSeries(this.requests.labels(service, 'stored', '')),
+      seconds: new ObservedSeries(this.seconds.labels(service)),
     };
     this.series.set(service, made);
     return made;
