--- a/src/router/metrics.ts
+++ b/src/router/metrics.ts
@@ -162,7 +162,7 @@
   }
 
   /** Brings what is read up to date. */
-  private flush(): void 
+  private flush(): void {
     for (const series of Object.values(this.attemptSeries)) {
       series.flush();
     }
@@ -171,6 +171,7 @@
       stored.flush();
       seconds.flush();
     }
+  }
 
   /** Only services that exist have answers, so there are no more entries than services declared ever. */
   private seriesOf(service: ServiceName): ServiceSeries {
--- a/test/router/metrics.test.ts
+++ b/test/router/metrics.test.ts
@@ -11,6 +11,7 @@
   limited: 0,
   resting: 0,
   leaving: 0,
+  routes: [],
 };
 const ANSWERED = 'ternmount_router_requests_total{service="orders",answer="upstream",reason=""}';
 const BELOW_A_SECOND = 'ternmount_router_request_seconds_bucket{le="1",service="orders"}';
