Connections: the time that a request waits behind others counts towards its deadline

Cause: a request that waited for its turn was handed on with the whole of the time that its caller had named. Its body's time counts now too.

--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -53,7 +53,7 @@
 export type BreakReason = 'upstream-broke' | 'caller-stalled' | 'unwritable' | 'needs-length';
 
 export class CallerExchange {
-  /** When it arrived, on the monotonic clock. */
+  /** When its head arrived, on the monotonic clock. */
   readonly arrivedAt = performance.now();
   private answering = false;
   private answerBytes = 0;
@@ -106,6 +106,15 @@
     return this.over;
   }
 
+  /** How long the caller will still wait, if it said so: what was spent behind others of its connection counts. */
+  get remainingMillis(): number | null {
+    const { deadlineMillis } = this.head;
+    if (deadlineMillis === null) {
+      return null;
+    }
+    return Math.max(1, deadlineMillis - Math.floor(performance.now() - this.arrivedAt));
+  }
+
   /** Headers for the upstream, without the router's own. */
   forwardedHeaders(): string[] {
     return forwardedRequestHeaders(this.request.rawHeaders);
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -218,7 +218,7 @@
 
 function arrivedRequest(exchange: CallerExchange): ArrivedRequest {
   const { number, head, body, rawHeaders } = exchange;
-  const { service, place, key, method, target, deadlineMillis, idempotency } = head;
+  const { service, place, key, method, target, idempotency } = head;
   let fingerprint: RequestFingerprint | undefined;
   return {
     request: number,
@@ -232,7 +232,7 @@
       fingerprint ??= fingerprintRequest(head, rawHeaders, body);
       return fingerprint;
     },
-    deadlineMillis,
+    deadlineMillis: exchange.remainingMillis,
     variant: method === 'GET' ? variantOf(rawHeaders, body.length) : null,
     idempotency:
       idempotency === null ? null : { ...idempotency, fingerprint: fingerprintOf(method, target, body) },
--- a/test/router/caller/pipelines.test.ts
+++ b/test/router/caller/pipelines.test.ts
@@ -1,5 +1,6 @@
 /** Requests behind one another on a connection of a caller: answered in order, and over together when the caller leaves. */
 import { expect } from 'chai';
+import { HEADERS } from '../../../src/model/outcome.js';
 import { RouterFixture, until } from '../router-fixture.js';
 import { answerWhole, headFor, type ScriptedRequest, ScriptedUpstream } from '../scripted-upstream.js';
 import { getHead, postHead, RawCaller } from './raw-caller.js';
@@ -126,6 +127,23 @@
     expect(caller.bodies).to.deep.equal([...reads(2), '/orders/1', '/reads/last']);
   });
 
+  it('the time that a request waits behind others counts towards its deadline', async () => {
+    const deadline = 15_000;
+    const read = getHead('/reads/0').replace(
+      '\r\n\r\n',
+      `\r\n${HEADERS.deadlineMillis}: ${deadline}\r\n\r\n`,
+    );
+    caller.send(`${postHead('/orders/1', 'body')}${read}`);
+    await until(() => upstream.requests.length === 1);
+    const begun = performance.now();
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    answerWhole(requestFor('/orders/1'));
+    const waited = Math.floor(performance.now() - begun);
+    await until(() => upstream.requests.length === 2);
+    const told = Number(requestFor('/reads/0').headers.get(HEADERS.deadlineMillis));
+    expect(told).to.be.at.most(deadline - waited);
+  });
+
   it('a refusal at once stands behind the slower answer in front of it', async () => {
     caller.send(pipeline(['/reads/0', '/nothing/1']));
     await until(() => upstream.requests.length === 1);
