--- a/src/cli/status/control-findings.ts
+++ b/src/cli/status/control-findings.ts
@@ -90,6 +90,37 @@
   }));
 }
 
+const PERCENT = 100;
+
+/** What leaves a zone costs its users money, so it is told why it does. */
+function spillingZones({ fleet }: StatusBody): Finding[] {
+  const spilling = fleet?.zones.filter(({ spill }) => spill.length > 0) ?? [];
+  return spilling.map(({ service, zone, use, spill, sinceMillis }) => {
+    const parts = spill.map((part) => `${Math.round(part.share * PERCENT)}% to ${part.zone}`).join(', ');
+    return {
+      severity: 'note',
+      subject: `zone/${zone}`,
+      problem: `asks more of ${service} than its upstreams there can do, which are ${Math.round(use * PERCENT)}% busy: sends ${parts}`,
+      sinceMillis,
+      advice: 'nothing is lost by it but bytes between zones; see docs/operators/uneven-demand.md',
+    };
+  });
+}
+
+/** Only those far from the mean are worth a line: the others are in the status itself. */
+const SLOW_SPEED = 0.5;
+
+function slowUpstreams({ fleet }: StatusBody): Finding[] {
+  const slow = fleet?.speeds.filter(({ speed }) => speed < SLOW_SPEED) ?? [];
+  return slow.map(({ upstream, speed, sinceMillis }) => ({
+    severity: 'note',
+    subject: `upstream/${upstream}`,
+    problem: `works at ${speed} of the mean speed of its service`,
+    sinceMillis,
+    advice: 'routers give it less; look at its machine; see docs/operators/uneven-demand.md',
+  }));
+}
+
 function silentMembers(view: StatusView, leader: StatusBody): Finding[] {
   const { voters, addresses } = leader.raft.membership;
   const spare = heardVoters(view, SILENT_MEMBER_MILLIS).length - quorumOf(voters);
@@ -182,6 +213,8 @@
     ...silentMembers(view, leader),
     ...evacuatedZones(leader),
     ...needyUpstreams(leader),
+    ...spillingZones(leader),
+    ...slowUpstreams(leader),
     ...laggingMembers(leader),
     ...changingMembers(leader),
     ...strangers(view, leader),
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -122,7 +122,10 @@
       configLease: config.configLease,
       zone: config.zone,
       send: (connection, message) => this.#emit({ type: 'send-router', connection, message }),
-      report: (report, now) => this.#leader?.loadReported(report, now),
+      report: (report, from, now) => {
+        this.#leader?.loadReported(report, now);
+        this.#leader?.fleetReported(report, from, now);
+      },
       crashes: (report, router) => this.#crashes.take(report, router),
       upstreams: (report, from, now) => this.#leader?.upstreamsReported(report, from, now) ?? false,
     });
@@ -287,6 +290,7 @@
       sessions: this.#leader?.sessions() ?? [],
       services: this.#leader?.measures(now) ?? [],
       needs: this.#leader?.needs(now) ?? [],
+      fleet: this.#leader?.fleet(now) ?? null,
       routers: this.#routers.routers(),
       departed: this.#routers.departed(now),
       unowned: this.#unowned.list(this.#raft.registry, now),
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -4,6 +4,7 @@
 import type { Registry } from '../registry/types.js';
 import type { WaitingReplica } from './automatic-repair.js';
 import type { DepartedRouter } from './departed-routers.js';
+import type { FleetStatus } from './fleet-room/fleet-room.js';
 import type { HeardSession } from './leader-duties.js';
 import type { ConnectedRouter } from './router-requests.js';
 import type { ServiceMeasures } from './service-measures.js';
@@ -21,6 +22,8 @@
   readonly routers: readonly ConnectedRouter[];
   /** Empty on members that don't lead. */
   readonly needs: readonly NeedyUpstream[];
+  /** `null` on members that don't lead. */
+  readonly fleet: FleetStatus | null;
   readonly departed: readonly DepartedRouter[];
   readonly unowned: readonly UnownedShards[];
   readonly leaderSince: MonotonicMillis;
@@ -48,6 +51,7 @@
     ranges: rangesOf(registry),
     evacuations: registry.evacuations().map(({ zone }) => zone),
     needs: source.needs,
+    fleet: source.fleet,
     suspects: suspectsOf(registry),
   };
 }
--- a/src/control/daemon/metrics.ts
+++ b/src/control/daemon/metrics.ts
@@ -131,6 +131,16 @@
     'Upstreams that asked routers for rest which is not over',
     ({ needs = [] }) => needs.filter(({ restingRouters }) => restingRouters > 0).length,
   );
+  addOfLeader(
+    'uneven_upstreams',
+    'Upstreams without keys whose speed differs from the mean of their service, as routers were told',
+    ({ fleet }) => fleet?.speeds.filter(({ speed }) => speed !== 1).length ?? 0,
+  );
+  addOfLeader(
+    'spilling_zones',
+    'Zones that send a part of their requests for a service to other zones, as control plans it',
+    ({ fleet }) => fleet?.zones.filter(({ spill }) => spill.length > 0).length ?? 0,
+  );
   addOfLeader('routers', 'Routers connected to this member', ({ routers }) => routers.length);
 }
 
--- /dev/null
+++ b/src/control/fleet-room/fleet-room.ts
@@ -0,0 +1,314 @@
+/**
+ * What the control leader learns of upstreams without keys from the reports of all routers: how fast each is, and how the demand of each
+ * zone stands against the room there. Nothing of it is in the log: a leader begins with nothing, and routers let lapse what isn't renewed.
+ */
+import type { FleetReport, FleetVersion, UpstreamSpeed, ZoneRoom } from '../../model/fleet-view.js';
+import type { MonotonicMillis, ServiceName, UpstreamId, Zone } from '../../model/identifiers.js';
+import { OwnerSpeeds } from '../../placement/ranges/owner-speeds.js';
+import type { FleetNews, LoadReport } from '../messages.js';
+import type { ConnectionId } from '../types.js';
+import { KindWork } from './kind-work.js';
+import { planSpill, type ZoneBalance } from './spill-plan.js';
+import { type DatedValue, ToldValues, type Version } from './told-values.js';
+import { ZoneDemand } from './zone-demand.js';
+
+/** How often speeds and room are worked out anew. */
+const WORK_OUT_MILLIS = 1000;
+/** A server that is slow for less than a second or two isn't a slow server. */
+const SPEED_HALF_LIFE_MILLIS = 15_000;
+/** A speed is told once it differs from what was told by this factor. */
+const SPEED_STEP = 1.1;
+/** The first speed of an upstream is told if it differs from the mean by this factor: less than that is noise. */
+const FIRST_SPEED_STEP = 1.2;
+const MEAN_STEP = 1.1;
+/** Changes of a zone's use and of the parts that it sends away are told from this on. */
+const USE_STEP = 0.1;
+const SHARE_STEP = 0.02;
+/** An upstream that routers of its zone find out of order, and had no answer from since, has no room for this long. */
+const OUT_MILLIS = 3000;
+
+/** An upstream of a service without keys. */
+export interface RoomUpstream {
+  readonly id: UpstreamId;
+  readonly service: ServiceName;
+  readonly zone: Zone;
+  readonly slots: number;
+  /** Whether it may be given something new. */
+  readonly isUsable: boolean;
+}
+
+export interface FleetRoomParts {
+  readonly term: number;
+  readonly upstreams: () => readonly RoomUpstream[];
+  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+}
+
+/** What routers were told, each with how long ago. */
+export interface FleetStatus {
+  readonly speeds: readonly (UpstreamSpeed & { readonly sinceMillis: number })[];
+  readonly zones: readonly (ZoneRoom & { readonly sinceMillis: number })[];
+}
+
+export class FleetRoom {
+  readonly #parts: FleetRoomParts;
+  readonly #speeds = new Map<ServiceName, OwnerSpeeds>();
+  readonly #work = new KindWork();
+  readonly #demand = new ZoneDemand();
+  readonly #outAt = new Map<UpstreamId, MonotonicMillis>();
+  readonly #toldSpeeds = new ToldValues<UpstreamSpeed>((one, other) =>
+    isWithin(one.speed, other.speed, SPEED_STEP),
+  );
+  readonly #toldZones = new ToldValues<ZoneRoom>(isSameRoom);
+  #number = 0;
+  #workedOutAt: MonotonicMillis;
+  #upstreams: ReadonlyMap<UpstreamId, RoomUpstream> = new Map();
+
+  constructor(parts: FleetRoomParts, now: MonotonicMillis) {
+    this.#parts = parts;
+    this.#workedOutAt = now;
+    this.#look();
+  }
+
+  /** A router's report, and what it is to be told; `null`: it doesn't ask. */
+  take(report: LoadReport, from: ConnectionId, now: MonotonicMillis): FleetNews | null {
+    const { fleet, intervalMillis } = report;
+    if (fleet === undefined) {
+      return null;
+    }
+    if (this.#demand.isNext(from, fleet.number)) {
+      this.#takeSamples(fleet, now);
+      this.#takeDemand(fleet, from, Math.max(1, intervalMillis), now);
+    }
+    if (now - this.#workedOutAt >= WORK_OUT_MILLIS) {
+      this.#workedOutAt = now;
+      this.#workOut(now);
+    }
+    return this.#newsSince(fleet.have);
+  }
+
+  gone(from: ConnectionId): void {
+    this.#demand.gone(from);
+  }
+
+  status(now: MonotonicMillis): FleetStatus {
+    const aged = <Value extends object>({
+      value,
+      at,
+    }: DatedValue<Value>): Value & { sinceMillis: number } => ({
+      ...value,
+      sinceMillis: Math.round(now - at),
+    });
+    return { speeds: this.#toldSpeeds.dated().map(aged), zones: this.#toldZones.dated().map(aged) };
+  }
+
+  #newsSince(have: FleetVersion): FleetNews {
+    const { term } = this.#parts;
+    const isWhole = have.term !== term || have.number > this.#number;
+    const since = isWhole ? Number.NEGATIVE_INFINITY : have.number;
+    return {
+      type: 'fleet-news',
+      version: { term, number: this.#number },
+      isWhole,
+      speeds: this.#toldSpeeds.since(since),
+      zones: this.#toldZones.since(since),
+    };
+  }
+
+  #takeSamples({ zone, upstreams }: FleetReport, now: MonotonicMillis): void {
+    for (const { upstream, kind, requests, workMillis, isOut } of upstreams) {
+      const known = this.#upstreams.get(upstream);
+      if (known === undefined) {
+        continue;
+      }
+      if (requests > 0) {
+        const speed = this.#toldSpeeds.get(upstream)?.speed ?? 1;
+        this.#work.add(kind, requests, workMillis, speed);
+        const usualMillis = this.#work.millisOf(kind) ?? workMillis / requests;
+        this.#speedsOf(known.service).add(upstream, requests, workMillis / usualMillis, now);
+      }
+      if (isOut && known.zone === zone) {
+        this.#outAt.set(upstream, now);
+      } else if (requests > 0) {
+        this.#outAt.delete(upstream);
+      }
+    }
+  }
+
+  #takeDemand(
+    { zone, number, demand }: FleetReport,
+    from: ConnectionId,
+    spanMillis: number,
+    now: MonotonicMillis,
+  ): void {
+    const works = demand.map(({ service, kind, requests }) => ({
+      service,
+      requests,
+      workMillis: requests * (this.#work.millisOf(kind) ?? 0),
+    }));
+    this.#demand.add(from, { zone, number, demand: works }, spanMillis, now);
+  }
+
+  #look(): void {
+    this.#upstreams = new Map(this.#parts.upstreams().map((upstream) => [upstream.id, upstream]));
+  }
+
+  #workOut(now: MonotonicMillis): void {
+    this.#look();
+    const version = { number: this.#number + 1, now };
+    let isNews = false;
+    const byService = groupBy([...this.#upstreams.values()], ({ service }) => service);
+    const demand = this.#demand.byZone(now);
+    for (const [service, upstreams] of byService) {
+      const speeds = this.#relativeSpeeds(service, upstreams);
+      for (const upstream of upstreams) {
+        isNews = this.#tellSpeed(upstream, speeds.get(upstream.id) ?? 1, version) || isNews;
+      }
+      const zones = this.#zonesOf(service, upstreams, speeds, demand.get(service) ?? new Map(), now);
+      isNews = this.#tellZones(zones, version) || isNews;
+    }
+    this.#forget(new Set(byService.keys()));
+    this.#number = isNews ? version.number : this.#number;
+  }
+
+  /** A mean over slots of 1, whoever had more requests. */
+  #relativeSpeeds(service: ServiceName, upstreams: readonly RoomUpstream[]): Map<UpstreamId, number> {
+    const speeds = this.#speedsOf(service);
+    const slots = sum(upstreams.map((upstream) => upstream.slots));
+    const mean =
+      sum(upstreams.map((upstream) => upstream.slots * speeds.of(upstream.id))) / Math.max(1, slots);
+    return new Map(upstreams.map(({ id }) => [id, speeds.of(id) / mean]));
+  }
+
+  #tellSpeed({ id, service, zone }: RoomUpstream, measured: number, version: Version): boolean {
+    const before = this.#toldSpeeds.get(id)?.speed ?? null;
+    if (before === null && isWithin(measured, 1, FIRST_SPEED_STEP)) {
+      return false;
+    }
+    const speed = rounded(measured);
+    if (!this.#toldSpeeds.put(id, { upstream: id, speed }, version)) {
+      return false;
+    }
+    this.#parts.log('upstream-speed-changed', { service, upstream: id, zone, speed, before: before ?? 1 });
+    return true;
+  }
+
+  #tellZones(rooms: readonly ZoneRoom[], version: Version): boolean {
+    let isNews = false;
+    for (const room of rooms) {
+      const before = this.#toldZones.get(`${room.service} ${room.zone}`);
+      if (this.#toldZones.put(`${room.service} ${room.zone}`, room, version)) {
+        isNews = true;
+        this.#logRoom(room, before);
+      }
+    }
+    return isNews;
+  }
+
+  #zonesOf(
+    service: ServiceName,
+    upstreams: readonly RoomUpstream[],
+    speeds: ReadonlyMap<UpstreamId, number>,
+    demand: ReadonlyMap<Zone, number>,
+    now: MonotonicMillis,
+  ): ZoneRoom[] {
+    const meanMillis = this.#demand.meanMillis(service);
+    if (meanMillis === null) {
+      return [];
+    }
+    const isUneven = upstreams.some(
+      ({ id }) => !isWithin(this.#toldSpeeds.get(id)?.speed ?? 1, 1, FIRST_SPEED_STEP),
+    );
+    const zones = new Set([...upstreams.map(({ zone }) => zone), ...demand.keys()]);
+    const balances = [...zones].sort().map((zone): ZoneBalance => {
+      const working = upstreams.filter(
+        (upstream) => upstream.zone === zone && this.#isWorking(upstream, now),
+      );
+      const room = sum(working.map(({ id, slots }) => slots * (speeds.get(id) ?? 1)));
+      return { zone, demand: demand.get(zone) ?? 0, room };
+    });
+    return planSpill(balances).map(({ zone, use, spill }) => ({
+      service,
+      zone,
+      meanMillis: rounded(meanMillis),
+      isUneven,
+      use: rounded(use),
+      spill: spill.map(roundedPart),
+    }));
+  }
+
+  /** Only what goes elsewhere is worth a line. */
+  #logRoom({ service, zone, use, spill }: ZoneRoom, before: ZoneRoom | undefined): void {
+    if (spill.length > 0 || (before?.spill.length ?? 0) > 0) {
+      this.#parts.log('zone-spill-changed', { service, zone, use, spill, before: before?.spill ?? [] });
+    }
+  }
+
+  #isWorking({ id, isUsable }: RoomUpstream, now: MonotonicMillis): boolean {
+    return isUsable && now - (this.#outAt.get(id) ?? Number.NEGATIVE_INFINITY) > OUT_MILLIS;
+  }
+
+  #forget(services: ReadonlySet<ServiceName>): void {
+    const ids = new Set(this.#upstreams.keys());
+    this.#toldSpeeds.keepOnly(ids);
+    for (const [service, speeds] of this.#speeds) {
+      if (services.has(service)) {
+        speeds.keepOnly(ids);
+      } else {
+        this.#speeds.delete(service);
+      }
+    }
+    for (const id of this.#outAt.keys()) {
+      if (!ids.has(id)) {
+        this.#outAt.delete(id);
+      }
+    }
+  }
+
+  #speedsOf(service: ServiceName): OwnerSpeeds {
+    const speeds = this.#speeds.get(service) ?? new OwnerSpeeds(SPEED_HALF_LIFE_MILLIS);
+    this.#speeds.set(service, speeds);
+    return speeds;
+  }
+}
+
+function isSameRoom(one: ZoneRoom, other: ZoneRoom): boolean {
+  const isShareSame = (zone: Zone): boolean =>
+    Math.abs(shareTo(one, zone) - shareTo(other, zone)) < SHARE_STEP &&
+    (shareTo(one, zone) === 0) === (shareTo(other, zone) === 0);
+  return (
+    one.isUneven === other.isUneven &&
+    Math.abs(one.use - other.use) < USE_STEP &&
+    isWithin(one.meanMillis, other.meanMillis, MEAN_STEP) &&
+    [...one.spill, ...other.spill].every(({ zone }) => isShareSame(zone))
+  );
+}
+
+function shareTo({ spill }: ZoneRoom, zone: Zone): number {
+  return spill.find((part) => part.zone === zone)?.share ?? 0;
+}
+
+function isWithin(one: number, other: number, factor: number): boolean {
+  return one < other * factor && other < one * factor;
+}
+
+function rounded(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+function roundedPart({ zone, share }: ZoneRoom['spill'][number]): ZoneRoom['spill'][number] {
+  return { zone, share: Math.round(share * 1000) / 1000 };
+}
+
+function groupBy<Item>(items: readonly Item[], nameOf: (item: Item) => string): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const group = groups.get(nameOf(item)) ?? [];
+    group.push(item);
+    groups.set(nameOf(item), group);
+  }
+  return groups;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -9,6 +9,8 @@
 import type { SessionAnswer } from '../lease/types.js';
 import type { MonotonicMillis, Term, UpstreamId } from '../model/identifiers.js';
 import type { LeaderCommand, RegistryChange } from '../registry/types.js';
+import { FleetRoom, type FleetStatus } from './fleet-room/fleet-room.js';
+import { roomUpstreams } from './fleet-room/room-upstreams.js';
 import { LeaderProposals } from './leader-proposals.js';
 import type { ControlToRouter, LoadReport, UpstreamReport } from './messages.js';
 import { UpstreamNeeds } from './needs/upstream-needs.js';
@@ -60,6 +62,7 @@
   readonly #coordinator: ShardCoordinator;
   readonly #ranges: RangeCoordinator;
   readonly #needs: UpstreamNeeds;
+  readonly #fleet: FleetRoom;
   #isReady = false;
   #isRoundOut = false;
   #roundNotBefore: MonotonicMillis = Number.NEGATIVE_INFINITY;
@@ -94,6 +97,10 @@
       },
       electedAt,
     );
+    this.#fleet = new FleetRoom(
+      { term, upstreams: () => roomUpstreams(parts.raft.registry), log: parts.log },
+      electedAt,
+    );
     this.#ranges = new RangeCoordinator(
       {
         registry: () => parts.raft.registry,
@@ -132,6 +139,22 @@
     }
   }
 
+  /** What a router saw of upstreams without keys; it is told what the fleet knows. */
+  fleetReported(report: LoadReport, from: ConnectionId, now: MonotonicMillis): void {
+    if (this.#isOver) {
+      return;
+    }
+    const news = this.#fleet.take(report, from, now);
+    if (news !== null) {
+      this.#parts.sendRouter(from, news);
+    }
+  }
+
+  /** Speeds of upstreams and room of zones that routers were told. */
+  fleet(now: MonotonicMillis): FleetStatus {
+    return this.#fleet.status(now);
+  }
+
   /** What a router heard upstreams say, and the permits that it asks for; `false`: it is to ask again. */
   upstreamsReported(report: UpstreamReport, from: ReportingRouter, now: MonotonicMillis): boolean {
     if (this.#isOver) {
@@ -148,6 +171,7 @@
 
   routerGone(connection: ConnectionId): void {
     this.#needs.gone(connection);
+    this.#fleet.gone(connection);
   }
 
   /** A heartbeat of an upstream came; `answer` is told once what it renews. */
--- a/src/control/messages.ts
+++ b/src/control/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between routers and control members, and from replicas that join, carried by frames of `src/wire/`. */
 import type { ClaimantId, ClaimResult, StoredAnswer } from '../ledger/types.js';
 import type { ClearedSuspect, UpstreamCrash } from '../model/crash-suspect.js';
+import type { FleetReport, FleetVersion, UpstreamSpeed, ZoneRoom } from '../model/fleet-view.js';
 import type {
   Address,
   ClusterId,
@@ -78,6 +79,18 @@
     /** Requests that the work is of. */
     readonly requests: number;
   }[];
+  /** Work at upstreams without keys, and demand for them; absent from an older router, and from one without such upstreams. */
+  readonly fleet?: FleetReport;
+}
+/** Answers a `LoadReport` that has a `FleetReport`: what changed since the version that it names. Never sent to others. */
+export interface FleetNews {
+  readonly type: 'fleet-news';
+  readonly version: FleetVersion;
+  /** Whether this is all there is, and what was known before is to be forgotten. */
+  readonly isWhole: boolean;
+  /** Speed 1 for one that is no longer known to differ. */
+  readonly speeds: readonly UpstreamSpeed[];
+  readonly zones: readonly ZoneRoom[];
 }
 /**
  * Requests under which upstreams ended, and suspects that succeeded since. Sent to the leader, and again until the
@@ -161,7 +174,8 @@
   | ChangeNotice
   | ClaimResponse
   | SettleResponse
-  | UpstreamPermits;
+  | UpstreamPermits
+  | FleetNews;
 
 /** First frame of a connection, both ways. */
 export interface Greeting {
--- a/src/control/router-requests.ts
+++ b/src/control/router-requests.ts
@@ -52,7 +52,7 @@
   readonly zone?: Zone | undefined;
   readonly propose: ProposeCommand;
   readonly send: (connection: ConnectionId, message: ControlToRouter) => void;
-  readonly report: (report: LoadReport, now: MonotonicMillis) => void;
+  readonly report: (report: LoadReport, from: ConnectionId, now: MonotonicMillis) => void;
   /** `router`: `null` for one that hasn't asked for its configuration yet. */
   readonly crashes: (report: CrashReport, router: RouterId | null) => void;
   /** `false`: this member doesn't lead. */
@@ -89,7 +89,7 @@
         this.#settle(connection, message);
         break;
       case 'load-report':
-        this.#parts.report(message, now);
+        this.#parts.report(message, connection, now);
         break;
       case 'crash-report':
         this.#parts.crashes(message, this.#routers.get(connection)?.router ?? null);
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -37,6 +37,7 @@
   ShardRecord,
   UpstreamRecord,
 } from '../registry/types.js';
+import type { FleetStatus } from './fleet-room/fleet-room.js';
 import type { IdentityAnswer, IdentityQuestion, QuestionId } from './identity-question.js';
 import type { ConfigLeaseTimings, ControlToRouter, RouterToControl } from './messages.js';
 import type { HolderCall, HolderCallId, HolderOutcome } from './ranges/holder-call.js';
@@ -162,6 +163,8 @@
       readonly evacuations?: readonly Zone[];
       /** Leader only: upstreams that say that they are in need. */
       readonly needs?: readonly NeedyUpstream[];
+      /** Speeds of upstreams and room of zones, as routers were told; `null` on members that don't lead. */
+      readonly fleet?: FleetStatus | null;
       /** Requests under which upstreams ended, and those of them that routers refuse. */
       readonly suspects?: { readonly total: number; readonly quarantined: number };
     }
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -149,6 +149,8 @@
     source: 'control',
     fields: ['run', 'connection', 'granted', 'nextInMillis', 'waitedMillis', 'perSecond', 'waiting'],
   },
+  'upstream-speed-changed': { source: 'control', fields: ['service', 'upstream', 'zone', 'speed', 'before'] },
+  'zone-spill-changed': { source: 'control', fields: ['service', 'zone', 'use', 'spill', 'before'] },
   'zone-evacuation-changed': { source: 'both', fields: ['zone', 'isEvacuated', 'revision'] },
   'declaration-changed': { source: 'control', fields: ['version', 'revision', 'changedRoutes'] },
   'holder-call-ended': { source: 'control', fields: ['kind', 'upstream', 'from', 'to', 'fence', 'outcome'] },
--- a/src/placement/ranges/owner-speeds.ts
+++ b/src/placement/ranges/owner-speeds.ts
@@ -4,7 +4,7 @@
  */
 import type { UpstreamId } from '../../model/identifiers.js';
 
-/** What was measured loses half of its weight in this time. */
+/** For owners of keys, whose loads move within seconds. */
 const HALF_LIFE_MILLIS = 4000;
 /** A speed is taken to be the mean one until about so many requests were measured. */
 const ASSUMED_REQUESTS = 6;
@@ -22,12 +22,16 @@
   readonly #owners = new Map<UpstreamId, Measured>();
   readonly #all: Measured = { requests: 0, workMillis: 0, at: 0 };
 
+  /** `halfLifeMillis`: what was measured loses half of its weight in this time. */
+  constructor(private readonly halfLifeMillis: number = HALF_LIFE_MILLIS) {}
+
   /** Requests of keys that an upstream owns, and what they take there. */
   add(owner: UpstreamId, requests: number, workMillis: number, now: number): void {
     const measured = this.#owners.get(owner) ?? { requests: 0, workMillis: 0, at: now };
     this.#owners.set(owner, measured);
-    addTo(measured, requests, workMillis, now);
-    addTo(this.#all, requests, workMillis, now);
+    const added = { requests, workMillis, at: now };
+    addTo(measured, added, this.halfLifeMillis);
+    addTo(this.#all, added, this.halfLifeMillis);
   }
 
   /** Mean time of a request over all upstreams, in milliseconds; `null` while nothing was measured. */
@@ -58,9 +62,9 @@
   }
 }
 
-function addTo(measured: Measured, requests: number, workMillis: number, now: number): void {
-  const kept = 0.5 ** ((now - measured.at) / HALF_LIFE_MILLIS);
+function addTo(measured: Measured, { requests, workMillis, at }: Measured, halfLifeMillis: number): void {
+  const kept = 0.5 ** ((at - measured.at) / halfLifeMillis);
   measured.requests = measured.requests * kept + requests;
   measured.workMillis = measured.workMillis * kept + workMillis;
-  measured.at = now;
+  measured.at = at;
 }
--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -4,7 +4,7 @@
 import type { AttemptResult } from './types.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
 import { runNameOf } from './watched-runs.js';
-import type { Attempt } from './work.js';
+import { type Attempt, workNameOf } from './work.js';
 
 /** Pause of an upstream that refused for overload; one that names a time itself gets that rest besides. */
 const OVERLOAD_PAUSE_MILLIS = 20;
@@ -15,6 +15,12 @@
 const LEAST_SLOW_MILLIS = 200;
 const FIRST_SERVER_ERROR = 500;
 
+/** How long an attempt took, and the outstanding work that its answer reported; `null`: none was. */
+interface Worked {
+  readonly tookMillis: number;
+  readonly load: number | null;
+}
+
 export class AttemptEvidence {
   constructor(private readonly context: RouterContext) {}
 
@@ -31,7 +37,7 @@
     switch (result.type) {
       case 'answered':
         upstream.answered(took, result.load, now);
-        this.countAnswer(attempt, result.status, took);
+        this.countAnswer(attempt, result.status, { tookMillis: took, load: result.load });
         return;
       case 'refused':
         this.countRefusal(upstream, result.refusal, result.load ?? null);
@@ -74,7 +80,8 @@
     }
   }
 
-  private countAnswer(attempt: Attempt, status: number, took: number): void {
+  private countAnswer(attempt: Attempt, status: number, { tookMillis: took, load }: Worked): void {
+    this.countForFleet(attempt, status, { tookMillis: took, load });
     const { upstream, work } = attempt;
     if (work.loadName !== null) {
       this.context.reporter.add(work.loadName, took);
@@ -89,6 +96,25 @@
     }
   }
 
+  /**
+   * What was worked on, for the fleet's knowledge of speeds. A wait for a slot is left out as far as the reported load tells: at an upstream
+   * that is never idle no request finds a free slot, and its speed counts most there. A failure tells nothing of speed, and a cold upstream
+   * is known to be slow.
+   */
+  private countForFleet({ upstream, work, foundFreeSlot }: Attempt, status: number, worked: Worked): void {
+    const { now, fleetSums } = this.context;
+    if (work.service.definition.keyed || status >= FIRST_SERVER_ERROR || upstream.warmth.isCold(now)) {
+      return;
+    }
+    const { tookMillis, load } = worked;
+    if (load !== null) {
+      const turns = Math.max(1, (load + 1) / upstream.slotLimit.most);
+      fleetSums.worked(upstream.id, workNameOf(work), tookMillis / turns);
+    } else if (foundFreeSlot) {
+      fleetSums.worked(upstream.id, workNameOf(work), tookMillis);
+    }
+  }
+
   private countRefusal(upstream: UpstreamState, refusal: FenceRefusal, load: number | null): void {
     const { now, random } = this.context;
     if (refusal === 'draining') {
--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -3,7 +3,7 @@
 import type { RouterContext } from './router-context.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
 import { runNameOf } from './watched-runs.js';
-import type { Attempt, SentGrant, Work } from './work.js';
+import { type Attempt, type SentGrant, type Work, workNameOf } from './work.js';
 
 /** Numbers the attempts of one router core. */
 export class AttemptStarter {
@@ -38,6 +38,9 @@
     service.lanes.remove(work);
     if (work.attempts === 0) {
       service.retryBudget.firstAttempt();
+      if (!service.definition.keyed) {
+        context.fleetSums.asked(service.name, workNameOf(work));
+      }
     }
     work.attempts += 1;
     work.attempt = attempt;
--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -162,6 +162,7 @@
     );
     state.warmth.useTerms(service.definition.warmup ?? null);
     state.hearWarmth(now);
+    state.useFleetView(this.context.fleet);
     state.evacuated(this.context.view.isEvacuated(state.zone), now);
     state.useNotices(this.context.notices.resume(speakerOf(state.id, runNameOf(state))));
     upstreams.set(state.id, state);
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -235,6 +235,7 @@
       now,
       random,
       inTimeMillis: work.terms.inTimeMillis,
+      room: this.context.fleet.roomOf(service.name, config.zone, now),
       weigh,
     });
     this.attempts.start(work, upstream, null, null);
--- a/src/routing/picker/picker.ts
+++ b/src/routing/picker/picker.ts
@@ -1,4 +1,5 @@
 /** How an upstream is picked for a request that any of them can serve. */
+import type { ZoneRoom } from '../../model/fleet-view.js';
 import type { Zone } from '../../model/identifiers.js';
 import type { Random } from '../random.js';
 import type { UpstreamState } from '../upstream/upstream-state.js';
@@ -12,6 +13,8 @@
   readonly random: Random;
   /** Whoever is expected to be done within this many milliseconds is as good as anyone; `null`: the sooner the better. */
   readonly inTimeMillis: number | null;
+  /** Demand of this router's zone against its room; left out: not known. */
+  readonly room?: ZoneRoom | null;
   /** Factor of the service's policy on an upstream's cost; 1 for none. */
   weigh(upstream: UpstreamState): number;
 }
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -13,8 +13,10 @@
 import type { ServiceState } from './service-state.js';
 import { TimerHeap } from './timer-heap.js';
 import type { AttemptNumber, RouterConfig, RouterEffect } from './types.js';
+import { FleetSums } from './upstream/fleet-sums.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
 import type { Attempt, Member } from './work.js';
+import { FleetKnowledge } from './zones/fleet-knowledge.js';
 
 /** Where a shard's requests go. */
 export interface ShardOwner {
@@ -29,6 +31,9 @@
   readonly leader: LeaderGuess;
   readonly random: Random;
   readonly reporter: LoadReporter;
+  /** What control says of upstreams without keys, and what it is told of them. */
+  readonly fleet = new FleetKnowledge();
+  readonly fleetSums = new FleetSums();
   readonly crashes: CrashWatch;
   /** What upstreams said of themselves. */
   readonly notices: NoticeTable;
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -19,6 +19,7 @@
 import type { TimerSubject } from './router-timer.js';
 import type { RouterConfig, RouterCore, RouterEffect, RouterInput, RouterStatus } from './types.js';
 import type { Member } from './work.js';
+import { FleetReports } from './zones/fleet-reports.js';
 
 /** Makes the core of one run of a router. It serves nothing before its first confirmed configuration. */
 export function createRouterNode(config: RouterConfig): RouterCore {
@@ -38,10 +39,12 @@
   private readonly updates: ConfigurationUpdates;
   private readonly reports: UpstreamReports;
   private readonly notices: NoticeIntake;
+  private readonly fleetReports: FleetReports;
   private serving = false;
 
   constructor(config: RouterConfig) {
     this.context = new RouterContext(config);
+    this.fleetReports = new FleetReports(this.context);
     this.claims = new ClaimFlow(this.context);
     this.answers = new Answers(this.context, this.claims);
     this.admission = new Admission(this.context, this.answers);
@@ -78,7 +81,9 @@
       this.context.hasRefusedAtOwner = false;
       this.reportLoad(true);
     }
-    return this.context.takeEffects();
+    const effects = this.context.takeEffects();
+    this.fleetReports.refused(effects);
+    return effects;
   }
 
   nextDeadline(): number {
@@ -173,6 +178,9 @@
         return;
       case 'upstream-permits':
         this.takePermits(message, from);
+        return;
+      case 'fleet-news':
+        context.fleet.take(message, context.now);
     }
   }
 
@@ -335,7 +343,9 @@
     const leader = context.leader.target();
     const report = context.reporter.take(context.now, isUrgent);
     if (report !== null && leader !== null) {
-      context.emit({ type: 'send-control', to: leader, message: report });
+      const fleet = this.fleetReports.take();
+      const message = fleet === null ? report : { ...report, fleet };
+      context.emit({ type: 'send-control', to: leader, message });
     }
   }
 
--- a/src/routing/upstream/reported-load.ts
+++ b/src/routing/upstream/reported-load.ts
@@ -4,11 +4,17 @@
 const AVERAGE_MILLIS = 250;
 /** A report loses two thirds of its weight in this time. */
 const DECAY_MILLIS = 1000;
+/** Where nothing was heard for a while, this is how fast what was heard last gives way to what is usual there. */
+const USUAL_AGAIN_MILLIS = 1500;
+/** What is usual at one upstream is smoothed over this time, and gives way to what is usual in its zone in the next. */
+const USUAL_MILLIS = 5000;
+const USUAL_LASTS_MILLIS = 10_000;
 /** Work of others that is believed at most, for each slot: one that says more is no fuller, or says it wrongly. */
 const MOST_PER_SLOT = 4;
 
 export class ReportedLoad {
   #foreign = 0;
+  #usual = 0;
   #at = Number.NEGATIVE_INFINITY;
 
   /** Decayed outstanding work of others, in requests. */
@@ -16,11 +22,25 @@
     return this.#foreign * Math.exp((this.#at - now) / DECAY_MILLIS);
   }
 
+  /**
+   * What others have outstanding there by now, in requests. Without news it is taken to be as usual there, and in the end as usual
+   * in the zone (`zoneUsual`): taken to be gone, the upstream heard of least would look best to every router.
+   */
+  expected(zoneUsual: number, now: number): number {
+    const age = now - this.#at;
+    const latest = Math.exp(-age / USUAL_AGAIN_MILLIS);
+    const own = Math.exp(-age / USUAL_LASTS_MILLIS);
+    const usual = this.#usual * own + zoneUsual * (1 - own);
+    return this.#foreign * latest + usual * (1 - latest);
+  }
+
   /** An answer or a probe reported `load` outstanding requests, this router's own `inFlight` among them. */
   report(load: number, inFlight: number, slots: number, now: number): void {
     const weight = 1 - Math.exp((this.#at - now) / AVERAGE_MILLIS);
     const before = this.foreign(now);
-    this.#foreign = before + weight * (foreignOf(load, inFlight, slots) - before);
+    const reported = foreignOf(load, inFlight, slots);
+    this.#foreign = before + weight * (reported - before);
+    this.#usual += (1 - Math.exp((this.#at - now) / USUAL_MILLIS)) * (reported - this.#usual);
     this.#at = now;
   }
 
--- a/src/routing/upstream/upstream-state.ts
+++ b/src/routing/upstream/upstream-state.ts
@@ -1,9 +1,10 @@
 /** What a router knows of one upstream from its own requests, with hints from others kept apart. */
-import type { Incarnation, UpstreamId } from '../../model/identifiers.js';
+import type { Incarnation, ServiceName, UpstreamId } from '../../model/identifiers.js';
 import type { UpstreamRecord } from '../../registry/types.js';
 import type { RunNotices } from '../notices/run-notices.js';
 import { SlotLimit } from '../room/slot-limit.js';
 import { hasRoom, mostForeignLoad, type UpstreamUse } from '../room/upstream-room.js';
+import type { FleetView } from './fleet-view.js';
 import { StandingEvidence } from './leaving-table.js';
 import { OutlierEjection } from './outlier-ejection.js';
 import { ReportedLoad } from './reported-load.js';
@@ -32,6 +33,7 @@
   readonly #times = new ServiceTimes();
   readonly #load = new ReportedLoad();
   #isEvacuated = false;
+  #fleet: FleetView | null = null;
 
   /** `coldSince`: when it came up; `-Infinity` for one that was there when the router started. */
   constructor(
@@ -62,6 +64,16 @@
     this.warmth.announced(this.record.definition.announced?.warmupMillis ?? 0, now);
   }
 
+  /** What all routers together know of it. */
+  useFleetView(view: FleetView): void {
+    this.#fleet = view;
+  }
+
+  /** Speed as the fleet measured it, 1 for the mean of its service; `null`: not known to differ. */
+  fleetSpeed(now: number): number | null {
+    return this.#fleet?.speedOf(this.id, now) ?? null;
+  }
+
   /** Whether its zone is out of use. */
   get isEvacuated(): boolean {
     return this.#isEvacuated;
@@ -71,6 +83,10 @@
     return this.record.definition.zone;
   }
 
+  get service(): ServiceName {
+    return this.record.definition.service;
+  }
+
   get incarnation(): Incarnation | null {
     return this.record.incarnation;
   }
@@ -154,6 +170,8 @@
     // It is counted out by now, but was one of those that used the limit.
     this.slotLimit.answered(load, this.inFlight + 1, now);
     if (load !== null) {
+      const turns = (load + 1) / (this.slotLimit.most * (this.fleetSpeed(now) ?? 1));
+      this.#fleet?.noteTurns(this.service, this.zone, turns, now);
       this.hintLoad(load, now);
     }
   }
@@ -208,6 +226,10 @@
    * dearer than it is, so it gets a growing part.
    */
   cost(now: number): number {
+    const byFleet = this.#expectedByFleet(now);
+    if (byFleet !== null) {
+      return byFleet / this.#slowStartShare(now);
+    }
     const outstanding = this.inFlight + 1 + this.load(now);
     // Where turns are counted, the time of one must not hold the wait for others.
     const oneTurn = this.isAnnounced ? (this.unhinderedMillis ?? this.serviceMillis) : this.serviceMillis;
@@ -215,6 +237,19 @@
     return (turns * oneTurn) / this.#slowStartShare(now);
   }
 
+  /** The same by what the fleet knows; `null` where it knows of no difference, or nothing any more. */
+  #expectedByFleet(now: number): number | null {
+    const turnMillis = this.#fleet?.unevenMillis(this.service, this.zone, now) ?? null;
+    if (turnMillis === null || !this.isAnnounced) {
+      return null;
+    }
+    const speed = this.fleetSpeed(now) ?? 1;
+    const { most } = this.slotLimit;
+    const zoneUsual = (this.#fleet?.usualTurns(this.service, this.zone) ?? 0) * speed * most;
+    const others = this.#load.expected(Math.max(0, zoneUsual - this.inFlight - 1), now);
+    return (this.turnsOf(this.inFlight + 1 + others) * turnMillis) / speed;
+  }
+
   /** It said itself how many requests it works on at once. */
   get isAnnounced(): boolean {
     return this.record.definition.announced !== undefined;
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -76,6 +76,11 @@
   return (terms.targetMillis ?? 0) * UNMEASURED_TARGETS || serviceMillis * OVERDUE_FACTOR;
 }
 
+/** Requests that take alike: those of a route, or those addressed to a service. */
+export function workNameOf({ service, terms }: Work): string {
+  return terms.route ?? service.name;
+}
+
 /** Usually one request; several when identical reads share an attempt. */
 export class Work {
   phase: WorkPhase = 'new';
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -35,6 +35,7 @@
   crashReport: 41,
   upstreamReport: 42,
   upstreamPermits: 43,
+  fleetNews: 44,
 } as const;
 
 export interface Frame {
--- a/src/wire/router/index.ts
+++ b/src/wire/router/index.ts
@@ -5,6 +5,7 @@
 import { claimRequestCodec } from './claim-request.js';
 import { claimResponseCodec } from './claim-response.js';
 import { crashReportCodec } from './crash-report.js';
+import { fleetNewsCodec } from './fleet-news.js';
 import { loadReportCodec } from './load-report.js';
 import { settleRequestCodec } from './settle-request.js';
 import { settleResponseCodec } from './settle-response.js';
@@ -30,4 +31,5 @@
   claimResponseCodec,
   settleResponseCodec,
   upstreamPermitsCodec,
+  fleetNewsCodec,
 ]);
--- /dev/null
+++ b/test/control/fleet-room.test.ts
@@ -0,0 +1,238 @@
+/** What the control leader makes of routers' reports of upstreams without keys. */
+import { expect } from 'chai';
+import { FleetRoom, type RoomUpstream } from '../../src/control/fleet-room/fleet-room.js';
+import { planSpill } from '../../src/control/fleet-room/spill-plan.js';
+import type { FleetNews, LoadReport } from '../../src/control/messages.js';
+import { type FleetReport, type FleetVersion, UNTOLD_VERSION } from '../../src/model/fleet-view.js';
+import { Random } from '../../src/routing/random.js';
+
+const WORK_MILLIS = 100;
+
+function upstreamsOf(zones: readonly string[], each: number): RoomUpstream[] {
+  return zones.flatMap((zone) =>
+    Array.from({ length: each }, (_, index) => ({
+      id: `${zone}${index}`,
+      service: 'menu',
+      zone,
+      slots: 4,
+      isUsable: true,
+    })),
+  );
+}
+
+class Reports {
+  readonly room: FleetRoom;
+  now = 0;
+  number = 0;
+  readonly logged: string[] = [];
+
+  constructor(upstreams: readonly RoomUpstream[], term = 1) {
+    const log = (event: string): void => {
+      this.logged.push(event);
+    };
+    this.room = new FleetRoom({ term, upstreams: () => upstreams, log }, 0);
+  }
+
+  report(changes: Partial<FleetReport> = {}, from = 'c1'): LoadReport {
+    this.number += 1;
+    const fleet = {
+      zone: 'a',
+      number: this.number,
+      have: UNTOLD_VERSION,
+      upstreams: [],
+      demand: [],
+      ...changes,
+    };
+    const report: LoadReport = { type: 'load-report', intervalMillis: 1000, shards: [], fleet };
+    this.news = this.room.take(report, from, this.now);
+    return report;
+  }
+
+  news: FleetNews | null = null;
+
+  /** A second in which each upstream answered some requests that took so long. */
+  second(millisOf: (id: string) => number, requests = 5, have: FleetVersion = UNTOLD_VERSION): void {
+    this.now += 1000;
+    for (const zone of ['a', 'b']) {
+      const upstreams = Array.from({ length: 3 }, (_, index) => `${zone}${index}`).map((upstream) => ({
+        upstream,
+        kind: 'sheets',
+        requests,
+        workMillis: requests * millisOf(upstream),
+        isOut: false,
+      }));
+      const demand = [{ service: 'menu', kind: 'sheets', requests: 3 * requests }];
+      this.report({ zone, upstreams, demand, have }, `c-${zone}`);
+    }
+  }
+
+  speeds(): Record<string, number> {
+    this.report({ have: UNTOLD_VERSION }, 'reader');
+    return Object.fromEntries((this.news?.speeds ?? []).map(({ upstream, speed }) => [upstream, speed]));
+  }
+}
+
+const SPEEDS: Readonly<Record<string, number>> = { a0: 0.7, a1: 0.7, a2: 1.6, b0: 0.7, b1: 0.7, b2: 1.6 };
+
+function millisAtSpeed(id: string): number {
+  return WORK_MILLIS / (SPEEDS[id] ?? 1);
+}
+
+describe('speeds of upstreams', () => {
+  it('are learnt from all routers together', () => {
+    const reports = new Reports(upstreamsOf(['a', 'b'], 3));
+    for (let second = 0; second < 30; second += 1) {
+      reports.second(millisAtSpeed);
+    }
+    const speeds = reports.speeds();
+    for (const [id, speed] of Object.entries(SPEEDS)) {
+      expect(speeds[id], id).to.be.closeTo(speed, speed * 0.15);
+    }
+  });
+
+  it('are not lower for heavy requests', () => {
+    const reports = new Reports(upstreamsOf(['a', 'b'], 3));
+    const sample = (upstream: string, kind: string, millis: number) => ({
+      upstream,
+      kind,
+      requests: 5,
+      workMillis: 5 * millis,
+      isOut: false,
+    });
+    for (let second = 1; second <= 30; second += 1) {
+      reports.now = second * 1000;
+      const light = ['a0', 'a1', 'b0', 'b1', 'b2'].map((id) => sample(id, 'light', WORK_MILLIS));
+      const both = [sample('a0', 'heavy', 8 * WORK_MILLIS), sample('a2', 'heavy', 8 * WORK_MILLIS)];
+      reports.report({ upstreams: [...light, ...both] });
+    }
+    expect(reports.speeds()).to.deep.equal({});
+  });
+
+  it('are told of none whose upstreams are alike but for noise', () => {
+    const reports = new Reports(upstreamsOf(['a', 'b'], 3));
+    const random = new Random(3);
+    for (let second = 0; second < 120; second += 1) {
+      // Each second a fifth of them is three times slower for less than half of it.
+      reports.second(() => WORK_MILLIS * (random.share() < 0.2 ? 1.8 : 1));
+    }
+    for (const speed of Object.values(reports.speeds())) {
+      expect(speed).to.be.within(0.8, 1.25);
+    }
+  });
+
+  it('are told by change only', () => {
+    const reports = new Reports(upstreamsOf(['a', 'b'], 3));
+    for (let second = 0; second < 60; second += 1) {
+      reports.second(millisAtSpeed);
+    }
+    const held = reports.news?.version as FleetVersion;
+    for (let second = 0; second < 60; second += 1) {
+      reports.second(millisAtSpeed, 5, held);
+      expect(reports.news).to.deep.include({ isWhole: false, speeds: [], zones: [] });
+    }
+  });
+
+  it('are told whole to a router that holds what another leader said', () => {
+    const reports = new Reports(upstreamsOf(['a', 'b'], 3), 2);
+    for (let second = 0; second < 30; second += 1) {
+      reports.second(millisAtSpeed, 5, { term: 1, number: 1000 });
+    }
+    expect(reports.news?.isWhole).to.equal(true);
+    expect(reports.news?.speeds.length).to.be.above(3);
+  });
+});
+
+describe('demand of zones', () => {
+  function spillOf(reports: Reports, zone: string): number {
+    reports.report({ have: UNTOLD_VERSION }, 'reader');
+    const room = reports.news?.zones.find((told) => told.zone === zone);
+    return room?.spill.reduce((sum, { share }) => sum + share, 0) ?? 0;
+  }
+
+  /** Zone a asks for `ofA` of its 12 slots, b for half of its own. */
+  function seconds(reports: Reports, count: number, ofA: number): void {
+    const ask = (zone: string, part: number): void => {
+      const requests = (part * 12 * 1000) / WORK_MILLIS;
+      const upstreams = [
+        { upstream: `${zone}0`, kind: 'sheets', requests: 1, workMillis: WORK_MILLIS, isOut: false },
+      ];
+      const demand = [{ service: 'menu', kind: 'sheets', requests }];
+      reports.report({ zone, upstreams, demand }, `c-${zone}`);
+    };
+    for (let second = 0; second < count; second += 1) {
+      reports.now += 1000;
+      ask('a', ofA);
+      ask('b', 0.5);
+    }
+  }
+
+  it('goes elsewhere as far as it exceeds the room, and no longer', () => {
+    const reports = new Reports(upstreamsOf(['a', 'b'], 3));
+    seconds(reports, 20, 1.4);
+    expect(spillOf(reports, 'a')).to.be.closeTo(0.4 / 1.4, 0.04);
+    expect(spillOf(reports, 'b')).to.equal(0);
+    seconds(reports, 20, 0.6);
+    expect(spillOf(reports, 'a')).to.equal(0);
+    expect(reports.logged.filter((event) => event === 'zone-spill-changed').length).to.be.within(2, 12);
+  });
+
+  it('counts once though reports come twice', () => {
+    const reports = new Reports(upstreamsOf(['a', 'b'], 3));
+    for (let second = 0; second < 20; second += 1) {
+      reports.now += 1000;
+      const demand = [{ service: 'menu', kind: 'sheets', requests: 80 }];
+      const upstreams = [
+        { upstream: 'a0', kind: 'sheets', requests: 1, workMillis: WORK_MILLIS, isOut: false },
+      ];
+      const report = reports.report({ demand, upstreams }, 'c-a');
+      reports.room.take(report, 'c-a', reports.now + 300);
+    }
+    expect(spillOf(reports, 'a')).to.equal(0);
+  });
+
+  it('finds no room at upstreams that routers of their zone find out of order', () => {
+    const reports = new Reports(upstreamsOf(['a', 'b'], 3));
+    for (let second = 0; second < 10; second += 1) {
+      seconds(reports, 1, 0.9);
+      const upstreams = [{ upstream: 'a1', kind: '', requests: 0, workMillis: 0, isOut: true }];
+      reports.report({ upstreams }, 'c-other');
+    }
+    expect(spillOf(reports, 'a')).to.be.above(0.2);
+  });
+
+  it('finds room at upstreams that only another zone finds out of order', () => {
+    const reports = new Reports(upstreamsOf(['a', 'b'], 3));
+    for (let second = 0; second < 10; second += 1) {
+      seconds(reports, 1, 0.9);
+      const upstreams = [{ upstream: 'a1', kind: '', requests: 0, workMillis: 0, isOut: true }];
+      reports.report({ zone: 'b', upstreams }, 'c-other');
+    }
+    expect(spillOf(reports, 'a')).to.equal(0);
+  });
+
+  it('is forgotten with routers that report no more', () => {
+    const reports = new Reports(upstreamsOf(['a', 'b'], 3));
+    seconds(reports, 20, 1.4);
+    reports.now += 5000;
+    reports.report({ zone: 'a' }, 'c-new');
+    expect(spillOf(reports, 'a')).to.equal(0);
+  });
+
+  it('that nobody has room for stays where it is', () => {
+    const plans = planSpill([
+      { zone: 'a', demand: 20, room: 10 },
+      { zone: 'b', demand: 11, room: 10 },
+    ]);
+    expect(plans.flatMap(({ spill }) => spill)).to.deep.equal([]);
+  });
+
+  it('is shared among those with room by what they have left', () => {
+    const [plan] = planSpill([
+      { zone: 'a', demand: 12, room: 10 },
+      { zone: 'b', demand: 1.7, room: 10 },
+      { zone: 'c', demand: 5.7, room: 10 },
+    ]);
+    const [toB, toC] = plan?.spill ?? [];
+    expect((toB?.share ?? 0) / (toC?.share ?? 1)).to.be.closeTo(2, 0.01);
+  });
+});
--- /dev/null
+++ b/test/routing/fleet-picking.test.ts
@@ -0,0 +1,148 @@
+/** Picks by what control says of speeds and room, and by own evidence where it says nothing. */
+import { expect } from 'chai';
+import type { FleetNews } from '../../src/control/messages.js';
+import type { ZoneRoom } from '../../src/model/fleet-view.js';
+import { UpstreamState } from '../../src/routing/index.js';
+import { LeastWorkPicker } from '../../src/routing/picker/least-work-picker.js';
+import type { PickContext } from '../../src/routing/picker/picker.js';
+import { Random } from '../../src/routing/random.js';
+import { affinityOf } from '../../src/routing/upstream/affinity.js';
+import { FleetKnowledge } from '../../src/routing/zones/fleet-knowledge.js';
+import { SpillTurns } from '../../src/routing/zones/spill-turns.js';
+import { upstream } from './router-harness.js';
+
+const ROOM: ZoneRoom = { service: 'menu', zone: 'a', meanMillis: 100, isUneven: true, use: 0.5, spill: [] };
+
+function news(changes: Partial<FleetNews> = {}): FleetNews {
+  const version = { term: 1, number: 1 };
+  return { type: 'fleet-news', version, isWhole: true, speeds: [], zones: [ROOM], ...changes };
+}
+
+function upstreamsOf(count: number, fleet: FleetKnowledge, router = 'r1', zone = 'a'): UpstreamState[] {
+  return Array.from({ length: count }, (_, index) => {
+    const id = `${zone}-${(7919 * (index + 1)).toString(16)}`;
+    const record = upstream(id, 'menu', { zone, announced: { slots: 2, warmupMillis: 0 } });
+    const state = new UpstreamState(record, 2, Number.NEGATIVE_INFINITY, affinityOf(router, id));
+    state.useFleetView(fleet);
+    return state;
+  });
+}
+
+function contextOf(candidates: readonly UpstreamState[], changes: Partial<PickContext> = {}): PickContext {
+  const random = new Random(1);
+  return { candidates, zone: 'a', now: 0, random, inTimeMillis: 1000, weigh: () => 1, ...changes };
+}
+
+describe('what control says', () => {
+  it('lapses once it isn’t renewed for some seconds', () => {
+    const fleet = new FleetKnowledge();
+    fleet.take(news({ speeds: [{ upstream: 'u1', speed: 0.7 }] }), 1000);
+    expect(fleet.speedOf('u1', 5900)).to.equal(0.7);
+    expect(fleet.speedOf('u1', 6100)).to.equal(null);
+    expect(fleet.roomOf('menu', 'a', 6100)).to.equal(null);
+    fleet.take(news({ isWhole: false, zones: [] }), 6200);
+    expect(fleet.speedOf('u1', 6300)).to.equal(0.7);
+  });
+
+  it('of another leader replaces what one said before', () => {
+    const fleet = new FleetKnowledge();
+    fleet.take(news({ speeds: [{ upstream: 'u1', speed: 0.7 }] }), 0);
+    fleet.take(news({ version: { term: 2, number: 0 }, zones: [] }), 100);
+    expect(fleet.speedOf('u1', 200)).to.equal(null);
+  });
+
+  it('is passed over where it is older than what is known', () => {
+    const fleet = new FleetKnowledge();
+    fleet.take(news({ version: { term: 1, number: 5 } }), 0);
+    fleet.take(news({ isWhole: false, speeds: [{ upstream: 'u1', speed: 3 }] }), 100);
+    expect(fleet.speedOf('u1', 200)).to.equal(null);
+  });
+});
+
+describe('picks', () => {
+  it('come out as without word of control while speeds are alike and no zone is short', () => {
+    const picksWith = (room: ZoneRoom | null): string[] => {
+      const fleet = new FleetKnowledge();
+      if (room !== null) {
+        fleet.take(news({ zones: [room] }), 0);
+      }
+      const candidates = [...upstreamsOf(30, fleet), ...upstreamsOf(30, fleet, 'r1', 'b')];
+      const picker = new LeastWorkPicker();
+      const random = new Random(7);
+      return Array.from({ length: 500 }, (_, index) => {
+        const picked = picker.pick(contextOf(candidates, { now: index, random, room }));
+        picked.dispatched();
+        picked.answered(40 + (index % 7), index % 3, index);
+        picked.inFlight -= 1;
+        return picked.id;
+      });
+    };
+    expect(picksWith({ ...ROOM, isUneven: false })).to.deep.equal(picksWith(null));
+  });
+
+  it('give each upstream its part by speed where nobody knows how busy any is', () => {
+    const counts = [0, 0];
+    for (let router = 0; router < 200; router += 1) {
+      const fleet = new FleetKnowledge();
+      const candidates = upstreamsOf(40, fleet, `edge-${router}`);
+      const speeds = candidates.map(({ id }, index) => ({
+        upstream: id,
+        speed: index % 2 === 0 ? 0.5 : 1.5,
+      }));
+      fleet.take(news({ speeds }), 0);
+      // All have usually work for two turns of an upstream of speed 1: the fast ones aren't free.
+      fleet.noteTurns('menu', 'a', 2, 0);
+      const picker = new LeastWorkPicker();
+      const random = new Random(router);
+      for (let pick = 0; pick < 20; pick += 1) {
+        const picked = picker.pick(contextOf(candidates, { random, room: ROOM }));
+        counts[candidates.indexOf(picked) % 2] = (counts[candidates.indexOf(picked) % 2] ?? 0) + 1;
+      }
+    }
+    const [slow = 0, fast = 0] = counts;
+    expect(fast / slow).to.be.within(2, 5);
+  });
+
+  it('take the fast ones while they have room, and never leave one to idle', () => {
+    const fleet = new FleetKnowledge();
+    const candidates = upstreamsOf(6, fleet);
+    const speeds = candidates.map(({ id }, index) => ({ upstream: id, speed: index === 0 ? 1.6 : 0.8 }));
+    fleet.take(news({ speeds }), 0);
+    const [first] = candidates;
+    const random = new Random(1);
+    let fastFirst = 0;
+    for (let pick = 0; pick < 1000; pick += 1) {
+      const picked = new LeastWorkPicker().pick(contextOf(candidates, { random, room: ROOM }));
+      fastFirst += picked === first ? 1 : 0;
+    }
+    expect(fastFirst / 1000).to.be.above(0.95);
+  });
+
+  it('leave the zone as control plans it, whatever the router has few of', () => {
+    const fleet = new FleetKnowledge();
+    const spill = [{ zone: 'b', share: 0.25 }];
+    const random = new Random(1);
+    let far = 0;
+    for (let router = 0; router < 400; router += 1) {
+      const candidates = [...upstreamsOf(4, fleet), ...upstreamsOf(4, fleet, 'r1', 'b')];
+      const picker = new LeastWorkPicker();
+      for (let pick = 0; pick < 3; pick += 1) {
+        const picked = picker.pick(contextOf(candidates, { random, room: { ...ROOM, spill } }));
+        far += picked.zone === 'b' ? 1 : 0;
+      }
+    }
+    expect(far / 1200).to.be.closeTo(0.25, 0.04);
+  });
+});
+
+describe('turns of zones', () => {
+  it('owe nothing any more to a zone that leaves the plan', () => {
+    const turns = new SpillTurns();
+    const random = new Random(1);
+    for (let turn = 0; turn < 10; turn += 1) {
+      turns.next([{ zone: 'b', share: 0.9 }], random);
+    }
+    expect(turns.next([], random)).to.equal(null);
+    expect(turns.mayGoAhead('b')).to.equal(false);
+  });
+});
