--- a/src/routing/queue/ranked-queue.ts
+++ b/src/routing/queue/ranked-queue.ts
@@ -150,5 +150,5 @@
   const difference = byDeadline
     ? one.deadline - other.deadline
     : one.arrivedAt + (one.terms.targetMillis ?? 0) - other.arrivedAt - (other.terms.targetMillis ?? 0);
-  return difference || one.arrivedAt - other.arrivedAt;
+  return difference || one.arrivedAt - other.arrivedAt || one.request.request - other.request.request;
 }
