--- a/test/control/fleet-room.test.ts
+++ b/test/control/fleet-room.test.ts
@@ -176,6 +176,16 @@
     expect(reports.logged.filter((event) => event === 'zone-spill-changed').length).to.be.within(2, 12);
   });
 
+  it('finds no room in a zone that is to get nothing new', () => {
+    const upstreams = upstreamsOf(['a', 'b'], 3).map((upstream) => ({
+      ...upstream,
+      isUsable: upstream.zone === 'b',
+    }));
+    const reports = new Reports(upstreams);
+    seconds(reports, 20, 0.4);
+    expect(spillOf(reports, 'a')).to.be.closeTo(1, 0.01);
+  });
+
   it('counts once though reports come twice', () => {
     const reports = new Reports(upstreamsOf(['a', 'b'], 3));
     for (let second = 0; second < 20; second += 1) {
--- a/test/routing/uneven-failures.test.ts
+++ b/test/routing/uneven-failures.test.ts
@@ -118,6 +118,18 @@
     expect(result.inTime).to.be.at.least(1 - TOLERANCE);
   });
 
+  const isZoneCut = (millis: number): boolean => millis >= 25_000 && millis < 40_000;
+  const shortInA: UnevenOptions['demand'] = (zone) => (zone === 'a' ? 1.2 : 0.5);
+
+  it('harms no zone that has room while the way between them is cut', () => {
+    const result = run({ demand: shortInA, isZoneCut, millis: 40_000, countFromMillis: 25_000 });
+    expect(result.zones.b.inTime).to.be.at.least(1 - TOLERANCE);
+  });
+
+  it('goes elsewhere again once the way between zones is back', () => {
+    expectNearOneQueue(run({ demand: shortInA, isZoneCut, millis: 80_000, countFromMillis: 55_000 }));
+  });
+
   it('that doubles for a while crosses no longer once it is over', () => {
     const demand: UnevenOptions['demand'] = (zone, millis) => (zone === 'a' && millis < 30_000 ? 1.2 : 0.5);
     const result = run({ speeds: [1], demand, countFromMillis: 45_000 });
--- a/test/routing/uneven-fleet.ts
+++ b/test/routing/uneven-fleet.ts
@@ -55,6 +55,8 @@
   readonly slowness?: Slowness;
   /** Whether an upstream is gone. */
   readonly isLost?: (zone: FleetZone, index: number, millis: number) => boolean;
+  /** Nothing goes from one zone to the other. */
+  readonly isZoneCut?: (millis: number) => boolean;
   /** No member leads in these spans; the next leader starts empty. */
   readonly leaderless?: readonly { readonly from: number; readonly to: number }[];
   /** Share of the routers that control can't be reached by in this span. */
@@ -316,6 +318,10 @@
       });
     };
     this.#time.after(way, () => {
+      if (isFar && this.#options.isZoneCut?.(this.#time.now)) {
+        end({ type: 'connect-failed' });
+        return;
+      }
       if (this.#options.isLost?.(target.zone, target.index % (this.#upstreams.length / 2), this.#time.now)) {
         end({ type: 'connect-failed', refused: true });
         return;
