--- a/src/routing/queue/rank-presence.ts
+++ b/src/routing/queue/rank-presence.ts
@@ -1,30 +1,41 @@
-/** On which ranks and targets requests came to one service lately. */
+/**
+ * On which ranks and targets requests come to one service. A few requests of another kind don't compete with the others: room that is
+ * left for them would only stay free.
+ */
 import type { RequestTerms } from '../request-terms.js';
 
-/** Terms on which nothing came for so long are absent: a router that meets one request of a kind in ten seconds still knows of it. */
-const PRESENT_MILLIS = 60_000;
+/** Older requests count for less: a router that meets one request of a kind in ten seconds still knows of it. */
+const MEMORY_MILLIS = 20_000;
+/** A kind whose requests are a smaller share of the service's than this doesn't compete with the others. */
+const LEAST_SHARE = 0.05;
+/** Fewer requests of a kind say nothing of its share. */
+const LEAST_REQUESTS = 2;
+/** Kinds are looked at anew after this. */
+const LOOK_MILLIS = 250;
 
 type PresentTerms = Pick<RequestTerms, 'route' | 'priority' | 'targetMillis'>;
 
 interface Present extends PresentTerms {
+  /** Requests, older ones counting for less, as of `at`. */
+  count: number;
   at: number;
 }
 
 export class RankPresence {
   /** One for each route, and one for requests addressed to the service. */
   readonly #present = new Map<string | null, Present>();
-  #isMixedUntil = Number.NEGATIVE_INFINITY;
+  #ranks: readonly number[] = [];
+  #isMixed = false;
+  #lookedAt = Number.NEGATIVE_INFINITY;
 
   /** A request came. */
   note({ route, priority, targetMillis }: PresentTerms, now: number): void {
     const known = this.#present.get(route);
     if (known !== undefined && isAlike(known, { route, priority, targetMillis })) {
+      known.count = countOf(known, now) + 1;
       known.at = now;
     } else {
-      this.#present.set(route, { route, priority, targetMillis, at: now });
-    }
-    if (this.#present.size > 1) {
-      this.#look(now);
+      this.#present.set(route, { route, priority, targetMillis, count: 1, at: now });
     }
   }
 
@@ -33,46 +44,59 @@
     const known = this.#present.get(route);
     if (known !== undefined && (terms === null || !isAlike(known, terms))) {
       this.#present.delete(route);
-      this.#look(known.at);
+      this.#lookedAt = Number.NEGATIVE_INFINITY;
     }
   }
 
-  /** Whether requests on several ranks or targets came. */
+  /** Whether requests on several ranks or targets compete. */
   isMixed(now: number): boolean {
-    return now < this.#isMixedUntil;
+    this.#look(now);
+    return this.#isMixed;
   }
 
-  /** How many ranks above one have had requests. */
+  /** How many ranks above one compete with it. */
   countAbove(rank: number, now: number): number {
-    if (!this.isMixed(now)) {
-      return 0;
-    }
-    const above = [...this.#present.values()].filter(
-      ({ priority, at }) => priority < rank && now < at + PRESENT_MILLIS,
-    );
-    return above.length < 2 ? above.length : new Set(above.map(({ priority }) => priority)).size;
+    this.#look(now);
+    return this.#isMixed ? this.#ranks.filter((other) => other < rank).length : 0;
   }
 
-  /** Finds until when terms that differ from the latest are present. */
   #look(now: number): void {
-    let latest: Present | null = null;
+    if (now < this.#lookedAt + LOOK_MILLIS) {
+      return;
+    }
+    this.#lookedAt = now;
+    let total = 0;
     for (const [route, present] of this.#present) {
-      if (now >= present.at + PRESENT_MILLIS) {
+      const count = countOf(present, now);
+      total += count;
+      if (count < LEAST_REQUESTS * LEAST_SHARE) {
         this.#present.delete(route);
-      } else if (latest === null || present.at >= latest.at) {
-        latest = present;
       }
     }
-    let until = Number.NEGATIVE_INFINITY;
+    const competing = this.#competing(total, now);
+    this.#ranks = [...new Set(competing.map(({ priority }) => priority))];
+    this.#isMixed =
+      new Set(competing.map(({ priority, targetMillis }) => `${priority} ${targetMillis}`)).size > 1;
+  }
+
+  /** Kinds with a share of all requests that counts; routes of like terms are one kind. */
+  #competing(total: number, now: number): PresentTerms[] {
+    const kinds = new Map<string, PresentTerms & { count: number }>();
     for (const present of this.#present.values()) {
-      if (latest !== null && !isAlike(present, latest)) {
-        until = Math.max(until, present.at + PRESENT_MILLIS);
-      }
+      const { priority, targetMillis } = present;
+      const name = `${priority} ${targetMillis}`;
+      const kind = kinds.get(name) ?? { route: null, priority, targetMillis, count: 0 };
+      kind.count += countOf(present, now);
+      kinds.set(name, kind);
     }
-    this.#isMixedUntil = until;
+    return [...kinds.values()].filter(({ count }) => count >= Math.max(LEAST_REQUESTS, total * LEAST_SHARE));
   }
 }
 
+function countOf({ count, at }: Present, now: number): number {
+  return count * Math.exp((at - now) / MEMORY_MILLIS);
+}
+
 function isAlike(one: PresentTerms, other: PresentTerms): boolean {
   return one.priority === other.priority && one.targetMillis === other.targetMillis;
 }
