Order and room: ranks compete only where each has a share of a service's requests

Cause: one request on another rank or target within a minute, such as those that only test whether a new route is in force, switched room for the more important on, and half of the slots stayed free for nobody. Change: a kind competes that has a twentieth of the service's requests of the last 20 s, and two at least.

--- a/src/routing/queue/rank-presence.ts
+++ b/src/routing/queue/rank-presence.ts
@@ -8,8 +8,8 @@
 const MEMORY_MILLIS = 20_000;
 /** A kind whose requests are a smaller share of the service's than this doesn't compete with the others. */
 const LEAST_SHARE = 0.05;
-/** Fewer requests of a kind say nothing of its share. */
-const LEAST_REQUESTS = 2;
+/** Fewer requests of a kind say nothing of its share: two lately, the older one counting for less. */
+const LEAST_REQUESTS = 1.5;
 /** Kinds are looked at anew after this. */
 const LOOK_MILLIS = 250;
 
