Moves of keys: each is weighed by what it costs and gains

Cause: the planner weighed surplus against a level and not what a move costs.

Change: a keyed service's declared `warmSeconds` is taken into the model (`unwarmedKeyMillis`). With it the leader weighs each planned move in milliseconds that callers wait: gain while the heat is expected to last (as long again as it has lasted, up to 8 s; its age is told by the two averages that there are) against the time without owner and slow keys, both as earlier moves showed them. A key that no owner bears moves once at most. The first division goes by slots times speed. `range-move-weighed` and three metrics say what moves are worth.

--- a/src/control/daemon/metrics.ts
+++ b/src/control/daemon/metrics.ts
@@ -86,6 +86,21 @@
     "Calls to owners of ranges that haven't ended; leader only",
     (work) => work?.openCalls ?? 0,
   );
+  add(
+    'weighed_range_moves',
+    'Moves of keys that were weighed and began since this member leads; leader only',
+    (work) => work?.weighedMoves ?? 0,
+  );
+  add(
+    'range_move_cost_seconds',
+    'Waiting of callers that these moves were weighed to cost; leader only',
+    (work) => (work?.moveCostMillis ?? 0) / MILLIS_PER_SECOND,
+  );
+  add(
+    'range_move_gain_seconds',
+    'Waiting of callers that these moves were weighed to save; leader only',
+    (work) => (work?.moveGainMillis ?? 0) / MILLIS_PER_SECOND,
+  );
 }
 
 /** 0 on members that don't lead: only the leader knows of sessions. */
--- a/src/control/ranges/call-carrier.ts
+++ b/src/control/ranges/call-carrier.ts
@@ -52,8 +52,9 @@
     return piece.isReleased ? FREE_PROOFS.released : this.holders.freeBy(former, now);
   }
 
-  passOn({ from, to, handover }: ReleasedPiece): void {
+  passOn({ from, to, handover }: ReleasedPiece): boolean {
     this.#grants.handOver(from, to, handover);
+    return handover !== null;
   }
 
   follow(ranges: readonly KeyRange[], now: MonotonicMillis): void {
--- a/src/control/ranges/heartbeat-carrier.ts
+++ b/src/control/ranges/heartbeat-carrier.ts
@@ -115,9 +115,10 @@
     return proof;
   }
 
-  passOn(piece: ReleasedPiece, { former }: KeyRange): void {
+  passOn(piece: ReleasedPiece, { former }: KeyRange): boolean {
     const handover = former === null ? null : this.#parts.holders.handoverOf(former, piece);
     this.#told.handOver(piece, handover);
+    return handover !== null;
   }
 
   /** Upstreams change without ranges, so these are looked at each time. */
--- a/src/control/ranges/range-carrier.ts
+++ b/src/control/ranges/range-carrier.ts
@@ -32,8 +32,8 @@
   isRefused(range: KeyRange): boolean;
   /** What shows that the owner before can hold a piece no more; `null`: nothing does. */
   freeBy(piece: ReleasedPiece, range: KeyRange, now: MonotonicMillis): FreeProof | null;
-  /** A free piece gets its next owner: what the one before handed over goes with it. */
-  passOn(piece: ReleasedPiece, range: KeyRange): void;
+  /** A free piece gets its next owner: what the one before handed over goes with it. Whether there is any. */
+  passOn(piece: ReleasedPiece, range: KeyRange): boolean;
   /** Takes in the ranges as they stand now, and drops what is known of others. Costs nothing while they are the same. */
   follow(ranges: readonly KeyRange[], now: MonotonicMillis): void;
   /** Calls that are due now. */
--- a/src/control/ranges/range-coordinator.ts
+++ b/src/control/ranges/range-coordinator.ts
@@ -219,7 +219,16 @@
   work(): RangeWork {
     const ranges = this.#countRanges();
     const calls = this.#callsMade;
-    return { ranges, openCalls: this.#calls.size, calls, decisions: this.#decisions };
+    const moves = [...this.#services.values()].map((service) => service.ranges.weighedMoves());
+    return {
+      ranges,
+      openCalls: this.#calls.size,
+      calls,
+      decisions: this.#decisions,
+      weighedMoves: moves.reduce((sum, { begun }) => sum + begun, 0),
+      moveCostMillis: moves.reduce((sum, { costMillis }) => sum + costMillis, 0),
+      moveGainMillis: moves.reduce((sum, { gainMillis }) => sum + gainMillis, 0),
+    };
   }
 
   /** A service whose carrier was changed is begun anew. */
--- a/src/control/ranges/range-service.ts
+++ b/src/control/ranges/range-service.ts
@@ -4,17 +4,15 @@
  */
 import type { Epoch, MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
 import { findRange, type KeyRange, type KeySpan } from '../../model/key-range.js';
-import { planFirstRanges } from '../../placement/ranges/first-ranges.js';
-import { KeyLoads } from '../../placement/ranges/key-loads.js';
+import { BalancePlanner } from '../../placement/ranges/balance-planner.js';
+import { MoveEvidence } from '../../placement/ranges/move-evidence.js';
+import type { MoveTerms } from '../../placement/ranges/move-worth.js';
 import { OwnerLoads, type RangeServer } from '../../placement/ranges/owner-loads.js';
 import { OwnerSpeeds } from '../../placement/ranges/owner-speeds.js';
 import {
   divideSpan,
-  EVEN_GOAL,
   type PlannedSpan,
-  planMoves,
   planReturns,
-  RELIEF_GOAL,
   spreadSpan,
 } from '../../placement/ranges/range-planner.js';
 import type { RangeUpdate, UpstreamRecord } from '../../registry/types.js';
@@ -27,8 +25,6 @@
 import { RangeServers, type RangeServersParts } from './range-servers.js';
 import { giveSpans, joinNeighbours, takeSpans, updateOf } from './range-updates.js';
 
-/** Half-life of the loads that tell of owners which were just overwhelmed. */
-const RECENT_HALF_LIFE_MILLIS = 700;
 /** Free keys wait this long for their target before another one gets them. */
 const TARGET_WAIT_MILLIS = 150;
 /** One that is busier than the mean by more than this factor and this share of its capacity doesn't get them so soon. */
@@ -48,6 +44,13 @@
   readonly workMillis: number;
 }
 
+/** Moves that were weighed and began, with what they were weighed to be worth. */
+export interface WeighedMoves {
+  readonly begun: number;
+  readonly costMillis: number;
+  readonly gainMillis: number;
+}
+
 /** Makes the carrier of a service over what it sees of it. */
 export type MakeCarrier = (
   parts: RangeCarrierParts,
@@ -67,9 +70,8 @@
   readonly #parts: RangeServiceParts;
   /** When this leadership began, or this way of granting. */
   readonly #since: MonotonicMillis;
-  readonly #loads = new KeyLoads();
-  /** The same over a short time: a run of keys that became hot must move before the steady loads show it. */
-  readonly #recentLoads = new KeyLoads(RECENT_HALF_LIFE_MILLIS);
+  readonly #balance = new BalancePlanner();
+  readonly #evidence = new MoveEvidence();
   readonly #speeds = new OwnerSpeeds();
   readonly #carrier: RangeCarrier;
   readonly #releases = new RangeReleases();
@@ -83,6 +85,7 @@
   #joining = new Set<UpstreamId>();
   /** Ranges as the last decision saw them. */
   #followed: readonly KeyRange[] | null = null;
+  readonly #weighed = { begun: 0, costMillis: 0, gainMillis: 0 };
   /** Loads as one decision sees them, once it asked; adding them up isn't free. */
   #view: LoadView | null = null;
 
@@ -109,8 +112,7 @@
     }
     const meanMillis = this.#speeds.meanMillis;
     const meanWork = meanMillis === null ? workMillis : requests * meanMillis;
-    this.#loads.add(key, meanWork, now);
-    this.#recentLoads.add(key, meanWork, now);
+    this.#balance.add(key, meanWork, now);
     this.#schedule.reported(now);
   }
 
@@ -173,7 +175,7 @@
     const untouched = ranges.filter(
       ({ from, to }) => !moves.some((move) => move.from <= to && move.to >= from),
     );
-    const returns = planReturns(untouched, this.#loads, this.#servers.list);
+    const returns = planReturns(untouched, this.#balance.steady, this.#servers.list);
     this.#wanted = [...this.#wanted, ...withOwners(untouched, returns)];
     this.#joining = new Set(joinNeighbours(untouched).flatMap(({ owner }) => owner ?? []));
   }
@@ -184,9 +186,30 @@
     const begun = standing.filter(({ owner, target }) => this.#carrier.canMove(owner, target, now));
     this.#wanted = standing.filter((move) => !begun.includes(move));
     this.#releases.plan(begun);
+    for (const move of begun) {
+      this.#noteBegun(move);
+    }
     return begun;
   }
 
+  #noteBegun(move: WantedMove): void {
+    this.#balance.began(move);
+    const { from, to, owner, target, weighed } = move;
+    if (weighed !== undefined) {
+      this.#weighed.begun += 1;
+      this.#weighed.gainMillis += weighed.gainMillis;
+      this.#weighed.costMillis += weighed.costMillis;
+      const { service } = this.#parts;
+      const terms = { ...weighed, ...this.#evidence.times };
+      this.#parts.log('range-move-weighed', { service, from, to, owner, target, ...terms });
+    }
+  }
+
+  /** Moves that were weighed and began since this leader has the service in charge. */
+  weighedMoves(): WeighedMoves {
+    return this.#weighed;
+  }
+
   /** Joins neighbouring ranges of owners that can be told now; not while any of their keys are to move. */
   #joinRanges(
     ranges: readonly KeyRange[],
@@ -281,7 +304,7 @@
   #loadView(): LoadView {
     if (this.#view === null) {
       const ranges = this.#ranges();
-      const use = new OwnerLoads(this.#servers.list, ranges, this.#loads);
+      const use = new OwnerLoads(this.#servers.list, ranges, this.#balance.steady);
       this.#view = { use, owners: loadsByOwner(ranges, use) };
     }
     return this.#view;
@@ -291,7 +314,7 @@
   #spread(range: KeyRange, owner: UpstreamId | null): PlannedSpan[] {
     const { use, owners } = this.#loadView();
     const ownerLoad = owner === null ? undefined : owners.get(owner);
-    return spreadSpan(range, this.#loads, use, ownerLoad ?? use.ofSpan(range));
+    return spreadSpan(range, this.#balance.steady, use, ownerLoad ?? use.ofSpan(range));
   }
 
   /** Gives pieces that their owner before has given up to the next one. */
@@ -320,7 +343,10 @@
     if (target !== piece.target) {
       use.add(target, piece);
     }
-    this.#carrier.passOn(piece, range);
+    const hasHandover = this.#carrier.passOn(piece, range);
+    if (piece.isReleased && range.former !== null) {
+      this.#evidence.moved(now - piece.since, hasHandover);
+    }
     return [updateOf(range, piece, target, null)];
   }
 
@@ -375,19 +401,19 @@
     });
   }
 
-  /**
-   * Takes keys off servers that are much busier than the others; first for those that own none, then off those that were
-   * just overwhelmed.
-   */
   #planMoves(ranges: readonly KeyRange[]): PlannedSpan[] {
-    const servers = this.#servers.list;
     const underWay = this.#releases.open();
-    const first = planFirstRanges(ranges, this.#loads, servers, underWay);
-    if (first.length > 0) {
-      return first;
-    }
-    const relief = planMoves(ranges, this.#recentLoads, servers, RELIEF_GOAL, underWay);
-    return relief.length > 0 ? relief : planMoves(ranges, this.#loads, servers, EVEN_GOAL, underWay);
+    return this.#balance.plan({ ranges, servers: this.#servers.list, underWay, terms: this.#moveTerms() });
+  }
+
+  /** Terms on which moves are weighed; `null`: nothing is declared of what they cost. */
+  #moveTerms(): MoveTerms | null {
+    const { registry, service } = this.#parts;
+    const slowMillis = registry().services().get(service)?.definition.unwarmedKeyMillis;
+    const workMillis = this.#speeds.meanMillis;
+    return slowMillis === undefined || workMillis === null || workMillis === 0
+      ? null
+      : { ...this.#evidence.times, slowMillis, workMillis };
   }
 
   #isBeingTaken({ from, to }: KeySpan): boolean {
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -257,6 +257,10 @@
   readonly calls: number;
   /** Times at which owners were decided. */
   readonly decisions: number;
+  /** Planned moves that were weighed and began, and the milliseconds of waiting that they were weighed to cost and gain. */
+  readonly weighedMoves: number;
+  readonly moveCostMillis: number;
+  readonly moveGainMillis: number;
 }
 
 /** `now` is monotonic; `wall` is stamped on commands. */
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -95,6 +95,21 @@
   },
   'identity-answered': { source: 'control', fields: ['upstream', 'address', 'answer', 'reason'] },
   'ranges-decided': { source: 'control', fields: ['service', 'use', 'updates'] },
+  'range-move-weighed': {
+    source: 'control',
+    fields: [
+      'service',
+      'from',
+      'to',
+      'owner',
+      'target',
+      'costMillis',
+      'gainMillis',
+      'heatMillis',
+      'unownedMillis',
+      'handoverShare',
+    ],
+  },
   'range-freed': {
     source: 'control',
     fields: [
--- a/src/model/declaration.ts
+++ b/src/model/declaration.ts
@@ -45,6 +45,8 @@
   readonly grantedBy: GrantCarrier | null;
   /** What its upstreams bear while they are cold; `null`: nothing is said of that. */
   readonly warmup: WarmupTerms | null;
+  /** How long keys are slow that come without their last owner's hand-over, in milliseconds; `null`: nothing is said of that. */
+  readonly unwarmedKeyMillis: number | null;
 }
 
 /** Bounds on what a caller may send and on how long it may take; bytes and milliseconds. */
--- a/src/model/service.ts
+++ b/src/model/service.ts
@@ -96,6 +96,11 @@
   readonly rangeGrants?: RangeGrantTerms;
   /** What its upstreams bear while they are cold; left out: nothing is known of that. */
   readonly warmup?: WarmupTerms;
+  /**
+   * How long keys are slow that come to an owner without the hand-over of their last one, in milliseconds; left out: nothing is known
+   * of that.
+   */
+  readonly unwarmedKeyMillis?: number;
 }
 
 /** What operators declare for an upstream server. */
--- a/src/placement/ranges/key-loads.ts
+++ b/src/placement/ranges/key-loads.ts
@@ -40,7 +40,7 @@
   #latestAt = 0;
 
   /** `halfLifeMillis`: the shorter, the sooner a change shows, and the more chance tells. */
-  constructor(private readonly halfLifeMillis = DEFAULT_HALF_LIFE_MILLIS) {}
+  constructor(readonly halfLifeMillis = DEFAULT_HALF_LIFE_MILLIS) {}
 
   /** Work in milliseconds that was done for a key since the last report. What is no key has no load. */
   add(key: number, workMillis: number, now: number): void {
--- a/src/placement/ranges/range-planner.ts
+++ b/src/placement/ranges/range-planner.ts
@@ -5,12 +5,15 @@
 import type { UpstreamId } from '../../model/identifiers.js';
 import { type KeyRange, type KeySpan, spanLength } from '../../model/key-range.js';
 import type { KeyLoads } from './key-loads.js';
+import type { MoveWeighing, WeighedSpan } from './move-weighing.js';
 import { capacityOf, idleLoad, OwnerLoads, type RangeServer } from './owner-loads.js';
 import { shortestSpan } from './span-search.js';
 
 /** A span and who should own it. */
 export interface PlannedSpan extends KeySpan {
   readonly target: UpstreamId;
+  /** What the move was weighed to cost and gain; left out: it wasn't weighed. */
+  readonly weighed?: WeighedSpan;
 }
 
 /** An owner is too busy when it is this much busier than the average, as a factor and as a share of its capacity. */
@@ -40,6 +43,8 @@
 const FILLING_SHARE = 0.6;
 /** How much larger another server must be for such a key to move. */
 const LEAST_GAIN = 1.25;
+/** The same for a key that no server bears: most of what it asks is refused there too, so the move must help many. */
+const LEAST_UNBEARABLE_GAIN = 1.5;
 /** A range that takes less of a server's capacity may go to a neighbour's owner, if that range is so much longer. */
 const MUCH_LONGER = 3;
 const IDLE_SHARE = 0.02;
@@ -54,14 +59,15 @@
 const MOVES_SHARE = 1 / 2;
 /** Pieces that the keys of an owner which goes are cut into, so that no one server gets them all. */
 const SPREAD_PIECES = 4;
-/** Cuts a span among servers by their slots; for keys that nobody owned before. */
+
+/** Cuts a span among servers by their slots and what is known of their speeds; for keys that nobody owned before. */
 export function divideSpan(span: KeySpan, servers: readonly RangeServer[]): PlannedSpan[] {
-  const total = servers.reduce((sum, { slots }) => sum + slots, 0);
+  const total = servers.reduce((sum, { slots, speed }) => sum + slots * speed, 0);
   const planned: PlannedSpan[] = [];
   let before = 0;
   let from = span.from;
-  for (const { upstream, slots } of servers) {
-    before += slots;
+  for (const { upstream, slots, speed } of servers) {
+    before += slots * speed;
     const to = span.from + Math.round((spanLength(span) * before) / total) - 1;
     if (to >= from) {
       planned.push({ from, to, target: upstream });
@@ -116,7 +122,7 @@
 
 /**
  * Moves that take load off servers which are much busier than the others. `underWay`: spans without owner and who gets them
- * next; their load counts there.
+ * next; their load counts there. `weighing`: moves are made only where they gain more than they cost; `null`: none is weighed.
  */
 export function planMoves(
   ranges: readonly KeyRange[],
@@ -124,16 +130,20 @@
   servers: readonly RangeServer[],
   goal: BalanceGoal = EVEN_GOAL,
   underWay: readonly PlannedSpan[] = [],
+  weighing: MoveWeighing | null = null,
 ): PlannedSpan[] {
   const use = new OwnerLoads(servers, ranges, loads);
   for (const span of underWay) {
     use.add(span.target, span);
   }
   const owned = rangesByOwner(ranges);
+  if (weighing !== null) {
+    leaveOutUnbearable(owned, loads, use);
+  }
   const moves: PlannedSpan[] = [];
   const most = Math.max(LEAST_MOVES_AT_ONCE, Math.floor(servers.length * MOVES_SHARE));
   for (let count = 0; count < most; count += 1) {
-    const move = nextMove({ owned, loads, use, goal, planned: moves });
+    const move = nextMove({ owned, loads, use, goal, weighing, planned: moves });
     if (move === undefined) {
       break;
     }
@@ -142,6 +152,21 @@
   return moves;
 }
 
+/** What a single key asks beyond its owner is refused wherever it is, so it makes no case for moving other keys. */
+function leaveOutUnbearable(
+  owned: ReadonlyMap<UpstreamId, readonly KeyRange[]>,
+  loads: KeyLoads,
+  use: OwnerLoads,
+): void {
+  for (const server of use.busiest(1)) {
+    const key = hottestKey(owned.get(server.upstream) ?? [], loads);
+    const beyond = key === undefined ? 0 : loads.of(key) - capacityOf(server);
+    if (beyond > 0) {
+      use.shift(server.upstream, -beyond);
+    }
+  }
+}
+
 function rangesByOwner(ranges: readonly KeyRange[]): Map<UpstreamId, KeyRange[]> {
   const owned = new Map<UpstreamId, KeyRange[]>();
   for (const range of ranges) {
@@ -155,14 +180,14 @@
 }
 
 function nextMove(search: MoveSearch): PlannedSpan | undefined {
-  const { loads, use, goal } = search;
+  const { loads, use, goal, weighing } = search;
   const mean = use.meanUse();
   const most = Math.max(goal.leastBusy, mean * BUSY_FACTOR, mean + BUSY_MARGIN);
   for (const busy of use.busiest(most)) {
     const move = hotKeyMove(search, busy) ?? spanMove(search, busy);
     if (move !== undefined) {
       const load = loads.ofSpan(move);
-      use.shift(busy.upstream, -load);
+      use.shift(busy.upstream, -(weighing === null ? load : Math.min(load, capacityOf(busy))));
       use.shift(move.target, load);
       return move;
     }
@@ -175,15 +200,27 @@
  * away in turn.
  */
 function hotKeyMove(search: MoveSearch, busy: RangeServer): PlannedSpan | undefined {
-  const { owned, loads, use, planned } = search;
+  const { owned, loads, use, planned, weighing } = search;
   const key = hottestKey(owned.get(busy.upstream) ?? [], loads);
   const load = key === undefined ? 0 : loads.of(key);
   if (key === undefined || load < capacityOf(busy) * FILLING_SHARE || isPlanned(planned, key)) {
     return undefined;
   }
   const target = use.largest((server) => server !== busy && use.of(server.upstream) < load);
-  const gains = target !== undefined && capacityOf(target) >= capacityOf(busy) * LEAST_GAIN;
-  return gains ? { from: key, to: key, target: target.upstream } : undefined;
+  if (target === undefined || capacityOf(target) < capacityOf(busy) * leastGain(search, key, target)) {
+    return undefined;
+  }
+  const move = { from: key, to: key, target: target.upstream };
+  return weighing === null ? move : weighing.weigh(move, { from: busy, to: target, use, loads });
+}
+
+/** How many times larger a server must be for a key to move there; `Infinity`: the key doesn't move any more. */
+function leastGain({ loads, weighing }: MoveSearch, key: number, target: RangeServer): number {
+  const isUnbearable = loads.of(key) > capacityOf(target);
+  if (weighing === null || !isUnbearable) {
+    return LEAST_GAIN;
+  }
+  return weighing.hasMoved(key) ? Number.POSITIVE_INFINITY : LEAST_UNBEARABLE_GAIN;
 }
 
 function hottestKey(ranges: readonly KeyRange[], loads: KeyLoads): number | undefined {
@@ -200,10 +237,7 @@
 
 function spanMove(search: MoveSearch, busy: RangeServer): PlannedSpan | undefined {
   const idle = search.use.leastUsed(busy.upstream);
-  const span = idle === undefined ? undefined : spanToMove(search, busy, idle);
-  return idle === undefined || span === undefined
-    ? undefined
-    : { from: span.from, to: span.to, target: idle.upstream };
+  return idle === undefined ? undefined : spanToMove(search, busy, idle);
 }
 
 /**
@@ -249,6 +283,7 @@
   readonly loads: KeyLoads;
   readonly use: OwnerLoads;
   readonly goal: BalanceGoal;
+  readonly weighing: MoveWeighing | null;
   readonly planned: readonly PlannedSpan[];
 }
 
@@ -256,8 +291,8 @@
  * The span whose move helps most: about the surplus if there is such a one, else less and less. A single key may carry more
  * than is wanted; it moves if the one that takes it is still less busy then.
  */
-function spanToMove(search: MoveSearch, busy: RangeServer, idle: RangeServer): KeySpan | undefined {
-  const { loads, use, goal, planned } = search;
+function spanToMove(search: MoveSearch, busy: RangeServer, idle: RangeServer): PlannedSpan | undefined {
+  const { loads, use, goal, planned, weighing } = search;
   const level = Math.max(use.meanUse(), goal.leastLevel) * LEVEL_FACTOR;
   const surplus = (use.useOf(busy) - level) * capacityOf(busy);
   const room = (level - use.useOf(idle)) * capacityOf(idle);
@@ -269,8 +304,13 @@
       return undefined;
     }
     const span = shortestSpan(owned, loads, { wanted, most }, planned);
-    if (span !== undefined) {
-      return span;
+    const move = span === undefined ? undefined : { from: span.from, to: span.to, target: idle.upstream };
+    const made =
+      move === undefined || weighing === null
+        ? move
+        : weighing.weigh(move, { from: busy, to: idle, use, loads });
+    if (made !== undefined) {
+      return made;
     }
   }
   return undefined;
--- a/src/registry/commands/declaration-apply.ts
+++ b/src/registry/commands/declaration-apply.ts
@@ -223,6 +223,7 @@
     ...definition,
     ...(rangeGrants !== undefined && { rangeGrants }),
     ...(declared.warmup !== null && { warmup: declared.warmup }),
+    ...(declared.unwarmedKeyMillis !== null && { unwarmedKeyMillis: declared.unwarmedKeyMillis }),
   };
 }
 
--- a/src/registry/validation/validate-declaration.ts
+++ b/src/registry/validation/validate-declaration.ts
@@ -73,9 +73,16 @@
     keyed,
     grantedBy: keyed ? grantedBy : null,
     warmup: checkWarmup(place, fields),
+    unwarmedKeyMillis: keyed ? checkWarmSeconds(`${place}.warmSeconds`, fields.warmSeconds) : null,
   };
 }
 
+/** 0 says that such keys aren't slow, which is what holds without a word. */
+function checkWarmSeconds(place: string, value: unknown): number | null {
+  const seconds = optionalNumber(place, value, 0, LONGEST_WARMUP_SECONDS, 0);
+  return seconds === 0 ? null : seconds * MILLIS_PER_SECOND;
+}
+
 /** Both fields or neither: a bound on requests holds for a time. */
 function checkWarmup(place: string, fields: Readonly<Record<string, unknown>>): WarmupTerms | null {
   const { warmupPerSecond, warmupSeconds } = fields;
--- /dev/null
+++ b/test/placement/move-costs.test.ts
@@ -0,0 +1,257 @@
+/** Moves of keys under loads whose heat wanders, with what callers get; bounds come from what moves are for. */
+import { expect } from 'chai';
+import { LARGEST_KEY, spanLength } from '../../src/model/key-range.js';
+import { heatAgeMillis, LONGEST_HEAT_MILLIS, remainingMillis } from '../../src/placement/ranges/heat-age.js';
+import { KeyLoads } from '../../src/placement/ranges/key-loads.js';
+import { MoveEvidence } from '../../src/placement/ranges/move-evidence.js';
+import { worthOf } from '../../src/placement/ranges/move-worth.js';
+import { divideSpan, EVEN_GOAL, planMoves, RELIEF_GOAL } from '../../src/placement/ranges/range-planner.js';
+import { type KeysLoad, type KeysOutcome, type MoveMode, MovingKeysModel } from './moving-keys-model.js';
+
+const SEEDS = [1, 2, 3];
+/** What chance leaves of a difference of two shares over the requests of one run. */
+const CHANCE = 0.005;
+/** What weighing may cost callers where hand-over makes moves cheap: at most one request of a hundred. */
+const WEIGHING = 0.01;
+
+/** A run of hot keys that goes elsewhere each `everyMillis`. */
+function wandering(count: number, everyMillis: number): KeysLoad['hotKeys'] {
+  return (now) => ({ from: (Math.floor(now / everyMillis) * 9973) % 60_000, count });
+}
+
+/** 120 owners of 4 slots at less than half of what they can do; a fifth of it goes to 60 hot keys. */
+const LOAD: KeysLoad = {
+  seed: 1,
+  owners: 120,
+  slots: 4,
+  speeds: [1],
+  workMillis: 260,
+  targetMillis: 820,
+  perSecond: 855,
+  hotShare: 0.2,
+  hotKeys: wandering(60, 5000),
+  seconds: 20,
+  unownedMillis: 400,
+  slowMillis: 5000,
+  slowFactor: 5.2,
+  handsOver: true,
+};
+
+/** Means over the seeds. */
+function played(
+  part: Partial<KeysLoad>,
+  mode: MoveMode,
+): Pick<KeysOutcome, 'inTime' | 'othersInTime' | 'moves'> {
+  const outcomes = SEEDS.map((seed) => new MovingKeysModel({ ...LOAD, ...part, seed }, mode).run());
+  const mean = (read: (outcome: KeysOutcome) => number): number =>
+    outcomes.reduce((sum, outcome) => sum + read(outcome), 0) / outcomes.length;
+  return {
+    inTime: mean(({ inTime }) => inTime),
+    othersInTime: mean(({ othersInTime }) => othersInTime),
+    moves: mean(({ moves }) => moves),
+  };
+}
+
+const WANDERING_LOADS: Readonly<Record<string, Partial<KeysLoad>>> = {
+  '60 hot keys that wander each 5 s': {},
+  '200 hot keys that wander each 5 s': { hotKeys: wandering(200, 5000) },
+  '200 hot keys that wander each second': { hotKeys: wandering(200, 1000) },
+  '200 hot keys that wander among owners of speed 0.7 to 1.7': {
+    hotKeys: wandering(200, 5000),
+    speeds: [0.7, 0.7, 1.7],
+  },
+  'owners of speed 0.5 to 1.7': { hotShare: 0, speeds: [0.5, 0.8, 1.2, 1.7] },
+  'one unbearable key': { hotShare: 0.05, hotKeys: () => ({ from: 5000, count: 1 }) },
+  'one unbearable key among owners of speed 0.5 to 1.7': {
+    hotShare: 0.05,
+    hotKeys: () => ({ from: 5000, count: 1 }),
+    speeds: [0.5, 1, 1.7],
+  },
+  'owners that are slower by turns': {
+    hotShare: 0,
+    perSecond: 600,
+    noise: { share: 0.2, factor: 3, everyMillis: 400 },
+  },
+};
+
+describe('moves of keys that are weighed', () => {
+  for (const [name, part] of Object.entries(WANDERING_LOADS)) {
+    it(`cost callers nothing without hand-over: ${name}`, () => {
+      const without = { ...part, handsOver: false };
+      const none = played(without, 'none');
+      const weighed = played(without, 'weighed');
+      expect(weighed.inTime).to.be.at.least(none.inTime - CHANCE);
+      expect(weighed.inTime).to.be.at.least(played(without, 'unweighed').inTime - CHANCE);
+    });
+
+    it(`help as much as moves that aren't weighed with hand-over: ${name}`, () => {
+      const weighed = played(part, 'weighed');
+      expect(weighed.inTime).to.be.at.least(played(part, 'none').inTime - CHANCE);
+      expect(weighed.inTime).to.be.at.least(played(part, 'unweighed').inTime - WEIGHING);
+    });
+  }
+
+  it('spread a run of hot keys among owners that have room for it', () => {
+    expect(played({}, 'weighed').inTime).to.be.at.least(0.9);
+  });
+
+  it('follow no owner that is slower by turns', () => {
+    const calm = { hotShare: 0, perSecond: 840, handsOver: false };
+    const noise = { share: 0.2, factor: 3, everyMillis: 400 };
+    const noisy = played({ ...calm, perSecond: 600, noise }, 'weighed');
+    // One owner in ten may take a turn for a lasting one; all of them would be in any half second.
+    expect(noisy.moves).to.be.at.most(LOAD.owners / 10);
+    expect(played(calm, 'weighed').moves).to.be.at.most(LOAD.owners / 10);
+  });
+
+  it('take a key that no owner bears away once at most', () => {
+    for (const handsOver of [true, false]) {
+      for (const seed of SEEDS) {
+        const part = { hotShare: 0.05, hotKeys: () => ({ from: 5000, count: 1 }), speeds: [0.5, 1, 1.7] };
+        const { movesOfKey } = new MovingKeysModel({ ...LOAD, ...part, handsOver, seed }, 'weighed').run();
+        expect(movesOfKey.get(5000) ?? 0).to.be.at.most(1);
+      }
+    }
+  });
+
+  it('never take such a key to a server that is a little faster', () => {
+    const part = { hotShare: 0.05, hotKeys: () => ({ from: 5000, count: 1 }), speeds: [1, 1.25] };
+    const { movesOfKey } = new MovingKeysModel({ ...LOAD, ...part }, 'weighed').run();
+    expect(movesOfKey.has(5000)).to.equal(false);
+  });
+
+  it('leave the other keys of its owner in time', () => {
+    const part = { hotShare: 0.05, hotKeys: () => ({ from: 5000, count: 1 }) };
+    expect(played(part, 'weighed').othersInTime).to.be.at.least(0.99);
+  });
+
+  it('are far more, and cost callers more than none, if moves count as free (sabotage)', () => {
+    const part = { handsOver: false };
+    const none = played(part, 'none');
+    const free = played(part, 'free');
+    expect(free.inTime).to.be.below(none.inTime - CHANCE);
+  });
+});
+
+describe('moves of keys that are not weighed', () => {
+  it('come out as before weighing was known, where speeds are even', () => {
+    const list = Array.from({ length: 6 }, (_, index) => ({
+      upstream: `u${index}`,
+      slots: 2 + (index % 2),
+      speed: 1,
+    }));
+    const ranges = divideSpan({ from: 0, to: LARGEST_KEY }, list).map(({ from, to, target }) => ({
+      service: 'menu',
+      from,
+      to,
+      owner: target,
+      fence: 1,
+      former: null,
+      revision: 1,
+    }));
+    const loads = new KeyLoads();
+    for (let now = 0; now < 60_000; now += 1000) {
+      for (let key = 1000; key < 1200; key += 1) {
+        loads.add(key, 15, now);
+      }
+      loads.add(30_000, 1900, now);
+      for (let key = 30_001; key < 30_050; key += 1) {
+        loads.add(key, 12, now);
+      }
+    }
+    expect(planMoves(ranges, loads, list, EVEN_GOAL)).to.deep.equal([
+      { from: 1000, to: 1060, target: 'u1' },
+      { from: 30_000, to: 30_000, target: 'u1' },
+      { from: 1061, to: 1101, target: 'u4' },
+      { from: 1102, to: 1135, target: 'u5' },
+      { from: 1136, to: 1143, target: 'u3' },
+    ]);
+    expect(planMoves(ranges, loads, list, RELIEF_GOAL)).to.deep.equal([
+      { from: 1000, to: 1073, target: 'u1' },
+      { from: 30_000, to: 30_000, target: 'u1' },
+      { from: 1074, to: 1119, target: 'u4' },
+    ]);
+  });
+});
+
+describe('the first division of keys', () => {
+  it('gives owners keys by their slots and speeds, and by slots alone while no speed is known', () => {
+    const divided = (speeds: readonly number[]): number[] =>
+      divideSpan(
+        { from: 0, to: LARGEST_KEY },
+        speeds.map((speed, index) => ({ upstream: `u${index}`, slots: 2, speed })),
+      ).map(spanLength);
+    expect(divided([0.5, 1, 0.5])).to.deep.equal([16_384, 32_768, 16_384]);
+    expect(divided([1, 1])).to.deep.equal([32_768, 32_768]);
+  });
+
+  it('leaves callers in time from the start where speeds are known', () => {
+    const part = { hotShare: 0, speeds: [0.5, 0.8, 1.2, 1.7], handsOver: false };
+    const known = played({ ...part, speedsKnown: true }, 'weighed');
+    expect(known.inTime).to.be.at.least(0.99);
+  });
+});
+
+describe('the worth of a move', () => {
+  const busy = { upstream: 'busy', slots: 4, speed: 1 };
+  const idle = { upstream: 'idle', slots: 4, speed: 1 };
+  const move = { from: busy, fromLoad: 5000, to: idle, toLoad: 800, load: 1500, remainingMillis: 1000 };
+  const terms = { slowMillis: 5000, unownedMillis: 400, workMillis: 260 };
+
+  it('is a gain for a second of overload with hand-over, and a loss without', () => {
+    const warm = worthOf(move, { ...terms, handoverShare: 1 });
+    const cold = worthOf(move, { ...terms, handoverShare: 0 });
+    expect(warm.gainMillis).to.be.above(warm.costMillis);
+    expect(cold.gainMillis).to.be.below(cold.costMillis);
+  });
+
+  it('grows with the time that the load is expected to last, and its cost does not', () => {
+    const short = worthOf(move, { ...terms, handoverShare: 0 });
+    const long = worthOf({ ...move, remainingMillis: 8000 }, { ...terms, handoverShare: 0 });
+    expect(long.gainMillis).to.be.closeTo(8 * short.gainMillis, 1e-6);
+    expect(long.costMillis).to.equal(short.costMillis);
+  });
+
+  it('is a gain where a slow owner gives to a fast one that is as busy', () => {
+    const slow = { ...busy, speed: 0.5 };
+    const fast = { ...idle, speed: 1.7 };
+    const sides = { from: slow, fromLoad: 1000, to: fast, toLoad: 3400, load: 300, remainingMillis: 8000 };
+    const { gainMillis } = worthOf(sides, { ...terms, handoverShare: 1 });
+    expect(gainMillis).to.be.above(0);
+  });
+});
+
+describe('the age of heat', () => {
+  const halfLives = { recentMillis: 700, steadyMillis: 3000 };
+
+  it('is told from two averages of a load that began at once', () => {
+    const steady = new KeyLoads(halfLives.steadyMillis);
+    const recent = new KeyLoads(halfLives.recentMillis);
+    for (let now = 0; now <= 24_000; now += 100) {
+      const millis = now > 20_000 ? 100 : 0;
+      for (const loads of [steady, recent]) {
+        loads.add(1, 1, now);
+        loads.add(2, millis, now);
+      }
+    }
+    const seen = { recent: recent.of(2), steady: steady.of(2) };
+    expect(heatAgeMillis(seen, halfLives)).to.be.within(3000, 5000);
+  });
+
+  it('is bounded, and what is expected to remain with it', () => {
+    expect(heatAgeMillis({ recent: 1, steady: 1 }, halfLives)).to.equal(LONGEST_HEAT_MILLIS);
+    expect(remainingMillis(10 * LONGEST_HEAT_MILLIS)).to.equal(LONGEST_HEAT_MILLIS);
+    expect(heatAgeMillis({ recent: 0, steady: 1 }, halfLives)).to.equal(0);
+  });
+});
+
+describe('evidence of moves', () => {
+  it('learns how long keys had no owner, and whether hand-overs came', () => {
+    const evidence = new MoveEvidence();
+    for (let moves = 0; moves < 50; moves += 1) {
+      evidence.moved(900, false);
+    }
+    expect(evidence.times.unownedMillis).to.be.within(850, 900);
+    expect(evidence.times.handoverShare).to.be.below(0.05);
+  });
+});
--- /dev/null
+++ b/test/placement/moving-keys-model.ts
@@ -0,0 +1,266 @@
+/**
+ * Owners of keys under a load whose hot keys change place, with the real planner, on a virtual clock. What callers get: a request is in
+ * time if it is done within its target; one that can't be is refused at once.
+ */
+import { EventQueue } from '../../src/dev/virtual/event-queue.js';
+import { RandomSource } from '../../src/dev/virtual/random-source.js';
+import { findRange, type KeyRange, LARGEST_KEY } from '../../src/model/key-range.js';
+import { BalancePlanner } from '../../src/placement/ranges/balance-planner.js';
+import type { MoveTerms } from '../../src/placement/ranges/move-worth.js';
+import type { RangeServer } from '../../src/placement/ranges/owner-loads.js';
+import { OwnerSpeeds } from '../../src/placement/ranges/owner-speeds.js';
+import { divideSpan, type PlannedSpan } from '../../src/placement/ranges/range-planner.js';
+
+const REPORT_MILLIS = 250;
+const PLAN_MILLIS = 500;
+
+export interface KeysLoad {
+  readonly seed: number;
+  readonly owners: number;
+  readonly slots: number;
+  /** Speeds of owners by turns. */
+  readonly speeds: readonly number[];
+  readonly workMillis: number;
+  readonly targetMillis: number;
+  readonly perSecond: number;
+  /** Share of the requests that go to hot keys. */
+  readonly hotShare: number;
+  /** The hot keys at a time. */
+  readonly hotKeys: (now: number, random: RandomSource) => { readonly from: number; readonly count: number };
+  readonly seconds: number;
+  /** Time that keys have no owner when they move, and how long they are slow then without hand-over, and how slow. */
+  readonly unownedMillis: number;
+  readonly slowMillis: number;
+  readonly slowFactor: number;
+  readonly handsOver: boolean;
+  /** Whether speeds are known when the keys are divided first. */
+  readonly speedsKnown?: boolean;
+  /** Share of owners that are slower by turns, how much, and how long a turn is. */
+  readonly noise?: { readonly share: number; readonly factor: number; readonly everyMillis: number };
+}
+
+/** How keys are moved: not at all; by what owners have to do; by that and what a move costs. */
+export type MoveMode = 'none' | 'unweighed' | 'weighed' | 'free';
+
+export interface KeysOutcome {
+  readonly requests: number;
+  /** Shares of the requests. */
+  readonly inTime: number;
+  readonly refused: number;
+  /** Share in time of the requests of keys that weren't hot. */
+  readonly othersInTime: number;
+  readonly moves: number;
+  readonly keysMoved: number;
+  /** How often each key moved alone. */
+  readonly movesOfKey: ReadonlyMap<number, number>;
+}
+
+class Owner {
+  readonly #freeAt: number[];
+
+  constructor(slots: number) {
+    this.#freeAt = Array.from({ length: slots }, () => 0);
+  }
+
+  /** When a slot is free for what comes now. */
+  startAt(now: number): number {
+    return Math.max(now, Math.min(...this.#freeAt));
+  }
+
+  run(startAt: number, millis: number): void {
+    this.#freeAt[this.#freeAt.indexOf(Math.min(...this.#freeAt))] = startAt + millis;
+  }
+}
+
+export class MovingKeysModel {
+  readonly #load: KeysLoad;
+  readonly #mode: MoveMode;
+  readonly #events = new EventQueue();
+  readonly #random: RandomSource;
+  readonly #owners = new Map<string, Owner>();
+  readonly #speeds = new OwnerSpeeds();
+  readonly #planner = new BalancePlanner();
+  readonly #reported = new Map<number, { requests: number; workMillis: number }>();
+  readonly #slowUntil = new Map<number, number>();
+  readonly #movesOfKey = new Map<number, number>();
+  #ranges: readonly KeyRange[];
+  #underWay: PlannedSpan[] = [];
+  #requests = 0;
+  #inTime = 0;
+  #refused = 0;
+  #others = 0;
+  #othersInTime = 0;
+  #moves = 0;
+  #keysMoved = 0;
+
+  constructor(load: KeysLoad, mode: MoveMode) {
+    this.#load = load;
+    this.#mode = mode;
+    this.#random = new RandomSource(load.seed);
+    const servers = this.#servers();
+    for (const { upstream } of servers) {
+      this.#owners.set(upstream, new Owner(load.slots));
+    }
+    const known = servers.map((server, index) => {
+      const speed = load.speedsKnown === true ? (load.speeds[index % load.speeds.length] ?? 1) : 1;
+      return { ...server, speed };
+    });
+    this.#ranges = divideSpan({ from: 0, to: LARGEST_KEY }, known).map(({ from, to, target }) => ({
+      service: 'keys',
+      from,
+      to,
+      owner: target,
+      fence: 1,
+      former: null,
+      revision: 1,
+    }));
+  }
+
+  run(): KeysOutcome {
+    this.#events.after(0, () => this.#arrive());
+    this.#events.after(REPORT_MILLIS, () => this.#report());
+    this.#events.after(PLAN_MILLIS, () => this.#plan());
+    this.#events.runUntil(this.#load.seconds * 1000);
+    return {
+      requests: this.#requests,
+      inTime: this.#inTime / this.#requests,
+      refused: this.#refused / this.#requests,
+      othersInTime: this.#othersInTime / Math.max(1, this.#others),
+      moves: this.#moves,
+      keysMoved: this.#keysMoved,
+      movesOfKey: this.#movesOfKey,
+    };
+  }
+
+  #servers(): RangeServer[] {
+    const { owners, slots } = this.#load;
+    return Array.from({ length: owners }, (_, index) => {
+      const upstream = `u${index}`;
+      return { upstream, slots, speed: this.#speeds.of(upstream) };
+    });
+  }
+
+  #arrive(): void {
+    const { perSecond, hotShare, hotKeys } = this.#load;
+    const { now } = this.#events;
+    this.#events.after(this.#random.exponential(1000 / perSecond), () => this.#arrive());
+    this.#requests += 1;
+    const isHot = this.#random.fraction() < hotShare;
+    const hot = hotKeys(now, this.#random);
+    const key = isHot
+      ? hot.from + Math.floor(this.#random.fraction() * hot.count)
+      : Math.floor(this.#random.fraction() * (LARGEST_KEY + 1));
+    this.#others += Number(!isHot);
+    this.#send(key, isHot, now);
+  }
+
+  #send(key: number, isHot: boolean, arrivedAt: number): void {
+    const { now } = this.#events;
+    const { unownedMillis, targetMillis, workMillis } = this.#load;
+    const owner = this.#ranges[findRange(this.#ranges, key)]?.owner ?? null;
+    if (owner === null) {
+      this.#events.after(unownedMillis / 4, () => this.#send(key, isHot, arrivedAt));
+      return;
+    }
+    const millis = workMillis * (0.5 + this.#random.fraction()) * this.#slowness(owner, key);
+    const known = this.#reported.get(key) ?? { requests: 0, workMillis: 0 };
+    known.requests += 1;
+    known.workMillis += millis;
+    this.#reported.set(key, known);
+    const server = this.#owners.get(owner) as Owner;
+    const startAt = server.startAt(now);
+    if (startAt + workMillis * this.#slowness(owner, key) > arrivedAt + targetMillis) {
+      this.#refused += 1;
+      return;
+    }
+    server.run(startAt, millis);
+    const isInTime = startAt + millis <= arrivedAt + targetMillis;
+    this.#inTime += Number(isInTime);
+    this.#othersInTime += Number(isInTime && !isHot);
+  }
+
+  #slowness(owner: string, key: number): number {
+    const { speeds, slowFactor, noise } = this.#load;
+    const index = Number(owner.slice(1));
+    const unwarmed = (this.#slowUntil.get(key) ?? 0) > this.#events.now ? slowFactor : 1;
+    const turn = noise === undefined ? 0 : Math.floor(this.#events.now / noise.everyMillis);
+    const isNoisy = noise !== undefined && ((index * 7919 + turn * 104_729) % 1000) / 1000 < noise.share;
+    return (unwarmed * (isNoisy ? noise.factor : 1)) / (speeds[index % speeds.length] ?? 1);
+  }
+
+  #report(): void {
+    const { now } = this.#events;
+    this.#events.after(REPORT_MILLIS, () => this.#report());
+    for (const [key, { requests, workMillis }] of this.#reported) {
+      const owner = this.#ranges[findRange(this.#ranges, key)]?.owner ?? null;
+      if (owner !== null) {
+        this.#speeds.add(owner, requests, workMillis, now);
+      }
+      this.#planner.add(key, requests * (this.#speeds.meanMillis ?? workMillis / requests), now);
+    }
+    this.#reported.clear();
+  }
+
+  #terms(): MoveTerms | null {
+    const { unownedMillis, handsOver, slowMillis, workMillis } = this.#load;
+    const handoverShare = Number(handsOver);
+    const TERMS: Record<MoveMode, MoveTerms | null> = {
+      none: null,
+      unweighed: null,
+      weighed: { unownedMillis, handoverShare, slowMillis, workMillis },
+      free: { unownedMillis: 0, handoverShare: 1, slowMillis: 0, workMillis },
+    };
+    return TERMS[this.#mode];
+  }
+
+  #plan(): void {
+    this.#events.after(PLAN_MILLIS, () => this.#plan());
+    if (this.#mode === 'none') {
+      return;
+    }
+    const planned = this.#planner.plan({
+      ranges: this.#ranges,
+      servers: this.#servers(),
+      underWay: this.#underWay,
+      terms: this.#terms(),
+    });
+    for (const move of planned) {
+      this.#begin(move);
+    }
+  }
+
+  #begin(move: PlannedSpan): void {
+    this.#planner.began(move);
+    this.#moves += 1;
+    this.#keysMoved += move.to - move.from + 1;
+    if (move.from === move.to) {
+      this.#movesOfKey.set(move.from, (this.#movesOfKey.get(move.from) ?? 0) + 1);
+    }
+    this.#own(move, null);
+    this.#underWay.push(move);
+    this.#events.after(this.#load.unownedMillis, () => this.#end(move));
+  }
+
+  #end(move: PlannedSpan): void {
+    const { handsOver, slowMillis } = this.#load;
+    this.#underWay = this.#underWay.filter((other) => other !== move);
+    this.#own(move, move.target);
+    for (let key = move.from; key <= move.to && !handsOver; key += 1) {
+      this.#slowUntil.set(key, this.#events.now + slowMillis);
+    }
+  }
+
+  #own({ from, to }: PlannedSpan, owner: string | null): void {
+    this.#ranges = this.#ranges.flatMap((range) => {
+      if (to < range.from || from > range.to) {
+        return [range];
+      }
+      const parts = [
+        { ...range, to: from - 1 },
+        { ...range, from, to, owner },
+        { ...range, from: to + 1 },
+      ];
+      return parts.filter((part) => part.from <= part.to);
+    });
+  }
+}
