--- a/src/routing/queue/rank-presence.ts
+++ b/src/routing/queue/rank-presence.ts
@@ -32,8 +32,12 @@
   note({ route, priority, targetMillis }: PresentTerms, now: number): void {
     const known = this.#present.get(route);
     if (known !== undefined && isAlike(known, { route, priority, targetMillis })) {
-      known.count = countOf(known, now) + 1;
+      const before = countOf(known, now);
+      known.count = before + 1;
       known.at = now;
+      if (before < LEAST_REQUESTS && known.count >= LEAST_REQUESTS) {
+        this.#lookedAt = Number.NEGATIVE_INFINITY;
+      }
     } else {
       this.#present.set(route, { route, priority, targetMillis, count: 1, at: now });
     }
