--- a/src/routing/queue/admission.ts
+++ b/src/routing/queue/admission.ts
@@ -76,7 +76,7 @@
   /** The bounded wait of a work is over. */
   giveUpWaiting(work: Work): void {
     if (this.mayWaitLate(work)) {
-      work.holdUntil = work.deadline - work.service.expectedMillis();
+      work.holdUntil = work.deadline - work.service.expectedMillis(this.context.now);
       work.holdTimer = this.context.schedule(work.holdUntil, { type: 'hold-end', work });
       return;
     }
@@ -168,7 +168,7 @@
       return terms.holdMillis;
     }
     const { now } = this.context;
-    const inTime = latestStartOf(work, service.expectedMillis()) - now;
+    const inTime = latestStartOf(work, service.expectedMillis(this.context.now)) - now;
     return Math.max(LEAST_WAIT_MILLIS, Math.min(inTime, service.definition.holdLimitMillis));
   }
 
@@ -178,7 +178,7 @@
     if (lane === null || work.terms.targetMillis === null || !this.isMixed(service)) {
       return false;
     }
-    const isExtended = holdUntil >= deadline - service.expectedMillis();
+    const isExtended = holdUntil >= deadline - service.expectedMillis(this.context.now);
     lane.queue.heads(service.turnOrder(this.context.now));
     return !isExtended && !service.isOutOfUse && lane.queue.countAhead(Number.POSITIVE_INFINITY) === 0;
   }
@@ -189,13 +189,10 @@
     const { queueLimit } = service.definition;
     const lane = service.lanes.find(shard);
     const laneLimit = shard === null ? queueLimit : Math.ceil(queueLimit * LANE_SHARE);
-    if (
-      (lane?.queue.length ?? 0) >= laneLimit &&
-      !this.giveWay(lane?.queue.leastBelow(work.terms.priority))
-    ) {
+    if ((lane?.queue.length ?? 0) >= laneLimit && !this.giveWay(lane?.queue.leastBelow(work.rank))) {
       return false;
     }
-    return service.waitingLength < queueLimit || this.giveWay(service.lanes.leastBelow(work.terms.priority));
+    return service.waitingLength < queueLimit || this.giveWay(service.lanes.leastBelow(work.rank));
   }
 
   /** Refuses waiting work for the sake of more important work. What was sent doesn't wait, so it is never taken back. */
@@ -214,7 +211,7 @@
     }
     let victim: Work | undefined;
     for (const { lanes } of this.context.services.values()) {
-      const candidate = lanes.leastBelow(victim?.terms.priority ?? work.terms.priority);
+      const candidate = lanes.leastBelow(victim?.rank ?? work.rank);
       victim = candidate ?? victim;
     }
     return this.giveWay(victim);
--- a/src/routing/room/rank-room.ts
+++ b/src/routing/room/rank-room.ts
@@ -6,6 +6,7 @@
  * Load answered: urgent requests of one router that stand behind less urgent ones of 75 others in an upstream's own queue.
  */
 import type { RankPresence } from '../queue/rank-presence.js';
+import { isOfHotKey } from './hot-keys.js';
 import { ServedShares } from './served-shares.js';
 import type { UpstreamUse } from './upstream-room.js';
 
@@ -15,10 +16,12 @@
 const LAST_LINE = 1.25;
 /** Each further rank has lines lower by this factor. */
 const LINE_FACTOR = 0.8;
+/** Part of that rise for the surplus of a hot key: however long it has waited, there is more of it. */
+const HOT_RAISE = 1 / 3;
 /** Outstanding work, for each slot, below which an upstream is clear: the most important go there first. */
 const CLEAR_LINE = 0.75;
 /** Weight of a report in the usual load once there are many. */
-const SMOOTHING = 0.2;
+const SMOOTHING = 0.1;
 /** Load, for each slot, that is believed at most. */
 const MOST_PER_SLOT = 4;
 /**
@@ -38,12 +41,14 @@
   /** Outstanding work for each slot, over all upstreams of the service, as reported lately. */
   #usualPerSlot = 0;
   #reports = 0;
+  #learntAt: number | null = null;
 
   constructor(private readonly presence: RankPresence) {}
 
   /** Ranks above one that compete with it; where there is none, nothing is left free for others. */
   ranksAbove(rank: number, now: number): number {
-    return this.presence.countAbove(rank, now);
+    const above = this.presence.countAbove(rank, now);
+    return isOfHotKey(rank) ? Math.max(1, above) : above;
   }
 
   /**
@@ -54,7 +59,8 @@
     if (this.shares.isStarved(rank)) {
       return true;
     }
-    const line = (FIRST_LINE + (LAST_LINE - FIRST_LINE) * waitedShare) * LINE_FACTOR ** (above - 1);
+    const raisedBy = isOfHotKey(rank) ? HOT_RAISE * waitedShare : waitedShare;
+    const line = (FIRST_LINE + (LAST_LINE - FIRST_LINE) * raisedBy) * LINE_FACTOR ** (above - 1);
     return this.#outstanding(use) < use.slots * line;
   }
 
@@ -63,8 +69,20 @@
     return this.#outstanding(use) < use.slots * CLEAR_LINE;
   }
 
+  /** Whether more is probably outstanding at an upstream than any work but the most important may add to. */
+  isCrowded(use: KnownUse): boolean {
+    return this.#outstanding(use) >= use.slots * LAST_LINE;
+  }
+
+  /** What is known of the usual load, and how long ago it was learnt. */
+  known(now: number): { readonly usualLoad: number; readonly loadAgoMillis: number | null } {
+    const loadAgoMillis = this.#learntAt === null ? null : Math.round(now - this.#learntAt);
+    return { usualLoad: Math.round(this.#usualPerSlot * 100) / 100, loadAgoMillis };
+  }
+
   /** An upstream reported its load. */
-  reported(load: number, slots: number): void {
+  reported(load: number, slots: number, now: number): void {
+    this.#learntAt = now;
     this.#learn(Math.min(MOST_PER_SLOT, load / slots), SMOOTHING);
   }
 
--- a/src/routing/upstream/upstream-state.ts
+++ b/src/routing/upstream/upstream-state.ts
@@ -156,6 +156,11 @@
     return this.rankRoom?.isClear(this.#knownUse(now)) ?? true;
   }
 
+  /** Whether requests probably wait there. */
+  isCrowded(now: number): boolean {
+    return this.rankRoom?.isCrowded(this.#knownUse(now)) ?? false;
+  }
+
   dispatched(): void {
     this.inFlight += 1;
   }
@@ -177,13 +182,13 @@
 
   /** Load from an answer or a probe. */
   hintLoad(load: number, now: number): void {
-    this.rankRoom?.reported(load, this.slotLimit.most);
+    this.rankRoom?.reported(load, this.slotLimit.most, now);
     this.#load.report(load, this.inFlight, this.slotLimit.most, now);
   }
 
   /** It turned work away for want of room; `load`: outstanding work there, `Infinity` if that isn't known. */
   refusedAsFull(load: number, now: number): void {
-    this.rankRoom?.reported(load, this.slotLimit.most);
+    this.rankRoom?.reported(load, this.slotLimit.most, now);
     this.#load.refusedAsFull(load, this.inFlight, this.slotLimit.most, now);
   }
 
