Routing: each refused caller is told its own time to come back

Change: a schedule a lane (service, or owner of keys) at the rate at which work of the caller's rank drains here, the more important not put off by the others, none later than a third of what the caller has left; where none is of use the refusal says no time and `returns: none-in-time`. Who comes when told goes to the front of its like, and its target counts from when it came first; room is kept from first-comers for 200 ms, and never while nothing waits. Only refusals for want of room do so; with none nothing is kept. Metrics and the record say what was promised, kept and broken. `RouterStatus` has a field more, which two test fixtures now give.

--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -46,6 +46,7 @@
       'usable',
       'order',
       'fingerprint',
+      'returns',
     ],
   },
   'answer-failed': { source: 'router', fields: ['request', 'reason'] },
--- a/src/router/metrics.ts
+++ b/src/router/metrics.ts
@@ -52,6 +52,22 @@
     this.gauge('limited_upstreams', 'Upstreams that name a limit', () => status().limited);
     this.gauge('resting_upstreams', 'Upstreams that asked this router for rest', () => status().resting);
     this.gauge('leaving_upstreams', 'Upstreams that said that they leave', () => status().leaving);
+    this.gauge(
+      'returns_promised',
+      'Refused callers who were told a time of their own',
+      () => status().returns.made,
+    );
+    this.gauge('returns_kept', 'Callers who came when told and were let in', () => status().returns.kept);
+    this.gauge(
+      'returns_broken',
+      'Callers who came when told and were refused again',
+      () => status().returns.broken,
+    );
+    this.gauge(
+      'returns_hopeless',
+      'Refused callers for whom there was no time',
+      () => status().returns.hopeless,
+    );
     this.gauge('revision', 'Revision of the configuration', () => status().revision);
     this.gauge('log_lines_dropped', 'Log lines that a slow reader has cost', droppedLogLines);
     this.gauge('serving', '1 while the configuration lease holds', () => (status().serving ? 1 : 0));
--- a/src/routing/decision-facts.ts
+++ b/src/routing/decision-facts.ts
@@ -29,6 +29,7 @@
     ...(isByRank && { order: orderFactsOf(work, now) }),
     ...(restMillis > 0 && { restMillis }),
     ...(limit?.isInForce && { limit: { ...limit.heard(now), permits: limit.permitsLeft(now) } }),
+    ...(work.returnWord !== null && { returns: work.returnWord }),
     ...(suspect !== null && context.crashes.isQuarantined(suspect) && { fingerprint: suspect }),
   };
 }
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -35,6 +35,7 @@
     if (!this.locate(work)) {
       return;
     }
+    this.admission.returns.welcome(work);
     const lane = work.service.lanes.find(work.shard);
     const isFirst = lane === undefined || isNextIn(lane, work, this.context.now);
     if (isFirst && this.place(work) !== 'waits') {
@@ -43,10 +44,10 @@
     const refusal = this.admission.refusalOf(work);
     if (refusal !== undefined) {
       this.context.hasRefusedAtOwner ||= work.shard !== null;
-      this.answers.refuseWork(work, refusal, this.admission.retryAfter(work));
+      this.answers.refuseWork(work, refusal, this.admission.returnAfter(work));
       return;
     }
-    this.enqueue(work, 'back');
+    this.enqueue(work, work.isExpected ? 'front' : 'back');
   }
 
   /** Puts a work whose attempt was proved not to have run, or may be repeated, back to the front. */
--- a/src/routing/queue/admission.ts
+++ b/src/routing/queue/admission.ts
@@ -8,6 +8,7 @@
 import type { Work } from '../work.js';
 import type { Lane } from './lane-table.js';
 import { retryAfterAtLeast, retryAfterMillis, UNMEASURED_RETRY_MILLIS } from './retry-after.js';
+import { ReturnPromises } from './return-promises.js';
 import { WaitEstimate } from './wait-estimate.js';
 import { latestStartOf } from './waiting-class.js';
 
@@ -27,12 +28,14 @@
 
 export class Admission {
   private readonly estimate: WaitEstimate;
+  readonly returns: ReturnPromises;
 
   constructor(
     private readonly context: RouterContext,
     private readonly answers: Answers,
   ) {
     this.estimate = new WaitEstimate(context);
+    this.returns = new ReturnPromises(context, this.estimate);
   }
 
   /** Why a work may not wait, if it may not. */
@@ -50,7 +53,9 @@
       return held.millis > longest ? held.reason : undefined;
     }
     const margin = this.isMixed(service) ? 1 : ADMITTED_SHARE;
-    return this.estimate.untilDispatch(work) > longest * margin ? 'would-miss-deadline' : undefined;
+    const wait = this.estimate.untilDispatch(work);
+    const kept = this.returns.keptMillis(work, wait);
+    return wait + kept > longest * margin ? 'would-miss-deadline' : undefined;
   }
 
   /** The limit counts from the first wait; retries don't extend it. */
@@ -83,7 +88,7 @@
     const reason = noticeWaitOf(work, this.context)?.reason ?? this.reasonForWaiting(work);
     const measured =
       reason === 'would-miss-deadline' || reason === 'upstream-limited' || reason === 'upstream-resting';
-    const wait = measured ? this.retryAfter(work) : this.unmeasuredRetryAfter();
+    const wait = measured ? this.returnAfter(work) : this.unmeasuredRetryAfter();
     this.answers.refuseWork(work, reason, wait);
   }
 
@@ -123,6 +128,14 @@
     return true;
   }
 
+  /** When a work that is refused for want of room may come back: at a time of its own; `null`: none is of use to it. */
+  returnAfter(work: Work): number | null {
+    const wait = this.estimate.untilDispatch(work);
+    return wait > 0 && noticeWaitOf(work, this.context) === null
+      ? this.returns.promise(work, wait)
+      : this.retryAfter(work);
+  }
+
   /** Jittered time in which what waits before a work drains. */
   retryAfter(work: Work): number {
     const held = noticeWaitOf(work, this.context);
@@ -148,7 +161,7 @@
     for (const rank of lane.queue.ranks.filter((candidate) => lane.drainRateOf(candidate).isMeasured)) {
       let last = lane.queue.lastOf(rank);
       while (last !== undefined && now + this.estimate.ofLast(service, lane, rank) > last.holdUntil) {
-        this.answers.refuseWork(last, 'would-miss-deadline', this.retryAfter(last));
+        this.answers.refuseWork(last, 'would-miss-deadline', this.returnAfter(last));
         last = lane.queue.lastOf(rank);
       }
     }
@@ -200,7 +213,7 @@
     if (victim === undefined) {
       return false;
     }
-    this.answers.refuseWork(victim, 'gave-way', this.retryAfter(victim));
+    this.answers.refuseWork(victim, 'gave-way', this.returnAfter(victim));
     return true;
   }
 
--- a/src/routing/queue/retry-after.ts
+++ b/src/routing/queue/retry-after.ts
@@ -1,8 +1,10 @@
 /** How long a refused caller is told to wait. Always jittered, so that those refused together don't return together. */
 import type { Random } from '../random.js';
 
-const SHORTEST_MILLIS = 100;
-const LONGEST_MILLIS = 30_000;
+/** Nobody is told to come back sooner. */
+export const SHORTEST_MILLIS = 100;
+/** Nor later. */
+export const LONGEST_MILLIS = 30_000;
 const JITTER_SHARE = 0.25;
 
 /** Used where nothing is measured: an owner or a configuration is on its way. */
--- a/src/routing/queue/wait-estimate.ts
+++ b/src/routing/queue/wait-estimate.ts
@@ -13,6 +13,9 @@
   readonly place: number;
 }
 
+/** Places of work are no closer to one another than this. */
+const LEAST_PLACE_MILLIS = 0.1;
+
 export class WaitEstimate {
   constructor(private readonly context: RouterContext) {}
 
@@ -25,6 +28,19 @@
     return Math.max(inTurn, this.untilRoom(shard));
   }
 
+  /** Work of this rank that drains here in a millisecond: of the service, or of the key's owner. */
+  perMilli(work: Work): number {
+    const { service, shard, rank } = work;
+    const lanes =
+      shard === null
+        ? 1
+        : Math.max(1, service.lanes.countFor(this.context.ownerOf(shard)?.upstream.id ?? null));
+    return (
+      lanes /
+      Math.max(LEAST_PLACE_MILLIS, this.wait(service, service.lanes.find(shard), { shard, rank, place: 1 }))
+    );
+  }
+
   /** The same for the last work of a rank that waits in a lane. */
   ofLast(service: ServiceState, lane: Lane, rank: number): number {
     return this.wait(service, lane, { shard: lane.shard, rank, place: lane.queue.countAhead(rank) });
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -97,6 +97,7 @@
       limited: countNotices(context, ({ limit }) => limit.isInForce),
       resting: countNotices(context, ({ rest }) => rest.isInForce(context.now)),
       leaving: countNotices(context, ({ isLeaving }) => isLeaving),
+      returns: this.admission.returns.counts,
       routes: context.tallies.all(),
     };
   }
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -25,12 +25,16 @@
 /** No upstream is taken to be faster. */
 const LEAST_SERVICE_MILLIS = 0.1;
 
+/** Callers who were told to come back may come for this long after the latest of them was told. */
+const RETURNS_MILLIS = 10_000;
+
 export class ServiceState {
   readonly name: ServiceName;
   readonly lanes = new LaneTable();
   /** Terms on which requests came lately. */
   readonly presence = new RankPresence();
   readonly rankRoom = new RankRoom(this.presence);
+  #returnsUntil = Number.NEGATIVE_INFINITY;
   readonly hotKeys = new HotKeys();
   readonly picker: Picker;
   readonly retryBudget: TokenRetryBudget;
@@ -193,9 +197,18 @@
     return this.#expected;
   }
 
+  /** A refused caller was told to come back: callers who are late by then come beside others who aren't. */
+  returnsPromised(now: number): void {
+    this.#returnsUntil = now + RETURNS_MILLIS;
+  }
+
   /** By what waiting work takes its turn. */
   turnOrder(now: number): TurnOrder {
-    return { now, expectedMillis: this.presence.isMixed(now) ? this.expectedMillis(now) : null };
+    return {
+      now,
+      expectedMillis:
+        this.presence.isMixed(now) || now < this.#returnsUntil ? this.expectedMillis(now) : null,
+    };
   }
 
   ejectedCount(now: number): number {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -1,6 +1,7 @@
 /**
  * Inputs and effects of the router core. Bodies never pass through it: the shell keeps them by request id and attempt id.
  */
+
 import type { ConfigLeaseTimings, ControlToRouter, RouterToControl } from '../control/messages.js';
 import type { FenceCredentials, FenceRefusal } from '../lease/types.js';
 import type { StoredAnswer } from '../ledger/types.js';
@@ -23,7 +24,9 @@
 import type { PolicyTraceRecord } from '../policy/index.js';
 import type { ConnectionBreak } from './connection-break.js';
 import type { PickerName } from './picker/picker.js';
+import type { ReturnCounts } from './queue/return-times.js';
 import type { RouteTally } from './queue/route-tallies.js';
+import type { ReturnWord } from './work.js';
 
 /** Number of a request within one run of a router. */
 export type RequestNumber = number;
@@ -190,6 +193,8 @@
   readonly restMillis?: number;
   /** Of a request under which upstreams ended. */
   readonly fingerprint?: RequestFingerprint;
+  /** Of a request refused for want of room: whether it was told a time of its own to come back. */
+  readonly returns?: ReturnWord;
 }
 
 export type RouterEffect =
@@ -276,6 +281,8 @@
   readonly resting: number;
   /** Upstreams that said in their answers that they leave. */
   readonly leaving: number;
+  /** Times that refused callers were told, and what came of them. */
+  readonly returns: ReturnCounts;
   /** What became of the requests of each route so far. */
   readonly routes: readonly RouteTally[];
 }
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -77,6 +77,9 @@
   return (terms.targetMillis ?? 0) * UNMEASURED_TARGETS || serviceMillis * OVERDUE_FACTOR;
 }
 
+/** Whether a refused caller was told a time of its own to come back; `none-in-time`: there is none before it gives up. */
+export type ReturnWord = 'promised' | 'none-in-time';
+
 /** Usually one request; several when identical reads share an attempt. */
 export class Work {
   phase: WorkPhase = 'new';
@@ -114,6 +117,11 @@
   /** Where the last attempt failed; others are tried first. */
   avoid: UpstreamState | null = null;
 
+  /** It came when it was told to after a refusal, so it goes before those who come first. */
+  isExpected = false;
+  /** What it was told of its return when it was refused for want of room; `null`: it wasn't. */
+  returnWord: ReturnWord | null = null;
+
   constructor(
     readonly service: ServiceState,
     readonly terms: RequestTerms,
--- a/test/docs/completeness.test.ts
+++ b/test/docs/completeness.test.ts
@@ -136,6 +136,7 @@
       limited: 0,
       resting: 0,
       leaving: 0,
+      returns: { made: 0, kept: 0, broken: 0, hopeless: 0 },
       routes: [],
     }));
     const names = [...control.getMetricsAsArray(), ...router.registry.getMetricsAsArray()].map(
--- a/test/router/start.test.ts
+++ b/test/router/start.test.ts
@@ -43,6 +43,7 @@
       inFlight: 0,
       limited: 0,
       resting: 0,
+      returns: { made: 0, kept: 0, broken: 0, hopeless: 0 },
       leaving: 0,
       routes: [],
     }),
--- a/test/routing/rank-load.ts
+++ b/test/routing/rank-load.ts
@@ -63,6 +63,10 @@
   /** Refusals that name a work which was sent before. */
   refusedAfterSent: number;
   sentAttempts: number;
+  /** Refusals of callers who came when they were told to. */
+  refusedAgain: number;
+  /** Refusals that told no time to come back. */
+  toldNoTime: number;
 }
 
 export interface RankLoadResult {
@@ -77,6 +81,7 @@
   readonly counted: boolean;
   returnsLeft: number;
   wasDispatched: boolean;
+  wasTold?: boolean;
 }
 
 class LoadRouter {
@@ -131,6 +136,8 @@
         refusals: 0,
         refusedAfterSent: 0,
         sentAttempts: 0,
+        refusedAgain: 0,
+        toldNoTime: 0,
       };
     }
     const { speeds = [1], slowShare = 0, reportAgeMillis = 0 } = load;
@@ -267,8 +274,11 @@
     result.refusals += call.counted ? 1 : 0;
     result.refusedAfterSent += call.counted && call.wasDispatched && effect.reason === 'gave-way' ? 1 : 0;
     const { retryAfterMillis, outcome, request } = effect;
+    result.refusedAgain += call.counted && call.wasTold === true ? 1 : 0;
+    result.toldNoTime += call.counted && retryAfterMillis === null ? 1 : 0;
     if (call.returnsLeft > 0 && outcome === 'not-run' && retryAfterMillis !== null) {
       call.returnsLeft -= 1;
+      call.wasTold = true;
       router.calls.delete(request);
       this.#queue.after(retryAfterMillis, () => this.#send(call));
       return;
