--- a/src/router/metrics.ts
+++ b/src/router/metrics.ts
@@ -125,6 +125,22 @@
       'What the link carries, as far as is known; 0: the settings say nothing',
       () => (status().link?.bytesPerMilli ?? 0) * MILLIS_PER_SECOND,
     );
+    this.gauge(
+      'returns_promised',
+      'Refused callers who were told a time of their own',
+      () => status().returns.made,
+    );
+    this.gauge('returns_kept', 'Callers who came when told and were let in', () => status().returns.kept);
+    this.gauge(
+      'returns_broken',
+      'Callers who came when told and were refused again',
+      () => status().returns.broken,
+    );
+    this.gauge(
+      'returns_hopeless',
+      'Refused callers for whom there was no time',
+      () => status().returns.hopeless,
+    );
     this.gauge('revision', 'Revision of the configuration', () => status().revision);
     this.gauge('log_lines_dropped', 'Log lines that a slow reader has cost', droppedLogLines);
     this.gauge('connections', 'Connections of callers', () => connections().connections);
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -293,7 +293,8 @@
   }
 
   private coreConfig(): RouterConfig {
-    const { router, zone, control, timings, whenOutOfTouch, warmup, linkMegabits } = this.settings;
+    const { router, zone, control, timings, whenOutOfTouch, warmup, linkMegabits, returnTimes } =
+      this.settings;
     return {
       router,
       incarnation: this.incarnation,
@@ -304,6 +305,7 @@
       claimTimeoutMillis: timings.claimMillis,
       ...(whenOutOfTouch !== undefined && { whenOutOfTouch }),
       ...(warmup !== undefined && { warmupBounds: warmup }),
+      ...(returnTimes !== undefined && { returnTimes }),
       ...(linkMegabits !== undefined && { linkBytesPerMilli: linkMegabits * BYTES_PER_MILLI_OF_MEGABIT }),
       holdsEarlyRequests: timings.firstConfigurationMillis === 0,
     };
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -4,7 +4,7 @@
 import { DEFAULT_HEADER_NAMES, type HeaderNames } from '../model/header-names.js';
 import type { Address, ClusterId, RouterId, Zone } from '../model/identifiers.js';
 import type { WarmupBounds } from '../model/warmup-bounds.js';
-import type { WhenOutOfTouch } from '../routing/types.js';
+import type { ReturnTimesMode, WhenOutOfTouch } from '../routing/types.js';
 import { DEFAULT_HTTP_LIMITS, type HttpLimits } from '../wire/http/http-listener.js';
 import { DEFAULT_WIRE_LIMITS, type WireLimits } from '../wire/index.js';
 import type { RetryAfterUnit } from './caller/caller-exchange.js';
@@ -35,6 +35,8 @@
   readonly retryAfterUnit?: RetryAfterUnit;
   /** What the router does without contact to control; it refuses if left out. */
   readonly whenOutOfTouch?: WhenOutOfTouch;
+  /** What callers are told who are refused for want of room; `spread` if left out. */
+  readonly returnTimes?: ReturnTimesMode;
   /** Width of the machine's link, each way, in megabits a second; large answers aren't held back for it if left out. */
   readonly linkMegabits?: number | undefined;
   /** How far routers may go together beyond what cold upstreams bear; the defaults if left out. */
--- a/src/routing/decision-facts.ts
+++ b/src/routing/decision-facts.ts
@@ -30,6 +30,7 @@
     ...(restMillis > 0 && { restMillis }),
     ...(limit?.isInForce && { limit: { ...limit.heard(now), permits: limit.permitsLeft(now) } }),
     ...(context.link !== null && { link: context.link.status() }),
+    ...(work.returnWord !== null && { returns: work.returnWord }),
     ...(suspect !== null && context.crashes.isQuarantined(suspect) && { fingerprint: suspect }),
   };
 }
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -117,6 +117,7 @@
       resting: countNotices(context, ({ rest }) => rest.isInForce(context.now)),
       leaving: countNotices(context, ({ isLeaving }) => isLeaving),
       ...(context.link !== null && { link: context.link.status() }),
+      returns: this.admission.returns.counts,
       routes: context.tallies.all(),
     };
   }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -23,7 +23,9 @@
 import type { PolicyTraceRecord } from '../policy/index.js';
 import type { ConnectionBreak } from './connection-break.js';
 import type { PickerName } from './picker/picker.js';
+import type { ReturnCounts } from './queue/return-times.js';
 import type { RouteTally } from './queue/route-tallies.js';
+import type { ReturnWord } from './work.js';
 
 /** Number of a request within one run of a router. */
 export type RequestNumber = number;
@@ -197,6 +199,8 @@
   readonly link?: LinkStatus;
   /** Of a request under which upstreams ended. */
   readonly fingerprint?: RequestFingerprint;
+  /** Of a request refused for want of room: whether it was told a time of its own to come back. */
+  readonly returns?: ReturnWord;
 }
 
 export type RouterEffect =
@@ -253,6 +257,9 @@
 /** What a router does whose configuration lease is over. */
 export type WhenOutOfTouch = 'refuse' | 'serve';
 
+/** `spread`: all about the time at which there is room. `reserved`: each a time of its own, which is kept for it. */
+export type ReturnTimesMode = 'spread' | 'reserved';
+
 export interface RouterConfig {
   readonly router: RouterId;
   readonly incarnation: Incarnation;
@@ -270,6 +277,8 @@
   readonly warmupBounds?: WarmupBounds;
   /** How upstreams of services that aren't keyed are picked; `least-work` if left out. */
   readonly picker?: PickerName;
+  /** What callers are told who are refused for want of room; `spread` if left out. */
+  readonly returnTimes?: ReturnTimesMode;
   /** Width of the router's link, each way; large answers aren't held back for it if left out. */
   readonly linkBytesPerMilli?: number;
 }
@@ -295,6 +304,8 @@
   readonly leaving: number;
   /** Left out where the settings don't say how wide the link is. */
   readonly link?: LinkStatus;
+  /** Times that refused callers were told, and what came of them. */
+  readonly returns: ReturnCounts;
   /** What became of the requests of each route so far. */
   readonly routes: readonly RouteTally[];
 }
--- a/test/router/metrics.test.ts
+++ b/test/router/metrics.test.ts
@@ -11,6 +11,7 @@
   limited: 0,
   resting: 0,
   leaving: 0,
+  returns: { made: 0, kept: 0, broken: 0, hopeless: 0 },
   routes: [],
 };
 const ANSWERED = 'ternmount_router_requests_total{service="orders",answer="upstream",reason=""}';
--- a/test/routing/rank-load.ts
+++ b/test/routing/rank-load.ts
@@ -5,7 +5,7 @@
 import { EventQueue } from '../../src/dev/virtual/event-queue.js';
 import { RandomSource } from '../../src/dev/virtual/random-source.js';
 import type { RouteDefinition } from '../../src/model/declaration.js';
-import type { RouterEffect } from '../../src/routing/types.js';
+import type { ReturnTimesMode, RouterEffect } from '../../src/routing/types.js';
 import { LoadedUpstream, type WorkToDo } from './loaded-upstream.js';
 import { CONFIG, onlyShard, RouterHarness, sent, service, upstream } from './router-harness.js';
 
@@ -52,6 +52,8 @@
   readonly countedMillis?: number;
   /** When the kinds' routes get one rank. */
   readonly ranksEndAt?: number;
+  /** What refused callers are told; `spread` if left out. */
+  readonly returnTimes?: ReturnTimesMode;
 }
 
 export interface KindResult {
@@ -63,6 +65,10 @@
   /** Refusals that name a work which was sent before. */
   refusedAfterSent: number;
   sentAttempts: number;
+  /** Refusals of callers who came when they were told to. */
+  refusedAgain: number;
+  /** Refusals that told no time to come back. */
+  toldNoTime: number;
 }
 
 export interface RankLoadResult {
@@ -77,6 +83,7 @@
   readonly counted: boolean;
   returnsLeft: number;
   wasDispatched: boolean;
+  wasTold?: boolean;
 }
 
 class LoadRouter {
@@ -131,6 +138,8 @@
         refusals: 0,
         refusedAfterSent: 0,
         sentAttempts: 0,
+        refusedAgain: 0,
+        toldNoTime: 0,
       };
     }
     const { speeds = [1], slowShare = 0, reportAgeMillis = 0 } = load;
@@ -172,7 +181,13 @@
   #startRouter(index: number): LoadRouter {
     const { zones = ['a'], upstreams, slots, seed } = this.load;
     const zone = zones[index % zones.length] as string;
-    const harness = new RouterHarness({ ...CONFIG, router: `r${index}`, zone, seed: seed * 1000 + index });
+    const harness = new RouterHarness({
+      ...CONFIG,
+      router: `r${index}`,
+      zone,
+      seed: seed * 1000 + index,
+      returnTimes: this.load.returnTimes ?? 'spread',
+    });
     const router = new LoadRouter(harness, this.#queue, (from, effect) => this.#carryOut(from, effect));
     const announced = { slots, warmupMillis: 0 };
     const records = Array.from({ length: upstreams }, (_, number) =>
@@ -267,8 +282,11 @@
     result.refusals += call.counted ? 1 : 0;
     result.refusedAfterSent += call.counted && call.wasDispatched && effect.reason === 'gave-way' ? 1 : 0;
     const { retryAfterMillis, outcome, request } = effect;
+    result.refusedAgain += call.counted && call.wasTold === true ? 1 : 0;
+    result.toldNoTime += call.counted && retryAfterMillis === null ? 1 : 0;
     if (call.returnsLeft > 0 && outcome === 'not-run' && retryAfterMillis !== null) {
       call.returnsLeft -= 1;
+      call.wasTold = true;
       router.calls.delete(request);
       this.#queue.after(retryAfterMillis, () => this.#send(call));
       return;
