Mends of the review: answers that wait at the front, planned stops, unframed answers, link, gave-way, spills, evidence of moves

Link: what failed or turned out small is given back where it was counted; what waits is looked at each 25 ms; who comes next doesn't pass those who wait. Order: nobody gives way for a request that is refused itself, nor after it may have run (test); late work isn't passed over where ranks no longer compete; a hot key's requests count for the share of their rank. Moves: only an owner that let go counts as a planned move, not one that was lost. The planned stop, the front and the unframed answer have no test of their own yet.

--- a/src/control/fleet-room/zone-demand.ts
+++ b/src/control/fleet-room/zone-demand.ts
@@ -2,7 +2,7 @@
 import type { MonotonicMillis, ServiceName, Zone } from '../../model/identifiers.js';
 import type { ConnectionId } from '../types.js';
 
-/** A router's demand is smoothed over about this time: gusts of a second are for its own queue. */
+/** A router's demand is smoothed over about this time: bursts of a second are for its own queue. */
 const SMOOTHING_MILLIS = 2500;
 /** A router that didn't report for this long asks for nothing. */
 const SILENT_MILLIS = 4000;
--- a/src/control/ranges/range-releases.ts
+++ b/src/control/ranges/range-releases.ts
@@ -5,6 +5,7 @@
 import type { Epoch, MonotonicMillis, UpstreamId } from '../../model/identifiers.js';
 import type { KeyRange, KeySpan } from '../../model/key-range.js';
 import type { PlannedSpan } from '../../placement/ranges/range-planner.js';
+import type { FreeProof } from './free-proof.js';
 
 /** Routers hear that there is no owner before the owner does, so that it need not turn requests away. */
 const NOTICE_MILLIS = 25;
@@ -20,8 +21,9 @@
   /** A call is under way. */
   isAsked: boolean;
   isReleased: boolean;
-  /** Since when it is known to be free; `null`: it isn't yet. */
+  /** Since when it is known to be free, and by what; `null`: it isn't yet. */
   freeAt: MonotonicMillis | null;
+  freedBy: FreeProof | null;
   handover: string | null;
 }
 
@@ -123,6 +125,7 @@
     isAsked: false,
     isReleased,
     freeAt: null,
+    freedBy: null,
     handover: null,
   };
 }
--- a/src/control/ranges/range-service.ts
+++ b/src/control/ranges/range-service.ts
@@ -344,7 +344,7 @@
       use.add(target, piece);
     }
     const hasHandover = this.#carrier.passOn(piece, range);
-    if (piece.isReleased && range.former !== null) {
+    if (piece.freedBy === FREE_PROOFS.released) {
       this.#evidence.moved(now - piece.since, hasHandover);
     }
     return [updateOf(range, piece, target, null)];
@@ -373,6 +373,7 @@
     const proof = isForgotten ? FREE_PROOFS.forgotten : this.#carrier.freeBy(piece, range, now);
     if (proof !== null && piece.freeAt === null) {
       piece.freeAt = now;
+      piece.freedBy = proof;
       this.#logFreed(piece, { holder: former, proof, unownedMillis: now - piece.since }, now);
     }
     return proof !== null;
--- a/src/router/caller/answer-writer.ts
+++ b/src/router/caller/answer-writer.ts
@@ -56,6 +56,8 @@
     response.writeHead(status, headers);
     response.flushHeaders();
     this.#flush();
+    // An answer at the front may be read on whatever others hold; it may have been told to wait while it was behind one.
+    this.#reportRoom();
   }
 
   /** Gives `false` if nothing more should be read until `onRoom` is called. */
--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -131,7 +131,7 @@
     }
     if (last === lastHandedOn) {
       this.#order.close();
-    } else if (lastHandedOn !== undefined && !lastHandedOn.answered) {
+    } else if (lastHandedOn !== undefined && (lastHandedOn === exchange || !lastHandedOn.answered)) {
       lastHandedOn.closesConnection = true;
       this.closeAfter(lastHandedOn);
     }
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -112,7 +112,7 @@
     if (deadlineMillis === null) {
       return null;
     }
-    return Math.max(1, deadlineMillis - Math.floor(performance.now() - this.arrivedAt));
+    return deadlineMillis - Math.floor(performance.now() - this.arrivedAt);
   }
 
   /** Headers for the upstream, without the router's own. */
@@ -160,7 +160,10 @@
     this.response.useChunkedEncodingByDefault = false;
     this.closesConnection = true;
     this.connection.closeAfter(this);
-    this.answerWhole(status, headers, body);
+    // Never broken off for a slow reader: cut short, an answer that ends with its connection would look whole.
+    this.begin(body.length);
+    this.response.writeHead(status, headers);
+    this.response.end(body);
   }
 
   /** Starts an answer of about so many bytes that is given piece by piece, and gives what it is written to. */
--- a/src/router/caller/held-bytes.ts
+++ b/src/router/caller/held-bytes.ts
@@ -66,9 +66,10 @@
       if (freeBytes <= 0) {
         return;
       }
-      freeBytes -= PIECE_BYTES;
       this.#waiting.delete(wake);
       wake();
+      // One that found no room waits again, and takes nothing.
+      freeBytes -= this.#waiting.has(wake) ? 0 : PIECE_BYTES;
     }
   }
 }
--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -186,6 +186,7 @@
   /** Attempts in flight there go on; nothing new is sent. */
   private detach(state: UpstreamState): void {
     this.context.upstreams.delete(state.id);
+    this.context.fleet.forget(state.id);
     this.context.services.get(state.record.definition.service)?.removeUpstream(state.id);
   }
 
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -35,7 +35,7 @@
     if (!this.locate(work)) {
       return;
     }
-    this.admission.returns.welcome(work);
+    this.admission.returns.matchPromise(work);
     const lane = work.service.lanes.find(work.shard);
     const isFirst = lane === undefined || isNextIn(lane, work, this.context.now);
     if (isFirst && this.place(work) !== 'waits') {
--- a/src/routing/link-gate.ts
+++ b/src/routing/link-gate.ts
@@ -8,6 +8,11 @@
 import type { LinkStatus } from './types.js';
 import type { Work } from './work.js';
 
+/** Room that opens sooner than this is waited for so long: the clock of timers is no finer. */
+const LEAST_WAKE_MILLIS = 1;
+/** What waits is looked at after this at the latest: room may open sooner than was expected. */
+const LONGEST_WAKE_MILLIS = 25;
+
 export interface LinkGateParts {
   readonly context: RouterContext;
   readonly answers: Answers;
@@ -45,7 +50,7 @@
     this.#dropGone();
     const ahead = this.#waiting.filter((other) => other.work.terms.priority <= work.terms.priority);
     const wait = this.#room.waitMillis(sumOf(ahead), now);
-    if (wait <= 0) {
+    if (wait <= 0 && ahead.length === 0) {
       this.#start({ work, bytes });
       return;
     }
@@ -81,14 +86,14 @@
   /** The head of a work's answer came; `bytes` is `null` if it didn't say how large it is. */
   answered(work: Work, bytes: number | null): void {
     const { now } = this.#parts.context;
+    const expected = work.linkAnswer;
+    work.linkAnswer = null;
     if (bytes === null) {
-      work.linkBytes = 0;
       return;
     }
     this.#sizes.add(routeOf(work), bytes);
-    if (work.linkBytes > 0) {
-      this.#room.sized(work.linkBytes, bytes, now);
-      work.linkBytes = 0;
+    if (expected !== null) {
+      this.#room.sized(expected, bytes, now);
     } else if (this.#room.isLarge(bytes)) {
       this.#room.started(bytes, now);
     } else {
@@ -98,9 +103,9 @@
 
   /** Nobody waits for a work any more: what it was counted for and didn't get is given back. */
   ended(work: Work): void {
-    if (work.linkBytes > 0) {
-      this.#room.sized(work.linkBytes, 0, this.#parts.context.now);
-      work.linkBytes = 0;
+    if (work.linkAnswer !== null) {
+      this.#room.failed(work.linkAnswer, this.#parts.context.now);
+      work.linkAnswer = null;
     }
   }
 
@@ -121,9 +126,8 @@
 
   #start({ work, bytes }: Waiting): void {
     const { context, dispatcher } = this.#parts;
-    work.linkBytes = bytes;
+    work.linkAnswer = this.#room.started(bytes, context.now);
     work.phase = 'new';
-    this.#room.started(bytes, context.now);
     dispatcher.admit(work);
   }
 
@@ -152,8 +156,9 @@
       return;
     }
     this.#isWaking = true;
-    const wait = Math.max(LEAST_WAKE_MILLIS, this.#room.waitMillis(0, context.now));
-    context.schedule(context.now + wait, { type: 'link-wake' });
+    const wait = this.#room.waitMillis(0, context.now);
+    const lookIn = Math.min(LONGEST_WAKE_MILLIS, Math.max(LEAST_WAKE_MILLIS, wait));
+    context.schedule(context.now + lookIn, { type: 'link-wake' });
   }
 
   /** Those that were started, answered or whose caller went away don't wait any more. */
@@ -162,9 +167,6 @@
   }
 }
 
-/** Room that opens sooner than this is waited for so long: the clock of timers is no finer. */
-const LEAST_WAKE_MILLIS = 1;
-
 function routeOf({ terms, service }: Work): string {
   return terms.route ?? service.name;
 }
--- a/src/routing/picker/least-work-picker.ts
+++ b/src/routing/picker/least-work-picker.ts
@@ -13,7 +13,7 @@
 const ZONE_HOP_MILLIS = 1;
 /**
  * A router keeps to so many upstreams of its zone, the first of its order that have room, that it meets each about once in this
- * time: at 2 requests a second it would meet each of 30 once in 15 s, and know neither how fast nor how busy any of them is.
+ * time: with few requests and many upstreams it would know neither how fast nor how busy any of them is.
  */
 const MEETING_MILLIS = 4000;
 /** It keeps to no fewer than this: a few routers that kept to one or two would load them unevenly. */
@@ -25,7 +25,7 @@
 const DRAWS = 12;
 /**
  * Where control sees room enough in the zone, work there may take this part of what still is in time before any leaves the zone, and then
- * so many of a router's requests do, and so many in a row: a gust is over before what it sent away is back.
+ * so many of a router's requests do, and so many in a row: a burst is over before what it sent away is back.
  */
 const UNPLANNED_LATE_SHARE = 1.2;
 /** The same where some have to leave anyway. */
--- a/src/routing/queue/admission.ts
+++ b/src/routing/queue/admission.ts
@@ -44,18 +44,20 @@
     if (service.isOutOfUse) {
       return 'no-upstream';
     }
-    if (!this.makePlace(work) || !this.makeRoom(work)) {
-      return 'queue-full';
-    }
     const longest = Math.min(work.deadline - this.context.now, this.longestWait(work));
     const held = noticeWaitOf(work, this.context);
     if (held !== null) {
-      return held.millis > longest ? held.reason : undefined;
+      return held.millis > longest ? held.reason : this.noPlaceFor(work);
     }
     const margin = this.isMixed(service) ? 1 : ADMITTED_SHARE;
     const wait = this.estimate.untilDispatch(work);
     const kept = this.returns.keptMillis(work, wait);
-    return wait + kept > longest * margin ? 'would-miss-deadline' : undefined;
+    return wait + kept > longest * margin ? 'would-miss-deadline' : this.noPlaceFor(work);
+  }
+
+  /** Others give way only for work that is let in. */
+  private noPlaceFor(work: Work): RefusalReason | undefined {
+    return this.makePlace(work) && this.makeRoom(work) ? undefined : 'queue-full';
   }
 
   /** The limit counts from the first wait; retries don't extend it. */
@@ -216,7 +218,7 @@
 
   /** Refuses waiting work for the sake of more important work. What was sent doesn't wait, so it is never taken back. */
   private giveWay(victim: Work | undefined): boolean {
-    if (victim === undefined) {
+    if (victim === undefined || victim.mayHaveRun) {
       return false;
     }
     this.answers.refuseWork(victim, 'gave-way', this.returnAfter(victim));
--- a/src/routing/queue/ranked-queue.ts
+++ b/src/routing/queue/ranked-queue.ts
@@ -69,7 +69,7 @@
   /** Whose turn it is. */
   peek(order: TurnOrder): Work | undefined {
     return this.#classes.length === 1 && order.expectedMillis === null
-      ? this.#classes[0]?.timely.peek()
+      ? (this.#classes[0]?.timely.peek() ?? this.#classes[0]?.late.peek())
       : this.heads(order)[0];
   }
 
--- a/src/routing/queue/return-promises.ts
+++ b/src/routing/queue/return-promises.ts
@@ -24,7 +24,7 @@
   }
 
   /** Notes whether a work that has just come was told to come now; its target then counts from when it came first. */
-  welcome(work: Work): void {
+  matchPromise(work: Work): void {
     if (this.#times.isEmpty) {
       return;
     }
@@ -54,7 +54,7 @@
     const { now } = this.#context;
     if (work.isExpected) {
       work.isExpected = false;
-      this.#times.broke();
+      this.#times.countBroken();
     }
     const deadline = this.#deadlineOf(work);
     const latestMillis = this.#latestMillis(work, deadline - now);
--- a/src/routing/queue/return-times.ts
+++ b/src/routing/queue/return-times.ts
@@ -12,7 +12,7 @@
 const APART_MILLIS = 1;
 /**
  * Waits are estimates that may be off by this factor. One whose place is later than is of use to it, but not by more, comes as late as it
- * can, without room that is kept: told none, callers who could have been served stayed away while slots were free.
+ * can, without room that is kept: callers who are told none stay away, though room may open sooner.
  */
 const ESTIMATE_FACTOR = 1.5;
 /** Over which share of the time before the latest such callers are spread, and by which step: its multiples never fall together. */
@@ -150,7 +150,7 @@
   }
 
   /** One that came when told had to be refused again. */
-  broke(): void {
+  countBroken(): void {
     this.#counts.kept -= 1;
     this.#counts.broken += 1;
   }
--- a/src/routing/room/link-room.ts
+++ b/src/routing/room/link-room.ts
@@ -20,8 +20,8 @@
 const SHORT_WINDOW_MILLIS = 1000;
 
 /** A large answer that was started and hasn't come whole. */
-interface OpenAnswer {
-  readonly bytes: number;
+export interface OpenAnswer {
+  bytes: number;
   readonly startedAt: number;
 }
 
@@ -32,7 +32,7 @@
   /** When all large answers that were started will have been carried. */
   #freeAt = 0;
   /** The earliest first. */
-  #open: OpenAnswer[] = [];
+  readonly #open = new Set<OpenAnswer>();
   #believedBytesPerMilli: number;
 
   /** `bytesPerMilli`: width of the link, each way, as the settings say. */
@@ -57,15 +57,26 @@
   }
 
   /** A large answer was started that is expected to have so many bytes. */
-  started(bytes: number, now: number): void {
+  started(bytes: number, now: number): OpenAnswer {
     this.#freeAt = Math.max(this.#freeAt, now) + bytes / this.#largeBytesPerMilli(now);
-    this.#open.push({ bytes, startedAt: now });
     this.#dropFailed(now);
+    const answer = { bytes, startedAt: now };
+    this.#open.add(answer);
+    return answer;
   }
 
-  /** An answer that was started turned out to have another size; 0: there was none. */
-  sized(expectedBytes: number, bytes: number, now: number): void {
-    this.#freeAt += (bytes - expectedBytes) / this.#largeBytesPerMilli(now);
+  /** An answer that was started turned out to have another size. */
+  sized(answer: OpenAnswer, bytes: number, now: number): void {
+    this.#freeAt += (bytes - answer.bytes) / this.#largeBytesPerMilli(now);
+    answer.bytes = bytes;
+    if (!this.isLarge(bytes)) {
+      this.#open.delete(answer);
+    }
+  }
+
+  /** An answer that was started doesn't come. */
+  failed(answer: OpenAnswer, now: number): void {
+    this.sized(answer, 0, now);
   }
 
   /** A short answer came. */
@@ -77,7 +88,10 @@
   /** A large answer came in, from its first byte to its last in `tookMillis`. */
   carried(bytes: number, tookMillis: number, now: number): void {
     this.#width.carried(bytes, tookMillis, now);
-    this.#open.shift();
+    const [earliest] = this.#open;
+    if (earliest !== undefined) {
+      this.#open.delete(earliest);
+    }
     this.#recount(now);
   }
 
@@ -91,15 +105,19 @@
     const width = this.#width.bytesPerMilli(now);
     if (width < this.#believedBytesPerMilli * NARROWED_SHARE) {
       this.#dropFailed(now);
-      const openBytes = this.#open.reduce((sum, { bytes }) => sum + bytes, 0);
+      const openBytes = [...this.#open].reduce((sum, { bytes }) => sum + bytes, 0);
       this.#freeAt = Math.max(this.#freeAt, now + openBytes / this.#largeBytesPerMilli(now));
     }
     this.#believedBytesPerMilli = width;
   }
 
   #dropFailed(now: number): void {
-    const firstAlive = this.#open.findIndex(({ startedAt }) => now - startedAt < LONGEST_OPEN_MILLIS);
-    this.#open.splice(0, firstAlive < 0 ? this.#open.length : firstAlive);
+    for (const answer of this.#open) {
+      if (now - answer.startedAt < LONGEST_OPEN_MILLIS) {
+        return;
+      }
+      this.#open.delete(answer);
+    }
   }
 
   #largeBytesPerMilli(now: number): number {
--- a/src/routing/room/rank-room.ts
+++ b/src/routing/room/rank-room.ts
@@ -1,9 +1,9 @@
 /**
  * Room that less important work leaves to more important work at upstreams which all routers share. Routers don't talk to each other:
- * each knows what upstreams reported, and keeps below a line that is lower the lower the rank. The longer a work has waited the higher
- * its line, so that no slot stays free for long while something waits.
+ * each knows what upstreams reported, and keeps below a limit that is lower the lower the rank. The longer a work has waited the higher
+ * its limit, so that no slot stays free for long while something waits.
  *
- * Load answered: urgent requests of one router that stand behind less urgent ones of 75 others in an upstream's own queue.
+ * Load answered: urgent requests of one router that stand behind less urgent ones of many others in an upstream's own queue.
  */
 import type { RankPresence } from '../queue/rank-presence.js';
 import { isOfHotKey } from './hot-keys.js';
@@ -11,21 +11,21 @@
 import type { UpstreamUse } from './upstream-room.js';
 
 /** Outstanding work, for each slot, below which the next rank goes at once: half the slots are left to those above it. */
-const FIRST_LINE = 0.5;
+const INITIAL_LOAD_LIMIT = 0.5;
 /** The same at the end of its wait: it may queue at the upstream then, where those above it are few. */
-const LAST_LINE = 1.25;
-/** Each further rank has lines lower by this factor. */
-const LINE_FACTOR = 0.8;
+const FINAL_LOAD_LIMIT = 1.25;
+/** Each further rank has limits lower by this factor. */
+const LIMIT_FACTOR_PER_RANK = 0.8;
 /** Part of that rise for the surplus of a hot key: however long it has waited, there is more of it. */
-const HOT_RAISE = 1 / 3;
+const HOT_KEY_RAISE_SHARE = 1 / 3;
 /** Outstanding work, for each slot, below which an upstream is clear: the most important go there first. */
-const CLEAR_LINE = 0.75;
+const CLEAR_LOAD_LIMIT = 0.75;
 /** Weight of a report in the usual load once there are many. */
 const SMOOTHING = 0.1;
 /** Load, for each slot, that is believed at most. */
 const MOST_PER_SLOT = 4;
 /**
- * Where nothing reports its load, what the most important meet stands for it: one late among twelve in time keeps it between the lines.
+ * Where nothing reports its load, what the most important meet stands for it: one late among twelve in time keeps it between the limits.
  */
 const LATE_MEANS = { perSlot: 1.5, weight: 0.2 } as const;
 const IN_TIME_MEANS = { perSlot: 0.3, weight: 0.03 } as const;
@@ -56,22 +56,24 @@
    * 0 to 1.
    */
   admits(rank: number, above: number, waitedShare: number, use: KnownUse): boolean {
-    if (this.shares.isStarved(rank)) {
+    if (this.shares.isStarved(Math.floor(rank))) {
       return true;
     }
-    const raisedBy = isOfHotKey(rank) ? HOT_RAISE * waitedShare : waitedShare;
-    const line = (FIRST_LINE + (LAST_LINE - FIRST_LINE) * raisedBy) * LINE_FACTOR ** (above - 1);
-    return this.#outstanding(use) < use.slots * line;
+    const raisedBy = isOfHotKey(rank) ? HOT_KEY_RAISE_SHARE * waitedShare : waitedShare;
+    const loadLimit =
+      (INITIAL_LOAD_LIMIT + (FINAL_LOAD_LIMIT - INITIAL_LOAD_LIMIT) * raisedBy) *
+      LIMIT_FACTOR_PER_RANK ** (above - 1);
+    return this.#outstanding(use) < use.slots * loadLimit;
   }
 
   /** Whether an upstream probably has a slot free. */
   isClear(use: KnownUse): boolean {
-    return this.#outstanding(use) < use.slots * CLEAR_LINE;
+    return this.#outstanding(use) < use.slots * CLEAR_LOAD_LIMIT;
   }
 
   /** Whether more is probably outstanding at an upstream than any work but the most important may add to. */
   isCrowded(use: KnownUse): boolean {
-    return this.#outstanding(use) >= use.slots * LAST_LINE;
+    return this.#outstanding(use) >= use.slots * FINAL_LOAD_LIMIT;
   }
 
   /** What is known of the usual load, and how long ago it was learnt. */
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -40,7 +40,7 @@
   readonly retryBudget: TokenRetryBudget;
   /** Reads that identical ones may join. */
   readonly joinable = new Map<string, Work>();
-  /** Work that a policy holds. */
+  /** Work that is held before the queue, by a policy or for the router's link. */
   readonly held = new Set<Work>();
   /** Work that waits for the ledger. */
   readonly claiming = new Set<Work>();
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -160,7 +160,6 @@
   | 'retry-budget-spent'
   | 'attempts-spent';
 
-/** What a decision about a request relied on, for the log. Times in milliseconds. */
 /** What a decision by rank relied on. */
 export interface OrderFacts {
   /** That of its route; a half more if its key asks for more than its owner can do. */
@@ -172,6 +171,7 @@
   readonly loadAgoMillis: number | null;
 }
 
+/** What a decision about a request relied on, for the log. Times in milliseconds. */
 export interface DecisionFacts {
   /** `null`: addressed to a service. */
   readonly route: string | null;
--- a/src/routing/work.ts
+++ b/src/routing/work.ts
@@ -7,6 +7,7 @@
 import type { QueueNode } from './queue/linked-queue.js';
 import type { RouteTally } from './queue/route-tallies.js';
 import type { RequestTerms } from './request-terms.js';
+import type { OpenAnswer } from './room/link-room.js';
 import type { RouterTimer } from './router-timer.js';
 import type { ServiceState } from './service-state.js';
 import type { ArrivedRequest, AttemptNumber } from './types.js';
@@ -105,8 +106,8 @@
   askedAt = 0;
   lane: Lane | null = null;
   node: QueueNode<Work> | null = null;
-  /** Bytes on the router's link that its answer was counted for before it came; 0: it isn't counted. */
-  linkBytes = 0;
+  /** What its answer was counted for on the router's link before it came; `null`: it isn't counted. */
+  linkAnswer: OpenAnswer | null = null;
   /** When the bounded wait ends; `Infinity` until it first waits. */
   holdUntil = Number.POSITIVE_INFINITY;
   holdTimer: RouterTimer | null = null;
--- a/src/routing/zones/fleet-knowledge.ts
+++ b/src/routing/zones/fleet-knowledge.ts
@@ -49,6 +49,11 @@
     this.#heardAt = now;
   }
 
+  /** An upstream is gone: another run under its id may have another speed. */
+  forget(upstream: UpstreamId): void {
+    this.#speeds.delete(upstream);
+  }
+
   speedOf(upstream: UpstreamId, now: MonotonicMillis): number | null {
     return this.#isFresh(now) ? (this.#speeds.get(upstream) ?? null) : null;
   }
--- a/src/routing/zones/fleet-reports.ts
+++ b/src/routing/zones/fleet-reports.ts
@@ -5,7 +5,7 @@
 import type { UpstreamState } from '../upstream/upstream-state.js';
 
 /** Refusals that more room would have spared. */
-const WANTS_ROOM: ReadonlySet<RefusalReason> = new Set(['queue-full', 'would-miss-deadline']);
+const WANTS_ROOM: ReadonlySet<RefusalReason> = new Set(['queue-full', 'gave-way', 'would-miss-deadline']);
 
 export class FleetReports {
   #number = 0;
--- a/src/routing/zones/spill-turns.ts
+++ b/src/routing/zones/spill-turns.ts
@@ -5,6 +5,8 @@
 
 /** Requests that went there out of turn make up for so many turns at most. */
 const MOST_AHEAD = 50;
+/** Turns that couldn't be taken, since nobody there was reached, are made up for by so many at most. */
+const MOST_OWED = 2;
 
 export class SpillTurns {
   /** What each zone is owed, in requests. */
@@ -19,7 +21,7 @@
     }
     let most: Zone | null = null;
     for (const { zone, share } of parts) {
-      this.#owed.set(zone, (this.#owed.get(zone) ?? random.share()) + share);
+      this.#owed.set(zone, Math.min(MOST_OWED, (this.#owed.get(zone) ?? random.share()) + share));
       most = most === null || this.owedTo(zone) > this.owedTo(most) ? zone : most;
     }
     return most !== null && this.owedTo(most) >= 1 ? most : null;
--- a/test/routing/link-room.test.ts
+++ b/test/routing/link-room.test.ts
@@ -137,8 +137,7 @@
   it('is given back by an answer that was smaller, or never came', () => {
     const room = new LinkRoom(500);
     room.started(90_000, 0);
-    room.started(90_000, 0);
-    room.sized(90_000, 0, 0);
+    room.failed(room.started(90_000, 0), 0);
     expect(room.waitMillis(0, 0)).to.be.closeTo(50, 1);
   });
 
--- a/test/routing/ranked-order.test.ts
+++ b/test/routing/ranked-order.test.ts
@@ -197,6 +197,12 @@
     ]);
   });
 
+  it('does not give way to one that is refused itself', () => {
+    const { harness } = full();
+    const hopeless = only(send(harness, 'urgent', { deadlineMillis: 1 }), 'refuse');
+    expect(hopeless.map(({ reason }) => reason)).to.not.include('gave-way');
+  });
+
   it('does not give way to its like', () => {
     const { harness, first } = full();
     const refused = only(send(harness, 'other'), 'refuse');
