--- a/src/dev/sim/router/sim-attempt.ts
+++ b/src/dev/sim/router/sim-attempt.ts
@@ -83,7 +83,7 @@
   }
 
   /** The connection broke, or carried something that it shouldn't. */
-  countBroken(): void {
+  broke(): void {
     if (this.router.world.sabotage === 'piece-as-whole' && this.answer !== undefined) {
       this.endAnswered(0);
       return;
--- a/src/dev/sim/router/upstream-connections.ts
+++ b/src/dev/sim/router/upstream-connections.ts
@@ -152,7 +152,7 @@
     if (!attempt.take(part)) {
       this.close();
       this.attempt = null;
-      attempt.countBroken();
+      attempt.broke();
       return;
     }
     if (attempt.isOver) {
@@ -179,6 +179,6 @@
     this.pool.forget(this, this.upstream.host);
     const { attempt } = this;
     this.attempt = null;
-    attempt?.countBroken();
+    attempt?.broke();
   }
 }
