Order and room: room for more important ranks and a hot key's limit are a setting, off by default

Change: roomByRank, false if left out; a test says that nothing is left free without it. The part's own tests set it.

--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -32,6 +32,7 @@
     retryAfterUnit: settings.retryAfterUnit,
     whenOutOfTouch: settings.whenOutOfTouch,
     warmup: settings.warmup,
+    roomByRank: settings.roomByRank,
     returnTimes: settings.returnTimes,
     linkMegabits: settings.linkMegabits,
     limits: {
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -293,7 +293,7 @@
   }
 
   private coreConfig(): RouterConfig {
-    const { router, zone, control, timings, whenOutOfTouch, warmup, linkMegabits, returnTimes } =
+    const { router, zone, control, timings, whenOutOfTouch, warmup, linkMegabits, returnTimes, roomByRank } =
       this.settings;
     return {
       router,
@@ -306,6 +306,7 @@
       ...(whenOutOfTouch !== undefined && { whenOutOfTouch }),
       ...(warmup !== undefined && { warmupBounds: warmup }),
       ...(returnTimes !== undefined && { returnTimes }),
+      ...(roomByRank !== undefined && { roomByRank }),
       ...(linkMegabits !== undefined && { linkBytesPerMilli: linkMegabits * BYTES_PER_MILLI_OF_MEGABIT }),
       holdsEarlyRequests: timings.firstConfigurationMillis === 0,
     };
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -35,6 +35,8 @@
   readonly retryAfterUnit?: RetryAfterUnit;
   /** What the router does without contact to control; it refuses if left out. */
   readonly whenOutOfTouch?: WhenOutOfTouch;
+  /** Whether less important requests, and those of a hot key, leave room for the others; `false` if left out. */
+  readonly roomByRank?: boolean;
   /** What callers are told who are refused for want of room; `spread` if left out. */
   readonly returnTimes?: ReturnTimesMode;
   /** Width of the machine's link, each way, in megabits a second; large answers aren't held back for it if left out. */
--- a/src/routing/configuration-updates.ts
+++ b/src/routing/configuration-updates.ts
@@ -96,7 +96,8 @@
   }
 
   private addService(record: ServiceRecord): void {
-    const service = new ServiceState(record, this.context.config.picker ?? DEFAULT_PICKER);
+    const { picker = DEFAULT_PICKER, roomByRank = false } = this.context.config;
+    const service = new ServiceState(record, picker, roomByRank);
     this.context.services.set(service.name, service);
     for (const upstream of this.context.view.upstreamsOf(service.name)) {
       this.attach(upstream, service);
--- a/src/routing/queue/rank-presence.ts
+++ b/src/routing/queue/rank-presence.ts
@@ -28,6 +28,9 @@
   #isMixed = false;
   #lookedAt = Number.NEGATIVE_INFINITY;
 
+  /** `isOn`: whether ranks are to compete at all. */
+  constructor(private readonly isOn: boolean) {}
+
   /** A request came. */
   note({ route, priority, targetMillis }: PresentTerms, now: number): void {
     const known = this.#present.get(route);
@@ -55,13 +58,13 @@
   /** Whether requests on several ranks or targets compete. */
   isMixed(now: number): boolean {
     this.#look(now);
-    return this.#isMixed;
+    return this.isOn && this.#isMixed;
   }
 
   /** How many ranks above one compete with it. */
   countAbove(rank: number, now: number): number {
     this.#look(now);
-    return this.#isMixed ? this.#ranks.filter((other) => other < rank).length : 0;
+    return this.isOn && this.#isMixed ? this.#ranks.filter((other) => other < rank).length : 0;
   }
 
   #look(now: number): void {
--- a/src/routing/room/hot-keys.ts
+++ b/src/routing/room/hot-keys.ts
@@ -40,8 +40,14 @@
   readonly #owners = new Map<UpstreamId, OwnerCounts>();
   readonly #hotUntil = new Map<string, number>();
 
+  /** `isOn`: whether a hot key's requests are to go behind the others of its owner. */
+  constructor(private readonly isOn: boolean) {}
+
   /** The rank of a request that came. */
   rankOf({ key, rank, owner }: KeyedArrival, now: number): number {
+    if (!this.isOn) {
+      return rank;
+    }
     const share = this.#count(owner.id, key, now);
     const isHot = now < (this.#hotUntil.get(key) ?? Number.NEGATIVE_INFINITY);
     // Once its surplus is held back it crowds nobody: then it is hot as long as it finds no room behind the others.
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -32,10 +32,10 @@
   readonly name: ServiceName;
   readonly lanes = new LaneTable();
   /** Terms on which requests came lately. */
-  readonly presence = new RankPresence();
-  readonly rankRoom = new RankRoom(this.presence);
+  readonly presence: RankPresence;
+  readonly rankRoom: RankRoom;
   #returnsUntil = Number.NEGATIVE_INFINITY;
-  readonly hotKeys = new HotKeys();
+  readonly hotKeys: HotKeys;
   readonly picker: Picker;
   readonly retryBudget: TokenRetryBudget;
   /** Reads that identical ones may join. */
@@ -52,7 +52,11 @@
   private sortedUpstreams: UpstreamState[] = [];
   private current: ServiceRecord;
 
-  constructor(record: ServiceRecord, pickerName: PickerName) {
+  /** `roomByRank`: whether less important requests, and a hot key's, leave room for the others. */
+  constructor(record: ServiceRecord, pickerName: PickerName, roomByRank: boolean) {
+    this.presence = new RankPresence(roomByRank);
+    this.rankRoom = new RankRoom(this.presence);
+    this.hotKeys = new HotKeys(roomByRank);
     this.name = record.definition.name;
     this.current = record;
     this.picker = createPicker(pickerName);
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -277,6 +277,8 @@
   readonly warmupBounds?: WarmupBounds;
   /** How upstreams of services that aren't keyed are picked; `least-work` if left out. */
   readonly picker?: PickerName;
+  /** Whether less important requests, and those of a hot key, leave room for the others; they don't if left out. */
+  readonly roomByRank?: boolean;
   /** What callers are told who are refused for want of room; `spread` if left out. */
   readonly returnTimes?: ReturnTimesMode;
   /** Width of the router's link, each way; large answers aren't held back for it if left out. */
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -64,6 +64,8 @@
   readonly whenOutOfTouch: 'refuse' | 'serve';
   /** How far all routers together may go beyond what cold upstreams bear, in any second. */
   readonly warmup: WarmupBounds;
+  /** Whether less important requests, and those of a hot key, leave room for the others. */
+  readonly roomByRank: boolean;
   /** What callers are told who are refused for want of room: a time of their own, or one spread around that at which there is room. */
   readonly returnTimes: 'spread' | 'reserved';
   /** Width of the machine's link, each way, in megabits a second; `undefined`: not known. */
@@ -93,6 +95,7 @@
   retryAfterUnit: 'whole-seconds',
   whenOutOfTouch: 'refuse',
   lameDuckMillis: 0,
+  roomByRank: false,
   returnTimes: 'spread',
   firstConfigurationMillis: 3000,
   log: 'ternmount:*',
@@ -141,6 +144,7 @@
       marginRequests: z.number({ error: 'expected a number' }).min(0, 'must be 0 or more').optional(),
     })
     .optional(),
+  roomByRank: z.boolean({ error: 'expected true or false' }).optional(),
   returnTimes: z.enum(['spread', 'reserved'], { error: 'expected spread or reserved' }).optional(),
   linkMegabits: z.number({ error: 'expected megabits a second' }).positive('must be above 0').optional(),
   lameDuck: durationSchema.optional(),
@@ -217,6 +221,7 @@
     retryAfterUnit: fields.retryAfterUnit ?? ROUTER_DEFAULTS.retryAfterUnit,
     whenOutOfTouch: fields.whenOutOfTouch ?? ROUTER_DEFAULTS.whenOutOfTouch,
     warmup: { ...DEFAULT_WARMUP_BOUNDS, ...fields.warmup },
+    roomByRank: fields.roomByRank ?? ROUTER_DEFAULTS.roomByRank,
     returnTimes: fields.returnTimes ?? ROUTER_DEFAULTS.returnTimes,
     linkMegabits: fields.linkMegabits,
     lameDuckMillis: fields.lameDuck ?? ROUTER_DEFAULTS.lameDuckMillis,
--- a/test/routing/rank-load.ts
+++ b/test/routing/rank-load.ts
@@ -187,6 +187,7 @@
       zone,
       seed: seed * 1000 + index,
       returnTimes: this.load.returnTimes ?? 'spread',
+      roomByRank: true,
     });
     const router = new LoadRouter(harness, this.#queue, (from, effect) => this.#carryOut(from, effect));
     const announced = { slots, warmupMillis: 0 };
--- a/test/routing/ranked-order.test.ts
+++ b/test/routing/ranked-order.test.ts
@@ -4,7 +4,9 @@
 import { RankedQueue } from '../../src/routing/queue/ranked-queue.js';
 import type { RouterContext } from '../../src/routing/router-context.js';
 import type { ArrivedRequest, RouterEffect } from '../../src/routing/types.js';
-import { only, onlyShard, RouterHarness, service, upstream } from './router-harness.js';
+import { CONFIG, only, onlyShard, RouterHarness, service, upstream } from './router-harness.js';
+
+const BY_RANK = { ...CONFIG, roomByRank: true };
 
 const HOST = 'menu.example';
 const WORK_MILLIS = 100;
@@ -22,7 +24,7 @@
   const { keyed = false, queueLimit = 50 } = options;
   const record = service('menu', { keyed, queueLimit, holdLimitMillis: 10_000, slotsPerUpstream: 1 });
   const shards = keyed ? [onlyShard('menu', 'u1', 3)] : [];
-  const harness = new RouterHarness().start([record], [upstream('u1', 'menu')], shards);
+  const harness = new RouterHarness(BY_RANK).start([record], [upstream('u1', 'menu')], shards);
   harness.change(kinds.map((kind) => ({ type: 'route', name: kind.name, record: routeOf(kind) })));
   return harness;
 }
@@ -225,9 +227,9 @@
 
 describe('room at an upstream that announced its slots', () => {
   const announced = { slots: 2, warmupMillis: 0 };
-  function roomAfter(kinds: readonly Kind[], load: number): boolean {
+  function roomAfter(kinds: readonly Kind[], load: number, config = BY_RANK): boolean {
     const record = service('menu', { queueLimit: 50, holdLimitMillis: 10_000 });
-    const harness = new RouterHarness().start([record], [upstream('u1', 'menu', { announced })]);
+    const harness = new RouterHarness(config).start([record], [upstream('u1', 'menu', { announced })]);
     harness.change(kinds.map((kind) => ({ type: 'route', name: kind.name, record: routeOf(kind) })));
     for (const { name } of kinds) {
       const [sent] = only(send(harness, name), 'dispatch');
@@ -249,6 +251,10 @@
     expect(roomAfter([...many, URGENT, URGENT], 2)).to.equal(true);
   });
 
+  it('is left to nobody without the setting', () => {
+    expect(roomAfter([OTHER, URGENT, URGENT], 2, { ...CONFIG, roomByRank: false })).to.equal(true);
+  });
+
   it('is left to the more important where there are some', () => {
     expect(roomAfter([OTHER, URGENT, URGENT], 2)).to.equal(false);
     expect(roomAfter([OTHER, URGENT, URGENT], 0)).to.equal(true);
--- a/test/routing/shared-service.test.ts
+++ b/test/routing/shared-service.test.ts
@@ -1,7 +1,9 @@
 /** A kind that goes in parts to a service of others, short of room. */
 import { expect } from 'chai';
 import type { RouteDefinition } from '../../src/model/declaration.js';
-import { RouterHarness, service, upstream } from './router-harness.js';
+import { CONFIG, RouterHarness, service, upstream } from './router-harness.js';
+
+const BY_RANK = { ...CONFIG, roomByRank: true };
 
 const HOST = 'menu.example';
 const REQUESTS = 200;
@@ -27,7 +29,10 @@
 function playBoth(bulkRank: number) {
   const terms = { queueLimit: 20, holdLimitMillis: 5000, slotsPerUpstream: 1 };
   const services = [service('bundles', terms), service('reads', terms)];
-  const harness = new RouterHarness().start(services, [upstream('u1', 'bundles'), upstream('u2', 'reads')]);
+  const harness = new RouterHarness(BY_RANK).start(services, [
+    upstream('u1', 'bundles'),
+    upstream('u2', 'reads'),
+  ]);
   const split = [
     { service: 'bundles', weight: 75 },
     { service: 'reads', weight: 25 },
