Soak: a run of a caller's next attempt isn't one of the attempt before; a full connection isn't looked at

Suspected cause: a read that was behind a closing answer and never sent on is sent again elsewhere, and the check took that run for the first attempt's. The case is a test of the checker now; it was judged wrongly before.

--- a/src/router/caller/pipeline-order.ts
+++ b/src/router/caller/pipeline-order.ts
@@ -128,8 +128,7 @@
     const waiting = this.#requests.length - this.#handedOn + this.#ignored;
     const heldBytes = this.#heldBytes + waiting * WAITING_REQUEST_BYTES;
     if (this.#requests.length > 0 && heldBytes >= this.#limits.heldBytesPerConnection) {
-      // A single request, however large, must not hide that its caller leaves.
-      return this.#requests.length === 1 ? 'look' : 'off';
+      return 'off';
     }
     return this.#ignored > 0 || this.#requests.length >= this.#limits.requestsPerConnection ? 'look' : 'on';
   }
--- a/test/fleet/checker/checker.test.ts
+++ b/test/fleet/checker/checker.test.ts
@@ -246,6 +246,17 @@
     ],
     broken: [],
   },
+  {
+    title:
+      'a planned stop of a router that never sent on what came behind another request, which its caller then sent elsewhere',
+    records: [
+      event(500, { event: 'stopping', process: 'router-1' }),
+      attempt({ sentAt: 0, at: 600, verdict: 'lost', pipelined: true, last: false }),
+      ...run({ at: 650, request: 'request' }),
+      attempt({ sentAt: 640, at: 700, attempt: 2, router: 'router-2', pipelined: true }),
+    ],
+    broken: [],
+  },
   {
     title: 'a caller that went away',
     records: [
