Log: whether an attempt had a connection, and how long its upstream had been silent

Seen in the incident: a blind router's line said that an attempt had no result, not whether it waited for a connection or was sent on an old one, nor for how long the router had heard nothing from that upstream. So a bound that is used up inside the router looked like a path that is lost. Each attempt now has connectedAt and heardAgoMillis. No logic was changed.

--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -30,6 +30,8 @@
   readonly storedAnswerBytes: number | null;
   readonly held: HeldBytes;
   readonly resets: ConnectionResets;
+  /** Called when the request is written to a connection. */
+  readonly onConnected: (attempt: AttemptNumber) => void;
   /** Called with the head of the answer, unless it comes from another run at the address: its notices concern that run. */
   readonly onHead: (attempt: AttemptNumber, head: AnswerHead) => void;
   /** Called when a whole body was received; `millis` is the time from its head to its last byte. `null` if transfers aren't measured. */
@@ -145,6 +147,7 @@
     }
     this.phase = 'sent';
     this.abortRequest = abort;
+    this.options.onConnected(this.options.effect.attempt);
   }
 
   onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
--- a/src/router/attempts/upstream-attempts.ts
+++ b/src/router/attempts/upstream-attempts.ts
@@ -24,6 +24,8 @@
   /** Larger answers of requests with a claim aren't stored for resends. */
   readonly storedAnswerBytes: number;
   readonly held: HeldBytes;
+  /** Called when the request of an attempt is written to a connection. */
+  readonly onConnected: (attempt: AttemptNumber) => void;
   /** Called when an attempt ended; its answer is dropped unless it is delivered before this returns. */
   readonly ended: (attempt: AttemptNumber, result: AttemptResult) => void;
   /** Called when a whole body was received; `millis` is the time from its head to its last byte. `null` if transfers aren't measured. */
@@ -51,7 +53,7 @@
 
   /** Sends the request of an exchange to an upstream. */
   start(effect: DispatchEffect, exchange: CallerExchange): void {
-    const { incarnation, pools, storedAnswerBytes, held, onBodyReceived } = this.parts;
+    const { incarnation, pools, storedAnswerBytes, held, onBodyReceived, onConnected } = this.parts;
     const attempt = new Attempt({
       effect,
       exchange,
@@ -61,6 +63,7 @@
       held,
       resets: pools.resets,
       onBodyReceived,
+      onConnected,
       ended: (number, result) => this.handleEnd(number, result),
       onHead: (number, head) => this.handleHead(effect.upstream, number, head),
     });
--- a/src/router/request-trail.ts
+++ b/src/router/request-trail.ts
@@ -15,6 +15,10 @@
   readonly revision: Revision;
   readonly fence: Epoch | null;
   readonly sentAt: number;
+  /** When the request was written to a connection; `null`: it hasn't got one. */
+  connectedAt: number | null;
+  /** Time since the router had last received anything from the upstream; `null`: never. */
+  readonly heardAgoMillis: number | null;
   endedAt: number | null;
   result: string | null;
   /** How the connection of a broken attempt ended. */
@@ -33,20 +37,29 @@
     private readonly log: Logger,
   ) {}
 
-  recordSent({ attempt, upstream, revision, fence }: DispatchEffect): void {
+  recordSent({ attempt, upstream, revision, fence, heardAgoMillis }: DispatchEffect): void {
     this.steps.push({
       attempt,
       upstream,
       revision,
       fence,
       sentAt: this.elapsed(),
+      connectedAt: null,
+      heardAgoMillis: heardAgoMillis === null ? null : Math.round(heardAgoMillis),
       endedAt: null,
       result: null,
     });
   }
 
+  recordConnected(attempt: AttemptNumber): void {
+    const step = this.stepOf(attempt);
+    if (step !== undefined) {
+      step.connectedAt = this.elapsed();
+    }
+  }
+
   recordEnd(attempt: AttemptNumber, result: AttemptResult): void {
-    const step = this.steps.find((candidate) => candidate.attempt === attempt);
+    const step = this.stepOf(attempt);
     if (step !== undefined) {
       step.endedAt = this.elapsed();
       step.result = describe(result);
@@ -58,7 +71,7 @@
 
   /** Logs that an upstream's answer was delivered; ordinary answers are only sampled. */
   logDelivered(attempt: AttemptNumber): void {
-    const step = this.steps.find((candidate) => candidate.attempt === attempt);
+    const step = this.stepOf(attempt);
     const status = Number(step?.result?.split(' ')[1] ?? 0);
     const isOrdinary = this.steps.length === 1 && status < FIRST_SERVER_ERROR && this.elapsed() < SLOW_MILLIS;
     if (isOrdinary) {
@@ -88,6 +101,10 @@
     return { id: requestId, method, host, path, key, status, tookMillis, attempts: this.steps };
   }
 
+  private stepOf(attempt: AttemptNumber): AttemptStep | undefined {
+    return this.steps.find((candidate) => candidate.attempt === attempt);
+  }
+
   private elapsed(): number {
     return Math.round((performance.now() - this.exchange.arrivedAt) * 10) / 10;
   }
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -96,6 +96,7 @@
       headers: settings.headers,
       storedAnswerBytes: settings.limits.storedAnswerBytes,
       held,
+      onConnected: (attempt) => this.trailOf(attempt)?.recordConnected(attempt),
       ended: (attempt, result) => {
         metrics.recordAttempt(result.type);
         this.detachTrail(attempt)?.recordEnd(attempt, result);
@@ -255,11 +256,16 @@
     this.requestOfAttempt.set(effect.attempt, exchange.number);
   }
 
+  private trailOf(attempt: AttemptNumber): RequestTrail | undefined {
+    const request = this.requestOfAttempt.get(attempt);
+    return request === undefined ? undefined : this.trails.get(request);
+  }
+
   /** Returns the trail of an attempt that has ended, and forgets the attempt. */
   private detachTrail(attempt: AttemptNumber): RequestTrail | undefined {
-    const request = this.requestOfAttempt.get(attempt);
+    const trail = this.trailOf(attempt);
     this.requestOfAttempt.delete(attempt);
-    return request === undefined ? undefined : this.trails.get(request);
+    return trail;
   }
 
   private removeTrail(request: RequestNumber): void {
--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -34,6 +34,9 @@
       // The result of an attempt at an earlier run does not apply to the current one.
       return;
     }
+    if (result.type === 'answered' || result.type === 'refused') {
+      upstream.heardAt = now;
+    }
     switch (result.type) {
       case 'answered':
         upstream.answered(tookMillis, result.load, now);
--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -62,6 +62,7 @@
       deadlineMillis: group.deadline - context.now,
       revision: context.view.revision,
       fence: grant?.epoch ?? null,
+      heardAgoMillis: upstream.heardAt === null ? null : context.now - upstream.heardAt,
       wholeAnswerBytes: service.definition.wholeAnswerBytes,
     });
   }
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -221,6 +221,8 @@
       /** Revision of the configuration that chose the upstream, and the owner's fence. */
       readonly revision: Revision;
       readonly fence: Epoch | null;
+      /** Time since this router last received anything from the upstream; `null`: never. */
+      readonly heardAgoMillis: number | null;
       /** The I/O layer buffers whole answers up to this size before it reports `answered`. */
       readonly wholeAnswerBytes: number;
     }
--- a/src/routing/upstream/upstream-state.ts
+++ b/src/routing/upstream/upstream-state.ts
@@ -28,6 +28,8 @@
   rankHeadroom: RankHeadroom | null = null;
   /** Notices of the current run; `null` if it has sent none. */
   notices: RunNotices | null = null;
+  /** When this router last received anything from the upstream; `null`: never. */
+  heardAt: number | null = null;
   /** End of the pause that the upstream requested with a refusal. */
   pausedUntil = Number.NEGATIVE_INFINITY;
   /** Whether a connection has failed since the last success. */
