Control asks a run itself before it counts its end against a request

Callers of a router that reaches no upstream could make others suffer: such a router takes refused connections for ended runs and accuses what was in flight there. Relayed paths mend that where another router can be asked; if none sees the upstreams, or all that are asked are blind too, its report still went into the log of all. Cause: the leader counted a router's word alone, though it can reach the run itself. Now the leader asks the address who lives there; if the accused run answers, its end isn't counted (accused-run-lives). A run that ended refuses, so a request that really crashes upstreams is known one round trip later.

--- a/src/control/address-claims.ts
+++ b/src/control/address-claims.ts
@@ -45,6 +45,7 @@
   readonly timings: RangeTimings;
   /** Whether an upstream may hold keys according to this leader's state. */
   readonly mayHold: (upstream: UpstreamId, now: MonotonicMillis) => boolean;
+  readonly nextQuestion: () => QuestionId;
   /** Sends the question; `AddressClaims.onAnswer` is called once with its result. */
   readonly ask: (question: IdentityQuestion) => void;
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
@@ -77,7 +78,6 @@
   readonly #claims = new Map<UpstreamId, Claim>();
   readonly #lastQuestions = new Map<Address, LastQuestion>();
   readonly #openQuestions = new Map<QuestionId, OpenQuestion>();
-  #questionCount = 0;
 
   constructor(parts: AddressClaimsParts) {
     this.#parts = parts;
@@ -180,8 +180,7 @@
 
   #ask(definition: UpstreamDefinition, settle: SettleClaim, now: MonotonicMillis): void {
     const { id: claimant, address, service } = definition;
-    this.#questionCount += 1;
-    const id = this.#questionCount;
+    const id = this.#parts.nextQuestion();
     this.#lastQuestions.set(address, { question: id, at: now });
     this.#openQuestions.set(id, { definition, waiting: [settle] });
     const healthPath = this.#parts.registry().services().get(service)?.definition.healthPath ?? null;
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -2,14 +2,17 @@
  * A control member as one deterministic core: Raft, the registry, session leases and placement on the leader, and the handling of
  * routers' messages and operators' requests.
  */
+
 import { createRaft } from '../consensus/index.js';
 import type { RaftConfig, RaftCore, RaftStatus, RestoredState, RoleEvidence } from '../consensus/types.js';
 import type { SessionCall } from '../lease/granter-types.js';
 import type { MonotonicMillis, ReplicaId, Revision, WallMillis } from '../model/identifiers.js';
 import { createRegistry, decodeRegistry } from '../registry/index.js';
 import type { Command, Registry, RegistryChange } from '../registry/types.js';
+import { AccusedRuns } from './accused-runs.js';
 import { controlStatus } from './control-status.js';
 import { CrashReports } from './crash-reports.js';
+import type { IdentityQuestion, QuestionId } from './identity-question.js';
 import { LeaderDuties } from './leader-duties.js';
 import { MembershipChanges } from './membership-changes.js';
 import type { ControlToRouter } from './messages.js';
@@ -75,6 +78,8 @@
   readonly #crashes: CrashReports;
   readonly #operators: OperatorRequests;
   readonly #membership: MembershipChanges;
+  readonly #accused: AccusedRuns;
+  #questions: QuestionId = 0;
   #leaderDuties: LeaderDuties | null = null;
   #effects: ControlEffect[] = [];
   #wall: WallMillis = 0;
@@ -99,6 +104,19 @@
     const answer = (operation: OperationId, response: OperatorResponse): void =>
       this.#emit({ type: 'answer-operator', operation, response });
     this.#membership = new MembershipChanges({ ...shared, answer });
+    const askIdentity = (question: IdentityQuestion): void => this.#emit({ type: 'ask-identity', question });
+    const nextQuestion = (): QuestionId => {
+      this.#questions += 1;
+      return this.#questions;
+    };
+    const log = (event: string, fields: Readonly<Record<string, unknown>>): void =>
+      this.#log('info', event, fields);
+    this.#accused = new AccusedRuns({
+      registry: () => this.#raft.registry,
+      nextQuestion,
+      ask: askIdentity,
+      log,
+    });
     this.#operators = new OperatorRequests({
       ...shared,
       answer,
@@ -109,12 +127,14 @@
           ? answer(null, now)
           : this.#leaderDuties.onHeartbeat(heartbeat, answer, now),
       mayHold: (upstream, now) => this.#leaderDuties?.mayHold(upstream, now) ?? true,
-      askIdentity: (question) => this.#emit({ type: 'ask-identity', question }),
+      askIdentity,
+      nextQuestion,
       takeSnapshot: (now, taken) => this.#snapshots.request(now, taken),
       log: (event, fields) => this.#log('info', event, fields),
     });
     this.#crashes = new CrashReports({
       raft: this.#raft,
+      accused: this.#accused,
       propose: this.#propose,
       terms: config.quarantine,
       log: (event, fields) => this.#log('info', event, fields),
@@ -129,7 +149,7 @@
         this.#leaderDuties?.onFleetReport(report, from, now);
         this.#leaderDuties?.onRelayReport(report, from, now);
       },
-      crashes: (report, router) => this.#crashes.onReport(report, router),
+      crashes: (report, router, now) => this.#crashes.onReport(report, router, now),
       upstreams: (report, from, now) => this.#leaderDuties?.onUpstreamReport(report, from, now) ?? false,
     });
   }
@@ -259,6 +279,7 @@
         break;
       case 'identity-answer':
         this.#operators.onIdentityResponse(input.question, input.answer, now);
+        this.#accused.onAnswer(input.question, input.answer, now);
         break;
       case 'operator-request':
         this.#operators.begin(input.operation, input.request, now);
--- a/src/control/crash-reports.ts
+++ b/src/control/crash-reports.ts
@@ -9,6 +9,7 @@
   type UpstreamCrash,
 } from '../model/crash-suspect.js';
 import type { MonotonicMillis, RouterId, WallMillis } from '../model/identifiers.js';
+import type { AccusedRuns } from './accused-runs.js';
 import type { CrashReport } from './messages.js';
 import type { ProposeCommand } from './propose-command.js';
 import type { RaftAdapter } from './raft-adapter.js';
@@ -19,6 +20,7 @@
 export interface CrashReportsParts {
   readonly raft: RaftAdapter;
   readonly propose: ProposeCommand;
+  readonly accused: AccusedRuns;
   /** The defaults if left out. */
   readonly terms?: QuarantineSettings | undefined;
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
@@ -35,7 +37,7 @@
   }
 
   /** Handles a report; `router` is `null` if this member has no name for its sender. */
-  onReport(report: CrashReport, router: RouterId | null): void {
+  onReport(report: CrashReport, router: RouterId | null, now: MonotonicMillis): void {
     const { raft, propose } = this.#parts;
     const cleared = report.cleared.filter((suspect) => this.#isCurrentSuspect(suspect));
     if (cleared.length > 0) {
@@ -45,7 +47,17 @@
     const crashes = report.crashes.filter((crash) => this.#isUnrecorded(crash));
     if (crashes.length > 0) {
       this.#parts.log('crashes-reported', { router, isLeader: raft.isLeader(), crashes });
-      propose({ type: 'crashes-note', crashes, terms: this.#terms }, () => {});
+      this.#examine(crashes, now);
+    }
+  }
+
+  /** Proposals of other members have no effect, so only the leader asks. */
+  #examine(crashes: readonly UpstreamCrash[], now: MonotonicMillis): void {
+    const { raft, propose, accused } = this.#parts;
+    if (raft.isLeader()) {
+      accused.examine(crashes, now, (standing) =>
+        propose({ type: 'crashes-note', crashes: standing, terms: this.#terms }, () => {}),
+      );
     }
   }
 
--- a/src/control/operator-requests.ts
+++ b/src/control/operator-requests.ts
@@ -33,6 +33,7 @@
   readonly mayHold: (upstream: UpstreamId, now: MonotonicMillis) => boolean;
   /** Requests the identity of the upstream at an address; `onIdentityResponse` receives the response. */
   readonly askIdentity: (question: IdentityQuestion) => void;
+  readonly nextQuestion: () => QuestionId;
   readonly takeSnapshot: (now: MonotonicMillis, onTaken: () => void) => void;
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
@@ -82,6 +83,7 @@
       timings: parts.config.ranges ?? DEFAULT_RANGE_TIMINGS,
       mayHold: parts.mayHold,
       ask: parts.askIdentity,
+      nextQuestion: parts.nextQuestion,
       log: parts.log,
     });
   }
--- a/src/control/router-requests.ts
+++ b/src/control/router-requests.ts
@@ -54,7 +54,7 @@
   readonly send: (connection: ConnectionId, message: ControlToRouter) => void;
   readonly report: (report: LoadReport, from: ConnectionId, now: MonotonicMillis) => void;
   /** Handles a crash report; `router` is `null` if the sender hasn't sent a sync request yet. */
-  readonly crashes: (report: CrashReport, router: RouterId | null) => void;
+  readonly crashes: (report: CrashReport, router: RouterId | null, now: MonotonicMillis) => void;
   /** Handles a report about upstreams; returns `false` if this member isn't the leader. */
   readonly upstreams: (report: UpstreamReport, from: ReportingRouter, now: MonotonicMillis) => boolean;
 }
@@ -92,7 +92,7 @@
         this.#parts.report(message, connection, now);
         break;
       case 'crash-report':
-        this.#parts.crashes(message, this.#routers.get(connection)?.router ?? null);
+        this.#parts.crashes(message, this.#routers.get(connection)?.router ?? null, now);
         break;
       case 'upstream-report':
         this.#handleUpstreamReport(connection, message, now);
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -151,6 +151,7 @@
   },
   'quarantine-trial': { source: 'router', fields: ['fingerprint'] },
   'crashes-reported': { source: 'control', fields: ['router', 'isLeader', 'crashes'] },
+  'accused-run-lives': { source: 'control', fields: ['run', 'address', 'accused'] },
   'suspects-succeeded': { source: 'control', fields: ['router', 'isLeader', 'cleared'] },
   'suspect-released': { source: 'control', fields: ['fingerprint'] },
   'upstream-limit-changed': {
--- a/test/control/address-claims.test.ts
+++ b/test/control/address-claims.test.ts
@@ -7,6 +7,7 @@
 import type { UpstreamDefinition } from '../../src/model/service.js';
 import { createRegistry } from '../../src/registry/index.js';
 import { type Cluster, startCluster } from './cluster-harness.js';
+import { questionNumbers } from './question-numbers.js';
 
 const ADDRESS = '10.0.0.7:80';
 /** Default heartbeat interval. */
@@ -144,6 +145,7 @@
       registry: () => registry,
       timings: DEFAULT_RANGE_TIMINGS,
       mayHold: () => false,
+      nextQuestion: questionNumbers(),
       ask: (question) => questions.push(question),
       log: () => {},
     });
--- a/test/control/heartbeat-world.ts
+++ b/test/control/heartbeat-world.ts
@@ -17,6 +17,7 @@
 import type { Command, Registry } from '../../src/registry/index.js';
 import { createRegistry, decodeRegistry } from '../../src/registry/index.js';
 import { HeartbeatUpstream } from './heartbeat-upstream.js';
+import { questionNumbers } from './question-numbers.js';
 
 export const SERVICE = 'menu';
 const NETWORK_MILLIS = 1;
@@ -215,6 +216,7 @@
         registry,
         timings: TIMINGS,
         mayHold: (upstream, now) => leadership.coordinator.mayHold(upstream, now),
+        nextQuestion: questionNumbers(),
         ask: (question) => this.#answerQuestion(question, leadership),
         log: () => {},
       }),
--- a/test/control/range-world.ts
+++ b/test/control/range-world.ts
@@ -16,6 +16,7 @@
 import type { CapacityLimit } from '../../src/placement/ranges/capacity-limit.js';
 import type { Command, Registry } from '../../src/registry/index.js';
 import { createRegistry } from '../../src/registry/index.js';
+import { questionNumbers } from './question-numbers.js';
 
 export const SERVICE = 'menu';
 const NETWORK_MILLIS = 1;
@@ -211,6 +212,7 @@
       registry: () => this.registry,
       timings: TIMINGS,
       mayHold: (upstream, now) => this.#leader?.mayHold(upstream, now) ?? true,
+      nextQuestion: questionNumbers(),
       ask: (question) => this.#answerQuestion(question, claims),
       log: () => {},
     });
