--- a/src/router/attempts/upstream-pools.ts
+++ b/src/router/attempts/upstream-pools.ts
@@ -58,6 +58,7 @@
     if (known !== undefined) {
       return known.pool;
     }
+    const { localAddress } = this.options;
     const pool = new Pool(`http://${address}`, {
       connections: this.options.connectionsPerUpstream,
       pipelining: 1,
@@ -67,6 +68,7 @@
       headersTimeout: 0,
       bodyTimeout: this.options.streamStallMillis,
       connect: this.connectorFor(path),
+      ...(localAddress && { localAddress }),
     });
     this.pools.set(key, { pool, address, via: via?.router ?? null });
     return pool;
@@ -106,7 +108,7 @@
   }
 
   private connectorFor({ upstream, address, via }: PathToUpstream): Connector {
-    const { connectMillis, localAddress, dialer } = this.options;
+    const { connectMillis, dialer } = this.options;
     if (via !== null) {
       return this.resets.watched((_target, callback) =>
         dialer.open({ peer: via, upstream, timeoutMillis: connectMillis }, (error, stream) =>
@@ -115,10 +117,7 @@
         ),
       );
     }
-    const connect = this.resets.connector({
-      timeout: connectMillis,
-      ...(localAddress && { localAddress }),
-    });
+    const connect = this.resets.connector({ timeout: connectMillis });
     return (target, callback) => {
       const startedAt = performance.now();
       connect(target, (...result) => {
