Paths: what no router reaches is refused at once

What callers saw where no router that can be asked reaches an upstream: requests were held for 0.8 to 1.5 s, waited for connections that never came, and ended refused or at their deadline (model, all routers cut off silently: orders refused after 0.75 s in the median, 65 of 269 at their deadline of 1 s). Cause: that nothing comes back over any path was known to the check alone; requests were dispatched as before. Now such an upstream is out of reach until it is heard or a check reaches it: requests that wait for a connection there come back, and what has no other upstream is refused as no-path, with a time to come back (0.25 s, spread). Paths found again bring checks of the others out of reach at once.

--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -6,6 +6,7 @@
 import { policyContextOf, policyUpstreamOf } from './policy-input.js';
 import type { Admission } from './queue/admission.js';
 import { compareSlack, type DispatchOrder } from './queue/ranked-queue.js';
+import { retryAfterMillis } from './queue/retry-after.js';
 import type { ShardQueue } from './queue/shard-queues.js';
 import type { RequestGroup } from './request-group.js';
 import type { RouterContext } from './router-context.js';
@@ -14,6 +15,8 @@
 
 /** Interval at which waiting groups are rechecked without an event. */
 const WAKE_MILLIS = 25;
+/** When a caller may come back whose request reaches no upstream: paths are checked about as often. */
+const NO_PATH_RETRY_MILLIS = 250;
 /** The most important rank: if no slot is free for it, none is free for any rank. */
 const TOP_RANK = 0;
 
@@ -230,9 +233,32 @@
       this.answers.refuseGroup(group, 'idempotency-key-required', null);
       return 'answered';
     }
+    if (this.isOutOfReach(group)) {
+      const wait = retryAfterMillis(NO_PATH_RETRY_MILLIS, this.context.random);
+      this.answers.refuseGroup(group, 'no-path', wait);
+      return 'answered';
+    }
     return group.shard === null ? this.placeAnywhere(group) : this.placeAtOwner(group, group.shard);
   }
 
+  /** Whether nothing comes back from any upstream that may serve a group. Their paths are checked again meanwhile. */
+  private isOutOfReach({ service, shard }: RequestGroup): boolean {
+    const { now, paths } = this.context;
+    if (!paths.isAnyOutOfReach) {
+      return false;
+    }
+    const owner = shard === null ? undefined : this.context.ownerOf(shard)?.upstream;
+    const able =
+      shard === null
+        ? service.upstreams.filter(({ evidence }) => evidence.standing(now) !== 'leaving')
+        : [owner].filter((upstream) => upstream !== undefined);
+    const lost = able.filter(({ isOutOfReach }) => isOutOfReach);
+    for (const upstream of lost) {
+      paths.checkReach(upstream);
+    }
+    return able.length > 0 && lost.length === able.length;
+  }
+
   private placeAnywhere(group: RequestGroup): Placement {
     const { now, random, config, turn } = this.context;
     const { service } = group;
--- a/src/routing/outcome-table.ts
+++ b/src/routing/outcome-table.ts
@@ -45,6 +45,7 @@
   'ledger-unavailable': 503,
   'no-owner': 503,
   'no-upstream': 503,
+  'no-path': 503,
   'upstream-limited': 503,
   'upstream-resting': 503,
   'queue-full': 503,
--- a/src/routing/paths/path-watch.ts
+++ b/src/routing/paths/path-watch.ts
@@ -29,6 +29,8 @@
 const RETURN_INTERVAL_MILLIS = 200;
 /** Paths that are checked at the same time after one was found lost, or one came back. */
 const MAX_SWEEP_CHECKS = 32;
+/** What a request under way counts for in the order of checks. */
+const IN_FLIGHT_WEIGHT = 10;
 /** An upstream that was heard this recently is not checked only because the paths to others are lost. */
 const RECENTLY_HEARD_MILLIS = 100;
 /** Failures of an upstream that was found to be at fault itself aren't judged again for this long. */
@@ -77,6 +79,7 @@
   /** Upstreams that are reached through other routers, in the order in which their direct paths are tried. */
   readonly #relayed = new Set<UpstreamState>();
   readonly #returning = new Set<UpstreamState>();
+  readonly #outOfReach = new Set<UpstreamState>();
   #episode: LossEpisode | null = null;
   #isReturnScheduled = false;
   #listener: PathListener = () => {};
@@ -196,6 +199,7 @@
   remove(upstream: UpstreamState): void {
     this.#relayed.delete(upstream);
     this.#returning.delete(upstream);
+    this.#outOfReach.delete(upstream);
     const running = this.#checks.get(upstream.id);
     if (running?.upstream === upstream) {
       this.#checks.delete(upstream.id);
@@ -228,14 +232,52 @@
     if (verdict.type === 'ended' || verdict.type === 'unreachable') {
       upstream.path.upstreamFault = { verdict, until: now + FAULT_MILLIS };
     }
+    this.#setReach(running, verdict, now);
     if (verdict.type === 'other-path') {
       this.#use(upstream, verdict.path, verdict.evidence);
     }
-    this.#recordInEpisode(verdict);
+    this.#episode?.record(verdict);
     this.#tell(running, verdict);
     this.#continueEpisode();
   }
 
+  /** Something that was heard during the check outweighs its verdict. */
+  #setReach({ upstream, startedAt }: RunningCheck, { type }: PathVerdict, now: MonotonicMillis): void {
+    if (type === 'unreachable' && (upstream.heardAt ?? startedAt) <= startedAt) {
+      this.#markOutOfReach(upstream, now);
+      this.#beginEpisode(upstream, now);
+    } else if (this.#outOfReach.delete(upstream)) {
+      upstream.path.outOfReachAt = null;
+      this.#checkOthersOutOfReach();
+    }
+  }
+
+  /** Where one upstream is in reach again, others may be so too. */
+  #checkOthersOutOfReach(): void {
+    for (const other of this.#outOfReach) {
+      other.path.upstreamFault = null;
+      this.checkReach(other);
+    }
+  }
+
+  #markOutOfReach(upstream: UpstreamState, now: MonotonicMillis): void {
+    upstream.path.outOfReachAt = now;
+    this.#outOfReach.add(upstream);
+    this.#parts.emit({ type: 'recall-unsent', upstream: upstream.id });
+  }
+
+  /** Whether any upstream may be out of reach. */
+  get isAnyOutOfReach(): boolean {
+    return this.#outOfReach.size > 0;
+  }
+
+  /** Checks again whether an upstream that was out of reach still is. */
+  checkReach(upstream: UpstreamState): void {
+    if (this.#checks.size < MAX_SWEEP_CHECKS && this.isCheckDue(upstream)) {
+      this.judge(upstream, null, () => {});
+    }
+  }
+
   #tell({ listeners }: RunningCheck, verdict: PathVerdict): void {
     for (const listener of listeners) {
       listener(verdict);
@@ -281,7 +323,7 @@
     }
     if (before === null) {
       upstream.forgetFailuresSince(quietSince ?? Number.NEGATIVE_INFINITY);
-      this.#beginEpisode(now);
+      this.#beginEpisode(upstream, now);
     }
     this.#log(upstream, before, evidence);
     this.#parts.emit({
@@ -308,34 +350,35 @@
     this.#parts.emit({ type: 'log', level: 'warn', event: 'path-changed', fields });
   }
 
-  #beginEpisode(now: MonotonicMillis): void {
+  #beginEpisode(first: UpstreamState, now: MonotonicMillis): void {
     if (this.#episode !== null && !this.#episode.isOver(now)) {
       return;
     }
-    const isCandidate = ({ path, heardAt }: UpstreamState): boolean =>
-      path.relay === null && now - (heardAt ?? Number.NEGATIVE_INFINITY) >= RECENTLY_HEARD_MILLIS;
-    const candidates = [...this.#parts.upstreams.values()].filter(isCandidate);
-    const order = new Map(candidates.map((upstream) => [upstream, this.#parts.random.share()]));
-    // Where requests are under way callers are waiting.
-    candidates.sort(
-      (one, other) => other.inFlight - one.inFlight || (order.get(one) ?? 0) - (order.get(other) ?? 0),
-    );
+    const isCandidate = (upstream: UpstreamState): boolean =>
+      upstream !== first &&
+      upstream.path.relay === null &&
+      now - (upstream.heardAt ?? Number.NEGATIVE_INFINITY) >= RECENTLY_HEARD_MILLIS;
+    // Where requests are under way callers are waiting; what is alike is often lost together.
+    const orderOf = (upstream: UpstreamState): number =>
+      upstream.inFlight * IN_FLIGHT_WEIGHT + (isAlike(upstream, first) ? 1 : 0) + this.#parts.random.share();
+    const candidates = [...this.#parts.upstreams.values()]
+      .filter(isCandidate)
+      .map((upstream) => ({ upstream, order: orderOf(upstream) }))
+      .sort((one, other) => other.order - one.order)
+      .map(({ upstream }) => upstream);
     this.#episode = new LossEpisode(candidates, now);
   }
 
-  #recordInEpisode(verdict: PathVerdict): void {
-    this.#episode?.record(verdict);
-  }
-
-  /** Checks further upstreams after a path was found lost; once it is clear that all are lost, without a check of each. */
+  /** Checks further upstreams after one was out of direct reach; once it is clear that all are, without a check of each. */
   #continueEpisode(): void {
     const episode = this.#episode;
     const now = this.#parts.now();
     if (episode === null || episode.isOver(now)) {
       return;
     }
-    if (episode.isAllLost(this.#lastHeardAt(), now)) {
-      this.#assumeLost(episode.takeAll(), now);
+    const common = episode.common(this.#lastHeardAt(), now);
+    if (common !== null) {
+      this.#assume(common, episode.takeAll(), now);
       return;
     }
     while (this.#checks.size < MAX_SWEEP_CHECKS) {
@@ -349,11 +392,20 @@
     }
   }
 
-  #assumeLost(upstreams: readonly UpstreamState[], now: MonotonicMillis): void {
+  #assume(
+    common: 'other-path' | 'unreachable',
+    upstreams: readonly UpstreamState[],
+    now: MonotonicMillis,
+  ): void {
     for (const upstream of upstreams) {
-      const [peer] = this.peers.inOrderFor(upstream, now);
       const isThere = this.#parts.upstreams.get(upstream.id) === upstream;
-      if (peer !== undefined && isThere && upstream.path.relay === null) {
+      const [peer] = this.peers.inOrderFor(upstream, now);
+      if (!isThere || upstream.path.relay !== null) {
+        continue;
+      }
+      if (common === 'unreachable') {
+        this.#markOutOfReach(upstream, now);
+      } else if (peer !== undefined) {
         this.#use(upstream, peer, PATH_OUTCOMES.silent);
       }
     }
@@ -398,6 +450,10 @@
   }
 }
 
+function isAlike(one: UpstreamState, other: UpstreamState): boolean {
+  return one.service === other.service || one.zone === other.zone;
+}
+
 function faultAt({ upstreamFault }: UpstreamPath, now: MonotonicMillis): PathVerdict | null {
   return upstreamFault !== null && now < upstreamFault.until ? upstreamFault.verdict : null;
 }
--- a/src/routing/paths/upstream-path.ts
+++ b/src/routing/paths/upstream-path.ts
@@ -14,6 +14,8 @@
   #stayMillis = 0;
   /** The last verdict by which the upstream itself, not the path, was at fault, and until when it counts. */
   upstreamFault: { readonly verdict: PathVerdict; readonly until: MonotonicMillis } | null = null;
+  /** When nothing came back from the upstream over any path; `null`: something did since, or that wasn't tried. */
+  outOfReachAt: MonotonicMillis | null = null;
   /** When the path in use was last found to work. */
   workedAt: MonotonicMillis = Number.NEGATIVE_INFINITY;
 
--- a/src/routing/service-state.ts
+++ b/src/routing/service-state.ts
@@ -151,6 +151,7 @@
       if (
         standing === STANDING_ORDER.leaving ||
         upstream.ejection.isEjected(now) ||
+        upstream.isOutOfReach ||
         upstream.warmupState.usesTimeSlots(now)
       ) {
         continue;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -161,6 +161,8 @@
   | 'ledger-unavailable'
   | 'no-owner'
   | 'no-upstream'
+  /** Nothing comes back from the upstream, neither to this router nor to others that were asked. */
+  | 'no-path'
   | 'upstream-limited'
   | 'upstream-resting'
   | 'queue-full'
--- a/src/routing/upstream/upstream-state.ts
+++ b/src/routing/upstream/upstream-state.ts
@@ -144,6 +144,12 @@
     this.evidence.reportsDraining = notices?.isLeaving ?? false;
   }
 
+  /** Whether nothing comes back from the upstream over any path, as far as this router knows. */
+  get isOutOfReach(): boolean {
+    const { outOfReachAt } = this.path;
+    return outOfReachAt !== null && (this.heardAt === null || this.heardAt < outOfReachAt);
+  }
+
   /** Whether the upstream's notices admit one more request from this router now, regardless of capacity. */
   admits(now: number): boolean {
     return this.notices === null || this.notices.admits(now);
--- a/test/docs/completeness.test.ts
+++ b/test/docs/completeness.test.ts
@@ -32,6 +32,7 @@
   'ledger-unavailable': true,
   'no-owner': true,
   'no-upstream': true,
+  'no-path': true,
   'upstream-limited': true,
   'upstream-resting': true,
   'queue-full': true,
--- a/test/routing/no-path-to-upstreams.test.ts
+++ b/test/routing/no-path-to-upstreams.test.ts
@@ -158,6 +158,25 @@
   });
 });
 
+describe('routers none of which reaches an upstream', () => {
+  const KNOWN_FROM = CUT_FROM + 2000;
+  const CUT_END = 9000;
+
+  for (const mode of ['silent', 'refused'] as const) {
+    it(`refuse at once, truthfully and with a time to come back, and serve again after the cut (${mode})`, () => {
+      const fleet = run({ cuts: [cutOf(mode, CUT_FROM, CUT_END, () => true)], millis: 14_000 });
+      const calls = fleet.calls.filter(({ sentAt }) => sentAt >= KNOWN_FROM && sentAt < CUT_END - 1500);
+      const refused = calls.filter(({ end }) => end?.type === 'refused' && end.retryAfterMillis !== null);
+      expect(refused.length).to.be.at.least(calls.length * 0.95);
+      const waits = refused.map(({ sentAt, endedAt }) => (endedAt ?? Number.POSITIVE_INFINITY) - sentAt);
+      const isQuick = (millis: number): boolean => millis <= 200;
+      expect(waits.filter(isQuick).length).to.be.at.least(refused.length * 0.9);
+      expectTruth(fleet);
+      expect(fleet.servedShare(CUT_END + GRACE_MILLIS, 14_000, () => true)).to.be.at.least(0.95);
+    });
+  }
+});
+
 describe('what is no lost path', () => {
   const isUpstreamOf =
     (service: string) =>
