Relay: idle connections over a router that stops are closed also where no other one is known

A stopping router waited two seconds for kept connections that nobody used: what it carried for another router was moved, and thereby closed, only if there was a third one.

--- a/src/routing/paths/path-watch.ts
+++ b/src/routing/paths/path-watch.ts
@@ -175,6 +175,8 @@
       const [next] = this.peers.inOrderFor(upstream, now);
       if (next !== undefined) {
         this.#use(upstream, next, PATH_OUTCOMES.noRelay);
+      } else {
+        this.#closePath(upstream, router);
       }
     }
   }
@@ -326,16 +328,16 @@
       this.#beginEpisode(upstream, now);
     }
     this.#log(upstream, before, evidence);
-    this.#parts.emit({
-      type: 'close-path',
-      address: upstream.record.definition.address,
-      via: before?.router ?? null,
-    });
+    this.#closePath(upstream, before?.router ?? null);
     this.#parts.emit({ type: 'recall-unsent', upstream: upstream.id });
     this.#listener(upstream, before, evidence);
     this.#scheduleReturn();
   }
 
+  #closePath(upstream: UpstreamState, via: RouterId | null): void {
+    this.#parts.emit({ type: 'close-path', address: upstream.record.definition.address, via });
+  }
+
   #log(upstream: UpstreamState, before: Path, evidence: PathOutcome): void {
     const { path, heardAt, id, service } = upstream;
     const fields = {
--- a/test/router/relayed-path.test.ts
+++ b/test/router/relayed-path.test.ts
@@ -4,7 +4,7 @@
 import { CuttableProxy, type ProxyCut } from './cuttable-proxy.js';
 import { freeAddress } from './free-address.js';
 import { RouterFixture, until } from './router-fixture.js';
-import { ScriptedUpstream } from './scripted-upstream.js';
+import { answerWhole, headFor, ScriptedUpstream } from './scripted-upstream.js';
 
 const CUTS: readonly ProxyCut[] = ['silent', 'reset', 'refused', 'living'];
 const KNOWN_AFTER_MILLIS = 1000;
@@ -57,4 +57,27 @@
       expect(await servedOf(20)).to.equal(20);
     });
   }
+
+  it('delivers no answer as whole that ended with the router which carried it', async () => {
+    await proxy.cut('refused');
+    await blind.get('/reads/1');
+    upstream.script = (request) => request.socket.write(`${headFor(request)}part`);
+    const answer = blind.get('/reads/cut');
+    await sleep(100);
+    await sighted.stop();
+    expect((await answer).status).not.to.equal(200);
+  });
+
+  it('gets whole answers of what another router carries while that one stops as planned', async () => {
+    await proxy.cut('refused');
+    await blind.get('/reads/1');
+    upstream.script = (request) => void setTimeout(() => answerWhole(request), 500);
+    const answers = Promise.all([blind.get('/reads/2'), blind.order('/orders/2')]);
+    await sleep(100);
+    await sighted.stop();
+    expect((await answers).map(({ status, whole }) => [status, whole])).to.deep.equal([
+      [200, true],
+      [200, true],
+    ]);
+  });
 });
