Paths: what wasn't checked is believed from what was, and left when it is used

Cause: the number of checks went with the number of upstreams, not with what is used. Now a lost path has fifteen others checked at most (busy ones, those alike, a few more), and three that fail alike, with none that works, stand for their zone, their service or all; an upstream taken for lost is left when a request goes there.

--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -37,6 +37,9 @@
     }
     if (result.type === 'answered' || result.type === 'refused') {
       upstream.heardAt = now;
+      if (attempt.via === null) {
+        this.context.paths.heardDirectly(upstream);
+      }
     }
     switch (result.type) {
       case 'answered':
--- a/src/routing/attempt-starter.ts
+++ b/src/routing/attempt-starter.ts
@@ -28,7 +28,7 @@
       request: group.request,
       startedAt: context.now,
       run: runNameOf(upstream),
-      via: upstream.path.relay,
+      via: context.paths.pathFor(upstream),
       foundFreeSlot: upstream.hasFreeSlot(context.now),
       grant,
       grantEndedAt: null,
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -241,22 +241,18 @@
     return group.shard === null ? this.placeAnywhere(group) : this.placeAtOwner(group, group.shard);
   }
 
-  /** Whether nothing comes back from any upstream that may serve a group. Their paths are checked again meanwhile. */
+  /** Whether nothing comes back from any upstream that may serve a group. */
   private isOutOfReach({ service, shard }: RequestGroup): boolean {
     const { now, paths } = this.context;
     if (!paths.isAnyOutOfReach) {
       return false;
     }
-    const owner = shard === null ? undefined : this.context.ownerOf(shard)?.upstream;
-    const able =
-      shard === null
-        ? service.upstreams.filter(({ evidence }) => evidence.standing(now) !== 'leaving')
-        : [owner].filter((upstream) => upstream !== undefined);
-    const lost = able.filter(({ isOutOfReach }) => isOutOfReach);
-    for (const upstream of lost) {
-      paths.checkReach(upstream);
+    if (shard !== null) {
+      const owner = this.context.ownerOf(shard);
+      return owner !== undefined && paths.isOutOfReach(owner.upstream);
     }
-    return able.length > 0 && lost.length === able.length;
+    const able = service.upstreams.filter(({ evidence }) => evidence.standing(now) !== 'leaving');
+    return able.length > 0 && able.every((upstream) => paths.isOutOfReach(upstream));
   }
 
   private placeAnywhere(group: RequestGroup): Placement {
--- a/src/routing/paths/hung-attempts.ts
+++ b/src/routing/paths/hung-attempts.ts
@@ -53,7 +53,7 @@
       if (attempt.abandoned || !isQuiet(attempt, now)) {
         continue;
       }
-      if (isOnLeftPath(attempt)) {
+      if (isOnLeftPath(attempt) || paths.leaveAssumedLost(upstream)) {
         this.#resend(attempt);
       } else if (paths.isCheckDue(upstream)) {
         paths.judge(upstream, null, () => {});
--- a/src/routing/paths/path-check.ts
+++ b/src/routing/paths/path-check.ts
@@ -32,6 +32,15 @@
   readonly verdict: PathVerdict | null;
 }
 
+/** What is known before a check. */
+export interface PathTrust {
+  /** Whether the first of the other paths reached an upstream a moment ago, so that it may be tried alone. */
+  readonly isFirstSighted: boolean;
+  /** Whether other upstreams like this one were found to be lost, so that the first of the other paths needs no try. */
+  readonly isAssumedLost: () => boolean;
+}
+
+const NO_TRUST: PathTrust = { isFirstSighted: false, isAssumedLost: () => false };
 const WAIT: PathCheckStep = { tries: [], verdict: null };
 
 export class PathCheck {
@@ -45,13 +54,12 @@
 
   /**
    * `others`: other paths, best first. `seen`: what has just been seen on the path in use; `null`: it has to be tried first.
-   * `isFirstTrusted`: whether the first of the others reached an upstream a moment ago, so that it may be tried alone.
    */
   constructor(
     current: Path,
     others: readonly Path[],
     seen: PathOutcome | null,
-    private readonly isFirstTrusted = false,
+    private readonly trust: PathTrust = NO_TRUST,
   ) {
     this.#current = current;
     this.#others = [...others];
@@ -89,7 +97,13 @@
 
   #tryOthers(): PathCheckStep {
     const maxRounds = this.#outcomes.includes(PATH_OUTCOMES.silent) ? MAX_SILENT_ROUNDS : MAX_ROUNDS;
-    const isAlone = this.isFirstTrusted && this.#rounds === 0;
+    const { isFirstSighted, isAssumedLost } = this.trust;
+    const [first] = this.#others;
+    if (isFirstSighted && first !== undefined && this.#rounds === 0 && isAssumedLost()) {
+      const evidence = this.#seen ?? PATH_OUTCOMES.silent;
+      return { tries: [], verdict: { type: 'other-path', path: first, evidence } };
+    }
+    const isAlone = isFirstSighted && this.#rounds === 0;
     const round = isAlone ? this.#others.slice(0, 1) : nextRound(this.#others);
     const tries = this.#rounds < maxRounds ? round : [];
     if (tries.length === 0) {
--- a/src/routing/paths/path-watch.ts
+++ b/src/routing/paths/path-watch.ts
@@ -2,19 +2,19 @@
  * Decides over which path each upstream is reached: the direct one, or another router's. A path is judged only after something was odd, and
  * before that is held against the upstream.
  */
-import type { MonotonicMillis, RouterId, UpstreamId } from '../../model/identifiers.js';
+import type { Address, MonotonicMillis, RouterId, UpstreamId } from '../../model/identifiers.js';
 import type { Random } from '../random.js';
 import type { RouterEffect } from '../types.js';
 import type { UpstreamState } from '../upstream/upstream-state.js';
-import { LossEpisode } from './loss-episode.js';
+import { DirectReturns } from './direct-returns.js';
 import { type Path, PathCheck, type PathCheckStep, type PathVerdict } from './path-check.js';
 import { PATH_OUTCOMES, type PathOutcome } from './path-outcome.js';
+import { PathTries, type PathTryNumber } from './path-tries.js';
+import { ReachBeliefs } from './reach-beliefs.js';
+import { sampleOf } from './reach-sample.js';
 import { RelayPeerTable } from './relay-peer-table.js';
 import type { UpstreamPath } from './upstream-path.js';
 
-/** Number of one try of a path within one run of a router. */
-export type PathTryNumber = number;
-
 /** Why a relay couldn't be used. */
 export type RelayFailure = 'lost' | 'busy' | 'closing' | 'no-path';
 
@@ -25,14 +25,10 @@
   closing: 10_000,
   'no-path': 0,
 };
-/** Interval at which one direct path is tried while some are lost. */
-const RETURN_INTERVAL_MILLIS = 200;
-/** Paths that are checked at the same time after one was found lost, or one came back. */
-const MAX_SWEEP_CHECKS = 32;
-/** What a request under way counts for in the order of checks. */
-const IN_FLIGHT_WEIGHT = 10;
-/** An upstream that was heard this recently is not checked only because the paths to others are lost. */
-const RECENTLY_HEARD_MILLIS = 100;
+/** Checks that run at the same time, beyond which only what callers wait for is checked. */
+const MAX_CHECKS = 32;
+/** After one path was found lost others are checked too, but not again within this time. */
+const SAMPLE_INTERVAL_MILLIS = 2000;
 /** Failures of an upstream that was found to be at fault itself aren't judged again for this long. */
 const FAULT_MILLIS = 500;
 /** A path that was found to work isn't checked again for this long. */
@@ -40,7 +36,7 @@
 
 /** Whether a router can carry connections to an upstream, and where to. */
 export type RelayTarget =
-  | { readonly type: 'address'; readonly address: string }
+  | { readonly type: 'address'; readonly address: Address }
   | { readonly type: 'unknown-upstream' }
   | { readonly type: 'no-path' };
 
@@ -52,7 +48,8 @@
   readonly random: Random;
   readonly now: () => MonotonicMillis;
   readonly emit: (effect: RouterEffect) => void;
-  readonly schedule: (at: MonotonicMillis, subject: { readonly type: 'path-return' }) => unknown;
+  /** Calls `onReturnTimer` at a time. */
+  readonly scheduleReturn: (at: MonotonicMillis) => void;
   readonly upstreams: ReadonlyMap<UpstreamId, UpstreamState>;
 }
 
@@ -63,30 +60,27 @@
   readonly startedAt: MonotonicMillis;
 }
 
-interface OpenTry {
-  readonly upstream: UpstreamState;
-  readonly path: Path;
-  /** `null`: the direct path is tried in order to return to it. */
-  readonly running: RunningCheck | null;
-}
-
 export class PathWatch {
   readonly peers: RelayPeerTable;
   readonly #parts: PathWatchParts;
+  readonly #tries: PathTries;
+  readonly #returns: DirectReturns;
+  readonly #beliefs = new ReachBeliefs();
   readonly #checks = new Map<UpstreamId, RunningCheck>();
-  readonly #tries = new Map<PathTryNumber, OpenTry>();
-  #latestTry: PathTryNumber = 0;
-  /** Upstreams that are reached through other routers, in the order in which their direct paths are tried. */
-  readonly #relayed = new Set<UpstreamState>();
-  readonly #returning = new Set<UpstreamState>();
   readonly #outOfReach = new Set<UpstreamState>();
-  #episode: LossEpisode | null = null;
-  #isReturnScheduled = false;
+  #sampledAt: MonotonicMillis = Number.NEGATIVE_INFINITY;
   #listener: PathListener = () => {};
 
   constructor(parts: PathWatchParts) {
     this.#parts = parts;
     this.peers = new RelayPeerTable(parts.ownZone);
+    this.#tries = new PathTries(parts.emit);
+    this.#returns = new DirectReturns({
+      now: parts.now,
+      schedule: parts.scheduleReturn,
+      tries: this.#tries,
+      tried: (upstream, outcome) => this.#triedReturn(upstream, outcome),
+    });
   }
 
   /** Sets who is told of changed paths. */
@@ -96,12 +90,17 @@
 
   /** Number of upstreams that are reached through other routers. */
   get relayedCount(): number {
-    return this.#relayed.size;
+    return this.#returns.relayed.size;
   }
 
   /** Number of routers that carry connections for this one. */
   get relayCount(): number {
-    return new Set([...this.#relayed].map(({ path }) => path.relay?.router)).size;
+    return new Set([...this.#returns.relayed].map(({ path }) => path.relay?.router)).size;
+  }
+
+  /** Whether any upstream may be out of reach. */
+  get isAnyOutOfReach(): boolean {
+    return this.#outOfReach.size > 0;
   }
 
   /** Whether a router that asks for it can be connected to an upstream. */
@@ -115,6 +114,26 @@
       : { type: 'no-path' };
   }
 
+  /** The path for a request that is sent now. What is like upstreams whose paths are lost goes another way at once. */
+  pathFor(upstream: UpstreamState): Path {
+    this.leaveAssumedLost(upstream);
+    return upstream.path.relay;
+  }
+
+  /** Leaves the direct path if those to upstreams like this one are lost; returns whether it did. */
+  leaveAssumedLost(upstream: UpstreamState): boolean {
+    const now = this.#parts.now();
+    if (upstream.path.relay !== null || !this.#beliefs.isAssumed(upstream, 'lost-path', now)) {
+      return false;
+    }
+    const [peer] = this.peers.inOrderFor(upstream, now);
+    if (peer === undefined) {
+      return false;
+    }
+    this.#use(upstream, peer, PATH_OUTCOMES.silent);
+    return true;
+  }
+
   /**
    * Judges the path to an upstream; `done` is called once, at once where no other path can be tried. `seen`: what was just seen on the path
    * in use, `null`: it is tried first.
@@ -134,8 +153,10 @@
       return;
     }
     const [first] = others;
-    const isTrusted = first != null && this.peers.isSighted(first.router, now);
-    const check = new PathCheck(path.relay, others, seen, isTrusted);
+    const check = new PathCheck(path.relay, others, seen, {
+      isFirstSighted: first != null && this.peers.isSighted(first.router, now),
+      isAssumedLost: () => this.#beliefs.isAssumed(upstream, 'lost-path', this.#parts.now()),
+    });
     const started: RunningCheck = { upstream, check, listeners: [done], startedAt: now };
     this.#checks.set(upstream.id, started);
     this.#follow(started, check.begin());
@@ -148,20 +169,26 @@
     return this.peers.size > 0 && !this.#checks.has(id) && !hasVerdict;
   }
 
-  /** Handles the outcome of a `try-path` effect. */
-  tried(number: PathTryNumber, outcome: PathOutcome): void {
-    const open = this.#tries.get(number);
-    this.#tries.delete(number);
-    if (open === undefined) {
-      return;
+  /** Whether nothing comes back from an upstream over any path, as far as this router knows. It is looked for again meanwhile. */
+  isOutOfReach(upstream: UpstreamState): boolean {
+    const now = this.#parts.now();
+    if (!upstream.isOutOfReach && this.#beliefs.isAssumed(upstream, 'out-of-reach', now)) {
+      this.#markOutOfReach(upstream, now);
     }
-    const { upstream, path, running } = open;
-    this.#recordPeer(path, outcome);
-    if (running === null) {
-      this.#triedReturn(upstream, outcome);
-    } else if (this.#checks.get(upstream.id) === running) {
-      this.#follow(running, running.check.tried(path, outcome));
+    if (upstream.isOutOfReach) {
+      this.#lookFor(upstream);
     }
+    return upstream.isOutOfReach;
+  }
+
+  /** Handles the outcome of a `try-path` effect. */
+  tried(number: PathTryNumber, outcome: PathOutcome): void {
+    this.#tries.end(number, outcome);
+  }
+
+  /** Records that an upstream was heard over its direct path. */
+  heardDirectly(upstream: UpstreamState): void {
+    this.#beliefs.recordReached(upstream);
   }
 
   /** Handles the failure of a relay that carries connections for this router, and moves its upstreams to other relays. */
@@ -171,7 +198,10 @@
       return;
     }
     this.peers.avoid(router, now + AVOID_MILLIS[failure]);
-    for (const upstream of [...this.#relayed].filter(({ path }) => path.relay?.router === router)) {
+    for (const upstream of [...this.#returns.relayed]) {
+      if (upstream.path.relay?.router !== router) {
+        continue;
+      }
       const [next] = this.peers.inOrderFor(upstream, now);
       if (next !== undefined) {
         this.#use(upstream, next, PATH_OUTCOMES.noRelay);
@@ -181,26 +211,14 @@
     }
   }
 
-  /** Tries direct paths again. */
-  tryReturns(): void {
-    this.#isReturnScheduled = false;
-    const now = this.#parts.now();
-    const next = [...this.#relayed].find(
-      (upstream) => upstream.path.mayReturn(now) && !this.#returning.has(upstream),
-    );
-    if (next !== undefined) {
-      // To the end of the order, so that each has its turn.
-      this.#relayed.delete(next);
-      this.#relayed.add(next);
-      this.#tryReturn(next);
-    }
-    this.#scheduleReturn();
+  /** Tries a direct path again. */
+  onReturnTimer(): void {
+    this.#returns.onTimer();
   }
 
   /** Forgets an upstream that is gone. */
   remove(upstream: UpstreamState): void {
-    this.#relayed.delete(upstream);
-    this.#returning.delete(upstream);
+    this.#returns.delete(upstream);
     this.#outOfReach.delete(upstream);
     const running = this.#checks.get(upstream.id);
     if (running?.upstream === upstream) {
@@ -217,7 +235,7 @@
 
   #follow(running: RunningCheck, { tries, verdict }: PathCheckStep): void {
     for (const path of tries) {
-      this.#try(running.upstream, path, running);
+      this.#tries.begin(running.upstream, path, (outcome) => this.#triedFor(running, path, outcome));
     }
     if (verdict !== null) {
       this.#checks.delete(running.upstream.id);
@@ -225,40 +243,47 @@
     }
   }
 
+  #triedFor(running: RunningCheck, path: Path, outcome: PathOutcome): void {
+    this.#recordPeer(path, outcome);
+    if (this.#checks.get(running.upstream.id) === running) {
+      this.#follow(running, running.check.tried(path, outcome));
+    }
+  }
+
+  /** A peer that reached an upstream sees; one that has no path itself is blind, for a while. */
+  #recordPeer(path: Path, outcome: PathOutcome): void {
+    const isSighted = outcome === PATH_OUTCOMES.reached;
+    if (path !== null && (isSighted || outcome === PATH_OUTCOMES.noRelay)) {
+      this.peers.recordSight(path.router, isSighted, this.#parts.now());
+    }
+  }
+
   #conclude(running: RunningCheck, verdict: PathVerdict): void {
-    const { upstream } = running;
+    const { upstream, startedAt } = running;
     const now = this.#parts.now();
-    if (verdict.type === 'works') {
-      upstream.path.workedAt = now;
-    }
+    const wasHeard = (upstream.heardAt ?? Number.NEGATIVE_INFINITY) > startedAt;
     if (verdict.type === 'ended' || verdict.type === 'unreachable') {
       upstream.path.upstreamFault = { verdict, until: now + FAULT_MILLIS };
     }
-    this.#setReach(running, verdict, now);
-    if (verdict.type === 'other-path') {
+    if (verdict.type === 'unreachable' && !wasHeard) {
+      this.#beliefs.recordFailure(upstream, 'out-of-reach', now);
+      this.#markOutOfReach(upstream, now);
+      this.#checkSample(upstream, now);
+    } else {
+      this.#foundAgain(upstream);
+    }
+    if (verdict.type === 'works') {
+      this.#foundWorking(upstream, now);
+    } else if (verdict.type === 'other-path') {
       this.#use(upstream, verdict.path, verdict.evidence);
     }
-    this.#episode?.record(verdict);
     this.#tell(running, verdict);
-    this.#continueEpisode();
   }
 
-  /** Something that was heard during the check outweighs its verdict. */
-  #setReach({ upstream, startedAt }: RunningCheck, { type }: PathVerdict, now: MonotonicMillis): void {
-    if (type === 'unreachable' && (upstream.heardAt ?? startedAt) <= startedAt) {
-      this.#markOutOfReach(upstream, now);
-      this.#beginEpisode(upstream, now);
-    } else if (this.#outOfReach.delete(upstream)) {
-      upstream.path.outOfReachAt = null;
-      this.#checkOthersOutOfReach();
-    }
-  }
-
-  /** Where one upstream is in reach again, others may be so too. */
-  #checkOthersOutOfReach(): void {
-    for (const other of this.#outOfReach) {
-      other.path.upstreamFault = null;
-      this.checkReach(other);
+  #foundWorking(upstream: UpstreamState, now: MonotonicMillis): void {
+    upstream.path.workedAt = now;
+    if (upstream.path.relay === null) {
+      this.#beliefs.recordReached(upstream);
     }
   }
 
@@ -268,14 +293,20 @@
     this.#parts.emit({ type: 'recall-unsent', upstream: upstream.id });
   }
 
-  /** Whether any upstream may be out of reach. */
-  get isAnyOutOfReach(): boolean {
-    return this.#outOfReach.size > 0;
+  /** Where one upstream is in reach again, others may be so too. */
+  #foundAgain(upstream: UpstreamState): void {
+    upstream.path.outOfReachAt = null;
+    if (this.#outOfReach.delete(upstream)) {
+      this.#beliefs.recordReached(upstream);
+      for (const other of this.#outOfReach) {
+        other.path.upstreamFault = null;
+        this.#lookFor(other);
+      }
+    }
   }
 
-  /** Checks again whether an upstream that was out of reach still is. */
-  checkReach(upstream: UpstreamState): void {
-    if (this.#checks.size < MAX_SWEEP_CHECKS && this.isCheckDue(upstream)) {
+  #lookFor(upstream: UpstreamState): void {
+    if (this.#checks.size < MAX_CHECKS && this.isCheckDue(upstream)) {
       this.judge(upstream, null, () => {});
     }
   }
@@ -286,52 +317,27 @@
     }
   }
 
-  #try(upstream: UpstreamState, path: Path, running: RunningCheck | null): void {
-    this.#latestTry += 1;
-    this.#tries.set(this.#latestTry, { upstream, path, running });
-    const { address } = upstream.record.definition;
-    this.#parts.emit({
-      type: 'try-path',
-      number: this.#latestTry,
-      upstream: upstream.id,
-      address,
-      via: path,
-    });
-  }
-
-  /** A peer that reached an upstream sees; one that failed where another one succeeds may be blind. */
-  #recordPeer(path: Path, outcome: PathOutcome): void {
-    if (path === null) {
-      return;
-    }
-    const now = this.#parts.now();
-    if (outcome === PATH_OUTCOMES.reached) {
-      this.peers.recordSight(path.router, true, now);
-    } else if (outcome === PATH_OUTCOMES.noRelay) {
-      this.peers.recordSight(path.router, false, now);
-    }
-  }
-
   #use(upstream: UpstreamState, path: Path, evidence: PathOutcome): void {
     const now = this.#parts.now();
     const before = upstream.path.relay;
-    const quietSince = upstream.heardAt;
     upstream.path.use(path, now);
     upstream.path.workedAt = now;
     if (path === null) {
-      this.#relayed.delete(upstream);
+      this.#returns.delete(upstream);
     } else {
-      this.#relayed.add(upstream);
+      this.#returns.add(upstream);
     }
     if (before === null) {
-      upstream.forgetFailuresSince(quietSince ?? Number.NEGATIVE_INFINITY);
-      this.#beginEpisode(upstream, now);
+      upstream.forgetFailuresSince(upstream.heardAt ?? Number.NEGATIVE_INFINITY);
+      this.#beliefs.recordFailure(upstream, 'lost-path', now);
     }
     this.#log(upstream, before, evidence);
     this.#closePath(upstream, before?.router ?? null);
     this.#parts.emit({ type: 'recall-unsent', upstream: upstream.id });
     this.#listener(upstream, before, evidence);
-    this.#scheduleReturn();
+    if (before === null) {
+      this.#checkSample(upstream, now);
+    }
   }
 
   #closePath(upstream: UpstreamState, via: RouterId | null): void {
@@ -347,115 +353,35 @@
       to: path.relay?.router ?? 'direct',
       evidence,
       heardAgoMillis: heardAt === null ? null : Math.round(this.#parts.now() - heardAt),
-      relayed: this.#relayed.size,
+      relayed: this.#returns.relayed.size,
     };
     this.#parts.emit({ type: 'log', level: 'warn', event: 'path-changed', fields });
   }
 
-  #beginEpisode(first: UpstreamState, now: MonotonicMillis): void {
-    if (this.#episode !== null && !this.#episode.isOver(now)) {
-      return;
-    }
-    const isCandidate = (upstream: UpstreamState): boolean =>
-      upstream !== first &&
-      upstream.path.relay === null &&
-      now - (upstream.heardAt ?? Number.NEGATIVE_INFINITY) >= RECENTLY_HEARD_MILLIS;
-    // Where requests are under way callers are waiting; what is alike is often lost together.
-    const orderOf = (upstream: UpstreamState): number =>
-      upstream.inFlight * IN_FLIGHT_WEIGHT + (isAlike(upstream, first) ? 1 : 0) + this.#parts.random.share();
-    const candidates = [...this.#parts.upstreams.values()]
-      .filter(isCandidate)
-      .map((upstream) => ({ upstream, order: orderOf(upstream) }))
-      .sort((one, other) => other.order - one.order)
-      .map(({ upstream }) => upstream);
-    this.#episode = new LossEpisode(candidates, now);
-  }
-
-  /** Checks further upstreams after one was out of direct reach; once it is clear that all are, without a check of each. */
-  #continueEpisode(): void {
-    const episode = this.#episode;
-    const now = this.#parts.now();
-    if (episode === null || episode.isOver(now)) {
-      return;
-    }
-    const common = episode.common(this.#lastHeardAt(), now);
-    if (common !== null) {
-      this.#assume(common, episode.takeAll(), now);
+  /** Checks a few other upstreams after one was out of direct reach, to learn what is lost with it. */
+  #checkSample(first: UpstreamState, now: MonotonicMillis): void {
+    if (now < this.#sampledAt + SAMPLE_INTERVAL_MILLIS) {
       return;
     }
-    while (this.#checks.size < MAX_SWEEP_CHECKS) {
-      const next = episode.takeNext();
-      if (next === undefined) {
-        return;
-      }
-      if (next.path.relay === null && this.#parts.upstreams.get(next.id) === next) {
-        this.judge(next, null, () => {});
-      }
-    }
-  }
-
-  #assume(
-    common: 'other-path' | 'unreachable',
-    upstreams: readonly UpstreamState[],
-    now: MonotonicMillis,
-  ): void {
-    for (const upstream of upstreams) {
-      const isThere = this.#parts.upstreams.get(upstream.id) === upstream;
-      const [peer] = this.peers.inOrderFor(upstream, now);
-      if (!isThere || upstream.path.relay !== null) {
-        continue;
-      }
-      if (common === 'unreachable') {
-        this.#markOutOfReach(upstream, now);
-      } else if (peer !== undefined) {
-        this.#use(upstream, peer, PATH_OUTCOMES.silent);
-      }
-    }
-  }
-
-  /** When something was last heard of any upstream over its direct path. */
-  #lastHeardAt(): MonotonicMillis {
-    let latest = Number.NEGATIVE_INFINITY;
-    for (const { path, heardAt } of this.#parts.upstreams.values()) {
-      latest = path.relay === null ? Math.max(latest, heardAt ?? latest) : latest;
+    this.#sampledAt = now;
+    const { upstreams, random } = this.#parts;
+    for (const upstream of sampleOf(upstreams.values(), first, random, now)) {
+      this.#lookFor(upstream);
     }
-    return latest;
-  }
-
-  #tryReturn(upstream: UpstreamState): void {
-    this.#returning.add(upstream);
-    this.#try(upstream, null, null);
   }
 
   #triedReturn(upstream: UpstreamState, outcome: PathOutcome): void {
-    this.#returning.delete(upstream);
-    if (outcome !== PATH_OUTCOMES.reached || upstream.path.relay === null) {
+    const now = this.#parts.now();
+    if (outcome !== PATH_OUTCOMES.reached) {
+      this.#beliefs.recordFailure(upstream, 'lost-path', now);
       return;
     }
+    this.#beliefs.recordReached(upstream);
     this.#use(upstream, null, outcome);
-    const now = this.#parts.now();
-    for (const other of this.#relayed) {
-      if (this.#returning.size >= MAX_SWEEP_CHECKS) {
-        return;
-      }
-      if (other.path.mayReturn(now) && !this.#returning.has(other)) {
-        this.#tryReturn(other);
-      }
-    }
-  }
-
-  #scheduleReturn(): void {
-    if (!this.#isReturnScheduled && this.#relayed.size > 0) {
-      this.#isReturnScheduled = true;
-      this.#parts.schedule(this.#parts.now() + RETURN_INTERVAL_MILLIS, { type: 'path-return' });
-    }
+    this.#returns.tryOthers();
   }
 }
 
-function isAlike(one: UpstreamState, other: UpstreamState): boolean {
-  return one.service === other.service || one.zone === other.zone;
-}
-
 function faultAt({ upstreamFault }: UpstreamPath, now: MonotonicMillis): PathVerdict | null {
   return upstreamFault !== null && now < upstreamFault.until ? upstreamFault.verdict : null;
 }
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -74,7 +74,7 @@
       random: this.random,
       now: () => this.now,
       emit: (effect) => this.emit(effect),
-      schedule: (at, subject) => this.schedule(at, subject),
+      scheduleReturn: (at) => this.schedule(at, { type: 'path-return' }),
       upstreams: this.upstreams,
     });
     this.crashes = new CrashWatch(this);
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -331,7 +331,7 @@
         this.lost.sweep();
         return;
       case 'path-return':
-        this.context.paths.tryReturns();
+        this.context.paths.onReturnTimer();
         return;
       case 'path-resend':
         this.hung.resend(subject.left);
