Simulator: routers lose their paths to upstreams and use one another's

Cause: the simulated fleet had one network for all routers; no fault took a router's way to upstreams and left the rest, and no rule said that a request which ended no run may not be quarantined. The incident couldn't happen there.

Change: connections over another router (relayed-link), six faults (lost-paths; one crashes the router that carries while an answer is on its way), the promise innocent-served, and two sabotages. The new faults are a list of their own, so the runs of earlier seeds stay the same.

--- a/src/dev/checker/checker.ts
+++ b/src/dev/checker/checker.ts
@@ -8,6 +8,7 @@
 import { EvacuationRule } from './evacuation-rule.js';
 import { ExecutionRule } from './execution-rule.js';
 import type { HistoryEvent } from './history.js';
+import { InnocenceRule } from './innocence-rule.js';
 import { LimitRule } from './limit-rule.js';
 import { LogRule } from './log-rule.js';
 import { OwnershipRule } from './ownership-rule.js';
@@ -25,6 +26,7 @@
     new AnswerRule(),
     new RecoveryRule(),
     new CrashRule(),
+    new InnocenceRule(),
     new LimitRule(),
     new BackoffRule(),
     new DrainNoticeRule(),
--- a/src/dev/checker/rule.ts
+++ b/src/dev/checker/rule.ts
@@ -12,6 +12,7 @@
   'planned-stop-cuts-nothing',
   'accepted-in-force',
   'crashes-bounded',
+  'innocent-served',
   'needs-heeded',
   'recovers',
 ] as const;
--- a/src/dev/sim/catch-sabotage.ts
+++ b/src/dev/sim/catch-sabotage.ts
@@ -1,6 +1,7 @@
 /** Runs a sabotaged system with one seed after another until the checker reports a violation. */
 import type { PromiseName } from '../checker/rule.js';
 import { FAULT_KINDS } from './faults/fault-plan.js';
+import { LOST_PATHS } from './faults/lost-paths.js';
 import { SUSPENSIONS } from './faults/suspensions.js';
 import { SABOTAGES, type Sabotage, type SabotageName } from './sabotages.js';
 import type { SimSizes } from './sim-sizes.js';
@@ -26,8 +27,9 @@
     crashingRequests = 0,
     evacuations = 0,
     needs = 0,
+    relays = false,
   }: Sabotage = SABOTAGES[name];
-  const faults = [...FAULT_KINDS, ...SUSPENSIONS].filter((kind) => wanted.includes(kind.name));
+  const faults = [...FAULT_KINDS, ...SUSPENSIONS, ...LOST_PATHS].filter((kind) => wanted.includes(kind.name));
   for (let seed = first; seed <= last; seed += 1) {
     const { violations } = new Simulation({
       seed,
@@ -36,6 +38,7 @@
       crashingRequests,
       evacuations,
       needs,
+      relays,
       sabotage: name,
       trace: null,
     }).run();
--- a/src/dev/sim/control/sabotage-control.ts
+++ b/src/dev/sim/control/sabotage-control.ts
@@ -3,6 +3,7 @@
 import type { ControlToRouter, SyncResponse } from '../../../control/messages.js';
 import type { OperatorRequest, OperatorResponse } from '../../../control/types.js';
 import type { SessionRequest } from '../../../lease/types.js';
+import { DEFAULT_QUARANTINE_SETTINGS, type QuarantineSettings } from '../../../model/crash-suspect.js';
 import { readParts } from '../../../registry/snapshot-codec.js';
 import { encodePart } from '../../../registry/snapshot-encoder.js';
 import type { SnapshotPart } from '../../../registry/snapshot-parts.js';
@@ -15,6 +16,11 @@
 /** Added to leases by `grant-before-lease-end`. */
 const LEASE_EXTRA_MILLIS = 3000;
 
+export function sabotageQuarantine(sabotage: Active): QuarantineSettings {
+  const crashes = sabotage === 'one-crash-quarantines' ? 1 : DEFAULT_QUARANTINE_SETTINGS.crashes;
+  return { ...DEFAULT_QUARANTINE_SETTINGS, crashes };
+}
+
 export function sabotageSessionRequest(request: SessionRequest, sabotage: Active): SessionRequest {
   if (sabotage !== 'grant-before-lease-end' || request.validUntil === null) {
     return request;
--- a/src/dev/sim/control/sim-control.ts
+++ b/src/dev/sim/control/sim-control.ts
@@ -24,6 +24,7 @@
 import {
   sabotageOperatorRequest,
   sabotageOperatorResponse,
+  sabotageQuarantine,
   sabotageRouterMessage,
   sabotageSessionRequest,
 } from './sabotage-control.js';
@@ -183,6 +184,7 @@
       configLease: DEFAULT_CONFIG_LEASE_TIMINGS,
       snapshotEntries: SNAPSHOT_ENTRIES,
       replaceAfterMillis: 0,
+      quarantine: sabotageQuarantine(this.world.sabotage),
     };
     this.core = createControlNode(config, this.disk.load(), this.clock.monotonic());
     this.timer = new TickTimer(this, () => this.input({ type: 'tick' }));
--- a/src/dev/sim/network.ts
+++ b/src/dev/sim/network.ts
@@ -37,6 +37,7 @@
 export class Network {
   readonly disturbances: NetworkDisturbances = { loss: 0, duplication: 0, lateShare: 0, lateMillis: 0 };
   private readonly cuts = new Set<Cut>();
+  private readonly refusals = new Set<Cut>();
 
   constructor(
     readonly time: EventQueue,
@@ -53,9 +54,24 @@
     };
   }
 
+  /** Refuses new connections from one end to another until the returned function is called. */
+  refuse(from: string, to: string): () => void {
+    const refusal = { from, to };
+    this.refusals.add(refusal);
+    return () => {
+      this.refusals.delete(refusal);
+    };
+  }
+
+  /** Whether a device on the way refuses connections from one process to the other. */
+  isRefused(from: SimProcess, to: SimProcess): boolean {
+    return [...this.refusals].some((refusal) => matches(refusal.from, from) && matches(refusal.to, to));
+  }
+
   /** Ends every cut and disturbance. */
   heal(): void {
     this.cuts.clear();
+    this.refusals.clear();
     Object.assign(this.disturbances, { loss: 0, duplication: 0, lateShare: 0, lateMillis: 0 });
   }
 
--- a/src/dev/sim/router/sim-attempt.ts
+++ b/src/dev/sim/router/sim-attempt.ts
@@ -6,6 +6,8 @@
 import type { SimRouter } from './sim-router.js';
 import type { UpstreamConnection } from './upstream-connections.js';
 
+type ConnectFailed = Extract<AttemptResult, { readonly type: 'connect-failed' }>;
+
 interface ReceivedAnswer {
   readonly ranFor: SendId;
   readonly content: string;
@@ -31,8 +33,17 @@
   }
 
   /** Ends the attempt because no connection could be established. */
-  onConnectFailed(): void {
-    this.end({ type: 'connect-failed' });
+  onConnectFailed(failure: Omit<ConnectFailed, 'type'>): void {
+    this.end({ type: 'connect-failed', ...failure });
+  }
+
+  /** Ends the attempt because the router that carried its connection was lost. */
+  onRelayLost(): void {
+    if (this.router.world.sabotage === 'relay-loss-as-unsent') {
+      this.end({ type: 'connect-failed', relayFailure: 'lost' });
+    } else {
+      this.end({ type: 'broken', how: 'relay-lost' });
+    }
   }
 
   /** Records the connection on which the attempt is sent. */
--- a/src/dev/sim/router/sim-router.ts
+++ b/src/dev/sim/router/sim-router.ts
@@ -5,6 +5,7 @@
 import type { Address, Incarnation, UpstreamId } from '../../../model/identifiers.js';
 import { EMPTY_NOTICE, type UpstreamNotice } from '../../../model/upstream-notice.js';
 import { createRouterNode } from '../../../routing/index.js';
+import type { RelayTarget } from '../../../routing/paths/path-watch.js';
 import type {
   ArrivedRequest,
   AttemptNumber,
@@ -49,6 +50,8 @@
   private nextRequest = 1;
   private recordedRevision = 0;
   private lastAttempt: AttemptNumber = 0;
+  /** The core's answer to the latest `relay-requested`. */
+  private relayTarget: RelayTarget | null = null;
   /** Upstreams that reported a constraint, with the latest attempt dispatched by that time. */
   private readonly constraintReports = new Map<UpstreamId, AttemptNumber>();
 
@@ -106,6 +109,26 @@
     this.schedule(STOP_CHECK_MILLIS, () => this.stopWhenIdle());
   }
 
+  /** Where this router connects another one that asks for an upstream; `null` while it doesn't run. */
+  relayTargetOf(upstream: UpstreamId): RelayTarget | null {
+    if (this.state !== 'running') {
+      return null;
+    }
+    this.relayTarget = null;
+    this.input({ type: 'relay-requested', number: 1, upstream });
+    return this.relayTarget;
+  }
+
+  /** Whether another router carries an attempt of this one whose answer is on the way. */
+  isAnswerOnWayOver(relay: SimRouter): boolean {
+    return this.pools.isAnswerOnWayOver(relay.name);
+  }
+
+  /** Resets the direct connections to upstreams. */
+  resetUpstreamConnections(): void {
+    this.pools.resetDirect();
+  }
+
   get openRequests(): number {
     return this.exchanges.size;
   }
@@ -191,6 +214,7 @@
       control: world.controls.map((control) => control.address),
       configLease,
       claimTimeoutMillis: CLAIM_TIMEOUT_MILLIS,
+      ...(world.hasRelays && { relayAddress: `${this.name}:1` }),
     });
     this.pools = new UpstreamConnections(world, this);
     this.suspensions = new SuspensionWatch(this.clock.sources());
@@ -225,6 +249,17 @@
           this.input({ type: 'run-checked', run: effect.run, check }),
         );
         return;
+      case 'try-path':
+        this.pools.tryPath(effect, (outcome) =>
+          this.input({ type: 'path-tried', number: effect.number, outcome }),
+        );
+        return;
+      case 'close-path':
+        this.pools.closePath(effect.address, effect.via);
+        return;
+      case 'relay-target':
+        this.relayTarget = effect.target;
+        return;
       case 'cancel-attempt':
         this.attempts.get(effect.attempt)?.cancel();
         return;
@@ -278,7 +313,7 @@
     const attempt = new SimAttempt(this, effect.attempt, effect.upstream, frame);
     this.lastAttempt = effect.attempt;
     this.attempts.set(effect.attempt, attempt);
-    this.pools.start(attempt, effect.address);
+    this.pools.start(attempt, effect);
   }
 
   private recall(upstream: UpstreamId): void {
--- a/src/dev/sim/sabotages.ts
+++ b/src/dev/sim/sabotages.ts
@@ -13,6 +13,8 @@
   readonly evacuations?: number;
   /** Number of upstreams that report constraints in their answers; 0 by default. */
   readonly needs?: number;
+  /** Whether routers carry connections of others; `false` by default. */
+  readonly relays?: boolean;
 }
 
 const TABLE = {
@@ -157,6 +159,17 @@
       'the clock of an upstream’s lease does not count the time for which its machine was suspended',
     faults: ['owner-suspended'],
   },
+  'relay-loss-as-unsent': {
+    promise: 'at-most-once',
+    description: 'a request handed to another router that is lost counts as never sent',
+    faults: ['relay-crash'],
+    relays: true,
+  },
+  'one-crash-quarantines': {
+    promise: 'innocent-served',
+    description: 'a request is refused everywhere once a single run ended during it',
+    faults: ['upstream-crash', 'owner-freeze'],
+  },
   'replacement-never-made': {
     promise: 'recovers',
     description: 'a control member that lost its disk is not replaced before the next one is lost',
--- a/src/dev/sim/simulation.ts
+++ b/src/dev/sim/simulation.ts
@@ -32,6 +32,8 @@
   readonly evacuations?: number;
   /** Number of upstreams that report constraints in their answers; 0 by default. */
   readonly needs?: number;
+  /** Whether routers carry connections of others; `false` by default. */
+  readonly relays?: boolean;
   readonly sabotage: SabotageName | null;
   readonly trace: ((line: string) => void) | null;
 }
@@ -69,6 +71,7 @@
   readonly recorder: Recorder;
   readonly sizes: SimSizes;
   readonly sabotage: SabotageName | null;
+  readonly hasRelays: boolean;
   readonly controls: SimControl[] = [];
   readonly routers: SimRouter[] = [];
   readonly upstreams: SimUpstream[] = [];
@@ -96,6 +99,7 @@
   constructor(private readonly options: SimulationOptions) {
     this.sizes = options.sizes;
     this.sabotage = options.sabotage;
+    this.hasRelays = options.relays ?? false;
     this.random = new Random(options.seed);
     this.faultRandom = this.makeRandom();
     this.network = new Network(this.time, options.sizes.network, this.makeRandom());
--- a/src/dev/sim/world.ts
+++ b/src/dev/sim/world.ts
@@ -17,6 +17,8 @@
   readonly recorder: Recorder;
   readonly sizes: SimSizes;
   readonly sabotage: SabotageName | null;
+  /** Whether routers carry connections of others. */
+  readonly hasRelays: boolean;
   readonly controls: SimControl[];
   readonly routers: SimRouter[];
   readonly upstreams: SimUpstream[];
