--- a/test/router/router-fixture.ts
+++ b/test/router/router-fixture.ts
@@ -34,6 +34,30 @@
   readonly log?: Logger;
 }
 
+/** Configuration in which the upstream at each address serves `reads` and `orders`, neither of them keyed. */
+export function snapshotOf(
+  addresses: readonly string[],
+  options: Pick<FixtureOptions, 'reads' | 'orders' | 'announced'>,
+): RoutingSnapshot {
+  return {
+    revision: 10,
+    services: [service('reads', options.reads), service('orders', { repeatable: false, ...options.orders })],
+    upstreams: addresses.flatMap((address, index) =>
+      ['reads', 'orders'].map((name) => {
+        const id = `${name}-${index + 1}`;
+        return options.announced === true
+          ? { ...upstream(id, name, { address, announced: ANNOUNCED }), incarnation: id }
+          : upstream(id, name, { address });
+      }),
+    ),
+    shards: [],
+    routes: [],
+    declaration: null,
+    ranges: [],
+    suspects: [],
+  };
+}
+
 /** Every upstream serves both services; neither of them is keyed. */
 export class RouterFixture {
   readonly daemon: RouterDaemon;
@@ -50,26 +74,10 @@
     upstreams: readonly Pick<ScriptedUpstream, 'address'>[],
     options: FixtureOptions = {},
   ): Promise<RouterFixture> {
-    const snapshot: RoutingSnapshot = {
-      revision: 10,
-      services: [
-        service('reads', options.reads),
-        service('orders', { repeatable: false, ...options.orders }),
-      ],
-      upstreams: upstreams.flatMap(({ address }, index) =>
-        ['reads', 'orders'].map((name) => {
-          const id = `${name}-${index + 1}`;
-          return options.announced === true
-            ? { ...upstream(id, name, { address, announced: ANNOUNCED }), incarnation: id }
-            : upstream(id, name, { address });
-        }),
-      ),
-      shards: [],
-      routes: [],
-      declaration: null,
-      ranges: [],
-      suspects: [],
-    };
+    const snapshot = snapshotOf(
+      upstreams.map(({ address }) => address),
+      options,
+    );
     const control = new ControlStandin(snapshot);
     const address = await control.start();
     const settings: RouterDaemonSettings = {
