Tests: who is named as relay, in which order, what a check of a path concludes, what is believed

Unit tests of the parts of relayed paths that only models and real sockets covered: the leader's directory, the table of peers, one check, beliefs, the messages and rows on the wire, and the setting.

--- /dev/null
+++ b/test/routing/path-check.test.ts
@@ -0,0 +1,71 @@
+import { expect } from 'chai';
+import type { RelayPeer } from '../../src/model/relay.js';
+import { type Path, PathCheck, type PathCheckStep } from '../../src/routing/paths/path-check.js';
+import type { PathOutcome } from '../../src/routing/paths/path-outcome.js';
+
+const PEERS = ['p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7'].map(
+  (router, index): RelayPeer => ({ router, zone: `z${index % 3}`, address: `${router}:1` }),
+);
+
+/** Answers each try as the table says until there is a verdict; counts the tries. */
+function run(check: PathCheck, outcomeOf: (path: Path) => PathOutcome) {
+  let tries = 0;
+  let open: Path[] = [];
+  const follow = (step: PathCheckStep): PathCheckStep => {
+    open.push(...step.tries);
+    tries += step.tries.length;
+    return step;
+  };
+  let step = follow(check.begin());
+  while (step.verdict === null) {
+    const path = open[0] as Path;
+    open = open.slice(1);
+    step = follow(check.tried(path, outcomeOf(path)));
+  }
+  return { verdict: step.verdict, tries };
+}
+
+const directly =
+  (direct: PathOutcome, relayed: PathOutcome) =>
+  (path: Path): PathOutcome =>
+    path === null ? direct : relayed;
+
+describe('PathCheck', () => {
+  const CASES = [
+    ['finds that the path in use works', 'reached', 'reached', 'works', 1],
+    ['takes no path away for a fault of this process', 'unknown', 'reached', 'works', 1],
+    ['finds another path where the direct one is silent', 'silent', 'reached', 'other-path', 4],
+    ['finds another path where the direct one is refused', 'refused', 'reached', 'other-path', 4],
+    ['finds that an upstream ended which refuses everywhere', 'refused', 'refused', 'ended', 8],
+    ['finds that an upstream ended which others see refuse', 'silent', 'refused', 'ended', 8],
+    ['finds that nothing comes back over any path', 'silent', 'silent', 'unreachable', 7],
+    ['judges nothing where no other router can tell', 'silent', 'no-relay', 'unknown', 8],
+  ] as const;
+  for (const [what, direct, relayed, type, tries] of CASES) {
+    it(what, () => {
+      const result = run(new PathCheck(null, PEERS, null), directly(direct, relayed));
+      expect([result.verdict.type, result.tries]).to.deep.equal([type, tries]);
+    });
+  }
+
+  it('asks one peer alone that reached an upstream a moment ago', () => {
+    const trust = { isFirstSighted: true, isAssumedLost: () => false };
+    const result = run(new PathCheck(null, PEERS, 'silent', trust), directly('silent', 'reached'));
+    expect(result).to.deep.equal({
+      verdict: { type: 'other-path', path: PEERS[0], evidence: 'silent' },
+      tries: 1,
+    });
+  });
+
+  it('asks nobody where upstreams like this one were found lost and a peer is known to see', () => {
+    const trust = { isFirstSighted: true, isAssumedLost: () => true };
+    const check = new PathCheck(null, PEERS, 'refused', trust);
+    expect(check.begin().verdict).to.deep.equal({ type: 'other-path', path: PEERS[0], evidence: 'refused' });
+  });
+
+  it('tries the direct path beside others when a relay is lost', () => {
+    const [relay, ...others] = PEERS;
+    const check = new PathCheck(relay as RelayPeer, [null, ...others], 'no-relay');
+    expect(check.begin().tries).to.include(null);
+  });
+});
--- /dev/null
+++ b/test/routing/relay-peer-table.test.ts
@@ -0,0 +1,55 @@
+import { expect } from 'chai';
+import type { RelayPeer } from '../../src/model/relay.js';
+import { RelayPeerTable, spreadOverZones } from '../../src/routing/paths/relay-peer-table.js';
+
+const SIGHT_LIFETIME_MILLIS = 5000;
+const UPSTREAM = { id: 'u1', zone: 'b' };
+
+function peer(router: string, zone: string): RelayPeer {
+  return { router, zone, address: `${router}:1` };
+}
+
+describe('RelayPeerTable', () => {
+  let table: RelayPeerTable;
+
+  beforeEach(() => {
+    table = new RelayPeerTable('a');
+    table.set([peer('far', 'c'), peer('near', 'a'), peer('there', 'b')]);
+  });
+
+  function order(now = 0): string[] {
+    return table.inOrderFor(UPSTREAM, now).map(({ router }) => router);
+  }
+
+  it('prefers ways that cross one zone to those that cross two', () => {
+    expect(order().at(-1)).to.equal('far');
+  });
+
+  it('prefers peers that reached an upstream, and puts blind ones last, while that is news', () => {
+    table.recordSight('far', true, 0);
+    table.recordSight('near', false, 0);
+    expect(order(SIGHT_LIFETIME_MILLIS)).to.deep.equal(['far', 'there', 'near']);
+    expect(order(SIGHT_LIFETIME_MILLIS + 1).at(-1)).to.equal('far');
+  });
+
+  it('leaves out a peer that failed, until the given time', () => {
+    table.avoid('near', 100);
+    expect(order(99)).not.to.include('near');
+    expect(order(100)).to.include('near');
+  });
+
+  it('forgets what it knew of peers that are no longer named', () => {
+    table.recordSight('near', true, 0);
+    table.set([peer('there', 'b')]);
+    table.set([peer('near', 'a'), peer('there', 'b')]);
+    expect(table.isSighted('near', 1)).to.equal(false);
+  });
+});
+
+describe('spreadOverZones', () => {
+  it('takes one peer of each zone before a second one of any', () => {
+    const peers = [peer('a1', 'a'), peer('a2', 'a'), peer('b1', 'b'), peer('c1', 'c')];
+    expect(spreadOverZones(peers, 3).map(({ router }) => router)).to.deep.equal(['a1', 'b1', 'c1']);
+    expect(spreadOverZones(peers, 4).at(-1)?.router).to.equal('a2');
+  });
+});
--- a/test/settings/settings-security.test.ts
+++ b/test/settings/settings-security.test.ts
@@ -56,6 +56,15 @@
     () => router({ control: '127.0.0.1:7400,10.0.0.1:7400' }),
     'secretFile',
   ],
+  ['a relay port on loopback without a secret', () => router({ relay: '127.0.0.1:8002' }), null],
+  ['a relay port with a secret', () => router({ relay: '10.0.0.1:8002', ...SECRET }), null],
+  [
+    'a relay port reachable from other hosts without a secret',
+    () => router({ relay: '10.0.0.1:8002' }),
+    'secretFile',
+  ],
+  ['a relay port that is the admin port', () => router({ relay: '127.0.0.1:8001' }), 'relay'],
+  ['a relay port on all addresses', () => router({ relay: '0.0.0.0:8002', ...SECRET }), 'relay'],
 ];
 
 describe('settings of ports', () => {
--- a/test/wire/codecs.test.ts
+++ b/test/wire/codecs.test.ts
@@ -22,6 +22,12 @@
     have: 2 ** 40,
   },
   { type: 'load-report', intervalMillis: 1000, shards: [{ shard: 's/k@1/0', workMillis: 1.5, requests: 2 }] },
+  {
+    type: 'load-report',
+    intervalMillis: 1000,
+    shards: [{ shard: 's/k@1/0', workMillis: 1.5, requests: 2 }],
+    relay: { peer: { router: 'r1', zone: 'north/1', address: '10.0.0.1:7' }, lostPaths: 3 },
+  },
   { type: 'sync-request', router: 'r1', incarnation: 'i1', zone: 'a', stamp: 0, have: 0 },
   { type: 'claim-request', claimant: 'c', service: 's', key: 'ü', fingerprint: 'f', issuedAt: 1 },
   { type: 'settle-request', claimant: 'c', service: 's', key: 'k', outcome: 'unknown', answer: null },
@@ -72,6 +78,7 @@
     delta: { from: 3, to: 7, changes: [{ type: 'upstream', id: 'u1', record: null }] },
   },
   { type: 'change-notice', revision: 9 },
+  { type: 'relay-peers', peers: [{ router: 'r2', zone: 'north/1', address: '10.0.0.2:7' }] },
   { type: 'claim-response', claimant: 'c', result: { type: 'granted' }, leader: null },
   { type: 'settle-response', claimant: 'c', settled: true, leader: null },
 ];
--- a/test/wire/fleet-rows.test.ts
+++ b/test/wire/fleet-rows.test.ts
@@ -28,6 +28,7 @@
     ],
     demand: [{ service: 'menu', kind: 'sheets', requests: 9 }],
   },
+  relay: { peer: { router: 'r1', zone: 'north/1', address: '10.0.0.1:7' }, lostPaths: 2 },
 };
 
 describe('reports of upstreams without keys', () => {
