Paths: a router in a third region carries only where no other one is left

Cause: routers didn't know in which region a zone lies, so in a cluster of several regions a connection between two machines of one region could be carried by a router of another: far, dear, and out of where such traffic may have to stay.

--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -24,6 +24,7 @@
     outgoing: settings.outgoing ?? undefined,
     admin,
     relay: settings.relay ?? undefined,
+    regions: settings.regions,
     control,
     secret: readSecret(settings.secretFile),
     platformUrl,
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -344,6 +344,7 @@
       returnTimes,
       roomByRank,
       relay,
+      regions,
     } = this.settings;
     return {
       router,
@@ -359,6 +360,7 @@
       ...(roomByRank !== undefined && { roomByRank }),
       ...(linkMegabits !== undefined && { linkBytesPerMilli: linkMegabits * BYTES_PER_MILLI_PER_MEGABIT }),
       ...(relay !== undefined && { relayAddress: relay }),
+      ...(regions !== undefined && { regions }),
       holdsEarlyRequests: timings.firstConfigurationMillis === 0,
     };
   }
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -21,6 +21,8 @@
   readonly admin: Address;
   /** Port for other routers, whose connections to upstreams this one carries; if left out, it carries none and uses no other router. */
   readonly relay?: Address | undefined;
+  /** The region of each zone, as far as known. */
+  readonly regions?: Readonly<Record<Zone, string>> | undefined;
   /** Internal addresses of the control members. */
   readonly control: readonly Address[];
   /** Shared by all processes of the cluster. */
--- a/src/routing/paths/path-watch.ts
+++ b/src/routing/paths/path-watch.ts
@@ -2,7 +2,7 @@
  * Decides over which path each upstream is reached: the direct one, or another router's. A path is judged only after something was odd, and
  * before that is held against the upstream.
  */
-import type { Address, MonotonicMillis, RouterId, UpstreamId } from '../../model/identifiers.js';
+import type { Address, MonotonicMillis, RouterId, UpstreamId, Zone } from '../../model/identifiers.js';
 import type { Random } from '../random.js';
 import type { RouterEffect } from '../types.js';
 import type { UpstreamState } from '../upstream/upstream-state.js';
@@ -44,7 +44,9 @@
 export type PathListener = (upstream: UpstreamState, before: Path, evidence: PathOutcome) => void;
 
 export interface PathWatchParts {
-  readonly ownZone: string;
+  readonly ownZone: Zone;
+  /** The region of each zone, as far as known. */
+  readonly regions: Readonly<Record<Zone, string>>;
   readonly random: Random;
   readonly now: () => MonotonicMillis;
   readonly emit: (effect: RouterEffect) => void;
@@ -73,7 +75,7 @@
 
   constructor(parts: PathWatchParts) {
     this.#parts = parts;
-    this.peers = new RelayPeerTable(parts.ownZone);
+    this.peers = new RelayPeerTable(parts.ownZone, parts.regions);
     this.#tries = new PathTries(parts.emit);
     this.#returns = new DirectReturns({
       now: parts.now,
--- a/src/routing/paths/relay-peer-table.ts
+++ b/src/routing/paths/relay-peer-table.ts
@@ -21,7 +21,11 @@
   readonly #avoidedUntil = new Map<RouterId, MonotonicMillis>();
   readonly #sights = new Map<RouterId, { readonly sight: Sight; readonly at: MonotonicMillis }>();
 
-  constructor(private readonly ownZone: Zone) {}
+  /** `regions`: the region of each zone, as far as known; a zone that isn't listed lies in the same region as any other. */
+  constructor(
+    private readonly ownZone: Zone,
+    private readonly regions: Readonly<Record<Zone, string>> = {},
+  ) {}
 
   get size(): number {
     return this.#peers.length;
@@ -62,32 +66,52 @@
     return now < (this.#avoidedUntil.get(router) ?? Number.NEGATIVE_INFINITY);
   }
 
-  /** The peers that may be used for an upstream: those that see upstreams first, then those whose way crosses the fewest zones. */
+  /**
+   * The peers that may be used for an upstream: last those that are blind, then those in a region that neither end lies in; of the others those
+   * first that see upstreams, then those whose way crosses the fewest zones.
+   */
   inOrderFor(upstream: RelayedUpstream, now: MonotonicMillis): RelayPeer[] {
     return this.#peers
       .filter(({ router }) => !this.isAvoided(router, now))
-      .map((peer) => ({
-        peer,
-        sight: SIGHT_ORDER[this.#sightOf(peer.router, now)],
-        crossings: this.#crossings(peer, upstream),
-        order: affinityOf(peer.router, upstream.id),
-      }))
-      .sort(
-        (one, other) => one.sight - other.sight || one.crossings - other.crossings || one.order - other.order,
-      )
+      .map((peer) => ({ peer, order: this.#orderOf(peer, upstream, now) }))
+      .sort((one, other) => compareOrders(one.order, other.order))
       .map(({ peer }) => peer);
   }
 
+  /** Numbers by which peers are sorted, the most important one first. */
+  #orderOf(peer: RelayPeer, upstream: RelayedUpstream, now: MonotonicMillis): readonly number[] {
+    const sight = this.#sightOf(peer.router, now);
+    return [
+      sight === 'blind' ? 1 : 0,
+      this.#isInThirdRegion(peer, upstream) ? 1 : 0,
+      SIGHT_ORDER[sight],
+      this.#crossings(peer, upstream),
+      affinityOf(peer.router, upstream.id),
+    ];
+  }
+
   #sightOf(router: RouterId, now: MonotonicMillis): Sight {
     const known = this.#sights.get(router);
     return known === undefined || now - known.at > SIGHT_LIFETIME_MILLIS ? 'unknown' : known.sight;
   }
 
+  #isInThirdRegion({ zone }: RelayPeer, upstream: RelayedUpstream): boolean {
+    const region = this.regions[zone];
+    const ends = [this.regions[this.ownZone], this.regions[upstream.zone]];
+    return region !== undefined && !ends.includes(undefined) && !ends.includes(region);
+  }
+
   #crossings({ zone }: RelayPeer, upstream: RelayedUpstream): number {
     return (zone === this.ownZone ? 0 : 1) + (zone === upstream.zone ? 0 : 1);
   }
 }
 
+/** Compares by the first number that differs. */
+function compareOrders(one: readonly number[], other: readonly number[]): number {
+  const differences = one.map((value, index) => value - (other[index] ?? 0));
+  return differences.find((difference) => difference !== 0) ?? 0;
+}
+
 /** The first `count` peers, one of each zone before a second one of any. */
 export function spreadOverZones(peers: readonly RelayPeer[], count: number): RelayPeer[] {
   const firsts = peers.filter(({ zone }, index) => peers.findIndex((other) => other.zone === zone) === index);
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -71,6 +71,7 @@
     this.reporter = new LoadReporter();
     this.paths = new PathWatch({
       ownZone: config.zone,
+      regions: config.regions ?? {},
       random: this.random,
       now: () => this.now,
       emit: (effect) => this.emit(effect),
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -317,6 +317,8 @@
   readonly returnTimes?: ReturnTimesMode;
   /** Address of this router's port for other routers; if left out, it carries no connections of others and learns of no peers. */
   readonly relayAddress?: Address;
+  /** The region of each zone, so that no relay in a third region is preferred; not heeded for zones that are left out. */
+  readonly regions?: Readonly<Record<Zone, string>>;
   /** Width of the router's link in each direction; if left out, large answers aren't delayed for it. */
   readonly linkBytesPerMilli?: number;
 }
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -35,6 +35,8 @@
   readonly admin: Address;
   /** Address of the port for other routers; `null`: connections of other routers aren't carried, and this router uses none of theirs. */
   readonly relay: Address | null;
+  /** The region of each zone, as far as known. */
+  readonly regions: Readonly<Record<Zone, string>>;
   /** Internal addresses of the control members. */
   readonly control: readonly Address[];
   /** File with the secret shared by the daemons; `null`: none (control on loopback addresses or a trusted network only). */
@@ -129,6 +131,7 @@
   outgoing: hostSchema.optional(),
   admin: addressSchema,
   relay: reachableAddressSchema.optional(),
+  regions: z.record(nameSchema, nameSchema, { error: 'expected a region for each zone' }).optional(),
   control: z
     .array(reachableAddressSchema, { error: 'expected a list of addresses' })
     .min(1, 'needs one or more'),
@@ -215,6 +218,7 @@
     outgoing: fields.outgoing ?? null,
     admin: fields.admin,
     relay: fields.relay ?? null,
+    regions: fields.regions ?? {},
     control: controlAddresses(fields),
     secretFile: fields.secretFile ?? null,
     configLease: completeConfigLease(fields.timings ?? {}),
--- a/test/routing/relay-peer-table.test.ts
+++ b/test/routing/relay-peer-table.test.ts
@@ -38,6 +38,22 @@
     expect(order(100)).to.include('near');
   });
 
+  it('takes a peer in a third region after all others that see', () => {
+    table = new RelayPeerTable('a', { a: 'north', b: 'north', c: 'south' });
+    table.set([peer('far', 'c'), peer('near', 'a'), peer('there', 'b')]);
+    table.recordSight('far', true, 0);
+    expect(order().at(-1)).to.equal('far');
+    table.recordSight('near', false, 0);
+    expect(order()).to.deep.equal(['there', 'far', 'near']);
+  });
+
+  it('knows no third region where a zone is not listed', () => {
+    table = new RelayPeerTable('a', { a: 'north', c: 'south' });
+    table.set([peer('far', 'c'), peer('near', 'a')]);
+    table.recordSight('far', true, 0);
+    expect(order()).to.deep.equal(['far', 'near']);
+  });
+
   it('forgets what it knew of peers that are no longer named', () => {
     table.recordSight('near', true, 0);
     table.set([peer('there', 'b')]);
