Soak of lost paths: routers listen where nothing connects from

Cause: the test. A listener that was closed for a restart could not have its port again, because a connection of another process had got the same local port from the system (EADDRINUSE, shown by itself with two sockets); the router ended, and the test waited for the exit of a process that had exited.

Change: each router and its proxies have an address of their own, from which nothing connects; ending a process that has ended returns.

--- a/test/router/lost-paths/lost-paths-soak.ts
+++ b/test/router/lost-paths/lost-paths-soak.ts
@@ -21,6 +21,8 @@
 const HEALED_MILLIS = 1500;
 const RETURN_MILLIS = 10_000;
 const POLL_MILLIS = 50;
+/** Second number of the addresses, so that tests don't meet. */
+const NETWORK = 83;
 
 export interface SoakOptions {
   readonly seed: number;
@@ -85,9 +87,11 @@
       this.#upstreams.push(await new ScriptedUpstream((request) => this.#serve(request)).start());
     }
     for (let number = 1; number <= routers; number += 1) {
-      const proxies = await Promise.all(this.#upstreams.map(({ address }) => CuttableProxy.start(address)));
+      const host = hostOf(number);
+      const starts = this.#upstreams.map(({ address }) => CuttableProxy.start(address, host));
+      const proxies = await Promise.all(starts);
       const paths = proxies.map(({ address }) => address);
-      const router = await RouterProcess.create(`r${number}`, this.#folder, paths);
+      const router = await RouterProcess.create(`r${number}`, host, this.#folder, paths);
       this.#routers.push(router);
       this.#proxies.set(router, proxies);
     }
@@ -199,3 +203,8 @@
     rmSync(this.#folder, { recursive: true, force: true });
   }
 }
+
+/** Address of a router and of its ways to upstreams. */
+function hostOf(number: number): string {
+  return `127.${NETWORK}.${process.pid % 250}.${number}`;
+}
--- a/test/router/lost-paths/router-process.ts
+++ b/test/router/lost-paths/router-process.ts
@@ -38,11 +38,23 @@
     this.addresses = addresses;
   }
 
-  /** `upstreams`: addresses over which this router reaches each of them. */
-  static async create(name: string, folder: string, upstreams: readonly string[]): Promise<RouterProcess> {
+  /**
+   * `host`: an IP address that nothing connects from, so that its ports are free again after a stop. `upstreams`: addresses over which this
+   * router reaches each of them.
+   */
+  static async create(
+    name: string,
+    host: string,
+    folder: string,
+    upstreams: readonly string[],
+  ): Promise<RouterProcess> {
     const control = new ControlStandin(snapshotOf(upstreams, { announced: true }));
     const address = await control.start();
-    const addresses = { listen: await freeAddress(), admin: await freeAddress(), relay: await freeAddress() };
+    const addresses = {
+      listen: await freeAddress(host),
+      admin: await freeAddress(host),
+      relay: await freeAddress(host),
+    };
     const { cluster, secret } = BENCH_IDENTITY;
     const secretFile = join(folder, 'secret');
     writeFileSync(secretFile, secret);
@@ -75,9 +87,11 @@
       return;
     }
     this.#child = null;
-    const exited = once(child, 'exit');
-    child.kill(signal);
-    await exited;
+    if (child.exitCode === null && child.signalCode === null) {
+      const exited = once(child, 'exit');
+      child.kill(signal);
+      await exited;
+    }
   }
 
   freeze(): void {
