Control: relays named to a router are found in a ring of each zone

Change: a ring a zone, in the order of a hash of the names; a list is the next few after the asker's own place in each. Those gone are looked for twice a second.

--- a/src/control/relay-directory.ts
+++ b/src/control/relay-directory.ts
@@ -4,8 +4,8 @@
  */
 import type { MonotonicMillis, RouterId, Zone } from '../model/identifiers.js';
 import type { RelayPeer, RelayReport } from '../model/relay.js';
-import { affinityOf } from '../routing/upstream/affinity.js';
 import type { RelayPeers } from './messages.js';
+import { type KnownRelay, RelayRing } from './relay-ring.js';
 import type { ConnectionId } from './types.js';
 
 /** Peers named to one router: if two thirds of all are blind, all of these are so for one router in a hundred. */
@@ -13,15 +13,10 @@
 const MAX_OWN_ZONE_PEERS = 4;
 /** A router that hasn't reported for this long is no longer named. */
 const REPORT_LIFETIME_MILLIS = 5000;
-/** How long a full list of a router that sees all upstreams stays as it is, though routers come and go: each list costs a look at all routers. */
+const EXPIRE_INTERVAL_MILLIS = 500;
+/** How long a full list of a router that sees all upstreams stays as it is, though routers come and go. */
 const LIST_LIFETIME_MILLIS = 5000;
 
-interface KnownRelay {
-  readonly peer: RelayPeer;
-  readonly isBlind: boolean;
-  reportedAt: MonotonicMillis;
-}
-
 /** The list last sent on a connection, and what it was made from. */
 interface SentList {
   readonly text: string;
@@ -40,10 +35,12 @@
 export class RelayDirectory {
   readonly #parts: RelayDirectoryParts;
   readonly #relays = new Map<RouterId, KnownRelay>();
+  readonly #rings = new Map<Zone, RelayRing>();
   readonly #sent = new Map<ConnectionId, SentList>();
   /** Change counts of the set of routers, and of which of them are blind. */
   #members = 0;
   #sight = 0;
+  #expiredAt: MonotonicMillis = Number.NEGATIVE_INFINITY;
 
   constructor(parts: RelayDirectoryParts) {
     this.#parts = parts;
@@ -56,7 +53,7 @@
     now: MonotonicMillis,
   ): RelayPeers | null {
     const isBlind = lostPaths > 0;
-    this.#set({ peer, isBlind, reportedAt: now });
+    this.#set(peer, isBlind, now);
     this.#expire(now);
     const before = this.#sent.get(from);
     if (before !== undefined && !this.#isOutdated(before, isBlind, now)) {
@@ -73,20 +70,47 @@
     this.#sent.delete(from);
   }
 
-  #set(relay: KnownRelay): void {
-    const { router, zone, address } = relay.peer;
-    const before = this.#relays.get(router);
-    this.#relays.set(router, relay);
-    const isSame = before?.peer.address === address && before.peer.zone === zone;
-    this.#members += isSame ? 0 : 1;
-    this.#sight += before?.isBlind === relay.isBlind ? 0 : 1;
+  #set(peer: RelayPeer, isBlind: boolean, now: MonotonicMillis): void {
+    const known = this.#relays.get(peer.router);
+    this.#sight += known?.isBlind === isBlind ? 0 : 1;
+    if (known?.peer.address === peer.address && known.peer.zone === peer.zone) {
+      known.isBlind = isBlind;
+      known.reportedAt = now;
+      return;
+    }
+    if (known !== undefined) {
+      this.#remove(known);
+    }
+    const relay = { peer, isBlind, reportedAt: now };
+    this.#relays.set(peer.router, relay);
+    this.#ringOf(peer.zone).add(relay);
+    this.#members += 1;
+  }
+
+  #ringOf(zone: Zone): RelayRing {
+    const ring = this.#rings.get(zone) ?? new RelayRing(zone);
+    this.#rings.set(zone, ring);
+    return ring;
+  }
+
+  #remove(relay: KnownRelay): void {
+    const { router, zone } = relay.peer;
+    this.#relays.delete(router);
+    this.#ringOf(zone).delete(relay);
+    if (this.#ringOf(zone).isEmpty) {
+      this.#rings.delete(zone);
+    }
+    this.#members += 1;
   }
 
   #expire(now: MonotonicMillis): void {
-    for (const [router, { reportedAt }] of this.#relays) {
-      if (now - reportedAt > REPORT_LIFETIME_MILLIS) {
-        this.#relays.delete(router);
-        this.#members += 1;
+    if (now - this.#expiredAt < EXPIRE_INTERVAL_MILLIS) {
+      return;
+    }
+    this.#expiredAt = now;
+    for (const relay of this.#relays.values()) {
+      if (now - relay.reportedAt > REPORT_LIFETIME_MILLIS) {
+        this.#remove(relay);
       }
     }
   }
@@ -99,33 +123,28 @@
     return sent.members !== this.#members && isDue;
   }
 
-  #peersOf(asker: RelayPeer, isBlind: boolean): RelayPeer[] {
-    const others = [...this.#relays.values()].filter(({ peer }) => peer.router !== asker.router);
+  #peersOf({ router, zone }: RelayPeer, isBlind: boolean): RelayPeer[] {
     // Blindness changes often, so it matters only in lists of routers that need a relay.
-    const isLast = (known: KnownRelay): boolean =>
-      (isBlind && known.isBlind) || this.#parts.isEvacuated(known.peer.zone);
-    const rank = (known: KnownRelay): number => (isLast(known) ? 1 : 0);
-    const sorted = others
-      .map((known) => ({ known, order: affinityOf(asker.router, known.peer.router) }))
-      .sort((one, other) => rank(one.known) - rank(other.known) || one.order - other.order)
-      .map(({ known }) => known.peer);
-    const own = sorted.filter(({ zone }) => zone === asker.zone).slice(0, MAX_OWN_ZONE_PEERS);
-    const foreign = takeInTurn(sorted.filter(({ zone }) => zone !== asker.zone));
-    const chosen = [...own, ...foreign].slice(0, MAX_PEERS);
-    const spare = sorted.filter((peer) => !chosen.includes(peer));
-    return [...chosen, ...spare].slice(0, MAX_PEERS);
+    const isLast = (relay: KnownRelay): boolean =>
+      (isBlind && relay.isBlind) || this.#parts.isEvacuated(relay.peer.zone);
+    const first = this.#spread(router, zone, (relay) => !isLast(relay));
+    const last = first.length < MAX_PEERS ? this.#spread(router, zone, isLast) : [];
+    return [...first, ...last].slice(0, MAX_PEERS);
   }
-}
 
-/** Reorders peers so that zones take turns; the order within a zone stays. */
-function takeInTurn(peers: readonly RelayPeer[]): RelayPeer[] {
-  const byZone = new Map<Zone, RelayPeer[]>();
-  for (const peer of peers) {
-    byZone.set(peer.zone, [...(byZone.get(peer.zone) ?? []), peer]);
+  /** Relays for an asker: a few of its own zone, those of other zones in turn, then more of its own. */
+  #spread(asker: RouterId, ownZone: Zone, accepts: (relay: KnownRelay) => boolean): RelayPeer[] {
+    const found = (ring: RelayRing | undefined): RelayPeer[] => ring?.after(asker, MAX_PEERS, accepts) ?? [];
+    const own = found(this.#rings.get(ownZone));
+    const foreign = [...this.#rings].filter(([zone]) => zone !== ownZone).map(([, ring]) => found(ring));
+    return [...own.slice(0, MAX_OWN_ZONE_PEERS), ...inTurn(foreign), ...own.slice(MAX_OWN_ZONE_PEERS)];
   }
-  const queues = [...byZone.values()];
-  const longest = Math.max(0, ...queues.map(({ length }) => length));
+}
+
+/** Takes one peer of each list after the other. */
+function inTurn(lists: readonly RelayPeer[][]): RelayPeer[] {
+  const longest = Math.max(0, ...lists.map(({ length }) => length));
   return Array.from({ length: longest }, (_, turn) =>
-    queues.flatMap((queue) => queue.slice(turn, turn + 1)),
+    lists.flatMap((list) => list.slice(turn, turn + 1)),
   ).flat();
 }
--- a/test/control/relay-directory.test.ts
+++ b/test/control/relay-directory.test.ts
@@ -85,6 +85,18 @@
     expect(peers.slice(0, MAX_OWN_ZONE_PEERS).map(({ zone }) => zone)).not.to.include('b');
   });
 
+  it('names none of many much more often than others', () => {
+    reportAll(300, 0);
+    const counts = new Map<string, number>();
+    for (let number = 0; number < 300; number += 1) {
+      directory.onRouterDisconnected(`connection r${number}`);
+      for (const name of namesFor(number, 1)) {
+        counts.set(name, (counts.get(name) ?? 0) + 1);
+      }
+    }
+    expect(Math.max(...counts.values())).to.be.at.most(4 * MAX_PEERS);
+  });
+
   it('forgets a router that no longer reports', () => {
     reportAll(4, 0);
     report(0, 1);
