--- a/src/control/ranges/range-servers.ts
+++ b/src/control/ranges/range-servers.ts
@@ -71,7 +71,7 @@
         if (loadLimit !== undefined || (limitsCold && announced.warmupMillis > 0)) {
           limited.add(id);
         }
-        const server = {
+        const server: RangeServer = {
           upstream: id,
           slots: announced.slots,
           speed: this.speeds.speedOf(id),
