Platform: a router's regions are handed on as the table that they are

Cause: the template of a router's settings wrote the table of regions with a section and a form of placeholder that the test's renderer doesn't know. The platform renders a whole table as JSON, which YAML takes as it is and which needs no care for names that YAML reads otherwise.

--- a/test/platform/names.test.ts
+++ b/test/platform/names.test.ts
@@ -89,6 +89,8 @@
   it('gets settings that both daemons accept', () => {
     const router = routerSettingsSchema.parse(rendered('router.yaml'));
     expect(router.control).to.deep.equal(['10.1.0.4:7540', '10.2.0.4:7540']);
+    expect(router.relay).to.equal('10.1.0.4:7555');
+    expect(router.regions).to.deep.equal({ 'zone-a': 'region', 'zone-b': 'region' });
     expect(router.headers.deadline).to.equal('request-deadline-ms');
     const control = controlSettingsSchema.parse(rendered('control.yaml'));
     expect(control.selfStart?.seeds).to.deep.equal(['10.1.0.4:7540', '10.2.0.4:7540']);
