Paths: an answer that is late while others arrive has its path checked far more seldom

What callers saw: nothing, but upstreams did.

Cause: a path counted as doubtful once its upstream was quiet for three times its usual answer time, whatever the other upstreams did, and again each second after a check had found it working. One answer in a hundred is that late.

Change: while other upstreams answer over their direct paths and none is known to be lost, it takes six times the usual time, and twelve for ten seconds after a check found the path working. A router that hears nobody is as quick as before.

All tests of lost paths pass as before.

--- a/src/routing/paths/hung-attempts.ts
+++ b/src/routing/paths/hung-attempts.ts
@@ -15,6 +15,11 @@
 /** A path is checked once its upstream is quiet for this multiple of its usual time, but not before the minimum. */
 const QUIET_FACTOR = 3;
 const MIN_QUIET_MILLIS = 200;
+/** Factors on that time while others answer, since an upstream that is slow is far more common then; the second after a check found the path working. */
+const OTHERS_ANSWER_FACTOR = 2;
+const KNOWN_SLOW_FACTOR = 4;
+/** How long it counts that a check found a path working. */
+const KNOWN_SLOW_MILLIS = 10_000;
 /** Assumed time of an answer while nothing was measured and the route has no target. */
 const UNMEASURED_MILLIS = 200;
 /** Attempts that wait for a connection have been recalled by then, so that what is left was sent. */
@@ -50,17 +55,27 @@
     const { attempts, paths, now } = this.#context;
     for (const attempt of [...attempts.values()]) {
       const { upstream } = attempt;
-      if (attempt.abandoned || !isQuiet(attempt, now)) {
+      const quietMillis = quietMillisOf(attempt);
+      const quietForMillis = now - Math.max(attempt.startedAt, upstream.heardAt ?? attempt.startedAt);
+      if (attempt.abandoned || quietForMillis < quietMillis) {
         continue;
       }
       if (isOnLeftPath(attempt) || paths.leaveAssumedLost(upstream)) {
         this.#resend(attempt);
-      } else if (paths.isCheckDue(upstream)) {
+      } else if (this.#mayBeCutOff(upstream, quietForMillis, quietMillis)) {
         paths.judge(upstream, null, () => {});
       }
     }
   }
 
+  #mayBeCutOff(upstream: UpstreamState, quietForMillis: number, quietMillis: number): boolean {
+    const { paths, now } = this.#context;
+    const isKnownSlow = now < upstream.path.workedAt + KNOWN_SLOW_MILLIS;
+    const factor = isKnownSlow ? KNOWN_SLOW_FACTOR : OTHERS_ANSWER_FACTOR;
+    const isLong = quietForMillis >= quietMillis * factor;
+    return (isLong || !paths.hasHeardOthers(upstream, now - quietMillis)) && paths.isCheckDue(upstream);
+  }
+
   /** Sends again what hangs on a path that was left. */
   resend({ upstream, path, evidence }: LeftPath): void {
     const { attempts } = this.#context;
@@ -95,11 +110,10 @@
   }
 }
 
-/** Whether nothing has come from an attempt's upstream for so long that its path may be lost. */
-function isQuiet({ startedAt, upstream, group }: Attempt, now: number): boolean {
+/** Time without a sign of an attempt's upstream after which its path may be lost. */
+function quietMillisOf({ upstream, group }: Attempt): number {
   const { service, terms } = group;
   const measuredMillis = upstream.measuredMillis ?? service.measuredMillis();
   const usualMillis = measuredMillis ?? terms.targetMillis ?? UNMEASURED_MILLIS;
-  const quietMillis = Math.max(MIN_QUIET_MILLIS, usualMillis * QUIET_FACTOR);
-  return now >= Math.max(startedAt, upstream.heardAt ?? startedAt) + quietMillis;
+  return Math.max(MIN_QUIET_MILLIS, usualMillis * QUIET_FACTOR);
 }
--- a/src/routing/paths/path-watch.ts
+++ b/src/routing/paths/path-watch.ts
@@ -6,6 +6,7 @@
 import type { Random } from '../random.js';
 import type { RouterEffect } from '../types.js';
 import type { UpstreamState } from '../upstream/upstream-state.js';
+import { DirectAnswers } from './direct-answers.js';
 import { DirectReturns } from './direct-returns.js';
 import { type Path, PathCheck, type PathCheckStep, type PathVerdict } from './path-check.js';
 import { PATH_OUTCOMES, type PathOutcome } from './path-outcome.js';
@@ -68,6 +69,7 @@
   readonly #tries: PathTries;
   readonly #returns: DirectReturns;
   readonly #beliefs = new ReachBeliefs();
+  readonly #answers = new DirectAnswers();
   readonly #checks = new Map<UpstreamId, RunningCheck>();
   readonly #outOfReach = new Set<UpstreamState>();
   #sampledAt: MonotonicMillis = Number.NEGATIVE_INFINITY;
@@ -191,6 +193,13 @@
   /** Records that an upstream was heard over its direct path. */
   heardDirectly(upstream: UpstreamState): void {
     this.#beliefs.recordReached(upstream);
+    this.#answers.record(upstream, this.#parts.now());
+  }
+
+  /** Whether other upstreams were heard over their direct paths since a time, and no path is known to be lost. */
+  hasHeardOthers(than: UpstreamState, since: MonotonicMillis): boolean {
+    const isAnyLost = this.relayedCount > 0 || this.isAnyOutOfReach;
+    return !isAnyLost && this.#answers.hasHeardOthers(than, since);
   }
 
   /** Handles the failure of a relay that carries connections for this router, and moves its upstreams to other relays. */
--- a/test/routing/cut-fleet.ts
+++ b/test/routing/cut-fleet.ts
@@ -17,6 +17,8 @@
 /** Number of shards for each owner of keys. */
 const SHARDS_PER_OWNER = 3;
 const WORK_SIGMA = 0.3;
+/** How much longer a slow request takes. */
+const SLOW_FACTOR = 4;
 const CONTROL_DELAY_MILLIS = 1;
 /** Number of different requests of a class, so that some of them are under way more than once. */
 const DISTINCT_REQUESTS = 400;
@@ -78,6 +80,8 @@
   readonly millis: number;
   /** Share of packets that are lost everywhere; 0 if left out. */
   readonly lossShare?: number;
+  /** Share of requests that take far longer than the others; 0 if left out. */
+  readonly slowShare?: number;
   /** Times at which something else happens. */
   readonly events?: readonly { readonly at: number; readonly run: (fleet: CutFleet) => void }[];
 }
@@ -247,7 +251,7 @@
       method: kind.repeatable ? 'GET' : 'POST',
       fingerprint: kind.repeatable ? `${kind.name}/${text}` : `${kind.name}/${number}`,
       deadlineMillis: kind.deadlineMillis,
-      workMillis: this.#random.logNormal(kind.workMillis, WORK_SIGMA),
+      workMillis: this.#random.logNormal(kind.workMillis, WORK_SIGMA) * this.#slowness(),
     };
     this.calls.push({
       sentAt: this.time.now,
@@ -263,6 +267,11 @@
     this.time.after(kind.deadlineMillis, () => this.#leave(router, call));
   }
 
+  #slowness(): number {
+    const { slowShare = 0 } = this.#options;
+    return slowShare > 0 && this.#random.fraction() < slowShare ? SLOW_FACTOR : 1;
+  }
+
   /** The caller leaves at its deadline. */
   #leave(_router: CutRouter, { number }: CutCall): void {
     const record = this.calls[number] as CallRecord;
--- a/test/routing/cut-router.ts
+++ b/test/routing/cut-router.ts
@@ -105,6 +105,8 @@
 
   /** Number of connections that this router has opened. */
   opened = 0;
+  /** Numbers of checked paths, which cost a connection each. */
+  readonly pathTries = { direct: 0, relayed: 0 };
 
   step(act: (harness: RouterHarness) => readonly RouterEffect[]): void {
     if (this.isStopped) {
@@ -237,6 +239,7 @@
 
   #tryPath({ number, upstream: name, via }: Extract<RouterEffect, { readonly type: 'try-path' }>): void {
     const upstream = this.#parts.upstreams.get(name) as CutUpstream;
+    this.pathTries[via === null ? 'direct' : 'relayed'] += 1;
     let isOver = false;
     const finish = (opened: Opened): void => {
       const isOpen = typeof opened !== 'string';
--- a/test/routing/no-path-to-upstreams.test.ts
+++ b/test/routing/no-path-to-upstreams.test.ts
@@ -43,6 +43,10 @@
   return log.filter((line) => line.event === event).length;
 }
 
+function pathTriesOf({ routers }: CutFleet, kind: 'direct' | 'relayed'): number {
+  return routers.reduce((sum, { pathTries }) => sum + pathTries[kind], 0);
+}
+
 function expectNobodyBlamed(fleet: CutFleet): void {
   expect(linesOf(fleet, 'request-suspected'), 'accused requests').to.equal(0);
   expect(linesOf(fleet, 'run-ended'), 'runs taken for ended').to.equal(0);
@@ -187,6 +191,11 @@
     expect(linesOf(run({ cuts: [] }), 'path-changed')).to.equal(0);
   });
 
+  it('slow answers while others arrive are hardly ever checked with a connection', () => {
+    const fleet = run({ cuts: [], slowShare: 0.1 });
+    expect(pathTriesOf(fleet, 'direct')).to.be.at.most(fleet.calls.length * 0.01);
+  });
+
   it('upstreams that are dead for all routers are not reached over any', () => {
     const fleet = run({
       cuts: [],
