Paths: fewer routers are asked about an upstream that refuses while others answer

Change: where other upstreams have just answered over their direct paths, a router isn't cut off from all, and one round of three peers is enough. Only where the verdict would accuse a request as many are asked as before. A refused connection to a run accuses no longer by itself where peers can be asked, but has that run looked at.

Evidence: path-check's new cases (four tries where there were eight) fail on; the cuts of one upstream and of one service accuse nobody, as before.

--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -157,7 +157,7 @@
     group.service.held.add(group);
     // A single failure may be that of a lost packet or of an upstream that restarts, so the path is tried again first.
     const seen = result.relayFailure === undefined ? null : PATH_OUTCOMES.noRelay;
-    this.context.paths.judge(upstream, seen, (verdict) => this.onPathVerdict(attempt, result, verdict));
+    this.context.paths.judge(upstream, { seen }, (verdict) => this.onPathVerdict(attempt, result, verdict));
   }
 
   private onPathVerdict(attempt: Attempt, result: ConnectFailed, { type }: PathVerdict): void {
--- a/src/routing/crash-watch.ts
+++ b/src/routing/crash-watch.ts
@@ -123,7 +123,7 @@
       case 'connect-failed':
         this.onUnsent(attempt);
         if (result.refused === true && attempt.run !== null) {
-          this.runs.ended(attempt.run, 'connection-refused');
+          this.runs.recordRefused(attempt.run);
         }
     }
   }
--- a/src/routing/paths/hung-attempts.ts
+++ b/src/routing/paths/hung-attempts.ts
@@ -11,6 +11,7 @@
 import { isOnLeftPath, mayResend } from './left-path.js';
 import type { Path } from './path-check.js';
 import { PATH_OUTCOMES, type PathOutcome } from './path-outcome.js';
+import { UNSEEN } from './path-watch.js';
 
 /** A path is checked once its upstream is quiet for this multiple of its usual time, but not before the minimum. */
 const QUIET_FACTOR = 3;
@@ -63,7 +64,7 @@
       if (isOnLeftPath(attempt) || paths.leaveAssumedLost(upstream)) {
         this.#resend(attempt);
       } else if (this.#mayBeCutOff(upstream, quietForMillis, quietMillis)) {
-        paths.judge(upstream, null, () => {});
+        paths.judge(upstream, UNSEEN, () => {});
       }
     }
   }
--- a/src/routing/paths/path-check.ts
+++ b/src/routing/paths/path-check.ts
@@ -10,6 +10,8 @@
 const PEERS_PER_ROUND = 3;
 const MAX_ROUNDS = 4;
 const MAX_SILENT_ROUNDS = 2;
+/** Rounds of peers that are refused too, if this router isn't cut off and nobody is accused by the verdict. */
+const MAX_QUICK_ROUNDS = 1;
 
 /** A path: over a relay, or direct (`null`). */
 export type Path = RelayPeer | null;
@@ -38,9 +40,15 @@
   readonly isFirstSighted: boolean;
   /** Whether other upstreams like this one were found to be lost, so that the first of the other paths needs no try. */
   readonly isAssumedLost: () => boolean;
+  /** Whether other upstreams are heard over their direct paths, so that this router isn't cut off from all. */
+  readonly hasHeardOthers: () => boolean;
 }
 
-const NO_TRUST: PathTrust = { isFirstSighted: false, isAssumedLost: () => false };
+const NO_TRUST: PathTrust = {
+  isFirstSighted: false,
+  isAssumedLost: () => false,
+  hasHeardOthers: () => false,
+};
 const WAIT: PathCheckStep = { tries: [], verdict: null };
 
 export class PathCheck {
@@ -50,6 +58,7 @@
   #seen: PathOutcome | null;
   #rounds = 0;
   #openTries = 0;
+  #mustBeThorough = false;
   readonly #outcomes: PathOutcome[] = [];
 
   /**
@@ -66,6 +75,16 @@
     this.#seen = seen;
   }
 
+  /** Whether as many peers were asked as may be. */
+  get isThorough(): boolean {
+    return this.#others.length === 0 || !this.#isQuick();
+  }
+
+  /** From now on asks as many peers as may be, because the verdict may accuse a request. */
+  makeThorough(): void {
+    this.#mustBeThorough = true;
+  }
+
   begin(): PathCheckStep {
     if (this.#seen !== null) {
       return this.#tryOthers();
@@ -96,7 +115,6 @@
   }
 
   #tryOthers(): PathCheckStep {
-    const maxRounds = this.#outcomes.includes(PATH_OUTCOMES.silent) ? MAX_SILENT_ROUNDS : MAX_ROUNDS;
     const { isFirstSighted, isAssumedLost } = this.trust;
     const [first] = this.#others;
     if (isFirstSighted && first !== undefined && this.#rounds === 0 && isAssumedLost()) {
@@ -105,7 +123,7 @@
     }
     const isAlone = isFirstSighted && this.#rounds === 0;
     const round = isAlone ? this.#others.slice(0, 1) : nextRound(this.#others);
-    const tries = this.#rounds < maxRounds ? round : [];
+    const tries = this.#rounds < this.#maxRounds() ? round : [];
     if (tries.length === 0) {
       return { tries: [], verdict: this.#verdict() };
     }
@@ -115,6 +133,18 @@
     return { tries, verdict: null };
   }
 
+  #maxRounds(): number {
+    if (this.#outcomes.includes(PATH_OUTCOMES.silent)) {
+      return MAX_SILENT_ROUNDS;
+    }
+    return this.#isQuick() ? MAX_QUICK_ROUNDS : MAX_ROUNDS;
+  }
+
+  #isQuick(): boolean {
+    const isRefused = this.#outcomes.includes(PATH_OUTCOMES.refused);
+    return isRefused && !this.#mustBeThorough && this.trust.hasHeardOthers();
+  }
+
   #verdict(): PathVerdict {
     if (this.#outcomes.includes(PATH_OUTCOMES.refused)) {
       return { type: 'ended' };
--- a/src/routing/paths/path-watch.ts
+++ b/src/routing/paths/path-watch.ts
@@ -32,6 +32,8 @@
 const SAMPLE_INTERVAL_MILLIS = 2000;
 /** Failures of an upstream that was found to be at fault itself aren't judged again for this long. */
 const FAULT_MILLIS = 500;
+/** An upstream that answered this recently shows that this router isn't cut off from all. */
+const RECENT_ANSWER_MILLIS = 250;
 /** A path that was found to work isn't checked again for this long. */
 const WORKS_MILLIS = 1000;
 
@@ -56,6 +58,17 @@
   readonly upstreams: ReadonlyMap<UpstreamId, UpstreamState>;
 }
 
+/** Why a path is judged. */
+export interface PathDoubt {
+  /** What was just seen on the path in use; `null`: it is tried first. */
+  readonly seen: PathOutcome | null;
+  /** Whether a request is accused if the upstream has ended, so that as many peers are asked as may be. */
+  readonly accuses?: boolean;
+}
+
+/** A doubt without any evidence yet. */
+export const UNSEEN: PathDoubt = { seen: null };
+
 interface RunningCheck {
   readonly upstream: UpstreamState;
   readonly check: PathCheck;
@@ -138,20 +151,24 @@
     return true;
   }
 
-  /**
-   * Judges the path to an upstream; `done` is called once, at once where no other path can be tried. `seen`: what was just seen on the path
-   * in use, `null`: it is tried first.
-   */
-  judge(upstream: UpstreamState, seen: PathOutcome | null, done: (verdict: PathVerdict) => void): void {
+  /** Judges the path to an upstream; `done` is called once, at once where no other path can be tried. */
+  judge(
+    upstream: UpstreamState,
+    { seen, accuses = false }: PathDoubt,
+    done: (verdict: PathVerdict) => void,
+  ): void {
     const running = this.#checks.get(upstream.id);
     if (running !== undefined) {
       running.listeners.push(done);
+      if (accuses) {
+        running.check.makeThorough();
+      }
       return;
     }
     const { path } = upstream;
     const now = this.#parts.now();
     const others = this.#otherPaths(upstream, now);
-    const fault = faultAt(path, now);
+    const fault = faultAt(path, now, accuses);
     if (others.length === 0 || fault !== null) {
       done(fault ?? { type: 'unknown' });
       return;
@@ -160,7 +177,11 @@
     const check = new PathCheck(path.relay, others, seen, {
       isFirstSighted: first != null && this.peers.isSighted(first.router, now),
       isAssumedLost: () => this.#beliefs.isAssumed(upstream, 'lost-path', this.#parts.now()),
+      hasHeardOthers: () => this.hasHeardOthers(upstream, this.#parts.now() - RECENT_ANSWER_MILLIS),
     });
+    if (accuses) {
+      check.makeThorough();
+    }
     const started: RunningCheck = { upstream, check, listeners: [done], startedAt: now };
     this.#checks.set(upstream.id, started);
     this.#follow(started, check.begin());
@@ -169,7 +190,7 @@
   /** Whether a path that seems quiet should be checked now. */
   isCheckDue({ id, path }: UpstreamState): boolean {
     const now = this.#parts.now();
-    const hasVerdict = now < path.workedAt + WORKS_MILLIS || faultAt(path, now) !== null;
+    const hasVerdict = now < path.workedAt + WORKS_MILLIS || faultAt(path, now, false) !== null;
     return this.peers.size > 0 && !this.#checks.has(id) && !hasVerdict;
   }
 
@@ -270,11 +291,12 @@
   }
 
   #conclude(running: RunningCheck, verdict: PathVerdict): void {
-    const { upstream, startedAt } = running;
+    const { upstream, startedAt, check } = running;
     const now = this.#parts.now();
     const wasHeard = (upstream.heardAt ?? Number.NEGATIVE_INFINITY) > startedAt;
     if (verdict.type === 'ended' || verdict.type === 'unreachable') {
-      upstream.path.upstreamFault = { verdict, until: now + FAULT_MILLIS };
+      const { isThorough } = check;
+      upstream.path.upstreamFault = { verdict, isThorough, until: now + FAULT_MILLIS };
     }
     if (verdict.type === 'unreachable' && !wasHeard) {
       this.#beliefs.recordFailure(upstream, 'out-of-reach', now);
@@ -318,7 +340,7 @@
 
   #lookFor(upstream: UpstreamState): void {
     if (this.#checks.size < MAX_CHECKS && this.isCheckDue(upstream)) {
-      this.judge(upstream, null, () => {});
+      this.judge(upstream, UNSEEN, () => {});
     }
   }
 
@@ -393,6 +415,11 @@
   }
 }
 
-function faultAt({ upstreamFault }: UpstreamPath, now: MonotonicMillis): PathVerdict | null {
-  return upstreamFault !== null && now < upstreamFault.until ? upstreamFault.verdict : null;
+function faultAt(
+  { upstreamFault }: UpstreamPath,
+  now: MonotonicMillis,
+  isThorough: boolean,
+): PathVerdict | null {
+  const isKnown = upstreamFault !== null && now < upstreamFault.until;
+  return isKnown && (upstreamFault.isThorough || !isThorough) ? upstreamFault.verdict : null;
 }
--- a/src/routing/paths/upstream-path.ts
+++ b/src/routing/paths/upstream-path.ts
@@ -3,6 +3,15 @@
 import type { RelayPeer } from '../../model/relay.js';
 import type { PathVerdict } from './path-check.js';
 
+/** A verdict by which the upstream itself, not the path, is at fault. */
+export interface UpstreamFault {
+  readonly verdict: PathVerdict;
+  /** Whether as many peers were asked as may be. */
+  readonly isThorough: boolean;
+  /** Until when it counts. */
+  readonly until: MonotonicMillis;
+}
+
 /** A direct path that is lost again within this time after it came back stays unused for longer. */
 const RELAPSE_MILLIS = 5000;
 const FIRST_STAY_MILLIS = 1000;
@@ -12,8 +21,8 @@
   #relay: RelayPeer | null = null;
   #since: MonotonicMillis = Number.NEGATIVE_INFINITY;
   #stayMillis = 0;
-  /** The last verdict by which the upstream itself, not the path, was at fault, and until when it counts. */
-  upstreamFault: { readonly verdict: PathVerdict; readonly until: MonotonicMillis } | null = null;
+  /** The latest one. */
+  upstreamFault: UpstreamFault | null = null;
   /** When nothing came back from the upstream over any path; `null`: something did since, or that wasn't tried. */
   outOfReachAt: MonotonicMillis | null = null;
   /** When the path in use was last found to work. */
--- a/src/routing/watched-runs.ts
+++ b/src/routing/watched-runs.ts
@@ -8,6 +8,7 @@
 import type { Address, MonotonicMillis, UpstreamId } from '../model/identifiers.js';
 import { announcedRun } from '../model/service.js';
 import type { PathVerdict } from './paths/path-check.js';
+import { PATH_OUTCOMES, type PathOutcome } from './paths/path-outcome.js';
 import type { Attempt } from './request-group.js';
 import type { RouterContext } from './router-context.js';
 import type { RunCheck } from './types.js';
@@ -183,12 +184,25 @@
     run.isChecking = !run.hasEnded && run.losses.some(({ wasAbandoned }) => !wasAbandoned);
     if (run.isChecking) {
       run.checks += 1;
-      this.#lookFor(run);
+      this.#lookFor(run, null);
+    }
+  }
+
+  /** Handles a refused connection to a run, which is no proof yet where other routers can be asked. */
+  recordRefused(name: RunName): void {
+    const run = this.#runs.get(name);
+    if (run === undefined || run.hasEnded) {
+      return;
+    }
+    if (this.#context.paths.peers.size === 0) {
+      this.ended(name, END_PROOFS.connectionRefused);
+    } else if (run.losses.length > 0) {
+      this.#lookFor(run, PATH_OUTCOMES.refused);
     }
   }
 
   /** Where other routers can be asked, a refused connection proves an end only if they are refused too. */
-  #lookFor(run: WatchedRun): void {
+  #lookFor(run: WatchedRun, seen: PathOutcome | null): void {
     const { upstreams, paths } = this.#context;
     const upstream = upstreams.get(run.upstream);
     const isCurrent = upstream !== undefined && runNameOf(upstream) === run.name;
@@ -196,7 +210,8 @@
       this.#context.emit({ type: 'check-run', run: run.name, address: run.address });
       return;
     }
-    paths.judge(upstream, null, ({ type }) => this.recordCheck(run.name, CHECK_OF_VERDICT[type]));
+    const doubt = { seen, accuses: true };
+    paths.judge(upstream, doubt, ({ type }) => this.recordCheck(run.name, CHECK_OF_VERDICT[type]));
   }
 
   /** Records a lost attempt and returns its run; `null` if the request isn't watched. */
--- a/test/routing/path-check.test.ts
+++ b/test/routing/path-check.test.ts
@@ -7,6 +7,9 @@
   (router, index): RelayPeer => ({ router, zone: `z${index % 3}`, address: `${router}:1` }),
 );
 
+const TRUST = { isFirstSighted: false, isAssumedLost: () => false, hasHeardOthers: () => false };
+const HEARS_OTHERS = { ...TRUST, hasHeardOthers: () => true };
+
 /** Answers each try as the table says until there is a verdict; counts the tries. */
 function run(check: PathCheck, outcomeOf: (path: Path) => PathOutcome) {
   let tries = 0;
@@ -48,8 +51,21 @@
     });
   }
 
+  it('asks few peers about an upstream that refuses while others answer', () => {
+    const check = new PathCheck(null, PEERS, null, HEARS_OTHERS);
+    const result = run(check, directly('refused', 'refused'));
+    expect([result.verdict.type, result.tries, check.isThorough]).to.deep.equal(['ended', 4, false]);
+  });
+
+  it('asks as many as may be where the verdict accuses a request', () => {
+    const check = new PathCheck(null, PEERS, null, HEARS_OTHERS);
+    check.makeThorough();
+    const result = run(check, directly('refused', 'refused'));
+    expect([result.verdict.type, result.tries, check.isThorough]).to.deep.equal(['ended', 8, true]);
+  });
+
   it('asks one peer alone that reached an upstream a moment ago', () => {
-    const trust = { isFirstSighted: true, isAssumedLost: () => false };
+    const trust = { ...TRUST, isFirstSighted: true };
     const result = run(new PathCheck(null, PEERS, 'silent', trust), directly('silent', 'reached'));
     expect(result).to.deep.equal({
       verdict: { type: 'other-path', path: PEERS[0], evidence: 'silent' },
@@ -58,7 +74,7 @@
   });
 
   it('asks nobody where upstreams like this one were found lost and a peer is known to see', () => {
-    const trust = { isFirstSighted: true, isAssumedLost: () => true };
+    const trust = { ...TRUST, isFirstSighted: true, isAssumedLost: () => true };
     const check = new PathCheck(null, PEERS, 'refused', trust);
     expect(check.begin().verdict).to.deep.equal({ type: 'other-path', path: PEERS[0], evidence: 'refused' });
   });
