Paths: an upstream that starts again while its path is checked isn't taken for a lost one

What callers saw: a relayed connection to an upstream that was in reach, for 200 ms or more.

Cause: the direct path was refused while the upstream was down, a peer was asked a moment later and reached its successor; two looks at two moments were taken for two places.

Change: where a refused path seems lost, it is tried once more before that is believed.

Evidence: the new case of path-check fails before (other-path).

--- a/src/routing/paths/path-check.ts
+++ b/src/routing/paths/path-check.ts
@@ -59,6 +59,8 @@
   #rounds = 0;
   #openTries = 0;
   #mustBeThorough = false;
+  /** The path that reached the upstream, while the direct one is tried once more. */
+  #found: Path = null;
   readonly #outcomes: PathOutcome[] = [];
 
   /**
@@ -95,17 +97,36 @@
 
   /** Handles the outcome of a try. */
   tried(path: Path, outcome: PathOutcome): PathCheckStep {
+    if (this.#found !== null) {
+      return path === null ? this.#triedAgain(this.#found, outcome) : WAIT;
+    }
     this.#openTries -= 1;
     if (this.#seen === null) {
       return this.#triedCurrent(outcome);
     }
     if (outcome === PATH_OUTCOMES.reached) {
-      return { tries: [], verdict: { type: 'other-path', path, evidence: this.#seen } };
+      return this.#foundOther(path, this.#seen);
     }
     this.#outcomes.push(outcome);
     return this.#openTries > 0 ? WAIT : this.#tryOthers();
   }
 
+  /** An address that refused may be served again by now, so the direct path is tried once more before it counts as lost. */
+  #foundOther(path: Path, seen: PathOutcome): PathCheckStep {
+    if (this.#current !== null || seen !== PATH_OUTCOMES.refused) {
+      return { tries: [], verdict: { type: 'other-path', path, evidence: seen } };
+    }
+    this.#found = path;
+    return { tries: [null], verdict: null };
+  }
+
+  #triedAgain(path: Path, outcome: PathOutcome): PathCheckStep {
+    if (outcome === PATH_OUTCOMES.reached) {
+      return { tries: [], verdict: { type: 'works' } };
+    }
+    return { tries: [], verdict: { type: 'other-path', path, evidence: PATH_OUTCOMES.refused } };
+  }
+
   #triedCurrent(outcome: PathOutcome): PathCheckStep {
     if (outcome === PATH_OUTCOMES.reached || outcome === PATH_OUTCOMES.unknown) {
       return { tries: [], verdict: { type: 'works' } };
--- a/test/routing/path-check.test.ts
+++ b/test/routing/path-check.test.ts
@@ -38,7 +38,7 @@
     ['finds that the path in use works', 'reached', 'reached', 'works', 1],
     ['takes no path away for a fault of this process', 'unknown', 'reached', 'works', 1],
     ['finds another path where the direct one is silent', 'silent', 'reached', 'other-path', 4],
-    ['finds another path where the direct one is refused', 'refused', 'reached', 'other-path', 4],
+    ['finds another path where the direct one is refused', 'refused', 'reached', 'other-path', 5],
     ['finds that an upstream ended which refuses everywhere', 'refused', 'refused', 'ended', 8],
     ['finds that an upstream ended which others see refuse', 'silent', 'refused', 'ended', 8],
     ['finds that nothing comes back over any path', 'silent', 'silent', 'unreachable', 7],
@@ -64,6 +64,15 @@
     expect([result.verdict.type, result.tries, check.isThorough]).to.deep.equal(['ended', 8, true]);
   });
 
+  it('takes no path away from an upstream that starts again while its path is checked', () => {
+    let direct = 0;
+    const result = run(new PathCheck(null, PEERS, null), (path) => {
+      direct += path === null ? 1 : 0;
+      return path === null && direct === 1 ? 'refused' : 'reached';
+    });
+    expect(result.verdict).to.deep.equal({ type: 'works' });
+  });
+
   it('asks one peer alone that reached an upstream a moment ago', () => {
     const trust = { ...TRUST, isFirstSighted: true };
     const result = run(new PathCheck(null, PEERS, 'silent', trust), directly('silent', 'reached'));
