Attempts: a cancelled request is reset, so that what was held up by a cut never arrives

What callers saw: an order that had hung in a cut and was given up ran when the cut ended, seconds after its caller had left; the first moments after a cut went into work for nobody.

Cause: a cancelled request's connection was closed. The system keeps what a closed connection still has to send, and delivers it when packets pass again.

Change: each connection of a pool is a client that can reset it. A cancelled request resets its connection (over a relay, the one between the routers); bytes that are not with the system yet are dropped by closing it as before.

The bundle takes one more class of the HTTP library.

--- a/scripts/bundle/lean-libraries.mjs
+++ b/scripts/bundle/lean-libraries.mjs
@@ -10,6 +10,7 @@
   {
     filter: /^undici$/,
     contents: `export { default as Agent } from 'undici/lib/dispatcher/agent.js';
+      export { default as Client } from 'undici/lib/dispatcher/client.js';
       export { default as Pool } from 'undici/lib/dispatcher/pool.js';
       export { default as buildConnector } from 'undici/lib/core/connect.js';`,
   },
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -15,6 +15,7 @@
 import { classifyBreak } from './classify-break.js';
 import { connectFailure } from './connect-failure.js';
 import type { ConnectionResets } from './connection-resets.js';
+import type { ClientUser, ResettableClient } from './resettable-client.js';
 import { storedAnswerOf } from './stored-answer.js';
 import type { UpstreamProtocol } from './upstream-protocol.js';
 
@@ -46,7 +47,7 @@
 /** Answers up to this size are read whole even if little memory for answers is free. */
 const SMALL_ANSWER_BYTES = 16 * 1024;
 
-export class Attempt implements Dispatcher.DispatchHandlers {
+export class Attempt implements Dispatcher.DispatchHandlers, ClientUser {
   private phase: Phase = 'waiting';
   private head: AnswerHead | null = null;
   private chunks: Buffer[] = [];
@@ -58,6 +59,7 @@
   private stream: AnswerStream | null = null;
   private abortRequest: ((error: Error) => void) | null = null;
   private abortReason: AttemptFailure | null = null;
+  private client: ResettableClient | null = null;
   private resume: () => void = () => {};
 
   constructor(private readonly options: AttemptOptions) {}
@@ -92,8 +94,17 @@
     }
   }
 
-  /** Aborts the attempt and closes its connection to the upstream. */
+  onClient(client: ResettableClient): void {
+    this.client = client;
+  }
+
+  /** Aborts the attempt and resets its connection to the upstream, so that nothing of it arrives there later. */
   cancel(): void {
+    const mayReset = this.phase === 'sent' && !this.complete && this.abortReason === null;
+    if (mayReset && this.client?.reset() === true) {
+      this.abortReason = 'cancelled';
+      return;
+    }
     this.abort('cancelled');
   }
 
--- a/src/router/attempts/upstream-pools.ts
+++ b/src/router/attempts/upstream-pools.ts
@@ -4,6 +4,7 @@
 import type { RelayPeer } from '../../model/relay.js';
 import type { RelayDialer } from '../relay/relay-dialer.js';
 import { ConnectionResets } from './connection-resets.js';
+import { ResettableClient } from './resettable-client.js';
 import type { Connector } from './settled-connector.js';
 
 export interface UpstreamPoolOptions {
@@ -68,6 +69,7 @@
       headersTimeout: 0,
       bodyTimeout: this.options.streamStallMillis,
       connect: this.connectorFor(path),
+      factory: (origin, options) => new ResettableClient(origin, options),
       ...(localAddress && { localAddress }),
     });
     this.pools.set(key, { pool, address, via: via?.router ?? null });
--- a/src/router/relay/relay-stream.ts
+++ b/src/router/relay/relay-stream.ts
@@ -31,6 +31,7 @@
   #hasEnd = false;
   /** Whether the socket still has frames to write that must arrive. */
   #isFlushing = false;
+  #isReset = false;
 
   /** Takes the socket over, with the decoder that has read its frames so far. */
   constructor(socket: Socket, decoder: FrameDecoder, options: RelayStreamOptions = {}) {
@@ -56,6 +57,12 @@
     }
   }
 
+  /** Closes the connection between the routers and discards what hasn't arrived. */
+  resetAndDestroy(): void {
+    this.#isReset = true;
+    this.destroy();
+  }
+
   override _read(): void {
     this.#socket.resume();
   }
@@ -75,7 +82,9 @@
   }
 
   override _destroy(error: Error | null, done: (error?: Error | null) => void): void {
-    if (this.#isFlushing && error === null) {
+    if (this.#isReset) {
+      this.#socket.resetAndDestroy();
+    } else if (this.#isFlushing && error === null) {
       this.#socket.end();
       this.#socket.resume();
     } else {
