Paths: a new leader's first short list doesn't take away the relays a router knows

Cause: the directory of relays is the leader's own and starts empty. The first router that reports to a new leader was told of no peer at all, and that list took the place of a full one until the leader had heard the others, a second or two later. A router without peers takes each refusal for an end.

Change: peers that are named no more stay in use for ten seconds, after those that are named.

Evidence: 'serve alike and accuse nobody if control's leader changes 1000 ms before (refused)' fails on (5 accused), passes now, as do the five others of leader changes. A delay at the leader was tried instead and dropped: routers had no peers in their first seconds (13 tests failed).

--- a/src/routing/paths/relay-peer-table.ts
+++ b/src/routing/paths/relay-peer-table.ts
@@ -9,6 +9,8 @@
   readonly zone: Zone;
 }
 
+/** How long a peer stays in use that the leader names no more: a leader that has just been elected knows few routers. */
+const KEEP_MILLIS = 10_000;
 /** How long it counts that a peer reached an upstream, or failed to reach one that another peer reached. */
 const SIGHT_LIFETIME_MILLIS = 5000;
 
@@ -17,7 +19,10 @@
 type Sight = keyof typeof SIGHT_ORDER;
 
 export class RelayPeerTable {
-  #peers: readonly RelayPeer[] = [];
+  /** Those that the leader named last. */
+  #named: readonly RelayPeer[] = [];
+  /** Those that it named before, with the time until which they stay in use. */
+  readonly #former = new Map<RouterId, { readonly peer: RelayPeer; readonly until: MonotonicMillis }>();
   readonly #avoidedUntil = new Map<RouterId, MonotonicMillis>();
   readonly #sights = new Map<RouterId, { readonly sight: Sight; readonly at: MonotonicMillis }>();
 
@@ -28,13 +33,29 @@
   ) {}
 
   get size(): number {
-    return this.#peers.length;
+    return this.#named.length + this.#former.size;
   }
 
-  /** Replaces the peers. */
-  set(peers: readonly RelayPeer[]): void {
-    this.#peers = peers;
-    const names = new Set(peers.map(({ router }) => router));
+  /** Replaces the peers that the leader names. */
+  set(peers: readonly RelayPeer[], now: MonotonicMillis): void {
+    for (const peer of this.#named) {
+      this.#former.set(peer.router, { peer, until: now + KEEP_MILLIS });
+    }
+    for (const { router } of peers) {
+      this.#former.delete(router);
+    }
+    this.#named = peers;
+    this.#forget(now);
+  }
+
+  /** Forgets the former peers whose time is over, and what was known of them. */
+  #forget(now: MonotonicMillis): void {
+    for (const [router, { until }] of this.#former) {
+      if (now >= until) {
+        this.#former.delete(router);
+      }
+    }
+    const names = new Set(this.#all().map(({ router }) => router));
     for (const known of [this.#avoidedUntil, this.#sights]) {
       for (const router of known.keys()) {
         if (!names.has(router)) {
@@ -44,15 +65,15 @@
     }
   }
 
+  #all(): RelayPeer[] {
+    return [...this.#named, ...[...this.#former.values()].map(({ peer }) => peer)];
+  }
+
   /** Records that a peer reached an upstream, or that it didn't though another one did. */
   recordSight(router: RouterId, isSighted: boolean, now: MonotonicMillis): void {
     this.#sights.set(router, { sight: isSighted ? 'sighted' : 'blind', at: now });
   }
 
-  find(router: RouterId): RelayPeer | undefined {
-    return this.#peers.find((peer) => peer.router === router);
-  }
-
   isSighted(router: RouterId, now: MonotonicMillis): boolean {
     return this.#sightOf(router, now) === 'sighted';
   }
@@ -68,10 +89,11 @@
 
   /**
    * The peers that may be used for an upstream: last those that are blind, then those in a region that neither end lies in; of the others those
-   * first that see upstreams, then those whose way crosses the fewest zones.
+   * first that see upstreams, then those that the leader still names, then those whose way crosses the fewest zones.
    */
   inOrderFor(upstream: RelayedUpstream, now: MonotonicMillis): RelayPeer[] {
-    return this.#peers
+    this.#forget(now);
+    return this.#all()
       .filter(({ router }) => !this.isAvoided(router, now))
       .map((peer) => ({ peer, order: this.#orderOf(peer, upstream, now) }))
       .sort((one, other) => compareOrders(one.order, other.order))
@@ -85,6 +107,7 @@
       sight === 'blind' ? 1 : 0,
       this.#isInThirdRegion(peer, upstream) ? 1 : 0,
       SIGHT_ORDER[sight],
+      this.#former.has(peer.router) ? 1 : 0,
       this.#crossings(peer, upstream),
       affinityOf(peer.router, upstream.id),
     ];
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -219,7 +219,7 @@
         context.fleet.update(message, context.now);
         return;
       case 'relay-peers':
-        context.paths.peers.set(message.peers);
+        context.paths.peers.set(message.peers, context.now);
     }
   }
 
--- a/test/routing/no-path-to-upstreams.test.ts
+++ b/test/routing/no-path-to-upstreams.test.ts
@@ -130,6 +130,20 @@
     expectServedAlike(fleet, CUT_FROM + GRACE_MILLIS, CUT_TO);
   });
 
+  for (const mode of ['silent', 'refused'] as const) {
+    for (const before of [1000, 200, 20]) {
+      it(`serve alike and accuse nobody if control's leader changes ${before} ms before (${mode})`, () => {
+        const fleet = run({
+          cuts: [cutOf(mode, CUT_FROM, CUT_TO, isBlind)],
+          events: [{ at: CUT_FROM - before, run: (running) => running.changeLeader() }],
+        });
+        expectServedAlike(fleet, CUT_FROM + GRACE_MILLIS, CUT_TO);
+        expectTruth(fleet);
+        expectNobodyBlamed(fleet);
+      });
+    }
+  }
+
   it('serve alike while the routers that carry for them restart or are cut off too', () => {
     const isCarrier = (router: string): boolean => router === 'r-c-2' || router === 'r-a-4';
     const fleet = run({
