Relay: connections that say nothing are bounded too

Cause: a relay counts its connections after the handshake; until then, for a second each, it took any number, and a process has about 4,100 descriptors for its callers, too.

Change: beyond twice what it may carry new ones are closed unread.

--- a/src/router/relay/relay-server.ts
+++ b/src/router/relay/relay-server.ts
@@ -12,6 +12,8 @@
 
 /** Carried connections, and connections of routers that haven't said yet what they want. Each takes two descriptors. */
 export const MAX_RELAYED_CONNECTIONS = 512;
+/** Connections beyond this multiple of those are closed unread. */
+const UNREAD_FACTOR = 2;
 const LISTEN_BACKLOG = 511;
 const STOP_POLL_MILLIS = 10;
 
@@ -44,6 +46,7 @@
   private constructor(options: RelayServerOptions) {
     this.#options = options;
     this.#server = createServer({ noDelay: true }, (socket) => this.#accept(socket));
+    this.#server.maxConnections = UNREAD_FACTOR * (options.maxConnections ?? MAX_RELAYED_CONNECTIONS);
   }
 
   /** Starts listening. Throws `ListenError`. */
--- a/test/router/relay-server.test.ts
+++ b/test/router/relay-server.test.ts
@@ -149,6 +149,20 @@
     await small.stop(0);
   });
 
+  it('has a bounded number of connections that say nothing', async () => {
+    const small = await startRelay(2);
+    const [host, port] = small.address.split(':');
+    const silent = Array.from({ length: 12 }, () => connect({ host: host as string, port: Number(port) }));
+    await Promise.all(silent.map((socket) => once(socket, 'connect')));
+    await until(() => small.usage.connections > 0);
+    await sleep(50);
+    expect(small.usage.connections).to.equal(4);
+    for (const socket of silent) {
+      socket.destroy();
+    }
+    await small.stop(0);
+  });
+
   it('holds little of what a slow reader does not read', async () => {
     const { stream, socket } = await opened();
     stream.pause();
