Log: what a check of a path saw, whom it asked and what it concluded

Each concluded check has one now (path-checked), with what the path in use and the other routers showed, how long it took, and how long the upstream had been quiet. No logic was changed.

--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -52,6 +52,20 @@
   'answer-failed': { source: 'router', fields: ['request', 'reason'] },
   'answer-broken-off': { source: 'router', fields: ['request', 'id', 'reason', 'lostBehind'] },
   'answer-missing': { source: 'router', fields: ['request', 'attempt'] },
+  'path-checked': {
+    source: 'router',
+    fields: [
+      'upstream',
+      'service',
+      'path',
+      'verdict',
+      'thorough',
+      'current',
+      'others',
+      'tookMillis',
+      'heardAgoMillis',
+    ],
+  },
   'path-changed': {
     source: 'router',
     fields: ['upstream', 'service', 'from', 'to', 'evidence', 'heardAgoMillis', 'relayed'],
--- a/src/routing/paths/path-check.ts
+++ b/src/routing/paths/path-check.ts
@@ -34,6 +34,14 @@
   readonly verdict: PathVerdict | null;
 }
 
+/** What a check has seen so far. */
+export interface PathSightings {
+  /** On the path in use; `null`: not tried yet. */
+  readonly current: PathOutcome | null;
+  /** On other paths that failed. */
+  readonly others: readonly PathOutcome[];
+}
+
 /** What is known before a check. */
 export interface PathTrust {
   /** Whether the first of the other paths reached an upstream a moment ago, so that it may be tried alone. */
@@ -82,6 +90,10 @@
     return this.#others.length === 0 || !this.#isQuick();
   }
 
+  get sightings(): PathSightings {
+    return { current: this.#seen, others: this.#outcomes };
+  }
+
   /** From now on asks as many peers as may be, because the verdict may accuse a request. */
   makeThorough(): void {
     this.#mustBeThorough = true;
--- a/src/routing/paths/path-watch.ts
+++ b/src/routing/paths/path-watch.ts
@@ -294,6 +294,7 @@
     const { upstream, startedAt, check } = running;
     const now = this.#parts.now();
     const wasHeard = (upstream.heardAt ?? Number.NEGATIVE_INFINITY) > startedAt;
+    this.#logCheck(running, verdict);
     if (verdict.type === 'ended' || verdict.type === 'unreachable') {
       const { isThorough } = check;
       upstream.path.upstreamFault = { verdict, isThorough, until: now + FAULT_MILLIS };
@@ -313,6 +314,22 @@
     this.#tell(running, verdict);
   }
 
+  #logCheck({ upstream, check, startedAt }: RunningCheck, { type }: PathVerdict): void {
+    const { id, service, path, heardAt } = upstream;
+    const now = this.#parts.now();
+    const fields = {
+      upstream: id,
+      service,
+      path: path.relay?.router ?? 'direct',
+      verdict: type,
+      thorough: check.isThorough,
+      ...check.sightings,
+      tookMillis: Math.round(now - startedAt),
+      heardAgoMillis: heardAt === null ? null : Math.round(now - heardAt),
+    };
+    this.#parts.emit({ type: 'log', level: 'info', event: 'path-checked', fields });
+  }
+
   #foundWorking(upstream: UpstreamState, now: MonotonicMillis): void {
     upstream.path.workedAt = now;
     if (upstream.path.relay === null) {
