Relay: what a router gave up is reset at the upstream as well

Cause: a cancelled request over a relay reset the connection between the two routers; the relay closed its own to the upstream, so that bytes which its own cut held up would still arrive later.

Change: it resets it. A connection that the system closes already is left alone, which can't be reset any more; bytes not yet with the system no longer prevent a reset, because the runtime drops them.

Evidence: the new test waits in vain for a reset before the change.

--- a/src/router/attempts/resettable-client.ts
+++ b/src/router/attempts/resettable-client.ts
@@ -38,10 +38,11 @@
     return super.dispatch(options, handler);
   }
 
-  /** Resets the connection; its request then fails. Returns whether it could: bytes not yet with the system prevent that, and are dropped by closing it. */
+  /** Resets the connection; its request then fails. Returns whether there was one that could be reset. */
   reset(): boolean {
     const stream = this.#stream;
-    if (stream === null || stream.destroyed || stream.writableLength > 0) {
+    // The system can't reset a connection that it is closing already.
+    if (stream === null || stream.destroyed || stream.writableEnded) {
       return false;
     }
     stream.resetAndDestroy();
--- a/src/router/relay/carried-connection.ts
+++ b/src/router/relay/carried-connection.ts
@@ -200,7 +200,8 @@
         stream.reset();
       }
     });
-    stream.on('error', () => upstream.destroy());
+    // What a router gave up is not to arrive later.
+    stream.on('error', () => resetUnlessClosing(upstream));
     stream.on('close', () => upstream.destroy());
     this.#socket.setTimeout(IDLE_MILLIS, () => this.#socket.destroy());
   }
@@ -223,3 +224,12 @@
     }
   }
 }
+
+/** The system can't reset a connection that it is closing already. */
+function resetUnlessClosing(socket: Socket): void {
+  if (socket.destroyed || socket.writableEnded) {
+    socket.destroy();
+  } else {
+    socket.resetAndDestroy();
+  }
+}
--- a/test/router/relay-server.test.ts
+++ b/test/router/relay-server.test.ts
@@ -140,6 +140,16 @@
     await until(() => relay.usage.connections === 0);
   });
 
+  it('resets the connection to the upstream when the router resets its own, so that nothing arrives later', async () => {
+    const { stream, socket } = await opened();
+    const failed = once(socket, 'error');
+    stream.write('a request that is cancelled');
+    await once(socket, 'data');
+    stream.resetAndDestroy();
+    const [error] = (await failed) as [NodeJS.ErrnoException];
+    expect(error.code).to.equal('ECONNRESET');
+  });
+
   it('refuses more connections than it may carry', async () => {
     const small = await startRelay(2);
     const first = await dial('u1', identity(), small.address);
