--- a/test/routing/no-path-to-upstreams.test.ts
+++ b/test/routing/no-path-to-upstreams.test.ts
@@ -78,6 +78,10 @@
       name: 'the upstreams of one service',
       concerns: (router, upstream) => isBlind(router) && isKeyOwner(upstream),
     },
+    {
+      name: 'half of the upstreams',
+      concerns: (router, upstream) => isBlind(router) && Number(upstream.slice(1)) % 2 === 1,
+    },
     { name: 'one upstream', concerns: (router, upstream) => isBlind(router) && upstream === 'u1' },
   ];
   for (const { name, concerns } of parts) {
