Paths: what is known of a relay's sight, and believed of a zone, goes by what upstreams have in common

Cause: two beliefs were wider than their evidence. A relay that reached one upstream counted as one that sees all, and one without a path to one as blind to all; where each router had lost other services, relays were taken, found blind, left and taken again. And three lost upstreams of a zone, whatever their service, stood for all of that zone, also for services in reach. Each path that was left on such a belief had fifteen others checked.

Change: a relay's sight is kept by upstream, by service and zone, by service, and for any upstream; the most particular news counts, also that of requests that were carried or turned away. What is believed of a zone or of all needs a failure of the same service. A path that is left on a belief has no others checked.

Evidence: 'serve alike, with few connections, where each router lost other services' fails on with both sizes. One peer is asked whether an ended upstream is back, where three were, twice a second at each router.

--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -39,6 +39,8 @@
       upstream.heardAt = now;
       if (attempt.via === null) {
         this.context.paths.heardDirectly(upstream);
+      } else {
+        this.context.paths.heardOver(attempt.via, upstream);
       }
     }
     switch (result.type) {
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -1,5 +1,6 @@
 /** Decides what follows the end of an attempt: an answer, a retry, or a rejection. A request that may have run is retried only if its service allows it. */
 import type { FenceRefusal } from '../lease/types.js';
+import type { RelayPeer } from '../model/relay.js';
 import type { Answers } from './answers.js';
 import { AttemptEvidence } from './attempt-evidence.js';
 import { isHotKeyRank } from './capacity/hot-keys.js';
@@ -10,6 +11,7 @@
 import { isOnLeftPath, mayResend } from './paths/left-path.js';
 import type { PathVerdict } from './paths/path-check.js';
 import { PATH_OUTCOMES } from './paths/path-outcome.js';
+import type { RelayFailure } from './paths/path-watch.js';
 import type { Admission } from './queue/admission.js';
 import type { Attempt, RequestGroup } from './request-group.js';
 import type { RequestIntake } from './request-intake.js';
@@ -146,7 +148,7 @@
     const { group, upstream, via } = attempt;
     group.attempt = null;
     if (result.relayFailure !== undefined && via !== null) {
-      this.context.paths.relayFailed(via.router, result.relayFailure);
+      this.relayFailed(via, upstream, result.relayFailure);
       group.relayFailures += 1;
     }
     if (isOnLeftPath(attempt) && group.relayFailures <= MAX_RELAY_FAILURES) {
@@ -160,6 +162,14 @@
     this.context.paths.judge(upstream, { seen }, (verdict) => this.onPathVerdict(attempt, result, verdict));
   }
 
+  private relayFailed(relay: RelayPeer, upstream: UpstreamState, failure: RelayFailure): void {
+    if (failure === 'no-path') {
+      this.context.paths.relayHasNoPath(relay, upstream);
+    } else {
+      this.context.paths.relayFailed(relay.router, failure);
+    }
+  }
+
   private onPathVerdict(attempt: Attempt, result: ConnectFailed, { type }: PathVerdict): void {
     const { group } = attempt;
     group.service.held.delete(group);
--- a/src/routing/paths/path-check.ts
+++ b/src/routing/paths/path-check.ts
@@ -50,12 +50,15 @@
   readonly isAssumedLost: () => boolean;
   /** Whether other upstreams are heard over their direct paths, so that this router isn't cut off from all. */
   readonly hasHeardOthers: () => boolean;
+  /** Whether the upstream was found to have ended a moment ago, so that one peer is enough to see whether it is back. */
+  readonly wasEnded: boolean;
 }
 
 const NO_TRUST: PathTrust = {
   isFirstSighted: false,
   isAssumedLost: () => false,
   hasHeardOthers: () => false,
+  wasEnded: false,
 };
 const WAIT: PathCheckStep = { tries: [], verdict: null };
 
@@ -148,13 +151,13 @@
   }
 
   #tryOthers(): PathCheckStep {
-    const { isFirstSighted, isAssumedLost } = this.trust;
+    const { isFirstSighted, isAssumedLost, wasEnded } = this.trust;
     const [first] = this.#others;
     if (isFirstSighted && first !== undefined && this.#rounds === 0 && isAssumedLost()) {
       const evidence = this.#seen ?? PATH_OUTCOMES.silent;
       return { tries: [], verdict: { type: 'other-path', path: first, evidence } };
     }
-    const isAlone = isFirstSighted && this.#rounds === 0;
+    const isAlone = (isFirstSighted || wasEnded) && this.#rounds === 0;
     const round = isAlone ? this.#others.slice(0, 1) : nextRound(this.#others);
     const tries = this.#rounds < this.#maxRounds() ? round : [];
     if (tries.length === 0) {
--- a/src/routing/paths/path-watch.ts
+++ b/src/routing/paths/path-watch.ts
@@ -3,6 +3,7 @@
  * before that is held against the upstream.
  */
 import type { Address, MonotonicMillis, RouterId, UpstreamId, Zone } from '../../model/identifiers.js';
+import type { RelayPeer } from '../../model/relay.js';
 import type { Random } from '../random.js';
 import type { RouterEffect } from '../types.js';
 import type { UpstreamState } from '../upstream/upstream-state.js';
@@ -20,11 +21,10 @@
 export type RelayFailure = 'lost' | 'busy' | 'closing' | 'no-path';
 
 /** How long a relay that failed is left out. */
-const AVOID_MILLIS: Readonly<Record<RelayFailure, number>> = {
+const AVOID_MILLIS: Readonly<Record<Exclude<RelayFailure, 'no-path'>, number>> = {
   lost: 1000,
   busy: 250,
   closing: 10_000,
-  'no-path': 0,
 };
 /** Checks that run at the same time, beyond which only what callers wait for is checked. */
 const MAX_CHECKS = 32;
@@ -167,7 +167,8 @@
     }
     const { path } = upstream;
     const now = this.#parts.now();
-    const others = this.#otherPaths(upstream, now);
+    const wasEnded = path.wasEndedAt(now);
+    const others = this.#otherPaths(upstream, now, wasEnded);
     const fault = faultAt(path, now, accuses);
     if (others.length === 0 || fault !== null) {
       done(fault ?? { type: 'unknown' });
@@ -175,9 +176,10 @@
     }
     const [first] = others;
     const check = new PathCheck(path.relay, others, seen, {
-      isFirstSighted: first != null && this.peers.isSighted(first.router, now),
+      isFirstSighted: first != null && this.peers.isSighted(first.router, upstream, now),
       isAssumedLost: () => this.#beliefs.isAssumed(upstream, 'lost-path', this.#parts.now()),
       hasHeardOthers: () => this.hasHeardOthers(upstream, this.#parts.now() - RECENT_ANSWER_MILLIS),
+      wasEnded,
     });
     if (accuses) {
       check.makeThorough();
@@ -223,12 +225,19 @@
     return !isAnyLost && this.#answers.hasHeardOthers(than, since);
   }
 
+  /** Records that an upstream was heard over a relay. */
+  heardOver(relay: RelayPeer, upstream: UpstreamState): void {
+    this.peers.recordSight(relay.router, upstream, true, this.#parts.now());
+  }
+
+  /** Handles that a relay has no path to an upstream itself. */
+  relayHasNoPath(relay: RelayPeer, upstream: UpstreamState): void {
+    this.peers.recordSight(relay.router, upstream, false, this.#parts.now());
+  }
+
   /** Handles the failure of a relay that carries connections for this router, and moves its upstreams to other relays. */
-  relayFailed(router: RouterId, failure: RelayFailure): void {
+  relayFailed(router: RouterId, failure: Exclude<RelayFailure, 'no-path'>): void {
     const now = this.#parts.now();
-    if (AVOID_MILLIS[failure] === 0) {
-      return;
-    }
     this.peers.avoid(router, now + AVOID_MILLIS[failure]);
     for (const upstream of [...this.#returns.relayed]) {
       if (upstream.path.relay?.router !== router) {
@@ -259,10 +268,13 @@
     }
   }
 
-  #otherPaths(upstream: UpstreamState, now: MonotonicMillis): Path[] {
+  /** `isInTurn`: each time another peer comes first. */
+  #otherPaths(upstream: UpstreamState, now: MonotonicMillis, isInTurn: boolean): Path[] {
     const { relay } = upstream.path;
     const peers = this.peers.inOrderFor(upstream, now).filter(({ router }) => router !== relay?.router);
-    return relay === null ? peers : [null, ...peers];
+    const first = isInTurn && peers.length > 0 ? this.#parts.random.below(peers.length) : 0;
+    const ordered = [...peers.slice(first), ...peers.slice(0, first)];
+    return relay === null ? ordered : [null, ...ordered];
   }
 
   #follow(running: RunningCheck, { tries, verdict }: PathCheckStep): void {
@@ -276,17 +288,16 @@
   }
 
   #triedFor(running: RunningCheck, path: Path, outcome: PathOutcome): void {
-    this.#recordPeer(path, outcome);
+    this.#recordPeer(path, running.upstream, outcome);
     if (this.#checks.get(running.upstream.id) === running) {
       this.#follow(running, running.check.tried(path, outcome));
     }
   }
 
-  /** A peer that reached an upstream sees; one that has no path itself is blind, for a while. */
-  #recordPeer(path: Path, outcome: PathOutcome): void {
+  #recordPeer(path: Path, upstream: UpstreamState, outcome: PathOutcome): void {
     const isSighted = outcome === PATH_OUTCOMES.reached;
     if (path !== null && (isSighted || outcome === PATH_OUTCOMES.noRelay)) {
-      this.peers.recordSight(path.router, isSighted, this.#parts.now());
+      this.peers.recordSight(path.router, upstream, isSighted, this.#parts.now());
     }
   }
 
@@ -309,7 +320,7 @@
     if (verdict.type === 'works') {
       this.#foundWorking(upstream, now);
     } else if (verdict.type === 'other-path') {
-      this.#use(upstream, verdict.path, verdict.evidence);
+      this.#leave(upstream, verdict.path, verdict.evidence);
     }
     this.#tell(running, verdict);
   }
@@ -367,6 +378,16 @@
     }
   }
 
+  /** Takes another path; where the direct one is news, others are checked too. */
+  #leave(upstream: UpstreamState, path: Path, evidence: PathOutcome): void {
+    const now = this.#parts.now();
+    const isNews = upstream.path.relay === null && !this.#beliefs.isAssumed(upstream, 'lost-path', now);
+    this.#use(upstream, path, evidence);
+    if (isNews) {
+      this.#checkSample(upstream, now);
+    }
+  }
+
   #use(upstream: UpstreamState, path: Path, evidence: PathOutcome): void {
     const now = this.#parts.now();
     const before = upstream.path.relay;
@@ -385,9 +406,6 @@
     this.#closePath(upstream, before?.router ?? null);
     this.#parts.emit({ type: 'recall-unsent', upstream: upstream.id });
     this.#listener(upstream, before, evidence);
-    if (before === null) {
-      this.#checkSample(upstream, now);
-    }
   }
 
   #closePath(upstream: UpstreamState, via: RouterId | null): void {
--- a/src/routing/paths/reach-beliefs.ts
+++ b/src/routing/paths/reach-beliefs.ts
@@ -2,7 +2,7 @@
  * What is believed of upstreams that weren't checked, from those that were: what lies in one zone, or belongs to one service, is often lost
  * together, and a router may have lost its path to all.
  */
-import type { MonotonicMillis } from '../../model/identifiers.js';
+import type { MonotonicMillis, ServiceName } from '../../model/identifiers.js';
 import type { UpstreamState } from '../upstream/upstream-state.js';
 
 /** So many upstreams of a group that fail alike, and none that works, stand for all of it. */
@@ -13,8 +13,13 @@
 /** How upstreams fail: over the direct path only, or over all paths. */
 export type ReachFailure = 'lost-path' | 'out-of-reach';
 
+interface Failures {
+  readonly upstreams: Set<UpstreamState>;
+  readonly services: Set<ServiceName>;
+}
+
 interface Group {
-  readonly failed: Record<ReachFailure, Set<UpstreamState>>;
+  readonly failed: Record<ReachFailure, Failures>;
   readonly since: MonotonicMillis;
   lastAt: MonotonicMillis;
 }
@@ -28,7 +33,8 @@
       const known = this.#groups.get(name);
       const isCurrent = known !== undefined && now - known.lastAt < LIFETIME_MILLIS;
       const group = isCurrent ? known : newGroup(now);
-      group.failed[how].add(upstream);
+      group.failed[how].upstreams.add(upstream);
+      group.failed[how].services.add(upstream.service);
       group.lastAt = now;
       this.#groups.set(name, group);
     }
@@ -43,7 +49,7 @@
     }
   }
 
-  /** Whether an upstream that wasn't heard since others failed is taken to fail like them. */
+  /** Whether an upstream that wasn't heard since others failed, one of its service among them, is taken to fail like them. */
   isAssumed(upstream: UpstreamState, how: ReachFailure, now: MonotonicMillis): boolean {
     if (this.#groups.size === 0) {
       return false;
@@ -53,7 +59,8 @@
       return (
         group !== undefined &&
         now - group.lastAt < LIFETIME_MILLIS &&
-        group.failed[how].size >= FAILED_ALIKE &&
+        group.failed[how].upstreams.size >= FAILED_ALIKE &&
+        group.failed[how].services.has(upstream.service) &&
         (upstream.heardAt ?? Number.NEGATIVE_INFINITY) < group.since
       );
     });
@@ -61,7 +68,12 @@
 }
 
 function newGroup(now: MonotonicMillis): Group {
-  return { failed: { 'lost-path': new Set(), 'out-of-reach': new Set() }, since: now, lastAt: now };
+  const failed = { 'lost-path': noFailures(), 'out-of-reach': noFailures() };
+  return { failed, since: now, lastAt: now };
+}
+
+function noFailures(): Failures {
+  return { upstreams: new Set(), services: new Set() };
 }
 
 function groupsOf({ service, zone }: UpstreamState): readonly string[] {
--- a/src/routing/paths/relay-peer-table.ts
+++ b/src/routing/paths/relay-peer-table.ts
@@ -1,22 +1,20 @@
 /** The routers that may carry this router's connections, and which of them to use for an upstream. */
-import type { MonotonicMillis, RouterId, UpstreamId, Zone } from '../../model/identifiers.js';
+import type { MonotonicMillis, RouterId, Zone } from '../../model/identifiers.js';
 import type { RelayPeer } from '../../model/relay.js';
 import { affinityOf } from '../upstream/affinity.js';
-
-/** An upstream as the choice of a relay sees it. */
-export interface RelayedUpstream {
-  readonly id: UpstreamId;
-  readonly zone: Zone;
-}
+import { PeerSights, type RelayedUpstream, SIGHTS, type Sight } from './peer-sights.js';
 
 /** How long a peer stays in use that the leader names no more: a leader that has just been elected knows few routers. */
 const KEEP_MILLIS = 10_000;
-/** How long it counts that a peer reached an upstream, or failed to reach one that another peer reached. */
-const SIGHT_LIFETIME_MILLIS = 5000;
 
 /** What is known of a peer's own paths; lower values are preferred. */
-const SIGHT_ORDER = { sighted: 0, unknown: 1, blind: 2 } as const;
-type Sight = keyof typeof SIGHT_ORDER;
+const SIGHT_ORDER: Readonly<Record<Sight, number>> = {
+  [SIGHTS.sighted]: 0,
+  [SIGHTS.sightedElsewhere]: 1,
+  [SIGHTS.unknown]: 2,
+  [SIGHTS.blindElsewhere]: 3,
+  [SIGHTS.blind]: 4,
+};
 
 export class RelayPeerTable {
   /** Those that the leader named last. */
@@ -24,7 +22,7 @@
   /** Those that it named before, with the time until which they stay in use. */
   readonly #former = new Map<RouterId, { readonly peer: RelayPeer; readonly until: MonotonicMillis }>();
   readonly #avoidedUntil = new Map<RouterId, MonotonicMillis>();
-  readonly #sights = new Map<RouterId, { readonly sight: Sight; readonly at: MonotonicMillis }>();
+  readonly #sights = new PeerSights();
 
   /** `regions`: the region of each zone, as far as known; a zone that isn't listed lies in the same region as any other. */
   constructor(
@@ -56,11 +54,10 @@
       }
     }
     const names = new Set(this.#all().map(({ router }) => router));
-    for (const known of [this.#avoidedUntil, this.#sights]) {
-      for (const router of known.keys()) {
-        if (!names.has(router)) {
-          known.delete(router);
-        }
+    this.#sights.keepOnly(names);
+    for (const router of this.#avoidedUntil.keys()) {
+      if (!names.has(router)) {
+        this.#avoidedUntil.delete(router);
       }
     }
   }
@@ -69,13 +66,14 @@
     return [...this.#named, ...[...this.#former.values()].map(({ peer }) => peer)];
   }
 
-  /** Records that a peer reached an upstream, or that it didn't though another one did. */
-  recordSight(router: RouterId, isSighted: boolean, now: MonotonicMillis): void {
-    this.#sights.set(router, { sight: isSighted ? 'sighted' : 'blind', at: now });
+  /** Records that a peer reached an upstream, or that it has no path to it. */
+  recordSight(router: RouterId, upstream: RelayedUpstream, isSighted: boolean, now: MonotonicMillis): void {
+    this.#sights.record(router, upstream, isSighted, now);
   }
 
-  isSighted(router: RouterId, now: MonotonicMillis): boolean {
-    return this.#sightOf(router, now) === 'sighted';
+  /** Whether a peer reached an upstream a moment ago, and has lost no path to one like this. */
+  isSighted(router: RouterId, upstream: RelayedUpstream, now: MonotonicMillis): boolean {
+    return SIGHT_ORDER[this.#sights.sightOf(router, upstream, now)] <= SIGHT_ORDER[SIGHTS.sightedElsewhere];
   }
 
   /** Leaves a peer out of all choices until a time. */
@@ -88,7 +86,7 @@
   }
 
   /**
-   * The peers that may be used for an upstream: last those that are blind, then those in a region that neither end lies in; of the others those
+   * The peers that may be used for an upstream: last those that are blind to it, then those in a region that neither end lies in; of the others those
    * first that see upstreams, then those that the leader still names, then those whose way crosses the fewest zones.
    */
   inOrderFor(upstream: RelayedUpstream, now: MonotonicMillis): RelayPeer[] {
@@ -102,9 +100,9 @@
 
   /** Numbers by which peers are sorted, the most important one first. */
   #orderOf(peer: RelayPeer, upstream: RelayedUpstream, now: MonotonicMillis): readonly number[] {
-    const sight = this.#sightOf(peer.router, now);
+    const sight = this.#sights.sightOf(peer.router, upstream, now);
     return [
-      sight === 'blind' ? 1 : 0,
+      sight === SIGHTS.blind ? 1 : 0,
       this.#isInThirdRegion(peer, upstream) ? 1 : 0,
       SIGHT_ORDER[sight],
       this.#former.has(peer.router) ? 1 : 0,
@@ -113,11 +111,6 @@
     ];
   }
 
-  #sightOf(router: RouterId, now: MonotonicMillis): Sight {
-    const known = this.#sights.get(router);
-    return known === undefined || now - known.at > SIGHT_LIFETIME_MILLIS ? 'unknown' : known.sight;
-  }
-
   #isInThirdRegion({ zone }: RelayPeer, upstream: RelayedUpstream): boolean {
     const region = this.regions[zone];
     const ends = [this.regions[this.ownZone], this.regions[upstream.zone]];
--- a/src/routing/paths/upstream-path.ts
+++ b/src/routing/paths/upstream-path.ts
@@ -3,6 +3,9 @@
 import type { RelayPeer } from '../../model/relay.js';
 import type { PathVerdict } from './path-check.js';
 
+/** How long an upstream that was found to have ended is looked for with less effort. */
+const ENDED_MILLIS = 3000;
+
 /** A verdict by which the upstream itself, not the path, is at fault. */
 export interface UpstreamFault {
   readonly verdict: PathVerdict;
@@ -38,6 +41,12 @@
     return this.#since;
   }
 
+  /** Whether the upstream was found to have ended not long ago. */
+  wasEndedAt(now: MonotonicMillis): boolean {
+    const fault = this.upstreamFault;
+    return fault?.verdict.type === 'ended' && now < fault.until + ENDED_MILLIS;
+  }
+
   /** Whether the direct path may be tried again: not at once if it was lost soon after it had come back. */
   mayReturn(now: MonotonicMillis): boolean {
     return this.#relay !== null && now >= this.#since + this.#stayMillis;
--- a/test/routing/no-path-to-upstreams.test.ts
+++ b/test/routing/no-path-to-upstreams.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import { CutFleet, type CutFleetOptions, cutOf } from './cut-fleet.js';
 import type { Cut, CutMode } from './cut-network.js';
-import { randomCuts } from './random-cuts.js';
+import { randomCuts, shareOf } from './random-cuts.js';
 
 const CUT_FROM = 3000;
 const CUT_TO = 15_000;
@@ -10,6 +10,7 @@
 /** From this long after a cut begins or ends, blind routers serve this share of what the others serve. */
 const GRACE_MILLIS = 1000;
 const SERVED_SHARE = 0.95;
+const LARGE = { routers: { a: 26, b: 25, c: 25 }, requestsPerSecond: 608 } as const;
 const SMALL = { routers: { a: 5, b: 3, c: 3 }, requestsPerSecond: 400, millis: END } as const;
 
 type Concerns = (router: string, upstream: string) => boolean;
@@ -39,6 +40,19 @@
   expect(repeated, 'requests that ran twice though they must not').to.deep.equal([]);
 }
 
+/** Runs a fleet and counts the connections that its routers open in a span. */
+function runCounting(
+  options: Parameters<typeof run>[0],
+  from: number,
+  to: number,
+): { readonly fleet: CutFleet; readonly opened: number } {
+  const counts: number[] = [];
+  const count = (fleet: CutFleet): void => void counts.push(openedIn(fleet));
+  const events = [from, to].map((at) => ({ at, run: count }));
+  const fleet = run({ ...options, events, millis: to });
+  return { fleet, opened: Number(counts[1]) - Number(counts[0]) };
+}
+
 function linesOf({ log }: CutFleet, event: string): number {
   return log.filter((line) => line.event === event).length;
 }
@@ -52,6 +66,21 @@
   expect(linesOf(fleet, 'run-ended'), 'runs taken for ended').to.equal(0);
 }
 
+function openedIn({ routers }: CutFleet): number {
+  return routers.reduce((sum, { opened }) => sum + opened, 0);
+}
+
+/** The class of requests that a modelled upstream serves. */
+function classOf(upstream: string, factor: number): string {
+  const number = Number(upstream.slice(1));
+  return ['seats', 'orders', 'lists'][[14, 20].filter((last) => number > last * factor).length] as string;
+}
+
+/** Each router loses each service with an even chance. */
+function hasLostService(router: string, className: string): boolean {
+  return shareOf(`${router} ${className}`) < 0.5;
+}
+
 function run(options: Partial<CutFleetOptions> & Pick<CutFleetOptions, 'cuts'>): CutFleet {
   return new CutFleet({ seed: 1, ...SMALL, ...options }).run();
 }
@@ -126,6 +155,26 @@
     });
   }
 
+  for (const many of [false, true]) {
+    it(`serve alike, with few connections, where each router lost other services (${many ? 76 : 11} routers)`, () => {
+      const size = many ? { ...LARGE, upstreamFactor: 8 } : {};
+      const cut = cutOf('silent', 4000, 9000, (router, upstream) =>
+        hasLostService(router, classOf(upstream, many ? 8 : 1)),
+      );
+      const { fleet, opened } = runCounting({ ...size, cuts: [cut] }, 5000, 9000);
+      const { opened: openedInCalm } = runCounting({ ...size, cuts: [] }, 5000, 9000);
+      expect(fleet.servedShare(5000, 9000, () => true)).to.be.at.least(0.95);
+      const relayed = fleet.calls.filter(
+        ({ sentAt, router, className }) => sentAt >= 5000 && hasLostService(router, className),
+      );
+      expect(opened, 'one connection more for each relayed request').to.be.at.most(
+        openedInCalm + relayed.length,
+      );
+      expectTruth(fleet);
+      expectNobodyBlamed(fleet);
+    });
+  }
+
   it('serve alike while control has no leader', () => {
     const fleet = run({
       cuts: [cutOf('silent', CUT_FROM, CUT_TO, isBlind)],
--- a/test/routing/path-check.test.ts
+++ b/test/routing/path-check.test.ts
@@ -7,7 +7,12 @@
   (router, index): RelayPeer => ({ router, zone: `z${index % 3}`, address: `${router}:1` }),
 );
 
-const TRUST = { isFirstSighted: false, isAssumedLost: () => false, hasHeardOthers: () => false };
+const TRUST = {
+  isFirstSighted: false,
+  isAssumedLost: () => false,
+  hasHeardOthers: () => false,
+  wasEnded: false,
+};
 const HEARS_OTHERS = { ...TRUST, hasHeardOthers: () => true };
 
 /** Answers each try as the table says until there is a verdict; counts the tries. */
@@ -57,6 +62,12 @@
     expect([result.verdict.type, result.tries, check.isThorough]).to.deep.equal(['ended', 4, false]);
   });
 
+  it('asks one peer whether an upstream is back that had ended', () => {
+    const check = new PathCheck(null, PEERS, null, { ...HEARS_OTHERS, wasEnded: true });
+    const result = run(check, directly('refused', 'refused'));
+    expect([result.verdict.type, result.tries]).to.deep.equal(['ended', 2]);
+  });
+
   it('asks as many as may be where the verdict accuses a request', () => {
     const check = new PathCheck(null, PEERS, null, HEARS_OTHERS);
     check.makeThorough();
--- a/test/routing/random-cuts.ts
+++ b/test/routing/random-cuts.ts
@@ -36,7 +36,7 @@
 }
 
 /** A number from 0 to 1 that is the same each time for one text. */
-function shareOf(text: string): number {
+export function shareOf(text: string): number {
   let hash = 7;
   for (const letter of text) {
     hash = (Math.imul(hash, 31) + letter.charCodeAt(0)) >>> 0;
--- a/test/routing/reach-beliefs.test.ts
+++ b/test/routing/reach-beliefs.test.ts
@@ -28,6 +28,13 @@
     expect(beliefs.isAssumed(upstream('menus', 'c'), 'lost-path', 200)).to.equal(true);
   });
 
+  it('takes the rest of a zone to be lost with three of it, one of them of the same service', () => {
+    loseThree('menus', ['a']);
+    expect(beliefs.isAssumed(upstream('cards', 'a'), 'lost-path', 200)).to.equal(false);
+    beliefs.recordFailure(upstream('cards', 'a'), 'lost-path', 200);
+    expect(beliefs.isAssumed(upstream('cards', 'a'), 'lost-path', 300)).to.equal(true);
+  });
+
   it('takes nothing to be lost with two', () => {
     for (const zone of ['a', 'b']) {
       beliefs.recordFailure(upstream('menus', zone), 'lost-path', 100);
