Paths: running checks and log lines in modules of their own; a belief is no evidence for itself

The checks under way and the log lines are modules now; nothing else changed but one thing: an upstream that was left because others like it are lost no longer counts as one more that was found lost.

--- a/src/routing/paths/path-watch.ts
+++ b/src/routing/paths/path-watch.ts
@@ -9,12 +9,14 @@
 import type { UpstreamState } from '../upstream/upstream-state.js';
 import { DirectAnswers } from './direct-answers.js';
 import { DirectReturns } from './direct-returns.js';
-import { type Path, PathCheck, type PathCheckStep, type PathVerdict } from './path-check.js';
+import { type Path, PathCheck, type PathVerdict } from './path-check.js';
+import { logOfChange, logOfCheck } from './path-log.js';
 import { PATH_OUTCOMES, type PathOutcome } from './path-outcome.js';
 import { PathTries, type PathTryNumber } from './path-tries.js';
 import { ReachBeliefs } from './reach-beliefs.js';
 import { sampleOf } from './reach-sample.js';
 import { RelayPeerTable } from './relay-peer-table.js';
+import { type RunningCheck, RunningChecks, type VerdictListener } from './running-checks.js';
 import type { UpstreamPath } from './upstream-path.js';
 
 /** Why a relay couldn't be used. */
@@ -69,13 +71,6 @@
 /** A doubt without any evidence yet. */
 export const UNSEEN: PathDoubt = { seen: null };
 
-interface RunningCheck {
-  readonly upstream: UpstreamState;
-  readonly check: PathCheck;
-  readonly listeners: ((verdict: PathVerdict) => void)[];
-  readonly startedAt: MonotonicMillis;
-}
-
 export class PathWatch {
   readonly peers: RelayPeerTable;
   readonly #parts: PathWatchParts;
@@ -83,7 +78,7 @@
   readonly #returns: DirectReturns;
   readonly #beliefs = new ReachBeliefs();
   readonly #answers = new DirectAnswers();
-  readonly #checks = new Map<UpstreamId, RunningCheck>();
+  readonly #checks: RunningChecks;
   readonly #outOfReach = new Set<UpstreamState>();
   #sampledAt: MonotonicMillis = Number.NEGATIVE_INFINITY;
   #listener: PathListener = () => {};
@@ -92,6 +87,11 @@
     this.#parts = parts;
     this.peers = new RelayPeerTable(parts.ownZone, parts.regions);
     this.#tries = new PathTries(parts.emit);
+    this.#checks = new RunningChecks({
+      tries: this.#tries,
+      tried: (upstream, path, outcome) => this.#recordPeer(path, upstream, outcome),
+      concluded: (running, verdict) => this.#conclude(running, verdict),
+    });
     this.#returns = new DirectReturns({
       now: parts.now,
       schedule: parts.scheduleReturn,
@@ -152,17 +152,8 @@
   }
 
   /** Judges the path to an upstream; `done` is called once, at once where no other path can be tried. */
-  judge(
-    upstream: UpstreamState,
-    { seen, accuses = false }: PathDoubt,
-    done: (verdict: PathVerdict) => void,
-  ): void {
-    const running = this.#checks.get(upstream.id);
-    if (running !== undefined) {
-      running.listeners.push(done);
-      if (accuses) {
-        running.check.makeThorough();
-      }
+  judge(upstream: UpstreamState, { seen, accuses = false }: PathDoubt, done: VerdictListener): void {
+    if (this.#checks.join(upstream.id, accuses, done)) {
       return;
     }
     const { path } = upstream;
@@ -184,9 +175,7 @@
     if (accuses) {
       check.makeThorough();
     }
-    const started: RunningCheck = { upstream, check, listeners: [done], startedAt: now };
-    this.#checks.set(upstream.id, started);
-    this.#follow(started, check.begin());
+    this.#checks.begin({ upstream, check, startedAt: now, listeners: [done] });
   }
 
   /** Whether a path that seems quiet should be checked now. */
@@ -261,11 +250,7 @@
   remove(upstream: UpstreamState): void {
     this.#returns.delete(upstream);
     this.#outOfReach.delete(upstream);
-    const running = this.#checks.get(upstream.id);
-    if (running?.upstream === upstream) {
-      this.#checks.delete(upstream.id);
-      this.#tell(running, { type: 'unknown' });
-    }
+    this.#checks.cancel(upstream);
   }
 
   /** `isInTurn`: each time another peer comes first. */
@@ -277,23 +262,6 @@
     return relay === null ? ordered : [null, ...ordered];
   }
 
-  #follow(running: RunningCheck, { tries, verdict }: PathCheckStep): void {
-    for (const path of tries) {
-      this.#tries.begin(running.upstream, path, (outcome) => this.#triedFor(running, path, outcome));
-    }
-    if (verdict !== null) {
-      this.#checks.delete(running.upstream.id);
-      this.#conclude(running, verdict);
-    }
-  }
-
-  #triedFor(running: RunningCheck, path: Path, outcome: PathOutcome): void {
-    this.#recordPeer(path, running.upstream, outcome);
-    if (this.#checks.get(running.upstream.id) === running) {
-      this.#follow(running, running.check.tried(path, outcome));
-    }
-  }
-
   #recordPeer(path: Path, upstream: UpstreamState, outcome: PathOutcome): void {
     const isSighted = outcome === PATH_OUTCOMES.reached;
     if (path !== null && (isSighted || outcome === PATH_OUTCOMES.noRelay)) {
@@ -305,7 +273,7 @@
     const { upstream, startedAt, check } = running;
     const now = this.#parts.now();
     const wasHeard = (upstream.heardAt ?? Number.NEGATIVE_INFINITY) > startedAt;
-    this.#logCheck(running, verdict);
+    this.#parts.emit(logOfCheck(running, verdict, now));
     if (verdict.type === 'ended' || verdict.type === 'unreachable') {
       const { isThorough } = check;
       upstream.path.upstreamFault = { verdict, isThorough, until: now + FAULT_MILLIS };
@@ -322,23 +290,6 @@
     } else if (verdict.type === 'other-path') {
       this.#leave(upstream, verdict.path, verdict.evidence);
     }
-    this.#tell(running, verdict);
-  }
-
-  #logCheck({ upstream, check, startedAt }: RunningCheck, { type }: PathVerdict): void {
-    const { id, service, path, heardAt } = upstream;
-    const now = this.#parts.now();
-    const fields = {
-      upstream: id,
-      service,
-      path: path.relay?.router ?? 'direct',
-      verdict: type,
-      thorough: check.isThorough,
-      ...check.sightings,
-      tookMillis: Math.round(now - startedAt),
-      heardAgoMillis: heardAt === null ? null : Math.round(now - heardAt),
-    };
-    this.#parts.emit({ type: 'log', level: 'info', event: 'path-checked', fields });
   }
 
   #foundWorking(upstream: UpstreamState, now: MonotonicMillis): void {
@@ -372,17 +323,15 @@
     }
   }
 
-  #tell({ listeners }: RunningCheck, verdict: PathVerdict): void {
-    for (const listener of listeners) {
-      listener(verdict);
-    }
-  }
-
   /** Takes another path; where the direct one is news, others are checked too. */
   #leave(upstream: UpstreamState, path: Path, evidence: PathOutcome): void {
     const now = this.#parts.now();
-    const isNews = upstream.path.relay === null && !this.#beliefs.isAssumed(upstream, 'lost-path', now);
+    const wasDirect = upstream.path.relay === null;
+    const isNews = wasDirect && !this.#beliefs.isAssumed(upstream, 'lost-path', now);
     this.#use(upstream, path, evidence);
+    if (wasDirect) {
+      this.#beliefs.recordFailure(upstream, 'lost-path', now);
+    }
     if (isNews) {
       this.#checkSample(upstream, now);
     }
@@ -400,9 +349,9 @@
     }
     if (before === null) {
       upstream.forgetFailuresSince(upstream.heardAt ?? Number.NEGATIVE_INFINITY);
-      this.#beliefs.recordFailure(upstream, 'lost-path', now);
     }
-    this.#log(upstream, before, evidence);
+    const relayed = this.relayedCount;
+    this.#parts.emit(logOfChange({ upstream, before, evidence, relayed }, now));
     this.#closePath(upstream, before?.router ?? null);
     this.#parts.emit({ type: 'recall-unsent', upstream: upstream.id });
     this.#listener(upstream, before, evidence);
@@ -412,20 +361,6 @@
     this.#parts.emit({ type: 'close-path', address: upstream.record.definition.address, via });
   }
 
-  #log(upstream: UpstreamState, before: Path, evidence: PathOutcome): void {
-    const { path, heardAt, id, service } = upstream;
-    const fields = {
-      upstream: id,
-      service,
-      from: before?.router ?? 'direct',
-      to: path.relay?.router ?? 'direct',
-      evidence,
-      heardAgoMillis: heardAt === null ? null : Math.round(this.#parts.now() - heardAt),
-      relayed: this.#returns.relayed.size,
-    };
-    this.#parts.emit({ type: 'log', level: 'warn', event: 'path-changed', fields });
-  }
-
   /** Checks a few other upstreams after one was out of direct reach, to learn what is lost with it. */
   #checkSample(first: UpstreamState, now: MonotonicMillis): void {
     if (now < this.#sampledAt + SAMPLE_INTERVAL_MILLIS) {
