Soak of lost paths: a router's three ports differ

Cause: the test. Each port was free when it was asked for, but given back before the next one was chosen, so that the system gave one of them twice.

--- a/test/router/lost-paths/router-process.ts
+++ b/test/router/lost-paths/router-process.ts
@@ -10,7 +10,7 @@
 import { BENCH_IDENTITY } from '../../../src/dev/bench/proxy/bench-identity.js';
 import { ControlStandin } from '../../../src/dev/bench/proxy/control-standin.js';
 import type { RelayPeer } from '../../../src/model/relay.js';
-import { freeAddress } from '../free-address.js';
+import { freeAddresses } from '../free-address.js';
 import { snapshotOf } from '../router-fixture.js';
 
 const PROGRAM = fileURLToPath(new URL('../../../src/cli/main.js', import.meta.url));
@@ -50,11 +50,8 @@
   ): Promise<RouterProcess> {
     const control = new ControlStandin(snapshotOf(upstreams, { announced: true }));
     const address = await control.start();
-    const addresses = {
-      listen: await freeAddress(host),
-      admin: await freeAddress(host),
-      relay: await freeAddress(host),
-    };
+    const [listen, admin, relay] = (await freeAddresses(3, host)) as [string, string, string];
+    const addresses = { listen, admin, relay };
     const { cluster, secret } = BENCH_IDENTITY;
     const secretFile = join(folder, 'secret');
     writeFileSync(secretFile, secret);
