Ranges: who holds the keys of a removed service stays known until they can hold nothing

What callers saw: a keyed service was removed and added again a second later.

Cause: the registry kept who may hold keys as a part of the declaration. `storeServices` dropped the ranges with the service; when it came back it began with one range of fence 0 and no former owner, which `freeProof` takes for keys that nobody ever held. The same memory was lost on the related ways: whole documents, a service declared without keys, a return under another way of granting (`hasChanged` went by a definition that wasn't there), upstreams of a service without ranges that were forgotten or removed since they "owned nothing".

Change: the ranges of a service that goes are retired: kept as they were, out of the routing data, and given back when the service returns, with the way they were granted. They count in `mayHoldKeys`. A leader drops them (`ranges-forget`, which names the removal it means) once the longest grant since it found them retired has run out. Why it works: the absence of a service no longer stands for the absence of holders; only time that no grant outlasts does.

--- a/src/control/admin/commands/declaration-routes.ts
+++ b/src/control/admin/commands/declaration-routes.ts
@@ -57,6 +57,7 @@
     limits: body.limits ?? null,
     removedRoutes: [],
     removedServices: [],
+    retiresRanges: true,
   });
 }
 
@@ -73,6 +74,7 @@
     limits: set.limits ?? null,
     removedRoutes: remove.routes,
     removedServices: remove.services,
+    retiresRanges: true,
   });
 }
 
--- a/src/control/ranges/leader-service.ts
+++ b/src/control/ranges/leader-service.ts
@@ -1,9 +1,9 @@
 /** Creates a leader's state of one service with ranges, with the carrier that its declaration names. */
 import type { RangeTimings } from '../../lease/range-timings.js';
 import { DEPOSED_GRANTER_MILLIS, longestHoldMillis } from '../../lease/timed-grants.js';
-import { DEFAULT_GRANT_CARRIER, GRANT_CARRIERS, type GrantCarrier } from '../../model/grant-carrier.js';
+import { GRANT_CARRIERS, type GrantCarrier } from '../../model/grant-carrier.js';
 import type { MonotonicMillis, ServiceName, UpstreamId } from '../../model/identifiers.js';
-import type { RangeGrantSettings } from '../../model/service.js';
+import { DEFAULT_RANGE_GRANTS, type RangeGrantSettings } from '../../model/service.js';
 import type { CapacityLimit } from '../../placement/ranges/capacity-limit.js';
 import type { Registry, ServiceRecord } from '../../registry/types.js';
 import { CallCarrier } from './call-carrier.js';
@@ -33,7 +33,7 @@
 
 /** Returns how the ranges of a service are granted. */
 export function grantTermsOf({ definition }: ServiceRecord): RangeGrantSettings {
-  return definition.rangeGrants ?? { carrier: DEFAULT_GRANT_CARRIER, hasChanged: false };
+  return definition.rangeGrants ?? DEFAULT_RANGE_GRANTS;
 }
 
 const FACTORIES: Readonly<
--- a/src/control/ranges/range-coordinator.ts
+++ b/src/control/ranges/range-coordinator.ts
@@ -23,6 +23,7 @@
 import type { PlannedCall } from './range-carrier.js';
 import type { LogRangeEvent, RangeService } from './range-service.js';
 import type { ReceivedHeartbeat } from './received-heartbeat.js';
+import { RetiredServices } from './retired-services.js';
 
 /** A confirmation of this leadership permits calls for this long; no other leader is elected so soon after a heartbeat. */
 const CONFIRMATION_VALID_MILLIS = 300;
@@ -75,6 +76,7 @@
   readonly #parts: RangeCoordinatorParts;
   readonly #holders: HolderTable;
   readonly #services = new Map<ServiceName, LeaderService>();
+  readonly #retired: RetiredServices;
   /** Services with an open proposal. */
   readonly #proposing = new Set<ServiceName>();
   readonly #calls = new Map<HolderCallId, OpenCall>();
@@ -101,6 +103,7 @@
     this.#parts = parts;
     const runOf = (upstream: UpstreamId) => parts.registry().upstreams().get(upstream)?.incarnation ?? null;
     this.#holders = new HolderTable(parts.timings, now, runOf);
+    this.#retired = new RetiredServices(parts);
     this.#decideAt = now;
     this.#sendAt = now;
   }
@@ -129,10 +132,11 @@
     this.#decideSoon(now);
   }
 
-  /** Returns whether an upstream owns or owned ranges and may still hold keys of them. */
+  /** Returns whether an upstream owns or owned ranges, also of a removed service, and may still hold keys of them. */
   mayHold(upstream: UpstreamId, now: MonotonicMillis): boolean {
     this.#updateServices(now);
-    return [...this.#services.values()].some(({ ranges }) => ranges.mayHold(upstream, now));
+    const services = [...this.#services.values()];
+    return services.some(({ ranges }) => ranges.mayHold(upstream, now)) || this.#retired.mayHold(upstream);
   }
 
   /** Answers waiting heartbeats without keys at the end of the leadership. */
@@ -255,6 +259,7 @@
         this.#services.set(name, this.#createService(name, record, now));
       }
     }
+    this.#retired.update(now);
   }
 
   #createService(service: ServiceName, record: ServiceRecord, now: MonotonicMillis): LeaderService {
@@ -378,7 +383,8 @@
   }
 
   #isHolder(upstream: UpstreamId): boolean {
-    return [...this.#services.values()].some(({ ranges }) => ranges.isHolder(upstream));
+    const services = [...this.#services.values()];
+    return services.some(({ ranges }) => ranges.isHolder(upstream)) || this.#retired.mayHold(upstream);
   }
 }
 
--- a/src/lease/timed-grants.ts
+++ b/src/lease/timed-grants.ts
@@ -34,6 +34,14 @@
 /** Maximum time for which a deposed granter may still send after the election of its successor. */
 export const DEPOSED_GRANTER_MILLIS = 500;
 
+/**
+ * Returns how long after a granter's last grant, or after the election of its successor, some server may still hold one, whatever it
+ * answered.
+ */
+export function longestGrantMillis(timings: TimedGrantTimings): number {
+  return DEPOSED_GRANTER_MILLIS + timings.lateMillis + longestHoldMillis(timings);
+}
+
 interface SentCall {
   readonly sentAt: MonotonicMillis;
   readonly isGrant: boolean;
--- a/src/model/service.ts
+++ b/src/model/service.ts
@@ -1,5 +1,5 @@
 /** Operator declarations: services with keyspaces and policies, and upstreams. */
-import type { GrantCarrier } from './grant-carrier.js';
+import { DEFAULT_GRANT_CARRIER, type GrantCarrier } from './grant-carrier.js';
 import type { Address, Incarnation, ServiceName, UpstreamId, WallMillis, Zone } from './identifiers.js';
 
 /** Priority classes of requests, most important first. */
@@ -46,6 +46,9 @@
   readonly hasChanged: boolean;
 }
 
+/** Used for services without settings of their own. */
+export const DEFAULT_RANGE_GRANTS: RangeGrantSettings = { carrier: DEFAULT_GRANT_CARRIER, hasChanged: false };
+
 /** Limit for upstreams of a service while they are cold. */
 export interface WarmupLimit {
   /** Requests per second from all routers together. */
--- a/src/registry/commands/declaration-apply.ts
+++ b/src/registry/commands/declaration-apply.ts
@@ -7,10 +7,15 @@
   type RouteDefinition,
 } from '../../model/declaration.js';
 import { DEFAULT_GRANT_CARRIER } from '../../model/grant-carrier.js';
+import type { ServiceName } from '../../model/identifiers.js';
 import { RANGE_KEYSPACE } from '../../model/key-range.js';
-import type { RangeGrantSettings, ServiceDefinition } from '../../model/service.js';
+import {
+  DEFAULT_RANGE_GRANTS,
+  type RangeGrantSettings,
+  type ServiceDefinition,
+} from '../../model/service.js';
 import { sortKeys } from '../dedup-table.js';
-import type { Transaction } from '../registry-state.js';
+import type { RegistryState, Transaction } from '../registry-state.js';
 import type { CommandResult, DeclarationChange } from '../types.js';
 import { fail } from '../validation/field-checks.js';
 import {
@@ -49,15 +54,15 @@
   }
   const draft = draftOf(transaction, change);
   checkReferences(draft);
-  store(transaction, draft, change.version);
+  store(transaction, draft, change);
   declared.recordVersion(change.version, fingerprint);
   return accepted(transaction);
 }
 
-/** Hashes the whole change including its precondition: a resent change is identical. */
-function fingerprintOf(change: DeclarationChange): string {
+/** Hashes what was sent, including its precondition: a resent change is identical, whichever release takes it. */
+function fingerprintOf({ retiresRanges: _added, ...sent }: DeclarationChange): string {
   return createHash('sha256')
-    .update(JSON.stringify(sortKeys(change)))
+    .update(JSON.stringify(sortKeys(sent)))
     .digest('base64');
 }
 
@@ -139,10 +144,11 @@
   }
 }
 
-function store(transaction: Transaction, draft: Draft, version: number): void {
+function store(transaction: Transaction, draft: Draft, change: DeclarationChange): void {
   const { declared } = transaction.state;
+  const { version, retiresRanges = false } = change;
   storeRoutes(transaction, draft);
-  storeServices(transaction, draft);
+  storeServices(transaction, draft, retiresRanges);
   declared.limitsSource = draft.limitsSource;
   transaction.putDeclaration({ version, limits: draft.limits, revision: transaction.revision });
 }
@@ -163,26 +169,47 @@
   }
 }
 
-function storeServices(transaction: Transaction, { services }: Draft): void {
+function storeServices(transaction: Transaction, { services }: Draft, retiresRanges: boolean): void {
   const { state, revision } = transaction;
   const { declared } = state;
   for (const name of [...declared.serviceSources.keys()]) {
     if (!services.has(name)) {
+      const grants = grantsBefore(state, name);
       declared.serviceSources.delete(name);
       transaction.putService(name, null);
-      transaction.noteAll(state.ranges.removeService(name));
+      removeRanges(transaction, name, retiresRanges ? grants : null);
     }
   }
   for (const [name, { source, definition }] of services) {
+    const grants = grantsBefore(state, name);
     declared.serviceSources.set(name, source);
-    const serviceDefinition = serviceOf(definition, state.services.get(name)?.definition);
+    const serviceDefinition = serviceOf(definition, grants);
     if (!isSame(state.services.get(name)?.definition, serviceDefinition)) {
       transaction.putService(name, { definition: serviceDefinition, revision, generation: 0 });
     }
-    transaction.noteAll(
-      definition.keyed ? state.ranges.addService(name, revision) : state.ranges.removeService(name),
-    );
+    if (definition.keyed) {
+      transaction.noteAll(state.ranges.addService(name, revision));
+    } else {
+      removeRanges(transaction, name, retiresRanges ? grants : null);
+    }
+  }
+}
+
+/** Removes the ranges of a service, and retires those that upstreams may still hold if `grants` says how they were granted. */
+function removeRanges(transaction: Transaction, name: ServiceName, grants: RangeGrantSettings | null): void {
+  const { state, revision } = transaction;
+  const changes =
+    grants === null ? state.ranges.removeService(name) : state.ranges.retireService(name, grants, revision);
+  transaction.noteAll(changes);
+}
+
+/** How the keys were granted that upstreams of the service may hold; `null` if none hold any. */
+function grantsBefore({ services, ranges }: RegistryState, name: ServiceName): RangeGrantSettings | null {
+  const definition = services.get(name)?.definition;
+  if (definition?.keyed === true) {
+    return definition.rangeGrants ?? DEFAULT_RANGE_GRANTS;
   }
+  return ranges.retired.get(name)?.grants ?? null;
 }
 
 function isSame(one: unknown, other: unknown): boolean {
@@ -209,7 +236,7 @@
   policy: [],
 } as const;
 
-function serviceOf(declared: DeclaredService, before: ServiceDefinition | undefined): ServiceDefinition {
+function serviceOf(declared: DeclaredService, before: RangeGrantSettings | null): ServiceDefinition {
   const { name, keyed, connections, healthPath } = declared;
   const keyspaces = keyed ? [{ name: RANGE_KEYSPACE, kind: 'range', match: '', shards: 0 } as const] : [];
   const rangeGrants = rangeGrantsOf(declared, before);
@@ -232,15 +259,13 @@
 /** `hasChanged` stays true after the first change of carrier, because a later leader can't determine how long ago it was. */
 function rangeGrantsOf(
   { grantedBy }: DeclaredService,
-  before: ServiceDefinition | undefined,
+  before: RangeGrantSettings | null,
 ): RangeGrantSettings | undefined {
   if (grantedBy === null) {
     return undefined;
   }
-  const wasKeyed = before?.keyed === true;
-  const carrierBefore = before?.rangeGrants?.carrier ?? DEFAULT_GRANT_CARRIER;
-  const isChange = wasKeyed && carrierBefore !== grantedBy;
-  const hasChanged = isChange || (before?.rangeGrants?.hasChanged ?? false);
+  const { carrier, hasChanged: hadChanged } = before ?? { carrier: grantedBy, hasChanged: false };
+  const hasChanged = carrier !== grantedBy || hadChanged;
   const isDefault = grantedBy === DEFAULT_GRANT_CARRIER && !hasChanged;
   return isDefault ? undefined : { carrier: grantedBy, hasChanged };
 }
--- a/src/registry/commands/index.ts
+++ b/src/registry/commands/index.ts
@@ -12,6 +12,7 @@
 import { startMoves } from './move-start.js';
 import { applyPolicy } from './policy-apply.js';
 import { updateRanges } from './range-update.js';
+import { forgetRanges } from './ranges-forget.js';
 import { invalid } from './results.js';
 import { applyService } from './service-apply.js';
 import { deleteService } from './service-delete.js';
@@ -74,6 +75,8 @@
       return forgetUpstreams(transaction, command);
     case 'range-update':
       return updateRanges(transaction, command);
+    case 'ranges-forget':
+      return forgetRanges(transaction, command);
     case 'crashes-note':
       return noteCrashes(transaction, command);
     case 'suspects-clear':
--- a/src/registry/commands/upstream-remove.ts
+++ b/src/registry/commands/upstream-remove.ts
@@ -22,7 +22,9 @@
     return invalid(`upstream: ${upstream} owns ${owned} shards; drain it first`);
   }
   if (state.ranges.mayHoldKeys(upstream)) {
-    return invalid(`upstream: ${upstream} may hold ranges of keys; drain it first`);
+    return invalid(
+      `upstream: ${upstream} may hold ranges of keys; drain it first, or wait if their service is gone`,
+    );
   }
   cancelMovesTo(transaction, upstream);
   transaction.putUpstream(upstream, null);
--- a/src/registry/range-table.ts
+++ b/src/registry/range-table.ts
@@ -1,13 +1,18 @@
-/** Owners of ranges of numeric keys, by service. The ranges of a service always cover its whole key space. */
+/**
+ * Owners of ranges of numeric keys, by service. The ranges of a service always cover its whole key space. Those of a service that is
+ * removed are retired: they stay known, outside the routing data, until none of their owners can hold them.
+ */
 import type { Revision, ServiceName, UpstreamId } from '../model/identifiers.js';
 import { findRange, type KeyRange, MAX_KEY } from '../model/key-range.js';
-import type { RangeUpdate, RegistryChange } from './types.js';
+import type { RangeGrantSettings } from '../model/service.js';
+import type { RangeUpdate, RegistryChange, RetiredRanges } from './types.js';
 
 const NO_RANGES: readonly KeyRange[] = [];
 
 export class RangeTable {
   /** Sorted by `from`; lists are replaced, never mutated. */
   readonly #services = new Map<ServiceName, readonly KeyRange[]>();
+  readonly #retired = new Map<ServiceName, RetiredRanges>();
 
   rangesOf(service: ServiceName): readonly KeyRange[] {
     return this.#services.get(service) ?? NO_RANGES;
@@ -17,33 +22,64 @@
     return [...this.#services.values()].flat();
   }
 
-  /** Whether an upstream owns keys, or may still hold keys that it owned before. */
+  /** Retired ranges by service. */
+  get retired(): ReadonlyMap<ServiceName, RetiredRanges> {
+    return this.#retired;
+  }
+
+  /** Whether an upstream owns keys, or may still hold keys that it owned before, also of a removed service. */
   mayHoldKeys(upstream: UpstreamId): boolean {
-    return this.all().some(({ owner, former }) => owner === upstream || former === upstream);
+    const retired = [...this.#retired.values()].flatMap(({ ranges }) => ranges);
+    return [...this.all(), ...retired].some((range) => isHolder(range, upstream));
   }
 
   /** Restores the sorted ranges of a snapshot. */
-  restore(ranges: readonly KeyRange[]): void {
+  restore(ranges: readonly KeyRange[], retired: readonly RetiredRanges[]): void {
     for (const range of ranges) {
       this.#services.set(range.service, [...this.rangesOf(range.service), range]);
     }
+    for (const { service, ranges: part, ...terms } of retired) {
+      const earlier = this.#retired.get(service)?.ranges ?? NO_RANGES;
+      this.#retired.set(service, { ...terms, service, ranges: [...earlier, ...part] });
+    }
   }
 
-  /** Adds a service with one unowned range over all keys; does nothing if the service exists. */
+  /**
+   * Adds a service with its retired ranges, or with one unowned range over all keys if it has none; does nothing if the service
+   * exists.
+   */
   addService(service: ServiceName, revision: Revision): RegistryChange[] {
     if (this.#services.has(service)) {
       return [];
     }
+    const retired = this.#retired.get(service);
+    this.#retired.delete(service);
     const whole = { service, from: 0, to: MAX_KEY, owner: null, fence: 0, former: null, revision };
-    return this.#replace(service, [whole]);
+    const ranges = retired?.ranges.map((range) => ({ ...range, revision }));
+    return this.#replace(service, ranges ?? [whole]);
+  }
+
+  /** Removes a service and retires its ranges, granted as `grants` says, unless none of them was ever granted. */
+  retireService(service: ServiceName, grants: RangeGrantSettings, revision: Revision): RegistryChange[] {
+    const ranges = this.rangesOf(service);
+    if (ranges.some(({ owner, former }) => owner !== null || former !== null)) {
+      this.#retired.set(service, { service, revision, grants, ranges });
+    }
+    return this.removeService(service);
   }
 
+  /** Removes a service without a trace. */
   removeService(service: ServiceName): RegistryChange[] {
     const changes = this.#replace(service, NO_RANGES);
     this.#services.delete(service);
     return changes;
   }
 
+  /** Forgets ranges that were retired at `revision`; does nothing if the service has come back since. */
+  forgetRetired(service: ServiceName, revision: Revision): boolean {
+    return this.#retired.get(service)?.revision === revision && this.#retired.delete(service);
+  }
+
   /** Applies the updates whose fence and span match the current ranges; ignores the others. */
   update(service: ServiceName, updates: readonly RangeUpdate[], revision: Revision): RegistryChange[] {
     let ranges = this.rangesOf(service);
@@ -58,15 +94,14 @@
    * here on. The new run is still asked to release the keys, because a late grant may reach it.
    */
   revokeOwner(owner: UpstreamId, revision: Revision): RegistryChange[] {
-    return [...this.#services].flatMap(([service, ranges]) => {
-      if (!ranges.some((range) => range.owner === owner)) {
-        return [];
-      }
-      const next = ranges.map((range) =>
-        range.owner === owner ? { ...range, owner: null, former: owner, fence: revision, revision } : range,
-      );
-      return this.#replace(service, mergeAdjacent(next));
-    });
+    for (const [service, { ranges, ...retired }] of this.#retired) {
+      this.#retired.set(service, { ...retired, ranges: withoutOwner(ranges, owner, revision) });
+    }
+    return [...this.#services].flatMap(([service, ranges]) =>
+      ranges.some((range) => range.owner === owner)
+        ? this.#replace(service, withoutOwner(ranges, owner, revision))
+        : [],
+    );
   }
 
   #replace(service: ServiceName, ranges: readonly KeyRange[]): RegistryChange[] {
@@ -76,6 +111,17 @@
   }
 }
 
+function isHolder({ owner, former }: KeyRange, upstream: UpstreamId): boolean {
+  return owner === upstream || former === upstream;
+}
+
+function withoutOwner(ranges: readonly KeyRange[], owner: UpstreamId, revision: Revision): KeyRange[] {
+  const next = ranges.map((range) =>
+    range.owner === owner ? { ...range, owner: null, former: owner, fence: revision, revision } : range,
+  );
+  return mergeAdjacent(next);
+}
+
 function withRangeUpdate(
   ranges: readonly KeyRange[],
   update: RangeUpdate,
--- a/src/registry/registry-machine.ts
+++ b/src/registry/registry-machine.ts
@@ -21,6 +21,7 @@
   Registry,
   RegistryChange,
   RegistrySnapshotEncoder,
+  RetiredRanges,
   RoutingDelta,
   RoutingSnapshot,
   ServiceRecord,
@@ -110,6 +111,10 @@
     return this.state.ranges.rangesOf(service);
   }
 
+  retiredRanges(): ReadonlyMap<ServiceName, RetiredRanges> {
+    return this.state.ranges.retired;
+  }
+
   suspects(): readonly CrashSuspect[] {
     return this.state.suspects.all();
   }
--- a/src/registry/snapshot-codec.ts
+++ b/src/registry/snapshot-codec.ts
@@ -14,7 +14,7 @@
 import { RegistryState } from './registry-state.js';
 import { LENGTH_BYTES, SnapshotEncoder } from './snapshot-encoder.js';
 import { SNAPSHOT_VERSION, type SnapshotPart } from './snapshot-parts.js';
-import type { ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
+import type { RetiredRanges, ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
 
 type Head = Extract<SnapshotPart, { part: 'head' }>;
 type ServiceLedgerDraft = LedgerState['services'][number] & {
@@ -70,6 +70,7 @@
   #declared = new DeclaredState();
   readonly #departed: DepartedEntry[] = [];
   readonly #ranges: KeyRange[] = [];
+  readonly #retired: RetiredRanges[] = [];
   readonly #suspects: CrashSuspect[] = [];
   readonly #evacuations: EvacuationRecord[] = [];
 
@@ -97,6 +98,9 @@
       case 'ranges':
         this.#ranges.push(...part.ranges);
         break;
+      case 'retired-ranges':
+        this.#retired.push(part.retired);
+        break;
       case 'suspects':
         this.#suspects.push(...part.suspects);
         break;
@@ -145,7 +149,7 @@
       state.shards.put(record.shard, record);
     }
     state.declared = this.#declared;
-    state.ranges.restore(this.#ranges);
+    state.ranges.restore(this.#ranges, this.#retired);
     for (const suspect of this.#suspects) {
       state.suspects.put(suspect.fingerprint, suspect);
     }
--- a/src/registry/snapshot-parts.ts
+++ b/src/registry/snapshot-parts.ts
@@ -12,7 +12,7 @@
 import type { DedupEntry } from './dedup-table.js';
 import type { DepartedEntry } from './departed-upstreams.js';
 import type { RegistryState } from './registry-state.js';
-import type { ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
+import type { RetiredRanges, ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
 
 /** Format version, stored in the head of each snapshot. */
 export const SNAPSHOT_VERSION = 2;
@@ -55,6 +55,8 @@
   | { readonly part: 'declared'; readonly declared: DeclaredImage }
   | { readonly part: 'departed'; readonly departed: readonly DepartedEntry[] }
   | { readonly part: 'ranges'; readonly ranges: readonly KeyRange[] }
+  /** Retired ranges of one service; further parts continue its list. */
+  | { readonly part: 'retired-ranges'; readonly retired: RetiredRanges }
   | { readonly part: 'suspects'; readonly suspects: readonly CrashSuspect[] }
   /** Left out if no zone is under evacuation. */
   | { readonly part: 'evacuations'; readonly evacuations: readonly EvacuationRecord[] }
@@ -73,6 +75,7 @@
   readonly declared: DeclaredImage | null;
   readonly departed: readonly DepartedEntry[];
   readonly ranges: readonly KeyRange[];
+  readonly retired: readonly RetiredRanges[];
   readonly suspects: readonly CrashSuspect[];
   readonly evacuations: readonly EvacuationRecord[];
   readonly ledger: LedgerState;
@@ -93,6 +96,7 @@
     declared: declared.toImage(),
     departed: departed.list(),
     ranges: ranges.all(),
+    retired: [...ranges.retired.values()],
     suspects: suspects.all(),
     evacuations: [...evacuations.values()],
     ledger: ledger.toState(),
@@ -134,7 +138,7 @@
   }
 }
 
-function* declaredParts({ declared, departed, ranges }: StateImage): Generator<SnapshotPart> {
+function* declaredParts({ declared, departed, ranges, retired }: StateImage): Generator<SnapshotPart> {
   if (declared !== null) {
     yield { part: 'declared', declared };
   }
@@ -144,6 +148,11 @@
   for (const chunk of chunksOf(ranges, () => RANGE_BYTES)) {
     yield { part: 'ranges', ranges: chunk };
   }
+  for (const { ranges: all, ...terms } of retired) {
+    for (const chunk of chunksOf(all, () => RANGE_BYTES)) {
+      yield { part: 'retired-ranges', retired: { ...terms, ranges: chunk } };
+    }
+  }
 }
 
 function* ledgerParts({ services }: LedgerState): Generator<SnapshotPart> {
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -20,7 +20,12 @@
   Zone,
 } from '../model/identifiers.js';
 import type { KeyRange } from '../model/key-range.js';
-import type { PolicyRule, ServiceDefinition, UpstreamDefinition } from '../model/service.js';
+import type {
+  PolicyRule,
+  RangeGrantSettings,
+  ServiceDefinition,
+  UpstreamDefinition,
+} from '../model/service.js';
 
 /** A declared service. */
 export interface ServiceRecord {
@@ -51,6 +56,17 @@
   readonly revision: Revision;
 }
 
+/** Ranges of a removed service, or of one whose keys are no longer owned, which upstreams may still hold. */
+export interface RetiredRanges {
+  readonly service: ServiceName;
+  /** Revision at which the service was removed. */
+  readonly revision: Revision;
+  /** How the ranges were granted. */
+  readonly grants: RangeGrantSettings;
+  /** Sorted; as they were when the service was removed, but for owners that have restarted since. */
+  readonly ranges: readonly KeyRange[];
+}
+
 /** Changes requested by operators. `expected` is the revision of the object that the operator last read; 0: it must not exist; `null`: any. */
 export type OperatorCommand =
   | {
@@ -115,6 +131,11 @@
   readonly limits: unknown;
   readonly removedRoutes: readonly string[];
   readonly removedServices: readonly string[];
+  /**
+   * Whether the ranges of services that the change removes are retired. Entries written by earlier releases lack the field: they
+   * dropped such ranges, and members that replay them have to reach the same state.
+   */
+  readonly retiresRanges?: boolean;
 }
 
 /** Reports by routers about requests during which upstreams crashed, and the expiry of such records. The leader sets the terms. */
@@ -179,6 +200,8 @@
       readonly service: ServiceName;
       readonly updates: readonly RangeUpdate[];
     }
+  /** No upstream can hold the ranges of `service` any more that were retired at `retiredAt`. */
+  | { readonly type: 'ranges-forget'; readonly service: ServiceName; readonly retiredAt: Revision }
   /** Removes announced upstreams that have ended permanently. */
   | { readonly type: 'upstream-forget'; readonly upstreams: readonly UpstreamId[] };
 
@@ -303,6 +326,8 @@
   ledgerRecord(service: ServiceName, key: string): LedgerRecord | undefined;
   /** Sorted ranges of a service with numeric keys; empty for any other service. */
   ranges(service: ServiceName): readonly KeyRange[];
+  /** Ranges of removed services that upstreams may still hold, by service. */
+  retiredRanges(): ReadonlyMap<ServiceName, RetiredRanges>;
   /** Requests during which upstreams crashed. */
   suspects(): readonly CrashSuspect[];
   /** Number of suspects, without copying them. */
