Ranges: a decision committed behind the removal of its service no longer leaves the service without keys

Cause: `RangeTable.update` stored a list for a service that it didn't know. A `range-update` that was proposed before a removal and committed after it left an empty one, and `addService` takes any list for a service that exists.

Change: updates of a service that is gone do nothing.

`range-table` (gives a service its ranges back ...) failed before: expected 0 to equal 65536 keys.

--- a/src/registry/range-table.ts
+++ b/src/registry/range-table.ts
@@ -80,8 +80,11 @@
     return this.#retired.get(service)?.revision === revision && this.#retired.delete(service);
   }
 
-  /** Applies the updates whose fence and span match the current ranges; ignores the others. */
+  /** Applies the updates whose fence and span match the current ranges; ignores the others, and those of a service that is gone. */
   update(service: ServiceName, updates: readonly RangeUpdate[], revision: Revision): RegistryChange[] {
+    if (!this.#services.has(service)) {
+      return [];
+    }
     let ranges = this.rangesOf(service);
     for (const update of updates) {
       ranges = withRangeUpdate(ranges, update, revision);
--- a/test/registry/range-table.test.ts
+++ b/test/registry/range-table.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { findRange, MAX_KEY } from '../../src/model/key-range.js';
+import { DEFAULT_RANGE_GRANTS } from '../../src/model/service.js';
 import { RangeTable } from '../../src/registry/range-table.js';
 import type { RangeUpdate } from '../../src/registry/types.js';
 
@@ -54,6 +55,19 @@
     );
   });
 
+  /** Guards against keys without an owner for good after a decision was committed behind the removal of its service. */
+  it('gives a service its ranges back after an update that came while it was away', () => {
+    const table = new RangeTable();
+    const whole = { from: 0, to: MAX_KEY, former: null };
+    table.addService(SERVICE, 1);
+    table.update(SERVICE, [{ ...whole, owner: 'u1', expectedFence: 0 }], 2);
+    table.retireService(SERVICE, DEFAULT_RANGE_GRANTS, 3);
+    expect(table.update(SERVICE, [{ ...whole, owner: 'u2', expectedFence: 2 }], 4)).to.deep.equal([]);
+    table.addService(SERVICE, 5);
+    expectCover(table);
+    expect(table.rangesOf(SERVICE)[0]).to.include({ owner: 'u1', fence: 2 });
+  });
+
   it('merges equal adjacent ranges, and only those', () => {
     const table = new RangeTable();
     table.addService(SERVICE, 1);
