Ranges: a service that starts anew waits for a decision that is still open

What callers saw, where it happens: two upstreams held the same keys.

Cause: the leader's state of a service was dropped with it, and with it the note of which keys a proposed change takes from their owner. The state made anew renewed them to an owner that could be reached again, while the change that gave them away was committed.

Change: a service starts once the proposal of before is settled. Meanwhile any upstream counts as one that may hold keys. It costs the time of one entry in the log, where one is open.

`removed-services` (a decision that is open ...): 2 of 2 cases failed before, at phase 0 or later of the ten that are played; both pass.

--- a/src/control/ranges/range-coordinator.ts
+++ b/src/control/ranges/range-coordinator.ts
@@ -79,6 +79,8 @@
   readonly #retired: RetiredServices;
   /** Services with an open proposal. */
   readonly #proposing = new Set<ServiceName>();
+  /** Services that start once a proposal of before is settled: it may take keys from owners to whom they would renew them. */
+  readonly #waiting = new Set<ServiceName>();
   readonly #calls = new Map<HolderCallId, OpenCall>();
   #callCount = 0;
   /** Open confirmation requests: `true` for the one that waits for heartbeats. */
@@ -136,7 +138,8 @@
   mayHold(upstream: UpstreamId, now: MonotonicMillis): boolean {
     this.#updateServices(now);
     const services = [...this.#services.values()];
-    return services.some(({ ranges }) => ranges.mayHold(upstream, now)) || this.#retired.mayHold(upstream);
+    const mayHold = services.some(({ ranges }) => ranges.mayHold(upstream, now));
+    return mayHold || this.#waiting.size > 0 || this.#retired.mayHold(upstream);
   }
 
   /** Answers waiting heartbeats without keys at the end of the leadership. */
@@ -254,8 +257,14 @@
         this.#services.delete(name);
       }
     }
+    this.#waiting.clear();
     for (const [name, record] of services) {
-      if (hasRanges(record) && !this.#services.has(name)) {
+      if (!hasRanges(record) || this.#services.has(name)) {
+        continue;
+      }
+      if (this.#proposing.has(name)) {
+        this.#waiting.add(name);
+      } else {
         this.#services.set(name, this.#createService(name, record, now));
       }
     }
--- a/test/control/removed-services.test.ts
+++ b/test/control/removed-services.test.ts
@@ -182,6 +182,42 @@
   });
 });
 
+describe('a decision that is open while its service goes and comes back', () => {
+  /** Guards against a renewal to an owner whose loss is decided but not committed yet: the service was started anew without that decision. */
+  for (const [name, changes] of [
+    ['removed and added', [absenceOf(SERVICE, ABSENCES.patched, 2), returnOf(SERVICE, 3)]],
+    [
+      'granted in another way and back',
+      [returnOf(SERVICE, 2, { grantedBy: 'heartbeat' }), returnOf(SERVICE, 3)],
+    ],
+  ] as const) {
+    it(`lets no second upstream hold the keys: ${name}`, () => {
+      // Whether a renewal goes out in those milliseconds depends on the phase of the calls that failed before.
+      for (let phaseMillis = 0; phaseMillis < 500; phaseMillis += 50) {
+        const world = new RangeWorld();
+        for (const id of UPSTREAMS) {
+          world.addHolder(id);
+        }
+        world.elect();
+        world.run(FIRST_GRANTS_MILLIS + phaseMillis);
+        const lost = world.holders.get('u1');
+        Object.assign(lost as object, { state: 'cut' });
+        while (!world.records.some(({ event, holder }) => event === 'range-freed' && holder === 'u1')) {
+          world.run(0.1);
+        }
+        // The change that gives its keys away takes milliseconds to be committed, and u1 can be reached again.
+        Object.assign(lost as object, { state: 'up' });
+        for (const change of changes) {
+          world.apply(change);
+          world.run(0.5);
+        }
+        world.run(FIRST_GRANTS_MILLIS);
+        expect(world.servedShare()).to.equal(1);
+      }
+    });
+  }
+});
+
 describe('services that are removed', () => {
   it('leave nothing behind: a thousand of them', function () {
     this.timeout(120_000);
