Ranges by heartbeat: no planned move begins while its release couldn't be proved

What callers saw: after the way of granting of a service changed, or it came back granted in the other way, keys that were moved for the balance had no owner for seconds (up to the time of a late call and a hold, 22.7 s with holds of 10 s).

Cause: until what calls may have granted has run out, no heartbeat proves that an owner released anything, but moves were begun all the same. Change: `canMove` waits for that time, and heartbeats don't wait for such moves. Keys of owners that leave or are lost go their way as before.

--- a/src/control/ranges/heartbeat-carrier.ts
+++ b/src/control/ranges/heartbeat-carrier.ts
@@ -92,9 +92,12 @@
 
   /**
    * Returns whether the owner's heartbeat is open and the target's is too, unless that one is expected too late to
-   * wait for.
+   * wait for. While heartbeats prove nothing, moved keys would have no owner until they do.
    */
   canMove(owner: UpstreamId, target: UpstreamId, now: MonotonicMillis): boolean {
+    if (!this.#parts.holders.canProve(now)) {
+      return false;
+    }
     const isTargetSoon = this.#open.isExpected(target, this.#open.remainingWait(owner, now), now);
     return this.#open.has(owner) && (this.#open.has(target) || !isTargetSoon);
   }
@@ -170,9 +173,8 @@
       return false;
     }
     const isReceiving = pieces.some(({ target }) => target === upstream);
-    return (
-      isReceiving || this.#parts.wanted().some((move) => this.#waitsFor(move, upstream, remainingWait, now))
-    );
+    const wanted = this.#parts.holders.canProve(now) ? this.#parts.wanted() : [];
+    return isReceiving || wanted.some((move) => this.#waitsFor(move, upstream, remainingWait, now));
   }
 
   #waitsFor(move: PendingMove, upstream: UpstreamId, remainingWait: number, now: MonotonicMillis): boolean {
--- a/src/control/ranges/heartbeat-holders.ts
+++ b/src/control/ranges/heartbeat-holders.ts
@@ -89,6 +89,11 @@
     return true;
   }
 
+  /** Whether heartbeats prove what upstreams hold: none of them can have accepted keys by calls, or hold such keys. */
+  canProve(now: MonotonicMillis): boolean {
+    return now >= this.callGrantsUntil;
+  }
+
   /** Records that a response granting keys is decided now, for the latest heartbeat. */
   onGranted(upstream: UpstreamId, now: MonotonicMillis): void {
     const holder = this.#holderOf(upstream);
@@ -142,14 +147,14 @@
     now: MonotonicMillis,
   ): FreeProof | null {
     const { latestReport, reportCount, isNewRun } = this.#holderOf(former);
-    if (isNewRun && now >= this.callGrantsUntil) {
+    if (isNewRun && this.canProve(now)) {
       return FREE_PROOFS.nextRun;
     }
     if (now >= this.#holdEnd(Math.max(since, this.since + DEPOSED_GRANTER_MILLIS))) {
       return FREE_PROOFS.bound;
     }
     const isEvidence = latestReport !== null && reportCount > 1 && latestReport.sequence > afterSequence;
-    const isFree = isEvidence && now >= this.callGrantsUntil && hasReleased(latestReport, span);
+    const isFree = isEvidence && this.canProve(now) && hasReleased(latestReport, span);
     return isFree ? FREE_PROOFS.released : null;
   }
 
--- a/test/control/heartbeat-owners.test.ts
+++ b/test/control/heartbeat-owners.test.ts
@@ -334,6 +334,28 @@
     }
   });
 
+  /** Guards against keys that wait for seconds after a planned move whose release couldn't be proved: the way of granting had just changed. */
+  it('keep their keys, however loads differ, until heartbeats prove what is held', () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const world = started(seed);
+      world.declare('request', 2);
+      world.run(300);
+      world.declare('heartbeat', 3);
+      const [range] = world.registry.ranges(SERVICE);
+      const shards = Array.from({ length: 8 }, (_, index) => ({
+        shard: `${SERVICE}/numbers@0/${(range?.from ?? 0) + 64 * index}`,
+        requests: 60,
+        workMillis: 600,
+      }));
+      for (let step = 0; step < 30; step += 1) {
+        world.report({ type: 'load-report', intervalMillis: 100, shards });
+        world.run(100);
+        const unowned = world.registry.ranges(SERVICE).filter(({ owner }) => owner === null);
+        expect(unowned, `seed ${seed}, ${step * 100} ms`).to.deep.equal([]);
+      }
+    }
+  });
+
   it(`are the only holders under random faults, seeds 1 to ${SEEDS}`, function () {
     this.timeout(120_000);
     for (let seed = 1; seed <= SEEDS; seed += 1) {
