Simulator: a service with ranges goes and comes back, under all faults

No seed could find it: no operator of the simulator removed a keyed service, and no server of it held ranges.

Change: with `redeclarations` the simulated world has servers that announce themselves and take plain grants, by calls and in answers to heartbeats; three of them at the start, two that join later; they crash, freeze, leave, and start again under new ids or their own. Operators take the service away by name, by whole documents and without keys, and bring it back, a quarter of the times granted in the other way, two of them on one document. Checked: no key has two holders, and in the end each has one (one longest grant after the last change of carrier, the stated bound).

--- a/src/dev/sim/catch-sabotage.ts
+++ b/src/dev/sim/catch-sabotage.ts
@@ -2,6 +2,7 @@
 import type { PromiseName } from '../checker/rule.js';
 import { FAULT_KINDS } from './faults/fault-plan.js';
 import { LOST_PATHS } from './faults/lost-paths.js';
+import { RANGE_FAULTS } from './faults/range-faults.js';
 import { SUSPENSIONS } from './faults/suspensions.js';
 import { SABOTAGES, type Sabotage, type SabotageName } from './sabotages.js';
 import type { SimSizes } from './sim-sizes.js';
@@ -27,9 +28,12 @@
     crashingRequests = 0,
     evacuations = 0,
     needs = 0,
+    redeclarations = 0,
     relays = false,
   }: Sabotage = SABOTAGES[name];
-  const faults = [...FAULT_KINDS, ...SUSPENSIONS, ...LOST_PATHS].filter((kind) => wanted.includes(kind.name));
+  const faults = [...FAULT_KINDS, ...SUSPENSIONS, ...LOST_PATHS, ...RANGE_FAULTS].filter((kind) =>
+    wanted.includes(kind.name),
+  );
   for (let seed = first; seed <= last; seed += 1) {
     const { violations } = new Simulation({
       seed,
@@ -38,6 +42,7 @@
       crashingRequests,
       evacuations,
       needs,
+      redeclarations,
       relays,
       sabotage: name,
       trace: null,
--- a/src/dev/sim/clients/operator-client.ts
+++ b/src/dev/sim/clients/operator-client.ts
@@ -9,6 +9,7 @@
 import type { ThingValue } from '../../checker/history.js';
 import type { SimControl } from '../control/sim-control.js';
 import { CLIENT_ZONE } from '../network.js';
+import { RANGE_SERVICE } from '../ranges/sim-range-server.js';
 import { SimProcess } from '../sim-process.js';
 import { PORT_BASE } from '../upstream/sim-upstream.js';
 import type { World } from '../world.js';
@@ -91,8 +92,9 @@
         retry(null);
       } else if (!isOver) {
         isOver = true;
-        this.recordRead(askedAt, response);
-        onResponse(response);
+        const own = withoutRangeService(response);
+        this.recordRead(askedAt, own);
+        onResponse(own);
       }
     };
     world.network.sendDatagram(this, control, () =>
@@ -130,6 +132,22 @@
   }
 }
 
+/** Leaves out the service with ranges and its upstreams: they are declared and announce themselves, and their values have no markers. */
+function withoutRangeService(response: OperatorResponse): OperatorResponse {
+  switch (response.type) {
+    case 'services': {
+      const services = response.services.filter(({ definition }) => definition.name !== RANGE_SERVICE);
+      return { ...response, services };
+    }
+    case 'upstreams': {
+      const upstreams = response.upstreams.filter(({ definition }) => definition.service !== RANGE_SERVICE);
+      return { ...response, upstreams };
+    }
+    default:
+      return response;
+  }
+}
+
 function outcomeOf(result: CommandResult) {
   switch (result.type) {
     case 'accepted':
--- a/src/dev/sim/control/sabotage-control.ts
+++ b/src/dev/sim/control/sabotage-control.ts
@@ -29,6 +29,10 @@
 }
 
 export function sabotageOperatorRequest(request: OperatorRequest, sabotage: Active): OperatorRequest {
+  if (request.type === 'declare' && sabotage === 'retired-ranges-dropped') {
+    const { retiresRanges: _dropped, ...change } = request.change;
+    return { ...request, change };
+  }
   if (request.type !== 'command') {
     return request;
   }
@@ -55,6 +59,7 @@
 const OMITTED_SNAPSHOT_PARTS: Partial<Record<SabotageName, SnapshotPart['part']>> = {
   'dedup-lost-in-snapshot': 'dedup',
   'ledger-lost-in-snapshot': 'records',
+  'retired-ranges-lost-in-snapshot': 'retired-ranges',
 };
 
 function withoutPart(data: Uint8Array, lost: SnapshotPart['part']): Uint8Array {
--- a/src/dev/sim/control/sim-control.ts
+++ b/src/dev/sim/control/sim-control.ts
@@ -16,6 +16,8 @@
 import { DEFAULT_LEASE_TIMINGS } from '../../../lease/types.js';
 import type { Address, ReplicaId } from '../../../model/identifiers.js';
 import type { Connection } from '../connection.js';
+import { askRangeServer, callRangeServer } from '../ranges/holder-transport.js';
+import { SIM_RANGE_TIMINGS } from '../ranges/sim-range-server.js';
 import { SimProcess, TickTimer } from '../sim-process.js';
 import { SimulatedDisk } from '../simulated-disk.js';
 import type { World } from '../world.js';
@@ -184,6 +186,7 @@
       configLease: DEFAULT_CONFIG_LEASE_TIMINGS,
       snapshotEntries: SNAPSHOT_ENTRIES,
       replaceAfterMillis: 0,
+      ranges: SIM_RANGE_TIMINGS,
       quarantine: sabotageQuarantine(this.world.sabotage),
     };
     this.core = createControlNode(config, this.disk.load(), this.clock.monotonic());
@@ -220,6 +223,12 @@
       case 'call-upstream':
         callUpstream(this.world, this, effect, sabotageSessionRequest(effect.request, this.world.sabotage));
         return;
+      case 'call-holder':
+        callRangeServer(this.world, this, effect.call);
+        return;
+      case 'ask-identity':
+        askRangeServer(this.world, this, effect.question);
+        return;
       case 'answer-operator': {
         const answer = this.operations.get(effect.operation);
         this.operations.delete(effect.operation);
--- a/src/dev/sim/sabotages.ts
+++ b/src/dev/sim/sabotages.ts
@@ -13,6 +13,8 @@
   readonly evacuations?: number;
   /** Number of upstreams that report constraints in their answers; 0 by default. */
   readonly needs?: number;
+  /** Number of operators that take a service with ranges of keys away and bring it back; 0 by default. */
+  readonly redeclarations?: number;
   /** Whether routers carry connections of others; `false` by default. */
   readonly relays?: boolean;
 }
@@ -170,6 +172,18 @@
     description: 'a request is refused everywhere once a single run ended during it',
     faults: ['upstream-crash', 'owner-freeze'],
   },
+  'retired-ranges-dropped': {
+    promise: 'one-owner',
+    description: 'who holds the ranges of a service is forgotten when the service is removed',
+    faults: [],
+    redeclarations: 1,
+  },
+  'retired-ranges-lost-in-snapshot': {
+    promise: 'one-owner',
+    description: 'snapshots leave out who holds the ranges of removed services',
+    faults: ['power-loss'],
+    redeclarations: 4,
+  },
   'replacement-never-made': {
     promise: 'recovers',
     description: 'a control member that lost its disk is not replaced before the next one is lost',
--- a/src/dev/sim/simulation.ts
+++ b/src/dev/sim/simulation.ts
@@ -3,6 +3,7 @@
 import type { Violation } from '../checker/rule.js';
 import { EventQueue } from '../virtual/event-queue.js';
 import { CrashingCaller } from './clients/crashing-caller.js';
+import { DeclaringOperator } from './clients/declaring-operator.js';
 import { EvacuatingOperator } from './clients/evacuating-operator.js';
 import { SimCaller } from './clients/sim-caller.js';
 import { SimOperator } from './clients/sim-operator.js';
@@ -13,6 +14,7 @@
 import { Network } from './network.js';
 import { MAX_CLOCK_RATE_ERROR, ProcessClock } from './process-clock.js';
 import { Random } from './random.js';
+import { observeRangeRecovery, SimRangeServer } from './ranges/sim-range-server.js';
 import { Recorder } from './recorder.js';
 import { expectNewOwners, observeRecovery } from './recovery.js';
 import { SimRouter } from './router/sim-router.js';
@@ -32,6 +34,8 @@
   readonly evacuations?: number;
   /** Number of upstreams that report constraints in their answers; 0 by default. */
   readonly needs?: number;
+  /** Number of operators that take a service with ranges of keys away and bring it back; 0 by default. */
+  readonly redeclarations?: number;
   /** Whether routers carry connections of others; `false` by default. */
   readonly relays?: boolean;
   readonly sabotage: SabotageName | null;
@@ -57,6 +61,16 @@
 const CALM_AFTER_MILLIS = 3000;
 /** Time for which a router is excused after a disturbance of itself or the network. */
 const EXCUSED_AFTER_DISTURBANCE_MILLIS = 4500;
+/**
+ * Time from the end of all faults until each key of a range has a holder again: one longest grant after the last change of how they are
+ * granted, which may take one timeout of an operator and an election.
+ */
+const RANGE_RECOVERY_MILLIS = 16_000;
+/** Servers with ranges; those after the first ones join in the fault phase. */
+const RANGE_SERVERS = 5;
+const FIRST_RANGE_SERVERS = 3;
+/** Operators that redeclare are numbered from here. */
+const DECLARER_NUMBERS_FROM = 100;
 const CALLERS = 5;
 const OPERATORS = 3;
 const ROUTERS = 3;
@@ -75,6 +89,8 @@
   readonly controls: SimControl[] = [];
   readonly routers: SimRouter[] = [];
   readonly upstreams: SimUpstream[] = [];
+  readonly rangeServers: SimRangeServer[] = [];
+  readonly firstGrantRuns = new Map<string, string>();
   readonly faultRandom: Random;
   readonly crashingContents = new Set<string>();
   /** Zones from the request to evacuate them until their restoration is confirmed. */
@@ -92,6 +108,7 @@
   private readonly crashingCallers: CrashingCaller[] = [];
   private readonly operators: SimOperator[] = [];
   private readonly evacuators: EvacuatingOperator[] = [];
+  private readonly declarers: DeclaringOperator[] = [];
   private readonly random: Random;
   private numbers = 0;
   private markers = 0;
@@ -108,7 +125,9 @@
   }
 
   run(): SimulationResult {
-    const end = FAULTS_END_MILLIS + RECOVERY_MILLIS + OBSERVATION_MILLIS;
+    const hasRanges = (this.options.redeclarations ?? 0) > 0;
+    const end =
+      FAULTS_END_MILLIS + (hasRanges ? RANGE_RECOVERY_MILLIS : RECOVERY_MILLIS + OBSERVATION_MILLIS);
     for (const process of this.processes()) {
       process.start();
     }
@@ -117,9 +136,13 @@
     this.scheduleCrashingRequests();
     this.scheduleEvacuations();
     this.scheduleConstraints();
+    this.scheduleRedeclarations();
     this.time.at(FAULTS_END_MILLIS, () => this.endFaults());
     this.time.at(FAULTS_END_MILLIS + RECOVERY_MILLIS, () => observeRecovery(this, OBSERVATION_MILLIS));
     this.time.runUntil(end, () => this.recorder.violations.length > 0);
+    if (hasRanges && this.recorder.violations.length === 0) {
+      observeRangeRecovery(this);
+    }
     const hash = this.recorder.finish();
     const { violations, operations, faults } = this.recorder;
     return { seed: this.options.seed, hash, violations, operations, faults };
@@ -227,7 +250,8 @@
   }
 
   private processes() {
-    return [...this.controls, ...this.upstreams, ...this.routers, ...this.callers, ...this.operators];
+    const servers = [...this.upstreams, ...this.rangeServers];
+    return [...this.controls, ...servers, ...this.routers, ...this.callers, ...this.operators];
   }
 
   private populate(): void {
@@ -291,6 +315,23 @@
     }
   }
 
+  /** Adds servers that hold ranges, and the operators of their service; created last, for the same reason. */
+  private scheduleRedeclarations(): void {
+    const { redeclarations = 0 } = this.options;
+    for (let number = 1; number <= (redeclarations > 0 ? RANGE_SERVERS : 0); number += 1) {
+      const server = new SimRangeServer(this, number, number % 2 === 0);
+      this.rangeServers.push(server);
+      const joinsLate = number > FIRST_RANGE_SERVERS;
+      const startMillis = FAULTS_FROM_MILLIS + server.drawStartMillis(FAULT_WINDOW_MILLIS);
+      this.time.at(joinsLate ? startMillis : 0, () => server.start());
+    }
+    for (let number = 1; number <= redeclarations; number += 1) {
+      const declarer = new DeclaringOperator(this, DECLARER_NUMBERS_FROM + number);
+      this.declarers.push(declarer);
+      declarer.start();
+    }
+  }
+
   private scheduleFaults(): void {
     const plan = planFaults(this.options.faults, FAULT_WINDOW_MILLIS, this.faultRandom);
     for (const { kind, at, durationMillis } of plan) {
@@ -333,6 +374,9 @@
     for (const evacuator of this.evacuators) {
       evacuator.end();
     }
+    for (const declarer of this.declarers) {
+      declarer.end();
+    }
     this.firstOperator().undrainAll();
   }
 }
--- a/src/dev/sim/world.ts
+++ b/src/dev/sim/world.ts
@@ -5,6 +5,7 @@
 import type { Network } from './network.js';
 import type { ProcessClock } from './process-clock.js';
 import type { Random } from './random.js';
+import type { SimRangeServer } from './ranges/sim-range-server.js';
 import type { Recorder } from './recorder.js';
 import type { SimRouter } from './router/sim-router.js';
 import type { SabotageName } from './sabotages.js';
@@ -22,6 +23,10 @@
   readonly controls: SimControl[];
   readonly routers: SimRouter[];
   readonly upstreams: SimUpstream[];
+  /** Servers that hold ranges of numeric keys; none by default. */
+  readonly rangeServers: SimRangeServer[];
+  /** Run of a server that the first call of a grant reached, by run of the control member, upstream and fence. */
+  readonly firstGrantRuns: Map<string, string>;
   /** Random stream of the faults. */
   readonly faultRandom: Random;
   /** Contents of requests that crash each upstream that begins to process them. */
