Lookups: names from outside find own entries of tables only

Cause: `checkRouteType` looked the type up in a plain object, where names of `Object.prototype` are found.

Change: `ownEntry` looks up names in plain objects; all such tables use it (types of routes, units of settings, rows of routers' reports, codes of errors of the system, exit codes of the command line, names of faults and sabotages). Read besides and sound: everything else from outside is kept in `Map`, checked by zod enums or `checkChoice`.

A replica that replays a change with such a type, accepted by an earlier release, refuses it.

--- a/src/cli/cli-error.ts
+++ b/src/cli/cli-error.ts
@@ -2,6 +2,7 @@
 import type { AdminErrorBody, AdminErrorCode } from '../control/admin/index.js';
 import { TernmountError } from '../errors/ternmount-error.js';
 import { formatProblem, SettingsError } from '../settings/settings-error.js';
+import { ownEntry } from '../text/own-entry.js';
 import { EXIT_CODES, type ExitCode } from './exit-codes.js';
 
 /** An error that ends the command with `exitCode`. */
@@ -73,7 +74,7 @@
     const { code, message, problems } = body.error;
     const lines = problems !== undefined && problems.length > 1 ? problems.join('\n') : message;
     super(
-      EXIT_CODE_BY_ADMIN_CODE[code] ?? EXIT_CODES.failed,
+      ownEntry(EXIT_CODE_BY_ADMIN_CODE, code) ?? EXIT_CODES.failed,
       `CONTROL_${code.replaceAll('-', '_').toUpperCase()}`,
       lines,
     );
--- a/src/dev/commands/sim-command.ts
+++ b/src/dev/commands/sim-command.ts
@@ -3,6 +3,7 @@
 import type { CAC } from 'cac';
 import { TernmountError } from '../../errors/ternmount-error.js';
 import { loadDeployment } from '../../settings/deployment.js';
+import { ownEntry } from '../../text/own-entry.js';
 import { catchSabotage } from '../sim/catch-sabotage.js';
 import type { FaultKind } from '../sim/faults/fault.js';
 import { FAULT_KINDS } from '../sim/faults/fault-plan.js';
@@ -69,7 +70,7 @@
   if (name === undefined) {
     return null;
   }
-  if (!(name in SABOTAGES)) {
+  if (ownEntry(SABOTAGES, name) === undefined) {
     throw new SimFlagError(`--sabotage: unknown sabotage ${name}; --list-sabotages names them all`);
   }
   return name as SabotageName;
--- a/src/dev/fleet/fault-schedule.ts
+++ b/src/dev/fleet/fault-schedule.ts
@@ -3,6 +3,7 @@
  * of load, or of names defined in `named-faults.ts`.
  */
 import { TernmountError } from '../../errors/ternmount-error.js';
+import { ownEntry } from '../../text/own-entry.js';
 import { FAULT_KINDS } from '../standins/upstream/fault-switchboard.js';
 import { NAMED_FAULTS } from './named-faults.js';
 
@@ -92,9 +93,9 @@
 /** Returns all faults of a list in order of time; named ones are spread over the load. Throws `FaultSyntaxError`. */
 export function parseFaults(list: string, seconds: number): ScheduledFault[] {
   const items = list.split(',').filter((item) => item !== '');
-  const named = items.filter((item) => item in NAMED_FAULTS);
+  const named = items.filter((item) => ownEntry(NAMED_FAULTS, item) !== undefined);
   const faults = items.flatMap((item) => {
-    const definition = NAMED_FAULTS[item];
+    const definition = ownEntry(NAMED_FAULTS, item);
     if (definition === undefined) {
       return [parseFault(item)];
     }
--- a/src/registry/validation/validate-declaration.ts
+++ b/src/registry/validation/validate-declaration.ts
@@ -8,6 +8,7 @@
 } from '../../model/declaration.js';
 import { DEFAULT_GRANT_CARRIER, GRANT_CARRIERS, type GrantCarrier } from '../../model/grant-carrier.js';
 import type { WarmupLimit } from '../../model/service.js';
+import { ownEntry } from '../../text/own-entry.js';
 import {
   checkBoolean,
   checkChoice,
@@ -116,7 +117,7 @@
 }
 
 function checkRouteType(place: string, value: unknown): boolean {
-  const repeatable = typeof value === 'string' ? REPEATABLE_BY_TYPE[value] : undefined;
+  const repeatable = typeof value === 'string' ? ownEntry(REPEATABLE_BY_TYPE, value) : undefined;
   return repeatable ?? fail(place, 'must be safe, unsafe or download');
 }
 
--- a/src/router/attempts/classify-break.ts
+++ b/src/router/attempts/classify-break.ts
@@ -1,5 +1,6 @@
 /** Classifies how a connection ended by the error of the HTTP client. */
 import { CONNECTION_BREAKS, type ConnectionBreak } from '../../routing/connection-break.js';
+import { ownEntry } from '../../text/own-entry.js';
 import { RELAY_LOST_CODE } from '../relay/relay-error.js';
 import { AttemptAbortedError, type AttemptFailure } from './attempt-error.js';
 
@@ -29,5 +30,5 @@
     return BREAK_BY_FAILURE[error.failure];
   }
   const { code = '' } = error as NodeJS.ErrnoException;
-  return BREAK_BY_CODE[code] ?? CONNECTION_BREAKS.wrongAnswer;
+  return ownEntry(BREAK_BY_CODE, code) ?? CONNECTION_BREAKS.wrongAnswer;
 }
--- a/src/settings/units.ts
+++ b/src/settings/units.ts
@@ -1,5 +1,6 @@
 /** Durations and sizes: a number with a mandatory unit. */
 import { z } from 'zod';
+import { ownEntry } from '../text/own-entry.js';
 
 const MILLIS_PER_UNIT: Readonly<Record<string, number>> = {
   ms: 1,
@@ -38,7 +39,7 @@
   if (unit === '') {
     return { problem: `${kind} ${number} has no unit; write e.g. ${example} (units: ${known})` };
   }
-  const factor = units[unit];
+  const factor = ownEntry(units, unit);
   if (factor === undefined) {
     return { problem: `${kind} ${JSON.stringify(text)} has an unknown unit (units: ${known})` };
   }
--- a/src/wire/listen-error.ts
+++ b/src/wire/listen-error.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:net';
 import { TernmountError, toError } from '../errors/ternmount-error.js';
 import type { Address } from '../model/identifiers.js';
+import { ownEntry } from '../text/own-entry.js';
 import { parseAddress } from './address.js';
 
 const REASONS: Readonly<Record<string, string>> = {
@@ -14,7 +15,7 @@
 export class ListenError extends TernmountError {
   constructor(address: Address, cause: Error) {
     const { code = '' } = cause as NodeJS.ErrnoException;
-    const reason = REASONS[code] ?? `can't be listened on (${code || cause.message})`;
+    const reason = ownEntry(REASONS, code) ?? `can't be listened on (${code || cause.message})`;
     super({ code: 'TERNMOUNT_LISTEN_FAILED', retriable: false, info: { code } }, `${address} ${reason}`);
   }
 }
--- a/src/wire/router/fleet-rows.ts
+++ b/src/wire/router/fleet-rows.ts
@@ -1,6 +1,7 @@
 /** Encodes observations of upstreams without keys as rows of a load report. */
 import type { LoadReport } from '../../control/messages.js';
 import type { DemandSample, FleetReport, FleetViewVersion, UpstreamSample } from '../../model/fleet-view.js';
+import { ownEntry } from '../../text/own-entry.js';
 
 type Row = LoadReport['shards'][number];
 
@@ -73,7 +74,8 @@
     const { workMillis, requests } = row;
     const name = parts.slice(1, -1).join('/');
     // Unknown rows come from a newer version and are ignored.
-    ROW_DECODERS[rowName]?.(fleet, { name, number: Number(parts.at(-1)), workMillis, requests });
+    const decode = ownEntry(ROW_DECODERS, rowName);
+    decode?.(fleet, { name, number: Number(parts.at(-1)), workMillis, requests });
   }
   const { zone, have, upstreams, demand } = fleet;
   return zone === null || have === null ? undefined : { ...zone, have, upstreams, demand };
