--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -147,6 +147,11 @@
       'leadingMillis',
     ],
   },
+  'ranges-retired': {
+    source: 'control',
+    fields: ['service', 'revision', 'carrier', 'hasChanged', 'ranges', 'holders', 'forgetAfterMillis'],
+  },
+  'ranges-retired-end': { source: 'control', fields: ['service', 'revision', 'outcome', 'retiredMillis'] },
   'heartbeat-granted': {
     source: 'control',
     fields: ['upstream', 'sequence', 'spans', 'revision', 'confirmedAgoMillis'],
