Declarations: a value of any depth is refused with its place, and no entry ends a member

Cause: `fingerprintOf` recursed into a change before anything of it was checked, while the entry was applied; what was thrown there left the core. Class: input that nobody has checked enters the log, and applying an entry may throw.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -205,6 +205,10 @@
     }
   }
 
+  entryFailed(index: Revision, command: string, fault: Error): void {
+    this.#log('error', 'entry-not-applied', { index, command, reason: fault.message });
+  }
+
   /** Logs changes of ownership, on the leader only so that each change is logged once. */
   #logOwnership(changes: readonly RegistryChange[]): void {
     if (this.#leaderDuties !== null) {
--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -12,7 +12,8 @@
   RaftStatus,
   RoleEvidence,
 } from '../consensus/types.js';
-import type { Address, MonotonicMillis, Term } from '../model/identifiers.js';
+import { toError } from '../errors/ternmount-error.js';
+import type { Address, MonotonicMillis, Revision, Term } from '../model/identifiers.js';
 import type { CommandEnvelope, CommandResult, Registry, RegistryChange } from '../registry/types.js';
 import { LinearizableReads, type SettleRead } from './linearizable-reads.js';
 import { PendingProposals, type SettleProposal } from './pending-proposals.js';
@@ -22,6 +23,8 @@
   sendPeer(message: RaftMessage): void;
   persist(request: PersistRequest): void;
   applied(changes: readonly RegistryChange[], now: MonotonicMillis): void;
+  /** An entry was given up, on every member alike; `type` is that of its command. */
+  entryFailed(index: Revision, type: string, fault: Error): void;
   /** Called after the registry was replaced by the one in a snapshot. */
   restored(now: MonotonicMillis): void;
   roleChanged(evidence: RoleEvidence, now: MonotonicMillis): void;
@@ -107,9 +110,14 @@
   }
 
   propose(envelope: CommandEnvelope, settle: SettleProposal, now: MonotonicMillis): void {
+    const data = encodeEnvelope(envelope);
+    if (data instanceof Error) {
+      settle({ type: 'rejected', reason: `can't be written to the log: ${data.message}` }, now);
+      return;
+    }
     const proposalId = this.#takeNumber();
     this.#proposals.add(proposalId, settle, now);
-    this.feed({ type: 'propose', proposalId, data: encoder.encode(JSON.stringify(envelope)) });
+    this.feed({ type: 'propose', proposalId, data });
   }
 
   /** Proposes a membership change. It is settled when its entry is applied; a joint change is then still under way. */
@@ -236,9 +244,34 @@
       this.#registry.advance(entry.index);
       return ACCEPTED_MEMBERSHIP;
     }
-    const envelope = JSON.parse(decoder.decode(entry.data)) as CommandEnvelope;
-    const { result, changes } = this.#registry.apply(entry.index, envelope);
-    this.#parts.listener.applied(changes, now);
+    const { listener } = this.#parts;
+    const envelope = decodeEnvelope(entry.data);
+    if (envelope instanceof Error) {
+      this.#registry.advance(entry.index);
+      listener.entryFailed(entry.index, 'unreadable', envelope);
+      return { type: 'invalid', message: `the entry can't be read: ${envelope.message}` };
+    }
+    const { result, changes, fault } = this.#registry.apply(entry.index, envelope);
+    if (fault !== undefined) {
+      listener.entryFailed(entry.index, String(envelope.command?.type), fault);
+    }
+    listener.applied(changes, now);
     return result;
   }
 }
+
+function encodeEnvelope(envelope: CommandEnvelope): Uint8Array | Error {
+  try {
+    return encoder.encode(JSON.stringify(envelope));
+  } catch (thrown) {
+    return toError(thrown);
+  }
+}
+
+function decodeEnvelope(data: Uint8Array): CommandEnvelope | Error {
+  try {
+    return JSON.parse(decoder.decode(data)) as CommandEnvelope;
+  } catch (thrown) {
+    return toError(thrown);
+  }
+}
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -147,6 +147,7 @@
       'leadingMillis',
     ],
   },
+  'entry-not-applied': { source: 'control', fields: ['index', 'command', 'reason'] },
   'ranges-retired': {
     source: 'control',
     fields: ['service', 'revision', 'carrier', 'hasChanged', 'ranges', 'holders', 'forgetAfterMillis'],
--- a/src/registry/registry-machine.ts
+++ b/src/registry/registry-machine.ts
@@ -1,4 +1,5 @@
 /** The replicated state machine: applies log entries in order and answers queries. */
+import { toError } from '../errors/ternmount-error.js';
 import type { LedgerRecord } from '../ledger/types.js';
 import type { CrashSuspect, RequestFingerprint } from '../model/crash-suspect.js';
 import type { EvacuationRecord } from '../model/evacuation.js';
@@ -15,8 +16,8 @@
 import { encodeState } from './snapshot-codec.js';
 import { SnapshotEncoder } from './snapshot-encoder.js';
 import type {
+  AppliedEntry,
   CommandEnvelope,
-  CommandResult,
   DeclaredDocument,
   Registry,
   RegistryChange,
@@ -28,17 +29,13 @@
   ShardRecord,
   UpstreamRecord,
 } from './types.js';
+import { APPLIED_LIMITS, checkShape } from './validation/value-shape.js';
 
 /** Minimum interval between removals of expired ledger and dedup entries, by the registry's clock. */
 const SWEEP_INTERVAL_MILLIS = 1000;
 
 const NO_CHANGES: readonly RegistryChange[] = [];
 
-interface AppliedEntry {
-  readonly result: CommandResult;
-  readonly changes: readonly RegistryChange[];
-}
-
 export class RegistryMachine implements Registry {
   constructor(private readonly state: RegistryState) {}
 
@@ -50,6 +47,10 @@
   apply(index: Revision, envelope: CommandEnvelope): AppliedEntry {
     this.advance(index);
     this.advanceClock(envelope.at);
+    const problem = shapeProblemOf(envelope);
+    if (problem !== null) {
+      return { result: invalid(problem), changes: NO_CHANGES };
+    }
     const { requestId } = envelope;
     return requestId === null ? this.applyNew(index, envelope) : this.applyOnce(index, requestId, envelope);
   }
@@ -172,9 +173,16 @@
 
   private applyNew(index: Revision, envelope: CommandEnvelope): AppliedEntry {
     const transaction = new Transaction(this.state, index);
-    const result = applyCommand(transaction, envelope.command);
-    this.state.recent.add(index, transaction.changes);
-    return { result, changes: transaction.changes };
+    const { changes } = transaction;
+    try {
+      const result = applyCommand(transaction, envelope.command);
+      return { result, changes };
+    } catch (thrown) {
+      const fault = toError(thrown);
+      return { result: invalid(`can't be applied: ${fault.message}`), changes, fault };
+    } finally {
+      this.state.recent.add(index, changes);
+    }
   }
 
   private advanceClock(at: number): void {
@@ -187,3 +195,16 @@
     }
   }
 }
+
+/** Returns why what an operator sent is too deep to be applied; `null` if it isn't. Members' own commands have fixed shapes. */
+function shapeProblemOf({ requestId, command }: CommandEnvelope): string | null {
+  if (requestId === null && command.type !== 'declaration-apply') {
+    return null;
+  }
+  try {
+    checkShape('command', command, APPLIED_LIMITS);
+    return null;
+  } catch (thrown) {
+    return toError(thrown).message;
+  }
+}
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -296,14 +296,20 @@
   step(): Uint8Array | null;
 }
 
+/** What an entry did. */
+export interface AppliedEntry {
+  readonly result: CommandResult;
+  readonly changes: readonly RegistryChange[];
+  /** Why the entry was given up, which no entry should cause; its changes up to there stand on every replica. */
+  readonly fault?: Error;
+}
+
 /** The state machine. It is deterministic: the same entries give the same state and results on every replica. */
 export interface Registry {
   /** Revision of the last entry applied. */
   readonly revision: Revision;
-  apply(
-    index: Revision,
-    envelope: CommandEnvelope,
-  ): { readonly result: CommandResult; readonly changes: readonly RegistryChange[] };
+  /** Applies an entry; throws for no content of it. */
+  apply(index: Revision, envelope: CommandEnvelope): AppliedEntry;
   /** Entries that carry no command still advance the revision. */
   advance(index: Revision): void;
   /** Number of records of all kinds. */
--- a/test/control/applied-in-parts.test.ts
+++ b/test/control/applied-in-parts.test.ts
@@ -45,6 +45,7 @@
         sendPeer: () => {},
         persist: () => {},
         applied: () => {},
+        entryFailed: () => {},
         restored: () => {},
         roleChanged: () => {},
       },
