Outgoing calls: what can't be written is an outcome of the call; health paths that can't stand in a request are refused

Cause: `http.request` throws at once for a path, a header or a port that it can't write, inside the core's step.

Change: a throw there ends the query as unanswered (`identity-answered` with the reason) and the call as not sent (`holder-call-unsendable`); nothing went out, so `not-sent` is true. Health paths with blanks, control characters or characters beyond U+00FF are refused with 422 when they are sent. Entries of the log aren't held to that: earlier releases accepted them. Other outgoing calls (probes, sessions, the platform's list) are awaited inside `try` and read as sound.

`holder-calls` and `identity-questions`: their eight new cases threw before (TypeError, out of `call` and `ask`); all pass.

--- a/src/control/daemon/holder-calls.ts
+++ b/src/control/daemon/holder-calls.ts
@@ -1,6 +1,7 @@
 /** Task that calls upstreams with plain grants over HTTP. If a call times out, its connection is reset. */
 import { Agent, type IncomingMessage, request } from 'node:http';
 import type { Socket } from 'node:net';
+import { toError } from '../../errors/ternmount-error.js';
 import type { Logger } from '../../logging/logger.js';
 import type { HolderProtocol } from '../../model/holder-protocol.js';
 import type { Epoch, UpstreamId } from '../../model/identifiers.js';
@@ -53,8 +54,19 @@
 
   constructor(private readonly options: HolderCallsOptions) {}
 
-  /** Makes a call; `ended` is called exactly once with its outcome. */
+  /** Makes a call; `ended` is called exactly once with its outcome. A call that can't be written isn't sent. */
   call(call: HolderCall): void {
+    try {
+      this.send(call);
+    } catch (thrown) {
+      const { kind, upstream, address } = call;
+      const reason = toError(thrown).message;
+      this.options.log.warn('holder-call-unsendable', { kind, upstream, address, reason });
+      queueMicrotask(() => this.report(call, { type: 'not-sent' }));
+    }
+  }
+
+  private send(call: HolderCall): void {
     const { protocol, grantMillis, releaseMillis, localAddress } = this.options;
     const isGrant = call.kind === 'grant';
     const { host, port } = parseAddress(call.address);
--- a/src/control/daemon/identity-questions.ts
+++ b/src/control/daemon/identity-questions.ts
@@ -1,5 +1,6 @@
 /** Task that queries addresses for the run of an upstream there. Each query uses a connection of its own. */
 import { type IncomingMessage, request } from 'node:http';
+import { toError } from '../../errors/ternmount-error.js';
 import type { Logger } from '../../logging/logger.js';
 import { HEALTH_PATH } from '../../model/health-path.js';
 import type { HolderProtocol } from '../../model/holder-protocol.js';
@@ -26,8 +27,16 @@
     this.#options = options;
   }
 
-  /** Sends a query; `answered` is called exactly once with its result. */
+  /** Sends a query; `answered` is called exactly once with its result. A query that can't be written has none. */
   ask(question: IdentityQuestion): void {
+    try {
+      this.#send(question);
+    } catch (thrown) {
+      queueMicrotask(() => this.#report(question, UNKNOWN, toError(thrown).message));
+    }
+  }
+
+  #send(question: IdentityQuestion): void {
     const { protocol, timeoutMillis, localAddress } = this.#options;
     const { host, port } = parseAddress(question.address);
     let isEnded = false;
--- a/src/control/operator-requests.ts
+++ b/src/control/operator-requests.ts
@@ -1,6 +1,5 @@
 /** Handles operators' requests: commands go through the log, queries are linearizable reads. */
 
-import { toError } from '../errors/ternmount-error.js';
 import { longestLeaseMillis } from '../lease/lease-bound.js';
 import { DEFAULT_RANGE_TIMINGS } from '../lease/range-timings.js';
 import { GRANT_CARRIERS } from '../model/grant-carrier.js';
@@ -8,7 +7,7 @@
 import type { MonotonicMillis, UpstreamId, Zone } from '../model/identifiers.js';
 import type { UpstreamDefinition } from '../model/service.js';
 import type { CommandResult, DeclarationChange, EvacuationCommand, Registry } from '../registry/types.js';
-import { checkShape, SENT_LIMITS } from '../registry/validation/value-shape.js';
+import { problemOfChange, problemOfCommand } from '../registry/validation/sent-change.js';
 import { AddressClaims } from './address-claims.js';
 import { changeRecord, type ProposalTimes, type TracedRequest } from './change-trace.js';
 import { HeartbeatFilter } from './heartbeat-filter.js';
@@ -103,7 +102,7 @@
 
   begin(operation: OperationId, request: OperatorRequest, now: MonotonicMillis): void {
     const { answer, membership } = this.#parts;
-    const problem = shapeProblemOf(request);
+    const problem = problemOfRequest(request);
     if (problem !== null) {
       answer(operation, {
         type: 'result',
@@ -372,19 +371,14 @@
   }
 }
 
-/** Returns why what a request would put into the log is too deep or too large, with the place; `null` if it isn't. */
-function shapeProblemOf(request: OperatorRequest): string | null {
-  try {
-    if (request.type === 'command') {
-      checkShape('command', request.command, SENT_LIMITS);
-    } else if (request.type === 'declare') {
-      const { routes, services, limits } = request.change;
-      checkShape('routes', routes, SENT_LIMITS);
-      checkShape('services', services, SENT_LIMITS);
-      checkShape('limits', limits, SENT_LIMITS);
-    }
-    return null;
-  } catch (thrown) {
-    return toError(thrown).message;
+/** Returns why a request is refused before it enters the log, with the place; `null` if it isn't. */
+function problemOfRequest(request: OperatorRequest): string | null {
+  switch (request.type) {
+    case 'command':
+      return problemOfCommand(request.command);
+    case 'declare':
+      return problemOfChange(request.change);
+    default:
+      return null;
   }
 }
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -148,6 +148,7 @@
     ],
   },
   'entry-not-applied': { source: 'control', fields: ['index', 'command', 'reason'] },
+  'holder-call-unsendable': { source: 'control', fields: ['kind', 'upstream', 'address', 'reason'] },
   'ranges-retired': {
     source: 'control',
     fields: ['service', 'revision', 'carrier', 'hasChanged', 'ranges', 'holders', 'forgetAfterMillis'],
--- /dev/null
+++ b/src/registry/validation/sent-change.ts
@@ -0,0 +1,46 @@
+/**
+ * Checks of what operators send, before it is put into the log. Entries of the log aren't held to them, since earlier releases accepted
+ * more.
+ */
+import { toError } from '../../errors/ternmount-error.js';
+import type { DeclarationChange, OperatorCommand } from '../types.js';
+import { fail } from './field-checks.js';
+import { checkShape, SENT_LIMITS } from './value-shape.js';
+
+/** Characters that the target of an HTTP request can hold. */
+const REQUEST_TARGET = /^[\u0021-\u00ff]*$/;
+
+/** Returns why a change must not enter the log, with the place; `null` if it may. */
+export function problemOfChange({ routes, services, limits }: DeclarationChange): string | null {
+  return problemOf(() => {
+    checkShape('routes', routes, SENT_LIMITS);
+    checkShape('services', services, SENT_LIMITS);
+    checkShape('limits', limits, SENT_LIMITS);
+    services.forEach(checkHealthPath);
+  });
+}
+
+/** Returns why a command must not enter the log, with the place; `null` if it may. */
+export function problemOfCommand(command: OperatorCommand): string | null {
+  return problemOf(() => checkShape('command', command, SENT_LIMITS));
+}
+
+/** A path that can't stand in a request would only fail where it is used. */
+function checkHealthPath(service: unknown, position: number): void {
+  const { healthPath } = (service ?? {}) as { readonly healthPath?: unknown };
+  if (typeof healthPath === 'string' && !REQUEST_TARGET.test(healthPath)) {
+    fail(
+      `services[${position}].healthPath`,
+      'must not hold blanks, control characters or characters beyond U+00FF',
+    );
+  }
+}
+
+function problemOf(check: () => void): string | null {
+  try {
+    check();
+    return null;
+  } catch (thrown) {
+    return toError(thrown).message;
+  }
+}
--- a/test/control/daemon/holder-calls.test.ts
+++ b/test/control/daemon/holder-calls.test.ts
@@ -55,6 +55,19 @@
     });
   }
 
+  /** Guards against a leader that ends: an id or an address that can't stand in a request threw inside the core's step. */
+  for (const [what, id, address] of [
+    ['an id with a line end', 'run\r\n1', ''],
+    ['an id beyond U+00FF', 'run-\u4e00', ''],
+    ['an address without a port', 'run-1', 'nowhere'],
+    ['a port that is none', 'run-1', '127.0.0.1:99999'],
+  ] as const) {
+    it(`ends as not sent if the call can't be written: ${what}`, async () => {
+      const outcome = await callAndWait(grantTo(id, address === '' ? upstream.address : address));
+      expect(outcome).to.deep.equal({ type: 'not-sent' });
+    });
+  }
+
   it('sends the name of the run that the grant is for', async () => {
     upstream.script = answer('200 OK');
     const outcome = await callAndWait(grantTo('run-1', upstream.address));
--- a/test/control/daemon/identity-questions.test.ts
+++ b/test/control/daemon/identity-questions.test.ts
@@ -38,6 +38,20 @@
     });
   }
 
+  /** Guards against control members that end one after the other: the health path of a service held a blank. */
+  for (const [what, address, path] of [
+    ['a path with a blank', '', '/health '],
+    ['a path beyond U+00FF', '', '/\u4e00'],
+    ['a path with a line end', '', '/a\r\nb'],
+    ['an address without a port', 'nowhere', '/well'],
+  ] as const) {
+    it(`have no answer if they can't be written: ${what}`, async () => {
+      const asked = address === '' ? upstream.address : address;
+      expect(await ask(asked, path)).to.deep.equal({ type: 'unknown' });
+      expect(upstream.requests).to.deep.equal([]);
+    });
+  }
+
   it('name the run, at the path of its service, each over a connection of its own', async () => {
     upstream.script = answer('200 OK', 'run-2');
     await ask();
--- a/test/registry/hostile-values.test.ts
+++ b/test/registry/hostile-values.test.ts
@@ -1,9 +1,11 @@
 /** Guards against control members that end at every start: a change of 7 KB, lists in lists, threw while its entry was applied. */
 import { expect } from 'chai';
 import fc from 'fast-check';
+import type { ServiceDefinition } from '../../src/model/service.js';
 import { createRegistry, decodeRegistry } from '../../src/registry/index.js';
 import type { Command, CommandResult, Registry } from '../../src/registry/types.js';
 import { InvalidDefinitionError } from '../../src/registry/validation/field-checks.js';
+import { problemOfChange, problemOfCommand } from '../../src/registry/validation/sent-change.js';
 import { APPLIED_LIMITS, checkShape, SENT_LIMITS } from '../../src/registry/validation/value-shape.js';
 import { changeOf } from '../control/service-absence.js';
 
@@ -89,6 +91,31 @@
     }
   }
 
+  it('are refused before they enter the log, with their place', () => {
+    for (const wrap of Object.values(WRAPS)) {
+      for (const depth of DEPTHS) {
+        const routes = [ROUTE, { ...ROUTE, name: nested(depth, wrap) }];
+        expect(problemOfChange(changeOf(1, { routes }))).to.match(
+          /^routes\[1\]\.name.* deeper than 64 levels$/,
+        );
+        const definition = { name: nested(depth, wrap) } as unknown as ServiceDefinition;
+        const problem = problemOfCommand({ type: 'service-apply', definition, expected: null });
+        expect(problem).to.match(/^command\.definition\.name.* deeper than 64 levels$/);
+      }
+    }
+    expect(problemOfChange(changeOf(1, { routes: [ROUTE], services: [MENU] }))).to.equal(null);
+  });
+
+  /** Guards against a health path that ends whoever asks for it. */
+  it('are refused as health paths that can stand in no request', () => {
+    for (const healthPath of ['/health ', ' /health', '/a b', '/a\r\nb', '/\u4e00', '/\ud800', '/\u0000']) {
+      const services = [MENU, { name: 'other', healthPath }];
+      expect(problemOfChange(changeOf(1, { services }))).to.match(/^services\[1\]\.healthPath: must not/);
+    }
+    const services = [{ ...MENU, healthPath: '/health?deep=1' }, null, 7, 'text'];
+    expect(problemOfChange(changeOf(1, { services }))).to.equal(null);
+  });
+
   it('have the same bound on any stack', () => {
     const deepest = (limit: number) => nested(limit, (inner) => [inner]);
     for (const limits of [SENT_LIMITS, APPLIED_LIMITS]) {
