--- a/test/wire/codecs.test.ts
+++ b/test/wire/codecs.test.ts
@@ -109,6 +109,43 @@
   });
 });
 
+describe('payloads with bytes that nobody wrote', () => {
+  const seed = Number(process.env.TERNMOUNT_FIRST_SEED ?? 1);
+  const numRuns = Number(process.env.TERNMOUNT_SEEDS ?? 300);
+  const changes = fc.array(fc.tuple(fc.nat(), fc.nat(255)), { minLength: 1, maxLength: 6 });
+
+  function expectOwnError(
+    codecs: { decode(kind: number, payload: Uint8Array): unknown },
+    { kind, payload }: Pick<Frame, 'kind' | 'payload'>,
+  ): void {
+    fc.assert(
+      fc.property(changes, (drawn) => {
+        const damaged = Uint8Array.from(payload);
+        for (const [position, byte] of drawn) {
+          damaged[position % Math.max(1, damaged.length)] = byte;
+        }
+        try {
+          codecs.decode(kind, damaged);
+        } catch (thrown) {
+          expect(thrown).to.be.instanceOf(MalformedFrameError);
+        }
+      }),
+      { numRuns, seed },
+    );
+  }
+
+  for (const message of FROM_ROUTER) {
+    it(`are decoded or refused as malformed: ${message.type}`, () => {
+      expectOwnError(routerToControlCodecs, routerToControlCodecs.encode(message));
+    });
+  }
+  for (const message of FROM_CONTROL) {
+    it(`are decoded or refused as malformed: ${message.type}`, () => {
+      expectOwnError(controlToRouterCodecs, controlToRouterCodecs.encode(message));
+    });
+  }
+});
+
 describe('frames', () => {
   it('are decoded from any split of the stream', () => {
     const frame = fc.record({
