--- a/test/contract/hostile-requests.test.ts
+++ b/test/contract/hostile-requests.test.ts
@@ -9,9 +9,9 @@
 const ROUTER = 2;
 const UPSTREAM = 3;
 const OK = 200;
-/** Connections to each port; `TERNMOUNT_SEEDS` sets another number, `TERNMOUNT_FIRST_SEED` the seed. */
-const CONNECTIONS = Number(process.env.TERNMOUNT_SEEDS ?? 120);
-const SEED = Number(process.env.TERNMOUNT_FIRST_SEED ?? 1);
+/** Connections to each port; the environment sets another number and another seed. Variables of the daemons begin otherwise. */
+const CONNECTIONS = Number(process.env.HOSTILE_CONNECTIONS ?? 120);
+const SEED = Number(process.env.HOSTILE_SEED ?? 1);
 const AT_A_TIME = 8;
 const GIVE_UP_MILLIS = 400;
 const LOAD_INTERVAL_MILLIS = 25;
