--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -30,6 +30,7 @@
   ControlCore,
   ControlEffect,
   ControlInput,
+  CoreWork,
   OperationId,
   OperatorResponse,
   RangeWork,
@@ -89,6 +90,8 @@
   #leaderSince: MonotonicMillis;
   #leaderId: ReplicaId | null = null;
   readonly #snapshots: SnapshotTaker;
+  #routerMessages = 0;
+  #routingSnapshots = 0;
   /** Whether routing data changed in this step. */
   #hasRegistryChange = false;
 
@@ -140,7 +143,7 @@
       ...shared,
       configLease: config.configLease,
       zone: config.zone,
-      send: (connection, message) => this.#emit({ type: 'send-router', connection, message }),
+      send: (connection, message) => this.#sendRouter(connection, message),
       report: (report, from, now) => {
         this.#leaderDuties?.onLoadReport(report, now);
         this.#leaderDuties?.onFleetReport(report, from, now);
@@ -186,6 +189,15 @@
     return this.#leaderDuties?.rangeWork() ?? null;
   }
 
+  work(): CoreWork {
+    return {
+      appliedEntries: this.#raft.appliedEntries,
+      routerMessages: this.#routerMessages,
+      routingSnapshots: this.#routingSnapshots,
+      searchedSpans: this.#leaderDuties?.searchedSpans ?? 0,
+    };
+  }
+
   sendPeer(message: Parameters<RaftListener['sendPeer']>[0]): void {
     this.#emit({ type: 'send-peer', message });
   }
@@ -245,7 +257,7 @@
       askIdentity: this.#askIdentity,
       routers: () => this.#routers.estimatedTotal,
       sendRouter: (connection: ConnectionId, message: ControlToRouter) =>
-        this.#emit({ type: 'send-router', connection, message }),
+        this.#sendRouter(connection, message),
     };
     return new LeaderDuties(parts, this.#raft.status().term, now);
   }
@@ -336,6 +348,12 @@
     };
   }
 
+  #sendRouter(connection: ConnectionId, message: ControlToRouter): void {
+    this.#routerMessages += 1;
+    this.#routingSnapshots += message.type === 'sync-response' && message.snapshot !== null ? 1 : 0;
+    this.#emit({ type: 'send-router', connection, message });
+  }
+
   #emit(effect: ControlEffect): void {
     this.#effects.push(effect);
   }
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -326,11 +326,13 @@
   }
 }
 
-function roundedMillis({ steps, longestInput, ...millis }: StepReport): StepReport {
+function roundedMillis({ steps, longestInput, longestWork, ...millis }: StepReport): StepReport {
   const rounded = (value: number): number => Math.round(value * 10) / 10;
   return {
     steps,
     longestInput,
+    longestWork,
+    longestCoreMillis: rounded(millis.longestCoreMillis),
     spanMillis: rounded(millis.spanMillis),
     busyMillis: rounded(millis.busyMillis),
     longestMillis: rounded(millis.longestMillis),
--- a/src/control/daemon/core-task.ts
+++ b/src/control/daemon/core-task.ts
@@ -1,7 +1,7 @@
 /** Task that owns the control core: one input at a time, effects executed in order, ticks when they are due. */
 import { toError } from '../../errors/ternmount-error.js';
 import type { MonotonicMillis } from '../../model/identifiers.js';
-import type { ControlCore, ControlEffect, ControlInput } from '../types.js';
+import type { ControlCore, ControlEffect, ControlInput, CoreWork } from '../types.js';
 import { StepMeter, type StepReport } from './step-meter.js';
 
 /** Minimum delay of a tick, so that a deadline in the past can't keep the process busy. */
@@ -65,12 +65,16 @@
   }
 
   private step(input: ControlInput): void {
+    const workBefore = this.core.work();
     const startedAt = performance.now();
-    for (const effect of this.core.step(input, startedAt, Date.now())) {
+    const effects = this.core.step(input, startedAt, Date.now());
+    const returnedAt = performance.now();
+    for (const effect of effects) {
       this.onEffect(effect);
     }
     const endedAt = performance.now();
-    this.meter.recordStep(input.type, startedAt, endedAt);
+    const work = workSince(workBefore, this.core.work());
+    this.meter.recordStep({ input: input.type, startedAt, returnedAt, endedAt, work });
     const report = this.meter.takeReport(endedAt);
     if (report !== null) {
       this.onReport(report);
@@ -94,3 +98,13 @@
     this.delayTimer = setTimeout(() => this.probe(now + DELAY_INTERVAL_MILLIS), DELAY_INTERVAL_MILLIS);
   }
 }
+
+/** Work between two counts. Counts of a leadership start again with the next one. */
+function workSince(before: CoreWork, after: CoreWork): CoreWork {
+  return {
+    appliedEntries: after.appliedEntries - before.appliedEntries,
+    routerMessages: after.routerMessages - before.routerMessages,
+    routingSnapshots: after.routingSnapshots - before.routingSnapshots,
+    searchedSpans: Math.max(0, after.searchedSpans - before.searchedSpans),
+  };
+}
--- a/src/control/daemon/step-meter.ts
+++ b/src/control/daemon/step-meter.ts
@@ -1,6 +1,6 @@
 /** Cost of the steps of a control core, summed up each second: distinguishes a busy member from one that waits for others. */
 import type { MonotonicMillis } from '../../model/identifiers.js';
-import type { ControlInput } from '../types.js';
+import type { ControlInput, CoreWork } from '../types.js';
 
 /** Minimum time that a report covers. */
 const REPORT_MILLIS = 1000;
@@ -15,29 +15,43 @@
   readonly longestMillis: number;
   /** Input of the longest step. */
   readonly longestInput: ControlInput['type'] | null;
+  /** Part of the longest step that the core took; carrying out its effects took the rest. */
+  readonly longestCoreMillis: number;
+  /** Work of the core in the longest step. */
+  readonly longestWork: CoreWork | null;
   /** Maximum delay of a timer, which shows how long events wait in the event loop. */
   readonly lateMillis: number;
 }
 
+/** One step as measured: when it began, when the core had returned its effects, and when these were carried out. */
+export interface MeasuredStep {
+  readonly input: ControlInput['type'];
+  readonly startedAt: MonotonicMillis;
+  readonly returnedAt: MonotonicMillis;
+  readonly endedAt: MonotonicMillis;
+  /** Work of the core in this step. */
+  readonly work: CoreWork;
+}
+
 export class StepMeter {
   #since: MonotonicMillis;
   #steps = 0;
   #busyMillis = 0;
   #longestMillis = 0;
-  #longestInput: ControlInput['type'] | null = null;
+  #longest: MeasuredStep | null = null;
   #lateMillis = 0;
 
   constructor(now: MonotonicMillis) {
     this.#since = now;
   }
 
-  recordStep(input: ControlInput['type'], startedAt: MonotonicMillis, endedAt: MonotonicMillis): void {
-    const durationMillis = endedAt - startedAt;
+  recordStep(step: MeasuredStep): void {
+    const durationMillis = step.endedAt - step.startedAt;
     this.#steps += 1;
     this.#busyMillis += durationMillis;
     if (durationMillis > this.#longestMillis) {
       this.#longestMillis = durationMillis;
-      this.#longestInput = input;
+      this.#longest = step;
     }
   }
 
@@ -57,14 +71,16 @@
       steps: this.#steps,
       busyMillis: this.#busyMillis,
       longestMillis: this.#longestMillis,
-      longestInput: this.#longestInput,
+      longestInput: this.#longest?.input ?? null,
+      longestCoreMillis: this.#longest === null ? 0 : this.#longest.returnedAt - this.#longest.startedAt,
+      longestWork: this.#longest?.work ?? null,
       lateMillis: this.#lateMillis,
     };
     this.#since = now;
     this.#steps = 0;
     this.#busyMillis = 0;
     this.#longestMillis = 0;
-    this.#longestInput = null;
+    this.#longest = null;
     this.#lateMillis = 0;
     return report;
   }
--- a/src/control/leader-duties.ts
+++ b/src/control/leader-duties.ts
@@ -270,6 +270,11 @@
     return this.#ranges.work();
   }
 
+  /** Number of spans of keys compared while moves were planned. */
+  get searchedSpans(): number {
+    return this.#ranges.searchedSpans;
+  }
+
   sessions(): ObservedSession[] {
     return this.#granter
       .views()
--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -71,6 +71,7 @@
   #lastRunAt: MonotonicMillis = 0;
   #registry: Registry;
   #nextNumber = 1;
+  #appliedEntries = 0;
   #term: Term;
 
   constructor(parts: RaftAdapterParts) {
@@ -84,6 +85,11 @@
     return this.#registry;
   }
 
+  /** Number of entries applied since the start. */
+  get appliedEntries(): number {
+    return this.#appliedEntries;
+  }
+
   status(): RaftStatus {
     return this.#parts.raft.status();
   }
@@ -235,6 +241,7 @@
   }
 
   #settleApplied(entry: LogEntry, now: MonotonicMillis): void {
+    this.#appliedEntries += 1;
     const result = this.#applyEntry(entry, now);
     this.#proposals.recordApplied(entry.index, entry.term, result, now);
   }
--- a/src/control/ranges/range-coordinator.ts
+++ b/src/control/ranges/range-coordinator.ts
@@ -273,6 +273,15 @@
     };
   }
 
+  /** Number of spans of keys compared while moves were planned. */
+  get searchedSpans(): number {
+    let spans = 0;
+    for (const { ranges } of this.#services.values()) {
+      spans += ranges.searchedSpans;
+    }
+    return spans;
+  }
+
   /** Adds and removes services. A service whose carrier was changed is started anew. */
   #updateServices(now: MonotonicMillis): void {
     const { registry } = this.#parts;
--- a/src/control/ranges/range-service.ts
+++ b/src/control/ranges/range-service.ts
@@ -220,6 +220,11 @@
     return this.#weighed;
   }
 
+  /** Number of spans of keys compared while moves were planned. */
+  get searchedSpans(): number {
+    return this.#balance.searchedSpans;
+  }
+
   /** Joins neighbouring ranges of owners that can be notified now and have no pending moves of these keys. */
   #joinRanges(
     ranges: readonly KeyRange[],
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -266,6 +266,18 @@
   readonly moveGainMillis: number;
 }
 
+/** Work of a member's core since its start, to tell what a long step did. */
+export interface CoreWork {
+  /** Log entries applied to the registry. */
+  readonly appliedEntries: number;
+  /** Messages to routers. */
+  readonly routerMessages: number;
+  /** Messages to routers that contain all routing data. */
+  readonly routingSnapshots: number;
+  /** Spans of keys compared while moves of keys were planned. */
+  readonly searchedSpans: number;
+}
+
 /** `now` is monotonic; `wall` is the timestamp of commands. */
 export interface ControlCore {
   step(input: ControlInput, now: number, wall: WallMillis): ControlEffect[];
@@ -273,6 +285,7 @@
   status(): RaftStatus;
   /** `null`: this member doesn't lead. */
   rangeWork(): RangeWork | null;
+  work(): CoreWork;
 }
 
 /** The state that a control member restored from disk. */
--- a/src/dev/scale/roles/control-role.ts
+++ b/src/dev/scale/roles/control-role.ts
@@ -77,6 +77,7 @@
           nextDeadline: () => counting.nextDeadline(),
           status: () => counting.status(),
           rangeWork: () => node.rangeWork(),
+          work: () => node.work(),
         };
       });
       void daemon.failed.then((error) => {
--- a/src/placement/ranges/balance-planner.ts
+++ b/src/placement/ranges/balance-planner.ts
@@ -6,7 +6,7 @@
 import { MoveWeigher } from './move-weigher.js';
 import type { MoveCostParameters } from './move-worth.js';
 import type { RangeServer } from './owner-loads.js';
-import { EVEN_GOAL, type PlannedSpan, planMoves, RELIEF_GOAL } from './range-planner.js';
+import { type BalanceGoal, EVEN_GOAL, type PlannedSpan, planMoves, RELIEF_GOAL } from './range-planner.js';
 
 /** Half-life of the loads that detect owners which have just become overloaded. */
 const RECENT_HALF_LIFE_MILLIS = 700;
@@ -26,6 +26,12 @@
   /** The same loads with a short half-life: adjacent keys that have become hot must move before the steady loads show it. */
   readonly recent = new KeyLoads(RECENT_HALF_LIFE_MILLIS);
   readonly #hotKeys = new HotKeyMoves();
+  readonly #searched = { spans: 0 };
+
+  /** Number of spans compared in all plans. */
+  get searchedSpans(): number {
+    return this.#searched.spans;
+  }
 
   /** Adds the work for a key since the last report, in milliseconds of the mean upstream's work. */
   add(key: number, workMillis: number, now: number): void {
@@ -44,8 +50,10 @@
     }
     this.#hotKeys.forgetCooled(this.recent);
     const weigher = terms === null ? null : new MoveWeigher(this, terms, this.#hotKeys);
-    const relief = planMoves(ranges, this.recent, servers, RELIEF_GOAL, underWay, weigher);
-    return relief.length > 0 ? relief : planMoves(ranges, this.steady, servers, EVEN_GOAL, underWay, weigher);
+    const planWith = (loads: KeyLoads, goal: BalanceGoal): PlannedSpan[] =>
+      planMoves(ranges, loads, servers, goal, underWay, weigher, this.#searched);
+    const relief = planWith(this.recent, RELIEF_GOAL);
+    return relief.length > 0 ? relief : planWith(this.steady, EVEN_GOAL);
   }
 
   /** Records that a planned move has begun. */
--- a/src/placement/ranges/range-planner.ts
+++ b/src/placement/ranges/range-planner.ts
@@ -7,7 +7,7 @@
 import type { KeyLoads } from './key-loads.js';
 import type { MoveWeigher, WeighedSpan } from './move-weigher.js';
 import { capacityOf, idleLoad, OwnerLoads, type RangeServer } from './owner-loads.js';
-import { shortestSpan } from './span-search.js';
+import { type SearchCount, shortestSpan } from './span-search.js';
 
 /** A span and its planned owner. */
 export interface PlannedSpan extends KeySpan {
@@ -124,7 +124,7 @@
 /**
  * Plans moves that take load off servers which are much busier than the others. `underWay` are spans without an owner, whose
  * load counts at their next owner. With a `weigher`, only moves that gain more than they cost are planned; with `null`, moves
- * aren't weighed.
+ * aren't weighed. `searched` counts the spans that were compared.
  */
 export function planMoves(
   ranges: readonly KeyRange[],
@@ -133,6 +133,7 @@
   goal: BalanceGoal = EVEN_GOAL,
   underWay: readonly PlannedSpan[] = [],
   weigher: MoveWeigher | null = null,
+  searched: SearchCount = { spans: 0 },
 ): PlannedSpan[] {
   const use = new OwnerLoads(servers, ranges, loads);
   for (const span of underWay) {
@@ -145,7 +146,7 @@
   const moves: PlannedSpan[] = [];
   const most = Math.max(MIN_MOVES_LIMIT, Math.floor(servers.length * MOVES_SHARE));
   for (let count = 0; count < most; count += 1) {
-    const move = nextMove({ owned, loads, use, goal, weigher, planned: moves });
+    const move = nextMove({ owned, loads, use, goal, weigher, searched, planned: moves });
     if (move === undefined) {
       break;
     }
@@ -290,6 +291,7 @@
   readonly use: OwnerLoads;
   readonly goal: BalanceGoal;
   readonly weigher: MoveWeigher | null;
+  readonly searched: SearchCount;
   readonly planned: readonly PlannedSpan[];
 }
 
@@ -309,7 +311,7 @@
     if (wanted < MIN_SHIFT_SHARE * capacityOf(idle)) {
       return undefined;
     }
-    const span = shortestSpan(owned, loads, { wanted, most }, planned);
+    const span = shortestSpan(owned, loads, { wanted, most }, planned, search.searched);
     const move = span === undefined ? undefined : { from: span.from, to: span.to, target: idle.upstream };
     const accepted =
       move === undefined || weigher === null
--- a/src/placement/ranges/span-search.ts
+++ b/src/placement/ranges/span-search.ts
@@ -8,6 +8,11 @@
 /** Maximum number of keys in one move, as a share of all keys. */
 const MAX_KEYS_SHARE = 0.05;
 
+/** Counts the spans that a search compared. */
+export interface SearchCount {
+  spans: number;
+}
+
 /** Load that a move should shift, in milliseconds of work per second. */
 export interface LoadShift {
   /** Target load of the span. */
@@ -22,9 +27,11 @@
   loads: KeyLoads,
   shift: LoadShift,
   planned: readonly KeySpan[],
+  count: SearchCount,
 ): KeySpan | undefined {
   let best: KeySpan | undefined;
   for (const range of ranges) {
+    count.spans += 1 + planned.length;
     for (const free of withoutSpans(range, planned)) {
       const span = shortestSpanIn(free, loads, shift);
       if (span !== undefined && (best === undefined || spanLength(span) < spanLength(best))) {
