Planner of ranges: a plan searches each owner a few times, not again for each move

Cause: a plan took the busiest owner again from the start for each move, so that owners without a possible move (a key too hot for any) were searched once for each planned move, and each range was compared with all planned moves, also of other owners: owners x ranges x moves in one step.

Evidence: core-load of such a leader: longest step 650 ms with 160,083 spans compared; the election timeout is 450 ms, and the next record is that of a follower. The new test failed before: 449,796 spans compared for 97 owners with 1,164 ranges, 95,790,491 for 600 with 7,200 (bounds 18,624 and 115,200).

Change: owners wait in an order by their use, of which only the two of a move change their places; one that was searched in vain is tried again after another move, three times a plan at most; planned moves are kept by owner. The mean use is kept up to date in place of being added up.

--- a/src/placement/ranges/owner-loads.ts
+++ b/src/placement/ranges/owner-loads.ts
@@ -43,12 +43,18 @@
 /** Loads by owner, in milliseconds of work per second. */
 export class OwnerLoads {
   readonly #loads = new Map<UpstreamId, number>();
+  readonly #ids: ReadonlySet<UpstreamId>;
+  /** Capacity and load of all servers, without the loads of other owners. */
+  readonly #capacity: number;
+  #serverLoad = 0;
 
   constructor(
     private readonly servers: readonly RangeServer[],
     ranges: readonly KeyRange[],
     private readonly loads: KeyLoads,
   ) {
+    this.#ids = new Set(servers.map(({ upstream }) => upstream));
+    this.#capacity = servers.reduce((sum, server) => sum + capacityOf(server), 0);
     for (const range of ranges) {
       if (range.owner !== null) {
         this.addSpan(range.owner, range);
@@ -62,6 +68,7 @@
 
   addLoad(upstream: UpstreamId, load: number): void {
     this.#loads.set(upstream, (this.#loads.get(upstream) ?? 0) + load);
+    this.#serverLoad += this.#ids.has(upstream) ? load : 0;
   }
 
   loadOf(upstream: UpstreamId): number {
@@ -115,8 +122,6 @@
 
   /** Returns the load of all servers as a share of their capacity. */
   meanUtilisation(): number {
-    const capacity = this.servers.reduce((sum, server) => sum + capacityOf(server), 0);
-    const load = this.servers.reduce((sum, { upstream }) => sum + this.loadOf(upstream), 0);
-    return load / Math.max(1, capacity);
+    return this.#serverLoad / Math.max(1, this.#capacity);
   }
 }
--- a/src/placement/ranges/range-planner.ts
+++ b/src/placement/ranges/range-planner.ts
@@ -4,6 +4,7 @@
  */
 import type { UpstreamId } from '../../model/identifiers.js';
 import { type KeyRange, type KeySpan, spanLength } from '../../model/key-range.js';
+import { BusiestFirst } from './busiest-first.js';
 import type { KeyLoads } from './key-loads.js';
 import type { MoveWeigher, WeighedSpan } from './move-weigher.js';
 import { capacityOf, idleLoad, OwnerLoads, type RangeServer } from './owner-loads.js';
@@ -58,6 +59,8 @@
  */
 const MIN_MOVES_LIMIT = 12;
 const MOVES_SHARE = 1 / 2;
+/** How often a plan looks for a move off an owner in vain. Another owner's move may leave a better target for it. */
+const MAX_FAILED_SEARCHES = 3;
 /** Number of pieces into which the keys of a leaving owner are divided, so that no single server gets all of them. */
 const SPREAD_PIECES = 4;
 
@@ -143,18 +146,56 @@
   if (weigher !== null) {
     excludeExcessOfHottestKeys(owned, loads, use);
   }
-  const moves: PlannedSpan[] = [];
+  const serversById = new Map(servers.map((server) => [server.upstream, server]));
+  const search = { owned, serversById, loads, use, goal, weigher, searched, planned: new Map() };
   const most = Math.max(MIN_MOVES_LIMIT, Math.floor(servers.length * MOVES_SHARE));
-  for (let count = 0; count < most; count += 1) {
-    const move = nextMove({ owned, loads, use, goal, weigher, searched, planned: moves });
-    if (move === undefined) {
+  return searchMoves(search, most);
+}
+
+/**
+ * Plans up to `most` moves, each off the busiest owner at that point. An owner without a possible move is left out until the next
+ * move is planned, and after a few searches in vain for the rest of the plan, whose cost would else grow with owners x moves.
+ */
+function searchMoves(search: MoveSearch, most: number): PlannedSpan[] {
+  const { use, serversById } = search;
+  const moves: PlannedSpan[] = [];
+  const busiestFirst = new BusiestFirst(use, use.busiest(busyThreshold(search)));
+  const failures = new Map<RangeServer, number>();
+  let leftOut: RangeServer[] = [];
+  while (moves.length < most) {
+    const busy = busiestFirst.first;
+    if (busy === undefined || use.utilisationOf(busy) <= busyThreshold(search)) {
       break;
     }
+    const move = moveOff(search, busy);
+    if (move === undefined) {
+      busiestFirst.dropFirst();
+      failures.set(busy, (failures.get(busy) ?? 0) + 1);
+      leftOut.push(busy);
+      continue;
+    }
     moves.push(move);
+    busiestFirst.place(busy);
+    const target = serversById.get(move.target);
+    if (target !== undefined && use.utilisationOf(target) > busyThreshold(search)) {
+      leftOut.push(target);
+    }
+    for (const server of leftOut) {
+      if ((failures.get(server) ?? 0) < MAX_FAILED_SEARCHES) {
+        busiestFirst.place(server);
+      }
+    }
+    leftOut = [];
   }
   return moves;
 }
 
+/** Utilisation above which an owner is too busy. */
+function busyThreshold({ use, goal }: MoveSearch): number {
+  const mean = use.meanUtilisation();
+  return Math.max(goal.minBusyUse, mean * BUSY_FACTOR, mean + BUSY_MARGIN);
+}
+
 /** Subtracts a single key's load beyond its owner's capacity: it is rejected at any owner, so it is no reason to move other keys. */
 function excludeExcessOfHottestKeys(
   owned: ReadonlyMap<UpstreamId, readonly KeyRange[]>,
@@ -182,20 +223,21 @@
   return owned;
 }
 
-function nextMove(search: MoveSearch): PlannedSpan | undefined {
-  const { loads, use, goal, weigher } = search;
-  const mean = use.meanUtilisation();
-  const most = Math.max(goal.minBusyUse, mean * BUSY_FACTOR, mean + BUSY_MARGIN);
-  for (const busy of use.busiest(most)) {
-    const move = hotKeyMove(search, busy) ?? spanMove(search, busy);
-    if (move !== undefined) {
-      const load = loads.loadOfSpan(move);
-      use.addLoad(busy.upstream, -(weigher === null ? load : Math.min(load, capacityOf(busy))));
-      use.addLoad(move.target, load);
-      return move;
-    }
+/** Plans a move off an owner and counts its load at the target; `undefined` if there is none. */
+function moveOff(search: MoveSearch, busy: RangeServer): PlannedSpan | undefined {
+  const { loads, use, weigher, planned } = search;
+  const move = hotKeyMove(search, busy) ?? spanMove(search, busy);
+  if (move !== undefined) {
+    const load = loads.loadOfSpan(move);
+    use.addLoad(busy.upstream, -(weigher === null ? load : Math.min(load, capacityOf(busy))));
+    use.addLoad(move.target, load);
+    planned.set(busy.upstream, [...plannedOff(search, busy), move]);
   }
-  return undefined;
+  return move;
+}
+
+function plannedOff({ planned }: MoveSearch, { upstream }: RangeServer): readonly PlannedSpan[] {
+  return planned.get(upstream) ?? [];
 }
 
 /**
@@ -203,10 +245,14 @@
  * capacity among those whose load is below that of the key. Other keys of that server move away in later plans.
  */
 function hotKeyMove(search: MoveSearch, busy: RangeServer): PlannedSpan | undefined {
-  const { owned, loads, use, planned, weigher } = search;
+  const { owned, loads, use, weigher } = search;
   const key = hottestKey(owned.get(busy.upstream) ?? [], loads);
   const load = key === undefined ? 0 : loads.loadOf(key);
-  if (key === undefined || load < capacityOf(busy) * DOMINANT_KEY_SHARE || isPlanned(planned, key)) {
+  if (
+    key === undefined ||
+    load < capacityOf(busy) * DOMINANT_KEY_SHARE ||
+    isPlanned(plannedOff(search, busy), key)
+  ) {
     return undefined;
   }
   const target = use.largest((server) => server !== busy && use.loadOf(server.upstream) < load);
@@ -287,12 +333,14 @@
 
 interface MoveSearch {
   readonly owned: ReadonlyMap<UpstreamId, readonly KeyRange[]>;
+  readonly serversById: ReadonlyMap<UpstreamId, RangeServer>;
   readonly loads: KeyLoads;
   readonly use: OwnerLoads;
   readonly goal: BalanceGoal;
   readonly weigher: MoveWeigher | null;
   readonly searched: SearchCount;
-  readonly planned: readonly PlannedSpan[];
+  /** Moves of this plan by the owner that they take keys off. */
+  readonly planned: Map<UpstreamId, readonly PlannedSpan[]>;
 }
 
 /**
@@ -300,7 +348,7 @@
  * single key may carry more than that; it moves if its next owner is then still less busy than the previous one.
  */
 function spanToMove(search: MoveSearch, busy: RangeServer, idle: RangeServer): PlannedSpan | undefined {
-  const { loads, use, goal, planned, weigher } = search;
+  const { loads, use, goal, weigher } = search;
   const targetUse = Math.max(use.meanUtilisation(), goal.minTargetUse) * TARGET_FACTOR;
   const surplus = (use.utilisationOf(busy) - targetUse) * capacityOf(busy);
   const spareCapacity = (targetUse - use.utilisationOf(idle)) * capacityOf(idle);
@@ -311,7 +359,7 @@
     if (wanted < MIN_SHIFT_SHARE * capacityOf(idle)) {
       return undefined;
     }
-    const span = shortestSpan(owned, loads, { wanted, most }, planned, search.searched);
+    const span = shortestSpan(owned, loads, { wanted, most }, plannedOff(search, busy), search.searched);
     const move = span === undefined ? undefined : { from: span.from, to: span.to, target: idle.upstream };
     const accepted =
       move === undefined || weigher === null
--- a/test/placement/range-planner.test.ts
+++ b/test/placement/range-planner.test.ts
@@ -13,6 +13,9 @@
   spreadSpan,
 } from '../../src/placement/ranges/range-planner.js';
 
+const RANGES_PER_OWNER = 12;
+/** Four sizes of moves are searched for, twice for an owner that gives keys away, and its planned moves count as well. */
+const MAX_SEARCHES_OF_A_RANGE = 16;
 const WHOLE = { from: 0, to: MAX_KEY };
 
 function servers(count: number, slots = 2): RangeServer[] {
@@ -162,6 +165,27 @@
     }
   });
 
+  /** Guards against a leader that was held up by a plan: it searched owners without a move again for each move that it planned. */
+  for (const count of [97, 600]) {
+    it(`searches the ranges of ${count} owners a few times a plan, however many of them are busy`, () => {
+      const list = servers(count);
+      const ranges = dividedAmong(list).flatMap((range) => splitByOthers(range, RANGES_PER_OWNER / 2, list));
+      const byOwner = list.map(({ upstream }) => ranges.filter(({ owner }) => owner === upstream));
+      const loads = loadsWith(
+        ...byOwner.flatMap((owned, index): (readonly [number, number, number])[] => {
+          const { from = 0 } = owned.at(-1) ?? {};
+          const isTooHot = index % 5 < 2;
+          const isBusy = index % 5 === 2;
+          return isTooHot ? [[from, from, 4000]] : isBusy ? [[from, from + 2, 900]] : [];
+        }),
+      );
+      const searched = { spans: 0 };
+      const moves = planMoves(ranges, loads, list, RELIEF_GOAL, [], null, searched);
+      expect(moves.length).to.be.at.least(count / 6);
+      expect(searched.spans).to.be.below(MAX_SEARCHES_OF_A_RANGE * ranges.length);
+    });
+  }
+
   it('counts moving keys at the server that gets them', () => {
     const list = servers(3);
     const [first, second, third] = dividedAmong(list) as [KeyRange, KeyRange, KeyRange];
