Registry: an entry with many updates of ranges copies the list once

Cause: each update of an entry copied the list of all ranges, and the changes of an entry were found with a table of all ranges. Change: one copy an entry, updates in place, and the two sorted lists are compared side by side. Order and content of the changes are as before.

No test by time; registry, range-owners and heartbeat-owners pass (162).

--- a/src/registry/range-table.ts
+++ b/src/registry/range-table.ts
@@ -85,9 +85,9 @@
     if (!this.#services.has(service)) {
       return [];
     }
-    let ranges = this.rangesOf(service);
+    const ranges = [...this.rangesOf(service)];
     for (const update of updates) {
-      ranges = withRangeUpdate(ranges, update, revision);
+      updateRange(ranges, update, revision);
     }
     return this.#replace(service, mergeAdjacent(ranges));
   }
@@ -125,16 +125,13 @@
   return mergeAdjacent(next);
 }
 
-function withRangeUpdate(
-  ranges: readonly KeyRange[],
-  update: RangeUpdate,
-  revision: Revision,
-): readonly KeyRange[] {
+/** Changes a list in place: an entry may hold many updates, and copying all ranges for each would cost more than the updates. */
+function updateRange(ranges: KeyRange[], update: RangeUpdate, revision: Revision): void {
   const position = findRange(ranges, update.from);
   const range = ranges[position];
   const { from, to, owner, former, expectedFence } = update;
   if (range === undefined || to < from || to > range.to || range.fence !== expectedFence) {
-    return ranges;
+    return;
   }
   const pieces: KeyRange[] = [];
   if (range.from < from) {
@@ -144,7 +141,7 @@
   if (to < range.to) {
     pieces.push({ ...range, from: to + 1, revision });
   }
-  return [...ranges.slice(0, position), ...pieces, ...ranges.slice(position + 1)];
+  ranges.splice(position, 1, ...pieces);
 }
 
 /** Merges adjacent ranges with the same owner, fence and former owner. */
@@ -172,16 +169,21 @@
   before: readonly KeyRange[],
   after: readonly KeyRange[],
 ): RegistryChange[] {
-  const unmatched = new Map(before.map((range) => [range.from, range]));
   const changes: RegistryChange[] = [];
+  const removed: RegistryChange[] = [];
+  let position = 0;
   for (const range of after) {
-    if (unmatched.get(range.from) !== range) {
+    for (; (before[position]?.from ?? Number.POSITIVE_INFINITY) < range.from; position += 1) {
+      removed.push({ type: 'range', service, from: (before[position] as KeyRange).from, record: null });
+    }
+    const earlier = before[position];
+    if (earlier !== range) {
       changes.push({ type: 'range', service, from: range.from, record: range });
     }
-    unmatched.delete(range.from);
+    position += earlier?.from === range.from ? 1 : 0;
   }
-  for (const from of unmatched.keys()) {
-    changes.push({ type: 'range', service, from, record: null });
+  for (const { from } of before.slice(position)) {
+    removed.push({ type: 'range', service, from, record: null });
   }
-  return changes;
+  return [...changes, ...removed];
 }
