Control: members' messages and operators' changes go before what routers and upstreams repeat

Cause: every input of the core was handled when it was read, in the order of arrival: heartbeats of upstreams, load reports of routers and answers to renewals, which grow with the deployment, before a change of an operator or a vote of a member. What had waited for longer than its sender waits was handled all the same, after it had been sent again. Class: work without rank or age in front of work that others wait for.

Change: two queues. Ticks, members' messages, the disk and operators' requests are handled when they are read; the rest in its order, for 25 ms in each turn of the event loop, so that urgent inputs are read between.

--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -326,12 +326,14 @@
   }
 }
 
-function roundedMillis({ steps, longestInput, longestWork, ...millis }: StepReport): StepReport {
+function roundedMillis({ steps, longestInput, longestWork, expiredInputs, ...millis }: StepReport): StepReport {
   const rounded = (value: number): number => Math.round(value * 10) / 10;
   return {
     steps,
     longestInput,
     longestWork,
+    expiredInputs,
+    longestWaitMillis: rounded(millis.longestWaitMillis),
     longestCoreMillis: rounded(millis.longestCoreMillis),
     spanMillis: rounded(millis.spanMillis),
     busyMillis: rounded(millis.busyMillis),
--- a/src/control/daemon/core-task.ts
+++ b/src/control/daemon/core-task.ts
@@ -1,16 +1,23 @@
-/** Task that owns the control core: one input at a time, effects executed in order, ticks when they are due. */
+/**
+ * Task that owns the control core: one input at a time, effects executed in order, ticks when they are due. Urgent inputs are handled
+ * when they arrive; routine ones for a short time in each turn of the event loop, so that urgent ones are read between them.
+ */
 import { toError } from '../../errors/ternmount-error.js';
 import type { MonotonicMillis } from '../../model/identifiers.js';
 import type { ControlCore, ControlEffect, ControlInput, CoreWork } from '../types.js';
+import { InputQueue, isUrgent } from './input-queue.js';
 import { StepMeter, type StepReport } from './step-meter.js';
 
 /** Minimum delay of a tick, so that a deadline in the past can't keep the process busy. */
 const MIN_TICK_DELAY_MILLIS = 1;
+/** Time for routine inputs in one turn of the event loop. */
+const ROUTINE_MILLIS_PER_TURN = 25;
 /** How often the delay of the event loop is measured. */
 const DELAY_INTERVAL_MILLIS = 100;
 
 export class CoreTask {
-  private readonly mailbox: ControlInput[] = [];
+  private readonly inputs = new InputQueue();
+  private nextTurn: NodeJS.Immediate | undefined;
   private timer: NodeJS.Timeout | undefined;
   private delayTimer: NodeJS.Timeout | undefined;
   private stepping = false;
@@ -32,14 +39,16 @@
     this.post({ type: 'tick' });
   }
 
-  /** Passes an input to the core; effects of inputs posted earlier are executed first. */
+  /** Passes an input to the core; effects of inputs that were handled earlier are executed first. */
   post(input: ControlInput): void {
     if (this.stopped) {
       return;
     }
-    this.mailbox.push(input);
-    if (!this.stepping) {
-      this.drain();
+    this.inputs.add(input, performance.now());
+    if (!isUrgent(input)) {
+      this.scheduleTurn();
+    } else if (!this.stepping) {
+      this.run(() => this.handleUrgent());
     }
   }
 
@@ -47,14 +56,53 @@
     this.stopped = true;
     clearTimeout(this.timer);
     clearTimeout(this.delayTimer);
+    clearImmediate(this.nextTurn);
   }
 
-  private drain(): void {
+  private scheduleTurn(): void {
+    this.nextTurn ??= setImmediate(() => {
+      this.nextTurn = undefined;
+      this.run(() => this.handleTurn());
+    });
+  }
+
+  private handleUrgent(): void {
+    for (let input = this.inputs.takeUrgent(); input !== undefined; input = this.inputs.takeUrgent()) {
+      this.step(input);
+    }
+  }
+
+  private handleTurn(): void {
+    const end = performance.now() + ROUTINE_MILLIS_PER_TURN;
+    for (let now = performance.now(); now < end; now = performance.now()) {
+      const taken = this.inputs.takeRoutine(now);
+      if (taken === undefined) {
+        break;
+      }
+      this.meter.recordWait(taken.waitedMillis, taken.hasExpired);
+      if (taken.hasExpired) {
+        this.dismiss(taken.input);
+      } else {
+        this.step(taken.input);
+      }
+      this.handleUrgent();
+    }
+    if (this.inputs.hasRoutine) {
+      this.scheduleTurn();
+    }
+  }
+
+  /** Answers an input that is too old to be handled, if it is a request. */
+  private dismiss(input: ControlInput): void {
+    if (input.type === 'operator-request') {
+      this.onEffect({ type: 'answer-operator', operation: input.operation, response: { type: 'unknown' } });
+    }
+  }
+
+  private run(handle: () => void): void {
     this.stepping = true;
     try {
-      for (let input = this.mailbox.shift(); input !== undefined; input = this.mailbox.shift()) {
-        this.step(input);
-      }
+      handle();
     } catch (thrown) {
       this.stop();
       this.onFailure(toError(thrown));
--- a/src/control/daemon/step-meter.ts
+++ b/src/control/daemon/step-meter.ts
@@ -21,6 +21,10 @@
   readonly longestWork: CoreWork | null;
   /** Maximum delay of a timer, which shows how long events wait in the event loop. */
   readonly lateMillis: number;
+  /** Longest time that a routine input waited for its step. */
+  readonly longestWaitMillis: number;
+  /** Number of heartbeats and load reports that were dropped because they had waited for too long. */
+  readonly expiredInputs: number;
 }
 
 /** One step as measured: when it began, when the core had returned its effects, and when these were carried out. */
@@ -40,6 +44,8 @@
   #longestMillis = 0;
   #longest: MeasuredStep | null = null;
   #lateMillis = 0;
+  #longestWaitMillis = 0;
+  #expiredInputs = 0;
 
   constructor(now: MonotonicMillis) {
     this.#since = now;
@@ -60,6 +66,12 @@
     this.#lateMillis = Math.max(this.#lateMillis, now - dueAt);
   }
 
+  /** Records how long a routine input waited, and whether it was dropped. */
+  recordWait(waitedMillis: number, hasExpired: boolean): void {
+    this.#longestWaitMillis = Math.max(this.#longestWaitMillis, waitedMillis);
+    this.#expiredInputs += hasExpired ? 1 : 0;
+  }
+
   /** Returns the report on the time since the previous one, and starts the next; `null` if too little time has passed. */
   takeReport(now: MonotonicMillis): StepReport | null {
     const spanMillis = now - this.#since;
@@ -75,6 +87,8 @@
       longestCoreMillis: this.#longest === null ? 0 : this.#longest.returnedAt - this.#longest.startedAt,
       longestWork: this.#longest?.work ?? null,
       lateMillis: this.#lateMillis,
+      longestWaitMillis: this.#longestWaitMillis,
+      expiredInputs: this.#expiredInputs,
     };
     this.#since = now;
     this.#steps = 0;
@@ -82,6 +96,8 @@
     this.#longestMillis = 0;
     this.#longest = null;
     this.#lateMillis = 0;
+    this.#longestWaitMillis = 0;
+    this.#expiredInputs = 0;
     return report;
   }
 }
--- a/test/control/daemon/step-meter.test.ts
+++ b/test/control/daemon/step-meter.test.ts
@@ -12,6 +12,8 @@
     meter.recordStep({ input: 'peer-message', startedAt: 10, returnedAt: 15, endedAt: 40, work: LONG_WORK });
     meter.recordTimerDelay(100, 160);
     meter.recordTimerDelay(200, 201);
+    meter.recordWait(12, false);
+    meter.recordWait(1200, true);
     expect(meter.takeReport(999)).to.equal(null);
     meter.recordStep({
       input: 'holder-answer',
@@ -29,6 +31,8 @@
       longestCoreMillis: 5,
       longestWork: LONG_WORK,
       lateMillis: 60,
+      longestWaitMillis: 1200,
+      expiredInputs: 1,
     });
     const empty = {
       steps: 0,
@@ -38,6 +42,8 @@
       longestCoreMillis: 0,
       longestWork: null,
       lateMillis: 0,
+      longestWaitMillis: 0,
+      expiredInputs: 0,
     };
     expect(meter.takeReport(2004)).to.deep.equal({ spanMillis: 1000, ...empty });
   });
