Control: members pass declarations and heartbeats to the leader over their own connection

What callers saw: a valid change without an acknowledgement in calm times.

Cause: an event loop accepts one connection a turn on a listening port (libuv 1.45 and later). All upstreams were told to send their heartbeats to the leader, and all changes were sent there, so at turns of 100 ms the leader took ten new connections a second. Heartbeats timed out for want of a connection, were sent again over new ones, and owners that weren't heard were asked over yet others: once such a queue is there it stays, without any fault. The class is load that grows when it isn't met; the place is where work of all members meets at one.

Change: a member that doesn't lead passes declarations, evacuations, heartbeats and withdrawals to the leader as a frame, and answers with its response; it names its own address for later heartbeats, so they stay spread over all members. All four may be sent twice. Without a connection, above 1 MiB, or without a response in 600 ms the caller is redirected as before; a leader that left one unanswered gets none for 10 s, since a member of an earlier release closes the connection at a frame that it doesn't know.

Test: leader-forward (new).

--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -7,6 +7,7 @@
 import type { Address, ReplicaId } from '../../model/identifiers.js';
 import type { HttpListener } from '../../wire/http/http-listener.js';
 import type { WireIdentity, WireLimits } from '../../wire/index.js';
+import { isForwardable } from '../forwarded-request.js';
 import type {
   ControlConfig,
   ControlCore,
@@ -22,6 +23,7 @@
 import { IdentityQuestions } from './identity-questions.js';
 import { InternalServer } from './internal-server.js';
 import { JoinTask } from './join-task.js';
+import { LeaderForward } from './leader-forward.js';
 import { createControlMetrics } from './metrics.js';
 import { Operations } from './operations.js';
 import { PeerLinks } from './peer-links.js';
@@ -71,6 +73,7 @@
   private readonly holders: HolderCalls;
   private readonly identities: IdentityQuestions;
   private readonly operations: Operations;
+  private readonly leaderForward: LeaderForward;
   private readonly timings: ControlDaemonTimings;
   private readonly log: Logger = createLogger('control');
   private admin: HttpListener | undefined;
@@ -115,6 +118,7 @@
       limits,
       log: this.log,
       received: (message) => this.coreTask.post({ type: 'peer-message', message }),
+      forwarded: (frame, reply) => this.leaderForward.onFrame(frame, reply),
       addresses: () => this.core.status().membership.addresses,
     });
     this.joining = this.createJoinTask(identity, limits);
@@ -125,6 +129,11 @@
     this.operations = new Operations(this.timings.operationMillis, (operation, request) =>
       this.coreTask.post({ type: 'operator-request', operation, request }),
     );
+    this.leaderForward = new LeaderForward({
+      send: (to, kind, payload) => this.peers.sendFrame(to, kind, payload),
+      operate: (request) => this.operations.run(request),
+      log: this.log,
+    });
   }
 
   /** Opens the ports and starts the core. */
@@ -167,9 +176,19 @@
     this.joining.setPeers(peers);
   }
 
-  /** Executes an operator's request. */
-  operate(request: OperatorRequest): Promise<OperatorResponse> {
-    return this.operations.run(request);
+  /** Executes an operator's request: here or, if another member leads, there. */
+  async operate(request: OperatorRequest): Promise<OperatorResponse> {
+    const response = await this.operations.run(request);
+    const { leader } = this.core.status();
+    if (
+      response.type !== 'not-leader' ||
+      !isForwardable(request) ||
+      leader === null ||
+      leader === this.replica
+    ) {
+      return response;
+    }
+    return (await this.leaderForward.forward(leader, request)) ?? response;
   }
 
   /** Planned stop: transfers leadership, completes requests in progress, then closes everything. */
@@ -278,6 +297,7 @@
       log: this.log,
       owner: {
         onPeerMessage: (message) => this.coreTask.post({ type: 'peer-message', message }),
+        onForwarded: (frame, reply) => this.leaderForward.onFrame(frame, reply),
         onJoinRequest: ({ replica, address }) =>
           this.coreTask.post({ type: 'join-request', replica, address }),
         onPeerConnected: (replica, connection) => this.peers.connected(replica, connection),
@@ -326,7 +346,13 @@
   }
 }
 
-function roundedMillis({ steps, longestInput, longestWork, expiredInputs, ...millis }: StepReport): StepReport {
+function roundedMillis({
+  steps,
+  longestInput,
+  longestWork,
+  expiredInputs,
+  ...millis
+}: StepReport): StepReport {
   const rounded = (value: number): number => Math.round(value * 10) / 10;
   return {
     steps,
--- a/src/control/daemon/internal-server.ts
+++ b/src/control/daemon/internal-server.ts
@@ -13,10 +13,13 @@
 } from '../../wire/index.js';
 import type { ControlToRouter, Greeting, JoinRequest, RouterToControl } from '../messages.js';
 import type { ConnectionId } from '../types.js';
+import type { Reply } from './leader-forward.js';
 import { readJoinRequest, readPeerMessage } from './peer-message.js';
 
 export interface InternalServerOwner {
   onPeerMessage(message: RaftMessage): void;
+  /** Returns whether the frame of a control member was a forwarded request or a response to one. */
+  onForwarded(frame: Frame, reply: Reply): boolean;
   onJoinRequest(request: JoinRequest): void;
   onPeerConnected(replica: ReplicaId, connection: FrameConnection): void;
   onPeerDisconnected(replica: ReplicaId, connection: FrameConnection): void;
@@ -100,6 +103,9 @@
       this.options.owner.onJoinRequest(joinRequest);
       return;
     }
+    if (this.options.owner.onForwarded(frame, (kind, payload) => connection.send(kind, payload))) {
+      return;
+    }
     const message = readPeerMessage(frame, connection.peer?.name, this.options.self);
     if (message !== null) {
       this.options.owner.onPeerMessage(message);
--- a/src/control/daemon/peer-links.ts
+++ b/src/control/daemon/peer-links.ts
@@ -4,6 +4,7 @@
 import type { Address, ReplicaId } from '../../model/identifiers.js';
 import {
   type BackoffTimings,
+  type Frame,
   FrameClient,
   type FrameConnection,
   raftCodecs,
@@ -11,6 +12,7 @@
   type WireLimits,
 } from '../../wire/index.js';
 import { splitAppend } from './append-split.js';
+import type { Reply } from './leader-forward.js';
 import { readPeerMessage } from './peer-message.js';
 
 /** Short, so that members that start at the same time connect soon. */
@@ -29,6 +31,8 @@
   readonly log: Logger;
   /** Called for a message received on a connection that this replica opened. */
   readonly received: (message: RaftMessage) => void;
+  /** Called with each frame first; returns whether it was handled. */
+  readonly forwarded: (frame: Frame, reply: Reply) => boolean;
   /** Current addresses of the members in the Raft log. */
   readonly addresses: () => Readonly<Record<ReplicaId, Address>>;
 }
@@ -57,6 +61,11 @@
     }
   }
 
+  /** Sends a frame that isn't a Raft message; returns `false` if there is no connection to the replica. */
+  sendFrame(replica: ReplicaId, kind: number, payload: Uint8Array): boolean {
+    return this.targetOf(replica)?.send(kind, payload) === 'queued';
+  }
+
   connected(replica: ReplicaId, connection: FrameConnection): void {
     this.incoming.set(replica, connection);
   }
@@ -100,7 +109,7 @@
     if (address === undefined) {
       return undefined;
     }
-    const { self, identity, localAddress, limits, log, received } = this.options;
+    const { self, identity, localAddress, limits, log, received, forwarded } = this.options;
     let peerName: ReplicaId | undefined;
     const client = new FrameClient({
       address,
@@ -113,6 +122,9 @@
         log.info('peer-connected', { peer: peer.name, address });
       },
       onFrame: (frame) => {
+        if (forwarded(frame, (kind, payload) => client.send(kind, payload))) {
+          return;
+        }
         const message = readPeerMessage(frame, peerName, self);
         if (message !== null) {
           received(message);
--- a/src/wire/frame.ts
+++ b/src/wire/frame.ts
@@ -23,6 +23,8 @@
   readIndexRequest: 23,
   readIndexResponse: 24,
   joinRequest: 25,
+  forwardedRequest: 26,
+  forwardedResponse: 27,
   syncRequest: 32,
   syncResponse: 33,
   changeNotice: 34,
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,5 +1,6 @@
 /** Frames, codecs and TCP connections between the processes of the system. */
 export { formatAddress, parseAddress } from './address.js';
+export { forwardedRequestCodec, forwardedResponseCodec } from './control/forwarded-request.js';
 export { joinRequestCodec } from './control/join-request.js';
 export {
   DEFAULT_MAX_FRAME_BYTES,
