Router and control: bytes without end from an upstream are bounded in number and time

Cause: the HTTP parser bounds header fields only; nothing counted what comes between the parts of an answer. A streamed answer had no time to end in: its deadline ended with its head.

Change: an attempt's connection that receives more than 64 KiB without a part of its answer is closed, and the attempt counts as answered wrongly (502 where it can't be repeated). A streamed answer is broken off a second after its caller's deadline (ten minutes without one); time in which a caller's buffer is full doesn't count, so that a slow reader still gets what was made in time. Grants, releases, questions to addresses and health checks read 64 KiB at most, head included: a longer response is none (a grant counts as possibly taken). Relayed connections are counted alike.

--- a/src/control/daemon/holder-calls.ts
+++ b/src/control/daemon/holder-calls.ts
@@ -6,6 +6,7 @@
 import type { HolderProtocol } from '../../model/holder-protocol.js';
 import type { Epoch, UpstreamId } from '../../model/identifiers.js';
 import { parseAddress } from '../../wire/address.js';
+import { limitReceivedBytes } from '../../wire/http/received-bytes.js';
 import type { GrantCall, HolderCall, HolderCallId, HolderOutcome } from '../ranges/holder-call.js';
 
 export interface HolderCallsOptions {
@@ -21,6 +22,8 @@
 
 const CONNECTIONS_PER_UPSTREAM = 4;
 const KEEP_ALIVE_MILLIS = 4000;
+/** Largest response to a call, head included. A longer one says nothing of whether the call was carried out. */
+const MAX_RESPONSE_BYTES = 64 * 1024;
 const OK = 200;
 const CONFLICT = 409;
 /** Status if the run at the address isn't the one that the call names. */
@@ -100,14 +103,13 @@
       },
       ...(localAddress && { localAddress }),
     });
-    const timer = setTimeout(
-      () => {
-        end({ type: isConnected ? 'silent' : 'not-sent' });
-        reset(socket);
-        outgoing.destroy();
-      },
-      isGrant ? grantMillis : releaseMillis,
-    );
+    const giveUp = (): void => {
+      end({ type: isConnected ? 'silent' : 'not-sent' });
+      reset(socket);
+      outgoing.destroy();
+    };
+    const timer = setTimeout(giveUp, isGrant ? grantMillis : releaseMillis);
+    limitReceivedBytes(outgoing, MAX_RESPONSE_BYTES, giveUp);
     outgoing.on('socket', (assigned) => {
       socket = assigned;
       isConnected = !assigned.connecting;
--- a/src/control/daemon/identity-questions.ts
+++ b/src/control/daemon/identity-questions.ts
@@ -5,6 +5,7 @@
 import { HEALTH_PATH } from '../../model/health-path.js';
 import type { HolderProtocol } from '../../model/holder-protocol.js';
 import { parseAddress } from '../../wire/address.js';
+import { limitReceivedBytes } from '../../wire/http/received-bytes.js';
 import type { IdentityAnswer, IdentityQuestion, QuestionId } from '../identity-question.js';
 
 export interface IdentityQuestionsOptions {
@@ -16,6 +17,8 @@
   readonly answered: (question: QuestionId, answer: IdentityAnswer) => void;
 }
 
+/** Largest head of a response; the body isn't read. */
+const MAX_RESPONSE_BYTES = 64 * 1024;
 /** Status if the run at the address isn't the one that the query names. */
 const MISDIRECTED_REQUEST = 421;
 const UNKNOWN: IdentityAnswer = { type: 'unknown' };
@@ -58,6 +61,7 @@
       ...(localAddress && { localAddress }),
     });
     const timer = setTimeout(() => end(UNKNOWN, 'timeout'), timeoutMillis);
+    limitReceivedBytes(outgoing, MAX_RESPONSE_BYTES, () => end(UNKNOWN, 'too long'));
     outgoing.on('response', (response) =>
       end(this.#parseResponse(response), `status ${response.statusCode}`),
     );
--- a/src/router/attempts/answer-stream.ts
+++ b/src/router/attempts/answer-stream.ts
@@ -1,6 +1,7 @@
 /**
  * An answer streamed from an upstream to one or more callers. If the upstream's connection breaks, the callers' connections
- * are closed too, so that none of them takes a partial answer for the whole.
+ * are closed too, so that none of them takes a partial answer for the whole. An answer has a time to end in, which doesn't count while
+ * a caller's buffer is full: a faulty upstream may send without end, and a slow caller still gets what its upstream had made in time.
  */
 import type { AnswerWriter } from '../caller/answer-writer.js';
 
@@ -9,6 +10,8 @@
   readonly resume: () => void;
   /** Called when no caller is left. */
   readonly onAbandoned: () => void;
+  /** Called when the answer hasn't ended in its time. */
+  readonly onEndless: () => void;
 }
 
 export class AnswerStream {
@@ -17,6 +20,9 @@
   private readonly blocked = new Set<AnswerWriter>();
   private started = false;
   private isOver = false;
+  private leftMillis = 0;
+  private readingSince: number | null = null;
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: AnswerStreamOptions) {}
 
@@ -31,8 +37,8 @@
     reader.onClose = () => this.remove(reader);
   }
 
-  /** Writes the chunks read so far, then resumes reading. */
-  start(chunks: readonly Buffer[]): void {
+  /** Writes the chunks read so far, then resumes reading for at most `millis`. */
+  start(chunks: readonly Buffer[], millis: number): void {
     if (this.started || this.isOver) {
       return;
     }
@@ -42,6 +48,7 @@
       return;
     }
     this.started = true;
+    this.leftMillis = millis;
     for (const chunk of chunks) {
       this.write(chunk);
     }
@@ -51,6 +58,7 @@
       }
     }
     if (this.blocked.size === 0) {
+      this.startTime();
       this.resume();
     }
   }
@@ -60,20 +68,21 @@
     for (const reader of this.readers) {
       if (!reader.write(chunk)) {
         this.blocked.add(reader);
+        this.stopTime();
       }
     }
     return this.blocked.size === 0;
   }
 
   end(): void {
-    this.isOver = true;
+    this.finish();
     for (const reader of this.readers) {
       reader.end();
     }
   }
 
   breakOff(): void {
-    this.isOver = true;
+    this.finish();
     for (const reader of this.readers) {
       reader.abort();
     }
@@ -81,10 +90,34 @@
 
   private unblock(reader: AnswerWriter): void {
     if (this.blocked.delete(reader) && this.blocked.size === 0) {
+      this.startTime();
       this.resume();
     }
   }
 
+  private startTime(): void {
+    if (this.started && !this.isOver && this.readingSince === null) {
+      this.readingSince = performance.now();
+      this.timer = setTimeout(() => {
+        this.breakOff();
+        this.options.onEndless();
+      }, this.leftMillis);
+    }
+  }
+
+  private stopTime(): void {
+    if (this.readingSince !== null) {
+      clearTimeout(this.timer);
+      this.leftMillis = Math.max(0, this.leftMillis - (performance.now() - this.readingSince));
+      this.readingSince = null;
+    }
+  }
+
+  private finish(): void {
+    this.stopTime();
+    this.isOver = true;
+  }
+
   /**
    * Deferred because buffer space becomes free while another answer is read or breaks: chunks of this answer that were read within the
    * same call would be taken for a part of the other one.
@@ -100,7 +133,7 @@
   private remove(reader: AnswerWriter): void {
     this.readers.delete(reader);
     if (this.readers.size === 0 && !this.isOver) {
-      this.isOver = true;
+      this.finish();
       this.options.onAbandoned();
     }
     this.unblock(reader);
--- a/src/router/attempts/attempt-error.ts
+++ b/src/router/attempts/attempt-error.ts
@@ -9,6 +9,7 @@
   | 'sent-twice'
   | 'no-reader'
   | 'head-too-large'
+  | 'endless'
   | 'reset';
 
 export class AttemptAbortedError extends TernmountError {
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -44,6 +44,11 @@
 
 type Phase = 'waiting' | 'sent' | 'reported';
 
+/** Longest time for which a streamed answer is read for a caller that named no deadline. */
+const LONGEST_STREAM_MILLIS = 600_000;
+/** How long after its caller's deadline a streamed answer is still read: the caller may count from later. */
+const STREAM_OVERTIME_MILLIS = 1000;
+
 /** Answers up to this size are read whole even if little memory for answers is free. */
 const SMALL_ANSWER_BYTES = 16 * 1024;
 
@@ -57,6 +62,8 @@
   private headReceivedAt = 0;
   private complete = false;
   private stream: AnswerStream | null = null;
+  /** How long the stream may go on; the longest of its callers' times counts. */
+  private streamMillis = 0;
   private abortRequest: ((error: Error) => void) | null = null;
   private abortReason: AttemptFailure | null = null;
   private client: ResettableClient | null = null;
@@ -129,13 +136,14 @@
       exchange.abort('needs-length');
       return;
     }
+    this.streamMillis = Math.max(this.streamMillis, streamMillisFor(exchange));
     const bytes = head.contentLength ?? this.size;
     this.stream?.add(exchange.startStream(head.status, headers, bytes));
   }
 
   /** Starts streaming the answer to the callers that it was delivered to. */
   startStream(): void {
-    this.stream?.start(this.chunks);
+    this.stream?.start(this.chunks, this.streamMillis);
     this.release();
   }
 
@@ -157,6 +165,7 @@
       return;
     }
     this.phase = 'sent';
+    this.client?.recordProgress();
     this.abortRequest = abort;
     this.options.onConnected(this.options.effect.attempt);
   }
@@ -165,6 +174,7 @@
     if (status < 200) {
       return true;
     }
+    this.client?.recordProgress();
     const headers = rawHeaders.map((part) => part.toString('latin1'));
     this.resume = resume;
     this.headReceivedAt = this.options.onBodyReceived === null ? 0 : performance.now();
@@ -187,6 +197,7 @@
   }
 
   onData(chunk: Buffer): boolean {
+    this.client?.recordProgress();
     this.receivedBytes += chunk.length;
     // Reading never pauses at the last byte: the upstream may close its connection there, which would look like a truncated answer.
     const isLast = this.receivedBytes === this.head?.contentLength;
@@ -234,6 +245,7 @@
     this.stream = new AnswerStream({
       resume: () => this.resume(),
       onAbandoned: () => this.abort('no-reader'),
+      onEndless: () => this.abort('endless'),
     });
     this.report(this.answeredResult(null));
     return false;
@@ -291,6 +303,13 @@
   }
 }
 
+/** How long an answer may be streamed to a caller, from now. */
+function streamMillisFor({ remainingMillis }: CallerExchange): number {
+  return remainingMillis === null
+    ? LONGEST_STREAM_MILLIS
+    : Math.max(0, remainingMillis) + STREAM_OVERTIME_MILLIS;
+}
+
 /** Most answers consist of one chunk, which needs no copy. */
 function concatChunks(chunks: readonly Buffer[]): Buffer {
   const [first] = chunks;
--- a/src/router/attempts/resettable-client.ts
+++ b/src/router/attempts/resettable-client.ts
@@ -1,16 +1,25 @@
 /**
- * An HTTP client of one connection, which can be reset. Bytes of a request that were sent into a cut stay with the system, which delivers them
+ * An HTTP client of one connection, which can be reset, and which ends a connection that receives much without a part of an answer. Bytes of a request that were sent into a cut stay with the system, which delivers them
  * after the cut even if the connection was closed; a reset discards them.
  */
 import type { Duplex } from 'node:stream';
 import { Client, type Dispatcher } from 'undici';
+import { AttemptAbortedError } from './attempt-error.js';
 import type { Connector } from './settled-connector.js';
 
 /** A connection that can be closed without delivering what it still has to send. */
 interface ResettableStream extends Duplex {
   resetAndDestroy(): unknown;
+  /** Bytes received in all. */
+  readonly bytesRead: number;
 }
 
+/**
+ * Bytes that may come before the next part of an answer: interim answers and the head, or what frames a body. The parser itself
+ * bounds header fields only.
+ */
+const MAX_FRAMING_BYTES = 64 * 1024;
+
 /** A handler of requests that learns which client sends its request. */
 export interface ClientUser {
   onClient(client: ResettableClient): void;
@@ -20,6 +29,9 @@
 
 export class ResettableClient extends Client {
   #stream: ResettableStream | null = null;
+  /** Connection whose framing is watched, and the bytes that it had received with the last part of an answer. */
+  #watched: ResettableStream | null = null;
+  #bytesAtProgress = 0;
 
   constructor(origin: URL, options: Client.Options) {
     const connect = options.connect as Connector;
@@ -38,6 +50,26 @@
     return super.dispatch(options, handler);
   }
 
+  /** Called when a request is written to the connection, and with each part of its answer. */
+  recordProgress(): void {
+    const stream = this.#stream;
+    if (stream === null) {
+      return;
+    }
+    if (stream !== this.#watched) {
+      this.#watched = stream;
+      // The parser's own listener was added before, so that it has read by now what it will.
+      stream.on('readable', () => this.#checkFraming(stream));
+    }
+    this.#bytesAtProgress = parsedBytes(stream);
+  }
+
+  #checkFraming(stream: ResettableStream): void {
+    if (stream === this.#watched && parsedBytes(stream) - this.#bytesAtProgress > MAX_FRAMING_BYTES) {
+      stream.destroy(new AttemptAbortedError('head-too-large'));
+    }
+  }
+
   /** Resets the connection; its request then fails. Returns whether there was one that could be reset. */
   reset(): boolean {
     const stream = this.#stream;
@@ -49,3 +81,8 @@
     return true;
   }
 }
+
+/** Bytes that were received and taken by the parser. */
+function parsedBytes({ bytesRead, readableLength }: ResettableStream): number {
+  return bytesRead - readableLength;
+}
--- a/src/router/hints/health-probes.ts
+++ b/src/router/hints/health-probes.ts
@@ -1,7 +1,8 @@
 /** Probes the health endpoint of each upstream at intervals. A probe costs the upstream time, so there are few. */
-import { Agent } from 'node:http';
+import { Agent, type ClientRequest } from 'node:http';
 import type { Address, UpstreamId } from '../../model/identifiers.js';
 import { HEADERS } from '../../model/outcome.js';
+import { limitReceivedBytes } from '../../wire/http/received-bytes.js';
 import { ProbeSchedule } from './probe-schedule.js';
 
 export interface HealthProbesOptions {
@@ -16,6 +17,8 @@
   readonly result: (upstream: UpstreamId, healthy: boolean, load: number | null) => void;
 }
 
+/** Largest response of a health endpoint, head included; a longer one counts as unhealthy. */
+const MAX_RESPONSE_BYTES = 64 * 1024;
 const OK = 200;
 
 export class HealthProbes {
@@ -70,17 +73,24 @@
   }
 
   private async ask(address: Address): Promise<{ readonly healthy: boolean; readonly load: number | null }> {
+    const tooLong = new AbortController();
     try {
       // Loaded on first use, so that a router without probes starts faster.
       const { got } = await import('got');
-      const response = await got(`http://${address}${this.options.path}`, {
+      const probe = got(`http://${address}${this.options.path}`, {
         agent: { http: this.agent },
         ...(this.options.localAddress && { localAddress: this.options.localAddress }),
         timeout: { request: this.options.timeoutMillis },
         retry: { limit: 0 },
         throwHttpErrors: false,
         followRedirect: false,
+        decompress: false,
+        signal: tooLong.signal,
       });
+      probe.on('request', (outgoing: ClientRequest) =>
+        limitReceivedBytes(outgoing, MAX_RESPONSE_BYTES, () => tooLong.abort()),
+      );
+      const response = await probe;
       const load = Number(response.headers[HEADERS.load] ?? Number.NaN);
       const isValid = Number.isFinite(load) && load >= 0;
       return { healthy: response.statusCode === OK, load: isValid ? load : null };
--- a/src/router/relay/relay-stream.ts
+++ b/src/router/relay/relay-stream.ts
@@ -32,6 +32,7 @@
   /** Whether the socket still has frames to write that must arrive. */
   #isFlushing = false;
   #isReset = false;
+  #bytesRead = 0;
 
   /** Takes the socket over, with the decoder that has read its frames so far. */
   constructor(socket: Socket, decoder: FrameDecoder, options: RelayStreamOptions = {}) {
@@ -44,6 +45,11 @@
     socket.on('close', () => this.#onClose());
   }
 
+  /** Bytes received in all, as of a socket. */
+  get bytesRead(): number {
+    return this.#bytesRead;
+  }
+
   /** Tells the other router that this one stops. */
   announceClosing(): void {
     this.#writeFrame(FRAME_KINDS.relayClosing, NO_BYTES);
@@ -119,6 +125,7 @@
     }
     switch (kind) {
       case FRAME_KINDS.relayData:
+        this.#bytesRead += payload.length;
         if (!this.push(payload)) {
           this.#socket.pause();
         }
--- a/test/contract/process-cluster.ts
+++ b/test/contract/process-cluster.ts
@@ -81,6 +81,12 @@
     this.#spawn(name, [DEV_PROGRAM, 'standin', kind, '--settings', this.write(`${name}.yaml`, settings)]);
   }
 
+  /** Memory of a process that is in use. */
+  residentBytes(name: string): number {
+    const status = readFileSync(`/proc/${this.#running.get(name)?.pid}/status`, 'utf8');
+    return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]) * 1024;
+  }
+
   /** Ends a process; gives its exit code. */
   async end(name: string, signal: NodeJS.Signals): Promise<number | null> {
     const child = this.#running.get(name) as ChildProcess;
--- a/test/platform/announced-upstream.ts
+++ b/test/platform/announced-upstream.ts
@@ -40,6 +40,8 @@
   readonly zone?: string;
   /** Addresses of the control members' HTTP API, tried in order. */
   readonly control: readonly string[];
+  /** Takes a request over before anything else; returns whether it did, and then writes to the socket itself. */
+  readonly takeOver?: (request: IncomingMessage) => boolean;
   /** Runs a request; sends the response itself, or returns the body of an ordinary one. */
   readonly work?: (run: Run, response: ServerResponse, request: IncomingMessage) => Promise<string | null>;
 }
@@ -129,6 +131,11 @@
   }
 
   /** Simulates a crash of the process: closes connections and listener, and sends no more heartbeats. */
+  /** Sends no more heartbeats, and serves on. */
+  fallSilent(): void {
+    this.#isAnnouncing = false;
+  }
+
   crash(): void {
     this.#isAnnouncing = false;
     this.#server.close();
@@ -173,6 +180,9 @@
   }
 
   async #handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.options.takeOver?.(incoming) === true) {
+      return;
+    }
     const body = await bodyOf(incoming);
     const { url = '' } = incoming;
     if (this.options.byHeartbeat === true && url.startsWith('/ternmount/')) {
--- a/test/router/caller/answer-stream.test.ts
+++ b/test/router/caller/answer-stream.test.ts
@@ -31,6 +31,9 @@
   }
 }
 
+/** Longer than any test takes. */
+const LONG_MILLIS = 600_000;
+
 function waitForImmediates(): Promise<void> {
   return new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
 }
@@ -48,6 +51,7 @@
         resumed += 1;
       },
       onAbandoned: () => {},
+      onEndless: () => {},
     });
     stream.add(
       new AnswerWriter({
@@ -58,7 +62,7 @@
         onBroken: () => {},
       }),
     );
-    stream.start([]);
+    stream.start([], LONG_MILLIS);
   });
 
   it('is read on once there is capacity, but not synchronously while capacity is released', async () => {
