--- a/src/dev/sim/faults/disk-faults.ts
+++ b/src/dev/sim/faults/disk-faults.ts
@@ -11,7 +11,7 @@
 const CUT_OFF_MILLIS = 700;
 
 /** Crashes a member's machine, empties its disk, and replaces its replica. */
-function loseDataFolder(simulation: Simulation, control: SimControl, repaired: () => void): void {
+export function loseDataFolder(simulation: Simulation, control: SimControl, repaired: () => void): void {
   const old = control.replica;
   control.losesPower = true;
   control.crash(true);
@@ -22,7 +22,8 @@
   });
 }
 
-function pickIfAllRunning(simulation: Simulation, random: Random): SimControl | undefined {
+/** Picks a member if all of them run; `undefined` otherwise, so that no more disks are lost than may be. */
+export function pickIfAllRunning(simulation: Simulation, random: Random): SimControl | undefined {
   const candidates = simulation.controls.filter((control) => control.state === 'running');
   const isWhole = candidates.length === simulation.controls.length && !simulation.isRepairing;
   return isWhole ? random.pick(candidates) : undefined;
--- a/test/platform/endless-writer.ts
+++ b/test/platform/endless-writer.ts
@@ -81,7 +81,7 @@
     this.requests = 0;
   }
 
-  answer({ socket, headers }: IncomingMessage): void {
+  answer({ socket, headers }: Pick<IncomingMessage, 'socket' | 'headers'>): void {
     const { begin, repeat, everyMillis = 0 } = this.shape;
     this.requests += 1;
     this.#open.add(socket);
