review/8: a planned stop loses answers that slow readers haven't taken

What breaks: LOST. A router that is stopped by SIGTERM destroys connections after 3 s on which an answer of up to 16 KiB waits to be written; it and the answers behind it, which upstreams have made, are lost.

Three routers are stopped in turn while clients that send many safe requests on a connection are slow to read.

--- a/review/lib-2/pipelined-client.mjs
+++ b/review/lib-2/pipelined-client.mjs
@@ -6,8 +6,8 @@
 
 const TICK_MILLIS = 10;
 
-/** Resolves with the answers in order, and how the connection ended: `fin`, an error code, or `client` once all was read. */
-export function pipelinedRequests({ host, port, requests, bytesPerSecond, limitMillis, deadlineMillis = 8741 }) {
+/** Reads nothing for `readFromMillis`. Resolves with the answers in order, and how the connection ended: `fin`, an error code, or `client` once all was read. */
+export function pipelinedRequests({ host, port, requests, bytesPerSecond, limitMillis, readFromMillis = 0, deadlineMillis = 8741 }) {
   return new Promise((done) => {
     const socket = net.connect({ host, port, noDelay: true });
     const text = requests.map(
@@ -58,7 +58,7 @@
       }
     };
     const timer = setInterval(() => {
-      const allowed = Math.floor(((performance.now() - startedAt) / 1000) * bytesPerSecond - taken);
+      const allowed = Math.floor(((performance.now() - startedAt - readFromMillis) / 1000) * bytesPerSecond - taken);
       take(allowed);
       if (reader.complete >= requests.length) {
         finish('client');
