Log: the connection of each attempt, answers with another id, the listener's own answers, how soon a call was answered

The lines of a request that was refused and ran couldn't tell the refusal of its second attempt from the copy of the first one's, nor who wrote a 408; calls of control didn't say whether their connection had carried others.

--- a/src/control/daemon/holder-calls.ts
+++ b/src/control/daemon/holder-calls.ts
@@ -29,6 +29,13 @@
 /** Status if the run at the address isn't the one that the call names. */
 const MISDIRECTED_REQUEST = 421;
 
+/** The circumstances of a call, for the log. */
+interface CallCircumstances {
+  readonly startedAt: number;
+  /** Number of calls that its connection had carried before; `null`: it got none. */
+  earlierCalls: number | null;
+}
+
 /** A single connection to an upstream whose runs share its id. Its remote end is the same run for its whole lifetime. */
 class RunConnection {
   readonly agent = new Agent({ keepAlive: true, maxSockets: 1, timeout: KEEP_ALIVE_MILLIS });
@@ -55,6 +62,9 @@
     timeout: KEEP_ALIVE_MILLIS,
   });
 
+  /** Number of calls that each connection has carried. */
+  private readonly callCounts = new WeakMap<Socket, number>();
+
   constructor(private readonly options: HolderCallsOptions) {}
 
   /** Makes a call; `ended` is called exactly once with its outcome. A call that can't be written isn't sent. */
@@ -65,7 +75,7 @@
       const { kind, upstream, address } = call;
       const reason = toError(thrown).message;
       this.options.log.warn('holder-call-unsendable', { kind, upstream, address, reason });
-      queueMicrotask(() => this.report(call, { type: 'not-sent' }));
+      queueMicrotask(() => this.report(call, { type: 'not-sent' }, notCarried()));
     }
   }
 
@@ -77,16 +87,17 @@
     let socket: Socket | undefined;
     let isConnected = false;
     let isEnded = false;
+    const circumstances = notCarried();
     const end = (outcome: HolderOutcome): void => {
       if (!isEnded) {
         isEnded = true;
         clearTimeout(timer);
-        this.report(call, outcome);
+        this.report(call, outcome, circumstances);
       }
     };
     const connection = isGrant ? this.connectionFor(call) : null;
     if (isGrant && call.isBound && connection?.fences.has(call.fence) !== true) {
-      queueMicrotask(() => this.report(call, { type: 'unbound' }));
+      queueMicrotask(() => this.report(call, { type: 'unbound' }, circumstances));
       return;
     }
     connection?.fences.add(call.fence);
@@ -119,6 +130,7 @@
         outgoing.destroy();
         return;
       }
+      circumstances.earlierCalls = this.countCall(assigned);
       if (assigned.connecting) {
         assigned.once('connect', () => {
           isConnected = true;
@@ -168,9 +180,21 @@
     return statusCode === CONFLICT ? { type: 'superseded' } : { type: 'rejected', status: statusCode };
   }
 
-  private report(call: HolderCall, outcome: HolderOutcome): void {
+  /** Returns the number of calls that a connection carried before this one. */
+  private countCall(socket: Socket): number {
+    const earlierCalls = this.callCounts.get(socket) ?? 0;
+    this.callCounts.set(socket, earlierCalls + 1);
+    return earlierCalls;
+  }
+
+  private report(
+    call: HolderCall,
+    outcome: HolderOutcome,
+    { startedAt, earlierCalls }: CallCircumstances,
+  ): void {
     const { kind, upstream, from, to, fence } = call;
-    const fields = { kind, upstream, from, to, fence, outcome };
+    const tookMillis = Math.round((performance.now() - startedAt) * 10) / 10;
+    const fields = { kind, upstream, from, to, fence, outcome, tookMillis, earlierCalls };
     if (outcome.type === 'accepted' && kind !== 'release') {
       this.options.log.sample('holder-call-ended', () => fields);
     } else {
@@ -180,6 +204,10 @@
   }
 }
 
+function notCarried(): CallCircumstances {
+  return { startedAt: performance.now(), earlierCalls: null };
+}
+
 function bodyOf(call: HolderCall): object {
   const { from, to, fence } = call;
   if (call.kind === 'release') {
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -49,6 +49,14 @@
       'returns',
     ],
   },
+  'answer-foreign': {
+    source: 'router',
+    fields: ['id', 'attempt', 'upstream', 'connection', 'earlierRequests', 'status', 'receivedId'],
+  },
+  'caller-fault-answered': {
+    source: 'router',
+    fields: ['fault', 'status', 'from', 'open', 'isLastWhole', 'unsentBytes'],
+  },
   'answer-failed': { source: 'router', fields: ['request', 'reason'] },
   'answer-broken-off': { source: 'router', fields: ['request', 'id', 'reason', 'lostBehind'] },
   'answer-missing': { source: 'router', fields: ['request', 'attempt'] },
@@ -205,7 +213,10 @@
   'zone-spill-changed': { source: 'control', fields: ['service', 'zone', 'use', 'spill', 'before'] },
   'zone-evacuation-changed': { source: 'both', fields: ['zone', 'isEvacuated', 'revision'] },
   'declaration-changed': { source: 'control', fields: ['version', 'revision', 'changedRoutes'] },
-  'holder-call-ended': { source: 'control', fields: ['kind', 'upstream', 'from', 'to', 'fence', 'outcome'] },
+  'holder-call-ended': {
+    source: 'control',
+    fields: ['kind', 'upstream', 'from', 'to', 'fence', 'outcome', 'tookMillis', 'earlierCalls'],
+  },
   'session-failed': { source: 'control', fields: ['upstream', 'reason'] },
   'operator-change': {
     source: 'control',
--- a/src/router/attempts/announced-protocol.ts
+++ b/src/router/attempts/announced-protocol.ts
@@ -14,7 +14,7 @@
 
 export function createAnnouncedProtocol(names: HeaderNames): UpstreamProtocol {
   const ownHeaders = [names.requestId, names.deadline, names.instance, names.key];
-  const idOf = ({ exchange, attemptId }: OutgoingRequest): string => exchange.head.requestId ?? attemptId;
+  const sentIdOf = ({ exchange, attemptId }: OutgoingRequest): string => exchange.head.requestId ?? attemptId;
   return {
     acceptsUnframed: true,
     requestHeaders: (request) => {
@@ -22,13 +22,14 @@
       const deadline = String(Math.max(1, Math.floor(effect.deadlineMillis)));
       return [
         ...withoutHeaders(exchange.forwardedHeaders(), ownHeaders),
-        ...[names.requestId, idOf(request)],
+        ...[names.requestId, sentIdOf(request)],
         ...[names.deadline, deadline],
         ...[names.instance, effect.instance ?? ''],
         ...(exchange.head.key === null ? [] : [names.key, exchange.head.key]),
       ];
     },
-    isAnswerTo: (request, headers) => findHeader(headers, names.requestId) === idOf(request),
+    idOf: (headers) => findHeader(headers, names.requestId) ?? null,
+    isAnswerTo: (request, headers) => findHeader(headers, names.requestId) === sentIdOf(request),
     refusalOf: ({ status, headers }) => {
       const isMarked = findHeader(headers, names.notRun) !== undefined;
       if (!isMarked && status !== MISDIRECTED_REQUEST) {
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -15,7 +15,7 @@
 import { classifyBreak } from './classify-break.js';
 import { connectFailure } from './connect-failure.js';
 import type { ConnectionResets } from './connection-resets.js';
-import type { ClientUser, ResettableClient } from './resettable-client.js';
+import type { ClientUser, ConnectionUse, ResettableClient } from './resettable-client.js';
 import { storedAnswerOf } from './stored-answer.js';
 import type { UpstreamProtocol } from './upstream-protocol.js';
 
@@ -32,7 +32,9 @@
   readonly held: HeldBytes;
   readonly resets: ConnectionResets;
   /** Called when the request is written to a connection. */
-  readonly onConnected: (attempt: AttemptNumber) => void;
+  readonly onConnected: (attempt: AttemptNumber, use: ConnectionUse | null) => void;
+  /** Called with the head of an answer that carries another id than the request. */
+  readonly onForeignAnswer: (attempt: AttemptNumber, head: Pick<AnswerHead, 'status' | 'headers'>) => void;
   /** Called with the head of the answer, unless it comes from another run at the address: its notices concern that run. */
   readonly onHead: (attempt: AttemptNumber, head: AnswerHead) => void;
   /** Called when a whole body was received; `millis` is the time from its head to its last byte. `null` if transfers aren't measured. */
@@ -165,9 +167,9 @@
       return;
     }
     this.phase = 'sent';
-    this.client?.recordProgress();
+    const use = this.client?.recordRequest() ?? null;
     this.abortRequest = abort;
-    this.options.onConnected(this.options.effect.attempt);
+    this.options.onConnected(this.options.effect.attempt, use);
   }
 
   onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
@@ -180,6 +182,7 @@
     this.headReceivedAt = this.options.onBodyReceived === null ? 0 : performance.now();
     const { protocol } = this.options;
     if (!protocol.isAnswerTo(this.options, headers)) {
+      this.options.onForeignAnswer(this.options.effect.attempt, { status, headers });
       this.abort('other-request-id');
       return false;
     }
--- a/src/router/attempts/fenced-protocol.ts
+++ b/src/router/attempts/fenced-protocol.ts
@@ -7,6 +7,7 @@
 export const FENCED_PROTOCOL: UpstreamProtocol = {
   acceptsUnframed: false,
   requestHeaders: (request) => [...request.exchange.forwardedHeaders(), ...internalHeaders(request)],
+  idOf: (headers) => findHeader(headers, HEADERS.requestId) ?? null,
   isAnswerTo: ({ attemptId }, headers) => findHeader(headers, HEADERS.requestId) === attemptId,
   refusalOf,
   loadOf: reportedLoad,
--- a/src/router/attempts/resettable-client.ts
+++ b/src/router/attempts/resettable-client.ts
@@ -20,6 +20,14 @@
  */
 const MAX_FRAMING_BYTES = 64 * 1024;
 
+/** The place of a request on its connection. */
+export interface ConnectionUse {
+  /** Number of the connection within this process. */
+  readonly connection: number;
+  /** Number of requests that were written to it before. */
+  readonly earlierRequests: number;
+}
+
 /** A handler of requests that learns which client sends its request. */
 export interface ClientUser {
   onClient(client: ResettableClient): void;
@@ -27,8 +35,14 @@
 
 type ClientHandler = Dispatcher.DispatchHandlers & Partial<ClientUser>;
 
+/** Connections opened by this process. */
+let connectionCount = 0;
+
 export class ResettableClient extends Client {
   #stream: ResettableStream | null = null;
+  #connection = 0;
+  /** Number of requests written to the connection. */
+  #requests = 0;
   /** Connection whose framing is watched, and the bytes that it had received with the last part of an answer. */
   #watched: ResettableStream | null = null;
   #bytesAtProgress = 0;
@@ -40,6 +54,9 @@
       connect: (target, callback) =>
         connect(target, (...result) => {
           this.#stream = result[1];
+          connectionCount += 1;
+          this.#connection = connectionCount;
+          this.#requests = 0;
           callback(...result);
         }),
     });
@@ -50,7 +67,15 @@
     return super.dispatch(options, handler);
   }
 
-  /** Called when a request is written to the connection, and with each part of its answer. */
+  /** Called when a request is written to the connection. */
+  recordRequest(): ConnectionUse {
+    const earlierRequests = this.#requests;
+    this.#requests += 1;
+    this.recordProgress();
+    return { connection: this.#connection, earlierRequests };
+  }
+
+  /** Called with each part of an answer. */
   recordProgress(): void {
     const stream = this.#stream;
     if (stream === null) {
--- a/src/router/attempts/upstream-attempts.ts
+++ b/src/router/attempts/upstream-attempts.ts
@@ -11,6 +11,7 @@
 import { Attempt, type DispatchEffect } from './attempt.js';
 import { FENCED_PROTOCOL } from './fenced-protocol.js';
 import { readNotice } from './read-notice.js';
+import type { ConnectionUse } from './resettable-client.js';
 import type { UpstreamPools } from './upstream-pools.js';
 import type { UpstreamProtocol } from './upstream-protocol.js';
 
@@ -25,7 +26,9 @@
   readonly storedAnswerBytes: number;
   readonly held: HeldBytes;
   /** Called when the request of an attempt is written to a connection. */
-  readonly onConnected: (attempt: AttemptNumber) => void;
+  readonly onConnected: (attempt: AttemptNumber, use: ConnectionUse | null) => void;
+  /** Called when an answer carries another id than its request. `receivedId`: `null` if it carries none. */
+  readonly onForeignAnswer: (attempt: AttemptNumber, status: number, receivedId: string | null) => void;
   /** Called when an attempt ended; its answer is dropped unless it is delivered before this returns. */
   readonly ended: (attempt: AttemptNumber, result: AttemptResult) => void;
   /** Called when a whole body was received; `millis` is the time from its head to its last byte. `null` if transfers aren't measured. */
@@ -54,16 +57,19 @@
   /** Sends the request of an exchange to an upstream. */
   start(effect: DispatchEffect, exchange: CallerExchange): void {
     const { incarnation, pools, storedAnswerBytes, held, onBodyReceived, onConnected } = this.parts;
+    const protocol = effect.instance === null ? FENCED_PROTOCOL : this.announced;
     const attempt = new Attempt({
       effect,
       exchange,
       attemptId: `${incarnation}.${effect.attempt}`,
-      protocol: effect.instance === null ? FENCED_PROTOCOL : this.announced,
+      protocol,
       storedAnswerBytes: exchange.head.idempotency === null ? null : storedAnswerBytes,
       held,
       resets: pools.resets,
       onBodyReceived,
       onConnected,
+      onForeignAnswer: (number, { status, headers }) =>
+        this.parts.onForeignAnswer(number, status, protocol.idOf(headers)),
       ended: (number, result) => this.handleEnd(number, result),
       onHead: (number, head) => this.handleHead(effect.upstream, number, head),
     });
--- a/src/router/attempts/upstream-protocol.ts
+++ b/src/router/attempts/upstream-protocol.ts
@@ -20,6 +20,8 @@
   readonly acceptsUnframed: boolean;
   /** Returns all headers except those set by the HTTP client, as a flat list. */
   requestHeaders(request: OutgoingRequest): string[];
+  /** Returns the id that an answer carries; `null` if it carries none. */
+  idOf(headers: readonly string[]): string | null;
   /** Whether an answer belongs to the request. */
   isAnswerTo(request: OutgoingRequest, headers: readonly string[]): boolean;
   /** Returns the refusal that an answer means; `null` if the request may have run. */
--- a/src/router/request-trail.ts
+++ b/src/router/request-trail.ts
@@ -3,6 +3,7 @@
 import type { Epoch, Revision, RouterId, UpstreamId } from '../model/identifiers.js';
 import type { ConnectionBreak } from '../routing/connection-break.js';
 import type { AttemptNumber, AttemptResult, RouterEffect } from '../routing/types.js';
+import type { ConnectionUse } from './attempts/resettable-client.js';
 import type { CallerExchange } from './caller/caller-exchange.js';
 
 type RefuseEffect = Extract<RouterEffect, { readonly type: 'refuse' }>;
@@ -19,6 +20,9 @@
   readonly sentAt: number;
   /** When the request was written to a connection; `null`: it hasn't got one. */
   connectedAt: number | null;
+  /** Number of that connection, and of the requests that were written to it before; left out: it hasn't got one. */
+  connection?: number;
+  earlierRequests?: number;
   /** Time since the router had last received anything from the upstream; `null`: never. */
   readonly heardAgoMillis: number | null;
   endedAt: number | null;
@@ -27,6 +31,8 @@
   how?: ConnectionBreak;
 }
 
+/** Statuses by which an upstream's answer may promise that the request hasn't run. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Answers that take at least this long are always logged. */
 const SLOW_MILLIS = 500;
 const FIRST_SERVER_ERROR = 500;
@@ -54,13 +60,29 @@
     });
   }
 
-  recordConnected(attempt: AttemptNumber): void {
+  recordConnected(attempt: AttemptNumber, use: ConnectionUse | null): void {
     const step = this.stepOf(attempt);
     if (step !== undefined) {
       step.connectedAt = this.elapsed();
+      Object.assign(step, use);
     }
   }
 
+  /** Logs that an answer with another id came where that of an attempt was due; `receivedId`: `null` if it had none. */
+  logForeignAnswer(attempt: AttemptNumber, status: number, receivedId: string | null): void {
+    const { connection = null, earlierRequests = null, upstream = null } = this.stepOf(attempt) ?? {};
+    const { requestId: id } = this.exchange.head;
+    this.log.info('answer-foreign', {
+      id,
+      attempt,
+      upstream,
+      connection,
+      earlierRequests,
+      status,
+      receivedId,
+    });
+  }
+
   recordEnd(attempt: AttemptNumber, result: AttemptResult): void {
     const step = this.stepOf(attempt);
     if (step !== undefined) {
@@ -76,7 +98,8 @@
   logDelivered(attempt: AttemptNumber): void {
     const step = this.stepOf(attempt);
     const status = Number(step?.result?.split(' ')[1] ?? 0);
-    const isOrdinary = this.steps.length === 1 && status < FIRST_SERVER_ERROR && this.elapsed() < SLOW_MILLIS;
+    const isUsualStatus = status < FIRST_SERVER_ERROR && !PROMISING_STATUSES.has(status);
+    const isOrdinary = this.steps.length === 1 && isUsualStatus && this.elapsed() < SLOW_MILLIS;
     if (isOrdinary) {
       this.log.sample('request-answered', () => this.fields(status));
     } else {
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -176,6 +176,7 @@
     this.callers = await HttpListener.listen(listen, limits, onRequest, {
       requireHost: false,
       describeFault: describeRequestFault,
+      onFaultAnswered: (answered) => this.log.info('caller-fault-answered', { ...answered }),
     });
   }
 
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -102,7 +102,9 @@
       headers: settings.headers,
       storedAnswerBytes: settings.limits.storedAnswerBytes,
       held,
-      onConnected: (attempt) => this.trailOf(attempt)?.recordConnected(attempt),
+      onConnected: (attempt, use) => this.trailOf(attempt)?.recordConnected(attempt, use),
+      onForeignAnswer: (attempt, status, receivedId) =>
+        this.trailOf(attempt)?.logForeignAnswer(attempt, status, receivedId),
       ended: (attempt, result) => {
         metrics.recordAttempt(result.type);
         this.detachTrail(attempt)?.recordEnd(attempt, result);
--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -5,7 +5,7 @@
 import type { Address } from '../../model/identifiers.js';
 import { formatAddress, parseAddress } from '../address.js';
 import { ListenError } from '../listen-error.js';
-import { type DescribeFault, RequestFaults } from './request-faults.js';
+import { type AnsweredFault, type DescribeFault, RequestFaults } from './request-faults.js';
 
 export interface HttpLimits {
   readonly maxHeaderBytes: number;
@@ -30,6 +30,8 @@
   readonly requireHost?: boolean;
   /** Creates the responses to malformed requests. */
   readonly describeFault?: DescribeFault;
+  /** Called when a malformed or incomplete request is answered. */
+  readonly onFaultAnswered?: (answered: AnsweredFault) => void;
 }
 
 const describeFaultByName: DescribeFault = (fault) => ({ headers: {}, body: { error: fault } });
@@ -67,7 +69,8 @@
       noDelay: true,
       requireHostHeader: options.requireHost ?? true,
     });
-    new RequestFaults(server, options.describeFault ?? describeFaultByName);
+    const { describeFault = describeFaultByName, onFaultAnswered = () => {} } = options;
+    new RequestFaults(server, describeFault, onFaultAnswered);
     server.maxConnections = limits.maxConnections;
     const listener = new HttpListener(server);
     server.on('request', (request, response) => {
--- a/src/wire/http/request-faults.ts
+++ b/src/wire/http/request-faults.ts
@@ -17,6 +17,20 @@
 
 export type DescribeFault = (fault: RequestFault) => FaultAnswer;
 
+/** A fault that was answered, and the state of its connection at that moment. */
+export interface AnsweredFault {
+  readonly fault: RequestFault;
+  readonly status: number;
+  /** Address of the caller; empty if its connection is closed already. */
+  readonly from: string;
+  /** Requests of the connection without a complete response. */
+  readonly open: number;
+  /** Whether the last of its requests had come whole. */
+  readonly isLastWhole: boolean;
+  /** Bytes that were written to the connection before and hadn't left the process. */
+  readonly unsentBytes: number;
+}
+
 /** Error code if the caller closed its connection in the middle of a request. */
 const ENDED_MIDWAY = 'HPE_INVALID_EOF_STATE';
 
@@ -41,6 +55,7 @@
   constructor(
     server: Server,
     private readonly describe: DescribeFault,
+    private readonly onAnswered: (answered: AnsweredFault) => void,
   ) {
     server.on('request', (request, response) => this.track(request, response));
     server.on('clientError', (error, socket) => this.handleError(error, socket as Socket));
@@ -83,11 +98,24 @@
 
   private answer(fault: RequestFault, socket: Socket): void {
     if (socket.writable) {
+      this.onAnswered(this.stateAt(fault, socket));
       socket.write(this.answerTo(fault));
     }
     socket.destroySoon();
   }
 
+  private stateAt(fault: RequestFault, socket: Socket): AnsweredFault {
+    const { open = 0, last } = this.exchanges.get(socket) ?? {};
+    return {
+      fault,
+      status: STATUSES[fault],
+      from: socket.remoteAddress ?? '',
+      open,
+      isLastWhole: last?.complete ?? true,
+      unsentBytes: socket.writableLength,
+    };
+  }
+
   private answerTo(fault: RequestFault): string {
     const status = STATUSES[fault];
     const { headers, body } = this.describe(fault);
