Router: a connection carries no request id twice, so that a copied refusal isn't taken for the answer to a retry

What callers saw: 503 with a promise for orders that ran. Cause: an upstream without our library gives back the caller's id, which all attempts of a request share; a second copy of its refusal was read as the answer to the retry over the same connection. Class: an answer taken for that of another message.

Why it works: a connection is replaced before it would carry an id for the second time (SentIds), so the id names one attempt on it, whatever comes late. Requests to upstreams with our library have ids of their own.

Weighed: closing the connection after each refusal (one connection a refusal); counting such a refusal as unknown (502 for what was truly refused twice).

--- a/src/router/attempts/announced-protocol.ts
+++ b/src/router/attempts/announced-protocol.ts
@@ -29,6 +29,7 @@
       ];
     },
     idOf: (headers) => findHeader(headers, names.requestId) ?? null,
+    sharedIdOf: sentIdOf,
     isAnswerTo: (request, headers) => findHeader(headers, names.requestId) === sentIdOf(request),
     refusalOf: ({ status, headers }) => {
       const isMarked = findHeader(headers, names.notRun) !== undefined;
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -77,6 +77,10 @@
     return this.options.effect.upstream;
   }
 
+  get sharedId(): string | null {
+    return this.options.protocol.sharedIdOf(this.options);
+  }
+
   /** Whether the whole answer was received. */
   get whole(): boolean {
     return this.complete;
@@ -167,7 +171,7 @@
       return;
     }
     this.phase = 'sent';
-    const use = this.client?.recordRequest() ?? null;
+    const use = this.client?.recordRequest(this.sharedId) ?? null;
     this.abortRequest = abort;
     this.options.onConnected(this.options.effect.attempt, use);
   }
--- a/src/router/attempts/fenced-protocol.ts
+++ b/src/router/attempts/fenced-protocol.ts
@@ -8,6 +8,7 @@
   acceptsUnframed: false,
   requestHeaders: (request) => [...request.exchange.forwardedHeaders(), ...internalHeaders(request)],
   idOf: (headers) => findHeader(headers, HEADERS.requestId) ?? null,
+  sharedIdOf: () => null,
   isAnswerTo: ({ attemptId }, headers) => findHeader(headers, HEADERS.requestId) === attemptId,
   refusalOf,
   loadOf: reportedLoad,
--- a/src/router/attempts/resettable-client.ts
+++ b/src/router/attempts/resettable-client.ts
@@ -1,10 +1,12 @@
 /**
- * An HTTP client of one connection, which can be reset, and which ends a connection that receives much without a part of an answer. Bytes of a request that were sent into a cut stay with the system, which delivers them
- * after the cut even if the connection was closed; a reset discards them.
+ * An HTTP client of one connection, which can be reset, which ends a connection that receives much without a part of an answer, and which
+ * replaces one that has carried the id of a request before. Bytes of a request that were sent into a cut stay with the system, which
+ * delivers them after the cut even if the connection was closed; a reset discards them.
  */
 import type { Duplex } from 'node:stream';
 import { Client, type Dispatcher } from 'undici';
 import { AttemptAbortedError } from './attempt-error.js';
+import { SentIds } from './sent-ids.js';
 import type { Connector } from './settled-connector.js';
 
 /** A connection that can be closed without delivering what it still has to send. */
@@ -30,6 +32,8 @@
 
 /** A handler of requests that learns which client sends its request. */
 export interface ClientUser {
+  /** Id that answers of the upstream carry, if other requests may have the same; `null` if none has. */
+  readonly sharedId: string | null;
   onClient(client: ResettableClient): void;
 }
 
@@ -43,6 +47,7 @@
   #connection = 0;
   /** Number of requests written to the connection. */
   #requests = 0;
+  #sentIds = new SentIds();
   /** Connection whose framing is watched, and the bytes that it had received with the last part of an answer. */
   #watched: ResettableStream | null = null;
   #bytesAtProgress = 0;
@@ -57,18 +62,27 @@
           connectionCount += 1;
           this.#connection = connectionCount;
           this.#requests = 0;
+          this.#sentIds = new SentIds();
           callback(...result);
         }),
     });
   }
 
   override dispatch(options: Dispatcher.DispatchOptions, handler: ClientHandler): boolean {
+    const { sharedId = null } = handler;
+    if (sharedId !== null && !this.#sentIds.mayCarry(sharedId)) {
+      // The client is idle when it is given a request, and connects again for it.
+      this.#stream?.destroy();
+    }
     handler.onClient?.(this);
     return super.dispatch(options, handler);
   }
 
   /** Called when a request is written to the connection. */
-  recordRequest(): ConnectionUse {
+  recordRequest(sharedId: string | null): ConnectionUse {
+    if (sharedId !== null) {
+      this.#sentIds.add(sharedId);
+    }
     const earlierRequests = this.#requests;
     this.#requests += 1;
     this.recordProgress();
--- a/src/router/attempts/upstream-protocol.ts
+++ b/src/router/attempts/upstream-protocol.ts
@@ -22,6 +22,8 @@
   requestHeaders(request: OutgoingRequest): string[];
   /** Returns the id that an answer carries; `null` if it carries none. */
   idOf(headers: readonly string[]): string | null;
+  /** Returns the id by which answers name the request, if other attempts may have the same; `null` if it is the attempt's own. */
+  sharedIdOf(request: OutgoingRequest): string | null;
   /** Whether an answer belongs to the request. */
   isAnswerTo(request: OutgoingRequest, headers: readonly string[]): boolean;
   /** Returns the refusal that an answer means; `null` if the request may have run. */
