Control: calls whose answers could be confused share no connection, so that a copied answer frees no keys

The copy of the answer to a grant was taken for the answer to a release: keys counted as given back while their owner served them, so two owners. The copy of a 421 to a call for an earlier run was taken for the end of the next run at the address, which frees its keys at once. Class: an answer taken for that of another message.

A release has a connection of its own; grants share one only with grants to the same run, where the 421 is as true of the next call. Left: the copy of the answer to a renewal can stand for the next renewal of the same run; that misleads only where this one is taken late and its owner falls silent in the same hold.

--- a/src/control/daemon/holder-calls.ts
+++ b/src/control/daemon/holder-calls.ts
@@ -1,5 +1,8 @@
-/** Task that calls upstreams with plain grants over HTTP. If a call times out, its connection is reset. */
-import { Agent, type IncomingMessage, request } from 'node:http';
+/**
+ * Task that calls upstreams with plain grants over HTTP. If a call times out, its connection is reset. Answers carry no id, and an upstream may
+ * send one a second time, so calls whose answers could be confused share no connection.
+ */
+import { Agent, type ClientRequestArgs, type IncomingMessage, request } from 'node:http';
 import type { Socket } from 'node:net';
 import { toError } from '../../errors/ternmount-error.js';
 import type { Logger } from '../../logging/logger.js';
@@ -36,6 +39,18 @@
   earlierCalls: number | null;
 }
 
+interface CallRequestArgs extends ClientRequestArgs {
+  /** Run that the call names. */
+  readonly run: UpstreamId;
+}
+
+/** Keeps the connections of each run apart, so that no 421 to a call for one run stands for the answer to a call for another. */
+class GrantAgent extends Agent {
+  override getName(options: Partial<CallRequestArgs> = {}): string {
+    return `${super.getName(options)}:${options.run ?? ''}`;
+  }
+}
+
 /** A single connection to an upstream whose runs share its id. Its remote end is the same run for its whole lifetime. */
 class RunConnection {
   readonly agent = new Agent({ keepAlive: true, maxSockets: 1, timeout: KEEP_ALIVE_MILLIS });
@@ -56,7 +71,7 @@
 
 export class HolderCalls {
   private readonly runConnections = new Map<UpstreamId, RunConnection>();
-  private readonly agent = new Agent({
+  private readonly agent = new GrantAgent({
     keepAlive: true,
     maxSockets: CONNECTIONS_PER_UPSTREAM,
     timeout: KEEP_ALIVE_MILLIS,
@@ -101,8 +116,10 @@
       return;
     }
     connection?.fences.add(call.fence);
-    const outgoing = request({
-      agent: connection?.agent ?? this.agent,
+    const args: CallRequestArgs = {
+      // The answer to a release frees keys, so a release has a connection of its own.
+      agent: isGrant && (connection?.agent ?? this.agent),
+      run: call.upstream,
       host,
       port,
       method: 'POST',
@@ -113,7 +130,8 @@
         [protocol.instanceHeader]: call.upstream,
       },
       ...(localAddress && { localAddress }),
-    });
+    };
+    const outgoing = request(args);
     const giveUp = (): void => {
       end({ type: isConnected ? 'silent' : 'not-sent' });
       reset(socket);
--- a/test/control/daemon/holder-calls.test.ts
+++ b/test/control/daemon/holder-calls.test.ts
@@ -1,7 +1,7 @@
 /** Calls to upstreams with plain grants: the requests on the wire, and the outcome reported for each response or failure. */
 import { expect } from 'chai';
 import { HolderCalls } from '../../../src/control/daemon/holder-calls.js';
-import type { GrantCall, HolderOutcome } from '../../../src/control/ranges/holder-call.js';
+import type { GrantCall, HolderCall, HolderOutcome } from '../../../src/control/ranges/holder-call.js';
 import { DEFAULT_HOLDER_PROTOCOL } from '../../../src/model/holder-protocol.js';
 import { LogRecorder } from '../../router/log-recorder.js';
 import { type ScriptedRequest, ScriptedUpstream } from '../../router/scripted-upstream.js';
@@ -98,7 +98,7 @@
   });
 
   /** Makes calls one after another with the same connections; returns their outcomes. */
-  async function callInSequence(...steps: readonly (GrantCall | 'next')[]): Promise<HolderOutcome[]> {
+  async function callInSequence(...steps: readonly (HolderCall | 'next')[]): Promise<HolderOutcome[]> {
     const outcomes: HolderOutcome[] = [];
     let onOutcome: (outcome: HolderOutcome) => void = () => {};
     calls = new HolderCalls({
@@ -137,6 +137,37 @@
     isBound,
   });
 
+  it('does not take the copy of the answer to a grant for the answer to a release', async () => {
+    let isReleased = false;
+    upstream.script = (request) => {
+      if (request.target.endsWith('/release')) {
+        isReleased = true;
+        answer('200 OK')(upstream.requests[0] as ScriptedRequest);
+      } else {
+        answer('200 OK')(request);
+      }
+    };
+    const grant = grantTo('u1', upstream.address);
+    const { id, address, from, to, fence, run } = grant;
+    const release = { kind: 'release', upstream: 'u1', id, address, from, to, fence, run } as const;
+    const outcomes = await callInSequence(grant, release);
+    expect(isReleased).to.equal(true);
+    expect(outcomes.map(({ type }) => type)).to.deep.equal(['accepted', 'silent']);
+  });
+
+  it('does not take the copy of a 421 to an earlier run for the end of the next one', async () => {
+    upstream.script = (request) => {
+      const isForNext = request.headers.get('ternmount-instance') === 'u2';
+      answer('421 Misdirected Request')(isForNext ? (upstream.requests[0] as ScriptedRequest) : request);
+    };
+    const { address } = upstream;
+    const outcomes = await callInSequence(
+      { ...grantTo('u1', address) },
+      { ...grantTo('u2', address), run: 'u2' },
+    );
+    expect(outcomes.map(({ type }) => type)).to.deep.equal(['ended', 'silent']);
+  });
+
   it('renews a grant over the connection that it was first sent on', async () => {
     upstream.script = answer('200 OK');
     const outcomes = await callInSequence(boundGrant(false), boundGrant(true), boundGrant(true));
