Router: an upstream's unmarked 429, 503 or 408 makes no promise to callers of orders

Cause: the core passed on whatever status came. Class: a status that says less at one side than at the other. The core now answers unknown (502) where the route may not be repeated; reads get the answer as it is, and services addressed by name tell their callers by a header. A marked refusal with a body too long to be read whole was streamed to the caller in place of being tried again; it is a refusal now (failed before: the caller got a broken 503).

--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -247,8 +247,14 @@
     this.report(connectFailure(error));
   }
 
-  /** Reports the head of an answer that is too long to read whole, and pauses reading until it is delivered. */
+  /** Reports the head of an answer that is too long to read whole, and pauses reading until it is delivered. A refusal isn't delivered. */
   private beginStream(): boolean {
+    const refusal = this.refusal();
+    if (refusal !== null) {
+      this.report(refusal);
+      this.abort('no-reader');
+      return false;
+    }
     this.stream = new AnswerStream({
       resume: () => this.resume(),
       onAbandoned: () => this.abort('no-reader'),
@@ -268,14 +274,17 @@
   }
 
   private wholeResult(): AttemptResult {
-    const head = this.head as AnswerHead;
     const { storedAnswerBytes } = this.options;
     const body = storedAnswerBytes === null ? null : concatChunks(this.chunks);
-    const refusal = this.options.protocol.refusalOf(head);
-    if (refusal !== null) {
-      return { ...refusal, load: this.options.protocol.loadOf(head.headers) };
-    }
-    return this.answeredResult(body);
+    return this.refusal() ?? this.answeredResult(body);
+  }
+
+  /** The refusal that the answer means, with the load that it reports; `null` if the request may have run. */
+  private refusal(): AttemptResult | null {
+    const head = this.head as AnswerHead;
+    const { protocol } = this.options;
+    const refusal = protocol.refusalOf(head);
+    return refusal === null ? null : { ...refusal, load: protocol.loadOf(head.headers) };
   }
 
   private answeredResult(body: Buffer | null): AttemptResult {
--- a/src/router/request-trail.ts
+++ b/src/router/request-trail.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '../logging/logger.js';
 import type { Epoch, Revision, RouterId, UpstreamId } from '../model/identifiers.js';
 import type { ConnectionBreak } from '../routing/connection-break.js';
+import { promisesNotRun } from '../routing/outcome-table.js';
 import type { AttemptNumber, AttemptResult, RouterEffect } from '../routing/types.js';
 import type { ConnectionUse } from './attempts/resettable-client.js';
 import type { CallerExchange } from './caller/caller-exchange.js';
@@ -31,8 +32,6 @@
   how?: ConnectionBreak;
 }
 
-/** Statuses by which an upstream's answer may promise that the request hasn't run. */
-const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Answers that take at least this long are always logged. */
 const SLOW_MILLIS = 500;
 const FIRST_SERVER_ERROR = 500;
@@ -98,7 +97,7 @@
   logDelivered(attempt: AttemptNumber): void {
     const step = this.stepOf(attempt);
     const status = Number(step?.result?.split(' ')[1] ?? 0);
-    const isUsualStatus = status < FIRST_SERVER_ERROR && !PROMISING_STATUSES.has(status);
+    const isUsualStatus = status < FIRST_SERVER_ERROR && !promisesNotRun(status);
     const isOrdinary = this.steps.length === 1 && isUsualStatus && this.elapsed() < SLOW_MILLIS;
     if (isOrdinary) {
       this.log.sample('request-answered', () => this.fields(status));
--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -8,6 +8,7 @@
 import { CONNECTION_BREAKS } from './connection-break.js';
 import type { Dispatcher } from './dispatcher.js';
 import type { NoticeHandler } from './notices/notice-handler.js';
+import { promisesNotRun } from './outcome-table.js';
 import { isOnLeftPath, mayResend } from './paths/left-path.js';
 import type { PathVerdict } from './paths/path-check.js';
 import { PATH_OUTCOMES } from './paths/path-outcome.js';
@@ -206,6 +207,10 @@
     switch (result.type) {
       case 'answered':
         group.service.queues.find(group.shard)?.resume();
+        if (isUnprovedPromise(group, result.status)) {
+          this.broken(attempt);
+          return;
+        }
         this.deliver(attempt, result);
         return;
       case 'refused':
@@ -320,6 +325,14 @@
   }
 }
 
+/**
+ * Whether an upstream's answer, passed on, would promise that a request hasn't run which may have: had its upstream marked it, it would be a
+ * refusal. Callers addressed to a service are told by a header, and those of repeatable requests lose nothing.
+ */
+function isUnprovedPromise({ terms, isRepeatable }: RequestGroup, status: number): boolean {
+  return terms.route !== null && !isRepeatable && promisesNotRun(status);
+}
+
 /** Estimates how long a busy upstream takes to free a slot. */
 function estimateSlotMillis({ serviceMillis, slotLimit }: UpstreamState): number {
   return Math.max(UNREACHABLE_PAUSE_MILLIS, serviceMillis / slotLimit.totalSlots);
--- a/src/routing/outcome-table.ts
+++ b/src/routing/outcome-table.ts
@@ -63,6 +63,14 @@
 const BAD_GATEWAY = 502;
 const SERVICE_UNAVAILABLE = 503;
 
+/** Statuses that callers read as a promise that the request has not run and never will. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Whether callers read a status as a promise that the request has not run. */
+export function promisesNotRun(status: number): boolean {
+  return PROMISING_STATUSES.has(status);
+}
+
 /** HTTP status of a refusal. A request that may have run on an upstream never gets a plain 503, because clients retry those freely. */
 export function statusOf(reason: RefusalReason, mayHaveRun: boolean): number {
   const status = STATUS_OF_REASON[reason];
