Router: a refusal keeps no status that promises when its request may have run; a read refused at joining is truly not run

A policy refuses before the first attempt, so the one way to it is a read that joins an attempt under way and is refused there: 429 beside the outcome unknown. Reads only; no order could be told so. Class: two facts that have to agree are derived in two places. Each status that promises is 502 now where the request may have run; and since nothing was sent for a read that was refused at joining, it is told not-run with 429.

--- a/src/routing/answers.ts
+++ b/src/routing/answers.ts
@@ -36,11 +36,18 @@
 
   /** Rejects one request; the others of its group continue. */
   refuse(member: Member, reason: RefusalReason, retryAfterMillis: number | null): void {
-    this.emitRefusal(member, reason, retryAfterMillis);
+    const mayHaveRun = member.mayHaveRun || member.group.attempt !== null;
+    this.emitRefusal(member, reason, retryAfterMillis, mayHaveRun);
     member.group.timedOut = member.group.timedOut || reason === 'deadline-passed';
     this.removeMember(member);
   }
 
+  /** Rejects a request that just joined a group, whose attempts were made for others. */
+  refuseJoined(member: Member, reason: RefusalReason, retryAfterMillis: number | null): void {
+    this.emitRefusal(member, reason, retryAfterMillis, false);
+    this.removeMember(member);
+  }
+
   /** Rejects all requests of a group. */
   refuseGroup(group: RequestGroup, reason: RefusalReason, retryAfterMillis: number | null): void {
     for (const member of [...group.members]) {
@@ -105,9 +112,13 @@
     }
   }
 
-  private emitRefusal(member: Member, reason: RefusalReason, retryAfterMillis: number | null): void {
+  private emitRefusal(
+    member: Member,
+    reason: RefusalReason,
+    retryAfterMillis: number | null,
+    mayHaveRun: boolean,
+  ): void {
     const { group } = member;
-    const mayHaveRun = member.mayHaveRun || group.attempt !== null;
     const outcome = outcomeOf({ ledger: group.ledger, mayHaveRun });
     const status = statusOf(reason, mayHaveRun);
     const { request } = member.request;
--- a/src/routing/outcome-table.ts
+++ b/src/routing/outcome-table.ts
@@ -71,11 +71,11 @@
   return PROMISING_STATUSES.has(status);
 }
 
-/** HTTP status of a refusal. A request that may have run on an upstream never gets a plain 503, because clients retry those freely. */
+/** HTTP status of a refusal. A request that may have run on an upstream never gets a status that promises otherwise. */
 export function statusOf(reason: RefusalReason, mayHaveRun: boolean): number {
   const status = STATUS_OF_REASON[reason];
   if (reason === 'deadline-passed' && !mayHaveRun) {
     return SERVICE_UNAVAILABLE;
   }
-  return mayHaveRun && status === 503 ? BAD_GATEWAY : status;
+  return mayHaveRun && promisesNotRun(status) ? BAD_GATEWAY : status;
 }
--- a/src/routing/policy-gate.ts
+++ b/src/routing/policy-gate.ts
@@ -56,7 +56,7 @@
     const decision = this.decide(group);
     if (decision.type === 'refuse') {
       const wait = this.retryAfter(group, decision.retryAfterMillis);
-      this.answers.refuse(member, 'policy-refused', wait);
+      this.answers.refuseJoined(member, 'policy-refused', wait);
     }
   }
 
--- a/test/routing/coalescing.test.ts
+++ b/test/routing/coalescing.test.ts
@@ -22,4 +22,13 @@
     expect(refused).to.deep.include([3, 'not-run']);
     expect(refused).to.deep.include([4, 'not-run']);
   });
+
+  it('promises what is true to a read that the policy refuses to join: the attempt was made for another', () => {
+    const policy = [{ name: 'shed', when: 'load > 0.0', action: 'refuse' as const }];
+    const record = service('board', { coalesce: true, slotsPerUpstream: 1, policy });
+    const harness = new RouterHarness().start([record], [upstream('u1', 'board')]);
+    harness.request('board');
+    const [refused] = effectsOfType(harness.request('board'), 'refuse');
+    expect(refused).to.include({ reason: 'policy-refused', status: 429, outcome: 'not-run' });
+  });
 });
