Router: a request whose caller was told 408 doesn't run, though the rest of it comes while that answer waits

Where one waits (a send buffer that is full), the rest of the request was taken, dispatched and run, and its caller then read 408, a promise. Class: a promise made before it is made sure that it holds. Evidence: late-bodies, with the writes of the router's sockets held back as a full send buffer does (both tests failed before: the order reached its upstream). Not brought about with a full buffer of the system: whatever was answered before has to have left it, and then some hundred bytes nearly always fit.

--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -48,7 +48,7 @@
 
   /** Whether a request that was just read is accepted. Requests behind an answer that closes the connection are ignored. */
   acceptsRequests(): boolean {
-    if (!this.#order.isClosing) {
+    if (!this.#order.isClosing && !this.#socket.writableEnded) {
       return true;
     }
     this.#order.recordIgnored();
@@ -192,7 +192,11 @@
     }
   }
 
+  /** Nothing is dispatched whose answer can't be written: its caller was told that its request is malformed or came too slowly. */
   #dispatchPending(): void {
+    if (this.#socket.writableEnded) {
+      return;
+    }
     for (let next = this.#order.dispatchNext(); next !== undefined; next = this.#order.dispatchNext()) {
       this.#options.dispatch(next);
     }
