Fleet: a stand-in caller sends each attempt once, so that its record holds what it sent

The HTTP client of the stand-in sends pipelined requests again by itself when their connection ends. A read that was sent to router-2 and ran there lost its answer behind the one that closed the connection (a planned stop), was sent again to the restarted router-2, which truly had not run it and had no configuration yet; the caller's record held one attempt, not-run.

Attempts go out through a handler that refuses a second sending: the attempt counts as lost, as it was. Requests are written and read by a form (by-service as before; by-route, with the caller's own id for each attempt, for fleets with declared routes).

--- a/src/dev/fleet/observe/owner-loss-probe.ts
+++ b/src/dev/fleet/observe/owner-loss-probe.ts
@@ -46,7 +46,14 @@
     this.#fleet = fleet;
     const { plan } = fleet;
     this.#routers = plan.routers.map(
-      ({ name, callers }) => new RouterClient(name, callers.advertised, plan.operatorHost, LIMITS),
+      ({ name, callers }) =>
+        new RouterClient({
+          name,
+          address: callers.advertised,
+          localAddress: plan.operatorHost,
+          form: 'by-service',
+          ...LIMITS,
+        }),
     );
   }
 
@@ -96,11 +103,13 @@
   async #watchKey(owned: OwnedKeys, key: string, lostAt: number): Promise<number | null> {
     while (machineMillis() - lostAt < PROBE_TIMEOUT_MILLIS && !this.#fleet.signal.aborted) {
       this.#requestCount += 1;
+      const request = `probe-${this.#requestCount}`;
       const router = this.#routers[this.#requestCount % this.#routers.length] as RouterClient;
       const answer = await router.send({
         service: owned.service,
         method: 'GET',
-        request: `probe-${this.#requestCount}`,
+        request,
+        id: request,
         key,
         idempotencyKey: null,
         coalesced: false,
--- a/src/dev/standins/caller/caller-settings.ts
+++ b/src/dev/standins/caller/caller-settings.ts
@@ -1,5 +1,6 @@
 /** Settings of a stand-in caller. */
 import { z } from 'zod';
+import { REQUEST_FORM_NAMES } from './request-form.js';
 
 /** A period of the load: `requestsPerSecond` from `fromSeconds` until the next period starts. */
 const ratePointSchema = z.strictObject({
@@ -40,6 +41,8 @@
   control: z.string().min(1).optional(),
   seconds: z.number().positive(),
   connectionsPerRouter: z.number().int().min(1).default(64),
+  /** How requests are addressed. */
+  form: z.enum(REQUEST_FORM_NAMES).default('by-service'),
   /** Maximum number of reads pipelined on a connection; 1: each waits for the preceding answer. */
   pipelining: z.number().int().min(1).default(1),
   routers: z.array(z.strictObject({ name: z.string(), address: z.string() })).min(1),
--- a/src/dev/standins/caller/caller-standin.ts
+++ b/src/dev/standins/caller/caller-standin.ts
@@ -10,7 +10,8 @@
 import { ArrivalSchedule } from './arrival-schedule.js';
 import type { CallerSettings, CallerStream } from './caller-settings.js';
 import { CallerSummary, type ServiceSummary } from './caller-summary.js';
-import { type Attempt, type AttemptAnswer, RouterClient } from './router-client.js';
+import type { Attempt } from './request-form.js';
+import { type AttemptAnswer, RouterClient } from './router-client.js';
 import { makeUuidV7 } from './uuid-v7.js';
 import { ZipfKeys } from './zipf-keys.js';
 
@@ -46,10 +47,9 @@
     this.#settings = settings;
     this.#journal = new JournalWriter(settings.journal);
     this.#random = new StandinRandomSource(settings.seed);
-    const { connectionsPerRouter, pipelining } = settings;
-    const limits = { connections: connectionsPerRouter, pipelining };
+    const { connectionsPerRouter: connections, pipelining, form, host: localAddress } = settings;
     this.#routers = settings.routers.map(
-      (router) => new RouterClient(router.name, router.address, settings.host, limits),
+      (router) => new RouterClient({ ...router, localAddress, connections, pipelining, form }),
     );
     this.#streams = settings.streams.map((stream, index) => this.#startStream(stream, index));
   }
@@ -110,12 +110,14 @@
   async #request(state: StreamState, scheduledAt: number): Promise<void> {
     const { stream } = state;
     this.#requestCount += 1;
-    const attempt: Attempt = {
+    const request = `${this.#settings.name}-${this.#requestCount}`;
+    const isByRoute = this.#settings.form === 'by-route';
+    const common: Omit<Attempt, 'id'> = {
       service: stream.service,
       method: stream.method,
-      request: `${this.#settings.name}-${this.#requestCount}`,
+      request,
       key: state.keys?.pick() ?? null,
-      idempotencyKey: stream.repeatable ? null : makeUuidV7(Date.now()),
+      idempotencyKey: stream.repeatable || isByRoute ? null : makeUuidV7(Date.now()),
       coalesced: stream.coalesced,
       deadlineMillis: stream.deadlineMillis,
       leaveMillis: this.#random.fraction() < stream.leaveShare ? stream.leaveMillis : null,
@@ -123,17 +125,19 @@
     const firstRouter = Math.floor(this.#random.fraction() * this.#routers.length);
     let answer: AttemptAnswer | undefined;
     for (let number = 1; number <= stream.attempts; number += 1) {
+      const attempt: Attempt = { ...common, id: `${request}.${number}` };
       const router = this.#routers[(firstRouter + number - 1) % this.#routers.length] as RouterClient;
       const sentAt = machineMillis();
       answer = await router.send(attempt);
-      const last = number === stream.attempts || !shouldResend(stream, answer, machineMillis() - scheduledAt);
+      const elapsedMillis = machineMillis() - scheduledAt;
+      const last = number === stream.attempts || !this.#shouldResend(stream, answer, elapsedMillis);
       this.#record(stream, attempt, answer, { number, last, router: router.name, scheduledAt, sentAt });
       if (last) {
         break;
       }
       await delay(answer.retryAfterMillis ?? stream.retryDelayMillis);
     }
-    this.#finish(attempt, answer as AttemptAnswer, scheduledAt);
+    this.#finish(common.service, answer as AttemptAnswer, scheduledAt);
   }
 
   #record(stream: CallerStream, attempt: Attempt, answer: AttemptAnswer, context: AttemptContext): void {
@@ -161,9 +165,17 @@
     });
   }
 
-  #finish(attempt: Attempt, answer: AttemptAnswer, scheduledAt: number): void {
+  /** An order without an idempotency key is resent only after the promise that it hasn't run. */
+  #shouldResend(stream: CallerStream, answer: AttemptAnswer, elapsedMillis: number): boolean {
+    if (this.#settings.form === 'by-route' && !stream.repeatable) {
+      return answer.outcome === 'not-run' && elapsedMillis < stream.deadlineMillis;
+    }
+    return shouldResend(stream, answer, elapsedMillis);
+  }
+
+  #finish(service: string, answer: AttemptAnswer, scheduledAt: number): void {
     this.#summary.add({
-      service: attempt.service,
+      service,
       verdict: answer.verdict,
       outcome: answer.outcome,
       latencyMillis: machineMillis() - scheduledAt,
--- a/src/dev/standins/caller/router-client.ts
+++ b/src/dev/standins/caller/router-client.ts
@@ -2,21 +2,16 @@
 import { Pool } from 'undici';
 import { HEADERS, type Outcome } from '../../../model/outcome.js';
 import type { AnswerVerdict } from '../../journal/records.js';
-import { CALLER_REQUEST_HEADER, judgeAnswerBody, upstreamOfAnswerBody } from '../answer-body.js';
-
-/** One attempt at a request. */
-export interface Attempt {
-  readonly service: string;
-  readonly method: 'GET' | 'POST';
-  readonly request: string;
-  readonly key: string | null;
-  readonly idempotencyKey: string | null;
-  /** Whether the answer to an identical request for the same key is acceptable. */
-  readonly coalesced: boolean;
-  readonly deadlineMillis: number;
-  /** Time after which the caller disconnects if there is no answer; `null`: it waits. */
-  readonly leaveMillis: number | null;
-}
+import { judgeAnswerBody, upstreamOfAnswerBody } from '../answer-body.js';
+import {
+  type Attempt,
+  type HeaderValues,
+  headerOf,
+  REQUEST_FORMS,
+  type RequestForm,
+  type RequestFormName,
+} from './request-form.js';
+import { type ReceivedAnswer, sendOnce } from './single-send.js';
 
 /** The result of one attempt. */
 export interface AttemptAnswer {
@@ -44,55 +39,35 @@
 const LOST_ATTEMPT: AttemptAnswer = { verdict: 'lost', ...NO_RESPONSE };
 const DISCONNECTED_ATTEMPT: AttemptAnswer = { verdict: 'left', ...NO_RESPONSE };
 
-type HeaderValues = Record<string, string | string[] | undefined>;
-
-function headerOf(headers: HeaderValues, name: string): string | null {
-  const value = headers[name];
-  return typeof value === 'string' ? value : null;
-}
-
 function retryAfterOf(headers: HeaderValues): number | null {
   const text = headerOf(headers, 'retry-after');
   const seconds = Number(text);
   return text === null || Number.isNaN(seconds) ? null : seconds * MILLIS_PER_SECOND;
 }
 
-/** Returns the path of a request, which is the same for each resend. */
-function pathOf(attempt: Attempt): string {
-  const key = attempt.key === null ? '' : `/${encodeURIComponent(attempt.key)}`;
-  const query = attempt.coalesced ? '' : `?request=${encodeURIComponent(attempt.request)}`;
-  return `/${attempt.service}${key}${query}`;
-}
-
-function headersOf(attempt: Attempt): Record<string, string> {
-  const headers: Record<string, string> = {
-    [CALLER_REQUEST_HEADER]: attempt.request,
-    [HEADERS.deadlineMillis]: String(Math.round(attempt.deadlineMillis)),
-  };
-  if (attempt.idempotencyKey !== null) {
-    headers[HEADERS.idempotencyKey] = attempt.idempotencyKey;
-  }
-  if (attempt.method === 'POST') {
-    headers['content-type'] = 'application/json';
-  }
-  return headers;
-}
-
-/** Number of connections to one router, and of requests pipelined on each. */
-export interface ConnectionLimits {
+/** How a caller connects to one router. */
+export interface RouterClientOptions {
+  readonly name: string;
+  readonly address: string;
+  readonly localAddress: string;
+  /** Number of connections, and of requests pipelined on each. */
   readonly connections: number;
   readonly pipelining: number;
+  readonly form: RequestFormName;
 }
 
 /** A pool of connections to one router. */
 export class RouterClient {
   readonly name: string;
   readonly #pool: Pool;
+  readonly #form: RequestForm;
 
-  constructor(name: string, address: string, localAddress: string, limits: ConnectionLimits) {
+  constructor({ name, address, localAddress, connections, pipelining, form }: RouterClientOptions) {
     this.name = name;
+    this.#form = REQUEST_FORMS[form];
     this.#pool = new Pool(`http://${address}`, {
-      ...limits,
+      connections,
+      pipelining,
       connect: { timeout: DEADLINE_GRACE_MILLIS },
       localAddress,
     });
@@ -103,16 +78,14 @@
     const timeout = AbortSignal.timeout(
       attempt.leaveMillis ?? attempt.deadlineMillis + DEADLINE_GRACE_MILLIS,
     );
+    const options = {
+      path: this.#form.path(attempt),
+      method: attempt.method,
+      headers: this.#form.headers(attempt),
+      body: attempt.method === 'POST' ? JSON.stringify({ request: attempt.request }) : null,
+    };
     try {
-      const response = await this.#pool.request({
-        path: pathOf(attempt),
-        method: attempt.method,
-        headers: headersOf(attempt),
-        body: attempt.method === 'POST' ? JSON.stringify({ request: attempt.request }) : null,
-        signal: timeout,
-      });
-      const text = await response.body.text();
-      return this.#judge(attempt, response.statusCode, response.headers, text);
+      return this.#judge(attempt, await sendOnce(this.#pool, options, timeout));
     } catch {
       return mayDisconnect && timeout.aborted ? DISCONNECTED_ATTEMPT : LOST_ATTEMPT;
     }
@@ -122,7 +95,7 @@
     await this.#pool.destroy();
   }
 
-  #judge(attempt: Attempt, status: number, headers: HeaderValues, text: string): AttemptAnswer {
+  #judge(attempt: Attempt, { status, headers, text }: ReceivedAnswer): AttemptAnswer {
     const succeeded = status >= 200 && status < 300;
     const verdict = succeeded
       ? judgeAnswerBody(text, attempt.coalesced ? null : attempt.request, attempt.key)
@@ -130,9 +103,9 @@
     return {
       verdict,
       status,
-      outcome: headerOf(headers, HEADERS.outcome) as Outcome | null,
+      outcome: this.#form.outcomeOf(status, headers),
       reason: headerOf(headers, HEADERS.reason),
-      routerRequest: headerOf(headers, HEADERS.requestId),
+      routerRequest: this.#form.routerRequestOf(attempt, headers),
       retryAfterMillis: retryAfterOf(headers),
       upstream: verdict === 'whole' ? upstreamOfAnswerBody(text) : null,
     };
--- a/test/fleet/outgoing.test.ts
+++ b/test/fleet/outgoing.test.ts
@@ -59,11 +59,19 @@
     return () => client.stop();
   },
   'a stand-in caller to a router': (address) => {
-    const client = new RouterClient('router-1', address, OWN_HOST, { connections: 1, pipelining: 1 });
+    const client = new RouterClient({
+      name: 'router-1',
+      address,
+      localAddress: OWN_HOST,
+      form: 'by-service',
+      connections: 1,
+      pipelining: 1,
+    });
     void client.send({
       service: 'items',
       method: 'GET',
       request: 'r1',
+      id: 'r1',
       key: null,
       idempotencyKey: null,
       coalesced: false,
