Fleet: declared routes, upstreams without the library, and faults of connections drawn from a seed

--declared: routes by host, upstreams that announce themselves and give back the caller's id, an operator that changes the document.

A run whose fault failed left processes behind that a fault under way had started after the stop: waits end with the run now. A planned stop of a router isn't judged by answers lost while a fault ends connections to it (two cases of the checker).

--- a/src/dev/commands/fleet.ts
+++ b/src/dev/commands/fleet.ts
@@ -10,7 +10,7 @@
 import { killOwners, secondsForKills } from '../fleet/faults/kill-owners.js';
 import { FLEET_DEFAULTS, type FleetOptions } from '../fleet/fleet-options.js';
 import { runFleet } from '../fleet/fleet-run.js';
-import { NAMED_FAULTS } from '../fleet/named-faults.js';
+import { NAMED_FAULTS, type NamedFault } from '../fleet/named-faults.js';
 import { reserveNetwork } from '../fleet/network-reservation.js';
 import { type FleetReport, isGood } from '../fleet/report/fleet-report.js';
 import { formatReport } from '../fleet/report/report-text.js';
@@ -37,6 +37,10 @@
   readonly seed: string;
   readonly keep?: string;
   readonly listFaults?: boolean;
+  readonly declared?: boolean;
+  readonly ownProcesses?: string;
+  readonly routers: string;
+  readonly randomFaults?: boolean;
   readonly each?: boolean;
 }
 
@@ -61,9 +65,17 @@
     leaveShare: Number(flags.leaving),
     speeds: String(flags.speeds).split(',').map(Number),
     profileFolder: flags.profile ?? null,
+    declared: flags.declared ?? false,
+    routersPerZone: Number(flags.routers),
+    ...(flags.ownProcesses !== undefined && { ownProcesses: ownProcesses(Number(flags.ownProcesses)) }),
+    randomFaults: flags.randomFaults ?? false,
   };
 }
 
+function ownProcesses(count: number): FleetOptions['ownProcesses'] {
+  return { keyed: count, unkeyed: count };
+}
+
 /** Returns a signal that is aborted on SIGINT, SIGTERM or SIGHUP. */
 function stopSignal(): AbortSignal {
   const aborter = new AbortController();
@@ -107,10 +119,18 @@
   }
 }
 
+/** Names of the faults that a fleet can have. */
+function namedFaults(isDeclared: boolean): string[] {
+  const isPossible = ([, { needsDeclared }]: [string, NamedFault]): boolean => isDeclared || !needsDeclared;
+  return Object.entries(NAMED_FAULTS)
+    .filter(isPossible)
+    .map(([name]) => name);
+}
+
 /** Runs each fault of `--faults`, or each named fault if there are none, in a separate fleet. */
 function runFaults(flags: FleetFlags, signal: AbortSignal): Promise<boolean> {
   const requested = flags.faults.split(',').filter((fault) => fault !== '');
-  const faults = requested.length > 0 ? requested : Object.keys(NAMED_FAULTS);
+  const faults = requested.length > 0 ? requested : namedFaults(flags.declared === true);
   const runOne = (fault: string): Promise<FleetReport> => {
     const keep = flags.keep === undefined ? {} : { keep: join(flags.keep, fault) };
     return runOnce({ ...flags, ...keep, faults: fault }, signal, false);
@@ -167,6 +187,13 @@
         default: FLEET_DEFAULTS.speeds.join(','),
       },
     )
+    .option('--declared', 'Send requests by declared routes to upstreams that announce themselves')
+    .option(
+      '--random-faults',
+      'Draw faults of processes, connections and answers from the seed; needs --declared',
+    )
+    .option('--own-processes <number>', 'Upstreams of each service with processes of their own')
+    .option('--routers <number>', 'Routers of each zone', { default: FLEET_DEFAULTS.routersPerZone })
     .option('--profile <folder>', 'Write a CPU profile of each process here')
     .option('--seed <number>', 'Seed of the load', { default: FLEET_DEFAULTS.seed })
     .option('--keep <folder>', 'Keep journals, logs and data here')
--- a/src/dev/fleet/address-plan.ts
+++ b/src/dev/fleet/address-plan.ts
@@ -12,6 +12,8 @@
   admin: 8001,
   /** Between control members and routers. */
   internal: 8002,
+  /** Between routers. */
+  relay: 8003,
 } as const;
 
 /** Zone of callers and operators, in addition to those of the deployment. */
--- a/src/dev/fleet/admin-client.ts
+++ b/src/dev/fleet/admin-client.ts
@@ -4,7 +4,7 @@
 import got, { type Got } from 'got';
 import type { OperatorResponse } from '../../control/types.js';
 import { TernmountError, toError } from '../../errors/ternmount-error.js';
-import type { Address } from '../../model/identifiers.js';
+import type { Address, Revision } from '../../model/identifiers.js';
 import type { ServiceRecord, ShardRecord, UpstreamRecord } from '../../registry/types.js';
 import type { RouterStatus } from '../../routing/types.js';
 
@@ -68,6 +68,25 @@
     return ((await this.#read('/v1/upstreams')) as { upstreams: UpstreamRecord[] }).upstreams;
   }
 
+  /** Sends a change of the declared document to one member after the other until one takes it; returns its revision. */
+  async declare(method: 'PUT' | 'PATCH', expected: number, document: object): Promise<Revision> {
+    const options = {
+      method,
+      json: document,
+      headers: { 'if-match': String(expected) },
+      methodRewriting: false,
+    } as const;
+    const answer = await this.#untilAnswered('/v1/declaration', (url) =>
+      this.#http(url, options).json<{ revision: Revision }>(),
+    );
+    return answer.revision;
+  }
+
+  /** Reads the version of the declared document. */
+  async declaredVersion(): Promise<number> {
+    return ((await this.#read('/v1/declaration')) as { version: number }).version;
+  }
+
   /** Reads the health status of a router; `undefined` if it doesn't answer. */
   async routerHealth(admin: Address): Promise<RouterStatus | undefined> {
     try {
@@ -77,12 +96,16 @@
     }
   }
 
-  async #read(path: string): Promise<unknown> {
+  #read(path: string): Promise<unknown> {
+    return this.#untilAnswered(path, (url) => this.#http(url).json());
+  }
+
+  async #untilAnswered<Answer>(path: string, ask: (url: string) => Promise<Answer>): Promise<Answer> {
     let lastError = new Error('not tried');
     for (let attempt = 1; attempt <= ATTEMPTS; attempt += 1) {
       const member = this.#members[this.#next % this.#members.length] as Address;
       try {
-        return await this.#get(member, path);
+        return await ask(`http://${member}${path}`);
       } catch (thrown) {
         lastError = toError(thrown);
         this.#next += 1;
--- a/src/dev/fleet/checker/planned-stop.ts
+++ b/src/dev/fleet/checker/planned-stop.ts
@@ -29,6 +29,18 @@
   return runs.some(({ start }) => start.request === request && start.at >= sentAt && start.at <= at);
 }
 
+/** Returns whether connections to the attempt's router were ended by a fault while it was under way. */
+function hadEndingConnections({ events }: FleetHistory, { router, sentAt, at }: AttemptRecord): boolean {
+  const changes = events.filter(
+    (event) =>
+      (event.event === 'connections-ending' || event.event === 'connections-kept') &&
+      event.processes.includes(router),
+  );
+  const before = changes.filter((change) => change.at <= sentAt).at(-1);
+  const during = changes.some((change) => change.at > sentAt && change.at <= at);
+  return during || before?.event === 'connections-ending';
+}
+
 /**
  * Finds attempts that were at the router when it stopped and got no answer. A pipelined attempt that never ran counts as
  * not read, because the answer before it closed the connection.
@@ -43,6 +55,7 @@
     .filter((attempt) => attempt.router === process && attempt.verdict === 'lost')
     .filter((attempt) => attempt.sentAt < stoppingAt - options.stopMarginMillis && attempt.at >= stoppingAt)
     .filter((attempt) => !attempt.pipelined || reachedUpstream(history, attempt))
+    .filter((attempt) => !hadEndingConnections(history, attempt))
     .map((attempt) => ({
       promise: 'planned-stop' as const,
       message: `${process} stopped and left ${attempt.request} without an answer`,
--- a/src/dev/fleet/fault-schedule.ts
+++ b/src/dev/fleet/fault-schedule.ts
@@ -27,6 +27,8 @@
   'isolate',
   /** One-way partition `A>B`: bytes from zone `A` to zone `B` are held, the opposite direction is open. */
   'half-open',
+  /** Connections into a zone end one after the other: properly or by a reset, at one end or both, or silently. */
+  'end-connections',
   /** The platform lists a live upstream as gone. */
   'platform-gone',
   /** The platform lists a live upstream as leaving. */
--- a/src/dev/fleet/faults/fault-runner.ts
+++ b/src/dev/fleet/faults/fault-runner.ts
@@ -106,6 +106,8 @@
       case 'isolate':
       case 'half-open':
         return this.#network.hold(fault, length);
+      case 'end-connections':
+        return this.#network.endConnections(fault, length);
       default:
         return this.#upstreams.hold(fault, fault.type, target, length);
     }
--- a/src/dev/fleet/faults/network-faults.ts
+++ b/src/dev/fleet/faults/network-faults.ts
@@ -6,6 +6,9 @@
 import type { Fleet } from '../fleet.js';
 import type { FaultLog } from './fault-log.js';
 
+/** Share of the open connections that end in each interval of the link. */
+const ENDED_SHARE = 0.02;
+
 /** Source and destination zone. */
 type ZoneDirection = readonly [Zone, Zone];
 
@@ -60,6 +63,26 @@
     }
   }
 
+  /** Ends connections into the fault's zone for `length` milliseconds. */
+  async endConnections(fault: ScheduledFault, length: number): Promise<void> {
+    const { journal, plan } = this.#fleet;
+    const link = plan.links.find(({ zone }) => zone === fault.target);
+    const processes = [...plan.routers, ...plan.control, ...plan.upstreams]
+      .filter(({ zone }) => zone === fault.target)
+      .map(({ name }) => name);
+    const setShare = (share: number): Promise<unknown> =>
+      got.post(`http://${link?.admin}/endings`, { json: { share } });
+    this.#log.note(fault, fault.target);
+    journal.write({ event: 'connections-ending', processes });
+    await setShare(ENDED_SHARE);
+    try {
+      await this.#fleet.wait(length);
+    } finally {
+      await setShare(0);
+      journal.write({ event: 'connections-kept', processes });
+    }
+  }
+
   async #applyRules(directions: readonly ZoneDirection[], state: LinkRule['state']): Promise<void> {
     const calls = this.#fleet.plan.links.flatMap(({ admin }) =>
       directions.map(([from, to]) => got.post(`http://${admin}/rules`, { json: { from, to, state } })),
--- a/src/dev/fleet/fleet-options.ts
+++ b/src/dev/fleet/fleet-options.ts
@@ -28,6 +28,10 @@
   readonly leaveShare: number;
   /** Speed factors of a service's upstreams relative to the deployment, assigned cyclically. */
   readonly speeds: readonly number[];
+  /** Whether requests go by declared routes to upstreams that announce themselves. No service has keys then. */
+  readonly declared: boolean;
+  /** Whether faults are drawn from the seed, besides those of `faults`; only with `declared`. */
+  readonly randomFaults: boolean;
   /** Delay with which the platform's list follows the actual state. */
   readonly platformLagMillis: number;
 }
@@ -46,5 +50,7 @@
   pipelining: 1,
   leaveShare: 0,
   speeds: [1],
+  declared: false,
+  randomFaults: false,
   platformLagMillis: 30_000,
 } as const;
--- a/src/dev/fleet/fleet-plan.ts
+++ b/src/dev/fleet/fleet-plan.ts
@@ -31,6 +31,8 @@
 export interface RouterPlan extends ProcessPlan {
   readonly callers: LinkedEndpoint;
   readonly admin: Address;
+  /** Port for other routers. */
+  readonly relay: Address;
 }
 
 /** One upstream; several can share a process. */
@@ -150,7 +152,12 @@
   #router(index: number): RouterPlan {
     const process = this.#process(`router-${index + 1}`, this.#zoneOf(index));
     const callers = linkedEndpoint(process.host, PORTS.service);
-    return { ...process, callers, admin: addressOf(process.host, PORTS.admin) };
+    return {
+      ...process,
+      callers,
+      admin: addressOf(process.host, PORTS.admin),
+      relay: addressOf(process.host, PORTS.relay),
+    };
   }
 
   #link(zone: Zone): LinkPlan {
@@ -170,11 +177,12 @@
 
   /** The first upstreams of each service get dedicated processes; the others share one process per zone. */
   #upstreamProcesses(): UpstreamProcessPlan[] {
-    const { deployment, ownProcesses } = this.#options;
+    const { deployment, ownProcesses, declared } = this.#options;
     const dedicated: UpstreamPlan[] = [];
     const shared: UpstreamPlan[] = [];
     for (const template of deployment.upstreams) {
-      const keyed = deployment.services.some(({ name, keyed }) => name === template.service && keyed);
+      const hasKeys = deployment.services.some(({ name, keyed }) => name === template.service && keyed);
+      const keyed = hasKeys && !declared;
       const dedicatedCount = keyed ? ownProcesses.keyed : ownProcesses.unkeyed;
       for (const index of range(template.count)) {
         (index < dedicatedCount ? dedicated : shared).push(this.#upstream(template, keyed, index));
--- a/src/dev/fleet/fleet-run.ts
+++ b/src/dev/fleet/fleet-run.ts
@@ -1,4 +1,5 @@
 /** Runs a fleet: start, load, faults, stop, evaluation. */
+import { setMaxListeners } from 'node:events';
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { machineMillis } from '../journal/machine-clock.js';
@@ -7,6 +8,7 @@
 import { Fleet } from './fleet.js';
 import type { FleetOptions } from './fleet-options.js';
 import { ChangeMaker } from './observe/change-maker.js';
+import { DeclaredChangeMaker } from './observe/declared-change-maker.js';
 import { OwnershipSampler } from './observe/ownership-sampler.js';
 import { Progress } from './observe/progress.js';
 import { type FleetReport, makeReport } from './report/fleet-report.js';
@@ -31,7 +33,7 @@
 async function loadFleet(fleet: Fleet, write: WriteLine, extra: ExtraWork | undefined) {
   const faults = new FaultRunner(fleet);
   const sampler = new OwnershipSampler(fleet.admin);
-  const changes = new ChangeMaker(fleet);
+  const changes = fleet.options.declared ? new DeclaredChangeMaker(fleet) : new ChangeMaker(fleet);
   const progress = new Progress(fleet, write, newFaultsFormatter(faults.log));
   sampler.start();
   await fleet.startCallers();
@@ -69,7 +71,11 @@
   write: WriteLine,
   extra?: ExtraWork,
 ): Promise<FleetReport> {
-  const fleet = new Fleet(options, signal);
+  const aborter = new AbortController();
+  const untilOver = AbortSignal.any([signal, aborter.signal]);
+  // Each wait of a run listens to it.
+  setMaxListeners(0, untilOver);
+  const fleet = new Fleet(options, untilOver);
   const removeExitHandler = killAllOnExit(fleet);
   let observed: Awaited<ReturnType<typeof loadFleet>>;
   let unexpectedEnds: readonly string[];
@@ -81,10 +87,12 @@
     observed = await loadFleet(fleet, write, extra);
     unexpectedEnds = [...fleet.supervisor.unexpectedEnds];
   } finally {
+    // A fault that is under way must start no process any more.
+    aborter.abort();
     await fleet.stop();
     removeExitHandler();
   }
-  const report = makeReport({ options, plan: fleet.plan, unexpectedEnds, ...observed });
+  const report = makeReport({ options: fleet.options, plan: fleet.plan, unexpectedEnds, ...observed });
   writeFileSync(join(options.folder, 'report.json'), `${JSON.stringify(report, null, 2)}\n`);
   return report;
 }
--- a/src/dev/fleet/fleet.ts
+++ b/src/dev/fleet/fleet.ts
@@ -5,12 +5,21 @@
 import { TernmountError } from '../../errors/ternmount-error.js';
 import type { ReplicaId } from '../../model/identifiers.js';
 import { AdminClient } from './admin-client.js';
+import { declaredDocument } from './declared-document.js';
+import type { ScheduledFault } from './fault-schedule.js';
 import { FleetJournal } from './fleet-journal.js';
 import type { FleetOptions } from './fleet-options.js';
-import { type ControlPlan, type FleetPlan, FleetPlanner, type RouterPlan } from './fleet-plan.js';
+import {
+  type ControlPlan,
+  type FleetPlan,
+  FleetPlanner,
+  type RouterPlan,
+  upstreamsOf,
+} from './fleet-plan.js';
 import { Operator } from './operator.js';
 import type { ProcessKind, ProcessSpec } from './process-spec.js';
 import { callerSpecs, processSpecs } from './process-specs.js';
+import { randomFaults } from './random-faults.js';
 import { declarationsFileOf, settingsFileOf, writeSettingsFiles } from './settings-files.js';
 import { Supervisor } from './supervisor.js';
 
@@ -48,9 +57,9 @@
 
   /** Writes the settings without starting any process. `signal` aborts waits. */
   constructor(options: FleetOptions, signal: AbortSignal) {
-    this.options = options;
     this.signal = signal;
     this.plan = new FleetPlanner(options).plan();
+    this.options = options.randomFaults ? { ...options, faults: this.#withRandomFaults(options) } : options;
     this.supervisor = new Supervisor(options.profileFolder);
     this.#specs = processSpecs(this.plan);
     const members = this.plan.control.map(({ admin }) => admin);
@@ -60,6 +69,17 @@
     this.journal = new FleetJournal(join(this.plan.journalFolder, 'fleet.jsonl'));
   }
 
+  #withRandomFaults({ faults, seed, seconds }: FleetOptions): ScheduledFault[] {
+    const { routers, upstreams, deployment } = this.plan;
+    const dedicated = upstreams.filter(({ name, upstreams: own }) => own.some(({ id }) => id === name));
+    const targets = {
+      routers: routers.map(({ name }) => name),
+      upstreams: dedicated.map(({ name }) => name),
+      zones: deployment.zones,
+    };
+    return [...faults, ...randomFaults(seed, seconds, targets)];
+  }
+
   specOf(name: string): ProcessSpec {
     const spec = this.#specs.get(name);
     if (spec === undefined) {
@@ -73,9 +93,19 @@
     await this.#startKind('link');
     const others = (['platform', 'upstream', 'router'] as const).map((kind) => this.#startKind(kind));
     await Promise.all([this.#startControl(), ...others]);
+    await (this.options.declared ? this.#declareRoutes() : this.#applyServices());
+    await this.#waitUntil('routers that serve', () => this.#everyRouterServes());
+  }
+
+  async #applyServices(): Promise<void> {
     await this.operator.runOrThrow(['service', 'apply', declarationsFileOf(this.plan), '--no-wait']);
     await this.#waitUntil('an owner for each shard', () => this.#everyShardOwned());
-    await this.#waitUntil('routers that serve', () => this.#everyRouterServes());
+  }
+
+  async #declareRoutes(): Promise<void> {
+    await this.admin.declare('PUT', 0, declaredDocument(this.plan.deployment));
+    const count = upstreamsOf(this.plan).length;
+    await this.#waitUntil('upstreams', async () => (await this.admin.upstreams()).length >= count);
   }
 
   /** Waits; throws if the run is aborted meanwhile. */
--- a/src/dev/fleet/load-plan.ts
+++ b/src/dev/fleet/load-plan.ts
@@ -42,19 +42,19 @@
   interval: PhaseInterval,
   share: WorkloadShare,
   service: ServiceDefinition,
-  { callers, leaveShare }: CallerShare,
+  { callers, leaveShare, declared }: CallerShare,
 ): z.input<typeof streamsSchema.element> {
   const shares = interval.phase.mix.reduce((sum, other) => sum + other.share, 0);
   const rate = (interval.phase.requestsPerSecond * share.share) / shares / callers;
   return {
     service: share.service,
     method: share.method,
-    keyCount: share.keys,
+    keyCount: declared ? 0 : share.keys,
     keyPrefix: keyPrefixOf(service.keyspaces),
     hotKeys: service.keyspaces.filter(({ kind }) => kind === 'exact').map(({ match }) => match),
     zipfExponent: share.skew,
     repeatable: service.repeatable,
-    coalesced: service.coalesce,
+    coalesced: service.coalesce && !declared,
     deadlineMillis: service.deadlineMillis,
     leaveShare: service.repeatable ? leaveShare : 0,
     attempts: service.repeatable ? READ_ATTEMPTS : ORDER_ATTEMPTS,
@@ -71,6 +71,8 @@
   readonly callers: number;
   /** Share of the reads whose caller disconnects before the answer. */
   readonly leaveShare: number;
+  /** Whether requests go by declared routes, and have no keys. */
+  readonly declared: boolean;
 }
 
 /** Streams of one caller process, over `seconds` in total. */
--- a/src/dev/fleet/named-faults.ts
+++ b/src/dev/fleet/named-faults.ts
@@ -8,6 +8,8 @@
 export interface NamedFault {
   readonly summary: string;
   readonly faults: readonly UnscheduledFault[];
+  /** Whether only upstreams that announce themselves have it. */
+  readonly needsDeclared?: true;
 }
 
 export const NAMED_FAULTS: Readonly<Record<string, NamedFault>> = {
@@ -130,6 +132,31 @@
     summary: 'an upstream answers each request with the answer and id of the previous one',
     faults: [{ type: 'foreign', target: 'unkeyed', seconds: 6 }],
   },
+  'answers-repeated': {
+    summary:
+      'an upstream that announces itself sends most answers again, later or in the place of the next one',
+    faults: [{ type: 'repeat', target: 'unkeyed', seconds: 6 }],
+    needsDeclared: true,
+  },
+  'answers-broken-off': {
+    summary: 'answers of an upstream that announces itself end in the middle, properly or by a reset',
+    faults: [{ type: 'break-off', target: 'unkeyed', seconds: 6 }],
+    needsDeclared: true,
+  },
+  'answers-unmarked': {
+    summary: 'an upstream that announces itself answers 503 to requests that ran, without a mark',
+    faults: [{ type: 'unmarked', target: 'unkeyed', seconds: 6 }],
+    needsDeclared: true,
+  },
+  'refusals-early': {
+    summary: 'an upstream that announces itself refuses requests before their body has come',
+    faults: [{ type: 'early', target: 'unkeyed', seconds: 6 }],
+    needsDeclared: true,
+  },
+  'connections-end': {
+    summary: 'connections into a zone end one after the other, in all ways',
+    faults: [{ type: 'end-connections', target: 'zone-a', seconds: 5 }],
+  },
   'owner-fails': {
     summary: 'an owner answers 500 to each request while its health check succeeds',
     faults: [{ type: 'fail', target: 'owner', seconds: 6 }],
--- a/src/dev/fleet/report/fleet-report.ts
+++ b/src/dev/fleet/report/fleet-report.ts
@@ -87,6 +87,9 @@
   'planned-stop',
 ]);
 
+/** Promises about services with keys, which fleets with declared routes don't have. */
+const NEEDS_KEYS: ReadonlySet<string> = new Set(['single-owner', 'ran-is-true']);
+
 /** Finds required events that did not happen; without them the run proves nothing. */
 function missingEvents(
   observed: FleetObservations,
@@ -105,7 +108,9 @@
   if (observed.faults.length < faults.length) {
     problems.push(`${faults.length - observed.faults.length} faults were not carried out`);
   }
-  const unproved = promises.filter(({ promise, checked }) => ALWAYS_CHECKED.has(promise) && checked === 0);
+  const isExpected = (promise: string): boolean =>
+    ALWAYS_CHECKED.has(promise) && !(observed.options.declared && NEEDS_KEYS.has(promise));
+  const unproved = promises.filter(({ promise, checked }) => isExpected(promise) && checked === 0);
   problems.push(...unproved.map(({ promise }) => `nothing was checked for ${promise}`));
   problems.push(...recoveryProblems(observed, history));
   if (faults.some(({ type }) => type === 'drain')) {
--- a/src/dev/fleet/settings-files.ts
+++ b/src/dev/fleet/settings-files.ts
@@ -20,11 +20,15 @@
 const SECRET_MODE = 0o600;
 /** Maximum number of requests that wait for a slot in a stand-in upstream. */
 const UPSTREAM_QUEUE_LIMIT = 8;
+/** The same where upstreams announce themselves, few enough that routers meet full ones. */
+const ANNOUNCED_QUEUE_LIMIT = 1;
 /** Connections of one caller process to one router, enough that requests never wait for one. */
 const CALLER_CONNECTIONS = 512;
 /** The same for a pipelining caller, few enough that requests are in fact pipelined. */
 const PIPELINING_CONNECTIONS = 2;
 const PROBE_INTERVAL = '1s';
+/** Settings of routers that go by declared routes. */
+const BY_ROUTES = { byRoutes: true, retryAfterUnit: 'fractions', whenOutOfTouch: 'serve' };
 /** Time to load the state of one shard. */
 const SHARD_WARM_MILLIS = 20;
 /** A started upstream reaches its usual service time after `millis`. */
@@ -64,7 +68,7 @@
   };
 }
 
-function routerSettings(plan: FleetPlan, router: RouterPlan): object {
+function routerSettings(plan: FleetPlan, router: RouterPlan, declared: boolean): object {
   return {
     cluster: plan.cluster,
     router: router.name,
@@ -77,20 +81,25 @@
     secretFile: plan.secretFile,
     probeInterval: PROBE_INTERVAL,
     platformUrl: `http://${plan.platform.listen}/machines`,
+    ...(declared && { ...BY_ROUTES, relay: router.relay }),
   };
 }
 
-function standinSettings(upstream: UpstreamPlan, speeds: readonly number[]): object {
+function standinSettings(
+  upstream: UpstreamPlan,
+  { speeds, declared }: Pick<FleetOptions, 'speeds' | 'declared'>,
+): object {
   const { template, place } = upstream;
   const speed = speeds[place % speeds.length] ?? 1;
   return {
     id: upstream.id,
     service: upstream.service,
     listen: upstream.endpoint.listen,
+    advertised: upstream.endpoint.advertised,
     zone: upstream.zone,
     keyed: upstream.keyed,
     slots: template.slots,
-    queueLimit: UPSTREAM_QUEUE_LIMIT,
+    queueLimit: declared ? ANNOUNCED_QUEUE_LIMIT : UPSTREAM_QUEUE_LIMIT,
     connections: template.connections,
     connectMillis: template.connectMillis,
     probeMillis: template.probeMillis,
@@ -102,21 +111,22 @@
 function upstreamSettings(
   plan: FleetPlan,
   process: UpstreamProcessPlan,
-  { seed, speeds }: Pick<FleetOptions, 'seed' | 'speeds'>,
+  { seed, speeds, declared }: Pick<FleetOptions, 'seed' | 'speeds' | 'declared'>,
 ): object {
   return {
     name: process.name,
     cluster: plan.cluster,
     secretFile: plan.secretFile,
+    ...(declared && { announceTo: plan.control.map(({ admin }) => admin) }),
     control: process.admin,
     seed,
     journal: journalFileOf(plan, process),
-    upstreams: process.upstreams.map((upstream) => standinSettings(upstream, speeds)),
+    upstreams: process.upstreams.map((upstream) => standinSettings(upstream, { speeds, declared })),
   };
 }
 
 /** The link forwards to each process of its zone that other processes reach through it. */
-function linkSettings(plan: FleetPlan, link: LinkPlan): object {
+function linkSettings(plan: FleetPlan, link: LinkPlan, seed: number): object {
   const inZone = <Item extends { readonly zone: string }>(items: readonly Item[]): Item[] =>
     items.filter(({ zone }) => zone === link.zone);
   const endpoints = [
@@ -127,6 +137,7 @@
   const { betweenZonesMillis, clientMillis } = plan.deployment.network;
   return {
     control: link.admin,
+    seed,
     zones: plan.hostsByZone,
     routes: endpoints.map(({ listen, advertised }) => ({
       listen: advertised,
@@ -141,7 +152,8 @@
 function callerSettings(plan: FleetPlan, options: FleetOptions, index: number): object {
   const caller = plan.callers[index] as FleetPlan['callers'][number];
   const isPipelining = options.pipelining > 1 && index % 2 === 0;
-  const share = { callers: plan.callers.length / options.rateScale, leaveShare: options.leaveShare };
+  const { leaveShare, declared } = options;
+  const share = { callers: plan.callers.length / options.rateScale, leaveShare, declared };
   return {
     name: caller.name,
     host: caller.host,
@@ -150,6 +162,7 @@
     seconds: options.seconds,
     connectionsPerRouter: isPipelining ? PIPELINING_CONNECTIONS : CALLER_CONNECTIONS,
     pipelining: isPipelining ? options.pipelining : 1,
+    form: declared ? 'by-route' : 'by-service',
     routers: plan.routers.map(({ name, callers }) => ({ name, address: callers.advertised })),
     streams: planStreams(plan.deployment, options.seconds, share),
     journal: journalFileOf(plan, caller),
@@ -177,7 +190,7 @@
     writeYaml(settingsFileOf(control), controlSettings(plan, control));
   }
   for (const router of plan.routers) {
-    writeYaml(settingsFileOf(router), routerSettings(plan, router));
+    writeYaml(settingsFileOf(router), routerSettings(plan, router, options.declared));
   }
   plan.upstreams.forEach((process, index) => {
     writeYaml(
@@ -185,9 +198,9 @@
       upstreamSettings(plan, process, { ...options, seed: options.seed + index }),
     );
   });
-  for (const link of plan.links) {
-    writeYaml(settingsFileOf(link), linkSettings(plan, link));
-  }
+  plan.links.forEach((link, index) => {
+    writeYaml(settingsFileOf(link), linkSettings(plan, link, options.seed + index));
+  });
   const machines = upstreamsOf(plan).map(({ id }) => id);
   const { listen } = plan.platform;
   writeYaml(settingsFileOf(plan.platform), { listen, lagMillis: options.platformLagMillis, machines });
--- a/src/dev/journal/records.ts
+++ b/src/dev/journal/records.ts
@@ -129,6 +129,8 @@
     | { readonly event: 'stopping'; readonly process: string }
     | { readonly event: 'stopped'; readonly process: string; readonly result: 'ended' | 'killed' }
     | { readonly event: 'cut' | 'healed'; readonly zones: readonly [string, string] }
+    /** Connections to these processes end one after the other, until they no longer do. */
+    | { readonly event: 'connections-ending' | 'connections-kept'; readonly processes: readonly string[] }
     /** Control accepted the change that drains this upstream. */
     | { readonly event: 'drain-accepted'; readonly upstream: UpstreamId }
     /** Control accepted the change that returns this upstream to service. */
--- a/src/dev/standins/caller/request-form.ts
+++ b/src/dev/standins/caller/request-form.ts
@@ -26,12 +26,11 @@
   path(attempt: Attempt): string;
   headers(attempt: Attempt): Record<string, string>;
   /** What an answer says of the request, besides being its answer; `null`: nothing. */
-  outcomeOf(status: number, headers: HeaderValues): Outcome | null;
+  outcomeOf(attempt: Attempt, status: number, headers: HeaderValues): Outcome | null;
   /** The id under which upstreams record the attempt; `null` if it isn't known. */
   routerRequestOf(attempt: Attempt, headers: HeaderValues): string | null;
 }
 
-const FIRST_FAILURE = 300;
 const FORMS = ['by-service', 'by-route'] as const;
 export type RequestFormName = (typeof FORMS)[number];
 export const REQUEST_FORM_NAMES = FORMS;
@@ -45,7 +44,7 @@
       ...(attempt.idempotencyKey !== null && { [HEADERS.idempotencyKey]: attempt.idempotencyKey }),
       ...bodyHeaders(attempt),
     }),
-    outcomeOf: (_status, headers) => headerOf(headers, HEADERS.outcome) as Outcome | null,
+    outcomeOf: (_attempt, _status, headers) => outcomeIn(headers),
     routerRequestOf: (_attempt, headers) => headerOf(headers, HEADERS.requestId),
   },
   'by-route': {
@@ -58,12 +57,9 @@
       ...(attempt.key !== null && { [DEFAULT_HEADER_NAMES.key]: attempt.key }),
       ...bodyHeaders(attempt),
     }),
-    outcomeOf: (status) => {
-      if (status < FIRST_FAILURE) {
-        return null;
-      }
-      return promisesNotRun(status) ? 'not-run' : 'unknown';
-    },
+    // Of an order the status alone is a promise, whoever wrote it.
+    outcomeOf: ({ method }, status, headers) =>
+      method === 'POST' && promisesNotRun(status) ? 'not-run' : outcomeIn(headers),
     routerRequestOf: ({ id }) => id,
   },
 };
@@ -73,6 +69,10 @@
   return `${service}.example`;
 }
 
+function outcomeIn(headers: HeaderValues): Outcome | null {
+  return headerOf(headers, HEADERS.outcome) as Outcome | null;
+}
+
 /** Value of a header that stands once; `null` otherwise. */
 export function headerOf(headers: HeaderValues, name: string): string | null {
   const value = headers[name];
--- a/src/dev/standins/caller/router-client.ts
+++ b/src/dev/standins/caller/router-client.ts
@@ -103,7 +103,7 @@
     return {
       verdict,
       status,
-      outcome: this.#form.outcomeOf(status, headers),
+      outcome: this.#form.outcomeOf(attempt, status, headers),
       reason: headerOf(headers, HEADERS.reason),
       routerRequest: this.#form.routerRequestOf(attempt, headers),
       retryAfterMillis: retryAfterOf(headers),
--- a/src/dev/standins/link/link-connection.ts
+++ b/src/dev/standins/link/link-connection.ts
@@ -1,5 +1,6 @@
 /** One forwarded TCP connection: two directions, each delayed, held or refused by the current rules. */
 import { connect, type Socket } from 'node:net';
+import type { ForwardedSockets } from './connection-endings.js';
 import type { ZoneRules } from './zone-rules.js';
 
 /** Source and target of a connection. */
@@ -65,15 +66,19 @@
   from.on('close', () => whileOpen(() => to.destroy()));
 }
 
-/**
- * Forwards between `inbound` and a new connection to the target until either ends or the rules refuse it; calls
- * `onRefused` if the target refuses the connection.
- */
+export interface ForwardingEvents {
+  /** Called if the target refuses the connection. */
+  readonly onRefused: () => void;
+  /** Called with the sockets of a connection that is forwarded. */
+  readonly onOpened: (sockets: ForwardedSockets) => void;
+}
+
+/** Forwards between `inbound` and a new connection to the target until either ends or the rules refuse it. */
 export function forwardConnection(
   inbound: Socket,
   ends: ConnectionEnds,
   rules: ZoneRules,
-  onRefused: () => void,
+  { onRefused, onOpened }: ForwardingEvents,
 ): void {
   const { sourceZone, targetZone } = ends;
   const isRefused = (): boolean =>
@@ -89,6 +94,7 @@
       onRefused();
     }
   });
+  onOpened({ inbound, outbound });
   const delayMillis = sourceZone === targetZone ? 0 : ends.delayMillis;
   const toTarget = new Direction(delayMillis, () => rules.stateOf(sourceZone, targetZone) === 'hold');
   const toSource = new Direction(delayMillis, () => rules.stateOf(targetZone, sourceZone) === 'hold');
--- a/src/dev/standins/link/link-settings.ts
+++ b/src/dev/standins/link/link-settings.ts
@@ -11,6 +11,7 @@
 export const linkSettingsSchema = z.strictObject({
   /** `host:port` of the HTTP endpoint for commands. */
   control: z.string().min(1),
+  seed: z.number().int().default(1),
   /** IP addresses of processes, which identify the zone that a connection comes from. */
   zones: z.record(z.string(), z.array(z.string())),
   routes: z.array(routeSchema),
@@ -31,6 +32,9 @@
   state: z.enum(['open', 'hold', 'refuse']),
 });
 
+/** Share of the open connections that are ended in each interval. */
+export const linkEndingsSchema = z.strictObject({ share: z.number().min(0).max(1) });
+
 export type LinkSettings = z.infer<typeof linkSettingsSchema>;
 export type LinkRoute = z.infer<typeof routeSchema>;
 export type LinkRule = z.infer<typeof linkRuleSchema>;
--- a/src/dev/standins/link/link-standin.ts
+++ b/src/dev/standins/link/link-standin.ts
@@ -4,20 +4,24 @@
 import { parseAddress } from '../../../wire/address.js';
 import { listenHttp, type RunningServer } from '../http-endpoint.js';
 import { readJsonBody } from '../json-body.js';
+import { StandinRandomSource } from '../random-source.js';
+import { ConnectionEndings } from './connection-endings.js';
 import { forwardConnection } from './link-connection.js';
 import { LinkRouteListener } from './link-route.js';
-import { type LinkRoute, type LinkSettings, linkRuleSchema } from './link-settings.js';
+import { type LinkRoute, type LinkSettings, linkEndingsSchema, linkRuleSchema } from './link-settings.js';
 import { ZoneRules } from './zone-rules.js';
 
 export class LinkStandin {
   readonly rules: ZoneRules;
   readonly #settings: LinkSettings;
   readonly #routes: LinkRouteListener[] = [];
+  readonly #endings: ConnectionEndings;
   #control: RunningServer | undefined;
 
   constructor(settings: LinkSettings) {
     this.#settings = settings;
     this.rules = new ZoneRules(settings.zones);
+    this.#endings = new ConnectionEndings(new StandinRandomSource(settings.seed));
   }
 
   async start(): Promise<void> {
@@ -31,6 +35,7 @@
   }
 
   async stop(): Promise<void> {
+    this.#endings.setShare(0);
     for (const route of this.#routes) {
       route.close();
     }
@@ -48,7 +53,8 @@
         targetPort: target.port,
         delayMillis: this.#delayFrom(sourceZone),
       };
-      forwardConnection(inbound, ends, this.rules, onRefused);
+      const onOpened = this.#endings.add.bind(this.#endings);
+      forwardConnection(inbound, ends, this.rules, { onRefused, onOpened });
     });
     this.#routes.push(listener);
     await listener.open();
@@ -65,6 +71,10 @@
       this.rules.apply(linkRuleSchema.parse(await readJsonBody(context.req)));
       context.status = 204;
     });
+    router.post('/endings', async (context) => {
+      this.#endings.setShare(linkEndingsSchema.parse(await readJsonBody(context.req)).share);
+      context.status = 204;
+    });
     const app = new Koa();
     app.use(router.routes());
     return app;
--- a/src/dev/standins/upstream/fault-switchboard.ts
+++ b/src/dev/standins/upstream/fault-switchboard.ts
@@ -20,6 +20,19 @@
 ] as const;
 export type AnswerFaultKind = (typeof ANSWER_FAULT_KINDS)[number];
 
+/** Faults on the connections of stand-ins that announce themselves. */
+export const CONNECTION_FAULT_KINDS = [
+  /** Each answer is sent again: some time later, or in the place of the next answer of its connection. */
+  'repeat',
+  /** Answers end in the middle, with or without a reset, or before they began. */
+  'break-off',
+  /** A request that ran is answered with a status of overload, without the mark that it didn't run. */
+  'unmarked',
+  /** Requests are refused before their body has come. */
+  'early',
+] as const;
+export type ConnectionFaultKind = (typeof CONNECTION_FAULT_KINDS)[number];
+
 export const HINT_FAULT_KINDS = [
   /** The health endpoint reports unhealthy, while requests are served normally. */
   'health-ill',
@@ -40,7 +53,12 @@
 ] as const;
 export type NeedKind = (typeof NEED_KINDS)[number];
 
-export const FAULT_KINDS = [...ANSWER_FAULT_KINDS, ...HINT_FAULT_KINDS, ...NEED_KINDS] as const;
+export const FAULT_KINDS = [
+  ...ANSWER_FAULT_KINDS,
+  ...CONNECTION_FAULT_KINDS,
+  ...HINT_FAULT_KINDS,
+  ...NEED_KINDS,
+] as const;
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
 export const faultSchema = z.strictObject({
@@ -72,6 +90,12 @@
     return (this.#shares.get(kind) ?? 0) > 0;
   }
 
+  /** Draws whether a fault of connections affects the next answer. */
+  affects(kind: ConnectionFaultKind): boolean {
+    const share = this.#shares.get(kind) ?? 0;
+    return share > 0 && this.#random.fraction() < share;
+  }
+
   /** Draws the fault that affects the next request. */
   draw(): AnswerFaultKind | null {
     for (const kind of ANSWER_FAULT_KINDS) {
--- a/src/dev/standins/upstream/run-recorder.ts
+++ b/src/dev/standins/upstream/run-recorder.ts
@@ -1,10 +1,8 @@
 /** Records the runs of one stand-in upstream in its journal. */
 import type { IncomingMessage } from 'node:http';
-import { HEADERS } from '../../../model/outcome.js';
-import type { GuardedRequest } from '../../../upstream/index.js';
 import type { JournalWriter } from '../../journal/journal-writer.js';
 import { machineMillis } from '../../journal/machine-clock.js';
-import type { RunEndRecord } from '../../journal/records.js';
+import type { RunEndRecord, RunStartRecord } from '../../journal/records.js';
 import { CALLER_REQUEST_HEADER } from '../answer-body.js';
 
 /** Fields common to all records of one upstream. */
@@ -17,7 +15,14 @@
 
 export type RunEndKind = RunEndRecord['end'];
 
-function headerOf(request: IncomingMessage, name: string): string | null {
+/** What is recorded of the request of a run. */
+export type RunFacts = Pick<
+  RunStartRecord,
+  'request' | 'routerRequest' | 'key' | 'idempotencyKey' | 'shard' | 'epoch'
+>;
+
+/** Value of a header that stands once in a request; `null` otherwise. */
+export function headerOf(request: IncomingMessage, name: string): string | null {
   const value = request.headers[name];
   return typeof value === 'string' ? value : null;
 }
@@ -39,20 +44,14 @@
     this.#journal = journal;
   }
 
-  /** Records that the fence admitted the request. Returns the number of the run. */
-  start(request: IncomingMessage, guarded: GuardedRequest, callerRequest: string): number {
+  /** Records that the request was admitted. Returns the number of the run. */
+  start(facts: RunFacts): number {
     this.#runCount += 1;
-    const epoch = headerOf(request, HEADERS.epoch);
     this.#journal.write({
       type: 'run-start',
       ...this.#base(this.#runCount, machineMillis()),
       service: this.#identity.service,
-      request: callerRequest,
-      routerRequest: guarded.requestId,
-      key: guarded.key,
-      idempotencyKey: headerOf(request, HEADERS.idempotencyKey),
-      shard: guarded.shard,
-      epoch: epoch === null ? null : Number(epoch),
+      ...facts,
     });
     return this.#runCount;
   }
--- a/src/dev/standins/upstream/upstream-process.ts
+++ b/src/dev/standins/upstream/upstream-process.ts
@@ -6,8 +6,10 @@
 import { listenHttp, type RunningServer } from '../http-endpoint.js';
 import { readJsonBody } from '../json-body.js';
 import { StandinRandomSource } from '../random-source.js';
+import { AnnouncedStandin } from './announced-standin.js';
 import { faultSchema } from './fault-switchboard.js';
-import type { UpstreamProcessSettings } from './upstream-settings.js';
+import type { Standin } from './standin.js';
+import type { UpstreamProcessSettings, UpstreamSettings } from './upstream-settings.js';
 import { UpstreamStandin } from './upstream-standin.js';
 
 const NO_CONTENT = 204;
@@ -16,22 +18,27 @@
 export class UpstreamProcess {
   readonly #settings: UpstreamProcessSettings;
   readonly #journal: JournalWriter;
-  readonly #standins: ReadonlyMap<string, UpstreamStandin>;
+  readonly #standins: ReadonlyMap<string, Standin>;
   #control: RunningServer | undefined;
 
   constructor(settings: UpstreamProcessSettings) {
     this.#settings = settings;
     this.#journal = new JournalWriter(settings.journal);
-    const secret = readSecret(settings.secretFile ?? null);
     this.#standins = new Map(
-      settings.upstreams.map((upstream, index) => {
-        const random = new StandinRandomSource(settings.seed + index);
-        const process = { name: settings.name, cluster: settings.cluster, secret };
-        return [upstream.id, new UpstreamStandin(upstream, process, this.#journal, random)];
-      }),
+      settings.upstreams.map((upstream, index) => [upstream.id, this.#createStandin(upstream, index)]),
     );
   }
 
+  #createStandin(upstream: UpstreamSettings, index: number): Standin {
+    const { name, cluster, seed, secretFile, announceTo } = this.#settings;
+    const random = new StandinRandomSource(seed + index);
+    if (announceTo !== undefined) {
+      return new AnnouncedStandin({ upstream, control: announceTo, process: name }, this.#journal, random);
+    }
+    const process = { name, cluster, secret: readSecret(secretFile ?? null) };
+    return new UpstreamStandin(upstream, process, this.#journal, random);
+  }
+
   async start(): Promise<void> {
     await Promise.all([...this.#standins.values()].map((standin) => standin.start()));
     this.#control = await listenHttp(this.#controlApp().callback(), this.#settings.control);
--- a/src/dev/standins/upstream/upstream-settings.ts
+++ b/src/dev/standins/upstream/upstream-settings.ts
@@ -29,6 +29,8 @@
   service: z.string().min(1),
   /** `host:port` to listen on. */
   listen: z.string().min(1),
+  /** `host:port` under which it is reached; as `listen` if left out. */
+  advertised: z.string().min(1).optional(),
   zone: z.string().min(1),
   keyed: z.boolean(),
   slots: z.number().int().min(1),
@@ -48,6 +50,8 @@
   cluster: z.string().min(1),
   /** File with the cluster's secret; without it control isn't authenticated. */
   secretFile: z.string().min(1).optional(),
+  /** Admin addresses of the control members, if the upstreams announce themselves instead of embedding the fence. */
+  announceTo: z.array(z.string().min(1)).min(1).optional(),
   /** `host:port` of the endpoint that sets faults. */
   control: z.string().min(1),
   seed: z.number().int(),
--- a/src/dev/standins/upstream/upstream-standin.ts
+++ b/src/dev/standins/upstream/upstream-standin.ts
@@ -12,6 +12,7 @@
 import type { Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { ClusterId } from '../../../model/identifiers.js';
+import { HEADERS } from '../../../model/outcome.js';
 import {
   createFence,
   createNodeHandler,
@@ -26,8 +27,9 @@
 import { makeAnswerBody } from '../answer-body.js';
 import { type IdentifiedAnswer, writeAnswer, writeFenced } from './answer-writer.js';
 import { FaultSwitchboard } from './fault-switchboard.js';
-import { callerRequestOf, RunRecorder } from './run-recorder.js';
+import { callerRequestOf, headerOf, type RunFacts, RunRecorder } from './run-recorder.js';
 import { SlotQueue } from './slot-queue.js';
+import type { Standin } from './standin.js';
 import { StandinNotices } from './standin-notices.js';
 import type { UpstreamSettings } from './upstream-settings.js';
 import { LoadReporter, WorkModel } from './work-model.js';
@@ -46,7 +48,7 @@
   readonly secret: string;
 }
 
-export class UpstreamStandin {
+export class UpstreamStandin implements Standin {
   readonly faults: FaultSwitchboard;
   readonly fence: Fence;
   readonly #settings: UpstreamSettings;
@@ -98,7 +100,6 @@
     });
   }
 
-  /** Graceful shutdown: releases the shards, completes running requests, then closes. */
   async stop(): Promise<void> {
     await this.fence.drain();
     await new Promise<void>((resolve) => {
@@ -155,7 +156,7 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse, guard: GuardedRequest): Promise<void> {
     const callerRequest = callerRequestOf(request);
-    const run = this.#recorder.start(request, guard, callerRequest);
+    const run = this.#recorder.start(factsOf(request, guard));
     request.resume();
     const release = await this.#slots.acquire(guard.signal);
     const startedAt = machineMillis();
@@ -221,6 +222,18 @@
   }
 }
 
+function factsOf(request: IncomingMessage, { requestId, key, shard }: GuardedRequest): RunFacts {
+  const epoch = headerOf(request, HEADERS.epoch);
+  return {
+    request: callerRequestOf(request),
+    routerRequest: requestId,
+    key,
+    idempotencyKey: headerOf(request, HEADERS.idempotencyKey),
+    shard,
+    epoch: epoch === null ? null : Number(epoch),
+  };
+}
+
 /** Whether the request is a message of the control leader, not a router's request. */
 function isControlMessage({ url = '' }: IncomingMessage): boolean {
   return url.startsWith('/ternmount/');
--- a/test/dev/standins/link-standin.test.ts
+++ b/test/dev/standins/link-standin.test.ts
@@ -33,7 +33,7 @@
     await once(echo, 'listening');
     const { port } = echo.address() as AddressInfo;
     const route = { listen: '127.0.0.1:0', target: `127.0.0.1:${port}`, targetZone: 'far' };
-    link = new LinkStandin({ control: '127.0.0.1:0', zones, routes: [route], delayMillis: 1 });
+    link = new LinkStandin({ control: '127.0.0.1:0', seed: 1, zones, routes: [route], delayMillis: 1 });
     await link.start();
   });
 
--- a/test/dev/standins/router-client.test.ts
+++ b/test/dev/standins/router-client.test.ts
@@ -25,7 +25,9 @@
     const server = createServer((socket: Socket) => {
       socket.on('error', () => {});
       socket.on('data', (bytes) => {
-        const targets = [...String(bytes).matchAll(/GET \S+request=(\S+) HTTP/g)].map(([, name = '']) => name);
+        const targets = [...String(bytes).matchAll(/GET \S+request=(\S+) HTTP/g)].map(
+          ([, name = '']) => name,
+        );
         arrivals.push(...targets);
         if (arrivals.length === 2) {
           socket.end('HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
--- a/test/fleet/checker/checker.test.ts
+++ b/test/fleet/checker/checker.test.ts
@@ -229,6 +229,34 @@
     ],
     broken: ['planned-stop'],
   },
+  {
+    title: 'a planned stop of a router while connections to it end by a fault',
+    records: [
+      event(100, { event: 'connections-ending', processes: ['router-1'] }),
+      event(500, { event: 'stopping', process: 'router-1' }),
+      attempt({ sentAt: 200, at: 600, verdict: 'lost' }),
+    ],
+    broken: [],
+  },
+  {
+    title: 'a planned stop of a router after connections to it ended by a fault',
+    records: [
+      event(100, { event: 'connections-ending', processes: ['router-1'] }),
+      event(200, { event: 'connections-kept', processes: ['router-1'] }),
+      event(500, { event: 'stopping', process: 'router-1' }),
+      attempt({ sentAt: 300, at: 600, verdict: 'lost' }),
+    ],
+    broken: ['planned-stop'],
+  },
+  {
+    title: 'a planned stop of a router while connections to another one end by a fault',
+    records: [
+      event(100, { event: 'connections-ending', processes: ['router-2'] }),
+      event(500, { event: 'stopping', process: 'router-1' }),
+      attempt({ sentAt: 200, at: 600, verdict: 'lost' }),
+    ],
+    broken: ['planned-stop'],
+  },
   {
     title: 'a planned stop of a router with a pipelined request at an upstream',
     records: [
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -1,15 +1,19 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { expect } from 'chai';
 import { parseFaults } from '../../src/dev/fleet/fault-schedule.js';
 import { FLEET_DEFAULTS } from '../../src/dev/fleet/fleet-options.js';
 import { runFleet } from '../../src/dev/fleet/fleet-run.js';
 import { reserveNetwork } from '../../src/dev/fleet/network-reservation.js';
-import { deploymentSchema } from '../../src/settings/deployment.js';
+import { deploymentSchema, loadDeployment } from '../../src/settings/deployment.js';
 
 const SECONDS = 5;
 const NEEDS_SECONDS = 16;
+const SOAK_SECONDS = 30;
+const SOAK_SEED = 1;
+const CROWDED = fileURLToPath(new URL('../../../deployments/crowded.yaml', import.meta.url));
 
 const deployment = deploymentSchema.parse({
   name: 'small',
@@ -133,4 +137,30 @@
       rmSync(folder, { recursive: true });
     }
   }).timeout(120_000);
+
+  it('keeps every promise with declared routes while answers are repeated, connections end and processes are killed, stopped and frozen', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'ternmount-fleet-test-'));
+    const { network, release } = await reserveNetwork(FLEET_DEFAULTS.network);
+    try {
+      const options = {
+        ...FLEET_DEFAULTS,
+        deployment: loadDeployment(CROWDED),
+        seconds: SOAK_SECONDS,
+        faults: [],
+        folder,
+        seed: SOAK_SEED,
+        declared: true,
+        randomFaults: true,
+        network,
+      };
+      const report = await runFleet(options, new AbortController().signal, () => {});
+      const notRun = report.promises.find(({ promise }) => promise === 'not-run-is-true');
+      expect(report.promises.flatMap(({ violations }) => violations)).to.deep.equal([]);
+      expect(report.problems).to.deep.equal([]);
+      expect(notRun?.checked).to.be.at.least(100);
+    } finally {
+      await release();
+      rmSync(folder, { recursive: true });
+    }
+  }).timeout(120_000);
 });
