Simulator: upstreams that give back the caller's id and send refusals again; sabotage id-twice-on-connection

With sharedIds they carry the caller's; under repeated-refusals upstreams are short of room and send each refusal again 1 to 60 ms later. Connections go by the same SentIds as the router's.

--- a/src/dev/sim/catch-sabotage.ts
+++ b/src/dev/sim/catch-sabotage.ts
@@ -3,6 +3,7 @@
 import { FAULT_KINDS } from './faults/fault-plan.js';
 import { LOST_PATHS } from './faults/lost-paths.js';
 import { RANGE_FAULTS } from './faults/range-faults.js';
+import { REPEATED_ANSWERS } from './faults/repeated-answers.js';
 import { SUSPENSIONS } from './faults/suspensions.js';
 import { SABOTAGES, type Sabotage, type SabotageName } from './sabotages.js';
 import type { SimSizes } from './sim-sizes.js';
@@ -31,9 +32,10 @@
     redeclarations = 0,
     rangeLosses = 0,
     relays = false,
+    sharedIds = false,
   }: Sabotage = SABOTAGES[name];
-  const faults = [...FAULT_KINDS, ...SUSPENSIONS, ...LOST_PATHS, ...RANGE_FAULTS].filter((kind) =>
-    wanted.includes(kind.name),
+  const faults = [...FAULT_KINDS, ...SUSPENSIONS, ...LOST_PATHS, ...RANGE_FAULTS, ...REPEATED_ANSWERS].filter(
+    (kind) => wanted.includes(kind.name),
   );
   for (let seed = first; seed <= last; seed += 1) {
     const { violations } = new Simulation({
@@ -46,6 +48,7 @@
       redeclarations,
       rangeLosses,
       relays,
+      sharedIds,
       sabotage: name,
       trace: null,
     }).run();
--- a/src/dev/sim/router/sim-router.ts
+++ b/src/dev/sim/router/sim-router.ts
@@ -304,7 +304,7 @@
       upstream: effect.upstream,
     });
     const frame = {
-      requestId: `${this.incarnation}.${effect.attempt}`,
+      requestId: this.world.hasSharedIds ? exchange.send : `${this.incarnation}.${effect.attempt}`,
       send: exchange.send,
       content: exchange.content,
       credentials: effect.credentials,
--- a/src/dev/sim/router/upstream-connections.ts
+++ b/src/dev/sim/router/upstream-connections.ts
@@ -1,6 +1,7 @@
 /** A router's connections to upstreams, one pool for each path: one request at a time on each connection, reused after a complete answer. */
 import type { Address, RouterId, UpstreamId } from '../../../model/identifiers.js';
 import type { RelayPeer } from '../../../model/relay.js';
+import { SentIds } from '../../../router/attempts/sent-ids.js';
 import { PATH_OUTCOMES, type PathOutcome } from '../../../routing/paths/path-outcome.js';
 import type { RelayFailure } from '../../../routing/paths/path-watch.js';
 import type { RunCheck } from '../../../routing/types.js';
@@ -57,10 +58,11 @@
       return;
     }
     const free = this.idle.get(poolOf(upstream.host, path.via?.router ?? null))?.pop();
-    if (free !== undefined) {
+    if (free?.mayCarry(attempt) === true) {
       free.send(attempt);
       return;
     }
+    free?.closeIdle();
     const relay = this.relayOf(path.via);
     this.connect(upstream, path, CONNECT_TIMEOUT_MILLIS, (opening) => {
       if (attempt.isOver) {
@@ -228,6 +230,7 @@
   /** Whose answer the upstream has sent. */
   private answeredAttempt: SimAttempt | null = null;
   private closed = false;
+  private readonly sentIds = new SentIds();
 
   constructor(
     private readonly connections: UpstreamConnections,
@@ -245,8 +248,15 @@
     connections.onOpened(this);
   }
 
+  /** Whether the id of an attempt tells its answer from all others on this connection. */
+  mayCarry({ frame }: SimAttempt): boolean {
+    const { hasSharedIds, sabotage } = this.connections.world;
+    return !hasSharedIds || sabotage === 'id-twice-on-connection' || this.sentIds.mayCarry(frame.requestId);
+  }
+
   send(attempt: SimAttempt): void {
     this.attempt = attempt;
+    this.sentIds.add(attempt.frame.requestId);
     attempt.onSent(this);
     const { upstream, link } = this;
     const { frame } = attempt;
@@ -259,8 +269,11 @@
     link.sendToServer(() =>
       upstream.handleAttempt(frame, {
         send: respond,
-        refuse: (refusal, reported) =>
-          respond({ type: 'refusal', requestId, refusal, ...(reported && { reported }) }),
+        refuse: (refusal, reported) => {
+          const part = { type: 'refusal', requestId, refusal, ...(reported && { reported }) } as const;
+          respond(part);
+          upstream.sendAgain(() => link.sendToClient(() => this.receive(part)));
+        },
         close: () => link.close(upstream),
       }),
     );
--- a/src/dev/sim/sabotages.ts
+++ b/src/dev/sim/sabotages.ts
@@ -19,6 +19,8 @@
   readonly rangeLosses?: number;
   /** Whether routers carry connections of others; `false` by default. */
   readonly relays?: boolean;
+  /** Whether upstreams give back the caller's id of a request; `false` by default. */
+  readonly sharedIds?: boolean;
 }
 
 const TABLE = {
@@ -169,6 +171,13 @@
     faults: ['relay-crash'],
     relays: true,
   },
+  'id-twice-on-connection': {
+    promise: 'not-run-is-true',
+    description:
+      'a connection carries several attempts with one id, so that a copied answer counts as that of the next',
+    faults: ['repeated-refusals'],
+    sharedIds: true,
+  },
   'one-crash-quarantines': {
     promise: 'innocent-served',
     description: 'a request is refused everywhere once a single run ended during it',
--- a/src/dev/sim/simulation.ts
+++ b/src/dev/sim/simulation.ts
@@ -43,6 +43,8 @@
   readonly lateCalls?: boolean;
   /** Whether routers carry connections of others; `false` by default. */
   readonly relays?: boolean;
+  /** Whether upstreams give back the caller's id of a request; `false` by default. */
+  readonly sharedIds?: boolean;
   readonly sabotage: SabotageName | null;
   readonly trace: ((line: string) => void) | null;
 }
@@ -93,6 +95,7 @@
   readonly sizes: SimSizes;
   readonly sabotage: SabotageName | null;
   readonly hasRelays: boolean;
+  readonly hasSharedIds: boolean;
   readonly hasLateCalls: boolean;
   readonly controls: SimControl[] = [];
   readonly routers: SimRouter[] = [];
@@ -125,6 +128,7 @@
     this.sizes = options.sizes;
     this.sabotage = options.sabotage;
     this.hasRelays = options.relays ?? false;
+    this.hasSharedIds = options.sharedIds ?? false;
     this.hasLateCalls = options.lateCalls ?? true;
     this.random = new Random(options.seed);
     this.faultRandom = this.makeRandom();
--- a/src/dev/sim/upstream/sim-upstream.ts
+++ b/src/dev/sim/upstream/sim-upstream.ts
@@ -13,8 +13,8 @@
 import { sendAnswer } from './send-answer.js';
 import { NO_CONSTRAINT, type UpstreamConstraint } from './upstream-constraint.js';
 
-/** Maximum number of requests in flight; more are shed. */
-const QUEUE_LIMIT = 20;
+/** Usual maximum number of requests in flight. */
+export const QUEUE_LIMIT = 20;
 /** Share of slow requests, and the factor on their service time. */
 const SLOW_SHARE = 0.08;
 const SLOW_FACTOR = 30;
@@ -36,6 +36,10 @@
   isSilent = false;
   /** Share of answers that are broken: truncated, duplicated or with another request's id. */
   badAnswers = 0;
+  /** Shortest and longest time after which its refusals are sent again; `null`: they aren't. */
+  repeatedMillis: readonly [number, number] | null = null;
+  /** Maximum number of requests in flight; more are shed. */
+  queueLimit = QUEUE_LIMIT;
   /** The constraint that its answers report. */
   constraint: UpstreamConstraint = NO_CONSTRAINT;
   /** Whether this run has reported a constraint. */
@@ -113,6 +117,13 @@
     this.startWaiting();
   }
 
+  /** Sends a refusal a second time, if it does so now. */
+  sendAgain(send: () => void): void {
+    if (this.repeatedMillis !== null) {
+      this.schedule(this.random.between(...this.repeatedMillis), send);
+    }
+  }
+
   /** Marks an attempt as aborted after the router closed its connection. */
   abort(frame: AttemptFrame): void {
     const isOfFrame = (pending: PendingRequest): boolean => pending.frame === frame;
@@ -198,7 +209,7 @@
 
   private admit(frame: AttemptFrame): Ticket | null | FenceRefusal {
     const { holder } = this;
-    const isRejected = this.constraint.restMillis !== null || this.inFlight >= QUEUE_LIMIT;
+    const isRejected = this.constraint.restMillis !== null || this.inFlight >= this.queueLimit;
     if (holder === null || isRejected) {
       return 'overloaded';
     }
--- a/src/dev/sim/world.ts
+++ b/src/dev/sim/world.ts
@@ -23,9 +23,11 @@
   readonly controls: SimControl[];
   readonly routers: SimRouter[];
   readonly upstreams: SimUpstream[];
-  /** Servers that hold ranges of numeric keys; none by default. */
+  /** Whether upstreams give back the caller's id of a request, which all its attempts share. */
+  readonly hasSharedIds: boolean;
   /** Whether servers with ranges leave some calls unanswered and carry them out late. */
   readonly hasLateCalls: boolean;
+  /** Servers that hold ranges of numeric keys; none by default. */
   readonly rangeServers: SimRangeServer[];
   /** Run of a server that the first call of a grant reached, by run of the control member, upstream and fence. */
   readonly firstGrantRuns: Map<string, string>;
--- a/test/sim/sabotages.test.ts
+++ b/test/sim/sabotages.test.ts
@@ -4,6 +4,7 @@
 import { FAULT_KINDS } from '../../src/dev/sim/faults/fault-plan.js';
 import { LOST_PATHS } from '../../src/dev/sim/faults/lost-paths.js';
 import { RANGE_FAULTS } from '../../src/dev/sim/faults/range-faults.js';
+import { REPEATED_ANSWERS } from '../../src/dev/sim/faults/repeated-answers.js';
 import { SUSPENSIONS } from '../../src/dev/sim/faults/suspensions.js';
 import { SABOTAGE_NAMES, SABOTAGES } from '../../src/dev/sim/sabotages.js';
 import { shrinkDeployment } from '../../src/dev/sim/sim-sizes.js';
@@ -29,9 +30,13 @@
   });
 
   it('name faults that exist', () => {
-    const kinds: readonly string[] = [...FAULT_KINDS, ...SUSPENSIONS, ...LOST_PATHS, ...RANGE_FAULTS].map(
-      (kind) => kind.name,
-    );
+    const kinds: readonly string[] = [
+      ...FAULT_KINDS,
+      ...SUSPENSIONS,
+      ...LOST_PATHS,
+      ...RANGE_FAULTS,
+      ...REPEATED_ANSWERS,
+    ].map((kind) => kind.name);
     for (const name of SABOTAGE_NAMES) {
       expect(kinds).to.include.members([...SABOTAGES[name].faults]);
     }
