Fleet: a caller's own closing isn't taken for the router's; callers' connections don't fall silent; a fault waits for a leader

Since attempts are sent once, requests behind one that its caller gave up counted as lost by the router: with pipelining the connection closes with it.

--- a/src/dev/fleet/faults/target-finder.ts
+++ b/src/dev/fleet/faults/target-finder.ts
@@ -14,6 +14,9 @@
   }
 }
 
+const LEADER_TRIES = 30;
+const LEADER_RETRY_MILLIS = 200;
+
 export class TargetFinder {
   readonly #fleet: Fleet;
 
@@ -39,8 +42,14 @@
     }
   }
 
+  /** Waits a short time for an election. */
   async leader(): Promise<ControlPlan> {
-    const leader = await this.#fleet.admin.findLeader();
+    const { admin } = this.#fleet;
+    let leader = await admin.findLeader();
+    for (let tries = 1; leader === undefined && tries < LEADER_TRIES; tries += 1) {
+      await this.#fleet.wait(LEADER_RETRY_MILLIS);
+      leader = await admin.findLeader();
+    }
     const control = this.#fleet.plan.control.find(({ admin }) => admin === leader?.admin);
     return control ?? this.#fail('leader');
   }
--- a/src/dev/standins/link/connection-endings.ts
+++ b/src/dev/standins/link/connection-endings.ts
@@ -2,12 +2,14 @@
 import type { Socket } from 'node:net';
 import type { RandomSource } from '../../virtual/random-source.js';
 
-/** The two sockets of a forwarded connection. */
+/** A forwarded connection. */
 export interface ForwardedSockets {
   /** From the process that connected. */
   readonly inbound: Socket;
   /** To the process that listens. */
   readonly outbound: Socket;
+  /** Whether it is a caller's: those never fall silent, since nothing would tell what became of their requests. */
+  readonly isCallers: boolean;
 }
 
 type Ending = (sockets: ForwardedSockets) => void;
@@ -33,13 +35,14 @@
 const ENDINGS: readonly Ending[] = [
   resetBoth,
   endBoth,
-  silence,
   ({ inbound }) => inbound.end(),
   ({ outbound }) => outbound.end(),
   ({ inbound }) => inbound.resetAndDestroy(),
   ({ outbound }) => outbound.resetAndDestroy(),
 ];
 
+const ENDINGS_OR_SILENCE: readonly Ending[] = [silence, ...ENDINGS];
+
 /** Interval at which connections are drawn. */
 const DRAW_MILLIS = 50;
 
@@ -71,7 +74,8 @@
     for (const sockets of [...this.#open]) {
       if (this.#random.fraction() < this.#share) {
         this.#open.delete(sockets);
-        ENDINGS[Math.floor(this.#random.fraction() * ENDINGS.length)]?.(sockets);
+        const endings = sockets.isCallers ? ENDINGS : ENDINGS_OR_SILENCE;
+        endings[Math.floor(this.#random.fraction() * endings.length)]?.(sockets);
       }
     }
   }
--- a/src/dev/standins/link/link-standin.ts
+++ b/src/dev/standins/link/link-standin.ts
@@ -48,6 +48,7 @@
       const sourceZone = this.rules.zoneOf(inbound.remoteAddress ?? '');
       const ends = {
         sourceZone,
+        isCallers: this.#settings.clients?.zone === sourceZone,
         targetZone: route.targetZone,
         targetHost: target.host,
         targetPort: target.port,
--- a/test/dev/standins/router-client.test.ts
+++ b/test/dev/standins/router-client.test.ts
@@ -51,4 +51,26 @@
     await client.close();
     server.close();
   });
+
+  it('tells a connection that it closed itself for another read from one that was closed', async () => {
+    const server = createServer((socket: Socket) => {
+      socket.on('error', () => {});
+      socket.resume();
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const { port } = server.address() as { port: number };
+    const client = new RouterClient({
+      name: 'router-1',
+      address: `127.0.0.1:${port}`,
+      localAddress: '127.0.0.1',
+      form: 'by-service',
+      connections: 1,
+      pipelining: 8,
+    });
+    const leaving = client.send({ ...read('a'), leaveMillis: 50 });
+    const behind = client.send(read('b'));
+    expect([(await leaving).verdict, (await behind).verdict]).to.deep.equal(['left', 'left']);
+    await client.close();
+    server.close();
+  });
 });
