--- a/src/dev/standins/upstream/announced-standin.ts
+++ b/src/dev/standins/upstream/announced-standin.ts
@@ -28,6 +28,9 @@
 /** Longest wait for the acknowledgement that it leaves, and how long it serves on afterwards. */
 const LEAVE_MILLIS = 2000;
 const SERVE_ON_MILLIS = 2500;
+/** Interval at which connections that became idle are closed, and when all others are. */
+const SWEEP_MILLIS = 50;
+const CLOSE_MILLIS = 3000;
 /** Share of the runs that go on after their connection has closed. */
 const STUBBORN_SHARE = 0.3;
 const NOT_RUN = { [NAMES.notRun]: '1' };
@@ -95,10 +98,14 @@
       await delay(this.#serveOnMillis);
     }
     await this.#announcer.stop();
+    const sweep = setInterval(() => this.#server.closeIdleConnections(), SWEEP_MILLIS);
+    // What is left after its runs have ended is silent.
+    const end = setTimeout(() => this.#server.closeAllConnections(), CLOSE_MILLIS);
     await new Promise<void>((resolve) => {
       this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
     });
+    clearInterval(sweep);
+    clearTimeout(end);
   }
 
   #createServer(): Server {
