--- a/test/router/announced-answers.test.ts
+++ b/test/router/announced-answers.test.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 import { expect } from 'chai';
 import { callRouter } from '../platform/announced-upstream.js';
-import { ANSWER_BODY, answerHead, RoutedRouter, writeAnswer } from './routed-router.js';
+import { ANSWER_BODY, answerHead, RoutedRouter, writeAnswer, writeRefusal } from './routed-router.js';
 import type { ScriptedRequest } from './scripted-upstream.js';
 
 /** Above what a router reads whole. */
@@ -127,6 +127,69 @@
     orders: 502,
     orderArrivals: 1,
   },
+  {
+    name: 'a preliminary answer, then a not-run header, once',
+    script: (request, attempt) => {
+      if (attempt === 0) {
+        request.socket.write('HTTP/1.1 103 Early Hints\r\n\r\n');
+        writeRefusal(request);
+      } else {
+        writeAnswer(request);
+      }
+    },
+    reads: 200,
+    orders: 200,
+    orderArrivals: 2,
+  },
+  {
+    name: 'a not-run header on a preliminary answer alone',
+    script: (request) => {
+      request.socket.write('HTTP/1.1 103 Early Hints\r\nternmount-not-run: 1\r\n\r\n');
+      writeAnswer(request, '503 Service Unavailable');
+    },
+    reads: 503,
+    orders: 502,
+    orderArrivals: 1,
+  },
+  {
+    name: 'a not-run header, and a reset in its body',
+    script: (request) => {
+      const lines = ['ternmount-not-run: 1', 'content-length: 100'];
+      request.socket.write(`${answerHead(request, '503 Service Unavailable', lines)}the beginning`);
+      resetSoon(request.socket);
+    },
+    reads: 502,
+    orders: 502,
+    orderArrivals: 1,
+  },
+  {
+    name: 'a not-run header, and a body shorter than its length',
+    script: (request) => {
+      const lines = ['ternmount-not-run: 1', `content-length: ${ANSWER_BODY.length + 1}`];
+      request.socket.write(answerHead(request, '503 Service Unavailable', lines) + ANSWER_BODY);
+    },
+    reads: 504,
+    orders: 504,
+    orderArrivals: 1,
+  },
+  {
+    name: 'a not-run header of another request',
+    script: ({ socket }) =>
+      socket.write(
+        'HTTP/1.1 503 Service Unavailable\r\nternmount-request-id: other\r\nternmount-not-run: 1\r\ncontent-length: 0\r\n\r\n',
+      ),
+    reads: 502,
+    orders: 502,
+    orderArrivals: 1,
+  },
+  {
+    name: 'a not-run header without an id',
+    script: ({ socket }) =>
+      socket.write('HTTP/1.1 400 Bad Request\r\nternmount-not-run: 1\r\ncontent-length: 0\r\n\r\n'),
+    reads: 502,
+    orders: 502,
+    orderArrivals: 1,
+  },
   {
     name: 'a not-run header, once, with a body that is too long to be read whole',
     script: (request, attempt) => {
