Answers that were read whole have a length, also where their upstream gave none

What waits in a socket when its process dies is cut off, and a cut looked like the end.

Now it goes out with its length and the connection stays open, so the requests behind it are answered; before they were cancelled. An answer too long to be read whole goes out in chunks, as before. The regression test failed before (the connection closed after the second of four answers); it replaces the one that expected the closing, which was the fault.

--- a/src/router/attempts/answer-head.ts
+++ b/src/router/attempts/answer-head.ts
@@ -23,10 +23,8 @@
   readonly status: number;
   /** Flat list of names and values. */
   readonly headers: readonly string[];
-  /** Length of the body according to the head; `null` if the body is chunked or unframed. */
+  /** Length of the body according to the head; `null` if the body is chunked or ends with the connection. */
   readonly contentLength: number | null;
-  /** The body ends with the connection. */
-  readonly isUnframed: boolean;
 }
 
 /** Returns the length of the body in bytes, `chunked`, or `undefined` if the body ends with the connection. */
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -127,10 +127,6 @@
     const headers = forwardedAnswerHeaders(head.headers);
     if (this.complete) {
       const body = concatChunks(this.chunks);
-      if (head.isUnframed) {
-        exchange.sendUnframedAnswer(head.status, headers, body);
-        return;
-      }
       exchange.sendWholeAnswer(
         head.status,
         withContentLength(headers, head, body, exchange.head.method),
@@ -196,7 +192,7 @@
       return false;
     }
     const contentLength = typeof length === 'number' ? length : null;
-    this.head = { status, headers, contentLength, isUnframed: length === undefined };
+    this.head = { status, headers, contentLength };
     if (protocol.refusalOf(this.head)?.refusal !== 'other-incarnation') {
       this.options.onHead(this.options.effect.attempt, this.head);
     }
@@ -332,7 +328,7 @@
   return first !== undefined && chunks.length === 1 ? first : Buffer.concat(chunks);
 }
 
-/** Adds `content-length` to a chunked answer that was received whole. */
+/** Adds `content-length` to an answer that had none and was received whole: its end must show, whatever becomes of this router. */
 function withContentLength(headers: string[], head: AnswerHead, body: Buffer, method: string): string[] {
   if (head.contentLength !== null || method === 'HEAD') {
     return headers;
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -152,20 +152,6 @@
     this.response.end(body);
   }
 
-  /**
-   * Sends an answer whose upstream gave no length. The router can't check that it is complete, so it sends no length either:
-   * the answer ends when the connection closes.
-   */
-  sendUnframedAnswer(status: number, headers: string[], body: Buffer): void {
-    this.response.useChunkedEncodingByDefault = false;
-    this.closesConnection = true;
-    this.connection.closeAfter(this);
-    // Never aborted for a slow reader: a truncated answer that ends with its connection would look complete.
-    this.startAnswer(body.length);
-    this.response.writeHead(status, headers);
-    this.response.end(body);
-  }
-
   /** Starts an answer of about `bytes` that is written in pieces, and returns its writer. */
   startStream(status: number, headers: string[], bytes: number): AnswerWriter {
     this.answerStarted = true;
--- a/test/router/caller/pipelines.test.ts
+++ b/test/router/caller/pipelines.test.ts
@@ -218,21 +218,22 @@
     });
   });
 
-  describe('behind an answer that closes the connection', () => {
-    it('without a length: those at upstreams are cancelled, the others never sent', async () => {
-      caller.send(`${pipeline(reads(3))}${postHead('/orders/1', 'body')}`);
-      await until(() => upstream.requests.length === 3);
-      answerWhole(requestFor('/reads/0'));
-      const second = requestFor('/reads/1');
-      second.socket.end(`${headFor(second)}to the end`);
-      await until(() => caller.closed);
-      expect(caller.bodies).to.deep.equal(['/reads/0']);
-      expect(caller.rest).to.match(/connection: close[\s\S]*\r\n\r\nto the end$/i);
-      await waitUntilIdle();
-      await until(() => requestFor('/reads/2').socket.destroyed);
-      expect(targets()).to.have.members(reads(3));
-    });
+  // Guards against truncated answers that look whole: one whose end is the end of the connection can be cut anywhere.
+  it('an answer that its upstream ended with its connection has a length, and those behind it are answered', async () => {
+    caller.send(`${pipeline(reads(3))}${postHead('/orders/1', 'body')}`);
+    await until(() => upstream.requests.length === 3);
+    upstream.script = answerWhole;
+    const second = requestFor('/reads/1');
+    second.socket.end(`${headFor(second)}to the end`);
+    answerWhole(requestFor('/reads/0'));
+    answerWhole(requestFor('/reads/2'));
+    await until(() => caller.answers.length === 4);
+    expect(caller.bodies).to.deep.equal(['/reads/0', 'to the end', '/reads/2', '/orders/1']);
+    expect(caller.answers[1]?.head).to.match(/content-length: 10\r\n/i);
+    expect(caller.answers[1]?.head).not.to.match(/connection: close|transfer-encoding/i);
+  });
 
+  describe('behind an answer that closes the connection', () => {
     it('to an invalid request: those in front are answered, those behind never sent', async () => {
       caller.send(`${pipeline(reads(2))}GET /reads/bad HTTP/1.1\r\n\r\n${pipeline(['/reads/behind'])}`);
       await until(() => upstream.requests.length === 2);
