A planned stop closes a connection once its answers have left the process, not once they were handed to its socket

Node counts a connection as idle as soon as `end()` was called on its response, and `closeIdleConnections` destroys it with what waits in it and with the requests behind.

The listener now keeps its own account: idle is a connection without an open response (one closes when the system took its last byte), with nothing unwritten, and on which nothing came since its last response. The regression test failed before (1 of 3 answers of 8 MB).

--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -6,6 +6,7 @@
 import { formatAddress, parseAddress } from '../address.js';
 import { ListenError } from '../listen-error.js';
 import { type AnsweredFault, type DescribeFault, RequestFaults } from './request-faults.js';
+import { ServedConnections } from './served-connections.js';
 
 export interface HttpLimits {
   readonly maxHeaderBytes: number;
@@ -53,7 +54,10 @@
 export class HttpListener {
   private stopping = false;
 
-  private constructor(private readonly server: Server) {}
+  private constructor(
+    private readonly server: Server,
+    private readonly connections: ServedConnections,
+  ) {}
 
   /** Starts listening. Throws `ListenError`. */
   static async listen(
@@ -71,10 +75,11 @@
       noDelay: true,
       requireHostHeader: options.requireHost ?? true,
     });
+    const connections = new ServedConnections(server);
     const { describeFault = describeFaultByName, onFaultAnswered = () => {} } = options;
     new RequestFaults(server, describeFault, onFaultAnswered);
     server.maxConnections = limits.maxConnections;
-    const listener = new HttpListener(server);
+    const listener = new HttpListener(server, connections);
     server.on('request', (request, response) => {
       if (listener.stopping) {
         // Setting the header instead would make Node keep only the last of several headers with the same name.
@@ -141,8 +146,8 @@
     });
     let sweep: NodeJS.Timeout | undefined;
     const grace = setTimeout(() => {
-      this.server.closeIdleConnections();
-      sweep = setInterval(() => this.server.closeIdleConnections(), IDLE_CHECK_MILLIS);
+      this.connections.closeIdle();
+      sweep = setInterval(() => this.connections.closeIdle(), IDLE_CHECK_MILLIS);
     }, idleMillis);
     await closed;
     clearTimeout(grace);
--- /dev/null
+++ b/src/wire/http/served-connections.ts
@@ -0,0 +1,54 @@
+/**
+ * The connections of an HTTP server, and which of them are idle: all answers have left the process and nothing was received since. The
+ * server itself takes a connection for idle as soon as its answer was handed to the socket, whose caller may not have taken it yet.
+ */
+import type { Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+interface ServedConnection {
+  /** Responses that haven't left the process. */
+  openResponses: number;
+  /** Bytes that had been received when the last response left; `null` until then: the first request may be on its way. */
+  bytesAtLastResponse: number | null;
+}
+
+export class ServedConnections {
+  readonly #connections = new Map<Socket, ServedConnection>();
+
+  constructor(server: Server) {
+    server.on('connection', (socket: Socket) => this.#add(socket));
+    server.on('request', ({ socket }, response) => this.#onRequest(socket, response));
+  }
+
+  /** Closes the connections that are idle. */
+  closeIdle(): void {
+    for (const [socket, connection] of this.#connections) {
+      if (isIdle(socket, connection)) {
+        socket.destroy();
+      }
+    }
+  }
+
+  #add(socket: Socket): void {
+    this.#connections.set(socket, { openResponses: 0, bytesAtLastResponse: null });
+    socket.once('close', () => this.#connections.delete(socket));
+  }
+
+  #onRequest(socket: Socket, response: ServerResponse): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined) {
+      return;
+    }
+    connection.openResponses += 1;
+    // Emitted once the system has taken the last byte.
+    response.once('close', () => {
+      connection.openResponses -= 1;
+      connection.bytesAtLastResponse = socket.bytesRead;
+    });
+  }
+}
+
+/** A request whose head hasn't come whole keeps its connection busy; the server bounds the time it has. */
+function isIdle(socket: Socket, { openResponses, bytesAtLastResponse }: ServedConnection): boolean {
+  return openResponses === 0 && socket.writableLength === 0 && socket.bytesRead === bytesAtLastResponse;
+}
--- a/test/wire/http-listener.test.ts
+++ b/test/wire/http-listener.test.ts
@@ -1,10 +1,16 @@
 /** A planned stop of a listener. */
+import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import { parseAddress } from '../../src/wire/address.js';
 import { DEFAULT_HTTP_LIMITS, HttpListener } from '../../src/wire/http/http-listener.js';
 
 const CALLERS = 100;
+/** More than the sockets of both ends take. */
+const ANSWER_BYTES = 8_000_000;
+const PIPELINED = 3;
+const SLOW_MILLIS = 100;
 
 /** Blocks the event loop, so that connections wait to be accepted. */
 function block(millis: number): void {
@@ -14,12 +20,12 @@
   }
 }
 
-/** Connects, sends a request and resolves with what came until the end of the connection. */
-function call(address: string): { readonly socket: Socket; readonly answer: Promise<string> } {
+/** Connects, sends `count` requests at once and resolves with what came until the end of the connection. */
+function call(address: string, count = 1): { readonly socket: Socket; readonly answer: Promise<string> } {
   const socket = connect(parseAddress(address));
   let received = '';
   socket.setEncoding('latin1');
-  socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+  socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(count));
   const answer = new Promise<string>((resolve) => {
     socket.on('data', (text: string) => {
       received += text;
@@ -41,4 +47,32 @@
     const answers = await Promise.all(calls.map(({ answer }) => answer));
     expect(answers.filter((answer) => answer.endsWith('ok'))).to.have.length(CALLERS);
   });
+
+  // Guards against answers that are cut off because they were handed to the socket, whose caller hadn't taken them yet.
+  it('lets slow callers take the answers that wait in their sockets, and those behind them', async () => {
+    const body = 'x'.repeat(ANSWER_BYTES);
+    const listener = await HttpListener.listen('127.0.0.1:0', DEFAULT_HTTP_LIMITS, (_request, response) => {
+      response.end(body);
+    });
+    const { socket, answer } = call(listener.address, PIPELINED);
+    socket.pause();
+    await sleep(SLOW_MILLIS);
+    const stopped = listener.stop({ idleMillis: 0 });
+    await sleep(SLOW_MILLIS);
+    socket.resume();
+    const received = await answer;
+    expect(received.split('HTTP/1.1 200 OK').slice(1)).to.have.length(PIPELINED);
+    expect(received.endsWith(body)).to.equal(true);
+    await stopped;
+  });
+
+  it('closes a connection at once whose answer was taken', async () => {
+    const listener = await HttpListener.listen('127.0.0.1:0', DEFAULT_HTTP_LIMITS, (_request, response) => {
+      response.end('ok');
+    });
+    const used = call(listener.address);
+    await once(used.socket, 'data');
+    await listener.stop({ idleMillis: 0 });
+    expect(await used.answer).to.match(/ok$/);
+  });
 });
