No way in which an upstream's answer ends may end a router: reading is held below the HTTP client's parser

The HTTP client's parser asserts that it isn't paused when its connection ends, by FIN or reset; it was paused with every answer whose end is the end of the connection, as soon as more than the bound was read or a caller's buffer was full.

The class, not the place: the parser is never paused now. A connection is wrapped in a stream of ours (direct: SocketConnection, over a relay: RelayStream, both UpstreamConnection) which holds reading below it. What was read before is parsed at once and kept with the answer until its stream starts; an answer may be received whole before that. As the parser's time limit of a body would run on while reading is held, the attempt has a timer of its own that stops there. A reset has a code of ours: on the system's the client takes an answer without a length for whole (before, a listener that ran ahead of the client's looked for that). Whatever the client still throws in an event of its connection is the end of that exchange, with a line 'upstream-client-failed'; its pool replaces the client. Tests that read 'ECONNRESET' of a relayed connection read our code.

--- a/scripts/bundle/lean-libraries.mjs
+++ b/scripts/bundle/lean-libraries.mjs
@@ -12,7 +12,8 @@
     contents: `export { default as Agent } from 'undici/lib/dispatcher/agent.js';
       export { default as Client } from 'undici/lib/dispatcher/client.js';
       export { default as Pool } from 'undici/lib/dispatcher/pool.js';
-      export { default as buildConnector } from 'undici/lib/core/connect.js';`,
+      export { default as buildConnector } from 'undici/lib/core/connect.js';
+      export { default as errors } from 'undici/lib/core/errors.js';`,
   },
   // Upstreams are spoken to in HTTP/1.1 alone.
   { filter: /client-h2(?:\.js)?$/, importer: /undici/, contents: 'module.exports = () => {};' },
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -57,6 +57,7 @@
     source: 'router',
     fields: ['fault', 'status', 'from', 'open', 'isLastWhole', 'unsentBytes'],
   },
+  'upstream-client-failed': { source: 'router', fields: ['address', 'error'] },
   'answer-failed': { source: 'router', fields: ['request', 'reason'] },
   'answer-broken-off': { source: 'router', fields: ['request', 'id', 'reason', 'lostBehind'] },
   'answer-missing': { source: 'router', fields: ['request', 'attempt'] },
--- a/src/router/attempts/answer-stream.ts
+++ b/src/router/attempts/answer-stream.ts
@@ -20,12 +20,19 @@
   private readonly blocked = new Set<AnswerWriter>();
   private started = false;
   private isOver = false;
+  /** Whether the answer was received whole before the stream started. */
+  private endsAtStart = false;
   private leftMillis = 0;
   private readingSince: number | null = null;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: AnswerStreamOptions) {}
 
+  /** Whether parts of the answer go to its callers. */
+  get hasStarted(): boolean {
+    return this.started;
+  }
+
   /** Adds a caller; only possible before the stream starts. */
   add(reader: AnswerWriter): void {
     if (this.isOver || this.started) {
@@ -52,6 +59,10 @@
     for (const chunk of chunks) {
       this.write(chunk);
     }
+    if (this.endsAtStart) {
+      this.end();
+      return;
+    }
     for (const reader of this.readers) {
       if (!reader.isWritable()) {
         this.blocked.add(reader);
@@ -74,7 +85,12 @@
     return this.blocked.size === 0;
   }
 
+  /** Called when the answer was received whole. */
   end(): void {
+    if (!this.started) {
+      this.endsAtStart = true;
+      return;
+    }
     this.finish();
     for (const reader of this.readers) {
       reader.end();
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -14,8 +14,8 @@
 import { AttemptAbortedError, type AttemptFailure } from './attempt-error.js';
 import { classifyBreak } from './classify-break.js';
 import { connectFailure } from './connect-failure.js';
-import type { ConnectionResets } from './connection-resets.js';
 import type { ClientUser, ConnectionUse, ResettableClient } from './resettable-client.js';
+import { StallTimer } from './stall-timer.js';
 import { storedAnswerOf } from './stored-answer.js';
 import type { UpstreamProtocol } from './upstream-protocol.js';
 
@@ -30,7 +30,8 @@
   /** Largest answer stored for resends; `null` if answers aren't stored. */
   readonly storedAnswerBytes: number | null;
   readonly held: HeldBytes;
-  readonly resets: ConnectionResets;
+  /** The answer is broken off if no part of its body comes for this time. */
+  readonly stallMillis: number;
   /** Called when the request is written to a connection. */
   readonly onConnected: (attempt: AttemptNumber, use: ConnectionUse | null) => void;
   /** Called with the head of an answer that carries another id than the request. */
@@ -69,9 +70,13 @@
   private abortRequest: ((error: Error) => void) | null = null;
   private abortReason: AttemptFailure | null = null;
   private client: ResettableClient | null = null;
-  private resume: () => void = () => {};
+  /** Whether the connection may carry another request, or none any more. */
+  private isOver = false;
+  private readonly stall: StallTimer;
 
-  constructor(private readonly options: AttemptOptions) {}
+  constructor(private readonly options: AttemptOptions) {
+    this.stall = new StallTimer(options.stallMillis, () => this.abort('stalled'));
+  }
 
   get upstream(): UpstreamId {
     return this.options.effect.upstream;
@@ -172,13 +177,12 @@
     this.options.onConnected(this.options.effect.attempt, use);
   }
 
-  onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
+  onHeaders(status: number, rawHeaders: Buffer[]): boolean {
     if (status < 200) {
       return true;
     }
     this.client?.recordProgress();
     const headers = rawHeaders.map((part) => part.toString('latin1'));
-    this.resume = resume;
     this.headReceivedAt = this.options.onBodyReceived === null ? 0 : performance.now();
     const { protocol } = this.options;
     if (!protocol.isAnswerTo(this.options, headers)) {
@@ -196,28 +200,35 @@
     if (protocol.refusalOf(this.head)?.refusal !== 'other-incarnation') {
       this.options.onHead(this.options.effect.attempt, this.head);
     }
-    return contentLength === null || this.mayReadWhole(contentLength) || this.beginStream();
+    this.stall.start();
+    if (contentLength !== null && !this.mayReadWhole(contentLength)) {
+      this.beginStream();
+    }
+    return true;
   }
 
   onData(chunk: Buffer): boolean {
     this.client?.recordProgress();
+    this.stall.refresh();
     this.receivedBytes += chunk.length;
-    // Reading never pauses at the last byte: the upstream may close its connection there, which would look like a truncated answer.
-    const isLast = this.receivedBytes === this.head?.contentLength;
-    if (this.stream !== null) {
-      return this.stream.write(chunk) || isLast;
+    if (this.stream?.hasStarted === true) {
+      if (!this.stream.write(chunk)) {
+        this.holdReading();
+      }
+      return true;
     }
     this.chunks.push(chunk);
     this.size += chunk.length;
     this.options.held.change(chunk.length);
-    return isLast || this.mayReadWhole(this.size) || this.beginStream();
+    const isLast = this.receivedBytes === this.head?.contentLength;
+    if (this.stream === null && !isLast && !this.mayReadWhole(this.size)) {
+      this.beginStream();
+    }
+    return true;
   }
 
   onComplete(): void {
-    if (this.options.resets.isFailing) {
-      this.onError(new AttemptAbortedError('reset'));
-      return;
-    }
+    this.endReading();
     this.options.onBodyReceived?.(this.receivedBytes, performance.now() - this.headReceivedAt);
     if (this.stream !== null) {
       this.stream.end();
@@ -228,6 +239,7 @@
   }
 
   onError(error: Error): void {
+    this.endReading();
     if (this.stream !== null) {
       this.stream.breakOff();
       return;
@@ -243,21 +255,42 @@
     this.report(connectFailure(error));
   }
 
-  /** Reports the head of an answer that is too long to read whole, and pauses reading until it is delivered. A refusal isn't delivered. */
-  private beginStream(): boolean {
+  /** Reports the head of an answer that is too long to read whole, and holds reading until it is delivered. A refusal isn't delivered. */
+  private beginStream(): void {
     const refusal = this.refusal();
     if (refusal !== null) {
       this.report(refusal);
       this.abort('no-reader');
-      return false;
+      return;
     }
+    this.holdReading();
     this.stream = new AnswerStream({
-      resume: () => this.resume(),
+      resume: () => this.releaseReading(),
       onAbandoned: () => this.abort('no-reader'),
       onEndless: () => this.abort('endless'),
     });
     this.report(this.answeredResult(null));
-    return false;
+  }
+
+  private holdReading(): void {
+    this.stall.stop();
+    this.client?.holdReading();
+  }
+
+  private releaseReading(): void {
+    if (!this.isOver) {
+      this.stall.start();
+      this.client?.releaseReading();
+    }
+  }
+
+  /** The connection is another attempt's from here on. */
+  private endReading(): void {
+    if (!this.isOver) {
+      this.isOver = true;
+      this.stall.stop();
+      this.client?.releaseReading();
+    }
   }
 
   /** Answers that may be stored in the ledger are read whole whatever memory is free. */
--- a/src/router/attempts/classify-break.ts
+++ b/src/router/attempts/classify-break.ts
@@ -2,13 +2,12 @@
 import { CONNECTION_BREAKS, type ConnectionBreak } from '../../routing/connection-break.js';
 import { ownEntry } from '../../text/own-entry.js';
 import { RELAY_LOST_CODE } from '../relay/relay-error.js';
-import { AttemptAbortedError, type AttemptFailure } from './attempt-error.js';
+import { AttemptAbortedError, type AttemptFailure, CONNECTION_RESET_CODE } from './attempt-error.js';
 
 /** Codes of errors of the HTTP client and the system; any other code means that the data received was no valid answer. */
 const BREAK_BY_CODE: Readonly<Record<string, ConnectionBreak>> = {
   UND_ERR_SOCKET: CONNECTION_BREAKS.closed,
-  UND_ERR_BODY_TIMEOUT: CONNECTION_BREAKS.stalled,
-  ECONNRESET: CONNECTION_BREAKS.reset,
+  [CONNECTION_RESET_CODE]: CONNECTION_BREAKS.reset,
   ECONNABORTED: CONNECTION_BREAKS.reset,
   EPIPE: CONNECTION_BREAKS.reset,
   [RELAY_LOST_CODE]: CONNECTION_BREAKS.relayLost,
@@ -23,7 +22,7 @@
   'no-reader': CONNECTION_BREAKS.stalled,
   'head-too-large': CONNECTION_BREAKS.wrongAnswer,
   endless: CONNECTION_BREAKS.wrongAnswer,
-  reset: CONNECTION_BREAKS.reset,
+  stalled: CONNECTION_BREAKS.stalled,
 };
 
 export function classifyBreak(error: Error): ConnectionBreak {
--- a/src/router/attempts/resettable-client.ts
+++ b/src/router/attempts/resettable-client.ts
@@ -3,18 +3,11 @@
  * replaces one that has carried the id of a request before. Bytes of a request that were sent into a cut stay with the system, which
  * delivers them after the cut even if the connection was closed; a reset discards them.
  */
-import type { Duplex } from 'node:stream';
-import { Client, type Dispatcher } from 'undici';
+import { Client, type Dispatcher, errors } from 'undici';
 import { AttemptAbortedError } from './attempt-error.js';
 import { SentIds } from './sent-ids.js';
 import type { Connector } from './settled-connector.js';
-
-/** A connection that can be closed without delivering what it still has to send. */
-interface ResettableStream extends Duplex {
-  resetAndDestroy(): unknown;
-  /** Bytes received in all. */
-  readonly bytesRead: number;
-}
+import type { UpstreamConnection } from './upstream-connection.js';
 
 /**
  * Bytes that may come before the next part of an answer: interim answers and the head, or what frames a body. The parser itself
@@ -43,22 +36,32 @@
 let connectionCount = 0;
 
 export class ResettableClient extends Client {
-  #stream: ResettableStream | null = null;
+  #stream: UpstreamConnection | null = null;
   #connection = 0;
   /** Number of requests written to the connection. */
   #requests = 0;
   #sentIds = new SentIds();
   /** Connection whose framing is watched, and the bytes that it had received with the last part of an answer. */
-  #watched: ResettableStream | null = null;
+  #watched: UpstreamConnection | null = null;
   #bytesAtProgress = 0;
 
-  constructor(origin: URL, options: Client.Options) {
+  /** Handler of the latest request. */
+  #handler: ClientHandler | null = null;
+  readonly #onFailed: (error: Error) => void;
+  readonly #origin: URL;
+
+  /** `onFailed` is called with an error that the client itself has thrown. */
+  constructor(origin: URL, options: Client.Options, onFailed: (error: Error) => void) {
     const connect = options.connect as Connector;
     super(origin, {
       ...options,
       connect: (target, callback) =>
         connect(target, (...result) => {
-          this.#stream = result[1];
+          const stream = result[1] as unknown as UpstreamConnection | null;
+          this.#stream = stream;
+          if (stream !== null) {
+            stream.onListenerError = (error) => this.#fail(error);
+          }
           connectionCount += 1;
           this.#connection = connectionCount;
           this.#requests = 0;
@@ -66,6 +69,8 @@
           callback(...result);
         }),
     });
+    this.#onFailed = onFailed;
+    this.#origin = origin;
   }
 
   override dispatch(options: Dispatcher.DispatchOptions, handler: ClientHandler): boolean {
@@ -75,6 +80,7 @@
       this.#stream?.destroy();
     }
     handler.onClient?.(this);
+    this.#handler = handler;
     return super.dispatch(options, handler);
   }
 
@@ -89,6 +95,15 @@
     return { connection: this.#connection, earlierRequests };
   }
 
+  /** Reads nothing more from the connection until `releaseReading`. */
+  holdReading(): void {
+    this.#stream?.hold();
+  }
+
+  releaseReading(): void {
+    this.#stream?.release();
+  }
+
   /** Called with each part of an answer. */
   recordProgress(): void {
     const stream = this.#stream;
@@ -103,12 +118,20 @@
     this.#bytesAtProgress = parsedBytes(stream);
   }
 
-  #checkFraming(stream: ResettableStream): void {
+  #checkFraming(stream: UpstreamConnection): void {
     if (stream === this.#watched && parsedBytes(stream) - this.#bytesAtProgress > MAX_FRAMING_BYTES) {
       stream.destroy(new AttemptAbortedError('head-too-large'));
     }
   }
 
+  /** Ends the request and this client, whose state isn't known any more. Its pool replaces it. */
+  #fail(error: Error): void {
+    this.#onFailed(error);
+    this.#stream?.destroy(error);
+    this.#handler?.onError?.(error);
+    this.emit('connectionError', this.#origin, [this], new errors.SocketError(error.message));
+  }
+
   /** Resets the connection; its request then fails. Returns whether there was one that could be reset. */
   reset(): boolean {
     const stream = this.#stream;
@@ -116,12 +139,12 @@
     if (stream === null || stream.destroyed || stream.writableEnded) {
       return false;
     }
-    stream.resetAndDestroy();
+    stream.resetAndDestroy(new AttemptAbortedError('cancelled'));
     return true;
   }
 }
 
 /** Bytes that were received and taken by the parser. */
-function parsedBytes({ bytesRead, readableLength }: ResettableStream): number {
+function parsedBytes({ bytesRead, readableLength }: UpstreamConnection): number {
   return bytesRead - readableLength;
 }
--- a/src/router/attempts/settled-connector.ts
+++ b/src/router/attempts/settled-connector.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
 import { TernmountError } from '../../errors/ternmount-error.js';
+import { SocketConnection } from './socket-connection.js';
 
 export type Connector = ReturnType<typeof buildConnector>;
 
@@ -29,7 +30,7 @@
 
 export function createSettledConnector(options: buildConnector.BuildOptions): Connector {
   // If set before connecting, keep-alive would be set again once connected, with four system calls each time.
-  const connect = buildConnector({ ...options, keepAlive: false });
+  const connect = buildConnector({ ...options, keepAlive: false, allowHalfOpen: true });
   return (target, callback) =>
     connect(target, (...result) => {
       const [error, socket] = result;
@@ -40,7 +41,8 @@
       socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MILLIS);
       settle(socket, (isOpen) => {
         if (isOpen) {
-          callback(null, socket);
+          // The HTTP client uses nothing of a socket that other streams lack.
+          callback(null, new SocketConnection(socket as Socket) as never);
         } else {
           callback(new ConnectionTurnedAwayError(), null);
         }
@@ -48,19 +50,24 @@
     });
 }
 
-/** Reports once whether a new connection is still open after `SETTLE_MILLIS`. */
+/** Reports once whether a new connection is still open after `SETTLE_MILLIS`; one whose other end is closed is closed here too. */
 export function settle(socket: Socket, report: (isOpen: boolean) => void): void {
   const ignoreError = (): void => {};
+  const close = (): void => {
+    socket.destroy();
+  };
   const onClose = (): void => {
     clearTimeout(timer);
     report(false);
   };
   const timer = setTimeout(() => {
+    socket.off('end', close);
     socket.off('close', onClose);
     socket.off('error', ignoreError);
     report(!socket.destroyed);
   }, SETTLE_MILLIS);
   // An error is followed by `close`, which reports it.
   socket.on('error', ignoreError);
+  socket.once('end', close);
   socket.once('close', onClose);
 }
--- a/src/router/attempts/upstream-attempts.ts
+++ b/src/router/attempts/upstream-attempts.ts
@@ -25,6 +25,8 @@
   /** Larger answers of requests with a claim aren't stored for resends. */
   readonly storedAnswerBytes: number;
   readonly held: HeldBytes;
+  /** An answer is broken off if no part of its body comes for this time. */
+  readonly stallMillis: number;
   /** Called when the request of an attempt is written to a connection. */
   readonly onConnected: (attempt: AttemptNumber, use: ConnectionUse | null) => void;
   /** Called when an answer carries another id than its request. `receivedId`: `null` if it carries none. */
@@ -56,7 +58,8 @@
 
   /** Sends the request of an exchange to an upstream. */
   start(effect: DispatchEffect, exchange: CallerExchange): void {
-    const { incarnation, pools, storedAnswerBytes, held, onBodyReceived, onConnected } = this.parts;
+    const { incarnation, pools, storedAnswerBytes, held, stallMillis, onBodyReceived, onConnected } =
+      this.parts;
     const protocol = effect.instance === null ? FENCED_PROTOCOL : this.announced;
     const attempt = new Attempt({
       effect,
@@ -65,7 +68,7 @@
       protocol,
       storedAnswerBytes: exchange.head.idempotency === null ? null : storedAnswerBytes,
       held,
-      resets: pools.resets,
+      stallMillis,
       onBodyReceived,
       onConnected,
       onForeignAnswer: (number, { status, headers }) =>
--- /dev/null
+++ b/src/router/attempts/upstream-connection.ts
@@ -0,0 +1,75 @@
+/**
+ * A connection to an upstream as the HTTP client sees it. The client's parser must never be paused: it throws if its connection ends while
+ * it is. Reading is held here instead, below the parser, which takes whatever was read before at once.
+ */
+import { Duplex } from 'node:stream';
+import { toError } from '../../errors/ternmount-error.js';
+
+/** Bytes that are read before the client has taken them. */
+const READ_BUFFER_BYTES = 64 * 1024;
+
+export abstract class UpstreamConnection extends Duplex {
+  /** Called with an error that a listener of the client has thrown; without a handler it is thrown on. */
+  onListenerError: ((error: Error) => void) | null = null;
+  #isHeld = false;
+  #bytesRead = 0;
+
+  constructor() {
+    super({ highWaterMark: READ_BUFFER_BYTES });
+    // Errors before the client has its listeners, and after it removed them.
+    this.on('error', () => {});
+  }
+
+  /** Bytes received in all. */
+  get bytesRead(): number {
+    return this.#bytesRead;
+  }
+
+  /** Reads nothing more until `release`. What was read before is still passed on. */
+  hold(): void {
+    this.#isHeld = true;
+    this.pauseSource();
+  }
+
+  /** Reads again. */
+  release(): void {
+    if (this.#isHeld) {
+      this.#isHeld = false;
+      this.resumeSource();
+    }
+  }
+
+  /** Closes the connection and discards what hasn't been sent. */
+  abstract resetAndDestroy(error?: Error): void;
+
+  protected abstract pauseSource(): void;
+
+  protected abstract resumeSource(): void;
+
+  /** An error of the client is the end of this connection, not of the process. */
+  override emit(event: string | symbol, ...args: unknown[]): boolean {
+    try {
+      return super.emit(event, ...args);
+    } catch (thrown) {
+      if (this.onListenerError === null) {
+        throw thrown;
+      }
+      this.onListenerError(toError(thrown));
+      return true;
+    }
+  }
+
+  /** Passes received bytes on. */
+  protected receive(bytes: Uint8Array): void {
+    this.#bytesRead += bytes.length;
+    if (!this.push(bytes)) {
+      this.pauseSource();
+    }
+  }
+
+  override _read(): void {
+    if (!this.#isHeld) {
+      this.resumeSource();
+    }
+  }
+}
--- a/src/router/attempts/upstream-pools.ts
+++ b/src/router/attempts/upstream-pools.ts
@@ -3,17 +3,17 @@
 import type { Address, RouterId, UpstreamId } from '../../model/identifiers.js';
 import type { RelayPeer } from '../../model/relay.js';
 import type { RelayDialer } from '../relay/relay-dialer.js';
-import { ConnectionResets } from './connection-resets.js';
 import { ResettableClient } from './resettable-client.js';
-import type { Connector } from './settled-connector.js';
+import { type Connector, createSettledConnector } from './settled-connector.js';
 
 export interface UpstreamPoolOptions {
   readonly connectionsPerUpstream: number;
   readonly connectMillis: number;
-  readonly streamStallMillis: number;
   readonly localAddress?: string | undefined;
   /** Opens connections over other routers. */
   readonly dialer: RelayDialer;
+  /** Called when the HTTP client of a connection failed by an error of its own. */
+  readonly onClientFailed: (address: Address, error: Error) => void;
 }
 
 /** An upstream, and the path over which it is reached. */
@@ -45,8 +45,6 @@
   private readonly pools = new Map<string, PathPool>();
   /** Time that the latest direct connection to each address took to open. */
   private readonly connectMillis = new Map<Address, number>();
-  /** Detects answers truncated by a reset. */
-  readonly resets = new ConnectionResets();
 
   constructor(private readonly options: UpstreamPoolOptions) {}
 
@@ -59,7 +57,7 @@
     if (known !== undefined) {
       return known.pool;
     }
-    const { localAddress } = this.options;
+    const { localAddress, onClientFailed } = this.options;
     const pool = new Pool(`http://${address}`, {
       connections: this.options.connectionsPerUpstream,
       pipelining: 1,
@@ -67,9 +65,11 @@
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLIS,
       // The core cancels attempts at their deadline, which no longer applies to streamed answers.
       headersTimeout: 0,
-      bodyTimeout: this.options.streamStallMillis,
+      // Attempts bound the time without a part of a body, which doesn't count while reading is held.
+      bodyTimeout: 0,
       connect: this.connectorFor(path),
-      factory: (origin, options) => new ResettableClient(origin, options),
+      factory: (origin, options) =>
+        new ResettableClient(origin, options, (error) => onClientFailed(address, error)),
       ...(localAddress && { localAddress }),
     });
     this.pools.set(key, { pool, address, via: via?.router ?? null });
@@ -112,14 +112,13 @@
   private connectorFor({ upstream, address, via }: PathToUpstream): Connector {
     const { connectMillis, dialer } = this.options;
     if (via !== null) {
-      return this.resets.watched((_target, callback) =>
+      return (_target, callback) =>
         dialer.open({ peer: via, upstream, timeoutMillis: connectMillis }, (error, stream) =>
           // The HTTP client uses nothing of a socket that other streams lack.
           error === null ? callback(null, stream as never) : callback(error, null),
-        ),
-      );
+        );
     }
-    const connect = this.resets.connector({ timeout: connectMillis });
+    const connect = createSettledConnector({ timeout: connectMillis });
     return (target, callback) => {
       const startedAt = performance.now();
       connect(target, (...result) => {
--- a/src/router/relay/relay-error.ts
+++ b/src/router/relay/relay-error.ts
@@ -28,11 +28,4 @@
   }
 }
 
-/** The relay says that its connection to the upstream broke. The code is that of a connection which breaks without a relay. */
-export class RelayedResetError extends TernmountError {
-  constructor() {
-    super({ code: 'ECONNRESET', retriable: true }, 'the connection of the relay to the upstream broke');
-  }
-}
-
 export const RELAY_LOST_CODE = 'TERNMOUNT_ROUTER_RELAY_LOST';
--- a/src/router/relay/relay-stream.ts
+++ b/src/router/relay/relay-stream.ts
@@ -3,7 +3,6 @@
  * other router never looks like that of an answer. Used at both ends.
  */
 import type { Socket } from 'node:net';
-import { Duplex } from 'node:stream';
 import { toError } from '../../errors/ternmount-error.js';
 import {
   DEFAULT_MAX_FRAME_BYTES,
@@ -13,7 +12,9 @@
   type FrameDecoder,
 } from '../../wire/index.js';
 import { relayEndCodec } from '../../wire/relay/relay-messages.js';
-import { RelayedResetError, RelayLostError } from './relay-error.js';
+import { ConnectionResetError } from '../attempts/attempt-error.js';
+import { UpstreamConnection } from '../attempts/upstream-connection.js';
+import { RelayLostError } from './relay-error.js';
 
 /** Largest payload of a data frame; the receiver holds one frame at most. */
 export const MAX_DATA_BYTES = 64 * 1024;
@@ -24,7 +25,7 @@
   readonly onClosing?: () => void;
 }
 
-export class RelayStream extends Duplex {
+export class RelayStream extends UpstreamConnection {
   readonly #socket: Socket;
   readonly #decoder: FrameDecoder;
   readonly #options: RelayStreamOptions;
@@ -32,7 +33,6 @@
   /** Whether the socket still has frames to write that must arrive. */
   #isFlushing = false;
   #isReset = false;
-  #bytesRead = 0;
 
   /** Takes the socket over, with the decoder that has read its frames so far. */
   constructor(socket: Socket, decoder: FrameDecoder, options: RelayStreamOptions = {}) {
@@ -45,11 +45,6 @@
     socket.on('close', () => this.#onClose());
   }
 
-  /** Bytes received in all, as of a socket. */
-  get bytesRead(): number {
-    return this.#bytesRead;
-  }
-
   /** Tells the other router that this one stops. */
   announceClosing(): void {
     this.#writeFrame(FRAME_KINDS.relayClosing, NO_BYTES);
@@ -64,12 +59,16 @@
   }
 
   /** Closes the connection between the routers and discards what hasn't arrived. */
-  resetAndDestroy(): void {
+  override resetAndDestroy(error?: Error): void {
     this.#isReset = true;
-    this.destroy();
+    this.destroy(error);
+  }
+
+  protected override pauseSource(): void {
+    this.#socket.pause();
   }
 
-  override _read(): void {
+  protected override resumeSource(): void {
     this.#socket.resume();
   }
 
@@ -125,10 +124,7 @@
     }
     switch (kind) {
       case FRAME_KINDS.relayData:
-        this.#bytesRead += payload.length;
-        if (!this.push(payload)) {
-          this.#socket.pause();
-        }
+        this.receive(payload);
         return;
       case FRAME_KINDS.relayEnd:
         this.#receiveEnd(payload);
@@ -141,7 +137,7 @@
   #receiveEnd(payload: Uint8Array): void {
     this.#hasEnd = true;
     if (relayEndCodec.decode(payload).how === 'reset') {
-      this.destroy(new RelayedResetError());
+      this.destroy(new ConnectionResetError());
     } else {
       this.push(null);
     }
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -88,7 +88,13 @@
     );
     const dialer = this.createRelayDialer();
     const localAddress = settings.outgoing;
-    this.pools = new UpstreamPools({ ...limits, ...timings, localAddress, dialer });
+    this.pools = new UpstreamPools({
+      ...limits,
+      ...timings,
+      localAddress,
+      dialer,
+      onClientFailed: (address, error) => this.log.error('upstream-client-failed', { address, error }),
+    });
     this.links = this.createLinks();
     this.probes = this.createProbes();
     this.platform = this.createPlatformPoll();
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -102,6 +102,7 @@
       headers: settings.headers,
       storedAnswerBytes: settings.limits.storedAnswerBytes,
       held,
+      stallMillis: streamStallMillis,
       onConnected: (attempt, use) => this.trailOf(attempt)?.recordConnected(attempt, use),
       onForeignAnswer: (attempt, status, receivedId) =>
         this.trailOf(attempt)?.logForeignAnswer(attempt, status, receivedId),
--- a/test/contract/process-cluster.ts
+++ b/test/contract/process-cluster.ts
@@ -81,6 +81,12 @@
     this.#spawn(name, [DEV_PROGRAM, 'standin', kind, '--settings', this.write(`${name}.yaml`, settings)]);
   }
 
+  /** Whether a process that was started hasn't ended, by itself or otherwise. */
+  isRunning(name: string): boolean {
+    const child = this.#running.get(name);
+    return child !== undefined && child.exitCode === null && child.signalCode === null;
+  }
+
   /** Memory of a process that is in use. */
   residentBytes(name: string): number {
     const status = readFileSync(`/proc/${this.#running.get(name)?.pid}/status`, 'utf8');
--- a/test/fleet/outgoing.test.ts
+++ b/test/fleet/outgoing.test.ts
@@ -15,7 +15,7 @@
 
 const CONNECTORS: Readonly<Record<string, Connector>> = {
   'a router to an upstream': (address) => {
-    const options = { connectionsPerUpstream: 1, connectMillis: 1000, streamStallMillis: 1000 };
+    const options = { connectionsPerUpstream: 1, connectMillis: 1000, onClientFailed: () => {} };
     const pools = new UpstreamPools({ ...options, localAddress: OWN_HOST, dialer: NO_RELAYS });
     pools
       .poolFor({ upstream: 'u1', address, via: null })
--- a/test/router/relay-server.test.ts
+++ b/test/router/relay-server.test.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
+import { CONNECTION_RESET_CODE } from '../../src/router/attempts/attempt-error.js';
 import { RelayDialer } from '../../src/router/relay/relay-dialer.js';
 import type { RelayOpenError } from '../../src/router/relay/relay-error.js';
 import { RelayServer } from '../../src/router/relay/relay-server.js';
@@ -196,7 +197,7 @@
     broken.stream.resume();
     const error = once(broken.stream, 'error');
     broken.socket.resetAndDestroy();
-    expect((await error)[0]).to.have.property('code', 'ECONNRESET');
+    expect((await error)[0]).to.have.property('code', CONNECTION_RESET_CODE);
   });
 
   it('does not look like the end of the upstream when it ends itself', async () => {
--- a/test/router/upstream-pools.test.ts
+++ b/test/router/upstream-pools.test.ts
@@ -36,8 +36,8 @@
     pools = new UpstreamPools({
       connectionsPerUpstream: 4,
       connectMillis: 1000,
-      streamStallMillis: 1000,
       dialer: NO_RELAYS,
+      onClientFailed: () => {},
     });
   });
 
