A relay tells a reset of its upstream from its end, also where the reset comes with the last bytes

Callers behind a relay could get a part of an answer without a length as a whole one.

The carrier's connection to the upstream is now half open and the same SocketConnection as a direct one, which asks the system how it ended. Its own end may be closed first there (a router that ended its side), which the HTTP client never does.

--- a/src/router/attempts/socket-connection.ts
+++ b/src/router/attempts/socket-connection.ts
@@ -78,6 +78,11 @@
       return;
     }
     this.#hasEnded = true;
+    if (this.#socket.writableEnded) {
+      // This end was closed first, as the HTTP client never does; nothing can be written any more.
+      this.push(null);
+      return;
+    }
     if (this.#socket.writableLength > 0) {
       this.destroy(new ConnectionResetError());
       return;
--- a/src/router/relay/carried-connection.ts
+++ b/src/router/relay/carried-connection.ts
@@ -19,6 +19,8 @@
 } from '../../wire/index.js';
 import { type RelayResult, relayOpenCodec, relayOpenedCodec } from '../../wire/relay/relay-messages.js';
 import { settle } from '../attempts/settled-connector.js';
+import { SocketConnection } from '../attempts/socket-connection.js';
+import type { UpstreamConnection } from '../attempts/upstream-connection.js';
 import { MAX_DATA_BYTES, RelayStream } from './relay-stream.js';
 
 /** Time in which a router has to say what it wants. */
@@ -52,7 +54,8 @@
   readonly #timer: NodeJS.Timeout;
   #isVerified = false;
   #hasRequest = false;
-  #upstream: Socket | null = null;
+  /** The connection to the upstream, as a socket until it is open. */
+  #upstream: Socket | UpstreamConnection | null = null;
   #stream: RelayStream | null = null;
   #peer = '';
 
@@ -141,6 +144,7 @@
     const socket = connect({
       ...parseAddress(address),
       noDelay: true,
+      allowHalfOpen: true,
       ...(localAddress && { localAddress }),
     });
     this.#upstream = socket;
@@ -158,7 +162,7 @@
       socket.off('error', onError);
       settle(socket, (isOpen) => {
         if (isOpen) {
-          this.#carry(upstream, socket);
+          this.#carry(upstream, new SocketConnection(socket));
         } else {
           this.#answer(upstream, 'turned-away');
         }
@@ -180,7 +184,7 @@
     }
   }
 
-  #carry(id: UpstreamId, upstream: Socket): void {
+  #carry(id: UpstreamId, upstream: SocketConnection): void {
     if (this.#socket.destroyed) {
       upstream.destroy();
       return;
@@ -193,8 +197,8 @@
     this.#join(upstream, stream);
     this.#join(stream, upstream);
     upstream.on('error', () => stream.reset());
-    upstream.on('close', (hadError: boolean) => {
-      if (!hadError && upstream.readableEnded) {
+    upstream.on('close', () => {
+      if (upstream.errored === null && upstream.readableEnded) {
         stream.end();
       } else {
         stream.reset();
@@ -207,7 +211,7 @@
   }
 
   /** Carries one direction; reading pauses while the other end doesn't take more. */
-  #join(from: Socket | RelayStream, to: Socket | RelayStream): void {
+  #join(from: UpstreamConnection, to: UpstreamConnection): void {
     from.on('data', (chunk: Buffer) => {
       this.#options.carried(chunk.length);
       if (!to.write(chunk)) {
@@ -226,10 +230,10 @@
 }
 
 /** The system can't reset a connection that it is closing already. */
-function resetUnlessClosing(socket: Socket): void {
-  if (socket.destroyed || socket.writableEnded) {
-    socket.destroy();
+function resetUnlessClosing(upstream: UpstreamConnection): void {
+  if (upstream.destroyed || upstream.writableEnded) {
+    upstream.destroy();
   } else {
-    socket.resetAndDestroy();
+    upstream.resetAndDestroy();
   }
 }
--- a/test/router/relay-server.test.ts
+++ b/test/router/relay-server.test.ts
@@ -14,6 +14,7 @@
 import { until } from './router-fixture.js';
 
 const LIMIT_MILLIS = 1000;
+const RESETS = 100;
 const LARGE_BYTES = 8 * 1024 * 1024;
 /** What the buffers of both ends and of the system hold at most. */
 const MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
@@ -200,6 +201,22 @@
     expect((await error)[0]).to.have.property('code', CONNECTION_RESET_CODE);
   });
 
+  // Guards against truncated answers that pass for whole: the system may report a reset as an ordinary end.
+  it('tells a break of the upstream that comes with its last bytes from its end, each of 100 times', async () => {
+    const ends: string[] = [];
+    for (let count = 0; count < RESETS; count += 1) {
+      const { stream, socket } = await opened();
+      stream.resume();
+      const ended = Promise.race([
+        once(stream, 'end').then(() => 'end'),
+        once(stream, 'error').then(([error]) => error.code),
+      ]).catch((error) => error.code);
+      socket.write('part', () => socket.resetAndDestroy());
+      ends.push(await ended);
+    }
+    expect(ends.filter((how) => how !== CONNECTION_RESET_CODE)).to.deep.equal([]);
+  });
+
   it('does not look like the end of the upstream when it ends itself', async () => {
     const { stream, socket } = await opened();
     let hasEnd = false;
