A connection is closed in stages, so that what comes late throws away no answer that the system holds for a slow caller

What callers saw: all answers of a slow reader were lost if its connection was closed while it still sent. Without a stop: a body or header over the limit, or bytes that are no request, behind 20 requests: 5 of 5 connections each were reset and got nothing, not even the 413, 400 or 431.

Cause: "the system took the last byte" isn't "the caller can get it". The system answers bytes for a closed socket, or bytes that wait unread in one that is closed, with a reset, and discards what it holds.

Cuts are logged (caller-connection-cut). A socket that wasn't read at its bounds is read again. Members' admin ports have the same listener.

--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -52,6 +52,7 @@
       probeMillis: settings.probeIntervalMillis,
       platformMillis: settings.platformIntervalMillis,
       lameDuckMillis: settings.lameDuckMillis,
+      stopGraceMillis: settings.stopGraceMillis,
       firstConfigurationMillis: settings.firstConfigurationMillis,
     },
   };
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -200,7 +200,8 @@
   private async shutDown(): Promise<void> {
     this.log.info('stopping', { replica: this.replica });
     await this.transferLeadership();
-    await this.admin?.stop({ idleMillis: this.timings.idleMillis });
+    const { idleMillis, adminGraceMillis: graceMillis } = this.timings;
+    await this.admin?.stop({ idleMillis, graceMillis });
     this.operations.abandon();
     clearInterval(this.reconcileTimer);
     this.coreTask.stop();
--- a/src/control/daemon/settings.ts
+++ b/src/control/daemon/settings.ts
@@ -56,6 +56,8 @@
   readonly transferMillis: number;
   /** How long requests on open admin connections are still served on a planned stop. */
   readonly idleMillis: number;
+  /** How long a planned stop waits for operators to take their last answers and close their connections. */
+  readonly adminGraceMillis: number;
   readonly snapshotEntries: number;
   /** A silent voter is replaced by a caught-up spare after this time; 0: never. */
   readonly replaceAfterMillis: number;
@@ -74,6 +76,7 @@
   operationMillis: 15_000,
   transferMillis: 2000,
   idleMillis: 200,
+  adminGraceMillis: 1000,
   snapshotEntries: 10_000,
   replaceAfterMillis: 0,
   mostVoters: 0,
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -59,6 +59,10 @@
   },
   'upstream-client-failed': { source: 'router', fields: ['address', 'error'] },
   'answer-failed': { source: 'router', fields: ['request', 'reason'] },
+  'caller-connection-cut': {
+    source: 'router',
+    fields: ['from', 'lingeredMillis', 'discardedBytes', 'unsentBytes'],
+  },
   'answer-broken-off': { source: 'router', fields: ['request', 'id', 'reason', 'lostBehind'] },
   'answer-missing': { source: 'router', fields: ['request', 'attempt'] },
   'path-checked': {
--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -210,6 +210,11 @@
   }
 
   #updateReading(): void {
+    if (this.#socket.writableEnded) {
+      // The listener discards what comes, and has to see the caller's end.
+      this.#pause.resume();
+      return;
+    }
     const readMode: SocketReadMode = this.#order.readMode;
     if (readMode === 'on') {
       this.#pause.resume();
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -38,6 +38,10 @@
 const CONFIGURATION_POLL_MILLIS = 10;
 /** Header limit if callers can connect before limits are declared. */
 const UNDECLARED_HEADER_BYTES = 64 * 1024;
+/** Part of the grace time of a stop that is left for what follows once callers' connections are closed. */
+const STOP_RESERVE_MILLIS = 500;
+/** Grace time of the admin port's callers. */
+const ADMIN_GRACE_MILLIS = 100;
 /** Longest wait, once all callers are answered, for work in progress in the core, such as settling claims. */
 const MAX_SETTLE_MILLIS = 2000;
 
@@ -183,6 +187,7 @@
       requireHost: false,
       describeFault: describeRequestFault,
       onFaultAnswered: (answered) => this.log.info('caller-fault-answered', { ...answered }),
+      onCut: (cut) => this.log.info('caller-connection-cut', { ...cut }),
     });
   }
 
@@ -240,9 +245,10 @@
 
   private async shutDown(): Promise<void> {
     this.log.info('stopping', { openRequests: this.task.openRequests });
-    const { lameDuckMillis, idleMillis } = this.settings.timings;
+    const { lameDuckMillis, idleMillis, stopGraceMillis } = this.settings.timings;
     this.relay?.announceStop();
-    await this.callers?.stop({ lameDuckMillis, idleMillis });
+    const graceMillis = stopGraceMillis - STOP_RESERVE_MILLIS;
+    await this.callers?.stop({ lameDuckMillis, idleMillis, graceMillis });
     const deadline = performance.now() + MAX_SETTLE_MILLIS;
     while (this.core.status().inFlight > 0 && performance.now() < deadline) {
       await sleep(SETTLE_POLL_MILLIS);
@@ -254,7 +260,7 @@
     this.platform?.stop();
     this.links.stop();
     await this.pools.stop();
-    await this.admin?.stop({ idleMillis: 0 });
+    await this.admin?.stop({ idleMillis: 0, graceMillis: ADMIN_GRACE_MILLIS });
     this.log.info('stopped');
   }
 
--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -88,6 +88,8 @@
   readonly firstConfigurationMillis: number;
   /** How long a stopping router still accepts connections while it reports that it isn't ready. */
   readonly lameDuckMillis: number;
+  /** Time from the start of a planned stop until the process may be killed. */
+  readonly stopGraceMillis: number;
 }
 
 /** Limit of the ledger in bytes before base64, which encodes three bytes as four characters. */
@@ -114,6 +116,7 @@
   idleMillis: 500,
   firstConfigurationMillis: 3000,
   lameDuckMillis: 0,
+  stopGraceMillis: 10_000,
 };
 
 const DEFAULT_PROBE_PATH = '/ternmount/v1/health';
--- a/src/settings/router-settings.ts
+++ b/src/settings/router-settings.ts
@@ -76,6 +76,8 @@
   readonly linkMegabits: number | undefined;
   /** How long a router that shuts down still accepts connections while it reports itself as not ready. */
   readonly lameDuckMillis: number;
+  /** Time from the start of a planned stop until the platform kills the process. */
+  readonly stopGraceMillis: number;
   /** Maximum wait for a configuration before callers can connect; 0: no wait, and their requests wait briefly for it instead. */
   readonly firstConfigurationMillis: number;
   readonly log: string;
@@ -99,6 +101,7 @@
   retryAfterUnit: 'whole-seconds',
   whenOutOfTouch: 'refuse',
   lameDuckMillis: 0,
+  stopGraceMillis: 10_000,
   roomByRank: false,
   returnTimes: 'spread',
   firstConfigurationMillis: 3000,
@@ -154,6 +157,7 @@
   returnTimes: z.enum(['spread', 'reserved'], { error: 'expected spread or reserved' }).optional(),
   linkMegabits: z.number({ error: 'expected megabits a second' }).positive('must be above 0').optional(),
   lameDuck: durationSchema.optional(),
+  stopGrace: positiveDurationSchema.optional(),
   firstConfiguration: durationSchema.optional(),
   timings: z
     .strictObject({
@@ -241,6 +245,7 @@
     returnTimes: fields.returnTimes ?? ROUTER_DEFAULTS.returnTimes,
     linkMegabits: fields.linkMegabits,
     lameDuckMillis: fields.lameDuck ?? ROUTER_DEFAULTS.lameDuckMillis,
+    stopGraceMillis: fields.stopGrace ?? ROUTER_DEFAULTS.stopGraceMillis,
     firstConfigurationMillis: fields.firstConfiguration ?? ROUTER_DEFAULTS.firstConfigurationMillis,
     log: fields.log ?? ROUTER_DEFAULTS.log,
   }),
--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -1,10 +1,11 @@
 /** Owns an HTTP server: listens, limits slow callers, and stops gracefully. */
 import { createServer, type RequestListener, type Server } from 'node:http';
-import { type AddressInfo, Server as NetServer } from 'node:net';
+import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
 import { setImmediate as nextImmediate, setTimeout as sleep } from 'node:timers/promises';
 import type { Address } from '../../model/identifiers.js';
 import { formatAddress, parseAddress } from '../address.js';
 import { ListenError } from '../listen-error.js';
+import { type CutConnection, LingeringConnections } from './lingering-connections.js';
 import { type AnsweredFault, type DescribeFault, RequestFaults } from './request-faults.js';
 import { ServedConnections } from './served-connections.js';
 
@@ -33,6 +34,8 @@
   readonly describeFault?: DescribeFault;
   /** Called when a malformed or incomplete request is answered. */
   readonly onFaultAnswered?: (answered: AnsweredFault) => void;
+  /** Called when a connection is closed whose caller hasn't closed its end in time. */
+  readonly onCut?: (cut: CutConnection) => void;
 }
 
 const describeFaultByName: DescribeFault = (fault) => ({ headers: {}, body: { error: fault } });
@@ -49,6 +52,8 @@
   readonly idleMillis: number;
   /** How long connections are still accepted. Default: 0. */
   readonly lameDuckMillis?: number;
+  /** After this time from the start of the stop, nothing waits any longer for callers to close their ends. */
+  readonly graceMillis: number;
 }
 
 export class HttpListener {
@@ -57,6 +62,7 @@
   private constructor(
     private readonly server: Server,
     private readonly connections: ServedConnections,
+    private readonly lingering: LingeringConnections,
   ) {}
 
   /** Starts listening. Throws `ListenError`. */
@@ -75,11 +81,13 @@
       noDelay: true,
       requireHostHeader: options.requireHost ?? true,
     });
+    const { describeFault = describeFaultByName, onFaultAnswered = () => {}, onCut = () => {} } = options;
     const connections = new ServedConnections(server);
-    const { describeFault = describeFaultByName, onFaultAnswered = () => {} } = options;
+    const lingering = new LingeringConnections(onCut);
+    closeInStages(server, connections, lingering);
     new RequestFaults(server, describeFault, onFaultAnswered);
     server.maxConnections = limits.maxConnections;
-    const listener = new HttpListener(server, connections);
+    const listener = new HttpListener(server, connections, lingering);
     server.on('request', (request, response) => {
       if (listener.stopping) {
         // Setting the header instead would make Node keep only the last of several headers with the same name.
@@ -132,10 +140,11 @@
   /**
    * Sends `Connection: close` with each response from now on. Stops accepting connections after `lameDuckMillis`, once those that wait
    * to be accepted have been; serves requests on open ones for another `idleMillis`, so that a request already on its way isn't lost;
-   * then closes idle connections and waits for the rest.
+   * then closes idle connections and waits for the rest, and for their callers to close their ends.
    */
-  async stop({ idleMillis, lameDuckMillis = 0 }: HttpStopTimes): Promise<void> {
+  async stop({ idleMillis, lameDuckMillis = 0, graceMillis }: HttpStopTimes): Promise<void> {
     this.stopping = true;
+    this.lingering.closeWithin(graceMillis);
     if (lameDuckMillis > 0) {
       await sleep(lameDuckMillis);
     }
@@ -145,17 +154,37 @@
       NetServer.prototype.close.call(this.server, () => resolve());
     });
     let sweep: NodeJS.Timeout | undefined;
-    const grace = setTimeout(() => {
-      this.connections.closeIdle();
-      sweep = setInterval(() => this.connections.closeIdle(), IDLE_CHECK_MILLIS);
+    const closeIdle = (): void => this.connections.closeIdle((socket) => socket.destroySoon());
+    const idle = setTimeout(() => {
+      closeIdle();
+      sweep = setInterval(closeIdle, IDLE_CHECK_MILLIS);
     }, idleMillis);
     await closed;
-    clearTimeout(grace);
+    clearTimeout(idle);
     clearInterval(sweep);
     this.server.close(() => {});
   }
 }
 
+/** Closes connections in stages wherever the server or its users end one after its answers, and where it was idle for too long. */
+function closeInStages(
+  server: Server,
+  connections: ServedConnections,
+  lingering: LingeringConnections,
+): void {
+  server.on('connection', (socket: Socket) => {
+    socket.destroySoon = () => lingering.close(socket, connections.idleMillis(socket));
+  });
+  // Without a listener the server destroys the connection.
+  server.on('timeout', (socket: Socket) => {
+    if (connections.hasOpenResponse(socket)) {
+      socket.destroy();
+    } else {
+      socket.destroySoon();
+    }
+  });
+}
+
 /** Resolves after sockets were looked at once more. */
 async function nextTurn(): Promise<void> {
   await nextImmediate();
--- a/src/wire/http/request-faults.ts
+++ b/src/wire/http/request-faults.ts
@@ -31,9 +31,6 @@
   readonly unsentBytes: number;
 }
 
-/** A caller that doesn't take the answer to its fault for this long is cut off. */
-const UNREAD_ANSWER_MILLIS = 5000;
-
 /** Error code if the caller closed its connection in the middle of a request. */
 const ENDED_MIDWAY = 'HPE_INVALID_EOF_STATE';
 
@@ -103,7 +100,6 @@
     if (socket.writable) {
       this.onAnswered(this.stateAt(fault, socket));
       socket.write(this.answerTo(fault));
-      socket.setTimeout(UNREAD_ANSWER_MILLIS, () => socket.destroy());
     }
     socket.destroySoon();
   }
--- a/src/wire/http/served-connections.ts
+++ b/src/wire/http/served-connections.ts
@@ -10,6 +10,8 @@
   openResponses: number;
   /** Bytes that had been received when the last response left; `null` until then: the first request may be on its way. */
   bytesAtLastResponse: number | null;
+  /** When the last response left, or the connection was accepted. */
+  lastResponseAt: number;
 }
 
 export class ServedConnections {
@@ -20,17 +22,35 @@
     server.on('request', ({ socket }, response) => this.#onRequest(socket, response));
   }
 
-  /** Closes the connections that are idle. */
-  closeIdle(): void {
+  /** Calls `close` with each connection that is idle. */
+  closeIdle(close: (socket: Socket) => void): void {
     for (const [socket, connection] of this.#connections) {
       if (isIdle(socket, connection)) {
-        socket.destroy();
+        close(socket);
       }
     }
   }
 
+  /** Whether a response of a connection hasn't left the process. */
+  hasOpenResponse(socket: Socket): boolean {
+    const { openResponses = 0 } = this.#connections.get(socket) ?? {};
+    return openResponses > 0;
+  }
+
+  /** Time since the last response of a connection left the process. */
+  idleMillis(socket: Socket): number {
+    const connection = this.#connections.get(socket);
+    return connection === undefined || connection.openResponses > 0
+      ? 0
+      : performance.now() - connection.lastResponseAt;
+  }
+
   #add(socket: Socket): void {
-    this.#connections.set(socket, { openResponses: 0, bytesAtLastResponse: null });
+    this.#connections.set(socket, {
+      openResponses: 0,
+      bytesAtLastResponse: null,
+      lastResponseAt: performance.now(),
+    });
     socket.once('close', () => this.#connections.delete(socket));
   }
 
@@ -44,6 +64,7 @@
     response.once('close', () => {
       connection.openResponses -= 1;
       connection.bytesAtLastResponse = socket.bytesRead;
+      connection.lastResponseAt = performance.now();
     });
   }
 }
--- a/test/contract/admin-harness.ts
+++ b/test/contract/admin-harness.ts
@@ -137,7 +137,7 @@
   }
 
   async stop(): Promise<void> {
-    await this.#listener?.stop({ idleMillis: 0 });
+    await this.#listener?.stop({ idleMillis: 0, graceMillis: 0 });
   }
 
   /** What is in force, as text, to see that nothing changed. */
--- a/test/contract/foreign-announcements.test.ts
+++ b/test/contract/foreign-announcements.test.ts
@@ -73,7 +73,7 @@
   }
 
   async stop(): Promise<void> {
-    await this.#listener?.stop({ idleMillis: 0 });
+    await this.#listener?.stop({ idleMillis: 0, graceMillis: 0 });
   }
 
   async post(path: string, body: string | Uint8Array): Promise<{ status: number; text: string }> {
--- a/test/wire/http-listener.test.ts
+++ b/test/wire/http-listener.test.ts
@@ -11,6 +11,7 @@
 const ANSWER_BYTES = 8_000_000;
 const PIPELINED = 3;
 const SLOW_MILLIS = 100;
+const GRACE_MILLIS = 5000;
 
 /** Blocks the event loop, so that connections wait to be accepted. */
 function block(millis: number): void {
@@ -43,7 +44,7 @@
     });
     const calls = Array.from({ length: CALLERS }, () => call(listener.address));
     block(50);
-    await listener.stop({ idleMillis: 0 });
+    await listener.stop({ idleMillis: 0, graceMillis: GRACE_MILLIS });
     const answers = await Promise.all(calls.map(({ answer }) => answer));
     expect(answers.filter((answer) => answer.endsWith('ok'))).to.have.length(CALLERS);
   });
@@ -57,7 +58,7 @@
     const { socket, answer } = call(listener.address, PIPELINED);
     socket.pause();
     await sleep(SLOW_MILLIS);
-    const stopped = listener.stop({ idleMillis: 0 });
+    const stopped = listener.stop({ idleMillis: 0, graceMillis: GRACE_MILLIS });
     await sleep(SLOW_MILLIS);
     socket.resume();
     const received = await answer;
@@ -72,7 +73,7 @@
     });
     const used = call(listener.address);
     await once(used.socket, 'data');
-    await listener.stop({ idleMillis: 0 });
+    await listener.stop({ idleMillis: 0, graceMillis: GRACE_MILLIS });
     expect(await used.answer).to.match(/ok$/);
   });
 });
