Answers in front of one that breaks are delivered, whatever their caller still sends

A caller that reads slowly lost answers that had left the router whole, when an answer behind them on its connection was broken off by its upstream and it sent another request meanwhile: the connection was destroyed at once, and the system reset it. A part of an answer is still seen to be one, since it has a length or chunks (HTTP/1.0: the end comes before the head). A caller that takes nothing is cut at once, as before.

--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -1,5 +1,6 @@
 /** One request of a caller and its answer. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { StoredAnswer } from '../../ledger/types.js';
 import { HEADERS, type Outcome } from '../../model/outcome.js';
 import type { RefusalReason, RequestNumber } from '../../routing/types.js';
@@ -198,7 +199,11 @@
     this.answerStarted = true;
     this.writer?.close();
     this.connection.onAborted(this, reason);
-    this.response.destroy();
+    if (reason === 'caller-stalled') {
+      this.response.destroy();
+      return;
+    }
+    endConnectionAt(this.response, () => this.connection.onResponseClosed(this));
   }
 
   /** Sends a rejection and accepts no more requests on the connection. */
@@ -244,6 +249,22 @@
   }
 }
 
+/**
+ * Ends the connection in place of an answer, or in the midst of it, once those in front of it are sent; `ended` is called then. What its caller
+ * hasn't taken yet is still delivered, which a connection that is destroyed may lose.
+ */
+export function endConnectionAt(response: ServerResponse, ended: () => void = () => {}): void {
+  const end = (socket: Socket): void => {
+    socket.destroySoon();
+    ended();
+  };
+  if (response.socket === null) {
+    response.once('socket', end);
+  } else {
+    end(response.socket);
+  }
+}
+
 /** Describes a message that is not a valid request. No part of it reached an upstream. */
 export function describeRequestFault(fault: RequestFault): FaultAnswer {
   return {
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -13,6 +13,7 @@
   type AbortReason,
   CallerExchange,
   type CallerStreams,
+  endConnectionAt,
   type RetryAfterUnit,
   type RouterAnswer,
   writeRouterAnswer,
@@ -199,7 +200,7 @@
     connection.close();
     if (!isRejectedRequestError(thrown)) {
       this.parts.log.error('request-failed', { reason: toError(thrown) });
-      response.destroy();
+      endConnectionAt(response);
       return;
     }
     this.reject(thrown as RejectedRequestError, (answer) => {
--- a/test/router/caller/slow-readers.test.ts
+++ b/test/router/caller/slow-readers.test.ts
@@ -1,4 +1,5 @@
 /** Large answers to callers that read slowly or not at all are buffered within limits, delivered whole, and aborted when no bytes pass. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import type { LogFields } from '../../../src/logging/logger.js';
 import { LogRecorder } from '../log-recorder.js';
@@ -14,6 +15,10 @@
 /** Largest piece of an answer that one read of a socket returns. */
 const PIECE_BYTES = 64 * 1024;
 const STALL_MILLIS = 300;
+/** The system takes that much although nothing is read. */
+const SYSTEM_HELD_BYTES = 500_000;
+const LATE_REQUESTS = 5;
+const SEND_MILLIS = 50;
 
 class EventRecorder extends LogRecorder {
   readonly events: { readonly event: string; readonly fields: LogFields | undefined }[] = [];
@@ -45,6 +50,12 @@
   };
 }
 
+function answerLarge(request: ScriptedRequest): void {
+  request.socket.write(
+    `${headFor(request, `content-length: ${SYSTEM_HELD_BYTES}`)}${'x'.repeat(SYSTEM_HELD_BYTES)}`,
+  );
+}
+
 describe('large answers to slow readers', () => {
   const written: Written = new Map();
   let upstream: ScriptedUpstream;
@@ -160,6 +171,30 @@
     caller.disconnect();
   });
 
+  // Guards against answers that the system held for a slow caller and threw away, since the answer behind them broke and its caller sent more.
+  it('are delivered when the answer behind them breaks, whatever their caller sends', async () => {
+    upstream.script = (request) => request.target === '/reads/0' && answerLarge(request);
+    await start();
+    const caller = await RawCaller.connect(router.address);
+    caller.pause().send(`${getHead('/reads/0')}${getHead('/reads/1')}`);
+    await until(() => upstream.requests.length === 2 && router.daemon.openRequests === 1);
+    const broken = upstream.requests.find(({ target }) => target === '/reads/1') as ScriptedRequest;
+    broken.socket.write(`${headFor(broken, `content-length: ${MEGABYTE}`)}${'y'.repeat(MEGABYTE / 2)}`);
+    await until(() => router.daemon.connectionsUsage().deepest === 1);
+    await sleep(SEND_MILLIS);
+    broken.socket.resetAndDestroy();
+    await until(() => router.daemon.openRequests === 0);
+    for (let count = 0; count < LATE_REQUESTS; count += 1) {
+      caller.send(getHead('/reads/late'));
+      await sleep(SEND_MILLIS);
+    }
+    caller.resume();
+    await until(() => caller.closed);
+    expect(caller.bodies.map((body) => body.length)).to.deep.equal([SYSTEM_HELD_BYTES]);
+    expect(caller.rest).to.match(/y$/);
+    expect(upstream.requests).to.have.length(2);
+  });
+
   it('that were received whole are not truncated by a planned stop', async () => {
     const bytes = 12 * MEGABYTE;
     upstream.script = writeLarge(written, bytes);
