--- a/src/control/admin/commands/declaration-routes.ts
+++ b/src/control/admin/commands/declaration-routes.ts
@@ -4,6 +4,7 @@
  */
 import type { Router } from '@koa/router';
 import { z } from 'zod';
+import { deepJson } from '../../../registry/index.js';
 import type { DeclarationChange } from '../../../registry/types.js';
 import { type AdminContext, type AdminServices, type AdminState, actorOf } from '../admin-context.js';
 import { AdminError } from '../admin-error.js';
@@ -104,7 +105,9 @@
     throw new AdminError('not-found', 'nothing was declared as one document');
   }
   const { limits, ...rest } = document;
-  context.body = limits === null ? rest : document;
+  context.type = 'json';
+  // Earlier releases accepted documents that are nested deeper than the stack allows.
+  context.body = deepJson(limits === null ? rest : document);
 }
 
 /** Adds the routes that change and read the declared document. */
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -14,6 +14,7 @@
   return new RegistryMachine(decodeState(bytes));
 }
 
+export { deepJson } from './canonical-json.js';
 export { MAX_RECENT_CHANGES } from './change-ring.js';
 export { DEDUP_MAX_ENTRIES, DEDUP_RETENTION_MILLIS } from './dedup-table.js';
 export { RegistryError, RegistryOrderError, RegistrySnapshotError } from './errors.js';
--- a/src/registry/snapshot-encoder.ts
+++ b/src/registry/snapshot-encoder.ts
@@ -4,6 +4,7 @@
  */
 import { gzipSync } from 'node:zlib';
 import type { Revision } from '../model/identifiers.js';
+import { deepJson } from './canonical-json.js';
 import type { RegistryState } from './registry-state.js';
 import { imageOf, partsOf, type SnapshotPart } from './snapshot-parts.js';
 
@@ -39,7 +40,7 @@
   }
 
   #write(part: SnapshotPart): number {
-    const text = JSON.stringify(part);
+    const text = textOf(part);
     this.#written.push(frame(text));
     return text.length;
   }
@@ -47,7 +48,12 @@
 
 /** Encodes one part: its length, then its compressed JSON. */
 export function encodePart(part: SnapshotPart): Buffer {
-  return frame(JSON.stringify(part));
+  return frame(textOf(part));
+}
+
+/** What operators declared is kept as they sent it, however deep. */
+function textOf(part: SnapshotPart): string {
+  return part.part === 'declared' ? deepJson(part) : JSON.stringify(part);
 }
 
 function frame(text: string): Buffer {
--- a/src/registry/validation/value-shape.ts
+++ b/src/registry/validation/value-shape.ts
@@ -15,7 +15,7 @@
 export const SENT_LIMITS: ShapeLimits = { depth: 64, values: 4_000_000 };
 /**
  * Bounds on what entries of the log hold. Earlier releases had none but the size of their stack, on which they failed at 3,200 lists or 3,800
- * objects inside one another; at 4,000 levels JSON can still be written.
+ * objects inside one another. How much a stack holds differs between machines, so what is kept of such entries is written without recursion.
  */
 export const APPLIED_LIMITS: ShapeLimits = { depth: 3800, values: Number.POSITIVE_INFINITY };
 
--- a/test/registry/earlier-entries.test.ts
+++ b/test/registry/earlier-entries.test.ts
@@ -1,12 +1,15 @@
 /** What an earlier release accepted stays accepted, whether a member replays its log or restores its snapshot. */
+import { once } from 'node:events';
+import { Worker } from 'node:worker_threads';
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { canonicalJson } from '../../src/registry/canonical-json.js';
+import { canonicalJson, deepJson } from '../../src/registry/canonical-json.js';
 import { createRegistry, decodeRegistry } from '../../src/registry/index.js';
 import type { CommandResult, Registry } from '../../src/registry/types.js';
 import { problemOfChange } from '../../src/registry/validation/sent-change.js';
 import { changeOf } from '../control/service-absence.js';
 
+const SMALL_STACK_MEGABYTES = 0.5;
 const ROUTE = { name: 'r1', host: 'h', prefix: '/1/', type: 'safe', timeoutMillis: 1000, service: 'menu' };
 const MENU = { name: 'menu' };
 
@@ -107,6 +110,15 @@
     });
   }
 
+  // Guards against state that one machine acknowledged and another can't write, since its stack holds less.
+  it('are written and read by a member whose stack is small', async () => {
+    const member = new Worker(new URL('./small-stack-member.js', import.meta.url), {
+      resourceLimits: { stackSizeMb: SMALL_STACK_MEGABYTES },
+    });
+    const [version] = await once(member, 'message');
+    expect(version).to.equal(5);
+  });
+
   it('are refused before the log if they are sent to this release', () => {
     for (const type of ['constructor', '__proto__', 'toString', 'valueOf', 'none']) {
       const routes = [ROUTE, { ...ROUTE, name: 'r2', type }];
@@ -115,7 +127,7 @@
   });
 });
 
-describe('the text of a value with sorted keys', () => {
+describe('the text of a value', () => {
   function sorted(value: unknown): unknown {
     if (Array.isArray(value)) {
       return value.map(sorted);
@@ -127,7 +139,7 @@
     return Object.fromEntries(entries.map(([key, item]) => [key, sorted(item)]));
   }
 
-  it('is that of a copy with sorted keys', () => {
+  it('with sorted keys is that of a copy with sorted keys', () => {
     const key = fc.oneof(fc.string(), fc.constantFrom('__proto__', '10', '9', '-1', '1.5', 'constructor'));
     const value = fc.letrec((tie) => ({
       any: fc.oneof({ maxDepth: 4 }, fc.jsonValue(), fc.dictionary(key, tie('any')), fc.array(tie('any'))),
@@ -140,6 +152,16 @@
     );
   });
 
+  it('is that of JSON.stringify in the order of the fields', () => {
+    fc.assert(
+      fc.property(fc.jsonValue(), (any) => {
+        expect(deepJson(any)).to.equal(JSON.stringify(any));
+      }),
+    );
+    const odd = { b: undefined, a: [undefined, Number.NaN, -0, () => 1], '1': 'x' };
+    expect(deepJson(odd)).to.equal(JSON.stringify(odd));
+  });
+
   it('leaves out what has no JSON value, as JSON does', () => {
     const odd = { b: undefined, a: [undefined, Number.NaN, -0], c: () => 1 };
     expect(canonicalJson(odd)).to.equal('{"a":[null,null,0]}');
