A heartbeat of lists within one another is refused as invalid, whatever the member's stack

An invalid heartbeat of 20,000 lists within one another got 500 "an internal error" in place of 400: its start is kept for the log, and was written by JSON.stringify, which recurs. It is written without recursion now. The new case failed before (500), and passes now.

--- a/src/control/admin/commands/announcement-routes.ts
+++ b/src/control/admin/commands/announcement-routes.ts
@@ -1,6 +1,7 @@
 /** `POST /v1/upstreams/:id/heartbeat` and `/withdraw`: announcements of upstreams. */
 import type { Router } from '@koa/router';
 import { z } from 'zod';
+import { deepJson } from '../../../registry/index.js';
 import { addressSchema } from '../../../settings/addresses.js';
 import { formatAddress } from '../../../wire/address.js';
 import type { OperatorResponse } from '../../types.js';
@@ -79,7 +80,7 @@
   try {
     return checkBody(schema, received);
   } catch (thrown) {
-    context.state.unusable = JSON.stringify(received).slice(0, MAX_LOGGED_CHARACTERS);
+    context.state.unusable = deepJson(received).slice(0, MAX_LOGGED_CHARACTERS);
     throw thrown;
   }
 }
--- a/test/contract/admin-input.test.ts
+++ b/test/contract/admin-input.test.ts
@@ -14,6 +14,7 @@
   readonly says: string;
 }
 
+const DEEP_LISTS = 20_000;
 const SERVICE = '/v1/services/menu';
 const UPSTREAM = '/v1/upstreams/menu-1';
 const service = (fields: object) => ({ ...GOOD_SERVICE, ...fields });
@@ -22,6 +23,14 @@
 const CASES: readonly BadCase[] = [
   { name: 'two owners', method: 'GET', path: '/v1/shards?owner=a&owner=b', status: 400, says: 'owner' },
   { name: 'no JSON', method: 'PUT', path: SERVICE, body: '{"a":', status: 400, says: "isn't JSON" },
+  {
+    name: 'a heartbeat of lists within one another',
+    method: 'POST',
+    path: `${UPSTREAM}/heartbeat`,
+    body: `${'['.repeat(DEEP_LISTS)}${']'.repeat(DEEP_LISTS)}`,
+    status: 400,
+    says: 'expected',
+  },
   { name: 'a list', method: 'PUT', path: SERVICE, body: [], status: 400, says: 'expected' },
   { name: 'null', method: 'PUT', path: SERVICE, body: 'null', status: 400, says: 'expected' },
   {
