--- /dev/null
+++ b/test/closing/closing-soak.ts
@@ -0,0 +1,252 @@
+/**
+ * Real routers that are stopped as planned and started again, with other signals between, while slow callers of all kinds keep using their
+ * connections. Judged: each answer that the upstream made whole arrives whole, since every caller is there to read it; no part passes for a whole.
+ */
+import { writeFileSync } from 'node:fs';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+import { BENCH_IDENTITY } from '../../src/dev/bench/proxy/bench-identity.js';
+import { ControlStandin } from '../../src/dev/bench/proxy/control-standin.js';
+import { Random } from '../../src/dev/sim/random.js';
+import { ProcessCluster } from '../contract/process-cluster.js';
+import { call } from '../router/router-fixture.js';
+import { headFor, type ScriptedRequest, ScriptedUpstream } from '../router/scripted-upstream.js';
+import { service, upstream } from '../routing/router-harness.js';
+import {
+  type CallerPlan,
+  type CallerResult,
+  LAST_SENT,
+  type LastSent,
+  readIds,
+  runCaller,
+} from './closing-caller.js';
+
+const PORT = 8000;
+const ADMIN_PORT = 8001;
+const STOP_GRACE_MILLIS = 6000;
+/** Reading begins well before the grace time of a stop that begins with the caller. */
+const MAX_READ_FROM_MILLIS = 1500;
+const MAX_READS = 30;
+/** With the above, at most what the system takes for a caller that doesn't read. */
+const MAX_ANSWER_BYTES = 20_000;
+const CLOSE_AT_ONCE = fileURLToPath(new URL('./close-at-once.js', import.meta.url));
+
+export interface SoakPlan {
+  readonly seed: number;
+  readonly network: number;
+  readonly seconds: number;
+  readonly routers: number;
+  readonly callersPerRouter: number;
+  /** Whether connections are closed at once, which the soak has to notice. */
+  readonly closesAtOnce?: boolean;
+}
+
+export interface SoakReport {
+  readonly callers: number;
+  readonly stops: number;
+  readonly made: number;
+  /** Ids of answers that were made and didn't arrive, with the end of their connection. */
+  readonly lost: readonly string[];
+  /** Callers without the answer that tells why their connection was closed. */
+  readonly untold: readonly string[];
+  /** Ids of answers that arrived whole and weren't made so. */
+  readonly parts: readonly string[];
+  /** Exit codes other than 0. */
+  readonly failures: readonly (number | null)[];
+}
+
+/** Statuses with which the router closes a connection, for what its caller has sent. */
+const TELLS: Readonly<Record<LastSent, number | null>> = {
+  nothing: null,
+  'more reads': null,
+  'a long body': 413,
+  'an endless body': 413,
+  'no request': 400,
+  'a long header': 431,
+};
+
+export class ClosingSoak {
+  readonly #plan: SoakPlan;
+  readonly #cluster: ProcessCluster;
+  readonly #random: Random;
+  readonly #upstream = new ScriptedUpstream((request) => this.#answer(request));
+  readonly #made = new Set<string>();
+  readonly #results: CallerResult[] = [];
+  readonly #exitCodes: (number | null)[] = [];
+  #callers = 0;
+  #isOver = false;
+
+  constructor(plan: SoakPlan) {
+    this.#plan = plan;
+    this.#random = new Random(plan.seed);
+    this.#cluster = new ProcessCluster(plan.network);
+  }
+
+  async run(): Promise<SoakReport> {
+    const control = await this.#startUpstream();
+    const address = await control.start();
+    const names = Array.from({ length: this.#plan.routers }, (_, index) => this.#write(index + 1, address));
+    try {
+      for (const [index, name] of names.entries()) {
+        await this.#start(name, index + 1);
+      }
+      const callers = names.flatMap((_, index) =>
+        Array.from({ length: this.#plan.callersPerRouter }, () => this.#keepCalling(index + 1)),
+      );
+      await Promise.all(names.map((name, index) => this.#disturb(name, index + 1)));
+      this.#isOver = true;
+      // Callers without anything to close their connections see these stops.
+      const ends = names.map((name) => this.#cluster.end(name, 'SIGTERM'));
+      await Promise.all(callers);
+      this.#exitCodes.push(...(await Promise.all(ends)));
+    } finally {
+      this.#cluster.close();
+      await control.stop();
+      await this.#upstream.stop();
+    }
+    return this.#report();
+  }
+
+  async #startUpstream(): Promise<ControlStandin> {
+    const { address } = await this.#upstream.start();
+    return new ControlStandin({
+      revision: 1,
+      services: [service('reads', { slotsPerUpstream: 2000, queueLimit: 5000, deadlineMillis: 20_000 })],
+      upstreams: [upstream('reads-1', 'reads', { address, slots: 2000 } as never)],
+      shards: [],
+      routes: [],
+      declaration: null,
+      ranges: [],
+      suspects: [],
+    });
+  }
+
+  /** Writes the settings of router `number`, and returns its name. */
+  #write(number: number, control: string): string {
+    const secretFile = this.#cluster.file('bench-secret');
+    writeFileSync(secretFile, BENCH_IDENTITY.secret);
+    const host = this.#cluster.host(number);
+    this.#cluster.write(`router-${number}.yaml`, {
+      ...this.#cluster.shared,
+      cluster: BENCH_IDENTITY.cluster,
+      secretFile,
+      router: `router-${number}`,
+      listen: `${host}:${PORT}`,
+      admin: `${host}:${ADMIN_PORT}`,
+      control: [control],
+      probeInterval: '0s',
+      connectionsPerUpstream: 500,
+      lameDuck: '200ms',
+      stopGrace: `${STOP_GRACE_MILLIS}ms`,
+    });
+    return `router-${number}`;
+  }
+
+  async #start(name: string, number: number): Promise<void> {
+    const words = ['router', 'run', '--settings', this.#cluster.file(`${name}.yaml`)];
+    if (this.#plan.closesAtOnce === true) {
+      this.#cluster.startWith(name, CLOSE_AT_ONCE, ...words);
+    } else {
+      this.#cluster.start(name, ...words);
+    }
+    const admin = `${this.#cluster.host(number)}:${ADMIN_PORT}`;
+    await this.#cluster.until(`${name} that serves`, async () => {
+      const { status } = await call(admin, { method: 'GET', path: '/healthz', headers: {} });
+      return status === 200 ? true : undefined;
+    });
+  }
+
+  /** Stops a router and starts it again, several times; some stops come twice, or beside a reload. */
+  async #disturb(name: string, number: number): Promise<void> {
+    const end = performance.now() + this.#plan.seconds * 1000;
+    while (performance.now() < end) {
+      await sleep(this.#random.integer(200, 3000));
+      if (this.#random.chance(0.3)) {
+        this.#cluster.signal(name, 'SIGHUP');
+        await sleep(this.#random.integer(0, 100));
+      }
+      const isTwice = this.#random.chance(0.3);
+      const again = setTimeout(
+        () => isTwice && this.#cluster.signal(name, 'SIGHUP'),
+        this.#random.integer(10, 500),
+      );
+      this.#exitCodes.push(await this.#cluster.end(name, 'SIGTERM'));
+      clearTimeout(again);
+      await this.#start(name, number);
+    }
+  }
+
+  async #keepCalling(number: number): Promise<void> {
+    const address = { host: this.#cluster.host(number), port: PORT };
+    while (!this.#isOver) {
+      const result = await runCaller(address, this.#drawCaller());
+      if (result === null) {
+        await sleep(50);
+      } else {
+        this.#results.push(result);
+      }
+    }
+  }
+
+  #drawCaller(): CallerPlan {
+    const random = this.#random;
+    const reads = random.integer(1, MAX_READS);
+    const kinds = Object.keys(LAST_SENT) as LastSent[];
+    const lastSent = kinds[random.integer(0, kinds.length - 1)] as LastSent;
+    this.#callers += 1;
+    return {
+      name: `${this.#plan.seed}-${this.#callers}`,
+      reads,
+      answerBytes: random.integer(100, MAX_ANSWER_BYTES),
+      broken: random.chance(0.2) ? random.integer(0, reads - 1) : null,
+      lastSent,
+      readFromMillis: random.chance(0.2) ? 0 : random.integer(100, MAX_READ_FROM_MILLIS),
+      sendEachMillis: random.integer(20, 250),
+    };
+  }
+
+  #answer(request: ScriptedRequest): void {
+    const { searchParams, pathname } = new URL(request.target, 'http://upstream');
+    const id = pathname.slice('/reads/'.length);
+    const bytes = Number(searchParams.get('bytes'));
+    const head = headFor(request, `content-length: ${bytes}`);
+    const body = `${id} `.padEnd(bytes, 'x');
+    if (searchParams.get('making') === 'broken') {
+      request.socket.write(head + body.slice(0, bytes / 2), () => request.socket.destroy());
+      return;
+    }
+    this.#made.add(id);
+    request.socket.write(head + body);
+  }
+
+  #report(): SoakReport {
+    const lost = this.#results.flatMap((result) => this.#lostBy(result));
+    const untold = this.#results.filter((result) => this.#isUntold(result));
+    const parts = this.#results.flatMap(({ whole }) => [...whole].filter((id) => !this.#made.has(id)));
+    return {
+      callers: this.#results.length,
+      stops: this.#exitCodes.length,
+      made: this.#made.size,
+      lost,
+      untold: untold.map(({ plan, end }) => `${plan.name} (${plan.lastSent}, ${end})`),
+      parts,
+      failures: this.#exitCodes.filter((code) => code !== 0),
+    };
+  }
+
+  #lostBy({ plan, whole, end, statuses }: CallerResult): string[] {
+    const ids = readIds(plan).filter((id) => this.#made.has(id) && !whole.has(id));
+    // An answer that breaks after its head was sent ends the connection, with those that were made behind it.
+    const expected =
+      plan.broken === null ? ids : ids.filter((id) => readIds(plan).indexOf(id) < (plan.broken ?? 0));
+    return expected.map((id) => `${id} (${plan.lastSent}, ${end}, ${statuses.length} of ${plan.reads})`);
+  }
+
+  /** A connection of which nothing was read was closed with the port, before it was accepted. */
+  #isUntold({ plan, statuses, end }: CallerResult): boolean {
+    const status = TELLS[plan.lastSent];
+    const wasRead = readIds(plan).some((id) => this.#made.has(id));
+    const isCut = end !== 'end';
+    return status !== null && plan.broken === null && wasRead && isCut && !statuses.includes(status);
+  }
+}
--- a/test/contract/process-cluster.ts
+++ b/test/contract/process-cluster.ts
@@ -77,6 +77,15 @@
     this.#spawn(name, [PROGRAM, ...words]);
   }
 
+  /** Starts a process with a module that is loaded before its program. */
+  startWith(name: string, module: string, ...words: readonly string[]): void {
+    this.#spawn(name, ['--import', module, PROGRAM, ...words]);
+  }
+
+  signal(name: string, signal: NodeJS.Signals): void {
+    this.#running.get(name)?.kill(signal);
+  }
+
   startStandin(name: string, kind: string, settings: object): void {
     this.#spawn(name, [DEV_PROGRAM, 'standin', kind, '--settings', this.write(`${name}.yaml`, settings)]);
   }
