A stopping router carries other routers' answers to their end within its grace time

Callers of another router, whose path to an upstream leads over a router that stops as planned, got 502 or a broken answer if theirs lasted more than 2 s beyond the end of the stopping router's own callers: the relay was closed at the limit for settling claims. It is now closed at the end of the grace time (stopGrace), like callers' connections; idle ones are closed by the other routers at once, as before.

The new test (the second half of an answer comes 2.5 s after the stop) failed before, and passes now; the other tests of planned stops: 5 passed.

--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -246,14 +246,15 @@
   private async shutDown(): Promise<void> {
     this.log.info('stopping', { openRequests: this.task.openRequests });
     const { lameDuckMillis, idleMillis, stopGraceMillis } = this.settings.timings;
-    this.relay?.announceStop();
     const graceMillis = stopGraceMillis - STOP_RESERVE_MILLIS;
+    const graceEnd = performance.now() + graceMillis;
+    this.relay?.announceStop();
     await this.callers?.stop({ lameDuckMillis, idleMillis, graceMillis });
     const deadline = performance.now() + MAX_SETTLE_MILLIS;
     while (this.core.status().inFlight > 0 && performance.now() < deadline) {
       await sleep(SETTLE_POLL_MILLIS);
     }
-    await this.relay?.stop(Math.max(0, deadline - performance.now()));
+    await this.relay?.stop(Math.max(0, graceEnd - performance.now()));
     this.task.stop();
     this.traces.stop();
     this.probes.stop();
--- a/test/router/planned-stop.test.ts
+++ b/test/router/planned-stop.test.ts
@@ -2,14 +2,20 @@
 import { Agent } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
+import { BENCH_IDENTITY } from '../../src/dev/bench/proxy/bench-identity.js';
 import { HEADERS } from '../../src/model/outcome.js';
 import type { UpstreamRecord } from '../../src/registry/types.js';
+import { RelayDialer } from '../../src/router/relay/relay-dialer.js';
+import type { RelayStream } from '../../src/router/relay/relay-stream.js';
+import { freeAddress } from './free-address.js';
 import { LogRecorder } from './log-recorder.js';
 import { call, RouterFixture, until } from './router-fixture.js';
 import { answerWhole, headFor, type ScriptedRequest, ScriptedUpstream } from './scripted-upstream.js';
 
 const LONG = 'x'.repeat(4096);
 const HALF = LONG.length / 2;
+/** More than a stop waits for what isn't answered yet. */
+const LONG_WORK_MILLIS = 2500;
 
 /** Marks the upstream `id` as drained by the operator. */
 function drain(id: string): (record: UpstreamRecord) => UpstreamRecord {
@@ -69,6 +75,40 @@
   });
 });
 
+describe('a planned stop of a router that carries connections of others', () => {
+  // Guards against answers of other routers' callers that are cut off while there is time to finish them.
+  it('lets an answer that it carries come to its end within its grace time', async () => {
+    const upstream = await new ScriptedUpstream(() => {}).start();
+    const relay = await freeAddress();
+    const router = await RouterFixture.start([upstream], { settings: { relay } });
+    const { cluster, secret } = BENCH_IDENTITY;
+    const greeting = { type: 'greeting', cluster, kind: 'router', name: 'r2', zone: 'a' } as const;
+    const dialer = new RelayDialer({
+      identity: { greeting, secret, expects: ['router'] },
+      onClosing: () => {},
+    });
+    const peer = { router: 'r1', zone: 'a', address: relay };
+    const stream = await new Promise<RelayStream | null>((resolve) => {
+      dialer.open({ peer, upstream: 'reads-1', timeoutMillis: 1000 }, (_error, opened) => resolve(opened));
+    });
+    let received = '';
+    stream?.on('data', (bytes: Buffer) => {
+      received += bytes.toString('latin1');
+    });
+    stream?.write('GET /reads/1 HTTP/1.1\r\nHost: r\r\n\r\n');
+    await until(() => upstream.requests.length === 1);
+    const { socket } = upstream.requests[0] as ScriptedRequest;
+    socket.write(LONG.slice(0, HALF));
+    const stopped = router.stop();
+    await sleep(LONG_WORK_MILLIS);
+    socket.write(LONG.slice(HALF));
+    await until(() => received === LONG);
+    stream?.end();
+    await stopped;
+    await upstream.stop();
+  });
+});
+
 describe('a draining upstream', () => {
   it('drained by an operator gets no new requests and finishes those it has', async () => {
     const [first, second] = await Promise.all([
