Upstream library: a planned stop of an upstream's server that loses no answer

Routers that take an answer slowly lost it when an upstream of the project's library stopped as the examples did (server.close, then closeIdleConnections or closeAllConnections): Node counts a connection as idle whose answer waits in the process, and closes it at once. In a trial (answers of 0.5 and 12 MB, read half a second late, five more requests meanwhile) the caller got 0 bytes of either. The same cause as at the listener, in the users' own servers.

Change: what HttpListener does on a stop is a class of its own (GracefulServer), and ternmount/upstream exports createServerStop(server), which the examples and pages use.

--- a/examples/first-service/server.mjs
+++ b/examples/first-service/server.mjs
@@ -5,7 +5,7 @@
  */
 import { readFileSync } from 'node:fs';
 import { createServer } from 'node:http';
-import { createFence, createNodeHandler } from 'ternmount/upstream';
+import { createFence, createNodeHandler, createServerStop } from 'ternmount/upstream';
 
 const [upstream = '', service = '', address = ''] = process.argv.slice(2);
 const [host, port] = address.split(':');
@@ -29,11 +29,11 @@
   response.writeHead(200, { 'content-length': Buffer.byteLength(text) }).end(text);
 });
 const server = createServer(listener);
+const stop = createServerStop(server);
 server.listen(Number(port), host, () => console.log(`${upstream} listens on ${address}`));
 
 process.once('SIGTERM', async () => {
   await fence.drain();
-  server.close();
-  // Connections of routers and control are kept open between requests.
-  setInterval(() => server.closeIdleConnections(), 50).unref();
+  // Answers that routers haven't taken yet still go out.
+  await stop({ graceMillis: 5000 });
 });
--- a/examples/upstream.mjs
+++ b/examples/upstream.mjs
@@ -1,6 +1,6 @@
 /** A server behind the fence: it answers the control leader itself, and lets in what it may serve. */
 import { createServer } from 'node:http';
-import { createFence, createNodeHandler, HEALTH_PATH } from 'ternmount/upstream';
+import { createFence, createNodeHandler, createServerStop, HEALTH_PATH } from 'ternmount/upstream';
 
 const fence = createFence({ cluster: 'north', upstream: 'menu-1', service: 'menu' });
 const sheets = new Map();
@@ -16,6 +16,7 @@
   response.writeHead(200).end('stored\n');
 });
 const server = createServer(listener);
+const stop = createServerStop(server);
 await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
 const origin = `http://127.0.0.1:${server.address().port}`;
 
@@ -25,5 +26,4 @@
 console.log('without a grant', refused.status, refused.headers.get('ternmount-outcome'));
 
 await fence.drain();
-server.close();
-server.closeAllConnections();
+await stop({ graceMillis: 1000 });
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -5,3 +5,4 @@
 export { DeadlinePassedError, type GuardedRequest, RequestCancelledError } from './guarded-request.js';
 export { createKoaMiddleware, type GuardedState } from './koa-middleware.js';
 export { createNodeHandler, type GuardedHandler } from './node-handler.js';
+export { createServerStop, type ServerStop, type ServerStopOptions } from './server-stop.js';
--- /dev/null
+++ b/src/wire/http/graceful-server.ts
@@ -0,0 +1,105 @@
+/** Stops an HTTP server as planned: what was sent to it is answered, and callers get what was answered, however slowly they read. */
+import type { Server } from 'node:http';
+import { Server as NetServer, type Socket } from 'node:net';
+import { setImmediate as nextImmediate, setTimeout as sleep } from 'node:timers/promises';
+import { type CutConnection, LingeringConnections } from './lingering-connections.js';
+import { ServedConnections } from './served-connections.js';
+
+/** Timings of a graceful stop. */
+export interface HttpStopTimes {
+  /** How long requests on open connections are still served after new connections are no longer accepted. */
+  readonly idleMillis: number;
+  /** How long connections are still accepted. Default: 0. */
+  readonly lameDuckMillis?: number;
+  /** After this time from the start of the stop, nothing waits any longer for callers to close their ends. */
+  readonly graceMillis: number;
+}
+
+const IDLE_CHECK_MILLIS = 20;
+/** Longest time for which a stopping server accepts what waits. */
+const MAX_ACCEPT_MILLIS = 1000;
+
+export class GracefulServer {
+  readonly #server: Server;
+  readonly #connections: ServedConnections;
+  readonly #lingering: LingeringConnections;
+  #isStopping = false;
+
+  /** Takes over how connections of a server are closed, from those accepted next on. `onCut` is called with each that is closed before its caller has closed its end. */
+  constructor(server: Server, onCut: (cut: CutConnection) => void = () => {}) {
+    this.#server = server;
+    this.#connections = new ServedConnections(server);
+    this.#lingering = new LingeringConnections(onCut);
+    this.#closeInStages();
+    server.prependListener('request', (_request, response) => {
+      if (this.#isStopping) {
+        // Setting the header instead would make Node keep only the last of several headers with the same name.
+        response.shouldKeepAlive = false;
+      }
+    });
+  }
+
+  /**
+   * Sends `Connection: close` with each response from now on. Stops accepting connections after `lameDuckMillis`, once those that wait
+   * to be accepted have been; serves requests on open ones for another `idleMillis`, so that a request already on its way isn't lost;
+   * then closes idle connections and waits for the rest, and for their callers to close their ends.
+   */
+  async stop({ idleMillis, lameDuckMillis = 0, graceMillis }: HttpStopTimes): Promise<void> {
+    this.#isStopping = true;
+    this.#lingering.closeWithin(graceMillis);
+    if (lameDuckMillis > 0) {
+      await sleep(lameDuckMillis);
+    }
+    await this.#acceptWaiting();
+    const closed = new Promise<void>((resolve) => {
+      // The HTTP server's own `close` would immediately close idle connections, on which a request may be on its way.
+      NetServer.prototype.close.call(this.#server, () => resolve());
+    });
+    let sweep: NodeJS.Timeout | undefined;
+    const closeIdle = (): void => this.#connections.closeIdle((socket) => socket.destroySoon());
+    const idle = setTimeout(() => {
+      closeIdle();
+      sweep = setInterval(closeIdle, IDLE_CHECK_MILLIS);
+    }, idleMillis);
+    await closed;
+    clearTimeout(idle);
+    clearInterval(sweep);
+    this.#server.close(() => {});
+  }
+
+  /** Closes connections in stages wherever the server or its users end one after its answers, and where it was idle for too long. */
+  #closeInStages(): void {
+    this.#server.on('connection', (socket: Socket) => {
+      socket.destroySoon = () => this.#lingering.close(socket, this.#connections.idleMillis(socket));
+    });
+    // Without a listener the server destroys the connection.
+    this.#server.on('timeout', (socket: Socket) => {
+      if (this.#connections.hasOpenResponse(socket)) {
+        socket.destroy();
+      } else {
+        socket.destroySoon();
+      }
+    });
+  }
+
+  /** Resolves when no connection waits to be accepted: one is accepted in each turn of the event loop, and closing would reset the others. */
+  async #acceptWaiting(): Promise<void> {
+    const deadline = performance.now() + MAX_ACCEPT_MILLIS;
+    let hasAccepted = true;
+    const onConnection = (): void => {
+      hasAccepted = true;
+    };
+    this.#server.on('connection', onConnection);
+    while (hasAccepted && performance.now() < deadline) {
+      hasAccepted = false;
+      await nextTurn();
+    }
+    this.#server.off('connection', onConnection);
+  }
+}
+
+/** Resolves after sockets were looked at once more. */
+async function nextTurn(): Promise<void> {
+  await nextImmediate();
+  await nextImmediate();
+}
