A request for a tunnel is answered with 400, and costs no answer in front of it

A caller that sent CONNECT had its connection destroyed by the HTTP server without an answer or a log line; if it read late and sent more, the answers in front of it were thrown away too. It is now a malformed request like any other: answered with 400 after those in front, logged (caller-fault-answered), closed in stages.

--- a/src/wire/http/request-faults.ts
+++ b/src/wire/http/request-faults.ts
@@ -59,6 +59,11 @@
   ) {
     server.on('request', (request, response) => this.track(request, response));
     server.on('clientError', (error, socket) => this.handleError(error, socket as Socket));
+    // Without a listener the server destroys the connection. With one it leaves the socket to the listener, its errors included.
+    server.on('connect', (_request, socket) => {
+      socket.on('error', () => {});
+      this.handleError(new Error('a tunnel was asked for'), socket as Socket);
+    });
   }
 
   private track(request: IncomingMessage, response: ServerResponse): void {
--- a/test/wire/closing-connections.test.ts
+++ b/test/wire/closing-connections.test.ts
@@ -58,6 +58,12 @@
     late: REQUEST,
     lastStatus: 400,
   },
+  {
+    name: 'a request for a tunnel',
+    close: (_listener, socket) => socket.write('CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n'),
+    late: REQUEST,
+    lastStatus: 400,
+  },
   {
     name: 'a header over the limit',
     close: (_listener, socket) => socket.write(`GET / HTTP/1.1\r\nX: ${'x'.repeat(20_000)}`),
