Soak of closings: callers read at rates of 0.2 to 10 MB/s, and not only late

Callers took all at once from the moment they began to read. Now each reads at a rate of its own; the slowest takes its answers (600 kB at most) within 3 s, well before the grace time.

--- a/test/closing/closing-caller.ts
+++ b/test/closing/closing-caller.ts
@@ -24,6 +24,7 @@
   'no request': () => 'NONSENSE\r\n\r\n',
   'a long header': () => 'x'.repeat(20_000),
 };
+const READ_EACH_MILLIS = 10;
 /** A caller that waits for ever gives up. */
 const GIVE_UP_MILLIS = 20_000;
 
@@ -37,6 +38,7 @@
   readonly broken: number | null;
   readonly lastSent: LastSent;
   readonly readFromMillis: number;
+  readonly bytesPerSecond: number;
   readonly sendEachMillis: number;
 }
 
@@ -75,8 +77,9 @@
   socket.write(requests.join('') + LAST_SENT[plan.lastSent]());
   const timer = keepSending(socket, plan);
   await sleep(plan.readFromMillis);
-  socket.on('data', (bytes: Buffer) => answers.add(bytes));
+  const reading = readSlowly(socket, plan.bytesPerSecond, (bytes) => answers.add(bytes));
   const end = await ended;
+  clearInterval(reading);
   clearInterval(timer);
   socket.destroy();
   return { plan, whole: new Set(answers.wholeIds), statuses: answers.statuses, end };
@@ -104,6 +107,22 @@
   });
 }
 
+/** Reads at a rate; what isn't read stays with the system, which then holds the sender up. */
+function readSlowly(socket: Socket, bytesPerSecond: number, take: (bytes: Buffer) => void): NodeJS.Timeout {
+  const startedAt = performance.now();
+  let takenBytes = 0;
+  const readDue = (): void => {
+    const dueBytes = Math.floor(((performance.now() - startedAt) / 1000) * bytesPerSecond) - takenBytes;
+    const bytes: Buffer | null = socket.read(Math.min(dueBytes, socket.readableLength));
+    if (bytes !== null) {
+      takenBytes += bytes.length;
+      take(bytes);
+    }
+    socket.read(0);
+  };
+  return setInterval(readDue, READ_EACH_MILLIS);
+}
+
 function keepSending(
   socket: Socket,
   { name, lastSent, sendEachMillis }: CallerPlan,
--- a/test/closing/closing-soak.ts
+++ b/test/closing/closing-soak.ts
@@ -29,6 +29,9 @@
 const MAX_READS = 30;
 /** With the above, at most what the system takes for a caller that doesn't read. */
 const MAX_ANSWER_BYTES = 20_000;
+/** Logarithms to the base 10; the slowest reads all within 3 s. */
+const MIN_RATE = 5.3;
+const MAX_RATE = 7;
 const CLOSE_AT_ONCE = fileURLToPath(new URL('./close-at-once.js', import.meta.url));
 
 export interface SoakPlan {
@@ -201,6 +204,7 @@
       broken: random.chance(0.2) ? random.integer(0, reads - 1) : null,
       lastSent,
       readFromMillis: random.chance(0.2) ? 0 : random.integer(100, MAX_READ_FROM_MILLIS),
+      bytesPerSecond: 10 ** random.between(MIN_RATE, MAX_RATE),
       sendEachMillis: random.integer(20, 250),
     };
   }
