Listener: a connection whose answers are still being sent isn't cut at the end of a stop's grace time

Read, not seen: a connection that is being closed while bytes wait in the process (a fault's answer, an answer broken off behind a slow caller) was cut with them at the end of the grace time; the process may go on sending until it is killed. Only those that have sent everything are closed then. An unused getter goes.

--- a/src/wire/http/lingering-connections.ts
+++ b/src/wire/http/lingering-connections.ts
@@ -34,18 +34,13 @@
   readonly #onCut: (cut: CutConnection) => void;
   readonly #connections = new Map<Socket, Lingering>();
   #timer: NodeJS.Timeout | undefined;
-  /** When all are closed at the latest. */
+  /** When those that have sent everything are closed at the latest. */
   #end = Number.POSITIVE_INFINITY;
 
   constructor(onCut: (cut: CutConnection) => void) {
     this.#onCut = onCut;
   }
 
-  /** Number of connections that are being closed. */
-  get size(): number {
-    return this.#connections.size;
-  }
-
   /**
    * Ends a connection of an HTTP server once all that was written to it is sent. `idleMillis` is the time since its last answer. No request
    * that still comes is handled. Does nothing if it is being closed already.
@@ -75,7 +70,7 @@
     this.#timer ??= setInterval(() => this.#check(), CHECK_MILLIS);
   }
 
-  /** Closes those that are still open `millis` from now, and later ones at that time. */
+  /** Closes those that have sent everything `millis` from now, and later ones at once. */
   closeWithin(millis: number): void {
     this.#end = performance.now() + millis;
   }
@@ -83,7 +78,8 @@
   #check(): void {
     const now = performance.now();
     for (const [socket, lingering] of this.#connections) {
-      if (now >= Math.min(lingering.until, this.#end)) {
+      const isOver = now >= this.#end && socket.writableFinished;
+      if (isOver || now >= lingering.until) {
         this.#cut(socket, lingering);
       }
     }
