--- a/test/contract/router-callers.test.ts
+++ b/test/contract/router-callers.test.ts
@@ -105,7 +105,7 @@
     bytes: `POST /reads/1 HTTP/1.1\r\n${CLOSE}\r\nContent-Length: 10\r\n\r\npart`,
     status: 408,
   },
-  { request: 'to open a tunnel', bytes: 'CONNECT x:1 HTTP/1.1\r\nHost: x:1\r\n\r\n', status: null },
+  { request: 'to open a tunnel', bytes: 'CONNECT x:1 HTTP/1.1\r\nHost: x:1\r\n\r\n', status: 400 },
   {
     request: 'that must not be repeated, without a key',
     bytes: `POST /orders/1 HTTP/1.1\r\n${CLOSE}\r\nContent-Length: 0\r\n\r\n`,
