--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -63,6 +63,20 @@
     source: 'router',
     fields: ['from', 'lingeredMillis', 'discardedBytes', 'unsentBytes'],
   },
+  'request-unanswered': {
+    source: 'router',
+    fields: [
+      'request',
+      'id',
+      'method',
+      'cause',
+      'isWhole',
+      'wasDispatched',
+      'isAnswerStarted',
+      'afterMillis',
+    ],
+  },
+  'request-ignored': { source: 'router', fields: ['id', 'method', 'open'] },
   'answer-broken-off': { source: 'router', fields: ['request', 'id', 'reason', 'lostBehind'] },
   'answer-missing': { source: 'router', fields: ['request', 'attempt'] },
   'path-checked': {
--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -1,7 +1,7 @@
 /** One connection of a caller with its pipelined requests. */
 import type { Socket } from 'node:net';
 import type { BufferAccount } from './answer-writer.js';
-import type { AbortReason, CallerExchange } from './caller-exchange.js';
+import type { AbortReason, CallerExchange, UnansweredCause } from './caller-exchange.js';
 import type { HeldBytes } from './held-bytes.js';
 import type { PausedConnection, PausedConnections } from './paused-connections.js';
 import { type PipelineLimits, PipelineOrder, type SocketReadMode } from './pipeline-order.js';
@@ -15,8 +15,12 @@
   readonly stallMillis: number;
   /** Called when a request may run. */
   readonly dispatch: (exchange: CallerExchange) => void;
-  /** Called when the answer of a request was written whole, or can't be written any more. */
-  readonly ended: (exchange: CallerExchange, wasDispatched: boolean) => void;
+  /** Called when the answer of a request was written whole (`unanswered` is `null`), or can't be written any more. */
+  readonly ended: (
+    exchange: CallerExchange,
+    wasDispatched: boolean,
+    unanswered: UnansweredCause | null,
+  ) => void;
   /** Called when an answer is aborted, with the number of requests lost behind it. */
   readonly broken: (exchange: CallerExchange, reason: AbortReason, lostBehind: number) => void;
 }
@@ -81,19 +85,19 @@
   }
 
   /** Marks the answer of a request as closing the connection. Ends the requests behind it and returns their number. */
-  closeAfter(exchange: CallerExchange): number {
+  #closeAfter(exchange: CallerExchange, cause: UnansweredCause): number {
     const lastDispatched = this.#order.lastDispatched;
     const lost = this.#order.closeAfter(exchange);
     const dispatchedCount = lastDispatched === undefined ? 0 : lost.indexOf(lastDispatched) + 1;
     for (const [index, behind] of lost.entries()) {
-      this.#endExchange(behind, index < dispatchedCount);
+      this.#endExchange(behind, index < dispatchedCount, cause);
     }
     return lost.length;
   }
 
   /** Called when an answer is aborted, and the connection with it. */
   onAborted(exchange: CallerExchange, reason: AbortReason): void {
-    this.#options.broken(exchange, reason, this.closeAfter(exchange));
+    this.#options.broken(exchange, reason, this.#closeAfter(exchange, 'answer-broken'));
   }
 
   isAtFront(exchange: CallerExchange): boolean {
@@ -134,7 +138,7 @@
       this.#order.close();
     } else if (lastDispatched !== undefined && (lastDispatched === exchange || !lastDispatched.answered)) {
       lastDispatched.closesConnection = true;
-      this.closeAfter(lastDispatched);
+      this.#closeAfter(lastDispatched, 'planned-stop');
     }
   }
 
@@ -145,7 +149,7 @@
       return;
     }
     this.#order.remove(exchange);
-    this.#endExchange(exchange, true);
+    this.#endExchange(exchange, true, exchange.unansweredCause);
     const front = this.#order.front;
     if (front !== undefined) {
       this.#onFrontChanged(front);
@@ -164,10 +168,10 @@
     this.#options.paused.remove(this);
     const front = this.#order.front;
     if (front !== undefined) {
-      this.closeAfter(front);
+      this.#closeAfter(front, 'connection-closed');
       const wasDispatched = this.#order.lastDispatched === front;
       this.#order.remove(front);
-      this.#endExchange(front, wasDispatched);
+      this.#endExchange(front, wasDispatched, front.unansweredCause);
     }
   }
 
@@ -203,9 +207,9 @@
     this.#updateReading();
   }
 
-  #endExchange(exchange: CallerExchange, wasDispatched: boolean): void {
+  #endExchange(exchange: CallerExchange, wasDispatched: boolean, unanswered: UnansweredCause | null): void {
     if (exchange.end()) {
-      this.#options.ended(exchange, wasDispatched);
+      this.#options.ended(exchange, wasDispatched, unanswered);
     }
   }
 
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -53,6 +53,12 @@
 /** Why an answer was aborted. */
 export type AbortReason = 'upstream-broke' | 'caller-stalled' | 'unwritable' | 'needs-length';
 
+/**
+ * Why a request has no whole answer: the answer in front of it closes the connection on a planned stop; its own answer or one in front of
+ * it was aborted; the connection was closed, by its caller or by a limit.
+ */
+export type UnansweredCause = 'planned-stop' | 'answer-broken' | 'connection-closed';
+
 export class CallerExchange {
   /** Time when the head arrived, on the monotonic clock. */
   readonly arrivedAt = performance.now();
@@ -60,6 +66,7 @@
   private answerBytes = 0;
   private writer: AnswerWriter | null = null;
   private ended = false;
+  private aborted = false;
   private received: Buffer | null = null;
 
   constructor(
@@ -107,6 +114,14 @@
     return this.ended;
   }
 
+  /** Why the request has no whole answer once its response has closed; `null` if all of its answer left the process. */
+  get unansweredCause(): UnansweredCause | null {
+    if (this.response.writableFinished) {
+      return null;
+    }
+    return this.aborted ? 'answer-broken' : 'connection-closed';
+  }
+
   /** Time left until the caller's deadline, if it sent one. Time spent behind other requests of the connection counts. */
   get remainingMillis(): number | null {
     const { deadlineMillis } = this.head;
@@ -197,6 +212,7 @@
   /** Aborts the answer. The caller's connection closes once the requests in front are answered. */
   abort(reason: AbortReason): void {
     this.answerStarted = true;
+    this.aborted = true;
     this.writer?.close();
     this.connection.onAborted(this, reason);
     if (reason === 'caller-stalled') {
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -16,6 +16,7 @@
   endConnectionAt,
   type RetryAfterUnit,
   type RouterAnswer,
+  type UnansweredCause,
   writeRouterAnswer,
 } from './caller-exchange.js';
 import type { HeldBytes } from './held-bytes.js';
@@ -75,7 +76,7 @@
       paused: this.paused,
       stallMillis: streamStallMillis,
       dispatch: (exchange) => this.dispatch(exchange),
-      ended: (exchange, wasDispatched) => this.ended(exchange, wasDispatched),
+      ended: (exchange, wasDispatched, unanswered) => this.ended(exchange, wasDispatched, unanswered),
       broken: (exchange, reason, lostBehind) => this.broken(exchange, reason, lostBehind),
     };
   }
@@ -89,6 +90,9 @@
   accept(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.connectionOf(request.socket);
     if (!connection.acceptsRequests()) {
+      const { headers, method } = request;
+      const id = headers[this.parts.addressing.headers.requestId] ?? null;
+      this.parts.log.info('request-ignored', { id, method, open: connection.size });
       return;
     }
     let head: CallerRequestHead;
@@ -177,8 +181,11 @@
     this.parts.arrived(arrivedRequest(exchange));
   }
 
-  private ended(exchange: CallerExchange, wasDispatched: boolean): void {
+  private ended(exchange: CallerExchange, wasDispatched: boolean, unanswered: UnansweredCause | null): void {
     this.exchanges.delete(exchange.number);
+    if (unanswered !== null) {
+      this.logUnanswered(exchange, wasDispatched, unanswered);
+    }
     this.parts.bodies.release(exchange.body);
     if (!wasDispatched) {
       return;
@@ -189,6 +196,20 @@
     this.parts.closed(exchange.number);
   }
 
+  private logUnanswered(exchange: CallerExchange, wasDispatched: boolean, cause: UnansweredCause): void {
+    const { number, head, isWhole, answered, arrivedAt } = exchange;
+    this.parts.log.info('request-unanswered', {
+      request: number,
+      id: head.requestId,
+      method: head.method,
+      cause,
+      isWhole,
+      wasDispatched,
+      isAnswerStarted: answered,
+      afterMillis: Math.round(performance.now() - arrivedAt),
+    });
+  }
+
   private broken(exchange: CallerExchange, reason: AbortReason, lostBehind: number): void {
     this.parts.metrics.recordBrokenAnswer(reason);
     const { head, number } = exchange;
--- /dev/null
+++ b/test/router/caller/unanswered-requests.test.ts
@@ -0,0 +1,66 @@
+/** The log names each request whose connection ended without its whole answer, and why. */
+import { expect } from 'chai';
+import { LogRecorder } from '../log-recorder.js';
+import { RouterFixture, until } from '../router-fixture.js';
+import { answerWhole, headFor, type ScriptedRequest, ScriptedUpstream } from '../scripted-upstream.js';
+import { getHead, postHead, RawCaller } from './raw-caller.js';
+
+const LARGE_BYTES = 4096;
+
+describe('requests without an answer', () => {
+  let upstream: ScriptedUpstream;
+  let router: RouterFixture;
+  let caller: RawCaller;
+  let log: LogRecorder;
+
+  beforeEach(async () => {
+    log = new LogRecorder();
+    upstream = await new ScriptedUpstream(() => {}).start();
+    router = await RouterFixture.start([upstream], { reads: { wholeAnswerBytes: 1024 }, log });
+    caller = await RawCaller.connect(router.address);
+  });
+
+  afterEach(async () => {
+    caller.disconnect();
+    await router.stop();
+    await upstream.stop();
+  });
+
+  function logged(): unknown[] {
+    return log
+      .fieldsOf('request-unanswered')
+      .map(({ cause, method, isWhole, wasDispatched }) => ({ cause, method, isWhole, wasDispatched }));
+  }
+
+  it('are logged when their caller leaves, with whether they were handed on', async () => {
+    caller.send(getHead('/reads/1') + postHead('/orders/1', 'body'));
+    await until(() => upstream.requests.length === 1);
+    caller.disconnect();
+    await until(() => logged().length === 2);
+    expect(logged()).to.have.deep.members([
+      { cause: 'connection-closed', method: 'GET', isWhole: true, wasDispatched: true },
+      { cause: 'connection-closed', method: 'POST', isWhole: true, wasDispatched: false },
+    ]);
+  });
+
+  it('are logged when an answer is broken off, and those that were answered are not', async () => {
+    upstream.script = (request) => {
+      if (request.target === '/reads/1') {
+        request.socket.write(
+          headFor(request, `content-length: ${LARGE_BYTES}`) + 'x'.repeat(LARGE_BYTES / 2),
+        );
+      } else {
+        answerWhole(request);
+      }
+    };
+    caller.send(getHead('/reads/0') + getHead('/reads/1'));
+    await until(() => caller.answers.length === 1 && upstream.requests.length === 2);
+    const broken = upstream.requests.find(({ target }) => target === '/reads/1') as ScriptedRequest;
+    await until(() => router.daemon.openRequests === 1);
+    broken.socket.destroy();
+    await until(() => logged().length > 0);
+    expect(logged()).to.deep.equal([
+      { cause: 'answer-broken', method: 'GET', isWhole: true, wasDispatched: true },
+    ]);
+  });
+});
