Daemons: the log says which signals came, and why and with which code the process ends

Two events: signal-received (signal, time since the start) and process-ended (exit code, time since the start, the signal that asked for the stop and when it came, or the error). process-ended is written whichever logs are chosen, since a start may fail before that setting is known; the process's name is then unknown too.

No logic changes. Not covered: a signal before the daemon listens for it, and an error nobody catches, which Node prints on standard error.

--- a/src/cli/cli-io.ts
+++ b/src/cli/cli-io.ts
@@ -1,5 +1,9 @@
 /** Input and output of commands; tests supply their own. */
 import { setTimeout as sleep } from 'node:timers/promises';
+import { createLogger } from '../logging/logger.js';
+import { type HandledSignal, ReceivedSignal } from './received-signal.js';
+
+const log = createLogger('process');
 
 /** The process interface of a command: output, environment, signals and sleep. */
 export interface CliIo {
@@ -8,7 +12,7 @@
   /** Writes to standard error. */
   writeError(text: string): void;
   readonly environment: Readonly<Record<string, string | undefined>>;
-  /** Aborted when the user or a supervisor stops the command. */
+  /** Aborted when the user or a supervisor stops the command; the reason is the `ReceivedSignal`, if it was one. */
   readonly stopSignal: AbortSignal;
   /** Registers a listener for requests to reload the settings; omitted if reloading isn't supported. */
   readonly onReload?: (listener: () => void) => void;
@@ -29,14 +33,24 @@
 export function processIo(): CliIo {
   const controller = new AbortController();
   for (const signal of ['SIGINT', 'SIGTERM'] as const) {
-    process.on(signal, () => controller.abort());
+    process.on(signal, () => controller.abort(receive(signal)));
   }
   return {
     write: (text) => void process.stdout.write(text),
     writeError: (text) => void process.stderr.write(text),
     environment: process.env,
     stopSignal: controller.signal,
-    onReload: (listener) => void process.on('SIGHUP', listener),
+    onReload: (listener) =>
+      void process.on('SIGHUP', () => {
+        receive('SIGHUP');
+        listener();
+      }),
     sleep: (millis) => interruptibleSleep(millis, controller.signal),
   };
 }
+
+function receive(signal: HandledSignal): ReceivedSignal {
+  const received = new ReceivedSignal(signal);
+  log.info('signal-received', { ...received });
+  return received;
+}
--- a/src/cli/daemons/run-control.ts
+++ b/src/cli/daemons/run-control.ts
@@ -21,6 +21,7 @@
 import type { ExitCode } from '../exit-codes.js';
 import { runDaemon } from '../run-daemon.js';
 import { settingsLayers } from '../settings-options.js';
+import { logEnd } from './log-end.js';
 import { SettingsWatch } from './settings-watch.js';
 
 function daemonSettings(settings: ControlSettings): ControlDaemonSettings {
@@ -71,7 +72,11 @@
 }
 
 /** Validates settings and ports before touching the data folder; returns when the daemon has stopped. */
-export async function runControl(invocation: Invocation): Promise<ExitCode> {
+export function runControl(invocation: Invocation): Promise<ExitCode> {
+  return logEnd(invocation.io, () => run(invocation));
+}
+
+async function run(invocation: Invocation): Promise<ExitCode> {
   const settings = loadControlSettings(settingsLayers(invocation));
   const daemon = daemonSettings(settings);
   await ensureAddressFree(settings.listen);
--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -12,6 +12,7 @@
 import type { ExitCode } from '../exit-codes.js';
 import { runDaemon } from '../run-daemon.js';
 import { settingsLayers } from '../settings-options.js';
+import { logEnd } from './log-end.js';
 import { SettingsWatch } from './settings-watch.js';
 
 function daemonSettings(settings: RouterSettings): RouterDaemonSettings {
@@ -65,7 +66,11 @@
 }
 
 /** Validates the settings before opening a port; returns when the daemon has stopped. */
-export async function runRouter(invocation: Invocation): Promise<ExitCode> {
+export function runRouter(invocation: Invocation): Promise<ExitCode> {
+  return logEnd(invocation.io, () => run(invocation));
+}
+
+async function run(invocation: Invocation): Promise<ExitCode> {
   const settings = loadRouterSettings(settingsLayers(invocation));
   const daemon = daemonSettings(settings);
   await ensureAddressFree(settings.listen);
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -20,6 +20,11 @@
   stopping: { source: 'both', fields: ['replica', 'openRequests'] },
   stopped: { source: 'both', fields: ['replica'] },
   failed: { source: 'both', fields: ['replica', 'error'] },
+  'signal-received': { source: 'both', fields: ['signal', 'uptimeMillis'] },
+  'process-ended': {
+    source: 'both',
+    fields: ['exitCode', 'uptimeMillis', 'signal', 'signalUptimeMillis', 'error'],
+  },
   'settings-reloaded': { source: 'both', fields: ['why'] },
   'settings-unusable': { source: 'both', fields: ['why', 'error'] },
   'records-dropped': { source: 'both', fields: ['dropped'] },
