Router: at a planned stop each request that was read is answered, also where others stand in front of it

Callers that pipeline saw the connection end behind an answer while whole requests of theirs, read after the stop began, still waited behind it: an order behind a read or another order, reads behind an order, a request whose body was still coming, a request answered with 400 for its head. Which answer closes the connection was decided when the first answer since the stop started, and it was that of the last request handed on by then; those that waited were dropped. The same happened without any stop: an order with `Connection: close` that waited behind another one was dropped, since the answer in front was made the last one.

Now the answer that closes is that of the last request that was read when its turn to be written comes. So a whole answer waits in the router until those in front of it are written, and what comes meanwhile is answered too. A caller that sends on and on can't hold up the stop: 1.5 s after the first request that was read in the stop the next answer that starts ends the accepting, and what was read by then is answered.

Three tests held that a request that comes between the first answer and the last is not handed on, or may be dropped. They are replaced by ones that ask for its answer; that nothing is handed on behind an answer that closes and has begun has a test of its own.

--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -25,11 +25,16 @@
   readonly broken: (exchange: CallerExchange, reason: AbortReason, lostBehind: number) => void;
 }
 
+/** How long requests are still accepted behind one that would close the connection: a caller that pipelines on and on must not hold up a stop. */
+const MAX_CLOSE_DELAY_MILLIS = 1500;
+
 export class CallerConnection implements BufferAccount, PausedConnection {
   readonly #options: CallerConnectionOptions;
   readonly #socket: Socket;
   readonly #order: PipelineOrder<CallerExchange>;
   readonly #pause: SocketPause;
+  /** When a request was first read whose answer closes the connection unless another request comes behind it. */
+  #closesSince: number | null = null;
 
   constructor(socket: Socket, options: CallerConnectionOptions) {
     this.#options = options;
@@ -62,10 +67,9 @@
 
   /** Adds the next request, whose body may not have arrived yet. */
   add(exchange: CallerExchange): void {
-    const before = this.#order.last;
-    if (before !== undefined && !before.answered && before.closesConnection) {
-      // When a planned stop closes a connection, only the answer to its last request has `connection: close`.
-      before.closesConnection = false;
+    this.#keepOpenBehindLast();
+    if (exchange.closesConnection) {
+      this.#closesSince ??= performance.now();
     }
     this.#order.add(exchange);
     if (this.#order.front?.answered === true) {
@@ -79,6 +83,12 @@
     this.#dispatchPending();
   }
 
+  /** Called when the next request is rejected by its head, which closes the connection. Requests that were read before are still answered. */
+  closeBehindLast(): void {
+    this.#keepOpenBehindLast();
+    this.#order.close();
+  }
+
   /** Accepts no more requests. Requests that were read before are still answered. */
   close(): void {
     this.#order.close();
@@ -124,21 +134,21 @@
     this.#options.held.cancelWait(wake);
   }
 
-  /** Called when an answer of `bytes` starts. On a planned stop this decides which answer is the last. */
-  onAnswerStart(exchange: CallerExchange, bytes: number, isStreamed: boolean): void {
+  recordAnswerSize(bytes: number): void {
     this.#order.recordAnswerSize(bytes);
-    if (this.isAtFront(exchange) && (isStreamed || this.#order.size > 1)) {
+  }
+
+  /**
+   * Called when the answer in front is about to be written. If it belongs to the last request that was read, and that one closes the
+   * connection, no more are accepted; nor are they once the connection was to close for `MAX_CLOSE_DELAY_MILLIS`.
+   */
+  onAnswerBegins(exchange: CallerExchange, isStreamed: boolean): void {
+    if (isStreamed || this.#order.size > 1) {
       this.#startStallTimeout();
     }
-    const { last, lastDispatched } = this.#order;
-    if (last === undefined || !last.closesConnection || this.#order.isClosing) {
-      return;
-    }
-    if (last === lastDispatched) {
+    const { last } = this.#order;
+    if (last?.closesConnection === true && (last === exchange || this.#isCloseOverdue())) {
       this.#order.close();
-    } else if (lastDispatched !== undefined && (lastDispatched === exchange || !lastDispatched.answered)) {
-      lastDispatched.closesConnection = true;
-      this.#closeAfter(lastDispatched, 'planned-stop');
     }
   }
 
@@ -163,6 +173,18 @@
     }
   }
 
+  /** When a planned stop closes a connection, only the answer to its last request has `connection: close`. */
+  #keepOpenBehindLast(): void {
+    const { last } = this.#order;
+    if (last?.closesConnection === true) {
+      last.closesConnection = false;
+    }
+  }
+
+  #isCloseOverdue(): boolean {
+    return this.#closesSince !== null && performance.now() - this.#closesSince > MAX_CLOSE_DELAY_MILLIS;
+  }
+
   /** Ends all requests, since a closed socket can't carry an answer. */
   #onClosed(): void {
     this.#options.paused.remove(this);
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -53,11 +53,8 @@
 /** Why an answer was aborted. */
 export type AbortReason = 'upstream-broke' | 'caller-stalled' | 'unwritable' | 'needs-length';
 
-/**
- * Why a request has no whole answer: the answer in front of it closes the connection on a planned stop; its own answer or one in front of
- * it was aborted; the connection was closed, by its caller or by a limit.
- */
-export type UnansweredCause = 'planned-stop' | 'answer-broken' | 'connection-closed';
+/** Why a request has no whole answer: its own answer or one in front of it was aborted, or its connection was closed, by its caller or by a limit. */
+export type UnansweredCause = 'answer-broken' | 'connection-closed';
 
 export class CallerExchange {
   /** Time when the head arrived, on the monotonic clock. */
@@ -65,6 +62,8 @@
   private answerStarted = false;
   private answerBytes = 0;
   private writer: AnswerWriter | null = null;
+  /** Writes an answer that waits for those in front of it. */
+  private writeWaiting: (() => void) | null = null;
   private ended = false;
   private aborted = false;
   private received: Buffer | null = null;
@@ -136,7 +135,7 @@
     return forwardedRequestHeaders(this.request.rawHeaders);
   }
 
-  /** Whether an answer has been started. */
+  /** Whether the request has its answer, of which nothing may be written yet. */
   get answered(): boolean {
     return this.answerStarted;
   }
@@ -163,15 +162,16 @@
       writer.end();
       return;
     }
-    this.startAnswer(body.length);
-    this.response.writeHead(status, headers);
-    this.response.end(body);
+    this.startAnswer(body.length, () => {
+      this.response.writeHead(status, headers);
+      this.response.end(body);
+    });
   }
 
   /** Starts an answer of about `bytes` that is written in pieces, and returns its writer. */
   startStream(status: number, headers: string[], bytes: number): AnswerWriter {
     this.answerStarted = true;
-    this.connection.onAnswerStart(this, bytes, true);
+    this.connection.recordAnswerSize(bytes);
     const writer = new AnswerWriter({
       response: this.response,
       status,
@@ -180,16 +180,15 @@
       onBroken: (started) => this.onStreamBroken(started),
     });
     this.writer = writer;
-    if (this.connection.isAtFront(this)) {
-      writer.start();
-    }
+    this.startWriterAtFront();
     return writer;
   }
 
   /** Called when the request becomes the first of its connection. */
   onReachedFront(): void {
     try {
-      this.writer?.start();
+      this.writeAtFront();
+      this.startWriterAtFront();
     } catch {
       // The upstream's headers can't be written.
       this.abort('unwritable');
@@ -213,6 +212,7 @@
   abort(reason: AbortReason): void {
     this.answerStarted = true;
     this.aborted = true;
+    this.writeWaiting = null;
     this.writer?.close();
     this.connection.onAborted(this, reason);
     if (reason === 'caller-stalled') {
@@ -231,8 +231,7 @@
 
   /** Sends an answer that the router generates itself. */
   sendRouterAnswer(answer: RouterAnswer): void {
-    this.startAnswer(0);
-    writeRouterAnswer(this.response, answer, this.streams.retryAfterUnit);
+    this.startAnswer(0, () => writeRouterAnswer(this.response, answer, this.streams.retryAfterUnit));
   }
 
   /** Called when the answer was written whole, or can't be written any more. Returns `false` if the exchange had already ended. */
@@ -241,6 +240,7 @@
       return false;
     }
     this.ended = true;
+    this.writeWaiting = null;
     this.writer?.close();
     if (this.answerBytes > 0) {
       this.connection.hold(-this.answerBytes);
@@ -248,11 +248,31 @@
     return true;
   }
 
-  private startAnswer(answerBytes: number): void {
+  /** Takes a whole answer, which `write` writes once those in front of it are written: only then is known whether it is the last. */
+  private startAnswer(answerBytes: number, write: () => void): void {
     this.answerStarted = true;
-    this.connection.onAnswerStart(this, answerBytes, false);
+    this.connection.recordAnswerSize(answerBytes);
     this.answerBytes = answerBytes;
     this.connection.hold(answerBytes);
+    this.writeWaiting = write;
+    this.writeAtFront();
+  }
+
+  private writeAtFront(): void {
+    const write = this.writeWaiting;
+    if (write === null || !this.connection.isAtFront(this)) {
+      return;
+    }
+    this.writeWaiting = null;
+    this.connection.onAnswerBegins(this, false);
+    write();
+  }
+
+  private startWriterAtFront(): void {
+    if (this.writer !== null && this.connection.isAtFront(this)) {
+      this.connection.onAnswerBegins(this, true);
+      this.writer.start();
+    }
   }
 
   private onStreamBroken(started: boolean): void {
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -218,7 +218,7 @@
 
   /** Rejects a request whose head is invalid. */
   private rejectInvalidHead(connection: CallerConnection, response: ServerResponse, thrown: unknown): void {
-    connection.close();
+    connection.closeBehindLast();
     if (!isRejectedRequestError(thrown)) {
       this.parts.log.error('request-failed', { reason: toError(thrown) });
       endConnectionAt(response);
--- a/test/router/caller/pipelines.test.ts
+++ b/test/router/caller/pipelines.test.ts
@@ -34,6 +34,11 @@
     return upstream.requests.map(({ target }) => target);
   }
 
+  /** Whether each answer has `connection: close`. */
+  function closings(): boolean[] {
+    return caller.answers.map(({ head }) => /connection: close/i.test(head));
+  }
+
   /** Waits until a request on another connection is answered, by which time everything sent before it has been read. */
   async function waitForOtherRequest(): Promise<void> {
     await router.get('/nothing/1');
@@ -298,7 +303,7 @@
       await until(() => caller.closed);
     });
 
-    it('and more arrive: each that was forwarded is answered, and only the last answer has connection: close', async () => {
+    it('and more arrive: each is answered, and only the last answer has connection: close', async () => {
       caller.send(pipeline(reads(2)));
       await until(() => upstream.requests.length === 2);
       const stopped = router.daemon.stop();
@@ -306,23 +311,20 @@
       await until(() => upstream.requests.length === 4);
       answerWhole(requestFor('/reads/0'));
       await until(() => caller.answers.length === 1);
-      caller.send(pipeline(['/reads/late']));
       answerWhole(requestFor('/reads/3'));
       answerWhole(requestFor('/reads/2'));
+      caller.send(pipeline(['/reads/4']));
+      await until(() => upstream.requests.length === 5);
+      answerWhole(requestFor('/reads/4'));
       answerWhole(requestFor('/reads/1'));
       await until(() => caller.closed);
       await stopped;
-      expect(caller.bodies).to.deep.equal(reads(4));
-      expect(caller.answers.map(({ head }) => /connection: close/i.test(head))).to.deep.equal([
-        false,
-        false,
-        false,
-        true,
-      ]);
-      expect(targets()).to.have.members(reads(4));
+      expect(caller.bodies).to.deep.equal(reads(5));
+      expect(closings()).to.deep.equal([false, false, false, false, true]);
+      expect(targets()).to.have.members(reads(5));
     });
 
-    it('and a large answer that closes the connection waits behind another: nothing behind it is forwarded', async () => {
+    it('and a large answer waits behind another: requests that come behind it are answered', async () => {
       caller.send(pipeline(['/reads/0']));
       await until(() => upstream.requests.length === 1);
       const stopped = router.daemon.stop();
@@ -331,16 +333,94 @@
       const large = requestFor('/reads/1');
       large.socket.write(`${headFor(large, `content-length: ${LARGE.length}`)}${LARGE}`);
       await until(() => router.daemon.status().inFlight === 1);
+      upstream.script = answerWhole;
       caller.send(pipeline(['/reads/behind']));
+      await until(() => router.daemon.openRequests === 3);
       answerWhole(requestFor('/reads/0'));
       await until(() => caller.closed);
       await stopped;
-      expect(caller.bodies).to.deep.equal(['/reads/0', LARGE]);
-      expect(caller.answers[1]?.head).to.match(/connection: close/i);
-      expect(targets()).to.have.members(['/reads/0', '/reads/1']);
+      expect(caller.bodies).to.deep.equal(['/reads/0', LARGE, '/reads/behind']);
+      expect(closings()).to.deep.equal([false, false, true]);
     });
 
-    it('and an order waits behind a read: the order is answered or never sent', async () => {
+    // Guards against requests that were read after the stop began, waited for those in front of them, and were dropped with the connection.
+    it('and requests wait behind others: each is answered in order', async () => {
+      caller.send(postHead('/orders/1', 'body'));
+      await until(() => upstream.requests.length === 1);
+      const stopped = router.daemon.stop();
+      caller.send(`${pipeline(['/reads/1'])}${postHead('/orders/2', 'body')}${pipeline(['/reads/2'])}`);
+      await until(() => router.daemon.openRequests === 4);
+      upstream.script = answerWhole;
+      answerWhole(requestFor('/orders/1'));
+      await until(() => caller.closed);
+      await stopped;
+      expect(caller.bodies).to.deep.equal(['/orders/1', '/reads/1', '/orders/2', '/reads/2']);
+      expect(closings()).to.deep.equal([false, false, false, true]);
+    });
+
+    it('and the body of the last request still comes when the first answer starts: it is answered', async () => {
+      caller.send(postHead('/orders/1', 'body'));
+      await until(() => upstream.requests.length === 1);
+      const stopped = router.daemon.stop();
+      const order = postHead('/orders/2', 'body');
+      caller.send(order.slice(0, -2));
+      await until(() => router.daemon.connectionsUsage().deepest === 2);
+      upstream.script = answerWhole;
+      answerWhole(requestFor('/orders/1'));
+      await until(() => caller.answers.length === 1);
+      caller.send(order.slice(-2));
+      await until(() => caller.closed);
+      await stopped;
+      expect(caller.bodies).to.deep.equal(['/orders/1', '/orders/2']);
+      expect(closings()).to.deep.equal([false, true]);
+    });
+
+    it('and a request that is invalid comes last: those in front of it and it itself are answered', async () => {
+      caller.send(postHead('/orders/1', 'body'));
+      await until(() => upstream.requests.length === 1);
+      const stopped = router.daemon.stop();
+      caller.send(`${pipeline(['/reads/1'])}GET /reads/bad HTTP/1.1\r\n\r\n`);
+      await until(() => router.daemon.openRequests === 2);
+      upstream.script = answerWhole;
+      answerWhole(requestFor('/orders/1'));
+      await until(() => caller.closed);
+      await stopped;
+      expect(caller.statuses).to.deep.equal([200, 200, 400]);
+    });
+
+    it('and the last answer has begun: what comes behind it is never forwarded', async () => {
+      const stopped = router.daemon.stop();
+      caller.send(pipeline(['/reads/0']));
+      await until(() => upstream.requests.length === 1);
+      const last = requestFor('/reads/0');
+      last.socket.write(`${headFor(last, `content-length: ${LARGE.length}`)}${LARGE.slice(0, 2000)}`);
+      await until(() => caller.rest.endsWith('x'));
+      caller.send(pipeline(['/reads/late']));
+      await new Promise((resolve) => setTimeout(resolve, IDLE_MILLIS / 4));
+      last.socket.write(LARGE.slice(2000));
+      await until(() => caller.closed);
+      await stopped;
+      expect([caller.bodies, closings(), targets()]).to.deep.equal([[LARGE], [true], ['/reads/0']]);
+    });
+
+    it('and its caller sends on and on: the stop ends, and each request that ran is answered', async () => {
+      caller.send(pipeline(['/reads/0']));
+      await until(() => upstream.requests.length === 1);
+      const stopped = router.daemon.stop();
+      let sent = 1;
+      upstream.script = (request) => {
+        sent += 1;
+        caller.send(pipeline([`/reads/${sent}`]));
+        setTimeout(() => answerWhole(request), IDLE_MILLIS / 4);
+      };
+      caller.send(pipeline(['/reads/1']));
+      answerWhole(requestFor('/reads/0'));
+      await stopped;
+      await until(() => caller.closed);
+      expect(caller.answers).to.have.length(upstream.requests.length);
+    });
+
+    it('and an order waits behind a read: the order is answered', async () => {
       caller.send(pipeline(['/reads/0']));
       await until(() => upstream.requests.length === 1);
       const stopped = router.daemon.stop();
@@ -350,10 +430,22 @@
       answerWhole(requestFor('/reads/0'));
       await until(() => caller.closed);
       await stopped;
-      expect(caller.answers).to.have.length(upstream.requests.length);
+      expect(caller.bodies).to.deep.equal(['/reads/0', '/orders/1']);
     });
   });
 
+  // Guards against the last request of a caller that is dropped since it asks for the connection to close while it waits behind another.
+  it('the last of them, which asks to close the connection, is answered behind a slower one', async () => {
+    const last = postHead('/orders/2', 'body').replace('Host: r', 'Host: r\r\nConnection: close');
+    caller.send(`${postHead('/orders/1', 'body')}${last}`);
+    await until(() => router.daemon.openRequests === 2 && upstream.requests.length === 1);
+    upstream.script = answerWhole;
+    upstream.requests.forEach(answerWhole);
+    await until(() => caller.closed);
+    expect(caller.bodies).to.deep.equal(['/orders/1', '/orders/2']);
+    expect(closings()).to.deep.equal([false, true]);
+  });
+
   it('ten thousand of them are all released when their callers disconnect one by one', async function () {
     this.timeout(60_000);
     const connections = 500;
