Router: a planned stop leaves reads to their upstreams, however long they take

Callers of a stopping router got 502 for a read that its upstream was at work on: an overdue read is cancelled and sent to another upstream, which may refuse the connection, and no budget was left.

A retry that cuts off work is a wager that pays where callers can ask again at the same router; around a stop it breaks the promise that nothing in flight is cut off. The core is told of the stop (input 'stopping', in the simulator too) and no longer looks for overdue reads. A real break of the upstream is still repeated. overdue-attempts failed before: the attempt was cancelled after 0.35 s of the stop.

--- a/src/dev/sim/router/sim-router.ts
+++ b/src/dev/sim/router/sim-router.ts
@@ -77,6 +77,7 @@
   /** Planned stop: accepts no new requests and ends once all open ones are answered. */
   stopByPlan(): void {
     this.isStopping = true;
+    this.input({ type: 'stopping' });
     if (this.world.sabotage === 'planned-stop-cuts') {
       this.endByPlan();
       return;
--- a/src/routing/lost-attempts.ts
+++ b/src/routing/lost-attempts.ts
@@ -50,15 +50,21 @@
   /** Schedules the periodic check for overdue reads while any attempt is in flight. */
   scheduleSweep(): void {
     const { context } = this;
-    if (!this.sweepScheduled && context.attempts.size > 0) {
+    if (!this.sweepScheduled && !context.stopping && context.attempts.size > 0) {
       this.sweepScheduled = true;
       context.schedule(context.now + SWEEP_INTERVAL_MILLIS, { type: 'overdue-sweep' });
     }
   }
 
-  /** Abandons overdue reads and retries them elsewhere, as far as the retry budgets allow. */
+  /**
+   * Abandons overdue reads and retries them elsewhere, as far as the retry budgets allow. A retry may fail, and nobody is left to repeat what
+   * a stopping router cut off, so on a planned stop reads are left to their upstreams.
+   */
   sweep(): void {
     this.sweepScheduled = false;
+    if (this.context.stopping) {
+      return;
+    }
     for (const attempt of this.current()) {
       if (this.canRetryElsewhere(attempt) && attempt.group.service.retryBudget.tryRetry()) {
         this.results.retryElsewhere(attempt);
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -54,6 +54,8 @@
   readonly members = new NumberedTable<Member>();
   /** Number of the attempt that started last; 0: none. */
   latestAttempt: AttemptNumber = 0;
+  /** Whether a planned stop is in progress. */
+  stopping = false;
   /** Whether `policy-trace` effects are emitted. */
   tracing = false;
   /** Whether a request was refused because the owner of its key has no capacity left; loads are then reported early. */
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -186,6 +186,9 @@
       case 'probe-result':
         this.handleProbe(input.upstream, input.healthy, input.load);
         return;
+      case 'stopping':
+        this.context.stopping = true;
+        return;
       case 'policy-trace':
         this.context.tracing = input.on;
         return;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -140,6 +140,8 @@
       readonly healthy: boolean;
       readonly load: number | null;
     }
+  /** A planned stop began. What upstreams work on is left to them. */
+  | { readonly type: 'stopping' }
   /** Turns `policy-trace` effects on or off. */
   | { readonly type: 'policy-trace'; readonly on: boolean }
   /** The platform's list of machines, which may be outdated; a hint only. */
--- a/test/routing/overdue-attempts.test.ts
+++ b/test/routing/overdue-attempts.test.ts
@@ -31,6 +31,16 @@
     expect(harness.core.status().inFlight).to.equal(0);
   });
 
+  // Guards against reads that a stopping router breaks off while their upstream works, and answers with a failure of its own.
+  it('continues on a planned stop', () => {
+    const harness = start();
+    const [first] = effectsOfType(harness.request('board'), 'dispatch');
+    harness.step({ type: 'stopping' });
+    const effects = harness.run(OVERDUE_MILLIS);
+    expect(effectsOfType(effects, 'cancel-attempt')).to.deep.equal([]);
+    expect(effectsOfType(harness.ended(first?.attempt as number), 'deliver')).to.have.length(1);
+  });
+
   it('continues if the retry budget is spent', () => {
     const harness = start({ retryBudget: 0 });
     const [first] = effectsOfType(harness.request('board'), 'dispatch');
