Listener: an idle connection is closed only if no request waits to be read

Timers run before sockets are read, so the connection counted as idle while a request waited in the system.

Both now look again after sockets were read (`setImmediate` in a timer runs after them) and close the connection only if nothing was received in between.

Evidence: idle-connections.test sends a request, holds the process up for twice the idle time and counts answers: on the code before both cases failed in 3 of 3 runs (1 of 2 answers), now they pass in 3 of 3.

--- a/src/wire/http/graceful-server.ts
+++ b/src/wire/http/graceful-server.ts
@@ -56,7 +56,7 @@
       NetServer.prototype.close.call(this.#server, () => resolve());
     });
     let sweep: NodeJS.Timeout | undefined;
-    const closeIdle = (): void => this.#connections.closeIdle((socket) => socket.destroySoon());
+    const closeIdle = (): void => this.#connections.closeIdle((socket) => this.#closeUnlessReceived(socket));
     const idle = setTimeout(() => {
       closeIdle();
       sweep = setInterval(closeIdle, IDLE_CHECK_MILLIS);
@@ -77,6 +77,16 @@
       if (this.#connections.hasOpenResponse(socket)) {
         socket.destroy();
       } else {
+        this.#closeUnlessReceived(socket);
+      }
+    });
+  }
+
+  /** Closes an idle connection unless a request waited to be read: timers run before sockets are read, also after the process was held up. */
+  #closeUnlessReceived(socket: Socket): void {
+    const { bytesRead } = socket;
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) {
         socket.destroySoon();
       }
     });
