Router: callers that leave while a connection is being opened no longer eject the upstream

What callers saw: reads at a sound upstream were held, sent elsewhere or answered 502, since the router had ejected it.

Cause: an attempt that is cancelled before its connection is there ends as connect-failed, the same as a connection that fails; so each caller that leaves at once counted as a failed connection, and three in a row eject. A cancelled attempt whose request was sent counts only if it took long; one that wasn't sent does so too now. connect-failed says `cancelled` for it, in the router, the simulator and the model of the bench. A connection that hangs for as long as a slow request still counts.

--- a/src/dev/bench/world/model-router.ts
+++ b/src/dev/bench/world/model-router.ts
@@ -273,7 +273,7 @@
     }
     const { sent, upstream } = attempt;
     if (sent === null) {
-      this.endLater(number, { type: 'connect-failed' });
+      this.endLater(number, { type: 'connect-failed', cancelled: true });
       return;
     }
     this.parts.network.send(this.zone, upstream.definition.zone, () => {
--- a/src/dev/sim/router/sim-attempt.ts
+++ b/src/dev/sim/router/sim-attempt.ts
@@ -60,7 +60,9 @@
     this.connection?.cancel();
     const wasSent = this.phase === 'sent';
     this.phase = 'over';
-    const result: AttemptResult = { type: wasSent ? 'cancelled' : 'connect-failed' };
+    const result: AttemptResult = wasSent
+      ? { type: 'cancelled' }
+      : { type: 'connect-failed', cancelled: true };
     this.router.schedule(0, () => this.router.attemptEnded(this.number, result), true);
   }
 
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -245,7 +245,9 @@
       return;
     }
     if (this.abortReason === 'cancelled') {
-      this.report({ type: this.phase === 'waiting' ? 'connect-failed' : 'cancelled' });
+      this.report(
+        this.phase === 'waiting' ? { type: 'connect-failed', cancelled: true } : { type: 'cancelled' },
+      );
       return;
     }
     if (this.phase !== 'waiting') {
@@ -341,7 +343,7 @@
     this.abortReason = failure;
     if (this.phase === 'waiting') {
       // The request waits for a connection and was never sent; `onConnect` will abort it.
-      this.report({ type: 'connect-failed' });
+      this.report({ type: 'connect-failed', cancelled: failure === 'cancelled' });
       return;
     }
     this.abortRequest?.(new AttemptAbortedError(failure));
--- a/src/routing/attempt-evidence.ts
+++ b/src/routing/attempt-evidence.ts
@@ -59,6 +59,10 @@
         if (result.recalled === true) {
           return;
         }
+        // A caller that leaves at once says nothing about the upstream.
+        if (result.cancelled === true && tookMillis < slowAttemptMillis(attempt)) {
+          return;
+        }
         if (result.closedOnAccept === true) {
           // The upstream is alive, but at its limit of connections or requests.
           this.countRefusal(upstream, 'overloaded', Number.POSITIVE_INFINITY);
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -92,13 +92,14 @@
   /**
    * There was no connection, so nothing was sent. `closedOnAccept`: the upstream accepted a connection and closed it at once.
    * `refused`: nothing listens at the address. `recalled`: cancelled by `recall-unsent` while it waited for a connection.
-   * `relayFailure`: the router that should carry the connection couldn't be used.
+   * `cancelled`: by `cancel-attempt` while it waited for a connection. `relayFailure`: the router that should carry the connection couldn't be used.
    */
   | {
       readonly type: 'connect-failed';
       readonly closedOnAccept?: boolean;
       readonly refused?: boolean;
       readonly recalled?: boolean;
+      readonly cancelled?: boolean;
       readonly relayFailure?: RelayFailure;
     }
   /** Something was sent and no whole answer arrived. `how`: left out if the I/O layer can't determine it. */
--- a/test/router/cancelled-attempts.test.ts
+++ b/test/router/cancelled-attempts.test.ts
@@ -1,7 +1,10 @@
-/** What becomes of the connection of an attempt that is cancelled. */
+/** What becomes of the connection of an attempt that is cancelled, and of its upstream. */
 import { once } from 'node:events';
+import { connect } from 'node:net';
 import { expect } from 'chai';
-import { call, RouterFixture } from './router-fixture.js';
+import { parseAddress } from '../../src/wire/address.js';
+import { LogRecorder } from './log-recorder.js';
+import { call, RouterFixture, until } from './router-fixture.js';
 import { type ScriptedRequest, ScriptedUpstream } from './scripted-upstream.js';
 
 describe('a cancelled attempt', () => {
@@ -48,3 +51,29 @@
     expect(await leave('x'.repeat(100_000))).to.equal('ECONNRESET');
   });
 });
+
+describe('attempts that are cancelled while their connection is being opened', () => {
+  const CALLERS = 6;
+
+  // Guards against sound upstreams that are ejected since callers left before a connection was there.
+  it('do not eject their upstream', async () => {
+    const log = new LogRecorder();
+    const upstreams = [
+      await new ScriptedUpstream(() => {}).start(),
+      await new ScriptedUpstream(() => {}).start(),
+    ];
+    const router = await RouterFixture.start(upstreams, { log });
+    const { host, port } = parseAddress(router.address);
+    for (let count = 1; count <= CALLERS; count += 1) {
+      const caller = connect({ host, port });
+      caller.resume();
+      caller.end('GET /reads/1 HTTP/1.1\r\nhost: router\r\n\r\n');
+      await until(() => log.fieldsOf('request-cancelled').length === count);
+    }
+    const attempts = log.fieldsOf('request-cancelled').map(({ attempts }) => attempts);
+    expect(attempts).to.have.nested.property('[0][0].connectedAt', null);
+    expect(log.fieldsOf('upstream-ejected')).to.deep.equal([]);
+    await router.stop();
+    await Promise.all(upstreams.map((upstream) => upstream.stop()));
+  });
+});
