Paths: one place alone proves no fault of an upstream

Callers of a router that had lost its own path and whose relay was slow got 503 or 502 (no-path, retry-budget-spent), though the upstream answered all the time. Cause: when a relay counts as lost, its upstream is checked over the direct path and over other relays; with no other relay the direct path alone, which was cut long ago, gave the verdict: `unreachable` where it is silent, `ended` where it is refused. Seen in log lines of relayed-path.test beside eight busy processes (load 28 to 43), runs of a scratch copy that logs all: path-checked with path r2, current no-relay, others [silent], verdict unreachable, then 20 refusals; and others [refused], verdict ended, in a cut by refusal.

The two new cases failed before (ended and unreachable for unknown); two more hold that a peer beside the direct path is still enough.

--- a/src/routing/paths/path-check.ts
+++ b/src/routing/paths/path-check.ts
@@ -12,6 +12,8 @@
 const MAX_SILENT_ROUNDS = 2;
 /** Rounds of peers that are refused too, if this router isn't cut off and nobody is accused by the verdict. */
 const MAX_QUICK_ROUNDS = 1;
+/** Places that must find an upstream out of reach before that is its own fault. */
+const PLACES_THAT_AGREE = 2;
 
 /** A path: over a relay, or direct (`null`). */
 export type Path = RelayPeer | null;
@@ -182,6 +184,10 @@
   }
 
   #verdict(): PathVerdict {
+    const sights = [this.#seen, ...this.#outcomes].filter(isSight);
+    if (sights.length < PLACES_THAT_AGREE) {
+      return { type: 'unknown' };
+    }
     if (this.#outcomes.includes(PATH_OUTCOMES.refused)) {
       return { type: 'ended' };
     }
@@ -189,6 +195,11 @@
   }
 }
 
+/** Whether an outcome tells of the upstream, and not of a relay or of this process. */
+function isSight(outcome: PathOutcome | null): boolean {
+  return outcome === PATH_OUTCOMES.refused || outcome === PATH_OUTCOMES.silent;
+}
+
 /** The direct path, if it is among the others, and a few peers of different zones. */
 function nextRound(others: readonly Path[]): Path[] {
   const peers = others.filter((path): path is RelayPeer => path !== null);
--- a/test/routing/path-check.test.ts
+++ b/test/routing/path-check.test.ts
@@ -56,6 +56,21 @@
     });
   }
 
+  for (const direct of ['refused', 'silent'] as const) {
+    it(`blames no upstream that only its lost direct path can tell of, its relay being lost too (${direct})`, () => {
+      const [relay, ...others] = PEERS;
+      const check = new PathCheck(relay as RelayPeer, [null, ...others], 'no-relay');
+      expect(run(check, directly(direct, 'no-relay')).verdict.type).to.equal('unknown');
+    });
+
+    it(`blames an upstream that its direct path and a peer can tell of, its relay being lost (${direct})`, () => {
+      const [relay, ...others] = PEERS;
+      const check = new PathCheck(relay as RelayPeer, [null, ...others], 'no-relay');
+      const type = { refused: 'ended', silent: 'unreachable' }[direct];
+      expect(run(check, directly(direct, direct)).verdict.type).to.equal(type);
+    });
+  }
+
   it('asks few peers about an upstream that refuses while others answer', () => {
     const check = new PathCheck(null, PEERS, null, HEARS_OTHERS);
     const result = run(check, directly('refused', 'refused'));
