Daemons: signals are handled from the first statement to the exit; SIGTERM during a start ends it with 0

What callers saw: a process that got SIGHUP (its settings changed) soon after its start ended by that signal, and one that got SIGTERM ended by the signal or went on starting before it stopped. SIGHUP had the system's default action until settings were read, addresses tried and the data folder opened; SIGTERM until the bundle was loaded, and was then heeded only after start() had finished, for a router up to firstConfiguration later. A reload before the links to control existed was undone by the start, and a file that changed between its read and the watch's first look was never noticed.

Now early-signals listens first: in the source entry before the rest is imported, in the bundle by launch.cjs's first statement, as a script of its own that the bundles share. Signals are kept until something handles them; reloads until the settings watch exists, as one. runDaemon heeds a stop during preparation, and daemons one during their start. The watch compares with the file's version from before the read. Other commands treat signals as before.

Found while writing the tests: Node itself catches SIGTERM and SIGINT from its start, to end by them; only SIGHUP tells that a program listens.

--- a/scripts/bundle/bundle.mjs
+++ b/scripts/bundle/bundle.mjs
@@ -44,6 +44,31 @@
   },
 };
 
+/** Signals are received by a script of its own, which launch.cjs loads first; bundles share what it holds. */
+const sharedSignals = {
+  name: 'shared-signals',
+  setup({ onResolve, onLoad }) {
+    onResolve({ filter: /\/early-signals\.js$/ }, ({ path }) => ({ path, namespace: 'shared' }));
+    onLoad({ filter: /.*/, namespace: 'shared' }, () => ({
+      contents: "module.exports = requireBuiltin('./early-signals.cjs');",
+    }));
+  },
+};
+
+function bundleSignals() {
+  return build({
+    entryPoints: ['src/cli/early-signals.ts'],
+    outfile: `${FOLDER}/early-signals.cjs`,
+    bundle: true,
+    format: 'cjs',
+    platform: 'node',
+    target: 'node20',
+    minifyWhitespace: true,
+    legalComments: 'none',
+    logLevel: 'warning',
+  });
+}
+
 async function bundle(daemon) {
   const { outputFiles } = await build({
     entryPoints: [`src/cli/daemons/${daemon}-main.ts`],
@@ -61,7 +86,7 @@
     logLevel: 'warning',
     external: ['got'],
     define: { 'import.meta.url': 'moduleUrl' },
-    plugins: [leanLibraries, builtins],
+    plugins: [leanLibraries, builtins, sharedSignals],
   });
   const [{ text }] = outputFiles;
   const code = text.replace(/^#!.*\n/, '');
@@ -88,6 +113,6 @@
 
 rmSync(FOLDER, { recursive: true, force: true });
 mkdirSync(FOLDER);
-await Promise.all(DAEMONS.map(bundle));
+await Promise.all([bundleSignals(), ...DAEMONS.map(bundle)]);
 copyFileSync('scripts/bundle/launch.cjs', `${FOLDER}/ternmount.cjs`);
 DAEMONS.forEach(keepCompiled);
--- a/scripts/bundle/launch.cjs
+++ b/scripts/bundle/launch.cjs
@@ -1,7 +1,9 @@
 /**
  * Starts a daemon from its bundle: `ternmount.cjs router run ...`. With the code beside the bundle that V8 compiled when it was
- * built, nothing is parsed; without it, or if V8 refuses it, everything works the same, only later.
+ * built, nothing is parsed; without it, or if V8 refuses it, everything works the same, only later. Signals are listened for
+ * before anything else is loaded.
  */
+require('./early-signals.cjs');
 const { readFileSync } = require('node:fs');
 const { join } = require('node:path');
 const { pathToFileURL } = require('node:url');
--- a/src/cli/cli-io.ts
+++ b/src/cli/cli-io.ts
@@ -1,7 +1,13 @@
 /** Input and output of commands; tests supply their own. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createLogger } from '../logging/logger.js';
-import { type HandledSignal, ReceivedSignal } from './received-signal.js';
+import {
+  type HandledSignal,
+  type ProcessSignals,
+  type ReceivedSignal,
+  type SignalHandler,
+  STOP_SIGNALS,
+} from './process-signals.js';
 
 const log = createLogger('process');
 
@@ -12,8 +18,10 @@
   /** Writes to standard error. */
   writeError(text: string): void;
   readonly environment: Readonly<Record<string, string | undefined>>;
-  /** Aborted when the user or a supervisor stops the command; the reason is the `ReceivedSignal`, if it was one. */
+  /** Aborted when the user or a supervisor stops the command. */
   readonly stopSignal: AbortSignal;
+  /** The signal that aborted `stopSignal`, if it was one. */
+  readonly stoppedBy?: () => ReceivedSignal | undefined;
   /** Registers a listener for requests to reload the settings; omitted if reloading isn't supported. */
   readonly onReload?: (listener: () => void) => void;
   /** Resolves early, without an error, when `stopSignal` is aborted. */
@@ -29,28 +37,61 @@
   });
 }
 
-/** Creates the io of this process: SIGINT and SIGTERM abort the stop signal, SIGHUP reloads the settings. */
-export function processIo(): CliIo {
+/**
+ * Creates the io of this process: SIGINT and SIGTERM abort the stop signal, SIGHUP reloads the settings. Requests to reload are kept until
+ * there is a listener for them.
+ */
+export function processIo(signals: ProcessSignals): CliIo {
   const controller = new AbortController();
-  for (const signal of ['SIGINT', 'SIGTERM'] as const) {
-    process.on(signal, () => controller.abort(receive(signal)));
-  }
+  const reloads = new ReloadRequests();
+  let stoppedBy: ReceivedSignal | undefined;
+  const stop = (received: ReceivedSignal): void => {
+    logReceived(received);
+    stoppedBy ??= received;
+    controller.abort();
+  };
+  const handlers: Readonly<Record<HandledSignal, SignalHandler>> = {
+    SIGHUP: (received) => reloads.add(received),
+    SIGINT: stop,
+    SIGTERM: stop,
+  };
+  signals.listen(STOP_SIGNALS);
+  signals.handle((received) => handlers[received.signal](received));
   return {
     write: (text) => void process.stdout.write(text),
     writeError: (text) => void process.stderr.write(text),
     environment: process.env,
     stopSignal: controller.signal,
-    onReload: (listener) =>
-      void process.on('SIGHUP', () => {
-        receive('SIGHUP');
-        listener();
-      }),
+    stoppedBy: () => stoppedBy,
+    onReload: (listener) => reloads.listen(listener),
     sleep: (millis) => interruptibleSleep(millis, controller.signal),
   };
 }
 
-function receive(signal: HandledSignal): ReceivedSignal {
-  const received = new ReceivedSignal(signal);
+/** Requests to reload the settings; those without a listener are kept for it, as one. */
+class ReloadRequests {
+  readonly #kept: ReceivedSignal[] = [];
+  #listener: (() => void) | null = null;
+
+  add(received: ReceivedSignal): void {
+    if (this.#listener === null) {
+      this.#kept.push(received);
+    } else {
+      logReceived(received);
+      this.#listener();
+    }
+  }
+
+  listen(listener: () => void): void {
+    this.#listener = listener;
+    const kept = this.#kept.splice(0);
+    kept.forEach(logReceived);
+    if (kept.length > 0) {
+      listener();
+    }
+  }
+}
+
+function logReceived(received: ReceivedSignal): void {
   log.info('signal-received', { ...received });
-  return received;
 }
--- a/src/cli/daemons/control-main.ts
+++ b/src/cli/daemons/control-main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** Entry point of the control bundle: runs `control run` without loading the other commands, for a fast start. */
 import { controlRun } from '../commands/control-run.js';
-import { runDaemonProgram } from './daemon-program.js';
+import { earlySignals } from '../early-signals.js';
+import { runProgram } from '../program.js';
 
-await runDaemonProgram(controlRun);
+await runProgram([controlRun], earlySignals);
--- a/src/cli/daemons/log-end.ts
+++ b/src/cli/daemons/log-end.ts
@@ -4,7 +4,6 @@
 import { exitCodeOf } from '../cli-error.js';
 import type { CliIo } from '../cli-io.js';
 import type { ExitCode } from '../exit-codes.js';
-import { ReceivedSignal } from '../received-signal.js';
 
 /** Writes even if the settings that select the logs weren't read. */
 const log = createLogger('process', { always: true });
@@ -29,11 +28,10 @@
   readonly signalUptimeMillis?: number;
 }
 
-function describeStop({ stopSignal }: CliIo): StopDescription {
+function describeStop({ stoppedBy }: CliIo): StopDescription {
   const uptimeMillis = Math.round(performance.now());
-  const reason: unknown = stopSignal.reason;
-  if (!(reason instanceof ReceivedSignal)) {
-    return { uptimeMillis };
-  }
-  return { uptimeMillis, signal: reason.signal, signalUptimeMillis: reason.uptimeMillis };
+  const received = stoppedBy?.();
+  return received === undefined
+    ? { uptimeMillis }
+    : { uptimeMillis, signal: received.signal, signalUptimeMillis: received.uptimeMillis };
 }
--- a/src/cli/daemons/run-control.ts
+++ b/src/cli/daemons/run-control.ts
@@ -19,10 +19,10 @@
 import { ensureAddressFree } from '../../wire/index.js';
 import type { Invocation } from '../command-spec.js';
 import type { ExitCode } from '../exit-codes.js';
-import { runDaemon } from '../run-daemon.js';
+import { type PreparedDaemon, runDaemon } from '../run-daemon.js';
 import { settingsLayers } from '../settings-options.js';
 import { logEnd } from './log-end.js';
-import { SettingsWatch } from './settings-watch.js';
+import { readFileVersion, SettingsWatch } from './settings-watch.js';
 
 function daemonSettings(settings: ControlSettings): ControlDaemonSettings {
   const { cluster, zone, dataFolder, listen, admin, raft, lease, configLease } = settings;
@@ -71,13 +71,16 @@
     : openOrCreateReplica(dataFolder, { cluster, address: advertise, ...selfStart }, options);
 }
 
-/** Validates settings and ports before touching the data folder; returns when the daemon has stopped. */
+/** Returns when the member has stopped. */
 export function runControl(invocation: Invocation): Promise<ExitCode> {
-  return logEnd(invocation.io, () => run(invocation));
+  return logEnd(invocation.io, () => runDaemon(invocation.io, () => prepare(invocation)));
 }
 
-async function run(invocation: Invocation): Promise<ExitCode> {
-  const settings = loadControlSettings(settingsLayers(invocation));
+/** Validates settings and ports before touching the data folder. */
+async function prepare(invocation: Invocation): Promise<PreparedDaemon> {
+  const layers = settingsLayers(invocation);
+  const version = readFileVersion(layers.file);
+  const settings = loadControlSettings(layers);
   const daemon = daemonSettings(settings);
   await ensureAddressFree(settings.listen);
   await ensureAddressFree(settings.admin);
@@ -92,12 +95,7 @@
   setProcessIdentity({ process: settings.replicaName ?? replica, zone: settings.zone });
   const opened = { replica, restored, files: store, stopWaiting: () => waits.stop() };
   const member = new ControlDaemon(daemon, opened, createControlNode);
-  const layers = settingsLayers(invocation);
   const reload = (): void => member.setPeers(peersOf(loadControlSettings(layers)));
-  const watch = new SettingsWatch({ io: invocation.io, file: layers.file, reload });
-  try {
-    return await runDaemon(member, invocation.io);
-  } finally {
-    watch.stop();
-  }
+  const watch = new SettingsWatch({ io: invocation.io, file: layers.file, version, reload });
+  return { daemon: member, close: () => watch.stop() };
 }
--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -10,10 +10,10 @@
 import { ensureAddressFree } from '../../wire/index.js';
 import type { Invocation } from '../command-spec.js';
 import type { ExitCode } from '../exit-codes.js';
-import { runDaemon } from '../run-daemon.js';
+import { type PreparedDaemon, runDaemon } from '../run-daemon.js';
 import { settingsLayers } from '../settings-options.js';
 import { logEnd } from './log-end.js';
-import { SettingsWatch } from './settings-watch.js';
+import { readFileVersion, SettingsWatch } from './settings-watch.js';
 
 function daemonSettings(settings: RouterSettings): RouterDaemonSettings {
   const { cluster, router, zone, listen, admin, control, platformUrl, configLease } = settings;
@@ -65,13 +65,16 @@
   return Object.fromEntries(defined);
 }
 
-/** Validates the settings before opening a port; returns when the daemon has stopped. */
+/** Returns when the router has stopped. */
 export function runRouter(invocation: Invocation): Promise<ExitCode> {
-  return logEnd(invocation.io, () => run(invocation));
+  return logEnd(invocation.io, () => runDaemon(invocation.io, () => prepare(invocation)));
 }
 
-async function run(invocation: Invocation): Promise<ExitCode> {
-  const settings = loadRouterSettings(settingsLayers(invocation));
+/** Validates the settings before opening a port. */
+async function prepare(invocation: Invocation): Promise<PreparedDaemon> {
+  const layers = settingsLayers(invocation);
+  const version = readFileVersion(layers.file);
+  const settings = loadRouterSettings(layers);
   const daemon = daemonSettings(settings);
   await ensureAddressFree(settings.listen);
   await ensureAddressFree(settings.admin);
@@ -81,12 +84,7 @@
   enableLogs(settings.log);
   setProcessIdentity({ process: settings.router, zone: settings.zone });
   const router = new RouterDaemon(daemon, createRouterNode, 'koa');
-  const layers = settingsLayers(invocation);
   const reload = (): void => router.setControlMembers(loadRouterSettings(layers).control);
-  const watch = new SettingsWatch({ io: invocation.io, file: layers.file, reload });
-  try {
-    return await runDaemon(router, invocation.io);
-  } finally {
-    watch.stop();
-  }
+  const watch = new SettingsWatch({ io: invocation.io, file: layers.file, version, reload });
+  return { daemon: router, close: () => watch.stop() };
 }
--- a/src/cli/daemons/settings-watch.ts
+++ b/src/cli/daemons/settings-watch.ts
@@ -2,6 +2,7 @@
  * Reloads a daemon's settings on SIGHUP or when the settings file has changed, which is polled. Invalid settings are
  * logged and change nothing.
  */
+import { type Stats, statSync } from 'node:fs';
 import { stat } from 'node:fs/promises';
 import { toError } from '../../errors/ternmount-error.js';
 import { createLogger } from '../../logging/logger.js';
@@ -9,10 +10,25 @@
 
 const POLL_MILLIS = 2000;
 
+/** Tells states of a settings file apart. */
+export type FileVersion = string;
+
+/** Returns the version of the settings file, for a later watch; `null` if there is none. Read before the settings are. */
+export function readFileVersion(file: string | undefined): FileVersion | null {
+  const stats = file === undefined ? undefined : statSync(file, { throwIfNoEntry: false });
+  return stats === undefined ? null : versionOf(stats);
+}
+
+function versionOf({ mtimeMs, size, ino }: Stats): FileVersion {
+  return `${mtimeMs} ${size} ${ino}`;
+}
+
 export interface SettingsWatchOptions {
   readonly io: CliIo;
   /** Path of the settings file to poll; omitted if there is none. */
   readonly file?: string | undefined;
+  /** Version of the file before the settings in force were read; omitted: the one at the first poll. */
+  readonly version?: FileVersion | null;
   /** Reads the settings and applies those that can change in a running daemon; throws if they are invalid. */
   readonly reload: () => void;
 }
@@ -20,9 +36,10 @@
 export class SettingsWatch {
   private readonly log = createLogger('settings');
   private readonly timer: NodeJS.Timeout | undefined;
-  private lastVersion: string | null = null;
+  private lastVersion: FileVersion | null;
 
   constructor(private readonly options: SettingsWatchOptions) {
+    this.lastVersion = options.version ?? null;
     options.io.onReload?.(() => this.reload('signal'));
     if (options.file !== undefined) {
       this.timer = setInterval(() => void this.look(options.file ?? ''), POLL_MILLIS);
@@ -39,7 +56,7 @@
     if (stats === null) {
       return;
     }
-    const version = `${stats.mtimeMs} ${stats.size} ${stats.ino}`;
+    const version = versionOf(stats);
     const isChanged = this.lastVersion !== null && this.lastVersion !== version;
     this.lastVersion = version;
     if (isChanged) {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,11 +1,7 @@
 #!/usr/bin/env node
-/** `ternmount`: runs one subcommand and exits with its exit code. */
-import { flushLogs } from '../logging/logger.js';
-import { processIo } from './cli-io.js';
-import { COMMANDS } from './command-list.js';
-import { runCommandLine } from './run-command-line.js';
+/** `ternmount`: runs one subcommand and exits with its exit code. The rest is loaded once signals are listened for. */
+import { earlySignals } from './early-signals.js';
 
-process.exitCode = await runCommandLine(process.argv.slice(2), processIo(), COMMANDS);
-await flushLogs();
-// Idle connections of libraries must not keep the process alive.
-process.exit();
+const { runProgram } = await import('./program.js');
+const { COMMANDS } = await import('./command-list.js');
+await runProgram(COMMANDS, earlySignals);
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -79,6 +79,7 @@
   private admin: HttpListener | undefined;
   private reconcileTimer: NodeJS.Timeout | undefined;
   private resolveFailed: (error: Error) => void = () => {};
+  private starting: Promise<void> | undefined;
   private stopping: Promise<void> | undefined;
   private lastSteps: StepReport | null = null;
   /** Counts at the previous report, to log differences. */
@@ -137,7 +138,12 @@
   }
 
   /** Opens the ports and starts the core. */
-  async start(): Promise<void> {
+  start(): Promise<void> {
+    this.starting ??= this.open();
+    return this.starting;
+  }
+
+  private async open(): Promise<void> {
     await this.internal.start();
     this.admin = await startAdminServer({
       listen: this.settings.admin,
@@ -199,6 +205,7 @@
 
   private async shutDown(): Promise<void> {
     this.log.info('stopping', { replica: this.replica });
+    await this.startToEnd();
     await this.transferLeadership();
     const { idleMillis, adminGraceMillis: graceMillis } = this.timings;
     await this.admin?.stop({ idleMillis, graceMillis });
@@ -214,6 +221,11 @@
     this.log.info('stopped', { replica: this.replica });
   }
 
+  /** Waits for a start in progress, whose failure `start` reports. */
+  private async startToEnd(): Promise<void> {
+    await this.starting?.catch((error) => this.log.warn('start-failed', { replica: this.replica, error }));
+  }
+
   private async transferLeadership(): Promise<void> {
     const { role, membership } = this.core.status();
     if (role !== 'leader' || membership.voters.length < 2) {
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -17,6 +17,7 @@
 
 export const EVENTS: Readonly<Record<string, EventDescription>> = {
   started: { source: 'both', fields: ['replica', 'listen', 'admin'] },
+  'start-failed': { source: 'both', fields: ['replica', 'error'] },
   stopping: { source: 'both', fields: ['replica', 'openRequests'] },
   stopped: { source: 'both', fields: ['replica'] },
   failed: { source: 'both', fields: ['replica', 'error'] },
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -69,7 +69,11 @@
   private admin: HttpListener | undefined;
   private relay: RelayServer | undefined;
   private fail: (error: Error) => void = () => {};
+  private starting: Promise<void> | undefined;
   private stopping: Promise<void> | undefined;
+  /** Control members of the settings, as last read. */
+  private control: readonly Address[];
+  private areLinksOpen = false;
 
   constructor(
     settings: RouterDaemonSettings,
@@ -81,6 +85,7 @@
       this.fail = resolve;
     });
     this.settings = completeRouterSettings(settings);
+    this.control = this.settings.control;
     const { limits, timings } = this.settings;
     this.http = this.settings.http;
     this.bodies = new BodyReader(limits);
@@ -126,8 +131,13 @@
    * Starts the core and opens the ports. Callers can connect once there is a configuration or `firstConfigurationMillis` have passed;
    * until then their connections fail over to another router. If that setting is 0, their requests wait a short time for the configuration.
    */
-  async start(): Promise<void> {
-    const { admin, control } = this.settings;
+  start(): Promise<void> {
+    this.starting ??= this.open();
+    return this.starting;
+  }
+
+  private async open(): Promise<void> {
+    const { admin } = this.settings;
     const monitor = createMonitorListener(
       this.metrics.registry,
       () => this.health(),
@@ -135,14 +145,25 @@
     );
     this.admin = await HttpListener.listen(admin, DEFAULT_HTTP_LIMITS, monitor);
     this.relay = await this.listenForRouters();
-    this.links.start(control);
+    this.connectToControl();
     this.platform?.start();
-    this.task.start();
     await this.waitForConfiguration();
+    if (this.stopping !== undefined) {
+      return;
+    }
     await this.listenForCallers();
     this.log.info('started', { listen: this.address, admin: this.adminAddress });
   }
 
+  private connectToControl(): void {
+    this.areLinksOpen = true;
+    this.links.start(this.control);
+    this.task.start();
+    if (this.control !== this.settings.control) {
+      this.task.post({ type: 'control-members', members: this.control });
+    }
+  }
+
   private async listenForRouters(): Promise<RelayServer | undefined> {
     const { relay, outgoing } = this.settings;
     if (relay === undefined) {
@@ -229,6 +250,10 @@
 
   /** Replaces the control members after the settings were reloaded. */
   setControlMembers(members: readonly Address[]): void {
+    this.control = members;
+    if (!this.areLinksOpen) {
+      return;
+    }
     this.links.setConfiguredMembers(members);
     this.task.post({ type: 'control-members', members });
   }
@@ -245,6 +270,7 @@
 
   private async shutDown(): Promise<void> {
     this.log.info('stopping', { openRequests: this.task.openRequests });
+    await this.startToEnd();
     const { lameDuckMillis, idleMillis, stopGraceMillis } = this.settings.timings;
     const graceMillis = stopGraceMillis - STOP_RESERVE_MILLIS;
     const graceEnd = performance.now() + graceMillis;
@@ -266,6 +292,11 @@
     this.log.info('stopped');
   }
 
+  /** Waits for a start in progress, whose failure `start` reports. */
+  private async startToEnd(): Promise<void> {
+    await this.starting?.catch((error) => this.log.warn('start-failed', { error }));
+  }
+
   private serveAdmin(request: IncomingMessage, response: ServerResponse): void {
     const path = request.url?.split('?', 1)[0];
     if (request.method === 'GET' && path === POLICY_TRACE_PATH) {
--- a/test/cli/bundle.test.ts
+++ b/test/cli/bundle.test.ts
@@ -5,6 +5,7 @@
 import { fileURLToPath } from 'node:url';
 import { Script } from 'node:vm';
 import { expect } from 'chai';
+import { SignalledDaemon } from '../contract/signalled-daemon.js';
 
 const ROOT = resolve(fileURLToPath(new URL('../../..', import.meta.url)));
 /** The flags of the deploy file; V8 accepts compiled code only with the same flags. */
@@ -25,6 +26,7 @@
     '--min-semi-space-size=4',
   ],
 };
+const HOST = `127.122.${process.pid % 250}.1`;
 const DAEMONS = ['router', 'control'] as const;
 type Daemon = (typeof DAEMONS)[number];
 
@@ -77,6 +79,40 @@
     });
   }
 
+  for (const daemon of DAEMONS) {
+    it(`keep signals that ${daemon} gets before it has read its settings`, async () => {
+      const program = [...FLAGS[daemon], join(folder, 'ternmount.cjs'), daemon, 'run'];
+      const early = new SignalledDaemon(program, join(folder, `${daemon}-signals.yaml`));
+      try {
+        await early.listens();
+        early.send('SIGHUP');
+        await early.giveSettings(settingsOf(daemon));
+        await early.until('reload', () => early.records('settings-reloaded')[0]);
+        await early.until('start', () => early.records('started')[0]);
+        early.send('SIGTERM');
+        expect(await early.end(), early.logs()).to.deep.equal({ code: 0, signal: null });
+      } finally {
+        early.close();
+      }
+    });
+  }
+
+  function settingsOf(daemon: Daemon): object {
+    const address = { listen: `${HOST}:8002`, admin: `${HOST}:8001` };
+    const shared = { cluster: 'bundle', zone: 'zone', trustedNetwork: true, ...address };
+    const own = {
+      router: { router: 'router', control: [`${HOST}:8003`], firstConfiguration: '0s' },
+      control: {
+        replicaName: 'control',
+        dataFolder: join(folder, 'data'),
+        seeds: [`${HOST}:8001`],
+        bootstrap: true,
+        toleratedLosses: 0,
+      },
+    };
+    return { ...shared, ...own[daemon] };
+  }
+
   it('start without compiled code, or with code that V8 rejects', () => {
     rmSync(join(folder, 'control.compiled'));
     expectUnusableSettings('control');
