Router: an answer behind interim answers is passed on whole, also behind 100 and behind one that says `Connection: close`

Seen by callers: an upstream sends 103 (or 102) with `Connection: close`, or a 100 that nobody asked for, and then a whole 200. The caller got 502, or 504 at its deadline; an order that had run lost its answer.

Cause: the HTTP client's parser takes whatever follows a message that says `Connection: close` for data behind the end (the same with a status line of HTTP/1.0), and the client itself takes 100 for a fault. RFC 9110, 15.2: a client reads past interim answers; they don't end the exchange.

Fix: InterimFilter takes heads of 1xx (not 101) out of the bytes below the parser, from the moment a request is written until its answer begins. The router passes no interim answers on, so nothing is lost by it. What is no interim answer is held for no byte. If one says that the connection closes, it carries no further request, so none is sent into a connection that its upstream is about to close. 64 KiB of interim answers end the attempt, as before.

--- a/src/router/attempts/resettable-client.ts
+++ b/src/router/attempts/resettable-client.ts
@@ -75,7 +75,8 @@
 
   override dispatch(options: Dispatcher.DispatchOptions, handler: ClientHandler): boolean {
     const { sharedId = null } = handler;
-    if (sharedId !== null && !this.#sentIds.mayCarry(sharedId)) {
+    const mayReuse = sharedId === null || this.#sentIds.mayCarry(sharedId);
+    if (!mayReuse || this.#stream?.closesAfterExchange === true) {
       // The client is idle when it is given a request, and connects again for it.
       this.#stream?.destroy();
     }
@@ -91,6 +92,7 @@
     }
     const earlierRequests = this.#requests;
     this.#requests += 1;
+    this.#stream?.expectAnswer();
     this.recordProgress();
     return { connection: this.#connection, earlierRequests };
   }
--- a/src/router/attempts/upstream-connection.ts
+++ b/src/router/attempts/upstream-connection.ts
@@ -4,6 +4,8 @@
  */
 import { Duplex } from 'node:stream';
 import { toError } from '../../errors/ternmount-error.js';
+import { AttemptAbortedError } from './attempt-error.js';
+import { InterimFilter } from './interim-filter.js';
 
 /** Bytes that are read before the client has taken them. */
 const READ_BUFFER_BYTES = 64 * 1024;
@@ -11,6 +13,7 @@
 export abstract class UpstreamConnection extends Duplex {
   /** Called with an error that a listener of the client has thrown; without a handler it is thrown on. */
   onListenerError: ((error: Error) => void) | null = null;
+  readonly #interim = new InterimFilter();
   #isHeld = false;
   #bytesRead = 0;
 
@@ -25,6 +28,16 @@
     return this.#bytesRead;
   }
 
+  /** Whether the upstream said that it closes the connection behind the exchange, where the client can't have read it. */
+  get closesAfterExchange(): boolean {
+    return this.#interim.saysClose;
+  }
+
+  /** The next bytes are those of an answer, maybe behind interim ones. */
+  expectAnswer(): void {
+    this.#interim.expectAnswer();
+  }
+
   /** Reads nothing more until `release`. What was read before is still passed on. */
   hold(): void {
     this.#isHeld = true;
@@ -62,7 +75,10 @@
   /** Passes received bytes on. */
   protected receive(bytes: Uint8Array): void {
     this.#bytesRead += bytes.length;
-    if (!this.push(bytes)) {
+    const passed = this.#interim.pass(bytes);
+    if (this.#interim.isExceeded) {
+      this.destroy(new AttemptAbortedError('head-too-large'));
+    } else if (passed.length > 0 && !this.push(passed)) {
       this.pauseSource();
     }
   }
