Router: a 304 or 204 whose head names a length or chunks is whole with its head

Seen by callers: 504 at the deadline in place of a 304 with `Content-Length` (RFC 9110, 8.6 and 15.4.5 allow it: it is the length that the body of a 200 would have), and of a 204 with one. All attempts of the request waited in turn.

Cause: the HTTP client's parser skips bodies for answers to HEAD alone, and waits here for bytes which never come.

Fix: such an answer ends with its head, and its connection is closed, since the parser still waits. A 204 goes to its caller without the length, which it must not have; callers with the same parser would wait too.

Their cut heads stay broken; the table cut-heads has the 304 with its length now, at each byte.

--- a/src/router/attempts/answer-head.ts
+++ b/src/router/attempts/answer-head.ts
@@ -6,8 +6,9 @@
 
 const MISDIRECTED_REQUEST = 421;
 const SERVICE_UNAVAILABLE = 503;
-const NO_CONTENT = 204;
+export const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([NO_CONTENT, NOT_MODIFIED]);
 
 const FENCE_REFUSALS: ReadonlySet<string> = new Set<FenceRefusal>([
   'lease-over',
@@ -33,7 +34,7 @@
   status: number,
   headers: readonly string[],
 ): number | 'chunked' | undefined {
-  if (method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED) {
+  if (method === 'HEAD' || BODILESS_STATUSES.has(status)) {
     return 0;
   }
   if (findHeader(headers, 'transfer-encoding') !== undefined) {
@@ -43,6 +44,15 @@
   return length === undefined ? undefined : Number(length);
 }
 
+/** Whether a head names a body that its answer never has: that of another answer (RFC 9110, 8.6). */
+export function namesAbsentBody(method: string, { status, headers }: AnswerHead): boolean {
+  if (method === 'HEAD' || !BODILESS_STATUSES.has(status)) {
+    return false;
+  }
+  const length = Number(findHeader(headers, 'content-length') ?? 0);
+  return length > 0 || findHeader(headers, 'transfer-encoding') !== undefined;
+}
+
 /** Returns the refusal that an answer means; `null` if the request may have run. */
 export function refusalOf(head: AnswerHead): (AttemptResult & { readonly type: 'refused' }) | null {
   const mayRefuse = head.status === MISDIRECTED_REQUEST || head.status === SERVICE_UNAVAILABLE;
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -6,10 +6,10 @@
 import type { UpstreamId } from '../../model/identifiers.js';
 import type { AttemptNumber, AttemptResult, RouterEffect } from '../../routing/types.js';
 import type { CallerExchange } from '../caller/caller-exchange.js';
-import { forwardedAnswerHeaders } from '../caller/header-rules.js';
+import { forwardedAnswerHeaders, withoutHeaders } from '../caller/header-rules.js';
 import type { HeldBytes } from '../caller/held-bytes.js';
 import { isPersonal } from '../caller/request-variant.js';
-import { type AnswerHead, bodyLength } from './answer-head.js';
+import { type AnswerHead, bodyLength, NO_CONTENT, namesAbsentBody } from './answer-head.js';
 import { AnswerStream } from './answer-stream.js';
 import { AttemptAbortedError, type AttemptFailure } from './attempt-error.js';
 import { classifyBreak } from './classify-break.js';
@@ -129,7 +129,7 @@
   /** Delivers the answer, or the stream of it, to a caller. Only valid after `answered` was reported. */
   deliver(exchange: CallerExchange): void {
     const head = this.head as AnswerHead;
-    const headers = forwardedAnswerHeaders(head.headers);
+    const headers = deliveredHeaders(head);
     if (this.complete) {
       const body = concatChunks(this.chunks);
       exchange.sendWholeAnswer(
@@ -200,6 +200,10 @@
     if (protocol.refusalOf(this.head)?.refusal !== 'other-incarnation') {
       this.options.onHead(this.options.effect.attempt, this.head);
     }
+    if (namesAbsentBody(this.options.exchange.head.method, this.head)) {
+      this.endWithHead();
+      return false;
+    }
     this.stall.start();
     if (contentLength !== null && !this.mayReadWhole(contentLength)) {
       this.beginStream();
@@ -257,6 +261,12 @@
     this.report(connectFailure(error));
   }
 
+  /** The client would wait for the body that the head names, so its connection isn't used again. */
+  private endWithHead(): void {
+    this.onComplete();
+    this.abortRequest?.(new AttemptAbortedError('no-body'));
+  }
+
   /** Reports the head of an answer that is too long to read whole, and holds reading until it is delivered. A refusal isn't delivered. */
   private beginStream(): void {
     const refusal = this.refusal();
@@ -357,6 +367,12 @@
     : Math.max(0, remainingMillis) + STREAM_OVERTIME_MILLIS;
 }
 
+/** A 204 must not name a length (RFC 9110, 8.6): its caller might wait for the body. */
+function deliveredHeaders({ status, headers }: AnswerHead): string[] {
+  const forwarded = forwardedAnswerHeaders(headers);
+  return status === NO_CONTENT ? withoutHeaders(forwarded, ['content-length']) : forwarded;
+}
+
 /** Most answers consist of one chunk, which needs no copy. */
 function concatChunks(chunks: readonly Buffer[]): Buffer {
   const [first] = chunks;
--- a/test/router/cut-heads.test.ts
+++ b/test/router/cut-heads.test.ts
@@ -51,7 +51,7 @@
   { name: 'HTTP/1.0, length', lines: ['HTTP/1.0 200 OK', ID, LENGTH], body: BODY },
   { name: 'length, closes', lines: [OK, ID, 'connection: close', LENGTH], body: BODY },
   { name: 'no content', lines: ['HTTP/1.1 204 No Content', ID], body: '' },
-  { name: 'not modified', lines: ['HTTP/1.1 304 Not Modified', ID], body: '' },
+  { name: 'not modified', lines: ['HTTP/1.1 304 Not Modified', ID, LENGTH], body: '' },
   { name: 'HEAD', lines: [OK, ID, LENGTH], body: '', method: 'HEAD' },
   { name: 'HEAD, no length', lines: [OK, ID], body: '', method: 'HEAD' },
   {
