Router: a connection over a relay that only took too long isn't a retry of the budget, nor a failure of the upstream

Cause: once the check of the path had shown that the path works, or only that the relay wasn't heard in time, the failed connection was still counted against the upstream, and each request that went out again took one retry of the budget, of which ten are saved.

Such a request now goes out again like others whose path failed, up to three times as with lost relays; then it counts as before. A refused connection, a full or stopping relay, and a direct connection that failed count as before.

--- a/src/routing/attempt-results.ts
+++ b/src/routing/attempt-results.ts
@@ -20,7 +20,7 @@
 import type { AttemptNumber, AttemptResult } from './types.js';
 import type { UpstreamState } from './upstream/upstream-state.js';
 
-/** How often a request is sent over another relay because one failed, before the failure counts as that of its upstream. */
+/** How often a request is sent again because a relay failed or was slow, before the failure counts as that of its upstream. */
 const MAX_RELAY_FAILURES = 3;
 
 type ConnectFailed = Extract<AttemptResult, { readonly type: 'connect-failed' }>;
@@ -174,7 +174,8 @@
   private onPathVerdict(attempt: Attempt, result: ConnectFailed, { type }: PathVerdict): void {
     const { group } = attempt;
     group.service.held.delete(group);
-    const isPathToBlame = type === 'other-path' || isOnLeftPath(attempt);
+    const isPathToBlame =
+      type === 'other-path' || isOnLeftPath(attempt) || this.isRelaySlow(attempt, result, type);
     if (!isPathToBlame) {
       this.conclude(attempt, result);
     } else if (group.phase === 'held') {
@@ -184,6 +185,25 @@
     }
   }
 
+  /**
+   * Whether a connection over a relay only took too long, as far as the check of its path shows. Such a connection counts as a failure of the
+   * relay, and as one of its upstream if that happens too often.
+   */
+  private isRelaySlow(
+    { group, via }: Attempt,
+    { relayFailure, refused }: ConnectFailed,
+    verdict: PathVerdict['type'],
+  ): boolean {
+    if (relayFailure === 'lost') {
+      return verdict === 'unknown' && group.relayFailures <= MAX_RELAY_FAILURES;
+    }
+    if (via === null || relayFailure !== undefined || refused === true || verdict !== 'works') {
+      return false;
+    }
+    group.relayFailures += 1;
+    return group.relayFailures <= MAX_RELAY_FAILURES;
+  }
+
   /** Sends a request again that wasn't sent because its path failed. This is no retry: nothing reached an upstream. */
   private sendUnsent(attempt: Attempt): void {
     const { group } = attempt;
--- a/src/routing/request-group.ts
+++ b/src/routing/request-group.ts
@@ -128,7 +128,7 @@
   timedOut = false;
   claim: Claim | null = null;
   ledger: LedgerWord = 'not-needed';
-  /** Number of times that it was sent over another path because a relay failed. */
+  /** Number of times that no connection to its upstream was opened because a relay failed or was slow. */
   relayFailures = 0;
   /** Upstream of the last failed attempt; other upstreams are preferred. */
   avoid: UpstreamState | null = null;
