Relay: one that answers each step in time isn't taken for lost, though all steps together take longer

A router gave the relay one limit (500 ms, 400 ms for a try) for connecting, three more trips and the relay's own connection; beside other load a living relay passed it, was left out for a second, and requests got 503.

--- a/test/router/relay-server.test.ts
+++ b/test/router/relay-server.test.ts
@@ -14,6 +14,8 @@
 import { until } from './router-fixture.js';
 
 const LIMIT_MILLIS = 1000;
+/** Time that bytes take to a slow relay and back, each way; a connection over it takes two round trips. */
+const SLOW_WAY_MILLIS = 300;
 const RESETS = 100;
 const LARGE_BYTES = 8 * 1024 * 1024;
 /** What the buffers of both ends and of the system hold at most. */
@@ -34,6 +36,7 @@
   let log: LogRecorder;
   let targets: Map<string, RelayTarget>;
   let closing: string[];
+  let slow: Server | null = null;
 
   beforeEach(async () => {
     accepted = [];
@@ -55,6 +58,8 @@
       socket.destroy();
     }
     upstream.close();
+    slow?.close();
+    slow = null;
   });
 
   function startRelay(maxConnections?: number): Promise<RelayServer> {
@@ -77,6 +82,23 @@
     });
   }
 
+  /** An address at which whatever goes to the relay, or comes from it, is late. */
+  async function slowAddress(): Promise<string> {
+    const { port } = new URL(`tcp://${relay.address}`);
+    slow = createServer((near) => {
+      const far = connect(Number(port), '127.0.0.1');
+      for (const [from, to] of [
+        [near, far],
+        [far, near],
+      ] as const) {
+        from.on('error', () => {}).on('data', (chunk) => setTimeout(() => to.write(chunk), SLOW_WAY_MILLIS));
+        from.on('close', () => to.destroy());
+      }
+    }).listen(0, '127.0.0.1');
+    await once(slow, 'listening');
+    return `127.0.0.1:${(slow.address() as AddressInfo).port}`;
+  }
+
   async function opened(): Promise<{ readonly stream: RelayStream; readonly socket: Socket }> {
     const stream = await dial();
     if (typeof stream === 'string') {
@@ -100,6 +122,18 @@
     expect(relay.usage.bytes).to.equal(2 * LARGE_BYTES);
   });
 
+  it('takes no relay for lost whose answers come in time one by one, though not all of them together', async () => {
+    expect(await dial('u1', identity(), await slowAddress())).to.not.be.a('string');
+  });
+
+  it('takes a relay for lost that says nothing', async () => {
+    const silent = createServer().listen(0, '127.0.0.1');
+    await once(silent, 'listening');
+    const { port } = silent.address() as AddressInfo;
+    expect(await dial('u1', identity(), `127.0.0.1:${port}`)).to.equal('lost');
+    silent.close();
+  });
+
   it('connects to nothing but upstreams of its configuration', async () => {
     for (const id of ['u2', '127.0.0.1:22', '']) {
       expect(await dial(id)).to.equal('unknown-upstream');
