Daemons wait up to 12 s for an address that another process holds, instead of ending at once

What the users may have seen: a router or control member that ended with code 2 a moment after its start, because an address was in use just then, be it by a predecessor that still stopped or by a connection that happened to have the port; or later in the start, when the port was taken between the check and the listening. Both passed by themselves, the process didn't.

Each address is now tried again with growing pauses, at the check and at the listening, with a line each second (address-held) and one when the wait was worth it (address-free). The bound is longer than a planned stop with default settings (10 s), and a stop ends the wait. After it the daemon ends with code 2 and the same line on standard error: an address that is taken for good is an operator's mistake that a supervisor must see. An address that the machine doesn't have yet is waited for the same way.

--- a/src/cli/daemons/run-control.ts
+++ b/src/cli/daemons/run-control.ts
@@ -16,13 +16,13 @@
   openOrCreateReplica,
   openReplica,
 } from '../../storage/index.js';
-import { ensureAddressFree } from '../../wire/index.js';
 import type { Invocation } from '../command-spec.js';
 import type { ExitCode } from '../exit-codes.js';
 import { type PreparedDaemon, runDaemon } from '../run-daemon.js';
 import { settingsLayers } from '../settings-options.js';
 import { logEnd } from './log-end.js';
 import { readFileVersion, SettingsWatch } from './settings-watch.js';
+import { waitForAddress } from './wait-for-address.js';
 
 function daemonSettings(settings: ControlSettings): ControlDaemonSettings {
   const { cluster, zone, dataFolder, listen, admin, raft, lease, configLease } = settings;
@@ -82,8 +82,8 @@
   const version = readFileVersion(layers.file);
   const settings = loadControlSettings(layers);
   const daemon = daemonSettings(settings);
-  await ensureAddressFree(settings.listen);
-  await ensureAddressFree(settings.admin);
+  await waitForAddress(settings.listen, invocation.io);
+  await waitForAddress(settings.admin, invocation.io);
   const log = createLogger('storage');
   const waits = new DiskFullRetry({
     onDiskFull: (error) => log.warn('disk-full', { error }),
--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -7,13 +7,13 @@
 import { createRouterNode } from '../../routing/index.js';
 import { readSecret } from '../../security/secret-file.js';
 import { loadRouterSettings, type RouterSettings } from '../../settings/router-settings.js';
-import { ensureAddressFree } from '../../wire/index.js';
 import type { Invocation } from '../command-spec.js';
 import type { ExitCode } from '../exit-codes.js';
 import { type PreparedDaemon, runDaemon } from '../run-daemon.js';
 import { settingsLayers } from '../settings-options.js';
 import { logEnd } from './log-end.js';
 import { readFileVersion, SettingsWatch } from './settings-watch.js';
+import { waitForAddress } from './wait-for-address.js';
 
 function daemonSettings(settings: RouterSettings): RouterDaemonSettings {
   const { cluster, router, zone, listen, admin, control, platformUrl, configLease } = settings;
@@ -76,13 +76,13 @@
   const version = readFileVersion(layers.file);
   const settings = loadRouterSettings(layers);
   const daemon = daemonSettings(settings);
-  await ensureAddressFree(settings.listen);
-  await ensureAddressFree(settings.admin);
-  if (settings.relay !== null) {
-    await ensureAddressFree(settings.relay);
-  }
   enableLogs(settings.log);
   setProcessIdentity({ process: settings.router, zone: settings.zone });
+  for (const address of [settings.listen, settings.admin, settings.relay]) {
+    if (address !== null) {
+      await waitForAddress(address, invocation.io);
+    }
+  }
   const router = new RouterDaemon(daemon, createRouterNode, 'koa');
   const reload = (): void => router.setControlMembers(loadRouterSettings(layers).control);
   const watch = new SettingsWatch({ io: invocation.io, file: layers.file, version, reload });
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -6,7 +6,7 @@
 import { DEFAULT_HOLDER_PROTOCOL } from '../../model/holder-protocol.js';
 import type { Address, ReplicaId } from '../../model/identifiers.js';
 import type { HttpListener } from '../../wire/http/http-listener.js';
-import type { WireIdentity, WireLimits } from '../../wire/index.js';
+import { listenPatiently, type WireIdentity, type WireLimits } from '../../wire/index.js';
 import { isForwardable } from '../forwarded-request.js';
 import type {
   ControlConfig,
@@ -80,6 +80,8 @@
   private reconcileTimer: NodeJS.Timeout | undefined;
   private resolveFailed: (error: Error) => void = () => {};
   private starting: Promise<void> | undefined;
+  /** Ends the waits of a start when the member is stopped. */
+  private readonly startAbort = new AbortController();
   private stopping: Promise<void> | undefined;
   private lastSteps: StepReport | null = null;
   /** Counts at the previous report, to log differences. */
@@ -144,8 +146,23 @@
   }
 
   private async open(): Promise<void> {
-    await this.internal.start();
-    this.admin = await startAdminServer({
+    const { listen, admin } = this.settings;
+    await this.listenAt(listen, () => this.internal.start());
+    this.admin = await this.listenAt(admin, () => this.startAdmin());
+    this.peers.reconcile();
+    this.reconcileTimer = setInterval(() => this.peers.reconcile(), RECONCILE_INTERVAL_MILLIS);
+    this.coreTask.start();
+    this.joining.start();
+    this.log.info('started', { replica: this.replica, listen: this.address, admin: this.adminAddress });
+  }
+
+  /** Waits for an address that is held for a moment, unless the member is stopped. */
+  private listenAt<Listener>(address: Address, listen: () => Promise<Listener>): Promise<Listener> {
+    return listenPatiently(address, listen, this.startAbort.signal);
+  }
+
+  private startAdmin(): Promise<HttpListener> {
+    return startAdminServer({
       listen: this.settings.admin,
       metrics: createControlMetrics({
         raft: () => this.core.status(),
@@ -156,11 +173,6 @@
       health: () => ({ healthy: true, ...this.core.status() }),
       app: this.settings.createAdminApp?.(this) ?? null,
     });
-    this.peers.reconcile();
-    this.reconcileTimer = setInterval(() => this.peers.reconcile(), RECONCILE_INTERVAL_MILLIS);
-    this.coreTask.start();
-    this.joining.start();
-    this.log.info('started', { replica: this.replica, listen: this.address, admin: this.adminAddress });
   }
 
   /** Internal address, with the actual port. */
@@ -199,6 +211,7 @@
 
   /** Planned stop: transfers leadership, completes requests in progress, then closes everything. */
   stop(): Promise<void> {
+    this.startAbort.abort();
     this.stopping ??= this.shutDown();
     return this.stopping;
   }
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -17,6 +17,8 @@
 
 export const EVENTS: Readonly<Record<string, EventDescription>> = {
   started: { source: 'both', fields: ['replica', 'listen', 'admin'] },
+  'address-held': { source: 'both', fields: ['address', 'reason', 'waitedMillis', 'maxWaitMillis'] },
+  'address-free': { source: 'both', fields: ['address', 'waitedMillis'] },
   'start-failed': { source: 'both', fields: ['replica', 'error'] },
   stopping: { source: 'both', fields: ['replica', 'openRequests'] },
   stopped: { source: 'both', fields: ['replica'] },
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -7,9 +7,14 @@
 import type { CallerLimits } from '../model/declaration.js';
 import type { Address, Incarnation } from '../model/identifiers.js';
 import type { RouterConfig, RouterCore, RouterStatus } from '../routing/types.js';
-import { DEFAULT_HTTP_LIMITS, type HttpLimits, HttpListener } from '../wire/http/http-listener.js';
+import {
+  DEFAULT_HTTP_LIMITS,
+  type HttpLimits,
+  HttpListener,
+  type HttpListenerOptions,
+} from '../wire/http/http-listener.js';
 import { createMonitorListener } from '../wire/http/monitor-listener.js';
-import type { WireIdentity } from '../wire/index.js';
+import { listenPatiently, type WireIdentity } from '../wire/index.js';
 import { PathTries } from './attempts/path-tries.js';
 import { UpstreamPools } from './attempts/upstream-pools.js';
 import { BodyReader } from './caller/body-reader.js';
@@ -23,7 +28,7 @@
 import { RouterMetrics } from './metrics.js';
 import { POLICY_TRACE_PATH, PolicyTraces } from './policy-traces.js';
 import { RelayDialer } from './relay/relay-dialer.js';
-import { NO_RELAY_USAGE, RelayServer } from './relay/relay-server.js';
+import { NO_RELAY_USAGE, RelayServer, type RelayServerOptions } from './relay/relay-server.js';
 import { RouterTask } from './router-task.js';
 import {
   type CompleteRouterSettings,
@@ -70,6 +75,8 @@
   private relay: RelayServer | undefined;
   private fail: (error: Error) => void = () => {};
   private starting: Promise<void> | undefined;
+  /** Ends the waits of a start when the router is stopped. */
+  private readonly startAbort = new AbortController();
   private stopping: Promise<void> | undefined;
   /** Control members of the settings, as last read. */
   private control: readonly Address[];
@@ -143,7 +150,7 @@
       () => this.health(),
       (request, response) => this.serveAdmin(request, response),
     );
-    this.admin = await HttpListener.listen(admin, DEFAULT_HTTP_LIMITS, monitor);
+    this.admin = await this.listenAt(admin, () => HttpListener.listen(admin, DEFAULT_HTTP_LIMITS, monitor));
     this.relay = await this.listenForRouters();
     this.connectToControl();
     this.platform?.start();
@@ -169,13 +176,19 @@
     if (relay === undefined) {
       return undefined;
     }
-    return RelayServer.listen({
+    const options: RelayServerOptions = {
       listen: relay,
       identity: this.routerIdentity(['router']),
       localAddress: outgoing,
       log: this.log,
       targetOf: (upstream, answer) => this.task.askRelayTarget(upstream, answer),
-    });
+    };
+    return this.listenAt(relay, () => RelayServer.listen(options));
+  }
+
+  /** Waits for an address that is held for a moment, unless the router is stopped. */
+  private listenAt<Listener>(address: Address, listen: () => Promise<Listener>): Promise<Listener> {
+    return listenPatiently(address, listen, this.startAbort.signal);
   }
 
   private createRelayDialer(): RelayDialer {
@@ -204,12 +217,13 @@
       this.task.accept(request, response),
     );
     const limits = this.core.status().serving ? this.http : withUndeclaredHeaderLimit(this.http);
-    this.callers = await HttpListener.listen(listen, limits, onRequest, {
+    const options: HttpListenerOptions = {
       requireHost: false,
       describeFault: describeRequestFault,
       onFaultAnswered: (answered) => this.log.info('caller-fault-answered', { ...answered }),
       onCut: (cut) => this.log.info('caller-connection-cut', { ...cut }),
-    });
+    };
+    this.callers = await this.listenAt(listen, () => HttpListener.listen(listen, limits, onRequest, options));
   }
 
   /**
@@ -264,6 +278,7 @@
 
   /** Planned stop: accepts no new connections, finishes every request, then closes everything. */
   stop(): Promise<void> {
+    this.startAbort.abort();
     this.stopping ??= this.shutDown();
     return this.stopping;
   }
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -27,6 +27,7 @@
 } from './frame-connection.js';
 export { FrameServer, type FrameServerOptions } from './frame-server.js';
 export { ensureAddressFree, ListenError } from './listen-error.js';
+export { listenPatiently } from './listen-retry.js';
 export type { MessageCodec } from './message-codec.js';
 export { raftCodecs } from './raft/index.js';
 export { controlToRouterCodecs, routerToControlCodecs } from './router/index.js';
--- a/src/wire/listen-error.ts
+++ b/src/wire/listen-error.ts
@@ -11,12 +11,19 @@
   EACCES: 'needs more rights',
 };
 
+/** Reasons that pass: another process still stops, or the machine's network still starts. */
+const PASSING_CODES = new Set(['EADDRINUSE', 'EADDRNOTAVAIL']);
+
 /** Listening at an address failed. */
 export class ListenError extends TernmountError {
+  /** Whether the same address may be listened on a moment later. */
+  readonly mayPass: boolean;
+
   constructor(address: Address, cause: Error) {
     const { code = '' } = cause as NodeJS.ErrnoException;
     const reason = ownEntry(REASONS, code) ?? `can't be listened on (${code || cause.message})`;
     super({ code: 'TERNMOUNT_LISTEN_FAILED', retriable: false, info: { code } }, `${address} ${reason}`);
+    this.mayPass = PASSING_CODES.has(code);
   }
 }
 
