Router: requests that ran behind an answer that breaks off are answered

An answer that isn't whole now begins for its caller only while nothing behind it was handed on, and until it is whole nothing is. Where others run behind it already it is held within the bounds of its connection; one that breaks becomes 502, and so does one for which there is no room (new log line `answer-not-held`). What is unknown counts as large.

--- a/src/router/caller/answer-writer.ts
+++ b/src/router/caller/answer-writer.ts
@@ -19,6 +19,10 @@
   readonly status: number;
   readonly headers: string[];
   readonly account: BufferAccount;
+  /** Called when the whole answer was received, before the rest of it is written. */
+  readonly onWhole: () => void;
+  /** Called after the turn in which there was no room for more of an answer that hasn't started. */
+  readonly onBlocked: () => void;
   /** Called when the source of the answer fails; `started` is whether the head was written. */
   readonly onBroken: (started: boolean) => void;
 }
@@ -38,6 +42,7 @@
   #started = false;
   #blocked = false;
   #ended = false;
+  #isFinished = false;
   #closed = false;
   readonly #onReleased = (): void => this.#notifyWritable();
 
@@ -45,6 +50,10 @@
     this.#options = options;
   }
 
+  get hasStarted(): boolean {
+    return this.#started;
+  }
+
   /** Starts writing: the answer is at the front of its connection. */
   start(): void {
     const { response, status, headers } = this.#options;
@@ -80,8 +89,17 @@
     return this.#closed || this.#hasCapacity();
   }
 
+  /** Has `onBlocked` called if there is no room. */
+  checkBlocked(): void {
+    this.#hasCapacity();
+  }
+
   end(): void {
+    if (this.#closed) {
+      return;
+    }
     this.#ended = true;
+    this.#options.onWhole();
     this.#flush();
   }
 
@@ -117,9 +135,18 @@
       return true;
     }
     account.waitForRelease(this.#onReleased);
+    if (!this.#started) {
+      setImmediate(() => this.#notifyBlocked());
+    }
     return false;
   }
 
+  #notifyBlocked(): void {
+    if (!this.#closed && !this.#started && !this.#ended && !this.#options.account.hasCapacity()) {
+      this.#options.onBlocked();
+    }
+  }
+
   #notifyWritable(): void {
     if (!this.#closed && this.#hasCapacity()) {
       this.#options.account.cancelWait(this.#onReleased);
@@ -155,7 +182,8 @@
     }
     this.#bufferedBytes -= sentBytes;
     this.#options.account.hold(-sentBytes);
-    if (this.#ended && !this.#blocked) {
+    if (this.#ended && !this.#blocked && !this.#isFinished) {
+      this.#isFinished = true;
       this.#options.response.end();
     }
   }
--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -3,6 +3,7 @@
 import type { BufferAccount } from './answer-writer.js';
 import type { AbortReason, CallerExchange, UnansweredCause } from './caller-exchange.js';
 import type { HeldBytes } from './held-bytes.js';
+import type { KnownAnswers } from './known-answers.js';
 import type { PausedConnection, PausedConnections } from './paused-connections.js';
 import { type PipelineLimits, PipelineOrder, type SocketReadMode } from './pipeline-order.js';
 import { SocketPause } from './socket-pause.js';
@@ -11,6 +12,7 @@
   readonly limits: PipelineLimits;
   readonly held: HeldBytes;
   readonly paused: PausedConnections;
+  readonly known: KnownAnswers;
   /** An answer on which no bytes pass for this time is aborted. */
   readonly stallMillis: number;
   /** Called when a request may run. */
@@ -21,6 +23,10 @@
     wasDispatched: boolean,
     unanswered: UnansweredCause | null,
   ) => void;
+  /** Called when an answer that others run behind can't be held until it is whole. */
+  readonly tooLarge: (exchange: CallerExchange) => void;
+  /** Called when the head of an upstream's answer can't be written. */
+  readonly unwritable: (exchange: CallerExchange, error: Error) => void;
   /** Called when an answer is aborted, with the number of requests lost behind it. */
   readonly broken: (exchange: CallerExchange, reason: AbortReason, lostBehind: number) => void;
 }
@@ -114,6 +120,37 @@
     return this.#order.front === exchange;
   }
 
+  /** Whether others were handed on behind a request. */
+  runsBehind(exchange: CallerExchange): boolean {
+    return this.#order.lastDispatched !== exchange;
+  }
+
+  /** Called with an upstream's answer that was received whole. */
+  recordWhole(exchange: CallerExchange, bytes: number): void {
+    this.#options.known.recordWhole(exchange.answerPlace, performance.now());
+    this.#order.recordAnswerSize(bytes);
+  }
+
+  /** Called with an upstream's answer that is longer than is read whole. */
+  recordStreamed(exchange: CallerExchange, bytes: number): void {
+    this.#options.known.recordStreamed(exchange.answerPlace, performance.now());
+    this.#order.recordAnswerSize(bytes);
+  }
+
+  /** Called when an answer is whole in the router. What may run behind it is dispatched after this turn. */
+  onAnswerWhole(): void {
+    queueMicrotask(() => this.#dispatchPending());
+  }
+
+  /** Called when an answer that others run behind is replaced, since there is no room to hold it until it is whole. */
+  onTooLarge(exchange: CallerExchange): void {
+    this.#options.tooLarge(exchange);
+  }
+
+  onUnwritable(exchange: CallerExchange, error: Error): void {
+    this.#options.unwritable(exchange, error);
+  }
+
   hold(bytes: number): void {
     this.#order.hold(bytes);
     this.#options.held.change(bytes);
@@ -134,10 +171,6 @@
     this.#options.held.cancelWait(wake);
   }
 
-  recordAnswerSize(bytes: number): void {
-    this.#order.recordAnswerSize(bytes);
-  }
-
   /**
    * Called when the answer in front is about to be written. If it belongs to the last request that was read, and that one closes the
    * connection, no more are accepted; nor are they once the connection was to close for `MAX_CLOSE_DELAY_MILLIS`.
@@ -220,10 +253,11 @@
 
   /** Nothing is dispatched whose answer can't be written: its caller was told that its request is malformed or came too slowly. */
   #dispatchPending(): void {
-    if (this.#socket.writableEnded) {
+    if (this.#socket.writableEnded || this.#socket.destroyed) {
       return;
     }
     for (let next = this.#order.dispatchNext(); next !== undefined; next = this.#order.dispatchNext()) {
+      next.isExpectedWhole = this.#options.known.isSmall(next.answerPlace, performance.now());
       this.#options.dispatch(next);
     }
     this.#updateReading();
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -1,6 +1,7 @@
 /** One request of a caller and its answer. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { toError } from '../../errors/ternmount-error.js';
 import type { StoredAnswer } from '../../ledger/types.js';
 import { HEADERS, type Outcome } from '../../model/outcome.js';
 import type { RefusalReason, RequestNumber } from '../../routing/types.js';
@@ -9,6 +10,7 @@
 import { NO_BODY } from './body-reader.js';
 import type { CallerConnection } from './caller-connection.js';
 import { forwardedRequestHeaders } from './header-rules.js';
+import { type AnswerPlace, answerPlaceOf } from './known-answers.js';
 import type { RejectedRequestError } from './rejected-request-errors.js';
 import type { CallerRequestHead } from './request-head.js';
 
@@ -59,7 +61,12 @@
 export class CallerExchange {
   /** Time when the head arrived, on the monotonic clock. */
   readonly arrivedAt = performance.now();
+  /** Where answers are alike. */
+  readonly answerPlace: AnswerPlace;
+  /** Whether the answer is expected to be read whole before any of it is written. */
+  isExpectedWhole = false;
   private answerStarted = false;
+  private answerWhole = false;
   private answerBytes = 0;
   private writer: AnswerWriter | null = null;
   /** Writes an answer that waits for those in front of it. */
@@ -73,7 +80,9 @@
     readonly head: CallerRequestHead,
     private readonly streams: CallerStreams,
     readonly connection: CallerConnection,
-  ) {}
+  ) {
+    this.answerPlace = answerPlaceOf(head.place?.host ?? '', head.place?.path ?? head.target);
+  }
 
   private get request(): IncomingMessage {
     return this.streams.request;
@@ -104,6 +113,11 @@
     return this.received ?? NO_BODY;
   }
 
+  /** Whether requests behind it may run: its answer is whole in the router, or is expected to be before any of it is written. */
+  get allowsBehind(): boolean {
+    return this.answerWhole || (this.isExpectedWhole && this.writer === null);
+  }
+
   get bodyBytes(): number {
     return this.body.length;
   }
@@ -156,8 +170,11 @@
 
   /** Sends an upstream's answer that was read whole. */
   sendWholeAnswer(status: number, headers: string[], body: Buffer): void {
+    this.connection.recordWhole(this, body.length);
     if (body.length > LARGE_ANSWER_BYTES) {
-      const writer = this.startStream(status, headers, body.length);
+      const writer = this.createWriter(status, headers);
+      this.answerWhole = true;
+      this.startWriterAtFront();
       writer.write(body);
       writer.end();
       return;
@@ -170,29 +187,17 @@
 
   /** Starts an answer of about `bytes` that is written in pieces, and returns its writer. */
   startStream(status: number, headers: string[], bytes: number): AnswerWriter {
-    this.answerStarted = true;
-    this.connection.recordAnswerSize(bytes);
-    const writer = new AnswerWriter({
-      response: this.response,
-      status,
-      headers,
-      account: this.connection,
-      onBroken: (started) => this.onStreamBroken(started),
-    });
-    this.writer = writer;
+    this.connection.recordStreamed(this, bytes);
+    const writer = this.createWriter(status, headers);
     this.startWriterAtFront();
     return writer;
   }
 
   /** Called when the request becomes the first of its connection. */
   onReachedFront(): void {
-    try {
-      this.writeAtFront();
-      this.startWriterAtFront();
-    } catch {
-      // The upstream's headers can't be written.
-      this.abort('unwritable');
-    }
+    this.writeAtFront();
+    this.startWriterAtFront();
+    this.writer?.checkBlocked();
   }
 
   /** Sends an answer stored in the ledger. */
@@ -251,11 +256,48 @@
   /** Takes a whole answer, which `write` writes once those in front of it are written: only then is known whether it is the last. */
   private startAnswer(answerBytes: number, write: () => void): void {
     this.answerStarted = true;
-    this.connection.recordAnswerSize(answerBytes);
     this.answerBytes = answerBytes;
     this.connection.hold(answerBytes);
     this.writeWaiting = write;
     this.writeAtFront();
+    this.onAnswerWhole();
+  }
+
+  private createWriter(status: number, headers: string[]): AnswerWriter {
+    this.answerStarted = true;
+    const writer = new AnswerWriter({
+      response: this.response,
+      status,
+      headers,
+      account: this.connection,
+      onBroken: (started) => this.onStreamBroken(started),
+      onWhole: () => this.onAnswerWhole(),
+      onBlocked: () => this.replaceIfOthersRunBehind(writer),
+    });
+    this.writer = writer;
+    return writer;
+  }
+
+  private onAnswerWhole(): void {
+    this.answerWhole = true;
+    this.startWriterAtFront();
+    this.connection.onAnswerWhole();
+  }
+
+  /** An answer that breaks off ends the connection, so none begins that isn't whole while others run behind it. */
+  private mayBegin(): boolean {
+    return this.connection.isAtFront(this) && (this.answerWhole || !this.connection.runsBehind(this));
+  }
+
+  /** Replaces an answer that may not begin before it is whole, and that there is no room to hold. */
+  private replaceIfOthersRunBehind(writer: AnswerWriter): void {
+    if (this.writer !== writer || !this.connection.isAtFront(this) || this.mayBegin()) {
+      return;
+    }
+    this.connection.onTooLarge(this);
+    this.writer = null;
+    writer.close();
+    this.sendRouterAnswer(ANSWER_BROKEN);
   }
 
   private writeAtFront(): void {
@@ -264,14 +306,23 @@
       return;
     }
     this.writeWaiting = null;
-    this.connection.onAnswerBegins(this, false);
-    write();
+    this.begin(false, write);
   }
 
   private startWriterAtFront(): void {
-    if (this.writer !== null && this.connection.isAtFront(this)) {
-      this.connection.onAnswerBegins(this, true);
-      this.writer.start();
+    const { writer } = this;
+    if (writer !== null && !writer.hasStarted && this.mayBegin()) {
+      this.begin(true, () => writer.start());
+    }
+  }
+
+  private begin(isStreamed: boolean, write: () => void): void {
+    this.connection.onAnswerBegins(this, isStreamed);
+    try {
+      write();
+    } catch (thrown) {
+      this.connection.onUnwritable(this, toError(thrown));
+      this.abort('unwritable');
     }
   }
 
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -21,6 +21,7 @@
 } from './caller-exchange.js';
 import type { HeldBytes } from './held-bytes.js';
 import { idempotencyFingerprint } from './idempotency.js';
+import { KnownAnswers } from './known-answers.js';
 import { PausedConnections } from './paused-connections.js';
 import type { PipelineLimits } from './pipeline-order.js';
 import { isRejectedRequestError, type RejectedRequestError } from './rejected-request-errors.js';
@@ -74,9 +75,12 @@
       limits: pipeline,
       held,
       paused: this.paused,
+      known: new KnownAnswers(),
       stallMillis: streamStallMillis,
       dispatch: (exchange) => this.dispatch(exchange),
       ended: (exchange, wasDispatched, unanswered) => this.ended(exchange, wasDispatched, unanswered),
+      unwritable: ({ number: request }, reason) => this.parts.log.error('answer-failed', { request, reason }),
+      tooLarge: (exchange) => this.logTooLarge(exchange),
       broken: (exchange, reason, lostBehind) => this.broken(exchange, reason, lostBehind),
     };
   }
@@ -121,7 +125,6 @@
     try {
       send(exchange);
     } catch (thrown) {
-      // The upstream's headers can't be written. A broken connection can't be mistaken for an answer.
       this.parts.log.error('answer-failed', { request: number, reason: toError(thrown) });
       exchange.abort('unwritable');
     }
@@ -210,6 +213,11 @@
     });
   }
 
+  private logTooLarge({ number, head, connection }: CallerExchange): void {
+    const { requestId: id } = head;
+    this.parts.log.info('answer-not-held', { request: number, id, open: connection.size });
+  }
+
   private broken(exchange: CallerExchange, reason: AbortReason, lostBehind: number): void {
     this.parts.metrics.recordBrokenAnswer(reason);
     const { head, number } = exchange;
--- a/src/router/caller/pipeline-order.ts
+++ b/src/router/caller/pipeline-order.ts
@@ -8,6 +8,8 @@
   readonly isSafe: boolean;
   /** Whether its body has arrived whole. */
   readonly isWhole: boolean;
+  /** Whether others may run behind it: its answer can't break off any more, or isn't expected to be written before it is whole. */
+  readonly allowsBehind: boolean;
   /** Bytes buffered for it from the arrival of its body until it is removed. */
   readonly bodyBytes: number;
 }
@@ -137,7 +139,17 @@
     if (this.#dispatched === 0) {
       return true;
     }
-    return next.isSafe && !this.#isFull() && this.#requests[0]?.isSafe === true;
+    return next.isSafe && !this.#isFull() && this.#dispatchedAllowBehind();
+  }
+
+  #dispatchedAllowBehind(): boolean {
+    for (let index = 0; index < this.#dispatched; index += 1) {
+      const request = this.#requests[index];
+      if (request?.isSafe !== true || !request.allowsBehind) {
+        return false;
+      }
+    }
+    return true;
   }
 
   /** Whether the expected answers of more requests would exceed the capacity: unread answers would block their upstreams. */
--- a/test/router/caller/answer-stream.test.ts
+++ b/test/router/caller/answer-stream.test.ts
@@ -55,6 +55,8 @@
     });
     stream.add(
       new AnswerWriter({
+        onWhole: () => {},
+        onBlocked: () => {},
         response: {} as ServerResponse,
         status: 200,
         headers: [],
--- /dev/null
+++ b/test/router/caller/answers-in-front.test.ts
@@ -0,0 +1,114 @@
+/** Whatever becomes of an answer in front, those that were handed on behind it on the same connection are answered. */
+import { expect } from 'chai';
+import { HEADERS } from '../../../src/model/outcome.js';
+import { LogRecorder } from '../log-recorder.js';
+import { RouterFixture, until } from '../router-fixture.js';
+import { answerWhole, headFor, type ScriptedRequest, ScriptedUpstream } from '../scripted-upstream.js';
+import { getHead, RawCaller } from './raw-caller.js';
+
+const WHOLE_BYTES = 1024;
+const HELD_PER_CONNECTION = 100_000;
+const LARGE = 'x'.repeat(4 * HELD_PER_CONNECTION);
+const PART_BYTES = 4096;
+const PART = 'x'.repeat(PART_BYTES);
+const DEADLINE_MILLIS = 300;
+const PATHS = ['/reads/0', '/reads/1', '/reads/2'];
+
+describe('an answer in front of others that run', () => {
+  let upstream: ScriptedUpstream;
+  let router: RouterFixture;
+  let caller: RawCaller;
+  let log: LogRecorder;
+
+  function requestFor(target: string): ScriptedRequest {
+    return upstream.requests.find((request) => request.target === target) as ScriptedRequest;
+  }
+
+  function startLarge(request: ScriptedRequest, bytes: number): void {
+    request.socket.write(`${headFor(request, `content-length: ${LARGE.length}`)}${LARGE.slice(0, bytes)}`);
+  }
+
+  /** Has answers to reads known as small, then sends three on one connection. */
+  async function sendReads(deadlineMillis: number | null = null): Promise<void> {
+    upstream.script = answerWhole;
+    await router.get('/reads/known');
+    upstream.script = () => {};
+    upstream.requests.length = 0;
+    const deadline = `\r\n${HEADERS.deadlineMillis}: ${deadlineMillis}\r\n\r\n`;
+    const [first = '', ...others] = PATHS.map(getHead);
+    caller.send((deadlineMillis === null ? first : first.replace('\r\n\r\n', deadline)) + others.join(''));
+    await until(() => upstream.requests.length === PATHS.length);
+  }
+
+  function answerThoseBehind(): void {
+    answerWhole(requestFor('/reads/1'));
+    answerWhole(requestFor('/reads/2'));
+  }
+
+  beforeEach(async () => {
+    log = new LogRecorder();
+    upstream = await new ScriptedUpstream().start();
+    router = await RouterFixture.start([upstream], {
+      reads: { slotsPerUpstream: 32, wholeAnswerBytes: WHOLE_BYTES, deadlineMillis: 20_000 },
+      settings: { limits: { heldBytesPerConnection: HELD_PER_CONNECTION } },
+      log,
+    });
+    caller = await RawCaller.connect(router.address);
+  });
+
+  afterEach(async () => {
+    caller.disconnect();
+    await until(() => router.daemon.openRequests === 0);
+    expect(router.daemon.connectionsUsage().heldAnswerBytes).to.equal(0);
+    await router.stop();
+    await upstream.stop();
+  });
+
+  for (const how of ['end', 'resetAndDestroy'] as const) {
+    it(`that breaks off becomes 502, and they are answered: ${how}`, async () => {
+      await sendReads();
+      startLarge(requestFor('/reads/0'), PART_BYTES);
+      answerThoseBehind();
+      await until(() => router.daemon.connectionsUsage().heldAnswerBytes >= PART_BYTES);
+      requestFor('/reads/0').socket[how]();
+      await until(() => caller.answers.length === PATHS.length);
+      expect(caller.statuses).to.deep.equal([502, 200, 200]);
+    });
+  }
+
+  it('that goes silent becomes 502 after its time, and they are answered', async () => {
+    await sendReads(DEADLINE_MILLIS);
+    startLarge(requestFor('/reads/0'), PART_BYTES);
+    answerThoseBehind();
+    await until(() => caller.answers.length === PATHS.length);
+    expect(caller.statuses).to.deep.equal([502, 200, 200]);
+  });
+
+  it('that is streamed begins once it is whole', async () => {
+    await sendReads();
+    const { socket } = requestFor('/reads/0');
+    socket.write(`${headFor(requestFor('/reads/0'), `content-length: ${2 * PART_BYTES}`)}${PART}`);
+    answerThoseBehind();
+    await until(() => router.daemon.connectionsUsage().heldAnswerBytes >= PART_BYTES);
+    expect(caller.rest).to.equal('');
+    socket.write(PART);
+    await until(() => caller.answers.length === PATHS.length);
+    expect(caller.bodies).to.deep.equal([PART + PART, '/reads/1', '/reads/2']);
+  });
+
+  it('that there is no room to hold becomes 502, they are answered, and the next of its kind is streamed', async () => {
+    await sendReads();
+    startLarge(requestFor('/reads/0'), LARGE.length - 1);
+    answerThoseBehind();
+    await until(() => caller.answers.length === PATHS.length);
+    expect(caller.statuses).to.deep.equal([502, 200, 200]);
+    expect(log.fieldsOf('answer-not-held').map(({ open }) => open)).to.deep.equal([PATHS.length]);
+    await until(() => requestFor('/reads/0').socket.destroyed);
+    caller.send(PATHS.map((path) => getHead(`${path}/again`)).join(''));
+    await until(() => upstream.requests.length === PATHS.length + 1);
+    upstream.script = answerWhole;
+    startLarge(requestFor('/reads/0/again'), LARGE.length);
+    await until(() => caller.answers.length === 2 * PATHS.length);
+    expect(caller.bodies.slice(PATHS.length)).to.deep.equal([LARGE, '/reads/1/again', '/reads/2/again']);
+  });
+});
