Test: seeded soak of real processes that looks for processes that end by themselves and for requests and configurations that are lost

Nothing played the deploy file's processes under planned and unplanned work at once with a judge of its own: the closing soak has no members, kills or configuration, the fleet none of the platform's settings. test/soak runs three members and N routers with the command lines and templates of the deploy file (the bundle), twelve upstreams of four services (one keyed, with grants), an operator that changes the configuration in series and by overlapping orders and reads it back, and callers of five kinds. Drawn from the seed: SIGHUP and SIGTERM at any time, also right after a start, twice and during a stop; settings written in two parts; SIGKILL of one, of all members, of everything; lost disks, also right after an acknowledgement; frozen processes; upstreams that crash, reset or break. The judge is pure and has unit tests: FAULT, RECOVER, LOST (planned work, at any time, configuration), TWICE, REFUSED, MIXED. Two sabotages are caught (answers dropped and an end by itself; a stop that ends at once).

--- /dev/null
+++ b/test/soak/process-soak.test.ts
@@ -0,0 +1,98 @@
+/** Real processes under seeded disturbances end only when they are meant to, and lose neither requests nor configurations. */
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { expect } from 'chai';
+import { GROUP, type Group } from './disturber.js';
+import { VIOLATION, type ViolationKind } from './judge.js';
+import { ROOT } from './machine-fleet.js';
+import { ProcessSoak, type SoakPlan } from './process-soak.js';
+
+const NETWORK = 150;
+const SABOTAGE_NETWORK = 151;
+const SECONDS = 30;
+const SEED = Number(process.env.SOAK_SEED ?? 1);
+const LIMIT_MILLIS = 600_000;
+/** All disturbances but those that a sabotage needs. */
+const CALM: readonly Group[] = Object.values(GROUP).filter((group) => group !== GROUP.pipedOrders);
+
+interface Sabotage {
+  /** Module that is loaded before the routers. */
+  readonly module: string;
+  readonly disturbance: Group | null;
+  /** What the judge has to see. */
+  readonly seen: readonly ViolationKind[];
+}
+
+const SABOTAGES: readonly Sabotage[] = [
+  { module: 'drops-answers', disturbance: null, seen: [VIOLATION.fault, VIOLATION.lostAtAnyTime] },
+  { module: 'stops-at-once', disturbance: GROUP.stops, seen: [VIOLATION.lostByPlannedWork] },
+];
+
+describe('real processes under seeded disturbances', () => {
+  let bundle = process.env.SOAK_BUNDLE ?? '';
+
+  before(function bundleDaemons() {
+    this.timeout(LIMIT_MILLIS);
+    if (bundle === '') {
+      bundle = mkdtempSync(join(ROOT, 'build', 'soak-'));
+      const built = spawnSync(process.execPath, ['scripts/bundle/bundle.mjs', bundle], { cwd: ROOT });
+      expect(built.status, String(built.stderr)).to.equal(0);
+    }
+  });
+
+  after(() => {
+    if (process.env.SOAK_BUNDLE === undefined) {
+      rmSync(bundle, { recursive: true, force: true });
+    }
+  });
+
+  function planned(): SoakPlan {
+    const without = process.env.SOAK_WITHOUT ?? GROUP.busy;
+    return {
+      seed: SEED,
+      network: Number(process.env.SOAK_NETWORK ?? NETWORK),
+      seconds: Number(process.env.SOAK_SECONDS ?? SECONDS),
+      routers: Number(process.env.SOAK_ROUTERS ?? 4),
+      callersPerRouter: Number(process.env.SOAK_CALLERS ?? 8),
+      bundle,
+      without: new Set(without.split(',') as Group[]),
+    };
+  }
+
+  it(`end only when they are meant to and lose nothing, seed ${SEED}`, async () => {
+    const soak = new ProcessSoak(planned());
+    const report = await soak.run();
+    const lines = report.violations.map((violation) => {
+      const { kind, subject, detail } = violation;
+      return [`${kind} ${subject}: ${detail}`, ...soak.linesOf(violation)].join('\n  ');
+    });
+    if (process.env.SOAK_SEED !== undefined) {
+      console.log(JSON.stringify({ seed: SEED, ...report, violations: lines.length }));
+      console.log(lines.join('\n'));
+    }
+    expect(report.requests).to.be.above(0);
+    expect(report.changes).to.be.above(0);
+    expect(lines.join('\n'), `logs in ${report.folder}`).to.equal('');
+    soak.removeFolder();
+  }).timeout(LIMIT_MILLIS);
+
+  for (const { module, disturbance, seen } of SABOTAGES) {
+    it(`are seen to break a rule with the sabotage ${module}`, async () => {
+      const soak = new ProcessSoak({
+        seed: SEED,
+        network: SABOTAGE_NETWORK,
+        seconds: 5,
+        routers: 2,
+        callersPerRouter: 8,
+        bundle,
+        without: new Set(CALM.filter((group) => group !== disturbance)),
+        routersLoad: fileURLToPath(new URL(`./${module}.js`, import.meta.url)),
+      });
+      const { violations } = await soak.run();
+      soak.removeFolder();
+      expect(violations.map((violation) => violation.kind)).to.include.members([...seen]);
+    }).timeout(LIMIT_MILLIS);
+  }
+});
--- /dev/null
+++ b/test/soak/soak-caller.ts
@@ -0,0 +1,270 @@
+/** A caller that keeps one connection to a router and uses it until it ends: one request at a time, or several at once. */
+import { connect, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Random } from '../../src/dev/sim/random.js';
+import { AnswerReader, type ReceivedAnswer } from './answer-reader.js';
+import { CALLER_PORT, type Machine } from './machine-fleet.js';
+import { type AnswerRecord, CONNECTION_END, type ConnectionEnd, type RequestRecord } from './records.js';
+import { bodyOf, sealOf } from './soak-upstream.js';
+
+/** Kinds of callers, with how many requests they send at once at most. */
+export const CALLERS = {
+  single: { depth: 1, isOrder: null, isSlow: false, halfCloses: false },
+  pipedReads: { depth: 6, isOrder: false, isSlow: false, halfCloses: false },
+  pipedOrders: { depth: 4, isOrder: true, isSlow: false, halfCloses: false },
+  slowBody: { depth: 1, isOrder: true, isSlow: true, halfCloses: false },
+  halfCloser: { depth: 3, isOrder: false, isSlow: false, halfCloses: true },
+} as const;
+export type CallerKind = keyof typeof CALLERS;
+
+export const HOST = 'soak.example';
+/** Beyond a request's deadline, after which its caller gives up. */
+const GIVE_UP_MILLIS = 1500;
+const CONNECT_MILLIS = 1000;
+const MAX_BODY_BYTES = 3000;
+const BODY_PARTS = 4;
+const KEYS = 65_536;
+const MAX_REST_MILLIS = 250;
+
+interface Draft {
+  readonly id: string;
+  readonly isOrder: boolean;
+  readonly bytes: number;
+  readonly deadlineMillis: number;
+  readonly head: string;
+  readonly body: string;
+}
+
+interface OpenRequest {
+  readonly draft: Draft;
+  sentAt: number | null;
+  answer: AnswerRecord | null;
+}
+
+export class SoakCaller {
+  readonly records: RequestRecord[] = [];
+  connections = 0;
+  #count = 0;
+
+  constructor(
+    readonly kind: CallerKind,
+    private readonly name: string,
+    private readonly machine: Machine,
+    private readonly random: Random,
+  ) {}
+
+  /** Uses one connection until it ends. */
+  async useConnection(isOver: () => boolean): Promise<void> {
+    const socket = await open(this.machine.host);
+    if (socket === null) {
+      await sleep(100);
+      return;
+    }
+    this.connections += 1;
+    const connection = new CallerSocket(socket);
+    while (!connection.isEnded && !isOver()) {
+      await this.#exchange(connection);
+      await sleep(this.random.chance(0.3) ? 0 : this.random.integer(0, 250));
+    }
+    connection.close();
+    await sleep(this.random.integer(0, MAX_REST_MILLIS));
+  }
+
+  async #exchange(connection: CallerSocket): Promise<void> {
+    const { depth, isSlow, halfCloses } = CALLERS[this.kind];
+    const drafts = Array.from({ length: this.random.integer(1, depth) }, () => this.#draft());
+    const batch = drafts.map((draft) => ({ draft, sentAt: null, answer: null }));
+    const deadline = Math.max(...drafts.map(({ deadlineMillis }) => deadlineMillis));
+    const startedAt = performance.now();
+    const answered = connection.expect(batch, deadline + GIVE_UP_MILLIS);
+    await this.#send(connection, batch, isSlow);
+    if (halfCloses) {
+      connection.halfClose();
+    }
+    await answered;
+    this.#record(batch, connection, startedAt);
+  }
+
+  async #send(connection: CallerSocket, batch: OpenRequest[], isSlow: boolean): Promise<void> {
+    if (!isSlow) {
+      connection.write(batch.map(({ draft }) => draft.head + draft.body).join(''));
+      markSent(batch);
+      return;
+    }
+    for (const request of batch) {
+      const { head, body } = request.draft;
+      connection.write(head);
+      const part = Math.ceil(body.length / BODY_PARTS);
+      for (let at = 0; at < body.length; at += part) {
+        await sleep(this.random.integer(10, 350));
+        if (connection.isEnded) {
+          return;
+        }
+        connection.write(body.slice(at, at + part));
+      }
+      markSent([request]);
+    }
+  }
+
+  #record(batch: readonly OpenRequest[], connection: CallerSocket, startedAt: number): void {
+    for (const { draft, sentAt, answer } of batch) {
+      if (sentAt === null) {
+        continue;
+      }
+      const { id, isOrder, deadlineMillis } = draft;
+      this.records.push({
+        id,
+        router: this.machine.name,
+        caller: this.kind,
+        isOrder,
+        startedAt,
+        sentAt,
+        deadlineMillis,
+        isHalfClosed: CALLERS[this.kind].halfCloses,
+        answer,
+        endedAt: answer === null ? connection.endedAt : null,
+        end: answer === null ? connection.end : null,
+      });
+    }
+  }
+
+  #draft(): Draft {
+    const { random } = this;
+    this.#count += 1;
+    const id = `${this.name}-${this.#count}`;
+    const isOrder = CALLERS[this.kind].isOrder ?? random.chance(0.3);
+    const key = !isOrder && random.chance(0.35) ? random.integer(0, KEYS - 1) : null;
+    const bytes = Math.round(
+      random.chance(0.85) ? random.between(200, 4000) : random.between(20_000, 300_000),
+    );
+    const work = Math.round(random.chance(0.8) ? random.between(20, 200) : random.between(200, 1200));
+    const deadlineMillis = random.integer(500, 6000);
+    const body = isOrder ? 'x'.repeat(random.integer(1, MAX_BODY_BYTES)) : '';
+    const prefix = isOrder ? 'orders' : key === null ? 'reads' : 'seats';
+    const lines = [
+      `${isOrder ? 'POST' : 'GET'} /${prefix}/1?bytes=${bytes}&work=${work} HTTP/1.1`,
+      `Host: ${HOST}`,
+      `Request-Id: ${id}`,
+      `Request-Deadline-Ms: ${deadlineMillis}`,
+      ...(key === null ? [] : [`Shard-Key: ${key}`]),
+      ...(isOrder ? [`Content-Length: ${body.length}`] : []),
+    ];
+    return { id, isOrder, bytes, deadlineMillis, head: `${lines.join('\r\n')}\r\n\r\n`, body };
+  }
+}
+
+function markSent(batch: readonly OpenRequest[]): void {
+  for (const request of batch) {
+    request.sentAt = performance.now();
+  }
+}
+
+/** The caller's side of a connection. */
+class CallerSocket {
+  readonly #socket: Socket;
+  readonly #reader = new AnswerReader();
+  #batch: OpenRequest[] = [];
+  #answers = 0;
+  #done: () => void = () => {};
+  #timer: NodeJS.Timeout | undefined;
+  endedAt: number | null = null;
+  end: ConnectionEnd | null = null;
+
+  constructor(socket: Socket) {
+    this.#socket = socket;
+    socket.on('data', (bytes) => this.#onBytes(bytes));
+    socket.on('error', () => this.#onEnd(CONNECTION_END.reset));
+    socket.on('end', () => this.#onEnd(CONNECTION_END.router));
+    socket.on('close', () => this.#onEnd(CONNECTION_END.router));
+  }
+
+  get isEnded(): boolean {
+    return this.end !== null;
+  }
+
+  /** Resolves once each of the requests has its answer, or the connection has ended. */
+  expect(batch: OpenRequest[], millis: number): Promise<void> {
+    this.#batch = batch;
+    this.#answers = 0;
+    return new Promise((resolve) => {
+      this.#done = resolve;
+      if (this.isEnded) {
+        resolve();
+        return;
+      }
+      this.#timer = setTimeout(() => this.#onEnd(CONNECTION_END.givenUp), millis);
+    });
+  }
+
+  write(text: string): void {
+    if (!this.isEnded) {
+      this.#socket.write(text);
+    }
+  }
+
+  halfClose(): void {
+    this.#socket.end();
+  }
+
+  close(): void {
+    this.#socket.destroy();
+    clearTimeout(this.#timer);
+  }
+
+  #onBytes(bytes: Buffer): void {
+    for (const answer of this.#reader.add(bytes)) {
+      this.#take(answer);
+    }
+  }
+
+  #take(answer: ReceivedAnswer): void {
+    const request = this.#batch[this.#answers];
+    this.#answers += 1;
+    if (request !== undefined) {
+      request.answer = recordOf(answer, request.draft);
+    }
+    if (answer.headers.get('connection')?.toLowerCase() === 'close') {
+      this.#onEnd(CONNECTION_END.router);
+    } else if (this.#answers >= this.#batch.length) {
+      clearTimeout(this.#timer);
+      this.#done();
+    }
+  }
+
+  #onEnd(end: ConnectionEnd): void {
+    if (this.isEnded) {
+      return;
+    }
+    this.end = end;
+    this.endedAt = performance.now();
+    clearTimeout(this.#timer);
+    this.#socket.destroy();
+    this.#done();
+  }
+}
+
+function recordOf({ status, headers, body }: ReceivedAnswer, { id, bytes }: Draft): AnswerRecord {
+  const seal = headers.get('response-seal');
+  const sealer = seal?.slice(0, seal.lastIndexOf('.')) ?? '';
+  const isSuccess = status >= 200 && status < 300;
+  const isWhole = seal !== undefined && body.equals(bodyOf(id, bytes)) && seal === sealOf(sealer, body);
+  const isForIt = !headers.has('request-id') || headers.get('request-id') === id;
+  const isRight = isForIt && (isSuccess ? isWhole : seal === undefined);
+  return { at: performance.now(), status, isSealed: seal !== undefined, isRight };
+}
+
+function open(host: string): Promise<Socket | null> {
+  return new Promise((resolve) => {
+    const socket = connect({ host, port: CALLER_PORT, noDelay: true, allowHalfOpen: true });
+    const timer = setTimeout(() => socket.destroy(), CONNECT_MILLIS);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      resolve(socket);
+    });
+    socket.on('error', () => {});
+    socket.once('close', () => {
+      clearTimeout(timer);
+      resolve(null);
+    });
+  });
+}
