--- a/test/router/planned-stop.test.ts
+++ b/test/router/planned-stop.test.ts
@@ -16,6 +16,8 @@
 const HALF = LONG.length / 2;
 /** More than a stop waits for what isn't answered yet. */
 const LONG_WORK_MILLIS = 2500;
+/** More than a read takes before it is sent elsewhere. */
+const OVERDUE_WORK_MILLIS = 1200;
 
 /** Marks the upstream `id` as drained by the operator. */
 function drain(id: string): (record: UpstreamRecord) => UpstreamRecord {
@@ -57,6 +59,28 @@
     await stopped;
   });
 
+  // Guards against reads that are broken off at a slow upstream during a stop, and answered 502 since another one failed.
+  it('waits for a slow upstream rather than send a read elsewhere', async () => {
+    const other = await new ScriptedUpstream().start();
+    const router = await RouterFixture.start([upstream, other]);
+    let arrived = 0;
+    upstream.script = other.script = (request) => {
+      arrived += 1;
+      if (arrived === 1) {
+        setTimeout(() => answerWhole(request), OVERDUE_WORK_MILLIS);
+      } else {
+        request.socket.destroy();
+      }
+    };
+    const answer = router.get('/reads/1');
+    await until(() => arrived === 1);
+    const stopped = router.stop();
+    expect(await answer).to.include({ status: 200, whole: true });
+    expect(arrived).to.equal(1);
+    await stopped;
+    await other.stop();
+  });
+
   it('answers a request that crosses with it, and accepts no new connection afterwards', async () => {
     const cookies = ['set-cookie: a=1', 'set-cookie: b=2'];
     upstream.script = (request) => request.socket.write(headFor(request, 'content-length: 0', ...cookies));
