--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,6 +1,6 @@
 /**
- * Runs all tests. Those of deterministic cores use neither sockets nor real time and run in several processes; the others follow one another
- * in a process of their own, beside them.
+ * Runs all tests. Those of deterministic cores use neither sockets nor real time and run in several processes. Beside them, those that start
+ * processes of their own follow one another, and so do the others.
  *
  * Arguments go to mocha. With `--reports FOLDER` first, each part writes its report there as JSON, for `verdict.mjs`.
  */
@@ -24,6 +24,8 @@
 /** Folders inside those that open sockets nevertheless. */
 const SOCKET_FOLDERS = ['control/daemon'];
 const CORE_PROCESSES = 3;
+/** Folders of tests most of which start processes. */
+const PROCESS_FOLDERS = ['closing', 'contract', 'fleet', 'platform', 'soak'];
 
 function isIn(file, folder) {
   return file.startsWith(`${folder}/`);
@@ -35,6 +37,10 @@
   );
 }
 
+function startsProcesses(file) {
+  return PROCESS_FOLDERS.some((folder) => isIn(file, folder));
+}
+
 /** Runs mocha and returns whether all tests passed. */
 async function runMocha(name, files, args, reports) {
   const paths = files.map((file) => join(TESTS, file));
@@ -50,18 +56,24 @@
   return `output=${join(reports, `${name}.json`)}`;
 }
 
-async function main([first, second, ...others]) {
+async function main([first, second, ...more]) {
   const hasReports = first === '--reports';
   const reports = hasReports ? second : null;
-  const args = hasReports ? others : [first, second, ...others].filter((word) => word !== undefined);
+  const args = hasReports ? more : [first, second, ...more].filter((word) => word !== undefined);
   const files = readdirSync(TESTS, { recursive: true })
     .filter((file) => file.endsWith('.test.js'))
     .sort();
   const cores = files.filter(isCore);
-  const rest = files.filter((file) => !isCore(file));
+  const others = files.filter((file) => !isCore(file));
   const passed = await Promise.all([
     runMocha('cores', cores, ['--parallel', '--jobs', String(CORE_PROCESSES), ...args], reports),
-    runMocha('rest', rest, args, reports),
+    runMocha('processes', others.filter(startsProcesses), args, reports),
+    runMocha(
+      'rest',
+      others.filter((file) => !startsProcesses(file)),
+      args,
+      reports,
+    ),
   ]);
   return passed.every(Boolean) ? 0 : 1;
 }
