Router: an answer that can't be written becomes 502 in place of the end of its connection

Callers saw their connection end, with all requests behind, when an upstream's answer had a head that can't be written, or was longer than is read whole, had no length, and was for a caller of HTTP/1.0. Nothing of such an answer is written yet, so nothing keeps the router from another one. Where the response was to have no body (204, 304) a head that can't be written still ends the connection: the response can't carry another answer.

--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -85,7 +85,7 @@
     ],
   },
   'request-ignored': { source: 'router', fields: ['id', 'method', 'open'] },
-  'answer-not-held': { source: 'router', fields: ['request', 'id', 'open'] },
+  'answer-replaced': { source: 'router', fields: ['request', 'id', 'reason', 'open'] },
   'answer-broken-off': { source: 'router', fields: ['request', 'id', 'reason', 'lostBehind'] },
   'answer-missing': { source: 'router', fields: ['request', 'attempt'] },
   'path-checked': {
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -140,7 +140,7 @@
       return;
     }
     if (head.contentLength === null && !exchange.supportsChunkedEncoding) {
-      exchange.abort('needs-length');
+      exchange.replace('needs-length');
       return;
     }
     this.streamMillis = Math.max(this.streamMillis, streamMillisFor(exchange));
--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -1,7 +1,7 @@
 /** One connection of a caller with its pipelined requests. */
 import type { Socket } from 'node:net';
 import type { BufferAccount } from './answer-writer.js';
-import type { AbortReason, CallerExchange, UnansweredCause } from './caller-exchange.js';
+import type { AbortReason, CallerExchange, ReplaceReason, UnansweredCause } from './caller-exchange.js';
 import type { HeldBytes } from './held-bytes.js';
 import type { KnownAnswers } from './known-answers.js';
 import type { PausedConnection, PausedConnections } from './paused-connections.js';
@@ -23,8 +23,8 @@
     wasDispatched: boolean,
     unanswered: UnansweredCause | null,
   ) => void;
-  /** Called when an answer that others run behind can't be held until it is whole. */
-  readonly tooLarge: (exchange: CallerExchange) => void;
+  /** Called when 502 replaces an upstream's answer that can't be written. */
+  readonly replaced: (exchange: CallerExchange, reason: ReplaceReason) => void;
   /** Called when the head of an upstream's answer can't be written. */
   readonly unwritable: (exchange: CallerExchange, error: Error) => void;
   /** Called when an answer is aborted, with the number of requests lost behind it. */
@@ -142,9 +142,8 @@
     queueMicrotask(() => this.#dispatchPending());
   }
 
-  /** Called when an answer that others run behind is replaced, since there is no room to hold it until it is whole. */
-  onTooLarge(exchange: CallerExchange): void {
-    this.#options.tooLarge(exchange);
+  onReplaced(exchange: CallerExchange, reason: ReplaceReason): void {
+    this.#options.replaced(exchange, reason);
   }
 
   onUnwritable(exchange: CallerExchange, error: Error): void {
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -28,6 +28,8 @@
   'header-too-large': 'the header is too large',
   'too-slow': 'the request did not come whole in time',
 };
+/** Statuses without a body; a response that was to have one of them can't carry another. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** Replaces an answer that failed after its upstream had started it, but before any of it was written. Its result is unknown. */
 const ANSWER_BROKEN: RouterAnswer = {
   status: 502,
@@ -53,7 +55,13 @@
 }
 
 /** Why an answer was aborted. */
-export type AbortReason = 'upstream-broke' | 'caller-stalled' | 'unwritable' | 'needs-length';
+export type AbortReason = 'upstream-broke' | 'caller-stalled' | 'unwritable';
+
+/**
+ * Why 502 replaced an upstream's answer of which nothing was written: its head can't be written, its caller couldn't tell its end, or others run
+ * behind it and there is no room to hold it until it is whole.
+ */
+export type ReplaceReason = 'unwritable' | 'needs-length' | 'no-room';
 
 /** Why a request has no whole answer: its own answer or one in front of it was aborted, or its connection was closed, by its caller or by a limit. */
 export type UnansweredCause = 'answer-broken' | 'connection-closed';
@@ -227,6 +235,16 @@
     endConnectionAt(this.response, () => this.connection.onResponseClosed(this));
   }
 
+  /** Sends 502 in place of an upstream's answer of which nothing was written. */
+  replace(reason: ReplaceReason): void {
+    this.connection.onReplaced(this, reason);
+    const { writer } = this;
+    this.writer = null;
+    writer?.close();
+    this.connection.hold(-this.answerBytes);
+    this.sendRouterAnswer(ANSWER_BROKEN);
+  }
+
   /** Sends a rejection and accepts no more requests on the connection. */
   reject(answer: RouterAnswer): void {
     this.closesConnection = true;
@@ -294,10 +312,7 @@
     if (this.writer !== writer || !this.connection.isAtFront(this) || this.mayBegin()) {
       return;
     }
-    this.connection.onTooLarge(this);
-    this.writer = null;
-    writer.close();
-    this.sendRouterAnswer(ANSWER_BROKEN);
+    this.replace('no-room');
   }
 
   private writeAtFront(): void {
@@ -322,7 +337,16 @@
       write();
     } catch (thrown) {
       this.connection.onUnwritable(this, toError(thrown));
+      this.replaceUnwritable();
+    }
+  }
+
+  private replaceUnwritable(): void {
+    const { headersSent, statusCode } = this.response;
+    if (headersSent || BODILESS_STATUSES.has(statusCode)) {
       this.abort('unwritable');
+    } else {
+      this.replace('unwritable');
     }
   }
 
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -14,6 +14,7 @@
   CallerExchange,
   type CallerStreams,
   endConnectionAt,
+  type ReplaceReason,
   type RetryAfterUnit,
   type RouterAnswer,
   type UnansweredCause,
@@ -80,7 +81,7 @@
       dispatch: (exchange) => this.dispatch(exchange),
       ended: (exchange, wasDispatched, unanswered) => this.ended(exchange, wasDispatched, unanswered),
       unwritable: ({ number: request }, reason) => this.parts.log.error('answer-failed', { request, reason }),
-      tooLarge: (exchange) => this.logTooLarge(exchange),
+      replaced: (exchange, reason) => this.logReplaced(exchange, reason),
       broken: (exchange, reason, lostBehind) => this.broken(exchange, reason, lostBehind),
     };
   }
@@ -213,9 +214,9 @@
     });
   }
 
-  private logTooLarge({ number, head, connection }: CallerExchange): void {
+  private logReplaced({ number, head, connection }: CallerExchange, reason: ReplaceReason): void {
     const { requestId: id } = head;
-    this.parts.log.info('answer-not-held', { request: number, id, open: connection.size });
+    this.parts.log.info('answer-replaced', { request: number, id, reason, open: connection.size });
   }
 
   private broken(exchange: CallerExchange, reason: AbortReason, lostBehind: number): void {
