Router: a streamed answer without end is broken off also where its upstream is faster than its caller

Cause: the time of a streamed answer stands still while its caller's buffer is full. Beside an upstream that is always faster, hardly any time was ever counted.

Fix: StreamLimit counts what comes once the answer's time (the caller's deadline and 1 s) is over by the clock as well. Without a length that is bounded by 16 MiB or by as much as came in time, whichever is more: the buffers on the way may hold that much of an answer that was made in time, and a caller that takes much gets at most twice as much. An answer with a length names its end; it is read for ten minutes at most beyond its time. The reading time stays as it was.

Not bounded by bytes: a false length of any size, which ends by the reading time or after ten minutes. An answer that waits behind another one of its connection beyond its own time has the 16 MiB alone.

--- a/src/router/attempts/answer-stream.ts
+++ b/src/router/attempts/answer-stream.ts
@@ -1,11 +1,15 @@
 /**
  * An answer streamed from an upstream to one or more callers. If the upstream's connection breaks, the callers' connections
  * are closed too, so that none of them takes a partial answer for the whole. An answer has a time to end in, which doesn't count while
- * a caller's buffer is full: a faulty upstream may send without end, and a slow caller still gets what its upstream had made in time.
+ * a caller's buffer is full: a faulty upstream may send without end, and a slow caller still gets what its upstream had made in time. How much
+ * that may be is bounded.
  */
 import type { AnswerWriter } from '../caller/answer-writer.js';
+import { StreamLimit } from './stream-limit.js';
 
 export interface AnswerStreamOptions {
+  /** Whether the answer names its length. */
+  readonly hasLength: boolean;
   /** Resumes reading from the upstream. */
   readonly resume: () => void;
   /** Called when no caller is left. */
@@ -23,6 +27,7 @@
   /** Whether the answer was received whole before the stream started. */
   private endsAtStart = false;
   private leftMillis = 0;
+  private limit: StreamLimit | null = null;
   private readingSince: number | null = null;
   private timer: NodeJS.Timeout | undefined;
 
@@ -56,6 +61,8 @@
     }
     this.started = true;
     this.leftMillis = millis;
+    const { hasLength } = this.options;
+    this.limit = new StreamLimit({ endsAt: performance.now() + millis, hasLength });
     for (const chunk of chunks) {
       this.write(chunk);
     }
@@ -76,6 +83,13 @@
 
   /** Returns `false` if the buffer of any caller is full. */
   write(chunk: Buffer): boolean {
+    if (this.isOver) {
+      return true;
+    }
+    if (this.limit?.take(chunk.length, performance.now()) === false) {
+      this.endLate();
+      return true;
+    }
     for (const reader of this.readers) {
       if (!reader.write(chunk)) {
         this.blocked.add(reader);
@@ -104,6 +118,11 @@
     }
   }
 
+  private endLate(): void {
+    this.breakOff();
+    this.options.onEndless();
+  }
+
   private unblock(reader: AnswerWriter): void {
     if (this.blocked.delete(reader) && this.blocked.size === 0) {
       this.startTime();
@@ -114,10 +133,7 @@
   private startTime(): void {
     if (this.started && !this.isOver && this.readingSince === null) {
       this.readingSince = performance.now();
-      this.timer = setTimeout(() => {
-        this.breakOff();
-        this.options.onEndless();
-      }, this.leftMillis);
+      this.timer = setTimeout(() => this.endLate(), this.leftMillis);
     }
   }
 
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -277,6 +277,7 @@
     }
     this.holdReading();
     this.stream = new AnswerStream({
+      hasLength: this.head?.contentLength !== null,
       resume: () => this.releaseReading(),
       onAbandoned: () => this.abort('no-reader'),
       onEndless: () => this.abort('endless'),
--- a/test/router/caller/answer-stream.test.ts
+++ b/test/router/caller/answer-stream.test.ts
@@ -47,6 +47,7 @@
     resumed = 0;
     account = new FakeBufferAccount();
     stream = new AnswerStream({
+      hasLength: true,
       resume: () => {
         resumed += 1;
       },
