Test: in the soak a member's disk is lost also while others are down

The platform allows it at any time, as long as the members have caught up since the last lost disk; so only that is asked now.

--- a/test/soak/disturber.ts
+++ b/test/soak/disturber.ts
@@ -23,8 +23,9 @@
 } as const;
 export type Group = (typeof GROUP)[keyof typeof GROUP];
 
-/** A disk is lost only once every member has run undisturbed for so long. */
+/** After the loss of a disk the next is lost only once every member has run undisturbed for so long. */
 const CATCH_UP_MILLIS = 8000;
+const WATCH_MILLIS = 200;
 const EARLY_MILLIS = 400;
 /** Without early signals a process is left alone for so long after its start. */
 const SETTLED_MILLIS = 4000;
@@ -72,6 +73,8 @@
   #isOver = false;
   #coreDisturbedAt = 0;
   #breakUntil = 0;
+  /** Whether the members have caught up since the last loss of a disk. */
+  #hasCaughtUp = true;
 
   constructor(
     fleet: MachineFleet,
@@ -95,6 +98,7 @@
       ...routers.map((router) => this.#disturbEarly(router, this.#random.fork())),
       ...members.map((member) => this.#disturbEarly(member, this.#random.fork())),
       this.#disturbMany(all),
+      this.#watchMembers(),
       this.#disturbUpstreams(this.#random.fork()),
       this.#shortenProcessor(this.#random.fork()),
     ]);
@@ -279,18 +283,26 @@
     this.#noteCore(machine);
   }
 
+  /** Others may be down meanwhile: only a second disk must not be lost before the members have caught up. */
   #wipe(machine: Machine): void {
-    const isCalm =
-      performance.now() - this.#coreDisturbedAt > CATCH_UP_MILLIS &&
-      this.#fleet.members.every((member) => this.#fleet.ageMillis(member) > CATCH_UP_MILLIS);
-    if (!isCalm || this.#without.has(GROUP.wipes)) {
+    if (!this.#hasCaughtUp || this.#without.has(GROUP.wipes)) {
       return;
     }
+    this.#hasCaughtUp = false;
     this.#noteCore(machine);
     this.counts.wipes += 1;
     this.#fleet.wipe(machine);
   }
 
+  async #watchMembers(): Promise<void> {
+    while (!this.#isOver) {
+      await this.#pause(WATCH_MILLIS);
+      const isCalm = performance.now() - this.#coreDisturbedAt > CATCH_UP_MILLIS;
+      const areUp = this.#fleet.members.every((member) => this.#fleet.ageMillis(member) > CATCH_UP_MILLIS);
+      this.#hasCaughtUp = this.#hasCaughtUp || (isCalm && areUp);
+    }
+  }
+
   #noteCore(machine: Machine): void {
     if (machine.role === 'control') {
       this.#coreDisturbedAt = performance.now();
