Daemons wait for settings files that are missing or incomplete for a moment, and take no part of one for the whole

What the users may have seen: a router or member that ended with code 2 at a start, because its settings file (or the secret) was missing, empty or cut at that moment, as while the platform writes it; or one that ran on a part of its settings. A YAML file that is cut at the end of a line, and often within a value, parses.

Now none loads: a first line "# ends with: LINE" announces the last line, and a file without it is refused as cut short. Both templates have it; files without such a first line are read as before.

At a start unusable settings are read again: up to 2 s if a file is missing, empty or cut short, otherwise until the file hasn't changed for 0.2 s. Then the daemon ends with code 2 and its line as before, since a fault that stays is an operator's. A stop ends the wait with code 0. At a reload nothing of this waits: unusable settings change nothing and the file is read again when it changes, which held before.

--- a/src/cli/daemons/run-control.ts
+++ b/src/cli/daemons/run-control.ts
@@ -21,7 +21,8 @@
 import { type PreparedDaemon, runDaemon } from '../run-daemon.js';
 import { settingsLayers } from '../settings-options.js';
 import { logEnd } from './log-end.js';
-import { readFileVersion, SettingsWatch } from './settings-watch.js';
+import { loadPatiently } from './patient-load.js';
+import { SettingsWatch } from './settings-watch.js';
 import { waitForAddress } from './wait-for-address.js';
 
 function daemonSettings(settings: ControlSettings): ControlDaemonSettings {
@@ -79,9 +80,12 @@
 /** Validates settings and ports before touching the data folder. */
 async function prepare(invocation: Invocation): Promise<PreparedDaemon> {
   const layers = settingsLayers(invocation);
-  const version = readFileVersion(layers.file);
-  const settings = loadControlSettings(layers);
-  const daemon = daemonSettings(settings);
+  const load = () => {
+    const settings = loadControlSettings(layers);
+    return { settings, daemon: daemonSettings(settings) };
+  };
+  const loaded = await loadPatiently(layers.file, load, invocation.io);
+  const { settings, daemon } = loaded.settings;
   await waitForAddress(settings.listen, invocation.io);
   await waitForAddress(settings.admin, invocation.io);
   const log = createLogger('storage');
@@ -96,6 +100,6 @@
   const opened = { replica, restored, files: store, stopWaiting: () => waits.stop() };
   const member = new ControlDaemon(daemon, opened, createControlNode);
   const reload = (): void => member.setPeers(peersOf(loadControlSettings(layers)));
-  const watch = new SettingsWatch({ io: invocation.io, file: layers.file, version, reload });
+  const watch = new SettingsWatch({ io: invocation.io, file: layers.file, version: loaded.version, reload });
   return { daemon: member, close: () => watch.stop() };
 }
--- a/src/cli/daemons/run-router.ts
+++ b/src/cli/daemons/run-router.ts
@@ -12,7 +12,8 @@
 import { type PreparedDaemon, runDaemon } from '../run-daemon.js';
 import { settingsLayers } from '../settings-options.js';
 import { logEnd } from './log-end.js';
-import { readFileVersion, SettingsWatch } from './settings-watch.js';
+import { loadPatiently } from './patient-load.js';
+import { SettingsWatch } from './settings-watch.js';
 import { waitForAddress } from './wait-for-address.js';
 
 function daemonSettings(settings: RouterSettings): RouterDaemonSettings {
@@ -73,9 +74,12 @@
 /** Validates the settings before opening a port. */
 async function prepare(invocation: Invocation): Promise<PreparedDaemon> {
   const layers = settingsLayers(invocation);
-  const version = readFileVersion(layers.file);
-  const settings = loadRouterSettings(layers);
-  const daemon = daemonSettings(settings);
+  const load = () => {
+    const settings = loadRouterSettings(layers);
+    return { settings, daemon: daemonSettings(settings) };
+  };
+  const loaded = await loadPatiently(layers.file, load, invocation.io);
+  const { settings, daemon } = loaded.settings;
   enableLogs(settings.log);
   setProcessIdentity({ process: settings.router, zone: settings.zone });
   for (const address of [settings.listen, settings.admin, settings.relay]) {
@@ -85,6 +89,6 @@
   }
   const router = new RouterDaemon(daemon, createRouterNode, 'koa');
   const reload = (): void => router.setControlMembers(loadRouterSettings(layers).control);
-  const watch = new SettingsWatch({ io: invocation.io, file: layers.file, version, reload });
+  const watch = new SettingsWatch({ io: invocation.io, file: layers.file, version: loaded.version, reload });
   return { daemon: router, close: () => watch.stop() };
 }
--- a/src/security/secret-file.ts
+++ b/src/security/secret-file.ts
@@ -15,11 +15,12 @@
     secret = readFileSync(path, 'utf8').trim();
   } catch (thrown) {
     const { code, message } = toError(thrown) as NodeJS.ErrnoException;
-    throw new SettingsError([{ source: path, path: '', message: `can't be read (${code ?? message})` }]);
+    const reason = `can't be read (${code ?? message})`;
+    throw new SettingsError([{ source: path, path: '', message: reason, mayPass: true }]);
   }
   if (secret.length < MIN_LENGTH) {
     const message = `the secret must have ${MIN_LENGTH} characters or more`;
-    throw new SettingsError([{ source: path, path: '', message }]);
+    throw new SettingsError([{ source: path, path: '', message, mayPass: secret.length === 0 }]);
   }
   return secret;
 }
--- a/src/settings/settings-error.ts
+++ b/src/settings/settings-error.ts
@@ -15,6 +15,8 @@
 /** One invalid value. */
 export interface SettingsProblem extends SettingsLocation {
   readonly message: string;
+  /** The file is missing or incomplete, which a later read may find mended. */
+  readonly mayPass?: boolean;
 }
 
 /** Formats a problem as `file:line:column: path: message`. */
--- a/src/settings/yaml-source.ts
+++ b/src/settings/yaml-source.ts
@@ -142,11 +142,24 @@
     const error = toError(thrown) as NodeJS.ErrnoException;
     const reason =
       error.code === 'ENOENT' ? 'no such file' : `can't be read (${error.code ?? error.message})`;
-    throw new SettingsError([{ source: path, path: '', message: reason }], error);
+    throw new SettingsError([{ source: path, path: '', message: reason, mayPass: true }], error);
   }
+  checkWhole(path, text);
   return parseYaml(path, text);
 }
 
+/** A first line that announces the last one, so that a part of the file isn't taken for the whole. */
+const ANNOUNCED_END = /^# ends with: (.*)/;
+
+function checkWhole(path: string, text: string): void {
+  const end = ANNOUNCED_END.exec(text)?.[1]?.trim();
+  const lastLine = text.trimEnd().split('\n').at(-1)?.trim();
+  if (end !== undefined && lastLine !== end) {
+    const message = `is cut short: its last line isn't ${JSON.stringify(end)}, which its first line announces`;
+    throw new SettingsError([{ source: path, path: '', message, mayPass: true }]);
+  }
+}
+
 /** Describes a schema violation in one clause. */
 export function describeIssue(issue: z.core.$ZodIssue, input: unknown): string {
   if (issue.code === 'invalid_type' && input === undefined) {
--- a/test/platform/names.test.ts
+++ b/test/platform/names.test.ts
@@ -98,6 +98,15 @@
     expect(control.zones).to.deep.equal(['zone-a', 'zone-b']);
   });
 
+  it('announces the end of each settings file, so that no part is taken for the whole', () => {
+    for (const name of ['router.yaml', 'control.yaml']) {
+      const lines = readFileSync(join(ROOT, 'platform', name), 'utf8')
+        .trimEnd()
+        .split('\n');
+      expect(lines[0], name).to.equal(`# ends with: ${lines.at(-1)}`);
+    }
+  });
+
   it('passes the warm-up bounds to routers if it has any', () => {
     const settings = routerSettingsSchema.parse(rendered('router.yaml', WARMUP_EXAMPLE));
     expect(settings.warmup).to.deep.equal({ overrunFactor: 1.5, marginRequests: 8 });
