Daemons: a failed start keeps its exit code when nobody reads standard error

A daemon that ended at its start because of its settings had exit code 1 in place of 2 if the reader of its standard error was gone: the failed write was an error that nobody handled. It is logged now (standard-error-failed) and changes nothing.

--- a/src/cli/cli-io.ts
+++ b/src/cli/cli-io.ts
@@ -55,11 +55,12 @@
     SIGINT: stop,
     SIGTERM: stop,
   };
+  const standardError = new StandardError();
   signals.listen(STOP_SIGNALS);
   signals.handle((received) => handlers[received.signal](received));
   return {
     write: (text) => void process.stdout.write(text),
-    writeError: (text) => void process.stderr.write(text),
+    writeError: (text) => standardError.write(text),
     environment: process.env,
     stopSignal: controller.signal,
     stoppedBy: () => stoppedBy,
@@ -68,6 +69,19 @@
   };
 }
 
+/** Standard error; a failed write, as after its reader has gone, doesn't change how the process ends. */
+class StandardError {
+  #hasListener = false;
+
+  write(text: string): void {
+    if (!this.#hasListener) {
+      this.#hasListener = true;
+      process.stderr.on('error', (error) => log.warn('standard-error-failed', { error }));
+    }
+    process.stderr.write(text);
+  }
+}
+
 /** Requests to reload the settings; those without a listener are kept for it, as one. */
 class ReloadRequests {
   readonly #kept: ReceivedSignal[] = [];
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -28,6 +28,7 @@
     source: 'both',
     fields: ['exitCode', 'uptimeMillis', 'signal', 'signalUptimeMillis', 'error'],
   },
+  'standard-error-failed': { source: 'both', fields: ['error'] },
   'settings-awaited': { source: 'both', fields: ['error', 'maxWaitMillis'] },
   'settings-reloaded': { source: 'both', fields: ['why'] },
   'settings-unusable': { source: 'both', fields: ['why', 'error'] },
--- a/test/contract/daemon-ends.test.ts
+++ b/test/contract/daemon-ends.test.ts
@@ -1,8 +1,12 @@
 /** The log of a real daemon says why it ended, and with which exit code. */
+import { type StdioOptions, spawn } from 'node:child_process';
+import { once } from 'node:events';
 import { readFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
 import { expect } from 'chai';
 import { ProcessCluster } from './process-cluster.js';
 
+const PROGRAM = fileURLToPath(new URL('../../src/cli/main.js', import.meta.url));
 const NETWORK = 120;
 const EXIT_USAGE = 2;
 
@@ -61,4 +65,12 @@
     expect(ended).to.include({ level: 'error', exitCode: EXIT_USAGE });
     expect(ended?.error).to.have.property('message').that.contains('zone: is missing');
   });
+
+  it('at its start keeps its exit code if nobody reads standard error', async () => {
+    const file = cluster.write('unusable.yaml', { ...cluster.shared, router: 'router-1' });
+    const stdio: StdioOptions = ['ignore', 'ignore', 'pipe'];
+    const child = spawn(process.execPath, [PROGRAM, 'router', 'run', '--settings', file], { stdio });
+    child.stderr?.destroy();
+    expect(await once(child, 'exit')).to.deep.equal([EXIT_USAGE, null]);
+  });
 });
