Endings of answers over two router processes: a table with real processes

No part is taken for the whole, each whole answer arrives (a reset at its last byte aside, which may overtake it), both processes run on, and what is asked afterwards is answered.

--- a/test/router/lost-paths/router-process.ts
+++ b/test/router/lost-paths/router-process.ts
@@ -91,6 +91,10 @@
     }
   }
 
+  get isRunning(): boolean {
+    return this.#child !== null && this.#child.exitCode === null && this.#child.signalCode === null;
+  }
+
   freeze(): void {
     this.#child?.kill('SIGSTOP');
   }
