Storage: a full disk that also refuses to cut files no longer ends a control member

A write that met a full disk was rolled back at once, by cutting off the part that was written. If the full disk refused that as well ("a full disk refuses every write"), the member ended with StorageFailedError; the same for a cut that the log itself makes. Both now wait for room like the writes, and a part of a write is cut off with the next try. Found by reading; whether the users' disks refuse cuts isn't known.

Open: a sync that fails because the disk is full still ends the member.

--- a/src/storage/disk-full-retry.ts
+++ b/src/storage/disk-full-retry.ts
@@ -49,7 +49,7 @@
   }
 
   /**
-   * A write that fails on a full disk may leave a partial write, which is truncated before the retry. `sizeOf` returns the
+   * A write that fails on a full disk may leave a partial write, which is truncated with the retry; the disk may refuse that too. `sizeOf` returns the
    * size of the file; it is called only if the file wasn't truncated to a given size first.
    */
   #wrapFile(file: WritableFile, sizeOf: () => Promise<number>): WritableFile {
@@ -57,14 +57,18 @@
     return {
       append: async (bytes) => {
         const completeBytes = size ?? (await sizeOf());
-        await this.#retryWhileFull(
-          () => file.append(bytes),
-          () => file.truncate(completeBytes),
-        );
+        let isPartial = false;
+        await this.#retryWhileFull(async () => {
+          if (isPartial) {
+            await file.truncate(completeBytes);
+          }
+          isPartial = true;
+          await file.append(bytes);
+        });
         size = completeBytes + bytes.length;
       },
       truncate: async (bytes) => {
-        await file.truncate(bytes);
+        await this.#retryWhileFull(() => file.truncate(bytes));
         size = bytes;
       },
       sync: () => file.sync(),
@@ -72,7 +76,7 @@
     };
   }
 
-  async #retryWhileFull<Result>(run: () => Promise<Result>, rollBack?: () => Promise<void>): Promise<Result> {
+  async #retryWhileFull<Result>(run: () => Promise<Result>): Promise<Result> {
     const { retryMillis = DEFAULT_RETRY_MILLIS, onDiskFull, onSpaceAvailable } = this.#options;
     let fullSince: number | null = null;
     for (;;) {
@@ -86,7 +90,6 @@
         if (!isDiskFull(thrown) || this.#isStopped) {
           throw thrown;
         }
-        await rollBack?.();
         if (fullSince === null) {
           fullSince = performance.now();
           onDiskFull?.(toError(thrown));
--- a/test/storage/disk-full-retry.test.ts
+++ b/test/storage/disk-full-retry.test.ts
@@ -4,7 +4,9 @@
 import type { PersistRequest } from '../../src/consensus/types.js';
 import { PersistTask } from '../../src/control/daemon/persist-task.js';
 import { MemoryDisk } from '../../src/dev/disk/memory-disk.js';
+import type { WritableFile } from '../../src/storage/file-system.js';
 import { createReplica, DiskFullRetry, openReplica } from '../../src/storage/index.js';
+import { StorageFailedError } from '../../src/storage/storage-error.js';
 
 const FOLDER = '/data';
 const RETRY_MILLIS = 2;
@@ -71,4 +73,47 @@
     await task.stop();
     expect(failures.map(({ name }) => name)).to.deep.equal(['StorageFailedError']);
   });
+
+  it('that also refuses to cut a file delays writes, and leaves no part of one', async () => {
+    const disk = new FussyDisk();
+    const file = await new DiskFullRetry({ retryMillis: RETRY_MILLIS }).wrap(disk).create('/data/log');
+    await file.append(Buffer.from('one '));
+    disk.isFull = true;
+    const written = file.append(Buffer.from('two'));
+    await sleep(5 * RETRY_MILLIS);
+    disk.isFull = false;
+    await written;
+    expect(disk.text).to.equal('one two');
+    disk.isFull = true;
+    const cut = file.truncate(3);
+    await sleep(5 * RETRY_MILLIS);
+    disk.isFull = false;
+    await cut;
+    expect(disk.text).to.equal('one');
+  });
 });
+
+/** One file; while it is full, appends write a part, and files can't be cut either. */
+class FussyDisk extends MemoryDisk {
+  text = '';
+
+  override async create(path: string): Promise<WritableFile> {
+    const refuse = (): void => {
+      if (this.isFull) {
+        throw new StorageFailedError(path, 'write', Object.assign(new Error('full'), { code: 'ENOSPC' }));
+      }
+    };
+    return {
+      append: async (bytes) => {
+        this.text += Buffer.from(bytes.subarray(0, this.isFull ? 1 : bytes.length)).toString();
+        refuse();
+      },
+      truncate: async (size) => {
+        refuse();
+        this.text = this.text.slice(0, size);
+      },
+      sync: async () => {},
+      close: async () => {},
+    };
+  }
+}
