--- a/test/soak/judge.test.ts
+++ b/test/soak/judge.test.ts
@@ -138,6 +138,9 @@
     const disturbances = [disturbed(DISTURBANCE.term, 9900)];
     expect(kindsOf({ requests, runs: [RUN], disturbances })).to.deep.equal(['LOST by planned work']);
     expect(kindsOf({ requests, runs: [RUN] })).to.deep.equal([]);
+    expect(
+      kindsOf({ requests, runs: [RUN], disturbances: [disturbed(DISTURBANCE.hup, 9900)] }),
+    ).to.deep.equal([]);
   });
 
   it('counts orders that ran twice, and refused ones that ran', () => {
