--- a/test/soak/process-soak.test.ts
+++ b/test/soak/process-soak.test.ts
@@ -17,6 +17,10 @@
 /** All disturbances but those that a sabotage needs. */
 const CALM: readonly Group[] = Object.values(GROUP).filter((group) => group !== GROUP.pipedOrders);
 
+/** What may come in the first moments of a process, and nothing else. */
+const STARTS: readonly Group[] = [GROUP.early, GROUP.stops, GROUP.reloads];
+const STARTS_SECONDS = 8;
+
 interface Sabotage {
   /** Module that is loaded before the routers. */
   readonly module: string;
@@ -49,7 +53,7 @@
   });
 
   function planned(): SoakPlan {
-    const without = process.env.SOAK_WITHOUT ?? GROUP.busy;
+    const without = process.env.SOAK_WITHOUT ?? `${GROUP.busy},${GROUP.early}`;
     return {
       seed: SEED,
       network: Number(process.env.SOAK_NETWORK ?? NETWORK),
@@ -61,8 +65,8 @@
     };
   }
 
-  it(`end only when they are meant to and lose nothing, seed ${SEED}`, async () => {
-    const soak = new ProcessSoak(planned());
+  async function play(plan: SoakPlan): Promise<void> {
+    const soak = new ProcessSoak(plan);
     const report = await soak.run();
     const lines = report.violations.map((violation) => {
       const { kind, subject, detail } = violation;
@@ -76,6 +80,15 @@
     expect(report.changes).to.be.above(0);
     expect(lines.join('\n'), `logs in ${report.folder}`).to.equal('');
     soak.removeFolder();
+  }
+
+  it(`end only when they are meant to and lose nothing, seed ${SEED}`, () => play(planned())).timeout(
+    LIMIT_MILLIS,
+  );
+
+  it(`aren't ended by signals in the first moments after their start, seed ${SEED}`, () => {
+    const without = new Set(Object.values(GROUP).filter((group) => !STARTS.includes(group)));
+    return play({ ...planned(), seconds: STARTS_SECONDS, without });
   }).timeout(LIMIT_MILLIS);
 
   for (const { module, disturbance, seen } of SABOTAGES) {
