Router: requests that hang on a lost path are looked for during a planned stop too

The timer goes on; only overdue reads are left to their upstreams. The new test of overdue-attempts failed before (no path was tried within 3 s of the stop).

--- a/src/routing/lost-attempts.ts
+++ b/src/routing/lost-attempts.ts
@@ -50,7 +50,7 @@
   /** Schedules the periodic check for overdue reads while any attempt is in flight. */
   scheduleSweep(): void {
     const { context } = this;
-    if (!this.sweepScheduled && !context.stopping && context.attempts.size > 0) {
+    if (!this.sweepScheduled && context.attempts.size > 0) {
       this.sweepScheduled = true;
       context.schedule(context.now + SWEEP_INTERVAL_MILLIS, { type: 'overdue-sweep' });
     }
@@ -62,15 +62,18 @@
    */
   sweep(): void {
     this.sweepScheduled = false;
-    if (this.context.stopping) {
-      return;
+    if (!this.context.stopping) {
+      this.retryOverdue();
     }
+    this.scheduleSweep();
+  }
+
+  private retryOverdue(): void {
     for (const attempt of this.current()) {
       if (this.canRetryElsewhere(attempt) && attempt.group.service.retryBudget.tryRetry()) {
         this.results.retryElsewhere(attempt);
       }
     }
-    this.scheduleSweep();
   }
 
   /** Attempts that their groups still rely on. */
--- a/test/routing/overdue-attempts.test.ts
+++ b/test/routing/overdue-attempts.test.ts
@@ -41,6 +41,17 @@
     expect(effectsOfType(harness.ended(first?.attempt as number), 'deliver')).to.have.length(1);
   });
 
+  // Guards against requests that hang on a lost path until their deadline because their router stops.
+  it('is still looked for on lost paths on a planned stop', () => {
+    const record = service('board', { deadlineMillis: 5000, slotsPerUpstream: 4 });
+    const harness = new Harness().start([record], [upstream('u1', 'board')]);
+    const peers = ['r2', 'r3'].map((router) => ({ router, zone: 'a', address: `${router}:1` }));
+    harness.fromControl({ type: 'relay-peers', peers });
+    harness.step({ type: 'stopping' });
+    harness.request('board');
+    expect(effectsOfType(harness.run(3000), 'try-path')).to.not.deep.equal([]);
+  });
+
   it('continues if the retry budget is spent', () => {
     const harness = start({ retryBudget: 0 });
     const [first] = effectsOfType(harness.request('board'), 'dispatch');
