Router: an answer that is held isn't taken for one that its caller leaves unread, and a planned stop replaces none for want of room

An answer that is held until it is whole counted as begun, so the time for a caller that takes nothing ran on it: after 30 s its connection was closed, with all requests on it. And one for which there is no room became 502 during a planned stop too, where breaking off what an upstream sends is no choice.

The time now runs only for an answer whose writing has begun, and in a planned stop an answer without room begins at once.

--- a/src/router/caller/answer-writer.ts
+++ b/src/router/caller/answer-writer.ts
@@ -89,9 +89,9 @@
     return this.#closed || this.#hasCapacity();
   }
 
-  /** Has `onBlocked` called if there is no room. */
+  /** Has `onBlocked` called if there is no room, and `onWritable` if there is. */
   checkBlocked(): void {
-    this.#hasCapacity();
+    this.#notifyWritable();
   }
 
   end(): void {
--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -13,6 +13,8 @@
   readonly held: HeldBytes;
   readonly paused: PausedConnections;
   readonly known: KnownAnswers;
+  /** Whether a planned stop is in progress. */
+  readonly isStopping: () => boolean;
   /** An answer on which no bytes pass for this time is aborted. */
   readonly stallMillis: number;
   /** Called when a request may run. */
@@ -34,6 +36,9 @@
 /** How long requests are still accepted behind one that would close the connection: a caller that pipelines on and on must not hold up a stop. */
 const MAX_CLOSE_DELAY_MILLIS = 1500;
 
+/** Statuses below are successes. */
+const FIRST_REDIRECT = 300;
+
 export class CallerConnection implements BufferAccount, PausedConnection {
   readonly #options: CallerConnectionOptions;
   readonly #socket: Socket;
@@ -78,7 +83,7 @@
       this.#closesSince ??= performance.now();
     }
     this.#order.add(exchange);
-    if (this.#order.front?.answered === true) {
+    if (this.#order.front?.hasBegun === true) {
       this.#startStallTimeout();
     }
   }
@@ -125,9 +130,16 @@
     return this.#order.lastDispatched !== exchange;
   }
 
-  /** Called with an upstream's answer that was received whole. */
-  recordWhole(exchange: CallerExchange, bytes: number): void {
-    this.#options.known.recordWhole(exchange.answerPlace, performance.now());
+  /** Whether a planned stop is in progress. */
+  get isStopping(): boolean {
+    return this.#options.isStopping();
+  }
+
+  /** Called with an upstream's answer that was received whole. What a failure is like says nothing of the answers of its place. */
+  recordWhole(exchange: CallerExchange, status: number, bytes: number): void {
+    if (status < FIRST_REDIRECT) {
+      this.#options.known.recordWhole(exchange.answerPlace, performance.now());
+    }
     this.#order.recordAnswerSize(bytes);
   }
 
@@ -231,12 +243,11 @@
 
   /** Called when a request becomes the first of the connection. */
   #onFrontChanged(front: CallerExchange): void {
-    if (front.answered) {
+    this.#socket.setTimeout(0);
+    front.onReachedFront();
+    if (front.hasBegun) {
       this.#startStallTimeout();
-    } else {
-      this.#socket.setTimeout(0);
     }
-    front.onReachedFront();
   }
 
   /** Aborts the answer in front if no bytes pass on the connection for `stallMillis`. */
@@ -245,7 +256,7 @@
   }
 
   #onTimeout(): void {
-    if (this.#order.front?.answered === true) {
+    if (this.#order.front?.hasBegun === true) {
       this.#order.front.abort('caller-stalled');
     }
   }
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -75,6 +75,7 @@
   isExpectedWhole = false;
   private answerStarted = false;
   private answerWhole = false;
+  private begun = false;
   private answerBytes = 0;
   private writer: AnswerWriter | null = null;
   /** Writes an answer that waits for those in front of it. */
@@ -162,6 +163,11 @@
     return this.answerStarted;
   }
 
+  /** Whether writing of the answer has begun. */
+  get hasBegun(): boolean {
+    return this.begun;
+  }
+
   /** Whether the caller supports chunked encoding, and so can tell the end of an answer without a length from a broken connection. */
   get supportsChunkedEncoding(): boolean {
     return this.request.httpVersion !== '1.0';
@@ -178,7 +184,7 @@
 
   /** Sends an upstream's answer that was read whole. */
   sendWholeAnswer(status: number, headers: string[], body: Buffer): void {
-    this.connection.recordWhole(this, body.length);
+    this.connection.recordWhole(this, status, body.length);
     if (body.length > LARGE_ANSWER_BYTES) {
       const writer = this.createWriter(status, headers);
       this.answerWhole = true;
@@ -290,7 +296,7 @@
       account: this.connection,
       onBroken: (started) => this.onStreamBroken(started),
       onWhole: () => this.onAnswerWhole(),
-      onBlocked: () => this.replaceIfOthersRunBehind(writer),
+      onBlocked: () => this.onNoRoom(writer),
     });
     this.writer = writer;
     return writer;
@@ -307,12 +313,19 @@
     return this.connection.isAtFront(this) && (this.answerWhole || !this.connection.runsBehind(this));
   }
 
-  /** Replaces an answer that may not begin before it is whole, and that there is no room to hold. */
-  private replaceIfOthersRunBehind(writer: AnswerWriter): void {
+  /**
+   * There is no room to hold an answer that may not begin before it is whole. It is replaced, so that those behind it are answered whatever
+   * becomes of it. A planned stop breaks off no answer that its upstream is sending, so it begins then.
+   */
+  private onNoRoom(writer: AnswerWriter): void {
     if (this.writer !== writer || !this.connection.isAtFront(this) || this.mayBegin()) {
       return;
     }
-    this.replace('no-room');
+    if (this.connection.isStopping) {
+      this.begin(true, () => writer.start());
+    } else {
+      this.replace('no-room');
+    }
   }
 
   private writeAtFront(): void {
@@ -332,6 +345,7 @@
   }
 
   private begin(isStreamed: boolean, write: () => void): void {
+    this.begun = true;
     this.connection.onAnswerBegins(this, isStreamed);
     try {
       write();
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -69,6 +69,7 @@
   private readonly paused = new PausedConnections();
   private readonly connectionOptions: CallerConnectionOptions;
   private count = 0;
+  private isStopping = false;
 
   constructor(private readonly parts: CallerExchangesParts) {
     const { pipeline, held, streamStallMillis } = parts;
@@ -77,6 +78,7 @@
       held,
       paused: this.paused,
       known: new KnownAnswers(),
+      isStopping: () => this.isStopping,
       stallMillis: streamStallMillis,
       dispatch: (exchange) => this.dispatch(exchange),
       ended: (exchange, wasDispatched, unanswered) => this.ended(exchange, wasDispatched, unanswered),
@@ -112,6 +114,11 @@
     this.parts.bodies.read(request, (error, body) => this.onBody(exchange, error, body));
   }
 
+  /** Called when a planned stop begins. */
+  beginStop(): void {
+    this.isStopping = true;
+  }
+
   /** The exchange of a request whose caller is still connected. */
   find(number: RequestNumber): CallerExchange | undefined {
     return this.exchanges.get(number);
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -289,7 +289,7 @@
     const { lameDuckMillis, idleMillis, stopGraceMillis } = this.settings.timings;
     const graceMillis = stopGraceMillis - STOP_RESERVE_MILLIS;
     const graceEnd = performance.now() + graceMillis;
-    this.task.post({ type: 'stopping' });
+    this.task.beginStop();
     this.relay?.announceStop();
     await this.callers?.stop({ lameDuckMillis, idleMillis, graceMillis });
     const deadline = performance.now() + MAX_SETTLE_MILLIS;
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -131,6 +131,12 @@
     this.post({ type: 'tick' });
   }
 
+  /** Called when a planned stop begins: what is in progress is finished. */
+  beginStop(): void {
+    this.callers.beginStop();
+    this.post({ type: 'stopping' });
+  }
+
   stop(): void {
     this.stopped = true;
     clearTimeout(this.timer);
@@ -308,7 +314,8 @@
   private dispatch(effect: DispatchEffect): void {
     const exchange = this.callers.find(effect.request);
     if (exchange === undefined) {
-      this.post({ type: 'attempt-ended', attempt: effect.attempt, result: { type: 'connect-failed' } });
+      const result = { type: 'connect-failed', cancelled: true } as const;
+      this.post({ type: 'attempt-ended', attempt: effect.attempt, result });
       return;
     }
     this.recordSent(exchange, effect);
--- a/test/router/caller/answers-in-front.test.ts
+++ b/test/router/caller/answers-in-front.test.ts
@@ -1,7 +1,9 @@
 /** Whatever becomes of an answer in front, those that were handed on behind it on the same connection are answered. */
 import { ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import { HEADERS } from '../../../src/model/outcome.js';
+import type { RouterTimings } from '../../../src/router/settings.js';
 import { LogRecorder } from '../log-recorder.js';
 import { RouterFixture, until } from '../router-fixture.js';
 import { answerWhole, headFor, type ScriptedRequest, ScriptedUpstream } from '../scripted-upstream.js';
@@ -16,6 +18,9 @@
 /** The first chunk of a body that isn't whole. */
 const CHUNKED = `${PART_BYTES.toString(16)}\r\n${PART}\r\n`;
 const DEADLINE_MILLIS = 300;
+/** Time for which a caller may leave an answer unread. */
+const STALL_MILLIS = 300;
+const PIECES = 4;
 const PATHS = ['/reads/0', '/reads/1', '/reads/2'];
 
 describe('an answer in front of others that run', () => {
@@ -53,16 +58,20 @@
     answerWhole(requestFor('/reads/2'));
   }
 
-  beforeEach(async () => {
-    log = new LogRecorder();
-    upstream = await new ScriptedUpstream().start();
+  async function start(timings: Partial<RouterTimings> = {}): Promise<void> {
     router = await RouterFixture.start([upstream], {
       reads: { slotsPerUpstream: 32, wholeAnswerBytes: WHOLE_BYTES, deadlineMillis: 20_000 },
       announced: true,
-      settings: { limits: { heldBytesPerConnection: HELD_PER_CONNECTION } },
+      settings: { limits: { heldBytesPerConnection: HELD_PER_CONNECTION }, timings },
       log,
     });
     caller = await RawCaller.connect(router.address);
+  }
+
+  beforeEach(async () => {
+    log = new LogRecorder();
+    upstream = await new ScriptedUpstream().start();
+    await start();
   });
 
   afterEach(async () => {
@@ -93,6 +102,49 @@
     expect(caller.statuses).to.deep.equal([502, 200, 200]);
   });
 
+  // Guards against answers that wait until they are whole, and are taken for ones that their caller leaves unread.
+  for (const when of ['another request comes', 'it comes to the front'] as const) {
+    it(`that is held for longer than an answer may be left unread arrives whole: ${when}`, async () => {
+      caller.disconnect();
+      await router.stop();
+      await start({ streamStallMillis: STALL_MILLIS });
+      await sendReads();
+      const [front, held, behind] = PATHS as [string, string, string];
+      const isFirst = when === 'another request comes';
+      const large = requestFor(isFirst ? front : held);
+      answerWhole(requestFor(behind));
+      if (isFirst) {
+        answerWhole(requestFor(held));
+      }
+      large.socket.write(headFor(large, `content-length: ${PIECES * PART_BYTES}`));
+      for (let piece = 0; piece < PIECES; piece += 1) {
+        large.socket.write(PART);
+        if (piece === 0 && isFirst) {
+          upstream.script = answerWhole;
+          caller.send(getHead('/reads/more'));
+        } else if (piece === 0) {
+          answerWhole(requestFor(front));
+        }
+        await sleep(STALL_MILLIS / 2);
+      }
+      await until(() => caller.answers.length === PATHS.length + (isFirst ? 1 : 0));
+      expect(caller.bodies.filter((body) => body === PART.repeat(PIECES))).to.have.length(1);
+    });
+  }
+
+  it('that there is no room to hold begins on a planned stop, which breaks off no answer that is being sent', async () => {
+    await sendReads();
+    const stopped = router.daemon.stop();
+    startLarge(requestFor('/reads/0'), LARGE.length - 1);
+    answerThoseBehind();
+    await until(() => caller.rest.endsWith('x'));
+    requestFor('/reads/0').socket.write('x');
+    await until(() => caller.answers.length === PATHS.length);
+    expect(caller.bodies).to.deep.equal([LARGE, '/reads/1', '/reads/2']);
+    caller.disconnect();
+    await stopped;
+  });
+
   it('that is streamed begins once it is whole', async () => {
     await sendReads();
     const { socket } = requestFor('/reads/0');
