--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -86,6 +86,12 @@
       'afterMillis',
     ],
   },
+  'request-dispatched-in-stop': {
+    source: 'router',
+    fields: ['request', 'id', 'method', 'arrivedStopMillis', 'stopMillis', 'remainingMillis', 'open'],
+  },
+  'answer-in-stop': { source: 'router', fields: ['request', 'id', 'stopMillis', 'closesConnection'] },
+  'stop-overdue': { source: 'router', fields: ['openRequests'] },
   'request-ignored': { source: 'router', fields: ['id', 'method', 'open'] },
   'answer-replaced': { source: 'router', fields: ['request', 'id', 'reason', 'open'] },
   'answer-broken-off': { source: 'router', fields: ['request', 'id', 'reason', 'lostBehind'] },
--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -17,6 +17,8 @@
   readonly isStopping: () => boolean;
   /** An answer on which no bytes pass for this time is aborted. */
   readonly stallMillis: number;
+  /** Called when the answer of a request is about to be written. */
+  readonly begins: (exchange: CallerExchange) => void;
   /** Called when a request may run. */
   readonly dispatch: (exchange: CallerExchange) => void;
   /** Called when the answer of a request was written whole (`unanswered` is `null`), or can't be written any more. */
@@ -125,6 +127,11 @@
     return this.#order.front === exchange;
   }
 
+  /** Whether a request of the connection was handed on. */
+  wasDispatched(exchange: CallerExchange): boolean {
+    return this.#order.wasDispatched(exchange);
+  }
+
   /** Whether others were handed on behind a request. */
   runsBehind(exchange: CallerExchange): boolean {
     return this.#order.lastDispatched !== exchange;
@@ -194,6 +201,7 @@
     if (last?.closesConnection === true && (last === exchange || this.#isCloseOverdue())) {
       this.#order.close();
     }
+    this.#options.begins(exchange);
   }
 
   /** Called when the response of a request has closed. */
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -63,8 +63,11 @@
  */
 export type ReplaceReason = 'unwritable' | 'needs-length' | 'no-room';
 
-/** Why a request has no whole answer: its own answer or one in front of it was aborted, or its connection was closed, by its caller or by a limit. */
-export type UnansweredCause = 'answer-broken' | 'connection-closed';
+/**
+ * Why a request has no whole answer: its own answer or one in front of it was aborted, its connection was closed, by its caller or by a limit, or the
+ * grace time of a planned stop is over.
+ */
+export type UnansweredCause = 'answer-broken' | 'connection-closed' | 'stop-ended';
 
 export class CallerExchange {
   /** Time when the head arrived, on the monotonic clock. */
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -60,6 +60,8 @@
   readonly cancelled: (request: RequestNumber) => void;
 }
 
+/** Requests that are logged when the grace time of a planned stop is over. */
+const MAX_LOGGED_OPEN = 200;
 /** Retry-After when the router buffers too many bodies. */
 const BODIES_HELD_RETRY_MILLIS = 1000;
 
@@ -69,7 +71,8 @@
   private readonly paused = new PausedConnections();
   private readonly connectionOptions: CallerConnectionOptions;
   private count = 0;
-  private isStopping = false;
+  /** When the planned stop in progress began, on the monotonic clock; `null`: none has. */
+  private stoppingSince: number | null = null;
 
   constructor(private readonly parts: CallerExchangesParts) {
     const { pipeline, held, streamStallMillis } = parts;
@@ -78,7 +81,8 @@
       held,
       paused: this.paused,
       known: new KnownAnswers(),
-      isStopping: () => this.isStopping,
+      isStopping: () => this.stoppingSince !== null,
+      begins: (exchange) => this.logAnswerInStop(exchange),
       stallMillis: streamStallMillis,
       dispatch: (exchange) => this.dispatch(exchange),
       ended: (exchange, wasDispatched, unanswered) => this.ended(exchange, wasDispatched, unanswered),
@@ -116,7 +120,16 @@
 
   /** Called when a planned stop begins. */
   beginStop(): void {
-    this.isStopping = true;
+    this.stoppingSince = performance.now();
+  }
+
+  /** Called when the grace time of a planned stop is over: logs the requests that the end of the process will leave without an answer. */
+  endStop(): void {
+    const open = [...this.exchanges.values()];
+    this.parts.log.info('stop-overdue', { openRequests: open.length });
+    for (const exchange of open.slice(0, MAX_LOGGED_OPEN)) {
+      this.logUnanswered(exchange, exchange.connection.wasDispatched(exchange), 'stop-ended');
+    }
   }
 
   /** The exchange of a request whose caller is still connected. */
@@ -188,6 +201,7 @@
   }
 
   private dispatch(exchange: CallerExchange): void {
+    this.logDispatchInStop(exchange);
     this.parts.opened(exchange);
     this.parts.arrived(arrivedRequest(exchange));
   }
@@ -221,6 +235,31 @@
     });
   }
 
+  private logDispatchInStop(exchange: CallerExchange): void {
+    const { stoppingSince } = this;
+    if (stoppingSince === null) {
+      return;
+    }
+    const { number: request, head, arrivedAt, remainingMillis, connection } = exchange;
+    this.parts.log.info('request-dispatched-in-stop', {
+      request,
+      id: head.requestId,
+      method: head.method,
+      arrivedStopMillis: Math.round(arrivedAt - stoppingSince),
+      stopMillis: Math.round(performance.now() - stoppingSince),
+      remainingMillis,
+      open: connection.size,
+    });
+  }
+
+  private logAnswerInStop({ number: request, head, closesConnection }: CallerExchange): void {
+    const { stoppingSince } = this;
+    if (stoppingSince !== null) {
+      const stopMillis = Math.round(performance.now() - stoppingSince);
+      this.parts.log.info('answer-in-stop', { request, id: head.requestId, stopMillis, closesConnection });
+    }
+  }
+
   private logReplaced({ number, head, connection }: CallerExchange, reason: ReplaceReason): void {
     const { requestId: id } = head;
     this.parts.log.info('answer-replaced', { request: number, id, reason, open: connection.size });
--- a/src/router/caller/pipeline-order.ts
+++ b/src/router/caller/pipeline-order.ts
@@ -67,6 +67,11 @@
     return this.#requests[this.#dispatched - 1];
   }
 
+  wasDispatched(request: Request): boolean {
+    const index = this.#requests.indexOf(request);
+    return index !== -1 && index < this.#dispatched;
+  }
+
   add(request: Request): void {
     this.#requests.push(request);
   }
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -291,7 +291,9 @@
     const graceEnd = performance.now() + graceMillis;
     this.task.beginStop();
     this.relay?.announceStop();
+    const overdue = setTimeout(() => this.task.endStop(), graceMillis);
     await this.callers?.stop({ lameDuckMillis, idleMillis, graceMillis });
+    clearTimeout(overdue);
     const deadline = performance.now() + MAX_SETTLE_MILLIS;
     while (this.core.status().inFlight > 0 && performance.now() < deadline) {
       await sleep(SETTLE_POLL_MILLIS);
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -137,6 +137,11 @@
     this.post({ type: 'stopping' });
   }
 
+  /** Called when the grace time of a planned stop is over. */
+  endStop(): void {
+    this.callers.endStop();
+  }
+
   stop(): void {
     this.stopped = true;
     clearTimeout(this.timer);
--- a/test/router/caller/unanswered-requests.test.ts
+++ b/test/router/caller/unanswered-requests.test.ts
@@ -6,6 +6,7 @@
 import { getHead, postHead, RawCaller } from './raw-caller.js';
 
 const LARGE_BYTES = 4096;
+const STOP_GRACE_MILLIS = 1500;
 
 describe('requests without an answer', () => {
   let upstream: ScriptedUpstream;
@@ -63,4 +64,32 @@
       { cause: 'answer-broken', method: 'GET', isWhole: true, wasDispatched: true },
     ]);
   });
+
+  it('are logged when the grace time of a planned stop is over, and those that run in it with their times', async () => {
+    const timings = { stopGraceMillis: STOP_GRACE_MILLIS };
+    const stopping = await RouterFixture.start([upstream], {
+      reads: { wholeAnswerBytes: 1024 },
+      settings: { timings },
+      log,
+    });
+    const slow = await RawCaller.connect(stopping.address);
+    slow.send(getHead('/reads/1'));
+    await until(() => upstream.requests.length === 1);
+    const stopped = stopping.stop();
+    slow.send(getHead('/reads/2'));
+    const first = upstream.requests[0] as ScriptedRequest;
+    const head = headFor(first, `content-length: ${LARGE_BYTES}`);
+    first.socket.write(head + 'x'.repeat(LARGE_BYTES / 2));
+    await until(() => log.fieldsOf('stop-overdue').length === 1);
+    expect(log.fieldsOf('answer-in-stop')).to.have.length(1);
+    expect(logged()).to.deep.include({
+      cause: 'stop-ended',
+      method: 'GET',
+      isWhole: true,
+      wasDispatched: true,
+    });
+    slow.disconnect();
+    await stopped;
+    await stopping.control.stop();
+  });
 });
