Router: an answer that is written during a planned stop closes its connection, whenever its request was read

Cause: Connection: close was decided when a request was read. Why it works: the decision is made where the answer begins; it closes if nothing was read behind it, and those that were are answered as before.

--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -191,13 +191,17 @@
 
   /**
    * Called when the answer in front is about to be written. If it belongs to the last request that was read, and that one closes the
-   * connection, no more are accepted; nor are they once the connection was to close for `MAX_CLOSE_DELAY_MILLIS`.
+   * connection, no more are accepted; nor are they once the connection was to close for `MAX_CLOSE_DELAY_MILLIS`. During a planned stop the
+   * answer to the last request closes the connection whenever that request was read.
    */
   onAnswerBegins(exchange: CallerExchange, isStreamed: boolean): void {
     if (isStreamed || this.#order.size > 1) {
       this.#startStallTimeout();
     }
     const { last } = this.#order;
+    if (last === exchange && this.isStopping && !this.#order.isClosing) {
+      exchange.closesConnection = true;
+    }
     if (last?.closesConnection === true && (last === exchange || this.#isCloseOverdue())) {
       this.#order.close();
     }
