Router: a planned stop starts no request that can't end before it does, and answers what is open at its end

Cause: nothing knew the end of the stop but the daemon's timer for callers that read slowly. The connection promised an answer to what it had read without a bound by the time left, the core passed on whatever came to its turn, and a stop ended when all was answered, or by the kill. Change: the core knows when the stop ends (PlannedStop). A request is started if its own limit ends in time; in the first half also if it can be expected to (three times the usual time where it may not run twice); else it is refused at once, 503, not run, reason stopping. Why it works: what can't end is told so before it is begun, and what was begun has until a known time.

--- a/src/dev/sim/router/sim-router.ts
+++ b/src/dev/sim/router/sim-router.ts
@@ -30,6 +30,8 @@
 const STOP_CHECK_MILLIS = 10;
 /** Time for which a stopping router still answers on open connections. */
 const STOP_IDLE_MILLIS = 1500;
+/** Time within which a stopping router answers all that it took. */
+const STOP_GRACE_MILLIS = 9500;
 /** Length of the configuration lease under sabotage. */
 const ENDLESS_LEASE_MILLIS = 1_000_000;
 
@@ -77,7 +79,7 @@
   /** Planned stop: accepts no new requests and ends once all open ones are answered. */
   stopByPlan(): void {
     this.isStopping = true;
-    this.input({ type: 'stopping' });
+    this.input({ type: 'stopping', endsAt: this.clock.monotonic() + STOP_GRACE_MILLIS });
     if (this.world.sabotage === 'planned-stop-cuts') {
       this.endByPlan();
       return;
--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -107,6 +107,15 @@
     this.#order.close();
   }
 
+  /** Closes the connection with the answer to the last request that was read. */
+  closeWithLast(): void {
+    const { last } = this.#order;
+    if (last !== undefined && !this.#order.isClosing) {
+      last.closesConnection = true;
+    }
+    this.#order.close();
+  }
+
   /** Marks the answer of a request as closing the connection. Ends the requests behind it and returns their number. */
   #closeAfter(exchange: CallerExchange, cause: UnansweredCause): number {
     const lastDispatched = this.#order.lastDispatched;
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -166,6 +166,11 @@
     return this.answerStarted;
   }
 
+  /** Whether the answer is whole in the router. */
+  get isAnswerWhole(): boolean {
+    return this.answerWhole;
+  }
+
   /** Whether writing of the answer has begun. */
   get hasBegun(): boolean {
     return this.begun;
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -60,6 +60,8 @@
   readonly cancelled: (request: RequestNumber) => void;
 }
 
+/** Time in which requests that waited behind others of their connection are refused at the end of a planned stop. */
+const LAST_REFUSALS_MILLIS = 50;
 /** Requests that are logged when the grace time of a planned stop is over. */
 const MAX_LOGGED_OPEN = 200;
 /** Retry-After when the router buffers too many bodies. */
@@ -123,13 +125,14 @@
     this.stoppingSince = performance.now();
   }
 
-  /** Called when the grace time of a planned stop is over: logs the requests that the end of the process will leave without an answer. */
+  /**
+   * Called at the end of a planned stop, when the core has answered what was handed on. No more requests are accepted.
+   */
   endStop(): void {
-    const open = [...this.exchanges.values()];
-    this.parts.log.info('stop-overdue', { openRequests: open.length });
-    for (const exchange of open.slice(0, MAX_LOGGED_OPEN)) {
-      this.logUnanswered(exchange, exchange.connection.wasDispatched(exchange), 'stop-ended');
+    for (const connection of this.connections.values()) {
+      connection.closeWithLast();
     }
+    setTimeout(() => this.logOverdue(), LAST_REFUSALS_MILLIS).unref();
   }
 
   /** The exchange of a request whose caller is still connected. */
@@ -221,6 +224,15 @@
     this.parts.closed(exchange.number);
   }
 
+  /** Logs the requests that the end of the process will leave without an answer. */
+  private logOverdue(): void {
+    const open = this.exchanges.values().filter(({ isAnswerWhole }) => !isAnswerWhole);
+    this.parts.log.info('stop-overdue', { openRequests: open.length });
+    for (const exchange of open.slice(0, MAX_LOGGED_OPEN)) {
+      this.logUnanswered(exchange, exchange.connection.wasDispatched(exchange), 'stop-ended');
+    }
+  }
+
   private logUnanswered(exchange: CallerExchange, wasDispatched: boolean, cause: UnansweredCause): void {
     const { number, head, isWhole, answered, arrivedAt } = exchange;
     this.parts.log.info('request-unanswered', {
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -35,6 +35,7 @@
   completeRouterSettings,
   type RouterDaemonSettings,
 } from './settings.js';
+import { stopTimesOf } from './stop-times.js';
 
 const MAX_SEED = 2 ** 31 - 1;
 /** One megabit a second in bytes a millisecond. */
@@ -43,8 +44,6 @@
 const CONFIGURATION_POLL_MILLIS = 10;
 /** Header limit if callers can connect before limits are declared. */
 const UNDECLARED_HEADER_BYTES = 64 * 1024;
-/** Part of the grace time of a stop that is left for what follows once callers' connections are closed. */
-const STOP_RESERVE_MILLIS = 500;
 /** Grace time of the admin port's callers. */
 const ADMIN_GRACE_MILLIS = 100;
 /** Longest wait, once all callers are answered, for work in progress in the core, such as settling claims. */
@@ -287,18 +286,17 @@
     this.log.info('stopping', { openRequests: this.task.openRequests });
     await this.startToEnd();
     const { lameDuckMillis, idleMillis, stopGraceMillis } = this.settings.timings;
-    const graceMillis = stopGraceMillis - STOP_RESERVE_MILLIS;
-    const graceEnd = performance.now() + graceMillis;
-    this.task.beginStop();
+    const { answersMillis, closesMillis } = stopTimesOf(stopGraceMillis);
+    const startedAt = performance.now();
+    this.task.beginStop(startedAt + answersMillis);
     this.relay?.announceStop();
-    const overdue = setTimeout(() => this.task.endStop(), graceMillis);
-    await this.callers?.stop({ lameDuckMillis, idleMillis, graceMillis });
-    clearTimeout(overdue);
-    const deadline = performance.now() + MAX_SETTLE_MILLIS;
+    await this.callers?.stop({ lameDuckMillis, idleMillis, graceMillis: closesMillis });
+    const closesAt = startedAt + closesMillis;
+    const deadline = Math.min(performance.now() + MAX_SETTLE_MILLIS, closesAt);
     while (this.core.status().inFlight > 0 && performance.now() < deadline) {
       await sleep(SETTLE_POLL_MILLIS);
     }
-    await this.relay?.stop(Math.max(0, graceEnd - performance.now()));
+    await this.relay?.stop(Math.max(0, closesAt - performance.now()));
     this.task.stop();
     this.traces.stop();
     this.probes.stop();
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -131,15 +131,10 @@
     this.post({ type: 'tick' });
   }
 
-  /** Called when a planned stop begins: what is in progress is finished. */
-  beginStop(): void {
+  /** Called when a planned stop begins: what is in progress is finished until `endsAt`. */
+  beginStop(endsAt: MonotonicMillis): void {
     this.callers.beginStop();
-    this.post({ type: 'stopping' });
-  }
-
-  /** Called when the grace time of a planned stop is over. */
-  endStop(): void {
-    this.callers.endStop();
+    this.post({ type: 'stopping', endsAt });
   }
 
   stop(): void {
@@ -265,6 +260,9 @@
           metrics.recordRefusal(exchange.head.service, effect.outcome, effect.reason);
         });
         return;
+      case 'stop-ended':
+        this.callers.endStop();
+        return;
       case 'limit-callers':
         this.options.onCallerLimits(effect.limits);
         return;
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -3,6 +3,7 @@
 import { DEFAULT_WARMUP_BOUNDS } from '../model/warmup-bounds.js';
 import type { Answers } from './answers.js';
 import { AttemptStarter } from './attempt-starter.js';
+import { STOPPING_RETRY_MILLIS } from './planned-stop.js';
 import { policyContextOf, policyUpstreamOf } from './policy-input.js';
 import type { Admission } from './queue/admission.js';
 import { compareSlack, type DispatchOrder } from './queue/ranked-queue.js';
@@ -233,6 +234,10 @@
       this.answers.refuseGroup(group, 'idempotency-key-required', null);
       return 'answered';
     }
+    if (this.isTooLate(group)) {
+      this.answers.refuseGroup(group, 'stopping', STOPPING_RETRY_MILLIS);
+      return 'answered';
+    }
     if (this.isOutOfReach(group)) {
       const wait = retryAfterMillis(NO_PATH_RETRY_MILLIS, this.context.random);
       this.answers.refuseGroup(group, 'no-path', wait);
@@ -241,6 +246,17 @@
     return group.shard === null ? this.placeAnywhere(group) : this.placeAtOwner(group, group.shard);
   }
 
+  /** Whether a planned stop has no time left for a group that has not run. One that may have run can only gain by another attempt. */
+  private isTooLate(group: RequestGroup): boolean {
+    const { plannedStop, now } = this.context;
+    if (plannedStop === null || group.mayHaveRun) {
+      return false;
+    }
+    const { deadline, service, isRepeatable } = group;
+    const expectedMillis = service.expectedMillis(now);
+    return !plannedStop.mayStart({ deadline, expectedMillis, isRepeatable }, now);
+  }
+
   /** Whether nothing comes back from any upstream that may serve a group. */
   private isOutOfReach({ service, shard }: RequestGroup): boolean {
     const { now, paths } = this.context;
--- a/src/routing/lost-attempts.ts
+++ b/src/routing/lost-attempts.ts
@@ -62,7 +62,7 @@
    */
   sweep(): void {
     this.sweepScheduled = false;
-    if (!this.context.stopping) {
+    if (this.context.plannedStop === null) {
       this.retryOverdue();
     }
     this.scheduleSweep();
--- a/src/routing/outcome-table.ts
+++ b/src/routing/outcome-table.ts
@@ -52,6 +52,7 @@
   'link-full': 503,
   'gave-way': 503,
   'would-miss-deadline': 503,
+  stopping: 503,
   'deadline-passed': 504,
   'policy-refused': 429,
   'upstream-failed': 503,
--- /dev/null
+++ b/src/routing/planned-stop.ts
@@ -0,0 +1,41 @@
+/** A planned stop of the router, whose end is known: decides which requests may still be started. */
+import type { MonotonicMillis } from '../model/identifiers.js';
+
+/** When a refused caller may come back: other routers take its request at once. */
+export const STOPPING_RETRY_MILLIS = 50;
+
+/** Share of the stop in which requests are started that are expected to end in time, though their own limits would let them run longer. */
+const EXPECTED_START_SHARE = 0.5;
+
+/** Multiple of its usual time that must be left for a request that may not run twice: what is cut off, its caller can't send again. */
+const UNREPEATABLE_FACTOR = 3;
+
+/** What is known of a request that may be started. */
+export interface StopCandidate {
+  /** Its own limit: the caller's deadline or the route's, whichever is earlier. */
+  readonly deadline: MonotonicMillis;
+  /** How long such requests usually take. */
+  readonly expectedMillis: number;
+  readonly isRepeatable: boolean;
+}
+
+export class PlannedStop {
+  readonly #startsByExpectationUntil: MonotonicMillis;
+
+  /** `endsAt`: every request must have its answer by then. */
+  constructor(
+    startedAt: MonotonicMillis,
+    readonly endsAt: MonotonicMillis,
+  ) {
+    this.#startsByExpectationUntil = startedAt + (endsAt - startedAt) * EXPECTED_START_SHARE;
+  }
+
+  /** Whether a request that is started now ends in time: surely, by its own limit; in the first part of the stop, as far as can be expected. */
+  mayStart({ deadline, expectedMillis, isRepeatable }: StopCandidate, now: MonotonicMillis): boolean {
+    if (deadline <= this.endsAt) {
+      return true;
+    }
+    const neededMillis = expectedMillis * (isRepeatable ? 1 : UNREPEATABLE_FACTOR);
+    return now < this.#startsByExpectationUntil && now + neededMillis <= this.endsAt;
+  }
+}
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -6,6 +6,7 @@
 import type { ClaimFlow, ClaimListener } from './claim-flow.js';
 import { EarlyRequests } from './early-requests.js';
 import type { LedgerWord } from './outcome-table.js';
+import { STOPPING_RETRY_MILLIS } from './planned-stop.js';
 import type { PolicyGate } from './policy-gate.js';
 import type { Admission } from './queue/admission.js';
 import { isOverdue, type Member, RequestGroup } from './request-group.js';
@@ -68,6 +69,11 @@
       this.answers.refuseArrival(request, unknownDestination(request), ledgerStateOf(request, service), null);
       return;
     }
+    if (this.isTooLate(request, service, terms)) {
+      const ledger = ledgerStateOf(request, service);
+      this.answers.refuseArrival(request, 'stopping', ledger, STOPPING_RETRY_MILLIS);
+      return;
+    }
     const reason = this.validate(request, service, shard, terms);
     if (reason !== undefined) {
       this.answers.refuseArrival(request, reason, ledgerStateOf(request, service), null);
@@ -114,6 +120,29 @@
     this.early.dequeue(number);
   }
 
+  /** Answers every request, since a planned stop is at its end: those that weren't sent have not run. */
+  refuseAll(): void {
+    for (const request of this.early.dequeueAll()) {
+      this.refuseUnconfigured(request);
+    }
+    for (const member of this.context.members.values()) {
+      const mayHaveRun = member.mayHaveRun || member.group.attempt !== null;
+      this.answers.refuse(member, 'stopping', mayHaveRun ? null : STOPPING_RETRY_MILLIS);
+    }
+  }
+
+  /** Whether a planned stop has no time left for a request that just arrived. */
+  private isTooLate(request: ArrivedRequest, service: ServiceState, terms: RequestTerms): boolean {
+    const { plannedStop, now } = this.context;
+    if (plannedStop === null) {
+      return false;
+    }
+    const deadline = now + Math.min(terms.deadlineMillis, request.deadlineMillis ?? terms.deadlineMillis);
+    const { repeatable: isRepeatable } = terms;
+    const candidate = { deadline, expectedMillis: service.expectedMillis(now), isRepeatable };
+    return !plannedStop.mayStart(candidate, now);
+  }
+
   private refuseUnconfigured(request: ArrivedRequest): void {
     const wait = this.admission.unmeasuredRetryAfter();
     this.answers.refuseArrival(request, 'no-configuration', ledgerStateOf(request, undefined), wait);
--- a/src/routing/router-context.ts
+++ b/src/routing/router-context.ts
@@ -10,6 +10,7 @@
 import { NoticeTable } from './notices/notice-table.js';
 import { NumberedTable } from './numbered-table.js';
 import { PathWatch } from './paths/path-watch.js';
+import type { PlannedStop } from './planned-stop.js';
 import { RouteTallies } from './queue/route-tallies.js';
 import { Random } from './random.js';
 import type { Attempt, Member } from './request-group.js';
@@ -54,8 +55,8 @@
   readonly members = new NumberedTable<Member>();
   /** Number of the attempt that started last; 0: none. */
   latestAttempt: AttemptNumber = 0;
-  /** Whether a planned stop is in progress. */
-  stopping = false;
+  /** The planned stop in progress; `null`: there is none. */
+  plannedStop: PlannedStop | null = null;
   /** Whether `policy-trace` effects are emitted. */
   tracing = false;
   /** Whether a request was refused because the owner of its key has no capacity left; loads are then reported early. */
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -1,6 +1,6 @@
 /** The router core: handles inputs, holds the state of all requests and returns effects. It uses no clock, sockets or async calls. */
 import type { ControlToRouter, SyncResponse, UpstreamPermits } from '../control/messages.js';
-import type { Address, UpstreamId, WallMillis } from '../model/identifiers.js';
+import type { Address, MonotonicMillis, UpstreamId, WallMillis } from '../model/identifiers.js';
 import type { RelayReport } from '../model/relay.js';
 import type { RoutingDelta } from '../registry/types.js';
 import { Answers } from './answers.js';
@@ -15,6 +15,7 @@
 import type { RunNotices } from './notices/run-notices.js';
 import { UpstreamReporter } from './notices/upstream-reporter.js';
 import { HungAttempts } from './paths/hung-attempts.js';
+import { PlannedStop } from './planned-stop.js';
 import { PolicyGate } from './policy-gate.js';
 import { Admission } from './queue/admission.js';
 import type { Member, RequestGroup } from './request-group.js';
@@ -187,7 +188,7 @@
         this.handleProbe(input.upstream, input.healthy, input.load);
         return;
       case 'stopping':
-        this.context.stopping = true;
+        this.beginStop(input.endsAt);
         return;
       case 'policy-trace':
         this.context.tracing = input.on;
@@ -326,6 +327,10 @@
       case 'early-end':
         this.intake.timeOutEarly(subject.request);
         return;
+      case 'stop-end':
+        this.intake.refuseAll();
+        this.context.emit({ type: 'stop-ended' });
+        return;
       case 'grants-over':
         this.lost.abandonAfterGrace();
         return;
@@ -356,6 +361,14 @@
     }
   }
 
+  private beginStop(endsAt: MonotonicMillis): void {
+    const { context } = this;
+    if (context.plannedStop === null) {
+      context.plannedStop = new PlannedStop(context.now, endsAt);
+      context.schedule(endsAt, { type: 'stop-end' });
+    }
+  }
+
   /** If the request did not run, the refusal includes a retry time, because its route's deadline may pass before the caller's. */
   private passDeadline(member: Member): void {
     const mayHaveRun = member.mayHaveRun || member.group.attempt !== null;
--- a/src/routing/router-timer.ts
+++ b/src/routing/router-timer.ts
@@ -14,6 +14,8 @@
   | { readonly type: 'claim'; readonly claim: Claim }
   /** The first configuration didn't arrive in time for a request. */
   | { readonly type: 'early-end'; readonly request: RequestNumber }
+  /** The time for answers in a planned stop is over. */
+  | { readonly type: 'stop-end' }
   /** Attempts whose grant has ended are abandoned. */
   | { readonly type: 'grants-over' }
   /** Reads in flight are checked for overdue ones. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -10,6 +10,7 @@
   Address,
   Epoch,
   Incarnation,
+  MonotonicMillis,
   Revision,
   RouterId,
   ServiceName,
@@ -141,8 +142,8 @@
       readonly healthy: boolean;
       readonly load: number | null;
     }
-  /** A planned stop began. What upstreams work on is left to them. */
-  | { readonly type: 'stopping' }
+  /** A planned stop began. What upstreams work on is left to them until `endsAt`, when every request gets its answer. */
+  | { readonly type: 'stopping'; readonly endsAt: MonotonicMillis }
   /** Turns `policy-trace` effects on or off. */
   | { readonly type: 'policy-trace'; readonly on: boolean }
   /** The platform's list of machines, which may be outdated; a hint only. */
@@ -174,6 +175,8 @@
   /** The request waited, wasn't sent, and more important requests need its place. */
   | 'gave-way'
   | 'would-miss-deadline'
+  /** The router stops as planned, and the request can't be known to end before it does. */
+  | 'stopping'
   | 'deadline-passed'
   | 'policy-refused'
   | 'upstream-failed'
@@ -280,6 +283,8 @@
       /** `null`: the request was refused before any state was examined. */
       readonly facts: DecisionFacts | null;
     }
+  /** The time for answers in a planned stop is over: every request that was handed on has its answer. */
+  | { readonly type: 'stop-ended' }
   /** Sets the limits on callers. */
   | { readonly type: 'limit-callers'; readonly limits: CallerLimits }
   /** Input of a policy decision; emitted only while policy tracing is on. */
--- a/test/router/caller/late-in-stop.test.ts
+++ b/test/router/caller/late-in-stop.test.ts
@@ -1,14 +1,17 @@
 /** A planned stop takes no work that it can't finish: connections close with their next answers, and what comes late is refused. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
+import { HEADERS } from '../../../src/model/outcome.js';
 import { LogRecorder } from '../log-recorder.js';
 import { RouterFixture, until } from '../router-fixture.js';
 import { answerWhole, type ScriptedRequest, ScriptedUpstream } from '../scripted-upstream.js';
 import { postHead, RawCaller } from './raw-caller.js';
 
-/** Grace time of a stop; answers end half a second before it does, at the latest. */
+/** Grace time of a stop, whose last twelfth is for the last answers. */
 const STOP_GRACE_MILLIS = 3000;
 const IDLE_MILLIS = 1000;
 
+const STOPPING = new RegExp(`${HEADERS.reason}: stopping`, 'i');
 const CLOSES = /connection: close/i;
 
 describe('requests that come late in a planned stop', () => {
@@ -42,4 +45,30 @@
     await until(() => caller.answers.length === 1);
     expect(caller.answers[0]?.head).to.match(CLOSES);
   });
+
+  // Guards against orders that wait behind a running one, are passed on when it ends and outlive the process.
+  it('are refused as not run when their turn comes too late for their own time limit', async () => {
+    caller.send(postHead('/orders/1', 'a') + postHead('/orders/2', 'b') + postHead('/orders/3', 'c'));
+    await until(() => upstream.requests.length === 1);
+    stopped = router.stop();
+    await sleep(STOP_GRACE_MILLIS * 0.6);
+    answerWhole(upstream.requests[0] as ScriptedRequest);
+    await until(() => caller.answers.length === 3);
+    expect(upstream.requests).to.have.length(1);
+    expect(caller.statuses).to.deep.equal([200, 503, 503]);
+    expect(caller.answers[1]?.head).to.match(STOPPING);
+    expect(caller.answers[2]?.head).to.match(STOPPING).and.match(CLOSES);
+  });
+
+  // Guards against requests that were read behind one without an answer, and ended with the process.
+  it('are refused as not run at the end behind one whose upstream is silent', async () => {
+    caller.send(postHead('/orders/1', 'a') + postHead('/orders/2', 'b'));
+    await until(() => upstream.requests.length === 1);
+    stopped = router.stop();
+    await until(() => caller.answers.length === 2);
+    expect(upstream.requests).to.have.length(1);
+    expect(caller.statuses[0]).to.be.oneOf([502, 504]);
+    expect(caller.answers[1]?.status).to.equal(503);
+    expect(caller.answers[1]?.head).to.match(STOPPING).and.match(CLOSES);
+  });
 });
--- a/test/routing/outcome-table.test.ts
+++ b/test/routing/outcome-table.test.ts
@@ -23,6 +23,7 @@
   'link-full': true,
   'gave-way': true,
   'would-miss-deadline': true,
+  stopping: true,
   'deadline-passed': true,
   'policy-refused': true,
   'upstream-failed': true,
--- a/test/routing/overdue-attempts.test.ts
+++ b/test/routing/overdue-attempts.test.ts
@@ -4,6 +4,8 @@
 
 /** Longer than it takes until an attempt is overdue, shorter than until the next one is. */
 const OVERDUE_MILLIS = 350;
+/** End of a planned stop, later than these tests. */
+const STOP_END_MILLIS = 60_000;
 
 function start(changes: Parameters<typeof service>[1] = {}): RouterHarness {
   const record = service('board', {
@@ -35,7 +37,7 @@
   it('continues on a planned stop', () => {
     const harness = start();
     const [first] = effectsOfType(harness.request('board'), 'dispatch');
-    harness.step({ type: 'stopping' });
+    harness.step({ type: 'stopping', endsAt: STOP_END_MILLIS });
     const effects = harness.run(OVERDUE_MILLIS);
     expect(effectsOfType(effects, 'cancel-attempt')).to.deep.equal([]);
     expect(effectsOfType(harness.ended(first?.attempt as number), 'deliver')).to.have.length(1);
@@ -47,7 +49,7 @@
     const harness = new Harness().start([record], [upstream('u1', 'board')]);
     const peers = ['r2', 'r3'].map((router) => ({ router, zone: 'a', address: `${router}:1` }));
     harness.fromControl({ type: 'relay-peers', peers });
-    harness.step({ type: 'stopping' });
+    harness.step({ type: 'stopping', endsAt: STOP_END_MILLIS });
     harness.request('board');
     expect(effectsOfType(harness.run(3000), 'try-path')).to.not.deep.equal([]);
   });
