Router: what comes late behind running requests in a planned stop is refused as not run, in place of being ignored

Callers: from 1.5 s after the first request read in a stop, what a caller sent on while others still ran in front of it was read and had no answer. Cause: so that a caller that sends on and on can't hold up a stop, the connection accepted no more, and dropped what came. Change: such a request is accepted and handed on with isLate, for which the core refuses it (503, stopping); the refusals are quick, so the last one closes the connection. The test of a caller that sends on and on asked for as many answers as ran; refusals are answers too, so now all that ran are 200, all others 503, and only the last closes: stricter. Why it works: all that is read has an answer, in order.

--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -35,7 +35,7 @@
   readonly broken: (exchange: CallerExchange, reason: AbortReason, lostBehind: number) => void;
 }
 
-/** How long requests are still accepted behind one that would close the connection: a caller that pipelines on and on must not hold up a stop. */
+/** How long requests still run behind one that would close the connection: a caller that pipelines on and on must not hold up a stop. */
 const MAX_CLOSE_DELAY_MILLIS = 1500;
 
 /** Statuses below are successes. */
@@ -78,6 +78,12 @@
     return false;
   }
 
+  /** Whether the next request comes so late in a planned stop that it is refused: others are in front of it, and the connection was to close long ago. */
+  get isOverdue(): boolean {
+    const since = this.#closesSince;
+    return this.#order.size > 0 && since !== null && performance.now() - since > MAX_CLOSE_DELAY_MILLIS;
+  }
+
   /** Adds the next request, whose body may not have arrived yet. */
   add(exchange: CallerExchange): void {
     this.#keepOpenBehindLast();
@@ -200,8 +206,7 @@
 
   /**
    * Called when the answer in front is about to be written. If it belongs to the last request that was read, and that one closes the
-   * connection, no more are accepted; nor are they once the connection was to close for `MAX_CLOSE_DELAY_MILLIS`. During a planned stop the
-   * answer to the last request closes the connection whenever that request was read.
+   * connection, no more are accepted. During a planned stop it does so whenever that request was read.
    */
   onAnswerBegins(exchange: CallerExchange, isStreamed: boolean): void {
     if (isStreamed || this.#order.size > 1) {
@@ -211,7 +216,7 @@
     if (last === exchange && this.isStopping && !this.#order.isClosing) {
       exchange.closesConnection = true;
     }
-    if (last?.closesConnection === true && (last === exchange || this.#isCloseOverdue())) {
+    if (last === exchange && exchange.closesConnection) {
       this.#order.close();
     }
     this.#options.begins(exchange);
@@ -246,10 +251,6 @@
     }
   }
 
-  #isCloseOverdue(): boolean {
-    return this.#closesSince !== null && performance.now() - this.#closesSince > MAX_CLOSE_DELAY_MILLIS;
-  }
-
   /** Ends all requests, since a closed socket can't carry an answer. */
   #onClosed(): void {
     this.#options.paused.remove(this);
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -76,6 +76,8 @@
   readonly answerPlace: AnswerPlace;
   /** Whether the answer is expected to be read whole before any of it is written. */
   isExpectedWhole = false;
+  /** Whether it came so late in a planned stop that it is refused. */
+  isLate = false;
   private answerStarted = false;
   private answerWhole = false;
   private begun = false;
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -116,7 +116,9 @@
       return;
     }
     const { retryAfterUnit } = this.parts;
+    const isLate = this.stoppingSince !== null && connection.isOverdue;
     const exchange = this.open(head, connection, { request, response, retryAfterUnit });
+    exchange.isLate = isLate;
     this.parts.bodies.read(request, (error, body) => this.onBody(exchange, error, body));
   }
 
@@ -323,6 +325,7 @@
       return fingerprint;
     },
     deadlineMillis: exchange.remainingMillis,
+    ...(exchange.isLate && { isLate: true }),
     variant: method === 'GET' ? variantOf(rawHeaders, body.length) : null,
     idempotency:
       idempotency === null
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -140,7 +140,7 @@
     const deadline = now + Math.min(terms.deadlineMillis, request.deadlineMillis ?? terms.deadlineMillis);
     const { repeatable: isRepeatable } = terms;
     const candidate = { deadline, expectedMillis: service.expectedMillis(now), isRepeatable };
-    return !plannedStop.mayStart(candidate, now);
+    return request.isLate === true || !plannedStop.mayStart(candidate, now);
   }
 
   private refuseUnconfigured(request: ArrivedRequest): void {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -59,6 +59,8 @@
   readonly fingerprint?: RequestFingerprint | null;
   /** Deadline set by the caller, capped by the service's own. `null`: the service's deadline applies. */
   readonly deadlineMillis: number | null;
+  /** Whether it came so late in a planned stop that it is refused. */
+  readonly isLate?: boolean;
   readonly idempotency: {
     readonly key: string;
     readonly issuedAt: WallMillis;
--- a/test/router/caller/late-in-stop.test.ts
+++ b/test/router/caller/late-in-stop.test.ts
@@ -5,7 +5,7 @@
 import { LogRecorder } from '../log-recorder.js';
 import { RouterFixture, until } from '../router-fixture.js';
 import { answerWhole, type ScriptedRequest, ScriptedUpstream } from '../scripted-upstream.js';
-import { postHead, RawCaller } from './raw-caller.js';
+import { getHead, postHead, RawCaller } from './raw-caller.js';
 
 /** Grace time of a stop, whose last twelfth is for the last answers. */
 const STOP_GRACE_MILLIS = 3000;
@@ -71,4 +71,19 @@
     expect(caller.answers[1]?.status).to.equal(503);
     expect(caller.answers[1]?.head).to.match(STOPPING).and.match(CLOSES);
   });
+
+  // Guards against requests that a connection ignored from 1.5 s into a stop on, and ended without an answer.
+  it('are refused as not run where they come while another one runs in front', async () => {
+    caller.send(postHead('/orders/1', 'a'));
+    await until(() => upstream.requests.length === 1);
+    stopped = router.stop();
+    caller.send(postHead('/orders/2', 'b'));
+    await sleep(STOP_GRACE_MILLIS * 0.55);
+    caller.send(postHead('/orders/3', 'c') + getHead('/reads/4'));
+    await sleep(50);
+    answerWhole(upstream.requests[0] as ScriptedRequest);
+    await until(() => caller.answers.length === 4);
+    expect(caller.statuses).to.deep.equal([200, 503, 503, 503]);
+    expect(caller.answers[3]?.head).to.match(STOPPING).and.match(CLOSES);
+  });
 });
--- a/test/router/caller/pipelines.test.ts
+++ b/test/router/caller/pipelines.test.ts
@@ -429,7 +429,7 @@
       expect([caller.bodies, closings(), targets()]).to.deep.equal([[LARGE], [true], ['/reads/0']]);
     });
 
-    it('and its caller sends on and on: the stop ends, and each request that ran is answered', async () => {
+    it('and its caller sends on and on: the stop ends, each request that ran is answered, and the last ones are refused', async () => {
       caller.send(pipeline(['/reads/0']));
       await until(() => upstream.requests.length === 1);
       const stopped = router.daemon.stop();
@@ -443,7 +443,10 @@
       answerWhole(requestFor('/reads/0'));
       await stopped;
       await until(() => caller.closed);
-      expect(caller.answers).to.have.length(upstream.requests.length);
+      const refused = caller.statuses.filter((status) => status === 503);
+      expect(caller.statuses.filter((status) => status === 200)).to.have.length(upstream.requests.length);
+      expect(caller.statuses).to.have.length(upstream.requests.length + refused.length);
+      expect(closings().indexOf(true)).to.equal(caller.answers.length - 1);
     });
 
     it('and an order waits behind a read: the order is answered', async () => {
