Router: at the end of a planned stop requests whose bodies still come are refused, and connections without an answer close

Callers: an order whose body came late in a stop was passed on and cut by the kill; a connection on which a head had begun, or nothing was sent, held up the stop until the kill. Cause: only idle connections were closed, and a request with a body on its way has no end of its own in a stop. Change: at the end of the answers' time such a request is answered 503 (stopping, not run) and its connection closed; so are connections that carry no answer. Evidence: 'are refused as not run where their body comes at the end' failed before (passed on).

--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -84,6 +84,12 @@
     return this.#order.size > 0 && since !== null && performance.now() - since > MAX_CLOSE_DELAY_MILLIS;
   }
 
+  /** The last request, if its body is still coming. */
+  get incomplete(): CallerExchange | undefined {
+    const { last } = this.#order;
+    return last === undefined || last.isWhole || last.answered ? undefined : last;
+  }
+
   /** Adds the next request, whose body may not have arrived yet. */
   add(exchange: CallerExchange): void {
     this.#keepOpenBehindLast();
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '../../logging/logger.js';
 import type { RequestFingerprint } from '../../model/crash-suspect.js';
 import { NumberedTable } from '../../routing/numbered-table.js';
+import { STOPPING_RETRY_MILLIS } from '../../routing/planned-stop.js';
 import type { ArrivedRequest, RequestNumber } from '../../routing/types.js';
 import type { RouterMetrics } from '../metrics.js';
 import type { BodyReader } from './body-reader.js';
@@ -25,7 +26,11 @@
 import { KnownAnswers } from './known-answers.js';
 import { PausedConnections } from './paused-connections.js';
 import type { PipelineLimits } from './pipeline-order.js';
-import { isRejectedRequestError, type RejectedRequestError } from './rejected-request-errors.js';
+import {
+  isRejectedRequestError,
+  type RejectedRequestError,
+  StopEndedError,
+} from './rejected-request-errors.js';
 import { fingerprintRequest } from './request-fingerprint.js';
 import { type AddressingOptions, type CallerRequestHead, readCallerRequest } from './request-head.js';
 import { variantOf } from './request-variant.js';
@@ -64,8 +69,13 @@
 const LAST_REFUSALS_MILLIS = 50;
 /** Requests that are logged when the grace time of a planned stop is over. */
 const MAX_LOGGED_OPEN = 200;
-/** Retry-After when the router buffers too many bodies. */
-const BODIES_HELD_RETRY_MILLIS = 1000;
+/** Retry-After of rejected requests; `null`: to send the same again is of no use. */
+const RETRY_MILLIS: Readonly<Record<RejectedRequestError['reason'], number | null>> = {
+  'bad-request': null,
+  'body-too-large': null,
+  'queue-full': 1000,
+  stopping: STOPPING_RETRY_MILLIS,
+};
 
 export class CallerExchanges {
   private readonly exchanges = new NumberedTable<CallerExchange>();
@@ -128,11 +138,16 @@
   }
 
   /**
-   * Called at the end of a planned stop, when the core has answered what was handed on. No more requests are accepted.
+   * Called at the end of a planned stop, when the core has answered what was handed on. No more requests are accepted, and one whose body is
+   * still coming is refused.
    */
   endStop(): void {
     for (const connection of this.connections.values()) {
       connection.closeWithLast();
+      const { incomplete } = connection;
+      if (incomplete !== undefined) {
+        this.reject(new StopEndedError(), (answer) => incomplete.reject(answer));
+      }
     }
     setTimeout(() => this.logOverdue(), LAST_REFUSALS_MILLIS).unref();
   }
@@ -196,7 +211,7 @@
       this.reject(error, (answer) => exchange.reject(answer));
       return;
     }
-    if (exchange.isEnded) {
+    if (exchange.isEnded || exchange.answered) {
       this.parts.bodies.release(body);
       return;
     }
@@ -302,7 +317,7 @@
 
   private reject(error: RejectedRequestError, send: (answer: RouterAnswer) => void): void {
     const { status, reason, message } = error;
-    const retryAfterMillis = reason === 'queue-full' ? BODIES_HELD_RETRY_MILLIS : null;
+    const retryAfterMillis = RETRY_MILLIS[reason];
     send({ status, outcome: 'not-run', reason, retryAfterMillis, message });
     this.parts.metrics.recordRefusal('', 'not-run', reason);
   }
--- a/src/router/caller/rejected-request-errors.ts
+++ b/src/router/caller/rejected-request-errors.ts
@@ -37,10 +37,23 @@
   }
 }
 
-export type RejectedRequestError = BadRequestError | BodyTooLargeError | BodiesHeldError;
+/** The router's planned stop is at its end, and the body hasn't come whole; answered with 503. */
+export class StopEndedError extends TernmountError {
+  readonly status = 503;
+  readonly reason = 'stopping';
+
+  constructor() {
+    super({ code: 'TERNMOUNT_ROUTER_STOP_ENDED', retriable: true }, 'the router stops');
+  }
+}
+
+export type RejectedRequestError = BadRequestError | BodyTooLargeError | BodiesHeldError | StopEndedError;
 
 export function isRejectedRequestError(error: unknown): error is RejectedRequestError {
   return (
-    error instanceof BadRequestError || error instanceof BodyTooLargeError || error instanceof BodiesHeldError
+    error instanceof BadRequestError ||
+    error instanceof BodyTooLargeError ||
+    error instanceof BodiesHeldError ||
+    error instanceof StopEndedError
   );
 }
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -290,7 +290,7 @@
     const startedAt = performance.now();
     this.task.beginStop(startedAt + answersMillis);
     this.relay?.announceStop();
-    await this.callers?.stop({ lameDuckMillis, idleMillis, graceMillis: closesMillis });
+    await this.callers?.stop({ lameDuckMillis, idleMillis, answersMillis, graceMillis: closesMillis });
     const closesAt = startedAt + closesMillis;
     const deadline = Math.min(performance.now() + MAX_SETTLE_MILLIS, closesAt);
     while (this.core.status().inFlight > 0 && performance.now() < deadline) {
--- a/src/wire/http/graceful-server.ts
+++ b/src/wire/http/graceful-server.ts
@@ -11,6 +11,8 @@
   readonly idleMillis: number;
   /** How long connections are still accepted. Default: 0. */
   readonly lameDuckMillis?: number;
+  /** From this time on, connections on which nothing is answered are closed, also where a request is on its way. Default: `graceMillis`. */
+  readonly answersMillis?: number;
   /** After this time from the start of the stop, nothing waits any longer for callers to close their ends. */
   readonly graceMillis: number;
 }
@@ -44,9 +46,14 @@
    * to be accepted have been; serves requests on open ones for another `idleMillis`, so that a request already on its way isn't lost;
    * then closes idle connections and waits for the rest, and for their callers to close their ends.
    */
-  async stop({ idleMillis, lameDuckMillis = 0, graceMillis }: HttpStopTimes): Promise<void> {
+  async stop(times: HttpStopTimes): Promise<void> {
+    const { idleMillis, lameDuckMillis = 0, graceMillis, answersMillis = graceMillis } = times;
     this.#isStopping = true;
     this.#lingering.closeWithin(graceMillis);
+    const unanswered = setTimeout(
+      () => this.#connections.closeUnanswered((socket) => socket.destroySoon()),
+      answersMillis,
+    );
     if (lameDuckMillis > 0) {
       await sleep(lameDuckMillis);
     }
@@ -63,6 +70,7 @@
     }, idleMillis);
     await closed;
     clearTimeout(idle);
+    clearTimeout(unanswered);
     clearInterval(sweep);
     this.#server.close(() => {});
   }
--- a/src/wire/http/served-connections.ts
+++ b/src/wire/http/served-connections.ts
@@ -31,6 +31,15 @@
     }
   }
 
+  /** Calls `close` with each connection on which nothing is answered, also where a request is on its way. */
+  closeUnanswered(close: (socket: Socket) => void): void {
+    for (const [socket, { openResponses }] of this.#connections) {
+      if (openResponses === 0) {
+        close(socket);
+      }
+    }
+  }
+
   /** Whether a response of a connection hasn't left the process. */
   hasOpenResponse(socket: Socket): boolean {
     const { openResponses = 0 } = this.#connections.get(socket) ?? {};
--- a/test/router/caller/late-in-stop.test.ts
+++ b/test/router/caller/late-in-stop.test.ts
@@ -86,4 +86,18 @@
     expect(caller.statuses).to.deep.equal([200, 503, 503, 503]);
     expect(caller.answers[3]?.head).to.match(STOPPING).and.match(CLOSES);
   });
+
+  // Guards against orders whose body comes late, that are passed on and cut at the end.
+  it('are refused as not run where their body comes at the end', async () => {
+    const order = postHead('/orders/1', 'late');
+    caller.send(order.slice(0, -2));
+    await sleep(50);
+    stopped = router.stop();
+    await sleep(STOP_GRACE_MILLIS * 0.7);
+    caller.send(order.slice(-2));
+    await until(() => caller.answers.length === 1);
+    expect(upstream.requests).to.have.length(0);
+    expect(caller.statuses).to.deep.equal([503]);
+    expect(caller.answers[0]?.head).to.match(STOPPING).and.match(CLOSES);
+  });
 });
