--- a/src/routing/planned-stop.ts
+++ b/src/routing/planned-stop.ts
@@ -6,6 +6,8 @@
 
 /** Share of the stop in which requests are started that are expected to end in time, though their own limits would let them run longer. */
 const EXPECTED_START_SHARE = 0.5;
+/** Upper bound of that part: callers have other routers by then. */
+const MAX_EXPECTED_START_MILLIS = 3000;
 
 /** Multiple of its usual time that must be left for a request that may not run twice: what is cut off, its caller can't send again. */
 const UNREPEATABLE_FACTOR = 3;
@@ -22,12 +24,13 @@
 export class PlannedStop {
   readonly #startsByExpectationUntil: MonotonicMillis;
 
-  /** `endsAt`: every request must have its answer by then. */
+  /** `endsAt`: when every request gets its answer. */
   constructor(
     startedAt: MonotonicMillis,
     readonly endsAt: MonotonicMillis,
   ) {
-    this.#startsByExpectationUntil = startedAt + (endsAt - startedAt) * EXPECTED_START_SHARE;
+    const partMillis = Math.min(MAX_EXPECTED_START_MILLIS, (endsAt - startedAt) * EXPECTED_START_SHARE);
+    this.#startsByExpectationUntil = startedAt + partMillis;
   }
 
   /** Whether a request that is started now ends in time: surely, by its own limit; in the first part of the stop, as far as can be expected. */
