HTTP servers: a connection on which nothing was ever sent no longer holds up a planned stop

Seen: a control member with one caller that had connected and sent nothing ended by SIGKILL in 6 of 6 planned stops (grace time 6 s; the same process, left alone, ended after 10.7 s with a 408 to that caller). A router whose readiness port had such a connection took 10.4 s; on its callers' port 3.4 s in place of 2.5 s, by the declared time of a head.

Cause: a connection counted as idle only after its first answer, so that a first request on its way was not cut.

Evidence: the test failed before (it got 408, 10 s later).

--- a/src/wire/http/served-connections.ts
+++ b/src/wire/http/served-connections.ts
@@ -1,5 +1,5 @@
 /**
- * The connections of an HTTP server, and which of them are idle: all answers have left the process and nothing was received since. The
+ * The connections of an HTTP server, and which of them are idle: all answers have left the process and nothing was received since, or nothing at all. The
  * server itself takes a connection for idle as soon as its answer was handed to the socket, whose caller may not have taken it yet.
  */
 import type { Server, ServerResponse } from 'node:http';
@@ -8,8 +8,8 @@
 interface ServedConnection {
   /** Responses that haven't left the process. */
   openResponses: number;
-  /** Bytes that had been received when the last response left; `null` until then: the first request may be on its way. */
-  bytesAtLastResponse: number | null;
+  /** Bytes that had been received when the last response left, or the connection was accepted. */
+  bytesAtLastResponse: number;
   /** When the last response left, or the connection was accepted. */
   lastResponseAt: number;
 }
@@ -57,7 +57,7 @@
   #add(socket: Socket): void {
     this.#connections.set(socket, {
       openResponses: 0,
-      bytesAtLastResponse: null,
+      bytesAtLastResponse: 0,
       lastResponseAt: performance.now(),
     });
     socket.once('close', () => this.#connections.delete(socket));
--- a/test/wire/http-listener.test.ts
+++ b/test/wire/http-listener.test.ts
@@ -76,4 +76,15 @@
     await listener.stop({ idleMillis: 0, graceMillis: GRACE_MILLIS });
     expect(await used.answer).to.match(/ok$/);
   });
+
+  // Guards against a stop that a connection without any request holds up until the process is killed.
+  it('closes a connection on which nothing was ever sent', async () => {
+    const listener = await HttpListener.listen('127.0.0.1:0', DEFAULT_HTTP_LIMITS, (_request, response) => {
+      response.end('ok');
+    });
+    const silent = call(listener.address, 0);
+    await once(silent.socket, 'connect');
+    await listener.stop({ idleMillis: 0, graceMillis: GRACE_MILLIS });
+    expect(await silent.answer).to.equal('');
+  });
 });
