Control: a planned stop of a member ends by itself within 5 s, whatever its operators' connections do

Seen: a member that got SIGTERM waited for every request on its admin port, however long: for the rest of a change whose body had stopped coming 30.7 s, for half a head 10.4 s, for a caller that takes nothing of a long answer more than 45 s (real processes, leader and follower). A supervisor kills it before, and requests in progress then end without an answer. Requests whose outcome isn't known were to be answered before the end (`abandon`), but that came after the wait for them, and so never had an effect.

Cause: the stop had no end of its own. Now the admin port has 2.5 s (`adminStopMillis`), beside at most 2 s for the transfer of leadership: then open operations are answered as unknown, later ones are refused as not carried out, and what still waits is cut, with a line `admin-requests-abandoned`.

--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -41,6 +41,8 @@
 
 const RECONCILE_INTERVAL_MILLIS = 1000;
 const LEADER_CHECK_INTERVAL_MILLIS = 10;
+/** Time for the answers to requests that a planned stop has abandoned. */
+const ABANDONED_ANSWERS_MILLIS = 100;
 const MAX_SEED = 2 ** 31 - 1;
 
 /** A replica's identity and restored state after opening its data folder. */
@@ -220,8 +222,7 @@
     this.log.info('stopping', { replica: this.replica });
     await this.startToEnd();
     await this.transferLeadership();
-    const { idleMillis, adminGraceMillis: graceMillis } = this.timings;
-    await this.admin?.stop({ idleMillis, graceMillis });
+    await this.stopAdmin();
     this.operations.abandon();
     clearInterval(this.reconcileTimer);
     this.coreTask.stop();
@@ -234,6 +235,21 @@
     this.log.info('stopped', { replica: this.replica });
   }
 
+  /** Lets operators' requests end, but not longer than a supervisor lets the process: some can't, such as one whose body doesn't come. */
+  private async stopAdmin(): Promise<void> {
+    const { idleMillis, adminGraceMillis: graceMillis, adminStopMillis } = this.timings;
+    const overdue = setTimeout(() => void this.endAdmin(), adminStopMillis);
+    await this.admin?.stop({ idleMillis, graceMillis });
+    clearTimeout(overdue);
+  }
+
+  private async endAdmin(): Promise<void> {
+    this.log.warn('admin-requests-abandoned', { replica: this.replica, requests: this.operations.size });
+    this.operations.abandon();
+    await sleep(ABANDONED_ANSWERS_MILLIS);
+    this.admin?.cutConnections();
+  }
+
   /** Waits for a start in progress, whose failure `start` reports. */
   private async startToEnd(): Promise<void> {
     await this.starting?.catch((error) => this.log.warn('start-failed', { replica: this.replica, error }));
--- a/src/control/daemon/operations.ts
+++ b/src/control/daemon/operations.ts
@@ -9,14 +9,18 @@
 export class Operations {
   private readonly pending = new Map<OperationId, PendingOperation>();
   private count = 0;
+  private isOver = false;
 
   constructor(
     private readonly timeoutMillis: number,
     private readonly submit: (operation: OperationId, request: OperatorRequest) => void,
   ) {}
 
-  /** Passes the request to the core and returns its response, or `unknown` after the timeout. */
+  /** Passes the request to the core and returns its response, or `unknown` after the timeout. Does nothing once all were abandoned. */
   run(request: OperatorRequest): Promise<OperatorResponse> {
+    if (this.isOver) {
+      return Promise.resolve({ type: 'not-leader', leader: null });
+    }
     this.count += 1;
     const operation = `operation-${this.count}`;
     return new Promise((resolve) => {
@@ -40,8 +44,9 @@
     return this.pending.size;
   }
 
-  /** Completes all pending requests with `unknown`. */
+  /** Completes all pending requests with `unknown`; later ones aren't carried out. */
   abandon(): void {
+    this.isOver = true;
     for (const operation of [...this.pending.keys()]) {
       this.answer(operation, { type: 'unknown' });
     }
--- a/src/control/daemon/settings.ts
+++ b/src/control/daemon/settings.ts
@@ -58,6 +58,8 @@
   readonly idleMillis: number;
   /** How long a planned stop waits for operators to take their last answers and close their connections. */
   readonly adminGraceMillis: number;
+  /** How long a planned stop waits for requests on admin connections; those that can't end by then are answered as they stand, or cut. */
+  readonly adminStopMillis: number;
   readonly snapshotEntries: number;
   /** A silent voter is replaced by a caught-up spare after this time; 0: never. */
   readonly replaceAfterMillis: number;
@@ -77,6 +79,7 @@
   transferMillis: 2000,
   idleMillis: 200,
   adminGraceMillis: 1000,
+  adminStopMillis: 2500,
   snapshotEntries: 10_000,
   replaceAfterMillis: 0,
   mostVoters: 0,
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -291,6 +291,7 @@
     fields: ['from', 'method', 'path', 'outcome', 'problem', 'sent'],
   },
   'operation-failed': { source: 'control', fields: ['operation', 'error'] },
+  'admin-requests-abandoned': { source: 'control', fields: ['replica', 'requests'] },
   'request-failed': { source: 'both', fields: ['method', 'path', 'error', 'reason'] },
   'request-broken': { source: 'control', fields: ['error'] },
   'tokens-unreadable': { source: 'control', fields: ['path', 'error'] },
--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -1,6 +1,6 @@
 /** Owns an HTTP server: listens, limits slow callers, and stops gracefully. */
 import { createServer, type RequestListener, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { Address } from '../../model/identifiers.js';
 import { formatAddress, parseAddress } from '../address.js';
 import { ListenError } from '../listen-error.js';
@@ -41,11 +41,19 @@
 
 const LISTEN_BACKLOG = 4096;
 const CONNECTIONS_CHECK_MILLIS = 1000;
+
 export class HttpListener {
+  private readonly sockets = new Set<Socket>();
+
   private constructor(
     private readonly server: Server,
     private readonly graceful: GracefulServer,
-  ) {}
+  ) {
+    server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+  }
 
   /** Starts listening. Throws `ListenError`. */
   static async listen(
@@ -71,6 +79,7 @@
     // An unknown expectation is no reason to reject a request (RFC 9110, 10.1.1).
     server.on('checkExpectation', (request, response) => server.emit('request', request, response));
     const { host, port } = parseAddress(address);
+    const listener = new HttpListener(server, graceful);
     await new Promise<void>((resolve, reject) => {
       const onError = (error: Error): void => reject(new ListenError(address, error));
       server.once('error', onError);
@@ -79,7 +88,7 @@
         resolve();
       });
     });
-    return new HttpListener(server, graceful);
+    return listener;
   }
 
   /** The listening address with the actual port. */
@@ -99,4 +108,11 @@
   stop(times: HttpStopTimes): Promise<void> {
     return this.graceful.stop(times);
   }
+
+  /** Closes every connection at once, whatever is still to be read or written; ends a stop that waits for them. */
+  cutConnections(): void {
+    for (const socket of this.sockets) {
+      socket.destroy();
+    }
+  }
 }
