Router: a carrier that stops opens no connection for another router that was being opened when its stop began

Seen: a router that had asked another one for a connection just before that one's SIGTERM got it afterwards, and was never told of the stop: the notice goes to connections that are open, and the refusal was asked for before the upstream's address and the connection to it. Orders on such a connection, which its owner keeps for further ones, are cut when the carrier ends. No deployment has shown it; found by reading.

Now the carrier asks again once the upstream's connection is open, and refuses as for a later request: nothing was sent on it, and the other router takes another path.

Evidence: the test failed before (the connection was opened, and `closing` never came).

--- a/src/router/relay/carried-connection.ts
+++ b/src/router/relay/carried-connection.ts
@@ -191,6 +191,12 @@
       upstream.destroy();
       return;
     }
+    // A stop that has begun meanwhile was announced to open connections alone.
+    if (this.#options.refusal() === 'stopping') {
+      upstream.destroy();
+      this.#answer(id, 'stopping');
+      return;
+    }
     this.#answer(id, 'open');
     this.#decoder.maxFrameBytes = DATA_FRAME_BYTES;
     this.#socket.off('data', this.#onData);
--- a/test/router/relay-server.test.ts
+++ b/test/router/relay-server.test.ts
@@ -36,11 +36,14 @@
   let log: LogRecorder;
   let targets: Map<string, RelayTarget>;
   let closing: string[];
+  /** Called with what answers where an upstream is. */
+  let onTargetAsked: (answer: () => void) => void;
   let slow: Server | null = null;
 
   beforeEach(async () => {
     accepted = [];
     closing = [];
+    onTargetAsked = (answer) => answer();
     upstream = createServer({ allowHalfOpen: true }, (socket) => {
       accepted.push(socket);
       socket.on('error', () => {});
@@ -67,7 +70,7 @@
       listen: '127.0.0.1:0',
       identity: identity(),
       log,
-      targetOf: (id, answer) => answer(targets.get(id) ?? { type: 'unknown-upstream' }),
+      targetOf: (id, answer) => onTargetAsked(() => answer(targets.get(id) ?? { type: 'unknown-upstream' })),
       ...(maxConnections !== undefined && { maxConnections }),
     });
   }
@@ -284,4 +287,15 @@
     stream.destroy();
     await stopped;
   });
+
+  // Guards against connections that a stopping router opens for another one, which then never learns that they will be cut.
+  it('opens none that was being opened when it began to stop', async () => {
+    onTargetAsked = (answer) => {
+      relay.announceStop();
+      answer();
+    };
+    const dialed = dial();
+    expect(await dialed).to.equal('stopping');
+    expect(closing).to.deep.equal([]);
+  });
 });
