Fence: a server that is drained closes connections with the answers to requests that were running

Seen: the answer to a request that was read before the drain said nothing of the end of its connection (real sockets), so its router kept that for the next request; 200 ms after the last answer `createServerStop` closes idle connections, and an order that crosses with that close has no answer, though nobody was told.

Cause: `Connection: close` was set when a request was read, and not with the answers that are written once the drain is done.

--- a/src/upstream/fence.ts
+++ b/src/upstream/fence.ts
@@ -43,6 +43,8 @@
   private readonly retryAfterSeconds: number;
   private state: FenceStatus['state'] = 'serving';
   private inFlight = 0;
+  /** Responses to admitted requests that aren't whole yet. */
+  private readonly openResponses = new Set<ServerResponse>();
 
   constructor(private readonly options: FenceOptions) {
     this.incarnation = options.incarnation ?? randomUUID();
@@ -102,6 +104,8 @@
       writeRefusal(response, admitted, this.retryAfterSeconds);
       return null;
     }
+    this.openResponses.add(response);
+    response.once('close', () => this.openResponses.delete(response));
     return new GuardedExchange(head, admitted, response);
   }
 
@@ -119,6 +123,7 @@
       await sleep(DRAIN_CHECK_MILLIS);
     }
     this.state = 'draining';
+    this.openResponses.forEach(closeWithResponse);
     while (this.inFlight > 0) {
       await sleep(DRAIN_CHECK_MILLIS);
     }
@@ -130,7 +135,7 @@
    */
   private closeIfDrained(response: ServerResponse): void {
     if (this.state === 'draining') {
-      response.setHeader('connection', 'close');
+      closeWithResponse(response);
     }
   }
 
@@ -235,6 +240,13 @@
   }
 }
 
+/** Lets a connection end with a response, unless that one has begun. */
+function closeWithResponse(response: ServerResponse): void {
+  if (!response.headersSent) {
+    response.setHeader('connection', 'close');
+  }
+}
+
 /** Creates the fence for this run of a server. */
 export function createFence(options: FenceOptions): Fence {
   return new Fence(options);
--- a/test/upstream/fence-drain.test.ts
+++ b/test/upstream/fence-drain.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
@@ -86,3 +87,25 @@
     expect(fence.status()).to.include({ state: 'draining', held: 1, leased: false });
   });
 });
+
+describe('drain of a fence of a server without keys', () => {
+  // Guards against requests that come on a connection just when the drained server closes it.
+  it('closes connections with the answers to requests that run', async () => {
+    let end: () => void = () => {};
+    const fence = createFence({ cluster: 'c1', upstream: 'u1', service: 'sheets', keyed: false });
+    const handler = createNodeHandler(fence, (_request, response) => {
+      end = () => response.end();
+    });
+    const server = createServer(handler);
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const { port } = server.address() as AddressInfo;
+    const answer = fetch(`http://127.0.0.1:${port}/orders`, { method: 'POST' });
+    await once(server, 'request');
+    const drained = fence.drain();
+    expect(fence.status().state).to.equal('draining');
+    end();
+    expect((await answer).headers.get('connection')).to.equal('close');
+    await drained;
+    server.close();
+  });
+});
