Faults of upstreams: a connection that carried no request isn't counted as one of a request

By a trace of all connections (stack of each connect), the third is that of the run check (src/router/attempts/run-check.ts): 20 ms after a broken connection the router sees whether the upstream's process ended, unless another answer came before (FIRST_CHECK_DELAY_MILLIS). The test's next read comes sooner on an idle machine, and later on a busy one. The check opens a connection, sends nothing and closes it. The pool opened two, as it should.

Now a connection counts from its first request, and those that carry none are bounded by what run checks may open, 0 where the connection is kept. A test of its own lets the check come first, every time.

--- a/test/router/scripted-upstream.ts
+++ b/test/router/scripted-upstream.ts
@@ -9,7 +9,7 @@
   /** Names in lower case. */
   readonly headers: ReadonlyMap<string, string>;
   readonly body: string;
-  /** Number of its connection, from 1. */
+  /** Number of its connection among those that carried a request, from 1. */
   readonly connection: number;
   readonly socket: Socket;
 }
@@ -27,6 +27,7 @@
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private connections = 0;
+  private carriers = 0;
 
   constructor(script: Script = answerWhole) {
     this.script = script;
@@ -38,6 +39,11 @@
     return this;
   }
 
+  /** Number of accepted connections that carried no request. */
+  get unusedConnections(): number {
+    return this.connections - this.carriers;
+  }
+
   get address(): string {
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
@@ -56,7 +62,7 @@
       return;
     }
     this.connections += 1;
-    const connection = this.connections;
+    let connection: number | null = null;
     let received = '';
     this.sockets.add(socket);
     socket.on('close', () => this.sockets.delete(socket));
@@ -66,6 +72,10 @@
       received += chunk;
       for (let parsed = parseRequest(received); parsed !== null; parsed = parseRequest(received)) {
         received = parsed.rest;
+        if (connection === null) {
+          this.carriers += 1;
+          connection = this.carriers;
+        }
         this.handle({ ...parsed.request, connection, socket });
       }
     });
--- a/test/router/upstream-faults.test.ts
+++ b/test/router/upstream-faults.test.ts
@@ -18,6 +18,8 @@
 const DEADLINE_MILLIS = 400;
 const PARALLEL = 8;
 const RESET_ORDERS = 10;
+/** Connections that the router opens after a broken one, if no answer came before, to see whether the upstream's process ended. */
+const MAX_RUN_CHECKS = 3;
 
 interface FaultCase {
   readonly fault: string;
@@ -163,9 +165,19 @@
       const next = await router.get('/reads/2');
       expect(next).to.include({ status: 200, body: '/reads/2', whole: true });
       expect(upstream.requests[1]?.connection).to.equal(closed ? 2 : 1);
+      expect(upstream.unusedConnections).to.be.at.most(closed ? MAX_RUN_CHECKS : 0);
     });
   }
 
+  it('a broken connection that no answer follows has its run checked, which counts as no connection of a request', async () => {
+    upstream.script = ({ socket }) => socket.end();
+    await router.order('/orders/1');
+    await until(() => upstream.unusedConnections > 0);
+    upstream.script = answerWhole;
+    await router.get('/reads/2');
+    expect(upstream.requests[1]?.connection).to.equal(2);
+  });
+
   for (const [kind, write] of [
     ['of a known length', wholeAnswer],
     ['in chunks', chunkedAnswer],
