Router: an answer that may break off is held while others wait behind it, if there is room

Cause: an answer that may break off was held only while others ran behind it; those that were read and waited end with the connection.

Change: it is held too while others wait behind it, if its size, as far as it is known, fits the room of the connection and of the router. If the room ends, it begins, as before. What is held at the end of a planned stop becomes 502 (answer-replaced, stop-ended), so that those behind it are refused.

The test of requests that the end of a stop leaves open sent its second read before the first answer began; that one would be held now and become 502, so it sends it after; what it asserts is unchanged.

Why it works: the connection need break only for an answer that has begun, and none begins that may break while anything waits, but for want of room.

--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -158,6 +158,11 @@
     return this.#order.lastDispatched !== exchange;
   }
 
+  /** Whether others were read behind a request. */
+  hasBehind(exchange: CallerExchange): boolean {
+    return this.#order.last !== exchange;
+  }
+
   /** Whether a planned stop is in progress. */
   get isStopping(): boolean {
     return this.#options.isStopping();
@@ -202,6 +207,10 @@
     return this.#options.held.hasCapacity(this.#order.heldBytes);
   }
 
+  hasCapacityFor(bytes: number): boolean {
+    return this.#options.held.hasCapacityFor(this.#order.heldBytes, bytes);
+  }
+
   waitForRelease(wake: () => void): void {
     this.#options.held.waitForRelease(wake);
   }
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -58,10 +58,10 @@
 export type AbortReason = 'upstream-broke' | 'caller-stalled' | 'unwritable';
 
 /**
- * Why 502 replaced an upstream's answer of which nothing was written: its head can't be written, its caller couldn't tell its end, or others run
- * behind it and there is no room to hold it until it is whole.
+ * Why 502 replaced an upstream's answer of which nothing was written: its head can't be written, its caller couldn't tell its end, others run
+ * behind it and there is no room to hold it until it is whole, or the time of a planned stop is over before it was.
  */
-export type ReplaceReason = 'unwritable' | 'needs-length' | 'no-room';
+export type ReplaceReason = 'unwritable' | 'needs-length' | 'no-room' | 'stop-ended';
 
 /**
  * Why a request has no whole answer: its own answer or one in front of it was aborted, its connection was closed, by its caller or by a limit, or the
@@ -82,6 +82,8 @@
   private answerWhole = false;
   private begun = false;
   private answerBytes = 0;
+  /** Whether there is room to hold an answer that is written in pieces until it is whole, as far as its size is known. */
+  private fitsToBeHeld = false;
   private writer: AnswerWriter | null = null;
   /** Writes an answer that waits for those in front of it. */
   private writeWaiting: (() => void) | null = null;
@@ -212,6 +214,7 @@
   /** Starts an answer of about `bytes` that is written in pieces, and returns its writer. */
   startStream(status: number, headers: string[], bytes: number): AnswerWriter {
     this.connection.recordStreamed(this, bytes);
+    this.fitsToBeHeld = this.connection.hasCapacityFor(bytes);
     const writer = this.createWriter(status, headers);
     this.startWriterAtFront();
     return writer;
@@ -251,6 +254,13 @@
     endConnectionAt(this.response, () => this.connection.onResponseClosed(this));
   }
 
+  /** Replaces an upstream's answer that is held, if it isn't whole: the planned stop is at its end. */
+  endHeld(): void {
+    if (this.writer?.hasStarted === false && !this.answerWhole) {
+      this.replace('stop-ended');
+    }
+  }
+
   /** Sends 502 in place of an upstream's answer of which nothing was written. */
   replace(reason: ReplaceReason): void {
     this.connection.onReplaced(this, reason);
@@ -318,20 +328,28 @@
     this.connection.onAnswerWhole();
   }
 
-  /** An answer that breaks off ends the connection, so none begins that isn't whole while others run behind it. */
+  /**
+   * An answer that breaks off ends the connection, so none begins that isn't whole while others run behind it, nor, if there is room to hold it,
+   * while others were read.
+   */
   private mayBegin(): boolean {
-    return this.connection.isAtFront(this) && (this.answerWhole || !this.connection.runsBehind(this));
+    const { connection } = this;
+    if (!connection.isAtFront(this)) {
+      return false;
+    }
+    const isAlone = !connection.hasBehind(this);
+    return this.answerWhole || isAlone || !(connection.runsBehind(this) || this.fitsToBeHeld);
   }
 
   /**
-   * There is no room to hold an answer that may not begin before it is whole. It is replaced, so that those behind it are answered whatever
-   * becomes of it. A planned stop breaks off no answer that its upstream is sending, so it begins then.
+   * There is no room to hold an answer that may not begin before it is whole. Where others run behind it, it is replaced, so that they are answered
+   * whatever becomes of it. A planned stop breaks off no answer that its upstream is sending, so it begins then.
    */
   private onNoRoom(writer: AnswerWriter): void {
-    if (this.writer !== writer || !this.connection.isAtFront(this) || this.mayBegin()) {
+    if (this.writer !== writer || !this.connection.isAtFront(this)) {
       return;
     }
-    if (this.connection.isStopping) {
+    if (this.connection.isStopping || !this.connection.runsBehind(this)) {
       this.begin(true, () => writer.start());
     } else {
       this.replace('no-room');
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -138,8 +138,8 @@
   }
 
   /**
-   * Called at the end of a planned stop, when the core has answered what was handed on. No more requests are accepted, and one whose body is
-   * still coming is refused.
+   * Called at the end of a planned stop, when the core has answered what was handed on. No more requests are accepted, one whose body is still
+   * coming is refused, and answers that are held for those behind them are replaced.
    */
   endStop(): void {
     for (const connection of this.connections.values()) {
@@ -149,6 +149,9 @@
         this.reject(new StopEndedError(), (answer) => incomplete.reject(answer));
       }
     }
+    for (const exchange of [...this.exchanges.values()]) {
+      exchange.endHeld();
+    }
     setTimeout(() => this.logOverdue(), LAST_REFUSALS_MILLIS).unref();
   }
 
--- a/src/router/caller/held-bytes.ts
+++ b/src/router/caller/held-bytes.ts
@@ -37,6 +37,11 @@
     return heldBytes < heldBytesPerConnection && heldBytes < heldAnswerBytes - this.#used;
   }
 
+  /** Whether a connection that has `heldBytes` buffered may buffer `bytes` more. */
+  hasCapacityFor(heldBytes: number, bytes: number): boolean {
+    return heldBytes + bytes <= this.#limits.heldBytesPerConnection && this.hasFreeBytes(bytes);
+  }
+
   /** Whether `bytes` are free. */
   hasFreeBytes(bytes: number): boolean {
     return bytes < this.#limits.heldAnswerBytes - this.#used;
--- a/test/router/caller/answers-in-front.test.ts
+++ b/test/router/caller/answers-in-front.test.ts
@@ -37,6 +37,11 @@
     request.socket.write(`${headFor(request, `content-length: ${LARGE.length}`)}${LARGE.slice(0, bytes)}`);
   }
 
+  /** Writes the first part of an answer of `length` bytes. */
+  function startLargeOf(request: ScriptedRequest, length: number): void {
+    request.socket.write(`${headFor(request, `content-length: ${length}`)}${PART}`);
+  }
+
   /** Has answers to reads known as small, then sends three on one connection. */
   async function sendReads(deadlineMillis: number | null = null): Promise<void> {
     upstream.script = answerWhole;
@@ -132,6 +137,41 @@
     });
   }
 
+  // Guards against requests that were read, weren't handed on, and end with the broken answer in front of them.
+  for (const how of ['end', 'resetAndDestroy'] as const) {
+    it(`that breaks off becomes 502 where others only wait behind it, and they are answered: ${how}`, async () => {
+      upstream.script = (request) => {
+        if (request.target === '/reads/0') {
+          startLargeOf(request, 2 * PART_BYTES);
+        } else {
+          answerWhole(request);
+        }
+      };
+      caller.send(PATHS.map(getHead).join(''));
+      await until(() => router.daemon.connectionsUsage().heldAnswerBytes >= PART_BYTES);
+      requestFor('/reads/0').socket[how]();
+      await until(() => caller.answers.length === PATHS.length);
+      expect(caller.statuses).to.deep.equal([502, 200, 200]);
+    });
+  }
+
+  for (const length of [`content-length: ${LARGE.length}`, 'transfer-encoding: chunked']) {
+    it(`that there is no room to hold is streamed where others only wait behind it: ${length}`, async () => {
+      const isChunked = length.startsWith('transfer');
+      upstream.script = () => {};
+      caller.send(PATHS.map(getHead).join(''));
+      await until(() => upstream.requests.length === 1);
+      upstream.script = answerWhole;
+      const [first] = upstream.requests as [ScriptedRequest];
+      first.socket.write(headFor(first, length));
+      first.socket.write(isChunked ? `${LARGE.length.toString(16)}\r\n${LARGE}\r\n` : LARGE.slice(0, -1));
+      await until(() => caller.rest.length >= LARGE.length);
+      first.socket.write(isChunked ? '0\r\n\r\n' : 'x');
+      await until(() => `${caller.bodies.at(-1)}${caller.rest}`.endsWith('/reads/2'));
+      expect(replaced()).to.deep.equal([]);
+    });
+  }
+
   it('that there is no room to hold begins on a planned stop, which breaks off no answer that is being sent', async () => {
     await sendReads();
     const stopped = router.daemon.stop();
--- a/test/router/caller/late-in-stop.test.ts
+++ b/test/router/caller/late-in-stop.test.ts
@@ -4,12 +4,14 @@
 import { HEADERS } from '../../../src/model/outcome.js';
 import { LogRecorder } from '../log-recorder.js';
 import { RouterFixture, until } from '../router-fixture.js';
-import { answerWhole, type ScriptedRequest, ScriptedUpstream } from '../scripted-upstream.js';
+import { answerWhole, headFor, type ScriptedRequest, ScriptedUpstream } from '../scripted-upstream.js';
 import { getHead, postHead, RawCaller } from './raw-caller.js';
 
 /** Grace time of a stop, whose last twelfth is for the last answers. */
 const STOP_GRACE_MILLIS = 3000;
 const IDLE_MILLIS = 1000;
+/** Half of an answer that isn't read whole before it is passed on. */
+const LARGE_BYTES = 300_000;
 
 const STOPPING = new RegExp(`${HEADERS.reason}: stopping`, 'i');
 const CLOSES = /connection: close/i;
@@ -72,6 +74,21 @@
     expect(caller.answers[1]?.head).to.match(STOPPING).and.match(CLOSES);
   });
 
+  // Guards against requests that end with the process behind an answer whose rest doesn't come.
+  it('are refused as not run at the end behind an answer that is not whole then', async () => {
+    caller.send(getHead('/reads/1') + postHead('/orders/2', 'b'));
+    await until(() => upstream.requests.length === 1);
+    stopped = router.stop();
+    const first = upstream.requests[0] as ScriptedRequest;
+    const head = headFor(first, `content-length: ${2 * LARGE_BYTES}`);
+    first.socket.write(head + 'x'.repeat(LARGE_BYTES));
+    await until(() => caller.answers.length === 2);
+    expect(upstream.requests).to.have.length(1);
+    expect(caller.statuses).to.deep.equal([502, 503]);
+    expect(caller.answers[1]?.head).to.match(STOPPING).and.match(CLOSES);
+    expect(log.fieldsOf('answer-replaced').map(({ reason }) => reason)).to.deep.equal(['stop-ended']);
+  });
+
   // Guards against requests that a connection ignored from 1.5 s into a stop on, and ended without an answer.
   it('are refused as not run where they come while another one runs in front', async () => {
     caller.send(postHead('/orders/1', 'a'));
--- a/test/router/caller/unanswered-requests.test.ts
+++ b/test/router/caller/unanswered-requests.test.ts
@@ -76,10 +76,11 @@
     slow.send(getHead('/reads/1'));
     await until(() => upstream.requests.length === 1);
     const stopped = stopping.stop();
-    slow.send(getHead('/reads/2'));
     const first = upstream.requests[0] as ScriptedRequest;
     const head = headFor(first, `content-length: ${LARGE_BYTES}`);
     first.socket.write(head + 'x'.repeat(LARGE_BYTES / 2));
+    await until(() => log.fieldsOf('answer-in-stop').length === 1);
+    slow.send(getHead('/reads/2'));
     await until(() => log.fieldsOf('stop-overdue').length === 1);
     expect(log.fieldsOf('answer-in-stop')).to.have.length(1);
     expect(logged()).to.deep.include({
