Soak: the kill at the end of a planned stop belongs to the stop, and excuses nothing

What was seen: the soak passed on sources that cut orders at the end of the grace time. Its fleet noted the SIGKILL that ends a planned stop as a disturbance like any kill, and the judge passes over requests whose machine was killed up to 3 s before, so every order that ended with its process counted as lost to an unplanned kill.

The kill that ends a stop is no longer noted; the stop's own SIGTERM judges what ends with it, with the rule's exceptions (deadline; work of the last sixth on what was sent in the first 3 s). Callers of the soak can be given other work and deadlines, and single orders.

--- a/test/soak/machine-fleet.ts
+++ b/test/soak/machine-fleet.ts
@@ -163,7 +163,7 @@
     }
     if (this.#lives.get(machine) === life && life.cause === 'SIGTERM') {
       this.overstayed.push(machine.name);
-      this.signal(machine, 'SIGKILL');
+      this.#endStop(life);
     }
   }
 
@@ -304,6 +304,13 @@
     child.once('exit', (code, signal) => this.#onExit(machine, life, code, signal));
   }
 
+  /** The end of a planned stop whose time is over; it belongs to the stop, so it's no disturbance of its own. */
+  #endStop(life: Life): void {
+    life.cause = 'SIGKILL';
+    life.lastSignal = { signal: 'SIGKILL', at: performance.now() };
+    life.child.kill('SIGKILL');
+  }
+
   #onExit(machine: Machine, life: Life, code: number | null, signal: NodeJS.Signals | null): void {
     const at = performance.now();
     const { startedAt, cause, lastSignal } = life;
--- a/test/soak/soak-caller.ts
+++ b/test/soak/soak-caller.ts
@@ -10,6 +10,7 @@
 /** Kinds of callers, with how many requests they send at once at most. */
 export const CALLERS = {
   single: { depth: 1, isOrder: null, isSlow: false, halfCloses: false },
+  singleOrders: { depth: 1, isOrder: true, isSlow: false, halfCloses: false },
   pipedReads: { depth: 6, isOrder: false, isSlow: false, halfCloses: false },
   pipedOrders: { depth: 4, isOrder: true, isSlow: false, halfCloses: false },
   slowBody: { depth: 1, isOrder: true, isSlow: true, halfCloses: false },
@@ -26,6 +27,17 @@
 const KEYS = 65_536;
 const MAX_REST_MILLIS = 250;
 
+/** What the answers of a caller's requests take, and for how long it waits. */
+export interface Demand {
+  drawWorkMillis(random: Random): number;
+  drawDeadlineMillis(random: Random): number;
+}
+
+const SHORT_DEMAND: Demand = {
+  drawWorkMillis: (random) => (random.chance(0.8) ? random.between(20, 200) : random.between(200, 1200)),
+  drawDeadlineMillis: (random) => random.integer(500, 6000),
+};
+
 interface Draft {
   readonly id: string;
   readonly isOrder: boolean;
@@ -51,6 +63,7 @@
     private readonly name: string,
     private readonly machine: Machine,
     private readonly random: Random,
+    private readonly demand: Demand = SHORT_DEMAND,
   ) {}
 
   /** Uses one connection until it ends. */
@@ -137,8 +150,8 @@
     const bytes = Math.round(
       random.chance(0.85) ? random.between(200, 4000) : random.between(20_000, 300_000),
     );
-    const work = Math.round(random.chance(0.8) ? random.between(20, 200) : random.between(200, 1200));
-    const deadlineMillis = random.integer(500, 6000);
+    const work = Math.round(this.demand.drawWorkMillis(random));
+    const deadlineMillis = this.demand.drawDeadlineMillis(random);
     const body = isOrder ? 'x'.repeat(random.integer(1, MAX_BODY_BYTES)) : '';
     const prefix = isOrder ? 'orders' : key === null ? 'reads' : 'seats';
     const lines = [
