Soak: an upstream that is silent isn't taken for one that breaks off

The rule passes over requests whose upstream broke off, and says that a silent one gives no reason to end an answer sooner. The soak's upstream noted both as broken, so that connections which a router ended without an answer, or which ended with it, were passed over where the upstream had run the request and was silent. A silent run now has a result of its own and ends when its work does, not when its connection is closed, which in a planned stop made it look at work in the last sixth of the grace time. Tested by the judge's own test.

--- a/test/soak/judge.test.ts
+++ b/test/soak/judge.test.ts
@@ -133,6 +133,13 @@
     expect(kindsOf({ requests: [sentLate], runs, disturbances })).to.deep.equal(['LOST by planned work']);
   });
 
+  it('counts early requests whose upstream had done its work before and wrote nothing', () => {
+    const disturbances = [disturbed(DISTURBANCE.term, 9900)];
+    const requests: RequestRecord[] = [{ ...REQUEST, deadlineMillis: 8000, endedAt: 15_900 }];
+    const runs = [{ ...RUN, result: RUN_RESULT.silent }];
+    expect(kindsOf({ requests, runs, disturbances })).to.deep.equal(['LOST by planned work']);
+  });
+
   it('counts an answer of the router in place of one that an upstream still worked on, once a stop has begun', () => {
     const requests: RequestRecord[] = [{ ...ANSWERED, answer: { ...ANSWER, status: 502, isSealed: false } }];
     const disturbances = [disturbed(DISTURBANCE.term, 9900)];
--- a/test/soak/records.ts
+++ b/test/soak/records.ts
@@ -44,8 +44,10 @@
   sound: 'sound',
   /** The connection ended while the upstream worked. */
   cut: 'cut',
-  /** The upstream broke its answer, stayed silent or ended. */
+  /** The upstream broke its answer or ended. */
   broken: 'broken',
+  /** The upstream's work ended, and it wrote nothing and kept the connection. */
+  silent: 'silent',
 } as const;
 export type RunResult = (typeof RUN_RESULT)[keyof typeof RUN_RESULT];
 
--- a/test/soak/soak-upstream.ts
+++ b/test/soak/soak-upstream.ts
@@ -238,7 +238,7 @@
     this.#running += 1;
     response.once('close', () => {
       this.#open.delete(run);
-      run.endedAt = performance.now();
+      run.endedAt ??= performance.now();
       run.result ??= response.writableFinished ? RUN_RESULT.sound : RUN_RESULT.cut;
     });
     setTimeout(
@@ -273,11 +273,13 @@
       response.writeHead(200, head).end(body);
       return;
     }
-    run.result = RUN_RESULT.broken;
-    const { socket } = response;
     if (breakage === BREAKAGE.silence) {
+      run.result = RUN_RESULT.silent;
+      run.endedAt = performance.now();
       return;
     }
+    run.result = RUN_RESULT.broken;
+    const { socket } = response;
     if (breakage === BREAKAGE.nothing) {
       socket?.resetAndDestroy();
     } else if (breakage === BREAKAGE.garbage) {
