Soak: late orders in planned stops, in series and overlapping, as a test of their own

Change: "answer late orders in planned stops" plays callers that use their connections until the process is gone (orders of up to 4.5 s alone, in bursts of three, with slow bodies; reads; orders of up to 0.9 s with a deadline of 1 s) under planned work in series and overlapping: stops of one router, of two of a zone, of members, reloads, versions, a kill now and then. The judge: an answer of the router's own in place of one that an upstream works on counts whatever its status, and also if the upstream isn't cut off; the last sixth of the grace time is that of the process which took the request, no longer that of an earlier life.

--- a/test/closing/late-orders.ts
+++ b/test/closing/late-orders.ts
@@ -8,7 +8,8 @@
 import { judge, type Violation } from '../soak/judge.js';
 import { type Machine, MachineFleet, READINESS_PORT, ZONES } from '../soak/machine-fleet.js';
 import { DISTURBANCE, type ExitRecord, type RequestRecord, type SoakRecords } from '../soak/records.js';
-import { type CallerKind, type Demand, SoakCaller } from '../soak/soak-caller.js';
+import type { Demand } from '../soak/request-drafts.js';
+import { type CallerKind, SoakCaller } from '../soak/soak-caller.js';
 import { SoakOperator } from '../soak/soak-operator.js';
 import { BREAKAGE, SoakUpstream } from '../soak/soak-upstream.js';
 
--- a/test/soak/disturber.ts
+++ b/test/soak/disturber.ts
@@ -323,7 +323,11 @@
   }
 }
 
-function drawChoice(choices: readonly Choice[], random: Random): Choice | undefined {
+/** Draws one by weight. */
+export function drawChoice<Item extends { readonly weight: number }>(
+  choices: readonly Item[],
+  random: Random,
+): Item | undefined {
   const total = choices.reduce((sum, { weight }) => sum + weight, 0);
   let wanted = random.between(0, total);
   return choices.find(({ weight }) => {
--- a/test/soak/judge.test.ts
+++ b/test/soak/judge.test.ts
@@ -150,6 +150,44 @@
     ).to.deep.equal([]);
   });
 
+  it('counts requests that the kill at the end of a stop of more than the grace time cuts', () => {
+    const disturbances = [disturbed(DISTURBANCE.term, 9900)];
+    const late: RequestRecord = { ...REQUEST, startedAt: 13_000, sentAt: 13_000, deadlineMillis: 8700 };
+    const cut: RequestRecord = { ...late, endedAt: 15_910, end: CONNECTION_END.reset };
+    const runs = [{ ...RUN, endedAt: 15_910 }];
+    const lost = ['LOST by planned work'];
+    expect(kindsOf({ requests: [cut], runs, disturbances })).to.deep.equal(lost);
+    expect(kindsOf({ requests: [cut], disturbances })).to.deep.equal(lost);
+    const early: RequestRecord = { ...cut, startedAt: 12_900, sentAt: 12_900 };
+    expect(kindsOf({ requests: [early], runs, disturbances })).to.deep.equal([]);
+    expect(kindsOf({ requests: [early], disturbances })).to.deep.equal(lost);
+  });
+
+  it('passes over no cut for the SIGTERM of an earlier life of its router', () => {
+    const disturbances = [
+      disturbed(DISTURBANCE.term, 7900),
+      disturbed(DISTURBANCE.start, 9000),
+      disturbed(DISTURBANCE.term, 10_500),
+    ];
+    const cut: RequestRecord = { ...REQUEST, deadlineMillis: 8700, endedAt: 13_000 };
+    const runs = [{ ...RUN, endedAt: 13_000 }];
+    expect(kindsOf({ requests: [cut], runs, disturbances })).to.deep.equal(['LOST by planned work']);
+  });
+
+  for (const status of [408, 429, 503, 504]) {
+    it(`counts a ${status} in place of an answer once a stop has begun, whether the upstream is cut off or works on`, () => {
+      const requests: RequestRecord[] = [{ ...ANSWERED, answer: { ...ANSWER, status, isSealed: false } }];
+      const disturbances = [disturbed(DISTURBANCE.term, 9900)];
+      const lost = ['LOST by planned work'];
+      const worksOn: RunRecord = { ...RUN, endedAt: 10_500, result: RUN_RESULT.sound };
+      expect(kindsOf({ requests, runs: [RUN], disturbances })).to.deep.equal(lost);
+      expect(kindsOf({ requests, runs: [worksOn], disturbances })).to.deep.equal(lost);
+      const broken: RunRecord = { ...RUN, result: RUN_RESULT.broken };
+      expect(kindsOf({ requests, runs: [broken], disturbances })).to.deep.equal([]);
+      expect(kindsOf({ requests, disturbances })).to.deep.equal([]);
+    });
+  }
+
   it('counts orders that ran twice, and refused ones that ran', () => {
     const order: RequestRecord = { ...ANSWERED, isOrder: true };
     const again: RunRecord = { ...RUN, upstream: 'reads-1-1', result: RUN_RESULT.sound };
--- a/test/soak/judge.ts
+++ b/test/soak/judge.ts
@@ -178,16 +178,24 @@
   return [];
 }
 
-/** Whether the router answered by itself while a sound upstream was at work, which is judged once a SIGTERM has come. */
+/** Whether the router answered by itself while a sound upstream was at work, or broke it off; judged once a SIGTERM has come. */
 function isReplaced(
   { answer, startedAt, deadlineMillis }: RequestRecord,
   runs: readonly RunRecord[],
 ): boolean {
-  if (answer === null || answer.isSealed || answer.status < 500 || PROMISES.has(answer.status)) {
+  if (answer === null || answer.isSealed) {
     return false;
   }
+  const last = runs.reduce<RunRecord | null>(
+    (latest, run) => (latest === null || run.startedAt > latest.startedAt ? run : latest),
+    null,
+  );
+  if (last === null || last.result === RUN_RESULT.broken) {
+    return false;
+  }
+  const isAtWork = last.endedAt === null || last.endedAt > answer.at;
   const isBeforeDeadline = answer.at < startedAt + deadlineMillis - DEADLINE_SLACK_MILLIS;
-  return isBeforeDeadline && runs.length > 0 && runs.every(({ result }) => result === RUN_RESULT.cut);
+  return isBeforeDeadline && (last.result === RUN_RESULT.cut || isAtWork);
 }
 
 function isDisturbed(
@@ -207,21 +215,32 @@
   );
 }
 
+/** Whether a sound upstream still worked, in the last sixth of the grace time of the process that took it, on a request that came early enough. */
 function isLastSixth(
   { sentAt }: RequestRecord,
   runs: readonly RunRecord[],
   endsAt: number,
   own: readonly Disturbance[],
 ): boolean {
-  return own.some(
-    ({ kind, from }) =>
-      kind === DISTURBANCE.term &&
-      sentAt <= from + EARLY_SENT_MILLIS &&
-      endsAt >= from + LAST_SIXTH_MILLIS &&
-      runs.some(({ endedAt }) => endedAt === null || endedAt >= from + LAST_SIXTH_MILLIS),
+  const startedAt = startOfLife(own, sentAt);
+  const term = own.find(({ kind, from }) => kind === DISTURBANCE.term && from >= startedAt);
+  if (term === undefined) {
+    return false;
+  }
+  const lastSixthAt = term.from + LAST_SIXTH_MILLIS;
+  return (
+    sentAt <= term.from + EARLY_SENT_MILLIS &&
+    endsAt >= lastSixthAt &&
+    runs.some(({ endedAt }) => endedAt === null || endedAt >= lastSixthAt)
   );
 }
 
+/** When the process that ran at a time was started. */
+function startOfLife(own: readonly Disturbance[], at: number): number {
+  const starts = own.filter(({ kind, from }) => kind === DISTURBANCE.start && from <= at);
+  return starts.at(-1)?.from ?? Number.NEGATIVE_INFINITY;
+}
+
 function describe(
   { caller, router, sentAt, deadlineMillis }: RequestRecord,
   runs: readonly RunRecord[],
@@ -229,7 +248,10 @@
   own: readonly Disturbance[],
 ): string {
   const near = own
-    .filter(({ from, until }) => until >= sentAt - CONTACT_MILLIS && from <= endsAt)
+    .filter(({ kind, from, until }) => {
+      const millis = kind === DISTURBANCE.term ? GRACE_MILLIS + AFTER_GRACE_MILLIS : CONTACT_MILLIS;
+      return until >= sentAt - millis && from <= endsAt;
+    })
     .map(({ kind, from }) => `${kind} ${Math.round(endsAt - from)} ms before the end`);
   const ran = runs.map(
     ({ upstream, startedAt, result }) => `${upstream} from ${Math.round(startedAt - sentAt)} ms: ${result}`,
--- a/test/soak/machine-fleet.ts
+++ b/test/soak/machine-fleet.ts
@@ -64,6 +64,8 @@
   readonly bundle: string;
   /** Module that is loaded before the routers' program, which a sabotage uses. */
   readonly routersLoad?: string;
+  /** Changes the routers' settings, which a sabotage uses. */
+  readonly alterRouters?: (settings: string) => string;
 }
 
 export class MachineFleet {
@@ -209,7 +211,9 @@
 
   settingsOf(machine: Machine): string {
     const template = readFileSync(join(ROOT, `platform/${machine.role}.yaml`), 'utf8');
-    return fillTemplate(template, this.#fieldsOf(machine));
+    const text = fillTemplate(template, this.#fieldsOf(machine));
+    const { alterRouters } = this.#options;
+    return machine.role === ROLE.router && alterRouters !== undefined ? alterRouters(text) : text;
   }
 
   /** Lines of a machine's log that match. */
--- a/test/soak/process-soak.test.ts
+++ b/test/soak/process-soak.test.ts
@@ -11,6 +11,8 @@
 
 const NETWORK = 150;
 const SABOTAGE_NETWORK = 151;
+const LATE_NETWORK = 152;
+const LATE_SABOTAGE_NETWORK = 153;
 const SECONDS = 30;
 const SEED = Number(process.env.SOAK_SEED ?? 1);
 const LIMIT_MILLIS = 600_000;
@@ -21,6 +23,14 @@
 const STARTS: readonly Group[] = [GROUP.early, GROUP.stops, GROUP.reloads];
 const STARTS_SECONDS = 8;
 
+/** Two routers in each zone. */
+const LATE_ROUTERS = 6;
+const LATE_SECONDS = 20;
+const LATE_SABOTAGE_SECONDS = 10;
+const LATE_SABOTAGE_CALLERS = 32;
+/** Far beyond the grace time of the platform. */
+const LATE_STOP_GRACE = '60s';
+
 interface Sabotage {
   /** Module that is loaded before the routers. */
   readonly module: string;
@@ -62,6 +72,7 @@
       callersPerRouter: Number(process.env.SOAK_CALLERS ?? 8),
       bundle,
       without: new Set(without.split(',') as Group[]),
+      traffic: 'mixed',
     };
   }
 
@@ -91,6 +102,35 @@
     return play({ ...planned(), seconds: STARTS_SECONDS, without });
   }).timeout(LIMIT_MILLIS);
 
+  it(`answer late orders in planned stops, seed ${SEED}`, () => {
+    const network = Number(process.env.SOAK_NETWORK ?? LATE_NETWORK);
+    const routers = Number(process.env.SOAK_ROUTERS ?? LATE_ROUTERS);
+    const seconds = Number(process.env.SOAK_SECONDS ?? LATE_SECONDS);
+    return play({ ...planned(), network, routers, seconds, traffic: 'late' });
+  }).timeout(LIMIT_MILLIS);
+
+  it('are seen to lose late orders when they take their time to stop for longer than it is', async () => {
+    const soak = new ProcessSoak({
+      seed: SEED,
+      network: LATE_SABOTAGE_NETWORK,
+      seconds: LATE_SABOTAGE_SECONDS,
+      routers: 2,
+      callersPerRouter: LATE_SABOTAGE_CALLERS,
+      bundle,
+      without: new Set(Object.values(GROUP).filter((group) => group !== GROUP.stops)),
+      traffic: 'late',
+      alterRouters: (settings) => settings.replace(/^stopGrace: .*$/m, `stopGrace: ${LATE_STOP_GRACE}`),
+    });
+    const { violations, overstayed } = await soak.run();
+    soak.removeFolder();
+    const lost = violations.filter(({ kind }) => kind === VIOLATION.lostByPlannedWork);
+    if (process.env.SOAK_SEED !== undefined) {
+      console.log(JSON.stringify({ seed: SEED, overstayed, lost: lost.length }));
+    }
+    expect(overstayed).to.not.be.empty;
+    expect(lost).to.not.be.empty;
+  }).timeout(LIMIT_MILLIS);
+
   for (const { module, disturbance, seen } of SABOTAGES) {
     it(`are seen to break a rule with the sabotage ${module}`, async () => {
       const soak = new ProcessSoak({
@@ -101,6 +141,7 @@
         callersPerRouter: 8,
         bundle,
         without: new Set(CALM.filter((group) => group !== disturbance)),
+        traffic: 'mixed',
         routersLoad: fileURLToPath(new URL(`./${module}.js`, import.meta.url)),
       });
       const { violations } = await soak.run();
--- a/test/soak/process-soak.ts
+++ b/test/soak/process-soak.ts
@@ -5,31 +5,16 @@
 import { type DisturbanceCounts, Disturber, GROUP, type Group } from './disturber.js';
 import { judge, type Violation } from './judge.js';
 import { type Machine, MachineFleet, READINESS_PORT, ZONES } from './machine-fleet.js';
+import { PlannedWork } from './planned-work.js';
 import type { ConfigurationRead, SoakRecords, UnreadyRecord } from './records.js';
 import { type CallerKind, SoakCaller } from './soak-caller.js';
 import { SoakOperator } from './soak-operator.js';
+import { TRAFFIC, type TrafficKind } from './soak-traffic.js';
 import { SoakUpstream } from './soak-upstream.js';
+import { type StopFigures, stopFigures } from './stop-figures.js';
 
-/** The callers of a router in turn. */
-const MIX: readonly CallerKind[] = [
-  'single',
-  'pipedReads',
-  'pipedOrders',
-  'slowBody',
-  'pipedReads',
-  'single',
-  'pipedReads',
-  'halfCloser',
-];
 const UPSTREAMS_PER_SERVICE = 3;
-const SERVICES = [
-  { service: 'reads-1', isKeyed: false },
-  { service: 'reads-2', isKeyed: false },
-  { service: 'orders-1', isKeyed: false },
-  { service: 'seats-1', isKeyed: true },
-] as const;
 const FIRST_UPSTREAM = 201;
-const SLOTS = 8;
 const QUEUE = 40;
 const READY_MILLIS = 15_000;
 /** Until machines are in touch. */
@@ -49,10 +34,12 @@
   readonly callersPerRouter: number;
   readonly bundle: string;
   readonly without: ReadonlySet<Group>;
+  readonly traffic: TrafficKind;
   readonly routersLoad?: string;
+  readonly alterRouters?: (settings: string) => string;
 }
 
-export interface SoakReport extends DisturbanceCounts {
+export interface SoakReport extends DisturbanceCounts, StopFigures {
   readonly requests: number;
   readonly answered: number;
   readonly halfClosed: number;
@@ -72,14 +59,14 @@
   readonly #fleet: MachineFleet;
   readonly #upstreams: readonly SoakUpstream[];
   readonly #operator: SoakOperator;
-  readonly #disturber: Disturber;
+  readonly #disturber: Disturber | PlannedWork;
   readonly #callers: SoakCaller[] = [];
   readonly #unready: UnreadyRecord[] = [];
   #last: ConfigurationRead | null = null;
   #isOver = false;
 
   constructor(plan: SoakPlan) {
-    const { seed, network, routers, bundle, routersLoad } = plan;
+    const { seed, network, routers, bundle, traffic, without, routersLoad, alterRouters } = plan;
     this.#plan = plan;
     this.#random = new Random(seed);
     this.#fleet = new MachineFleet({
@@ -87,10 +74,15 @@
       routers,
       bundle,
       ...(routersLoad !== undefined && { routersLoad }),
+      ...(alterRouters !== undefined && { alterRouters }),
     });
     this.#upstreams = this.#makeUpstreams();
-    this.#operator = new SoakOperator(this.#fleet.controlAddresses, this.#random.fork());
-    this.#disturber = new Disturber(this.#fleet, this.#upstreams, this.#random.fork(), plan.without);
+    this.#operator = new SoakOperator(this.#fleet.controlAddresses, this.#random.fork(), TRAFFIC[traffic]);
+    const random = this.#random.fork();
+    this.#disturber =
+      traffic === 'late'
+        ? new PlannedWork(this.#fleet, random, without)
+        : new Disturber(this.#fleet, this.#upstreams, random, without);
   }
 
   async run(): Promise<SoakReport> {
@@ -130,8 +122,9 @@
   }
 
   async #disturbAndCall(): Promise<void> {
-    const { seconds, callersPerRouter } = this.#plan;
-    const kinds = MIX.filter((kind) => kind !== 'pipedOrders' || !this.#plan.without.has(GROUP.pipedOrders));
+    const { seconds, callersPerRouter, traffic, without } = this.#plan;
+    const mix: readonly CallerKind[] = TRAFFIC[traffic].mix;
+    const kinds = mix.filter((kind) => kind !== 'pipedOrders' || !without.has(GROUP.pipedOrders));
     const isOver = (): boolean => this.#isOver;
     for (const router of this.#fleet.routers) {
       for (let index = 0; index < callersPerRouter; index += 1) {
@@ -233,7 +226,8 @@
   }
 
   #makeUpstreams(): SoakUpstream[] {
-    return SERVICES.flatMap(({ service, isKeyed }, place) =>
+    const { services } = TRAFFIC[this.#plan.traffic];
+    return services.flatMap(({ service, isKeyed, slots, workShares }, place) =>
       Array.from({ length: UPSTREAMS_PER_SERVICE }, (_, index) => {
         const number = FIRST_UPSTREAM + place * UPSTREAMS_PER_SERVICE + index;
         return new SoakUpstream({
@@ -242,8 +236,9 @@
           zone: ZONES[index % ZONES.length] as string,
           host: this.#fleet.host(number),
           isKeyed,
-          slots: SLOTS,
+          slots,
           queue: QUEUE,
+          workShare: workShares[index % workShares.length] as number,
           control: () => this.#fleet.controlAddresses,
         });
       }),
@@ -266,6 +261,7 @@
     const halfClosed = requests.filter(({ isHalfClosed }) => isHalfClosed);
     return {
       ...this.#disturber.counts,
+      ...stopFigures(records),
       requests: requests.length,
       answered: requests.filter(({ answer }) => answer !== null).length,
       halfClosed: halfClosed.length,
--- a/test/soak/soak-caller.ts
+++ b/test/soak/soak-caller.ts
@@ -5,39 +5,68 @@
 import { AnswerReader, type ReceivedAnswer } from './answer-reader.js';
 import { CALLER_PORT, type Machine } from './machine-fleet.js';
 import { type AnswerRecord, CONNECTION_END, type ConnectionEnd, type RequestRecord } from './records.js';
+import { type Demand, DRAFTS, type DraftKind, SHORT_DEMAND } from './request-drafts.js';
 import { bodyOf, sealOf } from './soak-upstream.js';
 
-/** Kinds of callers, with how many requests they send at once at most. */
-export const CALLERS = {
-  single: { depth: 1, isOrder: null, isSlow: false, halfCloses: false },
-  singleOrders: { depth: 1, isOrder: true, isSlow: false, halfCloses: false },
-  pipedReads: { depth: 6, isOrder: false, isSlow: false, halfCloses: false },
-  pipedOrders: { depth: 4, isOrder: true, isSlow: false, halfCloses: false },
-  slowBody: { depth: 1, isOrder: true, isSlow: true, halfCloses: false },
-  halfCloser: { depth: 3, isOrder: false, isSlow: false, halfCloses: true },
-} as const;
-export type CallerKind = keyof typeof CALLERS;
+export type CallerKind =
+  | 'single'
+  | 'singleOrders'
+  | 'pipedReads'
+  | 'pipedOrders'
+  | 'slowBody'
+  | 'halfCloser'
+  | 'longSingle'
+  | 'longBurst'
+  | 'longSlowBody'
+  | 'longReads'
+  | 'brief';
+
+interface CallerPlan {
+  readonly draft: DraftKind;
+  /** How many requests are sent at once. */
+  readonly least: number;
+  readonly most: number;
+  /** Whether all are orders, none is, or that is drawn. */
+  readonly isOrder: boolean | null;
+  /** Time before each part of a body that is sent slowly. */
+  readonly partMillis: readonly [number, number] | null;
+  readonly halfCloses: boolean;
+  /** Whether a served caller waits before its next request. */
+  readonly rests: boolean;
+}
+
+const PLAIN: CallerPlan = {
+  draft: 'mixed',
+  least: 1,
+  most: 1,
+  isOrder: true,
+  partMillis: null,
+  halfCloses: false,
+  rests: true,
+};
+
+/** Kinds of callers. */
+const CALLERS: Readonly<Record<CallerKind, CallerPlan>> = {
+  single: { ...PLAIN, isOrder: null },
+  singleOrders: PLAIN,
+  pipedReads: { ...PLAIN, most: 6, isOrder: false },
+  pipedOrders: { ...PLAIN, most: 4 },
+  slowBody: { ...PLAIN, partMillis: [10, 350] },
+  halfCloser: { ...PLAIN, most: 3, isOrder: false, halfCloses: true },
+  longSingle: { ...PLAIN, draft: 'long', rests: false },
+  longBurst: { ...PLAIN, draft: 'long', rests: false, least: 3, most: 3 },
+  longSlowBody: { ...PLAIN, draft: 'long', rests: false, partMillis: [10, 1000] },
+  longReads: { ...PLAIN, draft: 'long', rests: false, most: 3, isOrder: false },
+  brief: { ...PLAIN, draft: 'brief', rests: false, most: 2 },
+};
 
 export const HOST = 'soak.example';
 /** Beyond a request's deadline, after which its caller gives up. */
 const GIVE_UP_MILLIS = 1500;
 const CONNECT_MILLIS = 1000;
-const MAX_BODY_BYTES = 3000;
 const BODY_PARTS = 4;
-const KEYS = 65_536;
 const MAX_REST_MILLIS = 250;
 
-/** What the answers of a caller's requests take, and for how long it waits. */
-export interface Demand {
-  drawWorkMillis(random: Random): number;
-  drawDeadlineMillis(random: Random): number;
-}
-
-const SHORT_DEMAND: Demand = {
-  drawWorkMillis: (random) => (random.chance(0.8) ? random.between(20, 200) : random.between(200, 1200)),
-  drawDeadlineMillis: (random) => random.integer(500, 6000),
-};
-
 interface Draft {
   readonly id: string;
   readonly isOrder: boolean;
@@ -76,30 +105,35 @@
     this.connections += 1;
     const connection = new CallerSocket(socket);
     while (!connection.isEnded && !isOver()) {
-      await this.#exchange(connection);
-      await sleep(this.random.chance(0.3) ? 0 : this.random.integer(0, 250));
+      const isServed = await this.#exchange(connection);
+      if (CALLERS[this.kind].rests || !isServed) {
+        await sleep(this.random.chance(0.3) ? 0 : this.random.integer(0, MAX_REST_MILLIS));
+      }
     }
     connection.close();
     await sleep(this.random.integer(0, MAX_REST_MILLIS));
   }
 
-  async #exchange(connection: CallerSocket): Promise<void> {
-    const { depth, isSlow, halfCloses } = CALLERS[this.kind];
-    const drafts = Array.from({ length: this.random.integer(1, depth) }, () => this.#draft());
-    const batch = drafts.map((draft) => ({ draft, sentAt: null, answer: null }));
+  /** Resolves to whether all of its requests were served. */
+  async #exchange(connection: CallerSocket): Promise<boolean> {
+    const { least, most, halfCloses } = CALLERS[this.kind];
+    const drafts = Array.from({ length: this.random.integer(least, most) }, () => this.#draft());
+    const batch: OpenRequest[] = drafts.map((draft) => ({ draft, sentAt: null, answer: null }));
     const deadline = Math.max(...drafts.map(({ deadlineMillis }) => deadlineMillis));
     const startedAt = performance.now();
     const answered = connection.expect(batch, deadline + GIVE_UP_MILLIS);
-    await this.#send(connection, batch, isSlow);
+    await this.#send(connection, batch);
     if (halfCloses) {
       connection.halfClose();
     }
     await answered;
     this.#record(batch, connection, startedAt);
+    return batch.every(({ answer }) => answer?.isSealed === true);
   }
 
-  async #send(connection: CallerSocket, batch: OpenRequest[], isSlow: boolean): Promise<void> {
-    if (!isSlow) {
+  async #send(connection: CallerSocket, batch: OpenRequest[]): Promise<void> {
+    const { partMillis } = CALLERS[this.kind];
+    if (partMillis === null) {
       connection.write(batch.map(({ draft }) => draft.head + draft.body).join(''));
       markSent(batch);
       return;
@@ -109,7 +143,7 @@
       connection.write(head);
       const part = Math.ceil(body.length / BODY_PARTS);
       for (let at = 0; at < body.length; at += part) {
-        await sleep(this.random.integer(10, 350));
+        await sleep(this.random.integer(...partMillis));
         if (connection.isEnded) {
           return;
         }
@@ -145,17 +179,12 @@
     const { random } = this;
     this.#count += 1;
     const id = `${this.name}-${this.#count}`;
-    const isOrder = CALLERS[this.kind].isOrder ?? random.chance(0.3);
-    const key = !isOrder && random.chance(0.35) ? random.integer(0, KEYS - 1) : null;
-    const bytes = Math.round(
-      random.chance(0.85) ? random.between(200, 4000) : random.between(20_000, 300_000),
-    );
-    const work = Math.round(this.demand.drawWorkMillis(random));
-    const deadlineMillis = this.demand.drawDeadlineMillis(random);
-    const body = isOrder ? 'x'.repeat(random.integer(1, MAX_BODY_BYTES)) : '';
-    const prefix = isOrder ? 'orders' : key === null ? 'reads' : 'seats';
+    const plan = CALLERS[this.kind];
+    const wish = DRAFTS[plan.draft](random, plan.isOrder, this.demand);
+    const { isOrder, prefix, key, bytes, workMillis, deadlineMillis } = wish;
+    const body = 'x'.repeat(wish.bodyBytes);
     const lines = [
-      `${isOrder ? 'POST' : 'GET'} /${prefix}/1?bytes=${bytes}&work=${work} HTTP/1.1`,
+      `${isOrder ? 'POST' : 'GET'} /${prefix}/1?bytes=${bytes}&work=${workMillis} HTTP/1.1`,
       `Host: ${HOST}`,
       `Request-Id: ${id}`,
       `Request-Deadline-Ms: ${deadlineMillis}`,
--- a/test/soak/soak-operator.ts
+++ b/test/soak/soak-operator.ts
@@ -4,6 +4,7 @@
 import { type ControlAnswer, callControl } from './control-call.js';
 import type { AcknowledgedChange, ConfigurationRead } from './records.js';
 import { HOST } from './soak-caller.js';
+import { TRAFFIC, type Traffic } from './soak-traffic.js';
 
 const PATH = '/v1/declaration';
 const OK = 200;
@@ -11,7 +12,6 @@
 const ORDER_MILLIS = 12_000;
 const LAST_READ_MILLIS = 15_000;
 const MAX_PAUSE_MILLIS = 500;
-const SERVICES = ['reads-1', 'reads-2', 'orders-1', 'seats-1'] as const;
 const MARK = 'mark';
 
 interface Route {
@@ -47,19 +47,20 @@
   constructor(
     private readonly members: readonly string[],
     private readonly random: Random,
+    private readonly traffic: Traffic = TRAFFIC.mixed,
   ) {}
 
   /** Declares the first configuration. */
   async begin(): Promise<void> {
-    const services = SERVICES.map((name) => ({
+    const services = this.traffic.services.map(({ service: name, isKeyed }) => ({
       name,
       healthPath: '/health',
       connections: 130,
       protocol: 'h1',
       tls: false,
-      ...(name === 'seats-1' && { keyed: true, warmSeconds: 0, grantedBy: 'request' }),
+      ...(isKeyed && { keyed: true, warmSeconds: 0, grantedBy: 'request' }),
     }));
-    const routes = [this.#readsRoute(), ...this.#fixedRoutes(), this.#mark()];
+    const routes = [this.#readsRoute(), ...this.#fixedRoutes(), ...this.traffic.routes, this.#mark()];
     const limits = this.#limits(8000);
     await this.#order('PUT', 0, { version: 1, routes, services, limits });
   }
@@ -100,7 +101,12 @@
     const { random } = this;
     const version = base + random.integer(1, 5);
     const set = {
-      routes: [this.#mark(), ...(random.chance(0.5) ? [this.#readsRoute()] : []), this.#extraRoute()],
+      routes: [
+        this.#mark(),
+        ...(random.chance(0.5) ? [this.#readsRoute()] : []),
+        this.#extraRoute(),
+        ...this.traffic.drawChanged(random),
+      ],
       ...(random.chance(0.4) && { limits: this.#limits(random.integer(3000, 15_000)) }),
     };
     await this.#order('PATCH', base, { version, set });
--- a/test/soak/soak-upstream.ts
+++ b/test/soak/soak-upstream.ts
@@ -28,6 +28,8 @@
   readonly isKeyed: boolean;
   readonly slots: number;
   readonly queue: number;
+  /** Share of the asked work that it takes. */
+  readonly workShare?: number;
   readonly control: () => readonly string[];
 }
 
@@ -253,7 +255,7 @@
           this.#run(next);
         }
       },
-      Number(searchParams.get('work')),
+      Number(searchParams.get('work')) * (this.#options.workShare ?? 1),
     );
   }
 
