--- a/test/soak/process-soak.test.ts
+++ b/test/soak/process-soak.test.ts
@@ -8,6 +8,7 @@
 import { VIOLATION, type ViolationKind } from './judge.js';
 import { ROOT } from './machine-fleet.js';
 import { ProcessSoak, type SoakPlan } from './process-soak.js';
+import type { TrafficKind } from './soak-traffic.js';
 
 const NETWORK = 150;
 const SABOTAGE_NETWORK = 151;
@@ -72,7 +73,8 @@
       callersPerRouter: Number(process.env.SOAK_CALLERS ?? 8),
       bundle,
       without: new Set(without.split(',') as Group[]),
-      traffic: 'mixed',
+      traffic: (process.env.SOAK_TRAFFIC ?? 'mixed') as TrafficKind,
+      isPlannedOnly: false,
     };
   }
 
@@ -106,7 +108,7 @@
     const network = Number(process.env.SOAK_NETWORK ?? LATE_NETWORK);
     const routers = Number(process.env.SOAK_ROUTERS ?? LATE_ROUTERS);
     const seconds = Number(process.env.SOAK_SECONDS ?? LATE_SECONDS);
-    return play({ ...planned(), network, routers, seconds, traffic: 'late' });
+    return play({ ...planned(), network, routers, seconds, traffic: 'late', isPlannedOnly: true });
   }).timeout(LIMIT_MILLIS);
 
   it('are seen to lose late orders when they take their time to stop for longer than it is', async () => {
@@ -119,6 +121,7 @@
       bundle,
       without: new Set(Object.values(GROUP).filter((group) => group !== GROUP.stops)),
       traffic: 'late',
+      isPlannedOnly: true,
       alterRouters: (settings) => settings.replace(/^stopGrace: .*$/m, `stopGrace: ${LATE_STOP_GRACE}`),
     });
     const { violations, overstayed } = await soak.run();
@@ -142,6 +145,7 @@
         bundle,
         without: new Set(CALM.filter((group) => group !== disturbance)),
         traffic: 'mixed',
+        isPlannedOnly: false,
         routersLoad: fileURLToPath(new URL(`./${module}.js`, import.meta.url)),
       });
       const { violations } = await soak.run();
--- a/test/soak/process-soak.ts
+++ b/test/soak/process-soak.ts
@@ -35,6 +35,8 @@
   readonly bundle: string;
   readonly without: ReadonlySet<Group>;
   readonly traffic: TrafficKind;
+  /** Whether all is calm but for planned work and a kill now and then. */
+  readonly isPlannedOnly: boolean;
   readonly routersLoad?: string;
   readonly alterRouters?: (settings: string) => string;
 }
@@ -66,7 +68,8 @@
   #isOver = false;
 
   constructor(plan: SoakPlan) {
-    const { seed, network, routers, bundle, traffic, without, routersLoad, alterRouters } = plan;
+    const { seed, network, routers, bundle, traffic, isPlannedOnly, without, routersLoad, alterRouters } =
+      plan;
     this.#plan = plan;
     this.#random = new Random(seed);
     this.#fleet = new MachineFleet({
@@ -79,10 +82,9 @@
     this.#upstreams = this.#makeUpstreams();
     this.#operator = new SoakOperator(this.#fleet.controlAddresses, this.#random.fork(), TRAFFIC[traffic]);
     const random = this.#random.fork();
-    this.#disturber =
-      traffic === 'late'
-        ? new PlannedWork(this.#fleet, random, without)
-        : new Disturber(this.#fleet, this.#upstreams, random, without);
+    this.#disturber = isPlannedOnly
+      ? new PlannedWork(this.#fleet, random, without)
+      : new Disturber(this.#fleet, this.#upstreams, random, without);
   }
 
   async run(): Promise<SoakReport> {
