--- a/test/soak/process-soak.test.ts
+++ b/test/soak/process-soak.test.ts
@@ -121,6 +121,7 @@
       bundle,
       without: new Set(Object.values(GROUP).filter((group) => group !== GROUP.stops)),
       traffic: 'late',
+      mix: ['longBurst'],
       isPlannedOnly: true,
       alterRouters: (settings) => settings.replace(/^stopGrace: .*$/m, `stopGrace: ${LATE_STOP_GRACE}`),
     });
--- a/test/soak/process-soak.ts
+++ b/test/soak/process-soak.ts
@@ -35,6 +35,8 @@
   readonly bundle: string;
   readonly without: ReadonlySet<Group>;
   readonly traffic: TrafficKind;
+  /** The callers of a router in turn, in place of those of the traffic. */
+  readonly mix?: readonly CallerKind[];
   /** Whether all is calm but for planned work and a kill now and then. */
   readonly isPlannedOnly: boolean;
   readonly routersLoad?: string;
@@ -125,7 +127,7 @@
 
   async #disturbAndCall(): Promise<void> {
     const { seconds, callersPerRouter, traffic, without } = this.#plan;
-    const mix: readonly CallerKind[] = TRAFFIC[traffic].mix;
+    const mix: readonly CallerKind[] = this.#plan.mix ?? TRAFFIC[traffic].mix;
     const kinds = mix.filter((kind) => kind !== 'pipedOrders' || !without.has(GROUP.pipedOrders));
     const isOver = (): boolean => this.#isOver;
     for (const router of this.#fleet.routers) {
