--- a/test/soak/process-soak.test.ts
+++ b/test/soak/process-soak.test.ts
@@ -92,7 +92,9 @@
     expect(report.requests).to.be.above(0);
     expect(report.changes).to.be.above(0);
     expect(lines.join('\n'), `logs in ${report.folder}`).to.equal('');
-    soak.removeFolder();
+    if (process.env.SOAK_KEEP === undefined) {
+      soak.removeFolder();
+    }
   }
 
   it(`end only when they are meant to and lose nothing, seed ${SEED}`, () => play(planned())).timeout(
