Soak: only processes that the kill after the grace time really ended count as overstayed

On a busy machine the test's own process can see an end late and kill what has ended: two of five named on (30 routers, load 48) had written process-ended with 0 half a second before.

--- a/test/soak/machine-fleet.ts
+++ b/test/soak/machine-fleet.ts
@@ -54,6 +54,8 @@
   readonly startedAt: number;
   cause: 'SIGTERM' | 'SIGKILL' | null;
   lastSignal: { readonly signal: NodeJS.Signals; readonly at: number } | null;
+  /** Whether its planned stop took longer than the grace time. */
+  isOverstaying: boolean;
 }
 
 export interface FleetOptions {
@@ -73,7 +75,7 @@
   readonly machines: readonly Machine[];
   readonly exits: ExitRecord[] = [];
   readonly disturbances: Disturbance[] = [];
-  /** Processes that were killed since their planned stop took too long. */
+  /** Processes that the kill after the grace time ended. */
   readonly overstayed: string[] = [];
   readonly #options: FleetOptions;
   readonly #lives = new Map<Machine, Life>();
@@ -164,7 +166,7 @@
       await sleep(5);
     }
     if (this.#lives.get(machine) === life && life.cause === 'SIGTERM') {
-      this.overstayed.push(machine.name);
+      life.isOverstaying = true;
       this.#endStop(life);
     }
   }
@@ -302,7 +304,13 @@
       stdio: ['ignore', log, log],
       env,
     });
-    const life: Life = { child, startedAt: performance.now(), cause: null, lastSignal: null };
+    const life: Life = {
+      child,
+      startedAt: performance.now(),
+      cause: null,
+      lastSignal: null,
+      isOverstaying: false,
+    };
     this.#lives.set(machine, life);
     this.#note(DISTURBANCE.start, machine, 0);
     child.once('exit', (code, signal) => this.#onExit(machine, life, code, signal));
@@ -319,6 +327,9 @@
     const at = performance.now();
     const { startedAt, cause, lastSignal } = life;
     this.#lives.delete(machine);
+    if (life.isOverstaying && signal === 'SIGKILL') {
+      this.overstayed.push(machine.name);
+    }
     this.exits.push({
       process: machine.name,
       at,
