--- a/test/soak/machine-fleet.ts
+++ b/test/soak/machine-fleet.ts
@@ -154,12 +154,16 @@
     return true;
   }
 
-  /** Stops a process as planned, by force if the grace time is over. */
-  async stopInTime(machine: Machine): Promise<void> {
+  /** Stops a process as planned, by force if the grace time is over; at first it may get no processor. */
+  async stopInTime(machine: Machine, heldUpMillis = 0): Promise<void> {
     const life = this.#lives.get(machine);
     if (life === undefined) {
       return;
     }
+    if (heldUpMillis > 0) {
+      life.child.kill('SIGSTOP');
+      setTimeout(() => life.child.kill('SIGCONT'), heldUpMillis);
+    }
     this.signal(machine, 'SIGTERM');
     const until = performance.now() + GRACE_MILLIS;
     while (this.#lives.get(machine) === life && performance.now() < until) {
--- a/test/soak/planned-work.ts
+++ b/test/soak/planned-work.ts
@@ -31,11 +31,14 @@
   };
   readonly #fleet: MachineFleet;
   readonly #random: Random;
+  /** Time for which a process gets no processor when its stop begins. */
+  readonly #heldUpMillis: number;
   readonly #rounds: readonly Round[];
   #isOver = false;
 
-  constructor(fleet: MachineFleet, random: Random, without: ReadonlySet<Group>) {
+  constructor(fleet: MachineFleet, random: Random, without: ReadonlySet<Group>, heldUpMillis: number) {
     this.#fleet = fleet;
+    this.#heldUpMillis = heldUpMillis;
     this.#random = random;
     const rounds: readonly Round[] = [
       { group: GROUP.stops, weight: 35, play: () => this.#stopSome(this.#drawRouters(1)) },
@@ -79,7 +82,7 @@
 
   /** A planned stop, at times asked for twice or beside a reload, and by force after the grace time. */
   async #term(machine: Machine): Promise<void> {
-    const stopped = this.#fleet.stopInTime(machine);
+    const stopped = this.#fleet.stopInTime(machine, this.#heldUpMillis);
     this.counts.stops += 1;
     if (this.#random.chance(SIGNALLED_SHARE)) {
       const signal = this.#random.pick(['SIGHUP', 'SIGTERM'] as const);
--- a/test/soak/process-soak.test.ts
+++ b/test/soak/process-soak.test.ts
@@ -14,6 +14,7 @@
 const SABOTAGE_NETWORK = 151;
 const LATE_NETWORK = 152;
 const LATE_SABOTAGE_NETWORK = 153;
+const HELD_UP_NETWORK = 154;
 const SECONDS = 30;
 const SEED = Number(process.env.SOAK_SEED ?? 1);
 const LIMIT_MILLIS = 600_000;
@@ -32,6 +33,10 @@
 /** Far beyond the grace time of the platform. */
 const LATE_STOP_GRACE = '60s';
 
+/** As seen where processes share a processor with many others. */
+const HELD_UP_MILLIS = 900;
+const HELD_UP_SECONDS = 8;
+
 interface Sabotage {
   /** Module that is loaded before the routers. */
   readonly module: string;
@@ -113,6 +118,21 @@
     return play({ ...planned(), network, routers, seconds, traffic: 'late', isPlannedOnly: true });
   }).timeout(LIMIT_MILLIS);
 
+  it(`answer late orders in planned stops that they hear of late, seed ${SEED}`, () =>
+    play({
+      seed: SEED,
+      network: Number(process.env.SOAK_NETWORK ?? HELD_UP_NETWORK),
+      seconds: HELD_UP_SECONDS,
+      routers: 2,
+      callersPerRouter: LATE_SABOTAGE_CALLERS,
+      bundle,
+      without: new Set(Object.values(GROUP).filter((group) => group !== GROUP.stops)),
+      traffic: 'late',
+      mix: ['longBurst'],
+      isPlannedOnly: true,
+      heldUpMillis: HELD_UP_MILLIS,
+    })).timeout(LIMIT_MILLIS);
+
   it('are seen to lose late orders when they take their time to stop for longer than it is', async () => {
     const soak = new ProcessSoak({
       seed: SEED,
--- a/test/soak/process-soak.ts
+++ b/test/soak/process-soak.ts
@@ -39,6 +39,8 @@
   readonly mix?: readonly CallerKind[];
   /** Whether all is calm but for planned work and a kill now and then. */
   readonly isPlannedOnly: boolean;
+  /** Time for which a process gets no processor when its planned stop begins. */
+  readonly heldUpMillis?: number;
   readonly routersLoad?: string;
   readonly alterRouters?: (settings: string) => string;
 }
@@ -85,7 +87,7 @@
     this.#operator = new SoakOperator(this.#fleet.controlAddresses, this.#random.fork(), TRAFFIC[traffic]);
     const random = this.#random.fork();
     this.#disturber = isPlannedOnly
-      ? new PlannedWork(this.#fleet, random, without)
+      ? new PlannedWork(this.#fleet, random, without, plan.heldUpMillis ?? 0)
       : new Disturber(this.#fleet, this.#upstreams, random, without);
   }
 
