Fleet checker: a run of a given-up attempt at another router isn't taken for a run of the one that was lost

Cause: of the checker. A pipelined attempt without an answer counts if it reached an upstream, for which any run of its request between its sending and its end was taken. Callers of this test give up one request in five and close its connection; the others on it go to another router, and their run from the first router may start after that.

Now a run counts for the router that handed it on: its id names the router's process, which is known by runs whose request only one router can have handed on. Where that isn't known the run counts, as before.

Evidence: of three tests the one with a run from router-2 failed before.

--- a/src/dev/fleet/checker/planned-stop.ts
+++ b/src/dev/fleet/checker/planned-stop.ts
@@ -2,6 +2,7 @@
 import type { AttemptRecord } from '../../journal/records.js';
 import type { FleetHistory } from './fleet-history.js';
 import type { CheckOptions, PromiseResult, Violation } from './promise-check.js';
+import { findRunOrigins, type RunOrigin } from './run-origins.js';
 
 /** Time of the last kill before `at`; requests in flight then were not interrupted by a planned stop. */
 function lastKillBefore(history: FleetHistory, process: string, at: number): number {
@@ -24,9 +25,15 @@
     }));
 }
 
-/** Returns whether this attempt itself reached an upstream; a later one of the same request runs after it. */
-function reachedUpstream({ runs }: FleetHistory, { request, sentAt, at }: AttemptRecord): boolean {
-  return runs.some(({ start }) => start.request === request && start.at >= sentAt && start.at <= at);
+/** Returns whether this attempt itself reached an upstream; a later one of the same request runs after it, and an earlier one from another router. */
+function reachedUpstream(
+  { runs }: FleetHistory,
+  originOf: RunOrigin,
+  { request, router, sentAt, at }: AttemptRecord,
+): boolean {
+  return runs
+    .filter(({ start }) => start.request === request && start.at >= sentAt && start.at <= at)
+    .some((run) => (originOf(run) ?? router) === router);
 }
 
 /** Returns whether connections to the attempt's router were ended by a fault while it was under way. */
@@ -47,6 +54,7 @@
  */
 function unansweredAttempts(
   history: FleetHistory,
+  originOf: RunOrigin,
   process: string,
   stoppingAt: number,
   options: CheckOptions,
@@ -54,7 +62,7 @@
   return history.attempts
     .filter((attempt) => attempt.router === process && attempt.verdict === 'lost')
     .filter((attempt) => attempt.sentAt < stoppingAt - options.stopMarginMillis && attempt.at >= stoppingAt)
-    .filter((attempt) => !attempt.pipelined || reachedUpstream(history, attempt))
+    .filter((attempt) => !attempt.pipelined || reachedUpstream(history, originOf, attempt))
     .filter((attempt) => !hadEndingConnections(history, attempt))
     .map((attempt) => ({
       promise: 'planned-stop' as const,
@@ -65,12 +73,13 @@
 
 export function checkPlannedStop(history: FleetHistory, options: CheckOptions): PromiseResult {
   const violations: Violation[] = [];
+  const originOf = findRunOrigins(history);
   let checked = 0;
   for (const event of history.events) {
     if (event.event === 'stopping') {
       checked += 1;
       violations.push(...interruptedRuns(history, event.process, event.at));
-      violations.push(...unansweredAttempts(history, event.process, event.at, options));
+      violations.push(...unansweredAttempts(history, originOf, event.process, event.at, options));
     }
     if (event.event === 'stopped' && event.result === 'killed') {
       const message = `${event.process} did not stop by itself and was killed`;
--- a/test/fleet/checker/checker.test.ts
+++ b/test/fleet/checker/checker.test.ts
@@ -285,6 +285,32 @@
     ],
     broken: [],
   },
+  // Guards against runs of an earlier attempt that are taken for runs of the one that was lost.
+  ...(['router-1', 'router-2'] as const).map((origin) => ({
+    title: `a planned stop of a router while a pipelined request that was given up at another one runs from ${origin}`,
+    records: [
+      event(500, { event: 'stopping', process: 'router-1' }),
+      attempt({ sentAt: 0, at: 5, request: 'known-1', router: 'router-1' }),
+      ...run({ at: 1, request: 'known-1', routerRequest: 'process-of-router-1.1' }),
+      attempt({ sentAt: 0, at: 5, request: 'known-2', router: 'router-2' }),
+      ...run({ at: 1, request: 'known-2', routerRequest: 'process-of-router-2.1' }),
+      attempt({ sentAt: 10, at: 90, verdict: 'left', router: 'router-2', pipelined: true, last: false }),
+      ...run({ at: 110, request: 'request', routerRequest: `process-of-${origin}.2` }),
+      attempt({ sentAt: 100, at: 600, attempt: 2, verdict: 'lost', pipelined: true }),
+    ],
+    broken: origin === 'router-1' ? (['planned-stop'] as const) : [],
+  })),
+  {
+    title:
+      'a planned stop of a router while a pipelined request that was given up at another one runs from an unknown one',
+    records: [
+      event(500, { event: 'stopping', process: 'router-1' }),
+      attempt({ sentAt: 10, at: 90, verdict: 'left', router: 'router-2', pipelined: true, last: false }),
+      ...run({ at: 110, request: 'request', routerRequest: 'process.1' }),
+      attempt({ sentAt: 100, at: 600, attempt: 2, verdict: 'lost', pipelined: true }),
+    ],
+    broken: ['planned-stop'],
+  },
   {
     title: 'a caller that disconnected',
     records: [
