Router: an answer whose named length the link can't carry in its time neither counts for its route's sizes nor fills the link

Callers saw: while one upstream streamed a body of 99 GB of declared length, requests of its route were refused with 503, though sound upstreams were free, and so were all requests for large answers.

Cause, from the log (request-refused): reason link-full. The length that a head names was learned as the size of the route's answers at once, and the link was reserved for it: 99 GB at 1,000 Mbit/s are 880 s, though such an answer is broken off a second after its deadline. Requests refused bring no answer, so that the size never fell again.

Change: a length that the configured link can't carry until a second after the deadline isn't learned, and takes the link until then at most.

A link that really is full still refuses large answers.

--- a/src/routing/capacity/link-pacer.ts
+++ b/src/routing/capacity/link-pacer.ts
@@ -59,6 +59,11 @@
     return bytes / this.#width.bytesPerMilli(now);
   }
 
+  /** Returns the most that the link can carry in this time. */
+  mostBytes(millis: number): number {
+    return millis * this.#width.configuredBytesPerMilli;
+  }
+
   /** Records the request for a large answer with an expected size. */
   onStart(bytes: number, now: number): OpenAnswer {
     this.#freeAt = Math.max(this.#freeAt, now) + bytes / this.#largeBytesPerMilli(now);
--- a/src/routing/link-gate.ts
+++ b/src/routing/link-gate.ts
@@ -12,6 +12,8 @@
 const MIN_WAKE_MILLIS = 1;
 /** Maximum time until waiting groups are rechecked, since capacity may become free sooner than estimated. */
 const MAX_WAKE_MILLIS = 25;
+/** How long after its deadline an answer is still read. */
+const OVERTIME_MILLIS = 1000;
 
 export interface LinkGateParts {
   readonly context: RouterContext;
@@ -83,15 +85,22 @@
     this.#scheduleWake();
   }
 
-  /** Handles the head of a group's answer; `bytes` is `null` if it contains no length. */
-  answered(group: RequestGroup, bytes: number | null): void {
+  /**
+   * Handles the head of a group's answer; `namedBytes` is `null` if it contains no length. An answer that the link can't carry until it is
+   * broken off says nothing of the route's answers, and takes no more of the link than until then.
+   */
+  answered(group: RequestGroup, namedBytes: number | null): void {
     const { now } = this.#parts.context;
     const expected = group.linkAnswer;
     group.linkAnswer = null;
-    if (bytes === null) {
+    if (namedBytes === null) {
       return;
     }
-    this.#sizes.add(routeOf(group), bytes);
+    const mostBytes = this.#capacity.mostBytes(Math.max(0, group.deadline - now) + OVERTIME_MILLIS);
+    const bytes = Math.min(namedBytes, mostBytes);
+    if (namedBytes <= mostBytes) {
+      this.#sizes.add(routeOf(group), bytes);
+    }
     if (expected !== null) {
       this.#capacity.onSizeKnown(expected, bytes, now);
     } else if (this.#capacity.isLarge(bytes)) {
