Router: the end of a planned stop that is noticed late is put off once, until answers that came meanwhile are read

Callers: orders that had run and whose upstreams had answered got 502 (outcome unknown) in place of the answer, where the process was held up over the moment at which a stop answers what is open.

Cause: after it was held up the process runs timers before it reads sockets, so the end of the stop refused requests whose answers waited to be read.

Why it works: an end that is noticed more than 10 ms late comes 20 ms later, once; sockets are read in between.

--- a/src/routing/planned-stop.ts
+++ b/src/routing/planned-stop.ts
@@ -21,8 +21,14 @@
   readonly isRepeatable: boolean;
 }
 
+/** An end that is noticed later than this was held up, and so were the answers that came meanwhile. */
+const LATE_END_MILLIS = 10;
+/** How long such answers have until they are read. */
+const LATE_ANSWERS_MILLIS = 20;
+
 export class PlannedStop {
   readonly #startsByExpectationUntil: MonotonicMillis;
+  #isPutOff = false;
 
   /** `endsAt`: when every request gets its answer. */
   constructor(
@@ -33,6 +39,15 @@
     this.#startsByExpectationUntil = startedAt + partMillis;
   }
 
+  /** When the end is put off to, once, if it is noticed late: timers run before sockets are read; `null`: it is now. */
+  putOffEnd(now: MonotonicMillis): MonotonicMillis | null {
+    if (this.#isPutOff || now <= this.endsAt + LATE_END_MILLIS) {
+      return null;
+    }
+    this.#isPutOff = true;
+    return now + LATE_ANSWERS_MILLIS;
+  }
+
   /** Whether a request that is started now ends in time: surely, by its own limit; in the first part of the stop, as far as can be expected. */
   mayStart({ deadline, expectedMillis, isRepeatable }: StopCandidate, now: MonotonicMillis): boolean {
     if (deadline <= this.endsAt) {
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -328,8 +328,7 @@
         this.intake.timeOutEarly(subject.request);
         return;
       case 'stop-end':
-        this.intake.refuseAll();
-        this.context.emit({ type: 'stop-ended' });
+        this.endStop();
         return;
       case 'grants-over':
         this.lost.abandonAfterGrace();
@@ -369,6 +368,17 @@
     }
   }
 
+  private endStop(): void {
+    const { context } = this;
+    const laterAt = context.plannedStop?.putOffEnd(context.now) ?? null;
+    if (laterAt !== null) {
+      context.schedule(laterAt, { type: 'stop-end' });
+      return;
+    }
+    this.intake.refuseAll();
+    context.emit({ type: 'stop-ended' });
+  }
+
   /** If the request did not run, the refusal includes a retry time, because its route's deadline may pass before the caller's. */
   private passDeadline(member: Member): void {
     const mayHaveRun = member.mayHaveRun || member.group.attempt !== null;
--- a/test/router/caller/late-in-stop.test.ts
+++ b/test/router/caller/late-in-stop.test.ts
@@ -1,5 +1,5 @@
 /** A planned stop takes no work that it can't finish: connections close with their next answers, and what comes late is refused. */
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate as nextImmediate, setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import { HEADERS } from '../../../src/model/outcome.js';
 import { LogRecorder } from '../log-recorder.js';
@@ -16,6 +16,14 @@
 const STOPPING = new RegExp(`${HEADERS.reason}: stopping`, 'i');
 const CLOSES = /connection: close/i;
 
+/** Keeps the process from timers and sockets. */
+function holdUp(millis: number): void {
+  const end = performance.now() + millis;
+  while (performance.now() < end) {
+    // Busy.
+  }
+}
+
 describe('requests that come late in a planned stop', () => {
   let upstream: ScriptedUpstream;
   let router: RouterFixture;
@@ -117,4 +125,17 @@
     expect(caller.statuses).to.deep.equal([503]);
     expect(caller.answers[0]?.head).to.match(STOPPING).and.match(CLOSES);
   });
+
+  // Guards against orders that have run and are told otherwise, since the process was held up over the end and timers run before sockets are read.
+  it('end with the answer that came while the process was held up over their end', async () => {
+    caller.send(postHead('/orders/1', 'a'));
+    await until(() => upstream.requests.length === 1);
+    stopped = router.stop();
+    await sleep(STOP_GRACE_MILLIS * 0.85);
+    await nextImmediate();
+    answerWhole(upstream.requests[0] as ScriptedRequest);
+    holdUp(STOP_GRACE_MILLIS * 0.12);
+    await until(() => caller.answers.length === 1);
+    expect(caller.statuses).to.deep.equal([200]);
+  });
 });
--- a/test/routing/planned-stop.test.ts
+++ b/test/routing/planned-stop.test.ts
@@ -67,4 +67,15 @@
     expect(effectsOfType(harness.ended(first?.attempt as number), 'dispatch')).to.deep.equal([]);
     expect(effectsOfType(effects, 'refuse')[0]).to.include({ reason: 'stopping', outcome: 'not-run' });
   });
+
+  // Guards against running requests that are given up although their answers came while the process was held up.
+  it('is put off once where it is noticed late, so that answers that wait are read', () => {
+    const harness = start();
+    const [first] = effectsOfType(harness.request('board'), 'dispatch');
+    harness.step({ type: 'stopping', endsAt: harness.now + STOP_MILLIS });
+    const late = harness.advance(STOP_MILLIS + 400);
+    expect(effectsOfType(late, 'stop-ended')).to.deep.equal([]);
+    expect(effectsOfType(harness.ended(first?.attempt as number), 'deliver')).to.have.length(1);
+    expect(effectsOfType(harness.advance(400), 'stop-ended')).to.have.length(1);
+  });
 });
