Router: a planned stop counts its time from when its signal may have come

Cause: the stop's times counted from when the signal was heard. A process that is held up hears it when it goes on, and the kill comes by the platform's clock. Change: a process that goes on runs its timers first. If one is late in the turn in which the signal is heard, the stop counts from when that timer was due; stopping says heldUpMillis. Why it works: the time that is taken off is what the loop can't have heard a signal in; where nothing is due, no request is under way.

--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -20,7 +20,7 @@
   'address-held': { source: 'both', fields: ['address', 'reason', 'waitedMillis', 'maxWaitMillis'] },
   'address-free': { source: 'both', fields: ['address', 'waitedMillis'] },
   'start-failed': { source: 'both', fields: ['replica', 'error'] },
-  stopping: { source: 'both', fields: ['replica', 'openRequests'] },
+  stopping: { source: 'both', fields: ['replica', 'openRequests', 'heldUpMillis'] },
   stopped: { source: 'both', fields: ['replica'] },
   failed: { source: 'both', fields: ['replica', 'error'] },
   'signal-received': { source: 'both', fields: ['signal', 'uptimeMillis'] },
--- /dev/null
+++ b/src/router/hold-up-watch.ts
@@ -0,0 +1,29 @@
+/**
+ * Notices that the process was held up, by timers that fire late. A process that goes on runs its timers first and hears signals then, so a signal
+ * that is heard in the same turn of the event loop may have come at any time since.
+ */
+import type { MonotonicMillis } from '../model/identifiers.js';
+
+/** Timers that fire this late are no sign of it. */
+const MIN_HOLD_UP_MILLIS = 50;
+
+export class HoldUpWatch {
+  /** Since when the process has been held up, in the turn in which that is noticed. */
+  #since: MonotonicMillis | null = null;
+
+  /** Called when a timer fires that was due at `due`. */
+  recordTimer(due: MonotonicMillis, now: MonotonicMillis): void {
+    if (now - due < MIN_HOLD_UP_MILLIS) {
+      return;
+    }
+    this.#since ??= due;
+    setImmediate(() => {
+      this.#since = null;
+    });
+  }
+
+  /** When a signal that is heard now may have come at the earliest. */
+  earliestSignalAt(now: MonotonicMillis): MonotonicMillis {
+    return this.#since ?? now;
+  }
+}
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -283,15 +283,22 @@
   }
 
   private async shutDown(): Promise<void> {
-    this.log.info('stopping', { openRequests: this.task.openRequests });
+    const startedAt = this.task.earliestSignalAt();
+    const heldUpMillis = Math.round(performance.now() - startedAt);
+    this.log.info('stopping', { openRequests: this.task.openRequests, heldUpMillis });
     await this.startToEnd();
     const { lameDuckMillis, idleMillis, stopGraceMillis } = this.settings.timings;
-    const { answersMillis, closesMillis } = stopTimesOf(stopGraceMillis);
-    const startedAt = performance.now();
-    this.task.beginStop(startedAt + answersMillis);
+    const times = stopTimesOf(stopGraceMillis);
+    const answersAt = startedAt + times.answersMillis;
+    const closesAt = startedAt + times.closesMillis;
+    this.task.beginStop(answersAt);
     this.relay?.announceStop();
-    await this.callers?.stop({ lameDuckMillis, idleMillis, answersMillis, graceMillis: closesMillis });
-    const closesAt = startedAt + closesMillis;
+    await this.callers?.stop({
+      lameDuckMillis,
+      idleMillis,
+      answersMillis: Math.max(0, answersAt - performance.now()),
+      graceMillis: Math.max(0, closesAt - performance.now()),
+    });
     const deadline = Math.min(performance.now() + MAX_SETTLE_MILLIS, closesAt);
     while (this.core.status().inFlight > 0 && performance.now() < deadline) {
       await sleep(SETTLE_POLL_MILLIS);
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -25,6 +25,7 @@
 import { CallerExchanges, type ConnectionsUsage } from './caller/caller-exchanges.js';
 import { HeldBytes } from './caller/held-bytes.js';
 import type { ControlLinks } from './control-links.js';
+import { HoldUpWatch } from './hold-up-watch.js';
 import type { RouterMetrics } from './metrics.js';
 import { RequestTrail } from './request-trail.js';
 import type { CompleteRouterSettings } from './settings.js';
@@ -68,6 +69,7 @@
   /** The request of each attempt in progress. */
   private readonly requestOfAttempt = new NumberedTable<RequestNumber>();
   private readonly suspensionDetector = new SuspensionDetector();
+  private readonly holdUps = new HoldUpWatch();
   private relayRequests: RelayRequestNumber = 0;
   private readonly relayAnswers = new Map<RelayRequestNumber, (target: RelayTarget) => void>();
   private timer: NodeJS.Timeout | undefined;
@@ -127,6 +129,11 @@
     return this.callers.size;
   }
 
+  /** When a signal that is heard now may have come at the earliest. */
+  earliestSignalAt(): MonotonicMillis {
+    return this.holdUps.earliestSignalAt(performance.now());
+  }
+
   start(): void {
     this.post({ type: 'tick' });
   }
@@ -211,6 +218,7 @@
   }
 
   private tick(): void {
+    this.holdUps.recordTimer(this.tickDue, performance.now());
     this.tickDue = Number.POSITIVE_INFINITY;
     this.post({ type: 'tick' });
   }
