Tests: soaks of processes run beside the other tests that start processes

The soak of late orders and its kin add some two minutes, which would follow the others. Each part still follows one another; networks of two files no longer meet.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,6 +1,6 @@
 /**
  * Runs all tests. Those of deterministic cores use neither sockets nor real time and run in several processes. Beside them, those that start
- * processes of their own follow one another, and so do the others.
+ * processes of their own follow one another, so do soaks, and so do the others.
  *
  * Arguments go to mocha. With `--reports FOLDER` first, each part writes its report there as JSON, for `verdict.mjs`.
  */
@@ -25,7 +25,9 @@
 const SOCKET_FOLDERS = ['control/daemon'];
 const CORE_PROCESSES = 3;
 /** Folders of tests most of which start processes. */
-const PROCESS_FOLDERS = ['closing', 'contract', 'fleet', 'platform', 'soak'];
+const PROCESS_FOLDERS = ['contract', 'fleet', 'platform'];
+/** Folders of soaks of processes, which take long and wait for most of it. */
+const SOAK_FOLDERS = ['closing', 'soak'];
 
 function isIn(file, folder) {
   return file.startsWith(`${folder}/`);
@@ -41,6 +43,10 @@
   return PROCESS_FOLDERS.some((folder) => isIn(file, folder));
 }
 
+function isSoak(file) {
+  return SOAK_FOLDERS.some((folder) => isIn(file, folder));
+}
+
 /** Runs mocha and returns whether all tests passed. */
 async function runMocha(name, files, args, reports) {
   const paths = files.map((file) => join(TESTS, file));
@@ -68,9 +74,10 @@
   const passed = await Promise.all([
     runMocha('cores', cores, ['--parallel', '--jobs', String(CORE_PROCESSES), ...args], reports),
     runMocha('processes', others.filter(startsProcesses), args, reports),
+    runMocha('soaks', others.filter(isSoak), args, reports),
     runMocha(
       'rest',
-      others.filter((file) => !startsProcesses(file)),
+      others.filter((file) => !startsProcesses(file) && !isSoak(file)),
       args,
       reports,
     ),
--- a/test/closing/late-orders.test.ts
+++ b/test/closing/late-orders.test.ts
@@ -8,8 +8,8 @@
 import { ROOT } from '../soak/machine-fleet.js';
 import { LateOrders, type LateOrdersPlan } from './late-orders.js';
 
-const NETWORK = 152;
-const SABOTAGE_NETWORK = 153;
+const NETWORK = 155;
+const SABOTAGE_NETWORK = 156;
 const STOPS_AT_ONCE = fileURLToPath(new URL('../soak/stops-at-once.js', import.meta.url));
 const SEED = Number(process.env.SOAK_SEED ?? 1);
 const LIMIT_MILLIS = 120_000;
