HTTP servers: answers that are written during a planned stop close their connections, also at members and readiness ports

Callers: an operator's answer written in a stop of a member, to a request read before, kept its connection; the next request on it crossed with the close. Cause: as at routers' callers, Connection: close was decided when a request was read. Change: a stop marks the last open answer of each connection, unless the listener decides by itself, as that of routers' callers does; a request behind it takes the mark over.

--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -218,6 +218,7 @@
     const limits = this.core.status().serving ? this.http : withUndeclaredHeaderLimit(this.http);
     const options: HttpListenerOptions = {
       requireHost: false,
+      decidesClosings: true,
       describeFault: describeRequestFault,
       onFaultAnswered: (answered) => this.log.info('caller-fault-answered', { ...answered }),
       onCut: (cut) => this.log.info('caller-connection-cut', { ...cut }),
--- a/src/wire/http/graceful-server.ts
+++ b/src/wire/http/graceful-server.ts
@@ -25,16 +25,23 @@
   readonly #server: Server;
   readonly #connections: ServedConnections;
   readonly #lingering: LingeringConnections;
+  readonly #closesWithLastOpen: boolean;
   #isStopping = false;
 
-  /** Takes over how connections of a server are closed, from those accepted next on. `onCut` is called with each that is closed before its caller has closed its end. */
-  constructor(server: Server, onCut: (cut: CutConnection) => void = () => {}) {
+  /**
+   * Takes over how connections of a server are closed, from those accepted next on. `onCut` is called with each that is closed before its caller has
+   * closed its end. `closesWithLastOpen`: whether a stop closes connections with the answers to requests that were read before; otherwise who answers
+   * decides.
+   */
+  constructor(server: Server, onCut: (cut: CutConnection) => void = () => {}, closesWithLastOpen = false) {
     this.#server = server;
+    this.#closesWithLastOpen = closesWithLastOpen;
     this.#connections = new ServedConnections(server);
     this.#lingering = new LingeringConnections(onCut);
     this.#closeInStages();
-    server.prependListener('request', (_request, response) => {
+    server.prependListener('request', (request, response) => {
       if (this.#isStopping) {
+        this.#keepOpenBehind(request.socket);
         // Setting the header instead would make Node keep only the last of several headers with the same name.
         response.shouldKeepAlive = false;
       }
@@ -49,6 +56,7 @@
   async stop(times: HttpStopTimes): Promise<void> {
     const { idleMillis, lameDuckMillis = 0, graceMillis, answersMillis = graceMillis } = times;
     this.#isStopping = true;
+    this.#closeWithLastOpen();
     this.#lingering.closeWithin(graceMillis);
     const unanswered = setTimeout(
       () => this.#connections.closeUnanswered((socket) => socket.destroySoon()),
@@ -75,6 +83,23 @@
     this.#server.close(() => {});
   }
 
+  #closeWithLastOpen(): void {
+    if (!this.#closesWithLastOpen) {
+      return;
+    }
+    for (const response of this.#connections.lastOpenResponses()) {
+      response.shouldKeepAlive = response.headersSent && response.shouldKeepAlive;
+    }
+  }
+
+  /** Another request was read behind the last one, so that its answer doesn't close the connection. */
+  #keepOpenBehind(socket: Socket): void {
+    const last = this.#closesWithLastOpen ? this.#connections.lastResponse(socket) : null;
+    if (last !== null && !last.headersSent) {
+      last.shouldKeepAlive = true;
+    }
+  }
+
   /** Closes connections in stages wherever the server or its users end one after its answers, and where it was idle for too long. */
   #closeInStages(): void {
     this.#server.on('connection', (socket: Socket) => {
--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -33,6 +33,8 @@
   readonly describeFault?: DescribeFault;
   /** Called when a malformed or incomplete request is answered. */
   readonly onFaultAnswered?: (answered: AnsweredFault) => void;
+  /** Whether the listener itself says with which answers connections close in a planned stop. Default: false. */
+  readonly decidesClosings?: boolean;
   /** Called when a connection is closed whose caller hasn't closed its end in time. */
   readonly onCut?: (cut: CutConnection) => void;
 }
@@ -72,7 +74,7 @@
       requireHostHeader: options.requireHost ?? true,
     });
     const { describeFault = describeFaultByName, onFaultAnswered = () => {}, onCut = () => {} } = options;
-    const graceful = new GracefulServer(server, onCut);
+    const graceful = new GracefulServer(server, onCut, options.decidesClosings !== true);
     new RequestFaults(server, describeFault, onFaultAnswered);
     server.maxConnections = limits.maxConnections;
     server.on('request', onRequest);
--- a/src/wire/http/served-connections.ts
+++ b/src/wire/http/served-connections.ts
@@ -8,6 +8,8 @@
 interface ServedConnection {
   /** Responses that haven't left the process. */
   openResponses: number;
+  /** The response to the last request; `null`: there was none. */
+  last: ServerResponse | null;
   /** Bytes that had been received when the last response left, or the connection was accepted. */
   bytesAtLastResponse: number;
   /** When the last response left, or the connection was accepted. */
@@ -40,6 +42,17 @@
     }
   }
 
+  /** The last response of each connection on which something is answered. */
+  lastOpenResponses(): ServerResponse[] {
+    const open = [...this.#connections.values()].filter(({ openResponses }) => openResponses > 0);
+    return open.flatMap(({ last }) => last ?? []);
+  }
+
+  /** The response to the last request of a connection. */
+  lastResponse(socket: Socket): ServerResponse | null {
+    return this.#connections.get(socket)?.last ?? null;
+  }
+
   /** Whether a response of a connection hasn't left the process. */
   hasOpenResponse(socket: Socket): boolean {
     const { openResponses = 0 } = this.#connections.get(socket) ?? {};
@@ -57,6 +70,7 @@
   #add(socket: Socket): void {
     this.#connections.set(socket, {
       openResponses: 0,
+      last: null,
       bytesAtLastResponse: 0,
       lastResponseAt: performance.now(),
     });
@@ -69,6 +83,7 @@
       return;
     }
     connection.openResponses += 1;
+    connection.last = response;
     // Emitted once the system has taken the last byte.
     response.once('close', () => {
       connection.openResponses -= 1;
