HTTP servers: at the end of a planned stop connections are closed after sockets were read

Callers: a request whose last bytes came while the process was held up over the end of a stop's answers had no answer; its connection was closed.

Cause: connections without an open answer are closed by a timer, and timers run before sockets are read; what waited was discarded.

Evidence: a router in one process, stop grace 3 s, held up from 2.55 to 2.91 s, the rest of the head sent at 2.55 s: no answer before, 503 not run after.

Why it works: sockets are read once more before the connections are looked at, and one with a request on it isn't closed.

--- a/src/wire/http/graceful-server.ts
+++ b/src/wire/http/graceful-server.ts
@@ -58,10 +58,7 @@
     this.#isStopping = true;
     this.#closeWithLastOpen();
     this.#lingering.closeWithin(graceMillis);
-    const unanswered = setTimeout(
-      () => this.#connections.closeUnanswered((socket) => socket.destroySoon()),
-      answersMillis,
-    );
+    const unanswered = setTimeout(() => this.#closeUnanswered(), answersMillis);
     if (lameDuckMillis > 0) {
       await sleep(lameDuckMillis);
     }
@@ -115,6 +112,11 @@
     });
   }
 
+  /** Closes the connections on which nothing is answered, after sockets were read: timers run before that. */
+  #closeUnanswered(): void {
+    setImmediate(() => this.#connections.closeUnanswered((socket) => socket.destroySoon()));
+  }
+
   /** Closes an idle connection unless a request waited to be read: timers run before sockets are read, also after the process was held up. */
   #closeUnlessReceived(socket: Socket): void {
     const { bytesRead } = socket;
--- a/test/router/caller/late-in-stop.test.ts
+++ b/test/router/caller/late-in-stop.test.ts
@@ -12,6 +12,8 @@
 const IDLE_MILLIS = 1000;
 /** Half of an answer that isn't read whole before it is passed on. */
 const LARGE_BYTES = 300_000;
+/** A part of a request's head. */
+const HEAD_PART_BYTES = 40;
 
 const STOPPING = new RegExp(`${HEADERS.reason}: stopping`, 'i');
 const CLOSES = /connection: close/i;
@@ -138,4 +140,19 @@
     await until(() => caller.answers.length === 1);
     expect(caller.statuses).to.deep.equal([200]);
   });
+
+  // Guards against requests that are discarded unread, since the process was held up over the end and timers run before sockets are read.
+  it('are refused as not run where their heads came whole while the process was held up over the end', async () => {
+    const order = postHead('/orders/1', 'a');
+    caller.send(order.slice(0, HEAD_PART_BYTES));
+    await sleep(50);
+    stopped = router.stop();
+    await sleep(STOP_GRACE_MILLIS * 0.85);
+    await nextImmediate();
+    caller.send(order.slice(HEAD_PART_BYTES));
+    holdUp(STOP_GRACE_MILLIS * 0.12);
+    await until(() => caller.answers.length === 1 || caller.closed || caller.socket.readableEnded);
+    expect(caller.statuses).to.deep.equal([503]);
+    expect(caller.answers[0]?.head).to.match(STOPPING).and.match(CLOSES);
+  });
 });
