Router: after the end of a planned stop, what comes behind an answer that began before the stop is refused in place of being ignored

Callers: an order sent in the last half second of a stop behind an answer whose head had promised to keep the connection open had no answer, and the connection stayed open behind that answer.

Cause: the end of the stop marked the connection as closing with an answer whose head was written already; the mark had no effect but that requests behind it were ignored.

Why it works: only an answer that hasn't begun can close its connection.

--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -119,10 +119,16 @@
     this.#order.close();
   }
 
-  /** Closes the connection with the answer to the last request that was read. */
+  /**
+   * Closes the connection with the answer to the last request that was read. One whose head has promised that the connection stays open can't close
+   * it: what comes behind is still accepted.
+   */
   closeWithLast(): void {
     const { last } = this.#order;
-    if (last !== undefined && !this.#order.isClosing) {
+    if (this.#order.isClosing || last?.hasBegun === true) {
+      return;
+    }
+    if (last !== undefined) {
       last.closesConnection = true;
     }
     this.#order.close();
--- a/test/router/caller/late-in-stop.test.ts
+++ b/test/router/caller/late-in-stop.test.ts
@@ -155,4 +155,22 @@
     expect(caller.statuses).to.deep.equal([503]);
     expect(caller.answers[0]?.head).to.match(STOPPING).and.match(CLOSES);
   });
+
+  // Guards against requests that are ignored at the end behind an answer whose head had promised that the connection stays open.
+  it('are refused as not run after the end, behind an answer that began before the stop', async () => {
+    caller.send(getHead('/reads/1'));
+    await until(() => upstream.requests.length === 1);
+    const first = upstream.requests[0] as ScriptedRequest;
+    first.socket.write(headFor(first, `content-length: ${2 * LARGE_BYTES}`) + 'x'.repeat(LARGE_BYTES));
+    await until(() => caller.rest.length >= LARGE_BYTES);
+    stopped = router.stop();
+    await until(() => log.fieldsOf('stop-overdue').length === 1);
+    caller.send(postHead('/orders/2', 'b'));
+    await sleep(50);
+    first.socket.write('x'.repeat(LARGE_BYTES));
+    await until(() => caller.answers.length === 2);
+    expect(caller.statuses).to.deep.equal([200, 503]);
+    expect(caller.answers[1]?.head).to.match(STOPPING).and.match(CLOSES);
+    expect(upstream.requests).to.have.length(1);
+  });
 });
