Router: after the end of a planned stop no request waits for the first configuration

Callers: a request that came in the last half second of a stop to a router that had no configuration yet waited for one, up to 0.8 s, and ended with the process.

Cause: what waits is refused at the end of the stop, but what came later was still held.

Evidence: the test got no refusal before, 503 no-configuration after.

Why it works: once the time for answers is over nothing is held, so the request is refused at once.

--- a/src/routing/planned-stop.ts
+++ b/src/routing/planned-stop.ts
@@ -48,6 +48,11 @@
     return now + LATE_ANSWERS_MILLIS;
   }
 
+  /** Whether the time for answers is over. */
+  isOver(now: MonotonicMillis): boolean {
+    return now >= this.endsAt;
+  }
+
   /** Whether a request that is started now ends in time: surely, by its own limit; in the first part of the stop, as far as can be expected. */
   mayStart({ deadline, expectedMillis, isRepeatable }: StopCandidate, now: MonotonicMillis): boolean {
     if (deadline <= this.endsAt) {
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -58,7 +58,7 @@
     const route = this.routeOf(request);
     const service = context.services.get(this.serviceOf(request, route));
     if (!context.lease.isValid(context.now)) {
-      if (context.lease.confirmedAt !== null || !this.early.hold(request)) {
+      if (!this.holdEarly(request)) {
         this.refuseUnconfigured(request);
       }
       return;
@@ -131,6 +131,13 @@
     }
   }
 
+  /** Has a request wait for the first configuration; returns whether it may. */
+  private holdEarly(request: ArrivedRequest): boolean {
+    const { lease, plannedStop, now } = this.context;
+    const mayWait = lease.confirmedAt === null && plannedStop?.isOver(now) !== true;
+    return mayWait && this.early.hold(request);
+  }
+
   /** Whether a planned stop has no time left for a request that just arrived. */
   private isTooLate(request: ArrivedRequest, service: ServiceState, terms: RequestTerms): boolean {
     const { plannedStop, now } = this.context;
--- a/test/routing/planned-stop.test.ts
+++ b/test/routing/planned-stop.test.ts
@@ -1,7 +1,7 @@
 /** What a router still starts during a planned stop, by the time that is left. */
 import { expect } from 'chai';
 import { PlannedStop } from '../../src/routing/planned-stop.js';
-import { effectsOfType, RouterHarness, service, upstream } from './router-harness.js';
+import { CONFIG, effectsOfType, RouterHarness, service, upstream } from './router-harness.js';
 
 const STOP_MILLIS = 6000;
 const WORK_MILLIS = 100;
@@ -78,4 +78,13 @@
     expect(effectsOfType(harness.ended(first?.attempt as number), 'deliver')).to.have.length(1);
     expect(effectsOfType(harness.advance(400), 'stop-ended')).to.have.length(1);
   });
+
+  // Guards against requests that come in the last moments to a router without a configuration, wait for one and have no answer.
+  it('leaves nothing to wait for the first configuration', () => {
+    const harness = new RouterHarness({ ...CONFIG, holdsEarlyRequests: true });
+    harness.step({ type: 'stopping', endsAt: harness.now + STOP_MILLIS });
+    harness.run(STOP_MILLIS + 1);
+    const refused = effectsOfType(harness.request('board'), 'refuse');
+    expect(refused[0]).to.include({ reason: 'no-configuration', status: 503 });
+  });
 });
