Router: an answer that may break off is held at most one second for others that only wait behind it

Callers: with another request read behind it, a slow answer above wholeAnswer, or one without end, never began as long as it fitted the room, also outside planned stops.

Cause: since it is held until it is whole, for any time.

Why it works: after a second it begins as it did before, unless a planned stop is in progress, whose end answers it and those behind.

--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -37,6 +37,8 @@
   reason: 'upstream-failed',
   retryAfterMillis: null,
 };
+/** How long an answer that may break off is held for others that only wait behind it. */
+const MAX_HELD_MILLIS = 1000;
 /** Answers up to this size are written at once, since the socket's buffer holds them. */
 const LARGE_ANSWER_BYTES = 16 * 1024;
 /** Methods without effects (RFC 9110, 9.2.1). */
@@ -84,6 +86,8 @@
   private answerBytes = 0;
   /** Whether there is room to hold an answer that is written in pieces until it is whole, as far as its size is known. */
   private fitsToBeHeld = false;
+  /** Ends the time for which the answer is held for those that wait behind it. */
+  private holdTimer: NodeJS.Timeout | undefined;
   private writer: AnswerWriter | null = null;
   /** Writes an answer that waits for those in front of it. */
   private writeWaiting: (() => void) | null = null;
@@ -215,6 +219,7 @@
   startStream(status: number, headers: string[], bytes: number): AnswerWriter {
     this.connection.recordStreamed(this, bytes);
     this.fitsToBeHeld = this.connection.hasCapacityFor(bytes);
+    this.holdTimer = setTimeout(() => this.endHold(), MAX_HELD_MILLIS).unref();
     const writer = this.createWriter(status, headers);
     this.startWriterAtFront();
     return writer;
@@ -289,6 +294,7 @@
       return false;
     }
     this.ended = true;
+    clearTimeout(this.holdTimer);
     this.writeWaiting = null;
     this.writer?.close();
     if (this.answerBytes > 0) {
@@ -330,7 +336,7 @@
 
   /**
    * An answer that breaks off ends the connection, so none begins that isn't whole while others run behind it, nor, if there is room to hold it,
-   * while others were read.
+   * while others were read, for `MAX_HELD_MILLIS`.
    */
   private mayBegin(): boolean {
     const { connection } = this;
@@ -341,6 +347,15 @@
     return this.answerWhole || isAlone || !(connection.runsBehind(this) || this.fitsToBeHeld);
   }
 
+  /** An answer may take long, or have no end. A planned stop has one, and those behind are answered then. */
+  private endHold(): void {
+    if (this.ended || this.aborted || this.connection.isStopping) {
+      return;
+    }
+    this.fitsToBeHeld = false;
+    this.startWriterAtFront();
+  }
+
   /**
    * There is no room to hold an answer that may not begin before it is whole. Where others run behind it, it is replaced, so that they are answered
    * whatever becomes of it. A planned stop breaks off no answer that its upstream is sending, so it begins then.
--- a/test/router/caller/answers-in-front.test.ts
+++ b/test/router/caller/answers-in-front.test.ts
@@ -137,6 +137,18 @@
     });
   }
 
+  // Guards against answers without end that never begin, since another request was read behind them.
+  for (const framing of [`content-length: ${PIECES * PART_BYTES}`, 'transfer-encoding: chunked']) {
+    it(`that takes long begins before it is whole where others only wait behind it: ${framing}`, async () => {
+      upstream.script = (request) => {
+        request.socket.write(headFor(request, framing) + (framing.startsWith('t') ? CHUNKED : PART));
+      };
+      caller.send(PATHS.map(getHead).join(''));
+      await until(() => caller.rest.includes(PART));
+      expect(upstream.requests).to.have.length(1);
+    });
+  }
+
   // Guards against requests that were read, weren't handed on, and end with the broken answer in front of them.
   for (const how of ['end', 'resetAndDestroy'] as const) {
     it(`that breaks off becomes 502 where others only wait behind it, and they are answered: ${how}`, async () => {
