--- a/src/control/admin/request-body.ts
+++ b/src/control/admin/request-body.ts
@@ -2,6 +2,7 @@
 import type { z } from 'zod';
 import { toError } from '../../errors/ternmount-error.js';
 import { describeIssue, formatPath, valueAt } from '../../settings/yaml-source.js';
+import { JoinedPieces } from '../../wire/http/joined-pieces.js';
 import type { AdminContext } from './admin-context.js';
 import { AdminError, type AdminErrorCode } from './admin-error.js';
 
@@ -10,7 +11,7 @@
   if ((context.request.length ?? 0) > limit) {
     throw tooLarge();
   }
-  const chunks: Buffer[] = [];
+  const pieces = new JoinedPieces();
   let bytes = 0;
   try {
     for await (const chunk of context.req) {
@@ -19,7 +20,7 @@
       if (bytes > limit) {
         throw tooLarge();
       }
-      chunks.push(buffer);
+      pieces.add(buffer);
     }
   } catch (thrown) {
     if (thrown instanceof AdminError) {
@@ -27,7 +28,7 @@
     }
     throw new AdminError('invalid-request', 'the body ended early', {}, { cause: toError(thrown) });
   }
-  return Buffer.concat(chunks);
+  return Buffer.concat(pieces.all);
 }
 
 /** Reads a JSON body; an empty body is read as an empty object. Throws `AdminError`. */
