Command line: a response of a control member is read up to 64 MiB

What was seen: a command against a member that answers without end read on, and kept it all, for 5 s (reads) or 20 s (changes) a try.

Cause: the client had no bound on what it reads. Change: the bound of health probes and grants (limitReceivedBytes), with 64 MiB; the command then tries the next member, and says why.

Evidence: both tests of endless-answers (command line) failed without the change (time-out of 5 s), and pass in 0.3 s; 40 tests of the command line pass.

--- a/src/cli/control-client.ts
+++ b/src/cli/control-client.ts
@@ -1,10 +1,12 @@
 /** Client of the operators' API. Finds the leader among several addresses and resends safely. */
 import { randomUUID } from 'node:crypto';
+import type { ClientRequest } from 'node:http';
 import got, { type Got, RequestError, type Response } from 'got';
 import type { AdminErrorBody } from '../control/admin/index.js';
 import { toError } from '../errors/ternmount-error.js';
 import type { Address, Revision } from '../model/identifiers.js';
 import { HEADERS } from '../model/outcome.js';
+import { limitReceivedBytes } from '../wire/http/received-bytes.js';
 import type { StatusBody } from './api-types.js';
 import { ControlAnswerError, UnknownOutcomeError, UnreachableError } from './cli-error.js';
 import type { CliIo } from './cli-io.js';
@@ -15,6 +17,8 @@
 /** Timeout of one read attempt, so that a member that hangs doesn't block the others. */
 const READ_TIMEOUT_MILLIS = 5000;
 const CHANGE_TIMEOUT_MILLIS = 20_000;
+/** Largest response that is read, head included: several times that of a large cluster. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 /** Error codes after which the request is retried, at another member or later. */
 const RETRIED_CODES = new Set(['not-leader', 'unavailable', 'overloaded', 'outcome-unknown']);
 /** Error codes of failed connections, where nothing was sent. */
@@ -182,12 +186,13 @@
       request: Math.min(requestMillis, this.#options.timeoutMillis),
     };
     try {
-      const response = (await this.#http(`http://${address}${path}`, {
-        ...extras,
-        method,
-        timeout,
-      })) as Response<string>;
-      return this.#readAnswer(address, response);
+      const pending = this.#http(`http://${address}${path}`, { ...extras, method, timeout });
+      pending.on('request', (outgoing: ClientRequest) =>
+        limitReceivedBytes(outgoing, MAX_RESPONSE_BYTES, () =>
+          outgoing.destroy(new Error(`a response of more than ${MAX_RESPONSE_BYTES} bytes`)),
+        ),
+      );
+      return this.#readAnswer(address, (await pending) as Response<string>);
     } catch (thrown) {
       const error = toError(thrown);
       const code = error instanceof RequestError ? error.code : '';
