--- a/test/soak/process-soak.test.ts
+++ b/test/soak/process-soak.test.ts
@@ -118,7 +118,7 @@
     return play({ ...planned(), network, routers, seconds, traffic: 'late', isPlannedOnly: true });
   }).timeout(LIMIT_MILLIS);
 
-  it(`answer late orders in planned stops that they hear of late, seed ${SEED}`, () =>
+  it(`answer all orders in planned stops that they hear of late, seed ${SEED}`, () =>
     play({
       seed: SEED,
       network: Number(process.env.SOAK_NETWORK ?? HELD_UP_NETWORK),
