Router: at most 96 MiB of callers' bodies are held at once, so that a machine of 350 MB carries them

What was seen: 40 callers with bodies of 60 MB, whole or in chunks, took two routers to 442 to 549 MB (bound 256 MiB of bodies, and a body's copy while it is joined): a machine of 350 MB ends such a process. Change: the bound is 96 MiB, which still takes the largest body of the platform's configurations (64 MiB); more are refused with 503, not run. No test of its own: a default.

--- a/src/router/settings.ts
+++ b/src/router/settings.ts
@@ -97,7 +97,7 @@
 
 export const DEFAULT_ROUTER_LIMITS: RouterLimits = {
   maxBodyBytes: 1024 * 1024,
-  maxHeldBodyBytes: 256 * 1024 * 1024,
+  maxHeldBodyBytes: 96 * 1024 * 1024,
   connectionsPerUpstream: 32,
   storedAnswerBytes: MAX_STORED_ANSWER_BYTES,
   requestsPerConnection: 32,
