--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -74,6 +74,8 @@
   private readonly relayAnswers = new Map<RelayRequestNumber, (target: RelayTarget) => void>();
   private timer: NodeJS.Timeout | undefined;
   private tickDue = Number.POSITIVE_INFINITY;
+  /** When the timer of the tick is to fire: a tick that is due in the past comes at the next moment. */
+  private tickAt = Number.POSITIVE_INFINITY;
   private stepping = false;
   private stopped = false;
 
@@ -213,12 +215,14 @@
     }
     clearTimeout(this.timer);
     this.tickDue = due;
-    const wait = Math.max(MIN_TICK_MILLIS, Math.ceil(due - performance.now()));
+    const now = performance.now();
+    const wait = Math.max(MIN_TICK_MILLIS, Math.ceil(due - now));
+    this.tickAt = now + wait;
     this.timer = setTimeout(() => this.tick(), wait);
   }
 
   private tick(): void {
-    this.holdUps.recordTimer(this.tickDue, performance.now());
+    this.holdUps.recordTimer(this.tickAt, performance.now());
     this.tickDue = Number.POSITIVE_INFINITY;
     this.post({ type: 'tick' });
   }
