--- a/src/wire/http/graceful-server.ts
+++ b/src/wire/http/graceful-server.ts
@@ -9,7 +9,7 @@
 export interface HttpStopTimes {
   /** How long requests on open connections are still served after new connections are no longer accepted. */
   readonly idleMillis: number;
-  /** How long connections are still accepted. Default: 0. */
+  /** How long connections are still accepted, `answersMillis` at most. Default: 0. */
   readonly lameDuckMillis?: number;
   /** From this time on, connections on which nothing is answered are closed, also where a request is on its way. Default: `graceMillis`. */
   readonly answersMillis?: number;
@@ -60,7 +60,7 @@
     this.#lingering.closeWithin(graceMillis);
     const unanswered = setTimeout(() => this.#closeUnanswered(), answersMillis);
     if (lameDuckMillis > 0) {
-      await sleep(lameDuckMillis);
+      await sleep(Math.min(lameDuckMillis, answersMillis));
     }
     await this.#acceptWaiting();
     const closed = new Promise<void>((resolve) => {
--- a/test/wire/answer-in-stop.test.ts
+++ b/test/wire/answer-in-stop.test.ts
@@ -9,6 +9,7 @@
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 const POLL_MILLIS = 5;
+const LONG_MILLIS = 20_000;
 
 async function untilLength(list: readonly unknown[], length: number): Promise<void> {
   while (list.length < length) {
@@ -60,4 +61,10 @@
     expect(received.match(/HTTP\/1.1 200/g)).to.have.length(2);
     expect(received.match(/connection: close/gi)).to.have.length(1);
   });
+
+  // Guards against stops that outlast the time after which their process may be killed, since they accept connections for longer.
+  it('accepts connections no longer than it has time for answers', async () => {
+    const listener = await HttpListener.listen('127.0.0.1:0', DEFAULT_HTTP_LIMITS, () => {});
+    await listener.stop({ lameDuckMillis: LONG_MILLIS, idleMillis: 0, answersMillis: 20, graceMillis: 50 });
+  }).timeout(LONG_MILLIS / 2);
 });
