--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -247,6 +247,9 @@
   /** Logs the requests that the end of the process will leave without an answer. */
   private logOverdue(): void {
     const open = this.exchanges.values().filter(({ isAnswerWhole }) => !isAnswerWhole);
+    if (open.length === 0) {
+      return;
+    }
     this.parts.log.info('stop-overdue', { openRequests: open.length });
     for (const exchange of open.slice(0, MAX_LOGGED_OPEN)) {
       this.logUnanswered(exchange, exchange.connection.wasDispatched(exchange), 'stop-ended');
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -5,7 +5,7 @@
 import type { ControlToRouter } from '../control/messages.js';
 import { createLogger, type Logger } from '../logging/logger.js';
 import type { CallerLimits } from '../model/declaration.js';
-import type { Address, Incarnation } from '../model/identifiers.js';
+import type { Address, Incarnation, MonotonicMillis } from '../model/identifiers.js';
 import type { RouterConfig, RouterCore, RouterStatus } from '../routing/types.js';
 import {
   DEFAULT_HTTP_LIMITS,
@@ -288,23 +288,11 @@
     const heldUpMillis = Math.round(performance.now() - startedAt);
     this.log.info('stopping', { openRequests: this.task.openRequests, heldUpMillis });
     await this.startToEnd();
-    const { lameDuckMillis, idleMillis, stopGraceMillis } = this.settings.timings;
-    const times = stopTimesOf(stopGraceMillis);
-    const answersAt = startedAt + times.answersMillis;
-    const closesAt = startedAt + times.closesMillis;
-    this.task.beginStop(answersAt);
-    this.relay?.announceStop();
-    await this.callers?.stop({
-      lameDuckMillis,
-      idleMillis,
-      answersMillis: Math.max(0, answersAt - performance.now()),
-      graceMillis: Math.max(0, closesAt - performance.now()),
-    });
-    const deadline = Math.min(performance.now() + MAX_SETTLE_MILLIS, closesAt);
-    while (this.core.status().inFlight > 0 && performance.now() < deadline) {
-      await sleep(SETTLE_POLL_MILLIS);
-    }
-    await this.relay?.stop(Math.max(0, closesAt - performance.now()));
+    const { answersMillis, closesMillis } = stopTimesOf(this.settings.timings.stopGraceMillis);
+    const closesAt = startedAt + closesMillis;
+    await this.stopCallers(startedAt + answersMillis, closesAt);
+    await this.settle(closesAt);
+    await this.relay?.stop(millisUntil(closesAt));
     this.task.stop();
     this.traces.stop();
     this.probes.stop();
@@ -315,6 +303,24 @@
     this.log.info('stopped');
   }
 
+  /** Resolves when no caller is connected any more. */
+  private async stopCallers(answersAt: MonotonicMillis, closesAt: MonotonicMillis): Promise<void> {
+    const { lameDuckMillis, idleMillis } = this.settings.timings;
+    this.task.beginStop(answersAt);
+    this.relay?.announceStop();
+    const answersMillis = millisUntil(answersAt);
+    const graceMillis = millisUntil(closesAt);
+    await this.callers?.stop({ lameDuckMillis, idleMillis, answersMillis, graceMillis });
+  }
+
+  /** Waits for work in progress in the core, until `closesAt` at most. */
+  private async settle(closesAt: MonotonicMillis): Promise<void> {
+    const deadline = Math.min(performance.now() + MAX_SETTLE_MILLIS, closesAt);
+    while (this.core.status().inFlight > 0 && performance.now() < deadline) {
+      await sleep(SETTLE_POLL_MILLIS);
+    }
+  }
+
   /** Waits for a start in progress, whose failure `start` reports. */
   private async startToEnd(): Promise<void> {
     await this.starting?.catch((error) => this.log.warn('start-failed', { error }));
@@ -435,6 +441,10 @@
   }
 }
 
+function millisUntil(at: MonotonicMillis): number {
+  return Math.max(0, at - performance.now());
+}
+
 /** The maximum header size can't be changed later, so it is large if callers can connect before limits are declared. */
 function withUndeclaredHeaderLimit(limits: HttpLimits): HttpLimits {
   return { ...limits, maxHeaderBytes: Math.max(limits.maxHeaderBytes, UNDECLARED_HEADER_BYTES) };
