Router: a signal that waits while a start is held up is heard before callers can connect

A router that was asked to stop during a long start opened its port all the same, took requests, and counted its stop from when it heard of the signal: the kill, which counts from the signal, cut what ran then.

Signals are heard when sockets are looked at, once a turn of the event loop. A start whose process is held up in the turn in which its configuration comes, or its wait for one ends, opened the port in that same turn, before the signal that had come meanwhile. The start now lets the loop look once more between its wait and the port.

The test sends its process SIGTERM and holds it up in that turn: before, the router logged "started" and then "stopping"; now it is only stopped, and connections to the port are refused.

--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -7,6 +7,7 @@
 import type { CallerLimits } from '../model/declaration.js';
 import type { Address, Incarnation, MonotonicMillis } from '../model/identifiers.js';
 import type { RouterConfig, RouterCore, RouterStatus } from '../routing/types.js';
+import { nextTurn } from '../wire/event-loop.js';
 import {
   DEFAULT_HTTP_LIMITS,
   type HttpLimits,
@@ -154,6 +155,8 @@
     this.connectToControl();
     this.platform?.start();
     await this.waitForConfiguration();
+    // A signal that came while the process was held up is heard before callers can connect.
+    await nextTurn();
     if (this.stopping !== undefined) {
       return;
     }
--- a/src/wire/http/graceful-server.ts
+++ b/src/wire/http/graceful-server.ts
@@ -1,7 +1,8 @@
 /** Stops an HTTP server as planned: what was sent to it is answered, and callers get what was answered, however slowly they read. */
 import type { Server } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
-import { setImmediate as nextImmediate, setTimeout as sleep } from 'node:timers/promises';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { nextTurn } from '../event-loop.js';
 import { type CutConnection, LingeringConnections } from './lingering-connections.js';
 import { ServedConnections } from './served-connections.js';
 
@@ -142,9 +143,3 @@
     this.#server.off('connection', onConnection);
   }
 }
-
-/** Resolves after sockets were looked at once more. */
-async function nextTurn(): Promise<void> {
-  await nextImmediate();
-  await nextImmediate();
-}
--- a/test/router/start.test.ts
+++ b/test/router/start.test.ts
@@ -3,6 +3,10 @@
 import { expect } from 'chai';
 import { RouterDaemon } from '../../src/router/router-daemon.js';
 import type { RouterCore } from '../../src/routing/types.js';
+import { LogRecorder } from './log-recorder.js';
+
+/** How long the process is kept from its timers, sockets and signals. */
+const HOLD_UP_MILLIS = 100;
 
 /** Returns an address of this machine on which nothing listens. */
 async function freeAddress(): Promise<string> {
@@ -29,32 +33,52 @@
   });
 }
 
+/** Sends this process a signal, and keeps it from hearing it. */
+function signalInHoldUp(signal: 'SIGTERM'): void {
+  process.kill(process.pid, signal);
+  const end = performance.now() + HOLD_UP_MILLIS;
+  while (performance.now() < end) {
+    // Busy.
+  }
+}
+
 describe('start of a router', () => {
   let serving: boolean;
+  /** Called whenever the router looks whether it has a configuration. */
+  let onLook: () => void;
+  let log: LogRecorder;
   let daemon: RouterDaemon;
 
+  beforeEach(() => {
+    onLook = () => {};
+    log = new LogRecorder();
+  });
+
   const core: RouterCore = {
     step: () => [],
     nextDeadline: () => Number.POSITIVE_INFINITY,
-    status: () => ({
-      revision: 0,
-      serving,
-      queued: 0,
-      inFlight: 0,
-      limited: 0,
-      resting: 0,
-      returns: { made: 0, kept: 0, broken: 0, hopeless: 0 },
-      relayed: { upstreams: 0, relays: 0 },
-      leaving: 0,
-      routes: [],
-    }),
+    status: () => {
+      onLook();
+      return {
+        revision: 0,
+        serving,
+        queued: 0,
+        inFlight: 0,
+        limited: 0,
+        resting: 0,
+        returns: { made: 0, kept: 0, broken: 0, hopeless: 0 },
+        relayed: { upstreams: 0, relays: 0 },
+        leaving: 0,
+        routes: [],
+      };
+    },
   };
 
   async function makeDaemon(listen: string, firstConfigurationMillis: number): Promise<RouterDaemon> {
     const control = [await freeAddress()];
     const base = { cluster: 'c1', router: 'r1', zone: 'zone-a', secret: 'secret', admin: '127.0.0.1:0' };
     const settings = { ...base, listen, control, timings: { firstConfigurationMillis, idleMillis: 0 } };
-    return new RouterDaemon(settings, () => core, 'node');
+    return new RouterDaemon(settings, () => core, 'node', log);
   }
 
   afterEach(() => daemon.stop());
@@ -77,4 +101,22 @@
     await daemon.start();
     expect(await dial(listen)).to.equal('connect');
   });
+
+  // Guards against a stop that counts its time from when the port opens, though its signal came during a start that was held up.
+  it('opens no port for callers if it was held up, and the signal of its stop waits to be heard', async () => {
+    serving = false;
+    const listen = await freeAddress();
+    daemon = await makeDaemon(listen, Number.POSITIVE_INFINITY);
+    const heard = once(process, 'SIGTERM').then(() => daemon.stop());
+    const started = daemon.start();
+    onLook = () => {
+      onLook = () => {};
+      signalInHoldUp('SIGTERM');
+      serving = true;
+    };
+    await Promise.all([started, heard]);
+    expect(log.fieldsOf('stopping')).to.have.length(1);
+    expect(log.fieldsOf('started')).to.have.length(0);
+    expect(await dial(listen)).to.equal('ECONNREFUSED');
+  });
 });
