Router: a planned stop ends by itself where an answer is still streamed or a caller takes none of its answer

A stop of a router waited without an end for answers that stream on at the end of its time, for those of which the upstream owes the rest, and for callers that take nothing of theirs: the kill ended the process, and with it the log and everything that a stop does after the callers have gone.

Only connections that had sent everything were closed 0.2 s before stopGrace; the others kept the listener open. All connections that are left then are now closed: those that linger with their line caller-connection-cut, the others in the midst of their answers, which are logged as answer-broken-off with stop-ended. The sockets were looked at once more before, since timers run first. A caller sees a connection that ends before the announced length, or without a last chunk.

--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -57,7 +57,7 @@
 }
 
 /** Why an answer was aborted. */
-export type AbortReason = 'upstream-broke' | 'caller-stalled' | 'unwritable';
+export type AbortReason = 'upstream-broke' | 'caller-stalled' | 'unwritable' | 'stop-ended';
 
 /**
  * Why 502 replaced an upstream's answer of which nothing was written: its head can't be written, its caller couldn't tell its end, others run
@@ -266,6 +266,13 @@
     }
   }
 
+  /** Aborts an answer that is being written and isn't whole: the process ends before it could be. */
+  endStreamed(): void {
+    if (this.begun && !this.answerWhole && !this.ended) {
+      this.abort('stop-ended');
+    }
+  }
+
   /** Sends 502 in place of an upstream's answer of which nothing was written. */
   replace(reason: ReplaceReason): void {
     this.connection.onReplaced(this, reason);
--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -155,6 +155,13 @@
     setTimeout(() => this.logOverdue(), LAST_REFUSALS_MILLIS).unref();
   }
 
+  /** Called when the time to take answers is over: those whose upstreams haven't sent all of them are aborted. */
+  endStreamed(): void {
+    for (const exchange of [...this.exchanges.values()]) {
+      exchange.endStreamed();
+    }
+  }
+
   /** The exchange of a request whose caller is still connected. */
   find(number: RequestNumber): CallerExchange | undefined {
     return this.exchanges.get(number);
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -306,14 +306,23 @@
     this.log.info('stopped');
   }
 
-  /** Resolves when no caller is connected any more. */
+  /** Resolves when no caller is connected any more, at `closesAt` at the latest. */
   private async stopCallers(answersAt: MonotonicMillis, closesAt: MonotonicMillis): Promise<void> {
     const { lameDuckMillis, idleMillis } = this.settings.timings;
     this.task.beginStop(answersAt);
     this.relay?.announceStop();
     const answersMillis = millisUntil(answersAt);
     const graceMillis = millisUntil(closesAt);
+    const overdue = setTimeout(() => void this.endConnections(), graceMillis);
     await this.callers?.stop({ lameDuckMillis, idleMillis, answersMillis, graceMillis });
+    clearTimeout(overdue);
+  }
+
+  /** Breaks off what callers haven't taken: the process ends by itself before it may be killed. */
+  private async endConnections(): Promise<void> {
+    await nextTurn();
+    this.callers?.cutConnections();
+    this.task.endStreamedAnswers();
   }
 
   /** Waits for work in progress in the core, until `closesAt` at most. */
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -146,6 +146,11 @@
     this.post({ type: 'stopping', endsAt });
   }
 
+  /** Called in a planned stop when the time to take answers is over. */
+  endStreamedAnswers(): void {
+    this.callers.endStreamed();
+  }
+
   stop(): void {
     this.stopped = true;
     clearTimeout(this.timer);
--- a/src/wire/http/graceful-server.ts
+++ b/src/wire/http/graceful-server.ts
@@ -81,6 +81,11 @@
     this.#server.close(() => {});
   }
 
+  /** Closes the connections whose callers haven't closed their ends at once, as `onCut` is told. */
+  cutLingering(): void {
+    this.#lingering.cutAll();
+  }
+
   #closeWithLastOpen(): void {
     if (!this.#closesWithLastOpen) {
       return;
--- a/src/wire/http/http-listener.ts
+++ b/src/wire/http/http-listener.ts
@@ -113,6 +113,7 @@
 
   /** Closes every connection at once, whatever is still to be read or written; ends a stop that waits for them. */
   cutConnections(): void {
+    this.graceful.cutLingering();
     for (const socket of this.sockets) {
       socket.destroy();
     }
--- a/src/wire/http/lingering-connections.ts
+++ b/src/wire/http/lingering-connections.ts
@@ -75,6 +75,13 @@
     this.#end = performance.now() + millis;
   }
 
+  /** Closes all at once, whatever hasn't been sent. */
+  cutAll(): void {
+    for (const [socket, lingering] of this.#connections) {
+      this.#cut(socket, lingering);
+    }
+  }
+
   #check(): void {
     const now = performance.now();
     for (const [socket, lingering] of this.#connections) {
--- a/test/router/caller/late-in-stop.test.ts
+++ b/test/router/caller/late-in-stop.test.ts
@@ -15,9 +15,21 @@
 /** A part of a request's head. */
 const HEAD_PART_BYTES = 40;
 
+/** More than the buffers of two sockets hold. */
+const UNTAKEN_BYTES = 16 * 1024 * 1024;
+/** Between two chunks of a streamed answer. */
+const STREAM_PAUSE_MILLIS = 100;
+/** Ends an answer that is sent in chunks. */
+const LAST_CHUNK = /(?:^|\r\n)0\r\n\r\n$/;
+
 const STOPPING = new RegExp(`${HEADERS.reason}: stopping`, 'i');
 const CLOSES = /connection: close/i;
 
+/** A part of an answer that is sent in chunks. */
+function chunkOf(bytes: number): string {
+  return `${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`;
+}
+
 /** Keeps the process from timers and sockets. */
 function holdUp(millis: number): void {
   const end = performance.now() + millis;
@@ -174,3 +186,72 @@
     expect(upstream.requests).to.have.length(1);
   });
 });
+
+describe('the end of a planned stop', () => {
+  let upstream: ScriptedUpstream;
+  let router: RouterFixture;
+  let caller: RawCaller;
+  let log: LogRecorder;
+
+  beforeEach(async () => {
+    log = new LogRecorder();
+    upstream = await new ScriptedUpstream(() => {}).start();
+    const timings = { idleMillis: IDLE_MILLIS, stopGraceMillis: STOP_GRACE_MILLIS };
+    router = await RouterFixture.start([upstream], { settings: { timings }, log });
+    caller = await RawCaller.connect(router.address);
+  });
+
+  afterEach(async () => {
+    caller.disconnect();
+    await router.stop();
+    await upstream.stop();
+  });
+
+  async function requestOf(path: string): Promise<ScriptedRequest> {
+    caller.send(getHead(path));
+    await until(() => upstream.requests.length === 1);
+    return upstream.requests[0] as ScriptedRequest;
+  }
+
+  /** Stops the router and returns how long that took. */
+  async function stopMillis(): Promise<number> {
+    const startedAt = performance.now();
+    await router.daemon.stop();
+    return performance.now() - startedAt;
+  }
+
+  // Guards against stops that only the kill ends, since an answer is streamed whose upstream sends on.
+  it('breaks off a streamed answer, and comes before the process is killed', async () => {
+    const request = await requestOf('/reads/1');
+    request.socket.write(headFor(request, 'transfer-encoding: chunked') + chunkOf(LARGE_BYTES));
+    await until(() => caller.rest.length >= LARGE_BYTES);
+    const sending = setInterval(() => request.socket.write(chunkOf(1000)), STREAM_PAUSE_MILLIS);
+    const millis = await stopMillis();
+    clearInterval(sending);
+    await until(() => caller.closed);
+    expect(millis).to.be.within(STOP_GRACE_MILLIS * (11 / 12), STOP_GRACE_MILLIS);
+    expect(caller.rest).to.not.match(LAST_CHUNK);
+    expect(log.fieldsOf('answer-broken-off').map(({ reason }) => reason)).to.deep.equal(['stop-ended']);
+  });
+
+  // Guards against stops that only the kill ends, since an answer of a named length isn't whole and its upstream is silent.
+  it('breaks off an answer of which its upstream owes the rest', async () => {
+    const request = await requestOf('/reads/1');
+    const head = headFor(request, `content-length: ${2 * LARGE_BYTES}`);
+    request.socket.write(head + 'x'.repeat(LARGE_BYTES));
+    await until(() => caller.rest.length >= LARGE_BYTES);
+    expect(await stopMillis()).to.be.below(STOP_GRACE_MILLIS);
+    await until(() => caller.closed);
+    expect(caller.answers).to.have.length(0);
+  });
+
+  // Guards against stops that only the kill ends, since a caller doesn't take its answer.
+  it('waits no longer for a caller that takes none of its answer', async () => {
+    const request = await requestOf('/reads/1');
+    caller.pause();
+    const head = headFor(request, `content-length: ${UNTAKEN_BYTES}`);
+    request.socket.write(head + 'x'.repeat(UNTAKEN_BYTES));
+    await sleep(STREAM_PAUSE_MILLIS);
+    expect(await stopMillis()).to.be.below(STOP_GRACE_MILLIS);
+  });
+});
