HTTP servers: connections that wait as the port closes are accepted unread first, so that callers that come back at once aren't reset

Callers of a stopping router that connect again as soon as they are answered had their new connections reset, with requests that were never read, when the port closed: up to one for each caller.

The system resets what waits to be accepted when a port is closed. A stop therefore accepted until a turn of the event loop brought no connection, one a turn, for 1 s at most. But it read and answered them meanwhile, so their callers came back, and the queue was never empty; after the second it closed the port over a full one. Now what is accepted in these turns isn't read until the port is closed: the queue can only shrink. SocketPause moves to the HTTP servers for it.

--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -1,12 +1,12 @@
 /** One connection of a caller with its pipelined requests. */
 import type { Socket } from 'node:net';
+import { SocketPause } from '../../wire/http/socket-pause.js';
 import type { BufferAccount } from './answer-writer.js';
 import type { AbortReason, CallerExchange, ReplaceReason, UnansweredCause } from './caller-exchange.js';
 import type { HeldBytes } from './held-bytes.js';
 import type { KnownAnswers } from './known-answers.js';
 import type { PausedConnection, PausedConnections } from './paused-connections.js';
 import { type PipelineLimits, PipelineOrder, type SocketReadMode } from './pipeline-order.js';
-import { SocketPause } from './socket-pause.js';
 
 export interface CallerConnectionOptions {
   readonly limits: PipelineLimits;
--- a/src/wire/http/graceful-server.ts
+++ b/src/wire/http/graceful-server.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { nextTurn } from '../event-loop.js';
+import { acceptWaiting } from './accept-waiting.js';
 import { type CutConnection, LingeringConnections } from './lingering-connections.js';
 import { ServedConnections } from './served-connections.js';
 
@@ -19,8 +19,6 @@
 }
 
 const IDLE_CHECK_MILLIS = 20;
-/** Longest time for which a stopping server accepts what waits. */
-const MAX_ACCEPT_MILLIS = 1000;
 
 export class GracefulServer {
   readonly #server: Server;
@@ -63,11 +61,12 @@
     if (lameDuckMillis > 0) {
       await sleep(Math.min(lameDuckMillis, answersMillis));
     }
-    await this.#acceptWaiting();
+    const readAccepted = await acceptWaiting(this.#server);
     const closed = new Promise<void>((resolve) => {
       // The HTTP server's own `close` would immediately close idle connections, on which a request may be on its way.
       NetServer.prototype.close.call(this.#server, () => resolve());
     });
+    readAccepted();
     let sweep: NodeJS.Timeout | undefined;
     const closeIdle = (): void => this.#connections.closeIdle((socket) => this.#closeUnlessReceived(socket));
     const idle = setTimeout(() => {
@@ -132,19 +131,4 @@
       }
     });
   }
-
-  /** Resolves when no connection waits to be accepted: one is accepted in each turn of the event loop, and closing would reset the others. */
-  async #acceptWaiting(): Promise<void> {
-    const deadline = performance.now() + MAX_ACCEPT_MILLIS;
-    let hasAccepted = true;
-    const onConnection = (): void => {
-      hasAccepted = true;
-    };
-    this.#server.on('connection', onConnection);
-    while (hasAccepted && performance.now() < deadline) {
-      hasAccepted = false;
-      await nextTurn();
-    }
-    this.#server.off('connection', onConnection);
-  }
 }
--- a/test/wire/http-listener.test.ts
+++ b/test/wire/http-listener.test.ts
@@ -37,6 +37,31 @@
   return { socket, answer };
 }
 
+/** Sends one request on a new connection. `unanswered`: it was connected, and ended without an answer. */
+function callOnce(address: string): Promise<'answered' | 'refused' | 'unanswered'> {
+  const socket = connect(parseAddress(address));
+  socket.write('GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
+  return new Promise((resolve) => {
+    socket.once('data', () => {
+      resolve('answered');
+      socket.destroy();
+    });
+    socket.on('error', ({ code }: NodeJS.ErrnoException) =>
+      resolve(code === 'ECONNREFUSED' ? 'refused' : 'unanswered'),
+    );
+    socket.once('close', () => resolve('unanswered'));
+  });
+}
+
+/** Calls on one new connection after the other until one is refused. Resolves with the number of those without an answer. */
+async function callUntilRefused(address: string): Promise<number> {
+  let unanswered = 0;
+  for (let result = await callOnce(address); result !== 'refused'; result = await callOnce(address)) {
+    unanswered += result === 'unanswered' ? 1 : 0;
+  }
+  return unanswered;
+}
+
 describe('a planned stop of a listener', () => {
   it('answers connections that had not been accepted yet, instead of resetting them', async () => {
     const listener = await HttpListener.listen('127.0.0.1:0', DEFAULT_HTTP_LIMITS, (_request, response) => {
@@ -87,4 +112,17 @@
     await listener.stop({ idleMillis: 0, graceMillis: GRACE_MILLIS });
     expect(await silent.answer).to.equal('');
   });
+
+  // Guards against requests on new connections that are reset unread, since callers that are answered come back and the port closes before all were accepted.
+  it('resets no connection of callers that come back at once, but refuses them once its port is closed', async () => {
+    const listener = await HttpListener.listen('127.0.0.1:0', DEFAULT_HTTP_LIMITS, (_request, response) => {
+      response.end('ok');
+    });
+    const { address } = listener;
+    const callers = Array.from({ length: CALLERS }, () => callUntilRefused(address));
+    await sleep(SLOW_MILLIS);
+    await listener.stop({ idleMillis: 0, graceMillis: GRACE_MILLIS });
+    const unanswered = await Promise.all(callers);
+    expect(unanswered.reduce((sum, count) => sum + count, 0)).to.equal(0);
+  });
 });
