Ranges that a command for single services leaves behind name holders no longer than grants last

An operator who replaced or deleted a declared keyed service by a command for single services left its ranges in the registry: the upstreams that they name were never forgotten, the leader proposed to forget a silent one at each decision (an entry each 0.1 s that did nothing), and a claim to the address of one that may hold keys was decided by time alone.

The registry keeps such ranges by the entries of every release, and the leader looked at services with ranges only. Now it follows ranges of services that aren't served, as it does retired ones: their holders count as ones that may hold keys, and after the longest grant an ordinary range-update leaves no owner or former owner. No entry does anything else than before, so members of two releases agree. While that update is open the service doesn't start, so one that the document brings back meanwhile finds its owners or free keys.

--- a/src/control/ranges/range-coordinator.ts
+++ b/src/control/ranges/range-coordinator.ts
@@ -12,7 +12,7 @@
 } from '../../model/identifiers.js';
 import { RANGE_KEYSPACE } from '../../model/key-range.js';
 import type { CapacityLimit } from '../../placement/ranges/capacity-limit.js';
-import type { Registry, ServiceRecord } from '../../registry/types.js';
+import type { RangeUpdate, Registry, ServiceRecord } from '../../registry/types.js';
 import type { IdentityAnswer, IdentityQuestion, QuestionId } from '../identity-question.js';
 import type { LoadReport } from '../messages.js';
 import type { ProposeCommand } from '../propose-command.js';
@@ -25,6 +25,7 @@
 import type { LogRangeEvent, RangeService } from './range-service.js';
 import type { ReceivedHeartbeat } from './received-heartbeat.js';
 import { RetiredServices } from './retired-services.js';
+import { UnservedRanges } from './unserved-ranges.js';
 
 /** A confirmation of this leadership permits calls for this long; no other leader is elected so soon after a heartbeat. */
 const CONFIRMATION_VALID_MILLIS = 300;
@@ -81,6 +82,7 @@
   readonly #holders: HolderTable;
   readonly #services = new Map<ServiceName, LeaderService>();
   readonly #retired: RetiredServices;
+  readonly #unserved: UnservedRanges;
   /** Services with an open proposal. */
   readonly #proposing = new Set<ServiceName>();
   /** Services that start once a proposal of before is settled: it may take keys from owners to whom they would renew them. */
@@ -111,6 +113,11 @@
     const runOf = (upstream: UpstreamId) => parts.registry().upstreams().get(upstream)?.incarnation ?? null;
     this.#holders = new HolderTable(parts.timings, now, runOf);
     this.#retired = new RetiredServices(parts);
+    this.#unserved = new UnservedRanges({
+      ...parts,
+      isServed: (service) => hasRanges(parts.registry().services().get(service)),
+      propose: (service, updates) => this.#proposeUpdates(service, updates, () => {}),
+    });
     this.#decideAt = now;
     this.#sendAt = now;
   }
@@ -145,7 +152,7 @@
     this.#updateServices(now);
     const services = [...this.#services.values()];
     const mayHold = services.some(({ ranges }) => ranges.mayHold(upstream, now));
-    return mayHold || this.#waiting.size > 0 || this.#retired.mayHold(upstream);
+    return mayHold || this.#waiting.size > 0 || this.#mayHoldUnserved(upstream);
   }
 
   /** Answers waiting heartbeats without keys at the end of the leadership. */
@@ -305,6 +312,7 @@
       }
     }
     this.#retired.update(now);
+    this.#unserved.update(now);
   }
 
   #createService(service: ServiceName, record: ServiceRecord, now: MonotonicMillis): LeaderService {
@@ -329,14 +337,26 @@
     if (updates.length === 0) {
       return;
     }
-    this.#proposing.add(name);
     const fields = { service: name, use: service.describeUse(), updates: updates.length };
     this.#parts.log('ranges-decided', fields);
-    this.#parts.propose({ type: 'range-update', service: name, updates }, (outcome, settledAt) => {
-      this.#proposing.delete(name);
+    this.#proposeUpdates(name, updates, (isApplied) => service.onProposalSettled(isApplied));
+  }
+
+  /** Proposes changes of a service's ranges unless a proposal for it is open. */
+  #proposeUpdates(
+    service: ServiceName,
+    updates: readonly RangeUpdate[],
+    settle: (isApplied: boolean) => void,
+  ): void {
+    if (this.#proposing.has(service)) {
+      return;
+    }
+    this.#proposing.add(service);
+    this.#parts.propose({ type: 'range-update', service, updates }, (outcome, settledAt) => {
+      this.#proposing.delete(service);
       this.#decideSoon(settledAt);
       this.#sendAt = settledAt;
-      service.onProposalSettled(outcome.type === 'applied');
+      settle(outcome.type === 'applied');
     });
   }
 
@@ -448,7 +468,11 @@
 
   #isHolder(upstream: UpstreamId): boolean {
     const services = [...this.#services.values()];
-    return services.some(({ ranges }) => ranges.isHolder(upstream)) || this.#retired.mayHold(upstream);
+    return services.some(({ ranges }) => ranges.isHolder(upstream)) || this.#mayHoldUnserved(upstream);
+  }
+
+  #mayHoldUnserved(upstream: UpstreamId): boolean {
+    return this.#retired.mayHold(upstream) || this.#unserved.mayHold(upstream);
   }
 }
 
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -204,6 +204,8 @@
     fields: ['service', 'revision', 'carrier', 'hasChanged', 'ranges', 'holders', 'forgetAfterMillis'],
   },
   'ranges-retired-end': { source: 'control', fields: ['service', 'revision', 'outcome', 'retiredMillis'] },
+  'ranges-unserved': { source: 'control', fields: ['service', 'ranges', 'holders', 'freeAfterMillis'] },
+  'ranges-unserved-end': { source: 'control', fields: ['service', 'outcome', 'unservedMillis'] },
   'heartbeat-granted': {
     source: 'control',
     fields: ['upstream', 'sequence', 'spans', 'revision', 'confirmedAgoMillis'],
--- a/src/registry/range-table.ts
+++ b/src/registry/range-table.ts
@@ -18,6 +18,10 @@
     return this.#services.get(service) ?? NO_RANGES;
   }
 
+  services(): Iterable<ServiceName> {
+    return this.#services.keys();
+  }
+
   all(): KeyRange[] {
     return [...this.#services.values()].flat();
   }
--- a/src/registry/registry-machine.ts
+++ b/src/registry/registry-machine.ts
@@ -112,6 +112,10 @@
     return this.state.ranges.rangesOf(service);
   }
 
+  rangedServices(): Iterable<ServiceName> {
+    return this.state.ranges.services();
+  }
+
   retiredRanges(): ReadonlyMap<ServiceName, RetiredRanges> {
     return this.state.ranges.retired;
   }
