Commands for single services that name a service with declared keys are refused before the log

An operator who replaced a declared keyed service by a command for single services, and within a hold took it away and brought it back by the document, got two holders of keys: the removal found no grants of the service any more and dropped its ranges without retiring them, so they counted as never held.

What the entries do stays as it is, since members of two releases must agree; so the command is refused (422, with where to change the service instead) while the registry has ranges of the service, at the member that takes it.

--- a/src/control/operator-requests.ts
+++ b/src/control/operator-requests.ts
@@ -7,7 +7,7 @@
 import type { MonotonicMillis, UpstreamId, Zone } from '../model/identifiers.js';
 import type { UpstreamDefinition } from '../model/service.js';
 import type { CommandResult, DeclarationChange, EvacuationCommand, Registry } from '../registry/types.js';
-import { problemOfChange, problemOfCommand } from '../registry/validation/sent-change.js';
+import { problemOfChange, problemOfCommand, problemOfOwnedKeys } from '../registry/validation/sent-change.js';
 import { AddressClaims } from './address-claims.js';
 import { changeRecord, type ProposalTimes, type TracedRequest } from './change-trace.js';
 import { HeartbeatFilter } from './heartbeat-filter.js';
@@ -102,7 +102,7 @@
 
   begin(operation: OperationId, request: OperatorRequest, now: MonotonicMillis): void {
     const { answer, membership } = this.#parts;
-    const problem = problemOfRequest(request);
+    const problem = problemOfRequest(request, this.#parts.raft.registry);
     if (problem !== null) {
       answer(operation, {
         type: 'result',
@@ -372,10 +372,10 @@
 }
 
 /** Returns why a request is refused before it enters the log, with the place; `null` if it isn't. */
-function problemOfRequest(request: OperatorRequest): string | null {
+function problemOfRequest(request: OperatorRequest, registry: Registry): string | null {
   switch (request.type) {
     case 'command':
-      return problemOfCommand(request.command);
+      return problemOfCommand(request.command) ?? problemOfOwnedKeys(request.command, registry);
     case 'declare':
       return problemOfChange(request.change);
     default:
--- a/src/registry/validation/sent-change.ts
+++ b/src/registry/validation/sent-change.ts
@@ -3,7 +3,8 @@
  * more.
  */
 import { toError } from '../../errors/ternmount-error.js';
-import type { DeclarationChange, OperatorCommand } from '../types.js';
+import type { ServiceName } from '../../model/identifiers.js';
+import type { DeclarationChange, OperatorCommand, Registry } from '../types.js';
 import { fail } from './field-checks.js';
 import { checkSentRouteType } from './validate-declaration.js';
 import { checkShape, SENT_LIMITS } from './value-shape.js';
@@ -27,6 +28,32 @@
   return problemOf(() => checkShape('command', command, SENT_LIMITS));
 }
 
+/**
+ * Returns why a command for a single service must not enter the log; `null` if it may. Where the declared document divides the keys of the
+ * service, upstreams may hold them under grants that the entry would leave without a leader.
+ */
+export function problemOfOwnedKeys(
+  command: OperatorCommand,
+  registry: Pick<Registry, 'ranges'>,
+): string | null {
+  const service = changedService(command);
+  return service === null || registry.ranges(service).length === 0
+    ? null
+    : `service: the keys of ${service} are divided by the declared document; change it there`;
+}
+
+/** Returns the service that a command declares or deletes, as sent. */
+function changedService(command: OperatorCommand): ServiceName | null {
+  switch (command.type) {
+    case 'service-apply':
+      return command.definition.name;
+    case 'service-delete':
+      return command.service;
+    default:
+      return null;
+  }
+}
+
 /** Whatever else is wrong with a route is found when the change is applied. */
 function checkType(route: unknown, position: number): void {
   const { type } = (route ?? {}) as { readonly type?: unknown };
--- a/test/control/unserved-ranges.test.ts
+++ b/test/control/unserved-ranges.test.ts
@@ -1,7 +1,9 @@
 /** Ranges of a declared service that commands for single services replaced or deleted are kept only while upstreams may hold them. */
 import { expect } from 'chai';
+import type { OperatorResponse } from '../../src/control/types.js';
 import { longestGrantMillis } from '../../src/lease/timed-grants.js';
-import { SERVICE as PLAIN_SERVICE } from './cluster-harness.js';
+import type { DeclarationChange } from '../../src/registry/types.js';
+import { Cluster, SERVICE as PLAIN_SERVICE } from './cluster-harness.js';
 import { RangeWorld, SERVICE, TIMINGS } from './range-world.js';
 import { changeOf, returnOf } from './service-absence.js';
 
@@ -125,3 +127,51 @@
     }
   });
 });
+
+/**
+ * Guards against two holders of one key: after a command for single services had replaced a declared service, a change of the document
+ * that took it away and one that brought it back counted its keys as never held.
+ */
+describe('a command for single services that names a declared service with keys', () => {
+  const definition = { ...PLAIN_SERVICE, name: SERVICE, keyed: false, keyspaces: [] };
+  const COMMANDS = {
+    replace: { type: 'service-apply', definition, expected: null },
+    delete: { type: 'service-delete', service: SERVICE, expected: null },
+  } as const;
+
+  for (const [what, command] of Object.entries(COMMANDS)) {
+    it(`is refused before it enters the log, while the document has the keys: ${what}`, () => {
+      const cluster = new Cluster();
+      cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+      const declare = (change: DeclarationChange): OperatorResponse =>
+        cluster.ask({ type: 'declare', actor: 'test', change });
+      declare(changeOf(1, { services: [{ name: SERVICE, keyed: true }] }));
+      const refused = cluster.change(command);
+      const message = `service: the keys of ${SERVICE} are divided by the declared document; change it there`;
+      expect(refused).to.deep.equal({ type: 'result', result: { type: 'invalid', message }, inForce: false });
+      declare(changeOf(2, { services: [{ name: SERVICE }] }));
+      const taken = cluster.change(command);
+      expect(taken).to.have.nested.property('result.type', 'accepted');
+    });
+  }
+
+  it('would lead to a second holder if it were in the log (sabotage)', () => {
+    const faults = [0, 100, 200, 300, 400].map((offsetMillis) => {
+      const world = sharedWorld();
+      world.run(offsetMillis);
+      replace(world);
+      world.run(5);
+      world.apply(changeOf(2, { removedServices: [SERVICE] }));
+      world.run(5);
+      world.apply(returnOf(SERVICE, 3));
+      world.addHolder('u3');
+      try {
+        world.run(FIRST_GRANTS_MILLIS);
+        return '';
+      } catch (thrown) {
+        return String(thrown);
+      }
+    });
+    expect(faults.join('\n')).to.match(/held by u\d and u\d/);
+  });
+});
