A transfer of leadership goes to a voter that was heard most recently, then to the next one

A leader that stops, or is asked to hand over to the best voter, took the voter with the longest log and, where logs are equal, the first one in the list, also if that one is dead or frozen: the transfer then took no effect within its limit (1.2 s with the usual timings), changes were refused meanwhile, and a stop waited for its own limit on top.

Voters are now ordered by the heartbeats that they left without an answer, then by their logs; if one doesn't take over within an election timeout, which is when the core gives it up, the next one is asked.

--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -39,8 +39,10 @@
     this.#parts = parts;
     const { raft, config, answer } = parts;
     this.#replacement = new ReplicaReplacement({ raft, answer, retry: this.#retry });
-    this.#transfer = new LeadershipTransfer({ raft, answer, config });
     this.#repair = new AutomaticRepair(config.replaceAfterMillis, config.maxVoters);
+    const silentMillis = (replica: ReplicaId, now: MonotonicMillis): number =>
+      this.#repair.silentMillis(replica, now);
+    this.#transfer = new LeadershipTransfer({ raft, answer, config, silentMillis });
   }
 
   /** Begins a change requested by an operator; `answer` is called at its end. Only the leader performs changes. */
