An upstream whose id can't stand in a header is refused when it announces itself

An upstream could announce itself under an id with control characters, blanks at an end or characters beyond U+00FF. It was registered, but each call names its upstream in a header, so every grant to it ended as not sent, and nothing told its operator.

Its heartbeats are answered 400 with the reason; nothing is put into the log.

--- a/src/control/admin/commands/announcement-routes.ts
+++ b/src/control/admin/commands/announcement-routes.ts
@@ -19,6 +19,18 @@
 /** Start time of a run by the clock of the upstream, in whole milliseconds. */
 const bornSchema = z.int({ error: 'expected a whole number' }).min(0, 'must be 0 or more');
 
+/** What a header can carry unchanged: every call to an upstream names it in one. */
+const HEADER_VALUE = /^[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?$/;
+
+const idSchema = z.object({
+  id: z
+    .string()
+    .regex(
+      HEADER_VALUE,
+      'must not begin or end with a blank, or hold control characters or characters beyond U+00FF',
+    ),
+});
+
 const withdrawalSchema = z.looseObject({ born: bornSchema.optional() });
 
 const heartbeatSchema = z.looseObject({
@@ -34,7 +46,7 @@
 
 async function handleHeartbeat(context: AdminContext, services: AdminServices): Promise<void> {
   context.state.isAnnouncement = true;
-  const { id = '' } = context.params;
+  const { id } = checkAnnouncement(context, idSchema, { ...context.params });
   const body = checkAnnouncement(context, heartbeatSchema, await readJson(context, services.bodyLimitBytes));
   const { service, address, zone, slots, warmupMillis, state, born } = body;
   const announced = { slots, warmupMillis, ...(born !== undefined && { born }) };
--- a/test/contract/foreign-announcements.test.ts
+++ b/test/contract/foreign-announcements.test.ts
@@ -2,6 +2,7 @@
  * What others than upstreams write where upstreams announce themselves: it ends in a clear 4xx, nobody is told of an upstream that can't
  * be used, and the log stays bounded.
  */
+import { validateHeaderValue } from 'node:http';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { createAdminApp } from '../../src/control/admin/index.js';
@@ -51,6 +52,16 @@
   fc.json(),
 );
 
+/** Whether a header that is sent with this value has it when it is received. */
+function comesThrough(value: string): boolean {
+  try {
+    validateHeaderValue('instance', value);
+    return value === value.replace(/^[\t ]+|[\t ]+$/g, '');
+  } catch {
+    return false;
+  }
+}
+
 class Harness {
   readonly taken: OperatorRequest[] = [];
   readonly audits: LogFields[] = [];
@@ -122,6 +133,39 @@
     }
   });
 
+  /** Guards against an upstream that is registered and never granted anything, since no call to it can name it. */
+  it('are refused under an id that can stand in no header, with the place', async () => {
+    for (const id of ['menü-€', 'u\n1', 'u\r\nx: 1', 'u\u0000', 'u\u007f', ' u1', 'u1 ', '\t', '\u{1f600}']) {
+      harness.taken.length = 0;
+      const path = `/v1/upstreams/${encodeURIComponent(id)}/heartbeat`;
+      const { status, text } = await harness.post(path, JSON.stringify(GOOD));
+      expect(status, JSON.stringify(id)).to.equal(400);
+      expect(JSON.parse(text).error.message).to.match(/^id: must not/);
+      expect(harness.taken).to.deep.equal([]);
+    }
+  });
+
+  it('are taken under an id exactly if it comes through a header unchanged, and passed on as it is', async () => {
+    const anyId = fc
+      .oneof(
+        fc.string(),
+        fc.string({ unit: 'binary' }),
+        fc.string({ unit: fc.constantFrom('u', ' ', '\t', 'é', '\x80', '€') }),
+      )
+      .filter((id) => id !== '' && id !== '.' && id !== '..' && !/\p{Surrogate}/u.test(id));
+    const property = fc.asyncProperty(anyId, async (id) => {
+      harness.taken.length = 0;
+      const path = `/v1/upstreams/${encodeURIComponent(id)}/heartbeat`;
+      const { status } = await harness.post(path, JSON.stringify(GOOD));
+      expect(status).to.equal(comesThrough(id) ? 200 : 400);
+      const [request] = harness.taken;
+      expect(request?.type === 'announce' ? request.definition.id : null).to.equal(
+        status === 200 ? id : null,
+      );
+    });
+    await fc.assert(property, { seed: SEED, numRuns: RUNS });
+  });
+
   it('reach nobody, whatever they are, unless they say all that an upstream says', async () => {
     const property = fc.asyncProperty(
       anyText,
