Router: an answer that may break off is held for a second, too, where its caller has pipelined before

Callers: a read sent on a connection just after a large answer in front of it had begun had no answer where that one broke off, though no upstream had it (request-unanswered, answer-broken, wasDispatched false).

Cause: an answer with nothing behind it began at once, also on connections whose callers send requests before they have their answers.

Change: on such a connection (a request was once read before those in front of it were answered) an answer is held for those that may still come, as it is for those that wait: while there is room, for one second. Not in a planned stop, nor where it closes the connection. One that is held with nothing behind it when a stop begins begins within that second. A connection with one request at a time is as before.

Evidence: 'that breaks off becomes 502 where its caller sends the next one later, as it has before' (FIN and reset) failed before: the connection ended after the first two answers.

Why it works: the connection need break only for an answer that has begun, and on these connections none begins that may break within a second.

--- a/src/router/caller/caller-connection.ts
+++ b/src/router/caller/caller-connection.ts
@@ -48,6 +48,8 @@
   readonly #pause: SocketPause;
   /** When a request was first read whose answer closes the connection unless another request comes behind it. */
   #closesSince: number | null = null;
+  /** Whether a request was ever read before those in front of it were answered. */
+  #isPipelined = false;
 
   constructor(socket: Socket, options: CallerConnectionOptions) {
     this.#options = options;
@@ -96,6 +98,7 @@
     if (exchange.closesConnection) {
       this.#closesSince ??= performance.now();
     }
+    this.#isPipelined ||= this.#order.size > 0;
     this.#order.add(exchange);
     if (this.#order.front?.hasBegun === true) {
       this.#startStallTimeout();
@@ -169,6 +172,11 @@
     return this.#order.last !== exchange;
   }
 
+  /** Whether others are expected behind a request before it is answered, since the caller has sent some so before. */
+  expectsBehind(exchange: CallerExchange): boolean {
+    return this.#isPipelined && !exchange.closesConnection && !this.#order.isClosing && !this.isStopping;
+  }
+
   /** Whether a planned stop is in progress. */
   get isStopping(): boolean {
     return this.#options.isStopping();
--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -37,7 +37,7 @@
   reason: 'upstream-failed',
   retryAfterMillis: null,
 };
-/** How long an answer that may break off is held for others that only wait behind it. */
+/** How long an answer that may break off is held for others that only wait behind it, or may still come. */
 const MAX_HELD_MILLIS = 1000;
 /** Answers up to this size are written at once, since the socket's buffer holds them. */
 const LARGE_ANSWER_BYTES = 16 * 1024;
@@ -259,8 +259,9 @@
     endConnectionAt(this.response, () => this.connection.onResponseClosed(this));
   }
 
-  /** Replaces an upstream's answer that is held, if it isn't whole: the planned stop is at its end. */
+  /** Replaces an upstream's answer that is held, if it isn't whole: the planned stop is at its end. One with nothing behind it begins. */
   endHeld(): void {
+    this.startWriterAtFront();
     if (this.writer?.hasStarted === false && !this.answerWhole) {
       this.replace('stop-ended');
     }
@@ -343,20 +344,21 @@
 
   /**
    * An answer that breaks off ends the connection, so none begins that isn't whole while others run behind it, nor, if there is room to hold it,
-   * while others were read, for `MAX_HELD_MILLIS`.
+   * while others were read or are expected, for `MAX_HELD_MILLIS`.
    */
   private mayBegin(): boolean {
     const { connection } = this;
     if (!connection.isAtFront(this)) {
       return false;
     }
-    const isAlone = !connection.hasBehind(this);
+    const isAlone = !(connection.hasBehind(this) || connection.expectsBehind(this));
     return this.answerWhole || isAlone || !(connection.runsBehind(this) || this.fitsToBeHeld);
   }
 
   /** An answer may take long, or have no end. A planned stop has one, and those behind are answered then. */
   private endHold(): void {
-    if (this.ended || this.aborted || this.connection.isStopping) {
+    const { connection } = this;
+    if (this.ended || this.aborted || (connection.isStopping && connection.hasBehind(this))) {
       return;
     }
     this.fitsToBeHeld = false;
--- a/test/router/caller/answers-in-front.test.ts
+++ b/test/router/caller/answers-in-front.test.ts
@@ -20,6 +20,8 @@
 const DEADLINE_MILLIS = 300;
 /** Time for which a caller may leave an answer unread. */
 const STALL_MILLIS = 300;
+/** Time in which a request that was sent is read. */
+const SENT_LATER_MILLIS = 50;
 const PIECES = 4;
 const PATHS = ['/reads/0', '/reads/1', '/reads/2'];
 
@@ -167,6 +169,78 @@
     });
   }
 
+  /** Has two reads of one connection answered of which the second came before the first was answered, and the next answer begun at the upstream. */
+  async function beginAfterPipelining(framing: string): Promise<void> {
+    upstream.script = answerWhole;
+    caller.send(['/reads/a', '/reads/b'].map(getHead).join(''));
+    await until(() => caller.answers.length === 2);
+    const part = framing.startsWith('t') ? CHUNKED : PART;
+    upstream.script = (request) => void request.socket.write(headFor(request, framing) + part);
+    caller.send(getHead('/reads/0'));
+    await until(() => upstream.requests.length === 3);
+  }
+
+  // Guards against requests that are read just after a large answer began, weren't handed on, and end with it when it breaks off.
+  for (const how of ['end', 'resetAndDestroy'] as const) {
+    it(`that breaks off becomes 502 where its caller sends the next one later, as it has before: ${how}`, async () => {
+      await beginAfterPipelining(`content-length: ${2 * PART_BYTES}`);
+      await until(() => caller.rest !== '' || router.daemon.connectionsUsage().heldAnswerBytes >= PART_BYTES);
+      upstream.script = answerWhole;
+      caller.send(getHead('/reads/1'));
+      await sleep(SENT_LATER_MILLIS);
+      requestFor('/reads/0').socket[how]();
+      await until(() => caller.closed || caller.answers.length === 4);
+      expect(caller.statuses).to.deep.equal([200, 200, 502, 200]);
+    });
+  }
+
+  // Guards against answers without end that never begin on connections on which requests were pipelined.
+  it('that takes long begins before it is whole where more requests may come', async () => {
+    await beginAfterPipelining('transfer-encoding: chunked');
+    await until(() => caller.rest.includes(PART));
+    expect(upstream.requests).to.have.length(3);
+  });
+
+  // Guards against answers that a planned stop holds for requests that don't come.
+  for (const when of ['before', 'after'] as const) {
+    it(`that takes long begins in a planned stop where no more requests come: ${when} its first part`, async () => {
+      upstream.script = answerWhole;
+      caller.send(['/reads/a', '/reads/b'].map(getHead).join(''));
+      await until(() => caller.answers.length === 2);
+      upstream.script = () => {};
+      caller.send(getHead('/reads/0'));
+      await until(() => upstream.requests.length === 3);
+      const { socket } = requestFor('/reads/0');
+      const part = headFor(requestFor('/reads/0'), 'transfer-encoding: chunked') + CHUNKED;
+      if (when === 'after') {
+        socket.write(part);
+        await until(() => router.daemon.connectionsUsage().heldAnswerBytes >= PART_BYTES);
+      }
+      const stopped = router.daemon.stop();
+      if (when === 'before') {
+        socket.write(part);
+      }
+      await until(() => caller.rest.includes(PART));
+      socket.write('0\r\n\r\n');
+      await until(() => caller.closed);
+      expect(replaced()).to.deep.equal([]);
+      caller.disconnect();
+      await stopped;
+    });
+  }
+
+  // Guards against answers that are held on connections on which nothing comes before the answer in front.
+  it('begins as it comes where its caller sends one request at a time', async () => {
+    upstream.script = answerWhole;
+    caller.send(getHead('/reads/a'));
+    await until(() => caller.answers.length === 1);
+    upstream.script = (request) => startLargeOf(request, 2 * PART_BYTES);
+    caller.send(getHead('/reads/0'));
+    const isHeld = (): boolean => router.daemon.connectionsUsage().heldAnswerBytes >= PART_BYTES;
+    await until(() => caller.rest.includes(PART) || isHeld());
+    expect(caller.rest).to.include(PART);
+  });
+
   for (const length of [`content-length: ${LARGE.length}`, 'transfer-encoding: chunked']) {
     it(`that there is no room to hold is streamed where others only wait behind it: ${length}`, async () => {
       const isChunked = length.startsWith('transfer');
