Fleet: a process that ends before it is ready is reported with its status or signal and the end of its log

Change: the error names how the process ended and the last 4 KiB of its log, also for one that runs to its end or isn't ready in time.

--- a/src/dev/fleet/supervisor.ts
+++ b/src/dev/fleet/supervisor.ts
@@ -1,37 +1,61 @@
 /** Starts, signals and stops the processes of a fleet, and ensures that none outlives the run. */
 import { type ChildProcess, spawn } from 'node:child_process';
-import { closeSync, mkdirSync, openSync } from 'node:fs';
+import { closeSync, mkdirSync, openSync, readFileSync } from 'node:fs';
 import { connect } from 'node:net';
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
-import { TernmountError } from '../../errors/ternmount-error.js';
+import { TernmountError, toError } from '../../errors/ternmount-error.js';
 import type { Address } from '../../model/identifiers.js';
 import { parseAddress } from '../../wire/address.js';
 import type { ProcessKind, ProcessSpec } from './process-spec.js';
 
 const READY_TIMEOUT_MILLIS = 20_000;
 const READY_POLL_MILLIS = 25;
+/** How much of a log's end an error names: the folder of a fleet is often removed with its run. */
+const LOG_TAIL_BYTES = 4096;
 
 /** A process exited unexpectedly or did not become ready. */
 export class ProcessFailedError extends TernmountError {
   constructor(name: string, problem: string, log: string) {
     const options = { code: 'TERNMOUNT_PROCESS_FAILED', retriable: false, info: { name, log } };
-    super(options, `${name} ${problem}; its log is ${log}`);
+    super(options, `${name} ${problem}; its log is ${log}, which ends with:\n${endOf(log)}`);
   }
 }
 
+/** How a process ended: with a status, by a signal, or because it couldn't be started. */
+type ProcessEnd =
+  | { readonly status: number }
+  | { readonly signal: NodeJS.Signals }
+  | { readonly error: Error };
+
 /** How a process ended after a stop request. */
 export type StopResult = 'ended' | 'killed';
 
 interface RunningProcess {
   readonly spec: ProcessSpec;
   readonly child: ChildProcess;
-  readonly exited: Promise<number | null>;
+  readonly exited: Promise<ProcessEnd>;
   frozen: boolean;
   /** Set when the runner expects the process to end. */
   expectedToEnd: boolean;
 }
 
+/** Returns the last bytes of a log, or why they can't be read. */
+function endOf(log: string): string {
+  try {
+    return readFileSync(log).subarray(-LOG_TAIL_BYTES).toString();
+  } catch (thrown) {
+    return toError(thrown).message;
+  }
+}
+
+function describeEnd(end: ProcessEnd): string {
+  if ('status' in end) {
+    return `status ${end.status}`;
+  }
+  return 'signal' in end ? end.signal : end.error.message;
+}
+
 /** Returns whether `address` accepts connections. */
 async function acceptsConnections(address: Address): Promise<boolean> {
   return new Promise((resolve) => {
@@ -88,7 +112,8 @@
     const deadline = Date.now() + READY_TIMEOUT_MILLIS;
     while (spec.readyAddress !== null && !(await acceptsConnections(spec.readyAddress))) {
       if (!this.#running.has(spec.name)) {
-        throw new ProcessFailedError(spec.name, 'ended before it was ready', this.logOf(spec));
+        const problem = `ended before it was ready, with ${describeEnd(await process.exited)}`;
+        throw new ProcessFailedError(spec.name, problem, this.logOf(spec));
       }
       if (Date.now() > deadline) {
         throw new ProcessFailedError(spec.name, 'was not ready in time', this.logOf(spec));
@@ -104,9 +129,9 @@
   async runToEnd(spec: ProcessSpec): Promise<void> {
     const process = this.#spawn(spec);
     process.expectedToEnd = true;
-    const code = await process.exited;
-    if (code !== 0) {
-      throw new ProcessFailedError(spec.name, `ended with status ${code}`, this.logOf(spec));
+    const end = await process.exited;
+    if (!('status' in end) || end.status !== 0) {
+      throw new ProcessFailedError(spec.name, `ended with ${describeEnd(end)}`, this.logOf(spec));
     }
   }
 
@@ -194,9 +219,11 @@
     const command = [...this.#profileArguments(spec), ...spec.command];
     const child = spawn(process.execPath, command, { stdio: ['ignore', log, log] });
     closeSync(log);
-    const exited = new Promise<number | null>((resolve) => {
-      child.once('error', () => resolve(null));
-      child.once('exit', (code) => resolve(code));
+    const exited = new Promise<ProcessEnd>((resolve) => {
+      child.once('error', (error) => resolve({ error }));
+      child.once('exit', (status, signal) =>
+        resolve(signal === null ? { status: status as number } : { signal }),
+      );
     });
     const running: RunningProcess = { spec, child, exited, frozen: false, expectedToEnd: false };
     this.#running.set(spec.name, running);
