Frames that come with a relay's answer that a connection is open reach the connection

A router that opens a connection to an upstream over another router read the answer and whatever came in the same piece in one loop, which ended with the answer: frames behind it were dropped. That loses what an upstream sends at once, the end or reset of its connection, and that the relay stops; the router would wait for an end that never comes.

The open connection now gets the frames that are left; malformed ones end it as lost, as later ones do.

--- a/src/router/relay/relay-dialer.ts
+++ b/src/router/relay/relay-dialer.ts
@@ -16,7 +16,7 @@
   type WireIdentity,
 } from '../../wire/index.js';
 import { relayOpenCodec, relayOpenedCodec } from '../../wire/relay/relay-messages.js';
-import { RelayOpenError } from './relay-error.js';
+import { RelayLostError, RelayOpenError } from './relay-error.js';
 import { RelayStream } from './relay-stream.js';
 
 export interface RelayDialerOptions {
@@ -65,6 +65,8 @@
   readonly #timer: NodeJS.Timeout;
   #isVerified = false;
   #isOver = false;
+  /** The open connection, which gets the frames that came in one piece with the answer. */
+  #stream: RelayStream | null = null;
   /** Frames of the handshake that have come. */
   #answers = 0;
 
@@ -101,7 +103,9 @@
         this.#receive(frame);
       }
     } catch (thrown) {
-      this.#fail(new RelayOpenError('lost', toError(thrown)));
+      const fault = toError(thrown);
+      this.#stream?.destroy(new RelayLostError(fault));
+      this.#fail(new RelayOpenError('lost', fault));
     }
   };
 
@@ -111,6 +115,7 @@
 
   #receive(frame: Frame): void {
     if (this.#isOver) {
+      this.#stream?.receiveFrame(frame);
       return;
     }
     if (!this.#isVerified) {
@@ -146,8 +151,8 @@
     this.#end();
     const { onClosing } = this.#options;
     const { router } = this.#dial.peer;
-    const stream = new RelayStream(this.#socket, this.#decoder, { onClosing: () => onClosing(router) });
-    this.#dialed(null, stream);
+    this.#stream = new RelayStream(this.#socket, this.#decoder, { onClosing: () => onClosing(router) });
+    this.#dialed(null, this.#stream);
   }
 
   #fail(error: RelayOpenError): void {
--- a/src/router/relay/relay-stream.ts
+++ b/src/router/relay/relay-stream.ts
@@ -111,14 +111,15 @@
   #read(chunk: Buffer): void {
     try {
       for (const frame of this.#decoder.read(chunk)) {
-        this.#receive(frame);
+        this.receiveFrame(frame);
       }
     } catch (thrown) {
       this.destroy(new RelayLostError(toError(thrown)));
     }
   }
 
-  #receive({ kind, payload }: Frame): void {
+  /** Handles a frame of the other router. Throws if it is malformed. */
+  receiveFrame({ kind, payload }: Frame): void {
     if (this.destroyed || this.#hasEnd) {
       return;
     }
