Router: a hold-up in which a stop's signal came is noticed also where no timer of the core was due

A stop counts its time from when its signal may have come, if timers show that the process was held up. The only timers looked at were ticks of the core, which an idle router has seldom: a hold-up between two of them wasn't seen, or seen as shorter, and the stop counted from when the signal was heard.

The watch now has a timer of its own, every 100 ms, while the router runs, and takes the earliest of the timers that fire late in a turn.

The test (a core without timers, 300 ms of hold-up right after SIGTERM) failed before: 0 ms were noticed.

--- a/src/router/hold-up-watch.ts
+++ b/src/router/hold-up-watch.ts
@@ -6,17 +6,35 @@
 
 /** Timers that fire this late are no sign of it. */
 const MIN_HOLD_UP_MILLIS = 50;
+/** Period of the watch's own timer: a hold-up began this much before its first late timer at most. */
+const LOOK_MILLIS = 100;
 
 export class HoldUpWatch {
   /** Since when the process has been held up, in the turn in which that is noticed. */
   #since: MonotonicMillis | null = null;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** Sets a timer of its own, since others may be far apart. */
+  start(): void {
+    let due = performance.now() + LOOK_MILLIS;
+    this.#timer ??= setInterval(() => {
+      const now = performance.now();
+      this.recordTimer(due, now);
+      due = now + LOOK_MILLIS;
+    }, LOOK_MILLIS).unref();
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
 
   /** Called when a timer fires that was due at `due`. */
   recordTimer(due: MonotonicMillis, now: MonotonicMillis): void {
     if (now - due < MIN_HOLD_UP_MILLIS) {
       return;
     }
-    this.#since ??= due;
+    this.#since = Math.min(this.#since ?? due, due);
     setImmediate(() => {
       this.#since = null;
     });
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -137,6 +137,7 @@
   }
 
   start(): void {
+    this.holdUps.start();
     this.post({ type: 'tick' });
   }
 
@@ -154,6 +155,7 @@
   stop(): void {
     this.stopped = true;
     clearTimeout(this.timer);
+    this.holdUps.stop();
     this.attempts.cancelAll();
   }
 
--- a/test/router/start.test.ts
+++ b/test/router/start.test.ts
@@ -6,7 +6,7 @@
 import { LogRecorder } from './log-recorder.js';
 
 /** How long the process is kept from its timers, sockets and signals. */
-const HOLD_UP_MILLIS = 100;
+const HOLD_UP_MILLIS = 300;
 
 /** Returns an address of this machine on which nothing listens. */
 async function freeAddress(): Promise<string> {
@@ -33,6 +33,9 @@
   });
 }
 
+/** Less than the hold-up by the period in which a router looks for hold-ups. */
+const MIN_NOTICED_MILLIS = 150;
+
 /** Sends this process a signal, and keeps it from hearing it. */
 function signalInHoldUp(signal: 'SIGTERM'): void {
   process.kill(process.pid, signal);
@@ -120,4 +123,17 @@
     expect(log.fieldsOf('started')).to.have.length(0);
     expect(await dial(listen)).to.equal('ECONNREFUSED');
   });
+
+  // Guards against stops of idle routers that count their time from the end of a hold-up, since none of their timers was due in it.
+  it('is followed by a stop that counts from the hold-up in which its signal came, also where the core has no timers', async () => {
+    serving = true;
+    daemon = await makeDaemon(await freeAddress(), 0);
+    await daemon.start();
+    const startedAt = performance.now();
+    const heard = once(process, 'SIGTERM').then(() => daemon.stop());
+    signalInHoldUp('SIGTERM');
+    await heard;
+    const [{ heldUpMillis } = {}] = log.fieldsOf('stopping');
+    expect(heldUpMillis).to.be.within(MIN_NOTICED_MILLIS, performance.now() - startedAt);
+  });
 });
