Router: the end of a planned stop breaks off nothing before it has answered what waits

A router whose process was held up over the end of the time for answers and the end of the time to take them cut its connections first: requests that waited, and would have been refused or told that their result is unknown a moment later, had no answer, and nothing was logged of them.

The cut of connections that are left 0.2 s before stopGrace went by a timer of its own, which fires in the same turn as that of the end of the stop, and the latter is put off once by 20 ms. The cut now also waits until the end of the stop has answered all that can be answered, 50 ms after it.

The test holds the process up over both: before, neither of two requests had an answer; now both have. With a grace time of 1.5 s the two are 75 ms apart.

--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -85,8 +85,14 @@
   private count = 0;
   /** When the planned stop in progress began, on the monotonic clock; `null`: none has. */
   private stoppingSince: number | null = null;
+  /** Resolves once the end of a planned stop has answered all that can be answered. */
+  readonly lastAnswered: Promise<void>;
+  private onLastAnswered: () => void = () => {};
 
   constructor(private readonly parts: CallerExchangesParts) {
+    this.lastAnswered = new Promise((resolve) => {
+      this.onLastAnswered = resolve;
+    });
     const { pipeline, held, streamStallMillis } = parts;
     this.connectionOptions = {
       limits: pipeline,
@@ -152,7 +158,10 @@
     for (const exchange of [...this.exchanges.values()]) {
       exchange.endHeld();
     }
-    setTimeout(() => this.logOverdue(), LAST_REFUSALS_MILLIS).unref();
+    setTimeout(() => {
+      this.logOverdue();
+      this.onLastAnswered();
+    }, LAST_REFUSALS_MILLIS).unref();
   }
 
   /** Called when the time to take answers is over: those whose upstreams haven't sent all of them are aborted. */
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -320,6 +320,8 @@
 
   /** Breaks off what callers haven't taken: the process ends by itself before it may be killed. */
   private async endConnections(): Promise<void> {
+    // Both may be due at once where the process was held up.
+    await this.task.lastAnswered;
     await nextTurn();
     this.callers?.cutConnections();
     this.task.endStreamedAnswers();
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -147,6 +147,11 @@
     this.post({ type: 'stopping', endsAt });
   }
 
+  /** Resolves once the end of a planned stop has answered all that can be answered. */
+  get lastAnswered(): Promise<void> {
+    return this.callers.lastAnswered;
+  }
+
   /** Called in a planned stop when the time to take answers is over. */
   endStreamedAnswers(): void {
     this.callers.endStreamed();
--- a/test/router/caller/late-in-stop.test.ts
+++ b/test/router/caller/late-in-stop.test.ts
@@ -245,6 +245,20 @@
     expect(caller.answers).to.have.length(0);
   });
 
+  // Guards against requests that are cut off without the answer that is due at the end, since the process was held up over the end and the time to take answers.
+  it('answers what waits first, also if it is noticed after the time to take answers', async () => {
+    caller.send(postHead('/orders/1', 'a') + postHead('/orders/2', 'b'));
+    await until(() => upstream.requests.length === 1);
+    const stopped = stopMillis();
+    await sleep(STOP_GRACE_MILLIS * 0.85);
+    await nextImmediate();
+    holdUp(STOP_GRACE_MILLIS * 0.14);
+    await stopped;
+    await until(() => caller.closed);
+    expect(caller.statuses).to.have.length(2);
+    expect(caller.answers[1]?.head).to.match(STOPPING).and.match(CLOSES);
+  });
+
   // Guards against stops that only the kill ends, since a caller doesn't take its answer.
   it('waits no longer for a caller that takes none of its answer', async () => {
     const request = await requestOf('/reads/1');
