Fleet: a fault of an owner waits until one with a process of its own owns something, and says what was seen if none does

Cause that is possible: a fleet counts as ready once each shard has an owner. That may be the others alone while the one upstream with a process of its own announced itself last, and shards are moved to it later. The fault looked once, where that of a leader looks 30 times in 6 s.

Change: the owner is looked for as the leader is. If there is none, the error names the upstreams with processes of their own and the shards by owner.

--- a/src/dev/fleet/faults/target-finder.ts
+++ b/src/dev/fleet/faults/target-finder.ts
@@ -1,21 +1,34 @@
 /** Resolves the target of a fault to a process or upstream of the running fleet. */
 import { TernmountError } from '../../../errors/ternmount-error.js';
 import type { UpstreamId } from '../../../model/identifiers.js';
+import type { ShardRecord } from '../../../registry/types.js';
 import type { Fleet } from '../fleet.js';
 import { type ControlPlan, type UpstreamPlan, upstreamsOf } from '../fleet-plan.js';
 
 /** No running process or upstream matches the target. */
 export class TargetNotFoundError extends TernmountError {
-  constructor(target: string) {
+  constructor(target: string, seen = '') {
     super(
       { code: 'TERNMOUNT_FAULT_TARGET', retriable: false },
-      `no process or upstream matches the fault target ${target}`,
+      `no process or upstream matches the fault target ${target}${seen}`,
     );
   }
 }
 
-const LEADER_TRIES = 30;
-const LEADER_RETRY_MILLIS = 200;
+/** For how many tries, and how far apart, a role that nobody has yet is waited for. */
+const ROLE_TRIES = 30;
+const ROLE_RETRY_MILLIS = 200;
+
+/** Number of shards of each owner; `null`: shards without owner. */
+type ShardCounts = ReadonlyMap<UpstreamId | null, number>;
+
+function countByOwner(shards: readonly ShardRecord[]): ShardCounts {
+  const counts = new Map<UpstreamId | null, number>();
+  for (const { owner } of shards) {
+    counts.set(owner, (counts.get(owner) ?? 0) + 1);
+  }
+  return counts;
+}
 
 export class TargetFinder {
   readonly #fleet: Fleet;
@@ -46,8 +59,8 @@
   async leader(): Promise<ControlPlan> {
     const { admin } = this.#fleet;
     let leader = await admin.findLeader();
-    for (let tries = 1; leader === undefined && tries < LEADER_TRIES; tries += 1) {
-      await this.#fleet.wait(LEADER_RETRY_MILLIS);
+    for (let tries = 1; leader === undefined && tries < ROLE_TRIES; tries += 1) {
+      await this.#fleet.wait(ROLE_RETRY_MILLIS);
       leader = await admin.findLeader();
     }
     const control = this.#fleet.plan.control.find(({ admin }) => admin === leader?.admin);
@@ -61,17 +74,27 @@
     return follower ?? this.#fail('follower');
   }
 
-  /** Returns the keyed upstream with a dedicated process that owns the most shards. */
+  /**
+   * Returns the keyed upstream with a dedicated process that owns the most shards. Waits a short time: one that came last owns none until some are
+   * moved to it.
+   */
   async owner(): Promise<UpstreamId> {
-    const counts = new Map<UpstreamId, number>();
-    for (const { owner } of await this.#fleet.admin.shards()) {
-      if (owner !== null) {
-        counts.set(owner, (counts.get(owner) ?? 0) + 1);
-      }
+    let counts = await this.#shardCounts();
+    for (let tries = 1; this.#largestOwner(counts) === undefined && tries < ROLE_TRIES; tries += 1) {
+      await this.#fleet.wait(ROLE_RETRY_MILLIS);
+      counts = await this.#shardCounts();
     }
+    return this.#largestOwner(counts) ?? this.#fail('owner', counts);
+  }
+
+  async #shardCounts(): Promise<ShardCounts> {
+    return countByOwner(await this.#fleet.admin.shards());
+  }
+
+  #largestOwner(counts: ShardCounts): UpstreamId | undefined {
     const owners = this.#runningDedicated().filter(({ keyed, id }) => keyed && counts.has(id));
     owners.sort((left, right) => (counts.get(right.id) as number) - (counts.get(left.id) as number));
-    return owners[0]?.id ?? this.#fail('owner');
+    return owners[0]?.id;
   }
 
   /** Returns the upstream with this id, in any process. */
@@ -94,7 +117,10 @@
     return names.find((name) => this.#fleet.supervisor.isRunning(name)) ?? this.#fail('running process');
   }
 
-  #fail(target: string): never {
-    throw new TargetNotFoundError(target);
+  #fail(target: string, counts?: ShardCounts): never {
+    const dedicated = this.#runningDedicated().map(({ id }) => id);
+    const shards = [...(counts ?? [])].map(([owner, count]) => `${owner ?? 'none'}: ${count}`);
+    const seen = `; running with a process of their own: ${dedicated.join(', ')}; shards by owner: ${shards.join(', ')}`;
+    throw new TargetNotFoundError(target, counts === undefined ? '' : seen);
   }
 }
