Lost paths: a soak that fails or goes over its time prints what it had done, and a proxy whose worker doesn't report fails by name

Change: the story, with the steps of its end and the folder of the logs, is printed when a test fails. A report of a proxy's worker is waited for 20 s; it fails too if the worker ends. No check is changed.

--- a/test/router/cuttable-proxy.ts
+++ b/test/router/cuttable-proxy.ts
@@ -10,6 +10,8 @@
 /** A connection that isn't open after this time hangs. */
 const HANG_MILLIS = 60;
 const MAX_FILLERS = 8;
+/** A worker that hasn't reported what it did after this time never will. */
+const REPORT_MILLIS = 20_000;
 
 const ORDERS: Readonly<Record<ProxyCut, readonly ProxyOrder[]>> = {
   silent: ['block'],
@@ -95,14 +97,29 @@
   }
 }
 
+/** Fails if the worker ends or doesn't report in time, so that a test names what it waited for. */
 function reported(worker: Worker, type: string): Promise<number> {
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
+    const stop = (): void => {
+      clearTimeout(timer);
+      worker.off('message', onMessage);
+      worker.off('error', reject);
+      worker.off('exit', onExit);
+    };
     const onMessage = (message: { readonly type: string; readonly port?: number }): void => {
       if (message.type === type) {
-        worker.off('message', onMessage);
+        stop();
         resolve(message.port ?? 0);
       }
     };
+    const fail = (how: string): void => {
+      stop();
+      reject(new Error(`the worker of a proxy ${how} before it reported: ${type}`));
+    };
+    const onExit = (): void => fail('ended');
+    const timer = setTimeout(() => fail(`took ${REPORT_MILLIS} ms`), REPORT_MILLIS);
     worker.on('message', onMessage);
+    worker.once('error', reject);
+    worker.once('exit', onExit);
   });
 }
--- a/test/router/lost-paths/lost-paths-soak.test.ts
+++ b/test/router/lost-paths/lost-paths-soak.test.ts
@@ -32,10 +32,20 @@
 
 describe('router processes that lose their paths, restart and freeze', function () {
   this.timeout(120_000);
+  let soak: LostPathsSoak | undefined;
+
+  // One that goes over its time names nothing by itself.
+  afterEach(function reportProgress() {
+    if (this.currentTest?.isFailed()) {
+      console.error(soak?.progress);
+    }
+  });
+
   for (let seed = 1; seed <= SEEDS; seed += 1) {
     it(`serve over one another, and keep every promise (seed ${seed})`, async () => {
       const options = { seed, routers: ROUTERS, upstreams: UPSTREAMS, millis: MILLIS };
-      const outcome = await new LostPathsSoak(options).run();
+      soak = new LostPathsSoak(options);
+      const outcome = await soak.run();
       const story = outcome.story.join('\n');
       expect(wrongAnswers(outcome), story).to.deep.equal([]);
       expect(repeatedOrders(outcome), story).to.deep.equal([]);
--- a/test/router/lost-paths/lost-paths-soak.ts
+++ b/test/router/lost-paths/lost-paths-soak.ts
@@ -65,6 +65,11 @@
     this.#random = new Random(options.seed);
   }
 
+  /** What was done when so far, and where the logs are until the soak has ended. */
+  get progress(): string {
+    return [...this.#story, `logs in ${this.#folder}`].join('\n');
+  }
+
   async run(): Promise<SoakOutcome> {
     try {
       await this.#start();
@@ -73,8 +78,10 @@
       await Promise.all([this.#cutPaths(deadline), this.#disturbProcesses(deadline)]);
       const healedAt = performance.now();
       await sleep(HEALED_MILLIS);
+      this.#note('all is healed');
       const relayedAtEnd = await this.#relayedAtEnd();
       await Promise.all(this.#callers.map((callers) => callers.stop()));
+      this.#note('the callers have ended');
       return this.#outcome(healedAt, relayedAtEnd);
     } finally {
       await this.#close();
@@ -198,7 +205,9 @@
   async #close(): Promise<void> {
     await Promise.all(this.#callers.map((callers) => callers.stop()));
     await Promise.all(this.#routers.map((router) => router.close()));
+    this.#note('the routers have ended');
     await Promise.all([...this.#proxies.values()].flat().map((proxy) => proxy.stop()));
+    this.#note('the proxies have ended');
     await Promise.all(this.#upstreams.map((upstream) => upstream.stop()));
     rmSync(this.#folder, { recursive: true, force: true });
   }
