Fleet: networks of fleets are those of no test, so that fleets beside others don't take a test's addresses

A fleet takes network 77 or the next one that no other fleet has. Tests use 22 of these 64 for themselves, and reserve none of them: processes of 127.<network>.<process id modulo 250>.<number>, on the ports of fleets. With several fleets and runs of tests at once, two may meet at one address (8 of 250 process ids for each such test), and a process of one of them ends as it starts.

Change: fleets begin at 160, and up to 223 no test names a network. A test compares the networks that tests name with those that fleets try; it failed before, with 25 rows.

--- a/src/dev/fleet/fleet-options.ts
+++ b/src/dev/fleet/fleet-options.ts
@@ -45,7 +45,7 @@
   callers: 2,
   rateScale: 1,
   seed: 1,
-  network: 77,
+  network: 160,
   profileFolder: null,
   pipelining: 1,
   leaveShare: 0,
--- a/src/dev/fleet/network-reservation.ts
+++ b/src/dev/fleet/network-reservation.ts
@@ -11,7 +11,7 @@
 const RESERVED_HOST = 1;
 const RESERVED_PORT = 8000;
 /** Number of networks tried, starting with the preferred one. */
-const MAX_NETWORKS_TRIED = 64;
+export const MAX_NETWORKS_TRIED = 64;
 const LAST_NETWORK = 254;
 
 /** Every network that was tried is in use. */
