Fleet: faults of one process follow one another, also where a planned stop takes longer than the schedule allows for

Cause: the schedule leaves 8 s for a planned stop and the start after it; a stop may take 15 s. The next fault hit the process while the one before was starting it, and the start counted as failed.

Change: a kill, stop, freeze or lost disk of a process waits for the earlier ones of that process; its keys are looked up again then. All faults are still applied, those of different processes overlap as before, and no check is changed.

Why it works: nothing signals a process that a fault is still starting.

--- a/src/dev/fleet/faults/fault-runner.ts
+++ b/src/dev/fleet/faults/fault-runner.ts
@@ -7,6 +7,7 @@
 import { FaultLog, type Target } from './fault-log.js';
 import { NetworkFaults } from './network-faults.js';
 import { ProcessFaults } from './process-faults.js';
+import { ProcessTurns } from './process-turns.js';
 import { TargetFinder } from './target-finder.js';
 import { UpstreamFaults } from './upstream-faults.js';
 
@@ -26,6 +27,8 @@
   'platform-leaving-all',
   ...FAULT_KINDS,
 ]);
+/** Faults after which their process is started or goes on again. */
+const RESTART_TYPES: ReadonlySet<FaultType> = new Set(['kill', 'stop', 'freeze', 'lose-disk']);
 /** Faults that make an owner lose its keys without a planned handover. */
 const OWNER_LOSS_TYPES: ReadonlySet<FaultType> = new Set(['kill', 'freeze']);
 
@@ -37,6 +40,7 @@
   readonly #network: NetworkFaults;
   readonly #announced: AnnouncedFaults;
   readonly #upstreams: UpstreamFaults;
+  readonly #turns = new ProcessTurns();
 
   constructor(fleet: Fleet) {
     this.#fleet = fleet;
@@ -69,7 +73,14 @@
     await this.#fleet.wait(dueAt - TARGET_LOOKUP_MILLIS - machineMillis());
     const target = await this.#resolveTarget(fault);
     await this.#fleet.wait(dueAt - machineMillis());
-    await this.#apply(fault, target, fault.seconds * MILLIS_PER_SECOND);
+    const length = fault.seconds * MILLIS_PER_SECOND;
+    if (!RESTART_TYPES.has(fault.type)) {
+      return this.#apply(fault, target, length);
+    }
+    await this.#turns.take(target.name, async (hasWaited) => {
+      const now = hasWaited ? await this.#targetNamed(fault.type, target.name) : target;
+      await this.#apply(fault, now, length);
+    });
   }
 
   /** Resolves the target ahead of time, so that simultaneous faults don't wait for each other's effects. */
@@ -77,7 +88,10 @@
     if (!SINGLE_TARGET_TYPES.has(type)) {
       return { name: target, owned: undefined };
     }
-    const name = await this.#targets.process(target);
+    return this.#targetNamed(type, await this.#targets.process(target));
+  }
+
+  async #targetNamed(type: FaultType, name: string): Promise<Target> {
     return { name, owned: OWNER_LOSS_TYPES.has(type) ? await this.log.ownedBy(name) : undefined };
   }
 
