Test cluster: a process that is being ended still gets signals

Seen: closing-soak sends some routers a SIGHUP 10 to 500 ms after their SIGTERM, which never came: the cluster forgot a process before it had ended, so a signal by its name reached nobody. The process is now forgotten when it has ended, unless another one of its name was started. Stricter for closing-soak, the same for all others.

--- a/test/contract/process-cluster.ts
+++ b/test/contract/process-cluster.ts
@@ -105,10 +105,12 @@
   /** Ends a process; gives its exit code. */
   async end(name: string, signal: NodeJS.Signals): Promise<number | null> {
     const child = this.#running.get(name) as ChildProcess;
-    this.#running.delete(name);
     const exited = once(child, 'exit');
     child.kill(signal);
     await exited;
+    if (this.#running.get(name) === child) {
+      this.#running.delete(name);
+    }
     return child.exitCode;
   }
 
