Logs: a process that exits waits until its last lines are written

Cause: a process waited 20 ms before it exited, whatever was written by then. Lines for files pass through the library's threads, lines for pipes wait until a reader takes them; what wasn't written after 20 ms was lost, and with it why the process ended. What else may need the 20 ms still has them.

--- a/src/logging/log-writer.ts
+++ b/src/logging/log-writer.ts
@@ -13,6 +13,8 @@
   /** Buffered characters. */
   readonly waiting: number;
   write(text: string): void;
+  /** Calls `done` once all lines are written, or can't be. */
+  afterWritten(done: () => void): void;
 }
 
 export class LogWriter {
@@ -36,6 +38,22 @@
     this.#sink.write(`${text}\n`);
     return true;
   }
+
+  /** Resolves once all lines are written, or can't be, or after `limitMillis`. */
+  flush(limitMillis: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, limitMillis);
+      const done = (): void => {
+        clearTimeout(timer);
+        resolve();
+      };
+      if (this.#sink === null) {
+        done();
+      } else {
+        this.#sink.afterWritten(done);
+      }
+    });
+  }
 }
 
 function createSink(descriptor: number): LineSink {
@@ -60,6 +78,14 @@
   write(text: string): void {
     this.#socket.write(text);
   }
+
+  afterWritten(done: () => void): void {
+    if (this.#socket.writable) {
+      this.#socket.write('', done);
+    } else {
+      done();
+    }
+  }
 }
 
 /** Sink for files and terminals, with at most one write in progress. */
@@ -67,6 +93,7 @@
   #lines: string[] = [];
   #waiting = 0;
   #isWriting = false;
+  #doneCallbacks: (() => void)[] = [];
 
   constructor(private readonly descriptor: number) {}
 
@@ -82,6 +109,14 @@
     }
   }
 
+  afterWritten(done: () => void): void {
+    if (this.#isWriting) {
+      this.#doneCallbacks.push(done);
+    } else {
+      done();
+    }
+  }
+
   #flush(): void {
     const text = this.#lines.join('');
     this.#lines = [];
@@ -91,7 +126,17 @@
       this.#waiting -= text.length;
       if (this.#lines.length > 0) {
         this.#flush();
+      } else {
+        this.#callDone();
       }
     });
   }
+
+  #callDone(): void {
+    const callbacks = this.#doneCallbacks;
+    this.#doneCallbacks = [];
+    for (const done of callbacks) {
+      done();
+    }
+  }
 }
--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -2,6 +2,7 @@
  * Structured logs: one JSON object per line on standard output; `debug` selects the enabled namespaces. Writing never
  * blocks on a reader, and each event is rate-limited; dropped records are counted and reported.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import createDebug from 'debug';
 import { LogWriter } from './log-writer.js';
 import { RecordBudget } from './record-budget.js';
@@ -33,8 +34,10 @@
 const MAX_RECORDS_PER_SECOND = 50;
 const MAX_SAMPLES_PER_SECOND = 2;
 const STANDARD_OUTPUT = 1;
-/** Time for the last lines to be written before the process exits. */
+/** How long a process that exits waits at least, for what else is on its way. */
 const FINISH_MILLIS = 20;
+/** How long it waits at most for its last lines to be written: a reader may have stopped reading. */
+const MAX_FLUSH_MILLIS = 1000;
 
 let identity: ProcessIdentity = { process: 'ternmount', zone: '' };
 const writer = new LogWriter(STANDARD_OUTPUT);
@@ -55,9 +58,9 @@
   return writer.dropped;
 }
 
-/** Waits a short time for buffered lines to be written. Called before the process exits. */
-export function flushLogs(): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, FINISH_MILLIS));
+/** Waits a bounded time for buffered lines to be written. Called before the process exits. */
+export async function flushLogs(): Promise<void> {
+  await Promise.all([sleep(FINISH_MILLIS), writer.flush(MAX_FLUSH_MILLIS)]);
 }
 
 /** Replaces errors in fields by their name, message, code and stack. */
--- a/test/logging/log-writer.test.ts
+++ b/test/logging/log-writer.test.ts
@@ -1,6 +1,10 @@
 /** A reader that stops reading neither blocks the process nor lets its memory grow; records per event are limited. */
-import { spawn } from 'node:child_process';
+import { type ChildProcess, spawn } from 'node:child_process';
 import { once } from 'node:events';
+import { mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { Readable } from 'node:stream';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import { RecordBudget } from '../../src/logging/record-budget.js';
@@ -24,6 +28,21 @@
   process.exit(0);
 `;
 
+/** Logs lines and exits as a daemon does, while the only thread that writes files is busy for a while. */
+const EXITING_PROGRAM = `
+  const { createLogger, flushLogs } = await import('${LOGGER}');
+  const { pbkdf2 } = await import('node:crypto');
+  const log = createLogger('test', { always: true });
+  log.info('first');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  pbkdf2('a', 'b', 150_000, 64, 'sha512', () => {});
+  for (let line = 0; line < LINES; line += 1) log.info('line', { text: 'x'.repeat(1000) });
+  log.info('last');
+  await flushLogs();
+  process.exit(0);
+`;
+const EXIT_LIMIT_MILLIS = 10_000;
+
 describe('log writer', () => {
   it('keeps running without a reader, and counts dropped lines', async () => {
     const child = spawn(process.execPath, ['--input-type=module', '-e', PROGRAM], {
@@ -60,6 +79,51 @@
   });
 });
 
+describe('the last lines of a process that exits', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'ternmount-log-'));
+  after(() => rmSync(folder, { recursive: true }));
+
+  function spawnExiting(lines: number, output: 'pipe' | number): ChildProcess {
+    const program = EXITING_PROGRAM.replace('LINES', String(lines));
+    return spawn(process.execPath, ['--input-type=module', '-e', program], {
+      stdio: ['ignore', output, 'inherit'],
+      env: { ...process.env, UV_THREADPOOL_SIZE: '1' },
+    });
+  }
+
+  function lastEvent(text: string): string {
+    return (JSON.parse(text.trim().split('\n').at(-1) ?? '{}') as { event: string }).event;
+  }
+
+  // Guards against a process that ends without the line that says why.
+  it('are written to a file that takes them late', async () => {
+    const path = join(folder, 'log');
+    await once(spawnExiting(10, openSync(path, 'a')), 'exit');
+    expect(lastEvent(readFileSync(path, 'utf8'))).to.equal('last');
+  });
+
+  // Guards against the same where a reader is slow.
+  it('are written to a reader that takes them late', async () => {
+    const child = spawnExiting(240, 'pipe');
+    const stdout = child.stdout as Readable;
+    let text = '';
+    await once(stdout, 'readable');
+    await sleep(200);
+    stdout.on('data', (chunk: Buffer) => {
+      text += chunk;
+    });
+    await once(child, 'close');
+    expect(lastEvent(text)).to.equal('last');
+  });
+
+  it('do not keep it if nobody reads them', async () => {
+    const child = spawnExiting(240, 'pipe');
+    const ended = await Promise.race([once(child, 'exit'), sleep(EXIT_LIMIT_MILLIS)]);
+    child.kill('SIGKILL');
+    expect(ended).to.deep.equal([0, null]);
+  });
+});
+
 describe('budget of records', () => {
   it('counts records above the limit per event and second', () => {
     const budget = new RecordBudget(2);
