--- a/test/closing/closing-soak.ts
+++ b/test/closing/closing-soak.ts
@@ -2,16 +2,10 @@
  * Real routers that are stopped as planned and started again, with other signals between, while slow callers of all kinds keep using their
  * connections. Judged: each answer that the upstream made whole arrives whole, since every caller is there to read it; no part passes for a whole.
  */
-import { writeFileSync } from 'node:fs';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
-import { BENCH_IDENTITY } from '../../src/dev/bench/proxy/bench-identity.js';
-import { ControlStandin } from '../../src/dev/bench/proxy/control-standin.js';
 import { Random } from '../../src/dev/sim/random.js';
-import { ProcessCluster } from '../contract/process-cluster.js';
-import { call } from '../router/router-fixture.js';
-import { headFor, type ScriptedRequest, ScriptedUpstream } from '../router/scripted-upstream.js';
-import { service, upstream } from '../routing/router-harness.js';
+import { headFor, type ScriptedRequest } from '../router/scripted-upstream.js';
 import {
   type CallerPlan,
   type CallerResult,
@@ -20,10 +14,8 @@
   readIds,
   runCaller,
 } from './closing-caller.js';
+import { StoppedRouters } from './stopped-routers.js';
 
-const PORT = 8000;
-const ADMIN_PORT = 8001;
-const STOP_GRACE_MILLIS = 6000;
 /** Reading begins well before the grace time of a stop that begins with the caller. */
 const MAX_READ_FROM_MILLIS = 1500;
 const MAX_READS = 30;
@@ -70,9 +62,8 @@
 
 export class ClosingSoak {
   readonly #plan: SoakPlan;
-  readonly #cluster: ProcessCluster;
   readonly #random: Random;
-  readonly #upstream = new ScriptedUpstream((request) => this.#answer(request));
+  readonly #routers: StoppedRouters;
   readonly #made = new Set<string>();
   readonly #results: CallerResult[] = [];
   readonly #exitCodes: (number | null)[] = [];
@@ -82,105 +73,57 @@
   constructor(plan: SoakPlan) {
     this.#plan = plan;
     this.#random = new Random(plan.seed);
-    this.#cluster = new ProcessCluster(plan.network);
+    this.#routers = new StoppedRouters({
+      network: plan.network,
+      script: (request) => this.#answer(request),
+      announces: false,
+      modules: Array.from({ length: plan.routers }, () =>
+        plan.closesAtOnce === true ? CLOSE_AT_ONCE : null,
+      ),
+    });
   }
 
   async run(): Promise<SoakReport> {
-    const control = await this.#startUpstream();
-    const address = await control.start();
-    const names = Array.from({ length: this.#plan.routers }, (_, index) => this.#write(index + 1, address));
+    const numbers = Array.from({ length: this.#plan.routers }, (_, index) => index + 1);
     try {
-      for (const [index, name] of names.entries()) {
-        await this.#start(name, index + 1);
-      }
-      const callers = names.flatMap((_, index) =>
-        Array.from({ length: this.#plan.callersPerRouter }, () => this.#keepCalling(index + 1)),
+      await this.#routers.startAll(numbers.length);
+      const callers = numbers.flatMap((number) =>
+        Array.from({ length: this.#plan.callersPerRouter }, () => this.#keepCalling(number)),
       );
-      await Promise.all(names.map((name, index) => this.#disturb(name, index + 1)));
+      await Promise.all(numbers.map((number) => this.#disturb(number)));
       this.#isOver = true;
       // Callers without anything to close their connections see these stops.
-      const ends = names.map((name) => this.#cluster.end(name, 'SIGTERM'));
+      const ends = numbers.map((number) => this.#routers.end(number, 'SIGTERM'));
       await Promise.all(callers);
       this.#exitCodes.push(...(await Promise.all(ends)));
     } finally {
-      this.#cluster.close();
-      await control.stop();
-      await this.#upstream.stop();
+      await this.#routers.close();
     }
     return this.#report();
   }
 
-  async #startUpstream(): Promise<ControlStandin> {
-    const { address } = await this.#upstream.start();
-    return new ControlStandin({
-      revision: 1,
-      services: [service('reads', { slotsPerUpstream: 2000, queueLimit: 5000, deadlineMillis: 20_000 })],
-      upstreams: [upstream('reads-1', 'reads', { address, slots: 2000 } as never)],
-      shards: [],
-      routes: [],
-      declaration: null,
-      ranges: [],
-      suspects: [],
-    });
-  }
-
-  /** Writes the settings of router `number`, and returns its name. */
-  #write(number: number, control: string): string {
-    const secretFile = this.#cluster.file('bench-secret');
-    writeFileSync(secretFile, BENCH_IDENTITY.secret);
-    const host = this.#cluster.host(number);
-    this.#cluster.write(`router-${number}.yaml`, {
-      ...this.#cluster.shared,
-      cluster: BENCH_IDENTITY.cluster,
-      secretFile,
-      router: `router-${number}`,
-      listen: `${host}:${PORT}`,
-      admin: `${host}:${ADMIN_PORT}`,
-      control: [control],
-      probeInterval: '0s',
-      connectionsPerUpstream: 500,
-      lameDuck: '200ms',
-      stopGrace: `${STOP_GRACE_MILLIS}ms`,
-    });
-    return `router-${number}`;
-  }
-
-  async #start(name: string, number: number): Promise<void> {
-    const words = ['router', 'run', '--settings', this.#cluster.file(`${name}.yaml`)];
-    if (this.#plan.closesAtOnce === true) {
-      this.#cluster.startWith(name, CLOSE_AT_ONCE, ...words);
-    } else {
-      this.#cluster.start(name, ...words);
-    }
-    const admin = `${this.#cluster.host(number)}:${ADMIN_PORT}`;
-    await this.#cluster.until(`${name} that serves`, async () => {
-      const { status } = await call(admin, { method: 'GET', path: '/healthz', headers: {} });
-      return status === 200 ? true : undefined;
-    });
-  }
-
   /** Stops a router and starts it again, several times; some stops come twice, or beside a reload. */
-  async #disturb(name: string, number: number): Promise<void> {
+  async #disturb(number: number): Promise<void> {
     const end = performance.now() + this.#plan.seconds * 1000;
     while (performance.now() < end) {
       await sleep(this.#random.integer(200, 3000));
       if (this.#random.chance(0.3)) {
-        this.#cluster.signal(name, 'SIGHUP');
+        this.#routers.signal(number, 'SIGHUP');
         await sleep(this.#random.integer(0, 100));
       }
       const isTwice = this.#random.chance(0.3);
       const again = setTimeout(
-        () => isTwice && this.#cluster.signal(name, 'SIGHUP'),
+        () => isTwice && this.#routers.signal(number, 'SIGHUP'),
         this.#random.integer(10, 500),
       );
-      this.#exitCodes.push(await this.#cluster.end(name, 'SIGTERM'));
+      this.#exitCodes.push(await this.#routers.end(number, 'SIGTERM'));
       clearTimeout(again);
-      await this.#start(name, number);
+      await this.#routers.start(number);
     }
   }
 
   async #keepCalling(number: number): Promise<void> {
-    const address = { host: this.#cluster.host(number), port: PORT };
+    const address = this.#routers.address(number);
     while (!this.#isOver) {
       const result = await runCaller(address, this.#drawCaller());
       if (result === null) {
