--- a/src/storage/snapshot-store.ts
+++ b/src/storage/snapshot-store.ts
@@ -6,7 +6,7 @@
 import { encodeRecord, scanRecords } from './record.js';
 import { replaceFile } from './replace-file.js';
 import type { ReplicaIdentity } from './replica-identity.js';
-import { StorageDamagedError } from './storage-error.js';
+import { readContent, StorageDamagedError } from './storage-error.js';
 
 const NAME_PATTERN = /^snapshot-(\d{16})\.snap$/;
 const INDEX_DIGITS = 16;
@@ -77,7 +77,8 @@
     if (first?.type !== RECORD_TYPES.facts || goodBytes !== file.length) {
       throw new StorageDamagedError(path, `damaged at byte ${goodBytes}`);
     }
-    const { cluster, replica, dataBytes, ...rest } = readJson<SnapshotInfo>(first.payload);
+    const info = readContent(path, () => ({ ...readJson<SnapshotInfo>(first.payload) }));
+    const { cluster, replica, dataBytes, ...rest } = info;
     if (cluster !== this.identity.cluster || replica !== this.identity.replica) {
       throw new StorageDamagedError(path, `belongs to replica ${replica} of cluster ${cluster}`);
     }
--- a/src/storage/storage-error.ts
+++ b/src/storage/storage-error.ts
@@ -1,6 +1,6 @@
 /** Errors of the storage layer. */
 import VError from 'verror';
-import { TernmountError } from '../errors/ternmount-error.js';
+import { TernmountError, toError } from '../errors/ternmount-error.js';
 
 /** Operating system error codes for a full disk or an exceeded quota. */
 const DISK_FULL_CODES = new Set(['ENOSPC', 'EDQUOT']);
@@ -18,8 +18,26 @@
 
 /** The folder isn't usable for the operation: it holds no replica, already holds one, or belongs to another cluster. */
 export class FolderUnusableError extends TernmountError {
-  constructor(folder: string, problem: string) {
-    super({ code: 'TERNMOUNT_FOLDER_UNUSABLE', retriable: false, info: { folder } }, `${folder}: ${problem}`);
+  constructor(folder: string, problem: string, cause?: Error) {
+    super(
+      { code: 'TERNMOUNT_FOLDER_UNUSABLE', retriable: false, cause, info: { folder } },
+      `${folder}: ${problem}`,
+    );
+  }
+}
+
+/**
+ * Reads the content of records whose checksums hold. What can't be read then was written as it is, by another release: the folder is unusable
+ * for this one, and not damaged, so nothing may replace it.
+ */
+export function readContent<Content>(path: string, read: () => Content): Content {
+  try {
+    return read();
+  } catch (thrown) {
+    if (thrown instanceof TernmountError) {
+      throw thrown;
+    }
+    throw new FolderUnusableError(path, "holds a record that this release can't read", toError(thrown));
   }
 }
 
--- a/src/storage/write-ahead-log.ts
+++ b/src/storage/write-ahead-log.ts
@@ -14,10 +14,10 @@
   truncateRecord,
 } from './log-records.js';
 import { LogReplay } from './log-replay.js';
-import { type StoredRecord, scanRecords } from './record.js';
+import { type ScannedFile, type StoredRecord, scanRecords } from './record.js';
 import type { ReplicaIdentity } from './replica-identity.js';
 import { OpenSegment, segmentName, segmentSequences } from './segment.js';
-import { StorageDamagedError } from './storage-error.js';
+import { readContent, StorageDamagedError } from './storage-error.js';
 
 export const DEFAULT_SEGMENT_BYTES = 8 * 1024 * 1024;
 const FIRST_SEQUENCE = 1;
@@ -91,8 +91,9 @@
     const replay = new LogReplay();
     const segments: ReadSegment[] = [];
     for (const sequence of sequences) {
-      const segment = await readSegment(options, sequence);
-      replaySegment(segment, replay);
+      const { path, scanned } = await scanSegment(options, sequence);
+      const segment = readContent(path, () => readSegment(options, sequence, path, scanned));
+      readContent(path, () => replaySegment(segment, replay));
       checkPrevious(segments.at(-1), segment);
       segments.push(segment);
     }
@@ -183,16 +184,26 @@
   readonly goodBytes: number;
 }
 
-/** Reads a segment. Throws `StorageDamagedError` if synced records are invalid or it belongs to another replica. */
-async function readSegment(
-  { files, folder, identity }: WriteAheadLogOptions,
+/** Reads the records of a segment. Throws `StorageDamagedError` if synced ones are invalid. */
+async function scanSegment(
+  { files, folder }: WriteAheadLogOptions,
   sequence: number,
-): Promise<ReadSegment> {
+): Promise<{ readonly path: string; readonly scanned: ScannedFile }> {
   const path = join(folder, segmentName(sequence));
-  const { records, goodBytes, damaged } = scanRecords(Buffer.from(await files.read(path)));
-  if (damaged) {
-    throw new StorageDamagedError(path, `damaged at byte ${goodBytes}`);
+  const scanned = scanRecords(Buffer.from(await files.read(path)));
+  if (scanned.damaged) {
+    throw new StorageDamagedError(path, `damaged at byte ${scanned.goodBytes}`);
   }
+  return { path, scanned };
+}
+
+/** Throws `StorageDamagedError` if the segment has no header or belongs to another replica. */
+function readSegment(
+  { identity }: WriteAheadLogOptions,
+  sequence: number,
+  path: string,
+  { records, goodBytes }: ScannedFile,
+): ReadSegment {
   const [first] = records;
   if (first?.type !== RECORD_TYPES.segmentHeader) {
     throw new StorageDamagedError(path, 'has no header');
