--- a/src/registry/snapshot-codec.ts
+++ b/src/registry/snapshot-codec.ts
@@ -15,6 +15,7 @@
 import { LENGTH_BYTES, SnapshotEncoder } from './snapshot-encoder.js';
 import { SNAPSHOT_VERSION, type SnapshotPart } from './snapshot-parts.js';
 import type { RetiredRanges, ServiceRecord, ShardRecord, UpstreamRecord } from './types.js';
+import { SERVICE_LIMITS } from './validation/validate-service.js';
 
 type Head = Extract<SnapshotPart, { part: 'head' }>;
 type ServiceLedgerDraft = LedgerState['services'][number] & {
@@ -38,12 +39,12 @@
     for (const part of readParts(bytes)) {
       draft.add(part);
     }
+    return draft.build();
   } catch (thrown) {
     throw thrown instanceof RegistrySnapshotError
       ? thrown
       : new RegistrySnapshotError("the registry snapshot can't be decoded", toError(thrown));
   }
-  return draft.build();
 }
 
 /** Reads the parts of a snapshot in order; errors of `zlib` and `JSON` pass through. */
@@ -139,6 +140,7 @@
     state.clock = head.clock;
     state.sweptAt = head.sweptAt;
     for (const record of this.#services) {
+      checkShardCounts(record);
       state.services.set(record.definition.name, record);
       state.shards.setKeyMap(record);
     }
@@ -169,3 +171,12 @@
     this.#head = head;
   }
 }
+
+/** An index of every shard is built, so a number that no service can have would take for ever. */
+function checkShardCounts({ definition: { name, keyspaces } }: ServiceRecord): void {
+  for (const { shards } of keyspaces) {
+    if (!Number.isInteger(shards) || shards < 0 || shards > SERVICE_LIMITS.shards) {
+      throw new RegistrySnapshotError(`service ${name} can't have ${shards} shards in a keyspace`);
+    }
+  }
+}
