A settings file with an alias that nothing defines is refused with the file's name

An alias without its anchor is correct syntax to the YAML library, which throws a bare ReferenceError when the document is turned into values: settings, definition and policy files with one were refused without the file's name, as a fault of the program.

Errors of that step are settings errors of the file now.

--- a/src/settings/yaml-source.ts
+++ b/src/settings/yaml-source.ts
@@ -130,7 +130,22 @@
   }
   return parsed.length === 0
     ? [new YamlSource(name, undefined, lines, text)]
-    : parsed.map((document) => new YamlSource(name, document, lines, text));
+    : parsed.map((document) => resolveSource(name, document, lines, text));
+}
+
+/** Resolves aliases and tags, which may fail although the syntax is correct. */
+function resolveSource(
+  name: string,
+  document: Document.Parsed,
+  lines: LineCounter,
+  text: string,
+): YamlSource {
+  try {
+    return new YamlSource(name, document, lines, text);
+  } catch (thrown) {
+    const error = toError(thrown);
+    throw new SettingsError([{ source: name, path: '', message: error.message }], error);
+  }
 }
 
 /** Reads a YAML file. Throws `SettingsError` if it can't be read or isn't YAML. */
