Router: a stop breaks off nothing too early because its signal may have come long before it was heard

Cause: the process had been held up for 1.52 s (nothing of it in its log meanwhile) when it heard the signal, which had come 0.35 s before. The stop counted all its times from the earliest moment at which the signal may have come, so what ran was broken off up to the whole hold-up too early. Counting from when it was heard would end with the kill if the signal had come early.

Change: the two ends are told apart. If the kill comes first, what it cuts was running at its upstream and not answered, as with any end; nothing that waits is cut.

--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -36,7 +36,7 @@
   completeRouterSettings,
   type RouterDaemonSettings,
 } from './settings.js';
-import { stopTimesOf } from './stop-times.js';
+import { type StopTimes, stopTimesOf } from './stop-times.js';
 
 const MAX_SEED = 2 ** 31 - 1;
 /** One megabit a second in bytes a millisecond. */
@@ -287,13 +287,14 @@
   }
 
   private async shutDown(): Promise<void> {
-    const startedAt = this.task.earliestSignalAt();
-    const heldUpMillis = Math.round(performance.now() - startedAt);
+    const earliestAt = this.task.earliestSignalAt();
+    const heardAt = performance.now();
+    const heldUpMillis = Math.round(heardAt - earliestAt);
     this.log.info('stopping', { openRequests: this.task.openRequests, heldUpMillis });
     await this.startToEnd();
-    const { answersMillis, closesMillis } = stopTimesOf(this.settings.timings.stopGraceMillis);
-    const closesAt = startedAt + closesMillis;
-    await this.stopCallers(startedAt + answersMillis, closesAt);
+    const times = stopTimesOf(this.settings.timings.stopGraceMillis, { earliestAt, heardAt });
+    const { closesAt } = times;
+    await this.stopCallers(times);
     await this.settle(closesAt);
     await this.relay?.stop(millisUntil(closesAt));
     this.task.stop();
@@ -307,9 +308,9 @@
   }
 
   /** Resolves when no caller is connected any more, at `closesAt` at the latest. */
-  private async stopCallers(answersAt: MonotonicMillis, closesAt: MonotonicMillis): Promise<void> {
+  private async stopCallers({ answersAt, breaksOffAt, closesAt }: StopTimes): Promise<void> {
     const { lameDuckMillis, idleMillis } = this.settings.timings;
-    this.task.beginStop(answersAt);
+    this.task.beginStop(answersAt, breaksOffAt);
     this.relay?.announceStop();
     const answersMillis = millisUntil(answersAt);
     const graceMillis = millisUntil(closesAt);
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -141,10 +141,10 @@
     this.post({ type: 'tick' });
   }
 
-  /** Called when a planned stop begins: what is in progress is finished until `endsAt`. */
-  beginStop(endsAt: MonotonicMillis): void {
+  /** Called when a planned stop begins: what waits is refused at `endsAt`, and what runs is left until `breaksOffAt`. */
+  beginStop(endsAt: MonotonicMillis, breaksOffAt: MonotonicMillis): void {
     this.callers.beginStop();
-    this.post({ type: 'stopping', endsAt });
+    this.post({ type: 'stopping', endsAt, breaksOffAt });
   }
 
   /** Resolves once the end of a planned stop has answered all that can be answered. */
--- a/src/routing/planned-stop.ts
+++ b/src/routing/planned-stop.ts
@@ -30,25 +30,31 @@
   readonly #startsByExpectationUntil: MonotonicMillis;
   #isPutOff = false;
 
-  /** `endsAt`: when every request gets its answer. */
+  /** `endsAt`: when what waits is refused; `breaksOffAt`: when what runs gets its answer, too. */
   constructor(
     startedAt: MonotonicMillis,
     readonly endsAt: MonotonicMillis,
+    readonly breaksOffAt: MonotonicMillis = endsAt,
   ) {
     const partMillis = Math.min(MAX_EXPECTED_START_MILLIS, (endsAt - startedAt) * EXPECTED_START_SHARE);
     this.#startsByExpectationUntil = startedAt + partMillis;
   }
 
-  /** When the end is put off to, once, if it is noticed late: timers run before sockets are read; `null`: it is now. */
+  /** When what runs is broken off instead, once, if that is noticed late: timers run before sockets are read; `null`: it isn't put off. */
   putOffEnd(now: MonotonicMillis): MonotonicMillis | null {
-    if (this.#isPutOff || now <= this.endsAt + LATE_END_MILLIS) {
+    if (this.#isPutOff || now <= this.breaksOffAt + LATE_END_MILLIS) {
       return null;
     }
     this.#isPutOff = true;
     return now + LATE_ANSWERS_MILLIS;
   }
 
-  /** Whether the time for answers is over. */
+  /** Whether what runs is left until later than now. */
+  leavesRunning(now: MonotonicMillis): boolean {
+    return now < this.breaksOffAt;
+  }
+
+  /** Whether nothing may wait any longer. */
   isOver(now: MonotonicMillis): boolean {
     return now >= this.endsAt;
   }
--- a/src/routing/request-intake.ts
+++ b/src/routing/request-intake.ts
@@ -120,14 +120,23 @@
     this.early.dequeue(number);
   }
 
-  /** Answers every request, since a planned stop is at its end: those that weren't sent have not run. */
-  refuseAll(): void {
+  /** Refuses every request that hasn't been sent, since a planned stop has no time left for it. */
+  refuseUnsent(): void {
     for (const request of this.early.dequeueAll()) {
       this.refuseUnconfigured(request);
     }
     for (const member of this.context.members.values()) {
-      const mayHaveRun = member.mayHaveRun || member.group.attempt !== null;
-      this.answers.refuse(member, 'stopping', mayHaveRun ? null : STOPPING_RETRY_MILLIS);
+      if (!mayHaveRun(member)) {
+        this.answers.refuse(member, 'stopping', STOPPING_RETRY_MILLIS);
+      }
+    }
+  }
+
+  /** Answers every request, since a planned stop is at its end. */
+  refuseAll(): void {
+    this.refuseUnsent();
+    for (const member of this.context.members.values()) {
+      this.answers.refuse(member, 'stopping', null);
     }
   }
 
@@ -372,3 +381,7 @@
   }
   return `${key ?? ''}\n${target}\n${variant}`;
 }
+
+function mayHaveRun(member: Member): boolean {
+  return member.mayHaveRun || member.group.attempt !== null;
+}
--- a/src/routing/router-node.ts
+++ b/src/routing/router-node.ts
@@ -189,7 +189,7 @@
         this.handleProbe(input.upstream, input.healthy, input.load);
         return;
       case 'stopping':
-        this.beginStop(input.endsAt);
+        this.beginStop(input.endsAt, input.breaksOffAt);
         return;
       case 'policy-trace':
         this.context.tracing = input.on;
@@ -329,7 +329,7 @@
         this.intake.timeOutEarly(subject.request);
         return;
       case 'stop-end':
-        this.endStop();
+        this.endStop(subject.stop);
         return;
       case 'grants-over':
         this.lost.abandonAfterGrace();
@@ -361,19 +361,25 @@
     }
   }
 
-  private beginStop(endsAt: MonotonicMillis): void {
+  private beginStop(endsAt: MonotonicMillis, breaksOffAt?: MonotonicMillis): void {
     const { context } = this;
     if (context.plannedStop === null) {
-      context.plannedStop = new PlannedStop(context.now, endsAt);
-      context.schedule(endsAt, { type: 'stop-end' });
+      const stop = new PlannedStop(context.now, endsAt, breaksOffAt);
+      context.plannedStop = stop;
+      context.schedule(endsAt, { type: 'stop-end', stop });
     }
   }
 
-  private endStop(): void {
+  private endStop(stop: PlannedStop): void {
     const { context } = this;
-    const laterAt = context.plannedStop?.putOffEnd(context.now) ?? null;
+    if (stop.leavesRunning(context.now)) {
+      this.intake.refuseUnsent();
+      context.schedule(stop.breaksOffAt, { type: 'stop-end', stop });
+      return;
+    }
+    const laterAt = stop.putOffEnd(context.now);
     if (laterAt !== null) {
-      context.schedule(laterAt, { type: 'stop-end' });
+      context.schedule(laterAt, { type: 'stop-end', stop });
       return;
     }
     this.intake.refuseAll();
--- a/src/routing/router-timer.ts
+++ b/src/routing/router-timer.ts
@@ -1,7 +1,9 @@
 /** Timers of a router. */
+
 import type { RunName } from '../model/crash-suspect.js';
 import type { Claim } from './claim.js';
 import type { LeftPath } from './paths/hung-attempts.js';
+import type { PlannedStop } from './planned-stop.js';
 import type { Member, RequestGroup } from './request-group.js';
 import type { ServiceState } from './service-state.js';
 import type { Timer } from './timer-heap.js';
@@ -15,7 +17,7 @@
   /** The first configuration didn't arrive in time for a request. */
   | { readonly type: 'early-end'; readonly request: RequestNumber }
   /** The time for answers in a planned stop is over. */
-  | { readonly type: 'stop-end' }
+  | { readonly type: 'stop-end'; readonly stop: PlannedStop }
   /** Attempts whose grant has ended are abandoned. */
   | { readonly type: 'grants-over' }
   /** Reads in flight are checked for overdue ones. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -144,8 +144,11 @@
       readonly healthy: boolean;
       readonly load: number | null;
     }
-  /** A planned stop began. What upstreams work on is left to them until `endsAt`, when every request gets its answer. */
-  | { readonly type: 'stopping'; readonly endsAt: MonotonicMillis }
+  /**
+   * A planned stop began. At `endsAt` what waits is refused; what upstreams work on is left to them until `breaksOffAt` (default: `endsAt`), when
+   * every request gets its answer.
+   */
+  | { readonly type: 'stopping'; readonly endsAt: MonotonicMillis; readonly breaksOffAt?: MonotonicMillis }
   /** Turns `policy-trace` effects on or off. */
   | { readonly type: 'policy-trace'; readonly on: boolean }
   /** The platform's list of machines, which may be outdated; a hint only. */
--- a/test/routing/planned-stop.test.ts
+++ b/test/routing/planned-stop.test.ts
@@ -57,6 +57,21 @@
     expect(effectsOfType(effects, 'stop-ended')).to.have.length(1);
   });
 
+  // Guards against running requests that are broken off too early, since the signal of the stop may have come long before it was heard.
+  it('refuses only what waits where what runs is left until later', () => {
+    const harness = start();
+    const [first] = effectsOfType(harness.request('board'), 'dispatch');
+    harness.request('board');
+    const endsAt = harness.now + STOP_MILLIS;
+    harness.step({ type: 'stopping', endsAt, breaksOffAt: endsAt + 1000 });
+    const effects = harness.run(STOP_MILLIS + 500);
+    expect(effectsOfType(effects, 'refuse').map(({ outcome }) => outcome)).to.deep.equal(['not-run']);
+    expect(effectsOfType(effects, 'stop-ended')).to.deep.equal([]);
+    expect(effectsOfType(harness.request('board'), 'refuse')[0]).to.include({ outcome: 'not-run' });
+    expect(effectsOfType(harness.ended(first?.attempt as number), 'deliver')).to.have.length(1);
+    expect(effectsOfType(harness.run(501), 'stop-ended')).to.have.length(1);
+  });
+
   // Guards against requests that are passed on as soon as those in front of them end, however late that is.
   it('is near enough in its second half to refuse a waiting request, whether or not a slot comes free', () => {
     const harness = start();
