Router: a hold-up in a timer of another part is noticed where a stop's signal is heard right behind it

Callers of a router whose SIGTERM came while a timer's callback held the process up could lose their answers to the kill: the stop counted its time from when the signal was heard, as long later as the hold-up took.

Cause: Node hears signals right behind its timers, and the watch's own timer, which was overdue by then, hadn't fired, since a timer that falls due meanwhile waits for the next turn. So the watch knew of nothing.

The watch now looks at when its own timer was due, too, when it is asked: that is past wherever the process was held up for longer than its period.

--- a/src/router/hold-up-watch.ts
+++ b/src/router/hold-up-watch.ts
@@ -13,20 +13,22 @@
   /** Since when the process has been held up, in the turn in which that is noticed. */
   #since: MonotonicMillis | null = null;
   #timer: NodeJS.Timeout | undefined;
+  /** When the watch's own timer fires next. */
+  #due: MonotonicMillis = Number.POSITIVE_INFINITY;
 
   /** Sets a timer of its own, since others may be far apart. */
   start(): void {
-    let due = performance.now() + LOOK_MILLIS;
-    this.#timer ??= setInterval(() => {
-      const now = performance.now();
-      this.recordTimer(due, now);
-      due = now + LOOK_MILLIS;
-    }, LOOK_MILLIS).unref();
+    if (this.#timer !== undefined) {
+      return;
+    }
+    this.#due = performance.now() + LOOK_MILLIS;
+    this.#timer = setInterval(() => this.#look(), LOOK_MILLIS).unref();
   }
 
   stop(): void {
     clearInterval(this.#timer);
     this.#timer = undefined;
+    this.#due = Number.POSITIVE_INFINITY;
   }
 
   /** Called when a timer fires that was due at `due`. */
@@ -40,8 +42,18 @@
     });
   }
 
-  /** When a signal that is heard now may have come at the earliest. */
+  /**
+   * When a signal that is heard now may have come at the earliest. Where another timer held the process up, or what was read before the signal,
+   * the watch's own timer is overdue and hasn't fired yet.
+   */
   earliestSignalAt(now: MonotonicMillis): MonotonicMillis {
-    return this.#since ?? now;
+    const since = this.#since ?? now;
+    return now - this.#due < MIN_HOLD_UP_MILLIS ? since : Math.min(since, this.#due);
+  }
+
+  #look(): void {
+    const now = performance.now();
+    this.recordTimer(this.#due, now);
+    this.#due = now + LOOK_MILLIS;
   }
 }
