Commands for single services: members with an old document leave them to the leader, and resent ones get their first result

Since an operator's command for a service was refused for good (422) by a member that was cut off or restarted and still knew a document with the service's keys, though the leader takes it; and one that was applied, sent again since its answer was lost, was refused once a later document had declared the keys, as if it had never been in force.

Cause: the check reads the registry, and ran at whichever member was asked, before the table of request ids.

unserved-ranges: both cases failed before (`result: invalid` in place of `not-leader`, and of the first result). The check is made by the leader alone, for request ids that aren't known; a resent command changes nothing.

--- a/src/control/operator-requests.ts
+++ b/src/control/operator-requests.ts
@@ -102,7 +102,7 @@
 
   begin(operation: OperationId, request: OperatorRequest, now: MonotonicMillis): void {
     const { answer, membership } = this.#parts;
-    const problem = problemOfRequest(request, this.#parts.raft.registry);
+    const problem = problemOfRequest(request) ?? this.#problemOfOwnedKeys(request);
     if (problem !== null) {
       answer(operation, {
         type: 'result',
@@ -151,6 +151,17 @@
     }
   }
 
+  /**
+   * Returns why the leader refuses a command that names a service with declared keys. Another member may know an old document. A command that
+   * was applied before changes nothing, and gets the result that it had then.
+   */
+  #problemOfOwnedKeys(request: OperatorRequest): string | null {
+    const { raft } = this.#parts;
+    const mayChange =
+      request.type === 'command' && raft.isLeader() && !raft.registry.wasApplied(request.requestId);
+    return mayChange ? problemOfOwnedKeys(request.command, raft.registry) : null;
+  }
+
   /** Answers waiting requests whose change is now in force on every router. */
   run(now: MonotonicMillis): void {
     const due = this.#waiting.filter((change) => now > change.inForceAt);
@@ -372,10 +383,10 @@
 }
 
 /** Returns why a request is refused before it enters the log, with the place; `null` if it isn't. */
-function problemOfRequest(request: OperatorRequest, registry: Registry): string | null {
+function problemOfRequest(request: OperatorRequest): string | null {
   switch (request.type) {
     case 'command':
-      return problemOfCommand(request.command) ?? problemOfOwnedKeys(request.command, registry);
+      return problemOfCommand(request.command);
     case 'declare':
       return problemOfChange(request.change);
     default:
--- a/src/registry/registry-machine.ts
+++ b/src/registry/registry-machine.ts
@@ -112,6 +112,10 @@
     return this.state.ranges.rangesOf(service);
   }
 
+  wasApplied(requestId: string): boolean {
+    return this.state.dedup.find(requestId) !== undefined;
+  }
+
   rangedServices(): Iterable<ServiceName> {
     return this.state.ranges.services();
   }
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -332,6 +332,8 @@
   ledgerRecord(service: ServiceName, key: string): LedgerRecord | undefined;
   /** Sorted ranges of a service with numeric keys; empty for any other service. */
   ranges(service: ServiceName): readonly KeyRange[];
+  /** Whether a command with this request id was applied, whose result a resent one gets. */
+  wasApplied(requestId: string): boolean;
   /** Services for which `ranges` returns any. */
   rangedServices(): Iterable<ServiceName>;
   /** Ranges of removed services that upstreams may still hold, by service. */
--- a/test/control/unserved-ranges.test.ts
+++ b/test/control/unserved-ranges.test.ts
@@ -155,6 +155,39 @@
     });
   }
 
+  // Guards against a definite refusal by a member that was cut off or restarted, of what the leader accepts.
+  it('is left to the leader by a member that knows an old document', () => {
+    const cluster = new Cluster();
+    cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+    const declare = (change: DeclarationChange): OperatorResponse =>
+      cluster.ask({ type: 'declare', actor: 'test', change });
+    declare(changeOf(1, { services: [{ name: SERVICE, keyed: true }] }));
+    cluster.run(500);
+    const follower = [...cluster.members.values()].find(({ id }) => id !== cluster.leader().id);
+    expect(follower).not.to.equal(undefined);
+    cluster.cut.add(follower?.id ?? '');
+    declare(changeOf(2, { services: [{ name: SERVICE }] }));
+    const command = COMMANDS.replace;
+    const request = { type: 'command', requestId: 'r1', actor: 'test', command, wait: false } as const;
+    expect(cluster.ask(request)).to.have.nested.property('result.type', 'accepted');
+    expect(cluster.ask({ ...request, requestId: 'r2' }, follower)).to.have.property('type', 'not-leader');
+  });
+
+  // Guards against an operator who lost the answer to a change that took effect, and is told that it was refused.
+  it('gets its first result when it is sent again after the document has declared the keys', () => {
+    const cluster = new Cluster();
+    cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+    const command = COMMANDS.replace;
+    const request = { type: 'command', requestId: 'r1', actor: 'test', command, wait: false } as const;
+    const first = cluster.ask(request);
+    expect(first).to.have.nested.property('result.type', 'accepted');
+    const change = changeOf(1, { services: [{ name: SERVICE, keyed: true }] });
+    const declared = cluster.ask({ type: 'declare', actor: 'test', change });
+    expect(declared).to.have.nested.property('result.type', 'accepted');
+    expect(cluster.ask(request)).to.deep.equal(first);
+    expect(cluster.ask({ ...request, requestId: 'r2' })).to.have.nested.property('result.type', 'invalid');
+  });
+
   it('would lead to a second holder if it were in the log (sabotage)', () => {
     const faults = [0, 100, 200, 300, 400].map((offsetMillis) => {
       const world = sharedWorld();
