Router: a planned stop ends its connections also where the core fails in it

Callers with open requests at a router whose core failed during a planned stop heard nothing until the process was killed: neither an answer nor the end of the connection, up to the whole grace time and beyond where nothing kills it.

Cause: since the end of a stop breaks off what is left, but waits for the core's last answers first, which a core that has failed never gives; and a stop in progress isn't ended by a failure.

The wait is over, too, when the core ends.

--- a/src/router/caller/caller-exchanges.ts
+++ b/src/router/caller/caller-exchanges.ts
@@ -85,7 +85,7 @@
   private count = 0;
   /** When the planned stop in progress began, on the monotonic clock; `null`: none has. */
   private stoppingSince: number | null = null;
-  /** Resolves once the end of a planned stop has answered all that can be answered. */
+  /** Resolves once the end of a planned stop has answered all that can be answered, or the core has ended. */
   readonly lastAnswered: Promise<void>;
   private onLastAnswered: () => void = () => {};
 
@@ -164,6 +164,11 @@
     }, LAST_REFUSALS_MILLIS).unref();
   }
 
+  /** Called when the core has ended, planned or not: it answers nothing any more. */
+  onCoreEnded(): void {
+    this.onLastAnswered();
+  }
+
   /** Called when the time to take answers is over: those whose upstreams haven't sent all of them are aborted. */
   endStreamed(): void {
     for (const exchange of [...this.exchanges.values()]) {
--- a/src/router/router-task.ts
+++ b/src/router/router-task.ts
@@ -147,7 +147,7 @@
     this.post({ type: 'stopping', endsAt, breaksOffAt });
   }
 
-  /** Resolves once the end of a planned stop has answered all that can be answered. */
+  /** Resolves once the end of a planned stop has answered all that can be answered, or the core has failed. */
   get lastAnswered(): Promise<void> {
     return this.callers.lastAnswered;
   }
@@ -162,6 +162,7 @@
     clearTimeout(this.timer);
     this.holdUps.stop();
     this.attempts.cancelAll();
+    this.callers.onCoreEnded();
   }
 
   /** Accepts a caller's request, which gets exactly one answer unless its caller disconnects. */
--- a/test/router/router-fixture.ts
+++ b/test/router/router-fixture.ts
@@ -8,7 +8,7 @@
 import type { ServiceDefinition } from '../../src/model/service.js';
 import type { RoutingSnapshot, UpstreamRecord } from '../../src/registry/types.js';
 import type { CallerFrontEnd } from '../../src/router/caller/caller-listener.js';
-import { RouterDaemon } from '../../src/router/router-daemon.js';
+import { type CreateRouterCore, RouterDaemon } from '../../src/router/router-daemon.js';
 import type { RouterDaemonSettings } from '../../src/router/settings.js';
 import { createRouterNode } from '../../src/routing/index.js';
 import { service, upstream } from '../routing/router-harness.js';
@@ -32,6 +32,8 @@
   readonly announced?: boolean;
   /** Logger of the daemon; that of a process if left out. */
   readonly log?: Logger;
+  /** Creates the core; that of routers if left out. */
+  readonly createCore?: CreateRouterCore;
 }
 
 /** Configuration in which the upstream at each address serves `reads` and `orders`, neither of them keyed. */
@@ -90,7 +92,8 @@
       ...options.settings,
       timings: { probeMillis: 0, idleMillis: 0, configLease: FAST_SYNC, ...options.settings?.timings },
     };
-    const daemon = new RouterDaemon(settings, createRouterNode, options.frontEnd ?? 'koa', options.log);
+    const { createCore = createRouterNode, frontEnd = 'koa', log } = options;
+    const daemon = new RouterDaemon(settings, createCore, frontEnd, log);
     await daemon.start();
     const fixture = new RouterFixture(snapshot, control, daemon);
     await until(() => daemon.status().serving);
