Simulator: planned stops of routers end by a kill, and work that takes longer than the grace time

What the router took and the kill cuts off breaks planned-stop-cuts-nothing, unless the process was paused in its stop. The sabotage stop-end-unknown tells the core an endless end.

--- a/src/dev/sim/catch-sabotage.ts
+++ b/src/dev/sim/catch-sabotage.ts
@@ -1,6 +1,7 @@
 /** Runs a sabotaged system with one seed after another until the checker reports a violation. */
 import type { PromiseName } from '../checker/rule.js';
 import { FAULT_KINDS } from './faults/fault-plan.js';
+import { KILLED_STOPS } from './faults/killed-stops.js';
 import { LOST_PATHS } from './faults/lost-paths.js';
 import { RANGE_FAULTS } from './faults/range-faults.js';
 import { REPEATED_ANSWERS } from './faults/repeated-answers.js';
@@ -27,6 +28,7 @@
     promise,
     faults: wanted,
     crashingRequests = 0,
+    lateCallers = 0,
     evacuations = 0,
     needs = 0,
     redeclarations = 0,
@@ -34,15 +36,21 @@
     relays = false,
     sharedIds = false,
   }: Sabotage = SABOTAGES[name];
-  const faults = [...FAULT_KINDS, ...SUSPENSIONS, ...LOST_PATHS, ...RANGE_FAULTS, ...REPEATED_ANSWERS].filter(
-    (kind) => wanted.includes(kind.name),
-  );
+  const faults = [
+    ...FAULT_KINDS,
+    ...SUSPENSIONS,
+    ...LOST_PATHS,
+    ...RANGE_FAULTS,
+    ...REPEATED_ANSWERS,
+    ...KILLED_STOPS,
+  ].filter((kind) => wanted.includes(kind.name));
   for (let seed = first; seed <= last; seed += 1) {
     const { violations } = new Simulation({
       seed,
       sizes,
       faults,
       crashingRequests,
+      lateCallers,
       evacuations,
       needs,
       redeclarations,
--- a/src/dev/sim/clients/sim-caller.ts
+++ b/src/dev/sim/clients/sim-caller.ts
@@ -33,10 +33,15 @@
 
   protected think(): void {
     this.send(this.createRequest());
-    this.schedule(this.random.exponential(THINK_MILLIS), () => this.think());
+    this.schedule(this.drawPauseMillis(), () => this.think());
+  }
+
+  /** Draws the time until the next request. */
+  protected drawPauseMillis(): number {
+    return this.random.exponential(THINK_MILLIS);
   }
 
-  private createRequest(): CallerRequest {
+  protected createRequest(): CallerRequest {
     const service = this.random.pick(this.world.sizes.services);
     const { name, repeatable } = service.definition;
     const number = this.next;
@@ -60,7 +65,7 @@
   }
 
   /** Returns a random router that accepts connections. */
-  private pickRouter(): SimRouter | undefined {
+  protected pickRouter(): SimRouter | undefined {
     const open = this.world.routers.filter((router) => router.state !== 'stopped' && !router.isStopping);
     return open.length === 0 ? undefined : this.random.pick(open);
   }
--- a/src/dev/sim/router/sim-router.ts
+++ b/src/dev/sim/router/sim-router.ts
@@ -4,6 +4,7 @@
 import { DEFAULT_CONFIG_LEASE_TIMINGS, type RouterToControl } from '../../../control/messages.js';
 import type { Address, Incarnation, UpstreamId } from '../../../model/identifiers.js';
 import { EMPTY_NOTICE, type UpstreamNotice } from '../../../model/upstream-notice.js';
+import { stopTimesOf } from '../../../router/stop-times.js';
 import { createRouterNode } from '../../../routing/index.js';
 import type { RelayTarget } from '../../../routing/paths/path-watch.js';
 import type {
@@ -16,6 +17,7 @@
   RouterInput,
   RouterStatus,
 } from '../../../routing/types.js';
+import type { CancelAction } from '../../virtual/event-queue.js';
 import { SimProcess, TickTimer } from '../sim-process.js';
 import type { ReportedConstraint } from '../upstream/attempt-frame.js';
 import { NO_CONSTRAINT, type UpstreamConstraint } from '../upstream/upstream-constraint.js';
@@ -30,8 +32,12 @@
 const STOP_CHECK_MILLIS = 10;
 /** Time for which a stopping router still answers on open connections. */
 const STOP_IDLE_MILLIS = 1500;
-/** Time within which a stopping router answers all that it took. */
-const STOP_GRACE_MILLIS = 9500;
+/** Usual time after which a router that was asked to stop is killed. */
+const STOP_GRACE_MILLIS = 10_000;
+/** Time for which callers still send to a stopping router on connections that they have open. */
+const STOP_SENDS_MILLIS = 1200;
+/** Grace time that the core assumes under sabotage. */
+const ENDLESS_GRACE_MILLIS = 1_000_000;
 /** Length of the configuration lease under sabotage. */
 const ENDLESS_LEASE_MILLIS = 1_000_000;
 
@@ -49,6 +55,9 @@
   private readonly exchanges = new Map<RequestNumber, Exchange>();
   private readonly attempts = new Map<AttemptNumber, SimAttempt>();
   private plannedRun = 0;
+  /** The run that was asked to stop last, and the true time of that. */
+  private stopBegun = { run: 0, at: 0 };
+  private cancelKill: CancelAction = () => {};
   private nextRequest = 1;
   private recordedRevision = 0;
   private lastAttempt: AttemptNumber = 0;
@@ -76,10 +85,26 @@
     return this.plannedRun === run;
   }
 
-  /** Planned stop: accepts no new requests and ends once all open ones are answered. */
-  stopByPlan(): void {
+  /** Whether this run was ever asked to stop, also if it continued. */
+  get wasAskedToStop(): boolean {
+    return this.stopBegun.run === this.run;
+  }
+
+  /** Whether callers with open connections send to this router, which stops. */
+  get takesLateRequests(): boolean {
+    return (
+      this.isStopping && this.state === 'running' && this.time.now < this.stopBegun.at + STOP_SENDS_MILLIS
+    );
+  }
+
+  /** Planned stop: accepts no new requests and ends once all open ones are answered; killed when the grace time is over. */
+  stopByPlan(graceMillis = STOP_GRACE_MILLIS): void {
     this.isStopping = true;
-    this.input({ type: 'stopping', endsAt: this.clock.monotonic() + STOP_GRACE_MILLIS });
+    this.stopBegun = { run: this.run, at: this.time.now };
+    this.cancelKill = this.time.after(graceMillis, () => this.endOverdueStop());
+    const toldMillis = this.world.sabotage === 'stop-end-unknown' ? ENDLESS_GRACE_MILLIS : graceMillis;
+    const { answersMillis } = stopTimesOf(toldMillis);
+    this.input({ type: 'stopping', endsAt: this.clock.monotonic() + answersMillis });
     if (this.world.sabotage === 'planned-stop-cuts') {
       this.endByPlan();
       return;
@@ -93,6 +118,7 @@
       this.start();
     }
     this.isStopping = false;
+    this.cancelKill();
   }
 
   private endByPlan(): void {
@@ -100,6 +126,18 @@
     this.crash();
   }
 
+  /** The kill at the end of a planned stop. What it cuts off counts, unless the process was held up in the stop. */
+  private endOverdueStop(): void {
+    const { recorder } = this.world;
+    recorder.count('planned stop of a router ended by the kill');
+    const at = this.time.now;
+    const hasRun = this.hasRunSince(this.stopBegun.at);
+    for (const { send } of hasRun ? this.exchanges.values() : []) {
+      recorder.record({ type: 'planned-stop-cut', at, process: this.name, send });
+    }
+    this.crash();
+  }
+
   private stopWhenIdle(): void {
     if (!this.isStopping) {
       return;
@@ -231,6 +269,7 @@
   }
 
   protected onStop(): void {
+    this.cancelKill();
     this.core = null;
     this.lines.clear();
     this.exchanges.clear();
--- a/src/dev/sim/sabotages.ts
+++ b/src/dev/sim/sabotages.ts
@@ -9,6 +9,8 @@
   readonly faults: readonly string[];
   /** Number of requests that crash each upstream that runs them; 0 by default. */
   readonly crashingRequests?: number;
+  /** Number of callers with work of seconds, who also send to routers that stop; 0 by default. */
+  readonly lateCallers?: number;
   /** Number of operators that evacuate zones; 0 by default. */
   readonly evacuations?: number;
   /** Number of upstreams that report constraints in their answers; 0 by default. */
@@ -213,6 +215,12 @@
     description: 'a control member that lost its disk is not replaced before the next one is lost',
     faults: ['second-loss'],
   },
+  'stop-end-unknown': {
+    promise: 'planned-stop-cuts-nothing',
+    description: 'a stopping router does not know when it will be killed',
+    faults: ['router-stop-with-kill'],
+    lateCallers: 2,
+  },
 } as const satisfies Record<string, Sabotage>;
 
 export type SabotageName = keyof typeof TABLE;
--- a/src/dev/sim/simulation.ts
+++ b/src/dev/sim/simulation.ts
@@ -5,6 +5,7 @@
 import { CrashingCaller } from './clients/crashing-caller.js';
 import { DeclaringOperator } from './clients/declaring-operator.js';
 import { EvacuatingOperator } from './clients/evacuating-operator.js';
+import { LateCaller } from './clients/late-caller.js';
 import { SimCaller } from './clients/sim-caller.js';
 import { SimOperator } from './clients/sim-operator.js';
 import { controlAddress, replicaName, SimControl } from './control/sim-control.js';
@@ -31,6 +32,8 @@
   readonly faults: readonly FaultKind[];
   /** Number of callers whose request crashes each upstream that runs it; 0 by default. */
   readonly crashingRequests?: number;
+  /** Number of callers with work of seconds, who also send to routers that stop; 0 by default. */
+  readonly lateCallers?: number;
   /** Number of operators that evacuate zones and restore them; 0 by default. */
   readonly evacuations?: number;
   /** Number of upstreams that report constraints in their answers; 0 by default. */
@@ -80,6 +83,8 @@
 const RANGE_LOSS_WINDOW_MILLIS = 800;
 /** Operators that redeclare are numbered from here. */
 const DECLARER_NUMBERS_FROM = 100;
+/** Callers with work of seconds are numbered from here. */
+const LATE_CALLER_NUMBERS_FROM = 100;
 const CALLERS = 5;
 const OPERATORS = 3;
 const ROUTERS = 3;
@@ -104,6 +109,7 @@
   readonly firstGrantRuns = new Map<string, string>();
   readonly faultRandom: Random;
   readonly crashingContents = new Set<string>();
+  readonly longContents = new Set<string>();
   /** Zones from the request to evacuate them until their restoration is confirmed. */
   readonly evacuatedZones = new Set<string>();
   /** Number of active faults, and the time at which the last one ended. */
@@ -151,6 +157,7 @@
     this.scheduleConstraints();
     this.scheduleRedeclarations();
     this.scheduleRangeLosses();
+    this.scheduleLateCallers();
     this.time.at(FAULTS_END_MILLIS, () => this.endFaults());
     this.time.at(FAULTS_END_MILLIS + RECOVERY_MILLIS, () => observeRecovery(this, OBSERVATION_MILLIS));
     if (hasRanges) {
@@ -375,6 +382,15 @@
     }
   }
 
+  /** Schedules callers with work of seconds for the fault phase; created last, for the same reason. */
+  private scheduleLateCallers(): void {
+    for (let number = 1; number <= (this.options.lateCallers ?? 0); number += 1) {
+      const caller = new LateCaller(this, LATE_CALLER_NUMBERS_FROM + number);
+      this.time.at(FAULTS_FROM_MILLIS, () => caller.start());
+      this.time.at(FAULTS_END_MILLIS, () => caller.end());
+    }
+  }
+
   private scheduleFaults(): void {
     const plan = planFaults(this.options.faults, FAULT_WINDOW_MILLIS, this.faultRandom);
     for (const { kind, at, durationMillis } of plan) {
--- a/src/dev/sim/upstream/sim-upstream.ts
+++ b/src/dev/sim/upstream/sim-upstream.ts
@@ -18,6 +18,8 @@
 /** Share of slow requests, and the factor on their service time. */
 const SLOW_SHARE = 0.08;
 const SLOW_FACTOR = 30;
+/** Minimum and maximum time of work that takes seconds. */
+const LONG_WORK_MILLIS = [200, 4000] as const;
 const WARM_MILLIS = 15;
 const STOP_CHECK_MILLIS = 10;
 /** Minimum and maximum time from a crash during a request to the next run. */
@@ -246,11 +248,19 @@
         this.schedule(this.random.exponential(serviceMillis), () => this.crashDuring(pending));
         continue;
       }
-      const mean = this.random.chance(SLOW_SHARE) ? serviceMillis * SLOW_FACTOR : serviceMillis;
-      this.schedule(this.random.exponential(mean), () => this.finish(pending));
+      this.schedule(this.drawWorkMillis(pending.frame), () => this.finish(pending));
     }
   }
 
+  private drawWorkMillis({ content }: AttemptFrame): number {
+    if (this.world.longContents.has(content)) {
+      return this.random.between(...LONG_WORK_MILLIS);
+    }
+    const { serviceMillis } = this.service.template;
+    const mean = this.random.chance(SLOW_SHARE) ? serviceMillis * SLOW_FACTOR : serviceMillis;
+    return this.random.exponential(mean);
+  }
+
   private finish(pending: PendingRequest): void {
     this.running.delete(pending);
     const { frame, reply, ticket } = pending;
--- a/src/dev/sim/world.ts
+++ b/src/dev/sim/world.ts
@@ -35,6 +35,8 @@
   readonly faultRandom: Random;
   /** Contents of requests that crash each upstream that begins to process them. */
   readonly crashingContents: Set<string>;
+  /** Contents of requests whose work takes seconds. */
+  readonly longContents: Set<string>;
   /** Zones from the request to evacuate them until their restoration is confirmed. */
   readonly evacuatedZones: Set<string>;
   /** Whether no fault has disturbed any process or link recently; crashing requests don't count. */
--- a/test/sim/sabotages.test.ts
+++ b/test/sim/sabotages.test.ts
@@ -2,6 +2,7 @@
 import { PROMISES } from '../../src/dev/checker/rule.js';
 import { catchSabotage } from '../../src/dev/sim/catch-sabotage.js';
 import { FAULT_KINDS } from '../../src/dev/sim/faults/fault-plan.js';
+import { KILLED_STOPS } from '../../src/dev/sim/faults/killed-stops.js';
 import { LOST_PATHS } from '../../src/dev/sim/faults/lost-paths.js';
 import { RANGE_FAULTS } from '../../src/dev/sim/faults/range-faults.js';
 import { REPEATED_ANSWERS } from '../../src/dev/sim/faults/repeated-answers.js';
@@ -36,6 +37,7 @@
       ...LOST_PATHS,
       ...RANGE_FAULTS,
       ...REPEATED_ANSWERS,
+      ...KILLED_STOPS,
     ].map((kind) => kind.name);
     for (const name of SABOTAGE_NAMES) {
       expect(kinds).to.include.members([...SABOTAGES[name].faults]);
