--- a/test/soak/judge.test.ts
+++ b/test/soak/judge.test.ts
@@ -32,11 +32,12 @@
   sentAt: 10_000,
   deadlineMillis: 3000,
   isHalfClosed: false,
+  isLast: true,
   answer: null,
   endedAt: 10_100,
   end: CONNECTION_END.router,
 };
-const ANSWER = { at: 10_100, status: 200, isSealed: true, isRight: true };
+const ANSWER = { at: 10_100, status: 200, isSealed: true, isRight: true, closes: false };
 const ANSWERED: RequestRecord = { ...REQUEST, endedAt: null, end: null, answer: ANSWER };
 const RUN: RunRecord = {
   id: 'a',
--- a/test/soak/machine-fleet.ts
+++ b/test/soak/machine-fleet.ts
@@ -66,6 +66,8 @@
   readonly bundle: string;
   /** Module that is loaded before the routers' program, which a sabotage uses. */
   readonly routersLoad?: string;
+  /** Modules that are loaded before the programs of single routers, by their names. */
+  readonly loadsByRouter?: Readonly<Record<string, string>>;
   /** Changes the routers' settings, which a sabotage uses. */
   readonly alterRouters?: (settings: string) => string;
 }
@@ -294,13 +296,14 @@
 
   #launch(machine: Machine): void {
     const { settingsFile, name } = machine;
-    const { bundle, routersLoad } = this.#options;
+    const { bundle } = this.#options;
     writeFileSync(settingsFile, this.settingsOf(machine));
     const [, ...words] = this.#commands[machine.role]
       .replace(SETTINGS_PATH, settingsFile)
       .replace(BUNDLE, join(bundle, 'ternmount.cjs'))
       .split(' ');
-    const loads = machine.role === ROLE.router && routersLoad !== undefined ? ['--import', routersLoad] : [];
+    const load = this.#loadOf(machine);
+    const loads = load === undefined ? [] : ['--import', load];
     const log = openSync(join(this.folder, name, 'log.txt'), 'a');
     const env = { PATH: process.env.PATH, HOME: this.folder, TERNMOUNT_NODE_FILE: settingsFile };
     const child = spawn(process.execPath, [...loads, ...words], {
@@ -320,6 +323,11 @@
     child.once('exit', (code, signal) => this.#onExit(machine, life, code, signal));
   }
 
+  #loadOf({ role, name }: Machine): string | undefined {
+    const { routersLoad, loadsByRouter } = this.#options;
+    return role === ROLE.router ? (loadsByRouter?.[name] ?? routersLoad) : undefined;
+  }
+
   /** The end of a planned stop whose time is over; it belongs to the stop, so it's no disturbance of its own. */
   #endStop(life: Life): void {
     life.cause = 'SIGKILL';
--- a/test/soak/process-soak.test.ts
+++ b/test/soak/process-soak.test.ts
@@ -7,7 +7,7 @@
 import { GROUP, type Group } from './disturber.js';
 import { VIOLATION, type ViolationKind } from './judge.js';
 import { ROOT } from './machine-fleet.js';
-import { ProcessSoak, type SoakPlan } from './process-soak.js';
+import { ProcessSoak, type RouterSabotage, type SoakPlan, type SoakReport } from './process-soak.js';
 import type { TrafficKind } from './soak-traffic.js';
 
 const NETWORK = 150;
@@ -15,6 +15,7 @@
 const LATE_NETWORK = 152;
 const LATE_SABOTAGE_NETWORK = 153;
 const HELD_UP_NETWORK = 154;
+const STOP_SABOTAGE_NETWORK = 157;
 const SECONDS = 30;
 const SEED = Number(process.env.SOAK_SEED ?? 1);
 const LIMIT_MILLIS = 600_000;
@@ -50,6 +51,43 @@
   { module: 'stops-at-once', disturbance: GROUP.stops, seen: [VIOLATION.lostByPlannedWork] },
 ];
 
+interface StopSabotage extends RouterSabotage {
+  /** Requests by which it is seen. */
+  readonly seen: (report: SoakReport) => readonly string[];
+}
+
+const STOP_SABOTAGE_SECONDS = 6;
+const STOP_SABOTAGE_HELD_UP_MILLIS = 3000;
+
+/** Each breaks one router; another one stays sound. */
+const STOP_SABOTAGES: readonly StopSabotage[] = [
+  {
+    load: pathOf('keeps-connections'),
+    heldUpMillis: 0,
+    seen: ({ keptInStops }) => keptInStops,
+  },
+  { load: pathOf('ignores-late'), heldUpMillis: 0, seen: lostByPlannedWork },
+  {
+    load: pathOf('counts-from-hearing'),
+    heldUpMillis: STOP_SABOTAGE_HELD_UP_MILLIS,
+    seen: lostByPlannedWork,
+  },
+];
+
+function lostByPlannedWork({ violations }: SoakReport): readonly string[] {
+  return violations.filter(({ kind }) => kind === VIOLATION.lostByPlannedWork).map(({ subject }) => subject);
+}
+
+/** Whether a subject is a router, or one of its requests. */
+function isOf(router: string): (subject: string) => boolean {
+  return (subject) => subject === router || subject.startsWith(`${router}-`);
+}
+
+/** Path of a module that is loaded before a router. */
+function pathOf(module: string): string {
+  return fileURLToPath(new URL(`./${module}.js`, import.meta.url));
+}
+
 describe('real processes under seeded disturbances', () => {
   let bundle = process.env.SOAK_BUNDLE ?? '';
 
@@ -97,6 +135,9 @@
     expect(report.requests).to.be.above(0);
     expect(report.changes).to.be.above(0);
     expect(lines.join('\n'), `logs in ${report.folder}`).to.equal('');
+    if (plan.isPlannedOnly) {
+      expect(report.keptInStops, `logs in ${report.folder}`).to.deep.equal([]);
+    }
     if (process.env.SOAK_KEEP === undefined) {
       soak.removeFolder();
     }
@@ -157,6 +198,42 @@
     expect(lost).to.not.be.empty;
   }).timeout(LIMIT_MILLIS);
 
+  it(`are seen to break what a planned stop promises with a sabotage of each router, seed ${SEED}`, async () => {
+    const named = STOP_SABOTAGES.map((sabotage, index) => [`router-${index + 1}`, sabotage] as const);
+    const soak = new ProcessSoak({
+      seed: SEED,
+      network: Number(process.env.SOAK_NETWORK ?? STOP_SABOTAGE_NETWORK),
+      seconds: STOP_SABOTAGE_SECONDS,
+      routers: named.length + 1,
+      callersPerRouter: LATE_SABOTAGE_CALLERS,
+      bundle,
+      without: new Set(),
+      traffic: 'late',
+      mix: ['longTrain', 'longBurst', 'longTrain'],
+      isPlannedOnly: true,
+      sabotages: Object.fromEntries(named),
+    });
+    const report = await soak.run();
+    soak.removeFolder();
+    const seen = named.map(([router, { seen: seenIn }]) => seenIn(report).filter(isOf(router)));
+    const lost = report.violations.map(({ subject }) => subject);
+    const ofSound = [...lost, ...report.keptInStops].filter(isOf(`router-${named.length + 1}`));
+    if (process.env.SOAK_SEED !== undefined) {
+      console.log(
+        JSON.stringify({
+          seed: SEED,
+          requests: report.requests,
+          seen: seen.map(({ length }) => length),
+          ofSound,
+        }),
+      );
+    }
+    for (const [index, ids] of seen.entries()) {
+      expect(ids, STOP_SABOTAGES[index]?.load).to.not.be.empty;
+    }
+    expect(ofSound).to.deep.equal([]);
+  }).timeout(LIMIT_MILLIS);
+
   for (const { module, disturbance, seen } of SABOTAGES) {
     it(`are seen to break a rule with the sabotage ${module}`, async () => {
       const soak = new ProcessSoak({
@@ -169,7 +246,7 @@
         without: new Set(CALM.filter((group) => group !== disturbance)),
         traffic: 'mixed',
         isPlannedOnly: false,
-        routersLoad: fileURLToPath(new URL(`./${module}.js`, import.meta.url)),
+        routersLoad: pathOf(module),
       });
       const { violations } = await soak.run();
       soak.removeFolder();
--- a/test/soak/process-soak.ts
+++ b/test/soak/process-soak.ts
@@ -12,6 +12,7 @@
 import { TRAFFIC, type TrafficKind } from './soak-traffic.js';
 import { SoakUpstream } from './soak-upstream.js';
 import { type StopFigures, stopFigures } from './stop-figures.js';
+import { StopOfAll } from './stop-of-all.js';
 
 const UPSTREAMS_PER_SERVICE = 3;
 const FIRST_UPSTREAM = 201;
@@ -42,9 +43,19 @@
   /** Time for which a process gets no processor when its planned stop begins. */
   readonly heldUpMillis?: number;
   readonly routersLoad?: string;
+  /** Sabotages of single routers, by their names; all routers are stopped once then, and nothing else happens. */
+  readonly sabotages?: Readonly<Record<string, RouterSabotage>>;
   readonly alterRouters?: (settings: string) => string;
 }
 
+/** Breaks a mechanism of one router. */
+export interface RouterSabotage {
+  /** Path of the module that is loaded before its program. */
+  readonly load: string;
+  /** Time for which it gets no processor when its planned stop begins. */
+  readonly heldUpMillis: number;
+}
+
 export interface SoakReport extends DisturbanceCounts, StopFigures {
   readonly requests: number;
   readonly answered: number;
@@ -65,15 +76,14 @@
   readonly #fleet: MachineFleet;
   readonly #upstreams: readonly SoakUpstream[];
   readonly #operator: SoakOperator;
-  readonly #disturber: Disturber | PlannedWork;
+  readonly #disturber: Disturber | PlannedWork | StopOfAll;
   readonly #callers: SoakCaller[] = [];
   readonly #unready: UnreadyRecord[] = [];
   #last: ConfigurationRead | null = null;
   #isOver = false;
 
   constructor(plan: SoakPlan) {
-    const { seed, network, routers, bundle, traffic, isPlannedOnly, without, routersLoad, alterRouters } =
-      plan;
+    const { seed, network, routers, bundle, traffic, routersLoad, sabotages, alterRouters } = plan;
     this.#plan = plan;
     this.#random = new Random(seed);
     this.#fleet = new MachineFleet({
@@ -81,14 +91,12 @@
       routers,
       bundle,
       ...(routersLoad !== undefined && { routersLoad }),
+      ...(sabotages !== undefined && { loadsByRouter: loadsOf(sabotages) }),
       ...(alterRouters !== undefined && { alterRouters }),
     });
     this.#upstreams = this.#makeUpstreams();
     this.#operator = new SoakOperator(this.#fleet.controlAddresses, this.#random.fork(), TRAFFIC[traffic]);
-    const random = this.#random.fork();
-    this.#disturber = isPlannedOnly
-      ? new PlannedWork(this.#fleet, random, without, plan.heldUpMillis ?? 0)
-      : new Disturber(this.#fleet, this.#upstreams, random, without);
+    this.#disturber = this.#makeDisturber(this.#random.fork());
   }
 
   async run(): Promise<SoakReport> {
@@ -115,6 +123,16 @@
     this.#fleet.removeFolder();
   }
 
+  #makeDisturber(random: Random): Disturber | PlannedWork | StopOfAll {
+    const { isPlannedOnly, without, heldUpMillis = 0, sabotages } = this.#plan;
+    if (sabotages !== undefined) {
+      return new StopOfAll(this.#fleet, ({ name }) => sabotages[name]?.heldUpMillis ?? 0);
+    }
+    return isPlannedOnly
+      ? new PlannedWork(this.#fleet, random, without, heldUpMillis)
+      : new Disturber(this.#fleet, this.#upstreams, random, without);
+  }
+
   async #begin(): Promise<void> {
     this.#fleet.start();
     await this.#operator.begin();
@@ -283,6 +301,10 @@
   }
 }
 
+function loadsOf(sabotages: Readonly<Record<string, RouterSabotage>>): Record<string, string> {
+  return Object.fromEntries(Object.entries(sabotages).map(([router, { load }]) => [router, load]));
+}
+
 async function repeat(isOver: () => boolean, once: () => Promise<void>): Promise<void> {
   while (!isOver()) {
     await once();
--- a/test/soak/records.ts
+++ b/test/soak/records.ts
@@ -17,6 +17,8 @@
   readonly isSealed: boolean;
   /** Whether id, seal and body are what the upstream sent. */
   readonly isRight: boolean;
+  /** Whether it closes its connection. */
+  readonly closes: boolean;
 }
 
 /** A request that was sent whole. */
@@ -33,6 +35,8 @@
   readonly deadlineMillis: number;
   /** Whether the caller had closed its side before the answer. */
   readonly isHalfClosed: boolean;
+  /** Whether none came behind it before its answer. */
+  readonly isLast: boolean;
   readonly answer: AnswerRecord | null;
   /** When its connection ended, if that came before an answer. */
   readonly endedAt: number | null;
--- a/test/soak/soak-caller.ts
+++ b/test/soak/soak-caller.ts
@@ -18,6 +18,7 @@
   | 'longSingle'
   | 'longBurst'
   | 'longSlowBody'
+  | 'longTrain'
   | 'longReads'
   | 'brief';
 
@@ -56,6 +57,7 @@
   longSingle: { ...PLAIN, draft: 'long', rests: false },
   longBurst: { ...PLAIN, draft: 'long', rests: false, least: 3, most: 3 },
   longSlowBody: { ...PLAIN, draft: 'long', rests: false, partMillis: [10, 1000] },
+  longTrain: { ...PLAIN, draft: 'long', rests: false, least: 8, most: 8, partMillis: [10, 250] },
   longReads: { ...PLAIN, draft: 'long', rests: false, most: 3, isOrder: false },
   brief: { ...PLAIN, draft: 'brief', rests: false, most: 2 },
 };
@@ -78,6 +80,8 @@
 
 interface OpenRequest {
   readonly draft: Draft;
+  /** Time of its first byte. */
+  startedAt: number;
   sentAt: number | null;
   answer: AnswerRecord | null;
 }
@@ -118,16 +122,16 @@
   async #exchange(connection: CallerSocket): Promise<boolean> {
     const { least, most, halfCloses } = CALLERS[this.kind];
     const drafts = Array.from({ length: this.random.integer(least, most) }, () => this.#draft());
-    const batch: OpenRequest[] = drafts.map((draft) => ({ draft, sentAt: null, answer: null }));
-    const deadline = Math.max(...drafts.map(({ deadlineMillis }) => deadlineMillis));
     const startedAt = performance.now();
+    const batch: OpenRequest[] = drafts.map((draft) => ({ draft, startedAt, sentAt: null, answer: null }));
+    const deadline = Math.max(...drafts.map(({ deadlineMillis }) => deadlineMillis));
     const answered = connection.expect(batch, deadline + GIVE_UP_MILLIS);
     await this.#send(connection, batch);
     if (halfCloses) {
       connection.halfClose();
     }
     await answered;
-    this.#record(batch, connection, startedAt);
+    this.#record(batch, connection);
     return batch.every(({ answer }) => answer?.isSealed === true);
   }
 
@@ -140,6 +144,7 @@
     }
     for (const request of batch) {
       const { head, body } = request.draft;
+      request.startedAt = performance.now();
       connection.write(head);
       const part = Math.ceil(body.length / BODY_PARTS);
       for (let at = 0; at < body.length; at += part) {
@@ -153,8 +158,8 @@
     }
   }
 
-  #record(batch: readonly OpenRequest[], connection: CallerSocket, startedAt: number): void {
-    for (const { draft, sentAt, answer } of batch) {
+  #record(batch: readonly OpenRequest[], connection: CallerSocket): void {
+    for (const { draft, startedAt, sentAt, answer } of batch) {
       if (sentAt === null) {
         continue;
       }
@@ -168,6 +173,7 @@
         sentAt,
         deadlineMillis,
         isHalfClosed: CALLERS[this.kind].halfCloses,
+        isLast: draft === batch.at(-1)?.draft,
         answer,
         endedAt: answer === null ? connection.endedAt : null,
         end: answer === null ? connection.end : null,
@@ -265,7 +271,7 @@
     if (request !== undefined) {
       request.answer = recordOf(answer, request.draft);
     }
-    if (answer.headers.get('connection')?.toLowerCase() === 'close') {
+    if (doesClose(answer)) {
       this.#onEnd(CONNECTION_END.router);
     } else if (this.#answers >= this.#batch.length) {
       clearTimeout(this.#timer);
@@ -285,14 +291,19 @@
   }
 }
 
-function recordOf({ status, headers, body }: ReceivedAnswer, { id, bytes }: Draft): AnswerRecord {
+function recordOf(answer: ReceivedAnswer, { id, bytes }: Draft): AnswerRecord {
+  const { status, headers, body } = answer;
   const seal = headers.get('response-seal');
   const sealer = seal?.slice(0, seal.lastIndexOf('.')) ?? '';
   const isSuccess = status >= 200 && status < 300;
   const isWhole = seal !== undefined && body.equals(bodyOf(id, bytes)) && seal === sealOf(sealer, body);
   const isForIt = !headers.has('request-id') || headers.get('request-id') === id;
   const isRight = isForIt && (isSuccess ? isWhole : seal === undefined);
-  return { at: performance.now(), status, isSealed: seal !== undefined, isRight };
+  return { at: performance.now(), status, isSealed: seal !== undefined, isRight, closes: doesClose(answer) };
+}
+
+function doesClose({ headers }: ReceivedAnswer): boolean {
+  return headers.get('connection')?.toLowerCase() === 'close';
 }
 
 function open(host: string): Promise<Socket | null> {
