--- a/src/dev/fleet/faults/target-finder.ts
+++ b/src/dev/fleet/faults/target-finder.ts
@@ -75,8 +75,8 @@
   }
 
   /**
-   * Returns the keyed upstream with a dedicated process that owns the most shards. Waits a short time: one that came last owns none until some are
-   * moved to it.
+   * Returns the keyed upstream with a dedicated process that owns the most shards. Waits a short time: one whose lease has ended, or that came
+   * last, owns none until some are moved to it.
    */
   async owner(): Promise<UpstreamId> {
     let counts = await this.#shardCounts();
--- a/test/fleet/target-finder.test.ts
+++ b/test/fleet/target-finder.test.ts
@@ -37,7 +37,7 @@
     expect(waits).to.deep.equal([]);
   });
 
-  // Guards against faults without target where the upstream with a process of its own came last, and its shards are still being moved.
+  // Guards against faults without target where the upstream with a process of its own owns nothing for a moment.
   it('is waited for while others own all shards', async () => {
     const { fleet, waits } = fleetWith([
       [SHARED, SHARED],
