Fleet: an upstream that a fault is restarting is told of faults of its answers when it runs again

Callers of the fleet runner saw a run with declared routes end with 'connect ECONNREFUSED' at the control endpoint of orders-1.

Cause: an upstream is told of a fault of its answers with four retries, 15 s in all.

'end before an upstream is told to answer badly' failed before: it was told between stop and start.

Change: such a fault begins when the faults of its process that were given before are over.

--- a/src/dev/fleet/faults/fault-runner.ts
+++ b/src/dev/fleet/faults/fault-runner.ts
@@ -29,6 +29,8 @@
 ]);
 /** Faults after which their process is started or goes on again. */
 const RESTART_TYPES: ReadonlySet<FaultType> = new Set(['kill', 'stop', 'freeze', 'lose-disk']);
+/** Faults that a process is told of, which it must run for. */
+const TOLD_TYPES: ReadonlySet<FaultType> = new Set(FAULT_KINDS);
 /** Faults that make an owner lose its keys without a planned handover. */
 const OWNER_LOSS_TYPES: ReadonlySet<FaultType> = new Set(['kill', 'freeze']);
 
@@ -75,6 +77,9 @@
     await this.#fleet.wait(dueAt - machineMillis());
     const length = fault.seconds * MILLIS_PER_SECOND;
     if (!RESTART_TYPES.has(fault.type)) {
+      if (TOLD_TYPES.has(fault.type)) {
+        await this.#turns.untilFree(target.name);
+      }
       return this.#apply(fault, target, length);
     }
     await this.#turns.take(target.name, async (hasWaited) => {
--- a/src/dev/fleet/faults/process-turns.ts
+++ b/src/dev/fleet/faults/process-turns.ts
@@ -15,6 +15,11 @@
     await turn;
   }
 
+  /** Resolves when the faults of the process that were given so far are over. */
+  async untilFree(process: string): Promise<void> {
+    await this.#last.get(process);
+  }
+
   #release(process: string, turn: Promise<void>): void {
     if (this.#last.get(process) === turn) {
       this.#last.delete(process);
--- a/test/fleet/fault-runner.test.ts
+++ b/test/fleet/fault-runner.test.ts
@@ -1,4 +1,7 @@
 /** Faults of one process that are due while it is still being started again. */
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import type { ScheduledFault } from '../../src/dev/fleet/fault-schedule.js';
@@ -13,7 +16,8 @@
 class NotingFleet {
   readonly happened: string[] = [];
   readonly admin = {};
-  readonly plan = { operatorHost: '127.0.0.1', routers: [], upstreams: [] };
+  readonly options = { declared: true };
+  readonly plan = { operatorHost: '127.0.0.1', routers: [], upstreams: [] as object[] };
   readonly journal = { write: () => {} };
   readonly supervisor = {
     isRunning: () => true,
@@ -43,7 +47,7 @@
   }
 }
 
-function faultOf(type: 'kill' | 'stop', target: string, at: number): ScheduledFault {
+function faultOf(type: 'kill' | 'stop' | 'early', target: string, at: number): ScheduledFault {
   return { type, target, at, seconds: 0 };
 }
 
@@ -71,6 +75,29 @@
     ]);
   });
 
+  // Guards against answers that are to be made bad at a process that doesn't run, for so long that its runner gives up.
+  it('end before an upstream is told to answer badly', async () => {
+    const server = createServer((_, response) => {
+      fleet.happened.push('r1 told');
+      response.end();
+    }).listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    fleet.plan.upstreams.push({ name: 'r1', admin: `127.0.0.1:${(server.address() as AddressInfo).port}` });
+    try {
+      await run([faultOf('stop', 'r1', 0), faultOf('kill', 'r1', 0.05), faultOf('early', 'r1', 0.1)]);
+    } finally {
+      server.close();
+    }
+    expect(fleet.happened).to.deep.equal([
+      'r1 stops',
+      'r1 starts',
+      'r1 killed',
+      'r1 starts',
+      'r1 told',
+      'r1 told',
+    ]);
+  });
+
   it('overlap between processes', async () => {
     await run([faultOf('stop', 'r1', 0), faultOf('kill', 'r2', 0.05)]);
     expect(fleet.happened).to.deep.equal(['r1 stops', 'r2 killed', 'r2 starts', 'r1 starts']);
