Planned stops in the simulator and the soak's sabotages go by the two ends of a stop; a bound of the hold-up test by what passed

The sabotage that counts from when a signal is heard replaced a piece of text that the watch no longer has; the simulator told its routers one end. The hold-up test compared with a fixed 200 ms more than its hold-up; now with the time that passed since the signal was sent, which is as strict where the process isn't held up by others.

--- a/src/dev/sim/router/sim-router.ts
+++ b/src/dev/sim/router/sim-router.ts
@@ -103,8 +103,9 @@
     this.stopBegun = { run: this.run, at: this.time.now };
     this.cancelKill = this.time.after(graceMillis, () => this.endOverdueStop());
     const toldMillis = this.world.sabotage === 'stop-end-unknown' ? ENDLESS_GRACE_MILLIS : graceMillis;
-    const { answersMillis } = stopTimesOf(toldMillis);
-    this.input({ type: 'stopping', endsAt: this.clock.monotonic() + answersMillis });
+    const heardAt = this.clock.monotonic();
+    const { answersAt, breaksOffAt } = stopTimesOf(toldMillis, { earliestAt: heardAt, heardAt });
+    this.input({ type: 'stopping', endsAt: answersAt, breaksOffAt });
     if (this.world.sabotage === 'planned-stop-cuts') {
       this.endByPlan();
       return;
--- a/test/router/hold-up-watch.test.ts
+++ b/test/router/hold-up-watch.test.ts
@@ -49,16 +49,19 @@
       const watch = new HoldUpWatch();
       watch.start();
       await sleep(BEFORE_MILLIS);
-      const heard = once(process, SIGNAL).then(
-        () => performance.now() - watch.earliestSignalAt(performance.now()),
-      );
+      let sentAt = 0;
+      const heard = once(process, SIGNAL).then(() => {
+        const now = performance.now();
+        return { sinceSentMillis: now - sentAt, heldUpMillis: now - watch.earliestSignalAt(now) };
+      });
       inTurn(() => {
+        sentAt = performance.now();
         process.kill(process.pid, SIGNAL);
         holdUp();
       });
-      const heldUpMillis = await heard;
+      const { sinceSentMillis, heldUpMillis } = await heard;
       watch.stop();
-      expect(heldUpMillis).to.be.within(HOLD_UP_MILLIS - LOOK_MILLIS - 50, HOLD_UP_MILLIS + 200);
+      expect(heldUpMillis).to.be.within(sinceSentMillis - LOOK_MILLIS, sinceSentMillis + BEFORE_MILLIS);
     });
   }
 
--- a/test/soak/counts-from-hearing.ts
+++ b/test/soak/counts-from-hearing.ts
@@ -1,4 +1,4 @@
 /** Sabotage, loaded before a router: a planned stop counts its time from when its signal is heard, however late that is. */
 import { alterProgram } from './altered-program.js';
 
-alterProgram('return this.#since??now', 'return now');
+alterProgram('earliestSignalAt(now){', 'earliestSignalAt(now){return now;');
