Soak: large and small answers have a service each, since a router expects those of a place to be alike

reading-soak drew large and small answers for one place; hosts don't part them where requests have no declared route.

--- a/test/closing/reading-caller.ts
+++ b/test/closing/reading-caller.ts
@@ -62,10 +62,10 @@
   return { plan, sentAt, endedAt: performance.now(), answers, open: splitter.open, end };
 }
 
-/** Large and small answers have hosts of their own: a router expects those of a host to be alike. */
+/** Large and small answers have services of their own: a router expects those of a place to be alike. */
 function requestOf({ id, bytes, making }: ReadPlan): string {
-  const host = bytes > SMALL_BYTES ? 'large' : 'small';
-  return `GET /reads/${id}?bytes=${bytes}&making=${making} HTTP/1.1\r\nHost: ${host}\r\n\r\n`;
+  const service = bytes > SMALL_BYTES ? 'bulk' : 'reads';
+  return `GET /${service}/${id}?bytes=${bytes}&making=${making} HTTP/1.1\r\nHost: r\r\n\r\n`;
 }
 
 /** Reads at the speed of the plan until `take` says that all came. What isn't read stays with the system, which then holds the sender up. */
--- a/test/closing/reading-soak.ts
+++ b/test/closing/reading-soak.ts
@@ -211,7 +211,7 @@
 
   #answer(request: ScriptedRequest): void {
     const { searchParams, pathname } = new URL(request.target, 'http://upstream');
-    const id = pathname.slice('/reads/'.length);
+    const [, , id = ''] = pathname.split('/');
     const bytes = Number(searchParams.get('bytes'));
     const making = searchParams.get('making') as Making;
     if (making === 'broken') {
--- a/test/closing/stopped-routers.ts
+++ b/test/closing/stopped-routers.ts
@@ -1,4 +1,4 @@
-/** Router processes in front of one scripted upstream, which are stopped and started again. */
+/** Router processes in front of one scripted upstream, which are stopped and started again. It serves `reads` and `bulk`. */
 import { writeFileSync } from 'node:fs';
 import { BENCH_IDENTITY } from '../../src/dev/bench/proxy/bench-identity.js';
 import { ControlStandin } from '../../src/dev/bench/proxy/control-standin.js';
@@ -12,6 +12,7 @@
 const ADMIN_PORT = 8001;
 export const STOP_GRACE_MILLIS = 6000;
 const SLOTS = 2000;
+const SERVICES = ['reads', 'bulk'] as const;
 
 export interface StoppedRoutersOptions {
   readonly network: number;
@@ -93,8 +94,10 @@
     const { address } = await this.#upstream.start();
     return new ControlStandin({
       revision: 1,
-      services: [service('reads', { slotsPerUpstream: SLOTS, queueLimit: 5000, deadlineMillis: 20_000 })],
-      upstreams: [this.#upstreamAt(address)],
+      services: SERVICES.map((name) =>
+        service(name, { slotsPerUpstream: SLOTS, queueLimit: 5000, deadlineMillis: 20_000 }),
+      ),
+      upstreams: SERVICES.map((name) => this.#upstreamAt(address, name)),
       shards: [],
       routes: [],
       declaration: null,
@@ -103,12 +106,15 @@
     });
   }
 
-  #upstreamAt(address: string): UpstreamRecord {
+  #upstreamAt(address: string, name: string): UpstreamRecord {
+    const id = `${name}-1`;
     if (!this.#options.announces) {
-      return upstream('reads-1', 'reads', { address, slots: SLOTS } as never);
+      return upstream(id, name, { address, slots: SLOTS } as never);
     }
-    const announced = { slots: SLOTS, warmupMillis: 0 };
-    return { ...upstream('reads-1', 'reads', { address, announced }), incarnation: 'reads-1' };
+    return {
+      ...upstream(id, name, { address, announced: { slots: SLOTS, warmupMillis: 0 } }),
+      incarnation: id,
+    };
   }
 
   #write(number: number, control: string): void {
