Known red: reads that come in one piece in a stop, behind one that is refused at once, are ignored

What callers see: in a planned stop, a batch of requests that was sent in one piece on a connection without open requests gets one answer, 503 not run with `connection: close`, and nothing for the others; their connection stays until the caller closes it or the grace time ends. None of the others ran, and the answer says that it is the last, so a caller may send them again. Cause: an answer that the router makes at once is written while the parser is still in the bytes of that request; at this moment it is that of the last request that was read, so it closes the connection (`CallerConnection.onAnswerBegins`), and the others count as ignored. A mend would have to decide about the closing only after all that one read brought is parsed.

--- a/test/router/caller/late-in-stop.test.ts
+++ b/test/router/caller/late-in-stop.test.ts
@@ -84,6 +84,21 @@
     expect(caller.answers[2]?.head).to.match(STOPPING).and.match(CLOSES);
   });
 
+  // Guards against requests that a caller sends in one piece, and of which all but the first are ignored since it was refused at once.
+  it('are each refused as not run where they come together on an idle connection', async () => {
+    caller.disconnect();
+    await router.stop();
+    const timings = { idleMillis: STOP_GRACE_MILLIS, stopGraceMillis: STOP_GRACE_MILLIS };
+    router = await RouterFixture.start([upstream], { settings: { timings }, log });
+    caller = await RawCaller.connect(router.address);
+    stopped = router.stop();
+    await sleep(STOP_GRACE_MILLIS * 0.6);
+    caller.send(getHead('/reads/1') + getHead('/reads/2') + getHead('/reads/3'));
+    await until(() => caller.closed);
+    expect(caller.statuses).to.deep.equal([503, 503, 503]);
+    expect(caller.answers[2]?.head).to.match(STOPPING).and.match(CLOSES);
+  });
+
   // Guards against requests that were read behind one without an answer, and ended with the process.
   it('are refused as not run at the end behind one whose upstream is silent', async () => {
     caller.send(postHead('/orders/1', 'a') + postHead('/orders/2', 'b'));
