--- a/test/soak/process-soak.test.ts
+++ b/test/soak/process-soak.test.ts
@@ -214,10 +214,10 @@
       sabotages: Object.fromEntries(named),
     });
     const report = await soak.run();
-    soak.removeFolder();
     const seen = named.map(([router, { seen: seenIn }]) => seenIn(report).filter(isOf(router)));
-    const lost = report.violations.map(({ subject }) => subject);
-    const ofSound = [...lost, ...report.keptInStops].filter(isOf(`router-${named.length + 1}`));
+    const isOfSound = isOf(`router-${named.length + 1}`);
+    const lost = report.violations.filter(({ subject }) => isOfSound(subject)).map(({ detail }) => detail);
+    const ofSound = [...lost, ...report.keptInStops.filter(isOfSound)];
     if (process.env.SOAK_SEED !== undefined) {
       console.log(
         JSON.stringify({
@@ -229,9 +229,10 @@
       );
     }
     for (const [index, ids] of seen.entries()) {
-      expect(ids, STOP_SABOTAGES[index]?.load).to.not.be.empty;
+      expect(ids, `${STOP_SABOTAGES[index]?.load}, logs in ${report.folder}`).to.not.be.empty;
     }
-    expect(ofSound).to.deep.equal([]);
+    expect(ofSound, `logs in ${report.folder}`).to.deep.equal([]);
+    soak.removeFolder();
   }).timeout(LIMIT_MILLIS);
 
   for (const { module, disturbance, seen } of SABOTAGES) {
