Router: requests that come in one piece in a stop are all answered, also behind one that is refused at once

Cause: the router's own answer is written while the parser is still in the bytes of its request. At that moment it is that of the last request that was read, so it closed the connection, and what the parser then found was ignored.

Change: in a stop an answer is written in a microtask, which runs once the parser has gone through all that one read brought.

Why it works: whether an answer is the last is decided when the others are known, and microtasks don't run between the parser's calls.

--- a/src/router/caller/caller-exchange.ts
+++ b/src/router/caller/caller-exchange.ts
@@ -317,7 +317,12 @@
     this.answerBytes = answerBytes;
     this.connection.hold(answerBytes);
     this.writeWaiting = write;
-    this.writeAtFront();
+    if (this.connection.isStopping) {
+      // It may close the connection, so what else came with its request is parsed first.
+      queueMicrotask(() => this.writeAtFront());
+    } else {
+      this.writeAtFront();
+    }
     this.onAnswerWhole();
   }
 
