--- a/test/router/cuttable-proxy-worker.ts
+++ b/test/router/cuttable-proxy-worker.ts
@@ -12,7 +12,7 @@
   readonly blocked: SharedArrayBuffer;
 }
 
-export type ProxyOrder = 'block' | 'refuse' | 'reset' | 'listen';
+export type ProxyOrder = 'block' | 'refuse' | 'reset' | 'listen' | 'end';
 
 const BACKLOG = 1;
 const { host, targetPort, blocked } = workerData as ProxyWorkerData;
@@ -61,6 +61,13 @@
     }
   },
   listen,
+  end: () => {
+    server?.close();
+    for (const socket of sockets) {
+      socket.destroy();
+    }
+    parentPort?.close();
+  },
 };
 
 parentPort?.on('message', (order: ProxyOrder) => ORDERS[order]());
--- a/test/router/cuttable-proxy.ts
+++ b/test/router/cuttable-proxy.ts
@@ -1,4 +1,5 @@
 /** A proxy between one router and one upstream that can be cut in each of the ways in which networks fail. */
+import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Worker } from 'node:worker_threads';
@@ -12,6 +13,8 @@
 const MAX_FILLERS = 8;
 /** A worker that hasn't reported what it did after this time never will. */
 const REPORT_MILLIS = 20_000;
+/** A worker that hasn't ended by itself after this time is terminated, which may never end if its connections have work open. */
+const END_MILLIS = 5000;
 
 const ORDERS: Readonly<Record<ProxyCut, readonly ProxyOrder[]>> = {
   silent: ['block'],
@@ -79,6 +82,9 @@
     }
     Atomics.store(this.#flag, 0, 0);
     Atomics.notify(this.#flag, 0);
+    const ended = once(this.#worker, 'exit');
+    this.#worker.postMessage('end' satisfies ProxyOrder);
+    await Promise.race([ended, sleep(END_MILLIS, undefined, { ref: false })]);
     await this.#worker.terminate();
   }
 
