Router: a reset that a write of the request reports first is no end of the answer

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written; the part arrived as a complete answer.

Cause: the HTTP client takes an answer without a length for whole if its connection fails with the system's ECONNRESET. SocketConnection turns that error into one of its own where the socket reports it, but not where a pending write fails: the write's callback comes before the socket's `error`, and the stream was destroyed with the error as it was. Which of read, end and write reports a reset first depends on when the bytes and the reset arrive.

Change: errors of writes are turned into the connection's own like the socket's, at the one border where they come in.

Why it works: the client never sees the system's code on a direct connection, whoever reports it.

--- a/src/router/attempts/socket-connection.ts
+++ b/src/router/attempts/socket-connection.ts
@@ -44,19 +44,19 @@
   }
 
   override _write(chunk: Buffer, _encoding: BufferEncoding, done: WriteCallback): void {
-    this.#socket.write(chunk, done);
+    this.#socket.write(chunk, afterWrite(done));
   }
 
   override _writev(chunks: readonly { readonly chunk: Buffer }[], done: WriteCallback): void {
     this.#socket.cork();
     for (const [index, { chunk }] of chunks.entries()) {
-      this.#socket.write(chunk, index === chunks.length - 1 ? done : undefined);
+      this.#socket.write(chunk, index === chunks.length - 1 ? afterWrite(done) : undefined);
     }
     this.#socket.uncork();
   }
 
   override _final(done: WriteCallback): void {
-    this.#socket.end(done);
+    this.#socket.end(afterWrite(done));
   }
 
   override _destroy(error: Error | null, done: WriteCallback): void {
@@ -103,8 +103,7 @@
 
   #onError(error: NodeJS.ErrnoException): void {
     if (!this.#hasEnded) {
-      // The client takes an answer without a length for whole if its connection fails with the code of the system.
-      this.destroy(error.code === RESET ? new ConnectionResetError(error) : error);
+      this.destroy(connectionError(error));
     }
   }
 
@@ -114,3 +113,13 @@
     }
   }
 }
+
+/** Turns the error of a socket into one of a connection: the client takes an answer without a length for whole if it sees the system's code. */
+function connectionError(error: NodeJS.ErrnoException): Error {
+  return error.code === RESET ? new ConnectionResetError(error) : error;
+}
+
+/** A failed write reports its error before the socket does. */
+function afterWrite(done: WriteCallback): WriteCallback {
+  return (error) => done(error ? connectionError(error) : null);
+}
--- a/test/router/cut-heads.test.ts
+++ b/test/router/cut-heads.test.ts
@@ -2,10 +2,7 @@
 import { expect } from 'chai';
 import { DEFAULT_HEADER_NAMES } from '../../src/model/header-names.js';
 import type { RelayPeer } from '../../src/model/relay.js';
-import { createAnnouncedProtocol } from '../../src/router/attempts/announced-protocol.js';
-import { Attempt } from '../../src/router/attempts/attempt.js';
 import { UpstreamPools } from '../../src/router/attempts/upstream-pools.js';
-import { HeldBytes } from '../../src/router/caller/held-bytes.js';
 import { RelayDialer } from '../../src/router/relay/relay-dialer.js';
 import { RelayServer } from '../../src/router/relay/relay-server.js';
 import type { AttemptResult } from '../../src/routing/types.js';
@@ -13,13 +10,11 @@
 import { LogRecorder } from './log-recorder.js';
 import { RouterFixture } from './router-fixture.js';
 import { headFor, ScriptedUpstream } from './scripted-upstream.js';
+import { attemptOnce } from './single-attempt.js';
 
 const AT_A_TIME = 32;
-const STALL_MILLIS = 10_000;
-const LARGE_BYTES = 1024 * 1024;
 /** More than the buffers of a connection hold. */
 const UNREAD_BODY = Buffer.alloc(8 * 1024 * 1024);
-const PROTOCOL = createAnnouncedProtocol(DEFAULT_HEADER_NAMES);
 const ID = `${DEFAULT_HEADER_NAMES.requestId}: q-1`;
 /** Behind `HTTP/1.1 200 OK`, within the name and the value of a line, and before the last line feed. */
 const SECOND_ATTEMPT_CUTS = [15, 17, 30, 60, -1];
@@ -135,28 +130,8 @@
     sending: Sending,
     request: { readonly id: string; readonly target: string; readonly method: string },
   ): Promise<AttemptResult> {
-    const { id: requestId, target, method } = request;
-    return new Promise((resolve) => {
-      const attempt = new Attempt({
-        effect: { attempt: 1, instance: 'u1', deadlineMillis: 1000, wholeAnswerBytes: LARGE_BYTES } as never,
-        exchange: {
-          head: { requestId, target, method, key: null },
-          forwardedHeaders: () => [],
-          body: sending.body,
-        } as never,
-        attemptId: 'a-1',
-        protocol: PROTOCOL,
-        storedAnswerBytes: null,
-        held: new HeldBytes({ heldAnswerBytes: LARGE_BYTES, heldBytesPerConnection: LARGE_BYTES }),
-        stallMillis: STALL_MILLIS,
-        onConnected: () => {},
-        onForeignAnswer: () => {},
-        onHead: () => {},
-        onBodyReceived: null,
-        ended: (_attempt, result) => resolve(result),
-      });
-      attempt.start(pools.poolFor({ upstream: 'u1', address: upstream.address, via: sending.via }));
-    });
+    const client = pools.poolFor({ upstream: 'u1', address: upstream.address, via: sending.via });
+    return attemptOnce(client, { ...request, body: sending.body });
   }
 
   /** Plays all answers, and returns those that were taken for something else than they are. */
