Relays: a lost router that a write of the request reports first is no end of the answer

What callers saw could be the same as behind a direct connection: a router that carries an upload is lost (killed, reset) while the upload is still being written, an answer without a length has begun, and its part arrives as a complete answer.

Cause: RelayStream turns errors of its socket into RelayLostError, but handed the error of a failed write on as it was, and that comes first. With ECONNRESET the HTTP client takes the answer for whole; with EPIPE or ECONNABORTED the upstream was blamed for a reset that was the other router's.

Change: errors of writes are turned into RelayLostError too.

Evidence: the three new tests failed before (a stand-in socket forces the order: `answered` for ECONNRESET, `reset` in place of `relay-lost` for the others). A carrier that is lost in that moment wasn't played with real sockets.

--- a/src/router/relay/relay-stream.ts
+++ b/src/router/relay/relay-stream.ts
@@ -78,7 +78,10 @@
       this.#writeFrame(FRAME_KINDS.relayData, chunk.subarray(start, start + MAX_DATA_BYTES));
       start += MAX_DATA_BYTES;
     }
-    this.#writeFrame(FRAME_KINDS.relayData, chunk.subarray(start), done);
+    // A failed write reports its error before the socket does.
+    this.#writeFrame(FRAME_KINDS.relayData, chunk.subarray(start), (error) =>
+      done(error ? new RelayLostError(error) : null),
+    );
   }
 
   override _final(done: (error?: Error | null) => void): void {
--- a/test/router/blocked-socket.ts
+++ b/test/router/blocked-socket.ts
@@ -15,8 +15,8 @@
     return this.#pending !== null;
   }
 
-  receive(text: string): void {
-    this.push(Buffer.from(text, 'latin1'));
+  receive(bytes: Uint8Array): void {
+    this.push(bytes);
   }
 
   receiveEnd(): void {
--- a/test/router/early-answers.test.ts
+++ b/test/router/early-answers.test.ts
@@ -4,9 +4,12 @@
 import { DEFAULT_HEADER_NAMES } from '../../src/model/header-names.js';
 import { ResettableClient } from '../../src/router/attempts/resettable-client.js';
 import { SocketConnection } from '../../src/router/attempts/socket-connection.js';
+import type { UpstreamConnection } from '../../src/router/attempts/upstream-connection.js';
 import { UpstreamPools } from '../../src/router/attempts/upstream-pools.js';
 import { RelayDialer } from '../../src/router/relay/relay-dialer.js';
+import { RelayStream } from '../../src/router/relay/relay-stream.js';
 import type { AttemptResult } from '../../src/routing/types.js';
+import { DEFAULT_MAX_FRAME_BYTES, encodeFrame, FRAME_KINDS, FrameDecoder } from '../../src/wire/index.js';
 import { BlockedSocket } from './blocked-socket.js';
 import { type EarlyAnswer, EarlyUpstream } from './early-upstream.js';
 import { until } from './router-fixture.js';
@@ -30,9 +33,33 @@
   'part of the sheet',
 ].join('\r\n');
 
+/** A kind of connection to an upstream, over a socket. */
+interface Path {
+  readonly connect: (socket: BlockedSocket) => UpstreamConnection;
+  /** Frames the bytes of an upstream as the socket gets them. */
+  readonly frame: (text: string) => Uint8Array;
+}
+
+const DIRECT: Path = {
+  connect: (socket) => new SocketConnection(socket as never),
+  frame: (text) => Buffer.from(text, 'latin1'),
+};
+
+const RELAYED: Path = {
+  connect: (socket) => new RelayStream(socket as never, new FrameDecoder(DEFAULT_MAX_FRAME_BYTES)),
+  frame: (text) => {
+    const data = { kind: FRAME_KINDS.relayData, correlation: 0, payload: Buffer.from(text, 'latin1') };
+    return encodeFrame(data, DEFAULT_MAX_FRAME_BYTES);
+  },
+};
+
 /** Sends an upload whose bytes the socket doesn't take, and ends its connection behind an answer without a length. */
-async function answerEarly(socket: BlockedSocket, end: () => unknown): Promise<AttemptResult> {
-  const connection = new SocketConnection(socket as never);
+async function answerEarly(
+  path: Path,
+  end: (socket: BlockedSocket, connection: UpstreamConnection) => unknown,
+): Promise<AttemptResult> {
+  const socket = new BlockedSocket();
+  const connection = path.connect(socket);
   const client = new ResettableClient(
     ORIGIN,
     { connect: (_target, callback) => callback(null, connection as never) },
@@ -48,10 +75,10 @@
     },
   });
   await until(() => socket.isBlocked);
-  socket.receive(PART);
+  socket.receive(path.frame(PART));
   await until(() => hasHead);
   await nextTurn();
-  end();
+  end(socket, connection);
   const ended = await result;
   await client.destroy();
   return ended;
@@ -61,10 +88,15 @@
   for (const code of ['ECONNRESET', 'EPIPE', 'ECONNABORTED']) {
     // Guards against parts of answers that look whole: a write may report the end of its connection before the socket does.
     it(`is broken if a write fails with ${code} before the socket reports an end`, async () => {
-      const socket = new BlockedSocket();
-      const result = await answerEarly(socket, () => socket.failWrite(code));
+      const result = await answerEarly(DIRECT, (socket) => socket.failWrite(code));
       expect(result).to.deep.equal({ type: 'broken', how: 'reset' });
     });
+
+    // Guards against parts of answers that look whole: the end of the other router isn't that of the answer, whoever reports it.
+    it(`is broken if a write to the router that carries it fails with ${code} before the socket reports an end`, async () => {
+      const result = await answerEarly(RELAYED, (socket) => socket.failWrite(code));
+      expect(result).to.deep.equal({ type: 'broken', how: 'relay-lost' });
+    });
   }
 });
 
