Router: an answer without a length is whole only if the end of its connection was seen

Change: an attempt whose answer ends with its connection counts as complete only if the connection's bytes were read to their end, which a connection passes on only where it was a FIN (direct: asked of the system; over a relay: said by the other router). Everything else is a break, as a reset is.

--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -12,7 +12,7 @@
 import { isPersonal } from '../caller/request-variant.js';
 import { type AnswerHead, bodyLength, NO_CONTENT, namesAbsentBody } from './answer-head.js';
 import { AnswerStream } from './answer-stream.js';
-import { AttemptAbortedError, type AttemptFailure } from './attempt-error.js';
+import { AttemptAbortedError, type AttemptFailure, ConnectionResetError } from './attempt-error.js';
 import { classifyBreak } from './classify-break.js';
 import { connectFailure } from './connect-failure.js';
 import type { ClientUser, ConnectionUse, ResettableClient } from './resettable-client.js';
@@ -59,6 +59,8 @@
 export class Attempt implements Dispatcher.DispatchHandlers, ClientUser {
   private phase: Phase = 'waiting';
   private head: AnswerHead | null = null;
+  /** Whether the end of the connection is the end of the answer. */
+  private endsWithConnection = false;
   /** What was read and isn't delivered or streamed yet. */
   private readonly pieces = new JoinedPieces();
   /** Bytes of `pieces` before the stream starts. */
@@ -199,6 +201,7 @@
       this.abort('no-length');
       return false;
     }
+    this.endsWithConnection = length === undefined;
     const contentLength = typeof length === 'number' ? length : null;
     this.head = { status, headers, contentLength };
     if (protocol.refusalOf(this.head)?.refusal !== 'other-incarnation') {
@@ -234,6 +237,11 @@
   }
 
   onComplete(): void {
+    if (this.endsWithConnection && this.client?.hasSeenEnd !== true) {
+      // The client takes some lost connections for the end of the answer.
+      this.onError(new ConnectionResetError());
+      return;
+    }
     this.streamPieces();
     this.endReading();
     this.options.onBodyReceived?.(this.receivedBytes, performance.now() - this.headReceivedAt);
--- a/src/router/attempts/resettable-client.ts
+++ b/src/router/attempts/resettable-client.ts
@@ -97,6 +97,11 @@
     return { connection: this.#connection, earlierRequests };
   }
 
+  /** Whether the upstream was seen to end the connection, behind bytes that were all read. */
+  get hasSeenEnd(): boolean {
+    return this.#stream?.readableEnded ?? false;
+  }
+
   /** Reads nothing more from the connection until `releaseReading`. */
   holdReading(): void {
     this.#stream?.hold();
--- a/test/router/early-answers.test.ts
+++ b/test/router/early-answers.test.ts
@@ -100,6 +100,28 @@
   }
 });
 
+/** Ways in which a connection may be gone without the end of its upstream's bytes. */
+const LOSSES: Readonly<Record<string, (connection: UpstreamConnection) => unknown>> = {
+  'without an error': (connection) => connection.destroy(),
+  'by a reset': (connection) => connection.resetAndDestroy(),
+  'with an error of the system': (connection) =>
+    connection.destroy(Object.assign(new Error('read ECONNRESET'), { code: 'ECONNRESET' })),
+  'with a time limit of the system': (connection) =>
+    connection.destroy(Object.assign(new Error('read ETIMEDOUT'), { code: 'ETIMEDOUT' })),
+};
+
+describe('an answer without a length whose connection is gone', () => {
+  for (const [name, path] of Object.entries({ direct: DIRECT, relayed: RELAYED })) {
+    for (const [how, lose] of Object.entries(LOSSES)) {
+      // Guards against parts of answers that look whole: only the end that was seen proves that nothing is missing.
+      it(`is broken, however the client learns of it (${name}, ${how})`, async () => {
+        const { type } = await answerEarly(path, (_socket, connection) => lose(connection));
+        expect(type).to.equal('broken');
+      });
+    }
+  }
+});
+
 describe('uploads to an upstream that answers without a length before it has read them', function suite() {
   this.timeout(60_000 + UPLOADS * 10);
   let upstream: EarlyUpstream;
