Router: an answer without a length that a FIN ends is whole, also while its request is still being written

What callers saw: an upstream answers a long upload without a length, ends with a FIN and doesn't read the rest; the answer, whole, became a 502.

Cause: the end of such a connection is checked by a write behind it. While bytes of the request wait, that write tells nothing in time, so the answer counted as broken. Only uploads beyond what the buffers of the system hold were hit.

Change: the write that waits is asked in place of a new one. A reset that has come fails it (ECONNRESET) in the turn of the loop that found the end, since the system's poll reports the error for as long as the write is pending; a FIN lets it wait, and a reset behind a FIN fails it with EPIPE. If it is still pending two turns later, the end was a FIN.

--- a/src/router/attempts/socket-connection.ts
+++ b/src/router/attempts/socket-connection.ts
@@ -1,7 +1,8 @@
 /**
  * A direct connection to an upstream. An answer without a length ends with its connection and is whole only if that ended with a FIN. The system
  * may report the reset of a connection as an ordinary end, if its last bytes and the reset are found together; a write after the end tells them
- * apart, since its error names a reset that wasn't reported yet.
+ * apart, since its error names a reset that wasn't reported yet. So does one that waits while the end comes: an upstream may answer and end
+ * before it has read its request.
  */
 import type { Socket } from 'node:net';
 import { ConnectionResetError } from './attempt-error.js';
@@ -44,19 +45,20 @@
   }
 
   override _write(chunk: Buffer, _encoding: BufferEncoding, done: WriteCallback): void {
-    this.#socket.write(chunk, afterWrite(done));
+    this.#socket.write(chunk, (error) => this.#onWritten(error, done));
   }
 
   override _writev(chunks: readonly { readonly chunk: Buffer }[], done: WriteCallback): void {
     this.#socket.cork();
     for (const [index, { chunk }] of chunks.entries()) {
-      this.#socket.write(chunk, index === chunks.length - 1 ? afterWrite(done) : undefined);
+      const isLast = index === chunks.length - 1;
+      this.#socket.write(chunk, isLast ? (error) => this.#onWritten(error, done) : undefined);
     }
     this.#socket.uncork();
   }
 
   override _final(done: WriteCallback): void {
-    this.#socket.end(afterWrite(done));
+    this.#socket.end((error?: Error | null) => this.#onWritten(error, done));
   }
 
   override _destroy(error: Error | null, done: WriteCallback): void {
@@ -72,7 +74,6 @@
     this.#socket.resume();
   }
 
-  /** While bytes of a request wait to be written, a write tells nothing in time; an answer that ends here doesn't count as whole then. */
   #onEnd(): void {
     if (this.destroyed) {
       return;
@@ -84,12 +85,29 @@
       return;
     }
     if (this.#socket.writableLength > 0) {
-      this.destroy(new ConnectionResetError());
+      this.#awaitPendingWrite();
       return;
     }
     this.#socket.write(NOTHING, (error) => this.#onEndTold(error));
   }
 
+  /** A reset that has come fails the pending write in the turn of the loop that found the end, or in the next one. A FIN lets it wait. */
+  #awaitPendingWrite(): void {
+    setImmediate(() => setImmediate(() => this.#onEndTold(null)));
+  }
+
+  /** A failed write reports its error before the socket does. */
+  #onWritten(error: NodeJS.ErrnoException | null | undefined, done: WriteCallback): void {
+    if (!error) {
+      done();
+    } else if (this.#hasEnded) {
+      // The write stays pending: with its error the connection would fail in place of ending.
+      this.#onEndTold(error);
+    } else {
+      done(connectionError(error));
+    }
+  }
+
   #onEndTold(error: NodeJS.ErrnoException | null | undefined): void {
     if (this.destroyed) {
       return;
@@ -118,8 +136,3 @@
 function connectionError(error: NodeJS.ErrnoException): Error {
   return error.code === RESET ? new ConnectionResetError(error) : error;
 }
-
-/** A failed write reports its error before the socket does. */
-function afterWrite(done: WriteCallback): WriteCallback {
-  return (error) => done(error ? connectionError(error) : null);
-}
--- a/test/router/early-answers.test.ts
+++ b/test/router/early-answers.test.ts
@@ -160,6 +160,12 @@
         const answer: EarlyAnswer = { ending: 'reset', bodyBytes: 60, holdMillis, reads };
         expect(await countResults(answer)).to.deep.equal({ 'broken: reset': UPLOADS });
       });
+
+      // Guards against whole answers that are lost: an upstream may answer and end before it has read its request.
+      it(`are answered if a FIN ends the answer (${reads ? 'reading' : 'not reading'}, after ${holdMillis} ms)`, async () => {
+        const answer: EarlyAnswer = { ending: 'FIN', bodyBytes: 60, holdMillis, reads };
+        expect(await countResults(answer)).to.deep.equal({ answered: UPLOADS });
+      });
     }
   }
 });
