Router: an answer with a line in its head that is no field is broken

What callers saw: an upstream in trouble sent a head in which a line began with a blank or a tab; the HTTP client's parser joined it to the field in front of it, and the caller got a 200 whose `Response-Seal` read `SEAL X-Bad: v`. A name with a blank, a name with a blank in front of its colon and an empty name were parsed too: the caller got a 502, but only because such a field can't be written; the attempt counted as answered, so that a read had no second attempt though another upstream would have answered.

Cause: the client's parser takes blanks within names, empty names and folded lines (RFC 9112, 5 and 5.2); nothing else looked at the lines of a head. Names with control bytes, DEL, bytes over 127 and other signs were refused by the parser, as were statuses under 100: handled before, tests kept.

Change: the bytes of a head are checked before the parser gets them: each line begins with a name and a colon. One that doesn't makes the answer a wrong one (502, or another attempt). RFC 9112, 5.2 lets a gateway discard a fold or replace it by blanks; replaced, a field that is to be passed on unchanged isn't.

--- a/src/router/attempts/attempt-error.ts
+++ b/src/router/attempts/attempt-error.ts
@@ -11,6 +11,7 @@
   | 'sent-twice'
   | 'no-reader'
   | 'head-too-large'
+  | 'malformed-head'
   | 'endless'
   | 'stalled';
 
--- a/src/router/attempts/classify-break.ts
+++ b/src/router/attempts/classify-break.ts
@@ -22,6 +22,7 @@
   'sent-twice': CONNECTION_BREAKS.wrongAnswer,
   'no-reader': CONNECTION_BREAKS.stalled,
   'head-too-large': CONNECTION_BREAKS.wrongAnswer,
+  'malformed-head': CONNECTION_BREAKS.wrongAnswer,
   endless: CONNECTION_BREAKS.wrongAnswer,
   stalled: CONNECTION_BREAKS.stalled,
 };
--- a/src/router/attempts/upstream-connection.ts
+++ b/src/router/attempts/upstream-connection.ts
@@ -5,6 +5,7 @@
 import { Duplex } from 'node:stream';
 import { toError } from '../../errors/ternmount-error.js';
 import { AttemptAbortedError } from './attempt-error.js';
+import { HeadFormat } from './head-format.js';
 import { InterimFilter } from './interim-filter.js';
 
 /** Bytes that are read before the client has taken them. */
@@ -14,6 +15,7 @@
   /** Called with an error that a listener of the client has thrown; without a handler it is thrown on. */
   onListenerError: ((error: Error) => void) | null = null;
   readonly #interim = new InterimFilter();
+  readonly #headFormat = new HeadFormat();
   #isHeld = false;
   #bytesRead = 0;
 
@@ -36,6 +38,7 @@
   /** The next bytes are those of an answer, maybe behind interim ones. */
   expectAnswer(): void {
     this.#interim.expectAnswer();
+    this.#headFormat.expectHead();
   }
 
   /** Reads nothing more until `release`. What was read before is still passed on. */
@@ -78,6 +81,8 @@
     const passed = this.#interim.pass(bytes);
     if (this.#interim.isExceeded) {
       this.destroy(new AttemptAbortedError('head-too-large'));
+    } else if (!this.#headFormat.read(passed)) {
+      this.destroy(new AttemptAbortedError('malformed-head'));
     } else if (passed.length > 0 && !this.push(passed)) {
       this.pauseSource();
     }
