Router: an answer whose status isn't one of three digits from 100 to 599 is broken

What callers saw: statuses 600 to 999 as they were, and `0200` as 200. Statuses under 100 and of one or two digits were 502 before, by an assertion of the HTTP client; the tests of those were kept with the commit before.

Cause: nothing but the client's parser looked at the status, and it takes any number up to 999.

Change: the status is checked where the lines of the head are. Weighed: RFC 9110, 15 has statuses from 100 to 599, and lets a client take others for a server's error; passed on, an order's caller would get something that its library may not even take, and a read would have no second attempt. As a broken answer it is a 502, or another upstream's answer.

Evidence, with the sources of the commit before: the tables of statuses fail (600, 666, 700, 999 and 0200 answered), a caller got 600, and a read got 600 where another upstream answers. Now 502, and the other's answer.

--- a/src/router/attempts/head-format.ts
+++ b/src/router/attempts/head-format.ts
@@ -1,34 +1,46 @@
 /**
- * Checks the head of an answer, byte by byte as it comes: each line behind the first begins with a name and a colon (RFC 9112, 5). The HTTP client's parser takes blanks within names, and joins a line that begins with one to
+ * Checks the head of an answer, byte by byte as it comes: its status has three digits within the range of HTTP (RFC 9110, 15), and each line behind
+ * the first begins with a name and a colon (RFC 9112, 5). The HTTP client's parser takes blanks within names, and joins a line that begins with one to
  * the field in front of it, so that a caller would get a field that the upstream didn't send.
  */
 
+const TAB = 0x09;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const SPACE = 0x20;
 const COLON = 0x3a;
 
+/** Place of the status behind `HTTP/1.1 `. */
+const STATUS_START = 9;
+const STATUS_END = STATUS_START + 3;
+/** Bytes that may stand at each place of a status. */
+const STATUS_DIGITS = ['12345', '0123456789', '0123456789'].map((digits) => tableOf(digits));
+const STATUS_ENDS: ReadonlySet<number> = new Set([SPACE, TAB, CARRIAGE_RETURN, LINE_FEED]);
 /** Bytes of a name (RFC 9110, 5.6.2). */
 const NAME_BYTES = tableOf("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz");
 
 const PLACES = {
   /** No head is expected, or it is over. */
   outside: 0,
-  lineStart: 1,
+  statusLine: 1,
+  lineStart: 2,
   /** Behind the carriage return of an empty line, which ends the head. */
-  emptyLine: 2,
-  name: 3,
-  value: 4,
-  malformed: 5,
+  emptyLine: 3,
+  name: 4,
+  value: 5,
+  malformed: 6,
 } as const;
 type Place = (typeof PLACES)[keyof typeof PLACES];
 
 export class HeadFormat {
   #place: Place = PLACES.outside;
+  /** Number of bytes of the status line that were read. */
+  #statusLineBytes = 0;
 
   /** The next bytes are those of a head. */
   expectHead(): void {
-    // The status line is read like a value.
-    this.#place = PLACES.value;
+    this.#place = PLACES.statusLine;
+    this.#statusLineBytes = 0;
   }
 
   /** Reads the next bytes of the connection; returns whether the head is well-formed so far. */
@@ -49,6 +61,8 @@
 
   #next(byte: number): Place {
     switch (this.#place) {
+      case PLACES.statusLine:
+        return this.#inStatusLine(byte);
       case PLACES.lineStart:
         return atLineStart(byte);
       case PLACES.emptyLine:
@@ -59,6 +73,22 @@
         return byte === LINE_FEED ? PLACES.lineStart : PLACES.value;
     }
   }
+
+  #inStatusLine(byte: number): Place {
+    const at = this.#statusLineBytes;
+    this.#statusLineBytes += 1;
+    if (at < STATUS_START) {
+      return PLACES.statusLine;
+    }
+    if (at < STATUS_END) {
+      return STATUS_DIGITS[at - STATUS_START]?.[byte] === 1 ? PLACES.statusLine : PLACES.malformed;
+    }
+    if (!STATUS_ENDS.has(byte)) {
+      return PLACES.malformed;
+    }
+    // What stands behind the status is read like a value.
+    return byte === LINE_FEED ? PLACES.lineStart : PLACES.value;
+  }
 }
 
 function atLineStart(byte: number): Place {
--- a/test/router/broken-heads.test.ts
+++ b/test/router/broken-heads.test.ts
@@ -23,11 +23,15 @@
   '001',
   '010',
   '099',
+  '600',
+  '666',
+  '700',
+  '999',
   '00',
   '0',
   '20',
   '2000',
-
+  '0200',
   '-200',
   '+200',
   '2 0',
@@ -185,8 +189,8 @@
   for (const path of ['direct', 'relayed']) {
     const via = (): RelayPeer | null => (path === 'direct' ? null : peer);
 
-    // Guards against answers that are passed on with a status that is none.
-    it(`is broken if its status isn't three digits from 100 on (${path})`, async () => {
+    // Guards against answers that are passed on with a status that HTTP doesn't have.
+    it(`is broken if its status isn't one of three digits from 100 to 599 (${path})`, async () => {
       expect(await misjudged(STATUS_PLAYS, via())).to.deep.equal([]);
     });
 
@@ -218,6 +222,7 @@
 describe('the caller of an upstream that answers with a broken head', () => {
   const BROKEN: Readonly<Record<string, readonly string[]>> = {
     'a status that is none': ['HTTP/1.1 000 Odd'],
+    'a status over 599': ['HTTP/1.1 600 Odd'],
     'a name with a blank': ['HTTP/1.1 200 OK', 'x bad: v'],
     'a name with a control byte': ['HTTP/1.1 200 OK', 'x\x01bad: v'],
     'a folded line': ['HTTP/1.1 200 OK', SEAL, ' x-bad: v'],
--- a/test/router/head-format.test.ts
+++ b/test/router/head-format.test.ts
@@ -8,9 +8,18 @@
   'HTTP/1.0 404\r\nX-EMPTY:\r\n\r\n',
   "HTTP/1.1 200 a b\tc\r\n!#$%&'*+-.^_`|~0aZ: any : thing\r\n\r\n",
   'HTTP/1.1 200 OK\nx: y\n\n z',
+  'HTTP/1.1 100\r\n\r\n',
+  'HTTP/1.1 599 Odd\r\n\r\n',
 ];
 
 const MALFORMED = [
+  'HTTP/1.1 000 Odd\r\n\r\n',
+  'HTTP/1.1 099 Odd\r\n\r\n',
+  'HTTP/1.1 600 Odd\r\n\r\n',
+  'HTTP/1.1 0200 Odd\r\n\r\n',
+  'HTTP/1.1 2000 Odd\r\n\r\n',
+  'HTTP/1.1 20 Odd\r\n\r\n',
+  'HTTP/1.1 200Odd\r\n\r\n',
   'HTTP/1.1 200 OK\r\nx: y\r\n z\r\n\r\n',
   'HTTP/1.1 200 OK\r\nx: y\r\n\tz\r\n\r\n',
   'HTTP/1.1 200 OK\r\n x: y\r\n\r\n',
