Router: a request isn't sent behind an upload that its upstream hasn't read

What callers saw: an upstream answers a long upload before it has read it, with a length, and keeps the connection; the next request over that connection waits behind the rest of the upload, and gets 504 at its deadline if the upstream never reads on.

Cause: the HTTP client counts a connection as idle once its answer is complete, though bytes of the request still wait to be written.

Change: such a connection is closed when the next request comes, as those are whose upstream said that it closes.

What the system's own buffers hold isn't seen: a request behind an upload of 1 MB that nobody reads still waits, and so over a relay (docs/FINDINGS.md).

--- a/src/router/attempts/resettable-client.ts
+++ b/src/router/attempts/resettable-client.ts
@@ -75,8 +75,7 @@
 
   override dispatch(options: Dispatcher.DispatchOptions, handler: ClientHandler): boolean {
     const { sharedId = null } = handler;
-    const mayReuse = sharedId === null || this.#sentIds.mayCarry(sharedId);
-    if (!mayReuse || this.#stream?.closesAfterExchange === true) {
+    if (!this.#mayReuseFor(sharedId)) {
       // The client is idle when it is given a request, and connects again for it.
       this.#stream?.destroy();
     }
@@ -85,6 +84,13 @@
     return super.dispatch(options, handler);
   }
 
+  /** Whether the connection may carry a request; one whose upstream hasn't read the request before would have it wait for that. */
+  #mayReuseFor(sharedId: string | null): boolean {
+    const mayCarryId = sharedId === null || this.#sentIds.mayCarry(sharedId);
+    const { closesAfterExchange = false, writableLength = 0 } = this.#stream ?? {};
+    return mayCarryId && !closesAfterExchange && writableLength === 0;
+  }
+
   /** Called when a request is written to the connection. */
   recordRequest(sharedId: string | null): ConnectionUse {
     if (sharedId !== null) {
--- a/test/router/early-answers.test.ts
+++ b/test/router/early-answers.test.ts
@@ -170,6 +170,22 @@
   }
 });
 
+describe('a request behind an upload that was answered before its upstream has read it', () => {
+  // Guards against requests that wait for the rest of another one to be read.
+  it('has a connection of its own', async () => {
+    const upstream = await EarlyUpstream.start();
+    const pools = createPools();
+    const client = pools.poolFor({ upstream: 'u1', address: upstream.address, via: null });
+    const target = EarlyUpstream.targetOf({ ending: 'none', bodyBytes: 60, holdMillis: 0, reads: false });
+    for (const id of ['q-1', 'q-2', 'q-3']) {
+      const result = await attemptOnce(client, { id, target, method: 'POST', body: LARGE_UPLOAD });
+      expect(result).to.include({ type: 'answered', status: 200 });
+    }
+    await pools.stop();
+    await upstream.stop();
+  });
+});
+
 function createPools(): UpstreamPools {
   const greeting = { type: 'greeting', cluster: 'c', kind: 'router', name: 'r1', zone: 'a' } as const;
   return new UpstreamPools({
--- a/test/router/early-upstream-worker.ts
+++ b/test/router/early-upstream-worker.ts
@@ -1,6 +1,5 @@
 /**
- * The worker of an upstream that answers an upload as soon as it has its head, without a length, and ends its connection while the rest is still
- * coming. A thread of its own, so that the two ends of a connection act at the same time.
+ * The worker of an upstream that answers an upload as soon as it has its head, and may end its connection while the rest is still coming. A thread of its own, so that the two ends of a connection act at the same time.
  */
 import { type AddressInfo, createServer, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -18,6 +17,7 @@
     socket.end();
     setTimeout(() => socket.destroy(), UNREAD_MILLIS);
   },
+  none: () => {},
 };
 
 async function answer(socket: Socket, head: string): Promise<void> {
@@ -29,7 +29,8 @@
     socket.pause();
   }
   const id = new RegExp(`^${DEFAULT_HEADER_NAMES.requestId}: (.*)$`, 'im').exec(head)?.[1];
-  const lines = ['HTTP/1.1 200 OK', `${DEFAULT_HEADER_NAMES.requestId}: ${id}`, '', ''];
+  const framing = ending === 'none' ? [`content-length: ${bodyBytes}`] : [];
+  const lines = ['HTTP/1.1 200 OK', `${DEFAULT_HEADER_NAMES.requestId}: ${id}`, ...framing, '', ''];
   socket.write(lines.join('\r\n') + 'x'.repeat(bodyBytes));
   if (holdMillis >= 0) {
     await sleep(holdMillis);
@@ -37,10 +38,13 @@
   END[ending](socket);
 }
 
+const sockets = new Set<Socket>();
 const server = createServer({ allowHalfOpen: true, noDelay: true }, (socket) => {
   let received = '';
   let isAnswered = false;
+  sockets.add(socket);
   socket.on('error', () => {});
+  socket.on('close', () => sockets.delete(socket));
   socket.on('data', (chunk: Buffer) => {
     if (isAnswered) {
       return;
@@ -56,5 +60,8 @@
 server.listen(0, '127.0.0.1', () => parentPort?.postMessage((server.address() as AddressInfo).port));
 parentPort?.once('message', () => {
   server.close();
+  for (const socket of sockets) {
+    socket.destroy();
+  }
   parentPort?.close();
 });
--- a/test/router/early-upstream.ts
+++ b/test/router/early-upstream.ts
@@ -1,9 +1,10 @@
-/** An upstream that answers uploads early, without a length, and ends their connections while they are still being written. */
+/** An upstream that answers uploads early, and may end their connections while they are still being written. */
 import { once } from 'node:events';
 import { Worker } from 'node:worker_threads';
 
 export interface EarlyAnswer {
-  readonly ending: 'reset' | 'FIN';
+  /** With `none` the answer has a length, and the connection stays open. */
+  readonly ending: 'reset' | 'FIN' | 'none';
   readonly bodyBytes: number;
   /** Time from the answer to the end of the connection; below 0: none. */
   readonly holdMillis: number;
