--- a/src/router/attempts/head-format.ts
+++ b/src/router/attempts/head-format.ts
@@ -74,8 +74,12 @@
     }
   }
 
+  /** Empty lines may stand in front of the status line. */
   #inStatusLine(byte: number): Place {
     const at = this.#statusLineBytes;
+    if (at === 0 && (byte === CARRIAGE_RETURN || byte === LINE_FEED)) {
+      return PLACES.statusLine;
+    }
     this.#statusLineBytes += 1;
     if (at < STATUS_START) {
       return PLACES.statusLine;
--- a/test/router/announced-answers.test.ts
+++ b/test/router/announced-answers.test.ts
@@ -40,6 +40,16 @@
     orders: 500,
     orderArrivals: 1,
   },
+  {
+    name: 'a whole answer behind an empty line',
+    script: (request) => {
+      request.socket.write('\r\n');
+      writeAnswer(request);
+    },
+    reads: 200,
+    orders: 200,
+    orderArrivals: 1,
+  },
   {
     name: 'no length, then a close',
     script: (request) => request.socket.end(answerHead(request, '200 OK') + ANSWER_BODY),
--- a/test/router/head-format.test.ts
+++ b/test/router/head-format.test.ts
@@ -9,10 +9,12 @@
   "HTTP/1.1 200 a b\tc\r\n!#$%&'*+-.^_`|~0aZ: any : thing\r\n\r\n",
   'HTTP/1.1 200 OK\nx: y\n\n z',
   'HTTP/1.1 100\r\n\r\n',
+  '\r\n\r\nHTTP/1.1 200 OK\r\nx: y\r\n\r\n',
   'HTTP/1.1 599 Odd\r\n\r\n',
 ];
 
 const MALFORMED = [
+  '\r\nHTTP/1.1 000 Odd\r\n\r\n',
   'HTTP/1.1 000 Odd\r\n\r\n',
   'HTTP/1.1 099 Odd\r\n\r\n',
   'HTTP/1.1 600 Odd\r\n\r\n',
