Tests: what a test listens at later is at a host that no outgoing connection has ports of

The hook of `bytes without end over another router` failed with "ListenError: 127.0.0.1:42539 is in use by another process", after the router had waited its 12 s for the address.

Cause: such tests chose a port of 127.0.0.1 by listening there, let go of it, and started a router at it some moments later. The ports that the system hands out there are those of all outgoing connections of the machine, so any of the four test processes could have it by then and hold it. The same holds for proxies that refuse connections for a while and for upstreams that are started again at their address.

Change: these listen at an address of their process alone (127.141.x.y). Connections within the machine come from 127.0.0.1 (checked: a connection to 127.141.3.4 has 127.0.0.1 as its own address), so none takes a port there.

--- a/test/dev/standins/link-standin.test.ts
+++ b/test/dev/standins/link-standin.test.ts
@@ -4,6 +4,7 @@
 import { expect } from 'chai';
 import type { LinkRule } from '../../../src/dev/standins/link/link-settings.js';
 import { LinkStandin } from '../../../src/dev/standins/link/link-standin.js';
+import { OWN_HOST } from '../../router/free-address.js';
 
 const SOURCE = '127.0.0.1';
 const zones = { near: [SOURCE], far: [] };
@@ -29,10 +30,10 @@
         socket.write(bytes);
       });
     });
-    echo.listen(0, '127.0.0.1');
+    echo.listen(0, OWN_HOST);
     await once(echo, 'listening');
     const { port } = echo.address() as AddressInfo;
-    const route = { listen: '127.0.0.1:0', target: `127.0.0.1:${port}`, targetZone: 'far' };
+    const route = { listen: '127.0.0.1:0', target: `${OWN_HOST}:${port}`, targetZone: 'far' };
     link = new LinkStandin({ control: '127.0.0.1:0', seed: 1, zones, routes: [route], delayMillis: 1 });
     await link.start();
   });
@@ -123,7 +124,7 @@
     while ((await dialResult()) !== 'ECONNREFUSED') {
       await delay(5);
     }
-    echo.listen(port, '127.0.0.1');
+    echo.listen(port, OWN_HOST);
     while ((await dialResult()) !== 'connect') {
       await delay(5);
     }
--- a/test/router/cuttable-proxy-worker.ts
+++ b/test/router/cuttable-proxy-worker.ts
@@ -7,6 +7,7 @@
 
 export interface ProxyWorkerData {
   readonly host: string;
+  readonly targetHost: string;
   readonly targetPort: number;
   /** One integer: 1 while the thread is blocked. */
   readonly blocked: SharedArrayBuffer;
@@ -15,14 +16,14 @@
 export type ProxyOrder = 'block' | 'refuse' | 'reset' | 'listen' | 'end';
 
 const BACKLOG = 1;
-const { host, targetPort, blocked } = workerData as ProxyWorkerData;
+const { host, targetHost, targetPort, blocked } = workerData as ProxyWorkerData;
 const flag = new Int32Array(blocked);
 const sockets = new Set<Socket>();
 let server: Server | null = null;
 let port = 0;
 
 function accept(socket: Socket): void {
-  const upstream = connect({ host: '127.0.0.1', port: targetPort });
+  const upstream = connect({ host: targetHost, port: targetPort });
   for (const end of [socket, upstream]) {
     sockets.add(end);
     end.on('error', () => {});
--- a/test/router/cuttable-proxy.ts
+++ b/test/router/cuttable-proxy.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Worker } from 'node:worker_threads';
 import type { ProxyOrder, ProxyWorkerData } from './cuttable-proxy-worker.js';
+import { OWN_HOST } from './free-address.js';
 
 /** `silent`: nothing passes. `reset`: open connections are reset, then nothing passes. `refused`: open ones are reset, new ones refused. `living`: open ones go on, new ones are refused. */
 export type ProxyCut = 'silent' | 'reset' | 'refused' | 'living';
@@ -38,9 +39,10 @@
     this.#port = port;
   }
 
-  static async start(targetAddress: string, host = '127.0.0.1'): Promise<CuttableProxy> {
+  static async start(targetAddress: string, host = OWN_HOST): Promise<CuttableProxy> {
     const blocked = new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT);
-    const workerData: ProxyWorkerData = { host, targetPort: Number(targetAddress.split(':')[1]), blocked };
+    const [targetHost, targetPort] = targetAddress.split(':') as [string, string];
+    const workerData: ProxyWorkerData = { host, targetHost, targetPort: Number(targetPort), blocked };
     const worker = new Worker(new URL('./cuttable-proxy-worker.js', import.meta.url), { workerData });
     const port = await reported(worker, 'listening');
     return new CuttableProxy(worker, new Int32Array(blocked), host, port);
--- a/test/router/scripted-upstream.ts
+++ b/test/router/scripted-upstream.ts
@@ -1,6 +1,7 @@
 /** An upstream for which a test writes every byte itself. */
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
 import { HEADERS } from '../../src/model/outcome.js';
+import { OWN_HOST } from './free-address.js';
 
 /** One request as received, with its body if it has a `content-length`. */
 export interface ScriptedRequest {
@@ -35,7 +36,7 @@
   }
 
   async start(port = 0): Promise<this> {
-    await new Promise<void>((resolve) => this.server.listen(port, '127.0.0.1', resolve));
+    await new Promise<void>((resolve) => this.server.listen(port, OWN_HOST, resolve));
     return this;
   }
 
@@ -45,7 +46,7 @@
   }
 
   get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return `${OWN_HOST}:${(this.server.address() as AddressInfo).port}`;
   }
 
   async stop(): Promise<void> {
--- a/test/router/start.test.ts
+++ b/test/router/start.test.ts
@@ -1,25 +1,14 @@
 import { once } from 'node:events';
-import { type AddressInfo, connect, createServer } from 'node:net';
+import { connect } from 'node:net';
 import { expect } from 'chai';
 import { RouterDaemon } from '../../src/router/router-daemon.js';
 import type { RouterCore } from '../../src/routing/types.js';
+import { freeAddress } from './free-address.js';
 import { LogRecorder } from './log-recorder.js';
 
 /** How long the process is kept from its timers, sockets and signals. */
 const HOLD_UP_MILLIS = 300;
 
-/** Returns an address of this machine on which nothing listens. */
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  const closed = once(server, 'close');
-  server.close();
-  await closed;
-  return `127.0.0.1:${port}`;
-}
-
 /** Resolves to `connect` or the code of the error. */
 async function dial(address: string): Promise<string> {
   const [host, port] = address.split(':');
