Router: an answer in another transfer coding than chunks is broken

What callers saw: the body of an answer with `Transfer-Encoding: gzip`, `gzip, chunked`, an unknown or an empty coding reached them as 200, coded as it came, without the field that names the coding.

Cause: any transfer coding in the head counted as chunks. The HTTP client decodes chunks only, and the router drops the field, which is about one connection.

Change: `bodyLength` tells a coded body from one in chunks; an attempt ends with `coded-body` then, a wrong answer, as one that can't be read is: 502 for the caller, or another attempt for a read. `chunked` in any letters and with blanks around it is as before. HEAD, 204 and 304 have no body, and aren't affected. `identity` is broken too: it is no coding of HTTP any more.

--- a/src/router/attempts/answer-head.ts
+++ b/src/router/attempts/answer-head.ts
@@ -2,12 +2,14 @@
 import type { FenceRefusal } from '../../lease/types.js';
 import { HEADERS } from '../../model/outcome.js';
 import type { AttemptResult } from '../../routing/types.js';
-import { findHeader } from '../caller/header-rules.js';
+import { countHeader, findHeader } from '../caller/header-rules.js';
 
 const MISDIRECTED_REQUEST = 421;
 const SERVICE_UNAVAILABLE = 503;
 export const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
+/** The only transfer coding that the HTTP client decodes. */
+const CHUNKED = 'chunked';
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([NO_CONTENT, NOT_MODIFIED]);
 
 const FENCE_REFUSALS: ReadonlySet<string> = new Set<FenceRefusal>([
@@ -28,17 +30,22 @@
   readonly contentLength: number | null;
 }
 
-/** Returns the length of the body in bytes, `chunked`, or `undefined` if the body ends with the connection. */
+/**
+ * Returns the length of the body in bytes, `chunked`, `undefined` if the body ends with the connection, or `coded` if it is in a transfer coding that
+ * would have to be decoded first (RFC 9112, 6.1).
+ */
 export function bodyLength(
   method: string,
   status: number,
   headers: readonly string[],
-): number | 'chunked' | undefined {
+): number | 'chunked' | 'coded' | undefined {
   if (method === 'HEAD' || BODILESS_STATUSES.has(status)) {
     return 0;
   }
-  if (findHeader(headers, 'transfer-encoding') !== undefined) {
-    return 'chunked';
+  const coding = findHeader(headers, 'transfer-encoding');
+  if (coding !== undefined) {
+    const isAlone = countHeader(headers, 'transfer-encoding') === 1;
+    return isAlone && coding.trim().toLowerCase() === CHUNKED ? CHUNKED : 'coded';
   }
   const length = findHeader(headers, 'content-length');
   return length === undefined ? undefined : Number(length);
--- a/src/router/attempts/attempt-error.ts
+++ b/src/router/attempts/attempt-error.ts
@@ -7,6 +7,7 @@
   | 'recalled'
   | 'other-request-id'
   | 'no-length'
+  | 'coded-body'
   | 'no-body'
   | 'sent-twice'
   | 'no-reader'
--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -201,6 +201,10 @@
       this.abort('no-length');
       return false;
     }
+    if (length === 'coded') {
+      this.abort('coded-body');
+      return false;
+    }
     this.endsWithConnection = length === undefined;
     const contentLength = typeof length === 'number' ? length : null;
     this.head = { status, headers, contentLength };
--- a/src/router/attempts/classify-break.ts
+++ b/src/router/attempts/classify-break.ts
@@ -18,6 +18,7 @@
   recalled: CONNECTION_BREAKS.stalled,
   'other-request-id': CONNECTION_BREAKS.wrongAnswer,
   'no-length': CONNECTION_BREAKS.wrongAnswer,
+  'coded-body': CONNECTION_BREAKS.wrongAnswer,
   'no-body': CONNECTION_BREAKS.wrongAnswer,
   'sent-twice': CONNECTION_BREAKS.wrongAnswer,
   'no-reader': CONNECTION_BREAKS.stalled,
--- a/test/router/broken-heads.test.ts
+++ b/test/router/broken-heads.test.ts
@@ -86,6 +86,27 @@
   'behind the others': (fields, bad) => [...fields, bad],
 };
 
+/** Lines by which a body comes in another transfer coding than chunks alone (RFC 9112, 6.1). */
+const CODING_LINES = [
+  ['transfer-encoding: gzip'],
+  ['transfer-encoding: GZIP'],
+  ['transfer-encoding: gzip, chunked'],
+  ['transfer-encoding: gzip', 'transfer-encoding: chunked'],
+  ['transfer-encoding: chunked', 'transfer-encoding: gzip'],
+  ['transfer-encoding: chunked, gzip'],
+  ['transfer-encoding: chunked, chunked'],
+  ['transfer-encoding: deflate'],
+  ['transfer-encoding: x-other'],
+  ['transfer-encoding: chunkedx'],
+  ['transfer-encoding: xchunked'],
+  ['transfer-encoding:'],
+];
+const CHUNKED_LINES = [
+  'transfer-encoding: chunked',
+  'Transfer-Encoding:  Chunked ',
+  'transfer-encoding:chunked',
+];
+
 /** What follows the answer. */
 const FOLLOWINGS = {
   nothing: () => {},
@@ -110,6 +131,14 @@
   );
 }
 
+/** An answer with these lines, whose body is in chunks or isn't. */
+function codedAnswers(status: string, lines: readonly string[]): string[] {
+  const head = [`HTTP/1.1 ${status}`, `${DEFAULT_HEADER_NAMES.requestId}: q-1`, ...lines, '', ''].join(
+    '\r\n',
+  );
+  return [`${head}f\r\n${BODY}\r\n0\r\n\r\n`, head + BODY];
+}
+
 function playsOf(answers: readonly string[]): Play[] {
   return answers.flatMap((answer) =>
     (Object.keys(FOLLOWINGS) as (keyof typeof FOLLOWINGS)[]).flatMap((following) =>
@@ -125,6 +154,7 @@
   playsOf(answersOf(`HTTP/1.1 ${status} Odd`, ONE_PLACE, null)),
 );
 const LINE_PLAYS = BAD_LINES.flatMap((bad) => playsOf(answersOf('HTTP/1.1 200 OK', PLACES, bad)));
+const CODING_PLAYS = playsOf(CODING_LINES.flatMap((lines) => codedAnswers('200 OK', lines)));
 const FOLD_PLAYS = FOLDED_LINES.flatMap((bad) => playsOf(answersOf('HTTP/1.1 200 OK', PLACES, bad)));
 
 async function write({ socket }: ScriptedRequest, { answer, pieces }: Play): Promise<void> {
@@ -205,6 +235,19 @@
     });
   }
 
+  // Guards against coded bodies that callers take for the resource itself, and against parts of them.
+  for (const path of ['direct', 'relayed']) {
+    it(`is broken if its body is in another transfer coding than chunks (${path})`, async () => {
+      expect(await misjudged(CODING_PLAYS, path === 'direct' ? null : peer)).to.deep.equal([]);
+    });
+  }
+
+  it('is whole if its transfer coding is written in another way', async () => {
+    const answers = CHUNKED_LINES.flatMap((line) => codedAnswers('200 OK', [line]).slice(0, 1));
+    const played = playsOf(answers);
+    expect(await misjudged(played, null)).to.have.length(played.length);
+  });
+
   it('is broken as the answer to HEAD too', async () => {
     expect(await misjudged([...STATUS_PLAYS, ...LINE_PLAYS, ...FOLD_PLAYS], null, 'HEAD')).to.deep.equal([]);
   });
@@ -226,13 +269,19 @@
     'a name with a blank': ['HTTP/1.1 200 OK', 'x bad: v'],
     'a name with a control byte': ['HTTP/1.1 200 OK', 'x\x01bad: v'],
     'a folded line': ['HTTP/1.1 200 OK', SEAL, ' x-bad: v'],
+    'a coded body': ['HTTP/1.1 200 OK', 'transfer-encoding: gzip'],
   };
 
   function answerBroken({ socket, headers }: ScriptedRequest, lines: readonly string[]): void {
     const id = `${DEFAULT_HEADER_NAMES.requestId}: ${headers.get(DEFAULT_HEADER_NAMES.requestId)}`;
     const [statusLine = '', ...fields] = lines;
-    const head = [statusLine, id, ...fields, `content-length: ${BODY.length}`, '', ''];
+    const isCoded = fields.some((field) => field.startsWith('transfer-encoding'));
+    const length = isCoded ? [] : [`content-length: ${BODY.length}`];
+    const head = [statusLine, id, ...fields, ...length, '', ''];
     socket.write(head.join('\r\n') + BODY, 'latin1');
+    if (isCoded) {
+      socket.end();
+    }
   }
 
   for (const [name, lines] of Object.entries(BROKEN)) {
