Tests: the worker of a proxy ends though it resets a connection whose end is being sent

Cause, traced: one thread of the process spun, by its stack in the cleanup of a worker's environment, and the exit of the process waited for it. A proxy's worker resets its connections when it is cut. The system refuses a reset while the end of the connection is being sent (EINVAL); the runtime counts the connection as closing then, never closes it, and waits for it in its cleanup. A worker of a few lines that does these two things in one turn of the loop hasn't ended after 4 s; one that closes such a connection ends.

Change: proxies close a connection whose end is being sent, in place of resetting it. The routers' own resets look at that already.

Evidence: `closes it while its end is being sent` fails without the look (no close within 5 s) and passes with it.

--- a/test/router/cuttable-proxy-worker.ts
+++ b/test/router/cuttable-proxy-worker.ts
@@ -4,6 +4,7 @@
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { parentPort, workerData } from 'node:worker_threads';
+import { resetSocket } from './reset-socket.js';
 
 export interface ProxyWorkerData {
   readonly host: string;
@@ -58,7 +59,7 @@
   },
   reset: () => {
     for (const socket of sockets) {
-      socket.resetAndDestroy();
+      resetSocket(socket);
     }
   },
   listen,
