Logs: why no member leads, how far a new replica is, how long a write is outstanding

Change: `no-leader` (each second, from one second on: each voter with when it was heard, whether it granted its vote, and who asks to join from its address), `membership-changed`, `replica-progress`, `write-outstanding`; `core-load` begins with role, term and leader. No decision is changed.

--- a/src/consensus/core.ts
+++ b/src/consensus/core.ts
@@ -28,9 +28,17 @@
 } from './replication.js';
 import { becomeFollower } from './roles.js';
 import { RaftState } from './state.js';
-import { raftStatus } from './status.js';
+import { raftDetails, raftStatus } from './status.js';
 import { advanceTransfer, sendTimeoutNowToBestVoter, startTransfer } from './transfer.js';
-import type { RaftConfig, RaftCore, RaftEffect, RaftInput, RaftStatus, RestoredState } from './types.js';
+import type {
+  RaftConfig,
+  RaftCore,
+  RaftDetails,
+  RaftEffect,
+  RaftInput,
+  RaftStatus,
+  RestoredState,
+} from './types.js';
 
 type RoleReport = Extract<RaftEffect, { type: 'role-changed' }>;
 
@@ -82,6 +90,10 @@
     return this.#status;
   }
 
+  details(): RaftDetails {
+    return raftDetails(this.#state);
+  }
+
   #handleInput(input: RaftInput): void {
     const state = this.#state;
     switch (input.type) {
@@ -171,7 +183,7 @@
   #finish(): void {
     const state = this.#state;
     const committed = this.#advanceCommit();
-    const request = state.persistQueue.flush();
+    const request = state.persistQueue.flush(state.now);
     if (request !== undefined) {
       state.emit({ type: 'persist', request });
     }
--- a/src/consensus/persist-queue.ts
+++ b/src/consensus/persist-queue.ts
@@ -22,6 +22,7 @@
 interface OutstandingBatch {
   readonly persistId: number;
   readonly batch: Batch;
+  readonly since: number;
 }
 
 /** Result of a completed persist request. */
@@ -43,6 +44,11 @@
     return batches.some((batch) => batch.hardState !== undefined);
   }
 
+  /** When the outstanding request was returned by `flush`; `null`: none is outstanding. */
+  get outstandingSince(): number | null {
+    return this.#outstanding?.since ?? null;
+  }
+
   setHardState(hardState: HardState): void {
     this.#openBatch().hardState = hardState;
   }
@@ -95,7 +101,7 @@
   }
 
   /** Returns the next request to write, if there is one and no other is outstanding. */
-  flush(): PersistRequest | undefined {
+  flush(now: number): PersistRequest | undefined {
     if (this.#outstanding !== undefined) {
       return undefined;
     }
@@ -105,7 +111,7 @@
     }
     const persistId = this.#nextPersistId;
     this.#nextPersistId += 1;
-    this.#outstanding = { persistId, batch };
+    this.#outstanding = { persistId, batch, since: now };
     return toRequest(persistId, batch);
   }
 
--- a/src/consensus/status.ts
+++ b/src/consensus/status.ts
@@ -1,6 +1,8 @@
-/** Status of a replica for operators. */
+/** Status of a replica for operators, and the details behind it for logs. */
+import type { ReplicaId } from '../model/identifiers.js';
+import type { Progress } from './progress.js';
 import type { RaftState } from './state.js';
-import type { RaftStatus } from './types.js';
+import type { MemberProgress, RaftDetails, RaftStatus } from './types.js';
 
 /** Creates a status from the state of a replica. */
 export function raftStatus(state: RaftState): RaftStatus {
@@ -20,3 +22,16 @@
     matchIndexes: Object.fromEntries(matches),
   };
 }
+
+/** Creates the details from the state of a replica. */
+export function raftDetails({ campaign, persistQueue, leaderState }: RaftState): RaftDetails {
+  return {
+    votes: campaign === undefined ? null : [...campaign.granted],
+    writeSince: persistQueue.outstandingSince,
+    members: [...(leaderState?.progress ?? [])].map(([replica, progress]) => progressOf(replica, progress)),
+  };
+}
+
+function progressOf(replica: ReplicaId, { state, matchIndex, transfer }: Progress): MemberProgress {
+  return { replica, state, matchIndex, snapshotBytes: transfer?.offset ?? null };
+}
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -254,6 +254,27 @@
   readonly matchIndexes: Readonly<Record<ReplicaId, number>>;
 }
 
+/** How far another member has come, as its leader knows it. */
+export interface MemberProgress {
+  readonly replica: ReplicaId;
+  /** `probe`: its last matching entry is searched for; `snapshot`: it needs entries that were compacted. */
+  readonly state: 'probe' | 'replicate' | 'snapshot';
+  /** Last index that it has synced. */
+  readonly matchIndex: number;
+  /** Bytes of the snapshot that it has received; `null`: it isn't sent one. */
+  readonly snapshotBytes: number | null;
+}
+
+/** What a replica knows of elections, of its own writes and, as the leader, of the other members; for logs. */
+export interface RaftDetails {
+  /** Replicas that granted the vote or pre-vote in progress, this one included; `null`: none is in progress. */
+  readonly votes: readonly ReplicaId[] | null;
+  /** When the write that isn't on disk yet was requested, in monotonic milliseconds; `null`: there is none. */
+  readonly writeSince: number | null;
+  /** Empty on replicas that don't lead. */
+  readonly members: readonly MemberProgress[];
+}
+
 /** The Raft core: deterministic, without clock, random source, socket or file of its own. */
 export interface RaftCore {
   /** Processes one input at `now` (monotonic milliseconds) and returns the effects to execute. */
@@ -261,4 +282,5 @@
   /** Time at which the next `tick` is due. */
   nextDeadline(): number;
   status(): RaftStatus;
+  details(): RaftDetails;
 }
--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -66,6 +66,11 @@
     return [...this.#waiting.values()].map(({ replica, address }) => ({ replica, address }));
   }
 
+  /** When another replica was last heard; `null`: never. */
+  heardAt(replica: ReplicaId): MonotonicMillis | null {
+    return this.#lastMessageAt.get(replica) ?? null;
+  }
+
   /** Time since the last message of another member, counted from the start of the leadership at the earliest. */
   silentMillis(replica: ReplicaId, now: MonotonicMillis): number {
     return Math.max(0, now - Math.max(this.#lastMessageAt.get(replica) ?? 0, this.#leaderSince));
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -20,6 +20,7 @@
 import { ownershipLog } from './ownership-log.js';
 import type { SettleProposal } from './pending-proposals.js';
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
+import { QuorumWatch } from './quorum-watch.js';
 import { RaftAdapter, type RaftListener } from './raft-adapter.js';
 import type { HolderCall } from './ranges/holder-call.js';
 import { RouterRequests } from './router-requests.js';
@@ -79,6 +80,7 @@
   readonly #crashes: CrashReports;
   readonly #operators: OperatorRequests;
   readonly #membership: MembershipChanges;
+  readonly #watch: QuorumWatch;
   readonly #accused: AccusedRuns;
   #questions: QuestionId = 0;
   #leaderDuties: LeaderDuties | null = null;
@@ -111,6 +113,12 @@
     const nextQuestion = this.#nextQuestion;
     const log = (event: string, fields: Readonly<Record<string, unknown>>): void =>
       this.#log('info', event, fields);
+    this.#watch = new QuorumWatch({
+      raft: this.#raft,
+      heardAt: (replica) => this.#membership.heardAt(replica),
+      joining: (now) => this.#membership.joining(now),
+      log: (level, event, fields) => this.#log(level, event, fields),
+    });
     this.#accused = new AccusedRuns({
       registry: () => this.#raft.registry,
       nextQuestion,
@@ -161,6 +169,7 @@
     this.#raft.beginStep();
     this.#handle(input, now);
     this.#runUntilIdle(now);
+    this.#watch.look(now);
     if (this.#hasRegistryChange) {
       this.#hasRegistryChange = false;
       this.#unowned.update(this.#raft.registry, now);
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -278,7 +278,11 @@
     const work = this.core.rangeWork();
     const previous = work === null ? null : this.lastRangeWork;
     this.lastRangeWork = work;
+    const { role, term, leader } = this.core.status();
     this.log.info('core-load', {
+      role,
+      term,
+      leader,
       ...roundedMillis(report),
       ranges: work?.ranges ?? null,
       openCalls: work?.openCalls ?? null,
--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -95,6 +95,16 @@
     };
   }
 
+  /** When another replica was last heard; `null`: never. */
+  heardAt(replica: ReplicaId): MonotonicMillis | null {
+    return this.#repair.heardAt(replica);
+  }
+
+  /** Replicas that request to join and aren't members, as heard by this member. */
+  joining(now: MonotonicMillis): readonly WaitingReplica[] {
+    return this.#repair.waiting(this.#parts.raft.status(), now);
+  }
+
   onRoleChange(now: MonotonicMillis): void {
     const isLeader = this.#parts.raft.isLeader();
     this.#repair.onRoleChange(isLeader, now);
--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -6,6 +6,7 @@
   LogEntry,
   PersistRequest,
   RaftCore,
+  RaftDetails,
   RaftEffect,
   RaftInput,
   RaftMessage,
@@ -94,6 +95,10 @@
     return this.#parts.raft.status();
   }
 
+  details(): RaftDetails {
+    return this.#parts.raft.details();
+  }
+
   isLeader(): boolean {
     return this.status().role === 'leader';
   }
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -131,9 +131,48 @@
     source: 'control',
     fields: ['role', 'term', 'leader', 'leaderHeardAgoMillis', 'quorumHeardAgoMillis'],
   },
+  'membership-changed': {
+    source: 'control',
+    fields: ['role', 'term', 'lastIndex', 'voters', 'outgoingVoters', 'learners', 'addresses'],
+  },
+  'no-leader': {
+    source: 'control',
+    fields: [
+      'role',
+      'term',
+      'forMillis',
+      'isVoter',
+      'voters',
+      'outgoingVoters',
+      'learners',
+      'lastIndex',
+      'commitIndex',
+      'writeMillis',
+    ],
+  },
+  'write-outstanding': {
+    source: 'control',
+    fields: ['role', 'term', 'lastIndex', 'commitIndex', 'writeMillis'],
+  },
+  'replica-progress': {
+    source: 'control',
+    fields: [
+      'replica',
+      'address',
+      'state',
+      'matchIndex',
+      'commitIndex',
+      'snapshotBytes',
+      'heardAgoMillis',
+      'forMillis',
+    ],
+  },
   'core-load': {
     source: 'control',
     fields: [
+      'role',
+      'term',
+      'leader',
       'spanMillis',
       'steps',
       'busyMillis',
--- a/test/control/applied-in-parts.test.ts
+++ b/test/control/applied-in-parts.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { RaftCore, RaftEffect, RaftInput, RaftStatus } from '../../src/consensus/types.js';
+import type { RaftCore, RaftDetails, RaftEffect, RaftInput, RaftStatus } from '../../src/consensus/types.js';
 import { RaftAdapter } from '../../src/control/raft-adapter.js';
 import { createRegistry, decodeRegistry } from '../../src/registry/index.js';
 
@@ -23,6 +23,10 @@
     return { role: 'leader', term: 1 } as RaftStatus;
   }
 
+  details(): RaftDetails {
+    return { votes: null, writeSince: null, members: [] };
+  }
+
   #entries() {
     const command = { type: 'service-delete', service: 's'.repeat(ENTRY_BYTES), expected: null };
     const data = new TextEncoder().encode(JSON.stringify({ requestId: null, actor: 'a', at: 0, command }));
