--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -24,7 +24,7 @@
 import { RaftAdapter, type RaftListener } from './raft-adapter.js';
 import type { HolderCall } from './ranges/holder-call.js';
 import { RouterRequests } from './router-requests.js';
-import { SnapshotTaker } from './snapshot-taker.js';
+import { DEFAULT_SNAPSHOT_BYTES, SnapshotTaker } from './snapshot-taker.js';
 import type {
   ConnectionId,
   ControlConfig,
@@ -53,7 +53,8 @@
   const raft = createRaft(raftConfigOf(config), restored, now);
   const registry = restored.snapshot === null ? createRegistry() : decodeRegistry(restored.snapshot.data);
   const snapshotIndex = restored.snapshot?.lastIndex ?? 0;
-  return new ControlNode(config, raft, registry, { snapshotIndex, now });
+  const previousBytes = restored.snapshot?.data.byteLength ?? 0;
+  return new ControlNode(config, raft, registry, { snapshotIndex, previousBytes, now });
 }
 
 function raftConfigOf(config: ControlConfig): RaftConfig {
@@ -70,6 +71,8 @@
 /** State of a member at its start. */
 interface StartState {
   readonly snapshotIndex: Revision;
+  /** Size of the snapshot in bytes. */
+  readonly previousBytes: number;
   readonly now: MonotonicMillis;
 }
 
@@ -98,13 +101,13 @@
   #hasRegistryChange = false;
 
   constructor(config: ControlConfig, raft: RaftCore, registry: Registry, start: StartState) {
-    const { snapshotIndex, now } = start;
+    const { now, ...snapshot } = start;
     this.#config = config;
     this.#leaderSince = now;
     const readTimeoutMillis = READ_ELECTION_TIMEOUTS * config.raft.electionTimeoutMillis;
     this.#raft = new RaftAdapter({ raft, registry, decodeRegistry, listener: this, readTimeoutMillis });
-    const { snapshotEntries } = config;
-    this.#snapshots = new SnapshotTaker({ raft: this.#raft, snapshotEntries, snapshotIndex });
+    const { snapshotEntries, snapshotBytes = DEFAULT_SNAPSHOT_BYTES } = config;
+    this.#snapshots = new SnapshotTaker({ raft: this.#raft, snapshotEntries, snapshotBytes, ...snapshot });
     const shared = { config, raft: this.#raft, propose: this.#propose };
     const answer = (operation: OperationId, response: OperatorResponse): void =>
       this.#emit({ type: 'answer-operator', operation, response });
@@ -234,8 +237,8 @@
     }
   }
 
-  restored(): void {
-    this.#snapshots.restored();
+  restored(snapshotBytes: number): void {
+    this.#snapshots.restored(snapshotBytes);
     this.#hasRegistryChange = true;
   }
 
--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -26,8 +26,8 @@
   applied(changes: readonly RegistryChange[], now: MonotonicMillis): void;
   /** An entry was given up, on every member alike; `type` is that of its command. */
   entryFailed(index: Revision, type: string, fault: Error): void;
-  /** Called after the registry was replaced by the one in a snapshot. */
-  restored(now: MonotonicMillis): void;
+  /** Called after the registry was replaced by the one in a snapshot of this many bytes. */
+  restored(snapshotBytes: number): void;
   roleChanged(evidence: RoleEvidence, now: MonotonicMillis): void;
 }
 
@@ -73,6 +73,7 @@
   #registry: Registry;
   #nextNumber = 1;
   #appliedEntries = 0;
+  #appliedBytes = 0;
   #term: Term;
 
   constructor(parts: RaftAdapterParts) {
@@ -91,6 +92,11 @@
     return this.#appliedEntries;
   }
 
+  /** Bytes of the entries applied since the start. */
+  get appliedBytes(): number {
+    return this.#appliedBytes;
+  }
+
   status(): RaftStatus {
     return this.#parts.raft.status();
   }
@@ -198,7 +204,7 @@
         this.#committed = [];
         this.#registry = this.#parts.decodeRegistry(effect.snapshot.data);
         this.#proposals.abandon(effect.snapshot.lastIndex, now);
-        listener.restored(now);
+        listener.restored(effect.snapshot.data.byteLength);
         this.#reads.release(this.#registry.revision, now);
         break;
       case 'proposal-accepted':
@@ -247,6 +253,7 @@
 
   #settleApplied(entry: LogEntry, now: MonotonicMillis): void {
     this.#appliedEntries += 1;
+    this.#appliedBytes += entry.data.length;
     const result = this.#applyEntry(entry, now);
     this.#proposals.recordApplied(entry.index, entry.term, result, now);
   }
--- a/src/control/snapshot-taker.ts
+++ b/src/control/snapshot-taker.ts
@@ -7,19 +7,34 @@
 const SLICE_PAUSE_MILLIS = 5;
 /** A snapshot is due once the log has grown by at least this many entries for each record in the registry. */
 const ENTRIES_PER_RECORD = 0.25;
+/**
+ * Log bytes after which a snapshot is due. What a restarting or a new replica reads and applies is bounded by them: entries take some 6 MB
+ * a second to apply, and a new replica has no vote before.
+ */
+export const DEFAULT_SNAPSHOT_BYTES = 2 * 1024 * 1024;
+/** Log bytes for each byte of the previous snapshot, if that is more: a large state isn't written again for each small change. */
+const LOG_BYTES_PER_SNAPSHOT_BYTE = 4;
 
 export interface SnapshotTakerParts {
   readonly raft: RaftAdapter;
   /** Minimum number of log entries between two snapshots. */
   readonly snapshotEntries: number;
+  /** Minimum bytes of log entries after which a snapshot is due, however few the entries are. */
+  readonly snapshotBytes: number;
   /** Index of the snapshot from which the member started; 0: none. */
   readonly snapshotIndex: Revision;
+  /** Size of that snapshot in bytes. */
+  readonly previousBytes: number;
 }
 
 export class SnapshotTaker {
   readonly #parts: SnapshotTakerParts;
   /** Index of the last snapshot, or of the one in progress. */
   #snapshotIndex: Revision;
+  /** Size of the last snapshot. */
+  #previousBytes: number;
+  /** Bytes of entries that had been applied when the last snapshot, or the one in progress, began. */
+  #appliedBytes = 0;
   #encoder: RegistrySnapshotEncoder | null = null;
   #nextSliceAt: MonotonicMillis = Number.POSITIVE_INFINITY;
   #waiting: (() => void)[] = [];
@@ -27,6 +42,7 @@
   constructor(parts: SnapshotTakerParts) {
     this.#parts = parts;
     this.#snapshotIndex = parts.snapshotIndex;
+    this.#previousBytes = parts.previousBytes;
   }
 
   /** Begins a snapshot if the registry has changed since the last one; calls `onTaken` once it is taken, or at once if nothing changed. */
@@ -41,9 +57,11 @@
     }
   }
 
-  /** Called after the registry was replaced by the leader's snapshot; ends the snapshot in progress. */
-  restored(): void {
+  /** Called after the registry was replaced by the leader's snapshot of this many bytes; ends the snapshot in progress. */
+  restored(bytes: number): void {
     this.#snapshotIndex = this.#registry.revision;
+    this.#previousBytes = bytes;
+    this.#appliedBytes = this.#parts.raft.appliedBytes;
     this.#end();
   }
 
@@ -60,6 +78,7 @@
       this.#nextSliceAt = now + SLICE_PAUSE_MILLIS;
       return false;
     }
+    this.#previousBytes = data.byteLength;
     this.#parts.raft.feed({ type: 'snapshot-taken', lastIndex: this.#encoder.revision, data });
     this.#end();
     return true;
@@ -76,12 +95,16 @@
   #isDue(): boolean {
     const { revision, recordCount } = this.#registry;
     const entries = Math.max(this.#parts.snapshotEntries, recordCount * ENTRIES_PER_RECORD);
-    return revision - this.#snapshotIndex >= entries;
+    const bytes = Math.max(this.#parts.snapshotBytes, this.#previousBytes * LOG_BYTES_PER_SNAPSHOT_BYTE);
+    return (
+      revision - this.#snapshotIndex >= entries || this.#parts.raft.appliedBytes - this.#appliedBytes >= bytes
+    );
   }
 
   #begin(now: MonotonicMillis): void {
     this.#encoder = this.#registry.beginEncode();
     this.#snapshotIndex = this.#encoder.revision;
+    this.#appliedBytes = this.#parts.raft.appliedBytes;
     this.#nextSliceAt = now;
   }
 
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -232,6 +232,8 @@
   readonly configLease: ConfigLeaseTimings;
   /** Minimum number of log entries between two snapshots. */
   readonly snapshotEntries: number;
+  /** Bytes of log entries after which a snapshot is taken, however few the entries are; the default if omitted. */
+  readonly snapshotBytes?: number;
   /**
    * The leader replaces a voter that has been silent this long once a spare learner has caught up, and accepts waiting replicas
    * as spares; 0: never.
--- a/test/control/quorum-watch.test.ts
+++ b/test/control/quorum-watch.test.ts
@@ -62,7 +62,7 @@
     const events = harness.events('no-leader');
     expect(events.map(({ at }) => at)).to.deep.equal([2000, 3000, 4000]);
     expect(events[0]?.fields).to.deep.include({ role: 'pre-candidate', forMillis: 1000, isVoter: true });
-    expect(events[0]?.fields['voters']).to.deep.equal([
+    expect(events[0]?.fields.voters).to.deep.equal([
       { replica: 'a', address: '127.0.0.1:1', heardAgoMillis: 0, granted: true, successor: null },
       { replica: 'b', address: '127.0.0.1:2', heardAgoMillis: 1500, granted: false, successor: null },
       { replica: 'c', address: '127.0.0.1:3', heardAgoMillis: null, granted: false, successor: 'd' },
@@ -80,7 +80,7 @@
     harness.details = { votes: null, writeSince: 900, members: [] };
     harness.lookUntil(2000);
     const events = harness.events('write-outstanding');
-    expect(events.map(({ fields }) => fields['writeMillis'])).to.deep.equal([1100]);
+    expect(events.map(({ fields }) => fields.writeMillis)).to.deep.equal([1100]);
   });
 
   it('says on the leader how far a new replica is', () => {
--- a/test/control/snapshot-taker.test.ts
+++ b/test/control/snapshot-taker.test.ts
@@ -10,10 +10,11 @@
 class TakerHarness {
   revision = 0;
   recordCount = 0;
+  appliedBytes = 0;
   readonly inputs: { readonly lastIndex: number }[] = [];
   readonly taker: SnapshotTaker;
 
-  constructor(snapshotEntries: number, snapshotIndex = 0) {
+  constructor(snapshotEntries: number, snapshotIndex = 0, snapshotBytes = Number.POSITIVE_INFINITY) {
     this.revision = snapshotIndex;
     const harness = this;
     const raft = {
@@ -24,9 +25,12 @@
           beginEncode: () => harness.#encoder(),
         };
       },
+      get appliedBytes() {
+        return harness.appliedBytes;
+      },
       feed: (input: { readonly lastIndex: number }) => harness.inputs.push(input),
     } as unknown as RaftAdapter;
-    this.taker = new SnapshotTaker({ raft, snapshotEntries, snapshotIndex });
+    this.taker = new SnapshotTaker({ raft, snapshotEntries, snapshotBytes, snapshotIndex, previousBytes: 0 });
   }
 
   /** Runs from deadline to deadline; returns the times at which a slice was due. */
@@ -86,6 +90,33 @@
     expect(harness.inputs).to.have.length(1);
   });
 
+  it('takes one per bytes of entries, however few they are, so that a new replica has little to apply', () => {
+    const harness = new TakerHarness(10_000, 0, 1000);
+    harness.revision = 1;
+    harness.appliedBytes = 999;
+    harness.runOut(0);
+    expect(harness.inputs).to.have.length(0);
+    harness.revision = 2;
+    harness.appliedBytes = 1000;
+    harness.runOut(0);
+    harness.revision = 3;
+    harness.appliedBytes = 1999;
+    harness.runOut(1000);
+    expect(harness.inputs.map(({ lastIndex }) => lastIndex)).to.deep.equal([2]);
+  });
+
+  it('takes them after more bytes if the previous one was large', () => {
+    const harness = new TakerHarness(10_000, 0, 1000);
+    harness.taker.restored(1000);
+    harness.revision = 1;
+    harness.appliedBytes = 3999;
+    harness.runOut(0);
+    expect(harness.inputs).to.have.length(0);
+    harness.appliedBytes = 4000;
+    harness.runOut(0);
+    expect(harness.inputs).to.have.length(1);
+  });
+
   it('answers a request once the snapshot is taken, or at once if nothing changed', () => {
     const harness = new TakerHarness(100);
     harness.revision = 5;
@@ -110,7 +141,7 @@
     harness.taker.request(0, () => taken.push('asked'));
     harness.taker.run(0);
     harness.revision = 500;
-    harness.taker.restored();
+    harness.taker.restored(1);
     expect(harness.runOut(5)).to.deep.equal([5]);
     expect(harness.inputs).to.deep.equal([]);
     expect(taken).to.deep.equal(['asked']);
