Logs: a majority that is lost for good is named as such

What was missing: with new replicas at the addresses of most voters nobody can be elected any more, and the members said nothing, or only that there was no leader. `majority-lost` (error, each second) names the voters whose disks are lost; `successor` of `no-leader` also finds those that are members without a vote by now.

--- a/src/control/quorum-watch.ts
+++ b/src/control/quorum-watch.ts
@@ -2,7 +2,7 @@
  * Logs what keeps a cluster from electing a leader or from recording changes: voters that aren't heard, votes that aren't granted, writes
  * that don't end, and how far new replicas are. Decides nothing.
  */
-import { allVoters } from '../consensus/membership.js';
+import { allVoters, hasQuorum } from '../consensus/membership.js';
 import type { Membership, RaftStatus } from '../consensus/types.js';
 import type { Address, MonotonicMillis, ReplicaId } from '../model/identifiers.js';
 import type { WaitingReplica } from './automatic-repair.js';
@@ -19,7 +19,11 @@
   readonly heardAt: (replica: ReplicaId) => MonotonicMillis | null;
   /** Replicas that request to join. */
   readonly joining: (now: MonotonicMillis) => readonly WaitingReplica[];
-  readonly log: (level: 'info' | 'warn', event: string, fields: Readonly<Record<string, unknown>>) => void;
+  readonly log: (
+    level: 'info' | 'warn' | 'error',
+    event: string,
+    fields: Readonly<Record<string, unknown>>,
+  ) => void;
 }
 
 /** A voter as another member without a leader sees it. */
@@ -30,7 +34,7 @@
   readonly heardAgoMillis: number | null;
   /** Whether it granted the vote or pre-vote in progress. */
   readonly granted: boolean;
-  /** A new replica that requests to join from its address: the voter has lost its disk. `null`: none does. */
+  /** A new replica at its address, which has no vote yet: the voter has lost its disk. `null`: none is known. */
   readonly successor: ReplicaId | null;
 }
 
@@ -77,12 +81,14 @@
     }
     const { role, term, membership, lastIndex, commitIndex } = status;
     const { votes, writeSince } = this.#parts.raft.details();
+    const voters = this.#observeVoters(status, votes ?? [], now);
+    this.#logLostMajority(membership, voters);
     this.#parts.log('warn', 'no-leader', {
       role,
       term,
       forMillis: Math.round(now - since),
       isVoter: allVoters(membership).includes(status.self),
-      voters: this.#observeVoters(status, votes ?? [], now),
+      voters,
       outgoingVoters: membership.outgoingVoters,
       learners: membership.learners,
       lastIndex,
@@ -91,12 +97,25 @@
     });
   }
 
+  /** Logs if so many voters have lost their disks that those left can't elect a leader any more. */
+  #logLostMajority(membership: Membership, voters: readonly ObservedVoter[]): void {
+    const lost = voters.filter(({ successor }) => successor !== null).map(({ replica }) => replica);
+    const canElect = hasQuorum(membership, (replica) => !lost.includes(replica));
+    if (voters.length > 0 && !canElect) {
+      this.#parts.log('error', 'majority-lost', { voters: membership.voters, lost });
+    }
+  }
+
   #observeVoters(
     { self, membership }: RaftStatus,
     votes: readonly ReplicaId[],
     now: MonotonicMillis,
   ): ObservedVoter[] {
-    const joining = this.#parts.joining(now);
+    const { learners, addresses } = membership;
+    const successors = [
+      ...learners.map((replica) => ({ replica, address: addresses[replica] })),
+      ...this.#parts.joining(now),
+    ];
     return allVoters(membership).map((replica) => {
       const address = membership.addresses[replica] ?? null;
       return {
@@ -104,7 +123,7 @@
         address,
         heardAgoMillis: replica === self ? 0 : ageOf(this.#parts.heardAt(replica), now),
         granted: votes.includes(replica),
-        successor: joining.find((waiting) => waiting.address === address)?.replica ?? null,
+        successor: successors.find((successor) => successor.address === address)?.replica ?? null,
       };
     });
   }
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -150,6 +150,7 @@
       'writeMillis',
     ],
   },
+  'majority-lost': { source: 'control', fields: ['voters', 'lost'] },
   'write-outstanding': {
     source: 'control',
     fields: ['role', 'term', 'lastIndex', 'commitIndex', 'writeMillis'],
--- a/test/control/quorum-watch.test.ts
+++ b/test/control/quorum-watch.test.ts
@@ -62,6 +62,7 @@
     const events = harness.events('no-leader');
     expect(events.map(({ at }) => at)).to.deep.equal([2000, 3000, 4000]);
     expect(events[0]?.fields).to.deep.include({ role: 'pre-candidate', forMillis: 1000, isVoter: true });
+    expect(harness.events('majority-lost')).to.deep.equal([]);
     expect(events[0]?.fields.voters).to.deep.equal([
       { replica: 'a', address: '127.0.0.1:1', heardAgoMillis: 0, granted: true, successor: null },
       { replica: 'b', address: '127.0.0.1:2', heardAgoMillis: 1500, granted: false, successor: null },
@@ -69,6 +70,16 @@
     ]);
   });
 
+  it('says that the majority is lost for good if new replicas run at the addresses of most voters', () => {
+    const harness = new WatchHarness();
+    const addresses = { ...MEMBERSHIP.addresses, e: '127.0.0.1:2' };
+    const membership = { ...MEMBERSHIP, learners: ['e'], addresses };
+    harness.status = { ...harness.status, role: 'pre-candidate', leader: null, membership };
+    harness.lookUntil(1000);
+    const fields = harness.events('majority-lost').map((logged) => logged.fields);
+    expect(fields).to.deep.equal([{ voters: ['a', 'b', 'c'], lost: ['b', 'c'] }]);
+  });
+
   it('is silent while there is a leader and writes end', () => {
     const harness = new WatchHarness();
     harness.lookUntil(5000);
