Repairs go on when the replica that was to vote dies

What callers saw: no change and no reading ever again, though a majority was alive when the second disk was lost. Cause: a replacement waited without a limit for its new replica. If the disk at that address was lost once more while the vote was being given, or the new voter died before it had confirmed the last entry of the change, the replacement stayed under way as long as its leader led: no joining replica was taken in, no voter was replaced, and the next loss left no majority. An operator's request for a replica that never starts had the same effect.

Change: the leader's own replacement ends once the change of voters is committed, and if its replica falls behind before the change: the leader then chooses again. An operator's replacement still waits, but repairs go on meanwhile; if one is due, it takes precedence, and the operator is told (`rejected` before the change of voters, `unknown` after it).

Why it works: what is under way is now bounded by the commit of a majority of live voters, never by the replica that is being added.

--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -149,13 +149,13 @@
 
   #repairAutomatically(now: MonotonicMillis): void {
     const { raft } = this.#parts;
-    if (this.#replacement.isUnderWay || this.#isAddingSpare || !raft.isLeader()) {
+    if (this.#replacement.isChangingVoters || this.#isAddingSpare || !raft.isLeader()) {
       return;
     }
     const repair = this.#repair.next(raft.status(), now);
     if (repair?.type === 'replace') {
       this.#replacement.begin({ ...repair, operation: null });
-    } else if (repair?.type === 'add') {
+    } else if (repair?.type === 'add' && !this.#replacement.isUnderWay) {
       this.#replacement.begin({ ...repair, oldReplica: null, operation: null });
     } else if (repair?.type === 'take-in') {
       const { replica, address } = repair;
--- a/src/control/replica-replacement.ts
+++ b/src/control/replica-replacement.ts
@@ -52,6 +52,11 @@
     return this.#replacement !== null;
   }
 
+  /** Whether voters are being changed. A replacement that waits for its new replica doesn't count: that replica may never come. */
+  get isChangingVoters(): boolean {
+    return this.#replacement !== null && !this.#isWaiting(this.#replacement);
+  }
+
   /** Called when leadership is lost: the outcome of the replacement is then unknown. */
   abandon(): void {
     if (this.#replacement !== null) {
@@ -85,14 +90,39 @@
     this.#replacement = { operation, oldReplica, newReplica, address, stage, finalIndex: null };
   }
 
+  /** Whether the replacement waits for its new replica, before the change of voters or after it. */
+  #isWaiting({ stage, finalIndex }: Replacement): boolean {
+    const isBefore = stage === 'start' || stage === 'learner';
+    const isAfter = finalIndex !== null && this.#parts.raft.status().commitIndex >= finalIndex;
+    return isBefore || isAfter;
+  }
+
+  /** Ends the running replacement in favour of another one, if it waits for its new replica, which may never come. Returns whether it ended. */
+  #supersede(running: Replacement, change: RequestedReplacement): boolean {
+    const isSame = running.oldReplica === change.oldReplica && running.newReplica === change.newReplica;
+    if (isSame) {
+      return false;
+    }
+    return change.operation === null ? this.#giveWay(running, change) : this.#giveUp(running, change);
+  }
+
+  /** Ends it in favour of a repair. Its new replica stays a learner. */
+  #giveWay(running: Replacement, { oldReplica, newReplica }: RequestedReplacement): boolean {
+    if (!this.#isWaiting(running)) {
+      return false;
+    }
+    const message = `given up: ${oldReplica} is lost, and ${newReplica} takes its place`;
+    const isChanged = running.finalIndex !== null;
+    this.#finish(running.operation, isChanged ? { type: 'unknown' } : { type: 'rejected', message });
+    return true;
+  }
+
   /**
-   * Ends the running replacement in favour of another one requested by an operator, since its new replica may never start. This isn't
-   * possible while a proposal is under way or once the change of voters is in the log. A learner is removed again. Returns whether it ended.
+   * Ends it in favour of another one requested by an operator. This isn't possible while a proposal is under way or once the change of
+   * voters is in the log. A learner is removed again.
    */
-  #supersede(running: Replacement, { operation, oldReplica, newReplica }: RequestedReplacement): boolean {
-    const isSame = running.oldReplica === oldReplica && running.newReplica === newReplica;
-    const isInProgress = running.stage === 'joint' || running.stage === 'busy';
-    if (operation === null || isSame || isInProgress) {
+  #giveUp(running: Replacement, { newReplica }: RequestedReplacement): boolean {
+    if (running.stage === 'joint' || running.stage === 'busy') {
       return false;
     }
     const { raft } = this.#parts;
@@ -139,13 +169,23 @@
       replacement.stage = 'learner';
       return;
     }
+    if (replacement.operation === null) {
+      this.#finish(null, { type: 'unknown' });
+      return;
+    }
     this.#proposeStep(replacement, { type: 'add-learner', replica, address }, 'start', 'learner', now);
   }
 
-  /** Proposes the change of voters once the new replica has synced everything committed. */
+  /**
+   * Proposes the change of voters once the new replica has synced everything committed. The leader's own replacement doesn't wait for
+   * that: it ends, and the leader chooses again among the replicas that have, since this one may be lost.
+   */
   #changeVotersWhenCaughtUp(replacement: Replacement, status: RaftStatus, now: MonotonicMillis): void {
-    const { oldReplica, newReplica } = replacement;
+    const { operation, oldReplica, newReplica } = replacement;
     if ((status.matchIndexes[newReplica] ?? 0) < status.commitIndex) {
+      if (operation === null) {
+        this.#finish(null, { type: 'unknown' });
+      }
       return;
     }
     const kept = status.membership.voters.filter((voter) => voter !== oldReplica);
@@ -164,7 +204,9 @@
     replacement.finalIndex ??= lastIndex;
     const isCaughtUp = (status.matchIndexes[replacement.newReplica] ?? 0) >= replacement.finalIndex;
     const isSelf = replacement.newReplica === status.self;
-    if (status.commitIndex >= replacement.finalIndex && (isCaughtUp || isSelf)) {
+    // Nobody waits for the leader's own replacement, and the next one mustn't wait for a replica that may be lost again.
+    const isOwn = replacement.operation === null;
+    if (status.commitIndex >= replacement.finalIndex && (isCaughtUp || isSelf || isOwn)) {
       this.#finish(replacement.operation, { type: 'membership', membership, repaired: true });
     }
   }
--- a/test/control/cluster-harness.ts
+++ b/test/control/cluster-harness.ts
@@ -1,6 +1,6 @@
 /** Control members and holders on one virtual clock, with checks that at most one holder serves each shard at any time. */
 import { expect } from 'chai';
-import type { RestoredState } from '../../src/consensus/types.js';
+import type { PersistRequest } from '../../src/consensus/types.js';
 import { createControlNode } from '../../src/control/control-node.js';
 import type { IdentityAnswer, IdentityQuestion } from '../../src/control/identity-question.js';
 import type { ControlToRouter, RouterToControl } from '../../src/control/messages.js';
@@ -21,6 +21,7 @@
 import { shardOfKey } from '../../src/model/key-map.js';
 import type { ServiceDefinition, UpstreamDefinition } from '../../src/model/service.js';
 import type { OperatorCommand, ShardRecord } from '../../src/registry/types.js';
+import { SimulatedDisk } from '../consensus/simulated-disk.js';
 import { Server } from './cluster-server.js';
 
 const NETWORK_MILLIS = 1;
@@ -32,6 +33,7 @@
 interface Member {
   readonly id: ReplicaId;
   readonly core: ControlCore;
+  readonly disk: SimulatedDisk;
   alive: boolean;
 }
 
@@ -59,6 +61,8 @@
   readonly logs: { readonly member: ReplicaId; readonly event: string; readonly fields: LogFields }[] = [];
   /** Members that are partitioned off: they neither send nor receive messages. */
   readonly cut = new Set<string>();
+  /** How long a write of a member takes, if it isn't the usual time. */
+  readonly syncMillis = new Map<ReplicaId, number>();
   /** The run that answers at an address; others don't answer. */
   readonly living = new Map<Address, UpstreamId>();
   /** Addresses that were queried for their run, in order. */
@@ -94,9 +98,15 @@
     return this.members.get(id) as Member;
   }
 
+  /** Starts a member again with what is on its disk. */
+  restart(id: ReplicaId): Member {
+    const { disk } = this.members.get(id) as Member;
+    this.#runMember(id, disk);
+    return this.members.get(id) as Member;
+  }
+
   /** Sends a join request of the replica to every member. */
-  requestJoin(id: ReplicaId): void {
-    const address = addressOf(id);
+  requestJoin(id: ReplicaId, address: Address = addressOf(id)): void {
     for (const member of this.members.values()) {
       if (member.id !== id && !this.cut.has(member.id)) {
         this.#step(member, { type: 'join-request', replica: id, address });
@@ -207,12 +217,10 @@
 
   #startMember(id: ReplicaId, voters: readonly ReplicaId[] | null): void {
     const addresses = Object.fromEntries((voters ?? []).map((voter) => [voter, addressOf(voter)]));
-    const restored: RestoredState = {
-      hardState: { term: 0, votedFor: null },
-      snapshot: null,
-      initialMembership: voters && { voters, outgoingVoters: [], learners: [], addresses },
-      entries: [],
-    };
+    this.#runMember(id, new SimulatedDisk(voters && { voters, outgoingVoters: [], learners: [], addresses }));
+  }
+
+  #runMember(id: ReplicaId, disk: SimulatedDisk): void {
     const config: ControlConfig = {
       cluster: 'c1',
       self: id,
@@ -224,7 +232,8 @@
       replaceAfterMillis: 0,
       ...this.options.config,
     };
-    this.members.set(id, { id, core: createControlNode(config, restored, this.time), alive: true });
+    const core = createControlNode(config, disk.load(), this.time);
+    this.members.set(id, { id, core, disk, alive: true });
   }
 
   #advance(end: number): void {
@@ -295,9 +304,7 @@
         break;
       }
       case 'persist':
-        this.#later(SYNC_MILLIS, () =>
-          this.#step(member, { type: 'persisted', persistId: effect.request.persistId }),
-        );
+        this.#later(this.syncMillis.get(member.id) ?? SYNC_MILLIS, () => this.#sync(member, effect.request));
         break;
       case 'call-upstream':
         this.calls.push(effect.request);
@@ -318,6 +325,13 @@
     }
   }
 
+  #sync(member: Member, request: PersistRequest): void {
+    if (member.alive) {
+      member.disk.write(request);
+      this.#step(member, { type: 'persisted', persistId: request.persistId });
+    }
+  }
+
   #askIdentity(member: Member, { id, address, claimant }: IdentityQuestion): void {
     this.questions.push(address);
     const living = this.living.get(address);
--- a/test/control/membership-changes.test.ts
+++ b/test/control/membership-changes.test.ts
@@ -1,7 +1,8 @@
 /** Membership changes of a leader whose Raft core rejects its proposals. */
 import { expect } from 'chai';
+import type { RaftStatus } from '../../src/consensus/types.js';
 import { MembershipChanges } from '../../src/control/membership-changes.js';
-import type { RaftAdapter } from '../../src/control/raft-adapter.js';
+import type { MembershipProposal, RaftAdapter } from '../../src/control/raft-adapter.js';
 
 const POLL_MILLIS = 50;
 
@@ -37,6 +38,56 @@
   }
 }
 
+/** A leader whose Raft core accepts every membership change, and whose status the test sets. */
+class ObedientRaft {
+  readonly proposals: MembershipProposal[] = [];
+  status: () => RaftStatus = () => this.current;
+  current: RaftStatus = {
+    self: 'm1',
+    role: 'leader',
+    term: 1,
+    leader: 'm1',
+    commitIndex: 5,
+    lastIndex: 5,
+    firstIndex: 1,
+    membership: { voters: ['m1', 'm2', 'm3'], outgoingVoters: [], learners: ['m4', 'm5'], addresses: {} },
+    matchIndexes: {},
+  };
+
+  isLeader(): boolean {
+    return true;
+  }
+
+  leaderAddress(): null {
+    return null;
+  }
+
+  proposeMembership(proposal: MembershipProposal): void {
+    this.proposals.push(proposal);
+  }
+}
+
+describe('a replacement by the leader itself', () => {
+  // Guards against a replacement that waits for ever for a replica that was caught up once and is lost now.
+  it('takes another replica if the first one falls behind', () => {
+    const raft = new ObedientRaft();
+    const config = { replaceAfterMillis: 2000 } as never;
+    const changes = new MembershipChanges({ config, raft: raft as unknown as RaftAdapter, answer: () => {} });
+    changes.onRoleChange(0);
+    for (const replica of ['m2', 'm4', 'm5']) {
+      changes.onPeerMessage(replica, 2000);
+    }
+    raft.current = { ...raft.current, matchIndexes: { m2: 5, m4: 5, m5: 4 } };
+    changes.run(2000);
+    raft.current = { ...raft.current, commitIndex: 6, matchIndexes: { m2: 6, m4: 5, m5: 6 } };
+    for (let now = 2050; now <= 2500; now += POLL_MILLIS) {
+      changes.run(now);
+    }
+    const voters = ['m1', 'm2', 'm5'];
+    expect(raft.proposals).to.deep.equal([{ type: 'change-voters', voters }]);
+  });
+});
+
 describe('a replacement that is temporarily rejected', () => {
   it('is proposed once per poll, however often the control core runs its parts', () => {
     const raft = new RejectingRaft();
