A replica that is always a little behind gets its vote

Cause: a learner could vote only at a moment at which it had synced every committed entry.

Change: a learner counts as caught up if it has synced what was committed at most an election timeout ago, found by catch-up rounds as in the Raft dissertation (4.2.1): a round ends once the member has synced what was committed at its start. Raft core, automatic repair and requested replacements use the same judgement (`RaftDetails.caughtUp`).

Evidence: `automatic-repair` fails before: changes each 5 ms, a spare whose syncs take 30 ms (the others 1 ms) had no vote 3 s after the loss; now it has.

Why it works: elections and commits are safe whatever a new voter holds, since the entry that ends the joint change follows all earlier ones and is on a majority of the new voters; being caught up only keeps commits from waiting. That wait is now bounded by an election timeout instead of zero.

--- a/src/consensus/progress.ts
+++ b/src/consensus/progress.ts
@@ -30,10 +30,31 @@
   /** Commit index that was last sent to the member. */
   sentCommitIndex = 0;
   lastContactAt: number;
+  /** Catch-up round: what was committed when it started ends at `roundEndIndex`. */
+  #roundEndIndex: number;
+  #roundStartedAt: number;
+  /** Start of the last complete round: the member holds what was committed then. */
+  #holdsAsOf = Number.NEGATIVE_INFINITY;
 
   constructor(nextIndex: number, now: number) {
     this.nextIndex = nextIndex;
     this.lastContactAt = now;
+    this.#roundEndIndex = nextIndex - 1;
+    this.#roundStartedAt = now;
+  }
+
+  /** Ends the catch-up round if the member has synced its entries, and starts the next one. */
+  recordRound(commitIndex: number, now: number): void {
+    if (this.matchIndex >= this.#roundEndIndex) {
+      this.#holdsAsOf = this.#roundStartedAt;
+      this.#roundEndIndex = commitIndex;
+      this.#roundStartedAt = now;
+    }
+  }
+
+  /** Whether the member has synced everything that is committed, or was committed at most `lagMillis` ago. */
+  isCaughtUp(commitIndex: number, lagMillis: number, now: number): boolean {
+    return this.matchIndex >= commitIndex || now - this.#holdsAsOf <= lagMillis;
   }
 
   becomeProbe(nextIndex: number): void {
--- a/src/consensus/proposals.ts
+++ b/src/consensus/proposals.ts
@@ -9,7 +9,7 @@
   withLearner,
   withoutLearner,
 } from './membership.js';
-import { appendOwnEntry, leaderStateOf } from './replication.js';
+import { appendOwnEntry, isCaughtUp, leaderStateOf } from './replication.js';
 import type { RaftState } from './state.js';
 import type { LogEntry, Membership, RaftEffect } from './types.js';
 
@@ -60,14 +60,14 @@
   });
 }
 
-/** Current voters may stay; a new voter must be a learner that has synced every committed entry. */
+/** Current voters may stay; a new voter must be a learner that is caught up. */
 function canBeVoter(state: RaftState, replica: ReplicaId): boolean {
   if (isVoter(state.membership, replica)) {
     return true;
   }
   const progress = leaderStateOf(state).progress.get(replica);
   const isLearner = state.membership.learners.includes(replica);
-  return isLearner && progress !== undefined && progress.matchIndex >= state.commitIndex;
+  return isLearner && progress !== undefined && isCaughtUp(state, progress);
 }
 
 /** `buildMembership` returns the new membership, or `undefined` if a new voter isn't caught up. */
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -174,7 +174,7 @@
     }
     return;
   }
-  recordMatch(progress, response.matchIndex);
+  recordMatch(state, progress, response.matchIndex);
   replicate(state, response.from, progress);
 }
 
@@ -186,7 +186,7 @@
   }
   recordResponse(state, progress, response.round);
   if (continueSnapshotTransfer(state, progress, response)) {
-    recordMatch(progress, response.lastIndex);
+    recordMatch(state, progress, response.lastIndex);
     replicate(state, response.from, progress);
   }
 }
@@ -197,8 +197,9 @@
   progress.acknowledgedRound = Math.max(progress.acknowledgedRound, round);
 }
 
-function recordMatch(progress: Progress, matchIndex: number): void {
+function recordMatch(state: RaftState, progress: Progress, matchIndex: number): void {
   progress.recordMatch(matchIndex);
+  progress.recordRound(state.commitIndex, state.now);
   const snapshotDone = progress.transfer === undefined || matchIndex >= progress.transfer.snapshot.lastIndex;
   const mayReplicate = progress.state === 'probe' || snapshotDone;
   if (progress.state !== 'replicate' && mayReplicate) {
@@ -230,6 +231,14 @@
   );
 }
 
+/**
+ * Whether a member is close enough to the leader to vote: it has synced what was committed an election timeout ago. While entries
+ * are committed all the time, hardly any member has synced all of them; a voter with a slower disk than the others never has.
+ */
+export function isCaughtUp(state: RaftState, progress: Progress): boolean {
+  return progress.isCaughtUp(state.commitIndex, state.config.electionTimeoutMillis, state.now);
+}
+
 /** State of a leader. Must only be called on a leader. */
 export function leaderStateOf(state: RaftState): LeaderState {
   return state.leaderState as LeaderState;
--- a/src/consensus/status.ts
+++ b/src/consensus/status.ts
@@ -1,6 +1,7 @@
 /** Status of a replica for operators, and the details behind it for logs. */
 import type { ReplicaId } from '../model/identifiers.js';
 import type { Progress } from './progress.js';
+import { isCaughtUp } from './replication.js';
 import type { RaftState } from './state.js';
 import type { MemberProgress, RaftDetails, RaftStatus } from './types.js';
 
@@ -24,11 +25,14 @@
 }
 
 /** Creates the details from the state of a replica. */
-export function raftDetails({ campaign, persistQueue, leaderState }: RaftState): RaftDetails {
+export function raftDetails(state: RaftState): RaftDetails {
+  const { campaign, persistQueue, leaderState } = state;
+  const progress = [...(leaderState?.progress ?? [])];
   return {
     votes: campaign === undefined ? null : [...campaign.granted],
     writeSince: persistQueue.outstandingSince,
-    members: [...(leaderState?.progress ?? [])].map(([replica, progress]) => progressOf(replica, progress)),
+    members: progress.map(([replica, member]) => progressOf(replica, member)),
+    caughtUp: progress.filter(([, member]) => isCaughtUp(state, member)).map(([replica]) => replica),
   };
 }
 
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -265,7 +265,7 @@
   readonly snapshotBytes: number | null;
 }
 
-/** What a replica knows of elections, of its own writes and, as the leader, of the other members; for logs. */
+/** What a replica knows of elections, of its own writes and, as the leader, of the other members. */
 export interface RaftDetails {
   /** Replicas that granted the vote or pre-vote in progress, this one included; `null`: none is in progress. */
   readonly votes: readonly ReplicaId[] | null;
@@ -273,6 +273,8 @@
   readonly writeSince: number | null;
   /** Empty on replicas that don't lead. */
   readonly members: readonly MemberProgress[];
+  /** Members that have synced what was committed an election timeout ago; empty on replicas that don't lead. */
+  readonly caughtUp: readonly ReplicaId[];
 }
 
 /** The Raft core: deterministic, without clock, random source, socket or file of its own. */
--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -1,6 +1,6 @@
 /**
  * Automatic membership changes by the leader: it adds waiting replicas as spare learners, and replaces a voter that was silent
- * for too long by a spare that holds all committed entries.
+ * for too long by a spare that is caught up.
  */
 import type { RaftStatus } from '../consensus/types.js';
 import type { Address, MonotonicMillis, ReplicaId } from '../model/identifiers.js';
@@ -76,21 +76,21 @@
     return Math.max(0, now - Math.max(this.#lastMessageAt.get(replica) ?? 0, this.#leaderSince));
   }
 
-  /** Returns the next change that is due, or `null`. For the leader only. */
-  next(status: RaftStatus, now: MonotonicMillis): Repair | null {
+  /** Returns the next change that is due, or `null`. For the leader only. `caughtUp`: members that are close enough to it to vote. */
+  next(status: RaftStatus, caughtUp: readonly ReplicaId[], now: MonotonicMillis): Repair | null {
     if (this.replaceAfterMillis <= 0) {
       return null;
     }
     const [waiting] = this.waiting(status, now);
-    return waiting === undefined ? this.#replacement(status, now) : { type: 'take-in', ...waiting };
+    return waiting === undefined ? this.#replacement(status, caughtUp, now) : { type: 'take-in', ...waiting };
   }
 
-  #replacement(status: RaftStatus, now: MonotonicMillis): Repair | null {
-    const { membership, matchIndexes, commitIndex, self } = status;
+  #replacement(status: RaftStatus, caughtUp: readonly ReplicaId[], now: MonotonicMillis): Repair | null {
+    const { membership, self } = status;
     const isSilent = (replica: ReplicaId): boolean =>
       this.silentMillis(replica, now) >= this.replaceAfterMillis;
     const newReplica = membership.learners.find(
-      (learner) => !isSilent(learner) && (matchIndexes[learner] ?? 0) >= commitIndex,
+      (learner) => !isSilent(learner) && caughtUp.includes(learner),
     );
     if (newReplica === undefined) {
       return null;
--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -152,7 +152,7 @@
     if (this.#replacement.isChangingVoters || this.#isAddingSpare || !raft.isLeader()) {
       return;
     }
-    const repair = this.#repair.next(raft.status(), now);
+    const repair = this.#repair.next(raft.status(), raft.details().caughtUp, now);
     if (repair?.type === 'replace') {
       this.#replacement.begin({ ...repair, operation: null });
     } else if (repair?.type === 'add' && !this.#replacement.isUnderWay) {
--- a/src/control/replica-replacement.ts
+++ b/src/control/replica-replacement.ts
@@ -177,12 +177,12 @@
   }
 
   /**
-   * Proposes the change of voters once the new replica has synced everything committed. The leader's own replacement doesn't wait for
-   * that: it ends, and the leader chooses again among the replicas that have, since this one may be lost.
+   * Proposes the change of voters once the new replica is caught up. The leader's own replacement doesn't wait for that: it ends, and
+   * the leader chooses again among the replicas that are, since this one may be lost.
    */
   #changeVotersWhenCaughtUp(replacement: Replacement, status: RaftStatus, now: MonotonicMillis): void {
     const { operation, oldReplica, newReplica } = replacement;
-    if ((status.matchIndexes[newReplica] ?? 0) < status.commitIndex) {
+    if (!this.#parts.raft.details().caughtUp.includes(newReplica)) {
       if (operation === null) {
         this.#finish(null, { type: 'unknown' });
       }
--- a/test/control/automatic-repair.test.ts
+++ b/test/control/automatic-repair.test.ts
@@ -10,6 +10,7 @@
 const REPAIR_MILLIS = 8000;
 const CHANGE_MILLIS = 5;
 const SLOW_SYNC_MILLIS = 30;
+const HANGING_SYNC_MILLIS = 1000;
 
 function startCluster(options: ClusterOptions = {}): Cluster {
   const cluster = new Cluster({ ...options, config: { replaceAfterMillis: REPLACE_AFTER_MILLIS } });
@@ -130,6 +131,29 @@
     }
   });
 
+  // Guards against a vote that waits until the new replica has synced every committed entry, while entries are committed all the time.
+  it('gives the vote to a replica that is always a little behind', () => {
+    const cluster = startCluster();
+    cluster.addMember('m4');
+    runAsking(cluster, 'm4', 3000);
+    cluster.syncMillis.set('m4', SLOW_SYNC_MILLIS);
+    const lost = follower(cluster);
+    lose(cluster, lost);
+    runChanging(cluster, REPLACE_AFTER_MILLIS + 1000);
+    expect(membership(cluster).voters).to.include('m4').and.to.not.include(lost);
+  });
+
+  it('gives no vote to a replica that falls further and further behind', () => {
+    const cluster = startCluster();
+    cluster.addMember('m4');
+    runAsking(cluster, 'm4', 3000);
+    cluster.syncMillis.set('m4', HANGING_SYNC_MILLIS);
+    const lost = follower(cluster);
+    lose(cluster, lost);
+    runChanging(cluster, REPLACE_AFTER_MILLIS + 1000);
+    expect(membership(cluster).voters).to.include(lost).and.to.not.include('m4');
+  });
+
   it('completes whenever the leader is lost in the middle', () => {
     for (let millis = 0; millis <= 12; millis += 1) {
       const cluster = startCluster({ members: 5, seed: millis });
--- a/test/control/membership-changes.test.ts
+++ b/test/control/membership-changes.test.ts
@@ -32,6 +32,10 @@
     };
   }
 
+  details() {
+    return { caughtUp: [] };
+  }
+
   proposeMembership(_proposal: unknown, settle: (outcome: unknown, now: number) => void): void {
     this.proposals += 1;
     settle({ type: 'rejected', reason: 'membership-change-pending' }, 0);
@@ -62,6 +66,12 @@
     return null;
   }
 
+  details() {
+    const { matchIndexes, commitIndex } = this.current;
+    const members = Object.entries(matchIndexes);
+    return { caughtUp: members.filter(([, index]) => index >= commitIndex).map(([replica]) => replica) };
+  }
+
   proposeMembership(proposal: MembershipProposal): void {
     this.proposals.push(proposal);
   }
