Repairs are chosen by who was heard last at an address, and lost votes come first

Change: a replica has ended if another member runs at its address and was heard later, in this leadership; it is never chosen, and its vote goes to any caught-up spare. Replacements go before take-ins. `repair-begun` logs each repair with its reason.

Why it works: an address serves one replica, so of two at one address only the one that was heard last can be alive.

--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -14,6 +14,9 @@
   readonly address: Address;
 }
 
+/** Why a voter is replaced. `disk-lost`: a new replica runs at its address. */
+export type ReplacementReason = 'disk-lost' | 'silent';
+
 /** An automatic change of the membership. */
 export type Repair =
   | ({ readonly type: 'take-in' } & WaitingReplica)
@@ -24,6 +27,7 @@
       readonly oldReplica: ReplicaId;
       readonly newReplica: ReplicaId;
       readonly address: Address;
+      readonly reason: ReplacementReason;
     };
 
 interface TimedWaitingReplica extends WaitingReplica {
@@ -76,33 +80,81 @@
     return Math.max(0, now - Math.max(this.#lastMessageAt.get(replica) ?? 0, this.#leaderSince));
   }
 
-  /** Returns the next change that is due, or `null`. For the leader only. `caughtUp`: members that are close enough to it to vote. */
+  /**
+   * Returns the next change that is due, or `null`. For the leader only. `caughtUp`: members that are close enough to it to vote. The vote
+   * of a lost member comes first, since the next loss may leave no majority.
+   */
   next(status: RaftStatus, caughtUp: readonly ReplicaId[], now: MonotonicMillis): Repair | null {
     if (this.replaceAfterMillis <= 0) {
       return null;
     }
-    const [waiting] = this.waiting(status, now);
-    return waiting === undefined ? this.#replacement(status, caughtUp, now) : { type: 'take-in', ...waiting };
+    const spares = status.membership.learners.filter(
+      (learner) =>
+        caughtUp.includes(learner) && !this.#isSilent(learner, now) && !this.#isSuperseded(learner, status),
+    );
+    return (
+      this.#replacement(status, spares, now) ?? this.#takeIn(status, now) ?? this.#growth(status, spares)
+    );
   }
 
-  #replacement(status: RaftStatus, caughtUp: readonly ReplicaId[], now: MonotonicMillis): Repair | null {
-    const { membership, self } = status;
-    const isSilent = (replica: ReplicaId): boolean =>
-      this.silentMillis(replica, now) >= this.replaceAfterMillis;
-    const newReplica = membership.learners.find(
-      (learner) => !isSilent(learner) && caughtUp.includes(learner),
-    );
+  #replacement(status: RaftStatus, spares: readonly ReplicaId[], now: MonotonicMillis): Repair | null {
+    const [newReplica] = spares;
     if (newReplica === undefined) {
       return null;
     }
+    const { self, membership } = status;
     const address = membership.addresses[newReplica] ?? '';
-    // An address serves one replica: if a new replica runs there, the previous one has lost its disk.
-    const isGone = (voter: ReplicaId): boolean => isSilent(voter) || membership.addresses[voter] === address;
-    const oldReplica = membership.voters.find((voter) => voter !== self && isGone(voter));
-    if (oldReplica === undefined) {
-      const canGrow = membership.voters.length < this.maxVoters;
-      return canGrow ? { type: 'add', newReplica, address } : null;
+    for (const oldReplica of membership.voters) {
+      const reason = oldReplica === self ? null : this.#reasonToReplace(oldReplica, status, now);
+      if (reason !== null) {
+        return { type: 'replace', oldReplica, newReplica, address, reason };
+      }
+    }
+    return null;
+  }
+
+  #reasonToReplace(voter: ReplicaId, status: RaftStatus, now: MonotonicMillis): ReplacementReason | null {
+    const { learners } = status.membership;
+    if (learners.some((learner) => this.#runsInPlaceOf(learner, voter, status))) {
+      return 'disk-lost';
+    }
+    return this.#isSilent(voter, now) ? 'silent' : null;
+  }
+
+  #takeIn(status: RaftStatus, now: MonotonicMillis): Repair | null {
+    const [waiting] = this.waiting(status, now);
+    return waiting === undefined ? null : { type: 'take-in', ...waiting };
+  }
+
+  #growth({ membership }: RaftStatus, [newReplica]: readonly ReplicaId[]): Repair | null {
+    if (newReplica === undefined || membership.voters.length >= this.maxVoters) {
+      return null;
+    }
+    return { type: 'add', newReplica, address: membership.addresses[newReplica] ?? '' };
+  }
+
+  #isSilent(replica: ReplicaId, now: MonotonicMillis): boolean {
+    return this.silentMillis(replica, now) >= this.replaceAfterMillis;
+  }
+
+  /** Whether another member runs at the replica's address: the replica has lost its disk and never comes back. */
+  #isSuperseded(replica: ReplicaId, status: RaftStatus): boolean {
+    const { voters, learners } = status.membership;
+    return [...voters, ...learners].some((other) => this.#runsInPlaceOf(other, replica, status));
+  }
+
+  /**
+   * Whether `replica` runs at the address of `former`, which has ended: an address serves one replica, and `replica` was heard there
+   * last. What was heard before this leadership doesn't count, as other members may have been silent towards this one alone.
+   */
+  #runsInPlaceOf(replica: ReplicaId, former: ReplicaId, { self, membership }: RaftStatus): boolean {
+    const { addresses } = membership;
+    const address = addresses[former];
+    if (replica === former || former === self || !address || addresses[replica] !== address) {
+      return false;
     }
-    return { type: 'replace', oldReplica, newReplica, address };
+    const heardAt = this.#lastMessageAt.get(replica) ?? Number.NEGATIVE_INFINITY;
+    const formerHeardAt = this.#lastMessageAt.get(former) ?? Number.NEGATIVE_INFINITY;
+    return replica === self || (heardAt >= this.#leaderSince && heardAt > formerHeardAt);
   }
 }
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -111,11 +111,11 @@
     const shared = { config, raft: this.#raft, propose: this.#propose };
     const answer = (operation: OperationId, response: OperatorResponse): void =>
       this.#emit({ type: 'answer-operator', operation, response });
-    this.#membership = new MembershipChanges({ ...shared, answer });
-    const askIdentity = this.#askIdentity;
-    const nextQuestion = this.#nextQuestion;
     const log = (event: string, fields: Readonly<Record<string, unknown>>): void =>
       this.#log('info', event, fields);
+    this.#membership = new MembershipChanges({ ...shared, answer, log });
+    const askIdentity = this.#askIdentity;
+    const nextQuestion = this.#nextQuestion;
     this.#watch = new QuorumWatch({
       raft: this.#raft,
       heardAt: (replica) => this.#membership.heardAt(replica),
--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -1,9 +1,9 @@
 /** Membership changes of the control cluster: learners, replacement of replicas and transfer of leadership. */
 import type { Address, MonotonicMillis, ReplicaId } from '../model/identifiers.js';
-import { AutomaticRepair, type WaitingReplica } from './automatic-repair.js';
+import { AutomaticRepair, type Repair, type WaitingReplica } from './automatic-repair.js';
 import { LeadershipTransfer } from './leadership-transfer.js';
 import { MEMBERSHIP_POLL_MILLIS, MembershipRetry } from './membership-retry.js';
-import type { RaftAdapter } from './raft-adapter.js';
+import type { MembershipProposal, RaftAdapter } from './raft-adapter.js';
 import { proposalFailure, ReplicaReplacement, type RequestedReplacement } from './replica-replacement.js';
 import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
 
@@ -11,6 +11,7 @@
   readonly config: ControlConfig;
   readonly raft: RaftAdapter;
   readonly answer: (operation: OperationId, response: OperatorResponse) => void;
+  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
 /** The leader's view of the other replicas. */
@@ -32,8 +33,10 @@
   readonly #transfer: LeadershipTransfer;
   #nextPollAt: MonotonicMillis = Number.POSITIVE_INFINITY;
   readonly #repair: AutomaticRepair;
-  /** Whether the proposal of an automatically added spare is pending. */
-  #isAddingSpare = false;
+  /** Whether the proposal of an automatic change of the learners is pending. */
+  #isChangingLearners = false;
+  /** The repair that was logged last; one that is begun again isn't logged again. */
+  #loggedRepair = '';
 
   constructor(parts: MembershipChangesParts) {
     this.#parts = parts;
@@ -108,7 +111,8 @@
   onRoleChange(now: MonotonicMillis): void {
     const isLeader = this.#parts.raft.isLeader();
     this.#repair.onRoleChange(isLeader, now);
-    this.#isAddingSpare = false;
+    this.#isChangingLearners = false;
+    this.#loggedRepair = '';
     if (!isLeader) {
       this.#replacement.abandon();
     }
@@ -149,23 +153,51 @@
 
   #repairAutomatically(now: MonotonicMillis): void {
     const { raft } = this.#parts;
-    if (this.#replacement.isChangingVoters || this.#isAddingSpare || !raft.isLeader()) {
+    if (this.#replacement.isChangingVoters || this.#isChangingLearners || !raft.isLeader()) {
       return;
     }
     const repair = this.#repair.next(raft.status(), raft.details().caughtUp, now);
-    if (repair?.type === 'replace') {
-      this.#replacement.begin({ ...repair, operation: null });
-    } else if (repair?.type === 'add' && !this.#replacement.isUnderWay) {
-      this.#replacement.begin({ ...repair, oldReplica: null, operation: null });
-    } else if (repair?.type === 'take-in') {
-      const { replica, address } = repair;
-      this.#isAddingSpare = true;
-      raft.proposeMembership({ type: 'add-learner', replica, address }, (outcome) => {
-        this.#isAddingSpare = false;
-        if (outcome.type !== 'applied') {
-          this.#retry.onRejected(now);
-        }
-      });
+    if (repair !== null && !(repair.type === 'add' && this.#replacement.isUnderWay)) {
+      this.#logRepair(repair, now);
+      this.#beginRepair(repair, now);
+    }
+  }
+
+  #beginRepair(repair: Repair, now: MonotonicMillis): void {
+    switch (repair.type) {
+      case 'replace':
+        this.#replacement.begin({ ...repair, operation: null });
+        break;
+      case 'add':
+        this.#replacement.begin({ ...repair, oldReplica: null, operation: null });
+        break;
+      case 'take-in': {
+        const { replica, address } = repair;
+        this.#proposeLearners({ type: 'add-learner', replica, address }, now);
+        break;
+      }
+    }
+  }
+
+  /** Proposes a change of the learners; no repair begins before it is settled. */
+  #proposeLearners(proposal: MembershipProposal, now: MonotonicMillis): void {
+    this.#isChangingLearners = true;
+    this.#parts.raft.proposeMembership(proposal, (outcome) => {
+      this.#isChangingLearners = false;
+      if (outcome.type !== 'applied') {
+        this.#retry.onRejected(now);
+      }
+    });
+  }
+
+  #logRepair(repair: Repair, now: MonotonicMillis): void {
+    const key = JSON.stringify(repair);
+    if (key !== this.#loggedRepair) {
+      this.#loggedRepair = key;
+      const { type, ...fields } = repair;
+      const silentMillis =
+        'oldReplica' in repair ? Math.round(this.#repair.silentMillis(repair.oldReplica, now)) : null;
+      this.#parts.log('repair-begun', { repair: type, ...fields, silentMillis });
     }
   }
 }
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -150,6 +150,10 @@
       'writeMillis',
     ],
   },
+  'repair-begun': {
+    source: 'control',
+    fields: ['repair', 'replica', 'oldReplica', 'newReplica', 'address', 'reason', 'silentMillis'],
+  },
   'write-outstanding': {
     source: 'control',
     fields: ['role', 'term', 'lastIndex', 'commitIndex', 'writeMillis'],
--- a/test/control/membership-changes.test.ts
+++ b/test/control/membership-changes.test.ts
@@ -3,9 +3,15 @@
 import type { RaftStatus } from '../../src/consensus/types.js';
 import { MembershipChanges } from '../../src/control/membership-changes.js';
 import type { MembershipProposal, RaftAdapter } from '../../src/control/raft-adapter.js';
+import type { ControlConfig } from '../../src/control/types.js';
 
 const POLL_MILLIS = 50;
 
+function membershipChanges(config: Partial<ControlConfig>, raft: unknown): MembershipChanges {
+  const parts = { config: config as ControlConfig, raft: raft as RaftAdapter };
+  return new MembershipChanges({ ...parts, answer: () => {}, log: () => {} });
+}
+
 /** A leader whose Raft core rejects every membership change at once. */
 class RejectingRaft {
   proposals = 0;
@@ -81,8 +87,8 @@
   // Guards against a replacement that waits for ever for a replica that was caught up once and is lost now.
   it('takes another replica if the first one falls behind', () => {
     const raft = new ObedientRaft();
-    const config = { replaceAfterMillis: 2000 } as never;
-    const changes = new MembershipChanges({ config, raft: raft as unknown as RaftAdapter, answer: () => {} });
+    const config = { replaceAfterMillis: 2000 };
+    const changes = membershipChanges(config, raft);
     changes.onRoleChange(0);
     for (const replica of ['m2', 'm4', 'm5']) {
       changes.onPeerMessage(replica, 2000);
@@ -101,8 +107,8 @@
 describe('a replacement that is temporarily rejected', () => {
   it('is proposed once per poll, however often the control core runs its parts', () => {
     const raft = new RejectingRaft();
-    const config = { replaceAfterMillis: 0 } as never;
-    const changes = new MembershipChanges({ config, raft: raft as unknown as RaftAdapter, answer: () => {} });
+    const config = { replaceAfterMillis: 0 };
+    const changes = membershipChanges(config, raft);
     const address = '127.0.0.4:1';
     changes.begin('op1', { type: 'replace-replica', oldReplica: 'm2', newReplica: 'm4', address }, 1000);
     for (let round = 0; round < 5; round += 1) {
