Learners that lost their disk are removed

Cause: only a change of voters removes members, and an address says nothing of who runs at it.

Change: the leader removes a learner at whose address another member (learner, voter or itself) has been heard since, and which has been silent for `replaceAfter`. A learner that is alone at its address, or has none, is kept. Repairs, take-ins and additions go first.

Evidence: `repair-choice` fails before in four of its new cases, `automatic-repair` in one (a learner whose disk is lost again before its vote, removed 2 s after the next leader began); a silent spare at an address of its own stays, and votes after its return.

Why it works: a replica id is never used again, so a learner whose address serves another replica can't be heard any more from there; were it to come back at another address, it would ask to join like any other.

--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -1,6 +1,6 @@
 /**
- * Automatic membership changes by the leader: it adds waiting replicas as spare learners, and replaces a voter that was silent
- * for too long by a spare that is caught up.
+ * Automatic membership changes by the leader: it adds waiting replicas as spare learners, replaces a voter that was silent for too long by
+ * a spare that is caught up, and removes learners that lost their disk.
  */
 import type { RaftStatus } from '../consensus/types.js';
 import type { Address, MonotonicMillis, ReplicaId } from '../model/identifiers.js';
@@ -28,6 +28,13 @@
       readonly newReplica: ReplicaId;
       readonly address: Address;
       readonly reason: ReplacementReason;
+    }
+  /** A learner at whose address `successor` runs stops being a member. */
+  | {
+      readonly type: 'remove';
+      readonly replica: ReplicaId;
+      readonly address: Address;
+      readonly successor: ReplicaId;
     };
 
 interface TimedWaitingReplica extends WaitingReplica {
@@ -37,6 +44,8 @@
 export class AutomaticRepair {
   readonly #waiting = new Map<ReplicaId, TimedWaitingReplica>();
   readonly #lastMessageAt = new Map<ReplicaId, MonotonicMillis>();
+  /** When this leader first saw each learner: one that was just taken in has not been heard yet. */
+  readonly #learnerSince = new Map<ReplicaId, MonotonicMillis>();
   #leaderSince: MonotonicMillis = Number.POSITIVE_INFINITY;
 
   /**
@@ -58,6 +67,7 @@
 
   onRoleChange(isLeader: boolean, now: MonotonicMillis): void {
     this.#leaderSince = isLeader ? Math.min(this.#leaderSince, now) : Number.POSITIVE_INFINITY;
+    this.#learnerSince.clear();
   }
 
   /** Replicas that currently request to join and aren't members. */
@@ -88,15 +98,32 @@
     if (this.replaceAfterMillis <= 0) {
       return null;
     }
+    this.#recordLearners(status.membership.learners, now);
     const spares = status.membership.learners.filter(
       (learner) =>
-        caughtUp.includes(learner) && !this.#isSilent(learner, now) && !this.#isSuperseded(learner, status),
+        caughtUp.includes(learner) &&
+        !this.#isSilent(learner, now) &&
+        this.#successorOf(learner, status) === null,
     );
     return (
-      this.#replacement(status, spares, now) ?? this.#takeIn(status, now) ?? this.#growth(status, spares)
+      this.#replacement(status, spares, now) ??
+      this.#takeIn(status, now) ??
+      this.#growth(status, spares) ??
+      this.#removal(status, now)
     );
   }
 
+  #recordLearners(learners: readonly ReplicaId[], now: MonotonicMillis): void {
+    for (const replica of this.#learnerSince.keys()) {
+      if (!learners.includes(replica)) {
+        this.#learnerSince.delete(replica);
+      }
+    }
+    for (const replica of learners) {
+      this.#learnerSince.set(replica, this.#learnerSince.get(replica) ?? now);
+    }
+  }
+
   #replacement(status: RaftStatus, spares: readonly ReplicaId[], now: MonotonicMillis): Repair | null {
     const [newReplica] = spares;
     if (newReplica === undefined) {
@@ -133,14 +160,26 @@
     return { type: 'add', newReplica, address: membership.addresses[newReplica] ?? '' };
   }
 
+  /** A learner that lost its disk would stay a member for ever; one that is alone at its address may come back. */
+  #removal(status: RaftStatus, now: MonotonicMillis): Repair | null {
+    const { learners, addresses } = status.membership;
+    for (const replica of learners) {
+      const successor = this.#successorOf(replica, status);
+      if (successor !== null && now - this.#lastSignOf(replica) >= this.replaceAfterMillis) {
+        return { type: 'remove', replica, address: addresses[replica] ?? '', successor };
+      }
+    }
+    return null;
+  }
+
   #isSilent(replica: ReplicaId, now: MonotonicMillis): boolean {
     return this.silentMillis(replica, now) >= this.replaceAfterMillis;
   }
 
-  /** Whether another member runs at the replica's address: the replica has lost its disk and never comes back. */
-  #isSuperseded(replica: ReplicaId, status: RaftStatus): boolean {
+  /** Another member that runs at the replica's address, in which case the replica has lost its disk and never comes back; `null`: none. */
+  #successorOf(replica: ReplicaId, status: RaftStatus): ReplicaId | null {
     const { voters, learners } = status.membership;
-    return [...voters, ...learners].some((other) => this.#runsInPlaceOf(other, replica, status));
+    return [...voters, ...learners].find((other) => this.#runsInPlaceOf(other, replica, status)) ?? null;
   }
 
   /**
@@ -154,7 +193,12 @@
       return false;
     }
     const heardAt = this.#lastMessageAt.get(replica) ?? Number.NEGATIVE_INFINITY;
-    const formerHeardAt = this.#lastMessageAt.get(former) ?? Number.NEGATIVE_INFINITY;
-    return replica === self || (heardAt >= this.#leaderSince && heardAt > formerHeardAt);
+    return replica === self || (heardAt >= this.#leaderSince && heardAt > this.#lastSignOf(former));
+  }
+
+  /** When a member was last heard or, if it is a learner, first seen in this leadership if that is later. */
+  #lastSignOf(replica: ReplicaId): MonotonicMillis {
+    const heardAt = this.#lastMessageAt.get(replica) ?? Number.NEGATIVE_INFINITY;
+    return Math.max(heardAt, this.#learnerSince.get(replica) ?? Number.NEGATIVE_INFINITY);
   }
 }
--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -176,6 +176,9 @@
         this.#proposeLearners({ type: 'add-learner', replica, address }, now);
         break;
       }
+      case 'remove':
+        this.#proposeLearners({ type: 'remove-learner', replica: repair.replica }, now);
+        break;
     }
   }
 
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -152,7 +152,16 @@
   },
   'repair-begun': {
     source: 'control',
-    fields: ['repair', 'replica', 'oldReplica', 'newReplica', 'address', 'reason', 'silentMillis'],
+    fields: [
+      'repair',
+      'replica',
+      'oldReplica',
+      'newReplica',
+      'address',
+      'reason',
+      'successor',
+      'silentMillis',
+    ],
   },
   'write-outstanding': {
     source: 'control',
--- a/test/control/automatic-repair.test.ts
+++ b/test/control/automatic-repair.test.ts
@@ -154,6 +154,48 @@
     expect(membership(cluster).voters).to.include(lost).and.to.not.include('m4');
   });
 
+  // Guards against replicas that lost their disk before their vote and stay members for ever.
+  it('removes a learner whose disk was lost again before its vote, also under the next leader', () => {
+    const cluster = startCluster();
+    const lost = follower(cluster);
+    const address = addressOf(lost);
+    lose(cluster, lost);
+    cluster.addMember('m4');
+    cluster.syncMillis.set('m4', HANGING_SYNC_MILLIS);
+    cluster.requestJoin('m4', address);
+    cluster.run(100);
+    expect(membership(cluster).learners).to.deep.equal(['m4']);
+    lose(cluster, 'm4');
+    cluster.addMember('m5');
+    runAsking(cluster, 'm5', ASK_MILLIS, address);
+    const former = cluster.leader().id;
+    expect(membership(cluster)).to.deep.include({ learners: ['m4'] });
+    expect(membership(cluster).voters).to.include('m5').and.to.not.include(lost);
+    cluster.ask({ type: 'transfer-leadership', to: null });
+    cluster.runUntil(() => cluster.leader() !== undefined, 5000);
+    expect(cluster.leader().id).to.not.equal(former);
+    cluster.run(REPLACE_AFTER_MILLIS - 200);
+    expect(membership(cluster).learners).to.deep.equal(['m4']);
+    cluster.run(400);
+    expect(membership(cluster).learners).to.deep.equal([]);
+    expect(Object.keys(membership(cluster).addresses)).to.not.include('m4');
+  });
+
+  it('keeps a silent spare whose address is its own, which votes after its return', () => {
+    const cluster = startCluster();
+    cluster.addMember('m4');
+    runAsking(cluster, 'm4', 3000);
+    lose(cluster, 'm4');
+    cluster.run(20_000);
+    expect(membership(cluster).learners).to.deep.equal(['m4']);
+    cluster.restart('m4');
+    cluster.run(1000);
+    const lost = follower(cluster);
+    lose(cluster, lost);
+    cluster.run(REPLACE_AFTER_MILLIS + 500);
+    expect(membership(cluster).voters).to.include('m4').and.to.not.include(lost);
+  });
+
   it('completes whenever the leader is lost in the middle', () => {
     for (let millis = 0; millis <= 12; millis += 1) {
       const cluster = startCluster({ members: 5, seed: millis });
--- a/test/control/repair-choice.test.ts
+++ b/test/control/repair-choice.test.ts
@@ -33,6 +33,11 @@
   return repair;
 }
 
+/** Lets the leader see these learners for the first time so many milliseconds ago. */
+function see(repair: AutomaticRepair, membership: Partial<Membership>, agoMillis: number): void {
+  repair.next(statusOf(membership), [], NOW - agoMillis);
+}
+
 function learners(addresses: Readonly<Record<ReplicaId, Address>>): Partial<Membership> {
   return { learners: Object.keys(addresses), addresses };
 }
@@ -42,6 +47,7 @@
   it('is never a replica at whose address another one has been heard since', () => {
     const repair = repairOf({ m2: 3000, m3: 10, m4: 500, m5: 10 });
     const status = statusOf(learners({ m4: 'a:2', m5: 'a:2' }));
+    see(repair, learners({ m4: 'a:2', m5: 'a:2' }), 9000);
     expect(repair.next(status, ['m3', 'm4', 'm5'], NOW)).to.include({
       oldReplica: 'm2',
       newReplica: 'm5',
@@ -51,6 +57,7 @@
 
   it('keeps a live voter at whose address a learner ran before', () => {
     const repair = repairOf({ m2: 10, m3: 10, m4: 500 });
+    see(repair, learners({ m4: 'a:2' }), 9000);
     expect(repair.next(statusOf(learners({ m4: 'a:2' })), ['m2', 'm3', 'm4'], NOW)).to.equal(null);
     const newLeader = repairOf({ m2: 9000, m3: 10, m4: 500 }, 100);
     expect(newLeader.next(statusOf(learners({ m4: 'a:2' })), ['m3', 'm4'], NOW)).to.equal(null);
@@ -73,4 +80,73 @@
     calm.onJoinRequest('m6', 'a:6', NOW);
     expect(calm.next(status, ['m2', 'm3', 'm4'], NOW)).to.deep.include({ type: 'take-in', replica: 'm6' });
   });
+
+  describe('of a learner to remove', () => {
+    const SAME_ADDRESS = learners({ m4: 'a:2', m5: 'a:2' });
+
+    // Guards against replicas that lost their disk before their vote and stay members for ever.
+    it('is one that was silent for long, while another learner or a voter was heard at its address', () => {
+      const lost = { type: 'remove', replica: 'm4', address: 'a:2', successor: 'm5' };
+      const beside = repairOf({ m3: 10, m2: 4000, m4: REPLACE_AFTER_MILLIS, m5: 10 });
+      see(beside, SAME_ADDRESS, 9000);
+      expect(beside.next(statusOf({ ...SAME_ADDRESS, voters: ['m1', 'm3'] }), [], NOW)).to.deep.equal(lost);
+      const below = repairOf({ m2: 10, m3: 10, m4: REPLACE_AFTER_MILLIS });
+      see(below, learners({ m4: 'a:2' }), 9000);
+      const removed = below.next(statusOf(learners({ m4: 'a:2' })), ['m2', 'm3'], NOW);
+      expect(removed).to.deep.equal({ ...lost, successor: 'm2' });
+    });
+
+    it('is one at whose address this leader runs', () => {
+      const repair = repairOf({ m2: 10, m3: 10 });
+      see(repair, learners({ m4: 'a:1' }), 9000);
+      const removed = repair.next(statusOf(learners({ m4: 'a:1' })), ['m2', 'm3'], NOW);
+      expect(removed).to.deep.equal({ type: 'remove', replica: 'm4', address: 'a:1', successor: SELF });
+    });
+
+    it('is never one at an address of its own, or without an address, however long it is silent', () => {
+      const repair = repairOf({ m2: 10, m3: 10, m4: 90_000 });
+      see(repair, learners({ m4: 'a:4' }), 90_000);
+      expect(repair.next(statusOf(learners({ m4: 'a:4' })), ['m2', 'm3'], NOW)).to.equal(null);
+      const without = { learners: ['m4', 'm5'], addresses: { m4: '', m5: '' } };
+      see(repair, without, 90_000);
+      repair.onMessage('m5', NOW);
+      expect(repair.next(statusOf(without), ['m2', 'm3'], NOW)).to.equal(null);
+    });
+
+    it('is never one whose silence began with this leadership', () => {
+      const repair = repairOf({ m2: 10, m3: 10, m4: 9000, m5: 10 }, REPLACE_AFTER_MILLIS - 1);
+      const status = statusOf({ ...SAME_ADDRESS, voters: ['m1', 'm3'] });
+      see(repair, SAME_ADDRESS, REPLACE_AFTER_MILLIS - 1);
+      expect(repair.next(status, [], NOW)).to.equal(null);
+      expect(repair.next(status, [], NOW + 1)).to.include({ type: 'remove', replica: 'm4' });
+    });
+
+    it('is never one that was just taken in and has not been heard yet', () => {
+      const repair = repairOf({ m2: 4000, m3: 10 });
+      const status = statusOf(learners({ m4: 'a:2' }));
+      expect(repair.next(status, ['m3'], NOW)).to.equal(null);
+      repair.onMessage('m2', NOW + 10);
+      expect(repair.next(status, ['m2', 'm3'], NOW + REPLACE_AFTER_MILLIS - 1)).to.equal(null);
+    });
+
+    it('is the one that was heard longer ago, and none if both answer', () => {
+      const before = repairOf({ m2: 10, m3: 10, m4: 3000, m5: 5000 });
+      see(before, SAME_ADDRESS, 9000);
+      const status = statusOf({ ...SAME_ADDRESS, voters: ['m1', 'm3'] });
+      expect(before.next(status, [], NOW)).to.include({ type: 'remove', replica: 'm5' });
+      const both = repairOf({ m3: 10, m4: 20, m5: 10 });
+      see(both, SAME_ADDRESS, 9000);
+      expect(both.next(status, [], NOW)).to.equal(null);
+    });
+
+    it('waits until voters are repaired and spares are taken in', () => {
+      const repair = repairOf({ m2: 10, m3: 3000, m4: 3000, m5: 10 });
+      const status = statusOf(learners({ m4: 'a:2', m5: 'a:5' }));
+      see(repair, learners({ m4: 'a:2', m5: 'a:5' }), 9000);
+      expect(repair.next(status, ['m2', 'm5'], NOW)).to.include({ type: 'replace', oldReplica: 'm3' });
+      repair.onMessage('m3', NOW);
+      repair.onJoinRequest('m6', 'a:6', NOW);
+      expect(repair.next(status, ['m2', 'm5'], NOW)).to.include({ type: 'take-in' });
+    });
+  });
 });
