A replacement is proposed at once, not at the next poll

Cause: the leader's own replacement took one look to find that its new replica is a learner, and the next one, up to 50 ms later, to propose the change of voters. Change: one look does both.

Evidence: `membership-changes` fails before (nothing proposed at the first look).

--- a/src/control/replica-replacement.ts
+++ b/src/control/replica-replacement.ts
@@ -163,10 +163,12 @@
     }
   }
 
-  #ensureLearner(replacement: Replacement, { membership }: RaftStatus, now: MonotonicMillis): void {
+  #ensureLearner(replacement: Replacement, status: RaftStatus, now: MonotonicMillis): void {
+    const { membership } = status;
     const { newReplica: replica, address } = replacement;
     if (membership.learners.includes(replica)) {
       replacement.stage = 'learner';
+      this.#changeVotersWhenCaughtUp(replacement, status, now);
       return;
     }
     if (replacement.operation === null) {
--- a/test/control/membership-changes.test.ts
+++ b/test/control/membership-changes.test.ts
@@ -48,9 +48,10 @@
   }
 }
 
-/** A leader whose Raft core accepts every membership change, and whose status the test sets. */
+/** A leader whose Raft core accepts every membership change unless it is busy with another one, and whose status the test sets. */
 class ObedientRaft {
   readonly proposals: MembershipProposal[] = [];
+  isBusy = false;
   status: () => RaftStatus = () => this.current;
   current: RaftStatus = {
     self: 'm1',
@@ -78,29 +79,45 @@
     return { caughtUp: members.filter(([, index]) => index >= commitIndex).map(([replica]) => replica) };
   }
 
-  proposeMembership(proposal: MembershipProposal): void {
+  proposeMembership(proposal: MembershipProposal, settle: (outcome: unknown, now: number) => void): void {
     this.proposals.push(proposal);
+    if (this.isBusy) {
+      settle({ type: 'rejected', reason: 'membership-change-pending' }, 0);
+    }
   }
 }
 
 describe('a replacement by the leader itself', () => {
-  // Guards against a replacement that waits for ever for a replica that was caught up once and is lost now.
-  it('takes another replica if the first one falls behind', () => {
-    const raft = new ObedientRaft();
-    const config = { replaceAfterMillis: 2000 };
-    const changes = membershipChanges(config, raft);
+  let raft: ObedientRaft;
+  let changes: MembershipChanges;
+
+  beforeEach(() => {
+    raft = new ObedientRaft();
+    changes = membershipChanges({ replaceAfterMillis: 2000 }, raft);
     changes.onRoleChange(0);
     for (const replica of ['m2', 'm4', 'm5']) {
       changes.onPeerMessage(replica, 2000);
     }
     raft.current = { ...raft.current, matchIndexes: { m2: 5, m4: 5, m5: 4 } };
+  });
+
+  // Guards against a vote that waits for the next poll although its replica is caught up.
+  it('is proposed at once', () => {
+    changes.run(2000);
+    expect(raft.proposals).to.deep.equal([{ type: 'change-voters', voters: ['m1', 'm2', 'm4'] }]);
+  });
+
+  // Guards against a replacement that waits for ever for a replica that was caught up once and is lost now.
+  it('takes another replica if the first one falls behind', () => {
+    raft.isBusy = true;
     changes.run(2000);
+    raft.isBusy = false;
+    raft.proposals.length = 0;
     raft.current = { ...raft.current, commitIndex: 6, matchIndexes: { m2: 6, m4: 5, m5: 6 } };
     for (let now = 2050; now <= 2500; now += POLL_MILLIS) {
       changes.run(now);
     }
-    const voters = ['m1', 'm2', 'm5'];
-    expect(raft.proposals).to.deep.equal([{ type: 'change-voters', voters }]);
+    expect(raft.proposals).to.deep.equal([{ type: 'change-voters', voters: ['m1', 'm2', 'm5'] }]);
   });
 });
 
