A planned stop lets a spare have its vote before it ends

What callers saw: no change and no reading ever again after a planned replacement of a control member and one more loss. Cause: the machine that was stopped kept its vote until it had been silent for `replaceAfter`; until then the group had one live voter less, though its successor had caught up long ago. A loss in those seconds left no majority for good.

Change: as its last request, a member that stops sends `release-vote` to the leader (one that leads hands over its leadership first). The leader takes it for gone: a caught-up spare votes in its place in the usual joint change, and the answer comes once that is committed, so that the leader may be lost too. Lost voters go before those that leave, and spares that leave get no vote. A spare that catches up later within `replaceAfter` still gets the vote without waiting for silence. A leader of an earlier release answers `unknown`, and the stop goes on; members of earlier releases see an ordinary change of the membership.

Why it works: the member lives and votes until the change is committed, so at no moment does the group count on a voter that is gone as planned.

--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -14,8 +14,11 @@
   readonly address: Address;
 }
 
-/** Why a voter is replaced. `disk-lost`: a new replica runs at its address. */
-export type ReplacementReason = 'disk-lost' | 'silent';
+/** Why a voter is replaced. `disk-lost`: a new replica runs at its address. `leaving`: it stops as planned. */
+export type ReplacementReason = (typeof REPLACEMENT_REASONS)[number];
+
+/** In the order in which votes are given to spares: a voter that leaves still votes. */
+const REPLACEMENT_REASONS = ['disk-lost', 'silent', 'leaving'] as const;
 
 /** An automatic change of the membership. */
 export type Repair =
@@ -46,6 +49,8 @@
   readonly #lastMessageAt = new Map<ReplicaId, MonotonicMillis>();
   /** When this leader first saw each learner: one that was just taken in has not been heard yet. */
   readonly #learnerSince = new Map<ReplicaId, MonotonicMillis>();
+  /** When replicas said that they stop as planned. */
+  readonly #leftAt = new Map<ReplicaId, MonotonicMillis>();
   #leaderSince: MonotonicMillis = Number.POSITIVE_INFINITY;
 
   /**
@@ -63,11 +68,32 @@
 
   onJoinRequest(replica: ReplicaId, address: Address, now: MonotonicMillis): void {
     this.#waiting.set(replica, { replica, address, requestedAt: now });
+    this.#leftAt.delete(replica);
+  }
+
+  /** Records that a replica stops as planned. Its silence counts as soon as this is forgotten, should it not come back. */
+  onLeave(replica: ReplicaId, now: MonotonicMillis): void {
+    for (const former of this.#leftAt.keys()) {
+      if (!this.#isLeaving(former, now)) {
+        this.#leftAt.delete(former);
+      }
+    }
+    this.#leftAt.set(replica, now);
+  }
+
+  /** Whether a live spare may get a vote, now or once it is caught up. */
+  hasSpare(status: RaftStatus, now: MonotonicMillis): boolean {
+    this.#recordLearners(status.membership.learners, now);
+    return (
+      this.replaceAfterMillis > 0 &&
+      status.membership.learners.some((learner) => this.#isSpare(learner, status, now))
+    );
   }
 
   onRoleChange(isLeader: boolean, now: MonotonicMillis): void {
     this.#leaderSince = isLeader ? Math.min(this.#leaderSince, now) : Number.POSITIVE_INFINITY;
     this.#learnerSince.clear();
+    this.#leftAt.clear();
   }
 
   /** Replicas that currently request to join and aren't members. */
@@ -100,10 +126,7 @@
     }
     this.#recordLearners(status.membership.learners, now);
     const spares = status.membership.learners.filter(
-      (learner) =>
-        caughtUp.includes(learner) &&
-        !this.#isSilent(learner, now) &&
-        this.#successorOf(learner, status) === null,
+      (learner) => caughtUp.includes(learner) && this.#isSpare(learner, status, now),
     );
     return (
       this.#replacement(status, spares, now) ??
@@ -131,21 +154,30 @@
     }
     const { self, membership } = status;
     const address = membership.addresses[newReplica] ?? '';
-    for (const oldReplica of membership.voters) {
-      const reason = oldReplica === self ? null : this.#reasonToReplace(oldReplica, status, now);
-      if (reason !== null) {
+    const others = membership.voters.filter((voter) => voter !== self);
+    for (const reason of REPLACEMENT_REASONS) {
+      const oldReplica = others.find((voter) => this.#isToReplace(voter, reason, status, now));
+      if (oldReplica !== undefined) {
         return { type: 'replace', oldReplica, newReplica, address, reason };
       }
     }
     return null;
   }
 
-  #reasonToReplace(voter: ReplicaId, status: RaftStatus, now: MonotonicMillis): ReplacementReason | null {
-    const { learners } = status.membership;
-    if (learners.some((learner) => this.#runsInPlaceOf(learner, voter, status))) {
-      return 'disk-lost';
+  #isToReplace(
+    voter: ReplicaId,
+    reason: ReplacementReason,
+    status: RaftStatus,
+    now: MonotonicMillis,
+  ): boolean {
+    switch (reason) {
+      case 'disk-lost':
+        return status.membership.learners.some((learner) => this.#runsInPlaceOf(learner, voter, status));
+      case 'silent':
+        return this.#isSilent(voter, now);
+      case 'leaving':
+        return this.#isLeaving(voter, now);
     }
-    return this.#isSilent(voter, now) ? 'silent' : null;
   }
 
   #takeIn(status: RaftStatus, now: MonotonicMillis): Repair | null {
@@ -172,6 +204,20 @@
     return null;
   }
 
+  /** Whether a learner may get a vote once it is caught up. */
+  #isSpare(learner: ReplicaId, status: RaftStatus, now: MonotonicMillis): boolean {
+    return (
+      now - this.#lastSignOf(learner) < this.replaceAfterMillis &&
+      !this.#isLeaving(learner, now) &&
+      this.#successorOf(learner, status) === null
+    );
+  }
+
+  /** A replica that left may come back, so this is forgotten when its silence would count. */
+  #isLeaving(replica: ReplicaId, now: MonotonicMillis): boolean {
+    return now - (this.#leftAt.get(replica) ?? Number.NEGATIVE_INFINITY) < this.replaceAfterMillis;
+  }
+
   #isSilent(replica: ReplicaId, now: MonotonicMillis): boolean {
     return this.silentMillis(replica, now) >= this.replaceAfterMillis;
   }
--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -38,6 +38,7 @@
 } from './settings.js';
 import type { StepReport } from './step-meter.js';
 import { UpstreamSessions } from './upstream-sessions.js';
+import { releaseVote } from './vote-release.js';
 
 const RECONCILE_INTERVAL_MILLIS = 1000;
 const LEADER_CHECK_INTERVAL_MILLIS = 10;
@@ -82,6 +83,7 @@
   private reconcileTimer: NodeJS.Timeout | undefined;
   private resolveFailed: (error: Error) => void = () => {};
   private starting: Promise<void> | undefined;
+  private isOpen = false;
   /** Ends the waits of a start when the member is stopped. */
   private readonly startAbort = new AbortController();
   private stopping: Promise<void> | undefined;
@@ -155,6 +157,7 @@
     this.reconcileTimer = setInterval(() => this.peers.reconcile(), RECONCILE_INTERVAL_MILLIS);
     this.coreTask.start();
     this.joining.start();
+    this.isOpen = true;
     this.log.info('started', { replica: this.replica, listen: this.address, admin: this.adminAddress });
   }
 
@@ -223,11 +226,12 @@
     await this.startToEnd();
     await this.transferLeadership();
     await this.stopAdmin();
+    this.joining.stop();
+    await this.releaseVote();
     this.operations.abandon();
     clearInterval(this.reconcileTimer);
     this.coreTask.stop();
     this.peers.stop();
-    this.joining.stop();
     this.holders.stop();
     await Promise.all([this.internal.stop(), this.sessions.stop()]);
     this.opened.stopWaiting?.();
@@ -267,6 +271,21 @@
     }
   }
 
+  /** Comes last of what needs the others, since a replica without a vote is soon no member any more. */
+  private async releaseVote(): Promise<void> {
+    if (!this.isOpen) {
+      return;
+    }
+    const startedAt = performance.now();
+    const outcome = await releaseVote({
+      status: () => this.core.status(),
+      forward: (leader, request) => this.leaderForward.forward(leader, request),
+      maxMillis: this.timings.voteReleaseMillis,
+    });
+    const tookMillis = Math.round(performance.now() - startedAt);
+    this.log.info('vote-release-ended', { replica: this.replica, outcome, tookMillis });
+  }
+
   private onFatalError(error: Error): void {
     this.log.error('failed', { replica: this.replica, error });
     this.coreTask.stop();
--- a/src/control/daemon/settings.ts
+++ b/src/control/daemon/settings.ts
@@ -60,6 +60,8 @@
   readonly adminGraceMillis: number;
   /** How long a planned stop waits for requests on admin connections; those that can't end by then are answered as they stand, or cut. */
   readonly adminStopMillis: number;
+  /** Longest time that a planned stop waits for a spare to get this member's vote. */
+  readonly voteReleaseMillis: number;
   readonly snapshotEntries: number;
   /** A silent voter is replaced by a caught-up spare after this time; 0: never. */
   readonly replaceAfterMillis: number;
@@ -80,6 +82,7 @@
   idleMillis: 200,
   adminGraceMillis: 1000,
   adminStopMillis: 2500,
+  voteReleaseMillis: 1000,
   snapshotEntries: 10_000,
   replaceAfterMillis: 0,
   mostVoters: 0,
--- a/src/control/forwarded-request.ts
+++ b/src/control/forwarded-request.ts
@@ -4,7 +4,7 @@
 /** Requests that may be carried out twice without harm, so that one without a response can be sent again. */
 export type ForwardableRequest = Extract<
   OperatorRequest,
-  { readonly type: 'declare' | 'evacuate' | 'announce' | 'withdraw' }
+  { readonly type: 'declare' | 'evacuate' | 'announce' | 'withdraw' | 'release-vote' }
 >;
 
 const FORWARDABLE: ReadonlySet<OperatorRequest['type']> = new Set([
@@ -12,6 +12,7 @@
   'evacuate',
   'announce',
   'withdraw',
+  'release-vote',
 ]);
 
 export function isForwardable(request: OperatorRequest): request is ForwardableRequest {
--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -6,6 +6,7 @@
 import type { MembershipProposal, RaftAdapter } from './raft-adapter.js';
 import { proposalFailure, ReplicaReplacement, type RequestedReplacement } from './replica-replacement.js';
 import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
+import { VoteReleases } from './vote-releases.js';
 
 export interface MembershipChangesParts {
   readonly config: ControlConfig;
@@ -23,7 +24,7 @@
 /** Requests that change the control cluster itself. */
 export type MembershipRequest = Extract<
   OperatorRequest,
-  { readonly type: 'add-learner' | 'add-voter' | 'replace-replica' | 'transfer-leadership' }
+  { readonly type: 'add-learner' | 'add-voter' | 'replace-replica' | 'transfer-leadership' | 'release-vote' }
 >;
 
 export class MembershipChanges {
@@ -33,6 +34,7 @@
   readonly #transfer: LeadershipTransfer;
   #nextPollAt: MonotonicMillis = Number.POSITIVE_INFINITY;
   readonly #repair: AutomaticRepair;
+  readonly #releases: VoteReleases;
   /** Whether the proposal of an automatic change of the learners is pending. */
   #isChangingLearners = false;
   /** The repair that was logged last; one that is begun again isn't logged again. */
@@ -43,6 +45,7 @@
     const { raft, config, answer } = parts;
     this.#replacement = new ReplicaReplacement({ raft, answer, retry: this.#retry });
     this.#repair = new AutomaticRepair(config.replaceAfterMillis, config.maxVoters);
+    this.#releases = new VoteReleases({ raft, answer, repair: this.#repair });
     const silentMillis = (replica: ReplicaId, now: MonotonicMillis): number =>
       this.#repair.silentMillis(replica, now);
     this.#transfer = new LeadershipTransfer({ raft, answer, config, silentMillis });
@@ -70,6 +73,9 @@
       case 'transfer-leadership':
         this.#transfer.begin(operation, request.to, now);
         break;
+      case 'release-vote':
+        this.#releases.begin(operation, request.replica, now);
+        break;
     }
   }
 
@@ -115,6 +121,7 @@
     this.#loggedRepair = '';
     if (!isLeader) {
       this.#replacement.abandon();
+      this.#releases.abandon();
     }
     this.#transfer.finish(now);
   }
@@ -126,8 +133,14 @@
       this.#repairAutomatically(now);
     }
     this.#replacement.run(now);
-    const isBusy = this.#replacement.isUnderWay || this.#transfer.isUnderWay || !this.#retry.isDue(now);
-    this.#nextPollAt = isBusy ? now + MEMBERSHIP_POLL_MILLIS : Number.POSITIVE_INFINITY;
+    this.#releases.run(this.#replacement.isChangingVoters, now);
+    const isBusy =
+      this.#replacement.isUnderWay ||
+      this.#transfer.isUnderWay ||
+      this.#releases.areWaiting ||
+      !this.#retry.isDue(now);
+    const pollAt = isBusy ? now + MEMBERSHIP_POLL_MILLIS : Number.POSITIVE_INFINITY;
+    this.#nextPollAt = Math.min(pollAt, this.#releases.nextDeadline());
   }
 
   nextDeadline(): MonotonicMillis {
--- a/src/control/operator-requests.ts
+++ b/src/control/operator-requests.ts
@@ -146,6 +146,7 @@
       case 'add-voter':
       case 'replace-replica':
       case 'transfer-leadership':
+      case 'release-vote':
         membership.begin(operation, request, now);
         break;
     }
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -96,6 +96,8 @@
       readonly address: Address;
     }
   | { readonly type: 'transfer-leadership'; readonly to: ReplicaId | null }
+  /** Sent by a replica that stops as planned: a spare gets its vote at once. May be sent again. */
+  | { readonly type: 'release-vote'; readonly replica: ReplicaId }
   | { readonly type: 'take-snapshot' };
 
 /** The state of one upstream's session on the leader. */
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -163,6 +163,7 @@
       'silentMillis',
     ],
   },
+  'vote-release-ended': { source: 'control', fields: ['replica', 'outcome', 'tookMillis'] },
   'write-outstanding': {
     source: 'control',
     fields: ['role', 'term', 'lastIndex', 'commitIndex', 'writeMillis'],
--- a/test/control/daemon/leader-forward.test.ts
+++ b/test/control/daemon/leader-forward.test.ts
@@ -95,6 +95,25 @@
     expect(sentFrames).to.equal(0);
   });
 
+  // Guards against members of an earlier release that fail on a request of a later one.
+  it('are left if this release does not know them', async () => {
+    const later = { type: 'of-a-later-release' } as unknown as ForwardableRequest;
+    const distant: LeaderForward = new LeaderForward({
+      send: (_to, kind, payload) => {
+        setImmediate(() =>
+          leader.onFrame(frameOf(kind, payload), (back, content) =>
+            distant.onFrame(frameOf(back, content), () => {}),
+          ),
+        );
+        return true;
+      },
+      operate: () => Promise.reject(new Error('not asked here')),
+      log,
+    });
+    expect(await distant.forward('m1', later)).to.deep.equal({ type: 'unknown' });
+    expect(received).to.deep.equal([]);
+  });
+
   it('leave other frames to other readers', () => {
     expect(leader.onFrame(frameOf(17, new Uint8Array(0)), () => {})).to.equal(false);
   });
--- a/test/control/repair-choice.test.ts
+++ b/test/control/repair-choice.test.ts
@@ -70,6 +70,38 @@
     expect(repair.next(status, ['m3', 'm4'], NOW)).to.include({ oldReplica: 'm2', newReplica: 'm4' });
   });
 
+  it('gives the vote of a lost voter to a spare before that of one that stops, and none to a spare that stops', () => {
+    const repair = repairOf({ m2: 10, m3: 10, m4: 10 });
+    const status = statusOf(learners({ m4: 'a:4' }));
+    repair.onLeave('m2', NOW);
+    expect(repair.next(status, ['m3', 'm4'], NOW)).to.include({ oldReplica: 'm2', reason: 'leaving' });
+    const lost = repairOf({ m2: 10, m3: 3000, m4: 10 });
+    lost.onLeave('m2', NOW);
+    expect(lost.next(status, ['m3', 'm4'], NOW)).to.include({ oldReplica: 'm3', reason: 'silent' });
+    lost.onLeave('m4', NOW);
+    expect(lost.next(status, ['m3', 'm4'], NOW)).to.equal(null);
+  });
+
+  it('takes a replica that stopped for a spare again once it asks to join', () => {
+    const repair = repairOf({ m2: 10, m3: 3000 });
+    repair.onLeave('m4', NOW - 500);
+    repair.onJoinRequest('m4', 'a:4', NOW);
+    repair.onMessage('m4', NOW);
+    const status = statusOf(learners({ m4: 'a:4' }));
+    expect(repair.next(status, ['m2', 'm4'], NOW)).to.include({ oldReplica: 'm3', newReplica: 'm4' });
+  });
+
+  it('forgets that a replica stops when its silence would count', () => {
+    const repair = repairOf({ m2: 10, m3: 10 });
+    const status = statusOf(learners({ m4: 'a:4' }));
+    repair.onLeave('m2', NOW);
+    const later = NOW + REPLACE_AFTER_MILLIS;
+    for (const replica of ['m2', 'm3', 'm4']) {
+      repair.onMessage(replica, later);
+    }
+    expect(repair.next(status, ['m3', 'm4'], later)).to.equal(null);
+  });
+
   // Guards against lost votes that wait for the log entries of replicas that ask to join.
   it('repairs before it takes anyone in', () => {
     const repair = repairOf({ m2: 3000, m3: 10, m4: 10 });
