--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -1,6 +1,6 @@
 /**
- * Automatic membership changes by the leader: it adds waiting replicas as spare learners, and replaces a voter that was silent
- * for too long by a spare that holds all committed entries.
+ * Automatic membership changes by the leader: it adds waiting replicas as spare learners, replaces a voter that was silent for too long by
+ * a spare that is caught up, and removes learners that lost their disk.
  */
 import type { RaftStatus } from '../consensus/types.js';
 import type { Address, MonotonicMillis, ReplicaId } from '../model/identifiers.js';
@@ -14,6 +14,12 @@
   readonly address: Address;
 }
 
+/** Why a voter is replaced. `disk-lost`: a new replica runs at its address. `leaving`: it stops as planned. */
+export type ReplacementReason = (typeof REPLACEMENT_REASONS)[number];
+
+/** In the order in which votes are given to spares: a voter that leaves still votes. */
+const REPLACEMENT_REASONS = ['disk-lost', 'silent', 'leaving'] as const;
+
 /** An automatic change of the membership. */
 export type Repair =
   | ({ readonly type: 'take-in' } & WaitingReplica)
@@ -24,6 +30,14 @@
       readonly oldReplica: ReplicaId;
       readonly newReplica: ReplicaId;
       readonly address: Address;
+      readonly reason: ReplacementReason;
+    }
+  /** A learner at whose address `successor` runs stops being a member. */
+  | {
+      readonly type: 'remove';
+      readonly replica: ReplicaId;
+      readonly address: Address;
+      readonly successor: ReplicaId;
     };
 
 interface TimedWaitingReplica extends WaitingReplica {
@@ -33,6 +47,10 @@
 export class AutomaticRepair {
   readonly #waiting = new Map<ReplicaId, TimedWaitingReplica>();
   readonly #lastMessageAt = new Map<ReplicaId, MonotonicMillis>();
+  /** When this leader first saw each learner: one that was just taken in has not been heard yet. */
+  readonly #learnerSince = new Map<ReplicaId, MonotonicMillis>();
+  /** When replicas said that they stop as planned. */
+  readonly #leftAt = new Map<ReplicaId, MonotonicMillis>();
   #leaderSince: MonotonicMillis = Number.POSITIVE_INFINITY;
 
   /**
@@ -50,10 +68,32 @@
 
   onJoinRequest(replica: ReplicaId, address: Address, now: MonotonicMillis): void {
     this.#waiting.set(replica, { replica, address, requestedAt: now });
+    this.#leftAt.delete(replica);
+  }
+
+  /** Records that a replica stops as planned. Its silence counts as soon as this is forgotten, should it not come back. */
+  onLeave(replica: ReplicaId, now: MonotonicMillis): void {
+    for (const former of this.#leftAt.keys()) {
+      if (!this.#isLeaving(former, now)) {
+        this.#leftAt.delete(former);
+      }
+    }
+    this.#leftAt.set(replica, now);
+  }
+
+  /** Whether a live spare may get a vote, now or once it is caught up. */
+  hasSpare(status: RaftStatus, now: MonotonicMillis): boolean {
+    this.#recordLearners(status.membership.learners, now);
+    return (
+      this.replaceAfterMillis > 0 &&
+      status.membership.learners.some((learner) => this.#isSpare(learner, status, now))
+    );
   }
 
   onRoleChange(isLeader: boolean, now: MonotonicMillis): void {
     this.#leaderSince = isLeader ? Math.min(this.#leaderSince, now) : Number.POSITIVE_INFINITY;
+    this.#learnerSince.clear();
+    this.#leftAt.clear();
   }
 
   /** Replicas that currently request to join and aren't members. */
@@ -76,33 +116,135 @@
     return Math.max(0, now - Math.max(this.#lastMessageAt.get(replica) ?? 0, this.#leaderSince));
   }
 
-  /** Returns the next change that is due, or `null`. For the leader only. */
-  next(status: RaftStatus, now: MonotonicMillis): Repair | null {
+  /**
+   * Returns the next change that is due, or `null`. For the leader only. `caughtUp`: members that are close enough to it to vote. The vote
+   * of a lost member comes first, since the next loss may leave no majority.
+   */
+  next(status: RaftStatus, caughtUp: readonly ReplicaId[], now: MonotonicMillis): Repair | null {
     if (this.replaceAfterMillis <= 0) {
       return null;
     }
-    const [waiting] = this.waiting(status, now);
-    return waiting === undefined ? this.#replacement(status, now) : { type: 'take-in', ...waiting };
+    this.#recordLearners(status.membership.learners, now);
+    const spares = status.membership.learners.filter(
+      (learner) => caughtUp.includes(learner) && this.#isSpare(learner, status, now),
+    );
+    return (
+      this.#replacement(status, spares, now) ??
+      this.#takeIn(status, now) ??
+      this.#growth(status, spares) ??
+      this.#removal(status, now)
+    );
   }
 
-  #replacement(status: RaftStatus, now: MonotonicMillis): Repair | null {
-    const { membership, matchIndexes, commitIndex, self } = status;
-    const isSilent = (replica: ReplicaId): boolean =>
-      this.silentMillis(replica, now) >= this.replaceAfterMillis;
-    const newReplica = membership.learners.find(
-      (learner) => !isSilent(learner) && (matchIndexes[learner] ?? 0) >= commitIndex,
-    );
+  #recordLearners(learners: readonly ReplicaId[], now: MonotonicMillis): void {
+    for (const replica of this.#learnerSince.keys()) {
+      if (!learners.includes(replica)) {
+        this.#learnerSince.delete(replica);
+      }
+    }
+    for (const replica of learners) {
+      this.#learnerSince.set(replica, this.#learnerSince.get(replica) ?? now);
+    }
+  }
+
+  #replacement(status: RaftStatus, spares: readonly ReplicaId[], now: MonotonicMillis): Repair | null {
+    const [newReplica] = spares;
     if (newReplica === undefined) {
       return null;
     }
+    const { self, membership } = status;
     const address = membership.addresses[newReplica] ?? '';
-    // An address serves one replica: if a new replica runs there, the previous one has lost its disk.
-    const isGone = (voter: ReplicaId): boolean => isSilent(voter) || membership.addresses[voter] === address;
-    const oldReplica = membership.voters.find((voter) => voter !== self && isGone(voter));
-    if (oldReplica === undefined) {
-      const canGrow = membership.voters.length < this.maxVoters;
-      return canGrow ? { type: 'add', newReplica, address } : null;
+    const others = membership.voters.filter((voter) => voter !== self);
+    for (const reason of REPLACEMENT_REASONS) {
+      const oldReplica = others.find((voter) => this.#isToReplace(voter, reason, status, now));
+      if (oldReplica !== undefined) {
+        return { type: 'replace', oldReplica, newReplica, address, reason };
+      }
+    }
+    return null;
+  }
+
+  #isToReplace(
+    voter: ReplicaId,
+    reason: ReplacementReason,
+    status: RaftStatus,
+    now: MonotonicMillis,
+  ): boolean {
+    switch (reason) {
+      case 'disk-lost':
+        return status.membership.learners.some((learner) => this.#runsInPlaceOf(learner, voter, status));
+      case 'silent':
+        return this.#isSilent(voter, now);
+      case 'leaving':
+        return this.#isLeaving(voter, now);
     }
-    return { type: 'replace', oldReplica, newReplica, address };
+  }
+
+  #takeIn(status: RaftStatus, now: MonotonicMillis): Repair | null {
+    const [waiting] = this.waiting(status, now);
+    return waiting === undefined ? null : { type: 'take-in', ...waiting };
+  }
+
+  #growth({ membership }: RaftStatus, [newReplica]: readonly ReplicaId[]): Repair | null {
+    if (newReplica === undefined || membership.voters.length >= this.maxVoters) {
+      return null;
+    }
+    return { type: 'add', newReplica, address: membership.addresses[newReplica] ?? '' };
+  }
+
+  /** A learner that lost its disk would stay a member for ever; one that is alone at its address may come back. */
+  #removal(status: RaftStatus, now: MonotonicMillis): Repair | null {
+    const { learners, addresses } = status.membership;
+    for (const replica of learners) {
+      const successor = this.#successorOf(replica, status);
+      if (successor !== null && now - this.#lastSignOf(replica) >= this.replaceAfterMillis) {
+        return { type: 'remove', replica, address: addresses[replica] ?? '', successor };
+      }
+    }
+    return null;
+  }
+
+  /** Whether a learner may get a vote once it is caught up. */
+  #isSpare(learner: ReplicaId, status: RaftStatus, now: MonotonicMillis): boolean {
+    return (
+      now - this.#lastSignOf(learner) < this.replaceAfterMillis &&
+      !this.#isLeaving(learner, now) &&
+      this.#successorOf(learner, status) === null
+    );
+  }
+
+  /** A replica that left may come back, so this is forgotten when its silence would count. */
+  #isLeaving(replica: ReplicaId, now: MonotonicMillis): boolean {
+    return now - (this.#leftAt.get(replica) ?? Number.NEGATIVE_INFINITY) < this.replaceAfterMillis;
+  }
+
+  #isSilent(replica: ReplicaId, now: MonotonicMillis): boolean {
+    return this.silentMillis(replica, now) >= this.replaceAfterMillis;
+  }
+
+  /** Another member that runs at the replica's address, in which case the replica has lost its disk and never comes back; `null`: none. */
+  #successorOf(replica: ReplicaId, status: RaftStatus): ReplicaId | null {
+    const { voters, learners } = status.membership;
+    return [...voters, ...learners].find((other) => this.#runsInPlaceOf(other, replica, status)) ?? null;
+  }
+
+  /**
+   * Whether `replica` runs at the address of `former`, which has ended: an address serves one replica, and `replica` was heard there
+   * last. What was heard before this leadership doesn't count, as other members may have been silent towards this one alone.
+   */
+  #runsInPlaceOf(replica: ReplicaId, former: ReplicaId, { self, membership }: RaftStatus): boolean {
+    const { addresses } = membership;
+    const address = addresses[former];
+    if (replica === former || former === self || !address || addresses[replica] !== address) {
+      return false;
+    }
+    const heardAt = this.#lastMessageAt.get(replica) ?? Number.NEGATIVE_INFINITY;
+    return replica === self || (heardAt >= this.#leaderSince && heardAt > this.#lastSignOf(former));
+  }
+
+  /** When a member was last heard or, if it is a learner, first seen in this leadership if that is later. */
+  #lastSignOf(replica: ReplicaId): MonotonicMillis {
+    const heardAt = this.#lastMessageAt.get(replica) ?? Number.NEGATIVE_INFINITY;
+    return Math.max(heardAt, this.#learnerSince.get(replica) ?? Number.NEGATIVE_INFINITY);
   }
 }
--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -1,16 +1,18 @@
 /** Membership changes of the control cluster: learners, replacement of replicas and transfer of leadership. */
 import type { Address, MonotonicMillis, ReplicaId } from '../model/identifiers.js';
-import { AutomaticRepair, type WaitingReplica } from './automatic-repair.js';
+import { AutomaticRepair, type Repair, type WaitingReplica } from './automatic-repair.js';
 import { LeadershipTransfer } from './leadership-transfer.js';
 import { MEMBERSHIP_POLL_MILLIS, MembershipRetry } from './membership-retry.js';
-import type { RaftAdapter } from './raft-adapter.js';
+import type { MembershipProposal, RaftAdapter } from './raft-adapter.js';
 import { proposalFailure, ReplicaReplacement, type RequestedReplacement } from './replica-replacement.js';
 import type { ControlConfig, OperationId, OperatorRequest, OperatorResponse } from './types.js';
+import { VoteReleases } from './vote-releases.js';
 
 export interface MembershipChangesParts {
   readonly config: ControlConfig;
   readonly raft: RaftAdapter;
   readonly answer: (operation: OperationId, response: OperatorResponse) => void;
+  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
 /** The leader's view of the other replicas. */
@@ -22,7 +24,7 @@
 /** Requests that change the control cluster itself. */
 export type MembershipRequest = Extract<
   OperatorRequest,
-  { readonly type: 'add-learner' | 'add-voter' | 'replace-replica' | 'transfer-leadership' }
+  { readonly type: 'add-learner' | 'add-voter' | 'replace-replica' | 'transfer-leadership' | 'release-vote' }
 >;
 
 export class MembershipChanges {
@@ -32,14 +34,18 @@
   readonly #transfer: LeadershipTransfer;
   #nextPollAt: MonotonicMillis = Number.POSITIVE_INFINITY;
   readonly #repair: AutomaticRepair;
-  /** Whether the proposal of an automatically added spare is pending. */
-  #isAddingSpare = false;
+  readonly #releases: VoteReleases;
+  /** Whether the proposal of an automatic change of the learners is pending. */
+  #isChangingLearners = false;
+  /** The repair that was logged last; one that is begun again isn't logged again. */
+  #loggedRepair = '';
 
   constructor(parts: MembershipChangesParts) {
     this.#parts = parts;
     const { raft, config, answer } = parts;
     this.#replacement = new ReplicaReplacement({ raft, answer, retry: this.#retry });
     this.#repair = new AutomaticRepair(config.replaceAfterMillis, config.maxVoters);
+    this.#releases = new VoteReleases({ raft, answer, repair: this.#repair });
     const silentMillis = (replica: ReplicaId, now: MonotonicMillis): number =>
       this.#repair.silentMillis(replica, now);
     this.#transfer = new LeadershipTransfer({ raft, answer, config, silentMillis });
@@ -67,6 +73,9 @@
       case 'transfer-leadership':
         this.#transfer.begin(operation, request.to, now);
         break;
+      case 'release-vote':
+        this.#releases.begin(operation, request.replica, now);
+        break;
     }
   }
 
@@ -108,9 +117,11 @@
   onRoleChange(now: MonotonicMillis): void {
     const isLeader = this.#parts.raft.isLeader();
     this.#repair.onRoleChange(isLeader, now);
-    this.#isAddingSpare = false;
+    this.#isChangingLearners = false;
+    this.#loggedRepair = '';
     if (!isLeader) {
       this.#replacement.abandon();
+      this.#releases.abandon();
     }
     this.#transfer.finish(now);
   }
@@ -122,8 +133,14 @@
       this.#repairAutomatically(now);
     }
     this.#replacement.run(now);
-    const isBusy = this.#replacement.isUnderWay || this.#transfer.isUnderWay || !this.#retry.isDue(now);
-    this.#nextPollAt = isBusy ? now + MEMBERSHIP_POLL_MILLIS : Number.POSITIVE_INFINITY;
+    this.#releases.run(this.#replacement.isChangingVoters, now);
+    const isBusy =
+      this.#replacement.isUnderWay ||
+      this.#transfer.isUnderWay ||
+      this.#releases.areWaiting ||
+      !this.#retry.isDue(now);
+    const pollAt = isBusy ? now + MEMBERSHIP_POLL_MILLIS : Number.POSITIVE_INFINITY;
+    this.#nextPollAt = Math.min(pollAt, this.#releases.nextDeadline());
   }
 
   nextDeadline(): MonotonicMillis {
@@ -149,23 +166,54 @@
 
   #repairAutomatically(now: MonotonicMillis): void {
     const { raft } = this.#parts;
-    if (this.#replacement.isUnderWay || this.#isAddingSpare || !raft.isLeader()) {
+    if (this.#replacement.isChangingVoters || this.#isChangingLearners || !raft.isLeader()) {
       return;
     }
-    const repair = this.#repair.next(raft.status(), now);
-    if (repair?.type === 'replace') {
-      this.#replacement.begin({ ...repair, operation: null });
-    } else if (repair?.type === 'add') {
-      this.#replacement.begin({ ...repair, oldReplica: null, operation: null });
-    } else if (repair?.type === 'take-in') {
-      const { replica, address } = repair;
-      this.#isAddingSpare = true;
-      raft.proposeMembership({ type: 'add-learner', replica, address }, (outcome) => {
-        this.#isAddingSpare = false;
-        if (outcome.type !== 'applied') {
-          this.#retry.onRejected(now);
-        }
-      });
+    const repair = this.#repair.next(raft.status(), raft.details().caughtUp, now);
+    if (repair !== null && !(repair.type === 'add' && this.#replacement.isUnderWay)) {
+      this.#logRepair(repair, now);
+      this.#beginRepair(repair, now);
+    }
+  }
+
+  #beginRepair(repair: Repair, now: MonotonicMillis): void {
+    switch (repair.type) {
+      case 'replace':
+        this.#replacement.begin({ ...repair, operation: null });
+        break;
+      case 'add':
+        this.#replacement.begin({ ...repair, oldReplica: null, operation: null });
+        break;
+      case 'take-in': {
+        const { replica, address } = repair;
+        this.#proposeLearners({ type: 'add-learner', replica, address }, now);
+        break;
+      }
+      case 'remove':
+        this.#proposeLearners({ type: 'remove-learner', replica: repair.replica }, now);
+        break;
+    }
+  }
+
+  /** Proposes a change of the learners; no repair begins before it is settled. */
+  #proposeLearners(proposal: MembershipProposal, now: MonotonicMillis): void {
+    this.#isChangingLearners = true;
+    this.#parts.raft.proposeMembership(proposal, (outcome) => {
+      this.#isChangingLearners = false;
+      if (outcome.type !== 'applied') {
+        this.#retry.onRejected(now);
+      }
+    });
+  }
+
+  #logRepair(repair: Repair, now: MonotonicMillis): void {
+    const key = JSON.stringify(repair);
+    if (key !== this.#loggedRepair) {
+      this.#loggedRepair = key;
+      const { type, ...fields } = repair;
+      const silentMillis =
+        'oldReplica' in repair ? Math.round(this.#repair.silentMillis(repair.oldReplica, now)) : null;
+      this.#parts.log('repair-begun', { repair: type, ...fields, silentMillis });
     }
   }
 }
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -151,6 +151,20 @@
     ],
   },
   'majority-lost': { source: 'control', fields: ['voters', 'lost'] },
+  'repair-begun': {
+    source: 'control',
+    fields: [
+      'repair',
+      'replica',
+      'oldReplica',
+      'newReplica',
+      'address',
+      'reason',
+      'successor',
+      'silentMillis',
+    ],
+  },
+  'vote-release-ended': { source: 'control', fields: ['replica', 'outcome', 'tookMillis'] },
   'write-outstanding': {
     source: 'control',
     fields: ['role', 'term', 'lastIndex', 'commitIndex', 'writeMillis'],
