A leader whose disk hangs hands over to a voter that has synced

What callers saw: while the disk of the leading control member hung, or was full, no change was acknowledged for as long as that lasted, and readings at it got no answer. The two others were sound. Cause: heartbeats need no disk and a replica applies only what is on its own, so that the leader kept leading and could answer nothing; nobody asked whether its entries become durable.

Change: a leader whose write has been outstanding for two election timeouts starts a transfer to the voter that has synced most, if a quorum without itself responds and has synced entries that its own disk doesn't have. Without such a quorum it stays: it still confirms readings of others. A voter that doesn't take over is followed by another one; a disk that answers before the target was asked ends the transfer. `leadership-handed-over` is logged when the target is asked. What is applied and acknowledged is decided as before.

Ruled out: applying what others have synced (the state would be ahead of the replica's own log); stepping down without a target (an election more, and nobody to confirm readings where no quorum of sound disks exists).

Why it works: the quorum that is asked for has shown, by syncing what the leader's disk doesn't take, that its disks work; the target has the whole log when it is asked, so its election needs no more than that quorum.

--- a/src/consensus/core.ts
+++ b/src/consensus/core.ts
@@ -1,4 +1,5 @@
 /** The Raft core: processes one input per step, then performs the commits, sends and applies that the input allows. */
+import { handOverIfDiskHangs } from './disk-handover.js';
 import { handleElectionTimeout } from './election.js';
 import { handleMessage } from './messages.js';
 import { takeOwnSnapshot } from './own-snapshot.js';
@@ -155,6 +156,7 @@
     if (state.now >= heartbeatDeadline) {
       openReadRound(state);
       broadcastHeartbeat(state, true);
+      handOverIfDiskHangs(state);
     }
   }
 
--- a/src/consensus/leader-state.ts
+++ b/src/consensus/leader-state.ts
@@ -19,10 +19,14 @@
   readonly reads: readonly PendingRead[];
 }
 
+/** `disk-hangs`: this leader's own write doesn't end. */
+export type TransferReason = 'requested' | 'disk-hangs';
+
 /** A leadership transfer in progress. */
 export interface LeadershipTransfer {
   readonly to: ReplicaId;
   readonly deadline: number;
+  readonly reason: TransferReason;
   timeoutNowSent: boolean;
 }
 
@@ -36,6 +40,8 @@
   /** Reads whose round is outstanding, oldest first. */
   readBatches: ReadBatch[] = [];
   transfer: LeadershipTransfer | undefined;
+  /** Voters that were asked to take over because this leader's disk hangs, until all have been. */
+  readonly askedToTakeOver = new Set<ReplicaId>();
 
   constructor(now: number) {
     this.heartbeatDeadline = now;
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -125,7 +125,7 @@
 }
 
 /** Whether a member hasn't responded for an election timeout; such a member receives heartbeats only. */
-function isUnresponsive(state: RaftState, progress: Progress): boolean {
+export function isUnresponsive(state: RaftState, progress: Progress): boolean {
   return state.now - progress.lastContactAt >= state.config.electionTimeoutMillis;
 }
 
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -58,6 +58,8 @@
 const STARTUP_FACTORS: ElectionTimeoutFactors = [0.2, 0.7];
 /** Length of the startup phase in election timeouts. */
 const STARTUP_ELECTION_TIMEOUTS = 4;
+/** After this many election timeouts a write is overdue. A slow disk's bursts must stay below it. */
+const OVERDUE_WRITE_ELECTION_TIMEOUTS = 2;
 
 export class RaftState {
   readonly config: RaftConfig;
@@ -214,6 +216,13 @@
     return uniformInt(this.#random, from, Math.max(from, Math.ceil(electionTimeoutMillis * max) - 1));
   }
 
+  /** Whether this replica's disk hangs, or takes no bytes: its write has been outstanding for too long to lead or to be elected. */
+  get isWriteOverdue(): boolean {
+    const { outstandingSince } = this.persistQueue;
+    const overdueMillis = OVERDUE_WRITE_ELECTION_TIMEOUTS * this.config.electionTimeoutMillis;
+    return outstandingSince !== null && this.now - outstandingSince >= overdueMillis;
+  }
+
   /** Whether the leader has been in contact within the last election timeout, so that no election is needed. */
   get hasRecentLeader(): boolean {
     const silentMillis = this.now - this.leaderHeardAt;
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -192,6 +192,15 @@
   /** A quorum confirmed the leader in a round started after the read was requested; `index` was committed by then. */
   | { readonly type: 'read-ready'; readonly readId: number; readonly index: number }
   | { readonly type: 'read-failed'; readonly readId: number; readonly leader: ReplicaId | null }
+  /** The leader asked another voter to take over, since its own disk hasn't answered since `writeSince`. */
+  | {
+      readonly type: 'handed-over';
+      readonly to: ReplicaId;
+      /** When the outstanding write was requested, in monotonic milliseconds. */
+      readonly writeSince: number;
+      /** Last index on the leader's own disk. */
+      readonly stableIndex: number;
+    }
   | {
       readonly type: 'role-changed';
       readonly role: RaftRole;
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -21,7 +21,7 @@
 import type { SettleProposal } from './pending-proposals.js';
 import { type CommandOrigin, SYSTEM_ORIGIN } from './propose-command.js';
 import { QuorumWatch } from './quorum-watch.js';
-import { RaftAdapter, type RaftListener } from './raft-adapter.js';
+import { type DiskHandover, RaftAdapter, type RaftListener } from './raft-adapter.js';
 import type { HolderCall } from './ranges/holder-call.js';
 import { RouterRequests } from './router-requests.js';
 import { DEFAULT_SNAPSHOT_BYTES, SnapshotTaker } from './snapshot-taker.js';
@@ -257,6 +257,19 @@
     this.#membership.onRoleChange(now);
   }
 
+  handedOver({ to, writeSince, stableIndex }: DiskHandover, now: MonotonicMillis): void {
+    const { term, lastIndex, commitIndex } = this.#raft.status();
+    const writeMillis = millisSince(writeSince, now);
+    this.#log('warn', 'leadership-handed-over', {
+      to,
+      term,
+      lastIndex,
+      commitIndex,
+      stableIndex,
+      writeMillis,
+    });
+  }
+
   #beginLeadership(now: MonotonicMillis): LeaderDuties {
     const parts = {
       config: this.#config,
--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -29,8 +29,12 @@
   /** Called after the registry was replaced by the one in a snapshot of this many bytes. */
   restored(snapshotBytes: number): void;
   roleChanged(evidence: RoleEvidence, now: MonotonicMillis): void;
+  /** This leader asked another voter to take over, because its own disk hangs. */
+  handedOver(handover: DiskHandover, now: MonotonicMillis): void;
 }
 
+export type DiskHandover = Extract<RaftEffect, { readonly type: 'handed-over' }>;
+
 type MembershipInput = Extract<
   RaftInput,
   { readonly type: 'add-learner' | 'change-voters' | 'remove-learner' }
@@ -226,6 +230,9 @@
         this.#term = effect.term;
         listener.roleChanged(effect.evidence, now);
         break;
+      case 'handed-over':
+        listener.handedOver(effect, now);
+        break;
     }
   }
 
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -154,6 +154,10 @@
     source: 'control',
     fields: ['role', 'term', 'lastIndex', 'commitIndex', 'writeMillis'],
   },
+  'leadership-handed-over': {
+    source: 'control',
+    fields: ['to', 'term', 'lastIndex', 'commitIndex', 'stableIndex', 'writeMillis'],
+  },
   'replica-progress': {
     source: 'control',
     fields: [
--- a/test/consensus/pause.test.ts
+++ b/test/consensus/pause.test.ts
@@ -25,6 +25,27 @@
     });
   }
 
+  it('is not taken for a hang of the disk, if it began during a write', () => {
+    for (const seed of [1, 2, 3, 4, 5]) {
+      const cluster = new TestCluster(seed, VOTERS);
+      expect(cluster.runUntil(() => cluster.leader !== undefined)).to.equal(true);
+      cluster.runFor(ELECTION_TIMEOUT_MILLIS);
+      const leader = cluster.leader as string;
+      const { term } = cluster.status(leader);
+      cluster.propose(leader, 'before the pause');
+      for (const voter of VOTERS) {
+        cluster.pause(voter);
+      }
+      cluster.runFor(5 * ELECTION_TIMEOUT_MILLIS);
+      for (const voter of VOTERS) {
+        cluster.resume(voter);
+      }
+      cluster.runFor(2 * ELECTION_TIMEOUT_MILLIS);
+      expect(cluster.leader, `seed ${seed}`).to.equal(leader);
+      expect(cluster.status(leader).term, `seed ${seed}`).to.equal(term);
+    }
+  });
+
   it('still makes a leader without contact to a quorum step down', () => {
     const cluster = new TestCluster(6, VOTERS);
     expect(cluster.runUntil(() => cluster.leader !== undefined)).to.equal(true);
--- a/test/consensus/test-cluster.ts
+++ b/test/consensus/test-cluster.ts
@@ -41,6 +41,10 @@
   run: number;
   paused: boolean;
   readonly backlog: RaftInput[];
+  /** Writes that wait for a disk that hangs; `undefined`: the disk works. */
+  heldWrites: (() => void)[] | undefined;
+  /** How long a write takes; `undefined`: a random time up to `MAX_SYNC_MILLIS`. */
+  syncMillis: number | undefined;
 }
 
 export const ELECTION_TIMEOUT_MILLIS = 150;
@@ -55,6 +59,8 @@
   readonly proposals = new Map<number, Extract<RaftEffect, { proposalId: number }>>();
   readonly reads = new Map<number, Extract<RaftEffect, { readId: number }>>();
   readonly sent: RaftMessage[] = [];
+  /** Handovers because of a disk, in order. */
+  readonly handovers: Extract<RaftEffect, { type: 'handed-over' }>[] = [];
   persistCount = 0;
   network: NetworkFaults = RELIABLE_NETWORK;
   readonly #members = new Map<ReplicaName, Member>();
@@ -87,6 +93,8 @@
       run: 0,
       paused: false,
       backlog: [],
+      heldWrites: undefined,
+      syncMillis: undefined,
     };
     this.#members.set(name, member);
     this.start(name);
@@ -137,6 +145,26 @@
     this.#scheduleTick(name);
   }
 
+  /** Makes a disk hang: writes requested from now on are neither done nor reported until `releaseDisk`. */
+  holdDisk(name: ReplicaName): void {
+    this.#member(name).heldWrites ??= [];
+  }
+
+  /** Ends a hang; the held writes begin now, in their order. */
+  releaseDisk(name: ReplicaName): void {
+    const member = this.#member(name);
+    const held = member.heldWrites ?? [];
+    member.heldWrites = undefined;
+    for (const write of held) {
+      write();
+    }
+  }
+
+  /** Makes each later write of a replica take this long. */
+  slowDisk(name: ReplicaName, syncMillis: number): void {
+    this.#member(name).syncMillis = syncMillis;
+  }
+
   /** Drops messages in both directions between each replica of one side and each of the other. */
   cut(side: readonly ReplicaName[], other: readonly ReplicaName[]): void {
     for (const a of side) {
@@ -263,6 +291,9 @@
         this.reads.set(effect.readId, effect);
         this.checker.onReadFailed(String(effect.readId));
         return;
+      case 'handed-over':
+        this.handovers.push(effect);
+        return;
       default:
         this.proposals.set(effect.proposalId, effect);
     }
@@ -282,14 +313,18 @@
     request: Extract<RaftEffect, { type: 'persist' }>['request'],
   ): void {
     const { run } = member;
-    this.persistCount += 1;
-    const reportAt = this.now + this.random(1, MAX_SYNC_MILLIS);
-    const writeAt = this.random(this.now, reportAt);
     const whenSameRun = (action: () => void) => () => {
       if (member.run === run) {
         action();
       }
     };
+    if (member.heldWrites !== undefined) {
+      member.heldWrites.push(whenSameRun(() => this.#persist(name, member, request)));
+      return;
+    }
+    this.persistCount += 1;
+    const reportAt = this.now + (member.syncMillis ?? this.random(1, MAX_SYNC_MILLIS));
+    const writeAt = this.random(this.now, reportAt);
     this.#events.at(
       writeAt,
       whenSameRun(() => member.disk.write(request)),
--- a/test/control/applied-in-parts.test.ts
+++ b/test/control/applied-in-parts.test.ts
@@ -52,6 +52,7 @@
         entryFailed: () => {},
         restored: () => {},
         roleChanged: () => {},
+        handedOver: () => {},
       },
       readTimeoutMillis: 1000,
     });
--- a/test/control/cluster-harness.ts
+++ b/test/control/cluster-harness.ts
@@ -59,6 +59,8 @@
   readonly logs: { readonly member: ReplicaId; readonly event: string; readonly fields: LogFields }[] = [];
   /** Members that are partitioned off: they neither send nor receive messages. */
   readonly cut = new Set<string>();
+  /** Members whose disks hang: writes are reported once a disk answers (`releaseDisk`). */
+  readonly #hungDisks = new Map<ReplicaId, ControlInput[]>();
   /** The run that answers at an address; others don't answer. */
   readonly living = new Map<Address, UpstreamId>();
   /** Addresses that were queried for their run, in order. */
@@ -119,6 +121,19 @@
     member.alive = false;
   }
 
+  /** Makes a member's disk hang from now on. */
+  holdDisk(member: Member): void {
+    this.#hungDisks.set(member.id, []);
+  }
+
+  releaseDisk(member: Member): void {
+    const held = this.#hungDisks.get(member.id) ?? [];
+    this.#hungDisks.delete(member.id);
+    for (const input of held) {
+      this.#step(member, input);
+    }
+  }
+
   /** Advances the virtual clock by `millis`. */
   run(millis: number): void {
     this.runUntil(() => false, millis);
@@ -295,9 +310,7 @@
         break;
       }
       case 'persist':
-        this.#later(SYNC_MILLIS, () =>
-          this.#step(member, { type: 'persisted', persistId: effect.request.persistId }),
-        );
+        this.#persist(member, effect.request.persistId);
         break;
       case 'call-upstream':
         this.calls.push(effect.request);
@@ -318,6 +331,16 @@
     }
   }
 
+  #persist(member: Member, persistId: number): void {
+    const persisted = { type: 'persisted', persistId } as const;
+    const held = this.#hungDisks.get(member.id);
+    if (held === undefined) {
+      this.#later(SYNC_MILLIS, () => this.#step(member, persisted));
+    } else {
+      held.push(persisted);
+    }
+  }
+
   #askIdentity(member: Member, { id, address, claimant }: IdentityQuestion): void {
     this.questions.push(address);
     const living = this.living.get(address);
