A replica whose disk hangs starts no election: terms no longer race up

What callers saw: nothing by itself; once the disks answered, members came back at terms that had risen with each election timeout of the hang. Cause: without a leader, a replica whose own vote wasn't on disk yet was granted the pre-vote again and again, and each time began another term in memory, whose vote couldn't become durable either.

Change: a replica whose write has been outstanding for two election timeouts starts no election, neither by its timeout nor when a leader asks it to take over; it only clears the leader that it knew.

Why it works: such an election can't be won, as a candidate asks for votes only once its own is synced; not starting it loses nothing.

--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -4,9 +4,12 @@
 import type { RaftState } from './state.js';
 import type { TimeoutNow, VoteRequest, VoteResponse } from './types.js';
 
-/** Handles an expired election timeout. A replica that isn't a voter only clears its known leader. */
+/**
+ * Handles an expired election timeout. A replica that isn't a voter, or whose own vote couldn't become durable, only clears its
+ * known leader.
+ */
 export function handleElectionTimeout(state: RaftState): void {
-  if (!state.isSelfVoter) {
+  if (!state.isSelfVoter || state.isWriteOverdue) {
     becomeFollower(state, state.term, null);
     state.resetElectionDeadline();
     return;
@@ -113,7 +116,8 @@
 
 /** Starts an election without a pre-vote, at the request of the current leader. */
 export function handleTimeoutNow(state: RaftState, message: TimeoutNow): void {
-  if (state.role === 'follower' && state.isSelfVoter && state.leader === message.from) {
+  const canLead = state.isSelfVoter && !state.isWriteOverdue;
+  if (state.role === 'follower' && canLead && state.leader === message.from) {
     startElection(state, true);
   }
 }
--- a/test/consensus/hung-disk.test.ts
+++ b/test/consensus/hung-disk.test.ts
@@ -243,6 +243,22 @@
       expect(proposeUntil(cluster, () => servesChange(cluster), LONG_MILLIS)).to.equal(true);
       expectSameMachines(cluster);
     });
+
+    it(`all that hang while no replica leads don't make terms race up: seed ${seed}`, () => {
+      const { cluster, leader, followers } = worldOf(seed, THREE);
+      const before = Math.max(...terms(cluster));
+      for (const name of followers) {
+        cluster.holdDisk(name);
+      }
+      cluster.crash(leader);
+      cluster.runFor(2 * LONG_MILLIS);
+      // A replica finds out that its disk hangs by the write of its own vote, and each may answer one vote of the other.
+      expect(Math.max(...terms(cluster))).to.be.at.most(before + 2);
+      for (const name of followers) {
+        cluster.releaseDisk(name);
+      }
+      expect(proposeUntil(cluster, () => servesChange(cluster), LONG_MILLIS)).to.equal(true);
+    });
   }
 });
 
