A leader that can't answer now no longer sends the caller to itself

What callers saw: a reading at the leader that wasn't confirmed in time (its own disk hung, say) was answered 307 with the leader's own address, so that a client that follows it went in a circle until it gave up. Changes that the leader refused while it transferred its leadership were answered the same way, and membership changes and replacements named it as the leader to ask. Cause: all of them answered `not-leader` with the leader that this member knows, which on the leader is itself.

Change: `RaftAdapter.otherLeaderAddress` is the leader's address, but null on the leader. An unconfirmed reading at the leader is answered 503 `unavailable`; a refused change 503 `not-leader` without a leader, as while none is known. The text of `unavailable` no longer says that a quorum was missing, as it may not have been.

Why it works: a redirect is made only for another member's address.

--- a/src/control/admin/responses.ts
+++ b/src/control/admin/responses.ts
@@ -29,7 +29,7 @@
       return new AdminError('rejected', failure.message);
     case 'unknown':
       return requestId === undefined
-        ? new AdminError('unavailable', 'no quorum confirmed the read in time')
+        ? new AdminError('unavailable', 'the read was not confirmed in time')
         : new AdminError(
             'outcome-unknown',
             'the change may or may not be made; resend with the same request id',
--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -49,7 +49,7 @@
   begin(operation: OperationId, request: MembershipRequest, now: MonotonicMillis): void {
     const { raft, answer } = this.#parts;
     if (!raft.isLeader()) {
-      answer(operation, { type: 'not-leader', leader: raft.leaderAddress() });
+      answer(operation, { type: 'not-leader', leader: raft.otherLeaderAddress() });
       return;
     }
     switch (request.type) {
@@ -142,7 +142,7 @@
         const { membership } = raft.status();
         answer(operation, { type: 'membership', membership, repaired: false });
       } else {
-        answer(operation, proposalFailure(outcome, raft.leaderAddress()));
+        answer(operation, proposalFailure(outcome, raft.otherLeaderAddress()));
       }
     });
   }
--- a/src/control/operator-requests.ts
+++ b/src/control/operator-requests.ts
@@ -344,7 +344,7 @@
       case 'applied':
         return { type: 'result', result: outcome.result, inForce: false };
       case 'not-leader':
-        return { type: 'not-leader', leader: this.#parts.raft.leaderAddress() };
+        return { type: 'not-leader', leader: this.#parts.raft.otherLeaderAddress() };
       case 'rejected':
         return { type: 'rejected', message: outcome.reason };
       case 'unknown':
@@ -355,11 +355,16 @@
   #query(operation: OperationId, request: QueryRequest, now: MonotonicMillis): void {
     const { raft, answer } = this.#parts;
     raft.read(now, (confirmed) => {
-      const leader = raft.leaderAddress();
-      answer(operation, confirmed ? this.#result(request) : { type: 'not-leader', leader });
+      answer(operation, confirmed ? this.#result(request) : this.#unconfirmed());
     });
   }
 
+  /** A leader whose reading isn't confirmed knows nobody who could answer it. */
+  #unconfirmed(): OperatorResponse {
+    const { raft } = this.#parts;
+    return raft.isLeader() ? { type: 'unknown' } : { type: 'not-leader', leader: raft.otherLeaderAddress() };
+  }
+
   #result(request: QueryRequest): OperatorResponse {
     const { registry } = this.#parts.raft;
     const { revision } = registry;
--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -119,6 +119,11 @@
     return leader === null ? null : (membership.addresses[leader] ?? null);
   }
 
+  /** Returns where to send a request that this member can't carry out: the leader's address, but `null` if that is this member. */
+  otherLeaderAddress(): Address | null {
+    return this.isLeader() ? null : this.leaderAddress();
+  }
+
   /** Returns the addresses of the internal ports of all voters, sorted. */
   voterAddresses(): Address[] {
     const { voters, addresses } = this.status().membership;
--- a/src/control/replica-replacement.ts
+++ b/src/control/replica-replacement.ts
@@ -185,7 +185,7 @@
         replacement.stage = before;
         this.#parts.retry.onRejected(now);
       } else if (this.#replacement === replacement) {
-        this.#finish(replacement.operation, proposalFailure(outcome, this.#parts.raft.leaderAddress()));
+        this.#finish(replacement.operation, proposalFailure(outcome, this.#parts.raft.otherLeaderAddress()));
       }
     });
   }
