A follower whose leader says that it leads no more forgets it

What callers saw: a follower whose leader had stepped down in the same term, because it was cut off, kept naming it for up to two election timeouts, so that a reading was sent to a member that had just said that it couldn't confirm it. Cause: the leader's answer to a forwarded reading failed the reading alone.

Change: that answer, in the same term, clears the leader at the follower, and its other forwarded readings fail at once too.

Found by reading.

Why it works: a term has one leader, which doesn't lead again in that term once it has stepped down or restarted; answers of other terms don't come that far. Still named for up to two election timeouts: a leader that is dead and says nothing.

--- a/src/consensus/read-index.ts
+++ b/src/consensus/read-index.ts
@@ -43,15 +43,21 @@
   if (read === undefined || response.from !== state.leader) {
     return;
   }
-  state.forwardedReads = state.forwardedReads.filter((candidate) => candidate !== read);
-  const { readId } = read;
   if (index === null) {
-    state.emit({ type: 'read-failed', readId, leader: state.leader });
+    forgetLeader(state);
     return;
   }
+  state.forwardedReads = state.forwardedReads.filter((candidate) => candidate !== read);
+  const { readId } = read;
   state.confirmedReads.push({ readId, index });
 }
 
+/** Called when the leader of the current term says that it leads no more; nobody else can lead in that term. */
+function forgetLeader(state: RaftState): void {
+  state.leader = null;
+  failReads(state, null);
+}
+
 /** Starts a round for the waiting reads if one of them may not wait and no round is outstanding. */
 export function beginUrgentReadRound(state: RaftState): void {
   const { waitingReads, readBatches } = leaderStateOf(state);
