--- a/src/control/raft-adapter.ts
+++ b/src/control/raft-adapter.ts
@@ -29,8 +29,12 @@
   /** Called after the registry was replaced by the one in a snapshot of this many bytes. */
   restored(snapshotBytes: number): void;
   roleChanged(evidence: RoleEvidence, now: MonotonicMillis): void;
+  /** This leader asked another voter to take over, because its own disk hangs. */
+  handedOver(handover: DiskHandover, now: MonotonicMillis): void;
 }
 
+export type DiskHandover = Extract<RaftEffect, { readonly type: 'handed-over' }>;
+
 type MembershipInput = Extract<
   RaftInput,
   { readonly type: 'add-learner' | 'change-voters' | 'remove-learner' }
@@ -115,6 +119,11 @@
     return leader === null ? null : (membership.addresses[leader] ?? null);
   }
 
+  /** Returns where to send a request that this member can't carry out: the leader's address, but `null` if that is this member. */
+  otherLeaderAddress(): Address | null {
+    return this.isLeader() ? null : this.leaderAddress();
+  }
+
   /** Returns the addresses of the internal ports of all voters, sorted. */
   voterAddresses(): Address[] {
     const { voters, addresses } = this.status().membership;
@@ -226,6 +235,9 @@
         this.#term = effect.term;
         listener.roleChanged(effect.evidence, now);
         break;
+      case 'handed-over':
+        listener.handedOver(effect, now);
+        break;
     }
   }
 
--- a/test/control/cluster-harness.ts
+++ b/test/control/cluster-harness.ts
@@ -63,6 +63,8 @@
   readonly cut = new Set<string>();
   /** How long a write of a member takes, if it isn't the usual time. */
   readonly syncMillis = new Map<ReplicaId, number>();
+  /** Members whose disks hang, with their writes, which end once the disk answers (`releaseDisk`). */
+  readonly #hungDisks = new Map<ReplicaId, PersistRequest[]>();
   /** The run that answers at an address; others don't answer. */
   readonly living = new Map<Address, UpstreamId>();
   /** Addresses that were queried for their run, in order. */
@@ -129,6 +131,19 @@
     member.alive = false;
   }
 
+  /** Makes a member's disk hang from now on. */
+  holdDisk(member: Member): void {
+    this.#hungDisks.set(member.id, []);
+  }
+
+  releaseDisk(member: Member): void {
+    const held = this.#hungDisks.get(member.id) ?? [];
+    this.#hungDisks.delete(member.id);
+    for (const request of held) {
+      this.#sync(member, request);
+    }
+  }
+
   /** Advances the virtual clock by `millis`. */
   run(millis: number): void {
     this.runUntil(() => false, millis);
@@ -304,7 +319,7 @@
         break;
       }
       case 'persist':
-        this.#later(this.syncMillis.get(member.id) ?? SYNC_MILLIS, () => this.#sync(member, effect.request));
+        this.#persist(member, effect.request);
         break;
       case 'call-upstream':
         this.calls.push(effect.request);
@@ -325,6 +340,15 @@
     }
   }
 
+  #persist(member: Member, request: PersistRequest): void {
+    const held = this.#hungDisks.get(member.id);
+    if (held === undefined) {
+      this.#later(this.syncMillis.get(member.id) ?? SYNC_MILLIS, () => this.#sync(member, request));
+    } else {
+      held.push(request);
+    }
+  }
+
   #sync(member: Member, request: PersistRequest): void {
     if (member.alive) {
       member.disk.write(request);
