A change of the document whose outcome isn't known is no longer answered as one that wasn't made

What callers saw: a document (PUT or PATCH) whose outcome the member doesn't know, for instance since its leader was deposed or handed over with the change in flight, was answered 503 `unavailable` with 'the read was not confirmed in time'. Cause: the route asked for the response without an id, as a reading does.

Change: 504 `outcome-unknown`, to be sent again as it was, as for evacuations, which no longer name an empty request id.

Evidence: `unknown-outcomes` fails before in two of three cases (503 for 504).

--- a/src/control/admin/commands/declaration-routes.ts
+++ b/src/control/admin/commands/declaration-routes.ts
@@ -10,7 +10,7 @@
 import { AdminError } from '../admin-error.js';
 import { redirectToLeader } from '../leader-redirect.js';
 import { checkBody, readJson } from '../request-body.js';
-import { acceptedRevision, expectResponse } from '../responses.js';
+import { acceptedRevision, expectResponse, RESENT_AS_IT_WAS } from '../responses.js';
 
 const DOCUMENT_LIMIT_BYTES = 32 * 1024 * 1024;
 const IF_MATCH_PATTERN = /^"?(\d{1,15})"?$/;
@@ -90,7 +90,7 @@
   if (redirectToLeader(context, response)) {
     return;
   }
-  const { result } = expectResponse(response, 'result');
+  const { result } = expectResponse(response, 'result', RESENT_AS_IT_WAS);
   const revision = acceptedRevision(result, 'header');
   context.body = { version: change.version, revision };
 }
--- a/src/control/admin/commands/evacuation-routes.ts
+++ b/src/control/admin/commands/evacuation-routes.ts
@@ -6,7 +6,7 @@
 import { type AdminContext, type AdminServices, type AdminState, actorOf } from '../admin-context.js';
 import { AdminError } from '../admin-error.js';
 import { redirectToLeader } from '../leader-redirect.js';
-import { acceptedRevision, answerRead, expectResponse } from '../responses.js';
+import { acceptedRevision, answerRead, expectResponse, RESENT_AS_IT_WAS } from '../responses.js';
 
 async function setEvacuation(context: AdminContext, services: AdminServices, isOut: boolean): Promise<void> {
   const { zone = '' } = context.params;
@@ -16,7 +16,7 @@
   if (redirectToLeader(context, response)) {
     return;
   }
-  const { result } = expectResponse(response, 'result', '');
+  const { result } = expectResponse(response, 'result', RESENT_AS_IT_WAS);
   if (result.type === 'not-found') {
     throw new AdminError('not-found', `zone: there is no zone ${JSON.stringify(zone)}`);
   }
--- a/src/control/admin/responses.ts
+++ b/src/control/admin/responses.ts
@@ -10,6 +10,9 @@
 const HTTP_ACCEPTED = 202;
 const HTTP_PRECONDITION_FAILED = 412;
 
+/** In place of the request id of a change that is idempotent as it stands, so that it needs none. */
+export const RESENT_AS_IT_WAS = '';
+
 /** Responses that report a failure. */
 type Failure = Extract<OperatorResponse, { type: 'not-leader' | 'rejected' | 'unknown' }>;
 
@@ -30,16 +33,22 @@
     case 'unknown':
       return requestId === undefined
         ? new AdminError('unavailable', 'the read was not confirmed in time')
-        : new AdminError(
-            'outcome-unknown',
-            'the change may or may not be made; resend with the same request id',
-            {
-              requestId,
-            },
-          );
+        : outcomeUnknown(requestId);
   }
 }
 
+function outcomeUnknown(requestId: string): AdminError {
+  return requestId === RESENT_AS_IT_WAS
+    ? new AdminError('outcome-unknown', 'the change may or may not be made; send it again as it was')
+    : new AdminError(
+        'outcome-unknown',
+        'the change may or may not be made; resend with the same request id',
+        {
+          requestId,
+        },
+      );
+}
+
 /** Returns the response if it has the given type. Throws `AdminError` otherwise. */
 export function expectResponse<Type extends OperatorResponse['type']>(
   response: OperatorResponse,
