Simulator: disks of control members lost one after the other

Change: the fault `disks-in-series` loses one disk after the other under changes, the next 4 s after all members run again or directly after the vote, half of them the leader's, some while all others lose power. Checked after each loss: a leader and an accepted change after 2.5 s, the vote after 4 s. Members can request to join by themselves as in the daemon (`replaceAfterMillis`).

--- a/src/dev/sim/catch-sabotage.ts
+++ b/src/dev/sim/catch-sabotage.ts
@@ -1,5 +1,6 @@
 /** Runs a sabotaged system with one seed after another until the checker reports a violation. */
 import type { PromiseName } from '../checker/rule.js';
+import { DISKS_IN_SERIES } from './faults/disks-in-series.js';
 import { FAULT_KINDS } from './faults/fault-plan.js';
 import { KILLED_STOPS } from './faults/killed-stops.js';
 import { LOST_PATHS } from './faults/lost-paths.js';
@@ -35,6 +36,8 @@
     rangeLosses = 0,
     relays = false,
     sharedIds = false,
+    replaceAfterMillis = 0,
+    faultPhaseMillis,
   }: Sabotage = SABOTAGES[name];
   const faults = [
     ...FAULT_KINDS,
@@ -43,6 +46,7 @@
     ...RANGE_FAULTS,
     ...REPEATED_ANSWERS,
     ...KILLED_STOPS,
+    ...DISKS_IN_SERIES,
   ].filter((kind) => wanted.includes(kind.name));
   for (let seed = first; seed <= last; seed += 1) {
     const { violations } = new Simulation({
@@ -57,6 +61,8 @@
       rangeLosses,
       relays,
       sharedIds,
+      replaceAfterMillis,
+      ...(faultPhaseMillis !== undefined && { faultPhaseMillis }),
       sabotage: name,
       trace: null,
     }).run();
--- a/src/dev/sim/control/persist-task.ts
+++ b/src/dev/sim/control/persist-task.ts
@@ -8,14 +8,17 @@
 
 const MIN_SYNC_MILLIS = 0.2;
 const MAX_SYNC_MILLIS = 3;
-/** Time for which the sabotaged disk leaves writes unsynced. */
+/** Time for which the sabotaged disk leaves writes unsynced, and that of a sabotaged new replica. */
 const UNSYNCED_MILLIS = 400;
+const UNSYNCED_NEW_MILLIS = 5000;
 
 export interface PersistTaskParts {
   readonly world: World;
   readonly process: SimProcess;
   readonly random: Random;
   readonly disk: SimulatedDisk;
+  /** Whether the disk took the place of a lost one. */
+  readonly isReplacement: boolean;
   /** Reports to the core that everything up to this request is on disk (under `no-fsync` it may not be). */
   readonly persisted: (persistId: number) => void;
 }
@@ -48,12 +51,25 @@
     disk.write(sabotagePersist(request, world.sabotage));
     const syncMillis = random.between(MIN_SYNC_MILLIS, MAX_SYNC_MILLIS);
     this.lastSyncAt = Math.max(this.lastSyncAt, world.time.now) + syncMillis;
-    const isReportedEarly = world.sabotage === 'no-fsync';
+    const unsyncedMillis = this.unsyncedMillis();
+    const isReportedEarly = unsyncedMillis > 0;
     if (isReportedEarly) {
       this.parts.process.schedule(0, () => this.report(persistId), true);
     }
-    const syncedAt = this.lastSyncAt + (isReportedEarly ? UNSYNCED_MILLIS : 0);
-    world.time.at(syncedAt, () => this.sync(persistId, !isReportedEarly));
+    world.time.at(this.lastSyncAt + unsyncedMillis, () => this.sync(persistId, !isReportedEarly));
+  }
+
+  /** How long after its report a write is synced under a sabotage; 0 without one. */
+  private unsyncedMillis(): number {
+    const { world, isReplacement } = this.parts;
+    switch (world.sabotage) {
+      case 'no-fsync':
+        return UNSYNCED_MILLIS;
+      case 'vote-before-sync':
+        return isReplacement ? UNSYNCED_NEW_MILLIS : 0;
+      default:
+        return 0;
+    }
   }
 
   private sync(persistId: number, isReported: boolean): void {
--- a/src/dev/sim/control/sim-control.ts
+++ b/src/dev/sim/control/sim-control.ts
@@ -21,6 +21,7 @@
 import { SimulatedDisk } from '../simulated-disk.js';
 import type { World } from '../world.js';
 import { CommitRecorder } from './commit-recorder.js';
+import { startJoining } from './join-requests.js';
 import { PersistTask } from './persist-task.js';
 import {
   sabotageOperatorRequest,
@@ -175,6 +176,7 @@
       process: this,
       random,
       disk,
+      isReplacement: this.diskNumber > 1,
       persisted: (persistId) => this.input({ type: 'persisted', persistId }),
     });
     const config = {
@@ -185,13 +187,16 @@
       lease: DEFAULT_LEASE_TIMINGS,
       configLease: DEFAULT_CONFIG_LEASE_TIMINGS,
       snapshotEntries: SNAPSHOT_ENTRIES,
-      replaceAfterMillis: 0,
+      replaceAfterMillis: this.world.replaceAfterMillis,
       ranges: sabotageRangeTimings(this.world.sabotage),
       quarantine: sabotageQuarantine(this.world.sabotage),
     };
     this.core = createControlNode(config, this.disk.load(), this.clock.monotonic());
     this.timer = new TickTimer(this, () => this.input({ type: 'tick' }));
     this.input({ type: 'tick' });
+    if (this.world.replaceAfterMillis > 0) {
+      startJoining(this.world, this);
+    }
   }
 
   protected onStop(): void {
--- a/src/dev/sim/sabotages.ts
+++ b/src/dev/sim/sabotages.ts
@@ -23,6 +23,10 @@
   readonly relays?: boolean;
   /** Whether upstreams give back the caller's id of a request; `false` by default. */
   readonly sharedIds?: boolean;
+  /** How long a control member may be silent before the leader replaces it by itself; 0 by default. */
+  readonly replaceAfterMillis?: number;
+  /** Time from the first fault to the end of all faults, if it isn't the usual one. */
+  readonly faultPhaseMillis?: number;
 }
 
 const TABLE = {
@@ -215,6 +219,19 @@
     description: 'a control member that lost its disk is not replaced before the next one is lost',
     faults: ['second-loss'],
   },
+  'vote-before-sync': {
+    promise: 'acknowledged-survives',
+    description: 'a control member that lost its disk gets its vote before it has synced what is committed',
+    faults: ['disks-in-series'],
+    replaceAfterMillis: 2000,
+    faultPhaseMillis: 24_000,
+  },
+  'vote-after-next-loss': {
+    promise: 'recovers',
+    description: 'a control member that lost its disk asks to join only after the next disk may be lost',
+    faults: ['disks-in-series'],
+    replaceAfterMillis: 2000,
+  },
   'stop-end-unknown': {
     promise: 'planned-stop-cuts-nothing',
     description: 'a stopping router does not know when it will be killed',
--- a/src/dev/sim/simulation.ts
+++ b/src/dev/sim/simulation.ts
@@ -48,6 +48,10 @@
   readonly relays?: boolean;
   /** Whether upstreams give back the caller's id of a request; `false` by default. */
   readonly sharedIds?: boolean;
+  /** How long a control member may be silent before the leader replaces it by itself; 0 (operators replace members) by default. */
+  readonly replaceAfterMillis?: number;
+  /** Time from the first fault to the end of all faults; `FAULT_PHASE_MILLIS` by default. */
+  readonly faultPhaseMillis?: number;
   readonly sabotage: SabotageName | null;
   readonly trace: ((line: string) => void) | null;
 }
@@ -60,10 +64,10 @@
   readonly faults: ReadonlyMap<string, number>;
 }
 
-/** Time of the first fault, length of the window in which faults begin, and time at which all faults end. */
+/** Time of the first fault, length of the window in which faults begin, and time from the first fault to the end of all faults. */
 const FAULTS_FROM_MILLIS = 3000;
 const FAULT_WINDOW_MILLIS = 6000;
-const FAULTS_END_MILLIS = 12_000;
+const FAULT_PHASE_MILLIS = 9000;
 /** Time for the system to recover, and how long it is observed afterwards. */
 const RECOVERY_MILLIS = 5000;
 const OBSERVATION_MILLIS = 2000;
@@ -102,6 +106,7 @@
   readonly hasRelays: boolean;
   readonly hasSharedIds: boolean;
   readonly hasLateCalls: boolean;
+  readonly replaceAfterMillis: number;
   readonly controls: SimControl[] = [];
   readonly routers: SimRouter[] = [];
   readonly upstreams: SimUpstream[] = [];
@@ -127,6 +132,8 @@
   private readonly evacuators: EvacuatingOperator[] = [];
   private readonly declarers: DeclaringOperator[] = [];
   private readonly random: Random;
+  /** Time at which all faults end. */
+  private readonly faultsEndAt: number;
   private numbers = 0;
   private markers = 0;
 
@@ -136,6 +143,8 @@
     this.hasRelays = options.relays ?? false;
     this.hasSharedIds = options.sharedIds ?? false;
     this.hasLateCalls = options.lateCalls ?? true;
+    this.replaceAfterMillis = options.replaceAfterMillis ?? 0;
+    this.faultsEndAt = FAULTS_FROM_MILLIS + (options.faultPhaseMillis ?? FAULT_PHASE_MILLIS);
     this.random = new Random(options.seed);
     this.faultRandom = this.makeRandom();
     this.network = new Network(this.time, options.sizes.network, this.makeRandom());
@@ -145,8 +154,7 @@
 
   run(): SimulationResult {
     const { hasRanges } = this;
-    const end =
-      FAULTS_END_MILLIS + (hasRanges ? RANGE_RECOVERY_MILLIS : RECOVERY_MILLIS + OBSERVATION_MILLIS);
+    const end = this.faultsEndAt + (hasRanges ? RANGE_RECOVERY_MILLIS : RECOVERY_MILLIS + OBSERVATION_MILLIS);
     for (const process of this.processes()) {
       process.start();
     }
@@ -158,8 +166,8 @@
     this.scheduleRedeclarations();
     this.scheduleRangeLosses();
     this.scheduleLateCallers();
-    this.time.at(FAULTS_END_MILLIS, () => this.endFaults());
-    this.time.at(FAULTS_END_MILLIS + RECOVERY_MILLIS, () => observeRecovery(this, OBSERVATION_MILLIS));
+    this.time.at(this.faultsEndAt, () => this.endFaults());
+    this.time.at(this.faultsEndAt + RECOVERY_MILLIS, () => observeRecovery(this, OBSERVATION_MILLIS));
     if (hasRanges) {
       this.time.at(end - PLANNED_MOVE_MILLIS, () => observeRangeRecovery(this));
     }
@@ -377,7 +385,7 @@
       declarer.declareOnly();
     }
     for (let number = 1; number <= rangeLosses; number += 1) {
-      const at = FAULTS_END_MILLIS + losses.drawLossMillis(RANGE_LOSS_WINDOW_MILLIS);
+      const at = this.faultsEndAt + losses.drawLossMillis(RANGE_LOSS_WINDOW_MILLIS);
       this.time.at(at, () => losses.loseServer());
     }
   }
@@ -387,7 +395,7 @@
     for (let number = 1; number <= (this.options.lateCallers ?? 0); number += 1) {
       const caller = new LateCaller(this, LATE_CALLER_NUMBERS_FROM + number);
       this.time.at(FAULTS_FROM_MILLIS, () => caller.start());
-      this.time.at(FAULTS_END_MILLIS, () => caller.end());
+      this.time.at(this.faultsEndAt, () => caller.end());
     }
   }
 
@@ -407,7 +415,7 @@
     this.activeFaults += 1;
     this.networkFaults += networkFaultCount;
     this.recorder.fault(kind.name, injected.detail);
-    this.time.at(Math.min(this.time.now + durationMillis, FAULTS_END_MILLIS), () => {
+    this.time.at(Math.min(this.time.now + durationMillis, this.faultsEndAt), () => {
       injected.heal();
       this.activeFaults -= 1;
       this.lastFaultEnd = this.time.now;
--- a/src/dev/sim/world.ts
+++ b/src/dev/sim/world.ts
@@ -20,6 +20,8 @@
   readonly sabotage: SabotageName | null;
   /** Whether routers carry connections of others. */
   readonly hasRelays: boolean;
+  /** How long a control member may be silent before the leader replaces it by itself; 0: only operators replace members. */
+  readonly replaceAfterMillis: number;
   readonly controls: SimControl[];
   readonly routers: SimRouter[];
   readonly upstreams: SimUpstream[];
--- a/test/sim/sabotages.test.ts
+++ b/test/sim/sabotages.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { PROMISES } from '../../src/dev/checker/rule.js';
 import { catchSabotage } from '../../src/dev/sim/catch-sabotage.js';
+import { DISKS_IN_SERIES } from '../../src/dev/sim/faults/disks-in-series.js';
 import { FAULT_KINDS } from '../../src/dev/sim/faults/fault-plan.js';
 import { KILLED_STOPS } from '../../src/dev/sim/faults/killed-stops.js';
 import { LOST_PATHS } from '../../src/dev/sim/faults/lost-paths.js';
@@ -38,6 +39,7 @@
       ...RANGE_FAULTS,
       ...REPEATED_ANSWERS,
       ...KILLED_STOPS,
+      ...DISKS_IN_SERIES,
     ].map((kind) => kind.name);
     for (const name of SABOTAGE_NAMES) {
       expect(kinds).to.include.members([...SABOTAGES[name].faults]);
