--- a/test/soak/control-call.ts
+++ b/test/soak/control-call.ts
@@ -1,5 +1,5 @@
 /** Calls of the members' HTTP API as the users' platform makes them: a second for an answer, and two redirects followed. */
-import { request } from 'node:http';
+import { type Agent, request } from 'node:http';
 
 const TIMEOUT_MILLIS = 1000;
 const MAX_REDIRECTS = 2;
@@ -16,6 +16,8 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: object;
+  /** Keeps connections open, those without an answer in time included; by default each call has one of its own. */
+  readonly agent?: Agent;
 }
 
 export async function callControl(address: string, call: ControlCall): Promise<ControlAnswer> {
@@ -45,12 +47,14 @@
     ...call.headers,
   };
   return new Promise((resolve) => {
-    const outgoing = request({ host, port, path: call.path, method: call.method, agent: false, headers });
-    const timer = setTimeout(() => outgoing.destroy(), TIMEOUT_MILLIS);
+    const { path, method, agent = false } = call;
+    const outgoing = request({ host, port, path, method, agent, headers });
     const fail = (): void => {
       clearTimeout(timer);
       resolve({ status: 0, body: '' });
     };
+    const giveUp = agent === false ? () => outgoing.destroy() : fail;
+    const timer = setTimeout(giveUp, TIMEOUT_MILLIS);
     outgoing.on('error', fail);
     outgoing.on('response', (response) => {
       const chunks: Buffer[] = [];
