A new replica answers the leader on the connection on which it is asked

Cause: a replica that has no entries yet knows no addresses and answers over connections which others opened. Only the newest of each replica was remembered, and forgotten when it closed. A member without a leader for two checks opens one to each address for its join request, reads nothing on it, and closes it once there is a leader: from then on the new replica answered nobody, until the older connection broke.

Change: the connection to answer on is the one on which the replica's last Raft message came.

Evidence: `replica-answers` fails before (no answer within 5 s, though the leader is heard) and passes now.

--- a/src/control/daemon/control-daemon.ts
+++ b/src/control/daemon/control-daemon.ts
@@ -342,11 +342,13 @@
       limits,
       log: this.log,
       owner: {
-        onPeerMessage: (message) => this.coreTask.post({ type: 'peer-message', message }),
+        onPeerMessage: (message, connection) => {
+          this.peers.heardOn(message.from, connection);
+          this.coreTask.post({ type: 'peer-message', message });
+        },
         onForwarded: (frame, reply) => this.leaderForward.onFrame(frame, reply),
         onJoinRequest: ({ replica, address }) =>
           this.coreTask.post({ type: 'join-request', replica, address }),
-        onPeerConnected: (replica, connection) => this.peers.connected(replica, connection),
         onPeerDisconnected: (replica, connection) => this.peers.disconnected(replica, connection),
         onRouterMessage: (connection, message) =>
           this.coreTask.post({ type: 'router-message', connection, message }),
--- a/src/control/daemon/internal-server.ts
+++ b/src/control/daemon/internal-server.ts
@@ -17,11 +17,10 @@
 import { readJoinRequest, readPeerMessage } from './peer-message.js';
 
 export interface InternalServerOwner {
-  onPeerMessage(message: RaftMessage): void;
+  onPeerMessage(message: RaftMessage, connection: FrameConnection): void;
   /** Returns whether the frame of a control member was a forwarded request or a response to one. */
   onForwarded(frame: Frame, reply: Reply): boolean;
   onJoinRequest(request: JoinRequest): void;
-  onPeerConnected(replica: ReplicaId, connection: FrameConnection): void;
   onPeerDisconnected(replica: ReplicaId, connection: FrameConnection): void;
   onRouterMessage(connection: ConnectionId, message: RouterToControl): void;
   onRouterDisconnected(connection: ConnectionId): void;
@@ -82,7 +81,6 @@
 
   private onReady(connection: FrameConnection, peer: Greeting): void {
     if (peer.kind === 'control') {
-      this.options.owner.onPeerConnected(peer.name, connection);
       return;
     }
     this.connectionCount += 1;
@@ -108,7 +106,7 @@
     }
     const message = readPeerMessage(frame, connection.peer?.name, this.options.self);
     if (message !== null) {
-      this.options.owner.onPeerMessage(message);
+      this.options.owner.onPeerMessage(message, connection);
     }
   }
 
--- a/src/control/daemon/peer-links.ts
+++ b/src/control/daemon/peer-links.ts
@@ -39,7 +39,10 @@
 
 export class PeerLinks {
   private readonly links = new Map<ReplicaId, PeerLink>();
-  /** Connections opened by other replicas: used to reach a replica whose address isn't known yet. */
+  /**
+   * Connections opened by other replicas, each the one on which the replica's last Raft message came: used to reach a replica whose address
+   * isn't known yet. A replica opens others too, such as those for join requests, on which it reads no answers.
+   */
   private readonly incoming = new Map<ReplicaId, FrameConnection>();
 
   constructor(private readonly options: PeerLinksOptions) {}
@@ -66,7 +69,8 @@
     return this.targetOf(replica)?.send(kind, payload) === 'queued';
   }
 
-  connected(replica: ReplicaId, connection: FrameConnection): void {
+  /** Records that a Raft message came on a connection that the replica opened. */
+  heardOn(replica: ReplicaId, connection: FrameConnection): void {
     this.incoming.set(replica, connection);
   }
 
