A status of four digits is no interim one: its head isn't skipped any more

What callers saw: a head whose status began like an interim one and had a fourth digit or a letter (1000, 1234, 103x) was dropped as an interim answer. An answer behind it was taken for the request's own (200), and without one the request waited until its deadline.

Cause: the filter of interim answers looked at three digits and not at what stands behind them.

Change: the status line of an interim answer goes on to the byte behind its status, a blank or the end of the line. Any other is passed on, and broken by its format.

Evidence: rows of `broken-statuses` and of `broken-heads` (real sockets, direct and relayed).

Why it works: the start of an interim answer is matched up to where its status is over, and the bytes of a shorter start are held as before.

--- a/src/router/attempts/interim-filter.ts
+++ b/src/router/attempts/interim-filter.ts
@@ -3,9 +3,13 @@
  * behind one that says `Connection: close`, and takes 100 for a fault. Switching protocols (101) is no interim answer here.
  */
 
-/** Start of an interim answer; `#` stands for any digit. */
-const STATUS_LINE = 'HTTP/1.# 1##';
-const DIGIT = /[0-9]/;
+/** Start of an interim answer; some of its characters stand for a class. */
+const STATUS_LINE = 'HTTP/1.# 1##$';
+const CHARACTER_CLASSES: Readonly<Record<string, RegExp>> = {
+  '#': /[0-9]/,
+  // What may stand behind a status: one of four digits is no interim one.
+  $: /[ \t\r\n]/,
+};
 const SWITCHING_PROTOCOLS = /^HTTP\/1\.[0-9] 101/;
 const SAYS_CLOSE = /^HTTP\/1\.0|\nconnection:[^\n]*\bclose\b/i;
 /** Ends of a head; servers may end lines with bare line feeds. */
@@ -72,9 +76,10 @@
 /** Whether the bytes start an interim answer, as far as there are any. */
 function startsInterim(bytes: Buffer): boolean {
   const start = bytes.toString('latin1', 0, STATUS_LINE.length);
-  const matches = [...start].every((char, index) =>
-    STATUS_LINE[index] === '#' ? DIGIT.test(char) : STATUS_LINE[index] === char,
-  );
+  const matches = [...start].every((char, index) => {
+    const expected = STATUS_LINE[index] as string;
+    return CHARACTER_CLASSES[expected]?.test(char) ?? expected === char;
+  });
   return matches && !SWITCHING_PROTOCOLS.test(start);
 }
 
--- a/test/router/broken-heads.test.ts
+++ b/test/router/broken-heads.test.ts
@@ -266,6 +266,8 @@
   const BROKEN: Readonly<Record<string, readonly string[]>> = {
     'a status that is none': ['HTTP/1.1 000 Odd'],
     'a status over 599': ['HTTP/1.1 600 Odd'],
+    'a status of four digits that begins like an interim one': ['HTTP/1.1 1000 Odd'],
+    'one of four digits in front of an answer': ['HTTP/1.1 1030 Odd\r\n\r\nHTTP/1.1 200 OK'],
     'a name with a blank': ['HTTP/1.1 200 OK', 'x bad: v'],
     'a name with a control byte': ['HTTP/1.1 200 OK', 'x\x01bad: v'],
     'a folded line': ['HTTP/1.1 200 OK', SEAL, ' x-bad: v'],
--- a/test/router/broken-statuses.test.ts
+++ b/test/router/broken-statuses.test.ts
@@ -25,7 +25,7 @@
 
 const STATUSES = [
   ...['000', '001', '042', '099', '600', '601', '666', '999'],
-  ...['0', '1', '10', '20', '0200', '00200', '0421', '0503', '2000', '5030'],
+  ...['0', '1', '10', '20', '0200', '00200', '0421', '0503', '1000', '1001', '1234', '2000', '5030'],
   ...['abc', '2x0', '20x', '10x', '1x0', '-200', '+200', '-1', '2 00', ''],
 ];
 
@@ -46,6 +46,8 @@
   'early hints': { text: 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n', sound: true },
   'the last interim status': { text: 'HTTP/1.1 199 Odd\r\n\r\n', sound: true },
   'an empty line': { text: '\r\n', sound: true },
+  'an interim status of four digits': { text: 'HTTP/1.1 1030 Odd\r\n\r\n', sound: false },
+  'an interim status that ends in a letter': { text: 'HTTP/1.1 103x Odd\r\n\r\n', sound: false },
   'an interim status of two digits': { text: 'HTTP/1.1 10 Odd\r\n\r\n', sound: false },
   'the status 000': { text: 'HTTP/1.1 000 Odd\r\n\r\n', sound: false },
   'the status 099': { text: 'HTTP/1.1 099 Odd\r\n\r\n', sound: false },
