Heads behind an interim answer that the filter didn't know are broken

What callers saw: an upstream that wrote an empty line, early hints and then a head with 600, 999 or 0200 had that passed on as the answer (600 with its body); a read wasn't tried elsewhere, and 0421 or 0503 counted as a refusal, which proves that a request didn't run. What stood behind a 101 that names no upgrade, for which nobody had asked, was taken for the answer too.

Cause: the format is checked of one head for each request. Interim answers are taken out in front of the check, but not behind empty lines, of another version, or with 101; the HTTP client's parser takes such a head for an interim answer, and the head behind it wasn't looked at.

Change: empty lines are taken out with interim answers; an interim status that the client still reports breaks the attempt.

Evidence: rows of `broken-statuses` and of `broken-heads` (real sockets, direct and relayed). Sound answers behind empty lines and early hints are taken as before.

Why it works: whatever the client takes for an interim answer now ends the attempt, so no head follows one that was checked.

--- a/src/router/attempts/attempt.ts
+++ b/src/router/attempts/attempt.ts
@@ -6,6 +6,7 @@
 import type { UpstreamId } from '../../model/identifiers.js';
 import type { AttemptNumber, AttemptResult, RouterEffect } from '../../routing/types.js';
 import { JoinedPieces } from '../../wire/http/joined-pieces.js';
+import { isFinalStatus } from '../../wire/http/status.js';
 import type { CallerExchange } from '../caller/caller-exchange.js';
 import { forwardedAnswerHeaders, withoutHeaders } from '../caller/header-rules.js';
 import type { HeldBytes } from '../caller/held-bytes.js';
@@ -184,8 +185,10 @@
   }
 
   onHeaders(status: number, rawHeaders: Buffer[]): boolean {
-    if (status < 200) {
-      return true;
+    if (!isFinalStatus(status)) {
+      // Interim answers were taken out before: what stands behind this head is no answer, or one whose own head nobody has checked.
+      this.abort('malformed-head');
+      return false;
     }
     this.client?.recordProgress();
     const headers = rawHeaders.map((part) => part.toString('latin1'));
--- a/src/router/attempts/interim-filter.ts
+++ b/src/router/attempts/interim-filter.ts
@@ -1,6 +1,7 @@
 /**
  * Takes interim answers (RFC 9110, 15.2) out of the bytes of a connection. They end no exchange, but the HTTP client's parser reads nothing
- * behind one that says `Connection: close`, and takes 100 for a fault. Switching protocols (101) is no interim answer here.
+ * behind one that says `Connection: close`, and takes 100 for a fault. Switching protocols (101) is no interim answer here: nobody asks for it, and
+ * what stands behind it is no answer.
  */
 
 /** Start of an interim answer; some of its characters stand for a class. */
@@ -16,6 +17,8 @@
 const HEAD_ENDS = ['\n\r\n', '\n\n'] as const;
 /** Bytes of interim answers that may come before an answer. */
 const MAX_INTERIM_BYTES = 64 * 1024;
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 const NOTHING = Buffer.alloc(0);
 
 export class InterimFilter {
@@ -52,6 +55,9 @@
     let rest = this.#held.length === 0 ? own : Buffer.concat([this.#held, own]);
     this.#held = NOTHING;
     while (rest.length > 0) {
+      const emptyBytes = emptyLineBytes(rest);
+      this.#droppedBytes += emptyBytes;
+      rest = rest.subarray(emptyBytes);
       if (!startsInterim(rest)) {
         this.#isLooking = false;
         return rest;
@@ -73,6 +79,12 @@
   }
 }
 
+/** Returns the number of bytes of empty lines in front, which the client's parser skips. */
+function emptyLineBytes(bytes: Buffer): number {
+  const end = bytes.findIndex((byte) => byte !== CARRIAGE_RETURN && byte !== LINE_FEED);
+  return end === -1 ? bytes.length : end;
+}
+
 /** Whether the bytes start an interim answer, as far as there are any. */
 function startsInterim(bytes: Buffer): boolean {
   const start = bytes.toString('latin1', 0, STATUS_LINE.length);
--- a/test/router/broken-heads.test.ts
+++ b/test/router/broken-heads.test.ts
@@ -267,6 +267,10 @@
     'a status that is none': ['HTTP/1.1 000 Odd'],
     'a status over 599': ['HTTP/1.1 600 Odd'],
     'a status of four digits that begins like an interim one': ['HTTP/1.1 1000 Odd'],
+    'a status over 599 behind an empty line and early hints': [
+      '\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 600 Odd',
+    ],
+    'an answer behind switched protocols': ['HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK'],
     'one of four digits in front of an answer': ['HTTP/1.1 1030 Odd\r\n\r\nHTTP/1.1 200 OK'],
     'a name with a blank': ['HTTP/1.1 200 OK', 'x bad: v'],
     'a name with a control byte': ['HTTP/1.1 200 OK', 'x\x01bad: v'],
--- a/test/router/broken-statuses.test.ts
+++ b/test/router/broken-statuses.test.ts
@@ -46,6 +46,18 @@
   'early hints': { text: 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n', sound: true },
   'the last interim status': { text: 'HTTP/1.1 199 Odd\r\n\r\n', sound: true },
   'an empty line': { text: '\r\n', sound: true },
+  'early hints behind an empty line': { text: '\r\nHTTP/1.1 103 Early Hints\r\n\r\n', sound: true },
+  'early hints between empty lines': {
+    text: 'HTTP/1.1 103 Hi\r\n\r\n\r\nHTTP/1.1 103 Hi\r\n\r\n',
+    sound: true,
+  },
+  'switched protocols': { text: 'HTTP/1.1 101 Switching Protocols\r\n\r\n', sound: false },
+  'protocols switched to another': {
+    text: 'HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n',
+    sound: false,
+  },
+  'switched protocols behind an empty line': { text: '\r\nHTTP/1.1 101 Switching\r\n\r\n', sound: false },
+  'early hints of another version': { text: 'HTTP/2.0 103 Early Hints\r\n\r\n', sound: false },
   'an interim status of four digits': { text: 'HTTP/1.1 1030 Odd\r\n\r\n', sound: false },
   'an interim status that ends in a letter': { text: 'HTTP/1.1 103x Odd\r\n\r\n', sound: false },
   'an interim status of two digits': { text: 'HTTP/1.1 10 Odd\r\n\r\n', sound: false },
