A connection whose upstream speaks first is turned away, in place of one after the other

What callers saw: nothing until their deadline, if an upstream wrote an answer (of whatever status) as soon as a connection was open. The request was never sent, and was tried nowhere else; the router opened one connection after the other for it, 125 in 500 ms in one look.

Cause: the bytes wait in the socket for the moment in which a new connection has to stay open. The HTTP client ends a connection over which something comes that wasn't asked for, and opens the next, without a word to the attempt.

Change: a connection with bytes in it at the end of that moment counts as turned away, like one that was closed by then. Attempts over a relay have the same from the relay.

Evidence: `broken-statuses`, 1,674 answers a path that come before their request, 31 statuses. Where such bytes come later than that moment, the request may have been sent, and is broken.

Why it works: nothing was written to the connection, so the request may go elsewhere whatever it is, and the next one starts with what is known of the upstream.

--- a/src/router/attempts/settled-connector.ts
+++ b/src/router/attempts/settled-connector.ts
@@ -1,6 +1,8 @@
 /**
  * Creates connections that are used only after they have stayed open for a moment. An upstream at its connection limit accepts a new
- * connection and resets it at once; a request written meanwhile would count as sent, with no proof that it did not run.
+ * connection and resets it at once; a request written meanwhile would count as sent, with no proof that it did not run. Nor is one used whose
+ * upstream speaks first, as some do that are over their limit: that is no answer to a request, and the HTTP client would open one connection after the
+ * other.
  */
 import type { Socket } from 'node:net';
 import { buildConnector } from 'undici';
@@ -18,12 +20,12 @@
 /** Idle time of a connection after which the system sends TCP keep-alive probes. */
 const KEEP_ALIVE_PROBE_MILLIS = 60_000;
 
-/** The upstream accepted a connection and closed it before anything was sent. */
+/** The upstream accepted a connection and closed it, or sent something over it, before anything was sent. */
 export class ConnectionTurnedAwayError extends TernmountError {
   constructor() {
     super(
       { code: 'TERNMOUNT_ROUTER_CONNECTION_TURNED_AWAY', retriable: true },
-      'the upstream closed a new connection before anything was sent',
+      'the upstream closed a new connection, or spoke first, before anything was sent',
     );
   }
 }
@@ -50,7 +52,10 @@
     });
 }
 
-/** Reports once whether a new connection is still open after `SETTLE_MILLIS`; one whose other end is closed is closed here too. */
+/**
+ * Reports once whether a new connection is still open after `SETTLE_MILLIS`, and nothing came over it; one whose other end is closed or speaks first is
+ * closed here too.
+ */
 export function settle(socket: Socket, report: (isOpen: boolean) => void): void {
   const ignoreError = (): void => {};
   const close = (): void => {
@@ -64,6 +69,9 @@
     socket.off('end', close);
     socket.off('close', onClose);
     socket.off('error', ignoreError);
+    if (socket.readableLength > 0) {
+      socket.destroy();
+    }
     report(!socket.destroyed);
   }, SETTLE_MILLIS);
   // An error is followed by `close`, which reports it.
--- a/test/router/status-upstream.ts
+++ b/test/router/status-upstream.ts
@@ -46,6 +46,11 @@
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
+  /** Number of connections that were accepted. */
+  get connections(): number {
+    return this.#connections;
+  }
+
   stop(): void {
     for (const socket of this.#sockets) {
       socket.destroy();
