Sessions: a response with a malformed head is none

What was wrong: a response to a session request counted with the status 0200 or 00200, as the first or a later one of its connection, and so did what stood behind a 101 for which nobody had asked, and one with a folded line or a name with a blank.

Cause: control's sessions use the HTTP client that routers use, whose parser takes such heads. The attempts of routers check them byte by byte, the sessions didn't.

Change: the check moves to `src/wire/http`, and the connections of sessions are ended by it before the client reads a malformed head. By itself it now goes on behind an interim answer, and refuses 101 (in front of attempts, interim answers are taken out before).

Evidence: `cut-heads` (control), 59 more heads of odd statuses, first and behind interim ones, to each of the seven clients. Sessions were left out of the rows of malformed lines, since they use none of the lines; that exception is gone.

Why it works: a session's connection carries one request at a time, written whole at once, so the bytes behind each write begin with a head.

--- a/src/control/daemon/upstream-sessions.ts
+++ b/src/control/daemon/upstream-sessions.ts
@@ -1,10 +1,11 @@
 /** Task that owns the HTTP connections to upstreams and sends session requests over them. */
-import { Agent } from 'undici';
+import { Agent, buildConnector } from 'undici';
 import { TernmountError, toError } from '../../errors/ternmount-error.js';
 import type { SessionAnswer, SessionRequest } from '../../lease/types.js';
 import type { Logger } from '../../logging/logger.js';
 import type { Address, UpstreamId } from '../../model/identifiers.js';
 import { HEADERS } from '../../model/outcome.js';
+import { checkHeads } from '../../wire/http/checked-heads.js';
 import { computeSessionProof } from '../../wire/session/session-proof.js';
 import { sessionAnswerSchema } from '../../wire/session/session-schema.js';
 
@@ -62,7 +63,7 @@
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MILLIS,
       maxResponseSize: MAX_ANSWER_BYTES,
-      connect: { timeout: timeoutMillis },
+      connect: createCheckedConnector({ timeout: timeoutMillis }),
       ...(localAddress && { localAddress }),
     });
   }
@@ -146,6 +147,18 @@
   }
 }
 
+/** The HTTP client takes some statuses that aren't of three digits, and what stands behind switched protocols. */
+function createCheckedConnector(options: buildConnector.BuildOptions): buildConnector.connector {
+  const connect = buildConnector(options);
+  return (target, callback) =>
+    connect(target, (...result) => {
+      if (result[0] === null) {
+        checkHeads(result[1]);
+      }
+      callback(...result);
+    });
+}
+
 /** Parses the answer, and checks that it is for this request and from this upstream. */
 function parseAnswer(text: string, request: SessionRequest): SessionAnswer {
   let answer: SessionAnswer;
--- a/src/router/attempts/upstream-connection.ts
+++ b/src/router/attempts/upstream-connection.ts
@@ -4,8 +4,8 @@
  */
 import { Duplex } from 'node:stream';
 import { toError } from '../../errors/ternmount-error.js';
+import { HeadFormat } from '../../wire/http/head-format.js';
 import { AttemptAbortedError } from './attempt-error.js';
-import { HeadFormat } from './head-format.js';
 import { InterimFilter } from './interim-filter.js';
 
 /** Bytes that are read before the client has taken them. */
--- a/src/router/attempts/head-format.ts
+++ b/src/wire/http/head-format.ts
@@ -1,7 +1,8 @@
 /**
  * Checks the head of an answer, byte by byte as it comes: its status has three digits within the range of HTTP (RFC 9110, 15), and each line behind
  * the first begins with a name and a colon (RFC 9112, 5). The HTTP client's parser takes blanks within names, and joins a line that begins with one to
- * the field in front of it, so that a caller would get a field that the upstream didn't send.
+ * the field in front of it, so that a caller would get a field that the upstream didn't send. Heads of interim answers are followed by another head;
+ * switching protocols (101), for which nobody asks, is malformed.
  */
 
 const TAB = 0x09;
@@ -13,6 +14,8 @@
 /** Place of the status behind `HTTP/1.1 `. */
 const STATUS_START = 9;
 const STATUS_END = STATUS_START + 3;
+const INTERIM_DIGIT = '1';
+const SWITCHING_PROTOCOLS = '101';
 /** Bytes that may stand at each place of a status. */
 const STATUS_DIGITS = ['12345', '0123456789', '0123456789'].map((digits) => tableOf(digits));
 const STATUS_ENDS: ReadonlySet<number> = new Set([SPACE, TAB, CARRIAGE_RETURN, LINE_FEED]);
@@ -36,11 +39,14 @@
   #place: Place = PLACES.outside;
   /** Number of bytes of the status line that were read. */
   #statusLineBytes = 0;
+  /** Digits of the status that were read. */
+  #status = '';
 
   /** The next bytes are those of a head. */
   expectHead(): void {
     this.#place = PLACES.statusLine;
     this.#statusLineBytes = 0;
+    this.#status = '';
   }
 
   /** Reads the next bytes of the connection; returns whether the head is well-formed so far. */
@@ -54,6 +60,9 @@
       if (at < bytes.length) {
         this.#place = this.#next(bytes[at] as number);
         at += 1;
+        if (this.#place === PLACES.outside && this.#status.startsWith(INTERIM_DIGIT)) {
+          this.expectHead();
+        }
       }
     }
     return this.#place !== PLACES.malformed;
@@ -85,9 +94,10 @@
       return PLACES.statusLine;
     }
     if (at < STATUS_END) {
+      this.#status += String.fromCharCode(byte);
       return STATUS_DIGITS[at - STATUS_START]?.[byte] === 1 ? PLACES.statusLine : PLACES.malformed;
     }
-    if (!STATUS_ENDS.has(byte)) {
+    if (!STATUS_ENDS.has(byte) || this.#status === SWITCHING_PROTOCOLS) {
       return PLACES.malformed;
     }
     // What stands behind the status is read like a value.
--- a/test/control/daemon/cut-heads.test.ts
+++ b/test/control/daemon/cut-heads.test.ts
@@ -259,8 +259,6 @@
 
 /** Outcomes of grants and releases that leave open whether the call was carried out. */
 const INCONCLUSIVE = ['silent', 'rejected'];
-/** Sessions use the status and the JSON alone, of which no line of a head is a part. */
-const STATUS_READERS: readonly string[] = ['a session request'];
 const BROKEN_HEAD_CLIENTS: Readonly<Record<string, ClientCase>> = {
   ...CLIENTS,
   'a grant': { client: holderCall('grant', INCONCLUSIVE), needs: 'head', content: LIST },
@@ -275,6 +273,31 @@
     [`HTTP/1.1 ${status} Odd`, IDENTITY],
   ]),
 );
+/** Heads of no status, or one of other length, and those that stand behind a head of another kind. */
+const ODD_STATUS_HEADS: Readonly<Record<string, readonly string[]>> = Object.fromEntries(
+  [
+    ...[
+      '042',
+      '101',
+      '601',
+      '0',
+      '1',
+      '0200',
+      '00200',
+      '0421',
+      '0409',
+      '1000',
+      '1200',
+      '2001',
+      '2004',
+      '4210',
+    ],
+    ...['abc', '20x', '42x', '-200', '+200', ' 200', '2 00', '101 Odd\r\n\r\nHTTP/1.1 200', ''],
+    ...['100', '103', '199', '101', '000', '099'].flatMap((front) =>
+      ['000', '099', '600', '0200', '0421', '2000'].map((status) => `${front} Odd\r\n\r\nHTTP/1.1 ${status}`),
+    ),
+  ].map((status) => [`the status ${JSON.stringify(status)}`, [`HTTP/1.1 ${status} Odd`, IDENTITY]]),
+);
 const BAD_LINE_HEADS: Readonly<Record<string, readonly string[]>> = {
   'a name with a control byte': [...OK_HEAD, 'x\x01bad: v'],
   'a name with a blank': [...OK_HEAD, 'x bad: v'],
@@ -301,9 +324,7 @@
     it(`is never taken for a success by ${name}`, async () => {
       const text = JSON.stringify(content);
       const wrong: string[] = [];
-      const heads = STATUS_READERS.includes(name)
-        ? BAD_STATUS_HEADS
-        : { ...BAD_STATUS_HEADS, ...BAD_LINE_HEADS };
+      const heads = { ...BAD_STATUS_HEADS, ...ODD_STATUS_HEADS, ...BAD_LINE_HEADS };
       for (const [what, lines] of Object.entries(heads)) {
         for (const framing of [`content-length: ${text.length}`, 'connection: close']) {
           const sent = [...lines, framing, '', ''].join('\r\n') + text;
--- a/test/control/daemon/upstream-sessions.test.ts
+++ b/test/control/daemon/upstream-sessions.test.ts
@@ -11,6 +11,11 @@
 /** Less than one read of a socket, more than one, and more than the client holds. */
 const SIZES_BYTES = [1000, 70_000, 300_000];
 
+const ANSWER = {
+  ...{ upstream: 'u1', incarnation: 'i-1', stamp: 1, term: 1, inFlight: 0, refused: null },
+  ...{ held: [], draining: [], released: [], warmed: [] },
+};
+
 const FRAMINGS: Readonly<Record<string, (body: string) => string>> = {
   'no length': (body) => `\r\n${body}`,
   'a length': (body) => `Content-Length: ${body.length + 1}\r\n\r\n${body}`,
@@ -46,6 +51,20 @@
     await upstream.stop();
   });
 
+  // Guards against heads that are checked on new connections alone.
+  it('with a status of four digits fails as the second one of its connection too', async () => {
+    for (const [sequence, status] of ['200', '200', '0200'].entries()) {
+      upstream.script = ({ socket }) => {
+        const body = JSON.stringify({ ...ANSWER, sequence });
+        socket.write(`HTTP/1.1 ${status} OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+      };
+      sessions.call('u1', upstream.address, { upstream: 'u1', sequence } as never);
+      await until(() => answered + failed === sequence + 1);
+    }
+    expect({ answered, failed }).to.deep.equal({ answered: 2, failed: 1 });
+    expect(upstream.requests.map(({ connection }) => connection)).to.deep.equal([1, 1, 1]);
+  });
+
   for (const [framing, frame] of Object.entries(FRAMINGS)) {
     for (const [ending, end] of Object.entries(ENDINGS)) {
       // Guards against a member that ends by itself, since its HTTP client throws when a response is broken off.
--- a/test/router/head-format.test.ts
+++ b/test/router/head-format.test.ts
@@ -1,6 +1,6 @@
 /** Whether the head of an answer is well-formed is seen alike in whatever pieces it comes, and its body isn't looked at. */
 import { expect } from 'chai';
-import { HeadFormat } from '../../src/router/attempts/head-format.js';
+import { HeadFormat } from '../../src/wire/http/head-format.js';
 
 const WELL_FORMED = [
   'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody',
@@ -11,9 +11,14 @@
   'HTTP/1.1 100\r\n\r\n',
   '\r\n\r\nHTTP/1.1 200 OK\r\nx: y\r\n\r\n',
   'HTTP/1.1 599 Odd\r\n\r\n',
+  'HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n\r\nHTTP/1.1 100\r\n\r\nHTTP/1.1 200 OK\r\n\r\n x bad: v',
 ];
 
 const MALFORMED = [
+  'HTTP/1.1 101 Switching Protocols\r\n\r\n',
+  'HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 600 Odd\r\n\r\n',
+  '\r\nHTTP/1.1 100\r\n\r\nHTTP/1.1 103\r\n\r\nHTTP/1.1 0200 Odd\r\n\r\n',
+  'HTTP/1.1 1000 Odd\r\n\r\n',
   '\r\nHTTP/1.1 000 Odd\r\n\r\n',
   'HTTP/1.1 000 Odd\r\n\r\n',
   'HTTP/1.1 099 Odd\r\n\r\n',
