--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -152,8 +152,9 @@
   }
   progress.probeSent = false;
   if (progress.transfer !== undefined) {
+    // A round trip, with the time to sync the last chunk, may take several heartbeats.
     const waitedMillis = state.now - progress.transfer.sentAt;
-    if (waitedMillis >= state.config.heartbeatMillis) {
+    if (waitedMillis >= state.config.electionTimeoutMillis) {
       sendSnapshotChunk(state, replica, progress);
     }
     return;
