Commands: an answer with a status that HTTP doesn't have says nothing of the change

What operators saw: a change that was answered with 000, 099, 600 or 999 and the body of an error counted as refused for good, or, for errors after which it is sent again, as one that hadn't been made.

Cause: such statuses were checked for successes alone; for errors the body decided.

Change: a status that is none says only that the member may have made the change. The command goes on with the next member, and ends with the unknown outcome and the id to send it again with.

Evidence: `broken-statuses` (command line): 9 statuses with 4 codes over real sockets, each a change and a read; before, all four tests failed at the first status, 000.

Why it works: an error is read only from an answer that is one.

--- a/src/cli/control-client.ts
+++ b/src/cli/control-client.ts
@@ -205,10 +205,11 @@
   #readAnswer<Body>(address: Address, response: Response<string>): AttemptResult<Body> {
     const { statusCode: status } = response;
     const body = parseBody(response);
-    if (isFinalStatus(status) && status < 300 && body !== undefined) {
+    const isFinal = isFinalStatus(status);
+    if (isFinal && status < 300 && body !== undefined) {
       return { type: 'answered', body: body as Body, status };
     }
-    if (!isErrorBody(body)) {
+    if (!isFinal || !isErrorBody(body)) {
       return { type: 'no-answer', reason: `${address}: HTTP status ${status}`, mayHaveRun: true };
     }
     if (RETRIED_CODES.has(body.error.code)) {
