Soak: upstreams also break with statuses that HTTP doesn't have, and callers see them

Change: two more ways in which an upstream of the soak breaks, 000 and 600 behind an empty line and early hints, each with the id, the seal and the whole body. The soak's reader of answers dropped all under 200 as interim ones, so that a 000 that reached a caller would have been seen by nobody; now only 100 to 199 are.

--- a/test/soak/answer-reader.ts
+++ b/test/soak/answer-reader.ts
@@ -13,6 +13,7 @@
 
 const HEAD_END = '\r\n\r\n';
 const LINE_END = '\r\n';
+const FIRST_STATUS = 100;
 const FIRST_FINAL_STATUS = 200;
 
 export class AnswerReader {
@@ -28,7 +29,8 @@
     this.#received = Buffer.concat([this.#received, bytes]);
     const answers: ReceivedAnswer[] = [];
     for (let answer = this.#take(); answer !== null; answer = this.#take()) {
-      if (answer.status >= FIRST_FINAL_STATUS) {
+      const isInterim = answer.status >= FIRST_STATUS && answer.status < FIRST_FINAL_STATUS;
+      if (!isInterim) {
         answers.push(answer);
       }
     }
--- a/test/soak/soak-upstream.ts
+++ b/test/soak/soak-upstream.ts
@@ -10,6 +10,8 @@
 const HEALTH_PATH = '/health';
 const RESTART_MILLIS = 1000;
 
+const HIDING_HEAD = '\r\nHTTP/1.1 103 Early Hints\r\n\r\n';
+
 /** How an upstream that breaks does so, in place of an answer. */
 export const BREAKAGE = {
   nothing: 'reset before an answer',
@@ -17,6 +19,8 @@
   partFin: 'end in an answer',
   silence: 'silence',
   garbage: 'bytes that are no answer',
+  status: 'a status that HTTP does not have',
+  hiddenStatus: 'such a status behind early hints and an empty line',
 } as const;
 export type Breakage = (typeof BREAKAGE)[keyof typeof BREAKAGE];
 
@@ -286,6 +290,10 @@
       socket?.resetAndDestroy();
     } else if (breakage === BREAKAGE.garbage) {
       socket?.end('these bytes are no answer\r\n\r\n');
+    } else if (breakage === BREAKAGE.status) {
+      socket?.write(Buffer.concat([Buffer.from(headOf('000', head)), body]));
+    } else if (breakage === BREAKAGE.hiddenStatus) {
+      socket?.write(Buffer.concat([Buffer.from(HIDING_HEAD + headOf('600', head)), body]));
     } else {
       response.writeHead(200, head).write(body.subarray(0, bytes / 2), () => {
         breakage === BREAKAGE.part ? socket?.resetAndDestroy() : socket?.end();
@@ -294,6 +302,11 @@
   }
 }
 
+function headOf(status: string, fields: Readonly<Record<string, string | number>>): string {
+  const lines = Object.entries(fields).map(([name, value]) => `${name}: ${value}`);
+  return [`HTTP/1.1 ${status} Odd`, ...lines, '', ''].join('\r\n');
+}
+
 /** The body of an answer, which depends on the request's id alone. */
 export function bodyOf(id: string, bytes: number): Buffer {
   return Buffer.alloc(bytes, `${id} `);
