A late message of a replica that has ended no longer frees the vote of its live successor

What callers saw: a voter that was alive lost its vote, perhaps to a replica whose disk was gone. Between the two the cluster had one loss less to spare, with three voters none. Found by review; no run of real processes showed it.

Cause: of two members at one address the one that was heard last counted as the live one. A message of a replica that had ended, read after its successor's last answer, turned the two round until the successor's next answer, and a look of the leader in between proposed the change.

Change: a member counts as superseded if another one at its address was heard an election timeout or more after its own last word. A live member answers each heartbeat, several times within that. A learner gets no vote while another member at its address was heard within an election timeout before its own last word, or later: either may be the one that has ended.

Evidence: `late-message-frees-a-live-vote` fails before in 4 of 4 cases (`replace` of the live m2, reason `disk-lost`) and passes now. `automatic-repair`, `repair-choice`, `replacement`, `membership-changes`, `planned-leave`, `long-history` and `disks-in-series` pass unchanged. No time of a repair was measured: by reading, a lost disk whose successor is heard sooner than an election timeout after it, as simulated ones are, is repaired up to an election timeout later.

A member that is alive, but was not heard for an election timeout just when a message of its predecessor comes, still loses its vote.

--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -2,12 +2,15 @@
  * Automatic membership changes by the leader: it adds waiting replicas as spare learners, replaces a voter that was silent for too long by
  * a spare that is caught up, and removes learners that lost their disk.
  */
-import type { RaftStatus } from '../consensus/types.js';
+import type { RaftStatus, RaftTimings } from '../consensus/types.js';
 import type { Address, MonotonicMillis, ReplicaId } from '../model/identifiers.js';
 
 /** How long a join request of a replica counts; replicas repeat it until they are members. */
 export const JOIN_REQUEST_LIFETIME_MILLIS = 5000;
 
+/** Of the Raft core, if none are given. */
+const DEFAULT_TIMINGS = { electionTimeoutMillis: 300 } as const;
+
 /** A replica that requested to join. */
 export interface WaitingReplica {
   readonly replica: ReplicaId;
@@ -55,11 +58,12 @@
 
   /**
    * `replaceAfterMillis`: how long a voter may be silent; 0 disables automatic repair. `maxVoters`: spares become additional voters
-   * up to this number of voters.
+   * up to this number of voters. A live member answers the leader several times within an election timeout.
    */
   constructor(
     private readonly replaceAfterMillis: number,
     private readonly maxVoters = 0,
+    private readonly timings: Pick<RaftTimings, 'electionTimeoutMillis'> = DEFAULT_TIMINGS,
   ) {}
 
   onMessage(replica: ReplicaId, now: MonotonicMillis): void {
@@ -126,7 +130,10 @@
     }
     this.#recordLearners(status.membership.learners, now);
     const spares = status.membership.learners.filter(
-      (learner) => caughtUp.includes(learner) && this.#isSpare(learner, status, now),
+      (learner) =>
+        caughtUp.includes(learner) &&
+        this.#isSpare(learner, status, now) &&
+        !this.#isContested(learner, status),
     );
     return (
       this.#replacement(status, spares, now) ??
@@ -213,6 +220,17 @@
     );
   }
 
+  /** Whether another member was heard at the learner's address so late that either may be the one that has ended. */
+  #isContested(learner: ReplicaId, { membership }: RaftStatus): boolean {
+    const { voters, learners, addresses } = membership;
+    const address = addresses[learner];
+    const endedBefore = this.#heardAt(learner) - this.timings.electionTimeoutMillis;
+    return [...voters, ...learners].some(
+      (other) =>
+        other !== learner && address && addresses[other] === address && this.#heardAt(other) > endedBefore,
+    );
+  }
+
   /** A replica that left may come back, so this is forgotten when its silence would count. */
   #isLeaving(replica: ReplicaId, now: MonotonicMillis): boolean {
     return now - (this.#leftAt.get(replica) ?? Number.NEGATIVE_INFINITY) < this.replaceAfterMillis;
@@ -229,8 +247,9 @@
   }
 
   /**
-   * Whether `replica` runs at the address of `former`, which has ended: an address serves one replica, and `replica` was heard there
-   * last. What was heard before this leadership doesn't count, as other members may have been silent towards this one alone.
+   * Whether `replica` runs at the address of `former`, which has ended: an address serves one replica, and `replica` was still heard
+   * there after `former` had been silent for an election timeout. A message that came late proves nothing, as it may be older than the
+   * other's last one. What was heard before this leadership doesn't count, as other members may have been silent towards this one alone.
    */
   #runsInPlaceOf(replica: ReplicaId, former: ReplicaId, { self, membership }: RaftStatus): boolean {
     const { addresses } = membership;
@@ -238,13 +257,17 @@
     if (replica === former || former === self || !address || addresses[replica] !== address) {
       return false;
     }
-    const heardAt = this.#lastMessageAt.get(replica) ?? Number.NEGATIVE_INFINITY;
-    return replica === self || (heardAt >= this.#leaderSince && heardAt > this.#lastSignOf(former));
+    const heardAt = this.#heardAt(replica);
+    const endedAt = this.#lastSignOf(former) + this.timings.electionTimeoutMillis;
+    return replica === self || (heardAt >= this.#leaderSince && heardAt >= endedAt);
+  }
+
+  #heardAt(replica: ReplicaId): MonotonicMillis {
+    return this.#lastMessageAt.get(replica) ?? Number.NEGATIVE_INFINITY;
   }
 
   /** When a member was last heard or, if it is a learner, first seen in this leadership if that is later. */
   #lastSignOf(replica: ReplicaId): MonotonicMillis {
-    const heardAt = this.#lastMessageAt.get(replica) ?? Number.NEGATIVE_INFINITY;
-    return Math.max(heardAt, this.#learnerSince.get(replica) ?? Number.NEGATIVE_INFINITY);
+    return Math.max(this.#heardAt(replica), this.#learnerSince.get(replica) ?? Number.NEGATIVE_INFINITY);
   }
 }
--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -44,7 +44,7 @@
     this.#parts = parts;
     const { raft, config, answer } = parts;
     this.#replacement = new ReplicaReplacement({ raft, answer, retry: this.#retry });
-    this.#repair = new AutomaticRepair(config.replaceAfterMillis, config.maxVoters);
+    this.#repair = new AutomaticRepair(config.replaceAfterMillis, config.maxVoters, config.raft);
     this.#releases = new VoteReleases({ raft, answer, repair: this.#repair });
     const silentMillis = (replica: ReplicaId, now: MonotonicMillis): number =>
       this.#repair.silentMillis(replica, now);
