A spare that has left several heartbeats unanswered gets no vote

What callers saw: a member that stopped as planned left its vote to a spare that had been dead for almost `replaceAfter`, and was told that all was well. Of three voters two lived then, and the next loss left no majority.

Cause: a spare counted as live until it had been silent for `replaceAfter` (2 s, some thirty heartbeats), and in calm one that holds all that was committed counts as caught up, heard or not. Also, a vote which the Raft core rejected because of another change under way was proposed again for the same replica, though it might have fallen silent meanwhile.

Change: a spare gets a vote, in place of another replica or beside the others, only if it was heard within an election timeout. A member that stops still waits its bounded time for a spare that doesn't answer. The leader's own replacement ends when its proposal is rejected, and the leader chooses again at the next poll. Operators' replacements stay as they were.

Evidence: `vote-for-a-silent-spare` fails before (answer `done`, live voters m2 and m3 alone) and passes now. A case added to `membership-changes` (`is not proposed again for a replica that has been silent since`) fails with the first half of the change alone and passes with both. The other tests of repairs and `disks-in-series` pass unchanged.

--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -133,6 +133,7 @@
       (learner) =>
         caughtUp.includes(learner) &&
         this.#isSpare(learner, status, now) &&
+        this.#isAnswering(learner, now) &&
         !this.#isContested(learner, status),
     );
     return (
@@ -220,6 +221,11 @@
     );
   }
 
+  /** A learner that has left several heartbeats unanswered may be lost, though it was caught up when it was heard last. */
+  #isAnswering(learner: ReplicaId, now: MonotonicMillis): boolean {
+    return now - this.#heardAt(learner) <= this.timings.electionTimeoutMillis;
+  }
+
   /** Whether another member was heard at the learner's address so late that either may be the one that has ended. */
   #isContested(learner: ReplicaId, { membership }: RaftStatus): boolean {
     const { voters, learners, addresses } = membership;
--- a/src/control/replica-replacement.ts
+++ b/src/control/replica-replacement.ts
@@ -226,14 +226,22 @@
       if (outcome.type === 'applied') {
         replacement.stage = after;
       } else if (outcome.type === 'rejected') {
-        replacement.stage = before;
         this.#parts.retry.onRejected(now);
+        this.#onRejected(replacement, before);
       } else if (this.#replacement === replacement) {
         this.#finish(replacement.operation, proposalFailure(outcome, this.#parts.raft.otherLeaderAddress()));
       }
     });
   }
 
+  /** The leader's own replacement ends: by the next try its new replica may have fallen silent, so the leader chooses again. */
+  #onRejected(replacement: Replacement, before: Stage): void {
+    replacement.stage = before;
+    if (replacement.operation === null && this.#replacement === replacement) {
+      this.#finish(null, { type: 'unknown' });
+    }
+  }
+
   #finish(operation: OperationId | null, response: OperatorResponse): void {
     this.#replacement = null;
     this.#reply(operation, response);
--- a/test/control/membership-changes.test.ts
+++ b/test/control/membership-changes.test.ts
@@ -119,6 +119,17 @@
     }
     expect(raft.proposals).to.deep.equal([{ type: 'change-voters', voters: ['m1', 'm2', 'm5'] }]);
   });
+
+  // Guards against a vote for a replica that fell silent while the Raft core was busy with another change.
+  it('is not proposed again for a replica that has been silent since', () => {
+    raft.isBusy = true;
+    changes.run(2000);
+    raft.isBusy = false;
+    raft.proposals.length = 0;
+    changes.onPeerMessage('m2', 2500);
+    changes.run(2500);
+    expect(raft.proposals).to.deep.equal([]);
+  });
 });
 
 describe('a replacement that is temporarily rejected', () => {
