A cluster grows from its first replica to three voters in one change

What callers saw: a cluster that grew from its first replica could be left without a leader for good when one new machine lost its disk in the milliseconds of the growth, though two replicas with everything lived. Found by review.

Cause: spares became voters one at a time, so a cluster passed through two voters, and through joint changes that need both. With two voters the loss of either leaves no majority.

Change: a sole voter that may have three or more grows to three in one joint change, once two spares may vote (`VoterGrowth`). The change needs the old voter and one of the new ones. If no second spare comes within 10 s of the first, it grows to two, as before. The leader proposes additions itself now, in place of by way of `ReplicaReplacement`, and proposes no other repair before the outcome. `repair-begun` of an `add` has `newReplicas` in place of `newReplica` and `address`. Operators' requests are as before: `add-voter` still goes through two.

Evidence: `growth-through-two-voters` fails on (no leader 15 s after a disk that is lost 6, 8, 10, 12 or 14 ms after the requests to join, of 21 moments) and passes now. `voter-growth` is new. Passing on this tree: `test/consensus`, `test/control` and its daemons (599 tests), `disks-in-series` and `simulation` (36), and as processes `planned-replacement`, `replica-replacement`, `first-run` and `self-start` (13).

A sole voter whose disk is lost within those 10 s ends the cluster, as it did before its first spare voted.

--- a/src/control/automatic-repair.ts
+++ b/src/control/automatic-repair.ts
@@ -4,6 +4,7 @@
  */
 import type { RaftStatus, RaftTimings } from '../consensus/types.js';
 import type { Address, MonotonicMillis, ReplicaId } from '../model/identifiers.js';
+import { VoterGrowth } from './voter-growth.js';
 
 /** How long a join request of a replica counts; replicas repeat it until they are members. */
 export const JOIN_REQUEST_LIFETIME_MILLIS = 5000;
@@ -26,8 +27,8 @@
 /** An automatic change of the membership. */
 export type Repair =
   | ({ readonly type: 'take-in' } & WaitingReplica)
-  /** A spare becomes an additional voter. */
-  | { readonly type: 'add'; readonly newReplica: ReplicaId; readonly address: Address }
+  /** Spares become additional voters, in one change. */
+  | { readonly type: 'add'; readonly newReplicas: readonly ReplicaId[] }
   | {
       readonly type: 'replace';
       readonly oldReplica: ReplicaId;
@@ -54,6 +55,7 @@
   readonly #learnerSince = new Map<ReplicaId, MonotonicMillis>();
   /** When replicas said that they stop as planned. */
   readonly #leftAt = new Map<ReplicaId, MonotonicMillis>();
+  readonly #growth: VoterGrowth;
   #leaderSince: MonotonicMillis = Number.POSITIVE_INFINITY;
 
   /**
@@ -62,9 +64,11 @@
    */
   constructor(
     private readonly replaceAfterMillis: number,
-    private readonly maxVoters = 0,
+    maxVoters = 0,
     private readonly timings: Pick<RaftTimings, 'electionTimeoutMillis'> = DEFAULT_TIMINGS,
-  ) {}
+  ) {
+    this.#growth = new VoterGrowth(maxVoters);
+  }
 
   onMessage(replica: ReplicaId, now: MonotonicMillis): void {
     this.#lastMessageAt.set(replica, now);
@@ -98,6 +102,7 @@
     this.#leaderSince = isLeader ? Math.min(this.#leaderSince, now) : Number.POSITIVE_INFINITY;
     this.#learnerSince.clear();
     this.#leftAt.clear();
+    this.#growth.onRoleChange();
   }
 
   /** Replicas that currently request to join and aren't members. */
@@ -139,7 +144,7 @@
     return (
       this.#replacement(status, spares, now) ??
       this.#takeIn(status, now) ??
-      this.#growth(status, spares) ??
+      this.#addition(status, spares, now) ??
       this.#removal(status, now)
     );
   }
@@ -193,11 +198,9 @@
     return waiting === undefined ? null : { type: 'take-in', ...waiting };
   }
 
-  #growth({ membership }: RaftStatus, [newReplica]: readonly ReplicaId[]): Repair | null {
-    if (newReplica === undefined || membership.voters.length >= this.maxVoters) {
-      return null;
-    }
-    return { type: 'add', newReplica, address: membership.addresses[newReplica] ?? '' };
+  #addition({ membership }: RaftStatus, spares: readonly ReplicaId[], now: MonotonicMillis): Repair | null {
+    const newReplicas = this.#growth.next(membership, spares, now);
+    return newReplicas.length === 0 ? null : { type: 'add', newReplicas };
   }
 
   /** A learner that lost its disk would stay a member for ever; one that is alone at its address may come back. */
--- a/src/control/membership-changes.ts
+++ b/src/control/membership-changes.ts
@@ -35,8 +35,8 @@
   #nextPollAt: MonotonicMillis = Number.POSITIVE_INFINITY;
   readonly #repair: AutomaticRepair;
   readonly #releases: VoteReleases;
-  /** Whether the proposal of an automatic change of the learners is pending. */
-  #isChangingLearners = false;
+  /** Whether the proposal of an automatic change that replaces no replica is pending. */
+  #isProposing = false;
   /** The repair that was logged last; one that is begun again isn't logged again. */
   #loggedRepair = '';
 
@@ -117,7 +117,7 @@
   onRoleChange(now: MonotonicMillis): void {
     const isLeader = this.#parts.raft.isLeader();
     this.#repair.onRoleChange(isLeader, now);
-    this.#isChangingLearners = false;
+    this.#isProposing = false;
     this.#loggedRepair = '';
     if (!isLeader) {
       this.#replacement.abandon();
@@ -166,7 +166,7 @@
 
   #repairAutomatically(now: MonotonicMillis): void {
     const { raft } = this.#parts;
-    if (this.#replacement.isChangingVoters || this.#isChangingLearners || !raft.isLeader()) {
+    if (this.#replacement.isChangingVoters || this.#isProposing || !raft.isLeader()) {
       return;
     }
     const repair = this.#repair.next(raft.status(), raft.details().caughtUp, now);
@@ -181,25 +181,27 @@
       case 'replace':
         this.#replacement.begin({ ...repair, operation: null });
         break;
-      case 'add':
-        this.#replacement.begin({ ...repair, oldReplica: null, operation: null });
+      case 'add': {
+        const { voters } = this.#parts.raft.status().membership;
+        this.#propose({ type: 'change-voters', voters: [...voters, ...repair.newReplicas] }, now);
         break;
+      }
       case 'take-in': {
         const { replica, address } = repair;
-        this.#proposeLearners({ type: 'add-learner', replica, address }, now);
+        this.#propose({ type: 'add-learner', replica, address }, now);
         break;
       }
       case 'remove':
-        this.#proposeLearners({ type: 'remove-learner', replica: repair.replica }, now);
+        this.#propose({ type: 'remove-learner', replica: repair.replica }, now);
         break;
     }
   }
 
-  /** Proposes a change of the learners; no repair begins before it is settled. */
-  #proposeLearners(proposal: MembershipProposal, now: MonotonicMillis): void {
-    this.#isChangingLearners = true;
+  /** Proposes a change that replaces no replica; no repair begins before it is settled. */
+  #propose(proposal: MembershipProposal, now: MonotonicMillis): void {
+    this.#isProposing = true;
     this.#parts.raft.proposeMembership(proposal, (outcome) => {
-      this.#isChangingLearners = false;
+      this.#isProposing = false;
       if (outcome.type !== 'applied') {
         this.#retry.onRejected(now);
       }
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -158,6 +158,7 @@
       'replica',
       'oldReplica',
       'newReplica',
+      'newReplicas',
       'address',
       'reason',
       'successor',
