Replicas with disks that are slow, not hung, elect a leader

What callers saw: where a sync takes longer than an election timeout, three connected replicas had no leader for as long as that lasts, and no change or reading was answered; one such replica beside a sound one and a lost one was enough.

Cause: a candidate's timer ran while its own vote and those of others were being written. When it ended, the others granted the next pre-vote at once, as it needs no disk, and the new term needed new syncs: the votes of the last one came too late each time.

Change: a replica whose term or vote isn't on disk yet starts no pre-vote or election (a candidate goes on waiting for its own vote) and grants no pre-vote. A candidate's time to wait begins when its own vote is on disk, and doubles, up to eightfold, with each election in a row that it stood for and that brought no leader in time; hearing a leader or winning resets it. Pre-votes and followers keep their timeouts, so that only a replica's own candidacy gets longer.

Why it works: a pre-vote succeeds only at a quorum that can write the next vote at once, so terms no longer outrun disks, and the wait grows past the two writes that a vote may take. It also bounds what is given up: after three elections in vain a candidate waits 8 to 16 election timeouts; others may still begin an election meanwhile.

--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -5,11 +5,19 @@
 import type { TimeoutNow, VoteRequest, VoteResponse } from './types.js';
 
 /**
- * Handles an expired election timeout. A replica that isn't a voter, or whose own vote couldn't become durable, only clears its
- * known leader.
+ * Handles an expired election timeout. A candidate whose own vote isn't on disk yet goes on waiting for it. Any other replica that
+ * isn't a voter, or whose own vote couldn't become durable soon, only clears its known leader.
  */
 export function handleElectionTimeout(state: RaftState): void {
-  if (!state.isSelfVoter || state.isWriteOverdue) {
+  const { isHardStatePending } = state.persistQueue;
+  if (state.role === 'candidate' && isHardStatePending) {
+    state.resetElectionDeadline();
+    return;
+  }
+  if (state.role === 'candidate') {
+    state.failedElections += 1;
+  }
+  if (!state.isSelfVoter || state.isWriteOverdue || isHardStatePending) {
     becomeFollower(state, state.term, null);
     state.resetElectionDeadline();
     return;
@@ -26,12 +34,17 @@
   requestVotes(state, true, false);
 }
 
-/** Starts an election without a pre-vote; with `transfer`, followers vote even if the old leader was active recently. */
+/**
+ * Starts an election without a pre-vote; with `transfer`, followers vote even if the old leader was active recently. The time to
+ * wait for votes begins when they are asked for: once the replica's own vote is on disk.
+ */
 function startElection(state: RaftState, transfer: boolean): void {
   becomeCandidate(state);
   const { term } = state;
+  const waitMillis = state.electionDeadline - state.now;
   state.persistQueue.afterPersist(() => {
     if (state.term === term && state.role === 'candidate') {
+      state.electionDeadline = state.now + waitMillis;
       requestVotes(state, false, transfer);
       countVote(state, state.self);
     }
@@ -74,9 +87,13 @@
   state.sendAfterPersist({ type: 'vote-response', to: request.from, term, preVote: false, granted });
 }
 
-/** A granted pre-vote carries the requested term, a rejected one this replica's own term. */
+/**
+ * A granted pre-vote carries the requested term, a rejected one this replica's own term. While a term or vote is being written, a
+ * vote in a further term would have to wait for one more write: that of the term under way comes sooner.
+ */
 function respondToPreVote(state: RaftState, request: VoteRequest): void {
-  const granted = request.term > state.term && isUpToDate(state, request);
+  const canVoteSoon = !state.persistQueue.isHardStatePending;
+  const granted = canVoteSoon && request.term > state.term && isUpToDate(state, request);
   const term = granted ? request.term : state.term;
   state.send({ type: 'vote-response', to: request.from, term, preVote: true, granted });
 }
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -124,6 +124,7 @@
   }
   becomeFollower(state, state.term, message.from);
   state.leaderHeardAt = state.now;
+  state.failedElections = 0;
   state.resetElectionDeadline();
   return true;
 }
--- a/src/consensus/roles.ts
+++ b/src/consensus/roles.ts
@@ -45,13 +45,14 @@
   state.leader = null;
   state.incomingSnapshot = undefined;
   state.campaign = { granted: new Set() };
-  state.resetElectionDeadline();
+  state.resetCandidateDeadline();
 }
 
 /** Becomes the leader of the current term; its first entry is a noop, which commits the entries of earlier terms. */
 export function becomeLeader(state: RaftState): void {
   state.role = 'leader';
   state.quorumLostAt = null;
+  state.failedElections = 0;
   state.leader = state.self;
   state.campaign = undefined;
   state.incomingSnapshot = undefined;
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -58,6 +58,8 @@
 const STARTUP_FACTORS: ElectionTimeoutFactors = [0.2, 0.7];
 /** Length of the startup phase in election timeouts. */
 const STARTUP_ELECTION_TIMEOUTS = 4;
+/** Largest factor by which failed elections in a row lengthen the time that a candidate waits for votes. */
+const MAX_CANDIDATE_WAIT_FACTOR = 8;
 /** After this many election timeouts a write is overdue. A slow disk's bursts must stay below it. */
 const OVERDUE_WRITE_ELECTION_TIMEOUTS = 2;
 
@@ -83,6 +85,8 @@
   quorumLostAt: number | null = null;
   electionDeadline = 0;
   campaign: Campaign | undefined;
+  /** Elections in a row that this replica stood for and that brought no leader in time. */
+  failedElections = 0;
   leaderState: LeaderState | undefined;
 
   snapshot: Snapshot | null;
@@ -193,10 +197,18 @@
 
   /** Schedules an election after one to two election timeouts without a leader; sooner during startup. */
   resetElectionDeadline(): void {
-    const { electionTimeoutMillis } = this.config;
-    this.electionDeadline = this.isStarting
-      ? this.now + this.#randomTimeout(STARTUP_FACTORS, electionTimeoutMillis)
-      : this.now + this.#randomTimeout(REGULAR_FACTORS, electionTimeoutMillis);
+    this.#resetDeadline(this.config.electionTimeoutMillis);
+  }
+
+  /** Schedules the end of this replica's own candidacy, which doubles with each failed one: the voters' disks may be slow. */
+  resetCandidateDeadline(): void {
+    const factor = Math.min(2 ** this.failedElections, MAX_CANDIDATE_WAIT_FACTOR);
+    this.#resetDeadline(factor * this.config.electionTimeoutMillis);
+  }
+
+  #resetDeadline(electionTimeoutMillis: number): void {
+    const factors = this.isStarting ? STARTUP_FACTORS : REGULAR_FACTORS;
+    this.electionDeadline = this.now + this.#randomTimeout(factors, electionTimeoutMillis);
   }
 
   /**
