--- a/src/consensus/progress.ts
+++ b/src/consensus/progress.ts
@@ -19,6 +19,8 @@
   state: ProgressState = 'probe';
   /** Last index that is known to match and to be synced. */
   matchIndex = 0;
+  /** When `matchIndex` last grew. */
+  matchGrewAt = Number.NEGATIVE_INFINITY;
   nextIndex: number;
   /** Last index of each unacknowledged append, oldest first. */
   inFlight: number[] = [];
@@ -81,8 +83,11 @@
   }
 
   /** Records a matching index and removes the appends up to it from the window. */
-  recordMatch(index: number): void {
-    this.matchIndex = Math.max(this.matchIndex, index);
+  recordMatch(index: number, now: number): void {
+    if (index > this.matchIndex) {
+      this.matchIndex = index;
+      this.matchGrewAt = now;
+    }
     this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
     while (this.inFlight.length > 0 && (this.inFlight[0] as number) <= this.matchIndex) {
       this.inFlight.shift();
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -198,7 +198,7 @@
 }
 
 function recordMatch(state: RaftState, progress: Progress, matchIndex: number): void {
-  progress.recordMatch(matchIndex);
+  progress.recordMatch(matchIndex, state.now);
   progress.recordRound(state.commitIndex, state.now);
   const snapshotDone = progress.transfer === undefined || matchIndex >= progress.transfer.snapshot.lastIndex;
   const mayReplicate = progress.state === 'probe' || snapshotDone;
