Simulator: the change after the faults has to be decided

The change that shows the recovery of a run also counted when the operator gave up: 12 refusals by members without a leader take less than a second. Now only a decided one counts.

--- a/src/dev/sim/clients/operator-client.ts
+++ b/src/dev/sim/clients/operator-client.ts
@@ -43,7 +43,7 @@
   protected change(
     command: OperatorCommand,
     value: ThingValue,
-    done: () => void = () => {},
+    done: OnOperatorResponse = () => {},
     expected = command.expected,
   ): void {
     const requestId = `change-${this.world.nextNumber()}`;
@@ -58,7 +58,7 @@
       if (this.random.chance(NEEDLESS_RESEND_SHARE)) {
         this.schedule(RESEND_MILLIS, () => this.ask(request, () => recorder.count('change resent')));
       }
-      done();
+      done(response);
     };
     this.ask(request, onChangeEnded);
   }
--- a/src/dev/sim/clients/sim-operator.ts
+++ b/src/dev/sim/clients/sim-operator.ts
@@ -5,7 +5,7 @@
 import type { OperatorCommand, ServiceRecord, ShardRecord, UpstreamRecord } from '../../../registry/types.js';
 import type { SizedService } from '../sim-sizes.js';
 import type { SimUpstream } from '../upstream/sim-upstream.js';
-import { OperatorClient, QUEUE_LIMIT_BASE } from './operator-client.js';
+import { type OnOperatorResponse, OperatorClient, QUEUE_LIMIT_BASE } from './operator-client.js';
 
 const THINK_MILLIS = 350;
 /** Interval between the changes of a burst. */
@@ -46,13 +46,15 @@
     }
   }
 
-  /** Makes one change whose answer isn't lost, then calls `done`. */
+  /** Makes one change whose answer isn't lost; calls `done` if it was decided. */
   probe(done: () => void): void {
     this.isCareful = true;
     const [service] = this.world.sizes.services;
-    this.applyService((service as SizedService).definition, null, () => {
+    this.applyService((service as SizedService).definition, null, (response) => {
       this.isCareful = false;
-      done();
+      if (response.type === 'result') {
+        done();
+      }
     });
   }
 
@@ -188,7 +190,11 @@
     }
   }
 
-  private applyService(definition: ServiceDefinition, expected: number | null, done?: () => void): void {
+  private applyService(
+    definition: ServiceDefinition,
+    expected: number | null,
+    done?: OnOperatorResponse,
+  ): void {
     const marker = this.world.nextMarker();
     const command: OperatorCommand = {
       type: 'service-apply',
