--- a/test/soak/control-members.ts
+++ b/test/soak/control-members.ts
@@ -147,6 +147,15 @@
     );
   }
 
+  /** Whether all members have joined: each votes, follows a leader or leads, and has entries on its disk. */
+  async haveAllJoined(): Promise<boolean> {
+    const rafts = await this.#rafts();
+    return rafts.every(({ raft }) => {
+      const isVoter = raft?.membership.voters.includes(raft.self) === true;
+      return isVoter && raft.leader !== null && raft.commitIndex > 0;
+    });
+  }
+
   /** Number of members that run with a vote by the membership of the leader; 0 without leader. */
   async runningVoters(): Promise<number> {
     const rafts = await this.#rafts();
--- a/test/soak/member-soak.ts
+++ b/test/soak/member-soak.ts
@@ -57,10 +57,19 @@
     return { changes, readings };
   }
 
+  /** Starts the members; ends once all have joined: one that has no disk yet is like one whose disk is lost. */
   async start(): Promise<void> {
+    const until = performance.now() + START_MILLIS;
     this.#members.start();
     this.#operator.start();
     await this.#expectService('after the start', START_MILLIS);
+    while (!(await this.#members.haveAllJoined())) {
+      if (performance.now() > until) {
+        this.violations.push('not all members joined');
+        return;
+      }
+      await sleep(POLL_MILLIS);
+    }
     this.#members.endBootstrap();
   }
 
