Soak of control members: the time to the next loss counts from a start that wasn't held up

By its log the emptied member's process took 3.9 s to start and was followed by the next loss 0.5 s later: nothing of the 4 s was left for the repair. A machine that is slowed counts as lost until 4 s after it, so that loss isn't allowed. The 4 s now count from the start of the process, or from 0.5 s before it first answers if that is later; the time to the vote still counts from the start of the process.

--- a/test/soak/control-members.ts
+++ b/test/soak/control-members.ts
@@ -15,6 +15,8 @@
 /** As the platform: a stop that takes longer is ended by force. */
 const GRACE_MILLIS = 6000;
 const POLL_MILLIS = 20;
+/** A process whose start takes longer is on a machine that is slowed: it counts as back only this long before it answers. */
+const START_MILLIS = 500;
 
 export class ControlMembers {
   /** What was done to the members, and when. */
@@ -27,6 +29,8 @@
   /** Members that ought to run. */
   readonly #wanted = new Set<number>();
   readonly #runSince = new Map<number, number>();
+  /** When the process of each member counts as running again, once it answers. */
+  readonly #starts = new Map<number, Promise<number>>();
   #isBootstrap = true;
   #isOver = false;
   #disturbances = 0;
@@ -83,6 +87,12 @@
     this.#runSince.set(number, performance.now());
     const settings = this.#cluster.write(`${nameOf(number)}.yaml`, this.#settingsOf(number));
     this.#cluster.startWith(nameOf(number), FAULTY_DISK, 'control', 'run', '--settings', settings);
+    this.#starts.set(number, this.#followStart(number));
+  }
+
+  /** When the member's process counts as running; resolves once it answers or has ended. */
+  started(number: number): Promise<number> {
+    return this.#starts.get(number) ?? Promise.resolve(Number.NEGATIVE_INFINITY);
   }
 
   /** Time since the member's process was started; 0 if it doesn't run. */
@@ -189,6 +199,18 @@
     return Promise.all(MEMBERS.map(async (number) => ({ number, raft: (await this.status(number))?.raft })));
   }
 
+  async #followStart(number: number): Promise<number> {
+    const spawnedAt = performance.now();
+    this.#disturbances += 1;
+    while (this.#cluster.isRunning(nameOf(number)) && (await this.status(number)) === undefined) {
+      await sleep(POLL_MILLIS);
+    }
+    const startedAt = Math.max(spawnedAt, performance.now() - START_MILLIS);
+    this.#disturbances -= 1;
+    this.#disturbedAt = Math.max(this.#disturbedAt, startedAt);
+    return startedAt;
+  }
+
   async #supervise(number: number): Promise<void> {
     while (!this.#isOver) {
       await sleep(POLL_MILLIS);
